--- /dev/null
+++ b/crates/firdock-core/src/lib.rs
@@ -0,0 +1,21 @@
+//! The vocabulary that every part of firdock shares: ids, tiers, outcomes, resources, settings.
+//!
+//! This crate does no I/O and knows no other crate of the workspace, so that the policy, the fold
+//! of the log and the daemons agree on one meaning of each word (see `docs/GLOSSARY.md`).
+
+pub mod credential;
+pub mod finding;
+pub mod ids;
+pub mod outcome;
+pub mod prefix;
+pub mod rendezvous;
+pub mod resource;
+pub mod settings;
+pub mod table;
+
+pub use finding::{Finding, Findings};
+pub use ids::{
+    AccountId, EndpointId, InstanceId, Offset, RequestId, ServiceId, TierId, TierRank, Version,
+    ZoneId,
+};
+pub use outcome::{Outcome, Reason};
--- /dev/null
+++ b/crates/firdock-core/src/outcome.rs
@@ -0,0 +1,103 @@
+//! The outcome that each request ends in, and the reason that callers are told.
+//!
+//! Every request ends in exactly one outcome. What each promises is set out in `docs/PROVED.md`.
+
+use std::fmt::{self, Display, Formatter};
+
+use serde::{Deserialize, Serialize};
+
+/// How a request ended, sent to the caller in the `Firdock-Outcome` header.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// The endpoint's answer was passed on.
+    Answered,
+    /// The request provably ran nowhere; the caller may send it again.
+    NotRun,
+    /// The request may have run; firdock does not dispatch it again if it may not be repeated.
+    Unknown,
+}
+
+impl Outcome {
+    /// Gives the header's value.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl Display for Outcome {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// Why a request was not answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Reason {
+    /// More work was held than the instance or the account may hold.
+    Overload,
+    /// The request waited longer than its tier allows.
+    WaitedTooLong,
+    /// No endpoint of the service can take work.
+    NoEndpoint,
+    /// The instance is stopping and no peer could take the request.
+    Stopping,
+    /// The endpoint stopped answering after the request was sent.
+    EndpointLost,
+    /// The link to a peer broke after the request was handed over.
+    PeerLost,
+    /// The idempotency key belongs to a request that is still running.
+    KeyInUse,
+    /// The idempotency key was used for another request.
+    KeyMismatch,
+    /// The key is too old, or changed owner too recently, to tell whether it ran.
+    KeyUncertain,
+    /// The key's owner cannot be confirmed while the log is out of reach.
+    KeyUnconfirmed,
+    /// The caller went away.
+    CallerLeft,
+}
+
+impl Reason {
+    /// Gives the reason as it appears in logs, metrics and problem documents.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Overload => "overload",
+            Self::WaitedTooLong => "waited-too-long",
+            Self::NoEndpoint => "no-endpoint",
+            Self::Stopping => "stopping",
+            Self::EndpointLost => "endpoint-lost",
+            Self::PeerLost => "peer-lost",
+            Self::KeyInUse => "key-in-use",
+            Self::KeyMismatch => "key-mismatch",
+            Self::KeyUncertain => "key-uncertain",
+            Self::KeyUnconfirmed => "key-unconfirmed",
+            Self::CallerLeft => "caller-left",
+        }
+    }
+
+    /// Gives the HTTP status that goes with the reason and the outcome.
+    #[must_use]
+    pub fn status(self, outcome: Outcome) -> u16 {
+        match (self, outcome) {
+            (Self::Overload | Self::WaitedTooLong, _) => 429,
+            (Self::KeyInUse, _) => 409,
+            (Self::KeyMismatch, _) => 422,
+            (_, Outcome::Unknown) => 502,
+            _ => 503,
+        }
+    }
+}
+
+impl Display for Reason {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
--- /dev/null
+++ b/crates/firdock-core/src/resource/catalog.rs
@@ -0,0 +1,64 @@
+//! All resources in force at one version, sorted by kind.
+
+use super::{Account, Endpoint, Resource, Service, Tier};
+use crate::{Findings, Version};
+
+/// The declared resources at one version, as the policy takes them.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Catalog {
+    /// Version of the newest change among them.
+    pub version: Version,
+    /// Tiers.
+    pub tiers: Vec<Tier>,
+    /// Client accounts.
+    pub accounts: Vec<Account>,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Endpoints.
+    pub endpoints: Vec<Endpoint>,
+}
+
+impl Catalog {
+    /// Makes an empty catalog at `version`.
+    #[must_use]
+    pub fn new(version: Version) -> Self {
+        Self {
+            version,
+            ..Self::default()
+        }
+    }
+
+    /// Adds resources.
+    #[must_use]
+    pub fn with_resources(mut self, resources: impl IntoIterator<Item = Resource>) -> Self {
+        for resource in resources {
+            match resource {
+                Resource::Endpoint(r) => self.endpoints.push(r),
+                Resource::Tier(r) => self.tiers.push(r),
+                Resource::Account(r) => self.accounts.push(r),
+                Resource::Service(r) => self.services.push(r),
+            }
+        }
+        self
+    }
+
+    /// Adds a finding for each reference to a resource that is not declared.
+    pub fn check_references(&self, found: &mut Findings) {
+        for s in &self.services {
+            if !self.tiers.iter().any(|t| t.name == s.tier) {
+                let path = format!("service/{}.tier", s.name);
+                found.add(None, path, format!("no tier `{}` is declared", s.tier));
+            }
+        }
+        for e in &self.endpoints {
+            for name in e
+                .services
+                .iter()
+                .filter(|n| !self.services.iter().any(|s| s.name == **n))
+            {
+                let path = format!("endpoint/{}.services", e.name);
+                found.add(None, path, format!("no service `{name}` is declared"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/firdock-core/src/settings/check.rs
@@ -0,0 +1,149 @@
+//! Checks of settings beyond the type of each field.
+
+use super::Settings;
+use crate::Findings;
+
+/// Shortest shared key, in bytes.
+const MIN_KEY_BYTES: usize = 16;
+/// Names of the log levels.
+const LEVELS: [&str; 4] = ["error", "warning", "info", "debug"];
+
+impl Settings {
+    pub(super) fn check(&self, found: &mut Findings) {
+        self.check_instance(found);
+        self.check_platform(found);
+        self.check_peers(found);
+        self.check_limits(found);
+        self.check_rest(found);
+    }
+
+    fn check_instance(&self, found: &mut Findings) {
+        let i = &self.instance;
+        require(
+            !i.name.is_empty(),
+            "instance.name",
+            "a name is needed",
+            found,
+        );
+        require(
+            !i.zone.is_empty(),
+            "instance.zone",
+            "an availability zone is needed",
+            found,
+        );
+        require(
+            i.callers.is_some(),
+            "instance.callers",
+            "IP:PORT is needed",
+            found,
+        );
+        require(
+            i.operators.is_some(),
+            "instance.operators",
+            "IP:PORT is needed",
+            found,
+        );
+        require(
+            i.peers.is_some(),
+            "instance.peers",
+            "IP:PORT is needed",
+            found,
+        );
+    }
+
+    fn check_platform(&self, found: &mut Findings) {
+        let p = &self.platform;
+        require(p.log.is_some(), "platform.log", "IP:PORT is needed", found);
+        require(
+            p.instances.is_some(),
+            "platform.instances",
+            "IP:PORT is needed",
+            found,
+        );
+        positive(p.call_millis, "platform.call_millis", found);
+        positive(p.read_millis, "platform.read_millis", found);
+        positive(p.list_millis, "platform.list_millis", found);
+        positive(p.retention_seconds, "platform.retention_seconds", found);
+    }
+
+    fn check_peers(&self, found: &mut Findings) {
+        let p = &self.peers;
+        let long = p.shared_key.len() >= MIN_KEY_BYTES;
+        require(
+            long,
+            "peers.shared_key",
+            "at least 16 bytes are needed",
+            found,
+        );
+        positive(p.heartbeat_millis, "peers.heartbeat_millis", found);
+        positive(u64::from(p.missed_beats), "peers.missed_beats", found);
+    }
+
+    fn check_limits(&self, found: &mut Findings) {
+        let l = &self.limits;
+        positive(l.connections as u64, "limits.connections", found);
+        require(
+            l.header_bytes >= 8 << 10,
+            "limits.header_bytes",
+            "8192 or more",
+            found,
+        );
+        positive(l.header_millis, "limits.header_millis", found);
+        positive(l.body_bytes as u64, "limits.body_bytes", found);
+        positive(l.body_millis, "limits.body_millis", found);
+        positive(l.max_held as u64, "limits.max_held", found);
+        let room = l.held_bytes >= l.body_bytes;
+        require(
+            room,
+            "limits.held_bytes",
+            "at least limits.body_bytes",
+            found,
+        );
+    }
+
+    fn check_rest(&self, found: &mut Findings) {
+        let e = &self.endpoints;
+        positive(e.connect_millis, "endpoints.connect_millis", found);
+        positive(e.silence_millis, "endpoints.silence_millis", found);
+        positive(e.report_millis, "endpoints.report_millis", found);
+        let ratio = |r: f64| (0.0..=1.0).contains(&r);
+        require(
+            ratio(e.retry_ratio),
+            "endpoints.retry_ratio",
+            "from 0 to 1",
+            found,
+        );
+        require(
+            ratio(e.eject_ratio),
+            "endpoints.eject_ratio",
+            "from 0 to 1",
+            found,
+        );
+        positive(self.keys.grace_seconds, "keys.grace_seconds", found);
+        let kept = self.keys.keep_seconds > 2 * self.keys.grace_seconds;
+        require(
+            kept,
+            "keys.keep_seconds",
+            "more than twice keys.grace_seconds",
+            found,
+        );
+        positive(self.keys.max_keys as u64, "keys.max_keys", found);
+        let level = LEVELS.contains(&self.logging.level.as_str());
+        require(
+            level,
+            "logging.level",
+            "error, warning, info or debug",
+            found,
+        );
+    }
+}
+
+fn require(ok: bool, path: &str, msg: &str, found: &mut Findings) {
+    if !ok {
+        found.add(None, path, msg);
+    }
+}
+
+fn positive(value: u64, path: &str, found: &mut Findings) {
+    require(value > 0, path, "1 or more", found);
+}
--- /dev/null
+++ b/crates/firdock-core/src/table.rs
@@ -0,0 +1,102 @@
+//! Reading of TOML and JSON tables into typed structs, with a finding for each bad key.
+//!
+//! Serde alone stops at the first fault. Each key of a table is therefore tried by itself first:
+//! structs deny unknown fields and default every field, so a table of one key is a full test of
+//! that key.
+
+use std::collections::BTreeMap;
+
+use serde::de::DeserializeOwned;
+use toml::{Spanned, Value};
+
+use crate::Findings;
+
+/// A TOML table whose keys know their place in the source.
+pub type SpannedTable = BTreeMap<Spanned<String>, Value>;
+
+/// Source text that turns a byte offset into a line.
+#[derive(Debug, Clone, Copy)]
+pub struct Source<'a> {
+    text: &'a str,
+}
+
+impl<'a> Source<'a> {
+    /// Wraps the text that was parsed.
+    #[must_use]
+    pub fn new(text: &'a str) -> Self {
+        Self { text }
+    }
+
+    /// Gives the line, counted from 1, that holds byte `at`.
+    #[must_use]
+    pub fn line(&self, at: usize) -> usize {
+        let head = &self.text.as_bytes()[..at.min(self.text.len())];
+        head.split(|b| *b == b'\n').count()
+    }
+}
+
+/// Reads one table into `T`, adding a finding for each key that is unknown or of the wrong type.
+///
+/// Returns `T`'s default where any finding was added, so that later checks can go on.
+pub fn read_table<T>(src: Source<'_>, path: &str, table: SpannedTable, found: &mut Findings) -> T
+where
+    T: DeserializeOwned + Default,
+{
+    let before = found.as_slice().len();
+    let mut whole = toml::Table::new();
+    for (key, value) in table {
+        let line = src.line(key.span().start);
+        let name = key.into_inner();
+        let single = toml::Table::from_iter([(name.clone(), value.clone())]);
+        if let Err(e) = single.try_into::<T>() {
+            found.add(
+                Some(line),
+                format!("{path}.{name}"),
+                first_line(e.message()),
+            );
+        }
+        whole.insert(name, value);
+    }
+    if found.as_slice().len() > before {
+        return T::default();
+    }
+    whole.try_into().unwrap_or_else(|e| {
+        found.add(None, path, first_line(e.message()));
+        T::default()
+    })
+}
+
+/// Reads one JSON object into `T`, with findings as [`read_table`] gives them but without lines.
+pub fn read_object<T>(path: &str, body: serde_json::Value, found: &mut Findings) -> T
+where
+    T: DeserializeOwned + Default,
+{
+    let serde_json::Value::Object(map) = body else {
+        found.add(None, path, "expected a JSON object");
+        return T::default();
+    };
+    let before = found.as_slice().len();
+    for (name, value) in &map {
+        let single = serde_json::Map::from_iter([(name.clone(), value.clone())]);
+        if let Err(e) = serde_json::from_value::<T>(serde_json::Value::Object(single)) {
+            found.add(None, format!("{path}.{name}"), first_line(&e.to_string()));
+        }
+    }
+    if found.as_slice().len() > before {
+        return T::default();
+    }
+    serde_json::from_value(serde_json::Value::Object(map)).unwrap_or_else(|e| {
+        found.add(None, path, first_line(&e.to_string()));
+        T::default()
+    })
+}
+
+/// Adds a syntax error of the TOML parser with its line.
+pub fn add_syntax(src: Source<'_>, error: &toml::de::Error, found: &mut Findings) {
+    let line = error.span().map(|s| src.line(s.start));
+    found.add(line, "", first_line(error.message()));
+}
+
+fn first_line(message: &str) -> String {
+    message.lines().next().unwrap_or_default().to_owned()
+}
--- /dev/null
+++ b/crates/firdock-node/src/clock.rs
@@ -0,0 +1,34 @@
+//! The process's clock, read at the edges and passed to everything that decides.
+
+use std::time::{Duration, Instant};
+
+/// Counts from the start of the instance and never steps back.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+}
+
+/// Time that is already past when a process starts, so that "long ago" can be told from "now".
+const HEAD_START: Duration = Duration::from_secs(3_600);
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock {
+    /// Starts a clock.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+
+    /// Gives the present time.
+    #[must_use]
+    pub fn now(&self) -> Duration {
+        HEAD_START + self.start.elapsed()
+    }
+}
--- /dev/null
+++ b/crates/firdock-node/src/config.rs
@@ -0,0 +1,15 @@
+//! The configuration: following the log, writing to it, and what the other threads read of it.
+
+mod changes;
+mod follow;
+mod hub;
+mod list;
+mod membership;
+mod write;
+
+pub use changes::{ChangeNote, Changes};
+pub use follow::{FollowParts, follow};
+pub use hub::{Hub, HubState, PeerStatus};
+pub use list::watch_list;
+pub use membership::DutySettings;
+pub use write::{WriteError, write};
--- /dev/null
+++ b/crates/firdock-node/src/config/follow.rs
@@ -0,0 +1,227 @@
+//! The thread that reads the log, folds it and does this instance's duties towards it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use firdock_policy::Event;
+use firdock_policy::event::{LogReading, Member, MemberView};
+use firdock_state::{Follower, Progress, State};
+use slog::{Logger, info, warn};
+use tokio::sync::mpsc;
+use uuid::Uuid;
+
+use super::hub::Hub;
+use super::membership::{Duties, DutySettings};
+use crate::backoff::Backoff;
+use crate::clock::Clock;
+use crate::driver::Input;
+use crate::platform::LogClient;
+
+/// Records asked for in one read.
+const BATCH_RECORDS: usize = 512;
+/// Pauses after failed reads.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(5));
+/// Reads in a row that find a gap before a peer is asked for its state.
+const GAPS_BEFORE_ASKING: u32 = 2;
+
+/// What the thread needs.
+#[derive(Debug)]
+pub struct FollowParts<L, A> {
+    /// Log.
+    pub log_client: L,
+    /// Asks peers for their state, when the log cannot give it.
+    pub ask_peers: A,
+    /// Shared state.
+    pub hub: Arc<Hub>,
+    /// Way to the scheduler.
+    pub inputs: mpsc::Sender<Input>,
+    /// Clock.
+    pub clock: Clock,
+    /// Logger.
+    pub log: Logger,
+    /// Pause between reads.
+    pub pause: Duration,
+    /// This start of this instance.
+    pub member: Member,
+    /// Settings of the duties towards the log.
+    pub duties: DutySettings,
+}
+
+/// Follows the log until the hub is closed.
+pub fn follow<L, A>(parts: FollowParts<L, A>)
+where
+    L: LogClient,
+    A: Fn() -> Option<State>,
+{
+    let duties = Duties::new(parts.duties, parts.member.clone());
+    let backoff = Backoff::new(BACKOFF.0, BACKOFF.1);
+    Thread {
+        parts,
+        follower: Follower::default(),
+        duties,
+        backoff,
+        gaps: 0,
+    }
+    .run();
+}
+
+struct Thread<L, A> {
+    parts: FollowParts<L, A>,
+    follower: Follower,
+    duties: Duties,
+    backoff: Backoff,
+    gaps: u32,
+}
+
+impl<L, A> Thread<L, A>
+where
+    L: LogClient,
+    A: Fn() -> Option<State>,
+{
+    fn run(&mut self) {
+        loop {
+            let pause = self.round();
+            if !self.parts.hub.pause(pause) {
+                return;
+            }
+        }
+    }
+
+    /// Reads once; gives the pause before the next read.
+    fn round(&mut self) -> Duration {
+        let sent = self.parts.clock.now();
+        match self
+            .parts
+            .log_client
+            .read(self.follower.read_from(), BATCH_RECORDS)
+        {
+            Ok(batch) => {
+                self.backoff.reset();
+                let old = self.follower.state().clone();
+                let progress = self.follower.take(&batch);
+                self.publish(&old);
+                self.after_read(
+                    progress,
+                    LogReading {
+                        log_time: batch.time(),
+                        sent,
+                    },
+                )
+            }
+            Err(e) => {
+                warn!(self.parts.log, "the log was not read"; "error" => e.to_string());
+                if self.follower.state().next == 0 {
+                    self.adopt();
+                }
+                self.backoff.next_pause()
+            }
+        }
+    }
+
+    fn after_read(&mut self, progress: Progress, reading: LogReading) -> Duration {
+        match progress {
+            Progress::Folded { results, at_end } => {
+                self.gaps = 0;
+                let read = at_end.then_some(reading.sent);
+                self.parts.hub.update(|h| {
+                    h.note_results(results);
+                    h.gap = false;
+                    h.log_read = read.or(h.log_read);
+                });
+                if !at_end {
+                    return Duration::ZERO;
+                }
+                self.send(Event::LogRead(reading));
+                self.do_duties(reading);
+                self.parts.pause
+            }
+            Progress::Gap { .. } => {
+                self.gaps += 1;
+                self.parts.hub.update(|h| h.gap = true);
+                if self.gaps >= GAPS_BEFORE_ASKING {
+                    self.adopt();
+                }
+                self.parts.pause
+            }
+        }
+    }
+
+    /// Takes the state of a peer that is ahead.
+    fn adopt(&mut self) {
+        let Some(state) = (self.parts.ask_peers)() else {
+            return;
+        };
+        let old = self.follower.state().clone();
+        if self.follower.adopt(state) {
+            info!(self.parts.log, "took the state of a peer"; "version" => self.follower.state().version);
+            self.publish(&old);
+        }
+    }
+
+    /// Makes a new state known to the other threads and the scheduler.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the version in force would go back.
+    fn publish(&mut self, old: &State) {
+        let new = self.follower.state();
+        assert!(
+            new.version >= old.version,
+            "the configuration in force never reverts"
+        );
+        if new.next == old.next {
+            return;
+        }
+        let state = Arc::new(new.clone());
+        self.parts.hub.update(|h| {
+            h.changes.note(old, &state);
+            h.state = Arc::clone(&state);
+        });
+        if state.version != old.version {
+            info!(self.parts.log, "configuration in force"; "version" => state.version);
+            self.send(Event::Config(Arc::new(state.catalog())));
+        }
+        if state.view != old.view {
+            info!(self.parts.log, "member view in force"; "view" => state.view,
+                "members" => state.members.len());
+            self.send(Event::View(view_of(&state)));
+        }
+    }
+
+    fn do_duties(&mut self, reading: LogReading) {
+        let record = {
+            let hub = self.parts.hub.lock();
+            self.duties
+                .next_record(self.parts.clock.now(), reading.log_time, &hub)
+        };
+        let Some(body) = record else { return };
+        let record = firdock_state::Record {
+            id: Uuid::now_v7(),
+            body,
+        };
+        let Ok(text) = serde_json::to_string(&record) else {
+            return;
+        };
+        match self.parts.log_client.append(&text) {
+            Ok(_) => self.parts.hub.wake(),
+            Err(e) => warn!(self.parts.log, "a record was not appended"; "error" => e.to_string()),
+        }
+    }
+
+    fn send(&self, event: Event) {
+        let _ = self.parts.inputs.blocking_send(Input::Event(event));
+    }
+}
+
+fn view_of(state: &State) -> MemberView {
+    let member = |m: &firdock_state::MemberEntry| Member {
+        name: m.name.clone(),
+        incarnation: m.incarnation,
+    };
+    MemberView {
+        since: state.view_since,
+        number: state.view,
+        first: state.first_view,
+        members: state.members.iter().map(member).collect(),
+    }
+}
--- /dev/null
+++ b/crates/firdock-node/src/config/hub.rs
@@ -0,0 +1,156 @@
+//! What the threads of an instance share about configuration, members and peers.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use firdock_core::{InstanceId, Version, ZoneId};
+use firdock_state::{FoldOutcome, RecordId, State};
+use serde::Serialize;
+
+use super::changes::Changes;
+use crate::platform::ListedRow;
+
+/// Results of records that are kept for writers that wait.
+const MAX_RESULTS: usize = 8_192;
+/// Peers whose status is kept.
+const MAX_PEERS: usize = 512;
+
+/// What a peer last told, for the status page.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct PeerStatus {
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Version of the configuration in force there.
+    pub version: Version,
+    /// Whether it is stopping.
+    pub draining: bool,
+    /// When it was heard of, by this process's clock.
+    #[serde(skip)]
+    pub heard: Duration,
+}
+
+/// Shared state.
+#[derive(Debug, Default)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each tells of a matter of its own"
+)]
+pub struct HubState {
+    /// Folded state in force.
+    pub state: Arc<State>,
+    /// Latest changes.
+    pub changes: Changes,
+    /// When the log was last read to its end.
+    pub log_read: Option<Duration>,
+    /// Whether records are missing and no snapshot was found yet.
+    pub gap: bool,
+    /// Rows of the instance list.
+    pub listed: Vec<ListedRow>,
+    /// When the instance list was last read.
+    pub list_read: Option<Duration>,
+    /// Status of peers.
+    pub peers: BTreeMap<InstanceId, PeerStatus>,
+    /// Whether this instance is stopping.
+    pub stopping: bool,
+    /// Whether the threads are to end.
+    pub closed: bool,
+    results: VecDeque<(RecordId, FoldOutcome)>,
+    wake: bool,
+}
+
+impl HubState {
+    /// Finds what became of a record.
+    #[must_use]
+    pub fn result(&self, id: RecordId) -> Option<FoldOutcome> {
+        self.results
+            .iter()
+            .rev()
+            .find(|(i, _)| *i == id)
+            .map(|(_, outcome)| *outcome)
+    }
+
+    /// Notes what became of records.
+    pub fn note_results(&mut self, results: Vec<(RecordId, FoldOutcome)>) {
+        self.results.extend(results);
+        let extra = self.results.len().saturating_sub(MAX_RESULTS);
+        self.results.drain(..extra);
+    }
+
+    /// Notes what a peer told.
+    pub fn note_peer(&mut self, name: &str, status: PeerStatus) {
+        if self.peers.len() < MAX_PEERS || self.peers.contains_key(name) {
+            self.peers.insert(name.to_owned(), status);
+        }
+    }
+
+    /// Finds a live or leaving instance by name.
+    #[must_use]
+    pub fn listed_row(&self, name: &str) -> Option<&ListedRow> {
+        self.listed.iter().find(|r| r.name == name)
+    }
+}
+
+/// Shared state with its lock and signals.
+#[derive(Debug, Default)]
+pub struct Hub {
+    state: Mutex<HubState>,
+    changed: Condvar,
+    woken: Condvar,
+}
+
+impl Hub {
+    /// Locks the state.
+    pub fn lock(&self) -> MutexGuard<'_, HubState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes the state and tells those who wait for a change.
+    pub fn update<T>(&self, change: impl FnOnce(&mut HubState) -> T) -> T {
+        let result = change(&mut self.lock());
+        self.changed.notify_all();
+        result
+    }
+
+    /// Has the log read at once, since a peer or a writer knows of news.
+    pub fn wake(&self) {
+        self.lock().wake = true;
+        self.woken.notify_all();
+    }
+
+    /// Waits until woken or for `limit`; tells whether the threads are to go on.
+    pub fn pause(&self, limit: Duration) -> bool {
+        let asleep = |s: &mut HubState| !s.wake && !s.closed;
+        let waited = self.woken.wait_timeout_while(self.lock(), limit, asleep);
+        let mut state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        state.wake = false;
+        !state.closed
+    }
+
+    /// Waits until `ready` gives a value or for `limit`.
+    pub fn wait_for<T>(
+        &self,
+        limit: Duration,
+        mut ready: impl FnMut(&HubState) -> Option<T>,
+    ) -> Option<T> {
+        let end = Instant::now() + limit;
+        let mut state = self.lock();
+        loop {
+            if let Some(value) = ready(&state) {
+                return Some(value);
+            }
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() || state.closed {
+                return None;
+            }
+            let waited = self.changed.wait_timeout(state, left);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    /// Ends the threads.
+    pub fn close(&self) {
+        self.update(|s| s.closed = true);
+        self.woken.notify_all();
+    }
+}
--- /dev/null
+++ b/crates/firdock-node/src/config/list.rs
@@ -0,0 +1,63 @@
+//! The thread that reads the platform's instance list.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use firdock_policy::Event;
+use firdock_policy::event::ListedInstance;
+use slog::{Logger, warn};
+use tokio::sync::mpsc;
+
+use super::hub::Hub;
+use crate::backoff::Backoff;
+use crate::clock::Clock;
+use crate::driver::Input;
+use crate::platform::{InstanceList, ListedRow};
+
+/// Longest pause after failed reads.
+const LONGEST_PAUSE: Duration = Duration::from_secs(5);
+/// Rows that are taken; a longer list is cut.
+const MAX_ROWS: usize = 20_000;
+
+/// Reads the list until the hub is closed.
+pub fn watch_list<I: InstanceList>(
+    list: &I,
+    hub: &Arc<Hub>,
+    inputs: &mpsc::Sender<Input>,
+    clock: Clock,
+    pause: Duration,
+    log: &Logger,
+) {
+    let mut backoff = Backoff::new(pause, LONGEST_PAUSE);
+    loop {
+        let wait = match list.list() {
+            Ok(mut rows) => {
+                backoff.reset();
+                rows.truncate(MAX_ROWS);
+                let event = Event::Listed(rows.iter().map(listed).collect());
+                hub.update(|h| {
+                    h.listed = rows;
+                    h.list_read = Some(clock.now());
+                });
+                if inputs.blocking_send(Input::Event(event)).is_err() {
+                    return;
+                }
+                pause
+            }
+            Err(e) => {
+                warn!(log, "the instance list was not read"; "error" => e.to_string());
+                backoff.next_pause()
+            }
+        };
+        if hub.wait_for(wait, |h| h.closed.then_some(())).is_some() || hub.lock().closed {
+            return;
+        }
+    }
+}
+
+fn listed(row: &ListedRow) -> ListedInstance {
+    ListedInstance {
+        name: row.name.clone(),
+        leaving: row.leaving,
+    }
+}
--- /dev/null
+++ b/crates/firdock-node/src/door/key.rs
@@ -0,0 +1,39 @@
+//! Idempotency keys as callers give them.
+
+use std::time::Duration;
+
+use firdock_core::rendezvous::hash_key;
+use firdock_policy::KeyClaim;
+use uuid::Uuid;
+
+use crate::exchange::Payload;
+
+/// Longest key, in bytes.
+pub const MAX_KEY_BYTES: usize = 255;
+/// Version of UUIDs that carry their minting time.
+const TIMED_VERSION: usize = 7;
+/// Parts of hashed texts are kept apart by a byte that none of them holds.
+const SEPARATOR: u8 = 0;
+
+/// Makes the claim of a request that carries a key; keys of different accounts never meet.
+#[must_use]
+pub fn claim(payload: &Payload) -> Option<KeyClaim> {
+    let key = payload.key.as_deref()?;
+    let owner = [payload.account.as_bytes(), key.as_bytes()].join(&SEPARATOR);
+    let target = payload.target.as_bytes();
+    let content = [payload.method.as_str().as_bytes(), target, &payload.body].join(&SEPARATOR);
+    Some(KeyClaim {
+        hash: hash_key(&owner),
+        fingerprint: hash_key(&content),
+        minted: minted(key),
+    })
+}
+
+/// Gives the time that a UUID of version 7 carries.
+fn minted(key: &str) -> Option<Duration> {
+    let uuid = Uuid::parse_str(key)
+        .ok()
+        .filter(|u| u.get_version_num() == TIMED_VERSION)?;
+    let (secs, nanos) = uuid.get_timestamp()?.to_unix();
+    Some(Duration::new(secs, nanos))
+}
--- /dev/null
+++ b/crates/firdock-node/src/driver.rs
@@ -0,0 +1,445 @@
+//! The thread that owns the scheduler's tables, and the carrying out of its actions.
+//!
+//! All else sends inputs over one bounded channel; the scheduler runs on each input and on a
+//! short timer, so that an instant call never waits for a tick.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use firdock_core::prefix::{block_hashes, estimate_tokens};
+use firdock_core::resource::EndpointKind;
+use firdock_core::{EndpointId, InstanceId, Outcome, Reason, RequestId};
+use firdock_policy::action::Dispatch;
+use firdock_policy::event::{DispatchNews, EndpointEvent, HandOverEvent, HandOverRefusal};
+use firdock_policy::{Action, Event, NewRequest, Origin, Policy as _, Scheduler, Verdict};
+use slog::{Logger, info, warn};
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, watch};
+use tokio::task::AbortHandle;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::answers::Answers;
+use crate::clock::Clock;
+use crate::door;
+use crate::endpoint::run_engine::{self, Run, RunLimits};
+use crate::endpoint::{EngineClient, PlainClient, Target, run_plain};
+use crate::exchange::{Exchange, Part, Payload};
+use crate::peer::{self, Dialer, SelfNews};
+use crate::site::{Place, Site};
+use crate::telemetry::{Metrics, Span};
+
+/// Inputs that may wait for the scheduler.
+pub const INPUTS_WAITING: usize = 4_096;
+/// Pause between two runs of the timed systems.
+const TICK: Duration = Duration::from_millis(25);
+/// Ticks between two publications of counters and two checks of invariants.
+const TICKS_PER_PUBLICATION: u32 = 8;
+
+/// Something for the scheduler.
+#[derive(Debug)]
+pub enum Input {
+    /// A request that arrived, with the way back to its caller.
+    Arrived(NewRequest, Arc<Exchange>),
+    /// Anything else.
+    Event(Event),
+}
+
+/// Makes the policy's view of a request.
+#[must_use]
+pub fn new_request(exchange: &Exchange, origin: Origin, tried: Vec<EndpointId>) -> NewRequest {
+    let payload = &exchange.payload;
+    let model = payload.model.as_ref();
+    NewRequest {
+        id: exchange.id,
+        service: payload.service.clone(),
+        account: payload.account.clone(),
+        prompt_tokens: model.map_or(0, |m| estimate_tokens(m.prompt.len())),
+        output_tokens: model.map_or(0, |m| m.max_tokens),
+        blocks: model.map_or_else(Vec::new, |m| block_hashes(m.prompt.as_bytes())),
+        bytes: occupied_bytes(payload),
+        key: door::claim(payload),
+        origin,
+        tried,
+    }
+}
+
+/// Estimates the bytes that a request occupies: its text, and as much again once it is parsed.
+fn occupied_bytes(payload: &Payload) -> usize {
+    const ROW_BYTES: usize = 1_024;
+    let copies = if payload.model.is_some() { 3 } else { 1 };
+    ROW_BYTES + copies * payload.body.len()
+}
+
+/// Adapters to the far ends.
+#[derive(Debug, Clone)]
+pub struct Adapters<E, P> {
+    /// Model engines.
+    pub engine: E,
+    /// Plain servers.
+    pub plain: P,
+}
+
+/// What the driver needs besides the scheduler.
+#[derive(Debug)]
+pub struct DriverParts<E, P> {
+    /// Adapters to endpoints.
+    pub adapters: Adapters<E, P>,
+    /// Way to peers.
+    pub dialer: Dialer,
+    /// Configuration in force.
+    pub site: Arc<Site>,
+    /// Kept answers.
+    pub answers: Answers,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+    /// Time limits of dispatches.
+    pub limits: RunLimits,
+    /// Clock.
+    pub clock: Clock,
+    /// Logger.
+    pub log: Logger,
+    /// Runtime for the tasks that carry actions out.
+    pub runtime: Handle,
+    /// Way back to the scheduler, for those tasks.
+    pub inputs: mpsc::Sender<Input>,
+    /// What peers are told of this instance.
+    pub news: watch::Sender<SelfNews>,
+    /// Turns true once a stopping instance has nothing left to do.
+    pub drained: watch::Sender<bool>,
+}
+
+/// Owner of the tables.
+#[derive(Debug)]
+pub struct Driver<E, P> {
+    scheduler: Scheduler,
+    parts: DriverParts<E, P>,
+    exchanges: HashMap<RequestId, Live>,
+    actions: Vec<Action>,
+    ticks: u32,
+}
+
+/// A request that has not ended.
+#[derive(Debug)]
+struct Live {
+    exchange: Arc<Exchange>,
+    task: Option<AbortHandle>,
+}
+
+impl<E: EngineClient, P: PlainClient> Driver<E, P> {
+    /// Makes a driver.
+    #[must_use]
+    pub fn new(scheduler: Scheduler, parts: DriverParts<E, P>) -> Self {
+        Self {
+            scheduler,
+            parts,
+            exchanges: HashMap::new(),
+            actions: Vec::new(),
+            ticks: 0,
+        }
+    }
+
+    /// Runs until every sender of inputs is gone or `stop` turns true.
+    pub async fn run(mut self, mut rx: mpsc::Receiver<Input>, mut stop: watch::Receiver<bool>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                input = rx.recv() => match input {
+                    Some(input) => self.take(input),
+                    None => return,
+                },
+                _ = ticks.tick() => self.tick(),
+                _ = stop.wait_for(|s| *s) => return,
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Arrived(new, exchange) => {
+                let id = new.id;
+                self.exchanges.insert(
+                    id,
+                    Live {
+                        exchange,
+                        task: None,
+                    },
+                );
+                self.step(Event::Arrived(new));
+                self.drop_if_ended(id);
+            }
+            Input::Event(event) => {
+                if let Event::Config(catalog) = &event {
+                    self.parts.site.set(catalog);
+                }
+                let id = subject(&event);
+                self.step(event);
+                if let Some(id) = id {
+                    self.drop_if_ended(id);
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.step(Event::Timer);
+        self.ticks += 1;
+        if self.ticks.is_multiple_of(TICKS_PER_PUBLICATION) {
+            self.scheduler.check_invariants(self.parts.clock.now());
+            self.publish();
+        }
+        self.drop_ended();
+    }
+
+    fn step(&mut self, event: Event) {
+        let started = Instant::now();
+        let now = self.parts.clock.now();
+        self.scheduler.step(now, event, &mut self.actions);
+        self.parts.metrics.observe_decision(started.elapsed());
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            self.carry_out(action);
+        }
+        self.actions = actions;
+    }
+
+    fn drop_if_ended(&mut self, id: RequestId) {
+        if self.scheduler.tables().requests.get(id).is_none() {
+            self.exchanges.remove(&id);
+        }
+    }
+
+    /// Drops what ended by time alone.
+    fn drop_ended(&mut self) {
+        let requests = &self.scheduler.tables().requests;
+        if self.exchanges.len() > requests.len() {
+            self.exchanges.retain(|id, _| requests.get(*id).is_some());
+        }
+    }
+
+    fn publish(&self) {
+        let t = self.scheduler.tables();
+        let mut held = std::collections::BTreeMap::new();
+        for (_, s) in t.services.iter() {
+            *held.entry(s.tier.name.clone()).or_insert(0) += s.queue.len() as u32;
+        }
+        let held: Vec<(String, u32)> = held.into_iter().collect();
+        self.parts.metrics.publish(&t.stats, t.version, &held);
+        let news = SelfNews::new(t, self.parts.clock.now());
+        self.parts.news.send_replace(news);
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Dispatch(dispatch) => self.dispatch(dispatch),
+            Action::Cancel {
+                id,
+                endpoint,
+                dispatch,
+            } => self.cancel(id, &endpoint, dispatch),
+            Action::HandOver { id, peer, cause } => self.hand_over(id, peer, cause),
+            Action::CancelHandOver { id, .. } => self.abort(id),
+            Action::Answer { id, verdict } => self.reply(id, Part::Verdict(verdict)),
+            Action::RefuseHandOver { id, verdict, tried } => {
+                self.reply(id, Part::Refusal(verdict, tried));
+            }
+            Action::Cut { id } => self.reply(id, Part::Cut),
+            Action::Replay { id, earlier } => self.replay(id, earlier),
+            Action::Forget { id } => self.parts.answers.forget(id),
+            Action::Drained => {
+                self.parts.drained.send_replace(true);
+            }
+        }
+    }
+
+    fn dispatch(&mut self, dispatch: Dispatch) {
+        let Some(exchange) = self.exchange(dispatch.id) else {
+            return;
+        };
+        let Some(place) = self.parts.site.view().place(&dispatch.endpoint) else {
+            self.refuse(&dispatch);
+            return;
+        };
+        let id = dispatch.id;
+        let run = self.make_run(exchange, dispatch, place);
+        let (adapters, answers) = (self.parts.adapters.clone(), self.parts.answers.clone());
+        let (log, clock) = (self.parts.log.clone(), self.parts.clock);
+        let task = self.parts.runtime.spawn(async move {
+            let span = Span::start("endpoint", &run.exchange.trace, clock.now());
+            let run = Run {
+                trace: span.context,
+                ..run
+            };
+            let result = match place.backend {
+                EndpointKind::Engine => run_engine::run(adapters.engine, run).await,
+                EndpointKind::Plain => run_plain::run(adapters.plain, run, answers).await,
+            };
+            span.end(&log, clock.now(), &id.to_string(), result);
+        });
+        self.set_task(id, task.abort_handle());
+    }
+
+    fn make_run(&self, exchange: Arc<Exchange>, dispatch: Dispatch, place: Place) -> Run {
+        let trace = exchange.trace;
+        Run {
+            target: Target {
+                name: dispatch.endpoint.clone(),
+                address: place.address,
+            },
+            exchange,
+            dispatch,
+            limits: self.parts.limits,
+            inputs: self.parts.inputs.clone(),
+            clock: self.parts.clock,
+            trace,
+        }
+    }
+
+    /// Gives a dispatch back whose endpoint has no address any more; nothing was sent.
+    fn refuse(&self, dispatch: &Dispatch) {
+        let news = DispatchNews::Refused { unreachable: true };
+        let event = EndpointEvent {
+            id: dispatch.id,
+            dispatch: dispatch.dispatch,
+            news,
+        };
+        self.send(Event::Endpoint(event));
+    }
+
+    fn cancel(&mut self, id: RequestId, endpoint: &str, dispatch: u32) {
+        self.abort(id);
+        let Some(place) = self.parts.site.view().place(endpoint) else {
+            return;
+        };
+        if place.backend == EndpointKind::Engine {
+            let engine = self.parts.adapters.engine.clone();
+            self.parts
+                .runtime
+                .spawn(async move { engine.cancel(place.address, id, dispatch).await });
+        }
+    }
+
+    fn hand_over(
+        &mut self,
+        id: RequestId,
+        peer: InstanceId,
+        cause: firdock_policy::action::HandOverCause,
+    ) {
+        let Some(exchange) = self.exchange(id) else {
+            return;
+        };
+        let tried = self
+            .scheduler
+            .tables()
+            .requests
+            .get(id)
+            .map(|r| r.tried.clone());
+        let address = self.parts.dialer.address(&peer);
+        let Some(address) = address else {
+            let refusal = HandOverRefusal {
+                id,
+                verdict: None,
+                tried: Vec::new(),
+            };
+            self.send(Event::HandOver(HandOverEvent::Refused(refusal)));
+            return;
+        };
+        let order = peer::Order {
+            exchange,
+            peer,
+            address,
+            cause,
+            tried: tried.unwrap_or_default(),
+            inputs: self.parts.inputs.clone(),
+            caller_stall: self.parts.limits.caller_stall,
+        };
+        let (dialer, log, clock) = (
+            self.parts.dialer.clone(),
+            self.parts.log.clone(),
+            self.parts.clock,
+        );
+        let task = self.parts.runtime.spawn(async move {
+            let span = Span::start("peer", &order.exchange.trace, clock.now());
+            let result = peer::hand_over(dialer, order, span.context).await;
+            span.end(&log, clock.now(), &id.to_string(), result);
+        });
+        self.set_task(id, task.abort_handle());
+    }
+
+    fn replay(&self, id: RequestId, earlier: RequestId) {
+        let Some(answer) = self.parts.answers.get(earlier) else {
+            let verdict = Verdict {
+                outcome: Outcome::Unknown,
+                reason: Reason::KeyUncertain,
+                retry_seconds: None,
+            };
+            self.reply(id, Part::Verdict(verdict));
+            return;
+        };
+        self.reply(id, Part::Head(answer.head.clone()));
+        self.reply(id, Part::Data(answer.body()));
+        self.reply(id, Part::End);
+    }
+
+    fn reply(&self, id: RequestId, part: Part) {
+        let Some(live) = self.exchanges.get(&id) else {
+            return;
+        };
+        info!(self.parts.log, "reply";
+            "request_id" => id.to_string(),
+            "trace_id" => live.exchange.trace.trace_id(),
+            "part" => part.name(),
+        );
+        let reply = live.exchange.reply.clone();
+        if let Err(mpsc::error::TrySendError::Full(part)) = reply.try_send(part) {
+            self.parts
+                .runtime
+                .spawn(async move { reply.send(part).await });
+        }
+    }
+
+    /// Sends an event to the scheduler itself, after what is already waiting.
+    fn send(&self, event: Event) {
+        let inputs = self.parts.inputs.clone();
+        self.parts.runtime.spawn(async move {
+            let _ = inputs.send(Input::Event(event)).await;
+        });
+    }
+
+    fn exchange(&self, id: RequestId) -> Option<Arc<Exchange>> {
+        let live = self.exchanges.get(&id);
+        if live.is_none() {
+            warn!(self.parts.log, "action for an unknown request"; "request_id" => id.to_string());
+        }
+        live.map(|l| Arc::clone(&l.exchange))
+    }
+
+    fn set_task(&mut self, id: RequestId, task: AbortHandle) {
+        if let Some(live) = self.exchanges.get_mut(&id) {
+            live.task = Some(task);
+        }
+    }
+
+    fn abort(&mut self, id: RequestId) {
+        if let Some(task) = self.exchanges.get_mut(&id).and_then(|l| l.task.take()) {
+            task.abort();
+        }
+    }
+}
+
+/// Gives the request that an event is about.
+fn subject(event: &Event) -> Option<RequestId> {
+    match event {
+        Event::CallerLeft(id) => Some(*id),
+        Event::Endpoint(e) => Some(e.id),
+        Event::HandOver(e) => Some(match e {
+            HandOverEvent::Refused(r) => r.id,
+            HandOverEvent::Started(id)
+            | HandOverEvent::Ended(id)
+            | HandOverEvent::Unknown(id, _)
+            | HandOverEvent::Broke(id) => *id,
+        }),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/firdock-node/src/endpoint/engine.rs
@@ -0,0 +1,338 @@
+//! HTTP adapter for model engines that speak the OpenAI-compatible protocol.
+//!
+//! Beyond that protocol, an engine echoes request id and dispatch number, numbers its tokens and
+//! keeps a running request for a while when its connection breaks.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use firdock_core::RequestId;
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+use serde_json::{Value, json};
+use tokio::time::timeout;
+
+use super::sse::{SseDecoder, SseEvent};
+use super::{
+    AnsweredSnafu, DISPATCH_HEADER, EndpointReport, EngineClient, EngineOrder, EngineUsage,
+    FencedOrder, KvCache, LostSnafu, NOT_STARTED_HEADER, REPORT_PATH, RefusedSnafu, ReportSource,
+    StartError, StreamError, TokenEvent, TokenStream,
+};
+use crate::door::REQUEST_ID_HEADER;
+use crate::http::{CallError, Connection, connect};
+
+/// Largest body of an answer that is not a stream.
+const MAX_BODY_BYTES: usize = 8 << 20;
+/// End of a stream, by the `OpenAI` protocol.
+const DONE: &str = "[DONE]";
+
+/// Adapter for engines.
+#[derive(Debug, Clone, Copy)]
+pub struct HttpEngine {
+    connect_time: Duration,
+    answer_time: Duration,
+}
+
+impl HttpEngine {
+    /// Makes an adapter with its time limits.
+    #[must_use]
+    pub fn new(connect_time: Duration, answer_time: Duration) -> Self {
+        Self {
+            connect_time,
+            answer_time,
+        }
+    }
+
+    async fn open(
+        &self,
+        at: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Connection, Response<Incoming>), StartError> {
+        let mut connection = connect(at, self.connect_time)
+            .await
+            .map_err(|e| start_error(&e))?;
+        let response = connection.call(request, self.answer_time).await;
+        let response = response.map_err(|e| start_error(&e))?;
+        Ok((connection, response))
+    }
+
+    async fn open_stream(
+        &self,
+        at: SocketAddr,
+        order: EngineOrder<'_>,
+        request: Request<Full<Bytes>>,
+        from: u32,
+    ) -> Result<HttpTokenStream, StartError> {
+        let (connection, response) = self.open(at, request).await?;
+        if response.headers().contains_key(NOT_STARTED_HEADER) {
+            return RefusedSnafu.fail();
+        }
+        if !echoes(&response, order) {
+            return LostSnafu.fail();
+        }
+        let status = response.status();
+        if !status.is_success() {
+            let body = read_all(response).await?;
+            return AnsweredSnafu {
+                status: status.as_u16(),
+                body,
+            }
+            .fail();
+        }
+        let decoder = SseDecoder::new();
+        let body = response.into_body();
+        Ok(HttpTokenStream {
+            _connection: connection,
+            body,
+            decoder,
+            next: from,
+            ended: false,
+        })
+    }
+
+    /// Makes a small call of which only success counts.
+    async fn order_call(
+        &self,
+        at: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Bytes, StartError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .body(Full::new(body));
+        let Ok(request) = request else {
+            return RefusedSnafu.fail();
+        };
+        let (_connection, response) = self.open(at, request).await?;
+        let status = response.status();
+        let body = read_all(response).await?;
+        if status.is_success() {
+            return Ok(body);
+        }
+        AnsweredSnafu {
+            status: status.as_u16(),
+            body,
+        }
+        .fail()
+    }
+}
+
+fn start_error(e: &CallError) -> StartError {
+    if e.never_sent() {
+        StartError::Unreachable
+    } else {
+        StartError::Lost
+    }
+}
+
+/// Tells whether an answer carries the id and the dispatch number that were sent.
+fn echoes(response: &Response<Incoming>, order: EngineOrder<'_>) -> bool {
+    let text = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok());
+    let id = text(REQUEST_ID_HEADER.as_str()) == Some(order.id.to_string().as_str());
+    id && text(DISPATCH_HEADER) == Some(order.dispatch.to_string().as_str())
+}
+
+async fn read_all(response: Response<Incoming>) -> Result<Bytes, StartError> {
+    let body = Limited::new(response.into_body(), MAX_BODY_BYTES)
+        .collect()
+        .await;
+    body.map_or_else(|_| LostSnafu.fail(), |b| Ok(b.to_bytes()))
+}
+
+/// Makes the body that goes to the engine: the caller's, with what firdock adds.
+fn engine_body(order: EngineOrder<'_>) -> Bytes {
+    let mut body = order.call.body.clone();
+    body["stream"] = json!(true);
+    body["max_tokens"] = json!(order.call.max_tokens);
+    body["priority"] = json!(order.priority);
+    body["resume_from"] = json!(order.resume_from);
+    if order.resume_from > 0 {
+        body["resume_text"] = json!(order.resume_text);
+    }
+    Bytes::from(body.to_string())
+}
+
+fn marked(method: Method, path: &str, order: EngineOrder<'_>) -> hyper::http::request::Builder {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header(REQUEST_ID_HEADER, order.id.to_string())
+        .header(DISPATCH_HEADER, order.dispatch)
+        .header("traceparent", order.trace.header())
+        .header("content-type", "application/json")
+}
+
+impl EngineClient for HttpEngine {
+    type Stream = HttpTokenStream;
+
+    async fn start(
+        &self,
+        at: SocketAddr,
+        order: EngineOrder<'_>,
+    ) -> Result<HttpTokenStream, StartError> {
+        let path = if order.call.chat {
+            "/v1/chat/completions"
+        } else {
+            "/v1/completions"
+        };
+        let body = Full::new(engine_body(order));
+        let Ok(request) = marked(Method::POST, path, order).body(body) else {
+            return RefusedSnafu.fail();
+        };
+        self.open_stream(at, order, request, order.resume_from)
+            .await
+    }
+
+    async fn resume(
+        &self,
+        at: SocketAddr,
+        order: EngineOrder<'_>,
+        from: u32,
+    ) -> Result<HttpTokenStream, StartError> {
+        let path = format!("/requests/{}/{}?from={from}", order.id, order.dispatch);
+        let Ok(request) = marked(Method::GET, &path, order).body(Full::default()) else {
+            return RefusedSnafu.fail();
+        };
+        self.open_stream(at, order, request, from).await
+    }
+
+    async fn cancel(&self, at: SocketAddr, id: RequestId, dispatch: u32) {
+        let path = format!("/requests/{id}/{dispatch}");
+        let _ = self
+            .order_call(at, Method::DELETE, &path, Bytes::new())
+            .await;
+    }
+
+    async fn export_kv(&self, at: SocketAddr, id: RequestId) -> Result<KvCache, StartError> {
+        let path = format!("/kv/{id}");
+        self.order_call(at, Method::GET, &path, Bytes::new())
+            .await
+            .map(KvCache)
+    }
+
+    async fn import_kv(
+        &self,
+        at: SocketAddr,
+        id: RequestId,
+        cache: KvCache,
+    ) -> Result<(), StartError> {
+        let path = format!("/kv/{id}");
+        self.order_call(at, Method::PUT, &path, cache.0)
+            .await
+            .map(|_| ())
+    }
+
+    async fn order(&self, at: SocketAddr, order: &FencedOrder) -> Result<(), StartError> {
+        let body = serde_json::to_vec(order).unwrap_or_default();
+        self.order_call(at, Method::POST, "/orders", Bytes::from(body))
+            .await
+            .map(|_| ())
+    }
+}
+
+impl ReportSource for HttpEngine {
+    async fn report(&self, at: SocketAddr, after: u64) -> Result<EndpointReport, StartError> {
+        let path = format!("{REPORT_PATH}?after={after}");
+        let body = self
+            .order_call(at, Method::GET, &path, Bytes::new())
+            .await?;
+        serde_json::from_slice(&body).map_or_else(|_| LostSnafu.fail(), Ok)
+    }
+}
+
+/// Stream of an engine's tokens, checked for holes and doubles.
+#[derive(Debug)]
+pub struct HttpTokenStream {
+    _connection: Connection,
+    body: Incoming,
+    decoder: SseDecoder,
+    next: u32,
+    ended: bool,
+}
+
+impl TokenStream for HttpTokenStream {
+    async fn next(&mut self, silence: Duration) -> Result<Option<TokenEvent>, StreamError> {
+        loop {
+            match self.decoder.next_event() {
+                Ok(Some(SseEvent::Data(data))) => {
+                    if let Some(step) = self.take(&data)? {
+                        return Ok(step.event);
+                    }
+                }
+                Ok(Some(SseEvent::Comment)) => {}
+                Ok(None) => self.read_more(silence).await?,
+                Err(_) => return Err(StreamError::Crossed),
+            }
+        }
+    }
+}
+
+/// One step of a stream: an event, or its end.
+struct Step {
+    event: Option<TokenEvent>,
+}
+
+impl HttpTokenStream {
+    async fn read_more(&mut self, silence: Duration) -> Result<(), StreamError> {
+        match timeout(silence, self.body.frame()).await {
+            Err(_) => Err(StreamError::Silent),
+            Ok(Some(Ok(frame))) => {
+                if let Some(bytes) = frame.data_ref() {
+                    self.decoder.push(bytes);
+                }
+                Ok(())
+            }
+            Ok(_) => Err(StreamError::Broken),
+        }
+    }
+
+    /// Takes one event's data; events that came before are dropped, holes are an error.
+    fn take(&mut self, data: &str) -> Result<Option<Step>, StreamError> {
+        if data == DONE {
+            let whole = self.ended;
+            return if whole {
+                Ok(Some(Step { event: None }))
+            } else {
+                Err(StreamError::Crossed)
+            };
+        }
+        let json = serde_json::from_str::<Value>(data)
+            .ok()
+            .ok_or(StreamError::Crossed)?;
+        let event = read_event(json).ok_or(StreamError::Crossed)?;
+        if event.offset > self.next {
+            return Err(StreamError::Crossed);
+        }
+        if event.offset < self.next && event.finish.is_none() {
+            return Ok(None);
+        }
+        self.next = event.offset + event.tokens;
+        self.ended |= event.finish.is_some();
+        Ok(Some(Step { event: Some(event) }))
+    }
+}
+
+fn read_event(json: Value) -> Option<TokenEvent> {
+    let number = |v: &Value| v.as_u64().and_then(|n| u32::try_from(n).ok());
+    let choice = &json["choices"][0];
+    let text = choice["text"]
+        .as_str()
+        .or_else(|| choice["delta"]["content"].as_str());
+    let finish = choice["finish_reason"].as_str().map(str::to_owned);
+    let usage = number(&json["usage"]["prompt_tokens"]).map(|prompt| EngineUsage {
+        prompt,
+        cached: number(&json["usage"]["prompt_tokens_details"]["cached_tokens"]).unwrap_or(0),
+    });
+    Some(TokenEvent {
+        offset: number(&json["offset"])?,
+        tokens: number(&json["tokens"])?,
+        text: text.unwrap_or_default().to_owned(),
+        usage,
+        finish,
+        json,
+    })
+}
--- /dev/null
+++ b/crates/firdock-node/src/endpoint/plain.rs
@@ -0,0 +1,84 @@
+//! HTTP adapter for plain application servers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::header::HeaderValue;
+use hyper::{Request, header};
+
+use super::{
+    DISPATCH_HEADER, LostSnafu, NOT_STARTED_HEADER, PlainAnswer, PlainClient, PlainOrder,
+    RefusedSnafu, StartError, UnreachableSnafu,
+};
+use crate::door::REQUEST_ID_HEADER;
+use crate::http::{CallError, connect, strip_hop_by_hop};
+
+/// Adapter for plain servers.
+#[derive(Debug, Clone, Copy)]
+pub struct HttpPlain {
+    connect_time: Duration,
+}
+
+impl HttpPlain {
+    /// Makes an adapter with its time limit for connects.
+    #[must_use]
+    pub fn new(connect_time: Duration) -> Self {
+        Self { connect_time }
+    }
+}
+
+impl PlainClient for HttpPlain {
+    async fn call(
+        &self,
+        at: SocketAddr,
+        order: PlainOrder<'_>,
+        silence: Duration,
+    ) -> Result<PlainAnswer, StartError> {
+        let Some(request) = request(at, order) else {
+            return RefusedSnafu.fail();
+        };
+        let Ok(mut connection) = connect(at, self.connect_time).await else {
+            return UnreachableSnafu.fail();
+        };
+        let mut response = match connection.call(request, silence).await {
+            Ok(response) => response,
+            Err(CallError::Connect { .. } | CallError::ConnectTime { .. }) => {
+                return UnreachableSnafu.fail();
+            }
+            Err(_) => return LostSnafu.fail(),
+        };
+        if response.headers().contains_key(NOT_STARTED_HEADER) {
+            return RefusedSnafu.fail();
+        }
+        let echoed = response
+            .headers()
+            .get(REQUEST_ID_HEADER)
+            .and_then(|v| v.to_str().ok());
+        if echoed.is_some_and(|id| id != order.id.to_string()) {
+            return LostSnafu.fail();
+        }
+        strip_hop_by_hop(response.headers_mut());
+        Ok(PlainAnswer {
+            response,
+            connection,
+        })
+    }
+}
+
+fn request(at: SocketAddr, order: PlainOrder<'_>) -> Option<Request<Full<bytes::Bytes>>> {
+    let body = Full::new(order.body.clone());
+    let builder = Request::builder().method(order.method).uri(order.target);
+    let mut request = builder.body(body).ok()?;
+    let headers = request.headers_mut();
+    headers.clone_from(order.headers);
+    headers.insert(header::HOST, HeaderValue::from_str(&at.to_string()).ok()?);
+    let id = HeaderValue::from_str(&order.id.to_string()).ok()?;
+    headers.insert(REQUEST_ID_HEADER, id);
+    headers.insert(DISPATCH_HEADER, HeaderValue::from(order.dispatch));
+    headers.insert(
+        "traceparent",
+        HeaderValue::from_str(&order.trace.header()).ok()?,
+    );
+    Some(request)
+}
--- /dev/null
+++ b/crates/firdock-node/src/endpoint/run_engine.rs
@@ -0,0 +1,353 @@
+//! Driving of one dispatch to a model engine, from the write to the end of the answer.
+
+use std::sync::{Arc, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use firdock_core::RequestId;
+use firdock_policy::Event;
+use firdock_policy::action::Dispatch;
+use firdock_policy::event::{DispatchNews, EndpointEvent};
+use hyper::header::{self, HeaderValue};
+use hyper::{HeaderMap, StatusCode};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use super::{EngineClient, EngineOrder, EngineUsage, StartError, StreamError, Target};
+use super::{TokenEvent, TokenStream};
+use crate::clock::Clock;
+use crate::door::ModelCall;
+use crate::driver::Input;
+use crate::exchange::{AnswerHead, Delivered, Exchange, Part};
+use crate::telemetry::TraceContext;
+
+/// Tries to take up a broken stream on the same engine.
+const RESUME_TRIES: u32 = 2;
+/// Pause before such a try.
+const RESUME_PAUSE: Duration = Duration::from_millis(50);
+/// Longest text of an answer that is put together for a caller who does not stream.
+const MAX_TEXT_BYTES: usize = 8 << 20;
+
+/// Time limits of a dispatch.
+#[derive(Debug, Clone, Copy)]
+pub struct RunLimits {
+    /// Longest silence of an endpoint.
+    pub silence: Duration,
+    /// Longest time that a caller may leave parts of the answer unread.
+    pub caller_stall: Duration,
+}
+
+/// What every driver of a dispatch needs.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// The request and the way back to its caller.
+    pub exchange: Arc<Exchange>,
+    /// The order.
+    pub dispatch: Dispatch,
+    /// Where the endpoint is.
+    pub target: Target,
+    /// Time limits.
+    pub limits: RunLimits,
+    /// Way to the scheduler.
+    pub inputs: mpsc::Sender<Input>,
+    /// Clock, for the last look at the key's confirmation.
+    pub clock: Clock,
+    /// Trace of this hop.
+    pub trace: TraceContext,
+}
+
+/// How a step of a dispatch ended it early.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stop {
+    /// The caller does not read or is gone.
+    Caller,
+    /// The endpoint was lost.
+    Endpoint,
+}
+
+impl Run {
+    /// Tells the scheduler something about this dispatch.
+    pub async fn tell(&self, news: DispatchNews) {
+        let (id, dispatch) = (self.dispatch.id, self.dispatch.dispatch);
+        let event = Event::Endpoint(EndpointEvent { id, dispatch, news });
+        let _ = self.inputs.send(Input::Event(event)).await;
+    }
+
+    /// Passes a part on; a caller who does not read for too long counts as gone.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Stop::Caller`].
+    pub async fn pass(&self, part: Part) -> Result<(), Stop> {
+        let sending = timeout(self.limits.caller_stall, self.exchange.reply.send(part)).await;
+        match sending {
+            Ok(Ok(())) => Ok(()),
+            _ => Err(Stop::Caller),
+        }
+    }
+
+    /// Tells the scheduler that the caller is gone.
+    pub async fn tell_caller_left(&self) {
+        let event = Event::CallerLeft(self.id());
+        let _ = self.inputs.send(Input::Event(event)).await;
+    }
+
+    /// Looks at the key's confirmation one last time, right before the write.
+    ///
+    /// Tells whether it lapsed; the scheduler has been told then.
+    pub async fn lapsed(&self) -> bool {
+        let lapsed = self
+            .dispatch
+            .confirm_by
+            .is_some_and(|until| until <= self.clock.now());
+        if lapsed {
+            self.tell(DispatchNews::Lapsed).await;
+        }
+        lapsed
+    }
+
+    fn id(&self) -> RequestId {
+        self.dispatch.id
+    }
+
+    fn delivered(&self) -> MutexGuard<'_, Delivered> {
+        self.exchange
+            .delivered
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Runs a dispatch to a model engine; gives a word on how it ended for the trace.
+pub async fn run<E: EngineClient>(engine: E, run: Run) -> &'static str {
+    let Some(call) = run.exchange.payload.model.clone() else {
+        return "no-model-call";
+    };
+    if run.lapsed().await {
+        return "lapsed";
+    }
+    let text = run.delivered().text.clone();
+    let order = EngineOrder {
+        id: run.id(),
+        dispatch: run.dispatch.dispatch,
+        resume_from: run.dispatch.resume_from,
+        resume_text: &text,
+        priority: run.dispatch.priority,
+        call: &call,
+        trace: run.trace,
+    };
+    let started = engine.start(run.target.address, order).await;
+    match started {
+        Ok(stream) => follow(&engine, &run, order, stream).await,
+        Err(e) => not_started(&run, e).await,
+    }
+}
+
+async fn not_started(run: &Run, error: StartError) -> &'static str {
+    match error {
+        StartError::Unreachable => {
+            run.tell(DispatchNews::Refused { unreachable: true }).await;
+            "unreachable"
+        }
+        StartError::Refused => {
+            run.tell(DispatchNews::Refused { unreachable: false }).await;
+            "refused"
+        }
+        StartError::Lost => {
+            let delivered = run.delivered().tokens;
+            run.tell(DispatchNews::Broke { delivered }).await;
+            "lost"
+        }
+        StartError::Answered { status, body } => pass_error(run, status, body).await,
+    }
+}
+
+/// Passes an engine's own error on as the caller's answer.
+async fn pass_error(run: &Run, status: u16, body: Bytes) -> &'static str {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let head = AnswerHead {
+        status,
+        headers: content_type("application/json"),
+    };
+    run.tell(DispatchNews::Started { head_sent: true }).await;
+    for part in [Part::Head(head), Part::Data(body)] {
+        if run.pass(part).await.is_err() {
+            run.tell_caller_left().await;
+            return "caller-left";
+        }
+    }
+    run.tell(DispatchNews::Ended {
+        prompt: 0,
+        cached: 0,
+        output: 0,
+    })
+    .await;
+    let _ = run.pass(Part::End).await;
+    "engine-error"
+}
+
+/// Follows the stream to its end, taking it up again where its connection breaks.
+async fn follow<E: EngineClient>(
+    engine: &E,
+    run: &Run,
+    order: EngineOrder<'_>,
+    mut stream: E::Stream,
+) -> &'static str {
+    let mut relay = Relay {
+        run,
+        call: order.call,
+        usage: EngineUsage::default(),
+        begun: false,
+    };
+    let mut tries = 0;
+    loop {
+        match stream.next(run.limits.silence).await {
+            Ok(Some(event)) => {
+                if relay.pass(event).await.is_err() {
+                    run.tell_caller_left().await;
+                    return "caller-left";
+                }
+            }
+            Ok(None) => return relay.finish().await,
+            Err(StreamError::Broken) if tries < RESUME_TRIES => {
+                tries += 1;
+                tokio::time::sleep(RESUME_PAUSE).await;
+                let from = run.delivered().tokens;
+                match engine.resume(run.target.address, order, from).await {
+                    Ok(again) => stream = again,
+                    Err(_) => return relay.broke().await,
+                }
+            }
+            Err(_) => return relay.broke().await,
+        }
+    }
+}
+
+/// Passes token events on in the form that the caller asked for.
+struct Relay<'a> {
+    run: &'a Run,
+    call: &'a ModelCall,
+    usage: EngineUsage,
+    begun: bool,
+}
+
+impl Relay<'_> {
+    async fn pass(&mut self, mut event: TokenEvent) -> Result<(), Stop> {
+        if let Some(usage) = event.usage {
+            self.usage = usage;
+        }
+        event.json["id"] = self.run.id().to_string().into();
+        let first = !self.begun && event.tokens > 0;
+        if first {
+            self.begin().await?;
+        }
+        self.note(&event)?;
+        if self.call.stream {
+            self.begin_stream().await?;
+            let line = format!("data: {}\n\n", event.json);
+            self.run.pass(Part::Data(Bytes::from(line))).await?;
+        }
+        if first {
+            let delivered = self.run.delivered().tokens;
+            let cached = self.usage.cached;
+            self.run
+                .tell(DispatchNews::Tokens { delivered, cached })
+                .await;
+        }
+        Ok(())
+    }
+
+    /// Tells the scheduler that the answer began.
+    async fn begin(&mut self) -> Result<(), Stop> {
+        self.begun = true;
+        let head_sent = self.call.stream;
+        self.run.tell(DispatchNews::Started { head_sent }).await;
+        Ok(())
+    }
+
+    /// Passes the head of a streamed answer on, once over all dispatches.
+    async fn begin_stream(&self) -> Result<(), Stop> {
+        if std::mem::replace(&mut self.run.delivered().head_sent, true) {
+            return Ok(());
+        }
+        let headers = content_type("text/event-stream");
+        self.run
+            .pass(Part::Head(AnswerHead {
+                status: StatusCode::OK,
+                headers,
+            }))
+            .await
+    }
+
+    /// Adds the event to what has been passed on.
+    fn note(&self, event: &TokenEvent) -> Result<(), Stop> {
+        let mut delivered = self.run.delivered();
+        delivered.tokens = delivered.tokens.max(event.offset + event.tokens);
+        delivered.text.push_str(&event.text);
+        if delivered.text.len() > MAX_TEXT_BYTES {
+            Err(Stop::Caller)
+        } else {
+            Ok(())
+        }
+    }
+
+    async fn finish(&mut self) -> &'static str {
+        if !self.begun && self.begin().await.is_err() {
+            return "caller-left";
+        }
+        let output = self.run.delivered().tokens;
+        if self.pass_end(output).await.is_err() {
+            self.run.tell_caller_left().await;
+            return "caller-left";
+        }
+        let (prompt, cached) = (self.usage.prompt, self.usage.cached);
+        self.run
+            .tell(DispatchNews::Ended {
+                prompt,
+                cached,
+                output,
+            })
+            .await;
+        let _ = self.run.pass(Part::End).await;
+        "answered"
+    }
+
+    /// Passes on what closes the answer.
+    async fn pass_end(&self, output: u32) -> Result<(), Stop> {
+        if self.call.stream {
+            self.begin_stream().await?;
+            return self
+                .run
+                .pass(Part::Data(Bytes::from_static(b"data: [DONE]\n\n")))
+                .await;
+        }
+        let usage = crate::door::Usage {
+            prompt: self.usage.prompt,
+            cached: self.usage.cached,
+            output,
+            limited: output >= self.call.max_tokens,
+        };
+        let text = self.run.delivered().text.clone();
+        let body = self
+            .call
+            .whole_answer(&self.run.id().to_string(), &text, usage);
+        let head = AnswerHead {
+            status: StatusCode::OK,
+            headers: content_type("application/json"),
+        };
+        self.run.pass(Part::Head(head)).await?;
+        self.run.pass(Part::Data(body)).await
+    }
+
+    async fn broke(&self) -> &'static str {
+        let delivered = self.run.delivered().tokens;
+        self.run.tell(DispatchNews::Broke { delivered }).await;
+        "broke"
+    }
+}
+
+fn content_type(value: &'static str) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(value));
+    headers
+}
--- /dev/null
+++ b/crates/firdock-node/src/endpoint/run_plain.rs
@@ -0,0 +1,122 @@
+//! Driving of one dispatch to a plain server, from the write to the end of the answer.
+
+use bytes::Bytes;
+use firdock_policy::event::DispatchNews;
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use super::run_engine::{Run, Stop};
+use super::{PlainAnswer, PlainClient, PlainOrder, StartError};
+use crate::answers::{Answers, KeptAnswer};
+use crate::exchange::{AnswerHead, Part};
+
+/// Runs a dispatch to a plain server; gives a word on how it ended for the trace.
+pub async fn run<P: PlainClient>(plain: P, run: Run, answers: Answers) -> &'static str {
+    if run.lapsed().await {
+        return "lapsed";
+    }
+    let payload = &run.exchange.payload;
+    let order = PlainOrder {
+        id: run.dispatch.id,
+        dispatch: run.dispatch.dispatch,
+        method: &payload.method,
+        target: &payload.target,
+        headers: &payload.headers,
+        body: &payload.body,
+        trace: run.trace,
+    };
+    match plain
+        .call(run.target.address, order, run.limits.silence)
+        .await
+    {
+        Ok(answer) => relay(&run, answer, &answers).await,
+        Err(StartError::Unreachable) => {
+            run.tell(DispatchNews::Refused { unreachable: true }).await;
+            "unreachable"
+        }
+        Err(StartError::Refused) => {
+            run.tell(DispatchNews::Refused { unreachable: false }).await;
+            "refused"
+        }
+        Err(_) => {
+            run.tell(DispatchNews::Broke { delivered: 0 }).await;
+            "lost"
+        }
+    }
+}
+
+async fn relay(run: &Run, answer: PlainAnswer, answers: &Answers) -> &'static str {
+    let PlainAnswer {
+        response,
+        connection,
+    } = answer;
+    let (parts, body) = response.into_parts();
+    let head = AnswerHead {
+        status: parts.status,
+        headers: parts.headers,
+    };
+    let mut kept = run
+        .exchange
+        .payload
+        .key
+        .as_ref()
+        .map(|_| KeptAnswer::new(head.clone()));
+    run.tell(DispatchNews::Started { head_sent: true }).await;
+    let passed = match run.pass(Part::Head(head)).await {
+        Ok(()) => pass_body(run, body, &mut kept).await,
+        Err(stop) => Err(stop),
+    };
+    drop(connection);
+    match passed {
+        Ok(()) => {
+            if let Some(kept) = kept {
+                answers.keep(run.dispatch.id, kept);
+            }
+            run.tell(DispatchNews::Ended {
+                prompt: 0,
+                cached: 0,
+                output: 0,
+            })
+            .await;
+            let _ = run.pass(Part::End).await;
+            "answered"
+        }
+        Err(Stop::Caller) => {
+            run.tell_caller_left().await;
+            "caller-left"
+        }
+        Err(Stop::Endpoint) => {
+            run.tell(DispatchNews::Broke { delivered: 0 }).await;
+            "broke"
+        }
+    }
+}
+
+/// Passes the body on to its end; an end that comes early is an error of the connection.
+async fn pass_body(
+    run: &Run,
+    mut body: Incoming,
+    kept: &mut Option<KeptAnswer>,
+) -> Result<(), Stop> {
+    loop {
+        let Ok(frame) = timeout(run.limits.silence, body.frame()).await else {
+            return Err(Stop::Endpoint);
+        };
+        let Some(frame) = frame else { return Ok(()) };
+        let Ok(frame) = frame else {
+            return Err(Stop::Endpoint);
+        };
+        if let Ok(bytes) = frame.into_data() {
+            keep(kept, &bytes);
+            run.pass(Part::Data(bytes)).await?;
+        }
+    }
+}
+
+fn keep(kept: &mut Option<KeptAnswer>, bytes: &Bytes) {
+    let fits = kept.as_mut().is_none_or(|k| k.push(bytes));
+    if !fits {
+        *kept = None;
+    }
+}
--- /dev/null
+++ b/crates/firdock-node/src/endpoint/sse.rs
@@ -0,0 +1,86 @@
+//! Decoder of server-sent events: bytes in, events out, bounded.
+
+use bytes::BytesMut;
+use snafu::Snafu;
+
+/// Longest event, in bytes.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
+/// One event.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SseEvent {
+    /// Data of an event.
+    Data(String),
+    /// A comment, which only shows that the sender lives.
+    Comment,
+}
+
+/// The bytes are no event stream.
+#[derive(Debug, Snafu, Clone, Copy, PartialEq, Eq)]
+#[snafu(display("no event stream, or an event of more than {MAX_EVENT_BYTES} bytes"))]
+pub struct NoEventStream;
+
+/// Puts events together from bytes as they come.
+#[derive(Debug, Default)]
+pub struct SseDecoder {
+    buffer: BytesMut,
+    data: String,
+    has_data: bool,
+}
+
+impl SseDecoder {
+    /// Makes an empty decoder.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds bytes that came.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Gives the next whole event; `None` until more bytes come.
+    ///
+    /// # Errors
+    ///
+    /// Fails on text that is not UTF-8 and on events that are too long.
+    pub fn next_event(&mut self) -> Result<Option<SseEvent>, NoEventStream> {
+        while let Some(end) = self.buffer.iter().position(|b| *b == b'\n') {
+            let line = self.buffer.split_to(end + 1);
+            let line = line.strip_suffix(b"\n").unwrap_or(&line);
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            let Ok(line) = std::str::from_utf8(line) else {
+                return NoEventStreamSnafu.fail();
+            };
+            if let Some(event) = take_line(line, &mut self.data, &mut self.has_data) {
+                return Ok(Some(event));
+            }
+            if self.data.len() > MAX_EVENT_BYTES {
+                return NoEventStreamSnafu.fail();
+            }
+        }
+        if self.buffer.len() > MAX_EVENT_BYTES {
+            return NoEventStreamSnafu.fail();
+        }
+        Ok(None)
+    }
+}
+
+fn take_line(line: &str, data: &mut String, has_data: &mut bool) -> Option<SseEvent> {
+    if line.is_empty() {
+        let whole = std::mem::take(has_data).then(|| std::mem::take(data));
+        return whole.map(SseEvent::Data);
+    }
+    if line.starts_with(':') {
+        return Some(SseEvent::Comment);
+    }
+    if let Some(value) = line.strip_prefix("data:") {
+        if *has_data {
+            data.push('\n');
+        }
+        *has_data = true;
+        data.push_str(value.strip_prefix(' ').unwrap_or(value));
+    }
+    None
+}
--- /dev/null
+++ b/crates/firdock-node/src/exchange.rs
@@ -0,0 +1,126 @@
+//! One request on its way: what the caller sent, and where the parts of the answer go.
+
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use firdock_core::{AccountId, EndpointId, RequestId, ServiceId};
+use firdock_policy::Verdict;
+use hyper::{HeaderMap, Method, StatusCode};
+use tokio::sync::mpsc;
+
+use crate::door::ModelCall;
+use crate::telemetry::TraceContext;
+
+/// Parts of an answer that may wait for a slow reader.
+pub const PARTS_WAITING: usize = 32;
+
+/// What the caller sent, without what belongs to its connection or account.
+#[derive(Debug, Clone)]
+pub struct Payload {
+    /// Service that the request matched.
+    pub service: ServiceId,
+    /// Account that sent it.
+    pub account: AccountId,
+    /// Method.
+    pub method: Method,
+    /// Path with the query.
+    pub target: String,
+    /// Headers to pass on.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Parsed body of a model call; `None` for plain calls.
+    pub model: Option<ModelCall>,
+    /// Idempotency key as the caller gave it.
+    pub key: Option<String>,
+}
+
+/// Head of an answer.
+#[derive(Debug, Clone)]
+pub struct AnswerHead {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers to pass on.
+    pub headers: HeaderMap,
+}
+
+/// A part of what goes back to the caller, in order.
+#[derive(Debug, Clone)]
+pub enum Part {
+    /// The head; it comes first.
+    Head(AnswerHead),
+    /// Some of the body.
+    Data(Bytes),
+    /// The answer is whole.
+    End,
+    /// The answer cannot be completed.
+    Cut,
+    /// Firdock's own final answer, in place of a head.
+    Verdict(Verdict),
+    /// The request did not run here and goes back to the peer, in place of a head.
+    Refusal(Verdict, Vec<EndpointId>),
+}
+
+impl Part {
+    /// Gives the part's name for logs.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Head(_) => "head",
+            Self::Data(_) => "data",
+            Self::End => "end",
+            Self::Cut => "cut",
+            Self::Verdict(_) => "verdict",
+            Self::Refusal(..) => "refusal",
+        }
+    }
+}
+
+/// How much of a model's answer has been passed on, over all dispatches.
+#[derive(Debug, Default)]
+pub struct Delivered {
+    /// Whether the head has been passed on.
+    pub head_sent: bool,
+    /// Tokens of the whole answer so far.
+    pub tokens: u32,
+    /// Text of the whole answer so far.
+    pub text: String,
+}
+
+/// A request with the way back to its caller.
+#[derive(Debug)]
+pub struct Exchange {
+    /// Request.
+    pub id: RequestId,
+    /// What the caller sent.
+    pub payload: Payload,
+    /// Way back to the caller or the peer.
+    pub reply: mpsc::Sender<Part>,
+    /// Trace that the request belongs to.
+    pub trace: TraceContext,
+    /// Progress of a model's answer.
+    pub delivered: Mutex<Delivered>,
+}
+
+impl Exchange {
+    /// Makes an exchange and the receiving end of its answer.
+    #[must_use]
+    pub fn new(
+        id: RequestId,
+        payload: Payload,
+        trace: TraceContext,
+    ) -> (Arc<Self>, mpsc::Receiver<Part>) {
+        let (reply, parts) = mpsc::channel(PARTS_WAITING);
+        let delivered = Mutex::new(Delivered::default());
+        (
+            Arc::new(Self {
+                id,
+                payload,
+                reply,
+                trace,
+                delivered,
+            }),
+            parts,
+        )
+    }
+}
--- /dev/null
+++ b/crates/firdock-node/src/http.rs
@@ -0,0 +1,41 @@
+//! HTTP/1.1 plumbing around `hyper`: listener, server loop and client calls.
+//!
+//! `hyper` stands in for `rouille` here since `rouille` holds streamed bodies back; the figures
+//! are in `docs/design/http.md`.
+
+mod client;
+mod listener;
+mod server;
+
+pub use client::{CallError, Connection, connect};
+pub use listener::listen;
+pub use server::{ServerOptions, serve};
+
+use hyper::HeaderMap;
+use hyper::header::{self, HeaderName};
+
+/// Headers that belong to one connection and are never passed on (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::TE,
+    header::TRAILER,
+    header::UPGRADE,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// Removes the headers that belong to one connection, and those that `Connection` names.
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/firdock-node/src/http/listener.rs
@@ -0,0 +1,28 @@
+//! Listening sockets with a deep backlog, for bursts that arrive at once.
+
+use std::io;
+use std::net::SocketAddr;
+
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::net::TcpListener;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 4_096;
+
+/// Opens a listening socket.
+///
+/// # Errors
+///
+/// Returns the operating system's error, such as an address in use.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
--- /dev/null
+++ b/crates/firdock-node/src/http/server.rs
@@ -0,0 +1,102 @@
+//! The server loop: connections up to a limit, time limits on heads, and an orderly stop.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+
+/// Pause after the operating system refused to accept, such as when descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Limits of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerOptions {
+    /// Connections at once; more wait in the backlog.
+    pub connections: usize,
+    /// Bytes in the head of a request.
+    pub header_bytes: usize,
+    /// Time for a client to send the head.
+    pub header_time: Duration,
+}
+
+/// Serves until `stop` turns true, then finishes what runs and returns.
+pub async fn serve<F, Fut, B>(
+    listener: TcpListener,
+    options: ServerOptions,
+    mut stop: watch::Receiver<bool>,
+    handle: F,
+) where
+    F: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
+    Fut: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: std::error::Error + Send + Sync + 'static,
+{
+    let slots = Arc::new(Semaphore::new(options.connections));
+    let most = u32::try_from(options.connections).unwrap_or(u32::MAX);
+    loop {
+        let accepted = tokio::select! {
+            accepted = accept(&listener, &slots) => accepted,
+            _ = stop.wait_for(|s| *s) => break,
+        };
+        let Some((stream, slot)) = accepted else {
+            return;
+        };
+        let (handle, stop) = (handle.clone(), stop.clone());
+        tokio::spawn(async move {
+            serve_connection(stream, options, stop, handle).await;
+            drop(slot);
+        });
+    }
+    drop(listener);
+    // Every connection holds a slot, so having all slots means that all connections ended.
+    let _all = slots.acquire_many(most).await;
+}
+
+type Slot = tokio::sync::OwnedSemaphorePermit;
+
+async fn accept(listener: &TcpListener, slots: &Arc<Semaphore>) -> Option<(TcpStream, Slot)> {
+    let slot = Arc::clone(slots).acquire_owned().await.ok()?;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return Some((stream, slot)),
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn serve_connection<F, Fut, B>(
+    stream: TcpStream,
+    options: ServerOptions,
+    mut stop: watch::Receiver<bool>,
+    handle: F,
+) where
+    F: Fn(Request<Incoming>) -> Fut + Send + 'static,
+    Fut: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: std::error::Error + Send + Sync + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let answer = handle(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(options.header_time)
+        .max_buf_size(options.header_bytes)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = stop.wait_for(|s| *s) => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
--- /dev/null
+++ b/crates/firdock-node/src/lib.rs
@@ -0,0 +1,24 @@
+//! The entry instance of firdock as a library: everything between callers and endpoints.
+//!
+//! One thread owns the scheduler's tables; the callers' door, the endpoint adapters, the peers and
+//! the platform send it events and carry out its actions. [`Instance`] puts the parts together
+//! (see `docs/design/instance.md`).
+
+pub mod answers;
+pub mod backoff;
+pub mod clock;
+pub mod config;
+pub mod door;
+mod driver;
+pub mod endpoint;
+mod exchange;
+pub mod http;
+mod instance;
+pub mod operator;
+pub mod peer;
+pub mod platform;
+mod site;
+pub mod telemetry;
+
+pub use exchange::{AnswerHead, Part, Payload};
+pub use instance::{Instance, Running, StartError};
--- /dev/null
+++ b/crates/firdock-node/src/operator/status.rs
@@ -0,0 +1,89 @@
+//! Status: which version is in force where.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use firdock_core::{InstanceId, Version, ZoneId};
+use serde::{Deserialize, Serialize};
+
+use crate::config::HubState;
+
+/// Status of one entry instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SiteStatus {
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Version in force there.
+    pub version: Version,
+    /// Whether it is stopping.
+    pub draining: bool,
+    /// Milliseconds since it was heard of.
+    pub heard_millis: u64,
+}
+
+/// Status of the fleet as one instance sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// Instance that answers.
+    pub instance: InstanceId,
+    /// Newest version that it knows.
+    pub version: Version,
+    /// Next offset of the log that it will fold.
+    pub log_next: u64,
+    /// Milliseconds since it read the log to its end; `None` before the first time.
+    pub log_lag_millis: Option<u64>,
+    /// Whether records are missing and no snapshot was found yet.
+    pub gap: bool,
+    /// Members by the log.
+    pub members: Vec<InstanceId>,
+    /// Every instance that it has heard of, itself among them.
+    pub instances: BTreeMap<InstanceId, SiteStatus>,
+    /// Whether the newest version is in force at all of them.
+    pub converged: bool,
+}
+
+impl Status {
+    /// Takes the status from what the threads share.
+    #[must_use]
+    pub fn new(me: &str, zone: &str, now: Duration, hub: &HubState) -> Self {
+        let version = hub.state.version;
+        let own = SiteStatus {
+            zone: zone.to_owned(),
+            version,
+            draining: hub.stopping,
+            heard_millis: 0,
+        };
+        let mut instances: BTreeMap<InstanceId, SiteStatus> = hub
+            .peers
+            .iter()
+            .map(|(name, p)| (name.clone(), peer_status(now, p)))
+            .collect();
+        instances.insert(me.to_owned(), own);
+        instances.retain(|name, _| name == me || hub.listed_row(name).is_some());
+        let in_force = instances.values().map(|s| s.version).min();
+        let lag = hub.log_read.map(|read| millis(now.saturating_sub(read)));
+        Self {
+            instance: me.to_owned(),
+            version,
+            log_next: hub.state.next,
+            log_lag_millis: lag,
+            gap: hub.gap,
+            members: hub.state.members.iter().map(|m| m.name.clone()).collect(),
+            converged: in_force == Some(version),
+            instances,
+        }
+    }
+}
+
+fn peer_status(now: Duration, p: &crate::config::PeerStatus) -> SiteStatus {
+    SiteStatus {
+        zone: p.zone.clone(),
+        version: p.version,
+        draining: p.draining,
+        heard_millis: millis(now.saturating_sub(p.heard)),
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/firdock-node/src/peer.rs
@@ -0,0 +1,25 @@
+//! Links between instances: who a peer is, heartbeats, hand-over and state.
+//!
+//! Each hand-over has a connection of its own, so that a slow reader holds up nothing but itself
+//! and closing the connection cancels the request (see `docs/design/peers.md`).
+
+mod dial;
+mod hand_over;
+mod heartbeat;
+mod link;
+mod serve;
+mod state;
+
+pub use dial::{DialError, Dialer};
+pub use hand_over::{Order, hand_over};
+pub use heartbeat::{SelfNews, beat};
+pub use link::{Link, LinkError};
+pub use serve::{PeerServer, serve_peers};
+pub use state::ask_for_state;
+
+use std::time::Duration;
+
+/// Largest frame between peers: a request with its body.
+pub const MAX_FRAME_BYTES: usize = 16 << 20;
+/// Time for a connection to a peer and its handshake.
+pub const HANDSHAKE_TIME: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/crates/firdock-node/src/peer/hand_over.rs
@@ -0,0 +1,259 @@
+//! Handing a request over to a peer and streaming its answer back.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use firdock_core::{EndpointId, InstanceId, Outcome, Reason, RequestId};
+use firdock_policy::action::HandOverCause;
+use firdock_policy::event::{HandOverEvent, HandOverRefusal};
+use firdock_policy::{Event, Verdict};
+use firdock_wire::Body;
+use firdock_wire::message::{self, Cause, Header};
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{HeaderMap, StatusCode};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use super::dial::Dialer;
+use super::link::Link;
+use crate::driver::Input;
+use crate::exchange::{AnswerHead, Exchange, Part};
+use crate::telemetry::TraceContext;
+
+/// Order to hand a request over.
+#[derive(Debug)]
+pub struct Order {
+    /// Request.
+    pub exchange: Arc<Exchange>,
+    /// Peer.
+    pub peer: InstanceId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Why.
+    pub cause: HandOverCause,
+    /// Endpoints that have had the request.
+    pub tried: Vec<EndpointId>,
+    /// Way to the scheduler.
+    pub inputs: mpsc::Sender<Input>,
+    /// Longest time that a caller may leave parts of the answer unread.
+    pub caller_stall: Duration,
+}
+
+impl Order {
+    fn id(&self) -> RequestId {
+        self.exchange.id
+    }
+
+    async fn tell(&self, event: HandOverEvent) {
+        let _ = self.inputs.send(Input::Event(Event::HandOver(event))).await;
+    }
+
+    async fn refused(&self, verdict: Option<Verdict>, tried: Vec<EndpointId>) {
+        let refusal = HandOverRefusal {
+            id: self.id(),
+            verdict,
+            tried,
+        };
+        self.tell(HandOverEvent::Refused(refusal)).await;
+    }
+
+    async fn pass(&self, part: Part) -> bool {
+        let sending = timeout(self.caller_stall, self.exchange.reply.send(part)).await;
+        matches!(sending, Ok(Ok(())))
+    }
+}
+
+/// Hands a request over; gives a word on how it ended for the trace.
+pub async fn hand_over(dialer: Dialer, order: Order, trace: TraceContext) -> &'static str {
+    let Ok(mut link) = dialer.dial(&order.peer, order.address).await else {
+        order.refused(None, Vec::new()).await;
+        return "unreachable";
+    };
+    // From here on the request may reach the peer.
+    if link
+        .send(Body::HandOver(message_of(&order, trace)))
+        .await
+        .is_err()
+    {
+        order.tell(HandOverEvent::Broke(order.id())).await;
+        return "broke";
+    }
+    loop {
+        let Ok(Some(body)) = link.receive().await else {
+            order.tell(HandOverEvent::Broke(order.id())).await;
+            return "broke";
+        };
+        if let Some(result) = take(&order, body).await {
+            return result;
+        }
+    }
+}
+
+/// Takes one message of the answer; gives how the hand-over ended, if it did.
+async fn take(order: &Order, body: Body) -> Option<&'static str> {
+    let id = order.id();
+    match body {
+        Body::AnswerHead(head) => {
+            order.tell(HandOverEvent::Started(id)).await;
+            let passed = order.pass(Part::Head(read_head(head))).await;
+            if passed {
+                None
+            } else {
+                caller_left(order).await
+            }
+        }
+        Body::AnswerData(data) => {
+            let passed = order.pass(Part::Data(Bytes::from(data.data))).await;
+            if passed {
+                None
+            } else {
+                caller_left(order).await
+            }
+        }
+        Body::AnswerEnd(_) => {
+            order.tell(HandOverEvent::Ended(id)).await;
+            let _ = order.pass(Part::End).await;
+            Some("answered")
+        }
+        Body::Refusal(refusal) => {
+            let verdict = read_verdict(Outcome::NotRun, &refusal.reason, refusal.retry_seconds);
+            order.refused(Some(verdict), refusal.tried).await;
+            Some("refused")
+        }
+        Body::UnknownOutcome(unknown) => {
+            let verdict = read_verdict(Outcome::Unknown, &unknown.reason, unknown.retry_seconds);
+            order.tell(HandOverEvent::Unknown(id, verdict)).await;
+            Some("unknown")
+        }
+        _ => {
+            order.tell(HandOverEvent::Broke(id)).await;
+            Some("broke")
+        }
+    }
+}
+
+async fn caller_left(order: &Order) -> Option<&'static str> {
+    let _ = order
+        .inputs
+        .send(Input::Event(Event::CallerLeft(order.id())))
+        .await;
+    Some("caller-left")
+}
+
+fn message_of(order: &Order, trace: TraceContext) -> message::HandOver {
+    let payload = &order.exchange.payload;
+    let cause = match order.cause {
+        HandOverCause::KeyOwner => Cause::KeyOwner,
+        HandOverCause::Shed => Cause::Shed,
+        HandOverCause::Stopping => Cause::Stopping,
+    };
+    message::HandOver {
+        request_id: order.id().as_bytes().to_vec(),
+        service: payload.service.clone(),
+        account: payload.account.clone(),
+        cause: cause.into(),
+        method: payload.method.as_str().to_owned(),
+        target: payload.target.clone(),
+        headers: write_headers(&payload.headers),
+        body: payload.body.to_vec(),
+        idempotency_key: payload.key.clone().unwrap_or_default(),
+        traceparent: trace.header(),
+        tried: order.tried.clone(),
+    }
+}
+
+/// Writes headers as messages.
+pub(super) fn write_headers(headers: &HeaderMap) -> Vec<Header> {
+    let header = |(name, value): (&HeaderName, &HeaderValue)| Header {
+        name: name.as_str().to_owned(),
+        value: value.as_bytes().to_vec(),
+    };
+    headers.iter().map(header).collect()
+}
+
+/// Reads headers from messages; malformed ones are dropped.
+pub(super) fn read_headers(headers: Vec<Header>) -> HeaderMap {
+    let mut map = HeaderMap::new();
+    for header in headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_bytes(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            map.append(name, value);
+        }
+    }
+    map
+}
+
+fn read_head(head: message::AnswerHead) -> AnswerHead {
+    let code = u16::try_from(head.status).unwrap_or_default();
+    let status = StatusCode::from_u16(code).unwrap_or(StatusCode::BAD_GATEWAY);
+    AnswerHead {
+        status,
+        headers: read_headers(head.headers),
+    }
+}
+
+/// Reads a verdict; an unknown reason counts as a lost peer.
+fn read_verdict(outcome: Outcome, reason: &str, retry_seconds: u32) -> Verdict {
+    let text = serde_json::Value::String(reason.to_owned());
+    let reason = serde_json::from_value::<Reason>(text).unwrap_or(Reason::PeerLost);
+    Verdict {
+        outcome,
+        reason,
+        retry_seconds: Some(retry_seconds).filter(|s| *s > 0),
+    }
+}
+
+/// Sends a part of an answer as the message that [`take`] reads.
+pub(super) async fn send_part(link: &mut Link, part: Part) -> Result<bool, super::LinkError> {
+    let (body, last) = match part {
+        Part::Head(head) => {
+            let status = u32::from(head.status.as_u16());
+            let headers = write_headers(&head.headers);
+            (
+                Body::AnswerHead(message::AnswerHead { status, headers }),
+                false,
+            )
+        }
+        Part::Data(data) => (
+            Body::AnswerData(message::AnswerData {
+                data: data.to_vec(),
+            }),
+            false,
+        ),
+        Part::End => (Body::AnswerEnd(message::AnswerEnd {}), true),
+        Part::Cut => (Body::AnswerCut(message::AnswerCut {}), true),
+        Part::Refusal(verdict, tried) => {
+            let (reason, retry_seconds) = write_verdict(verdict);
+            (
+                Body::Refusal(message::Refusal {
+                    reason,
+                    retry_seconds,
+                    tried,
+                }),
+                true,
+            )
+        }
+        Part::Verdict(verdict) => {
+            let (reason, retry_seconds) = write_verdict(verdict);
+            (
+                Body::UnknownOutcome(message::UnknownOutcome {
+                    reason,
+                    retry_seconds,
+                }),
+                true,
+            )
+        }
+    };
+    link.send(body).await?;
+    Ok(last)
+}
+
+fn write_verdict(verdict: Verdict) -> (String, u32) {
+    (
+        verdict.reason.as_str().to_owned(),
+        verdict.retry_seconds.unwrap_or(0),
+    )
+}
--- /dev/null
+++ b/crates/firdock-node/src/peer/heartbeat.rs
@@ -0,0 +1,170 @@
+//! Heartbeats: what an instance tells its peers of itself, several times a second.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use firdock_core::{InstanceId, ZoneId};
+use firdock_policy::event::{PeerNews, ServiceDemand};
+use firdock_policy::table::Tables;
+use firdock_wire::Body;
+use firdock_wire::message::{self, Heartbeat};
+use slog::{Logger, debug};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::{MissedTickBehavior, interval, timeout};
+
+use super::HANDSHAKE_TIME;
+use super::dial::Dialer;
+use crate::backoff::Backoff;
+
+/// Longest pause between two tries to reach a peer.
+const LONGEST_PAUSE: Duration = Duration::from_secs(5);
+/// Services told in a heartbeat, so that its size is bounded.
+const MAX_SERVICES: usize = 256;
+/// Leaving endpoints told in a heartbeat.
+const MAX_LEAVING: usize = 256;
+
+/// What this instance tells of itself.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct SelfNews {
+    zone: ZoneId,
+    held: Vec<u32>,
+    demand: Vec<ServiceDemand>,
+    draining: bool,
+    leaving: Vec<String>,
+    version: u64,
+}
+
+impl SelfNews {
+    /// Takes the news from the scheduler's tables.
+    #[must_use]
+    pub fn new(t: &Tables, _now: Duration) -> Self {
+        let services = t.services.iter().take(MAX_SERVICES);
+        let told = |s: &firdock_policy::table::service::ServiceRow| ServiceDemand {
+            service: s.declared.name.clone(),
+            rate: s.demand(),
+        };
+        let leaving = t.endpoints.iter().filter(|(_, e)| e.leaving_first_hand());
+        Self {
+            zone: t.settings.zone.clone(),
+            held: t.requests.held_by_rank().to_vec(),
+            demand: services.map(|(_, s)| told(s)).collect(),
+            draining: t.draining,
+            leaving: leaving
+                .take(MAX_LEAVING)
+                .map(|(_, e)| e.declared.name.clone())
+                .collect(),
+            version: t.version,
+        }
+    }
+
+    /// Makes the message.
+    #[must_use]
+    pub fn message(&self, log_next: u64) -> Heartbeat {
+        let demand = |d: &ServiceDemand| message::ServiceDemand {
+            service: d.service.clone(),
+            rate: d.rate,
+        };
+        Heartbeat {
+            zone: self.zone.clone(),
+            held: self.held.clone(),
+            demand: self.demand.iter().map(demand).collect(),
+            draining: self.draining,
+            leaving: self.leaving.clone(),
+            version: self.version,
+            log_next,
+        }
+    }
+}
+
+/// Makes a peer's news from its message, cut to what is bounded.
+#[must_use]
+pub fn peer_news(name: &str, beat: Heartbeat) -> PeerNews {
+    let demand = beat.demand.into_iter().take(MAX_SERVICES);
+    PeerNews {
+        name: name.to_owned(),
+        zone: beat.zone,
+        held: beat.held.into_iter().take(MAX_SERVICES).collect(),
+        demand: demand
+            .filter(|d| d.rate.is_finite() && d.rate >= 0.0)
+            .map(|d| ServiceDemand {
+                service: d.service,
+                rate: d.rate,
+            })
+            .collect(),
+        draining: beat.draining,
+        leaving: beat.leaving.into_iter().take(MAX_LEAVING).collect(),
+    }
+}
+
+/// Keeps a beating link to every instance of the list, until `stop` turns true.
+pub async fn beat(
+    dialer: Dialer,
+    news: watch::Receiver<SelfNews>,
+    pause: Duration,
+    mut stop: watch::Receiver<bool>,
+    log: Logger,
+) {
+    let mut links: HashMap<(InstanceId, SocketAddr), JoinHandle<()>> = HashMap::new();
+    let mut ticks = interval(pause);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            _ = stop.wait_for(|s| *s) => break,
+        }
+        let peers = dialer.peers();
+        links.retain(|peer, task| {
+            let keep = peers.contains(peer) && !task.is_finished();
+            if !keep {
+                task.abort();
+            }
+            keep
+        });
+        for peer in peers {
+            links.entry(peer.clone()).or_insert_with(|| {
+                tokio::spawn(beat_one(
+                    dialer.clone(),
+                    peer,
+                    news.clone(),
+                    pause,
+                    log.clone(),
+                ))
+            });
+        }
+    }
+    for task in links.into_values() {
+        task.abort();
+    }
+}
+
+async fn beat_one(
+    dialer: Dialer,
+    peer: (InstanceId, SocketAddr),
+    news: watch::Receiver<SelfNews>,
+    pause: Duration,
+    log: Logger,
+) {
+    let mut backoff = Backoff::new(pause, LONGEST_PAUSE);
+    loop {
+        match dialer.dial(&peer.0, peer.1).await {
+            Ok(mut link) => {
+                backoff.reset();
+                let mut ticks = interval(pause);
+                ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+                loop {
+                    ticks.tick().await;
+                    let log_next = dialer.hub().lock().state.next;
+                    let beat = news.borrow().message(log_next);
+                    let sent = timeout(HANDSHAKE_TIME, link.send(Body::Heartbeat(beat))).await;
+                    if !matches!(sent, Ok(Ok(()))) {
+                        break;
+                    }
+                }
+            }
+            Err(e) => debug!(log, "peer not reached"; "peer" => &peer.0,
+                "error" => e.source.to_string()),
+        }
+        tokio::time::sleep(backoff.next_pause()).await;
+    }
+}
--- /dev/null
+++ b/crates/firdock-node/src/peer/serve.rs
@@ -0,0 +1,206 @@
+//! What an instance does for its peers: takes heartbeats and requests, and gives its state.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use firdock_core::InstanceId;
+use firdock_policy::{Event, Origin};
+use firdock_wire::Body;
+use firdock_wire::message;
+use hyper::Method;
+use slog::{Logger, warn};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc, watch};
+use uuid::Uuid;
+
+use super::dial::Dialer;
+use super::hand_over::{read_headers, send_part};
+use super::heartbeat::peer_news;
+use super::link::{Link, LinkError};
+use super::state::send_state;
+use crate::clock::Clock;
+use crate::config::PeerStatus;
+use crate::door::ModelCall;
+use crate::driver::{self, Input};
+use crate::exchange::{Exchange, Part, Payload};
+use crate::telemetry::TraceContext;
+
+/// Connections from peers at once.
+const MAX_LINKS: usize = 4_096;
+
+/// What serving peers needs.
+#[derive(Debug, Clone)]
+pub struct PeerServer {
+    /// Name, key and shared state.
+    pub dialer: Dialer,
+    /// Way to the scheduler.
+    pub inputs: mpsc::Sender<Input>,
+    /// Clock.
+    pub clock: Clock,
+    /// Logger.
+    pub log: Logger,
+}
+
+/// Serves peers until `stop` turns true.
+pub async fn serve_peers(
+    listener: TcpListener,
+    server: PeerServer,
+    mut stop: watch::Receiver<bool>,
+) {
+    let slots = Arc::new(Semaphore::new(MAX_LINKS));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|s| *s) => return,
+        };
+        let Ok((stream, _)) = accepted else { continue };
+        let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
+            continue;
+        };
+        let server = server.clone();
+        tokio::spawn(async move {
+            if let Err(e) = server.serve_one(stream).await {
+                warn!(server.log, "peer cut off"; "error" => e.to_string());
+            }
+            drop(slot);
+        });
+    }
+}
+
+impl PeerServer {
+    async fn serve_one(&self, stream: TcpStream) -> Result<(), LinkError> {
+        let known = |name: &str| self.dialer.hub().lock().listed_row(name).is_some();
+        let mut link = Link::accept(stream, self.dialer.me(), self.dialer.key(), known).await?;
+        match link.receive().await? {
+            Some(Body::Heartbeat(beat)) => self.hear(link, beat).await,
+            Some(Body::HandOver(order)) => self.take_over(link, order).await,
+            Some(Body::StateRequest(_)) => {
+                let state = Arc::clone(&self.dialer.hub().lock().state);
+                send_state(&mut link, &state).await
+            }
+            Some(_) => Err(LinkError::Stranger {
+                why: "unexpected message",
+            }),
+            None => Ok(()),
+        }
+    }
+
+    /// Takes heartbeats until the link breaks.
+    async fn hear(&self, mut link: Link, first: message::Heartbeat) -> Result<(), LinkError> {
+        let mut next = Some(Body::Heartbeat(first));
+        while let Some(Body::Heartbeat(beat)) = next {
+            self.note(&link.peer, &beat);
+            let news = peer_news(&link.peer, beat);
+            if self
+                .inputs
+                .send(Input::Event(Event::Peer(news)))
+                .await
+                .is_err()
+            {
+                return Ok(());
+            }
+            next = match link.receive().await {
+                Ok(body) => body,
+                Err(e) => {
+                    self.lost(&link.peer).await;
+                    return Err(e);
+                }
+            };
+        }
+        self.lost(&link.peer).await;
+        Ok(())
+    }
+
+    /// Notes a heartbeat; news of the log is read at once.
+    fn note(&self, peer: &str, beat: &message::Heartbeat) {
+        let status = PeerStatus {
+            zone: beat.zone.clone(),
+            version: beat.version,
+            draining: beat.draining,
+            heard: self.clock.now(),
+        };
+        let hub = self.dialer.hub();
+        let behind = hub.update(|h| {
+            h.note_peer(peer, status);
+            h.state.next < beat.log_next
+        });
+        if behind {
+            hub.wake();
+        }
+    }
+
+    async fn lost(&self, peer: &InstanceId) {
+        let _ = self
+            .inputs
+            .send(Input::Event(Event::PeerLost(peer.clone())))
+            .await;
+    }
+
+    /// Serves a request that a peer hands over, and streams the answer back.
+    async fn take_over(&self, mut link: Link, order: message::HandOver) -> Result<(), LinkError> {
+        let Some((exchange, parts, tried)) = read_order(order) else {
+            return Err(LinkError::Stranger {
+                why: "malformed request",
+            });
+        };
+        let id = exchange.id;
+        let origin = Origin::Peer(link.peer.clone());
+        let new = driver::new_request(&exchange, origin, tried);
+        if self
+            .inputs
+            .send(Input::Arrived(new, exchange))
+            .await
+            .is_err()
+        {
+            return Ok(());
+        }
+        let result = stream_back(&mut link, parts).await;
+        if !matches!(result, Ok(true)) {
+            let _ = self.inputs.send(Input::Event(Event::CallerLeft(id))).await;
+        }
+        result.map(|_| ())
+    }
+}
+
+/// Streams parts back; tells whether the last one was sent.
+async fn stream_back(link: &mut Link, mut parts: mpsc::Receiver<Part>) -> Result<bool, LinkError> {
+    loop {
+        tokio::select! {
+            part = parts.recv() => {
+                let Some(part) = part else { return Ok(false) };
+                if send_part(link, part).await? {
+                    return Ok(true);
+                }
+            }
+            // The peer sends nothing more; whatever comes means that it gave the request up.
+            _ = link.receive() => return Ok(false),
+        }
+    }
+}
+
+type Taken = (Arc<Exchange>, mpsc::Receiver<Part>, Vec<String>);
+
+fn read_order(order: message::HandOver) -> Option<Taken> {
+    let id = Uuid::from_slice(&order.request_id).ok()?;
+    let method = Method::from_bytes(order.method.as_bytes()).ok()?;
+    let body = Bytes::from(order.body);
+    let path = order.target.split('?').next().unwrap_or_default();
+    let model = if ModelCall::is_path(path) {
+        Some(ModelCall::parse(path, &body).ok()?)
+    } else {
+        None
+    };
+    let payload = Payload {
+        service: order.service,
+        account: order.account,
+        method,
+        target: order.target,
+        headers: read_headers(order.headers),
+        body,
+        model,
+        key: Some(order.idempotency_key).filter(|k| !k.is_empty()),
+    };
+    let trace = TraceContext::parse_or_start(Some(&order.traceparent));
+    let (exchange, parts) = Exchange::new(id, payload, trace);
+    Some((exchange, parts, order.tried))
+}
--- /dev/null
+++ b/crates/firdock-node/src/site.rs
@@ -0,0 +1,141 @@
+//! The configuration in force, as the door and the adapters look it up.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, RwLock};
+
+use firdock_core::credential::{self, KeyHash};
+use firdock_core::resource::{Catalog, EndpointKind, Service, ServiceKind};
+use firdock_core::{AccountId, EndpointId};
+
+/// First bytes of a key's hash, by which accounts are looked up before the full comparison.
+const INDEX_BYTES: usize = 4;
+
+/// Where an endpoint is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Place {
+    /// Address.
+    pub address: SocketAddr,
+    /// Engine or plain server.
+    pub backend: EndpointKind,
+}
+
+/// Look-ups over one catalog.
+#[derive(Debug, Default)]
+pub struct SiteView {
+    accounts: HashMap<[u8; INDEX_BYTES], Vec<(KeyHash, AccountId)>>,
+    services: Vec<Service>,
+    places: HashMap<EndpointId, Place>,
+}
+
+impl SiteView {
+    fn new(catalog: &Catalog) -> Self {
+        let mut view = Self {
+            services: catalog.services.clone(),
+            ..Self::default()
+        };
+        // The longest path goes first, so that the closest match wins.
+        view.services
+            .sort_by_key(|s| std::cmp::Reverse(s.matches.len()));
+        for account in &catalog.accounts {
+            if let Some(hash) = account.key_hash() {
+                let bucket = view.accounts.entry(index(&hash)).or_default();
+                bucket.push((hash, account.name.clone()));
+            }
+        }
+        for e in &catalog.endpoints {
+            if let Some(address) = e.address {
+                view.places.insert(
+                    e.name.clone(),
+                    Place {
+                        address,
+                        backend: e.backend,
+                    },
+                );
+            }
+        }
+        view
+    }
+
+    /// Finds the account of a bearer key.
+    #[must_use]
+    pub fn account(&self, bearer: &str) -> Option<&AccountId> {
+        let hash = credential::hash_bearer(bearer);
+        let bucket = self.accounts.get(&index(&hash))?;
+        let mut found = None;
+        for (known, name) in bucket {
+            if credential::matches(known, &hash) {
+                found = Some(name);
+            }
+        }
+        found
+    }
+
+    /// Finds the service of a model call.
+    #[must_use]
+    pub fn model_service(&self, model: &str) -> Option<&Service> {
+        self.services
+            .iter()
+            .find(|s| s.protocol == ServiceKind::Model && s.matches == model)
+    }
+
+    /// Finds the service of a plain call.
+    #[must_use]
+    pub fn plain_service(&self, path: &str) -> Option<&Service> {
+        let plain = |s: &&Service| s.protocol == ServiceKind::Plain;
+        self.services
+            .iter()
+            .filter(plain)
+            .find(|s| path_starts_with(path, &s.matches))
+    }
+
+    /// Finds an endpoint's place.
+    #[must_use]
+    pub fn place(&self, endpoint: &str) -> Option<Place> {
+        self.places.get(endpoint).copied()
+    }
+
+    /// Goes over all endpoints' places.
+    pub fn places(&self) -> impl Iterator<Item = (&EndpointId, Place)> {
+        self.places.iter().map(|(name, place)| (name, *place))
+    }
+}
+
+fn index(hash: &KeyHash) -> [u8; INDEX_BYTES] {
+    let mut head = [0; INDEX_BYTES];
+    head.copy_from_slice(&hash[..INDEX_BYTES]);
+    head
+}
+
+/// Tells whether `path` lies under `start`, by whole segments.
+fn path_starts_with(path: &str, start: &str) -> bool {
+    let Some(rest) = path.strip_prefix(start) else {
+        return false;
+    };
+    rest.is_empty() || start.ends_with('/') || rest.starts_with('/')
+}
+
+/// The view in force, shared by all tasks.
+#[derive(Debug, Default)]
+pub struct Site {
+    view: RwLock<Arc<SiteView>>,
+}
+
+impl Site {
+    /// Gives the view in force.
+    #[must_use]
+    pub fn view(&self) -> Arc<SiteView> {
+        self.view
+            .read()
+            .map_or_else(|e| Arc::clone(&e.into_inner()), |v| Arc::clone(&v))
+    }
+
+    /// Puts a catalog in force.
+    pub fn set(&self, catalog: &Catalog) {
+        let view = Arc::new(SiteView::new(catalog));
+        match self.view.write() {
+            Ok(mut slot) => *slot = view,
+            Err(e) => *e.into_inner() = view,
+        }
+    }
+}
--- /dev/null
+++ b/crates/firdock-node/src/telemetry.rs
@@ -0,0 +1,9 @@
+//! What operators see of a running instance: logs, traces and metrics.
+
+pub mod log;
+pub mod metrics;
+pub mod trace;
+
+pub use log::{Level, logger, silent};
+pub use metrics::Metrics;
+pub use trace::{Span, TraceContext};
--- /dev/null
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -0,0 +1,226 @@
+//! Metrics in the Prometheus text format, taken over from the policy's counters.
+
+use std::fmt::Write as _;
+use std::sync::Mutex;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use firdock_policy::Stats;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Least decision time told apart, in seconds.
+const FIRST_BUCKET: f64 = 1e-6;
+/// Buckets of the decision time, each twice as wide as the one before.
+const BUCKETS: u16 = 20;
+
+/// One label with its value.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByTier {
+    tier: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByCause {
+    cause: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByOutcome {
+    outcome: String,
+}
+
+/// All metrics of an instance.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Mutex<Registry>,
+    arrived: Family<ByTier, Counter>,
+    good: Family<ByTier, Counter>,
+    answered: Family<ByTier, Counter>,
+    shed: Family<ByTier, Counter>,
+    held: Family<ByTier, Gauge>,
+    wasted: Family<ByCause, Counter>,
+    reasons: Family<ByCause, Counter>,
+    outcomes: Family<ByOutcome, Counter>,
+    dispatches: Counter,
+    retries: Counter,
+    stale: Counter,
+    handed: Counter,
+    ejections: Counter,
+    version: Gauge,
+    log_lag: Gauge,
+    decision: Histogram,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Makes and registers all metrics.
+    #[must_use]
+    pub fn new() -> Self {
+        let metrics = Self {
+            registry: Mutex::new(Registry::with_prefix("firdock")),
+            arrived: Family::default(),
+            good: Family::default(),
+            answered: Family::default(),
+            shed: Family::default(),
+            held: Family::default(),
+            wasted: Family::default(),
+            reasons: Family::default(),
+            outcomes: Family::default(),
+            dispatches: Counter::default(),
+            retries: Counter::default(),
+            stale: Counter::default(),
+            handed: Counter::default(),
+            ejections: Counter::default(),
+            version: Gauge::default(),
+            log_lag: Gauge::default(),
+            decision: Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS)),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&self) {
+        let Ok(mut r) = self.registry.lock() else {
+            return;
+        };
+        r.register(
+            "arrived",
+            "Requests that arrived from callers",
+            self.arrived.clone(),
+        );
+        r.register(
+            "goodput",
+            "Whole answers begun within the tier's target",
+            self.good.clone(),
+        );
+        r.register("answered", "Whole answers", self.answered.clone());
+        r.register("shed", "Requests given up for load", self.shed.clone());
+        r.register("held", "Requests held now", self.held.clone());
+        r.register(
+            "wasted_prefill_tokens",
+            "Prompt tokens computed in vain",
+            self.wasted.clone(),
+        );
+        r.register(
+            "verdicts",
+            "Final answers of firdock's own",
+            self.reasons.clone(),
+        );
+        r.register("outcomes", "Ended requests", self.outcomes.clone());
+        r.register(
+            "dispatches",
+            "Requests sent to endpoints",
+            self.dispatches.clone(),
+        );
+        r.register(
+            "retries",
+            "Second tries after a broken dispatch",
+            self.retries.clone(),
+        );
+        r.register(
+            "stale_news",
+            "Late or crossed news dropped",
+            self.stale.clone(),
+        );
+        r.register(
+            "handed_over",
+            "Requests handed to peers",
+            self.handed.clone(),
+        );
+        r.register("ejections", "Endpoints ejected", self.ejections.clone());
+        r.register(
+            "version_in_force",
+            "Version of the configuration",
+            self.version.clone(),
+        );
+        r.register(
+            "log_lag_millis",
+            "Time since the log was read to its end",
+            self.log_lag.clone(),
+        );
+        r.register(
+            "decision_seconds",
+            "Time of one decision",
+            self.decision.clone(),
+        );
+    }
+
+    /// Notes how long a decision took.
+    pub fn observe_decision(&self, took: Duration) {
+        self.decision.observe(took.as_secs_f64());
+    }
+
+    /// Notes how long ago the log was read up to its end.
+    pub fn set_log_lag(&self, lag: Duration) {
+        self.log_lag
+            .set(i64::try_from(lag.as_millis()).unwrap_or(i64::MAX));
+    }
+
+    /// Takes the policy's counters over.
+    pub fn publish(&self, stats: &Stats, version: u64, held: &[(String, u32)]) {
+        for (name, tier) in &stats.tiers {
+            let label = ByTier { tier: name.clone() };
+            store(&self.arrived.get_or_create(&label), tier.arrived);
+            store(&self.good.get_or_create(&label), tier.good);
+            store(&self.answered.get_or_create(&label), tier.answered);
+            store(&self.shed.get_or_create(&label), tier.shed);
+        }
+        for (name, n) in held {
+            self.held
+                .get_or_create(&ByTier { tier: name.clone() })
+                .set(i64::from(*n));
+        }
+        for (cause, n) in &stats.wasted {
+            let label = ByCause {
+                cause: cause.as_str().to_owned(),
+            };
+            store(&self.wasted.get_or_create(&label), *n);
+        }
+        for (reason, n) in &stats.reasons {
+            let label = ByCause {
+                cause: reason.as_str().to_owned(),
+            };
+            store(&self.reasons.get_or_create(&label), *n);
+        }
+        for (outcome, n) in &stats.outcomes {
+            let label = ByOutcome {
+                outcome: outcome.as_str().to_owned(),
+            };
+            store(&self.outcomes.get_or_create(&label), *n);
+        }
+        store(&self.dispatches, stats.dispatches);
+        store(&self.retries, stats.retries);
+        store(&self.stale, stats.stale_news);
+        store(&self.handed, stats.handed_over);
+        store(&self.ejections, stats.ejections);
+        self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    /// Writes all metrics as text.
+    #[must_use]
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        let Ok(registry) = self.registry.lock() else {
+            return text;
+        };
+        if encode(&mut text, &registry).is_err() {
+            let _ = writeln!(text, "# the metrics could not be written");
+        }
+        text
+    }
+}
+
+fn store(counter: &Counter, value: u64) {
+    counter.inner().store(value, Ordering::Relaxed);
+}
--- /dev/null
+++ b/crates/firdock-policy/src/action.rs
@@ -0,0 +1,104 @@
+//! What the policy wants done.
+
+use firdock_core::{EndpointId, InstanceId, RequestId};
+use serde::{Deserialize, Serialize};
+
+use crate::request::Verdict;
+use crate::time::Time;
+
+/// One thing to do, in the order given.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "action", rename_all = "kebab-case")]
+pub enum Action {
+    /// Send the request to an endpoint.
+    Dispatch(Dispatch),
+    /// Tell the endpoint to stop working on the request.
+    Cancel {
+        /// Request.
+        id: RequestId,
+        /// Endpoint.
+        endpoint: EndpointId,
+        /// Dispatch to cancel.
+        dispatch: u32,
+    },
+    /// Hand the request over to a peer.
+    HandOver {
+        /// Request.
+        id: RequestId,
+        /// Peer.
+        peer: InstanceId,
+        /// Whether the peer owns the request's key, or is asked to make room.
+        cause: HandOverCause,
+    },
+    /// Tell the peer that the caller went away.
+    CancelHandOver {
+        /// Request.
+        id: RequestId,
+        /// Peer.
+        peer: InstanceId,
+    },
+    /// Give the final answer.
+    Answer {
+        /// Request.
+        id: RequestId,
+        /// The answer.
+        verdict: Verdict,
+    },
+    /// Give the peer its request back, which did not run here.
+    RefuseHandOver {
+        /// Request.
+        id: RequestId,
+        /// Why, for the case that the peer cannot serve it either.
+        verdict: Verdict,
+        /// Endpoints that it was dispatched to and that refused it.
+        tried: Vec<EndpointId>,
+    },
+    /// End an answer that has begun and cannot be completed, so that the caller can tell.
+    Cut {
+        /// Request.
+        id: RequestId,
+    },
+    /// Give the kept answer of an earlier request with the same key.
+    Replay {
+        /// Request.
+        id: RequestId,
+        /// Request whose answer is kept.
+        earlier: RequestId,
+    },
+    /// Forget the kept answer of a request.
+    Forget {
+        /// Request.
+        id: RequestId,
+    },
+    /// All work is done; the instance may exit.
+    Drained,
+}
+
+/// Order to send a request to an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Dispatch {
+    /// Request.
+    pub id: RequestId,
+    /// Endpoint.
+    pub endpoint: EndpointId,
+    /// Number of the dispatch.
+    pub dispatch: u32,
+    /// Tokens that the caller already has; the endpoint goes on from there.
+    pub resume_from: u32,
+    /// Priority for the engine: 0 goes first.
+    pub priority: u8,
+    /// Time after which the request must not be written any more, for an opaque key.
+    pub confirm_by: Option<Time>,
+}
+
+/// Why a request is handed over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum HandOverCause {
+    /// The peer owns the idempotency key.
+    KeyOwner,
+    /// This instance is full, and the peer holds requests of a lower tier.
+    Shed,
+    /// This instance is stopping.
+    Stopping,
+}
--- /dev/null
+++ b/crates/firdock-policy/src/cost.rs
@@ -0,0 +1,97 @@
+//! The cost model: how long a request would take on an endpoint.
+//!
+//! Cost = (waiting + uncached prompt) / prefill rate + expected output x token time, with rates
+//! learned from the endpoint's own answers (see `docs/design/routing.md`).
+
+use std::time::Duration;
+
+use firdock_core::prefix::BLOCK_TOKENS;
+
+use crate::request::RequestRow;
+use crate::settings::Mechanisms;
+use crate::table::endpoint::EndpointRow;
+use crate::table::service::ServiceRow;
+use crate::time::Time;
+
+/// Share of a crowded batch that slows each token, at a full batch.
+const CROWDING: f64 = 0.5;
+/// Time that a plain call takes where nothing was learned yet, in seconds.
+const PLAIN_SECS: f64 = 0.01;
+
+/// Estimate for one request on one endpoint.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Estimate {
+    /// Prompt tokens that the endpoint would have to compute.
+    pub uncached: u32,
+    /// Seconds to the first token or byte.
+    pub first_secs: f64,
+    /// Seconds to the end of the answer.
+    pub total_secs: f64,
+}
+
+impl Estimate {
+    /// Gives the time to the first token or byte.
+    #[must_use]
+    pub fn first(&self) -> Duration {
+        Duration::from_secs_f64(self.first_secs)
+    }
+}
+
+/// Estimates a request on an endpoint.
+#[must_use]
+pub fn estimate(
+    now: Time,
+    mechanisms: Mechanisms,
+    row: &RequestRow,
+    service: &ServiceRow,
+    endpoint: &EndpointRow,
+) -> Estimate {
+    let slowdown = if mechanisms.learning {
+        endpoint.slowdown
+    } else {
+        1.0
+    };
+    if !endpoint.is_engine() {
+        let secs = PLAIN_SECS * slowdown * (1.0 + load(endpoint));
+        return Estimate {
+            uncached: 0,
+            first_secs: secs,
+            total_secs: secs,
+        };
+    }
+    let uncached = uncached(now, mechanisms, row, endpoint);
+    let work = endpoint.waiting_tokens(now) + f64::from(uncached);
+    let first_secs = slowdown * work / endpoint.declared.prefill_rate;
+    let learned = if mechanisms.learning {
+        endpoint.token_secs
+    } else {
+        endpoint.declared.token_millis / 1000.0
+    };
+    let token = learned * (1.0 + CROWDING * load(endpoint));
+    let output = expected_output(row, service);
+    Estimate {
+        uncached,
+        first_secs: first_secs + token,
+        total_secs: first_secs + output * token,
+    }
+}
+
+/// Estimates the answer's tokens that are still to come.
+#[must_use]
+pub fn expected_output(row: &RequestRow, service: &ServiceRow) -> f64 {
+    let most = f64::from(row.new.output_tokens.saturating_sub(row.delivered));
+    service.output.min(most).max(1.0)
+}
+
+fn uncached(now: Time, mechanisms: Mechanisms, row: &RequestRow, e: &EndpointRow) -> u32 {
+    let prompt = row.new.prompt_tokens + row.delivered;
+    if !mechanisms.affinity {
+        return prompt;
+    }
+    let blocks = e.cache.matched(now, &row.new.blocks) as u32;
+    prompt.saturating_sub(blocks * BLOCK_TOKENS).max(1)
+}
+
+fn load(e: &EndpointRow) -> f64 {
+    f64::from(e.running) / f64::from(e.budget.max(1))
+}
--- /dev/null
+++ b/crates/firdock-policy/src/event.rs
@@ -0,0 +1,210 @@
+//! What the policy is told.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use firdock_core::prefix::BlockHash;
+use firdock_core::resource::Catalog;
+use firdock_core::{EndpointId, InstanceId, RequestId, ServiceId, ZoneId};
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+use crate::request::{NewRequest, Verdict};
+use crate::time::{LogTime, Time};
+
+/// One thing that happened.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// A request arrived.
+    Arrived(NewRequest),
+    /// The caller went away.
+    CallerLeft(RequestId),
+    /// An endpoint told something about a dispatch.
+    Endpoint(EndpointEvent),
+    /// An endpoint reported its load and cache.
+    Report(LoadReport),
+    /// An endpoint's report could not be had.
+    ReportMissed(EndpointId),
+    /// The configuration in force changed.
+    Config(Arc<Catalog>),
+    /// The member view changed.
+    View(MemberView),
+    /// The log was read up to its end.
+    LogRead(LogReading),
+    /// The instance list was read.
+    Listed(Vec<ListedInstance>),
+    /// A peer's heartbeat came.
+    Peer(PeerNews),
+    /// The link to a peer broke.
+    PeerLost(InstanceId),
+    /// A peer told something about a hand-over.
+    HandOver(HandOverEvent),
+    /// The instance is to stop.
+    Drain,
+    /// Time passed.
+    Timer,
+}
+
+/// What an endpoint told about a dispatch.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndpointEvent {
+    /// Request.
+    pub id: RequestId,
+    /// Number of the dispatch, so that late news of an earlier one is told apart.
+    pub dispatch: u32,
+    /// The news.
+    pub news: DispatchNews,
+}
+
+/// The course of a dispatch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DispatchNews {
+    /// The connect failed or the endpoint itself refused: the request did not run there.
+    Refused {
+        /// Whether the endpoint could not even be reached.
+        unreachable: bool,
+    },
+    /// The key's confirmation lapsed before the write; the request was not sent.
+    Lapsed,
+    /// The answer began.
+    Started {
+        /// Whether its head was passed on, so that no other answer can be given any more.
+        head_sent: bool,
+    },
+    /// Tokens came, and have been passed on.
+    Tokens {
+        /// Tokens of the whole answer that have been passed on so far.
+        delivered: u32,
+        /// Prompt tokens that the engine took from its cache.
+        cached: u32,
+    },
+    /// The whole answer has been passed on.
+    Ended {
+        /// Prompt tokens as the endpoint counted them.
+        prompt: u32,
+        /// Prompt tokens that the engine took from its cache.
+        cached: u32,
+        /// Tokens of the whole answer.
+        output: u32,
+    },
+    /// The connection broke or fell silent after the request was sent.
+    Broke {
+        /// Tokens of the whole answer that have been passed on.
+        delivered: u32,
+    },
+}
+
+/// Load and cache changes that an endpoint published.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Endpoint.
+    pub endpoint: EndpointId,
+    /// Age of the report when it was read.
+    pub age: Duration,
+    /// Requests that the endpoint works on.
+    pub running: u32,
+    /// Requests that wait in the endpoint's own queue.
+    pub waiting: u32,
+    /// Prompt tokens that the endpoint has yet to compute.
+    pub backlog: u32,
+    /// Whether the endpoint says that it is leaving.
+    pub leaving: bool,
+    /// Whether cache events before these were missed.
+    pub gap: bool,
+    /// Blocks that came into the cache.
+    pub added: Vec<BlockHash>,
+    /// Blocks that were dropped from the cache.
+    pub removed: Vec<BlockHash>,
+}
+
+/// One start of an instance, told apart from earlier starts under the same name.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Name of the instance.
+    pub name: InstanceId,
+    /// Minted at the start of the process: what an earlier process knew is lost.
+    pub incarnation: Uuid,
+}
+
+/// Members by the log, in force since a record's time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberView {
+    /// Time of the record that made the view, by the log's clock.
+    pub since: LogTime,
+    /// Number of the view, greater for each later one.
+    pub number: u64,
+    /// Whether no view was in force before this one.
+    pub first: bool,
+    /// Members.
+    pub members: Vec<Member>,
+}
+
+/// A read of the log that reached its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LogReading {
+    /// The log's clock when it answered.
+    pub log_time: LogTime,
+    /// This process's clock when the read was sent.
+    pub sent: Time,
+}
+
+/// One row of the platform's instance list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedInstance {
+    /// Name.
+    pub name: String,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// What a peer tells of itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PeerNews {
+    /// Peer.
+    pub name: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Requests that it holds, by rank of tier.
+    pub held: Vec<u32>,
+    /// Its demand for each service.
+    pub demand: Vec<ServiceDemand>,
+    /// Whether it is stopping.
+    pub draining: bool,
+    /// Endpoints that it knows to be leaving.
+    pub leaving: Vec<EndpointId>,
+}
+
+/// Demand of one instance for one service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServiceDemand {
+    /// Service.
+    pub service: ServiceId,
+    /// Requests a second, with those held.
+    pub rate: f64,
+}
+
+/// What became of a hand-over.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum HandOverEvent {
+    /// The peer did not take the request, or was not reached; it ran nowhere there.
+    Refused(HandOverRefusal),
+    /// The head of the answer came through the peer.
+    Started(RequestId),
+    /// The whole answer came through the peer.
+    Ended(RequestId),
+    /// The peer gave `unknown` as its final answer.
+    Unknown(RequestId, Verdict),
+    /// The link broke after the request was sent.
+    Broke(RequestId),
+}
+
+/// A peer did not take a request, or was not reached.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HandOverRefusal {
+    /// Request.
+    pub id: RequestId,
+    /// What the peer said; `None` where it was not reached.
+    pub verdict: Option<Verdict>,
+    /// Endpoints that the peer dispatched it to and that refused it.
+    pub tried: Vec<EndpointId>,
+}
--- /dev/null
+++ b/crates/firdock-policy/src/lib.rs
@@ -0,0 +1,24 @@
+//! Every decision of firdock: admission, endpoint, queue or shed, retry, hand-over, ejection.
+//!
+//! The policy does no I/O and has no clock and no threads: [`Scheduler::step`] takes the present
+//! time and an event and gives actions. The same tables run in the daemon, in golden sessions and
+//! in long random runs (see `docs/design/policy.md`).
+
+pub mod action;
+pub mod cost;
+pub mod event;
+pub mod request;
+mod scheduler;
+pub mod settings;
+pub mod stats;
+mod system;
+pub mod table;
+pub mod time;
+
+pub use action::Action;
+pub use event::Event;
+pub use request::{KeyClaim, NewRequest, Origin, Verdict};
+pub use scheduler::{Policy, Scheduler};
+pub use settings::{Mechanisms, PolicySettings};
+pub use stats::{Stats, WasteCause};
+pub use time::{LogTime, Time};
--- /dev/null
+++ b/crates/firdock-policy/src/request.rs
@@ -0,0 +1,155 @@
+//! Requests as the policy sees them: sizes, prefix and key, but no content.
+
+use firdock_core::prefix::BlockHash;
+use firdock_core::{AccountId, EndpointId, InstanceId, Outcome, Reason, RequestId, ServiceId};
+use serde::{Deserialize, Serialize};
+
+use crate::action::HandOverCause;
+use crate::time::{LogTime, Time};
+
+/// Where a request came from.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Origin {
+    /// A caller's connection.
+    Caller,
+    /// A peer that handed the request over.
+    Peer(InstanceId),
+}
+
+/// An idempotency key that a caller gave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyClaim {
+    /// Hash of the account and the key.
+    pub hash: u64,
+    /// Hash of the request, so that a key is not taken for another request.
+    pub fingerprint: u64,
+    /// When the key was minted, for keys that carry it (`UUIDv7`).
+    pub minted: Option<LogTime>,
+}
+
+/// A request that arrived.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NewRequest {
+    /// Id minted at the door.
+    pub id: RequestId,
+    /// Service that the request matched.
+    pub service: ServiceId,
+    /// Account that sent it.
+    pub account: AccountId,
+    /// Estimated tokens of the prompt; 0 for plain calls.
+    pub prompt_tokens: u32,
+    /// Most tokens that the answer may have; 0 for plain calls.
+    pub output_tokens: u32,
+    /// Chained hashes of the prompt's blocks.
+    pub blocks: Vec<BlockHash>,
+    /// Bytes that the request occupies.
+    pub bytes: usize,
+    /// Idempotency key, if the caller gave one.
+    pub key: Option<KeyClaim>,
+    /// Caller or peer.
+    pub origin: Origin,
+    /// Endpoints that the peer which handed it over had dispatched it to.
+    pub tried: Vec<EndpointId>,
+}
+
+/// A final answer that firdock itself gives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Verdict {
+    /// `not-run` or `unknown`.
+    pub outcome: Outcome,
+    /// Why.
+    pub reason: Reason,
+    /// When the caller should come back, in seconds; `None` where coming back is no use.
+    pub retry_seconds: Option<u32>,
+}
+
+/// Where a request is on its way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Waiting in firdock.
+    Held,
+    /// Sent towards an endpoint (row), no answer yet.
+    Dispatching(usize),
+    /// The endpoint (row) is answering.
+    Running(usize),
+    /// Handed over to a peer (row).
+    HandedOver(usize),
+}
+
+/// A request in the table, from arrival to its end.
+#[derive(Debug)]
+pub struct RequestRow {
+    /// The request as it arrived.
+    pub new: NewRequest,
+    /// Row of its service.
+    pub service: usize,
+    /// Row of its account.
+    pub account: usize,
+    /// Rank of its tier at arrival.
+    pub rank: u8,
+    /// When it arrived.
+    pub arrived: Time,
+    /// Where it is.
+    pub phase: Phase,
+    /// Number of the present dispatch, counted from 1.
+    pub dispatch: u32,
+    /// Endpoints (names) that it was dispatched to.
+    pub tried: Vec<EndpointId>,
+    /// Peers (names) that refused it.
+    pub refused_by: Vec<String>,
+    /// Why it is with a peer, if it is.
+    pub handed_for: Option<HandOverCause>,
+    /// When the key counts as minted, by the log's clock; `None` without a key that binds.
+    pub minted: Option<LogTime>,
+    /// Until when, by this process's clock, an opaque key may be dispatched.
+    pub confirm_by: Option<Time>,
+    /// Whether an earlier dispatch may have run; from then on `not-run` would be untrue.
+    pub ran_before: bool,
+    /// Tokens that reached the caller, from which a second endpoint resumes.
+    pub delivered: u32,
+    /// Whether the head of an answer has reached the caller.
+    pub head_sent: bool,
+    /// When the present dispatch was made.
+    pub dispatched: Time,
+    /// When the first token or byte came.
+    pub first: Option<Time>,
+    /// Prompt tokens that the present dispatch has to compute, as estimated.
+    pub uncached: u32,
+    /// Predicted time to the first token of the present dispatch.
+    pub predicted: Time,
+}
+
+impl RequestRow {
+    /// Makes the row of a request that just arrived.
+    #[must_use]
+    pub fn new(now: Time, new: NewRequest, service: usize, account: usize, rank: u8) -> Self {
+        Self {
+            service,
+            account,
+            rank,
+            arrived: now,
+            phase: Phase::Held,
+            dispatch: 0,
+            tried: new.tried.clone(),
+            refused_by: Vec::new(),
+            handed_for: None,
+            minted: None,
+            confirm_by: None,
+            ran_before: false,
+            delivered: 0,
+            head_sent: false,
+            dispatched: Time::ZERO,
+            first: None,
+            uncached: 0,
+            predicted: Time::ZERO,
+            new,
+        }
+    }
+
+    /// Tells whether the request may have run, or may be running.
+    #[must_use]
+    pub fn may_have_run(&self) -> bool {
+        self.ran_before || self.phase != Phase::Held
+    }
+}
--- /dev/null
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -0,0 +1,82 @@
+//! The scheduler: takes one event at a time and gives the actions that follow from it.
+
+use crate::action::Action;
+use crate::event::Event;
+use crate::settings::PolicySettings;
+use crate::system::{
+    admit, check, config, drain, expire, handover, health, news, place, share, shed,
+};
+use crate::table::Tables;
+use crate::time::Time;
+
+/// Something that decides; the scheduler here, and simpler baselines in measurements.
+pub trait Policy {
+    /// Takes an event at the time `now` and appends the actions that follow.
+    fn step(&mut self, now: Time, event: Event, out: &mut Vec<Action>);
+}
+
+/// The scheduler of one instance.
+#[derive(Debug)]
+pub struct Scheduler {
+    tables: Tables,
+}
+
+impl Scheduler {
+    /// Makes a scheduler with empty tables.
+    #[must_use]
+    pub fn new(settings: PolicySettings) -> Self {
+        Self {
+            tables: Tables::new(settings),
+        }
+    }
+
+    /// Gives the tables, to read.
+    #[must_use]
+    pub fn tables(&self) -> &Tables {
+        &self.tables
+    }
+
+    /// Checks everything that must hold between tables.
+    ///
+    /// # Panics
+    ///
+    /// Panics where an invariant is broken: going on would break a promise to a caller.
+    pub fn check_invariants(&self, now: Time) {
+        check::all(&self.tables, now);
+    }
+
+    fn apply(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        let t = &mut self.tables;
+        match event {
+            Event::Arrived(new) => admit::arrived(t, now, new, out),
+            Event::CallerLeft(id) => news::caller_left(t, now, id, out),
+            Event::Endpoint(e) => news::endpoint(t, now, &e, out),
+            Event::Report(report) => health::report(t, now, &report),
+            Event::ReportMissed(name) => health::missed(t, now, &name),
+            Event::Config(catalog) => config::apply(t, now, &catalog),
+            Event::View(view) => t.views.push(view),
+            Event::LogRead(reading) => t.views.read(reading),
+            Event::Listed(rows) => health::listed(t, &rows),
+            Event::Peer(peer) => handover::peer_news(t, now, peer),
+            Event::PeerLost(name) => handover::peer_lost(t, &name),
+            Event::HandOver(e) => handover::news(t, now, &e, out),
+            Event::Drain => t.draining = true,
+            Event::Timer => {
+                share::take_rates(t, now);
+                share::set_budgets(t, now);
+                handover::forget_silent(t, now);
+                expire::run(t, now, out);
+            }
+        }
+    }
+}
+
+impl Policy for Scheduler {
+    fn step(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        self.apply(now, event, out);
+        let t = &mut self.tables;
+        place::run(t, now, out);
+        shed::run(t, now, out);
+        drain::run(t, now, out);
+    }
+}
--- /dev/null
+++ b/crates/firdock-policy/src/settings.rs
@@ -0,0 +1,105 @@
+//! Bounds and switches of the policy.
+
+use std::time::Duration;
+
+use firdock_core::ZoneId;
+use firdock_core::settings::Settings;
+use uuid::Uuid;
+
+use crate::event::Member;
+
+/// Mechanisms that can be switched off, so that each can be shown to earn its place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each switch is independent of the others"
+)]
+pub struct Mechanisms {
+    /// Requests wait in firdock until an endpoint has room, instead of in its queue.
+    pub late_binding: bool,
+    /// Cached prefixes count in the choice of an endpoint.
+    pub affinity: bool,
+    /// Rates are learned from answers instead of taken from the resources.
+    pub learning: bool,
+    /// Lower tiers leave room on engines for higher ones.
+    pub headroom: bool,
+    /// Budgets on endpoints follow the demand that peers tell.
+    pub demand_shares: bool,
+    /// Failing endpoints are ejected.
+    pub ejection: bool,
+    /// Broken streams are resumed on another engine.
+    pub resume: bool,
+    /// Accounts of a tier share by their weights.
+    pub fair_shares: bool,
+}
+
+impl Mechanisms {
+    /// All mechanisms on.
+    pub const ALL: Self = Self {
+        late_binding: true,
+        affinity: true,
+        learning: true,
+        headroom: true,
+        demand_shares: true,
+        ejection: true,
+        resume: true,
+        fair_shares: true,
+    };
+}
+
+/// Bounds of the policy, taken from the instance's settings.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PolicySettings {
+    /// Name of this instance and this start of it.
+    pub member: Member,
+    /// Availability zone of this instance.
+    pub zone: ZoneId,
+    /// Requests held at once.
+    pub max_held: usize,
+    /// Bytes of requests held or running at once.
+    pub held_bytes: usize,
+    /// Second tries allowed, as a part of the first.
+    pub retry_ratio: f64,
+    /// Most endpoints of a service ejected at once, as a part of all.
+    pub eject_ratio: f64,
+    /// Age at which a peer's news is stale.
+    pub peer_stale: Duration,
+    /// Grace after a key changed owner (G in `docs/design/keys.md`).
+    pub key_grace: Duration,
+    /// Time for which a key is remembered.
+    pub key_keep: Duration,
+    /// Keys remembered at once.
+    pub max_keys: usize,
+    /// Switches for measurements.
+    pub mechanisms: Mechanisms,
+}
+
+impl PolicySettings {
+    /// Takes the policy's part of the instance's settings.
+    #[must_use]
+    pub fn new(settings: &Settings, incarnation: Uuid) -> Self {
+        Self {
+            member: Member {
+                name: settings.instance.name.clone(),
+                incarnation,
+            },
+            zone: settings.instance.zone.clone(),
+            max_held: settings.limits.max_held,
+            held_bytes: settings.limits.held_bytes,
+            retry_ratio: settings.endpoints.retry_ratio,
+            eject_ratio: settings.endpoints.eject_ratio,
+            peer_stale: settings.peers.stale_after(),
+            key_grace: settings.keys.grace(),
+            key_keep: settings.keys.keep(),
+            max_keys: settings.keys.max_keys,
+            mechanisms: Mechanisms::ALL,
+        }
+    }
+
+    /// Switches mechanisms on or off.
+    #[must_use]
+    pub fn with_mechanisms(mut self, mechanisms: Mechanisms) -> Self {
+        self.mechanisms = mechanisms;
+        self
+    }
+}
--- /dev/null
+++ b/crates/firdock-policy/src/system.rs
@@ -0,0 +1,15 @@
+//! The systems that run over the tables, one file a job.
+
+pub mod admit;
+pub mod check;
+pub mod config;
+pub mod drain;
+pub mod end;
+pub mod expire;
+pub mod handover;
+pub mod health;
+pub mod key;
+pub mod news;
+pub mod place;
+pub mod share;
+pub mod shed;
--- /dev/null
+++ b/crates/firdock-policy/src/system/check.rs
@@ -0,0 +1,80 @@
+//! Invariants between tables, asserted in tests on every step and in the daemon now and then.
+
+use crate::request::Phase;
+use crate::table::Tables;
+use crate::time::Time;
+
+/// Checks everything.
+///
+/// # Panics
+///
+/// Panics where an invariant is broken.
+pub fn all(t: &Tables, now: Time) {
+    check_queues(t);
+    check_endpoints(t);
+    check_bounds(t);
+    check_requests(t, now);
+}
+
+fn check_queues(t: &Tables) {
+    let queued: usize = t.services.iter().map(|(_, s)| s.queue.len()).sum();
+    assert_eq!(
+        queued,
+        t.requests.held(),
+        "queues and counts of held requests differ"
+    );
+    let by_account: u32 = t.accounts.iter().map(|(_, a)| a.held).sum();
+    assert_eq!(
+        by_account as usize, queued,
+        "accounts' counts and queues differ"
+    );
+}
+
+fn check_endpoints(t: &Tables) {
+    for (at, e) in t.endpoints.iter() {
+        let here = |phase: Phase| phase == Phase::Dispatching(at) || phase == Phase::Running(at);
+        let n = t.requests.iter().filter(|r| here(r.phase)).count();
+        assert_eq!(
+            n, e.running as usize,
+            "endpoint {} counts wrongly",
+            e.declared.name
+        );
+    }
+}
+
+fn check_bounds(t: &Tables) {
+    assert!(
+        t.requests.held() <= t.settings.max_held,
+        "more is held than allowed"
+    );
+    assert!(
+        t.keys.len() <= t.settings.max_keys,
+        "more keys are kept than allowed"
+    );
+}
+
+fn check_requests(t: &Tables, now: Time) {
+    for row in t.requests.iter() {
+        assert!(
+            row.arrived <= now,
+            "request {} came from the future",
+            row.new.id
+        );
+        let repeatable = t.services.get(row.service).declared.repeatable;
+        let again = row.ran_before && row.phase == Phase::Held && !repeatable;
+        assert!(
+            !again,
+            "request {} may not be repeated and waits to be",
+            row.new.id
+        );
+        let mut tried = row.tried.clone();
+        tried.sort_unstable();
+        tried.dedup();
+        assert_eq!(
+            tried.len(),
+            row.tried.len(),
+            "request {} went somewhere twice",
+            row.new.id
+        );
+    }
+}
--- /dev/null
+++ b/crates/firdock-policy/src/system/drain.rs
@@ -0,0 +1,35 @@
+//! A planned stop: held requests go to peers, running ones finish here.
+
+use firdock_core::RequestId;
+
+use super::handover;
+use crate::action::Action;
+use crate::request::{Origin, Phase, RequestRow};
+use crate::table::Tables;
+use crate::time::Time;
+
+/// Passes held requests on while the instance is stopping, and tells when nothing is left.
+pub fn run(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
+    if !t.draining {
+        return;
+    }
+    let passable = |r: &&RequestRow| {
+        r.phase == Phase::Held
+            && r.new.origin == Origin::Caller
+            && r.minted.is_none()
+            && !r.ran_before
+    };
+    let ids: Vec<RequestId> = t
+        .requests
+        .iter()
+        .filter(passable)
+        .map(|r| r.new.id)
+        .collect();
+    for id in ids {
+        handover::to_any(t, now, id, out);
+    }
+    if t.requests.is_empty() && !t.drained {
+        t.drained = true;
+        out.push(Action::Drained);
+    }
+}
--- /dev/null
+++ b/crates/firdock-policy/src/system/end.rs
@@ -0,0 +1,169 @@
+//! The one way in which requests change hands and end.
+//!
+//! Queue, account, service and endpoint counts are kept in step here and nowhere else.
+
+use firdock_core::{EndpointId, Outcome, Reason, RequestId};
+
+use crate::action::Action;
+use crate::request::{NewRequest, Origin, Phase, RequestRow, Verdict};
+use crate::stats::WasteCause;
+use crate::table::Tables;
+use crate::time::Time;
+
+/// Shortest and longest time, in seconds, after which callers are told to come back.
+const RETRY_SECONDS: (f64, f64) = (1.0, 60.0);
+
+/// Moves a request to another phase and keeps every count in step.
+pub fn set_phase(t: &mut Tables, id: RequestId, phase: Phase, front: bool) {
+    let Some(row) = t.requests.get(id) else {
+        return;
+    };
+    let (old, service, account) = (row.phase, row.service, row.account);
+    if old == Phase::Held && phase != Phase::Held {
+        t.services.get_mut(service).queue.remove(account, id);
+        t.accounts.get_mut(account).held -= 1;
+    }
+    if old != Phase::Held && phase == Phase::Held {
+        let queue = &mut t.services.get_mut(service).queue;
+        if front {
+            queue.push_front(account, id);
+        } else {
+            queue.push_back(account, id);
+        }
+        t.accounts.get_mut(account).held += 1;
+    }
+    leave_place(t, id, old, phase);
+    t.requests.set_phase(id, phase);
+}
+
+/// Takes the request off the endpoint or peer that it leaves.
+fn leave_place(t: &mut Tables, id: RequestId, old: Phase, new: Phase) {
+    match (old, new) {
+        (Phase::Dispatching(a), Phase::Running(b)) if a == b => {}
+        (Phase::Dispatching(e) | Phase::Running(e), _) => {
+            release_prefill(t, id, e);
+            t.endpoints.get_mut(e).running -= 1;
+        }
+        (Phase::HandedOver(p), _) => t.peers.get_mut(p).handed -= 1,
+        (Phase::Held, _) => {}
+    }
+}
+
+/// Takes the request's prompt off the endpoint's backlog, once.
+pub fn release_prefill(t: &mut Tables, id: RequestId, endpoint: usize) {
+    let Some(row) = t.requests.get(id) else {
+        return;
+    };
+    if row.first.is_none() {
+        let e = t.endpoints.get_mut(endpoint);
+        e.backlog = (e.backlog - f64::from(row.uncached)).max(0.0);
+    }
+}
+
+/// Ends a request with an outcome; gives its row.
+pub fn finish(t: &mut Tables, now: Time, id: RequestId, outcome: Outcome) -> Option<RequestRow> {
+    let phase = t.requests.get(id)?.phase;
+    if phase == Phase::Held {
+        let row = t.requests.get(id)?;
+        let (service, account) = (row.service, row.account);
+        t.services.get_mut(service).queue.remove(account, id);
+        t.accounts.get_mut(account).held -= 1;
+    } else {
+        leave_place(t, id, phase, Phase::Held);
+    }
+    let row = t.requests.remove(id)?;
+    t.services.get_mut(row.service).live -= 1;
+    t.accounts.get_mut(row.account).live -= 1;
+    if let Some(claim) = row.new.key.filter(|_| row.minted.is_some()) {
+        t.keys.end(now, claim.hash, id, outcome);
+    }
+    t.ended += 1;
+    *t.stats.outcomes.entry(outcome).or_default() += 1;
+    Some(row)
+}
+
+/// Ends a request with firdock's own final answer.
+///
+/// # Panics
+///
+/// Panics if `not-run` would be untrue: a request that may have run is never said not to have.
+pub fn answer(t: &mut Tables, now: Time, id: RequestId, verdict: Verdict, out: &mut Vec<Action>) {
+    let Some(row) = t.requests.get(id) else {
+        return;
+    };
+    let untrue = verdict.outcome == Outcome::NotRun && row.may_have_run();
+    assert!(
+        !untrue,
+        "request {id} may have run and would be told `not-run`"
+    );
+    if row.head_sent {
+        cut(t, now, id, out);
+        return;
+    }
+    let Some(row) = finish(t, now, id, verdict.outcome) else {
+        return;
+    };
+    *t.stats.reasons.entry(verdict.reason).or_default() += 1;
+    out.push(final_word(&row.new, verdict, row.tried));
+}
+
+/// Ends an answer that has begun and cannot be completed.
+pub fn cut(t: &mut Tables, now: Time, id: RequestId, out: &mut Vec<Action>) {
+    if finish(t, now, id, Outcome::Unknown).is_some() {
+        *t.stats.reasons.entry(Reason::EndpointLost).or_default() += 1;
+        out.push(Action::Cut { id });
+    }
+}
+
+/// Gives a held request up: `not-run` if it ran nowhere, else `unknown`.
+pub fn give_up(t: &mut Tables, now: Time, id: RequestId, reason: Reason, out: &mut Vec<Action>) {
+    let Some(row) = t.requests.get(id) else {
+        return;
+    };
+    let ran = row.may_have_run();
+    let outcome = if ran {
+        Outcome::Unknown
+    } else {
+        Outcome::NotRun
+    };
+    let verdict = Verdict {
+        outcome,
+        reason,
+        retry_seconds: Some(retry_seconds(t)),
+    };
+    answer(t, now, id, verdict, out);
+}
+
+/// Estimates when the queue will have room, in seconds.
+pub fn retry_seconds(t: &Tables) -> u32 {
+    let wait = t.requests.held() as f64 / t.end_rate.max(1.0);
+    wait.clamp(RETRY_SECONDS.0, RETRY_SECONDS.1).ceil() as u32
+}
+
+/// Counts a final answer of firdock's own to a request that has no row.
+pub fn count_verdict(t: &mut Tables, verdict: Verdict) {
+    *t.stats.outcomes.entry(verdict.outcome).or_default() += 1;
+    *t.stats.reasons.entry(verdict.reason).or_default() += 1;
+}
+
+/// Gives the final answer in the form that fits where the request came from.
+pub fn final_word(new: &NewRequest, verdict: Verdict, tried: Vec<EndpointId>) -> Action {
+    let id = new.id;
+    match (&new.origin, verdict.outcome) {
+        (Origin::Peer(_), Outcome::NotRun) => Action::RefuseHandOver { id, verdict, tried },
+        _ => Action::Answer { id, verdict },
+    }
+}
+
+/// Counts the prefill of a dispatch that is lost.
+pub fn count_waste(t: &mut Tables, id: RequestId, cause: WasteCause) {
+    let Some(row) = t.requests.get(id) else {
+        return;
+    };
+    let (Phase::Running(e) | Phase::Dispatching(e)) = row.phase else {
+        return;
+    };
+    if t.endpoints.get(e).is_engine() {
+        *t.stats.wasted.entry(cause).or_default() += u64::from(row.uncached);
+    }
+}
--- /dev/null
+++ b/crates/firdock-policy/src/system/expire.rs
@@ -0,0 +1,36 @@
+//! Wait limits: a request that waited too long is given up, lower tiers first.
+
+use firdock_core::{Reason, RequestId};
+
+use super::shed;
+use crate::action::Action;
+use crate::request::{Phase, RequestRow};
+use crate::table::Tables;
+use crate::time::Time;
+
+/// Gives up what waited too long, and forgets keys that were kept long enough.
+///
+/// A request of a higher tier stays held while one of a lower tier is, so that it is never shed
+/// before it.
+pub fn run(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
+    let late = |r: &&RequestRow| {
+        let wait = t.services.get(r.service).tier.wait();
+        r.phase == Phase::Held && r.arrived + wait <= now
+    };
+    let mut ids: Vec<(u8, RequestId)> = t
+        .requests
+        .iter()
+        .filter(late)
+        .map(|r| (r.rank, r.new.id))
+        .collect();
+    ids.sort_by_key(|(rank, _)| std::cmp::Reverse(*rank));
+    for (rank, id) in ids {
+        if !t.requests.holds_below(rank) {
+            shed::shed(t, now, id, Reason::WaitedTooLong, out);
+        }
+    }
+    let limit = now.saturating_sub(t.settings.key_keep);
+    for id in t.keys.expire(limit) {
+        out.push(Action::Forget { id });
+    }
+}
--- /dev/null
+++ b/crates/firdock-policy/src/system/handover.rs
@@ -0,0 +1,220 @@
+//! Hand-over of requests to peers, and what becomes of them there.
+
+use firdock_core::{Outcome, Reason, RequestId};
+
+use super::{end, shed};
+use crate::action::{Action, HandOverCause};
+use crate::event::{HandOverEvent, HandOverRefusal, Member, PeerNews};
+use crate::request::{Phase, Verdict};
+use crate::table::Tables;
+use crate::table::peer::{MAX_PEERS, PeerRow};
+use crate::time::Time;
+
+/// Time for which a peer's word that an endpoint is leaving counts.
+const LEAVING_WORD: std::time::Duration = std::time::Duration::from_secs(10);
+/// Silence after which a peer's row is dropped.
+const SILENT_PEER: std::time::Duration = std::time::Duration::from_secs(60);
+/// Seconds after which a caller should try again whose key's owner was not reached.
+const RETRY_SECONDS: u32 = 2;
+
+/// Takes a peer's heartbeat.
+pub fn peer_news(t: &mut Tables, now: Time, news: PeerNews) {
+    for name in &news.leaving {
+        if let Some(at) = t.endpoints.find(name) {
+            t.endpoints.get_mut(at).peer_leaving = Some(now + LEAVING_WORD);
+        }
+    }
+    if t.peers.len() >= MAX_PEERS && t.peers.find(&news.name).is_none() {
+        return;
+    }
+    let at = t.peers.find_or_add(&news.name, || PeerRow::new(&news.name));
+    t.peers.get_mut(at).update(now, news);
+}
+
+/// Takes it that the link to a peer broke: its news no longer counts.
+pub fn peer_lost(t: &mut Tables, name: &str) {
+    if let Some(at) = t.peers.find(name) {
+        t.peers.get_mut(at).heard = Time::ZERO;
+        t.peers.get_mut(at).held.clear();
+    }
+}
+
+/// Hands a request to the member that owns its key.
+pub fn to_key_owner(t: &mut Tables, id: RequestId, owner: &Member, out: &mut Vec<Action>) {
+    let at = t
+        .peers
+        .find_or_add(&owner.name, || PeerRow::new(&owner.name));
+    hand_over(t, id, at, HandOverCause::KeyOwner, out);
+}
+
+/// Hands a request to a peer that holds a lower tier; tells whether there is one.
+pub fn to_lower_holder(t: &mut Tables, now: Time, id: RequestId, out: &mut Vec<Action>) -> bool {
+    let Some(row) = t.requests.get(id) else {
+        return false;
+    };
+    if row.minted.is_some() || row.head_sent {
+        return false;
+    }
+    let rank = row.rank;
+    let Some(peer) = pick_peer(t, now, id, |p| p.holds_below(rank)) else {
+        return false;
+    };
+    hand_over(t, id, peer, HandOverCause::Shed, out);
+    true
+}
+
+/// Hands a request to any live peer, since this instance is stopping.
+pub fn to_any(t: &mut Tables, now: Time, id: RequestId, out: &mut Vec<Action>) -> bool {
+    let Some(peer) = pick_peer(t, now, id, |_| true) else {
+        return false;
+    };
+    hand_over(t, id, peer, HandOverCause::Stopping, out);
+    true
+}
+
+/// Picks the live peer that has fewest of this instance's requests.
+fn pick_peer(
+    t: &Tables,
+    now: Time,
+    id: RequestId,
+    fits: impl Fn(&PeerRow) -> bool,
+) -> Option<usize> {
+    let refused = &t.requests.get(id)?.refused_by;
+    let fresh = |p: &PeerRow| p.heard > Time::ZERO && p.heard + t.settings.peer_stale > now;
+    let open = t
+        .peers
+        .iter()
+        .filter(|(_, p)| fresh(p) && !p.draining && !refused.contains(&p.name) && fits(p));
+    open.min_by_key(|(at, p)| (p.handed, *at)).map(|(at, _)| at)
+}
+
+fn hand_over(
+    t: &mut Tables,
+    id: RequestId,
+    at: usize,
+    cause: HandOverCause,
+    out: &mut Vec<Action>,
+) {
+    end::set_phase(t, id, Phase::HandedOver(at), false);
+    let peer = t.peers.get_mut(at);
+    peer.handed += 1;
+    if let Some(row) = t.requests.get_mut(id) {
+        row.handed_for = Some(cause);
+    }
+    t.stats.handed_over += 1;
+    out.push(Action::HandOver {
+        id,
+        peer: peer.name.clone(),
+        cause,
+    });
+}
+
+/// Takes news of a hand-over.
+pub fn news(t: &mut Tables, now: Time, event: &HandOverEvent, out: &mut Vec<Action>) {
+    match event {
+        HandOverEvent::Refused(refusal) => refused(t, now, refusal, out),
+        HandOverEvent::Started(id) => {
+            let id = *id;
+            if let Some(row) = t.requests.get_mut(id) {
+                row.head_sent = true;
+                row.first = Some(now);
+            }
+        }
+        HandOverEvent::Ended(id) => ended(t, now, *id),
+        HandOverEvent::Unknown(id, verdict) => {
+            if handed_to(t, *id).is_some() {
+                end::answer(t, now, *id, *verdict, out);
+            }
+        }
+        HandOverEvent::Broke(id) => broke(t, now, *id, out),
+    }
+}
+
+fn handed_to(t: &Tables, id: RequestId) -> Option<usize> {
+    match t.requests.get(id)?.phase {
+        Phase::HandedOver(at) => Some(at),
+        _ => None,
+    }
+}
+
+/// Takes a request back that the peer did not take.
+fn refused(t: &mut Tables, now: Time, refusal: &HandOverRefusal, out: &mut Vec<Action>) {
+    let id = refusal.id;
+    let Some(at) = handed_to(t, id) else { return };
+    let peer = t.peers.get(at).name.clone();
+    end::set_phase(t, id, Phase::Held, true);
+    let Some(row) = t.requests.get_mut(id) else {
+        return;
+    };
+    row.refused_by.push(peer);
+    for name in &refusal.tried {
+        if !row.tried.contains(name) {
+            row.tried.push(name.clone());
+        }
+    }
+    if row.handed_for.take() == Some(HandOverCause::KeyOwner) {
+        owner_refused(t, now, id, refusal.verdict, out);
+    }
+}
+
+/// Answers a request whose key's owner did not take it: nobody else may run it.
+fn owner_refused(
+    t: &mut Tables,
+    now: Time,
+    id: RequestId,
+    verdict: Option<Verdict>,
+    out: &mut Vec<Action>,
+) {
+    let verdict = verdict.unwrap_or(Verdict {
+        outcome: Outcome::NotRun,
+        reason: Reason::KeyUnconfirmed,
+        retry_seconds: Some(RETRY_SECONDS),
+    });
+    let Some(row) = t.requests.get(id) else {
+        return;
+    };
+    if shed::is_load(verdict.outcome, verdict.reason) {
+        let tier = t.services.get(row.service).tier.name.clone();
+        t.stats.tiers.entry(tier).or_default().shed += 1;
+    }
+    end::answer(t, now, id, verdict, out);
+}
+
+fn ended(t: &mut Tables, now: Time, id: RequestId) {
+    if handed_to(t, id).is_none() {
+        return;
+    }
+    let Some(row) = t.requests.get(id) else {
+        return;
+    };
+    let first = row.first.unwrap_or(now);
+    let s = t.services.get(row.service);
+    let good = first.saturating_sub(row.arrived) <= s.tier.target();
+    let tier = t.stats.tiers.entry(s.tier.name.clone()).or_default();
+    tier.answered += 1;
+    tier.good += u64::from(good);
+    end::finish(t, now, id, Outcome::Answered);
+}
+
+/// Takes a broken link: what was sent may have run, at an endpoint that nobody here knows.
+///
+/// The request is not run again even if it may be repeated, for a second dispatch might go to
+/// the endpoint that the peer had chosen.
+fn broke(t: &mut Tables, now: Time, id: RequestId, out: &mut Vec<Action>) {
+    if handed_to(t, id).is_none() {
+        return;
+    }
+    let reason = Reason::PeerLost;
+    let verdict = Verdict {
+        outcome: Outcome::Unknown,
+        reason,
+        retry_seconds: None,
+    };
+    end::answer(t, now, id, verdict, out);
+}
+
+/// Forgets peers that have been silent for long and have none of this instance's requests.
+pub fn forget_silent(t: &mut Tables, now: Time) {
+    t.peers
+        .remove_if(|p| p.handed == 0 && p.heard + SILENT_PEER < now);
+}
--- /dev/null
+++ b/crates/firdock-policy/src/system/health.rs
@@ -0,0 +1,86 @@
+//! Health of endpoints: reports, ejection, and leaving by whichever word comes first.
+
+use crate::event::{ListedInstance, LoadReport};
+use crate::table::Tables;
+use crate::table::endpoint::{Health, MISSED_REPORTS, Reported};
+use crate::time::Time;
+
+/// Takes a report of load and cache changes.
+pub fn report(t: &mut Tables, now: Time, report: &LoadReport) {
+    let Some(at) = t.endpoints.find(&report.endpoint) else {
+        return;
+    };
+    let e = t.endpoints.get_mut(at);
+    e.missed = 0;
+    e.told_leaving = report.leaving;
+    let own_backlog = e
+        .report
+        .map_or(0.0, |_| e.backlog.min(f64::from(report.backlog)));
+    e.report = Some(Reported {
+        taken: now.saturating_sub(report.age),
+        running: report.running,
+        waiting: report.waiting,
+        backlog: report.backlog,
+        own_backlog,
+    });
+    if report.gap {
+        e.cache.note_gap(now);
+    }
+    for block in &report.added {
+        e.cache.add(now, *block);
+    }
+    for block in &report.removed {
+        e.cache.remove(*block);
+    }
+}
+
+/// Takes it that a report could not be had.
+pub fn missed(t: &mut Tables, now: Time, name: &str) {
+    let Some(at) = t.endpoints.find(name) else {
+        return;
+    };
+    let e = t.endpoints.get_mut(at);
+    e.missed += 1;
+    if e.missed >= MISSED_REPORTS && e.health == Health::Well {
+        eject(t, now, at);
+    }
+}
+
+/// Takes the platform's instance list.
+pub fn listed(t: &mut Tables, rows: &[ListedInstance]) {
+    for row in rows {
+        if let Some(at) = t.endpoints.find(&row.name) {
+            t.endpoints.get_mut(at).listed_leaving = row.leaving;
+        }
+    }
+}
+
+/// Ejects an endpoint for a while, unless too many of a service's endpoints are out already.
+pub fn eject(t: &mut Tables, now: Time, at: usize) {
+    if !t.settings.mechanisms.ejection {
+        return;
+    }
+    if may_eject(t, now, at) {
+        t.endpoints.get_mut(at).eject(now);
+        t.stats.ejections += 1;
+    }
+}
+
+/// Tells whether each of the endpoint's services keeps enough others.
+fn may_eject(t: &Tables, now: Time, at: usize) -> bool {
+    let mut services = t.services.iter().filter(|(_, s)| s.endpoints.contains(&at));
+    services.all(|(_, s)| {
+        let out = |e: &&usize| **e != at && is_out(t, now, **e);
+        let ejected = s.endpoints.iter().filter(out).count() + 1;
+        let most = (s.endpoints.len() as f64 * t.settings.eject_ratio).floor();
+        ejected as f64 <= most.max(1.0)
+    })
+}
+
+fn is_out(t: &Tables, now: Time, at: usize) -> bool {
+    match t.endpoints.get(at).health {
+        Health::Well => false,
+        Health::Ejected(until) => until > now,
+        Health::Probing => true,
+    }
+}
--- /dev/null
+++ b/crates/firdock-policy/src/system/key.rs
@@ -0,0 +1,121 @@
+//! Idempotency keys: who may run them, and what a resend gets.
+//!
+//! The two rules that keep an old and a new owner apart are derived in `docs/design/keys.md`:
+//! an owner runs a key only if it was minted before R + G, and an owner since T never runs one
+//! minted before T + G.
+
+use firdock_core::{Outcome, Reason, RequestId};
+
+use crate::event::Member;
+use crate::request::{KeyClaim, NewRequest, Origin, RequestRow, Verdict};
+use crate::table::Tables;
+use crate::table::key::KeyState;
+use crate::table::view::Ownership;
+use crate::time::{LogTime, Time};
+
+/// Seconds after which a caller should try a key again whose owner is not confirmed.
+const RETRY_SECONDS: u32 = 2;
+
+/// What to do with a request by its key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Decision {
+    /// No key binds it: it has none, or may be repeated anyway.
+    Unbound,
+    /// This instance owns the key, which counts as minted at this time.
+    Own(LogTime),
+    /// Another member owns the key.
+    PassOn(Member),
+    /// The earlier request's answer is to be given again.
+    Replay(RequestId),
+    /// The request gets a final answer.
+    Refuse(Verdict),
+}
+
+/// Decides what to do with a request that arrived, by its key.
+pub fn decide(t: &Tables, now: Time, service: usize, new: &NewRequest) -> Decision {
+    let Some(claim) = new
+        .key
+        .filter(|_| !t.services.get(service).declared.repeatable)
+    else {
+        return Decision::Unbound;
+    };
+    match t.views.ownership(claim.hash) {
+        Ownership::Nobody => not_run(Reason::KeyUnconfirmed),
+        Ownership::Other(_) if new.origin != Origin::Caller => not_run(Reason::KeyUnconfirmed),
+        Ownership::Other(owner) => Decision::PassOn(owner),
+        Ownership::Own(since) => match resend(t, &claim) {
+            Some(decision) => decision,
+            None => first_sight(t, now, &claim, since),
+        },
+    }
+}
+
+/// Gives how long, by this process's clock, a request with an opaque key may be dispatched.
+///
+/// An opaque key has no minting time that a later owner could compare, so its owner goes by how
+/// fresh its last read of the log is. Once another member owns the key, the last limit stands.
+pub fn confirm_by(t: &Tables, row: &RequestRow) -> Option<Time> {
+    let claim = row
+        .new
+        .key
+        .filter(|k| k.minted.is_none() && row.minted.is_some())?;
+    match t.views.ownership(claim.hash) {
+        Ownership::Own(_) => t.views.confirmed_until(t.settings.key_grace),
+        _ => row.confirm_by,
+    }
+}
+
+/// Gives what a key that this instance knows already calls for.
+fn resend(t: &Tables, claim: &KeyClaim) -> Option<Decision> {
+    let row = t.keys.get(claim.hash)?;
+    if row.fingerprint != claim.fingerprint {
+        // The first request with the key may run, but this one has not and never will.
+        return Some(not_run_for_good(Reason::KeyMismatch));
+    }
+    let decision = match row.state {
+        KeyState::Live => unknown(Reason::KeyInUse, Some(RETRY_SECONDS)),
+        KeyState::Ended(Outcome::Answered) => Decision::Replay(row.id),
+        KeyState::Ended(_) => unknown(Reason::KeyUncertain, None),
+    };
+    Some(decision)
+}
+
+fn first_sight(t: &Tables, now: Time, claim: &KeyClaim, since: Option<LogTime>) -> Decision {
+    let grace = t.settings.key_grace;
+    let (Some(read), Some(log_now)) = (t.views.last_read(), t.views.log_now(now)) else {
+        return not_run(Reason::KeyUnconfirmed);
+    };
+    let minted = claim.minted.unwrap_or(log_now);
+    if since.is_some_and(|s| minted < s + grace) || minted + t.settings.key_keep < log_now {
+        return unknown(Reason::KeyUncertain, None);
+    }
+    if minted >= read + grace || t.keys.len() >= t.settings.max_keys {
+        return not_run(Reason::KeyUnconfirmed);
+    }
+    Decision::Own(minted)
+}
+
+fn not_run(reason: Reason) -> Decision {
+    let retry_seconds = Some(RETRY_SECONDS);
+    Decision::Refuse(Verdict {
+        outcome: Outcome::NotRun,
+        reason,
+        retry_seconds,
+    })
+}
+
+fn not_run_for_good(reason: Reason) -> Decision {
+    Decision::Refuse(Verdict {
+        outcome: Outcome::NotRun,
+        reason,
+        retry_seconds: None,
+    })
+}
+
+fn unknown(reason: Reason, retry_seconds: Option<u32>) -> Decision {
+    Decision::Refuse(Verdict {
+        outcome: Outcome::Unknown,
+        reason,
+        retry_seconds,
+    })
+}
--- /dev/null
+++ b/crates/firdock-policy/src/system/news.rs
@@ -0,0 +1,189 @@
+//! News of dispatches: started, tokens, ended, refused, broken.
+
+use firdock_core::{Outcome, Reason, RequestId};
+
+use super::{end, health};
+use crate::action::Action;
+use crate::event::{DispatchNews, EndpointEvent};
+use crate::request::{Phase, Verdict};
+use crate::stats::WasteCause;
+use crate::table::Tables;
+use crate::time::Time;
+
+/// Takes news of a dispatch; late news of an earlier dispatch is dropped and counted.
+pub fn endpoint(t: &mut Tables, now: Time, e: &EndpointEvent, out: &mut Vec<Action>) {
+    let current = t.requests.get(e.id).filter(|r| r.dispatch == e.dispatch);
+    let Some(Phase::Dispatching(at) | Phase::Running(at)) = current.map(|r| r.phase) else {
+        t.stats.stale_news += 1;
+        return;
+    };
+    match e.news {
+        DispatchNews::Refused { unreachable } => refused(t, now, e.id, at, unreachable),
+        DispatchNews::Lapsed => lapsed(t, now, e.id, out),
+        DispatchNews::Started { head_sent } => started(t, e.id, at, head_sent),
+        DispatchNews::Tokens { delivered, cached } => tokens(t, now, e.id, at, delivered, cached),
+        DispatchNews::Ended {
+            prompt,
+            cached,
+            output,
+        } => {
+            ended(t, now, e.id, at, prompt, cached, output);
+        }
+        DispatchNews::Broke { delivered } => broke(t, now, e.id, at, delivered, out),
+    }
+}
+
+/// Takes it that the caller went away: held work is dropped, running work is cancelled.
+pub fn caller_left(t: &mut Tables, now: Time, id: RequestId, out: &mut Vec<Action>) {
+    let Some(row) = t.requests.get(id) else {
+        return;
+    };
+    let dispatch = row.dispatch;
+    match row.phase {
+        Phase::Held => {}
+        Phase::Dispatching(e) | Phase::Running(e) => {
+            let endpoint = t.endpoints.get(e).declared.name.clone();
+            out.push(Action::Cancel {
+                id,
+                endpoint,
+                dispatch,
+            });
+        }
+        Phase::HandedOver(p) => {
+            let peer = t.peers.get(p).name.clone();
+            out.push(Action::CancelHandOver { id, peer });
+        }
+    }
+    end::count_waste(t, id, WasteCause::CallerLeft);
+    let ran = t
+        .requests
+        .get(id)
+        .is_some_and(crate::request::RequestRow::may_have_run);
+    let outcome = if ran {
+        Outcome::Unknown
+    } else {
+        Outcome::NotRun
+    };
+    end::finish(t, now, id, outcome);
+    *t.stats.reasons.entry(Reason::CallerLeft).or_default() += 1;
+}
+
+fn refused(t: &mut Tables, now: Time, id: RequestId, at: usize, unreachable: bool) {
+    end::set_phase(t, id, Phase::Held, true);
+    if unreachable {
+        health::eject(t, now, at);
+    }
+}
+
+fn lapsed(t: &mut Tables, now: Time, id: RequestId, out: &mut Vec<Action>) {
+    end::set_phase(t, id, Phase::Held, true);
+    end::give_up(t, now, id, Reason::KeyUnconfirmed, out);
+}
+
+fn started(t: &mut Tables, id: RequestId, at: usize, head_sent: bool) {
+    end::set_phase(t, id, Phase::Running(at), false);
+    if let Some(row) = t.requests.get_mut(id) {
+        row.head_sent |= head_sent;
+    }
+}
+
+fn tokens(t: &mut Tables, now: Time, id: RequestId, at: usize, delivered: u32, cached: u32) {
+    first_token(t, now, id, at, cached);
+    if let Some(row) = t.requests.get_mut(id) {
+        row.delivered = row.delivered.max(delivered);
+    }
+}
+
+/// Notes the first token of a dispatch: the prompt is computed, and the rate can be learned.
+fn first_token(t: &mut Tables, now: Time, id: RequestId, at: usize, cached: u32) {
+    let Some(row) = t.requests.get(id).filter(|r| r.first.is_none()) else {
+        return;
+    };
+    let took = now.saturating_sub(row.dispatched);
+    let predicted = row.predicted;
+    end::release_prefill(t, id, at);
+    let e = t.endpoints.get_mut(at);
+    e.learn_first(predicted, took);
+    e.recover();
+    let engine = e.is_engine();
+    let Some(row) = t.requests.get_mut(id) else {
+        return;
+    };
+    row.first = Some(now);
+    if engine {
+        row.uncached = (row.new.prompt_tokens + row.delivered).saturating_sub(cached);
+    }
+}
+
+fn ended(
+    t: &mut Tables,
+    now: Time,
+    id: RequestId,
+    at: usize,
+    prompt: u32,
+    cached: u32,
+    output: u32,
+) {
+    first_token(t, now, id, at, cached);
+    let Some(row) = t.requests.get(id) else {
+        return;
+    };
+    let (service, arrived) = (row.service, row.arrived);
+    let first = row.first.unwrap_or(now);
+    let fresh = output.saturating_sub(1);
+    if prompt > 0 && row.tried.len() == 1 {
+        t.endpoints
+            .get_mut(at)
+            .learn_tokens(fresh, now.saturating_sub(first));
+    }
+    let s = t.services.get_mut(service);
+    if prompt > 0 {
+        s.learn_output(output);
+    }
+    let good = first.saturating_sub(arrived) <= s.tier.target();
+    let tier = t.stats.tiers.entry(s.tier.name.clone()).or_default();
+    tier.answered += 1;
+    tier.good += u64::from(good);
+    end::finish(t, now, id, Outcome::Answered);
+}
+
+/// Takes a broken dispatch: the request goes on elsewhere if it may, else it ends.
+fn broke(
+    t: &mut Tables,
+    now: Time,
+    id: RequestId,
+    at: usize,
+    delivered: u32,
+    out: &mut Vec<Action>,
+) {
+    end::count_waste(t, id, WasteCause::EndpointLost);
+    health::eject(t, now, at);
+    if may_go_on(t, id, at) {
+        t.retry_credit -= 1.0;
+        t.stats.retries += 1;
+        if let Some(row) = t.requests.get_mut(id) {
+            row.ran_before = true;
+            row.delivered = row.delivered.max(delivered);
+        }
+        end::set_phase(t, id, Phase::Held, true);
+        return;
+    }
+    let retry_seconds = None;
+    let reason = Reason::EndpointLost;
+    let verdict = Verdict {
+        outcome: Outcome::Unknown,
+        reason,
+        retry_seconds,
+    };
+    end::answer(t, now, id, verdict, out);
+}
+
+/// Tells whether a broken request may run on a second endpoint.
+fn may_go_on(t: &Tables, id: RequestId, at: usize) -> bool {
+    let Some(row) = t.requests.get(id) else {
+        return false;
+    };
+    let resumable = t.settings.mechanisms.resume && t.endpoints.get(at).is_engine();
+    let repeatable = t.services.get(row.service).declared.repeatable;
+    repeatable && t.retry_credit >= 1.0 && (!row.head_sent || resumable)
+}
--- /dev/null
+++ b/crates/firdock-policy/src/system/shed.rs
@@ -0,0 +1,87 @@
+//! Shedding: when too much is held, the lowest tier goes first, wherever it is held.
+
+use firdock_core::{Outcome, Reason, RequestId, TierRank};
+
+use super::{end, handover};
+use crate::action::Action;
+use crate::request::Origin;
+use crate::table::Tables;
+use crate::time::Time;
+
+/// Sheds until the bounds on what is held are kept.
+pub fn run(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
+    while over_bounds(t) {
+        let Some(id) = victim(t) else { break };
+        shed(t, now, id, Reason::Overload, out);
+    }
+    shed_accounts(t, now, out);
+}
+
+fn over_bounds(t: &Tables) -> bool {
+    t.requests.held() > t.settings.max_held || t.requests.bytes() > t.settings.held_bytes
+}
+
+/// Gives one held request up, or hands it to a peer that holds a lower tier.
+///
+/// # Panics
+///
+/// Panics if a request of a lower tier is held here: that one has to go first.
+pub fn shed(t: &mut Tables, now: Time, id: RequestId, reason: Reason, out: &mut Vec<Action>) {
+    let Some(row) = t.requests.get(id) else {
+        return;
+    };
+    let (rank, service) = (row.rank, row.service);
+    let from_caller = row.new.origin == Origin::Caller;
+    assert!(
+        !t.requests.holds_below(rank),
+        "request {id} shed while a lower tier is held"
+    );
+    if from_caller && handover::to_lower_holder(t, now, id, out) {
+        return;
+    }
+    let tier = t.services.get(service).tier.name.clone();
+    t.stats.tiers.entry(tier).or_default().shed += 1;
+    end::give_up(t, now, id, reason, out);
+}
+
+/// Picks the newest request of the account that holds most for its share, in the lowest tier.
+fn victim(t: &Tables) -> Option<RequestId> {
+    let rank = t.requests.lowest_held()?;
+    let lanes = lanes_of(t, rank);
+    let weight = |account: usize, n: usize| n as f64 / t.accounts.get(account).share;
+    let (service, account, _) =
+        lanes.max_by(|a, b| weight(a.1, a.2).total_cmp(&weight(b.1, b.2)))?;
+    t.services.get(service).queue.newest(account)
+}
+
+/// Goes over the lanes of a tier: service, account and how many wait.
+fn lanes_of(t: &Tables, rank: TierRank) -> impl Iterator<Item = (usize, usize, usize)> {
+    let services = t.services.iter().filter(move |(_, s)| s.tier.rank == rank);
+    services.flat_map(|(i, s)| s.queue.lanes().map(move |(a, n)| (i, a, n)))
+}
+
+/// Sheds from accounts over their own bound, as far as tier order allows.
+///
+/// An account's bound delays and never sheds out of tier order: only what the account holds in
+/// the lowest tier held by anyone may go.
+fn shed_accounts(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
+    while let Some(id) = account_victim(t) {
+        let before = t.requests.held();
+        shed(t, now, id, Reason::Overload, out);
+        if t.requests.held() >= before {
+            break;
+        }
+    }
+}
+
+fn account_victim(t: &Tables) -> Option<RequestId> {
+    let rank = t.requests.lowest_held()?;
+    let over = |a: usize| t.accounts.get(a).held > t.accounts.get(a).max_held;
+    let (service, account, _) = lanes_of(t, rank).find(|(_, a, n)| *n > 0 && over(*a))?;
+    t.services.get(service).queue.newest(account)
+}
+
+/// Tells whether a verdict is one for load.
+pub fn is_load(outcome: Outcome, reason: Reason) -> bool {
+    outcome == Outcome::NotRun && matches!(reason, Reason::Overload | Reason::WaitedTooLong)
+}
--- /dev/null
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -0,0 +1,198 @@
+//! Endpoints: what is declared, learned, reported and dispatched.
+
+use std::time::Duration;
+
+use firdock_core::resource::{Endpoint, EndpointKind};
+
+use super::prefix_cache::PrefixCache;
+use super::rows::Rows;
+use crate::time::Time;
+
+/// Table of endpoints.
+pub type Endpoints = Rows<EndpointRow>;
+
+impl Endpoints {
+    /// Makes an empty table.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+}
+
+/// First pause of an ejected endpoint; it doubles with each further failure.
+const EJECT_BASE: Duration = Duration::from_millis(500);
+/// Longest pause of an ejected endpoint.
+const EJECT_MAX: Duration = Duration::from_secs(30);
+/// Missed reports after which an endpoint is ejected.
+pub const MISSED_REPORTS: u32 = 4;
+/// Weight of a new sample in learned rates.
+const LEARN: f64 = 0.2;
+/// Bounds of the learned slowdown.
+const SLOWDOWN: (f64, f64) = (0.5, 32.0);
+/// Age after which a load report no longer counts.
+const REPORT_AGE: Duration = Duration::from_secs(10);
+
+/// Health of an endpoint as this instance sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// Takes work.
+    Well,
+    /// Takes no work until the time given.
+    Ejected(Time),
+    /// Takes one request at a time until one succeeds.
+    Probing,
+}
+
+/// Load that an endpoint reported.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Reported {
+    /// When the endpoint took the reading, by this process's clock.
+    pub taken: Time,
+    /// Requests that it worked on.
+    pub running: u32,
+    /// Requests that waited in its queue.
+    pub waiting: u32,
+    /// Prompt tokens that it had yet to compute.
+    pub backlog: u32,
+    /// Prompt tokens of this instance among them.
+    pub own_backlog: f64,
+}
+
+/// One endpoint.
+#[derive(Debug)]
+pub struct EndpointRow {
+    /// What operators declared.
+    pub declared: Endpoint,
+    /// Whether the configuration in force still has it.
+    pub present: bool,
+    /// Whether the instance list shows it as leaving.
+    pub listed_leaving: bool,
+    /// Whether the endpoint itself said that it is leaving.
+    pub told_leaving: bool,
+    /// Whether a peer said that it is leaving, and until when that counts.
+    pub peer_leaving: Option<Time>,
+    /// Health.
+    pub health: Health,
+    /// Failures in a row.
+    pub failures: u32,
+    /// Missed reports in a row.
+    pub missed: u32,
+    /// Requests of this instance dispatched and not ended.
+    pub running: u32,
+    /// Prompt tokens of this instance that it has yet to compute, as estimated.
+    pub backlog: f64,
+    /// Seconds for each token, learned.
+    pub token_secs: f64,
+    /// Observed over predicted time to the first token, learned.
+    pub slowdown: f64,
+    /// Last report.
+    pub report: Option<Reported>,
+    /// Believed prefix cache.
+    pub cache: PrefixCache,
+    /// Requests that this instance may have there at once.
+    pub budget: u32,
+}
+
+impl EndpointRow {
+    /// Makes a row from what operators declared.
+    #[must_use]
+    pub fn new(declared: Endpoint) -> Self {
+        let token_secs = declared.token_millis / 1000.0;
+        Self {
+            budget: declared.slots,
+            declared,
+            present: true,
+            listed_leaving: false,
+            told_leaving: false,
+            peer_leaving: None,
+            health: Health::Well,
+            failures: 0,
+            missed: 0,
+            running: 0,
+            backlog: 0.0,
+            token_secs,
+            slowdown: 1.0,
+            report: None,
+            cache: PrefixCache::default(),
+        }
+    }
+
+    /// Tells whether it is a model engine.
+    #[must_use]
+    pub fn is_engine(&self) -> bool {
+        self.declared.backend == EndpointKind::Engine
+    }
+
+    /// Tells whether it is leaving, by whichever word came first.
+    #[must_use]
+    pub fn leaving(&self, now: Time) -> bool {
+        let by_peer = self.peer_leaving.is_some_and(|until| until > now);
+        self.declared.leaving || self.listed_leaving || self.told_leaving || by_peer
+    }
+
+    /// Tells whether this instance knows of the leaving by itself, and may tell peers.
+    #[must_use]
+    pub fn leaving_first_hand(&self) -> bool {
+        self.declared.leaving || self.listed_leaving || self.told_leaving
+    }
+
+    /// Tells whether new work may go to it at all.
+    #[must_use]
+    pub fn usable(&self, now: Time) -> bool {
+        let healthy = match self.health {
+            Health::Well => true,
+            Health::Ejected(until) => until <= now,
+            Health::Probing => self.running == 0,
+        };
+        self.present && healthy && !self.leaving(now)
+    }
+
+    /// Notes a failure and ejects the endpoint for a while, longer for each failure in a row.
+    pub fn eject(&mut self, now: Time) {
+        let doublings = self.failures.min(6);
+        self.failures += 1;
+        let pause = (EJECT_BASE * 2_u32.pow(doublings)).min(EJECT_MAX);
+        self.health = Health::Ejected(now + pause);
+    }
+
+    /// Notes a success.
+    pub fn recover(&mut self) {
+        self.failures = 0;
+        self.health = Health::Well;
+    }
+
+    /// Learns from the time to a first token.
+    pub fn learn_first(&mut self, predicted: Duration, observed: Duration) {
+        let ratio = observed.as_secs_f64() / predicted.as_secs_f64().max(0.005);
+        let sample = (self.slowdown * ratio).clamp(SLOWDOWN.0, SLOWDOWN.1);
+        self.slowdown += LEARN * (sample - self.slowdown);
+    }
+
+    /// Learns from the time that `tokens` tokens after the first took.
+    pub fn learn_tokens(&mut self, tokens: u32, took: Duration) {
+        if tokens > 0 {
+            let sample = took.as_secs_f64() / f64::from(tokens);
+            self.token_secs += LEARN * (sample - self.token_secs);
+        }
+    }
+
+    /// Estimates the prompt tokens that wait there, with the stale report corrected.
+    ///
+    /// What the report counted of this instance's own is taken out and replaced by what this
+    /// instance knows now, so that a dispatch since the report's time counts at once.
+    #[must_use]
+    pub fn waiting_tokens(&self, now: Time) -> f64 {
+        let Some(r) = self.report.filter(|r| r.taken + REPORT_AGE > now) else {
+            return self.backlog;
+        };
+        let others = (f64::from(r.backlog) - r.own_backlog).max(0.0);
+        self.backlog + others
+    }
+
+    /// Gives the budget for a tier that must leave `headroom` of the endpoint to others.
+    #[must_use]
+    pub fn budget_with(&self, headroom: f64) -> u32 {
+        let room = (f64::from(self.budget) * (1.0 - headroom)).ceil();
+        (room as u32).max(1)
+    }
+}
--- /dev/null
+++ b/crates/firdock-policy/src/table/key.rs
@@ -0,0 +1,98 @@
+//! Idempotency keys that this instance has seen as their owner.
+
+use std::collections::{HashMap, VecDeque};
+
+use firdock_core::{Outcome, RequestId};
+
+use crate::request::KeyClaim;
+use crate::time::Time;
+
+/// State of a key's request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KeyState {
+    /// The request has not ended.
+    Live,
+    /// The request ended so.
+    Ended(Outcome),
+}
+
+/// One key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KeyRow {
+    /// Request that holds the key.
+    pub id: RequestId,
+    /// Hash of that request.
+    pub fingerprint: u64,
+    /// State of that request.
+    pub state: KeyState,
+}
+
+/// Table of keys, bounded by refusing new keys rather than forgetting old ones.
+#[derive(Debug, Default)]
+pub struct Keys {
+    rows: HashMap<u64, KeyRow>,
+    ended: VecDeque<(Time, u64, RequestId)>,
+}
+
+impl Keys {
+    /// Makes an empty table.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Finds a key.
+    #[must_use]
+    pub fn get(&self, hash: u64) -> Option<&KeyRow> {
+        self.rows.get(&hash)
+    }
+
+    /// Counts the keys.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Tells whether there are none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Notes that a request holds a key.
+    pub fn claim(&mut self, claim: &KeyClaim, id: RequestId) {
+        let row = KeyRow {
+            id,
+            fingerprint: claim.fingerprint,
+            state: KeyState::Live,
+        };
+        self.rows.insert(claim.hash, row);
+    }
+
+    /// Notes how the request of a key ended; one that did not run frees the key.
+    pub fn end(&mut self, now: Time, hash: u64, id: RequestId, outcome: Outcome) {
+        let Some(row) = self.rows.get_mut(&hash).filter(|r| r.id == id) else {
+            return;
+        };
+        if outcome == Outcome::NotRun {
+            self.rows.remove(&hash);
+            return;
+        }
+        row.state = KeyState::Ended(outcome);
+        self.ended.push_back((now, hash, id));
+    }
+
+    /// Forgets keys that ended before `limit`; gives their requests.
+    pub fn expire(&mut self, limit: Time) -> Vec<RequestId> {
+        let mut gone = Vec::new();
+        while let Some(&(at, hash, id)) = self.ended.front() {
+            if at >= limit {
+                break;
+            }
+            self.ended.pop_front();
+            self.rows.remove(&hash);
+            gone.push(id);
+        }
+        gone
+    }
+}
