--- /dev/null
+++ b/crates/firdock-policy/src/table/peer.rs
@@ -0,0 +1,77 @@
+//! Peers and the news that they told.
+
+use std::collections::BTreeMap;
+
+use firdock_core::{InstanceId, TierRank, ZoneId};
+
+use super::rows::Rows;
+use crate::event::PeerNews;
+use crate::time::Time;
+
+/// Table of peers.
+pub type Peers = Rows<PeerRow>;
+
+/// Most peers that are kept; news of others is dropped.
+pub const MAX_PEERS: usize = 512;
+
+impl Peers {
+    /// Makes an empty table.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+}
+
+/// One peer.
+#[derive(Debug)]
+pub struct PeerRow {
+    /// Name.
+    pub name: InstanceId,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// When its last news came.
+    pub heard: Time,
+    /// Requests that it holds, by rank.
+    pub held: Vec<u32>,
+    /// Its demand by service name.
+    pub demand: BTreeMap<String, f64>,
+    /// Whether it is stopping.
+    pub draining: bool,
+    /// Requests of this instance that are with it.
+    pub handed: u32,
+}
+
+impl PeerRow {
+    /// Makes a row for a peer that was just heard of.
+    #[must_use]
+    pub fn new(name: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            zone: ZoneId::new(),
+            heard: Time::ZERO,
+            held: Vec::new(),
+            demand: BTreeMap::new(),
+            draining: false,
+            handed: 0,
+        }
+    }
+
+    /// Takes the news over.
+    pub fn update(&mut self, now: Time, news: PeerNews) {
+        self.zone = news.zone;
+        self.heard = now;
+        self.held = news.held;
+        self.draining = news.draining;
+        self.demand = news
+            .demand
+            .into_iter()
+            .map(|d| (d.service, d.rate))
+            .collect();
+    }
+
+    /// Tells whether it holds requests of a lower tier than `rank`.
+    #[must_use]
+    pub fn holds_below(&self, rank: TierRank) -> bool {
+        self.held.iter().skip(usize::from(rank) + 1).any(|n| *n > 0)
+    }
+}
--- /dev/null
+++ b/crates/firdock-policy/src/table/view.rs
@@ -0,0 +1,112 @@
+//! Member views by the log, and who owns a key under them.
+//!
+//! The rules that keep an old and a new owner apart are set out in `docs/design/keys.md`.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use firdock_core::rendezvous;
+
+use crate::event::{LogReading, Member, MemberView};
+use crate::time::{LogTime, Time};
+
+/// Views that are remembered; a key owned through all of them is owned since the oldest.
+const MAX_VIEWS: usize = 64;
+
+/// Who may run a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Ownership {
+    /// This instance, since the time given (`None`: since before any other could).
+    Own(Option<LogTime>),
+    /// Another member.
+    Other(Member),
+    /// No view is known.
+    Nobody,
+}
+
+/// History of views, newest last.
+#[derive(Debug)]
+pub struct Views {
+    me: Member,
+    history: VecDeque<MemberView>,
+    reading: Option<LogReading>,
+}
+
+impl Views {
+    /// Makes an empty history for the member `me`.
+    #[must_use]
+    pub fn new(me: Member) -> Self {
+        Self {
+            me,
+            history: VecDeque::new(),
+            reading: None,
+        }
+    }
+
+    /// Gives the members in force.
+    #[must_use]
+    pub fn members(&self) -> &[Member] {
+        self.history.back().map_or(&[], |v| v.members.as_slice())
+    }
+
+    /// Takes a view over unless it is older than the one in force.
+    pub fn push(&mut self, view: MemberView) {
+        if self.history.back().is_some_and(|v| v.number >= view.number) {
+            return;
+        }
+        self.history.push_back(view);
+        if self.history.len() > MAX_VIEWS {
+            self.history.pop_front();
+        }
+    }
+
+    /// Notes that the log was read up to its end.
+    pub fn read(&mut self, reading: LogReading) {
+        if self.reading.is_none_or(|r| r.sent <= reading.sent) {
+            self.reading = Some(reading);
+        }
+    }
+
+    /// Gives the log's time of the last read (R).
+    #[must_use]
+    pub fn last_read(&self) -> Option<LogTime> {
+        self.reading.map(|r| r.log_time)
+    }
+
+    /// Estimates the log's present time from the last read and this process's clock.
+    #[must_use]
+    pub fn log_now(&self, now: Time) -> Option<LogTime> {
+        self.reading
+            .map(|r| r.log_time + now.saturating_sub(r.sent))
+    }
+
+    /// Gives the time by this process's clock until which own keys are confirmed.
+    #[must_use]
+    pub fn confirmed_until(&self, grace: Duration) -> Option<Time> {
+        self.reading.map(|r| r.sent + grace)
+    }
+
+    /// Tells who owns a key and, if it is this instance, since when.
+    #[must_use]
+    pub fn ownership(&self, key: u64) -> Ownership {
+        let Some(newest) = self.history.back() else {
+            return Ownership::Nobody;
+        };
+        match owner(newest, key) {
+            None => Ownership::Nobody,
+            Some(m) if *m != self.me => Ownership::Other(m.clone()),
+            Some(_) => Ownership::Own(self.owned_since(key)),
+        }
+    }
+
+    fn owned_since(&self, key: u64) -> Option<LogTime> {
+        let own = |v: &&MemberView| owner(v, key) == Some(&self.me);
+        let oldest = self.history.iter().rev().take_while(own).last()?;
+        (!oldest.first).then_some(oldest.since)
+    }
+}
+
+fn owner(view: &MemberView, key: u64) -> Option<&Member> {
+    let name = rendezvous::owner(key, view.members.iter().map(|m| m.name.as_str()))?;
+    view.members.iter().find(|m| m.name == name)
+}
--- /dev/null
+++ b/crates/firdock-standin/src/client.rs
@@ -0,0 +1,330 @@
+//! A caller that checks what it gets: its own answer, whole, with one outcome.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use firdock_node::http::connect;
+use http_body_util::{BodyExt as _, Full};
+use hyper::{HeaderMap, Method, Request};
+use serde_json::{Value, json};
+
+use crate::engine::text;
+use crate::service::{WORK_HEADER, expected_answer};
+
+/// Time for a connect.
+const CONNECT_TIME: Duration = Duration::from_secs(5);
+/// Time for the head of an answer.
+const HEAD_TIME: Duration = Duration::from_secs(15);
+
+/// What to call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Work {
+    /// A model call.
+    Model {
+        /// Model.
+        model: String,
+        /// Prompt.
+        prompt: String,
+        /// Tokens of the answer.
+        tokens: u32,
+        /// Whether the answer is wanted as a stream.
+        stream: bool,
+        /// Whether it is a chat call.
+        chat: bool,
+    },
+    /// A plain call.
+    Plain {
+        /// Method.
+        method: Method,
+        /// Path with the query.
+        target: String,
+        /// Body.
+        body: String,
+    },
+}
+
+/// A call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Call {
+    /// Bearer key.
+    pub bearer: String,
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// Name of the piece of work over all its resends, which stand-in services count by.
+    pub work_name: Option<String>,
+    /// What to call.
+    pub work: Work,
+}
+
+impl Call {
+    /// Makes a model call.
+    #[must_use]
+    pub fn model(bearer: &str, model: &str, prompt: &str, tokens: u32) -> Self {
+        let work = Work::Model {
+            model: model.to_owned(),
+            prompt: prompt.to_owned(),
+            tokens,
+            stream: true,
+            chat: false,
+        };
+        Self {
+            bearer: bearer.to_owned(),
+            key: None,
+            work_name: None,
+            work,
+        }
+    }
+
+    /// Makes a plain call.
+    #[must_use]
+    pub fn plain(bearer: &str, method: Method, target: &str, body: &str) -> Self {
+        let work = Work::Plain {
+            method,
+            target: target.to_owned(),
+            body: body.to_owned(),
+        };
+        Self {
+            bearer: bearer.to_owned(),
+            key: None,
+            work_name: None,
+            work,
+        }
+    }
+
+    /// Asks for the answer as a whole or as a stream.
+    #[must_use]
+    pub fn with_stream(mut self, wanted: bool) -> Self {
+        if let Work::Model { stream, .. } = &mut self.work {
+            *stream = wanted;
+        }
+        self
+    }
+
+    /// Makes a model call a chat call.
+    #[must_use]
+    pub fn with_chat(mut self) -> Self {
+        if let Work::Model { chat, .. } = &mut self.work {
+            *chat = true;
+        }
+        self
+    }
+
+    /// Sets the idempotency key.
+    #[must_use]
+    pub fn with_key(mut self, key: &str) -> Self {
+        self.key = Some(key.to_owned());
+        self
+    }
+
+    /// Names the piece of work.
+    #[must_use]
+    pub fn with_work_name(mut self, name: &str) -> Self {
+        self.work_name = Some(name.to_owned());
+        self
+    }
+
+    fn request(&self) -> Option<Request<Full<Bytes>>> {
+        let (method, target, body) = match &self.work {
+            Work::Model { chat, .. } => {
+                let path = if *chat {
+                    "/v1/chat/completions"
+                } else {
+                    "/v1/completions"
+                };
+                (Method::POST, path.to_owned(), self.model_body().to_string())
+            }
+            Work::Plain {
+                method,
+                target,
+                body,
+            } => (method.clone(), target.clone(), body.clone()),
+        };
+        let mut builder = Request::builder()
+            .method(method)
+            .uri(target)
+            .header("host", "firdock")
+            .header("authorization", format!("Bearer {}", self.bearer));
+        if let Some(key) = &self.key {
+            builder = builder.header("idempotency-key", key);
+        }
+        if let Some(name) = &self.work_name {
+            builder = builder.header(WORK_HEADER, name);
+        }
+        builder.body(Full::new(Bytes::from(body))).ok()
+    }
+
+    fn model_body(&self) -> Value {
+        let Work::Model {
+            model,
+            prompt,
+            tokens,
+            stream,
+            chat,
+        } = &self.work
+        else {
+            return Value::Null;
+        };
+        let mut body = json!({"model": model, "max_tokens": tokens, "stream": stream});
+        if *chat {
+            body["messages"] = json!([{"role": "user", "content": prompt}]);
+        } else {
+            body["prompt"] = json!(prompt);
+        }
+        body
+    }
+
+    /// Gives the text that a whole answer must have.
+    fn expected(&self) -> String {
+        match &self.work {
+            Work::Model {
+                prompt,
+                tokens,
+                chat: true,
+                ..
+            } => text::whole(&format!("user\n{prompt}\n"), *tokens),
+            Work::Model { prompt, tokens, .. } => text::whole(prompt, *tokens),
+            Work::Plain {
+                method,
+                target,
+                body,
+            } => expected_answer(method.as_str(), target, body.as_bytes()),
+        }
+    }
+}
+
+/// What a caller got.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Got {
+    /// Status; 0 where no head came.
+    pub status: u16,
+    /// Value of `Firdock-Outcome`; empty where there was none.
+    pub outcome: String,
+    /// Reason of a problem document.
+    pub reason: String,
+    /// Seconds of `Retry-After`.
+    pub retry_after: Option<u64>,
+    /// Whether the body came to its end as HTTP tells it.
+    pub ended: bool,
+    /// Whether the whole answer is the caller's own.
+    pub own: bool,
+    /// Text of the body, or of the tokens.
+    pub text: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Time to the first byte of the body.
+    pub first: Duration,
+    /// Time to the end.
+    pub total: Duration,
+}
+
+impl Got {
+    fn nothing(since: Instant) -> Self {
+        Self {
+            status: 0,
+            outcome: String::new(),
+            reason: String::new(),
+            retry_after: None,
+            ended: false,
+            own: false,
+            text: String::new(),
+            headers: HeaderMap::new(),
+            first: since.elapsed(),
+            total: since.elapsed(),
+        }
+    }
+
+    /// Tells whether the caller got its own whole answer.
+    #[must_use]
+    pub fn answered(&self) -> bool {
+        self.outcome == "answered" && self.ended && self.own
+    }
+
+    /// Tells whether the call ended as one of the three outcomes may.
+    ///
+    /// An answer that was begun and is not whole must show it by a broken connection.
+    #[must_use]
+    pub fn is_sound(&self) -> bool {
+        match self.outcome.as_str() {
+            "answered" => self.own || !self.ended || self.status >= 400,
+            "not-run" | "unknown" => self.ended && self.status >= 400,
+            _ => false,
+        }
+    }
+}
+
+/// Makes a call and checks the answer.
+pub async fn call(address: SocketAddr, call: &Call) -> Got {
+    let since = Instant::now();
+    let Some(request) = call.request() else {
+        return Got::nothing(since);
+    };
+    let Ok(mut connection) = connect(address, CONNECT_TIME).await else {
+        return Got::nothing(since);
+    };
+    let Ok(response) = connection.call(request, HEAD_TIME).await else {
+        return Got::nothing(since);
+    };
+    let (head, mut body) = response.into_parts();
+    let mut got = Got {
+        status: head.status.as_u16(),
+        ..Got::nothing(since)
+    };
+    let header = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
+    got.outcome = header("firdock-outcome").unwrap_or_default().to_owned();
+    got.retry_after = header("retry-after").and_then(|v| v.parse().ok());
+    let mut bytes = Vec::new();
+    got.ended = loop {
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                if bytes.is_empty() {
+                    got.first = since.elapsed();
+                }
+                bytes.extend_from_slice(frame.data_ref().map_or(&[], |d| d));
+            }
+            Some(Err(_)) => break false,
+            None => break true,
+        }
+    };
+    got.total = since.elapsed();
+    read_body(&mut got, call, &String::from_utf8_lossy(&bytes));
+    got.headers = head.headers;
+    got
+}
+
+fn read_body(got: &mut Got, call: &Call, body: &str) {
+    if got.status >= 400 {
+        let problem = serde_json::from_str::<Value>(body).unwrap_or_default();
+        let reason = problem["reason"].as_str().unwrap_or_default();
+        reason.clone_into(&mut got.reason);
+        body.clone_into(&mut got.text);
+        return;
+    }
+    got.text = match &call.work {
+        Work::Model { stream: true, .. } => stream_text(body),
+        Work::Model { .. } => whole_text(body),
+        Work::Plain { .. } => body.to_owned(),
+    };
+    let closed = !matches!(&call.work, Work::Model { stream: true, .. })
+        || body.trim_end().ends_with("data: [DONE]");
+    got.own = closed && got.text == call.expected();
+}
+
+fn stream_text(body: &str) -> String {
+    let events = body.lines().filter_map(|line| line.strip_prefix("data: "));
+    let json = events.filter_map(|data| serde_json::from_str::<Value>(data).ok());
+    json.map(|event| choice_text(&event["choices"][0], "delta"))
+        .collect()
+}
+
+fn whole_text(body: &str) -> String {
+    let answer = serde_json::from_str::<Value>(body).unwrap_or_default();
+    choice_text(&answer["choices"][0], "message")
+}
+
+fn choice_text(choice: &Value, nested: &str) -> String {
+    let text = choice["text"]
+        .as_str()
+        .or_else(|| choice[nested]["content"].as_str());
+    text.unwrap_or_default().to_owned()
+}
--- /dev/null
+++ b/crates/firdock-standin/src/cmd.rs
@@ -0,0 +1,91 @@
+//! Subcommands, one file each, with `make_subcommand` and `execute`.
+
+mod engine;
+mod instances;
+mod log;
+mod service;
+
+use std::io;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use firdock_standin::web::Served;
+use snafu::{ResultExt as _, Snafu};
+use tokio::runtime::{Builder, Runtime};
+
+/// Why a stand-in did not start.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum CmdError {
+    /// The runtime or the server could not be started.
+    #[snafu(display("start the stand-in"))]
+    Start {
+        /// Cause.
+        source: io::Error,
+    },
+}
+
+/// Makes the command line.
+pub fn command() -> Command {
+    Command::new("firdock-standin")
+        .about("Small stand-ins for what surrounds firdock")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(engine::make_subcommand())
+        .subcommand(service::make_subcommand())
+        .subcommand(log::make_subcommand())
+        .subcommand(instances::make_subcommand())
+}
+
+/// Runs a subcommand.
+pub fn run(matches: &ArgMatches) -> Result<ExitCode, CmdError> {
+    match matches.subcommand() {
+        Some(("engine", args)) => engine::execute(args),
+        Some(("service", args)) => service::execute(args),
+        Some(("log", args)) => log::execute(args),
+        Some(("instances", args)) => instances::execute(args),
+        _ => unreachable!("the argument parser knows the subcommands"),
+    }
+}
+
+fn runtime() -> Result<Runtime, CmdError> {
+    Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .context(StartSnafu)
+}
+
+fn listen_arg() -> Arg {
+    Arg::new("listen")
+        .long("listen")
+        .value_name("IP:PORT")
+        .required(true)
+        .value_parser(value_parser!(SocketAddr))
+        .help("Address to listen on; port 0 takes any free one, which is printed")
+}
+
+fn number_arg(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .default_value(default)
+        .value_parser(value_parser!(f64))
+        .help(help)
+}
+
+fn listen(args: &ArgMatches) -> SocketAddr {
+    let given = args.get_one::<SocketAddr>("listen").copied();
+    given.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)))
+}
+
+fn number(args: &ArgMatches, name: &str) -> f64 {
+    args.get_one::<f64>(name).copied().unwrap_or_default()
+}
+
+/// Prints the address, which tests and scripts read, and serves for ever.
+async fn serve(served: &Served) {
+    println!("listening on {}", served.address);
+    std::future::pending::<()>().await;
+}
--- /dev/null
+++ b/src/bin/firdockd.rs
@@ -0,0 +1,10 @@
+//! `firdockd`: the daemon of an entry instance.
+
+use std::process::ExitCode;
+
+use firdock::{cmd, exit};
+
+fn main() -> ExitCode {
+    let matches = cmd::daemon_command().get_matches();
+    exit::code_of(cmd::run_daemon(&matches))
+}
--- /dev/null
+++ b/src/cmd.rs
@@ -0,0 +1,96 @@
+//! Subcommands, one file each, with `make_subcommand` and `execute`.
+
+pub mod apply;
+pub mod check;
+pub mod delete;
+mod error;
+pub mod get;
+pub mod serve;
+pub mod status;
+pub mod watch;
+
+use clap::{Arg, ArgAction, ArgMatches, Command};
+
+pub use error::CmdError;
+pub(crate) use error::{AnswerSnafu, CallSnafu};
+
+/// Address of the resource API where none is given.
+const DEFAULT_SERVER: &str = "127.0.0.1:7080";
+/// What the exit codes mean, shown by `--help`.
+const EXIT_CODES: &str = "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 findings in the input \
+    (nothing changed), 4 the resource changed meanwhile (nothing changed), 5 no such resource, \
+    6 instance or log out of reach.";
+
+/// Makes the command line of `firdock`.
+#[must_use]
+pub fn operator_command() -> Command {
+    let server = Arg::new("server")
+        .long("server")
+        .value_name("IP:PORT")
+        .default_value(DEFAULT_SERVER)
+        .global(true)
+        .help("Address of the resource API of any entry instance");
+    let json = Arg::new("json")
+        .long("json")
+        .action(ArgAction::SetTrue)
+        .global(true)
+        .help("Print JSON, for scripts");
+    Command::new("firdock")
+        .about("Drives firdock through its resource API")
+        .after_help(EXIT_CODES)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(server)
+        .arg(json)
+        .subcommand(apply::make_subcommand())
+        .subcommand(get::make_subcommand())
+        .subcommand(delete::make_subcommand())
+        .subcommand(watch::make_subcommand())
+        .subcommand(status::make_subcommand())
+        .subcommand(check::make_subcommand())
+}
+
+/// Runs a subcommand of `firdock`.
+///
+/// # Errors
+///
+/// Fails as the subcommand does.
+pub fn run_operator(matches: &ArgMatches) -> Result<(), CmdError> {
+    match matches.subcommand() {
+        Some(("apply", args)) => apply::execute(args),
+        Some(("get", args)) => get::execute(args),
+        Some(("delete", args)) => delete::execute(args),
+        Some(("watch", args)) => watch::execute(args),
+        Some(("status", args)) => status::execute(args),
+        Some(("check", args)) => check::execute(args),
+        _ => unreachable!("the argument parser knows the subcommands"),
+    }
+}
+
+/// Makes the command line of `firdockd`.
+#[must_use]
+pub fn daemon_command() -> Command {
+    Command::new("firdockd")
+        .about("Entry instance of firdock, between callers and endpoints")
+        .after_help(EXIT_CODES)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(serve::make_subcommand())
+}
+
+/// Runs a subcommand of `firdockd`.
+///
+/// # Errors
+///
+/// Fails as the subcommand does.
+pub fn run_daemon(matches: &ArgMatches) -> Result<(), CmdError> {
+    match matches.subcommand() {
+        Some(("serve", args)) => serve::execute(args),
+        _ => unreachable!("the argument parser knows the subcommands"),
+    }
+}
+
+/// Gives a required argument.
+fn required<'a>(args: &'a ArgMatches, name: &str) -> &'a str {
+    args.get_one::<String>(name).map_or("", String::as_str)
+}
--- /dev/null
+++ b/src/cmd/apply.rs
@@ -0,0 +1,53 @@
+//! `firdock apply`: puts the resources of a file in force.
+
+use clap::{Arg, ArgMatches, Command};
+use firdock_core::resource::parse_resources;
+use firdock_node::operator::Applied;
+
+use super::check::read_file;
+use super::{CmdError, required};
+use crate::api::Api;
+
+/// Makes the subcommand.
+#[must_use]
+pub fn make_subcommand() -> Command {
+    Command::new("apply")
+        .about("Put the resources of a TOML file in force")
+        .long_about(
+            "Checks the whole file first and changes nothing if there is any finding. Then \
+             writes each resource that differs from what is in force; running it again after a \
+             failure goes on where it stopped.",
+        )
+        .arg(
+            Arg::new("file")
+                .short('f')
+                .long("file")
+                .value_name("FILE")
+                .required(true)
+                .help("Resource file, see docs/operators/resources.md"),
+        )
+}
+
+/// Runs the subcommand.
+///
+/// # Errors
+///
+/// Fails with the findings, the conflict, or what kept the instance from answering.
+pub fn execute(args: &ArgMatches) -> Result<(), CmdError> {
+    let path = required(args, "file");
+    let text = read_file(path)?;
+    parse_resources(&text).map_err(|findings| CmdError::BadFile {
+        path: path.to_owned(),
+        findings,
+    })?;
+    let answer = Api::new(args).post("/v1/apply", &text)?;
+    if args.get_flag("json") {
+        println!("{answer}");
+        return Ok(());
+    }
+    for row in serde_json::from_value::<Vec<Applied>>(answer).unwrap_or_default() {
+        let word = if row.changed { "changed" } else { "unchanged" };
+        println!("{:<40} {word:<9} version {}", row.resource, row.version);
+    }
+    Ok(())
+}
