Run both users' work on embedded stand-ins with one command

Change: the stand-in crate has the two deployments' workload, a caller that checks its answer, and a demo of six engines of three speeds, two plain services and two entry instances.

Taking keys over with the old owner's word is not built yet.

--- a/crates/firdock-standin/src/client.rs
+++ b/crates/firdock-standin/src/client.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use firdock_node::http::connect;
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::{BodyExt as _, Collected, Full};
 use hyper::{HeaderMap, Method, Request};
 use serde_json::{Value, json};
 
@@ -328,3 +328,32 @@
         .or_else(|| choice[nested]["content"].as_str());
     text.unwrap_or_default().to_owned()
 }
+
+/// Calls an operators' or a stand-in's path; gives the status (0 for none) and the body.
+pub async fn operator_call(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    body: &str,
+) -> (u16, String) {
+    let body = Full::new(Bytes::copy_from_slice(body.as_bytes()));
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "firdock")
+        .body(body);
+    let (Ok(request), Ok(mut connection)) = (request, connect(address, CONNECT_TIME).await) else {
+        return (0, String::new());
+    };
+    let Ok(response) = connection.call(request, HEAD_TIME).await else {
+        return (0, String::new());
+    };
+    let status = response.status().as_u16();
+    let bytes = response
+        .into_body()
+        .collect()
+        .await
+        .map(Collected::to_bytes)
+        .unwrap_or_default();
+    (status, String::from_utf8_lossy(&bytes).into_owned())
+}
--- a/crates/firdock-standin/src/cmd.rs
+++ b/crates/firdock-standin/src/cmd.rs
@@ -1,5 +1,6 @@
 //! Subcommands, one file each, with `make_subcommand` and `execute`.
 
+mod demo;
 mod engine;
 mod instances;
 mod log;
@@ -24,6 +25,12 @@
         /// Cause.
         source: io::Error,
     },
+    /// The demo could not run.
+    #[snafu(display("run the demo"))]
+    Demo {
+        /// Cause.
+        source: firdock_standin::demo::DemoError,
+    },
 }
 
 /// Makes the command line.
@@ -32,6 +39,7 @@
         .about("Small stand-ins for what surrounds firdock")
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(demo::make_subcommand())
         .subcommand(engine::make_subcommand())
         .subcommand(service::make_subcommand())
         .subcommand(log::make_subcommand())
@@ -41,6 +49,7 @@
 /// Runs a subcommand.
 pub fn run(matches: &ArgMatches) -> Result<ExitCode, CmdError> {
     match matches.subcommand() {
+        Some(("demo", args)) => demo::execute(args),
         Some(("engine", args)) => engine::execute(args),
         Some(("service", args)) => service::execute(args),
         Some(("log", args)) => log::execute(args),
--- a/tests/testsuite/helper.rs
+++ b/tests/testsuite/helper.rs
@@ -12,12 +12,11 @@
 use firdock_core::credential::{hash_bearer, to_hex};
 use firdock_node::http::connect;
 use firdock_node::platform::ListedRow;
-use firdock_standin::client::{self, Call, Got};
+use firdock_standin::client::{self, Call, Got, operator_call};
 use firdock_standin::engine::EngineSpec;
 use firdock_standin::log::LogSettings;
 use firdock_standin::{StandinEngine, StandinInstances, StandinLog, StandinService};
-use http_body_util::{BodyExt as _, Collected, Full};
-use hyper::{Method, Request};
+use hyper::Method;
 use serde_json::Value;
 
 /// Longest wait for anything that must come about.
@@ -117,7 +116,7 @@
     }
 
     pub async fn metric(&self, name: &str) -> f64 {
-        let (_, text) = http_text(Method::GET, self.operators, "/metrics", "").await;
+        let (_, text) = operator_call(Method::GET, self.operators, "/metrics", "").await;
         let line = text
             .lines()
             .find(|l| l.starts_with(name))
@@ -340,32 +339,8 @@
     }
 }
 
-pub async fn http_text(method: Method, at: SocketAddr, path: &str, body: &str) -> (u16, String) {
-    let request = Request::builder()
-        .method(method)
-        .uri(path)
-        .header("host", "test");
-    let request = request
-        .body(Full::new(body.to_owned().into()))
-        .expect("a request");
-    let Ok(mut connection) = connect(at, Duration::from_secs(2)).await else {
-        return (0, String::new());
-    };
-    let Ok(response) = connection.call(request, PATIENCE).await else {
-        return (0, String::new());
-    };
-    let status = response.status().as_u16();
-    let bytes = response
-        .into_body()
-        .collect()
-        .await
-        .map(Collected::to_bytes)
-        .unwrap_or_default();
-    (status, String::from_utf8_lossy(&bytes).into_owned())
-}
-
 pub async fn http(method: Method, at: SocketAddr, path: &str, body: &str) -> (u16, Value) {
-    let (status, text) = http_text(method, at, path, body).await;
+    let (status, text) = operator_call(method, at, path, body).await;
     (
         status,
         serde_json::from_str(&text).unwrap_or(Value::String(text)),
