Prove the policy's promises by rules and long random runs

Change: tests/policy has rules that are each shown where they decide, and a small world in virtual time (three instances, endpoints, the log, callers that resend) driven by proptest with kills, pauses, log cuts, removals, breaks and refusals. It keeps its own count of what ran and who was told what, and compares both.

A new owner now answers opaque keys with unknown for as long as callers may resend them. - Keyed requests whose owner was not reached or not confirmed were told not-run, which an earlier attempt under the same key could make untrue; they are told unknown, with the time to come back under the same key.

--- a/crates/firdock-core/src/resource/catalog.rs
+++ b/crates/firdock-core/src/resource/catalog.rs
@@ -1,10 +1,12 @@
 //! All resources in force at one version, sorted by kind.
 
+use serde::{Deserialize, Serialize};
+
 use super::{Account, Endpoint, Resource, Service, Tier};
 use crate::{Findings, Version};
 
 /// The declared resources at one version, as the policy takes them.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Catalog {
     /// Version of the newest change among them.
     pub version: Version,
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -13,7 +13,8 @@
 use crate::time::{LogTime, Time};
 
 /// One thing that happened.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Event {
     /// A request arrived.
     Arrived(NewRequest),
@@ -46,7 +47,7 @@
 }
 
 /// What an endpoint told about a dispatch.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointEvent {
     /// Request.
     pub id: RequestId,
@@ -57,7 +58,8 @@
 }
 
 /// The course of a dispatch.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum DispatchNews {
     /// The connect failed or the endpoint itself refused: the request did not run there.
     Refused {
@@ -95,7 +97,7 @@
 }
 
 /// Load and cache changes that an endpoint published.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
     /// Endpoint.
     pub endpoint: EndpointId,
@@ -127,7 +129,7 @@
 }
 
 /// Members by the log, in force since a record's time.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberView {
     /// Time of the record that made the view, by the log's clock.
     pub since: LogTime,
@@ -140,7 +142,7 @@
 }
 
 /// A read of the log that reached its end.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LogReading {
     /// The log's clock when it answered.
     pub log_time: LogTime,
@@ -149,7 +151,7 @@
 }
 
 /// One row of the platform's instance list.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedInstance {
     /// Name.
     pub name: String,
@@ -158,7 +160,7 @@
 }
 
 /// What a peer tells of itself.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PeerNews {
     /// Peer.
     pub name: InstanceId,
@@ -175,7 +177,7 @@
 }
 
 /// Demand of one instance for one service.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServiceDemand {
     /// Service.
     pub service: ServiceId,
@@ -184,7 +186,8 @@
 }
 
 /// What became of a hand-over.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum HandOverEvent {
     /// The peer did not take the request, or was not reached; it ran nowhere there.
     Refused(HandOverRefusal),
@@ -199,7 +202,7 @@
 }
 
 /// A peer did not take a request, or was not reached.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HandOverRefusal {
     /// Request.
     pub id: RequestId,
--- a/crates/firdock-policy/src/system/handover.rs
+++ b/crates/firdock-policy/src/system/handover.rs
@@ -2,7 +2,7 @@
 
 use firdock_core::{Outcome, Reason, RequestId};
 
-use super::{end, shed};
+use super::{end, key, shed};
 use crate::action::{Action, HandOverCause};
 use crate::event::{HandOverEvent, HandOverRefusal, Member, PeerNews};
 use crate::request::{Phase, Verdict};
@@ -14,8 +14,6 @@
 const LEAVING_WORD: std::time::Duration = std::time::Duration::from_secs(10);
 /// Silence after which a peer's row is dropped.
 const SILENT_PEER: std::time::Duration = std::time::Duration::from_secs(60);
-/// Seconds after which a caller should try again whose key's owner was not reached.
-const RETRY_SECONDS: u32 = 2;
 
 /// Takes a peer's heartbeat.
 pub fn peer_news(t: &mut Tables, now: Time, news: PeerNews) {
@@ -165,11 +163,7 @@
     verdict: Option<Verdict>,
     out: &mut Vec<Action>,
 ) {
-    let verdict = verdict.unwrap_or(Verdict {
-        outcome: Outcome::NotRun,
-        reason: Reason::KeyUnconfirmed,
-        retry_seconds: Some(RETRY_SECONDS),
-    });
+    let verdict = verdict.unwrap_or_else(key::unconfirmed_verdict);
     let Some(row) = t.requests.get(id) else {
         return;
     };
--- a/crates/firdock-policy/src/system/key.rs
+++ b/crates/firdock-policy/src/system/key.rs
@@ -40,8 +40,8 @@
         return Decision::Unbound;
     };
     match t.views.ownership(claim.hash) {
-        Ownership::Nobody => not_run(Reason::KeyUnconfirmed),
-        Ownership::Other(_) if new.origin != Origin::Caller => not_run(Reason::KeyUnconfirmed),
+        Ownership::Nobody => unconfirmed(),
+        Ownership::Other(_) if new.origin != Origin::Caller => unconfirmed(),
         Ownership::Other(owner) => Decision::PassOn(owner),
         Ownership::Own(since) => match resend(t, &claim) {
             Some(decision) => decision,
@@ -70,7 +70,7 @@
     let row = t.keys.get(claim.hash)?;
     if row.fingerprint != claim.fingerprint {
         // The first request with the key may run, but this one has not and never will.
-        return Some(not_run_for_good(Reason::KeyMismatch));
+        return Some(not_run(Reason::KeyMismatch, None));
     }
     let decision = match row.state {
         KeyState::Live => unknown(Reason::KeyInUse, Some(RETRY_SECONDS)),
@@ -83,32 +83,46 @@
 fn first_sight(t: &Tables, now: Time, claim: &KeyClaim, since: Option<LogTime>) -> Decision {
     let grace = t.settings.key_grace;
     let (Some(read), Some(log_now)) = (t.views.last_read(), t.views.log_now(now)) else {
-        return not_run(Reason::KeyUnconfirmed);
+        return unconfirmed();
     };
     let minted = claim.minted.unwrap_or(log_now);
-    if since.is_some_and(|s| minted < s + grace) || minted + t.settings.key_keep < log_now {
+    // An opaque key may have run at an earlier owner for as long as callers may resend it.
+    let wait = if claim.minted.is_some() { grace } else { t.settings.key_keep };
+    if since.is_some_and(|s| minted < s + wait) || minted + t.settings.key_keep < log_now {
         return unknown(Reason::KeyUncertain, None);
     }
-    if minted >= read + grace || t.keys.len() >= t.settings.max_keys {
-        return not_run(Reason::KeyUnconfirmed);
+    if minted >= read + grace {
+        return unconfirmed();
+    }
+    if t.keys.len() >= t.settings.max_keys {
+        return not_run(Reason::Overload, Some(RETRY_SECONDS));
     }
     Decision::Own(minted)
 }
 
-fn not_run(reason: Reason) -> Decision {
-    let retry_seconds = Some(RETRY_SECONDS);
-    Decision::Refuse(Verdict {
-        outcome: Outcome::NotRun,
+/// Another member may own the key and may have run it, so `not-run` could be untrue.
+fn unconfirmed() -> Decision {
+    Decision::Refuse(unconfirmed_verdict())
+}
+
+/// Gives the final answer to a request whose key's owner is not confirmed or not reached.
+///
+/// An earlier attempt under the same key may have run at whoever owns it. Coming back with the
+/// same key is always safe, so the caller is told when.
+pub fn unconfirmed_verdict() -> Verdict {
+    let reason = Reason::KeyUnconfirmed;
+    Verdict {
+        outcome: Outcome::Unknown,
         reason,
-        retry_seconds,
-    })
+        retry_seconds: Some(RETRY_SECONDS),
+    }
 }
 
-fn not_run_for_good(reason: Reason) -> Decision {
+fn not_run(reason: Reason, retry_seconds: Option<u32>) -> Decision {
     Decision::Refuse(Verdict {
         outcome: Outcome::NotRun,
         reason,
-        retry_seconds: None,
+        retry_seconds,
     })
 }
 
--- a/crates/firdock-policy/src/system/news.rs
+++ b/crates/firdock-policy/src/system/news.rs
@@ -2,7 +2,7 @@
 
 use firdock_core::{Outcome, Reason, RequestId};
 
-use super::{end, health};
+use super::{end, health, key};
 use crate::action::Action;
 use crate::event::{DispatchNews, EndpointEvent};
 use crate::request::{Phase, Verdict};
@@ -77,7 +77,7 @@
 
 fn lapsed(t: &mut Tables, now: Time, id: RequestId, out: &mut Vec<Action>) {
     end::set_phase(t, id, Phase::Held, true);
-    end::give_up(t, now, id, Reason::KeyUnconfirmed, out);
+    end::answer(t, now, id, key::unconfirmed_verdict(), out);
 }
 
 fn started(t: &mut Tables, id: RequestId, at: usize, head_sent: bool) {
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -58,7 +58,7 @@
         };
         let confirm_by = key::confirm_by(t, row);
         if confirm_by.is_some_and(|until| until <= now) {
-            end::give_up(t, now, id, Reason::KeyUnconfirmed, out);
+            end::answer(t, now, id, key::unconfirmed_verdict(), out);
             return true;
         }
         if let Some(choice) = choose(t, now, row) {
--- /dev/null
+++ b/crates/firdock-policy/tests/policy/random.rs
@@ -0,0 +1,74 @@
+//! Long random runs: operations and faults in any order, with every invariant checked.
+//!
+//! `FIRDOCK_SEEDS` sets how many seeds are run, `FIRDOCK_SEED` runs a single one. A failure prints
+//! the seed, the shortest failing list of operations, and the command that repeats it.
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestError, TestRng, TestRunner};
+
+use crate::world::{Op, World};
+
+/// Seeds of a run in CI.
+const SEEDS: u64 = 192;
+/// Operations of one seed.
+const OPS: usize = 160;
+
+fn op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        8 => (any::<u8>(), any::<u8>(), any::<u8>())
+            .prop_map(|(node, service, account)| Op::Send { node, service, account }),
+        5 => (any::<u8>(), any::<bool>()).prop_map(|(node, timed)| Op::Order { node, timed }),
+        4 => (any::<u8>(), any::<u8>()).prop_map(|(node, order)| Op::Resend { node, order }),
+        1 => any::<u8>().prop_map(|request| Op::Leave { request }),
+        8 => (0_u16..1_500).prop_map(|millis| Op::Wait { millis }),
+        2 => (any::<u8>(), any::<u8>())
+            .prop_map(|(endpoint, fault)| Op::Endpoint { endpoint, fault }),
+        1 => (any::<u8>(), any::<bool>())
+            .prop_map(|(endpoint, leaving)| Op::Leaving { endpoint, leaving }),
+        1 => any::<u8>().prop_map(|node| Op::Kill { node }),
+        2 => (any::<u8>(), any::<bool>()).prop_map(|(node, paused)| Op::Pause { node, paused }),
+        2 => (any::<u8>(), any::<bool>()).prop_map(|(node, cut)| Op::LogCut { node, cut }),
+        1 => any::<u8>().prop_map(|node| Op::Remove { node }),
+        1 => any::<u8>().prop_map(|node| Op::Drain { node }),
+    ]
+}
+
+fn run_seed(seed: u64) {
+    let mut bytes = [0; 32];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
+    let config = Config {
+        cases: 1,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let result = runner.run(&vec(op(), OPS..=OPS), |ops| {
+        let mut world = World::new(seed);
+        for op in ops {
+            world.apply(op);
+        }
+        world.check();
+        Ok(())
+    });
+    if let Err(TestError::Fail(why, ops)) = result {
+        panic!(
+            "seed {seed}: {why}\n{ops:?}\nrepeat with: FIRDOCK_SEED={seed} cargo test -p \
+             firdock-policy --test policy random"
+        );
+    }
+}
+
+fn number(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+#[test]
+fn whatever_happens_every_promise_is_kept() {
+    let seeds = match number("FIRDOCK_SEED") {
+        Some(seed) => seed..seed + 1,
+        None => 0..number("FIRDOCK_SEEDS").unwrap_or(SEEDS),
+    };
+    seeds.for_each(run_seed);
+}
--- /dev/null
+++ b/crates/firdock-policy/tests/policy/rules.rs
@@ -0,0 +1,346 @@
+//! Single rules of the policy, each shown where it decides.
+
+use std::time::Duration;
+
+use firdock_core::resource::EndpointKind;
+use firdock_core::{Outcome, Reason};
+use firdock_policy::event::{DispatchNews, ListedInstance, Member, PeerNews};
+use firdock_policy::{Action, Event, Origin};
+use uuid::Uuid;
+
+use crate::scene::{
+    Driven, LOG_START, catalog, dispatched, endpoint, id, millis, request, resources, settings,
+    with_key,
+};
+
+const REFUSED: DispatchNews = DispatchNews::Refused { unreachable: false };
+const BROKE: DispatchNews = DispatchNews::Broke { delivered: 0 };
+const ENDED: DispatchNews = DispatchNews::Ended {
+    prompt: 0,
+    cached: 0,
+    output: 0,
+};
+
+fn verdicts(actions: &[Action]) -> Vec<(Uuid, Outcome, Reason)> {
+    let verdict = |a: &Action| match a {
+        Action::Answer { id, verdict } => Some((*id, verdict.outcome, verdict.reason)),
+        _ => None,
+    };
+    actions.iter().filter_map(verdict).collect()
+}
+
+#[test]
+fn a_refused_request_goes_to_each_endpoint_once_and_then_did_not_run() {
+    let mut d = Driven::new(settings("a"));
+    let first = dispatched(&d.arrive(request(1, "orders", "shop")));
+    let second = dispatched(&d.tell(1, 1, REFUSED));
+    assert_eq!((first.len(), second.len()), (1, 1));
+    assert_ne!(first[0].1, second[0].1);
+    let end = d.tell(1, 2, REFUSED);
+    assert_eq!(
+        verdicts(&end),
+        [(id(1), Outcome::NotRun, Reason::NoEndpoint)]
+    );
+}
+
+#[test]
+fn an_order_that_broke_is_unknown_and_never_sent_again() {
+    let mut d = Driven::new(settings("a"));
+    d.arrive(request(1, "orders", "shop"));
+    let end = d.tell(1, 1, BROKE);
+    assert_eq!(
+        verdicts(&end),
+        [(id(1), Outcome::Unknown, Reason::EndpointLost)]
+    );
+    assert!(dispatched(&end).is_empty());
+}
+
+#[test]
+fn a_broken_stream_is_resumed_on_another_engine_where_it_stopped() {
+    let mut d = Driven::new(settings("a"));
+    let first = dispatched(&d.arrive(request(1, "draft", "shop")));
+    d.tell(1, 1, DispatchNews::Started { head_sent: true });
+    d.tell(
+        1,
+        1,
+        DispatchNews::Tokens {
+            delivered: 1,
+            cached: 0,
+        },
+    );
+    let actions = d.tell(1, 1, DispatchNews::Broke { delivered: 12 });
+    let Some(Action::Dispatch(again)) = actions.first() else {
+        panic!("{actions:?}")
+    };
+    assert_eq!((again.resume_from, again.dispatch), (12, 2));
+    assert_ne!(again.endpoint, first[0].1);
+}
+
+#[test]
+fn late_news_of_an_earlier_dispatch_is_dropped() {
+    let mut d = Driven::new(settings("a"));
+    d.arrive(request(1, "draft", "shop"));
+    d.tell(1, 1, BROKE);
+    d.tell(1, 1, ENDED);
+    assert_eq!(d.scheduler.tables().requests.len(), 1);
+    assert_eq!(d.scheduler.tables().stats.stale_news, 1);
+}
+
+#[test]
+fn the_lowest_tier_held_is_shed_first() {
+    let mut d = Driven::new(settings("a"));
+    // Three go to the engines' slots, six are held.
+    for n in 1..=9 {
+        d.arrive(request(n, "draft", "shop"));
+    }
+    let shed = d.arrive(request(10, "guide", "shop"));
+    assert_eq!(
+        verdicts(&shed),
+        [(id(9), Outcome::NotRun, Reason::Overload)]
+    );
+    for n in 11..=15 {
+        d.arrive(request(n, "guide", "hall"));
+    }
+    let shed = d.arrive(request(16, "guide", "hall"));
+    assert_eq!(
+        verdicts(&shed),
+        [(id(16), Outcome::NotRun, Reason::Overload)]
+    );
+}
+
+#[test]
+fn a_higher_tier_is_not_given_up_for_waiting_while_a_lower_one_is_held() {
+    let mut d = Driven::new(settings("a"));
+    for n in 1..=3 {
+        d.arrive(request(n, "draft", "shop"));
+    }
+    d.arrive(request(4, "guide", "shop"));
+    d.now += millis(2_000);
+    d.arrive(request(5, "draft", "shop"));
+    assert!(
+        verdicts(&d.after(millis(1_500))).is_empty(),
+        "the guide request outlived its wait"
+    );
+    let ends = d.after(millis(1_500));
+    let expected = [
+        (id(5), Outcome::NotRun, Reason::WaitedTooLong),
+        (id(4), Outcome::NotRun, Reason::WaitedTooLong),
+    ];
+    assert_eq!(verdicts(&ends), expected);
+}
+
+#[test]
+fn a_full_instance_hands_a_higher_tier_to_a_peer_that_holds_a_lower_one() {
+    let mut d = Driven::new(settings("a"));
+    for n in 1..=3 {
+        d.arrive(request(n, "draft", "shop"));
+    }
+    for n in 4..=9 {
+        d.arrive(request(n, "guide", "shop"));
+    }
+    d.step(Event::Peer(PeerNews {
+        name: "b".to_owned(),
+        zone: "z".to_owned(),
+        held: vec![0, 0, 3],
+        demand: Vec::new(),
+        draining: false,
+        leaving: Vec::new(),
+    }));
+    let actions = d.arrive(request(10, "guide", "shop"));
+    assert!(
+        matches!(&actions[..], [Action::HandOver { peer, .. }] if peer == "b"),
+        "{actions:?}"
+    );
+}
+
+#[test]
+fn a_leaving_endpoint_gets_nothing_new_by_whichever_word_comes_first() {
+    let leave = |name: &str| ListedInstance {
+        name: name.to_owned(),
+        leaving: true,
+    };
+    let mut d = Driven::new(settings("a"));
+    d.step(Event::Listed(vec![leave("plain-0")]));
+    for n in 1..=2 {
+        assert_eq!(
+            dispatched(&d.arrive(request(n, "tiles", "shop")))[0].1,
+            "plain-1"
+        );
+    }
+    d.step(Event::Listed(vec![leave("plain-0"), leave("plain-1")]));
+    d.tell(1, 1, ENDED);
+    assert!(dispatched(&d.arrive(request(3, "tiles", "shop"))).is_empty());
+}
+
+#[test]
+fn a_removed_endpoint_gets_nothing_new_and_its_work_ends_in_place() {
+    let mut d = Driven::new(settings("a"));
+    let first = dispatched(&d.arrive(request(1, "tiles", "shop")));
+    let kept: Vec<_> = resources()
+        .into_iter()
+        .filter(|r| r.key().name != first[0].1)
+        .collect();
+    d.step(catalog(2, kept));
+    let second = dispatched(&d.arrive(request(2, "tiles", "shop")));
+    assert_ne!(first[0].1, second[0].1);
+    d.tell(1, 1, ENDED);
+    assert_eq!(d.scheduler.tables().stats.outcomes[&Outcome::Answered], 1);
+}
+
+#[test]
+fn an_older_configuration_never_comes_back() {
+    let mut d = Driven::new(settings("a"));
+    let more = endpoint("plain-2", EndpointKind::Plain, &["tiles"], 1);
+    d.step(catalog(5, resources().into_iter().chain([more]).collect()));
+    d.step(catalog(4, resources()));
+    assert_eq!(d.scheduler.tables().version, 5);
+    assert!(d.scheduler.tables().endpoints.find("plain-2").is_some());
+}
+
+#[test]
+fn a_resent_key_gets_the_kept_answer_or_is_told_to_wait() {
+    let mut d = Driven::new(settings("a"));
+    d.own_all_keys();
+    let minted = Some(LOG_START + millis(1));
+    d.arrive(with_key(request(1, "orders", "shop"), 42, minted));
+    let twin = d.arrive(with_key(request(2, "orders", "shop"), 42, minted));
+    assert_eq!(
+        verdicts(&twin),
+        [(id(2), Outcome::Unknown, Reason::KeyInUse)]
+    );
+    d.tell(1, 1, ENDED);
+    let late = d.arrive(with_key(request(3, "orders", "shop"), 42, minted));
+    assert_eq!(
+        late,
+        [Action::Replay {
+            id: id(3),
+            earlier: id(1)
+        }]
+    );
+}
+
+#[test]
+fn an_owner_since_a_change_never_runs_keys_minted_before_its_grace() {
+    let mut d = Driven::new(settings("a"));
+    let me = d.scheduler.tables().settings.member.clone();
+    let other = Member {
+        name: "b".to_owned(),
+        incarnation: Uuid::from_u64_pair(2, 0),
+    };
+    d.view(1, true, vec![other]);
+    d.view(2, false, vec![me]);
+    d.read_log(LOG_START + Duration::from_secs(3));
+    let since = LOG_START + millis(2);
+    let early = Some(since + millis(1_999));
+    let ends = d.arrive(with_key(request(1, "orders", "shop"), 1, early));
+    assert_eq!(
+        verdicts(&ends),
+        [(id(1), Outcome::Unknown, Reason::KeyUncertain)]
+    );
+    let late = Some(since + millis(2_000));
+    assert_eq!(
+        dispatched(&d.arrive(with_key(request(2, "orders", "shop"), 2, late))).len(),
+        1
+    );
+}
+
+#[test]
+fn without_the_log_an_owner_runs_keys_minted_up_to_its_grace_only() {
+    let mut d = Driven::new(settings("a"));
+    d.own_all_keys();
+    d.now += Duration::from_secs(30);
+    let known = Some(LOG_START + millis(1_999));
+    assert_eq!(
+        dispatched(&d.arrive(with_key(request(1, "orders", "shop"), 1, known))).len(),
+        1
+    );
+    let later = Some(LOG_START + millis(2_000));
+    let ends = d.arrive(with_key(request(2, "orders", "shop"), 2, later));
+    assert_eq!(
+        verdicts(&ends),
+        [(id(2), Outcome::Unknown, Reason::KeyUnconfirmed)]
+    );
+    let opaque = d.arrive(with_key(request(3, "orders", "shop"), 3, None));
+    assert_eq!(
+        verdicts(&opaque),
+        [(id(3), Outcome::Unknown, Reason::KeyUnconfirmed)]
+    );
+    assert_eq!(
+        dispatched(&d.arrive(request(4, "orders", "shop"))).len(),
+        1,
+        "without a key"
+    );
+}
+
+#[test]
+fn a_full_key_table_refuses_new_keys_rather_than_forgetting_old_ones() {
+    let mut s = settings("a");
+    s.max_keys = 1;
+    let mut d = Driven::new(s);
+    d.own_all_keys();
+    let minted = Some(LOG_START + millis(1));
+    d.arrive(with_key(request(1, "orders", "shop"), 1, minted));
+    d.tell(1, 1, ENDED);
+    let ends = d.arrive(with_key(request(2, "orders", "shop"), 2, minted));
+    assert_eq!(
+        verdicts(&ends),
+        [(id(2), Outcome::NotRun, Reason::Overload)]
+    );
+}
+
+#[test]
+fn a_peers_request_that_is_shed_goes_back_to_the_peer() {
+    let mut d = Driven::new(settings("a"));
+    for n in 1..=9 {
+        d.arrive(request(n, "guide", "shop"));
+    }
+    let mut handed = request(10, "draft", "shop");
+    handed.origin = Origin::Peer("b".to_owned());
+    let actions = d.arrive(handed);
+    assert!(
+        matches!(&actions[..], [Action::RefuseHandOver { .. }]),
+        "{actions:?}"
+    );
+}
+
+#[test]
+fn an_account_that_floods_is_shed_before_others_of_its_tier() {
+    let mut d = Driven::new(settings("a"));
+    for n in 1..=3 {
+        d.arrive(request(n, "draft", "hall"));
+    }
+    d.arrive(request(4, "draft", "hall"));
+    let mut shed = Vec::new();
+    for n in 5..=20 {
+        shed.extend(verdicts(&d.arrive(request(n, "draft", "shop"))));
+    }
+    assert_eq!(shed.len(), 11);
+    assert!(
+        shed.iter().all(|(shed, _, _)| *shed != id(4)),
+        "the quiet account was shed"
+    );
+}
+
+#[test]
+fn second_tries_have_a_budget() {
+    let mut d = Driven::new(settings("a"));
+    let mut unknown = 0;
+    for n in 1..=40 {
+        let first = dispatched(&d.arrive(request(n, "tiles", "shop")));
+        if first.is_empty() {
+            d.after(Duration::from_secs(40));
+        }
+        let mut tries = 0;
+        while d.scheduler.tables().requests.get(id(n)).is_some() {
+            tries += 1;
+            unknown += verdicts(&d.tell(n, tries, BROKE)).len();
+            d.after(Duration::from_secs(40));
+        }
+    }
+    assert!(
+        d.scheduler.tables().stats.retries < 30,
+        "{:?}",
+        d.scheduler.tables().stats
+    );
+    assert_eq!(unknown, 40);
+}
--- /dev/null
+++ b/crates/firdock-policy/tests/policy/world.rs
@@ -0,0 +1,675 @@
+//! A small world in virtual time: instances, endpoints, a log and callers, with faults.
+//!
+//! It keeps its own count of what ran where and who was told what, and compares both at the end.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use firdock_core::{Outcome, RequestId};
+use firdock_policy::action::Dispatch;
+use firdock_policy::event::{
+    DispatchNews, EndpointEvent, HandOverEvent, HandOverRefusal, ListedInstance, LogReading,
+    Member, MemberView, PeerNews,
+};
+use firdock_policy::{Action, Event, NewRequest, Origin, Policy as _, Scheduler, Verdict};
+use rand::rngs::StdRng;
+use rand::{Rng as _, SeedableRng as _};
+use uuid::Uuid;
+
+use crate::scene::{LOG_START, catalog, id, millis, request, resources, settings, with_key};
+
+/// Instances of the world.
+pub const NODES: usize = 3;
+const ENDPOINTS: [&str; 4] = ["engine-0", "engine-1", "plain-0", "plain-1"];
+const SERVICES: [&str; 4] = ["tiles", "orders", "guide", "draft"];
+const START: Duration = Duration::from_secs(1_000);
+
+/// One thing that happens in the world; small numbers are taken modulo what there is.
+#[derive(Debug, Clone, Copy)]
+pub enum Op {
+    /// A caller sends a request.
+    Send { node: u8, service: u8, account: u8 },
+    /// A caller sends an order under a new key; `timed` keys carry their minting time.
+    Order { node: u8, timed: bool },
+    /// A caller sends an earlier order again.
+    Resend { node: u8, order: u8 },
+    /// A caller goes away.
+    Leave { request: u8 },
+    /// Time passes.
+    Wait { millis: u16 },
+    /// An endpoint takes a fault: 0 none, 1 unreachable, 2 refuses, 3 breaks, 4 silent.
+    Endpoint { endpoint: u8, fault: u8 },
+    /// The instance list shows an endpoint as leaving, or not.
+    Leaving { endpoint: u8, leaving: bool },
+    /// An instance is killed and starts again with empty tables.
+    Kill { node: u8 },
+    /// An instance is paused or goes on.
+    Pause { node: u8, paused: bool },
+    /// An instance is out of reach of the log, or back.
+    LogCut { node: u8, cut: bool },
+    /// The log gets a record that removes a member.
+    Remove { node: u8 },
+    /// An instance is to stop.
+    Drain { node: u8 },
+}
+
+#[derive(Debug, Clone)]
+enum Message {
+    /// For an instance's scheduler.
+    Event(usize, Uuid, Event),
+    /// An instance is about to write a dispatch.
+    Write(usize, Uuid, Dispatch),
+    /// A request is at an endpoint.
+    AtEndpoint(usize, Uuid, Dispatch),
+    /// An endpoint goes on with a request.
+    EndpointDone(usize, Uuid, Dispatch),
+}
+
+struct Node {
+    scheduler: Scheduler,
+    member: Member,
+    paused: bool,
+    log_cut: bool,
+    seen_views: usize,
+}
+
+/// What is known of a request.
+struct Told {
+    node: usize,
+    key: Option<u64>,
+    repeatable: bool,
+    ends: Vec<(Duration, &'static str)>,
+    gone: bool,
+}
+
+pub struct World {
+    rng: StdRng,
+    now: Duration,
+    nodes: Vec<Node>,
+    queue: BTreeMap<(Duration, u64), Message>,
+    sequence: u64,
+    views: Vec<MemberView>,
+    faults: [u8; ENDPOINTS.len()],
+    leaving: [bool; ENDPOINTS.len()],
+    told: BTreeMap<RequestId, Told>,
+    requests: BTreeMap<RequestId, NewRequest>,
+    /// Instance that a handed-over request is with, and the one that handed it over.
+    handed: BTreeMap<(usize, RequestId), usize>,
+    dispatched: BTreeSet<(RequestId, String)>,
+    runs: Vec<(Duration, RequestId, Option<u64>)>,
+    orders: Vec<(u64, Option<Duration>)>,
+    minted: u64,
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        let mut world = Self {
+            rng: StdRng::seed_from_u64(seed),
+            now: START,
+            nodes: Vec::new(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            views: Vec::new(),
+            faults: [0; ENDPOINTS.len()],
+            leaving: [false; ENDPOINTS.len()],
+            told: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            handed: BTreeMap::new(),
+            dispatched: BTreeSet::new(),
+            runs: Vec::new(),
+            orders: Vec::new(),
+            minted: 0,
+        };
+        for i in 0..NODES {
+            let node = world.make_node(i);
+            world.nodes.push(node);
+        }
+        let members = world.nodes.iter().map(|n| n.member.clone()).collect();
+        world.append_view(members);
+        world.tick();
+        world
+    }
+
+    fn mint(&mut self) -> Uuid {
+        self.minted += 1;
+        id(self.minted)
+    }
+
+    fn make_node(&mut self, i: usize) -> Node {
+        let mut s = settings(&format!("node-{i}"));
+        s.member.incarnation = self.mint();
+        let member = s.member.clone();
+        let mut scheduler = Scheduler::new(s);
+        scheduler.step(self.now, catalog(1, resources()), &mut Vec::new());
+        Node {
+            scheduler,
+            member,
+            paused: false,
+            log_cut: false,
+            seen_views: 0,
+        }
+    }
+
+    fn log_now(&self) -> Duration {
+        LOG_START + self.now
+    }
+
+    fn append_view(&mut self, members: Vec<Member>) {
+        let number = self.views.len() as u64 + 1;
+        let first = self.views.is_empty();
+        self.views.push(MemberView {
+            since: self.log_now(),
+            number,
+            first,
+            members,
+        });
+    }
+
+    fn send(&mut self, delay: Duration, message: Message) {
+        self.sequence += 1;
+        self.queue
+            .insert((self.now + delay, self.sequence), message);
+    }
+
+    fn lag(&mut self) -> Duration {
+        millis(self.rng.random_range(1..30))
+    }
+
+    pub fn apply(&mut self, op: Op) {
+        match op {
+            Op::Send {
+                node,
+                service,
+                account,
+            } => self.send_request(node, service, account),
+            Op::Order { node, timed } => {
+                let minted = timed.then(|| self.log_now());
+                self.minted += 1;
+                self.orders.push((self.minted, minted));
+                self.send_order(node, self.orders.len() - 1);
+            }
+            Op::Resend { node, order } if !self.orders.is_empty() => {
+                self.send_order(node, usize::from(order) % self.orders.len());
+            }
+            Op::Leave { request } => self.leave(request),
+            Op::Wait { millis: n } => self.run_until(self.now + millis(u64::from(n))),
+            Op::Endpoint { endpoint, fault } => {
+                self.faults[usize::from(endpoint) % ENDPOINTS.len()] = fault % 5;
+            }
+            Op::Leaving { endpoint, leaving } => {
+                self.leaving[usize::from(endpoint) % ENDPOINTS.len()] = leaving;
+            }
+            Op::Kill { node } => self.kill(usize::from(node) % NODES),
+            Op::Pause { node, paused } => self.nodes[usize::from(node) % NODES].paused = paused,
+            Op::LogCut { node, cut } => self.nodes[usize::from(node) % NODES].log_cut = cut,
+            Op::Remove { node } => {
+                let name = &self.nodes[usize::from(node) % NODES].member.name;
+                let last = self.views.last().expect("there is always a view");
+                let members = last
+                    .members
+                    .iter()
+                    .filter(|m| m.name != *name)
+                    .cloned()
+                    .collect();
+                self.append_view(members);
+            }
+            Op::Drain { node } => self.step(usize::from(node) % NODES, Event::Drain),
+            Op::Resend { .. } => {}
+        }
+    }
+
+    fn send_request(&mut self, node: u8, service: u8, account: u8) {
+        let service = SERVICES[usize::from(service) % SERVICES.len()];
+        let account = if account.is_multiple_of(2) {
+            "shop"
+        } else {
+            "hall"
+        };
+        let mut new = request(0, service, account);
+        new.id = self.mint();
+        self.arrive(usize::from(node) % NODES, new, service != "orders");
+    }
+
+    fn send_order(&mut self, node: u8, order: usize) {
+        let (key, minted) = self.orders[order];
+        let mut new = with_key(request(0, "orders", "shop"), key, minted);
+        new.id = self.mint();
+        self.arrive(usize::from(node) % NODES, new, false);
+    }
+
+    fn arrive(&mut self, node: usize, new: NewRequest, repeatable: bool) {
+        let key = new.key.map(|k| k.hash);
+        let told = Told {
+            node,
+            key,
+            repeatable,
+            ends: Vec::new(),
+            gone: false,
+        };
+        self.told.insert(new.id, told);
+        self.requests.insert(new.id, new.clone());
+        let incarnation = self.nodes[node].member.incarnation;
+        let delay = self.lag();
+        self.send(
+            delay,
+            Message::Event(node, incarnation, Event::Arrived(new)),
+        );
+    }
+
+    fn leave(&mut self, request: u8) {
+        let open: Vec<RequestId> = self
+            .told
+            .iter()
+            .filter(|(_, t)| t.ends.is_empty())
+            .map(|(id, _)| *id)
+            .collect();
+        let Some(id) = open.get(usize::from(request) % open.len().max(1)).copied() else {
+            return;
+        };
+        let Some(told) = self.told.get_mut(&id) else {
+            return;
+        };
+        told.gone = true;
+        let node = told.node;
+        let incarnation = self.nodes[node].member.incarnation;
+        let delay = self.lag();
+        self.send(
+            delay,
+            Message::Event(node, incarnation, Event::CallerLeft(id)),
+        );
+    }
+
+    /// Kills an instance: its callers and peers see their connections break.
+    fn kill(&mut self, i: usize) {
+        for told in self.told.values_mut().filter(|t| t.node == i) {
+            told.gone = true;
+        }
+        let broken: Vec<(RequestId, usize)> = self
+            .handed
+            .iter()
+            .filter(|((with, _), _)| *with == i)
+            .map(|((_, id), from)| (*id, *from))
+            .collect();
+        for (id, from) in broken {
+            self.handed.remove(&(i, id));
+            let incarnation = self.nodes[from].member.incarnation;
+            let event = Event::HandOver(HandOverEvent::Broke(id));
+            let delay = self.lag();
+            self.send(delay, Message::Event(from, incarnation, event));
+        }
+        let node = self.make_node(i);
+        let member = node.member.clone();
+        self.nodes[i] = node;
+        let mut members = self
+            .views
+            .last()
+            .map(|v| v.members.clone())
+            .unwrap_or_default();
+        members.retain(|m| m.name != member.name);
+        members.push(member);
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        self.append_view(members);
+    }
+
+    pub fn run_until(&mut self, end: Duration) {
+        const TICK: Duration = Duration::from_millis(50);
+        while self.now < end {
+            let next_tick = (self.now + TICK).min(end);
+            while let Some(entry) = self.queue.first_entry() {
+                if entry.key().0 > next_tick {
+                    break;
+                }
+                let ((at, _), message) = entry.remove_entry();
+                self.now = self.now.max(at);
+                self.take(message);
+            }
+            self.now = next_tick;
+            self.tick();
+        }
+    }
+
+    /// Lets every instance that is not paused read the log and hear its peers.
+    fn tick(&mut self) {
+        for i in 0..NODES {
+            if self.nodes[i].paused {
+                continue;
+            }
+            if !self.nodes[i].log_cut {
+                let views = self.views[self.nodes[i].seen_views..].to_vec();
+                self.nodes[i].seen_views = self.views.len();
+                for view in views {
+                    self.step(i, Event::View(view));
+                }
+                let reading = LogReading {
+                    log_time: self.log_now(),
+                    sent: self.now,
+                };
+                self.step(i, Event::LogRead(reading));
+            }
+            let rows = ENDPOINTS.iter().zip(self.leaving);
+            let rows = rows.map(|(name, leaving)| ListedInstance {
+                name: (*name).to_owned(),
+                leaving,
+            });
+            self.step(i, Event::Listed(rows.collect()));
+            self.beat(i);
+            self.step(i, Event::Timer);
+        }
+    }
+
+    fn beat(&mut self, from: usize) {
+        let t = self.nodes[from].scheduler.tables();
+        let news = PeerNews {
+            name: self.nodes[from].member.name.clone(),
+            zone: "zone".to_owned(),
+            held: t.requests.held_by_rank().to_vec(),
+            demand: Vec::new(),
+            draining: t.draining,
+            leaving: Vec::new(),
+        };
+        for to in (0..NODES).filter(|to| *to != from) {
+            if !self.nodes[to].paused {
+                self.step(to, Event::Peer(news.clone()));
+            }
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Event(i, incarnation, event) => {
+                if self.alive(i, incarnation)
+                    && !self.held_back(i, &Message::Event(i, incarnation, event.clone()))
+                {
+                    self.step(i, event);
+                }
+            }
+            Message::Write(i, incarnation, dispatch) => {
+                let message = Message::Write(i, incarnation, dispatch.clone());
+                if self.alive(i, incarnation) && !self.held_back(i, &message) {
+                    self.write(i, incarnation, dispatch);
+                }
+            }
+            Message::AtEndpoint(i, incarnation, dispatch) => {
+                self.at_endpoint(i, incarnation, dispatch);
+            }
+            Message::EndpointDone(i, incarnation, dispatch) => {
+                let broken = self.faults[endpoint_index(&dispatch.endpoint)] == 3;
+                let news = if broken {
+                    DispatchNews::Broke {
+                        delivered: dispatch.resume_from + 1,
+                    }
+                } else {
+                    DispatchNews::Ended {
+                        prompt: 0,
+                        cached: 0,
+                        output: 20,
+                    }
+                };
+                self.tell(i, incarnation, &dispatch, news);
+            }
+        }
+    }
+
+    fn alive(&self, i: usize, incarnation: Uuid) -> bool {
+        self.nodes[i].member.incarnation == incarnation
+    }
+
+    /// Puts a paused instance's messages off.
+    fn held_back(&mut self, i: usize, message: &Message) -> bool {
+        if self.nodes[i].paused {
+            self.send(millis(20), message.clone());
+        }
+        self.nodes[i].paused
+    }
+
+    /// Looks at the key's confirmation one last time and writes.
+    fn write(&mut self, i: usize, incarnation: Uuid, dispatch: Dispatch) {
+        if dispatch.confirm_by.is_some_and(|until| until <= self.now) {
+            self.tell(i, incarnation, &dispatch, DispatchNews::Lapsed);
+            return;
+        }
+        let delay = self.lag();
+        self.send(delay, Message::AtEndpoint(i, incarnation, dispatch));
+    }
+
+    fn at_endpoint(&mut self, i: usize, incarnation: Uuid, dispatch: Dispatch) {
+        let fault = self.faults[endpoint_index(&dispatch.endpoint)];
+        match fault {
+            1 => self.tell(
+                i,
+                incarnation,
+                &dispatch,
+                DispatchNews::Refused { unreachable: true },
+            ),
+            2 => self.tell(
+                i,
+                incarnation,
+                &dispatch,
+                DispatchNews::Refused { unreachable: false },
+            ),
+            _ => {
+                self.note_run(&dispatch);
+                if fault == 4 {
+                    let broke = DispatchNews::Broke {
+                        delivered: dispatch.resume_from,
+                    };
+                    let event = endpoint_event(&dispatch, broke);
+                    self.send(millis(500), Message::Event(i, incarnation, event));
+                    return;
+                }
+                let head_sent = self.rng.random_bool(0.5);
+                self.tell(
+                    i,
+                    incarnation,
+                    &dispatch,
+                    DispatchNews::Started { head_sent },
+                );
+                let work = millis(self.rng.random_range(30..400));
+                self.send(work, Message::EndpointDone(i, incarnation, dispatch));
+            }
+        }
+    }
+
+    fn note_run(&mut self, dispatch: &Dispatch) {
+        let key = self.requests[&dispatch.id].key.map(|k| k.hash);
+        self.runs.push((self.now, dispatch.id, key));
+    }
+
+    fn tell(&mut self, i: usize, incarnation: Uuid, dispatch: &Dispatch, news: DispatchNews) {
+        let delay = self.lag();
+        self.send(
+            delay,
+            Message::Event(i, incarnation, endpoint_event(dispatch, news)),
+        );
+    }
+
+    fn step(&mut self, i: usize, event: Event) {
+        let ended = match &event {
+            Event::Endpoint(e) if matches!(e.news, DispatchNews::Ended { .. }) => Some(e.id),
+            Event::HandOver(HandOverEvent::Ended(id)) => Some(*id),
+            _ => None,
+        };
+        let now = self.now;
+        let node = &mut self.nodes[i];
+        let lived = ended.is_some_and(|id| node.scheduler.tables().requests.get(id).is_some());
+        let mut out = Vec::new();
+        node.scheduler.step(now, event, &mut out);
+        node.scheduler.check_invariants(now);
+        if let Some(id) = ended.filter(|_| lived) {
+            let gone = self.nodes[i].scheduler.tables().requests.get(id).is_none();
+            if gone {
+                self.end(i, id, "answered", None);
+            }
+        }
+        for action in out {
+            self.carry_out(i, action);
+        }
+    }
+
+    fn carry_out(&mut self, i: usize, action: Action) {
+        let incarnation = self.nodes[i].member.incarnation;
+        match action {
+            Action::Dispatch(dispatch) => {
+                let pair = (dispatch.id, dispatch.endpoint.clone());
+                assert!(
+                    self.dispatched.insert(pair),
+                    "{} went to {} twice",
+                    dispatch.id,
+                    dispatch.endpoint
+                );
+                let delay = self.lag();
+                self.send(delay, Message::Write(i, incarnation, dispatch));
+            }
+            Action::HandOver { id, peer, .. } => self.hand_over(i, id, &peer),
+            Action::CancelHandOver { id, peer } => {
+                let to = node_index(&peer);
+                self.handed.remove(&(to, id));
+                let there = self.nodes[to].member.incarnation;
+                let delay = self.lag();
+                self.send(delay, Message::Event(to, there, Event::CallerLeft(id)));
+            }
+            Action::Answer { id, verdict } => {
+                let word = if verdict.outcome == Outcome::NotRun {
+                    "not-run"
+                } else {
+                    "unknown"
+                };
+                self.end(i, id, word, Some(verdict));
+            }
+            Action::RefuseHandOver { id, verdict, tried } => {
+                let Some(from) = self.handed.remove(&(i, id)) else {
+                    return;
+                };
+                let refusal = HandOverRefusal {
+                    id,
+                    verdict: Some(verdict),
+                    tried,
+                };
+                self.to_node(from, Event::HandOver(HandOverEvent::Refused(refusal)));
+            }
+            Action::Cut { id } => self.end(i, id, "cut", None),
+            Action::Replay { id, earlier } => {
+                assert!(
+                    self.runs.iter().any(|(_, ran, _)| *ran == earlier),
+                    "replay of nothing"
+                );
+                self.end(i, id, "replayed", None);
+            }
+            Action::Cancel { .. } | Action::Forget { .. } | Action::Drained => {}
+        }
+    }
+
+    fn to_node(&mut self, i: usize, event: Event) {
+        let incarnation = self.nodes[i].member.incarnation;
+        let delay = self.lag();
+        self.send(delay, Message::Event(i, incarnation, event));
+    }
+
+    fn hand_over(&mut self, from: usize, id: RequestId, peer: &str) {
+        let to = node_index(peer);
+        if self.rng.random_bool(0.2) {
+            let refusal = HandOverRefusal {
+                id,
+                verdict: None,
+                tried: Vec::new(),
+            };
+            self.to_node(from, Event::HandOver(HandOverEvent::Refused(refusal)));
+            return;
+        }
+        let mut new = self.requests[&id].clone();
+        new.origin = Origin::Peer(self.nodes[from].member.name.clone());
+        let row = self.nodes[from].scheduler.tables().requests.get(id);
+        new.tried = row.map(|r| r.tried.clone()).unwrap_or_default();
+        self.handed.insert((to, id), from);
+        self.to_node(to, Event::Arrived(new));
+    }
+
+    /// Takes it that a request ended at an instance, for its caller or the peer it came from.
+    fn end(&mut self, i: usize, id: RequestId, word: &'static str, verdict: Option<Verdict>) {
+        if let Some(from) = self.handed.remove(&(i, id)) {
+            let event = match (word, verdict) {
+                ("answered" | "replayed", _) => HandOverEvent::Ended(id),
+                ("cut", _) | (_, None) => HandOverEvent::Broke(id),
+                (_, Some(verdict)) => HandOverEvent::Unknown(id, verdict),
+            };
+            self.to_node(from, Event::HandOver(event));
+            return;
+        }
+        if let Some(told) = self.told.get_mut(&id).filter(|t| t.node == i) {
+            told.ends.push((self.now, word));
+        }
+    }
+
+    /// Lets everything come to rest and compares what ran with what callers were told.
+    pub fn check(&mut self) {
+        for i in 0..NODES {
+            self.nodes[i].paused = false;
+            self.nodes[i].log_cut = false;
+        }
+        self.faults = [0; ENDPOINTS.len()];
+        self.leaving = [false; ENDPOINTS.len()];
+        self.run_until(self.now + Duration::from_secs(60));
+        for node in &self.nodes {
+            let left = node.scheduler.tables().requests.len();
+            assert_eq!(left, 0, "{} requests never ended", left);
+        }
+        for (id, told) in &self.told {
+            self.check_request(*id, told);
+        }
+        let mut by_key: BTreeMap<u64, usize> = BTreeMap::new();
+        for (_, _, key) in &self.runs {
+            if let Some(key) = key {
+                *by_key.entry(*key).or_default() += 1;
+            }
+        }
+        for (key, n) in by_key {
+            assert_eq!(n, 1, "order {key} ran {n} times");
+        }
+    }
+
+    fn check_request(&self, id: RequestId, told: &Told) {
+        let ran = self.runs.iter().filter(|(_, r, _)| *r == id).count();
+        if !told.gone {
+            assert_eq!(told.ends.len(), 1, "{id} ended {:?}", told.ends);
+        }
+        assert!(
+            told.repeatable || ran <= 1,
+            "{id} may not be repeated and ran {ran} times"
+        );
+        for (at, word) in &told.ends {
+            if *word != "not-run" {
+                continue;
+            }
+            assert_eq!(ran, 0, "{id} ran and was told not to have");
+            let before = |(t, _, key): &&(Duration, RequestId, Option<u64>)| {
+                key.is_some() && *key == told.key && t < at
+            };
+            let earlier = self.runs.iter().find(before);
+            assert!(
+                earlier.is_none(),
+                "{id} was told `not-run` after its key ran: {earlier:?}"
+            );
+        }
+    }
+}
+
+fn endpoint_event(dispatch: &Dispatch, news: DispatchNews) -> Event {
+    Event::Endpoint(EndpointEvent {
+        id: dispatch.id,
+        dispatch: dispatch.dispatch,
+        news,
+    })
+}
+
+fn endpoint_index(name: &str) -> usize {
+    ENDPOINTS
+        .iter()
+        .position(|e| *e == name)
+        .expect("an endpoint of the world")
+}
+
+fn node_index(name: &str) -> usize {
+    name.trim_start_matches("node-")
+        .parse()
+        .expect("an instance of the world")
+}
