Prove the whole path under failure with real processes

Change: tests for one dispatch an endpoint (refused connects, lost replies, kills, a paused owner, keys resent everywhere), whole own answers (cut, crossed and silent engines, kills, callers that leave), configuration (lost replies, races, outages, retention, replacement one by one) and limits (tier order, hand-over, bodies, strangers, leaving endpoints, slow readers).

--- a/crates/firdock-policy/src/system/key.rs
+++ b/crates/firdock-policy/src/system/key.rs
@@ -87,7 +87,11 @@
     };
     let minted = claim.minted.unwrap_or(log_now);
     // An opaque key may have run at an earlier owner for as long as callers may resend it.
-    let wait = if claim.minted.is_some() { grace } else { t.settings.key_keep };
+    let wait = if claim.minted.is_some() {
+        grace
+    } else {
+        t.settings.key_keep
+    };
     if since.is_some_and(|s| minted < s + wait) || minted + t.settings.key_keep < log_now {
         return unknown(Reason::KeyUncertain, None);
     }
--- a/crates/firdock-standin/src/engine/server.rs
+++ b/crates/firdock-standin/src/engine/server.rs
@@ -118,6 +118,14 @@
         })
     }
 
+    /// Kills the engine: connects are refused and what it was answering breaks off.
+    pub fn kill(&self) {
+        self.served.close();
+        self.faults.change(|f| f.dead = true);
+        self.shared.lock().model.clear();
+        self.shared.news.notify_waiters();
+    }
+
     /// Gives how often each request was dispatched to this engine.
     #[must_use]
     pub fn runs(&self) -> Runs {
@@ -370,6 +378,9 @@
         let mut sent = 0;
         loop {
             let news = self.shared.news.notified();
+            if self.shared.faults.get().dead {
+                return;
+            }
             let Some((events, ended)) = self.events(&mut at) else {
                 return;
             };
--- a/crates/firdock-standin/src/fault.rs
+++ b/crates/firdock-standin/src/fault.rs
@@ -35,6 +35,8 @@
     pub leaving: bool,
     /// Whether a broken stream cannot be taken up again.
     pub forgetful: bool,
+    /// Whether the stand-in is dead: what it was answering breaks off.
+    pub dead: bool,
 }
 
 impl Default for FaultState {
@@ -51,6 +53,7 @@
             crossed: 0,
             leaving: false,
             forgetful: false,
+            dead: false,
         }
     }
 }
--- a/crates/firdock-standin/src/web.rs
+++ b/crates/firdock-standin/src/web.rs
@@ -57,6 +57,11 @@
         })
     }
 
+    /// Closes the listening socket at once, as a killed process does.
+    pub fn close(&self) {
+        self.task.abort();
+    }
+
     /// Stops taking connections and waits until those that are open ended.
     pub async fn stop(mut self) {
         self.stop.send_replace(true);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,9 @@
 //! Tests of the whole path: real instances as processes, stand-ins in the test.
 
+mod configuration;
+mod dispatch_once;
 mod helper;
+mod limits;
 mod planned_stop;
+mod whole_answer;
 mod whole_path;
--- /dev/null
+++ b/tests/testsuite/whole_answer.rs
@@ -0,0 +1,158 @@
+//! Every caller gets the whole answer to its own request and no other.
+
+use std::time::Duration;
+
+use firdock_standin::client::{self, Call};
+use hyper::Method;
+
+use crate::helper::{SHOP, Site, Spec};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_stream_is_taken_up_on_the_same_engine() {
+    let site = Site::start(Spec::new(20)).await;
+    site.engines[0]
+        .faults
+        .change(|f| (f.cuts, f.cut_after) = (1, 5));
+    let got = site
+        .call(0, &Call::model(SHOP, "draft", "the trail", 40))
+        .await;
+    assert!(got.answered(), "{got:?}");
+    assert_eq!(site.engines[0].runs().most(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_of_a_killed_engine_is_resumed_on_another() {
+    let site = Site::start(Spec {
+        engines: 2,
+        ..Spec::new(21)
+    })
+    .await;
+    let at = site.nodes[0].callers;
+    let calls: Vec<_> = (0..6)
+        .map(|i| {
+            let streamed = i % 2 == 0;
+            let call = Call::model(SHOP, "draft", &format!("dossier {i}"), 200);
+            let call = call.with_stream(streamed);
+            tokio::spawn(async move { client::call(at, &call).await })
+        })
+        .collect();
+    site.wait("running", async |s| s.engines.iter().all(|e| e.busy() >= 2))
+        .await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    site.engines[0].kill();
+    for call in calls {
+        let got = call.await.expect("a caller ends");
+        assert!(got.answered(), "{got:?}");
+    }
+    assert!(site.engines.iter().all(|e| e.runs().most() <= 1));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_engine_loses_its_streams_to_another() {
+    let settings = "[endpoints]\nsilence_millis = 500\n".to_owned();
+    let site = Site::start(Spec {
+        engines: 2,
+        settings,
+        ..Spec::new(22)
+    })
+    .await;
+    let at = site.nodes[0].callers;
+    let call = Call::model(SHOP, "draft", "dossier", 200);
+    let stream = tokio::spawn(async move { client::call(at, &call).await });
+    site.wait("running", async |s| s.engines.iter().any(|e| e.busy() == 1))
+        .await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let busy = site
+        .engines
+        .iter()
+        .find(|e| e.busy() == 1)
+        .expect("one engine works on it");
+    busy.faults.change(|f| f.silent = true);
+    let got = stream.await.expect("the caller ends");
+    assert!(got.answered(), "{got:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn crossed_answers_reach_nobody() {
+    let site = Site::start(Spec {
+        engines: 2,
+        services: 2,
+        ..Spec::new(23)
+    })
+    .await;
+    for engine in &site.engines {
+        engine.faults.change(|f| f.crossed = 1);
+    }
+    for service in &site.services {
+        service.faults.change(|f| f.crossed = 1);
+    }
+    let model = site
+        .call(0, &Call::model(SHOP, "guide", "how far", 5))
+        .await;
+    assert!(model.is_sound() && model.outcome != "answered", "{model:?}");
+    let plain = site
+        .call(0, &Call::plain(SHOP, Method::GET, "/tiles/1", ""))
+        .await;
+    assert!(plain.is_sound() && plain.outcome != "answered", "{plain:?}");
+    let model = site
+        .call(0, &Call::model(SHOP, "guide", "how far", 5))
+        .await;
+    assert!(model.answered() || model.outcome == "unknown", "{model:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_plain_answer_is_shown_as_cut() {
+    let site = Site::start(Spec::new(24)).await;
+    site.services[0]
+        .faults
+        .change(|f| (f.cuts, f.cut_after) = (1, 4));
+    let got = site
+        .call(0, &Call::plain(SHOP, Method::GET, "/tiles/1", ""))
+        .await;
+    assert!(!got.ended && !got.own, "{got:?}");
+    let got = site
+        .call(0, &Call::plain(SHOP, Method::GET, "/tiles/1", ""))
+        .await;
+    assert!(got.answered(), "{got:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_with_the_same_text_get_an_answer_each() {
+    let site = Site::start(Spec {
+        engines: 2,
+        ..Spec::new(25)
+    })
+    .await;
+    let call = Call::model(SHOP, "guide", "the same question", 30);
+    let calls = (0..12).map(|_| site.call(0, &call));
+    let got = futures_util::future::join_all(calls).await;
+    assert!(got.iter().all(client::Got::answered));
+    let ids: std::collections::BTreeSet<_> =
+        got.iter().filter_map(|g| g.headers["x-request-id"].to_str().ok()).collect();
+    assert_eq!(ids.len(), 12);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_goes_away_frees_the_engine() {
+    let site = Site::start(Spec::new(26)).await;
+    let at = site.nodes[0].callers;
+    let calls: Vec<_> = (0..6)
+        .map(|i| {
+            let call = Call::model(SHOP, "draft", &format!("long {i}"), 4_000);
+            tokio::spawn(async move { client::call(at, &call).await })
+        })
+        .collect();
+    site.wait("running", async |s| s.engines[0].busy() == 4)
+        .await;
+    for call in calls {
+        call.abort();
+    }
+    site.wait("cancelled", async |s| s.engines[0].busy() == 0)
+        .await;
+    site.wait("forgotten", async |s| {
+        s.nodes[0].metric("firdock_held{tier=\"draft\"}").await == 0.0
+    })
+    .await;
+    let got = site.call(0, &Call::model(SHOP, "draft", "short", 3)).await;
+    assert!(got.answered(), "{got:?}");
+}
