--- /dev/null
+++ b/crates/firdock-core/tests/core/main.rs
@@ -0,0 +1,4 @@
+//! Tests of settings, resources and findings.
+
+mod resources;
+mod settings;
--- /dev/null
+++ b/crates/firdock-core/tests/core/settings.rs
@@ -0,0 +1,66 @@
+//! Settings: every finding at once, each with its line and field; rubbish is an error.
+
+use firdock_core::settings::Settings;
+use proptest::prelude::*;
+
+const GOOD: &str = include_str!("good-settings.toml");
+
+#[test]
+fn a_good_file_is_read() {
+    let settings = Settings::parse(GOOD).expect("no findings");
+    assert_eq!(settings.instance.name, "entry-0");
+    assert_eq!(settings.limits.max_held, 500);
+    assert_eq!(settings.peers.missed_beats, 5, "a default");
+}
+
+#[test]
+fn all_findings_come_together_with_their_places() {
+    let text = GOOD
+        .replace("max_held = 500", "max_held = \"many\"\nmax_hold = 3")
+        .replace("grace_seconds = 5", "grace_seconds = 0")
+        .replace(
+            "shared_key = \"a key of sixteen or more\"",
+            "shared_key = \"short\"",
+        )
+        + "\n[colours]\nred = 1\n";
+    let found = Settings::parse(&text).expect_err("findings");
+    let expected = include_str!("findings.txt");
+    assert_eq!(format!("{found}\n"), expected);
+}
+
+#[test]
+fn an_empty_file_lacks_what_is_needed() {
+    let found = Settings::parse("").expect_err("findings");
+    let paths: Vec<&str> = found.as_slice().iter().map(|f| f.path.as_str()).collect();
+    for path in [
+        "instance.name",
+        "instance.callers",
+        "platform.log",
+        "peers.shared_key",
+    ] {
+        assert!(paths.contains(&path), "{paths:?}");
+    }
+}
+
+#[test]
+fn a_syntax_error_has_its_line() {
+    let found = Settings::parse("[instance]\nname = \n").expect_err("findings");
+    assert_eq!(found.as_slice()[0].line, Some(2));
+}
+
+proptest! {
+    #[test]
+    fn any_text_is_read_without_a_panic(text in ".{0,200}") {
+        let _ = Settings::parse(&text);
+    }
+
+    #[test]
+    fn any_number_in_any_field_is_read_without_a_panic(n in any::<i64>(), line in 0..40_usize) {
+        let mut lines: Vec<String> = GOOD.lines().map(str::to_owned).collect();
+        let at = line % lines.len();
+        if let Some((name, _)) = lines[at].clone().split_once('=') {
+            lines[at] = format!("{name}= {n}");
+        }
+        let _ = Settings::parse(&lines.join("\n"));
+    }
+}
--- a/crates/firdock-node/src/endpoint.rs
+++ b/crates/firdock-node/src/endpoint.rs
@@ -24,7 +24,7 @@
 pub use engine::HttpEngine;
 pub use plain::HttpPlain;
 pub use report::watch_reports;
-pub use sse::{SseDecoder, SseEvent};
+pub use sse::{NoEventStream, SseDecoder, SseEvent};
 
 use crate::door::ModelCall;
 use crate::telemetry::TraceContext;
--- /dev/null
+++ b/crates/firdock-node/tests/node/main.rs
@@ -0,0 +1,147 @@
+//! Decoders and stores of the entry instance: whatever comes is an error, and never a panic.
+
+use bytes::Bytes;
+use firdock_node::answers::{Answers, KeptAnswer};
+use firdock_node::backoff::Backoff;
+use firdock_node::door::ModelCall;
+use firdock_node::endpoint::{EndpointReport, SseDecoder, SseEvent};
+use firdock_node::http::strip_hop_by_hop;
+use firdock_node::platform::ListedRow;
+use firdock_node::telemetry::TraceContext;
+use firdock_node::{AnswerHead, telemetry};
+use hyper::{HeaderMap, StatusCode};
+use proptest::prelude::*;
+use std::time::Duration;
+use uuid::Uuid;
+
+fn head() -> AnswerHead {
+    AnswerHead {
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+    }
+}
+
+#[test]
+fn kept_answers_are_bounded_and_the_oldest_goes_first() {
+    let answers = Answers::new(4_000);
+    let ids: Vec<Uuid> = (0..4).map(|n| Uuid::from_u64_pair(0, n)).collect();
+    for id in &ids {
+        let mut answer = KeptAnswer::new(head());
+        assert!(answer.push(&[7; 1_000]));
+        answers.keep(*id, answer);
+    }
+    let kept: Vec<bool> = ids.iter().map(|id| answers.get(*id).is_some()).collect();
+    assert_eq!(kept, [false, false, true, true]);
+    answers.forget(ids[3]);
+    assert!(answers.get(ids[3]).is_none());
+}
+
+#[test]
+fn an_answer_that_is_too_large_is_not_kept() {
+    let mut answer = KeptAnswer::new(head());
+    assert!(!answer.push(&vec![0; 1 << 20]));
+}
+
+#[test]
+fn pauses_grow_with_jitter_up_to_the_longest() {
+    let (base, most) = (Duration::from_millis(100), Duration::from_secs(1));
+    let mut backoff = Backoff::new(base, most);
+    for full in [100, 200, 400, 800, 1_000, 1_000] {
+        let pause = backoff.next_pause().as_millis();
+        assert!((full / 2..=full).contains(&pause), "{pause} of {full}");
+    }
+    backoff.reset();
+    assert!(backoff.next_pause() <= base);
+}
+
+#[test]
+fn headers_of_one_connection_are_not_passed_on() {
+    let mut headers = HeaderMap::new();
+    for (name, value) in [
+        ("connection", "close, x-private"),
+        ("x-private", "1"),
+        ("keep-alive", "timeout=5"),
+        ("te", "trailers"),
+        ("accept", "text/plain"),
+    ] {
+        headers.insert(name, value.parse().expect("a header value"));
+    }
+    strip_hop_by_hop(&mut headers);
+    let left: Vec<&str> = headers
+        .keys()
+        .map(hyper::header::HeaderName::as_str)
+        .collect();
+    assert_eq!(left, ["accept"]);
+}
+
+#[test]
+fn a_trace_goes_on_in_its_children() {
+    let text = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    let context = TraceContext::parse(text).expect("a valid header");
+    assert_eq!(context.header(), text);
+    let child = context.child();
+    assert_eq!(child.trace_id(), context.trace_id());
+    assert_ne!(child.header(), text);
+    assert!(
+        TraceContext::parse(&text.replace("0af7651916cd43dd8448eb211c80319c", &"0".repeat(32)))
+            .is_none()
+    );
+}
+
+#[test]
+fn events_are_put_together_from_any_pieces() {
+    let text = "data: one\n\n: comment\n\ndata: two\r\ndata: three\r\n\r\nid: 7\n\n";
+    for size in 1..text.len() {
+        let mut decoder = SseDecoder::new();
+        let mut events = Vec::new();
+        for piece in text.as_bytes().chunks(size) {
+            decoder.push(piece);
+            while let Some(event) = decoder.next_event().expect("a good stream") {
+                events.push(event);
+            }
+        }
+        let data = |text: &str| SseEvent::Data(text.to_owned());
+        assert_eq!(events, [data("one"), SseEvent::Comment, data("two\nthree")]);
+    }
+}
+
+#[test]
+fn an_endless_event_is_an_error() {
+    let mut decoder = SseDecoder::new();
+    decoder.push(&vec![b'x'; 1 << 20]);
+    assert!(matches!(
+        decoder.next_event(),
+        Err(firdock_node::endpoint::NoEventStream)
+    ));
+}
+
+#[test]
+fn metrics_can_be_rendered() {
+    let text = telemetry::Metrics::new().render();
+    assert!(text.contains("firdock_decision_seconds") && text.ends_with("# EOF\n"));
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_an_event_stream_or_an_error(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
+        let mut decoder = SseDecoder::new();
+        decoder.push(&bytes);
+        while let Ok(Some(_)) = decoder.next_event() {}
+    }
+
+    #[test]
+    fn any_body_is_a_call_or_an_error(bytes in proptest::collection::vec(any::<u8>(), 0..200), field in "[a-z_]{1,12}", n in any::<i64>()) {
+        for path in ["/v1/completions", "/v1/chat/completions"] {
+            let _ = ModelCall::parse(path, &Bytes::from(bytes.clone()));
+            let near = format!("{{\"model\":\"m\",\"prompt\":\"p\",\"messages\":[{{}},{n}],\"{field}\":{n}}}");
+            let _ = ModelCall::parse(path, &Bytes::from(near));
+        }
+    }
+
+    #[test]
+    fn any_text_is_a_report_a_row_a_trace_or_an_error(text in ".{0,100}") {
+        let _ = serde_json::from_str::<EndpointReport>(&text);
+        let _ = serde_json::from_str::<ListedRow>(&text);
+        let _ = TraceContext::parse(&text);
+    }
+}
--- a/crates/firdock-policy/tests/policy/golden.rs
+++ b/crates/firdock-policy/tests/policy/golden.rs
@@ -1,1 +1,266 @@
-//! x
+//! Golden sessions: events in and actions out, as JSON lines in `golden/`.
+//!
+//! `FIRDOCK_BLESS=1` writes the files anew; the change is then read in review.
+
+use std::fmt::Write as _;
+use std::path::PathBuf;
+
+use firdock_policy::event::{
+    DispatchNews, EndpointEvent, HandOverEvent, HandOverRefusal, ListedInstance, LoadReport,
+    LogReading, Member, MemberView, PeerNews,
+};
+use firdock_policy::{Event, Policy as _, PolicySettings, Scheduler, Time};
+use serde_json::json;
+use uuid::Uuid;
+
+use crate::scene::{LOG_START, catalog, id, millis, request, resources, settings, with_key};
+
+/// A session that is written down while it goes on.
+struct Session {
+    scheduler: Scheduler,
+    now: Time,
+    lines: String,
+}
+
+impl Session {
+    fn new(settings: PolicySettings) -> Self {
+        let scheduler = Scheduler::new(settings);
+        let mut session = Self {
+            scheduler,
+            now: millis(10_000),
+            lines: String::new(),
+        };
+        session.step(catalog(1, resources()));
+        session
+    }
+
+    fn step(&mut self, event: Event) -> &mut Self {
+        let mut out = Vec::new();
+        let line = json!({"at": self.now.as_millis() as u64, "in": event});
+        let _ = writeln!(self.lines, "{line}");
+        self.scheduler.step(self.now, event, &mut out);
+        self.scheduler.check_invariants(self.now);
+        for action in out {
+            let _ = writeln!(self.lines, "{}", json!({"out": action}));
+        }
+        self
+    }
+
+    fn after(&mut self, n: u64) -> &mut Self {
+        self.now += millis(n);
+        self.step(Event::Timer)
+    }
+
+    fn arrive(&mut self, n: u64, service: &str, account: &str) -> &mut Self {
+        self.step(Event::Arrived(request(n, service, account)))
+    }
+
+    fn tell(&mut self, n: u64, dispatch: u32, news: DispatchNews) -> &mut Self {
+        self.now += millis(1);
+        self.step(Event::Endpoint(EndpointEvent {
+            id: id(n),
+            dispatch,
+            news,
+        }))
+    }
+
+    fn peer(&mut self, name: &str, held: &[u32]) -> &mut Self {
+        self.step(Event::Peer(PeerNews {
+            name: name.to_owned(),
+            zone: "zone".to_owned(),
+            held: held.to_vec(),
+            demand: Vec::new(),
+            draining: false,
+            leaving: Vec::new(),
+        }))
+    }
+
+    fn log_read(&mut self, since_start: u64) -> &mut Self {
+        let log_time = LOG_START + millis(since_start);
+        self.step(Event::LogRead(LogReading {
+            log_time,
+            sent: self.now,
+        }))
+    }
+
+    fn view(&mut self, number: u64, since: u64, members: &[Member]) -> &mut Self {
+        self.step(Event::View(MemberView {
+            since: LOG_START + millis(since),
+            number,
+            first: number == 1,
+            members: members.to_vec(),
+        }))
+    }
+
+    fn compare(&self, name: &str) {
+        let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/policy/golden");
+        let path = folder.join(format!("{name}.jsonl"));
+        if std::env::var_os("FIRDOCK_BLESS").is_some() {
+            std::fs::write(&path, &self.lines).expect("a golden file can be written");
+        }
+        let golden = std::fs::read_to_string(&path).expect("a golden file");
+        for (n, (got, expected)) in self.lines.lines().zip(golden.lines()).enumerate() {
+            assert_eq!(got, expected, "{name}.jsonl, line {}", n + 1);
+        }
+        assert_eq!(
+            self.lines.lines().count(),
+            golden.lines().count(),
+            "{name}.jsonl ends"
+        );
+    }
+}
+
+const ENDED: DispatchNews = DispatchNews::Ended {
+    prompt: 400,
+    cached: 0,
+    output: 20,
+};
+const STARTED: DispatchNews = DispatchNews::Started { head_sent: true };
+
+fn me() -> Member {
+    settings("a").member
+}
+
+fn other() -> Member {
+    Member {
+        name: "b".to_owned(),
+        incarnation: Uuid::from_u64_pair(2, 0),
+    }
+}
+
+#[test]
+fn burst_of_all_tiers() {
+    let mut s = Session::new(settings("a"));
+    for n in 0..6 {
+        s.arrive(3 * n + 1, "draft", "shop");
+        s.arrive(3 * n + 2, "guide", if n % 2 == 0 { "shop" } else { "hall" });
+        s.arrive(3 * n + 3, "tiles", "hall");
+    }
+    s.tell(3, 1, STARTED).tell(3, 1, ENDED);
+    s.tell(1, 1, STARTED).tell(1, 1, ENDED);
+    s.after(1_000).after(2_500);
+    s.compare("burst_of_all_tiers");
+}
+
+#[test]
+fn failing_engines() {
+    let mut s = Session::new(settings("a"));
+    s.arrive(1, "draft", "shop").arrive(2, "guide", "shop");
+    s.tell(1, 1, STARTED).tell(
+        1,
+        1,
+        DispatchNews::Tokens {
+            delivered: 1,
+            cached: 0,
+        },
+    );
+    s.tell(1, 1, DispatchNews::Broke { delivered: 9 });
+    s.tell(
+        1,
+        1,
+        DispatchNews::Ended {
+            prompt: 1,
+            cached: 0,
+            output: 9,
+        },
+    );
+    s.tell(2, 1, DispatchNews::Refused { unreachable: true });
+    s.after(600);
+    s.step(Event::Report(LoadReport {
+        endpoint: "engine-1".to_owned(),
+        age: millis(200),
+        running: 1,
+        waiting: 0,
+        backlog: 100,
+        leaving: true,
+        gap: true,
+        added: vec![1, 2],
+        removed: vec![2],
+    }));
+    s.arrive(3, "draft", "hall").after(500);
+    s.tell(
+        1,
+        2,
+        DispatchNews::Tokens {
+            delivered: 10,
+            cached: 128,
+        },
+    )
+    .tell(1, 2, ENDED);
+    s.arrive(4, "orders", "shop")
+        .tell(4, 1, DispatchNews::Broke { delivered: 0 });
+    s.step(Event::CallerLeft(id(3)));
+    s.compare("failing_engines");
+}
+
+#[test]
+fn keys_through_a_takeover() {
+    let mut s = Session::new(settings("a"));
+    let order = |n, key, minted| with_key(request(n, "orders", "shop"), key, minted);
+    let at = |n| Some(LOG_START + millis(n));
+    s.step(Event::Arrived(order(1, 1, at(0))));
+    s.view(1, 0, &[me()]).log_read(10);
+    s.step(Event::Arrived(order(2, 1, at(5))));
+    s.step(Event::Arrived(order(3, 1, at(5))));
+    s.tell(2, 1, STARTED).tell(2, 1, ENDED);
+    s.step(Event::Arrived(order(4, 1, at(5))));
+    s.view(2, 1_000, &[other()]).log_read(1_010);
+    s.step(Event::Arrived(order(5, 2, at(1_020))));
+    s.step(Event::HandOver(HandOverEvent::Refused(HandOverRefusal {
+        id: id(5),
+        verdict: None,
+        tried: Vec::new(),
+    })));
+    s.view(3, 2_000, &[me()]).log_read(2_010);
+    s.step(Event::Arrived(order(6, 3, at(3_999))));
+    s.step(Event::Arrived(order(7, 4, at(4_000))));
+    s.after(2_000).log_read(4_010);
+    s.step(Event::Arrived(order(8, 5, at(4_000))));
+    s.step(Event::Arrived(order(9, 6, None)));
+    s.compare("keys_through_a_takeover");
+}
+
+#[test]
+fn planned_stop() {
+    let mut s = Session::new(settings("a"));
+    for n in 1..=5 {
+        s.arrive(n, "draft", "shop");
+    }
+    s.peer("b", &[0, 0, 0]).step(Event::Drain);
+    s.step(Event::HandOver(HandOverEvent::Started(id(4))));
+    s.step(Event::HandOver(HandOverEvent::Refused(HandOverRefusal {
+        id: id(5),
+        verdict: None,
+        tried: Vec::new(),
+    })));
+    s.step(Event::HandOver(HandOverEvent::Ended(id(4))));
+    for n in [1, 2, 3, 5] {
+        s.tell(n, 1, STARTED).tell(n, 1, ENDED);
+    }
+    s.after(100);
+    s.compare("planned_stop");
+}
+
+#[test]
+fn leaving_endpoints() {
+    let mut s = Session::new(settings("a"));
+    let leave = |name: &str| ListedInstance {
+        name: name.to_owned(),
+        leaving: true,
+    };
+    s.arrive(1, "tiles", "shop");
+    s.step(Event::Listed(vec![leave("plain-0")]));
+    s.arrive(2, "tiles", "shop")
+        .arrive(3, "tiles", "shop")
+        .arrive(4, "tiles", "shop");
+    s.tell(1, 1, STARTED).tell(1, 1, ENDED);
+    s.step(catalog(
+        2,
+        resources()
+            .into_iter()
+            .filter(|r| r.key().name != "plain-0")
+            .collect(),
+    ));
+    s.tell(2, 1, STARTED).tell(2, 1, ENDED);
+    s.compare("leaving_endpoints");
+}
--- a/crates/firdock-policy/tests/policy/rules.rs
+++ b/crates/firdock-policy/tests/policy/rules.rs
@@ -148,7 +148,7 @@
     }));
     let actions = d.arrive(request(10, "guide", "shop"));
     assert!(
-        matches!(&actions[..], [Action::HandOver { peer, .. }] if peer == "b"),
+        matches!(&*actions, [Action::HandOver { peer, .. }] if peer == "b"),
         "{actions:?}"
     );
 }
@@ -298,7 +298,7 @@
     handed.origin = Origin::Peer("b".to_owned());
     let actions = d.arrive(handed);
     assert!(
-        matches!(&actions[..], [Action::RefuseHandOver { .. }]),
+        matches!(&*actions, [Action::RefuseHandOver { .. }]),
         "{actions:?}"
     );
 }
--- a/crates/firdock-policy/tests/policy/world.rs
+++ b/crates/firdock-policy/tests/policy/world.rs
@@ -545,7 +545,7 @@
                     verdict: Some(verdict),
                     tried,
                 };
-                self.to_node(from, Event::HandOver(HandOverEvent::Refused(refusal)));
+                self.deliver(from, Event::HandOver(HandOverEvent::Refused(refusal)));
             }
             Action::Cut { id } => self.end(i, id, "cut", None),
             Action::Replay { id, earlier } => {
@@ -559,7 +559,7 @@
         }
     }
 
-    fn to_node(&mut self, i: usize, event: Event) {
+    fn deliver(&mut self, i: usize, event: Event) {
         let incarnation = self.nodes[i].member.incarnation;
         let delay = self.lag();
         self.send(delay, Message::Event(i, incarnation, event));
@@ -573,7 +573,7 @@
                 verdict: None,
                 tried: Vec::new(),
             };
-            self.to_node(from, Event::HandOver(HandOverEvent::Refused(refusal)));
+            self.deliver(from, Event::HandOver(HandOverEvent::Refused(refusal)));
             return;
         }
         let mut new = self.requests[&id].clone();
@@ -581,7 +581,7 @@
         let row = self.nodes[from].scheduler.tables().requests.get(id);
         new.tried = row.map(|r| r.tried.clone()).unwrap_or_default();
         self.handed.insert((to, id), from);
-        self.to_node(to, Event::Arrived(new));
+        self.deliver(to, Event::Arrived(new));
     }
 
     /// Takes it that a request ended at an instance, for its caller or the peer it came from.
@@ -592,7 +592,7 @@
                 ("cut", _) | (_, None) => HandOverEvent::Broke(id),
                 (_, Some(verdict)) => HandOverEvent::Unknown(id, verdict),
             };
-            self.to_node(from, Event::HandOver(event));
+            self.deliver(from, Event::HandOver(event));
             return;
         }
         if let Some(told) = self.told.get_mut(&id).filter(|t| t.node == i) {
@@ -611,7 +611,7 @@
         self.run_until(self.now + Duration::from_secs(60));
         for node in &self.nodes {
             let left = node.scheduler.tables().requests.len();
-            assert_eq!(left, 0, "{} requests never ended", left);
+            assert_eq!(left, 0, "{left} requests never ended");
         }
         for (id, told) in &self.told {
             self.check_request(*id, told);
--- /dev/null
+++ b/crates/firdock-state/tests/state/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the fold and of following the log.
+
+mod decode;
+mod random;
--- a/tests/testsuite/whole_answer.rs
+++ b/tests/testsuite/whole_answer.rs
@@ -127,8 +127,10 @@
     let calls = (0..12).map(|_| site.call(0, &call));
     let got = futures_util::future::join_all(calls).await;
     assert!(got.iter().all(client::Got::answered));
-    let ids: std::collections::BTreeSet<_> =
-        got.iter().filter_map(|g| g.headers["x-request-id"].to_str().ok()).collect();
+    let ids: std::collections::BTreeSet<_> = got
+        .iter()
+        .filter_map(|g| g.headers["x-request-id"].to_str().ok())
+        .collect();
     assert_eq!(ids.len(), 12);
 }
 
