Measure the policy against baselines in virtual time

Change: firdock-standin measure runs the real policy of seven instances against a model of 55 and 50 unlike engines, shared with the stand-in engine, in ten scenarios, beside round robin, least reported load and two choices, and with each mechanism switched off.

Ruled out: timing against wall clocks, which this machine's neighbours disturb; only decisions a second is a reading of processor time.

--- a/crates/firdock-standin/src/cmd.rs
+++ b/crates/firdock-standin/src/cmd.rs
@@ -4,6 +4,7 @@
 mod engine;
 mod instances;
 mod log;
+mod measure;
 mod service;
 
 use std::io;
@@ -40,6 +41,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(demo::make_subcommand())
+        .subcommand(measure::make_subcommand())
         .subcommand(engine::make_subcommand())
         .subcommand(service::make_subcommand())
         .subcommand(log::make_subcommand())
@@ -50,6 +52,7 @@
 pub fn run(matches: &ArgMatches) -> Result<ExitCode, CmdError> {
     match matches.subcommand() {
         Some(("demo", args)) => demo::execute(args),
+        Some(("measure", args)) => Ok(measure::execute(args)),
         Some(("engine", args)) => engine::execute(args),
         Some(("service", args)) => service::execute(args),
         Some(("log", args)) => log::execute(args),
--- a/crates/firdock-standin/src/engine/model.rs
+++ b/crates/firdock-standin/src/engine/model.rs
@@ -184,6 +184,15 @@
         (self.changes.iter().skip(skip).copied().collect(), gap)
     }
 
+    /// Counts the leading blocks of a chain that are cached.
+    #[must_use]
+    pub fn matched(&self, blocks: &[BlockHash]) -> usize {
+        blocks
+            .iter()
+            .take_while(|b| self.cache.contains_key(b))
+            .count()
+    }
+
     /// Sums the prompt tokens computed so far.
     #[must_use]
     pub fn prefilled(&self) -> u64 {
--- a/crates/firdock-standin/src/lib.rs
+++ b/crates/firdock-standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fault;
 pub mod instances;
 pub mod log;
+pub mod measure;
 pub mod service;
 pub mod web;
 pub mod workload;
--- /dev/null
+++ b/crates/firdock-standin/src/measure/score.rs
@@ -0,0 +1,143 @@
+//! What a run came to.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::Serialize;
+
+/// Figures of one tier.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct TierScore {
+    /// Requests that arrived.
+    pub offered: u64,
+    /// Whole answers begun within the tier's target.
+    pub good: u64,
+    /// Whole answers.
+    pub answered: u64,
+    /// Requests given up.
+    pub given_up: u64,
+    /// 95th percentile of the time to the first token or byte, in milliseconds.
+    pub first_p95: f64,
+    /// 95th percentile of the mean time between tokens, in milliseconds.
+    pub gap_p95: f64,
+}
+
+impl TierScore {
+    /// Gives the goodput as a part of what was offered.
+    #[must_use]
+    pub fn goodput(&self) -> f64 {
+        if self.offered == 0 {
+            1.0
+        } else {
+            self.good as f64 / self.offered as f64
+        }
+    }
+}
+
+/// Figures of one run.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct Score {
+    /// By tier, highest first by rank and then by name.
+    pub tiers: BTreeMap<String, TierScore>,
+    /// Prompt tokens lost with an endpoint or an instance.
+    pub wasted_lost: u64,
+    /// Prompt tokens computed though another engine had them cached.
+    pub wasted_recomputed: u64,
+    /// Jain's index over the accounts' goodput as a part of what each offered.
+    pub jain: f64,
+    /// Decisions a second of processor time, over all instances.
+    pub decisions_per_second: f64,
+}
+
+impl Score {
+    /// Sums the wasted prefill.
+    #[must_use]
+    pub fn wasted(&self) -> u64 {
+        self.wasted_lost + self.wasted_recomputed
+    }
+}
+
+/// One request's course, from its caller's side.
+#[derive(Debug, Clone)]
+pub struct Record {
+    /// Tier.
+    pub tier: &'static str,
+    /// Target for the first token or byte.
+    pub target: Duration,
+    /// Account by number.
+    pub account: usize,
+    /// When it arrived.
+    pub arrived: Duration,
+    /// When the first token or byte came.
+    pub first: Option<Duration>,
+    /// When the whole answer had come.
+    pub ended: Option<Duration>,
+    /// Tokens of the answer.
+    pub tokens: u32,
+}
+
+impl Record {
+    fn good(&self) -> bool {
+        let in_time = self
+            .first
+            .is_some_and(|f| f.saturating_sub(self.arrived) <= self.target);
+        self.ended.is_some() && in_time
+    }
+}
+
+/// Sums the records of a run.
+pub fn sum<'a>(records: impl Iterator<Item = &'a Record>) -> Score {
+    let mut score = Score::default();
+    let mut firsts: BTreeMap<String, Vec<f64>> = BTreeMap::new();
+    let mut gaps: BTreeMap<String, Vec<f64>> = BTreeMap::new();
+    let mut accounts: BTreeMap<usize, (u64, u64)> = BTreeMap::new();
+    for r in records {
+        let tier = score.tiers.entry(r.tier.to_owned()).or_default();
+        let account = accounts.entry(r.account).or_default();
+        tier.offered += 1;
+        account.0 += 1;
+        let (Some(first), Some(ended)) = (r.first, r.ended) else {
+            tier.given_up += 1;
+            continue;
+        };
+        tier.answered += 1;
+        tier.good += u64::from(r.good());
+        account.1 += u64::from(r.good());
+        let millis = |d: Duration| d.as_secs_f64() * 1e3;
+        firsts
+            .entry(r.tier.to_owned())
+            .or_default()
+            .push(millis(first.saturating_sub(r.arrived)));
+        if r.tokens > 1 {
+            let gap = millis(ended.saturating_sub(first)) / f64::from(r.tokens - 1);
+            gaps.entry(r.tier.to_owned()).or_default().push(gap);
+        }
+    }
+    for (name, tier) in &mut score.tiers {
+        tier.first_p95 = p95(firsts.remove(name));
+        tier.gap_p95 = p95(gaps.remove(name));
+    }
+    score.jain = jain(
+        accounts
+            .values()
+            .map(|(offered, good)| *good as f64 / *offered as f64),
+    );
+    score
+}
+
+fn p95(values: Option<Vec<f64>>) -> f64 {
+    let mut values = values.unwrap_or_default();
+    values.sort_by(f64::total_cmp);
+    let at = (values.len() * 95).div_ceil(100).saturating_sub(1);
+    values.get(at).copied().unwrap_or(0.0)
+}
+
+fn jain(values: impl Iterator<Item = f64> + Clone) -> f64 {
+    let (n, sum) = (values.clone().count() as f64, values.clone().sum::<f64>());
+    let squares: f64 = values.map(|v| v * v).sum();
+    if squares == 0.0 {
+        1.0
+    } else {
+        sum * sum / (n * squares)
+    }
+}
