Weigh prefill eight times in the choice of an endpoint

The choice went by the caller's time alone, so a prefix that one engine had cached was computed again on a faster or emptier one; all later requests pay for that through the caches it pushes out.

Change: the score of an endpoint adds eight times the prefill time of what is not cached.

--- a/crates/firdock-policy/src/cost.rs
+++ b/crates/firdock-policy/src/cost.rs
@@ -15,6 +15,11 @@
 
 /// Share of a crowded batch that slows each token, at a full batch.
 const CROWDING: f64 = 0.5;
+/// Weight of prefill time against the caller's time in the choice of an endpoint.
+///
+/// Computing a prefix again that another engine has cached costs all later requests, so it weighs
+/// more than the time that this caller would save (figures in `docs/design/routing.md`).
+const PREFILL_WEIGHT: f64 = 8.0;
 /// Time that a plain call takes where nothing was learned yet, in seconds.
 const PLAIN_SECS: f64 = 0.01;
 
@@ -27,6 +32,8 @@
     pub first_secs: f64,
     /// Seconds to the end of the answer.
     pub total_secs: f64,
+    /// What the choice goes by: the time to the end, with the prefill weighed in.
+    pub score: f64,
 }
 
 impl Estimate {
@@ -57,6 +64,7 @@
             uncached: 0,
             first_secs: secs,
             total_secs: secs,
+            score: secs,
         };
     }
     let uncached = uncached(now, mechanisms, row, endpoint);
@@ -69,10 +77,18 @@
     };
     let token = learned * (1.0 + CROWDING * load(endpoint));
     let output = expected_output(row, service);
+    let total_secs = first_secs + output * token;
+    let weight = if mechanisms.affinity {
+        PREFILL_WEIGHT
+    } else {
+        0.0
+    };
+    let score = total_secs + weight * f64::from(uncached) / endpoint.declared.prefill_rate;
     Estimate {
         uncached,
         first_secs: first_secs + token,
-        total_secs: first_secs + output * token,
+        total_secs,
+        score,
     }
 }
 
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -94,7 +94,7 @@
 fn choose(t: &Tables, now: Time, row: &RequestRow) -> Option<Choice> {
     let service = t.services.get(row.service);
     let by_cost = |a: &Choice, b: &Choice| {
-        let order = a.estimate.total_secs.partial_cmp(&b.estimate.total_secs);
+        let order = a.estimate.score.partial_cmp(&b.estimate.score);
         order
             .unwrap_or(Ordering::Equal)
             .then(a.endpoint.cmp(&b.endpoint))
--- a/crates/firdock-standin/src/measure/fleet.rs
+++ b/crates/firdock-standin/src/measure/fleet.rs
@@ -1,6 +1,6 @@
 //! The endpoints of a run: unlike engines and plain servers, in virtual time.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use firdock_core::RequestId;
@@ -73,7 +73,7 @@
     /// Whether it lives.
     pub alive: bool,
     /// Requests that it works on.
-    pub jobs: HashMap<RequestId, Job>,
+    pub jobs: BTreeMap<RequestId, Job>,
     /// Number of the cache change that was last reported.
     pub reported: u64,
     /// When its next step is planned.
@@ -131,7 +131,7 @@
                 name: format!("engine-{i}"),
                 model: EngineModel::new(spec(i)),
                 alive: true,
-                jobs: HashMap::new(),
+                jobs: BTreeMap::new(),
                 reported: 0,
                 planned: None,
             })
--- a/crates/firdock-standin/src/measure/run.rs
+++ b/crates/firdock-standin/src/measure/run.rs
@@ -546,7 +546,7 @@
         engine.alive = false;
         engine.model.clear();
         engine.planned = None;
-        let jobs: Vec<Job> = engine.jobs.drain().map(|(_, job)| job).collect();
+        let jobs: Vec<Job> = std::mem::take(&mut engine.jobs).into_values().collect();
         for job in jobs {
             self.waste_job(&job);
             let news = DispatchNews::Broke {
