Bound the prefill that waits at an engine, and serve late requests last

Change: a request that waited past its tier's target goes behind those of its service that can still meet it, and is the first to be shed; an engine with more than a second of prefill waiting gets no further prompt. Tiers stay strictly in order.

--- a/crates/firdock-policy/src/settings.rs
+++ b/crates/firdock-policy/src/settings.rs
@@ -31,6 +31,8 @@
     pub resume: bool,
     /// Accounts of a tier share by their weights.
     pub fair_shares: bool,
+    /// Requests that can no longer be answered in time go after those that can.
+    pub late_last: bool,
 }
 
 impl Mechanisms {
@@ -44,6 +46,7 @@
         ejection: true,
         resume: true,
         fair_shares: true,
+        late_last: true,
     };
 }
 
--- a/crates/firdock-policy/src/system/expire.rs
+++ b/crates/firdock-policy/src/system/expire.rs
@@ -8,6 +8,19 @@
 use crate::table::Tables;
 use crate::time::Time;
 
+/// Puts requests that waited past their tier's target behind those that can still meet it.
+pub fn put_late_last(t: &mut Tables, now: Time) {
+    if !t.settings.mechanisms.late_last {
+        return;
+    }
+    let requests = &t.requests;
+    for (_, s) in t.services.iter_mut() {
+        let target = s.tier.target();
+        let is_late = |id| requests.get(id).is_some_and(|r| r.arrived + target <= now);
+        s.queue.put_late_last(is_late);
+    }
+}
+
 /// Gives up what waited too long, and forgets keys that were kept long enough.
 ///
 /// A request of a higher tier stays held while one of a lower tier is, so that it is never shed
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -16,6 +16,9 @@
 /// Lanes of a queue that are looked at before the queue counts as blocked.
 const MAX_LOOKS: usize = 8;
 
+/// Prefill work that may wait at an endpoint before it gets another prompt, in seconds.
+const MAX_PREFILL_SECS: f64 = 1.0;
+
 /// An endpoint that was chosen for a request.
 #[derive(Debug, Clone, Copy)]
 struct Choice {
@@ -129,7 +132,15 @@
     } else {
         0.0
     };
-    !on.late_binding || e.running < e.budget_with(headroom)
+    !on.late_binding || (e.running < e.budget_with(headroom) && prefill_fits(e, now))
+}
+
+/// Tells whether the prompts that wait at an endpoint leave room for another.
+///
+/// A slot alone does not mean room: sixteen long prompts would wait for each other in the engine,
+/// where a more urgent request can no longer pass them nor a better endpoint be found.
+fn prefill_fits(e: &EndpointRow, now: Time) -> bool {
+    e.running == 0 || e.waiting_tokens(now) <= MAX_PREFILL_SECS * e.declared.prefill_rate
 }
 
 /// Sends a request to an endpoint.
--- a/crates/firdock-policy/src/system/shed.rs
+++ b/crates/firdock-policy/src/system/shed.rs
@@ -44,14 +44,14 @@
     end::give_up(t, now, id, reason, out);
 }
 
-/// Picks the newest request of the account that holds most for its share, in the lowest tier.
+/// Picks from the account that holds most for its share, in the lowest tier: late ones first.
 fn victim(t: &Tables) -> Option<RequestId> {
     let rank = t.requests.lowest_held()?;
     let lanes = lanes_of(t, rank);
     let weight = |account: usize, n: usize| n as f64 / t.accounts.get(account).share;
     let (service, account, _) =
         lanes.max_by(|a, b| weight(a.1, a.2).total_cmp(&weight(b.1, b.2)))?;
-    t.services.get(service).queue.newest(account)
+    t.services.get(service).queue.most_expendable(account)
 }
 
 /// Goes over the lanes of a tier: service, account and how many wait.
@@ -78,7 +78,7 @@
     let rank = t.requests.lowest_held()?;
     let over = |a: usize| t.accounts.get(a).held > t.accounts.get(a).max_held;
     let (service, account, _) = lanes_of(t, rank).find(|(_, a, n)| *n > 0 && over(*a))?;
-    t.services.get(service).queue.newest(account)
+    t.services.get(service).queue.most_expendable(account)
 }
 
 /// Tells whether a verdict is one for load.
--- a/crates/firdock-policy/src/table/queue.rs
+++ b/crates/firdock-policy/src/table/queue.rs
@@ -2,7 +2,8 @@
 //!
 //! Each account has a lane and a virtual time that grows by cost over share; the lane with the
 //! least virtual time goes next. This is start-time fair queueing; deficit round robin was weighed
-//! against it in `docs/design/limits.md`.
+//! against it in `docs/design/limits.md`. Requests that can no longer be answered in time go after
+//! all that still can, so that a queue that grew too long does not make every answer late.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -13,10 +14,26 @@
 
 #[derive(Debug, Default)]
 struct Lane {
+    /// Requests that can still be answered in time, oldest first.
     ids: VecDeque<RequestId>,
+    /// Requests that cannot, oldest first.
+    late: VecDeque<RequestId>,
     time: VirtualTime,
 }
 
+impl Lane {
+    fn len(&self) -> usize {
+        self.ids.len() + self.late.len()
+    }
+
+    fn remove(&mut self, id: RequestId) -> bool {
+        [&mut self.ids, &mut self.late].into_iter().any(|queue| {
+            let at = queue.iter().position(|i| *i == id);
+            at.and_then(|at| queue.remove(at)).is_some()
+        })
+    }
+}
+
 /// Requests of one service that wait, in lanes by account row.
 #[derive(Debug, Default)]
 pub struct FairQueue {
@@ -51,29 +68,33 @@
         self.len += 1;
     }
 
-    /// Gives the first request of each lane, in the order in which lanes are due.
+    /// Gives the first request of each lane, in the order in which lanes are due; late ones last.
     pub fn heads(&self) -> impl Iterator<Item = (usize, RequestId)> {
-        self.order
-            .iter()
-            .filter_map(|(_, a)| Some((*a, *self.lanes[a].ids.front()?)))
+        let lanes = || self.order.iter().map(|(_, a)| (*a, &self.lanes[a]));
+        let in_time = lanes().filter_map(|(a, lane)| Some((a, *lane.ids.front()?)));
+        let late = lanes().filter_map(|(a, lane)| Some((a, *lane.late.front()?)));
+        in_time.chain(late)
+    }
+
+    /// Puts the requests for which `is_late` says so behind all others of their lane.
+    pub fn put_late_last(&mut self, is_late: impl Fn(RequestId) -> bool) {
+        for lane in self.lanes.values_mut() {
+            while let Some(id) = lane.ids.pop_front_if(|id| is_late(*id)) {
+                lane.late.push_back(id);
+            }
+        }
     }
 
     /// Goes over the lanes: account and how many of its requests wait.
     pub fn lanes(&self) -> impl Iterator<Item = (usize, usize)> {
-        self.lanes.iter().map(|(a, lane)| (*a, lane.ids.len()))
+        self.lanes.iter().map(|(a, lane)| (*a, lane.len()))
     }
 
-    /// Gives the newest request of an account.
+    /// Gives the request of an account whose loss costs least: the oldest late, else the newest.
     #[must_use]
-    pub fn newest(&self, account: usize) -> Option<RequestId> {
-        self.lanes.get(&account)?.ids.back().copied()
-    }
-
-    /// Goes over all waiting requests.
-    pub fn iter(&self) -> impl Iterator<Item = RequestId> {
-        self.lanes
-            .values()
-            .flat_map(|lane| lane.ids.iter().copied())
+    pub fn most_expendable(&self, account: usize) -> Option<RequestId> {
+        let lane = self.lanes.get(&account)?;
+        lane.late.front().or(lane.ids.back()).copied()
     }
 
     /// Removes a request; tells whether it was there.
@@ -81,10 +102,9 @@
         let Some(lane) = self.lanes.get_mut(&account) else {
             return false;
         };
-        let Some(at) = lane.ids.iter().position(|i| *i == id) else {
+        if !lane.remove(id) {
             return false;
-        };
-        lane.ids.remove(at);
+        }
         self.len -= 1;
         self.drop_if_empty(account);
         true
@@ -107,8 +127,8 @@
         self.lanes.entry(account).or_insert_with(|| {
             order.insert((clock, account));
             Lane {
-                ids: VecDeque::new(),
                 time: clock,
+                ..Lane::default()
             }
         })
     }
@@ -116,7 +136,7 @@
     /// Drops an empty lane whose virtual time is past, so that idle accounts cost nothing.
     fn drop_if_empty(&mut self, account: usize) {
         let lane = &self.lanes[&account];
-        if lane.ids.is_empty() && (lane.time <= self.clock || self.len == 0) {
+        if lane.len() == 0 && (lane.time <= self.clock || self.len == 0) {
             self.order.remove(&(lane.time, account));
             self.lanes.remove(&account);
         }
--- a/crates/firdock-standin/src/measure/plan.rs
+++ b/crates/firdock-standin/src/measure/plan.rs
@@ -49,6 +49,8 @@
     NoResume,
     /// Firdock without accounts' weights.
     NoFairShares,
+    /// Firdock with requests in the order of their arrival, late or not.
+    NoLateLast,
 }
 
 impl Contender {
@@ -60,7 +62,7 @@
         Self::TwoChoices,
     ];
     /// Firdock with one mechanism off.
-    pub const WITHOUT: [Self; 8] = [
+    pub const WITHOUT: [Self; 9] = [
         Self::NoLateBinding,
         Self::NoAffinity,
         Self::NoLearning,
@@ -69,6 +71,7 @@
         Self::NoEjection,
         Self::NoResume,
         Self::NoFairShares,
+        Self::NoLateLast,
     ];
 
     /// Gives the name.
@@ -87,6 +90,7 @@
             Self::NoEjection => "no-ejection",
             Self::NoResume => "no-resume",
             Self::NoFairShares => "no-fair-shares",
+            Self::NoLateLast => "no-late-last",
         }
     }
 
@@ -134,6 +138,10 @@
                 fair_shares: false,
                 ..all
             },
+            Self::NoLateLast => Mechanisms {
+                late_last: false,
+                ..all
+            },
             _ => all,
         }
     }
