Take headroom out, and measure what fair shares earn

Shares by account showed nothing either, since Jain's index over all calls hides what happens to quiet accounts.

Change: headroom is gone from tiers, policy and samples. The measurement prints the goodput of all accounts but the loudest, and runs firdock with all accounts in one queue.

Ruled out (failed try, reverted): letting an instance go beyond its budget where a report under 1.2 s old shows spare slots.

--- a/crates/firdock-core/src/resource/tier.rs
+++ b/crates/firdock-core/src/resource/tier.rs
@@ -19,8 +19,6 @@
     pub wait_millis: u64,
     /// Time to the first token or byte, in milliseconds, within which an answer is good.
     pub target_millis: u64,
-    /// Part of each endpoint, from 0 to 1, that this tier must leave to the tiers above.
-    pub headroom: f64,
 }
 
 impl Default for Tier {
@@ -30,7 +28,6 @@
             rank: 0,
             wait_millis: 30_000,
             target_millis: 1_000,
-            headroom: 0.0,
         }
     }
 }
@@ -62,13 +59,5 @@
         );
         let wait = (1..=3_600_000).contains(&self.wait_millis);
         require(wait, line, path, "wait_millis", "from 1 to 3600000", f);
-        require(
-            (0.0..=0.9).contains(&self.headroom),
-            line,
-            path,
-            "headroom",
-            "from 0 to 0.9",
-            f,
-        );
     }
 }
--- a/crates/firdock-policy/src/settings.rs
+++ b/crates/firdock-policy/src/settings.rs
@@ -21,16 +21,12 @@
     pub affinity: bool,
     /// Rates are learned from answers instead of taken from the resources.
     pub learning: bool,
-    /// Lower tiers leave room on engines for higher ones.
-    pub headroom: bool,
     /// Budgets on endpoints follow the demand that peers tell.
     pub demand_shares: bool,
     /// Failing endpoints are ejected.
     pub ejection: bool,
     /// Broken streams are resumed on another engine.
     pub resume: bool,
-    /// Accounts of a tier share by their weights.
-    pub fair_shares: bool,
     /// Requests that can no longer be answered in time go after those that can.
     pub late_last: bool,
 }
@@ -41,11 +37,9 @@
         late_binding: true,
         affinity: true,
         learning: true,
-        headroom: true,
         demand_shares: true,
         ejection: true,
         resume: true,
-        fair_shares: true,
         late_last: true,
     };
 }
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -127,12 +127,7 @@
         return false;
     }
     let on = t.settings.mechanisms;
-    let headroom = if on.headroom {
-        t.services.get(row.service).tier.headroom
-    } else {
-        0.0
-    };
-    !on.late_binding || (e.running < e.budget_with(headroom) && prefill_fits(e, now))
+    !on.late_binding || (e.running < e.budget && prefill_fits(e, now))
 }
 
 /// Tells whether the prompts that wait at an endpoint leave room for another.
@@ -202,11 +197,7 @@
     let Some(row) = t.requests.get(id) else {
         return;
     };
-    let share = if t.settings.mechanisms.fair_shares {
-        t.accounts.get(row.account).share
-    } else {
-        1.0
-    };
+    let share = t.accounts.get(row.account).share;
     let micros = choice.estimate.total_secs * 1e6 / share;
     t.services
         .get_mut(row.service)
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -188,11 +188,4 @@
         let others = (f64::from(r.backlog) - r.own_backlog).max(0.0);
         self.backlog + others
     }
-
-    /// Gives the budget for a tier that must leave `headroom` of the endpoint to others.
-    #[must_use]
-    pub fn budget_with(&self, headroom: f64) -> u32 {
-        let room = (f64::from(self.budget) * (1.0 - headroom)).ceil();
-        (room as u32).max(1)
-    }
 }
--- a/crates/firdock-standin/src/cmd/measure.rs
+++ b/crates/firdock-standin/src/cmd/measure.rs
@@ -121,7 +121,11 @@
     println!("    gap p95 ms    {}", per_tier(&row.gap_p95, 1.0, 0));
     println!("    given up      {}", per_tier(&row.given_up, 1.0, 0));
     println!(
-        "    wasted prefill: lost {:.0}, recomputed {:.0}; Jain {:.3}; {:.0} decisions/s",
-        row.wasted_lost, row.wasted_recomputed, row.jain, row.decisions_per_second
+        "    wasted prefill: lost {:.0}, recomputed {:.0}; Jain {:.3}; quiet accounts {:.1} %; {:.0} decisions/s",
+        row.wasted_lost,
+        row.wasted_recomputed,
+        row.jain,
+        row.quiet_goodput * 100.0,
+        row.decisions_per_second
     );
 }
--- a/crates/firdock-standin/src/measure/fleet.rs
+++ b/crates/firdock-standin/src/measure/fleet.rs
@@ -229,7 +229,6 @@
             rank: kind.rank,
             wait_millis,
             target_millis,
-            headroom: f64::from(kind.rank.saturating_sub(1)) * 0.1,
         };
         resources.push(Resource::Tier(tier));
         let protocol = if kind.plain {
--- a/crates/firdock-standin/src/measure/plan.rs
+++ b/crates/firdock-standin/src/measure/plan.rs
@@ -39,15 +39,13 @@
     NoAffinity,
     /// Firdock without learned rates.
     NoLearning,
-    /// Firdock without room left for higher tiers.
-    NoHeadroom,
     /// Firdock with even budgets.
     NoDemandShares,
     /// Firdock without ejection.
     NoEjection,
     /// Firdock without resuming streams.
     NoResume,
-    /// Firdock without accounts' weights.
+    /// Firdock with all accounts in one queue.
     NoFairShares,
     /// Firdock with requests in the order of their arrival, late or not.
     NoLateLast,
@@ -62,11 +60,10 @@
         Self::TwoChoices,
     ];
     /// Firdock with one mechanism off.
-    pub const WITHOUT: [Self; 9] = [
+    pub const WITHOUT: [Self; 8] = [
         Self::NoLateBinding,
         Self::NoAffinity,
         Self::NoLearning,
-        Self::NoHeadroom,
         Self::NoDemandShares,
         Self::NoEjection,
         Self::NoResume,
@@ -85,7 +82,6 @@
             Self::NoLateBinding => "no-late-binding",
             Self::NoAffinity => "no-affinity",
             Self::NoLearning => "no-learning",
-            Self::NoHeadroom => "no-headroom",
             Self::NoDemandShares => "no-demand-shares",
             Self::NoEjection => "no-ejection",
             Self::NoResume => "no-resume",
@@ -118,10 +114,6 @@
                 learning: false,
                 ..all
             },
-            Self::NoHeadroom => Mechanisms {
-                headroom: false,
-                ..all
-            },
             Self::NoDemandShares => Mechanisms {
                 demand_shares: false,
                 ..all
@@ -134,10 +126,6 @@
                 resume: false,
                 ..all
             },
-            Self::NoFairShares => Mechanisms {
-                fair_shares: false,
-                ..all
-            },
             Self::NoLateLast => Mechanisms {
                 late_last: false,
                 ..all
@@ -151,9 +139,16 @@
             Some(choice) => run(settings, |i| {
                 Baseline::new(choice, settings.seed + i as u64)
             }),
-            None => run(settings, |i| {
-                Scheduler::new(policy_settings(i, self.mechanisms()))
-            }),
+            None => {
+                let one_account = self == Self::NoFairShares;
+                let settings = RunSettings {
+                    one_account,
+                    ..settings
+                };
+                run(settings, |i| {
+                    Scheduler::new(policy_settings(i, self.mechanisms()))
+                })
+            }
         }
     }
 }
@@ -219,6 +214,8 @@
     pub wasted_recomputed: f64,
     /// Jain's index over accounts.
     pub jain: f64,
+    /// Goodput of all accounts but the one that sent most, over model calls.
+    pub quiet_goodput: f64,
     /// Decisions a second of processor time.
     pub decisions_per_second: f64,
 }
@@ -275,6 +272,7 @@
             scenario,
             seed,
             time: self.time,
+            one_account: false,
         })
     }
 }
@@ -296,6 +294,7 @@
         wasted_lost: median(scores.iter().map(|s| s.wasted_lost as f64)),
         wasted_recomputed: median(scores.iter().map(|s| s.wasted_recomputed as f64)),
         jain: median(scores.iter().map(|s| s.jain)),
+        quiet_goodput: median(scores.iter().map(|s| s.quiet_goodput)),
         decisions_per_second: median(scores.iter().map(|s| s.decisions_per_second)),
     }
 }
--- a/crates/firdock-standin/src/measure/run.rs
+++ b/crates/firdock-standin/src/measure/run.rs
@@ -91,6 +91,8 @@
     pub seed: u64,
     /// Time for which requests arrive.
     pub time: Duration,
+    /// Whether the policy sees all requests as those of one account.
+    pub one_account: bool,
 }
 
 struct Run<P> {
@@ -243,10 +245,15 @@
             i = (i + 1) % INSTANCES;
         }
         let id = Uuid::from_u64_pair(1, self.records.len() as u64);
+        let account = if self.settings.one_account {
+            0
+        } else {
+            arrival.account
+        };
         let new = NewRequest {
             id,
             service: arrival.kind.service.to_owned(),
-            account: fleet::ACCOUNTS[arrival.account].to_owned(),
+            account: fleet::ACCOUNTS[account].to_owned(),
             prompt_tokens: arrival.prompt.tokens(),
             output_tokens: arrival.kind.output.1,
             blocks: if arrival.kind.plain {
--- a/crates/firdock-standin/src/measure/score.rs
+++ b/crates/firdock-standin/src/measure/score.rs
@@ -45,6 +45,8 @@
     pub wasted_recomputed: u64,
     /// Jain's index over the accounts' goodput as a part of what each offered.
     pub jain: f64,
+    /// Goodput of all accounts but the one that sent most, over model calls.
+    pub quiet_goodput: f64,
     /// Decisions a second of processor time, over all instances.
     pub decisions_per_second: f64,
 }
@@ -91,11 +93,15 @@
     let mut firsts: BTreeMap<String, Vec<f64>> = BTreeMap::new();
     let mut gaps: BTreeMap<String, Vec<f64>> = BTreeMap::new();
     let mut accounts: BTreeMap<usize, (u64, u64)> = BTreeMap::new();
+    let mut models: BTreeMap<usize, (u64, u64)> = BTreeMap::new();
     for r in records {
         let tier = score.tiers.entry(r.tier.to_owned()).or_default();
         let account = accounts.entry(r.account).or_default();
         tier.offered += 1;
         account.0 += 1;
+        let model = models.entry(r.account).or_default();
+        model.0 += u64::from(r.tokens > 0);
+        model.1 += u64::from(r.tokens > 0 && r.good());
         let (Some(first), Some(ended)) = (r.first, r.ended) else {
             tier.given_up += 1;
             continue;
@@ -117,6 +123,7 @@
         tier.first_p95 = p95(firsts.remove(name));
         tier.gap_p95 = p95(gaps.remove(name));
     }
+    score.quiet_goodput = quiet_goodput(&models);
     score.jain = jain(
         accounts
             .values()
@@ -125,6 +132,26 @@
     score
 }
 
+/// Gives the goodput of all but the account that offered most.
+fn quiet_goodput(accounts: &BTreeMap<usize, (u64, u64)>) -> f64 {
+    let loudest = accounts
+        .iter()
+        .max_by_key(|(_, (offered, _))| *offered)
+        .map(|(a, _)| *a);
+    let quiet = || {
+        accounts
+            .iter()
+            .filter(|(a, _)| Some(**a) != loudest)
+            .map(|(_, n)| *n)
+    };
+    let (offered, good) = quiet().fold((0, 0), |sum, n| (sum.0 + n.0, sum.1 + n.1));
+    if offered == 0 {
+        1.0
+    } else {
+        good as f64 / offered as f64
+    }
+}
+
 fn p95(values: Option<Vec<f64>>) -> f64 {
     let mut values = values.unwrap_or_default();
     values.sort_by(f64::total_cmp);
