--- a/crates/firdock-node/src/clock.rs
+++ b/crates/firdock-node/src/clock.rs
@@ -9,7 +9,7 @@
 }
 
 /// Time that is already past when a process starts, so that "long ago" can be told from "now".
-const HEAD_START: Duration = Duration::from_secs(3_600);
+const HEAD_START: Duration = Duration::from_hours(1);
 
 impl Default for Clock {
     fn default() -> Self {
--- a/crates/firdock-policy/src/system/handover.rs
+++ b/crates/firdock-policy/src/system/handover.rs
@@ -13,7 +13,7 @@
 /// Time for which a peer's word that an endpoint is leaving counts.
 const LEAVING_WORD: std::time::Duration = std::time::Duration::from_secs(10);
 /// Silence after which a peer's row is dropped.
-const SILENT_PEER: std::time::Duration = std::time::Duration::from_secs(60);
+const SILENT_PEER: std::time::Duration = std::time::Duration::from_mins(1);
 
 /// Takes a peer's heartbeat.
 pub fn peer_news(t: &mut Tables, now: Time, news: PeerNews) {
--- a/crates/firdock-policy/src/table/prefix_cache.rs
+++ b/crates/firdock-policy/src/table/prefix_cache.rs
@@ -13,9 +13,9 @@
 /// Most blocks believed to be cached by one engine.
 pub const MAX_BLOCKS: usize = 16_384;
 /// Age at which a belief that nothing renewed is dropped.
-const BELIEF_AGE: Duration = Duration::from_secs(300);
+const BELIEF_AGE: Duration = Duration::from_mins(5);
 /// Age beyond which beliefs are dropped once events were missed.
-const GAP_AGE: Duration = Duration::from_secs(60);
+const GAP_AGE: Duration = Duration::from_mins(1);
 
 /// Believed content of one engine's prefix cache.
 #[derive(Debug, Default)]
--- a/crates/firdock-policy/tests/policy/world.rs
+++ b/crates/firdock-policy/tests/policy/world.rs
@@ -608,7 +608,7 @@
         }
         self.faults = [0; ENDPOINTS.len()];
         self.leaving = [false; ENDPOINTS.len()];
-        self.run_until(self.now + Duration::from_secs(60));
+        self.run_until(self.now + Duration::from_mins(1));
         for node in &self.nodes {
             let left = node.scheduler.tables().requests.len();
             assert_eq!(left, 0, "{left} requests never ended");
--- a/crates/firdock-standin/src/log.rs
+++ b/crates/firdock-standin/src/log.rs
@@ -31,7 +31,7 @@
 impl Default for LogSettings {
     fn default() -> Self {
         Self {
-            retention: Duration::from_secs(3_600),
+            retention: Duration::from_hours(1),
             rate: 300.0,
         }
     }
--- a/crates/firdock-standin/src/measure/plan.rs
+++ b/crates/firdock-standin/src/measure/plan.rs
@@ -135,21 +135,18 @@
     }
 
     fn run(self, settings: RunSettings) -> Score {
-        match self.baseline() {
-            Some(choice) => run(settings, |i| {
+        if let Some(choice) = self.baseline() {
+            return run(settings, |i| {
                 Baseline::new(choice, settings.seed + i as u64)
-            }),
-            None => {
-                let one_account = self == Self::NoFairShares;
-                let settings = RunSettings {
-                    one_account,
-                    ..settings
-                };
-                run(settings, |i| {
-                    Scheduler::new(policy_settings(i, self.mechanisms()))
-                })
-            }
+            });
         }
+        let settings = RunSettings {
+            one_account: self == Self::NoFairShares,
+            ..settings
+        };
+        run(settings, |i| {
+            Scheduler::new(policy_settings(i, self.mechanisms()))
+        })
     }
 }
 
--- a/tests/testsuite/helper.rs
+++ b/tests/testsuite/helper.rs
@@ -56,7 +56,7 @@
                 cache_blocks: 1_000,
             },
             work: Duration::from_millis(2),
-            retention: Duration::from_secs(3_600),
+            retention: Duration::from_hours(1),
             list_lag: Duration::from_millis(100),
             settings: String::new(),
             max_wait_millis: 10_000,
