--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the whole path: real instances as processes, stand-ins in the test.
 
+mod command_line;
 mod configuration;
 mod dispatch_once;
 mod helper;
