Let members vouch for keys that move, so that restarts cost no orders

Change: a member that folds a new view gives every other member its word: the keys it ran, or was named, that the other owns now, and the words it has heard of. It never runs a key after a view in which it does not own it, so the word is complete. A new owner runs a key at once if every earlier owner since the resend horizon told a later owner, up to itself, and none named the key. The log's state remembers 32 views, so that a joiner knows who owned before. Without a word (a crash, a lost link) it doubts as before.

A crash still costs the doubt.

--- a/crates/firdock-node/src/config/follow.rs
+++ b/crates/firdock-node/src/config/follow.rs
@@ -181,10 +181,10 @@
             info!(self.parts.log, "configuration in force"; "version" => state.version);
             self.send(Event::Config(Arc::new(state.catalog())));
         }
-        if state.view != old.view {
-            info!(self.parts.log, "member view in force"; "view" => state.view,
-                "members" => state.members.len());
-            self.send(Event::View(view_of(&state)));
+        for view in state.views.iter().filter(|v| v.number > old.view()) {
+            info!(self.parts.log, "member view in force"; "view" => view.number,
+                "members" => view.members.len());
+            self.send(Event::View(view_of(view)));
         }
     }
 
@@ -213,15 +213,15 @@
     }
 }
 
-fn view_of(state: &State) -> MemberView {
+fn view_of(view: &firdock_state::PastView) -> MemberView {
     let member = |m: &firdock_state::MemberEntry| Member {
         name: m.name.clone(),
         incarnation: m.incarnation,
     };
     MemberView {
-        since: state.view_since,
-        number: state.view,
-        first: state.first_view,
-        members: state.members.iter().map(member).collect(),
+        since: view.since,
+        number: view.number,
+        first: view.first,
+        members: view.members.iter().map(member).collect(),
     }
 }
--- a/crates/firdock-node/src/peer/serve.rs
+++ b/crates/firdock-node/src/peer/serve.rs
@@ -16,6 +16,7 @@
 use super::dial::Dialer;
 use super::hand_over::{read_headers, send_part};
 use super::heartbeat::peer_news;
+use super::keys::read_word;
 use super::link::{Link, LinkError};
 use super::state::send_state;
 use crate::clock::Clock;
@@ -74,6 +75,7 @@
         match link.receive().await? {
             Some(Body::Heartbeat(beat)) => self.hear(link, beat).await,
             Some(Body::HandOver(order)) => self.take_over(link, order).await,
+            Some(Body::KeysMoved(word)) => self.take_word(word).await,
             Some(Body::StateRequest(_)) => {
                 let state = Arc::clone(&self.dialer.hub().lock().state);
                 send_state(&mut link, &state).await
@@ -85,6 +87,17 @@
         }
     }
 
+    /// Takes a member's word on keys that moved; closing the link shows that it was taken.
+    async fn take_word(&self, word: message::KeysMoved) -> Result<(), LinkError> {
+        let Some(word) = read_word(word) else {
+            return Err(LinkError::Stranger {
+                why: "malformed word",
+            });
+        };
+        let _ = self.inputs.send(Input::Event(Event::KeysMoved(word))).await;
+        Ok(())
+    }
+
     /// Takes heartbeats until the link breaks.
     async fn hear(&self, mut link: Link, first: message::Heartbeat) -> Result<(), LinkError> {
         let mut next = Some(Body::Heartbeat(first));
--- a/crates/firdock-policy/src/action.rs
+++ b/crates/firdock-policy/src/action.rs
@@ -3,6 +3,7 @@
 use firdock_core::{EndpointId, InstanceId, RequestId};
 use serde::{Deserialize, Serialize};
 
+use crate::event::KeysMoved;
 use crate::request::Verdict;
 use crate::time::Time;
 
@@ -70,6 +71,13 @@
         /// Request.
         id: RequestId,
     },
+    /// Give another member this one's word on the keys that moved to it.
+    MoveKeys {
+        /// Member.
+        peer: InstanceId,
+        /// The word.
+        word: KeysMoved,
+    },
     /// All work is done; the instance may exit.
     Drained,
 }
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -30,6 +30,8 @@
     Config(Arc<Catalog>),
     /// The member view changed.
     View(MemberView),
+    /// Another member gave its word on keys that it owned and this instance owns now.
+    KeysMoved(KeysMoved),
     /// The log was read up to its end.
     LogRead(LogReading),
     /// The instance list was read.
@@ -211,3 +213,28 @@
     /// Endpoints that the peer dispatched it to and that refused it.
     pub tried: Vec<EndpointId>,
 }
+
+/// A member's word on the keys that moved from it to another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeysMoved {
+    /// Start of the member that gives its word.
+    pub incarnation: Uuid,
+    /// Number of the newest view that it has folded.
+    pub view: u64,
+    /// Keys that it ran or is running, or that others named to it, and that the receiver owns in
+    /// that view.
+    pub keys: Vec<u64>,
+    /// Words that it has heard of.
+    pub heard: Vec<HeardWord>,
+}
+
+/// That a member gave its word to another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeardWord {
+    /// Start of the member that gave it.
+    pub from: Uuid,
+    /// Start of the member that it was given to.
+    pub to: Uuid,
+    /// Number of the newest view that the giver had folded.
+    pub view: u64,
+}
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -4,7 +4,7 @@
 use crate::event::Event;
 use crate::settings::PolicySettings;
 use crate::system::{
-    admit, check, config, drain, expire, handover, health, news, place, share, shed,
+    admit, check, config, drain, expire, handover, health, key, news, place, share, shed,
 };
 use crate::table::Tables;
 use crate::time::Time;
@@ -54,7 +54,8 @@
             Event::Report(report) => health::report(t, now, &report),
             Event::ReportMissed(name) => health::missed(t, now, &name),
             Event::Config(catalog) => config::apply(t, now, &catalog),
-            Event::View(view) => t.views.push(view),
+            Event::View(view) => key::take_view(t, view, out),
+            Event::KeysMoved(word) => key::take_word(t, now, &word),
             Event::LogRead(reading) => t.views.read(reading),
             Event::Listed(rows) => health::listed(t, &rows),
             Event::Peer(peer) => handover::peer_news(t, now, peer),
--- a/crates/firdock-policy/src/system/key.rs
+++ b/crates/firdock-policy/src/system/key.rs
@@ -6,7 +6,8 @@
 
 use firdock_core::{Outcome, Reason, RequestId};
 
-use crate::event::Member;
+use crate::action::Action;
+use crate::event::{KeysMoved, Member, MemberView};
 use crate::request::{KeyClaim, NewRequest, Origin, RequestRow, Verdict};
 use crate::table::Tables;
 use crate::table::key::KeyState;
@@ -80,6 +81,49 @@
     Some(decision)
 }
 
+/// Tells whether every earlier owner gave its word that it did not and will not run the key.
+fn vouched(t: &Tables, key: u64, log_now: LogTime) -> bool {
+    let horizon = log_now.saturating_sub(t.settings.key_keep);
+    let me = t.settings.member.incarnation;
+    let tenures = t.views.tenures(key, horizon);
+    !t.moved.names(key) && tenures.is_some_and(|tenures| t.moved.vouch(me, &tenures))
+}
+
+/// Takes a view over and gives the other members this one's word on the keys that they own now.
+pub fn take_view(t: &mut Tables, view: MemberView, out: &mut Vec<Action>) {
+    if view.number <= t.views.number() {
+        return;
+    }
+    t.views.push(view);
+    let me = t.settings.member.clone();
+    let others = t.views.members().iter().filter(|m| **m != me);
+    let words = others.map(|m| {
+        let moved = |key: &u64| t.views.owner_now(*key) == Some(m);
+        let word = KeysMoved {
+            incarnation: me.incarnation,
+            view: t.views.number(),
+            keys: t
+                .keys
+                .hashes()
+                .chain(t.moved.hashes())
+                .filter(moved)
+                .collect(),
+            heard: t.moved.heard(),
+        };
+        Action::MoveKeys {
+            peer: m.name.clone(),
+            word,
+        }
+    });
+    out.extend(words);
+}
+
+/// Takes another member's word.
+pub fn take_word(t: &mut Tables, now: Time, word: &KeysMoved) {
+    let me = t.settings.member.incarnation;
+    t.moved.take(now, me, word, t.settings.max_keys);
+}
+
 fn first_sight(t: &Tables, now: Time, claim: &KeyClaim, since: Option<LogTime>) -> Decision {
     let grace = t.settings.key_grace;
     let (Some(read), Some(log_now)) = (t.views.last_read(), t.views.log_now(now)) else {
@@ -92,8 +136,9 @@
     } else {
         t.settings.key_keep
     };
-    if since.is_some_and(|s| minted < s + wait) || minted + t.settings.key_keep < log_now {
-        return unknown(Reason::KeyUncertain, None);
+    let doubtful = since.is_some_and(|s| minted < s + wait) && !vouched(t, claim.hash, log_now);
+    if doubtful || minted + t.settings.key_keep < log_now {
+        return unknown(Reason::KeyUncertain, Some(RETRY_SECONDS));
     }
     if minted >= read + grace {
         return unconfirmed();
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -3,6 +3,7 @@
 pub mod account;
 pub mod endpoint;
 pub mod key;
+pub mod moved;
 pub mod peer;
 pub mod prefix_cache;
 pub mod queue;
@@ -37,6 +38,8 @@
     pub peers: peer::Peers,
     /// Idempotency keys that this instance owns.
     pub keys: key::Keys,
+    /// Words of other members on keys that moved to this instance.
+    pub moved: moved::Moved,
     /// Member views by the log.
     pub views: view::Views,
     /// Whether the instance is stopping.
@@ -69,6 +72,7 @@
             accounts: account::Accounts::new(),
             peers: peer::Peers::new(),
             keys: key::Keys::new(),
+            moved: moved::Moved::new(),
             views,
             draining: false,
             drained: false,
--- a/crates/firdock-policy/src/table/key.rs
+++ b/crates/firdock-policy/src/table/key.rs
@@ -1,6 +1,6 @@
 //! Idempotency keys that this instance has seen as their owner.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use firdock_core::{Outcome, RequestId};
 
@@ -30,7 +30,7 @@
 /// Table of keys, bounded by refusing new keys rather than forgetting old ones.
 #[derive(Debug, Default)]
 pub struct Keys {
-    rows: HashMap<u64, KeyRow>,
+    rows: BTreeMap<u64, KeyRow>,
     ended: VecDeque<(Time, u64, RequestId)>,
 }
 
@@ -59,6 +59,11 @@
         self.rows.is_empty()
     }
 
+    /// Goes over the keys that are known.
+    pub fn hashes(&self) -> impl Iterator<Item = u64> {
+        self.rows.keys().copied()
+    }
+
     /// Notes that a request holds a key.
     pub fn claim(&mut self, claim: &KeyClaim, id: RequestId) {
         let row = KeyRow {
--- a/crates/firdock-policy/src/table/view.rs
+++ b/crates/firdock-policy/src/table/view.rs
@@ -13,6 +13,25 @@
 /// Views that are remembered; a key owned through all of them is owned since the oldest.
 const MAX_VIEWS: usize = 64;
 
+/// A time through which one member owned a key, by the numbers of its first and last view.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Tenure {
+    /// Member.
+    pub member: Member,
+    /// Number of the first view.
+    pub first: u64,
+    /// Number of the last view.
+    pub last: u64,
+}
+
+impl Tenure {
+    /// Tells whether a view falls into it.
+    #[must_use]
+    pub fn covers(&self, view: u64) -> bool {
+        (self.first..=self.last).contains(&view)
+    }
+}
+
 /// Who may run a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Ownership {
@@ -99,6 +118,50 @@
         }
     }
 
+    /// Gives who owned a key since `horizon`, in order; `None` if views that old are not remembered,
+    /// so that an owner may be forgotten.
+    #[must_use]
+    pub fn tenures(&self, key: u64, horizon: LogTime) -> Option<Vec<Tenure>> {
+        let reaches = self
+            .history
+            .front()
+            .is_some_and(|v| v.first || v.since <= horizon);
+        if !reaches {
+            return None;
+        }
+        let mut tenures: Vec<Tenure> = Vec::new();
+        for (i, view) in self.history.iter().enumerate() {
+            let over = self
+                .history
+                .get(i + 1)
+                .is_some_and(|next| next.since < horizon);
+            let Some(member) = owner(view, key).filter(|_| !over) else {
+                continue;
+            };
+            match tenures.last_mut().filter(|t| t.member == *member) {
+                Some(tenure) => tenure.last = view.number,
+                None => tenures.push(Tenure {
+                    member: member.clone(),
+                    first: view.number,
+                    last: view.number,
+                }),
+            }
+        }
+        Some(tenures)
+    }
+
+    /// Gives the number of the view in force.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        self.history.back().map_or(0, |v| v.number)
+    }
+
+    /// Gives the member that owns a key in the view in force.
+    #[must_use]
+    pub fn owner_now(&self, key: u64) -> Option<&Member> {
+        owner(self.history.back()?, key)
+    }
+
     fn owned_since(&self, key: u64) -> Option<LogTime> {
         let own = |v: &&MemberView| owner(v, key) == Some(&self.me);
         let oldest = self.history.iter().rev().take_while(own).last()?;
--- a/crates/firdock-policy/tests/policy/world.rs
+++ b/crates/firdock-policy/tests/policy/world.rs
@@ -555,6 +555,12 @@
                 );
                 self.end(i, id, "replayed", None);
             }
+            Action::MoveKeys { peer, word } => {
+                // Some words are lost, as when a link breaks.
+                if self.rng.random_bool(0.8) {
+                    self.deliver(node_index(&peer), Event::KeysMoved(word));
+                }
+            }
             Action::Cancel { .. } | Action::Forget { .. } | Action::Drained => {}
         }
     }
--- a/crates/firdock-state/src/lib.rs
+++ b/crates/firdock-state/src/lib.rs
@@ -10,4 +10,4 @@
 
 pub use follow::{Batch, Follower, Progress};
 pub use record::{Body, Change, LogRecord, MemberRecord, Record, RecordId};
-pub use state::{Entry, FoldOutcome, MemberEntry, State};
+pub use state::{Entry, FoldOutcome, MemberEntry, PastView, State};
--- a/crates/firdock-state/src/state.rs
+++ b/crates/firdock-state/src/state.rs
@@ -12,6 +12,8 @@
 
 /// Most members of a view; further joins change nothing, so that a fault cannot grow the state.
 const MAX_MEMBERS: usize = 512;
+/// Views that are remembered.
+const MAX_VIEWS: usize = 32;
 /// Most resources; further ones change nothing.
 const MAX_RESOURCES: usize = 50_000;
 
@@ -33,6 +35,19 @@
     pub incarnation: Uuid,
 }
 
+/// A member view that was in force, and is still asked for by those who own keys.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PastView {
+    /// Number: the offset of the record that made it, plus one.
+    pub number: u64,
+    /// Time of that record, by the log's clock.
+    pub since: Duration,
+    /// Whether no view was in force before.
+    pub first: bool,
+    /// Members, sorted by name.
+    pub members: Vec<MemberEntry>,
+}
+
 /// What became of a record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "result", rename_all = "kebab-case")]
@@ -65,12 +80,8 @@
     pub entries: BTreeMap<ResourceKey, Entry>,
     /// Members, sorted by name.
     pub members: Vec<MemberEntry>,
-    /// Number of the view: the offset of the record that made it, plus one; 0 before the first.
-    pub view: u64,
-    /// Time of that record, by the log's clock.
-    pub view_since: Duration,
-    /// Whether no view was in force before this one.
-    pub first_view: bool,
+    /// The latest views, the one in force last.
+    pub views: Vec<PastView>,
     /// Time of the newest snapshot record; zero before the first.
     pub snapshot_time: Duration,
 }
@@ -107,6 +118,12 @@
         self.entries.get(key).map_or(0, |e| e.version)
     }
 
+    /// Gives the number of the view in force; 0 before the first.
+    #[must_use]
+    pub fn view(&self) -> u64 {
+        self.views.last().map_or(0, |v| v.number)
+    }
+
     /// Gives the resources in force as the policy takes them.
     #[must_use]
     pub fn catalog(&self) -> Catalog {
@@ -159,11 +176,23 @@
             }
             _ => return FoldOutcome::Ignored,
         }
-        self.first_view = self.view == 0;
-        self.view = offset + 1;
-        self.view_since = time;
+        self.note_view(offset, time);
         FoldOutcome::View
     }
+
+    fn note_view(&mut self, offset: Offset, since: Duration) {
+        let first = self.views.is_empty();
+        let members = self.members.clone();
+        self.views.push(PastView {
+            number: offset + 1,
+            since,
+            first,
+            members,
+        });
+        if self.views.len() > MAX_VIEWS {
+            self.views.remove(0);
+        }
+    }
 }
 
 /// JSON has no maps with struct keys, so entries are written as a list.
--- a/crates/firdock-state/tests/state/random.rs
+++ b/crates/firdock-state/tests/state/random.rs
@@ -176,11 +176,11 @@
 
 fn assert_same(state: &State, right: &State) {
     assert_eq!(state.entries, right.entries);
-    assert_eq!(state.members, right.members);
     assert_eq!(
-        (state.version, state.view, state.next),
-        (right.version, right.view, right.next)
+        (&state.members, &state.views),
+        (&right.members, &right.views)
     );
+    assert_eq!((state.version, state.next), (right.version, right.next));
 }
 
 /// Lets one that is up to date write a snapshot; then everyone must come to the same state.
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -4,7 +4,7 @@
 pub struct Frame {
     #[prost(
         oneof = "frame::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -38,6 +38,8 @@
         StatePart(super::StatePart),
         #[prost(message, tag = "13")]
         AnswerCut(super::AnswerCut),
+        #[prost(message, tag = "14")]
+        KeysMoved(super::KeysMoved),
     }
 }
 /// First message of the instance that connects.
@@ -185,6 +187,35 @@
     #[prost(bool, tag = "2")]
     pub last: bool,
 }
+/// A member's word on the idempotency keys that moved from it to the receiver.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct KeysMoved {
+    /// 16 bytes: the start of the sender.
+    #[prost(bytes = "vec", tag = "1")]
+    pub incarnation: ::prost::alloc::vec::Vec<u8>,
+    /// Newest member view that the sender has folded.
+    #[prost(uint64, tag = "2")]
+    pub view: u64,
+    /// Keys that it ran or is running, or that others named to it.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub keys: ::prost::alloc::vec::Vec<u64>,
+    /// Words that the sender has heard of.
+    #[prost(message, repeated, tag = "4")]
+    pub heard: ::prost::alloc::vec::Vec<HeardWord>,
+}
+/// That a member gave its word to another.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct HeardWord {
+    /// 16 bytes: the start of the member that gave it.
+    #[prost(bytes = "vec", tag = "1")]
+    pub from: ::prost::alloc::vec::Vec<u8>,
+    /// 16 bytes: the start of the member that it was given to.
+    #[prost(bytes = "vec", tag = "2")]
+    pub to: ::prost::alloc::vec::Vec<u8>,
+    /// Newest member view that the giver had folded.
+    #[prost(uint64, tag = "3")]
+    pub view: u64,
+}
 /// Why a request is handed over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
--- a/tests/testsuite/dispatch_once.rs
+++ b/tests/testsuite/dispatch_once.rs
@@ -240,6 +240,54 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_go_on_through_planned_restarts() {
+    // The grace is long, so only the word of earlier owners can let new keys run at once.
+    let settings = "[keys]\ngrace_seconds = 60\n".to_owned();
+    let spec = Spec {
+        nodes: 3,
+        services: 2,
+        settings,
+        ..Spec::new(17)
+    };
+    let mut site = Site::start(spec).await;
+    let opaque = |n: usize, round: u8| {
+        let key = format!("order-{round}-{n}");
+        order(&key).with_key(&key)
+    };
+    let mut sent = Vec::new();
+    for i in 0..3_u8 {
+        let node = &mut site.nodes[usize::from(i)];
+        node.signal("TERM");
+        assert!(node.ended().await.success());
+        site.add_node(i);
+        site.wait_ready().await;
+        site.wait_converged().await;
+        let calls: Vec<Call> = (0..8)
+            .map(|n| opaque(n, i))
+            .chain((0..8).map(|_| timed_order()))
+            .collect();
+        let sending = calls
+            .iter()
+            .enumerate()
+            .map(|(n, call)| site.call(n % 3, call));
+        let got = futures_util::future::join_all(sending).await;
+        assert!(got.iter().all(Got::answered), "round {i}: {got:?}");
+        sent.extend(calls);
+    }
+    for (n, call) in sent.iter().enumerate() {
+        let again = site.call(n % 3, call).await;
+        assert!(again.answered() || again.outcome == "unknown", "{again:?}");
+    }
+    let runs: Vec<u32> = site
+        .services
+        .iter()
+        .flat_map(|s| s.runs().by_work.into_values())
+        .collect();
+    assert_eq!(runs.len(), sent.len());
+    assert!(runs.iter().all(|n| *n == 1));
+}
+
 /// Waits for all of some calls at once.
 async fn futures<F>(calls: impl Iterator<Item = F>) -> Vec<Got>
 where
