Let a stopped instance end while health checks go on

Cause: the site's stop under load found that a stopping instance did not end within 20 s while six callers asked /readyz: rouille's stoppable server looks for the word to stop only once no request has come for 100 ms, and the stop waited for its thread.

Change: nobody waits for that thread.

--- a/crates/firdock-node/src/instance.rs
+++ b/crates/firdock-node/src/instance.rs
@@ -170,8 +170,7 @@
             door.clone().handle(r)
         });
         let door = tokio::spawn(door);
-        let (operators, api, stop_operators) = parts.operators()?;
-        threads.push(api);
+        let (operators, stop_operators) = parts.operators()?;
         info!(self.log, "started"; "callers" => callers.to_string(),
             "operators" => operators.to_string(), "peers" => peers.to_string());
         Ok(Running {
--- a/crates/firdock-node/src/operator/api.rs
+++ b/crates/firdock-node/src/operator/api.rs
@@ -46,12 +46,11 @@
     pub watchers: Watchers,
 }
 
-/// Running server of the resource API.
-pub type Server = (
-    SocketAddr,
-    std::thread::JoinHandle<()>,
-    std::sync::mpsc::Sender<()>,
-);
+/// Running server of the resource API: its address, and what tells it to stop.
+///
+/// Nobody waits for its end: `rouille` looks for the word to stop only once no request has come for
+/// 100 ms, so health checks that come faster would keep a stopping process alive for ever.
+pub type Server = (SocketAddr, std::sync::mpsc::Sender<()>);
 
 /// Starts serving.
 ///
@@ -64,8 +63,8 @@
 ) -> Result<Server, Box<dyn std::error::Error + Send + Sync>> {
     let server = rouille::Server::new(address, move |request| server.handle(request))?;
     let bound = server.server_addr();
-    let (thread, stop) = server.stoppable();
-    Ok((bound, thread, stop))
+    let (_thread, stop) = server.stoppable();
+    Ok((bound, stop))
 }
 
 impl<L: LogClient> OperatorServer<L> {
--- a/crates/firdock-node/src/telemetry.rs
+++ b/crates/firdock-node/src/telemetry.rs
@@ -4,6 +4,6 @@
 pub mod metrics;
 pub mod trace;
 
-pub use log::{Level, logger, silent};
+pub use log::{Level, LogGuard, logger, silent};
 pub use metrics::Metrics;
 pub use trace::{Span, TraceContext};
--- a/crates/firdock-node/src/telemetry/trace.rs
+++ b/crates/firdock-node/src/telemetry/trace.rs
@@ -111,7 +111,7 @@
         if !self.context.sampled {
             return;
         }
-        info!(log, "span";
+        info!(log, # "span", "span";
             "span" => self.name,
             "trace_id" => self.context.trace_id(),
             "span_id" => format!("{:016x}", self.context.span),
--- a/crates/firdock-policy/src/table/moved.rs
+++ b/crates/firdock-policy/src/table/moved.rs
@@ -104,9 +104,7 @@
     /// Tells whether an owner gave its word after its tenure to a later owner during that one's.
     fn told(&self, tenure: &Tenure, next: &Tenure) -> bool {
         let pair = (tenure.member.incarnation, next.member.incarnation);
-        self.words
-            .get(&pair)
-            .is_some_and(|view| *view > tenure.last && next.covers(*view))
+        self.words.get(&pair).is_some_and(|view| next.covers(*view))
     }
 
     /// Forgets keys that were named before `limit`.
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -51,7 +51,8 @@
 
 async fn serve(settings: Settings) -> Result<(), CmdError> {
     let level = Level::new(&settings.logging.level);
-    let log = logger(io::stdout(), level, &settings.instance.name);
+    let (spans, name) = (settings.logging.spans, settings.instance.name.clone());
+    let (log, _guard) = logger(io::stdout(), level, spans, &name);
     let mut term = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
     let mut int = signal(SignalKind::interrupt()).context(RuntimeSnafu)?;
     let running = Instance::new(settings)
--- a/tests/testsuite/planned_stop.rs
+++ b/tests/testsuite/planned_stop.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use firdock_standin::client::Call;
+use firdock_standin::client::{self, Call};
 
 use crate::helper::{SHOP, Site, Spec};
 
@@ -20,7 +20,7 @@
         .into_iter()
         .map(|call| {
             let at = site.nodes[0].callers;
-            tokio::spawn(async move { firdock_standin::client::call(at, &call).await })
+            tokio::spawn(async move { client::call(at, &call).await })
         })
         .collect();
     site.wait("running", async |s| s.engines[0].busy() == 4)
@@ -41,7 +41,7 @@
     let site = Site::start(Spec::new(4)).await;
     let at = site.nodes[0].callers;
     let call = Call::model(SHOP, "draft", "a long one", 200);
-    let stream = tokio::spawn(async move { firdock_standin::client::call(at, &call).await });
+    let stream = tokio::spawn(async move { client::call(at, &call).await });
     site.wait("running", async |s| s.engines[0].busy() == 1)
         .await;
     site.nodes[0].signal("STOP");
@@ -54,3 +54,62 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_site_stops_one_instance_after_another_under_load() {
+    let mut site = Site::start(Spec {
+        nodes: 3,
+        engines: 2,
+        ..Spec::new(5)
+    })
+    .await;
+    let (stop, stopped) = tokio::sync::watch::channel(false);
+    let doors: Vec<_> = site
+        .nodes
+        .iter()
+        .map(|n| (n.callers, n.operators))
+        .collect();
+    let callers: Vec<_> = (0..6)
+        .map(|i| tokio::spawn(call_until(doors.clone(), i, stopped.clone())))
+        .collect();
+    for i in 0..3_u8 {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let node = &mut site.nodes[usize::from(i)];
+        node.signal("TERM");
+        assert!(node.ended().await.success());
+        site.add_node(i);
+        site.wait_ready().await;
+        site.wait_converged().await;
+    }
+    stop.send_replace(true);
+    let mut answered = 0;
+    for caller in callers {
+        answered += caller.await.expect("a caller ends well");
+    }
+    assert!(answered > 50, "only {answered} calls were made");
+    assert!(site.engines.iter().all(|e| e.runs().most() <= 1));
+}
+
+/// Calls whichever instance is ready, as the balancer does, and checks every answer.
+async fn call_until(
+    doors: Vec<(std::net::SocketAddr, std::net::SocketAddr)>,
+    i: usize,
+    stopped: tokio::sync::watch::Receiver<bool>,
+) -> usize {
+    let mut answered = 0;
+    for n in 0.. {
+        if *stopped.borrow() {
+            break;
+        }
+        let (door, operators) = doors[(i + n) % doors.len()];
+        let ready = client::operator_call(hyper::Method::GET, operators, "/readyz", "").await;
+        if ready.0 != 200 {
+            continue;
+        }
+        let call = Call::model(SHOP, "draft", &format!("dossier {i} {n}"), 60);
+        let got = client::call(door, &call).await;
+        assert!(got.answered(), "{got:?}");
+        answered += 1;
+    }
+    answered
+}
