Let a request wait a little for the engine that has its prefix

Change: a request that has waited less than 0.3 of its tier's target is held if an endpoint whose slots are used up scores better even with 0.6 of its time there added, and at most 16 requests are held.

--- a/crates/firdock-policy/src/settings.rs
+++ b/crates/firdock-policy/src/settings.rs
@@ -27,6 +27,8 @@
     pub ejection: bool,
     /// Broken streams are resumed on another engine.
     pub resume: bool,
+    /// Requests wait a little for an endpoint that has their prefix cached.
+    pub waiting: bool,
     /// Requests that can no longer be answered in time go after those that can.
     pub late_last: bool,
 }
@@ -40,6 +42,7 @@
         demand_shares: true,
         ejection: true,
         resume: true,
+        waiting: true,
         late_last: true,
     };
 }
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -19,6 +19,24 @@
 /// Prefill work that may wait at an endpoint before it gets another prompt, in seconds.
 const MAX_PREFILL_SECS: f64 = 1.0;
 
+/// Part of a tier's target for which a request may wait for a better endpoint.
+const WAIT_LIMIT: f64 = 0.3;
+/// Requests held beyond which nothing waits: an endpoint left idle then costs more than a prefix.
+const WAIT_HELD: usize = 16;
+/// Part of a request's time on a full endpoint that it is expected to wait for room there.
+const WAIT_PART: f64 = 0.6;
+
+/// What to do with a held request.
+#[derive(Debug, Clone, Copy)]
+enum Placement {
+    /// Send it.
+    On(Choice),
+    /// Hold it: an endpoint without room is worth waiting for.
+    Wait,
+    /// No endpoint has room.
+    Blocked,
+}
+
 /// An endpoint that was chosen for a request.
 #[derive(Debug, Clone, Copy)]
 struct Choice {
@@ -64,16 +82,18 @@
             end::answer(t, now, id, key::unconfirmed_verdict(), out);
             return true;
         }
-        if let Some(choice) = choose(t, now, row) {
-            if let Some(row) = t.requests.get_mut(id) {
-                row.confirm_by = confirm_by;
+        match choose(t, now, row) {
+            Placement::On(choice) => {
+                if let Some(row) = t.requests.get_mut(id) {
+                    row.confirm_by = confirm_by;
+                }
+                dispatch(t, now, id, choice, out);
+                return true;
             }
-            dispatch(t, now, id, choice, out);
-            return true;
-        }
-        if row.tried.is_empty() {
+            Placement::Wait => continue,
             // Whatever blocks this request blocks the rest of the queue as well.
-            return false;
+            Placement::Blocked if row.tried.is_empty() => return false,
+            Placement::Blocked => {}
         }
         if exhausted(t, row) {
             end::give_up(t, now, id, Reason::NoEndpoint, out);
@@ -94,40 +114,66 @@
     names.into_iter().all(|d| row.tried.contains(&d.name))
 }
 
-fn choose(t: &Tables, now: Time, row: &RequestRow) -> Option<Choice> {
-    let service = t.services.get(row.service);
-    let by_cost = |a: &Choice, b: &Choice| {
-        let order = a.estimate.score.partial_cmp(&b.estimate.score);
-        order
-            .unwrap_or(Ordering::Equal)
-            .then(a.endpoint.cmp(&b.endpoint))
+fn choose(t: &Tables, now: Time, row: &RequestRow) -> Placement {
+    let endpoints = t.services.get(row.service).endpoints.iter().copied();
+    let (open, full): (Vec<usize>, Vec<usize>) = endpoints
+        .filter(|e| may_take(now, row, t.endpoints.get(*e)))
+        .partition(|e| has_room(t, now, t.endpoints.get(*e)));
+    let Some(best) = best_of(t, now, row, &open) else {
+        return Placement::Blocked;
     };
-    let open = service
-        .endpoints
-        .iter()
-        .filter(|e| has_room(t, now, row, t.endpoints.get(**e)));
-    let estimated = open.map(|e| {
-        let estimate = cost::estimate(
-            now,
-            t.settings.mechanisms,
-            row,
-            service,
-            t.endpoints.get(*e),
-        );
+    if may_wait(t, now, row) {
+        // Slots free up one by one; prefill that waits there would only make the wait longer.
+        let slots_used: Vec<usize> = full
+            .into_iter()
+            .filter(|e| prefill_fits(t.endpoints.get(*e), now))
+            .collect();
+        let better = best_of(t, now, row, &slots_used);
+        let worth = better.is_some_and(|b| {
+            let wait = WAIT_PART * b.estimate.total_secs;
+            b.estimate.score + wait < best.estimate.score
+        });
+        if worth {
+            return Placement::Wait;
+        }
+    }
+    Placement::On(best)
+}
+
+/// Gives the endpoint with the least score.
+fn best_of(t: &Tables, now: Time, row: &RequestRow, endpoints: &[usize]) -> Option<Choice> {
+    let service = t.services.get(row.service);
+    let on = t.settings.mechanisms;
+    let choices = endpoints.iter().map(|e| {
+        let estimate = cost::estimate(now, on, row, service, t.endpoints.get(*e));
         Choice {
             endpoint: *e,
             estimate,
         }
     });
-    estimated.min_by(by_cost)
+    choices.min_by(|a, b| {
+        let order = a.estimate.score.partial_cmp(&b.estimate.score);
+        order
+            .unwrap_or(Ordering::Equal)
+            .then(a.endpoint.cmp(&b.endpoint))
+    })
 }
 
-fn has_room(t: &Tables, now: Time, row: &RequestRow, e: &EndpointRow) -> bool {
-    if !e.usable(now) || row.tried.contains(&e.declared.name) {
-        return false;
-    }
-    let on = t.settings.mechanisms;
-    !on.late_binding || (e.running < e.budget && prefill_fits(e, now))
+/// Tells whether a request may wait for a better endpoint than those that have room.
+fn may_wait(t: &Tables, now: Time, row: &RequestRow) -> bool {
+    let target = t.services.get(row.service).tier.target();
+    let early = now.saturating_sub(row.arrived) < target.mul_f64(WAIT_LIMIT);
+    let calm = t.requests.held() <= WAIT_HELD;
+    t.settings.mechanisms.waiting && early && calm && !row.new.blocks.is_empty()
+}
+
+/// Tells whether an endpoint may take the request at all.
+fn may_take(now: Time, row: &RequestRow, e: &EndpointRow) -> bool {
+    e.usable(now) && !row.tried.contains(&e.declared.name)
+}
+
+fn has_room(t: &Tables, now: Time, e: &EndpointRow) -> bool {
+    !t.settings.mechanisms.late_binding || (e.running < e.budget && prefill_fits(e, now))
 }
 
 /// Tells whether the prompts that wait at an endpoint leave room for another.
--- a/crates/firdock-standin/src/measure/plan.rs
+++ b/crates/firdock-standin/src/measure/plan.rs
@@ -49,6 +49,8 @@
     NoFairShares,
     /// Firdock with requests in the order of their arrival, late or not.
     NoLateLast,
+    /// Firdock without waiting for a better endpoint.
+    NoWaiting,
 }
 
 impl Contender {
@@ -60,7 +62,7 @@
         Self::TwoChoices,
     ];
     /// Firdock with one mechanism off.
-    pub const WITHOUT: [Self; 8] = [
+    pub const WITHOUT: [Self; 9] = [
         Self::NoLateBinding,
         Self::NoAffinity,
         Self::NoLearning,
@@ -69,6 +71,7 @@
         Self::NoResume,
         Self::NoFairShares,
         Self::NoLateLast,
+        Self::NoWaiting,
     ];
 
     /// Gives the name.
@@ -87,6 +90,7 @@
             Self::NoResume => "no-resume",
             Self::NoFairShares => "no-fair-shares",
             Self::NoLateLast => "no-late-last",
+            Self::NoWaiting => "no-waiting",
         }
     }
 
@@ -130,6 +134,10 @@
                 late_last: false,
                 ..all
             },
+            Self::NoWaiting => Mechanisms {
+                waiting: false,
+                ..all
+            },
             _ => all,
         }
     }
