--- a/crates/firdock-standin/src/engine/server.rs
+++ b/crates/firdock-standin/src/engine/server.rs
@@ -32,6 +32,8 @@
 const COMMENT_PAUSE: Duration = Duration::from_millis(500);
 /// Longest sleep of the engine's clock.
 const LONGEST_SLEEP: Duration = Duration::from_millis(20);
+/// Readings of the load kept for late reports.
+const MAX_READINGS: usize = 1_024;
 /// KV caches kept for export.
 const MAX_KV: usize = 64;
 
@@ -57,6 +59,7 @@
     fence: u64,
     refuse_work: bool,
     kv: VecDeque<(RequestId, Bytes)>,
+    readings: VecDeque<Reading>,
 }
 
 #[derive(Debug)]
@@ -100,6 +103,7 @@
             fence: 0,
             refuse_work: false,
             kv: VecDeque::new(),
+            readings: VecDeque::new(),
         };
         let shared = Arc::new(Shared {
             state: Mutex::new(state),
@@ -474,26 +478,69 @@
     web::status(200, "done")
 }
 
+/// Answers with the newest report that is as old as the lag says, and what followed the number asked
+/// after.
 fn report(request: &Request<Incoming>, shared: &Shared) -> Response<Reply> {
     let after = web::query(request, "after").unwrap_or(0);
-    let state = shared.lock();
+    let faults = shared.faults.get();
+    let mut state = shared.lock();
+    let lag = Duration::from_millis(faults.report_lag_millis);
+    let now = shared.started.elapsed();
+    let taken = state.note_reading(now, lag);
     let (changes, gap) = state.model.changes_after(after);
+    let lost = shared.faults.take_lost_events();
     let blocks = |added: bool| {
-        changes
-            .iter()
-            .filter(|c| c.added == added)
+        let known = changes.iter().take(taken.changes_after(after));
+        known
+            .filter(|c| c.added == added && !lost)
             .map(|c| c.block)
             .collect::<Vec<_>>()
     };
     web::json(&EndpointReport {
-        age_millis: 0,
-        running: state.model.running(),
-        waiting: state.model.waiting(),
-        backlog: state.model.backlog(),
-        leaving: shared.faults.get().leaving || state.refuse_work,
-        sequence: state.model.sequence(),
-        gap,
+        age_millis: u64::try_from(now.saturating_sub(taken.at).as_millis()).unwrap_or(0),
+        running: taken.running,
+        waiting: taken.waiting,
+        backlog: taken.backlog,
+        leaving: faults.leaving || state.refuse_work,
+        sequence: taken.sequence.max(after),
+        gap: gap || lost,
         added: blocks(true),
         removed: blocks(false),
     })
 }
+
+/// Load at a moment, shown later.
+#[derive(Debug, Clone, Copy, Default)]
+struct Reading {
+    at: Duration,
+    running: u32,
+    waiting: u32,
+    backlog: u32,
+    sequence: u64,
+}
+
+impl Reading {
+    /// Counts the cache changes after a number that this reading knows of.
+    fn changes_after(&self, after: u64) -> usize {
+        self.sequence.saturating_sub(after) as usize
+    }
+}
+
+impl State {
+    /// Notes the present load, and gives the newest reading that is at least `lag` old.
+    fn note_reading(&mut self, now: Duration, lag: Duration) -> Reading {
+        self.readings.push_back(Reading {
+            at: now,
+            running: self.model.running(),
+            waiting: self.model.waiting(),
+            backlog: self.model.backlog(),
+            sequence: self.model.sequence(),
+        });
+        let old = |r: &Reading| r.at + lag <= now;
+        let shown = self.readings.iter().rev().find(|r| old(r)).copied();
+        while self.readings.len() > MAX_READINGS {
+            self.readings.pop_front();
+        }
+        shown.or(self.readings.front().copied()).unwrap_or_default()
+    }
+}
--- a/crates/firdock-standin/src/fault.rs
+++ b/crates/firdock-standin/src/fault.rs
@@ -35,6 +35,10 @@
     pub leaving: bool,
     /// Whether a broken stream cannot be taken up again.
     pub forgetful: bool,
+    /// Age of the load and cache events that a report shows, in milliseconds.
+    pub report_lag_millis: u64,
+    /// Reports to come whose cache events are lost.
+    pub lost_events: u32,
     /// Whether the stand-in is dead: what it was answering breaks off.
     pub dead: bool,
 }
@@ -53,6 +57,8 @@
             crossed: 0,
             leaving: false,
             forgetful: false,
+            report_lag_millis: 0,
+            lost_events: 0,
             dead: false,
         }
     }
@@ -101,6 +107,12 @@
         take(&mut self.lock().crossed)
     }
 
+    /// Takes one report with lost events off the count; tells whether there was one.
+    #[must_use]
+    pub fn take_lost_events(&self) -> bool {
+        take(&mut self.lock().lost_events)
+    }
+
     /// Takes one cut answer off the count; gives after how much it is cut.
     #[must_use]
     pub fn take_cut(&self) -> Option<u32> {
--- a/tests/testsuite/configuration.rs
+++ b/tests/testsuite/configuration.rs
@@ -230,3 +230,19 @@
     let path = format!("/v1/watch?after={}&wait=0", written.1);
     assert_eq!(site.nodes[0].get(&path).await.1["changes"], json!([]));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_log_slows_writes_and_nothing_else() {
+    let site = Site::start(Spec {
+        nodes: 2,
+        ..Spec::new(38)
+    })
+    .await;
+    site.log.faults.change(|f| f.delay_millis = 300);
+    let call = Call::model(SHOP, "draft", "meanwhile", 5);
+    let (written, got) = tokio::join!(write_tier(&site, 0, 8_765, None), site.call(1, &call));
+    assert_eq!(written.0, 200);
+    assert!(got.answered(), "{got:?}");
+    site.wait("in force", async |s| wait_of(s, 1).await == 8_765)
+        .await;
+}
--- a/tests/testsuite/dispatch_once.rs
+++ b/tests/testsuite/dispatch_once.rs
@@ -288,6 +288,57 @@
     assert!(runs.iter().all(|n| *n == 1));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_reset_before_its_answer_is_unknown_and_sent_once() {
+    let site = Site::start(Spec {
+        services: 0,
+        ..spec(18)
+    })
+    .await;
+    let listener = tokio::net::TcpListener::bind("127.77.18.60:7000")
+        .await
+        .expect("an address");
+    let resource = "[[endpoint]]\nname = \"reset\"\nbackend = \"plain\"\n\
+                    address = \"127.77.18.60:7000\"\nservices = [\"orders\", \"tiles\"]\n";
+    let (status, answer) = site.apply(resource).await;
+    assert_eq!(status, 200, "{answer}");
+    let resetting = tokio::spawn(async move {
+        let mut orders = 0;
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut head = [0; 4_096];
+            let n = tokio::io::AsyncReadExt::read(&mut stream, &mut head)
+                .await
+                .unwrap_or(0);
+            orders += usize::from(head[..n].starts_with(b"POST /orders"));
+            if orders == 1 && head[..n].starts_with(b"POST /orders") {
+                return (orders, listener);
+            }
+        }
+        (orders, listener)
+    });
+    let got = site.call(0, &order("reset")).await;
+    assert_eq!(
+        (got.status, got.outcome.as_str()),
+        (502, "unknown"),
+        "{got:?}"
+    );
+    let (orders, listener) = resetting.await.expect("the endpoint lives");
+    assert_eq!(orders, 1);
+    let again = tokio::time::timeout(Duration::from_millis(300), async {
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut head = [0; 4_096];
+            let n = tokio::io::AsyncReadExt::read(&mut stream, &mut head)
+                .await
+                .unwrap_or(0);
+            if head[..n].starts_with(b"POST /orders") {
+                return;
+            }
+        }
+    });
+    assert!(again.await.is_err(), "the order was sent again");
+}
+
 /// Waits for all of some calls at once.
 async fn futures<F>(calls: impl Iterator<Item = F>) -> Vec<Got>
 where
--- a/tests/testsuite/whole_answer.rs
+++ b/tests/testsuite/whole_answer.rs
@@ -158,3 +158,39 @@
     let got = site.call(0, &Call::model(SHOP, "draft", "short", 3)).await;
     assert!(got.answered(), "{got:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn late_reports_and_lost_cache_events_cost_no_answer() {
+    let site = Site::start(Spec {
+        engines: 2,
+        ..Spec::new(27)
+    })
+    .await;
+    for engine in &site.engines {
+        engine
+            .faults
+            .change(|f| (f.report_lag_millis, f.lost_events) = (2_000, 3));
+    }
+    let prompt = "a long prefix that many share ".repeat(60);
+    for round in 0..4 {
+        let calls: Vec<_> = (0..6)
+            .map(|i| Call::model(SHOP, "guide", &format!("{prompt}{round} {i}"), 8))
+            .collect();
+        let got = futures_util::future::join_all(calls.iter().map(|c| site.call(0, c))).await;
+        assert!(got.iter().all(client::Got::answered), "{got:?}");
+    }
+    assert!(site.engines.iter().all(|e| e.runs().most() <= 1));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_cut_before_its_first_token_is_taken_up() {
+    let site = Site::start(Spec::new(28)).await;
+    site.engines[0]
+        .faults
+        .change(|f| (f.cuts, f.cut_after) = (1, 0));
+    let got = site
+        .call(0, &Call::model(SHOP, "draft", "the trail", 20))
+        .await;
+    assert!(got.answered(), "{got:?}");
+    assert_eq!(site.engines[0].runs().most(), 1);
+}
