Split the measured run and the random world by job

Change: measure/run.rs keeps arrivals and actions; endpoints, reports, faults and contestants have files of their own. The random world keeps operations; messages and the final check have theirs. Drivers of dispatches share how they tell that a request was not sent. Behaviour stays as it is.

--- a/crates/firdock-node/src/endpoint/run_engine.rs
+++ b/crates/firdock-node/src/endpoint/run_engine.rs
@@ -92,6 +92,16 @@
         let _ = self.inputs.send(Input::Event(event)).await;
     }
 
+    /// Tells the scheduler that the request did not run; gives a word on why for the trace.
+    pub async fn not_sent(&self, unreachable: bool) -> &'static str {
+        self.tell(DispatchNews::Refused { unreachable }).await;
+        if unreachable {
+            "unreachable"
+        } else {
+            "refused"
+        }
+    }
+
     /// Looks at the key's confirmation one last time, right before the write.
     ///
     /// Tells whether it lapsed; the scheduler has been told then.
@@ -145,14 +155,8 @@
 
 async fn not_started(run: &Run, error: StartError) -> &'static str {
     match error {
-        StartError::Unreachable => {
-            run.tell(DispatchNews::Refused { unreachable: true }).await;
-            "unreachable"
-        }
-        StartError::Refused => {
-            run.tell(DispatchNews::Refused { unreachable: false }).await;
-            "refused"
-        }
+        StartError::Unreachable => run.not_sent(true).await,
+        StartError::Refused => run.not_sent(false).await,
         StartError::Lost => {
             let delivered = run.delivered().tokens;
             run.tell(DispatchNews::Broke { delivered }).await;
--- a/crates/firdock-node/src/endpoint/run_plain.rs
+++ b/crates/firdock-node/src/endpoint/run_plain.rs
@@ -31,14 +31,8 @@
         .await
     {
         Ok(answer) => relay(&run, answer, &answers).await,
-        Err(StartError::Unreachable) => {
-            run.tell(DispatchNews::Refused { unreachable: true }).await;
-            "unreachable"
-        }
-        Err(StartError::Refused) => {
-            run.tell(DispatchNews::Refused { unreachable: false }).await;
-            "refused"
-        }
+        Err(StartError::Unreachable) => run.not_sent(true).await,
+        Err(StartError::Refused) => run.not_sent(false).await,
         Err(_) => {
             run.tell(DispatchNews::Broke { delivered: 0 }).await;
             "lost"
--- /dev/null
+++ b/crates/firdock-policy/tests/policy/world/message.rs
@@ -0,0 +1,258 @@
+//! How messages move in the world: writes, endpoints, hand-overs, and what schedulers want done.
+
+use firdock_core::{Outcome, RequestId};
+use firdock_policy::action::Dispatch;
+use firdock_policy::event::{DispatchNews, HandOverEvent, HandOverRefusal};
+use firdock_policy::{Action, Event, Origin, Policy as _, Verdict};
+use rand::Rng as _;
+use uuid::Uuid;
+
+use super::{Message, World, endpoint_event, endpoint_index, node_index};
+use crate::scene::millis;
+
+impl World {
+    pub(super) fn take(&mut self, message: Message) {
+        match message {
+            Message::Event(i, incarnation, event) => {
+                if self.alive(i, incarnation)
+                    && !self.held_back(i, &Message::Event(i, incarnation, event.clone()))
+                {
+                    self.step(i, event);
+                }
+            }
+            Message::Write(i, incarnation, dispatch) => {
+                let message = Message::Write(i, incarnation, dispatch.clone());
+                if self.alive(i, incarnation) && !self.held_back(i, &message) {
+                    self.write(i, incarnation, dispatch);
+                }
+            }
+            Message::AtEndpoint(i, incarnation, dispatch) => {
+                self.at_endpoint(i, incarnation, dispatch);
+            }
+            Message::EndpointDone(i, incarnation, dispatch) => {
+                let broken = self.faults[endpoint_index(&dispatch.endpoint)] == 3;
+                let news = if broken {
+                    DispatchNews::Broke {
+                        delivered: dispatch.resume_from + 1,
+                    }
+                } else {
+                    DispatchNews::Ended {
+                        prompt: 0,
+                        cached: 0,
+                        output: 20,
+                    }
+                };
+                self.tell(i, incarnation, &dispatch, news);
+            }
+        }
+    }
+
+    pub(super) fn alive(&self, i: usize, incarnation: Uuid) -> bool {
+        self.nodes[i].member.incarnation == incarnation
+    }
+
+    /// Puts a paused instance's messages off.
+    pub(super) fn held_back(&mut self, i: usize, message: &Message) -> bool {
+        if self.nodes[i].paused {
+            self.send(millis(20), message.clone());
+        }
+        self.nodes[i].paused
+    }
+
+    /// Looks at the key's confirmation one last time and writes.
+    pub(super) fn write(&mut self, i: usize, incarnation: Uuid, dispatch: Dispatch) {
+        if dispatch.confirm_by.is_some_and(|until| until <= self.now) {
+            self.tell(i, incarnation, &dispatch, DispatchNews::Lapsed);
+            return;
+        }
+        let delay = self.lag();
+        self.send(delay, Message::AtEndpoint(i, incarnation, dispatch));
+    }
+
+    pub(super) fn at_endpoint(&mut self, i: usize, incarnation: Uuid, dispatch: Dispatch) {
+        let fault = self.faults[endpoint_index(&dispatch.endpoint)];
+        match fault {
+            1 => self.tell(
+                i,
+                incarnation,
+                &dispatch,
+                DispatchNews::Refused { unreachable: true },
+            ),
+            2 => self.tell(
+                i,
+                incarnation,
+                &dispatch,
+                DispatchNews::Refused { unreachable: false },
+            ),
+            _ => {
+                self.note_run(&dispatch);
+                if fault == 4 {
+                    let broke = DispatchNews::Broke {
+                        delivered: dispatch.resume_from,
+                    };
+                    let event = endpoint_event(&dispatch, broke);
+                    self.send(millis(500), Message::Event(i, incarnation, event));
+                    return;
+                }
+                let head_sent = self.rng.random_bool(0.5);
+                self.tell(
+                    i,
+                    incarnation,
+                    &dispatch,
+                    DispatchNews::Started { head_sent },
+                );
+                let work = millis(self.rng.random_range(30..400));
+                self.send(work, Message::EndpointDone(i, incarnation, dispatch));
+            }
+        }
+    }
+
+    pub(super) fn note_run(&mut self, dispatch: &Dispatch) {
+        let key = self.requests[&dispatch.id].key.map(|k| k.hash);
+        self.runs.push((self.now, dispatch.id, key));
+    }
+
+    pub(super) fn tell(
+        &mut self,
+        i: usize,
+        incarnation: Uuid,
+        dispatch: &Dispatch,
+        news: DispatchNews,
+    ) {
+        let delay = self.lag();
+        self.send(
+            delay,
+            Message::Event(i, incarnation, endpoint_event(dispatch, news)),
+        );
+    }
+
+    pub(super) fn step(&mut self, i: usize, event: Event) {
+        let ended = match &event {
+            Event::Endpoint(e) if matches!(e.news, DispatchNews::Ended { .. }) => Some(e.id),
+            Event::HandOver(HandOverEvent::Ended(id)) => Some(*id),
+            _ => None,
+        };
+        let now = self.now;
+        let node = &mut self.nodes[i];
+        let lived = ended.is_some_and(|id| node.scheduler.tables().requests.get(id).is_some());
+        let mut out = Vec::new();
+        node.scheduler.step(now, event, &mut out);
+        node.scheduler.check_invariants(now);
+        if let Some(id) = ended.filter(|_| lived) {
+            let gone = self.nodes[i].scheduler.tables().requests.get(id).is_none();
+            if gone {
+                self.end(i, id, "answered", None);
+            }
+        }
+        for action in out {
+            self.carry_out(i, action);
+        }
+    }
+
+    pub(super) fn carry_out(&mut self, i: usize, action: Action) {
+        let incarnation = self.nodes[i].member.incarnation;
+        match action {
+            Action::Dispatch(dispatch) => {
+                let pair = (dispatch.id, dispatch.endpoint.clone());
+                assert!(
+                    self.dispatched.insert(pair),
+                    "{} went to {} twice",
+                    dispatch.id,
+                    dispatch.endpoint
+                );
+                let delay = self.lag();
+                self.send(delay, Message::Write(i, incarnation, dispatch));
+            }
+            Action::HandOver { id, peer, .. } => self.hand_over(i, id, &peer),
+            Action::CancelHandOver { id, peer } => {
+                let to = node_index(&peer);
+                self.handed.remove(&(to, id));
+                let there = self.nodes[to].member.incarnation;
+                let delay = self.lag();
+                self.send(delay, Message::Event(to, there, Event::CallerLeft(id)));
+            }
+            Action::Answer { id, verdict } => {
+                let word = if verdict.outcome == Outcome::NotRun {
+                    "not-run"
+                } else {
+                    "unknown"
+                };
+                self.end(i, id, word, Some(verdict));
+            }
+            Action::RefuseHandOver { id, verdict, tried } => {
+                let Some(from) = self.handed.remove(&(i, id)) else {
+                    return;
+                };
+                self.refused.insert(id, self.now);
+                let refusal = HandOverRefusal {
+                    id,
+                    verdict: Some(verdict),
+                    tried,
+                };
+                self.deliver(from, Event::HandOver(HandOverEvent::Refused(refusal)));
+            }
+            Action::Cut { id } => self.end(i, id, "cut", None),
+            Action::Replay { id, earlier } => {
+                assert!(
+                    self.runs.iter().any(|(_, ran, _)| *ran == earlier),
+                    "replay of nothing"
+                );
+                self.end(i, id, "replayed", None);
+            }
+            Action::MoveKeys { peer, word } => {
+                // Some words are lost, as when a link breaks.
+                if self.rng.random_bool(0.8) {
+                    self.deliver(node_index(&peer), Event::KeysMoved(word));
+                }
+            }
+            Action::Cancel { .. } | Action::Forget { .. } | Action::Drained => {}
+        }
+    }
+
+    pub(super) fn deliver(&mut self, i: usize, event: Event) {
+        let incarnation = self.nodes[i].member.incarnation;
+        let delay = self.lag();
+        self.send(delay, Message::Event(i, incarnation, event));
+    }
+
+    pub(super) fn hand_over(&mut self, from: usize, id: RequestId, peer: &str) {
+        let to = node_index(peer);
+        if self.rng.random_bool(0.2) {
+            let refusal = HandOverRefusal {
+                id,
+                verdict: None,
+                tried: Vec::new(),
+            };
+            self.deliver(from, Event::HandOver(HandOverEvent::Refused(refusal)));
+            return;
+        }
+        let mut new = self.requests[&id].clone();
+        new.origin = Origin::Peer(self.nodes[from].member.name.clone());
+        let row = self.nodes[from].scheduler.tables().requests.get(id);
+        new.tried = row.map(|r| r.tried.clone()).unwrap_or_default();
+        self.handed.insert((to, id), from);
+        self.deliver(to, Event::Arrived(new));
+    }
+
+    /// Takes it that a request ended at an instance, for its caller or the peer it came from.
+    pub(super) fn end(
+        &mut self,
+        i: usize,
+        id: RequestId,
+        word: &'static str,
+        verdict: Option<Verdict>,
+    ) {
+        if let Some(from) = self.handed.remove(&(i, id)) {
+            let event = match (word, verdict) {
+                ("answered" | "replayed", _) => HandOverEvent::Ended(id),
+                ("cut", _) | (_, None) => HandOverEvent::Broke(id),
+                (_, Some(verdict)) => HandOverEvent::Unknown(id, verdict),
+            };
+            self.deliver(from, Event::HandOver(event));
+            return;
+        }
+        if let Some(told) = self.told.get_mut(&id).filter(|t| t.node == i) {
+            told.ends.push((self.now, word));
+        }
+    }
+}
--- a/crates/firdock-standin/src/measure/run.rs
+++ b/crates/firdock-standin/src/measure/run.rs
@@ -1,21 +1,25 @@
 //! One run in virtual time: instances, endpoints, arrivals, reports, faults.
 
+mod contestant;
+mod fault;
+mod report;
+mod serve;
+
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use firdock_core::RequestId;
 use firdock_policy::action::Dispatch;
-use firdock_policy::event::{
-    DispatchNews, EndpointEvent, HandOverEvent, HandOverRefusal, LoadReport, PeerNews,
-};
-use firdock_policy::{Action, Event, NewRequest, Origin, Policy, Time};
+use firdock_policy::event::{DispatchNews, EndpointEvent, HandOverEvent, HandOverRefusal};
+use firdock_policy::{Action, Event, NewRequest, Origin, Time};
 use uuid::Uuid;
 
-use super::fleet::{self, Fleet, Job, PLAIN_TIME, Place};
+pub use contestant::Contestant;
+
+use super::fleet::{self, Fleet};
 use super::scenario::Scenario;
 use super::score::{Record, Score, sum};
-use crate::engine::model;
 use crate::workload::{Arrival, Deployment, Workload};
 
 /// Entry instances.
@@ -35,37 +39,6 @@
 /// Slots of a plain server, beyond which calls take longer.
 const PLAIN_SLOTS: u32 = 32;
 
-/// What a policy tells of itself to its peers.
-pub trait Contestant: Policy {
-    /// Gives the news for peers, if the policy has any.
-    fn news(&self, name: &str) -> Option<PeerNews>;
-}
-
-impl Contestant for firdock_policy::Scheduler {
-    fn news(&self, name: &str) -> Option<PeerNews> {
-        let t = self.tables();
-        let demand =
-            |s: &firdock_policy::table::service::ServiceRow| firdock_policy::event::ServiceDemand {
-                service: s.declared.name.clone(),
-                rate: s.demand(),
-            };
-        Some(PeerNews {
-            name: name.to_owned(),
-            zone: "zone".to_owned(),
-            held: t.requests.held_by_rank().to_vec(),
-            demand: t.services.iter().map(|(_, s)| demand(s)).collect(),
-            draining: false,
-            leaving: Vec::new(),
-        })
-    }
-}
-
-impl Contestant for super::baseline::Baseline {
-    fn news(&self, _name: &str) -> Option<PeerNews> {
-        None
-    }
-}
-
 enum Happening {
     Arrive(Box<Arrival>),
     Node(usize, Event),
@@ -353,246 +326,6 @@
         self.later(i, Event::Endpoint(event));
     }
 
-    fn at_endpoint(&mut self, i: usize, dispatch: Dispatch) {
-        match self.fleet.place(&dispatch.endpoint) {
-            Some(Place::Engine(e)) if self.fleet.engines[e].alive => self.submit(i, e, dispatch),
-            Some(Place::Server(s)) => {
-                let server = &mut self.fleet.servers[s];
-                server.running += 1;
-                let crowd = f64::from(server.running.div_ceil(PLAIN_SLOTS));
-                let done = self.now + PLAIN_TIME.mul_f64(crowd);
-                self.plan(done, Happening::PlainDone(i, s, dispatch));
-            }
-            _ => self.tell(i, &dispatch, DispatchNews::Refused { unreachable: true }),
-        }
-    }
-
-    fn plain_done(&mut self, i: usize, s: usize, dispatch: &Dispatch) {
-        self.fleet.servers[s].running -= 1;
-        if let Some(r) = self.records.get_mut(&dispatch.id) {
-            r.first = r.first.or(Some(self.now + LATENCY));
-        }
-        self.tell(
-            i,
-            dispatch,
-            DispatchNews::Ended {
-                prompt: 0,
-                cached: 0,
-                output: 0,
-            },
-        );
-    }
-
-    fn submit(&mut self, i: usize, e: usize, dispatch: Dispatch) {
-        let Some((new, arrival)) = self.arrivals.get(&dispatch.id) else {
-            return;
-        };
-        let prompt_tokens = new.prompt_tokens + dispatch.resume_from;
-        let best = self.fleet.best_match(&new.blocks);
-        let engine = &mut self.fleet.engines[e];
-        let own = engine.model.matched(&new.blocks);
-        let block = firdock_core::prefix::BLOCK_TOKENS;
-        if self.now > WARM_UP {
-            self.wasted.1 += u64::from((best - own) as u32 * block);
-        }
-        engine.model.submit(
-            self.now,
-            model::Job {
-                id: dispatch.id,
-                priority: dispatch.priority,
-                prompt_tokens,
-                blocks: new.blocks.clone(),
-                output_tokens: arrival.output.saturating_sub(dispatch.resume_from).max(1),
-            },
-        );
-        let computed = prompt_tokens.saturating_sub(own as u32 * block);
-        let made = dispatch.resume_from;
-        let job = Job {
-            node: i,
-            dispatch,
-            made,
-            computed,
-            begun: false,
-        };
-        engine.jobs.insert(job.dispatch.id, job);
-        self.plan_step(e);
-    }
-
-    fn plan_step(&mut self, e: usize) {
-        let engine = &mut self.fleet.engines[e];
-        let next = engine.model.next_step();
-        if next != engine.planned
-            && let Some(at) = next
-        {
-            engine.planned = next;
-            self.plan(at, Happening::Step(e));
-        }
-    }
-
-    fn engine_step(&mut self, e: usize) {
-        let engine = &mut self.fleet.engines[e];
-        if engine.model.next_step() != Some(self.now) {
-            return;
-        }
-        for produced in engine.model.step(self.now) {
-            self.produced(e, produced);
-        }
-        self.plan_step(e);
-    }
-
-    fn produced(&mut self, e: usize, produced: model::Produced) {
-        let Some(job) = self.fleet.engines[e].jobs.get_mut(&produced.id) else {
-            return;
-        };
-        job.made += 1;
-        let first = !std::mem::replace(&mut job.begun, true);
-        let job = job.clone();
-        if first {
-            if let Some(r) = self.records.get_mut(&produced.id) {
-                r.first = r.first.or(Some(self.now + LATENCY));
-            }
-            self.tell(
-                job.node,
-                &job.dispatch,
-                DispatchNews::Started { head_sent: true },
-            );
-            let news = DispatchNews::Tokens {
-                delivered: job.made,
-                cached: produced.cached,
-            };
-            self.tell(job.node, &job.dispatch, news);
-        }
-        if produced.last {
-            self.fleet.engines[e].jobs.remove(&produced.id);
-            let prompt = self
-                .arrivals
-                .get(&produced.id)
-                .map_or(0, |(new, _)| new.prompt_tokens);
-            let news = DispatchNews::Ended {
-                prompt,
-                cached: produced.cached,
-                output: job.made,
-            };
-            self.tell(job.node, &job.dispatch, news);
-        }
-    }
-
-    /// Has an endpoint report to every instance, as late as the scenario says.
-    fn report(&mut self, e: usize) {
-        self.plan(self.now + REPORT_PAUSE, Happening::Report(e));
-        self.reports += 1;
-        let scenario = self.settings.scenario;
-        let age = scenario.report_age();
-        let lost = scenario == Scenario::LostCacheEvents && self.reports.is_multiple_of(2);
-        let Some(report) = self.make_report(e, age, lost) else {
-            return;
-        };
-        for i in 0..INSTANCES {
-            self.plan(
-                self.now + age,
-                Happening::Node(i, Event::Report(report.clone())),
-            );
-        }
-    }
-
-    fn make_report(&mut self, e: usize, age: Duration, lost: bool) -> Option<LoadReport> {
-        let Some(engine) = self.fleet.engines.get_mut(e) else {
-            let server = &self.fleet.servers[e - self.fleet.engines.len()];
-            return Some(LoadReport {
-                endpoint: server.name.clone(),
-                age,
-                running: server.running,
-                waiting: 0,
-                backlog: 0,
-                leaving: false,
-                gap: false,
-                added: Vec::new(),
-                removed: Vec::new(),
-            });
-        };
-        if !engine.alive {
-            return None;
-        }
-        let (changes, gap) = engine.model.changes_after(engine.reported);
-        engine.reported = engine.model.sequence();
-        let blocks = |added: bool| {
-            let wanted = changes.iter().filter(|c| c.added == added && !lost);
-            wanted.map(|c| c.block).collect()
-        };
-        Some(LoadReport {
-            endpoint: engine.name.clone(),
-            age,
-            running: engine.model.running(),
-            waiting: engine.model.waiting(),
-            backlog: engine.model.backlog(),
-            leaving: false,
-            gap: gap || lost,
-            added: blocks(true),
-            removed: blocks(false),
-        })
-    }
-
-    fn beats(&mut self) {
-        let alive = self.alive;
-        for from in (0..INSTANCES).filter(|i| alive[*i]) {
-            let Some(news) = self.nodes[from].news(&node_name(from)) else {
-                continue;
-            };
-            for to in (0..INSTANCES).filter(|to| *to != from) {
-                self.plan(
-                    self.now + LATENCY,
-                    Happening::Node(to, Event::Peer(news.clone())),
-                );
-            }
-        }
-        self.plan(self.now + BEAT_PAUSE, Happening::Beats);
-    }
-
-    fn kill_engine(&mut self, e: usize) {
-        let engine = &mut self.fleet.engines[e];
-        engine.alive = false;
-        engine.model.clear();
-        engine.planned = None;
-        let jobs: Vec<Job> = std::mem::take(&mut engine.jobs).into_values().collect();
-        for job in jobs {
-            self.waste_job(&job);
-            let news = DispatchNews::Broke {
-                delivered: job.made,
-            };
-            self.tell(job.node, &job.dispatch, news);
-        }
-    }
-
-    fn waste_job(&mut self, job: &Job) {
-        if job.begun {
-            self.wasted.0 += u64::from(job.computed);
-        }
-    }
-
-    fn kill_instance(&mut self, i: usize) {
-        self.alive[i] = false;
-        self.plan(self.now + UNREAD_TIME, Happening::Orphans(i));
-    }
-
-    /// Drops what engines work on for an instance that is gone.
-    fn drop_orphans(&mut self, i: usize) {
-        for e in 0..self.fleet.engines.len() {
-            let engine = &mut self.fleet.engines[e];
-            let gone: Vec<Job> = engine
-                .jobs
-                .values()
-                .filter(|j| j.node == i)
-                .cloned()
-                .collect();
-            for job in gone {
-                let engine = &mut self.fleet.engines[e];
-                engine.jobs.remove(&job.dispatch.id);
-                engine.model.cancel(job.dispatch.id);
-                self.waste_job(&job);
-            }
-        }
-    }
-
     fn score(self) -> Score {
         let scored = self.records.values().filter(|r| r.arrived > WARM_UP);
         let mut score = sum(scored);
--- /dev/null
+++ b/crates/firdock-standin/src/measure/run/serve.rs
@@ -0,0 +1,134 @@
+//! What endpoints do with the requests of a run.
+
+use firdock_policy::action::Dispatch;
+use firdock_policy::event::DispatchNews;
+
+use super::{Contestant, Happening, LATENCY, PLAIN_SLOTS, Run, WARM_UP};
+use crate::engine::model;
+use crate::measure::fleet::{Job, PLAIN_TIME, Place};
+
+impl<P: Contestant> Run<P> {
+    pub(super) fn at_endpoint(&mut self, i: usize, dispatch: Dispatch) {
+        match self.fleet.place(&dispatch.endpoint) {
+            Some(Place::Engine(e)) if self.fleet.engines[e].alive => self.submit(i, e, dispatch),
+            Some(Place::Server(s)) => {
+                let server = &mut self.fleet.servers[s];
+                server.running += 1;
+                let crowd = f64::from(server.running.div_ceil(PLAIN_SLOTS));
+                let done = self.now + PLAIN_TIME.mul_f64(crowd);
+                self.plan(done, Happening::PlainDone(i, s, dispatch));
+            }
+            _ => self.tell(i, &dispatch, DispatchNews::Refused { unreachable: true }),
+        }
+    }
+
+    pub(super) fn plain_done(&mut self, i: usize, s: usize, dispatch: &Dispatch) {
+        self.fleet.servers[s].running -= 1;
+        if let Some(r) = self.records.get_mut(&dispatch.id) {
+            r.first = r.first.or(Some(self.now + LATENCY));
+        }
+        self.tell(
+            i,
+            dispatch,
+            DispatchNews::Ended {
+                prompt: 0,
+                cached: 0,
+                output: 0,
+            },
+        );
+    }
+
+    pub(super) fn submit(&mut self, i: usize, e: usize, dispatch: Dispatch) {
+        let Some((new, arrival)) = self.arrivals.get(&dispatch.id) else {
+            return;
+        };
+        let prompt_tokens = new.prompt_tokens + dispatch.resume_from;
+        let best = self.fleet.best_match(&new.blocks);
+        let engine = &mut self.fleet.engines[e];
+        let own = engine.model.matched(&new.blocks);
+        let block = firdock_core::prefix::BLOCK_TOKENS;
+        if self.now > WARM_UP {
+            self.wasted.1 += u64::from((best - own) as u32 * block);
+        }
+        engine.model.submit(
+            self.now,
+            model::Job {
+                id: dispatch.id,
+                priority: dispatch.priority,
+                prompt_tokens,
+                blocks: new.blocks.clone(),
+                output_tokens: arrival.output.saturating_sub(dispatch.resume_from).max(1),
+            },
+        );
+        let computed = prompt_tokens.saturating_sub(own as u32 * block);
+        let made = dispatch.resume_from;
+        let job = Job {
+            node: i,
+            dispatch,
+            made,
+            computed,
+            begun: false,
+        };
+        engine.jobs.insert(job.dispatch.id, job);
+        self.plan_step(e);
+    }
+
+    pub(super) fn plan_step(&mut self, e: usize) {
+        let engine = &mut self.fleet.engines[e];
+        let next = engine.model.next_step();
+        if next != engine.planned
+            && let Some(at) = next
+        {
+            engine.planned = next;
+            self.plan(at, Happening::Step(e));
+        }
+    }
+
+    pub(super) fn engine_step(&mut self, e: usize) {
+        let engine = &mut self.fleet.engines[e];
+        if engine.model.next_step() != Some(self.now) {
+            return;
+        }
+        for produced in engine.model.step(self.now) {
+            self.produced(e, produced);
+        }
+        self.plan_step(e);
+    }
+
+    pub(super) fn produced(&mut self, e: usize, produced: model::Produced) {
+        let Some(job) = self.fleet.engines[e].jobs.get_mut(&produced.id) else {
+            return;
+        };
+        job.made += 1;
+        let first = !std::mem::replace(&mut job.begun, true);
+        let job = job.clone();
+        if first {
+            if let Some(r) = self.records.get_mut(&produced.id) {
+                r.first = r.first.or(Some(self.now + LATENCY));
+            }
+            self.tell(
+                job.node,
+                &job.dispatch,
+                DispatchNews::Started { head_sent: true },
+            );
+            let news = DispatchNews::Tokens {
+                delivered: job.made,
+                cached: produced.cached,
+            };
+            self.tell(job.node, &job.dispatch, news);
+        }
+        if produced.last {
+            self.fleet.engines[e].jobs.remove(&produced.id);
+            let prompt = self
+                .arrivals
+                .get(&produced.id)
+                .map_or(0, |(new, _)| new.prompt_tokens);
+            let news = DispatchNews::Ended {
+                prompt,
+                cached: produced.cached,
+                output: job.made,
+            };
+            self.tell(job.node, &job.dispatch, news);
+        }
+    }
+}
