End hand-overs to peers that fell silent

Cause: reading the hand-over, nothing ended one whose peer was cut off without a reset: TCP may take a quarter of an hour to notice, and the caller waited.

Change: a request handed to a peer that has not been heard for 10 s ends as unknown (cut if its answer had begun), and links on which a peer says nothing for 10 s are closed.

--- a/crates/firdock-node/src/peer/link.rs
+++ b/crates/firdock-node/src/peer/link.rs
@@ -39,8 +39,8 @@
     /// The other side closed the connection.
     #[snafu(display("link closed"))]
     Closed,
-    /// The handshake took too long.
-    #[snafu(display("handshake took too long"))]
+    /// The handshake, or a message that was due, took too long.
+    #[snafu(display("handshake or message took too long"))]
     TooSlow,
     /// The other side is no peer: a stranger, or one with another key, name or protocol.
     #[snafu(display("not a peer: {why}"))]
--- a/crates/firdock-node/src/peer/serve.rs
+++ b/crates/firdock-node/src/peer/serve.rs
@@ -1,6 +1,7 @@
 //! What an instance does for its peers: takes heartbeats and requests, and gives its state.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use firdock_core::InstanceId;
@@ -11,6 +12,7 @@
 use slog::{Logger, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::time::timeout;
 use uuid::Uuid;
 
 use super::dial::Dialer;
@@ -26,6 +28,8 @@
 use crate::exchange::{Exchange, Part, Payload};
 use crate::telemetry::TraceContext;
 
+/// Silence after which a peer's link counts as cut.
+const LINK_SILENCE: Duration = Duration::from_secs(10);
 /// Connections from peers at once.
 const MAX_LINKS: usize = 4_096;
 
@@ -72,7 +76,7 @@
     async fn serve_one(&self, stream: TcpStream) -> Result<(), LinkError> {
         let known = |name: &str| self.dialer.hub().lock().listed_row(name).is_some();
         let mut link = Link::accept(stream, self.dialer.me(), self.dialer.key(), known).await?;
-        match link.receive().await? {
+        match receive_soon(&mut link).await? {
             Some(Body::Heartbeat(beat)) => self.hear(link, beat).await,
             Some(Body::HandOver(order)) => self.take_over(link, order).await,
             Some(Body::KeysMoved(word)) => self.take_word(word).await,
@@ -112,7 +116,7 @@
             {
                 return Ok(());
             }
-            next = match link.receive().await {
+            next = match receive_soon(&mut link).await {
                 Ok(body) => body,
                 Err(e) => {
                     self.lost(&link.peer).await;
@@ -175,6 +179,13 @@
     }
 }
 
+/// Waits for a message that must come soon, since a link that was cut may not show it.
+async fn receive_soon(link: &mut Link) -> Result<Option<Body>, LinkError> {
+    timeout(LINK_SILENCE, link.receive())
+        .await
+        .unwrap_or(Err(LinkError::TooSlow))
+}
+
 /// Streams parts back; tells whether the last one was sent.
 async fn stream_back(link: &mut Link, mut parts: mpsc::Receiver<Part>) -> Result<bool, LinkError> {
     loop {
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -110,7 +110,7 @@
     pub delivered: u32,
     /// Whether the head of an answer has reached the caller.
     pub head_sent: bool,
-    /// When the present dispatch was made.
+    /// When the present dispatch or hand-over was made.
     pub dispatched: Time,
     /// When the first token or byte came.
     pub first: Option<Time>,
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -65,6 +65,7 @@
             Event::Timer => {
                 share::take_rates(t, now);
                 share::set_budgets(t, now);
+                handover::end_silent(t, now, out);
                 handover::forget_silent(t, now);
                 expire::put_late_last(t, now);
                 expire::run(t, now, out);
--- a/crates/firdock-policy/src/system/admit.rs
+++ b/crates/firdock-policy/src/system/admit.rs
@@ -35,7 +35,7 @@
         }
         key::Decision::PassOn(owner) => {
             insert(t, now, new, service, account);
-            super::handover::to_key_owner(t, id, &owner, out);
+            super::handover::to_key_owner(t, now, id, &owner, out);
         }
         _ if unserved => turn_away(t, &new, no_endpoint(Outcome::NotRun), out),
         key::Decision::Unbound => insert(t, now, new, service, account),
--- a/crates/firdock-policy/src/system/handover.rs
+++ b/crates/firdock-policy/src/system/handover.rs
@@ -5,13 +5,15 @@
 use super::{end, key, shed};
 use crate::action::{Action, HandOverCause};
 use crate::event::{HandOverEvent, HandOverRefusal, Member, PeerNews};
-use crate::request::{Phase, Verdict};
+use crate::request::{Phase, RequestRow, Verdict};
 use crate::table::Tables;
 use crate::table::peer::{MAX_PEERS, PeerRow};
 use crate::time::Time;
 
 /// Time for which a peer's word that an endpoint is leaving counts.
 const LEAVING_WORD: std::time::Duration = std::time::Duration::from_secs(10);
+/// Silence after which a peer's hand-overs end: far longer than heartbeats are apart.
+const PEER_SILENCE: std::time::Duration = std::time::Duration::from_secs(10);
 /// Silence after which a peer's row is dropped.
 const SILENT_PEER: std::time::Duration = std::time::Duration::from_mins(1);
 
@@ -38,11 +40,17 @@
 }
 
 /// Hands a request to the member that owns its key.
-pub fn to_key_owner(t: &mut Tables, id: RequestId, owner: &Member, out: &mut Vec<Action>) {
+pub fn to_key_owner(
+    t: &mut Tables,
+    now: Time,
+    id: RequestId,
+    owner: &Member,
+    out: &mut Vec<Action>,
+) {
     let at = t
         .peers
         .find_or_add(&owner.name, || PeerRow::new(&owner.name));
-    hand_over(t, id, at, HandOverCause::KeyOwner, out);
+    hand_over(t, now, id, at, HandOverCause::KeyOwner, out);
 }
 
 /// Hands a request to a peer that holds a lower tier; tells whether there is one.
@@ -57,7 +65,7 @@
     let Some(peer) = pick_peer(t, now, id, |p| p.holds_below(rank)) else {
         return false;
     };
-    hand_over(t, id, peer, HandOverCause::Shed, out);
+    hand_over(t, now, id, peer, HandOverCause::Shed, out);
     true
 }
 
@@ -66,7 +74,7 @@
     let Some(peer) = pick_peer(t, now, id, |_| true) else {
         return false;
     };
-    hand_over(t, id, peer, HandOverCause::Stopping, out);
+    hand_over(t, now, id, peer, HandOverCause::Stopping, out);
     true
 }
 
@@ -88,6 +96,7 @@
 
 fn hand_over(
     t: &mut Tables,
+    now: Time,
     id: RequestId,
     at: usize,
     cause: HandOverCause,
@@ -98,6 +107,7 @@
     peer.handed += 1;
     if let Some(row) = t.requests.get_mut(id) {
         row.handed_for = Some(cause);
+        row.dispatched = now;
     }
     t.stats.handed_over += 1;
     out.push(Action::HandOver {
@@ -207,6 +217,21 @@
     end::answer(t, now, id, verdict, out);
 }
 
+/// Ends hand-overs to peers that fell silent: a cut link may not show for many minutes.
+pub fn end_silent(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
+    let silent = |r: &&RequestRow| match r.phase {
+        Phase::HandedOver(at) => t.peers.get(at).heard.max(r.dispatched) + PEER_SILENCE < now,
+        _ => false,
+    };
+    let ids: Vec<RequestId> = t.requests.iter().filter(silent).map(|r| r.new.id).collect();
+    for id in ids {
+        let Some(at) = handed_to(t, id) else { continue };
+        let peer = t.peers.get(at).name.clone();
+        out.push(Action::CancelHandOver { id, peer });
+        broke(t, now, id, out);
+    }
+}
+
 /// Forgets peers that have been silent for long and have none of this instance's requests.
 pub fn forget_silent(t: &mut Tables, now: Time) {
     t.peers
--- a/crates/firdock-policy/tests/policy/rules.rs
+++ b/crates/firdock-policy/tests/policy/rules.rs
@@ -373,3 +373,26 @@
     }
     assert_eq!(d.scheduler.tables().accounts.len(), 1);
 }
+
+#[test]
+fn a_hand_over_to_a_peer_that_fell_silent_ends() {
+    let mut d = Driven::new(settings("a"));
+    let other = Member {
+        name: "b".to_owned(),
+        incarnation: Uuid::from_u64_pair(2, 0),
+    };
+    d.view(1, true, vec![other]);
+    d.read_log(LOG_START);
+    let handed = d.arrive(with_key(request(1, "orders", "shop"), 1, Some(LOG_START)));
+    assert!(matches!(&*handed, [Action::HandOver { .. }]), "{handed:?}");
+    assert!(d.after(Duration::from_secs(9)).is_empty());
+    let ends = d.after(Duration::from_secs(2));
+    assert!(
+        matches!(&ends[0], Action::CancelHandOver { .. }),
+        "{ends:?}"
+    );
+    assert_eq!(
+        verdicts(&ends),
+        [(id(1), Outcome::Unknown, Reason::PeerLost)]
+    );
+}
