Name the transfer of keys by the field's term

Cause: reading as a newcomer, 'word', 'heard' and 'vouch' were our own metaphors for what is a transfer of keys between owners.

Change: KeyTransfer, KnownTransfer, TransferKeys, Transfers; the message's fields with them, and the docs.

--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -247,9 +247,9 @@
             Action::Cut { id } => self.reply(id, Part::Cut),
             Action::Replay { id, earlier } => self.replay(id, earlier),
             Action::Forget { id } => self.parts.answers.forget(id),
-            Action::MoveKeys { peer, word } => {
-                let giving = peer::give_word(self.parts.dialer.clone(), peer, word);
-                self.parts.runtime.spawn(giving);
+            Action::TransferKeys { peer, transfer } => {
+                let sending = peer::transfer_keys(self.parts.dialer.clone(), peer, transfer);
+                self.parts.runtime.spawn(sending);
             }
             Action::Drained => {
                 self.parts.drained.send_replace(true);
--- a/crates/firdock-node/src/peer.rs
+++ b/crates/firdock-node/src/peer.rs
@@ -14,7 +14,7 @@
 pub use dial::{DialError, Dialer};
 pub use hand_over::{Order, hand_over};
 pub use heartbeat::{SelfNews, beat};
-pub use keys::give_word;
+pub use keys::transfer_keys;
 pub use link::{Link, LinkError};
 pub use serve::{PeerServer, serve_peers};
 pub use state::ask_for_state;
--- a/crates/firdock-node/src/peer/serve.rs
+++ b/crates/firdock-node/src/peer/serve.rs
@@ -18,7 +18,7 @@
 use super::dial::Dialer;
 use super::hand_over::{read_headers, send_part};
 use super::heartbeat::peer_news;
-use super::keys::read_word;
+use super::keys::read_transfer;
 use super::link::{Link, LinkError};
 use super::state::send_state;
 use crate::clock::Clock;
@@ -79,7 +79,7 @@
         match receive_soon(&mut link).await? {
             Some(Body::Heartbeat(beat)) => self.hear(link, beat).await,
             Some(Body::HandOver(order)) => self.take_over(link, order).await,
-            Some(Body::KeysMoved(word)) => self.take_word(word).await,
+            Some(Body::KeyTransfer(transfer)) => self.take_transfer(transfer).await,
             Some(Body::StateRequest(_)) => {
                 let state = Arc::clone(&self.dialer.hub().lock().state);
                 send_state(&mut link, &state).await
@@ -91,14 +91,17 @@
         }
     }
 
-    /// Takes a member's word on keys that moved; closing the link shows that it was taken.
-    async fn take_word(&self, word: message::KeysMoved) -> Result<(), LinkError> {
-        let Some(word) = read_word(word) else {
+    /// Takes keys that a member transfers; closing the link shows that they were taken.
+    async fn take_transfer(&self, transfer: message::KeyTransfer) -> Result<(), LinkError> {
+        let Some(transfer) = read_transfer(transfer) else {
             return Err(LinkError::Stranger {
-                why: "malformed word",
+                why: "malformed transfer",
             });
         };
-        let _ = self.inputs.send(Input::Event(Event::KeysMoved(word))).await;
+        let _ = self
+            .inputs
+            .send(Input::Event(Event::KeyTransfer(transfer)))
+            .await;
         Ok(())
     }
 
--- a/crates/firdock-policy/src/action.rs
+++ b/crates/firdock-policy/src/action.rs
@@ -3,7 +3,7 @@
 use firdock_core::{EndpointId, InstanceId, RequestId};
 use serde::{Deserialize, Serialize};
 
-use crate::event::KeysMoved;
+use crate::event::KeyTransfer;
 use crate::request::Verdict;
 use crate::time::Time;
 
@@ -71,12 +71,12 @@
         /// Request.
         id: RequestId,
     },
-    /// Give another member this one's word on the keys that moved to it.
-    MoveKeys {
+    /// Transfer to another member the keys that it owns now.
+    TransferKeys {
         /// Member.
         peer: InstanceId,
-        /// The word.
-        word: KeysMoved,
+        /// The transfer.
+        transfer: KeyTransfer,
     },
     /// All work is done; the instance may exit.
     Drained,
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -30,8 +30,8 @@
     Config(Arc<Catalog>),
     /// The member view changed.
     View(MemberView),
-    /// Another member gave its word on keys that it owned and this instance owns now.
-    KeysMoved(KeysMoved),
+    /// Another member transferred keys that it owned and this instance owns now.
+    KeyTransfer(KeyTransfer),
     /// The log was read up to its end.
     LogRead(LogReading),
     /// The instance list was read.
@@ -214,27 +214,27 @@
     pub tried: Vec<EndpointId>,
 }
 
-/// A member's word on the keys that moved from it to another.
+/// The keys of a member that another owns now.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct KeysMoved {
-    /// Start of the member that gives its word.
+pub struct KeyTransfer {
+    /// Start of the member that transfers them.
     pub incarnation: Uuid,
     /// Number of the newest view that it has folded.
     pub view: u64,
-    /// Keys that it ran or is running, or that others named to it, and that the receiver owns in
-    /// that view.
+    /// Keys that it ran or is running, or that others transferred to it, and that the receiver
+    /// owns in that view.
     pub keys: Vec<u64>,
-    /// Words that it has heard of.
-    pub heard: Vec<HeardWord>,
+    /// Transfers that it knows of.
+    pub known: Vec<KnownTransfer>,
 }
 
-/// That a member gave its word to another.
+/// That a member transferred its keys to another.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HeardWord {
-    /// Start of the member that gave it.
+pub struct KnownTransfer {
+    /// Start of the member that transferred them.
     pub from: Uuid,
-    /// Start of the member that it was given to.
+    /// Start of the member that received them.
     pub to: Uuid,
-    /// Number of the newest view that the giver had folded.
+    /// Number of the newest view that the sender had folded.
     pub view: u64,
 }
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -55,7 +55,7 @@
             Event::ReportMissed(name) => health::missed(t, now, &name),
             Event::Config(catalog) => config::apply(t, now, &catalog),
             Event::View(view) => key::take_view(t, view, out),
-            Event::KeysMoved(word) => key::take_word(t, now, &word),
+            Event::KeyTransfer(transfer) => key::take_transfer(t, now, &transfer),
             Event::LogRead(reading) => t.views.read(reading),
             Event::Listed(rows) => health::listed(t, &rows),
             Event::Peer(peer) => handover::peer_news(t, now, peer),
--- a/crates/firdock-policy/src/system/expire.rs
+++ b/crates/firdock-policy/src/system/expire.rs
@@ -43,7 +43,7 @@
         }
     }
     let limit = now.saturating_sub(t.settings.key_keep);
-    t.moved.expire(limit);
+    t.transfers.expire(limit);
     for id in t.keys.expire(limit) {
         out.push(Action::Forget { id });
     }
--- a/crates/firdock-policy/src/system/key.rs
+++ b/crates/firdock-policy/src/system/key.rs
@@ -7,7 +7,7 @@
 use firdock_core::{Outcome, Reason, RequestId};
 
 use crate::action::Action;
-use crate::event::{KeysMoved, Member, MemberView};
+use crate::event::{KeyTransfer, Member, MemberView};
 use crate::request::{KeyClaim, NewRequest, Origin, RequestRow, Verdict};
 use crate::table::Tables;
 use crate::table::key::KeyState;
@@ -81,15 +81,16 @@
     Some(decision)
 }
 
-/// Tells whether every earlier owner gave its word that it did not and will not run the key.
-fn vouched(t: &Tables, key: u64, log_now: LogTime) -> bool {
+/// Tells whether every earlier owner transferred its keys, and this one was not among them.
+fn transferred(t: &Tables, key: u64, log_now: LogTime) -> bool {
     let horizon = log_now.saturating_sub(t.settings.key_keep);
     let me = t.settings.member.incarnation;
     let tenures = t.views.tenures(key, horizon);
-    !t.moved.names(key) && tenures.is_some_and(|tenures| t.moved.vouch(me, &tenures))
+    !t.transfers.contains(key)
+        && tenures.is_some_and(|tenures| t.transfers.is_complete(me, &tenures))
 }
 
-/// Takes a view over and gives the other members this one's word on the keys that they own now.
+/// Takes a view over and transfers to the other members the keys that they own now.
 pub fn take_view(t: &mut Tables, view: MemberView, out: &mut Vec<Action>) {
     if view.number <= t.views.number() {
         return;
@@ -97,31 +98,31 @@
     t.views.push(view);
     let me = t.settings.member.clone();
     let others = t.views.members().iter().filter(|m| **m != me);
-    let words = others.map(|m| {
+    let transfers = others.map(|m| {
         let moved = |key: &u64| t.views.owner_now(*key) == Some(m);
-        let word = KeysMoved {
+        let transfer = KeyTransfer {
             incarnation: me.incarnation,
             view: t.views.number(),
             keys: t
                 .keys
                 .hashes()
-                .chain(t.moved.hashes())
+                .chain(t.transfers.hashes())
                 .filter(moved)
                 .collect(),
-            heard: t.moved.heard(),
+            known: t.transfers.known(),
         };
-        Action::MoveKeys {
+        Action::TransferKeys {
             peer: m.name.clone(),
-            word,
+            transfer,
         }
     });
-    out.extend(words);
+    out.extend(transfers);
 }
 
-/// Takes another member's word.
-pub fn take_word(t: &mut Tables, now: Time, word: &KeysMoved) {
+/// Takes another member's transfer.
+pub fn take_transfer(t: &mut Tables, now: Time, transfer: &KeyTransfer) {
     let me = t.settings.member.incarnation;
-    t.moved.take(now, me, word, t.settings.max_keys);
+    t.transfers.take(now, me, transfer, t.settings.max_keys);
 }
 
 fn first_sight(t: &Tables, now: Time, claim: &KeyClaim, since: Option<LogTime>) -> Decision {
@@ -136,7 +137,7 @@
     } else {
         t.settings.key_keep
     };
-    let doubtful = since.is_some_and(|s| minted < s + wait) && !vouched(t, claim.hash, log_now);
+    let doubtful = since.is_some_and(|s| minted < s + wait) && !transferred(t, claim.hash, log_now);
     if doubtful || minted + t.settings.key_keep < log_now {
         return unknown(Reason::KeyUncertain, Some(RETRY_SECONDS));
     }
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -3,13 +3,13 @@
 pub mod account;
 pub mod endpoint;
 pub mod key;
-pub mod moved;
 pub mod peer;
 pub mod prefix_cache;
 pub mod queue;
 pub mod request;
 pub mod rows;
 pub mod service;
+pub mod transfer;
 pub mod view;
 
 use crate::settings::PolicySettings;
@@ -38,8 +38,8 @@
     pub peers: peer::Peers,
     /// Idempotency keys that this instance owns.
     pub keys: key::Keys,
-    /// Words of other members on keys that moved to this instance.
-    pub moved: moved::Moved,
+    /// Transfers of keys from their earlier owners.
+    pub transfers: transfer::Transfers,
     /// Member views by the log.
     pub views: view::Views,
     /// Whether the instance is stopping.
@@ -72,7 +72,7 @@
             accounts: account::Accounts::new(),
             peers: peer::Peers::new(),
             keys: key::Keys::new(),
-            moved: moved::Moved::new(),
+            transfers: transfer::Transfers::new(),
             views,
             draining: false,
             drained: false,
--- a/crates/firdock-policy/tests/policy/world/message.rs
+++ b/crates/firdock-policy/tests/policy/world/message.rs
@@ -199,10 +199,10 @@
                 );
                 self.end(i, id, "replayed", None);
             }
-            Action::MoveKeys { peer, word } => {
-                // Some words are lost, as when a link breaks.
+            Action::TransferKeys { peer, transfer } => {
+                // Some transfers are lost, as when a link breaks.
                 if self.rng.random_bool(0.8) {
-                    self.deliver(node_index(&peer), Event::KeysMoved(word));
+                    self.deliver(node_index(&peer), Event::KeyTransfer(transfer));
                 }
             }
             Action::Cancel { .. } | Action::Forget { .. } | Action::Drained => {}
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -39,7 +39,7 @@
         #[prost(message, tag = "13")]
         AnswerCut(super::AnswerCut),
         #[prost(message, tag = "14")]
-        KeysMoved(super::KeysMoved),
+        KeyTransfer(super::KeyTransfer),
     }
 }
 /// First message of the instance that connects.
@@ -187,32 +187,32 @@
     #[prost(bool, tag = "2")]
     pub last: bool,
 }
-/// A member's word on the idempotency keys that moved from it to the receiver.
+/// Idempotency keys of the sender that the receiver owns now.
 #[derive(Clone, PartialEq, ::prost::Message)]
-pub struct KeysMoved {
+pub struct KeyTransfer {
     /// 16 bytes: the start of the sender.
     #[prost(bytes = "vec", tag = "1")]
     pub incarnation: ::prost::alloc::vec::Vec<u8>,
     /// Newest member view that the sender has folded.
     #[prost(uint64, tag = "2")]
     pub view: u64,
-    /// Keys that it ran or is running, or that others named to it.
+    /// Keys that it ran or is running, or that others transferred to it.
     #[prost(fixed64, repeated, tag = "3")]
     pub keys: ::prost::alloc::vec::Vec<u64>,
-    /// Words that the sender has heard of.
+    /// Transfers that the sender knows of.
     #[prost(message, repeated, tag = "4")]
-    pub heard: ::prost::alloc::vec::Vec<HeardWord>,
+    pub known: ::prost::alloc::vec::Vec<KnownTransfer>,
 }
-/// That a member gave its word to another.
+/// That a member transferred its keys to another.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct HeardWord {
-    /// 16 bytes: the start of the member that gave it.
+pub struct KnownTransfer {
+    /// 16 bytes: the start of the member that transferred them.
     #[prost(bytes = "vec", tag = "1")]
     pub from: ::prost::alloc::vec::Vec<u8>,
-    /// 16 bytes: the start of the member that it was given to.
+    /// 16 bytes: the start of the member that received them.
     #[prost(bytes = "vec", tag = "2")]
     pub to: ::prost::alloc::vec::Vec<u8>,
-    /// Newest member view that the giver had folded.
+    /// Newest member view that the sender had folded.
     #[prost(uint64, tag = "3")]
     pub view: u64,
 }
