Bound the threads of the resource API

Cause: reading the operators' server as a newcomer, rouille starts a thread for each request, so a flood there could start any number.

Change: a pool of twice the watchers' bound. A test shows that an engine that leaves finishes what it runs and gets nothing new.

--- a/crates/firdock-node/src/operator/api.rs
+++ b/crates/firdock-node/src/operator/api.rs
@@ -13,7 +13,7 @@
 
 use super::reply;
 use super::status::Status;
-use super::watch::Watchers;
+use super::watch::{MAX_WATCHERS, Watchers};
 use super::{apply, apply::merged};
 use crate::clock::Clock;
 use crate::config::{Hub, write};
@@ -22,6 +22,8 @@
 
 /// Largest body of a request.
 const MAX_BODY_BYTES: u64 = 4 << 20;
+/// Threads for requests: all watchers and as many others, so that health checks always find one.
+const THREADS: usize = 2 * MAX_WATCHERS;
 /// Wait of a watch that does not say.
 const DEFAULT_WAIT: u64 = 25;
 
@@ -62,6 +64,7 @@
     server: OperatorServer<L>,
 ) -> Result<Server, Box<dyn std::error::Error + Send + Sync>> {
     let server = rouille::Server::new(address, move |request| server.handle(request))?;
+    let server = server.pool_size(THREADS);
     let bound = server.server_addr();
     let (_thread, stop) = server.stoppable();
     Ok((bound, stop))
--- a/crates/firdock-node/src/operator/watch.rs
+++ b/crates/firdock-node/src/operator/watch.rs
@@ -13,7 +13,7 @@
 use crate::config::{ChangeNote, Hub};
 
 /// Watchers that may wait at once; each occupies a thread.
-const MAX_WATCHERS: usize = 32;
+pub const MAX_WATCHERS: usize = 32;
 /// Longest wait.
 const MAX_WAIT: Duration = Duration::from_secs(55);
 
--- a/tests/testsuite/configuration.rs
+++ b/tests/testsuite/configuration.rs
@@ -246,3 +246,36 @@
     site.wait("in force", async |s| wait_of(s, 1).await == 8_765)
         .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn many_watchers_leave_room_for_health_checks() {
+    let site = Site::start(Spec::new(39)).await;
+    let version = site.nodes[0].get("/v1/status").await.1["version"]
+        .as_u64()
+        .expect("a version");
+    let at = site.nodes[0].operators;
+    let path = format!("/v1/watch?after={version}&wait=5");
+    let watchers: Vec<_> = (0..80)
+        .map(|_| {
+            let path = path.clone();
+            tokio::spawn(async move { http(Method::GET, at, &path, "").await.0 })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(site.nodes[0].get("/healthz").await.0, 200);
+    assert_eq!(write_tier(&site, 0, 3_333, None).await.0, 200);
+    let mut statuses = Vec::new();
+    for watcher in watchers {
+        statuses.push(watcher.await.expect("a watcher ends"));
+    }
+    assert_eq!(
+        statuses.iter().filter(|s| **s == 200).count(),
+        32,
+        "{statuses:?}"
+    );
+    assert_eq!(
+        statuses.iter().filter(|s| **s == 503).count(),
+        48,
+        "{statuses:?}"
+    );
+}
--- a/tests/testsuite/planned_stop.rs
+++ b/tests/testsuite/planned_stop.rs
@@ -113,3 +113,30 @@
     }
     answered
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_leaves_finishes_what_it_runs() {
+    let site = Site::start(Spec {
+        engines: 2,
+        ..Spec::new(6)
+    })
+    .await;
+    let at = site.nodes[0].callers;
+    let stream = |n: usize| {
+        let call = Call::model(SHOP, "draft", &format!("dossier {n}"), 400);
+        tokio::spawn(async move { client::call(at, &call).await })
+    };
+    let running: Vec<_> = (0..4).map(stream).collect();
+    site.wait("running", async |s| s.engines.iter().all(|e| e.busy() == 2))
+        .await;
+    site.engines[0].faults.change(|f| f.leaving = true);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before = site.engines[0].runs().by_request.len();
+    let later: Vec<_> = (4..6).map(stream).collect();
+    for call in running.into_iter().chain(later) {
+        let got = call.await.expect("a caller ends");
+        assert!(got.answered(), "{got:?}");
+    }
+    assert_eq!(site.engines[0].runs().by_request.len(), before);
+    assert!(site.engines.iter().all(|e| e.runs().most() <= 1));
+}
