Split the stand-in engine's server by job

Cause: the file held reports, orders and KV caches beside the streams.

Change: reports and orders have files of their own. Behaviour stays as it is.

--- a/crates/firdock-standin/src/engine/server.rs
+++ b/crates/firdock-standin/src/engine/server.rs
@@ -1,5 +1,8 @@
 //! HTTP server of the stand-in engine, run by the clock.
 
+mod order;
+mod report;
+
 use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
@@ -9,7 +12,7 @@
 use bytes::Bytes;
 use firdock_core::RequestId;
 use firdock_core::prefix::{block_hashes, estimate_tokens};
-use firdock_node::endpoint::{EndpointReport, FencedOrder, NOT_STARTED_HEADER, REPORT_PATH};
+use firdock_node::endpoint::{NOT_STARTED_HEADER, REPORT_PATH};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response};
@@ -17,6 +20,8 @@
 use tokio::task::JoinHandle;
 use uuid::Uuid;
 
+use self::order::{export_kv, import_kv, order};
+use self::report::{Reading, report};
 use super::model::{EngineModel, EngineSpec, Job};
 use super::protocol::Call;
 use crate::fault::Faults;
@@ -435,112 +440,3 @@
         }
     }
 }
-
-fn export_kv(id: &str, shared: &Shared) -> Response<Reply> {
-    let state = shared.lock();
-    let found = Uuid::parse_str(id)
-        .ok()
-        .and_then(|id| state.running.get(&id));
-    match found {
-        Some(r) => Response::new(Reply::whole(r.call.prompt.clone())),
-        None => web::status(404, "no such request"),
-    }
-}
-
-async fn import_kv(id: &str, request: Request<Incoming>, shared: &Shared) -> Response<Reply> {
-    let body = web::read(request.into_body()).await;
-    let (Ok(id), Some(body)) = (Uuid::parse_str(id), body) else {
-        return web::status(400, "an id and a cache are needed");
-    };
-    let mut state = shared.lock();
-    state.kv.push_back((id, body));
-    if state.kv.len() > MAX_KV {
-        state.kv.pop_front();
-    }
-    web::status(200, "imported")
-}
-
-async fn order(request: Request<Incoming>, shared: &Shared) -> Response<Reply> {
-    use firdock_node::endpoint::EngineRole;
-    let Some(order) = web::read_json::<FencedOrder>(request.into_body()).await else {
-        return web::status(400, "no order that this stand-in knows");
-    };
-    let mut state = shared.lock();
-    if order.fence <= state.fence {
-        return web::status(409, "a later order was given");
-    }
-    state.fence = order.fence;
-    match order.order {
-        EngineRole::Leave => state.refuse_work = true,
-        EngineRole::Stay => state.refuse_work = false,
-        EngineRole::LoadModel(_) => {}
-    }
-    web::status(200, "done")
-}
-
-/// Answers with the newest report that is as old as the lag says, and what followed the number asked
-/// after.
-fn report(request: &Request<Incoming>, shared: &Shared) -> Response<Reply> {
-    let after = web::query(request, "after").unwrap_or(0);
-    let faults = shared.faults.get();
-    let mut state = shared.lock();
-    let lag = Duration::from_millis(faults.report_lag_millis);
-    let now = shared.started.elapsed();
-    let taken = state.note_reading(now, lag);
-    let (changes, gap) = state.model.changes_after(after);
-    let lost = shared.faults.take_lost_events();
-    let blocks = |added: bool| {
-        let known = changes.iter().take(taken.changes_after(after));
-        known
-            .filter(|c| c.added == added && !lost)
-            .map(|c| c.block)
-            .collect::<Vec<_>>()
-    };
-    web::json(&EndpointReport {
-        age_millis: u64::try_from(now.saturating_sub(taken.at).as_millis()).unwrap_or(0),
-        running: taken.running,
-        waiting: taken.waiting,
-        backlog: taken.backlog,
-        leaving: faults.leaving || state.refuse_work,
-        sequence: taken.sequence.max(after),
-        gap: gap || lost,
-        added: blocks(true),
-        removed: blocks(false),
-    })
-}
-
-/// Load at a moment, shown later.
-#[derive(Debug, Clone, Copy, Default)]
-struct Reading {
-    at: Duration,
-    running: u32,
-    waiting: u32,
-    backlog: u32,
-    sequence: u64,
-}
-
-impl Reading {
-    /// Counts the cache changes after a number that this reading knows of.
-    fn changes_after(&self, after: u64) -> usize {
-        self.sequence.saturating_sub(after) as usize
-    }
-}
-
-impl State {
-    /// Notes the present load, and gives the newest reading that is at least `lag` old.
-    fn note_reading(&mut self, now: Duration, lag: Duration) -> Reading {
-        self.readings.push_back(Reading {
-            at: now,
-            running: self.model.running(),
-            waiting: self.model.waiting(),
-            backlog: self.model.backlog(),
-            sequence: self.model.sequence(),
-        });
-        let old = |r: &Reading| r.at + lag <= now;
-        let shown = self.readings.iter().rev().find(|r| old(r)).copied();
-        while self.readings.len() > MAX_READINGS {
-            self.readings.pop_front();
-        }
-        shown.or(self.readings.front().copied()).unwrap_or_default()
-    }
-}
--- /dev/null
+++ b/crates/firdock-standin/src/engine/server/order.rs
@@ -0,0 +1,55 @@
+//! Orders outside any request, and KV caches that are exported and imported.
+
+use firdock_node::endpoint::FencedOrder;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use uuid::Uuid;
+
+use super::{MAX_KV, Shared};
+use crate::web::{self, Reply};
+
+pub(super) fn export_kv(id: &str, shared: &Shared) -> Response<Reply> {
+    let state = shared.lock();
+    let found = Uuid::parse_str(id)
+        .ok()
+        .and_then(|id| state.running.get(&id));
+    match found {
+        Some(r) => Response::new(Reply::whole(r.call.prompt.clone())),
+        None => web::status(404, "no such request"),
+    }
+}
+
+pub(super) async fn import_kv(
+    id: &str,
+    request: Request<Incoming>,
+    shared: &Shared,
+) -> Response<Reply> {
+    let body = web::read(request.into_body()).await;
+    let (Ok(id), Some(body)) = (Uuid::parse_str(id), body) else {
+        return web::status(400, "an id and a cache are needed");
+    };
+    let mut state = shared.lock();
+    state.kv.push_back((id, body));
+    if state.kv.len() > MAX_KV {
+        state.kv.pop_front();
+    }
+    web::status(200, "imported")
+}
+
+pub(super) async fn order(request: Request<Incoming>, shared: &Shared) -> Response<Reply> {
+    use firdock_node::endpoint::EngineRole;
+    let Some(order) = web::read_json::<FencedOrder>(request.into_body()).await else {
+        return web::status(400, "no order that this stand-in knows");
+    };
+    let mut state = shared.lock();
+    if order.fence <= state.fence {
+        return web::status(409, "a later order was given");
+    }
+    state.fence = order.fence;
+    match order.order {
+        EngineRole::Leave => state.refuse_work = true,
+        EngineRole::Stay => state.refuse_work = false,
+        EngineRole::LoadModel(_) => {}
+    }
+    web::status(200, "done")
+}
