Read the change once more: twins made one, dead parts taken out

Change: an answered request ends, and a shed one is counted, in one place for endpoints and hand-overs. Taken out: fields, a parameter, a reason and methods that nothing read or called. Three tests share one restart. Behaviour stays as it is.

--- a/crates/firdock-core/src/outcome.rs
+++ b/crates/firdock-core/src/outcome.rs
@@ -46,8 +46,6 @@
     WaitedTooLong,
     /// No endpoint of the service can take work.
     NoEndpoint,
-    /// The instance is stopping and no peer could take the request.
-    Stopping,
     /// The endpoint stopped answering after the request was sent.
     EndpointLost,
     /// The link to a peer broke after the request was handed over.
@@ -72,7 +70,6 @@
             Self::Overload => "overload",
             Self::WaitedTooLong => "waited-too-long",
             Self::NoEndpoint => "no-endpoint",
-            Self::Stopping => "stopping",
             Self::EndpointLost => "endpoint-lost",
             Self::PeerLost => "peer-lost",
             Self::KeyInUse => "key-in-use",
--- a/crates/firdock-node/src/config/changes.rs
+++ b/crates/firdock-node/src/config/changes.rs
@@ -32,9 +32,6 @@
 impl Changes {
     /// Notes what differs between two states that follow each other.
     pub fn note(&mut self, old: &State, new: &State) {
-        if old.next == 0 && self.notes.is_empty() {
-            self.floor = 0;
-        }
         let mut notes: Vec<ChangeNote> = changed(old, new).collect();
         notes.extend(deleted(old, new));
         notes.sort_by_key(|n| n.version);
--- a/crates/firdock-node/src/config/follow.rs
+++ b/crates/firdock-node/src/config/follow.rs
@@ -97,9 +97,8 @@
         {
             Ok(batch) => {
                 self.backoff.reset();
-                let old = self.follower.state().clone();
                 let progress = self.follower.take(&batch);
-                self.publish(&old);
+                self.publish();
                 self.after_read(
                     progress,
                     LogReading {
@@ -151,10 +150,9 @@
         let Some(state) = (self.parts.ask_peers)() else {
             return;
         };
-        let old = self.follower.state().clone();
         if self.follower.adopt(state) {
             info!(self.parts.log, "took the state of a peer"; "version" => self.follower.state().version);
-            self.publish(&old);
+            self.publish();
         }
     }
 
@@ -163,7 +161,8 @@
     /// # Panics
     ///
     /// Panics if the version in force would go back.
-    fn publish(&mut self, old: &State) {
+    fn publish(&mut self) {
+        let old = Arc::clone(&self.parts.hub.lock().state);
         let new = self.follower.state();
         assert!(
             new.version >= old.version,
@@ -174,7 +173,7 @@
         }
         let state = Arc::new(new.clone());
         self.parts.hub.update(|h| {
-            h.changes.note(old, &state);
+            h.changes.note(&old, &state);
             h.state = Arc::clone(&state);
         });
         if state.version != old.version {
--- a/crates/firdock-node/src/config/hub.rs
+++ b/crates/firdock-node/src/config/hub.rs
@@ -47,8 +47,6 @@
     pub gap: bool,
     /// Rows of the instance list.
     pub listed: Vec<ListedRow>,
-    /// When the instance list was last read.
-    pub list_read: Option<Duration>,
     /// Status of peers.
     pub peers: BTreeMap<InstanceId, PeerStatus>,
     /// Whether this instance is stopping.
--- a/crates/firdock-node/src/config/list.rs
+++ b/crates/firdock-node/src/config/list.rs
@@ -10,7 +10,6 @@
 
 use super::hub::Hub;
 use crate::backoff::Backoff;
-use crate::clock::Clock;
 use crate::driver::Input;
 use crate::platform::{InstanceList, ListedRow};
 
@@ -24,7 +23,6 @@
     list: &I,
     hub: &Arc<Hub>,
     inputs: &mpsc::Sender<Input>,
-    clock: Clock,
     pause: Duration,
     log: &Logger,
 ) {
@@ -35,10 +33,7 @@
                 backoff.reset();
                 rows.truncate(MAX_ROWS);
                 let event = Event::Listed(rows.iter().map(listed).collect());
-                hub.update(|h| {
-                    h.listed = rows;
-                    h.list_read = Some(clock.now());
-                });
+                hub.update(|h| h.listed = rows);
                 if inputs.blocking_send(Input::Event(event)).is_err() {
                     return;
                 }
--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -226,7 +226,7 @@
         }
         let held: Vec<(String, u32)> = held.into_iter().collect();
         self.parts.metrics.publish(&t.stats, t.version, &held);
-        let news = SelfNews::new(t, self.parts.clock.now());
+        let news = SelfNews::new(t);
         self.parts.news.send_replace(news);
     }
 
--- a/crates/firdock-node/src/http/client.rs
+++ b/crates/firdock-node/src/http/client.rs
@@ -104,10 +104,4 @@
             Err(_) => AnswerTimeSnafu.fail(),
         }
     }
-
-    /// Tells whether the connection can take another request.
-    #[must_use]
-    pub fn is_open(&self) -> bool {
-        self.sender.is_ready()
-    }
 }
--- a/crates/firdock-node/src/instance.rs
+++ b/crates/firdock-node/src/instance.rs
@@ -345,9 +345,9 @@
             Arc::clone(&self.hub),
             inputs.clone(),
         );
-        let (clock, log) = (self.clock, self.log.clone());
+        let log = self.log.clone();
         let pause = self.settings.platform.list();
-        let watching = move || watch_list(&list, &hub, &inputs, clock, pause, &log);
+        let watching = move || watch_list(&list, &hub, &inputs, pause, &log);
         Ok([log_thread, spawn("instances", watching)?])
     }
 
--- a/crates/firdock-node/src/peer/heartbeat.rs
+++ b/crates/firdock-node/src/peer/heartbeat.rs
@@ -39,7 +39,7 @@
 impl SelfNews {
     /// Takes the news from the scheduler's tables.
     #[must_use]
-    pub fn new(t: &Tables, _now: Duration) -> Self {
+    pub fn new(t: &Tables) -> Self {
         let services = t.services.iter().take(MAX_SERVICES);
         let told = |s: &firdock_policy::table::service::ServiceRow| ServiceDemand {
             service: s.declared.name.clone(),
--- a/crates/firdock-policy/src/system/end.rs
+++ b/crates/firdock-policy/src/system/end.rs
@@ -82,6 +82,26 @@
     Some(row)
 }
 
+/// Ends a request whose whole answer was passed on, and counts whether it began in time.
+pub fn answered(t: &mut Tables, now: Time, id: RequestId) {
+    let Some(row) = t.requests.get(id) else {
+        return;
+    };
+    let waited = row.first.unwrap_or(now).saturating_sub(row.arrived);
+    let tier = &t.services.get(row.service).tier;
+    let good = waited <= tier.target();
+    let counts = t.stats.tiers.entry(tier.name.clone()).or_default();
+    counts.answered += 1;
+    counts.good += u64::from(good);
+    finish(t, now, id, Outcome::Answered);
+}
+
+/// Counts a request of a service as given up for load.
+pub fn count_shed(t: &mut Tables, service: usize) {
+    let tier = t.services.get(service).tier.name.clone();
+    t.stats.tiers.entry(tier).or_default().shed += 1;
+}
+
 /// Ends a request with firdock's own final answer.
 ///
 /// # Panics
--- a/crates/firdock-policy/src/system/handover.rs
+++ b/crates/firdock-policy/src/system/handover.rs
@@ -178,26 +178,16 @@
         return;
     };
     if shed::is_load(verdict.outcome, verdict.reason) {
-        let tier = t.services.get(row.service).tier.name.clone();
-        t.stats.tiers.entry(tier).or_default().shed += 1;
+        let service = row.service;
+        end::count_shed(t, service);
     }
     end::answer(t, now, id, verdict, out);
 }
 
 fn ended(t: &mut Tables, now: Time, id: RequestId) {
-    if handed_to(t, id).is_none() {
-        return;
+    if handed_to(t, id).is_some() {
+        end::answered(t, now, id);
     }
-    let Some(row) = t.requests.get(id) else {
-        return;
-    };
-    let first = row.first.unwrap_or(now);
-    let s = t.services.get(row.service);
-    let good = first.saturating_sub(row.arrived) <= s.tier.target();
-    let tier = t.stats.tiers.entry(s.tier.name.clone()).or_default();
-    tier.answered += 1;
-    tier.good += u64::from(good);
-    end::finish(t, now, id, Outcome::Answered);
 }
 
 /// Takes a broken link: what was sent may have run, at an endpoint that nobody here knows.
--- a/crates/firdock-policy/src/system/health.rs
+++ b/crates/firdock-policy/src/system/health.rs
@@ -18,8 +18,6 @@
         .map_or(0.0, |_| e.backlog.min(f64::from(report.backlog)));
     e.report = Some(Reported {
         taken: now.saturating_sub(report.age),
-        running: report.running,
-        waiting: report.waiting,
         backlog: report.backlog,
         own_backlog,
     });
--- a/crates/firdock-policy/src/system/news.rs
+++ b/crates/firdock-policy/src/system/news.rs
@@ -128,7 +128,7 @@
     let Some(row) = t.requests.get(id) else {
         return;
     };
-    let (service, arrived) = (row.service, row.arrived);
+    let service = row.service;
     let first = row.first.unwrap_or(now);
     let fresh = output.saturating_sub(1);
     if prompt > 0 && row.tried.len() == 1 {
@@ -136,15 +136,10 @@
             .get_mut(at)
             .learn_tokens(fresh, now.saturating_sub(first));
     }
-    let s = t.services.get_mut(service);
     if prompt > 0 {
-        s.learn_output(output);
+        t.services.get_mut(service).learn_output(output);
     }
-    let good = first.saturating_sub(arrived) <= s.tier.target();
-    let tier = t.stats.tiers.entry(s.tier.name.clone()).or_default();
-    tier.answered += 1;
-    tier.good += u64::from(good);
-    end::finish(t, now, id, Outcome::Answered);
+    end::answered(t, now, id);
 }
 
 /// Takes a broken dispatch: the request goes on elsewhere if it may, else it ends.
--- a/crates/firdock-policy/src/system/shed.rs
+++ b/crates/firdock-policy/src/system/shed.rs
@@ -39,8 +39,7 @@
     if from_caller && handover::to_lower_holder(t, now, id, out) {
         return;
     }
-    let tier = t.services.get(service).tier.name.clone();
-    t.stats.tiers.entry(tier).or_default().shed += 1;
+    end::count_shed(t, service);
     end::give_up(t, now, id, reason, out);
 }
 
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -48,10 +48,6 @@
 pub struct Reported {
     /// When the endpoint took the reading, by this process's clock.
     pub taken: Time,
-    /// Requests that it worked on.
-    pub running: u32,
-    /// Requests that waited in its queue.
-    pub waiting: u32,
     /// Prompt tokens that it had yet to compute.
     pub backlog: u32,
     /// Prompt tokens of this instance among them.
--- a/crates/firdock-standin/src/workload.rs
+++ b/crates/firdock-standin/src/workload.rs
@@ -256,11 +256,6 @@
         self
     }
 
-    /// Changes the rate from now on.
-    pub fn set_rate(&mut self, rate: f64) {
-        self.rate = rate;
-    }
-
     fn pick(&mut self, weights: impl Iterator<Item = f64> + Clone) -> usize {
         let total: f64 = weights.clone().sum();
         let mut left = self.rng.random_range(0.0..total);
--- a/tests/testsuite/configuration.rs
+++ b/tests/testsuite/configuration.rs
@@ -181,12 +181,7 @@
     let (status, version) = write_tier(&site, 0, 12_345, None).await;
     assert_eq!(status, 200);
     for i in 0..3_u8 {
-        let node = &mut site.nodes[usize::from(i)];
-        node.signal("TERM");
-        assert!(node.ended().await.success());
-        site.add_node(i);
-        site.wait_ready().await;
-        site.wait_converged().await;
+        site.restart(i).await;
     }
     for i in 0..3 {
         assert_eq!(wait_of(&site, i).await, 12_345);
--- a/tests/testsuite/dispatch_once.rs
+++ b/tests/testsuite/dispatch_once.rs
@@ -257,12 +257,7 @@
     };
     let mut sent = Vec::new();
     for i in 0..3_u8 {
-        let node = &mut site.nodes[usize::from(i)];
-        node.signal("TERM");
-        assert!(node.ended().await.success());
-        site.add_node(i);
-        site.wait_ready().await;
-        site.wait_converged().await;
+        site.restart(i).await;
         let calls: Vec<Call> = (0..8)
             .map(|n| opaque(n, i))
             .chain((0..8).map(|_| timed_order()))
--- a/tests/testsuite/helper.rs
+++ b/tests/testsuite/helper.rs
@@ -189,6 +189,16 @@
         }
     }
 
+    /// Stops an instance in order, starts it again and waits until all know it.
+    pub async fn restart(&mut self, i: u8) {
+        let node = &mut self.nodes[usize::from(i)];
+        node.signal("TERM");
+        assert!(node.ended().await.success());
+        self.add_node(i);
+        self.wait_ready().await;
+        self.wait_converged().await;
+    }
+
     pub async fn wait_ready(&self) {
         for node in &self.nodes {
             let end = Instant::now() + PATIENCE;
--- a/tests/testsuite/planned_stop.rs
+++ b/tests/testsuite/planned_stop.rs
@@ -74,12 +74,7 @@
         .collect();
     for i in 0..3_u8 {
         tokio::time::sleep(Duration::from_millis(500)).await;
-        let node = &mut site.nodes[usize::from(i)];
-        node.signal("TERM");
-        assert!(node.ended().await.success());
-        site.add_node(i);
-        site.wait_ready().await;
-        site.wait_converged().await;
+        site.restart(i).await;
     }
     stop.send_replace(true);
     let mut answered = 0;
