Tell a watcher when an instance never saw the changes it asks for

Change: such a watcher gets 410, as for changes that are not kept any more. A watcher from 0 holds nothing and still gets all that is in force.

Measured: a_watcher_is_not_told_a_history_that_was_never_seen, before: the changes after 3 without the deletion; after: passes.

--- a/crates/firdock-node/src/config/changes.rs
+++ b/crates/firdock-node/src/config/changes.rs
@@ -27,11 +27,16 @@
     notes: VecDeque<ChangeNote>,
     /// Version up to which changes are not kept.
     floor: Version,
+    /// Version with which this instance started: it saw no deletion up to there.
+    start: Version,
 }
 
 impl Changes {
     /// Notes what differs between two states that follow each other.
     pub fn note(&mut self, old: &State, new: &State) {
+        if old.next == 0 {
+            self.start = new.version;
+        }
         let mut notes: Vec<ChangeNote> = changed(old, new).collect();
         notes.extend(deleted(old, new));
         notes.sort_by_key(|n| n.version);
@@ -43,10 +48,12 @@
         }
     }
 
-    /// Gives the changes after a version; `None` where some of them are not kept any more.
+    /// Gives the changes after a version; `None` where some of them are not kept, or were never seen.
+    ///
+    /// A watcher that starts from nothing misses no deletion, so it gets all that is in force.
     #[must_use]
     pub fn after(&self, version: Version) -> Option<Vec<ChangeNote>> {
-        let known = version >= self.floor;
+        let known = version >= self.floor && (version == 0 || version >= self.start);
         known.then(|| {
             self.notes
                 .iter()
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -1,14 +1,17 @@
 //! Decoders and stores of the entry instance: whatever comes is an error, and never a panic.
 
 use bytes::Bytes;
+use firdock_core::resource::{Resource, Tier};
 use firdock_node::answers::{Answers, KeptAnswer};
 use firdock_node::backoff::Backoff;
+use firdock_node::config::Changes;
 use firdock_node::door::ModelCall;
 use firdock_node::endpoint::{EndpointReport, SseDecoder, SseEvent};
 use firdock_node::http::strip_hop_by_hop;
 use firdock_node::platform::ListedRow;
 use firdock_node::telemetry::TraceContext;
 use firdock_node::{AnswerHead, telemetry};
+use firdock_state::{Entry, State};
 use hyper::{HeaderMap, StatusCode};
 use proptest::prelude::*;
 use std::time::Duration;
@@ -145,3 +148,36 @@
         let _ = TraceContext::parse(&text);
     }
 }
+
+#[test]
+fn a_watcher_is_not_told_a_history_that_was_never_seen() {
+    let state = |next: u64, resources: &[(&str, u64)]| {
+        let entry = |&(name, version): &(&str, u64)| {
+            let tier = Tier {
+                name: name.to_owned(),
+                ..Tier::default()
+            };
+            let resource = Resource::Tier(tier);
+            (resource.key(), Entry { version, resource })
+        };
+        let entries = resources.iter().map(entry).collect();
+        State {
+            next,
+            version: next,
+            entries,
+            ..State::new()
+        }
+    };
+    let mut changes = Changes::default();
+    // The instance starts from a snapshot; what was deleted before, it cannot know.
+    changes.note(&State::new(), &state(9, &[("draft", 4)]));
+    assert_eq!(changes.after(3), None, "a deletion after 3 would be missed");
+    assert_eq!(
+        changes.after(0).map(|c| c.len()),
+        Some(1),
+        "a new watcher gets all there is"
+    );
+    changes.note(&state(9, &[("draft", 4)]), &state(10, &[]));
+    let seen = changes.after(9).expect("this instance saw it");
+    assert_eq!((seen.len(), seen[0].version), (1, 10));
+}
