Let one instance read the store for its peers, and prefer near endpoints

Instances now tell each other what they read and when; times are placed by a bound from a clock exchange, so that a process that stood still takes nothing old for new. Ruled out: late beacons (all instances had the news within 0.2 s).

--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -27,7 +27,7 @@
 use crate::endpoint::run_engine::RunLimits;
 use crate::http::{ServerOptions, serve};
 use crate::instance::{AbortOnPanic, CALLER_STALL, ListenSnafu, StartError, UnsetSnafu, open};
-use crate::peer::{Beacons, Dialer, PeerBook, SelfNews, open_beacons};
+use crate::peer::{Beacons, Dialer, PeerBook, SelfNews, SharedReads, open_beacons};
 use crate::site::Site;
 use crate::source::{ResourceSource, SourceSink};
 use crate::status::{Readiness, metrics};
@@ -175,6 +175,7 @@
     door: DoorState,
     metrics: Arc<Metrics>,
     peers: Arc<PeerBook>,
+    reads: Arc<SharedReads>,
     log: Logger,
 }
 
@@ -191,7 +192,8 @@
             site: Arc::default(),
             door: DoorState::default(),
             metrics: Arc::default(),
-            peers: Arc::new(PeerBook::new(name)),
+            peers: Arc::new(PeerBook::new(name, settings.instance.zone.clone())),
+            reads: Arc::default(),
             log,
         }
     }
@@ -200,6 +202,7 @@
         SourceSink {
             inputs: inputs.clone(),
             peers: Arc::clone(&self.peers),
+            reads: Arc::clone(&self.reads),
             clock: self.clock,
         }
     }
@@ -267,6 +270,7 @@
             member: self.member.clone(),
             key: Arc::from(self.settings.peers.shared_key.as_bytes()),
             book: Arc::clone(&self.peers),
+            reads: Arc::clone(&self.reads),
             news,
             inputs: inputs.clone(),
             pause: self.settings.peers.heartbeat(),
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -9,9 +9,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use firdock_policy::event::{AccountUse, Member};
+use firdock_policy::event::{AccountUse, Member, PeerNews};
 use firdock_policy::{Event, Time};
-use firdock_wire::message::{self, Beacon, PeerAddress};
+use firdock_wire::message::{
+    self, Beacon, ClockAnswer, ClockQuestion, Datagram, PeerAddress, datagram,
+};
 use firdock_wire::{PROTOCOL, auth};
 use prost::Message as _;
 use slog::{Logger, debug, info, warn};
@@ -22,6 +24,7 @@
 
 use super::book::PeerBook;
 use super::heartbeat::{SelfNews, peer_news};
+use super::reads::{Reads, SharedReads};
 use crate::clock::Clock;
 use crate::driver::Input;
 
@@ -32,6 +35,11 @@
 /// Limited accounts told of in one beacon.
 const MAX_ACCOUNTS: usize = 256;
 
+/// Near peers that get a beacon at each tick; with more of them, each gets one at every few ticks.
+const NEAR_PEERS_A_TICK: usize = 16;
+/// Peers in other availability zones that get a beacon at each tick, likewise.
+const FAR_PEERS_A_TICK: usize = 8;
+
 /// What sending and taking beacons needs.
 #[derive(Debug)]
 pub struct Beacons {
@@ -43,6 +51,8 @@
     pub key: Arc<[u8]>,
     /// The other instances.
     pub book: Arc<PeerBook>,
+    /// What this instance read of the platform's store, with what peers told of theirs.
+    pub reads: Arc<SharedReads>,
     /// What this instance tells of itself.
     pub news: watch::Receiver<SelfNews>,
     /// Way to the scheduler.
@@ -62,6 +72,7 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         let mut known = 0;
+        let mut tick = 0;
         loop {
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => match received {
@@ -69,13 +80,14 @@
                     Err(e) => debug!(self.log, "heartbeat not taken"; "error" => e.to_string()),
                 },
                 _ = ticks.tick() => {
-                    self.send().await;
+                    tick += 1;
+                    self.send(tick).await;
                     known = self.count(known).await;
                 }
                 () = stopped(&mut stop) => break,
             }
         }
-        self.send().await;
+        self.send(0).await;
     }
 
     /// Tells the scheduler how many instances are known of, when that changed.
@@ -88,21 +100,45 @@
         known
     }
 
-    async fn send(&self) {
-        let peers = self.book.addresses();
+    /// Sends the beacons that are due at a tick; at tick 0, to all.
+    async fn send(&self, tick: usize) {
+        let now = self.clock.now();
+        let mut peers = self.book.addresses();
+        let far_pace = (peers.len() / FAR_PEERS_A_TICK).max(1);
+        let near_pace = if self.book.is_reader(now) {
+            1
+        } else {
+            (peers.len() / NEAR_PEERS_A_TICK).max(1)
+        };
+        let mut at = 0;
+        peers.retain(|(name, _)| {
+            at += 1;
+            let near = self.book.is_near(name);
+            let pace = if near { near_pace } else { far_pace };
+            tick == 0 || (tick + at).is_multiple_of(pace)
+        });
         if peers.is_empty() {
             return;
         }
-        let heard = self.book.heard(self.clock.now());
-        let content = self.beacon(&heard).encode_to_vec();
-        let sealed = auth::seal(&self.key, &content);
+        let heard = self.book.heard(now);
+        let beacon = datagram::Body::Beacon(self.beacon(&heard));
+        let sealed = self.seal(beacon);
         for (name, address) in peers {
-            if let Err(e) = self.socket.send_to(&sealed, address).await {
-                debug!(self.log, "heartbeat not sent"; "peer" => name, "error" => e.to_string());
-            }
+            self.send_to(&sealed, &name, address).await;
+        }
+    }
+
+    async fn send_to(&self, sealed: &[u8], name: &str, address: SocketAddr) {
+        if let Err(e) = self.socket.send_to(sealed, address).await {
+            debug!(self.log, "heartbeat not sent"; "peer" => name, "error" => e.to_string());
         }
     }
 
+    fn seal(&self, body: datagram::Body) -> Vec<u8> {
+        let content = Datagram { body: Some(body) }.encode_to_vec();
+        auth::seal(&self.key, &content)
+    }
+
     fn beacon(&self, peers: &[(String, SocketAddr)]) -> Beacon {
         let news = self.news.borrow();
         let used = news.used.iter().take(MAX_ACCOUNTS);
@@ -126,22 +162,65 @@
                     address: address.to_string(),
                 })
                 .collect(),
+            reads: Some(self.own_reads()),
+        }
+    }
+
+    fn own_reads(&self) -> message::Reads {
+        let own = self.reads.own();
+        message::Reads {
+            endpoints: own.endpoints,
+            config_at: millis(own.config_at),
+            endpoints_at: millis(own.endpoints_at),
         }
     }
 
     async fn take(&self, sealed: &[u8], from: SocketAddr) {
-        let Some(beacon) = read(&self.key, sealed) else {
-            warn!(self.log, "heartbeat of a stranger"; "from" => from.to_string());
-            return;
-        };
-        if beacon.instance == self.member.name {
+        match read(&self.key, sealed) {
+            Some(datagram::Body::Beacon(beacon)) => self.take_beacon(beacon, from).await,
+            Some(datagram::Body::ClockQuestion(question)) => {
+                let answer = datagram::Body::ClockAnswer(self.clock_answer(question));
+                self.send_to(&self.seal(answer), "", from).await;
+            }
+            Some(datagram::Body::ClockAnswer(answer)) => {
+                let incarnation = Uuid::from_slice(&answer.incarnation).unwrap_or_default();
+                let asked = Duration::from_millis(answer.asked);
+                let clock = Duration::from_millis(answer.clock);
+                let peer = &answer.instance;
+                self.reads.take_clock(peer, incarnation, asked, clock);
+            }
+            None => warn!(self.log, "heartbeat of a stranger"; "from" => from.to_string()),
+        }
+    }
+
+    fn clock_answer(&self, question: ClockQuestion) -> ClockAnswer {
+        ClockAnswer {
+            instance: self.member.name.clone(),
+            incarnation: self.member.incarnation.as_bytes().to_vec(),
+            asked: question.asked,
+            clock: millis(self.clock.now()),
+        }
+    }
+
+    async fn take_beacon(&self, beacon: Beacon, from: SocketAddr) {
+        if beacon.protocol != PROTOCOL || beacon.instance == self.member.name {
             return;
         }
         let now = self.clock.now();
         self.note(&beacon, from, now);
         let heartbeat = beacon.heartbeat.unwrap_or_default();
+        let version = heartbeat.version;
         let mut news = peer_news(&beacon.instance, heartbeat);
         news.incarnation = Uuid::from_slice(&beacon.incarnation).unwrap_or_default();
+        if let Some(reads) = beacon.reads {
+            let told = Reads {
+                version,
+                endpoints: reads.endpoints,
+                config_at: Duration::from_millis(reads.config_at),
+                endpoints_at: Duration::from_millis(reads.endpoints_at),
+            };
+            self.take_reads(&news, told, from).await;
+        }
         news.used = beacon
             .used
             .into_iter()
@@ -155,13 +234,27 @@
         self.tell(Event::Peer(news)).await;
     }
 
+    /// Takes what a peer read; its clock is asked for where that is not known yet.
+    async fn take_reads(&self, news: &PeerNews, told: Reads, from: SocketAddr) {
+        let heard = self.reads.hear(&news.name, news.incarnation, told);
+        if let Some(at) = heard.fresh {
+            self.tell(Event::Fresh(at)).await;
+        }
+        if heard.ask_clock {
+            let asked = millis(self.clock.now());
+            let question = datagram::Body::ClockQuestion(ClockQuestion { asked });
+            self.send_to(&self.seal(question), &news.name, from).await;
+        }
+    }
+
     /// Notes the sender and the instances that it tells of.
     fn note(&self, beacon: &Beacon, from: SocketAddr, now: Time) {
-        let stopping = beacon.heartbeat.as_ref().is_some_and(|b| b.draining);
-        if stopping {
+        let heartbeat = beacon.heartbeat.as_ref();
+        if heartbeat.is_some_and(|b| b.draining) {
             self.book.forget(&beacon.instance, now);
         } else {
-            self.book.hear(&beacon.instance, from, now);
+            let zone = heartbeat.map_or("", |b| &b.zone);
+            self.book.hear(&beacon.instance, zone, from, now);
         }
         for peer in beacon.peers.iter().take(MAX_TOLD) {
             if let Ok(address) = peer.address.parse() {
@@ -181,11 +274,14 @@
     let _ = stop.wait_for(|s| *s).await;
 }
 
-/// Reads a beacon; `None` for one of a stranger or another protocol.
-fn read(key: &[u8], sealed: &[u8]) -> Option<Beacon> {
+/// Reads a datagram; `None` for one of a stranger.
+fn read(key: &[u8], sealed: &[u8]) -> Option<datagram::Body> {
     let content = auth::open(key, sealed)?;
-    let beacon = Beacon::decode(content).ok()?;
-    (beacon.protocol == PROTOCOL).then_some(beacon)
+    Datagram::decode(content).ok()?.body
+}
+
+fn millis(time: Time) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
 /// Opens the socket for beacons.
--- a/crates/firdock-node/src/peer/book.rs
+++ b/crates/firdock-node/src/peer/book.rs
@@ -5,7 +5,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use firdock_core::InstanceId;
+use firdock_core::{InstanceId, ZoneId};
 use firdock_policy::Time;
 
 /// Most instances that are kept.
@@ -15,10 +15,16 @@
 /// Silence after which an instance does not count as heard.
 const HEARD_WITHIN: Duration = Duration::from_secs(5);
 
+/// Silence after which an instance does not count as the reader of its group.
+const READER_WITHIN: Duration = Duration::from_millis(1_200);
+/// Instances up to which all of them are one group.
+const SMALL_SITE: usize = 16;
+
 /// One other instance.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Entry {
     address: SocketAddr,
+    zone: ZoneId,
     /// When it was heard, or else when it was first told of.
     since: Time,
     heard: bool,
@@ -28,17 +34,19 @@
 #[derive(Debug)]
 pub struct PeerBook {
     me: InstanceId,
+    zone: ZoneId,
     entries: Mutex<BTreeMap<InstanceId, Entry>>,
     /// Instances that said that they stop, and when: others may still tell of them for a while.
     departed: Mutex<BTreeMap<InstanceId, Time>>,
 }
 
 impl PeerBook {
-    /// Makes a book for the instance `me`.
+    /// Makes a book for the instance `me` in `zone`.
     #[must_use]
-    pub fn new(me: InstanceId) -> Self {
+    pub fn new(me: InstanceId, zone: ZoneId) -> Self {
         Self {
             me,
+            zone,
             entries: Mutex::default(),
             departed: Mutex::default(),
         }
@@ -55,6 +63,7 @@
         }
         let entry = Entry {
             address,
+            zone: ZoneId::new(),
             since: now,
             heard: false,
         };
@@ -62,7 +71,7 @@
     }
 
     /// Notes that an instance was heard.
-    pub fn hear(&self, name: &str, address: SocketAddr, now: Time) {
+    pub fn hear(&self, name: &str, zone: &str, address: SocketAddr, now: Time) {
         let mut entries = self.lock();
         let known = entries.contains_key(name) || entries.len() < MAX_PEERS;
         if name == self.me || !known {
@@ -70,6 +79,7 @@
         }
         let entry = Entry {
             address,
+            zone: zone.to_owned(),
             since: now,
             heard: true,
         };
@@ -90,6 +100,28 @@
         entries.len()
     }
 
+    /// Tells whether this instance is the one that reads the store for its group.
+    ///
+    /// It is the first by name of those that are heard. Where all instances are few, one reads for
+    /// all; else one in each availability zone, since heartbeats across zones are rarer.
+    #[must_use]
+    pub fn is_reader(&self, now: Time) -> bool {
+        let entries = self.lock();
+        let all = entries.len() < SMALL_SITE;
+        let in_group = |e: &Entry| all || e.zone == self.zone;
+        let heard = |e: &Entry| e.heard && e.since + READER_WITHIN > now;
+        let mut group = entries.iter().filter(|(_, e)| in_group(e) && heard(e));
+        group.all(|(name, _)| *name > self.me)
+    }
+
+    /// Tells whether an instance is in this one's availability zone, or all instances are few.
+    #[must_use]
+    pub fn is_near(&self, name: &str) -> bool {
+        let entries = self.lock();
+        let near = |e: &Entry| e.zone == self.zone;
+        entries.len() < SMALL_SITE || entries.get(name).is_none_or(near)
+    }
+
     /// Tells whether any instance was heard a short while ago.
     #[must_use]
     pub fn hears_any(&self, now: Time) -> bool {
--- /dev/null
+++ b/crates/firdock-node/src/peer/reads.rs
@@ -0,0 +1,188 @@
+//! Reads of the platform's store that instances share, so that not each of them has to read.
+//!
+//! An instance that read tells its peers what it found to be the newest, and when. A peer whose own
+//! state is the same knows then that it was the newest at that time; one whose state differs reads
+//! for itself. Times are told by the sender's clock. The receiver places them on its own by a bound
+//! from one exchange: an answer is sent after its question, so the sender's clock at the answer
+//! stands for no earlier time than that of the question. A process that stood still cannot take an
+//! old word for a new one by it (see `docs/design/platform.md`).
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use firdock_core::{InstanceId, Version};
+use firdock_policy::Time;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+use uuid::Uuid;
+
+use crate::clock::Clock;
+
+/// Least time between two reads, however often peers tell of news.
+const LEAST_PAUSE: Duration = Duration::from_millis(150);
+/// How much longer than the reader an instance waits before it reads for itself, as a multiple of
+/// the pause between reads; up to half as much again by chance, so that not all begin at once.
+const PATIENCE: f64 = 1.8;
+
+/// What an instance knows to be the newest.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Reads {
+    /// Version of the configuration.
+    pub version: Version,
+    /// Digest of the endpoints listed.
+    pub endpoints: u64,
+    /// When the configuration was the newest.
+    pub config_at: Time,
+    /// When the list of endpoints was the newest.
+    pub endpoints_at: Time,
+}
+
+/// What follows from a peer's word.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Heard {
+    /// The configuration in force here was the newest at this time.
+    pub fresh: Option<Time>,
+    /// The peer's clock has to be asked for before its word is of use.
+    pub ask_clock: bool,
+}
+
+/// Bound on a peer's clock: its `theirs` stands for no earlier time than `ours`.
+#[derive(Debug, Clone, Copy)]
+struct ClockBound {
+    incarnation: Uuid,
+    ours: Time,
+    theirs: Time,
+}
+
+impl ClockBound {
+    /// Gives an earliest time of ours for a time of theirs.
+    fn earliest(&self, at: Time) -> Time {
+        (at + self.ours).saturating_sub(self.theirs)
+    }
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    own: Reads,
+    read_at: Time,
+    news: bool,
+    clocks: BTreeMap<InstanceId, ClockBound>,
+}
+
+/// The reads of this instance, with what its peers told of theirs.
+#[derive(Debug, Default)]
+pub struct SharedReads {
+    inner: Mutex<Inner>,
+    changed: Notify,
+}
+
+impl SharedReads {
+    /// Notes what this instance read; times never go back.
+    pub fn note(&self, now: Time, reads: Reads) {
+        let mut inner = self.lock();
+        inner.read_at = now;
+        inner.news = false;
+        let own = &mut inner.own;
+        own.version = reads.version;
+        own.endpoints = reads.endpoints;
+        own.config_at = own.config_at.max(reads.config_at);
+        own.endpoints_at = own.endpoints_at.max(reads.endpoints_at);
+    }
+
+    /// Notes that a read failed, so that the next one waits its turn.
+    pub fn note_failed(&self, now: Time) {
+        self.lock().read_at = now;
+    }
+
+    /// Gives what this instance knows.
+    #[must_use]
+    pub fn own(&self) -> Reads {
+        self.lock().own
+    }
+
+    /// Takes a peer's word, whose times are by its own clock.
+    #[must_use]
+    pub fn hear(&self, peer: &str, incarnation: Uuid, told: Reads) -> Heard {
+        let mut inner = self.lock();
+        let bound = inner.clocks.get(peer).copied();
+        let Some(bound) = bound.filter(|b| b.incarnation == incarnation) else {
+            return Heard {
+                fresh: None,
+                ask_clock: true,
+            };
+        };
+        let config_at = bound.earliest(told.config_at);
+        let endpoints_at = bound.earliest(told.endpoints_at);
+        let own = &mut inner.own;
+        let same_config = own.version == told.version;
+        let same_endpoints = own.endpoints == told.endpoints;
+        let newer_config = told.version > own.version;
+        let newer_endpoints = !same_endpoints && endpoints_at > own.endpoints_at;
+        let mut fresh = None;
+        if same_config && own.version > 0 && config_at > own.config_at {
+            own.config_at = config_at;
+            fresh = Some(config_at);
+        }
+        if same_endpoints && own.version > 0 {
+            own.endpoints_at = own.endpoints_at.max(endpoints_at);
+        }
+        if newer_config || newer_endpoints {
+            inner.news = true;
+            drop(inner);
+            self.changed.notify_one();
+        }
+        let ask_clock = false;
+        Heard { fresh, ask_clock }
+    }
+
+    /// Takes a peer's clock, which it told after this instance asked at `asked`.
+    pub fn take_clock(&self, peer: &str, incarnation: Uuid, asked: Time, clock: Time) {
+        let new = ClockBound {
+            incarnation,
+            ours: asked,
+            theirs: clock,
+        };
+        let mut inner = self.lock();
+        let known = inner.clocks.get(peer);
+        let tighter = known.is_none_or(|old| {
+            old.incarnation != incarnation || new.earliest(clock) > old.earliest(clock)
+        });
+        if tighter {
+            inner.clocks.insert(peer.to_owned(), new);
+        }
+    }
+
+    /// Waits until this instance has to read: its state grew old, or a peer has newer.
+    ///
+    /// `is_reader` tells whether this instance is the one that reads for its peers.
+    pub async fn due(&self, clock: Clock, pause: Duration, is_reader: impl Fn() -> bool) {
+        let chance = 1.0 + 0.5 * rand::random::<f64>();
+        loop {
+            let now = clock.now();
+            let patience = if is_reader() {
+                pause
+            } else {
+                pause.mul_f64(PATIENCE * chance)
+            };
+            let (read_at, oldest, news) = {
+                let inner = self.lock();
+                let oldest = inner.own.config_at.min(inner.own.endpoints_at);
+                (inner.read_at, oldest, inner.news)
+            };
+            let by_age = if news { now } else { oldest + patience };
+            let due = by_age.max(read_at + LEAST_PAUSE);
+            if due <= now {
+                return;
+            }
+            tokio::select! {
+                () = sleep(due - now) => {}
+                () = self.changed.notified() => {}
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/firdock-node/src/source.rs
+++ b/crates/firdock-node/src/source.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use firdock_core::InstanceId;
 use firdock_core::resource::Catalog;
@@ -13,7 +14,7 @@
 
 use crate::clock::Clock;
 use crate::driver::Input;
-use crate::peer::PeerBook;
+use crate::peer::{PeerBook, Reads, SharedReads};
 
 /// Follows a platform's configuration for as long as the instance runs.
 pub trait ResourceSource: Send + 'static {
@@ -30,6 +31,7 @@
 pub struct SourceSink {
     pub(crate) inputs: mpsc::Sender<Input>,
     pub(crate) peers: Arc<PeerBook>,
+    pub(crate) reads: Arc<SharedReads>,
     pub(crate) clock: Clock,
 }
 
@@ -49,13 +51,26 @@
         self.send(Event::Config(Arc::new(catalog))).await
     }
 
-    /// Tells that what is in force was the newest at `at`: the start of the read that showed it.
+    /// Tells what the last read found, so that this instance and its peers know how fresh it is.
     ///
     /// # Errors
     ///
     /// Fails if the instance was stopped.
-    pub async fn fresh(&self, at: Time) -> Result<(), Stopped> {
-        self.send(Event::Fresh(at)).await
+    pub async fn note(&self, reads: Reads) -> Result<(), Stopped> {
+        self.reads.note(self.clock.now(), reads);
+        self.send(Event::Fresh(reads.config_at)).await
+    }
+
+    /// Tells that a read failed.
+    pub fn note_failed(&self) {
+        self.reads.note_failed(self.clock.now());
+    }
+
+    /// Waits until this instance has to read again: after `pause` if it reads for its peers, later
+    /// if another one does, at once if a peer has something newer.
+    pub async fn due(&self, pause: Duration) {
+        let is_reader = || self.peers.is_reader(self.clock.now());
+        self.reads.due(self.clock, pause, is_reader).await;
     }
 
     /// Tells of another instance and where it takes heartbeats.
--- a/crates/firdock-policy/src/cost.rs
+++ b/crates/firdock-policy/src/cost.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use firdock_core::ZoneId;
 use firdock_core::prefix::BLOCK_TOKENS;
 
 use crate::request::RequestRow;
@@ -20,6 +21,18 @@
 /// Computing a prefix again that another engine has cached costs all later requests, so it weighs
 /// more than the time that this caller would save (figures in `docs/design/routing.md`).
 const PREFILL_WEIGHT: f64 = 8.0;
+/// Weight of the time to the end against the time to the first token, where callers judge by the
+/// first: a place that is held longer serves fewer others, but no caller is worse off at once.
+const END_WEIGHT: f64 = 0.05;
+/// Part of the target beyond which the expected time to the first token is a risk.
+const SAFE_PART: f64 = 0.5;
+/// Weight of that risk.
+const RISK_WEIGHT: f64 = 4.0;
+/// What another availability zone costs in the choice of an engine, in seconds: bytes between zones
+/// are paid for, so that a place nearby is worth a small delay.
+const FAR_ENGINE_SECS: f64 = 0.05;
+/// The same in the choice of a plain server.
+const FAR_PLAIN_SECS: f64 = 0.005;
 /// Time that a plain call takes where nothing was learned yet, in seconds.
 const PLAIN_SECS: f64 = 0.01;
 
@@ -83,7 +96,13 @@
     } else {
         0.0
     };
-    let score = total_secs + weight * f64::from(uncached) / endpoint.declared.prefill_rate;
+    let score = if mechanisms.first_token {
+        let target = service.tier.target().as_secs_f64();
+        let risk = (first_secs - SAFE_PART * target).max(0.0);
+        first_secs + END_WEIGHT * total_secs + RISK_WEIGHT * risk
+    } else {
+        total_secs + weight * f64::from(uncached) / endpoint.declared.prefill_rate
+    };
     Estimate {
         uncached,
         first_secs: first_secs + token,
@@ -92,6 +111,17 @@
     }
 }
 
+/// Gives what an endpoint in another availability zone costs in the choice, in seconds.
+#[must_use]
+pub fn far_secs(mechanisms: Mechanisms, zone: &ZoneId, endpoint: &EndpointRow) -> f64 {
+    let near = endpoint.declared.zone == *zone || endpoint.declared.zone.is_empty();
+    match (mechanisms.near_first && !near, endpoint.is_engine()) {
+        (false, _) => 0.0,
+        (true, true) => FAR_ENGINE_SECS,
+        (true, false) => FAR_PLAIN_SECS,
+    }
+}
+
 /// Estimates the answer's tokens that are still to come.
 #[must_use]
 pub fn expected_output(row: &RequestRow, service: &ServiceRow) -> f64 {
--- a/crates/firdock-policy/src/settings.rs
+++ b/crates/firdock-policy/src/settings.rs
@@ -35,6 +35,10 @@
     pub hand_over: bool,
     /// Requests that cannot begin in time are refused while the caller can still go elsewhere.
     pub early_refusal: bool,
+    /// The choice of an endpoint goes by the time to the first token more than by the whole.
+    pub first_token: bool,
+    /// Endpoints in the own availability zone are preferred.
+    pub near_first: bool,
 }
 
 impl Mechanisms {
@@ -50,6 +54,8 @@
         late_last: true,
         hand_over: true,
         early_refusal: false,
+        first_token: false,
+        near_first: false,
     };
 
     /// What serves at the edge of a platform, where callers try another instance by themselves.
@@ -58,6 +64,8 @@
         waiting: false,
         hand_over: false,
         early_refusal: true,
+        first_token: true,
+        near_first: true,
         ..Self::ALL
     };
 }
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -172,7 +172,9 @@
     let service = t.services.get(row.service);
     let on = t.settings.mechanisms;
     let choices = endpoints.iter().map(|e| {
-        let estimate = cost::estimate(now, on, row, service, t.endpoints.get(*e));
+        let e_row = t.endpoints.get(*e);
+        let mut estimate = cost::estimate(now, on, row, service, e_row);
+        estimate.score += cost::far_secs(on, &t.settings.zone, e_row);
         Choice {
             endpoint: *e,
             estimate,
--- a/crates/firdock-state/src/directory.rs
+++ b/crates/firdock-state/src/directory.rs
@@ -13,7 +13,8 @@
 /// Time since the start of the process, as the policy counts it.
 type Time = Duration;
 
-/// Silence of the list that counts as an outage: several reads in a row failed.
+/// Time for which reads failed that counts as an outage: entries live longer than that without
+/// being renewed.
 pub const OUTAGE: Duration = Duration::from_millis(1_500);
 /// Grace after an outage in which missing entries are kept: endpoints that live and reach the list
 /// are back in it about two seconds after its return.
@@ -23,7 +24,7 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     rows: BTreeMap<EndpointId, Row>,
-    read_at: Option<Time>,
+    failed_since: Option<Time>,
     trust_after: Time,
 }
 
@@ -44,7 +45,6 @@
     ///
     /// Call it after the entries of the read were put and removed.
     pub fn note_read(&mut self, now: Time) -> bool {
-        self.read_at = Some(now);
         if now < self.trust_after {
             return false;
         }
@@ -53,9 +53,17 @@
         self.rows.len() != before
     }
 
+    /// Notes that a read failed.
+    ///
+    /// Only failures make an outage: an instance whose peers read for it does not read for long.
+    pub fn note_failed(&mut self, now: Time) {
+        self.failed_since.get_or_insert(now);
+    }
+
     /// Notes that a read was answered, before its entries are taken: an outage may have ended.
     pub fn note_answer(&mut self, now: Time) {
-        if self.read_at.is_some_and(|at| at + OUTAGE < now) {
+        let failed = self.failed_since.take();
+        if failed.is_some_and(|since| since + OUTAGE < now) {
             self.trust_after = now + GRACE;
         }
     }
--- a/crates/firdock-state/tests/state/main.rs
+++ b/crates/firdock-state/tests/state/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the fold and of following the log.
 
 mod decode;
+mod directory;
 mod random;
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -95,7 +95,60 @@
     #[prost(uint64, tag = "7")]
     pub log_next: u64,
 }
-/// A heartbeat by datagram, between instances that know each other by address alone.
+/// One datagram between instances that know each other by address alone.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Datagram {
+    #[prost(oneof = "datagram::Body", tags = "1, 2, 3")]
+    pub body: ::core::option::Option<datagram::Body>,
+}
+/// Nested message and enum types in `Datagram`.
+pub mod datagram {
+    #[derive(Clone, PartialEq, ::prost::Oneof)]
+    pub enum Body {
+        #[prost(message, tag = "1")]
+        Beacon(super::Beacon),
+        #[prost(message, tag = "2")]
+        ClockQuestion(super::ClockQuestion),
+        #[prost(message, tag = "3")]
+        ClockAnswer(super::ClockAnswer),
+    }
+}
+/// Asks for the receiver's clock.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ClockQuestion {
+    /// The sender's clock, in milliseconds.
+    #[prost(uint64, tag = "1")]
+    pub asked: u64,
+}
+/// Tells the sender's clock.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ClockAnswer {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    /// 16 bytes: the start of the sender, which its clock belongs to.
+    #[prost(bytes = "vec", tag = "2")]
+    pub incarnation: ::prost::alloc::vec::Vec<u8>,
+    /// As in the question.
+    #[prost(uint64, tag = "3")]
+    pub asked: u64,
+    /// The sender's clock, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub clock: u64,
+}
+/// What an instance knows to be the newest, by its own clock.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Reads {
+    /// Digest of the endpoints listed.
+    #[prost(fixed64, tag = "1")]
+    pub endpoints: u64,
+    /// When the configuration was the newest, in milliseconds of the sender's clock.
+    #[prost(uint64, tag = "2")]
+    pub config_at: u64,
+    /// When the list of endpoints was the newest, likewise.
+    #[prost(uint64, tag = "3")]
+    pub endpoints_at: u64,
+}
+/// A heartbeat by datagram.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Beacon {
     /// Version of this protocol.
@@ -115,6 +168,8 @@
     /// Other instances that the sender knows of.
     #[prost(message, repeated, tag = "6")]
     pub peers: ::prost::alloc::vec::Vec<PeerAddress>,
+    #[prost(message, optional, tag = "7")]
+    pub reads: ::core::option::Option<Reads>,
 }
 /// What one instance let pass of one account's limit.
 #[derive(Clone, PartialEq, ::prost::Message)]
