Write a line for each decision, and tell limited callers exactly when to come back

Cause: the log had two lines a request without inputs, and a caller over its account's limit was told a second at least, though the bucket had room again after some ten milliseconds: its second try was late. Lines now carry the request's and the caller's id, the inputs with age or version, and the outcome; so many a second of each kind, with a count of what was left out.

--- a/crates/firdock-node/src/door/answer.rs
+++ b/crates/firdock-node/src/door/answer.rs
@@ -73,6 +73,12 @@
         &self.reason
     }
 
+    /// Gives what was wrong, in words.
+    #[must_use]
+    pub fn detail(&self) -> &str {
+        &self.detail
+    }
+
     /// Gives when the caller should come back, if that is of use.
     #[must_use]
     pub fn retry_after(&self) -> Option<Duration> {
@@ -103,9 +109,7 @@
             outcome: verdict.outcome,
             reason: verdict.reason.as_str().to_owned(),
             detail: detail.to_owned(),
-            retry_after: verdict
-                .retry_seconds
-                .map(|s| Duration::from_secs(u64::from(s))),
+            retry_after: verdict.retry_after,
             time_left: None,
         }
     }
--- a/crates/firdock-node/src/door/handler.rs
+++ b/crates/firdock-node/src/door/handler.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use slog::{Logger, debug};
+use slog::{Logger, warn};
 use tokio::sync::mpsc;
 use uuid::Uuid;
 
@@ -21,7 +21,7 @@
 use crate::driver::{self, Input};
 use crate::exchange::{AnswerHead, CallTerms, Exchange, Part, Payload};
 use crate::site::Site;
-use crate::telemetry::{Span, TraceContext};
+use crate::telemetry::{LineBudget, LineKind, Span, TraceContext};
 
 /// Header that carries the trace.
 pub(super) const TRACE_HEADER: HeaderName = HeaderName::from_static("traceparent");
@@ -94,6 +94,7 @@
     inputs: mpsc::Sender<Input>,
     clock: Clock,
     log: Logger,
+    lines: Arc<LineBudget>,
 }
 
 impl<I: Interface> Door<I> {
@@ -115,9 +116,17 @@
             inputs,
             clock,
             log,
+            lines: Arc::default(),
         }
     }
 
+    /// Shares the bound on the lines of the log.
+    #[must_use]
+    pub(crate) fn with_lines(mut self, lines: Arc<LineBudget>) -> Self {
+        self.lines = lines;
+        self
+    }
+
     /// Shares how far the door is open.
     #[must_use]
     pub(crate) fn with_state(mut self, state: DoorState) -> Self {
@@ -138,24 +147,41 @@
             self.clock.now(),
         );
         let trace = span.context;
+        let call = self.interface.label(request.headers());
         let mut response = match self.read(request).await {
             Ok(payload) => self.serve(id, payload, trace).await,
-            Err(problem) => self.interface.refuse(&problem, &id.to_string()),
+            Err(problem) => {
+                self.note_refusal(id, call.as_deref(), &problem);
+                self.interface.refuse(&problem, &id.to_string())
+            }
         };
         if self.state.get() != Opening::Open {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
         let result = response.status().as_u16().to_string();
-        debug!(self.log, "answer begun";
-            "request_id" => id.to_string(),
-            "trace_id" => trace.trace_id(),
-            "status" => response.status().as_u16(),
-        );
         span.end(&self.log, self.clock.now(), &id.to_string(), &result);
         response
     }
 
+    /// Writes why a call was refused before the scheduler saw it.
+    fn note_refusal(&self, id: RequestId, call: Option<&str>, problem: &Problem) {
+        let now = self.clock.now();
+        if !self.lines.allow(&self.log, now, LineKind::Failed) {
+            return;
+        }
+        let age = self.site.age(now);
+        warn!(self.log, "call refused";
+            "request_id" => id.to_string(),
+            "call" => call,
+            "outcome" => problem.outcome().as_str(),
+            "reason" => problem.reason(),
+            "status" => problem.status().as_u16(),
+            "detail" => problem.detail(),
+            "config_age_millis" => age.map(|age| age.as_millis() as u64),
+        );
+    }
+
     async fn read(&self, request: Request<Incoming>) -> Result<Payload, Problem> {
         if self.state.get() == Opening::Closed {
             return Err(stopping());
--- a/crates/firdock-node/src/door/interface.rs
+++ b/crates/firdock-node/src/door/interface.rs
@@ -78,6 +78,9 @@
     /// Fails with the problem that the caller is told; the call ran nowhere then.
     fn read(&self, call: IncomingCall) -> impl Future<Output = Result<Payload, Problem>> + Send;
 
+    /// Gives the id that a caller gave a call, for the logs.
+    fn label(&self, headers: &HeaderMap) -> Option<String>;
+
     /// Writes an answer of firdock's own.
     fn refuse(&self, problem: &Problem, id: &str) -> Response<AnswerBody>;
 
--- a/crates/firdock-node/src/door/own.rs
+++ b/crates/firdock-node/src/door/own.rs
@@ -57,6 +57,11 @@
         })
     }
 
+    /// Gives nothing: callers of the own interface learn the id that firdock gave.
+    fn label(&self, _headers: &HeaderMap) -> Option<String> {
+        None
+    }
+
     fn refuse(&self, problem: &Problem, id: &str) -> Response<AnswerBody> {
         problem.response(id)
     }
--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -11,8 +11,8 @@
 use firdock_core::{EndpointId, InstanceId, Outcome, Reason, RequestId};
 use firdock_policy::action::Dispatch;
 use firdock_policy::event::{DispatchNews, EndpointEvent, HandOverEvent, HandOverRefusal};
-use firdock_policy::{Action, Event, NewRequest, Origin, Policy as _, Scheduler, Verdict};
-use slog::{Logger, info, warn};
+use firdock_policy::{Action, Event, NewRequest, Origin, Policy as _, Scheduler, Time, Verdict};
+use slog::{Logger, warn};
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
@@ -26,7 +26,7 @@
 use crate::exchange::{Exchange, Part, Payload};
 use crate::peer::{self, Dialer, SelfNews};
 use crate::site::{Place, Site};
-use crate::telemetry::{Metrics, Span};
+use crate::telemetry::{Decisions, LineBudget, Metrics, Span};
 
 /// Inputs that may wait for the scheduler.
 pub const INPUTS_WAITING: usize = 4_096;
@@ -92,6 +92,8 @@
     pub clock: Clock,
     /// Logger.
     pub log: Logger,
+    /// Bound on the lines of the log.
+    pub lines: Arc<LineBudget>,
     /// Runtime for the tasks that carry actions out.
     pub runtime: Handle,
     /// Way back to the scheduler, for those tasks.
@@ -110,12 +112,14 @@
     exchanges: HashMap<RequestId, Live>,
     actions: Vec<Action>,
     ticks: u32,
+    decisions: Decisions,
 }
 
 /// A request that has not ended.
 #[derive(Debug)]
 struct Live {
     exchange: Arc<Exchange>,
+    arrived: Time,
     task: Option<AbortHandle>,
 }
 
@@ -123,12 +127,14 @@
     /// Makes a driver.
     #[must_use]
     pub fn new(scheduler: Scheduler, parts: DriverParts<B>) -> Self {
+        let decisions = Decisions::new(parts.log.clone(), Arc::clone(&parts.lines));
         Self {
             scheduler,
             parts,
             exchanges: HashMap::new(),
             actions: Vec::new(),
             ticks: 0,
+            decisions,
         }
     }
 
@@ -156,6 +162,7 @@
                     id,
                     Live {
                         exchange,
+                        arrived: self.parts.clock.now(),
                         task: None,
                     },
                 );
@@ -166,6 +173,7 @@
                 match &event {
                     Event::Config(catalog) => self.parts.site.set(catalog),
                     Event::Fresh(at) => self.parts.site.set_fresh(*at),
+                    Event::Endpoint(news) => self.note_news(news),
                     _ => {}
                 }
                 let id = subject(&event);
@@ -177,11 +185,37 @@
         }
     }
 
+    /// Writes what an endpoint told of a dispatch, while the request's row is still there.
+    fn note_news(&self, event: &EndpointEvent) {
+        let row = self.scheduler.tables().requests.get(event.id);
+        let row = row.filter(|r| r.dispatch == event.dispatch);
+        let (Some(row), Some(live)) = (row, self.exchanges.get(&event.id)) else {
+            return;
+        };
+        let now = self.parts.clock.now();
+        let failed = match event.news {
+            DispatchNews::Ended { .. } => {
+                self.parts.metrics.observe_answer(now, row);
+                self.decisions.answered(now, row, &live.exchange);
+                return;
+            }
+            DispatchNews::Started { .. } | DispatchNews::Tokens { .. } => return,
+            DispatchNews::Refused { unreachable: true } => "unreachable",
+            DispatchNews::Refused { unreachable: false } => "refused",
+            DispatchNews::Lapsed => "lapsed",
+            DispatchNews::Broke { .. } => "broke",
+        };
+        self.decisions
+            .dispatch_failed(now, row, failed, &live.exchange);
+    }
+
     fn tick(&mut self) {
         self.step(Event::Timer);
         self.ticks += 1;
         if self.ticks.is_multiple_of(TICKS_PER_PUBLICATION) {
-            self.scheduler.check_invariants(self.parts.clock.now());
+            let now = self.parts.clock.now();
+            self.scheduler.check_invariants(now);
+            self.decisions.beliefs(now, self.scheduler.tables());
             self.publish();
         }
         self.drop_ended();
@@ -235,11 +269,11 @@
             } => self.cancel(id, &endpoint, dispatch),
             Action::HandOver { id, peer, cause } => self.hand_over(id, peer, cause),
             Action::CancelHandOver { id, .. } => self.abort(id),
-            Action::Answer { id, verdict } => self.reply(id, Part::Verdict(verdict)),
+            Action::Answer { id, verdict } => self.answer(id, verdict),
             Action::RefuseHandOver { id, verdict, tried } => {
                 self.reply(id, Part::Refusal(verdict, tried));
             }
-            Action::Cut { id } => self.reply(id, Part::Cut),
+            Action::Cut { id } => self.cut(id),
             Action::Replay { id, earlier } => self.replay(id, earlier),
             Action::Forget { id } => self.parts.answers.forget(id),
             Action::TransferKeys { peer, transfer } => {
@@ -261,6 +295,8 @@
             return;
         };
         let id = dispatch.id;
+        let (now, t) = (self.parts.clock.now(), self.scheduler.tables());
+        self.decisions.dispatched(now, t, &dispatch, &exchange);
         let run = self.make_run(exchange, dispatch, place);
         let backends = self.parts.backends.clone();
         let (log, clock) = (self.parts.log.clone(), self.parts.clock);
@@ -360,12 +396,29 @@
         self.set_task(id, task.abort_handle());
     }
 
+    fn answer(&self, id: RequestId, verdict: Verdict) {
+        if let Some(live) = self.exchanges.get(&id) {
+            let (now, t) = (self.parts.clock.now(), self.scheduler.tables());
+            self.decisions
+                .verdict(now, t, live.arrived, verdict, &live.exchange);
+        }
+        self.reply(id, Part::Verdict(verdict));
+    }
+
+    fn cut(&self, id: RequestId) {
+        if let Some(live) = self.exchanges.get(&id) {
+            let now = self.parts.clock.now();
+            self.decisions.cut(now, live.arrived, &live.exchange);
+        }
+        self.reply(id, Part::Cut);
+    }
+
     fn replay(&self, id: RequestId, earlier: RequestId) {
         let Some(answer) = self.parts.answers.get(earlier) else {
             let verdict = Verdict {
                 outcome: Outcome::Unknown,
                 reason: Reason::KeyUncertain,
-                retry_seconds: None,
+                retry_after: None,
             };
             self.reply(id, Part::Verdict(verdict));
             return;
@@ -379,11 +432,6 @@
         let Some(live) = self.exchanges.get(&id) else {
             return;
         };
-        info!(self.parts.log, "reply";
-            "request_id" => id.to_string(),
-            "trace_id" => live.exchange.trace.trace_id(),
-            "part" => part.name(),
-        );
         let reply = live.exchange.reply.clone();
         if let Err(mpsc::error::TrySendError::Full(part)) = reply.try_send(part) {
             self.parts
--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -31,7 +31,7 @@
 use crate::site::Site;
 use crate::source::{ResourceSource, SourceSink};
 use crate::status::{Readiness, metrics};
-use crate::telemetry::{Metrics, silent};
+use crate::telemetry::{LineBudget, Metrics, silent};
 
 /// Time after the order to stop in which calls are still served: the balancer asks once a second,
 /// takes an instance out after two refusals, and connections it passed on just before bring one
@@ -65,6 +65,7 @@
     stop_rest: watch::Sender<bool>,
     stop_time: Duration,
     log: Logger,
+    lines: Arc<LineBudget>,
 }
 
 impl<I: Interface, D: Dialect, S: ResourceSource> EdgeInstance<I, D, S> {
@@ -129,6 +130,7 @@
             stop_rest,
             stop_time: Duration::from_secs(self.settings.limits.stop_seconds),
             log: self.log,
+            lines: parts.lines,
         })
     }
 }
@@ -152,6 +154,7 @@
         let drained = *self.drained.borrow();
         self.stop_rest.send_replace(true);
         tokio::task::yield_now().await;
+        self.lines.finish(&self.log);
         info!(self.log, "stopped"; "drained" => drained);
     }
 }
@@ -177,6 +180,7 @@
     peers: Arc<PeerBook>,
     reads: Arc<SharedReads>,
     log: Logger,
+    lines: Arc<LineBudget>,
 }
 
 impl Parts {
@@ -195,6 +199,7 @@
             peers: Arc::new(PeerBook::new(name, settings.instance.zone.clone())),
             reads: Arc::default(),
             log,
+            lines: Arc::default(),
         }
     }
 
@@ -219,6 +224,7 @@
             self.log.clone(),
         )
         .with_state(self.door.clone())
+        .with_lines(Arc::clone(&self.lines))
     }
 
     fn driver<D: Dialect>(
@@ -246,6 +252,7 @@
             },
             clock: self.clock,
             log: self.log.new(o!("part" => "driver")),
+            lines: Arc::clone(&self.lines),
             runtime: Handle::current(),
             inputs: inputs.clone(),
             news,
--- a/crates/firdock-node/src/exchange.rs
+++ b/crates/firdock-node/src/exchange.rs
@@ -82,21 +82,6 @@
     Refusal(Verdict, Vec<EndpointId>),
 }
 
-impl Part {
-    /// Gives the part's name for logs.
-    #[must_use]
-    pub fn name(&self) -> &'static str {
-        match self {
-            Self::Head(_) => "head",
-            Self::Data(_) => "data",
-            Self::End => "end",
-            Self::Cut => "cut",
-            Self::Verdict(_) => "verdict",
-            Self::Refusal(..) => "refusal",
-        }
-    }
-}
-
 /// How much of a model's answer has been passed on, over all dispatches.
 #[derive(Debug, Default)]
 pub struct Delivered {
--- a/crates/firdock-node/src/instance.rs
+++ b/crates/firdock-node/src/instance.rs
@@ -27,7 +27,7 @@
 use crate::peer::{Dialer, PeerServer, SelfNews, ask_for_state, beat, serve_peers};
 use crate::platform::{HttpInstances, HttpLog};
 use crate::site::Site;
-use crate::telemetry::{Metrics, silent};
+use crate::telemetry::{LineBudget, Metrics, silent};
 
 /// Longest time that a caller may leave parts of an answer unread.
 pub(crate) const CALLER_STALL: Duration = Duration::from_secs(30);
@@ -252,6 +252,7 @@
     instances: HttpInstances,
     engine: HttpEngine,
     log: Logger,
+    lines: Arc<LineBudget>,
 }
 
 impl Parts {
@@ -283,6 +284,7 @@
             instances: HttpInstances::new(list_at, s.platform.call()),
             engine: HttpEngine::new(connect, silence),
             log: instance.log.clone(),
+            lines: Arc::default(),
         })
     }
 
@@ -308,6 +310,7 @@
             },
             clock: self.clock,
             log: self.log.new(o!("part" => "driver")),
+            lines: Arc::clone(&self.lines),
             runtime: Handle::current(),
             inputs: inputs.clone(),
             news,
@@ -359,6 +362,7 @@
             self.clock,
             self.log.clone(),
         )
+        .with_lines(Arc::clone(&self.lines))
     }
 
     fn server_options(&self) -> ServerOptions {
--- a/crates/firdock-node/src/peer/hand_over.rs
+++ b/crates/firdock-node/src/peer/hand_over.rs
@@ -202,7 +202,7 @@
     Verdict {
         outcome,
         reason,
-        retry_seconds: Some(retry_seconds).filter(|s| *s > 0),
+        retry_after: (retry_seconds > 0).then(|| Duration::from_secs(u64::from(retry_seconds))),
     }
 }
 
@@ -254,6 +254,8 @@
 fn write_verdict(verdict: Verdict) -> (String, u32) {
     (
         verdict.reason.as_str().to_owned(),
-        verdict.retry_seconds.unwrap_or(0),
+        verdict
+            .retry_after
+            .map_or(0, |after| after.as_secs_f64().ceil() as u32),
     )
 }
--- /dev/null
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -0,0 +1,260 @@
+//! One line for each decision that touches a request or changes what the process believes.
+//!
+//! Each has the request's id, the inputs that decided it with their age or version, and the
+//! outcome, so that a complaint can be traced from logs alone (`docs/OPERATIONS.md`).
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use firdock_core::{EndpointId, InstanceId};
+use firdock_policy::action::Dispatch;
+use firdock_policy::request::RequestRow;
+use firdock_policy::table::Tables;
+use firdock_policy::table::endpoint::{EndpointRow, Health};
+use firdock_policy::{Time, Verdict};
+use slog::{Logger, info, warn};
+
+use super::budget::{LineBudget, LineKind};
+use crate::exchange::Exchange;
+
+/// What an instance believes of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EndpointBelief {
+    Usable,
+    Leaving,
+    Ejected,
+}
+
+impl EndpointBelief {
+    fn new(e: &EndpointRow, now: Time) -> Self {
+        if e.leaving(now) {
+            Self::Leaving
+        } else if e.health == Health::Well {
+            Self::Usable
+        } else {
+            Self::Ejected
+        }
+    }
+
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Usable => "usable",
+            Self::Leaving => "leaving",
+            Self::Ejected => "ejected",
+        }
+    }
+}
+
+/// What was last written of the process's beliefs.
+#[derive(Debug, Default)]
+struct Beliefs {
+    version: u64,
+    fresh: bool,
+    endpoints: BTreeMap<EndpointId, EndpointBelief>,
+    peers: BTreeMap<InstanceId, bool>,
+}
+
+/// Writes the lines of one scheduler's decisions.
+#[derive(Debug)]
+pub struct Decisions {
+    log: Logger,
+    budget: Arc<LineBudget>,
+    beliefs: Beliefs,
+}
+
+impl Decisions {
+    /// Makes a writer whose lines count against `budget`.
+    #[must_use]
+    pub fn new(log: Logger, budget: Arc<LineBudget>) -> Self {
+        Self {
+            log,
+            budget,
+            beliefs: Beliefs::default(),
+        }
+    }
+
+    /// Writes that a request is sent to an endpoint.
+    pub fn dispatched(&self, now: Time, t: &Tables, dispatch: &Dispatch, exchange: &Exchange) {
+        if !self.budget.allow(&self.log, now, LineKind::Dispatched) {
+            return;
+        }
+        let Some(row) = t.requests.get(dispatch.id) else {
+            return;
+        };
+        let at = t.endpoints.find(&dispatch.endpoint);
+        let endpoint = at.map(|at| t.endpoints.get(at));
+        info!(self.log, "dispatched";
+            "request_id" => dispatch.id.to_string(),
+            "call" => call(exchange),
+            "service" => &exchange.payload.service,
+            "account" => &exchange.payload.account,
+            "rank" => row.rank,
+            "endpoint" => &dispatch.endpoint,
+            "dispatch" => dispatch.dispatch,
+            "resumed" => row.head_sent,
+            "held_millis" => millis(now.saturating_sub(row.arrived)),
+            "predicted_millis" => millis(row.predicted),
+            "prompt_tokens" => row.new.prompt_tokens,
+            "running" => endpoint.map_or(0, |e| e.running),
+            "budget" => endpoint.map_or(0, |e| e.budget),
+            "left_millis" => row.deadline.map(|by| millis(by.saturating_sub(now))),
+            "version" => t.version,
+            "config_age_millis" => config_age(t, now),
+        );
+    }
+
+    /// Writes that a whole answer was passed on; `row` is the request's before it ended.
+    pub fn answered(&self, now: Time, row: &RequestRow, exchange: &Exchange) {
+        if !self.budget.allow(&self.log, now, LineKind::Answered) {
+            return;
+        }
+        let first = row.first.unwrap_or(now);
+        info!(self.log, "answered";
+            "request_id" => row.new.id.to_string(),
+            "call" => call(exchange),
+            "service" => &exchange.payload.service,
+            "endpoint" => row.tried.last(),
+            "dispatches" => row.dispatch,
+            "held_millis" => millis(row.dispatched.saturating_sub(row.arrived)),
+            "predicted_millis" => millis(row.predicted),
+            "first_millis" => millis(first.saturating_sub(row.arrived)),
+            "total_millis" => millis(now.saturating_sub(row.arrived)),
+            "prompt_tokens" => row.new.prompt_tokens,
+        );
+    }
+
+    /// Writes firdock's own final answer to a request, with what decided it.
+    pub fn verdict(&self, now: Time, t: &Tables, arrived: Time, verdict: Verdict, x: &Exchange) {
+        if !self.budget.allow(&self.log, now, LineKind::Failed) {
+            return;
+        }
+        warn!(self.log, "request given up";
+            "request_id" => x.id.to_string(),
+            "call" => call(x),
+            "service" => &x.payload.service,
+            "account" => &x.payload.account,
+            "outcome" => verdict.outcome.as_str(),
+            "reason" => verdict.reason.as_str(),
+            "retry_millis" => verdict.retry_after.map(millis),
+            "waited_millis" => millis(now.saturating_sub(arrived)),
+            "held" => t.requests.held(),
+            "version" => t.version,
+            "config_age_millis" => config_age(t, now),
+        );
+    }
+
+    /// Writes that an answer that had begun could not be completed.
+    pub fn cut(&self, now: Time, arrived: Time, x: &Exchange) {
+        if !self.budget.allow(&self.log, now, LineKind::Failed) {
+            return;
+        }
+        warn!(self.log, "answer cut";
+            "request_id" => x.id.to_string(),
+            "call" => call(x),
+            "service" => &x.payload.service,
+            "outcome" => "unknown",
+            "waited_millis" => millis(now.saturating_sub(arrived)),
+        );
+    }
+
+    /// Writes that a dispatch ended without an answer: refused, lapsed or broken.
+    pub fn dispatch_failed(&self, now: Time, row: &RequestRow, news: &str, x: &Exchange) {
+        if !self.budget.allow(&self.log, now, LineKind::Failed) {
+            return;
+        }
+        warn!(self.log, "dispatch failed";
+            "request_id" => row.new.id.to_string(),
+            "call" => call(x),
+            "endpoint" => row.tried.last(),
+            "dispatch" => row.dispatch,
+            "news" => news,
+            "after_millis" => millis(now.saturating_sub(row.dispatched)),
+            "delivered_tokens" => row.delivered,
+        );
+    }
+
+    /// Writes what changed in the process's beliefs since the last look.
+    pub fn beliefs(&mut self, now: Time, t: &Tables) {
+        if t.version != self.beliefs.version {
+            let before = std::mem::replace(&mut self.beliefs.version, t.version);
+            self.believe(
+                now,
+                "version in force",
+                &t.version.to_string(),
+                &before.to_string(),
+            );
+        }
+        if let Some(until) = t.fresh_until() {
+            let fresh = until > now;
+            if fresh != self.beliefs.fresh {
+                self.beliefs.fresh = fresh;
+                let age = config_age(t, now).unwrap_or_default().to_string();
+                let what = if fresh { "fresh" } else { "stale" };
+                self.believe(now, "configuration", what, &format!("age {age} ms"));
+            }
+        }
+        self.endpoint_beliefs(now, t);
+        self.peer_beliefs(now, t);
+    }
+
+    fn endpoint_beliefs(&mut self, now: Time, t: &Tables) {
+        let present = t.endpoints.iter().filter(|(_, e)| e.present);
+        let seen: BTreeMap<EndpointId, EndpointBelief> = present
+            .map(|(_, e)| (e.declared.name.clone(), EndpointBelief::new(e, now)))
+            .collect();
+        let known = std::mem::take(&mut self.beliefs.endpoints);
+        for (name, belief) in &seen {
+            let before = known.get(name);
+            if before != Some(belief) {
+                let before = before.map_or("unknown", |b| b.as_str());
+                self.believe(now, &format!("endpoint {name}"), belief.as_str(), before);
+            }
+        }
+        for (name, before) in known.iter().filter(|(name, _)| !seen.contains_key(*name)) {
+            self.believe(now, &format!("endpoint {name}"), "gone", before.as_str());
+        }
+        self.beliefs.endpoints = seen;
+    }
+
+    fn peer_beliefs(&mut self, now: Time, t: &Tables) {
+        let heard = |heard: Time| heard + t.settings.peer_stale > now;
+        let seen: BTreeMap<InstanceId, bool> = t
+            .peers
+            .iter()
+            .map(|(_, p)| (p.name.clone(), heard(p.heard)))
+            .collect();
+        let word = |heard: bool| if heard { "heard" } else { "silent" };
+        let known = std::mem::take(&mut self.beliefs.peers);
+        for (name, heard) in &seen {
+            let before = known.get(name);
+            if before != Some(heard) {
+                let before = before.map_or("unknown", |b| word(*b));
+                self.believe(now, &format!("instance {name}"), word(*heard), before);
+            }
+        }
+        for (name, before) in known.iter().filter(|(name, _)| !seen.contains_key(*name)) {
+            self.believe(now, &format!("instance {name}"), "gone", word(*before));
+        }
+        self.beliefs.peers = seen;
+    }
+
+    fn believe(&self, now: Time, what: &str, is: &str, before: &str) {
+        if self.budget.allow(&self.log, now, LineKind::Belief) {
+            info!(self.log, "belief changed"; "what" => what, "is" => is, "before" => before);
+        }
+    }
+}
+
+/// Gives the id that the caller gave, or nothing.
+fn call(exchange: &Exchange) -> Option<&String> {
+    exchange.payload.terms.caller_id.as_ref()
+}
+
+fn config_age(t: &Tables, now: Time) -> Option<u64> {
+    t.fresh_at.map(|at| millis(now.saturating_sub(at)))
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -5,7 +5,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use firdock_policy::Stats;
+use firdock_policy::request::RequestRow;
+use firdock_policy::{Stats, Time};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -19,6 +20,11 @@
 /// Buckets of the decision time, each twice as wide as the one before.
 const BUCKETS: u16 = 20;
 
+/// Least latency told apart, in seconds.
+const FIRST_LATENCY_BUCKET: f64 = 1e-3;
+/// Buckets of latencies, likewise.
+const LATENCY_BUCKETS: u16 = 16;
+
 /// One label with its value.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ByTier {
@@ -55,6 +61,9 @@
     version: Gauge,
     log_lag: Gauge,
     decision: Histogram,
+    first: Family<ByTier, Histogram, fn() -> Histogram>,
+    held_time: Histogram,
+    total: Histogram,
 }
 
 impl Default for Metrics {
@@ -85,6 +94,9 @@
             version: Gauge::default(),
             log_lag: Gauge::default(),
             decision: Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS)),
+            first: Family::new_with_constructor(latency),
+            held_time: latency(),
+            total: latency(),
         };
         metrics.register();
         metrics
@@ -149,6 +161,21 @@
             "Time since the log was read to its end",
             self.log_lag.clone(),
         );
+        r.register(
+            "first_seconds",
+            "Time from arrival to the first token or byte, by rank",
+            self.first.clone(),
+        );
+        r.register(
+            "held_seconds",
+            "Time from arrival to the last dispatch of answered requests",
+            self.held_time.clone(),
+        );
+        r.register(
+            "total_seconds",
+            "Time from arrival to the end of whole answers",
+            self.total.clone(),
+        );
         r.register(
             "decision_seconds",
             "Time of one decision",
@@ -161,6 +188,19 @@
         self.decision.observe(took.as_secs_f64());
     }
 
+    /// Notes the times of a request whose whole answer was passed on.
+    pub fn observe_answer(&self, now: Time, row: &RequestRow) {
+        let since = |at: Time| at.saturating_sub(row.arrived).as_secs_f64();
+        let tier = ByTier {
+            tier: format!("rank-{}", row.rank),
+        };
+        self.first
+            .get_or_create(&tier)
+            .observe(since(row.first.unwrap_or(now)));
+        self.held_time.observe(since(row.dispatched));
+        self.total.observe(since(now));
+    }
+
     /// Notes how long ago the log was read up to its end.
     pub fn set_log_lag(&self, lag: Duration) {
         self.log_lag
@@ -221,6 +261,15 @@
     }
 }
 
+/// Makes a histogram of times from a millisecond to half a minute.
+fn latency() -> Histogram {
+    Histogram::new(exponential_buckets(
+        FIRST_LATENCY_BUCKET,
+        2.0,
+        LATENCY_BUCKETS,
+    ))
+}
+
 fn store(counter: &Counter, value: u64) {
     counter.inner().store(value, Ordering::Relaxed);
 }
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -1,5 +1,7 @@
 //! Requests as the policy sees them: sizes, prefix and key, but no content.
 
+use std::time::Duration;
+
 use firdock_core::prefix::BlockHash;
 use firdock_core::resource::Service;
 use firdock_core::{
@@ -86,8 +88,8 @@
     pub outcome: Outcome,
     /// Why.
     pub reason: Reason,
-    /// When the caller should come back, in seconds; `None` where coming back is no use.
-    pub retry_seconds: Option<u32>,
+    /// When the caller should come back; `None` where coming back is no use.
+    pub retry_after: Option<Duration>,
 }
 
 /// Where a request is on its way.
--- a/crates/firdock-policy/src/system/admit.rs
+++ b/crates/firdock-policy/src/system/admit.rs
@@ -1,5 +1,7 @@
 //! Admission: a request is matched to its service and account, and held.
 
+use std::time::Duration;
+
 use firdock_core::resource::request_rank;
 use firdock_core::{Outcome, Reason};
 
@@ -9,8 +11,8 @@
 use crate::table::Tables;
 use crate::time::Time;
 
-/// Seconds after which a caller should try again where nothing serves the request.
-const NO_ENDPOINT_SECONDS: u32 = 5;
+/// Time after which a caller should try again where nothing serves the request.
+const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(5);
 
 /// Takes a request that arrived.
 pub fn arrived(t: &mut Tables, now: Time, new: NewRequest, out: &mut Vec<Action>) {
@@ -69,7 +71,7 @@
     Verdict {
         outcome,
         reason: Reason::NoEndpoint,
-        retry_seconds: Some(NO_ENDPOINT_SECONDS),
+        retry_after: Some(NO_ENDPOINT_RETRY),
     }
 }
 
--- a/crates/firdock-policy/src/system/end.rs
+++ b/crates/firdock-policy/src/system/end.rs
@@ -2,6 +2,8 @@
 //!
 //! Queue, account, service and endpoint counts are kept in step here and nowhere else.
 
+use std::time::Duration;
+
 use firdock_core::{EndpointId, Outcome, Reason, RequestId};
 
 use super::limit;
@@ -11,8 +13,10 @@
 use crate::table::Tables;
 use crate::time::Time;
 
-/// Shortest and longest time, in seconds, after which callers are told to come back.
-const RETRY_SECONDS: (f64, f64) = (1.0, 60.0);
+/// Shortest and longest time after which callers are told to come back.
+///
+/// Sooner than a second, the load that kept a request out is still there.
+const RETRY_TIMES: (Duration, Duration) = (Duration::from_secs(1), Duration::from_mins(1));
 
 /// Moves a request to another phase and keeps every count in step.
 pub fn set_phase(t: &mut Tables, id: RequestId, phase: Phase, front: bool) {
@@ -153,15 +157,15 @@
     let verdict = Verdict {
         outcome,
         reason,
-        retry_seconds: Some(retry_seconds(t)),
+        retry_after: Some(retry_after(t)),
     };
     answer(t, now, id, verdict, out);
 }
 
-/// Estimates when the queue will have room, in seconds.
-pub fn retry_seconds(t: &Tables) -> u32 {
+/// Estimates when the queue will have room.
+pub fn retry_after(t: &Tables) -> Duration {
     let wait = t.requests.held() as f64 / t.end_rate.max(1.0);
-    wait.clamp(RETRY_SECONDS.0, RETRY_SECONDS.1).ceil() as u32
+    Duration::from_secs_f64(wait).clamp(RETRY_TIMES.0, RETRY_TIMES.1)
 }
 
 /// Counts a final answer of firdock's own to a request that has no row.
--- a/crates/firdock-policy/src/system/handover.rs
+++ b/crates/firdock-policy/src/system/handover.rs
@@ -206,7 +206,7 @@
     let verdict = Verdict {
         outcome: Outcome::Unknown,
         reason,
-        retry_seconds: None,
+        retry_after: None,
     };
     end::answer(t, now, id, verdict, out);
 }
--- a/crates/firdock-policy/src/system/key.rs
+++ b/crates/firdock-policy/src/system/key.rs
@@ -4,6 +4,8 @@
 //! an owner runs a key only if it was minted before R + G, and an owner since T never runs one
 //! minted before T + G.
 
+use std::time::Duration;
+
 use firdock_core::{Outcome, Reason, RequestId};
 
 use crate::action::Action;
@@ -14,8 +16,8 @@
 use crate::table::view::Ownership;
 use crate::time::{LogTime, Time};
 
-/// Seconds after which a caller should try a key again whose owner is not confirmed.
-const RETRY_SECONDS: u32 = 2;
+/// Time after which a caller should try a key again whose owner is not confirmed.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// What to do with a request by its key.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -74,7 +76,7 @@
         return Some(not_run(Reason::KeyMismatch, None));
     }
     let decision = match row.state {
-        KeyState::Live => unknown(Reason::KeyInUse, Some(RETRY_SECONDS)),
+        KeyState::Live => unknown(Reason::KeyInUse, Some(RETRY_AFTER)),
         KeyState::Ended(Outcome::Answered) => Decision::Replay(row.id),
         KeyState::Ended(_) => unknown(Reason::KeyUncertain, None),
     };
@@ -139,13 +141,13 @@
     };
     let doubtful = since.is_some_and(|s| minted < s + wait) && !transferred(t, claim.hash, log_now);
     if doubtful || minted + t.settings.key_keep < log_now {
-        return unknown(Reason::KeyUncertain, Some(RETRY_SECONDS));
+        return unknown(Reason::KeyUncertain, Some(RETRY_AFTER));
     }
     if minted >= read + grace {
         return unconfirmed();
     }
     if t.keys.len() >= t.settings.max_keys {
-        return not_run(Reason::Overload, Some(RETRY_SECONDS));
+        return not_run(Reason::Overload, Some(RETRY_AFTER));
     }
     Decision::Own(minted)
 }
@@ -164,22 +166,22 @@
     Verdict {
         outcome: Outcome::Unknown,
         reason,
-        retry_seconds: Some(RETRY_SECONDS),
+        retry_after: Some(RETRY_AFTER),
     }
 }
 
-fn not_run(reason: Reason, retry_seconds: Option<u32>) -> Decision {
+fn not_run(reason: Reason, retry_after: Option<Duration>) -> Decision {
     Decision::Refuse(Verdict {
         outcome: Outcome::NotRun,
         reason,
-        retry_seconds,
+        retry_after,
     })
 }
 
-fn unknown(reason: Reason, retry_seconds: Option<u32>) -> Decision {
+fn unknown(reason: Reason, retry_after: Option<Duration>) -> Decision {
     Decision::Refuse(Verdict {
         outcome: Outcome::Unknown,
         reason,
-        retry_seconds,
+        retry_after,
     })
 }
--- a/crates/firdock-policy/src/system/limit.rs
+++ b/crates/firdock-policy/src/system/limit.rs
@@ -13,6 +13,9 @@
 /// that some are lost.
 const TOLD_AFTER_USE: Duration = Duration::from_secs(5);
 
+/// Longest time, in seconds, after which callers beyond a limit are told to come back.
+const MAX_WAIT_SECS: f64 = 60.0;
+
 /// Charges a request to its account's limit; tells whether there was room.
 pub fn take(t: &mut Tables, now: Time, account: usize, new: &NewRequest) -> bool {
     let part = part_of_limits(t, now);
@@ -31,7 +34,7 @@
     Verdict {
         outcome: Outcome::NotRun,
         reason: Reason::RateLimited,
-        retry_seconds: Some(secs.ceil().max(1.0) as u32),
+        retry_after: Some(Duration::from_secs_f64(secs.min(MAX_WAIT_SECS))),
     }
 }
 
--- a/crates/firdock-policy/src/system/news.rs
+++ b/crates/firdock-policy/src/system/news.rs
@@ -203,12 +203,12 @@
         end::set_phase(t, id, Phase::Held, true);
         return;
     }
-    let retry_seconds = None;
+    let retry_after = None;
     let reason = Reason::EndpointLost;
     let verdict = Verdict {
         outcome: Outcome::Unknown,
         reason,
-        retry_seconds,
+        retry_after,
     };
     end::answer(t, now, id, verdict, out);
 }
--- a/crates/firdock-standin/src/measure/baseline.rs
+++ b/crates/firdock-standin/src/measure/baseline.rs
@@ -123,7 +123,7 @@
             let verdict = Verdict {
                 outcome: Outcome::Unknown,
                 reason,
-                retry_seconds: None,
+                retry_after: None,
             };
             out.push(Action::Answer { id, verdict });
             return;
