Learn an endpoint's speed evenly from its first samples

Cause: slow engines were underestimated (observed over predicted 1.5 to 1.8 at the median), since few requests went there and each counted a fifth.

--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -81,6 +81,10 @@
     pub token_secs: f64,
     /// Observed over predicted time to the first token, learned.
     pub slowdown: f64,
+    /// Samples that the slowdown was learned from.
+    pub firsts: u32,
+    /// Samples that the time for each token was learned from.
+    pub streams: u32,
     /// Last report.
     pub report: Option<Reported>,
     /// Believed prefix cache.
@@ -89,6 +93,13 @@
     pub budget: u32,
 }
 
+/// Gives the weight of one more sample: the first ones count evenly, so that an endpoint whose
+/// speed is not known yet is known soon.
+fn weight(samples: &mut u32) -> f64 {
+    *samples = samples.saturating_add(1);
+    LEARN.max(1.0 / f64::from(*samples))
+}
+
 impl EndpointRow {
     /// Makes a row from what operators declared.
     #[must_use]
@@ -108,6 +119,8 @@
             backlog: 0.0,
             token_secs,
             slowdown: 1.0,
+            firsts: 0,
+            streams: 0,
             report: None,
             cache: PrefixCache::default(),
         }
@@ -161,14 +174,14 @@
     pub fn learn_first(&mut self, predicted: Duration, observed: Duration) {
         let ratio = observed.as_secs_f64() / predicted.as_secs_f64().max(0.005);
         let sample = (self.slowdown * ratio).clamp(SLOWDOWN.0, SLOWDOWN.1);
-        self.slowdown += LEARN * (sample - self.slowdown);
+        self.slowdown += weight(&mut self.firsts) * (sample - self.slowdown);
     }
 
     /// Learns from the time that `tokens` tokens after the first took.
     pub fn learn_tokens(&mut self, tokens: u32, took: Duration) {
         if tokens > 0 {
             let sample = took.as_secs_f64() / f64::from(tokens);
-            self.token_secs += LEARN * (sample - self.token_secs);
+            self.token_secs += weight(&mut self.streams) * (sample - self.token_secs);
         }
     }
 
