Leave fast engines to long prompts

The choice now weighs what a place on a fast engine is worth to later long prompts, in place of the whole time of the request.

--- a/crates/firdock-policy/src/cost.rs
+++ b/crates/firdock-policy/src/cost.rs
@@ -21,9 +21,12 @@
 /// Computing a prefix again that another engine has cached costs all later requests, so it weighs
 /// more than the time that this caller would save (figures in `docs/design/routing.md`).
 const PREFILL_WEIGHT: f64 = 8.0;
-/// Weight of the time to the end against the time to the first token, where callers judge by the
-/// first: a place that is held longer serves fewer others, but no caller is worse off at once.
-const END_WEIGHT: f64 = 0.05;
+/// What a place on an engine of middle speed is worth to the long prompts that come later, in
+/// seconds; one on a faster engine is worth more. Short prompts begin in time on any engine, so
+/// that they leave the fast ones to those that do not.
+const SPARE_SECS: f64 = 0.03;
+/// Bounds of the speed of an engine against the declared one, as learned from its tokens.
+const SPEEDS: (f64, f64) = (0.25, 4.0);
 /// Part of the target beyond which the expected time to the first token is a risk.
 const SAFE_PART: f64 = 0.5;
 /// Weight of that risk.
@@ -99,7 +102,7 @@
     let score = if mechanisms.first_token {
         let target = service.tier.target().as_secs_f64();
         let risk = (first_secs - SAFE_PART * target).max(0.0);
-        first_secs + END_WEIGHT * total_secs + RISK_WEIGHT * risk
+        first_secs + RISK_WEIGHT * risk + SPARE_SECS * speed(endpoint)
     } else {
         total_secs + weight * f64::from(uncached) / endpoint.declared.prefill_rate
     };
@@ -111,6 +114,12 @@
     }
 }
 
+/// Gives how fast an engine makes tokens against what was declared.
+fn speed(endpoint: &EndpointRow) -> f64 {
+    let declared = endpoint.declared.token_millis / 1000.0;
+    (declared / endpoint.token_secs.max(1e-6)).clamp(SPEEDS.0, SPEEDS.1)
+}
+
 /// Gives what an endpoint in another availability zone costs in the choice, in seconds.
 #[must_use]
 pub fn far_secs(mechanisms: Mechanisms, zone: &ZoneId, endpoint: &EndpointRow) -> f64 {
