Tell shared reads with their own version

Ruled out: stale reads of the store (each began after the cut), clock bounds (an answer that comes late only loosens nothing, tested). Test: peers.rs a_read_is_told_with_its_own_version (red with the published version put back, green now).

--- a/crates/firdock-node/src/lib.rs
+++ b/crates/firdock-node/src/lib.rs
@@ -23,6 +23,7 @@
 mod status;
 pub mod telemetry;
 
+pub use driver::Input;
 pub use edge::{EdgeInstance, RunningEdge};
 pub use exchange::{AnswerHead, CallTerms, Part, Payload};
 pub use instance::{Instance, Running, StartError};
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -169,6 +169,7 @@
     fn own_reads(&self) -> message::Reads {
         let own = self.reads.own();
         message::Reads {
+            version: own.version,
             endpoints: own.endpoints,
             config_at: millis(own.config_at),
             endpoints_at: millis(own.endpoints_at),
@@ -209,12 +210,11 @@
         let now = self.clock.now();
         self.note(&beacon, from, now);
         let heartbeat = beacon.heartbeat.unwrap_or_default();
-        let version = heartbeat.version;
         let mut news = peer_news(&beacon.instance, heartbeat);
         news.incarnation = Uuid::from_slice(&beacon.incarnation).unwrap_or_default();
         if let Some(reads) = beacon.reads {
             let told = Reads {
-                version,
+                version: reads.version,
                 endpoints: reads.endpoints,
                 config_at: Duration::from_millis(reads.config_at),
                 endpoints_at: Duration::from_millis(reads.endpoints_at),
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -1,5 +1,7 @@
 //! Decoders and stores of the entry instance: whatever comes is an error, and never a panic.
 
+mod peers;
+
 use bytes::Bytes;
 use firdock_core::resource::{Resource, Tier};
 use firdock_node::answers::{Answers, KeptAnswer};
--- /dev/null
+++ b/crates/firdock-node/tests/node/peers.rs
@@ -0,0 +1,159 @@
+//! What instances tell each other by datagram: reads that they share, and clocks.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use firdock_core::resource::Catalog;
+use firdock_core::settings::Settings;
+use firdock_node::clock::Clock;
+use firdock_node::peer::{Beacons, PeerBook, Reads, SelfNews, SharedReads, open_beacons};
+use firdock_node::telemetry::silent;
+use firdock_policy::event::Member;
+use firdock_policy::{Event, Policy as _, PolicySettings, Scheduler};
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, watch};
+use uuid::Uuid;
+
+const INCARNATION: Uuid = Uuid::from_u128(7);
+
+fn millis(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn reads(version: u64, endpoints: u64, at: Duration) -> Reads {
+    Reads {
+        version,
+        endpoints,
+        config_at: at,
+        endpoints_at: at,
+    }
+}
+
+/// Reads of version 5 at 10 s, with the clock of peer `p` known to be no earlier than ours + 1 s.
+fn shared() -> SharedReads {
+    let shared = SharedReads::default();
+    shared.note(millis(10_000), reads(5, 1, millis(10_000)));
+    shared.take_clock("p", INCARNATION, millis(10_000), millis(9_000));
+    shared
+}
+
+#[test]
+fn a_peers_word_counts_from_the_earliest_time_that_it_can_mean() {
+    let shared = shared();
+    let heard = shared.hear("p", INCARNATION, reads(5, 1, millis(9_400)));
+    assert_eq!(heard.fresh, Some(millis(10_400)));
+    assert_eq!(shared.own().config_at, millis(10_400));
+}
+
+#[test]
+fn a_peer_with_another_version_makes_nothing_fresh() {
+    let shared = shared();
+    for version in [4, 6] {
+        let heard = shared.hear("p", INCARNATION, reads(version, 1, millis(9_400)));
+        assert_eq!(heard.fresh, None);
+    }
+    assert_eq!(shared.own().config_at, millis(10_000));
+}
+
+#[test]
+fn a_restarted_peers_clock_is_asked_for_anew() {
+    let shared = shared();
+    let heard = shared.hear("p", Uuid::from_u128(8), reads(5, 1, millis(9_400)));
+    assert!(heard.ask_clock && heard.fresh.is_none());
+}
+
+#[test]
+fn a_late_answer_to_a_question_about_the_clock_loosens_nothing() {
+    let shared = shared();
+    // Asked long ago and answered late: stands for an earlier time than what is known.
+    shared.take_clock("p", INCARNATION, millis(10_500), millis(12_000));
+    let heard = shared.hear("p", INCARNATION, reads(5, 1, millis(9_400)));
+    assert_eq!(heard.fresh, Some(millis(10_400)));
+}
+
+/// News of a scheduler that has taken `version`.
+fn news(version: u64) -> SelfNews {
+    let settings = PolicySettings::new(&Settings::default(), INCARNATION);
+    let mut scheduler = Scheduler::new(settings);
+    let catalog = Event::Config(Arc::new(Catalog::new(version)));
+    scheduler.step(millis(1), catalog, &mut Vec::new());
+    SelfNews::new(scheduler.tables(), millis(1))
+}
+
+struct Party {
+    beacons: Beacons,
+    reads: Arc<SharedReads>,
+    events: mpsc::Receiver<firdock_node::Input>,
+    news: watch::Sender<SelfNews>,
+}
+
+fn party(name: &str, socket: UdpSocket, clock: Clock, other: (&str, &UdpSocket)) -> Party {
+    let book = Arc::new(PeerBook::new(name.to_owned(), "zone".to_owned()));
+    let address = other.1.local_addr().expect("an address");
+    book.know(other.0.to_owned(), address, clock.now());
+    let reads = Arc::new(SharedReads::default());
+    let (inputs, events) = mpsc::channel(64);
+    let (sender, receiver) = watch::channel(news(4));
+    let beacons = Beacons {
+        socket,
+        member: Member {
+            name: name.to_owned(),
+            incarnation: Uuid::now_v7(),
+        },
+        key: Arc::from(b"a key that all share".as_slice()),
+        book,
+        reads: Arc::clone(&reads),
+        news: receiver,
+        inputs,
+        pause: millis(20),
+        clock,
+        log: silent(),
+    };
+    Party {
+        beacons,
+        reads,
+        events,
+        news: sender,
+    }
+}
+
+/// Finding 2: an instance that had just read version 19 told it with the version of its last
+/// published heartbeat, 4; a peer that still had 4 took it for fresh and let a revoked key in.
+#[tokio::test]
+async fn a_read_is_told_with_its_own_version_and_not_the_published_one() {
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let (a, b) = (open_beacons(any).await, open_beacons(any).await);
+    let (a, b) = (a.expect("a socket"), b.expect("a socket"));
+    let clock = Clock::new();
+    let probe = UdpSocket::bind(any).await.expect("a socket");
+    drop(probe);
+    let (to_a, to_b) = (a.local_addr(), b.local_addr());
+    let first = party("a", a, clock, ("b", &b));
+    let mut second = party("b", b, clock, ("a", &first.beacons.socket));
+    assert!(to_a.is_ok() && to_b.is_ok());
+    let old = clock.now();
+    second.reads.note(old, reads(4, 1, old));
+    let newer = clock.now() + millis(1);
+    first.reads.note(newer, reads(19, 1, newer));
+    let (stop, stops) = watch::channel(false);
+    let running = [
+        tokio::spawn(first.beacons.run(stops.clone())),
+        tokio::spawn(second.beacons.run(stops)),
+    ];
+    tokio::time::sleep(millis(300)).await;
+    stop.send_replace(true);
+    for task in running {
+        task.await.expect("the task ends");
+    }
+    let mut heard = 0;
+    while let Ok(input) = second.events.try_recv() {
+        let firdock_node::Input::Event(event) = input else {
+            continue;
+        };
+        assert!(!matches!(event, Event::Fresh(_)), "an old version is fresh");
+        heard += u32::from(matches!(event, Event::Peer(_)));
+    }
+    assert!(heard > 0, "no heartbeat came");
+    assert_eq!(second.reads.own().config_at, old);
+    drop((first.news, second.news));
+}
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -147,6 +147,9 @@
     /// When the list of endpoints was the newest, likewise.
     #[prost(uint64, tag = "3")]
     pub endpoints_at: u64,
+    /// Version of that configuration. The heartbeat's own version is published less often.
+    #[prost(uint64, tag = "4")]
+    pub version: u64,
 }
 /// A heartbeat by datagram.
 #[derive(Clone, PartialEq, ::prost::Message)]
