--- a/crates/firdock-node/tests/node/peers.rs
+++ b/crates/firdock-node/tests/node/peers.rs
@@ -133,7 +133,8 @@
     assert!(to_a.is_ok() && to_b.is_ok());
     let old = clock.now();
     second.reads.note(old, reads(4, 1, old));
-    let newer = clock.now() + millis(1);
+    // Far enough ahead that the bound on the clock does not hide it.
+    let newer = clock.now() + millis(2_000);
     first.reads.note(newer, reads(19, 1, newer));
     let (stop, stops) = watch::channel(false);
     let running = [
