End an outage of the endpoints' list with the first read of any instance

Whether the list was out of reach is now told by the gap between reads of all instances, not by this one's.

--- a/crates/firdock-node/src/peer/reads.rs
+++ b/crates/firdock-node/src/peer/reads.rs
@@ -21,6 +21,9 @@
 
 /// Least time between two reads, however often peers tell of news.
 const LEAST_PAUSE: Duration = Duration::from_millis(150);
+/// Time in which no instance read the list of endpoints that counts as an outage of it: longer
+/// than an instance waits for its peers' words, shorter than entries live without being renewed.
+const OUTAGE: Duration = Duration::from_millis(2_200);
 /// How much longer than the reader an instance waits before it reads for itself, as a multiple of
 /// the pause between reads; up to half as much again by chance, so that not all begin at once.
 const PATIENCE: f64 = 1.8;
@@ -66,10 +69,28 @@
 struct Inner {
     own: Reads,
     read_at: Time,
+    /// When the list of endpoints was first read after its last outage.
+    steady_since: Time,
     news: bool,
     clocks: BTreeMap<InstanceId, ClockBound>,
 }
 
+impl Inner {
+    fn steady_since(&self, at: Time) -> Time {
+        if self.own.endpoints_at + OUTAGE < at {
+            at
+        } else {
+            self.steady_since
+        }
+    }
+
+    /// Takes it that the list of endpoints was the newest at `at`.
+    fn see_endpoints(&mut self, at: Time) {
+        self.steady_since = self.steady_since(at);
+        self.own.endpoints_at = self.own.endpoints_at.max(at);
+    }
+}
+
 /// The reads of this instance, with what its peers told of theirs.
 #[derive(Debug, Default)]
 pub struct SharedReads {
@@ -87,7 +108,13 @@
         own.version = reads.version;
         own.endpoints = reads.endpoints;
         own.config_at = own.config_at.max(reads.config_at);
-        own.endpoints_at = own.endpoints_at.max(reads.endpoints_at);
+        inner.see_endpoints(reads.endpoints_at);
+    }
+
+    /// Gives when the list of endpoints was first read after its last outage, if it is read at `at`.
+    #[must_use]
+    pub fn steady_since(&self, at: Time) -> Time {
+        self.lock().steady_since(at)
     }
 
     /// Notes that a read failed, so that the next one waits its turn.
@@ -125,7 +152,7 @@
             fresh = Some(config_at);
         }
         if same_endpoints && own.version > 0 {
-            own.endpoints_at = own.endpoints_at.max(endpoints_at);
+            inner.see_endpoints(endpoints_at);
         }
         if newer_config || newer_endpoints {
             inner.news = true;
--- a/crates/firdock-node/src/source.rs
+++ b/crates/firdock-node/src/source.rs
@@ -61,6 +61,13 @@
         self.send(Event::Fresh(reads.config_at)).await
     }
 
+    /// Gives when the list of endpoints was first read after its last outage, if a read of it that
+    /// began at `at` succeeded now.
+    #[must_use]
+    pub fn steady_since(&self, at: Time) -> Time {
+        self.reads.steady_since(at)
+    }
+
     /// Tells that a read failed.
     pub fn note_failed(&self) {
         self.reads.note_failed(self.clock.now());
--- a/crates/firdock-node/tests/node/peers.rs
+++ b/crates/firdock-node/tests/node/peers.rs
@@ -71,6 +71,39 @@
     assert_eq!(heard.fresh, Some(millis(10_400)));
 }
 
+/// Finding 1: an instance that did not read took its own silence for an outage of the list, and kept
+/// an endpoint that had been dropped.
+#[test]
+fn an_instance_whose_peers_read_for_it_takes_no_outage_for_granted() {
+    let shared = shared();
+    for second in 10..60 {
+        let told = reads(5, 1, millis(second * 1_000 - 1_000));
+        let _ = shared.hear("p", INCARNATION, told);
+    }
+    assert_eq!(shared.steady_since(millis(60_000)), millis(10_000));
+}
+
+/// Finding 3: after an outage whose end a peer saw first, the grace began anew with the instance's
+/// own next read, seconds later; an endpoint dropped meanwhile got requests for too long.
+#[test]
+fn an_outage_ends_with_the_first_read_of_any_instance() {
+    let shared = shared();
+    // Nobody reads from 10 s to 15 s; the peer does then, and this instance not before 18 s.
+    for second in [15, 16, 17] {
+        let told = reads(5, 1, millis(second * 1_000 - 1_000));
+        let _ = shared.hear("p", INCARNATION, told);
+    }
+    assert_eq!(shared.steady_since(millis(18_000)), millis(15_000));
+}
+
+#[test]
+fn an_outage_that_only_this_instance_sees_the_end_of_ends_with_its_own_read() {
+    let shared = shared();
+    assert_eq!(shared.steady_since(millis(15_000)), millis(15_000));
+    shared.note(millis(15_000), reads(5, 1, millis(15_000)));
+    assert_eq!(shared.steady_since(millis(16_000)), millis(15_000));
+}
+
 /// News of a scheduler that has taken `version`.
 fn news(version: u64) -> SelfNews {
     let settings = PolicySettings::new(&Settings::default(), INCARNATION);
--- a/crates/firdock-state/src/directory.rs
+++ b/crates/firdock-state/src/directory.rs
@@ -13,9 +13,6 @@
 /// Time since the start of the process, as the policy counts it.
 type Time = Duration;
 
-/// Time for which reads failed that counts as an outage: entries live longer than that without
-/// being renewed.
-pub const OUTAGE: Duration = Duration::from_millis(1_500);
 /// Grace after an outage in which missing entries are kept: endpoints that live and reach the list
 /// are back in it about two seconds after its return.
 pub const GRACE: Duration = Duration::from_millis(2_300);
@@ -24,8 +21,6 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     rows: BTreeMap<EndpointId, Row>,
-    failed_since: Option<Time>,
-    trust_after: Time,
 }
 
 #[derive(Debug)]
@@ -43,9 +38,10 @@
 
     /// Notes that the list was read up to its end; tells whether that changed the endpoints.
     ///
-    /// Call it after the entries of the read were put and removed.
-    pub fn note_read(&mut self, now: Time) -> bool {
-        if now < self.trust_after {
+    /// Call it after the entries of the read were put and removed. `steady_since` is when the list
+    /// was first read after its last outage, by this instance or another one.
+    pub fn note_read(&mut self, now: Time, steady_since: Time) -> bool {
+        if now < steady_since + GRACE {
             return false;
         }
         let before = self.rows.len();
@@ -53,21 +49,6 @@
         self.rows.len() != before
     }
 
-    /// Notes that a read failed.
-    ///
-    /// Only failures make an outage: an instance whose peers read for it does not read for long.
-    pub fn note_failed(&mut self, now: Time) {
-        self.failed_since.get_or_insert(now);
-    }
-
-    /// Notes that a read was answered, before its entries are taken: an outage may have ended.
-    pub fn note_answer(&mut self, now: Time) {
-        let failed = self.failed_since.take();
-        if failed.is_some_and(|since| since + OUTAGE < now) {
-            self.trust_after = now + GRACE;
-        }
-    }
-
     /// Takes an entry over; tells whether that changed the endpoints.
     pub fn put(&mut self, endpoint: Endpoint) -> bool {
         let name = endpoint.name.clone();
