Decide early refusals by what higher ranks leave, and refuse before callers leave

The estimate now takes off what higher ranks arrive with, and a request still held near its caller's patience, or at half of its time, is refused with a time to come back.

--- a/crates/firdock-core/src/resource/service.rs
+++ b/crates/firdock-core/src/resource/service.rs
@@ -44,6 +44,9 @@
     pub timeout_millis: u64,
     /// Whether its answers are streams of events.
     pub streamed: bool,
+    /// Longest time that its callers wait for the next event of a stream, in milliseconds; 0 where
+    /// that is not known.
+    pub patience_millis: u64,
     /// Whether a stream that broke may go on at another endpoint, from its last event.
     pub resumable: bool,
     /// Whether it is open to callers without an account.
@@ -67,6 +70,12 @@
         (self.timeout_millis > 0).then(|| Duration::from_millis(self.timeout_millis))
     }
 
+    /// Gives the longest time that its callers wait for the next event, if that is known.
+    #[must_use]
+    pub fn patience(&self) -> Option<Duration> {
+        (self.patience_millis > 0).then(|| Duration::from_millis(self.patience_millis))
+    }
+
     /// Picks the pool of a request by an evenly drawn number; `None` without a split.
     #[must_use]
     pub fn pick_pool(&self, draw: u32) -> Option<&PoolId> {
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -70,6 +70,7 @@
                 handover::end_silent(t, now, out);
                 handover::forget_silent(t, now);
                 expire::end_overdue(t, now, out);
+                expire::end_impatient(t, now, out);
                 expire::put_late_last(t, now);
                 expire::run(t, now, out);
                 early::run(t, now, out);
--- a/crates/firdock-policy/src/system/admit.rs
+++ b/crates/firdock-policy/src/system/admit.rs
@@ -101,5 +101,6 @@
     let rank = request_rank(a.rank, s.tier.rank);
     let charge = a.bucket.map_or(0.0, |b| b.cost(new.tokens()));
     let row = RequestRow::new(now, new, service, account, rank).with_service(&declared, charge);
+    t.paces.note_arrival(row.pool_key(), rank);
     t.requests.insert(row);
 }
--- a/crates/firdock-policy/src/system/early.rs
+++ b/crates/firdock-policy/src/system/early.rs
@@ -51,7 +51,7 @@
     let target = t.services.get(row.service).tier.target();
     let age = now.saturating_sub(row.arrived);
     let early = age <= target.mul_f64(DECIDE_WITHIN);
-    let Some(pace) = t.paces.rate(row.pool_key()) else {
+    let Some(pace) = t.paces.left_to(row.pool_key(), row.rank) else {
         return false;
     };
     let wait = age.as_secs_f64() + f64::from(before) / pace.max(LEAST_PACE);
--- a/crates/firdock-policy/src/system/expire.rs
+++ b/crates/firdock-policy/src/system/expire.rs
@@ -8,6 +8,10 @@
 use crate::table::Tables;
 use crate::time::Time;
 
+/// Part of the time after which a caller leaves at which a held request is given up: the answer has
+/// to reach the caller before.
+const WAIT_PART: f64 = 0.9;
+
 /// Puts requests that waited past their tier's target behind those that can still meet it.
 pub fn put_late_last(t: &mut Tables, now: Time) {
     if !t.settings.mechanisms.late_last {
@@ -47,6 +51,37 @@
     }
 }
 
+/// Gives up held requests whose callers are about to leave, so that they hear when to come back.
+///
+/// A higher tier is not given up while a lower one is held, so the lower ones go first.
+pub fn end_impatient(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
+    if !t.settings.mechanisms.early_refusal {
+        return;
+    }
+    let leaving = |r: &&RequestRow| r.phase == Phase::Held && last_wait(t, r) <= now;
+    let mut ids: Vec<(u8, RequestId)> = t
+        .requests
+        .iter()
+        .filter(leaving)
+        .map(|r| (r.rank, r.new.id))
+        .collect();
+    ids.sort_by_key(|(rank, _)| std::cmp::Reverse(*rank));
+    for (rank, id) in ids {
+        if !t.requests.holds_below(rank) {
+            shed::shed(t, now, id, Reason::WaitedTooLong, out);
+        }
+    }
+}
+
+/// Gives until when a held request is worth waiting: just before its caller leaves, or until half
+/// of its time is gone and an endpoint would have too little left.
+fn last_wait(t: &Tables, row: &RequestRow) -> Time {
+    let half = row.deadline.map(|by| by.saturating_sub(row.arrived) / 2);
+    let patience = t.services.get(row.service).declared.patience();
+    let limit = [half, patience].into_iter().flatten().min();
+    limit.map_or(Time::MAX, |limit| row.arrived + limit.mul_f64(WAIT_PART))
+}
+
 /// Gives up what waited too long, and forgets keys that were kept long enough.
 ///
 /// A request of a higher tier stays held while one of a lower tier is, so that it is never shed
--- a/crates/firdock-policy/src/table/pace.rs
+++ b/crates/firdock-policy/src/table/pace.rs
@@ -2,12 +2,16 @@
 
 use std::collections::HashMap;
 
-use firdock_core::PoolId;
+use firdock_core::resource::Tier;
+use firdock_core::{PoolId, TierRank};
 
 /// Weight of the newest period in smoothed rates.
 const WEIGHT: f64 = 0.4;
 
-/// Dispatches a second by pool, smoothed.
+/// Ranks that arrivals are counted for.
+const RANKS: usize = Tier::MAX_RANK as usize + 1;
+
+/// Dispatches and arrivals a second by pool, smoothed.
 #[derive(Debug, Default)]
 pub struct Paces {
     pools: HashMap<PoolId, Pace>,
@@ -17,20 +21,23 @@
 struct Pace {
     dispatched: u32,
     rate: f64,
+    arrived: [u32; RANKS],
+    arrivals: [f64; RANKS],
 }
 
 impl Paces {
     /// Notes a dispatch.
     pub fn note(&mut self, pool: &str) {
-        if let Some(pace) = self.pools.get_mut(pool) {
-            pace.dispatched += 1;
-        } else {
-            let pace = Pace {
-                dispatched: 1,
-                rate: 0.0,
-            };
-            self.pools.insert(pool.to_owned(), pace);
-        }
+        self.pool(pool).dispatched += 1;
+    }
+
+    /// Notes an arrival.
+    pub fn note_arrival(&mut self, pool: &str, rank: TierRank) {
+        self.pool(pool).arrived[usize::from(rank)] += 1;
+    }
+
+    fn pool(&mut self, pool: &str) -> &mut Pace {
+        self.pools.entry(pool.to_owned()).or_default()
     }
 
     /// Ends a period that took `secs` seconds.
@@ -38,13 +45,20 @@
         for pace in self.pools.values_mut() {
             pace.rate += WEIGHT * (f64::from(pace.dispatched) / secs - pace.rate);
             pace.dispatched = 0;
+            for (rate, arrived) in pace.arrivals.iter_mut().zip(&mut pace.arrived) {
+                *rate += WEIGHT * (f64::from(*arrived) / secs - *rate);
+                *arrived = 0;
+            }
         }
     }
 
-    /// Gives the dispatches a second; `None` where nothing was seen yet.
+    /// Gives the dispatches a second that are left to a rank, after those of higher ranks that
+    /// arrive meanwhile and go first; `None` where nothing was seen yet.
     #[must_use]
-    pub fn rate(&self, pool: &str) -> Option<f64> {
+    pub fn left_to(&self, pool: &str, rank: TierRank) -> Option<f64> {
         let pace = self.pools.get(pool)?;
-        Some(pace.rate.max(f64::from(pace.dispatched)))
+        let rate = pace.rate.max(f64::from(pace.dispatched));
+        let higher: f64 = pace.arrivals[..usize::from(rank)].iter().sum();
+        Some(rate - higher)
     }
 }
