Share engines by whole places drawn by weighted rendezvous

Whole places now add up to the slots over all instances; what is left after the whole parts goes by weighted rendezvous, near instances first, without talk. Also: news of peers counts as stale later where peers are many, since heartbeats are rarer there.

--- a/crates/firdock-node/src/peer/reads.rs
+++ b/crates/firdock-node/src/peer/reads.rs
@@ -25,8 +25,8 @@
 /// than an instance waits for its peers' words, shorter than entries live without being renewed.
 const OUTAGE: Duration = Duration::from_millis(2_200);
 /// How much longer than the reader an instance waits before it reads for itself, as a multiple of
-/// the pause between reads; up to half as much again by chance, so that not all begin at once.
-const PATIENCE: f64 = 1.8;
+/// the pause between reads; up to a third as much again by chance, so that not all begin at once.
+const PATIENCE: f64 = 2.0;
 
 /// What an instance knows to be the newest.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -184,7 +184,7 @@
     ///
     /// `is_reader` tells whether this instance is the one that reads for its peers.
     pub async fn due(&self, clock: Clock, pause: Duration, is_reader: impl Fn() -> bool) {
-        let chance = 1.0 + 0.5 * rand::random::<f64>();
+        let chance = 1.0 + rand::random::<f64>() / 3.0;
         loop {
             let now = clock.now();
             let patience = if is_reader() {
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -218,7 +218,7 @@
     }
 
     fn peer_beliefs(&mut self, now: Time, t: &Tables) {
-        let heard = |heard: Time| heard + t.settings.peer_stale > now;
+        let heard = |heard: Time| heard + t.peer_stale() > now;
         let seen: BTreeMap<InstanceId, bool> = t
             .peers
             .iter()
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -66,7 +66,7 @@
             Event::Drain => t.draining = true,
             Event::Timer => {
                 share::take_rates(t, now);
-                share::set_budgets(t, now);
+                share::refresh_budgets(t, now);
                 handover::end_silent(t, now, out);
                 handover::forget_silent(t, now);
                 expire::end_overdue(t, now, out);
--- a/crates/firdock-policy/src/settings.rs
+++ b/crates/firdock-policy/src/settings.rs
@@ -37,6 +37,8 @@
     pub early_refusal: bool,
     /// The choice of an endpoint goes by the time to the first token more than by the whole.
     pub first_token: bool,
+    /// Engines are shared by whole places that add up over all instances.
+    pub whole_places: bool,
     /// Endpoints in the own availability zone are preferred.
     pub near_first: bool,
 }
@@ -55,6 +57,7 @@
         hand_over: true,
         early_refusal: false,
         first_token: false,
+        whole_places: false,
         near_first: false,
     };
 
@@ -65,6 +68,7 @@
         hand_over: false,
         early_refusal: true,
         first_token: true,
+        whole_places: true,
         near_first: true,
         ..Self::ALL
     };
--- a/crates/firdock-policy/src/system/handover.rs
+++ b/crates/firdock-policy/src/system/handover.rs
@@ -228,7 +228,7 @@
 
 /// Forgets peers that have been silent for long and have none of this instance's requests.
 pub fn forget_silent(t: &mut Tables, now: Time) {
-    let stale = t.settings.peer_stale;
+    let stale = t.peer_stale();
     t.peers.remove_if(|p| {
         let keep = if p.draining { stale } else { SILENT_PEER };
         p.handed == 0 && p.heard + keep < now
--- a/crates/firdock-policy/src/system/limit.rs
+++ b/crates/firdock-policy/src/system/limit.rs
@@ -88,7 +88,7 @@
 /// callers as well, so that their even parts are left out.
 fn part_of_limits(t: &Tables, now: Time) -> f64 {
     let known = 1 + t.peers_known();
-    let fresh = |heard: Time| heard > Time::ZERO && heard + t.settings.peer_stale > now;
+    let fresh = |heard: Time| heard > Time::ZERO && heard + t.peer_stale() > now;
     let heard = t.peers.iter().filter(|(_, p)| fresh(p.heard)).count();
     (1 + heard) as f64 / known as f64
 }
--- a/crates/firdock-policy/src/system/share.rs
+++ b/crates/firdock-policy/src/system/share.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use firdock_core::PoolId;
+use firdock_core::rendezvous;
+use firdock_core::{InstanceId, PoolId, ZoneId};
 
+use crate::settings::Mechanisms;
 use crate::table::Tables;
 use crate::table::endpoint::EndpointRow;
 use crate::time::Time;
@@ -13,6 +15,13 @@
 const RATE_PERIOD: Duration = Duration::from_millis(500);
 /// Weight of the newest period in smoothed rates.
 const RATE_WEIGHT: f64 = 0.4;
+/// Pause between two settings of the budgets.
+const BUDGET_PERIOD: Duration = Duration::from_millis(200);
+/// Places of an engine that are given out, as a part of its slots: instances do not use all of
+/// theirs at one time, and an engine queues the few that meet.
+const PLACES_PART: f64 = 1.0;
+/// How much sooner an instance in the engine's own availability zone gets one of its last places.
+const NEAR_WEIGHT: f64 = 3.0;
 /// Part of each endpoint that is split evenly, so that a burst finds some room at once.
 const EVEN_PART: f64 = 0.25;
 
@@ -35,42 +44,105 @@
 
 /// Sets this instance's budget on every endpoint.
 pub fn set_budgets(t: &mut Tables, now: Time) {
-    let own = demand(t);
+    let sharers = Sharers::new(t, now);
     let budgets: Vec<(usize, u32)> = t
         .endpoints
         .iter()
-        .map(|(i, e)| (i, budget(t, now, &own, e)))
+        .map(|(i, e)| (i, sharers.budget(t.settings.mechanisms, e)))
         .collect();
     for (at, budget) in budgets {
         t.endpoints.get_mut(at).budget = budget;
     }
 }
 
-fn budget(t: &Tables, now: Time, own: &BTreeMap<PoolId, f64>, e: &EndpointRow) -> u32 {
-    let share = share(t, now, own, e);
-    let slots = f64::from(e.declared.slots) * share;
-    (slots.round() as u32).max(1)
+/// Sets the budgets again if they have not been set for a while: between instances, they change no
+/// faster than demand is told.
+pub fn refresh_budgets(t: &mut Tables, now: Time) {
+    if t.budgets_set + BUDGET_PERIOD <= now {
+        t.budgets_set = now;
+        set_budgets(t, now);
+    }
+}
+
+/// One instance that uses the endpoints, this one or a peer that is heard.
+struct Sharer {
+    name: InstanceId,
+    zone: ZoneId,
+    demand: BTreeMap<PoolId, f64>,
 }
 
-/// Gives this instance's part of an endpoint, from 0 to 1.
-fn share(t: &Tables, now: Time, own: &BTreeMap<PoolId, f64>, e: &EndpointRow) -> f64 {
-    let fresh = |heard: Time| heard + t.settings.peer_stale > now;
-    let peers = || {
-        t.peers
+/// The instances that use the endpoints; the first is this one.
+struct Sharers {
+    rows: Vec<Sharer>,
+    by_demand: bool,
+}
+
+impl Sharers {
+    fn new(t: &Tables, now: Time) -> Self {
+        let own = Sharer {
+            name: t.settings.member.name.clone(),
+            zone: t.settings.zone.clone(),
+            demand: demand(t),
+        };
+        let stale = t.peer_stale();
+        let peers = t
+            .peers
             .iter()
-            .filter(|(_, p)| fresh(p.heard) && !p.draining)
-    };
-    let even = 1.0 / (1.0 + peers().count() as f64);
-    if !t.settings.mechanisms.demand_shares {
-        return even;
+            .filter(|(_, p)| p.heard + stale > now && !p.draining)
+            .map(|(_, p)| Sharer {
+                name: p.name.clone(),
+                zone: p.zone.clone(),
+                demand: p.demand.clone(),
+            });
+        Self {
+            rows: std::iter::once(own).chain(peers).collect(),
+            by_demand: t.settings.mechanisms.demand_shares,
+        }
     }
-    let own = demand_on(own, e);
-    let theirs: f64 = peers().map(|(_, p)| demand_on(&p.demand, e)).sum();
-    let total = own + theirs;
-    if total <= f64::EPSILON {
-        return even;
+
+    fn budget(&self, on: Mechanisms, e: &EndpointRow) -> u32 {
+        let shares = self.shares(e);
+        if on.whole_places && e.is_engine() {
+            return self.whole_places(&shares, e);
+        }
+        let slots = f64::from(e.declared.slots) * shares[0];
+        (slots.round() as u32).max(1)
+    }
+
+    /// Gives each instance's part of an endpoint, from 0 to 1.
+    fn shares(&self, e: &EndpointRow) -> Vec<f64> {
+        let even = 1.0 / self.rows.len() as f64;
+        let demands: Vec<f64> = self.rows.iter().map(|r| demand_on(&r.demand, e)).collect();
+        let total: f64 = demands.iter().sum();
+        if !self.by_demand || total <= f64::EPSILON {
+            return vec![even; demands.len()];
+        }
+        let share = |own: f64| EVEN_PART * even + (1.0 - EVEN_PART) * own / total;
+        demands.into_iter().map(share).collect()
+    }
+
+    /// Gives this instance whole places, so that all instances' places add up to the endpoint's.
+    ///
+    /// Each gets the whole part of its share. The places that are left go by weighted rendezvous:
+    /// to the instances with the greatest numbers that are drawn from the names and weighted by
+    /// what they still lack, those nearby first. All instances draw alike, without talking.
+    fn whole_places(&self, shares: &[f64], e: &EndpointRow) -> u32 {
+        let places = f64::from(e.declared.slots) * PLACES_PART;
+        let whole = |share: f64| (places * share).floor();
+        let left = places - shares.iter().map(|s| whole(*s)).sum::<f64>();
+        let key = rendezvous::hash_key(e.declared.name.as_bytes());
+        let draw = |(row, share): (&Sharer, &f64)| {
+            let lacks = places * share - whole(*share);
+            let near = row.zone == e.declared.zone;
+            let weight = lacks * if near { NEAR_WEIGHT } else { 1.0 };
+            let number = rendezvous::weight(key, &row.name) as f64 / u64::MAX as f64;
+            -weight / number.clamp(f64::MIN_POSITIVE, 1.0 - f64::EPSILON).ln()
+        };
+        let draws: Vec<f64> = self.rows.iter().zip(shares).map(draw).collect();
+        let before = draws.iter().filter(|d| **d > draws[0]).count();
+        let extra = (before as f64) < left.round();
+        whole(shares[0]) as u32 + u32::from(extra)
     }
-    EVEN_PART * even + (1.0 - EVEN_PART) * own / total
 }
 
 /// Gives this instance's demand by pool; pools without any are left out.
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -15,10 +15,15 @@
 pub mod transfer;
 pub mod view;
 
+use std::time::Duration;
+
 use crate::settings::PolicySettings;
 use crate::stats::Stats;
 use crate::time::Time;
 
+/// Peers up to which heartbeats come at their full pace (see `docs/design/peers.md`).
+const PEERS_AT_PACE: usize = 16;
+
 /// Every table of one instance.
 #[derive(Debug)]
 pub struct Tables {
@@ -50,6 +55,8 @@
     pub ended: u32,
     /// Requests that end a second, smoothed.
     pub end_rate: f64,
+    /// When the budgets on endpoints were last set.
+    pub budgets_set: Time,
     /// How fast the endpoints of each pool take requests.
     pub paces: pace::Paces,
     /// When the rates were last taken.
@@ -71,6 +78,13 @@
         self.known_peers.max(self.peers.len())
     }
 
+    /// Gives the age at which a peer's news is stale: where peers are many, heartbeats are rarer.
+    #[must_use]
+    pub fn peer_stale(&self) -> Duration {
+        let times = self.peers_known() / PEERS_AT_PACE;
+        self.settings.peer_stale * u32::try_from(times).unwrap_or(u32::MAX).max(1)
+    }
+
     /// Gives until when requests with a key may be sent by the configuration in force.
     #[must_use]
     pub fn fresh_until(&self) -> Option<Time> {
@@ -97,6 +111,7 @@
             drained: false,
             ended: 0,
             end_rate: 0.0,
+            budgets_set: Time::ZERO,
             paces: pace::Paces::default(),
             rates_taken: Time::ZERO,
             retries: retry::Retries::new(),
