--- a/crates/firdock-policy/src/system/share.rs
+++ b/crates/firdock-policy/src/system/share.rs
@@ -17,9 +17,13 @@
 const RATE_WEIGHT: f64 = 0.4;
 /// Pause between two settings of the budgets.
 const BUDGET_PERIOD: Duration = Duration::from_millis(200);
-/// Places of an engine that are given out, as a part of its slots: instances do not use all of
-/// theirs at one time, and an engine queues the few that meet.
-const PLACES_PART: f64 = 1.0;
+/// Places of an engine that are given out in calm times, as a part of its slots: instances do not
+/// use all of theirs at one time, and an engine queues the few that meet.
+const CALM_PLACES: f64 = 1.25;
+/// The same under load, when all places are used: what an engine queues comes late.
+const BUSY_PLACES: f64 = 1.0;
+/// Part of an instance's places whose use tells that the load is no longer calm.
+const BUSY_PART: f64 = 0.7;
 /// How much sooner an instance in the engine's own availability zone gets one of its last places.
 const NEAR_WEIGHT: f64 = 3.0;
 /// Part of each endpoint that is split evenly, so that a burst finds some room at once.
@@ -45,10 +49,11 @@
 /// Sets this instance's budget on every endpoint.
 pub fn set_budgets(t: &mut Tables, now: Time) {
     let sharers = Sharers::new(t, now);
+    let places = sharers.places_part(t);
     let budgets: Vec<(usize, u32)> = t
         .endpoints
         .iter()
-        .map(|(i, e)| (i, sharers.budget(t.settings.mechanisms, e)))
+        .map(|(i, e)| (i, sharers.budget(t.settings.mechanisms, places, e)))
         .collect();
     for (at, budget) in budgets {
         t.endpoints.get_mut(at).budget = budget;
@@ -100,10 +105,26 @@
         }
     }
 
-    fn budget(&self, on: Mechanisms, e: &EndpointRow) -> u32 {
+    /// Gives how many places an engine has for each slot: fewer once this instance uses most of its
+    /// own.
+    fn places_part(&self, t: &Tables) -> f64 {
+        let engines = t.endpoints.iter().map(|(_, e)| e);
+        let (mut used, mut own) = (0.0, 0.0);
+        for e in engines.filter(|e| e.is_engine() && e.present) {
+            used += f64::from(e.running);
+            own += f64::from(e.declared.slots) * self.shares(e)[0];
+        }
+        if used < BUSY_PART * own {
+            CALM_PLACES
+        } else {
+            BUSY_PLACES
+        }
+    }
+
+    fn budget(&self, on: Mechanisms, places: f64, e: &EndpointRow) -> u32 {
         let shares = self.shares(e);
         if on.whole_places && e.is_engine() {
-            return self.whole_places(&shares, e);
+            return self.whole_places(&shares, places * f64::from(e.declared.slots), e);
         }
         let slots = f64::from(e.declared.slots) * shares[0];
         (slots.round() as u32).max(1)
@@ -126,8 +147,7 @@
     /// Each gets the whole part of its share. The places that are left go by weighted rendezvous:
     /// to the instances with the greatest numbers that are drawn from the names and weighted by
     /// what they still lack, those nearby first. All instances draw alike, without talking.
-    fn whole_places(&self, shares: &[f64], e: &EndpointRow) -> u32 {
-        let places = f64::from(e.declared.slots) * PLACES_PART;
+    fn whole_places(&self, shares: &[f64], places: f64, e: &EndpointRow) -> u32 {
         let whole = |share: f64| (places * share).floor();
         let left = places - shares.iter().map(|s| whole(*s)).sum::<f64>();
         let key = rendezvous::hash_key(e.declared.name.as_bytes());
