Serve the resource API by hyper, which leaves no call waiting behind watchers

Ruled out: the bound on watchers (32, the refusals came), the scheduler and the hub (the calls never reached the handler).

--- a/crates/firdock-node/src/http.rs
+++ b/crates/firdock-node/src/http.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 plumbing around `hyper`: listener, server loop and client calls.
 //!
-//! `hyper` stands in for `rouille` here since `rouille` holds streamed bodies back; the figures
-//! are in `docs/design/http.md`.
+//! `hyper` stands in for `rouille`, which holds streamed bodies back and leaves some connections
+//! waiting behind others; the figures are in `docs/design/http.md`.
 
 mod client;
 mod listener;
--- a/crates/firdock-node/src/instance.rs
+++ b/crates/firdock-node/src/instance.rs
@@ -57,14 +57,6 @@
         /// Cause.
         source: std::io::Error,
     },
-    /// The resource API cannot be served.
-    #[snafu(display("serve operators on {address}: {why}"))]
-    Operators {
-        /// Address.
-        address: SocketAddr,
-        /// Cause.
-        why: String,
-    },
     /// A thread cannot be started.
     #[snafu(display("start a thread"))]
     Thread {
@@ -96,7 +88,6 @@
     door: tokio::task::JoinHandle<()>,
     stop_door: watch::Sender<bool>,
     stop_rest: watch::Sender<bool>,
-    stop_operators: std::sync::mpsc::Sender<()>,
     threads: Vec<thread::JoinHandle<()>>,
     stop_time: Duration,
     log: Logger,
@@ -163,6 +154,7 @@
             clock: parts.clock,
             log: self.log.clone(),
         };
+        let operators_stop = rest_stops.clone();
         tokio::spawn(serve_peers(peer_socket, server, rest_stops));
 
         let door = parts.door(inputs.clone());
@@ -171,7 +163,7 @@
             door.clone().handle(r)
         });
         let door = tokio::spawn(door);
-        let (operators, stop_operators) = parts.operators()?;
+        let operators = parts.operators(operators_stop)?;
         info!(self.log, "started"; "callers" => callers.to_string(),
             "operators" => operators.to_string(), "peers" => peers.to_string());
         Ok(Running {
@@ -185,7 +177,6 @@
             door,
             stop_door,
             stop_rest,
-            stop_operators,
             threads,
             stop_time: Duration::from_secs(s.limits.stop_seconds),
             log: self.log,
@@ -212,7 +203,6 @@
         self.wait_until_left().await;
         self.hub.close();
         self.stop_rest.send_replace(true);
-        let _ = self.stop_operators.send(());
         let threads = std::mem::take(&mut self.threads);
         let joining = tokio::task::spawn_blocking(move || {
             for thread in threads {
@@ -374,7 +364,7 @@
         }
     }
 
-    fn operators(&self) -> Result<crate::operator::Server, StartError> {
+    fn operators(&self, stop: watch::Receiver<bool>) -> Result<SocketAddr, StartError> {
         let field = "instance.operators";
         let address = self
             .settings
@@ -391,11 +381,7 @@
             zone: self.settings.instance.zone.clone(),
             watchers: crate::operator::Watchers::default(),
         };
-        let started = serve_operators(address, server);
-        started.map_err(|e| StartError::Operators {
-            address,
-            why: e.to_string(),
-        })
+        serve_operators(address, server, stop).context(ListenSnafu { address })
     }
 
     /// Keeps one task for each endpoint in force that reads its reports.
--- a/crates/firdock-node/src/operator/api.rs
+++ b/crates/firdock-node/src/operator/api.rs
@@ -1,6 +1,6 @@
 //! Routing of the resource API's paths.
 
-use std::io::Read as _;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,22 +8,29 @@
 use firdock_core::Findings;
 use firdock_core::resource::{Kind, ResourceKey, parse_object};
 use firdock_state::{Change, Entry, State};
-use rouille::{Request, Response};
+use hyper::Request;
+use hyper::body::Incoming;
 use slog::{Logger, info};
+use tokio::sync::watch;
+use tokio::task::spawn_blocking;
 
-use super::reply;
+use super::call::Call;
+use super::reply::{self, Response};
 use super::status::Status;
-use super::watch::{MAX_WATCHERS, Watchers};
+use super::watch::Watchers;
 use super::{apply, apply::merged};
 use crate::clock::Clock;
 use crate::config::{Hub, write};
+use crate::http::{ServerOptions, listen, serve};
 use crate::platform::LogClient;
 use crate::telemetry::Metrics;
 
-/// Largest body of a request.
-const MAX_BODY_BYTES: u64 = 4 << 20;
-/// Threads for requests: all watchers and as many others, so that health checks always find one.
-const THREADS: usize = 2 * MAX_WATCHERS;
+/// Connections at once: all watchers, several times over, and whoever checks health.
+const MAX_CONNECTIONS: usize = 256;
+/// Bytes in the head of a call.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+/// Time for the head of a call, and between two calls on a connection.
+const HEAD_TIME: Duration = Duration::from_secs(60);
 /// Wait of a watch that does not say.
 const DEFAULT_WAIT: u64 = 25;
 
@@ -48,13 +55,10 @@
     pub watchers: Watchers,
 }
 
-/// Running server of the resource API: its address, and what tells it to stop.
+/// Starts serving on the present runtime until `stop` turns true; gives the address.
 ///
-/// Nobody waits for its end: `rouille` looks for the word to stop only once no request has come for
-/// 100 ms, so health checks that come faster would keep a stopping process alive for ever.
-pub type Server = (SocketAddr, std::sync::mpsc::Sender<()>);
-
-/// Starts serving.
+/// A call may wait for the log or for changes, so each is answered on a thread of its own; watches
+/// are bounded, so that health checks always find one.
 ///
 /// # Errors
 ///
@@ -62,50 +66,68 @@
 pub fn serve_operators<L: LogClient>(
     address: SocketAddr,
     server: OperatorServer<L>,
-) -> Result<Server, Box<dyn std::error::Error + Send + Sync>> {
-    let server = rouille::Server::new(address, move |request| server.handle(request))?;
-    let server = server.pool_size(THREADS);
-    let bound = server.server_addr();
-    let (_thread, stop) = server.stoppable();
-    Ok((bound, stop))
+    stop: watch::Receiver<bool>,
+) -> io::Result<SocketAddr> {
+    let listener = listen(address)?;
+    let bound = listener.local_addr()?;
+    let server = Arc::new(server);
+    let options = ServerOptions {
+        connections: MAX_CONNECTIONS,
+        header_bytes: MAX_HEAD_BYTES,
+        header_time: HEAD_TIME,
+    };
+    let handle = move |request| answer(Arc::clone(&server), request);
+    tokio::spawn(serve(listener, options, stop, handle));
+    Ok(bound)
+}
+
+async fn answer<L: LogClient>(
+    server: Arc<OperatorServer<L>>,
+    request: Request<Incoming>,
+) -> Response {
+    let call = match Call::read(request).await {
+        Ok(call) => call,
+        Err(response) => return response,
+    };
+    let answering = spawn_blocking(move || server.handle(&call)).await;
+    answering.unwrap_or_else(|e| reply::error(500, "failed", &e.to_string()))
 }
 
 impl<L: LogClient> OperatorServer<L> {
-    fn handle(&self, request: &Request) -> Response {
-        let path = request.url();
-        let parts: Vec<&str> = path.split('/').filter(|p| !p.is_empty()).collect();
-        let response = self.route(request, &parts);
+    fn handle(&self, call: &Call) -> Response {
+        let parts: Vec<&str> = call.path.split('/').filter(|p| !p.is_empty()).collect();
+        let response = self.route(call, &parts);
         info!(self.log, "resource API";
-            "method" => request.method().to_owned(), "status" => response.status_code);
+            "method" => call.method.as_str(), "status" => response.status().as_u16());
         response
     }
 
-    fn route(&self, request: &Request, parts: &[&str]) -> Response {
-        match (request.method(), parts) {
-            ("GET", ["healthz"]) => Response::text("ok\n"),
+    fn route(&self, call: &Call, parts: &[&str]) -> Response {
+        match (call.method.as_str(), parts) {
+            ("GET", ["healthz"]) => reply::text("ok\n"),
             ("GET", ["readyz"]) => self.ready(),
             ("GET", ["metrics"]) => self.metrics(),
             ("GET", ["v1", "status"]) => reply::ok(&self.status()),
-            ("GET", ["v1", "watch"]) => self.watch(request),
-            ("POST", ["v1", "apply"]) => match read_body(request) {
-                Ok(text) => apply::apply(&self.log_client, &self.hub, &text),
+            ("GET", ["v1", "watch"]) => self.watch(call),
+            ("POST", ["v1", "apply"]) => match call.text() {
+                Ok(text) => apply::apply(&self.log_client, &self.hub, text),
                 Err(response) => response,
             },
             ("GET", ["v1", "resources"]) => reply::ok(&list(&self.state(), None)),
             (_, ["v1", "resources", kind, rest @ ..]) => match kind.parse::<Kind>() {
-                Ok(kind) => self.resource(request, kind, rest),
+                Ok(kind) => self.resource(call, kind, rest),
                 Err(e) => reply::error(404, "no-such-kind", &e.to_string()),
             },
             _ => reply::error(404, "no-such-path", "see docs/operators/resource-api.md"),
         }
     }
 
-    fn resource(&self, request: &Request, kind: Kind, rest: &[&str]) -> Response {
-        match (request.method(), rest) {
+    fn resource(&self, call: &Call, kind: Kind, rest: &[&str]) -> Response {
+        match (call.method.as_str(), rest) {
             ("GET", []) => reply::ok(&list(&self.state(), Some(kind))),
             ("GET", [name]) => self.get(&ResourceKey::new(kind, *name)),
-            ("PUT", [name]) => self.put(request, ResourceKey::new(kind, *name)),
-            ("DELETE", [name]) => self.delete(request, ResourceKey::new(kind, *name)),
+            ("PUT", [name]) => self.put(call, ResourceKey::new(kind, *name)),
+            ("DELETE", [name]) => self.delete(call, ResourceKey::new(kind, *name)),
             _ => reply::error(405, "no-such-method", "GET, PUT or DELETE"),
         }
     }
@@ -135,7 +157,7 @@
                 "neither log nor peers were read yet",
             );
         }
-        Response::text("ready\n")
+        reply::text("ready\n")
     }
 
     fn metrics(&self) -> Response {
@@ -143,12 +165,12 @@
         self.metrics
             .set_log_lag(self.clock.now().saturating_sub(read));
         let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-        Response::from_data(kind, self.metrics.render())
+        reply::with_type(kind, self.metrics.render())
     }
 
-    fn watch(&self, request: &Request) -> Response {
-        let after = number(request, "after").unwrap_or(0);
-        let wait = number(request, "wait").unwrap_or(DEFAULT_WAIT);
+    fn watch(&self, call: &Call) -> Response {
+        let after = call.number("after").unwrap_or(0);
+        let wait = call.number("wait").unwrap_or(DEFAULT_WAIT);
         self.watchers
             .answer(&self.hub, after, Duration::from_secs(wait))
     }
@@ -160,17 +182,19 @@
         }
     }
 
-    fn put(&self, request: &Request, key: ResourceKey) -> Response {
-        let text = match read_body(request) {
+    fn put(&self, call: &Call, key: ResourceKey) -> Response {
+        let text = match call.text() {
             Ok(text) => text,
             Err(response) => return response,
         };
         let state = self.state();
-        let resource = match check_object(&state, &key, &text) {
+        let resource = match check_object(&state, &key, text) {
             Ok(resource) => resource,
             Err(found) => return reply::findings(&found),
         };
-        let base = number(request, "base").unwrap_or_else(|| state.version_of(&key));
+        let base = call
+            .number("base")
+            .unwrap_or_else(|| state.version_of(&key));
         let change = Change {
             key,
             base,
@@ -179,13 +203,13 @@
         reply::written(write(&self.log_client, &self.hub, change))
     }
 
-    fn delete(&self, request: &Request, key: ResourceKey) -> Response {
+    fn delete(&self, call: &Call, key: ResourceKey) -> Response {
         let state = self.state();
         let present = state.version_of(&key);
         if present == 0 {
             return not_found(&key);
         }
-        let base = number(request, "base").unwrap_or(present);
+        let base = call.number("base").unwrap_or(present);
         let change = Change {
             key,
             base,
@@ -238,23 +262,3 @@
     merged(state, std::slice::from_ref(&resource)).check_references(&mut found);
     found.into_result(resource)
 }
-
-fn number(request: &Request, name: &str) -> Option<u64> {
-    request.get_param(name)?.parse().ok()
-}
-
-fn read_body(request: &Request) -> Result<String, Response> {
-    let mut text = String::new();
-    let Some(data) = request.data() else {
-        return Err(reply::error(400, "no-body", "a body is needed"));
-    };
-    match data.take(MAX_BODY_BYTES).read_to_string(&mut text) {
-        Ok(n) if (n as u64) < MAX_BODY_BYTES => Ok(text),
-        Ok(_) => Err(reply::error(413, "body-too-large", "at most 4 MiB")),
-        Err(_) => Err(reply::error(
-            400,
-            "body-broken",
-            "the body is not UTF-8 or ended early",
-        )),
-    }
-}
--- a/crates/firdock-node/src/operator/apply.rs
+++ b/crates/firdock-node/src/operator/apply.rs
@@ -5,10 +5,9 @@
 use firdock_core::Findings;
 use firdock_core::resource::{Resource, ResourceKey, parse_resources};
 use firdock_state::{Change, State};
-use rouille::Response;
 use serde::{Deserialize, Serialize};
 
-use super::reply;
+use super::reply::{self, Response};
 use crate::config::{Hub, write};
 use crate::platform::LogClient;
 
--- a/crates/firdock-node/src/operator/reply.rs
+++ b/crates/firdock-node/src/operator/reply.rs
@@ -1,33 +1,62 @@
 //! Answers of the resource API: JSON, with all findings where input is bad.
 
+use bytes::Bytes;
 use firdock_core::{Findings, Version};
-use rouille::Response;
+use http_body_util::Full;
+use hyper::StatusCode;
+use hyper::header::{self, HeaderValue};
 use serde::Serialize;
-use serde_json::json;
+use serde_json::json as object;
 
 use crate::config::WriteError;
 
+/// An answer, whole.
+pub type Response = hyper::Response<Full<Bytes>>;
+
 /// Answers with JSON.
 pub fn ok<T: Serialize>(value: &T) -> Response {
-    Response::json(value)
+    match serde_json::to_vec(value) {
+        Ok(body) => with_type("application/json", body),
+        Err(e) => error(500, "not-written", &e.to_string()),
+    }
+}
+
+/// Answers with text of a media type.
+pub fn with_type(kind: &'static str, body: impl Into<Bytes>) -> Response {
+    let mut response = Response::new(Full::new(body.into()));
+    let kind = HeaderValue::from_static(kind);
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+/// Answers with plain text.
+pub fn text(body: &'static str) -> Response {
+    with_type("text/plain; charset=utf-8", body)
+}
+
+/// Answers with JSON under a status other than 200.
+fn json(status: u16, body: &serde_json::Value) -> Response {
+    let mut response = ok(body);
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
+    response
 }
 
 /// Answers with an error of a kind that scripts can tell apart.
 pub fn error(status: u16, reason: &str, detail: &str) -> Response {
-    let body = json!({"reason": reason, "detail": detail});
-    Response::json(&body).with_status_code(status)
+    let body = object!({"reason": reason, "detail": detail});
+    json(status, &body)
 }
 
 /// Answers with every finding; nothing was changed.
 pub fn findings(found: &Findings) -> Response {
-    let body = json!({"reason": "bad-input", "findings": found.as_slice()});
-    Response::json(&body).with_status_code(422)
+    let body = object!({"reason": "bad-input", "findings": found.as_slice()});
+    json(422, &body)
 }
 
 /// Answers with the version that a write made, or why it made none.
 pub fn written(result: Result<Version, WriteError>) -> Response {
     match result {
-        Ok(version) => ok(&json!({"version": version})),
+        Ok(version) => ok(&object!({"version": version})),
         Err(e) => write_error(&e),
     }
 }
@@ -37,13 +66,13 @@
     let detail = e.to_string();
     match e {
         WriteError::Outdated { present } => {
-            let body = json!({"reason": "outdated", "detail": detail, "present": present});
-            Response::json(&body).with_status_code(409)
+            let body = object!({"reason": "outdated", "detail": detail, "present": present});
+            json(409, &body)
         }
         WriteError::Refused { .. } => error(503, "log-unavailable", &detail),
         WriteError::Unsettled { id } => {
-            let body = json!({"reason": "unsettled", "detail": detail, "record": id});
-            Response::json(&body).with_status_code(504)
+            let body = object!({"reason": "unsettled", "detail": detail, "record": id});
+            json(504, &body)
         }
         WriteError::Encode { .. } | WriteError::Ignored => error(500, "not-written", &detail),
     }
--- a/crates/firdock-node/src/operator/watch.rs
+++ b/crates/firdock-node/src/operator/watch.rs
@@ -5,11 +5,10 @@
 use std::time::Duration;
 
 use firdock_core::Version;
-use rouille::Response;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use super::reply;
+use super::reply::{self, Response};
 use crate::config::{ChangeNote, Hub};
 
 /// Watchers that may wait at once; each occupies a thread.
