--- a/crates/firdock-core/src/resource/service.rs
+++ b/crates/firdock-core/src/resource/service.rs
@@ -21,6 +21,10 @@
 /// A group of requests that are served alike.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is declared by itself in a resource file"
+)]
 pub struct Service {
     /// Name.
     pub name: ServiceId,
@@ -83,7 +87,7 @@
         if total == 0 {
             return self.split.first().map(|p| &p.pool);
         }
-        let mut left = u64::from(draw) * total >> u32::BITS;
+        let mut left = (u64::from(draw) * total) >> u32::BITS;
         for part in &self.split {
             let weight = u64::from(part.weight);
             if left < weight {
--- a/crates/firdock-node/src/operator/api.rs
+++ b/crates/firdock-node/src/operator/api.rs
@@ -30,7 +30,7 @@
 /// Bytes in the head of a call.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Time for the head of a call, and between two calls on a connection.
-const HEAD_TIME: Duration = Duration::from_secs(60);
+const HEAD_TIME: Duration = Duration::from_mins(1);
 /// Wait of a watch that does not say.
 const DEFAULT_WAIT: u64 = 25;
 
@@ -87,7 +87,7 @@
 ) -> Response {
     let call = match Call::read(request).await {
         Ok(call) => call,
-        Err(response) => return response,
+        Err(response) => return *response,
     };
     let answering = spawn_blocking(move || server.handle(&call)).await;
     answering.unwrap_or_else(|e| reply::error(500, "failed", &e.to_string()))
@@ -111,7 +111,7 @@
             ("GET", ["v1", "watch"]) => self.watch(call),
             ("POST", ["v1", "apply"]) => match call.text() {
                 Ok(text) => apply::apply(&self.log_client, &self.hub, text),
-                Err(response) => response,
+                Err(e) => e.answer(),
             },
             ("GET", ["v1", "resources"]) => reply::ok(&list(&self.state(), None)),
             (_, ["v1", "resources", kind, rest @ ..]) => match kind.parse::<Kind>() {
@@ -185,7 +185,7 @@
     fn put(&self, call: &Call, key: ResourceKey) -> Response {
         let text = match call.text() {
             Ok(text) => text,
-            Err(response) => return response,
+            Err(e) => return e.answer(),
         };
         let state = self.state();
         let resource = match check_object(&state, &key, text) {
--- a/crates/firdock-node/src/operator/call.rs
+++ b/crates/firdock-node/src/operator/call.rs
@@ -1,16 +1,45 @@
 //! A call to the resource API, read whole before it is answered.
 
+use std::str::Utf8Error;
+
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::Method;
 use hyper::Request;
 use hyper::body::Incoming;
+use snafu::{ResultExt as _, Snafu};
 
 use super::reply::{self, Response};
 
 /// Largest body of a call.
 const MAX_BODY_BYTES: usize = 4 << 20;
 
+/// Why a call has no text.
+#[derive(Debug, Snafu)]
+pub enum NoText {
+    /// There is no body.
+    #[snafu(display("a body is needed"))]
+    NoBody,
+    /// The body is no text.
+    #[snafu(display("the body is not UTF-8"))]
+    Broken {
+        /// Cause, with the place.
+        source: Utf8Error,
+    },
+}
+
+impl NoText {
+    /// Makes the answer.
+    #[must_use]
+    pub fn answer(&self) -> Response {
+        let reason = match self {
+            Self::NoBody => "no-body",
+            Self::Broken { .. } => "body-broken",
+        };
+        reply::error(400, reason, &self.to_string())
+    }
+}
+
 /// One call.
 #[derive(Debug, Clone)]
 pub struct Call {
@@ -28,14 +57,21 @@
     /// # Errors
     ///
     /// Fails with the answer for a body that is too long or ends early.
-    pub async fn read(request: Request<Incoming>) -> Result<Self, Response> {
+    pub async fn read(request: Request<Incoming>) -> Result<Self, Box<Response>> {
         let (head, body) = request.into_parts();
         let body = match Limited::new(body, MAX_BODY_BYTES).collect().await {
             Ok(whole) => whole.to_bytes(),
             Err(e) if e.is::<LengthLimitError>() => {
-                return Err(reply::error(413, "body-too-large", "at most 4 MiB"));
+                return Err(Box::new(reply::error(
+                    413,
+                    "body-too-large",
+                    "at most 4 MiB",
+                )));
+            }
+            Err(_) => {
+                let answer = reply::error(400, "body-broken", "the body ended early");
+                return Err(Box::new(answer));
             }
-            Err(_) => return Err(reply::error(400, "body-broken", "the body ended early")),
         };
         Ok(Self {
             method: head.method,
@@ -60,12 +96,11 @@
     ///
     /// # Errors
     ///
-    /// Fails with the answer for a body that is absent or no text.
-    pub fn text(&self) -> Result<&str, Response> {
+    /// Fails with what is wrong with a body that is absent or no text.
+    pub fn text(&self) -> Result<&str, NoText> {
         if self.body.is_empty() {
-            return Err(reply::error(400, "no-body", "a body is needed"));
+            return NoBodySnafu.fail();
         }
-        let text = std::str::from_utf8(&self.body);
-        text.map_err(|e| reply::error(400, "body-broken", &format!("the body is not UTF-8: {e}")))
+        std::str::from_utf8(&self.body).context(BrokenSnafu)
     }
 }
--- a/crates/firdock-node/src/peer/reads.rs
+++ b/crates/firdock-node/src/peer/reads.rs
@@ -203,7 +203,7 @@
                 return;
             }
             tokio::select! {
-                () = sleep(due - now) => {}
+                () = sleep(due.saturating_sub(now)) => {}
                 () = self.changed.notified() => {}
             }
         }
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -4,6 +4,7 @@
 pub mod check;
 pub mod delete;
 mod error;
+pub mod explain;
 pub mod get;
 pub mod serve;
 pub mod status;
@@ -48,6 +49,7 @@
         .subcommand(watch::make_subcommand())
         .subcommand(status::make_subcommand())
         .subcommand(check::make_subcommand())
+        .subcommand(explain::make_subcommand())
 }
 
 /// Runs a subcommand of `firdock`.
@@ -63,6 +65,7 @@
         Some(("watch", args)) => watch::execute(args),
         Some(("status", args)) => status::execute(args),
         Some(("check", args)) => check::execute(args),
+        Some(("explain", args)) => explain::execute(args),
         _ => unreachable!("the argument parser knows the subcommands"),
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod api;
 pub mod cmd;
 pub mod exit;
+pub mod story;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod command_line;
 mod configuration;
 mod dispatch_once;
+mod explain;
 mod helper;
 mod limits;
 mod planned_stop;
