--- a/crates/firdock-node/src/peer.rs
+++ b/crates/firdock-node/src/peer.rs
@@ -21,7 +21,7 @@
 pub use heartbeat::{SelfNews, beat};
 pub use keys::transfer_keys;
 pub use link::{Link, LinkError};
-pub use reads::{Heard, Reads, SharedReads};
+pub use reads::{Due, Heard, Reads, SharedReads};
 pub use serve::{PeerServer, serve_peers};
 pub use state::ask_for_state;
 
--- a/crates/firdock-node/src/peer/reads.rs
+++ b/crates/firdock-node/src/peer/reads.rs
@@ -50,6 +50,27 @@
     pub ask_clock: bool,
 }
 
+/// What an instance has to read.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Due {
+    /// The configuration.
+    pub config: bool,
+    /// The list of endpoints.
+    pub endpoints: bool,
+}
+
+impl Due {
+    /// Everything, as at the start.
+    pub const ALL: Self = Self {
+        config: true,
+        endpoints: true,
+    };
+
+    fn any(self) -> bool {
+        self.config || self.endpoints
+    }
+}
+
 /// Bound on a peer's clock: its `theirs` stands for no earlier time than `ours`.
 #[derive(Debug, Clone, Copy)]
 struct ClockBound {
@@ -71,7 +92,8 @@
     read_at: Time,
     /// When the list of endpoints was first read after its last outage.
     steady_since: Time,
-    news: bool,
+    /// What a peer has newer.
+    news: Due,
     clocks: BTreeMap<InstanceId, ClockBound>,
 }
 
@@ -84,6 +106,21 @@
         }
     }
 
+    /// Gives what is due now, and when to look again if nothing is.
+    fn due(&self, now: Time, patience: Duration) -> (Due, Time) {
+        let earliest = self.read_at + LEAST_PAUSE;
+        if now < earliest {
+            return (Due::default(), earliest);
+        }
+        let old = |at: Time| at + patience <= now;
+        let due = Due {
+            config: self.news.config || old(self.own.config_at),
+            endpoints: self.news.endpoints || old(self.own.endpoints_at),
+        };
+        let oldest = self.own.config_at.min(self.own.endpoints_at);
+        (due, oldest + patience)
+    }
+
     /// Takes it that the list of endpoints was the newest at `at`.
     fn see_endpoints(&mut self, at: Time) {
         self.steady_since = self.steady_since(at);
@@ -103,7 +140,7 @@
     pub fn note(&self, now: Time, reads: Reads) {
         let mut inner = self.lock();
         inner.read_at = now;
-        inner.news = false;
+        inner.news = Due::default();
         let own = &mut inner.own;
         own.version = reads.version;
         own.endpoints = reads.endpoints;
@@ -155,7 +192,8 @@
             inner.see_endpoints(endpoints_at);
         }
         if newer_config || newer_endpoints {
-            inner.news = true;
+            inner.news.config |= newer_config;
+            inner.news.endpoints |= newer_endpoints;
             drop(inner);
             self.changed.notify_one();
         }
@@ -180,10 +218,11 @@
         }
     }
 
-    /// Waits until this instance has to read: its state grew old, or a peer has newer.
+    /// Waits until this instance has to read, and tells what: its state grew old, or a peer has
+    /// newer.
     ///
     /// `is_reader` tells whether this instance is the one that reads for its peers.
-    pub async fn due(&self, clock: Clock, pause: Duration, is_reader: impl Fn() -> bool) {
+    pub async fn due(&self, clock: Clock, pause: Duration, is_reader: impl Fn() -> bool) -> Due {
         let chance = 1.0 + rand::random::<f64>() / 3.0;
         loop {
             let now = clock.now();
@@ -192,18 +231,12 @@
             } else {
                 pause.mul_f64(PATIENCE * chance)
             };
-            let (read_at, oldest, news) = {
-                let inner = self.lock();
-                let oldest = inner.own.config_at.min(inner.own.endpoints_at);
-                (inner.read_at, oldest, inner.news)
-            };
-            let by_age = if news { now } else { oldest + patience };
-            let due = by_age.max(read_at + LEAST_PAUSE);
-            if due <= now {
-                return;
+            let (due, next) = self.lock().due(now, patience);
+            if due.any() {
+                return due;
             }
             tokio::select! {
-                () = sleep(due.saturating_sub(now)) => {}
+                () = sleep(next.saturating_sub(now)) => {}
                 () = self.changed.notified() => {}
             }
         }
--- a/crates/firdock-node/src/source.rs
+++ b/crates/firdock-node/src/source.rs
@@ -14,7 +14,7 @@
 
 use crate::clock::Clock;
 use crate::driver::Input;
-use crate::peer::{PeerBook, Reads, SharedReads};
+use crate::peer::{Due, PeerBook, Reads, SharedReads};
 
 /// Follows a platform's configuration for as long as the instance runs.
 pub trait ResourceSource: Send + 'static {
@@ -51,13 +51,17 @@
         self.send(Event::Config(Arc::new(catalog))).await
     }
 
-    /// Tells what the last read found, so that this instance and its peers know how fresh it is.
+    /// Tells what the last read found, so that this instance and its peers know how fresh it is; a
+    /// time of zero stands for what was not read.
     ///
     /// # Errors
     ///
     /// Fails if the instance was stopped.
     pub async fn note(&self, reads: Reads) -> Result<(), Stopped> {
         self.reads.note(self.clock.now(), reads);
+        if reads.config_at == Time::ZERO {
+            return Ok(());
+        }
         self.send(Event::Fresh(reads.config_at)).await
     }
 
@@ -73,11 +77,11 @@
         self.reads.note_failed(self.clock.now());
     }
 
-    /// Waits until this instance has to read again: after `pause` if it reads for its peers, later
+    /// Waits until this instance has to read again, and tells what: after `pause` if it reads for its peers, later
     /// if another one does, at once if a peer has something newer.
-    pub async fn due(&self, pause: Duration) {
+    pub async fn due(&self, pause: Duration) -> Due {
         let is_reader = || self.peers.is_reader(self.clock.now());
-        self.reads.due(self.clock, pause, is_reader).await;
+        self.reads.due(self.clock, pause, is_reader).await
     }
 
     /// Tells of another instance and where it takes heartbeats.
