Tell in the lines on a request's end where it ran and why, and of callers that left

Cause: lines on what goes well are sampled, so the cut of a stream named no endpoint, no reason, and a caller that left wrote nothing; an incident's worst seconds could not be read from the logs.

--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -26,6 +26,7 @@
 use crate::exchange::{Exchange, Part, Payload};
 use crate::peer::{self, Dialer, SelfNews};
 use crate::site::{Place, Site};
+use crate::telemetry::decisions::{LastSent, Story};
 use crate::telemetry::{Decisions, LineBudget, Metrics, Span};
 
 /// Inputs that may wait for the scheduler.
@@ -120,9 +121,22 @@
 struct Live {
     exchange: Arc<Exchange>,
     arrived: Time,
+    /// Where it was last sent, for the line on how it ended.
+    sent: Option<LastSent>,
     task: Option<AbortHandle>,
 }
 
+impl Live {
+    /// Gives what the lines on the request's end tell.
+    fn story(&self) -> Story<'_> {
+        Story {
+            exchange: &self.exchange,
+            arrived: self.arrived,
+            sent: self.sent.as_ref(),
+        }
+    }
+}
+
 impl<B: Backends> Driver<B> {
     /// Makes a driver.
     #[must_use]
@@ -163,6 +177,7 @@
                     Live {
                         exchange,
                         arrived: self.parts.clock.now(),
+                        sent: None,
                         task: None,
                     },
                 );
@@ -174,6 +189,7 @@
                     Event::Config(catalog) => self.parts.site.set(catalog),
                     Event::Fresh(at) => self.parts.site.set_fresh(*at),
                     Event::Endpoint(news) => self.note_news(news),
+                    Event::CallerLeft(id) => self.note_caller_left(*id),
                     _ => {}
                 }
                 let id = subject(&event);
@@ -209,6 +225,14 @@
             .dispatch_failed(now, row, failed, &live.exchange);
     }
 
+    /// Writes that a caller left before its answer was whole.
+    fn note_caller_left(&self, id: RequestId) {
+        if let Some(live) = self.exchanges.get(&id) {
+            let now = self.parts.clock.now();
+            self.decisions.caller_left(now, live.story());
+        }
+    }
+
     fn tick(&mut self) {
         self.step(Event::Timer);
         self.ticks += 1;
@@ -273,7 +297,7 @@
             Action::RefuseHandOver { id, verdict, tried } => {
                 self.reply(id, Part::Refusal(verdict, tried));
             }
-            Action::Cut { id } => self.cut(id),
+            Action::Cut { id, reason } => self.cut(id, reason),
             Action::Replay { id, earlier } => self.replay(id, earlier),
             Action::Forget { id } => self.parts.answers.forget(id),
             Action::TransferKeys { peer, transfer } => {
@@ -297,6 +321,9 @@
         let id = dispatch.id;
         let (now, t) = (self.parts.clock.now(), self.scheduler.tables());
         self.decisions.dispatched(now, t, &dispatch, &exchange);
+        if let Some(live) = self.exchanges.get_mut(&id) {
+            live.sent = Some(LastSent::new(now, &dispatch));
+        }
         let run = self.make_run(exchange, dispatch, place);
         let backends = self.parts.backends.clone();
         let (log, clock) = (self.parts.log.clone(), self.parts.clock);
@@ -399,16 +426,15 @@
     fn answer(&self, id: RequestId, verdict: Verdict) {
         if let Some(live) = self.exchanges.get(&id) {
             let (now, t) = (self.parts.clock.now(), self.scheduler.tables());
-            self.decisions
-                .verdict(now, t, live.arrived, verdict, &live.exchange);
+            self.decisions.verdict(now, t, live.story(), verdict);
         }
         self.reply(id, Part::Verdict(verdict));
     }
 
-    fn cut(&self, id: RequestId) {
+    fn cut(&self, id: RequestId, reason: Reason) {
         if let Some(live) = self.exchanges.get(&id) {
             let now = self.parts.clock.now();
-            self.decisions.cut(now, live.arrived, &live.exchange);
+            self.decisions.cut(now, live.story(), reason);
         }
         self.reply(id, Part::Cut);
     }
--- a/crates/firdock-node/src/endpoint/run_engine.rs
+++ b/crates/firdock-node/src/endpoint/run_engine.rs
@@ -1,6 +1,6 @@
 //! Driving of one dispatch to a model engine, from the write to the end of the answer.
 
-use std::sync::{Arc, MutexGuard, PoisonError};
+use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -122,10 +122,7 @@
 
     /// Gives how much of the answer has been passed on, over all dispatches.
     pub(super) fn delivered(&self) -> MutexGuard<'_, Delivered> {
-        self.exchange
-            .delivered
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.exchange.delivered()
     }
 }
 
--- a/crates/firdock-node/src/exchange.rs
+++ b/crates/firdock-node/src/exchange.rs
@@ -1,6 +1,6 @@
 //! One request on its way: what the caller sent, and where the parts of the answer go.
 
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
 use firdock_core::{AccountId, EndpointId, RequestId, ServiceId};
@@ -111,6 +111,13 @@
 }
 
 impl Exchange {
+    /// Gives how much of the answer has been passed on.
+    pub fn delivered(&self) -> MutexGuard<'_, Delivered> {
+        self.delivered
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Makes an exchange and the receiving end of its answer.
     #[must_use]
     pub fn new(
--- a/crates/firdock-node/src/telemetry/budget.rs
+++ b/crates/firdock-node/src/telemetry/budget.rs
@@ -17,6 +17,8 @@
     Dispatched,
     /// A whole answer was passed on.
     Answered,
+    /// A caller left before its answer was whole.
+    CallerLeft,
     /// A request ended without a whole answer.
     Failed,
     /// What the process believes changed.
@@ -30,6 +32,7 @@
         match self {
             Self::Dispatched => "dispatched",
             Self::Answered => "answered",
+            Self::CallerLeft => "caller left",
             Self::Failed => "failed",
             Self::Belief => "belief",
         }
@@ -42,7 +45,7 @@
     /// storms.
     fn most(self) -> u32 {
         match self {
-            Self::Dispatched | Self::Answered => 20,
+            Self::Dispatched | Self::Answered | Self::CallerLeft => 20,
             Self::Failed | Self::Belief => 200,
         }
     }
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use firdock_core::{EndpointId, InstanceId};
+use firdock_core::{EndpointId, InstanceId, Reason};
 use firdock_policy::action::Dispatch;
 use firdock_policy::request::RequestRow;
 use firdock_policy::table::Tables;
@@ -55,6 +55,37 @@
     peers: BTreeMap<InstanceId, bool>,
 }
 
+/// Where and when a request was last sent to an endpoint.
+#[derive(Debug, Clone)]
+pub struct LastSent {
+    endpoint: EndpointId,
+    dispatch: u32,
+    at: Time,
+}
+
+impl LastSent {
+    /// Notes a dispatch.
+    #[must_use]
+    pub fn new(now: Time, dispatch: &Dispatch) -> Self {
+        Self {
+            endpoint: dispatch.endpoint.clone(),
+            dispatch: dispatch.dispatch,
+            at: now,
+        }
+    }
+}
+
+/// What the lines on a request's end tell of it, though the line on its dispatch was left out.
+#[derive(Debug, Clone, Copy)]
+pub struct Story<'a> {
+    /// The request.
+    pub exchange: &'a Exchange,
+    /// When it arrived.
+    pub arrived: Time,
+    /// Where it was last sent, if it was.
+    pub sent: Option<&'a LastSent>,
+}
+
 /// Writes the lines of one scheduler's decisions.
 #[derive(Debug)]
 pub struct Decisions {
@@ -125,10 +156,11 @@
     }
 
     /// Writes firdock's own final answer to a request, with what decided it.
-    pub fn verdict(&self, now: Time, t: &Tables, arrived: Time, verdict: Verdict, x: &Exchange) {
+    pub fn verdict(&self, now: Time, t: &Tables, story: Story<'_>, verdict: Verdict) {
         if !self.budget.allow(&self.log, now, LineKind::Failed) {
             return;
         }
+        let x = story.exchange;
         warn!(self.log, "request given up";
             "request_id" => x.id.to_string(),
             "call" => call(x),
@@ -137,7 +169,9 @@
             "outcome" => verdict.outcome.as_str(),
             "reason" => verdict.reason.as_str(),
             "retry_millis" => verdict.retry_after.map(millis),
-            "waited_millis" => millis(now.saturating_sub(arrived)),
+            "waited_millis" => millis(now.saturating_sub(story.arrived)),
+            "endpoint" => story.sent.map(|s| &s.endpoint),
+            "dispatches" => story.sent.map_or(0, |s| s.dispatch),
             "held" => t.requests.held(),
             "version" => t.version,
             "config_age_millis" => config_age(t, now),
@@ -145,16 +179,32 @@
     }
 
     /// Writes that an answer that had begun could not be completed.
-    pub fn cut(&self, now: Time, arrived: Time, x: &Exchange) {
-        if !self.budget.allow(&self.log, now, LineKind::Failed) {
-            return;
+    pub fn cut(&self, now: Time, story: Story<'_>, reason: Reason) {
+        if self.budget.allow(&self.log, now, LineKind::Failed) {
+            self.broken_off(now, "answer cut", story, reason);
+        }
+    }
+
+    /// Writes that a caller left before its answer was whole; its work is cancelled.
+    pub fn caller_left(&self, now: Time, story: Story<'_>) {
+        if self.budget.allow(&self.log, now, LineKind::CallerLeft) {
+            self.broken_off(now, "caller left", story, Reason::CallerLeft);
         }
-        warn!(self.log, "answer cut";
+    }
+
+    fn broken_off(&self, now: Time, what: &'static str, story: Story<'_>, reason: Reason) {
+        let x = story.exchange;
+        let after = story.sent.map(|s| millis(now.saturating_sub(s.at)));
+        warn!(self.log, "{}", what;
             "request_id" => x.id.to_string(),
             "call" => call(x),
             "service" => &x.payload.service,
-            "outcome" => "unknown",
-            "waited_millis" => millis(now.saturating_sub(arrived)),
+            "reason" => reason.as_str(),
+            "waited_millis" => millis(now.saturating_sub(story.arrived)),
+            "endpoint" => story.sent.map(|s| &s.endpoint),
+            "dispatches" => story.sent.map_or(0, |s| s.dispatch),
+            "after_millis" => after,
+            "delivered_tokens" => x.delivered().tokens,
         );
     }
 
--- /dev/null
+++ b/crates/firdock-node/tests/node/lines.rs
@@ -0,0 +1,47 @@
+//! The bound on the lines of a log, and the count of what was left out.
+
+use std::io::Write;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use firdock_node::telemetry::{Level, LineBudget, LineKind, logger};
+
+#[derive(Clone, Default)]
+struct Kept(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Kept {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().expect("no panic").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn lines_beyond_the_bound_are_counted_and_told_by_kind() {
+    let kept = Kept::default();
+    let (log, guard) = logger(kept.clone(), Level::new("info"), false, "one");
+    let budget = LineBudget::default();
+    let second = |n: u64| Duration::from_secs(n);
+    let allowed = |kind, at| (0..500).filter(|_| budget.allow(&log, at, kind)).count();
+    assert_eq!(allowed(LineKind::Answered, second(1)), 20);
+    assert_eq!(allowed(LineKind::Failed, second(1)), 200);
+    assert_eq!(allowed(LineKind::Answered, second(2)), 20);
+    budget.finish(&log);
+    drop((log, guard));
+    let text = String::from_utf8(kept.0.lock().expect("no panic").clone());
+    let text = text.expect("UTF-8");
+    let told: Vec<serde_json::Value> = text
+        .lines()
+        .filter_map(|l| serde_json::from_str(l).ok())
+        .collect();
+    let count = |kind: &str| {
+        let of_kind = told.iter().filter(|l| l["kind"] == kind);
+        of_kind.filter_map(|l| l["count"].as_u64()).sum::<u64>()
+    };
+    assert_eq!(count("answered"), 2 * 480);
+    assert_eq!(count("failed"), 300);
+}
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -1,5 +1,6 @@
 //! Decoders and stores of the entry instance: whatever comes is an error, and never a panic.
 
+mod lines;
 mod peers;
 
 use bytes::Bytes;
--- a/crates/firdock-policy/src/action.rs
+++ b/crates/firdock-policy/src/action.rs
@@ -1,6 +1,6 @@
 //! What the policy wants done.
 
-use firdock_core::{EndpointId, InstanceId, RequestId};
+use firdock_core::{EndpointId, InstanceId, Reason, RequestId};
 use serde::{Deserialize, Serialize};
 
 use crate::event::KeyTransfer;
@@ -58,6 +58,8 @@
     Cut {
         /// Request.
         id: RequestId,
+        /// Why.
+        reason: Reason,
     },
     /// Give the kept answer of an earlier request with the same key.
     Replay {
--- a/crates/firdock-policy/src/system/end.rs
+++ b/crates/firdock-policy/src/system/end.rs
@@ -125,7 +125,7 @@
         "request {id} may have run and would be told `not-run`"
     );
     if row.head_sent {
-        cut(t, now, id, out);
+        cut(t, now, id, verdict.reason, out);
         return;
     }
     let Some(row) = finish(t, now, id, verdict.outcome) else {
@@ -136,10 +136,10 @@
 }
 
 /// Ends an answer that has begun and cannot be completed.
-pub fn cut(t: &mut Tables, now: Time, id: RequestId, out: &mut Vec<Action>) {
+pub fn cut(t: &mut Tables, now: Time, id: RequestId, reason: Reason, out: &mut Vec<Action>) {
     if finish(t, now, id, Outcome::Unknown).is_some() {
-        *t.stats.reasons.entry(Reason::EndpointLost).or_default() += 1;
-        out.push(Action::Cut { id });
+        *t.stats.reasons.entry(reason).or_default() += 1;
+        out.push(Action::Cut { id, reason });
     }
 }
 
--- a/crates/firdock-standin/src/measure/baseline.rs
+++ b/crates/firdock-standin/src/measure/baseline.rs
@@ -160,7 +160,10 @@
                     self.place(e.id, out);
                 } else {
                     self.live.remove(&e.id);
-                    out.push(Action::Cut { id: e.id });
+                    out.push(Action::Cut {
+                        id: e.id,
+                        reason: Reason::EndpointLost,
+                    });
                 }
             }
             DispatchNews::Ended { .. } => {
