--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -32,6 +32,9 @@
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
 /// Instances told of in one beacon; over several, chance tells of all.
 const MAX_TOLD: usize = 16;
+/// Ticks between two beacons that tell of other instances: these come and go seldom, and the bytes
+/// between availability zones are paid for.
+const TELL_EVERY: usize = 5;
 /// Limited accounts told of in one beacon.
 const MAX_ACCOUNTS: usize = 256;
 
@@ -120,7 +123,11 @@
         if peers.is_empty() {
             return;
         }
-        let heard = self.book.heard(now);
+        let heard = if tick.is_multiple_of(TELL_EVERY) {
+            self.book.heard(now)
+        } else {
+            Vec::new()
+        };
         let beacon = datagram::Body::Beacon(self.beacon(&heard));
         let sealed = self.seal(beacon);
         for (name, address) in peers {
