Let account limits wait until the other instances are known

Until they hear each other each took the limit for its own alone, and each had forgotten what was overdrawn.

--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -239,7 +239,8 @@
     ) -> Driver<Relay<D>> {
         let policy = PolicySettings::new(&self.settings, self.member.incarnation)
             .with_mechanisms(Mechanisms::EDGE)
-            .with_eject_after(EJECT_AFTER);
+            .with_eject_after(EJECT_AFTER)
+            .with_await_peers();
         let e = &self.settings.endpoints;
         let connect = Duration::from_millis(e.connect_millis);
         let key = &self.settings.peers.shared_key;
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -35,6 +35,8 @@
 /// Ticks between two beacons that tell of other instances: these come and go seldom, and the bytes
 /// between availability zones are paid for.
 const TELL_EVERY: usize = 5;
+/// Ticks after which the instances heard are taken for all, though none were listed.
+const LIST_TICKS: usize = 10;
 /// Limited accounts told of in one beacon.
 const MAX_ACCOUNTS: usize = 256;
 
@@ -74,7 +76,7 @@
         let mut ticks = interval(self.pause);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-        let mut known = 0;
+        let mut known = None;
         let mut tick = 0;
         loop {
             tokio::select! {
@@ -85,7 +87,13 @@
                 _ = ticks.tick() => {
                     tick += 1;
                     self.send(tick).await;
+                    if tick >= LIST_TICKS || self.book.was_listed() {
+                        known = self.count(known).await;
+                    }
+                }
+                () = self.book.first_listed() => {
                     known = self.count(known).await;
+                    self.send(0).await;
                 }
                 () = stopped(&mut stop) => break,
             }
@@ -94,11 +102,11 @@
     }
 
     /// Tells the scheduler how many instances are known of, when that changed.
-    async fn count(&self, before: usize) -> usize {
-        let known = self.book.sweep(self.clock.now());
-        if known != before {
-            info!(self.log, "instances known"; "count" => known, "before" => before);
-            self.tell(Event::PeersKnown(known)).await;
+    async fn count(&self, before: Option<usize>) -> Option<usize> {
+        let known = Some(self.book.sweep(self.clock.now()));
+        if let Some(count) = known.filter(|_| known != before) {
+            info!(self.log, "instances known"; "count" => count, "before" => before);
+            self.tell(Event::PeersKnown(count)).await;
         }
         known
     }
--- a/crates/firdock-node/src/peer/book.rs
+++ b/crates/firdock-node/src/peer/book.rs
@@ -2,11 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use firdock_core::{InstanceId, ZoneId};
 use firdock_policy::Time;
+use tokio::sync::Notify;
 
 /// Most instances that are kept.
 const MAX_PEERS: usize = 512;
@@ -36,6 +38,8 @@
     me: InstanceId,
     zone: ZoneId,
     entries: Mutex<BTreeMap<InstanceId, Entry>>,
+    listed: AtomicBool,
+    listed_now: Notify,
     /// Instances that said that they stop, and when: others may still tell of them for a while.
     departed: Mutex<BTreeMap<InstanceId, Time>>,
 }
@@ -48,6 +52,8 @@
             me,
             zone,
             entries: Mutex::default(),
+            listed: AtomicBool::new(false),
+            listed_now: Notify::new(),
             departed: Mutex::default(),
         }
     }
@@ -70,6 +76,24 @@
         entries.insert(name, entry);
     }
 
+    /// Notes that the platform's list of instances was read.
+    pub fn note_listed(&self) {
+        if !self.listed.swap(true, Ordering::Relaxed) {
+            self.listed_now.notify_one();
+        }
+    }
+
+    /// Waits until the platform's list of instances was read for the first time.
+    pub async fn first_listed(&self) {
+        self.listed_now.notified().await;
+    }
+
+    /// Tells whether the platform's list of instances was read.
+    #[must_use]
+    pub fn was_listed(&self) -> bool {
+        self.listed.load(Ordering::Relaxed)
+    }
+
     /// Notes that an instance was heard.
     pub fn hear(&self, name: &str, zone: &str, address: SocketAddr, now: Time) {
         let mut entries = self.lock();
--- a/crates/firdock-node/src/source.rs
+++ b/crates/firdock-node/src/source.rs
@@ -89,6 +89,11 @@
         self.peers.know(name, address, self.clock.now());
     }
 
+    /// Tells that the platform's list of instances was read, and all in it were told.
+    pub fn note_listed(&self) {
+        self.peers.note_listed();
+    }
+
     /// Tells whether any other instance has been heard from.
     #[must_use]
     pub fn hears_peers(&self) -> bool {
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -60,7 +60,7 @@
             Event::Listed(rows) => health::listed(t, &rows),
             Event::Peer(peer) => handover::peer_news(t, now, peer),
             Event::PeerLost(name) => handover::peer_lost(t, &name),
-            Event::PeersKnown(count) => t.known_peers = count,
+            Event::PeersKnown(count) => t.known_peers = Some(count),
             Event::Fresh(at) => t.fresh_at = t.fresh_at.max(Some(at)),
             Event::HandOver(e) => handover::news(t, now, &e, out),
             Event::Drain => t.draining = true,
--- a/crates/firdock-policy/src/settings.rs
+++ b/crates/firdock-policy/src/settings.rs
@@ -91,6 +91,8 @@
     pub retry_slack: Option<f64>,
     /// Most endpoints of a service ejected at once, as a part of all.
     pub eject_ratio: f64,
+    /// Account limits wait until it is known how many other instances there are.
+    pub await_peers: bool,
     /// Broken dispatches in a row after which an endpoint is ejected.
     pub eject_after: u32,
     /// Age of the configuration beyond which requests with a key are refused.
@@ -122,6 +124,7 @@
             retry_ratio: settings.endpoints.retry_ratio,
             retry_slack: Some(settings.endpoints.retry_slack).filter(|slack| *slack > 0.0),
             eject_ratio: settings.endpoints.eject_ratio,
+            await_peers: false,
             eject_after: 1,
             fresh_limit: settings.freshness.serve(),
             peer_stale: settings.peers.stale_after(),
@@ -132,6 +135,13 @@
         }
     }
 
+    /// Lets account limits wait until it is known how many other instances there are.
+    #[must_use]
+    pub fn with_await_peers(mut self) -> Self {
+        self.await_peers = true;
+        self
+    }
+
     /// Sets how many dispatches in a row have to break before an endpoint is ejected.
     #[must_use]
     pub fn with_eject_after(mut self, dispatches: u32) -> Self {
--- a/crates/firdock-policy/src/system/limit.rs
+++ b/crates/firdock-policy/src/system/limit.rs
@@ -86,7 +86,13 @@
 ///
 /// Instances that hear each other share one bucket. Those that are not heard may be serving
 /// callers as well, so that their even parts are left out.
+///
+/// An instance that just started does not know how many others there are. All of them may have
+/// started together, so that none may take the limit for its own alone.
 fn part_of_limits(t: &Tables, now: Time) -> f64 {
+    if t.settings.await_peers && t.known_peers.is_none() {
+        return 0.0;
+    }
     let known = 1 + t.peers_known();
     let fresh = |heard: Time| heard > Time::ZERO && heard + t.peer_stale() > now;
     let heard = t.peers.iter().filter(|(_, p)| fresh(p.heard)).count();
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -63,8 +63,8 @@
     pub rates_taken: Time,
     /// Second tries that the budgets still allow.
     pub retries: retry::Retries,
-    /// Other instances that are known of, whether heard from or not.
-    pub known_peers: usize,
+    /// Other instances that are known of, whether heard from or not; `None` before anyone told.
+    pub known_peers: Option<usize>,
     /// When the configuration in force was last known to be the newest.
     pub fresh_at: Option<Time>,
     /// Counters.
@@ -75,7 +75,7 @@
     /// Counts the other instances that are known of.
     #[must_use]
     pub fn peers_known(&self) -> usize {
-        self.known_peers.max(self.peers.len())
+        self.known_peers.unwrap_or(0).max(self.peers.len())
     }
 
     /// Gives the age at which a peer's news is stale: where peers are many, heartbeats are rarer.
@@ -115,7 +115,7 @@
             paces: pace::Paces::default(),
             rates_taken: Time::ZERO,
             retries: retry::Retries::new(),
-            known_peers: 0,
+            known_peers: None,
             fresh_at: None,
             stats: Stats::default(),
         }
