--- a/crates/firdock-policy/src/system/early.rs
+++ b/crates/firdock-policy/src/system/early.rs
@@ -39,11 +39,9 @@
             *before += 1;
         }
     }
-    for (rank, id) in hopeless.into_iter().rev() {
-        if !t.requests.holds_below(rank) {
-            shed::shed(t, now, id, Reason::Overload, out);
-        }
-    }
+    // The last to come of a tier goes first.
+    hopeless.reverse();
+    shed::lowest_first(t, now, hopeless, Reason::Overload, out);
 }
 
 /// Tells whether `before` requests that go first leave too little of the target.
--- a/crates/firdock-policy/src/system/expire.rs
+++ b/crates/firdock-policy/src/system/expire.rs
@@ -1,6 +1,6 @@
 //! Wait limits: a request that waited too long is given up, lower tiers first.
 
-use firdock_core::{Reason, RequestId};
+use firdock_core::{Reason, RequestId, TierRank};
 
 use super::{end, shed};
 use crate::action::Action;
@@ -58,19 +58,8 @@
     if !t.settings.mechanisms.early_refusal {
         return;
     }
-    let leaving = |r: &&RequestRow| r.phase == Phase::Held && last_wait(t, r) <= now;
-    let mut ids: Vec<(u8, RequestId)> = t
-        .requests
-        .iter()
-        .filter(leaving)
-        .map(|r| (r.rank, r.new.id))
-        .collect();
-    ids.sort_by_key(|(rank, _)| std::cmp::Reverse(*rank));
-    for (rank, id) in ids {
-        if !t.requests.holds_below(rank) {
-            shed::shed(t, now, id, Reason::WaitedTooLong, out);
-        }
-    }
+    let leaving = held_where(t, |r| last_wait(t, r) <= now);
+    shed::lowest_first(t, now, leaving, Reason::WaitedTooLong, out);
 }
 
 /// Gives until when a held request is worth waiting: just before its caller leaves, or until half
@@ -87,25 +76,19 @@
 /// A request of a higher tier stays held while one of a lower tier is, so that it is never shed
 /// before it.
 pub fn run(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
-    let late = |r: &&RequestRow| {
-        let wait = t.services.get(r.service).tier.wait();
-        r.phase == Phase::Held && r.arrived + wait <= now
-    };
-    let mut ids: Vec<(u8, RequestId)> = t
-        .requests
-        .iter()
-        .filter(late)
-        .map(|r| (r.rank, r.new.id))
-        .collect();
-    ids.sort_by_key(|(rank, _)| std::cmp::Reverse(*rank));
-    for (rank, id) in ids {
-        if !t.requests.holds_below(rank) {
-            shed::shed(t, now, id, Reason::WaitedTooLong, out);
-        }
-    }
+    let wait = |r: &RequestRow| t.services.get(r.service).tier.wait();
+    let late = held_where(t, |r| r.arrived + wait(r) <= now);
+    shed::lowest_first(t, now, late, Reason::WaitedTooLong, out);
     let limit = now.saturating_sub(t.settings.key_keep);
     t.transfers.expire(limit);
     for id in t.keys.expire(limit) {
         out.push(Action::Forget { id });
     }
 }
+
+/// Gives the held requests of which `is_over` is true, with their ranks.
+fn held_where(t: &Tables, is_over: impl Fn(&RequestRow) -> bool) -> Vec<(TierRank, RequestId)> {
+    let held = t.requests.iter().filter(|r| r.phase == Phase::Held);
+    let over = held.filter(|r| is_over(r));
+    over.map(|r| (r.rank, r.new.id)).collect()
+}
--- a/crates/firdock-policy/src/system/news.rs
+++ b/crates/firdock-policy/src/system/news.rs
@@ -8,7 +8,6 @@
 use crate::request::{Phase, Verdict};
 use crate::stats::WasteCause;
 use crate::table::Tables;
-use crate::table::retry::Retries;
 use crate::time::Time;
 
 /// Takes news of a dispatch; late news of an earlier dispatch is dropped and counted.
@@ -88,7 +87,7 @@
         return;
     };
     // The endpoint had the request, so another one is a second try that counts for the site.
-    let most = Retries::most(&t.settings, t.peers_known());
+    let most = t.most_retries();
     if t.retries.allow(row.pool_key(), most) {
         t.retries.spend(row.pool_key(), most);
     } else {
@@ -191,7 +190,7 @@
     end::count_waste(t, id, WasteCause::EndpointLost);
     health::broke(t, now, at);
     if may_go_on(t, id, at) {
-        let most = Retries::most(&t.settings, t.peers_known());
+        let most = t.most_retries();
         if let Some(row) = t.requests.get(id) {
             t.retries.spend(row.pool_key(), most);
         }
@@ -222,7 +221,7 @@
     let resumable = t.settings.mechanisms.resume
         && t.endpoints.get(at).is_engine()
         && (!service.streamed || service.resumable);
-    let most = Retries::most(&t.settings, t.peers_known());
+    let most = t.most_retries();
     let allowed = t.retries.allow(row.pool_key(), most);
     let attempts = service.attempts as usize;
     let more = attempts == 0 || row.runs < attempts;
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -11,7 +11,6 @@
 use crate::request::{Phase, RequestRow};
 use crate::table::Tables;
 use crate::table::endpoint::{EndpointRow, Health};
-use crate::table::retry::Retries;
 use crate::time::Time;
 
 /// Lanes of a queue that are looked at before the queue counts as blocked.
@@ -221,7 +220,7 @@
 /// repeated may have run already.
 fn dispatch(t: &mut Tables, now: Time, id: RequestId, choice: Choice, out: &mut Vec<Action>) {
     charge(t, id, choice);
-    let peers = t.peers_known();
+    let most = t.most_retries();
     end::set_phase(t, id, Phase::Dispatching(choice.endpoint), false);
     let e = t.endpoints.get_mut(choice.endpoint);
     assert!(
@@ -258,7 +257,6 @@
     row.uncached = choice.estimate.uncached;
     row.predicted = choice.estimate.first();
     t.stats.dispatches += 1;
-    let most = Retries::most(&t.settings, peers);
     t.paces.note(row.pool_key());
     t.retries.earn(row.pool_key(), &t.settings, most);
     out.push(Action::Dispatch(Dispatch {
--- a/crates/firdock-policy/src/system/shed.rs
+++ b/crates/firdock-policy/src/system/shed.rs
@@ -1,5 +1,7 @@
 //! Shedding: when too much is held, the lowest tier goes first, wherever it is held.
 
+use std::cmp::Reverse;
+
 use firdock_core::{Outcome, Reason, RequestId, TierRank};
 
 use super::{end, handover};
@@ -44,6 +46,24 @@
     end::give_up(t, now, id, reason, out);
 }
 
+/// Sheds of these requests those that may go, the lowest tier first and else in the order given.
+///
+/// One of a higher tier stays while any of a lower tier is held, so that it is never shed before it.
+pub fn lowest_first(
+    t: &mut Tables,
+    now: Time,
+    mut ids: Vec<(TierRank, RequestId)>,
+    reason: Reason,
+    out: &mut Vec<Action>,
+) {
+    ids.sort_by_key(|(rank, _)| Reverse(*rank));
+    for (rank, id) in ids {
+        if !t.requests.holds_below(rank) {
+            shed(t, now, id, reason, out);
+        }
+    }
+}
+
 /// Picks from the account that holds most for its share, in the lowest tier: late ones first.
 fn victim(t: &Tables) -> Option<RequestId> {
     let rank = t.requests.lowest_held()?;
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -78,6 +78,12 @@
         self.known_peers.max(self.peers.len())
     }
 
+    /// Gives the most second tries that the budget of one pool saves up.
+    #[must_use]
+    pub fn most_retries(&self) -> f64 {
+        retry::Retries::most(&self.settings, self.peers_known())
+    }
+
     /// Gives the age at which a peer's news is stale: where peers are many, heartbeats are rarer.
     #[must_use]
     pub fn peer_stale(&self) -> Duration {
