--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -21,7 +21,7 @@
 use crate::answers::Answers;
 use crate::clock::Clock;
 use crate::door;
-use crate::endpoint::run_engine::{Run, RunLimits};
+use crate::endpoint::run::{Run, RunLimits};
 use crate::endpoint::{Backends, Target};
 use crate::exchange::{Exchange, Part, Payload};
 use crate::peer::{self, Dialer, SelfNews};
--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -24,7 +24,7 @@
 use crate::door::{Door, DoorLimits, DoorState, Interface, Opening};
 use crate::driver::{Driver, DriverParts, INPUTS_WAITING, Input};
 use crate::endpoint::relay::{Dialect, Relay};
-use crate::endpoint::run_engine::RunLimits;
+use crate::endpoint::run::RunLimits;
 use crate::http::{ServerOptions, serve};
 use crate::instance::{AbortOnPanic, CALLER_STALL, ListenSnafu, StartError, UnsetSnafu, open};
 use crate::peer::{Beacons, Dialer, PeerBook, SelfNews, SharedReads, open_beacons};
--- a/crates/firdock-node/src/endpoint.rs
+++ b/crates/firdock-node/src/endpoint.rs
@@ -9,6 +9,7 @@
 mod plain;
 pub mod relay;
 mod report;
+pub mod run;
 pub mod run_engine;
 pub mod run_plain;
 mod sse;
@@ -31,7 +32,7 @@
 pub use report::watch_reports;
 pub use sse::{NoEventStream, SseDecoder, SseEvent};
 
-use self::run_engine::Run;
+use self::run::Run;
 use crate::door::ModelCall;
 use crate::site::Place;
 use crate::telemetry::TraceContext;
--- a/crates/firdock-node/src/endpoint/own.rs
+++ b/crates/firdock-node/src/endpoint/own.rs
@@ -3,7 +3,7 @@
 use firdock_core::RequestId;
 use firdock_core::resource::EndpointKind;
 
-use super::run_engine::Run;
+use super::run::Run;
 use super::{Backends, EngineClient, PlainClient, run_engine, run_plain};
 use crate::answers::Answers;
 use crate::site::Place;
--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -14,7 +14,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 
 use super::events::{EventCutter, WholeEvents};
-use super::run_engine::{Run, Stop};
+use super::run::{Run, Stop};
 use super::{Backends, Place};
 use crate::exchange::{AnswerHead, Part, Payload};
 use crate::http::{CallError, connect, strip_hop_by_hop};
--- a/crates/firdock-node/src/endpoint/run_engine.rs
+++ b/crates/firdock-node/src/endpoint/run_engine.rs
@@ -1,25 +1,17 @@
 //! Driving of one dispatch to a model engine, from the write to the end of the answer.
 
-use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
-use firdock_core::RequestId;
-use firdock_policy::Event;
-use firdock_policy::action::Dispatch;
-use firdock_policy::event::{DispatchNews, EndpointEvent};
+use firdock_policy::event::DispatchNews;
 use hyper::header::{self, HeaderValue};
 use hyper::{HeaderMap, StatusCode};
-use tokio::sync::mpsc;
-use tokio::time::timeout;
 
-use super::{EngineClient, EngineOrder, EngineUsage, StartError, StreamError, Target};
+use super::run::{Run, Stop};
+use super::{EngineClient, EngineOrder, EngineUsage, StartError, StreamError};
 use super::{TokenEvent, TokenStream};
-use crate::clock::Clock;
 use crate::door::ModelCall;
-use crate::driver::Input;
-use crate::exchange::{AnswerHead, Delivered, Exchange, Part};
-use crate::telemetry::TraceContext;
+use crate::exchange::{AnswerHead, Part};
 
 /// Tries to take up a broken stream on the same engine.
 const RESUME_TRIES: u32 = 2;
@@ -28,107 +20,6 @@
 /// Longest text of an answer that is put together for a caller who does not stream.
 const MAX_TEXT_BYTES: usize = 8 << 20;
 
-/// Time limits of a dispatch.
-#[derive(Debug, Clone, Copy)]
-pub struct RunLimits {
-    /// Longest silence of an endpoint.
-    pub silence: Duration,
-    /// Longest time that a caller may leave parts of the answer unread.
-    pub caller_stall: Duration,
-}
-
-/// What every driver of a dispatch needs.
-#[derive(Debug, Clone)]
-pub struct Run {
-    /// The request and the way back to its caller.
-    pub exchange: Arc<Exchange>,
-    /// The order.
-    pub dispatch: Dispatch,
-    /// Where the endpoint is.
-    pub target: Target,
-    /// Time limits.
-    pub limits: RunLimits,
-    /// Way to the scheduler.
-    pub inputs: mpsc::Sender<Input>,
-    /// Clock, for the last look at the key's confirmation.
-    pub clock: Clock,
-    /// Trace of this hop.
-    pub trace: TraceContext,
-}
-
-/// How a step of a dispatch ended it early.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Stop {
-    /// The caller does not read or is gone.
-    Caller,
-    /// The endpoint was lost.
-    Endpoint,
-}
-
-impl Run {
-    /// Tells the scheduler something about this dispatch.
-    pub async fn tell(&self, news: DispatchNews) {
-        let (id, dispatch) = (self.dispatch.id, self.dispatch.dispatch);
-        let event = Event::Endpoint(EndpointEvent { id, dispatch, news });
-        let _ = self.inputs.send(Input::Event(event)).await;
-    }
-
-    /// Passes a part on; a caller who does not read for too long counts as gone.
-    ///
-    /// # Errors
-    ///
-    /// Fails with [`Stop::Caller`].
-    pub async fn pass(&self, part: Part) -> Result<(), Stop> {
-        let sending = timeout(self.limits.caller_stall, self.exchange.reply.send(part)).await;
-        match sending {
-            Ok(Ok(())) => Ok(()),
-            _ => Err(Stop::Caller),
-        }
-    }
-
-    /// Tells the scheduler that the caller is gone.
-    pub async fn tell_caller_left(&self) {
-        let event = Event::CallerLeft(self.id());
-        let _ = self.inputs.send(Input::Event(event)).await;
-    }
-
-    /// Tells the scheduler that the request did not run; gives a word on why for the trace.
-    pub async fn not_sent(&self, unreachable: bool) -> &'static str {
-        self.tell(DispatchNews::Refused { unreachable }).await;
-        if unreachable {
-            "unreachable"
-        } else {
-            "refused"
-        }
-    }
-
-    /// Looks at the key's confirmation one last time, right before the write.
-    ///
-    /// Tells whether it lapsed; the scheduler has been told then.
-    pub async fn lapsed(&self) -> bool {
-        let lapsed = self
-            .dispatch
-            .confirm_by
-            .is_some_and(|until| until <= self.clock.now());
-        if lapsed {
-            self.tell(DispatchNews::Lapsed).await;
-        }
-        lapsed
-    }
-
-    fn id(&self) -> RequestId {
-        self.dispatch.id
-    }
-
-    /// Gives how much of the answer has been passed on, over all dispatches.
-    pub(super) fn delivered(&self) -> MutexGuard<'_, Delivered> {
-        self.exchange
-            .delivered
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// Runs a dispatch to a model engine; gives a word on how it ended for the trace.
 pub async fn run<E: EngineClient>(engine: E, run: Run) -> &'static str {
     let Some(call) = run.exchange.payload.model.clone() else {
--- a/crates/firdock-node/src/endpoint/run_plain.rs
+++ b/crates/firdock-node/src/endpoint/run_plain.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
-use super::run_engine::{Run, Stop};
+use super::run::{Run, Stop};
 use super::{PlainAnswer, PlainClient, PlainOrder, StartError};
 use crate::answers::{Answers, KeptAnswer};
 use crate::exchange::{AnswerHead, Part};
--- a/crates/firdock-node/src/instance.rs
+++ b/crates/firdock-node/src/instance.rs
@@ -20,7 +20,7 @@
 use crate::config::{DutySettings, FollowParts, Hub, follow, watch_list};
 use crate::door::{Door, DoorLimits, OwnInterface};
 use crate::driver::{Driver, DriverParts, INPUTS_WAITING, Input};
-use crate::endpoint::run_engine::RunLimits;
+use crate::endpoint::run::RunLimits;
 use crate::endpoint::{HttpEngine, HttpPlain, OwnBackends, Target, watch_reports};
 use crate::http::{ServerOptions, listen, serve};
 use crate::operator::{OperatorServer, serve_operators};
