--- a/crates/firdock-node/src/clock.rs
+++ b/crates/firdock-node/src/clock.rs
@@ -32,3 +32,9 @@
         HEAD_START + self.start.elapsed()
     }
 }
+
+/// Gives a time in whole milliseconds, as messages and lines of the log carry it.
+#[must_use]
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/firdock-node/src/door/handler.rs
+++ b/crates/firdock-node/src/door/handler.rs
@@ -17,7 +17,7 @@
 use super::answer::Problem;
 use super::body::{AnswerBody, CallerGuard};
 use super::interface::{CallBody, IncomingCall, Interface};
-use crate::clock::Clock;
+use crate::clock::{Clock, millis};
 use crate::driver::{self, Input};
 use crate::exchange::{AnswerHead, CallTerms, Exchange, Part, Payload};
 use crate::site::Site;
@@ -178,7 +178,7 @@
             "reason" => problem.reason(),
             "status" => problem.status().as_u16(),
             "detail" => problem.detail(),
-            "config_age_millis" => age.map(|age| age.as_millis() as u64),
+            "config_age_millis" => age.map(millis),
         );
     }
 
--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -19,7 +19,7 @@
 use uuid::Uuid;
 
 use crate::answers::Answers;
-use crate::clock::Clock;
+use crate::clock::{Clock, millis};
 use crate::config::Hub;
 use crate::door::{Door, DoorLimits, DoorState, Interface, Opening};
 use crate::driver::{Driver, DriverParts, INPUTS_WAITING, Input};
@@ -144,7 +144,7 @@
     pub async fn stop(self) {
         let now = Instant::now();
         let end = now + self.stop_time.saturating_sub(RESERVE);
-        info!(self.log, "stopping"; "millis" => self.stop_time.as_millis() as u64);
+        info!(self.log, "stopping"; "millis" => millis(self.stop_time));
         self.door.set(Opening::Closing);
         let _ = self.inputs.send(Input::Event(Event::Drain)).await;
         sleep_until((now + SERVE_ON).min(end)).await;
--- a/crates/firdock-node/src/operator/status.rs
+++ b/crates/firdock-node/src/operator/status.rs
@@ -6,6 +6,7 @@
 use firdock_core::{InstanceId, Version, ZoneId};
 use serde::{Deserialize, Serialize};
 
+use crate::clock::millis;
 use crate::config::HubState;
 
 /// Status of one entry instance.
@@ -83,7 +84,3 @@
         heard_millis: millis(now.saturating_sub(p.heard)),
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -25,7 +25,7 @@
 use super::book::PeerBook;
 use super::heartbeat::{SelfNews, peer_news};
 use super::reads::{Reads, SharedReads};
-use crate::clock::Clock;
+use crate::clock::{Clock, millis};
 use crate::driver::Input;
 
 /// Longest datagram that is taken.
@@ -280,10 +280,6 @@
     Datagram::decode(content).ok()?.body
 }
 
-fn millis(time: Time) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Opens the socket for beacons.
 ///
 /// # Errors
--- a/crates/firdock-node/src/site.rs
+++ b/crates/firdock-node/src/site.rs
@@ -11,6 +11,8 @@
 use firdock_core::{AccountId, EndpointId};
 use firdock_policy::Time;
 
+use crate::clock::millis;
+
 /// First bytes of a key's hash, by which accounts are looked up before the full comparison.
 const INDEX_BYTES: usize = 4;
 
@@ -150,8 +152,7 @@
 
     /// Notes that the configuration was the newest at `at`.
     pub fn set_fresh(&self, at: Time) {
-        let millis = u64::try_from(at.as_millis()).unwrap_or(u64::MAX);
-        self.fresh_millis.fetch_max(millis, Ordering::Relaxed);
+        self.fresh_millis.fetch_max(millis(at), Ordering::Relaxed);
     }
 
     /// Gives the time since the configuration was last known to be the newest; `None` for never.
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -5,7 +5,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use firdock_core::{EndpointId, InstanceId};
 use firdock_policy::action::Dispatch;
@@ -16,6 +15,7 @@
 use slog::{Logger, info, warn};
 
 use super::budget::{LineBudget, LineKind};
+use crate::clock::millis;
 use crate::exchange::Exchange;
 
 /// What an instance believes of an endpoint.
@@ -254,7 +254,3 @@
 fn config_age(t: &Tables, now: Time) -> Option<u64> {
     t.fresh_at.map(|at| millis(now.saturating_sub(at)))
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
