--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -26,7 +26,7 @@
 use crate::exchange::{Exchange, Part, Payload};
 use crate::peer::{self, Dialer, SelfNews};
 use crate::site::{Place, Site};
-use crate::telemetry::{Decisions, LineBudget, Metrics, Span};
+use crate::telemetry::{Beliefs, Decisions, LineBudget, Metrics, Span};
 
 /// Inputs that may wait for the scheduler.
 pub const INPUTS_WAITING: usize = 4_096;
@@ -113,6 +113,7 @@
     actions: Vec<Action>,
     ticks: u32,
     decisions: Decisions,
+    beliefs: Beliefs,
 }
 
 /// A request that has not ended.
@@ -128,6 +129,7 @@
     #[must_use]
     pub fn new(scheduler: Scheduler, parts: DriverParts<B>) -> Self {
         let decisions = Decisions::new(parts.log.clone(), Arc::clone(&parts.lines));
+        let beliefs = Beliefs::new(parts.log.clone(), Arc::clone(&parts.lines));
         Self {
             scheduler,
             parts,
@@ -135,6 +137,7 @@
             actions: Vec::new(),
             ticks: 0,
             decisions,
+            beliefs,
         }
     }
 
@@ -215,7 +218,7 @@
         if self.ticks.is_multiple_of(TICKS_PER_PUBLICATION) {
             let now = self.parts.clock.now();
             self.scheduler.check_invariants(now);
-            self.decisions.beliefs(now, self.scheduler.tables());
+            self.beliefs.note(now, self.scheduler.tables());
             self.publish();
         }
         self.drop_ended();
--- a/crates/firdock-node/src/telemetry.rs
+++ b/crates/firdock-node/src/telemetry.rs
@@ -1,11 +1,13 @@
 //! What operators see of a running instance: logs, traces and metrics.
 
+pub mod beliefs;
 pub mod budget;
 pub mod decisions;
 pub mod log;
 pub mod metrics;
 pub mod trace;
 
+pub use beliefs::Beliefs;
 pub use budget::{LineBudget, LineKind};
 pub use decisions::Decisions;
 pub use log::{Level, LogGuard, logger, silent};
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -1,16 +1,13 @@
-//! One line for each decision that touches a request or changes what the process believes.
+//! One line for each decision that touches a request.
 //!
 //! Each has the request's id, the inputs that decided it with their age or version, and the
 //! outcome, so that a complaint can be traced from logs alone (`docs/OPERATIONS.md`).
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use firdock_core::{EndpointId, InstanceId};
 use firdock_policy::action::Dispatch;
 use firdock_policy::request::RequestRow;
 use firdock_policy::table::Tables;
-use firdock_policy::table::endpoint::{EndpointRow, Health};
 use firdock_policy::{Time, Verdict};
 use slog::{Logger, info, warn};
 
@@ -18,60 +15,18 @@
 use crate::clock::millis;
 use crate::exchange::Exchange;
 
-/// What an instance believes of an endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum EndpointBelief {
-    Usable,
-    Leaving,
-    Ejected,
-}
-
-impl EndpointBelief {
-    fn new(e: &EndpointRow, now: Time) -> Self {
-        if e.leaving(now) {
-            Self::Leaving
-        } else if e.health == Health::Well {
-            Self::Usable
-        } else {
-            Self::Ejected
-        }
-    }
-
-    fn as_str(self) -> &'static str {
-        match self {
-            Self::Usable => "usable",
-            Self::Leaving => "leaving",
-            Self::Ejected => "ejected",
-        }
-    }
-}
-
-/// What was last written of the process's beliefs.
-#[derive(Debug, Default)]
-struct Beliefs {
-    version: u64,
-    fresh: bool,
-    endpoints: BTreeMap<EndpointId, EndpointBelief>,
-    peers: BTreeMap<InstanceId, bool>,
-}
-
 /// Writes the lines of one scheduler's decisions.
 #[derive(Debug)]
 pub struct Decisions {
     log: Logger,
     budget: Arc<LineBudget>,
-    beliefs: Beliefs,
 }
 
 impl Decisions {
     /// Makes a writer whose lines count against `budget`.
     #[must_use]
     pub fn new(log: Logger, budget: Arc<LineBudget>) -> Self {
-        Self {
-            log,
-            budget,
-            beliefs: Beliefs::default(),
-        }
+        Self { log, budget }
     }
 
     /// Writes that a request is sent to an endpoint.
@@ -173,77 +128,6 @@
             "delivered_tokens" => row.delivered,
         );
     }
-
-    /// Writes what changed in the process's beliefs since the last look.
-    pub fn beliefs(&mut self, now: Time, t: &Tables) {
-        if t.version != self.beliefs.version {
-            let before = std::mem::replace(&mut self.beliefs.version, t.version);
-            self.believe(
-                now,
-                "version in force",
-                &t.version.to_string(),
-                &before.to_string(),
-            );
-        }
-        if let Some(until) = t.fresh_until() {
-            let fresh = until > now;
-            if fresh != self.beliefs.fresh {
-                self.beliefs.fresh = fresh;
-                let age = config_age(t, now).unwrap_or_default().to_string();
-                let what = if fresh { "fresh" } else { "stale" };
-                self.believe(now, "configuration", what, &format!("age {age} ms"));
-            }
-        }
-        self.endpoint_beliefs(now, t);
-        self.peer_beliefs(now, t);
-    }
-
-    fn endpoint_beliefs(&mut self, now: Time, t: &Tables) {
-        let present = t.endpoints.iter().filter(|(_, e)| e.present);
-        let seen: BTreeMap<EndpointId, EndpointBelief> = present
-            .map(|(_, e)| (e.declared.name.clone(), EndpointBelief::new(e, now)))
-            .collect();
-        let known = std::mem::take(&mut self.beliefs.endpoints);
-        for (name, belief) in &seen {
-            let before = known.get(name);
-            if before != Some(belief) {
-                let before = before.map_or("unknown", |b| b.as_str());
-                self.believe(now, &format!("endpoint {name}"), belief.as_str(), before);
-            }
-        }
-        for (name, before) in known.iter().filter(|(name, _)| !seen.contains_key(*name)) {
-            self.believe(now, &format!("endpoint {name}"), "gone", before.as_str());
-        }
-        self.beliefs.endpoints = seen;
-    }
-
-    fn peer_beliefs(&mut self, now: Time, t: &Tables) {
-        let heard = |heard: Time| heard + t.peer_stale() > now;
-        let seen: BTreeMap<InstanceId, bool> = t
-            .peers
-            .iter()
-            .map(|(_, p)| (p.name.clone(), heard(p.heard)))
-            .collect();
-        let word = |heard: bool| if heard { "heard" } else { "silent" };
-        let known = std::mem::take(&mut self.beliefs.peers);
-        for (name, heard) in &seen {
-            let before = known.get(name);
-            if before != Some(heard) {
-                let before = before.map_or("unknown", |b| word(*b));
-                self.believe(now, &format!("instance {name}"), word(*heard), before);
-            }
-        }
-        for (name, before) in known.iter().filter(|(name, _)| !seen.contains_key(*name)) {
-            self.believe(now, &format!("instance {name}"), "gone", word(*before));
-        }
-        self.beliefs.peers = seen;
-    }
-
-    fn believe(&self, now: Time, what: &str, is: &str, before: &str) {
-        if self.budget.allow(&self.log, now, LineKind::Belief) {
-            info!(self.log, "belief changed"; "what" => what, "is" => is, "before" => before);
-        }
-    }
 }
 
 /// Gives the id that the caller gave, or nothing.
@@ -251,6 +135,7 @@
     exchange.payload.terms.caller_id.as_ref()
 }
 
-fn config_age(t: &Tables, now: Time) -> Option<u64> {
+/// Gives the age of the configuration in milliseconds; `None` if it was never known to be the newest.
+pub(super) fn config_age(t: &Tables, now: Time) -> Option<u64> {
     t.fresh_at.map(|at| millis(now.saturating_sub(at)))
 }
