--- a/crates/firdock-policy/src/lib.rs
+++ b/crates/firdock-policy/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod settings;
 pub mod stats;
 mod system;
-pub use system::{limit::used as used_limits, share::demand as pool_demand};
+pub use system::{demand::by_pool as pool_demand, limit::used as used_limits};
 pub mod table;
 pub mod time;
 
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -4,7 +4,8 @@
 use crate::event::Event;
 use crate::settings::PolicySettings;
 use crate::system::{
-    admit, check, config, drain, early, expire, handover, health, key, news, place, share, shed,
+    admit, check, config, demand, drain, early, expire, handover, health, key, news, place, share,
+    shed,
 };
 use crate::table::Tables;
 use crate::time::Time;
@@ -65,7 +66,7 @@
             Event::HandOver(e) => handover::news(t, now, &e, out),
             Event::Drain => t.draining = true,
             Event::Timer => {
-                share::take_rates(t, now);
+                demand::take_rates(t, now);
                 share::refresh_budgets(t, now);
                 handover::end_silent(t, now, out);
                 handover::forget_silent(t, now);
--- a/crates/firdock-policy/src/system.rs
+++ b/crates/firdock-policy/src/system.rs
@@ -3,6 +3,7 @@
 pub mod admit;
 pub mod check;
 pub mod config;
+pub mod demand;
 pub mod drain;
 pub mod early;
 pub mod end;
--- /dev/null
+++ b/crates/firdock-policy/src/system/demand.rs
@@ -0,0 +1,58 @@
+//! Demand: how many requests a second come for each pool, and how many end.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use firdock_core::PoolId;
+
+use crate::table::Tables;
+use crate::table::endpoint::EndpointRow;
+use crate::table::pace::smooth;
+use crate::time::Time;
+
+/// Time between two takings of rates.
+const RATE_PERIOD: Duration = Duration::from_millis(500);
+
+/// Takes the rates of arrivals, dispatches and ends, once a period.
+pub fn take_rates(t: &mut Tables, now: Time) {
+    let period = now.saturating_sub(t.rates_taken);
+    if period < RATE_PERIOD {
+        return;
+    }
+    let secs = period.as_secs_f64();
+    t.rates_taken = now;
+    smooth(&mut t.end_rate, &mut t.ended, secs);
+    t.paces.end_period(secs);
+    for (_, s) in t.services.iter_mut() {
+        smooth(&mut s.rate, &mut s.arrivals, secs);
+    }
+}
+
+/// Gives this instance's demand by pool; pools without any are left out.
+#[must_use]
+pub fn by_pool(t: &Tables) -> BTreeMap<PoolId, f64> {
+    let mut demand = BTreeMap::new();
+    for (_, s) in t.services.iter() {
+        let all = s.demand();
+        if all <= f64::EPSILON {
+            continue;
+        }
+        let split = &s.declared.split;
+        let total: f64 = split.iter().map(|p| f64::from(p.weight)).sum();
+        if split.is_empty() {
+            *demand.entry(s.declared.name.clone()).or_default() += all;
+        }
+        for part in split {
+            let rate = all * f64::from(part.weight) / total.max(1.0);
+            *demand.entry(part.pool.clone()).or_default() += rate;
+        }
+    }
+    demand
+}
+
+/// Gives the part of a demand that an endpoint can serve: by its services and its pool.
+#[must_use]
+pub fn on_endpoint(demand: &BTreeMap<PoolId, f64>, e: &EndpointRow) -> f64 {
+    let names = e.declared.services.iter().chain(Some(&e.declared.pool));
+    names.filter_map(|name| demand.get(name)).sum()
+}
--- a/crates/firdock-policy/src/system/share.rs
+++ b/crates/firdock-policy/src/system/share.rs
@@ -6,15 +6,12 @@
 use firdock_core::rendezvous;
 use firdock_core::{InstanceId, PoolId, ZoneId};
 
+use super::demand::{by_pool, on_endpoint};
 use crate::settings::Mechanisms;
 use crate::table::Tables;
 use crate::table::endpoint::EndpointRow;
 use crate::time::Time;
 
-/// Time between two takings of rates.
-const RATE_PERIOD: Duration = Duration::from_millis(500);
-/// Weight of the newest period in smoothed rates.
-const RATE_WEIGHT: f64 = 0.4;
 /// Pause between two settings of the budgets.
 const BUDGET_PERIOD: Duration = Duration::from_millis(200);
 /// Places of an engine that are given out in calm times, as a part of its slots: instances do not
@@ -29,23 +26,6 @@
 /// Part of each endpoint that is split evenly, so that a burst finds some room at once.
 const EVEN_PART: f64 = 0.25;
 
-/// Takes the rates of arrivals and ends, once a period.
-pub fn take_rates(t: &mut Tables, now: Time) {
-    let period = now.saturating_sub(t.rates_taken);
-    if period < RATE_PERIOD {
-        return;
-    }
-    let secs = period.as_secs_f64();
-    t.rates_taken = now;
-    t.end_rate += RATE_WEIGHT * (f64::from(t.ended) / secs - t.end_rate);
-    t.ended = 0;
-    t.paces.end_period(secs);
-    for (_, s) in t.services.iter_mut() {
-        s.rate += RATE_WEIGHT * (f64::from(s.arrivals) / secs - s.rate);
-        s.arrivals = 0;
-    }
-}
-
 /// Sets this instance's budget on every endpoint.
 pub fn set_budgets(t: &mut Tables, now: Time) {
     let sharers = Sharers::new(t, now);
@@ -87,7 +67,7 @@
         let own = Sharer {
             name: t.settings.member.name.clone(),
             zone: t.settings.zone.clone(),
-            demand: demand(t),
+            demand: by_pool(t),
         };
         let stale = t.peer_stale();
         let peers = t
@@ -133,7 +113,11 @@
     /// Gives each instance's part of an endpoint, from 0 to 1.
     fn shares(&self, e: &EndpointRow) -> Vec<f64> {
         let even = 1.0 / self.rows.len() as f64;
-        let demands: Vec<f64> = self.rows.iter().map(|r| demand_on(&r.demand, e)).collect();
+        let demands: Vec<f64> = self
+            .rows
+            .iter()
+            .map(|r| on_endpoint(&r.demand, e))
+            .collect();
         let total: f64 = demands.iter().sum();
         if !self.by_demand || total <= f64::EPSILON {
             return vec![even; demands.len()];
@@ -164,31 +148,3 @@
         whole(shares[0]) as u32 + u32::from(extra)
     }
 }
-
-/// Gives this instance's demand by pool; pools without any are left out.
-#[must_use]
-pub fn demand(t: &Tables) -> BTreeMap<PoolId, f64> {
-    let mut demand = BTreeMap::new();
-    for (_, s) in t.services.iter() {
-        let all = s.demand();
-        if all <= f64::EPSILON {
-            continue;
-        }
-        let split = &s.declared.split;
-        let total: f64 = split.iter().map(|p| f64::from(p.weight)).sum();
-        if split.is_empty() {
-            *demand.entry(s.declared.name.clone()).or_default() += all;
-        }
-        for part in split {
-            let rate = all * f64::from(part.weight) / total.max(1.0);
-            *demand.entry(part.pool.clone()).or_default() += rate;
-        }
-    }
-    demand
-}
-
-/// Gives the part of a demand that an endpoint can serve: by its services and its pool.
-fn demand_on(demand: &BTreeMap<PoolId, f64>, e: &EndpointRow) -> f64 {
-    let names = e.declared.services.iter().chain(Some(&e.declared.pool));
-    names.filter_map(|name| demand.get(name)).sum()
-}
--- a/crates/firdock-policy/src/table/pace.rs
+++ b/crates/firdock-policy/src/table/pace.rs
@@ -43,11 +43,9 @@
     /// Ends a period that took `secs` seconds.
     pub fn end_period(&mut self, secs: f64) {
         for pace in self.pools.values_mut() {
-            pace.rate += WEIGHT * (f64::from(pace.dispatched) / secs - pace.rate);
-            pace.dispatched = 0;
+            smooth(&mut pace.rate, &mut pace.dispatched, secs);
             for (rate, arrived) in pace.arrivals.iter_mut().zip(&mut pace.arrived) {
-                *rate += WEIGHT * (f64::from(*arrived) / secs - *rate);
-                *arrived = 0;
+                smooth(rate, arrived, secs);
             }
         }
     }
@@ -62,3 +60,9 @@
         Some(rate - higher)
     }
 }
+
+/// Takes the count of a period of `secs` seconds into a smoothed rate, and begins the next count.
+pub fn smooth(rate: &mut f64, count: &mut u32, secs: f64) {
+    *rate += WEIGHT * (f64::from(*count) / secs - *rate);
+    *count = 0;
+}
