--- a/crates/firdock-node/src/peer/heartbeat.rs
+++ b/crates/firdock-node/src/peer/heartbeat.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use firdock_core::{InstanceId, ZoneId};
-use firdock_policy::event::{AccountUse, PeerNews, ServiceDemand};
+use firdock_policy::event::{AccountUse, PeerNews, PoolDemand};
 use firdock_policy::table::Tables;
 use firdock_policy::{Time, pool_demand, used_limits};
 use firdock_wire::Body;
@@ -21,8 +21,10 @@
 
 /// Longest pause between two tries to reach a peer.
 const LONGEST_PAUSE: Duration = Duration::from_secs(5);
-/// Services told in a heartbeat, so that its size is bounded.
-const MAX_SERVICES: usize = 256;
+/// Pools told in a heartbeat, so that its size is bounded.
+const MAX_POOLS: usize = 256;
+/// Ranks of tiers told in a heartbeat: as many as a `TierRank` can tell apart.
+const MAX_RANKS: usize = 256;
 /// Leaving endpoints told in a heartbeat.
 const MAX_LEAVING: usize = 256;
 
@@ -31,7 +33,7 @@
 pub struct SelfNews {
     zone: ZoneId,
     held: Vec<u32>,
-    demand: Vec<ServiceDemand>,
+    demand: Vec<PoolDemand>,
     draining: bool,
     leaving: Vec<String>,
     version: u64,
@@ -43,14 +45,14 @@
     /// Takes the news from the scheduler's tables.
     #[must_use]
     pub fn new(t: &Tables, now: Time) -> Self {
-        let told = |(service, rate)| ServiceDemand { service, rate };
+        let told = |(pool, rate)| PoolDemand { pool, rate };
         let leaving = t.endpoints.iter().filter(|(_, e)| e.leaving_first_hand());
         Self {
             zone: t.settings.zone.clone(),
             held: t.requests.held_by_rank().to_vec(),
             demand: pool_demand(t)
                 .into_iter()
-                .take(MAX_SERVICES)
+                .take(MAX_POOLS)
                 .map(told)
                 .collect(),
             draining: t.draining,
@@ -66,8 +68,8 @@
     /// Makes the message.
     #[must_use]
     pub fn message(&self, log_next: u64) -> Heartbeat {
-        let demand = |d: &ServiceDemand| message::ServiceDemand {
-            service: d.service.clone(),
+        let demand = |d: &PoolDemand| message::PoolDemand {
+            pool: d.pool.clone(),
             rate: d.rate,
         };
         Heartbeat {
@@ -85,15 +87,15 @@
 /// Makes a peer's news from its message, cut to what is bounded.
 #[must_use]
 pub fn peer_news(name: &str, beat: Heartbeat) -> PeerNews {
-    let demand = beat.demand.into_iter().take(MAX_SERVICES);
+    let demand = beat.demand.into_iter().take(MAX_POOLS);
     PeerNews {
         name: name.to_owned(),
         zone: beat.zone,
-        held: beat.held.into_iter().take(MAX_SERVICES).collect(),
+        held: beat.held.into_iter().take(MAX_RANKS).collect(),
         demand: demand
             .filter(|d| d.rate.is_finite() && d.rate >= 0.0)
-            .map(|d| ServiceDemand {
-                service: d.service,
+            .map(|d| PoolDemand {
+                pool: d.pool,
                 rate: d.rate,
             })
             .collect(),
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -175,8 +175,8 @@
     pub zone: ZoneId,
     /// Requests that it holds, by rank of tier.
     pub held: Vec<u32>,
-    /// Its demand for each service.
-    pub demand: Vec<ServiceDemand>,
+    /// Its demand for each pool.
+    pub demand: Vec<PoolDemand>,
     /// Whether it is stopping.
     pub draining: bool,
     /// Endpoints that it knows to be leaving.
@@ -200,9 +200,10 @@
 
 /// Demand of one instance for the endpoints of one pool.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct ServiceDemand {
+pub struct PoolDemand {
     /// Pool, or a service without a split, which stands for the endpoints that name it.
-    pub service: PoolId,
+    #[serde(rename = "service")] // As recorded sessions name it.
+    pub pool: PoolId,
     /// Requests a second, with those held.
     pub rate: f64,
 }
--- a/crates/firdock-policy/src/table/peer.rs
+++ b/crates/firdock-policy/src/table/peer.rs
@@ -75,11 +75,7 @@
         self.incarnation = news.incarnation;
         let used = news.used.into_iter().map(|u| (u.account, u.units));
         self.used.extend(used);
-        self.demand = news
-            .demand
-            .into_iter()
-            .map(|d| (d.service, d.rate))
-            .collect();
+        self.demand = news.demand.into_iter().map(|d| (d.pool, d.rate)).collect();
     }
 
     /// Tells whether it holds requests of a lower tier than `rank`.
--- a/crates/firdock-standin/src/measure/run/contestant.rs
+++ b/crates/firdock-standin/src/measure/run/contestant.rs
@@ -1,6 +1,6 @@
 //! What takes part in a run: a policy, and what it tells its peers.
 
-use firdock_policy::event::{PeerNews, ServiceDemand};
+use firdock_policy::event::{PeerNews, PoolDemand};
 use firdock_policy::{Policy, pool_demand};
 
 use crate::measure::baseline::Baseline;
@@ -20,7 +20,7 @@
             held: t.requests.held_by_rank().to_vec(),
             demand: pool_demand(t)
                 .into_iter()
-                .map(|(service, rate)| ServiceDemand { service, rate })
+                .map(|(pool, rate)| PoolDemand { pool, rate })
                 .collect(),
             draining: false,
             ..PeerNews::default()
--- a/crates/firdock-wire/benches/codec.rs
+++ b/crates/firdock-wire/benches/codec.rs
@@ -10,13 +10,13 @@
 
 use bytes::BytesMut;
 use criterion::{Criterion, criterion_group, criterion_main};
-use firdock_wire::message::{HandOver, Heartbeat, ServiceDemand};
+use firdock_wire::message::{HandOver, Heartbeat, PoolDemand};
 use firdock_wire::{Body, FrameCodec};
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
 fn heartbeat(services: usize) -> Body {
-    let demand = (0..services).map(|i| ServiceDemand {
-        service: format!("service-{i}"),
+    let demand = (0..services).map(|i| PoolDemand {
+        pool: format!("service-{i}"),
         rate: 1.5,
     });
     Body::Heartbeat(Heartbeat {
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -82,7 +82,7 @@
     #[prost(uint32, repeated, tag = "2")]
     pub held: ::prost::alloc::vec::Vec<u32>,
     #[prost(message, repeated, tag = "3")]
-    pub demand: ::prost::alloc::vec::Vec<ServiceDemand>,
+    pub demand: ::prost::alloc::vec::Vec<PoolDemand>,
     #[prost(bool, tag = "4")]
     pub draining: bool,
     /// Endpoints known to be leaving.
@@ -193,9 +193,9 @@
 }
 /// Demand for one pool, or for one service without a split, in requests a second.
 #[derive(Clone, PartialEq, ::prost::Message)]
-pub struct ServiceDemand {
+pub struct PoolDemand {
     #[prost(string, tag = "1")]
-    pub service: ::prost::alloc::string::String,
+    pub pool: ::prost::alloc::string::String,
     #[prost(double, tag = "2")]
     pub rate: f64,
 }
