--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -26,7 +26,7 @@
 use crate::endpoint::relay::{Dialect, Relay};
 use crate::endpoint::run::RunLimits;
 use crate::http::{ServerOptions, serve};
-use crate::instance::{AbortOnPanic, CALLER_STALL, ListenSnafu, StartError, UnsetSnafu, open};
+use crate::instance::{AbortOnPanic, ListenSnafu, StartError, UnsetSnafu, open};
 use crate::peer::{Beacons, Dialer, PeerBook, SelfNews, SharedReads, open_beacons};
 use crate::site::Site;
 use crate::source::{ResourceSource, SourceSink};
@@ -119,7 +119,7 @@
         tokio::spawn(self.source.follow(parts.sink(&inputs)));
 
         let door = parts.door(self.interface, inputs.clone());
-        let options = server_options(&self.settings);
+        let options = ServerOptions::new(&self.settings.limits);
         let handle = move |r| door.clone().handle(r);
         let serving = tokio::spawn(serve(callers, options, door_stops, handle));
         info!(self.log, "started"; "zone" => &self.settings.instance.zone,
@@ -162,15 +162,6 @@
     }
 }
 
-fn server_options(settings: &Settings) -> ServerOptions {
-    let l = &settings.limits;
-    ServerOptions {
-        connections: l.connections,
-        header_bytes: l.header_bytes,
-        header_time: Duration::from_millis(l.header_millis),
-    }
-}
-
 /// What the parts of an edge instance share.
 #[derive(Debug)]
 struct Parts {
@@ -250,10 +241,7 @@
             site: Arc::clone(&self.site),
             answers: Answers::new(self.settings.keys.answer_bytes),
             metrics: Arc::clone(&self.metrics),
-            limits: RunLimits {
-                silence: Duration::from_millis(e.silence_millis),
-                caller_stall: CALLER_STALL,
-            },
+            limits: RunLimits::new(e),
             clock: self.clock,
             log: self.log.new(o!("part" => "driver")),
             lines: Arc::clone(&self.lines),
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use firdock_core::RequestId;
+use firdock_core::settings::Endpoints;
 use firdock_policy::Event;
 use firdock_policy::action::Dispatch;
 use firdock_policy::event::{DispatchNews, EndpointEvent};
@@ -19,6 +20,9 @@
 use crate::exchange::{Delivered, Exchange, Part};
 use crate::telemetry::TraceContext;
 
+/// Longest time that a caller may leave parts of an answer unread.
+const CALLER_STALL: Duration = Duration::from_secs(30);
+
 /// Time limits of a dispatch.
 #[derive(Debug, Clone, Copy)]
 pub struct RunLimits {
@@ -28,6 +32,17 @@
     pub caller_stall: Duration,
 }
 
+impl RunLimits {
+    /// Takes the limits from the endpoints' part of the settings.
+    #[must_use]
+    pub fn new(endpoints: &Endpoints) -> Self {
+        Self {
+            silence: Duration::from_millis(endpoints.silence_millis),
+            caller_stall: CALLER_STALL,
+        }
+    }
+}
+
 /// What every driver of a dispatch needs.
 #[derive(Debug, Clone)]
 pub struct Run {
--- a/crates/firdock-node/src/http/server.rs
+++ b/crates/firdock-node/src/http/server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use firdock_core::settings::Limits;
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -27,6 +28,18 @@
     pub header_time: Duration,
 }
 
+impl ServerOptions {
+    /// Takes the bounds of the callers' door from the settings.
+    #[must_use]
+    pub fn new(limits: &Limits) -> Self {
+        Self {
+            connections: limits.connections,
+            header_bytes: limits.header_bytes,
+            header_time: Duration::from_millis(limits.header_millis),
+        }
+    }
+}
+
 /// Serves until `stop` turns true, then finishes what runs and returns.
 pub async fn serve<F, Fut, B>(
     listener: TcpListener,
--- a/crates/firdock-node/src/instance.rs
+++ b/crates/firdock-node/src/instance.rs
@@ -29,8 +29,6 @@
 use crate::site::Site;
 use crate::telemetry::{LineBudget, Metrics, silent};
 
-/// Longest time that a caller may leave parts of an answer unread.
-pub(crate) const CALLER_STALL: Duration = Duration::from_secs(30);
 /// Time in which the balancer notices that a stopping instance is not ready any more.
 const BALANCER_TIME: Duration = Duration::from_millis(1_500);
 /// Time for the leave record to be written before the threads end.
@@ -158,7 +156,7 @@
         tokio::spawn(serve_peers(peer_socket, server, rest_stops));
 
         let door = parts.door(inputs.clone());
-        let options = parts.server_options();
+        let options = ServerOptions::new(&s.limits);
         let door = serve(door_socket, options, door_stops, move |r| {
             door.clone().handle(r)
         });
@@ -287,17 +285,13 @@
         let settings = PolicySettings::new(&self.settings, self.member.incarnation);
         let e = &self.settings.endpoints;
         let plain = HttpPlain::new(Duration::from_millis(e.connect_millis));
-        let silence = Duration::from_millis(e.silence_millis);
         let parts = DriverParts {
             backends: OwnBackends::new(self.engine, plain, self.answers.clone()),
             dialer: self.dialer.clone(),
             site: Arc::clone(&self.site),
             answers: self.answers.clone(),
             metrics: Arc::clone(&self.metrics),
-            limits: RunLimits {
-                silence,
-                caller_stall: CALLER_STALL,
-            },
+            limits: RunLimits::new(e),
             clock: self.clock,
             log: self.log.new(o!("part" => "driver")),
             lines: Arc::clone(&self.lines),
@@ -355,15 +349,6 @@
         .with_lines(Arc::clone(&self.lines))
     }
 
-    fn server_options(&self) -> ServerOptions {
-        let l = &self.settings.limits;
-        ServerOptions {
-            connections: l.connections,
-            header_bytes: l.header_bytes,
-            header_time: Duration::from_millis(l.header_millis),
-        }
-    }
-
     fn operators(&self, stop: watch::Receiver<bool>) -> Result<SocketAddr, StartError> {
         let field = "instance.operators";
         let address = self
