--- a/crates/firdock-node/src/peer.rs
+++ b/crates/firdock-node/src/peer.rs
@@ -5,6 +5,7 @@
 
 mod beacon;
 mod book;
+mod datagram;
 mod dial;
 mod hand_over;
 mod heartbeat;
@@ -14,7 +15,7 @@
 mod serve;
 mod state;
 
-pub use beacon::{Beacons, open as open_beacons};
+pub use beacon::{Beacons, open_socket as open_beacons};
 pub use book::PeerBook;
 pub use dial::{DialError, Dialer};
 pub use hand_over::{Order, hand_over};
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -9,13 +9,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use firdock_policy::event::{AccountUse, Member, PeerNews};
+use firdock_core::InstanceId;
+use firdock_policy::event::{Member, PeerNews};
 use firdock_policy::{Event, Time};
-use firdock_wire::message::{
-    self, Beacon, ClockAnswer, ClockQuestion, Datagram, PeerAddress, datagram,
-};
-use firdock_wire::{PROTOCOL, auth};
-use prost::Message as _;
+use firdock_wire::PROTOCOL;
+use firdock_wire::message::{Beacon, ClockAnswer, ClockQuestion, datagram};
 use slog::{Logger, debug, info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
@@ -23,6 +21,7 @@
 use uuid::Uuid;
 
 use super::book::PeerBook;
+use super::datagram::{open, read_reads, read_uses, seal, write_address, write_reads, write_uses};
 use super::heartbeat::{SelfNews, peer_news};
 use super::reads::{Reads, SharedReads};
 use crate::clock::{Clock, millis};
@@ -32,8 +31,6 @@
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
 /// Instances told of in one beacon; over several, chance tells of all.
 const MAX_TOLD: usize = 16;
-/// Limited accounts told of in one beacon.
-const MAX_ACCOUNTS: usize = 256;
 
 /// Near peers that get a beacon at each tick; with more of them, each gets one at every few ticks.
 const NEAR_PEERS_A_TICK: usize = 16;
@@ -103,6 +100,19 @@
     /// Sends the beacons that are due at a tick; at tick 0, to all.
     async fn send(&self, tick: usize) {
         let now = self.clock.now();
+        let peers = self.peers_due(tick, now);
+        if peers.is_empty() {
+            return;
+        }
+        let heard = self.book.heard(now);
+        let sealed = seal(&self.key, datagram::Body::Beacon(self.beacon(&heard)));
+        for (name, address) in peers {
+            self.send_to(&sealed, &name, address).await;
+        }
+    }
+
+    /// Gives the peers that get a beacon at a tick: of many, every few ticks a part of them.
+    fn peers_due(&self, tick: usize, now: Time) -> Vec<(InstanceId, SocketAddr)> {
         let mut peers = self.book.addresses();
         let far_pace = (peers.len() / FAR_PEERS_A_TICK).max(1);
         let near_pace = if self.book.is_reader(now) {
@@ -117,15 +127,7 @@
             let pace = if near { near_pace } else { far_pace };
             tick == 0 || (tick + at).is_multiple_of(pace)
         });
-        if peers.is_empty() {
-            return;
-        }
-        let heard = self.book.heard(now);
-        let beacon = datagram::Body::Beacon(self.beacon(&heard));
-        let sealed = self.seal(beacon);
-        for (name, address) in peers {
-            self.send_to(&sealed, &name, address).await;
-        }
+        peers
     }
 
     async fn send_to(&self, sealed: &[u8], name: &str, address: SocketAddr) {
@@ -134,14 +136,8 @@
         }
     }
 
-    fn seal(&self, body: datagram::Body) -> Vec<u8> {
-        let content = Datagram { body: Some(body) }.encode_to_vec();
-        auth::seal(&self.key, &content)
-    }
-
     fn beacon(&self, peers: &[(String, SocketAddr)]) -> Beacon {
         let news = self.news.borrow();
-        let used = news.used.iter().take(MAX_ACCOUNTS);
         let start = usize::from(rand::random::<u16>()) % peers.len().max(1);
         let told = peers.iter().cycle().skip(start).take(peers.len());
         Beacon {
@@ -149,39 +145,18 @@
             instance: self.member.name.clone(),
             incarnation: self.member.incarnation.as_bytes().to_vec(),
             heartbeat: Some(news.message(0)),
-            used: used
-                .map(|u| message::AccountUse {
-                    account: u.account.clone(),
-                    units: u.units,
-                })
-                .collect(),
-            peers: told
-                .take(MAX_TOLD)
-                .map(|(name, address)| PeerAddress {
-                    instance: name.clone(),
-                    address: address.to_string(),
-                })
-                .collect(),
-            reads: Some(self.own_reads()),
-        }
-    }
-
-    fn own_reads(&self) -> message::Reads {
-        let own = self.reads.own();
-        message::Reads {
-            version: own.version,
-            endpoints: own.endpoints,
-            config_at: millis(own.config_at),
-            endpoints_at: millis(own.endpoints_at),
+            used: write_uses(&news.used),
+            peers: told.take(MAX_TOLD).map(write_address).collect(),
+            reads: Some(write_reads(self.reads.own())),
         }
     }
 
     async fn take(&self, sealed: &[u8], from: SocketAddr) {
-        match read(&self.key, sealed) {
+        match open(&self.key, sealed) {
             Some(datagram::Body::Beacon(beacon)) => self.take_beacon(beacon, from).await,
             Some(datagram::Body::ClockQuestion(question)) => {
                 let answer = datagram::Body::ClockAnswer(self.clock_answer(question));
-                self.send_to(&self.seal(answer), "", from).await;
+                self.send_to(&seal(&self.key, answer), "", from).await;
             }
             Some(datagram::Body::ClockAnswer(answer)) => {
                 let incarnation = Uuid::from_slice(&answer.incarnation).unwrap_or_default();
@@ -213,24 +188,9 @@
         let mut news = peer_news(&beacon.instance, heartbeat);
         news.incarnation = Uuid::from_slice(&beacon.incarnation).unwrap_or_default();
         if let Some(reads) = beacon.reads {
-            let told = Reads {
-                version: reads.version,
-                endpoints: reads.endpoints,
-                config_at: Duration::from_millis(reads.config_at),
-                endpoints_at: Duration::from_millis(reads.endpoints_at),
-            };
-            self.take_reads(&news, told, from).await;
+            self.take_reads(&news, read_reads(reads), from).await;
         }
-        news.used = beacon
-            .used
-            .into_iter()
-            .take(MAX_ACCOUNTS)
-            .filter(|u| u.units.is_finite())
-            .map(|u| AccountUse {
-                account: u.account,
-                units: u.units,
-            })
-            .collect();
+        news.used = read_uses(beacon.used);
         self.tell(Event::Peer(news)).await;
     }
 
@@ -243,7 +203,8 @@
         if heard.ask_clock {
             let asked = millis(self.clock.now());
             let question = datagram::Body::ClockQuestion(ClockQuestion { asked });
-            self.send_to(&self.seal(question), &news.name, from).await;
+            self.send_to(&seal(&self.key, question), &news.name, from)
+                .await;
         }
     }
 
@@ -274,17 +235,11 @@
     let _ = stop.wait_for(|s| *s).await;
 }
 
-/// Reads a datagram; `None` for one of a stranger.
-fn read(key: &[u8], sealed: &[u8]) -> Option<datagram::Body> {
-    let content = auth::open(key, sealed)?;
-    Datagram::decode(content).ok()?.body
-}
-
 /// Opens the socket for beacons.
 ///
 /// # Errors
 ///
 /// Returns the operating system's error, such as an address in use.
-pub async fn open(address: SocketAddr) -> io::Result<UdpSocket> {
+pub async fn open_socket(address: SocketAddr) -> io::Result<UdpSocket> {
     UdpSocket::bind(address).await
 }
--- /dev/null
+++ b/crates/firdock-node/src/peer/datagram.rs
@@ -0,0 +1,78 @@
+//! Datagrams between instances: sealed with the key that all share, and cut to what is bounded.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use firdock_core::InstanceId;
+use firdock_policy::event::AccountUse;
+use firdock_wire::auth;
+use firdock_wire::message::{self, Datagram, PeerAddress, datagram};
+use prost::Message as _;
+
+use super::reads::Reads;
+use crate::clock::millis;
+
+/// Limited accounts told of in one beacon.
+const MAX_ACCOUNTS: usize = 256;
+
+/// Writes a datagram and seals it.
+pub fn seal(key: &[u8], body: datagram::Body) -> Vec<u8> {
+    let content = Datagram { body: Some(body) }.encode_to_vec();
+    auth::seal(key, &content)
+}
+
+/// Reads a datagram; `None` for one of a stranger.
+pub fn open(key: &[u8], sealed: &[u8]) -> Option<datagram::Body> {
+    let content = auth::open(key, sealed)?;
+    Datagram::decode(content).ok()?.body
+}
+
+/// Writes where an instance takes heartbeats.
+pub fn write_address((name, address): &(InstanceId, SocketAddr)) -> PeerAddress {
+    PeerAddress {
+        instance: name.clone(),
+        address: address.to_string(),
+    }
+}
+
+/// Writes what an instance knows to be the newest in the platform's store.
+pub fn write_reads(reads: Reads) -> message::Reads {
+    message::Reads {
+        version: reads.version,
+        endpoints: reads.endpoints,
+        config_at: millis(reads.config_at),
+        endpoints_at: millis(reads.endpoints_at),
+    }
+}
+
+/// Reads what a peer knows to be the newest, with times by the peer's clock.
+pub fn read_reads(reads: message::Reads) -> Reads {
+    Reads {
+        version: reads.version,
+        endpoints: reads.endpoints,
+        config_at: Duration::from_millis(reads.config_at),
+        endpoints_at: Duration::from_millis(reads.endpoints_at),
+    }
+}
+
+/// Writes what an instance let pass of accounts' limits.
+pub fn write_uses(uses: &[AccountUse]) -> Vec<message::AccountUse> {
+    let told = uses.iter().take(MAX_ACCOUNTS);
+    told.map(|u| message::AccountUse {
+        account: u.account.clone(),
+        units: u.units,
+    })
+    .collect()
+}
+
+/// Reads what a peer let pass; figures that are none are left out.
+pub fn read_uses(uses: Vec<message::AccountUse>) -> Vec<AccountUse> {
+    let told = uses.into_iter().take(MAX_ACCOUNTS);
+    let finite = told.filter(|u| u.units.is_finite());
+    finite
+        .map(|u| AccountUse {
+            account: u.account,
+            units: u.units,
+        })
+        .collect()
+}
