--- a/crates/firdock-node/src/door/handler.rs
+++ b/crates/firdock-node/src/door/handler.rs
@@ -1,7 +1,6 @@
 //! Handling of one call: from its head to the scheduler, and the answer as its parts come.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use firdock_core::settings::Limits;
@@ -17,6 +16,7 @@
 use super::answer::Problem;
 use super::body::{AnswerBody, CallerGuard};
 use super::interface::{CallBody, IncomingCall, Interface};
+use super::opening::{DoorState, Opening};
 use crate::clock::{Clock, millis};
 use crate::driver::{self, Input};
 use crate::exchange::{AnswerHead, CallTerms, Exchange, Part, Payload};
@@ -49,41 +49,6 @@
     }
 }
 
-/// How far the door is open.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[repr(u8)]
-pub enum Opening {
-    /// Calls are taken.
-    Open = 0,
-    /// Calls are taken, and each connection ends with its next answer.
-    Closing = 1,
-    /// Calls are refused: what came now could not end before the process does.
-    Closed = 2,
-}
-
-/// How far the door is open, shared with whoever stops the instance.
-#[derive(Debug, Clone, Default)]
-pub struct DoorState {
-    opening: Arc<AtomicU8>,
-}
-
-impl DoorState {
-    /// Gives how far the door is open.
-    #[must_use]
-    pub fn get(&self) -> Opening {
-        match self.opening.load(Ordering::Relaxed) {
-            0 => Opening::Open,
-            1 => Opening::Closing,
-            _ => Opening::Closed,
-        }
-    }
-
-    /// Sets how far the door is open.
-    pub fn set(&self, opening: Opening) {
-        self.opening.store(opening as u8, Ordering::Relaxed);
-    }
-}
-
 /// The callers' door.
 #[derive(Debug, Clone)]
 pub struct Door<I> {
