Give what the scheduler is sent a module of its own

Input tied the driver to the tasks that it starts in a circle of modules; the policy's view of a request, which the driver never used, stands at the door.

--- a/crates/firdock-node/src/config/follow.rs
+++ b/crates/firdock-node/src/config/follow.rs
@@ -14,7 +14,7 @@
 use super::membership::{Duties, DutySettings};
 use crate::backoff::Backoff;
 use crate::clock::Clock;
-use crate::driver::Input;
+use crate::input::Input;
 use crate::platform::LogClient;
 
 /// Records asked for in one read.
--- a/crates/firdock-node/src/config/list.rs
+++ b/crates/firdock-node/src/config/list.rs
@@ -10,7 +10,7 @@
 
 use super::hub::Hub;
 use crate::backoff::Backoff;
-use crate::driver::Input;
+use crate::input::Input;
 use crate::platform::{InstanceList, ListedRow};
 
 /// Longest pause after failed reads.
--- a/crates/firdock-node/src/door.rs
+++ b/crates/firdock-node/src/door.rs
@@ -11,12 +11,13 @@
 mod model;
 mod opening;
 mod own;
+mod request;
 
 pub use answer::{OUTCOME_HEADER, Problem, REQUEST_ID_HEADER};
 pub use body::AnswerBody;
 pub use handler::{Door, DoorLimits};
 pub use interface::{CallBody, IncomingCall, Interface};
-pub use key::claim;
 pub use model::{BadCall, ModelCall, Usage};
 pub use opening::{DoorState, Opening};
 pub use own::OwnInterface;
+pub(crate) use request::new_request;
--- a/crates/firdock-node/src/door/body.rs
+++ b/crates/firdock-node/src/door/body.rs
@@ -10,8 +10,8 @@
 use snafu::Snafu;
 use tokio::sync::mpsc;
 
-use crate::driver::Input;
 use crate::exchange::Part;
+use crate::input::Input;
 
 /// An answer that cannot be completed; the connection is closed so that the caller can tell.
 #[derive(Debug, Snafu)]
--- a/crates/firdock-node/src/door/handler.rs
+++ b/crates/firdock-node/src/door/handler.rs
@@ -17,9 +17,10 @@
 use super::body::{AnswerBody, CallerGuard};
 use super::interface::{CallBody, IncomingCall, Interface};
 use super::opening::{DoorState, Opening};
+use super::request::new_request;
 use crate::clock::{Clock, millis};
-use crate::driver::{self, Input};
 use crate::exchange::{AnswerHead, CallTerms, Exchange, Part, Payload};
+use crate::input::Input;
 use crate::site::Site;
 use crate::telemetry::{LineBudget, LineKind, Span, TraceContext};
 
@@ -175,7 +176,7 @@
         let terms = payload.terms.clone();
         let (exchange, mut parts) = Exchange::new(id, payload, trace);
         let mut guard = CallerGuard::new(id, self.inputs.clone());
-        let new = driver::new_request(&exchange, Origin::Caller, Vec::new());
+        let new = new_request(&exchange, Origin::Caller, Vec::new());
         let sent = self.inputs.send(Input::Arrived(new, exchange)).await;
         if sent.is_err() {
             guard.disarm();
--- /dev/null
+++ b/crates/firdock-node/src/door/request.rs
@@ -0,0 +1,37 @@
+//! The policy's view of a request, made the same way for callers and for peers that hand over.
+
+use firdock_core::EndpointId;
+use firdock_core::prefix::{block_hashes, estimate_tokens};
+use firdock_policy::{NewRequest, Origin};
+
+use super::key::claim;
+use crate::exchange::{Exchange, Payload};
+
+/// Makes the policy's view of a request.
+#[must_use]
+pub fn new_request(exchange: &Exchange, origin: Origin, tried: Vec<EndpointId>) -> NewRequest {
+    let payload = &exchange.payload;
+    let model = payload.model.as_ref();
+    let terms = &payload.terms;
+    NewRequest {
+        id: exchange.id,
+        service: payload.service.clone(),
+        account: payload.account.clone(),
+        prompt_tokens: model.map_or(terms.prompt_tokens, |m| estimate_tokens(m.prompt.len())),
+        output_tokens: model.map_or(terms.output_tokens, |m| m.max_tokens),
+        blocks: model.map_or_else(Vec::new, |m| block_hashes(m.prompt.as_bytes())),
+        bytes: occupied_bytes(payload),
+        key: claim(payload),
+        origin,
+        tried,
+        deadline: terms.deadline,
+        draw: terms.draw,
+    }
+}
+
+/// Estimates the bytes that a request occupies: its text, and as much again once it is parsed.
+fn occupied_bytes(payload: &Payload) -> usize {
+    const ROW_BYTES: usize = 1_024;
+    let copies = if payload.model.is_some() { 3 } else { 1 };
+    ROW_BYTES + copies * payload.body.len()
+}
--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -7,11 +7,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use firdock_core::prefix::{block_hashes, estimate_tokens};
-use firdock_core::{EndpointId, InstanceId, Outcome, Reason, RequestId};
+use firdock_core::{InstanceId, Outcome, Reason, RequestId};
 use firdock_policy::action::Dispatch;
 use firdock_policy::event::{DispatchNews, EndpointEvent, HandOverEvent, HandOverRefusal};
-use firdock_policy::{Action, Event, NewRequest, Origin, Policy as _, Scheduler, Time, Verdict};
+use firdock_policy::{Action, Event, Policy as _, Scheduler, Time, Verdict};
 use slog::{Logger, warn};
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
@@ -20,59 +19,19 @@
 
 use crate::answers::Answers;
 use crate::clock::Clock;
-use crate::door;
 use crate::endpoint::run::{Run, RunLimits};
 use crate::endpoint::{Backends, Target};
-use crate::exchange::{Exchange, Part, Payload};
+use crate::exchange::{Exchange, Part};
+use crate::input::Input;
 use crate::peer::{self, Dialer, SelfNews};
 use crate::site::{Place, Site};
 use crate::telemetry::{Beliefs, Decisions, LineBudget, Metrics, Span};
 
-/// Inputs that may wait for the scheduler.
-pub const INPUTS_WAITING: usize = 4_096;
 /// Pause between two runs of the timed systems.
 const TICK: Duration = Duration::from_millis(25);
 /// Ticks between two publications of counters and two checks of invariants.
 const TICKS_PER_PUBLICATION: u32 = 8;
 
-/// Something for the scheduler.
-#[derive(Debug)]
-pub enum Input {
-    /// A request that arrived, with the way back to its caller.
-    Arrived(NewRequest, Arc<Exchange>),
-    /// Anything else.
-    Event(Event),
-}
-
-/// Makes the policy's view of a request.
-#[must_use]
-pub fn new_request(exchange: &Exchange, origin: Origin, tried: Vec<EndpointId>) -> NewRequest {
-    let payload = &exchange.payload;
-    let model = payload.model.as_ref();
-    let terms = &payload.terms;
-    NewRequest {
-        id: exchange.id,
-        service: payload.service.clone(),
-        account: payload.account.clone(),
-        prompt_tokens: model.map_or(terms.prompt_tokens, |m| estimate_tokens(m.prompt.len())),
-        output_tokens: model.map_or(terms.output_tokens, |m| m.max_tokens),
-        blocks: model.map_or_else(Vec::new, |m| block_hashes(m.prompt.as_bytes())),
-        bytes: occupied_bytes(payload),
-        key: door::claim(payload),
-        origin,
-        tried,
-        deadline: terms.deadline,
-        draw: terms.draw,
-    }
-}
-
-/// Estimates the bytes that a request occupies: its text, and as much again once it is parsed.
-fn occupied_bytes(payload: &Payload) -> usize {
-    const ROW_BYTES: usize = 1_024;
-    let copies = if payload.model.is_some() { 3 } else { 1 };
-    ROW_BYTES + copies * payload.body.len()
-}
-
 /// What the driver needs besides the scheduler.
 #[derive(Debug)]
 pub struct DriverParts<B> {
--- a/crates/firdock-node/src/endpoint/report.rs
+++ b/crates/firdock-node/src/endpoint/report.rs
@@ -8,7 +8,7 @@
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use super::{EndpointReport, ReportSource, Target};
-use crate::driver::Input;
+use crate::input::Input;
 
 /// Blocks taken from one report; the rest of a longer one counts as a gap.
 const MAX_BLOCKS: usize = 4_096;
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -16,8 +16,8 @@
 
 use super::Target;
 use crate::clock::Clock;
-use crate::driver::Input;
 use crate::exchange::{Delivered, Exchange, Part};
+use crate::input::Input;
 use crate::telemetry::TraceContext;
 
 /// Longest time that a caller may leave parts of an answer unread.
--- /dev/null
+++ b/crates/firdock-node/src/input.rs
@@ -0,0 +1,21 @@
+//! What the scheduler is sent, by everything that has something for it.
+//!
+//! Senders need this module and not the driver, so that the driver may use them in turn.
+
+use std::sync::Arc;
+
+use firdock_policy::{Event, NewRequest};
+
+use crate::exchange::Exchange;
+
+/// Inputs that may wait for the scheduler.
+pub const INPUTS_WAITING: usize = 4_096;
+
+/// Something for the scheduler.
+#[derive(Debug)]
+pub enum Input {
+    /// A request that arrived, with the way back to its caller.
+    Arrived(NewRequest, Arc<Exchange>),
+    /// Anything else.
+    Event(Event),
+}
--- a/crates/firdock-node/src/lib.rs
+++ b/crates/firdock-node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod endpoint;
 mod exchange;
 pub mod http;
+mod input;
 mod instance;
 pub mod operator;
 pub mod peer;
@@ -23,8 +24,8 @@
 mod status;
 pub mod telemetry;
 
-pub use driver::Input;
 pub use edge::{EdgeInstance, RunningEdge};
 pub use exchange::{AnswerHead, CallTerms, Part, Payload};
+pub use input::Input;
 pub use instance::{Instance, Running, StartError};
 pub use site::{Place, Site, SiteView};
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -25,7 +25,7 @@
 use super::heartbeat::{SelfNews, peer_news};
 use super::reads::{Reads, SharedReads};
 use crate::clock::{Clock, millis};
-use crate::driver::Input;
+use crate::input::Input;
 
 /// Longest datagram that is taken.
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
--- a/crates/firdock-node/src/peer/hand_over.rs
+++ b/crates/firdock-node/src/peer/hand_over.rs
@@ -18,8 +18,8 @@
 
 use super::dial::Dialer;
 use super::link::Link;
-use crate::driver::Input;
 use crate::exchange::{AnswerHead, Exchange, Part};
+use crate::input::Input;
 use crate::telemetry::TraceContext;
 
 /// Order to hand a request over.
--- a/crates/firdock-node/src/peer/serve.rs
+++ b/crates/firdock-node/src/peer/serve.rs
@@ -24,8 +24,9 @@
 use crate::clock::Clock;
 use crate::config::PeerStatus;
 use crate::door::ModelCall;
-use crate::driver::{self, Input};
+use crate::door::new_request;
 use crate::exchange::{CallTerms, Exchange, Part, Payload};
+use crate::input::Input;
 use crate::telemetry::TraceContext;
 
 /// Silence after which a peer's link counts as cut.
@@ -165,7 +166,7 @@
         };
         let id = exchange.id;
         let origin = Origin::Peer(link.peer.clone());
-        let new = driver::new_request(&exchange, origin, tried);
+        let new = new_request(&exchange, origin, tried);
         if self
             .inputs
             .send(Input::Arrived(new, exchange))
--- a/crates/firdock-node/src/source.rs
+++ b/crates/firdock-node/src/source.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 
 use crate::clock::Clock;
-use crate::driver::Input;
+use crate::input::Input;
 use crate::peer::{Due, PeerBook, Reads, SharedReads};
 
 /// Follows a platform's configuration for as long as the instance runs.
