--- a/crates/firdock-node/src/door/handler.rs
+++ b/crates/firdock-node/src/door/handler.rs
@@ -1,7 +1,6 @@
 //! Handling of one call: from its head to the scheduler, and the answer as its parts come.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use firdock_core::settings::Limits;
@@ -17,9 +16,11 @@
 use super::answer::Problem;
 use super::body::{AnswerBody, CallerGuard};
 use super::interface::{CallBody, IncomingCall, Interface};
-use crate::clock::Clock;
-use crate::driver::{self, Input};
+use super::opening::{DoorState, Opening};
+use super::request::new_request;
+use crate::clock::{Clock, millis};
 use crate::exchange::{AnswerHead, CallTerms, Exchange, Part, Payload};
+use crate::input::Input;
 use crate::site::Site;
 use crate::telemetry::{LineBudget, LineKind, Span, TraceContext};
 
@@ -49,41 +50,6 @@
     }
 }
 
-/// How far the door is open.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[repr(u8)]
-pub enum Opening {
-    /// Calls are taken.
-    Open = 0,
-    /// Calls are taken, and each connection ends with its next answer.
-    Closing = 1,
-    /// Calls are refused: what came now could not end before the process does.
-    Closed = 2,
-}
-
-/// How far the door is open, shared with whoever stops the instance.
-#[derive(Debug, Clone, Default)]
-pub struct DoorState {
-    opening: Arc<AtomicU8>,
-}
-
-impl DoorState {
-    /// Gives how far the door is open.
-    #[must_use]
-    pub fn get(&self) -> Opening {
-        match self.opening.load(Ordering::Relaxed) {
-            0 => Opening::Open,
-            1 => Opening::Closing,
-            _ => Opening::Closed,
-        }
-    }
-
-    /// Sets how far the door is open.
-    pub fn set(&self, opening: Opening) {
-        self.opening.store(opening as u8, Ordering::Relaxed);
-    }
-}
-
 /// The callers' door.
 #[derive(Debug, Clone)]
 pub struct Door<I> {
@@ -178,7 +144,7 @@
             "reason" => problem.reason(),
             "status" => problem.status().as_u16(),
             "detail" => problem.detail(),
-            "config_age_millis" => age.map(|age| age.as_millis() as u64),
+            "config_age_millis" => age.map(millis),
         );
     }
 
@@ -210,7 +176,7 @@
         let terms = payload.terms.clone();
         let (exchange, mut parts) = Exchange::new(id, payload, trace);
         let mut guard = CallerGuard::new(id, self.inputs.clone());
-        let new = driver::new_request(&exchange, Origin::Caller, Vec::new());
+        let new = new_request(&exchange, Origin::Caller, Vec::new());
         let sent = self.inputs.send(Input::Arrived(new, exchange)).await;
         if sent.is_err() {
             guard.disarm();
--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -19,14 +19,15 @@
 use uuid::Uuid;
 
 use crate::answers::Answers;
-use crate::clock::Clock;
+use crate::clock::{Clock, millis};
 use crate::config::Hub;
 use crate::door::{Door, DoorLimits, DoorState, Interface, Opening};
-use crate::driver::{Driver, DriverParts, INPUTS_WAITING, Input};
+use crate::driver::{Driver, DriverParts};
 use crate::endpoint::relay::{Dialect, Relay};
-use crate::endpoint::run_engine::RunLimits;
+use crate::endpoint::run::RunLimits;
 use crate::http::{ServerOptions, serve};
-use crate::instance::{AbortOnPanic, CALLER_STALL, ListenSnafu, StartError, UnsetSnafu, open};
+use crate::input::{INPUTS_WAITING, Input};
+use crate::instance::{AbortOnPanic, ListenSnafu, StartError, UnsetSnafu, open};
 use crate::peer::{Beacons, Dialer, PeerBook, SelfNews, SharedReads, open_beacons};
 use crate::site::Site;
 use crate::source::{ResourceSource, SourceSink};
@@ -119,7 +120,7 @@
         tokio::spawn(self.source.follow(parts.sink(&inputs)));
 
         let door = parts.door(self.interface, inputs.clone());
-        let options = server_options(&self.settings);
+        let options = ServerOptions::new(&self.settings.limits);
         let handle = move |r| door.clone().handle(r);
         let serving = tokio::spawn(serve(callers, options, door_stops, handle));
         info!(self.log, "started"; "zone" => &self.settings.instance.zone,
@@ -144,7 +145,7 @@
     pub async fn stop(self) {
         let now = Instant::now();
         let end = now + self.stop_time.saturating_sub(RESERVE);
-        info!(self.log, "stopping"; "millis" => self.stop_time.as_millis() as u64);
+        info!(self.log, "stopping"; "millis" => millis(self.stop_time));
         self.door.set(Opening::Closing);
         let _ = self.inputs.send(Input::Event(Event::Drain)).await;
         sleep_until((now + SERVE_ON).min(end)).await;
@@ -162,15 +163,6 @@
     }
 }
 
-fn server_options(settings: &Settings) -> ServerOptions {
-    let l = &settings.limits;
-    ServerOptions {
-        connections: l.connections,
-        header_bytes: l.header_bytes,
-        header_time: Duration::from_millis(l.header_millis),
-    }
-}
-
 /// What the parts of an edge instance share.
 #[derive(Debug)]
 struct Parts {
@@ -251,10 +243,7 @@
             site: Arc::clone(&self.site),
             answers: Answers::new(self.settings.keys.answer_bytes),
             metrics: Arc::clone(&self.metrics),
-            limits: RunLimits {
-                silence: Duration::from_millis(e.silence_millis),
-                caller_stall: CALLER_STALL,
-            },
+            limits: RunLimits::new(e),
             clock: self.clock,
             log: self.log.new(o!("part" => "driver")),
             lines: Arc::clone(&self.lines),
