Use a small part of limits until the other instances are known, without a debt

An instance that knows of no others uses 0.15 of each limit, about the even part at a small site, and begins with an empty bucket.

--- a/crates/firdock-policy/src/system/limit.rs
+++ b/crates/firdock-policy/src/system/limit.rs
@@ -13,6 +13,10 @@
 /// that some are lost.
 const TOLD_AFTER_USE: Duration = Duration::from_secs(5);
 
+/// Part of each limit that an instance uses before it knows how many others there are: a little more
+/// than the even part of one of the six or seven of a small site, so that a restart costs no caller
+/// anything, and all of them together hardly exceed the limit.
+const UNAWARE_PART: f64 = 0.15;
 /// Longest time, in seconds, after which callers beyond a limit are told to come back.
 const MAX_WAIT_SECS: f64 = 60.0;
 
@@ -91,7 +95,7 @@
 /// started together, so that none may take the limit for its own alone.
 fn part_of_limits(t: &Tables, now: Time) -> f64 {
     if t.settings.await_peers && t.known_peers.is_none() {
-        return 0.0;
+        return UNAWARE_PART;
     }
     let known = 1 + t.peers_known();
     let fresh = |heard: Time| heard > Time::ZERO && heard + t.peer_stale() > now;
--- a/crates/firdock-policy/src/table/limit.rs
+++ b/crates/firdock-policy/src/table/limit.rs
@@ -8,14 +8,9 @@
 
 use crate::time::Time;
 
-/// Debt at the start of a process, in seconds of the limit: about what instances overdraw together
-/// in the time that their heartbeats take.
-const START_DEBT_SECS: f64 = 0.25;
-
 /// One account's bucket as this instance sees it.
 ///
-/// It starts a little overdrawn: a process that just started does not know what was let pass before,
-/// and all may have started together, each with a debt that none knows of any more.
+/// It starts empty: a process that just started does not know what was let pass before.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Bucket {
     limit: RateLimit,
@@ -28,12 +23,11 @@
 }
 
 impl Bucket {
-    /// Makes the bucket of a limit at the start of a process.
+    /// Makes the empty bucket of a limit.
     #[must_use]
     pub fn new(now: Time, limit: RateLimit) -> Self {
         Self {
             limit,
-            level: -START_DEBT_SECS * limit.per_second,
             filled: now,
             ..Self::default()
         }
