--- a/crates/firdock-policy/tests/policy/edge.rs
+++ b/crates/firdock-policy/tests/policy/edge.rs
@@ -1,29 +1,27 @@
-//! What the policy decides at the edge of a platform: pools, time limits, shared limits and budgets,
+//! What the policy decides at the edge of a platform: pools, time limits, budgets of second tries,
 //! freshness, early refusals and whole places.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::scene::{dispatched, id, millis, settings};
 use firdock_core::resource::{
     Account, Catalog, Endpoint, EndpointKind, LimitUnit, PoolWeight, RateLimit, Resource, Service,
     Tier,
 };
 use firdock_core::{Outcome, Reason};
-use firdock_policy::event::{AccountUse, DispatchNews, EndpointEvent, PeerNews};
+use firdock_policy::event::{DispatchNews, EndpointEvent, PeerNews};
 use firdock_policy::{
     Action, Event, Mechanisms, NewRequest, Policy as _, PolicySettings, Scheduler, Time,
 };
-use uuid::Uuid;
-
-use crate::scene::{dispatched, id, millis, settings};
 
 /// A scheduler of an edge instance.
-struct Edge {
-    scheduler: Scheduler,
-    now: Time,
+pub struct Edge {
+    pub scheduler: Scheduler,
+    pub now: Time,
 }
 
-fn edge_settings(name: &str) -> PolicySettings {
+pub fn edge_settings(name: &str) -> PolicySettings {
     let mut s = settings(name).with_mechanisms(Mechanisms::EDGE);
     s.max_held = 1_000;
     s.retry_slack = Some(30.0);
@@ -48,7 +46,7 @@
 }
 
 /// A repeatable service `safe` and one `once` over the pool `pool` of two engines.
-fn resources() -> Vec<Resource> {
+pub fn resources() -> Vec<Resource> {
     let service = |name: &str, repeatable: bool| {
         Resource::Service(Service {
             name: name.to_owned(),
@@ -89,7 +87,7 @@
     ]
 }
 
-fn request(n: u64, service: &str, account: &str) -> NewRequest {
+pub fn request(n: u64, service: &str, account: &str) -> NewRequest {
     NewRequest {
         id: id(n),
         service: service.to_owned(),
@@ -102,14 +100,14 @@
 
 impl Edge {
     /// Starts an instance that is alone and knows it.
-    fn new(settings: PolicySettings, resources: Vec<Resource>) -> Self {
+    pub fn new(settings: PolicySettings, resources: Vec<Resource>) -> Self {
         let mut edge = Self::unaware(settings, resources);
         edge.step(Event::PeersKnown(0));
         edge
     }
 
     /// Starts an instance that does not know yet how many others there are.
-    fn unaware(settings: PolicySettings, resources: Vec<Resource>) -> Self {
+    pub fn unaware(settings: PolicySettings, resources: Vec<Resource>) -> Self {
         let mut edge = Self {
             scheduler: Scheduler::new(settings),
             now: millis(100_000),
@@ -120,23 +118,23 @@
         edge
     }
 
-    fn step(&mut self, event: Event) -> Vec<Action> {
+    pub fn step(&mut self, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
         self.scheduler.step(self.now, event, &mut out);
         self.scheduler.check_invariants(self.now);
         out
     }
 
-    fn arrive(&mut self, new: NewRequest) -> Vec<Action> {
+    pub fn arrive(&mut self, new: NewRequest) -> Vec<Action> {
         self.step(Event::Arrived(new))
     }
 
-    fn after(&mut self, pause: Duration) -> Vec<Action> {
+    pub fn after(&mut self, pause: Duration) -> Vec<Action> {
         self.now += pause;
         self.step(Event::Timer)
     }
 
-    fn tell(&mut self, n: u64, dispatch: u32, news: DispatchNews) -> Vec<Action> {
+    pub fn tell(&mut self, n: u64, dispatch: u32, news: DispatchNews) -> Vec<Action> {
         self.step(Event::Endpoint(EndpointEvent {
             id: id(n),
             dispatch,
@@ -144,7 +142,7 @@
         }))
     }
 
-    fn end(&mut self, n: u64) {
+    pub fn end(&mut self, n: u64) {
         let news = DispatchNews::Ended {
             prompt: 0,
             cached: 0,
@@ -154,7 +152,7 @@
     }
 }
 
-fn verdict(actions: &[Action]) -> Option<(Outcome, Reason)> {
+pub fn verdict(actions: &[Action]) -> Option<(Outcome, Reason)> {
     actions.iter().find_map(|a| match a {
         Action::Answer { verdict, .. } => Some((verdict.outcome, verdict.reason)),
         _ => None,
@@ -162,7 +160,7 @@
 }
 
 const BROKE: DispatchNews = DispatchNews::Broke { delivered: 0 };
-const REFUSED: DispatchNews = DispatchNews::Refused { unreachable: false };
+pub const REFUSED: DispatchNews = DispatchNews::Refused { unreachable: false };
 
 #[test]
 fn requests_of_a_split_service_go_to_the_pool_that_was_drawn() {
@@ -296,114 +294,6 @@
     assert!(dispatched(&edge.tell(1, 3, REFUSED)).is_empty());
 }
 
-#[test]
-fn an_account_is_limited_by_tokens_over_time() {
-    let mut edge = Edge::new(edge_settings("a"), resources());
-    let mut served = 0;
-    for n in 0..400 {
-        edge.now += millis(25);
-        edge.step(Event::Fresh(edge.now));
-        let actions = edge.arrive(request(n, "safe", "limited"));
-        match verdict(&actions) {
-            None => {
-                served += 1;
-                edge.end(n);
-            }
-            refused => assert_eq!(refused, Some((Outcome::NotRun, Reason::RateLimited))),
-        }
-    }
-    // 10 s at 100 tokens a second, 100 tokens each, from an empty bucket.
-    assert!((10..=11).contains(&served), "{served}");
-}
-
-fn peer(used: f64, incarnation: u128) -> Event {
-    Event::Peer(PeerNews {
-        name: "b".to_owned(),
-        incarnation: Uuid::from_u128(incarnation),
-        used: vec![AccountUse {
-            account: "limited".to_owned(),
-            units: used,
-        }],
-        ..PeerNews::default()
-    })
-}
-
-#[test]
-fn what_peers_let_pass_counts_against_the_limit() {
-    let mut edge = Edge::new(edge_settings("a"), resources());
-    // What it used before it was first heard of is not known to be recent.
-    edge.step(peer(5_000.0, 1));
-    edge.now += millis(1_000);
-    edge.step(peer(5_000.0, 1));
-    edge.step(Event::Fresh(edge.now));
-    assert_eq!(verdict(&edge.arrive(request(1, "safe", "limited"))), None);
-    edge.now += millis(1_000);
-    edge.step(peer(5_300.0, 1));
-    edge.step(Event::Fresh(edge.now));
-    let refused = verdict(&edge.arrive(request(2, "safe", "limited")));
-    assert_eq!(refused, Some((Outcome::NotRun, Reason::RateLimited)));
-}
-
-#[test]
-fn a_restarted_peers_totals_begin_anew() {
-    let mut edge = Edge::new(edge_settings("a"), resources());
-    edge.step(peer(5_000.0, 1));
-    edge.now += millis(1_000);
-    edge.step(Event::Fresh(edge.now));
-    edge.step(peer(300.0, 2));
-    let refused = verdict(&edge.arrive(request(1, "safe", "limited")));
-    assert_eq!(refused, Some((Outcome::NotRun, Reason::RateLimited)));
-}
-
-#[test]
-fn an_instance_that_hears_nobody_uses_its_even_part_alone() {
-    let mut edge = Edge::new(edge_settings("a"), resources());
-    edge.step(Event::PeersKnown(4));
-    let mut served = 0;
-    for n in 0..400 {
-        edge.now += millis(50);
-        edge.step(Event::Fresh(edge.now));
-        if verdict(&edge.arrive(request(n, "safe", "limited"))).is_none() {
-            served += 1;
-            edge.end(n);
-        }
-    }
-    // 20 s at a fifth of 100 tokens a second, 100 tokens each.
-    assert!((4..=5).contains(&served), "{served}");
-}
-
-/// Finding 7: instances that had all restarted each took the limit for its own alone until they
-/// heard each other.
-#[test]
-fn an_instance_that_knows_of_no_others_yet_uses_a_small_part_of_a_limit() {
-    let mut edge = Edge::unaware(edge_settings("a"), resources());
-    let mut served = 0;
-    for n in 0..400 {
-        edge.now += millis(50);
-        edge.step(Event::Fresh(edge.now));
-        if verdict(&edge.arrive(request(n, "safe", "limited"))).is_none() {
-            served += 1;
-            edge.end(n);
-        }
-    }
-    // 20 s at 0.15 of 100 tokens a second, 100 tokens each; alone and aware, it would be 20.
-    assert!((3..=4).contains(&served), "{served}");
-}
-
-#[test]
-fn a_request_that_ran_nowhere_is_given_back_to_its_accounts_limit() {
-    let mut edge = Edge::new(edge_settings("a"), resources());
-    edge.now += millis(1_000);
-    edge.step(Event::Fresh(edge.now));
-    for n in 1..=3 {
-        assert_eq!(verdict(&edge.arrive(request(n, "once", "limited"))), None);
-        let first = edge.tell(n, 1, REFUSED);
-        assert_eq!(dispatched(&first).len(), 1);
-        let last = edge.tell(n, 2, REFUSED);
-        assert!(verdict(&last).is_some_and(|v| v.0 == Outcome::NotRun));
-    }
-}
-
 #[test]
 fn an_endpoint_is_ejected_after_three_broken_dispatches_in_a_row() {
     let mut all = resources();
--- /dev/null
+++ b/crates/firdock-policy/tests/policy/limits.rs
@@ -0,0 +1,117 @@
+//! Account limits over all instances, from what each lets pass and what its peers tell.
+
+use firdock_core::{Outcome, Reason};
+use firdock_policy::Event;
+use firdock_policy::event::{AccountUse, PeerNews};
+use uuid::Uuid;
+
+use crate::edge::{Edge, REFUSED, edge_settings, request, resources, verdict};
+use crate::scene::{dispatched, millis};
+
+#[test]
+fn an_account_is_limited_by_tokens_over_time() {
+    let mut edge = Edge::new(edge_settings("a"), resources());
+    let mut served = 0;
+    for n in 0..400 {
+        edge.now += millis(25);
+        edge.step(Event::Fresh(edge.now));
+        let actions = edge.arrive(request(n, "safe", "limited"));
+        match verdict(&actions) {
+            None => {
+                served += 1;
+                edge.end(n);
+            }
+            refused => assert_eq!(refused, Some((Outcome::NotRun, Reason::RateLimited))),
+        }
+    }
+    // 10 s at 100 tokens a second, 100 tokens each, from an empty bucket.
+    assert!((10..=11).contains(&served), "{served}");
+}
+
+fn peer(used: f64, incarnation: u128) -> Event {
+    Event::Peer(PeerNews {
+        name: "b".to_owned(),
+        incarnation: Uuid::from_u128(incarnation),
+        used: vec![AccountUse {
+            account: "limited".to_owned(),
+            units: used,
+        }],
+        ..PeerNews::default()
+    })
+}
+
+#[test]
+fn what_peers_let_pass_counts_against_the_limit() {
+    let mut edge = Edge::new(edge_settings("a"), resources());
+    // What it used before it was first heard of is not known to be recent.
+    edge.step(peer(5_000.0, 1));
+    edge.now += millis(1_000);
+    edge.step(peer(5_000.0, 1));
+    edge.step(Event::Fresh(edge.now));
+    assert_eq!(verdict(&edge.arrive(request(1, "safe", "limited"))), None);
+    edge.now += millis(1_000);
+    edge.step(peer(5_300.0, 1));
+    edge.step(Event::Fresh(edge.now));
+    let refused = verdict(&edge.arrive(request(2, "safe", "limited")));
+    assert_eq!(refused, Some((Outcome::NotRun, Reason::RateLimited)));
+}
+
+#[test]
+fn a_restarted_peers_totals_begin_anew() {
+    let mut edge = Edge::new(edge_settings("a"), resources());
+    edge.step(peer(5_000.0, 1));
+    edge.now += millis(1_000);
+    edge.step(Event::Fresh(edge.now));
+    edge.step(peer(300.0, 2));
+    let refused = verdict(&edge.arrive(request(1, "safe", "limited")));
+    assert_eq!(refused, Some((Outcome::NotRun, Reason::RateLimited)));
+}
+
+#[test]
+fn an_instance_that_hears_nobody_uses_its_even_part_alone() {
+    let mut edge = Edge::new(edge_settings("a"), resources());
+    edge.step(Event::PeersKnown(4));
+    let mut served = 0;
+    for n in 0..400 {
+        edge.now += millis(50);
+        edge.step(Event::Fresh(edge.now));
+        if verdict(&edge.arrive(request(n, "safe", "limited"))).is_none() {
+            served += 1;
+            edge.end(n);
+        }
+    }
+    // 20 s at a fifth of 100 tokens a second, 100 tokens each.
+    assert!((4..=5).contains(&served), "{served}");
+}
+
+/// Finding 7: instances that had all restarted each took the limit for its own alone until they
+/// heard each other.
+#[test]
+fn an_instance_that_knows_of_no_others_yet_uses_a_small_part_of_a_limit() {
+    let mut edge = Edge::unaware(edge_settings("a"), resources());
+    let mut served = 0;
+    for n in 0..400 {
+        edge.now += millis(50);
+        edge.step(Event::Fresh(edge.now));
+        if verdict(&edge.arrive(request(n, "safe", "limited"))).is_none() {
+            served += 1;
+            edge.end(n);
+        }
+    }
+    // 20 s at 0.15 of 100 tokens a second, 100 tokens each; alone and aware, it would be 20.
+    assert!((3..=4).contains(&served), "{served}");
+}
+
+#[test]
+fn a_request_that_ran_nowhere_is_given_back_to_its_accounts_limit() {
+    let mut edge = Edge::new(edge_settings("a"), resources());
+    edge.now += millis(1_000);
+    edge.step(Event::Fresh(edge.now));
+    for n in 1..=3 {
+        assert_eq!(verdict(&edge.arrive(request(n, "once", "limited"))), None);
+        let first = edge.tell(n, 1, REFUSED);
+        assert_eq!(dispatched(&first).len(), 1);
+        let last = edge.tell(n, 2, REFUSED);
+        assert!(verdict(&last).is_some_and(|v| v.0 == Outcome::NotRun));
+    }
+}
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -2,6 +2,7 @@
 
 mod edge;
 mod golden;
+mod limits;
 mod random;
 mod rules;
 mod scene;
