Give back what was taken from a limit, and reckon shares of endpoints once

Admission now hands the charge that was taken to the row; the whole service is no longer copied for each request.

--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -293,15 +293,9 @@
 
     async fn pass_whole(&mut self, events: WholeEvents) -> Result<(), Stop> {
         self.begin().await?;
-        let first = {
-            let mut delivered = self.run.delivered();
-            let first = delivered.tokens == 0;
-            delivered.tokens += events.count * self.event_tokens;
-            delivered.last_event = events.last_id.or(delivered.last_event.take());
-            first
-        };
+        self.note(events.count, events.last_id);
         self.run.pass(Part::Data(events.bytes)).await?;
-        if first || !self.started {
+        if !self.started {
             self.started = true;
             let delivered = self.run.delivered().tokens;
             let cached = 0;
@@ -312,6 +306,13 @@
         Ok(())
     }
 
+    /// Notes how far the answer has come, before its events are passed on.
+    fn note(&self, events: u32, last_id: Option<String>) {
+        let mut delivered = self.run.delivered();
+        delivered.tokens += events * self.event_tokens;
+        delivered.last_event = last_id.or(delivered.last_event.take());
+    }
+
     /// Passes the head on, once over all dispatches of the request.
     async fn begin(&mut self) -> Result<(), Stop> {
         let Some(head) = self.head.take() else {
--- a/crates/firdock-node/src/source.rs
+++ b/crates/firdock-node/src/source.rs
@@ -77,8 +77,10 @@
         self.reads.note_failed(self.clock.now());
     }
 
-    /// Waits until this instance has to read again, and tells what: after `pause` if it reads for its peers, later
-    /// if another one does, at once if a peer has something newer.
+    /// Waits until this instance has to read again, and tells what.
+    ///
+    /// It has to after `pause` if it reads for its peers, later if another one does, and at once if
+    /// a peer has something newer.
     pub async fn due(&self, pause: Duration) -> Due {
         let is_reader = || self.peers.is_reader(self.clock.now());
         self.reads.due(self.clock, pause, is_reader).await
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -203,12 +203,6 @@
         self.pool.as_deref().unwrap_or_default()
     }
 
-    /// Gives the tokens of the prompt and the most that the answer may have.
-    #[must_use]
-    pub fn tokens(&self) -> u32 {
-        self.new.tokens()
-    }
-
     /// Tells whether the request may have run, or may be running.
     #[must_use]
     pub fn may_have_run(&self) -> bool {
--- a/crates/firdock-policy/src/system/admit.rs
+++ b/crates/firdock-policy/src/system/admit.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use firdock_core::resource::request_rank;
-use firdock_core::{Outcome, Reason};
+use firdock_core::{Outcome, Reason, RequestId};
 
 use super::{end, key, limit};
 use crate::action::Action;
-use crate::request::{NewRequest, Origin, RequestRow, Verdict};
+use crate::request::{KeyClaim, NewRequest, Origin, RequestRow, Verdict};
 use crate::table::Tables;
-use crate::time::Time;
+use crate::time::{LogTime, Time};
 
 /// Time after which a caller should try again where nothing serves the request.
 const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(5);
@@ -37,25 +37,33 @@
             out.push(Action::Replay { id, earlier });
         }
         key::Decision::PassOn(owner) => {
-            insert(t, now, new, service, account);
+            // The owner charges it; here nothing was taken that could be given back.
+            insert(t, now, new, service, account, 0.0);
             super::handover::to_key_owner(t, now, id, &owner, out);
         }
         _ if unserved => turn_away(t, &new, no_endpoint(Outcome::NotRun), out),
-        _ if !limit::take(t, now, account, &new) => {
-            let verdict = limit::verdict(t, account);
-            turn_away(t, &new, verdict, out);
-        }
-        key::Decision::Unbound => insert(t, now, new, service, account),
-        key::Decision::Own(minted) => {
-            insert(t, now, new, service, account);
-            if let (Some(row), Some(claim)) = (t.requests.get_mut(id), claim) {
-                row.minted = Some(minted);
-                t.keys.claim(&claim, id);
+        decision => {
+            let Some(charge) = limit::take(t, now, account, &new) else {
+                let verdict = limit::verdict(t, account);
+                turn_away(t, &new, verdict, out);
+                return;
+            };
+            insert(t, now, new, service, account, charge);
+            if let key::Decision::Own(minted) = decision {
+                claim_key(t, id, claim, minted);
             }
         }
     }
 }
 
+/// Notes that a request that was taken in runs under its key.
+fn claim_key(t: &mut Tables, id: RequestId, claim: Option<KeyClaim>, minted: LogTime) {
+    if let (Some(row), Some(claim)) = (t.requests.get_mut(id), claim) {
+        row.minted = Some(minted);
+        t.keys.claim(&claim, id);
+    }
+}
+
 /// Gives the answer to a request whose service or account is not in force here.
 ///
 /// Its key may have run while the service was in force, or runs at an instance where it still is.
@@ -81,7 +89,7 @@
     out.push(end::final_word(new, verdict, Vec::new()));
 }
 
-fn insert(t: &mut Tables, now: Time, new: NewRequest, service: usize, account: usize) {
+fn insert(t: &mut Tables, now: Time, new: NewRequest, service: usize, account: usize, charge: f64) {
     let id = new.id;
     let s = t.services.get_mut(service);
     s.live += 1;
@@ -94,13 +102,11 @@
             .or_default()
             .arrived += 1;
     }
-    let declared = s.declared.clone();
     let a = t.accounts.get_mut(account);
     a.live += 1;
     a.held += 1;
     let rank = request_rank(a.rank, s.tier.rank);
-    let charge = a.bucket.map_or(0.0, |b| b.cost(new.tokens()));
-    let row = RequestRow::new(now, new, service, account, rank).with_service(&declared, charge);
+    let row = RequestRow::new(now, new, service, account, rank).with_service(&s.declared, charge);
     t.paces.note_arrival(row.pool_key(), rank);
     t.requests.insert(row);
 }
--- a/crates/firdock-policy/src/system/limit.rs
+++ b/crates/firdock-policy/src/system/limit.rs
@@ -20,15 +20,15 @@
 /// Longest time, in seconds, after which callers beyond a limit are told to come back.
 const MAX_WAIT_SECS: f64 = 60.0;
 
-/// Charges a request to its account's limit; tells whether there was room.
-pub fn take(t: &mut Tables, now: Time, account: usize, new: &NewRequest) -> bool {
+/// Charges a request to its account's limit and gives the charge; `None` if there was no room.
+pub fn take(t: &mut Tables, now: Time, account: usize, new: &NewRequest) -> Option<f64> {
     let part = part_of_limits(t, now);
     let Some(bucket) = &mut t.accounts.get_mut(account).bucket else {
-        return true;
+        return Some(0.0);
     };
     bucket.fill(now, part);
     let cost = bucket.cost(new.tokens());
-    bucket.take(now, cost)
+    bucket.take(now, cost).then_some(cost)
 }
 
 /// Gives what a request beyond its account's limit is told.
--- a/crates/firdock-policy/src/system/share.rs
+++ b/crates/firdock-policy/src/system/share.rs
@@ -29,11 +29,15 @@
 /// Sets this instance's budget on every endpoint.
 pub fn set_budgets(t: &mut Tables, now: Time) {
     let sharers = Sharers::new(t, now);
-    let places = sharers.places_part(t);
-    let budgets: Vec<(usize, u32)> = t
+    let shared: Vec<(usize, &EndpointRow, Vec<f64>)> = t
         .endpoints
         .iter()
-        .map(|(i, e)| (i, sharers.budget(t.settings.mechanisms, places, e)))
+        .map(|(i, e)| (i, e, sharers.shares(e)))
+        .collect();
+    let places = places_part(&shared);
+    let budgets: Vec<(usize, u32)> = shared
+        .iter()
+        .map(|(i, e, shares)| (*i, sharers.budget(t.settings.mechanisms, places, e, shares)))
         .collect();
     for (at, budget) in budgets {
         t.endpoints.get_mut(at).budget = budget;
@@ -49,6 +53,24 @@
     }
 }
 
+/// Gives how many places an engine has for each slot: fewer once this instance uses most of its own.
+///
+/// The first share of each endpoint is this instance's.
+fn places_part(shared: &[(usize, &EndpointRow, Vec<f64>)]) -> f64 {
+    let (mut used, mut own) = (0.0, 0.0);
+    for (_, e, shares) in shared {
+        if e.is_engine() && e.present {
+            used += f64::from(e.running);
+            own += f64::from(e.declared.slots) * shares[0];
+        }
+    }
+    if used < BUSY_PART * own {
+        CALM_PLACES
+    } else {
+        BUSY_PLACES
+    }
+}
+
 /// One instance that uses the endpoints, this one or a peer that is heard.
 struct Sharer {
     name: InstanceId,
@@ -85,26 +107,9 @@
         }
     }
 
-    /// Gives how many places an engine has for each slot: fewer once this instance uses most of its
-    /// own.
-    fn places_part(&self, t: &Tables) -> f64 {
-        let engines = t.endpoints.iter().map(|(_, e)| e);
-        let (mut used, mut own) = (0.0, 0.0);
-        for e in engines.filter(|e| e.is_engine() && e.present) {
-            used += f64::from(e.running);
-            own += f64::from(e.declared.slots) * self.shares(e)[0];
-        }
-        if used < BUSY_PART * own {
-            CALM_PLACES
-        } else {
-            BUSY_PLACES
-        }
-    }
-
-    fn budget(&self, on: Mechanisms, places: f64, e: &EndpointRow) -> u32 {
-        let shares = self.shares(e);
+    fn budget(&self, on: Mechanisms, places: f64, e: &EndpointRow, shares: &[f64]) -> u32 {
         if on.whole_places && e.is_engine() {
-            return self.whole_places(&shares, places * f64::from(e.declared.slots), e);
+            return self.whole_places(shares, places * f64::from(e.declared.slots), e);
         }
         let slots = f64::from(e.declared.slots) * shares[0];
         (slots.round() as u32).max(1)
--- a/crates/firdock-policy/tests/policy/limits.rs
+++ b/crates/firdock-policy/tests/policy/limits.rs
@@ -1,12 +1,14 @@
 //! Account limits over all instances, from what each lets pass and what its peers tell.
 
 use firdock_core::{Outcome, Reason};
-use firdock_policy::Event;
-use firdock_policy::event::{AccountUse, PeerNews};
+use firdock_policy::event::{
+    AccountUse, HandOverEvent, HandOverRefusal, Member, MemberView, PeerNews,
+};
+use firdock_policy::{Action, Event, Verdict};
 use uuid::Uuid;
 
 use crate::edge::{Edge, REFUSED, edge_settings, request, resources, verdict};
-use crate::scene::{dispatched, millis};
+use crate::scene::{LOG_START, dispatched, id, millis, with_key};
 
 #[test]
 fn an_account_is_limited_by_tokens_over_time() {
@@ -115,3 +117,34 @@
         assert!(verdict(&last).is_some_and(|v| v.0 == Outcome::NotRun));
     }
 }
+
+#[test]
+fn a_request_that_only_passes_through_to_its_keys_owner_is_neither_charged_nor_given_back() {
+    let mut edge = Edge::new(edge_settings("a"), resources());
+    edge.step(Event::View(MemberView {
+        since: LOG_START,
+        number: 1,
+        first: true,
+        members: vec![Member {
+            name: "b".to_owned(),
+            incarnation: Uuid::from_u128(9),
+        }],
+    }));
+    let new = with_key(request(1, "once", "limited"), 7, None);
+    let actions = edge.arrive(new);
+    assert!(matches!(actions[0], Action::HandOver { .. }), "{actions:?}");
+    let refusal = HandOverRefusal {
+        id: id(1),
+        verdict: Some(Verdict {
+            outcome: Outcome::NotRun,
+            reason: Reason::Overload,
+            retry_after: None,
+        }),
+        tried: Vec::new(),
+    };
+    edge.step(Event::HandOver(HandOverEvent::Refused(refusal)));
+    let accounts = &edge.scheduler.tables().accounts;
+    let row = accounts.get(accounts.find("limited").expect("the account"));
+    let used = row.bucket.expect("its bucket").used;
+    assert!(used.abs() < f64::EPSILON, "{used}");
+}
