Let one instance read the store for a site, and let leads of groups pass on changes of endpoints and use of limits

Change: the first lead by name reads; leads hear each other at every heartbeat and pass on the entries that changed (with the offsets between which they were read, so that a gap is noticed and read) and the totals of limits that changed. Ruled out: digests as the base of changes (a removal in the grace after an outage changes no digest, and would be skipped).

--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -28,7 +28,9 @@
 use crate::http::{ServerOptions, serve};
 use crate::input::{INPUTS_WAITING, Input};
 use crate::instance::{AbortOnPanic, ListenSnafu, StartError, UnsetSnafu, open};
-use crate::peer::{Beacons, Dialer, PeerBook, SelfNews, SharedReads, open_beacons};
+use crate::peer::{
+    Beacons, Dialer, EntryChanges, PeerBook, SelfNews, SharedReads, UseRelay, open_beacons,
+};
 use crate::site::Site;
 use crate::source::{ResourceSource, SourceSink};
 use crate::status::{Readiness, metrics};
@@ -43,6 +45,8 @@
 /// Broken dispatches in a row after which an endpoint is ejected: plain servers fail some of their
 /// requests while they are well (one in seven at the users' sites), so that one says little.
 const EJECT_AFTER: u32 = 3;
+/// Changes of the list of endpoints that may wait to be told; more are read by each peer.
+const CHANGES_WAITING: usize = 64;
 /// Connections of the balancer and of whoever collects metrics.
 const STATUS_CONNECTIONS: usize = 64;
 /// Bytes in the head of a call for the instance's status.
@@ -104,11 +108,12 @@
         let (stop_rest, rest_stops) = watch::channel(false);
         let (drained, drain_seen) = watch::channel(false);
         let (news, news_seen) = watch::channel(SelfNews::default());
+        let (changes, changes_told) = mpsc::channel(CHANGES_WAITING);
 
         let callers = open(self.settings.instance.callers, "instance.callers")?;
         parts.serve_status(&rest_stops)?;
         parts
-            .start_beacons(&inputs, news_seen, rest_stops.clone())
+            .start_beacons(&inputs, news_seen, changes_told, rest_stops.clone())
             .await?;
         let driver = parts.driver(self.dialect, &inputs, news, drained);
         tokio::spawn(async move {
@@ -117,7 +122,7 @@
             driver.run(waiting, rest_stops).await;
             drop(abort);
         });
-        tokio::spawn(self.source.follow(parts.sink(&inputs)));
+        tokio::spawn(self.source.follow(parts.sink(&inputs, changes)));
 
         let door = parts.door(self.interface, inputs.clone());
         let options = ServerOptions::new(&self.settings.limits);
@@ -198,9 +203,14 @@
         }
     }
 
-    fn sink(&self, inputs: &mpsc::Sender<Input>) -> SourceSink {
+    fn sink(
+        &self,
+        inputs: &mpsc::Sender<Input>,
+        changes: mpsc::Sender<EntryChanges>,
+    ) -> SourceSink {
         SourceSink {
             inputs: inputs.clone(),
+            changes,
             peers: Arc::clone(&self.peers),
             reads: Arc::clone(&self.reads),
             clock: self.clock,
@@ -259,6 +269,7 @@
         &self,
         inputs: &mpsc::Sender<Input>,
         news: watch::Receiver<SelfNews>,
+        changes: mpsc::Receiver<EntryChanges>,
         stop: watch::Receiver<bool>,
     ) -> Result<(), StartError> {
         let field = "instance.peers";
@@ -273,6 +284,8 @@
             book: Arc::clone(&self.peers),
             reads: Arc::clone(&self.reads),
             news,
+            changes,
+            relay: UseRelay::default(),
             inputs: inputs.clone(),
             pause: self.settings.peers.heartbeat(),
             clock: self.clock,
--- a/crates/firdock-node/src/peer.rs
+++ b/crates/firdock-node/src/peer.rs
@@ -5,6 +5,7 @@
 
 mod beacon;
 mod book;
+mod changes;
 mod datagram;
 mod dial;
 mod hand_over;
@@ -12,17 +13,20 @@
 mod keys;
 mod link;
 mod reads;
+mod relay;
 mod serve;
 mod state;
 
 pub use beacon::{Beacons, open_socket as open_beacons};
-pub use book::PeerBook;
+pub use book::{PeerBook, Reader};
+pub use changes::{Entry, EntryChanges};
 pub use dial::{DialError, Dialer};
 pub use hand_over::{Order, hand_over};
 pub use heartbeat::{SelfNews, beat};
 pub use keys::transfer_keys;
 pub use link::{Link, LinkError};
 pub use reads::{Due, Heard, Reads, SharedReads};
+pub use relay::{HeardUse, UseRelay};
 pub use serve::{PeerServer, serve_peers};
 pub use state::ask_for_state;
 
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use firdock_core::InstanceId;
-use firdock_policy::event::{Member, PeerNews};
+use firdock_policy::event::{Member, PeerNews, PeerUse};
 use firdock_policy::{Event, Time};
 use firdock_wire::PROTOCOL;
 use firdock_wire::message::{Beacon, ClockAnswer, ClockQuestion, datagram};
@@ -21,9 +21,14 @@
 use uuid::Uuid;
 
 use super::book::PeerBook;
-use super::datagram::{open, read_reads, read_uses, seal, write_address, write_reads, write_uses};
+use super::changes::EntryChanges;
+use super::datagram::{
+    open, read_reads, read_relayed, read_uses, seal, write_address, write_reads, write_relayed,
+    write_uses,
+};
 use super::heartbeat::{SelfNews, peer_news};
 use super::reads::{Reads, SharedReads};
+use super::relay::{HeardUse, UseRelay};
 use crate::clock::{Clock, millis};
 use crate::input::Input;
 
@@ -42,6 +47,20 @@
 /// Peers in other availability zones that get a beacon at each tick, likewise.
 const FAR_PEERS_A_TICK: usize = 8;
 
+/// An instance and where it takes heartbeats.
+type Addressed = (InstanceId, SocketAddr);
+
+/// Peers that get a beacon at a tick.
+#[derive(Debug, Default)]
+struct PeersDue {
+    /// Those of the own group.
+    near: Vec<Addressed>,
+    /// The leads of other groups, where this instance leads its own.
+    leads: Vec<Addressed>,
+    /// All others.
+    far: Vec<Addressed>,
+}
+
 /// What sending and taking beacons needs.
 #[derive(Debug)]
 pub struct Beacons {
@@ -57,6 +76,10 @@
     pub reads: Arc<SharedReads>,
     /// What this instance tells of itself.
     pub news: watch::Receiver<SelfNews>,
+    /// Changes in the platform's list that this instance took, for its peers.
+    pub changes: mpsc::Receiver<EntryChanges>,
+    /// What other instances let pass, to be passed on where this one leads.
+    pub relay: UseRelay,
     /// Way to the scheduler.
     pub inputs: mpsc::Sender<Input>,
     /// Pause between two beacons.
@@ -69,7 +92,7 @@
 
 impl Beacons {
     /// Sends and takes beacons until `stop` turns true; a last one tells that this instance ends.
-    pub async fn run(self, mut stop: watch::Receiver<bool>) {
+    pub async fn run(mut self, mut stop: watch::Receiver<bool>) {
         let mut ticks = interval(self.pause);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
@@ -88,6 +111,7 @@
                         known = self.count(known).await;
                     }
                 }
+                Some(changes) = self.changes.recv() => self.tell_changes(&changes).await,
                 () = self.book.first_listed() => {
                     known = self.count(known).await;
                     self.send(0).await;
@@ -111,38 +135,76 @@
     /// Sends the beacons that are due at a tick; at tick 0, to all.
     async fn send(&self, tick: usize) {
         let now = self.clock.now();
-        let peers = self.peers_due(tick, now);
-        if peers.is_empty() {
-            return;
-        }
+        let due = self.peers_due(tick, now);
         let heard = if tick.is_multiple_of(TELL_EVERY) {
             self.book.heard(now)
         } else {
             Vec::new()
         };
-        let sealed = seal(&self.key, datagram::Body::Beacon(self.beacon(&heard)));
+        let (for_group, for_leads) = self.relayed(now);
+        self.send_all(&due.near, &heard, &for_group).await;
+        self.send_all(&due.leads, &heard, &for_leads).await;
+        self.send_all(&due.far, &heard, &[]).await;
+    }
+
+    /// Gives what this instance passes on of others' use of limits, to its group and to other leads.
+    fn relayed(&self, now: Time) -> (Vec<PeerUse>, Vec<PeerUse>) {
+        if self.book.is_small() || !self.book.leads(now) {
+            self.relay.clear();
+            return (Vec::new(), Vec::new());
+        }
+        (self.relay.take_for_group(), self.relay.take_for_leads())
+    }
+
+    async fn send_all(&self, peers: &[Addressed], heard: &[Addressed], relayed: &[PeerUse]) {
+        if peers.is_empty() {
+            return;
+        }
+        let beacon = self.beacon(heard, relayed);
+        let sealed = seal(&self.key, datagram::Body::Beacon(beacon));
         for (name, address) in peers {
-            self.send_to(&sealed, &name, address).await;
+            self.send_to(&sealed, name, *address).await;
         }
     }
 
-    /// Gives the peers that get a beacon at a tick: of many, every few ticks a part of them.
-    fn peers_due(&self, tick: usize, now: Time) -> Vec<(InstanceId, SocketAddr)> {
-        let mut peers = self.book.addresses();
+    /// Gives the peers that get a beacon at a tick: of many, every few ticks a part of them; the
+    /// leads of groups get one at each.
+    fn peers_due(&self, tick: usize, now: Time) -> PeersDue {
+        let peers = self.book.addresses();
+        let leads = self.book.leads_of_all(now);
+        let i_lead = self.book.leads(now);
         let far_pace = (peers.len() / FAR_PEERS_A_TICK).max(1);
-        let near_pace = if self.book.is_reader(now) {
-            1
-        } else {
-            (peers.len() / NEAR_PEERS_A_TICK).max(1)
-        };
-        let mut at = 0;
-        peers.retain(|(name, _)| {
-            at += 1;
-            let near = self.book.is_near(name);
-            let pace = if near { near_pace } else { far_pace };
-            tick == 0 || (tick + at).is_multiple_of(pace)
-        });
-        peers
+        let near_pace = (peers.len() / NEAR_PEERS_A_TICK).max(1);
+        let mut due = PeersDue::default();
+        for (at, (name, address)) in peers.into_iter().enumerate() {
+            let turn = |pace: usize| tick == 0 || (tick + at + 1).is_multiple_of(pace);
+            let lead = leads.contains(&name);
+            let near = self.book.is_near(&name);
+            if near && (i_lead || lead || turn(near_pace)) {
+                due.near.push((name, address));
+            } else if !near && i_lead && lead {
+                due.leads.push((name, address));
+            } else if !near && turn(far_pace) {
+                due.far.push((name, address));
+            }
+        }
+        due
+    }
+
+    /// Tells changes in the platform's list to the peers that rely on this instance for them.
+    async fn tell_changes(&self, changes: &EntryChanges) {
+        let now = self.clock.now();
+        if !changes.is_short() || !self.book.leads(now) {
+            return;
+        }
+        let leads = self.book.leads_of_all(now);
+        let body = datagram::Body::EntryChanges(changes.message(&self.member));
+        let sealed = seal(&self.key, body);
+        for (name, address) in self.book.addresses() {
+            if self.book.is_near(&name) || leads.contains(&name) {
+                self.send_to(&sealed, &name, address).await;
+            }
+        }
     }
 
     async fn send_to(&self, sealed: &[u8], name: &str, address: SocketAddr) {
@@ -151,7 +213,7 @@
         }
     }
 
-    fn beacon(&self, peers: &[(String, SocketAddr)]) -> Beacon {
+    fn beacon(&self, peers: &[Addressed], relayed: &[PeerUse]) -> Beacon {
         let news = self.news.borrow();
         let start = usize::from(rand::random::<u16>()) % peers.len().max(1);
         let told = peers.iter().cycle().skip(start).take(peers.len());
@@ -163,6 +225,7 @@
             used: write_uses(&news.used),
             peers: told.take(MAX_TOLD).map(write_address).collect(),
             reads: Some(write_reads(self.reads.own())),
+            relayed: write_relayed(relayed),
         }
     }
 
@@ -180,6 +243,10 @@
                 let peer = &answer.instance;
                 self.reads.take_clock(peer, incarnation, asked, clock);
             }
+            Some(datagram::Body::EntryChanges(told)) => {
+                let (peer, incarnation, changes) = EntryChanges::read(told);
+                self.reads.hear_changes(&peer, incarnation, changes);
+            }
             None => warn!(self.log, "heartbeat of a stranger"; "from" => from.to_string()),
         }
     }
@@ -206,7 +273,19 @@
             self.take_reads(&news, read_reads(reads), from).await;
         }
         news.used = read_uses(beacon.used);
+        let word = PeerUse {
+            name: news.name.clone(),
+            incarnation: news.incarnation,
+            used: news.used.clone(),
+        };
+        if self.book.is_near(&news.name) {
+            self.relay.hear(&word, HeardUse::FromMember);
+        }
         self.tell(Event::Peer(news)).await;
+        for word in read_relayed(beacon.relayed) {
+            self.relay.hear(&word, HeardUse::FromLead);
+            self.tell(Event::PeerUsed(word)).await;
+        }
     }
 
     /// Takes what a peer read; its clock is asked for where that is not known yet.
--- a/crates/firdock-node/src/peer/book.rs
+++ b/crates/firdock-node/src/peer/book.rs
@@ -1,6 +1,6 @@
 //! The other instances that are known of, by name, with where they take heartbeats.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -19,8 +19,24 @@
 
 /// Silence after which an instance does not count as the reader of its group.
 const READER_WITHIN: Duration = Duration::from_millis(1_200);
-/// Instances up to which all of them are one group.
+/// Instances up to which all of them are one group; of more, each availability zone is one.
 const SMALL_SITE: usize = 16;
+/// Instances of each group that are told everything at once: its lead and the next one by name,
+/// which leads as soon as the first falls silent.
+const LEADS_TOLD: usize = 2;
+
+/// An instance's part in the reading of the platform's store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reader {
+    /// Reads for the whole site.
+    Site,
+    /// Leads its group: passes on what the site's reader read.
+    Group,
+    /// Takes what its group's lead tells.
+    Member,
+    /// Takes what the site's reader tells, where all instances are one group.
+    SmallMember,
+}
 
 /// One other instance.
 #[derive(Debug, Clone)]
@@ -124,18 +140,55 @@
         entries.len()
     }
 
-    /// Tells whether this instance is the one that reads the store for its group.
+    /// Gives this instance's part in the reading of the store.
     ///
-    /// It is the first by name of those that are heard. Where all instances are few, one reads for
-    /// all; else one in each availability zone, since heartbeats across zones are rarer.
+    /// Of each group, the first by name of those that are heard leads it: it hears of what was read
+    /// and passes it on. The first of these reads for the whole site.
     #[must_use]
-    pub fn is_reader(&self, now: Time) -> bool {
+    pub fn reader(&self, now: Time) -> Reader {
         let entries = self.lock();
-        let all = entries.len() < SMALL_SITE;
-        let in_group = |e: &Entry| all || e.zone == self.zone;
         let heard = |e: &Entry| e.heard && e.since + READER_WITHIN > now;
-        let mut group = entries.iter().filter(|(_, e)| in_group(e) && heard(e));
-        group.all(|(name, _)| *name > self.me)
+        let before = entries.iter().filter(|(name, _)| **name < self.me);
+        let mut before = before.filter(|(_, e)| heard(e)).peekable();
+        if before.peek().is_none() {
+            return Reader::Site;
+        }
+        let small = entries.len() < SMALL_SITE;
+        let led_by_other = before.any(|(_, e)| small || e.zone == self.zone);
+        match (led_by_other, small) {
+            (false, _) => Reader::Group,
+            (true, false) => Reader::Member,
+            (true, true) => Reader::SmallMember,
+        }
+    }
+
+    /// Tells whether this instance leads its group.
+    #[must_use]
+    pub fn leads(&self, now: Time) -> bool {
+        matches!(self.reader(now), Reader::Site | Reader::Group)
+    }
+
+    /// Gives the first instances by name of each group that are heard: its lead, and the one that
+    /// takes over from it.
+    #[must_use]
+    pub fn leads_of_all(&self, now: Time) -> BTreeSet<InstanceId> {
+        let entries = self.lock();
+        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        let heard = entries
+            .iter()
+            .filter(|(_, e)| e.heard && e.since + HEARD_WITHIN > now);
+        let first = heard.filter(|(_, e)| {
+            let count = counts.entry(&e.zone).or_default();
+            *count += 1;
+            *count <= LEADS_TOLD
+        });
+        first.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Tells whether instances are so few that all of them are one group.
+    #[must_use]
+    pub fn is_small(&self) -> bool {
+        self.lock().len() < SMALL_SITE
     }
 
     /// Tells whether an instance is in this one's availability zone, or all instances are few.
--- a/crates/firdock-node/src/peer/datagram.rs
+++ b/crates/firdock-node/src/peer/datagram.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use firdock_core::InstanceId;
-use firdock_policy::event::AccountUse;
+use firdock_policy::event::{AccountUse, PeerUse};
 use firdock_wire::auth;
 use firdock_wire::message::{self, Datagram, PeerAddress, datagram};
 use prost::Message as _;
+use uuid::Uuid;
 
 use super::reads::Reads;
 use crate::clock::millis;
@@ -65,6 +66,31 @@
     .collect()
 }
 
+/// Instances told of in one beacon as a lead heard them.
+const MAX_RELAYED: usize = 256;
+
+/// Writes what other instances let pass.
+pub fn write_relayed(words: &[PeerUse]) -> Vec<message::RelayedUse> {
+    let told = words.iter().take(MAX_RELAYED);
+    told.map(|w| message::RelayedUse {
+        instance: w.name.clone(),
+        incarnation: w.incarnation.as_bytes().to_vec(),
+        used: write_uses(&w.used),
+    })
+    .collect()
+}
+
+/// Reads what other instances let pass.
+pub fn read_relayed(words: Vec<message::RelayedUse>) -> Vec<PeerUse> {
+    let told = words.into_iter().take(MAX_RELAYED);
+    told.map(|w| PeerUse {
+        name: w.instance,
+        incarnation: Uuid::from_slice(&w.incarnation).unwrap_or_default(),
+        used: read_uses(w.used),
+    })
+    .collect()
+}
+
 /// Reads what a peer let pass; figures that are none are left out.
 pub fn read_uses(uses: Vec<message::AccountUse>) -> Vec<AccountUse> {
     let told = uses.into_iter().take(MAX_ACCOUNTS);
--- a/crates/firdock-node/src/peer/reads.rs
+++ b/crates/firdock-node/src/peer/reads.rs
@@ -17,6 +17,8 @@
 use tokio::time::sleep;
 use uuid::Uuid;
 
+use super::book::Reader;
+use super::changes::EntryChanges;
 use crate::clock::Clock;
 
 /// Least time between two reads, however often peers tell of news.
@@ -24,9 +26,17 @@
 /// Time in which no instance read the list of endpoints that counts as an outage of it: longer
 /// than an instance waits for its peers' words, shorter than entries live without being renewed.
 const OUTAGE: Duration = Duration::from_millis(2_200);
-/// How much longer than the reader an instance waits before it reads for itself, as a multiple of
-/// the pause between reads; up to a third as much again by chance, so that not all begin at once.
+/// How much longer than the site's reader an instance waits before it reads for itself, as a multiple
+/// of the pause between reads: what was read comes one heartbeat later, and to members of a group
+/// by one more.
 const PATIENCE: f64 = 2.0;
+/// The same for members of a group of a larger site.
+const MEMBER_PATIENCE: f64 = 3.0;
+/// Most of the patience added by chance, so that not all begin at once.
+const PATIENCE_SPREAD: f64 = 1.0 / 3.0;
+
+/// Changes told by peers that may wait to be taken; beyond, the list is read.
+const MAX_TOLD: usize = 64;
 
 /// What an instance knows to be the newest.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -57,6 +67,8 @@
     pub config: bool,
     /// The list of endpoints.
     pub endpoints: bool,
+    /// Nothing of the store's: a peer told of changes that it read.
+    pub told: bool,
 }
 
 impl Due {
@@ -64,10 +76,18 @@
     pub const ALL: Self = Self {
         config: true,
         endpoints: true,
+        told: false,
+    };
+
+    /// Only what a peer told.
+    const TOLD: Self = Self {
+        config: false,
+        endpoints: false,
+        told: true,
     };
 
     fn any(self) -> bool {
-        self.config || self.endpoints
+        self.config || self.endpoints || self.told
     }
 }
 
@@ -94,6 +114,8 @@
     steady_since: Time,
     /// What a peer has newer.
     news: Due,
+    /// Changes that peers read, which follow on the endpoints known here.
+    told: Vec<EntryChanges>,
     clocks: BTreeMap<InstanceId, ClockBound>,
 }
 
@@ -106,8 +128,16 @@
         }
     }
 
+    /// Gives the digest of the endpoints known here, with the changes that are to be taken.
+    fn digest(&self) -> u64 {
+        self.told.last().map_or(self.own.endpoints, |c| c.after)
+    }
+
     /// Gives what is due now, and when to look again if nothing is.
     fn due(&self, now: Time, patience: Duration) -> (Due, Time) {
+        if !self.told.is_empty() {
+            return (Due::TOLD, now);
+        }
         let earliest = self.read_at + LEAST_PAUSE;
         if now < earliest {
             return (Due::default(), earliest);
@@ -116,6 +146,7 @@
         let due = Due {
             config: self.news.config || old(self.own.config_at),
             endpoints: self.news.endpoints || old(self.own.endpoints_at),
+            told: false,
         };
         let oldest = self.own.config_at.min(self.own.endpoints_at);
         (due, oldest + patience)
@@ -154,6 +185,42 @@
         self.lock().steady_since(at)
     }
 
+    /// Takes changes that a peer read, whose times are by its own clock, unless that is not known.
+    pub fn hear_changes(&self, peer: &str, incarnation: Uuid, changes: EntryChanges) {
+        let mut inner = self.lock();
+        let bound = inner.clocks.get(peer).copied();
+        let Some(bound) = bound.filter(|b| b.incarnation == incarnation) else {
+            return;
+        };
+        if inner.own.version == 0 || inner.told.len() >= MAX_TOLD {
+            return;
+        }
+        let read_at = bound.earliest(changes.read_at);
+        inner.told.push(EntryChanges { read_at, ..changes });
+        drop(inner);
+        self.changed.notify_one();
+    }
+
+    /// Notes that changes that were told do not follow on what is known here, so that the list has
+    /// to be read.
+    pub fn note_gap(&self) {
+        self.lock().news.endpoints = true;
+        self.changed.notify_one();
+    }
+
+    /// Gives the changes that peers told, to be taken.
+    #[must_use]
+    pub fn take_told(&self) -> Vec<EntryChanges> {
+        std::mem::take(&mut self.lock().told)
+    }
+
+    /// Notes that changes that peers told were taken, after which the endpoints have this digest.
+    pub fn note_told(&self, endpoints: u64, read_at: Time) {
+        let mut inner = self.lock();
+        inner.own.endpoints = endpoints;
+        inner.see_endpoints(read_at);
+    }
+
     /// Notes that a read failed, so that the next one waits its turn.
     pub fn note_failed(&self, now: Time) {
         self.lock().read_at = now;
@@ -178,11 +245,12 @@
         };
         let config_at = bound.earliest(told.config_at);
         let endpoints_at = bound.earliest(told.endpoints_at);
+        let digest = inner.digest();
         let own = &mut inner.own;
         let same_config = own.version == told.version;
         let same_endpoints = own.endpoints == told.endpoints;
         let newer_config = told.version > own.version;
-        let newer_endpoints = !same_endpoints && endpoints_at > own.endpoints_at;
+        let newer_endpoints = digest != told.endpoints && endpoints_at > own.endpoints_at;
         let mut fresh = None;
         if same_config && own.version > 0 && config_at > own.config_at {
             own.config_at = config_at;
@@ -221,15 +289,16 @@
     /// Waits until this instance has to read, and tells what: its state grew old, or a peer has
     /// newer.
     ///
-    /// `is_reader` tells whether this instance is the one that reads for its peers.
-    pub async fn due(&self, clock: Clock, pause: Duration, is_reader: impl Fn() -> bool) -> Due {
-        let chance = 1.0 + rand::random::<f64>() / 3.0;
+    /// `reader` gives this instance's part in the reading.
+    pub async fn due(&self, clock: Clock, pause: Duration, reader: impl Fn() -> Reader) -> Due {
+        let chance = 1.0 + rand::random::<f64>() * PATIENCE_SPREAD;
         loop {
             let now = clock.now();
-            let patience = if is_reader() {
-                pause
-            } else {
-                pause.mul_f64(PATIENCE * chance)
+            let patience = match reader() {
+                Reader::Site => pause,
+                Reader::Group => pause.mul_f64(PATIENCE),
+                Reader::SmallMember => pause.mul_f64(PATIENCE * chance),
+                Reader::Member => pause.mul_f64(MEMBER_PATIENCE * chance),
             };
             let (due, next) = self.lock().due(now, patience);
             if due.any() {
--- a/crates/firdock-node/src/source.rs
+++ b/crates/firdock-node/src/source.rs
@@ -14,7 +14,7 @@
 
 use crate::clock::Clock;
 use crate::input::Input;
-use crate::peer::{Due, PeerBook, Reads, SharedReads};
+use crate::peer::{Due, EntryChanges, PeerBook, Reads, SharedReads};
 
 /// Follows a platform's configuration for as long as the instance runs.
 pub trait ResourceSource: Send + 'static {
@@ -32,6 +32,7 @@
     pub(crate) inputs: mpsc::Sender<Input>,
     pub(crate) peers: Arc<PeerBook>,
     pub(crate) reads: Arc<SharedReads>,
+    pub(crate) changes: mpsc::Sender<EntryChanges>,
     pub(crate) clock: Clock,
 }
 
@@ -82,8 +83,30 @@
     /// It has to after `pause` if it reads for its peers, later if another one does, and at once if
     /// a peer has something newer.
     pub async fn due(&self, pause: Duration) -> Due {
-        let is_reader = || self.peers.is_reader(self.clock.now());
-        self.reads.due(self.clock, pause, is_reader).await
+        let reader = || self.peers.reader(self.clock.now());
+        self.reads.due(self.clock, pause, reader).await
+    }
+
+    /// Gives the changes in the list of endpoints that peers read and told, in order.
+    #[must_use]
+    pub fn take_told(&self) -> Vec<EntryChanges> {
+        self.reads.take_told()
+    }
+
+    /// Notes that changes that a peer told were taken.
+    pub fn note_told(&self, endpoints: u64, read_at: Time) {
+        self.reads.note_told(endpoints, read_at);
+    }
+
+    /// Notes that changes that a peer told do not follow on what is known here.
+    pub fn note_gap(&self) {
+        self.reads.note_gap();
+    }
+
+    /// Tells the other instances of changes in the list of endpoints that were taken here.
+    pub fn tell_changes(&self, changes: EntryChanges) {
+        // A peer that does not hear of them reads the list by itself.
+        let _ = self.changes.try_send(changes);
     }
 
     /// Tells of another instance and where it takes heartbeats.
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -2,6 +2,7 @@
 
 mod lines;
 mod peers;
+mod relay;
 
 use bytes::Bytes;
 use firdock_core::resource::{Resource, Tier};
--- a/crates/firdock-node/tests/node/peers.rs
+++ b/crates/firdock-node/tests/node/peers.rs
@@ -6,7 +6,9 @@
 use firdock_core::resource::Catalog;
 use firdock_core::settings::Settings;
 use firdock_node::clock::Clock;
-use firdock_node::peer::{Beacons, PeerBook, Reads, SelfNews, SharedReads, open_beacons};
+use firdock_node::peer::{
+    Beacons, EntryChanges, PeerBook, Reader, Reads, SelfNews, SharedReads, UseRelay, open_beacons,
+};
 use firdock_node::telemetry::silent;
 use firdock_policy::event::Member;
 use firdock_policy::{Event, Policy as _, PolicySettings, Scheduler};
@@ -137,6 +139,8 @@
         book,
         reads: Arc::clone(&reads),
         news: receiver,
+        changes: mpsc::channel(1).1,
+        relay: UseRelay::default(),
         inputs,
         pause: millis(20),
         clock,
@@ -191,3 +195,70 @@
     assert_eq!(second.reads.own().config_at, old);
     drop((first.news, second.news));
 }
+
+fn changes(from: u64, next: u64) -> EntryChanges {
+    EntryChanges {
+        from,
+        after: 2,
+        read_at: millis(9_500),
+        next,
+        entries: Vec::new(),
+    }
+}
+
+#[tokio::test]
+async fn changes_that_a_peer_read_are_taken_without_a_read() {
+    let shared = shared();
+    shared.hear_changes("stranger", INCARNATION, changes(3, 4));
+    shared.hear_changes("p", Uuid::from_u128(8), changes(3, 4));
+    assert!(
+        shared.take_told().is_empty(),
+        "a clock that is not known dates nothing"
+    );
+    shared.hear_changes("p", INCARNATION, changes(3, 4));
+    // Its heartbeat with the new digest asks for no read, since the changes are here.
+    let _ = shared.hear("p", INCARNATION, reads(5, 2, millis(9_500)));
+    let due = shared
+        .due(Clock::new(), millis(60_000), || Reader::Site)
+        .await;
+    assert!(due.told && !due.endpoints && !due.config, "{due:?}");
+    let told = shared.take_told();
+    assert_eq!(told.len(), 1);
+    assert_eq!(told[0].read_at, millis(10_500));
+    shared.note_told(2, told[0].read_at);
+    assert_eq!(shared.own().endpoints_at, millis(10_500));
+    assert_eq!(shared.own().endpoints, 2);
+}
+
+fn book(me: &str, zone: &str, others: &[(&str, &str)], now: Duration) -> PeerBook {
+    let book = PeerBook::new(me.to_owned(), zone.to_owned());
+    let address = "127.0.0.1:1".parse().expect("an address");
+    for (name, zone) in others {
+        book.hear(name, zone, address, now);
+    }
+    book
+}
+
+#[test]
+fn one_instance_reads_for_the_site_and_one_leads_each_group() {
+    let names: Vec<(String, &str)> = (0..20)
+        .map(|n| (format!("{n:02}"), if n % 2 == 0 { "east" } else { "west" }))
+        .collect();
+    let others = |me: &str| -> Vec<(&str, &str)> {
+        let others = names.iter().filter(|(name, _)| name != me);
+        others.map(|(name, zone)| (name.as_str(), *zone)).collect()
+    };
+    let now = millis(1_000);
+    let part = |me: &str, zone: &str| book(me, zone, &others(me), now).reader(now);
+    assert_eq!(part("00", "east"), Reader::Site);
+    assert_eq!(part("01", "west"), Reader::Group);
+    assert_eq!(part("02", "east"), Reader::Member);
+    assert_eq!(part("19", "west"), Reader::Member);
+    let leads = book("19", "west", &others("19"), now).leads_of_all(now);
+    let expected = ["00", "01", "02", "03"].map(str::to_owned);
+    assert_eq!(leads, expected.into());
+    let few = book("b", "west", &[("a", "east"), ("c", "west")], now);
+    assert_eq!(few.reader(now), Reader::SmallMember);
+    // The first one fell silent.
+    assert_eq!(few.reader(now + millis(1_300)), Reader::Site);
+}
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -38,6 +38,8 @@
     Listed(Vec<ListedInstance>),
     /// A peer's heartbeat came.
     Peer(PeerNews),
+    /// A third instance told what a peer let pass of account limits.
+    PeerUsed(PeerUse),
     /// The link to a peer broke.
     PeerLost(InstanceId),
     /// So many other instances are known of, whether heard from or not.
@@ -189,6 +191,17 @@
     pub used: Vec<AccountUse>,
 }
 
+/// What one instance has let pass of account limits since its start, as another one passed it on.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct PeerUse {
+    /// The instance that let it pass.
+    pub name: InstanceId,
+    /// Start of its process.
+    pub incarnation: Uuid,
+    /// Totals that changed.
+    pub used: Vec<AccountUse>,
+}
+
 /// What one instance has let pass of one account's limit since its start.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct AccountUse {
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -4,8 +4,8 @@
 use crate::event::Event;
 use crate::settings::PolicySettings;
 use crate::system::{
-    admit, check, config, demand, drain, early, expire, handover, health, key, news, place, share,
-    shed,
+    admit, check, config, demand, drain, early, expire, handover, health, key, limit, news, place,
+    share, shed,
 };
 use crate::table::Tables;
 use crate::time::Time;
@@ -60,6 +60,7 @@
             Event::LogRead(reading) => t.views.read(reading),
             Event::Listed(rows) => health::listed(t, &rows),
             Event::Peer(peer) => handover::peer_news(t, now, peer),
+            Event::PeerUsed(word) => limit::take_relayed(t, &word),
             Event::PeerLost(name) => handover::peer_lost(t, &name),
             Event::PeersKnown(count) => t.known_peers = Some(count),
             Event::Fresh(at) => t.fresh_at = t.fresh_at.max(Some(at)),
--- a/crates/firdock-policy/src/system/limit.rs
+++ b/crates/firdock-policy/src/system/limit.rs
@@ -4,7 +4,7 @@
 
 use firdock_core::{Outcome, Reason};
 
-use crate::event::{AccountUse, PeerNews};
+use crate::event::{AccountUse, PeerNews, PeerUse};
 use crate::request::{NewRequest, RequestRow, Verdict};
 use crate::table::Tables;
 use crate::time::Time;
@@ -72,6 +72,32 @@
     }
 }
 
+/// Takes out of the buckets what a peer let pass, as another instance passed it on.
+///
+/// It counts only where the peer itself was heard since its start, whose totals it then goes on
+/// from. A word that was overtaken by a newer one has smaller totals and changes nothing.
+pub fn take_relayed(t: &mut Tables, word: &PeerUse) {
+    let Some(at) = t.peers.find(&word.name) else {
+        return;
+    };
+    let peer = t.peers.get_mut(at);
+    if peer.heard == Time::ZERO || peer.incarnation != word.incarnation {
+        return;
+    }
+    for used in &word.used {
+        let known = peer.used.entry(used.account.clone()).or_default();
+        let more = used.units - *known;
+        if more <= 0.0 {
+            continue;
+        }
+        *known = used.units;
+        let account = t.accounts.find(&used.account);
+        if let Some(bucket) = account.and_then(|at| t.accounts.get_mut(at).bucket.as_mut()) {
+            bucket.take_peer(more);
+        }
+    }
+}
+
 /// Gives what this instance let pass of the limits that are in use.
 #[must_use]
 pub fn used(t: &Tables, now: Time) -> Vec<AccountUse> {
--- a/crates/firdock-policy/tests/policy/limits.rs
+++ b/crates/firdock-policy/tests/policy/limits.rs
@@ -2,7 +2,7 @@
 
 use firdock_core::{Outcome, Reason};
 use firdock_policy::event::{
-    AccountUse, HandOverEvent, HandOverRefusal, Member, MemberView, PeerNews,
+    AccountUse, HandOverEvent, HandOverRefusal, Member, MemberView, PeerNews, PeerUse,
 };
 use firdock_policy::{Action, Event, Verdict};
 use uuid::Uuid;
@@ -58,6 +58,42 @@
     assert_eq!(refused, Some((Outcome::NotRun, Reason::RateLimited)));
 }
 
+fn relayed(used: f64, incarnation: u128) -> Event {
+    Event::PeerUsed(PeerUse {
+        name: "b".to_owned(),
+        incarnation: Uuid::from_u128(incarnation),
+        used: vec![AccountUse {
+            account: "limited".to_owned(),
+            units: used,
+        }],
+    })
+}
+
+/// Finding 8: where instances are many, each heard most others every second or two, and an account
+/// that began to send many times its limit passed it meanwhile.
+#[test]
+fn what_a_peer_let_pass_counts_also_as_others_tell_it() {
+    let mut edge = Edge::new(edge_settings("a"), resources());
+    edge.step(peer(5_000.0, 1));
+    edge.now += millis(1_000);
+    edge.step(Event::Fresh(edge.now));
+    // Of a start that was not heard of, nothing is known to be recent.
+    edge.step(relayed(9_000.0, 2));
+    assert_eq!(verdict(&edge.arrive(request(1, "safe", "limited"))), None);
+    edge.now += millis(1_000);
+    edge.step(relayed(5_300.0, 1));
+    edge.step(Event::Fresh(edge.now));
+    let refused = verdict(&edge.arrive(request(2, "safe", "limited")));
+    assert_eq!(refused, Some((Outcome::NotRun, Reason::RateLimited)));
+    // Told again, by itself and late by another, it counts no second time: 300 units are made up for
+    // in 6 s at the half of 100 a second that is left while the peer is silent.
+    edge.step(peer(5_300.0, 1));
+    edge.step(relayed(5_100.0, 1));
+    edge.now += millis(7_000);
+    edge.step(Event::Fresh(edge.now));
+    assert_eq!(verdict(&edge.arrive(request(3, "safe", "limited"))), None);
+}
+
 #[test]
 fn a_restarted_peers_totals_begin_anew() {
     let mut edge = Edge::new(edge_settings("a"), resources());
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -98,7 +98,7 @@
 /// One datagram between instances that know each other by address alone.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Datagram {
-    #[prost(oneof = "datagram::Body", tags = "1, 2, 3")]
+    #[prost(oneof = "datagram::Body", tags = "1, 2, 3, 4")]
     pub body: ::core::option::Option<datagram::Body>,
 }
 /// Nested message and enum types in `Datagram`.
@@ -111,6 +111,8 @@
         ClockQuestion(super::ClockQuestion),
         #[prost(message, tag = "3")]
         ClockAnswer(super::ClockAnswer),
+        #[prost(message, tag = "4")]
+        EntryChanges(super::EntryChanges),
     }
 }
 /// Asks for the receiver's clock.
@@ -173,6 +175,52 @@
     pub peers: ::prost::alloc::vec::Vec<PeerAddress>,
     #[prost(message, optional, tag = "7")]
     pub reads: ::core::option::Option<Reads>,
+    /// What other instances let pass, as the sender heard it from them or from their relays.
+    #[prost(message, repeated, tag = "8")]
+    pub relayed: ::prost::alloc::vec::Vec<RelayedUse>,
+}
+/// What another instance than the sender let pass of limited accounts since its start.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RelayedUse {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    /// 16 bytes: the start of that instance.
+    #[prost(bytes = "vec", tag = "2")]
+    pub incarnation: ::prost::alloc::vec::Vec<u8>,
+    #[prost(message, repeated, tag = "3")]
+    pub used: ::prost::alloc::vec::Vec<AccountUse>,
+}
+/// Changes in the platform's list of endpoints that the sender read, so that its peers need not.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct EntryChanges {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    /// 16 bytes: the start of the sender, which its clock belongs to.
+    #[prost(bytes = "vec", tag = "2")]
+    pub incarnation: ::prost::alloc::vec::Vec<u8>,
+    /// Offset of the first record read.
+    #[prost(uint64, tag = "3")]
+    pub from: u64,
+    /// Digest of the endpoints listed after the changes.
+    #[prost(fixed64, tag = "4")]
+    pub after: u64,
+    /// When the list was the newest, in milliseconds of the sender's clock.
+    #[prost(uint64, tag = "5")]
+    pub read_at: u64,
+    /// Offset after the last record read.
+    #[prost(uint64, tag = "6")]
+    pub next: u64,
+    #[prost(message, repeated, tag = "7")]
+    pub entries: ::prost::alloc::vec::Vec<Entry>,
+}
+/// An entry of the platform's list, as it stands there.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Entry {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    /// Absent where the entry is gone.
+    #[prost(bytes = "vec", optional, tag = "2")]
+    pub value: ::core::option::Option<::prost::alloc::vec::Vec<u8>>,
 }
 /// What one instance let pass of one account's limit.
 #[derive(Clone, PartialEq, ::prost::Message)]
