--- a/crates/firdock-node/src/door/request.rs
+++ b/crates/firdock-node/src/door/request.rs
@@ -26,6 +26,7 @@
         tried,
         deadline: terms.deadline,
         draw: terms.draw,
+        ..NewRequest::default()
     }
 }
 
--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -24,6 +24,7 @@
 use crate::exchange::{Exchange, Part};
 use crate::input::Input;
 use crate::peer::{self, Dialer, SelfNews};
+use crate::placement::Placement;
 use crate::site::{Place, Site};
 use crate::telemetry::decisions::{LastSent, Story};
 use crate::telemetry::{Beliefs, Decisions, LineBudget, Metrics, Span};
@@ -74,6 +75,7 @@
     ticks: u32,
     decisions: Decisions,
     beliefs: Beliefs,
+    placement: Option<Placement>,
 }
 
 /// A request that has not ended.
@@ -111,9 +113,17 @@
             ticks: 0,
             decisions,
             beliefs,
+            placement: None,
         }
     }
 
+    /// Lets requests be placed on engines by the coordinator of the instance's group.
+    #[must_use]
+    pub fn with_placement(mut self, placement: Placement) -> Self {
+        self.placement = Some(placement);
+        self
+    }
+
     /// Runs until every sender of inputs is gone or `stop` turns true.
     pub async fn run(mut self, mut rx: mpsc::Receiver<Input>, mut stop: watch::Receiver<bool>) {
         let mut ticks = interval(TICK);
@@ -121,7 +131,13 @@
         loop {
             tokio::select! {
                 input = rx.recv() => match input {
-                    Some(input) => self.take(input),
+                    Some(input) => {
+                        self.take(input);
+                        // What follows from inputs that came together is told together.
+                        if rx.is_empty() {
+                            self.exchange_placements();
+                        }
+                    }
                     None => return,
                 },
                 _ = ticks.tick() => self.tick(),
@@ -146,7 +162,15 @@
                 self.step(Event::Arrived(new));
                 self.drop_if_ended(id);
             }
+            Input::Placement(input) => {
+                let now = self.parts.clock.now();
+                if let Some(placement) = &mut self.placement {
+                    let events = placement.take(now, input);
+                    self.apply(events);
+                }
+            }
             Input::Event(event) => {
+                self.note_placement(&event);
                 match &event {
                     Event::Config(catalog) => self.parts.site.set(catalog),
                     Event::Fresh(at) => self.parts.site.set_fresh(*at),
@@ -163,6 +187,42 @@
         }
     }
 
+    /// Tells the placement of requests what an event means for it, before the event is taken.
+    fn note_placement(&mut self, event: &Event) {
+        let Some(placement) = &mut self.placement else {
+            return;
+        };
+        let t = self.scheduler.tables();
+        match event {
+            Event::Endpoint(news) => placement.note(t, news),
+            Event::CallerLeft(id) => placement.note_left(t, *id),
+            _ => placement.observe(self.parts.clock.now(), event),
+        }
+    }
+
+    /// Tells the coordinator what is new, and takes what it answers at once where it runs here.
+    fn exchange_placements(&mut self) {
+        let now = self.parts.clock.now();
+        while let Some(placement) = &mut self.placement {
+            let events = placement.exchange(now, self.scheduler.tables());
+            if events.is_empty() {
+                break;
+            }
+            self.apply(events);
+        }
+    }
+
+    /// Takes events about requests that may end by them.
+    fn apply(&mut self, events: Vec<Event>) {
+        for event in events {
+            let id = subject(&event);
+            self.step(event);
+            if let Some(id) = id {
+                self.drop_if_ended(id);
+            }
+        }
+    }
+
     /// Writes what an endpoint told of a dispatch, while the request's row is still there.
     fn note_news(&self, event: &EndpointEvent) {
         let row = self.scheduler.tables().requests.get(event.id);
@@ -197,10 +257,18 @@
 
     fn tick(&mut self) {
         self.step(Event::Timer);
+        if let Some(placement) = &mut self.placement {
+            let events = placement.tick(self.parts.clock.now(), self.scheduler.tables());
+            self.apply(events);
+            self.exchange_placements();
+        }
         self.ticks += 1;
         if self.ticks.is_multiple_of(TICKS_PER_PUBLICATION) {
             let now = self.parts.clock.now();
             self.scheduler.check_invariants(now);
+            if let Some(placement) = &self.placement {
+                placement.check_invariants(now);
+            }
             self.beliefs.note(now, self.scheduler.tables());
             self.publish();
         }
@@ -253,6 +321,16 @@
                 endpoint,
                 dispatch,
             } => self.cancel(id, &endpoint, dispatch),
+            Action::Ask { id } => {
+                if let Some(placement) = &mut self.placement {
+                    placement.ask(id);
+                }
+            }
+            Action::Decline(grant) => {
+                if let Some(placement) = &mut self.placement {
+                    placement.decline(self.scheduler.tables(), &grant);
+                }
+            }
             Action::HandOver { id, peer, cause } => self.hand_over(id, peer, cause),
             Action::CancelHandOver { id, .. } => self.abort(id),
             Action::Answer { id, verdict } => self.answer(id, verdict),
@@ -462,6 +540,8 @@
     match event {
         Event::CallerLeft(id) => Some(*id),
         Event::Endpoint(e) => Some(e.id),
+        Event::Granted(grant) => Some(grant.id),
+        Event::NotGranted(id, _) => Some(*id),
         Event::HandOver(e) => Some(match e {
             HandOverEvent::Refused(r) => r.id,
             HandOverEvent::Started(id)
--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -12,6 +12,7 @@
 use firdock_policy::{Event, Mechanisms, PolicySettings, Scheduler};
 use slog::{Logger, info, o, warn};
 use snafu::{OptionExt as _, ResultExt as _};
+use tokio::net::UdpSocket;
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
@@ -31,6 +32,7 @@
 use crate::peer::{
     Beacons, Dialer, EntryChanges, PeerBook, SelfNews, SharedReads, UseRelay, open_beacons,
 };
+use crate::placement::{DatagramLink, Membership, Placement};
 use crate::site::Site;
 use crate::source::{ResourceSource, SourceSink};
 use crate::status::{Readiness, metrics};
@@ -112,10 +114,17 @@
 
         let callers = open(self.settings.instance.callers, "instance.callers")?;
         parts.serve_status(&rest_stops)?;
-        parts
-            .start_beacons(&inputs, news_seen, changes_told, rest_stops.clone())
-            .await?;
-        let driver = parts.driver(self.dialect, &inputs, news, drained);
+        let socket = parts.open_datagrams().await?;
+        parts.start_beacons(
+            &socket,
+            &inputs,
+            news_seen,
+            changes_told,
+            rest_stops.clone(),
+        );
+        let driver = parts
+            .driver(self.dialect, &inputs, news, drained)
+            .with_placement(parts.placement(socket));
         tokio::spawn(async move {
             // A panic there is a broken promise, so the process ends instead of going on.
             let abort = AbortOnPanic;
@@ -239,10 +248,6 @@
         news: watch::Sender<SelfNews>,
         drained: watch::Sender<bool>,
     ) -> Driver<Relay<D>> {
-        let policy = PolicySettings::new(&self.settings, self.member.incarnation)
-            .with_mechanisms(Mechanisms::EDGE)
-            .with_eject_after(EJECT_AFTER)
-            .with_await_peers();
         let e = &self.settings.endpoints;
         let connect = Duration::from_millis(e.connect_millis);
         let key = &self.settings.peers.shared_key;
@@ -262,25 +267,51 @@
             news,
             drained,
         };
-        Driver::new(Scheduler::new(policy), parts)
+        Driver::new(Scheduler::new(self.policy()), parts)
     }
 
-    async fn start_beacons(
-        &self,
-        inputs: &mpsc::Sender<Input>,
-        news: watch::Receiver<SelfNews>,
-        changes: mpsc::Receiver<EntryChanges>,
-        stop: watch::Receiver<bool>,
-    ) -> Result<(), StartError> {
+    fn policy(&self) -> PolicySettings {
+        PolicySettings::new(&self.settings, self.member.incarnation)
+            .with_mechanisms(Mechanisms::EDGE)
+            .with_eject_after(EJECT_AFTER)
+            .with_await_peers()
+    }
+
+    /// Makes both sides of the placement of requests on engines.
+    fn placement(&self, socket: Arc<UdpSocket>) -> Placement {
+        let log = self.log.new(o!("part" => "placement"));
+        let link = DatagramLink::new(socket, self.key(), log.clone());
+        let zone = self.settings.instance.zone.clone();
+        let member = Membership::new(self.member.clone(), zone, Arc::clone(&self.peers), log);
+        let tables = Scheduler::new(self.policy().with_coordination());
+        Placement::new(member, tables, link)
+    }
+
+    fn key(&self) -> Arc<[u8]> {
+        Arc::from(self.settings.peers.shared_key.as_bytes())
+    }
+
+    async fn open_datagrams(&self) -> Result<Arc<UdpSocket>, StartError> {
         let field = "instance.peers";
         let address = self.settings.instance.peers.context(UnsetSnafu { field })?;
         let socket = open_beacons(address)
             .await
             .context(ListenSnafu { address })?;
+        Ok(Arc::new(socket))
+    }
+
+    fn start_beacons(
+        &self,
+        socket: &Arc<UdpSocket>,
+        inputs: &mpsc::Sender<Input>,
+        news: watch::Receiver<SelfNews>,
+        changes: mpsc::Receiver<EntryChanges>,
+        stop: watch::Receiver<bool>,
+    ) {
         let beacons = Beacons {
-            socket,
+            socket: Arc::clone(socket),
             member: self.member.clone(),
-            key: Arc::from(self.settings.peers.shared_key.as_bytes()),
+            key: self.key(),
             book: Arc::clone(&self.peers),
             reads: Arc::clone(&self.reads),
             news,
@@ -292,7 +323,6 @@
             log: self.log.new(o!("part" => "peers")),
         };
         tokio::spawn(beacons.run(stop));
-        Ok(())
     }
 
     /// Serves readiness, and metrics where an address for them is set.
--- a/crates/firdock-node/src/input.rs
+++ b/crates/firdock-node/src/input.rs
@@ -7,6 +7,7 @@
 use firdock_policy::{Event, NewRequest};
 
 use crate::exchange::Exchange;
+use crate::placement::PlacementInput;
 
 /// Inputs that may wait for the scheduler.
 pub const INPUTS_WAITING: usize = 4_096;
@@ -16,6 +17,8 @@
 pub enum Input {
     /// A request that arrived, with the way back to its caller.
     Arrived(NewRequest, Arc<Exchange>),
+    /// A datagram about placements on engines.
+    Placement(PlacementInput),
     /// Anything else.
     Event(Event),
 }
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -31,6 +31,7 @@
 use super::relay::{HeardUse, UseRelay};
 use crate::clock::{Clock, millis};
 use crate::input::Input;
+use crate::placement::{PlacementInput, read_reply, read_report};
 
 /// Longest datagram that is taken.
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
@@ -65,7 +66,7 @@
 #[derive(Debug)]
 pub struct Beacons {
     /// Socket for both.
-    pub socket: UdpSocket,
+    pub socket: Arc<UdpSocket>,
     /// This instance and this start of it.
     pub member: Member,
     /// Key that all instances share.
@@ -247,6 +248,15 @@
                 let (peer, incarnation, changes) = EntryChanges::read(told);
                 self.reads.hear_changes(&peer, incarnation, changes);
             }
+            Some(datagram::Body::PlacementReport(told)) => {
+                let report = Box::new(read_report(told));
+                self.pass(Input::Placement(PlacementInput::Report(report, from)))
+                    .await;
+            }
+            Some(datagram::Body::PlacementReply(told)) => {
+                let reply = PlacementInput::Reply(read_reply(told));
+                self.pass(Input::Placement(reply)).await;
+            }
             None => warn!(self.log, "heartbeat of a stranger"; "from" => from.to_string()),
         }
     }
@@ -319,8 +329,12 @@
     }
 
     async fn tell(&self, event: Event) {
+        self.pass(Input::Event(event)).await;
+    }
+
+    async fn pass(&self, input: Input) {
         // Without a scheduler the instance is stopping, and this task with it.
-        let _ = self.inputs.send(Input::Event(event)).await;
+        let _ = self.inputs.send(input).await;
     }
 }
 
--- a/crates/firdock-node/src/peer/book.rs
+++ b/crates/firdock-node/src/peer/book.rs
@@ -8,6 +8,7 @@
 
 use firdock_core::{InstanceId, ZoneId};
 use firdock_policy::Time;
+use firdock_policy::table::SMALL_SITE;
 use tokio::sync::Notify;
 
 /// Most instances that are kept.
@@ -19,8 +20,6 @@
 
 /// Silence after which an instance does not count as the reader of its group.
 const READER_WITHIN: Duration = Duration::from_millis(1_200);
-/// Instances up to which all of them are one group; of more, each availability zone is one.
-const SMALL_SITE: usize = 16;
 /// Instances of each group that are told everything at once: its lead and the next one by name,
 /// which leads as soon as the first falls silent.
 const LEADS_TOLD: usize = 2;
@@ -185,6 +184,22 @@
         first.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Gives the first instance by name of this one's group, of those that are heard and `open`; this
+    /// instance itself is left out.
+    pub fn first_of_group(
+        &self,
+        now: Time,
+        open: impl Fn(&str) -> bool,
+    ) -> Option<(InstanceId, SocketAddr)> {
+        let entries = self.lock();
+        let small = entries.len() < SMALL_SITE;
+        let heard = |e: &Entry| e.heard && e.since + READER_WITHIN > now;
+        let mut group = entries
+            .iter()
+            .filter(|(name, e)| (small || e.zone == self.zone) && heard(e) && open(name));
+        group.next().map(|(name, e)| (name.clone(), e.address))
+    }
+
     /// Tells whether instances are so few that all of them are one group.
     #[must_use]
     pub fn is_small(&self) -> bool {
--- a/crates/firdock-node/src/peer/hand_over.rs
+++ b/crates/firdock-node/src/peer/hand_over.rs
@@ -195,10 +195,16 @@
     }
 }
 
+/// Reads a reason; one that is unknown counts as a lost peer.
+#[must_use]
+pub fn read_reason(text: &str) -> Reason {
+    let text = serde_json::Value::String(text.to_owned());
+    serde_json::from_value::<Reason>(text).unwrap_or(Reason::PeerLost)
+}
+
 /// Reads a verdict; an unknown reason counts as a lost peer.
 fn read_verdict(outcome: Outcome, reason: &str, retry_seconds: u32) -> Verdict {
-    let text = serde_json::Value::String(reason.to_owned());
-    let reason = serde_json::from_value::<Reason>(text).unwrap_or(Reason::PeerLost);
+    let reason = read_reason(reason);
     Verdict {
         outcome,
         reason,
--- /dev/null
+++ b/crates/firdock-node/src/placement.rs
@@ -0,0 +1,176 @@
+//! Placement of requests on engines by a coordinator: one instance of each group that all others ask.
+//!
+//! Every instance is a member of a group and may be its coordinator; the first by name that is heard
+//! is. Members tell it what waits, what runs and what became of it, and tell everything again a
+//! few times a second, so that a new coordinator knows all after one report of each. Nothing
+//! depends on there being just one: two of them at a time only fill engines' queues for a moment
+//! (`docs/design/placement.md`).
+
+mod codec;
+mod coordinator;
+mod member;
+mod report;
+
+pub use codec::{read_reply, read_report, write_reply, write_report};
+pub use coordinator::Coordinator;
+pub use member::Membership;
+pub use report::{Course, News, Placed, Refused, Reply, Report, Wanted};
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use firdock_core::RequestId;
+use firdock_policy::event::{EndpointEvent, Grant};
+use firdock_policy::table::Tables;
+use firdock_policy::{Event, Scheduler, Time};
+use firdock_wire::message::datagram;
+use slog::{Logger, debug};
+use tokio::net::UdpSocket;
+
+use crate::peer::seal;
+
+/// Way to the other instances, by datagram.
+#[derive(Debug, Clone)]
+pub struct DatagramLink {
+    socket: Arc<UdpSocket>,
+    key: Arc<[u8]>,
+    log: Logger,
+}
+
+impl DatagramLink {
+    /// Makes the way from an open socket and the key that all instances share.
+    #[must_use]
+    pub fn new(socket: Arc<UdpSocket>, key: Arc<[u8]>, log: Logger) -> Self {
+        Self { socket, key, log }
+    }
+
+    /// Sends without waiting: what is lost is told again with the next whole report.
+    fn send(&self, body: datagram::Body, address: SocketAddr) {
+        let sealed = seal(&self.key, body);
+        if let Err(e) = self.socket.try_send_to(&sealed, address) {
+            debug!(self.log, "placement not sent"; "to" => address.to_string(), "error" => e.to_string());
+        }
+    }
+}
+
+/// What an instance receives about placements.
+#[derive(Debug)]
+pub enum PlacementInput {
+    /// A member's report, and where its answer goes.
+    Report(Box<Report>, SocketAddr),
+    /// The coordinator's answer.
+    Reply(Reply),
+}
+
+/// Both sides of placement at one instance.
+#[derive(Debug)]
+pub struct Placement {
+    member: Membership,
+    coordinator: Coordinator,
+    link: DatagramLink,
+}
+
+impl Placement {
+    /// Makes both sides; `scheduler` holds the tables of the coordinator.
+    #[must_use]
+    pub fn new(member: Membership, scheduler: Scheduler, link: DatagramLink) -> Self {
+        Self {
+            member,
+            coordinator: Coordinator::new(scheduler),
+            link,
+        }
+    }
+
+    /// Takes an event that concerns the tables of the coordinator as well.
+    pub fn observe(&mut self, now: Time, event: &Event) {
+        if matches!(
+            event,
+            Event::Config(_) | Event::Peer(_) | Event::PeersKnown(_)
+        ) {
+            self.coordinator.observe(now, event.clone());
+        }
+    }
+
+    /// Takes a datagram; gives the events that follow for this instance's own scheduler.
+    pub fn take(&mut self, now: Time, input: PlacementInput) -> Vec<Event> {
+        match input {
+            PlacementInput::Report(report, from) => {
+                self.coordinator.take(now, *report, Some(from));
+                self.send_replies()
+            }
+            PlacementInput::Reply(reply) => self.member.take(now, reply),
+        }
+    }
+
+    /// Notes that a request waits for a place.
+    pub fn ask(&mut self, id: RequestId) {
+        self.member.ask(id);
+    }
+
+    /// Notes that a place is given back.
+    pub fn decline(&mut self, t: &Tables, grant: &Grant) {
+        self.member.decline(t, grant);
+    }
+
+    /// Notes what became of a request, while its row is still there.
+    pub fn note(&mut self, t: &Tables, event: &EndpointEvent) {
+        self.member.note(t, event);
+    }
+
+    /// Notes that a caller left, while the request's row is still there.
+    pub fn note_left(&mut self, t: &Tables, id: RequestId) {
+        self.member.note_left(t, id);
+    }
+
+    /// Tells the coordinator what is new; gives the events that follow here, if it is this instance.
+    pub fn exchange(&mut self, now: Time, t: &Tables) -> Vec<Event> {
+        match self.member.report_news(now, t) {
+            Some(report) => self.deliver(now, report),
+            None => Vec::new(),
+        }
+    }
+
+    /// Tells the coordinator everything when that is due, and ends what silent members had.
+    pub fn tick(&mut self, now: Time, t: &Tables) -> Vec<Event> {
+        self.coordinator.tick(now);
+        let mut events = self.member.check(now, t.draining);
+        if let Some(report) = self.member.report_all(now, t) {
+            events.extend(self.deliver(now, report));
+        }
+        events.extend(self.send_replies());
+        events
+    }
+
+    /// Checks everything that must hold between the coordinator's tables.
+    ///
+    /// # Panics
+    ///
+    /// Panics where an invariant is broken.
+    pub fn check_invariants(&self, now: Time) {
+        self.coordinator.check_invariants(now);
+    }
+
+    fn deliver(&mut self, now: Time, report: Report) -> Vec<Event> {
+        let Some(address) = self.member.address() else {
+            self.coordinator.take(now, report, None);
+            return self.send_replies();
+        };
+        let body = datagram::Body::PlacementReport(write_report(&report));
+        self.link.send(body, address);
+        Vec::new()
+    }
+
+    /// Sends the coordinator's replies; gives the events of the one to this instance itself.
+    fn send_replies(&mut self) -> Vec<Event> {
+        let mut events = Vec::new();
+        for (address, reply) in self.coordinator.replies() {
+            if let Some(address) = address {
+                let body = datagram::Body::PlacementReply(write_reply(&reply, self.member.name()));
+                self.link.send(body, address);
+            } else {
+                events.extend(self.member.take(self.coordinator.now(), reply));
+            }
+        }
+        events
+    }
+}
--- /dev/null
+++ b/crates/firdock-node/src/placement/codec.rs
@@ -0,0 +1,200 @@
+//! Reports and replies on the wire; whatever is malformed is left out.
+
+use std::time::Duration;
+
+use firdock_core::RequestId;
+use firdock_policy::NewRequest;
+use firdock_wire::message;
+use uuid::Uuid;
+
+use super::report::{Course, News, Placed, Refused, Reply, Report, Wanted};
+use crate::clock::millis;
+use crate::peer::read_reason;
+
+/// Requests told of in one report: more do not fit into a datagram.
+const MAX_REQUESTS: usize = 300;
+
+/// Writes a report.
+#[must_use]
+pub fn write_report(report: &Report) -> message::PlacementReport {
+    let room = MAX_REQUESTS.saturating_sub(report.waiting.len());
+    message::PlacementReport {
+        instance: report.instance.clone(),
+        incarnation: report.incarnation.as_bytes().to_vec(),
+        zone: report.zone.clone(),
+        number: report.number,
+        whole: report.whole,
+        waiting: report
+            .waiting
+            .iter()
+            .take(MAX_REQUESTS)
+            .map(write_wanted)
+            .collect(),
+        running: report
+            .running
+            .iter()
+            .take(room)
+            .map(|(wanted, endpoint)| message::PlacementRun {
+                request: Some(write_wanted(wanted)),
+                endpoint: endpoint.clone(),
+            })
+            .collect(),
+        news: report
+            .news
+            .iter()
+            .take(MAX_REQUESTS)
+            .map(write_news)
+            .collect(),
+    }
+}
+
+/// Reads a report.
+#[must_use]
+pub fn read_report(told: message::PlacementReport) -> Report {
+    let runs = told.running.into_iter().take(MAX_REQUESTS);
+    let waiting = told.waiting.into_iter().take(MAX_REQUESTS);
+    let news = told.news.into_iter().take(MAX_REQUESTS);
+    Report {
+        instance: told.instance,
+        incarnation: Uuid::from_slice(&told.incarnation).unwrap_or_default(),
+        zone: told.zone,
+        number: told.number,
+        whole: told.whole,
+        waiting: waiting.filter_map(read_wanted).collect(),
+        running: runs
+            .filter_map(|run| Some((read_wanted(run.request?)?, run.endpoint)))
+            .collect(),
+        news: news.filter_map(|n| read_news(&n)).collect(),
+    }
+}
+
+/// Writes a reply as the word of the instance `name`.
+#[must_use]
+pub fn write_reply(reply: &Reply, name: &str) -> message::PlacementReply {
+    let placed = |p: &Placed| message::Placement {
+        request_id: write_id(p.id),
+        attempt: p.attempt,
+        endpoint: p.endpoint.clone(),
+    };
+    let refused = |r: &Refused| message::PlacementRefusal {
+        request_id: write_id(r.id),
+        attempt: r.attempt,
+        reason: r.reason.as_str().to_owned(),
+        retry_millis: millis(r.retry_after),
+    };
+    message::PlacementReply {
+        instance: name.to_owned(),
+        number: reply.number,
+        placements: reply.placed.iter().map(placed).collect(),
+        refusals: reply.refused.iter().map(refused).collect(),
+    }
+}
+
+/// Reads a reply.
+#[must_use]
+pub fn read_reply(told: message::PlacementReply) -> Reply {
+    let placed = |p: message::Placement| {
+        Some(Placed {
+            id: read_id(&p.request_id)?,
+            attempt: p.attempt,
+            endpoint: p.endpoint,
+        })
+    };
+    let refused = |r: message::PlacementRefusal| {
+        Some(Refused {
+            id: read_id(&r.request_id)?,
+            attempt: r.attempt,
+            reason: read_reason(&r.reason),
+            retry_after: Duration::from_millis(r.retry_millis),
+        })
+    };
+    Reply {
+        instance: told.instance,
+        number: told.number,
+        placed: told.placements.into_iter().filter_map(placed).collect(),
+        refused: told.refusals.into_iter().filter_map(refused).collect(),
+    }
+}
+
+fn write_id(id: RequestId) -> Vec<u8> {
+    id.as_bytes().to_vec()
+}
+
+fn read_id(bytes: &[u8]) -> Option<RequestId> {
+    Uuid::from_slice(bytes).ok()
+}
+
+fn write_wanted(wanted: &Wanted) -> message::PlacementRequest {
+    let new = &wanted.new;
+    message::PlacementRequest {
+        request_id: write_id(new.id),
+        attempt: wanted.attempt,
+        service: new.service.clone(),
+        account: new.account.clone(),
+        draw: new.draw,
+        prompt_tokens: new.prompt_tokens,
+        output_tokens: new.output_tokens,
+        age_millis: millis(new.age),
+        left_millis: wanted.left.map(millis),
+        avoid: new.tried.clone(),
+    }
+}
+
+fn read_wanted(told: message::PlacementRequest) -> Option<Wanted> {
+    let new = NewRequest {
+        id: read_id(&told.request_id)?,
+        service: told.service,
+        account: told.account,
+        draw: told.draw,
+        prompt_tokens: told.prompt_tokens,
+        output_tokens: told.output_tokens,
+        age: Duration::from_millis(told.age_millis),
+        tried: told.avoid,
+        ..NewRequest::default()
+    };
+    Some(Wanted {
+        new,
+        attempt: told.attempt,
+        left: told.left_millis.map(Duration::from_millis),
+    })
+}
+
+fn write_news(news: &News) -> message::PlacementNews {
+    use message::PlacementCourse as Told;
+    let (course, prompt_tokens, output_tokens) = match news.course {
+        Course::Began => (Told::Began, 0, 0),
+        Course::Ended { prompt, output } => (Told::Ended, prompt, output),
+        Course::Broke => (Told::Broke, 0, 0),
+        Course::Refused => (Told::Refused, 0, 0),
+        Course::Unreachable => (Told::Unreachable, 0, 0),
+        Course::Dropped => (Told::Dropped, 0, 0),
+    };
+    message::PlacementNews {
+        request_id: write_id(news.id),
+        attempt: news.attempt,
+        course: course.into(),
+        prompt_tokens,
+        output_tokens,
+    }
+}
+
+fn read_news(told: &message::PlacementNews) -> Option<News> {
+    use message::PlacementCourse as Told;
+    let course = match told.course() {
+        Told::Unspecified => return None,
+        Told::Began => Course::Began,
+        Told::Ended => Course::Ended {
+            prompt: told.prompt_tokens,
+            output: told.output_tokens,
+        },
+        Told::Broke => Course::Broke,
+        Told::Refused => Course::Refused,
+        Told::Unreachable => Course::Unreachable,
+        Told::Dropped => Course::Dropped,
+    };
+    Some(News {
+        id: read_id(&told.request_id)?,
+        attempt: told.attempt,
+        course,
+    })
+}
--- /dev/null
+++ b/crates/firdock-node/src/placement/coordinator.rs
@@ -0,0 +1,345 @@
+//! The coordinator's side: the scheduler of a whole group, whose dispatches are placements.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use firdock_core::{EndpointId, InstanceId, RequestId};
+use firdock_policy::event::{DispatchNews, EndpointEvent};
+use firdock_policy::request::Phase;
+use firdock_policy::{Action, Event, NewRequest, Policy as _, Scheduler, Time};
+use uuid::Uuid;
+
+use super::report::{Course, News, Placed, Refused, Reply, Report, Wanted};
+
+/// Silence after which a member is taken for gone, with all that it ran: five of its reports.
+const SILENCE: Duration = Duration::from_secs(1);
+/// Time in which a placement may still be on its way, so that a report that does not tell of it says
+/// nothing: more than two reports are apart.
+const ON_ITS_WAY: Duration = Duration::from_millis(400);
+
+/// A member that reports here.
+#[derive(Debug)]
+struct Member {
+    address: Option<SocketAddr>,
+    incarnation: Uuid,
+    heard: Time,
+    reply: Reply,
+    /// Whether there is something to reply.
+    due: bool,
+}
+
+/// Whose a request is.
+#[derive(Debug)]
+struct Owner {
+    member: InstanceId,
+    attempt: u32,
+    /// When it was placed or first told of.
+    since: Time,
+}
+
+/// Places the requests of its members.
+#[derive(Debug)]
+pub struct Coordinator {
+    scheduler: Scheduler,
+    members: BTreeMap<InstanceId, Member>,
+    owners: HashMap<RequestId, Owner>,
+    actions: Vec<Action>,
+    now: Time,
+}
+
+impl Coordinator {
+    /// Makes a coordinator without members.
+    #[must_use]
+    pub fn new(scheduler: Scheduler) -> Self {
+        Self {
+            scheduler,
+            members: BTreeMap::new(),
+            owners: HashMap::new(),
+            actions: Vec::new(),
+            now: Time::ZERO,
+        }
+    }
+
+    /// Gives the time of the last step.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        self.now
+    }
+
+    /// Takes an event that concerns the tables.
+    pub fn observe(&mut self, now: Time, event: Event) {
+        self.step(now, event);
+    }
+
+    /// Takes a member's report; `address` is where its reply goes, `None` for this instance itself.
+    pub fn take(&mut self, now: Time, report: Report, address: Option<SocketAddr>) {
+        self.meet(now, &report, address);
+        let name = report.instance;
+        for news in report.news {
+            self.take_news(now, &name, news);
+        }
+        let mut told = HashSet::new();
+        for (wanted, endpoint) in report.running {
+            told.insert(wanted.new.id);
+            self.take_running(now, &name, wanted, endpoint);
+        }
+        for mut wanted in report.waiting {
+            told.insert(wanted.new.id);
+            wanted.new.zone.clone_from(&report.zone);
+            self.take_waiting(now, &name, wanted);
+        }
+        if report.whole {
+            self.drop_untold(now, &name, &told);
+            if let Some(member) = self.members.get_mut(&name) {
+                member.reply.number = report.number;
+                member.due = true;
+            }
+        }
+    }
+
+    /// Runs the timed systems, and drops what silent members had.
+    pub fn tick(&mut self, now: Time) {
+        if self.members.is_empty() {
+            return;
+        }
+        self.step(now, Event::Timer);
+        let silent = |m: &Member| m.heard + SILENCE <= now;
+        let gone: Vec<InstanceId> = self
+            .members
+            .iter()
+            .filter(|(_, m)| silent(m))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in gone {
+            self.members.remove(&name);
+            self.drop_all(now, &name);
+        }
+    }
+
+    /// Gives the replies that are due, with their addresses; `None` stands for this instance.
+    pub fn replies(&mut self) -> Vec<(Option<SocketAddr>, Reply)> {
+        let due = self.members.values_mut().filter(|m| m.due);
+        due.map(|m| {
+            m.due = false;
+            let next = Reply {
+                number: m.reply.number,
+                ..Reply::default()
+            };
+            (m.address, std::mem::replace(&mut m.reply, next))
+        })
+        .collect()
+    }
+
+    /// Checks everything that must hold between tables.
+    ///
+    /// # Panics
+    ///
+    /// Panics where an invariant is broken.
+    pub fn check_invariants(&self, now: Time) {
+        self.scheduler.check_invariants(now);
+    }
+
+    /// Notes that a member was heard; what an earlier process of it ran is over.
+    fn meet(&mut self, now: Time, report: &Report, address: Option<SocketAddr>) {
+        let known = self.members.get(&report.instance);
+        if known.is_some_and(|m| m.incarnation != report.incarnation) {
+            self.members.remove(&report.instance);
+            self.drop_all(now, &report.instance);
+        }
+        let member = self
+            .members
+            .entry(report.instance.clone())
+            .or_insert_with(|| Member {
+                address,
+                incarnation: report.incarnation,
+                heard: now,
+                reply: Reply::default(),
+                due: false,
+            });
+        member.address = address;
+        member.heard = now;
+    }
+
+    fn take_news(&mut self, now: Time, name: &str, news: News) {
+        let owner = self.owners.get(&news.id);
+        let current = owner.is_some_and(|o| o.member == name && o.attempt == news.attempt);
+        let row = self.scheduler.tables().requests.get(news.id);
+        let Some(row) = row.filter(|_| current) else {
+            return;
+        };
+        let told = match news.course {
+            Course::Dropped => {
+                self.drop_request(now, news.id);
+                return;
+            }
+            Course::Began => DispatchNews::Tokens {
+                delivered: 1,
+                cached: 0,
+            },
+            Course::Ended { prompt, output } => DispatchNews::Ended {
+                prompt,
+                cached: 0,
+                output,
+            },
+            Course::Broke => DispatchNews::Broke { delivered: 0 },
+            Course::Refused => DispatchNews::Refused { unreachable: false },
+            Course::Unreachable => DispatchNews::Refused { unreachable: true },
+        };
+        let event = EndpointEvent {
+            id: news.id,
+            dispatch: row.dispatch,
+            news: told,
+        };
+        self.step(now, Event::Endpoint(event));
+        self.forget_if_ended(news.id);
+    }
+
+    /// Takes a request that runs and was placed by another coordinator, or by the member itself.
+    fn take_running(&mut self, now: Time, name: &str, wanted: Wanted, endpoint: EndpointId) {
+        let id = wanted.new.id;
+        if self.is_current(&id, wanted.attempt) {
+            return;
+        }
+        self.drop_request(now, id);
+        let attempt = wanted.attempt;
+        self.step(now, Event::Adopted(dated(now, wanted), endpoint));
+        self.own(now, name, id, attempt);
+    }
+
+    fn take_waiting(&mut self, now: Time, name: &str, wanted: Wanted) {
+        let id = wanted.new.id;
+        if self.is_current(&id, wanted.attempt) {
+            self.place_again(name, id, wanted.attempt);
+            return;
+        }
+        self.drop_request(now, id);
+        self.owners.insert(
+            id,
+            Owner {
+                member: name.to_owned(),
+                attempt: wanted.attempt,
+                since: now,
+            },
+        );
+        self.step(now, Event::Arrived(dated(now, wanted)));
+        self.forget_if_ended(id);
+    }
+
+    fn is_current(&self, id: &RequestId, attempt: u32) -> bool {
+        self.owners.get(id).is_some_and(|o| o.attempt == attempt)
+    }
+
+    /// Tells a place once more that the member does not know of: its word was lost, or is on its way.
+    fn place_again(&mut self, name: &str, id: RequestId, attempt: u32) {
+        let t = self.scheduler.tables();
+        let Some(Phase::Dispatching(at)) = t.requests.get(id).map(|r| r.phase) else {
+            return;
+        };
+        let endpoint = t.endpoints.get(at).declared.name.clone();
+        let placed = Placed {
+            id,
+            attempt,
+            endpoint,
+        };
+        if let Some(member) = self.members.get_mut(name) {
+            member.reply.placed.push(placed);
+            member.due = true;
+        }
+    }
+
+    fn own(&mut self, now: Time, name: &str, id: RequestId, attempt: u32) {
+        if self.scheduler.tables().requests.get(id).is_some() {
+            let owner = Owner {
+                member: name.to_owned(),
+                attempt,
+                since: now,
+            };
+            self.owners.insert(id, owner);
+        }
+    }
+
+    /// Drops the requests of a member that its whole report does not tell of.
+    fn drop_untold(&mut self, now: Time, name: &str, told: &HashSet<RequestId>) {
+        let untold = self.owners.iter().filter(|(id, o)| {
+            o.member == name && o.since + ON_ITS_WAY <= now && !told.contains(id)
+        });
+        let ids: Vec<RequestId> = untold.map(|(id, _)| *id).collect();
+        for id in ids {
+            self.drop_request(now, id);
+        }
+    }
+
+    fn drop_all(&mut self, now: Time, name: &str) {
+        let owned = self.owners.iter().filter(|(_, o)| o.member == name);
+        let ids: Vec<RequestId> = owned.map(|(id, _)| *id).collect();
+        for id in ids {
+            self.drop_request(now, id);
+        }
+    }
+
+    fn drop_request(&mut self, now: Time, id: RequestId) {
+        if self.owners.remove(&id).is_some() {
+            self.step(now, Event::CallerLeft(id));
+        }
+    }
+
+    fn forget_if_ended(&mut self, id: RequestId) {
+        if self.scheduler.tables().requests.get(id).is_none() {
+            self.owners.remove(&id);
+        }
+    }
+
+    fn step(&mut self, now: Time, event: Event) {
+        self.now = now;
+        self.scheduler.step(now, event, &mut self.actions);
+        for action in std::mem::take(&mut self.actions) {
+            self.carry_out(now, action);
+        }
+    }
+
+    /// Turns dispatches and answers into replies; all else is for the members to do.
+    fn carry_out(&mut self, now: Time, action: Action) {
+        match action {
+            Action::Dispatch(dispatch) => {
+                let Some(owner) = self.owners.get_mut(&dispatch.id) else {
+                    return;
+                };
+                owner.since = now;
+                let placed = Placed {
+                    id: dispatch.id,
+                    attempt: owner.attempt,
+                    endpoint: dispatch.endpoint,
+                };
+                if let Some(member) = self.members.get_mut(&owner.member) {
+                    member.reply.placed.push(placed);
+                    member.due = true;
+                }
+            }
+            Action::Answer { id, verdict } => {
+                let Some(owner) = self.owners.remove(&id) else {
+                    return;
+                };
+                let refused = Refused {
+                    id,
+                    attempt: owner.attempt,
+                    reason: verdict.reason,
+                    retry_after: verdict.retry_after.unwrap_or_default(),
+                };
+                if let Some(member) = self.members.get_mut(&owner.member) {
+                    member.reply.refused.push(refused);
+                    member.due = true;
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Gives a request with its deadline by this instance's clock.
+fn dated(now: Time, wanted: Wanted) -> NewRequest {
+    NewRequest {
+        deadline: wanted.left.map(|left| now + left),
+        ..wanted.new
+    }
+}
--- /dev/null
+++ b/crates/firdock-node/src/placement/member.rs
@@ -0,0 +1,337 @@
+//! A member's side: whom it asks, what it tells, and when it gives the coordinator up.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use firdock_core::{EndpointId, InstanceId, RequestId, ZoneId};
+use firdock_policy::event::{DispatchNews, EndpointEvent, Grant, Member};
+use firdock_policy::request::{Phase, RequestRow};
+use firdock_policy::table::Tables;
+use firdock_policy::{Event, NewRequest, Time, Verdict};
+use slog::{Logger, info};
+
+use super::report::{Course, News, Placed, Refused, Reply, Report, Wanted};
+use crate::peer::PeerBook;
+
+/// Pause between two whole reports.
+const WHOLE_PAUSE: Duration = Duration::from_millis(200);
+/// The same while requests wait, whose places or words may have been lost.
+const WAITING_PAUSE: Duration = Duration::from_millis(100);
+/// Time without a reply after which a coordinator is given up: two reports or replies in a row were
+/// lost, or it stands still. It takes a third of the shortest target of a first token.
+const PATIENCE: Duration = Duration::from_millis(300);
+/// Time for which a coordinator that was given up is not asked: shorter, and one that is slow would
+/// be asked and given up by turns.
+const SHUNNED: Duration = Duration::from_secs(3);
+
+/// The instance that is asked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Lead {
+    name: InstanceId,
+    /// `None` where it is this instance.
+    address: Option<SocketAddr>,
+}
+
+/// A member of a group.
+#[derive(Debug)]
+pub struct Membership {
+    me: Member,
+    zone: ZoneId,
+    book: Arc<PeerBook>,
+    lead: Option<Lead>,
+    shunned: BTreeMap<InstanceId, Time>,
+    /// Whether the coordinator answers.
+    answers: bool,
+    /// Since when it owes an answer.
+    owed_since: Option<Time>,
+    /// Number and time of the last whole report.
+    number: u64,
+    whole_at: Time,
+    asked: Vec<RequestId>,
+    news: Vec<News>,
+    log: Logger,
+}
+
+impl Membership {
+    /// Makes a member that has asked nobody yet.
+    #[must_use]
+    pub fn new(me: Member, zone: ZoneId, book: Arc<PeerBook>, log: Logger) -> Self {
+        Self {
+            me,
+            zone,
+            book,
+            lead: None,
+            shunned: BTreeMap::new(),
+            answers: false,
+            owed_since: None,
+            number: 0,
+            whole_at: Time::ZERO,
+            asked: Vec::new(),
+            news: Vec::new(),
+            log,
+        }
+    }
+
+    /// Gives this instance's name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.me.name
+    }
+
+    /// Gives where the coordinator takes reports; `None` where it is this instance.
+    #[must_use]
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.lead.as_ref().and_then(|lead| lead.address)
+    }
+
+    /// Notes that a request waits for a place.
+    pub fn ask(&mut self, id: RequestId) {
+        self.asked.push(id);
+    }
+
+    /// Notes that a place is given back.
+    pub fn decline(&mut self, t: &Tables, grant: &Grant) {
+        // A request that ended here is dropped by the next whole report.
+        if let Some(row) = t.requests.get(grant.id) {
+            self.tell(grant.id, next_attempt(row), Course::Dropped);
+        }
+    }
+
+    /// Notes what became of a request, while its row is still there.
+    pub fn note(&mut self, t: &Tables, event: &EndpointEvent) {
+        let row = t
+            .requests
+            .get(event.id)
+            .filter(|r| r.dispatch == event.dispatch);
+        let Some(row) = row.filter(|r| on_engine(t, r)) else {
+            return;
+        };
+        let course = match event.news {
+            DispatchNews::Started { .. } => return,
+            DispatchNews::Tokens { .. } if row.first.is_some() => return,
+            DispatchNews::Tokens { .. } => Course::Began,
+            DispatchNews::Ended { prompt, output, .. } => Course::Ended { prompt, output },
+            DispatchNews::Broke { .. } => Course::Broke,
+            DispatchNews::Refused { unreachable: false } => Course::Refused,
+            DispatchNews::Refused { unreachable: true } => Course::Unreachable,
+            DispatchNews::Lapsed => Course::Dropped,
+        };
+        self.tell(event.id, event.dispatch, course);
+    }
+
+    /// Notes that a caller left, while the request's row is still there.
+    pub fn note_left(&mut self, t: &Tables, id: RequestId) {
+        let Some(row) = t.requests.get(id) else {
+            return;
+        };
+        let attempt = if row.phase == Phase::Held {
+            next_attempt(row)
+        } else {
+            row.dispatch
+        };
+        if row.asked || on_engine(t, row) {
+            self.tell(id, attempt, Course::Dropped);
+        }
+    }
+
+    fn tell(&mut self, id: RequestId, attempt: u32, course: Course) {
+        if self.lead.is_some() {
+            self.news.push(News {
+                id,
+                attempt,
+                course,
+            });
+        }
+    }
+
+    /// Takes the coordinator's reply; gives the events that follow.
+    pub fn take(&mut self, now: Time, reply: Reply) -> Vec<Event> {
+        let own = reply.instance.is_empty();
+        let lead = self.lead.as_ref();
+        if !own && lead.is_none_or(|lead| lead.name != reply.instance) {
+            return Vec::new();
+        }
+        let mut events = Vec::new();
+        self.owed_since = None;
+        if !self.answers {
+            self.answers = true;
+            self.write_belief(now, "answers");
+            events.push(Event::Coordinated(true));
+        }
+        events.extend(reply.placed.into_iter().map(granted));
+        events.extend(reply.refused.into_iter().map(not_granted));
+        events
+    }
+
+    /// Looks whom to ask, and gives a coordinator up that does not answer.
+    pub fn check(&mut self, now: Time, draining: bool) -> Vec<Event> {
+        self.shunned.retain(|_, until| *until > now);
+        let mut events = Vec::new();
+        if self.owed_since.is_some_and(|since| since + PATIENCE <= now) {
+            self.give_up(now, &mut events);
+        }
+        let lead = self.pick(now, draining);
+        if lead != self.lead {
+            self.lead = lead;
+            self.owed_since = None;
+            self.whole_at = Time::ZERO;
+            if self.lead.is_none() && std::mem::take(&mut self.answers) {
+                events.push(Event::Coordinated(false));
+            }
+        }
+        events
+    }
+
+    fn give_up(&mut self, now: Time, events: &mut Vec<Event>) {
+        if let Some(lead) = &self.lead {
+            self.shunned.insert(lead.name.clone(), now + SHUNNED);
+        }
+        self.owed_since = None;
+        if std::mem::take(&mut self.answers) {
+            self.write_belief(now, "silent");
+            events.push(Event::Coordinated(false));
+        }
+    }
+
+    fn pick(&self, now: Time, draining: bool) -> Option<Lead> {
+        let open = |name: &str| !self.shunned.contains_key(name);
+        let other = self.book.first_of_group(now, open);
+        let own = !draining;
+        match other {
+            Some((name, address)) if !own || name < self.me.name => Some(Lead {
+                name,
+                address: Some(address),
+            }),
+            _ if own => Some(Lead {
+                name: self.me.name.clone(),
+                address: None,
+            }),
+            _ => None,
+        }
+    }
+
+    /// Gives a report of what is new, if there is any.
+    pub fn report_news(&mut self, now: Time, t: &Tables) -> Option<Report> {
+        if self.asked.is_empty() && self.news.is_empty() {
+            return None;
+        }
+        let asked = std::mem::take(&mut self.asked);
+        let news = std::mem::take(&mut self.news);
+        self.lead.as_ref()?;
+        let rows = asked.iter().filter_map(|id| t.requests.get(*id));
+        let held = rows.filter(|r| r.phase == Phase::Held);
+        let waiting: Vec<Wanted> = held.map(|r| wanted(now, r, next_attempt(r))).collect();
+        Some(Report {
+            waiting,
+            news,
+            ..self.empty_report()
+        })
+    }
+
+    /// Gives a report of everything, if one is due.
+    pub fn report_all(&mut self, now: Time, t: &Tables) -> Option<Report> {
+        self.lead.as_ref()?;
+        let waits = |r: &&RequestRow| r.phase == Phase::Held && r.asked;
+        let pause = if t.requests.iter().any(|r| waits(&r)) {
+            WAITING_PAUSE
+        } else {
+            WHOLE_PAUSE
+        };
+        if self.whole_at > Time::ZERO && self.whole_at + pause > now {
+            return None;
+        }
+        self.whole_at = now;
+        self.number += 1;
+        self.owed_since = self.owed_since.or(Some(now));
+        self.asked.clear();
+        let held = t.requests.iter().filter(waits);
+        let waiting = held.map(|r| wanted(now, r, next_attempt(r))).collect();
+        let running = t.requests.iter().filter_map(|r| running(now, t, r));
+        Some(Report {
+            whole: true,
+            waiting,
+            running: running.collect(),
+            news: std::mem::take(&mut self.news),
+            ..self.empty_report()
+        })
+    }
+
+    fn empty_report(&self) -> Report {
+        Report {
+            instance: self.me.name.clone(),
+            incarnation: self.me.incarnation,
+            zone: self.zone.clone(),
+            number: self.number,
+            whole: false,
+            waiting: Vec::new(),
+            running: Vec::new(),
+            news: Vec::new(),
+        }
+    }
+
+    fn write_belief(&self, now: Time, is: &str) {
+        let name = self.lead.as_ref().map_or("", |lead| &lead.name);
+        info!(self.log, "belief changed"; "what" => "coordinator", "is" => is, "instance_name" => name,
+            "at_millis" => crate::clock::millis(now));
+    }
+}
+
+/// Gives the number of the place that a held request waits for.
+fn next_attempt(row: &RequestRow) -> u32 {
+    row.dispatch + 1
+}
+
+fn on_engine(t: &Tables, row: &RequestRow) -> bool {
+    match row.phase {
+        Phase::Dispatching(at) | Phase::Running(at) => t.endpoints.get(at).is_engine(),
+        _ => false,
+    }
+}
+
+fn running(now: Time, t: &Tables, row: &RequestRow) -> Option<(Wanted, EndpointId)> {
+    match row.phase {
+        Phase::Dispatching(at) | Phase::Running(at) => {
+            let e = t.endpoints.get(at);
+            e.is_engine()
+                .then(|| (wanted(now, row, row.dispatch), e.declared.name.clone()))
+        }
+        _ => None,
+    }
+}
+
+fn wanted(now: Time, row: &RequestRow, attempt: u32) -> Wanted {
+    let new = &row.new;
+    Wanted {
+        new: NewRequest {
+            id: new.id,
+            service: new.service.clone(),
+            account: new.account.clone(),
+            prompt_tokens: new.prompt_tokens + row.delivered,
+            output_tokens: new.output_tokens,
+            draw: new.draw,
+            age: now.saturating_sub(row.arrived),
+            tried: row.tried.iter().chain(&row.declined).cloned().collect(),
+            ..NewRequest::default()
+        },
+        attempt,
+        left: row.deadline.map(|by| by.saturating_sub(now)),
+    }
+}
+
+fn granted(placed: Placed) -> Event {
+    Event::Granted(Grant {
+        id: placed.id,
+        endpoint: placed.endpoint,
+    })
+}
+
+fn not_granted(refused: Refused) -> Event {
+    let verdict = Verdict {
+        outcome: firdock_core::Outcome::NotRun,
+        reason: refused.reason,
+        retry_after: Some(refused.retry_after),
+    };
+    Event::NotGranted(refused.id, verdict)
+}
--- /dev/null
+++ b/crates/firdock-node/src/placement/report.rs
@@ -0,0 +1,109 @@
+//! What members and coordinators tell each other.
+
+use std::time::Duration;
+
+use firdock_core::{EndpointId, InstanceId, Reason, RequestId, ZoneId};
+use firdock_policy::NewRequest;
+use uuid::Uuid;
+
+/// A request as far as its placement needs it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wanted {
+    /// The request; its deadline is given by `left`.
+    pub new: NewRequest,
+    /// Counts the places that it was given or waits for.
+    pub attempt: u32,
+    /// Time that its caller will still wait.
+    pub left: Option<Duration>,
+}
+
+/// What became of a request that was given a place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Course {
+    /// The first token came.
+    Began,
+    /// The whole answer came, with these tokens of the prompt and of the answer.
+    Ended {
+        /// Tokens of the prompt.
+        prompt: u32,
+        /// Tokens of the answer.
+        output: u32,
+    },
+    /// The connection broke, or the endpoint failed.
+    Broke,
+    /// The endpoint refused it.
+    Refused,
+    /// The endpoint was not reached.
+    Unreachable,
+    /// It was not sent, or its caller left.
+    Dropped,
+}
+
+/// News of one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct News {
+    /// Request.
+    pub id: RequestId,
+    /// Which of its places.
+    pub attempt: u32,
+    /// What became of it.
+    pub course: Course,
+}
+
+/// What a member tells its coordinator.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// Member.
+    pub instance: InstanceId,
+    /// Start of its process.
+    pub incarnation: Uuid,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Number of its last whole report.
+    pub number: u64,
+    /// Whether it tells of every request of the member's.
+    pub whole: bool,
+    /// Requests that wait for a place.
+    pub waiting: Vec<Wanted>,
+    /// Requests that run, and where.
+    pub running: Vec<(Wanted, EndpointId)>,
+    /// What became of requests since the last report.
+    pub news: Vec<News>,
+}
+
+/// A place for a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placed {
+    /// Request.
+    pub id: RequestId,
+    /// Which of its places.
+    pub attempt: u32,
+    /// Engine.
+    pub endpoint: EndpointId,
+}
+
+/// Word that a request will not be placed in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refused {
+    /// Request.
+    pub id: RequestId,
+    /// Which of its places.
+    pub attempt: u32,
+    /// Why.
+    pub reason: Reason,
+    /// When its caller should come back.
+    pub retry_after: Duration,
+}
+
+/// What a coordinator answers a member.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Reply {
+    /// Coordinator.
+    pub instance: InstanceId,
+    /// Number of the member's last whole report that was taken.
+    pub number: u64,
+    /// Places.
+    pub placed: Vec<Placed>,
+    /// Refusals.
+    pub refused: Vec<Refused>,
+}
--- a/crates/firdock-policy/src/action.rs
+++ b/crates/firdock-policy/src/action.rs
@@ -3,7 +3,7 @@
 use firdock_core::{EndpointId, InstanceId, Reason, RequestId};
 use serde::{Deserialize, Serialize};
 
-use crate::event::KeyTransfer;
+use crate::event::{Grant, KeyTransfer};
 use crate::request::Verdict;
 use crate::time::Time;
 
@@ -22,6 +22,13 @@
         /// Dispatch to cancel.
         dispatch: u32,
     },
+    /// Ask the coordinator for a place on an engine.
+    Ask {
+        /// Request.
+        id: RequestId,
+    },
+    /// Give a place back that the coordinator gave and that is not used.
+    Decline(Grant),
     /// Hand the request over to a peer.
     HandOver {
         /// Request.
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -46,6 +46,14 @@
     PeersKnown(usize),
     /// The configuration in force was the newest at this time.
     Fresh(Time),
+    /// Whether an instance answers that places this instance's requests on engines.
+    Coordinated(bool),
+    /// The coordinator gave a request a place on an engine.
+    Granted(Grant),
+    /// The coordinator gave a request up, which ran nowhere.
+    NotGranted(RequestId, Verdict),
+    /// To a coordinator: a member already runs this request, which another one had placed.
+    Adopted(NewRequest, EndpointId),
     /// A peer told something about a hand-over.
     HandOver(HandOverEvent),
     /// The instance is to stop.
@@ -54,6 +62,15 @@
     Timer,
 }
 
+/// A place on an engine that a coordinator gave to a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Request.
+    pub id: RequestId,
+    /// Engine.
+    pub endpoint: EndpointId,
+}
+
 /// What an endpoint told about a dispatch.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointEvent {
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -5,7 +5,7 @@
 use firdock_core::prefix::BlockHash;
 use firdock_core::resource::Service;
 use firdock_core::{
-    AccountId, EndpointId, InstanceId, Outcome, PoolId, Reason, RequestId, ServiceId,
+    AccountId, EndpointId, InstanceId, Outcome, PoolId, Reason, RequestId, ServiceId, ZoneId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -63,6 +63,12 @@
     /// An evenly drawn number that picks the pool of a service that splits its requests.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub draw: u32,
+    /// How long it was held before, at the instance that asks for it.
+    #[serde(default, skip_serializing_if = "Time::is_zero")]
+    pub age: Time,
+    /// Availability zone of the instance that asks for it; empty for the own one.
+    #[serde(default, skip_serializing_if = "ZoneId::is_empty")]
+    pub zone: ZoneId,
 }
 
 #[expect(
@@ -154,6 +160,12 @@
     pub uncached: u32,
     /// Predicted time to the first token of the present dispatch.
     pub predicted: Time,
+    /// Whether the coordinator was asked for a place since the request was last held.
+    pub asked: bool,
+    /// Engines that the coordinator gave it and that this instance could not use.
+    pub declined: Vec<EndpointId>,
+    /// Whether it ran already when this instance, as a coordinator, first heard of it.
+    pub adopted: bool,
 }
 
 impl RequestRow {
@@ -183,6 +195,9 @@
             first: None,
             uncached: 0,
             predicted: Time::ZERO,
+            asked: false,
+            declined: Vec::new(),
+            adopted: false,
             new,
         }
     }
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -4,8 +4,8 @@
 use crate::event::Event;
 use crate::settings::PolicySettings;
 use crate::system::{
-    admit, check, config, demand, drain, early, expire, handover, health, key, limit, news, place,
-    share, shed,
+    admit, check, config, coordinate, demand, drain, early, expire, handover, health, key, limit,
+    news, place, share, shed,
 };
 use crate::table::Tables;
 use crate::time::Time;
@@ -64,6 +64,10 @@
             Event::PeerLost(name) => handover::peer_lost(t, &name),
             Event::PeersKnown(count) => t.known_peers = Some(count),
             Event::Fresh(at) => t.fresh_at = t.fresh_at.max(Some(at)),
+            Event::Coordinated(answers) => coordinate::set(t, now, answers),
+            Event::Granted(grant) => coordinate::granted(t, now, &grant, out),
+            Event::NotGranted(id, verdict) => coordinate::not_granted(t, now, id, verdict, out),
+            Event::Adopted(new, endpoint) => coordinate::adopt(t, now, new, &endpoint),
             Event::HandOver(e) => handover::news(t, now, &e, out),
             Event::Drain => t.draining = true,
             Event::Timer => {
@@ -86,6 +90,7 @@
         self.apply(now, event, out);
         let t = &mut self.tables;
         place::run(t, now, out);
+        coordinate::ask(t, out);
         shed::run(t, now, out);
         drain::run(t, now, out);
     }
--- a/crates/firdock-policy/src/settings.rs
+++ b/crates/firdock-policy/src/settings.rs
@@ -107,6 +107,9 @@
     pub max_keys: usize,
     /// Switches for measurements.
     pub mechanisms: Mechanisms,
+    /// Whether these tables place requests of other instances on engines (`docs/design/placement.md`):
+    /// limits and second tries are charged where a request came in.
+    pub coordinates: bool,
 }
 
 impl PolicySettings {
@@ -132,9 +135,19 @@
             key_keep: settings.keys.keep(),
             max_keys: settings.keys.max_keys,
             mechanisms: Mechanisms::ALL,
+            coordinates: false,
         }
     }
 
+    /// Makes the settings of a coordinator's tables from those of its instance.
+    #[must_use]
+    pub fn with_coordination(mut self) -> Self {
+        self.coordinates = true;
+        // Freshness is looked at where a request is sent.
+        self.fresh_limit = None;
+        self
+    }
+
     /// Lets account limits wait until it is known how many other instances there are.
     #[must_use]
     pub fn with_await_peers(mut self) -> Self {
--- a/crates/firdock-policy/src/system.rs
+++ b/crates/firdock-policy/src/system.rs
@@ -3,6 +3,7 @@
 pub mod admit;
 pub mod check;
 pub mod config;
+pub mod coordinate;
 pub mod demand;
 pub mod drain;
 pub mod early;
--- a/crates/firdock-policy/src/system/admit.rs
+++ b/crates/firdock-policy/src/system/admit.rs
@@ -16,15 +16,7 @@
 
 /// Takes a request that arrived.
 pub fn arrived(t: &mut Tables, now: Time, new: NewRequest, out: &mut Vec<Action>) {
-    let service = t
-        .services
-        .find(&new.service)
-        .filter(|s| t.services.get(*s).present);
-    let account = t
-        .accounts
-        .find(&new.account)
-        .filter(|a| t.accounts.get(*a).present);
-    let (Some(service), Some(account)) = (service, account) else {
+    let Some((service, account)) = in_force(t, &new) else {
         turn_away(t, &new, undeclared(&new), out);
         return;
     };
@@ -56,6 +48,14 @@
     }
 }
 
+/// Gives the rows of a request's service and account, if both are in force.
+pub fn in_force(t: &Tables, new: &NewRequest) -> Option<(usize, usize)> {
+    let service = t.services.find(&new.service)?;
+    let account = t.accounts.find(&new.account)?;
+    let present = t.services.get(service).present && t.accounts.get(account).present;
+    present.then_some((service, account))
+}
+
 /// Notes that a request that was taken in runs under its key.
 fn claim_key(t: &mut Tables, id: RequestId, claim: Option<KeyClaim>, minted: LogTime) {
     if let (Some(row), Some(claim)) = (t.requests.get_mut(id), claim) {
@@ -89,7 +89,15 @@
     out.push(end::final_word(new, verdict, Vec::new()));
 }
 
-fn insert(t: &mut Tables, now: Time, new: NewRequest, service: usize, account: usize, charge: f64) {
+/// Puts a request into the tables, as held.
+pub fn insert(
+    t: &mut Tables,
+    now: Time,
+    new: NewRequest,
+    service: usize,
+    account: usize,
+    charge: f64,
+) {
     let id = new.id;
     let s = t.services.get_mut(service);
     s.live += 1;
@@ -106,7 +114,9 @@
     a.live += 1;
     a.held += 1;
     let rank = request_rank(a.rank, s.tier.rank);
-    let row = RequestRow::new(now, new, service, account, rank).with_service(&s.declared, charge);
+    let arrived = now.saturating_sub(new.age);
+    let row = RequestRow::new(arrived, new, service, account, rank);
+    let row = row.with_service(&s.declared, charge);
     t.paces.note_arrival(row.pool_key(), rank);
     t.requests.insert(row);
 }
--- /dev/null
+++ b/crates/firdock-policy/src/system/coordinate.rs
@@ -0,0 +1,139 @@
+//! Coordination: one instance of each group places the requests of all of them on engines.
+//!
+//! An engine has a handful of places and instances are many, so that none of them alone knows what
+//! is free, how fast each engine is, or which request is the most urgent of all. The coordinator
+//! does. It keeps nothing that its members do not tell it again: where it falls silent, each
+//! instance places its requests by itself, within its own part of the places
+//! (`docs/design/placement.md`).
+
+use firdock_core::{EndpointId, Outcome, RequestId};
+
+use super::{admit, end, place, share};
+use crate::action::Action;
+use crate::event::Grant;
+use crate::request::{NewRequest, Phase, RequestRow, Verdict};
+use crate::table::Tables;
+use crate::time::Time;
+
+/// Takes it that a coordinator answers now, or that none does.
+pub fn set(t: &mut Tables, now: Time, answers: bool) {
+    t.coordinated = answers;
+    if !answers {
+        share::set_budgets(t, now);
+    }
+}
+
+/// Tells whether a held request waits for the coordinator to place it.
+pub fn waits(t: &Tables, row: &RequestRow) -> bool {
+    t.coordinated && goes_to_engine(t, row)
+}
+
+/// Tells whether a request goes to engines: all endpoints of a pool are of one kind.
+pub fn goes_to_engine(t: &Tables, row: &RequestRow) -> bool {
+    let rows = t.services.get(row.service).endpoints.iter();
+    let mut takers = rows
+        .map(|e| t.endpoints.get(*e))
+        .filter(|e| place::in_pool(row, e));
+    takers
+        .next()
+        .is_some_and(super::super::table::endpoint::EndpointRow::is_engine)
+}
+
+/// Asks the coordinator for places for the requests that have come to be held.
+pub fn ask(t: &mut Tables, out: &mut Vec<Action>) {
+    if !t.coordinated || t.requests.held() == 0 {
+        return;
+    }
+    let new = |r: &&RequestRow| r.phase == Phase::Held && !r.asked && goes_to_engine(t, r);
+    let ids: Vec<RequestId> = t.requests.iter().filter(new).map(|r| r.new.id).collect();
+    for id in ids {
+        if let Some(row) = t.requests.get_mut(id) {
+            row.asked = true;
+            out.push(Action::Ask { id });
+        }
+    }
+}
+
+/// Sends a request to the engine on which the coordinator gave it a place.
+///
+/// A place that comes twice is used once; one that cannot be used is given back.
+pub fn granted(t: &mut Tables, now: Time, grant: &Grant, out: &mut Vec<Action>) {
+    let endpoint = t.endpoints.find(&grant.endpoint);
+    let Some(row) = t.requests.get(grant.id) else {
+        out.push(Action::Decline(grant.clone()));
+        return;
+    };
+    if let Phase::Dispatching(at) | Phase::Running(at) = row.phase {
+        if endpoint != Some(at) {
+            out.push(Action::Decline(grant.clone()));
+        }
+        return;
+    }
+    let usable = endpoint.filter(|at| may_use(t, now, row, *at));
+    if let Some(at) = usable.filter(|_| row.phase == Phase::Held) {
+        if place::may_send(t, now, grant.id, out) {
+            place::send_to(t, now, grant.id, at, out);
+            return;
+        }
+    } else if let Some(row) = t.requests.get_mut(grant.id) {
+        row.declined.push(grant.endpoint.clone());
+        row.asked = false;
+    }
+    out.push(Action::Decline(grant.clone()));
+}
+
+/// Tells whether a request may go to an engine at all; whether it is well, the coordinator knows.
+fn may_use(t: &Tables, now: Time, row: &RequestRow, at: usize) -> bool {
+    let e = t.endpoints.get(at);
+    let serves = t.services.get(row.service).endpoints.contains(&at) && place::in_pool(row, e);
+    serves && e.present && !e.leaving(now) && !row.tried.contains(&e.declared.name)
+}
+
+/// Gives a request up that the coordinator will not place in time.
+///
+/// It stays held while a request of a lower tier is, which the coordinator may not know of.
+pub fn not_granted(
+    t: &mut Tables,
+    now: Time,
+    id: RequestId,
+    verdict: Verdict,
+    out: &mut Vec<Action>,
+) {
+    let Some(row) = t.requests.get(id).filter(|r| r.phase == Phase::Held) else {
+        return;
+    };
+    if t.requests.holds_below(row.rank) {
+        return;
+    }
+    let service = row.service;
+    let outcome = if row.may_have_run() {
+        Outcome::Unknown
+    } else {
+        Outcome::NotRun
+    };
+    end::count_shed(t, service);
+    end::answer(t, now, id, Verdict { outcome, ..verdict }, out);
+}
+
+/// Takes a request into a coordinator's tables that a member already runs.
+pub fn adopt(t: &mut Tables, now: Time, new: NewRequest, endpoint: &EndpointId) {
+    let Some(at) = t.endpoints.find(endpoint) else {
+        return;
+    };
+    let known = t.requests.get(new.id).is_some();
+    let Some((service, account)) = admit::in_force(t, &new).filter(|_| !known) else {
+        return;
+    };
+    let id = new.id;
+    admit::insert(t, now, new, service, account, 0.0);
+    end::set_phase(t, id, Phase::Running(at), false);
+    t.endpoints.get_mut(at).running += 1;
+    if let Some(row) = t.requests.get_mut(id) {
+        row.dispatch = 1;
+        row.runs = 1;
+        row.dispatched = now;
+        row.first = Some(now);
+        row.adopted = true;
+        row.tried.push(endpoint.clone());
+    }
+}
--- a/crates/firdock-policy/src/system/early.rs
+++ b/crates/firdock-policy/src/system/early.rs
@@ -7,7 +7,7 @@
 
 use firdock_core::{Reason, RequestId, TierRank};
 
-use super::shed;
+use super::{coordinate, shed};
 use crate::action::Action;
 use crate::request::{Phase, RequestRow};
 use crate::table::Tables;
@@ -28,7 +28,8 @@
     }
     let mut hopeless: Vec<(TierRank, RequestId)> = Vec::new();
     let mut ahead: HashMap<&str, u32> = HashMap::new();
-    let waits = |r: &&RequestRow| r.phase == Phase::Held && !r.may_have_run();
+    let waits =
+        |r: &&RequestRow| r.phase == Phase::Held && !r.may_have_run() && !coordinate::waits(t, r);
     let mut held: Vec<&RequestRow> = t.requests.iter().filter(waits).collect();
     held.sort_by_key(|r| (r.rank, r.arrived));
     for row in held {
--- a/crates/firdock-policy/src/system/end.rs
+++ b/crates/firdock-policy/src/system/end.rs
@@ -36,6 +36,9 @@
             queue.push_back(account, id);
         }
         t.accounts.get_mut(account).held += 1;
+        if let Some(row) = t.requests.get_mut(id) {
+            row.asked = false;
+        }
     }
     leave_place(t, id, old, phase);
     t.requests.set_phase(id, phase);
--- a/crates/firdock-policy/src/system/limit.rs
+++ b/crates/firdock-policy/src/system/limit.rs
@@ -22,6 +22,9 @@
 
 /// Charges a request to its account's limit and gives the charge; `None` if there was no room.
 pub fn take(t: &mut Tables, now: Time, account: usize, new: &NewRequest) -> Option<f64> {
+    if t.settings.coordinates {
+        return Some(0.0);
+    }
     let part = part_of_limits(t, now);
     let Some(bucket) = &mut t.accounts.get_mut(account).bucket else {
         return Some(0.0);
--- a/crates/firdock-policy/src/system/news.rs
+++ b/crates/firdock-policy/src/system/news.rs
@@ -76,10 +76,16 @@
     unreachable: bool,
     out: &mut Vec<Action>,
 ) {
+    if unreachable {
+        health::eject(t, now, at);
+    }
+    if t.settings.coordinates {
+        end::finish(t, now, id, Outcome::NotRun);
+        return;
+    }
     end::set_phase(t, id, Phase::Held, true);
     take_back_run(t, id);
     if unreachable {
-        health::eject(t, now, at);
         return;
     }
     let shared = t.settings.retry_slack.is_some();
@@ -103,6 +109,10 @@
 }
 
 fn lapsed(t: &mut Tables, now: Time, id: RequestId, out: &mut Vec<Action>) {
+    if t.settings.coordinates {
+        end::finish(t, now, id, Outcome::NotRun);
+        return;
+    }
     end::set_phase(t, id, Phase::Held, true);
     take_back_run(t, id);
     let Some(row) = t.requests.get_mut(id) else {
@@ -167,7 +177,7 @@
     let service = row.service;
     let first = row.first.unwrap_or(now);
     let fresh = output.saturating_sub(1);
-    if prompt > 0 && row.tried.len() == 1 {
+    if prompt > 0 && row.tried.len() == 1 && !row.adopted {
         t.endpoints
             .get_mut(at)
             .learn_tokens(fresh, now.saturating_sub(first));
@@ -189,6 +199,10 @@
 ) {
     end::count_waste(t, id, WasteCause::EndpointLost);
     health::broke(t, now, at);
+    if t.settings.coordinates {
+        end::finish(t, now, id, Outcome::Unknown);
+        return;
+    }
     if may_go_on(t, id, at) {
         let most = t.most_retries();
         if let Some(row) = t.requests.get(id) {
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -5,7 +5,7 @@
 use firdock_core::resource::Tier;
 use firdock_core::{Reason, RequestId, TierRank};
 
-use super::{end, key};
+use super::{coordinate, end, key};
 use crate::action::{Action, Dispatch};
 use crate::cost::{self, Estimate};
 use crate::request::{Phase, RequestRow};
@@ -84,22 +84,17 @@
         let Some(row) = t.requests.get(id) else {
             continue;
         };
-        let confirm_by = key::confirm_by(t, row);
-        if confirm_by.is_some_and(|until| until <= now) {
-            end::answer(t, now, id, key::unconfirmed_verdict(), out);
-            return true;
+        if coordinate::waits(t, row) {
+            continue;
         }
-        let fresh_by = fresh_by(t, row);
-        if fresh_by.is_some_and(|until| until <= now) {
-            end::give_up(t, now, id, Reason::StateStale, out);
+        if !may_send(t, now, id, out) {
             return true;
         }
-        let confirm_by = [confirm_by, fresh_by].into_iter().flatten().min();
+        let Some(row) = t.requests.get(id) else {
+            continue;
+        };
         match choose(t, now, row) {
             Placement::On(choice) => {
-                if let Some(row) = t.requests.get_mut(id) {
-                    row.confirm_by = confirm_by;
-                }
                 dispatch(t, now, id, choice, out);
                 return true;
             }
@@ -116,6 +111,39 @@
     false
 }
 
+/// Notes until when a request may be sent, by its key and by the configuration in force; gives it up
+/// where that time has passed.
+pub fn may_send(t: &mut Tables, now: Time, id: RequestId, out: &mut Vec<Action>) -> bool {
+    let Some(row) = t.requests.get(id) else {
+        return false;
+    };
+    let confirm_by = key::confirm_by(t, row);
+    let fresh_by = fresh_by(t, row);
+    if confirm_by.is_some_and(|until| until <= now) {
+        end::answer(t, now, id, key::unconfirmed_verdict(), out);
+        return false;
+    }
+    if fresh_by.is_some_and(|until| until <= now) {
+        end::give_up(t, now, id, Reason::StateStale, out);
+        return false;
+    }
+    if let Some(row) = t.requests.get_mut(id) {
+        row.confirm_by = [confirm_by, fresh_by].into_iter().flatten().min();
+    }
+    true
+}
+
+/// Sends a request to an endpoint that was chosen elsewhere.
+pub fn send_to(t: &mut Tables, now: Time, id: RequestId, endpoint: usize, out: &mut Vec<Action>) {
+    let Some(row) = t.requests.get(id) else {
+        return;
+    };
+    let service = t.services.get(row.service);
+    let e = t.endpoints.get(endpoint);
+    let estimate = cost::estimate(now, t.settings.mechanisms, row, service, e);
+    dispatch(t, now, id, Choice { endpoint, estimate }, out);
+}
+
 /// Gives until when a request may be sent by the configuration in force.
 ///
 /// Only a key can be taken away from a caller, so that public services go on.
@@ -134,7 +162,7 @@
 }
 
 /// Tells whether an endpoint belongs to the pool that the request goes to.
-fn in_pool(row: &RequestRow, e: &EndpointRow) -> bool {
+pub fn in_pool(row: &RequestRow, e: &EndpointRow) -> bool {
     row.pool
         .as_ref()
         .is_none_or(|pool| *pool == e.declared.pool)
@@ -170,10 +198,15 @@
 fn best_of(t: &Tables, now: Time, row: &RequestRow, endpoints: &[usize]) -> Option<Choice> {
     let service = t.services.get(row.service);
     let on = t.settings.mechanisms;
+    let zone = if row.new.zone.is_empty() {
+        &t.settings.zone
+    } else {
+        &row.new.zone
+    };
     let choices = endpoints.iter().map(|e| {
         let e_row = t.endpoints.get(*e);
         let mut estimate = cost::estimate(now, on, row, service, e_row);
-        estimate.score += cost::far_secs(on, &t.settings.zone, e_row);
+        estimate.score += cost::far_secs(on, zone, e_row);
         Choice {
             endpoint: *e,
             estimate,
--- a/crates/firdock-policy/src/system/share.rs
+++ b/crates/firdock-policy/src/system/share.rs
@@ -1,5 +1,7 @@
 //! Budgets: each endpoint's slots are split among the instances by their demand.
 
+mod group;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -28,6 +30,10 @@
 
 /// Sets this instance's budget on every endpoint.
 pub fn set_budgets(t: &mut Tables, now: Time) {
+    if t.settings.coordinates {
+        group::set_budgets(t, now);
+        return;
+    }
     let sharers = Sharers::new(t, now);
     let shared: Vec<(usize, &EndpointRow, Vec<f64>)> = t
         .endpoints
@@ -47,7 +53,9 @@
 /// Sets the budgets again if they have not been set for a while: between instances, they change no
 /// faster than demand is told.
 pub fn refresh_budgets(t: &mut Tables, now: Time) {
-    if t.budgets_set + BUDGET_PERIOD <= now {
+    let due = t.budgets_set + BUDGET_PERIOD <= now;
+    // What a coordinator places needs no budgets here.
+    if due && !t.coordinated {
         t.budgets_set = now;
         set_budgets(t, now);
     }
@@ -137,19 +145,36 @@
     /// to the instances with the greatest numbers that are drawn from the names and weighted by
     /// what they still lack, those nearby first. All instances draw alike, without talking.
     fn whole_places(&self, shares: &[f64], places: f64, e: &EndpointRow) -> u32 {
-        let whole = |share: f64| (places * share).floor();
-        let left = places - shares.iter().map(|s| whole(*s)).sum::<f64>();
-        let key = rendezvous::hash_key(e.declared.name.as_bytes());
-        let draw = |(row, share): (&Sharer, &f64)| {
-            let lacks = places * share - whole(*share);
-            let near = row.zone == e.declared.zone;
-            let weight = lacks * if near { NEAR_WEIGHT } else { 1.0 };
-            let number = rendezvous::weight(key, &row.name) as f64 / u64::MAX as f64;
-            -weight / number.clamp(f64::MIN_POSITIVE, 1.0 - f64::EPSILON).ln()
-        };
-        let draws: Vec<f64> = self.rows.iter().zip(shares).map(draw).collect();
-        let before = draws.iter().filter(|d| **d > draws[0]).count();
-        let extra = (before as f64) < left.round();
-        whole(shares[0]) as u32 + u32::from(extra)
+        let names = self.rows.iter().map(|r| (r.name.as_str(), r.zone.as_str()));
+        let parts = names.zip(shares.iter().copied());
+        whole_places(parts, 0, places, e)
+    }
+}
+
+/// Gives the sharer at `own` whole places of an endpoint, by all sharers' names, availability zones
+/// and shares.
+fn whole_places<'a>(
+    parts: impl Iterator<Item = ((&'a str, &'a str), f64)>,
+    own: usize,
+    places: f64,
+    e: &EndpointRow,
+) -> u32 {
+    let key = rendezvous::hash_key(e.declared.name.as_bytes());
+    let mut left = places;
+    let mut draws = Vec::new();
+    let mut own_whole = 0.0;
+    for (at, ((name, zone), share)) in parts.enumerate() {
+        let whole = (places * share).floor();
+        left -= whole;
+        if at == own {
+            own_whole = whole;
+        }
+        let near = zone == e.declared.zone;
+        let weight = (places * share - whole) * if near { NEAR_WEIGHT } else { 1.0 };
+        let number = rendezvous::weight(key, name) as f64 / u64::MAX as f64;
+        draws.push(-weight / number.clamp(f64::MIN_POSITIVE, 1.0 - f64::EPSILON).ln());
     }
+    let before = draws.iter().filter(|d| **d > draws[own]).count();
+    let extra = (before as f64) < left.round();
+    own_whole as u32 + u32::from(extra)
 }
--- /dev/null
+++ b/crates/firdock-policy/src/system/share/group.rs
@@ -0,0 +1,163 @@
+//! Budgets of a coordinator: engines are shared by the groups of instances.
+//!
+//! Each group has a right to the part of a pool that its demand is of the whole. It takes that from
+//! the engines of its own availability zone first, and what is missing there from those that other
+//! groups leave, so that few requests cross zones and no place stays unused.
+
+use std::collections::BTreeMap;
+
+use firdock_core::{PoolId, ZoneId};
+
+use super::whole_places;
+use crate::system::demand::on_endpoint;
+use crate::table::Tables;
+use crate::table::endpoint::EndpointRow;
+use crate::time::Time;
+
+/// Demand a second of a group that is not told any: it may begin to have some.
+const LEAST_DEMAND: f64 = 0.1;
+
+/// Sets the group's budget on every endpoint.
+pub fn set_budgets(t: &mut Tables, now: Time) {
+    let zones = zones(t, now);
+    let own = zones.keys().position(|zone| *zone == t.settings.zone);
+    let shared = own.filter(|_| !t.is_small_site());
+    let budgets: Vec<(usize, u32)> = match shared {
+        Some(own) => shared_budgets(t, &zones, own),
+        None => t
+            .endpoints
+            .iter()
+            .map(|(at, e)| (at, e.declared.slots))
+            .collect(),
+    };
+    for (at, budget) in budgets {
+        t.endpoints.get_mut(at).budget = budget;
+    }
+}
+
+/// Demand by pool of the instances of each availability zone.
+type Zones = BTreeMap<ZoneId, BTreeMap<PoolId, f64>>;
+
+/// Gives the demand of each availability zone whose instances are heard; the own one is among them.
+fn zones(t: &Tables, now: Time) -> Zones {
+    let stale = t.peer_stale();
+    let mut zones = Zones::new();
+    zones.entry(t.settings.zone.clone()).or_default();
+    let heard = t
+        .peers
+        .iter()
+        .filter(|(_, p)| p.heard + stale > now && !p.draining);
+    for (_, peer) in heard {
+        let zone = zones.entry(peer.zone.clone()).or_default();
+        for (pool, rate) in &peer.demand {
+            *zone.entry(pool.clone()).or_default() += rate;
+        }
+    }
+    zones
+}
+
+/// Gives the own group's places on every endpoint.
+fn shared_budgets(t: &Tables, zones: &Zones, own: usize) -> Vec<(usize, u32)> {
+    let mut pools: BTreeMap<&str, Vec<(usize, &EndpointRow)>> = BTreeMap::new();
+    for (at, e) in t.endpoints.iter() {
+        pools.entry(&e.declared.pool).or_default().push((at, e));
+    }
+    let mut budgets = Vec::new();
+    for endpoints in pools.values() {
+        let split = Split::new(zones, endpoints);
+        for (at, e) in endpoints {
+            let names = zones.keys().map(|zone| (zone.as_str(), zone.as_str()));
+            let parts = names.zip(split.shares(&e.declared.zone));
+            let places = f64::from(e.declared.slots);
+            budgets.push((*at, whole_places(parts, own, places, e)));
+        }
+    }
+    budgets
+}
+
+/// How the groups share the engines of one pool; rows are in the order of their zones' names.
+#[derive(Debug)]
+struct Split {
+    rows: Vec<Row>,
+    /// Places in zones without instances of ours.
+    elsewhere: f64,
+}
+
+/// One group's part.
+#[derive(Debug)]
+struct Row {
+    zone: ZoneId,
+    /// Places in its zone.
+    capacity: f64,
+    /// Places in its zone that it takes.
+    own: f64,
+    /// Places that it takes elsewhere.
+    lacks: f64,
+}
+
+impl Row {
+    fn left(&self) -> f64 {
+        self.capacity - self.own
+    }
+}
+
+impl Split {
+    fn new(zones: &Zones, endpoints: &[(usize, &EndpointRow)]) -> Self {
+        let open = |e: &EndpointRow| e.present && !e.declared.leaving;
+        let slots = |zone: &str| -> f64 {
+            let here = endpoints
+                .iter()
+                .filter(|(_, e)| open(e) && e.declared.zone == zone);
+            here.map(|(_, e)| f64::from(e.declared.slots)).sum()
+        };
+        let all: f64 = endpoints
+            .iter()
+            .filter(|(_, e)| open(e))
+            .map(|(_, e)| f64::from(e.declared.slots))
+            .sum();
+        let demand = |rates: &BTreeMap<PoolId, f64>| match endpoints.first() {
+            Some((_, e)) => on_endpoint(rates, e).max(LEAST_DEMAND),
+            None => LEAST_DEMAND,
+        };
+        let total: f64 = zones.values().map(demand).sum();
+        let row = |(zone, rates): (&ZoneId, &BTreeMap<PoolId, f64>)| {
+            let capacity = slots(zone);
+            let right = all * demand(rates) / total;
+            let own = right.min(capacity);
+            Row {
+                zone: zone.clone(),
+                capacity,
+                own,
+                lacks: right - own,
+            }
+        };
+        let rows: Vec<Row> = zones.iter().map(row).collect();
+        let known: f64 = rows.iter().map(|r| r.capacity).sum();
+        Self {
+            rows,
+            elsewhere: (all - known).max(0.0),
+        }
+    }
+
+    /// Gives each group's share of the engines in a zone, from 0 to 1.
+    fn shares(&self, zone: &str) -> Vec<f64> {
+        let left: f64 = self.rows.iter().map(Row::left).sum::<f64>() + self.elsewhere;
+        let lacking: f64 = self.rows.iter().map(|r| r.lacks).sum();
+        let here = self.rows.iter().find(|r| r.zone == zone);
+        let free = here.map_or(1.0, |r| r.left() / r.capacity.max(1.0));
+        let share = |r: &Row| {
+            let own = if r.zone == zone {
+                r.own / r.capacity.max(1.0)
+            } else {
+                0.0
+            };
+            let taken = if left > 0.0 && lacking > 0.0 {
+                free * r.lacks / lacking
+            } else {
+                0.0
+            };
+            own + taken
+        };
+        self.rows.iter().map(share).collect()
+    }
+}
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -21,6 +21,8 @@
 use crate::stats::Stats;
 use crate::time::Time;
 
+/// Instances up to which all of them are one group; of more, each availability zone is one.
+pub const SMALL_SITE: usize = 16;
 /// Peers up to which heartbeats come at their full pace (see `docs/design/peers.md`).
 const PEERS_AT_PACE: usize = 16;
 
@@ -67,6 +69,8 @@
     pub known_peers: Option<usize>,
     /// When the configuration in force was last known to be the newest.
     pub fresh_at: Option<Time>,
+    /// Whether a coordinator places this instance's requests on engines.
+    pub coordinated: bool,
     /// Counters.
     pub stats: Stats,
 }
@@ -78,6 +82,12 @@
         self.known_peers.unwrap_or(0).max(self.peers.len())
     }
 
+    /// Tells whether instances are so few that all of them are one group.
+    #[must_use]
+    pub fn is_small_site(&self) -> bool {
+        self.known_peers.unwrap_or(self.peers.len()) < SMALL_SITE
+    }
+
     /// Gives the most second tries that the budget of one pool saves up.
     #[must_use]
     pub fn most_retries(&self) -> f64 {
@@ -123,6 +133,7 @@
             retries: retry::Retries::new(),
             known_peers: None,
             fresh_at: None,
+            coordinated: false,
             stats: Stats::default(),
         }
     }
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -98,7 +98,7 @@
 /// One datagram between instances that know each other by address alone.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Datagram {
-    #[prost(oneof = "datagram::Body", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "datagram::Body", tags = "1, 2, 3, 4, 5, 6")]
     pub body: ::core::option::Option<datagram::Body>,
 }
 /// Nested message and enum types in `Datagram`.
@@ -113,6 +113,10 @@
         ClockAnswer(super::ClockAnswer),
         #[prost(message, tag = "4")]
         EntryChanges(super::EntryChanges),
+        #[prost(message, tag = "5")]
+        PlacementReport(super::PlacementReport),
+        #[prost(message, tag = "6")]
+        PlacementReply(super::PlacementReply),
     }
 }
 /// Asks for the receiver's clock.
@@ -360,6 +364,120 @@
     #[prost(uint64, tag = "3")]
     pub view: u64,
 }
+/// What a member tells the coordinator of its group.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PlacementReport {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    /// 16 bytes: the start of the sender.
+    #[prost(bytes = "vec", tag = "2")]
+    pub incarnation: ::prost::alloc::vec::Vec<u8>,
+    #[prost(string, tag = "3")]
+    pub zone: ::prost::alloc::string::String,
+    /// Counts the sender's reports.
+    #[prost(uint64, tag = "4")]
+    pub number: u64,
+    /// Whether it tells of every request of the sender's, and is answered in any case.
+    #[prost(bool, tag = "5")]
+    pub whole: bool,
+    /// Requests that wait for a place.
+    #[prost(message, repeated, tag = "6")]
+    pub waiting: ::prost::alloc::vec::Vec<PlacementRequest>,
+    /// Requests that run.
+    #[prost(message, repeated, tag = "7")]
+    pub running: ::prost::alloc::vec::Vec<PlacementRun>,
+    /// What became of requests since the last report.
+    #[prost(message, repeated, tag = "8")]
+    pub news: ::prost::alloc::vec::Vec<PlacementNews>,
+}
+/// A request as far as its placement needs it.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PlacementRequest {
+    /// 16 bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub request_id: ::prost::alloc::vec::Vec<u8>,
+    /// Counts the places that the request was given or waits for.
+    #[prost(uint32, tag = "2")]
+    pub attempt: u32,
+    #[prost(string, tag = "3")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "4")]
+    pub account: ::prost::alloc::string::String,
+    /// Drawn evenly, and picks the pool of a service that splits its requests.
+    #[prost(uint32, tag = "5")]
+    pub draw: u32,
+    #[prost(uint32, tag = "6")]
+    pub prompt_tokens: u32,
+    #[prost(uint32, tag = "7")]
+    pub output_tokens: u32,
+    /// How long it has been held.
+    #[prost(uint64, tag = "8")]
+    pub age_millis: u64,
+    /// Time that its caller will wait.
+    #[prost(uint64, optional, tag = "9")]
+    pub left_millis: ::core::option::Option<u64>,
+    /// Endpoints that it must not go to.
+    #[prost(string, repeated, tag = "10")]
+    pub avoid: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PlacementRun {
+    #[prost(message, optional, tag = "1")]
+    pub request: ::core::option::Option<PlacementRequest>,
+    #[prost(string, tag = "2")]
+    pub endpoint: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PlacementNews {
+    /// 16 bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub request_id: ::prost::alloc::vec::Vec<u8>,
+    #[prost(uint32, tag = "2")]
+    pub attempt: u32,
+    #[prost(enumeration = "PlacementCourse", tag = "3")]
+    pub course: i32,
+    /// Tokens of the prompt and of the answer, at its end.
+    #[prost(uint32, tag = "4")]
+    pub prompt_tokens: u32,
+    #[prost(uint32, tag = "5")]
+    pub output_tokens: u32,
+}
+/// What the coordinator answers.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PlacementReply {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    /// Number of the last whole report that was taken.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub placements: ::prost::alloc::vec::Vec<Placement>,
+    #[prost(message, repeated, tag = "4")]
+    pub refusals: ::prost::alloc::vec::Vec<PlacementRefusal>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Placement {
+    /// 16 bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub request_id: ::prost::alloc::vec::Vec<u8>,
+    #[prost(uint32, tag = "2")]
+    pub attempt: u32,
+    #[prost(string, tag = "3")]
+    pub endpoint: ::prost::alloc::string::String,
+}
+/// The request will not be placed in time.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PlacementRefusal {
+    /// 16 bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub request_id: ::prost::alloc::vec::Vec<u8>,
+    #[prost(uint32, tag = "2")]
+    pub attempt: u32,
+    #[prost(string, tag = "3")]
+    pub reason: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "4")]
+    pub retry_millis: u64,
+}
 /// Why a request is handed over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
@@ -393,3 +511,50 @@
         }
     }
 }
+/// What became of a request that was given a place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum PlacementCourse {
+    Unspecified = 0,
+    /// The first token came.
+    Began = 1,
+    Ended = 2,
+    /// The connection broke, or the endpoint failed.
+    Broke = 3,
+    /// The endpoint refused it.
+    Refused = 4,
+    /// The endpoint was not reached.
+    Unreachable = 5,
+    /// It was not sent, or its caller left.
+    Dropped = 6,
+}
+impl PlacementCourse {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "PLACEMENT_COURSE_UNSPECIFIED",
+            Self::Began => "PLACEMENT_COURSE_BEGAN",
+            Self::Ended => "PLACEMENT_COURSE_ENDED",
+            Self::Broke => "PLACEMENT_COURSE_BROKE",
+            Self::Refused => "PLACEMENT_COURSE_REFUSED",
+            Self::Unreachable => "PLACEMENT_COURSE_UNREACHABLE",
+            Self::Dropped => "PLACEMENT_COURSE_DROPPED",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "PLACEMENT_COURSE_UNSPECIFIED" => Some(Self::Unspecified),
+            "PLACEMENT_COURSE_BEGAN" => Some(Self::Began),
+            "PLACEMENT_COURSE_ENDED" => Some(Self::Ended),
+            "PLACEMENT_COURSE_BROKE" => Some(Self::Broke),
+            "PLACEMENT_COURSE_REFUSED" => Some(Self::Refused),
+            "PLACEMENT_COURSE_UNREACHABLE" => Some(Self::Unreachable),
+            "PLACEMENT_COURSE_DROPPED" => Some(Self::Dropped),
+            _ => None,
+        }
+    }
+}
