--- a/crates/firdock-node/src/placement/codec.rs
+++ b/crates/firdock-node/src/placement/codec.rs
@@ -140,7 +140,9 @@
     }
 }
 
-fn read_wanted(told: message::PlacementRequest) -> Option<Wanted> {
+fn read_wanted(mut told: message::PlacementRequest) -> Option<Wanted> {
+    told.avoid.sort_unstable();
+    told.avoid.dedup();
     let new = NewRequest {
         id: read_id(&told.request_id)?,
         service: told.service,
--- a/crates/firdock-node/src/placement/member.rs
+++ b/crates/firdock-node/src/placement/member.rs
@@ -1,6 +1,6 @@
 //! A member's side: whom it asks, what it tells, and when it gives the coordinator up.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -308,11 +308,11 @@
             id: new.id,
             service: new.service.clone(),
             account: new.account.clone(),
-            prompt_tokens: new.prompt_tokens + row.delivered,
+            prompt_tokens: new.prompt_tokens.saturating_add(row.delivered),
             output_tokens: new.output_tokens,
             draw: new.draw,
             age: now.saturating_sub(row.arrived),
-            tried: row.tried.iter().chain(&row.declined).cloned().collect(),
+            tried: avoided(row),
             ..NewRequest::default()
         },
         attempt,
@@ -320,6 +320,12 @@
     }
 }
 
+/// Gives the engines that a request must not go to, each once.
+fn avoided(row: &RequestRow) -> Vec<EndpointId> {
+    let all: BTreeSet<&EndpointId> = row.tried.iter().chain(&row.declined).collect();
+    all.into_iter().cloned().collect()
+}
+
 fn granted(placed: Placed) -> Event {
     Event::Granted(Grant {
         id: placed.id,
--- a/crates/firdock-policy/src/system/coordinate.rs
+++ b/crates/firdock-policy/src/system/coordinate.rs
@@ -134,6 +134,8 @@
         row.dispatched = now;
         row.first = Some(now);
         row.adopted = true;
-        row.tried.push(endpoint.clone());
+        if !row.tried.contains(endpoint) {
+            row.tried.push(endpoint.clone());
+        }
     }
 }
