Test placement by coordinators, in the policy, in the random run and between members

A near zone's instances are not drawn sooner for places that groups share: they have taken their own before, and the draw gave a group with three times the demand 12 of 30 places instead of 15 (test: a_group_with_more_demand_takes_what_another_leaves).

--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -538,10 +538,9 @@
 /// Gives the request that an event is about.
 fn subject(event: &Event) -> Option<RequestId> {
     match event {
-        Event::CallerLeft(id) => Some(*id),
+        Event::CallerLeft(id) | Event::NotGranted(id, _) => Some(*id),
         Event::Endpoint(e) => Some(e.id),
         Event::Granted(grant) => Some(grant.id),
-        Event::NotGranted(id, _) => Some(*id),
         Event::HandOver(e) => Some(match e {
             HandOverEvent::Refused(r) => r.id,
             HandOverEvent::Started(id)
--- a/crates/firdock-node/src/peer/datagram.rs
+++ b/crates/firdock-node/src/peer/datagram.rs
@@ -17,6 +17,7 @@
 const MAX_ACCOUNTS: usize = 256;
 
 /// Writes a datagram and seals it.
+#[must_use]
 pub fn seal(key: &[u8], body: datagram::Body) -> Vec<u8> {
     let content = Datagram { body: Some(body) }.encode_to_vec();
     auth::seal(key, &content)
--- a/crates/firdock-node/src/placement/member.rs
+++ b/crates/firdock-node/src/placement/member.rs
@@ -7,7 +7,7 @@
 
 use firdock_core::{EndpointId, InstanceId, RequestId, ZoneId};
 use firdock_policy::event::{DispatchNews, EndpointEvent, Grant, Member};
-use firdock_policy::request::{Phase, RequestRow};
+use firdock_policy::request::{Phase, Placing, RequestRow};
 use firdock_policy::table::Tables;
 use firdock_policy::{Event, NewRequest, Time, Verdict};
 use slog::{Logger, info};
@@ -131,7 +131,7 @@
         } else {
             row.dispatch
         };
-        if row.asked || on_engine(t, row) {
+        if row.placing == Placing::Asked || on_engine(t, row) {
             self.tell(id, attempt, Course::Dropped);
         }
     }
@@ -233,7 +233,7 @@
     /// Gives a report of everything, if one is due.
     pub fn report_all(&mut self, now: Time, t: &Tables) -> Option<Report> {
         self.lead.as_ref()?;
-        let waits = |r: &&RequestRow| r.phase == Phase::Held && r.asked;
+        let waits = |r: &&RequestRow| r.phase == Phase::Held && r.placing == Placing::Asked;
         let pause = if t.requests.iter().any(|r| waits(&r)) {
             WAITING_PAUSE
         } else {
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -2,6 +2,7 @@
 
 mod lines;
 mod peers;
+mod placement;
 mod relay;
 
 use bytes::Bytes;
--- a/crates/firdock-node/tests/node/peers.rs
+++ b/crates/firdock-node/tests/node/peers.rs
@@ -130,7 +130,7 @@
     let (inputs, events) = mpsc::channel(64);
     let (sender, receiver) = watch::channel(news(4));
     let beacons = Beacons {
-        socket,
+        socket: Arc::new(socket),
         member: Member {
             name: name.to_owned(),
             incarnation: Uuid::now_v7(),
--- /dev/null
+++ b/crates/firdock-node/tests/node/placement.rs
@@ -0,0 +1,392 @@
+//! Members and their coordinator: words that are lost, members that fall silent, a new coordinator.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use firdock_core::RequestId;
+use firdock_core::resource::{Account, Catalog, Endpoint, PoolWeight, Resource, Service, Tier};
+use firdock_core::settings::Settings;
+use firdock_node::peer::PeerBook;
+use firdock_node::placement::{
+    Coordinator, Course, Membership, News, Report, Wanted, read_reply, read_report, write_reply,
+    write_report,
+};
+use firdock_node::telemetry::silent;
+use firdock_policy::event::Member;
+use firdock_policy::{
+    Action, Event, Mechanisms, NewRequest, Policy as _, PolicySettings, Scheduler, Time,
+};
+use proptest::prelude::*;
+use uuid::Uuid;
+
+fn millis(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn id(n: u64) -> RequestId {
+    Uuid::from_u64_pair(1, n)
+}
+
+fn policy() -> PolicySettings {
+    PolicySettings::new(&Settings::default(), Uuid::from_u128(1)).with_mechanisms(Mechanisms::EDGE)
+}
+
+/// One engine of two places.
+fn catalog() -> Event {
+    let service = Service {
+        name: "service".to_owned(),
+        tier: "tier".to_owned(),
+        matches: "/service".to_owned(),
+        split: vec![PoolWeight {
+            pool: "pool".to_owned(),
+            weight: 1,
+        }],
+        ..Service::default()
+    };
+    let resources = vec![
+        Resource::Tier(Tier {
+            name: "tier".to_owned(),
+            ..Tier::default()
+        }),
+        Resource::Account(Account {
+            name: "account".to_owned(),
+            ..Account::default()
+        }),
+        Resource::Service(service),
+        Resource::Endpoint(Endpoint {
+            name: "engine".to_owned(),
+            pool: "pool".to_owned(),
+            slots: 2,
+            ..Endpoint::default()
+        }),
+    ];
+    Event::Config(Arc::new(Catalog::new(1).with_resources(resources)))
+}
+
+fn coordinator(now: Time) -> Coordinator {
+    let mut coordinator = Coordinator::new(Scheduler::new(policy().with_coordination()));
+    coordinator.observe(now, catalog());
+    coordinator
+}
+
+fn new(n: u64) -> NewRequest {
+    NewRequest {
+        id: id(n),
+        service: "service".to_owned(),
+        account: "account".to_owned(),
+        prompt_tokens: 10,
+        output_tokens: 10,
+        ..NewRequest::default()
+    }
+}
+
+fn wanted(n: u64) -> Wanted {
+    Wanted {
+        new: new(n),
+        attempt: 1,
+        left: None,
+    }
+}
+
+fn report(name: &str) -> Report {
+    Report {
+        instance: name.to_owned(),
+        incarnation: Uuid::from_u128(5),
+        zone: "zone".to_owned(),
+        number: 1,
+        whole: false,
+        waiting: Vec::new(),
+        running: Vec::new(),
+        news: Vec::new(),
+    }
+}
+
+fn asking(name: &str, ids: &[u64]) -> Report {
+    Report {
+        waiting: ids.iter().map(|n| wanted(*n)).collect(),
+        ..report(name)
+    }
+}
+
+/// Ids of the requests that were given places.
+fn placed(coordinator: &mut Coordinator) -> Vec<RequestId> {
+    let replies = coordinator.replies();
+    replies
+        .into_iter()
+        .flat_map(|(_, reply)| reply.placed)
+        .map(|p| p.id)
+        .collect()
+}
+
+#[test]
+fn a_place_whose_word_was_lost_is_told_again() {
+    let now = millis(1_000);
+    let mut c = coordinator(now);
+    c.take(now, asking("a", &[1]), None);
+    assert_eq!(placed(&mut c), vec![id(1)]);
+    let whole = Report {
+        whole: true,
+        ..asking("a", &[1])
+    };
+    c.take(now + millis(100), whole, None);
+    assert_eq!(placed(&mut c), vec![id(1)]);
+    // It took one place all the same.
+    c.take(now + millis(110), asking("b", &[2, 3]), None);
+    assert_eq!(placed(&mut c), vec![id(2)]);
+}
+
+#[test]
+fn a_silent_members_places_are_free_again() {
+    let now = millis(1_000);
+    let mut c = coordinator(now);
+    c.take(now, asking("a", &[1, 2]), None);
+    c.take(now, asking("b", &[3]), None);
+    placed(&mut c);
+    for n in 1..=12 {
+        let later = now + millis(100 * n);
+        let whole = Report {
+            whole: true,
+            ..asking("b", &[3])
+        };
+        c.take(later, whole, None);
+        c.tick(later);
+    }
+    assert!(placed(&mut c).contains(&id(3)));
+}
+
+#[test]
+fn a_restarted_member_runs_nothing_of_before() {
+    let now = millis(1_000);
+    let mut c = coordinator(now);
+    c.take(now, asking("a", &[1, 2]), None);
+    placed(&mut c);
+    let restarted = Report {
+        incarnation: Uuid::from_u128(6),
+        ..asking("a", &[3])
+    };
+    c.take(now + millis(10), restarted, None);
+    assert_eq!(placed(&mut c), vec![id(3)]);
+}
+
+#[test]
+fn what_a_whole_report_does_not_tell_of_is_over() {
+    let now = millis(1_000);
+    let mut c = coordinator(now);
+    c.take(now, asking("a", &[1, 2]), None);
+    c.take(now, asking("b", &[3]), None);
+    placed(&mut c);
+    let whole = Report {
+        whole: true,
+        running: vec![(wanted(2), "engine".to_owned())],
+        ..report("a")
+    };
+    // Too soon: the words may be on their way.
+    c.take(now + millis(100), whole.clone(), None);
+    assert!(placed(&mut c).is_empty());
+    c.take(now + millis(500), whole, None);
+    assert_eq!(placed(&mut c), vec![id(3)]);
+}
+
+#[test]
+fn a_new_coordinator_learns_from_one_report_what_runs() {
+    let now = millis(1_000);
+    let mut c = coordinator(now);
+    let whole = Report {
+        whole: true,
+        running: vec![
+            (wanted(1), "engine".to_owned()),
+            (wanted(2), "engine".to_owned()),
+        ],
+        ..report("a")
+    };
+    c.take(now, whole, None);
+    c.take(now, asking("b", &[3]), None);
+    assert!(placed(&mut c).is_empty(), "both places are taken");
+    let ended = Report {
+        news: vec![News {
+            id: id(1),
+            attempt: 1,
+            course: Course::Ended {
+                prompt: 10,
+                output: 10,
+            },
+        }],
+        ..report("a")
+    };
+    c.take(now + millis(10), ended, None);
+    assert_eq!(placed(&mut c), vec![id(3)]);
+    c.check_invariants(now + millis(10));
+}
+
+/// An instance `b` whose peers `a` and `c` were heard; `a` is the first of the group.
+struct Asking {
+    member: Membership,
+    scheduler: Scheduler,
+    book: Arc<PeerBook>,
+    now: Time,
+}
+
+impl Asking {
+    fn new() -> Self {
+        let book = Arc::new(PeerBook::new("b".to_owned(), "zone".to_owned()));
+        let me = Member {
+            name: "b".to_owned(),
+            incarnation: Uuid::from_u128(2),
+        };
+        let zone = "zone".to_owned();
+        let member = Membership::new(me, zone, Arc::clone(&book), silent());
+        let mut asking = Self {
+            member,
+            scheduler: Scheduler::new(policy()),
+            book,
+            now: millis(1_000),
+        };
+        asking.step(catalog());
+        asking.hear();
+        asking
+    }
+
+    fn hear(&self) {
+        for (name, port) in [("a", 1), ("c", 3)] {
+            let address = ([127, 0, 0, 1], port).into();
+            self.book.hear(name, "zone", address, self.now);
+        }
+    }
+
+    fn step(&mut self, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.scheduler.step(self.now, event, &mut actions);
+        for action in &actions {
+            if let Action::Ask { id } = action {
+                self.member.ask(*id);
+            }
+        }
+        actions
+    }
+
+    /// Lets time pass by ticks; gives the whole reports and whether a coordinator is believed in.
+    fn wait(&mut self, pause: Duration) -> Vec<Report> {
+        let end = self.now + pause;
+        let mut reports = Vec::new();
+        while self.now < end {
+            self.now += millis(25);
+            self.hear();
+            for event in self.member.check(self.now, false) {
+                self.step(event);
+            }
+            reports.extend(self.member.report_all(self.now, self.scheduler.tables()));
+        }
+        reports
+    }
+
+    fn coordinated(&self) -> bool {
+        self.scheduler.tables().coordinated
+    }
+
+    fn port(&self) -> Option<u16> {
+        self.member.address().map(|a| a.port())
+    }
+
+    fn answer(&mut self, name: &str) {
+        let reply = firdock_node::placement::Reply {
+            instance: name.to_owned(),
+            ..firdock_node::placement::Reply::default()
+        };
+        for event in self.member.take(self.now, reply) {
+            self.step(event);
+        }
+    }
+}
+
+#[test]
+fn a_coordinator_counts_only_once_it_answers() {
+    let mut b = Asking::new();
+    let reports = b.wait(millis(25));
+    assert!(reports.len() == 1 && reports[0].whole);
+    assert_eq!(b.port(), Some(1));
+    assert!(!b.coordinated());
+    b.answer("c");
+    assert!(!b.coordinated(), "a word of one that was not asked");
+    b.answer("a");
+    assert!(b.coordinated());
+}
+
+#[test]
+fn a_coordinator_that_falls_silent_is_given_up_for_the_next_one() {
+    let mut b = Asking::new();
+    b.wait(millis(25));
+    b.answer("a");
+    b.step(Event::Arrived(new(1)));
+    b.wait(millis(275));
+    assert!(b.coordinated(), "two words may have been lost");
+    b.wait(millis(200));
+    assert!(!b.coordinated());
+    // The next by name is this instance itself, which has no address to send to.
+    assert_eq!(b.port(), None);
+    b.wait(millis(3_100));
+    assert_eq!(b.port(), Some(1), "it is asked again after a while");
+}
+
+#[test]
+fn requests_that_wait_are_told_of_again_and_again() {
+    let mut b = Asking::new();
+    b.wait(millis(25));
+    b.answer("a");
+    b.step(Event::Arrived(new(1)));
+    let first = b.member.report_news(b.now, b.scheduler.tables());
+    assert_eq!(first.expect("an ask").waiting.len(), 1);
+    let whole = b.wait(millis(250));
+    assert!(whole.len() >= 2, "{}", whole.len());
+    assert!(whole.iter().all(|r| r.waiting.len() == 1));
+}
+
+fn course() -> impl Strategy<Value = Course> {
+    prop_oneof![
+        Just(Course::Began),
+        (any::<u32>(), any::<u32>()).prop_map(|(prompt, output)| Course::Ended { prompt, output }),
+        Just(Course::Broke),
+        Just(Course::Refused),
+        Just(Course::Unreachable),
+        Just(Course::Dropped),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn reports_arrive_as_they_were_sent(ids in prop::collection::vec(any::<u64>(), 0..20), course in course(), whole: bool) {
+        let told = Report {
+            whole,
+            waiting: ids.iter().map(|n| wanted(*n)).collect(),
+            running: ids.iter().map(|n| (wanted(*n), "engine".to_owned())).collect(),
+            news: ids.iter().map(|n| News { id: id(*n), attempt: 3, course }).collect(),
+            ..report("a")
+        };
+        prop_assert_eq!(read_report(write_report(&told)), told);
+    }
+
+    #[test]
+    fn a_coordinator_stands_whatever_is_reported(steps in prop::collection::vec((0..4_u64, 0..3_u32, 0..6_u8, any::<bool>()), 0..60)) {
+        let mut now = millis(1_000);
+        let mut c = coordinator(now);
+        for (n, attempt, what, whole) in steps {
+            now += millis(37);
+            let wanted = Wanted { attempt, ..wanted(n) };
+            let name = if n % 2 == 0 { "a" } else { "b" };
+            let mut told = Report { whole, ..report(name) };
+            match what {
+                0 | 1 => told.waiting.push(wanted),
+                2 => told.running.push((wanted, "engine".to_owned())),
+                3 => told.news.push(News { id: id(n), attempt, course: Course::Began }),
+                4 => told.news.push(News { id: id(n), attempt, course: Course::Broke }),
+                _ => told.news.push(News { id: id(n), attempt, course: Course::Dropped }),
+            }
+            c.take(now, told, None);
+            c.tick(now);
+            c.check_invariants(now);
+            for (_, reply) in c.replies() {
+                let back = read_reply(write_reply(&reply, "x"));
+                prop_assert_eq!(back.placed, reply.placed);
+            }
+        }
+    }
+}
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -111,6 +111,17 @@
     HandedOver(usize),
 }
 
+/// How far the placement of a request by a coordinator is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Placing {
+    /// No coordinator was asked since the request was last held.
+    Open,
+    /// The coordinator was asked.
+    Asked,
+    /// In a coordinator's tables: it ran already when the coordinator first heard of it.
+    Adopted,
+}
+
 /// A request in the table, from arrival to its end.
 #[derive(Debug)]
 pub struct RequestRow {
@@ -160,12 +171,10 @@
     pub uncached: u32,
     /// Predicted time to the first token of the present dispatch.
     pub predicted: Time,
-    /// Whether the coordinator was asked for a place since the request was last held.
-    pub asked: bool,
+    /// How far its placement by a coordinator is.
+    pub placing: Placing,
     /// Engines that the coordinator gave it and that this instance could not use.
     pub declined: Vec<EndpointId>,
-    /// Whether it ran already when this instance, as a coordinator, first heard of it.
-    pub adopted: bool,
 }
 
 impl RequestRow {
@@ -195,9 +204,8 @@
             first: None,
             uncached: 0,
             predicted: Time::ZERO,
-            asked: false,
+            placing: Placing::Open,
             declined: Vec::new(),
-            adopted: false,
             new,
         }
     }
--- a/crates/firdock-policy/src/system/coordinate.rs
+++ b/crates/firdock-policy/src/system/coordinate.rs
@@ -11,8 +11,9 @@
 use super::{admit, end, place, share};
 use crate::action::Action;
 use crate::event::Grant;
-use crate::request::{NewRequest, Phase, RequestRow, Verdict};
+use crate::request::{NewRequest, Phase, Placing, RequestRow, Verdict};
 use crate::table::Tables;
+use crate::table::endpoint::EndpointRow;
 use crate::time::Time;
 
 /// Takes it that a coordinator answers now, or that none does.
@@ -34,9 +35,7 @@
     let mut takers = rows
         .map(|e| t.endpoints.get(*e))
         .filter(|e| place::in_pool(row, e));
-    takers
-        .next()
-        .is_some_and(super::super::table::endpoint::EndpointRow::is_engine)
+    takers.next().is_some_and(EndpointRow::is_engine)
 }
 
 /// Asks the coordinator for places for the requests that have come to be held.
@@ -44,11 +43,13 @@
     if !t.coordinated || t.requests.held() == 0 {
         return;
     }
-    let new = |r: &&RequestRow| r.phase == Phase::Held && !r.asked && goes_to_engine(t, r);
+    let new = |r: &&RequestRow| {
+        r.phase == Phase::Held && r.placing == Placing::Open && goes_to_engine(t, r)
+    };
     let ids: Vec<RequestId> = t.requests.iter().filter(new).map(|r| r.new.id).collect();
     for id in ids {
         if let Some(row) = t.requests.get_mut(id) {
-            row.asked = true;
+            row.placing = Placing::Asked;
             out.push(Action::Ask { id });
         }
     }
@@ -77,7 +78,7 @@
         }
     } else if let Some(row) = t.requests.get_mut(grant.id) {
         row.declined.push(grant.endpoint.clone());
-        row.asked = false;
+        row.placing = Placing::Open;
     }
     out.push(Action::Decline(grant.clone()));
 }
@@ -133,7 +134,7 @@
         row.runs = 1;
         row.dispatched = now;
         row.first = Some(now);
-        row.adopted = true;
+        row.placing = Placing::Adopted;
         if !row.tried.contains(endpoint) {
             row.tried.push(endpoint.clone());
         }
--- a/crates/firdock-policy/src/system/end.rs
+++ b/crates/firdock-policy/src/system/end.rs
@@ -8,7 +8,7 @@
 
 use super::limit;
 use crate::action::Action;
-use crate::request::{NewRequest, Origin, Phase, RequestRow, Verdict};
+use crate::request::{NewRequest, Origin, Phase, Placing, RequestRow, Verdict};
 use crate::stats::WasteCause;
 use crate::table::Tables;
 use crate::time::Time;
@@ -37,7 +37,7 @@
         }
         t.accounts.get_mut(account).held += 1;
         if let Some(row) = t.requests.get_mut(id) {
-            row.asked = false;
+            row.placing = Placing::Open;
         }
     }
     leave_place(t, id, old, phase);
--- a/crates/firdock-policy/src/system/news.rs
+++ b/crates/firdock-policy/src/system/news.rs
@@ -5,7 +5,7 @@
 use super::{end, health, key};
 use crate::action::Action;
 use crate::event::{DispatchNews, EndpointEvent};
-use crate::request::{Phase, Verdict};
+use crate::request::{Phase, Placing, Verdict};
 use crate::stats::WasteCause;
 use crate::table::Tables;
 use crate::time::Time;
@@ -177,7 +177,7 @@
     let service = row.service;
     let first = row.first.unwrap_or(now);
     let fresh = output.saturating_sub(1);
-    if prompt > 0 && row.tried.len() == 1 && !row.adopted {
+    if prompt > 0 && row.tried.len() == 1 && row.placing != Placing::Adopted {
         t.endpoints
             .get_mut(at)
             .learn_tokens(fresh, now.saturating_sub(first));
--- a/crates/firdock-policy/src/system/share.rs
+++ b/crates/firdock-policy/src/system/share.rs
@@ -139,42 +139,48 @@
         demands.into_iter().map(share).collect()
     }
 
-    /// Gives this instance whole places, so that all instances' places add up to the endpoint's.
-    ///
-    /// Each gets the whole part of its share. The places that are left go by weighted rendezvous:
-    /// to the instances with the greatest numbers that are drawn from the names and weighted by
-    /// what they still lack, those nearby first. All instances draw alike, without talking.
+    /// Gives this instance whole places; those nearby get the last ones sooner.
     fn whole_places(&self, shares: &[f64], places: f64, e: &EndpointRow) -> u32 {
-        let names = self.rows.iter().map(|r| (r.name.as_str(), r.zone.as_str()));
-        let parts = names.zip(shares.iter().copied());
-        whole_places(parts, 0, places, e)
+        let part = |(row, share): (&'_ Sharer, &f64)| {
+            let near = row.zone == e.declared.zone;
+            Part {
+                name: row.name.clone(),
+                share: *share,
+                weight: if near { NEAR_WEIGHT } else { 1.0 },
+            }
+        };
+        let parts: Vec<Part> = self.rows.iter().zip(shares).map(part).collect();
+        whole_places(&parts, 0, places, e)
     }
 }
 
-/// Gives the sharer at `own` whole places of an endpoint, by all sharers' names, availability zones
-/// and shares.
-fn whole_places<'a>(
-    parts: impl Iterator<Item = ((&'a str, &'a str), f64)>,
-    own: usize,
-    places: f64,
-    e: &EndpointRow,
-) -> u32 {
+/// One sharer's part of an endpoint.
+#[derive(Debug)]
+struct Part {
+    name: String,
+    /// From 0 to 1; those of all sharers add up to 1.
+    share: f64,
+    /// How much sooner it gets one of the last places.
+    weight: f64,
+}
+
+/// Gives the sharer at `own` whole places, so that all sharers' places add up to the endpoint's.
+///
+/// Each gets the whole part of its share. The places that are left go by weighted rendezvous: to
+/// the sharers with the greatest numbers that are drawn from the names and weighted by what they
+/// still lack. All instances draw alike, without talking.
+fn whole_places(parts: &[Part], own: usize, places: f64, e: &EndpointRow) -> u32 {
+    let whole = |part: &Part| (places * part.share).floor();
+    let left = places - parts.iter().map(whole).sum::<f64>();
     let key = rendezvous::hash_key(e.declared.name.as_bytes());
-    let mut left = places;
-    let mut draws = Vec::new();
-    let mut own_whole = 0.0;
-    for (at, ((name, zone), share)) in parts.enumerate() {
-        let whole = (places * share).floor();
-        left -= whole;
-        if at == own {
-            own_whole = whole;
-        }
-        let near = zone == e.declared.zone;
-        let weight = (places * share - whole) * if near { NEAR_WEIGHT } else { 1.0 };
-        let number = rendezvous::weight(key, name) as f64 / u64::MAX as f64;
-        draws.push(-weight / number.clamp(f64::MIN_POSITIVE, 1.0 - f64::EPSILON).ln());
-    }
+    let draw = |part: &Part| {
+        let lacks = places * part.share - whole(part);
+        let number = rendezvous::weight(key, &part.name) as f64 / u64::MAX as f64;
+        let log = number.clamp(f64::MIN_POSITIVE, 1.0 - f64::EPSILON).ln();
+        -lacks * part.weight / log
+    };
+    let draws: Vec<f64> = parts.iter().map(draw).collect();
     let before = draws.iter().filter(|d| **d > draws[own]).count();
     let extra = (before as f64) < left.round();
-    own_whole as u32 + u32::from(extra)
+    whole(&parts[own]) as u32 + u32::from(extra)
 }
--- a/crates/firdock-policy/src/system/share/group.rs
+++ b/crates/firdock-policy/src/system/share/group.rs
@@ -8,7 +8,7 @@
 
 use firdock_core::{PoolId, ZoneId};
 
-use super::whole_places;
+use super::{Part, whole_places};
 use crate::system::demand::on_endpoint;
 use crate::table::Tables;
 use crate::table::endpoint::EndpointRow;
@@ -66,10 +66,15 @@
     for endpoints in pools.values() {
         let split = Split::new(zones, endpoints);
         for (at, e) in endpoints {
-            let names = zones.keys().map(|zone| (zone.as_str(), zone.as_str()));
-            let parts = names.zip(split.shares(&e.declared.zone));
+            let shares = zones.keys().zip(split.shares(&e.declared.zone));
+            let part = |(zone, share): (&ZoneId, f64)| Part {
+                name: zone.clone(),
+                share,
+                weight: 1.0,
+            };
+            let parts: Vec<Part> = shares.map(part).collect();
             let places = f64::from(e.declared.slots);
-            budgets.push((*at, whole_places(parts, own, places, e)));
+            budgets.push((*at, whole_places(&parts, own, places, e)));
         }
     }
     budgets
--- /dev/null
+++ b/crates/firdock-policy/tests/policy/coordinate.rs
@@ -0,0 +1,317 @@
+//! Placement by a coordinator: what an instance does with the places it is given, and how a coordinator
+//! gives them.
+
+use firdock_core::resource::{Endpoint, Resource, Service, Tier};
+use firdock_core::{Outcome, Reason};
+use firdock_policy::event::{DispatchNews, Grant, PeerNews, PoolDemand};
+use firdock_policy::{Action, Event, NewRequest, PolicySettings, Verdict};
+
+use crate::edge::{Edge, edge_settings, request, resources, verdict};
+use crate::scene::{dispatched, id, millis};
+
+const BROKE: DispatchNews = DispatchNews::Broke { delivered: 0 };
+
+/// An edge instance whose coordinator answers.
+fn member() -> Edge {
+    let mut edge = Edge::new(edge_settings("a"), resources());
+    edge.step(Event::Coordinated(true));
+    edge
+}
+
+/// A coordinator's tables.
+fn coordinator(resources: Vec<Resource>) -> Edge {
+    Edge::new(coordinator_settings(), resources)
+}
+
+fn coordinator_settings() -> PolicySettings {
+    edge_settings("a").with_coordination()
+}
+
+fn grant(n: u64, endpoint: &str) -> Grant {
+    Grant {
+        id: id(n),
+        endpoint: endpoint.to_owned(),
+    }
+}
+
+fn asks(actions: &[Action]) -> usize {
+    let asks = actions.iter().filter(|a| matches!(a, Action::Ask { .. }));
+    asks.count()
+}
+
+fn declined(actions: &[Action]) -> Vec<Grant> {
+    let declined = actions.iter().filter_map(|a| match a {
+        Action::Decline(grant) => Some(grant.clone()),
+        _ => None,
+    });
+    declined.collect()
+}
+
+fn refusal() -> Verdict {
+    Verdict {
+        outcome: Outcome::NotRun,
+        reason: Reason::Overload,
+        retry_after: Some(millis(1_000)),
+    }
+}
+
+#[test]
+fn a_request_for_engines_waits_for_its_place_and_asks_once() {
+    let mut edge = member();
+    let actions = edge.arrive(request(1, "once", "free"));
+    assert!(dispatched(&actions).is_empty());
+    assert_eq!(asks(&actions), 1);
+    assert_eq!(asks(&edge.after(millis(50))), 0);
+    let actions = edge.step(Event::Granted(grant(1, "e2")));
+    assert_eq!(dispatched(&actions), vec![(id(1), "e2".to_owned())]);
+}
+
+#[test]
+fn a_place_that_comes_twice_is_used_once() {
+    let mut edge = member();
+    edge.arrive(request(1, "once", "free"));
+    edge.step(Event::Granted(grant(1, "e2")));
+    assert!(edge.step(Event::Granted(grant(1, "e2"))).is_empty());
+    let other = edge.step(Event::Granted(grant(1, "e1")));
+    assert!(dispatched(&other).is_empty());
+    assert_eq!(declined(&other), vec![grant(1, "e1")]);
+    // Of a request that is not here any more, the place is given back as well.
+    assert_eq!(
+        declined(&edge.step(Event::Granted(grant(9, "e1")))),
+        vec![grant(9, "e1")]
+    );
+}
+
+#[test]
+fn requests_are_placed_here_once_the_coordinator_is_silent() {
+    let mut edge = member();
+    edge.arrive(request(1, "once", "free"));
+    let actions = edge.step(Event::Coordinated(false));
+    assert_eq!(dispatched(&actions).len(), 1);
+    assert_eq!(
+        dispatched(&edge.arrive(request(2, "once", "free"))).len(),
+        1
+    );
+}
+
+#[test]
+fn a_place_on_an_engine_that_leaves_is_given_back_and_another_asked_for() {
+    let mut edge = member();
+    edge.step(Event::Peer(PeerNews {
+        name: "b".to_owned(),
+        leaving: vec!["e1".to_owned()],
+        ..PeerNews::default()
+    }));
+    edge.arrive(request(1, "once", "free"));
+    let actions = edge.step(Event::Granted(grant(1, "e1")));
+    assert!(dispatched(&actions).is_empty());
+    assert_eq!(declined(&actions), vec![grant(1, "e1")]);
+    assert_eq!(asks(&actions), 1);
+    let row = edge.scheduler.tables().requests.get(id(1));
+    assert_eq!(row.expect("it is held").declined, vec!["e1".to_owned()]);
+}
+
+#[test]
+fn a_place_that_comes_when_the_configuration_may_be_outdated_is_not_used() {
+    let mut edge = member();
+    edge.arrive(request(1, "once", "free"));
+    edge.now += millis(4_100);
+    let actions = edge.step(Event::Granted(grant(1, "e1")));
+    assert!(dispatched(&actions).is_empty());
+    assert_eq!(
+        verdict(&actions),
+        Some((Outcome::NotRun, Reason::StateStale))
+    );
+    assert_eq!(declined(&actions).len(), 1);
+}
+
+#[test]
+fn a_broken_request_asks_for_a_second_place() {
+    let mut edge = member();
+    edge.arrive(request(1, "safe", "free"));
+    edge.step(Event::Granted(grant(1, "e1")));
+    assert_eq!(asks(&edge.tell(1, 1, BROKE)), 1);
+    // The engine that it ran on is no place for it.
+    let again = edge.step(Event::Granted(grant(1, "e1")));
+    assert!(dispatched(&again).is_empty() && declined(&again).len() == 1);
+    let other = edge.step(Event::Granted(grant(1, "e2")));
+    assert_eq!(dispatched(&other).len(), 1);
+}
+
+#[test]
+fn a_request_that_is_not_placed_is_told_so_but_not_before_a_lower_tier() {
+    let mut all = resources();
+    all.push(Resource::Tier(Tier {
+        name: "low".to_owned(),
+        rank: 5,
+        ..Tier::default()
+    }));
+    let mut low = all
+        .iter()
+        .find_map(|r| match r {
+            Resource::Service(s) if s.name == "once" => Some(s.clone()),
+            _ => None,
+        })
+        .expect("the service");
+    low = Service {
+        name: "low".to_owned(),
+        tier: "low".to_owned(),
+        matches: "/low".to_owned(),
+        ..low
+    };
+    all.push(Resource::Service(low));
+    let mut edge = Edge::new(edge_settings("a"), all);
+    edge.step(Event::Coordinated(true));
+    edge.arrive(request(1, "once", "free"));
+    edge.arrive(request(2, "low", "free"));
+    assert!(edge.step(Event::NotGranted(id(1), refusal())).is_empty());
+    let told = |actions: &[Action]| verdict(actions).map(|v| v.0);
+    let low = edge.step(Event::NotGranted(id(2), refusal()));
+    assert_eq!(told(&low), Some(Outcome::NotRun));
+    let high = edge.step(Event::NotGranted(id(1), refusal()));
+    assert_eq!(told(&high), Some(Outcome::NotRun));
+}
+
+#[test]
+fn a_coordinator_gives_each_place_once_and_the_most_urgent_next() {
+    let mut edge = coordinator(resources());
+    let mut placed = Vec::new();
+    for n in 1..=6 {
+        placed.extend(dispatched(&edge.arrive(request(n, "once", "limited"))));
+    }
+    assert_eq!(
+        placed.len(),
+        4,
+        "two engines of two places; no limit counts here"
+    );
+    let ended = DispatchNews::Ended {
+        prompt: 90,
+        cached: 0,
+        output: 10,
+    };
+    let next = dispatched(&edge.tell(1, 1, ended));
+    assert_eq!(next.len(), 1);
+    assert_eq!(next[0].0, id(5), "the first that waits");
+}
+
+#[test]
+fn a_coordinator_leaves_second_tries_to_the_member() {
+    let mut edge = coordinator(resources());
+    edge.arrive(request(1, "safe", "free"));
+    let actions = edge.tell(1, 1, BROKE);
+    assert!(actions.is_empty(), "{actions:?}");
+    assert!(edge.scheduler.tables().requests.get(id(1)).is_none());
+}
+
+/// A request that was told of with its engine among those to avoid, as members once did, made the
+/// check of the tables fail and ended every new coordinator.
+#[test]
+fn a_request_that_runs_already_takes_its_place() {
+    let mut edge = coordinator(resources());
+    for n in 1..=2 {
+        let new = NewRequest {
+            tried: vec!["e1".to_owned()],
+            ..request(n, "once", "free")
+        };
+        edge.step(Event::Adopted(new, "e1".to_owned()));
+    }
+    let mut placed = Vec::new();
+    for n in 3..=6 {
+        placed.extend(dispatched(&edge.arrive(request(n, "once", "free"))));
+    }
+    let on_second = placed.iter().all(|(_, endpoint)| endpoint == "e2");
+    assert!(placed.len() == 2 && on_second, "{placed:?}");
+    // Told of twice, or on an engine that is not known, it changes nothing.
+    edge.step(Event::Adopted(request(1, "once", "free"), "e2".to_owned()));
+    edge.step(Event::Adopted(request(8, "once", "free"), "e9".to_owned()));
+    let running = |name: &str| {
+        let endpoints = &edge.scheduler.tables().endpoints;
+        endpoints
+            .get(endpoints.find(name).expect("the engine"))
+            .running
+    };
+    assert_eq!((running("e1"), running("e2")), (2, 2));
+}
+
+#[test]
+fn time_that_a_request_was_held_before_counts() {
+    let mut edge = coordinator(resources());
+    let new = NewRequest {
+        age: millis(4_000),
+        ..request(1, "once", "free")
+    };
+    edge.arrive(new);
+    let row = edge.scheduler.tables().requests.get(id(1));
+    let arrived = row.expect("it runs").arrived;
+    assert_eq!(arrived + millis(4_000), edge.now);
+}
+
+/// Two zones of ten engines of three places each.
+fn zoned() -> Vec<Resource> {
+    let mut all: Vec<Resource> = resources()
+        .into_iter()
+        .filter(|r| !matches!(r, Resource::Endpoint(_)))
+        .collect();
+    for zone in ["east", "west"] {
+        for n in 0..10 {
+            all.push(Resource::Endpoint(Endpoint {
+                name: format!("{zone}-{n}"),
+                pool: "pool".to_owned(),
+                zone: zone.to_owned(),
+                slots: 3,
+                ..Endpoint::default()
+            }));
+        }
+    }
+    all
+}
+
+/// Places by zone of the coordinator of `zone`, where the zones' demands are as given.
+fn places(zone: &str, east: f64, west: f64) -> (u32, u32) {
+    let mut settings = coordinator_settings();
+    zone.clone_into(&mut settings.zone);
+    let mut edge = Edge::new(settings, zoned());
+    edge.step(Event::PeersKnown(40));
+    for (zone, rate) in [("east", east), ("west", west)] {
+        edge.step(Event::Peer(PeerNews {
+            name: format!("{zone}-1"),
+            zone: zone.to_owned(),
+            demand: vec![PoolDemand {
+                pool: "pool".to_owned(),
+                rate,
+            }],
+            ..PeerNews::default()
+        }));
+    }
+    edge.after(millis(300));
+    let count = |zone: &str| {
+        let endpoints = edge.scheduler.tables().endpoints.iter();
+        let here = endpoints.filter(|(_, e)| e.declared.zone == zone);
+        here.map(|(_, e)| e.budget).sum()
+    };
+    (count("east"), count("west"))
+}
+
+#[test]
+fn groups_take_the_engines_of_their_own_zone_first() {
+    assert_eq!(places("east", 10.0, 10.0), (30, 0));
+    assert_eq!(places("west", 10.0, 10.0), (0, 30));
+}
+
+#[test]
+fn a_group_with_more_demand_takes_what_another_leaves_and_all_places_are_given_once() {
+    let (own, far) = places("east", 30.0, 10.0);
+    let (left, home) = places("west", 30.0, 10.0);
+    assert_eq!(own, 30);
+    assert_eq!(left, 0);
+    assert_eq!(far + home, 30, "each place is given to one of them");
+    assert!((13..=17).contains(&far), "a half of the west's: {far}");
+}
+
+#[test]
+fn all_engines_of_a_small_site_are_one_groups() {
+    let mut edge = coordinator(zoned());
+    edge.after(millis(300));
+    let endpoints = edge.scheduler.tables().endpoints.iter();
+    assert!(endpoints.into_iter().all(|(_, e)| e.budget == 3));
+}
--- a/crates/firdock-policy/tests/policy/random.rs
+++ b/crates/firdock-policy/tests/policy/random.rs
@@ -32,6 +32,8 @@
         1 => any::<u8>().prop_map(|node| Op::Remove { node }),
         1 => any::<u8>().prop_map(|node| Op::Drain { node }),
         2 => any::<u8>().prop_map(|resource| Op::Toggle { resource }),
+        2 => (any::<u8>(), any::<bool>())
+            .prop_map(|(node, answers)| Op::Coordinate { node, answers }),
     ]
 }
 
--- a/crates/firdock-policy/tests/policy/world.rs
+++ b/crates/firdock-policy/tests/policy/world.rs
@@ -58,6 +58,8 @@
     Drain { node: u8 },
     /// Operators take a resource out of force, or put it back.
     Toggle { resource: u8 },
+    /// An instance's coordinator answers from now on, or falls silent.
+    Coordinate { node: u8, answers: bool },
 }
 
 #[derive(Debug, Clone)]
@@ -245,6 +247,9 @@
                 *absent = !*absent;
                 self.version += 1;
             }
+            Op::Coordinate { node, answers } => {
+                self.step(usize::from(node) % NODES, Event::Coordinated(answers));
+            }
             Op::Drain { node } => self.step(usize::from(node) % NODES, Event::Drain),
             Op::Resend { .. } => {}
         }
--- a/crates/firdock-policy/tests/policy/world/message.rs
+++ b/crates/firdock-policy/tests/policy/world/message.rs
@@ -1,13 +1,13 @@
 //! How messages move in the world: writes, endpoints, hand-overs, and what schedulers want done.
 
-use firdock_core::{Outcome, RequestId};
+use firdock_core::{Outcome, Reason, RequestId};
 use firdock_policy::action::Dispatch;
-use firdock_policy::event::{DispatchNews, HandOverEvent, HandOverRefusal};
+use firdock_policy::event::{DispatchNews, Grant, HandOverEvent, HandOverRefusal};
 use firdock_policy::{Action, Event, Origin, Policy as _, Verdict};
 use rand::Rng as _;
 use uuid::Uuid;
 
-use super::{Message, World, endpoint_event, endpoint_index, node_index};
+use super::{ENDPOINTS, Message, World, endpoint_event, endpoint_index, node_index};
 use crate::scene::millis;
 
 impl World {
@@ -163,6 +163,7 @@
                 let delay = self.lag();
                 self.send(delay, Message::Write(i, incarnation, dispatch));
             }
+            Action::Ask { id } => self.place(i, id),
             Action::HandOver { id, peer, .. } => self.hand_over(i, id, &peer),
             Action::CancelHandOver { id, peer } => {
                 let to = node_index(&peer);
@@ -205,7 +206,29 @@
                     self.deliver(node_index(&peer), Event::KeyTransfer(transfer));
                 }
             }
-            Action::Cancel { .. } | Action::Forget { .. } | Action::Drained => {}
+            Action::Cancel { .. }
+            | Action::Decline(_)
+            | Action::Forget { .. }
+            | Action::Drained => {}
+        }
+    }
+
+    /// Answers as a coordinator might that knows little: a place anywhere, one or two of them, a
+    /// refusal, or a word that is lost.
+    fn place(&mut self, i: usize, id: RequestId) {
+        let words = self.rng.random_range(0..4);
+        if words == 3 {
+            let verdict = Verdict {
+                outcome: Outcome::NotRun,
+                reason: Reason::Overload,
+                retry_after: Some(millis(100)),
+            };
+            self.deliver(i, Event::NotGranted(id, verdict));
+            return;
+        }
+        for _ in 0..words {
+            let endpoint = ENDPOINTS[self.rng.random_range(0..ENDPOINTS.len())].to_owned();
+            self.deliver(i, Event::Granted(Grant { id, endpoint }));
         }
     }
 
