--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -84,13 +84,12 @@
         let Some(row) = t.requests.get(id) else {
             continue;
         };
-        if coordinate::waits(t, row) {
-            continue;
-        }
+        let elsewhere = coordinate::waits(t, row);
         if !may_send(t, now, id, out) {
             return true;
         }
-        let Some(row) = t.requests.get(id) else {
+        let row = t.requests.get(id).filter(|_| !elsewhere);
+        let Some(row) = row else {
             continue;
         };
         match choose(t, now, row) {
--- a/crates/firdock-policy/tests/policy/coordinate.rs
+++ b/crates/firdock-policy/tests/policy/coordinate.rs
@@ -125,6 +125,23 @@
     assert_eq!(declined(&actions).len(), 1);
 }
 
+/// Finding 10: a request that came while the configuration was outdated waited for its place, and was
+/// sent by the next configuration, in which its key was no more.
+#[test]
+fn a_request_that_comes_when_the_configuration_may_be_outdated_does_not_wait() {
+    let mut edge = member();
+    edge.now += millis(4_100);
+    let actions = edge.arrive(request(1, "once", "free"));
+    assert_eq!(
+        verdict(&actions),
+        Some((Outcome::NotRun, Reason::StateStale))
+    );
+    edge.step(Event::Fresh(edge.now));
+    edge.arrive(request(2, "once", "free"));
+    edge.now += millis(4_100);
+    assert!(verdict(&edge.step(Event::Timer)).is_some());
+}
+
 #[test]
 fn a_broken_request_asks_for_a_second_place() {
     let mut edge = member();
