--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -143,9 +143,11 @@
             Vec::new()
         };
         let (for_group, for_leads) = self.relayed(now);
-        self.send_all(&due.near, &heard, &for_group).await;
-        self.send_all(&due.leads, &heard, &for_leads).await;
-        self.send_all(&due.far, &heard, &[]).await;
+        self.send_all(&due.near, self.beacon(&heard, &for_group))
+            .await;
+        self.send_all(&due.leads, self.beacon(&heard, &for_leads))
+            .await;
+        self.send_all(&due.far, self.beacon(&heard, &[])).await;
     }
 
     /// Gives what this instance passes on of others' use of limits, to its group and to other leads.
@@ -157,11 +159,10 @@
         (self.relay.take_for_group(), self.relay.take_for_leads())
     }
 
-    async fn send_all(&self, peers: &[Addressed], heard: &[Addressed], relayed: &[PeerUse]) {
+    async fn send_all(&self, peers: &[Addressed], beacon: Beacon) {
         if peers.is_empty() {
             return;
         }
-        let beacon = self.beacon(heard, relayed);
         let sealed = seal(&self.key, datagram::Body::Beacon(beacon));
         for (name, address) in peers {
             self.send_to(&sealed, name, *address).await;
@@ -173,7 +174,7 @@
     fn peers_due(&self, tick: usize, now: Time) -> PeersDue {
         let peers = self.book.addresses();
         let leads = self.book.leads_of_all(now);
-        let i_lead = self.book.leads(now);
+        let i_lead = self.book.tells(now);
         let far_pace = (peers.len() / FAR_PEERS_A_TICK).max(1);
         let near_pace = (peers.len() / NEAR_PEERS_A_TICK).max(1);
         let mut due = PeersDue::default();
@@ -216,6 +217,12 @@
 
     fn beacon(&self, peers: &[Addressed], relayed: &[PeerUse]) -> Beacon {
         let news = self.news.borrow();
+        let now = self.clock.now();
+        let (group_heard, site_heard) = if self.book.is_small() || !self.book.tells(now) {
+            (0, 0)
+        } else {
+            (self.book.group_heard(now), self.book.site_heard(now))
+        };
         let start = usize::from(rand::random::<u16>()) % peers.len().max(1);
         let told = peers.iter().cycle().skip(start).take(peers.len());
         Beacon {
@@ -227,6 +234,8 @@
             peers: told.take(MAX_TOLD).map(write_address).collect(),
             reads: Some(write_reads(self.reads.own())),
             relayed: write_relayed(relayed),
+            group_heard: group_heard as u32,
+            site_heard: site_heard as u32,
         }
     }
 
@@ -276,6 +285,8 @@
         }
         let now = self.clock.now();
         self.note(&beacon, from, now);
+        let zone = beacon.heartbeat.as_ref().map_or("", |b| &b.zone);
+        self.take_reach(&beacon, zone, now).await;
         let heartbeat = beacon.heartbeat.unwrap_or_default();
         let mut news = peer_news(&beacon.instance, heartbeat);
         news.incarnation = Uuid::from_slice(&beacon.incarnation).unwrap_or_default();
@@ -298,6 +309,23 @@
         }
     }
 
+    /// Takes how many instances a lead hears: of another group's, to tell the own one; of the own
+    /// group's, for the whole site.
+    async fn take_reach(&self, beacon: &Beacon, zone: &str, now: Time) {
+        if beacon.group_heard == 0 {
+            return;
+        }
+        if self.book.is_near(&beacon.instance) {
+            self.tell(Event::Reach(beacon.site_heard as usize)).await;
+        } else {
+            self.book.note_group(zone, beacon.group_heard as usize, now);
+        }
+        if self.book.tells(now) {
+            let count = self.book.site_heard(now);
+            self.tell(Event::Reach(count)).await;
+        }
+    }
+
     /// Takes what a peer read; its clock is asked for where that is not known yet.
     async fn take_reads(&self, news: &PeerNews, told: Reads, from: SocketAddr) {
         let heard = self.reads.hear(&news.name, news.incarnation, told);
--- a/crates/firdock-node/src/peer/book.rs
+++ b/crates/firdock-node/src/peer/book.rs
@@ -47,6 +47,13 @@
     heard: bool,
 }
 
+impl Entry {
+    /// Tells whether the instance was heard within a few heartbeats.
+    fn is_heard(&self, now: Time) -> bool {
+        self.heard && self.since + READER_WITHIN > now
+    }
+}
+
 /// The other instances.
 #[derive(Debug)]
 pub struct PeerBook {
@@ -55,6 +62,8 @@
     entries: Mutex<BTreeMap<InstanceId, Entry>>,
     listed: AtomicBool,
     listed_now: Notify,
+    /// How many instances the leads of other groups hear, by availability zone, and when they told.
+    groups: Mutex<BTreeMap<ZoneId, (Time, usize)>>,
     /// Instances that said that they stop, and when: others may still tell of them for a while.
     departed: Mutex<BTreeMap<InstanceId, Time>>,
 }
@@ -69,6 +78,7 @@
             entries: Mutex::default(),
             listed: AtomicBool::new(false),
             listed_now: Notify::new(),
+            groups: Mutex::default(),
             departed: Mutex::default(),
         }
     }
@@ -146,9 +156,8 @@
     #[must_use]
     pub fn reader(&self, now: Time) -> Reader {
         let entries = self.lock();
-        let heard = |e: &Entry| e.heard && e.since + READER_WITHIN > now;
         let before = entries.iter().filter(|(name, _)| **name < self.me);
-        let mut before = before.filter(|(_, e)| heard(e)).peekable();
+        let mut before = before.filter(|(_, e)| e.is_heard(now)).peekable();
         if before.peek().is_none() {
             return Reader::Site;
         }
@@ -184,6 +193,43 @@
         first.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Tells whether this instance tells its group of the site: its lead does, and the one that takes
+    /// over from it.
+    #[must_use]
+    pub fn tells(&self, now: Time) -> bool {
+        let entries = self.lock();
+        let near = entries.iter().filter(|(_, e)| e.is_heard(now));
+        let before = near.filter(|(name, e)| e.zone == self.zone && **name < self.me);
+        before.count() < LEADS_TOLD
+    }
+
+    /// Counts the instances of this one's group that are heard, itself among them.
+    #[must_use]
+    pub fn group_heard(&self, now: Time) -> usize {
+        let entries = self.lock();
+        let near = entries
+            .values()
+            .filter(|e| e.zone == self.zone && e.is_heard(now));
+        1 + near.count()
+    }
+
+    /// Notes how many instances of another group its lead hears.
+    pub fn note_group(&self, zone: &str, count: usize, now: Time) {
+        let mut groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
+        groups.insert(zone.to_owned(), (now, count));
+    }
+
+    /// Counts the instances of all groups that their leads hear.
+    #[must_use]
+    pub fn site_heard(&self, now: Time) -> usize {
+        let groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
+        let fresh = groups
+            .iter()
+            .filter(|(zone, (at, _))| **zone != self.zone && *at + READER_WITHIN > now);
+        let others: usize = fresh.map(|(_, (_, count))| count).sum();
+        self.group_heard(now) + others
+    }
+
     /// Gives the first instance by name of this one's group, of those that are heard and `open`; this
     /// instance itself is left out.
     pub fn first_of_group(
@@ -193,10 +239,9 @@
     ) -> Option<(InstanceId, SocketAddr)> {
         let entries = self.lock();
         let small = entries.len() < SMALL_SITE;
-        let heard = |e: &Entry| e.heard && e.since + READER_WITHIN > now;
         let mut group = entries
             .iter()
-            .filter(|(name, e)| (small || e.zone == self.zone) && heard(e) && open(name));
+            .filter(|(name, e)| (small || e.zone == self.zone) && e.is_heard(now) && open(name));
         group.next().map(|(name, e)| (name.clone(), e.address))
     }
 
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -44,6 +44,8 @@
     PeerLost(InstanceId),
     /// So many other instances are known of, whether heard from or not.
     PeersKnown(usize),
+    /// The leads of all groups hear so many instances, this one among them.
+    Reach(usize),
     /// The configuration in force was the newest at this time.
     Fresh(Time),
     /// Whether an instance answers that places this instance's requests on engines.
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -7,7 +7,7 @@
     admit, check, config, coordinate, demand, drain, early, expire, handover, health, key, limit,
     news, place, share, shed,
 };
-use crate::table::Tables;
+use crate::table::{Reach, Tables};
 use crate::time::Time;
 
 /// Something that decides; the scheduler here, and simpler baselines in measurements.
@@ -63,6 +63,7 @@
             Event::PeerUsed(word) => limit::take_relayed(t, &word),
             Event::PeerLost(name) => handover::peer_lost(t, &name),
             Event::PeersKnown(count) => t.known_peers = Some(count),
+            Event::Reach(count) => t.reach = Some(Reach { at: now, count }),
             Event::Fresh(at) => t.fresh_at = t.fresh_at.max(Some(at)),
             Event::Coordinated(answers) => coordinate::set(t, now, answers),
             Event::Granted(grant) => coordinate::granted(t, now, &grant, out),
--- a/crates/firdock-policy/src/system/limit.rs
+++ b/crates/firdock-policy/src/system/limit.rs
@@ -120,6 +120,9 @@
 /// Instances that hear each other share one bucket. Those that are not heard may be serving
 /// callers as well, so that their even parts are left out.
 ///
+/// Where instances are many, they hear each other too seldom for that: the leads of groups tell at
+/// each heartbeat how many are heard. One that hears no lead takes itself for cut off.
+///
 /// An instance that just started does not know how many others there are. All of them may have
 /// started together, so that none may take the limit for its own alone.
 fn part_of_limits(t: &Tables, now: Time) -> f64 {
@@ -127,6 +130,14 @@
         return UNAWARE_PART;
     }
     let known = 1 + t.peers_known();
+    if let Some(reach) = t.reach.filter(|_| !t.is_small_site()) {
+        let heard = if reach.at + t.settings.peer_stale > now {
+            reach.count
+        } else {
+            1
+        };
+        return (heard as f64 / known as f64).min(1.0);
+    }
     let fresh = |heard: Time| heard > Time::ZERO && heard + t.peer_stale() > now;
     let heard = t.peers.iter().filter(|(_, p)| fresh(p.heard)).count();
     (1 + heard) as f64 / known as f64
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -26,6 +26,15 @@
 /// Peers up to which heartbeats come at their full pace (see `docs/design/peers.md`).
 const PEERS_AT_PACE: usize = 16;
 
+/// How many instances the leads of all groups hear.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Reach {
+    /// When this instance was told.
+    pub at: Time,
+    /// Instances, this one among them.
+    pub count: usize,
+}
+
 /// Every table of one instance.
 #[derive(Debug)]
 pub struct Tables {
@@ -67,6 +76,8 @@
     pub retries: retry::Retries,
     /// Other instances that are known of, whether heard from or not; `None` before anyone told.
     pub known_peers: Option<usize>,
+    /// How many instances the leads of all groups heard last.
+    pub reach: Option<Reach>,
     /// When the configuration in force was last known to be the newest.
     pub fresh_at: Option<Time>,
     /// Whether a coordinator places this instance's requests on engines.
@@ -132,6 +143,7 @@
             rates_taken: Time::ZERO,
             retries: retry::Retries::new(),
             known_peers: None,
+            reach: None,
             fresh_at: None,
             coordinated: false,
             stats: Stats::default(),
--- a/crates/firdock-policy/tests/policy/limits.rs
+++ b/crates/firdock-policy/tests/policy/limits.rs
@@ -122,6 +122,51 @@
     assert!((4..=5).contains(&served), "{served}");
 }
 
+/// Finding 11: of many instances, those that were cut off went on with the whole limit for the seconds
+/// in which they did not miss the others, and the others with it as well.
+#[test]
+fn of_many_instances_one_that_hears_no_lead_uses_its_even_part_at_once() {
+    let mut edge = Edge::new(edge_settings("a"), resources());
+    edge.step(Event::PeersKnown(99));
+    for n in 0..99 {
+        edge.step(Event::Peer(PeerNews {
+            name: format!("peer-{n}"),
+            ..PeerNews::default()
+        }));
+    }
+    edge.step(Event::Reach(100));
+    let mut served = 0;
+    for n in 0..250 {
+        edge.now += millis(20);
+        edge.step(Event::Fresh(edge.now));
+        if verdict(&edge.arrive(request(n, "safe", "limited"))).is_none() {
+            served += 1;
+            edge.end(n);
+        }
+    }
+    // Heartbeats go missing after five of 250 ms; from then on a hundredth of 100 tokens a second,
+    // 100 tokens each.
+    assert!((1..=2).contains(&served), "{served}");
+}
+
+#[test]
+fn of_many_instances_the_parts_of_those_not_heard_are_left_out() {
+    let mut edge = Edge::new(edge_settings("a"), resources());
+    edge.step(Event::PeersKnown(39));
+    let mut served = 0;
+    for n in 0..400 {
+        edge.now += millis(25);
+        edge.step(Event::Fresh(edge.now));
+        edge.step(Event::Reach(20));
+        if verdict(&edge.arrive(request(n, "safe", "limited"))).is_none() {
+            served += 1;
+            edge.end(n);
+        }
+    }
+    // 10 s at a half of 100 tokens a second, 100 tokens each.
+    assert!((5..=6).contains(&served), "{served}");
+}
+
 /// Finding 7: instances that had all restarted each took the limit for its own alone until they
 /// heard each other.
 #[test]
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -182,6 +182,12 @@
     /// What other instances let pass, as the sender heard it from them or from their relays.
     #[prost(message, repeated, tag = "8")]
     pub relayed: ::prost::alloc::vec::Vec<RelayedUse>,
+    /// Instances of its group that the sender hears, itself among them; 0 if it does not lead it.
+    #[prost(uint32, tag = "9")]
+    pub group_heard: u32,
+    /// Instances of all groups that leads hear; 0 if the sender does not lead its group.
+    #[prost(uint32, tag = "10")]
+    pub site_heard: u32,
 }
 /// What another instance than the sender let pass of limited accounts since its start.
 #[derive(Clone, PartialEq, ::prost::Message)]
