--- a/crates/firdock-node/src/peer/datagram.rs
+++ b/crates/firdock-node/src/peer/datagram.rs
@@ -63,6 +63,7 @@
     told.map(|u| message::AccountUse {
         account: u.account.clone(),
         units: u.units,
+        asked: u.asked,
     })
     .collect()
 }
@@ -95,11 +96,12 @@
 /// Reads what a peer let pass; figures that are none are left out.
 pub fn read_uses(uses: Vec<message::AccountUse>) -> Vec<AccountUse> {
     let told = uses.into_iter().take(MAX_ACCOUNTS);
-    let finite = told.filter(|u| u.units.is_finite());
+    let finite = told.filter(|u| u.units.is_finite() && u.asked.is_finite());
     finite
         .map(|u| AccountUse {
             account: u.account,
             units: u.units,
+            asked: u.asked,
         })
         .collect()
 }
--- a/crates/firdock-node/src/peer/relay.rs
+++ b/crates/firdock-node/src/peer/relay.rs
@@ -10,7 +10,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use firdock_core::{AccountId, InstanceId};
-use firdock_policy::event::{AccountUse, PeerUse};
+use firdock_policy::event::{AccountUse, PeerUse, UseTotals};
 use uuid::Uuid;
 
 /// Instances whose totals are kept.
@@ -29,7 +29,7 @@
 #[derive(Debug, Default)]
 struct Totals {
     incarnation: Uuid,
-    units: BTreeMap<AccountId, f64>,
+    used: BTreeMap<AccountId, UseTotals>,
 }
 
 impl Totals {
@@ -42,7 +42,7 @@
             };
         }
         let mut changed = word.used.clone();
-        changed.retain(|u| self.units.insert(u.account.clone(), u.units) != Some(u.units));
+        changed.retain(|u| self.used.insert(u.account.clone(), u.totals()) != Some(u.totals()));
         changed
     }
 }
@@ -65,9 +65,9 @@
             name,
             incarnation: t.incarnation,
             used: t
-                .units
+                .used
                 .into_iter()
-                .map(|(account, units)| AccountUse { account, units })
+                .map(|(account, totals)| totals.named(account))
                 .collect(),
         };
         totals.into_iter().map(word).collect()
--- a/crates/firdock-node/tests/node/relay.rs
+++ b/crates/firdock-node/tests/node/relay.rs
@@ -11,6 +11,7 @@
         used: vec![AccountUse {
             account: "account".to_owned(),
             units,
+            asked: units,
         }],
     }
 }
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -228,6 +228,41 @@
     pub account: AccountId,
     /// Units of the limit.
     pub units: f64,
+    /// Units that its callers asked for, with those refused for the limit.
+    #[serde(default)]
+    pub asked: f64,
+}
+
+impl AccountUse {
+    /// Gives the totals without the account's name.
+    #[must_use]
+    pub fn totals(&self) -> UseTotals {
+        UseTotals {
+            units: self.units,
+            asked: self.asked,
+        }
+    }
+}
+
+/// Totals of one account at one instance since its start.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct UseTotals {
+    /// Units of the limit that were let pass.
+    pub units: f64,
+    /// Units that callers asked for.
+    pub asked: f64,
+}
+
+impl UseTotals {
+    /// Gives the totals with the account's name.
+    #[must_use]
+    pub fn named(self, account: AccountId) -> AccountUse {
+        AccountUse {
+            account,
+            units: self.units,
+            asked: self.asked,
+        }
+    }
 }
 
 /// Demand of one instance for the endpoints of one pool.
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -60,7 +60,7 @@
             Event::LogRead(reading) => t.views.read(reading),
             Event::Listed(rows) => health::listed(t, &rows),
             Event::Peer(peer) => handover::peer_news(t, now, peer),
-            Event::PeerUsed(word) => limit::take_relayed(t, &word),
+            Event::PeerUsed(word) => limit::take_relayed(t, now, &word),
             Event::PeerLost(name) => handover::peer_lost(t, &name),
             Event::PeersKnown(count) => t.known_peers = Some(count),
             Event::Reach(count) => t.reach = Some(Reach { at: now, count }),
--- a/crates/firdock-policy/src/system/handover.rs
+++ b/crates/firdock-policy/src/system/handover.rs
@@ -27,7 +27,7 @@
     if t.peers.len() >= MAX_PEERS && t.peers.find(&news.name).is_none() {
         return;
     }
-    limit::take_peer(t, &news);
+    limit::take_peer(t, now, &news);
     let at = t.peers.find_or_add(&news.name, || PeerRow::new(&news.name));
     t.peers.get_mut(at).update(now, news);
 }
--- a/crates/firdock-policy/src/system/limit.rs
+++ b/crates/firdock-policy/src/system/limit.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
-use firdock_core::{Outcome, Reason};
+use firdock_core::{Outcome, Reason, rendezvous};
 
 use crate::event::{AccountUse, PeerNews, PeerUse};
 use crate::request::{NewRequest, RequestRow, Verdict};
 use crate::table::Tables;
+use crate::table::account::Accounts;
+use crate::table::limit::Bucket;
 use crate::time::Time;
 
 /// Time for which an account that was used is told of in heartbeats: several of them, in case
@@ -26,12 +28,21 @@
         return Some(0.0);
     }
     let part = part_of_limits(t, now);
+    let small = t.is_small_site();
+    let phase = phase(&t.settings.member.name);
     let Some(bucket) = &mut t.accounts.get_mut(account).bucket else {
         return Some(0.0);
     };
     bucket.fill(now, part);
     let cost = bucket.cost(new.tokens());
-    bucket.take(now, cost).then_some(cost)
+    bucket.ask(now, cost);
+    let allowed = small || bucket.part_allows(now, phase);
+    (allowed && bucket.take(cost)).then_some(cost)
+}
+
+/// Gives a number from 0 to 1 by an instance's name.
+fn phase(name: &str) -> f64 {
+    rendezvous::hash_key(name.as_bytes()) as f64 / u64::MAX as f64
 }
 
 /// Gives what a request beyond its account's limit is told.
@@ -56,7 +67,7 @@
 ///
 /// What a peer used before this instance first heard of it is not known to be recent, so it does
 /// not count; after a restart, the peer's totals begin anew.
-pub fn take_peer(t: &mut Tables, news: &PeerNews) {
+pub fn take_peer(t: &mut Tables, now: Time, news: &PeerNews) {
     let Some(peer) = t.peers.find(&news.name).map(|at| t.peers.get(at)) else {
         return;
     };
@@ -67,10 +78,9 @@
     for used in &news.used {
         let known = peer.used.get(&used.account).copied();
         let before = known.filter(|_| same).unwrap_or_default();
-        let account = t.accounts.find(&used.account);
-        let bucket = account.and_then(|at| t.accounts.get_mut(at).bucket.as_mut());
-        if let Some(bucket) = bucket {
-            bucket.take_peer(used.units - before);
+        if let Some(bucket) = bucket_of(&mut t.accounts, &used.account) {
+            bucket.take_peer(used.units - before.units);
+            bucket.ask_peer(now, used.asked - before.asked);
         }
     }
 }
@@ -79,7 +89,7 @@
 ///
 /// It counts only where the peer itself was heard since its start, whose totals it then goes on
 /// from. A word that was overtaken by a newer one has smaller totals and changes nothing.
-pub fn take_relayed(t: &mut Tables, word: &PeerUse) {
+pub fn take_relayed(t: &mut Tables, now: Time, word: &PeerUse) {
     let Some(at) = t.peers.find(&word.name) else {
         return;
     };
@@ -89,27 +99,33 @@
     }
     for used in &word.used {
         let known = peer.used.entry(used.account.clone()).or_default();
-        let more = used.units - *known;
-        if more <= 0.0 {
-            continue;
-        }
-        *known = used.units;
-        let account = t.accounts.find(&used.account);
-        if let Some(bucket) = account.and_then(|at| t.accounts.get_mut(at).bucket.as_mut()) {
+        let more = (used.units - known.units).max(0.0);
+        let asked = (used.asked - known.asked).max(0.0);
+        known.units += more;
+        known.asked += asked;
+        if let Some(bucket) = bucket_of(&mut t.accounts, &used.account) {
             bucket.take_peer(more);
+            bucket.ask_peer(now, asked);
         }
     }
 }
 
+/// Gives the bucket of an account, if it has one.
+fn bucket_of<'a>(accounts: &'a mut Accounts, account: &str) -> Option<&'a mut Bucket> {
+    let at = accounts.find(account)?;
+    accounts.get_mut(at).bucket.as_mut()
+}
+
 /// Gives what this instance let pass of the limits that are in use.
 #[must_use]
 pub fn used(t: &Tables, now: Time) -> Vec<AccountUse> {
     let rows = t.accounts.iter().filter_map(|(_, a)| {
         let bucket = a.bucket?;
-        let recent = bucket.used > 0.0 && bucket.touched + TOLD_AFTER_USE > now;
+        let recent = bucket.asked > 0.0 && bucket.touched + TOLD_AFTER_USE > now;
         recent.then(|| AccountUse {
             account: a.name.clone(),
             units: bucket.used,
+            asked: bucket.asked,
         })
     });
     rows.collect()
--- a/crates/firdock-policy/src/table/limit.rs
+++ b/crates/firdock-policy/src/table/limit.rs
@@ -8,6 +8,15 @@
 
 use crate::time::Time;
 
+/// Time constant, in seconds, of what counts as asked for lately: about three times the age that
+/// other instances' words have where instances are many.
+const RECENT_SECS: f64 = 1.5;
+/// Part of a limit that all parts give out together: a little less, so that the common level, which
+/// stops all at once, is seldom overdrawn.
+const PART_RATE: f64 = 0.97;
+/// Part of a limit below which the demand counts as calm: near the limit, the parts count already.
+const CALM_PART: f64 = 0.9;
+
 /// One account's bucket as this instance sees it.
 ///
 /// It starts empty: a process that just started does not know what was let pass before.
@@ -18,8 +27,35 @@
     filled: Time,
     /// Units that this instance has let pass since its start.
     pub used: f64,
-    /// When this instance last let something pass.
+    /// Units that callers asked this instance for since its start.
+    pub asked: f64,
+    /// When this instance was last asked.
     pub touched: Time,
+    /// Asked for lately here, and everywhere else as others tell.
+    own: Recent,
+    others: Recent,
+    /// This instance's own part of the limit, which counts while more is asked for than it allows.
+    part_level: f64,
+    part_filled: Time,
+}
+
+/// What was asked for lately: a sum that fades.
+#[derive(Debug, Clone, Copy, Default)]
+struct Recent {
+    units: f64,
+    at: Time,
+}
+
+impl Recent {
+    fn add(&mut self, now: Time, units: f64) {
+        self.units = self.at(now) + units;
+        self.at = now;
+    }
+
+    fn at(&self, now: Time) -> f64 {
+        let secs = now.saturating_sub(self.at).as_secs_f64();
+        self.units * (-secs / RECENT_SECS).exp()
+    }
 }
 
 impl Bucket {
@@ -45,6 +81,42 @@
         self.limit.cost(tokens)
     }
 
+    /// Notes what a request that arrived asks for.
+    pub fn ask(&mut self, now: Time, units: f64) {
+        self.asked += units;
+        self.touched = now;
+        self.own.add(now, units);
+    }
+
+    /// Notes what callers asked other instances for.
+    pub fn ask_peer(&mut self, now: Time, units: f64) {
+        self.others.add(now, units.max(0.0));
+    }
+
+    /// Tells whether this instance's own part of the limit still allows something, where more is
+    /// asked for everywhere than the limit allows.
+    ///
+    /// What others let pass is known late. If all went by the common level alone, all would let
+    /// everything pass at once when it rises above nothing, and nothing for seconds after. `phase`,
+    /// from 0 to 1, sets the instances' parts apart, so that they do not fill at one moment.
+    pub fn part_allows(&mut self, now: Time, phase: f64) -> bool {
+        let (own, others) = (self.own.at(now), self.others.at(now));
+        let share = own / (own + others).max(f64::MIN_POSITIVE);
+        let most = self.limit.burst * share;
+        let since = std::mem::replace(&mut self.part_filled, now);
+        if (own + others) / RECENT_SECS <= self.limit.per_second * CALM_PART {
+            self.part_level = most * (2.0 * phase - 1.0);
+            return true;
+        }
+        // While the common level is overdrawn, nobody's part fills: all would be full at its end.
+        if self.level >= 0.0 {
+            let secs = now.saturating_sub(since).as_secs_f64();
+            let rate = self.limit.per_second * PART_RATE * share;
+            self.part_level = (self.part_level + rate * secs).min(most);
+        }
+        self.part_level >= 0.0
+    }
+
     /// Fills the bucket up to `now`; `part` is the part of the limit that this instance may use.
     pub fn fill(&mut self, now: Time, part: f64) {
         let secs = now.saturating_sub(self.filled).as_secs_f64();
@@ -57,19 +129,20 @@
     ///
     /// A bucket that is not overdrawn lets one request through, however large: a limit bounds the
     /// rate, and must not keep out what is larger than the burst for ever.
-    pub fn take(&mut self, now: Time, cost: f64) -> bool {
+    pub fn take(&mut self, cost: f64) -> bool {
         if self.level < 0.0 {
             return false;
         }
         self.level -= cost;
+        self.part_level -= cost;
         self.used += cost;
-        self.touched = now;
         true
     }
 
     /// Gives the cost of a request back that ran nowhere.
     pub fn give_back(&mut self, cost: f64) {
         self.level += cost;
+        self.part_level += cost;
         self.used -= cost;
     }
 
--- a/crates/firdock-policy/src/table/peer.rs
+++ b/crates/firdock-policy/src/table/peer.rs
@@ -6,7 +6,7 @@
 use uuid::Uuid;
 
 use super::rows::Rows;
-use crate::event::PeerNews;
+use crate::event::{PeerNews, UseTotals};
 use crate::time::Time;
 
 /// Table of peers.
@@ -41,7 +41,7 @@
     /// Start of its process.
     pub incarnation: Uuid,
     /// What it has let pass of limited accounts since that start.
-    pub used: BTreeMap<AccountId, f64>,
+    pub used: BTreeMap<AccountId, UseTotals>,
     /// Requests of this instance that are with it.
     pub handed: u32,
 }
@@ -73,7 +73,7 @@
             self.used.clear();
         }
         self.incarnation = news.incarnation;
-        let used = news.used.into_iter().map(|u| (u.account, u.units));
+        let used = news.used.iter().map(|u| (u.account.clone(), u.totals()));
         self.used.extend(used);
         self.demand = news.demand.into_iter().map(|d| (d.pool, d.rate)).collect();
     }
--- a/crates/firdock-policy/tests/policy/limits.rs
+++ b/crates/firdock-policy/tests/policy/limits.rs
@@ -4,7 +4,7 @@
 use firdock_policy::event::{
     AccountUse, HandOverEvent, HandOverRefusal, Member, MemberView, PeerNews, PeerUse,
 };
-use firdock_policy::{Action, Event, Verdict};
+use firdock_policy::{Action, Event, NewRequest, Verdict, used_limits};
 use uuid::Uuid;
 
 use crate::edge::{Edge, REFUSED, edge_settings, request, resources, verdict};
@@ -37,6 +37,7 @@
         used: vec![AccountUse {
             account: "limited".to_owned(),
             units: used,
+            asked: used,
         }],
         ..PeerNews::default()
     })
@@ -65,6 +66,7 @@
         used: vec![AccountUse {
             account: "limited".to_owned(),
             units: used,
+            asked: used,
         }],
     })
 }
@@ -167,6 +169,72 @@
     assert!((5..=6).contains(&served), "{served}");
 }
 
+/// Many instances that ask for far more than the limit, in rounds of 20 ms; each hears of the others
+/// `lag` rounds late.
+fn let_pass_in_seconds(instances: usize, secs: u64, lag: usize) -> Vec<f64> {
+    let mut edges: Vec<Edge> = (0..instances)
+        .map(|n| {
+            let mut edge = Edge::new(edge_settings(&format!("node-{n}")), resources());
+            edge.step(Event::PeersKnown(instances - 1));
+            edge
+        })
+        .collect();
+    let mut told: Vec<Vec<Event>> = Vec::new();
+    let mut passed = vec![0.0; secs as usize];
+    for round in 0..secs * 50 {
+        for (n, edge) in edges.iter_mut().enumerate() {
+            edge.now += millis(20);
+            edge.step(Event::Fresh(edge.now));
+            edge.step(Event::Reach(instances));
+            if (round + n as u64).is_multiple_of(5) {
+                let at = round * 1_000 + n as u64;
+                let new = NewRequest {
+                    prompt_tokens: 4,
+                    output_tokens: 0,
+                    ..request(at, "safe", "limited")
+                };
+                if verdict(&edge.arrive(new)).is_none() {
+                    passed[(round / 50) as usize] += 4.0;
+                    edge.end(at);
+                }
+            }
+        }
+        told.push(edges.iter().map(told_use).collect());
+        if let Some(words) = told.len().checked_sub(lag + 1).map(|at| told[at].clone()) {
+            for (n, edge) in edges.iter_mut().enumerate() {
+                let others = words.iter().enumerate().filter(|(m, _)| *m != n);
+                for (_, word) in others {
+                    edge.step(word.clone());
+                }
+            }
+        }
+    }
+    passed
+}
+
+fn told_use(edge: &Edge) -> Event {
+    let t = edge.scheduler.tables();
+    Event::Peer(PeerNews {
+        name: t.settings.member.name.clone(),
+        incarnation: t.settings.member.incarnation,
+        used: used_limits(t, edge.now),
+        ..PeerNews::default()
+    })
+}
+
+/// Finding 11: with words 0.6 s old, twenty instances let everything pass whenever the common bucket
+/// was not overdrawn, and nothing for seconds after.
+#[test]
+fn instances_that_hear_each_other_late_do_not_swing_around_a_limit() {
+    // 20 instances ask for 10 requests of 4 tokens a second each, eight times the limit.
+    let passed = let_pass_in_seconds(20, 16, 30);
+    let late = &passed[8..];
+    let most = late.iter().copied().fold(0.0, f64::max);
+    let mean = late.iter().sum::<f64>() / late.len() as f64;
+    assert!(most <= 200.0, "in one second: {passed:?}");
+    assert!((70.0..=110.0).contains(&mean), "{passed:?}");
+}
+
 /// Finding 7: instances that had all restarted each took the limit for its own alone until they
 /// heard each other.
 #[test]
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -239,6 +239,9 @@
     pub account: ::prost::alloc::string::String,
     #[prost(double, tag = "2")]
     pub units: f64,
+    /// What its callers asked for, with what was refused for the limit.
+    #[prost(double, tag = "3")]
+    pub asked: f64,
 }
 /// Where an instance takes heartbeats.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
