--- a/crates/firdock-node/src/placement.rs
+++ b/crates/firdock-node/src/placement.rs
@@ -98,7 +98,7 @@
                 self.coordinator.take(now, *report, Some(from));
                 self.send_replies()
             }
-            PlacementInput::Reply(reply) => self.member.take(now, reply),
+            PlacementInput::Reply(reply) => self.member.take(reply),
         }
     }
 
@@ -168,7 +168,7 @@
                 let body = datagram::Body::PlacementReply(write_reply(&reply, self.member.name()));
                 self.link.send(body, address);
             } else {
-                events.extend(self.member.take(self.coordinator.now(), reply));
+                events.extend(self.member.take(reply));
             }
         }
         events
--- a/crates/firdock-node/src/placement/coordinator.rs
+++ b/crates/firdock-node/src/placement/coordinator.rs
@@ -45,7 +45,6 @@
     members: BTreeMap<InstanceId, Member>,
     owners: HashMap<RequestId, Owner>,
     actions: Vec<Action>,
-    now: Time,
 }
 
 impl Coordinator {
@@ -57,16 +56,9 @@
             members: BTreeMap::new(),
             owners: HashMap::new(),
             actions: Vec::new(),
-            now: Time::ZERO,
         }
     }
 
-    /// Gives the time of the last step.
-    #[must_use]
-    pub fn now(&self) -> Time {
-        self.now
-    }
-
     /// Takes an event that concerns the tables.
     pub fn observe(&mut self, now: Time, event: Event) {
         self.step(now, event);
@@ -291,7 +283,6 @@
     }
 
     fn step(&mut self, now: Time, event: Event) {
-        self.now = now;
         self.scheduler.step(now, event, &mut self.actions);
         for action in std::mem::take(&mut self.actions) {
             self.carry_out(now, action);
--- a/crates/firdock-node/src/placement/member.rs
+++ b/crates/firdock-node/src/placement/member.rs
@@ -147,7 +147,7 @@
     }
 
     /// Takes the coordinator's reply; gives the events that follow.
-    pub fn take(&mut self, now: Time, reply: Reply) -> Vec<Event> {
+    pub fn take(&mut self, reply: Reply) -> Vec<Event> {
         let own = reply.instance.is_empty();
         let lead = self.lead.as_ref();
         if !own && lead.is_none_or(|lead| lead.name != reply.instance) {
@@ -157,7 +157,7 @@
         self.owed_since = None;
         if !self.answers {
             self.answers = true;
-            self.write_belief(now, "answers");
+            self.write_belief("answers", "silent");
             events.push(Event::Coordinated(true));
         }
         events.extend(reply.placed.into_iter().map(granted));
@@ -190,7 +190,7 @@
         }
         self.owed_since = None;
         if std::mem::take(&mut self.answers) {
-            self.write_belief(now, "silent");
+            self.write_belief("silent", "answers");
             events.push(Event::Coordinated(false));
         }
     }
@@ -271,10 +271,10 @@
         }
     }
 
-    fn write_belief(&self, now: Time, is: &str) {
+    fn write_belief(&self, is: &str, before: &str) {
         let name = self.lead.as_ref().map_or("", |lead| &lead.name);
-        info!(self.log, "belief changed"; "what" => "coordinator", "is" => is, "instance_name" => name,
-            "at_millis" => crate::clock::millis(now));
+        info!(self.log, "belief changed"; "what" => "coordinator", "is" => is, "before" => before,
+            "coordinator" => name, "reports" => self.number);
     }
 }
 
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -83,6 +83,7 @@
             "held_millis" => millis(now.saturating_sub(row.arrived)),
             "predicted_millis" => millis(row.predicted),
             "prompt_tokens" => row.new.prompt_tokens,
+            "placed_by" => placed_by(t),
             "running" => endpoint.map_or(0, |e| e.running),
             "budget" => endpoint.map_or(0, |e| e.budget),
             "left_millis" => row.deadline.map(|by| millis(by.saturating_sub(now))),
@@ -128,6 +129,7 @@
             "waited_millis" => millis(now.saturating_sub(story.arrived)),
             "endpoint" => story.sent.map(|s| &s.endpoint),
             "dispatches" => story.sent.map_or(0, |s| s.dispatch),
+            "placed_by" => placed_by(t),
             "held" => t.requests.held(),
             "version" => t.version,
             "config_age_millis" => config_age(t, now),
@@ -186,6 +188,15 @@
     exchange.payload.terms.caller_id.as_ref()
 }
 
+/// Tells who places requests on engines at the time.
+fn placed_by(t: &Tables) -> &'static str {
+    if t.coordinated {
+        "coordinator"
+    } else {
+        "instance"
+    }
+}
+
 /// Gives the age of the configuration in milliseconds; `None` if it was never known to be the newest.
 pub(super) fn config_age(t: &Tables, now: Time) -> Option<u64> {
     t.fresh_at.map(|at| millis(now.saturating_sub(at)))
--- a/crates/firdock-node/tests/node/placement.rs
+++ b/crates/firdock-node/tests/node/placement.rs
@@ -292,7 +292,7 @@
             instance: name.to_owned(),
             ..firdock_node::placement::Reply::default()
         };
-        for event in self.member.take(self.now, reply) {
+        for event in self.member.take(reply) {
             self.step(event);
         }
     }
--- a/src/story.rs
+++ b/src/story.rs
@@ -98,7 +98,7 @@
     match line.text("msg") {
         "belief changed" => {
             let what = line.text("what");
-            what == "configuration" || endpoints.contains(what)
+            what == "configuration" || what == "coordinator" || endpoints.contains(what)
         }
         "store lost" | "store reached again" | "stopping" | "started" | "lines left out" => true,
         _ => false,
