Let reports that have no room say so, and forget in coordinators and relays what is long gone

Read from the code: a report of more than 300 requests left some out, which the coordinator would have taken for over, and given their places away; a coordinator that nobody asks never forgot peers, and a lead's relay was full for good after 512 names.

--- a/crates/firdock-node/src/peer/relay.rs
+++ b/crates/firdock-node/src/peer/relay.rs
@@ -93,7 +93,8 @@
         let mut inner = self.lock();
         let inner = &mut *inner;
         if inner.known.len() >= MAX_INSTANCES && !inner.known.contains_key(&word.name) {
-            return;
+            // Most are long gone; those that live are told of once more.
+            inner.known.clear();
         }
         let used = inner
             .known
--- a/crates/firdock-node/src/placement/codec.rs
+++ b/crates/firdock-node/src/placement/codec.rs
@@ -18,6 +18,7 @@
 #[must_use]
 pub fn write_report(report: &Report) -> message::PlacementReport {
     let room = MAX_REQUESTS.saturating_sub(report.waiting.len());
+    let cut = report.waiting.len() > MAX_REQUESTS || report.running.len() > room;
     message::PlacementReport {
         instance: report.instance.clone(),
         incarnation: report.incarnation.as_bytes().to_vec(),
@@ -45,6 +46,7 @@
             .take(MAX_REQUESTS)
             .map(write_news)
             .collect(),
+        cut: report.cut || cut,
     }
 }
 
@@ -65,6 +67,7 @@
             .filter_map(|run| Some((read_wanted(run.request?)?, run.endpoint)))
             .collect(),
         news: news.filter_map(|n| read_news(&n)).collect(),
+        cut: told.cut,
     }
 }
 
--- a/crates/firdock-node/src/placement/coordinator.rs
+++ b/crates/firdock-node/src/placement/coordinator.rs
@@ -18,6 +18,9 @@
 /// nothing: more than two reports are apart.
 const ON_ITS_WAY: Duration = Duration::from_millis(400);
 
+/// Pause between two runs of the timed systems while nobody reports: what is silent is forgotten.
+const IDLE_PAUSE: Duration = Duration::from_secs(1);
+
 /// A member that reports here.
 #[derive(Debug)]
 struct Member {
@@ -45,6 +48,8 @@
     members: BTreeMap<InstanceId, Member>,
     owners: HashMap<RequestId, Owner>,
     actions: Vec<Action>,
+    /// When the timed systems ran last.
+    timed: Time,
 }
 
 impl Coordinator {
@@ -56,6 +61,7 @@
             members: BTreeMap::new(),
             owners: HashMap::new(),
             actions: Vec::new(),
+            timed: Time::ZERO,
         }
     }
 
@@ -81,20 +87,22 @@
             wanted.new.zone.clone_from(&report.zone);
             self.take_waiting(now, &name, wanted);
         }
-        if report.whole {
+        if report.whole && !report.cut {
             self.drop_untold(now, &name, &told);
-            if let Some(member) = self.members.get_mut(&name) {
-                member.reply.number = report.number;
-                member.due = true;
-            }
+        }
+        if let Some(member) = self.members.get_mut(&name).filter(|_| report.whole) {
+            member.reply.number = report.number;
+            member.due = true;
         }
     }
 
     /// Runs the timed systems, and drops what silent members had.
     pub fn tick(&mut self, now: Time) {
-        if self.members.is_empty() {
+        let due = self.timed + IDLE_PAUSE <= now;
+        if self.members.is_empty() && !due {
             return;
         }
+        self.timed = now;
         self.step(now, Event::Timer);
         let silent = |m: &Member| m.heard + SILENCE <= now;
         let gone: Vec<InstanceId> = self
--- a/crates/firdock-node/src/placement/member.rs
+++ b/crates/firdock-node/src/placement/member.rs
@@ -268,6 +268,7 @@
             waiting: Vec::new(),
             running: Vec::new(),
             news: Vec::new(),
+            cut: false,
         }
     }
 
--- a/crates/firdock-node/src/placement/report.rs
+++ b/crates/firdock-node/src/placement/report.rs
@@ -69,6 +69,8 @@
     pub running: Vec<(Wanted, EndpointId)>,
     /// What became of requests since the last report.
     pub news: Vec<News>,
+    /// Whether requests were left out, so that nothing follows for those that are not told of.
+    pub cut: bool,
 }
 
 /// A place for a request.
--- a/crates/firdock-node/tests/node/placement.rs
+++ b/crates/firdock-node/tests/node/placement.rs
@@ -98,6 +98,7 @@
         waiting: Vec::new(),
         running: Vec::new(),
         news: Vec::new(),
+        cut: false,
     }
 }
 
@@ -187,6 +188,24 @@
     assert_eq!(placed(&mut c), vec![id(3)]);
 }
 
+#[test]
+fn nothing_is_over_because_a_report_has_no_room_for_it() {
+    let ids: Vec<u64> = (0..400).collect();
+    let whole = Report {
+        whole: true,
+        ..asking("a", &ids)
+    };
+    let told = read_report(write_report(&whole));
+    assert!(told.cut && told.waiting.len() < 400);
+    let now = millis(1_000);
+    let mut c = coordinator(now);
+    c.take(now, asking("a", &[399]), None);
+    c.take(now, asking("b", &[1_001, 1_002]), None);
+    assert_eq!(placed(&mut c).len(), 2);
+    c.take(now + millis(500), told, None);
+    assert!(placed(&mut c).is_empty(), "request 399 still has its place");
+}
+
 #[test]
 fn a_new_coordinator_learns_from_one_report_what_runs() {
     let now = millis(1_000);
--- a/crates/firdock-node/tests/node/relay.rs
+++ b/crates/firdock-node/tests/node/relay.rs
@@ -37,6 +37,16 @@
     assert!(relay.take_for_leads().is_empty());
 }
 
+#[test]
+fn instances_that_come_and_go_for_days_leave_room_for_new_ones() {
+    let relay = UseRelay::default();
+    for n in 0..2_000 {
+        relay.hear(&word(&format!("front-{n}"), 1, 1.0), HeardUse::FromMember);
+        let told = relay.take_for_group();
+        assert_eq!(told.len(), 1, "front-{n} is passed on");
+    }
+}
+
 #[test]
 fn a_restarted_instances_totals_replace_those_before() {
     let relay = UseRelay::default();
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -398,6 +398,9 @@
     /// What became of requests since the last report.
     #[prost(message, repeated, tag = "8")]
     pub news: ::prost::alloc::vec::Vec<PlacementNews>,
+    /// Whether requests were left out, since there are too many for one datagram.
+    #[prost(bool, tag = "9")]
+    pub cut: bool,
 }
 /// A request as far as its placement needs it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
