Let leads tell their groups' demand, and send far heartbeats a quarter as often

Change: leads tell their group's demand at each heartbeat; others are told a quarter as often. A first heartbeat is answered, and the first five seconds after a start keep the old pace. What an older peer let pass of an account before it first told of that is no longer taken for recent; a restarted peer's totals count from its start also as others pass them on (the test said before that they do not count; a process that began later has let pass all of it since).

--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use firdock_core::InstanceId;
-use firdock_policy::event::{Member, PeerNews, PeerUse};
+use firdock_policy::event::{GroupDemand, Member, PeerNews, PeerUse};
 use firdock_policy::{Event, Time};
 use firdock_wire::PROTOCOL;
 use firdock_wire::message::{Beacon, ClockAnswer, ClockQuestion, datagram};
@@ -26,7 +26,7 @@
     open, read_reads, read_relayed, read_uses, seal, write_address, write_reads, write_relayed,
     write_uses,
 };
-use super::heartbeat::{SelfNews, peer_news};
+use super::heartbeat::{SelfNews, peer_news, read_demand, write_demand};
 use super::reads::{Reads, SharedReads};
 use super::relay::{HeardUse, UseRelay};
 use crate::clock::{Clock, millis};
@@ -45,8 +45,14 @@
 
 /// Near peers that get a beacon at each tick; with more of them, each gets one at every few ticks.
 const NEAR_PEERS_A_TICK: usize = 16;
-/// Peers in other availability zones that get a beacon at each tick, likewise.
-const FAR_PEERS_A_TICK: usize = 8;
+/// Peers in other availability zones that get a beacon at each tick, likewise: leads tell for their
+/// groups, and bytes between zones are paid for.
+const FAR_PEERS_A_TICK: usize = 2;
+/// Ticks after the start in which they get as many as near ones: all instances may have started at
+/// one moment, and a first word may be lost.
+const MEETING_TICKS: usize = 25;
+/// Most ticks between two beacons to one of them: far fewer than after which it would be forgotten.
+const MAX_FAR_PACE: usize = 50;
 
 /// An instance and where it takes heartbeats.
 type Addressed = (InstanceId, SocketAddr);
@@ -175,7 +181,12 @@
         let peers = self.book.addresses();
         let leads = self.book.leads_of_all(now);
         let i_lead = self.book.tells(now);
-        let far_pace = (peers.len() / FAR_PEERS_A_TICK).max(1);
+        let far_a_tick = if tick < MEETING_TICKS {
+            NEAR_PEERS_A_TICK
+        } else {
+            FAR_PEERS_A_TICK
+        };
+        let far_pace = (peers.len() / far_a_tick).clamp(1, MAX_FAR_PACE);
         let near_pace = (peers.len() / NEAR_PEERS_A_TICK).max(1);
         let mut due = PeersDue::default();
         for (at, (name, address)) in peers.into_iter().enumerate() {
@@ -218,10 +229,16 @@
     fn beacon(&self, peers: &[Addressed], relayed: &[PeerUse]) -> Beacon {
         let news = self.news.borrow();
         let now = self.clock.now();
-        let (group_heard, site_heard) = if self.book.is_small() || !self.book.tells(now) {
+        let tells = !self.book.is_small() && self.book.tells(now);
+        let (group_heard, site_heard) = if tells {
+            (self.book.group_heard(now), self.book.site_heard(now))
+        } else {
             (0, 0)
+        };
+        let group_demand = if tells {
+            self.book.group_demand(now, &news.demand)
         } else {
-            (self.book.group_heard(now), self.book.site_heard(now))
+            Vec::new()
         };
         let start = usize::from(rand::random::<u16>()) % peers.len().max(1);
         let told = peers.iter().cycle().skip(start).take(peers.len());
@@ -236,6 +253,7 @@
             relayed: write_relayed(relayed),
             group_heard: group_heard as u32,
             site_heard: site_heard as u32,
+            group_demand: write_demand(&group_demand),
         }
     }
 
@@ -284,15 +302,20 @@
             return;
         }
         let now = self.clock.now();
-        self.note(&beacon, from, now);
+        if self.note(&beacon, from, now) {
+            // It may not know of this one, and its turn among many would come late.
+            let known = vec![(beacon.instance.clone(), from)];
+            self.send_all(&known, self.beacon(&[], &[])).await;
+        }
         let zone = beacon.heartbeat.as_ref().map_or("", |b| &b.zone);
-        self.take_reach(&beacon, zone, now).await;
+        self.take_group(&beacon, zone, now).await;
         let heartbeat = beacon.heartbeat.unwrap_or_default();
         let mut news = peer_news(&beacon.instance, heartbeat);
         news.incarnation = Uuid::from_slice(&beacon.incarnation).unwrap_or_default();
         if let Some(reads) = beacon.reads {
             self.take_reads(&news, read_reads(reads), from).await;
         }
+        self.book.note_demand(&news.name, news.demand.clone());
         news.used = read_uses(beacon.used);
         let word = PeerUse {
             name: news.name.clone(),
@@ -309,9 +332,9 @@
         }
     }
 
-    /// Takes how many instances a lead hears: of another group's, to tell the own one; of the own
-    /// group's, for the whole site.
-    async fn take_reach(&self, beacon: &Beacon, zone: &str, now: Time) {
+    /// Takes what a lead tells of its group: of another one, its demand and how many it hears, to tell
+    /// the own group; of the own one, how many are heard on the whole site.
+    async fn take_group(&self, beacon: &Beacon, zone: &str, now: Time) {
         if beacon.group_heard == 0 {
             return;
         }
@@ -319,6 +342,11 @@
             self.tell(Event::Reach(beacon.site_heard as usize)).await;
         } else {
             self.book.note_group(zone, beacon.group_heard as usize, now);
+            let group = GroupDemand {
+                zone: zone.to_owned(),
+                demand: read_demand(beacon.group_demand.clone()),
+            };
+            self.tell(Event::GroupDemand(group)).await;
         }
         if self.book.tells(now) {
             let count = self.book.site_heard(now);
@@ -340,20 +368,22 @@
         }
     }
 
-    /// Notes the sender and the instances that it tells of.
-    fn note(&self, beacon: &Beacon, from: SocketAddr, now: Time) {
+    /// Notes the sender and the instances that it tells of; tells whether the sender is new.
+    fn note(&self, beacon: &Beacon, from: SocketAddr, now: Time) -> bool {
         let heartbeat = beacon.heartbeat.as_ref();
-        if heartbeat.is_some_and(|b| b.draining) {
+        let new = if heartbeat.is_some_and(|b| b.draining) {
             self.book.forget(&beacon.instance, now);
+            false
         } else {
             let zone = heartbeat.map_or("", |b| &b.zone);
-            self.book.hear(&beacon.instance, zone, from, now);
-        }
+            self.book.hear(&beacon.instance, zone, from, now)
+        };
         for peer in beacon.peers.iter().take(MAX_TOLD) {
             if let Ok(address) = peer.address.parse() {
                 self.book.know(peer.instance.clone(), address, now);
             }
         }
+        new
     }
 
     async fn tell(&self, event: Event) {
--- a/crates/firdock-node/src/peer/book.rs
+++ b/crates/firdock-node/src/peer/book.rs
@@ -8,6 +8,7 @@
 
 use firdock_core::{InstanceId, ZoneId};
 use firdock_policy::Time;
+use firdock_policy::event::PoolDemand;
 use firdock_policy::table::SMALL_SITE;
 use tokio::sync::Notify;
 
@@ -45,6 +46,8 @@
     /// When it was heard, or else when it was first told of.
     since: Time,
     heard: bool,
+    /// Its demand, as it told last.
+    demand: Vec<PoolDemand>,
 }
 
 impl Entry {
@@ -97,6 +100,7 @@
             zone: ZoneId::new(),
             since: now,
             heard: false,
+            demand: Vec::new(),
         };
         entries.insert(name, entry);
     }
@@ -119,20 +123,48 @@
         self.listed.load(Ordering::Relaxed)
     }
 
-    /// Notes that an instance was heard.
-    pub fn hear(&self, name: &str, zone: &str, address: SocketAddr, now: Time) {
+    /// Notes that an instance was heard; tells whether it had not been before.
+    pub fn hear(&self, name: &str, zone: &str, address: SocketAddr, now: Time) -> bool {
         let mut entries = self.lock();
         let known = entries.contains_key(name) || entries.len() < MAX_PEERS;
         if name == self.me || !known {
-            return;
+            return false;
         }
         let entry = Entry {
             address,
             zone: zone.to_owned(),
             since: now,
             heard: true,
+            demand: Vec::new(),
+        };
+        let before = entries.insert(name.to_owned(), entry);
+        before.is_none_or(|e| !e.heard)
+    }
+
+    /// Notes the demand that an instance told of, which was heard.
+    pub fn note_demand(&self, name: &str, demand: Vec<PoolDemand>) {
+        if let Some(entry) = self.lock().get_mut(name) {
+            entry.demand = demand;
+        }
+    }
+
+    /// Gives the demand of this one's group by pool, with `own` as this instance's.
+    #[must_use]
+    pub fn group_demand(&self, now: Time, own: &[PoolDemand]) -> Vec<PoolDemand> {
+        let entries = self.lock();
+        let near = entries
+            .values()
+            .filter(|e| e.zone == self.zone && e.is_heard(now));
+        let told = near.flat_map(|e| &e.demand).chain(own);
+        let mut sums: BTreeMap<&str, f64> = BTreeMap::new();
+        for demand in told {
+            *sums.entry(&demand.pool).or_default() += demand.rate;
+        }
+        let sum = |(pool, rate): (&str, f64)| PoolDemand {
+            pool: pool.to_owned(),
+            rate,
         };
-        entries.insert(name.to_owned(), entry);
+        sums.into_iter().map(sum).collect()
     }
 
     /// Forgets an instance that said that it stops.
--- a/crates/firdock-node/src/peer/heartbeat.rs
+++ b/crates/firdock-node/src/peer/heartbeat.rs
@@ -33,7 +33,7 @@
 pub struct SelfNews {
     zone: ZoneId,
     held: Vec<u32>,
-    demand: Vec<PoolDemand>,
+    pub(super) demand: Vec<PoolDemand>,
     draining: bool,
     leaving: Vec<String>,
     version: u64,
@@ -68,14 +68,10 @@
     /// Makes the message.
     #[must_use]
     pub fn message(&self, log_next: u64) -> Heartbeat {
-        let demand = |d: &PoolDemand| message::PoolDemand {
-            pool: d.pool.clone(),
-            rate: d.rate,
-        };
         Heartbeat {
             zone: self.zone.clone(),
             held: self.held.clone(),
-            demand: self.demand.iter().map(demand).collect(),
+            demand: write_demand(&self.demand),
             draining: self.draining,
             leaving: self.leaving.clone(),
             version: self.version,
@@ -84,21 +80,36 @@
     }
 }
 
+/// Writes demand by pool.
+pub fn write_demand(demand: &[PoolDemand]) -> Vec<message::PoolDemand> {
+    let told = demand.iter().take(MAX_POOLS);
+    told.map(|d| message::PoolDemand {
+        pool: d.pool.clone(),
+        rate: d.rate,
+    })
+    .collect()
+}
+
+/// Reads demand by pool; figures that are none are left out.
+pub fn read_demand(demand: Vec<message::PoolDemand>) -> Vec<PoolDemand> {
+    let told = demand.into_iter().take(MAX_POOLS);
+    let finite = told.filter(|d| d.rate.is_finite() && d.rate >= 0.0);
+    finite
+        .map(|d| PoolDemand {
+            pool: d.pool,
+            rate: d.rate,
+        })
+        .collect()
+}
+
 /// Makes a peer's news from its message, cut to what is bounded.
 #[must_use]
 pub fn peer_news(name: &str, beat: Heartbeat) -> PeerNews {
-    let demand = beat.demand.into_iter().take(MAX_POOLS);
     PeerNews {
         name: name.to_owned(),
         zone: beat.zone,
         held: beat.held.into_iter().take(MAX_RANKS).collect(),
-        demand: demand
-            .filter(|d| d.rate.is_finite() && d.rate >= 0.0)
-            .map(|d| PoolDemand {
-                pool: d.pool,
-                rate: d.rate,
-            })
-            .collect(),
+        demand: read_demand(beat.demand),
         draining: beat.draining,
         leaving: beat.leaving.into_iter().take(MAX_LEAVING).collect(),
         ..PeerNews::default()
--- a/crates/firdock-node/src/placement.rs
+++ b/crates/firdock-node/src/placement.rs
@@ -85,7 +85,7 @@
     pub fn observe(&mut self, now: Time, event: &Event) {
         if matches!(
             event,
-            Event::Config(_) | Event::Peer(_) | Event::PeersKnown(_)
+            Event::Config(_) | Event::Peer(_) | Event::PeersKnown(_) | Event::GroupDemand(_)
         ) {
             self.coordinator.observe(now, event.clone());
         }
--- a/crates/firdock-node/src/telemetry/beliefs.rs
+++ b/crates/firdock-node/src/telemetry/beliefs.rs
@@ -10,6 +10,7 @@
 use firdock_policy::Time;
 use firdock_policy::table::Tables;
 use firdock_policy::table::endpoint::{EndpointRow, Health};
+use firdock_policy::table::peer::PeerRow;
 use slog::{Logger, info};
 
 use super::budget::{LineBudget, LineKind};
@@ -113,8 +114,13 @@
 }
 
 fn peer_words(now: Time, t: &Tables) -> Words {
-    let heard = |at: Time| at + t.peer_stale() > now;
-    let word = |at: Time| if heard(at) { "heard" } else { "silent" };
-    let words = t.peers.iter().map(|(_, p)| (p.name.clone(), word(p.heard)));
+    let word = |p: &PeerRow| {
+        if t.is_heard(p, now) {
+            "heard"
+        } else {
+            "silent"
+        }
+    };
+    let words = t.peers.iter().map(|(_, p)| (p.name.clone(), word(p)));
     words.collect()
 }
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -44,6 +44,8 @@
     PeerLost(InstanceId),
     /// So many other instances are known of, whether heard from or not.
     PeersKnown(usize),
+    /// The lead of another group told of its demand.
+    GroupDemand(GroupDemand),
     /// The leads of all groups hear so many instances, this one among them.
     Reach(usize),
     /// The configuration in force was the newest at this time.
@@ -275,6 +277,15 @@
     pub rate: f64,
 }
 
+/// Demand of the instances of one availability zone.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct GroupDemand {
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Demand by pool.
+    pub demand: Vec<PoolDemand>,
+}
+
 /// What became of a hand-over.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/firdock-policy/src/system/limit.rs
+++ b/crates/firdock-policy/src/system/limit.rs
@@ -4,11 +4,14 @@
 
 use firdock_core::{Outcome, Reason, rendezvous};
 
-use crate::event::{AccountUse, PeerNews, PeerUse};
+use uuid::Uuid;
+
+use crate::event::{AccountUse, PeerNews, PeerUse, UseTotals};
 use crate::request::{NewRequest, RequestRow, Verdict};
 use crate::table::Tables;
 use crate::table::account::Accounts;
 use crate::table::limit::Bucket;
+use crate::table::peer::{MAX_PEERS, PeerRow};
 use crate::time::Time;
 
 /// Time for which an account that was used is told of in heartbeats: several of them, in case
@@ -19,6 +22,9 @@
 /// than the even part of one of the six or seven of a small site, so that a restart costs no caller
 /// anything, and all of them together hardly exceed the limit.
 const UNAWARE_PART: f64 = 0.15;
+/// Seconds by which a peer may have begun earlier than this instance, and count as begun with it:
+/// far more than the clocks of instances differ by.
+const SAME_START_SECS: u64 = 10;
 /// Longest time, in seconds, after which callers beyond a limit are told to come back.
 const MAX_WAIT_SECS: f64 = 60.0;
 
@@ -65,51 +71,82 @@
 
 /// Takes out of the buckets what a peer let pass since its last heartbeat.
 ///
-/// What a peer used before this instance first heard of it is not known to be recent, so it does
-/// not count; after a restart, the peer's totals begin anew.
+/// After a restart, the peer's totals begin anew.
 pub fn take_peer(t: &mut Tables, now: Time, news: &PeerNews) {
-    let Some(peer) = t.peers.find(&news.name).map(|at| t.peers.get(at)) else {
-        return;
+    let word = PeerUse {
+        name: news.name.clone(),
+        incarnation: news.incarnation,
+        used: news.used.clone(),
     };
-    if peer.heard == Time::ZERO {
+    take_use(t, now, &word);
+}
+
+/// Takes out of the buckets what a peer let pass, as another instance passed it on.
+pub fn take_relayed(t: &mut Tables, now: Time, word: &PeerUse) {
+    if word.name == t.settings.member.name || !has_room(t, &word.name) {
         return;
     }
-    let same = peer.incarnation == news.incarnation;
-    for used in &news.used {
-        let known = peer.used.get(&used.account).copied();
-        let before = known.filter(|_| same).unwrap_or_default();
-        if let Some(bucket) = bucket_of(&mut t.accounts, &used.account) {
-            bucket.take_peer(used.units - before.units);
-            bucket.ask_peer(now, used.asked - before.asked);
-        }
+    let at = t.peers.find_or_add(&word.name, || PeerRow::new(&word.name));
+    let known_start = t.peers.get(at).incarnation;
+    // Starts are numbered by time; a word of an earlier one was overtaken.
+    if word.incarnation < known_start {
+        return;
+    }
+    let mut newer = word.clone();
+    newer.used.retain(|u| {
+        let known = t.peers.get(at).used.get(&u.account);
+        word.incarnation != known_start || known.is_none_or(|k| k.asked < u.asked)
+    });
+    take_use(t, now, &newer);
+    let peer = t.peers.get_mut(at);
+    if word.incarnation != known_start {
+        peer.incarnation = word.incarnation;
+        peer.used.clear();
     }
+    peer.heard = peer.heard.max(now);
+    let used = newer.used.iter().map(|u| (u.account.clone(), u.totals()));
+    peer.used.extend(used);
 }
 
-/// Takes out of the buckets what a peer let pass, as another instance passed it on.
+/// Takes out of the buckets what is new in a peer's totals.
 ///
-/// It counts only where the peer itself was heard since its start, whose totals it then goes on
-/// from. A word that was overtaken by a newer one has smaller totals and changes nothing.
-pub fn take_relayed(t: &mut Tables, now: Time, word: &PeerUse) {
-    let Some(at) = t.peers.find(&word.name) else {
+/// What a peer used before this instance first heard of it is not known to be recent, so it does not
+/// count. Nor does what it used of an account before it first told of that, unless it began with
+/// this instance or later. A word that was overtaken has smaller totals, and is made up for by the next.
+fn take_use(t: &mut Tables, now: Time, word: &PeerUse) {
+    let peer = t.peers.find(&word.name).map(|at| t.peers.get(at));
+    let Some(peer) = peer.filter(|p| p.heard > Time::ZERO) else {
         return;
     };
-    let peer = t.peers.get_mut(at);
-    if peer.heard == Time::ZERO || peer.incarnation != word.incarnation {
-        return;
-    }
+    let same = peer.incarnation == word.incarnation;
+    let older = began_before(word.incarnation, t.settings.member.incarnation);
     for used in &word.used {
-        let known = peer.used.entry(used.account.clone()).or_default();
-        let more = (used.units - known.units).max(0.0);
-        let asked = (used.asked - known.asked).max(0.0);
-        known.units += more;
-        known.asked += asked;
+        let before = match peer.used.get(&used.account) {
+            Some(known) if same => *known,
+            None if same && older => used.totals(),
+            _ => UseTotals::default(),
+        };
         if let Some(bucket) = bucket_of(&mut t.accounts, &used.account) {
-            bucket.take_peer(more);
-            bucket.ask_peer(now, asked);
+            bucket.take_peer(used.units - before.units);
+            bucket.ask_peer(now, used.asked - before.asked);
         }
     }
 }
 
+/// Tells whether a process began well before another; starts that carry no time count as new.
+fn began_before(peer: Uuid, own: Uuid) -> bool {
+    let secs = |id: Uuid| id.get_timestamp().map(|time| time.to_unix().0);
+    match (secs(peer), secs(own)) {
+        (Some(peer), Some(own)) => peer + SAME_START_SECS < own,
+        _ => false,
+    }
+}
+
+/// Tells whether a peer is known or may be added.
+fn has_room(t: &Tables, name: &str) -> bool {
+    t.peers.len() < MAX_PEERS || t.peers.find(name).is_some()
+}
+
 /// Gives the bucket of an account, if it has one.
 fn bucket_of<'a>(accounts: &'a mut Accounts, account: &str) -> Option<&'a mut Bucket> {
     let at = accounts.find(account)?;
@@ -154,7 +191,6 @@
         };
         return (heard as f64 / known as f64).min(1.0);
     }
-    let fresh = |heard: Time| heard > Time::ZERO && heard + t.peer_stale() > now;
-    let heard = t.peers.iter().filter(|(_, p)| fresh(p.heard)).count();
+    let heard = t.peers.iter().filter(|(_, p)| t.is_heard(p, now)).count();
     (1 + heard) as f64 / known as f64
 }
--- a/crates/firdock-policy/src/system/share.rs
+++ b/crates/firdock-policy/src/system/share.rs
@@ -99,11 +99,10 @@
             zone: t.settings.zone.clone(),
             demand: by_pool(t),
         };
-        let stale = t.peer_stale();
         let peers = t
             .peers
             .iter()
-            .filter(|(_, p)| p.heard + stale > now && !p.draining)
+            .filter(|(_, p)| t.is_heard(p, now) && !p.draining)
             .map(|(_, p)| Sharer {
                 name: p.name.clone(),
                 zone: p.zone.clone(),
--- a/crates/firdock-policy/src/system/share/group.rs
+++ b/crates/firdock-policy/src/system/share/group.rs
@@ -40,19 +40,24 @@
 
 /// Gives the demand of each availability zone whose instances are heard; the own one is among them.
 fn zones(t: &Tables, now: Time) -> Zones {
-    let stale = t.peer_stale();
     let mut zones = Zones::new();
     zones.entry(t.settings.zone.clone()).or_default();
     let heard = t
         .peers
         .iter()
-        .filter(|(_, p)| p.heard + stale > now && !p.draining);
+        .filter(|(_, p)| t.is_heard(p, now) && !p.draining);
     for (_, peer) in heard {
         let zone = zones.entry(peer.zone.clone()).or_default();
         for (pool, rate) in &peer.demand {
             *zone.entry(pool.clone()).or_default() += rate;
         }
     }
+    // What a lead tells of its whole group is newer than what its instances tell far away.
+    for (zone, demand) in t.groups.fresh(now, t.settings.peer_stale) {
+        if *zone != t.settings.zone {
+            zones.insert(zone.clone(), demand.clone());
+        }
+    }
     zones
 }
 
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -2,6 +2,7 @@
 
 pub mod account;
 pub mod endpoint;
+pub mod group;
 pub mod key;
 pub mod limit;
 pub mod pace;
@@ -26,6 +27,12 @@
 /// Peers up to which heartbeats come at their full pace (see `docs/design/peers.md`).
 const PEERS_AT_PACE: usize = 16;
 
+/// The same for peers in other availability zones: their heartbeats are as many times rarer, and two
+/// of them may be lost.
+const FAR_PEERS_AT_PACE: usize = 4;
+/// Most that their pace is stretched by.
+const MAX_FAR_TIMES: u32 = 25;
+
 /// How many instances the leads of all groups hear.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Reach {
@@ -76,6 +83,8 @@
     pub retries: retry::Retries,
     /// Other instances that are known of, whether heard from or not; `None` before anyone told.
     pub known_peers: Option<usize>,
+    /// Demand of other groups, as their leads tell.
+    pub groups: group::Groups,
     /// How many instances the leads of all groups heard last.
     pub reach: Option<Reach>,
     /// When the configuration in force was last known to be the newest.
@@ -112,6 +121,21 @@
         self.settings.peer_stale * u32::try_from(times).unwrap_or(u32::MAX).max(1)
     }
 
+    /// Tells whether a peer's news is recent; where instances are many, those of other availability
+    /// zones tell seldom, since leads of groups tell for them.
+    #[must_use]
+    pub fn is_heard(&self, peer: &peer::PeerRow, now: Time) -> bool {
+        let near = peer.zone.is_empty() || peer.zone == self.settings.zone || self.is_small_site();
+        let stale = if near {
+            self.peer_stale()
+        } else {
+            let times = self.peers_known() / FAR_PEERS_AT_PACE;
+            let times = u32::try_from(times).unwrap_or(u32::MAX);
+            self.settings.peer_stale * times.clamp(1, MAX_FAR_TIMES)
+        };
+        peer.heard > Time::ZERO && peer.heard + stale > now
+    }
+
     /// Gives until when requests with a key may be sent by the configuration in force.
     #[must_use]
     pub fn fresh_until(&self) -> Option<Time> {
@@ -143,6 +167,7 @@
             rates_taken: Time::ZERO,
             retries: retry::Retries::new(),
             known_peers: None,
+            groups: group::Groups::default(),
             reach: None,
             fresh_at: None,
             coordinated: false,
--- a/crates/firdock-policy/tests/policy/limits.rs
+++ b/crates/firdock-policy/tests/policy/limits.rs
@@ -79,8 +79,16 @@
     edge.step(peer(5_000.0, 1));
     edge.now += millis(1_000);
     edge.step(Event::Fresh(edge.now));
-    // Of a start that was not heard of, nothing is known to be recent.
-    edge.step(relayed(9_000.0, 2));
+    // Of one that was not heard of, nothing is known to be recent.
+    edge.step(Event::PeerUsed(PeerUse {
+        name: "never heard of".to_owned(),
+        incarnation: Uuid::from_u128(2),
+        used: vec![AccountUse {
+            account: "limited".to_owned(),
+            units: 9_000.0,
+            asked: 9_000.0,
+        }],
+    }));
     assert_eq!(verdict(&edge.arrive(request(1, "safe", "limited"))), None);
     edge.now += millis(1_000);
     edge.step(relayed(5_300.0, 1));
@@ -94,6 +102,12 @@
     edge.now += millis(7_000);
     edge.step(Event::Fresh(edge.now));
     assert_eq!(verdict(&edge.arrive(request(3, "safe", "limited"))), None);
+    // A later start's totals began with it, so that all of them is new.
+    edge.now += millis(2_000);
+    edge.step(Event::Fresh(edge.now));
+    edge.step(relayed(9_000.0, 2));
+    let refused = verdict(&edge.arrive(request(4, "safe", "limited")));
+    assert_eq!(refused, Some((Outcome::NotRun, Reason::RateLimited)));
 }
 
 #[test]
@@ -169,6 +183,39 @@
     assert!((5..=6).contains(&served), "{served}");
 }
 
+/// A peer that had long been running and told of an account for the first time took all that it had
+/// ever let pass of it out of a new instance's bucket.
+#[test]
+fn what_an_older_peer_let_pass_before_it_told_of_an_account_is_not_recent() {
+    let start = |secs: u64| Uuid::new_v7(uuid::Timestamp::from_unix(uuid::NoContext, secs, 0));
+    let told = |incarnation: Uuid, used: f64| PeerNews {
+        name: "b".to_owned(),
+        incarnation,
+        used: vec![AccountUse {
+            account: "limited".to_owned(),
+            units: used,
+            asked: used,
+        }],
+        ..PeerNews::default()
+    };
+    for (secs, passes) in [(1_000, true), (2_000, false)] {
+        let mut settings = edge_settings("a");
+        settings.member.incarnation = start(2_000);
+        let mut edge = Edge::new(settings, resources());
+        let peer = start(secs);
+        let first = PeerNews {
+            used: Vec::new(),
+            ..told(peer, 0.0)
+        };
+        edge.step(Event::Peer(first));
+        edge.now += millis(1_000);
+        edge.step(Event::Fresh(edge.now));
+        edge.step(Event::Peer(told(peer, 900_000.0)));
+        let new = verdict(&edge.arrive(request(1, "safe", "limited")));
+        assert_eq!(new.is_none(), passes, "began at {secs} s");
+    }
+}
+
 /// Many instances that ask for far more than the limit, in rounds of 20 ms; each hears of the others
 /// `lag` rounds late.
 fn let_pass_in_seconds(instances: usize, secs: u64, lag: usize) -> Vec<f64> {
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -188,6 +188,9 @@
     /// Instances of all groups that leads hear; 0 if the sender does not lead its group.
     #[prost(uint32, tag = "10")]
     pub site_heard: u32,
+    /// Demand of the sender's group, if it leads it.
+    #[prost(message, repeated, tag = "11")]
+    pub group_demand: ::prost::alloc::vec::Vec<PoolDemand>,
 }
 /// What another instance than the sender let pass of limited accounts since its start.
 #[derive(Clone, PartialEq, ::prost::Message)]
