--- a/crates/firdock-node/tests/node/peers.rs
+++ b/crates/firdock-node/tests/node/peers.rs
@@ -8,10 +8,13 @@
 use firdock_node::clock::Clock;
 use firdock_node::peer::{
     Beacons, EntryChanges, PeerBook, Reader, Reads, SelfNews, SharedReads, UseRelay, open_beacons,
+    seal,
 };
 use firdock_node::telemetry::silent;
 use firdock_policy::event::Member;
 use firdock_policy::{Event, Policy as _, PolicySettings, Scheduler};
+use firdock_wire::PROTOCOL;
+use firdock_wire::message::{Beacon, Heartbeat, datagram};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 use uuid::Uuid;
@@ -154,6 +157,37 @@
     }
 }
 
+/// Leads that had all restarted at one moment did not hear each other for seconds, where the one's
+/// first word came before the other knew of it.
+#[tokio::test]
+async fn a_first_heartbeat_is_answered() {
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let socket = open_beacons(any).await.expect("a socket");
+    let to = socket.local_addr().expect("an address");
+    let stranger = UdpSocket::bind(any).await.expect("a socket");
+    // It knows of another instance, and not of the one that will send.
+    let known = UdpSocket::bind(any).await.expect("a socket");
+    let mut party = party("a", socket, Clock::new(), ("b", &known));
+    party.beacons.pause = Duration::from_mins(1);
+    let key = Arc::clone(&party.beacons.key);
+    let (stop, stops) = watch::channel(false);
+    let running = tokio::spawn(party.beacons.run(stops));
+    let first = Beacon {
+        protocol: PROTOCOL,
+        instance: "c".to_owned(),
+        heartbeat: Some(Heartbeat::default()),
+        ..Beacon::default()
+    };
+    let sealed = seal(&key, datagram::Body::Beacon(first));
+    stranger.send_to(&sealed, to).await.expect("it is sent");
+    let mut buffer = [0; 2_048];
+    let answer = tokio::time::timeout(millis(2_000), stranger.recv_from(&mut buffer)).await;
+    assert!(matches!(answer, Ok(Ok(_))), "no answer: {answer:?}");
+    stop.send_replace(true);
+    running.await.expect("the task ends");
+    drop((party.events, party.news));
+}
+
 /// Finding 2: an instance that had just read version 19 told it with the version of its last
 /// published heartbeat, 4; a peer that still had 4 took it for fresh and let a revoked key in.
 #[tokio::test]
