Take a configuration over in time that grows with its endpoints alone

Each change of an endpoint made every instance draw its places on all engines against all instances, although the coordinator places; match each endpoint against each service; and take the configuration into coordinator's tables that nobody asked. Change: no draws for what the coordinator places, links by name of pool and service, a configuration for the coordinator's tables only once a member reports.

--- a/crates/firdock-node/src/placement/coordinator.rs
+++ b/crates/firdock-node/src/placement/coordinator.rs
@@ -50,6 +50,8 @@
     actions: Vec<Action>,
     /// When the timed systems ran last.
     timed: Time,
+    /// Configuration that is to be taken as soon as a member reports.
+    config: Option<Event>,
 }
 
 impl Coordinator {
@@ -62,16 +64,27 @@
             owners: HashMap::new(),
             actions: Vec::new(),
             timed: Time::ZERO,
+            config: None,
         }
     }
 
     /// Takes an event that concerns the tables.
+    ///
+    /// While nobody reports, only the newest configuration is kept: to take each costs time that most
+    /// instances, which coordinate nothing, need for something else.
     pub fn observe(&mut self, now: Time, event: Event) {
-        self.step(now, event);
+        if self.members.is_empty() && matches!(event, Event::Config(_)) {
+            self.config = Some(event);
+        } else {
+            self.step(now, event);
+        }
     }
 
     /// Takes a member's report; `address` is where its reply goes, `None` for this instance itself.
     pub fn take(&mut self, now: Time, report: Report, address: Option<SocketAddr>) {
+        if let Some(config) = self.config.take() {
+            self.step(now, config);
+        }
         self.meet(now, &report, address);
         let name = report.instance;
         for news in report.news {
--- a/crates/firdock-policy/src/system/config.rs
+++ b/crates/firdock-policy/src/system/config.rs
@@ -1,8 +1,8 @@
 //! The configuration in force is taken over into the tables.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 
-use firdock_core::resource::{Catalog, Endpoint, PoolWeight, Service, Tier};
+use firdock_core::resource::{Catalog, Tier};
 
 use super::share;
 use crate::table::Tables;
@@ -76,25 +76,29 @@
     }
 }
 
-/// Links services to the rows of their endpoints.
+/// Links services to the rows of their endpoints: those that name the service, and those of its pools.
 fn link(t: &mut Tables) {
-    let endpoints = &t.endpoints;
+    let mut by_service: HashMap<&str, Vec<usize>> = HashMap::new();
+    let mut by_pool: HashMap<&str, Vec<usize>> = HashMap::new();
+    for (at, e) in t.endpoints.iter().filter(|(_, e)| e.present) {
+        by_pool.entry(&e.declared.pool).or_default().push(at);
+        for name in &e.declared.services {
+            by_service.entry(name).or_default().push(at);
+        }
+    }
+    let found =
+        |rows: &HashMap<&str, Vec<usize>>, name: &str| rows.get(name).cloned().unwrap_or_default();
     for (_, s) in t.services.iter_mut() {
-        let serves = |e: &EndpointRow| e.present && serves(&e.declared, &s.declared);
-        s.endpoints = endpoints
-            .iter()
-            .filter(|(_, e)| serves(e))
-            .map(|(i, _)| i)
-            .collect();
+        let mut rows = found(&by_service, &s.declared.name);
+        for part in &s.declared.split {
+            rows.extend(found(&by_pool, &part.pool));
+        }
+        rows.sort_unstable();
+        rows.dedup();
+        s.endpoints = rows;
     }
 }
 
-/// Tells whether an endpoint takes requests of a service: by the service's name or a pool of it.
-fn serves(endpoint: &Endpoint, service: &Service) -> bool {
-    let in_pool = |p: &PoolWeight| p.pool == endpoint.pool;
-    endpoint.services.contains(&service.name) || service.split.iter().any(in_pool)
-}
-
 /// Removes rows that are neither declared nor referred to.
 fn sweep(t: &mut Tables) {
     t.services.remove_if(|s| !s.present && s.live == 0);
--- a/crates/firdock-policy/src/system/share.rs
+++ b/crates/firdock-policy/src/system/share.rs
@@ -35,9 +35,12 @@
         return;
     }
     let sharers = Sharers::new(t, now);
+    // What a coordinator places needs no budgets here; every endpoint's costs a draw of each instance.
+    let own = |e: &EndpointRow| !(t.coordinated && e.is_engine());
     let shared: Vec<(usize, &EndpointRow, Vec<f64>)> = t
         .endpoints
         .iter()
+        .filter(|(_, e)| own(e))
         .map(|(i, e)| (i, e, sharers.shares(e)))
         .collect();
     let places = places_part(&shared);
@@ -53,9 +56,7 @@
 /// Sets the budgets again if they have not been set for a while: between instances, they change no
 /// faster than demand is told.
 pub fn refresh_budgets(t: &mut Tables, now: Time) {
-    let due = t.budgets_set + BUDGET_PERIOD <= now;
-    // What a coordinator places needs no budgets here.
-    if due && !t.coordinated {
+    if t.budgets_set + BUDGET_PERIOD <= now {
         t.budgets_set = now;
         set_budgets(t, now);
     }
