--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -229,7 +229,7 @@
     fn beacon(&self, peers: &[Addressed], relayed: &[PeerUse]) -> Beacon {
         let news = self.news.borrow();
         let now = self.clock.now();
-        let tells = !self.book.is_small() && self.book.tells(now);
+        let tells = !self.book.is_small() && !news.draining && self.book.tells(now);
         let (group_heard, site_heard) = if tells {
             (self.book.group_heard(now), self.book.site_heard(now))
         } else {
@@ -322,7 +322,7 @@
             incarnation: news.incarnation,
             used: news.used.clone(),
         };
-        if self.book.is_near(&news.name) {
+        if self.book.is_own_zone(&news.zone) {
             self.relay.hear(&word, HeardUse::FromMember);
         }
         self.tell(Event::Peer(news)).await;
@@ -335,10 +335,12 @@
     /// Takes what a lead tells of its group: of another one, its demand and how many it hears, to tell
     /// the own group; of the own one, how many are heard on the whole site.
     async fn take_group(&self, beacon: &Beacon, zone: &str, now: Time) {
-        if beacon.group_heard == 0 {
+        // One that stops is sent nothing any more, so that it hears hardly anyone.
+        let draining = beacon.heartbeat.as_ref().is_some_and(|b| b.draining);
+        if beacon.group_heard == 0 || draining {
             return;
         }
-        if self.book.is_near(&beacon.instance) {
+        if self.book.is_own_zone(zone) {
             self.tell(Event::Reach(beacon.site_heard as usize)).await;
         } else {
             self.book.note_group(zone, beacon.group_heard as usize, now);
--- a/crates/firdock-node/src/peer/book.rs
+++ b/crates/firdock-node/src/peer/book.rs
@@ -291,6 +291,12 @@
         entries.len() < SMALL_SITE || entries.get(name).is_none_or(near)
     }
 
+    /// Tells whether an availability zone is this instance's.
+    #[must_use]
+    pub fn is_own_zone(&self, zone: &str) -> bool {
+        zone == self.zone
+    }
+
     /// Tells whether any instance was heard a short while ago.
     #[must_use]
     pub fn hears_any(&self, now: Time) -> bool {
--- a/crates/firdock-node/src/peer/heartbeat.rs
+++ b/crates/firdock-node/src/peer/heartbeat.rs
@@ -34,7 +34,7 @@
     zone: ZoneId,
     held: Vec<u32>,
     pub(super) demand: Vec<PoolDemand>,
-    draining: bool,
+    pub(super) draining: bool,
     leaving: Vec<String>,
     version: u64,
     /// What this instance let pass of the limits in use.
--- a/crates/firdock-node/tests/node/peers.rs
+++ b/crates/firdock-node/tests/node/peers.rs
@@ -157,6 +157,59 @@
     }
 }
 
+/// Finding 16: an instance that stops is sent nothing any more, so that it hears hardly anyone; its
+/// word on how many are heard cut every limit to a small part, all through a rolling restart.
+#[tokio::test]
+async fn a_lead_that_stops_or_is_of_another_group_does_not_tell_how_many_are_heard() {
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let socket = open_beacons(any).await.expect("a socket");
+    let to = socket.local_addr().expect("an address");
+    let other = UdpSocket::bind(any).await.expect("a socket");
+    let mut party = party("z", socket, Clock::new(), ("b", &other));
+    party.beacons.pause = Duration::from_mins(1);
+    // So many of its group are heard before it that it does not lead.
+    for n in 0..20 {
+        let address = ([127, 0, 0, 1], 1).into();
+        let (book, now) = (&party.beacons.book, party.beacons.clock.now());
+        book.hear(&format!("m-{n}"), "zone", address, now);
+    }
+    let key = Arc::clone(&party.beacons.key);
+    let (stop, stops) = watch::channel(false);
+    let running = tokio::spawn(party.beacons.run(stops));
+    for (name, zone, draining, site_heard) in [
+        ("far-lead", "elsewhere", false, 1),
+        ("far-lead-that-stops", "elsewhere", true, 2),
+        ("lead-that-stops", "zone", true, 3),
+        ("lead", "zone", false, 40),
+    ] {
+        let told = Beacon {
+            protocol: PROTOCOL,
+            instance: name.to_owned(),
+            heartbeat: Some(Heartbeat {
+                zone: zone.to_owned(),
+                draining,
+                ..Heartbeat::default()
+            }),
+            group_heard: 20,
+            site_heard,
+            ..Beacon::default()
+        };
+        let sealed = seal(&key, datagram::Body::Beacon(told));
+        other.send_to(&sealed, to).await.expect("it is sent");
+    }
+    tokio::time::sleep(millis(300)).await;
+    stop.send_replace(true);
+    running.await.expect("the task ends");
+    let mut reach = Vec::new();
+    while let Ok(input) = party.events.try_recv() {
+        if let firdock_node::Input::Event(Event::Reach(count)) = input {
+            reach.push(count);
+        }
+    }
+    assert_eq!(reach, [40]);
+    drop(party.news);
+}
+
 /// Leads that had all restarted at one moment did not hear each other for seconds, where the one's
 /// first word came before the other knew of it.
 #[tokio::test]
