Move what the driver does for placements and for callers' answers into files of their own

Placement and answers are jobs of their own; an event of a placement and any other now end requests by one function (apply).

--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -3,14 +3,17 @@
 //! All else sends inputs over one bounded channel; the scheduler runs on each input and on a
 //! short timer, so that an instant call never waits for a tick.
 
+mod answer;
+mod placement;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use firdock_core::{InstanceId, Outcome, Reason, RequestId};
-use firdock_policy::action::Dispatch;
+use firdock_core::{InstanceId, RequestId};
+use firdock_policy::action::{Dispatch, HandOverCause};
 use firdock_policy::event::{DispatchNews, EndpointEvent, HandOverEvent, HandOverRefusal};
-use firdock_policy::{Action, Event, Policy as _, Scheduler, Time, Verdict};
+use firdock_policy::{Action, Event, Policy as _, Scheduler, Time};
 use slog::{Logger, warn};
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
@@ -162,64 +165,29 @@
                 self.step(Event::Arrived(new));
                 self.drop_if_ended(id);
             }
-            Input::Placement(input) => {
-                let now = self.parts.clock.now();
-                if let Some(placement) = &mut self.placement {
-                    let events = placement.take(now, input);
-                    self.apply(events);
-                }
-            }
-            Input::Event(event) => {
-                self.note_placement(&event);
-                match &event {
-                    Event::Config(catalog) => self.parts.site.set(catalog),
-                    Event::Fresh(at) => self.parts.site.set_fresh(*at),
-                    Event::Endpoint(news) => self.note_news(news),
-                    Event::CallerLeft(id) => self.note_caller_left(*id),
-                    _ => {}
-                }
-                let id = subject(&event);
-                self.step(event);
-                if let Some(id) = id {
-                    self.drop_if_ended(id);
-                }
-            }
-        }
-    }
-
-    /// Tells the placement of requests what an event means for it, before the event is taken.
-    fn note_placement(&mut self, event: &Event) {
-        let Some(placement) = &mut self.placement else {
-            return;
-        };
-        let t = self.scheduler.tables();
-        match event {
-            Event::Endpoint(news) => placement.note(t, news),
-            Event::CallerLeft(id) => placement.note_left(t, *id),
-            _ => placement.observe(self.parts.clock.now(), event),
+            Input::Placement(input) => self.take_placement(input),
+            Input::Event(event) => self.take_event(event),
         }
     }
 
-    /// Tells the coordinator what is new, and takes what it answers at once where it runs here.
-    fn exchange_placements(&mut self) {
-        let now = self.parts.clock.now();
-        while let Some(placement) = &mut self.placement {
-            let events = placement.exchange(now, self.scheduler.tables());
-            if events.is_empty() {
-                break;
-            }
-            self.apply(events);
+    fn take_event(&mut self, event: Event) {
+        self.note_placement(&event);
+        match &event {
+            Event::Config(catalog) => self.parts.site.set(catalog),
+            Event::Fresh(at) => self.parts.site.set_fresh(*at),
+            Event::Endpoint(news) => self.note_news(news),
+            Event::CallerLeft(id) => self.note_caller_left(*id),
+            _ => {}
         }
+        self.apply(event);
     }
 
-    /// Takes events about requests that may end by them.
-    fn apply(&mut self, events: Vec<Event>) {
-        for event in events {
-            let id = subject(&event);
-            self.step(event);
-            if let Some(id) = id {
-                self.drop_if_ended(id);
-            }
+    /// Takes an event, and drops the request that it is about if that ended by it.
+    fn apply(&mut self, event: Event) {
+        let id = subject(&event);
+        self.step(event);
+        if let Some(id) = id {
+            self.drop_if_ended(id);
         }
     }
 
@@ -257,11 +225,7 @@
 
     fn tick(&mut self) {
         self.step(Event::Timer);
-        if let Some(placement) = &mut self.placement {
-            let events = placement.tick(self.parts.clock.now(), self.scheduler.tables());
-            self.apply(events);
-            self.exchange_placements();
-        }
+        self.tick_placement();
         self.ticks += 1;
         if self.ticks.is_multiple_of(TICKS_PER_PUBLICATION) {
             let now = self.parts.clock.now();
@@ -321,16 +285,8 @@
                 endpoint,
                 dispatch,
             } => self.cancel(id, &endpoint, dispatch),
-            Action::Ask { id } => {
-                if let Some(placement) = &mut self.placement {
-                    placement.ask(id);
-                }
-            }
-            Action::Decline(grant) => {
-                if let Some(placement) = &mut self.placement {
-                    placement.decline(self.scheduler.tables(), &grant);
-                }
-            }
+            Action::Ask { id } => self.ask_placement(id),
+            Action::Decline(grant) => self.decline_placement(&grant),
             Action::HandOver { id, peer, cause } => self.hand_over(id, peer, cause),
             Action::CancelHandOver { id, .. } => self.abort(id),
             Action::Answer { id, verdict } => self.answer(id, verdict),
@@ -416,12 +372,7 @@
         self.parts.runtime.spawn(cancelling);
     }
 
-    fn hand_over(
-        &mut self,
-        id: RequestId,
-        peer: InstanceId,
-        cause: firdock_policy::action::HandOverCause,
-    ) {
+    fn hand_over(&mut self, id: RequestId, peer: InstanceId, cause: HandOverCause) {
         let Some(exchange) = self.exchange(id) else {
             return;
         };
@@ -463,49 +414,6 @@
         self.set_task(id, task.abort_handle());
     }
 
-    fn answer(&self, id: RequestId, verdict: Verdict) {
-        if let Some(live) = self.exchanges.get(&id) {
-            let (now, t) = (self.parts.clock.now(), self.scheduler.tables());
-            self.decisions.verdict(now, t, live.story(), verdict);
-        }
-        self.reply(id, Part::Verdict(verdict));
-    }
-
-    fn cut(&self, id: RequestId, reason: Reason) {
-        if let Some(live) = self.exchanges.get(&id) {
-            let now = self.parts.clock.now();
-            self.decisions.cut(now, live.story(), reason);
-        }
-        self.reply(id, Part::Cut);
-    }
-
-    fn replay(&self, id: RequestId, earlier: RequestId) {
-        let Some(answer) = self.parts.answers.get(earlier) else {
-            let verdict = Verdict {
-                outcome: Outcome::Unknown,
-                reason: Reason::KeyUncertain,
-                retry_after: None,
-            };
-            self.reply(id, Part::Verdict(verdict));
-            return;
-        };
-        self.reply(id, Part::Head(answer.head.clone()));
-        self.reply(id, Part::Data(answer.body()));
-        self.reply(id, Part::End);
-    }
-
-    fn reply(&self, id: RequestId, part: Part) {
-        let Some(live) = self.exchanges.get(&id) else {
-            return;
-        };
-        let reply = live.exchange.reply.clone();
-        if let Err(mpsc::error::TrySendError::Full(part)) = reply.try_send(part) {
-            self.parts
-                .runtime
-                .spawn(async move { reply.send(part).await });
-        }
-    }
-
     /// Sends an event to the scheduler itself, after what is already waiting.
     fn send(&self, event: Event) {
         let inputs = self.parts.inputs.clone();
--- /dev/null
+++ b/crates/firdock-node/src/driver/answer.rs
@@ -0,0 +1,54 @@
+//! What the driver tells the callers of requests.
+
+use firdock_core::{Outcome, Reason, RequestId};
+use firdock_policy::Verdict;
+use tokio::sync::mpsc;
+
+use super::Driver;
+use crate::endpoint::Backends;
+use crate::exchange::Part;
+
+impl<B: Backends> Driver<B> {
+    pub(super) fn answer(&self, id: RequestId, verdict: Verdict) {
+        if let Some(live) = self.exchanges.get(&id) {
+            let (now, t) = (self.parts.clock.now(), self.scheduler.tables());
+            self.decisions.verdict(now, t, live.story(), verdict);
+        }
+        self.reply(id, Part::Verdict(verdict));
+    }
+
+    pub(super) fn cut(&self, id: RequestId, reason: Reason) {
+        if let Some(live) = self.exchanges.get(&id) {
+            let now = self.parts.clock.now();
+            self.decisions.cut(now, live.story(), reason);
+        }
+        self.reply(id, Part::Cut);
+    }
+
+    pub(super) fn replay(&self, id: RequestId, earlier: RequestId) {
+        let Some(answer) = self.parts.answers.get(earlier) else {
+            let verdict = Verdict {
+                outcome: Outcome::Unknown,
+                reason: Reason::KeyUncertain,
+                retry_after: None,
+            };
+            self.reply(id, Part::Verdict(verdict));
+            return;
+        };
+        self.reply(id, Part::Head(answer.head.clone()));
+        self.reply(id, Part::Data(answer.body()));
+        self.reply(id, Part::End);
+    }
+
+    pub(super) fn reply(&self, id: RequestId, part: Part) {
+        let Some(live) = self.exchanges.get(&id) else {
+            return;
+        };
+        let reply = live.exchange.reply.clone();
+        if let Err(mpsc::error::TrySendError::Full(part)) = reply.try_send(part) {
+            self.parts
+                .runtime
+                .spawn(async move { reply.send(part).await });
+        }
+    }
+}
