Move groups of instances and their leads out of the peer book into a file of their own

The book kept entries and told who leads, with five written-out tests of how lately an instance was heard. There are two of them now, by name: is_heard (five seconds) and is_present (a few heartbeats).

--- a/crates/firdock-node/src/peer/book.rs
+++ b/crates/firdock-node/src/peer/book.rs
@@ -1,6 +1,8 @@
 //! The other instances that are known of, by name, with where they take heartbeats.
 
-use std::collections::{BTreeMap, BTreeSet};
+mod group;
+
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -9,9 +11,11 @@
 use firdock_core::{InstanceId, ZoneId};
 use firdock_policy::Time;
 use firdock_policy::event::PoolDemand;
-use firdock_policy::table::SMALL_SITE;
 use tokio::sync::Notify;
 
+use self::group::GroupCounts;
+pub use self::group::Reader;
+
 /// Most instances that are kept.
 const MAX_PEERS: usize = 512;
 /// Silence after which an instance is forgotten: it was replaced or taken away.
@@ -19,25 +23,6 @@
 /// Silence after which an instance does not count as heard.
 const HEARD_WITHIN: Duration = Duration::from_secs(5);
 
-/// Silence after which an instance does not count as the reader of its group.
-const READER_WITHIN: Duration = Duration::from_millis(1_200);
-/// Instances of each group that are told everything at once: its lead and the next one by name,
-/// which leads as soon as the first falls silent.
-const LEADS_TOLD: usize = 2;
-
-/// An instance's part in the reading of the platform's store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reader {
-    /// Reads for the whole site.
-    Site,
-    /// Leads its group: passes on what the site's reader read.
-    Group,
-    /// Takes what its group's lead tells.
-    Member,
-    /// Takes what the site's reader tells, where all instances are one group.
-    SmallMember,
-}
-
 /// One other instance.
 #[derive(Debug, Clone)]
 struct Entry {
@@ -51,22 +36,30 @@
 }
 
 impl Entry {
-    /// Tells whether the instance was heard within a few heartbeats.
+    /// Tells whether the instance was heard within a time.
+    fn heard_within(&self, now: Time, time: Duration) -> bool {
+        self.heard && self.since + time > now
+    }
+
+    /// Tells whether the instance was heard a short while ago.
     fn is_heard(&self, now: Time) -> bool {
-        self.heard && self.since + READER_WITHIN > now
+        self.heard_within(now, HEARD_WITHIN)
     }
 }
 
+/// The other instances by name.
+type Entries = BTreeMap<InstanceId, Entry>;
+
 /// The other instances.
 #[derive(Debug)]
 pub struct PeerBook {
     me: InstanceId,
     zone: ZoneId,
-    entries: Mutex<BTreeMap<InstanceId, Entry>>,
+    entries: Mutex<Entries>,
     listed: AtomicBool,
     listed_now: Notify,
-    /// How many instances the leads of other groups hear, by availability zone, and when they told.
-    groups: Mutex<BTreeMap<ZoneId, (Time, usize)>>,
+    /// Counts of the other groups.
+    groups: Mutex<GroupCounts>,
     /// Instances that said that they stop, and when: others may still tell of them for a while.
     departed: Mutex<BTreeMap<InstanceId, Time>>,
 }
@@ -148,25 +141,6 @@
         }
     }
 
-    /// Gives the demand of this one's group by pool, with `own` as this instance's.
-    #[must_use]
-    pub fn group_demand(&self, now: Time, own: &[PoolDemand]) -> Vec<PoolDemand> {
-        let entries = self.lock();
-        let near = entries
-            .values()
-            .filter(|e| e.zone == self.zone && e.is_heard(now));
-        let told = near.flat_map(|e| &e.demand).chain(own);
-        let mut sums: BTreeMap<&str, f64> = BTreeMap::new();
-        for demand in told {
-            *sums.entry(&demand.pool).or_default() += demand.rate;
-        }
-        let sum = |(pool, rate): (&str, f64)| PoolDemand {
-            pool: pool.to_owned(),
-            rate,
-        };
-        sums.into_iter().map(sum).collect()
-    }
-
     /// Forgets an instance that said that it stops.
     pub fn forget(&self, name: &str, now: Time) {
         self.lock().remove(name);
@@ -181,123 +155,11 @@
         entries.len()
     }
 
-    /// Gives this instance's part in the reading of the store.
-    ///
-    /// Of each group, the first by name of those that are heard leads it: it hears of what was read
-    /// and passes it on. The first of these reads for the whole site.
-    #[must_use]
-    pub fn reader(&self, now: Time) -> Reader {
-        let entries = self.lock();
-        let before = entries.iter().filter(|(name, _)| **name < self.me);
-        let mut before = before.filter(|(_, e)| e.is_heard(now)).peekable();
-        if before.peek().is_none() {
-            return Reader::Site;
-        }
-        let small = entries.len() < SMALL_SITE;
-        let led_by_other = before.any(|(_, e)| small || e.zone == self.zone);
-        match (led_by_other, small) {
-            (false, _) => Reader::Group,
-            (true, false) => Reader::Member,
-            (true, true) => Reader::SmallMember,
-        }
-    }
-
-    /// Tells whether this instance leads its group.
-    #[must_use]
-    pub fn leads(&self, now: Time) -> bool {
-        matches!(self.reader(now), Reader::Site | Reader::Group)
-    }
-
-    /// Gives the first instances by name of each group that are heard: its lead, and the one that
-    /// takes over from it.
-    #[must_use]
-    pub fn leads_of_all(&self, now: Time) -> BTreeSet<InstanceId> {
-        let entries = self.lock();
-        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
-        let heard = entries
-            .iter()
-            .filter(|(_, e)| e.heard && e.since + HEARD_WITHIN > now);
-        let first = heard.filter(|(_, e)| {
-            let count = counts.entry(&e.zone).or_default();
-            *count += 1;
-            *count <= LEADS_TOLD
-        });
-        first.map(|(name, _)| name.clone()).collect()
-    }
-
-    /// Tells whether this instance tells its group of the site: its lead does, and the one that takes
-    /// over from it.
-    #[must_use]
-    pub fn tells(&self, now: Time) -> bool {
-        let entries = self.lock();
-        let near = entries.iter().filter(|(_, e)| e.is_heard(now));
-        let before = near.filter(|(name, e)| e.zone == self.zone && **name < self.me);
-        before.count() < LEADS_TOLD
-    }
-
-    /// Counts the instances of this one's group that are heard, itself among them.
-    #[must_use]
-    pub fn group_heard(&self, now: Time) -> usize {
-        let entries = self.lock();
-        let near = entries
-            .values()
-            .filter(|e| e.zone == self.zone && e.is_heard(now));
-        1 + near.count()
-    }
-
-    /// Notes how many instances of another group its lead hears.
-    pub fn note_group(&self, zone: &str, count: usize, now: Time) {
-        let mut groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
-        groups.insert(zone.to_owned(), (now, count));
-    }
-
-    /// Counts the instances of all groups that their leads hear.
-    #[must_use]
-    pub fn site_heard(&self, now: Time) -> usize {
-        let groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
-        let fresh = groups
-            .iter()
-            .filter(|(zone, (at, _))| **zone != self.zone && *at + READER_WITHIN > now);
-        let others: usize = fresh.map(|(_, (_, count))| count).sum();
-        self.group_heard(now) + others
-    }
-
-    /// Gives the first instance by name of this one's group, of those that are heard and `open`; this
-    /// instance itself is left out.
-    pub fn first_of_group(
-        &self,
-        now: Time,
-        open: impl Fn(&str) -> bool,
-    ) -> Option<(InstanceId, SocketAddr)> {
-        let entries = self.lock();
-        let small = entries.len() < SMALL_SITE;
-        let mut group = entries
-            .iter()
-            .filter(|(name, e)| (small || e.zone == self.zone) && e.is_heard(now) && open(name));
-        group.next().map(|(name, e)| (name.clone(), e.address))
-    }
-
-    /// Tells whether instances are so few that all of them are one group.
-    #[must_use]
-    pub fn is_small(&self) -> bool {
-        self.lock().len() < SMALL_SITE
-    }
-
-    /// Tells whether an instance is in this one's availability zone, or all instances are few.
-    #[must_use]
-    pub fn is_near(&self, name: &str) -> bool {
-        let entries = self.lock();
-        let near = |e: &Entry| e.zone == self.zone;
-        entries.len() < SMALL_SITE || entries.get(name).is_none_or(near)
-    }
-
     /// Tells whether any instance was heard a short while ago.
     #[must_use]
     pub fn hears_any(&self, now: Time) -> bool {
         let entries = self.lock();
-        entries
-            .values()
-            .any(|e| e.heard && e.since + HEARD_WITHIN > now)
+        entries.values().any(|e| e.is_heard(now))
     }
 
     /// Gives all instances with their addresses.
@@ -314,9 +176,7 @@
     #[must_use]
     pub fn heard(&self, now: Time) -> Vec<(InstanceId, SocketAddr)> {
         let entries = self.lock();
-        let heard = entries
-            .iter()
-            .filter(|(_, e)| e.heard && e.since + HEARD_WITHIN > now);
+        let heard = entries.iter().filter(|(_, e)| e.is_heard(now));
         heard.map(|(name, e)| (name.clone(), e.address)).collect()
     }
 
@@ -324,7 +184,7 @@
         self.departed.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<InstanceId, Entry>> {
+    fn lock(&self) -> MutexGuard<'_, Entries> {
         self.entries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- /dev/null
+++ b/crates/firdock-node/src/peer/book/group.rs
@@ -0,0 +1,192 @@
+//! Groups of instances: who leads each of them, and what its members tell.
+//!
+//! The instances of one availability zone are a group; where all are few, they are one together.
+//! Of each group, the first by name of those that are heard leads it (`docs/design/peers.md`).
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{MutexGuard, PoisonError};
+use std::time::Duration;
+
+use firdock_core::{InstanceId, ZoneId};
+use firdock_policy::Time;
+use firdock_policy::event::PoolDemand;
+use firdock_policy::table::SMALL_SITE;
+
+use super::{Entries, Entry, PeerBook};
+
+/// Silence after which an instance neither leads a group nor counts in it: a few heartbeats.
+const PRESENT_WITHIN: Duration = Duration::from_millis(1_200);
+/// Instances of each group that are told everything at once: its lead and the next one by name,
+/// which leads as soon as the first falls silent.
+const LEADS_TOLD: usize = 2;
+
+/// How many instances the lead of each group hears, by availability zone, and when it told.
+pub(super) type GroupCounts = BTreeMap<ZoneId, (Time, usize)>;
+
+/// An instance's part in the reading of the platform's store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reader {
+    /// Reads for the whole site.
+    Site,
+    /// Leads its group: passes on what the site's reader read.
+    Group,
+    /// Takes what its group's lead tells.
+    Member,
+    /// Takes what the site's reader tells, where all instances are one group.
+    SmallMember,
+}
+
+impl Entry {
+    /// Tells whether the instance was heard within a few heartbeats.
+    fn is_present(&self, now: Time) -> bool {
+        self.heard_within(now, PRESENT_WITHIN)
+    }
+}
+
+/// Goes over the instances that were heard within a few heartbeats, by name.
+fn present(entries: &Entries, now: Time) -> impl Iterator<Item = (&InstanceId, &Entry)> {
+    entries.iter().filter(move |(_, e)| e.is_present(now))
+}
+
+/// Tells whether instances are so few that all of them are one group.
+fn are_few(entries: &Entries) -> bool {
+    entries.len() < SMALL_SITE
+}
+
+impl PeerBook {
+    /// Gives the demand of this one's group by pool, with `own` as this instance's.
+    #[must_use]
+    pub fn group_demand(&self, now: Time, own: &[PoolDemand]) -> Vec<PoolDemand> {
+        let entries = self.lock();
+        let near = self.present_in_zone(&entries, now);
+        let told = near.flat_map(|(_, e)| &e.demand).chain(own);
+        let mut sums: BTreeMap<&str, f64> = BTreeMap::new();
+        for demand in told {
+            *sums.entry(&demand.pool).or_default() += demand.rate;
+        }
+        let sum = |(pool, rate): (&str, f64)| PoolDemand {
+            pool: pool.to_owned(),
+            rate,
+        };
+        sums.into_iter().map(sum).collect()
+    }
+
+    /// Gives this instance's part in the reading of the store.
+    ///
+    /// The lead of each group hears of what was read and passes it on. The first of the leads by
+    /// name reads for the whole site.
+    #[must_use]
+    pub fn reader(&self, now: Time) -> Reader {
+        let entries = self.lock();
+        let mut before = present(&entries, now)
+            .filter(|(name, _)| **name < self.me)
+            .peekable();
+        if before.peek().is_none() {
+            return Reader::Site;
+        }
+        let few = are_few(&entries);
+        let led_by_other = before.any(|(_, e)| few || e.zone == self.zone);
+        match (led_by_other, few) {
+            (false, _) => Reader::Group,
+            (true, false) => Reader::Member,
+            (true, true) => Reader::SmallMember,
+        }
+    }
+
+    /// Tells whether this instance leads its group.
+    #[must_use]
+    pub fn leads(&self, now: Time) -> bool {
+        matches!(self.reader(now), Reader::Site | Reader::Group)
+    }
+
+    /// Gives the first instances by name of each group that are heard: its lead, and the one that
+    /// takes over from it.
+    #[must_use]
+    pub fn leads_of_all(&self, now: Time) -> BTreeSet<InstanceId> {
+        let entries = self.lock();
+        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        let heard = entries.iter().filter(|(_, e)| e.is_heard(now));
+        let first = heard.filter(|(_, e)| {
+            let count = counts.entry(&e.zone).or_default();
+            *count += 1;
+            *count <= LEADS_TOLD
+        });
+        first.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Tells whether this instance tells its group of the site: its lead does, and the one that takes
+    /// over from it.
+    #[must_use]
+    pub fn tells(&self, now: Time) -> bool {
+        let entries = self.lock();
+        let near = self.present_in_zone(&entries, now);
+        let before = near.filter(|(name, _)| **name < self.me);
+        before.count() < LEADS_TOLD
+    }
+
+    /// Counts the instances of this one's group that are heard, itself among them.
+    #[must_use]
+    pub fn group_heard(&self, now: Time) -> usize {
+        let entries = self.lock();
+        1 + self.present_in_zone(&entries, now).count()
+    }
+
+    /// Notes how many instances of another group its lead hears.
+    pub fn note_group(&self, zone: &str, count: usize, now: Time) {
+        self.groups().insert(zone.to_owned(), (now, count));
+    }
+
+    /// Counts the instances of all groups that their leads hear.
+    #[must_use]
+    pub fn site_heard(&self, now: Time) -> usize {
+        let groups = self.groups();
+        let fresh = groups
+            .iter()
+            .filter(|(zone, (at, _))| **zone != self.zone && *at + PRESENT_WITHIN > now);
+        let others: usize = fresh.map(|(_, (_, count))| count).sum();
+        self.group_heard(now) + others
+    }
+
+    /// Gives the first instance by name of this one's group, of those that are heard and `open`; this
+    /// instance itself is left out.
+    pub fn first_of_group(
+        &self,
+        now: Time,
+        open: impl Fn(&str) -> bool,
+    ) -> Option<(InstanceId, SocketAddr)> {
+        let entries = self.lock();
+        let few = are_few(&entries);
+        let mut group =
+            present(&entries, now).filter(|(name, e)| (few || e.zone == self.zone) && open(name));
+        group.next().map(|(name, e)| (name.clone(), e.address))
+    }
+
+    /// Tells whether instances are so few that all of them are one group.
+    #[must_use]
+    pub fn is_small(&self) -> bool {
+        are_few(&self.lock())
+    }
+
+    /// Tells whether an instance is in this one's group; one that is not known counts as such.
+    #[must_use]
+    pub fn is_near(&self, name: &str) -> bool {
+        let entries = self.lock();
+        let near = |e: &Entry| e.zone == self.zone;
+        are_few(&entries) || entries.get(name).is_none_or(near)
+    }
+
+    /// Goes over the instances of this one's availability zone that were heard within a few
+    /// heartbeats, by name.
+    fn present_in_zone<'a>(
+        &'a self,
+        entries: &'a Entries,
+        now: Time,
+    ) -> impl Iterator<Item = (&'a InstanceId, &'a Entry)> {
+        present(entries, now).filter(|(_, e)| e.zone == self.zone)
+    }
+
+    fn groups(&self) -> MutexGuard<'_, GroupCounts> {
+        self.groups.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
