Write once what was doubled in limits, placement and peers of the policy

A peer's own use as others pass it on (PeerNews::own_use), whether the table of peers has room (Peers::has_room), and the endpoints that take a request (place::takers) each stood twice; how many instances leads hear is a function of its own. No behaviour changes; policy tests green.

--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -212,6 +212,18 @@
     pub used: Vec<AccountUse>,
 }
 
+impl PeerNews {
+    /// Gives what the peer let pass of account limits, as others would pass it on.
+    #[must_use]
+    pub fn own_use(&self) -> PeerUse {
+        PeerUse {
+            name: self.name.clone(),
+            incarnation: self.incarnation,
+            used: self.used.clone(),
+        }
+    }
+}
+
 /// What one instance has let pass of account limits since its start, as another one passed it on.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct PeerUse {
--- a/crates/firdock-policy/src/system/coordinate.rs
+++ b/crates/firdock-policy/src/system/coordinate.rs
@@ -31,11 +31,8 @@
 
 /// Tells whether a request goes to engines: all endpoints of a pool are of one kind.
 pub fn goes_to_engine(t: &Tables, row: &RequestRow) -> bool {
-    let rows = t.services.get(row.service).endpoints.iter();
-    let mut takers = rows
-        .map(|e| t.endpoints.get(*e))
-        .filter(|e| place::in_pool(row, e));
-    takers.next().is_some_and(EndpointRow::is_engine)
+    let first = place::takers(t, row).next();
+    first.is_some_and(EndpointRow::is_engine)
 }
 
 /// Asks the coordinator for places for the requests that have come to be held.
--- a/crates/firdock-policy/src/system/handover.rs
+++ b/crates/firdock-policy/src/system/handover.rs
@@ -7,7 +7,7 @@
 use crate::event::{HandOverEvent, HandOverRefusal, Member, PeerNews};
 use crate::request::{Phase, RequestRow, Verdict};
 use crate::table::Tables;
-use crate::table::peer::{MAX_PEERS, PeerRow};
+use crate::table::peer::PeerRow;
 use crate::time::Time;
 
 /// Time for which a peer's word that an endpoint is leaving counts.
@@ -24,7 +24,7 @@
             t.endpoints.get_mut(at).peer_leaving = Some(now + LEAVING_WORD);
         }
     }
-    if t.peers.len() >= MAX_PEERS && t.peers.find(&news.name).is_none() {
+    if !t.peers.has_room(&news.name) {
         return;
     }
     limit::take_peer(t, now, &news);
--- a/crates/firdock-policy/src/system/limit.rs
+++ b/crates/firdock-policy/src/system/limit.rs
@@ -8,10 +8,10 @@
 
 use crate::event::{AccountUse, PeerNews, PeerUse, UseTotals};
 use crate::request::{NewRequest, RequestRow, Verdict};
-use crate::table::Tables;
 use crate::table::account::Accounts;
 use crate::table::limit::Bucket;
-use crate::table::peer::{MAX_PEERS, PeerRow};
+use crate::table::peer::PeerRow;
+use crate::table::{Reach, Tables};
 use crate::time::Time;
 
 /// Time for which an account that was used is told of in heartbeats: several of them, in case
@@ -73,17 +73,12 @@
 ///
 /// After a restart, the peer's totals begin anew.
 pub fn take_peer(t: &mut Tables, now: Time, news: &PeerNews) {
-    let word = PeerUse {
-        name: news.name.clone(),
-        incarnation: news.incarnation,
-        used: news.used.clone(),
-    };
-    take_use(t, now, &word);
+    take_use(t, now, &news.own_use());
 }
 
 /// Takes out of the buckets what a peer let pass, as another instance passed it on.
 pub fn take_relayed(t: &mut Tables, now: Time, word: &PeerUse) {
-    if word.name == t.settings.member.name || !has_room(t, &word.name) {
+    if word.name == t.settings.member.name || !t.peers.has_room(&word.name) {
         return;
     }
     let at = t.peers.find_or_add(&word.name, || PeerRow::new(&word.name));
@@ -142,11 +137,6 @@
     }
 }
 
-/// Tells whether a peer is known or may be added.
-fn has_room(t: &Tables, name: &str) -> bool {
-    t.peers.len() < MAX_PEERS || t.peers.find(name).is_some()
-}
-
 /// Gives the bucket of an account, if it has one.
 fn bucket_of<'a>(accounts: &'a mut Accounts, account: &str) -> Option<&'a mut Bucket> {
     let at = accounts.find(account)?;
@@ -183,14 +173,18 @@
         return UNAWARE_PART;
     }
     let known = 1 + t.peers_known();
-    if let Some(reach) = t.reach.filter(|_| !t.is_small_site()) {
-        let heard = if reach.at + t.settings.peer_stale > now {
-            reach.count
-        } else {
-            1
-        };
-        return (heard as f64 / known as f64).min(1.0);
+    let heard = match t.reach.filter(|_| !t.is_small_site()) {
+        Some(reach) => reached(t, now, reach).min(known),
+        None => 1 + t.peers.iter().filter(|(_, p)| t.is_heard(p, now)).count(),
+    };
+    heard as f64 / known as f64
+}
+
+/// Gives how many instances leads hear, this one alone where no lead told lately.
+fn reached(t: &Tables, now: Time, reach: Reach) -> usize {
+    if reach.at + t.settings.peer_stale > now {
+        reach.count
+    } else {
+        1
     }
-    let heard = t.peers.iter().filter(|(_, p)| t.is_heard(p, now)).count();
-    (1 + heard) as f64 / known as f64
 }
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -84,12 +84,11 @@
         let Some(row) = t.requests.get(id) else {
             continue;
         };
-        let elsewhere = coordinate::waits(t, row);
+        let coordinated = coordinate::waits(t, row);
         if !may_send(t, now, id, out) {
             return true;
         }
-        let row = t.requests.get(id).filter(|_| !elsewhere);
-        let Some(row) = row else {
+        let Some(row) = t.requests.get(id).filter(|_| !coordinated) else {
             continue;
         };
         match choose(t, now, row) {
@@ -153,11 +152,15 @@
 
 /// Tells whether every endpoint that takes the request has had it.
 fn exhausted(t: &Tables, row: &RequestRow) -> bool {
-    let rows = t.services.get(row.service).endpoints.iter();
-    let mut takers = rows
+    takers(t, row).all(|e| row.tried.contains(&e.declared.name))
+}
+
+/// Goes over the endpoints of a request's service that belong to the pool that it goes to.
+pub fn takers<'a>(t: &'a Tables, row: &'a RequestRow) -> impl Iterator<Item = &'a EndpointRow> {
+    let endpoints = t.services.get(row.service).endpoints.iter();
+    endpoints
         .map(|e| t.endpoints.get(*e))
-        .filter(|e| in_pool(row, e));
-    takers.all(|e| row.tried.contains(&e.declared.name))
+        .filter(|e| in_pool(row, e))
 }
 
 /// Tells whether an endpoint belongs to the pool that the request goes to.
--- a/crates/firdock-policy/src/table/peer.rs
+++ b/crates/firdock-policy/src/table/peer.rs
@@ -13,7 +13,7 @@
 pub type Peers = Rows<PeerRow>;
 
 /// Most peers that are kept; news of others is dropped.
-pub const MAX_PEERS: usize = 512;
+const MAX_PEERS: usize = 512;
 
 impl Peers {
     /// Makes an empty table.
@@ -21,6 +21,12 @@
     pub fn new() -> Self {
         Self::default()
     }
+
+    /// Tells whether a peer is known or may be added.
+    #[must_use]
+    pub fn has_room(&self, name: &str) -> bool {
+        self.len() < MAX_PEERS || self.find(name).is_some()
+    }
 }
 
 /// One peer.
