Split heartbeats by datagram into sending, taking and whose turn it is

beacon.rs did all three in 400 lines. Which peers are due is decided by tick and time without a socket now, and what leads tell of their groups is put together in one place instead of by two equal conditions. Starts of processes are read by one function.

--- a/crates/firdock-node/src/peer.rs
+++ b/crates/firdock-node/src/peer.rs
@@ -20,7 +20,7 @@
 pub use beacon::{Beacons, open_socket as open_beacons};
 pub use book::{PeerBook, Reader};
 pub use changes::{Entry, EntryChanges};
-pub use datagram::seal;
+pub use datagram::{read_incarnation, seal};
 pub use dial::{DialError, Dialer};
 pub use hand_over::{Order, hand_over, read_reason};
 pub use heartbeat::{SelfNews, beat};
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -4,34 +4,33 @@
 //! cut silently cannot hang. Each tells of the other instances that its sender knows, so that one
 //! known address is enough to find all (see `docs/design/peers.md`).
 
+mod due;
+mod take;
+
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use firdock_core::InstanceId;
-use firdock_policy::event::{GroupDemand, Member, PeerNews, PeerUse};
+use firdock_policy::event::{Member, PeerUse, PoolDemand};
 use firdock_policy::{Event, Time};
 use firdock_wire::PROTOCOL;
-use firdock_wire::message::{Beacon, ClockAnswer, ClockQuestion, datagram};
-use slog::{Logger, debug, info, warn};
+use firdock_wire::message::{Beacon, datagram};
+use slog::{Logger, debug, info};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
-use uuid::Uuid;
 
+use self::due::PeersDue;
 use super::book::PeerBook;
 use super::changes::EntryChanges;
-use super::datagram::{
-    open, read_reads, read_relayed, read_uses, seal, write_address, write_reads, write_relayed,
-    write_uses,
-};
-use super::heartbeat::{SelfNews, peer_news, read_demand, write_demand};
-use super::reads::{Reads, SharedReads};
-use super::relay::{HeardUse, UseRelay};
-use crate::clock::{Clock, millis};
+use super::datagram::{seal, write_address, write_reads, write_relayed, write_uses};
+use super::heartbeat::{SelfNews, write_demand};
+use super::reads::SharedReads;
+use super::relay::UseRelay;
+use crate::clock::Clock;
 use crate::input::Input;
-use crate::placement::{PlacementInput, read_reply, read_report};
 
 /// Longest datagram that is taken.
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
@@ -43,29 +42,18 @@
 /// Ticks after which the instances heard are taken for all, though none were listed.
 const LIST_TICKS: usize = 10;
 
-/// Near peers that get a beacon at each tick; with more of them, each gets one at every few ticks.
-const NEAR_PEERS_A_TICK: usize = 16;
-/// Peers in other availability zones that get a beacon at each tick, likewise: leads tell for their
-/// groups, and bytes between zones are paid for.
-const FAR_PEERS_A_TICK: usize = 2;
-/// Ticks after the start in which they get as many as near ones: all instances may have started at
-/// one moment, and a first word may be lost.
-const MEETING_TICKS: usize = 25;
-/// Most ticks between two beacons to one of them: far fewer than after which it would be forgotten.
-const MAX_FAR_PACE: usize = 50;
-
 /// An instance and where it takes heartbeats.
 type Addressed = (InstanceId, SocketAddr);
 
-/// Peers that get a beacon at a tick.
+/// What the lead of a group tells of it.
 #[derive(Debug, Default)]
-struct PeersDue {
-    /// Those of the own group.
-    near: Vec<Addressed>,
-    /// The leads of other groups, where this instance leads its own.
-    leads: Vec<Addressed>,
-    /// All others.
-    far: Vec<Addressed>,
+struct LeadWord {
+    /// Instances of the group that it hears.
+    group_heard: usize,
+    /// Instances of all groups that their leads hear.
+    site_heard: usize,
+    /// Demand of the group.
+    group_demand: Vec<PoolDemand>,
 }
 
 /// What sending and taking beacons needs.
@@ -142,7 +130,7 @@
     /// Sends the beacons that are due at a tick; at tick 0, to all.
     async fn send(&self, tick: usize) {
         let now = self.clock.now();
-        let due = self.peers_due(tick, now);
+        let due = PeersDue::at(tick, &self.book, now);
         let heard = if tick.is_multiple_of(TELL_EVERY) {
             self.book.heard(now)
         } else {
@@ -175,35 +163,6 @@
         }
     }
 
-    /// Gives the peers that get a beacon at a tick: of many, every few ticks a part of them; the
-    /// leads of groups get one at each.
-    fn peers_due(&self, tick: usize, now: Time) -> PeersDue {
-        let peers = self.book.addresses();
-        let leads = self.book.leads_of_all(now);
-        let i_lead = self.book.tells(now);
-        let far_a_tick = if tick < MEETING_TICKS {
-            NEAR_PEERS_A_TICK
-        } else {
-            FAR_PEERS_A_TICK
-        };
-        let far_pace = (peers.len() / far_a_tick).clamp(1, MAX_FAR_PACE);
-        let near_pace = (peers.len() / NEAR_PEERS_A_TICK).max(1);
-        let mut due = PeersDue::default();
-        for (at, (name, address)) in peers.into_iter().enumerate() {
-            let turn = |pace: usize| tick == 0 || (tick + at + 1).is_multiple_of(pace);
-            let lead = leads.contains(&name);
-            let near = self.book.is_near(&name);
-            if near && (i_lead || lead || turn(near_pace)) {
-                due.near.push((name, address));
-            } else if !near && i_lead && lead {
-                due.leads.push((name, address));
-            } else if !near && turn(far_pace) {
-                due.far.push((name, address));
-            }
-        }
-        due
-    }
-
     /// Tells changes in the platform's list to the peers that rely on this instance for them.
     async fn tell_changes(&self, changes: &EntryChanges) {
         let now = self.clock.now();
@@ -229,17 +188,7 @@
     fn beacon(&self, peers: &[Addressed], relayed: &[PeerUse]) -> Beacon {
         let news = self.news.borrow();
         let now = self.clock.now();
-        let tells = !self.book.is_small() && self.book.tells(now);
-        let (group_heard, site_heard) = if tells {
-            (self.book.group_heard(now), self.book.site_heard(now))
-        } else {
-            (0, 0)
-        };
-        let group_demand = if tells {
-            self.book.group_demand(now, &news.demand)
-        } else {
-            Vec::new()
-        };
+        let lead = self.lead_word(now, &news.demand);
         let start = usize::from(rand::random::<u16>()) % peers.len().max(1);
         let told = peers.iter().cycle().skip(start).take(peers.len());
         Beacon {
@@ -251,139 +200,22 @@
             peers: told.take(MAX_TOLD).map(write_address).collect(),
             reads: Some(write_reads(self.reads.own())),
             relayed: write_relayed(relayed),
-            group_heard: group_heard as u32,
-            site_heard: site_heard as u32,
-            group_demand: write_demand(&group_demand),
-        }
-    }
-
-    async fn take(&self, sealed: &[u8], from: SocketAddr) {
-        match open(&self.key, sealed) {
-            Some(datagram::Body::Beacon(beacon)) => self.take_beacon(beacon, from).await,
-            Some(datagram::Body::ClockQuestion(question)) => {
-                let answer = datagram::Body::ClockAnswer(self.clock_answer(question));
-                self.send_to(&seal(&self.key, answer), "", from).await;
-            }
-            Some(datagram::Body::ClockAnswer(answer)) => {
-                let incarnation = Uuid::from_slice(&answer.incarnation).unwrap_or_default();
-                let asked = Duration::from_millis(answer.asked);
-                let clock = Duration::from_millis(answer.clock);
-                let peer = &answer.instance;
-                self.reads.take_clock(peer, incarnation, asked, clock);
-            }
-            Some(datagram::Body::EntryChanges(told)) => {
-                let (peer, incarnation, changes) = EntryChanges::read(told);
-                self.reads.hear_changes(&peer, incarnation, changes);
-            }
-            Some(datagram::Body::PlacementReport(told)) => {
-                let report = Box::new(read_report(told));
-                self.pass(Input::Placement(PlacementInput::Report(report, from)))
-                    .await;
-            }
-            Some(datagram::Body::PlacementReply(told)) => {
-                let reply = PlacementInput::Reply(read_reply(told));
-                self.pass(Input::Placement(reply)).await;
-            }
-            None => warn!(self.log, "heartbeat of a stranger"; "from" => from.to_string()),
-        }
-    }
-
-    fn clock_answer(&self, question: ClockQuestion) -> ClockAnswer {
-        ClockAnswer {
-            instance: self.member.name.clone(),
-            incarnation: self.member.incarnation.as_bytes().to_vec(),
-            asked: question.asked,
-            clock: millis(self.clock.now()),
+            group_heard: lead.group_heard as u32,
+            site_heard: lead.site_heard as u32,
+            group_demand: write_demand(&lead.group_demand),
         }
     }
 
-    async fn take_beacon(&self, beacon: Beacon, from: SocketAddr) {
-        if beacon.protocol != PROTOCOL || beacon.instance == self.member.name {
-            return;
-        }
-        let now = self.clock.now();
-        if self.note(&beacon, from, now) {
-            // It may not know of this one, and its turn among many would come late.
-            let known = vec![(beacon.instance.clone(), from)];
-            self.send_all(&known, self.beacon(&[], &[])).await;
-        }
-        let zone = beacon.heartbeat.as_ref().map_or("", |b| &b.zone);
-        self.take_group(&beacon, zone, now).await;
-        let heartbeat = beacon.heartbeat.unwrap_or_default();
-        let mut news = peer_news(&beacon.instance, heartbeat);
-        news.incarnation = Uuid::from_slice(&beacon.incarnation).unwrap_or_default();
-        if let Some(reads) = beacon.reads {
-            self.take_reads(&news, read_reads(reads), from).await;
-        }
-        self.book.note_demand(&news.name, news.demand.clone());
-        news.used = read_uses(beacon.used);
-        let word = PeerUse {
-            name: news.name.clone(),
-            incarnation: news.incarnation,
-            used: news.used.clone(),
-        };
-        if self.book.is_near(&news.name) {
-            self.relay.hear(&word, HeardUse::FromMember);
-        }
-        self.tell(Event::Peer(news)).await;
-        for word in read_relayed(beacon.relayed) {
-            self.relay.hear(&word, HeardUse::FromLead);
-            self.tell(Event::PeerUsed(word)).await;
-        }
-    }
-
-    /// Takes what a lead tells of its group: of another one, its demand and how many it hears, to tell
-    /// the own group; of the own one, how many are heard on the whole site.
-    async fn take_group(&self, beacon: &Beacon, zone: &str, now: Time) {
-        if beacon.group_heard == 0 {
-            return;
+    /// Gives what this instance tells of its group, nothing where it does not lead one.
+    fn lead_word(&self, now: Time, own: &[PoolDemand]) -> LeadWord {
+        if self.book.is_small() || !self.book.tells(now) {
+            return LeadWord::default();
         }
-        if self.book.is_near(&beacon.instance) {
-            self.tell(Event::Reach(beacon.site_heard as usize)).await;
-        } else {
-            self.book.note_group(zone, beacon.group_heard as usize, now);
-            let group = GroupDemand {
-                zone: zone.to_owned(),
-                demand: read_demand(beacon.group_demand.clone()),
-            };
-            self.tell(Event::GroupDemand(group)).await;
-        }
-        if self.book.tells(now) {
-            let count = self.book.site_heard(now);
-            self.tell(Event::Reach(count)).await;
-        }
-    }
-
-    /// Takes what a peer read; its clock is asked for where that is not known yet.
-    async fn take_reads(&self, news: &PeerNews, told: Reads, from: SocketAddr) {
-        let heard = self.reads.hear(&news.name, news.incarnation, told);
-        if let Some(at) = heard.fresh {
-            self.tell(Event::Fresh(at)).await;
-        }
-        if heard.ask_clock {
-            let asked = millis(self.clock.now());
-            let question = datagram::Body::ClockQuestion(ClockQuestion { asked });
-            self.send_to(&seal(&self.key, question), &news.name, from)
-                .await;
-        }
-    }
-
-    /// Notes the sender and the instances that it tells of; tells whether the sender is new.
-    fn note(&self, beacon: &Beacon, from: SocketAddr, now: Time) -> bool {
-        let heartbeat = beacon.heartbeat.as_ref();
-        let new = if heartbeat.is_some_and(|b| b.draining) {
-            self.book.forget(&beacon.instance, now);
-            false
-        } else {
-            let zone = heartbeat.map_or("", |b| &b.zone);
-            self.book.hear(&beacon.instance, zone, from, now)
-        };
-        for peer in beacon.peers.iter().take(MAX_TOLD) {
-            if let Ok(address) = peer.address.parse() {
-                self.book.know(peer.instance.clone(), address, now);
-            }
+        LeadWord {
+            group_heard: self.book.group_heard(now),
+            site_heard: self.book.site_heard(now),
+            group_demand: self.book.group_demand(now, own),
         }
-        new
     }
 
     async fn tell(&self, event: Event) {
--- /dev/null
+++ b/crates/firdock-node/src/peer/beacon/due.rs
@@ -0,0 +1,68 @@
+//! Which peers get a beacon at a tick.
+//!
+//! The bytes between availability zones are paid for, and so are those of many instances that all
+//! tell each other; leads of groups, which tell for the others, get one at each tick
+//! (`docs/design/peers.md`).
+
+use firdock_policy::Time;
+
+use super::Addressed;
+use crate::peer::PeerBook;
+
+/// Near peers that get a beacon at each tick; with more of them, each gets one at every few ticks.
+const NEAR_PEERS_A_TICK: usize = 16;
+/// Peers in other availability zones that get a beacon at each tick, likewise: leads tell for their
+/// groups, and bytes between zones are paid for.
+const FAR_PEERS_A_TICK: usize = 2;
+/// Ticks after the start in which they get as many as near ones: all instances may have started at
+/// one moment, and a first word may be lost.
+const MEETING_TICKS: usize = 25;
+/// Most ticks between two beacons to one of them: far fewer than after which it would be forgotten.
+const MAX_FAR_PACE: usize = 50;
+
+/// Peers that get a beacon at a tick.
+#[derive(Debug, Default)]
+pub struct PeersDue {
+    /// Those of the own group.
+    pub near: Vec<Addressed>,
+    /// The leads of other groups, where this instance leads its own.
+    pub leads: Vec<Addressed>,
+    /// All others.
+    pub far: Vec<Addressed>,
+}
+
+impl PeersDue {
+    /// Gives the peers that get a beacon at a tick: of many, every few ticks a part of them; the
+    /// leads of groups get one at each. At tick 0, all get one.
+    pub fn at(tick: usize, book: &PeerBook, now: Time) -> Self {
+        let peers = book.addresses();
+        let leads = book.leads_of_all(now);
+        let i_lead = book.tells(now);
+        let near_pace = (peers.len() / NEAR_PEERS_A_TICK).max(1);
+        let far_pace = far_pace(tick, peers.len());
+        let mut due = Self::default();
+        for (at, (name, address)) in peers.into_iter().enumerate() {
+            let turn = |pace: usize| tick == 0 || (tick + at + 1).is_multiple_of(pace);
+            let lead = leads.contains(&name);
+            let near = book.is_near(&name);
+            if near && (i_lead || lead || turn(near_pace)) {
+                due.near.push((name, address));
+            } else if !near && i_lead && lead {
+                due.leads.push((name, address));
+            } else if !near && turn(far_pace) {
+                due.far.push((name, address));
+            }
+        }
+        due
+    }
+}
+
+/// Gives the ticks between two beacons to one of the peers in other availability zones.
+fn far_pace(tick: usize, peers: usize) -> usize {
+    let a_tick = if tick < MEETING_TICKS {
+        NEAR_PEERS_A_TICK
+    } else {
+        FAR_PEERS_A_TICK
+    };
+    (peers / a_tick).clamp(1, MAX_FAR_PACE)
+}
--- a/crates/firdock-node/src/peer/changes.rs
+++ b/crates/firdock-node/src/peer/changes.rs
@@ -13,6 +13,7 @@
 use firdock_wire::message;
 use uuid::Uuid;
 
+use super::datagram::read_incarnation;
 use crate::clock::millis;
 
 /// Entries beyond which a peer reads the list by itself: a datagram holds no more.
@@ -85,7 +86,7 @@
             next: told.next,
             entries: told.entries.into_iter().map(entry).collect(),
         };
-        let incarnation = Uuid::from_slice(&told.incarnation).unwrap_or_default();
+        let incarnation = read_incarnation(&told.incarnation);
         (told.instance, incarnation, changes)
     }
 }
--- a/crates/firdock-node/src/peer/datagram.rs
+++ b/crates/firdock-node/src/peer/datagram.rs
@@ -15,6 +15,8 @@
 
 /// Limited accounts told of in one beacon.
 const MAX_ACCOUNTS: usize = 256;
+/// Instances told of in one beacon as a lead heard them.
+const MAX_RELAYED: usize = 256;
 
 /// Writes a datagram and seals it.
 #[must_use]
@@ -29,6 +31,12 @@
     Datagram::decode(content).ok()?.body
 }
 
+/// Reads the start of a peer's process; one that is malformed is that of no process.
+#[must_use]
+pub fn read_incarnation(bytes: &[u8]) -> Uuid {
+    Uuid::from_slice(bytes).unwrap_or_default()
+}
+
 /// Writes where an instance takes heartbeats.
 pub fn write_address((name, address): &(InstanceId, SocketAddr)) -> PeerAddress {
     PeerAddress {
@@ -68,9 +76,6 @@
     .collect()
 }
 
-/// Instances told of in one beacon as a lead heard them.
-const MAX_RELAYED: usize = 256;
-
 /// Writes what other instances let pass.
 pub fn write_relayed(words: &[PeerUse]) -> Vec<message::RelayedUse> {
     let told = words.iter().take(MAX_RELAYED);
@@ -87,7 +92,7 @@
     let told = words.into_iter().take(MAX_RELAYED);
     told.map(|w| PeerUse {
         name: w.instance,
-        incarnation: Uuid::from_slice(&w.incarnation).unwrap_or_default(),
+        incarnation: read_incarnation(&w.incarnation),
         used: read_uses(w.used),
     })
     .collect()
--- a/crates/firdock-node/src/placement/codec.rs
+++ b/crates/firdock-node/src/placement/codec.rs
@@ -9,7 +9,7 @@
 
 use super::report::{Course, News, Placed, Refused, Reply, Report, Wanted};
 use crate::clock::millis;
-use crate::peer::read_reason;
+use crate::peer::{read_incarnation, read_reason};
 
 /// Requests told of in one report: more do not fit into a datagram.
 const MAX_REQUESTS: usize = 300;
@@ -58,7 +58,7 @@
     let news = told.news.into_iter().take(MAX_REQUESTS);
     Report {
         instance: told.instance,
-        incarnation: Uuid::from_slice(&told.incarnation).unwrap_or_default(),
+        incarnation: read_incarnation(&told.incarnation),
         zone: told.zone,
         number: told.number,
         whole: told.whole,
