Shorten the coordinator's and the members' functions of placement

A member's reply became due in five places, and whether a request is on an engine was asked in two ways; both stand once now. What became of a request is turned into news, and news into what is told, by functions without state.

--- a/crates/firdock-node/src/placement/coordinator.rs
+++ b/crates/firdock-node/src/placement/coordinator.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use firdock_core::{EndpointId, InstanceId, RequestId};
+use firdock_policy::action::Dispatch;
 use firdock_policy::event::{DispatchNews, EndpointEvent};
 use firdock_policy::request::Phase;
-use firdock_policy::{Action, Event, NewRequest, Policy as _, Scheduler, Time};
+use firdock_policy::{Action, Event, NewRequest, Policy as _, Scheduler, Time, Verdict};
 use uuid::Uuid;
 
 use super::report::{Course, News, Placed, Refused, Reply, Report, Wanted};
@@ -32,6 +33,35 @@
     due: bool,
 }
 
+impl Member {
+    /// Makes a member that is heard for the first time.
+    fn new(now: Time, report: &Report, address: Option<SocketAddr>) -> Self {
+        Self {
+            address,
+            incarnation: report.incarnation,
+            heard: now,
+            reply: Reply::default(),
+            due: false,
+        }
+    }
+
+    /// Gives the next reply, to be added to; it is due then.
+    fn reply(&mut self) -> &mut Reply {
+        self.due = true;
+        &mut self.reply
+    }
+
+    /// Gives the reply that is due; the next one confirms the same report.
+    fn take_reply(&mut self) -> Reply {
+        self.due = false;
+        let next = Reply {
+            number: self.reply.number,
+            ..Reply::default()
+        };
+        std::mem::replace(&mut self.reply, next)
+    }
+}
+
 /// Whose a request is.
 #[derive(Debug)]
 struct Owner {
@@ -91,8 +121,7 @@
             self.drop_untold(now, &name, &told);
         }
         if let Some(member) = self.members.get_mut(&name).filter(|_| report.whole) {
-            member.reply.number = report.number;
-            member.due = true;
+            member.reply().number = report.number;
         }
     }
 
@@ -112,23 +141,14 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in gone {
-            self.members.remove(&name);
-            self.drop_all(now, &name);
+            self.remove(now, &name);
         }
     }
 
     /// Gives the replies that are due, with their addresses; `None` stands for this instance.
     pub fn replies(&mut self) -> Vec<(Option<SocketAddr>, Reply)> {
         let due = self.members.values_mut().filter(|m| m.due);
-        due.map(|m| {
-            m.due = false;
-            let next = Reply {
-                number: m.reply.number,
-                ..Reply::default()
-            };
-            (m.address, std::mem::replace(&mut m.reply, next))
-        })
-        .collect()
+        due.map(|m| (m.address, m.take_reply())).collect()
     }
 
     /// Checks everything that must hold between tables.
@@ -144,19 +164,12 @@
     fn meet(&mut self, now: Time, report: &Report, address: Option<SocketAddr>) {
         let known = self.members.get(&report.instance);
         if known.is_some_and(|m| m.incarnation != report.incarnation) {
-            self.members.remove(&report.instance);
-            self.drop_all(now, &report.instance);
+            self.remove(now, &report.instance);
         }
         let member = self
             .members
             .entry(report.instance.clone())
-            .or_insert_with(|| Member {
-                address,
-                incarnation: report.incarnation,
-                heard: now,
-                reply: Reply::default(),
-                due: false,
-            });
+            .or_insert_with(|| Member::new(now, report, address));
         member.address = address;
         member.heard = now;
     }
@@ -168,27 +181,14 @@
         let Some(row) = row.filter(|_| current) else {
             return;
         };
-        let told = match news.course {
-            Course::Dropped => {
-                self.drop_request(now, news.id);
-                return;
-            }
-            Course::Began => DispatchNews::Tokens {
-                delivered: 1,
-                cached: 0,
-            },
-            Course::Ended { prompt, output } => DispatchNews::Ended {
-                prompt,
-                cached: 0,
-                output,
-            },
-            Course::Broke => DispatchNews::Broke { delivered: 0 },
-            Course::Refused => DispatchNews::Refused { unreachable: false },
-            Course::Unreachable => DispatchNews::Refused { unreachable: true },
+        let dispatch = row.dispatch;
+        let Some(told) = dispatch_news(news.course) else {
+            self.drop_request(now, news.id);
+            return;
         };
         let event = EndpointEvent {
             id: news.id,
-            dispatch: row.dispatch,
+            dispatch,
             news: told,
         };
         self.step(now, Event::Endpoint(event));
@@ -204,7 +204,9 @@
         self.drop_request(now, id);
         let attempt = wanted.attempt;
         self.step(now, Event::Adopted(dated(now, wanted), endpoint));
-        self.own(now, name, id, attempt);
+        if self.scheduler.tables().requests.get(id).is_some() {
+            self.own(now, name, id, attempt);
+        }
     }
 
     fn take_waiting(&mut self, now: Time, name: &str, wanted: Wanted) {
@@ -214,14 +216,8 @@
             return;
         }
         self.drop_request(now, id);
-        self.owners.insert(
-            id,
-            Owner {
-                member: name.to_owned(),
-                attempt: wanted.attempt,
-                since: now,
-            },
-        );
+        // Before it arrives, since it may be placed or refused at once.
+        self.own(now, name, id, wanted.attempt);
         self.step(now, Event::Arrived(dated(now, wanted)));
         self.forget_if_ended(id);
     }
@@ -243,20 +239,17 @@
             endpoint,
         };
         if let Some(member) = self.members.get_mut(name) {
-            member.reply.placed.push(placed);
-            member.due = true;
+            member.reply().placed.push(placed);
         }
     }
 
     fn own(&mut self, now: Time, name: &str, id: RequestId, attempt: u32) {
-        if self.scheduler.tables().requests.get(id).is_some() {
-            let owner = Owner {
-                member: name.to_owned(),
-                attempt,
-                since: now,
-            };
-            self.owners.insert(id, owner);
-        }
+        let owner = Owner {
+            member: name.to_owned(),
+            attempt,
+            since: now,
+        };
+        self.owners.insert(id, owner);
     }
 
     /// Drops the requests of a member that its whole report does not tell of.
@@ -270,7 +263,9 @@
         }
     }
 
-    fn drop_all(&mut self, now: Time, name: &str) {
+    /// Removes a member with all that it had.
+    fn remove(&mut self, now: Time, name: &str) {
+        self.members.remove(name);
         let owned = self.owners.iter().filter(|(_, o)| o.member == name);
         let ids: Vec<RequestId> = owned.map(|(id, _)| *id).collect();
         for id in ids {
@@ -300,39 +295,60 @@
     /// Turns dispatches and answers into replies; all else is for the members to do.
     fn carry_out(&mut self, now: Time, action: Action) {
         match action {
-            Action::Dispatch(dispatch) => {
-                let Some(owner) = self.owners.get_mut(&dispatch.id) else {
-                    return;
-                };
-                owner.since = now;
-                let placed = Placed {
-                    id: dispatch.id,
-                    attempt: owner.attempt,
-                    endpoint: dispatch.endpoint,
-                };
-                if let Some(member) = self.members.get_mut(&owner.member) {
-                    member.reply.placed.push(placed);
-                    member.due = true;
-                }
-            }
-            Action::Answer { id, verdict } => {
-                let Some(owner) = self.owners.remove(&id) else {
-                    return;
-                };
-                let refused = Refused {
-                    id,
-                    attempt: owner.attempt,
-                    reason: verdict.reason,
-                    retry_after: verdict.retry_after.unwrap_or_default(),
-                };
-                if let Some(member) = self.members.get_mut(&owner.member) {
-                    member.reply.refused.push(refused);
-                    member.due = true;
-                }
-            }
+            Action::Dispatch(dispatch) => self.place(now, dispatch),
+            Action::Answer { id, verdict } => self.refuse(id, verdict),
             _ => {}
         }
     }
+
+    fn place(&mut self, now: Time, dispatch: Dispatch) {
+        let Some(owner) = self.owners.get_mut(&dispatch.id) else {
+            return;
+        };
+        owner.since = now;
+        let placed = Placed {
+            id: dispatch.id,
+            attempt: owner.attempt,
+            endpoint: dispatch.endpoint,
+        };
+        if let Some(member) = self.members.get_mut(&owner.member) {
+            member.reply().placed.push(placed);
+        }
+    }
+
+    fn refuse(&mut self, id: RequestId, verdict: Verdict) {
+        let Some(owner) = self.owners.remove(&id) else {
+            return;
+        };
+        let refused = Refused {
+            id,
+            attempt: owner.attempt,
+            reason: verdict.reason,
+            retry_after: verdict.retry_after.unwrap_or_default(),
+        };
+        if let Some(member) = self.members.get_mut(&owner.member) {
+            member.reply().refused.push(refused);
+        }
+    }
+}
+
+/// Gives what became of a request as news of its dispatch; `None` where it was dropped.
+fn dispatch_news(course: Course) -> Option<DispatchNews> {
+    Some(match course {
+        Course::Dropped => return None,
+        Course::Began => DispatchNews::Tokens {
+            delivered: 1,
+            cached: 0,
+        },
+        Course::Ended { prompt, output } => DispatchNews::Ended {
+            prompt,
+            cached: 0,
+            output,
+        },
+        Course::Broke => DispatchNews::Broke { delivered: 0 },
+        Course::Refused => DispatchNews::Refused { unreachable: false },
+        Course::Unreachable => DispatchNews::Refused { unreachable: true },
+    })
 }
 
 /// Gives a request with its deadline by this instance's clock.
--- a/crates/firdock-node/src/placement/member.rs
+++ b/crates/firdock-node/src/placement/member.rs
@@ -5,10 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use firdock_core::{EndpointId, InstanceId, RequestId, ZoneId};
+use firdock_core::{EndpointId, InstanceId, Outcome, RequestId, ZoneId};
 use firdock_policy::event::{DispatchNews, EndpointEvent, Grant, Member};
 use firdock_policy::request::{Phase, Placing, RequestRow};
 use firdock_policy::table::Tables;
+use firdock_policy::table::endpoint::EndpointRow;
 use firdock_policy::{Event, NewRequest, Time, Verdict};
 use slog::{Logger, info};
 
@@ -105,20 +106,12 @@
             .requests
             .get(event.id)
             .filter(|r| r.dispatch == event.dispatch);
-        let Some(row) = row.filter(|r| on_engine(t, r)) else {
+        let Some(row) = row.filter(|r| engine_of(t, r).is_some()) else {
             return;
         };
-        let course = match event.news {
-            DispatchNews::Started { .. } => return,
-            DispatchNews::Tokens { .. } if row.first.is_some() => return,
-            DispatchNews::Tokens { .. } => Course::Began,
-            DispatchNews::Ended { prompt, output, .. } => Course::Ended { prompt, output },
-            DispatchNews::Broke { .. } => Course::Broke,
-            DispatchNews::Refused { unreachable: false } => Course::Refused,
-            DispatchNews::Refused { unreachable: true } => Course::Unreachable,
-            DispatchNews::Lapsed => Course::Dropped,
-        };
-        self.tell(event.id, event.dispatch, course);
+        if let Some(course) = course(row, event.news) {
+            self.tell(event.id, event.dispatch, course);
+        }
     }
 
     /// Notes that a caller left, while the request's row is still there.
@@ -131,7 +124,7 @@
         } else {
             row.dispatch
         };
-        if row.placing == Placing::Asked || on_engine(t, row) {
+        if row.placing == Placing::Asked || engine_of(t, row).is_some() {
             self.tell(id, attempt, Course::Dropped);
         }
     }
@@ -233,20 +226,14 @@
     /// Gives a report of everything, if one is due.
     pub fn report_all(&mut self, now: Time, t: &Tables) -> Option<Report> {
         self.lead.as_ref()?;
-        let waits = |r: &&RequestRow| r.phase == Phase::Held && r.placing == Placing::Asked;
-        let pause = if t.requests.iter().any(|r| waits(&r)) {
-            WAITING_PAUSE
-        } else {
-            WHOLE_PAUSE
-        };
-        if self.whole_at > Time::ZERO && self.whole_at + pause > now {
+        if !self.is_whole_due(now, t) {
             return None;
         }
         self.whole_at = now;
         self.number += 1;
         self.owed_since = self.owed_since.or(Some(now));
         self.asked.clear();
-        let held = t.requests.iter().filter(waits);
+        let held = t.requests.iter().filter(|r| waits(r));
         let waiting = held.map(|r| wanted(now, r, next_attempt(r))).collect();
         let running = t.requests.iter().filter_map(|r| running(now, t, r));
         Some(Report {
@@ -258,6 +245,16 @@
         })
     }
 
+    /// Tells whether a whole report is due; the first one to a lead is at once.
+    fn is_whole_due(&self, now: Time, t: &Tables) -> bool {
+        let pause = if t.requests.iter().any(waits) {
+            WAITING_PAUSE
+        } else {
+            WHOLE_PAUSE
+        };
+        self.whole_at == Time::ZERO || self.whole_at + pause <= now
+    }
+
     fn empty_report(&self) -> Report {
         Report {
             instance: self.me.name.clone(),
@@ -284,22 +281,36 @@
     row.dispatch + 1
 }
 
-fn on_engine(t: &Tables, row: &RequestRow) -> bool {
-    match row.phase {
-        Phase::Dispatching(at) | Phase::Running(at) => t.endpoints.get(at).is_engine(),
-        _ => false,
-    }
+/// Gives what news of a dispatch mean for the request, if they are worth telling.
+fn course(row: &RequestRow, news: DispatchNews) -> Option<Course> {
+    Some(match news {
+        DispatchNews::Started { .. } => return None,
+        DispatchNews::Tokens { .. } if row.first.is_some() => return None,
+        DispatchNews::Tokens { .. } => Course::Began,
+        DispatchNews::Ended { prompt, output, .. } => Course::Ended { prompt, output },
+        DispatchNews::Broke { .. } => Course::Broke,
+        DispatchNews::Refused { unreachable: false } => Course::Refused,
+        DispatchNews::Refused { unreachable: true } => Course::Unreachable,
+        DispatchNews::Lapsed => Course::Dropped,
+    })
+}
+
+/// Gives the engine that a request is on, if it is on one.
+fn engine_of<'a>(t: &'a Tables, row: &RequestRow) -> Option<&'a EndpointRow> {
+    let (Phase::Dispatching(at) | Phase::Running(at)) = row.phase else {
+        return None;
+    };
+    Some(t.endpoints.get(at)).filter(|e| e.is_engine())
+}
+
+/// Tells whether a request waits for the coordinator to place it.
+fn waits(row: &RequestRow) -> bool {
+    row.phase == Phase::Held && row.placing == Placing::Asked
 }
 
 fn running(now: Time, t: &Tables, row: &RequestRow) -> Option<(Wanted, EndpointId)> {
-    match row.phase {
-        Phase::Dispatching(at) | Phase::Running(at) => {
-            let e = t.endpoints.get(at);
-            e.is_engine()
-                .then(|| (wanted(now, row, row.dispatch), e.declared.name.clone()))
-        }
-        _ => None,
-    }
+    let engine = engine_of(t, row)?;
+    Some((wanted(now, row, row.dispatch), engine.declared.name.clone()))
 }
 
 fn wanted(now: Time, row: &RequestRow, attempt: u32) -> Wanted {
@@ -336,7 +347,7 @@
 
 fn not_granted(refused: Refused) -> Event {
     let verdict = Verdict {
-        outcome: firdock_core::Outcome::NotRun,
+        outcome: Outcome::NotRun,
         reason: refused.reason,
         retry_after: Some(refused.retry_after),
     };
