Give a request's outcome without an answer, and an engine's open places, in one function each

Whether a request that ends unanswered has run (unknown or not-run) was written out three times, the sum of a pool's open places twice. No behaviour changes; policy tests green.

--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -231,4 +231,14 @@
     pub fn may_have_run(&self) -> bool {
         self.ran_before || self.phase != Phase::Held
     }
+
+    /// Gives how the request ends if it ends now without an answer.
+    #[must_use]
+    pub fn outcome_unanswered(&self) -> Outcome {
+        if self.may_have_run() {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        }
+    }
 }
--- a/crates/firdock-policy/src/system/coordinate.rs
+++ b/crates/firdock-policy/src/system/coordinate.rs
@@ -6,7 +6,7 @@
 //! instance places its requests by itself, within its own part of the places
 //! (`docs/design/placement.md`).
 
-use firdock_core::{EndpointId, Outcome, RequestId};
+use firdock_core::{EndpointId, RequestId};
 
 use super::{admit, end, place, share};
 use crate::action::Action;
@@ -104,11 +104,7 @@
         return;
     }
     let service = row.service;
-    let outcome = if row.may_have_run() {
-        Outcome::Unknown
-    } else {
-        Outcome::NotRun
-    };
+    let outcome = row.outcome_unanswered();
     end::count_shed(t, service);
     end::answer(t, now, id, Verdict { outcome, ..verdict }, out);
 }
--- a/crates/firdock-policy/src/system/end.rs
+++ b/crates/firdock-policy/src/system/end.rs
@@ -151,14 +151,8 @@
     let Some(row) = t.requests.get(id) else {
         return;
     };
-    let ran = row.may_have_run();
-    let outcome = if ran {
-        Outcome::Unknown
-    } else {
-        Outcome::NotRun
-    };
     let verdict = Verdict {
-        outcome,
+        outcome: row.outcome_unanswered(),
         reason,
         retry_after: Some(retry_after(t)),
     };
--- a/crates/firdock-policy/src/system/news.rs
+++ b/crates/firdock-policy/src/system/news.rs
@@ -5,7 +5,7 @@
 use super::{end, health, key};
 use crate::action::Action;
 use crate::event::{DispatchNews, EndpointEvent};
-use crate::request::{Phase, Placing, Verdict};
+use crate::request::{Phase, Placing, RequestRow, Verdict};
 use crate::stats::WasteCause;
 use crate::table::Tables;
 use crate::time::Time;
@@ -55,15 +55,8 @@
         }
     }
     end::count_waste(t, id, WasteCause::CallerLeft);
-    let ran = t
-        .requests
-        .get(id)
-        .is_some_and(crate::request::RequestRow::may_have_run);
-    let outcome = if ran {
-        Outcome::Unknown
-    } else {
-        Outcome::NotRun
-    };
+    let row = t.requests.get(id);
+    let outcome = row.map_or(Outcome::NotRun, RequestRow::outcome_unanswered);
     end::finish(t, now, id, outcome);
     *t.stats.reasons.entry(Reason::CallerLeft).or_default() += 1;
 }
--- a/crates/firdock-policy/src/system/share/group.rs
+++ b/crates/firdock-policy/src/system/share/group.rs
@@ -93,6 +93,13 @@
     elsewhere: f64,
 }
 
+/// Counts the places of the engines that take new work, of those that are `wanted`.
+fn open_slots(endpoints: &[(usize, &EndpointRow)], wanted: impl Fn(&EndpointRow) -> bool) -> f64 {
+    let rows = endpoints.iter().map(|(_, e)| *e);
+    let open = rows.filter(|e| e.present && !e.declared.leaving && wanted(e));
+    open.map(|e| f64::from(e.declared.slots)).sum()
+}
+
 /// One group's part.
 #[derive(Debug)]
 struct Row {
@@ -113,25 +120,14 @@
 
 impl Split {
     fn new(zones: &Zones, endpoints: &[(usize, &EndpointRow)]) -> Self {
-        let open = |e: &EndpointRow| e.present && !e.declared.leaving;
-        let slots = |zone: &str| -> f64 {
-            let here = endpoints
-                .iter()
-                .filter(|(_, e)| open(e) && e.declared.zone == zone);
-            here.map(|(_, e)| f64::from(e.declared.slots)).sum()
-        };
-        let all: f64 = endpoints
-            .iter()
-            .filter(|(_, e)| open(e))
-            .map(|(_, e)| f64::from(e.declared.slots))
-            .sum();
+        let all = open_slots(endpoints, |_| true);
         let demand = |rates: &BTreeMap<PoolId, f64>| match endpoints.first() {
             Some((_, e)) => on_endpoint(rates, e).max(LEAST_DEMAND),
             None => LEAST_DEMAND,
         };
         let total: f64 = zones.values().map(demand).sum();
         let row = |(zone, rates): (&ZoneId, &BTreeMap<PoolId, f64>)| {
-            let capacity = slots(zone);
+            let capacity = open_slots(endpoints, |e| e.declared.zone == *zone);
             let right = all * demand(rates) / total;
             let own = right.min(capacity);
             Row {
