--- a/crates/firdock-node/src/peer/reads.rs
+++ b/crates/firdock-node/src/peer/reads.rs
@@ -7,16 +7,18 @@
 //! stands for no earlier time than that of the question. A process that stood still cannot take an
 //! old word for a new one by it (see `docs/design/platform.md`).
 
-use std::collections::BTreeMap;
+mod clocks;
+
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use firdock_core::{InstanceId, Version};
+use firdock_core::Version;
 use firdock_policy::Time;
 use tokio::sync::Notify;
 use tokio::time::sleep;
 use uuid::Uuid;
 
+use self::clocks::PeerClocks;
 use super::book::Reader;
 use super::changes::EntryChanges;
 use crate::clock::Clock;
@@ -91,21 +93,6 @@
     }
 }
 
-/// Bound on a peer's clock: its `theirs` stands for no earlier time than `ours`.
-#[derive(Debug, Clone, Copy)]
-struct ClockBound {
-    incarnation: Uuid,
-    ours: Time,
-    theirs: Time,
-}
-
-impl ClockBound {
-    /// Gives an earliest time of ours for a time of theirs.
-    fn earliest(&self, at: Time) -> Time {
-        (at + self.ours).saturating_sub(self.theirs)
-    }
-}
-
 #[derive(Debug, Default)]
 struct Inner {
     own: Reads,
@@ -116,7 +103,7 @@
     news: Due,
     /// Changes that peers read, which follow on the endpoints known here.
     told: Vec<EntryChanges>,
-    clocks: BTreeMap<InstanceId, ClockBound>,
+    clocks: PeerClocks,
 }
 
 impl Inner {
@@ -152,6 +139,34 @@
         (due, oldest + patience)
     }
 
+    /// Gives what a peer has newer, by times of the own clock.
+    fn newer(&self, told: Reads) -> Due {
+        let own = &self.own;
+        let other_endpoints = self.digest() != told.endpoints;
+        Due {
+            config: told.version > own.version,
+            endpoints: other_endpoints && told.endpoints_at > own.endpoints_at,
+            told: false,
+        }
+    }
+
+    /// Takes over when a peer found what is known here to be the newest; gives that time for the
+    /// configuration, if it is later than what was known.
+    fn confirm(&mut self, told: Reads) -> Option<Time> {
+        if self.own.version == 0 {
+            return None;
+        }
+        if self.own.endpoints == told.endpoints {
+            self.see_endpoints(told.endpoints_at);
+        }
+        let same_config = self.own.version == told.version;
+        if !same_config || told.config_at <= self.own.config_at {
+            return None;
+        }
+        self.own.config_at = told.config_at;
+        Some(told.config_at)
+    }
+
     /// Takes it that the list of endpoints was the newest at `at`.
     fn see_endpoints(&mut self, at: Time) {
         self.steady_since = self.steady_since(at);
@@ -188,8 +203,7 @@
     /// Takes changes that a peer read, whose times are by its own clock, unless that is not known.
     pub fn hear_changes(&self, peer: &str, incarnation: Uuid, changes: EntryChanges) {
         let mut inner = self.lock();
-        let bound = inner.clocks.get(peer).copied();
-        let Some(bound) = bound.filter(|b| b.incarnation == incarnation) else {
+        let Some(bound) = inner.clocks.get(peer, incarnation) else {
             return;
         };
         if inner.own.version == 0 || inner.told.len() >= MAX_TOLD {
@@ -236,32 +250,22 @@
     #[must_use]
     pub fn hear(&self, peer: &str, incarnation: Uuid, told: Reads) -> Heard {
         let mut inner = self.lock();
-        let bound = inner.clocks.get(peer).copied();
-        let Some(bound) = bound.filter(|b| b.incarnation == incarnation) else {
+        let Some(bound) = inner.clocks.get(peer, incarnation) else {
             return Heard {
                 fresh: None,
                 ask_clock: true,
             };
         };
-        let config_at = bound.earliest(told.config_at);
-        let endpoints_at = bound.earliest(told.endpoints_at);
-        let digest = inner.digest();
-        let own = &mut inner.own;
-        let same_config = own.version == told.version;
-        let same_endpoints = own.endpoints == told.endpoints;
-        let newer_config = told.version > own.version;
-        let newer_endpoints = digest != told.endpoints && endpoints_at > own.endpoints_at;
-        let mut fresh = None;
-        if same_config && own.version > 0 && config_at > own.config_at {
-            own.config_at = config_at;
-            fresh = Some(config_at);
-        }
-        if same_endpoints && own.version > 0 {
-            inner.see_endpoints(endpoints_at);
-        }
-        if newer_config || newer_endpoints {
-            inner.news.config |= newer_config;
-            inner.news.endpoints |= newer_endpoints;
+        let told = Reads {
+            config_at: bound.earliest(told.config_at),
+            endpoints_at: bound.earliest(told.endpoints_at),
+            ..told
+        };
+        let newer = inner.newer(told);
+        let fresh = inner.confirm(told);
+        if newer.any() {
+            inner.news.config |= newer.config;
+            inner.news.endpoints |= newer.endpoints;
             drop(inner);
             self.changed.notify_one();
         }
@@ -271,19 +275,7 @@
 
     /// Takes a peer's clock, which it told after this instance asked at `asked`.
     pub fn take_clock(&self, peer: &str, incarnation: Uuid, asked: Time, clock: Time) {
-        let new = ClockBound {
-            incarnation,
-            ours: asked,
-            theirs: clock,
-        };
-        let mut inner = self.lock();
-        let known = inner.clocks.get(peer);
-        let tighter = known.is_none_or(|old| {
-            old.incarnation != incarnation || new.earliest(clock) > old.earliest(clock)
-        });
-        if tighter {
-            inner.clocks.insert(peer.to_owned(), new);
-        }
+        self.lock().clocks.take(peer, incarnation, asked, clock);
     }
 
     /// Waits until this instance has to read, and tells what: its state grew old, or a peer has
