--- /dev/null
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -0,0 +1,221 @@
+//! The parts of an edge instance, each made from what all of them share.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use firdock_core::settings::Settings;
+use firdock_policy::event::Member;
+use firdock_policy::{Mechanisms, PolicySettings, Scheduler};
+use slog::{Logger, o};
+use snafu::{OptionExt as _, ResultExt as _};
+use tokio::net::UdpSocket;
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, watch};
+use uuid::Uuid;
+
+use crate::answers::Answers;
+use crate::clock::Clock;
+use crate::config::Hub;
+use crate::door::{Door, DoorLimits, DoorState, Interface};
+use crate::driver::{Driver, DriverParts};
+use crate::endpoint::relay::{Dialect, Relay};
+use crate::endpoint::run::RunLimits;
+use crate::http::{ServerOptions, serve};
+use crate::input::Input;
+use crate::instance::{ListenSnafu, StartError, UnsetSnafu, open};
+use crate::peer::{
+    Beacons, Dialer, EntryChanges, PeerBook, SelfNews, SharedReads, UseRelay, open_beacons,
+};
+use crate::placement::{DatagramLink, Membership, Placement};
+use crate::site::Site;
+use crate::source::SourceSink;
+use crate::status::{Readiness, metrics};
+use crate::telemetry::{LineBudget, Metrics};
+
+/// Broken dispatches in a row after which an endpoint is ejected: plain servers fail some of their
+/// requests while they are well (one in seven at the users' sites), so that one says little.
+const EJECT_AFTER: u32 = 3;
+/// Connections of the balancer and of whoever collects metrics.
+const STATUS_CONNECTIONS: usize = 64;
+/// Bytes in the head of a call for the instance's status.
+const STATUS_HEAD_BYTES: usize = 16 << 10;
+
+/// What the parts of an edge instance share.
+#[derive(Debug)]
+pub struct Parts {
+    settings: Settings,
+    pub member: Member,
+    clock: Clock,
+    site: Arc<Site>,
+    pub door: DoorState,
+    metrics: Arc<Metrics>,
+    peers: Arc<PeerBook>,
+    reads: Arc<SharedReads>,
+    log: Logger,
+    pub lines: Arc<LineBudget>,
+}
+
+impl Parts {
+    /// Makes what is shared, for a new start of the process.
+    pub fn new(settings: &Settings, log: Logger) -> Self {
+        let name = settings.instance.name.clone();
+        Self {
+            settings: settings.clone(),
+            member: Member {
+                name: name.clone(),
+                incarnation: Uuid::now_v7(),
+            },
+            clock: Clock::new(),
+            site: Arc::default(),
+            door: DoorState::default(),
+            metrics: Arc::default(),
+            peers: Arc::new(PeerBook::new(name, settings.instance.zone.clone())),
+            reads: Arc::default(),
+            log,
+            lines: Arc::default(),
+        }
+    }
+
+    /// Makes what the platform's source tells of what it reads.
+    pub fn sink(
+        &self,
+        inputs: &mpsc::Sender<Input>,
+        changes: mpsc::Sender<EntryChanges>,
+    ) -> SourceSink {
+        SourceSink {
+            inputs: inputs.clone(),
+            changes,
+            peers: Arc::clone(&self.peers),
+            reads: Arc::clone(&self.reads),
+            clock: self.clock,
+        }
+    }
+
+    /// Makes the callers' door.
+    pub fn door<I: Interface>(&self, interface: I, inputs: mpsc::Sender<Input>) -> Door<I> {
+        let limits = DoorLimits::new(&self.settings.limits);
+        let site = Arc::clone(&self.site);
+        Door::new(
+            interface,
+            limits,
+            site,
+            inputs,
+            self.clock,
+            self.log.clone(),
+        )
+        .with_state(self.door.clone())
+        .with_lines(Arc::clone(&self.lines))
+    }
+
+    /// Makes the owner of the scheduler's tables.
+    pub fn driver<D: Dialect>(
+        &self,
+        dialect: D,
+        inputs: &mpsc::Sender<Input>,
+        news: watch::Sender<SelfNews>,
+        drained: watch::Sender<bool>,
+    ) -> Driver<Relay<D>> {
+        let e = &self.settings.endpoints;
+        let connect = Duration::from_millis(e.connect_millis);
+        let key = &self.settings.peers.shared_key;
+        let hub = Arc::new(Hub::default());
+        let parts = DriverParts {
+            backends: Relay::new(dialect, connect),
+            dialer: Dialer::new(self.member.name.clone(), key, hub),
+            site: Arc::clone(&self.site),
+            answers: Answers::new(self.settings.keys.answer_bytes),
+            metrics: Arc::clone(&self.metrics),
+            limits: RunLimits::new(e),
+            clock: self.clock,
+            log: self.log.new(o!("part" => "driver")),
+            lines: Arc::clone(&self.lines),
+            runtime: Handle::current(),
+            inputs: inputs.clone(),
+            news,
+            drained,
+        };
+        Driver::new(Scheduler::new(self.policy()), parts)
+    }
+
+    fn policy(&self) -> PolicySettings {
+        PolicySettings::new(&self.settings, self.member.incarnation)
+            .with_mechanisms(Mechanisms::EDGE)
+            .with_eject_after(EJECT_AFTER)
+            .with_await_peers()
+    }
+
+    /// Makes both sides of the placement of requests on engines.
+    pub fn placement(&self, socket: Arc<UdpSocket>) -> Placement {
+        let log = self.log.new(o!("part" => "placement"));
+        let link = DatagramLink::new(socket, self.key(), log.clone());
+        let zone = self.settings.instance.zone.clone();
+        let member = Membership::new(self.member.clone(), zone, Arc::clone(&self.peers), log);
+        let tables = Scheduler::new(self.policy().with_coordination());
+        Placement::new(member, tables, link)
+    }
+
+    fn key(&self) -> Arc<[u8]> {
+        Arc::from(self.settings.peers.shared_key.as_bytes())
+    }
+
+    /// Opens the socket of heartbeats and placements.
+    pub async fn open_datagrams(&self) -> Result<Arc<UdpSocket>, StartError> {
+        let field = "instance.peers";
+        let address = self.settings.instance.peers.context(UnsetSnafu { field })?;
+        let socket = open_beacons(address)
+            .await
+            .context(ListenSnafu { address })?;
+        Ok(Arc::new(socket))
+    }
+
+    /// Starts the sending and taking of heartbeats.
+    pub fn start_beacons(
+        &self,
+        socket: &Arc<UdpSocket>,
+        inputs: &mpsc::Sender<Input>,
+        news: watch::Receiver<SelfNews>,
+        changes: mpsc::Receiver<EntryChanges>,
+        stop: watch::Receiver<bool>,
+    ) {
+        let beacons = Beacons {
+            socket: Arc::clone(socket),
+            member: self.member.clone(),
+            key: self.key(),
+            book: Arc::clone(&self.peers),
+            reads: Arc::clone(&self.reads),
+            news,
+            changes,
+            relay: UseRelay::default(),
+            inputs: inputs.clone(),
+            pause: self.settings.peers.heartbeat(),
+            clock: self.clock,
+            log: self.log.new(o!("part" => "peers")),
+        };
+        tokio::spawn(beacons.run(stop));
+    }
+
+    /// Serves readiness, and metrics where an address for them is set.
+    pub fn serve_status(&self, stop: &watch::Receiver<bool>) -> Result<(), StartError> {
+        let options = ServerOptions {
+            connections: STATUS_CONNECTIONS,
+            header_bytes: STATUS_HEAD_BYTES,
+            header_time: Duration::from_millis(self.settings.limits.header_millis),
+        };
+        let ready = open(self.settings.instance.ready, "instance.ready")?;
+        let readiness = Readiness {
+            site: Arc::clone(&self.site),
+            door: self.door.clone(),
+            limit: self.settings.freshness.serve().unwrap_or(Duration::MAX),
+            clock: self.clock,
+        };
+        let answer = move |_| std::future::ready(readiness.answer());
+        tokio::spawn(serve(ready, options, stop.clone(), answer));
+        if self.settings.instance.metrics.is_some() {
+            let listener = open(self.settings.instance.metrics, "instance.metrics")?;
+            let figures = Arc::clone(&self.metrics);
+            let answer = move |_| std::future::ready(metrics(&figures));
+            tokio::spawn(serve(listener, options, stop.clone(), answer));
+        }
+        Ok(())
+    }
+}
