Move what the driver sends out into a file of its own, and give the driver's abort on a panic a name

Dispatches and hand-overs are one job; a hand-over's order and its refusal without an address are functions of their own. No behaviour changes; node and adapter tests green.

--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -5,14 +5,14 @@
 
 mod answer;
 mod placement;
+mod send;
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use firdock_core::{InstanceId, RequestId};
-use firdock_policy::action::{Dispatch, HandOverCause};
-use firdock_policy::event::{DispatchNews, EndpointEvent, HandOverEvent, HandOverRefusal};
+use firdock_core::RequestId;
+use firdock_policy::event::{DispatchNews, EndpointEvent, HandOverEvent};
 use firdock_policy::{Action, Event, Policy as _, Scheduler, Time};
 use slog::{Logger, warn};
 use tokio::runtime::Handle;
@@ -22,15 +22,15 @@
 
 use crate::answers::Answers;
 use crate::clock::Clock;
-use crate::endpoint::run::{Run, RunLimits};
-use crate::endpoint::{Backends, Target};
+use crate::endpoint::Backends;
+use crate::endpoint::run::RunLimits;
 use crate::exchange::{Exchange, Part};
 use crate::input::Input;
 use crate::peer::{self, Dialer, SelfNews};
 use crate::placement::Placement;
-use crate::site::{Place, Site};
+use crate::site::Site;
 use crate::telemetry::decisions::{LastSent, Story};
-use crate::telemetry::{Beliefs, Decisions, LineBudget, Metrics, Span};
+use crate::telemetry::{Beliefs, Decisions, LineBudget, Metrics};
 
 /// Pause between two runs of the timed systems.
 const TICK: Duration = Duration::from_millis(25);
@@ -306,114 +306,6 @@
         }
     }
 
-    fn dispatch(&mut self, dispatch: Dispatch) {
-        let Some(exchange) = self.exchange(dispatch.id) else {
-            return;
-        };
-        let Some(place) = self.parts.site.view().place(&dispatch.endpoint) else {
-            self.refuse(&dispatch);
-            return;
-        };
-        let id = dispatch.id;
-        let (now, t) = (self.parts.clock.now(), self.scheduler.tables());
-        self.decisions.dispatched(now, t, &dispatch, &exchange);
-        if let Some(live) = self.exchanges.get_mut(&id) {
-            live.sent = Some(LastSent::new(now, &dispatch));
-        }
-        let run = self.make_run(exchange, dispatch, place);
-        let backends = self.parts.backends.clone();
-        let (log, clock) = (self.parts.log.clone(), self.parts.clock);
-        let task = self.parts.runtime.spawn(async move {
-            let span = Span::start("endpoint", &run.exchange.trace, clock.now());
-            let run = Run {
-                trace: span.context,
-                ..run
-            };
-            let result = backends.run(place, run).await;
-            span.end(&log, clock.now(), &id.to_string(), result);
-        });
-        self.set_task(id, task.abort_handle());
-    }
-
-    fn make_run(&self, exchange: Arc<Exchange>, dispatch: Dispatch, place: Place) -> Run {
-        let trace = exchange.trace;
-        Run {
-            target: Target {
-                name: dispatch.endpoint.clone(),
-                address: place.address,
-            },
-            exchange,
-            dispatch,
-            limits: self.parts.limits,
-            inputs: self.parts.inputs.clone(),
-            clock: self.parts.clock,
-            trace,
-        }
-    }
-
-    /// Gives a dispatch back whose endpoint has no address any more; nothing was sent.
-    fn refuse(&self, dispatch: &Dispatch) {
-        let news = DispatchNews::Refused { unreachable: true };
-        let event = EndpointEvent {
-            id: dispatch.id,
-            dispatch: dispatch.dispatch,
-            news,
-        };
-        self.send(Event::Endpoint(event));
-    }
-
-    fn cancel(&mut self, id: RequestId, endpoint: &str, dispatch: u32) {
-        self.abort(id);
-        let Some(place) = self.parts.site.view().place(endpoint) else {
-            return;
-        };
-        let backends = self.parts.backends.clone();
-        let cancelling = async move { backends.cancel(place, id, dispatch).await };
-        self.parts.runtime.spawn(cancelling);
-    }
-
-    fn hand_over(&mut self, id: RequestId, peer: InstanceId, cause: HandOverCause) {
-        let Some(exchange) = self.exchange(id) else {
-            return;
-        };
-        let tried = self
-            .scheduler
-            .tables()
-            .requests
-            .get(id)
-            .map(|r| r.tried.clone());
-        let address = self.parts.dialer.address(&peer);
-        let Some(address) = address else {
-            let refusal = HandOverRefusal {
-                id,
-                verdict: None,
-                tried: Vec::new(),
-            };
-            self.send(Event::HandOver(HandOverEvent::Refused(refusal)));
-            return;
-        };
-        let order = peer::Order {
-            exchange,
-            peer,
-            address,
-            cause,
-            tried: tried.unwrap_or_default(),
-            inputs: self.parts.inputs.clone(),
-            caller_stall: self.parts.limits.caller_stall,
-        };
-        let (dialer, log, clock) = (
-            self.parts.dialer.clone(),
-            self.parts.log.clone(),
-            self.parts.clock,
-        );
-        let task = self.parts.runtime.spawn(async move {
-            let span = Span::start("peer", &order.exchange.trace, clock.now());
-            let result = peer::hand_over(dialer, order, span.context).await;
-            span.end(&log, clock.now(), &id.to_string(), result);
-        });
-        self.set_task(id, task.abort_handle());
-    }
-
     /// Sends an event to the scheduler itself, after what is already waiting.
     fn send(&self, event: Event) {
         let inputs = self.parts.inputs.clone();
--- /dev/null
+++ b/crates/firdock-node/src/driver/send.rs
@@ -0,0 +1,138 @@
+//! What the driver sends out for requests: dispatches to endpoints and hand-overs to peers.
+
+use std::sync::Arc;
+
+use firdock_core::{InstanceId, RequestId};
+use firdock_policy::Event;
+use firdock_policy::action::{Dispatch, HandOverCause};
+use firdock_policy::event::{DispatchNews, EndpointEvent, HandOverEvent, HandOverRefusal};
+
+use super::Driver;
+use crate::endpoint::run::Run;
+use crate::endpoint::{Backends, Target};
+use crate::exchange::Exchange;
+use crate::peer;
+use crate::site::Place;
+use crate::telemetry::Span;
+use crate::telemetry::decisions::LastSent;
+
+impl<B: Backends> Driver<B> {
+    pub(super) fn dispatch(&mut self, dispatch: Dispatch) {
+        let Some(exchange) = self.exchange(dispatch.id) else {
+            return;
+        };
+        let Some(place) = self.parts.site.view().place(&dispatch.endpoint) else {
+            self.refuse(&dispatch);
+            return;
+        };
+        let id = dispatch.id;
+        let (now, t) = (self.parts.clock.now(), self.scheduler.tables());
+        self.decisions.dispatched(now, t, &dispatch, &exchange);
+        if let Some(live) = self.exchanges.get_mut(&id) {
+            live.sent = Some(LastSent::new(now, &dispatch));
+        }
+        let run = self.make_run(exchange, dispatch, place);
+        let backends = self.parts.backends.clone();
+        let (log, clock) = (self.parts.log.clone(), self.parts.clock);
+        let task = self.parts.runtime.spawn(async move {
+            let span = Span::start("endpoint", &run.exchange.trace, clock.now());
+            let run = Run {
+                trace: span.context,
+                ..run
+            };
+            let result = backends.run(place, run).await;
+            span.end(&log, clock.now(), &id.to_string(), result);
+        });
+        self.set_task(id, task.abort_handle());
+    }
+
+    fn make_run(&self, exchange: Arc<Exchange>, dispatch: Dispatch, place: Place) -> Run {
+        let trace = exchange.trace;
+        Run {
+            target: Target {
+                name: dispatch.endpoint.clone(),
+                address: place.address,
+            },
+            exchange,
+            dispatch,
+            limits: self.parts.limits,
+            inputs: self.parts.inputs.clone(),
+            clock: self.parts.clock,
+            trace,
+        }
+    }
+
+    /// Gives a dispatch back whose endpoint has no address any more; nothing was sent.
+    fn refuse(&self, dispatch: &Dispatch) {
+        let news = DispatchNews::Refused { unreachable: true };
+        let event = EndpointEvent {
+            id: dispatch.id,
+            dispatch: dispatch.dispatch,
+            news,
+        };
+        self.send(Event::Endpoint(event));
+    }
+
+    pub(super) fn cancel(&mut self, id: RequestId, endpoint: &str, dispatch: u32) {
+        self.abort(id);
+        let Some(place) = self.parts.site.view().place(endpoint) else {
+            return;
+        };
+        let backends = self.parts.backends.clone();
+        let cancelling = async move { backends.cancel(place, id, dispatch).await };
+        self.parts.runtime.spawn(cancelling);
+    }
+
+    pub(super) fn hand_over(&mut self, id: RequestId, peer: InstanceId, cause: HandOverCause) {
+        let Some(exchange) = self.exchange(id) else {
+            return;
+        };
+        let Some(order) = self.order(id, exchange, peer, cause) else {
+            self.refuse_hand_over(id);
+            return;
+        };
+        let (dialer, log, clock) = (
+            self.parts.dialer.clone(),
+            self.parts.log.clone(),
+            self.parts.clock,
+        );
+        let task = self.parts.runtime.spawn(async move {
+            let span = Span::start("peer", &order.exchange.trace, clock.now());
+            let result = peer::hand_over(dialer, order, span.context).await;
+            span.end(&log, clock.now(), &id.to_string(), result);
+        });
+        self.set_task(id, task.abort_handle());
+    }
+
+    /// Makes the order of a hand-over; `None` where the peer has no address.
+    fn order(
+        &self,
+        id: RequestId,
+        exchange: Arc<Exchange>,
+        peer: InstanceId,
+        cause: HandOverCause,
+    ) -> Option<peer::Order> {
+        let row = self.scheduler.tables().requests.get(id);
+        let tried = row.map(|r| r.tried.clone()).unwrap_or_default();
+        let address = self.parts.dialer.address(&peer)?;
+        Some(peer::Order {
+            exchange,
+            peer,
+            address,
+            cause,
+            tried,
+            inputs: self.parts.inputs.clone(),
+            caller_stall: self.parts.limits.caller_stall,
+        })
+    }
+
+    /// Gives a hand-over back whose peer has no address; nothing was sent.
+    fn refuse_hand_over(&self, id: RequestId) {
+        let refusal = HandOverRefusal {
+            id,
+            verdict: None,
+            tried: Vec::new(),
+        };
+        self.send(Event::HandOver(HandOverEvent::Refused(refusal)));
+    }
+}
--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -19,6 +19,8 @@
 use self::parts::Parts;
 use crate::clock::millis;
 use crate::door::{DoorState, Interface, Opening};
+use crate::driver::Driver;
+use crate::endpoint::Backends;
 use crate::endpoint::relay::Dialect;
 use crate::http::{ServerOptions, serve};
 use crate::input::{INPUTS_WAITING, Input};
@@ -106,12 +108,7 @@
         let driver = parts
             .driver(self.dialect, &inputs, news, drained)
             .with_placement(parts.placement(socket));
-        tokio::spawn(async move {
-            // A panic there is a broken promise, so the process ends instead of going on.
-            let abort = AbortOnPanic;
-            driver.run(waiting, rest_stops).await;
-            drop(abort);
-        });
+        tokio::spawn(run_or_abort(driver, waiting, rest_stops));
         tokio::spawn(self.source.follow(parts.sink(&inputs, changes)));
 
         let door = parts.door(self.interface, inputs.clone());
@@ -134,6 +131,17 @@
     }
 }
 
+/// Runs the driver; a panic there is a broken promise, so the process ends instead of going on.
+async fn run_or_abort<B: Backends>(
+    driver: Driver<B>,
+    inputs: mpsc::Receiver<Input>,
+    stop: watch::Receiver<bool>,
+) {
+    let abort = AbortOnPanic;
+    driver.run(inputs, stop).await;
+    drop(abort);
+}
+
 impl RunningEdge {
     /// Stops in order: not ready at once, calls served on until the balancer knows, what runs
     /// ended in place, and all of it before the platform ends the process.
