--- a/crates/firdock-policy/tests/policy/limits.rs
+++ b/crates/firdock-policy/tests/policy/limits.rs
@@ -1,5 +1,7 @@
 //! Account limits over all instances, from what each lets pass and what its peers tell.
 
+use std::time::Duration;
+
 use firdock_core::{Outcome, Reason};
 use firdock_policy::event::{
     AccountUse, HandOverEvent, HandOverRefusal, Member, MemberView, PeerNews, PeerUse,
@@ -30,15 +32,38 @@
     assert!((10..=11).contains(&served), "{served}");
 }
 
+/// Use of the account `limited`, of which everything that was asked for was let pass.
+fn limited(units: f64) -> Vec<AccountUse> {
+    vec![AccountUse {
+        account: "limited".to_owned(),
+        units,
+        asked: units,
+    }]
+}
+
+/// Counts how many of so many requests are served, of which each comes a `pause` after the one before;
+/// `told` is what the instance hears before each.
+fn served(edge: &mut Edge, count: u64, pause: Duration, told: &[Event]) -> u32 {
+    let mut served = 0;
+    for n in 0..count {
+        edge.now += pause;
+        edge.step(Event::Fresh(edge.now));
+        for event in told {
+            edge.step(event.clone());
+        }
+        if verdict(&edge.arrive(request(n, "safe", "limited"))).is_none() {
+            served += 1;
+            edge.end(n);
+        }
+    }
+    served
+}
+
 fn peer(used: f64, incarnation: u128) -> Event {
     Event::Peer(PeerNews {
         name: "b".to_owned(),
         incarnation: Uuid::from_u128(incarnation),
-        used: vec![AccountUse {
-            account: "limited".to_owned(),
-            units: used,
-            asked: used,
-        }],
+        used: limited(used),
         ..PeerNews::default()
     })
 }
@@ -63,11 +88,7 @@
     Event::PeerUsed(PeerUse {
         name: "b".to_owned(),
         incarnation: Uuid::from_u128(incarnation),
-        used: vec![AccountUse {
-            account: "limited".to_owned(),
-            units: used,
-            asked: used,
-        }],
+        used: limited(used),
     })
 }
 
@@ -83,11 +104,7 @@
     edge.step(Event::PeerUsed(PeerUse {
         name: "never heard of".to_owned(),
         incarnation: Uuid::from_u128(2),
-        used: vec![AccountUse {
-            account: "limited".to_owned(),
-            units: 9_000.0,
-            asked: 9_000.0,
-        }],
+        used: limited(9_000.0),
     }));
     assert_eq!(verdict(&edge.arrive(request(1, "safe", "limited"))), None);
     edge.now += millis(1_000);
@@ -125,15 +142,7 @@
 fn an_instance_that_hears_nobody_uses_its_even_part_alone() {
     let mut edge = Edge::new(edge_settings("a"), resources());
     edge.step(Event::PeersKnown(4));
-    let mut served = 0;
-    for n in 0..400 {
-        edge.now += millis(50);
-        edge.step(Event::Fresh(edge.now));
-        if verdict(&edge.arrive(request(n, "safe", "limited"))).is_none() {
-            served += 1;
-            edge.end(n);
-        }
-    }
+    let served = served(&mut edge, 400, millis(50), &[]);
     // 20 s at a fifth of 100 tokens a second, 100 tokens each.
     assert!((4..=5).contains(&served), "{served}");
 }
@@ -151,15 +160,7 @@
         }));
     }
     edge.step(Event::Reach(100));
-    let mut served = 0;
-    for n in 0..250 {
-        edge.now += millis(20);
-        edge.step(Event::Fresh(edge.now));
-        if verdict(&edge.arrive(request(n, "safe", "limited"))).is_none() {
-            served += 1;
-            edge.end(n);
-        }
-    }
+    let served = served(&mut edge, 250, millis(20), &[]);
     // Heartbeats go missing after five of 250 ms; from then on a hundredth of 100 tokens a second,
     // 100 tokens each.
     assert!((1..=2).contains(&served), "{served}");
@@ -169,16 +170,7 @@
 fn of_many_instances_the_parts_of_those_not_heard_are_left_out() {
     let mut edge = Edge::new(edge_settings("a"), resources());
     edge.step(Event::PeersKnown(39));
-    let mut served = 0;
-    for n in 0..400 {
-        edge.now += millis(25);
-        edge.step(Event::Fresh(edge.now));
-        edge.step(Event::Reach(20));
-        if verdict(&edge.arrive(request(n, "safe", "limited"))).is_none() {
-            served += 1;
-            edge.end(n);
-        }
-    }
+    let served = served(&mut edge, 400, millis(25), &[Event::Reach(20)]);
     // 10 s at a half of 100 tokens a second, 100 tokens each.
     assert!((5..=6).contains(&served), "{served}");
 }
@@ -191,11 +183,7 @@
     let told = |incarnation: Uuid, used: f64| PeerNews {
         name: "b".to_owned(),
         incarnation,
-        used: vec![AccountUse {
-            account: "limited".to_owned(),
-            units: used,
-            asked: used,
-        }],
+        used: limited(used),
         ..PeerNews::default()
     };
     for (secs, passes) in [(1_000, true), (2_000, false)] {
@@ -287,15 +275,7 @@
 #[test]
 fn an_instance_that_knows_of_no_others_yet_uses_a_small_part_of_a_limit() {
     let mut edge = Edge::unaware(edge_settings("a"), resources());
-    let mut served = 0;
-    for n in 0..400 {
-        edge.now += millis(50);
-        edge.step(Event::Fresh(edge.now));
-        if verdict(&edge.arrive(request(n, "safe", "limited"))).is_none() {
-            served += 1;
-            edge.end(n);
-        }
-    }
+    let served = served(&mut edge, 400, millis(50), &[]);
     // 20 s at 0.15 of 100 tokens a second, 100 tokens each; alone and aware, it would be 20.
     assert!((3..=4).contains(&served), "{served}");
 }
