--- a/crates/firdock-node/src/peer/book/group.rs
+++ b/crates/firdock-node/src/peer/book/group.rs
@@ -15,7 +15,8 @@
 
 use super::{Entries, Entry, PeerBook};
 
-/// Silence after which an instance neither leads a group nor counts in it: a few heartbeats.
+/// Silence after which an instance neither leads a group nor counts in it: six heartbeats of the
+/// deployments' 200 ms (`deploy/settings.toml`).
 const PRESENT_WITHIN: Duration = Duration::from_millis(1_200);
 /// Instances of each group that are told everything at once: its lead and the next one by name,
 /// which leads as soon as the first falls silent.
--- a/crates/firdock-node/src/placement.rs
+++ b/crates/firdock-node/src/placement.rs
@@ -10,6 +10,7 @@
 mod coordinator;
 mod member;
 mod report;
+mod told;
 
 pub use codec::{read_reply, read_report, write_reply, write_report};
 pub use coordinator::Coordinator;
--- a/crates/firdock-node/src/placement/member.rs
+++ b/crates/firdock-node/src/placement/member.rs
@@ -1,19 +1,19 @@
 //! A member's side: whom it asks, what it tells, and when it gives the coordinator up.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use firdock_core::{EndpointId, InstanceId, Outcome, RequestId, ZoneId};
-use firdock_policy::event::{DispatchNews, EndpointEvent, Grant, Member};
-use firdock_policy::request::{Phase, Placing, RequestRow};
+use firdock_core::{InstanceId, Outcome, RequestId, ZoneId};
+use firdock_policy::event::{EndpointEvent, Grant, Member};
+use firdock_policy::request::{Phase, Placing};
 use firdock_policy::table::Tables;
-use firdock_policy::table::endpoint::EndpointRow;
-use firdock_policy::{Event, NewRequest, Time, Verdict};
+use firdock_policy::{Event, Time, Verdict};
 use slog::{Logger, info};
 
 use super::report::{Course, News, Placed, Refused, Reply, Report, Wanted};
+use super::told::{course, engine_of, next_attempt, running, waits, wanted};
 use crate::peer::PeerBook;
 
 /// Pause between two whole reports.
@@ -276,68 +276,6 @@
     }
 }
 
-/// Gives the number of the place that a held request waits for.
-fn next_attempt(row: &RequestRow) -> u32 {
-    row.dispatch + 1
-}
-
-/// Gives what news of a dispatch mean for the request, if they are worth telling.
-fn course(row: &RequestRow, news: DispatchNews) -> Option<Course> {
-    Some(match news {
-        DispatchNews::Started { .. } => return None,
-        DispatchNews::Tokens { .. } if row.first.is_some() => return None,
-        DispatchNews::Tokens { .. } => Course::Began,
-        DispatchNews::Ended { prompt, output, .. } => Course::Ended { prompt, output },
-        DispatchNews::Broke { .. } => Course::Broke,
-        DispatchNews::Refused { unreachable: false } => Course::Refused,
-        DispatchNews::Refused { unreachable: true } => Course::Unreachable,
-        DispatchNews::Lapsed => Course::Dropped,
-    })
-}
-
-/// Gives the engine that a request is on, if it is on one.
-fn engine_of<'a>(t: &'a Tables, row: &RequestRow) -> Option<&'a EndpointRow> {
-    let (Phase::Dispatching(at) | Phase::Running(at)) = row.phase else {
-        return None;
-    };
-    Some(t.endpoints.get(at)).filter(|e| e.is_engine())
-}
-
-/// Tells whether a request waits for the coordinator to place it.
-fn waits(row: &RequestRow) -> bool {
-    row.phase == Phase::Held && row.placing == Placing::Asked
-}
-
-fn running(now: Time, t: &Tables, row: &RequestRow) -> Option<(Wanted, EndpointId)> {
-    let engine = engine_of(t, row)?;
-    Some((wanted(now, row, row.dispatch), engine.declared.name.clone()))
-}
-
-fn wanted(now: Time, row: &RequestRow, attempt: u32) -> Wanted {
-    let new = &row.new;
-    Wanted {
-        new: NewRequest {
-            id: new.id,
-            service: new.service.clone(),
-            account: new.account.clone(),
-            prompt_tokens: new.prompt_tokens.saturating_add(row.delivered),
-            output_tokens: new.output_tokens,
-            draw: new.draw,
-            age: now.saturating_sub(row.arrived),
-            tried: avoided(row),
-            ..NewRequest::default()
-        },
-        attempt,
-        left: row.deadline.map(|by| by.saturating_sub(now)),
-    }
-}
-
-/// Gives the engines that a request must not go to, each once.
-fn avoided(row: &RequestRow) -> Vec<EndpointId> {
-    let all: BTreeSet<&EndpointId> = row.tried.iter().chain(&row.declined).collect();
-    all.into_iter().cloned().collect()
-}
-
 fn granted(placed: Placed) -> Event {
     Event::Granted(Grant {
         id: placed.id,
