--- a/crates/firdock-node/src/placement/member.rs
+++ b/crates/firdock-node/src/placement/member.rs
@@ -1,18 +1,19 @@
 //! A member's side: whom it asks, what it tells, and when it gives the coordinator up.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use firdock_core::{EndpointId, InstanceId, RequestId, ZoneId};
-use firdock_policy::event::{DispatchNews, EndpointEvent, Grant, Member};
-use firdock_policy::request::{Phase, Placing, RequestRow};
+use firdock_core::{InstanceId, Outcome, RequestId, ZoneId};
+use firdock_policy::event::{EndpointEvent, Grant, Member};
+use firdock_policy::request::{Phase, Placing};
 use firdock_policy::table::Tables;
-use firdock_policy::{Event, NewRequest, Time, Verdict};
+use firdock_policy::{Event, Time, Verdict};
 use slog::{Logger, info};
 
 use super::report::{Course, News, Placed, Refused, Reply, Report, Wanted};
+use super::told::{course, engine_of, next_attempt, running, waits, wanted};
 use crate::peer::PeerBook;
 
 /// Pause between two whole reports.
@@ -105,20 +106,12 @@
             .requests
             .get(event.id)
             .filter(|r| r.dispatch == event.dispatch);
-        let Some(row) = row.filter(|r| on_engine(t, r)) else {
+        let Some(row) = row.filter(|r| engine_of(t, r).is_some()) else {
             return;
         };
-        let course = match event.news {
-            DispatchNews::Started { .. } => return,
-            DispatchNews::Tokens { .. } if row.first.is_some() => return,
-            DispatchNews::Tokens { .. } => Course::Began,
-            DispatchNews::Ended { prompt, output, .. } => Course::Ended { prompt, output },
-            DispatchNews::Broke { .. } => Course::Broke,
-            DispatchNews::Refused { unreachable: false } => Course::Refused,
-            DispatchNews::Refused { unreachable: true } => Course::Unreachable,
-            DispatchNews::Lapsed => Course::Dropped,
-        };
-        self.tell(event.id, event.dispatch, course);
+        if let Some(course) = course(row, event.news) {
+            self.tell(event.id, event.dispatch, course);
+        }
     }
 
     /// Notes that a caller left, while the request's row is still there.
@@ -131,7 +124,7 @@
         } else {
             row.dispatch
         };
-        if row.placing == Placing::Asked || on_engine(t, row) {
+        if row.placing == Placing::Asked || engine_of(t, row).is_some() {
             self.tell(id, attempt, Course::Dropped);
         }
     }
@@ -233,20 +226,14 @@
     /// Gives a report of everything, if one is due.
     pub fn report_all(&mut self, now: Time, t: &Tables) -> Option<Report> {
         self.lead.as_ref()?;
-        let waits = |r: &&RequestRow| r.phase == Phase::Held && r.placing == Placing::Asked;
-        let pause = if t.requests.iter().any(|r| waits(&r)) {
-            WAITING_PAUSE
-        } else {
-            WHOLE_PAUSE
-        };
-        if self.whole_at > Time::ZERO && self.whole_at + pause > now {
+        if !self.is_whole_due(now, t) {
             return None;
         }
         self.whole_at = now;
         self.number += 1;
         self.owed_since = self.owed_since.or(Some(now));
         self.asked.clear();
-        let held = t.requests.iter().filter(waits);
+        let held = t.requests.iter().filter(|r| waits(r));
         let waiting = held.map(|r| wanted(now, r, next_attempt(r))).collect();
         let running = t.requests.iter().filter_map(|r| running(now, t, r));
         Some(Report {
@@ -258,6 +245,16 @@
         })
     }
 
+    /// Tells whether a whole report is due; the first one to a lead is at once.
+    fn is_whole_due(&self, now: Time, t: &Tables) -> bool {
+        let pause = if t.requests.iter().any(waits) {
+            WAITING_PAUSE
+        } else {
+            WHOLE_PAUSE
+        };
+        self.whole_at == Time::ZERO || self.whole_at + pause <= now
+    }
+
     fn empty_report(&self) -> Report {
         Report {
             instance: self.me.name.clone(),
@@ -279,54 +276,6 @@
     }
 }
 
-/// Gives the number of the place that a held request waits for.
-fn next_attempt(row: &RequestRow) -> u32 {
-    row.dispatch + 1
-}
-
-fn on_engine(t: &Tables, row: &RequestRow) -> bool {
-    match row.phase {
-        Phase::Dispatching(at) | Phase::Running(at) => t.endpoints.get(at).is_engine(),
-        _ => false,
-    }
-}
-
-fn running(now: Time, t: &Tables, row: &RequestRow) -> Option<(Wanted, EndpointId)> {
-    match row.phase {
-        Phase::Dispatching(at) | Phase::Running(at) => {
-            let e = t.endpoints.get(at);
-            e.is_engine()
-                .then(|| (wanted(now, row, row.dispatch), e.declared.name.clone()))
-        }
-        _ => None,
-    }
-}
-
-fn wanted(now: Time, row: &RequestRow, attempt: u32) -> Wanted {
-    let new = &row.new;
-    Wanted {
-        new: NewRequest {
-            id: new.id,
-            service: new.service.clone(),
-            account: new.account.clone(),
-            prompt_tokens: new.prompt_tokens.saturating_add(row.delivered),
-            output_tokens: new.output_tokens,
-            draw: new.draw,
-            age: now.saturating_sub(row.arrived),
-            tried: avoided(row),
-            ..NewRequest::default()
-        },
-        attempt,
-        left: row.deadline.map(|by| by.saturating_sub(now)),
-    }
-}
-
-/// Gives the engines that a request must not go to, each once.
-fn avoided(row: &RequestRow) -> Vec<EndpointId> {
-    let all: BTreeSet<&EndpointId> = row.tried.iter().chain(&row.declined).collect();
-    all.into_iter().cloned().collect()
-}
-
 fn granted(placed: Placed) -> Event {
     Event::Granted(Grant {
         id: placed.id,
@@ -336,7 +285,7 @@
 
 fn not_granted(refused: Refused) -> Event {
     let verdict = Verdict {
-        outcome: firdock_core::Outcome::NotRun,
+        outcome: Outcome::NotRun,
         reason: refused.reason,
         retry_after: Some(refused.retry_after),
     };
--- a/crates/firdock-policy/src/system/coordinate.rs
+++ b/crates/firdock-policy/src/system/coordinate.rs
@@ -6,7 +6,7 @@
 //! instance places its requests by itself, within its own part of the places
 //! (`docs/design/placement.md`).
 
-use firdock_core::{EndpointId, Outcome, RequestId};
+use firdock_core::{EndpointId, RequestId};
 
 use super::{admit, end, place, share};
 use crate::action::Action;
@@ -31,11 +31,8 @@
 
 /// Tells whether a request goes to engines: all endpoints of a pool are of one kind.
 pub fn goes_to_engine(t: &Tables, row: &RequestRow) -> bool {
-    let rows = t.services.get(row.service).endpoints.iter();
-    let mut takers = rows
-        .map(|e| t.endpoints.get(*e))
-        .filter(|e| place::in_pool(row, e));
-    takers.next().is_some_and(EndpointRow::is_engine)
+    let first = place::takers(t, row).next();
+    first.is_some_and(EndpointRow::is_engine)
 }
 
 /// Asks the coordinator for places for the requests that have come to be held.
@@ -107,11 +104,7 @@
         return;
     }
     let service = row.service;
-    let outcome = if row.may_have_run() {
-        Outcome::Unknown
-    } else {
-        Outcome::NotRun
-    };
+    let outcome = row.outcome_unanswered();
     end::count_shed(t, service);
     end::answer(t, now, id, Verdict { outcome, ..verdict }, out);
 }
