--- a/crates/firdock-node/src/peer/reads/clocks.rs
+++ b/crates/firdock-node/src/peer/reads/clocks.rs
@@ -9,6 +9,9 @@
 use firdock_policy::Time;
 use uuid::Uuid;
 
+/// Peers whose clocks are kept.
+const MAX_PEERS: usize = 512;
+
 /// Bound on a peer's clock: its `theirs` stands for no earlier time than `ours`.
 #[derive(Debug, Clone, Copy)]
 pub struct ClockBound {
@@ -46,6 +49,10 @@
             theirs: clock,
         };
         let known = self.get(peer, incarnation);
+        if self.bounds.len() >= MAX_PEERS && !self.bounds.contains_key(peer) {
+            // Most are long gone; those that live are asked once more.
+            self.bounds.clear();
+        }
         if known.is_none_or(|old| new.earliest(clock) > old.earliest(clock)) {
             self.bounds.insert(peer.to_owned(), new);
         }
--- a/crates/firdock-node/tests/node/peers.rs
+++ b/crates/firdock-node/tests/node/peers.rs
@@ -76,6 +76,17 @@
     assert_eq!(heard.fresh, Some(millis(10_400)));
 }
 
+#[test]
+fn instances_that_come_and_go_for_days_leave_room_for_the_clocks_of_new_ones() {
+    let shared = shared();
+    for n in 0..2_000 {
+        let name = format!("front-{n}");
+        shared.take_clock(&name, INCARNATION, millis(10_000), millis(9_000));
+        let heard = shared.hear(&name, INCARNATION, reads(5, 1, millis(9_000)));
+        assert!(!heard.ask_clock, "the clock of {name} is known");
+    }
+}
+
 /// Finding 1: an instance that did not read took its own silence for an outage of the list, and kept
 /// an endpoint that had been dropped.
 #[test]
--- a/crates/firdock-policy/src/table/group.rs
+++ b/crates/firdock-policy/src/table/group.rs
@@ -24,7 +24,8 @@
     /// Takes a lead's word over.
     pub fn take(&mut self, now: Time, told: GroupDemand) {
         if self.rows.len() >= MAX_ZONES && !self.rows.contains_key(&told.zone) {
-            return;
+            // Those that are still there tell at the next heartbeat.
+            self.rows.clear();
         }
         let demand = told.demand.into_iter().map(|d| (d.pool, d.rate)).collect();
         self.rows.insert(told.zone, (now, demand));
--- a/crates/firdock-policy/tests/policy/coordinate.rs
+++ b/crates/firdock-policy/tests/policy/coordinate.rs
@@ -3,7 +3,7 @@
 
 use firdock_core::resource::{Endpoint, Resource, Service, Tier};
 use firdock_core::{Outcome, Reason};
-use firdock_policy::event::{DispatchNews, Grant, PeerNews, PoolDemand};
+use firdock_policy::event::{DispatchNews, Grant, GroupDemand, PeerNews, PoolDemand};
 use firdock_policy::{Action, Event, NewRequest, PolicySettings, Verdict};
 
 use crate::edge::{Edge, edge_settings, request, resources, verdict};
@@ -325,6 +325,23 @@
     assert!((13..=17).contains(&far), "a half of the west's: {far}");
 }
 
+#[test]
+fn availability_zones_that_come_and_go_leave_room_for_new_ones() {
+    let mut edge = coordinator(zoned());
+    for n in 0..200 {
+        let zone = format!("zone-{n}");
+        edge.step(Event::GroupDemand(GroupDemand {
+            zone: zone.clone(),
+            demand: Vec::new(),
+        }));
+        let groups = &edge.scheduler.tables().groups;
+        let known = groups
+            .fresh(edge.now, millis(1_000))
+            .any(|(z, _)| *z == zone);
+        assert!(known, "{zone} is taken in");
+    }
+}
+
 #[test]
 fn all_engines_of_a_small_site_are_one_groups() {
     let mut edge = coordinator(zoned());
