--- a/crates/firdock-core/src/outcome.rs
+++ b/crates/firdock-core/src/outcome.rs
@@ -89,15 +89,16 @@
         }
     }
 
-    /// Gives the HTTP status that goes with the reason and the outcome.
+    /// Gives the HTTP status that goes with the reason and the outcome: 429 and 503 say that a request
+    /// has not run, so that what may have run gets neither.
     #[must_use]
     pub fn status(self, outcome: Outcome) -> u16 {
         match (self, outcome) {
-            (Self::Overload | Self::WaitedTooLong | Self::RateLimited, _) => 429,
             (Self::KeyInUse, _) => 409,
             (Self::KeyMismatch, _) => 422,
             (Self::TimedOut, Outcome::Unknown) => 504,
             (_, Outcome::Unknown) => 502,
+            (Self::Overload | Self::WaitedTooLong | Self::RateLimited, _) => 429,
             _ => 503,
         }
     }
--- a/crates/firdock-core/tests/core/main.rs
+++ b/crates/firdock-core/tests/core/main.rs
@@ -1,4 +1,5 @@
 //! Tests of settings, resources and findings.
 
+mod outcomes;
 mod resources;
 mod settings;
--- /dev/null
+++ b/crates/firdock-core/tests/core/outcomes.rs
@@ -0,0 +1,30 @@
+//! What callers are told of outcomes.
+
+use firdock_core::{Outcome, Reason};
+
+/// Statuses by which callers take it that a request has not run.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+/// Finding 19: a request whose first try broke and whose second was given up for load may have run,
+/// and was told so by a status that says it has not.
+#[test]
+fn what_may_have_run_is_never_told_by_a_status_that_says_it_has_not() {
+    for reason in [
+        Reason::Overload,
+        Reason::WaitedTooLong,
+        Reason::NoEndpoint,
+        Reason::EndpointLost,
+        Reason::PeerLost,
+        Reason::KeyInUse,
+        Reason::KeyMismatch,
+        Reason::KeyUncertain,
+        Reason::KeyUnconfirmed,
+        Reason::CallerLeft,
+        Reason::TimedOut,
+        Reason::RateLimited,
+        Reason::StateStale,
+    ] {
+        let status = reason.status(Outcome::Unknown);
+        assert!(!PROMISES.contains(&status), "{reason}: {status}");
+    }
+}
