--- a/crates/firdock-node/src/peer/datagram.rs
+++ b/crates/firdock-node/src/peer/datagram.rs
@@ -52,6 +52,7 @@
         endpoints: reads.endpoints,
         config_at: millis(reads.config_at),
         endpoints_at: millis(reads.endpoints_at),
+        steady_since: millis(reads.steady_since),
     }
 }
 
@@ -62,6 +63,7 @@
         endpoints: reads.endpoints,
         config_at: Duration::from_millis(reads.config_at),
         endpoints_at: Duration::from_millis(reads.endpoints_at),
+        steady_since: Duration::from_millis(reads.steady_since),
     }
 }
 
--- a/crates/firdock-node/src/peer/reads.rs
+++ b/crates/firdock-node/src/peer/reads.rs
@@ -51,6 +51,9 @@
     pub config_at: Time,
     /// When the list of endpoints was the newest.
     pub endpoints_at: Time,
+    /// Since when the list of endpoints has been read without an outage of it; zero where that was
+    /// not told.
+    pub steady_since: Time,
 }
 
 /// What follows from a peer's word.
@@ -97,8 +100,6 @@
 struct Inner {
     own: Reads,
     read_at: Time,
-    /// When the list of endpoints was first read after its last outage.
-    steady_since: Time,
     /// What a peer has newer.
     news: Due,
     /// Changes that peers read, which follow on the endpoints known here.
@@ -108,13 +109,29 @@
 
 impl Inner {
     fn steady_since(&self, at: Time) -> Time {
-        if self.own.endpoints_at + OUTAGE < at {
+        let first = self.own.endpoints_at == Time::ZERO;
+        if first || self.own.endpoints_at + OUTAGE < at {
             at
         } else {
-            self.steady_since
+            self.own.steady_since
         }
     }
 
+    /// Takes a peer's word on the last outage, by times of the own clock; tells whether what was an
+    /// outage here was none.
+    ///
+    /// An instance that was cut off alone saw no read for as long, while the list was read by others
+    /// and endpoints renewed their entries. What differs by less than an outage is the clocks' doing.
+    fn hear_steady(&mut self, told: Reads) -> bool {
+        let own = self.own.steady_since;
+        let known = told.steady_since > Time::ZERO;
+        let spans = known && told.steady_since + OUTAGE < own && own <= told.endpoints_at + OUTAGE;
+        if spans {
+            self.own.steady_since = told.steady_since;
+        }
+        spans
+    }
+
     /// Gives the digest of the endpoints known here, with the changes that are to be taken.
     fn digest(&self) -> u64 {
         self.told.last().map_or(self.own.endpoints, |c| c.after)
@@ -169,7 +186,7 @@
 
     /// Takes it that the list of endpoints was the newest at `at`.
     fn see_endpoints(&mut self, at: Time) {
-        self.steady_since = self.steady_since(at);
+        self.own.steady_since = self.steady_since(at);
         self.own.endpoints_at = self.own.endpoints_at.max(at);
     }
 }
@@ -259,10 +276,16 @@
         let told = Reads {
             config_at: bound.earliest(told.config_at),
             endpoints_at: bound.earliest(told.endpoints_at),
+            steady_since: match told.steady_since {
+                Time::ZERO => Time::ZERO,
+                since => bound.earliest(since),
+            },
             ..told
         };
-        let newer = inner.newer(told);
+        let mut newer = inner.newer(told);
         let fresh = inner.confirm(told);
+        // What was kept for the outage is dropped by the next read.
+        newer.endpoints |= inner.hear_steady(told);
         if newer.any() {
             inner.news.config |= newer.config;
             inner.news.endpoints |= newer.endpoints;
--- a/crates/firdock-node/tests/node/peers.rs
+++ b/crates/firdock-node/tests/node/peers.rs
@@ -31,6 +31,7 @@
         endpoints,
         config_at: at,
         endpoints_at: at,
+        ..Reads::default()
     }
 }
 
@@ -120,6 +121,41 @@
     assert_eq!(shared.steady_since(millis(16_000)), millis(15_000));
 }
 
+/// Finding 21: an instance that was cut off alone took its silence for an outage of the list, and kept
+/// endpoints that had been dropped meanwhile.
+#[test]
+fn an_instance_that_was_cut_off_alone_takes_its_silence_for_no_outage() {
+    let shared = shared();
+    shared.note(millis(20_000), reads(5, 1, millis(20_000)));
+    assert_eq!(shared.steady_since(millis(20_000)), millis(20_000));
+    // The peer has read all the while, since 2 s by our clock.
+    let told = Reads {
+        steady_since: millis(1_000),
+        ..reads(5, 1, millis(18_900))
+    };
+    let _ = shared.hear("p", INCARNATION, told);
+    assert_eq!(shared.steady_since(millis(20_200)), millis(2_000));
+    // Its clock is known a little better at the next word, which is no news.
+    let nearly = Reads {
+        steady_since: millis(990),
+        ..told
+    };
+    let _ = shared.hear("p", INCARNATION, nearly);
+    assert_eq!(shared.steady_since(millis(20_200)), millis(2_000));
+}
+
+#[test]
+fn a_peer_that_has_not_read_since_an_outage_does_not_tell_it_away() {
+    let shared = shared();
+    shared.note(millis(20_000), reads(5, 1, millis(20_000)));
+    let told = Reads {
+        steady_since: millis(1_000),
+        ..reads(5, 1, millis(15_000))
+    };
+    let _ = shared.hear("p", INCARNATION, told);
+    assert_eq!(shared.steady_since(millis(20_200)), millis(20_000));
+}
+
 /// News of a scheduler that has taken `version`.
 fn news(version: u64) -> SelfNews {
     let settings = PolicySettings::new(&Settings::default(), INCARNATION);
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -156,6 +156,9 @@
     /// Version of that configuration. The heartbeat's own version is published less often.
     #[prost(uint64, tag = "4")]
     pub version: u64,
+    /// Since when the list of endpoints has been read without an outage of it, by the sender's clock.
+    #[prost(uint64, tag = "5")]
+    pub steady_since: u64,
 }
 /// A heartbeat by datagram.
 #[derive(Clone, PartialEq, ::prost::Message)]
