Learn the time to a first token as a line over prompt tokens, and place by the expected end of an answer

Change: least squares over base and time for each token, old samples forgotten; callers' estimates of length are read and told to the coordinator; the choice weighs the time to the end, and the time by which an end would be too late.

--- a/crates/firdock-policy/src/cost.rs
+++ b/crates/firdock-policy/src/cost.rs
@@ -28,9 +28,17 @@
 /// Bounds of the speed of an engine against the declared one, as learned from its tokens.
 const SPEEDS: (f64, f64) = (0.25, 4.0);
 /// Part of the target beyond which the expected time to the first token is a risk.
-const SAFE_PART: f64 = 0.5;
+const SAFE_PART: f64 = 0.7;
 /// Weight of that risk.
 const RISK_WEIGHT: f64 = 4.0;
+/// Weight of the time to the end of an answer: a long answer holds its place on a slow engine for
+/// many times as long as on a fast one, where whatever fails meanwhile breaks it off.
+const STAY_WEIGHT: f64 = 0.1;
+/// How much longer than estimated an answer may take: callers' estimates of its length are right at
+/// the median, and often off by a half.
+const END_MARGIN: f64 = 1.5;
+/// Weight of the time by which an answer would miss its caller's time limit.
+const OVERRUN_WEIGHT: f64 = 1.0;
 /// What another availability zone costs in the choice of an engine, in seconds: bytes between zones
 /// are paid for, so that a place nearby is worth a small delay.
 const FAR_ENGINE_SECS: f64 = 0.05;
@@ -44,6 +52,8 @@
 pub struct Estimate {
     /// Prompt tokens that the endpoint would have to compute.
     pub uncached: u32,
+    /// Prompt tokens that it would compute before the first token, those that wait there included.
+    pub work: f64,
     /// Seconds to the first token or byte.
     pub first_secs: f64,
     /// Seconds to the end of the answer.
@@ -78,6 +88,7 @@
         let secs = PLAIN_SECS * slowdown * (1.0 + load(endpoint));
         return Estimate {
             uncached: 0,
+            work: 0.0,
             first_secs: secs,
             total_secs: secs,
             score: secs,
@@ -85,7 +96,11 @@
     }
     let uncached = uncached(now, mechanisms, row, endpoint);
     let work = endpoint.waiting_tokens(now) + f64::from(uncached);
-    let first_secs = slowdown * work / endpoint.declared.prefill_rate;
+    let first_secs = if mechanisms.learning {
+        endpoint.first_line.at(work)
+    } else {
+        work / endpoint.declared.prefill_rate
+    };
     let learned = if mechanisms.learning {
         endpoint.token_secs
     } else {
@@ -102,18 +117,32 @@
     let score = if mechanisms.first_token {
         let target = service.tier.target().as_secs_f64();
         let risk = (first_secs - SAFE_PART * target).max(0.0);
-        first_secs + RISK_WEIGHT * risk + SPARE_SECS * speed(endpoint)
+        let left = row.deadline.map(|by| by.saturating_sub(now).as_secs_f64());
+        let over = left.map_or(0.0, |left| (END_MARGIN * total_secs - left).max(0.0));
+        first_secs
+            + RISK_WEIGHT * risk
+            + SPARE_SECS * speed(endpoint)
+            + STAY_WEIGHT * total_secs
+            + OVERRUN_WEIGHT * over
     } else {
         total_secs + weight * f64::from(uncached) / endpoint.declared.prefill_rate
     };
     Estimate {
         uncached,
-        first_secs: first_secs + token,
+        work,
+        first_secs,
         total_secs,
         score,
     }
 }
 
+/// Gives the seconds that a request would hold a place on an engine of the declared speed.
+#[must_use]
+pub fn assumed_secs(row: &RequestRow, service: &ServiceRow, engine: &EndpointRow) -> f64 {
+    let prompt = f64::from(row.new.prompt_tokens) / engine.declared.prefill_rate;
+    prompt + expected_output(row, service) * engine.declared.token_millis / 1000.0
+}
+
 /// Gives how fast an engine makes tokens against what was declared.
 fn speed(endpoint: &EndpointRow) -> f64 {
     let declared = endpoint.declared.token_millis / 1000.0;
@@ -132,10 +161,17 @@
 }
 
 /// Estimates the answer's tokens that are still to come.
+///
+/// Answers of one service differ a hundredfold in length, so that the caller's own estimate goes
+/// before the mean.
 #[must_use]
 pub fn expected_output(row: &RequestRow, service: &ServiceRow) -> f64 {
     let most = f64::from(row.new.output_tokens.saturating_sub(row.delivered));
-    service.output.min(most).max(1.0)
+    let expected = match row.new.expected_tokens {
+        0 => service.output,
+        whole => f64::from(whole.saturating_sub(row.delivered)),
+    };
+    expected.min(most).max(1.0)
 }
 
 fn uncached(now: Time, mechanisms: Mechanisms, row: &RequestRow, e: &EndpointRow) -> u32 {
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -47,6 +47,9 @@
     pub prompt_tokens: u32,
     /// Most tokens that the answer may have; 0 for plain calls.
     pub output_tokens: u32,
+    /// Tokens that the caller expects of the answer; 0 where it does not say.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub expected_tokens: u32,
     /// Chained hashes of the prompt's blocks.
     pub blocks: Vec<BlockHash>,
     /// Bytes that the request occupies.
@@ -135,6 +138,8 @@
     pub rank: u8,
     /// When it arrived.
     pub arrived: Time,
+    /// When its turn in the queue is due: later for one that takes an endpoint's place for longer.
+    pub due: Time,
     /// Pool that it goes to, of a service that splits its requests.
     pub pool: Option<PoolId>,
     /// When its time is up: the caller's or the service's limit, whichever comes first.
@@ -169,6 +174,8 @@
     pub first: Option<Time>,
     /// Prompt tokens that the present dispatch has to compute, as estimated.
     pub uncached: u32,
+    /// Prompt tokens that its endpoint computes before its first token, as estimated.
+    pub work: f64,
     /// Predicted time to the first token of the present dispatch.
     pub predicted: Time,
     /// How far its placement by a coordinator is.
@@ -186,6 +193,7 @@
             account,
             rank,
             arrived: now,
+            due: now,
             pool: None,
             deadline: new.deadline,
             charge: 0.0,
@@ -203,6 +211,7 @@
             dispatched: Time::ZERO,
             first: None,
             uncached: 0,
+            work: 0.0,
             predicted: Time::ZERO,
             placing: Placing::Open,
             declined: Vec::new(),
--- a/crates/firdock-policy/src/system/news.rs
+++ b/crates/firdock-policy/src/system/news.rs
@@ -139,12 +139,16 @@
         return;
     };
     let took = now.saturating_sub(row.dispatched);
-    let predicted = row.predicted;
+    let (predicted, work) = (row.predicted, row.work);
     end::release_prefill(t, id, at);
     let e = t.endpoints.get_mut(at);
-    e.learn_first(predicted, took);
-    e.recover();
     let engine = e.is_engine();
+    if engine {
+        e.learn_first(work, took);
+    } else {
+        e.learn_plain(predicted, took);
+    }
+    e.recover();
     let Some(row) = t.requests.get_mut(id) else {
         return;
     };
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -290,6 +290,7 @@
     row.dispatched = now;
     row.first = None;
     row.uncached = choice.estimate.uncached;
+    row.work = choice.estimate.work;
     row.predicted = choice.estimate.first();
     t.stats.dispatches += 1;
     t.paces.note(row.pool_key());
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -5,6 +5,7 @@
 pub mod group;
 pub mod key;
 pub mod limit;
+pub mod line;
 pub mod pace;
 pub mod peer;
 pub mod prefix_cache;
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -4,6 +4,7 @@
 
 use firdock_core::resource::{Endpoint, EndpointKind};
 
+use super::line::Line;
 use super::prefix_cache::PrefixCache;
 use super::rows::Rows;
 use crate::time::Time;
@@ -27,6 +28,12 @@
 pub const MISSED_REPORTS: u32 = 4;
 /// Weight of a new sample in learned rates.
 const LEARN: f64 = 0.2;
+/// Seconds to the first token of an engine that has no prompt to compute, before any was seen; those
+/// of two sites took 0.045 on their fast engines and 0.07 on slow ones.
+const FIRST_SECS: f64 = 0.045;
+/// Prompt tokens over which the assumed time for each token is taken: about a middle prompt, so that
+/// what is seen soon outweighs it.
+const FIRST_SPAN: f64 = 5_000.0;
 /// Bounds of the learned slowdown.
 const SLOWDOWN: (f64, f64) = (0.5, 32.0);
 /// Age after which a load report no longer counts.
@@ -81,10 +88,12 @@
     pub backlog: f64,
     /// Seconds for each token, learned.
     pub token_secs: f64,
-    /// Observed over predicted time to the first token, learned.
+    /// Observed over assumed time of a plain server, learned.
     pub slowdown: f64,
     /// Samples that the slowdown was learned from.
     pub firsts: u32,
+    /// Seconds to an engine's first token by the prompt tokens that it computes before, learned.
+    pub first_line: Line,
     /// Samples that the time for each token was learned from.
     pub streams: u32,
     /// Last report.
@@ -107,6 +116,7 @@
     #[must_use]
     pub fn new(declared: Endpoint) -> Self {
         let token_secs = declared.token_millis / 1000.0;
+        let rate = declared.prefill_rate;
         Self {
             budget: declared.slots,
             declared,
@@ -123,6 +133,7 @@
             token_secs,
             slowdown: 1.0,
             firsts: 0,
+            first_line: Line::new(FIRST_SECS, FIRST_SPAN, FIRST_SPAN / rate),
             streams: 0,
             report: None,
             cache: PrefixCache::default(),
@@ -174,8 +185,16 @@
         self.health = Health::Well;
     }
 
-    /// Learns from the time to a first token.
-    pub fn learn_first(&mut self, predicted: Duration, observed: Duration) {
+    /// Learns from the time to the first token of a dispatch that had `work` prompt tokens before it.
+    ///
+    /// A prompt takes a time of its own and one for each token: reckoned by a common factor, what
+    /// short prompts teach made long ones appear three times as slow as they were.
+    pub fn learn_first(&mut self, work: f64, observed: Duration) {
+        self.first_line.learn(work, observed.as_secs_f64());
+    }
+
+    /// Learns from the time to the first byte of a plain server.
+    pub fn learn_plain(&mut self, predicted: Duration, observed: Duration) {
         let ratio = observed.as_secs_f64() / predicted.as_secs_f64().max(0.005);
         let sample = (self.slowdown * ratio).clamp(SLOWDOWN.0, SLOWDOWN.1);
         self.slowdown += weight(&mut self.firsts) * (sample - self.slowdown);
--- /dev/null
+++ b/crates/firdock-policy/src/table/line.rs
@@ -0,0 +1,86 @@
+//! A straight line learned from samples, of which old ones are forgotten.
+
+/// Weight that the samples so far keep at each new one: about fifteen of them count, which an
+/// engine of a busy site gives in two or three seconds.
+const KEEP: f64 = 0.93;
+/// Weight of each of the two samples that stand for what is assumed at first, which are not
+/// forgotten: they hold the line where all samples lie at one place.
+const ASSUMED_WEIGHT: f64 = 0.02;
+/// Most that a sample may be above what the line says, as a multiple: one that waited for something
+/// else says nothing of the line.
+const MOST_ABOVE: f64 = 5.0;
+/// Least value of the line.
+const LEAST: f64 = 1e-3;
+
+/// A line through weighted samples, by least squares.
+#[derive(Debug, Clone, Copy)]
+pub struct Line {
+    assumed: Sums,
+    seen: Sums,
+}
+
+/// Sums over weighted samples.
+#[derive(Debug, Clone, Copy, Default)]
+struct Sums {
+    weight: f64,
+    x: f64,
+    y: f64,
+    xx: f64,
+    xy: f64,
+}
+
+impl Sums {
+    fn add(&mut self, weight: f64, x: f64, y: f64) {
+        self.weight += weight;
+        self.x += weight * x;
+        self.y += weight * y;
+        self.xx += weight * x * x;
+        self.xy += weight * x * y;
+    }
+
+    fn scale(&mut self, by: f64) {
+        for sum in [
+            &mut self.weight,
+            &mut self.x,
+            &mut self.y,
+            &mut self.xx,
+            &mut self.xy,
+        ] {
+            *sum *= by;
+        }
+    }
+}
+
+impl Line {
+    /// Makes a line that is assumed to begin at `base` and to reach `base + rise` at `span`.
+    #[must_use]
+    pub fn new(base: f64, span: f64, rise: f64) -> Self {
+        let mut assumed = Sums::default();
+        assumed.add(ASSUMED_WEIGHT, 0.0, base);
+        assumed.add(ASSUMED_WEIGHT, span, base + rise);
+        Self {
+            assumed,
+            seen: Sums::default(),
+        }
+    }
+
+    /// Takes a sample.
+    pub fn learn(&mut self, x: f64, y: f64) {
+        let y = y.min(self.at(x) * MOST_ABOVE);
+        self.seen.scale(KEEP);
+        self.seen.add(1.0, x, y);
+    }
+
+    /// Gives the line's value; it neither falls nor begins below nothing.
+    #[must_use]
+    pub fn at(&self, x: f64) -> f64 {
+        let (a, b) = (&self.assumed, &self.seen);
+        let weight = a.weight + b.weight;
+        let (mean_x, mean_y) = ((a.x + b.x) / weight, (a.y + b.y) / weight);
+        let spread = (a.xx + b.xx) / weight - mean_x * mean_x;
+        let common = (a.xy + b.xy) / weight - mean_x * mean_y;
+        let steepest = mean_y / mean_x.max(f64::MIN_POSITIVE);
+        let slope = (common / spread.max(f64::MIN_POSITIVE)).clamp(0.0, steepest);
+        (mean_y + slope * (x - mean_x)).max(LEAST)
+    }
+}
--- /dev/null
+++ b/crates/firdock-policy/tests/policy/line.rs
@@ -0,0 +1,59 @@
+//! The line by which the time to a first token is learned.
+
+use firdock_policy::table::line::Line;
+
+/// Seconds to the first token of an engine that takes 0.04 s and reads 50,000 tokens a second.
+fn observed(tokens: f64) -> f64 {
+    0.04 + tokens / 50_000.0
+}
+
+fn assumed() -> Line {
+    Line::new(0.1, 5_000.0, 0.5)
+}
+
+#[test]
+fn what_short_prompts_teach_does_not_make_long_ones_appear_slow() {
+    let mut line = assumed();
+    for n in 0..60 {
+        let tokens = f64::from(200 + 97 * (n % 30));
+        line.learn(tokens, observed(tokens));
+    }
+    let long = line.at(30_000.0);
+    assert!((long / observed(30_000.0) - 1.0).abs() < 0.2, "{long} s");
+}
+
+#[test]
+fn samples_of_one_size_move_the_line_there_and_keep_it_rising() {
+    let mut line = assumed();
+    for _ in 0..40 {
+        line.learn(1_000.0, observed(1_000.0));
+    }
+    assert!((line.at(1_000.0) - observed(1_000.0)).abs() < 0.01);
+    assert!(line.at(20_000.0) > line.at(1_000.0));
+}
+
+#[test]
+fn an_engine_that_turns_slow_is_known_after_some_samples() {
+    let mut line = assumed();
+    for slow in [1.0, 4.0] {
+        for n in 0..30 {
+            let tokens = f64::from(500 + 401 * (n % 10));
+            line.learn(tokens, slow * observed(tokens));
+        }
+        let at = line.at(2_000.0);
+        assert!(
+            (at / (slow * observed(2_000.0)) - 1.0).abs() < 0.25,
+            "{at} s"
+        );
+    }
+}
+
+#[test]
+fn one_sample_far_above_the_line_says_little() {
+    let mut line = assumed();
+    for _ in 0..30 {
+        line.learn(1_000.0, 0.06);
+    }
+    line.learn(1_000.0, 30.0);
+    assert!(line.at(1_000.0) < 0.1);
+}
