Let all instances together pass 0.4 s of each limit when they start

Change: once an instance knows how many others there are, its buckets get its part of 0.4 s of the limit. Ruled out: a credit before that is known (the parts of 78 instances would add up to five seconds of a limit).

--- a/crates/firdock-policy/src/system/limit.rs
+++ b/crates/firdock-policy/src/system/limit.rs
@@ -36,9 +36,13 @@
     let part = part_of_limits(t, now);
     let small = t.is_small_site();
     let phase = phase(&t.settings.member.name);
+    let known_others = t.known_peers.filter(|_| t.settings.await_peers);
     let Some(bucket) = &mut t.accounts.get_mut(account).bucket else {
         return Some(0.0);
     };
+    if let Some(others) = known_others {
+        bucket.begin(1.0 / (1.0 + others as f64));
+    }
     bucket.fill(now, part);
     let cost = bucket.cost(new.tokens());
     bucket.ask(now, cost);
--- a/crates/firdock-policy/src/table/limit.rs
+++ b/crates/firdock-policy/src/table/limit.rs
@@ -14,6 +14,11 @@
 /// Part of a limit that all parts give out together: a little less, so that the common level, which
 /// stops all at once, is seldom overdrawn.
 const PART_RATE: f64 = 0.97;
+/// Seconds of a limit that all instances together let pass at once when they start: callers that
+/// found all of them dark come back in one moment, within their limits, and would be refused for a
+/// bucket that is empty only because nobody knows what it held. After a restart of all, that was
+/// a tenth of what two seconds' callers asked for; a limit holds to within a tenth of nine seconds.
+const START_SECS: f64 = 0.4;
 /// Part of a limit below which the demand counts as calm: near the limit, the parts count already.
 const CALM_PART: f64 = 0.9;
 
@@ -25,6 +30,8 @@
     limit: RateLimit,
     level: f64,
     filled: Time,
+    /// Whether it has what a start gives.
+    begun: bool,
     /// Units that this instance has let pass since its start.
     pub used: f64,
     /// Units that callers asked this instance for since its start.
@@ -117,6 +124,13 @@
         self.part_level >= 0.0
     }
 
+    /// Gives the bucket once what an instance may let pass at its start, of which it has this part.
+    pub fn begin(&mut self, part: f64) {
+        if !std::mem::replace(&mut self.begun, true) {
+            self.level += self.limit.per_second * START_SECS * part;
+        }
+    }
+
     /// Fills the bucket up to `now`; `part` is the part of the limit that this instance may use.
     pub fn fill(&mut self, now: Time, part: f64) {
         let secs = now.saturating_sub(self.filled).as_secs_f64();
--- a/crates/firdock-policy/tests/policy/limits.rs
+++ b/crates/firdock-policy/tests/policy/limits.rs
@@ -32,6 +32,30 @@
     assert!((10..=11).contains(&served), "{served}");
 }
 
+/// Counts how many requests of two units each pass at one moment.
+fn let_pass_at_once(edge: &mut Edge) -> usize {
+    let small = |n| NewRequest {
+        prompt_tokens: 1,
+        output_tokens: 1,
+        ..request(n, "safe", "limited")
+    };
+    let passed = |n| verdict(&edge.arrive(small(n))).is_none();
+    (0..20).map(passed).filter(|passed| *passed).count()
+}
+
+#[test]
+fn instances_that_start_together_let_the_callers_in_that_come_at_once() {
+    // 0.4 s of 100 units a second among five instances are 8 units each, and one request more.
+    let mut edge = Edge::unaware(edge_settings("a"), resources());
+    edge.step(Event::PeersKnown(4));
+    assert_eq!(let_pass_at_once(&mut edge), 5);
+    // It is given once, and only where it is known among how many it is shared.
+    edge.step(Event::PeersKnown(3));
+    assert_eq!(let_pass_at_once(&mut edge), 0);
+    let mut unaware = Edge::unaware(edge_settings("a"), resources());
+    assert_eq!(let_pass_at_once(&mut unaware), 1);
+}
+
 /// Use of the account `limited`, of which everything that was asked for was let pass.
 fn limited(units: f64) -> Vec<AccountUse> {
     vec![AccountUse {
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -4,6 +4,8 @@
 mod edge;
 mod golden;
 mod limits;
+mod line;
+
 mod random;
 mod rules;
 mod scene;
