--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -5,7 +5,6 @@
 mod golden;
 mod limits;
 mod line;
-
 mod overload;
 mod random;
 mod rules;
