--- /dev/null
+++ b/crates/firdock-node/src/instance/parts.rs
@@ -0,0 +1,222 @@
+//! The parts of an entry instance, each made from what all of them share.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use firdock_core::settings::Settings;
+use firdock_policy::event::Member;
+use firdock_policy::{PolicySettings, Scheduler};
+use slog::{Logger, o};
+use snafu::{OptionExt as _, ResultExt as _};
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
+use uuid::Uuid;
+
+use super::start::{ListenSnafu, StartError, UnsetSnafu, spawn};
+use crate::answers::Answers;
+use crate::clock::Clock;
+use crate::config::{DutySettings, FollowParts, Hub, follow, watch_list};
+use crate::door::{Door, DoorLimits, OwnInterface};
+use crate::driver::{Driver, DriverParts};
+use crate::endpoint::run::RunLimits;
+use crate::endpoint::{HttpEngine, HttpPlain, OwnBackends, Target, watch_reports};
+use crate::input::Input;
+use crate::operator::{OperatorServer, Watchers, serve_operators};
+use crate::peer::{Dialer, SelfNews, ask_for_state};
+use crate::platform::{HttpInstances, HttpLog};
+use crate::site::Site;
+use crate::telemetry::{LineBudget, Metrics};
+
+/// Pause between two looks at which endpoints there are.
+const ENDPOINTS_PAUSE: Duration = Duration::from_millis(200);
+
+/// What the parts of an instance share.
+#[derive(Debug, Clone)]
+pub struct Parts {
+    settings: Arc<Settings>,
+    pub member: Member,
+    pub clock: Clock,
+    pub hub: Arc<Hub>,
+    site: Arc<Site>,
+    answers: Answers,
+    metrics: Arc<Metrics>,
+    pub dialer: Dialer,
+    log_client: HttpLog,
+    instances: HttpInstances,
+    engine: HttpEngine,
+    log: Logger,
+    lines: Arc<LineBudget>,
+}
+
+impl Parts {
+    /// Makes what is shared, for a new start of the process.
+    pub fn new(s: &Settings, log: &Logger) -> Result<Self, StartError> {
+        let hub = Arc::new(Hub::default());
+        let log_at = s.platform.log.context(UnsetSnafu {
+            field: "platform.log",
+        })?;
+        let list_at = s.platform.instances.context(UnsetSnafu {
+            field: "platform.instances",
+        })?;
+        let name = s.instance.name.clone();
+        let connect = Duration::from_millis(s.endpoints.connect_millis);
+        let silence = Duration::from_millis(s.endpoints.silence_millis);
+        Ok(Self {
+            settings: Arc::new(s.clone()),
+            member: Member {
+                name: name.clone(),
+                incarnation: Uuid::now_v7(),
+            },
+            clock: Clock::new(),
+            site: Arc::default(),
+            answers: Answers::new(s.keys.answer_bytes),
+            metrics: Arc::default(),
+            dialer: Dialer::new(name, &s.peers.shared_key, Arc::clone(&hub)),
+            hub,
+            log_client: HttpLog::new(log_at, s.platform.call()),
+            instances: HttpInstances::new(list_at, s.platform.call()),
+            engine: HttpEngine::new(connect, silence),
+            log: log.clone(),
+            lines: Arc::default(),
+        })
+    }
+
+    /// Makes the owner of the scheduler's tables.
+    pub fn driver(
+        &self,
+        inputs: &mpsc::Sender<Input>,
+        news: watch::Sender<SelfNews>,
+        drained: watch::Sender<bool>,
+    ) -> Driver<OwnBackends<HttpEngine, HttpPlain>> {
+        let settings = PolicySettings::new(&self.settings, self.member.incarnation);
+        let e = &self.settings.endpoints;
+        let plain = HttpPlain::new(Duration::from_millis(e.connect_millis));
+        let parts = DriverParts {
+            backends: OwnBackends::new(self.engine, plain, self.answers.clone()),
+            dialer: self.dialer.clone(),
+            site: Arc::clone(&self.site),
+            answers: self.answers.clone(),
+            metrics: Arc::clone(&self.metrics),
+            limits: RunLimits::new(e),
+            clock: self.clock,
+            log: self.log.new(o!("part" => "driver")),
+            lines: Arc::clone(&self.lines),
+            runtime: Handle::current(),
+            inputs: inputs.clone(),
+            news,
+            drained,
+        };
+        Driver::new(Scheduler::new(settings), parts)
+    }
+
+    /// Starts the threads that follow the log and the instance list.
+    pub fn platform_threads(
+        &self,
+        inputs: &mpsc::Sender<Input>,
+    ) -> Result<[JoinHandle<()>; 2], StartError> {
+        let runtime = Handle::current();
+        let dialer = self.dialer.clone();
+        let parts = FollowParts {
+            log_client: self.log_client.clone(),
+            ask_peers: move || runtime.block_on(ask_for_state(&dialer)),
+            hub: Arc::clone(&self.hub),
+            inputs: inputs.clone(),
+            clock: self.clock,
+            log: self.log.clone(),
+            pause: self.settings.platform.read(),
+            member: self.member.clone(),
+            duties: DutySettings {
+                silence: self.settings.peers.stale_after(),
+                retention: self.settings.platform.retention(),
+            },
+        };
+        let log_thread = spawn("log", move || follow(parts))?;
+        let (list, hub, inputs) = (
+            self.instances.clone(),
+            Arc::clone(&self.hub),
+            inputs.clone(),
+        );
+        let log = self.log.clone();
+        let pause = self.settings.platform.list();
+        let watching = move || watch_list(&list, &hub, &inputs, pause, &log);
+        Ok([log_thread, spawn("instances", watching)?])
+    }
+
+    /// Makes the callers' door.
+    pub fn door(&self, inputs: mpsc::Sender<Input>) -> Door<OwnInterface> {
+        let limits = DoorLimits::new(&self.settings.limits);
+        Door::new(
+            OwnInterface,
+            limits,
+            Arc::clone(&self.site),
+            inputs,
+            self.clock,
+            self.log.clone(),
+        )
+        .with_lines(Arc::clone(&self.lines))
+    }
+
+    /// Serves the resource API; gives its address.
+    pub fn operators(&self, stop: watch::Receiver<bool>) -> Result<SocketAddr, StartError> {
+        let field = "instance.operators";
+        let address = self
+            .settings
+            .instance
+            .operators
+            .context(UnsetSnafu { field })?;
+        let server = OperatorServer {
+            log_client: self.log_client.clone(),
+            hub: Arc::clone(&self.hub),
+            metrics: Arc::clone(&self.metrics),
+            clock: self.clock,
+            log: self.log.clone(),
+            instance: self.settings.instance.name.clone(),
+            zone: self.settings.instance.zone.clone(),
+            watchers: Watchers::default(),
+        };
+        serve_operators(address, server, stop).context(ListenSnafu { address })
+    }
+
+    /// Keeps one task for each endpoint in force that reads its reports.
+    pub async fn watch_endpoints(
+        self,
+        inputs: mpsc::Sender<Input>,
+        mut stop: watch::Receiver<bool>,
+    ) {
+        let pause = Duration::from_millis(self.settings.endpoints.report_millis);
+        let limit = Duration::from_millis(self.settings.endpoints.connect_millis);
+        let mut tasks = HashMap::new();
+        loop {
+            let view = self.site.view();
+            let places: HashMap<_, _> = view.places().collect();
+            tasks.retain(|name: &String, (address, task)| {
+                let keep = places.get(name).is_some_and(|p| p.address == *address);
+                if !keep {
+                    tokio::task::JoinHandle::abort(task);
+                }
+                keep
+            });
+            for (name, place) in places {
+                tasks.entry(name.clone()).or_insert_with(|| {
+                    let target = Target {
+                        name: name.clone(),
+                        address: place.address,
+                    };
+                    let watching = watch_reports(self.engine, target, pause, limit, inputs.clone());
+                    (place.address, tokio::spawn(watching))
+                });
+            }
+            let stopped = timeout(ENDPOINTS_PAUSE, stop.wait_for(|s| *s)).await;
+            if stopped.is_ok() {
+                break;
+            }
+        }
+        for (_, task) in tasks.into_values() {
+            task.abort();
+        }
+    }
+}
