--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -202,7 +202,8 @@
         let failed = match event.news {
             DispatchNews::Ended { .. } => {
                 self.parts.metrics.observe_answer(now, row);
-                self.decisions.answered(now, row, &live.exchange);
+                self.decisions
+                    .answered(now, self.scheduler.tables(), row, &live.exchange);
                 return;
             }
             DispatchNews::Started { .. } | DispatchNews::Tokens { .. } => return,
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -93,7 +93,7 @@
     }
 
     /// Writes that a whole answer was passed on; `row` is the request's before it ended.
-    pub fn answered(&self, now: Time, row: &RequestRow, exchange: &Exchange) {
+    pub fn answered(&self, now: Time, t: &Tables, row: &RequestRow, exchange: &Exchange) {
         if !self.budget.allow(&self.log, now, LineKind::Answered) {
             return;
         }
@@ -102,13 +102,17 @@
             "request_id" => row.new.id.to_string(),
             "call" => call(exchange),
             "service" => &exchange.payload.service,
+            "account" => &exchange.payload.account,
             "endpoint" => row.tried.last(),
             "dispatches" => row.dispatch,
             "held_millis" => millis(row.dispatched.saturating_sub(row.arrived)),
             "predicted_millis" => millis(row.predicted),
             "first_millis" => millis(first.saturating_sub(row.arrived)),
+            "target_millis" => millis(t.services.get(row.service).tier.target()),
             "total_millis" => millis(now.saturating_sub(row.arrived)),
             "prompt_tokens" => row.new.prompt_tokens,
+            "expected_tokens" => row.new.expected_tokens,
+            "output_tokens" => exchange.delivered().tokens,
         );
     }
 
@@ -157,6 +161,7 @@
             "request_id" => x.id.to_string(),
             "call" => call(x),
             "service" => &x.payload.service,
+            "account" => &x.payload.account,
             "reason" => reason.as_str(),
             "waited_millis" => millis(now.saturating_sub(story.arrived)),
             "endpoint" => story.sent.map(|s| &s.endpoint),
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -1,4 +1,4 @@
-//! `firdock explain`: tells from logs what became of a request, and why.
+//! `firdock explain`: tells from logs what became of a request, and why, or what became of all.
 
 use std::io::{self, Read as _};
 
@@ -9,6 +9,7 @@
 use super::error::ReadFileSnafu;
 use super::{CmdError, required};
 use crate::story::{Line, tell};
+use crate::summary::Summary;
 
 /// Name by which standard input is given.
 const STDIN: &str = "-";
@@ -25,7 +26,7 @@
         .arg(
             Arg::new("id")
                 .value_name("ID")
-                .required(true)
+                .required_unless_present("summary")
                 .help("Id of the request, as firdock or the caller gave it"),
         )
         .arg(
@@ -36,6 +37,14 @@
                 .num_args(0..)
                 .help("Log files of the instances; `-` for standard input"),
         )
+        .arg(
+            Arg::new("summary")
+                .long("summary")
+                .value_name("FILE")
+                .num_args(1..)
+                .conflicts_with("id")
+                .help("Count instead what became of all requests, by service, account and time"),
+        )
 }
 
 /// Runs the subcommand.
@@ -44,12 +53,12 @@
 ///
 /// Fails if a file cannot be read, or if no line is about the request.
 pub fn execute(args: &ArgMatches) -> Result<(), CmdError> {
-    let id = required(args, "id");
-    let mut lines = Vec::new();
-    for path in args.get_many::<String>("logs").into_iter().flatten() {
-        let text = read_log(path)?;
-        lines.extend(text.lines().filter_map(Line::parse));
+    if let Some(paths) = args.get_many::<String>("summary") {
+        return summarize(&read_lines(paths)?);
     }
+    let id = required(args, "id");
+    let paths = args.get_many::<String>("logs").into_iter().flatten();
+    let lines = read_lines(paths)?;
     let story = tell(&lines, id);
     if story.is_empty() {
         let detail = format!("no line of {} is about {id}", lines.len());
@@ -61,6 +70,24 @@
     Ok(())
 }
 
+fn summarize(lines: &[Line]) -> Result<(), CmdError> {
+    let summary = Summary::new(lines);
+    if summary.is_empty() {
+        let detail = format!("no line of {} tells the end of a request", lines.len());
+        return Err(CmdError::NotFound { detail });
+    }
+    print!("{summary}");
+    Ok(())
+}
+
+fn read_lines<'a>(paths: impl Iterator<Item = &'a String>) -> Result<Vec<Line>, CmdError> {
+    let mut lines = Vec::new();
+    for path in paths {
+        lines.extend(read_log(path)?.lines().filter_map(Line::parse));
+    }
+    Ok(lines)
+}
+
 fn read_log(path: &str) -> Result<String, CmdError> {
     if path != STDIN {
         return read_file(path);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod cmd;
 pub mod exit;
 pub mod story;
+pub mod summary;
--- a/src/story.rs
+++ b/src/story.rs
@@ -27,12 +27,21 @@
         known.then_some(Self { fields })
     }
 
-    fn text(&self, name: &str) -> &str {
+    /// Gives a field's text; empty where it has none.
+    #[must_use]
+    pub fn text(&self, name: &str) -> &str {
         self.fields.get(name).and_then(Value::as_str).unwrap_or("")
     }
 
+    /// Gives a field's number.
+    #[must_use]
+    pub fn number(&self, name: &str) -> Option<f64> {
+        self.fields.get(name).and_then(Value::as_f64)
+    }
+
     /// Gives the second of the day, by which lines of one day are put in order.
-    fn second(&self) -> f64 {
+    #[must_use]
+    pub fn second(&self) -> f64 {
         let time = self.text("ts").split_once('T').map_or("", |(_, t)| t);
         let parts = time.trim_end_matches('Z').split(':');
         parts.fold(0.0, |sum, part| {
--- a/tests/testsuite/explain.rs
+++ b/tests/testsuite/explain.rs
@@ -1,6 +1,7 @@
 //! The story of a request from the logs of several instances.
 
 use firdock::story::{Line, tell};
+use firdock::summary::Summary;
 
 const LOGS: &str = r#"
 noise before any line
@@ -41,3 +42,37 @@
     assert_eq!(story("r1"), story("c1"));
     assert!(story("c3").is_empty());
 }
+
+const ENDS: &str = r#"
+{"msg":"answered","ts":"2026-01-01T10:00:01.0Z","service":"chat","account":"a","first_millis":90,"held_millis":10,"target_millis":300}
+{"msg":"answered","ts":"2026-01-01T10:00:02.0Z","service":"chat","account":"a","first_millis":500,"held_millis":400,"target_millis":300}
+{"msg":"answered","ts":"2026-01-01T10:00:12.0Z","service":"chat","account":"b","first_millis":500,"held_millis":20,"target_millis":300}
+{"msg":"request given up","ts":"2026-01-01T10:00:13.0Z","service":"chat","account":"b","outcome":"not-run","reason":"overload"}
+{"msg":"call refused","ts":"2026-01-01T10:00:14.0Z","reason":"state-stale"}
+{"msg":"dispatched","ts":"2026-01-01T10:00:14.0Z","service":"chat","account":"b"}
+{"msg":"lines left out","ts":"2026-01-01T10:00:15.0Z","kind":"answered","count":7}
+"#;
+
+#[test]
+fn a_summary_counts_ends_by_service_account_and_time_with_why_answers_were_late() {
+    let lines: Vec<Line> = ENDS.lines().filter_map(Line::parse).collect();
+    let text = Summary::new(&lines).to_string();
+    let row = |start: &str| {
+        let row = text.lines().find(|l| l.trim_start().starts_with(start));
+        row.unwrap_or_else(|| panic!("no row {start} in {text}"))
+            .to_owned()
+    };
+    for end in [
+        "in time 1",
+        "late, held here 1",
+        "late, at the endpoint 1",
+        "not-run overload 1",
+    ] {
+        assert!(row("chat").contains(end), "{end} in {text}");
+    }
+    assert!(row("(none)").contains("refused state-stale 1"));
+    assert!(row("10:00:00").contains("       2  "), "{text}");
+    assert!(row("10:00:10").contains("       3  "), "{text}");
+    assert!(text.contains("7 lines of kind answered"));
+    assert!(Summary::new(&[]).is_empty());
+}
