Say once what was written twice, and do no work that is thrown away

Last reading of the change; behaviour is meant to stay as it is: - whether a request goes to engines was looked for in two ways (order of those that wait, coordination): place::engine_for; a plain call no longer goes over all endpoints of its pool at its arrival; - the declared time for a token in seconds was worked out in four places: Endpoint::token_secs; - what was learned of a plain endpoint was read for engines as well: plain calls have an estimate of their own; - late requests were looked for twice, and the queue made anew: one pass that keeps the order; - beacons were made for lists of peers that are empty, two of three at each heartbeat of a small site: made where someone gets one; - the line's sums are added in one place; - the tests of the order shared their scene but for three numbers: one function, the same assertions. Left: the parts of the two kinds of instance fill the same nine fields of the driver (wiring, no logic); the tests' log in memory stands in two crates that share no test code.

--- a/crates/firdock-core/src/resource/endpoint.rs
+++ b/crates/firdock-core/src/resource/endpoint.rs
@@ -68,6 +68,12 @@
     /// Most requests that one endpoint may be declared to work on at once.
     pub const MAX_SLOTS: u32 = 4096;
 
+    /// Gives the declared time for each token, in seconds.
+    #[must_use]
+    pub fn token_secs(&self) -> f64 {
+        self.token_millis / 1000.0
+    }
+
     pub(super) fn check(&self, line: Option<usize>, path: &str, f: &mut Findings) {
         require(
             self.address.is_some(),
--- a/crates/firdock-node/src/instance.rs
+++ b/crates/firdock-node/src/instance.rs
@@ -83,7 +83,7 @@
     /// Fails if an address cannot be listened on or a thread cannot be started.
     pub fn start(self) -> Result<Running, StartError> {
         let s = &self.settings;
-        let parts = Parts::new(&self.settings, &self.log)?;
+        let parts = Parts::new(s, &self.log)?;
         let door_socket = open(s.instance.callers, "instance.callers")?;
         let peer_socket = open(s.instance.peers, "instance.peers")?;
         let callers = door_socket.local_addr().unwrap_or_else(|_| zero_address());
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -137,11 +137,9 @@
             Vec::new()
         };
         let (for_group, for_leads) = self.relayed(now);
-        self.send_all(&due.near, self.beacon(&heard, &for_group))
-            .await;
-        self.send_all(&due.leads, self.beacon(&heard, &for_leads))
-            .await;
-        self.send_all(&due.far, self.beacon(&heard, &[])).await;
+        self.send_all(&due.near, &heard, &for_group).await;
+        self.send_all(&due.leads, &heard, &for_leads).await;
+        self.send_all(&due.far, &heard, &[]).await;
     }
 
     /// Gives what this instance passes on of others' use of limits, to its group and to other leads.
@@ -153,10 +151,12 @@
         (self.relay.take_for_group(), self.relay.take_for_leads())
     }
 
-    async fn send_all(&self, peers: &[Addressed], beacon: Beacon) {
+    /// Sends a beacon that tells of `heard` and passes on `relayed`; where nobody gets it, none is made.
+    async fn send_all(&self, peers: &[Addressed], heard: &[Addressed], relayed: &[PeerUse]) {
         if peers.is_empty() {
             return;
         }
+        let beacon = self.beacon(heard, relayed);
         let sealed = seal(&self.key, datagram::Body::Beacon(beacon));
         for (name, address) in peers {
             self.send_to(&sealed, name, *address).await;
--- a/crates/firdock-node/src/peer/beacon/take.rs
+++ b/crates/firdock-node/src/peer/beacon/take.rs
@@ -71,7 +71,7 @@
         if self.note(&beacon, from, now) {
             // It may not know of this one, and its turn among many would come late.
             let known = vec![(beacon.instance.clone(), from)];
-            self.send_all(&known, self.beacon(&[], &[])).await;
+            self.send_all(&known, &[], &[]).await;
         }
         let zone = beacon.heartbeat.as_ref().map_or("", |b| &b.zone);
         self.take_group(&beacon, zone, now).await;
--- a/crates/firdock-policy/src/cost.rs
+++ b/crates/firdock-policy/src/cost.rs
@@ -80,34 +80,18 @@
     service: &ServiceRow,
     endpoint: &EndpointRow,
 ) -> Estimate {
-    let slowdown = if mechanisms.learning {
-        endpoint.slowdown
-    } else {
-        1.0
-    };
     if !endpoint.is_engine() {
-        let secs = PLAIN_SECS * slowdown * (1.0 + load(endpoint));
-        return Estimate {
-            uncached: 0,
-            work: 0.0,
-            first_secs: secs,
-            total_secs: secs,
-            score: secs,
-        };
+        return estimate_plain(mechanisms, endpoint);
     }
     let uncached = uncached(now, mechanisms, row, endpoint);
     let work = endpoint.waiting_tokens(now) + f64::from(uncached);
-    let first_secs = if mechanisms.learning {
-        endpoint.first_line.at(work)
-    } else {
-        work / endpoint.declared.prefill_rate
-    };
-    let learned = if mechanisms.learning {
-        endpoint.token_secs
+    let declared = &endpoint.declared;
+    let (first_secs, token_secs) = if mechanisms.learning {
+        (endpoint.first_line.at(work), endpoint.token_secs)
     } else {
-        endpoint.declared.token_millis / 1000.0
+        (work / declared.prefill_rate, declared.token_secs())
     };
-    let token = learned * (1.0 + CROWDING * load(endpoint));
+    let token = token_secs * (1.0 + CROWDING * load(endpoint));
     let output = expected_output(row, service);
     let total_secs = first_secs + output * token;
     let weight = if mechanisms.affinity {
@@ -126,7 +110,7 @@
             + STAY_WEIGHT * total_secs
             + OVERRUN_WEIGHT * over
     } else {
-        total_secs + weight * f64::from(uncached) / endpoint.declared.prefill_rate
+        total_secs + weight * f64::from(uncached) / declared.prefill_rate
     };
     Estimate {
         uncached,
@@ -137,16 +121,33 @@
     }
 }
 
+/// Estimates a plain call, of which all that is known is how long the endpoint took before.
+fn estimate_plain(mechanisms: Mechanisms, endpoint: &EndpointRow) -> Estimate {
+    let slowdown = if mechanisms.learning {
+        endpoint.slowdown
+    } else {
+        1.0
+    };
+    let secs = PLAIN_SECS * slowdown * (1.0 + load(endpoint));
+    Estimate {
+        uncached: 0,
+        work: 0.0,
+        first_secs: secs,
+        total_secs: secs,
+        score: secs,
+    }
+}
+
 /// Gives the seconds that a request would hold a place on an engine of the declared speed.
 #[must_use]
 pub fn assumed_secs(row: &RequestRow, service: &ServiceRow, engine: &EndpointRow) -> f64 {
     let prompt = f64::from(row.new.prompt_tokens) / engine.declared.prefill_rate;
-    prompt + expected_output(row, service) * engine.declared.token_millis / 1000.0
+    prompt + expected_output(row, service) * engine.declared.token_secs()
 }
 
 /// Gives how fast an engine makes tokens against what was declared.
 fn speed(endpoint: &EndpointRow) -> f64 {
-    let declared = endpoint.declared.token_millis / 1000.0;
+    let declared = endpoint.declared.token_secs();
     (declared / endpoint.token_secs.max(1e-6)).clamp(SPEEDS.0, SPEEDS.1)
 }
 
--- a/crates/firdock-policy/src/system/coordinate.rs
+++ b/crates/firdock-policy/src/system/coordinate.rs
@@ -13,7 +13,6 @@
 use crate::event::Grant;
 use crate::request::{NewRequest, Phase, Placing, RequestRow, Verdict};
 use crate::table::Tables;
-use crate::table::endpoint::EndpointRow;
 use crate::time::Time;
 
 /// Takes it that a coordinator answers now, or that none does.
@@ -26,13 +25,7 @@
 
 /// Tells whether a held request waits for the coordinator to place it.
 pub fn waits(t: &Tables, row: &RequestRow) -> bool {
-    t.coordinated && goes_to_engine(t, row)
-}
-
-/// Tells whether a request goes to engines: all endpoints of a pool are of one kind.
-pub fn goes_to_engine(t: &Tables, row: &RequestRow) -> bool {
-    let first = place::takers(t, row).next();
-    first.is_some_and(EndpointRow::is_engine)
+    t.coordinated && place::engine_for(t, row).is_some()
 }
 
 /// Asks the coordinator for places for the requests that have come to be held.
@@ -40,9 +33,7 @@
     if !t.coordinated || t.requests.held() == 0 {
         return;
     }
-    let new = |r: &&RequestRow| {
-        r.phase == Phase::Held && r.placing == Placing::Open && goes_to_engine(t, r)
-    };
+    let new = |r: &&RequestRow| r.phase == Phase::Held && r.placing == Placing::Open && waits(t, r);
     let ids: Vec<RequestId> = t.requests.iter().filter(new).map(|r| r.new.id).collect();
     for id in ids {
         if let Some(row) = t.requests.get_mut(id) {
--- a/crates/firdock-policy/src/system/order.rs
+++ b/crates/firdock-policy/src/system/order.rs
@@ -23,7 +23,7 @@
         return row.arrived;
     }
     let service = t.services.get(row.service);
-    let engine = place::takers(t, row).find(|e| e.is_engine());
+    let engine = place::engine_for(t, row);
     let secs = engine.map_or(0.0, |e| cost::assumed_secs(row, service, e));
     let most = service.tier.target().as_secs_f64();
     row.arrived + Duration::from_secs_f64((PUT_OFF_PART * secs).min(most))
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -163,6 +163,12 @@
         .filter(|e| in_pool(row, e))
 }
 
+/// Gives one of the engines that take a request; `None` where it goes to plain endpoints, since all
+/// endpoints of a pool are of one kind.
+pub fn engine_for<'a>(t: &'a Tables, row: &'a RequestRow) -> Option<&'a EndpointRow> {
+    takers(t, row).next().filter(|e| e.is_engine())
+}
+
 /// Tells whether an endpoint belongs to the pool that the request goes to.
 pub fn in_pool(row: &RequestRow, e: &EndpointRow) -> bool {
     row.pool
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -117,7 +117,7 @@
     /// Makes a row from what operators declared.
     #[must_use]
     pub fn new(declared: Endpoint) -> Self {
-        let token_secs = declared.token_millis / 1000.0;
+        let token_secs = declared.token_secs();
         let rate = declared.prefill_rate;
         Self {
             budget: declared.slots,
--- a/crates/firdock-policy/src/table/line.rs
+++ b/crates/firdock-policy/src/table/line.rs
@@ -30,23 +30,25 @@
 }
 
 impl Sums {
-    fn add(&mut self, weight: f64, x: f64, y: f64) {
-        self.weight += weight;
-        self.x += weight * x;
-        self.y += weight * y;
-        self.xx += weight * x * x;
-        self.xy += weight * x * y;
+    /// Makes the sums of one sample.
+    fn of(weight: f64, x: f64, y: f64) -> Self {
+        Self {
+            weight,
+            x: weight * x,
+            y: weight * y,
+            xx: weight * x * x,
+            xy: weight * x * y,
+        }
     }
 
-    fn scale(&mut self, by: f64) {
-        for sum in [
-            &mut self.weight,
-            &mut self.x,
-            &mut self.y,
-            &mut self.xx,
-            &mut self.xy,
-        ] {
-            *sum *= by;
+    /// Gives these sums with `share` of the others.
+    fn plus(self, share: f64, others: Self) -> Self {
+        Self {
+            weight: self.weight + share * others.weight,
+            x: self.x + share * others.x,
+            y: self.y + share * others.y,
+            xx: self.xx + share * others.xx,
+            xy: self.xy + share * others.xy,
         }
     }
 }
@@ -55,11 +57,10 @@
     /// Makes a line that is assumed to begin at `base` and to reach `base + rise` at `span`.
     #[must_use]
     pub fn new(base: f64, span: f64, rise: f64) -> Self {
-        let mut assumed = Sums::default();
-        assumed.add(ASSUMED_WEIGHT, 0.0, base);
-        assumed.add(ASSUMED_WEIGHT, span, base + rise);
+        let first = Sums::of(ASSUMED_WEIGHT, 0.0, base);
+        let last = Sums::of(ASSUMED_WEIGHT, span, base + rise);
         Self {
-            assumed,
+            assumed: first.plus(1.0, last),
             seen: Sums::default(),
         }
     }
@@ -67,18 +68,16 @@
     /// Takes a sample.
     pub fn learn(&mut self, x: f64, y: f64) {
         let y = y.min(self.at(x) * MOST_ABOVE);
-        self.seen.scale(KEEP);
-        self.seen.add(1.0, x, y);
+        self.seen = Sums::of(1.0, x, y).plus(KEEP, self.seen);
     }
 
     /// Gives the line's value; it neither falls nor begins below nothing.
     #[must_use]
     pub fn at(&self, x: f64) -> f64 {
-        let (a, b) = (&self.assumed, &self.seen);
-        let weight = a.weight + b.weight;
-        let (mean_x, mean_y) = ((a.x + b.x) / weight, (a.y + b.y) / weight);
-        let spread = (a.xx + b.xx) / weight - mean_x * mean_x;
-        let common = (a.xy + b.xy) / weight - mean_x * mean_y;
+        let all = self.assumed.plus(1.0, self.seen);
+        let (mean_x, mean_y) = (all.x / all.weight, all.y / all.weight);
+        let spread = all.xx / all.weight - mean_x * mean_x;
+        let common = all.xy / all.weight - mean_x * mean_y;
         let steepest = mean_y / mean_x.max(f64::MIN_POSITIVE);
         let slope = (common / spread.max(f64::MIN_POSITIVE)).clamp(0.0, steepest);
         (mean_y + slope * (x - mean_x)).max(LEAST)
--- a/crates/firdock-policy/src/table/queue.rs
+++ b/crates/firdock-policy/src/table/queue.rs
@@ -44,14 +44,14 @@
 
     /// Moves the requests for which `is_late` says so behind all others.
     fn put_late_last(&mut self, is_late: impl Fn(RequestId) -> bool) {
-        if !self.ids.iter().any(|(_, id)| is_late(*id)) {
-            return;
-        }
-        let all = std::mem::take(&mut self.ids);
-        let (late, in_time): (VecDeque<_>, VecDeque<_>) =
-            all.into_iter().partition(|(_, id)| is_late(*id));
-        self.ids = in_time;
-        self.late.extend(late.into_iter().map(|(_, id)| id));
+        let late = &mut self.late;
+        self.ids.retain(|(_, id)| {
+            let gone = is_late(*id);
+            if gone {
+                late.push_back(*id);
+            }
+            !gone
+        });
     }
 }
 
--- a/crates/firdock-policy/tests/policy/overload.rs
+++ b/crates/firdock-policy/tests/policy/overload.rs
@@ -2,8 +2,9 @@
 
 use firdock_core::resource::{Endpoint, Resource};
 use firdock_policy::NewRequest;
+use uuid::Uuid;
 
-use crate::edge::{Edge, edge_settings, request, resources};
+use crate::edge::{Edge, REFUSED, edge_settings, request, resources};
 use crate::scene::{dispatched, id, millis};
 
 /// The usual resources, with engines that take so many milliseconds for each token.
@@ -45,36 +46,29 @@
     assert_eq!(at[0].1, "fast", "of 5 s, the slow engine needs 13");
 }
 
-#[test]
-fn a_long_answer_waits_for_the_short_ones_of_its_account() {
+/// Gives which of two requests that wait for the only place goes first: number 2, which expects
+/// `long_tokens`, or number 3, which comes a `pause` in milliseconds later and expects `short_tokens`.
+fn first_of(long_tokens: u32, pause: u64, short_tokens: u32) -> Option<Uuid> {
     let mut edge = Edge::new(edge_settings("a"), engines(&[("only", 4.0)], 1));
     edge.arrive(request(1, "safe", "free"));
-    edge.arrive(long(2, 1_000));
-    edge.now += millis(50);
-    edge.arrive(long(3, 10));
-    edge.now += millis(50);
-    let at = dispatched(&edge.tell(1, 1, crate::edge::REFUSED));
-    assert_eq!(at.first().map(|(n, _)| *n), Some(id(3)));
+    edge.arrive(long(2, long_tokens));
+    edge.now += millis(pause);
+    edge.arrive(long(3, short_tokens));
+    edge.now += millis(1);
+    let at = dispatched(&edge.tell(1, 1, REFUSED));
+    at.first().map(|(n, _)| *n)
+}
+
+#[test]
+fn a_long_answer_waits_for_the_short_ones_of_its_account() {
+    assert_eq!(first_of(1_000, 50, 10), Some(id(3)));
 }
 
 #[test]
 fn no_answer_waits_for_what_comes_a_target_later() {
-    let mut edge = Edge::new(edge_settings("a"), engines(&[("only", 4.0)], 1));
-    edge.arrive(request(1, "safe", "free"));
-    edge.arrive(long(2, 4_000));
     // The target is 0.5 s; it is not yet over for the long one when the short one comes.
-    edge.now += millis(490);
-    edge.arrive(long(3, 1));
-    edge.now += millis(1);
-    let at = dispatched(&edge.tell(1, 1, crate::edge::REFUSED));
-    assert_eq!(at.first().map(|(n, _)| *n), Some(id(3)));
-    let mut edge = Edge::new(edge_settings("a"), engines(&[("only", 4.0)], 1));
-    edge.arrive(request(1, "safe", "free"));
-    edge.arrive(long(2, 4_000));
-    edge.now += millis(501);
-    edge.arrive(long(3, 1));
-    let at = dispatched(&edge.tell(1, 1, crate::edge::REFUSED));
-    assert_eq!(at.first().map(|(n, _)| *n), Some(id(2)));
+    assert_eq!(first_of(4_000, 490, 1), Some(id(3)));
+    assert_eq!(first_of(4_000, 501, 1), Some(id(2)));
 }
 
 #[test]
