--- a/crates/firdock-core/src/settings/check.rs
+++ b/crates/firdock-core/src/settings/check.rs
@@ -5,6 +5,9 @@
 
 /// Shortest shared key, in bytes.
 const MIN_KEY_BYTES: usize = 16;
+/// Most addresses of instances that are asked first: three are named by a platform, and each costs a
+/// start some time if it is down.
+const MAX_SEEDS: usize = 16;
 /// Names of the log levels.
 const LEVELS: [&str; 4] = ["error", "warning", "info", "debug"];
 
@@ -91,6 +94,12 @@
             "at least 16 bytes are needed",
             found,
         );
+        require(
+            p.seeds.len() <= MAX_SEEDS,
+            "peers.seeds",
+            "has too many addresses",
+            found,
+        );
         positive(p.heartbeat_millis, "peers.heartbeat_millis", found);
         positive(u64::from(p.missed_beats), "peers.missed_beats", found);
     }
--- a/crates/firdock-core/src/settings/tables.rs
+++ b/crates/firdock-core/src/settings/tables.rs
@@ -8,7 +8,7 @@
 use crate::{InstanceId, ZoneId};
 
 /// `[instance]`: name, zone and addresses.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Instance {
     /// Name, the same as in the platform's instance list.
@@ -25,6 +25,19 @@
     pub ready: Option<SocketAddr>,
     /// Address of the metrics at the edge; elsewhere they are at the operators' address.
     pub metrics: Option<SocketAddr>,
+    /// Processor that the instance has, in cores; 0 where that is not known. The strongest of those
+    /// that hear each other lead.
+    pub cores: f64,
+}
+
+impl Instance {
+    /// Gives the processor that the instance has, in thousandths of a core.
+    #[must_use]
+    pub fn power(&self) -> u32 {
+        (self.cores * 1_000.0)
+            .round()
+            .clamp(0.0, f64::from(u32::MAX)) as u32
+    }
 }
 
 /// `[platform]`: the log and the instance list.
@@ -94,6 +107,9 @@
     pub heartbeat_millis: u64,
     /// Heartbeats missed before a peer's news counts as stale.
     pub missed_beats: u32,
+    /// Addresses of instances that are likely to be up, asked at the start for what they know; only
+    /// the IP numbers count, since heartbeats are taken at the same port everywhere.
+    pub seeds: Vec<SocketAddr>,
 }
 
 impl Default for Peers {
@@ -102,6 +118,7 @@
             shared_key: String::new(),
             heartbeat_millis: 250,
             missed_beats: 5,
+            seeds: Vec::new(),
         }
     }
 }
--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -35,7 +35,7 @@
 const SERVE_ON: Duration = Duration::from_millis(2_800);
 /// Time kept free before the platform ends the process, for the last answers to be written.
 const RESERVE: Duration = Duration::from_millis(700);
-/// Changes of the list of endpoints that may wait to be told; more are read by each peer.
+/// Changes of the platform's store that may wait to be told; more are asked for by each peer.
 const CHANGES_WAITING: usize = 64;
 /// An edge instance that is to be started.
 #[derive(Debug)]
--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -1,5 +1,6 @@
 //! The parts of an edge instance, each made from what all of them share.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,7 +25,7 @@
 use crate::input::Input;
 use crate::instance::{ListenSnafu, StartError, UnsetSnafu, open};
 use crate::peer::{
-    Beacons, Dialer, EntryChanges, PeerBook, SelfNews, SharedReads, UseRelay, open_beacons,
+    Beacons, Dialer, PeerBook, SelfNews, SharedReads, Taken, UseRelay, open_beacons,
 };
 use crate::placement::{DatagramLink, Membership, Placement};
 use crate::site::Site;
@@ -55,6 +56,28 @@
     pub lines: Arc<LineBudget>,
 }
 
+/// Gives where the instances take heartbeats that are asked first at the start: heartbeats are taken
+/// at the same port everywhere.
+fn seeds(settings: &Settings) -> impl Iterator<Item = SocketAddr> {
+    let port = settings.instance.peers.map_or(0, |own| own.port());
+    let seeds = settings.peers.seeds.iter();
+    seeds.map(move |seed| SocketAddr::new(seed.ip(), port))
+}
+
+/// The same without this instance.
+fn other_seeds(settings: &Settings) -> Vec<SocketAddr> {
+    let me = settings.instance.peers;
+    seeds(settings).filter(|seed| Some(*seed) != me).collect()
+}
+
+/// Tells whether this instance asks others at its start before it reads the store: those that the
+/// others ask read it themselves, since all may start at one moment.
+fn asks_first(settings: &Settings) -> bool {
+    let me = settings.instance.peers;
+    let is_seed = seeds(settings).any(|seed| Some(seed) == me);
+    !is_seed && !settings.peers.seeds.is_empty()
+}
+
 impl Parts {
     /// Makes what is shared, for a new start of the process.
     pub fn new(settings: &Settings, log: Logger) -> Self {
@@ -69,25 +92,27 @@
             site: Arc::default(),
             door: DoorState::default(),
             metrics: Arc::default(),
-            peers: Arc::new(PeerBook::new(name, settings.instance.zone.clone())),
-            reads: Arc::default(),
+            peers: Arc::new(
+                PeerBook::new(name, settings.instance.zone.clone())
+                    .with_power(settings.instance.power()),
+            ),
+            reads: Arc::new(SharedReads::default().with_peers_first(asks_first(settings))),
             log,
             lines: Arc::default(),
         }
     }
 
     /// Makes what the platform's source tells of what it reads.
-    pub fn sink(
-        &self,
-        inputs: &mpsc::Sender<Input>,
-        changes: mpsc::Sender<EntryChanges>,
-    ) -> SourceSink {
+    pub fn sink(&self, inputs: &mpsc::Sender<Input>, changes: mpsc::Sender<Taken>) -> SourceSink {
         SourceSink {
             inputs: inputs.clone(),
             changes,
             peers: Arc::clone(&self.peers),
             reads: Arc::clone(&self.reads),
             clock: self.clock,
+            metrics: Arc::clone(&self.metrics),
+            lines: Arc::clone(&self.lines),
+            log: self.log.new(o!("part" => "source")),
         }
     }
 
@@ -174,7 +199,7 @@
         socket: &Arc<UdpSocket>,
         inputs: &mpsc::Sender<Input>,
         news: watch::Receiver<SelfNews>,
-        changes: mpsc::Receiver<EntryChanges>,
+        changes: mpsc::Receiver<Taken>,
         stop: watch::Receiver<bool>,
     ) {
         let beacons = Beacons {
@@ -185,6 +210,7 @@
             reads: Arc::clone(&self.reads),
             news,
             changes,
+            seeds: other_seeds(&self.settings),
             relay: UseRelay::default(),
             inputs: inputs.clone(),
             pause: self.settings.peers.heartbeat(),
--- a/crates/firdock-node/src/peer.rs
+++ b/crates/firdock-node/src/peer.rs
@@ -5,31 +5,33 @@
 
 mod beacon;
 mod book;
-mod changes;
 mod datagram;
 mod dial;
 mod hand_over;
 mod heartbeat;
 mod keys;
+mod known;
 mod link;
 mod reads;
 mod relay;
 mod serve;
 mod state;
+mod topic;
 
-pub use beacon::{Beacons, open_socket as open_beacons};
-pub use book::{PeerBook, Reader};
-pub use changes::{Entry, EntryChanges};
+pub use beacon::{Beacons, Taken, open_socket as open_beacons};
+pub use book::{KnownPeer, PeerBook, PeerWord, Power, Reader, Turn};
 pub use datagram::{read_incarnation, seal};
 pub use dial::{DialError, Dialer};
 pub use hand_over::{Order, hand_over, read_reason};
 pub use heartbeat::{SelfNews, beat};
 pub use keys::transfer_keys;
+pub use known::{Answer, KnownState, Question, Teller};
 pub use link::{Link, LinkError};
-pub use reads::{Due, Heard, Reads, SharedReads};
+pub use reads::{Due, Heard, ReadReason, Reads, SharedReads};
 pub use relay::{HeardUse, UseRelay};
 pub use serve::{PeerServer, serve_peers};
 pub use state::ask_for_state;
+pub use topic::{Image, KeyedRecord, Topic, TopicRecords};
 
 use std::time::Duration;
 
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -4,15 +4,17 @@
 //! cut silently cannot hang. Each tells of the other instances that its sender knows, so that one
 //! known address is enough to find all (see `docs/design/peers.md`).
 
+mod answer;
 mod due;
+mod meet;
 mod take;
 
+use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use firdock_core::InstanceId;
 use firdock_policy::event::{Member, PeerUse, PoolDemand};
 use firdock_policy::{Event, Time};
 use firdock_wire::PROTOCOL;
@@ -20,15 +22,18 @@
 use slog::{Logger, debug, info};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
+use self::answer::Answers;
 use self::due::PeersDue;
-use super::book::PeerBook;
-use super::changes::EntryChanges;
+use self::meet::Meeting;
+use super::book::{KnownPeer, PeerBook};
 use super::datagram::{seal, write_address, write_reads, write_relayed, write_uses};
 use super::heartbeat::{SelfNews, write_demand};
+use super::known::records_body;
 use super::reads::SharedReads;
 use super::relay::UseRelay;
+use super::topic::TopicRecords;
 use crate::clock::Clock;
 use crate::input::Input;
 
@@ -42,8 +47,14 @@
 /// Ticks after which the instances heard are taken for all, though none were listed.
 const LIST_TICKS: usize = 10;
 
-/// An instance and where it takes heartbeats.
-type Addressed = (InstanceId, SocketAddr);
+/// Records that this instance took, for its peers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Taken {
+    /// The records.
+    pub records: TopicRecords,
+    /// Whether it read them itself; what a peer told is passed on by those that lead alone.
+    pub read_here: bool,
+}
 
 /// What the lead of a group tells of it.
 #[derive(Debug, Default)]
@@ -71,8 +82,10 @@
     pub reads: Arc<SharedReads>,
     /// What this instance tells of itself.
     pub news: watch::Receiver<SelfNews>,
-    /// Changes in the platform's list that this instance took, for its peers.
-    pub changes: mpsc::Receiver<EntryChanges>,
+    /// Changes in the platform's store that this instance took, for its peers.
+    pub changes: mpsc::Receiver<Taken>,
+    /// Instances that are asked first at the start.
+    pub seeds: Vec<SocketAddr>,
     /// What other instances let pass, to be passed on where this one leads.
     pub relay: UseRelay,
     /// Way to the scheduler.
@@ -93,10 +106,22 @@
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         let mut known = None;
         let mut tick = 0;
+        let mut answers = Answers::default();
+        let mut meeting = Meeting::new(
+            self.clock.now(),
+            self.reads.asks_first(),
+            self.seeds.clone(),
+            &self.member.name,
+        );
         loop {
+            let now = self.clock.now();
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => match received {
-                    Ok((len, from)) => self.take(&buffer[..len], from).await,
+                    Ok((len, from)) => {
+                        if let Some(question) = self.take(&buffer[..len], from).await {
+                            answers.ask(from, question);
+                        }
+                    }
                     Err(e) => debug!(self.log, "heartbeat not taken"; "error" => e.to_string()),
                 },
                 _ = ticks.tick() => {
@@ -106,15 +131,22 @@
                         known = self.count(known).await;
                     }
                 }
-                Some(changes) = self.changes.recv() => self.tell_changes(&changes).await,
+                Some(taken) = self.changes.recv() => self.tell_changes(&taken).await,
                 () = self.book.first_listed() => {
                     known = self.count(known).await;
-                    self.send(0).await;
+                    self.send_at_once().await;
+                }
+                () = sleep_until_due(meeting.next(&self.reads, &self.book), now) => {
+                    self.ask_seed(&mut meeting).await;
                 }
+                () = sleep_until_due(answers.next(&self.reads, &self.book), now) => {
+                    self.answer_next(&mut answers).await;
+                }
+                () = self.reads.known_more() => {}
                 () = stopped(&mut stop) => break,
             }
         }
-        self.send(0).await;
+        self.send_at_once().await;
     }
 
     /// Tells the scheduler how many instances are known of, when that changed.
@@ -127,7 +159,7 @@
         known
     }
 
-    /// Sends the beacons that are due at a tick; at tick 0, to all.
+    /// Sends the beacons that are due at a tick.
     async fn send(&self, tick: usize) {
         let now = self.clock.now();
         let due = PeersDue::at(tick, &self.book, now);
@@ -142,6 +174,13 @@
         self.send_all(&due.far, &heard, &[]).await;
     }
 
+    /// Sends beacons at a start or an end, which those that need to know hear of at once.
+    async fn send_at_once(&self) {
+        let due = PeersDue::at_once(&self.book, self.clock.now());
+        self.send_all(&due.near, &[], &[]).await;
+        self.send_all(&due.leads, &[], &[]).await;
+    }
+
     /// Gives what this instance passes on of others' use of limits, to its group and to other leads.
     fn relayed(&self, now: Time) -> (Vec<PeerUse>, Vec<PeerUse>) {
         if self.book.is_small() || !self.book.leads(now) {
@@ -152,29 +191,32 @@
     }
 
     /// Sends a beacon that tells of `heard` and passes on `relayed`; where nobody gets it, none is made.
-    async fn send_all(&self, peers: &[Addressed], heard: &[Addressed], relayed: &[PeerUse]) {
+    async fn send_all(&self, peers: &[KnownPeer], heard: &[KnownPeer], relayed: &[PeerUse]) {
         if peers.is_empty() {
             return;
         }
         let beacon = self.beacon(heard, relayed);
         let sealed = seal(&self.key, datagram::Body::Beacon(beacon));
-        for (name, address) in peers {
-            self.send_to(&sealed, name, *address).await;
+        for peer in peers {
+            self.send_to(&sealed, &peer.name, peer.address).await;
         }
     }
 
-    /// Tells changes in the platform's list to the peers that rely on this instance for them.
-    async fn tell_changes(&self, changes: &EntryChanges) {
+    /// Tells changes in the platform's store to the peers that rely on this instance for them.
+    async fn tell_changes(&self, taken: &Taken) {
         let now = self.clock.now();
-        if !changes.is_short() || !self.book.leads(now) {
+        if !taken.read_here && !self.book.leads(now) {
             return;
         }
+        // What is too long for a datagram is asked for, or read.
+        let Some(body) = records_body(&self.member, &taken.records) else {
+            return;
+        };
         let leads = self.book.leads_of_all(now);
-        let body = datagram::Body::EntryChanges(changes.message(&self.member));
         let sealed = seal(&self.key, body);
-        for (name, address) in self.book.addresses() {
-            if self.book.is_near(&name) || leads.contains(&name) {
-                self.send_to(&sealed, &name, address).await;
+        for peer in self.book.known() {
+            if self.book.is_near(&peer.name) || leads.contains(&peer.name) {
+                self.send_to(&sealed, &peer.name, peer.address).await;
             }
         }
     }
@@ -185,7 +227,7 @@
         }
     }
 
-    fn beacon(&self, peers: &[Addressed], relayed: &[PeerUse]) -> Beacon {
+    fn beacon(&self, peers: &[KnownPeer], relayed: &[PeerUse]) -> Beacon {
         let news = self.news.borrow();
         let now = self.clock.now();
         let lead = self.lead_word(now, &news);
@@ -203,6 +245,7 @@
             group_heard: lead.group_heard as u32,
             site_heard: lead.site_heard as u32,
             group_demand: write_demand(&lead.group_demand),
+            power: self.book.power(),
         }
     }
 
@@ -228,6 +271,14 @@
     }
 }
 
+/// Waits until `due`; for ever where nothing is.
+async fn sleep_until_due(due: Option<Time>, now: Time) {
+    match due {
+        Some(due) => sleep(due.saturating_sub(now)).await,
+        None => pending().await,
+    }
+}
+
 async fn stopped(stop: &mut watch::Receiver<bool>) {
     // An error means that whoever would stop this is gone, which ends it as well.
     let _ = stop.wait_for(|s| *s).await;
--- a/crates/firdock-node/src/peer/beacon/due.rs
+++ b/crates/firdock-node/src/peer/beacon/due.rs
@@ -6,8 +6,7 @@
 
 use firdock_policy::Time;
 
-use super::Addressed;
-use crate::peer::PeerBook;
+use crate::peer::{KnownPeer, PeerBook};
 
 /// Near peers that get a beacon at each tick; with more of them, each gets one at every few ticks.
 const NEAR_PEERS_A_TICK: usize = 16;
@@ -24,37 +23,58 @@
 #[derive(Debug, Default)]
 pub struct PeersDue {
     /// Those of the own group.
-    pub near: Vec<Addressed>,
+    pub near: Vec<KnownPeer>,
     /// The leads of other groups, where this instance leads its own.
-    pub leads: Vec<Addressed>,
+    pub leads: Vec<KnownPeer>,
     /// All others.
-    pub far: Vec<Addressed>,
+    pub far: Vec<KnownPeer>,
 }
 
 impl PeersDue {
     /// Gives the peers that get a beacon at a tick: of many, every few ticks a part of them; the
-    /// leads of groups get one at each. At tick 0, all get one.
+    /// leads of groups get one at each.
     pub fn at(tick: usize, book: &PeerBook, now: Time) -> Self {
-        let peers = book.addresses();
+        let peers = book.known();
         let leads = book.leads_of_all(now);
         let i_lead = book.tells(now);
         let near_pace = (peers.len() / NEAR_PEERS_A_TICK).max(1);
         let far_pace = far_pace(tick, peers.len());
         let mut due = Self::default();
-        for (at, (name, address)) in peers.into_iter().enumerate() {
-            let turn = |pace: usize| tick == 0 || (tick + at + 1).is_multiple_of(pace);
-            let lead = leads.contains(&name);
-            let near = book.is_near(&name);
+        for (at, peer) in peers.into_iter().enumerate() {
+            let turn = |pace: usize| (tick + at + 1).is_multiple_of(pace);
+            let lead = leads.contains(&peer.name);
+            let near = book.is_near(&peer.name);
             if near && (i_lead || lead || turn(near_pace)) {
-                due.near.push((name, address));
+                due.near.push(peer);
             } else if !near && i_lead && lead {
-                due.leads.push((name, address));
+                due.leads.push(peer);
             } else if !near && turn(far_pace) {
-                due.far.push((name, address));
+                due.far.push(peer);
             }
         }
         due
     }
+
+    /// Gives the peers that hear of a start or of an end at once: the own group, and those that lead
+    /// the others or are likely to.
+    ///
+    /// All of them would be some 300 times 300 datagrams where all instances start at one moment, each
+    /// answered: seconds of work for an instance with an eighth of a core. The others hear within
+    /// the first ticks, or by the leads.
+    pub fn at_once(book: &PeerBook, now: Time) -> Self {
+        let mut leads = book.leads_of_all(now);
+        leads.extend(book.likely_leads());
+        let (near, rest): (Vec<_>, Vec<_>) = book
+            .known()
+            .into_iter()
+            .partition(|peer| book.is_near(&peer.name));
+        let leads = rest.into_iter().filter(|peer| leads.contains(&peer.name));
+        Self {
+            near,
+            leads: leads.collect(),
+            far: Vec::new(),
+        }
+    }
 }
 
 /// Gives the ticks between two beacons to one of the peers in other availability zones.
--- a/crates/firdock-node/src/peer/beacon/take.rs
+++ b/crates/firdock-node/src/peer/beacon/take.rs
@@ -6,22 +6,24 @@
 use firdock_policy::event::{GroupDemand, PeerNews};
 use firdock_policy::{Event, Time};
 use firdock_wire::PROTOCOL;
-use firdock_wire::message::{Beacon, ClockAnswer, ClockQuestion, datagram};
+use firdock_wire::message::{Beacon, ClockAnswer, ClockQuestion, PeerAddress, datagram};
 use slog::warn;
 
 use super::{Beacons, MAX_TOLD};
 use crate::clock::millis;
 use crate::input::Input;
-use crate::peer::changes::EntryChanges;
+use crate::peer::book::{KnownPeer, PeerWord};
 use crate::peer::datagram::{open, read_incarnation, read_reads, read_relayed, read_uses, seal};
 use crate::peer::heartbeat::{peer_news, read_demand};
+use crate::peer::known::{Answer, Question, Teller, read_records};
 use crate::peer::reads::Reads;
 use crate::peer::relay::HeardUse;
 use crate::placement::{PlacementInput, read_reply, read_report};
 
 impl Beacons {
-    /// Takes a datagram; one that is not sealed with the shared key is dropped.
-    pub(super) async fn take(&self, sealed: &[u8], from: SocketAddr) {
+    /// Takes a datagram; one that is not sealed with the shared key is dropped. Gives a question that
+    /// is to be answered.
+    pub(super) async fn take(&self, sealed: &[u8], from: SocketAddr) -> Option<Question> {
         match open(&self.key, sealed) {
             Some(datagram::Body::Beacon(beacon)) => self.take_beacon(beacon, from).await,
             Some(datagram::Body::ClockQuestion(question)) => {
@@ -29,10 +31,17 @@
                 self.send_to(&seal(&self.key, answer), "", from).await;
             }
             Some(datagram::Body::ClockAnswer(answer)) => self.take_clock(&answer),
-            Some(datagram::Body::EntryChanges(told)) => {
-                let (peer, incarnation, changes) = EntryChanges::read(told);
-                self.reads.hear_changes(&peer, incarnation, changes);
+            Some(datagram::Body::TopicRecords(told)) => match read_records(told) {
+                Some((teller, changes)) => self.reads.hear_changes(&teller, changes),
+                None => self.drop_malformed("changes", from),
+            },
+            Some(datagram::Body::StateQuestion(question)) => {
+                return Some(Question::read(&question));
             }
+            Some(datagram::Body::StateAnswer(answer)) => match Answer::read(answer) {
+                Some(answer) => self.take_answer(answer),
+                None => self.drop_malformed("an answer", from),
+            },
             Some(datagram::Body::PlacementReport(told)) => {
                 let report = Box::new(read_report(told));
                 self.pass(Input::Placement(PlacementInput::Report(report, from)))
@@ -44,6 +53,38 @@
             }
             None => warn!(self.log, "heartbeat of a stranger"; "from" => from.to_string()),
         }
+        None
+    }
+
+    fn drop_malformed(&self, what: &str, from: SocketAddr) {
+        warn!(self.log, "word of a peer not taken"; "what" => what, "from" => from.to_string());
+    }
+
+    /// Takes what a peer answered: the other instances, and what it knows of the store.
+    fn take_answer(&self, mut answer: Answer) {
+        let now = self.clock.now();
+        let instances = std::mem::take(&mut answer.instances);
+        if !instances.is_empty() {
+            self.know(instances, now);
+            self.book.note_listed();
+        }
+        self.reads.hear_answer(answer);
+    }
+
+    /// Notes instances that a peer told of.
+    fn know(&self, peers: Vec<PeerAddress>, now: Time) {
+        for peer in peers {
+            let Ok(address) = peer.address.parse() else {
+                warn!(self.log, "address of an instance not taken"; "instance" => peer.instance);
+                continue;
+            };
+            let known = KnownPeer {
+                name: peer.instance,
+                address,
+                zone: peer.zone,
+            };
+            self.book.know(known, now);
+        }
     }
 
     fn take_clock(&self, answer: &ClockAnswer) {
@@ -70,8 +111,12 @@
         let now = self.clock.now();
         if self.note(&beacon, from, now) {
             // It may not know of this one, and its turn among many would come late.
-            let known = vec![(beacon.instance.clone(), from)];
-            self.send_all(&known, &[], &[]).await;
+            let known = KnownPeer {
+                name: beacon.instance.clone(),
+                address: from,
+                zone: String::new(),
+            };
+            self.send_all(&[known], &[], &[]).await;
         }
         let zone = beacon.heartbeat.as_ref().map_or("", |b| &b.zone);
         self.take_group(&beacon, zone, now).await;
@@ -117,18 +162,42 @@
         }
     }
 
-    /// Takes what a peer read; its clock is asked for where that is not known yet.
+    /// Takes what a peer read; it is asked for what it has newer, and for its clock where its word
+    /// counts.
     async fn take_reads(&self, news: &PeerNews, told: Reads, from: SocketAddr) {
-        let heard = self.reads.hear(&news.name, news.incarnation, told);
+        let now = self.clock.now();
+        let teller = Teller {
+            name: news.name.clone(),
+            incarnation: news.incarnation,
+        };
+        let heard = self.reads.hear(now, &teller, told);
         if let Some(at) = heard.fresh {
             self.tell(Event::Fresh(at)).await;
         }
-        if heard.ask_clock {
-            let asked = millis(self.clock.now());
-            let question = datagram::Body::ClockQuestion(ClockQuestion { asked });
-            self.send_to(&seal(&self.key, question), &news.name, from)
-                .await;
-        }
+        let question = if heard.ask_state {
+            let question = Question {
+                asked: now,
+                topics: true,
+                instances: !self.book.was_listed(),
+            };
+            question.body()
+        } else if heard.ask_clock && self.counts(&news.name, now) {
+            let asked = millis(now);
+            datagram::Body::ClockQuestion(ClockQuestion { asked })
+        } else {
+            return;
+        };
+        self.send_to(&seal(&self.key, question), &news.name, from)
+            .await;
+    }
+
+    /// Tells whether a peer's word on the store counts here: that of leads does, and any in need.
+    ///
+    /// Of hundreds, each would ask all others for their clocks after a start.
+    fn counts(&self, name: &str, now: Time) -> bool {
+        self.book.is_small()
+            || self.reads.is_aging(now)
+            || self.book.leads_of_all(now).contains(name)
     }
 
     /// Notes the sender and the instances that it tells of; tells whether the sender is new.
@@ -138,14 +207,14 @@
             self.book.forget(&beacon.instance, now);
             false
         } else {
-            let zone = heartbeat.map_or("", |b| &b.zone);
-            self.book.hear(&beacon.instance, zone, from, now)
+            let word = PeerWord {
+                name: &beacon.instance,
+                zone: heartbeat.map_or("", |b| &b.zone),
+                power: beacon.power,
+            };
+            self.book.hear(word, from, now)
         };
-        for peer in beacon.peers.iter().take(MAX_TOLD) {
-            if let Ok(address) = peer.address.parse() {
-                self.book.know(peer.instance.clone(), address, now);
-            }
-        }
+        self.know(beacon.peers.iter().take(MAX_TOLD).cloned().collect(), now);
         new
     }
 }
--- a/crates/firdock-node/src/peer/book.rs
+++ b/crates/firdock-node/src/peer/book.rs
@@ -14,7 +14,7 @@
 use tokio::sync::Notify;
 
 use self::group::GroupCounts;
-pub use self::group::Reader;
+pub use self::group::{Reader, Turn};
 
 /// Most instances that are kept.
 const MAX_PEERS: usize = 512;
@@ -23,11 +23,37 @@
 /// Silence after which an instance does not count as heard.
 const HEARD_WITHIN: Duration = Duration::from_secs(5);
 
+/// Where another instance takes heartbeats.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KnownPeer {
+    /// Name.
+    pub name: InstanceId,
+    /// Address.
+    pub address: SocketAddr,
+    /// Availability zone; empty where it is not known.
+    pub zone: ZoneId,
+}
+
+/// What an instance tells of itself in each heartbeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerWord<'a> {
+    /// Name.
+    pub name: &'a str,
+    /// Availability zone.
+    pub zone: &'a str,
+    /// Processor that it has, in thousandths of a core.
+    pub power: Power,
+}
+
+/// Processor that an instance has, in thousandths of a core; zero where it is not known.
+pub type Power = u32;
+
 /// One other instance.
 #[derive(Debug, Clone)]
 struct Entry {
     address: SocketAddr,
     zone: ZoneId,
+    power: Power,
     /// When it was heard, or else when it was first told of.
     since: Time,
     heard: bool,
@@ -55,7 +81,10 @@
 pub struct PeerBook {
     me: InstanceId,
     zone: ZoneId,
+    power: Power,
     entries: Mutex<Entries>,
+    /// Where others know this instance.
+    own_listed: Mutex<Option<SocketAddr>>,
     listed: AtomicBool,
     listed_now: Notify,
     /// Counts of the other groups.
@@ -71,7 +100,9 @@
         Self {
             me,
             zone,
+            power: 0,
             entries: Mutex::default(),
+            own_listed: Mutex::default(),
             listed: AtomicBool::new(false),
             listed_now: Notify::new(),
             groups: Mutex::default(),
@@ -79,23 +110,59 @@
         }
     }
 
+    /// Sets the processor that this instance has: of those that are heard, the strongest lead.
+    #[must_use]
+    pub fn with_power(mut self, power: Power) -> Self {
+        self.power = power;
+        self
+    }
+
+    /// Gives this instance's availability zone.
+    #[must_use]
+    pub fn zone(&self) -> &str {
+        &self.zone
+    }
+
+    /// Gives the processor that this instance has.
+    #[must_use]
+    pub fn power(&self) -> Power {
+        self.power
+    }
+
     /// Notes that someone told of an instance.
-    pub fn know(&self, name: InstanceId, address: SocketAddr, now: Time) {
-        if self.departed().contains_key(&name) {
+    pub fn know(&self, peer: KnownPeer, now: Time) {
+        if self.departed().contains_key(&peer.name) {
+            return;
+        }
+        if peer.name == self.me {
+            *self
+                .own_listed
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner) = Some(peer.address);
             return;
         }
         let mut entries = self.lock();
-        if name == self.me || entries.contains_key(&name) || entries.len() >= MAX_PEERS {
+        if entries.contains_key(&peer.name) || entries.len() >= MAX_PEERS {
             return;
         }
         let entry = Entry {
-            address,
-            zone: ZoneId::new(),
+            address: peer.address,
+            zone: peer.zone,
+            power: 0,
             since: now,
             heard: false,
             demand: Vec::new(),
         };
-        entries.insert(name, entry);
+        entries.insert(peer.name, entry);
+    }
+
+    /// Gives the address at which others know this instance, if anyone told.
+    #[must_use]
+    pub fn own_listed(&self) -> Option<SocketAddr> {
+        *self
+            .own_listed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Notes that the platform's list of instances was read.
@@ -117,20 +184,21 @@
     }
 
     /// Notes that an instance was heard; tells whether it had not been before.
-    pub fn hear(&self, name: &str, zone: &str, address: SocketAddr, now: Time) -> bool {
+    pub fn hear(&self, word: PeerWord<'_>, address: SocketAddr, now: Time) -> bool {
         let mut entries = self.lock();
-        let known = entries.contains_key(name) || entries.len() < MAX_PEERS;
-        if name == self.me || !known {
+        let known = entries.contains_key(word.name) || entries.len() < MAX_PEERS;
+        if word.name == self.me || !known {
             return false;
         }
         let entry = Entry {
             address,
-            zone: zone.to_owned(),
+            zone: word.zone.to_owned(),
+            power: word.power,
             since: now,
             heard: true,
             demand: Vec::new(),
         };
-        let before = entries.insert(name.to_owned(), entry);
+        let before = entries.insert(word.name.to_owned(), entry);
         before.is_none_or(|e| !e.heard)
     }
 
@@ -162,22 +230,19 @@
         entries.values().any(|e| e.is_heard(now))
     }
 
-    /// Gives all instances with their addresses.
+    /// Gives all instances, by name.
     #[must_use]
-    pub fn addresses(&self) -> Vec<(InstanceId, SocketAddr)> {
+    pub fn known(&self) -> Vec<KnownPeer> {
         let entries = self.lock();
-        entries
-            .iter()
-            .map(|(name, e)| (name.clone(), e.address))
-            .collect()
+        entries.iter().map(known_peer).collect()
     }
 
-    /// Gives the instances that were heard a short while ago, with their addresses.
+    /// Gives the instances that were heard a short while ago, by name.
     #[must_use]
-    pub fn heard(&self, now: Time) -> Vec<(InstanceId, SocketAddr)> {
+    pub fn heard(&self, now: Time) -> Vec<KnownPeer> {
         let entries = self.lock();
         let heard = entries.iter().filter(|(_, e)| e.is_heard(now));
-        heard.map(|(name, e)| (name.clone(), e.address)).collect()
+        heard.map(known_peer).collect()
     }
 
     fn departed(&self) -> MutexGuard<'_, BTreeMap<InstanceId, Time>> {
@@ -188,3 +253,11 @@
         self.entries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn known_peer((name, entry): (&InstanceId, &Entry)) -> KnownPeer {
+    KnownPeer {
+        name: name.clone(),
+        address: entry.address,
+        zone: entry.zone.clone(),
+    }
+}
--- a/crates/firdock-node/src/peer/book/group.rs
+++ b/crates/firdock-node/src/peer/book/group.rs
@@ -1,10 +1,12 @@
 //! Groups of instances: who leads each of them, and what its members tell.
 //!
 //! The instances of one availability zone are a group; where all are few, they are one together.
-//! Of each group, the first by name of those that are heard leads it (`docs/design/peers.md`).
+//! Of each group, the strongest of those that are heard leads it, the first by name among equals
+//! (`docs/design/peers.md`). Names say nothing of machines: on a site where one in sixteen has four
+//! times the processor of the others, the first by name would be a weak one nearly always.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::sync::{MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -13,13 +15,13 @@
 use firdock_policy::event::PoolDemand;
 use firdock_policy::table::SMALL_SITE;
 
-use super::{Entries, Entry, PeerBook};
+use super::{Entries, Entry, KnownPeer, PeerBook, Power, known_peer};
 
 /// Silence after which an instance neither leads a group nor counts in it: six heartbeats of the
 /// deployments' 200 ms (`deploy/settings.toml`).
 const PRESENT_WITHIN: Duration = Duration::from_millis(1_200);
-/// Instances of each group that are told everything at once: its lead and the next one by name,
-/// which leads as soon as the first falls silent.
+/// Instances of each group that are told everything at once: its lead and the next one, which leads
+/// as soon as the first falls silent.
 const LEADS_TOLD: usize = 2;
 
 /// How many instances the lead of each group hears, by availability zone, and when it told.
@@ -38,6 +40,36 @@
     SmallMember,
 }
 
+/// An instance's place in the order in which instances lead.
+type Standing<'a> = (Reverse<Power>, &'a str);
+
+/// An instance's part in the reading of the platform's store, and its turn among its like.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Turn {
+    /// Part.
+    pub reader: Reader,
+    /// Instances of its group that have their turn before it.
+    pub place: usize,
+    /// Instances of its group, itself among them.
+    pub of: usize,
+}
+
+impl Turn {
+    /// Makes the turn of an instance that hears no other.
+    #[must_use]
+    pub fn alone() -> Self {
+        Self {
+            reader: Reader::Site,
+            place: 0,
+            of: 1,
+        }
+    }
+}
+
+fn standing<'a>((name, entry): &(&'a InstanceId, &Entry)) -> Standing<'a> {
+    (Reverse(entry.power), name.as_str())
+}
+
 impl Entry {
     /// Tells whether the instance was heard within a few heartbeats.
     fn is_present(&self, now: Time) -> bool {
@@ -75,45 +107,52 @@
 
     /// Gives this instance's part in the reading of the store.
     ///
-    /// The lead of each group hears of what was read and passes it on. The first of the leads by
-    /// name reads for the whole site.
+    /// The lead of each group hears of what was read and passes it on. The first of the leads reads
+    /// for the whole site.
     #[must_use]
-    pub fn reader(&self, now: Time) -> Reader {
+    pub fn turn(&self, now: Time) -> Turn {
         let entries = self.lock();
-        let mut before = present(&entries, now)
-            .filter(|(name, _)| **name < self.me)
-            .peekable();
-        if before.peek().is_none() {
-            return Reader::Site;
-        }
         let few = are_few(&entries);
-        let led_by_other = before.any(|(_, e)| few || e.zone == self.zone);
-        match (led_by_other, few) {
-            (false, _) => Reader::Group,
-            (true, false) => Reader::Member,
-            (true, true) => Reader::SmallMember,
+        let me = self.standing();
+        let (mut before_all, mut place, mut of) = (0, 0, 1);
+        for peer in present(&entries, now) {
+            let before = standing(&peer) < me;
+            let grouped = few || peer.1.zone == self.zone;
+            before_all += usize::from(before);
+            place += usize::from(before && grouped);
+            of += usize::from(grouped);
         }
+        let reader = match (before_all, place, few) {
+            (0, _, _) => Reader::Site,
+            (_, 0, _) => Reader::Group,
+            (_, _, true) => Reader::SmallMember,
+            _ => Reader::Member,
+        };
+        Turn { reader, place, of }
+    }
+
+    fn standing(&self) -> Standing<'_> {
+        (Reverse(self.power), self.me.as_str())
     }
 
     /// Tells whether this instance leads its group.
     #[must_use]
     pub fn leads(&self, now: Time) -> bool {
-        matches!(self.reader(now), Reader::Site | Reader::Group)
+        matches!(self.turn(now).reader, Reader::Site | Reader::Group)
     }
 
-    /// Gives the first instances by name of each group that are heard: its lead, and the one that
-    /// takes over from it.
+    /// Gives the first instances of each group that are heard: its lead, and the one that takes over
+    /// from it.
     #[must_use]
     pub fn leads_of_all(&self, now: Time) -> BTreeSet<InstanceId> {
         let entries = self.lock();
-        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
-        let heard = entries.iter().filter(|(_, e)| e.is_heard(now));
-        let first = heard.filter(|(_, e)| {
-            let count = counts.entry(&e.zone).or_default();
-            *count += 1;
-            *count <= LEADS_TOLD
-        });
-        first.map(|(name, _)| name.clone()).collect()
+        first_of_zones(entries.iter().filter(|(_, e)| e.is_heard(now)))
+    }
+
+    /// Gives the first instances of each availability zone by what is known of them, heard or not.
+    #[must_use]
+    pub fn likely_leads(&self) -> BTreeSet<InstanceId> {
+        first_of_zones(self.lock().iter())
     }
 
     /// Tells whether this instance tells its group of the site: its lead does, and the one that takes
@@ -122,7 +161,7 @@
     pub fn tells(&self, now: Time) -> bool {
         let entries = self.lock();
         let near = self.present_in_zone(&entries, now);
-        let before = near.filter(|(name, _)| **name < self.me);
+        let before = near.filter(|peer| standing(peer) < self.standing());
         before.count() < LEADS_TOLD
     }
 
@@ -149,18 +188,20 @@
         self.group_heard(now) + others
     }
 
-    /// Gives the first instance by name of this one's group, of those that are heard and `open`; this
-    /// instance itself is left out.
+    /// Gives the first instance of this one's group, of those that are heard and `open`, with whether
+    /// it goes before this one; this instance itself is left out.
     pub fn first_of_group(
         &self,
         now: Time,
         open: impl Fn(&str) -> bool,
-    ) -> Option<(InstanceId, SocketAddr)> {
+    ) -> Option<(KnownPeer, bool)> {
         let entries = self.lock();
         let few = are_few(&entries);
-        let mut group =
+        let group =
             present(&entries, now).filter(|(name, e)| (few || e.zone == self.zone) && open(name));
-        group.next().map(|(name, e)| (name.clone(), e.address))
+        let first = group.min_by(|a, b| standing(a).cmp(&standing(b)))?;
+        let before = standing(&first) < self.standing();
+        Some((known_peer(first), before))
     }
 
     /// Tells whether instances are so few that all of them are one group.
@@ -197,3 +238,18 @@
         self.groups.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Gives the first instances of each availability zone.
+fn first_of_zones<'a>(
+    peers: impl Iterator<Item = (&'a InstanceId, &'a Entry)>,
+) -> BTreeSet<InstanceId> {
+    let mut zones: BTreeMap<&str, Vec<(&InstanceId, &Entry)>> = BTreeMap::new();
+    for peer in peers {
+        let first = zones.entry(&peer.1.zone).or_default();
+        let at = first.partition_point(|p| standing(p) < standing(&peer));
+        first.insert(at, peer);
+        first.truncate(LEADS_TOLD);
+    }
+    let first = zones.into_values().flatten();
+    first.map(|(name, _)| name.clone()).collect()
+}
--- a/crates/firdock-node/src/peer/datagram.rs
+++ b/crates/firdock-node/src/peer/datagram.rs
@@ -1,15 +1,14 @@
 //! Datagrams between instances: sealed with the key that all share, and cut to what is bounded.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use firdock_core::InstanceId;
 use firdock_policy::event::{AccountUse, PeerUse};
 use firdock_wire::auth;
 use firdock_wire::message::{self, Datagram, PeerAddress, datagram};
 use prost::Message as _;
 use uuid::Uuid;
 
+use super::book::KnownPeer;
 use super::reads::Reads;
 use crate::clock::millis;
 
@@ -38,10 +37,11 @@
 }
 
 /// Writes where an instance takes heartbeats.
-pub fn write_address((name, address): &(InstanceId, SocketAddr)) -> PeerAddress {
+pub fn write_address(peer: &KnownPeer) -> PeerAddress {
     PeerAddress {
-        instance: name.clone(),
-        address: address.to_string(),
+        instance: peer.name.clone(),
+        address: peer.address.to_string(),
+        zone: peer.zone.clone(),
     }
 }
 
@@ -49,7 +49,7 @@
 pub fn write_reads(reads: Reads) -> message::Reads {
     message::Reads {
         version: reads.version,
-        endpoints: reads.endpoints,
+        endpoints_next: reads.endpoints_next,
         config_at: millis(reads.config_at),
         endpoints_at: millis(reads.endpoints_at),
         steady_since: millis(reads.steady_since),
@@ -60,7 +60,7 @@
 pub fn read_reads(reads: message::Reads) -> Reads {
     Reads {
         version: reads.version,
-        endpoints: reads.endpoints,
+        endpoints_next: reads.endpoints_next,
         config_at: Duration::from_millis(reads.config_at),
         endpoints_at: Duration::from_millis(reads.endpoints_at),
         steady_since: Duration::from_millis(reads.steady_since),
--- /dev/null
+++ b/crates/firdock-node/src/peer/known.rs
@@ -0,0 +1,205 @@
+//! What instances tell each other of the platform's store: changes as they are read, and the whole to
+//! one that asks.
+//!
+//! An instance that starts, or that missed a change, asks a peer before it asks the store: calls there
+//! are bounded and paid for, and hundreds of instances that start at one moment would all make the
+//! same ones (`docs/design/sharing.md`).
+
+use std::io::Read as _;
+use std::time::Duration;
+
+use firdock_policy::Time;
+use firdock_policy::event::Member;
+use firdock_wire::message::{self, PeerAddress, datagram};
+use flate2::Compression;
+use flate2::read::{DeflateDecoder, DeflateEncoder};
+use uuid::Uuid;
+
+use super::datagram::{read_incarnation, read_reads, write_reads};
+use super::reads::Reads;
+use super::topic::{Image, Topic, TopicRecords, read_record, write_record};
+use crate::clock::millis;
+
+/// Bytes of deflated content beyond which nothing is told: a datagram holds no more.
+const MAX_DEFLATED_BYTES: usize = 52 << 10;
+/// Bytes of content that are taken from a peer at most; 1,400 endpoints are some 300 KB.
+const MAX_CONTENT_BYTES: u64 = 8 << 20;
+
+/// A peer's word: who told it, and by which start of its process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Teller {
+    /// Instance.
+    pub name: String,
+    /// Start of it, which its clock belongs to.
+    pub incarnation: Uuid,
+}
+
+/// What an instance asks a peer for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Question {
+    /// When it is asked.
+    pub asked: Time,
+    /// Whether the topics are asked for.
+    pub topics: bool,
+    /// Whether the other instances are asked for.
+    pub instances: bool,
+}
+
+impl Question {
+    pub(super) fn body(self) -> datagram::Body {
+        let all = || Topic::ALL.map(|t| i32::from(t.write())).to_vec();
+        datagram::Body::StateQuestion(message::StateQuestion {
+            asked: millis(self.asked),
+            topics: if self.topics { all() } else { Vec::new() },
+            instances: self.instances,
+        })
+    }
+
+    pub(super) fn read(told: &message::StateQuestion) -> Self {
+        Self {
+            asked: Duration::from_millis(told.asked),
+            topics: !told.topics.is_empty(),
+            instances: told.instances,
+        }
+    }
+}
+
+/// What an instance knows of the platform's store.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct KnownState {
+    /// Topics, each whole.
+    pub topics: Vec<(Topic, Image)>,
+    /// Instances.
+    pub instances: Vec<PeerAddress>,
+}
+
+impl KnownState {
+    /// Deflates it; `None` if it is too long for a datagram.
+    pub(super) fn deflate(self) -> Option<Vec<u8>> {
+        let image = |(topic, image): (Topic, Image)| message::TopicImage {
+            topic: topic.write().into(),
+            next: image.next(),
+            entries: image.records().map(write_record).collect(),
+        };
+        deflate(&message::KnownState {
+            topics: self.topics.into_iter().map(image).collect(),
+            instances: self.instances,
+        })
+    }
+}
+
+/// A peer's answer; times are by its clock.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Answer {
+    /// Who told it.
+    pub teller: Teller,
+    /// When this instance had asked, by its own clock.
+    pub asked: Time,
+    /// The peer's clock when it answered.
+    pub clock: Time,
+    /// When what it knows was the newest.
+    pub reads: Reads,
+    /// Topics, each whole.
+    pub topics: Vec<TopicRecords>,
+    /// Instances.
+    pub instances: Vec<PeerAddress>,
+}
+
+impl Answer {
+    /// Reads an answer; `None` for a malformed one.
+    pub(super) fn read(told: message::StateAnswer) -> Option<Self> {
+        let reads = read_reads(told.reads?);
+        let state: message::KnownState = inflate(&told.state)?;
+        let whole = |image: message::TopicImage| {
+            let topic = Topic::read(image.topic)?;
+            let read_at = match topic {
+                Topic::Config => reads.config_at,
+                Topic::Endpoints => reads.endpoints_at,
+            };
+            Some(TopicRecords {
+                topic,
+                from: None,
+                next: image.next,
+                read_at,
+                records: image.entries.into_iter().map(read_record).collect(),
+            })
+        };
+        Some(Self {
+            teller: Teller {
+                name: told.instance,
+                incarnation: read_incarnation(&told.incarnation),
+            },
+            asked: Duration::from_millis(told.asked),
+            clock: Duration::from_millis(told.clock),
+            reads,
+            topics: state.topics.into_iter().filter_map(whole).collect(),
+            instances: state.instances,
+        })
+    }
+}
+
+/// Writes the answer to a question that was asked at `asked`, from a deflated state.
+pub(super) fn answer_body(
+    member: &Member,
+    asked: Time,
+    clock: Time,
+    reads: Reads,
+    state: Vec<u8>,
+) -> datagram::Body {
+    datagram::Body::StateAnswer(message::StateAnswer {
+        instance: member.name.clone(),
+        incarnation: member.incarnation.as_bytes().to_vec(),
+        asked: millis(asked),
+        clock: millis(clock),
+        reads: Some(write_reads(reads)),
+        state,
+    })
+}
+
+/// Writes changes as the word of `member`; `None` if they are too long for a datagram, or the whole.
+pub(super) fn records_body(member: &Member, told: &TopicRecords) -> Option<datagram::Body> {
+    let from = told.from?;
+    let entries = told.records.iter().cloned().map(write_record).collect();
+    Some(datagram::Body::TopicRecords(message::TopicRecords {
+        instance: member.name.clone(),
+        incarnation: member.incarnation.as_bytes().to_vec(),
+        topic: told.topic.write().into(),
+        from,
+        next: told.next,
+        read_at: millis(told.read_at),
+        entries: deflate(&message::Entries { entries })?,
+    }))
+}
+
+/// Reads a peer's word of changes, with times by its clock; `None` for a malformed one.
+pub(super) fn read_records(told: message::TopicRecords) -> Option<(Teller, TopicRecords)> {
+    let entries: message::Entries = inflate(&told.entries)?;
+    let records = TopicRecords {
+        topic: Topic::read(told.topic)?,
+        from: Some(told.from),
+        next: told.next,
+        read_at: Duration::from_millis(told.read_at),
+        records: entries.entries.into_iter().map(read_record).collect(),
+    };
+    let teller = Teller {
+        name: told.instance,
+        incarnation: read_incarnation(&told.incarnation),
+    };
+    Some((teller, records))
+}
+
+fn deflate(content: &impl prost::Message) -> Option<Vec<u8>> {
+    let plain = content.encode_to_vec();
+    let mut deflated = Vec::new();
+    let mut encoder = DeflateEncoder::new(plain.as_slice(), Compression::fast());
+    // Reading from memory into memory fails in no other way than by running out of it.
+    encoder.read_to_end(&mut deflated).ok()?;
+    (deflated.len() <= MAX_DEFLATED_BYTES).then_some(deflated)
+}
+
+fn inflate<M: prost::Message + Default>(deflated: &[u8]) -> Option<M> {
+    let mut plain = Vec::new();
+    let mut decoder = DeflateDecoder::new(deflated).take(MAX_CONTENT_BYTES);
+    decoder.read_to_end(&mut plain).ok()?;
+    M::decode(plain.as_slice()).ok()
+}
--- a/crates/firdock-node/src/peer/reads/clocks.rs
+++ b/crates/firdock-node/src/peer/reads/clocks.rs
@@ -22,9 +22,19 @@
 
 impl ClockBound {
     /// Gives an earliest time of ours for a time of theirs.
-    pub fn earliest(&self, at: Time) -> Time {
+    fn earliest(&self, at: Time) -> Time {
         (at + self.ours).saturating_sub(self.theirs)
     }
+
+    /// Places a time of theirs on the own clock, by the earliest that it can be; zero stands for what
+    /// never was, and stays.
+    pub fn place(&self, at: Time) -> Time {
+        if at == Time::ZERO {
+            at
+        } else {
+            self.earliest(at)
+        }
+    }
 }
 
 /// Bounds on the clocks of all peers that were asked.
--- a/crates/firdock-node/src/placement/member.rs
+++ b/crates/firdock-node/src/placement/member.rs
@@ -193,9 +193,9 @@
         let other = self.book.first_of_group(now, open);
         let own = !draining;
         match other {
-            Some((name, address)) if !own || name < self.me.name => Some(Lead {
-                name,
-                address: Some(address),
+            Some((peer, before)) if !own || before => Some(Lead {
+                name: peer.name,
+                address: Some(peer.address),
             }),
             _ if own => Some(Lead {
                 name: self.me.name.clone(),
--- a/crates/firdock-node/src/source.rs
+++ b/crates/firdock-node/src/source.rs
@@ -7,14 +7,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use firdock_core::InstanceId;
 use firdock_core::resource::Catalog;
 use firdock_policy::{Event, Time};
+use slog::{Logger, info};
 use tokio::sync::mpsc;
 
 use crate::clock::Clock;
 use crate::input::Input;
-use crate::peer::{Due, EntryChanges, PeerBook, Reads, SharedReads};
+use crate::peer::{Due, KnownPeer, PeerBook, Reads, SharedReads, Taken, Topic, TopicRecords};
+use crate::telemetry::{LineBudget, LineKind, Metrics};
 
 /// Follows a platform's configuration for as long as the instance runs.
 pub trait ResourceSource: Send + 'static {
@@ -26,14 +27,30 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Stopped;
 
+/// A call to the platform's store that was made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoreCall {
+    /// What was asked of the store.
+    pub call: &'static str,
+    /// Topic, by the store's name.
+    pub topic: &'static str,
+    /// Why it was made.
+    pub reason: &'static str,
+    /// Whether it failed.
+    pub failed: bool,
+}
+
 /// Takes what a source reads.
 #[derive(Debug, Clone)]
 pub struct SourceSink {
     pub(crate) inputs: mpsc::Sender<Input>,
     pub(crate) peers: Arc<PeerBook>,
     pub(crate) reads: Arc<SharedReads>,
-    pub(crate) changes: mpsc::Sender<EntryChanges>,
+    pub(crate) changes: mpsc::Sender<Taken>,
     pub(crate) clock: Clock,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) lines: Arc<LineBudget>,
+    pub(crate) log: Logger,
 }
 
 impl SourceSink {
@@ -60,12 +77,44 @@
     /// Fails if the instance was stopped.
     pub async fn note(&self, reads: Reads) -> Result<(), Stopped> {
         self.reads.note(self.clock.now(), reads);
-        if reads.config_at == Time::ZERO {
+        self.refresh(reads).await
+    }
+
+    /// Tells what was taken from peers' words, likewise.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the instance was stopped.
+    pub async fn note_told(&self, reads: Reads) -> Result<(), Stopped> {
+        self.reads.note_told(reads);
+        self.refresh(reads).await
+    }
+
+    async fn refresh(&self, reads: Reads) -> Result<(), Stopped> {
+        if reads.config_at == Time::ZERO || reads.version == 0 {
             return Ok(());
         }
         self.send(Event::Fresh(reads.config_at)).await
     }
 
+    /// Counts a call to the store, and writes a line about it.
+    pub fn note_call(&self, call: StoreCall) {
+        self.metrics.count_store_call(call);
+        if self
+            .lines
+            .allow(&self.log, self.clock.now(), LineKind::StoreCall)
+        {
+            info!(self.log, "store called"; "call" => call.call, "topic" => call.topic,
+                "reason" => call.reason, "failed" => call.failed);
+        }
+    }
+
+    /// Gives what is known to be the newest.
+    #[must_use]
+    pub fn known(&self) -> Reads {
+        self.reads.own()
+    }
+
     /// Gives when the list of endpoints was first read after its last outage, if a read of it that
     /// began at `at` succeeded now.
     #[must_use]
@@ -73,45 +122,55 @@
         self.reads.steady_since(at)
     }
 
-    /// Tells that a read failed.
-    pub fn note_failed(&self) {
-        self.reads.note_failed(self.clock.now());
+    /// Tells that a read failed, and for how long nothing is to be read again.
+    pub fn note_failed(&self, pause: Duration) {
+        self.reads.note_failed(self.clock.now(), pause);
     }
 
-    /// Waits until this instance has to read again, and tells what.
+    /// Waits until this instance has to read again, or a peer told something; tells what.
     ///
-    /// It has to after `pause` if it reads for its peers, later if another one does, and at once if
-    /// a peer has something newer.
+    /// It has to after `pause` if it reads for its peers, and later if another one does.
     pub async fn due(&self, pause: Duration) -> Due {
-        let reader = || self.peers.reader(self.clock.now());
-        self.reads.due(self.clock, pause, reader).await
+        let turn = || self.peers.turn(self.clock.now());
+        self.reads.due(self.clock, pause, turn).await
     }
 
-    /// Gives the changes in the list of endpoints that peers read and told, in order.
+    /// Gives the records that peers read and told, in order.
     #[must_use]
-    pub fn take_told(&self) -> Vec<EntryChanges> {
+    pub fn take_told(&self) -> Vec<TopicRecords> {
         self.reads.take_told()
     }
 
-    /// Notes that changes that a peer told were taken.
-    pub fn note_told(&self, endpoints: u64, read_at: Time) {
-        self.reads.note_told(endpoints, read_at);
-    }
-
     /// Notes that changes that a peer told do not follow on what is known here.
-    pub fn note_gap(&self) {
-        self.reads.note_gap();
+    pub fn note_gap(&self, topic: Topic) {
+        self.reads.note_gap(self.clock.now(), topic);
     }
 
-    /// Tells the other instances of changes in the list of endpoints that were taken here.
-    pub fn tell_changes(&self, changes: EntryChanges) {
-        // A peer that does not hear of them reads the list by itself.
-        let _ = self.changes.try_send(changes);
+    /// Keeps records that were taken here, and tells the other instances what changed by them.
+    ///
+    /// `read_here` tells whether this instance read them itself.
+    pub fn keep(&self, records: &TopicRecords, read_here: bool) {
+        if let Some(records) = self.reads.keep(records) {
+            // A peer that does not hear of them asks for them.
+            let _ = self.changes.try_send(Taken { records, read_here });
+        }
     }
 
     /// Tells of another instance and where it takes heartbeats.
-    pub fn know_peer(&self, name: InstanceId, address: SocketAddr) {
-        self.peers.know(name, address, self.clock.now());
+    pub fn know_peer(&self, peer: KnownPeer) {
+        self.peers.know(peer, self.clock.now());
+    }
+
+    /// Tells whether a peer told that this instance is listed at an address.
+    #[must_use]
+    pub fn tells_of_me(&self, address: SocketAddr) -> bool {
+        self.peers.own_listed() == Some(address)
+    }
+
+    /// Gives this instance's availability zone.
+    #[must_use]
+    pub fn zone(&self) -> &str {
+        self.peers.zone()
     }
 
     /// Tells that the platform's list of instances was read, and all in it were told.
@@ -119,6 +178,18 @@
         self.peers.note_listed();
     }
 
+    /// Tells whether the other instances were told of, by the platform's list or by one of them.
+    #[must_use]
+    pub fn was_listed(&self) -> bool {
+        self.peers.was_listed()
+    }
+
+    /// Tells whether this instance just started, and still waits for what its peers tell.
+    #[must_use]
+    pub fn awaits_peers(&self) -> bool {
+        self.reads.awaits_answer(self.clock.now())
+    }
+
     /// Tells whether any other instance has been heard from.
     #[must_use]
     pub fn hears_peers(&self) -> bool {
--- a/crates/firdock-node/src/telemetry/budget.rs
+++ b/crates/firdock-node/src/telemetry/budget.rs
@@ -23,6 +23,8 @@
     Failed,
     /// What the process believes changed.
     Belief,
+    /// The platform's store was called.
+    StoreCall,
 }
 
 impl LineKind {
@@ -35,6 +37,7 @@
             Self::CallerLeft => "caller left",
             Self::Failed => "failed",
             Self::Belief => "belief",
+            Self::StoreCall => "store called",
         }
     }
 
@@ -45,7 +48,7 @@
     /// storms.
     fn most(self) -> u32 {
         match self {
-            Self::Dispatched | Self::Answered | Self::CallerLeft => 20,
+            Self::Dispatched | Self::Answered | Self::CallerLeft | Self::StoreCall => 20,
             Self::Failed | Self::Belief => 200,
         }
     }
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -15,6 +15,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::source::StoreCall;
+
 /// Least decision time told apart, in seconds.
 const FIRST_BUCKET: f64 = 1e-6;
 /// Buckets of the decision time, each twice as wide as the one before.
@@ -41,6 +43,14 @@
     outcome: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByCall {
+    call: &'static str,
+    topic: &'static str,
+    reason: &'static str,
+    outcome: &'static str,
+}
+
 /// All metrics of an instance.
 #[derive(Debug)]
 pub struct Metrics {
@@ -64,6 +74,7 @@
     first: Family<ByTier, Histogram, fn() -> Histogram>,
     held_time: Histogram,
     total: Histogram,
+    store_calls: Family<ByCall, Counter>,
 }
 
 impl Default for Metrics {
@@ -97,6 +108,7 @@
             first: Family::new_with_constructor(latency),
             held_time: latency(),
             total: latency(),
+            store_calls: Family::default(),
         };
         metrics.register();
         metrics
@@ -176,6 +188,11 @@
             "Time from arrival to the end of whole answers",
             self.total.clone(),
         );
+        r.register(
+            "store_calls",
+            "Calls to the platform's store, by what they were for",
+            self.store_calls.clone(),
+        );
         r.register(
             "decision_seconds",
             "Time of one decision",
@@ -201,6 +218,17 @@
         self.total.observe(since(now));
     }
 
+    /// Counts a call to the platform's store.
+    pub fn count_store_call(&self, call: StoreCall) {
+        let labels = ByCall {
+            call: call.call,
+            topic: call.topic,
+            reason: call.reason,
+            outcome: if call.failed { "failed" } else { "answered" },
+        };
+        self.store_calls.get_or_create(&labels).inc();
+    }
+
     /// Notes how long ago the log was read up to its end.
     pub fn set_log_lag(&self, lag: Duration) {
         self.log_lag
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -4,6 +4,7 @@
 mod peers;
 mod placement;
 mod relay;
+mod sharing;
 
 use bytes::Bytes;
 use firdock_core::resource::{Resource, Tier};
--- a/crates/firdock-node/tests/node/peers.rs
+++ b/crates/firdock-node/tests/node/peers.rs
@@ -7,8 +7,8 @@
 use firdock_core::settings::Settings;
 use firdock_node::clock::Clock;
 use firdock_node::peer::{
-    Beacons, EntryChanges, PeerBook, Reader, Reads, SelfNews, SharedReads, UseRelay, open_beacons,
-    seal,
+    Beacons, KnownPeer, PeerBook, PeerWord, Power, Reader, Reads, SelfNews, SharedReads, Teller,
+    Topic, TopicRecords, Turn, UseRelay, open_beacons, seal,
 };
 use firdock_node::telemetry::silent;
 use firdock_policy::event::Member;
@@ -25,10 +25,23 @@
     Duration::from_millis(n)
 }
 
-fn reads(version: u64, endpoints: u64, at: Duration) -> Reads {
+fn teller(name: &str, incarnation: Uuid) -> Teller {
+    let name = name.to_owned();
+    Teller { name, incarnation }
+}
+
+/// The peer whose clock is known.
+fn p() -> Teller {
+    teller("p", INCARNATION)
+}
+
+/// The present time where it does not matter.
+const NOW: Duration = Duration::from_mins(1);
+
+fn reads(version: u64, endpoints_next: u64, at: Duration) -> Reads {
     Reads {
         version,
-        endpoints,
+        endpoints_next,
         config_at: at,
         endpoints_at: at,
         ..Reads::default()
@@ -46,7 +59,7 @@
 #[test]
 fn a_peers_word_counts_from_the_earliest_time_that_it_can_mean() {
     let shared = shared();
-    let heard = shared.hear("p", INCARNATION, reads(5, 1, millis(9_400)));
+    let heard = shared.hear(NOW, &p(), reads(5, 1, millis(9_400)));
     assert_eq!(heard.fresh, Some(millis(10_400)));
     assert_eq!(shared.own().config_at, millis(10_400));
 }
@@ -55,7 +68,7 @@
 fn a_peer_with_another_version_makes_nothing_fresh() {
     let shared = shared();
     for version in [4, 6] {
-        let heard = shared.hear("p", INCARNATION, reads(version, 1, millis(9_400)));
+        let heard = shared.hear(NOW, &p(), reads(version, 1, millis(9_400)));
         assert_eq!(heard.fresh, None);
     }
     assert_eq!(shared.own().config_at, millis(10_000));
@@ -64,7 +77,11 @@
 #[test]
 fn a_restarted_peers_clock_is_asked_for_anew() {
     let shared = shared();
-    let heard = shared.hear("p", Uuid::from_u128(8), reads(5, 1, millis(9_400)));
+    let heard = shared.hear(
+        NOW,
+        &teller("p", Uuid::from_u128(8)),
+        reads(5, 1, millis(9_400)),
+    );
     assert!(heard.ask_clock && heard.fresh.is_none());
 }
 
@@ -73,7 +90,7 @@
     let shared = shared();
     // Asked long ago and answered late: stands for an earlier time than what is known.
     shared.take_clock("p", INCARNATION, millis(10_500), millis(12_000));
-    let heard = shared.hear("p", INCARNATION, reads(5, 1, millis(9_400)));
+    let heard = shared.hear(NOW, &p(), reads(5, 1, millis(9_400)));
     assert_eq!(heard.fresh, Some(millis(10_400)));
 }
 
@@ -83,7 +100,7 @@
     for n in 0..2_000 {
         let name = format!("front-{n}");
         shared.take_clock(&name, INCARNATION, millis(10_000), millis(9_000));
-        let heard = shared.hear(&name, INCARNATION, reads(5, 1, millis(9_000)));
+        let heard = shared.hear(NOW, &teller(&name, INCARNATION), reads(5, 1, millis(9_000)));
         assert!(!heard.ask_clock, "the clock of {name} is known");
     }
 }
@@ -95,7 +112,7 @@
     let shared = shared();
     for second in 10..60 {
         let told = reads(5, 1, millis(second * 1_000 - 1_000));
-        let _ = shared.hear("p", INCARNATION, told);
+        let _ = shared.hear(NOW, &p(), told);
     }
     assert_eq!(shared.steady_since(millis(60_000)), millis(10_000));
 }
@@ -108,7 +125,7 @@
     // Nobody reads from 10 s to 15 s; the peer does then, and this instance not before 18 s.
     for second in [15, 16, 17] {
         let told = reads(5, 1, millis(second * 1_000 - 1_000));
-        let _ = shared.hear("p", INCARNATION, told);
+        let _ = shared.hear(NOW, &p(), told);
     }
     assert_eq!(shared.steady_since(millis(18_000)), millis(15_000));
 }
@@ -133,14 +150,14 @@
         steady_since: millis(1_000),
         ..reads(5, 1, millis(18_900))
     };
-    let _ = shared.hear("p", INCARNATION, told);
+    let _ = shared.hear(NOW, &p(), told);
     assert_eq!(shared.steady_since(millis(20_200)), millis(2_000));
     // Its clock is known a little better at the next word, which is no news.
     let nearly = Reads {
         steady_since: millis(990),
         ..told
     };
-    let _ = shared.hear("p", INCARNATION, nearly);
+    let _ = shared.hear(NOW, &p(), nearly);
     assert_eq!(shared.steady_since(millis(20_200)), millis(2_000));
 }
 
@@ -152,7 +169,7 @@
         steady_since: millis(1_000),
         ..reads(5, 1, millis(15_000))
     };
-    let _ = shared.hear("p", INCARNATION, told);
+    let _ = shared.hear(NOW, &p(), told);
     assert_eq!(shared.steady_since(millis(20_200)), millis(20_000));
 }
 
@@ -175,7 +192,12 @@
 fn party(name: &str, socket: UdpSocket, clock: Clock, other: (&str, &UdpSocket)) -> Party {
     let book = Arc::new(PeerBook::new(name.to_owned(), "zone".to_owned()));
     let address = other.1.local_addr().expect("an address");
-    book.know(other.0.to_owned(), address, clock.now());
+    let known = KnownPeer {
+        name: other.0.to_owned(),
+        address,
+        zone: "zone".to_owned(),
+    };
+    book.know(known, clock.now());
     let reads = Arc::new(SharedReads::default());
     let (inputs, events) = mpsc::channel(64);
     let (sender, receiver) = watch::channel(news(4));
@@ -190,6 +212,7 @@
         reads: Arc::clone(&reads),
         news: receiver,
         changes: mpsc::channel(1).1,
+        seeds: Vec::new(),
         relay: UseRelay::default(),
         inputs,
         pause: millis(20),
@@ -218,7 +241,10 @@
     for n in 0..20 {
         let address = ([127, 0, 0, 1], 1).into();
         let (book, now) = (&party.beacons.book, party.beacons.clock.now());
-        book.hear(&format!("m-{n}"), "zone", address, now);
+        let name = format!("m-{n}");
+        book.hear(word(&name, "zone", 0), address, now);
+        let name = format!("m-{n}");
+        book.hear(word(&name, "zone", 0), address, now);
     }
     let key = Arc::clone(&party.beacons.key);
     let (stop, stops) = watch::channel(false);
@@ -330,45 +356,54 @@
     drop((first.news, second.news));
 }
 
-fn changes(from: u64, next: u64) -> EntryChanges {
-    EntryChanges {
-        from,
-        after: 2,
-        read_at: millis(9_500),
+fn changes(from: u64, next: u64) -> TopicRecords {
+    TopicRecords {
+        topic: Topic::Endpoints,
+        from: Some(from),
         next,
-        entries: Vec::new(),
+        read_at: millis(9_500),
+        records: Vec::new(),
     }
 }
 
 #[tokio::test]
 async fn changes_that_a_peer_read_are_taken_without_a_read() {
     let shared = shared();
-    shared.hear_changes("stranger", INCARNATION, changes(3, 4));
-    shared.hear_changes("p", Uuid::from_u128(8), changes(3, 4));
+    shared.hear_changes(&teller("stranger", INCARNATION), changes(1, 2));
+    shared.hear_changes(&teller("p", Uuid::from_u128(8)), changes(1, 2));
     assert!(
         shared.take_told().is_empty(),
         "a clock that is not known dates nothing"
     );
-    shared.hear_changes("p", INCARNATION, changes(3, 4));
-    // Its heartbeat with the new digest asks for no read, since the changes are here.
-    let _ = shared.hear("p", INCARNATION, reads(5, 2, millis(9_500)));
-    let due = shared
-        .due(Clock::new(), millis(60_000), || Reader::Site)
-        .await;
-    assert!(due.told && !due.endpoints && !due.config, "{due:?}");
+    shared.hear_changes(&p(), changes(1, 2));
+    // Its heartbeat with the new offset asks for no read, since the changes are here.
+    let heard = shared.hear(NOW, &p(), reads(5, 2, millis(9_500)));
+    assert!(!heard.ask_state);
+    let due = shared.due(Clock::new(), millis(60_000), Turn::alone).await;
+    assert!(
+        due.told && due.endpoints.is_none() && due.config.is_none(),
+        "{due:?}"
+    );
     let told = shared.take_told();
     assert_eq!(told.len(), 1);
     assert_eq!(told[0].read_at, millis(10_500));
-    shared.note_told(2, told[0].read_at);
+    shared.note_told(Reads {
+        config_at: Duration::ZERO,
+        ..reads(5, 2, told[0].read_at)
+    });
     assert_eq!(shared.own().endpoints_at, millis(10_500));
-    assert_eq!(shared.own().endpoints, 2);
+    assert_eq!(shared.own().endpoints_next, 2);
+}
+
+fn word<'a>(name: &'a str, zone: &'a str, power: Power) -> PeerWord<'a> {
+    PeerWord { name, zone, power }
 }
 
 fn book(me: &str, zone: &str, others: &[(&str, &str)], now: Duration) -> PeerBook {
     let book = PeerBook::new(me.to_owned(), zone.to_owned());
     let address = "127.0.0.1:1".parse().expect("an address");
     for (name, zone) in others {
-        book.hear(name, zone, address, now);
+        book.hear(word(name, zone, 0), address, now);
     }
     book
 }
@@ -383,7 +418,7 @@
         others.map(|(name, zone)| (name.as_str(), *zone)).collect()
     };
     let now = millis(1_000);
-    let part = |me: &str, zone: &str| book(me, zone, &others(me), now).reader(now);
+    let part = |me: &str, zone: &str| book(me, zone, &others(me), now).turn(now).reader;
     assert_eq!(part("00", "east"), Reader::Site);
     assert_eq!(part("01", "west"), Reader::Group);
     assert_eq!(part("02", "east"), Reader::Member);
@@ -392,7 +427,7 @@
     let expected = ["00", "01", "02", "03"].map(str::to_owned);
     assert_eq!(leads, expected.into());
     let few = book("b", "west", &[("a", "east"), ("c", "west")], now);
-    assert_eq!(few.reader(now), Reader::SmallMember);
+    assert_eq!(few.turn(now).reader, Reader::SmallMember);
     // The first one fell silent.
-    assert_eq!(few.reader(now + millis(1_300)), Reader::Site);
+    assert_eq!(few.turn(now + millis(1_300)).reader, Reader::Site);
 }
--- a/crates/firdock-node/tests/node/placement.rs
+++ b/crates/firdock-node/tests/node/placement.rs
@@ -6,7 +6,7 @@
 use firdock_core::RequestId;
 use firdock_core::resource::{Account, Catalog, Endpoint, PoolWeight, Resource, Service, Tier};
 use firdock_core::settings::Settings;
-use firdock_node::peer::PeerBook;
+use firdock_node::peer::{PeerBook, PeerWord};
 use firdock_node::placement::{
     Coordinator, Course, Membership, News, Report, Wanted, read_reply, read_report, write_reply,
     write_report,
@@ -269,7 +269,10 @@
     fn hear(&self) {
         for (name, port) in [("a", 1), ("c", 3)] {
             let address = ([127, 0, 0, 1], port).into();
-            self.book.hear(name, "zone", address, self.now);
+            let zone = "zone";
+            let power = 0;
+            self.book
+                .hear(PeerWord { name, zone, power }, address, self.now);
         }
     }
 
--- a/crates/firdock-state/src/directory.rs
+++ b/crates/firdock-state/src/directory.rs
@@ -83,6 +83,12 @@
         changed
     }
 
+    /// Tells whether missing entries are kept, so that it has to be looked at them again.
+    #[must_use]
+    pub fn keeps_missing(&self) -> bool {
+        self.rows.values().any(|row| row.missing)
+    }
+
     /// Goes over the endpoints that are believed in.
     pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
         self.rows.values().map(|row| &row.endpoint)
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -98,7 +98,7 @@
 /// One datagram between instances that know each other by address alone.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Datagram {
-    #[prost(oneof = "datagram::Body", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "datagram::Body", tags = "1, 2, 3, 5, 6, 7, 8, 9")]
     pub body: ::core::option::Option<datagram::Body>,
 }
 /// Nested message and enum types in `Datagram`.
@@ -111,12 +111,16 @@
         ClockQuestion(super::ClockQuestion),
         #[prost(message, tag = "3")]
         ClockAnswer(super::ClockAnswer),
-        #[prost(message, tag = "4")]
-        EntryChanges(super::EntryChanges),
         #[prost(message, tag = "5")]
         PlacementReport(super::PlacementReport),
         #[prost(message, tag = "6")]
         PlacementReply(super::PlacementReply),
+        #[prost(message, tag = "7")]
+        TopicRecords(super::TopicRecords),
+        #[prost(message, tag = "8")]
+        StateQuestion(super::StateQuestion),
+        #[prost(message, tag = "9")]
+        StateAnswer(super::StateAnswer),
     }
 }
 /// Asks for the receiver's clock.
@@ -144,9 +148,6 @@
 /// What an instance knows to be the newest, by its own clock.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Reads {
-    /// Digest of the endpoints listed.
-    #[prost(fixed64, tag = "1")]
-    pub endpoints: u64,
     /// When the configuration was the newest, in milliseconds of the sender's clock.
     #[prost(uint64, tag = "2")]
     pub config_at: u64,
@@ -159,6 +160,9 @@
     /// Since when the list of endpoints has been read without an outage of it, by the sender's clock.
     #[prost(uint64, tag = "5")]
     pub steady_since: u64,
+    /// Offset after the last record of the list of endpoints that the sender knows.
+    #[prost(uint64, tag = "6")]
+    pub endpoints_next: u64,
 }
 /// A heartbeat by datagram.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -194,6 +198,9 @@
     /// Demand of the sender's group, if it leads it.
     #[prost(message, repeated, tag = "11")]
     pub group_demand: ::prost::alloc::vec::Vec<PoolDemand>,
+    /// Processor that the sender has, in thousandths of a core; 0 where that is not set.
+    #[prost(uint32, tag = "12")]
+    pub power: u32,
 }
 /// What another instance than the sender let pass of limited accounts since its start.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -206,30 +213,88 @@
     #[prost(message, repeated, tag = "3")]
     pub used: ::prost::alloc::vec::Vec<AccountUse>,
 }
-/// Changes in the platform's list of endpoints that the sender read, so that its peers need not.
-#[derive(Clone, PartialEq, ::prost::Message)]
-pub struct EntryChanges {
+/// Records of a topic that the sender read or was told of, so that its peers need not read them.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TopicRecords {
     #[prost(string, tag = "1")]
     pub instance: ::prost::alloc::string::String,
     /// 16 bytes: the start of the sender, which its clock belongs to.
     #[prost(bytes = "vec", tag = "2")]
     pub incarnation: ::prost::alloc::vec::Vec<u8>,
-    /// Offset of the first record read.
-    #[prost(uint64, tag = "3")]
+    #[prost(enumeration = "Topic", tag = "3")]
+    pub topic: i32,
+    /// Offset of the first record.
+    #[prost(uint64, tag = "4")]
     pub from: u64,
-    /// Digest of the endpoints listed after the changes.
-    #[prost(fixed64, tag = "4")]
-    pub after: u64,
-    /// When the list was the newest, in milliseconds of the sender's clock.
+    /// Offset after the last record.
     #[prost(uint64, tag = "5")]
-    pub read_at: u64,
-    /// Offset after the last record read.
+    pub next: u64,
+    /// When the topic's end was there, in milliseconds of the sender's clock.
     #[prost(uint64, tag = "6")]
+    pub read_at: u64,
+    /// Entries, deflated.
+    #[prost(bytes = "vec", tag = "7")]
+    pub entries: ::prost::alloc::vec::Vec<u8>,
+}
+/// Entries of a topic.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Entries {
+    #[prost(message, repeated, tag = "1")]
+    pub entries: ::prost::alloc::vec::Vec<Entry>,
+}
+/// Asks for what the receiver knows of the platform's store.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StateQuestion {
+    /// The sender's clock, in milliseconds.
+    #[prost(uint64, tag = "1")]
+    pub asked: u64,
+    /// Topics asked for.
+    #[prost(enumeration = "Topic", repeated, tag = "2")]
+    pub topics: ::prost::alloc::vec::Vec<i32>,
+    /// Whether the other instances are asked for as well.
+    #[prost(bool, tag = "3")]
+    pub instances: bool,
+}
+/// Tells what the sender knows of the platform's store: the newest record of each key.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StateAnswer {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    /// 16 bytes: the start of the sender, which its clock belongs to.
+    #[prost(bytes = "vec", tag = "2")]
+    pub incarnation: ::prost::alloc::vec::Vec<u8>,
+    /// As in the question.
+    #[prost(uint64, tag = "3")]
+    pub asked: u64,
+    /// The sender's clock, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub clock: u64,
+    #[prost(message, optional, tag = "5")]
+    pub reads: ::core::option::Option<Reads>,
+    /// The known state, deflated.
+    #[prost(bytes = "vec", tag = "6")]
+    pub state: ::prost::alloc::vec::Vec<u8>,
+}
+/// What an instance knows of the platform's store.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct KnownState {
+    #[prost(message, repeated, tag = "1")]
+    pub topics: ::prost::alloc::vec::Vec<TopicImage>,
+    #[prost(message, repeated, tag = "2")]
+    pub instances: ::prost::alloc::vec::Vec<PeerAddress>,
+}
+/// The newest record of each key of a topic.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct TopicImage {
+    #[prost(enumeration = "Topic", tag = "1")]
+    pub topic: i32,
+    /// Offset from which later changes are read.
+    #[prost(uint64, tag = "2")]
     pub next: u64,
-    #[prost(message, repeated, tag = "7")]
+    #[prost(message, repeated, tag = "3")]
     pub entries: ::prost::alloc::vec::Vec<Entry>,
 }
-/// An entry of the platform's list, as it stands there.
+/// A record of a topic with keys, as it stands there.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Entry {
     #[prost(string, tag = "1")]
@@ -257,6 +322,9 @@
     /// IP:PORT.
     #[prost(string, tag = "2")]
     pub address: ::prost::alloc::string::String,
+    /// Availability zone; empty where it is not known.
+    #[prost(string, tag = "3")]
+    pub zone: ::prost::alloc::string::String,
 }
 /// Demand for one pool, or for one service without a split, in requests a second.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -499,6 +567,38 @@
     #[prost(uint64, tag = "4")]
     pub retry_millis: u64,
 }
+/// A topic of the platform's store that instances pass on to each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum Topic {
+    Unspecified = 0,
+    /// The configuration.
+    Config = 1,
+    /// The list of endpoints.
+    Endpoints = 2,
+}
+impl Topic {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "TOPIC_UNSPECIFIED",
+            Self::Config => "TOPIC_CONFIG",
+            Self::Endpoints => "TOPIC_ENDPOINTS",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "TOPIC_UNSPECIFIED" => Some(Self::Unspecified),
+            "TOPIC_CONFIG" => Some(Self::Config),
+            "TOPIC_ENDPOINTS" => Some(Self::Endpoints),
+            _ => None,
+        }
+    }
+}
 /// Why a request is handed over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
