Tell calls to the store and the steps of starts in the summary; give up connections that fall silent for good

Connections to endpoints, to the store and from callers ask the far end's system whether it is there after a second of silence, and are given up after 4 s without an answer; before, only a reset or the request's own time limit ended them.

--- a/crates/firdock-node/src/http.rs
+++ b/crates/firdock-node/src/http.rs
@@ -6,10 +6,12 @@
 mod client;
 mod listener;
 mod server;
+mod silence;
 
 pub use client::{CallError, Connection, connect};
 pub use listener::listen;
 pub use server::{ServerOptions, serve};
+pub use silence::{GIVE_UP_AFTER, bound_silence};
 
 use hyper::HeaderMap;
 use hyper::header::{self, HeaderName};
--- a/crates/firdock-node/src/http/client.rs
+++ b/crates/firdock-node/src/http/client.rs
@@ -17,6 +17,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use super::silence::bound_silence;
+
 /// Why a call failed.
 #[derive(Debug, Snafu)]
 #[non_exhaustive]
@@ -80,6 +82,7 @@
         Err(_) => return ConnectTimeSnafu { address }.fail(),
     };
     let _ = stream.set_nodelay(true);
+    bound_silence(&stream).context(ConnectSnafu { address })?;
     let (sender, pump) = http1::handshake(TokioIo::new(stream))
         .await
         .context(HttpSnafu)?;
--- a/crates/firdock-node/src/http/server.rs
+++ b/crates/firdock-node/src/http/server.rs
@@ -14,6 +14,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 
+use super::silence::bound_silence;
+
 /// Pause after the operating system refused to accept, such as when descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -97,6 +99,10 @@
     B::Error: std::error::Error + Send + Sync + 'static,
 {
     let _ = stream.set_nodelay(true);
+    if bound_silence(&stream).is_err() {
+        // The caller has closed it already.
+        return;
+    }
     let service = service_fn(move |request| {
         let answer = handle(request);
         async move { Ok::<_, Infallible>(answer.await) }
--- a/crates/firdock-node/src/peer/book/group.rs
+++ b/crates/firdock-node/src/peer/book/group.rs
@@ -114,17 +114,20 @@
         let entries = self.lock();
         let few = are_few(&entries);
         let me = self.standing();
-        let (mut before_all, mut place, mut of) = (0, 0, 1);
-        for peer in present(&entries, now) {
+        let (mut led_site, mut led_group, mut place, mut of) = (false, false, 0, 1);
+        for peer in entries.iter().filter(|(_, e)| e.is_heard(now)) {
             let before = standing(&peer) < me;
             let grouped = few || peer.1.zone == self.zone;
-            before_all += usize::from(before);
+            let leads = before && peer.1.is_present(now);
+            led_site |= leads;
+            led_group |= leads && grouped;
+            // Members of a larger group hear each other every few seconds only.
             place += usize::from(before && grouped);
             of += usize::from(grouped);
         }
-        let reader = match (before_all, place, few) {
-            (0, _, _) => Reader::Site,
-            (_, 0, _) => Reader::Group,
+        let reader = match (led_site, led_group, few) {
+            (false, _, _) => Reader::Site,
+            (_, false, _) => Reader::Group,
             (_, _, true) => Reader::SmallMember,
             _ => Reader::Member,
         };
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -5,6 +5,7 @@
 mod placement;
 mod relay;
 mod sharing;
+mod silence;
 
 use bytes::Bytes;
 use firdock_core::resource::{Resource, Tier};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod api;
 pub mod cmd;
 pub mod exit;
+pub mod starts;
 pub mod story;
 pub mod summary;
--- a/src/story.rs
+++ b/src/story.rs
@@ -39,6 +39,12 @@
         self.fields.get(name).and_then(Value::as_f64)
     }
 
+    /// Tells whether a field is true.
+    #[must_use]
+    pub fn flag(&self, name: &str) -> bool {
+        self.fields.get(name) == Some(&Value::Bool(true))
+    }
+
     /// Gives the second of the day, by which lines of one day are put in order.
     #[must_use]
     pub fn second(&self) -> f64 {
--- a/src/summary.rs
+++ b/src/summary.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::fmt::{self, Display, Formatter};
 
+use crate::starts::Starts;
 use crate::story::Line;
 
 /// Seconds of a log that are counted together.
@@ -14,13 +15,16 @@
 /// How often each thing became of requests.
 type Counts = BTreeMap<String, u64>;
 
-/// Counts of what became of requests by service, by account and over time, and of lines left out.
+/// Counts of what became of requests by service, by account and over time, of calls to the platform's
+/// store, of lines left out, and how long instances took to serve.
 #[derive(Debug, Default)]
 pub struct Summary {
     services: BTreeMap<String, Counts>,
     accounts: BTreeMap<String, Counts>,
     periods: BTreeMap<u64, Counts>,
     left_out: Counts,
+    store_calls: Counts,
+    starts: Starts,
 }
 
 impl Summary {
@@ -49,6 +53,11 @@
                 .or_default() += count;
             return;
         }
+        self.starts.take(line);
+        if line.text("msg") == "store called" {
+            *self.store_calls.entry(store_call(line)).or_default() += 1;
+            return;
+        }
         let Some(end) = end_of(line) else {
             return;
         };
@@ -69,6 +78,14 @@
     }
 }
 
+/// Gives what a call to the platform's store was for.
+fn store_call(line: &Line) -> String {
+    let words = ["topic", "call", "reason"].map(|field| line.text(field));
+    let failed = line.flag("failed");
+    let outcome = if failed { " failed" } else { "" };
+    format!("{}{outcome}", words.join(" "))
+}
+
 /// Gives what became of the request that a line is about, if it tells of an end.
 fn end_of(line: &Line) -> Option<String> {
     let reason = line.text("reason");
@@ -109,6 +126,11 @@
         write_group(f, "by service", self.services.iter())?;
         write_group(f, "by account", self.accounts.iter())?;
         write_group(f, "from", periods)?;
+        if !self.store_calls.is_empty() {
+            let rows = std::iter::once(("all", &self.store_calls));
+            write_group(f, "calls to the store", rows)?;
+        }
+        write!(f, "{}", self.starts)?;
         for (kind, count) in &self.left_out {
             writeln!(f, "left out of the logs: {count} lines of kind {kind}")?;
         }
--- a/tests/testsuite/explain.rs
+++ b/tests/testsuite/explain.rs
@@ -51,8 +51,34 @@
 {"msg":"call refused","ts":"2026-01-01T10:00:14.0Z","reason":"state-stale"}
 {"msg":"dispatched","ts":"2026-01-01T10:00:14.0Z","service":"chat","account":"b"}
 {"msg":"lines left out","ts":"2026-01-01T10:00:15.0Z","kind":"answered","count":7}
+{"msg":"store called","ts":"2026-01-01T10:00:16.0Z","call":"read","topic":"endpoints","reason":"turn","failed":false}
+{"msg":"store called","ts":"2026-01-01T10:00:16.0Z","call":"read","topic":"endpoints","reason":"silence","failed":true}
+{"msg":"store called","ts":"2026-01-01T10:00:17.0Z","call":"read","topic":"endpoints","reason":"silence","failed":true}
 "#;
 
+const STARTS: &str = r#"
+{"msg":"manifest taken","ts":"2026-01-01T10:00:00.0Z","instance":"early"}
+{"msg":"started","ts":"2026-01-01T10:00:01.0Z","instance":"one"}
+{"msg":"started","ts":"2026-01-01T10:00:01.0Z","instance":"two"}
+{"msg":"manifest taken","ts":"2026-01-01T10:00:01.1Z","instance":"one"}
+{"msg":"manifest taken","ts":"2026-01-01T10:00:01.4Z","instance":"two"}
+{"msg":"answered","ts":"2026-01-01T10:00:02.0Z","instance":"one"}
+{"msg":"answered","ts":"2026-01-01T10:00:09.0Z","instance":"one"}
+{"msg":"started","ts":"2026-01-01T10:00:20.0Z","instance":"one"}
+{"msg":"answered","ts":"2026-01-01T10:00:20.5Z","instance":"one"}
+"#;
+
+#[test]
+fn a_summary_tells_how_long_instances_took_from_their_start_to_serving() {
+    let lines: Vec<Line> = STARTS.lines().filter_map(Line::parse).collect();
+    let text = Summary::new(&lines).to_string();
+    assert!(text.contains("starts of instances: 3"), "{text}");
+    let known = "configuration known            2  half after 0.10 s, nine in ten after 0.40 s, last after 0.40 s";
+    assert!(text.contains(known), "{text}");
+    let whole = "first whole answer             2  half after 0.50 s, nine in ten after 1.00 s, last after 1.00 s";
+    assert!(text.contains(whole), "{text}");
+}
+
 #[test]
 fn a_summary_counts_ends_by_service_account_and_time_with_why_answers_were_late() {
     let lines: Vec<Line> = ENDS.lines().filter_map(Line::parse).collect();
@@ -74,5 +100,7 @@
     assert!(row("10:00:00").contains("       2  "), "{text}");
     assert!(row("10:00:10").contains("       3  "), "{text}");
     assert!(text.contains("7 lines of kind answered"));
+    let calls = "endpoints read silence failed 2, endpoints read turn 1";
+    assert!(text.contains(calls), "{text}");
     assert!(Summary::new(&[]).is_empty());
 }
