--- a/crates/firdock-node/src/door/request.rs
+++ b/crates/firdock-node/src/door/request.rs
@@ -19,7 +19,6 @@
         account: payload.account.clone(),
         prompt_tokens: model.map_or(terms.prompt_tokens, |m| estimate_tokens(m.prompt.len())),
         output_tokens: model.map_or(terms.output_tokens, |m| m.max_tokens),
-        expected_tokens: terms.expected_tokens,
         blocks: model.map_or_else(Vec::new, |m| block_hashes(m.prompt.as_bytes())),
         bytes: occupied_bytes(payload),
         key: claim(payload),
--- a/crates/firdock-node/src/exchange.rs
+++ b/crates/firdock-node/src/exchange.rs
@@ -46,8 +46,6 @@
     pub prompt_tokens: u32,
     /// Most tokens that the answer may have.
     pub output_tokens: u32,
-    /// Tokens that the caller expects of the answer; 0 where it does not say.
-    pub expected_tokens: u32,
     /// When the caller stops waiting.
     pub deadline: Option<Time>,
     /// An evenly drawn number that picks the pool of a service that splits its requests.
--- a/crates/firdock-node/src/placement/codec.rs
+++ b/crates/firdock-node/src/placement/codec.rs
@@ -140,7 +140,6 @@
         age_millis: millis(new.age),
         left_millis: wanted.left.map(millis),
         avoid: new.tried.clone(),
-        expected_tokens: new.expected_tokens,
     }
 }
 
@@ -154,7 +153,6 @@
         draw: told.draw,
         prompt_tokens: told.prompt_tokens,
         output_tokens: told.output_tokens,
-        expected_tokens: told.expected_tokens,
         age: Duration::from_millis(told.age_millis),
         tried: told.avoid,
         ..NewRequest::default()
--- a/crates/firdock-node/src/placement/told.rs
+++ b/crates/firdock-node/src/placement/told.rs
@@ -59,7 +59,6 @@
             account: new.account.clone(),
             prompt_tokens: new.prompt_tokens.saturating_add(row.delivered),
             output_tokens: new.output_tokens,
-            expected_tokens: still_expected(row),
             draw: new.draw,
             age: now.saturating_sub(row.arrived),
             tried: avoided(row),
@@ -70,14 +69,6 @@
     }
 }
 
-/// Gives the tokens that its caller still expects of an answer; 0 where it did not say.
-fn still_expected(row: &RequestRow) -> u32 {
-    match row.new.expected_tokens {
-        0 => 0,
-        whole => whole.saturating_sub(row.delivered).max(1),
-    }
-}
-
 /// Gives the engines that a request must not go to, each once.
 fn avoided(row: &RequestRow) -> Vec<EndpointId> {
     let all: BTreeSet<&EndpointId> = row.tried.iter().chain(&row.declined).collect();
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -111,7 +111,6 @@
             "target_millis" => millis(t.services.get(row.service).tier.target()),
             "total_millis" => millis(now.saturating_sub(row.arrived)),
             "prompt_tokens" => row.new.prompt_tokens,
-            "expected_tokens" => row.new.expected_tokens,
             "output_tokens" => exchange.delivered().tokens,
         );
     }
--- a/crates/firdock-node/tests/node/placement.rs
+++ b/crates/firdock-node/tests/node/placement.rs
@@ -76,7 +76,6 @@
         account: "account".to_owned(),
         prompt_tokens: 10,
         output_tokens: 10,
-        expected_tokens: 7,
         ..NewRequest::default()
     }
 }
--- a/crates/firdock-policy/src/cost.rs
+++ b/crates/firdock-policy/src/cost.rs
@@ -35,8 +35,8 @@
 /// many times as long as on a fast one, where whatever fails meanwhile breaks it off. With the line for
 /// the first token, 0.1 is worth 0.013 of a day against none (ten pairs); 0.2 measured the same.
 const STAY_WEIGHT: f64 = 0.1;
-/// How much longer than estimated an answer may take: callers' estimates of its length are right at
-/// the median, and often off by a half.
+/// How much longer than estimated an answer may take: answers of one service differ a hundredfold in
+/// length.
 const END_MARGIN: f64 = 1.5;
 /// Weight of the time by which an answer would miss its caller's time limit.
 const OVERRUN_WEIGHT: f64 = 1.0;
@@ -138,13 +138,6 @@
     }
 }
 
-/// Gives the seconds that a request would hold a place on an engine of the declared speed.
-#[must_use]
-pub fn assumed_secs(row: &RequestRow, service: &ServiceRow, engine: &EndpointRow) -> f64 {
-    let prompt = f64::from(row.new.prompt_tokens) / engine.declared.prefill_rate;
-    prompt + expected_output(row, service) * engine.declared.token_secs()
-}
-
 /// Gives how fast an engine makes tokens against what was declared.
 fn speed(endpoint: &EndpointRow) -> f64 {
     let declared = endpoint.declared.token_secs();
@@ -162,18 +155,14 @@
     }
 }
 
-/// Estimates the answer's tokens that are still to come.
+/// Estimates the answer's tokens that are still to come, by the mean of the service.
 ///
-/// Answers of one service differ a hundredfold in length, so that the caller's own estimate goes
-/// before the mean.
+/// Callers' own estimates, right at the median and often off by a half, earned nothing here
+/// (`docs/design/overload.md`).
 #[must_use]
 pub fn expected_output(row: &RequestRow, service: &ServiceRow) -> f64 {
     let most = f64::from(row.new.output_tokens.saturating_sub(row.delivered));
-    let expected = match row.new.expected_tokens {
-        0 => service.output,
-        whole => f64::from(whole.saturating_sub(row.delivered)),
-    };
-    expected.min(most).max(1.0)
+    service.output.min(most).max(1.0)
 }
 
 fn uncached(now: Time, mechanisms: Mechanisms, row: &RequestRow, e: &EndpointRow) -> u32 {
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -47,9 +47,6 @@
     pub prompt_tokens: u32,
     /// Most tokens that the answer may have; 0 for plain calls.
     pub output_tokens: u32,
-    /// Tokens that the caller expects of the answer; 0 where it does not say.
-    #[serde(default, skip_serializing_if = "is_zero")]
-    pub expected_tokens: u32,
     /// Chained hashes of the prompt's blocks.
     pub blocks: Vec<BlockHash>,
     /// Bytes that the request occupies.
@@ -138,8 +135,6 @@
     pub rank: u8,
     /// When it arrived.
     pub arrived: Time,
-    /// When its turn in the queue is due: later for one that takes an endpoint's place for longer.
-    pub due: Time,
     /// Pool that it goes to, of a service that splits its requests.
     pub pool: Option<PoolId>,
     /// When its time is up: the caller's or the service's limit, whichever comes first.
@@ -193,7 +188,6 @@
             account,
             rank,
             arrived: now,
-            due: now,
             pool: None,
             deadline: new.deadline,
             charge: 0.0,
--- a/crates/firdock-policy/src/settings.rs
+++ b/crates/firdock-policy/src/settings.rs
@@ -35,8 +35,6 @@
     pub hand_over: bool,
     /// Requests that cannot begin in time are refused while the caller can still go elsewhere.
     pub early_refusal: bool,
-    /// Requests that hold an engine's place for long go after short ones of their tier and account.
-    pub short_first: bool,
     /// The choice of an endpoint goes by the time to the first token more than by the whole.
     pub first_token: bool,
     /// Engines are shared by whole places that add up over all instances.
@@ -58,7 +56,6 @@
         late_last: true,
         hand_over: true,
         early_refusal: false,
-        short_first: false,
         first_token: false,
         whole_places: false,
         near_first: false,
@@ -70,7 +67,6 @@
         waiting: false,
         hand_over: false,
         early_refusal: true,
-        short_first: true,
         first_token: true,
         whole_places: true,
         near_first: true,
--- a/crates/firdock-policy/src/system.rs
+++ b/crates/firdock-policy/src/system.rs
@@ -14,7 +14,6 @@
 pub mod key;
 pub mod limit;
 pub mod news;
-pub mod order;
 pub mod place;
 pub mod share;
 pub mod shed;
--- a/crates/firdock-policy/src/system/admit.rs
+++ b/crates/firdock-policy/src/system/admit.rs
@@ -5,7 +5,7 @@
 use firdock_core::resource::request_rank;
 use firdock_core::{Outcome, Reason, RequestId};
 
-use super::{end, key, limit, order};
+use super::{end, key, limit};
 use crate::action::Action;
 use crate::request::{KeyClaim, NewRequest, Origin, RequestRow, Verdict};
 use crate::table::Tables;
@@ -117,7 +117,7 @@
     let row = RequestRow::new(arrived, new, service, account, rank);
     let row = row.with_service(&s.declared, charge);
     t.paces.note_arrival(row.pool_key(), rank);
-    let due = order::due(t, &row);
-    t.services.get_mut(service).queue.push(account, due, id);
-    t.requests.insert(RequestRow { due, ..row });
+    let queue = &mut t.services.get_mut(service).queue;
+    queue.push(account, row.arrived, id);
+    t.requests.insert(row);
 }
--- a/crates/firdock-policy/src/system/early.rs
+++ b/crates/firdock-policy/src/system/early.rs
@@ -28,7 +28,7 @@
     let waits =
         |r: &&RequestRow| r.phase == Phase::Held && !r.may_have_run() && !coordinate::waits(t, r);
     let mut held: Vec<&RequestRow> = t.requests.iter().filter(waits).collect();
-    held.sort_by_key(|r| (r.rank, r.due));
+    held.sort_by_key(|r| (r.rank, r.arrived));
     for row in held {
         let before = ahead.entry(row.pool_key()).or_default();
         if is_hopeless(t, now, row, *before) {
--- a/crates/firdock-policy/src/system/end.rs
+++ b/crates/firdock-policy/src/system/end.rs
@@ -23,7 +23,7 @@
     let Some(row) = t.requests.get(id) else {
         return;
     };
-    let (old, service, account, due) = (row.phase, row.service, row.account, row.due);
+    let (old, service, account, arrived) = (row.phase, row.service, row.account, row.arrived);
     if old == Phase::Held && phase != Phase::Held {
         t.services.get_mut(service).queue.remove(account, id);
         t.accounts.get_mut(account).held -= 1;
@@ -33,7 +33,7 @@
         if front {
             queue.push_front(account, id);
         } else {
-            queue.push(account, due, id);
+            queue.push(account, arrived, id);
         }
         t.accounts.get_mut(account).held += 1;
         if let Some(row) = t.requests.get_mut(id) {
--- a/crates/firdock-policy/src/table/queue.rs
+++ b/crates/firdock-policy/src/table/queue.rs
@@ -16,7 +16,8 @@
 
 #[derive(Debug, Default)]
 struct Lane {
-    /// Requests that can still be answered in time, by the time at which each is due.
+    /// Requests that can still be answered in time, by the time at which each arrived: a coordinator
+    /// hears of some later than of others that came after them.
     ids: VecDeque<(Time, RequestId)>,
     /// Requests that cannot, oldest first.
     late: VecDeque<RequestId>,
@@ -28,10 +29,10 @@
         self.ids.len() + self.late.len()
     }
 
-    /// Puts a request behind all that are due no later.
-    fn insert(&mut self, due: Time, id: RequestId) {
-        let at = self.ids.partition_point(|(d, _)| *d <= due);
-        self.ids.insert(at, (due, id));
+    /// Puts a request behind all that arrived no later.
+    fn insert(&mut self, arrived: Time, id: RequestId) {
+        let at = self.ids.partition_point(|(a, _)| *a <= arrived);
+        self.ids.insert(at, (arrived, id));
     }
 
     fn remove(&mut self, id: RequestId) -> bool {
@@ -77,9 +78,9 @@
         self.len == 0
     }
 
-    /// Adds a request to its account's lane, behind those that are due no later.
-    pub fn push(&mut self, account: usize, due: Time, id: RequestId) {
-        self.lane(account).insert(due, id);
+    /// Adds a request to its account's lane, behind those that arrived no later.
+    pub fn push(&mut self, account: usize, arrived: Time, id: RequestId) {
+        self.lane(account).insert(arrived, id);
         self.len += 1;
     }
 
@@ -112,7 +113,7 @@
         lanes.filter(|(_, waiting)| *waiting > 0)
     }
 
-    /// Gives the request of an account whose loss costs least: the oldest late, else the last due.
+    /// Gives the request of an account whose loss costs least: the oldest late, else the last to arrive.
     #[must_use]
     pub fn most_expendable(&self, account: usize) -> Option<RequestId> {
         let lane = self.lanes.get(&account)?;
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -505,9 +505,6 @@
     /// Endpoints that it must not go to.
     #[prost(string, repeated, tag = "10")]
     pub avoid: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
-    /// Tokens that its answer is expected to have; 0 where nobody said.
-    #[prost(uint32, tag = "11")]
-    pub expected_tokens: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PlacementRun {
