Count tries by whether they are first ones and how they end for their callers

Callers value what they get from their first try on, and do not say that they come back; what is left of their time tells, since the longest that a service sees is a first try's. firdock_tries_total by tier, attempt and end; by it times to come back can be judged on any site.

--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -43,6 +43,14 @@
     outcome: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByTry {
+    tier: String,
+    /// `first`, or `return` where the caller came back.
+    attempt: &'static str,
+    end: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ByCall {
     call: &'static str,
@@ -63,6 +71,7 @@
     wasted: Family<ByCause, Counter>,
     reasons: Family<ByCause, Counter>,
     outcomes: Family<ByOutcome, Counter>,
+    tries: Family<ByTry, Counter>,
     dispatches: Counter,
     retries: Counter,
     stale: Counter,
@@ -97,6 +106,7 @@
             wasted: Family::default(),
             reasons: Family::default(),
             outcomes: Family::default(),
+            tries: Family::default(),
             dispatches: Counter::default(),
             retries: Counter::default(),
             stale: Counter::default(),
@@ -142,6 +152,11 @@
             self.reasons.clone(),
         );
         r.register("outcomes", "Ended requests", self.outcomes.clone());
+        r.register(
+            "tries",
+            "Ended tries of callers, first ones and those with which they come back",
+            self.tries.clone(),
+        );
         r.register(
             "dispatches",
             "Requests sent to endpoints",
@@ -267,6 +282,14 @@
             };
             store(&self.outcomes.get_or_create(&label), *n);
         }
+        for (key, n) in &stats.tries {
+            let label = ByTry {
+                tier: key.tier.clone(),
+                attempt: if key.returned { "return" } else { "first" },
+                end: key.end.as_str(),
+            };
+            store(&self.tries.get_or_create(&label), *n);
+        }
         store(&self.dispatches, stats.dispatches);
         store(&self.retries, stats.retries);
         store(&self.stale, stats.stale_news);
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -127,6 +127,8 @@
 pub struct RequestRow {
     /// The request as it arrived.
     pub new: NewRequest,
+    /// How long before its arrival its caller first tried it.
+    pub tried_for: Duration,
     /// Row of its service.
     pub service: usize,
     /// Row of its account.
@@ -188,6 +190,7 @@
             account,
             rank,
             arrived: now,
+            tried_for: Duration::ZERO,
             pool: None,
             deadline: new.deadline,
             charge: 0.0,
--- a/crates/firdock-policy/src/stats.rs
+++ b/crates/firdock-policy/src/stats.rs
@@ -24,6 +24,43 @@
     }
 }
 
+/// How a try of a request ended, as its caller sees it from the first try on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum TryEnd {
+    /// Answered, and begun within the target since the first try.
+    InTime,
+    /// Answered later.
+    Late,
+    /// Refused, and ran nowhere.
+    NotRun,
+    /// Ended without a whole answer, and may have run.
+    Unknown,
+}
+
+impl TryEnd {
+    /// Gives the label used in metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::InTime => "in-time",
+            Self::Late => "late",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// What tries are counted by.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TryKey {
+    /// Tier.
+    pub tier: String,
+    /// Whether the caller came back with it.
+    pub returned: bool,
+    /// How it ended.
+    pub end: TryEnd,
+}
+
 /// Counts for one tier.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct TierStats {
@@ -48,6 +85,8 @@
     pub outcomes: BTreeMap<Outcome, u64>,
     /// Final answers of firdock's own, by reason.
     pub reasons: BTreeMap<Reason, u64>,
+    /// Ended tries: by these, times to come back are judged by what callers get of them.
+    pub tries: BTreeMap<TryKey, u64>,
     /// Dispatches.
     pub dispatches: u64,
     /// Second tries after a broken dispatch.
--- a/crates/firdock-policy/src/system.rs
+++ b/crates/firdock-policy/src/system.rs
@@ -17,3 +17,4 @@
 pub mod place;
 pub mod share;
 pub mod shed;
+pub mod tries;
--- a/crates/firdock-policy/src/system/admit.rs
+++ b/crates/firdock-policy/src/system/admit.rs
@@ -5,7 +5,7 @@
 use firdock_core::resource::request_rank;
 use firdock_core::{Outcome, Reason, RequestId};
 
-use super::{end, key, limit};
+use super::{end, key, limit, tries};
 use crate::action::Action;
 use crate::request::{KeyClaim, NewRequest, Origin, RequestRow, Verdict};
 use crate::table::Tables;
@@ -37,6 +37,7 @@
         decision => {
             let Some(charge) = limit::take(t, now, account, &new) else {
                 let verdict = limit::verdict(t, account);
+                tries::count_turned_away(t, now, service, &new);
                 turn_away(t, &new, verdict, out);
                 return;
             };
@@ -116,6 +117,7 @@
     let arrived = now.saturating_sub(new.age);
     let row = RequestRow::new(arrived, new, service, account, rank);
     let row = row.with_service(&s.declared, charge);
+    let row = tries::with_first_try(s, now, row);
     t.paces.note_arrival(row.pool_key(), rank);
     let queue = &mut t.services.get_mut(service).queue;
     queue.push(account, row.arrived, id);
--- /dev/null
+++ b/crates/firdock-policy/src/system/tries.rs
@@ -0,0 +1,67 @@
+//! Counts of what becomes of first tries, and of those with which callers come back.
+//!
+//! A caller values what it gets from its first try on: a refusal earns nothing by a later success
+//! that is too late for it. By these counts times to come back are judged (`docs/design/overload.md`).
+
+use std::time::Duration;
+
+use firdock_core::Outcome;
+
+use crate::request::{NewRequest, Origin, RequestRow};
+use crate::stats::{TryEnd, TryKey};
+use crate::table::Tables;
+use crate::table::service::ServiceRow;
+use crate::time::Time;
+
+/// Least time by which a caller that comes back has less left than at its first try: its refusal, and a
+/// new connection, go to it and back at some milliseconds each way. Requests that wait here for the
+/// scheduler differ by less.
+const SAME_TRY: Duration = Duration::from_millis(10);
+
+/// Notes how long before its arrival a request was first tried.
+#[must_use]
+pub fn with_first_try(service: &mut ServiceRow, now: Time, row: RequestRow) -> RequestRow {
+    let tried_for = tried_for(service, now, &row.new);
+    RequestRow { tried_for, ..row }
+}
+
+fn tried_for(service: &mut ServiceRow, now: Time, new: &NewRequest) -> Duration {
+    if new.origin != Origin::Caller {
+        return Duration::ZERO;
+    }
+    service.since_first(new.deadline.map(|by| by.saturating_sub(now)))
+}
+
+/// Counts a try that ended.
+pub fn count(t: &mut Tables, now: Time, row: &RequestRow, outcome: Outcome) {
+    if row.new.origin != Origin::Caller {
+        return;
+    }
+    let tier = &t.services.get(row.service).tier;
+    let begun = row.first.unwrap_or(now).saturating_sub(row.arrived);
+    let in_time = row.tried_for + begun <= tier.target();
+    let end = match outcome {
+        Outcome::Answered if in_time => TryEnd::InTime,
+        Outcome::Answered => TryEnd::Late,
+        Outcome::NotRun => TryEnd::NotRun,
+        Outcome::Unknown => TryEnd::Unknown,
+    };
+    add(t, row.service, row.tried_for, end);
+}
+
+/// Counts a try that is refused before it enters the tables.
+pub fn count_turned_away(t: &mut Tables, now: Time, service: usize, new: &NewRequest) {
+    let tried_for = tried_for(t.services.get_mut(service), now, new);
+    add(t, service, tried_for, TryEnd::NotRun);
+}
+
+fn add(t: &mut Tables, service: usize, tried_for: Duration, end: TryEnd) {
+    let tier = t.services.get(service).tier.name.clone();
+    let returned = tried_for > SAME_TRY;
+    let key = TryKey {
+        tier,
+        returned,
+        end,
+    };
+    *t.stats.tries.entry(key).or_default() += 1;
+}
--- a/crates/firdock-policy/src/table/service.rs
+++ b/crates/firdock-policy/src/table/service.rs
@@ -1,5 +1,7 @@
 //! Services with their tier, endpoints and queue.
 
+use std::time::Duration;
+
 use firdock_core::resource::{Service, Tier};
 
 use super::queue::FairQueue;
@@ -38,6 +40,8 @@
     pub live: u32,
     /// Mean length of its answers in tokens, learned.
     pub output: f64,
+    /// Longest time that a caller left a request of it, which is that of a first try.
+    pub longest_left: Duration,
     /// Arrivals since the demand was last told.
     pub arrivals: u32,
     /// Arrivals a second, smoothed.
@@ -56,11 +60,24 @@
             queue: FairQueue::default(),
             live: 0,
             output: FIRST_GUESS,
+            longest_left: Duration::ZERO,
             arrivals: 0,
             rate: 0.0,
         }
     }
 
+    /// Gives how long ago a caller first tried a request, by the time that it leaves this try.
+    ///
+    /// Callers do not say that they come back. They leave each try what is left of their time, so that
+    /// the longest that is seen is that of a first try.
+    pub fn since_first(&mut self, left: Option<Duration>) -> Duration {
+        let Some(left) = left else {
+            return Duration::ZERO;
+        };
+        self.longest_left = self.longest_left.max(left);
+        self.longest_left.saturating_sub(left)
+    }
+
     /// Learns the length of an answer.
     pub fn learn_output(&mut self, tokens: u32) {
         self.output += LEARN * (f64::from(tokens) - self.output);
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -9,4 +9,5 @@
 mod random;
 mod rules;
 mod scene;
+mod tries;
 mod world;
--- /dev/null
+++ b/crates/firdock-policy/tests/policy/tries.rs
@@ -0,0 +1,64 @@
+//! What callers get from their first try on, by which times to come back are judged.
+
+use std::collections::BTreeMap;
+
+use firdock_policy::event::DispatchNews;
+use firdock_policy::stats::{TryEnd, TryKey};
+use firdock_policy::{NewRequest, Policy as _};
+
+use crate::edge::{Edge, edge_settings, request, resources};
+use crate::scene::millis;
+
+const ENDED: DispatchNews = DispatchNews::Ended {
+    prompt: 90,
+    cached: 0,
+    output: 10,
+};
+
+/// A request whose caller leaves it so many milliseconds.
+fn with_left(edge: &Edge, n: u64, account: &str, left: u64) -> NewRequest {
+    NewRequest {
+        deadline: Some(edge.now + millis(left)),
+        ..request(n, "safe", account)
+    }
+}
+
+fn tries(edge: &Edge) -> BTreeMap<(bool, TryEnd), u64> {
+    let all = &edge.scheduler.tables().stats.tries;
+    let short = |(key, n): (&TryKey, &u64)| ((key.returned, key.end), *n);
+    all.iter().map(short).collect()
+}
+
+#[test]
+fn a_try_counts_from_the_first_one_of_its_request() {
+    let mut edge = Edge::new(edge_settings("a"), resources());
+    // First tries leave 3 s; the target is 0.5 s.
+    edge.arrive(with_left(&edge, 1, "free", 3_000));
+    edge.tell(1, 1, ENDED);
+    // One comes back after 0.2 s and one after 1 s; both are answered at once.
+    edge.arrive(with_left(&edge, 2, "free", 2_800));
+    edge.tell(2, 1, ENDED);
+    edge.arrive(with_left(&edge, 3, "free", 2_000));
+    edge.tell(3, 1, ENDED);
+    let expected = BTreeMap::from([
+        ((false, TryEnd::InTime), 1),
+        ((true, TryEnd::InTime), 1),
+        ((true, TryEnd::Late), 1),
+    ]);
+    assert_eq!(tries(&edge), expected);
+}
+
+#[test]
+fn a_refusal_for_a_limit_is_a_try_that_did_not_run() {
+    let mut edge = Edge::new(edge_settings("a"), resources());
+    edge.arrive(with_left(&edge, 1, "free", 3_000));
+    edge.tell(1, 1, ENDED);
+    // The account's limit lets one request pass, and is overdrawn by it for a while.
+    for n in 2..5 {
+        edge.arrive(with_left(&edge, n, "limited", 3_000));
+    }
+    edge.arrive(with_left(&edge, 9, "limited", 2_500));
+    let refused = |returned| tries(&edge).get(&(returned, TryEnd::NotRun)).copied();
+    assert_eq!(refused(false), Some(2));
+    assert_eq!(refused(true), Some(1));
+}
