--- /dev/null
+++ b/crates/firdock-node/src/peer/reads/state.rs
@@ -0,0 +1,179 @@
+//! What an instance knows of the platform's store and from whom, and what is due by that.
+
+use std::time::Duration;
+
+use firdock_policy::Time;
+
+use super::Reads;
+use super::clocks::PeerClocks;
+use super::due::{Due, LastRead, TopicAge, start_by};
+use crate::peer::book::Turn;
+use crate::peer::topic::{Image, Topic, TopicRecords};
+
+/// Time in which no instance read the list of endpoints that counts as an outage of it: longer
+/// than an instance waits for its peers' words, shorter than entries live without being renewed.
+pub(super) const OUTAGE: Duration = Duration::from_millis(2_200);
+/// Least time between two questions for what a peer has newer: its answer takes a few milliseconds,
+/// and comes to all that ask at once within some hundred.
+const ASK_PAUSE: Duration = Duration::from_millis(150);
+/// What is known of the topics, as it stands in the store.
+#[derive(Debug, Default)]
+pub(super) struct Images {
+    config: Option<Image>,
+    endpoints: Option<Image>,
+}
+
+impl Images {
+    pub(super) fn of(&mut self, topic: Topic) -> &mut Option<Image> {
+        match topic {
+            Topic::Config => &mut self.config,
+            Topic::Endpoints => &mut self.endpoints,
+        }
+    }
+}
+
+/// What an instance knows, and what follows from it.
+#[derive(Debug, Default)]
+pub(super) struct Inner {
+    pub(super) own: Reads,
+    pub(super) read_at: Time,
+    /// When the last read failed, if it did, and until when nothing is read again.
+    pub(super) failed_at: Option<Time>,
+    pub(super) held_until: Time,
+    /// Whether peers are asked before the store is, at the start.
+    pub(super) asks_first: bool,
+    /// When the instance began to look for what is due.
+    pub(super) started: Option<Time>,
+    /// When a peer was last asked for what it has newer.
+    pub(super) asked_at: Time,
+    pub(super) config_news: Option<Time>,
+    pub(super) endpoints_news: Option<Time>,
+    /// What peers told, to be taken.
+    pub(super) told: Vec<TopicRecords>,
+    pub(super) images: Images,
+    pub(super) clocks: PeerClocks,
+}
+
+impl Inner {
+    pub(super) fn steady_since(&self, at: Time) -> Time {
+        let first = self.own.endpoints_at == Time::ZERO;
+        if first || self.own.endpoints_at + OUTAGE < at {
+            at
+        } else {
+            self.own.steady_since
+        }
+    }
+
+    /// Takes a peer's word on the last outage, by times of the own clock.
+    ///
+    /// An instance that was cut off alone saw no read for as long, while the list was read by others
+    /// and endpoints renewed their entries. What differs by less than an outage is the clocks' doing.
+    pub(super) fn hear_steady(&mut self, told: Reads) {
+        let own = self.own.steady_since;
+        let known = told.steady_since > Time::ZERO;
+        let spans = known && told.steady_since + OUTAGE < own && own <= told.endpoints_at + OUTAGE;
+        if spans {
+            self.own.steady_since = told.steady_since;
+        }
+    }
+
+    /// Gives what is due now, and when to look again if nothing is.
+    pub(super) fn due(&mut self, now: Time, pause: Duration, turn: Turn) -> (Due, Time) {
+        if !self.told.is_empty() {
+            return (Due::TOLD, now);
+        }
+        if now < self.held_until {
+            return (Due::default(), self.held_until);
+        }
+        let started = *self.started.get_or_insert(now);
+        if self.own.config_at == Time::ZERO {
+            let by = start_by(started, self.asks_first);
+            let due = if by <= now {
+                Due::START
+            } else {
+                Due::default()
+            };
+            return (due, by);
+        }
+        let last = LastRead {
+            at: self.read_at,
+            failed_at: self.failed_at,
+        };
+        let (config_by, config) = self.config_age().next_read(pause, turn, last);
+        let (endpoints_by, endpoints) = self.endpoints_age().next_read(pause, turn, last);
+        let due = Due {
+            config: (config_by <= now).then_some(config),
+            endpoints: (endpoints_by <= now).then_some(endpoints),
+            told: false,
+        };
+        (due, config_by.min(endpoints_by))
+    }
+
+    fn config_age(&self) -> TopicAge {
+        TopicAge {
+            fresh_at: self.own.config_at,
+            news_since: self.config_news,
+        }
+    }
+
+    fn endpoints_age(&self) -> TopicAge {
+        TopicAge {
+            fresh_at: self.own.endpoints_at,
+            news_since: self.endpoints_news,
+        }
+    }
+
+    /// Notes what a peer has newer; tells whether it is to be asked for that now.
+    pub(super) fn hear_news(&mut self, now: Time, told: Reads) -> bool {
+        let config = told.version > self.own.version;
+        let endpoints = told.endpoints_next > self.own.endpoints_next;
+        if config {
+            self.config_news.get_or_insert(now);
+        }
+        if endpoints {
+            self.endpoints_news.get_or_insert(now);
+        }
+        let asks =
+            (config || endpoints) && self.told.is_empty() && self.asked_at + ASK_PAUSE <= now;
+        if asks {
+            self.asked_at = now;
+        }
+        asks
+    }
+
+    /// Takes over when a peer found what is known here to be the newest; gives that time for the
+    /// configuration, if it is later than what was known.
+    pub(super) fn confirm(&mut self, told: Reads) -> Option<Time> {
+        let known = self.own.endpoints_at > Time::ZERO && told.endpoints_at > Time::ZERO;
+        if known && self.own.endpoints_next >= told.endpoints_next {
+            // What is known here holds all that the peer saw.
+            self.see_endpoints(told.endpoints_at);
+        }
+        let same_config = self.own.config_at > Time::ZERO && self.own.version == told.version;
+        if !same_config || told.config_at <= self.own.config_at {
+            return None;
+        }
+        self.own.config_at = told.config_at;
+        (self.own.version > 0).then_some(told.config_at)
+    }
+
+    /// Takes what was read or told, by times of the own clock.
+    pub(super) fn take(&mut self, reads: Reads) {
+        self.own.version = reads.version;
+        self.own.endpoints_next = reads.endpoints_next;
+        if reads.config_at > Time::ZERO {
+            self.own.config_at = self.own.config_at.max(reads.config_at);
+            self.config_news = None;
+        }
+        if reads.endpoints_at > Time::ZERO {
+            self.see_endpoints(reads.endpoints_at);
+            self.endpoints_news = None;
+        }
+    }
+
+    /// Takes it that the list of endpoints was the newest at `at`.
+    fn see_endpoints(&mut self, at: Time) {
+        self.own.steady_since = self.steady_since(at);
+        self.own.endpoints_at = self.own.endpoints_at.max(at);
+    }
+}
--- /dev/null
+++ b/crates/firdock-node/tests/node/party.rs
@@ -0,0 +1,60 @@
+//! An instance's side of the datagrams, with a socket of its own.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use firdock_node::clock::Clock;
+use firdock_node::peer::{Beacons, PeerBook, SelfNews, SharedReads, UseRelay};
+use firdock_node::telemetry::silent;
+use firdock_policy::event::Member;
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, watch};
+use uuid::Uuid;
+
+/// Inputs that may wait for a test to look at them.
+const WAITING: usize = 256;
+
+pub struct Party {
+    pub beacons: Beacons,
+    pub book: Arc<PeerBook>,
+    pub reads: Arc<SharedReads>,
+    pub events: mpsc::Receiver<firdock_node::Input>,
+    pub news: watch::Sender<SelfNews>,
+}
+
+impl Party {
+    /// Makes an instance that asks `seeds` at its start, if there are any.
+    pub fn new(name: &str, socket: UdpSocket, clock: Clock, seeds: Vec<SocketAddr>) -> Self {
+        let book = Arc::new(PeerBook::new(name.to_owned(), "zone".to_owned()));
+        let reads = SharedReads::default().with_peers_first(!seeds.is_empty());
+        let reads = Arc::new(reads);
+        let (inputs, events) = mpsc::channel(WAITING);
+        let (news, told) = watch::channel(SelfNews::default());
+        let beacons = Beacons {
+            socket: Arc::new(socket),
+            member: Member {
+                name: name.to_owned(),
+                incarnation: Uuid::now_v7(),
+            },
+            key: Arc::from(b"a key that all share".as_slice()),
+            book: Arc::clone(&book),
+            reads: Arc::clone(&reads),
+            news: told,
+            changes: mpsc::channel(1).1,
+            seeds,
+            relay: UseRelay::default(),
+            inputs,
+            pause: Duration::from_millis(20),
+            clock,
+            log: silent(),
+        };
+        Self {
+            beacons,
+            book,
+            reads,
+            events,
+            news,
+        }
+    }
+}
--- a/crates/firdock-node/tests/node/peers.rs
+++ b/crates/firdock-node/tests/node/peers.rs
@@ -7,18 +7,18 @@
 use firdock_core::settings::Settings;
 use firdock_node::clock::Clock;
 use firdock_node::peer::{
-    Beacons, KnownPeer, PeerBook, PeerWord, Power, Reader, Reads, SelfNews, SharedReads, Teller,
-    Topic, TopicRecords, Turn, UseRelay, open_beacons, seal,
+    KnownPeer, PeerBook, PeerWord, Power, Reader, Reads, SelfNews, SharedReads, Teller, Topic,
+    TopicRecords, Turn, open_beacons, seal,
 };
-use firdock_node::telemetry::silent;
-use firdock_policy::event::Member;
 use firdock_policy::{Event, Policy as _, PolicySettings, Scheduler};
 use firdock_wire::PROTOCOL;
 use firdock_wire::message::{Beacon, Heartbeat, datagram};
 use tokio::net::UdpSocket;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use uuid::Uuid;
 
+use crate::party::Party;
+
 const INCARNATION: Uuid = Uuid::from_u128(7);
 
 fn millis(n: u64) -> Duration {
@@ -182,49 +182,17 @@
     SelfNews::new(scheduler.tables(), millis(1))
 }
 
-struct Party {
-    beacons: Beacons,
-    reads: Arc<SharedReads>,
-    events: mpsc::Receiver<firdock_node::Input>,
-    news: watch::Sender<SelfNews>,
-}
-
+/// An instance that tells what version 4 is in force, and knows of another.
 fn party(name: &str, socket: UdpSocket, clock: Clock, other: (&str, &UdpSocket)) -> Party {
-    let book = Arc::new(PeerBook::new(name.to_owned(), "zone".to_owned()));
-    let address = other.1.local_addr().expect("an address");
+    let party = Party::new(name, socket, clock, Vec::new());
+    party.news.send_replace(news(4));
     let known = KnownPeer {
         name: other.0.to_owned(),
-        address,
+        address: other.1.local_addr().expect("an address"),
         zone: "zone".to_owned(),
     };
-    book.know(known, clock.now());
-    let reads = Arc::new(SharedReads::default());
-    let (inputs, events) = mpsc::channel(64);
-    let (sender, receiver) = watch::channel(news(4));
-    let beacons = Beacons {
-        socket: Arc::new(socket),
-        member: Member {
-            name: name.to_owned(),
-            incarnation: Uuid::now_v7(),
-        },
-        key: Arc::from(b"a key that all share".as_slice()),
-        book,
-        reads: Arc::clone(&reads),
-        news: receiver,
-        changes: mpsc::channel(1).1,
-        seeds: Vec::new(),
-        relay: UseRelay::default(),
-        inputs,
-        pause: millis(20),
-        clock,
-        log: silent(),
-    };
-    Party {
-        beacons,
-        reads,
-        events,
-        news: sender,
-    }
+    party.book.know(known, clock.now());
+    party
 }
 
 /// Finding 16: an instance that stops is sent nothing any more, so that it hears hardly anyone; its
--- a/crates/firdock-node/tests/node/sharing.rs
+++ b/crates/firdock-node/tests/node/sharing.rs
@@ -1,20 +1,17 @@
 //! Hundreds of instances before one store: who reads it, who is told, and who leads.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use firdock_node::clock::Clock;
 use firdock_node::peer::{
-    Beacons, Image, KeyedRecord, PeerBook, PeerWord, Power, ReadReason, Reader, Reads, SelfNews,
-    SharedReads, Teller, Topic, TopicRecords, Turn, UseRelay, open_beacons,
+    Image, KeyedRecord, PeerBook, PeerWord, Power, ReadReason, Reader, Reads, SharedReads, Teller,
+    Topic, TopicRecords, Turn, open_beacons,
 };
-use firdock_node::telemetry::silent;
-use firdock_policy::event::Member;
-use tokio::net::UdpSocket;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use uuid::Uuid;
 
+use crate::party::Party;
+
 /// Pause between two reads, as the deployments set it.
 const PAUSE: Duration = Duration::from_millis(600);
 /// A time at which instances have run for long.
@@ -34,6 +31,16 @@
     }
 }
 
+/// The lead of the instance's group, whose clock is known to be the same.
+fn lead_of(shared: &SharedReads) -> Teller {
+    let lead = Teller {
+        name: "lead".to_owned(),
+        incarnation: Uuid::from_u128(7),
+    };
+    shared.take_clock(&lead.name, lead.incarnation, START, START);
+    lead
+}
+
 fn member(place: usize, of: usize) -> Turn {
     let reader = Reader::Member;
     Turn { reader, place, of }
@@ -74,11 +81,7 @@
 fn a_member_that_hears_its_lead_never_reads() {
     let shared = SharedReads::default();
     shared.note(START, known(5, 1, START));
-    let lead = Teller {
-        name: "lead".to_owned(),
-        incarnation: Uuid::from_u128(7),
-    };
-    shared.take_clock(&lead.name, lead.incarnation, START, START);
+    let lead = lead_of(&shared);
     for tick in 0..600 {
         let now = START + millis(tick * 100);
         // Every 600 ms the lead reads, and tells of it with each heartbeat.
@@ -94,11 +97,7 @@
 fn what_a_peer_has_newer_is_asked_of_it_before_the_store_is_read() {
     let shared = SharedReads::default();
     shared.note(START, known(5, 1, START));
-    let lead = Teller {
-        name: "lead".to_owned(),
-        incarnation: Uuid::from_u128(7),
-    };
-    shared.take_clock(&lead.name, lead.incarnation, START, START);
+    let lead = lead_of(&shared);
     let now = START + millis(600);
     let heard = shared.hear(now, &lead, known(6, 1, now));
     assert!(heard.ask_state);
@@ -161,46 +160,6 @@
     assert!(told.follows(Some(7)) && told.follows(Some(8)) && !told.follows(Some(6)));
 }
 
-struct Party {
-    beacons: Beacons,
-    reads: Arc<SharedReads>,
-    book: Arc<PeerBook>,
-    _news: watch::Sender<SelfNews>,
-    events: mpsc::Receiver<firdock_node::Input>,
-}
-
-fn party(name: &str, socket: UdpSocket, clock: Clock, seeds: Vec<SocketAddr>) -> Party {
-    let book = Arc::new(PeerBook::new(name.to_owned(), "zone".to_owned()));
-    let reads = Arc::new(SharedReads::default().with_peers_first(!seeds.is_empty()));
-    let (inputs, events) = mpsc::channel(256);
-    let (sender, receiver) = watch::channel(SelfNews::default());
-    let beacons = Beacons {
-        socket: Arc::new(socket),
-        member: Member {
-            name: name.to_owned(),
-            incarnation: Uuid::now_v7(),
-        },
-        key: Arc::from(b"a key that all share".as_slice()),
-        book: Arc::clone(&book),
-        reads: Arc::clone(&reads),
-        news: receiver,
-        changes: mpsc::channel(1).1,
-        seeds,
-        relay: UseRelay::default(),
-        inputs,
-        pause: millis(20),
-        clock,
-        log: silent(),
-    };
-    Party {
-        beacons,
-        reads,
-        book,
-        _news: sender,
-        events,
-    }
-}
-
 /// All instances start at one moment: the one that the others ask reads the store, and answers them
 /// once it knows all.
 #[tokio::test]
@@ -209,9 +168,9 @@
     let socket = open_beacons(any).await.expect("a socket");
     let to = socket.local_addr().expect("an address");
     let clock = Clock::new();
-    let seed = party("seed", socket, clock, Vec::new());
+    let seed = Party::new("seed", socket, clock, Vec::new());
     let socket = open_beacons(any).await.expect("a socket");
-    let starter = party("starter", socket, clock, vec![to]);
+    let starter = Party::new("starter", socket, clock, vec![to]);
     let (stop, stops) = watch::channel(false);
     let running = [
         tokio::spawn(seed.beacons.run(stops.clone())),
