--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -4,26 +4,25 @@
 //! means for the request is decided here: ran or not, whose answer it is, whole or broken
 //! (see `docs/design/endpoints.md`).
 
+mod plain;
+mod stream;
+
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use firdock_core::{EndpointId, RequestId};
 use firdock_policy::event::DispatchNews;
-use http_body_util::{BodyExt as _, Full};
-use hyper::body::{Body as _, Incoming};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 
-use super::events::{EventCutter, WholeEvents};
+use self::plain::pass_plain;
+use self::stream::Stream;
 use super::run::{Run, Stop};
 use super::{Backends, Place};
 use crate::exchange::{AnswerHead, Part, Payload};
 use crate::http::{CallError, connect, strip_hop_by_hop};
 
-/// Longest answer that is taken whole before any of it is passed on.
-///
-/// An endpoint that breaks off is then seen before the caller has a part of its answer, so that
-/// the request may go on elsewhere. Longer answers would cost memory, and time to the first byte.
-const WHOLE_BYTES: usize = 64 << 10;
 /// Time allowed beyond a request's own limit before the endpoint counts as silent; the scheduler
 /// ends requests whose time is up, so this only bounds what it never hears of.
 const PAST_DEADLINE: Duration = Duration::from_secs(2);
@@ -128,13 +127,7 @@
             headers: parts.headers,
         };
         if payload.terms.streamed && status.is_success() {
-            let stream = Stream {
-                run,
-                head: Some(head),
-                event_tokens: place.event_tokens,
-                started: false,
-            };
-            stream.pass(body).await
+            Stream::new(run, head, place.event_tokens).pass(body).await
         } else {
             pass_plain(run, head, body).await
         }
@@ -177,62 +170,6 @@
     word
 }
 
-/// Passes an answer on that is no stream.
-async fn pass_plain(run: &Run, head: AnswerHead, body: Incoming) -> &'static str {
-    let passed = match read_whole(body).await {
-        Ok(Whole::All(bytes)) => pass_start(run, head, bytes).await,
-        Ok(Whole::Part(bytes, rest)) => match pass_start(run, head, bytes).await {
-            Ok(()) => pass_rest(run, rest).await,
-            Err(stop) => Err(stop),
-        },
-        Err(stop) => Err(stop),
-    };
-    finish(run, passed, 0).await
-}
-
-/// What was read of a body.
-enum Whole {
-    /// All of it.
-    All(Bytes),
-    /// As much as is taken before any is passed on, and the rest to come.
-    Part(Bytes, Incoming),
-}
-
-async fn read_whole(mut body: Incoming) -> Result<Whole, Stop> {
-    let mut read = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else {
-            return Err(Stop::Endpoint);
-        };
-        if let Ok(bytes) = frame.into_data() {
-            read.extend_from_slice(&bytes);
-        }
-        if read.len() > WHOLE_BYTES && !body.is_end_stream() {
-            return Ok(Whole::Part(read.freeze(), body));
-        }
-    }
-    Ok(Whole::All(read.freeze()))
-}
-
-async fn pass_start(run: &Run, head: AnswerHead, bytes: Bytes) -> Result<(), Stop> {
-    run.tell(DispatchNews::Started { head_sent: true }).await;
-    run.pass(Part::Head(head)).await?;
-    if bytes.is_empty() {
-        return Ok(());
-    }
-    run.pass(Part::Data(bytes)).await
-}
-
-async fn pass_rest(run: &Run, mut body: Incoming) -> Result<(), Stop> {
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_broken| Stop::Endpoint)?;
-        if let Ok(bytes) = frame.into_data() {
-            run.pass(Part::Data(bytes)).await?;
-        }
-    }
-    Ok(())
-}
-
 /// Tells the scheduler how the answer ended.
 async fn finish(run: &Run, passed: Result<(), Stop>, output: u32) -> &'static str {
     match passed {
@@ -254,76 +191,3 @@
         Err(Stop::Endpoint) => broke(run, "broke").await,
     }
 }
-
-/// A stream of events on its way to the caller.
-struct Stream<'a> {
-    run: &'a Run,
-    /// Head of the answer, until it is passed on.
-    head: Option<AnswerHead>,
-    event_tokens: u32,
-    started: bool,
-}
-
-impl Stream<'_> {
-    async fn pass(mut self, body: Incoming) -> &'static str {
-        let passed = self.pass_events(body).await;
-        let output = self.run.delivered().tokens;
-        finish(self.run, passed, output).await
-    }
-
-    async fn pass_events(&mut self, mut body: Incoming) -> Result<(), Stop> {
-        let mut cutter = EventCutter::default();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_broken| Stop::Endpoint)?;
-            let Ok(bytes) = frame.into_data() else {
-                continue;
-            };
-            let whole = cutter.push(&bytes).map_err(|_too_long| Stop::Endpoint)?;
-            if let Some(events) = whole {
-                self.pass_whole(events).await?;
-            }
-        }
-        self.begin().await?;
-        let rest = cutter.rest();
-        if rest.is_empty() {
-            return Ok(());
-        }
-        self.run.pass(Part::Data(rest)).await
-    }
-
-    async fn pass_whole(&mut self, events: WholeEvents) -> Result<(), Stop> {
-        self.begin().await?;
-        self.note(events.count, events.last_id);
-        self.run.pass(Part::Data(events.bytes)).await?;
-        if !self.started {
-            self.started = true;
-            let delivered = self.run.delivered().tokens;
-            let cached = 0;
-            self.run
-                .tell(DispatchNews::Tokens { delivered, cached })
-                .await;
-        }
-        Ok(())
-    }
-
-    /// Notes how far the answer has come, before its events are passed on.
-    fn note(&self, events: u32, last_id: Option<String>) {
-        let mut delivered = self.run.delivered();
-        delivered.tokens += events * self.event_tokens;
-        delivered.last_event = last_id.or(delivered.last_event.take());
-    }
-
-    /// Passes the head on, once over all dispatches of the request.
-    async fn begin(&mut self) -> Result<(), Stop> {
-        let Some(head) = self.head.take() else {
-            return Ok(());
-        };
-        self.run
-            .tell(DispatchNews::Started { head_sent: true })
-            .await;
-        if std::mem::replace(&mut self.run.delivered().head_sent, true) {
-            return Ok(());
-        }
-        self.run.pass(Part::Head(head)).await
-    }
-}
--- /dev/null
+++ b/crates/firdock-node/src/endpoint/relay/stream.rs
@@ -0,0 +1,93 @@
+//! Streams of events: passed on by whole events, and taken up after the last one that the caller has.
+
+use firdock_policy::event::DispatchNews;
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+
+use super::finish;
+use crate::endpoint::events::{EventCutter, WholeEvents};
+use crate::endpoint::run::{Run, Stop};
+use crate::exchange::{AnswerHead, Part};
+
+/// A stream of events on its way to the caller.
+pub(super) struct Stream<'a> {
+    run: &'a Run,
+    /// Head of the answer, until it is passed on.
+    head: Option<AnswerHead>,
+    event_tokens: u32,
+    started: bool,
+}
+
+impl<'a> Stream<'a> {
+    /// Makes the stream of a run whose answer began with a head.
+    pub(super) fn new(run: &'a Run, head: AnswerHead, event_tokens: u32) -> Self {
+        Self {
+            run,
+            head: Some(head),
+            event_tokens,
+            started: false,
+        }
+    }
+
+    pub(super) async fn pass(mut self, body: Incoming) -> &'static str {
+        let passed = self.pass_events(body).await;
+        let output = self.run.delivered().tokens;
+        finish(self.run, passed, output).await
+    }
+
+    async fn pass_events(&mut self, mut body: Incoming) -> Result<(), Stop> {
+        let mut cutter = EventCutter::default();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_broken| Stop::Endpoint)?;
+            let Ok(bytes) = frame.into_data() else {
+                continue;
+            };
+            let whole = cutter.push(&bytes).map_err(|_too_long| Stop::Endpoint)?;
+            if let Some(events) = whole {
+                self.pass_whole(events).await?;
+            }
+        }
+        self.begin().await?;
+        let rest = cutter.rest();
+        if rest.is_empty() {
+            return Ok(());
+        }
+        self.run.pass(Part::Data(rest)).await
+    }
+
+    async fn pass_whole(&mut self, events: WholeEvents) -> Result<(), Stop> {
+        self.begin().await?;
+        self.note(events.count, events.last_id);
+        self.run.pass(Part::Data(events.bytes)).await?;
+        if !self.started {
+            self.started = true;
+            let delivered = self.run.delivered().tokens;
+            let cached = 0;
+            self.run
+                .tell(DispatchNews::Tokens { delivered, cached })
+                .await;
+        }
+        Ok(())
+    }
+
+    /// Notes how far the answer has come, before its events are passed on.
+    fn note(&self, events: u32, last_id: Option<String>) {
+        let mut delivered = self.run.delivered();
+        delivered.tokens += events * self.event_tokens;
+        delivered.last_event = last_id.or(delivered.last_event.take());
+    }
+
+    /// Passes the head on, once over all dispatches of the request.
+    async fn begin(&mut self) -> Result<(), Stop> {
+        let Some(head) = self.head.take() else {
+            return Ok(());
+        };
+        self.run
+            .tell(DispatchNews::Started { head_sent: true })
+            .await;
+        if std::mem::replace(&mut self.run.delivered().head_sent, true) {
+            return Ok(());
+        }
+        self.run.pass(Part::Head(head)).await
+    }
+}
