--- a/crates/firdock-node/src/placement/coordinator.rs
+++ b/crates/firdock-node/src/placement/coordinator.rs
@@ -1,17 +1,17 @@
 //! The coordinator's side: the scheduler of a whole group, whose dispatches are placements.
 
+mod take;
+
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use firdock_core::{EndpointId, InstanceId, RequestId};
+use firdock_core::{InstanceId, RequestId};
 use firdock_policy::action::Dispatch;
-use firdock_policy::event::{DispatchNews, EndpointEvent};
-use firdock_policy::request::Phase;
-use firdock_policy::{Action, Event, NewRequest, Policy as _, Scheduler, Time, Verdict};
+use firdock_policy::{Action, Event, Policy as _, Scheduler, Time, Verdict};
 use uuid::Uuid;
 
-use super::report::{Course, News, Placed, Refused, Reply, Report, Wanted};
+use super::report::{Placed, Refused, Reply, Report};
 
 /// Silence after which a member is taken for gone, with all that it ran: five of its reports.
 const SILENCE: Duration = Duration::from_secs(1);
@@ -173,131 +173,6 @@
         self.scheduler.check_invariants(now);
     }
 
-    /// Notes that a member was heard; what an earlier process of it ran is over.
-    fn meet(&mut self, now: Time, report: &Report, address: Option<SocketAddr>) {
-        let known = self.members.get(&report.instance);
-        if known.is_some_and(|m| m.incarnation != report.incarnation) {
-            self.remove(now, &report.instance);
-        }
-        let member = self
-            .members
-            .entry(report.instance.clone())
-            .or_insert_with(|| Member::new(now, report, address));
-        member.address = address;
-        member.heard = now;
-    }
-
-    fn take_news(&mut self, now: Time, name: &str, news: News) {
-        let owner = self.owners.get(&news.id);
-        let current = owner.is_some_and(|o| o.member == name && o.attempt == news.attempt);
-        let row = self.scheduler.tables().requests.get(news.id);
-        let Some(row) = row.filter(|_| current) else {
-            return;
-        };
-        let dispatch = row.dispatch;
-        let Some(told) = dispatch_news(news.course) else {
-            self.drop_request(now, news.id);
-            return;
-        };
-        let event = EndpointEvent {
-            id: news.id,
-            dispatch,
-            news: told,
-        };
-        self.step(now, Event::Endpoint(event));
-        self.forget_if_ended(news.id);
-    }
-
-    /// Takes a request that runs and was placed by another coordinator, or by the member itself.
-    fn take_running(&mut self, now: Time, name: &str, wanted: Wanted, endpoint: EndpointId) {
-        let id = wanted.new.id;
-        if self.is_current(&id, wanted.attempt) {
-            return;
-        }
-        self.drop_request(now, id);
-        let attempt = wanted.attempt;
-        self.step(now, Event::Adopted(dated(now, wanted), endpoint));
-        if self.scheduler.tables().requests.get(id).is_some() {
-            self.own(now, name, id, attempt);
-        }
-    }
-
-    fn take_waiting(&mut self, now: Time, name: &str, wanted: Wanted) {
-        let id = wanted.new.id;
-        if self.is_current(&id, wanted.attempt) {
-            self.place_again(name, id, wanted.attempt);
-            return;
-        }
-        self.drop_request(now, id);
-        // Before it arrives, since it may be placed or refused at once.
-        self.own(now, name, id, wanted.attempt);
-        self.step(now, Event::Arrived(dated(now, wanted)));
-        self.forget_if_ended(id);
-    }
-
-    fn is_current(&self, id: &RequestId, attempt: u32) -> bool {
-        self.owners.get(id).is_some_and(|o| o.attempt == attempt)
-    }
-
-    /// Tells a place once more that the member does not know of: its word was lost, or is on its way.
-    fn place_again(&mut self, name: &str, id: RequestId, attempt: u32) {
-        let t = self.scheduler.tables();
-        let Some(Phase::Dispatching(at)) = t.requests.get(id).map(|r| r.phase) else {
-            return;
-        };
-        let endpoint = t.endpoints.get(at).declared.name.clone();
-        let placed = Placed {
-            id,
-            attempt,
-            endpoint,
-        };
-        if let Some(member) = self.members.get_mut(name) {
-            member.reply().placed.push(placed);
-        }
-    }
-
-    fn own(&mut self, now: Time, name: &str, id: RequestId, attempt: u32) {
-        let owner = Owner {
-            member: name.to_owned(),
-            attempt,
-            since: now,
-        };
-        self.owners.insert(id, owner);
-    }
-
-    /// Drops the requests of a member that its whole report does not tell of.
-    fn drop_untold(&mut self, now: Time, name: &str, told: &HashSet<RequestId>) {
-        let untold = self.owners.iter().filter(|(id, o)| {
-            o.member == name && o.since + ON_ITS_WAY <= now && !told.contains(id)
-        });
-        let ids: Vec<RequestId> = untold.map(|(id, _)| *id).collect();
-        for id in ids {
-            self.drop_request(now, id);
-        }
-    }
-
-    /// Removes a member with all that it had.
-    fn remove(&mut self, now: Time, name: &str) {
-        self.members.remove(name);
-        let owned = self.owners.iter().filter(|(_, o)| o.member == name);
-        let ids: Vec<RequestId> = owned.map(|(id, _)| *id).collect();
-        for id in ids {
-            self.drop_request(now, id);
-        }
-    }
-
-    fn drop_request(&mut self, now: Time, id: RequestId) {
-        if self.owners.remove(&id).is_some() {
-            self.step(now, Event::CallerLeft(id));
-        }
-    }
-
-    fn forget_if_ended(&mut self, id: RequestId) {
-        if self.scheduler.tables().requests.get(id).is_none() {
-            self.owners.remove(&id);
-        }
-    }
-
     fn step(&mut self, now: Time, event: Event) {
         self.scheduler.step(now, event, &mut self.actions);
         for action in std::mem::take(&mut self.actions) {
@@ -344,30 +219,3 @@
         }
     }
 }
-
-/// Gives what became of a request as news of its dispatch; `None` where it was dropped.
-fn dispatch_news(course: Course) -> Option<DispatchNews> {
-    Some(match course {
-        Course::Dropped => return None,
-        Course::Began => DispatchNews::Tokens {
-            delivered: 1,
-            cached: 0,
-        },
-        Course::Ended { prompt, output } => DispatchNews::Ended {
-            prompt,
-            cached: 0,
-            output,
-        },
-        Course::Broke => DispatchNews::Broke { delivered: 0 },
-        Course::Refused => DispatchNews::Refused { unreachable: false },
-        Course::Unreachable => DispatchNews::Refused { unreachable: true },
-    })
-}
-
-/// Gives a request with its deadline by this instance's clock.
-fn dated(now: Time, wanted: Wanted) -> NewRequest {
-    NewRequest {
-        deadline: wanted.left.map(|left| now + left),
-        ..wanted.new
-    }
-}
