--- a/crates/firdock-node/src/peer/reads.rs
+++ b/crates/firdock-node/src/peer/reads.rs
@@ -1,10 +1,12 @@
 //! Reads of the platform's store that instances share, so that not each of them has to read.
 //!
 //! An instance that read tells its peers what it found, and when. A peer that knows the same records
-//! knows then that they were the newest at that time; one that knows fewer asks for them. Times are told by the sender's clock. The receiver places them on its own by a bound
-//! from one exchange: an answer is sent after its question, so the sender's clock at the answer
-//! stands for no earlier time than that of the question. A process that stood still cannot take an
-//! old word for a new one by it (see `docs/design/platform.md`).
+//! knows then that they were the newest at that time; one that knows fewer asks for them.
+//!
+//! Times are told by the sender's clock. The receiver places them on its own by a bound from one
+//! exchange: an answer is sent after its question, so the sender's clock at the answer stands for no
+//! earlier time than that of the question. A process that stood still cannot take an old word for a
+//! new one by it (see `docs/design/sharing.md`).
 
 mod clocks;
 mod due;
@@ -21,12 +23,15 @@
 
 use self::due::start_by;
 pub use self::due::{Due, ReadReason};
-use self::state::{Inner, OUTAGE};
+use self::state::Inner;
 use super::book::Turn;
 use super::known::{Answer, Teller};
 use super::topic::{Image, Topic, TopicRecords};
 use crate::clock::Clock;
 
+/// Age of what is known beyond which every peer's word counts, and not that of leads alone: a read
+/// each 0.6 s, and two heartbeats on its way.
+const AGING: Duration = Duration::from_millis(1_100);
 /// Words of peers that may wait to be taken; beyond, the store is read.
 const MAX_TOLD: usize = 64;
 
@@ -120,7 +125,7 @@
     #[must_use]
     pub fn is_aging(&self, now: Time) -> bool {
         let own = self.own();
-        own.config_at.min(own.endpoints_at) + OUTAGE / 2 < now
+        own.config_at.min(own.endpoints_at) + AGING < now
     }
 
     /// Gives when the list of endpoints was first read after its last outage, if it is read at `at`.
--- a/crates/firdock-node/src/peer/reads/state.rs
+++ b/crates/firdock-node/src/peer/reads/state.rs
@@ -12,7 +12,7 @@
 
 /// Time in which no instance read the list of endpoints that counts as an outage of it: longer
 /// than an instance waits for its peers' words, shorter than entries live without being renewed.
-pub(super) const OUTAGE: Duration = Duration::from_millis(2_200);
+const OUTAGE: Duration = Duration::from_millis(2_200);
 /// Least time between two questions for what a peer has newer: its answer takes a few milliseconds,
 /// and comes to all that ask at once within some hundred.
 const ASK_PAUSE: Duration = Duration::from_millis(150);
