--- a/crates/firdock-policy/tests/policy/tries.rs
+++ b/crates/firdock-policy/tests/policy/tries.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use firdock_policy::NewRequest;
 use firdock_policy::event::DispatchNews;
 use firdock_policy::stats::{TryEnd, TryKey};
-use firdock_policy::NewRequest;
 
 use crate::edge::{Edge, edge_settings, request, resources};
 use crate::scene::millis;
