--- a/crates/firdock-node/src/endpoint/relay/plain.rs
+++ b/crates/firdock-node/src/endpoint/relay/plain.rs
@@ -14,6 +14,7 @@
 /// An endpoint that breaks off is then seen before the caller has a part of its answer, so that
 /// the request may go on elsewhere. Longer answers would cost memory, and time to the first byte.
 const WHOLE_BYTES: usize = 64 << 10;
+
 /// Passes an answer on that is no stream.
 pub(super) async fn pass_plain(run: &Run, head: AnswerHead, body: Incoming) -> &'static str {
     let passed = match read_whole(body).await {
--- a/crates/firdock-node/src/peer/beacon/answer.rs
+++ b/crates/firdock-node/src/peer/beacon/answer.rs
@@ -10,10 +10,11 @@
 
 use firdock_core::Offset;
 use firdock_policy::Time;
+use firdock_wire::message::PeerAddress;
 use slog::warn;
 
 use super::Beacons;
-use crate::peer::book::PeerBook;
+use crate::peer::book::{KnownPeer, PeerBook};
 use crate::peer::datagram::{seal, write_address};
 use crate::peer::known::{KnownState, Question, answer_body};
 use crate::peer::reads::SharedReads;
@@ -128,16 +129,16 @@
     }
 
     /// Gives all instances that are known, this one among them.
-    fn known_instances(&self, now: Time) -> Vec<firdock_wire::message::PeerAddress> {
+    fn known_instances(&self, now: Time) -> Vec<PeerAddress> {
         self.book.sweep(now);
-        let mut told: Vec<_> = self.book.known().iter().map(write_address).collect();
+        let mut known = self.book.known();
         if let Ok(address) = self.socket.local_addr() {
-            told.push(firdock_wire::message::PeerAddress {
-                instance: self.member.name.clone(),
-                address: address.to_string(),
+            known.push(KnownPeer {
+                name: self.member.name.clone(),
+                address,
                 zone: self.book.zone().to_owned(),
             });
         }
-        told
+        known.iter().map(write_address).collect()
     }
 }
--- a/crates/firdock-node/src/peer/beacon/meet.rs
+++ b/crates/firdock-node/src/peer/beacon/meet.rs
@@ -32,8 +32,8 @@
     seeds: Vec<SocketAddr>,
     started: Time,
     asked: usize,
-    again_at: Time,
-    again: bool,
+    /// When the others are asked for once more; `None` once they were.
+    again_at: Option<Time>,
 }
 
 impl Meeting {
@@ -45,17 +45,16 @@
             let first = rendezvous::hash_key(me.as_bytes()) % seeds.len() as u64;
             seeds.rotate_left(first as usize);
         }
+        let again_after = if asks_first {
+            AGAIN_AFTER
+        } else {
+            SEED_AGAIN_AFTER
+        };
         Self {
             seeds,
             started: now,
             asked: 0,
-            again_at: now
-                + if asks_first {
-                    AGAIN_AFTER
-                } else {
-                    SEED_AGAIN_AFTER
-                },
-            again: false,
+            again_at: Some(now + again_after),
         }
     }
 
@@ -68,16 +67,16 @@
         if missing && self.asked < TRIES {
             return Some(self.started + NEXT_PAUSE * self.asked as u32);
         }
-        (!self.again).then_some(self.again_at)
+        self.again_at
     }
 
     fn take_next(&mut self, now: Time) -> SocketAddr {
         let at = self.asked % self.seeds.len();
-        if now < self.again_at {
-            self.asked += 1;
-        } else {
+        if self.again_at.is_some_and(|at| at <= now) {
             self.asked = TRIES;
-            self.again = true;
+            self.again_at = None;
+        } else {
+            self.asked += 1;
         }
         self.seeds[at]
     }
