--- a/crates/firdock-core/src/ids.rs
+++ b/crates/firdock-core/src/ids.rs
@@ -17,6 +17,8 @@
 pub type ServiceId = String;
 /// Name of a pool: endpoints that take the same work.
 pub type PoolId = String;
+/// Version of the software that an endpoint runs, as the endpoint tells it; empty where it does not.
+pub type SoftwareVersion = String;
 /// Name of a tier.
 pub type TierId = String;
 /// Name of an availability zone.
--- a/crates/firdock-core/src/lib.rs
+++ b/crates/firdock-core/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use finding::{Finding, Findings};
 pub use ids::{
-    AccountId, EndpointId, InstanceId, Offset, PoolId, RequestId, ServiceId, TierId, TierRank,
-    Version, ZoneId,
+    AccountId, EndpointId, InstanceId, Offset, PoolId, RequestId, ServiceId, SoftwareVersion,
+    TierId, TierRank, Version, ZoneId,
 };
 pub use outcome::{Outcome, Reason};
--- a/crates/firdock-core/src/resource.rs
+++ b/crates/firdock-core/src/resource.rs
@@ -7,6 +7,7 @@
 mod catalog;
 mod endpoint;
 mod file;
+mod rollout;
 mod service;
 mod tier;
 
@@ -19,6 +20,7 @@
 pub use catalog::Catalog;
 pub use endpoint::{Endpoint, EndpointKind};
 pub use file::{parse_object, parse_resources};
+pub use rollout::Rollout;
 pub use service::{PoolWeight, Service, ServiceKind};
 pub use tier::Tier;
 
--- a/crates/firdock-core/src/resource/catalog.rs
+++ b/crates/firdock-core/src/resource/catalog.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Account, Endpoint, Resource, Service, Tier};
+use super::{Account, Endpoint, Resource, Rollout, Service, Tier};
 use crate::{Findings, Version};
 
 /// The declared resources at one version, as the policy takes them.
@@ -18,6 +18,9 @@
     pub services: Vec<Service>,
     /// Endpoints.
     pub endpoints: Vec<Endpoint>,
+    /// Roll-outs that operators ordered, at most one of each pool.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<Rollout>,
 }
 
 impl Catalog {
--- a/crates/firdock-core/src/resource/endpoint.rs
+++ b/crates/firdock-core/src/resource/endpoint.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::require;
-use crate::{EndpointId, Findings, PoolId, ServiceId, ZoneId};
+use crate::{EndpointId, Findings, PoolId, ServiceId, SoftwareVersion, ZoneId};
 
 /// What stands behind an endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -44,6 +44,9 @@
     pub event_tokens: u32,
     /// Declares that the endpoint is leaving: it gets no new work.
     pub leaving: bool,
+    /// Version of its software, by which roll-outs tell endpoints apart.
+    #[serde(skip_serializing_if = "SoftwareVersion::is_empty")]
+    pub version: SoftwareVersion,
 }
 
 impl Default for Endpoint {
@@ -60,6 +63,7 @@
             token_millis: 25.0,
             event_tokens: 1,
             leaving: false,
+            version: SoftwareVersion::new(),
         }
     }
 }
--- a/crates/firdock-core/src/settings.rs
+++ b/crates/firdock-core/src/settings.rs
@@ -11,7 +11,9 @@
 use toml::Spanned;
 
 pub use check::Profile;
-pub use tables::{Endpoints, Freshness, Instance, Keys, Limits, Logging, Peers, Platform};
+pub use tables::{
+    Endpoints, Freshness, Instance, Keys, Limits, Logging, Peers, Platform, Rollouts,
+};
 
 use crate::Findings;
 use crate::table::{Source, SpannedTable, add_syntax, read_table};
@@ -31,6 +33,8 @@
     pub endpoints: Endpoints,
     /// How old the configuration may be that requests are served by.
     pub freshness: Freshness,
+    /// How much a version may be tried before it is known to be good.
+    pub rollouts: Rollouts,
     /// Handling of idempotency keys.
     pub keys: Keys,
     /// What is logged.
@@ -90,6 +94,7 @@
             "limits" => self.limits = read_table(src, name, table, found),
             "endpoints" => self.endpoints = read_table(src, name, table, found),
             "freshness" => self.freshness = read_table(src, name, table, found),
+            "rollouts" => self.rollouts = read_table(src, name, table, found),
             "keys" => self.keys = read_table(src, name, table, found),
             "logging" => self.logging = read_table(src, name, table, found),
             _ => found.add(Some(line), name, "unknown table"),
--- a/crates/firdock-core/src/settings/check.rs
+++ b/crates/firdock-core/src/settings/check.rs
@@ -150,6 +150,19 @@
             "from 0 to 1",
             found,
         );
+        let r = &self.rollouts;
+        require(
+            ratio(r.exposure_ratio),
+            "rollouts.exposure_ratio",
+            "from 0 to 1",
+            found,
+        );
+        require(
+            r.exposure_slack.is_finite() && r.exposure_slack >= 0.0,
+            "rollouts.exposure_slack",
+            "0 or more",
+            found,
+        );
         positive(self.keys.grace_seconds, "keys.grace_seconds", found);
         let kept = self.keys.keep_seconds > 2 * self.keys.grace_seconds;
         require(
--- a/crates/firdock-core/src/settings/tables.rs
+++ b/crates/firdock-core/src/settings/tables.rs
@@ -245,6 +245,25 @@
     }
 }
 
+/// `[rollouts]`: how much a version may be tried before it is known to be good.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Rollouts {
+    /// Most requests that a bad version may get during its roll-out, as a part of all of its pool.
+    pub exposure_ratio: f64,
+    /// Requests that it may get on top, over all instances together.
+    pub exposure_slack: f64,
+}
+
+impl Default for Rollouts {
+    fn default() -> Self {
+        Self {
+            exposure_ratio: 0.1,
+            exposure_slack: 0.0,
+        }
+    }
+}
+
 /// `[keys]`: handling of idempotency keys.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -29,8 +29,9 @@
 use crate::peer::{self, Dialer, SelfNews};
 use crate::placement::Placement;
 use crate::site::Site;
+use crate::source::WantedRecords;
 use crate::telemetry::decisions::{LastSent, Story};
-use crate::telemetry::{Beliefs, Decisions, LineBudget, Metrics};
+use crate::telemetry::{Beliefs, Decisions, LineBudget, Metrics, RolloutSteps};
 
 /// Pause between two runs of the timed systems.
 const TICK: Duration = Duration::from_millis(25);
@@ -64,6 +65,8 @@
     pub inputs: mpsc::Sender<Input>,
     /// What peers are told of this instance.
     pub news: watch::Sender<SelfNews>,
+    /// States of roll-outs that are to be kept in the platform's store.
+    pub records: watch::Sender<WantedRecords>,
     /// Turns true once a stopping instance has nothing left to do.
     pub drained: watch::Sender<bool>,
 }
@@ -78,6 +81,7 @@
     ticks: u32,
     decisions: Decisions,
     beliefs: Beliefs,
+    steps: RolloutSteps,
     placement: Option<Placement>,
 }
 
@@ -108,6 +112,7 @@
     pub fn new(scheduler: Scheduler, parts: DriverParts<B>) -> Self {
         let decisions = Decisions::new(parts.log.clone(), Arc::clone(&parts.lines));
         let beliefs = Beliefs::new(parts.log.clone(), Arc::clone(&parts.lines));
+        let steps = RolloutSteps::new(parts.log.clone());
         Self {
             scheduler,
             parts,
@@ -116,6 +121,7 @@
             ticks: 0,
             decisions,
             beliefs,
+            steps,
             placement: None,
         }
     }
@@ -206,7 +212,9 @@
                     .answered(now, self.scheduler.tables(), row, &live.exchange);
                 return;
             }
-            DispatchNews::Started { .. } | DispatchNews::Tokens { .. } => return,
+            DispatchNews::Started { .. } | DispatchNews::Tokens { .. } | DispatchNews::Failed => {
+                return;
+            }
             DispatchNews::Refused { unreachable: true } => "unreachable",
             DispatchNews::Refused { unreachable: false } => "refused",
             DispatchNews::Lapsed => "lapsed",
@@ -228,6 +236,10 @@
         self.step(Event::Timer);
         self.tick_placement();
         self.ticks += 1;
+        let now = self.parts.clock.now();
+        if self.steps.note(now, self.scheduler.tables()) {
+            self.publish();
+        }
         if self.ticks.is_multiple_of(TICKS_PER_PUBLICATION) {
             let now = self.parts.clock.now();
             self.scheduler.check_invariants(now);
@@ -301,6 +313,9 @@
                 let sending = peer::transfer_keys(self.parts.dialer.clone(), peer, transfer);
                 self.parts.runtime.spawn(sending);
             }
+            Action::Record(record) => {
+                self.parts.records.send_modify(|wanted| wanted.add(record));
+            }
             Action::Drained => {
                 self.parts.drained.send_replace(true);
             }
--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -16,7 +16,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use self::parts::Parts;
+use self::parts::{DriverOutlets, Parts};
 use crate::clock::millis;
 use crate::door::{DoorState, Interface, Opening};
 use crate::driver::Driver;
@@ -26,7 +26,7 @@
 use crate::input::{INPUTS_WAITING, Input};
 use crate::instance::{AbortOnPanic, StartError, open};
 use crate::peer::SelfNews;
-use crate::source::ResourceSource;
+use crate::source::{ResourceSource, WantedRecords};
 use crate::telemetry::{LineBudget, silent};
 
 /// Time after the order to stop in which calls are still served: the balancer asks once a second,
@@ -93,6 +93,7 @@
         let (stop_rest, rest_stops) = watch::channel(false);
         let (drained, drain_seen) = watch::channel(false);
         let (news, news_seen) = watch::channel(SelfNews::default());
+        let (records, records_wanted) = watch::channel(WantedRecords::default());
         let (changes, changes_told) = mpsc::channel(CHANGES_WAITING);
 
         let callers = open(self.settings.instance.callers, "instance.callers")?;
@@ -105,11 +106,19 @@
             changes_told,
             rest_stops.clone(),
         );
+        let outlets = DriverOutlets {
+            news,
+            records,
+            drained,
+        };
         let driver = parts
-            .driver(self.dialect, &inputs, news, drained)
+            .driver(self.dialect, &inputs, outlets)
             .with_placement(parts.placement(socket));
         tokio::spawn(run_or_abort(driver, waiting, rest_stops));
-        tokio::spawn(self.source.follow(parts.sink(&inputs, changes)));
+        tokio::spawn(
+            self.source
+                .follow(parts.sink(&inputs, changes, records_wanted)),
+        );
 
         let door = parts.door(self.interface, inputs.clone());
         let options = ServerOptions::new(&self.settings.limits);
--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -29,7 +29,7 @@
 };
 use crate::placement::{DatagramLink, Membership, Placement};
 use crate::site::Site;
-use crate::source::SourceSink;
+use crate::source::{SourceSink, WantedRecords};
 use crate::status::{Readiness, metrics};
 use crate::telemetry::{LineBudget, Metrics};
 
@@ -56,6 +56,17 @@
     pub lines: Arc<LineBudget>,
 }
 
+/// Where the driver tells what others wait for.
+#[derive(Debug)]
+pub struct DriverOutlets {
+    /// What peers are told of this instance.
+    pub news: watch::Sender<SelfNews>,
+    /// States of roll-outs that are to be kept in the platform's store.
+    pub records: watch::Sender<WantedRecords>,
+    /// Turns true once a stopping instance has nothing left to do.
+    pub drained: watch::Sender<bool>,
+}
+
 /// Gives where the instances take heartbeats that are asked first at the start: heartbeats are taken
 /// at the same port everywhere.
 fn seeds(settings: &Settings) -> impl Iterator<Item = SocketAddr> {
@@ -103,9 +114,15 @@
     }
 
     /// Makes what the platform's source tells of what it reads.
-    pub fn sink(&self, inputs: &mpsc::Sender<Input>, changes: mpsc::Sender<Taken>) -> SourceSink {
+    pub fn sink(
+        &self,
+        inputs: &mpsc::Sender<Input>,
+        changes: mpsc::Sender<Taken>,
+        records: watch::Receiver<WantedRecords>,
+    ) -> SourceSink {
         SourceSink {
             inputs: inputs.clone(),
+            records,
             changes,
             peers: Arc::clone(&self.peers),
             reads: Arc::clone(&self.reads),
@@ -137,8 +154,7 @@
         &self,
         dialect: D,
         inputs: &mpsc::Sender<Input>,
-        news: watch::Sender<SelfNews>,
-        drained: watch::Sender<bool>,
+        told: DriverOutlets,
     ) -> Driver<Relay<D>> {
         let e = &self.settings.endpoints;
         let connect = Duration::from_millis(e.connect_millis);
@@ -156,8 +172,9 @@
             lines: Arc::clone(&self.lines),
             runtime: Handle::current(),
             inputs: inputs.clone(),
-            news,
-            drained,
+            news: told.news,
+            records: told.records,
+            drained: told.drained,
         };
         Driver::new(Scheduler::new(self.policy()), parts)
     }
--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -117,8 +117,11 @@
             Reply::Foreign => return broke(run, "foreign").await,
             Reply::Answer => {}
         }
-        if status.is_server_error() && payload.terms.repeatable {
-            return broke(run, "failed").await;
+        if status.is_server_error() {
+            run.tell(DispatchNews::Failed).await;
+            if payload.terms.repeatable {
+                return broke(run, "failed").await;
+            }
         }
         strip_hop_by_hop(response.headers_mut());
         let (parts, body) = response.into_parts();
--- a/crates/firdock-node/src/instance/parts.rs
+++ b/crates/firdock-node/src/instance/parts.rs
@@ -29,6 +29,7 @@
 use crate::peer::{Dialer, SelfNews, ask_for_state};
 use crate::platform::{HttpInstances, HttpLog};
 use crate::site::Site;
+use crate::source::WantedRecords;
 use crate::telemetry::{LineBudget, Metrics};
 
 /// Pause between two looks at which endpoints there are.
@@ -108,6 +109,8 @@
             runtime: Handle::current(),
             inputs: inputs.clone(),
             news,
+            // Orders come from a platform's source, which keeps their state.
+            records: watch::channel(WantedRecords::default()).0,
             drained,
         };
         Driver::new(Scheduler::new(settings), parts)
--- a/crates/firdock-node/src/peer.rs
+++ b/crates/firdock-node/src/peer.rs
@@ -14,6 +14,7 @@
 mod link;
 mod reads;
 mod relay;
+mod rollouts;
 mod serve;
 mod state;
 mod topic;
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -15,7 +15,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use firdock_core::Offset;
 use firdock_policy::event::{Member, PeerUse, PoolDemand};
+use firdock_policy::rollout::{Evidence, Stage};
 use firdock_policy::{Event, Time};
 use firdock_wire::PROTOCOL;
 use firdock_wire::message::{Beacon, datagram};
@@ -27,12 +29,13 @@
 use self::answer::Answers;
 use self::due::PeersDue;
 use self::meet::Meeting;
-use super::book::{KnownPeer, PeerBook};
+use super::book::{KnownPeer, PeerBook, Reader};
 use super::datagram::{seal, write_address, write_reads, write_relayed, write_uses};
 use super::heartbeat::{SelfNews, write_demand};
 use super::known::records_body;
 use super::reads::SharedReads;
 use super::relay::UseRelay;
+use super::rollouts::{write_seen, write_words};
 use super::topic::TopicRecords;
 use crate::clock::Clock;
 use crate::input::Input;
@@ -65,6 +68,8 @@
     site_heard: usize,
     /// Demand of the group.
     group_demand: Vec<PoolDemand>,
+    /// What the group saw of roll-outs.
+    group_seen: Vec<Evidence>,
 }
 
 /// What sending and taking beacons needs.
@@ -105,6 +110,9 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         let mut known = None;
+        let mut decides = None;
+        let mut news = self.news.clone();
+        let mut stages = Vec::new();
         let mut tick = 0;
         let mut answers = Answers::default();
         let mut meeting = Meeting::new(
@@ -126,6 +134,7 @@
                 },
                 _ = ticks.tick() => {
                     tick += 1;
+                    decides = self.tell_decides(decides).await;
                     self.send(tick).await;
                     if tick >= LIST_TICKS || self.book.was_listed() {
                         known = self.count(known).await;
@@ -142,6 +151,10 @@
                 () = sleep_until_due(answers.next(&self.reads, &self.book), now) => {
                     self.answer_next(&mut answers).await;
                 }
+                Some(new) = new_stages(&mut news, &stages) => {
+                    stages = new;
+                    self.send_step().await;
+                }
                 () = self.reads.known_more() => {}
                 () = stopped(&mut stop) => break,
             }
@@ -181,6 +194,24 @@
         self.send_all(&due.leads, &[], &[]).await;
     }
 
+    /// Tells the scheduler whether this instance decides on roll-outs, when that changed: it leads the
+    /// site, as far as it hears.
+    async fn tell_decides(&self, before: Option<bool>) -> Option<bool> {
+        let decides = self.book.turn(self.clock.now()).reader == Reader::Site;
+        if before != Some(decides) {
+            self.tell(Event::Decides(decides)).await;
+        }
+        Some(decides)
+    }
+
+    /// Sends beacons where a roll-out went on, if this instance tells its group: a version that was
+    /// found bad should get nothing any more, wherever that is not known yet.
+    async fn send_step(&self) {
+        if self.book.tells(self.clock.now()) {
+            self.send_at_once().await;
+        }
+    }
+
     /// Gives what this instance passes on of others' use of limits, to its group and to other leads.
     fn relayed(&self, now: Time) -> (Vec<PeerUse>, Vec<PeerUse>) {
         if self.book.is_small() || !self.book.leads(now) {
@@ -246,6 +277,9 @@
             site_heard: lead.site_heard as u32,
             group_demand: write_demand(&lead.group_demand),
             power: self.book.power(),
+            rollouts: write_words(&news.rollouts.words),
+            rollout_seen: write_seen(&news.rollouts.own),
+            group_rollout_seen: write_seen(&lead.group_seen),
         }
     }
 
@@ -258,6 +292,7 @@
             group_heard: self.book.group_heard(now),
             site_heard: self.book.site_heard(now),
             group_demand: self.book.group_demand(now, &news.demand),
+            group_seen: news.rollouts.group.clone(),
         }
     }
 
@@ -271,6 +306,15 @@
     }
 }
 
+/// Waits until roll-outs are not at the stages `told` any more; gives where they are.
+async fn new_stages(
+    news: &mut watch::Receiver<SelfNews>,
+    told: &[(Offset, Stage)],
+) -> Option<Vec<(Offset, Stage)>> {
+    let news = news.wait_for(|news| news.stages() != told).await;
+    news.ok().map(|news| news.stages())
+}
+
 /// Waits until `due`; for ever where nothing is.
 async fn sleep_until_due(due: Option<Time>, now: Time) {
     match due {
--- a/crates/firdock-node/src/peer/beacon/take.rs
+++ b/crates/firdock-node/src/peer/beacon/take.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use firdock_policy::event::{GroupDemand, PeerNews};
+use firdock_policy::event::{GroupDemand, GroupEvidence, PeerNews};
 use firdock_policy::{Event, Time};
 use firdock_wire::PROTOCOL;
 use firdock_wire::message::{Beacon, ClockAnswer, ClockQuestion, PeerAddress, datagram};
@@ -18,6 +18,7 @@
 use crate::peer::known::{Answer, Question, Teller, read_records};
 use crate::peer::reads::Reads;
 use crate::peer::relay::HeardUse;
+use crate::peer::rollouts::{read_seen, read_words};
 use crate::placement::{PlacementInput, read_reply, read_report};
 
 impl Beacons {
@@ -128,6 +129,10 @@
         }
         self.book.note_demand(&news.name, news.demand.clone());
         news.used = read_uses(beacon.used);
+        for word in read_words(beacon.rollouts) {
+            self.tell(Event::Rollout(word)).await;
+        }
+        news.seen = read_seen(beacon.rollout_seen);
         if self.book.is_own_zone(&news.zone) {
             self.relay.hear(&news.own_use(), HeardUse::FromMember);
         }
@@ -155,6 +160,12 @@
                 demand: read_demand(beacon.group_demand.clone()),
             };
             self.tell(Event::GroupDemand(group)).await;
+            let seen = read_seen(beacon.group_rollout_seen.clone());
+            if !seen.is_empty() {
+                let zone = zone.to_owned();
+                self.tell(Event::GroupEvidence(GroupEvidence { zone, seen }))
+                    .await;
+            }
         }
         if self.book.tells(now) {
             let count = self.book.site_heard(now);
--- a/crates/firdock-node/src/peer/datagram.rs
+++ b/crates/firdock-node/src/peer/datagram.rs
@@ -49,6 +49,7 @@
 pub fn write_reads(reads: Reads) -> message::Reads {
     message::Reads {
         version: reads.version,
+        config_next: reads.config_next,
         endpoints_next: reads.endpoints_next,
         config_at: millis(reads.config_at),
         endpoints_at: millis(reads.endpoints_at),
@@ -60,6 +61,7 @@
 pub fn read_reads(reads: message::Reads) -> Reads {
     Reads {
         version: reads.version,
+        config_next: reads.config_next,
         endpoints_next: reads.endpoints_next,
         config_at: Duration::from_millis(reads.config_at),
         endpoints_at: Duration::from_millis(reads.endpoints_at),
--- a/crates/firdock-node/src/peer/heartbeat.rs
+++ b/crates/firdock-node/src/peer/heartbeat.rs
@@ -4,10 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use firdock_core::{InstanceId, ZoneId};
+use firdock_core::{InstanceId, Offset, ZoneId};
 use firdock_policy::event::{AccountUse, PeerNews, PoolDemand};
+use firdock_policy::rollout::{Stage, ToldRollouts};
 use firdock_policy::table::Tables;
-use firdock_policy::{Time, pool_demand, used_limits};
+use firdock_policy::{Time, pool_demand, told_rollouts, used_limits};
 use firdock_wire::Body;
 use firdock_wire::message::{self, Heartbeat};
 use slog::{Logger, debug};
@@ -39,6 +40,8 @@
     version: u64,
     /// What this instance let pass of the limits in use.
     pub(super) used: Vec<AccountUse>,
+    /// What it knows of roll-outs.
+    pub(super) rollouts: ToldRollouts,
 }
 
 impl SelfNews {
@@ -62,9 +65,16 @@
                 .collect(),
             version: t.version,
             used: used_limits(t, now),
+            rollouts: told_rollouts(t, now),
         }
     }
 
+    /// Gives how far roll-outs are, by their orders.
+    pub(super) fn stages(&self) -> Vec<(Offset, Stage)> {
+        let words = self.rollouts.words.iter();
+        words.map(|w| (w.order, w.stage)).collect()
+    }
+
     /// Makes the message.
     #[must_use]
     pub fn message(&self, log_next: u64) -> Heartbeat {
--- a/crates/firdock-node/src/peer/reads.rs
+++ b/crates/firdock-node/src/peer/reads.rs
@@ -40,6 +40,9 @@
 pub struct Reads {
     /// Version of the configuration.
     pub version: Version,
+    /// Offset after the last record of the configuration's topic: not every record there is a new
+    /// version of the configuration.
+    pub config_next: Offset,
     /// Offset after the last record of the list of endpoints.
     pub endpoints_next: Offset,
     /// When the configuration was the newest.
--- a/crates/firdock-node/src/peer/reads/state.rs
+++ b/crates/firdock-node/src/peer/reads/state.rs
@@ -125,7 +125,7 @@
 
     /// Notes what a peer has newer; tells whether it is to be asked for that now.
     pub(super) fn hear_news(&mut self, now: Time, told: Reads) -> bool {
-        let config = told.version > self.own.version;
+        let config = told.version > self.own.version || told.config_next > self.own.config_next;
         let endpoints = told.endpoints_next > self.own.endpoints_next;
         if config {
             self.config_news.get_or_insert(now);
@@ -149,7 +149,9 @@
             // What is known here holds all that the peer saw.
             self.see_endpoints(told.endpoints_at);
         }
-        let same_config = self.own.config_at > Time::ZERO && self.own.version == told.version;
+        let same_config = self.own.config_at > Time::ZERO
+            && self.own.version == told.version
+            && self.own.config_next >= told.config_next;
         if !same_config || told.config_at <= self.own.config_at {
             return None;
         }
@@ -160,6 +162,7 @@
     /// Takes what was read or told, by times of the own clock.
     pub(super) fn take(&mut self, reads: Reads) {
         self.own.version = reads.version;
+        self.own.config_next = reads.config_next;
         self.own.endpoints_next = reads.endpoints_next;
         if reads.config_at > Time::ZERO {
             self.own.config_at = self.own.config_at.max(reads.config_at);
--- /dev/null
+++ b/crates/firdock-node/src/peer/rollouts.rs
@@ -0,0 +1,111 @@
+//! What instances tell each other of roll-outs, in their heartbeats.
+
+use std::time::Duration;
+
+use firdock_policy::rollout::{Evidence, RolloutWord, Stage, Tally};
+use firdock_wire::message;
+
+use crate::clock::millis;
+
+/// Roll-outs told of in one heartbeat.
+const MAX_ROLLOUTS: usize = 16;
+/// Tallies of one roll-out told of in one heartbeat: some five services at a dozen endpoints.
+const MAX_TALLIES: usize = 256;
+/// Bands of one tally that are taken.
+const MAX_BANDS: usize = 64;
+
+/// Writes how far roll-outs are.
+pub fn write_words(words: &[RolloutWord]) -> Vec<message::RolloutWord> {
+    let told = words.iter().take(MAX_ROLLOUTS);
+    told.map(|w| message::RolloutWord {
+        pool: w.pool.clone(),
+        order: w.order,
+        stage: write_stage(w.stage).into(),
+        age: millis(w.age),
+        ratio: w.ratio,
+    })
+    .collect()
+}
+
+/// Reads how far roll-outs are; words of stages that this version does not know are left out.
+pub fn read_words(words: Vec<message::RolloutWord>) -> Vec<RolloutWord> {
+    let told = words.into_iter().take(MAX_ROLLOUTS);
+    told.filter_map(|w| {
+        Some(RolloutWord {
+            stage: read_stage(w.stage)?,
+            pool: w.pool,
+            order: w.order,
+            age: Duration::from_millis(w.age),
+            ratio: if w.ratio.is_finite() { w.ratio } else { 0.0 },
+        })
+    })
+    .collect()
+}
+
+/// Writes what was seen of roll-outs.
+pub fn write_seen(seen: &[Evidence]) -> Vec<message::RolloutEvidence> {
+    let told = seen.iter().take(MAX_ROLLOUTS);
+    told.map(|e| message::RolloutEvidence {
+        pool: e.pool.clone(),
+        order: e.order,
+        sent: e.sent,
+        exposed: e.exposed,
+        tallies: write_tallies(e),
+    })
+    .collect()
+}
+
+fn write_tallies(seen: &Evidence) -> Vec<message::RolloutTally> {
+    let told = seen.tallies.iter().take(MAX_TALLIES);
+    told.map(|((service, endpoint), tally)| message::RolloutTally {
+        service: service.clone(),
+        endpoint: endpoint.clone(),
+        failed: tally.failed,
+        lost: tally.lost,
+        bands: tally.bands.clone(),
+    })
+    .collect()
+}
+
+/// Reads what was seen of roll-outs.
+pub fn read_seen(seen: Vec<message::RolloutEvidence>) -> Vec<Evidence> {
+    let told = seen.into_iter().take(MAX_ROLLOUTS);
+    told.map(|e| {
+        let mut evidence = Evidence::new(e.pool, e.order);
+        evidence.sent = e.sent;
+        evidence.exposed = e.exposed;
+        for told in e.tallies.into_iter().take(MAX_TALLIES) {
+            let tally = Tally {
+                failed: told.failed,
+                lost: told.lost,
+                bands: told.bands.into_iter().take(MAX_BANDS).collect(),
+            };
+            evidence
+                .tallies
+                .insert((told.service, told.endpoint), tally);
+        }
+        evidence
+    })
+    .collect()
+}
+
+fn write_stage(stage: Stage) -> message::RolloutStage {
+    match stage {
+        Stage::Watching => message::RolloutStage::Watching,
+        Stage::Moving => message::RolloutStage::Moving,
+        Stage::Halted => message::RolloutStage::Halted,
+        Stage::Completed => message::RolloutStage::Completed,
+        Stage::RolledBack => message::RolloutStage::RolledBack,
+    }
+}
+
+fn read_stage(stage: i32) -> Option<Stage> {
+    match message::RolloutStage::try_from(stage).ok()? {
+        message::RolloutStage::Unspecified => None,
+        message::RolloutStage::Watching => Some(Stage::Watching),
+        message::RolloutStage::Moving => Some(Stage::Moving),
+        message::RolloutStage::Halted => Some(Stage::Halted),
+        message::RolloutStage::Completed => Some(Stage::Completed),
+        message::RolloutStage::RolledBack => Some(Stage::RolledBack),
+    }
+}
--- a/crates/firdock-node/src/peer/topic.rs
+++ b/crates/firdock-node/src/peer/topic.rs
@@ -57,6 +57,9 @@
     pub key: String,
     /// Value; `None` where the key was dropped.
     pub value: Option<Bytes>,
+    /// Offset of the record in the configuration's topic, where one of the same content may come once
+    /// more and mean something new; 0 in others.
+    pub offset: Offset,
 }
 
 /// Records of a topic that one read found.
@@ -97,9 +100,12 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Image {
     next: Offset,
-    values: BTreeMap<String, Bytes>,
+    values: BTreeMap<String, Newest>,
 }
 
+/// The newest record of a key: its value, and its offset as in [`KeyedRecord`].
+type Newest = (Bytes, Offset);
+
 impl Image {
     /// Takes records of its topic over.
     ///
@@ -133,16 +139,22 @@
 
     /// Goes over the newest records, by key.
     pub fn records(&self) -> impl Iterator<Item = KeyedRecord> {
-        self.values.iter().map(|(key, value)| KeyedRecord {
-            key: key.clone(),
-            value: Some(value.clone()),
-        })
+        self.values
+            .iter()
+            .map(|(key, (value, offset))| KeyedRecord {
+                key: key.clone(),
+                value: Some(value.clone()),
+                offset: *offset,
+            })
     }
 
     fn apply(&mut self, records: &[KeyedRecord]) {
         for record in records {
             match &record.value {
-                Some(value) => self.values.insert(record.key.clone(), value.clone()),
+                Some(value) => {
+                    let newest = (value.clone(), record.offset);
+                    self.values.insert(record.key.clone(), newest)
+                }
                 None => self.values.remove(&record.key),
             };
         }
@@ -154,9 +166,14 @@
     /// what was known here need only that, and not a listing of their own.
     fn replace(&mut self, records: &[KeyedRecord]) -> Vec<KeyedRecord> {
         let mut gone = std::mem::take(&mut self.values);
-        let is_new = |record: &&KeyedRecord| gone.remove(&record.key) != record.value;
+        let newest = |record: &KeyedRecord| Some((record.value.clone()?, record.offset));
+        let is_new = |record: &&KeyedRecord| gone.remove(&record.key) != newest(record);
         let mut changes: Vec<KeyedRecord> = records.iter().filter(is_new).cloned().collect();
-        let dropped = |key: String| KeyedRecord { key, value: None };
+        let dropped = |key: String| KeyedRecord {
+            key,
+            value: None,
+            offset: 0,
+        };
         changes.extend(gone.into_keys().map(dropped));
         self.apply(records);
         changes
@@ -167,6 +184,7 @@
     message::Entry {
         name: record.key,
         value: record.value.map(|v| v.to_vec()),
+        offset: record.offset,
     }
 }
 
@@ -174,5 +192,6 @@
     KeyedRecord {
         key: entry.name,
         value: entry.value.map(Bytes::from),
+        offset: entry.offset,
     }
 }
--- a/crates/firdock-node/src/placement.rs
+++ b/crates/firdock-node/src/placement.rs
@@ -86,7 +86,11 @@
     pub fn observe(&mut self, now: Time, event: &Event) {
         if matches!(
             event,
-            Event::Config(_) | Event::Peer(_) | Event::PeersKnown(_) | Event::GroupDemand(_)
+            Event::Config(_)
+                | Event::Peer(_)
+                | Event::PeersKnown(_)
+                | Event::GroupDemand(_)
+                | Event::Fresh(_)
         ) {
             self.coordinator.observe(now, event.clone());
         }
@@ -133,6 +137,7 @@
 
     /// Tells the coordinator everything when that is due, and ends what silent members had.
     pub fn tick(&mut self, now: Time, t: &Tables) -> Vec<Event> {
+        self.coordinator.follow(now, t);
         self.coordinator.tick(now);
         let mut events = self.member.check(now, t.draining);
         if let Some(report) = self.member.report_all(now, t) {
--- a/crates/firdock-node/src/placement/coordinator.rs
+++ b/crates/firdock-node/src/placement/coordinator.rs
@@ -8,6 +8,8 @@
 
 use firdock_core::{InstanceId, RequestId};
 use firdock_policy::action::Dispatch;
+use firdock_policy::table::Tables;
+use firdock_policy::table::rollout::RolloutRow;
 use firdock_policy::{Action, Event, Policy as _, Scheduler, Time, Verdict};
 use uuid::Uuid;
 
@@ -62,6 +64,11 @@
     }
 }
 
+/// Tells whether two tables try a new version with the same part of requests.
+fn same_ratio(a: &RolloutRow, b: &RolloutRow) -> bool {
+    (a.ratio - b.ratio).abs() < f64::EPSILON
+}
+
 /// Whose a request is.
 #[derive(Debug)]
 struct Owner {
@@ -103,10 +110,21 @@
     /// While nobody reports, only the newest configuration is kept: to take each costs time that most
     /// instances, which coordinate nothing, need for something else.
     pub fn observe(&mut self, now: Time, event: Event) {
-        if self.members.is_empty() && matches!(event, Event::Config(_)) {
-            self.config = Some(event);
-        } else {
-            self.step(now, event);
+        match event {
+            Event::Config(_) if self.members.is_empty() => self.config = Some(event),
+            // The next one comes with the next heartbeat.
+            Event::Fresh(_) if self.members.is_empty() => {}
+            event => self.step(now, event),
+        }
+    }
+
+    /// Follows the roll-outs of this instance's own tables, which hear of them from all others.
+    pub fn follow(&mut self, now: Time, own: &Tables) {
+        for row in own.rollouts.rows.values() {
+            let known = self.scheduler.tables().rollouts.of(&row.declared.pool);
+            if known.is_some_and(|k| k.stage < row.stage || !same_ratio(k, row)) {
+                self.step(now, Event::Rollout(row.word(now)));
+            }
         }
     }
 
--- a/crates/firdock-node/src/source.rs
+++ b/crates/firdock-node/src/source.rs
@@ -3,18 +3,23 @@
 //! Firdock's own source is the platform's log with its fold (`crate::config`); another platform's
 //! source is an adapter that reads it in its own way and tells what it read here.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use firdock_core::PoolId;
 use firdock_core::resource::Catalog;
+use firdock_policy::rollout::RolloutRecord;
 use firdock_policy::{Event, Time};
 use slog::{Logger, info};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::clock::Clock;
 use crate::input::Input;
-use crate::peer::{Due, KnownPeer, PeerBook, Reads, SharedReads, Taken, Topic, TopicRecords};
+use crate::peer::{
+    Due, KnownPeer, PeerBook, Reader, Reads, SharedReads, Taken, Topic, TopicRecords,
+};
 use crate::telemetry::{LineBudget, LineKind, Metrics};
 
 /// Follows a platform's configuration for as long as the instance runs.
@@ -40,9 +45,28 @@
     pub failed: bool,
 }
 
+/// States of roll-outs that are to be kept in the platform's store, the newest of each pool.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct WantedRecords {
+    by_pool: BTreeMap<PoolId, RolloutRecord>,
+}
+
+impl WantedRecords {
+    /// Adds a state, in place of an earlier one of its pool.
+    pub fn add(&mut self, record: RolloutRecord) {
+        self.by_pool.insert(record.pool.clone(), record);
+    }
+
+    /// Goes over the states, by pool.
+    pub fn iter(&self) -> impl Iterator<Item = &RolloutRecord> {
+        self.by_pool.values()
+    }
+}
+
 /// Takes what a source reads.
 #[derive(Debug, Clone)]
 pub struct SourceSink {
+    pub(crate) records: watch::Receiver<WantedRecords>,
     pub(crate) inputs: mpsc::Sender<Input>,
     pub(crate) peers: Arc<PeerBook>,
     pub(crate) reads: Arc<SharedReads>,
@@ -156,6 +180,27 @@
         }
     }
 
+    /// Gives the states of roll-outs that are to be kept, as they change.
+    #[must_use]
+    pub fn records(&self) -> watch::Receiver<WantedRecords> {
+        self.records.clone()
+    }
+
+    /// Tells whether this instance leads the site, so that it is the one that writes to the store.
+    #[must_use]
+    pub fn leads_site(&self) -> bool {
+        self.peers.turn(self.clock.now()).reader == Reader::Site
+    }
+
+    /// Tells what the store has of a roll-out.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the instance was stopped.
+    pub async fn recorded(&self, record: RolloutRecord) -> Result<(), Stopped> {
+        self.send(Event::Recorded(record)).await
+    }
+
     /// Tells of another instance and where it takes heartbeats.
     pub fn know_peer(&self, peer: KnownPeer) {
         self.peers.know(peer, self.clock.now());
--- a/crates/firdock-node/src/telemetry.rs
+++ b/crates/firdock-node/src/telemetry.rs
@@ -5,6 +5,7 @@
 pub mod decisions;
 pub mod log;
 pub mod metrics;
+pub mod rollouts;
 pub mod trace;
 
 pub use beliefs::Beliefs;
@@ -12,4 +13,5 @@
 pub use decisions::Decisions;
 pub use log::{Level, LogGuard, logger, silent};
 pub use metrics::Metrics;
+pub use rollouts::RolloutSteps;
 pub use trace::{Span, TraceContext};
--- a/crates/firdock-node/tests/node/sharing.rs
+++ b/crates/firdock-node/tests/node/sharing.rs
@@ -128,6 +128,7 @@
     KeyedRecord {
         key: key.to_owned(),
         value: value.map(Into::into),
+        offset: 0,
     }
 }
 
--- a/crates/firdock-policy/src/action.rs
+++ b/crates/firdock-policy/src/action.rs
@@ -5,6 +5,7 @@
 
 use crate::event::{Grant, KeyTransfer};
 use crate::request::Verdict;
+use crate::rollout::RolloutRecord;
 use crate::time::Time;
 
 /// One thing to do, in the order given.
@@ -87,6 +88,8 @@
         /// The transfer.
         transfer: KeyTransfer,
     },
+    /// Keep the state of a roll-out in the platform's store.
+    Record(RolloutRecord),
     /// All work is done; the instance may exit.
     Drained,
 }
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -10,6 +10,7 @@
 use uuid::Uuid;
 
 use crate::request::{NewRequest, Verdict};
+use crate::rollout::{Evidence, RolloutRecord, RolloutWord};
 use crate::time::{LogTime, Time};
 
 /// One thing that happened.
@@ -60,6 +61,14 @@
     Adopted(NewRequest, EndpointId),
     /// A peer told something about a hand-over.
     HandOver(HandOverEvent),
+    /// A peer told how far a roll-out is.
+    Rollout(RolloutWord),
+    /// The lead of another group told what its group saw of roll-outs.
+    GroupEvidence(GroupEvidence),
+    /// The platform's store has this of a roll-out.
+    Recorded(RolloutRecord),
+    /// Whether this instance leads the site, and decides on roll-outs.
+    Decides(bool),
     /// The instance is to stop.
     Drain,
     /// Time passed.
@@ -119,6 +128,8 @@
         /// Tokens of the whole answer.
         output: u32,
     },
+    /// The endpoint answered that it failed; how the dispatch ends by that is told next.
+    Failed,
     /// The connection broke or fell silent after the request was sent.
     Broke {
         /// Tokens of the whole answer that have been passed on.
@@ -210,6 +221,9 @@
     /// What it has let pass of limited accounts since its start.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub used: Vec<AccountUse>,
+    /// What it saw of roll-outs since their orders.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub seen: Vec<Evidence>,
 }
 
 impl PeerNews {
@@ -298,6 +312,15 @@
     pub demand: Vec<PoolDemand>,
 }
 
+/// What the instances of one availability zone saw of roll-outs.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct GroupEvidence {
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// What they saw, by roll-out.
+    pub seen: Vec<Evidence>,
+}
+
 /// What became of a hand-over.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/firdock-policy/src/lib.rs
+++ b/crates/firdock-policy/src/lib.rs
@@ -8,11 +8,14 @@
 pub mod cost;
 pub mod event;
 pub mod request;
+pub mod rollout;
 mod scheduler;
 pub mod settings;
 pub mod stats;
 mod system;
-pub use system::{demand::by_pool as pool_demand, limit::used as used_limits};
+pub use system::{
+    demand::by_pool as pool_demand, limit::used as used_limits, rollout::told as told_rollouts,
+};
 pub mod table;
 pub mod time;
 
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -175,6 +175,10 @@
     pub work: f64,
     /// Predicted time to the first token of the present dispatch.
     pub predicted: Time,
+    /// Tokens that had reached the caller before the present dispatch.
+    pub resumed_from: u32,
+    /// Whether the endpoint of the present dispatch answered that it failed.
+    pub failed: bool,
     /// How far its placement by a coordinator is.
     pub placing: Placing,
     /// Engines that the coordinator gave it and that this instance could not use.
@@ -210,6 +214,8 @@
             uncached: 0,
             work: 0.0,
             predicted: Time::ZERO,
+            resumed_from: 0,
+            failed: false,
             placing: Placing::Open,
             declined: Vec::new(),
             new,
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -5,7 +5,7 @@
 use crate::settings::PolicySettings;
 use crate::system::{
     admit, check, config, coordinate, demand, drain, early, expire, handover, health, key, limit,
-    news, place, share, shed,
+    news, place, rollout, share, shed,
 };
 use crate::table::{Reach, Tables};
 use crate::time::Time;
@@ -71,6 +71,10 @@
             Event::NotGranted(id, verdict) => coordinate::not_granted(t, now, id, verdict, out),
             Event::Adopted(new, endpoint) => coordinate::adopt(t, now, new, &endpoint),
             Event::HandOver(e) => handover::news(t, now, &e, out),
+            Event::Rollout(word) => rollout::hear(t, now, &word),
+            Event::GroupEvidence(word) => rollout::hear_group(t, word),
+            Event::Recorded(record) => rollout::hear_recorded(t, now, &record),
+            Event::Decides(decides) => rollout::take_decides(t, decides),
             Event::Drain => t.draining = true,
             Event::Timer => {
                 demand::take_rates(t, now);
@@ -82,6 +86,7 @@
                 expire::put_late_last(t, now);
                 expire::run(t, now, out);
                 early::run(t, now, out);
+                rollout::run(t, now, out);
             }
         }
     }
--- a/crates/firdock-policy/src/settings.rs
+++ b/crates/firdock-policy/src/settings.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use firdock_core::ZoneId;
-use firdock_core::settings::Settings;
+use firdock_core::settings::{Rollouts, Settings};
 use uuid::Uuid;
 
 use crate::event::Member;
@@ -105,6 +105,8 @@
     pub key_keep: Duration,
     /// Keys remembered at once.
     pub max_keys: usize,
+    /// How much a version may be tried before it is known to be good.
+    pub rollouts: Rollouts,
     /// Switches for measurements.
     pub mechanisms: Mechanisms,
     /// Whether these tables place requests of other instances on engines (`docs/design/placement.md`):
@@ -134,6 +136,7 @@
             key_grace: settings.keys.grace(),
             key_keep: settings.keys.keep(),
             max_keys: settings.keys.max_keys,
+            rollouts: settings.rollouts,
             mechanisms: Mechanisms::ALL,
             coordinates: false,
         }
--- a/crates/firdock-policy/src/system/config.rs
+++ b/crates/firdock-policy/src/system/config.rs
@@ -4,7 +4,7 @@
 
 use firdock_core::resource::{Catalog, Tier};
 
-use super::share;
+use super::{rollout, share};
 use crate::table::Tables;
 use crate::table::account::AccountRow;
 use crate::table::endpoint::EndpointRow;
@@ -21,6 +21,7 @@
     apply_endpoints(t, catalog);
     apply_services(t, catalog);
     link(t);
+    rollout::apply(t, now, catalog);
     sweep(t);
     share::set_budgets(t, now);
 }
--- a/crates/firdock-policy/src/system/coordinate.rs
+++ b/crates/firdock-policy/src/system/coordinate.rs
@@ -8,7 +8,7 @@
 
 use firdock_core::{EndpointId, RequestId};
 
-use super::{admit, end, place, share};
+use super::{admit, end, place, rollout, share};
 use crate::action::Action;
 use crate::event::Grant;
 use crate::request::{NewRequest, Phase, Placing, RequestRow, Verdict};
@@ -75,7 +75,8 @@
 fn may_use(t: &Tables, now: Time, row: &RequestRow, at: usize) -> bool {
     let e = t.endpoints.get(at);
     let serves = t.services.get(row.service).endpoints.contains(&at) && place::in_pool(row, e);
-    serves && e.present && !e.leaving(now) && !row.tried.contains(&e.declared.name)
+    let open = serves && e.present && !e.leaving(now) && !row.tried.contains(&e.declared.name);
+    open && rollout::admits_grant(t, at)
 }
 
 /// Gives a request up that the coordinator will not place in time.
--- a/crates/firdock-policy/src/system/handover.rs
+++ b/crates/firdock-policy/src/system/handover.rs
@@ -2,7 +2,7 @@
 
 use firdock_core::{Outcome, Reason, RequestId};
 
-use super::{end, key, limit, shed};
+use super::{end, key, limit, rollout, shed};
 use crate::action::{Action, HandOverCause};
 use crate::event::{HandOverEvent, HandOverRefusal, Member, PeerNews};
 use crate::request::{Phase, RequestRow, Verdict};
@@ -18,7 +18,7 @@
 const SILENT_PEER: std::time::Duration = std::time::Duration::from_mins(1);
 
 /// Takes a peer's heartbeat.
-pub fn peer_news(t: &mut Tables, now: Time, news: PeerNews) {
+pub fn peer_news(t: &mut Tables, now: Time, mut news: PeerNews) {
     for name in &news.leaving {
         if let Some(at) = t.endpoints.find(name) {
             t.endpoints.get_mut(at).peer_leaving = Some(now + LEAVING_WORD);
@@ -28,6 +28,8 @@
         return;
     }
     limit::take_peer(t, now, &news);
+    let seen = std::mem::take(&mut news.seen);
+    rollout::hear_peer(t, &news.name, &news.zone, news.incarnation, seen);
     let at = t.peers.find_or_add(&news.name, || PeerRow::new(&news.name));
     t.peers.get_mut(at).update(now, news);
 }
--- a/crates/firdock-policy/src/system/limit.rs
+++ b/crates/firdock-policy/src/system/limit.rs
@@ -176,12 +176,18 @@
     if t.settings.await_peers && t.known_peers.is_none() {
         return UNAWARE_PART;
     }
+    let (heard, known) = heard_of_known(t, now);
+    heard as f64 / known as f64
+}
+
+/// Gives how many instances are heard, and how many are known of, this one among both.
+pub fn heard_of_known(t: &Tables, now: Time) -> (usize, usize) {
     let known = 1 + t.peers_known();
     let heard = match t.reach.filter(|_| !t.is_small_site()) {
         Some(reach) => reached(t, now, reach).min(known),
         None => 1 + t.peers.iter().filter(|(_, p)| t.is_heard(p, now)).count(),
     };
-    heard as f64 / known as f64
+    (heard, known)
 }
 
 /// Gives how many instances leads hear, this one alone where no lead told lately.
--- a/crates/firdock-policy/src/system/news.rs
+++ b/crates/firdock-policy/src/system/news.rs
@@ -2,7 +2,7 @@
 
 use firdock_core::{Outcome, Reason, RequestId};
 
-use super::{end, health, key};
+use super::{end, health, key, rollout};
 use crate::action::Action;
 use crate::event::{DispatchNews, EndpointEvent};
 use crate::request::{Phase, Placing, RequestRow, Verdict};
@@ -29,6 +29,7 @@
         } => {
             ended(t, now, e.id, at, prompt, cached, output);
         }
+        DispatchNews::Failed => rollout::failed(t, e.id),
         DispatchNews::Broke { delivered } => broke(t, now, e.id, at, delivered, out),
     }
 }
@@ -168,6 +169,7 @@
     output: u32,
 ) {
     first_token(t, now, id, at, cached);
+    rollout::ended(t, now, id, at, output);
     let Some(row) = t.requests.get(id) else {
         return;
     };
@@ -195,6 +197,7 @@
     out: &mut Vec<Action>,
 ) {
     end::count_waste(t, id, WasteCause::EndpointLost);
+    rollout::lost(t, id, at);
     health::broke(t, now, at);
     if t.settings.coordinates {
         end::finish(t, now, id, Outcome::Unknown);
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -5,7 +5,7 @@
 use firdock_core::resource::Tier;
 use firdock_core::{Reason, RequestId, TierRank};
 
-use super::{coordinate, end, key};
+use super::{coordinate, end, key, rollout};
 use crate::action::{Action, Dispatch};
 use crate::cost::{self, Estimate};
 use crate::request::{Phase, RequestRow};
@@ -136,10 +136,14 @@
     let Some(row) = t.requests.get(id) else {
         return;
     };
+    let estimate = estimate(t, now, row, endpoint);
+    dispatch(t, now, id, Choice { endpoint, estimate }, out);
+}
+
+fn estimate(t: &Tables, now: Time, row: &RequestRow, endpoint: usize) -> Estimate {
     let service = t.services.get(row.service);
     let e = t.endpoints.get(endpoint);
-    let estimate = cost::estimate(now, t.settings.mechanisms, row, service, e);
-    dispatch(t, now, id, Choice { endpoint, estimate }, out);
+    cost::estimate(now, t.settings.mechanisms, row, service, e)
 }
 
 /// Gives until when a request may be sent by the configuration in force.
@@ -179,8 +183,15 @@
 fn choose(t: &Tables, now: Time, row: &RequestRow) -> Placement {
     let endpoints = t.services.get(row.service).endpoints.iter().copied();
     let (open, full): (Vec<usize>, Vec<usize>) = endpoints
-        .filter(|e| may_take(now, row, t.endpoints.get(*e)))
+        .filter(|e| may_take(t, now, row, *e))
         .partition(|e| has_room(t, now, t.endpoints.get(*e)));
+    if let Some(tried) = rollout::trial(t, row, &open) {
+        let estimate = estimate(t, now, row, tried);
+        return Placement::On(Choice {
+            endpoint: tried,
+            estimate,
+        });
+    }
     let Some(best) = best_of(t, now, row, &open) else {
         return Placement::Blocked;
     };
@@ -237,8 +248,10 @@
 }
 
 /// Tells whether an endpoint may take the request at all.
-fn may_take(now: Time, row: &RequestRow, e: &EndpointRow) -> bool {
-    in_pool(row, e) && e.usable(now) && !row.tried.contains(&e.declared.name)
+fn may_take(t: &Tables, now: Time, row: &RequestRow, at: usize) -> bool {
+    let e = t.endpoints.get(at);
+    let open = in_pool(row, e) && e.usable(now) && !row.tried.contains(&e.declared.name);
+    open && rollout::admits(t, row, at)
 }
 
 fn has_room(t: &Tables, now: Time, e: &EndpointRow) -> bool {
@@ -298,6 +311,8 @@
     row.uncached = choice.estimate.uncached;
     row.work = choice.estimate.work;
     row.predicted = choice.estimate.first();
+    row.resumed_from = row.delivered;
+    row.failed = false;
     t.stats.dispatches += 1;
     t.paces.note(row.pool_key());
     t.retries.earn(row.pool_key(), &t.settings, most);
@@ -310,6 +325,7 @@
         confirm_by: row.confirm_by,
         deadline: row.deadline,
     }));
+    rollout::sent(t, id, choice.endpoint);
 }
 
 /// Charges the account's lane for the work, by its share.
--- /dev/null
+++ b/crates/firdock-policy/src/system/rollout/decide.rs
@@ -0,0 +1,180 @@
+//! When a roll-out goes on, by the instance that leads the site; the others follow its word.
+
+use std::time::Duration;
+
+use firdock_core::PoolId;
+
+use super::versions::{canaries, is_new};
+use crate::action::Action;
+use crate::rollout::verdict::{self, Finding};
+use crate::rollout::{RolloutRecord, RolloutWord, Stage, allowance};
+use crate::system::limit;
+use crate::table::Tables;
+use crate::table::endpoint::EndpointRow;
+use crate::table::rollout::RolloutRow;
+use crate::time::Time;
+
+/// Pause between two looks at the evidence: peers tell every 200 ms.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+/// Part of the old version's places that the new one must have before the old endpoints may stop.
+const READY_PART: f64 = 0.7;
+
+/// Time after which a roll-out goes on at once where the pool has no endpoints of another version: it
+/// was ordered once more, or they are gone. Entries that lapsed in an outage are back before.
+const ALONE_PATIENCE: Duration = Duration::from_secs(3);
+
+/// Takes it that this instance leads the site now, or does not.
+pub fn take_decides(t: &mut Tables, decides: bool) {
+    t.rollouts.decides = decides;
+}
+
+/// Takes a peer's word on a roll-out.
+pub fn hear(t: &mut Tables, now: Time, word: &RolloutWord) {
+    let decides = t.rollouts.decides;
+    let Some(row) = t.rollouts.find_mut(&word.pool, word.order) else {
+        return;
+    };
+    row.began = row.began.min(now.saturating_sub(word.age));
+    if word.ratio > 0.0 && !decides {
+        row.ratio = word.ratio.min(1.0);
+    }
+    advance(t, now, &word.pool, word.stage);
+}
+
+/// Takes what the platform's store has of a roll-out.
+pub fn hear_recorded(t: &mut Tables, now: Time, record: &RolloutRecord) {
+    let Some(row) = t.rollouts.find_mut(&record.pool, record.order) else {
+        return;
+    };
+    row.began = row.began.min(now.saturating_sub(record.age));
+    advance(t, now, &record.pool, record.stage);
+}
+
+/// Goes on to a later stage.
+fn advance(t: &mut Tables, now: Time, pool: &str, stage: Stage) -> bool {
+    let Some(row) = t.rollouts.rows.get_mut(pool) else {
+        return false;
+    };
+    let advanced = row.advance(now, stage);
+    if advanced && matches!(stage, Stage::Halted | Stage::RolledBack) {
+        let key = (row.declared.pool.clone(), row.declared.version.clone());
+        t.rollouts.given_up.insert(key);
+    }
+    advanced
+}
+
+/// Looks at each roll-out that has not ended.
+pub fn run(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
+    let due = |row: &RolloutRow| row.looked + LOOK_PAUSE <= now && !row.stage.is_recorded();
+    let rows = t.rollouts.rows.iter().filter(|(_, row)| due(row));
+    let pools: Vec<PoolId> = rows.map(|(pool, _)| pool.clone()).collect();
+    for pool in pools {
+        look(t, now, &pool, out);
+    }
+}
+
+fn look(t: &mut Tables, now: Time, pool: &str, out: &mut Vec<Action>) {
+    let Some(row) = t.rollouts.of(pool) else {
+        return;
+    };
+    let tried = canaries(t, now, row);
+    let seen = t.rollouts.decides.then(|| row.site_evidence());
+    let endpoints = open_endpoints(t, pool, true).count();
+    let Some(row) = t.rollouts.rows.get_mut(pool) else {
+        return;
+    };
+    row.looked = now;
+    row.canaries = tried.into_iter().collect();
+    let Some(seen) = seen else {
+        return;
+    };
+    let progress = row.progress(now, &seen);
+    row.ratio = allowance::watched_ratio(progress, t.settings.rollouts);
+    let finding = verdict::find(&seen, endpoints);
+    let doubted = finding.is_some();
+    if let Some(finding) = finding.filter(|f| f.bad && row.stage < Stage::Halted) {
+        advance(t, now, pool, Stage::Halted);
+        ask(t, now, pool, Stage::RolledBack, &tell(&finding), out);
+        return;
+    }
+    match row.stage {
+        Stage::Watching => {
+            let due = allowance::may_move(progress, t.settings.rollouts);
+            let alone = progress.elapsed >= ALONE_PATIENCE && !has_old(t, pool);
+            if (due || alone) && !doubted && is_ready(t, pool) && hears_most(t, now) {
+                // Whoever has not heard by then is refused by the old endpoints, which ran nothing. To
+                // wait for all would cost a third of what the version can be watched by.
+                advance(t, now, pool, Stage::Moving);
+                ask(t, now, pool, Stage::Completed, "", out);
+            } else {
+                ask(t, now, pool, Stage::Watching, "", out);
+            }
+        }
+        Stage::Moving => ask(t, now, pool, Stage::Completed, "", out),
+        Stage::Halted => ask(t, now, pool, Stage::RolledBack, "", out),
+        _ => {}
+    }
+}
+
+/// Asks once for a record of a stage.
+fn ask(t: &mut Tables, now: Time, pool: &str, stage: Stage, reason: &str, out: &mut Vec<Action>) {
+    let Some(row) = t.rollouts.rows.get_mut(pool) else {
+        return;
+    };
+    if row.asked == Some(stage) {
+        return;
+    }
+    row.asked = Some(stage);
+    out.push(Action::Record(RolloutRecord {
+        pool: row.declared.pool.clone(),
+        order: row.declared.order,
+        version: row.declared.version.clone(),
+        stage,
+        age: row.age(now),
+        reason: reason.to_owned(),
+    }));
+}
+
+/// Gives a finding in words.
+fn tell(finding: &Finding) -> String {
+    let of = finding.service.as_deref().unwrap_or("all services");
+    format!(
+        "{} of {} answers to {of} were failures or slow; {:.0} in 100 with the old version",
+        finding.bad_answers,
+        finding.answers,
+        finding.old_part * 100.0
+    )
+}
+
+/// Goes over the endpoints of one version of a pool that take work.
+fn open_endpoints<'a>(
+    t: &'a Tables,
+    pool: &'a str,
+    new: bool,
+) -> impl Iterator<Item = &'a EndpointRow> {
+    let rows = t.endpoints.iter().map(|(_, e)| e);
+    let open = rows.filter(move |e| e.declared.pool == pool && e.present && !e.declared.leaving);
+    open.filter(move |e| is_new(t, e) == new)
+}
+
+fn open_slots(t: &Tables, pool: &str, new: bool) -> f64 {
+    let slots = open_endpoints(t, pool, new).map(|e| f64::from(e.declared.slots));
+    slots.sum()
+}
+
+/// Tells whether any endpoint of the old version takes work.
+fn has_old(t: &Tables, pool: &str) -> bool {
+    open_slots(t, pool, false) > 0.0
+}
+
+/// Tells whether the new version can take over what the old one does.
+fn is_ready(t: &Tables, pool: &str) -> bool {
+    let new = open_slots(t, pool, true);
+    new > 0.0 && new >= READY_PART * open_slots(t, pool, false)
+}
+
+/// Tells whether this instance hears enough of the others to decide for all.
+fn hears_most(t: &Tables, now: Time) -> bool {
+    let (heard, known) = limit::heard_of_known(t, now);
+    2 * heard > known
+}
--- /dev/null
+++ b/crates/firdock-policy/src/system/rollout/versions.rs
@@ -0,0 +1,250 @@
+//! Which endpoints a request may go to, by their versions.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use firdock_core::resource::Catalog;
+use firdock_core::settings::Rollouts;
+use firdock_core::{PoolId, rendezvous};
+
+use crate::request::RequestRow;
+use crate::rollout::Stage;
+use crate::rollout::allowance;
+use crate::table::Tables;
+use crate::table::endpoint::EndpointRow;
+use crate::table::rollout::RolloutRow;
+use crate::time::Time;
+
+/// Greatest part of one service's requests that a watched version gets: of a service with few, more
+/// are needed to tell the same, but callers should not all be part of a trial.
+const MOST_OF_SERVICE: f64 = 0.5;
+/// Longest time by which an order is taken for older than it was known here: a second read of the store,
+/// where one failed. After an outage the time that an order has is used in vain.
+const MOST_UNSURE: Duration = Duration::from_millis(1_200);
+/// Requests sent from which on the services' parts of them are known.
+const KNOWN_SENT: u64 = 50;
+
+/// Takes the orders of a catalog over, and holds endpoints back that an order may have started that is
+/// not known here yet.
+pub fn apply(t: &mut Tables, now: Time, catalog: &Catalog) {
+    for declared in &catalog.rollouts {
+        let known = t.rollouts.of(&declared.pool);
+        if known.is_some_and(|row| row.declared.order >= declared.order) {
+            continue;
+        }
+        let back = known.is_some_and(|row| returns(t, row, &declared.version));
+        let key = (declared.pool.clone(), declared.version.clone());
+        t.rollouts.given_up.remove(&key);
+        let bounds = t.settings.rollouts;
+        let unsure = unsure(t, now);
+        let mut row = RolloutRow::new(declared.clone(), now, unsure, bounds_ratio(bounds));
+        if back {
+            row.advance(now, Stage::Moving);
+        }
+        t.rollouts.rows.insert(declared.pool.clone(), row);
+    }
+    let ordered = |pool: &PoolId| catalog.rollouts.iter().any(|r| r.pool == *pool);
+    t.rollouts.rows.retain(|pool, _| ordered(pool));
+    hold_back(t, now);
+}
+
+/// Gives how long ago an order that is new here may have come: after the time when the configuration
+/// without it was the newest.
+fn unsure(t: &Tables, now: Time) -> Duration {
+    let before = t.fresh_at.map(|at| now.saturating_sub(at));
+    before.unwrap_or_default().min(MOST_UNSURE)
+}
+
+fn bounds_ratio(bounds: Rollouts) -> f64 {
+    let nothing = allowance::Progress {
+        elapsed: Time::ZERO,
+        unsure: Time::ZERO,
+        time: Time::ZERO,
+        sent: 0,
+        exposed: 0,
+    };
+    allowance::watched_ratio(nothing, bounds)
+}
+
+/// Tells whether an order takes an unfinished one back: its version is the one that still carries the
+/// traffic, which need not be tried.
+fn returns(t: &Tables, row: &RolloutRow, version: &str) -> bool {
+    let unfinished = !row.stage.is_recorded() && row.stage != Stage::Moving;
+    let carries = |e: &EndpointRow| e.present && e.declared.version == version;
+    let mut pool = t.endpoints.iter().filter(|(_, e)| in_pool(e, row));
+    unfinished && row.declared.version != version && pool.any(|(_, e)| carries(e))
+}
+
+fn in_pool(e: &EndpointRow, row: &RolloutRow) -> bool {
+    e.declared.pool == row.declared.pool
+}
+
+/// Holds back endpoints of versions that are rare in their pool until the configuration is known to be
+/// newer than they are: an order comes before the endpoints that it starts, but may be read after them.
+fn hold_back(t: &mut Tables, now: Time) {
+    let counts = count_versions(t);
+    let most = |pool: &str| counts[pool].values().copied().max().unwrap_or(0);
+    let is_rare = |e: &EndpointRow| {
+        let versions = &counts[e.declared.pool.as_str()];
+        versions.len() > 1 && versions[e.declared.version.as_str()] < most(&e.declared.pool)
+    };
+    let new = t
+        .endpoints
+        .iter()
+        .filter(|(_, e)| e.present && e.held_since.is_none());
+    let rare: Vec<usize> = new.filter(|(_, e)| is_rare(e)).map(|(at, _)| at).collect();
+    for at in rare {
+        t.endpoints.get_mut(at).held_since = Some(now);
+    }
+}
+
+/// Counts the endpoints of each pool by their versions.
+fn count_versions(t: &Tables) -> HashMap<&str, HashMap<&str, usize>> {
+    let mut counts: HashMap<&str, HashMap<&str, usize>> = HashMap::new();
+    for (_, e) in t.endpoints.iter().filter(|(_, e)| e.present) {
+        let versions = counts.entry(&e.declared.pool).or_default();
+        *versions.entry(&e.declared.version).or_default() += 1;
+    }
+    counts
+}
+
+/// Tells whether an order that would concern the endpoint would be known by now.
+fn is_settled(t: &Tables, e: &EndpointRow) -> bool {
+    let Some(since) = e.held_since else {
+        return true;
+    };
+    t.rollouts.of(&e.declared.pool).is_some() || t.fresh_at.is_none_or(|at| at > since)
+}
+
+/// Where a request stands in the roll-out of its pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Side {
+    /// It goes to the old version.
+    Old,
+    /// It is one of those by which the new version is tried.
+    Trial,
+    /// It goes to the new version.
+    New,
+}
+
+fn side(row: &RequestRow, rollout: &RolloutRow) -> Side {
+    match rollout.stage {
+        Stage::Watching if draw(row) < service_ratio(&row.new.service, rollout) => Side::Trial,
+        Stage::Watching | Stage::Halted | Stage::RolledBack => Side::Old,
+        Stage::Moving | Stage::Completed => Side::New,
+    }
+}
+
+/// Gives a number from 0 to 1 by the request's id, the same at its instance and at the coordinator.
+fn draw(row: &RequestRow) -> f64 {
+    rendezvous::hash_key(row.new.id.as_bytes()) as f64 / u64::MAX as f64
+}
+
+/// Gives the part of a service's requests by which a watched version is tried: services have equal
+/// numbers, so that a version that is bad at a rare one's shows it.
+fn service_ratio(service: &str, rollout: &RolloutRow) -> f64 {
+    let all: u64 = rollout.sent.values().sum();
+    let own = rollout.sent.get(service).copied().unwrap_or(0);
+    if all < KNOWN_SENT {
+        return rollout.ratio;
+    }
+    let even = all as f64 / rollout.sent.len() as f64;
+    (rollout.ratio * even / own.max(1) as f64).min(MOST_OF_SERVICE)
+}
+
+/// Tells which version of its pool an endpoint has: the new one of a roll-out, or not.
+#[must_use]
+pub fn is_new(t: &Tables, e: &EndpointRow) -> bool {
+    let rollout = t.rollouts.of(&e.declared.pool);
+    rollout.is_some_and(|r| r.declared.version == e.declared.version)
+}
+
+/// Tells whether a request may go to an endpoint by its version.
+#[must_use]
+pub fn admits(t: &Tables, row: &RequestRow, at: usize) -> bool {
+    let e = t.endpoints.get(at);
+    if !is_settled(t, e) || is_given_up(t, e) {
+        return false;
+    }
+    let Some(rollout) = t.rollouts.of(&e.declared.pool) else {
+        return true;
+    };
+    let new = is_new(t, e);
+    match side(row, rollout) {
+        Side::Old => !new,
+        Side::Trial => !new || rollout.canaries.contains(&at),
+        Side::New => new || !has_new(t, rollout),
+    }
+}
+
+/// Gives the endpoint that a request is to try the new version at, of those that have `room`: each in
+/// turn by the request's id, whichever is the fastest, so that all of them are heard of.
+#[must_use]
+pub fn trial(t: &Tables, row: &RequestRow, room: &[usize]) -> Option<usize> {
+    let rollout = t.rollouts.of(row.pool_key())?;
+    if side(row, rollout) != Side::Trial {
+        return None;
+    }
+    let tried = |at: &&usize| rollout.canaries.contains(*at);
+    let tried: Vec<&usize> = room.iter().filter(tried).collect();
+    let pick = |at: &&&usize| {
+        let name = &t.endpoints.get(***at).declared.name;
+        rendezvous::weight(rendezvous::hash_key(row.new.id.as_bytes()), name)
+    };
+    tried.iter().max_by_key(pick).map(|at| **at)
+}
+
+/// Tells whether a place that a coordinator gave may be used: the instance may know more than the
+/// coordinator of how the roll-out ended.
+#[must_use]
+pub fn admits_grant(t: &Tables, at: usize) -> bool {
+    let e = t.endpoints.get(at);
+    if !is_settled(t, e) || is_given_up(t, e) {
+        return false;
+    }
+    match t.rollouts.of(&e.declared.pool) {
+        Some(r) if r.stage == Stage::Completed => is_new(t, e) || !has_new(t, r),
+        _ => true,
+    }
+}
+
+/// Tells whether an endpoint's version was given up.
+fn is_given_up(t: &Tables, e: &EndpointRow) -> bool {
+    let Some(rollout) = t.rollouts.of(&e.declared.pool) else {
+        return false;
+    };
+    let halted = matches!(rollout.stage, Stage::Halted | Stage::RolledBack);
+    let key = (e.declared.pool.clone(), e.declared.version.clone());
+    (halted && is_new(t, e)) || t.rollouts.given_up.contains(&key)
+}
+
+/// Tells whether any endpoint of the new version takes work: without one, the old ones go on.
+fn has_new(t: &Tables, rollout: &RolloutRow) -> bool {
+    let new = |e: &EndpointRow| in_pool(e, rollout) && is_new(t, e);
+    let mut endpoints = t.endpoints.iter();
+    endpoints.any(|(_, e)| new(e) && e.present && !e.declared.leaving)
+}
+
+/// Gives the endpoints by which the new version is tried: few, so that they are as busy as the old
+/// ones are, and some in each availability zone, so that every group reaches them.
+pub fn canaries(t: &Tables, now: Time, rollout: &RolloutRow) -> Vec<usize> {
+    const LEAST_IN_ZONE: usize = 2;
+    let mut zones: BTreeMap<&str, Vec<(Reverse<u64>, usize)>> = BTreeMap::new();
+    let usable = t
+        .endpoints
+        .iter()
+        .filter(|(_, e)| in_pool(e, rollout) && is_new(t, e) && e.usable(now) && is_settled(t, e));
+    for (at, e) in usable {
+        let order = Reverse(rendezvous::hash_key(e.declared.name.as_bytes()));
+        zones.entry(&e.declared.zone).or_default().push((order, at));
+    }
+    let mut chosen = Vec::new();
+    for mut endpoints in zones.into_values() {
+        let part = (rollout.ratio * endpoints.len() as f64).ceil() as usize;
+        endpoints.sort_unstable();
+        endpoints.truncate(part.max(LEAST_IN_ZONE));
+        chosen.extend(endpoints.into_iter().map(|(_, at)| at));
+    }
+    chosen
+}
--- a/crates/firdock-policy/src/system/share/group.rs
+++ b/crates/firdock-policy/src/system/share/group.rs
@@ -10,6 +10,7 @@
 
 use super::{Part, whole_places};
 use crate::system::demand::on_endpoint;
+use crate::system::rollout;
 use crate::table::Tables;
 use crate::table::endpoint::EndpointRow;
 use crate::time::Time;
@@ -63,9 +64,11 @@
 
 /// Gives the own group's places on every endpoint.
 fn shared_budgets(t: &Tables, zones: &Zones, own: usize) -> Vec<(usize, u32)> {
-    let mut pools: BTreeMap<&str, Vec<(usize, &EndpointRow)>> = BTreeMap::new();
+    // Both versions of a roll-out are shared by themselves: requests of one cannot use the other's.
+    let mut pools: BTreeMap<(&str, bool), Vec<(usize, &EndpointRow)>> = BTreeMap::new();
     for (at, e) in t.endpoints.iter() {
-        pools.entry(&e.declared.pool).or_default().push((at, e));
+        let key = (e.declared.pool.as_str(), rollout::is_new(t, e));
+        pools.entry(key).or_default().push((at, e));
     }
     let mut budgets = Vec::new();
     for endpoints in pools.values() {
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -12,6 +12,7 @@
 pub mod queue;
 pub mod request;
 pub mod retry;
+pub mod rollout;
 pub mod rows;
 pub mod service;
 pub mod transfer;
@@ -92,6 +93,8 @@
     pub fresh_at: Option<Time>,
     /// Whether a coordinator places this instance's requests on engines.
     pub coordinated: bool,
+    /// Roll-outs of pools.
+    pub rollouts: rollout::Rollouts,
     /// Counters.
     pub stats: Stats,
 }
@@ -172,6 +175,7 @@
             reach: None,
             fresh_at: None,
             coordinated: false,
+            rollouts: rollout::Rollouts::default(),
             stats: Stats::default(),
         }
     }
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -104,6 +104,9 @@
     pub cache: PrefixCache,
     /// Requests that this instance may have there at once.
     pub budget: u32,
+    /// Since when it is held back for its version, which is rare in its pool: until no order can be
+    /// missing that would concern it.
+    pub held_since: Option<Time>,
 }
 
 /// Gives the weight of one more sample: the first ones count evenly, so that an endpoint whose
@@ -139,6 +142,7 @@
             streams: 0,
             report: None,
             cache: PrefixCache::default(),
+            held_since: None,
         }
     }
 
--- /dev/null
+++ b/crates/firdock-policy/tests/policy/rollout.rs
@@ -0,0 +1,465 @@
+//! Roll-outs: who gets the new version, when the traffic moves, and what takes it back.
+//!
+//! The load is that of a pool of twelve engines in one zone at 100 requests a second beside as many of
+//! the new version, over an order of 12 s: enough for the counts to tell, few enough for a test.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use firdock_core::resource::{Catalog, Endpoint, Resource, Rollout};
+use firdock_core::settings::Rollouts;
+use firdock_policy::event::{DispatchNews, GroupEvidence, PeerNews};
+use firdock_policy::rollout::{Evidence, RolloutRecord, RolloutWord, Stage};
+use firdock_policy::{Action, Event, PolicySettings};
+use proptest::prelude::*;
+
+use crate::edge::{Edge, edge_settings, request, resources};
+use crate::scene::{dispatched, id, millis};
+
+/// Engines of each version.
+const ENGINES: usize = 12;
+const OLD: &str = "v1";
+const NEW: &str = "v2";
+/// Pause between two requests.
+const PAUSE: Duration = Duration::from_millis(10);
+const TIME: Duration = Duration::from_secs(12);
+
+fn engine(name: &str, version: &str) -> Resource {
+    Resource::Endpoint(Endpoint {
+        name: name.to_owned(),
+        pool: "pool".to_owned(),
+        version: version.to_owned(),
+        slots: 100,
+        ..Endpoint::default()
+    })
+}
+
+fn order(version: &str, order: u64) -> Rollout {
+    Rollout {
+        pool: "pool".to_owned(),
+        version: version.to_owned(),
+        time_millis: TIME.as_millis() as u64,
+        order,
+    }
+}
+
+/// Gives the configuration with engines of both versions and the orders given.
+fn catalog(old: usize, new: usize, orders: &[Rollout]) -> Event {
+    let mut all = resources();
+    all.retain(|r| !matches!(r, Resource::Endpoint(_)));
+    all.extend((0..old).map(|n| engine(&format!("old-{n}"), OLD)));
+    all.extend((0..new).map(|n| engine(&format!("new-{n}"), NEW)));
+    let mut catalog = Catalog::new(1).with_resources(all);
+    catalog.rollouts = orders.to_vec();
+    Event::Config(Arc::new(catalog))
+}
+
+fn rollout_settings() -> PolicySettings {
+    let mut settings = edge_settings("a");
+    settings.max_held = 100_000;
+    settings.rollouts = Rollouts {
+        exposure_ratio: 0.1,
+        exposure_slack: 50.0,
+    };
+    settings
+}
+
+/// An instance that leads the site, with engines of the old version only.
+struct Site {
+    edge: Edge,
+    next: u64,
+    sent: u64,
+    exposed: u64,
+    records: Vec<RolloutRecord>,
+}
+
+impl Site {
+    fn new() -> Self {
+        let mut edge = Edge::new(rollout_settings(), resources());
+        edge.step(catalog(ENGINES, 0, &[]));
+        edge.step(Event::Decides(true));
+        Self {
+            edge,
+            next: 1,
+            sent: 0,
+            exposed: 0,
+            records: Vec::new(),
+        }
+    }
+
+    /// Orders the roll-out; its engines are there at once.
+    fn ordered() -> Self {
+        let mut site = Self::new();
+        site.edge.step(catalog(ENGINES, ENGINES, &[order(NEW, 7)]));
+        site
+    }
+
+    fn note(&mut self, actions: &[Action]) {
+        let records = actions.iter().filter_map(|a| match a {
+            Action::Record(record) => Some(record.clone()),
+            _ => None,
+        });
+        self.records.extend(records);
+    }
+
+    /// Sends a request; gives the engine that it went to.
+    fn send(&mut self, service: &str) -> Option<(u64, String)> {
+        let n = self.next;
+        self.next += 1;
+        let actions = self.edge.arrive(request(n, service, "free"));
+        let (_, engine) = dispatched(&actions).pop()?;
+        self.sent += 1;
+        self.exposed += u64::from(engine.starts_with("new"));
+        Some((n, engine))
+    }
+
+    /// Lets a second's requests come, each answered at once, as `bad` tells for the new version.
+    fn second(&mut self, bad: impl Fn(u64, &str) -> bool) {
+        for _ in 0..100 {
+            self.edge.now += PAUSE;
+            let fresh = Event::Fresh(self.edge.now);
+            self.edge.step(fresh);
+            let actions = self.edge.step(Event::Timer);
+            self.note(&actions);
+            let service = if self.next.is_multiple_of(4) {
+                "once"
+            } else {
+                "safe"
+            };
+            let Some((n, engine)) = self.send(service) else {
+                continue;
+            };
+            if engine.starts_with("new") && bad(n, service) {
+                self.edge.tell(n, 1, DispatchNews::Failed);
+            }
+            self.edge.end(n);
+        }
+    }
+
+    fn stage(&self) -> Stage {
+        let rollouts = &self.edge.scheduler.tables().rollouts;
+        rollouts.of("pool").expect("a roll-out").stage
+    }
+
+    fn record(&mut self, stage: Stage) {
+        let record = RolloutRecord {
+            pool: "pool".to_owned(),
+            order: 7,
+            version: NEW.to_owned(),
+            stage,
+            age: Duration::ZERO,
+            reason: String::new(),
+        };
+        self.edge.step(Event::Recorded(record));
+    }
+}
+
+fn word(stage: Stage, age: Duration) -> Event {
+    Event::Rollout(RolloutWord {
+        pool: "pool".to_owned(),
+        order: 7,
+        stage,
+        age,
+        ratio: 0.0,
+    })
+}
+
+#[test]
+fn a_good_version_gets_little_until_the_end_and_everything_then() {
+    let mut site = Site::ordered();
+    for second in 1..=11 {
+        site.second(|_, _| false);
+        let most = 0.08 * site.sent as f64 + 25.0;
+        assert!(
+            (site.exposed as f64) < most,
+            "{} in second {second}",
+            site.exposed
+        );
+    }
+    assert!(site.exposed > 20, "it is tried: {}", site.exposed);
+    site.second(|_, _| false);
+    let last = site.records.last().expect("a record");
+    assert_eq!(last.stage, Stage::Completed);
+    assert!(last.age < TIME, "{:?}", last.age);
+    let most = 0.1 * site.sent as f64 + 50.0;
+    assert!(
+        (site.exposed as f64) < most,
+        "{} of {}",
+        site.exposed,
+        site.sent
+    );
+}
+
+#[test]
+fn an_order_is_told_to_run_as_soon_as_it_is_known() {
+    let mut site = Site::ordered();
+    site.second(|_, _| false);
+    assert_eq!(site.records[0].stage, Stage::Watching);
+    assert_eq!((site.records[0].order, &*site.records[0].version), (7, NEW));
+    assert_eq!(site.records.len(), 1, "a record is asked for once");
+}
+
+#[test]
+fn a_version_that_fails_gets_nothing_any_more_and_is_rolled_back() {
+    let mut site = Site::ordered();
+    while site.stage() == Stage::Watching {
+        site.second(|n, _| n.is_multiple_of(2));
+        assert!(site.sent < 1_200, "its failures were not seen");
+    }
+    let exposed = site.exposed;
+    assert_eq!(
+        site.records.last().expect("a record").stage,
+        Stage::RolledBack
+    );
+    assert!(!site.records.last().expect("a record").reason.is_empty());
+    site.second(|_, _| true);
+    assert_eq!(site.exposed, exposed);
+    site.record(Stage::RolledBack);
+    site.second(|_, _| true);
+    assert_eq!(site.exposed, exposed);
+}
+
+#[test]
+fn a_version_that_fails_one_services_requests_is_found() {
+    let mut site = Site::ordered();
+    for _ in 0..11 {
+        site.second(|n, service| service == "once" && n.is_multiple_of(8));
+    }
+    assert_eq!(site.stage(), Stage::Halted, "{} tried", site.exposed);
+}
+
+#[test]
+fn a_version_that_turns_bad_later_is_found() {
+    let mut site = Site::ordered();
+    for second in 0..11 {
+        site.second(|n, _| second >= 6 && n.is_multiple_of(2));
+    }
+    assert_eq!(site.stage(), Stage::Halted, "{} tried", site.exposed);
+}
+
+#[test]
+fn an_endpoint_that_fails_alone_is_no_verdict_on_its_version() {
+    let mut site = Site::ordered();
+    for _ in 0..8 {
+        // The engine whose requests fail is told by the request's answer: one of two canaries at most.
+        let canary = site
+            .edge
+            .scheduler
+            .tables()
+            .rollouts
+            .of("pool")
+            .and_then(|r| r.canaries.first().copied());
+        for _ in 0..100 {
+            site.edge.now += PAUSE;
+            let fresh = Event::Fresh(site.edge.now);
+            site.edge.step(fresh);
+            let actions = site.edge.step(Event::Timer);
+            site.note(&actions);
+            let Some((n, engine)) = site.send("safe") else {
+                continue;
+            };
+            let t = site.edge.scheduler.tables();
+            if canary.is_some() && t.endpoints.find(&engine) == canary && n.is_multiple_of(2) {
+                site.edge.tell(n, 1, DispatchNews::Failed);
+            }
+            site.edge.end(n);
+        }
+    }
+    assert_ne!(site.stage(), Stage::Halted);
+}
+
+#[test]
+fn only_the_instance_that_leads_decides() {
+    let mut site = Site::ordered();
+    site.edge.step(Event::Decides(false));
+    for _ in 0..12 {
+        site.second(|n, _| n.is_multiple_of(2));
+    }
+    assert_eq!(site.stage(), Stage::Watching);
+    assert!(site.records.is_empty());
+    site.edge.step(word(Stage::Halted, Duration::ZERO));
+    assert_eq!(site.stage(), Stage::Halted);
+    let exposed = site.exposed;
+    site.second(|_, _| false);
+    assert_eq!(site.exposed, exposed, "a peer's word stops it as well");
+}
+
+#[test]
+fn what_other_instances_and_groups_saw_counts() {
+    let mut site = Site::ordered();
+    let mut seen = Evidence::new("pool".to_owned(), 7);
+    seen.sent = 1_000;
+    seen.exposed = 40;
+    for _ in 0..200 {
+        seen.tally("safe", "").answer(1.0);
+    }
+    for endpoint in ["new-0", "new-1", "new-2"] {
+        for _ in 0..5 {
+            seen.tally("safe", endpoint).answer(1.0);
+            seen.tally("safe", endpoint).failed += 1;
+        }
+    }
+    let far = GroupEvidence {
+        zone: "far".to_owned(),
+        seen: vec![seen.clone()],
+    };
+    site.edge.step(Event::PeersKnown(0));
+    // All instances are one group here, so that other groups tell nothing new.
+    site.edge.step(Event::GroupEvidence(far));
+    site.edge.after(millis(100));
+    assert_eq!(site.stage(), Stage::Watching);
+    site.edge.step(Event::Peer(PeerNews {
+        name: "b".to_owned(),
+        seen: vec![seen],
+        ..PeerNews::default()
+    }));
+    site.edge.after(millis(100));
+    assert_eq!(site.stage(), Stage::Halted);
+}
+
+#[test]
+fn a_peer_that_knew_the_order_earlier_tells_its_age() {
+    let mut site = Site::ordered();
+    site.edge
+        .step(word(Stage::Watching, Duration::from_secs(11)));
+    site.second(|_, _| false);
+    site.second(|_, _| false);
+    let last = site.records.last().expect("a record");
+    assert_eq!(last.stage, Stage::Completed, "{last:?}");
+}
+
+#[test]
+fn a_recorded_end_stands() {
+    for (recorded, other) in [
+        (Stage::Completed, Stage::Halted),
+        (Stage::Completed, Stage::RolledBack),
+        (Stage::RolledBack, Stage::Completed),
+    ] {
+        let mut site = Site::ordered();
+        site.record(recorded);
+        site.edge.step(word(other, Duration::ZERO));
+        site.record(other);
+        assert_eq!(site.stage(), recorded);
+        let exposed = site.exposed;
+        site.second(|_, _| false);
+        let all = site.exposed - exposed;
+        assert_eq!(all, if recorded == Stage::Completed { 100 } else { 0 });
+    }
+}
+
+#[test]
+fn nothing_moves_while_the_new_version_has_too_few_endpoints() {
+    let mut site = Site::new();
+    site.edge.step(catalog(ENGINES, 3, &[order(NEW, 7)]));
+    for _ in 0..14 {
+        site.second(|_, _| false);
+    }
+    assert_eq!(site.stage(), Stage::Watching);
+    site.edge.step(catalog(ENGINES, ENGINES, &[order(NEW, 7)]));
+    site.second(|_, _| false);
+    assert_eq!(site.stage(), Stage::Moving, "late is better than never");
+}
+
+#[test]
+fn endpoints_of_a_new_version_wait_until_no_order_can_be_missing() {
+    let mut site = Site::new();
+    site.second(|_, _| false);
+    site.edge.step(catalog(ENGINES, 3, &[]));
+    for _ in 0..50 {
+        site.edge.now += PAUSE;
+        let sent = site.send("safe").expect("it is sent");
+        assert!(sent.1.starts_with("old"), "{}", sent.1);
+        site.edge.end(sent.0);
+    }
+    // Without an order by then, they are as good as any: more than the old ones have places for come.
+    let fresh = Event::Fresh(site.edge.now);
+    site.edge.step(fresh);
+    for _ in 0..100 * (ENGINES + 1) {
+        site.send("safe");
+    }
+    assert!(site.exposed > 0);
+}
+
+#[test]
+fn an_order_that_is_read_again_changes_nothing_and_a_later_one_begins_anew() {
+    let mut site = Site::ordered();
+    site.record(Stage::RolledBack);
+    site.edge.step(catalog(ENGINES, ENGINES, &[order(NEW, 7)]));
+    assert_eq!(site.stage(), Stage::RolledBack);
+    site.edge.step(catalog(ENGINES, ENGINES, &[order(NEW, 9)]));
+    assert_eq!(site.stage(), Stage::Watching);
+    site.second(|_, _| false);
+    site.second(|_, _| false);
+    assert!(
+        site.exposed > 0,
+        "what was given up is tried again by order"
+    );
+}
+
+#[test]
+fn an_order_back_to_the_old_version_takes_the_traffic_back_at_once() {
+    let mut site = Site::ordered();
+    site.second(|_, _| false);
+    site.edge.step(catalog(ENGINES, ENGINES, &[order(OLD, 9)]));
+    let exposed = site.exposed;
+    site.second(|_, _| false);
+    assert_eq!(site.exposed, exposed);
+    assert_eq!(
+        site.records.last().expect("a record").stage,
+        Stage::Completed
+    );
+}
+
+#[test]
+fn an_order_to_the_version_that_all_endpoints_have_is_completed() {
+    let mut site = Site::new();
+    site.edge.step(catalog(ENGINES, 0, &[order(OLD, 7)]));
+    for _ in 0..5 {
+        site.second(|_, _| false);
+    }
+    assert_eq!(
+        site.records.last().expect("a record").stage,
+        Stage::Completed
+    );
+}
+
+#[test]
+fn a_place_on_a_version_that_was_given_up_is_not_used() {
+    let mut site = Site::ordered();
+    site.edge.step(Event::Coordinated(true));
+    site.edge.arrive(request(1, "once", "free"));
+    site.edge.step(word(Stage::Halted, Duration::ZERO));
+    let grant = firdock_policy::event::Grant {
+        id: id(1),
+        endpoint: "new-0".to_owned(),
+    };
+    let actions = site.edge.step(Event::Granted(grant));
+    assert!(dispatched(&actions).is_empty());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    /// However bad a version is and from whenever on, it gets no more than it may.
+    #[test]
+    fn a_bad_version_gets_no_more_than_it_may(
+        spoiled in 0.0..1.0_f64,
+        from in 0..12_u64,
+        ratio in 0.05..0.2_f64,
+        slack in 0.0..80.0_f64,
+    ) {
+        let mut settings = rollout_settings();
+        settings.rollouts = Rollouts { exposure_ratio: ratio, exposure_slack: slack };
+        let mut site = Site::new();
+        site.edge = Edge::new(settings, resources());
+        site.edge.step(catalog(ENGINES, 0, &[]));
+        site.edge.step(Event::Decides(true));
+        site.edge.step(catalog(ENGINES, ENGINES, &[order(NEW, 7)]));
+        for second in 0..12 {
+            let every = (1.0 / spoiled.max(0.01)) as u64;
+            site.second(|n, _| second >= from && n.is_multiple_of(every.max(1)));
+        }
+        let most = ratio * site.sent as f64 + slack + 1.0;
+        prop_assert!(site.exposed as f64 <= most, "{} of {}, {most}", site.exposed, site.sent);
+    }
+}
--- a/crates/firdock-policy/tests/policy/world/message.rs
+++ b/crates/firdock-policy/tests/policy/world/message.rs
@@ -209,6 +209,7 @@
             Action::Cancel { .. }
             | Action::Decline(_)
             | Action::Forget { .. }
+            | Action::Record(_)
             | Action::Drained => {}
         }
     }
--- a/crates/firdock-standin/src/cmd.rs
+++ b/crates/firdock-standin/src/cmd.rs
@@ -5,6 +5,7 @@
 mod instances;
 mod log;
 mod measure;
+mod rollouts;
 mod service;
 
 use std::io;
@@ -42,6 +43,7 @@
         .arg_required_else_help(true)
         .subcommand(demo::make_subcommand())
         .subcommand(measure::make_subcommand())
+        .subcommand(rollouts::make_subcommand())
         .subcommand(engine::make_subcommand())
         .subcommand(service::make_subcommand())
         .subcommand(log::make_subcommand())
@@ -53,6 +55,7 @@
     match matches.subcommand() {
         Some(("demo", args)) => demo::execute(args),
         Some(("measure", args)) => Ok(measure::execute(args)),
+        Some(("rollouts", args)) => Ok(rollouts::execute(args)),
         Some(("engine", args)) => engine::execute(args),
         Some(("service", args)) => service::execute(args),
         Some(("log", args)) => log::execute(args),
--- a/crates/firdock-standin/src/lib.rs
+++ b/crates/firdock-standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod instances;
 pub mod log;
 pub mod measure;
+pub mod rollouts;
 pub mod service;
 pub mod web;
 pub mod workload;
--- a/crates/firdock-wire/src/lib.rs
+++ b/crates/firdock-wire/src/lib.rs
@@ -9,6 +9,7 @@
 #[expect(
     missing_docs,
     clippy::empty_structs_with_brackets,
+    clippy::large_enum_variant,
     clippy::pedantic,
     reason = "generated code; its comments are the .proto's"
 )]
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -163,6 +163,9 @@
     /// Offset after the last record of the list of endpoints that the sender knows.
     #[prost(uint64, tag = "6")]
     pub endpoints_next: u64,
+    /// Offset after the last record of the configuration's topic that the sender knows.
+    #[prost(uint64, tag = "7")]
+    pub config_next: u64,
 }
 /// A heartbeat by datagram.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -201,6 +204,63 @@
     /// Processor that the sender has, in thousandths of a core; 0 where that is not set.
     #[prost(uint32, tag = "12")]
     pub power: u32,
+    /// How far roll-outs are, as the sender knows it.
+    #[prost(message, repeated, tag = "13")]
+    pub rollouts: ::prost::alloc::vec::Vec<RolloutWord>,
+    /// What the sender saw of those that go on.
+    #[prost(message, repeated, tag = "14")]
+    pub rollout_seen: ::prost::alloc::vec::Vec<RolloutEvidence>,
+    /// What its group saw, if it leads it.
+    #[prost(message, repeated, tag = "15")]
+    pub group_rollout_seen: ::prost::alloc::vec::Vec<RolloutEvidence>,
+}
+/// How far one roll-out is.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RolloutWord {
+    #[prost(string, tag = "1")]
+    pub pool: ::prost::alloc::string::String,
+    /// Offset of the order in the platform's log.
+    #[prost(uint64, tag = "2")]
+    pub order: u64,
+    #[prost(enumeration = "RolloutStage", tag = "3")]
+    pub stage: i32,
+    /// Time since the order was first known of, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub age: u64,
+    /// Part of the pool's requests that the new version gets while it is watched.
+    #[prost(double, tag = "5")]
+    pub ratio: f64,
+}
+/// What instances saw of one roll-out since its order.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RolloutEvidence {
+    #[prost(string, tag = "1")]
+    pub pool: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub order: u64,
+    /// Requests sent to the pool, and those among them to the new version.
+    #[prost(uint64, tag = "3")]
+    pub sent: u64,
+    #[prost(uint64, tag = "4")]
+    pub exposed: u64,
+    #[prost(message, repeated, tag = "5")]
+    pub tallies: ::prost::alloc::vec::Vec<RolloutTally>,
+}
+/// How answers to one service's requests went.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RolloutTally {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// Endpoint of the new version; empty for all of the old one.
+    #[prost(string, tag = "2")]
+    pub endpoint: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "3")]
+    pub failed: u32,
+    #[prost(uint32, tag = "4")]
+    pub lost: u32,
+    /// Whole answers by the band of the time that they took.
+    #[prost(uint32, repeated, tag = "5")]
+    pub bands: ::prost::alloc::vec::Vec<u32>,
 }
 /// What another instance than the sender let pass of limited accounts since its start.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -302,6 +362,9 @@
     /// Absent where the entry is gone.
     #[prost(bytes = "vec", optional, tag = "2")]
     pub value: ::core::option::Option<::prost::alloc::vec::Vec<u8>>,
+    /// Offset of the record.
+    #[prost(uint64, tag = "3")]
+    pub offset: u64,
 }
 /// What one instance let pass of one account's limit.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -564,6 +627,45 @@
     #[prost(uint64, tag = "4")]
     pub retry_millis: u64,
 }
+/// How far the move of a pool's traffic to another software version is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum RolloutStage {
+    Unspecified = 0,
+    Watching = 1,
+    Moving = 2,
+    Halted = 3,
+    Completed = 4,
+    RolledBack = 5,
+}
+impl RolloutStage {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "ROLLOUT_STAGE_UNSPECIFIED",
+            Self::Watching => "ROLLOUT_STAGE_WATCHING",
+            Self::Moving => "ROLLOUT_STAGE_MOVING",
+            Self::Halted => "ROLLOUT_STAGE_HALTED",
+            Self::Completed => "ROLLOUT_STAGE_COMPLETED",
+            Self::RolledBack => "ROLLOUT_STAGE_ROLLED_BACK",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "ROLLOUT_STAGE_UNSPECIFIED" => Some(Self::Unspecified),
+            "ROLLOUT_STAGE_WATCHING" => Some(Self::Watching),
+            "ROLLOUT_STAGE_MOVING" => Some(Self::Moving),
+            "ROLLOUT_STAGE_HALTED" => Some(Self::Halted),
+            "ROLLOUT_STAGE_COMPLETED" => Some(Self::Completed),
+            "ROLLOUT_STAGE_ROLLED_BACK" => Some(Self::RolledBack),
+            _ => None,
+        }
+    }
+}
 /// A topic of the platform's store that instances pass on to each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
