Pass long state down a tree of each zone at a start, and tell far instances little

Cause: where 300 instances start at one moment before 3,000 endpoints, three that the platform names would each send 35 KB to a hundred others, most of it between zones: three seconds of a link of 10 Mbit/s, which the pace of one answer in 2 ms overran; each start wrote 3,000 lines as well. Far instances told each other all that near ones do.

Change: state of more than 8 KB is left out of the answer to who starts; it is asked of an instance of the own zone, in a tree of nine by standing, which the list of instances tells with their processor. Answers go no faster than the own link (instance.link_mbits). Heartbeats to far instances that lead nothing tell that the sender is there, its demand and reads.

Ruled out: a state too long for a datagram (it deflates to 35 KB).

--- a/crates/firdock-core/src/settings/tables.rs
+++ b/crates/firdock-core/src/settings/tables.rs
@@ -28,6 +28,9 @@
     /// Processor that the instance has, in cores; 0 where that is not known. The strongest of those
     /// that hear each other lead.
     pub cores: f64,
+    /// Link that the instance has, in Mbit/s; 0 where that is not known. Answers to others that start go
+    /// no faster.
+    pub link_mbits: f64,
 }
 
 impl Instance {
--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -231,6 +231,7 @@
             relay: UseRelay::default(),
             inputs: inputs.clone(),
             pause: self.settings.peers.heartbeat(),
+            link: self.settings.instance.link_mbits,
             clock: self.clock,
             log: self.log.new(o!("part" => "peers")),
         };
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -97,6 +97,8 @@
     pub inputs: mpsc::Sender<Input>,
     /// Pause between two beacons.
     pub pause: Duration,
+    /// Link of this instance, in Mbit/s; 0 where that is not known.
+    pub link: f64,
     /// Clock.
     pub clock: Clock,
     /// Logger.
@@ -145,7 +147,7 @@
                     known = self.count(known).await;
                     self.send_at_once().await;
                 }
-                () = sleep_until_due(meeting.next(&self.reads, &self.book), now) => {
+                () = sleep_until_due(meeting.next(now, &self.reads, &self.book), now) => {
                     self.ask_seed(&mut meeting).await;
                 }
                 () = sleep_until_due(answers.next(&self.reads, &self.book), now) => {
@@ -184,7 +186,21 @@
         let (for_group, for_leads) = self.relayed(now);
         self.send_all(&due.near, &heard, &for_group).await;
         self.send_all(&due.leads, &heard, &for_leads).await;
-        self.send_all(&due.far, &heard, &[]).await;
+        self.send_far(&due.far).await;
+    }
+
+    /// Sends the beacons to instances far away that lead nothing, which need to know little of this one:
+    /// the leads of their groups tell them the rest, and bytes between zones are paid for.
+    async fn send_far(&self, peers: &[KnownPeer]) {
+        if peers.is_empty() {
+            return;
+        }
+        let beacon = if self.book.is_small() {
+            self.beacon(&[], &[])
+        } else {
+            self.short_beacon()
+        };
+        self.send_sealed(peers, beacon).await;
     }
 
     /// Sends beacons at a start or an end, which those that need to know hear of at once.
@@ -227,6 +243,10 @@
             return;
         }
         let beacon = self.beacon(heard, relayed);
+        self.send_sealed(peers, beacon).await;
+    }
+
+    async fn send_sealed(&self, peers: &[KnownPeer], beacon: Beacon) {
         let sealed = seal(&self.key, datagram::Body::Beacon(beacon));
         for peer in peers {
             self.send_to(&sealed, &peer.name, peer.address).await;
@@ -283,6 +303,20 @@
         }
     }
 
+    /// Makes a beacon that tells that this instance is there, what it knows of the store and its demand.
+    fn short_beacon(&self) -> Beacon {
+        let news = self.news.borrow();
+        Beacon {
+            protocol: PROTOCOL,
+            instance: self.member.name.clone(),
+            incarnation: self.member.incarnation.as_bytes().to_vec(),
+            heartbeat: Some(news.short_message()),
+            reads: Some(write_reads(self.reads.own())),
+            power: self.book.power(),
+            ..Beacon::default()
+        }
+    }
+
     /// Gives what this instance tells of its group, nothing where it does not lead one or is to stop.
     fn lead_word(&self, now: Time, news: &SelfNews) -> LeadWord {
         if self.book.is_small() || news.draining || !self.book.tells(now) {
--- a/crates/firdock-node/src/peer/beacon/answer.rs
+++ b/crates/firdock-node/src/peer/beacon/answer.rs
@@ -16,12 +16,20 @@
 use super::Beacons;
 use crate::peer::book::{KnownPeer, PeerBook};
 use crate::peer::datagram::{seal, write_address};
-use crate::peer::known::{KnownState, Question, answer_body};
+use crate::peer::known::{KnownState, Question, Told, answer_body};
 use crate::peer::reads::SharedReads;
 
-/// Pause between two answers: some 8 KB each are 3 ms of a link of 20 Mbit/s, to which they come
+/// Shortest pause between two answers: some 8 KB each are 3 ms of a link of 20 Mbit/s, to which they come
 /// spread over its queue.
 const ANSWER_PAUSE: Duration = Duration::from_millis(2);
+/// Part of the own link that answers use: what a full link drops has to be asked for again.
+const LINK_PART: f64 = 0.7;
+/// Link that is assumed where the settings name none, in Mbit/s: that of most instances of the users' sites.
+const LINK_GUESS: f64 = 20.0;
+/// Bytes of deflated topics up to which everyone is told them that asks: some 600 endpoints. Three
+/// instances are asked first; of 300 before 3,000 endpoints each would send 100 times 35 KB, which
+/// takes a link of 10 Mbit/s three seconds, and most of it between zones.
+const DIRECT_BYTES: usize = 8 << 10;
 /// Peers that wait for an answer at most: as many as there are instances that are kept.
 const MAX_WAITING: usize = 512;
 /// Time for which one answer serves all that ask for the same, though instances came meanwhile.
@@ -32,7 +40,9 @@
 struct Basis {
     topics: bool,
     instances: bool,
+    whole: bool,
     version: u64,
+    config_next: Offset,
     endpoints_next: Offset,
 }
 
@@ -41,16 +51,18 @@
 struct Made {
     basis: Basis,
     at: Time,
-    /// The deflated state; `None` where it is too long to be told.
-    state: Option<Vec<u8>>,
+    /// What it tells; `None` where that is too long.
+    told: Option<Told>,
 }
 
 /// Peers that wait for an answer, and the last one that was made.
 #[derive(Debug, Default)]
 pub(super) struct Answers {
     waiting: VecDeque<(SocketAddr, Question)>,
-    sent_at: Time,
-    made: Option<Made>,
+    /// When the next answer may be sent.
+    free_at: Time,
+    /// Answers that were made: those to who starts, and to who takes part in a tree.
+    made: Vec<Made>,
 }
 
 impl Answers {
@@ -69,7 +81,7 @@
     pub(super) fn next(&self, reads: &SharedReads, book: &PeerBook) -> Option<Time> {
         let can_answer = reads.is_known() && book.was_listed();
         let due = can_answer && !self.waiting.is_empty();
-        due.then(|| self.sent_at + ANSWER_PAUSE)
+        due.then_some(self.free_at)
     }
 }
 
@@ -80,38 +92,70 @@
             return;
         };
         let now = self.clock.now();
-        answers.sent_at = now;
-        let Some(state) = self.state_for(question, now, &mut answers.made) else {
+        let Some(told) = self.told_for(question, now, &mut answers.made) else {
             return;
         };
+        answers.free_at = now + self.sending_time(told.state.len());
         let reads = self.reads.own();
-        let body = answer_body(&self.member, question.asked, now, reads, state);
+        let body = answer_body(&self.member, question.asked, now, reads, told);
         self.send_to(&seal(&self.key, body), "", from).await;
     }
 
-    /// Gives the deflated state that a question asks for.
-    fn state_for(&self, question: Question, now: Time, made: &mut Option<Made>) -> Option<Vec<u8>> {
+    /// Gives the time that an answer takes of the own link.
+    fn sending_time(&self, bytes: usize) -> Duration {
+        let link = if self.link > 0.0 {
+            self.link
+        } else {
+            LINK_GUESS
+        };
+        let secs = bytes as f64 * 8.0 / (link * 1e6 * LINK_PART);
+        ANSWER_PAUSE.max(Duration::from_secs_f64(secs))
+    }
+
+    /// Gives what a question is answered by.
+    fn told_for(&self, question: Question, now: Time, made: &mut Vec<Made>) -> Option<Told> {
         let reads = self.reads.own();
         let basis = Basis {
             topics: question.topics,
             instances: question.instances,
+            whole: question.whole,
             version: reads.version,
+            config_next: reads.config_next,
             endpoints_next: reads.endpoints_next,
         };
-        let fits = |m: &&mut Made| m.basis == basis && m.at + REUSE > now;
-        if let Some(made) = made.as_mut().filter(fits) {
-            return made.state.clone();
+        made.retain(|m| m.at + REUSE > now);
+        if let Some(made) = made.iter().find(|m| m.basis == basis) {
+            return made.told.clone();
         }
-        let state = self.known_state(question, now).deflate();
-        if state.is_none() {
+        let told = self.make(question, now);
+        if told.is_none() {
             warn!(self.log, "what is known is too long to be told"; "version" => reads.version);
         }
-        *made = Some(Made {
+        made.push(Made {
             basis,
             at: now,
-            state: state.clone(),
+            told: told.clone(),
         });
-        state
+        told
+    }
+
+    /// Makes an answer; who asks for the instances as well is told where else to ask for long topics.
+    fn make(&self, question: Question, now: Time) -> Option<Told> {
+        let all = self.known_state(question, now).deflate();
+        let direct = question.whole || !question.instances || !question.topics;
+        let fits = all.as_ref().is_some_and(|s| s.len() <= DIRECT_BYTES);
+        if direct || fits || self.book.is_small() {
+            return all.map(|state| Told {
+                state,
+                large: false,
+            });
+        }
+        let instances = Question {
+            topics: false,
+            ..question
+        };
+        let state = self.known_state(instances, now).deflate()?;
+        Some(Told { state, large: true })
     }
 
     fn known_state(&self, question: Question, now: Time) -> KnownState {
@@ -137,6 +181,7 @@
                 name: self.member.name.clone(),
                 address,
                 zone: self.book.zone().to_owned(),
+                power: self.book.power(),
             });
         }
         known.iter().map(write_address).collect()
--- a/crates/firdock-node/src/peer/beacon/meet.rs
+++ b/crates/firdock-node/src/peer/beacon/meet.rs
@@ -26,16 +26,39 @@
 /// The same at an instance that others ask.
 const SEED_AGAIN_AFTER: Duration = Duration::from_millis(1_200);
 
+/// Questions to each of those above in the own zone before the next one is asked: they may wait for their
+/// own answers.
+const TRIES_EACH: usize = 6;
+
+/// Whom an instance asks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Asked {
+    /// Those that the platform names.
+    Seeds,
+    /// Those above it in the own zone, for what is long.
+    Zone,
+}
+
 /// Where an instance stands with those that it asks at its start.
 #[derive(Debug)]
 pub(super) struct Meeting {
     seeds: Vec<SocketAddr>,
+    asks: Asked,
+    /// When it began to ask these.
     started: Time,
     asked: usize,
     /// When the others are asked for once more; `None` once they were.
     again_at: Option<Time>,
 }
 
+/// Whom to ask next, and for what.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Next {
+    to: SocketAddr,
+    instances: bool,
+    whole: bool,
+}
+
 impl Meeting {
     /// Makes the meeting of an instance that starts now; its name tells whom it asks first.
     ///
@@ -52,6 +75,7 @@
         };
         Self {
             seeds,
+            asks: Asked::Seeds,
             started: now,
             asked: 0,
             again_at: Some(now + again_after),
@@ -59,26 +83,53 @@
     }
 
     /// Gives when the next one is to be asked; `None` if no more are.
-    pub(super) fn next(&self, reads: &SharedReads, book: &PeerBook) -> Option<Time> {
+    pub(super) fn next(&mut self, now: Time, reads: &SharedReads, book: &PeerBook) -> Option<Time> {
         if self.seeds.is_empty() {
             return None;
         }
+        if self.asks == Asked::Seeds && reads.is_large() && book.was_listed() {
+            self.asks = Asked::Zone;
+            self.started = now;
+            self.asked = 0;
+        }
         let missing = !reads.is_known() || !book.was_listed();
-        if missing && self.asked < TRIES {
+        let tries = match self.asks {
+            Asked::Seeds => TRIES,
+            Asked::Zone => usize::MAX,
+        };
+        if missing && self.asked < tries {
             return Some(self.started + NEXT_PAUSE * self.asked as u32);
         }
         self.again_at
     }
 
-    fn take_next(&mut self, now: Time) -> SocketAddr {
-        let at = self.asked % self.seeds.len();
-        if self.again_at.is_some_and(|at| at <= now) {
-            self.asked = TRIES;
+    /// Gives whom to ask now: one that is above in the own zone, for what is long; who has nobody above,
+    /// or nobody that answers, asks those that the platform names.
+    fn take_next(&mut self, now: Time, reads: &SharedReads, book: &PeerBook) -> Next {
+        let again = self.again_at.is_some_and(|at| at <= now);
+        if again {
             self.again_at = None;
-        } else {
-            self.asked += 1;
         }
-        self.seeds[at]
+        let turn = self.asked;
+        self.asked += 1;
+        let seed = self.seeds[turn % self.seeds.len()];
+        if self.asks == Asked::Seeds || reads.is_known() {
+            if again {
+                self.asked = self.asked.max(TRIES);
+            }
+            return Next {
+                to: seed,
+                instances: true,
+                whole: false,
+            };
+        }
+        let above = book.ancestors();
+        let above = above.get(turn / TRIES_EACH).map(|peer| peer.address);
+        Next {
+            to: above.unwrap_or(seed),
+            instances: false,
+            whole: above.is_none(),
+        }
     }
 }
 
@@ -86,13 +137,14 @@
     /// Asks the next of those that are likely to be up.
     pub(super) async fn ask_seed(&self, meeting: &mut Meeting) {
         let now = self.clock.now();
-        let to = meeting.take_next(now);
+        let next = meeting.take_next(now, &self.reads, &self.book);
         let question = Question {
             asked: now,
             topics: !self.reads.is_known(),
-            instances: true,
+            instances: next.instances,
+            whole: next.whole,
         };
-        self.send_to(&seal(&self.key, question.body()), "", to)
+        self.send_to(&seal(&self.key, question.body()), "", next.to)
             .await;
     }
 }
--- a/crates/firdock-node/src/peer/beacon/take.rs
+++ b/crates/firdock-node/src/peer/beacon/take.rs
@@ -69,6 +69,9 @@
             self.know(instances, now);
             self.book.note_listed();
         }
+        if answer.large {
+            self.reads.note_large();
+        }
         self.reads.hear_answer(answer);
     }
 
@@ -83,6 +86,7 @@
                 name: peer.instance,
                 address,
                 zone: peer.zone,
+                power: peer.power,
             };
             self.book.know(known, now);
         }
@@ -116,6 +120,7 @@
                 name: beacon.instance.clone(),
                 address: from,
                 zone: String::new(),
+                power: beacon.power,
             };
             self.send_all(&[known], &[], &[]).await;
         }
@@ -185,11 +190,13 @@
         if let Some(at) = heard.fresh {
             self.tell(Event::Fresh(at)).await;
         }
-        let question = if heard.ask_state {
+        let starts = self.reads.is_large() && !self.reads.is_known();
+        let question = if heard.ask_state && !starts {
             let question = Question {
                 asked: now,
                 topics: true,
                 instances: !self.book.was_listed(),
+                whole: false,
             };
             question.body()
         } else if heard.ask_clock && self.counts(&news.name, now) {
--- a/crates/firdock-node/src/peer/book.rs
+++ b/crates/firdock-node/src/peer/book.rs
@@ -32,6 +32,8 @@
     pub address: SocketAddr,
     /// Availability zone; empty where it is not known.
     pub zone: ZoneId,
+    /// Processor that it has, as far as that is known.
+    pub power: Power,
 }
 
 /// What an instance tells of itself in each heartbeat.
@@ -142,13 +144,19 @@
             return;
         }
         let mut entries = self.lock();
-        if entries.contains_key(&peer.name) || entries.len() >= MAX_PEERS {
+        if let Some(entry) = entries.get_mut(&peer.name) {
+            if !entry.heard && peer.power > 0 {
+                entry.power = peer.power;
+            }
+            return;
+        }
+        if entries.len() >= MAX_PEERS {
             return;
         }
         let entry = Entry {
             address: peer.address,
             zone: peer.zone,
-            power: 0,
+            power: peer.power,
             since: now,
             heard: false,
             demand: Vec::new(),
@@ -259,5 +267,6 @@
         name: name.clone(),
         address: entry.address,
         zone: entry.zone.clone(),
+        power: entry.power,
     }
 }
--- a/crates/firdock-node/src/peer/book/group.rs
+++ b/crates/firdock-node/src/peer/book/group.rs
@@ -24,6 +24,10 @@
 /// as soon as the first falls silent.
 const LEADS_TOLD: usize = 2;
 
+/// Instances that ask one and the same for what is long at their start: 35 KB for each of nine are 0.36 s of
+/// a link of 10 Mbit/s, and two steps reach the 75 of a zone of 300.
+const CHILDREN: usize = 9;
+
 /// How many instances the lead of each group hears, by availability zone, and when it told.
 pub(super) type GroupCounts = BTreeMap<ZoneId, (Time, usize)>;
 
@@ -207,6 +211,23 @@
         Some((known_peer(first), before))
     }
 
+    /// Gives whom this instance asks at its start for what is long, nearest first: those above it in the
+    /// tree that the instances of its zone make by their standing. Nobody is above the first one.
+    #[must_use]
+    pub fn ancestors(&self) -> Vec<KnownPeer> {
+        let entries = self.lock();
+        let zone = entries.iter().filter(|(_, e)| e.zone == self.zone);
+        let mut before: Vec<_> = zone.filter(|p| standing(p) < self.standing()).collect();
+        before.sort_by(|a, b| standing(a).cmp(&standing(b)));
+        let mut place = before.len();
+        let mut above = Vec::new();
+        while place > 0 {
+            place = (place - 1) / CHILDREN;
+            above.push(known_peer(before[place]));
+        }
+        above
+    }
+
     /// Tells whether instances are so few that all of them are one group.
     #[must_use]
     pub fn is_small(&self) -> bool {
--- a/crates/firdock-node/src/peer/datagram.rs
+++ b/crates/firdock-node/src/peer/datagram.rs
@@ -42,6 +42,7 @@
         instance: peer.name.clone(),
         address: peer.address.to_string(),
         zone: peer.zone.clone(),
+        power: peer.power,
     }
 }
 
--- a/crates/firdock-node/src/peer/heartbeat.rs
+++ b/crates/firdock-node/src/peer/heartbeat.rs
@@ -69,6 +69,17 @@
         }
     }
 
+    /// Makes the message for instances far away, which the leads of their groups tell the rest.
+    pub(super) fn short_message(&self) -> Heartbeat {
+        Heartbeat {
+            zone: self.zone.clone(),
+            demand: write_demand(&self.demand),
+            draining: self.draining,
+            version: self.version,
+            ..Heartbeat::default()
+        }
+    }
+
     /// Gives how far roll-outs are, by their orders.
     pub(super) fn stages(&self) -> Vec<(Offset, Stage)> {
         let words = self.rollouts.words.iter();
--- a/crates/firdock-node/src/peer/known.rs
+++ b/crates/firdock-node/src/peer/known.rs
@@ -43,6 +43,8 @@
     pub topics: bool,
     /// Whether the other instances are asked for.
     pub instances: bool,
+    /// Whether the topics are asked for however long they are.
+    pub whole: bool,
 }
 
 impl Question {
@@ -52,6 +54,7 @@
             asked: millis(self.asked),
             topics: if self.topics { all() } else { Vec::new() },
             instances: self.instances,
+            whole: self.whole,
         })
     }
 
@@ -60,6 +63,7 @@
             asked: Duration::from_millis(told.asked),
             topics: !told.topics.is_empty(),
             instances: told.instances,
+            whole: told.whole,
         }
     }
 }
@@ -103,6 +107,8 @@
     pub topics: Vec<TopicRecords>,
     /// Instances.
     pub instances: Vec<PeerAddress>,
+    /// Whether the topics are left out for their length.
+    pub large: bool,
 }
 
 impl Answer {
@@ -134,17 +140,27 @@
             reads,
             topics: state.topics.into_iter().filter_map(whole).collect(),
             instances: state.instances,
+            large: told.large,
         })
     }
 }
 
+/// What an answer tells.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Told {
+    /// Deflated state.
+    pub state: Vec<u8>,
+    /// Whether the topics are left out for their length.
+    pub large: bool,
+}
+
 /// Writes the answer to a question that was asked at `asked`, from a deflated state.
 pub(super) fn answer_body(
     member: &Member,
     asked: Time,
     clock: Time,
     reads: Reads,
-    state: Vec<u8>,
+    told: Told,
 ) -> datagram::Body {
     datagram::Body::StateAnswer(message::StateAnswer {
         instance: member.name.clone(),
@@ -152,7 +168,8 @@
         asked: millis(asked),
         clock: millis(clock),
         reads: Some(write_reads(reads)),
-        state,
+        state: told.state,
+        large: told.large,
     })
 }
 
--- a/crates/firdock-node/src/peer/reads.rs
+++ b/crates/firdock-node/src/peer/reads.rs
@@ -87,11 +87,26 @@
         self.lock().asks_first
     }
 
+    /// Notes that what peers know of the store is so long that it comes from the own zone.
+    pub fn note_large(&self) {
+        self.lock().large = true;
+        self.changed.notify_one();
+        self.known.notify_one();
+    }
+
+    /// Tells whether it is.
+    #[must_use]
+    pub fn is_large(&self) -> bool {
+        self.lock().large
+    }
+
     /// Tells whether an instance that just started still waits for its peers' answer.
     #[must_use]
     pub fn awaits_answer(&self, now: Time) -> bool {
         let inner = self.lock();
-        let until = inner.started.map(|at| start_by(at, inner.asks_first));
+        let until = inner
+            .started
+            .map(|at| start_by(at, inner.asks_first, inner.large));
         until.is_none_or(|until| now < until)
     }
 
--- a/crates/firdock-node/src/peer/reads/due.rs
+++ b/crates/firdock-node/src/peer/reads/due.rs
@@ -34,6 +34,11 @@
 /// first start of all, when those that are asked have to find each other as well.
 const START_PATIENCE: Duration = Duration::from_millis(800);
 
+/// The same where what is known of the store is long: it passes down a tree of each zone, by reckoning within
+/// 2 s for 3,000 endpoints over links of 10 Mbit/s. The store would take as long to send it to all, and is
+/// paid for each.
+const LARGE_PATIENCE: Duration = Duration::from_millis(3_500);
+
 /// Why an instance reads the store for itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum ReadReason {
@@ -158,10 +163,10 @@
 }
 
 /// Gives until when an instance that started at `started` waits for its peers' answer.
-pub(super) fn start_by(started: Time, asks: bool) -> Time {
-    if asks {
-        started + START_PATIENCE
-    } else {
-        started
+pub(super) fn start_by(started: Time, asks: bool, large: bool) -> Time {
+    match (asks, large) {
+        (false, _) => started,
+        (true, false) => started + START_PATIENCE,
+        (true, true) => started + LARGE_PATIENCE,
     }
 }
--- a/crates/firdock-node/src/peer/reads/state.rs
+++ b/crates/firdock-node/src/peer/reads/state.rs
@@ -42,6 +42,8 @@
     pub(super) held_until: Time,
     /// Whether peers are asked before the store is, at the start.
     pub(super) asks_first: bool,
+    /// Whether what is known of the store is so long that it comes from the own zone at the start.
+    pub(super) large: bool,
     /// When the instance began to look for what is due.
     pub(super) started: Option<Time>,
     /// When a peer was last asked for what it has newer.
@@ -87,7 +89,7 @@
         }
         let started = *self.started.get_or_insert(now);
         if self.own.config_at == Time::ZERO {
-            let by = start_by(started, self.asks_first);
+            let by = start_by(started, self.asks_first, self.large);
             let due = if by <= now {
                 Due::START
             } else {
--- a/crates/firdock-node/src/source.rs
+++ b/crates/firdock-node/src/source.rs
@@ -18,7 +18,7 @@
 use crate::clock::Clock;
 use crate::input::Input;
 use crate::peer::{
-    Due, KnownPeer, PeerBook, Reader, Reads, SharedReads, Taken, Topic, TopicRecords,
+    Due, KnownPeer, PeerBook, Power, Reader, Reads, SharedReads, Taken, Topic, TopicRecords,
 };
 use crate::telemetry::{LineBudget, LineKind, Metrics};
 
@@ -218,6 +218,12 @@
         self.peers.zone()
     }
 
+    /// Gives the processor that this instance has, in thousandths of a core.
+    #[must_use]
+    pub fn power(&self) -> Power {
+        self.peers.power()
+    }
+
     /// Tells that the platform's list of instances was read, and all in it were told.
     pub fn note_listed(&self) {
         self.peers.note_listed();
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -7,6 +7,7 @@
 mod relay;
 mod sharing;
 mod silence;
+mod starts;
 
 use bytes::Bytes;
 use firdock_core::resource::{Resource, Tier};
--- a/crates/firdock-node/tests/node/party.rs
+++ b/crates/firdock-node/tests/node/party.rs
@@ -46,6 +46,7 @@
             relay: UseRelay::default(),
             inputs,
             pause: Duration::from_millis(20),
+            link: 0.0,
             clock,
             log: silent(),
         };
--- a/crates/firdock-node/tests/node/peers.rs
+++ b/crates/firdock-node/tests/node/peers.rs
@@ -187,6 +187,7 @@
     let party = Party::new(name, socket, clock, Vec::new());
     party.news.send_replace(news(4));
     let known = KnownPeer {
+        power: 0,
         name: other.0.to_owned(),
         address: other.1.local_addr().expect("an address"),
         zone: "zone".to_owned(),
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -314,6 +314,9 @@
     /// Whether the other instances are asked for as well.
     #[prost(bool, tag = "3")]
     pub instances: bool,
+    /// Whether the topics are asked for however long they are: the sender has nobody nearer to ask.
+    #[prost(bool, tag = "4")]
+    pub whole: bool,
 }
 /// Tells what the sender knows of the platform's store: the newest record of each key.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -334,6 +337,9 @@
     /// The known state, deflated.
     #[prost(bytes = "vec", tag = "6")]
     pub state: ::prost::alloc::vec::Vec<u8>,
+    /// Whether the topics are left out for their length, to be asked of an instance of the own zone.
+    #[prost(bool, tag = "7")]
+    pub large: bool,
 }
 /// What an instance knows of the platform's store.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -388,6 +394,9 @@
     /// Availability zone; empty where it is not known.
     #[prost(string, tag = "3")]
     pub zone: ::prost::alloc::string::String,
+    /// Processor that it has, in thousandths of a core; 0 where that is not known.
+    #[prost(uint32, tag = "4")]
+    pub power: u32,
 }
 /// Demand for one pool, or for one service without a split, in requests a second.
 #[derive(Clone, PartialEq, ::prost::Message)]
