--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -112,6 +112,7 @@
             "total_millis" => millis(now.saturating_sub(row.arrived)),
             "prompt_tokens" => row.new.prompt_tokens,
             "output_tokens" => exchange.delivered().tokens,
+            "most_tokens" => row.new.output_tokens,
         );
     }
 
