Give a version that an order replaced before it was known to be good no work

Cause: read from the code: an order to a third version while the second was tried made the second a part of the old side, with all of its traffic. Now it is left out until an order names it; the test failed before.

--- a/crates/firdock-policy/src/system/rollout/versions.rs
+++ b/crates/firdock-policy/src/system/rollout/versions.rs
@@ -34,11 +34,15 @@
             continue;
         }
         let back = known.is_some_and(|row| returns(t, row, &declared.version));
+        // A version that is not known to be good gets nothing as a part of the old side either.
+        let untried = known.filter(|row| row.stage < Stage::Completed);
+        let untried = untried.map(|row| (row.declared.pool.clone(), row.declared.version.clone()));
+        t.rollouts.given_up.extend(untried);
         let key = (declared.pool.clone(), declared.version.clone());
         t.rollouts.given_up.remove(&key);
         let bounds = t.settings.rollouts;
         let unsure = unsure(t, now);
-        let mut row = RolloutRow::new(declared.clone(), now, unsure, bounds_ratio(bounds));
+        let mut row = RolloutRow::new(declared.clone(), now, unsure, first_ratio(bounds));
         if back {
             row.advance(now, Stage::Moving);
         }
@@ -56,7 +60,8 @@
     before.unwrap_or_default().min(MOST_UNSURE)
 }
 
-fn bounds_ratio(bounds: Rollouts) -> f64 {
+/// Gives the part that a version gets before any request was counted.
+fn first_ratio(bounds: Rollouts) -> f64 {
     let nothing = allowance::Progress {
         elapsed: Time::ZERO,
         unsure: Time::ZERO,
--- a/crates/firdock-policy/tests/policy/rollout.rs
+++ b/crates/firdock-policy/tests/policy/rollout.rs
@@ -410,6 +410,19 @@
     );
 }
 
+#[test]
+fn an_order_to_a_third_version_leaves_the_second_without_work() {
+    let mut site = Site::ordered();
+    site.second(|_, _| false);
+    site.edge.step(catalog(ENGINES, ENGINES, &[order("v3", 9)]));
+    let exposed = site.exposed;
+    // More than the first version's engines have places for.
+    for _ in 0..100 * (ENGINES + 1) {
+        site.send("safe");
+    }
+    assert_eq!(site.exposed, exposed, "nobody knows whether it is good");
+}
+
 #[test]
 fn an_order_to_the_version_that_all_endpoints_have_is_completed() {
     let mut site = Site::new();
