--- a/crates/firdock-policy/src/system/rollout/decide.rs
+++ b/crates/firdock-policy/src/system/rollout/decide.rs
@@ -6,6 +6,7 @@
 
 use super::versions::{canaries, is_new};
 use crate::action::Action;
+use crate::rollout::allowance::Progress;
 use crate::rollout::verdict::{self, Finding};
 use crate::rollout::{RolloutRecord, RolloutWord, Stage, allowance};
 use crate::system::limit;
@@ -73,6 +74,8 @@
     }
 }
 
+/// Chooses the endpoints that the new version is tried at; where this instance decides, judges what was
+/// seen, and goes on by it.
 fn look(t: &mut Tables, now: Time, pool: &str, out: &mut Vec<Action>) {
     let Some(row) = t.rollouts.of(pool) else {
         return;
@@ -90,32 +93,50 @@
     };
     let progress = row.progress(now, &seen);
     row.ratio = allowance::watched_ratio(progress, t.settings.rollouts);
-    let finding = verdict::find(&seen, endpoints);
-    let doubted = finding.is_some();
-    if let Some(finding) = finding.filter(|f| f.bad && row.stage < Stage::Halted) {
-        advance(t, now, pool, Stage::Halted);
-        ask(t, now, pool, Stage::RolledBack, &tell(&finding), out);
-        return;
-    }
-    match row.stage {
-        Stage::Watching => {
-            let due = allowance::may_move(progress, t.settings.rollouts);
-            let alone = progress.elapsed >= ALONE_PATIENCE && !has_old(t, pool);
-            if (due || alone) && !doubted && is_ready(t, pool) && hears_most(t, now) {
-                // Whoever has not heard by then is refused by the old endpoints, which ran nothing. To
-                // wait for all would cost a third of what the version can be watched by.
-                advance(t, now, pool, Stage::Moving);
-                ask(t, now, pool, Stage::Completed, "", out);
-            } else {
-                ask(t, now, pool, Stage::Watching, "", out);
-            }
+    match verdict::find(&seen, endpoints) {
+        Some(finding) if finding.bad && row.stage < Stage::Halted => {
+            advance(t, now, pool, Stage::Halted);
+            ask(t, now, pool, Stage::RolledBack, &tell(&finding), out);
         }
+        doubt => go_on(t, now, pool, progress, doubt.is_some(), out),
+    }
+}
+
+/// Moves everything when that is due, and asks for the record of the stage that was reached.
+fn go_on(
+    t: &mut Tables,
+    now: Time,
+    pool: &str,
+    progress: Progress,
+    doubted: bool,
+    out: &mut Vec<Action>,
+) {
+    let Some(stage) = t.rollouts.of(pool).map(|row| row.stage) else {
+        return;
+    };
+    let stage = if stage == Stage::Watching && !doubted && may_move(t, now, pool, progress) {
+        // Whoever has not heard by then is refused by the old endpoints, which ran nothing. To wait for
+        // all would cost a third of what the version can be watched by.
+        advance(t, now, pool, Stage::Moving);
+        Stage::Moving
+    } else {
+        stage
+    };
+    match stage {
+        Stage::Watching => ask(t, now, pool, Stage::Watching, "", out),
         Stage::Moving => ask(t, now, pool, Stage::Completed, "", out),
         Stage::Halted => ask(t, now, pool, Stage::RolledBack, "", out),
-        _ => {}
+        Stage::Completed | Stage::RolledBack => {}
     }
 }
 
+/// Tells whether everything may move to the new version now.
+fn may_move(t: &Tables, now: Time, pool: &str, progress: Progress) -> bool {
+    let due = allowance::may_move(progress, t.settings.rollouts);
+    let alone = progress.elapsed >= ALONE_PATIENCE && !has_old(t, pool);
+    (due || alone) && is_ready(t, pool) && hears_most(t, now)
+}
+
 /// Asks once for a record of a stage.
 fn ask(t: &mut Tables, now: Time, pool: &str, stage: Stage, reason: &str, out: &mut Vec<Action>) {
     let Some(row) = t.rollouts.rows.get_mut(pool) else {
