--- a/crates/firdock-policy/src/settings.rs
+++ b/crates/firdock-policy/src/settings.rs
@@ -41,8 +41,6 @@
     pub whole_places: bool,
     /// Endpoints in the own availability zone are preferred.
     pub near_first: bool,
-    /// Short requests of a tier that is served less often than those above it go first until it is not.
-    pub catch_up: bool,
 }
 
 impl Mechanisms {
@@ -61,7 +59,6 @@
         first_token: false,
         whole_places: false,
         near_first: false,
-        catch_up: false,
     };
 
     /// What serves at the edge of a platform, where callers try another instance by themselves.
@@ -73,7 +70,6 @@
         first_token: true,
         whole_places: true,
         near_first: true,
-        catch_up: true,
         ..Self::ALL
     };
 }
--- a/crates/firdock-policy/src/system.rs
+++ b/crates/firdock-policy/src/system.rs
@@ -1,7 +1,6 @@
 //! The systems that run over the tables, one file a job.
 
 pub mod admit;
-pub mod catch_up;
 pub mod check;
 pub mod config;
 pub mod coordinate;
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -5,13 +5,12 @@
 use firdock_core::resource::Tier;
 use firdock_core::{Reason, RequestId, TierRank};
 
-use super::{catch_up, coordinate, end, key, rollout};
+use super::{coordinate, end, key, rollout};
 use crate::action::{Action, Dispatch};
 use crate::cost::{self, Estimate};
 use crate::request::{Phase, RequestRow};
 use crate::table::Tables;
 use crate::table::endpoint::{EndpointRow, Health};
-use crate::table::service::ServiceRow;
 use crate::time::Time;
 
 /// Lanes of a queue that are looked at before the queue counts as blocked.
@@ -47,9 +46,6 @@
 
 /// Dispatches held requests until none can be placed.
 pub fn run(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
-    if t.settings.mechanisms.catch_up {
-        catch_up::run(t, now, out);
-    }
     for rank in 0..=Tier::MAX_RANK {
         if t.requests.held_by_rank()[usize::from(rank)] > 0 {
             run_tier(t, now, rank, out);
@@ -58,7 +54,8 @@
 }
 
 fn run_tier(t: &mut Tables, now: Time, rank: TierRank, out: &mut Vec<Action>) {
-    let waiting = |(i, s): (usize, &ServiceRow)| (!s.queue.is_empty()).then_some(i);
+    let waiting =
+        |(i, s): (usize, &crate::table::service::ServiceRow)| (!s.queue.is_empty()).then_some(i);
     let services: Vec<usize> = t.services.iter().filter_map(waiting).collect();
     for service in services {
         while place_next(t, now, service, rank, out) {}
@@ -66,7 +63,7 @@
 }
 
 /// Places the next request of a service and rank; tells whether one left the queue.
-pub fn place_next(
+fn place_next(
     t: &mut Tables,
     now: Time,
     service: usize,
@@ -326,7 +323,7 @@
     row.resumed_from = row.delivered;
     row.failed = false;
     t.stats.dispatches += 1;
-    t.paces.note(row.pool_key(), row.rank);
+    t.paces.note(row.pool_key());
     t.retries.earn(row.pool_key(), &t.settings, most);
     out.push(Action::Dispatch(Dispatch {
         id,
