--- a/crates/firdock-core/src/ids.rs
+++ b/crates/firdock-core/src/ids.rs
@@ -11,6 +11,8 @@
 pub type InstanceId = String;
 /// Name of an endpoint: a model engine or a plain application server.
 pub type EndpointId = String;
+/// Name of one start of an endpoint: its id, and the time of the start where the platform tells it.
+pub type StartId = String;
 /// Name of a client account.
 pub type AccountId = String;
 /// Name of a service, which requests are matched to.
--- a/crates/firdock-core/src/lib.rs
+++ b/crates/firdock-core/src/lib.rs
@@ -16,6 +16,6 @@
 pub use finding::{Finding, Findings};
 pub use ids::{
     AccountId, EndpointId, InstanceId, Offset, PoolId, RequestId, ServiceId, SoftwareVersion,
-    TierId, TierRank, Version, ZoneId,
+    StartId, TierId, TierRank, Version, ZoneId,
 };
 pub use outcome::{Outcome, Reason};
--- a/crates/firdock-core/src/resource/endpoint.rs
+++ b/crates/firdock-core/src/resource/endpoint.rs
@@ -1,11 +1,12 @@
 //! Endpoints: model engines and plain application servers.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::require;
-use crate::{EndpointId, Findings, PoolId, ServiceId, SoftwareVersion, ZoneId};
+use crate::{EndpointId, Findings, PoolId, ServiceId, SoftwareVersion, StartId, ZoneId};
 
 /// What stands behind an endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -47,6 +48,10 @@
     /// Version of its software, by which roll-outs tell endpoints apart.
     #[serde(skip_serializing_if = "SoftwareVersion::is_empty")]
     pub version: SoftwareVersion,
+    /// Unix time at which it started; a later start under the same name is another endpoint, which
+    /// knows nothing of what the earlier one had (`docs/design/restarts.md`).
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub started: Option<Duration>,
 }
 
 impl Default for Endpoint {
@@ -64,6 +69,7 @@
             event_tokens: 1,
             leaving: false,
             version: SoftwareVersion::new(),
+            started: None,
         }
     }
 }
@@ -78,6 +84,16 @@
         self.token_millis / 1000.0
     }
 
+    /// Gives the name of this start of the endpoint, by which instances tell its starts apart: the
+    /// endpoint's own name where no start is told.
+    #[must_use]
+    pub fn start_id(&self) -> StartId {
+        match self.started {
+            Some(at) => format!("{}@{}", self.name, at.as_millis()),
+            None => self.name.clone(),
+        }
+    }
+
     pub(super) fn check(&self, line: Option<usize>, path: &str, f: &mut Findings) {
         require(
             self.address.is_some(),
--- a/crates/firdock-node/src/clock.rs
+++ b/crates/firdock-node/src/clock.rs
@@ -1,6 +1,6 @@
 //! The process's clock, read at the edges and passed to everything that decides.
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Counts from the start of the instance and never steps back.
 #[derive(Debug, Clone, Copy)]
@@ -31,6 +31,13 @@
     pub fn now(&self) -> Duration {
         HEAD_START + self.start.elapsed()
     }
+
+    /// Gives the Unix time at which this clock stood at zero.
+    #[must_use]
+    pub fn unix_zero(&self) -> Duration {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+        unix.unwrap_or_default().saturating_sub(self.now())
+    }
 }
 
 /// Gives a time in whole milliseconds, as messages and lines of the log carry it.
--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -31,6 +31,7 @@
 use crate::site::Site;
 use crate::source::WantedRecords;
 use crate::telemetry::decisions::{LastSent, Story};
+use crate::telemetry::restarts;
 use crate::telemetry::{Beliefs, Decisions, LineBudget, Metrics, RolloutSteps};
 
 /// Pause between two runs of the timed systems.
@@ -93,6 +94,8 @@
     /// Where it was last sent, for the line on how it ended.
     sent: Option<LastSent>,
     task: Option<AbortHandle>,
+    /// Way to tell the present dispatch that its endpoint has started again.
+    over: Option<watch::Sender<bool>>,
 }
 
 impl Live {
@@ -166,6 +169,7 @@
                         arrived: self.parts.clock.now(),
                         sent: None,
                         task: None,
+                        over: None,
                     },
                 );
                 self.step(Event::Arrived(new));
@@ -179,7 +183,12 @@
     fn take_event(&mut self, event: Event) {
         self.note_placement(&event);
         match &event {
-            Event::Config(catalog) => self.parts.site.set(catalog),
+            Event::Config(catalog) => {
+                let now = self.parts.clock.now();
+                let (log, lines) = (&self.parts.log, &self.parts.lines);
+                restarts::note(log, lines, now, self.scheduler.tables(), catalog);
+                self.parts.site.set(catalog);
+            }
             Event::Fresh(at) => self.parts.site.set_fresh(*at),
             Event::Endpoint(news) => self.note_news(news),
             Event::CallerLeft(id) => self.note_caller_left(*id),
@@ -297,6 +306,7 @@
                 endpoint,
                 dispatch,
             } => self.cancel(id, &endpoint, dispatch),
+            Action::GiveUpDispatch { id, dispatch } => self.give_up_dispatch(id, dispatch),
             Action::Ask { id } => self.ask_placement(id),
             Action::Decline(grant) => self.decline_placement(&grant),
             Action::HandOver { id, peer, cause } => self.hand_over(id, peer, cause),
--- a/crates/firdock-node/src/driver/send.rs
+++ b/crates/firdock-node/src/driver/send.rs
@@ -6,6 +6,7 @@
 use firdock_policy::Event;
 use firdock_policy::action::{Dispatch, HandOverCause};
 use firdock_policy::event::{DispatchNews, EndpointEvent, HandOverEvent, HandOverRefusal};
+use tokio::sync::watch;
 
 use super::Driver;
 use crate::endpoint::run::Run;
@@ -33,10 +34,12 @@
         };
         let (now, t) = (self.parts.clock.now(), self.scheduler.tables());
         self.decisions.dispatched(now, t, &dispatch, &exchange);
+        let (over, run_over) = watch::channel(false);
         if let Some(live) = self.exchanges.get_mut(&id) {
             live.sent = Some(LastSent::new(now, &dispatch));
+            live.over = Some(over);
         }
-        let run = self.make_run(exchange, dispatch, place);
+        let run = self.make_run(exchange, dispatch, place, run_over);
         let backends = self.parts.backends.clone();
         let (log, clock) = (self.parts.log.clone(), self.parts.clock);
         let task = self.parts.runtime.spawn(async move {
@@ -51,7 +54,13 @@
         self.set_task(id, task.abort_handle());
     }
 
-    fn make_run(&self, exchange: Arc<Exchange>, dispatch: Dispatch, place: Place) -> Run {
+    fn make_run(
+        &self,
+        exchange: Arc<Exchange>,
+        dispatch: Dispatch,
+        place: Place,
+        over: watch::Receiver<bool>,
+    ) -> Run {
         let trace = exchange.trace;
         Run {
             target: Target {
@@ -64,6 +73,7 @@
             inputs: self.parts.inputs.clone(),
             clock: self.parts.clock,
             trace,
+            over,
         }
     }
 
@@ -88,6 +98,15 @@
         self.parts.runtime.spawn(cancelling);
     }
 
+    /// Tells a dispatch that its endpoint has started again; it tells how far it came.
+    pub(super) fn give_up_dispatch(&mut self, id: RequestId, dispatch: u32) {
+        let live = self.exchanges.get(&id);
+        let live = live.filter(|l| l.sent.as_ref().is_some_and(|s| s.is(dispatch)));
+        if let Some(over) = live.and_then(|l| l.over.as_ref()) {
+            over.send_replace(true);
+        }
+    }
+
     pub(super) fn hand_over(&mut self, id: RequestId, peer: InstanceId, cause: HandOverCause) {
         let Some(exchange) = self.exchange(id) else {
             return;
--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -184,6 +184,7 @@
             .with_mechanisms(Mechanisms::EDGE)
             .with_eject_after(EJECT_AFTER)
             .with_await_peers()
+            .with_unix_zero(self.clock.unix_zero())
     }
 
     /// Makes both sides of the placement of requests on engines.
--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -149,15 +149,19 @@
         if run.lapsed().await {
             return "lapsed";
         }
+        if run.is_over() {
+            // The start that was meant is gone, and its successor has not got the request.
+            return run.not_sent(true).await;
+        }
         let Some(request) = self.request(&run) else {
             return run.not_sent(false).await;
         };
-        let word = match connection.call(request, limit).await {
-            Ok(response) => self.take(place, &run, response).await,
-            Err(CallError::Connect { .. } | CallError::ConnectTime { .. }) => {
+        let word = match run.while_alive(connection.call(request, limit)).await {
+            Ok(Ok(response)) => self.take(place, &run, response).await,
+            Ok(Err(CallError::Connect { .. } | CallError::ConnectTime { .. })) => {
                 run.not_sent(true).await
             }
-            Err(_) => broke(&run, "lost").await,
+            Ok(Err(_)) | Err(_) => broke(&run, "lost").await,
         };
         drop(connection);
         word
--- a/crates/firdock-node/src/endpoint/relay/plain.rs
+++ b/crates/firdock-node/src/endpoint/relay/plain.rs
@@ -17,7 +17,7 @@
 
 /// Passes an answer on that is no stream.
 pub(super) async fn pass_plain(run: &Run, head: AnswerHead, body: Incoming) -> &'static str {
-    let passed = match read_whole(body).await {
+    let passed = match read_whole(run, body).await {
         Ok(Whole::All(bytes)) => pass_start(run, head, bytes).await,
         Ok(Whole::Part(bytes, rest)) => match pass_start(run, head, bytes).await {
             Ok(()) => pass_rest(run, rest).await,
@@ -36,9 +36,9 @@
     Part(Bytes, Incoming),
 }
 
-async fn read_whole(mut body: Incoming) -> Result<Whole, Stop> {
+async fn read_whole(run: &Run, mut body: Incoming) -> Result<Whole, Stop> {
     let mut read = BytesMut::new();
-    while let Some(frame) = body.frame().await {
+    while let Some(frame) = run.while_alive(body.frame()).await? {
         let Ok(frame) = frame else {
             return Err(Stop::Endpoint);
         };
@@ -62,7 +62,7 @@
 }
 
 async fn pass_rest(run: &Run, mut body: Incoming) -> Result<(), Stop> {
-    while let Some(frame) = body.frame().await {
+    while let Some(frame) = run.while_alive(body.frame()).await? {
         let frame = frame.map_err(|_broken| Stop::Endpoint)?;
         if let Ok(bytes) = frame.into_data() {
             run.pass(Part::Data(bytes)).await?;
--- a/crates/firdock-node/src/endpoint/relay/stream.rs
+++ b/crates/firdock-node/src/endpoint/relay/stream.rs
@@ -37,7 +37,7 @@
 
     async fn pass_events(&mut self, mut body: Incoming) -> Result<(), Stop> {
         let mut cutter = EventCutter::default();
-        while let Some(frame) = body.frame().await {
+        while let Some(frame) = self.run.while_alive(body.frame()).await? {
             let frame = frame.map_err(|_broken| Stop::Endpoint)?;
             let Ok(bytes) = frame.into_data() else {
                 continue;
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -11,7 +11,7 @@
 use firdock_policy::Event;
 use firdock_policy::action::Dispatch;
 use firdock_policy::event::{DispatchNews, EndpointEvent};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
 use super::Target;
@@ -60,6 +60,8 @@
     pub clock: Clock,
     /// Trace of this hop.
     pub trace: TraceContext,
+    /// Turns true once the endpoint has started again since, so that nothing more comes of this run.
+    pub over: watch::Receiver<bool>,
 }
 
 /// How a step of a dispatch ended it early.
@@ -108,6 +110,28 @@
         }
     }
 
+    /// Tells whether the endpoint has started again since the dispatch.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        *self.over.borrow()
+    }
+
+    /// Waits for the endpoint, for as long as the start lives that the request was sent to.
+    ///
+    /// Only waiting ends: what was read is passed on whole, so that another endpoint goes on after it.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Stop::Endpoint`] once the endpoint has started again.
+    pub async fn while_alive<T>(&self, wait: impl Future<Output = T>) -> Result<T, Stop> {
+        let mut over = self.over.clone();
+        tokio::select! {
+            biased;
+            got = wait => Ok(got),
+            Ok(_) = over.wait_for(|over| *over) => Err(Stop::Endpoint),
+        }
+    }
+
     /// Looks at the key's confirmation one last time, right before the write.
     ///
     /// Tells whether it lapsed; the scheduler has been told then.
--- a/crates/firdock-node/src/endpoint/run_engine.rs
+++ b/crates/firdock-node/src/endpoint/run_engine.rs
@@ -97,7 +97,10 @@
     };
     let mut tries = 0;
     loop {
-        match stream.next(run.limits.silence).await {
+        let Ok(next) = run.while_alive(stream.next(run.limits.silence)).await else {
+            return relay.broke().await;
+        };
+        match next {
             Ok(Some(event)) => {
                 if relay.pass(event).await.is_err() {
                     run.tell_caller_left().await;
--- a/crates/firdock-node/src/peer/heartbeat.rs
+++ b/crates/firdock-node/src/peer/heartbeat.rs
@@ -49,7 +49,10 @@
     #[must_use]
     pub fn new(t: &Tables, now: Time) -> Self {
         let told = |(pool, rate)| PoolDemand { pool, rate };
-        let leaving = t.endpoints.iter().filter(|(_, e)| e.leaving_first_hand());
+        let leaving = t
+            .endpoints
+            .iter()
+            .filter(|(_, e)| e.leaving_first_hand() && !e.replaced);
         Self {
             zone: t.settings.zone.clone(),
             held: t.requests.held_by_rank().to_vec(),
@@ -61,7 +64,7 @@
             draining: t.draining,
             leaving: leaving
                 .take(MAX_LEAVING)
-                .map(|(_, e)| e.declared.name.clone())
+                .map(|(_, e)| e.start_id.clone())
                 .collect(),
             version: t.version,
             used: used_limits(t, now),
--- a/crates/firdock-node/src/placement/coordinator.rs
+++ b/crates/firdock-node/src/placement/coordinator.rs
@@ -201,13 +201,18 @@
     /// Turns dispatches and answers into replies; all else is for the members to do.
     fn carry_out(&mut self, now: Time, action: Action) {
         match action {
-            Action::Dispatch(dispatch) => self.place(now, dispatch),
+            Action::Dispatch(dispatch) => self.place(now, &dispatch),
             Action::Answer { id, verdict } => self.refuse(id, verdict),
             _ => {}
         }
     }
 
-    fn place(&mut self, now: Time, dispatch: Dispatch) {
+    fn place(&mut self, now: Time, dispatch: &Dispatch) {
+        let t = self.scheduler.tables();
+        let Some(at) = t.endpoints.find(&dispatch.endpoint) else {
+            return;
+        };
+        let endpoint = t.endpoints.get(at).start_id.clone();
         let Some(owner) = self.owners.get_mut(&dispatch.id) else {
             return;
         };
@@ -215,7 +220,7 @@
         let placed = Placed {
             id: dispatch.id,
             attempt: owner.attempt,
-            endpoint: dispatch.endpoint,
+            endpoint,
         };
         if let Some(member) = self.members.get_mut(&owner.member) {
             member.reply().placed.push(placed);
--- a/crates/firdock-node/src/placement/coordinator/take.rs
+++ b/crates/firdock-node/src/placement/coordinator/take.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
-use firdock_core::{EndpointId, RequestId};
+use firdock_core::{RequestId, StartId};
 use firdock_policy::event::{DispatchNews, EndpointEvent};
 use firdock_policy::request::Phase;
 use firdock_policy::{Event, NewRequest, Time};
@@ -53,7 +53,7 @@
         now: Time,
         name: &str,
         wanted: Wanted,
-        endpoint: EndpointId,
+        endpoint: StartId,
     ) {
         let id = wanted.new.id;
         if self.is_current(&id, wanted.attempt) {
@@ -90,7 +90,7 @@
         let Some(Phase::Dispatching(at)) = t.requests.get(id).map(|r| r.phase) else {
             return;
         };
-        let endpoint = t.endpoints.get(at).declared.name.clone();
+        let endpoint = t.endpoints.get(at).start_id.clone();
         let placed = Placed {
             id,
             attempt,
--- a/crates/firdock-node/src/placement/told.rs
+++ b/crates/firdock-node/src/placement/told.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use firdock_core::EndpointId;
+use firdock_core::StartId;
 use firdock_policy::event::DispatchNews;
 use firdock_policy::request::{Phase, Placing, RequestRow};
 use firdock_policy::table::Tables;
@@ -44,9 +44,9 @@
 }
 
 /// Gives a request that runs on an engine, and where; `None` for all others.
-pub fn running(now: Time, t: &Tables, row: &RequestRow) -> Option<(Wanted, EndpointId)> {
+pub fn running(now: Time, t: &Tables, row: &RequestRow) -> Option<(Wanted, StartId)> {
     let engine = engine_of(t, row)?;
-    Some((wanted(now, row, row.dispatch), engine.declared.name.clone()))
+    Some((wanted(now, row, row.dispatch), engine.start_id.clone()))
 }
 
 /// Gives a request as far as its placement needs it, its times by how long they are from now.
@@ -69,8 +69,8 @@
     }
 }
 
-/// Gives the engines that a request must not go to, each once.
-fn avoided(row: &RequestRow) -> Vec<EndpointId> {
-    let all: BTreeSet<&EndpointId> = row.tried.iter().chain(&row.declined).collect();
+/// Gives the starts of engines that a request must not go to, each once.
+fn avoided(row: &RequestRow) -> Vec<StartId> {
+    let all: BTreeSet<&StartId> = row.tried.iter().chain(&row.declined).collect();
     all.into_iter().cloned().collect()
 }
--- a/crates/firdock-node/src/source.rs
+++ b/crates/firdock-node/src/source.rs
@@ -133,6 +133,14 @@
         }
     }
 
+    /// Counts an entry of an endpoint that names none to use; tells whether a line may be written of it.
+    #[must_use]
+    pub fn note_refused_entry(&self) -> bool {
+        self.metrics.count_refused_entry();
+        self.lines
+            .allow(&self.log, self.clock.now(), LineKind::RefusedEntry)
+    }
+
     /// Gives what is known to be the newest.
     #[must_use]
     pub fn known(&self) -> Reads {
--- a/crates/firdock-node/src/telemetry.rs
+++ b/crates/firdock-node/src/telemetry.rs
@@ -5,6 +5,7 @@
 pub mod decisions;
 pub mod log;
 pub mod metrics;
+pub mod restarts;
 pub mod rollouts;
 pub mod trace;
 
--- a/crates/firdock-node/src/telemetry/budget.rs
+++ b/crates/firdock-node/src/telemetry/budget.rs
@@ -25,6 +25,8 @@
     Belief,
     /// The platform's store was called.
     StoreCall,
+    /// An entry of an endpoint named none to use.
+    RefusedEntry,
 }
 
 impl LineKind {
@@ -38,17 +40,22 @@
             Self::Failed => "failed",
             Self::Belief => "belief",
             Self::StoreCall => "store called",
+            Self::RefusedEntry => "entry refused",
         }
     }
 
     /// Gives the lines a second.
     ///
     /// What went well is sampled: an instance serves some tens of requests a second, and a line
-    /// costs about as much as forwarding an event. Failures and beliefs are only bounded against
-    /// storms.
+    /// costs about as much as forwarding an event. A writer that writes nonsense writes it again and
+    /// again. Failures and beliefs are only bounded against storms.
     fn most(self) -> u32 {
         match self {
-            Self::Dispatched | Self::Answered | Self::CallerLeft | Self::StoreCall => 20,
+            Self::Dispatched
+            | Self::Answered
+            | Self::CallerLeft
+            | Self::StoreCall
+            | Self::RefusedEntry => 20,
             Self::Failed | Self::Belief => 200,
         }
     }
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -34,6 +34,12 @@
             at: now,
         }
     }
+
+    /// Tells whether it was this dispatch.
+    #[must_use]
+    pub fn is(&self, dispatch: u32) -> bool {
+        self.dispatch == dispatch
+    }
 }
 
 /// What the lines on a request's end tell of it, though the line on its dispatch was left out.
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -77,6 +77,9 @@
     stale: Counter,
     handed: Counter,
     ejections: Counter,
+    restarts: Counter,
+    lost_by_restart: Counter,
+    entries_refused: Counter,
     version: Gauge,
     log_lag: Gauge,
     decision: Histogram,
@@ -112,6 +115,9 @@
             stale: Counter::default(),
             handed: Counter::default(),
             ejections: Counter::default(),
+            restarts: Counter::default(),
+            lost_by_restart: Counter::default(),
+            entries_refused: Counter::default(),
             version: Gauge::default(),
             log_lag: Gauge::default(),
             decision: Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS)),
@@ -178,6 +184,21 @@
             self.handed.clone(),
         );
         r.register("ejections", "Endpoints ejected", self.ejections.clone());
+        r.register(
+            "endpoint_restarts",
+            "Endpoints that started again under their names",
+            self.restarts.clone(),
+        );
+        r.register(
+            "lost_by_restart",
+            "Dispatches that ended with a start of their endpoint",
+            self.lost_by_restart.clone(),
+        );
+        r.register(
+            "entries_refused",
+            "Entries of endpoints that name none to use",
+            self.entries_refused.clone(),
+        );
         r.register(
             "version_in_force",
             "Version of the configuration",
@@ -244,6 +265,11 @@
         self.store_calls.get_or_create(&labels).inc();
     }
 
+    /// Counts an entry of an endpoint that names none to use.
+    pub fn count_refused_entry(&self) {
+        self.entries_refused.inc();
+    }
+
     /// Notes how long ago the log was read up to its end.
     pub fn set_log_lag(&self, lag: Duration) {
         self.log_lag
@@ -295,6 +321,8 @@
         store(&self.stale, stats.stale_news);
         store(&self.handed, stats.handed_over);
         store(&self.ejections, stats.ejections);
+        store(&self.restarts, stats.restarts);
+        store(&self.lost_by_restart, stats.lost_by_restart);
         self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
--- a/crates/firdock-policy/src/action.rs
+++ b/crates/firdock-policy/src/action.rs
@@ -1,6 +1,6 @@
 //! What the policy wants done.
 
-use firdock_core::{EndpointId, InstanceId, Reason, RequestId};
+use firdock_core::{EndpointId, InstanceId, Reason, RequestId, StartId};
 use serde::{Deserialize, Serialize};
 
 use crate::event::{Grant, KeyTransfer};
@@ -23,6 +23,13 @@
         /// Dispatch to cancel.
         dispatch: u32,
     },
+    /// Stop a dispatch whose endpoint has started again since, and tell how far its answer came.
+    GiveUpDispatch {
+        /// Request.
+        id: RequestId,
+        /// Dispatch to stop.
+        dispatch: u32,
+    },
     /// Ask the coordinator for a place on an engine.
     Ask {
         /// Request.
@@ -59,8 +66,8 @@
         id: RequestId,
         /// Why, for the case that the peer cannot serve it either.
         verdict: Verdict,
-        /// Endpoints that it was dispatched to and that refused it.
-        tried: Vec<EndpointId>,
+        /// Starts of endpoints that it was dispatched to and that refused it.
+        tried: Vec<StartId>,
     },
     /// End an answer that has begun and cannot be completed, so that the caller can tell.
     Cut {
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -5,7 +5,7 @@
 
 use firdock_core::prefix::BlockHash;
 use firdock_core::resource::Catalog;
-use firdock_core::{AccountId, EndpointId, InstanceId, PoolId, RequestId, ZoneId};
+use firdock_core::{AccountId, EndpointId, InstanceId, PoolId, RequestId, StartId, ZoneId};
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
@@ -58,7 +58,7 @@
     /// The coordinator gave a request up, which ran nowhere.
     NotGranted(RequestId, Verdict),
     /// To a coordinator: a member already runs this request, which another one had placed.
-    Adopted(NewRequest, EndpointId),
+    Adopted(NewRequest, StartId),
     /// A peer told something about a hand-over.
     HandOver(HandOverEvent),
     /// A peer told how far a roll-out is.
@@ -80,8 +80,8 @@
 pub struct Grant {
     /// Request.
     pub id: RequestId,
-    /// Engine.
-    pub endpoint: EndpointId,
+    /// Start of the engine.
+    pub endpoint: StartId,
 }
 
 /// What an endpoint told about a dispatch.
@@ -213,8 +213,8 @@
     pub demand: Vec<PoolDemand>,
     /// Whether it is stopping.
     pub draining: bool,
-    /// Endpoints that it knows to be leaving.
-    pub leaving: Vec<EndpointId>,
+    /// Starts of endpoints that it knows to be leaving.
+    pub leaving: Vec<StartId>,
     /// Start of the peer's process: totals of an earlier one do not go on.
     #[serde(default, skip_serializing_if = "Uuid::is_nil")]
     pub incarnation: Uuid,
@@ -344,8 +344,8 @@
     pub id: RequestId,
     /// What the peer said; `None` where it was not reached.
     pub verdict: Option<Verdict>,
-    /// Endpoints that the peer dispatched it to and that refused it.
-    pub tried: Vec<EndpointId>,
+    /// Starts of endpoints that the peer dispatched it to and that refused it.
+    pub tried: Vec<StartId>,
 }
 
 /// The keys of a member that another owns now.
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -5,7 +5,7 @@
 use firdock_core::prefix::BlockHash;
 use firdock_core::resource::Service;
 use firdock_core::{
-    AccountId, EndpointId, InstanceId, Outcome, PoolId, Reason, RequestId, ServiceId, ZoneId,
+    AccountId, InstanceId, Outcome, PoolId, Reason, RequestId, ServiceId, StartId, ZoneId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -55,8 +55,8 @@
     pub key: Option<KeyClaim>,
     /// Caller or peer.
     pub origin: Origin,
-    /// Endpoints that the peer which handed it over had dispatched it to.
-    pub tried: Vec<EndpointId>,
+    /// Starts of endpoints that the peer which handed it over had dispatched it to.
+    pub tried: Vec<StartId>,
     /// When the caller stops waiting, if it said so.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub deadline: Option<Time>,
@@ -147,8 +147,8 @@
     pub phase: Phase,
     /// Number of the present dispatch, counted from 1.
     pub dispatch: u32,
-    /// Endpoints (names) that it was dispatched to.
-    pub tried: Vec<EndpointId>,
+    /// Starts of endpoints that it was dispatched to.
+    pub tried: Vec<StartId>,
     /// Peers (names) that refused it.
     pub refused_by: Vec<String>,
     /// Why it is with a peer, if it is.
@@ -181,8 +181,8 @@
     pub failed: bool,
     /// How far its placement by a coordinator is.
     pub placing: Placing,
-    /// Engines that the coordinator gave it and that this instance could not use.
-    pub declined: Vec<EndpointId>,
+    /// Starts of engines that the coordinator gave it and that this instance could not use.
+    pub declined: Vec<StartId>,
 }
 
 impl RequestRow {
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -54,7 +54,7 @@
             Event::Endpoint(e) => news::endpoint(t, now, &e, out),
             Event::Report(report) => health::report(t, now, &report),
             Event::ReportMissed(name) => health::missed(t, now, &name),
-            Event::Config(catalog) => config::apply(t, now, &catalog),
+            Event::Config(catalog) => config::apply(t, now, &catalog, out),
             Event::View(view) => key::take_view(t, view, out),
             Event::KeyTransfer(transfer) => key::take_transfer(t, now, &transfer),
             Event::LogRead(reading) => t.views.read(reading),
--- a/crates/firdock-policy/src/settings.rs
+++ b/crates/firdock-policy/src/settings.rs
@@ -112,6 +112,9 @@
     /// Whether these tables place requests of other instances on engines (`docs/design/placement.md`):
     /// limits and second tries are charged where a request came in.
     pub coordinates: bool,
+    /// Unix time at which this process's clock stood at zero, by which the starts that endpoints tell
+    /// are dated; `None` where it is not known.
+    pub unix_zero: Option<Duration>,
 }
 
 impl PolicySettings {
@@ -139,6 +142,7 @@
             rollouts: settings.rollouts,
             mechanisms: Mechanisms::ALL,
             coordinates: false,
+            unix_zero: None,
         }
     }
 
@@ -158,6 +162,13 @@
         self
     }
 
+    /// Sets the Unix time at which this process's clock stood at zero.
+    #[must_use]
+    pub fn with_unix_zero(mut self, zero: Duration) -> Self {
+        self.unix_zero = Some(zero);
+        self
+    }
+
     /// Sets how many dispatches in a row have to break before an endpoint is ejected.
     #[must_use]
     pub fn with_eject_after(mut self, dispatches: u32) -> Self {
--- a/crates/firdock-policy/src/stats.rs
+++ b/crates/firdock-policy/src/stats.rs
@@ -97,4 +97,8 @@
     pub handed_over: u64,
     /// Times that an endpoint was ejected.
     pub ejections: u64,
+    /// Times that an endpoint started again under its name.
+    pub restarts: u64,
+    /// Dispatches that ended with a start of their endpoint.
+    pub lost_by_restart: u64,
 }
--- a/crates/firdock-policy/src/system.rs
+++ b/crates/firdock-policy/src/system.rs
@@ -15,6 +15,7 @@
 pub mod limit;
 pub mod news;
 pub mod place;
+pub mod restart;
 pub mod rollout;
 pub mod share;
 pub mod shed;
--- a/crates/firdock-policy/src/system/config.rs
+++ b/crates/firdock-policy/src/system/config.rs
@@ -1,10 +1,11 @@
 //! The configuration in force is taken over into the tables.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 use firdock_core::resource::{Catalog, Tier};
 
-use super::{rollout, share};
+use super::{restart, rollout, share};
+use crate::action::Action;
 use crate::table::Tables;
 use crate::table::account::AccountRow;
 use crate::table::endpoint::EndpointRow;
@@ -12,13 +13,13 @@
 use crate::time::Time;
 
 /// Takes a catalog over, unless it is older than the one in force.
-pub fn apply(t: &mut Tables, now: Time, catalog: &Catalog) {
+pub fn apply(t: &mut Tables, now: Time, catalog: &Catalog, out: &mut Vec<Action>) {
     if catalog.version < t.version {
         return;
     }
     t.version = catalog.version;
     apply_accounts(t, now, catalog);
-    apply_endpoints(t, catalog);
+    apply_endpoints(t, catalog, out);
     apply_services(t, catalog);
     link(t);
     rollout::apply(t, now, catalog);
@@ -38,11 +39,12 @@
     }
 }
 
-fn apply_endpoints(t: &mut Tables, catalog: &Catalog) {
+fn apply_endpoints(t: &mut Tables, catalog: &Catalog, out: &mut Vec<Action>) {
     for (_, row) in t.endpoints.iter_mut() {
         row.present = false;
     }
     for declared in &catalog.endpoints {
+        restart::make_way(t, declared, out);
         let at = t
             .endpoints
             .find_or_add(&declared.name, || EndpointRow::new(declared.clone()));
@@ -104,17 +106,6 @@
 fn sweep(t: &mut Tables) {
     t.services.remove_if(|s| !s.present && s.live == 0);
     t.accounts.remove_if(|a| !a.present && a.live == 0);
-    let linked: HashSet<usize> = t
-        .services
-        .iter()
-        .flat_map(|(_, s)| s.endpoints.iter().copied())
-        .collect();
-    let busy: HashSet<String> = t
-        .endpoints
-        .iter()
-        .filter(|(i, e)| e.running > 0 || linked.contains(i))
-        .map(|(_, e)| e.declared.name.clone())
-        .collect();
-    t.endpoints
-        .remove_if(|e| !e.present && !busy.contains(&e.declared.name));
+    // Services were linked to present endpoints only.
+    t.endpoints.remove_if(|e| !e.present && e.running == 0);
 }
--- a/crates/firdock-policy/src/system/coordinate.rs
+++ b/crates/firdock-policy/src/system/coordinate.rs
@@ -6,7 +6,7 @@
 //! instance places its requests by itself, within its own part of the places
 //! (`docs/design/placement.md`).
 
-use firdock_core::{EndpointId, RequestId};
+use firdock_core::{RequestId, StartId};
 
 use super::{admit, end, place, rollout, share};
 use crate::action::Action;
@@ -47,7 +47,7 @@
 ///
 /// A place that comes twice is used once; one that cannot be used is given back.
 pub fn granted(t: &mut Tables, now: Time, grant: &Grant, out: &mut Vec<Action>) {
-    let endpoint = t.endpoints.find(&grant.endpoint);
+    let endpoint = t.endpoints.find_start(&grant.endpoint);
     let Some(row) = t.requests.get(grant.id) else {
         out.push(Action::Decline(grant.clone()));
         return;
@@ -75,7 +75,7 @@
 fn may_use(t: &Tables, now: Time, row: &RequestRow, at: usize) -> bool {
     let e = t.endpoints.get(at);
     let serves = t.services.get(row.service).endpoints.contains(&at) && place::in_pool(row, e);
-    let open = serves && e.present && !e.leaving(now) && !row.tried.contains(&e.declared.name);
+    let open = serves && e.present && !e.leaving(now) && !row.tried.contains(&e.start_id);
     open && rollout::admits_grant(t, at)
 }
 
@@ -102,10 +102,11 @@
 }
 
 /// Takes a request into a coordinator's tables that a member already runs.
-pub fn adopt(t: &mut Tables, now: Time, new: NewRequest, endpoint: &EndpointId) {
-    let Some(at) = t.endpoints.find(endpoint) else {
+pub fn adopt(t: &mut Tables, now: Time, new: NewRequest, told: &StartId) {
+    let Some(at) = t.endpoints.find_start(told) else {
         return;
     };
+    let start = t.endpoints.get(at).start_id.clone();
     let known = t.requests.get(new.id).is_some();
     let Some((service, account)) = admit::in_force(t, &new).filter(|_| !known) else {
         return;
@@ -120,8 +121,8 @@
         row.dispatched = now;
         row.first = Some(now);
         row.placing = Placing::Adopted;
-        if !row.tried.contains(endpoint) {
-            row.tried.push(endpoint.clone());
+        if !row.tried.contains(&start) {
+            row.tried.push(start);
         }
     }
 }
--- a/crates/firdock-policy/src/system/end.rs
+++ b/crates/firdock-policy/src/system/end.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use firdock_core::{EndpointId, Outcome, Reason, RequestId};
+use firdock_core::{Outcome, Reason, RequestId, StartId};
 
 use super::{limit, tries};
 use crate::action::Action;
@@ -173,7 +173,7 @@
 }
 
 /// Gives the final answer in the form that fits where the request came from.
-pub fn final_word(new: &NewRequest, verdict: Verdict, tried: Vec<EndpointId>) -> Action {
+pub fn final_word(new: &NewRequest, verdict: Verdict, tried: Vec<StartId>) -> Action {
     let id = new.id;
     match (&new.origin, verdict.outcome) {
         (Origin::Peer(_), Outcome::NotRun) => Action::RefuseHandOver { id, verdict, tried },
--- a/crates/firdock-policy/src/system/handover.rs
+++ b/crates/firdock-policy/src/system/handover.rs
@@ -20,7 +20,7 @@
 /// Takes a peer's heartbeat.
 pub fn peer_news(t: &mut Tables, now: Time, mut news: PeerNews) {
     for name in &news.leaving {
-        if let Some(at) = t.endpoints.find(name) {
+        if let Some(at) = t.endpoints.find_start(name) {
             t.endpoints.get_mut(at).peer_leaving = Some(now + LEAVING_WORD);
         }
     }
--- a/crates/firdock-policy/src/system/health.rs
+++ b/crates/firdock-policy/src/system/health.rs
@@ -65,7 +65,8 @@
 
 /// Ejects an endpoint for a while, unless too many of a service's endpoints are out already.
 pub fn eject(t: &mut Tables, now: Time, at: usize) {
-    if !t.settings.mechanisms.ejection {
+    // A start that is over says nothing of the one that has its place.
+    if !t.settings.mechanisms.ejection || t.endpoints.get(at).replaced {
         return;
     }
     if may_eject(t, now, at) {
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -165,7 +165,7 @@
 
 /// Tells whether every endpoint that takes the request has had it.
 fn exhausted(t: &Tables, row: &RequestRow) -> bool {
-    takers(t, row).all(|e| row.tried.contains(&e.declared.name))
+    takers(t, row).all(|e| row.tried.contains(&e.start_id))
 }
 
 /// Goes over the endpoints of a request's service that belong to the pool that it goes to.
@@ -259,7 +259,7 @@
 /// Tells whether an endpoint may take the request at all.
 fn may_take(t: &Tables, now: Time, row: &RequestRow, at: usize) -> bool {
     let e = t.endpoints.get(at);
-    let open = in_pool(row, e) && e.usable(now) && !row.tried.contains(&e.declared.name);
+    let open = in_pool(row, e) && e.usable(now) && !row.tried.contains(&e.start_id);
     open && rollout::admits(t, row, at)
 }
 
@@ -296,7 +296,7 @@
     }
     e.running += 1;
     e.backlog += f64::from(choice.estimate.uncached);
-    let name = e.declared.name.clone();
+    let (name, start) = (e.declared.name.clone(), e.start_id.clone());
     let Some(row) = t.requests.get_mut(id) else {
         return;
     };
@@ -305,14 +305,14 @@
     }
     let repeatable = t.services.get(row.service).declared.repeatable;
     assert!(
-        !row.tried.contains(&name),
+        !row.tried.contains(&start),
         "request {id} went to endpoint {name} twice"
     );
     assert!(
         repeatable || !row.ran_before,
         "request {id} may not be repeated"
     );
-    row.tried.push(name.clone());
+    row.tried.push(start);
     row.runs += 1;
     row.dispatch += 1;
     row.dispatched = now;
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use firdock_core::StartId;
 use firdock_core::resource::{Endpoint, EndpointKind};
 
 use super::line::Line;
@@ -18,6 +19,19 @@
     pub fn new() -> Self {
         Self::default()
     }
+
+    /// Finds the row of one start of an endpoint by the name that another instance told.
+    ///
+    /// A start that is over, or not known here yet, has none. A name without a start stands for the
+    /// present one, for that is how instances name it that know of none.
+    #[must_use]
+    pub fn find_start(&self, told: &str) -> Option<usize> {
+        if let Some(at) = self.find(told) {
+            return Some(at);
+        }
+        let (name, _start) = told.rsplit_once('@')?;
+        self.find(name).filter(|at| self.get(*at).start_id == told)
+    }
 }
 
 /// First pause of an ejected endpoint; it doubles with each further failure.
@@ -68,6 +82,11 @@
 pub struct EndpointRow {
     /// What operators declared.
     pub declared: Endpoint,
+    /// Name of this start of it, by which requests know where they went.
+    pub start_id: StartId,
+    /// Whether a later start has taken its place: it gets nothing more, and the row goes with the last
+    /// request that was sent there.
+    pub replaced: bool,
     /// Whether the configuration in force still has it.
     pub present: bool,
     /// Whether the instance list shows it as leaving.
@@ -124,6 +143,8 @@
         let rate = declared.prefill_rate;
         Self {
             budget: declared.slots,
+            start_id: declared.start_id(),
+            replaced: false,
             declared,
             present: true,
             listed_leaving: false,
@@ -146,6 +167,18 @@
         }
     }
 
+    /// Tells whether a declaration is of another start of the endpoint.
+    #[must_use]
+    pub fn is_other_start(&self, declared: &Endpoint) -> bool {
+        self.declared.started != declared.started
+    }
+
+    /// Takes it that a later start has taken its place.
+    pub fn replace(&mut self) {
+        self.replaced = true;
+        self.present = false;
+    }
+
     /// Tells whether it is a model engine.
     #[must_use]
     pub fn is_engine(&self) -> bool {
--- a/crates/firdock-policy/src/table/rows.rs
+++ b/crates/firdock-policy/src/table/rows.rs
@@ -64,17 +64,21 @@
         row
     }
 
+    /// Takes a row's name away, so that another row may have it; the row lives on under its number.
+    pub fn detach(&mut self, name: &str) -> Option<usize> {
+        self.by_name.remove(name)
+    }
+
     /// Removes the rows for which `drop` says so.
     pub fn remove_if(&mut self, mut drop: impl FnMut(&R) -> bool) {
-        let (slots, free) = (&mut self.slots, &mut self.free);
-        self.by_name.retain(|_, row| {
-            let gone = slots[*row].as_ref().is_some_and(&mut drop);
-            if gone {
-                slots[*row] = None;
-                free.push(*row);
+        for (row, slot) in self.slots.iter_mut().enumerate() {
+            if slot.as_ref().is_some_and(&mut drop) {
+                *slot = None;
+                self.free.push(row);
             }
-            !gone
-        });
+        }
+        let slots = &self.slots;
+        self.by_name.retain(|_, row| slots[*row].is_some());
     }
 
     /// Goes over the living rows with their numbers, in the order of the numbers.
@@ -96,12 +100,12 @@
     /// Counts the living rows.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.by_name.len()
+        self.slots.len() - self.free.len()
     }
 
     /// Tells whether there are no rows.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.by_name.is_empty()
+        self.len() == 0
     }
 }
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -7,6 +7,7 @@
 mod line;
 mod overload;
 mod random;
+mod restart;
 mod rollout;
 mod rules;
 mod scene;
--- a/crates/firdock-policy/tests/policy/random.rs
+++ b/crates/firdock-policy/tests/policy/random.rs
@@ -11,6 +11,8 @@
 
 /// Seeds of a run in CI.
 const SEEDS: u64 = 192;
+/// Seeds of a run in CI in which endpoints start again: fewer, for the rest is the same.
+const SEEDS_WITH_RESTARTS: u64 = 64;
 /// Operations of one seed.
 const OPS: usize = 160;
 
@@ -37,7 +39,15 @@
     ]
 }
 
-fn run_seed(seed: u64) {
+/// The same with endpoints that start again under their names.
+fn op_with_restarts() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        12 => op(),
+        1 => any::<u8>().prop_map(|endpoint| Op::Restart { endpoint }),
+    ]
+}
+
+fn run_seed(seed: u64, op: impl Strategy<Value = Op>) {
     let mut bytes = [0; 32];
     bytes[..8].copy_from_slice(&seed.to_le_bytes());
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
@@ -47,7 +57,7 @@
         ..Config::default()
     };
     let mut runner = TestRunner::new_with_rng(config, rng);
-    let result = runner.run(&vec(op(), OPS..=OPS), |ops| {
+    let result = runner.run(&vec(op, OPS..=OPS), |ops| {
         let mut world = World::new(seed);
         for op in ops {
             world.apply(op);
@@ -67,11 +77,19 @@
     std::env::var(name).ok()?.parse().ok()
 }
 
+fn seeds(count: u64) -> std::ops::Range<u64> {
+    match number("FIRDOCK_SEED") {
+        Some(seed) => seed..seed + 1,
+        None => 0..number("FIRDOCK_SEEDS").unwrap_or(count),
+    }
+}
+
 #[test]
 fn whatever_happens_every_promise_is_kept() {
-    let seeds = match number("FIRDOCK_SEED") {
-        Some(seed) => seed..seed + 1,
-        None => 0..number("FIRDOCK_SEEDS").unwrap_or(SEEDS),
-    };
-    seeds.for_each(run_seed);
+    seeds(SEEDS).for_each(|seed| run_seed(seed, op()));
+}
+
+#[test]
+fn every_promise_is_kept_while_endpoints_start_again_under_their_names() {
+    seeds(SEEDS_WITH_RESTARTS).for_each(|seed| run_seed(seed, op_with_restarts()));
 }
--- /dev/null
+++ b/crates/firdock-policy/tests/policy/restart.rs
@@ -0,0 +1,277 @@
+//! Endpoints that start again under their names: what ran there, what is believed of them, and whose word
+//! counts.
+//!
+//! The load is a server that crashes and is back within a second, while callers stream from it: the
+//! platform lists the new start before the connections of the old one are seen to be dead.
+
+use std::time::Duration;
+
+use firdock_core::resource::Resource;
+use firdock_core::{Outcome, Reason};
+use firdock_policy::event::{DispatchNews, Grant, PeerNews};
+use firdock_policy::table::endpoint::{EndpointRow, Health};
+use firdock_policy::{Action, Event, PolicySettings, Scheduler};
+
+use crate::scene::{Driven, catalog, dispatched, id, millis, request, resources, settings};
+
+const BROKE: DispatchNews = DispatchNews::Broke { delivered: 0 };
+const REFUSED: DispatchNews = DispatchNews::Refused { unreachable: false };
+const ENDED: DispatchNews = DispatchNews::Ended {
+    prompt: 0,
+    cached: 0,
+    output: 0,
+};
+/// Unix time at which the process's clock stood at zero, in the tests where it is known.
+const UNIX_ZERO: Duration = Duration::from_secs(1_000_000);
+
+/// The usual resources, with the Unix time of each endpoint's start: `again` for one, 1 s for the rest.
+fn with_starts(name: &str, again: Duration) -> Vec<Resource> {
+    let mut all = resources();
+    for resource in &mut all {
+        if let Resource::Endpoint(e) = resource {
+            let started = if e.name == name { again } else { millis(1_000) };
+            e.started = Some(started);
+        }
+    }
+    all
+}
+
+/// An instance with the endpoints of their first starts.
+fn instance(settings: PolicySettings) -> Driven {
+    let mut d = Driven {
+        scheduler: Scheduler::new(settings),
+        now: millis(10_000),
+    };
+    d.step(catalog(2, with_starts("none", millis(0))));
+    d
+}
+
+/// Lists a later start of one endpoint.
+fn restart(d: &mut Driven, name: &str, at: Duration) -> Vec<Action> {
+    let version = d.scheduler.tables().version;
+    d.step(catalog(version, with_starts(name, at)))
+}
+
+fn row<'a>(d: &'a Driven, name: &str) -> &'a EndpointRow {
+    let endpoints = &d.scheduler.tables().endpoints;
+    endpoints.get(endpoints.find(name).expect("it is listed"))
+}
+
+fn given_up(actions: &[Action]) -> Vec<(u64, u32)> {
+    let given_up = actions.iter().filter_map(|a| match a {
+        Action::GiveUpDispatch { id, dispatch } => Some((id.as_u64_pair().1, *dispatch)),
+        _ => None,
+    });
+    given_up.collect()
+}
+
+#[test]
+fn what_ran_on_the_earlier_start_goes_on_elsewhere_where_it_stopped() {
+    let mut d = instance(settings("a"));
+    let first = dispatched(&d.arrive(request(1, "draft", "shop")));
+    let name = first[0].1.clone();
+    d.tell(1, 1, DispatchNews::Started { head_sent: true });
+    let actions = restart(&mut d, &name, millis(2_000));
+    assert_eq!(given_up(&actions), [(1, 1)]);
+    let again = d.tell(1, 1, DispatchNews::Broke { delivered: 12 });
+    let Some(Action::Dispatch(again)) = again.first() else {
+        panic!("{again:?}")
+    };
+    assert_eq!((again.resume_from, again.dispatch), (12, 2));
+    let stats = &d.scheduler.tables().stats;
+    assert_eq!((stats.restarts, stats.lost_by_restart), (1, 1));
+}
+
+#[test]
+fn a_repeatable_request_may_go_to_the_later_start_though_the_earlier_one_had_it() {
+    let mut d = instance(settings("a"));
+    let name = dispatched(&d.arrive(request(1, "tiles", "shop")))[0]
+        .1
+        .clone();
+    let other = if name == "plain-0" {
+        "plain-1"
+    } else {
+        "plain-0"
+    };
+    d.step(Event::Peer(PeerNews {
+        name: "b".to_owned(),
+        leaving: vec![format!("{other}@1000")],
+        ..PeerNews::default()
+    }));
+    restart(&mut d, &name, millis(2_000));
+    let again = dispatched(&d.tell(1, 1, BROKE));
+    assert_eq!(again, [(id(1), name)]);
+    let rows = &d.scheduler.tables().requests;
+    assert_eq!(rows.get(id(1)).expect("it runs").tried.len(), 2);
+}
+
+#[test]
+fn a_request_that_runs_once_is_told_unknown_and_never_sent_to_the_later_start() {
+    let mut d = instance(settings("a"));
+    let name = dispatched(&d.arrive(request(1, "orders", "shop")))[0]
+        .1
+        .clone();
+    assert_eq!(given_up(&restart(&mut d, &name, millis(2_000))), [(1, 1)]);
+    let end = d.tell(1, 1, BROKE);
+    assert!(dispatched(&end).is_empty());
+    assert!(
+        matches!(&*end, [Action::Answer { verdict, .. }]
+            if verdict.outcome == Outcome::Unknown && verdict.reason == Reason::EndpointLost),
+        "{end:?}"
+    );
+}
+
+#[test]
+fn a_request_that_the_earlier_start_refused_did_not_run_and_may_go_to_the_later_one() {
+    let mut d = instance(settings("a"));
+    let first = dispatched(&d.arrive(request(1, "orders", "shop")));
+    let second = dispatched(&d.tell(1, 1, REFUSED));
+    restart(&mut d, &first[0].1, millis(2_000));
+    let third = dispatched(&d.tell(1, 2, REFUSED));
+    assert_ne!(first[0].1, second[0].1);
+    assert_eq!(third, first);
+}
+
+#[test]
+fn news_of_the_earlier_start_touch_nothing_of_the_later_one() {
+    let mut d = instance(settings("a"));
+    let name = dispatched(&d.arrive(request(1, "tiles", "shop")))[0]
+        .1
+        .clone();
+    restart(&mut d, &name, millis(2_000));
+    assert_eq!(row(&d, &name).running, 0);
+    d.tell(1, 1, BROKE);
+    let fresh = row(&d, &name);
+    assert_eq!(
+        (fresh.health, fresh.failures, fresh.broken),
+        (Health::Well, 0, 0)
+    );
+    // The row of the earlier start goes with the next configuration, since nothing is there any more.
+    let rows = d.scheduler.tables().endpoints.len();
+    d.step(catalog(3, with_starts(&name, millis(2_000))));
+    assert_eq!(d.scheduler.tables().endpoints.len(), rows - 1);
+}
+
+#[test]
+fn an_answer_that_was_whole_when_the_restart_was_read_is_delivered() {
+    let mut d = instance(settings("a"));
+    let name = dispatched(&d.arrive(request(1, "orders", "shop")))[0]
+        .1
+        .clone();
+    restart(&mut d, &name, millis(2_000));
+    d.tell(1, 1, ENDED);
+    assert_eq!(d.scheduler.tables().stats.outcomes[&Outcome::Answered], 1);
+}
+
+#[test]
+fn what_was_believed_of_the_earlier_start_says_nothing_of_the_later_one() {
+    let mut d = instance(settings("a"));
+    let name = dispatched(&d.arrive(request(1, "tiles", "shop")))[0]
+        .1
+        .clone();
+    d.now += millis(900);
+    d.tell(1, 1, ENDED);
+    d.step(Event::Peer(PeerNews {
+        name: "b".to_owned(),
+        leaving: vec![format!("{name}@1000")],
+        ..PeerNews::default()
+    }));
+    let known = row(&d, &name);
+    assert!(known.leaving(d.now) && known.firsts > 0);
+    restart(&mut d, &name, millis(2_000));
+    let fresh = row(&d, &name);
+    assert!(!fresh.leaving(d.now) && fresh.usable(d.now));
+    assert_eq!((fresh.firsts, fresh.streams), (0, 0));
+}
+
+#[test]
+fn a_peer_that_knows_only_the_earlier_start_does_not_keep_the_later_one_out() {
+    let mut d = instance(settings("a"));
+    restart(&mut d, "plain-0", millis(2_000));
+    let mut tell = |start: &str| {
+        d.step(Event::Peer(PeerNews {
+            name: "b".to_owned(),
+            leaving: vec![start.to_owned()],
+            ..PeerNews::default()
+        }));
+        row(&d, "plain-0").leaving(d.now)
+    };
+    assert!(!tell("plain-0@1000"));
+    assert!(tell("plain-0@2000"));
+}
+
+#[test]
+fn what_was_sent_after_the_later_start_began_runs_there_and_is_left_alone() {
+    let mut d = instance(settings("a").with_unix_zero(UNIX_ZERO));
+    let name = dispatched(&d.arrive(request(1, "tiles", "shop")))[0]
+        .1
+        .clone();
+    d.now += millis(500);
+    let began = UNIX_ZERO + d.now;
+    d.now += millis(500);
+    let later = dispatched(&d.arrive(request(2, "tiles", "shop")))[0]
+        .1
+        .clone();
+    let third = dispatched(&d.arrive(request(3, "tiles", "shop")))[0]
+        .1
+        .clone();
+    let sent = if later == name { 2 } else { 3 };
+    assert!(
+        later == name || third == name,
+        "one of them went where the first one is"
+    );
+    assert_eq!(given_up(&restart(&mut d, &name, began)), [(1, 1)]);
+    // It breaks all the same: this start had it, though it was sent before the start was known.
+    let again = dispatched(&d.tell(sent, 1, BROKE));
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].1, name);
+}
+
+#[test]
+fn the_same_start_listed_again_changes_nothing() {
+    let mut d = instance(settings("a"));
+    d.arrive(request(1, "tiles", "shop"));
+    let actions = d.step(catalog(3, with_starts("none", millis(0))));
+    assert!(actions.is_empty(), "{actions:?}");
+    assert_eq!(d.scheduler.tables().stats.restarts, 0);
+}
+
+#[test]
+fn a_place_on_a_start_that_is_over_or_not_known_yet_is_given_back() {
+    let mut d = instance(settings("a"));
+    d.step(Event::Coordinated(true));
+    restart(&mut d, "engine-0", millis(2_000));
+    d.arrive(request(1, "draft", "shop"));
+    let mut grant = |start: &str| {
+        d.step(Event::Granted(Grant {
+            id: id(1),
+            endpoint: start.to_owned(),
+        }))
+    };
+    for start in ["engine-0@1000", "engine-0@3000"] {
+        let actions = grant(start);
+        assert!(dispatched(&actions).is_empty());
+        let back = |a: &Action| matches!(a, Action::Decline(g) if g.endpoint == start);
+        assert!(actions.iter().any(back), "{actions:?}");
+    }
+    assert_eq!(dispatched(&grant("engine-0@2000")).len(), 1);
+}
+
+#[test]
+fn a_coordinator_counts_nothing_on_the_later_start_that_members_run_on_the_earlier_one() {
+    let mut d = instance(settings("a").with_coordination());
+    let adopt = |n: u64, start: &str| Event::Adopted(request(n, "draft", "shop"), start.to_owned());
+    d.step(adopt(1, "engine-0@1000"));
+    assert_eq!(row(&d, "engine-0").running, 1);
+    restart(&mut d, "engine-0", millis(2_000));
+    d.step(adopt(2, "engine-0@1000"));
+    assert_eq!(row(&d, "engine-0").running, 0);
+    d.step(adopt(3, "engine-0@2000"));
+    assert_eq!(row(&d, "engine-0").running, 1);
+    // The member tells that the first one broke; the later start is none the worse for it.
+    d.tell(1, 1, BROKE);
+    assert_eq!(
+        (row(&d, "engine-0").running, row(&d, "engine-0").failures),
+        (1, 0)
+    );
+}
--- a/crates/firdock-policy/tests/policy/world.rs
+++ b/crates/firdock-policy/tests/policy/world.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use firdock_core::RequestId;
+use firdock_core::resource::Resource;
 use firdock_policy::action::Dispatch;
 use firdock_policy::event::{
     DispatchNews, EndpointEvent, HandOverEvent, ListedInstance, LogReading, Member, MemberView,
@@ -60,6 +61,8 @@
     Toggle { resource: u8 },
     /// An instance's coordinator answers from now on, or falls silent.
     Coordinate { node: u8, answers: bool },
+    /// An endpoint starts again under its name.
+    Restart { endpoint: u8 },
 }
 
 #[derive(Debug, Clone)]
@@ -110,6 +113,10 @@
     /// When an owner refused a request that was handed to it, before its caller was told.
     refused: BTreeMap<RequestId, Duration>,
     dispatched: BTreeSet<(RequestId, String)>,
+    /// How often each endpoint has started again; its start is told once it has.
+    starts: [u64; ENDPOINTS.len()],
+    /// Dispatches that an instance gave up since their endpoint has started again.
+    given_up: BTreeSet<(Uuid, RequestId, u32)>,
     runs: Vec<(Duration, RequestId, Option<u64>)>,
     orders: Vec<(u64, Option<Duration>)>,
     minted: u64,
@@ -133,6 +140,8 @@
             handed: BTreeMap::new(),
             refused: BTreeMap::new(),
             dispatched: BTreeSet::new(),
+            starts: [0; ENDPOINTS.len()],
+            given_up: BTreeSet::new(),
             runs: Vec::new(),
             orders: Vec::new(),
             minted: 0,
@@ -176,7 +185,16 @@
                 .any(|(t, a)| a && *t == name)
         };
         let kept = resources().into_iter().filter(|r| !gone(&r.key().name));
-        catalog(self.version, kept.collect())
+        let started = kept.map(|r| self.with_start(r));
+        catalog(self.version, started.collect())
+    }
+
+    fn with_start(&self, mut resource: Resource) -> Resource {
+        if let Resource::Endpoint(e) = &mut resource {
+            let starts = self.starts[endpoint_index(&e.name)];
+            e.started = (starts > 0).then(|| millis(starts));
+        }
+        resource
     }
 
     fn log_now(&self) -> Duration {
@@ -250,6 +268,10 @@
             Op::Coordinate { node, answers } => {
                 self.step(usize::from(node) % NODES, Event::Coordinated(answers));
             }
+            Op::Restart { endpoint } => {
+                self.starts[usize::from(endpoint) % ENDPOINTS.len()] += 1;
+                self.version += 1;
+            }
             Op::Drain { node } => self.step(usize::from(node) % NODES, Event::Drain),
             Op::Resend { .. } => {}
         }
--- a/crates/firdock-policy/tests/policy/world/message.rs
+++ b/crates/firdock-policy/tests/policy/world/message.rs
@@ -2,7 +2,7 @@
 
 use firdock_core::{Outcome, Reason, RequestId};
 use firdock_policy::action::Dispatch;
-use firdock_policy::event::{DispatchNews, Grant, HandOverEvent, HandOverRefusal};
+use firdock_policy::event::{DispatchNews, EndpointEvent, Grant, HandOverEvent, HandOverRefusal};
 use firdock_policy::{Action, Event, Origin, Policy as _, Verdict};
 use rand::Rng as _;
 use uuid::Uuid;
@@ -65,6 +65,12 @@
             self.tell(i, incarnation, &dispatch, DispatchNews::Lapsed);
             return;
         }
+        let run = (incarnation, dispatch.id, dispatch.dispatch);
+        if self.given_up.contains(&run) {
+            let news = DispatchNews::Refused { unreachable: true };
+            self.tell(i, incarnation, &dispatch, news);
+            return;
+        }
         let delay = self.lag();
         self.send(delay, Message::AtEndpoint(i, incarnation, dispatch));
     }
@@ -153,7 +159,9 @@
         let incarnation = self.nodes[i].member.incarnation;
         match action {
             Action::Dispatch(dispatch) => {
-                let pair = (dispatch.id, dispatch.endpoint.clone());
+                let endpoints = &self.nodes[i].scheduler.tables().endpoints;
+                let at = endpoints.find(&dispatch.endpoint).expect("it is known");
+                let pair = (dispatch.id, endpoints.get(at).start_id.clone());
                 assert!(
                     self.dispatched.insert(pair),
                     "{} went to {} twice",
@@ -163,6 +171,13 @@
                 let delay = self.lag();
                 self.send(delay, Message::Write(i, incarnation, dispatch));
             }
+            Action::GiveUpDispatch { id, dispatch } => {
+                self.given_up.insert((incarnation, id, dispatch));
+                let news = DispatchNews::Broke { delivered: 0 };
+                let event = Event::Endpoint(EndpointEvent { id, dispatch, news });
+                let delay = self.lag();
+                self.send(delay, Message::Event(i, incarnation, event));
+            }
             Action::Ask { id } => self.place(i, id),
             Action::HandOver { id, peer, .. } => self.hand_over(i, id, &peer),
             Action::CancelHandOver { id, peer } => {
--- a/crates/firdock-state/src/directory.rs
+++ b/crates/firdock-state/src/directory.rs
@@ -17,10 +17,36 @@
 /// are back in it about two seconds after its return.
 pub const GRACE: Duration = Duration::from_millis(2_300);
 
+/// Endpoints that are gone whose last entries are remembered, so that an earlier one which comes late
+/// brings none of them back: more than restart within the minutes that an entry can be late.
+const MAX_GONE: usize = 4_096;
+
+/// Where an entry stands among those of its endpoint: by the start, then by its number since.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct EntryOrder {
+    started: Duration,
+    count: u64,
+}
+
+/// What became of an entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Entered {
+    /// It changed the endpoints.
+    Changed,
+    /// It says what was known.
+    Known,
+    /// It is older than what was known, and was passed over.
+    Older,
+    /// It tells no start, though earlier entries of the endpoint did, and was passed over.
+    Startless,
+}
+
 /// Endpoints by name, as the platform's list has them.
 #[derive(Debug, Default)]
 pub struct Directory {
     rows: BTreeMap<EndpointId, Row>,
+    /// The newest entry of each endpoint that tells its start, and of some that are gone.
+    newest: BTreeMap<EndpointId, EntryOrder>,
 }
 
 #[derive(Debug)]
@@ -49,6 +75,56 @@
         self.rows.len() != before
     }
 
+    /// Takes an entry over unless it is older than one that was taken; `count` is its number since the
+    /// endpoint's start.
+    ///
+    /// Entries of endpoints that tell no start are taken as they come: their order is the platform's.
+    pub fn enter(&mut self, endpoint: Endpoint, count: u64) -> Entered {
+        let known = self.newest.get(&endpoint.name).copied();
+        let Some(started) = endpoint.started else {
+            return match known {
+                Some(_) => Entered::Startless,
+                None => self.put_new(endpoint),
+            };
+        };
+        let order = EntryOrder { started, count };
+        if known.is_some_and(|known| order < known) {
+            return Entered::Older;
+        }
+        self.newest.insert(endpoint.name.clone(), order);
+        let entered = self.put_new(endpoint);
+        self.forget_gone();
+        entered
+    }
+
+    fn put_new(&mut self, endpoint: Endpoint) -> Entered {
+        if self.put(endpoint) {
+            Entered::Changed
+        } else {
+            Entered::Known
+        }
+    }
+
+    /// Forgets the earliest start among those that are gone, if too many are remembered.
+    fn forget_gone(&mut self) {
+        if self.newest.len() <= self.rows.len() + MAX_GONE {
+            return;
+        }
+        let gone = |name: &&EndpointId| !self.rows.contains_key(*name);
+        let names = self.newest.keys().filter(gone);
+        let earliest = names.min_by_key(|name| self.newest[*name]).cloned();
+        if let Some(name) = earliest {
+            self.newest.remove(&name);
+        }
+    }
+
+    /// Takes an endpoint out at once, whose entry names none any more; tells whether there was one.
+    ///
+    /// What it said before still counts, so that nothing older brings it back.
+    pub fn take_out(&mut self, name: &str) -> bool {
+        self.rows.remove(name).is_some()
+    }
+
     /// Takes an entry over; tells whether that changed the endpoints.
     pub fn put(&mut self, endpoint: Endpoint) -> bool {
         let name = endpoint.name.clone();
