--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -230,7 +230,7 @@
             DispatchNews::Broke { .. } => "broke",
         };
         self.decisions
-            .dispatch_failed(now, row, failed, &live.exchange);
+            .dispatch_failed(now, self.scheduler.tables(), row, failed, &live.exchange);
     }
 
     /// Writes that a caller left before its answer was whole.
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -7,7 +7,7 @@
 
 use firdock_core::{EndpointId, Reason};
 use firdock_policy::action::Dispatch;
-use firdock_policy::request::RequestRow;
+use firdock_policy::request::{Phase, RequestRow};
 use firdock_policy::table::Tables;
 use firdock_policy::{Time, Verdict};
 use slog::{Logger, info, warn};
@@ -109,7 +109,7 @@
             "call" => call(exchange),
             "service" => &exchange.payload.service,
             "account" => &exchange.payload.account,
-            "endpoint" => row.tried.last(),
+            "endpoint" => endpoint_of(t, row),
             "dispatches" => row.dispatch,
             "held_millis" => millis(row.dispatched.saturating_sub(row.arrived)),
             "predicted_millis" => millis(row.predicted),
@@ -178,14 +178,21 @@
     }
 
     /// Writes that a dispatch ended without an answer: refused, lapsed or broken.
-    pub fn dispatch_failed(&self, now: Time, row: &RequestRow, news: &str, x: &Exchange) {
+    pub fn dispatch_failed(
+        &self,
+        now: Time,
+        t: &Tables,
+        row: &RequestRow,
+        news: &str,
+        x: &Exchange,
+    ) {
         if !self.budget.allow(&self.log, now, LineKind::Failed) {
             return;
         }
         warn!(self.log, "dispatch failed";
             "request_id" => row.new.id.to_string(),
             "call" => call(x),
-            "endpoint" => row.tried.last(),
+            "endpoint" => endpoint_of(t, row),
             "dispatch" => row.dispatch,
             "news" => news,
             "after_millis" => millis(now.saturating_sub(row.dispatched)),
@@ -194,6 +201,14 @@
     }
 }
 
+/// Gives the endpoint that a request is at.
+fn endpoint_of<'a>(t: &'a Tables, row: &RequestRow) -> Option<&'a EndpointId> {
+    let (Phase::Dispatching(at) | Phase::Running(at)) = row.phase else {
+        return None;
+    };
+    Some(&t.endpoints.get(at).declared.name)
+}
+
 /// Gives the id that the caller gave, or nothing.
 fn call(exchange: &Exchange) -> Option<&String> {
     exchange.payload.terms.caller_id.as_ref()
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -85,7 +85,7 @@
     pub demand: ::prost::alloc::vec::Vec<PoolDemand>,
     #[prost(bool, tag = "4")]
     pub draining: bool,
-    /// Endpoints known to be leaving.
+    /// Starts of endpoints known to be leaving (docs/design/restarts.md).
     #[prost(string, repeated, tag = "5")]
     pub leaving: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     /// Version of the configuration in force.
@@ -574,7 +574,7 @@
     /// Time that its caller will wait.
     #[prost(uint64, optional, tag = "9")]
     pub left_millis: ::core::option::Option<u64>,
-    /// Endpoints that it must not go to.
+    /// Starts of endpoints that it must not go to.
     #[prost(string, repeated, tag = "10")]
     pub avoid: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
