--- a/crates/firdock-node/src/peer/heartbeat.rs
+++ b/crates/firdock-node/src/peer/heartbeat.rs
@@ -52,7 +52,7 @@
         let leaving = t
             .endpoints
             .iter()
-            .filter(|(_, e)| e.leaving_first_hand() && !e.replaced);
+            .filter(|(_, e)| e.leaving_first_hand() && !e.is_replaced());
         Self {
             zone: t.settings.zone.clone(),
             held: t.requests.held_by_rank().to_vec(),
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -184,21 +184,7 @@
             self.handed.clone(),
         );
         r.register("ejections", "Endpoints ejected", self.ejections.clone());
-        r.register(
-            "endpoint_restarts",
-            "Endpoints that started again under their names",
-            self.restarts.clone(),
-        );
-        r.register(
-            "lost_by_restart",
-            "Dispatches that ended with a start of their endpoint",
-            self.lost_by_restart.clone(),
-        );
-        r.register(
-            "entries_refused",
-            "Entries of endpoints that name none to use",
-            self.entries_refused.clone(),
-        );
+        self.register_starts(&mut r);
         r.register(
             "version_in_force",
             "Version of the configuration",
@@ -236,6 +222,25 @@
         );
     }
 
+    /// Registers what tells of starts of endpoints and of their entries.
+    fn register_starts(&self, r: &mut Registry) {
+        r.register(
+            "endpoint_restarts",
+            "Endpoints that started again under their names",
+            self.restarts.clone(),
+        );
+        r.register(
+            "lost_by_restart",
+            "Dispatches that ended with a start of their endpoint",
+            self.lost_by_restart.clone(),
+        );
+        r.register(
+            "entries_refused",
+            "Entries of endpoints that name none to use",
+            self.entries_refused.clone(),
+        );
+    }
+
     /// Notes how long a decision took.
     pub fn observe_decision(&self, took: Duration) {
         self.decision.observe(took.as_secs_f64());
--- a/crates/firdock-policy/src/system/health.rs
+++ b/crates/firdock-policy/src/system/health.rs
@@ -66,7 +66,7 @@
 /// Ejects an endpoint for a while, unless too many of a service's endpoints are out already.
 pub fn eject(t: &mut Tables, now: Time, at: usize) {
     // A start that is over says nothing of the one that has its place.
-    if !t.settings.mechanisms.ejection || t.endpoints.get(at).replaced {
+    if !t.settings.mechanisms.ejection || t.endpoints.get(at).is_replaced() {
         return;
     }
     if may_eject(t, now, at) {
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -84,9 +84,9 @@
     pub declared: Endpoint,
     /// Name of this start of it, by which requests know where they went.
     pub start_id: StartId,
-    /// Whether a later start has taken its place: it gets nothing more, and the row goes with the last
-    /// request that was sent there.
-    pub replaced: bool,
+    /// The later start that has taken its place, if one has: it gets nothing more then, and the row goes
+    /// with the last request that was sent there.
+    pub successor: Option<StartId>,
     /// Whether the configuration in force still has it.
     pub present: bool,
     /// Whether the instance list shows it as leaving.
@@ -144,7 +144,7 @@
         Self {
             budget: declared.slots,
             start_id: declared.start_id(),
-            replaced: false,
+            successor: None,
             declared,
             present: true,
             listed_leaving: false,
@@ -174,11 +174,17 @@
     }
 
     /// Takes it that a later start has taken its place.
-    pub fn replace(&mut self) {
-        self.replaced = true;
+    pub fn replace_by(&mut self, successor: StartId) {
+        self.successor = Some(successor);
         self.present = false;
     }
 
+    /// Tells whether a later start has taken its place.
+    #[must_use]
+    pub fn is_replaced(&self) -> bool {
+        self.successor.is_some()
+    }
+
     /// Tells whether it is a model engine.
     #[must_use]
     pub fn is_engine(&self) -> bool {
