--- a/crates/firdock-core/src/settings/check.rs
+++ b/crates/firdock-core/src/settings/check.rs
@@ -8,6 +8,9 @@
 /// Most addresses of instances that are asked first: three are named by a platform, and each costs a
 /// start some time if it is down.
 const MAX_SEEDS: usize = 16;
+/// Least budget for answers that wait, in bytes: a long answer has some hundred thousand, and a few have
+/// to fit beside each other.
+const MIN_ANSWER_BYTES: usize = 1 << 20;
 /// Names of the log levels.
 const LEVELS: [&str; 4] = ["error", "warning", "info", "debug"];
 
@@ -30,6 +33,7 @@
         self.check_platform(found);
         self.check_peers(found);
         self.check_limits(found);
+        self.check_answers(found);
         self.check_rest(found);
     }
 
@@ -126,6 +130,13 @@
         );
     }
 
+    fn check_answers(&self, found: &mut Findings) {
+        let bytes = self.limits.answer_bytes;
+        let enough = bytes == 0 || bytes >= MIN_ANSWER_BYTES;
+        let msg = "0, or 1048576 or more";
+        require(enough, "limits.answer_bytes", msg, found);
+    }
+
     fn check_rest(&self, found: &mut Findings) {
         let e = &self.endpoints;
         positive(e.connect_millis, "endpoints.connect_millis", found);
--- a/crates/firdock-core/src/settings/tables.rs
+++ b/crates/firdock-core/src/settings/tables.rs
@@ -158,6 +158,9 @@
     pub max_held: usize,
     /// Bytes of requests held or running at once.
     pub held_bytes: usize,
+    /// Bytes of answers that wait for their callers at once; 0 leaves an answer unread at its endpoint
+    /// while its caller does not read.
+    pub answer_bytes: usize,
     /// Seconds that a stop waits for streams to finish.
     pub stop_seconds: u64,
 }
@@ -172,6 +175,7 @@
             body_millis: 30_000,
             max_held: 2_000,
             held_bytes: 64 << 20,
+            answer_bytes: 0,
             stop_seconds: 600,
         }
     }
--- a/crates/firdock-node/src/door/body.rs
+++ b/crates/firdock-node/src/door/body.rs
@@ -10,7 +10,7 @@
 use snafu::Snafu;
 use tokio::sync::mpsc;
 
-use crate::exchange::Part;
+use crate::exchange::{Part, Parts};
 use crate::input::Input;
 
 /// An answer that cannot be completed; the connection is closed so that the caller can tell.
@@ -60,7 +60,7 @@
 #[derive(Debug)]
 pub struct AnswerBody {
     full: Option<Bytes>,
-    parts: Option<(mpsc::Receiver<Part>, CallerGuard)>,
+    parts: Option<(Parts, CallerGuard)>,
 }
 
 impl AnswerBody {
@@ -75,7 +75,7 @@
 
     /// Makes a body of parts that are still to come.
     #[must_use]
-    pub fn parts(parts: mpsc::Receiver<Part>, guard: CallerGuard) -> Self {
+    pub fn parts(parts: Parts, guard: CallerGuard) -> Self {
         Self {
             full: None,
             parts: Some((parts, guard)),
--- a/crates/firdock-node/src/door/handler.rs
+++ b/crates/firdock-node/src/door/handler.rs
@@ -19,7 +19,8 @@
 use super::opening::{DoorState, Opening};
 use super::request::new_request;
 use crate::clock::{Clock, millis};
-use crate::exchange::{AnswerHead, CallTerms, Exchange, Part, Payload};
+use crate::exchange::{AnswerHead, AnswerRoom, CallTerms, Exchange, Part, Payload};
+use crate::http::CallerHandle;
 use crate::input::Input;
 use crate::site::Site;
 use crate::telemetry::{LineBudget, LineKind, Span, TraceContext};
@@ -61,6 +62,7 @@
     clock: Clock,
     log: Logger,
     lines: Arc<LineBudget>,
+    room: AnswerRoom,
 }
 
 impl<I: Interface> Door<I> {
@@ -83,6 +85,7 @@
             clock,
             log,
             lines: Arc::default(),
+            room: AnswerRoom::default(),
         }
     }
 
@@ -93,6 +96,13 @@
         self
     }
 
+    /// Lets answers wait for their callers in a room.
+    #[must_use]
+    pub(crate) fn with_room(mut self, room: AnswerRoom) -> Self {
+        self.room = room;
+        self
+    }
+
     /// Shares how far the door is open.
     #[must_use]
     pub(crate) fn with_state(mut self, state: DoorState) -> Self {
@@ -114,8 +124,9 @@
         );
         let trace = span.context;
         let call = self.interface.label(request.headers());
+        let caller = request.extensions().get::<CallerHandle>().cloned();
         let mut response = match self.read(request).await {
-            Ok(payload) => self.serve(id, payload, trace).await,
+            Ok(payload) => self.serve(id, payload, trace, caller).await,
             Err(problem) => {
                 self.note_refusal(id, call.as_deref(), &problem);
                 self.interface.refuse(&problem, &id.to_string())
@@ -172,9 +183,13 @@
         id: RequestId,
         payload: Payload,
         trace: TraceContext,
+        caller: Option<CallerHandle>,
     ) -> Response<AnswerBody> {
         let terms = payload.terms.clone();
-        let (exchange, mut parts) = Exchange::new(id, payload, trace);
+        let (exchange, mut parts) = Exchange::new(id, payload, trace, &self.room);
+        if let Some(caller) = caller {
+            parts.set_caller(caller);
+        }
         let mut guard = CallerGuard::new(id, self.inputs.clone());
         let new = new_request(&exchange, Origin::Caller, Vec::new());
         let sent = self.inputs.send(Input::Arrived(new, exchange)).await;
--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -24,7 +24,7 @@
 use crate::clock::Clock;
 use crate::endpoint::Backends;
 use crate::endpoint::run::RunLimits;
-use crate::exchange::{Exchange, Part};
+use crate::exchange::{AnswerRoom, Exchange, Part};
 use crate::input::Input;
 use crate::peer::{self, Dialer, SelfNews};
 use crate::placement::Placement;
@@ -49,6 +49,8 @@
     pub site: Arc<Site>,
     /// Kept answers.
     pub answers: Answers,
+    /// Where answers wait for their callers.
+    pub room: AnswerRoom,
     /// Metrics.
     pub metrics: Arc<Metrics>,
     /// Time limits of dispatches.
@@ -287,6 +289,7 @@
         self.parts.metrics.publish(&t.stats, t.version, &held);
         let news = SelfNews::new(t, self.parts.clock.now());
         self.parts.news.send_replace(news);
+        self.parts.room.tend();
     }
 
     fn carry_out(&mut self, action: Action) {
--- a/crates/firdock-node/src/driver/answer.rs
+++ b/crates/firdock-node/src/driver/answer.rs
@@ -1,12 +1,13 @@
 //! What the driver tells the callers of requests.
 
+use std::sync::Arc;
+
 use firdock_core::{Outcome, Reason, RequestId};
 use firdock_policy::Verdict;
-use tokio::sync::mpsc;
 
 use super::Driver;
 use crate::endpoint::Backends;
-use crate::exchange::Part;
+use crate::exchange::{Part, Sent};
 
 impl<B: Backends> Driver<B> {
     pub(super) fn answer(&self, id: RequestId, verdict: Verdict) {
@@ -44,11 +45,11 @@
         let Some(live) = self.exchanges.get(&id) else {
             return;
         };
-        let reply = live.exchange.reply.clone();
-        if let Err(mpsc::error::TrySendError::Full(part)) = reply.try_send(part) {
+        if let Sent::Full(part) = live.exchange.reply.try_send(part) {
+            let exchange = Arc::clone(&live.exchange);
             self.parts
                 .runtime
-                .spawn(async move { reply.send(part).await });
+                .spawn(async move { exchange.reply.send(part).await });
         }
     }
 }
--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -146,9 +146,7 @@
     inputs: mpsc::Receiver<Input>,
     stop: watch::Receiver<bool>,
 ) {
-    let abort = AbortOnPanic;
-    driver.run(inputs, stop).await;
-    drop(abort);
+    AbortOnPanic::new(driver.run(inputs, stop)).await;
 }
 
 impl RunningEdge {
--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -21,6 +21,7 @@
 use crate::driver::{Driver, DriverParts};
 use crate::endpoint::relay::{Dialect, Relay};
 use crate::endpoint::run::RunLimits;
+use crate::exchange::AnswerRoom;
 use crate::http::{ServerOptions, serve};
 use crate::input::Input;
 use crate::instance::{ListenSnafu, StartError, UnsetSnafu, open};
@@ -49,6 +50,7 @@
     clock: Clock,
     site: Arc<Site>,
     pub door: DoorState,
+    room: AnswerRoom,
     metrics: Arc<Metrics>,
     peers: Arc<PeerBook>,
     reads: Arc<SharedReads>,
@@ -93,23 +95,34 @@
     /// Makes what is shared, for a new start of the process.
     pub fn new(settings: &Settings, log: Logger) -> Self {
         let name = settings.instance.name.clone();
+        let clock = Clock::new();
+        let metrics: Arc<Metrics> = Arc::default();
+        let lines: Arc<LineBudget> = Arc::default();
+        let room = AnswerRoom::new(
+            settings.limits.answer_bytes,
+            clock,
+            metrics.held_answers(),
+            log.new(o!("part" => "answers")),
+            Arc::clone(&lines),
+        );
         Self {
             settings: settings.clone(),
             member: Member {
                 name: name.clone(),
                 incarnation: Uuid::now_v7(),
             },
-            clock: Clock::new(),
+            clock,
             site: Arc::default(),
             door: DoorState::default(),
-            metrics: Arc::default(),
+            room,
+            metrics,
             peers: Arc::new(
                 PeerBook::new(name, settings.instance.zone.clone())
                     .with_power(settings.instance.power()),
             ),
             reads: Arc::new(SharedReads::default().with_peers_first(asks_first(settings))),
             log,
-            lines: Arc::default(),
+            lines,
         }
     }
 
@@ -147,6 +160,7 @@
         )
         .with_state(self.door.clone())
         .with_lines(Arc::clone(&self.lines))
+        .with_room(self.room.clone())
     }
 
     /// Makes the owner of the scheduler's tables.
@@ -165,6 +179,7 @@
             dialer: Dialer::new(self.member.name.clone(), key, hub),
             site: Arc::clone(&self.site),
             answers: Answers::new(self.settings.keys.answer_bytes),
+            room: self.room.clone(),
             metrics: Arc::clone(&self.metrics),
             limits: RunLimits::new(e),
             clock: self.clock,
--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -177,6 +177,7 @@
 async fn finish(run: &Run, passed: Result<(), Stop>, output: u32) -> &'static str {
     match passed {
         Ok(()) => {
+            run.exchange.reply.note_whole();
             let news = DispatchNews::Ended {
                 prompt: run.exchange.payload.terms.prompt_tokens,
                 cached: 0,
--- a/crates/firdock-node/src/endpoint/relay/plain.rs
+++ b/crates/firdock-node/src/endpoint/relay/plain.rs
@@ -18,7 +18,10 @@
 /// Passes an answer on that is no stream.
 pub(super) async fn pass_plain(run: &Run, head: AnswerHead, body: Incoming) -> &'static str {
     let passed = match read_whole(body).await {
-        Ok(Whole::All(bytes)) => pass_start(run, head, bytes).await,
+        Ok(Whole::All(bytes)) => {
+            run.exchange.reply.note_whole();
+            pass_start(run, head, bytes).await
+        }
         Ok(Whole::Part(bytes, rest)) => match pass_start(run, head, bytes).await {
             Ok(()) => pass_rest(run, rest).await,
             Err(stop) => Err(stop),
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -10,6 +10,7 @@
 use firdock_core::settings::Endpoints;
 use firdock_policy::Event;
 use firdock_policy::action::Dispatch;
+use firdock_policy::buffers::CALLER_STALL;
 use firdock_policy::event::{DispatchNews, EndpointEvent};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -20,9 +21,6 @@
 use crate::input::Input;
 use crate::telemetry::TraceContext;
 
-/// Longest time that a caller may leave parts of an answer unread.
-const CALLER_STALL: Duration = Duration::from_secs(30);
-
 /// Time limits of a dispatch.
 #[derive(Debug, Clone, Copy)]
 pub struct RunLimits {
@@ -81,6 +79,8 @@
 
     /// Passes a part on; a caller who does not read for too long counts as gone.
     ///
+    /// It waits for the caller only where no budget of bytes is set for answers.
+    ///
     /// # Errors
     ///
     /// Fails with [`Stop::Caller`].
--- a/crates/firdock-node/src/endpoint/run_engine.rs
+++ b/crates/firdock-node/src/endpoint/run_engine.rs
@@ -192,6 +192,7 @@
             return "caller-left";
         }
         let output = self.run.delivered().tokens;
+        self.run.exchange.reply.note_whole();
         if self.pass_end(output).await.is_err() {
             self.run.tell_caller_left().await;
             return "caller-left";
--- a/crates/firdock-node/src/endpoint/run_plain.rs
+++ b/crates/firdock-node/src/endpoint/run_plain.rs
@@ -64,6 +64,7 @@
     drop(connection);
     match passed {
         Ok(()) => {
+            run.exchange.reply.note_whole();
             if let Some(kept) = kept {
                 answers.keep(run.dispatch.id, kept);
             }
--- a/crates/firdock-node/src/exchange.rs
+++ b/crates/firdock-node/src/exchange.rs
@@ -1,19 +1,22 @@
 //! One request on its way: what the caller sent, and where the parts of the answer go.
 
+mod queue;
+mod room;
+mod waiting;
+
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
 use firdock_core::{AccountId, EndpointId, RequestId, ServiceId};
 use firdock_policy::{Time, Verdict};
 use hyper::{HeaderMap, Method, StatusCode};
-use tokio::sync::mpsc;
 
+use self::queue::answer_queue;
+pub use self::queue::{Parts, Reply, Sent};
+pub use self::room::AnswerRoom;
 use crate::door::ModelCall;
 use crate::telemetry::TraceContext;
 
-/// Parts of an answer that may wait for a slow reader.
-pub const PARTS_WAITING: usize = 32;
-
 /// What the caller sent, without what belongs to its connection or account.
 #[derive(Debug, Clone)]
 pub struct Payload {
@@ -103,7 +106,7 @@
     /// What the caller sent.
     pub payload: Payload,
     /// Way back to the caller or the peer.
-    pub reply: mpsc::Sender<Part>,
+    pub reply: Reply,
     /// Trace that the request belongs to.
     pub trace: TraceContext,
     /// Progress of a model's answer.
@@ -118,14 +121,15 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Makes an exchange and the receiving end of its answer.
+    /// Makes an exchange and the receiving end of its answer, which waits for its caller in `room`.
     #[must_use]
     pub fn new(
         id: RequestId,
         payload: Payload,
         trace: TraceContext,
-    ) -> (Arc<Self>, mpsc::Receiver<Part>) {
-        let (reply, parts) = mpsc::channel(PARTS_WAITING);
+        room: &AnswerRoom,
+    ) -> (Arc<Self>, Parts) {
+        let (reply, parts) = answer_queue(|queue| room.open(id, &payload.account, queue));
         let delivered = Mutex::new(Delivered::default());
         (
             Arc::new(Self {
--- /dev/null
+++ b/crates/firdock-node/src/exchange/waiting.rs
@@ -0,0 +1,72 @@
+//! Parts of an answer that wait for their caller, and the bytes that they count for.
+
+use std::collections::VecDeque;
+
+use bytes::BytesMut;
+
+use super::Part;
+
+/// Bytes up to which waiting parts are joined into one.
+///
+/// A small part may keep a whole read buffer of its connection alive; joined, parts take about the
+/// memory that they count for. Longer ones would be copied again and again as they grow.
+const JOINED_BYTES: usize = 16 << 10;
+/// Bytes counted for the head of an answer, whose headers are short.
+const HEAD_BYTES: usize = 512;
+
+/// Gives the bytes that a part counts for while it waits.
+pub(super) fn cost(part: &Part) -> usize {
+    match part {
+        Part::Head(_) => HEAD_BYTES,
+        Part::Data(bytes) => bytes.len(),
+        _ => 0,
+    }
+}
+
+/// A part that waits.
+#[derive(Debug)]
+enum Waiting {
+    Part(Part),
+    /// Data of several parts.
+    Joined(BytesMut),
+}
+
+/// Parts that wait, in order.
+#[derive(Debug, Default)]
+pub(super) struct WaitingParts(VecDeque<Waiting>);
+
+impl WaitingParts {
+    pub(super) fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Puts a part last.
+    pub(super) fn push(&mut self, part: Part) {
+        self.0.push_back(Waiting::Part(part));
+    }
+
+    /// Puts a part last, joined with the data before it where that waits already.
+    pub(super) fn join(&mut self, part: Part) {
+        let bytes = match part {
+            Part::Data(bytes) if bytes.len() <= JOINED_BYTES => bytes,
+            other => return self.push(other),
+        };
+        match self.0.back_mut() {
+            Some(Waiting::Joined(joined)) if joined.len() + bytes.len() <= JOINED_BYTES => {
+                joined.extend_from_slice(&bytes);
+            }
+            Some(Waiting::Part(Part::Data(_)) | Waiting::Joined(_)) => {
+                self.0
+                    .push_back(Waiting::Joined(BytesMut::from(&bytes[..])));
+            }
+            _ => self.push(Part::Data(bytes)),
+        }
+    }
+
+    pub(super) fn pop(&mut self) -> Option<Part> {
+        self.0.pop_front().map(|waiting| match waiting {
+            Waiting::Part(part) => part,
+            Waiting::Joined(joined) => Part::Data(joined.freeze()),
+        })
+    }
+}
--- a/crates/firdock-node/src/http.rs
+++ b/crates/firdock-node/src/http.rs
@@ -3,11 +3,13 @@
 //! `hyper` stands in for `rouille`, which holds streamed bodies back and leaves some connections
 //! waiting behind others; the figures are in `docs/design/http.md`.
 
+mod caller;
 mod client;
 mod listener;
 mod server;
 mod silence;
 
+pub use caller::CallerHandle;
 pub use client::{CallError, Connection, connect};
 pub use listener::listen;
 pub use server::{ServerOptions, serve};
--- a/crates/firdock-node/src/http/server.rs
+++ b/crates/firdock-node/src/http/server.rs
@@ -14,6 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 
+use super::caller::{CallerHandle, CallerStream};
 use super::silence::bound_silence;
 
 /// Pause after the operating system refused to accept, such as when descriptors ran out.
@@ -103,19 +104,33 @@
         // The caller has closed it already.
         return;
     }
-    let service = service_fn(move |request| {
+    let caller = CallerHandle::default();
+    let given = caller.clone();
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(given.clone());
         let answer = handle(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
+    let stream = CallerStream::new(stream, caller.clone());
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(options.header_time)
         .max_buf_size(options.header_bytes)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        _ = stop.wait_for(|s| *s) => connection.as_mut().graceful_shutdown(),
+    let mut stopping = false;
+    loop {
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            // Whatever it was woken for takes effect when the connection goes on.
+            () = caller.woken() => {}
+            _ = stop.wait_for(|s| *s), if !stopping => {
+                stopping = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+        if caller.is_closing() {
+            return;
+        }
     }
-    let _ = connection.await;
 }
--- a/crates/firdock-node/src/instance.rs
+++ b/crates/firdock-node/src/instance.rs
@@ -119,6 +119,7 @@
             inputs: inputs.clone(),
             clock: parts.clock,
             log: self.log.clone(),
+            room: parts.room.clone(),
         };
         let operators_stop = rest_stops.clone();
         tokio::spawn(serve_peers(peer_socket, server, rest_stops));
--- a/crates/firdock-node/src/instance/parts.rs
+++ b/crates/firdock-node/src/instance/parts.rs
@@ -24,6 +24,7 @@
 use crate::driver::{Driver, DriverParts};
 use crate::endpoint::run::RunLimits;
 use crate::endpoint::{HttpEngine, HttpPlain, OwnBackends, Target, watch_reports};
+use crate::exchange::AnswerRoom;
 use crate::input::Input;
 use crate::operator::{OperatorServer, Watchers, serve_operators};
 use crate::peer::{Dialer, SelfNews, ask_for_state};
@@ -44,6 +45,7 @@
     pub hub: Arc<Hub>,
     site: Arc<Site>,
     answers: Answers,
+    pub room: AnswerRoom,
     metrics: Arc<Metrics>,
     pub dialer: Dialer,
     log_client: HttpLog,
@@ -66,23 +68,34 @@
         let name = s.instance.name.clone();
         let connect = Duration::from_millis(s.endpoints.connect_millis);
         let silence = Duration::from_millis(s.endpoints.silence_millis);
+        let clock = Clock::new();
+        let metrics: Arc<Metrics> = Arc::default();
+        let lines: Arc<LineBudget> = Arc::default();
+        let room = AnswerRoom::new(
+            s.limits.answer_bytes,
+            clock,
+            metrics.held_answers(),
+            log.clone(),
+            Arc::clone(&lines),
+        );
         Ok(Self {
             settings: Arc::new(s.clone()),
             member: Member {
                 name: name.clone(),
                 incarnation: Uuid::now_v7(),
             },
-            clock: Clock::new(),
+            clock,
             site: Arc::default(),
+            room,
             answers: Answers::new(s.keys.answer_bytes),
-            metrics: Arc::default(),
+            metrics,
             dialer: Dialer::new(name, &s.peers.shared_key, Arc::clone(&hub)),
             hub,
             log_client: HttpLog::new(log_at, s.platform.call()),
             instances: HttpInstances::new(list_at, s.platform.call()),
             engine: HttpEngine::new(connect, silence),
             log: log.clone(),
-            lines: Arc::default(),
+            lines,
         })
     }
 
@@ -101,6 +114,7 @@
             dialer: self.dialer.clone(),
             site: Arc::clone(&self.site),
             answers: self.answers.clone(),
+            room: self.room.clone(),
             metrics: Arc::clone(&self.metrics),
             limits: RunLimits::new(e),
             clock: self.clock,
@@ -161,6 +175,7 @@
             self.log.clone(),
         )
         .with_lines(Arc::clone(&self.lines))
+        .with_room(self.room.clone())
     }
 
     /// Serves the resource API; gives its address.
--- a/crates/firdock-node/src/instance/start.rs
+++ b/crates/firdock-node/src/instance/start.rs
@@ -1,6 +1,8 @@
 //! What starting an instance needs: listeners, threads, and what may go wrong.
 
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::thread;
 
 use snafu::{OptionExt as _, ResultExt as _, Snafu};
@@ -73,16 +75,38 @@
         .build()
         .context(ThreadSnafu)?;
     spawn("scheduler", move || {
-        let abort = AbortOnPanic;
-        runtime.block_on(driver.run(waiting, stop));
-        drop(abort);
+        runtime.block_on(AbortOnPanic::new(driver.run(waiting, stop)));
     })
 }
 
-/// Ends the process if its thread panics.
-pub(crate) struct AbortOnPanic;
+/// A task whose panic ends the process.
+///
+/// Only a panic of its own does: a task that is dropped while its thread unwinds for another reason
+/// broke no promise, and an abort would hide what did.
+pub(crate) struct AbortOnPanic<F>(Pin<Box<F>>);
+
+impl<F> AbortOnPanic<F> {
+    /// Makes a task of a future.
+    pub(crate) fn new(task: F) -> Self {
+        Self(Box::pin(task))
+    }
+}
+
+impl<F: Future> Future for AbortOnPanic<F> {
+    type Output = F::Output;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<F::Output> {
+        let guard = AbortGuard;
+        let polled = self.0.as_mut().poll(cx);
+        drop(guard);
+        polled
+    }
+}
+
+/// Ends the process if it is dropped by a panic.
+struct AbortGuard;
 
-impl Drop for AbortOnPanic {
+impl Drop for AbortGuard {
     fn drop(&mut self) {
         if thread::panicking() {
             std::process::abort();
--- a/crates/firdock-node/src/peer/hand_over.rs
+++ b/crates/firdock-node/src/peer/hand_over.rs
@@ -113,6 +113,7 @@
             }
         }
         Body::AnswerEnd(_) => {
+            order.exchange.reply.note_whole();
             order.tell(HandOverEvent::Ended(id)).await;
             let _ = order.pass(Part::End).await;
             Some("answered")
--- a/crates/firdock-node/src/peer/serve.rs
+++ b/crates/firdock-node/src/peer/serve.rs
@@ -25,7 +25,7 @@
 use crate::config::PeerStatus;
 use crate::door::ModelCall;
 use crate::door::new_request;
-use crate::exchange::{CallTerms, Exchange, Part, Payload};
+use crate::exchange::{AnswerRoom, CallTerms, Exchange, Parts, Payload};
 use crate::input::Input;
 use crate::telemetry::TraceContext;
 
@@ -45,6 +45,8 @@
     pub clock: Clock,
     /// Logger.
     pub log: Logger,
+    /// Where answers wait for the peers that asked.
+    pub room: AnswerRoom,
 }
 
 /// Serves peers until `stop` turns true.
@@ -159,7 +161,7 @@
 
     /// Serves a request that a peer hands over, and streams the answer back.
     async fn take_over(&self, mut link: Link, order: message::HandOver) -> Result<(), LinkError> {
-        let Some((exchange, parts, tried)) = read_order(order) else {
+        let Some((exchange, parts, tried)) = read_order(order, &self.room) else {
             return Err(LinkError::Stranger {
                 why: "malformed request",
             });
@@ -191,7 +193,7 @@
 }
 
 /// Streams parts back; tells whether the last one was sent.
-async fn stream_back(link: &mut Link, mut parts: mpsc::Receiver<Part>) -> Result<bool, LinkError> {
+async fn stream_back(link: &mut Link, mut parts: Parts) -> Result<bool, LinkError> {
     loop {
         tokio::select! {
             part = parts.recv() => {
@@ -206,9 +208,9 @@
     }
 }
 
-type Taken = (Arc<Exchange>, mpsc::Receiver<Part>, Vec<String>);
+type Taken = (Arc<Exchange>, Parts, Vec<String>);
 
-fn read_order(order: message::HandOver) -> Option<Taken> {
+fn read_order(order: message::HandOver, room: &AnswerRoom) -> Option<Taken> {
     let id = Uuid::from_slice(&order.request_id).ok()?;
     let method = Method::from_bytes(order.method.as_bytes()).ok()?;
     let body = Bytes::from(order.body);
@@ -230,6 +232,6 @@
         terms: CallTerms::default(),
     };
     let trace = TraceContext::parse_or_start(Some(&order.traceparent));
-    let (exchange, parts) = Exchange::new(id, payload, trace);
+    let (exchange, parts) = Exchange::new(id, payload, trace, room);
     Some((exchange, parts, order.tried))
 }
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -15,6 +15,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use super::HeldAnswers;
 use crate::source::StoreCall;
 
 /// Least decision time told apart, in seconds.
@@ -84,6 +85,7 @@
     held_time: Histogram,
     total: Histogram,
     store_calls: Family<ByCall, Counter>,
+    held_answers: HeldAnswers,
 }
 
 impl Default for Metrics {
@@ -119,6 +121,7 @@
             held_time: latency(),
             total: latency(),
             store_calls: Family::default(),
+            held_answers: HeldAnswers::default(),
         };
         metrics.register();
         metrics
@@ -208,6 +211,7 @@
             "Calls to the platform's store, by what they were for",
             self.store_calls.clone(),
         );
+        self.held_answers.register(&mut r);
         r.register(
             "decision_seconds",
             "Time of one decision",
@@ -215,6 +219,12 @@
         );
     }
 
+    /// Gives the metrics of answers that wait for their callers.
+    #[must_use]
+    pub fn held_answers(&self) -> HeldAnswers {
+        self.held_answers.clone()
+    }
+
     /// Notes how long a decision took.
     pub fn observe_decision(&self, took: Duration) {
         self.decision.observe(took.as_secs_f64());
--- a/crates/firdock-policy/src/lib.rs
+++ b/crates/firdock-policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! in long random runs (see `docs/design/policy.md`).
 
 pub mod action;
+pub mod buffers;
 pub mod cost;
 pub mod event;
 pub mod request;
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the policy: golden sessions, long random runs, and single rules.
 
+mod buffers;
 mod coordinate;
 mod edge;
 mod golden;
