--- a/crates/firdock-node/src/exchange.rs
+++ b/crates/firdock-node/src/exchange.rs
@@ -129,7 +129,7 @@
         trace: TraceContext,
         room: &AnswerRoom,
     ) -> (Arc<Self>, Parts) {
-        let (reply, parts) = answer_queue(|queue| room.open(id, &payload.account, queue));
+        let (reply, parts) = answer_queue(|queue| room.open(id, &payload, queue));
         let delivered = Mutex::new(Delivered::default());
         (
             Arc::new(Self {
--- a/crates/firdock-node/src/exchange/room.rs
+++ b/crates/firdock-node/src/exchange/room.rs
@@ -8,6 +8,7 @@
 use firdock_policy::buffers::{AnswerBuffers, BufferId, CALLER_STALL};
 use slog::{Logger, warn};
 
+use super::Payload;
 use super::queue::Queue;
 use crate::clock::Clock;
 use crate::telemetry::{HeldAnswers, LineBudget, LineKind};
@@ -54,6 +55,8 @@
 #[derive(Debug)]
 struct OpenAnswer {
     request: RequestId,
+    /// Id that the caller gave.
+    call: Option<String>,
     account: AccountId,
     queue: Weak<Queue>,
 }
@@ -89,17 +92,20 @@
     pub(super) fn open(
         &self,
         request: RequestId,
-        account: &AccountId,
+        payload: &Payload,
         queue: &Arc<Queue>,
     ) -> Option<Account> {
         let room = self.0.as_ref()?;
         let mut books = room.lock();
         let id = books.next;
         books.next += 1;
-        books.buffers.open(room.clock.now(), id, account.clone());
+        books
+            .buffers
+            .open(room.clock.now(), id, payload.account.clone());
         let answer = OpenAnswer {
             request,
-            account: account.clone(),
+            call: payload.terms.caller_id.clone(),
+            account: payload.account.clone(),
             queue: Arc::downgrade(queue),
         };
         books.open.insert(id, answer);
@@ -157,8 +163,9 @@
                 .lines
                 .allow(&self.log, self.clock.now(), LineKind::Failed)
             {
-                warn!(self.log, "answer cut";
+                warn!(self.log, "slow reader cut";
                     "request_id" => answer.request.to_string(),
+                    "call" => answer.call,
                     "account" => answer.account,
                     "cause" => cause.as_str(),
                     "held_bytes" => held,
--- a/crates/firdock-node/src/exchange/waiting.rs
+++ b/crates/firdock-node/src/exchange/waiting.rs
@@ -56,8 +56,7 @@
                 joined.extend_from_slice(&bytes);
             }
             Some(Waiting::Part(Part::Data(_)) | Waiting::Joined(_)) => {
-                self.0
-                    .push_back(Waiting::Joined(BytesMut::from(&bytes[..])));
+                self.0.push_back(Waiting::Joined(BytesMut::from(&*bytes)));
             }
             _ => self.push(Part::Data(bytes)),
         }
--- a/crates/firdock-policy/tests/policy/buffers.rs
+++ b/crates/firdock-policy/tests/policy/buffers.rs
@@ -100,11 +100,11 @@
     buffers.hold(at(0), 1, 100);
     buffers.note_whole(1);
     buffers.hold(at(0), 2, 100);
-    let nearly = at(0) + CALLER_STALL - Duration::from_millis(1);
+    let stall = CALLER_STALL.as_millis() as u64;
+    let nearly = at(stall - 1);
     buffers.take(nearly, 2, 1);
     assert!(buffers.cut_stalled(nearly, CALLER_STALL).is_empty());
-    let now = at(0) + CALLER_STALL;
-    assert_eq!(buffers.cut_stalled(now, CALLER_STALL), [1]);
+    assert_eq!(buffers.cut_stalled(at(stall), CALLER_STALL), [1]);
     assert_eq!(
         buffers.bytes(),
         99,
