--- a/crates/firdock-policy/src/rollout/allowance.rs
+++ b/crates/firdock-policy/src/rollout/allowance.rs
@@ -53,6 +53,15 @@
         rate * self.time.saturating_sub(surely).as_secs_f64()
     }
 
+    /// Gives what the version had beyond a ratio, as a part of the requests that are still to come.
+    ///
+    /// The ratio follows the estimate of all requests. What a lower estimate let the version have, as
+    /// while callers only begin to come, would be missing at the end.
+    fn surplus(self, ratio: f64) -> f64 {
+        let beyond = self.exposed as f64 - ratio * self.sent as f64;
+        beyond.max(0.0) / self.to_come().max(1.0)
+    }
+
     /// Estimates all requests until the time is up.
     fn all(self) -> f64 {
         self.sent as f64 + self.to_come()
@@ -73,8 +82,10 @@
     let whole = allowed(all, bounds) / all;
     let end =
         (END_TIME + progress.unsure).as_secs_f64() / progress.time.as_secs_f64().max(FIRST_SECS);
-    let before_end = (whole - end).max(LEAST_WATCHED_PART * whole);
-    (WATCHED_PART * whole).min(before_end).min(MOST_WATCHED)
+    let least = LEAST_WATCHED_PART * whole;
+    let before_end = (whole - end).max(least);
+    let ratio = (WATCHED_PART * whole).min(before_end).min(MOST_WATCHED);
+    (ratio - progress.surplus(ratio)).max(least)
 }
 
 /// Tells whether all of the traffic may move now: a version that is bad without having shown it would
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the policy: golden sessions, long random runs, and single rules.
 
+mod allowance;
 mod buffers;
 mod coordinate;
 mod edge;
