--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the policy: golden sessions, long random runs, and single rules.
 
+mod allowance;
+mod buffers;
 mod coordinate;
 mod edge;
 mod golden;
