Take the pace that servers tell into estimates, gaps and the choice of engines

Cause: servers that share their machines tell with each answer how long work takes there now; nothing read it, so that slow moments were learned as engines' speed and long prompts went to slow engines unknowingly. Change: the platform decodes the load header into typed, bounded values; the figure is kept in the endpoint's row and goes to the coordinator with the member's next word (PlacementReport.paces); first tokens, tokens and plain calls of such a pool are reckoned by one line for all of its servers at the usual pace; pauses beyond a service's gap target cost in the choice; an answer that would be late waits at most 0.4 of its target for a place that fits.

--- a/crates/firdock-core/src/resource/service.rs
+++ b/crates/firdock-core/src/resource/service.rs
@@ -51,6 +51,10 @@
     /// Longest time that its callers wait for the next event of a stream, in milliseconds; 0 where
     /// that is not known.
     pub patience_millis: u64,
+    /// Longest pause between two events of a stream with which an answer is good, in milliseconds; 0 for
+    /// no bound.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub gap_millis: u64,
     /// Whether a stream that broke may go on at another endpoint, from its last event.
     pub resumable: bool,
     /// Whether it is open to callers without an account.
@@ -80,6 +84,12 @@
         (self.patience_millis > 0).then(|| Duration::from_millis(self.patience_millis))
     }
 
+    /// Gives the longest pause in its streams with which an answer is good, if there is one.
+    #[must_use]
+    pub fn gap(&self) -> Option<Duration> {
+        (self.gap_millis > 0).then(|| Duration::from_millis(self.gap_millis))
+    }
+
     /// Picks the pool of a request by an evenly drawn number; `None` without a split.
     #[must_use]
     pub fn pick_pool(&self, draw: u32) -> Option<&PoolId> {
@@ -125,3 +135,11 @@
         require(rooted, line, path, "matches", "a path starts with `/`", f);
     }
 }
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde calls it with a reference"
+)]
+fn is_zero(n: &u64) -> bool {
+    *n == 0
+}
--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -172,6 +172,10 @@
                 self.drop_if_ended(id);
             }
             Input::Placement(input) => self.take_placement(input),
+            Input::BadLoad(endpoint, told) => {
+                let now = self.parts.clock.now();
+                self.decisions.bad_load(now, &endpoint, &told);
+            }
             Input::Event(event) => self.take_event(event),
         }
     }
--- a/crates/firdock-node/src/driver/placement.rs
+++ b/crates/firdock-node/src/driver/placement.rs
@@ -29,6 +29,7 @@
         match event {
             Event::Endpoint(news) => placement.note(t, news),
             Event::CallerLeft(id) => placement.note_left(t, *id),
+            Event::Paced(told) => placement.note_pace(t, told),
             _ => placement.observe(self.parts.clock.now(), event),
         }
     }
--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -12,9 +12,11 @@
 use bytes::Bytes;
 use firdock_core::{EndpointId, RequestId};
 use firdock_policy::event::DispatchNews;
+use firdock_policy::load::ServerLoad;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response, StatusCode};
+use snafu::Snafu;
 
 use self::plain::pass_plain;
 use self::stream::Stream;
@@ -55,6 +57,14 @@
     Answer,
 }
 
+/// What an endpoint says of its load has another form or is beyond any load.
+#[derive(Debug, Clone, Snafu, PartialEq, Eq)]
+#[snafu(display("no load: {told}"))]
+pub struct BadLoad {
+    /// The start of what it says.
+    pub told: String,
+}
+
 /// How a platform's endpoints are spoken to.
 pub trait Dialect: Clone + Send + Sync + 'static {
     /// Puts on the request what the endpoint has to be told.
@@ -62,6 +72,13 @@
 
     /// Reads the head of an answer.
     fn read(&self, payload: &Payload, status: StatusCode, headers: &HeaderMap) -> Reply;
+
+    /// Reads what the head of an answer says of the endpoint's load; `None` where it says nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails where what it says is no load.
+    fn load(&self, headers: &HeaderMap) -> Result<Option<ServerLoad>, BadLoad>;
 }
 
 /// Endpoints that get requests as they are.
@@ -102,6 +119,18 @@
         Some(request)
     }
 
+    /// Tells the scheduler what an answer's head says of the endpoint's pace.
+    async fn take_load(&self, run: &Run, headers: &HeaderMap) {
+        match self.dialect.load(headers) {
+            Ok(load) => {
+                if let Some(pace) = load.and_then(|load| load.pace) {
+                    run.tell_pace(pace).await;
+                }
+            }
+            Err(bad) => run.tell_bad_load(bad.told).await,
+        }
+    }
+
     /// Takes an answer's head: tells the scheduler what it means, or passes the answer on.
     async fn take(
         &self,
@@ -117,6 +146,7 @@
             Reply::Foreign => return broke(run, "foreign").await,
             Reply::Answer => {}
         }
+        self.take_load(run, response.headers()).await;
         if status.is_server_error() {
             run.tell(DispatchNews::Failed).await;
             if payload.terms.repeatable {
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -11,6 +11,7 @@
 use firdock_policy::Event;
 use firdock_policy::action::Dispatch;
 use firdock_policy::event::{DispatchNews, EndpointEvent};
+use firdock_policy::load::{Pace, PaceTold};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -79,6 +80,22 @@
         let _ = self.inputs.send(Input::Event(event)).await;
     }
 
+    /// Tells the scheduler how long work takes at the endpoint now.
+    pub async fn tell_pace(&self, pace: Pace) {
+        let told = PaceTold {
+            endpoint: self.target.name.clone(),
+            pace,
+            read: self.clock.now(),
+        };
+        let _ = self.inputs.send(Input::Event(Event::Paced(told))).await;
+    }
+
+    /// Tells that what the endpoint says of its load can't be read; it is passed over.
+    pub async fn tell_bad_load(&self, told: String) {
+        let endpoint = self.target.name.clone();
+        let _ = self.inputs.send(Input::BadLoad(endpoint, told)).await;
+    }
+
     /// Passes a part on; a caller who does not read for too long counts as gone.
     ///
     /// # Errors
--- a/crates/firdock-node/src/input.rs
+++ b/crates/firdock-node/src/input.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 
+use firdock_core::EndpointId;
 use firdock_policy::{Event, NewRequest};
 
 use crate::exchange::Exchange;
@@ -19,6 +20,8 @@
     Arrived(NewRequest, Arc<Exchange>),
     /// A datagram about placements on engines.
     Placement(PlacementInput),
+    /// What an endpoint says of its load can't be read, with the start of what it says.
+    BadLoad(EndpointId, String),
     /// Anything else.
     Event(Event),
 }
--- a/crates/firdock-node/src/placement.rs
+++ b/crates/firdock-node/src/placement.rs
@@ -15,13 +15,14 @@
 pub use codec::{read_reply, read_report, write_reply, write_report};
 pub use coordinator::Coordinator;
 pub use member::Membership;
-pub use report::{Course, News, Placed, Refused, Reply, Report, Wanted};
+pub use report::{Course, News, Paced, Placed, Refused, Reply, Report, Wanted};
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use firdock_core::RequestId;
 use firdock_policy::event::{EndpointEvent, Grant};
+use firdock_policy::load::PaceTold;
 use firdock_policy::table::Tables;
 use firdock_policy::{Event, Scheduler, Time};
 use firdock_wire::message::datagram;
@@ -122,6 +123,11 @@
         self.member.note(t, event);
     }
 
+    /// Notes what an endpoint told of its pace.
+    pub fn note_pace(&mut self, t: &Tables, told: &PaceTold) {
+        self.member.note_pace(t, told);
+    }
+
     /// Notes that a caller left, while the request's row is still there.
     pub fn note_left(&mut self, t: &Tables, id: RequestId) {
         self.member.note_left(t, id);
--- a/crates/firdock-node/src/placement/codec.rs
+++ b/crates/firdock-node/src/placement/codec.rs
@@ -4,16 +4,21 @@
 
 use firdock_core::RequestId;
 use firdock_policy::NewRequest;
+use firdock_policy::load::Pace;
 use firdock_wire::message;
 use uuid::Uuid;
 
-use super::report::{Course, News, Placed, Refused, Reply, Report, Wanted};
+use super::report::{Course, News, Paced, Placed, Refused, Reply, Report, Wanted};
 use crate::clock::millis;
 use crate::peer::{read_incarnation, read_reason};
 
 /// Requests told of in one report: more do not fit into a datagram.
 const MAX_REQUESTS: usize = 300;
 
+/// Engines whose pace is told in one report: a member has answers of fewer between two of them, and
+/// what is left out is told anew with the next answer.
+const MAX_PACES: usize = 64;
+
 /// Writes a report.
 #[must_use]
 pub fn write_report(report: &Report) -> message::PlacementReport {
@@ -47,6 +52,12 @@
             .map(write_news)
             .collect(),
         cut: report.cut || cut,
+        paces: report
+            .paces
+            .iter()
+            .take(MAX_PACES)
+            .map(write_pace)
+            .collect(),
     }
 }
 
@@ -56,6 +67,7 @@
     let runs = told.running.into_iter().take(MAX_REQUESTS);
     let waiting = told.waiting.into_iter().take(MAX_REQUESTS);
     let news = told.news.into_iter().take(MAX_REQUESTS);
+    let paces = told.paces.into_iter().take(MAX_PACES);
     Report {
         instance: told.instance,
         incarnation: read_incarnation(&told.incarnation),
@@ -67,6 +79,7 @@
             .filter_map(|run| Some((read_wanted(run.request?)?, run.endpoint)))
             .collect(),
         news: news.filter_map(|n| read_news(&n)).collect(),
+        paces: paces.filter_map(read_pace).collect(),
         cut: told.cut,
     }
 }
@@ -164,6 +177,22 @@
     })
 }
 
+fn write_pace(paced: &Paced) -> message::PlacementPace {
+    message::PlacementPace {
+        endpoint: paced.endpoint.clone(),
+        hundredths: paced.pace.hundredths(),
+        age_millis: millis(paced.age),
+    }
+}
+
+fn read_pace(told: message::PlacementPace) -> Option<Paced> {
+    Some(Paced {
+        endpoint: told.endpoint,
+        pace: Pace::from_hundredths(told.hundredths)?,
+        age: Duration::from_millis(told.age_millis),
+    })
+}
+
 fn write_news(news: &News) -> message::PlacementNews {
     use message::PlacementCourse as Told;
     let (course, prompt_tokens, output_tokens) = match news.course {
--- a/crates/firdock-node/src/placement/coordinator.rs
+++ b/crates/firdock-node/src/placement/coordinator.rs
@@ -135,6 +135,10 @@
         }
         self.meet(now, &report, address);
         let name = report.instance;
+        // Before the news, which are learned from by the pace that was told with them.
+        for paced in report.paces {
+            self.take_pace(now, paced);
+        }
         for news in report.news {
             self.take_news(now, &name, news);
         }
--- a/crates/firdock-node/src/placement/coordinator/take.rs
+++ b/crates/firdock-node/src/placement/coordinator/take.rs
@@ -5,11 +5,12 @@
 
 use firdock_core::{EndpointId, RequestId};
 use firdock_policy::event::{DispatchNews, EndpointEvent};
+use firdock_policy::load::PaceTold;
 use firdock_policy::request::Phase;
 use firdock_policy::{Event, NewRequest, Time};
 
 use super::{Coordinator, Member, ON_ITS_WAY, Owner};
-use crate::placement::report::{Course, News, Placed, Report, Wanted};
+use crate::placement::report::{Course, News, Paced, Placed, Report, Wanted};
 
 impl Coordinator {
     /// Notes that a member was heard; what an earlier process of it ran is over.
@@ -47,6 +48,16 @@
         self.forget_if_ended(news.id);
     }
 
+    /// Takes what an engine told a member of its pace.
+    pub(super) fn take_pace(&mut self, now: Time, paced: Paced) {
+        let told = PaceTold {
+            endpoint: paced.endpoint,
+            pace: paced.pace,
+            read: now.saturating_sub(paced.age),
+        };
+        self.step(now, Event::Paced(told));
+    }
+
     /// Takes a request that runs and was placed by another coordinator, or by the member itself.
     pub(super) fn take_running(
         &mut self,
--- a/crates/firdock-node/src/placement/member.rs
+++ b/crates/firdock-node/src/placement/member.rs
@@ -5,14 +5,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use firdock_core::{InstanceId, Outcome, RequestId, ZoneId};
+use firdock_core::{EndpointId, InstanceId, Outcome, RequestId, ZoneId};
 use firdock_policy::event::{EndpointEvent, Grant, Member};
+use firdock_policy::load::{Pace, PaceTold};
 use firdock_policy::request::{Phase, Placing};
 use firdock_policy::table::Tables;
 use firdock_policy::{Event, Time, Verdict};
 use slog::{Logger, info};
 
-use super::report::{Course, News, Placed, Refused, Reply, Report, Wanted};
+use super::report::{Course, News, Paced, Placed, Refused, Reply, Report, Wanted};
 use super::told::{course, engine_of, next_attempt, running, waits, wanted};
 use crate::peer::PeerBook;
 
@@ -52,6 +53,8 @@
     whole_at: Time,
     asked: Vec<RequestId>,
     news: Vec<News>,
+    /// What engines told of their pace since the last report.
+    paces: BTreeMap<EndpointId, (Pace, Time)>,
     log: Logger,
 }
 
@@ -71,6 +74,7 @@
             whole_at: Time::ZERO,
             asked: Vec::new(),
             news: Vec::new(),
+            paces: BTreeMap::new(),
             log,
         }
     }
@@ -114,6 +118,26 @@
         }
     }
 
+    /// Notes what an engine told of its pace; it goes with the next report, which is never long off.
+    pub fn note_pace(&mut self, t: &Tables, told: &PaceTold) {
+        let at = t.endpoints.find(&told.endpoint);
+        let engine = at.is_some_and(|at| t.endpoints.get(at).is_engine());
+        if engine && self.lead.is_some() {
+            self.paces
+                .insert(told.endpoint.clone(), (told.pace, told.read));
+        }
+    }
+
+    fn take_paces(&mut self, now: Time) -> Vec<Paced> {
+        let paces = std::mem::take(&mut self.paces).into_iter();
+        let paced = |(endpoint, (pace, read)): (EndpointId, (Pace, Time))| Paced {
+            endpoint,
+            pace,
+            age: now.saturating_sub(read),
+        };
+        paces.map(paced).collect()
+    }
+
     /// Notes that a caller left, while the request's row is still there.
     pub fn note_left(&mut self, t: &Tables, id: RequestId) {
         let Some(row) = t.requests.get(id) else {
@@ -219,6 +243,7 @@
         Some(Report {
             waiting,
             news,
+            paces: self.take_paces(now),
             ..self.empty_report()
         })
     }
@@ -241,6 +266,7 @@
             waiting,
             running: running.collect(),
             news: std::mem::take(&mut self.news),
+            paces: self.take_paces(now),
             ..self.empty_report()
         })
     }
@@ -265,6 +291,7 @@
             waiting: Vec::new(),
             running: Vec::new(),
             news: Vec::new(),
+            paces: Vec::new(),
             cut: false,
         }
     }
--- a/crates/firdock-node/src/placement/report.rs
+++ b/crates/firdock-node/src/placement/report.rs
@@ -4,6 +4,7 @@
 
 use firdock_core::{EndpointId, InstanceId, Reason, RequestId, ZoneId};
 use firdock_policy::NewRequest;
+use firdock_policy::load::Pace;
 use uuid::Uuid;
 
 /// A request as far as its placement needs it.
@@ -50,6 +51,17 @@
     pub course: Course,
 }
 
+/// How long work takes at an engine, as it told a member with an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Paced {
+    /// Engine.
+    pub endpoint: EndpointId,
+    /// What it told.
+    pub pace: Pace,
+    /// How long ago the member read it.
+    pub age: Duration,
+}
+
 /// What a member tells its coordinator.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Report {
@@ -69,6 +81,8 @@
     pub running: Vec<(Wanted, EndpointId)>,
     /// What became of requests since the last report.
     pub news: Vec<News>,
+    /// What engines told of their pace since the last report.
+    pub paces: Vec<Paced>,
     /// Whether requests were left out, so that nothing follows for those that are not told of.
     pub cut: bool,
 }
--- a/crates/firdock-node/src/telemetry/budget.rs
+++ b/crates/firdock-node/src/telemetry/budget.rs
@@ -23,6 +23,8 @@
     Failed,
     /// What the process believes changed.
     Belief,
+    /// What an endpoint said of its load could not be read.
+    BadLoad,
     /// The platform's store was called.
     StoreCall,
 }
@@ -37,6 +39,7 @@
             Self::CallerLeft => "caller left",
             Self::Failed => "failed",
             Self::Belief => "belief",
+            Self::BadLoad => "load not read",
             Self::StoreCall => "store called",
         }
     }
@@ -50,6 +53,8 @@
         match self {
             Self::Dispatched | Self::Answered | Self::CallerLeft | Self::StoreCall => 20,
             Self::Failed | Self::Belief => 200,
+            // It comes with each answer of a server that says it, and one line tells all.
+            Self::BadLoad => 1,
         }
     }
 }
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -9,6 +9,7 @@
 use firdock_policy::action::Dispatch;
 use firdock_policy::request::RequestRow;
 use firdock_policy::table::Tables;
+use firdock_policy::table::endpoint::EndpointRow;
 use firdock_policy::{Time, Verdict};
 use slog::{Logger, info, warn};
 
@@ -82,6 +83,8 @@
             "resumed" => row.head_sent,
             "held_millis" => millis(now.saturating_sub(row.arrived)),
             "predicted_millis" => millis(row.predicted),
+            "pace_told" => endpoint.and_then(pace_told),
+            "pace_age_millis" => endpoint.and_then(|e| pace_age(now, e)),
             "prompt_tokens" => row.new.prompt_tokens,
             "placed_by" => placed_by(t),
             "running" => endpoint.map_or(0, |e| e.running),
@@ -92,6 +95,13 @@
         );
     }
 
+    /// Writes that what an endpoint says of its load can't be read, and is passed over.
+    pub fn bad_load(&self, now: Time, endpoint: &EndpointId, told: &str) {
+        if self.budget.allow(&self.log, now, LineKind::BadLoad) {
+            warn!(self.log, "load not read"; "endpoint" => endpoint, "told" => told);
+        }
+    }
+
     /// Writes that a whole answer was passed on; `row` is the request's before it ended.
     pub fn answered(&self, now: Time, t: &Tables, row: &RequestRow, exchange: &Exchange) {
         if !self.budget.allow(&self.log, now, LineKind::Answered) {
@@ -206,3 +216,16 @@
 pub(super) fn config_age(t: &Tables, now: Time) -> Option<u64> {
     t.fresh_at.map(|at| millis(now.saturating_sub(at)))
 }
+
+/// Gives the pace that an endpoint told last, in hundredths of the usual time.
+fn pace_told(e: &EndpointRow) -> Option<u64> {
+    e.told
+        .newest()
+        .map(|(pace, _)| (100.0 * pace).round() as u64)
+}
+
+/// Gives how long ago an endpoint told its pace, in milliseconds.
+fn pace_age(now: Time, e: &EndpointRow) -> Option<u64> {
+    let (_, read) = e.told.newest()?;
+    Some(millis(now.saturating_sub(read)))
+}
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -27,6 +27,18 @@
 /// Buckets of latencies, likewise.
 const LATENCY_BUCKETS: u16 = 16;
 
+/// Least predicted time that others are told as parts of: below it, the clock's steps would show.
+const LEAST_PREDICTED: Duration = Duration::from_millis(1);
+/// Least part of a predicted time told apart, and buckets of them.
+const FIRST_PART_BUCKET: f64 = 0.125;
+const PART_BUCKETS: u16 = 9;
+
+/// Label by pool.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByPool {
+    pool: String,
+}
+
 /// One label with its value.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ByTier {
@@ -81,6 +93,8 @@
     log_lag: Gauge,
     decision: Histogram,
     first: Family<ByTier, Histogram, fn() -> Histogram>,
+    first_parts: Family<ByPool, Histogram, fn() -> Histogram>,
+    paces: Family<ByPool, Counter>,
     held_time: Histogram,
     total: Histogram,
     store_calls: Family<ByCall, Counter>,
@@ -116,6 +130,8 @@
             log_lag: Gauge::default(),
             decision: Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS)),
             first: Family::new_with_constructor(latency),
+            first_parts: Family::new_with_constructor(parts),
+            paces: Family::default(),
             held_time: latency(),
             total: latency(),
             store_calls: Family::default(),
@@ -193,6 +209,16 @@
             "Time from arrival to the first token or byte, by rank",
             self.first.clone(),
         );
+        r.register(
+            "first_over_predicted",
+            "Time from dispatch to the first token or byte over the predicted, by pool",
+            self.first_parts.clone(),
+        );
+        r.register(
+            "paces_told",
+            "Figures of their pace that endpoints told, by pool",
+            self.paces.clone(),
+        );
         r.register(
             "held_seconds",
             "Time from arrival to the last dispatch of answered requests",
@@ -229,6 +255,14 @@
         self.first
             .get_or_create(&tier)
             .observe(since(row.first.unwrap_or(now)));
+        let pool = ByPool {
+            pool: row.pool_key().to_owned(),
+        };
+        let first = row.first.unwrap_or(now).saturating_sub(row.dispatched);
+        let predicted = row.predicted.max(LEAST_PREDICTED);
+        self.first_parts
+            .get_or_create(&pool)
+            .observe(first.as_secs_f64() / predicted.as_secs_f64());
         self.held_time.observe(since(row.dispatched));
         self.total.observe(since(now));
     }
@@ -290,6 +324,10 @@
             };
             store(&self.tries.get_or_create(&label), *n);
         }
+        for (name, n) in &stats.paces {
+            let label = ByPool { pool: name.clone() };
+            store(&self.paces.get_or_create(&label), *n);
+        }
         store(&self.dispatches, stats.dispatches);
         store(&self.retries, stats.retries);
         store(&self.stale, stats.stale_news);
@@ -321,6 +359,11 @@
     ))
 }
 
+/// Makes a histogram of times over the predicted ones, from an eighth to 32 times.
+fn parts() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_PART_BUCKET, 2.0, PART_BUCKETS))
+}
+
 fn store(counter: &Counter, value: u64) {
     counter.inner().store(value, Ordering::Relaxed);
 }
--- a/crates/firdock-node/tests/node/placement.rs
+++ b/crates/firdock-node/tests/node/placement.rs
@@ -98,6 +98,7 @@
         waiting: Vec::new(),
         running: Vec::new(),
         news: Vec::new(),
+        paces: Vec::new(),
         cut: false,
     }
 }
--- a/crates/firdock-policy/src/cost.rs
+++ b/crates/firdock-policy/src/cost.rs
@@ -3,6 +3,8 @@
 //! Cost = (waiting + uncached prompt) / prefill rate + expected output x token time, with rates
 //! learned from the endpoint's own answers (see `docs/design/routing.md`).
 
+mod told;
+
 use std::time::Duration;
 
 use firdock_core::ZoneId;
@@ -11,6 +13,7 @@
 use crate::request::RequestRow;
 use crate::settings::Mechanisms;
 use crate::table::endpoint::EndpointRow;
+use crate::table::pool_pace::PoolPace;
 use crate::table::service::ServiceRow;
 use crate::time::Time;
 
@@ -61,6 +64,8 @@
     pub total_secs: f64,
     /// What the choice goes by: the time to the end, with the prefill weighed in.
     pub score: f64,
+    /// The part of it by which the answer would be late or cut there.
+    pub misfit: f64,
 }
 
 impl Estimate {
@@ -71,7 +76,7 @@
     }
 }
 
-/// Estimates a request on an endpoint.
+/// Estimates a request on an endpoint; `told` is its pool, where its servers tell their pace.
 #[must_use]
 pub fn estimate(
     now: Time,
@@ -79,11 +84,17 @@
     row: &RequestRow,
     service: &ServiceRow,
     endpoint: &EndpointRow,
+    told: Option<&PoolPace>,
 ) -> Estimate {
+    let told = told.filter(|_| mechanisms.learning);
     if !endpoint.is_engine() {
-        return estimate_plain(mechanisms, endpoint);
+        let by_pace = told.and_then(|pool| told::plain(now, endpoint, pool));
+        return estimate_plain(mechanisms, endpoint, by_pace);
     }
     let uncached = uncached(now, mechanisms, row, endpoint);
+    if let Some(pool) = told.filter(|_| mechanisms.first_token) {
+        return told::engine(now, row, service, endpoint, pool, uncached);
+    }
     let work = endpoint.waiting_tokens(now) + f64::from(uncached);
     let declared = &endpoint.declared;
     let (first_secs, token_secs) = if mechanisms.learning {
@@ -118,23 +129,29 @@
         first_secs,
         total_secs,
         score,
+        misfit: 0.0,
     }
 }
 
 /// Estimates a plain call, of which all that is known is how long the endpoint took before.
-fn estimate_plain(mechanisms: Mechanisms, endpoint: &EndpointRow) -> Estimate {
+fn estimate_plain(
+    mechanisms: Mechanisms,
+    endpoint: &EndpointRow,
+    by_pace: Option<f64>,
+) -> Estimate {
     let slowdown = if mechanisms.learning {
         endpoint.slowdown
     } else {
         1.0
     };
-    let secs = PLAIN_SECS * slowdown * (1.0 + load(endpoint));
+    let secs = by_pace.unwrap_or(PLAIN_SECS * slowdown * (1.0 + load(endpoint)));
     Estimate {
         uncached: 0,
         work: 0.0,
         first_secs: secs,
         total_secs: secs,
         score: secs,
+        misfit: 0.0,
     }
 }
 
@@ -177,3 +194,13 @@
 fn load(e: &EndpointRow) -> f64 {
     f64::from(e.running) / f64::from(e.budget.max(1))
 }
+
+/// Gives by how much what runs at an endpoint slows it.
+#[must_use]
+pub fn crowd(e: &EndpointRow) -> f64 {
+    if e.is_engine() {
+        1.0 + CROWDING * load(e)
+    } else {
+        1.0 + load(e)
+    }
+}
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
+use crate::load::PaceTold;
 use crate::request::{NewRequest, Verdict};
 use crate::rollout::{Evidence, RolloutRecord, RolloutWord};
 use crate::time::{LogTime, Time};
@@ -23,6 +24,8 @@
     CallerLeft(RequestId),
     /// An endpoint told something about a dispatch.
     Endpoint(EndpointEvent),
+    /// An endpoint told how long work takes there now.
+    Paced(PaceTold),
     /// An endpoint reported its load and cache.
     Report(LoadReport),
     /// An endpoint's report could not be had.
--- a/crates/firdock-policy/src/lib.rs
+++ b/crates/firdock-policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod action;
 pub mod cost;
 pub mod event;
+pub mod load;
 pub mod request;
 pub mod rollout;
 mod scheduler;
--- a/crates/firdock-policy/src/stats.rs
+++ b/crates/firdock-policy/src/stats.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use firdock_core::{Outcome, Reason};
+use firdock_core::{Outcome, PoolId, Reason};
 
 /// Why prefill work was lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -89,6 +89,8 @@
     pub tries: BTreeMap<TryKey, u64>,
     /// Dispatches.
     pub dispatches: u64,
+    /// Figures of their pace that endpoints told, by pool.
+    pub paces: BTreeMap<PoolId, u64>,
     /// Second tries after a broken dispatch.
     pub retries: u64,
     /// Late or crossed news that was dropped.
--- a/crates/firdock-policy/src/system/news.rs
+++ b/crates/firdock-policy/src/system/news.rs
@@ -2,7 +2,7 @@
 
 use firdock_core::{Outcome, Reason, RequestId};
 
-use super::{end, health, key, rollout};
+use super::{end, health, key, paced, rollout};
 use crate::action::Action;
 use crate::event::{DispatchNews, EndpointEvent};
 use crate::request::{Phase, Placing, RequestRow, Verdict};
@@ -142,6 +142,7 @@
     let took = now.saturating_sub(row.dispatched);
     let (predicted, work) = (row.predicted, row.work);
     end::release_prefill(t, id, at);
+    paced::learn_first(t, now, at, work, took);
     let e = t.endpoints.get_mut(at);
     let engine = e.is_engine();
     if engine {
@@ -177,9 +178,9 @@
     let first = row.first.unwrap_or(now);
     let fresh = output.saturating_sub(1);
     if prompt > 0 && row.tried.len() == 1 && row.placing != Placing::Adopted {
-        t.endpoints
-            .get_mut(at)
-            .learn_tokens(fresh, now.saturating_sub(first));
+        let took = now.saturating_sub(first);
+        t.endpoints.get_mut(at).learn_tokens(fresh, took);
+        paced::learn_tokens(t, now, at, fresh, took);
     }
     if prompt > 0 {
         t.services.get_mut(service).learn_output(output);
--- /dev/null
+++ b/crates/firdock-policy/src/system/paced.rs
@@ -0,0 +1,76 @@
+//! Servers that tell how long work takes there now: what follows for the tables, and what answers
+//! teach by it.
+
+use std::time::Duration;
+
+use crate::cost;
+use crate::load::PaceTold;
+use crate::table::Tables;
+use crate::table::endpoint::EndpointRow;
+use crate::table::pool_pace::PoolPace;
+use crate::time::Time;
+
+/// Age beyond which a figure says nothing of an answer that came now: the moment has passed.
+const TOLD_WITH: Duration = Duration::from_millis(1_500);
+
+/// Takes the pace that a server told; one that is not known is passed over.
+pub fn take(t: &mut Tables, told: &PaceTold) {
+    let Some(at) = t.endpoints.find(&told.endpoint) else {
+        return;
+    };
+    let e = t.endpoints.get_mut(at);
+    if e.told.newest().is_some_and(|(_, at)| at >= told.read) {
+        return;
+    }
+    let before = e.told.take(told.pace, told.read);
+    let own = e.told.own().unwrap_or(1.0);
+    *t.stats.paces.entry(e.declared.pool.clone()).or_default() += 1;
+    let pool = t.told.tell(&e.declared.pool);
+    pool.take(told.pace, told.read, own, before);
+}
+
+/// Gives what is known of the pool of an endpoint whose figures are told and true.
+pub fn pool_of<'a>(t: &'a Tables, e: &EndpointRow) -> Option<&'a PoolPace> {
+    t.told.get(&e.declared.pool).filter(|_| e.told.is_true())
+}
+
+/// Learns from a first token or byte by the pace that was told with it.
+pub fn learn_first(t: &mut Tables, now: Time, at: usize, work: f64, took: Duration) {
+    let e = t.endpoints.get_mut(at);
+    let Some((pace, read)) = e.told.newest() else {
+        return;
+    };
+    let Some(pool) = t.told.get_mut(&e.declared.pool) else {
+        return;
+    };
+    if read + TOLD_WITH + took < now {
+        return;
+    }
+    if !e.is_engine() {
+        let secs = took.as_secs_f64() / cost::crowd(e);
+        pool.learn_plain(secs, pace);
+        return;
+    }
+    if pool.can_judge() {
+        e.told
+            .learn_off(pool.first_secs(work, pace), took.as_secs_f64());
+    }
+    if e.told.is_true() {
+        pool.learn_first(work, pace, took);
+    }
+}
+
+/// Learns from the time that the tokens after the first took, by the server's pace meanwhile.
+pub fn learn_tokens(t: &mut Tables, now: Time, at: usize, tokens: u32, took: Duration) {
+    let e = t.endpoints.get(at);
+    let Some(pool) = t.told.get_mut(&e.declared.pool) else {
+        return;
+    };
+    let secs = took.as_secs_f64();
+    let Some(pace) = e.told.over(now, secs, pool).filter(|_| e.told.is_true()) else {
+        return;
+    };
+    if tokens > 0 {
+        pool.learn_token(secs / f64::from(tokens) / cost::crowd(e), pace);
+    }
+}
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -5,7 +5,7 @@
 use firdock_core::resource::Tier;
 use firdock_core::{Reason, RequestId, TierRank};
 
-use super::{coordinate, end, key, rollout};
+use super::{coordinate, end, fit, key, paced, rollout};
 use crate::action::{Action, Dispatch};
 use crate::cost::{self, Estimate};
 use crate::request::{Phase, RequestRow};
@@ -152,7 +152,14 @@
 fn estimate(t: &Tables, now: Time, row: &RequestRow, endpoint: usize) -> Estimate {
     let service = t.services.get(row.service);
     let e = t.endpoints.get(endpoint);
-    cost::estimate(now, t.settings.mechanisms, row, service, e)
+    cost::estimate(
+        now,
+        t.settings.mechanisms,
+        row,
+        service,
+        e,
+        paced::pool_of(t, e),
+    )
 }
 
 /// Gives until when a request may be sent by the configuration in force.
@@ -204,6 +211,12 @@
     let Some(best) = best_of(t, now, row, &open) else {
         return Placement::Blocked;
     };
+    if fit::may_wait(t, now, row, &best.estimate) {
+        let taken = best_of(t, now, row, &full);
+        if taken.is_some_and(|taken| fit::is_better(&best.estimate, &taken.estimate)) {
+            return Placement::Wait;
+        }
+    }
     if may_wait(t, now, row) {
         // Slots free up one by one; prefill that waits there would only make the wait longer.
         let slots_used: Vec<usize> = full
@@ -233,7 +246,7 @@
     };
     let choices = endpoints.iter().map(|e| {
         let e_row = t.endpoints.get(*e);
-        let mut estimate = cost::estimate(now, on, row, service, e_row);
+        let mut estimate = cost::estimate(now, on, row, service, e_row, paced::pool_of(t, e_row));
         estimate.score += cost::far_secs(on, zone, e_row);
         Choice {
             endpoint: *e,
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -6,8 +6,11 @@
 pub mod key;
 pub mod limit;
 pub mod line;
+pub mod noise;
 pub mod pace;
+pub mod pace_told;
 pub mod peer;
+pub mod pool_pace;
 pub mod prefix_cache;
 pub mod queue;
 pub mod request;
@@ -79,6 +82,8 @@
     pub budgets_set: Time,
     /// How fast the endpoints of each pool take requests.
     pub paces: pace::Paces,
+    /// Pools whose servers tell how long work takes there now.
+    pub told: pool_pace::PoolPaces,
     /// When the rates were last taken.
     pub rates_taken: Time,
     /// Second tries that the budgets still allow.
@@ -168,6 +173,7 @@
             end_rate: 0.0,
             budgets_set: Time::ZERO,
             paces: pace::Paces::default(),
+            told: pool_pace::PoolPaces::default(),
             rates_taken: Time::ZERO,
             retries: retry::Retries::new(),
             known_peers: None,
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -5,6 +5,7 @@
 use firdock_core::resource::{Endpoint, EndpointKind};
 
 use super::line::Line;
+use super::pace_told::ToldPace;
 use super::prefix_cache::PrefixCache;
 use super::rows::Rows;
 use crate::time::Time;
@@ -98,6 +99,8 @@
     pub first_line: Line,
     /// Samples that the time for each token was learned from.
     pub streams: u32,
+    /// What it told of its pace.
+    pub told: ToldPace,
     /// Last report.
     pub report: Option<Reported>,
     /// Believed prefix cache.
@@ -140,6 +143,7 @@
             firsts: 0,
             first_line: Line::new(FIRST_SECS, FIRST_SPAN, FIRST_SPAN / rate.max(LEAST_RATE)),
             streams: 0,
+            told: ToldPace::default(),
             report: None,
             cache: PrefixCache::default(),
             held_since: None,
--- a/crates/firdock-policy/src/table/line.rs
+++ b/crates/firdock-policy/src/table/line.rs
@@ -15,6 +15,7 @@
 /// A line through weighted samples, by least squares.
 #[derive(Debug, Clone, Copy)]
 pub struct Line {
+    keep: f64,
     assumed: Sums,
     seen: Sums,
 }
@@ -60,15 +61,28 @@
         let first = Sums::of(ASSUMED_WEIGHT, 0.0, base);
         let last = Sums::of(ASSUMED_WEIGHT, span, base + rise);
         Self {
+            keep: KEEP,
             assumed: first.plus(1.0, last),
             seen: Sums::default(),
         }
     }
 
+    /// Sets the weight that the samples so far keep at each new one, where more of them come.
+    #[must_use]
+    pub fn with_keep(mut self, keep: f64) -> Self {
+        self.keep = keep;
+        self
+    }
+
     /// Takes a sample.
     pub fn learn(&mut self, x: f64, y: f64) {
+        self.learn_weighted(1.0, x, y);
+    }
+
+    /// Takes a sample that counts for more or less than others.
+    pub fn learn_weighted(&mut self, weight: f64, x: f64, y: f64) {
         let y = y.min(self.at(x) * MOST_ABOVE);
-        self.seen = Sums::of(1.0, x, y).plus(KEEP, self.seen);
+        self.seen = Sums::of(weight, x, y).plus(self.keep, self.seen);
     }
 
     /// Gives the line's value; it neither falls nor begins below nothing.
--- /dev/null
+++ b/crates/firdock-policy/src/table/pace_told.rs
@@ -0,0 +1,107 @@
+//! The pace that one server told: the newest figure, its usual one, and whether it is to be believed.
+
+use std::time::Duration;
+
+use super::pool_pace::PoolPace;
+use crate::load::Pace;
+use crate::time::Time;
+
+/// Time over which the least figure counts as the server's own speed: many moments of others' work
+/// pass in it, and a server that turned slow for good is known as such after two of them.
+const OWN_WINDOW: Duration = Duration::from_secs(5);
+/// Weight of a sample in how far the figures are off.
+const OFF_WEIGHT: f64 = 0.15;
+/// Samples before figures can be found to be off.
+const OFF_SAMPLES: u32 = 8;
+/// Most that one sample may be off, as a natural logarithm: one answer that was stuck says little.
+const MOST_OFF: f64 = 2.0;
+/// How far off, as a natural logarithm, figures are no longer believed: a factor of 2.7 between servers
+/// is what callers' targets are set by.
+const UNTRUE: f64 = 1.0;
+
+/// What one server told of its pace.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ToldPace {
+    newest: Option<(f64, Time)>,
+    /// Least figures of this window and the last one.
+    least: (f64, f64),
+    window: Time,
+    /// Mean natural logarithm of the observed over the reckoned times.
+    off: f64,
+    samples: u32,
+}
+
+impl ToldPace {
+    /// Takes a figure that was read at a time; one that is older than the newest is left out.
+    ///
+    /// Gives the figure and the time before it.
+    pub fn take(&mut self, pace: Pace, read: Time) -> Option<(f64, Time)> {
+        let before = self.newest;
+        if before.is_some_and(|(_, at)| at >= read) {
+            return None;
+        }
+        let figure = pace.factor();
+        self.newest = Some((figure, read));
+        if before.is_none() {
+            self.least = (figure, figure);
+            self.window = read;
+        }
+        if self.window + OWN_WINDOW <= read {
+            self.least = (figure, self.least.0);
+            self.window = read;
+        }
+        self.least.0 = self.least.0.min(figure);
+        before
+    }
+
+    /// Gives the server's own speed: its least figure lately; `None` before any was told.
+    #[must_use]
+    pub fn own(&self) -> Option<f64> {
+        self.newest.map(|_| self.least.0.min(self.least.1))
+    }
+
+    /// Gives the newest figure and when it was read.
+    #[must_use]
+    pub fn newest(&self) -> Option<(f64, Time)> {
+        self.newest
+    }
+
+    /// Gives the mean pace over a time of `secs` from now on; `None` before any figure was told.
+    ///
+    /// The newest figure fades towards the usual one at the rate at which figures change in the pool.
+    #[must_use]
+    pub fn over(&self, now: Time, secs: f64, pool: &PoolPace) -> Option<f64> {
+        let (figure, at) = self.newest?;
+        let usual = self.own()? * pool.noise.mean();
+        let age = now.saturating_sub(at).as_secs_f64();
+        let rate = pool.noise.rate();
+        let faded = (figure - usual) * (-rate * age).exp();
+        let span = (rate * secs).max(f64::MIN_POSITIVE);
+        Some(usual + faded * (1.0 - (-span).exp()) / span)
+    }
+
+    /// Gives the chance that this is a slow moment of the server.
+    #[must_use]
+    pub fn slow_now(&self, now: Time, pool: &PoolPace) -> f64 {
+        let Some(((figure, at), own)) = self.newest.zip(self.own()) else {
+            return pool.noise.share();
+        };
+        let age = now.saturating_sub(at).as_secs_f64();
+        pool.noise.slow_after(figure / own, age)
+    }
+
+    /// Learns how far the figures are off from a time that was reckoned by them.
+    pub fn learn_off(&mut self, reckoned: f64, observed: f64) {
+        let off = (observed / reckoned.max(f64::MIN_POSITIVE)).ln();
+        self.samples = self.samples.saturating_add(1);
+        self.off += OFF_WEIGHT * (off.clamp(-MOST_OFF, MOST_OFF) - self.off);
+    }
+
+    /// Tells whether the server takes as long as it says.
+    ///
+    /// One that does not is reckoned by what its own answers took, like one that tells nothing.
+    #[must_use]
+    pub fn is_true(&self) -> bool {
+        self.samples < OFF_SAMPLES || self.off.abs() < UNTRUE
+    }
+}
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod line;
 mod overload;
+mod paced;
 mod random;
 mod rollout;
 mod rules;
--- /dev/null
+++ b/crates/firdock-policy/tests/policy/paced.rs
@@ -0,0 +1,299 @@
+//! Servers that tell how long work takes there now: 60 engines of which a third take four times as long
+//! as the others, and 15 of 100 two and a half times their own time, for half a second at a time.
+
+use firdock_core::resource::{Endpoint, PoolWeight, Resource, Service};
+use firdock_policy::event::DispatchNews;
+use firdock_policy::load::{Pace, PaceTold};
+use firdock_policy::table::pace_told::ToldPace;
+use firdock_policy::table::pool_pace::PoolPace;
+use firdock_policy::{Event, NewRequest, Time};
+
+use crate::edge::{Edge, edge_settings, request, resources};
+use crate::scene::{dispatched, id, millis};
+
+/// Seconds to a first token of an engine of usual pace.
+fn usual(tokens: f64) -> f64 {
+    0.04 + tokens / 56_000.0
+}
+
+fn pace(hundredths: u32) -> Pace {
+    Pace::from_hundredths(hundredths).expect("a pace within its bounds")
+}
+
+fn told(edge: &mut Edge, endpoint: &str, hundredths: u32) {
+    let read = edge.now;
+    edge.step(Event::Paced(PaceTold {
+        endpoint: endpoint.to_owned(),
+        pace: pace(hundredths),
+        read,
+    }));
+}
+
+/// A coordinator of a fast engine `e1` and a slow one `e2`, whose service `safe` streams events of seven
+/// tokens and has a gap target of 300 ms, as that of the users' listeners.
+fn uneven() -> Edge {
+    let mut all = resources();
+    for resource in &mut all {
+        match resource {
+            Resource::Service(s) if s.name == "safe" => {
+                s.streamed = true;
+                s.gap_millis = 300;
+                s.timeout_millis = 15_000;
+            }
+            Resource::Endpoint(e) => e.event_tokens = 7,
+            _ => {}
+        }
+    }
+    let tags = Service {
+        name: "tags".to_owned(),
+        tier: "tier".to_owned(),
+        matches: "/tags".to_owned(),
+        repeatable: true,
+        streamed: true,
+        gap_millis: 300,
+        split: vec![PoolWeight {
+            pool: "pool".to_owned(),
+            weight: 1,
+        }],
+        ..Service::default()
+    };
+    all.push(Resource::Service(tags));
+    let mut edge = Edge::new(edge_settings("a").with_coordination(), all);
+    told(&mut edge, "e1", 68);
+    told(&mut edge, "e2", 300);
+    edge
+}
+
+/// Teaches the pool: answers of both engines, each as long as its pace says.
+fn teach(edge: &mut Edge, answers: u64) {
+    for n in 0..answers {
+        let tokens = 300 + 1_700 * (n % 5) as u32;
+        let mut new = asked(1_000 + n, "safe", tokens, 385);
+        new.deadline = None;
+        let placed = dispatched(&edge.arrive(new));
+        let Some((_, at)) = placed.first() else {
+            panic!("an engine is free");
+        };
+        let slow = if at == "e1" { 0.68 } else { 3.0 };
+        told(edge, &at.clone(), (100.0 * slow) as u32);
+        edge.now += Time::from_secs_f64(0.04 + slow * f64::from(tokens) / 56_000.0);
+        edge.tell(1_000 + n, 1, TOKENS);
+        edge.now += Time::from_secs_f64(slow * 384.0 * 0.008);
+        edge.tell(1_000 + n, 1, ended(tokens, 385));
+        edge.step(Event::Fresh(edge.now));
+    }
+}
+
+const TOKENS: DispatchNews = DispatchNews::Tokens {
+    delivered: 7,
+    cached: 0,
+};
+
+fn ended(prompt: u32, output: u32) -> DispatchNews {
+    DispatchNews::Ended {
+        prompt,
+        cached: 0,
+        output,
+    }
+}
+
+fn asked(n: u64, service: &str, prompt: u32, output: u32) -> NewRequest {
+    NewRequest {
+        prompt_tokens: prompt,
+        output_tokens: output,
+        ..request(n, service, "free")
+    }
+}
+
+fn place(edge: &mut Edge, new: NewRequest) -> Option<String> {
+    let placed = dispatched(&edge.arrive(new));
+    placed.into_iter().next().map(|(_, at)| at)
+}
+
+#[test]
+fn figures_beyond_what_a_server_can_have_are_no_pace() {
+    for hundredths in [0, 9, 5_001, u32::MAX] {
+        assert!(Pace::from_hundredths(hundredths).is_none(), "{hundredths}");
+    }
+    assert!(serde_json::from_str::<Pace>("0").is_err());
+}
+
+#[test]
+fn an_older_figure_that_comes_late_is_left_out() {
+    let mut seen = ToldPace::default();
+    seen.take(pace(68), millis(1_000));
+    seen.take(pace(300), millis(900));
+    assert_eq!(seen.newest().map(|(_, at)| at), Some(millis(1_000)));
+    assert!(seen.own().is_some_and(|own| own < 0.7));
+}
+
+/// Redraws each half second are faster than answers of seconds: a figure of now says much of a prompt and
+/// little of an answer.
+#[test]
+fn a_slow_moment_counts_for_what_comes_now_and_fades() {
+    let (mut seen, mut pool) = (ToldPace::default(), PoolPace::default());
+    for n in 0..2_000_u64 {
+        let at = millis(1_000 + 100 * n);
+        let slow = (n / 5) % 7 == 0;
+        let figure = pace(if slow { 250 } else { 100 });
+        let before = seen.take(figure, at);
+        let own = seen.own().expect("a figure was told");
+        pool.take(figure, at, own, before);
+    }
+    let now = millis(1_000 + 100 * 1_999 + 50);
+    seen.take(pace(250), now);
+    let over = |secs: f64, later: u64| seen.over(now + millis(later), secs, &pool).expect("told");
+    assert!(over(0.05, 0) > 2.2, "{}", over(0.05, 0));
+    let usual = pool.noise.mean();
+    assert!((1.1..1.4).contains(&usual), "{usual}");
+    assert!(over(8.0, 0) < usual + 0.2, "{}", over(8.0, 0));
+    assert!(over(0.05, 2_000) < usual + 0.1, "{}", over(0.05, 2_000));
+}
+
+/// A pool's engines teach one line: four times as slow ones and slow moments change nothing in it.
+#[test]
+fn noise_is_not_learned_as_an_engines_speed() {
+    let mut pool = PoolPace::default();
+    for n in 0..600_u32 {
+        let tokens = f64::from(200 + 97 * (n % 70));
+        let pace = [0.68, 0.68, 3.0, 1.7, 7.5][n as usize % 5];
+        let secs = 0.04 + pace * (tokens / 56_000.0);
+        pool.learn_first(tokens, pace, Time::from_secs_f64(secs));
+    }
+    for (tokens, pace) in [(6_600.0, 0.68), (6_600.0, 3.0), (40_000.0, 1.0)] {
+        let expected = 0.04 + pace * (usual(tokens) - 0.04);
+        let got = pool.first_secs(tokens, pace);
+        assert!((got / expected - 1.0).abs() < 0.2, "{got} for {expected}");
+    }
+}
+
+/// 47,000 prompt tokens take 2.5 s on a slow engine, whose caller leaves after 3.2 s.
+#[test]
+fn a_giant_prompt_goes_to_a_fast_engine_and_never_to_one_that_told_nothing_yet() {
+    let mut edge = uneven();
+    teach(&mut edge, 30);
+    assert_eq!(
+        place(&mut edge, asked(1, "safe", 47_000, 385)),
+        Some("e1".to_owned())
+    );
+    // Of two engines, the one that told nothing may be a slow one.
+    let mut all = resources();
+    all.push(Resource::Endpoint(Endpoint {
+        name: "e0".to_owned(),
+        pool: "pool".to_owned(),
+        slots: 2,
+        ..Endpoint::default()
+    }));
+    let mut edge = Edge::new(edge_settings("a").with_coordination(), all);
+    told(&mut edge, "e1", 68);
+    told(&mut edge, "e2", 300);
+    assert_eq!(
+        place(&mut edge, asked(1, "safe", 47_000, 10)),
+        Some("e1".to_owned())
+    );
+    // A short one tells which it is.
+    assert_ne!(
+        place(&mut edge, asked(2, "safe", 90, 10)),
+        Some("e1".to_owned())
+    );
+}
+
+/// An answer of 385 tokens streams for 7 s on a slow engine, where one slow moment makes a pause of over
+/// 300 ms; one of 21 tokens is over before.
+#[test]
+fn long_answers_take_fast_engines_and_short_ones_leave_them_those() {
+    let mut edge = uneven();
+    teach(&mut edge, 30);
+    noisy(&mut edge);
+    for n in [1, 3] {
+        let at = place(&mut edge, asked(n, "safe", 1_800, 385));
+        assert_eq!(at, Some("e1".to_owned()));
+        edge.tell(n, 1, TOKENS);
+    }
+    edge.tell(3, 1, ended(1_800, 385));
+    let at = place(&mut edge, asked(2, "tags", 1_800, 21));
+    assert_eq!(at, Some("e2".to_owned()));
+}
+
+/// Lets the slow engine have slow moments, as many as are usual where servers share their machines.
+fn noisy(edge: &mut Edge) {
+    for n in 0..600 {
+        edge.now += millis(100);
+        let slow = (n / 5) % 7 == 0;
+        told(edge, "e2", if slow { 750 } else { 300 });
+    }
+    edge.now += millis(1);
+    told(edge, "e1", 68);
+    told(edge, "e2", 300);
+    edge.step(Event::Fresh(edge.now));
+}
+
+#[test]
+fn an_answer_waits_for_a_place_that_fits_and_is_passed_by_those_that_fit_elsewhere() {
+    let mut edge = uneven();
+    teach(&mut edge, 30);
+    noisy(&mut edge);
+    for n in 1..=2 {
+        assert_eq!(
+            place(&mut edge, asked(n, "safe", 1_800, 385)),
+            Some("e1".to_owned())
+        );
+    }
+    assert_eq!(place(&mut edge, asked(3, "safe", 1_800, 385)), None);
+    assert_eq!(
+        place(&mut edge, asked(4, "tags", 1_800, 21)),
+        Some("e2".to_owned())
+    );
+    // It takes what fits as soon as that is free.
+    edge.tell(1, 1, TOKENS);
+    let placed = dispatched(&edge.tell(1, 1, ended(1_800, 385)));
+    assert_eq!(placed, vec![(id(3), "e1".to_owned())]);
+}
+
+#[test]
+fn an_answer_that_waited_a_part_of_its_target_takes_what_is_free() {
+    let mut edge = uneven();
+    teach(&mut edge, 30);
+    noisy(&mut edge);
+    for n in 1..=3 {
+        place(&mut edge, asked(n, "safe", 1_800, 385));
+    }
+    assert!(dispatched(&edge.after(millis(150))).is_empty());
+    let placed = dispatched(&edge.after(millis(60)));
+    assert_eq!(placed, vec![(id(3), "e2".to_owned())]);
+}
+
+/// A server that tells a tenth of its pace would draw all long prompts.
+#[test]
+fn a_server_whose_figures_are_untrue_is_reckoned_by_its_answers() {
+    let mut edge = uneven();
+    teach(&mut edge, 150);
+    told(&mut edge, "e2", 10);
+    for n in 0..40_u64 {
+        let new = asked(n, "safe", 4_000, 385);
+        let Some(at) = place(&mut edge, new) else {
+            panic!("an engine is free");
+        };
+        let slow = if at == "e1" { 0.68 } else { 3.0 };
+        told(&mut edge, &at, if at == "e1" { 68 } else { 10 });
+        edge.now += Time::from_secs_f64(0.04 + slow * 4_000.0 / 56_000.0);
+        edge.tell(n, 1, TOKENS);
+        edge.now += Time::from_secs_f64(slow * 384.0 * 0.008);
+        edge.tell(n, 1, ended(4_000, 385));
+        edge.step(Event::Fresh(edge.now));
+    }
+    assert_eq!(
+        place(&mut edge, asked(900, "safe", 47_000, 385)),
+        Some("e1".to_owned())
+    );
+}
+
+/// Deployments that tell nothing are served as before: nothing waits, and nothing is learned of pools.
+#[test]
+fn where_no_pace_is_told_nothing_changes() {
+    let mut edge = Edge::new(edge_settings("a").with_coordination(), resources());
+    for n in 1..=4 {
+        assert!(place(&mut edge, asked(n, "safe", 1_000, 385)).is_some());
+    }
+    assert!(edge.scheduler.tables().told.get("pool").is_none());
+}
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -547,6 +547,21 @@
     /// Whether requests were left out, since there are too many for one datagram.
     #[prost(bool, tag = "9")]
     pub cut: bool,
+    /// What engines told of their pace since the last report.
+    #[prost(message, repeated, tag = "10")]
+    pub paces: ::prost::alloc::vec::Vec<PlacementPace>,
+}
+/// How long work takes at an engine, as it told itself.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PlacementPace {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// Hundredths of the usual time.
+    #[prost(uint32, tag = "2")]
+    pub hundredths: u32,
+    /// How long ago it was read.
+    #[prost(uint64, tag = "3")]
+    pub age_millis: u64,
 }
 /// A request as far as its placement needs it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
