Tell with a place what is expected there; wait longer for a place that fits, by answers' middle length

Cause: an instance logged its own guess at the first token, though the coordinator knows more of the engine; the mean length overrates how many slow moments an answer meets, since half are far shorter.

--- a/crates/firdock-node/src/placement/codec.rs
+++ b/crates/firdock-node/src/placement/codec.rs
@@ -91,6 +91,7 @@
         request_id: write_id(p.id),
         attempt: p.attempt,
         endpoint: p.endpoint.clone(),
+        predicted_millis: millis(p.predicted),
     };
     let refused = |r: &Refused| message::PlacementRefusal {
         request_id: write_id(r.id),
@@ -114,6 +115,7 @@
             id: read_id(&p.request_id)?,
             attempt: p.attempt,
             endpoint: p.endpoint,
+            predicted: Duration::from_millis(p.predicted_millis),
         })
     };
     let refused = |r: message::PlacementRefusal| {
--- a/crates/firdock-node/src/placement/coordinator.rs
+++ b/crates/firdock-node/src/placement/coordinator.rs
@@ -8,11 +8,15 @@
 
 use firdock_core::{InstanceId, RequestId};
 use firdock_policy::action::Dispatch;
+use firdock_policy::request::RequestRow;
 use firdock_policy::table::Tables;
+use firdock_policy::table::endpoint::EndpointRow;
 use firdock_policy::table::rollout::RolloutRow;
 use firdock_policy::{Action, Event, Policy as _, Scheduler, Time, Verdict};
 use uuid::Uuid;
 
+use crate::clock::millis;
+
 use super::report::{Placed, Refused, Reply, Report};
 
 /// Silence after which a member is taken for gone, with all that it ran: five of its reports.
@@ -69,6 +73,11 @@
     (a.ratio - b.ratio).abs() < f64::EPSILON
 }
 
+/// Gives the time to the first token that is expected of a placed request, as exactly as it is told.
+fn predicted(row: &RequestRow) -> Duration {
+    Duration::from_millis(millis(row.predicted))
+}
+
 /// Whose a request is.
 #[derive(Debug)]
 struct Owner {
@@ -186,6 +195,13 @@
         due.map(|m| (m.address, m.take_reply())).collect()
     }
 
+    /// Gives what is known of an endpoint, to read.
+    #[must_use]
+    pub fn endpoint(&self, name: &str) -> Option<&EndpointRow> {
+        let endpoints = &self.scheduler.tables().endpoints;
+        endpoints.find(name).map(|at| endpoints.get(at))
+    }
+
     /// Checks everything that must hold between tables.
     ///
     /// # Panics
@@ -216,10 +232,12 @@
             return;
         };
         owner.since = now;
+        let row = self.scheduler.tables().requests.get(dispatch.id);
         let placed = Placed {
             id: dispatch.id,
             attempt: owner.attempt,
             endpoint: dispatch.endpoint,
+            predicted: row.map(predicted).unwrap_or_default(),
         };
         if let Some(member) = self.members.get_mut(&owner.member) {
             member.reply().placed.push(placed);
--- a/crates/firdock-node/src/placement/coordinator/take.rs
+++ b/crates/firdock-node/src/placement/coordinator/take.rs
@@ -9,7 +9,7 @@
 use firdock_policy::request::Phase;
 use firdock_policy::{Event, NewRequest, Time};
 
-use super::{Coordinator, Member, ON_ITS_WAY, Owner};
+use super::{Coordinator, Member, ON_ITS_WAY, Owner, predicted};
 use crate::placement::report::{Course, News, Paced, Placed, Report, Wanted};
 
 impl Coordinator {
@@ -98,7 +98,10 @@
     /// Tells a place once more that the member does not know of: its word was lost, or is on its way.
     fn place_again(&mut self, name: &str, id: RequestId, attempt: u32) {
         let t = self.scheduler.tables();
-        let Some(Phase::Dispatching(at)) = t.requests.get(id).map(|r| r.phase) else {
+        let Some(row) = t.requests.get(id) else {
+            return;
+        };
+        let Phase::Dispatching(at) = row.phase else {
             return;
         };
         let endpoint = t.endpoints.get(at).declared.name.clone();
@@ -106,6 +109,7 @@
             id,
             attempt,
             endpoint,
+            predicted: predicted(row),
         };
         if let Some(member) = self.members.get_mut(name) {
             member.reply().placed.push(placed);
--- a/crates/firdock-node/src/placement/member.rs
+++ b/crates/firdock-node/src/placement/member.rs
@@ -307,6 +307,7 @@
     Event::Granted(Grant {
         id: placed.id,
         endpoint: placed.endpoint,
+        predicted: placed.predicted,
     })
 }
 
--- a/crates/firdock-node/src/placement/report.rs
+++ b/crates/firdock-node/src/placement/report.rs
@@ -96,6 +96,8 @@
     pub attempt: u32,
     /// Engine.
     pub endpoint: EndpointId,
+    /// Time to the first token that is expected there.
+    pub predicted: Duration,
 }
 
 /// Word that a request will not be placed in time.
--- a/crates/firdock-policy/src/cost/told.rs
+++ b/crates/firdock-policy/src/cost/told.rs
@@ -48,7 +48,8 @@
     let risk = (first_secs - SAFE_PART * service.tier.target().as_secs_f64()).max(0.0);
     let left = row.deadline.map(|by| by.saturating_sub(now).as_secs_f64());
     let over = left.map_or(0.0, |left| (END_MARGIN * total_secs - left).max(0.0));
-    let chance = pool.noise.chance(e.told.slow_now(now, pool), total_secs);
+    let middle = service.output_log.exp().min(output) * token * usual;
+    let chance = pool.noise.chance(e.told.slow_now(now, pool), middle);
     let late = chance * slow_pause(service, e, pool, token);
     let speed = usual.recip().clamp(SPEEDS.0, SPEEDS.1);
     let misfit = RISK_WEIGHT * risk + GAP_SECS * late + OVERRUN_WEIGHT * over;
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -85,6 +85,10 @@
     pub id: RequestId,
     /// Engine.
     pub endpoint: EndpointId,
+    /// Time to the first token that the coordinator expects, which knows more of the engine than the
+    /// instance that asked; zero where it told none.
+    #[serde(default, skip_serializing_if = "Time::is_zero")]
+    pub predicted: Time,
 }
 
 /// What an endpoint told about a dispatch.
--- a/crates/firdock-policy/src/system/coordinate.rs
+++ b/crates/firdock-policy/src/system/coordinate.rs
@@ -61,7 +61,7 @@
     let usable = endpoint.filter(|at| may_use(t, now, row, *at));
     if let Some(at) = usable.filter(|_| row.phase == Phase::Held) {
         if place::may_send(t, now, grant.id, out) {
-            place::send_to(t, now, grant.id, at, out);
+            place::send_to(t, now, grant.id, (at, grant.predicted), out);
             return;
         }
     } else if let Some(row) = t.requests.get_mut(grant.id) {
--- a/crates/firdock-policy/src/system/fit.rs
+++ b/crates/firdock-policy/src/system/fit.rs
@@ -13,10 +13,10 @@
 
 /// Part of the target for which a request may wait for a place that fits: what is left of it is enough
 /// for the prompt to be read on an engine of usual pace.
-const WAIT_PART: f64 = 0.4;
-/// Seconds by which an answer has to fit better elsewhere for that to be worth waiting: half of what an
-/// answer costs that is late by a pause.
-const LEAST_GAIN: f64 = 0.5;
+const WAIT_PART: f64 = 0.6;
+/// Seconds by which an answer has to fit better elsewhere for that to be worth waiting: a third of what
+/// an answer costs that is late by a pause.
+const LEAST_GAIN: f64 = 0.3;
 
 /// Tells whether an estimate leaves so much to gain that a better place may be waited for.
 ///
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -141,11 +141,22 @@
 }
 
 /// Sends a request to an endpoint that was chosen elsewhere.
-pub fn send_to(t: &mut Tables, now: Time, id: RequestId, endpoint: usize, out: &mut Vec<Action>) {
+///
+/// What is expected there is reckoned here where that was not told with it.
+pub fn send_to(
+    t: &mut Tables,
+    now: Time,
+    id: RequestId,
+    (endpoint, predicted): (usize, Time),
+    out: &mut Vec<Action>,
+) {
     let Some(row) = t.requests.get(id) else {
         return;
     };
-    let estimate = estimate(t, now, row, endpoint);
+    let mut estimate = estimate(t, now, row, endpoint);
+    if !predicted.is_zero() {
+        estimate.first_secs = predicted.as_secs_f64();
+    }
     dispatch(t, now, id, Choice { endpoint, estimate }, out);
 }
 
--- a/crates/firdock-policy/src/table/service.rs
+++ b/crates/firdock-policy/src/table/service.rs
@@ -40,6 +40,9 @@
     pub live: u32,
     /// Mean length of its answers in tokens, learned.
     pub output: f64,
+    /// Mean natural logarithm of that length, learned: of lengths that differ a hundredfold, half are
+    /// far shorter than the mean.
+    pub output_log: f64,
     /// Longest time that a caller left a request of it, which is that of a first try.
     pub longest_left: Duration,
     /// Arrivals since the demand was last told.
@@ -60,6 +63,7 @@
             queue: FairQueue::default(),
             live: 0,
             output: FIRST_GUESS,
+            output_log: FIRST_GUESS.ln(),
             longest_left: Duration::ZERO,
             arrivals: 0,
             rate: 0.0,
@@ -81,6 +85,8 @@
     /// Learns the length of an answer.
     pub fn learn_output(&mut self, tokens: u32) {
         self.output += LEARN * (f64::from(tokens) - self.output);
+        let log = f64::from(tokens.max(1)).ln();
+        self.output_log += LEARN * (log - self.output_log);
     }
 
     /// Gives the demand that peers are told: requests a second with those that wait.
--- a/crates/firdock-policy/tests/policy/coordinate.rs
+++ b/crates/firdock-policy/tests/policy/coordinate.rs
@@ -31,6 +31,7 @@
     Grant {
         id: id(n),
         endpoint: endpoint.to_owned(),
+        predicted: millis(0),
     }
 }
 
--- a/crates/firdock-policy/tests/policy/rollout.rs
+++ b/crates/firdock-policy/tests/policy/rollout.rs
@@ -445,6 +445,7 @@
     let grant = firdock_policy::event::Grant {
         id: id(1),
         endpoint: "new-0".to_owned(),
+        predicted: millis(0),
     };
     let actions = site.edge.step(Event::Granted(grant));
     assert!(dispatched(&actions).is_empty());
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -637,6 +637,9 @@
     pub attempt: u32,
     #[prost(string, tag = "3")]
     pub endpoint: ::prost::alloc::string::String,
+    /// Time to the first token that the coordinator expects.
+    #[prost(uint64, tag = "4")]
+    pub predicted_millis: u64,
 }
 /// The request will not be placed in time.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
