--- a/crates/firdock-node/src/placement/member.rs
+++ b/crates/firdock-node/src/placement/member.rs
@@ -130,12 +130,12 @@
 
     fn take_paces(&mut self, now: Time) -> Vec<Paced> {
         let paces = std::mem::take(&mut self.paces).into_iter();
-        let paced = |(endpoint, (pace, read)): (EndpointId, (Pace, Time))| Paced {
+        let told = |(endpoint, (pace, read)): (EndpointId, (Pace, Time))| Paced {
             endpoint,
             pace,
             age: now.saturating_sub(read),
         };
-        paces.map(paced).collect()
+        paces.map(told).collect()
     }
 
     /// Notes that a caller left, while the request's row is still there.
--- a/crates/firdock-policy/src/cost.rs
+++ b/crates/firdock-policy/src/cost.rs
@@ -195,12 +195,20 @@
     f64::from(e.running) / f64::from(e.budget.max(1))
 }
 
-/// Gives by how much what runs at an endpoint slows it.
+/// Gives by how much what runs at an endpoint slows what comes to it.
 #[must_use]
 pub fn crowd(e: &EndpointRow) -> f64 {
-    if e.is_engine() {
-        1.0 + CROWDING * load(e)
-    } else {
-        1.0 + load(e)
-    }
+    crowd_of(e, e.running)
+}
+
+/// Gives by how much what runs at an endpoint slows one that runs there.
+#[must_use]
+pub fn crowd_around(e: &EndpointRow) -> f64 {
+    crowd_of(e, e.running.saturating_sub(1))
+}
+
+fn crowd_of(e: &EndpointRow, running: u32) -> f64 {
+    let load = f64::from(running) / f64::from(e.budget.max(1));
+    let weight = if e.is_engine() { CROWDING } else { 1.0 };
+    1.0 + weight * load
 }
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -56,7 +56,8 @@
 fn run_tier(t: &mut Tables, now: Time, rank: TierRank, out: &mut Vec<Action>) {
     let waiting =
         |(i, s): (usize, &crate::table::service::ServiceRow)| (!s.queue.is_empty()).then_some(i);
-    let services: Vec<usize> = t.services.iter().filter_map(waiting).collect();
+    let mut services: Vec<usize> = t.services.iter().filter_map(waiting).collect();
+    fit::order(t, &mut services);
     for service in services {
         while place_next(t, now, service, rank, out) {}
     }
--- a/crates/firdock-policy/tests/policy/paced.rs
+++ b/crates/firdock-policy/tests/policy/paced.rs
@@ -1,7 +1,7 @@
 //! Servers that tell how long work takes there now: 60 engines of which a third take four times as long
 //! as the others, and 15 of 100 two and a half times their own time, for half a second at a time.
 
-use firdock_core::resource::{Endpoint, PoolWeight, Resource, Service};
+use firdock_core::resource::{Endpoint, EndpointKind, PoolWeight, Resource, Service};
 use firdock_policy::event::DispatchNews;
 use firdock_policy::load::{Pace, PaceTold};
 use firdock_policy::table::pace_told::ToldPace;
@@ -32,6 +32,10 @@
 /// A coordinator of a fast engine `e1` and a slow one `e2`, whose service `safe` streams events of seven
 /// tokens and has a gap target of 300 ms, as that of the users' listeners.
 fn uneven() -> Edge {
+    uneven_of(2)
+}
+
+fn uneven_of(slots: u32) -> Edge {
     let mut all = resources();
     for resource in &mut all {
         match resource {
@@ -40,7 +44,10 @@
                 s.gap_millis = 300;
                 s.timeout_millis = 15_000;
             }
-            Resource::Endpoint(e) => e.event_tokens = 7,
+            Resource::Endpoint(e) => {
+                e.event_tokens = 7;
+                e.slots = slots;
+            }
             _ => {}
         }
     }
@@ -115,7 +122,8 @@
     for hundredths in [0, 9, 5_001, u32::MAX] {
         assert!(Pace::from_hundredths(hundredths).is_none(), "{hundredths}");
     }
-    assert!(serde_json::from_str::<Pace>("0").is_err());
+    let read: Option<Pace> = serde_json::from_str("0").ok();
+    assert_eq!(read, None);
 }
 
 #[test]
@@ -202,16 +210,15 @@
 /// 300 ms; one of 21 tokens is over before.
 #[test]
 fn long_answers_take_fast_engines_and_short_ones_leave_them_those() {
-    let mut edge = uneven();
+    let mut edge = uneven_of(9);
     teach(&mut edge, 30);
     noisy(&mut edge);
-    for n in [1, 3] {
+    for n in 1..=8 {
         let at = place(&mut edge, asked(n, "safe", 1_800, 385));
         assert_eq!(at, Some("e1".to_owned()));
         edge.tell(n, 1, TOKENS);
     }
-    edge.tell(3, 1, ended(1_800, 385));
-    let at = place(&mut edge, asked(2, "tags", 1_800, 21));
+    let at = place(&mut edge, asked(9, "tags", 1_800, 21));
     assert_eq!(at, Some("e2".to_owned()));
 }
 
@@ -297,3 +304,51 @@
     }
     assert!(edge.scheduler.tables().told.get("pool").is_none());
 }
+
+/// An instance among many may have one call at a time on a plain server: a call is not slowed by itself.
+#[test]
+fn a_plain_call_is_expected_to_take_what_others_took_at_the_pace_told() {
+    let mut all = resources();
+    for resource in &mut all {
+        if let Resource::Endpoint(e) = resource {
+            e.backend = EndpointKind::Plain;
+            e.slots = 1;
+        }
+    }
+    let mut edge = Edge::new(edge_settings("a"), all);
+    for n in 1..=60 {
+        let new = request(n, "safe", "free");
+        let at = place(&mut edge, new).expect("a server is free");
+        edge.now += millis(20);
+        told(&mut edge, &at, 100);
+        edge.end(n);
+        edge.step(Event::Fresh(edge.now));
+    }
+    place(&mut edge, request(100, "safe", "free"));
+    let row = edge.scheduler.tables().requests.get(id(100));
+    let predicted = row.expect("it runs").predicted;
+    assert!(
+        predicted >= millis(15) && predicted <= millis(25),
+        "{predicted:?}"
+    );
+}
+
+/// Long answers that wait, each for seconds, leave the one place that comes free to a short one.
+#[test]
+fn of_one_tier_short_answers_take_a_place_before_long_ones() {
+    let mut edge = uneven();
+    teach(&mut edge, 30);
+    for n in 0..40 {
+        place(&mut edge, asked(n, "tags", 90, 21));
+        edge.tell(n, 1, TOKENS);
+        edge.tell(n, 1, ended(90, 21));
+    }
+    for n in 101..=104 {
+        place(&mut edge, asked(n, "safe", 90, 385));
+        edge.tell(n, 1, TOKENS);
+    }
+    assert_eq!(place(&mut edge, asked(105, "safe", 90, 385)), None);
+    assert_eq!(place(&mut edge, asked(106, "tags", 90, 21)), None);
+    let placed = dispatched(&edge.tell(101, 1, ended(90, 385)));
+    assert_eq!(placed.first().map(|(n, _)| *n), Some(id(106)));
+}
