--- a/crates/firdock-node/src/placement/coordinator/take.rs
+++ b/crates/firdock-node/src/placement/coordinator/take.rs
@@ -5,11 +5,12 @@
 
 use firdock_core::{RequestId, StartId};
 use firdock_policy::event::{DispatchNews, EndpointEvent};
+use firdock_policy::load::PaceTold;
 use firdock_policy::request::Phase;
 use firdock_policy::{Event, NewRequest, Time};
 
-use super::{Coordinator, Member, ON_ITS_WAY, Owner};
-use crate::placement::report::{Course, News, Placed, Report, Wanted};
+use super::{Coordinator, Member, ON_ITS_WAY, Owner, predicted};
+use crate::placement::report::{Course, News, Paced, Placed, Report, Wanted};
 
 impl Coordinator {
     /// Notes that a member was heard; what an earlier process of it ran is over.
@@ -47,6 +48,16 @@
         self.forget_if_ended(news.id);
     }
 
+    /// Takes what an engine told a member of its pace.
+    pub(super) fn take_pace(&mut self, now: Time, paced: Paced) {
+        let told = PaceTold {
+            endpoint: paced.endpoint,
+            pace: paced.pace,
+            read: now.saturating_sub(paced.age),
+        };
+        self.step(now, Event::Paced(told));
+    }
+
     /// Takes a request that runs and was placed by another coordinator, or by the member itself.
     pub(super) fn take_running(
         &mut self,
@@ -87,7 +98,10 @@
     /// Tells a place once more that the member does not know of: its word was lost, or is on its way.
     fn place_again(&mut self, name: &str, id: RequestId, attempt: u32) {
         let t = self.scheduler.tables();
-        let Some(Phase::Dispatching(at)) = t.requests.get(id).map(|r| r.phase) else {
+        let Some(row) = t.requests.get(id) else {
+            return;
+        };
+        let Phase::Dispatching(at) = row.phase else {
             return;
         };
         let endpoint = t.endpoints.get(at).start_id.clone();
@@ -95,6 +109,7 @@
             id,
             attempt,
             endpoint,
+            predicted: predicted(row),
         };
         if let Some(member) = self.members.get_mut(name) {
             member.reply().placed.push(placed);
--- a/crates/firdock-node/src/telemetry/budget.rs
+++ b/crates/firdock-node/src/telemetry/budget.rs
@@ -23,6 +23,8 @@
     Failed,
     /// What the process believes changed.
     Belief,
+    /// What an endpoint said of its load could not be read.
+    BadLoad,
     /// The platform's store was called.
     StoreCall,
     /// An entry of an endpoint named none to use.
@@ -39,6 +41,7 @@
             Self::CallerLeft => "caller left",
             Self::Failed => "failed",
             Self::Belief => "belief",
+            Self::BadLoad => "load not read",
             Self::StoreCall => "store called",
             Self::RefusedEntry => "entry refused",
         }
@@ -57,6 +60,8 @@
             | Self::StoreCall
             | Self::RefusedEntry => 20,
             Self::Failed | Self::Belief => 200,
+            // It comes with each answer of a server that says it, and one line tells all.
+            Self::BadLoad => 1,
         }
     }
 }
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
+use crate::load::PaceTold;
 use crate::request::{NewRequest, Verdict};
 use crate::rollout::{Evidence, RolloutRecord, RolloutWord};
 use crate::time::{LogTime, Time};
@@ -23,6 +24,8 @@
     CallerLeft(RequestId),
     /// An endpoint told something about a dispatch.
     Endpoint(EndpointEvent),
+    /// An endpoint told how long work takes there now.
+    Paced(PaceTold),
     /// An endpoint reported its load and cache.
     Report(LoadReport),
     /// An endpoint's report could not be had.
@@ -82,6 +85,10 @@
     pub id: RequestId,
     /// Start of the engine.
     pub endpoint: StartId,
+    /// Time to the first token that the coordinator expects, which knows more of the engine than the
+    /// instance that asked; zero where it told none.
+    #[serde(default, skip_serializing_if = "Time::is_zero")]
+    pub predicted: Time,
 }
 
 /// What an endpoint told about a dispatch.
--- a/crates/firdock-policy/src/lib.rs
+++ b/crates/firdock-policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod buffers;
 pub mod cost;
 pub mod event;
+pub mod load;
 pub mod request;
 pub mod rollout;
 mod scheduler;
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod line;
 mod overload;
+mod paced;
 mod random;
 mod restart;
 mod rollout;
--- a/crates/firdock-policy/tests/policy/restart.rs
+++ b/crates/firdock-policy/tests/policy/restart.rs
@@ -246,6 +246,7 @@
         d.step(Event::Granted(Grant {
             id: id(1),
             endpoint: start.to_owned(),
+            predicted: Duration::ZERO,
         }))
     };
     for start in ["engine-0@1000", "engine-0@3000"] {
