Shares of accounts where room is short, off unless set: order of sends and refusals by work done for weight

Within a rank and pool the account goes first that had least work lately for its weight; early refusal and shedding take from the last in that order, so that a flood is refused before those within their share. Leads tell other groups what their places did for accounts.

--- a/crates/firdock-core/src/outcome.rs
+++ b/crates/firdock-core/src/outcome.rs
@@ -42,6 +42,8 @@
 pub enum Reason {
     /// More work was held than the instance or the account may hold.
     Overload,
+    /// The same, and the account had more than its share of what was done.
+    OverShare,
     /// The request waited longer than its tier allows.
     WaitedTooLong,
     /// No endpoint of the service can take work.
@@ -74,6 +76,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Overload => "overload",
+            Self::OverShare => "over-share",
             Self::WaitedTooLong => "waited-too-long",
             Self::NoEndpoint => "no-endpoint",
             Self::EndpointLost => "endpoint-lost",
@@ -98,7 +101,7 @@
             (Self::KeyMismatch, _) => 422,
             (Self::TimedOut, Outcome::Unknown) => 504,
             (_, Outcome::Unknown) => 502,
-            (Self::Overload | Self::WaitedTooLong | Self::RateLimited, _) => 429,
+            (Self::Overload | Self::OverShare | Self::WaitedTooLong | Self::RateLimited, _) => 429,
             _ => 503,
         }
     }
--- a/crates/firdock-core/src/resource/account.rs
+++ b/crates/firdock-core/src/resource/account.rs
@@ -22,6 +22,10 @@
     pub limit: Option<RateLimit>,
     /// Weight against other accounts of the same tier.
     pub share: f64,
+    /// Weight in `limits.account_shares`, where a platform's adapter makes it from what its operator
+    /// declares; the share where none is given.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub weight: Option<f64>,
     /// Requests of this account that one instance holds before it sheds the account's own first.
     pub max_held: u32,
 }
@@ -35,6 +39,7 @@
             rank: 0,
             limit: None,
             share: 1.0,
+            weight: None,
             max_held: 1_000,
         }
     }
@@ -47,6 +52,16 @@
     /// Greatest rank, so that the ranks of requests stay few (see [`request_rank`]).
     pub const MAX_RANK: u8 = 3;
 
+    /// Least and greatest weight, so that no account is left with nothing.
+    pub const WEIGHTS: (f64, f64) = (0.01, 100.0);
+
+    /// Gives its weight against others of its rank where room is short.
+    #[must_use]
+    pub fn weight(&self) -> f64 {
+        let weight = self.weight.unwrap_or(self.share);
+        weight.clamp(Self::WEIGHTS.0, Self::WEIGHTS.1)
+    }
+
     /// Gives the hashes of all its bearer keys; a text that is no hash is left out.
     pub fn key_hashes(&self) -> impl Iterator<Item = KeyHash> + '_ {
         let keys = std::iter::once(&self.key_sha256).chain(&self.more_keys);
@@ -71,6 +86,15 @@
             "from 0.01 to 100",
             f,
         );
+        let (least, most) = Self::WEIGHTS;
+        require(
+            self.weight.is_none_or(|w| (least..=most).contains(&w)),
+            line,
+            path,
+            "weight",
+            "from 0.01 to 100",
+            f,
+        );
         require(self.max_held > 0, line, path, "max_held", "1 or more", f);
         let more = self.more_keys.iter();
         let hashes = more.filter_map(|key| credential::from_hex(key)).count();
--- a/crates/firdock-core/src/settings/tables.rs
+++ b/crates/firdock-core/src/settings/tables.rs
@@ -59,6 +59,8 @@
     pub list_millis: u64,
     /// How long the log keeps records, in seconds.
     pub retention_seconds: u64,
+    /// Names of the parts of the platform's rules that are in force; its adapter knows them.
+    pub contracts: Vec<String>,
 }
 
 impl Default for Platform {
@@ -70,6 +72,7 @@
             read_millis: 500,
             list_millis: 1_000,
             retention_seconds: 3_600,
+            contracts: Vec::new(),
         }
     }
 }
@@ -160,6 +163,9 @@
     pub held_bytes: usize,
     /// Seconds that a stop waits for streams to finish.
     pub stop_seconds: u64,
+    /// Whether accounts have shares by their weights of what endpoints do where room is short, so that
+    /// refusals go to those that are furthest over theirs.
+    pub account_shares: bool,
 }
 
 impl Default for Limits {
@@ -173,6 +179,7 @@
             max_held: 2_000,
             held_bytes: 64 << 20,
             stop_seconds: 600,
+            account_shares: false,
         }
     }
 }
--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -285,7 +285,10 @@
         }
         let held: Vec<(String, u32)> = held.into_iter().collect();
         self.parts.metrics.publish(&t.stats, t.version, &held);
-        let news = SelfNews::new(t, self.parts.clock.now());
+        let now = self.parts.clock.now();
+        let placement = self.placement.as_ref();
+        let work = placement.map_or_else(Vec::new, |p| p.work(now));
+        let news = SelfNews::new(t, now).with_work(work);
         self.parts.news.send_replace(news);
     }
 
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use firdock_core::Offset;
-use firdock_policy::event::{Member, PeerUse, PoolDemand};
+use firdock_policy::event::{AccountWork, Member, PeerUse, PoolDemand};
 use firdock_policy::rollout::{Evidence, Stage};
 use firdock_policy::{Event, Time};
 use firdock_wire::PROTOCOL;
@@ -31,7 +31,7 @@
 use self::meet::Meeting;
 use super::book::{KnownPeer, PeerBook, Reader};
 use super::datagram::{seal, write_address, write_reads, write_relayed, write_uses};
-use super::heartbeat::{SelfNews, write_demand};
+use super::heartbeat::{SelfNews, write_demand, write_work};
 use super::known::records_body;
 use super::reads::SharedReads;
 use super::relay::UseRelay;
@@ -70,6 +70,8 @@
     group_demand: Vec<PoolDemand>,
     /// What the group saw of roll-outs.
     group_seen: Vec<Evidence>,
+    /// What endpoints did for accounts by what the group placed.
+    group_work: Vec<AccountWork>,
 }
 
 /// What sending and taking beacons needs.
@@ -300,6 +302,7 @@
             rollouts: write_words(&news.rollouts.words),
             rollout_seen: write_seen(&news.rollouts.own),
             group_rollout_seen: write_seen(&lead.group_seen),
+            group_work: write_work(&lead.group_work),
         }
     }
 
@@ -327,6 +330,7 @@
             site_heard: self.book.site_heard(now),
             group_demand: self.book.group_demand(now, &news.demand),
             group_seen: news.rollouts.group.clone(),
+            group_work: news.work.clone(),
         }
     }
 
--- a/crates/firdock-node/src/peer/beacon/take.rs
+++ b/crates/firdock-node/src/peer/beacon/take.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use firdock_policy::event::{GroupDemand, GroupEvidence, PeerNews};
+use firdock_policy::event::{GroupDemand, GroupEvidence, GroupWork, PeerNews};
 use firdock_policy::{Event, Time};
 use firdock_wire::PROTOCOL;
 use firdock_wire::message::{Beacon, ClockAnswer, ClockQuestion, PeerAddress, datagram};
@@ -14,7 +14,7 @@
 use crate::input::Input;
 use crate::peer::book::{KnownPeer, PeerWord};
 use crate::peer::datagram::{open, read_incarnation, read_reads, read_relayed, read_uses, seal};
-use crate::peer::heartbeat::{peer_news, read_demand};
+use crate::peer::heartbeat::{peer_news, read_demand, read_work};
 use crate::peer::known::{Answer, Question, Teller, read_records};
 use crate::peer::reads::Reads;
 use crate::peer::relay::HeardUse;
@@ -148,6 +148,15 @@
         }
     }
 
+    /// Takes what another group's lead tells of the work done for accounts, if it tells any.
+    async fn take_work(&self, beacon: &Beacon, zone: &str) {
+        let work = read_work(beacon.group_work.clone());
+        if !work.is_empty() {
+            let zone = zone.to_owned();
+            self.tell(Event::GroupWork(GroupWork { zone, work })).await;
+        }
+    }
+
     /// Takes what a lead tells of its group: of another one, its demand and how many it hears, to tell
     /// the own group; of the own one, how many are heard on the whole site.
     async fn take_group(&self, beacon: &Beacon, zone: &str, now: Time) {
@@ -165,6 +174,7 @@
                 demand: read_demand(beacon.group_demand.clone()),
             };
             self.tell(Event::GroupDemand(group)).await;
+            self.take_work(beacon, zone).await;
             let seen = read_seen(beacon.group_rollout_seen.clone());
             if !seen.is_empty() {
                 let zone = zone.to_owned();
--- a/crates/firdock-node/src/peer/heartbeat.rs
+++ b/crates/firdock-node/src/peer/heartbeat.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use firdock_core::{InstanceId, Offset, ZoneId};
-use firdock_policy::event::{AccountUse, PeerNews, PoolDemand};
+use firdock_policy::event::{AccountUse, AccountWork, PeerNews, PoolDemand};
 use firdock_policy::rollout::{Stage, ToldRollouts};
 use firdock_policy::table::Tables;
 use firdock_policy::{Time, pool_demand, told_rollouts, used_limits};
@@ -26,6 +26,8 @@
 const MAX_POOLS: usize = 256;
 /// Ranks of tiers told in a heartbeat: as many as a `TierRank` can tell apart.
 const MAX_RANKS: usize = 256;
+/// Accounts with work told in a heartbeat, those with most: what the others had hardly counts.
+const MAX_WORK: usize = 128;
 /// Leaving endpoints told in a heartbeat.
 const MAX_LEAVING: usize = 256;
 
@@ -42,6 +44,8 @@
     pub(super) used: Vec<AccountUse>,
     /// What it knows of roll-outs.
     pub(super) rollouts: ToldRollouts,
+    /// What endpoints did lately for accounts, by what this instance placed for its group.
+    pub(super) work: Vec<AccountWork>,
 }
 
 impl SelfNews {
@@ -66,9 +70,17 @@
             version: t.version,
             used: used_limits(t, now),
             rollouts: told_rollouts(t, now),
+            work: Vec::new(),
         }
     }
 
+    /// Adds what endpoints did lately for accounts.
+    #[must_use]
+    pub fn with_work(mut self, work: Vec<AccountWork>) -> Self {
+        self.work = work;
+        self
+    }
+
     /// Makes the message for instances far away, which the leads of their groups tell the rest.
     pub(super) fn short_message(&self) -> Heartbeat {
         Heartbeat {
@@ -123,6 +135,30 @@
         .collect()
 }
 
+/// Writes work of accounts.
+pub fn write_work(work: &[AccountWork]) -> Vec<message::AccountWork> {
+    let told = work.iter().take(MAX_WORK);
+    told.map(|w| message::AccountWork {
+        account: w.account.clone(),
+        pool: w.pool.clone(),
+        secs: w.secs,
+    })
+    .collect()
+}
+
+/// Reads work of accounts; figures that are none are left out.
+pub fn read_work(work: Vec<message::AccountWork>) -> Vec<AccountWork> {
+    let told = work.into_iter().take(MAX_WORK);
+    let finite = told.filter(|w| w.secs.is_finite() && w.secs >= 0.0);
+    finite
+        .map(|w| AccountWork {
+            account: w.account,
+            pool: w.pool,
+            secs: w.secs,
+        })
+        .collect()
+}
+
 /// Makes a peer's news from its message, cut to what is bounded.
 #[must_use]
 pub fn peer_news(name: &str, beat: Heartbeat) -> PeerNews {
--- a/crates/firdock-node/src/placement.rs
+++ b/crates/firdock-node/src/placement.rs
@@ -21,9 +21,9 @@
 use std::sync::Arc;
 
 use firdock_core::RequestId;
-use firdock_policy::event::{EndpointEvent, Grant};
+use firdock_policy::event::{AccountWork, EndpointEvent, Grant};
 use firdock_policy::table::Tables;
-use firdock_policy::{Event, Scheduler, Time};
+use firdock_policy::{Event, Scheduler, Time, told_work};
 use firdock_wire::message::datagram;
 use slog::{Logger, debug};
 use tokio::net::UdpSocket;
@@ -90,6 +90,7 @@
                 | Event::Peer(_)
                 | Event::PeersKnown(_)
                 | Event::GroupDemand(_)
+                | Event::GroupWork(_)
                 | Event::Fresh(_)
         ) {
             self.coordinator.observe(now, event.clone());
@@ -107,6 +108,12 @@
         }
     }
 
+    /// Gives what engines did lately for accounts, by what was placed here.
+    #[must_use]
+    pub fn work(&self, now: Time) -> Vec<AccountWork> {
+        told_work(self.coordinator.tables(), now)
+    }
+
     /// Notes that a request waits for a place.
     pub fn ask(&mut self, id: RequestId) {
         self.member.ask(id);
--- a/crates/firdock-node/src/placement/coordinator.rs
+++ b/crates/firdock-node/src/placement/coordinator.rs
@@ -182,6 +182,12 @@
         due.map(|m| (m.address, m.take_reply())).collect()
     }
 
+    /// Gives the tables, to read.
+    #[must_use]
+    pub fn tables(&self) -> &Tables {
+        self.scheduler.tables()
+    }
+
     /// Checks everything that must hold between tables.
     ///
     /// # Panics
--- a/crates/firdock-node/tests/node/peers.rs
+++ b/crates/firdock-node/tests/node/peers.rs
@@ -12,7 +12,7 @@
 };
 use firdock_policy::{Event, Policy as _, PolicySettings, Scheduler};
 use firdock_wire::PROTOCOL;
-use firdock_wire::message::{Beacon, Heartbeat, datagram};
+use firdock_wire::message::{self, Beacon, Heartbeat, datagram};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use uuid::Uuid;
@@ -252,6 +252,57 @@
     drop(party.news);
 }
 
+/// What accounts had of other groups' places is heard from those groups' leads alone, and figures that
+/// are none are left out: one of them would put an account behind all others for ever.
+#[tokio::test]
+async fn work_of_accounts_is_heard_from_leads_of_other_groups() {
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let socket = open_beacons(any).await.expect("a socket");
+    let to = socket.local_addr().expect("an address");
+    let other = UdpSocket::bind(any).await.expect("a socket");
+    let mut party = party("z", socket, Clock::new(), ("b", &other));
+    party.beacons.pause = Duration::from_mins(1);
+    let key = Arc::clone(&party.beacons.key);
+    let (stop, stops) = watch::channel(false);
+    let running = tokio::spawn(party.beacons.run(stops));
+    let work = |account: &str, secs: f64| message::AccountWork {
+        account: account.to_owned(),
+        pool: "pool".to_owned(),
+        secs,
+    };
+    for (name, zone, group_heard) in [
+        ("far", "elsewhere", 0),
+        ("lead", "elsewhere", 20),
+        ("near", "zone", 20),
+    ] {
+        let told = Beacon {
+            protocol: PROTOCOL,
+            instance: name.to_owned(),
+            heartbeat: Some(Heartbeat {
+                zone: zone.to_owned(),
+                ..Heartbeat::default()
+            }),
+            group_heard,
+            group_work: vec![work(name, 0.5), work("none", f64::NAN), work("less", -1.0)],
+            ..Beacon::default()
+        };
+        let sealed = seal(&key, datagram::Body::Beacon(told));
+        other.send_to(&sealed, to).await.expect("it is sent");
+    }
+    tokio::time::sleep(millis(300)).await;
+    stop.send_replace(true);
+    running.await.expect("the task ends");
+    let mut heard = Vec::new();
+    while let Ok(input) = party.events.try_recv() {
+        if let firdock_node::Input::Event(Event::GroupWork(group)) = input {
+            let accounts = group.work.into_iter().map(|w| w.account);
+            heard.push((group.zone, accounts.collect::<Vec<_>>()));
+        }
+    }
+    assert_eq!(heard, [("elsewhere".to_owned(), vec!["lead".to_owned()])]);
+    drop(party.news);
+}
+
 /// Leads that had all restarted at one moment did not hear each other for seconds, where the one's
 /// first word came before the other knew of it.
 #[tokio::test]
--- a/crates/firdock-policy/src/cost.rs
+++ b/crates/firdock-policy/src/cost.rs
@@ -121,6 +121,17 @@
     }
 }
 
+/// Gives the seconds that an endpoint as declared works for a request with `output` tokens of answer.
+#[must_use]
+pub fn declared_secs(row: &RequestRow, endpoint: &EndpointRow, output: f64) -> f64 {
+    if !endpoint.is_engine() {
+        return PLAIN_SECS;
+    }
+    let declared = &endpoint.declared;
+    let prompt = f64::from(row.new.prompt_tokens) + f64::from(row.delivered);
+    prompt / declared.prefill_rate.max(1.0) + output * declared.token_secs()
+}
+
 /// Estimates a plain call, of which all that is known is how long the endpoint took before.
 fn estimate_plain(mechanisms: Mechanisms, endpoint: &EndpointRow) -> Estimate {
     let slowdown = if mechanisms.learning {
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -47,6 +47,8 @@
     PeersKnown(usize),
     /// The lead of another group told of its demand.
     GroupDemand(GroupDemand),
+    /// The lead of another group told what its endpoints did for accounts.
+    GroupWork(GroupWork),
     /// The leads of all groups hear so many instances, this one among them.
     Reach(usize),
     /// The configuration in force was the newest at this time.
@@ -312,6 +314,26 @@
     pub demand: Vec<PoolDemand>,
 }
 
+/// What the endpoints of one group did lately for accounts.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct GroupWork {
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Work by pool and account.
+    pub work: Vec<AccountWork>,
+}
+
+/// What endpoints of one pool did lately for one account.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct AccountWork {
+    /// Account.
+    pub account: AccountId,
+    /// Pool.
+    pub pool: PoolId,
+    /// Work, in seconds that it takes on an endpoint as declared.
+    pub secs: f64,
+}
+
 /// What the instances of one availability zone saw of roll-outs.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct GroupEvidence {
--- a/crates/firdock-policy/src/lib.rs
+++ b/crates/firdock-policy/src/lib.rs
@@ -13,8 +13,10 @@
 pub mod settings;
 pub mod stats;
 mod system;
+pub use system::fair::{Ask, Standing, shares, standings};
 pub use system::{
-    demand::by_pool as pool_demand, limit::used as used_limits, rollout::told as told_rollouts,
+    demand::by_pool as pool_demand, fair::told as told_work, limit::used as used_limits,
+    rollout::told as told_rollouts,
 };
 pub mod table;
 pub mod time;
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -173,6 +173,8 @@
     pub uncached: u32,
     /// Prompt tokens that its endpoint computes before its first token, as estimated.
     pub work: f64,
+    /// Work that its account was charged for the present dispatch, in seconds; 0 without shares.
+    pub charged_work: f64,
     /// Predicted time to the first token of the present dispatch.
     pub predicted: Time,
     /// Tokens that had reached the caller before the present dispatch.
@@ -213,6 +215,7 @@
             first: None,
             uncached: 0,
             work: 0.0,
+            charged_work: 0.0,
             predicted: Time::ZERO,
             resumed_from: 0,
             failed: false,
--- a/crates/firdock-policy/src/settings.rs
+++ b/crates/firdock-policy/src/settings.rs
@@ -112,6 +112,8 @@
     /// Whether these tables place requests of other instances on engines (`docs/design/placement.md`):
     /// limits and second tries are charged where a request came in.
     pub coordinates: bool,
+    /// Whether accounts have shares of what endpoints do (`docs/design/shares.md`).
+    pub account_shares: bool,
 }
 
 impl PolicySettings {
@@ -139,6 +141,7 @@
             rollouts: settings.rollouts,
             mechanisms: Mechanisms::ALL,
             coordinates: false,
+            account_shares: settings.limits.account_shares,
         }
     }
 
--- a/crates/firdock-policy/src/system.rs
+++ b/crates/firdock-policy/src/system.rs
@@ -9,6 +9,7 @@
 pub mod early;
 pub mod end;
 pub mod expire;
+pub mod fair;
 pub mod handover;
 pub mod health;
 pub mod key;
--- a/crates/firdock-policy/src/system/coordinate.rs
+++ b/crates/firdock-policy/src/system/coordinate.rs
@@ -8,7 +8,7 @@
 
 use firdock_core::{EndpointId, RequestId};
 
-use super::{admit, end, place, rollout, share};
+use super::{admit, end, fair, place, rollout, share};
 use crate::action::Action;
 use crate::event::Grant;
 use crate::request::{NewRequest, Phase, Placing, RequestRow, Verdict};
@@ -114,6 +114,7 @@
     admit::insert(t, now, new, service, account, 0.0);
     end::set_phase(t, id, Phase::Running(at), false);
     t.endpoints.get_mut(at).running += 1;
+    fair::charge(t, now, id);
     if let Some(row) = t.requests.get_mut(id) {
         row.dispatch = 1;
         row.runs = 1;
--- a/crates/firdock-policy/src/system/early.rs
+++ b/crates/firdock-policy/src/system/early.rs
@@ -5,9 +5,9 @@
 
 use std::collections::HashMap;
 
-use firdock_core::{Reason, RequestId, TierRank};
+use firdock_core::{RequestId, TierRank};
 
-use super::{coordinate, shed};
+use super::{coordinate, fair, shed};
 use crate::action::Action;
 use crate::request::{Phase, RequestRow};
 use crate::table::Tables;
@@ -27,9 +27,8 @@
     let mut ahead: HashMap<&str, u32> = HashMap::new();
     let waits =
         |r: &&RequestRow| r.phase == Phase::Held && !r.may_have_run() && !coordinate::waits(t, r);
-    let mut held: Vec<&RequestRow> = t.requests.iter().filter(waits).collect();
-    held.sort_by_key(|r| (r.rank, r.arrived));
-    for row in held {
+    let held: Vec<&RequestRow> = t.requests.iter().filter(waits).collect();
+    for row in fair::in_order(t, now, held) {
         let before = ahead.entry(row.pool_key()).or_default();
         if is_hopeless(t, now, row, *before) {
             hopeless.push((row.rank, row.new.id));
@@ -37,9 +36,9 @@
             *before += 1;
         }
     }
-    // The last to come of a tier goes first.
+    // The last in order of a tier goes first.
     hopeless.reverse();
-    shed::lowest_first(t, now, hopeless, Reason::Overload, out);
+    shed::lowest_first(t, now, hopeless, fair::reason, out);
 }
 
 /// Tells whether `before` requests that go first leave too little of the target.
--- a/crates/firdock-policy/src/system/expire.rs
+++ b/crates/firdock-policy/src/system/expire.rs
@@ -59,7 +59,7 @@
         return;
     }
     let leaving = held_where(t, |r| last_wait(t, r) <= now);
-    shed::lowest_first(t, now, leaving, Reason::WaitedTooLong, out);
+    shed::lowest_first(t, now, leaving, waited, out);
 }
 
 /// Gives until when a held request is worth waiting: just before its caller leaves, or until half
@@ -78,7 +78,7 @@
 pub fn run(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
     let wait = |r: &RequestRow| t.services.get(r.service).tier.wait();
     let late = held_where(t, |r| r.arrived + wait(r) <= now);
-    shed::lowest_first(t, now, late, Reason::WaitedTooLong, out);
+    shed::lowest_first(t, now, late, waited, out);
     let limit = now.saturating_sub(t.settings.key_keep);
     t.transfers.expire(limit);
     for id in t.keys.expire(limit) {
@@ -86,6 +86,11 @@
     }
 }
 
+/// Gives the reason of what waited too long, whoever's it is.
+fn waited(_: &Tables, _: Time, _: RequestId) -> Reason {
+    Reason::WaitedTooLong
+}
+
 /// Gives the held requests of which `is_over` is true, with their ranks.
 fn held_where(t: &Tables, is_over: impl Fn(&RequestRow) -> bool) -> Vec<(TierRank, RequestId)> {
     let held = t.requests.iter().filter(|r| r.phase == Phase::Held);
--- a/crates/firdock-policy/src/system/news.rs
+++ b/crates/firdock-policy/src/system/news.rs
@@ -2,7 +2,7 @@
 
 use firdock_core::{Outcome, Reason, RequestId};
 
-use super::{end, health, key, rollout};
+use super::{end, fair, health, key, rollout};
 use crate::action::Action;
 use crate::event::{DispatchNews, EndpointEvent};
 use crate::request::{Phase, Placing, RequestRow, Verdict};
@@ -73,6 +73,7 @@
     if unreachable {
         health::eject(t, now, at);
     }
+    fair::take_back(t, now, id);
     if t.settings.coordinates {
         end::finish(t, now, id, Outcome::NotRun);
         return;
@@ -103,6 +104,7 @@
 }
 
 fn lapsed(t: &mut Tables, now: Time, id: RequestId, out: &mut Vec<Action>) {
+    fair::take_back(t, now, id);
     if t.settings.coordinates {
         end::finish(t, now, id, Outcome::NotRun);
         return;
@@ -183,6 +185,7 @@
     }
     if prompt > 0 {
         t.services.get_mut(service).learn_output(output);
+        fair::settle(t, now, id, output);
     }
     end::answered(t, now, id);
 }
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -1,11 +1,13 @@
 //! Placement: held requests go to endpoints that have room, higher tiers first.
 
+mod shared;
+
 use std::cmp::Ordering;
 
 use firdock_core::resource::Tier;
 use firdock_core::{Reason, RequestId, TierRank};
 
-use super::{coordinate, end, key, rollout};
+use super::{coordinate, end, fair, key, rollout};
 use crate::action::{Action, Dispatch};
 use crate::cost::{self, Estimate};
 use crate::request::{Phase, RequestRow};
@@ -47,7 +49,12 @@
 /// Dispatches held requests until none can be placed.
 pub fn run(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
     for rank in 0..=Tier::MAX_RANK {
-        if t.requests.held_by_rank()[usize::from(rank)] > 0 {
+        if t.requests.held_by_rank()[usize::from(rank)] == 0 {
+            continue;
+        }
+        if t.settings.account_shares {
+            shared::run(t, now, rank, out);
+        } else {
             run_tier(t, now, rank, out);
         }
     }
@@ -81,34 +88,54 @@
         .take(MAX_LOOKS)
         .collect();
     for id in heads {
-        let Some(row) = t.requests.get(id) else {
-            continue;
-        };
-        let coordinated = coordinate::waits(t, row);
-        if !may_send(t, now, id, out) {
-            return true;
-        }
-        let Some(row) = t.requests.get(id).filter(|_| !coordinated) else {
-            continue;
-        };
-        match choose(t, now, row) {
-            Placement::On(choice) => {
-                dispatch(t, now, id, choice, out);
-                return true;
-            }
-            Placement::Wait => continue,
+        match try_place(t, now, id, out) {
+            Tried::Left => return true,
+            Tried::Waits => {}
             // Whatever blocks this request blocks the rest of the queue as well.
-            Placement::Blocked if row.tried.is_empty() => return false,
-            Placement::Blocked => {}
-        }
-        if exhausted(t, row) {
-            end::give_up(t, now, id, Reason::NoEndpoint, out);
-            return true;
+            Tried::Blocked => return false,
         }
     }
     false
 }
 
+/// What came of a try to place a held request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Tried {
+    /// It left the queue.
+    Left,
+    /// It stays, and others of its queue may still go.
+    Waits,
+    /// It stays, and so does the rest of its queue.
+    Blocked,
+}
+
+fn try_place(t: &mut Tables, now: Time, id: RequestId, out: &mut Vec<Action>) -> Tried {
+    let Some(row) = t.requests.get(id) else {
+        return Tried::Waits;
+    };
+    let coordinated = coordinate::waits(t, row);
+    if !may_send(t, now, id, out) {
+        return Tried::Left;
+    }
+    let Some(row) = t.requests.get(id).filter(|_| !coordinated) else {
+        return Tried::Waits;
+    };
+    match choose(t, now, row) {
+        Placement::On(choice) => {
+            dispatch(t, now, id, choice, out);
+            return Tried::Left;
+        }
+        Placement::Wait => return Tried::Waits,
+        Placement::Blocked if row.tried.is_empty() => return Tried::Blocked,
+        Placement::Blocked => {}
+    }
+    if exhausted(t, row) {
+        end::give_up(t, now, id, Reason::NoEndpoint, out);
+        return Tried::Left;
+    }
+    Tried::Waits
+}
+
 /// Notes until when a request may be sent, by its key and by the configuration in force; gives it up
 /// where that time has passed.
 pub fn may_send(t: &mut Tables, now: Time, id: RequestId, out: &mut Vec<Action>) -> bool {
@@ -283,6 +310,7 @@
 /// repeated may have run already.
 fn dispatch(t: &mut Tables, now: Time, id: RequestId, choice: Choice, out: &mut Vec<Action>) {
     charge(t, id, choice);
+    fair::charge(t, now, id);
     let most = t.most_retries();
     end::set_phase(t, id, Phase::Dispatching(choice.endpoint), false);
     let e = t.endpoints.get_mut(choice.endpoint);
--- /dev/null
+++ b/crates/firdock-policy/src/system/place/shared.rs
@@ -0,0 +1,46 @@
+//! Placement where accounts have shares: over all services of a rank in one order.
+
+use std::collections::HashSet;
+
+use firdock_core::{RequestId, TierRank};
+
+use super::{Tried, try_place};
+use crate::action::Action;
+use crate::system::fair;
+use crate::table::Tables;
+use crate::time::Time;
+
+/// Places the requests of a rank over all services, the account first that had least for its weight.
+pub fn run(t: &mut Tables, now: Time, rank: TierRank, out: &mut Vec<Action>) {
+    let mut blocked: HashSet<usize> = HashSet::new();
+    while place_next(t, now, rank, &mut blocked, out) {}
+}
+
+fn place_next(
+    t: &mut Tables,
+    now: Time,
+    rank: TierRank,
+    blocked: &mut HashSet<usize>,
+    out: &mut Vec<Action>,
+) -> bool {
+    let ranked = |id: &RequestId| t.requests.get(*id).is_some_and(|r| r.rank == rank);
+    let mut heads: Vec<(usize, RequestId)> = Vec::new();
+    for (service, row) in t.services.iter().filter(|(at, _)| !blocked.contains(at)) {
+        let ids = row.queue.heads().map(|(_, id)| id).filter(ranked);
+        heads.extend(ids.map(|id| (service, id)));
+    }
+    fair::sort_heads(t, now, &mut heads);
+    for (service, id) in heads {
+        if blocked.contains(&service) {
+            continue;
+        }
+        match try_place(t, now, id, out) {
+            Tried::Left => return true,
+            Tried::Waits => {}
+            Tried::Blocked => {
+                blocked.insert(service);
+            }
+        }
+    }
+    false
+}
--- a/crates/firdock-policy/src/system/shed.rs
+++ b/crates/firdock-policy/src/system/shed.rs
@@ -4,7 +4,7 @@
 
 use firdock_core::{Outcome, Reason, RequestId, TierRank};
 
-use super::{end, handover};
+use super::{end, fair, handover};
 use crate::action::Action;
 use crate::request::Origin;
 use crate::table::Tables;
@@ -14,8 +14,9 @@
 /// Sheds until the bounds on what is held are kept.
 pub fn run(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
     while over_bounds(t) {
-        let Some(id) = victim(t) else { break };
-        shed(t, now, id, Reason::Overload, out);
+        let Some(id) = victim(t, now) else { break };
+        let reason = fair::reason(t, now, id);
+        shed(t, now, id, reason, out);
     }
     shed_accounts(t, now, out);
 }
@@ -53,19 +54,23 @@
     t: &mut Tables,
     now: Time,
     mut ids: Vec<(TierRank, RequestId)>,
-    reason: Reason,
+    reason: impl Fn(&Tables, Time, RequestId) -> Reason,
     out: &mut Vec<Action>,
 ) {
     ids.sort_by_key(|(rank, _)| Reverse(*rank));
     for (rank, id) in ids {
         if !t.requests.holds_below(rank) {
+            let reason = reason(t, now, id);
             shed(t, now, id, reason, out);
         }
     }
 }
 
 /// Picks from the account that holds most for its share, in the lowest tier: late ones first.
-fn victim(t: &Tables) -> Option<RequestId> {
+fn victim(t: &Tables, now: Time) -> Option<RequestId> {
+    if t.settings.account_shares {
+        return fair::furthest_over(t, now);
+    }
     let rank = t.requests.lowest_held()?;
     let lanes = lanes_of(t, rank);
     let weight = |account: usize, n: usize| n as f64 / t.accounts.get(account).share;
@@ -108,5 +113,9 @@
 
 /// Tells whether a verdict is one for load.
 pub fn is_load(outcome: Outcome, reason: Reason) -> bool {
-    outcome == Outcome::NotRun && matches!(reason, Reason::Overload | Reason::WaitedTooLong)
+    outcome == Outcome::NotRun
+        && matches!(
+            reason,
+            Reason::Overload | Reason::OverShare | Reason::WaitedTooLong
+        )
 }
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -15,6 +15,7 @@
 pub mod rollout;
 pub mod rows;
 pub mod service;
+pub mod share;
 pub mod transfer;
 pub mod view;
 
@@ -87,6 +88,8 @@
     pub known_peers: Option<usize>,
     /// Demand of other groups, as their leads tell.
     pub groups: group::Groups,
+    /// Work that other groups did for accounts, as their leads tell.
+    pub told_work: share::ToldWork,
     /// How many instances the leads of all groups heard last.
     pub reach: Option<Reach>,
     /// When the configuration in force was last known to be the newest.
@@ -172,6 +175,7 @@
             retries: retry::Retries::new(),
             known_peers: None,
             groups: group::Groups::default(),
+            told_work: share::ToldWork::default(),
             reach: None,
             fresh_at: None,
             coordinated: false,
--- a/crates/firdock-policy/src/table/account.rs
+++ b/crates/firdock-policy/src/table/account.rs
@@ -4,6 +4,7 @@
 
 use super::limit::Bucket;
 use super::rows::Rows;
+use super::share::Work;
 use crate::time::Time;
 
 /// Table of accounts.
@@ -24,6 +25,10 @@
     pub name: String,
     /// Weight against others.
     pub share: f64,
+    /// Weight in the shares of what endpoints do.
+    pub weight: f64,
+    /// What endpoints did for it lately.
+    pub work: Work,
     /// Importance against other accounts.
     pub rank: u8,
     /// Bucket of its limit, if it has one.
@@ -45,6 +50,8 @@
         Self {
             name: declared.name.clone(),
             share: declared.share,
+            weight: declared.weight(),
+            work: Work::default(),
             rank: declared.rank,
             bucket: None,
             max_held: declared.max_held,
@@ -58,6 +65,7 @@
     pub fn update(&mut self, now: Time, declared: &Account) {
         self.present = true;
         self.share = declared.share;
+        self.weight = declared.weight();
         self.rank = declared.rank;
         self.max_held = declared.max_held;
         match (&mut self.bucket, declared.limit) {
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -10,5 +10,6 @@
 mod rollout;
 mod rules;
 mod scene;
+mod shares;
 mod tries;
 mod world;
--- /dev/null
+++ b/crates/firdock-policy/tests/policy/shares.rs
@@ -0,0 +1,163 @@
+//! Shares of accounts where room is short: who is served and who is refused under named loads.
+//!
+//! Sixteen places of 200 ms serve 80 requests a second, or 100 with what calm times allow beyond the
+//! slots. Callers of one account are to notice another's flood by no more than a tenth of what
+//! their share is, and by less than a half over any four seconds, which is as long as one waits.
+
+mod groups;
+mod load;
+mod parts;
+
+use load::{Load, Wish, secs};
+
+/// Part of its share that an account is to keep whatever others ask for.
+const KEPT: f64 = 0.9;
+
+/// Eight accounts, of which the first asks for ten times its share.
+fn flood() -> Vec<Wish> {
+    let mut wishes: Vec<Wish> = (0..8).map(|n| Wish::new(&format!("a{n}"), 14.0)).collect();
+    wishes[0].rate = 140.0;
+    wishes
+}
+
+#[test]
+fn a_flood_at_equal_rank_takes_nothing_from_the_shares_of_others() {
+    let mut load = Load::new(&flood());
+    load.run(secs(8));
+    let even = load.served_all(secs(4)) / 8.0;
+    for n in 0..8 {
+        let got = load.served(&format!("a{n}"), secs(4));
+        assert!(got >= KEPT * even, "a{n} got {got} of {even}");
+    }
+    assert!(load.refused("a0") > 4 * load.refused("a1"));
+}
+
+#[test]
+fn no_account_has_less_than_half_of_its_share_over_any_four_seconds() {
+    let mut wishes = flood();
+    for (n, wish) in wishes.iter_mut().enumerate() {
+        // Waves that meet, and bursts of two seconds.
+        wish.swing = 0.6;
+        wish.burst = (n % 3 == 0).then_some((secs(3), 4.0));
+    }
+    let mut load = Load::new(&wishes);
+    for _ in 0..10 {
+        load.run(secs(1));
+        if load.age() < secs(4) {
+            continue;
+        }
+        let even = load.served_all(secs(4)) / 8.0;
+        for wish in &wishes {
+            let asked = load.asked(&wish.account, secs(4));
+            let got = load.served(&wish.account, secs(4));
+            let fair = even.min(asked);
+            assert!(got >= fair / 2.0, "{}: {got} of {fair}", wish.account);
+        }
+    }
+}
+
+#[test]
+fn accounts_have_what_is_done_by_their_weights() {
+    let mut wishes: Vec<Wish> = (0..4).map(|n| Wish::new(&format!("a{n}"), 100.0)).collect();
+    wishes[0].weight = 3.0;
+    let mut load = Load::new(&wishes);
+    load.run(secs(8));
+    let part = load.served_all(secs(4)) / 6.0;
+    let heavy = load.served("a0", secs(4)) / part;
+    assert!((2.7..=3.3).contains(&heavy), "{heavy}");
+    for light in ["a1", "a2", "a3"] {
+        let got = load.served(light, secs(4)) / part;
+        assert!((KEPT..=1.1).contains(&got), "{light}: {got}");
+    }
+}
+
+/// Work counts, not requests: an account of short answers is not put behind one of long ones.
+#[test]
+fn accounts_have_shares_of_work_and_not_of_requests() {
+    let mut wishes = vec![Wish::new("long", 150.0), Wish::new("short", 150.0)];
+    wishes[0].prompt_tokens = 900;
+    let mut load = Load::new(&wishes);
+    load.run(secs(8));
+    // Of 4,000 prompt tokens a second: 0.23 s and some 0.03 s, and 0.25 s of answer each.
+    let (long, short) = (load.served("long", secs(4)), load.served("short", secs(4)));
+    let ratio = short / long;
+    assert!((1.3..=2.2).contains(&ratio), "{short} to {long}");
+}
+
+#[test]
+fn an_account_that_asks_alone_has_everything() {
+    let mut load = Load::new(&[Wish::new("only", 300.0), Wish::new("idle", 0.0)]);
+    load.run(secs(6));
+    assert!(load.served("only", secs(4)) >= 4.0 * 75.0);
+}
+
+#[test]
+fn what_was_lent_comes_back_within_a_second() {
+    let mut wishes = flood();
+    for wish in &mut wishes[1..] {
+        wish.from = secs(4);
+    }
+    let mut load = Load::new(&wishes);
+    load.run(secs(4));
+    assert!(load.served("a0", secs(2)) >= 2.0 * 75.0);
+    load.run(secs(1));
+    load.run(secs(1));
+    let even = load.served_all(secs(1)) / 8.0;
+    for n in 1..8 {
+        let got = load.served(&format!("a{n}"), secs(1));
+        assert!(got >= KEPT * even, "a{n}: {got} of {even}");
+    }
+}
+
+#[test]
+fn an_account_that_comes_for_the_first_time_has_its_share_at_once() {
+    let mut wishes = flood();
+    wishes[7].from = secs(5);
+    let mut load = Load::new(&wishes);
+    load.run(secs(6));
+    let even = load.served_all(secs(1)) / 8.0;
+    assert!(load.served("a7", secs(1)) >= KEPT * even);
+}
+
+#[test]
+fn a_higher_rank_goes_first_whoever_floods_it() {
+    let mut wishes = flood();
+    wishes[0].rank = 0;
+    wishes[0].rate = 50.0;
+    for wish in &mut wishes[1..] {
+        wish.rank = 1;
+    }
+    let mut load = Load::new(&wishes);
+    load.run(secs(8));
+    assert!(load.served("a0", secs(4)) >= 4.0 * 48.0);
+    assert_eq!(load.refused("a0"), 0, "the higher rank is within the room");
+    // What is left is shared as ever.
+    let rest = load.served_all(secs(4)) - load.served("a0", secs(4));
+    for n in 1..8 {
+        let got = load.served(&format!("a{n}"), secs(4));
+        assert!(got >= KEPT * rest / 7.0, "a{n}: {got} of {}", rest / 7.0);
+    }
+}
+
+#[test]
+fn a_refusal_says_whether_the_account_was_over_its_share() {
+    let mut wishes = flood();
+    for wish in &mut wishes[1..] {
+        wish.rate = 4.0;
+    }
+    let mut load = Load::new(&wishes);
+    load.run(secs(8));
+    assert!(load.over_share("a0") > 100);
+    for n in 1..8 {
+        assert_eq!(load.refused(&format!("a{n}")), 0, "within its share");
+    }
+}
+
+/// Without the setting, decisions are by rank and arrival: these are the figures of that order.
+#[test]
+fn without_shares_the_flood_is_served_by_arrival() {
+    let mut load = Load::without_shares(&flood());
+    load.run(secs(8));
+    assert_eq!(load.over_share("a0"), 0);
+    assert!(load.served("a0", secs(4)) > 2.0 * load.served_all(secs(4)) / 8.0);
+}
--- /dev/null
+++ b/crates/firdock-policy/tests/policy/shares/load.rs
@@ -0,0 +1,277 @@
+//! Callers of several accounts that ask a coordinator for places at given rates.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use firdock_core::Reason;
+use firdock_core::RequestId;
+use firdock_core::resource::{Account, Endpoint, Resource};
+use firdock_policy::event::{AccountWork, DispatchNews, EndpointEvent, GroupWork};
+use firdock_policy::{Action, Event, NewRequest, Time, told_work};
+
+use crate::edge::{Edge, edge_settings, request, resources};
+use crate::scene::millis;
+
+/// Pause between two steps, as in a daemon.
+const STEP: Duration = millis_of(25);
+/// Time that an engine takes for a request.
+const TAKES: Duration = millis_of(200);
+const ENGINES: usize = 4;
+const SLOTS: u32 = 4;
+
+const fn millis_of(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+pub fn secs(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+/// What the callers of one account ask for.
+#[derive(Debug, Clone)]
+pub struct Wish {
+    pub account: String,
+    /// Requests a second.
+    pub rate: f64,
+    pub weight: f64,
+    pub rank: u8,
+    pub prompt_tokens: u32,
+    /// When it begins.
+    pub from: Duration,
+    /// Part of the rate by which it goes up and down over three seconds.
+    pub swing: f64,
+    /// Begin of two seconds in which it asks for so many times as much.
+    pub burst: Option<(Duration, f64)>,
+}
+
+impl Wish {
+    pub fn new(account: &str, rate: f64) -> Self {
+        Self {
+            account: account.to_owned(),
+            rate,
+            weight: 1.0,
+            rank: 0,
+            prompt_tokens: 90,
+            from: Duration::ZERO,
+            swing: 0.0,
+            burst: None,
+        }
+    }
+
+    fn rate_at(&self, age: Duration) -> f64 {
+        if age < self.from {
+            return 0.0;
+        }
+        let wave = 1.0 + self.swing * (age.as_secs_f64() * std::f64::consts::TAU / 3.0).sin();
+        let in_burst = |(at, times): (Duration, f64)| {
+            let within = at <= age && age < at + secs(2);
+            if within { times } else { 1.0 }
+        };
+        self.rate * wave * self.burst.map_or(1.0, in_burst)
+    }
+}
+
+/// A coordinator under load.
+pub struct Load {
+    edge: Edge,
+    begun: Time,
+    wishes: Vec<Wish>,
+    /// Parts of requests that are due, by account.
+    due: Vec<f64>,
+    next: u64,
+    accounts: BTreeMap<RequestId, String>,
+    running: VecDeque<(Time, RequestId, u32)>,
+    asked: Vec<(Time, String)>,
+    served: Vec<(Time, String)>,
+    refused: Vec<(String, Reason)>,
+}
+
+fn catalog(wishes: &[Wish]) -> Vec<Resource> {
+    let mut all = resources();
+    all.retain(|r| !matches!(r, Resource::Endpoint(_)));
+    for n in 0..ENGINES {
+        all.push(Resource::Endpoint(Endpoint {
+            name: format!("e{n}"),
+            pool: "pool".to_owned(),
+            slots: SLOTS,
+            ..Endpoint::default()
+        }));
+    }
+    let account = |wish: &Wish| {
+        Resource::Account(Account {
+            name: wish.account.clone(),
+            weight: Some(wish.weight),
+            rank: wish.rank,
+            max_held: 10_000,
+            ..Account::default()
+        })
+    };
+    all.extend(wishes.iter().map(account));
+    all
+}
+
+impl Load {
+    pub fn new(wishes: &[Wish]) -> Self {
+        Self::with_shares(wishes, true)
+    }
+
+    pub fn without_shares(wishes: &[Wish]) -> Self {
+        Self::with_shares(wishes, false)
+    }
+
+    fn with_shares(wishes: &[Wish], shares: bool) -> Self {
+        let mut settings = edge_settings("a").with_coordination();
+        settings.account_shares = shares;
+        let edge = Edge::new(settings, catalog(wishes));
+        Self {
+            begun: edge.now,
+            edge,
+            wishes: wishes.to_vec(),
+            due: vec![0.0; wishes.len()],
+            next: 1,
+            accounts: BTreeMap::new(),
+            running: VecDeque::new(),
+            asked: Vec::new(),
+            served: Vec::new(),
+            refused: Vec::new(),
+        }
+    }
+
+    pub fn age(&self) -> Duration {
+        self.edge.now.saturating_sub(self.begun)
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let until = self.edge.now + time;
+        while self.edge.now < until {
+            self.end_what_is_done();
+            self.send();
+            let actions = self.edge.after(STEP);
+            self.note(&actions);
+            self.check_no_place_is_empty();
+        }
+    }
+
+    /// Sends what is due, one request of each account by turns.
+    fn send(&mut self) {
+        let age = self.age();
+        for (due, wish) in self.due.iter_mut().zip(&self.wishes) {
+            *due += wish.rate_at(age) * STEP.as_secs_f64();
+        }
+        while self.due.iter().any(|d| *d >= 1.0) {
+            for n in 0..self.wishes.len() {
+                if self.due[n] >= 1.0 {
+                    self.due[n] -= 1.0;
+                    self.send_one(n);
+                }
+            }
+        }
+    }
+
+    fn send_one(&mut self, n: usize) {
+        let wish = &self.wishes[n];
+        let new = NewRequest {
+            prompt_tokens: wish.prompt_tokens,
+            deadline: Some(self.edge.now + secs(5)),
+            ..request(self.next, "safe", &wish.account)
+        };
+        self.next += 1;
+        self.accounts.insert(new.id, wish.account.clone());
+        self.asked.push((self.edge.now, wish.account.clone()));
+        let actions = self.edge.arrive(new);
+        self.note(&actions);
+    }
+
+    fn end_what_is_done(&mut self) {
+        while let Some((_, id, dispatch)) = self.running.pop_front_if(|r| r.0 <= self.edge.now) {
+            let news = DispatchNews::Ended {
+                prompt: 90,
+                cached: 0,
+                output: 10,
+            };
+            let actions = self
+                .edge
+                .step(Event::Endpoint(EndpointEvent { id, dispatch, news }));
+            self.note(&actions);
+        }
+    }
+
+    fn note(&mut self, actions: &[Action]) {
+        for action in actions {
+            match action {
+                Action::Dispatch(d) => {
+                    self.running
+                        .push_back((self.edge.now + TAKES, d.id, d.dispatch));
+                    let account = self.accounts[&d.id].clone();
+                    self.served.push((self.edge.now, account));
+                }
+                Action::Answer { id, verdict } => {
+                    let account = self.accounts[id].clone();
+                    self.refused.push((account, verdict.reason));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Work conserving: nothing waits while a place is free that it may use.
+    fn check_no_place_is_empty(&self) {
+        let t = self.edge.scheduler.tables();
+        if t.requests.held() == 0 {
+            return;
+        }
+        for (_, e) in t.endpoints.iter() {
+            let reads = e.waiting_tokens(self.edge.now) > e.declared.prefill_rate;
+            assert!(
+                e.running >= e.budget || reads,
+                "a place on {} is empty",
+                e.declared.name
+            );
+        }
+    }
+
+    fn count(&self, of: &[(Time, String)], account: &str, last: Duration) -> f64 {
+        let from = self.edge.now.saturating_sub(last);
+        let counted = of.iter().filter(|(at, a)| *at >= from && a == account);
+        counted.count() as f64
+    }
+
+    /// Requests of an account that were placed within the last time.
+    pub fn served(&self, account: &str, last: Duration) -> f64 {
+        self.count(&self.served, account, last)
+    }
+
+    pub fn asked(&self, account: &str, last: Duration) -> f64 {
+        self.count(&self.asked, account, last)
+    }
+
+    pub fn served_all(&self, last: Duration) -> f64 {
+        let served = self.wishes.iter().map(|w| self.served(&w.account, last));
+        served.sum()
+    }
+
+    pub fn refused(&self, account: &str) -> usize {
+        self.refused.iter().filter(|(a, _)| a == account).count()
+    }
+
+    pub fn over_share(&self, account: &str) -> usize {
+        let over = |r: &&(String, Reason)| r.0 == account && r.1 == Reason::OverShare;
+        self.refused.iter().filter(over).count()
+    }
+
+    /// What the group tells of the work that it placed.
+    pub fn told(&self) -> Vec<AccountWork> {
+        told_work(self.edge.scheduler.tables(), self.edge.now)
+    }
+
+    /// Takes the word of another group's lead.
+    pub fn hear(&mut self, zone: &str, work: Vec<AccountWork>) {
+        let zone = zone.to_owned();
+        let actions = self.edge.step(Event::GroupWork(GroupWork { zone, work }));
+        self.note(&actions);
+    }
+
+    pub fn heartbeat() -> Duration {
+        millis(200)
+    }
+}
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -213,6 +213,19 @@
     /// What its group saw, if it leads it.
     #[prost(message, repeated, tag = "15")]
     pub group_rollout_seen: ::prost::alloc::vec::Vec<RolloutEvidence>,
+    /// What the endpoints that its group places requests on did lately, if it leads it.
+    #[prost(message, repeated, tag = "16")]
+    pub group_work: ::prost::alloc::vec::Vec<AccountWork>,
+}
+/// What endpoints of one pool did lately for one account, in seconds of work.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct AccountWork {
+    #[prost(string, tag = "1")]
+    pub account: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub pool: ::prost::alloc::string::String,
+    #[prost(double, tag = "3")]
+    pub secs: f64,
 }
 /// How far one roll-out is.
 #[derive(Clone, PartialEq, ::prost::Message)]
