Shares within an account's rank: what is beyond a share goes behind the lower tiers of others

A request whose account had its share, in tiers as high and higher, is now admitted in the last rank of its account's rank.

--- a/crates/firdock-core/src/resource.rs
+++ b/crates/firdock-core/src/resource.rs
@@ -16,7 +16,7 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use account::{Account, LimitUnit, RateLimit, request_rank};
+pub use account::{Account, LimitUnit, RateLimit, last_rank, request_rank};
 pub use catalog::Catalog;
 pub use endpoint::{Endpoint, EndpointKind};
 pub use file::{parse_object, parse_resources};
--- a/crates/firdock-core/src/resource/account.rs
+++ b/crates/firdock-core/src/resource/account.rs
@@ -171,6 +171,12 @@
 /// Tiers told apart within one rank of accounts; lower ones share the last.
 const TIERS_PER_ACCOUNT: u8 = 4;
 
+/// Gives the last rank that requests of accounts of a rank have, of those kept for it.
+#[must_use]
+pub fn last_rank(account: u8) -> TierRank {
+    request_rank(account, TIERS_PER_ACCOUNT - 1)
+}
+
 /// Gives the rank of a request: the account's rank goes before the tier's.
 ///
 /// Accounts of rank 0 keep all ranks of tiers apart, so that a site without ranked accounts goes
--- a/crates/firdock-node/src/peer/heartbeat.rs
+++ b/crates/firdock-node/src/peer/heartbeat.rs
@@ -141,7 +141,9 @@
     told.map(|w| message::AccountWork {
         account: w.account.clone(),
         pool: w.pool.clone(),
-        secs: w.secs,
+        rank: u32::from(w.rank),
+        asked: w.asked,
+        done: w.done,
     })
     .collect()
 }
@@ -149,12 +151,14 @@
 /// Reads work of accounts; figures that are none are left out.
 pub fn read_work(work: Vec<message::AccountWork>) -> Vec<AccountWork> {
     let told = work.into_iter().take(MAX_WORK);
-    let finite = told.filter(|w| w.secs.is_finite() && w.secs >= 0.0);
-    finite
+    let sane = |secs: f64| secs.is_finite() && secs >= 0.0;
+    told.filter(|w| sane(w.asked) && sane(w.done))
         .map(|w| AccountWork {
             account: w.account,
             pool: w.pool,
-            secs: w.secs,
+            rank: u8::try_from(w.rank).unwrap_or(u8::MAX),
+            asked: w.asked,
+            done: w.done,
         })
         .collect()
 }
--- a/crates/firdock-node/tests/node/peers.rs
+++ b/crates/firdock-node/tests/node/peers.rs
@@ -268,7 +268,9 @@
     let work = |account: &str, secs: f64| message::AccountWork {
         account: account.to_owned(),
         pool: "pool".to_owned(),
-        secs,
+        rank: 4,
+        asked: 1.0,
+        done: secs,
     };
     for (name, zone, group_heard) in [
         ("far", "elsewhere", 0),
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -5,7 +5,7 @@
 
 use firdock_core::prefix::BlockHash;
 use firdock_core::resource::Catalog;
-use firdock_core::{AccountId, EndpointId, InstanceId, PoolId, RequestId, ZoneId};
+use firdock_core::{AccountId, EndpointId, InstanceId, PoolId, RequestId, TierRank, ZoneId};
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
@@ -323,15 +323,19 @@
     pub work: Vec<AccountWork>,
 }
 
-/// What endpoints of one pool did lately for one account.
+/// What one account asked for and had of one pool lately, in requests of one rank.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct AccountWork {
     /// Account.
     pub account: AccountId,
     /// Pool.
     pub pool: PoolId,
-    /// Work, in seconds that it takes on an endpoint as declared.
-    pub secs: f64,
+    /// Declared rank of the requests.
+    pub rank: TierRank,
+    /// Work that was asked for, in seconds that it takes on an endpoint as declared.
+    pub asked: f64,
+    /// Work that is done, likewise.
+    pub done: f64,
 }
 
 /// What the instances of one availability zone saw of roll-outs.
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -133,8 +133,10 @@
     pub service: usize,
     /// Row of its account.
     pub account: usize,
-    /// Rank of its tier at arrival.
+    /// Rank in which it is served: the declared one, or a later one where its account had its share.
     pub rank: u8,
+    /// Rank by its account and tier at arrival.
+    pub declared_rank: u8,
     /// When it arrived.
     pub arrived: Time,
     /// Pool that it goes to, of a service that splits its requests.
@@ -195,6 +197,7 @@
             service,
             account,
             rank,
+            declared_rank: rank,
             arrived: now,
             tried_for: Duration::ZERO,
             pool: None,
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -4,8 +4,8 @@
 use crate::event::Event;
 use crate::settings::PolicySettings;
 use crate::system::{
-    admit, check, config, coordinate, demand, drain, early, expire, handover, health, key, limit,
-    news, place, rollout, share, shed,
+    admit, check, config, coordinate, demand, drain, early, expire, fair, handover, health, key,
+    limit, news, place, rollout, share, shed,
 };
 use crate::table::{Reach, Tables};
 use crate::time::Time;
@@ -86,6 +86,7 @@
                 expire::end_impatient(t, now, out);
                 expire::put_late_last(t, now);
                 expire::run(t, now, out);
+                fair::set_levels(t, now);
                 early::run(t, now, out);
                 rollout::run(t, now, out);
             }
--- a/crates/firdock-policy/src/system/admit.rs
+++ b/crates/firdock-policy/src/system/admit.rs
@@ -5,7 +5,7 @@
 use firdock_core::resource::request_rank;
 use firdock_core::{Outcome, Reason, RequestId};
 
-use super::{end, key, limit, tries};
+use super::{end, fair, key, limit, tries};
 use crate::action::Action;
 use crate::request::{KeyClaim, NewRequest, Origin, RequestRow, Verdict};
 use crate::table::Tables;
@@ -117,9 +117,11 @@
     let arrived = now.saturating_sub(new.age);
     let row = RequestRow::new(arrived, new, service, account, rank);
     let row = row.with_service(&s.declared, charge);
-    let row = tries::with_first_try(s, now, row);
-    t.paces.note_arrival(row.pool_key(), rank);
+    let mut row = tries::with_first_try(s, now, row);
+    row.rank = fair::rank(t, now, &row);
+    t.paces.note_arrival(row.pool_key(), row.rank);
     let queue = &mut t.services.get_mut(service).queue;
     queue.push(account, row.arrived, id);
     t.requests.insert(row);
+    fair::arrived(t, now, id);
 }
--- a/crates/firdock-policy/src/system/fair.rs
+++ b/crates/firdock-policy/src/system/fair.rs
@@ -4,15 +4,17 @@
 //! and what is furthest over its share is refused first (`docs/design/shares.md`). Weights are
 //! declared; accounts that ask for less than their share leave the rest to those that ask for more.
 
-use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
-use firdock_core::{Reason, RequestId, TierRank};
+use firdock_core::resource::{Account, last_rank};
+use firdock_core::{PoolId, Reason, RequestId, TierRank};
 
 use super::place;
 use crate::cost;
+use crate::event::AccountWork;
 use crate::request::{Phase, RequestRow};
 use crate::table::Tables;
+use crate::table::share::{AccountRank, Levels};
 use crate::time::Time;
 
 /// Units of [`Start`] in a second of work.
@@ -21,6 +23,10 @@
 /// work are off by that much, and a caller within its share is not to read that it was beyond.
 const OVER_PART: f64 = 1.05;
 
+/// Part by which accounts have to ask for more than was done before room counts as short: what was
+/// asked within the last fifth of a second may still be on its way to an endpoint.
+const SHORT_PART: f64 = 1.1;
+
 /// Work that an account had lately, and has waiting before a request, for its weight; in microseconds.
 type Start = u64;
 
@@ -54,13 +60,11 @@
         return held;
     }
     held.sort_by_key(|r| (r.rank, is_late(t, now, r), r.arrived));
-    let mut ahead: HashMap<(&str, usize), f64> = HashMap::new();
+    let mut ahead: HashMap<(&str, usize, TierRank), f64> = HashMap::new();
     let mut placed: Vec<(bool, Order, &RequestRow)> = Vec::with_capacity(held.len());
     for row in held {
-        let key = (row.pool_key(), row.account);
-        let before = ahead
-            .entry(key)
-            .or_insert_with(|| done(t, now, row.account, row.pool_key()));
+        let key = (row.pool_key(), row.account, row.rank);
+        let before = ahead.entry(key).or_insert_with(|| done(t, now, row));
         let start = start(t, row.account, *before);
         *before += work(t, row);
         placed.push((is_late(t, now, row), order(row, start), row));
@@ -73,8 +77,7 @@
 pub fn sort_heads(t: &Tables, now: Time, heads: &mut [(usize, RequestId)]) {
     let key = |id: &RequestId| {
         let row = t.requests.get(*id)?;
-        let had = done(t, now, row.account, row.pool_key());
-        let start = start(t, row.account, had);
+        let start = start(t, row.account, done(t, now, row));
         Some((is_late(t, now, row), order(row, start)))
     };
     heads.sort_by_cached_key(|(_, id)| key(id));
@@ -131,7 +134,9 @@
 fn book(t: &mut Tables, now: Time, id: RequestId, secs: f64) {
     if let Some(row) = t.requests.get(id) {
         let account = t.accounts.get_mut(row.account);
-        account.work.add(now, row.pool_key(), secs);
+        account
+            .work
+            .add(now, row.pool_key(), row.declared_rank, secs);
     }
 }
 
@@ -146,11 +151,23 @@
     endpoint.map_or(0.0, |e| cost::declared_secs(row, e, output))
 }
 
-/// Gives the work done lately for an account in a pool, by all groups that tell.
-fn done(t: &Tables, now: Time, account: usize, pool: &str) -> f64 {
+/// Gives what the account of a request had lately in requests of its rank and above, by all groups.
+fn done(t: &Tables, now: Time, row: &RequestRow) -> f64 {
+    done_up_to(t, now, row.account, row.pool_key(), row.rank)
+}
+
+fn done_up_to(t: &Tables, now: Time, account: usize, pool: &str, rank: TierRank) -> f64 {
+    let row = t.accounts.get(account);
+    let told = t.told_work.of(now, t.settings.peer_stale, pool, &row.name);
+    let elsewhere: f64 = told.filter(|w| w.rank <= rank).map(|w| w.done).sum();
+    row.work.done(now, pool, rank) + elsewhere
+}
+
+fn asked(t: &Tables, now: Time, account: usize, pool: &str) -> f64 {
     let row = t.accounts.get(account);
-    let age = t.settings.peer_stale;
-    row.work.of(now, pool) + t.told_work.of(now, age, pool, &row.name)
+    let told = t.told_work.of(now, t.settings.peer_stale, pool, &row.name);
+    let elsewhere: f64 = told.map(|w| w.asked).sum();
+    row.work.asked(now, pool) + elsewhere
 }
 
 fn start(t: &Tables, account: usize, secs: f64) -> Start {
@@ -163,63 +180,134 @@
     t.settings.mechanisms.late_last && row.arrived + target <= now
 }
 
-/// Gives why a request is refused: its account is over its share, or there is too much of all.
-pub fn reason(t: &Tables, now: Time, id: RequestId) -> Reason {
+/// Notes what a request that arrived asks for, and puts it behind those of the other accounts of its
+/// account's rank where its account had its share of the pool.
+///
+/// An account has its share for its highest tiers first: of a request only what the account had in
+/// tiers as high and higher counts. Else a flood of a high tier would take all that others have of
+/// lower ones.
+pub fn arrived(t: &mut Tables, now: Time, id: RequestId) {
     let Some(row) = t.requests.get(id).filter(|_| t.settings.account_shares) else {
-        return Reason::Overload;
+        return;
     };
-    let standings = standings(t, now, row.pool_key());
-    let own = standings.iter().find(|s| s.account == row.account);
-    if own.is_some_and(|s| s.done > s.share * OVER_PART) {
+    let secs = work(t, row);
+    let account = t.accounts.get_mut(row.account);
+    account
+        .work
+        .ask(now, row.pool_key(), row.declared_rank, secs);
+}
+
+/// Gives the rank that a request has: the declared one, or the last of its account's rank.
+///
+/// An instance that asks a coordinator leaves that to it, since it sees few of the requests.
+#[must_use]
+pub fn rank(t: &Tables, now: Time, row: &RequestRow) -> TierRank {
+    let waits = t.coordinated && !t.settings.coordinates;
+    if waits || !is_over(t, now, row, 1.0) {
+        return row.rank;
+    }
+    let account = t.accounts.get(row.account).rank;
+    row.rank.max(last_rank(account))
+}
+
+/// Gives why a request is refused: its account is over its share, or there is too much of all.
+pub fn reason(t: &Tables, now: Time, id: RequestId) -> Reason {
+    let row = t.requests.get(id);
+    let over = |r: &RequestRow| r.rank > r.declared_rank || is_over(t, now, r, OVER_PART);
+    if row.is_some_and(over) {
         Reason::OverShare
     } else {
         Reason::Overload
     }
 }
 
-/// What an account had lately of a pool, and what its share is.
+/// Tells whether an account had so many times its share in requests of this one's rank and above.
+fn is_over(t: &Tables, now: Time, row: &RequestRow, times: f64) -> bool {
+    let account = t.accounts.get(row.account);
+    let level = t.levels.of(row.pool_key(), account.rank);
+    let Some(level) = level.filter(|_| t.settings.account_shares) else {
+        return false;
+    };
+    done(t, now, row) > level * account.weight * times
+}
+
+/// Takes anew what accounts may have of each pool, by what they asked for and had lately.
+pub fn set_levels(t: &mut Tables, now: Time) {
+    if !t.settings.account_shares {
+        return;
+    }
+    let mut levels = Levels::default();
+    for pool in pools(t) {
+        for rank in 0..=Account::MAX_RANK {
+            let standings = standings(t, now, &pool, rank);
+            if let Some(level) = level(&standings) {
+                levels.set(&pool, rank, level);
+            }
+        }
+    }
+    t.levels = levels;
+}
+
+fn pools(t: &Tables) -> BTreeSet<PoolId> {
+    let accounts = t.accounts.iter();
+    accounts
+        .flat_map(|(_, a)| a.work.pools())
+        .cloned()
+        .collect()
+}
+
+/// Gives the share for each unit of weight of those that ask for more; `None` where there is room.
+fn level(standings: &[Standing]) -> Option<f64> {
+    let done: f64 = standings.iter().map(|s| s.done).sum();
+    let asked: f64 = standings.iter().map(|s| s.asked).sum();
+    if asked <= done * SHORT_PART {
+        return None;
+    }
+    let levels = standings.iter().map(|s| s.share / s.weight);
+    levels.max_by(f64::total_cmp)
+}
+
+/// What an account asked for and had lately of a pool, and what its share is.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Standing {
     /// Row of the account.
     pub account: usize,
+    /// Its weight.
+    pub weight: f64,
+    /// Work asked for, in seconds.
+    pub asked: f64,
     /// Work done, in seconds.
     pub done: f64,
-    /// Its share of all that was done, by its weight and what it asks for.
+    /// Its share of all that was done for accounts of its rank, by its weight and what it asks for.
     pub share: f64,
 }
 
-/// Gives how the accounts stand that had or ask for work of a pool.
+/// Gives how the accounts of a rank stand that asked for work of a pool lately.
 #[must_use]
-pub fn standings(t: &Tables, now: Time, pool: &str) -> Vec<Standing> {
-    let mut asked: HashMap<usize, f64> = HashMap::new();
-    let held = t.requests.iter().filter(|r| r.phase == Phase::Held);
-    for row in held.filter(|r| r.pool_key() == pool) {
-        *asked.entry(row.account).or_default() += work(t, row);
-    }
-    let mut rows: Vec<(usize, f64, f64)> = Vec::new();
-    for (at, account) in t.accounts.iter() {
-        let had = done(t, now, at, pool);
-        let wants = had + asked.get(&at).copied().unwrap_or_default();
-        if wants > 0.0 {
-            rows.push((at, had, wants));
-            debug_assert!(account.weight > 0.0, "weights are checked when declared");
+pub fn standings(t: &Tables, now: Time, pool: &str, rank: AccountRank) -> Vec<Standing> {
+    let mut rows: Vec<Standing> = Vec::new();
+    for (at, account) in t.accounts.iter().filter(|(_, a)| a.rank == rank) {
+        let row = Standing {
+            account: at,
+            weight: account.weight,
+            asked: asked(t, now, at, pool),
+            done: done_up_to(t, now, at, pool, TierRank::MAX),
+            share: 0.0,
+        };
+        if row.asked.max(row.done) > 0.0 {
+            rows.push(row);
         }
     }
-    let all: f64 = rows.iter().map(|(_, had, _)| had).sum();
-    let asks: Vec<Ask> = rows
-        .iter()
-        .map(|(at, _, wants)| Ask {
-            weight: t.accounts.get(*at).weight,
-            wants: *wants,
-        })
-        .collect();
-    let parts = shares(all, &asks);
-    let standing = |((account, done, _), share): ((usize, f64, f64), f64)| Standing {
-        account,
-        done,
-        share,
+    let room: f64 = rows.iter().map(|r| r.done).sum();
+    let ask = |r: &Standing| Ask {
+        weight: r.weight,
+        wants: r.asked.max(r.done),
     };
-    rows.into_iter().zip(parts).map(standing).collect()
+    let asks: Vec<Ask> = rows.iter().map(ask).collect();
+    for (row, share) in rows.iter_mut().zip(shares(room, &asks)) {
+        row.share = share;
+    }
+    rows
 }
 
 /// What one account asks for, and its weight.
@@ -253,22 +341,16 @@
     parts
 }
 
-/// Gives what this instance's endpoints did lately, the greatest first, to tell other groups.
+/// Gives what accounts asked for and had here lately, the greatest first, to tell other groups.
 #[must_use]
-pub fn told(t: &Tables, now: Time) -> Vec<crate::event::AccountWork> {
+pub fn told(t: &Tables, now: Time) -> Vec<AccountWork> {
     if !t.settings.account_shares {
         return Vec::new();
     }
-    let mut rows = Vec::new();
-    for (_, account) in t.accounts.iter() {
-        for (pool, secs) in account.work.iter(now) {
-            rows.push(crate::event::AccountWork {
-                account: account.name.clone(),
-                pool: pool.clone(),
-                secs,
-            });
-        }
-    }
-    rows.sort_by_key(|w| Reverse((w.secs * MICROS) as Start));
+    let accounts = t.accounts.iter();
+    let mut rows: Vec<AccountWork> = accounts
+        .flat_map(|(_, a)| a.work.told(now, &a.name))
+        .collect();
+    rows.sort_by(|a, b| b.asked.max(b.done).total_cmp(&a.asked.max(a.done)));
     rows
 }
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -90,6 +90,8 @@
     pub groups: group::Groups,
     /// Work that other groups did for accounts, as their leads tell.
     pub told_work: share::ToldWork,
+    /// What accounts may have where room is short.
+    pub levels: share::Levels,
     /// How many instances the leads of all groups heard last.
     pub reach: Option<Reach>,
     /// When the configuration in force was last known to be the newest.
@@ -176,6 +178,7 @@
             known_peers: None,
             groups: group::Groups::default(),
             told_work: share::ToldWork::default(),
+            levels: share::Levels::default(),
             reach: None,
             fresh_at: None,
             coordinated: false,
--- a/crates/firdock-policy/src/table/share.rs
+++ b/crates/firdock-policy/src/table/share.rs
@@ -4,9 +4,10 @@
 //! requests came to slow endpoints is not charged for that.
 
 use std::collections::BTreeMap;
+use std::iter;
 use std::time::Duration;
 
-use firdock_core::{AccountId, PoolId, ZoneId};
+use firdock_core::{PoolId, TierRank, ZoneId};
 
 use crate::event::AccountWork;
 use crate::time::Time;
@@ -16,8 +17,8 @@
 const FADE_SECS: f64 = 1.0;
 /// Availability zones whose word is kept.
 const MAX_ZONES: usize = 64;
-/// Work, in seconds, below which an account counts as having had none: an answer's smallest part.
-const LEAST_SECS: f64 = 1e-6;
+/// Work, in seconds, of which other groups are told at least: a thousandth of one endpoint.
+const LEAST_SECS: f64 = 1e-3;
 
 /// Work that fades.
 #[derive(Debug, Clone, Copy, Default)]
@@ -39,44 +40,75 @@
     }
 }
 
-/// Work done lately for one account, by pool.
+/// What one account asked for and had of one pool lately, by the declared rank of its requests.
+#[derive(Debug, Clone, Copy, Default)]
+struct Used {
+    asked: Fading,
+    done: Fading,
+}
+
+/// What one account asked for and had lately, by pool and rank.
 #[derive(Debug, Default)]
 pub struct Work {
-    pools: BTreeMap<PoolId, Fading>,
+    pools: BTreeMap<PoolId, BTreeMap<TierRank, Used>>,
 }
 
 impl Work {
-    /// Adds work, or takes back what was not done.
-    pub fn add(&mut self, now: Time, pool: &str, secs: f64) {
-        if let Some(done) = self.pools.get_mut(pool) {
-            done.add(now, secs);
-            return;
-        }
-        let mut done = Fading::default();
-        done.add(now, secs);
-        self.pools.insert(pool.to_owned(), done);
+    fn of(&mut self, pool: &str, rank: TierRank) -> &mut Used {
+        let ranks = self.pools.entry(pool.to_owned()).or_default();
+        ranks.entry(rank).or_default()
     }
 
-    /// Gives the work done lately in a pool, in seconds.
+    /// Adds work that callers asked for.
+    pub fn ask(&mut self, now: Time, pool: &str, rank: TierRank, secs: f64) {
+        self.of(pool, rank).asked.add(now, secs);
+    }
+
+    /// Adds work that is done, or takes back what was not.
+    pub fn add(&mut self, now: Time, pool: &str, rank: TierRank, secs: f64) {
+        self.of(pool, rank).done.add(now, secs);
+    }
+
+    /// Gives what it had of a pool lately, in its requests of a rank and of all above.
     #[must_use]
-    pub fn of(&self, now: Time, pool: &str) -> f64 {
-        self.pools.get(pool).map_or(0.0, |done| done.at(now))
+    pub fn done(&self, now: Time, pool: &str, rank: TierRank) -> f64 {
+        let Some(ranks) = self.pools.get(pool) else {
+            return 0.0;
+        };
+        ranks.range(..=rank).map(|(_, u)| u.done.at(now)).sum()
     }
 
-    /// Goes over the pools in which something was done lately.
-    pub fn iter(&self, now: Time) -> impl Iterator<Item = (&PoolId, f64)> {
-        let all = self.pools.iter().map(move |(p, done)| (p, done.at(now)));
-        all.filter(|(_, secs)| *secs > LEAST_SECS)
+    /// Gives what it asked of a pool lately.
+    #[must_use]
+    pub fn asked(&self, now: Time, pool: &str) -> f64 {
+        let ranks = self.pools.get(pool).into_iter().flatten();
+        ranks.map(|(_, u)| u.asked.at(now)).sum()
     }
-}
 
-/// Work of one group by pool and account.
-type GroupWork = BTreeMap<PoolId, BTreeMap<AccountId, f64>>;
+    /// Goes over the pools that it asked for.
+    pub fn pools(&self) -> impl Iterator<Item = &PoolId> {
+        self.pools.keys()
+    }
+
+    /// Gives what it asked for and had lately, as other groups are told.
+    pub fn told(&self, now: Time, account: &str) -> impl Iterator<Item = AccountWork> {
+        let ranks = |(pool, ranks)| iter::repeat(pool).zip::<&BTreeMap<TierRank, Used>>(ranks);
+        let told = self.pools.iter().flat_map(ranks);
+        let told = told.map(move |(pool, (rank, used))| AccountWork {
+            account: account.to_owned(),
+            pool: pool.clone(),
+            rank: *rank,
+            asked: used.asked.at(now),
+            done: used.done.at(now),
+        });
+        told.filter(|w| w.asked.max(w.done) > LEAST_SECS)
+    }
+}
 
 /// What the leads of other groups told of the work that their groups' endpoints did.
 #[derive(Debug, Default)]
 pub struct ToldWork {
-    zones: BTreeMap<ZoneId, (Time, GroupWork)>,
+    zones: BTreeMap<ZoneId, (Time, Vec<AccountWork>)>,
 }
 
 impl ToldWork {
@@ -86,22 +118,50 @@
             // Those that are still there tell at the next heartbeat.
             self.zones.clear();
         }
-        let mut pools = GroupWork::new();
-        for told in work {
-            let accounts = pools.entry(told.pool).or_default();
-            *accounts.entry(told.account).or_default() += told.secs;
-        }
-        self.zones.insert(zone, (now, pools));
+        self.zones.insert(zone, (now, work));
     }
 
-    /// Gives what other groups did for an account, as told within `age`.
+    /// Goes over what other groups did for an account in a pool, as told within `age`.
     ///
     /// Words that are older count for nothing: the group goes by what it did itself, so that accounts
     /// have even shares of its own places, which no other group gives away.
+    pub fn of<'a>(
+        &'a self,
+        now: Time,
+        age: Duration,
+        pool: &'a str,
+        account: &'a str,
+    ) -> impl Iterator<Item = &'a AccountWork> {
+        let fresh = self.zones.values().filter(move |(at, _)| *at + age > now);
+        let told = fresh.flat_map(|(_, work)| work);
+        told.filter(move |w| w.pool == pool && w.account == account)
+    }
+}
+
+/// Rank of an account, which its requests have in common.
+pub type AccountRank = u8;
+
+/// What accounts may have of each pool for each unit of their weights, where room is short.
+#[derive(Debug, Default)]
+pub struct Levels {
+    pools: BTreeMap<PoolId, BTreeMap<AccountRank, f64>>,
+}
+
+impl Levels {
+    /// Puts a level in place of the last one.
+    pub fn set(&mut self, pool: &str, rank: AccountRank, level: f64) {
+        let ranks = self.pools.entry(pool.to_owned()).or_default();
+        ranks.insert(rank, level);
+    }
+
+    /// Forgets all levels: room is short nowhere.
+    pub fn clear(&mut self) {
+        self.pools.clear();
+    }
+
+    /// Gives the level; `None` where there is room for all.
     #[must_use]
-    pub fn of(&self, now: Time, age: Duration, pool: &str, account: &str) -> f64 {
-        let fresh = self.zones.values().filter(|(at, _)| *at + age > now);
-        let told = fresh.filter_map(|(_, pools)| pools.get(pool)?.get(account));
-        told.sum()
+    pub fn of(&self, pool: &str, rank: AccountRank) -> Option<f64> {
+        self.pools.get(pool)?.get(&rank).copied()
     }
 }
--- a/crates/firdock-policy/tests/policy/shares.rs
+++ b/crates/firdock-policy/tests/policy/shares.rs
@@ -153,6 +153,28 @@
     }
 }
 
+/// Most of the work of a flood is of the highest tier, where there is room for all of it. Other accounts
+/// keep what they have of the lower tier all the same, and their own higher tier goes first.
+#[test]
+fn a_flood_of_a_high_tier_takes_nothing_of_what_others_have_of_lower_ones() {
+    let mut wishes: Vec<Wish> = (0..8).map(|n| Wish::new(&format!("a{n}"), 4.0)).collect();
+    wishes[0].rate = 70.0;
+    for n in 0..8 {
+        let mut low = Wish::new(&format!("a{n}"), 10.0);
+        low.service = "low";
+        wishes.push(low);
+    }
+    let mut load = Load::new(&wishes);
+    load.run(secs(8));
+    let even = load.served_all(secs(4)) / 8.0;
+    for n in 1..8 {
+        let got = load.served(&format!("a{n}"), secs(4));
+        assert!(got >= KEPT * even, "a{n}: {got} of {even}");
+        let high = load.served_high(&format!("a{n}"), secs(4));
+        assert!(high >= 15.0, "a{n}: {high} of 16 of its high tier");
+    }
+}
+
 /// Without the setting, decisions are by rank and arrival: these are the figures of that order.
 #[test]
 fn without_shares_the_flood_is_served_by_arrival() {
--- a/crates/firdock-policy/tests/policy/shares/load.rs
+++ b/crates/firdock-policy/tests/policy/shares/load.rs
@@ -1,11 +1,11 @@
 //! Callers of several accounts that ask a coordinator for places at given rates.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use firdock_core::Reason;
 use firdock_core::RequestId;
-use firdock_core::resource::{Account, Endpoint, Resource};
+use firdock_core::resource::{Account, Endpoint, Resource, Service, Tier};
 use firdock_policy::event::{AccountWork, DispatchNews, EndpointEvent, GroupWork};
 use firdock_policy::{Action, Event, NewRequest, Time, told_work};
 
@@ -36,6 +36,8 @@
     pub weight: f64,
     pub rank: u8,
     pub prompt_tokens: u32,
+    /// Service: `safe`, or `low` of a lower tier.
+    pub service: &'static str,
     /// When it begins.
     pub from: Duration,
     /// Part of the rate by which it goes up and down over three seconds.
@@ -52,6 +54,7 @@
             weight: 1.0,
             rank: 0,
             prompt_tokens: 90,
+            service: "safe",
             from: Duration::ZERO,
             swing: 0.0,
             burst: None,
@@ -80,9 +83,12 @@
     due: Vec<f64>,
     next: u64,
     accounts: BTreeMap<RequestId, String>,
+    services: BTreeMap<RequestId, &'static str>,
     running: VecDeque<(Time, RequestId, u32)>,
     asked: Vec<(Time, String)>,
     served: Vec<(Time, String)>,
+    /// Those of the service `safe`.
+    high: Vec<(Time, String)>,
     refused: Vec<(String, Reason)>,
 }
 
@@ -97,6 +103,22 @@
             ..Endpoint::default()
         }));
     }
+    all.push(Resource::Tier(Tier {
+        name: "low".to_owned(),
+        rank: 2,
+        target_millis: 500,
+        ..Tier::default()
+    }));
+    let safe = all.iter().find_map(|r| match r {
+        Resource::Service(s) if s.name == "safe" => Some(s.clone()),
+        _ => None,
+    });
+    all.push(Resource::Service(Service {
+        name: "low".to_owned(),
+        tier: "low".to_owned(),
+        matches: "/low".to_owned(),
+        ..safe.expect("the service")
+    }));
     let account = |wish: &Wish| {
         Resource::Account(Account {
             name: wish.account.clone(),
@@ -106,7 +128,9 @@
             ..Account::default()
         })
     };
-    all.extend(wishes.iter().map(account));
+    let mut names = HashSet::new();
+    let first = wishes.iter().filter(|w| names.insert(w.account.clone()));
+    all.extend(first.map(account));
     all
 }
 
@@ -130,6 +154,8 @@
             due: vec![0.0; wishes.len()],
             next: 1,
             accounts: BTreeMap::new(),
+            services: BTreeMap::new(),
+            high: Vec::new(),
             running: VecDeque::new(),
             asked: Vec::new(),
             served: Vec::new(),
@@ -173,10 +199,11 @@
         let new = NewRequest {
             prompt_tokens: wish.prompt_tokens,
             deadline: Some(self.edge.now + secs(5)),
-            ..request(self.next, "safe", &wish.account)
+            ..request(self.next, wish.service, &wish.account)
         };
         self.next += 1;
         self.accounts.insert(new.id, wish.account.clone());
+        self.services.insert(new.id, wish.service);
         self.asked.push((self.edge.now, wish.account.clone()));
         let actions = self.edge.arrive(new);
         self.note(&actions);
@@ -203,6 +230,9 @@
                     self.running
                         .push_back((self.edge.now + TAKES, d.id, d.dispatch));
                     let account = self.accounts[&d.id].clone();
+                    if self.services[&d.id] == "safe" {
+                        self.high.push((self.edge.now, account.clone()));
+                    }
                     self.served.push((self.edge.now, account));
                 }
                 Action::Answer { id, verdict } => {
@@ -241,13 +271,18 @@
         self.count(&self.served, account, last)
     }
 
+    /// The same of the service `safe` alone.
+    pub fn served_high(&self, account: &str, last: Duration) -> f64 {
+        self.count(&self.high, account, last)
+    }
+
     pub fn asked(&self, account: &str, last: Duration) -> f64 {
         self.count(&self.asked, account, last)
     }
 
     pub fn served_all(&self, last: Duration) -> f64 {
-        let served = self.wishes.iter().map(|w| self.served(&w.account, last));
-        served.sum()
+        let from = self.edge.now.saturating_sub(last);
+        self.served.iter().filter(|(at, _)| *at >= from).count() as f64
     }
 
     pub fn refused(&self, account: &str) -> usize {
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -217,15 +217,19 @@
     #[prost(message, repeated, tag = "16")]
     pub group_work: ::prost::alloc::vec::Vec<AccountWork>,
 }
-/// What endpoints of one pool did lately for one account, in seconds of work.
+/// What one account asked for and had of one pool lately, in requests of one rank and in seconds of work.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct AccountWork {
     #[prost(string, tag = "1")]
     pub account: ::prost::alloc::string::String,
     #[prost(string, tag = "2")]
     pub pool: ::prost::alloc::string::String,
-    #[prost(double, tag = "3")]
-    pub secs: f64,
+    #[prost(uint32, tag = "3")]
+    pub rank: u32,
+    #[prost(double, tag = "4")]
+    pub asked: f64,
+    #[prost(double, tag = "5")]
+    pub done: f64,
 }
 /// How far one roll-out is.
 #[derive(Clone, PartialEq, ::prost::Message)]
