--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -31,7 +31,7 @@
 use crate::site::Site;
 use crate::source::WantedRecords;
 use crate::telemetry::decisions::{LastSent, Story};
-use crate::telemetry::{Beliefs, Decisions, LineBudget, Metrics, RolloutSteps};
+use crate::telemetry::{Beliefs, Decisions, LineBudget, Metrics, RolloutSteps, ShareLines};
 
 /// Pause between two runs of the timed systems.
 const TICK: Duration = Duration::from_millis(25);
@@ -82,6 +82,7 @@
     decisions: Decisions,
     beliefs: Beliefs,
     steps: RolloutSteps,
+    shares: ShareLines,
     placement: Option<Placement>,
 }
 
@@ -113,6 +114,7 @@
         let decisions = Decisions::new(parts.log.clone(), Arc::clone(&parts.lines));
         let beliefs = Beliefs::new(parts.log.clone(), Arc::clone(&parts.lines));
         let steps = RolloutSteps::new(parts.log.clone());
+        let shares = ShareLines::new(parts.log.clone(), Arc::clone(&parts.metrics));
         Self {
             scheduler,
             parts,
@@ -122,6 +124,7 @@
             decisions,
             beliefs,
             steps,
+            shares,
             placement: None,
         }
     }
@@ -244,6 +247,9 @@
             self.scheduler.check_invariants(now);
             if let Some(placement) = &self.placement {
                 placement.check_invariants(now);
+                self.shares.note(now, placement.tables());
+            } else {
+                self.shares.note(now, self.scheduler.tables());
             }
             self.beliefs.note(now, self.scheduler.tables());
             self.publish();
--- a/crates/firdock-node/src/placement.rs
+++ b/crates/firdock-node/src/placement.rs
@@ -108,6 +108,12 @@
         }
     }
 
+    /// Gives the coordinator's tables, to read.
+    #[must_use]
+    pub fn tables(&self) -> &Tables {
+        self.coordinator.tables()
+    }
+
     /// Gives what engines did lately for accounts, by what was placed here.
     #[must_use]
     pub fn work(&self, now: Time) -> Vec<AccountWork> {
--- a/crates/firdock-node/src/telemetry.rs
+++ b/crates/firdock-node/src/telemetry.rs
@@ -6,6 +6,7 @@
 pub mod log;
 pub mod metrics;
 pub mod rollouts;
+pub mod shares;
 pub mod trace;
 
 pub use beliefs::Beliefs;
@@ -14,4 +15,5 @@
 pub use log::{Level, LogGuard, logger, silent};
 pub use metrics::Metrics;
 pub use rollouts::RolloutSteps;
+pub use shares::ShareLines;
 pub use trace::{Span, TraceContext};
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -2,11 +2,11 @@
 
 use std::fmt::Write as _;
 use std::sync::Mutex;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use firdock_policy::request::RequestRow;
-use firdock_policy::{Stats, Time};
+use firdock_policy::{Standing, Stats, Time};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -51,6 +51,20 @@
     end: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByRefusal {
+    account: String,
+    rank: u8,
+    /// `over`, or `within`.
+    share: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByShare {
+    account: String,
+    pool: String,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ByCall {
     call: &'static str,
@@ -72,6 +86,10 @@
     reasons: Family<ByCause, Counter>,
     outcomes: Family<ByOutcome, Counter>,
     tries: Family<ByTry, Counter>,
+    refusals: Family<ByRefusal, Counter>,
+    asked: Family<ByShare, Gauge<f64, AtomicU64>>,
+    done: Family<ByShare, Gauge<f64, AtomicU64>>,
+    share: Family<ByShare, Gauge<f64, AtomicU64>>,
     dispatches: Counter,
     retries: Counter,
     stale: Counter,
@@ -107,6 +125,10 @@
             reasons: Family::default(),
             outcomes: Family::default(),
             tries: Family::default(),
+            refusals: Family::default(),
+            asked: Family::default(),
+            done: Family::default(),
+            share: Family::default(),
             dispatches: Counter::default(),
             retries: Counter::default(),
             stale: Counter::default(),
@@ -157,6 +179,7 @@
             "Ended tries of callers, first ones and those with which they come back",
             self.tries.clone(),
         );
+        self.register_shares(&mut r);
         r.register(
             "dispatches",
             "Requests sent to endpoints",
@@ -215,6 +238,40 @@
         );
     }
 
+    fn register_shares(&self, r: &mut Registry) {
+        r.register(
+            "account_refusals",
+            "Requests refused for load, by account and rank, over its share or within",
+            self.refusals.clone(),
+        );
+        r.register(
+            "account_asked_seconds",
+            "Work that accounts asked for lately, as their coordinator sees it",
+            self.asked.clone(),
+        );
+        r.register(
+            "account_done_seconds",
+            "Work that endpoints did lately for accounts, likewise",
+            self.done.clone(),
+        );
+        r.register(
+            "account_share_seconds",
+            "Work that was the accounts' share of it, likewise",
+            self.share.clone(),
+        );
+    }
+
+    /// Takes over how an account stands with a pool.
+    pub fn set_share(&self, account: &str, pool: &str, standing: &Standing) {
+        let label = ByShare {
+            account: account.to_owned(),
+            pool: pool.to_owned(),
+        };
+        self.asked.get_or_create(&label).set(standing.asked);
+        self.done.get_or_create(&label).set(standing.done);
+        self.share.get_or_create(&label).set(standing.share);
+    }
+
     /// Notes how long a decision took.
     pub fn observe_decision(&self, took: Duration) {
         self.decision.observe(took.as_secs_f64());
@@ -290,6 +347,14 @@
             };
             store(&self.tries.get_or_create(&label), *n);
         }
+        for (key, n) in &stats.refusals {
+            let label = ByRefusal {
+                account: key.account.clone(),
+                rank: key.rank,
+                share: if key.over { "over" } else { "within" },
+            };
+            store(&self.refusals.get_or_create(&label), *n);
+        }
         store(&self.dispatches, stats.dispatches);
         store(&self.retries, stats.retries);
         store(&self.stale, stats.stale_news);
--- /dev/null
+++ b/crates/firdock-node/src/telemetry/shares.rs
@@ -0,0 +1,76 @@
+//! Shares of accounts where room is short: metrics of all, and a line on each that is over its own.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use firdock_policy::table::Tables;
+use firdock_policy::{Standing, Time, all_standings};
+use slog::{Logger, info};
+
+use super::metrics::Metrics;
+
+/// Pause between two looks: work that counts fades by a second.
+const PAUSE: Duration = Duration::from_secs(1);
+/// Accounts that are told of in one look, so that many of them fill neither the log nor the metrics.
+const MAX_ACCOUNTS: usize = 64;
+/// Lines of one look, on those that are furthest over their shares.
+const MAX_LINES: usize = 4;
+/// Part of its share by which an account is over it before a line says so.
+const OVER_PART: f64 = 1.05;
+
+/// Writes what accounts had of what they may have.
+#[derive(Debug)]
+pub struct ShareLines {
+    log: Logger,
+    metrics: Arc<Metrics>,
+    looked: Time,
+}
+
+impl ShareLines {
+    /// Makes a writer.
+    #[must_use]
+    pub fn new(log: Logger, metrics: Arc<Metrics>) -> Self {
+        Self {
+            log,
+            metrics,
+            looked: Time::ZERO,
+        }
+    }
+
+    /// Looks at the tables of a coordinator, where its accounts have shares and a look is due.
+    pub fn note(&mut self, now: Time, t: &Tables) {
+        if !t.settings.account_shares || now < self.looked + PAUSE {
+            return;
+        }
+        self.looked = now;
+        for pool in all_standings(t, now) {
+            let mut rows = pool.rows;
+            rows.sort_by(|a, b| b.asked.total_cmp(&a.asked));
+            for row in rows.iter().take(MAX_ACCOUNTS) {
+                let name = &t.accounts.get(row.account).name;
+                self.metrics.set_share(name, &pool.pool, row);
+            }
+            if pool.short {
+                self.write_over(t, &pool.pool, rows);
+            }
+        }
+    }
+
+    fn write_over(&self, t: &Tables, pool: &str, mut rows: Vec<Standing>) {
+        let over = |s: &Standing| s.done / s.share.max(f64::MIN_POSITIVE);
+        rows.retain(|s| over(s) > OVER_PART);
+        rows.sort_by(|a, b| over(b).total_cmp(&over(a)));
+        for row in rows.iter().take(MAX_LINES) {
+            let account = t.accounts.get(row.account);
+            info!(self.log, "account over its share";
+                "account" => &account.name,
+                "account_rank" => account.rank,
+                "pool" => pool,
+                "weight" => row.weight,
+                "asked_secs" => row.asked,
+                "done_secs" => row.done,
+                "share_secs" => row.share,
+            );
+        }
+    }
+}
--- a/crates/firdock-policy/src/lib.rs
+++ b/crates/firdock-policy/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod settings;
 pub mod stats;
 mod system;
-pub use system::fair::{Ask, Standing, shares, standings};
+pub use system::fair::{Ask, PoolStandings, Standing, all_standings, shares};
 pub use system::{
     demand::by_pool as pool_demand, fair::told as told_work, limit::used as used_limits,
     rollout::told as told_rollouts,
@@ -26,5 +26,5 @@
 pub use request::{KeyClaim, NewRequest, Origin, Verdict};
 pub use scheduler::{Policy, Scheduler};
 pub use settings::{Mechanisms, PolicySettings};
-pub use stats::{Stats, WasteCause};
+pub use stats::{RefusalKey, Stats, WasteCause};
 pub use time::{LogTime, Time};
--- a/crates/firdock-policy/src/stats.rs
+++ b/crates/firdock-policy/src/stats.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use firdock_core::{Outcome, Reason};
+use firdock_core::{AccountId, Outcome, Reason, TierRank};
 
 /// Why prefill work was lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -74,6 +74,24 @@
     pub shed: u64,
 }
 
+/// What refusals for load are counted by.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RefusalKey {
+    /// Account; [`RefusalKey::OTHERS`] beyond those that are told apart.
+    pub account: AccountId,
+    /// Declared rank of the request.
+    pub rank: TierRank,
+    /// Whether the account was over its share.
+    pub over: bool,
+}
+
+impl RefusalKey {
+    /// Name under which accounts count beyond those that are told apart.
+    pub const OTHERS: &'static str = "(others)";
+    /// Rows that are kept, so that names of accounts do not fill the metrics.
+    pub const MOST: usize = 512;
+}
+
 /// All counters.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Stats {
@@ -87,6 +105,8 @@
     pub reasons: BTreeMap<Reason, u64>,
     /// Ended tries: by these, times to come back are judged by what callers get of them.
     pub tries: BTreeMap<TryKey, u64>,
+    /// Refusals for load by account, where accounts have shares.
+    pub refusals: BTreeMap<RefusalKey, u64>,
     /// Dispatches.
     pub dispatches: u64,
     /// Second tries after a broken dispatch.
@@ -98,3 +118,14 @@
     /// Times that an endpoint was ejected.
     pub ejections: u64,
 }
+
+impl Stats {
+    /// Counts a refusal for load.
+    pub fn count_refusal(&mut self, mut key: RefusalKey) {
+        let full = self.refusals.len() >= RefusalKey::MOST;
+        if full && !self.refusals.contains_key(&key) {
+            RefusalKey::OTHERS.clone_into(&mut key.account);
+        }
+        *self.refusals.entry(key).or_default() += 1;
+    }
+}
--- a/crates/firdock-policy/src/system/coordinate.rs
+++ b/crates/firdock-policy/src/system/coordinate.rs
@@ -92,7 +92,9 @@
     let Some(row) = t.requests.get(id).filter(|r| r.phase == Phase::Held) else {
         return;
     };
-    if t.requests.holds_below(row.rank) {
+    if t.requests
+        .holds_below(fair::rank_refused(t, row, verdict.reason))
+    {
         return;
     }
     let service = row.service;
--- a/crates/firdock-policy/src/system/early.rs
+++ b/crates/firdock-policy/src/system/early.rs
@@ -44,12 +44,13 @@
 /// Tells whether `before` requests that go first leave too little of the target.
 ///
 /// A request that is past its target has lost what it could lose; it goes on waiting behind those
-/// that have not, until its caller leaves.
+/// that have not, until its caller leaves. One beyond its account's share does not: while it is held,
+/// none of the higher tiers, which are within theirs, could be told in time that it has to go elsewhere.
 fn is_hopeless(t: &Tables, now: Time, row: &RequestRow, before: u32) -> bool {
     let target = t.services.get(row.service).tier.target();
     let age = now.saturating_sub(row.arrived);
     if age > target {
-        return false;
+        return fair::is_behind(row);
     }
     let Some(pace) = t.paces.left_to(row.pool_key(), row.rank) else {
         return false;
--- a/crates/firdock-policy/src/system/end.rs
+++ b/crates/firdock-policy/src/system/end.rs
@@ -9,7 +9,7 @@
 use super::{limit, tries};
 use crate::action::Action;
 use crate::request::{NewRequest, Origin, Phase, Placing, RequestRow, Verdict};
-use crate::stats::WasteCause;
+use crate::stats::{RefusalKey, WasteCause};
 use crate::table::Tables;
 use crate::time::Time;
 
@@ -135,10 +135,24 @@
     let Some(row) = finish(t, now, id, verdict.outcome) else {
         return;
     };
+    count_refusal(t, &row, verdict.reason);
     *t.stats.reasons.entry(verdict.reason).or_default() += 1;
     out.push(final_word(&row.new, verdict, row.tried));
 }
 
+/// Counts by account what was refused for load, where accounts have shares.
+fn count_refusal(t: &mut Tables, row: &RequestRow, reason: Reason) {
+    let over = reason == Reason::OverShare;
+    if !t.settings.account_shares || !(over || reason == Reason::Overload) {
+        return;
+    }
+    t.stats.count_refusal(RefusalKey {
+        account: t.accounts.get(row.account).name.clone(),
+        rank: row.declared_rank,
+        over,
+    });
+}
+
 /// Ends an answer that has begun and cannot be completed.
 pub fn cut(t: &mut Tables, now: Time, id: RequestId, reason: Reason, out: &mut Vec<Action>) {
     if finish(t, now, id, Outcome::Unknown).is_some() {
--- a/crates/firdock-policy/src/system/fair.rs
+++ b/crates/firdock-policy/src/system/fair.rs
@@ -4,17 +4,20 @@
 //! and what is furthest over its share is refused first (`docs/design/shares.md`). Weights are
 //! declared; accounts that ask for less than their share leave the rest to those that ask for more.
 
-use std::collections::{BTreeSet, HashMap};
+mod level;
 
-use firdock_core::resource::{Account, last_rank};
-use firdock_core::{PoolId, Reason, RequestId, TierRank};
+pub use level::{Ask, PoolStandings, Standing, all_standings, set_levels, shares};
+
+use std::collections::HashMap;
+
+use firdock_core::resource::last_rank;
+use firdock_core::{Reason, RequestId, TierRank};
 
 use super::place;
 use crate::cost;
 use crate::event::AccountWork;
 use crate::request::{Phase, RequestRow};
 use crate::table::Tables;
-use crate::table::share::{AccountRank, Levels};
 use crate::time::Time;
 
 /// Units of [`Start`] in a second of work.
@@ -23,10 +26,6 @@
 /// work are off by that much, and a caller within its share is not to read that it was beyond.
 const OVER_PART: f64 = 1.05;
 
-/// Part by which accounts have to ask for more than was done before room counts as short: what was
-/// asked within the last fifth of a second may still be on its way to an endpoint.
-const SHORT_PART: f64 = 1.1;
-
 /// Work that an account had lately, and has waiting before a request, for its weight; in microseconds.
 type Start = u64;
 
@@ -163,13 +162,6 @@
     row.work.done(now, pool, rank) + elsewhere
 }
 
-fn asked(t: &Tables, now: Time, account: usize, pool: &str) -> f64 {
-    let row = t.accounts.get(account);
-    let told = t.told_work.of(now, t.settings.peer_stale, pool, &row.name);
-    let elsewhere: f64 = told.map(|w| w.asked).sum();
-    row.work.asked(now, pool) + elsewhere
-}
-
 fn start(t: &Tables, account: usize, secs: f64) -> Start {
     (secs * MICROS / t.accounts.get(account).weight) as Start
 }
@@ -210,10 +202,25 @@
     row.rank.max(last_rank(account))
 }
 
+/// Tells whether a request was put behind the lower tiers of other accounts.
+pub fn is_behind(row: &RequestRow) -> bool {
+    row.rank > row.declared_rank
+}
+
+/// Gives the rank in which a coordinator refused a request of this instance, which may have seen that
+/// its account had its share.
+pub fn rank_refused(t: &Tables, row: &RequestRow, reason: Reason) -> TierRank {
+    if reason != Reason::OverShare {
+        return row.rank;
+    }
+    let account = t.accounts.get(row.account).rank;
+    row.rank.max(last_rank(account))
+}
+
 /// Gives why a request is refused: its account is over its share, or there is too much of all.
 pub fn reason(t: &Tables, now: Time, id: RequestId) -> Reason {
     let row = t.requests.get(id);
-    let over = |r: &RequestRow| r.rank > r.declared_rank || is_over(t, now, r, OVER_PART);
+    let over = |r: &RequestRow| is_behind(r) || is_over(t, now, r, OVER_PART);
     if row.is_some_and(over) {
         Reason::OverShare
     } else {
@@ -231,116 +238,6 @@
     done(t, now, row) > level * account.weight * times
 }
 
-/// Takes anew what accounts may have of each pool, by what they asked for and had lately.
-pub fn set_levels(t: &mut Tables, now: Time) {
-    if !t.settings.account_shares {
-        return;
-    }
-    let mut levels = Levels::default();
-    for pool in pools(t) {
-        for rank in 0..=Account::MAX_RANK {
-            let standings = standings(t, now, &pool, rank);
-            if let Some(level) = level(&standings) {
-                levels.set(&pool, rank, level);
-            }
-        }
-    }
-    t.levels = levels;
-}
-
-fn pools(t: &Tables) -> BTreeSet<PoolId> {
-    let accounts = t.accounts.iter();
-    accounts
-        .flat_map(|(_, a)| a.work.pools())
-        .cloned()
-        .collect()
-}
-
-/// Gives the share for each unit of weight of those that ask for more; `None` where there is room.
-fn level(standings: &[Standing]) -> Option<f64> {
-    let done: f64 = standings.iter().map(|s| s.done).sum();
-    let asked: f64 = standings.iter().map(|s| s.asked).sum();
-    if asked <= done * SHORT_PART {
-        return None;
-    }
-    let levels = standings.iter().map(|s| s.share / s.weight);
-    levels.max_by(f64::total_cmp)
-}
-
-/// What an account asked for and had lately of a pool, and what its share is.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Standing {
-    /// Row of the account.
-    pub account: usize,
-    /// Its weight.
-    pub weight: f64,
-    /// Work asked for, in seconds.
-    pub asked: f64,
-    /// Work done, in seconds.
-    pub done: f64,
-    /// Its share of all that was done for accounts of its rank, by its weight and what it asks for.
-    pub share: f64,
-}
-
-/// Gives how the accounts of a rank stand that asked for work of a pool lately.
-#[must_use]
-pub fn standings(t: &Tables, now: Time, pool: &str, rank: AccountRank) -> Vec<Standing> {
-    let mut rows: Vec<Standing> = Vec::new();
-    for (at, account) in t.accounts.iter().filter(|(_, a)| a.rank == rank) {
-        let row = Standing {
-            account: at,
-            weight: account.weight,
-            asked: asked(t, now, at, pool),
-            done: done_up_to(t, now, at, pool, TierRank::MAX),
-            share: 0.0,
-        };
-        if row.asked.max(row.done) > 0.0 {
-            rows.push(row);
-        }
-    }
-    let room: f64 = rows.iter().map(|r| r.done).sum();
-    let ask = |r: &Standing| Ask {
-        weight: r.weight,
-        wants: r.asked.max(r.done),
-    };
-    let asks: Vec<Ask> = rows.iter().map(ask).collect();
-    for (row, share) in rows.iter_mut().zip(shares(room, &asks)) {
-        row.share = share;
-    }
-    rows
-}
-
-/// What one account asks for, and its weight.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Ask {
-    /// Weight.
-    pub weight: f64,
-    /// What it asks for.
-    pub wants: f64,
-}
-
-/// Divides `room` by weight; what one does not ask for goes to the others by theirs.
-///
-/// No account gets more than it asks for, all of the room is given where it is asked for, and no
-/// account gets less for its weight than another unless it asks for no more.
-#[must_use]
-pub fn shares(room: f64, asks: &[Ask]) -> Vec<f64> {
-    let mut by_need: Vec<usize> = (0..asks.len()).collect();
-    let need = |i: &usize| asks[*i].wants / asks[*i].weight;
-    by_need.sort_by(|a, b| need(a).total_cmp(&need(b)));
-    let mut left = room;
-    let mut weights: f64 = asks.iter().map(|a| a.weight).sum();
-    let mut parts = vec![0.0; asks.len()];
-    for i in by_need {
-        let ask = asks[i];
-        let even = left * ask.weight / weights.max(f64::MIN_POSITIVE);
-        parts[i] = ask.wants.min(even).max(0.0);
-        left -= parts[i];
-        weights -= ask.weight;
-    }
-    parts
-}
-
 /// Gives what accounts asked for and had here lately, the greatest first, to tell other groups.
 #[must_use]
 pub fn told(t: &Tables, now: Time) -> Vec<AccountWork> {
--- /dev/null
+++ b/crates/firdock-policy/src/system/fair/level.rs
@@ -0,0 +1,167 @@
+//! What accounts may have of each pool where its room is short, by weights and by what they ask for.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use firdock_core::resource::Account;
+use firdock_core::{PoolId, TierRank};
+
+use super::done_up_to;
+use crate::table::Tables;
+use crate::table::share::{AccountRank, Levels};
+use crate::time::Time;
+
+/// Part by which accounts have to ask for more than was done before room counts as short: what was
+/// asked within the last fifth of a second may still be on its way to an endpoint.
+const SHORT_PART: f64 = 1.1;
+
+/// Pause between two takings of levels: a tenth of the time in which what counts as lately fades.
+const LEVEL_PAUSE: Duration = Duration::from_millis(100);
+
+/// Takes anew what accounts may have of each pool, by what they asked for and had lately.
+pub fn set_levels(t: &mut Tables, now: Time) {
+    if !t.settings.account_shares || now < t.levels.taken + LEVEL_PAUSE {
+        return;
+    }
+    let mut levels = Levels::new(now);
+    for pool in pools(t) {
+        for rank in 0..=Account::MAX_RANK {
+            let standings = standings(t, now, &pool, rank);
+            if let Some(level) = level(&standings) {
+                levels.set(&pool, rank, level);
+            }
+        }
+    }
+    t.levels = levels;
+}
+
+/// How the accounts of one rank stand with a pool.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PoolStandings {
+    /// Pool.
+    pub pool: PoolId,
+    /// Whether its room is short for them.
+    pub short: bool,
+    /// The accounts.
+    pub rows: Vec<Standing>,
+}
+
+/// Gives how all accounts stand, by pool and rank; those without any are left out.
+#[must_use]
+pub fn all_standings(t: &Tables, now: Time) -> Vec<PoolStandings> {
+    let mut all = Vec::new();
+    for pool in pools(t) {
+        for rank in 0..=Account::MAX_RANK {
+            let rows = standings(t, now, &pool, rank);
+            if rows.is_empty() {
+                continue;
+            }
+            all.push(PoolStandings {
+                pool: pool.clone(),
+                short: t.levels.of(&pool, rank).is_some(),
+                rows,
+            });
+        }
+    }
+    all
+}
+
+fn pools(t: &Tables) -> BTreeSet<PoolId> {
+    let accounts = t.accounts.iter();
+    accounts
+        .flat_map(|(_, a)| a.work.pools())
+        .cloned()
+        .collect()
+}
+
+/// Gives the share for each unit of weight of those that ask for more; `None` where there is room.
+fn level(standings: &[Standing]) -> Option<f64> {
+    let done: f64 = standings.iter().map(|s| s.done).sum();
+    let asked: f64 = standings.iter().map(|s| s.asked).sum();
+    if asked <= done * SHORT_PART {
+        return None;
+    }
+    let levels = standings.iter().map(|s| s.share / s.weight);
+    levels.max_by(f64::total_cmp)
+}
+
+/// What an account asked for and had lately of a pool, and what its share is.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Standing {
+    /// Row of the account.
+    pub account: usize,
+    /// Its weight.
+    pub weight: f64,
+    /// Work asked for, in seconds.
+    pub asked: f64,
+    /// Work done, in seconds.
+    pub done: f64,
+    /// Its share of all that was done for accounts of its rank, by its weight and what it asks for.
+    pub share: f64,
+}
+
+/// Gives how the accounts of a rank stand that asked for work of a pool lately.
+fn standings(t: &Tables, now: Time, pool: &str, rank: AccountRank) -> Vec<Standing> {
+    let mut rows: Vec<Standing> = Vec::new();
+    for (at, account) in t.accounts.iter().filter(|(_, a)| a.rank == rank) {
+        let row = Standing {
+            account: at,
+            weight: account.weight,
+            asked: asked(t, now, at, pool),
+            done: done_up_to(t, now, at, pool, TierRank::MAX),
+            share: 0.0,
+        };
+        if row.asked.max(row.done) > 0.0 {
+            rows.push(row);
+        }
+    }
+    let room: f64 = rows.iter().map(|r| r.done).sum();
+    let ask = |r: &Standing| Ask {
+        weight: r.weight,
+        wants: r.asked.max(r.done),
+    };
+    let asks: Vec<Ask> = rows.iter().map(ask).collect();
+    for (row, share) in rows.iter_mut().zip(shares(room, &asks)) {
+        row.share = share;
+    }
+    rows
+}
+
+/// What one account asks for, and its weight.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Ask {
+    /// Weight.
+    pub weight: f64,
+    /// What it asks for.
+    pub wants: f64,
+}
+
+/// Divides `room` by weight; what one does not ask for goes to the others by theirs.
+///
+/// No account gets more than it asks for, all of the room is given where it is asked for, and no
+/// account gets less for its weight than another unless it asks for no more.
+#[must_use]
+pub fn shares(room: f64, asks: &[Ask]) -> Vec<f64> {
+    let mut by_need: Vec<usize> = (0..asks.len()).collect();
+    let need = |i: &usize| asks[*i].wants / asks[*i].weight;
+    by_need.sort_by(|a, b| need(a).total_cmp(&need(b)));
+    let mut left = room;
+    let mut weights: f64 = asks.iter().map(|a| a.weight).sum();
+    let mut parts = vec![0.0; asks.len()];
+    for i in by_need {
+        let ask = asks[i];
+        let even = left * ask.weight / weights.max(f64::MIN_POSITIVE);
+        parts[i] = ask.wants.min(even).max(0.0);
+        left -= parts[i];
+        weights -= ask.weight;
+    }
+    parts
+}
+
+/// Gives what an account asked of a pool lately, by all groups.
+fn asked(t: &Tables, now: Time, account: usize, pool: &str) -> f64 {
+    let row = t.accounts.get(account);
+    let told = t.told_work.of(now, t.settings.peer_stale, pool, &row.name);
+    let elsewhere: f64 = told.map(|w| w.asked).sum();
+    row.work.asked(now, pool) + elsewhere
+}
--- a/crates/firdock-policy/src/table/share.rs
+++ b/crates/firdock-policy/src/table/share.rs
@@ -7,7 +7,7 @@
 use std::iter;
 use std::time::Duration;
 
-use firdock_core::{PoolId, TierRank, ZoneId};
+use firdock_core::{AccountId, PoolId, TierRank, ZoneId};
 
 use crate::event::AccountWork;
 use crate::time::Time;
@@ -105,10 +105,13 @@
     }
 }
 
+/// What one group's lead told of accounts, by pool and account.
+type GroupRows = BTreeMap<PoolId, BTreeMap<AccountId, Vec<AccountWork>>>;
+
 /// What the leads of other groups told of the work that their groups' endpoints did.
 #[derive(Debug, Default)]
 pub struct ToldWork {
-    zones: BTreeMap<ZoneId, (Time, Vec<AccountWork>)>,
+    zones: BTreeMap<ZoneId, (Time, GroupRows)>,
 }
 
 impl ToldWork {
@@ -118,7 +121,12 @@
             // Those that are still there tell at the next heartbeat.
             self.zones.clear();
         }
-        self.zones.insert(zone, (now, work));
+        let mut rows = GroupRows::new();
+        for told in work {
+            let accounts = rows.entry(told.pool.clone()).or_default();
+            accounts.entry(told.account.clone()).or_default().push(told);
+        }
+        self.zones.insert(zone, (now, rows));
     }
 
     /// Goes over what other groups did for an account in a pool, as told within `age`.
@@ -133,8 +141,9 @@
         account: &'a str,
     ) -> impl Iterator<Item = &'a AccountWork> {
         let fresh = self.zones.values().filter(move |(at, _)| *at + age > now);
-        let told = fresh.flat_map(|(_, work)| work);
-        told.filter(move |w| w.pool == pool && w.account == account)
+        fresh
+            .filter_map(move |(_, rows)| rows.get(pool)?.get(account))
+            .flatten()
     }
 }
 
@@ -145,20 +154,26 @@
 #[derive(Debug, Default)]
 pub struct Levels {
     pools: BTreeMap<PoolId, BTreeMap<AccountRank, f64>>,
+    /// When they were taken.
+    pub taken: Time,
 }
 
 impl Levels {
+    /// Makes levels that are taken now: room is short nowhere yet.
+    #[must_use]
+    pub fn new(now: Time) -> Self {
+        Self {
+            taken: now,
+            ..Self::default()
+        }
+    }
+
     /// Puts a level in place of the last one.
     pub fn set(&mut self, pool: &str, rank: AccountRank, level: f64) {
         let ranks = self.pools.entry(pool.to_owned()).or_default();
         ranks.insert(rank, level);
     }
 
-    /// Forgets all levels: room is short nowhere.
-    pub fn clear(&mut self) {
-        self.pools.clear();
-    }
-
     /// Gives the level; `None` where there is room for all.
     #[must_use]
     pub fn of(&self, pool: &str, rank: AccountRank) -> Option<f64> {
--- a/crates/firdock-policy/tests/policy/shares.rs
+++ b/crates/firdock-policy/tests/policy/shares.rs
@@ -8,6 +8,11 @@
 mod load;
 mod parts;
 
+use firdock_core::{Outcome, Reason};
+use firdock_policy::{Action, Event, Verdict};
+
+use crate::edge::request;
+use crate::scene::id;
 use load::{Load, Wish, secs};
 
 /// Part of its share that an account is to keep whatever others ask for.
@@ -175,6 +180,37 @@
     }
 }
 
+/// While one beyond a share is held, no request of a higher tier is told that it has to go elsewhere; so
+/// it is not held past its target, from where on others wait until their callers leave.
+#[test]
+fn a_request_beyond_a_share_is_not_held_past_its_target() {
+    let mut load = Load::new(&flood());
+    load.run(secs(4));
+    assert!(load.is_refused_late("a0"));
+    assert!(!load.is_refused_late("a1"), "it is within its share");
+}
+
+/// A member does not see who is over his share: it goes by its coordinator's word, else requests beyond
+/// a share would be asked for again and again while the member holds one of a lower tier.
+#[test]
+fn a_member_gives_up_what_its_coordinator_refused_as_beyond_a_share() {
+    let wishes = [Wish::new("a0", 0.0), Wish::new("a1", 0.0)];
+    let refused = |reason| {
+        let mut member = load::member(&wishes);
+        member.arrive(request(1, "safe", "a0"));
+        member.arrive(request(2, "low", "a1"));
+        let verdict = Verdict {
+            outcome: Outcome::NotRun,
+            reason,
+            retry_after: None,
+        };
+        let told = member.step(Event::NotGranted(id(1), verdict));
+        told.iter().any(|a| matches!(a, Action::Answer { .. }))
+    };
+    assert!(refused(Reason::OverShare));
+    assert!(!refused(Reason::Overload), "a lower tier is held");
+}
+
 /// Without the setting, decisions are by rank and arrival: these are the figures of that order.
 #[test]
 fn without_shares_the_flood_is_served_by_arrival() {
--- a/crates/firdock-policy/tests/policy/shares/load.rs
+++ b/crates/firdock-policy/tests/policy/shares/load.rs
@@ -134,6 +134,15 @@
     all
 }
 
+/// An instance of the group whose coordinator answers.
+pub fn member(wishes: &[Wish]) -> Edge {
+    let mut settings = edge_settings("a");
+    settings.account_shares = true;
+    let mut edge = Edge::new(settings, catalog(wishes));
+    edge.step(Event::Coordinated(true));
+    edge
+}
+
 impl Load {
     pub fn new(wishes: &[Wish]) -> Self {
         Self::with_shares(wishes, true)
@@ -294,6 +303,23 @@
         self.refused.iter().filter(over).count()
     }
 
+    /// Tells whether a request that was held past its target before it came here is refused at once.
+    pub fn is_refused_late(&mut self, account: &str) -> bool {
+        let new = NewRequest {
+            age: millis(600),
+            ..request(self.next, "safe", account)
+        };
+        self.next += 1;
+        let id = new.id;
+        self.accounts.insert(id, account.to_owned());
+        self.services.insert(id, "safe");
+        let mut actions = self.edge.arrive(new);
+        actions.extend(self.edge.after(STEP));
+        self.note(&actions);
+        let refused = |a: &Action| matches!(a, Action::Answer { id: of, .. } if *of == id);
+        actions.iter().any(refused)
+    }
+
     /// What the group tells of the work that it placed.
     pub fn told(&self) -> Vec<AccountWork> {
         told_work(self.edge.scheduler.tables(), self.edge.now)
--- a/src/summary.rs
+++ b/src/summary.rs
@@ -21,6 +21,8 @@
 pub struct Summary {
     services: BTreeMap<String, Counts>,
     accounts: BTreeMap<String, Counts>,
+    /// How many times its share each account had at most.
+    shares: BTreeMap<String, f64>,
     periods: BTreeMap<u64, Counts>,
     left_out: Counts,
     store_calls: Counts,
@@ -53,6 +55,10 @@
                 .or_default() += count;
             return;
         }
+        if line.text("msg") == "account over its share" {
+            self.take_share(line);
+            return;
+        }
         self.starts.take(line);
         if line.text("msg") == "store called" {
             *self.store_calls.entry(store_call(line)).or_default() += 1;
@@ -69,6 +75,14 @@
             *counts.entry(end.clone()).or_default() += 1;
         }
     }
+
+    /// Notes how many times its share an account had.
+    fn take_share(&mut self, line: &Line) {
+        let secs = |field| line.number(field).unwrap_or_default();
+        let times = secs("done_secs") / secs("share_secs").max(f64::MIN_POSITIVE);
+        let most = self.shares.entry(named(line, "account")).or_default();
+        *most = most.max(times);
+    }
 }
 
 fn named(line: &Line, field: &str) -> String {
@@ -125,6 +139,18 @@
         let periods = self.periods.iter().map(|(p, counts)| (clock(p), counts));
         write_group(f, "by service", self.services.iter())?;
         write_group(f, "by account", self.accounts.iter())?;
+        if !self.shares.is_empty() {
+            writeln!(f, "over their shares")?;
+        }
+        for (account, times) in &self.shares {
+            let counts = self.accounts.get(account);
+            let refused = |reason| counts.and_then(|c| c.get(reason)).unwrap_or(&0);
+            let (over, within) = (refused("not-run over-share"), refused("not-run overload"));
+            writeln!(
+                f,
+                "  {account:<24} {times:>7.2}  times its share at most; refused over it {over}, within it {within}"
+            )?;
+        }
         write_group(f, "from", periods)?;
         if !self.store_calls.is_empty() {
             let rows = std::iter::once(("all", &self.store_calls));
--- a/tests/testsuite/explain.rs
+++ b/tests/testsuite/explain.rs
@@ -104,3 +104,30 @@
     assert!(text.contains(calls), "{text}");
     assert!(Summary::new(&[]).is_empty());
 }
+
+/// Whoever is refused is to see whether it was for his own account's load or for that of all.
+#[test]
+fn a_summary_tells_who_was_refused_against_his_share() {
+    let over = |done: f64| {
+        format!(
+            r#"{{"msg":"account over its share","ts":"2026-01-01T10:00:01.0Z","instance":"one","account":"large","done_secs":{done},"share_secs":2.0}}"#
+        )
+    };
+    let refused = |reason: &str| {
+        format!(
+            r#"{{"msg":"request given up","ts":"2026-01-01T10:00:02.0Z","instance":"one","service":"chat","account":"large","outcome":"not-run","reason":"{reason}"}}"#
+        )
+    };
+    let text = [
+        over(2.5),
+        over(3.0),
+        over(2.2),
+        refused("over-share"),
+        refused("over-share"),
+        refused("overload"),
+    ];
+    let lines: Vec<Line> = text.iter().filter_map(|l| Line::parse(l)).collect();
+    let text = Summary::new(&lines).to_string();
+    let row = "1.50  times its share at most; refused over it 2, within it 1";
+    assert!(text.contains(row), "{text}");
+}
