Shares over all tiers by a setting of its own; early refusal by what a rank and lower ones had

A request within its account's share was refused by arrivals of higher ranks that were refused themselves; the pace is now what the rank and all lower ones had.

--- a/crates/firdock-core/src/settings/check.rs
+++ b/crates/firdock-core/src/settings/check.rs
@@ -117,6 +117,12 @@
         positive(l.body_bytes as u64, "limits.body_bytes", found);
         positive(l.body_millis, "limits.body_millis", found);
         positive(l.max_held as u64, "limits.max_held", found);
+        require(
+            l.account_shares || !l.shares_over_tiers,
+            "limits.shares_over_tiers",
+            "needs limits.account_shares",
+            found,
+        );
         let room = l.held_bytes >= l.body_bytes;
         require(
             room,
--- a/crates/firdock-core/src/settings/tables.rs
+++ b/crates/firdock-core/src/settings/tables.rs
@@ -166,6 +166,9 @@
     /// Whether accounts have shares by their weights of what endpoints do where room is short, so that
     /// refusals go to those that are furthest over theirs.
     pub account_shares: bool,
+    /// Whether an account's share is one over all its tiers, so that no flood of a high tier takes what
+    /// others have of lower ones; else each tier is shared by itself, the higher first.
+    pub shares_over_tiers: bool,
 }
 
 impl Default for Limits {
@@ -180,6 +183,7 @@
             held_bytes: 64 << 20,
             stop_seconds: 600,
             account_shares: false,
+            shares_over_tiers: false,
         }
     }
 }
--- a/crates/firdock-core/tests/core/settings.rs
+++ b/crates/firdock-core/tests/core/settings.rs
@@ -28,6 +28,17 @@
     assert_eq!(format!("{found}\n"), expected);
 }
 
+#[test]
+fn a_share_over_tiers_needs_shares() {
+    let with = |shares: &str| {
+        let lines = format!("max_held = 500\n{shares}shares_over_tiers = true");
+        Settings::parse(&GOOD.replace("max_held = 500", &lines))
+    };
+    assert!(with("account_shares = true\n").is_ok());
+    let found = with("").expect_err("a finding");
+    assert_eq!(found.as_slice()[0].path, "limits.shares_over_tiers");
+}
+
 #[test]
 fn an_empty_file_lacks_what_is_needed() {
     let found = Settings::parse("").expect_err("findings");
--- a/crates/firdock-policy/src/settings.rs
+++ b/crates/firdock-policy/src/settings.rs
@@ -114,6 +114,8 @@
     pub coordinates: bool,
     /// Whether accounts have shares of what endpoints do (`docs/design/shares.md`).
     pub account_shares: bool,
+    /// Whether a share is one over all tiers of an account.
+    pub shares_over_tiers: bool,
 }
 
 impl PolicySettings {
@@ -142,6 +144,7 @@
             mechanisms: Mechanisms::ALL,
             coordinates: false,
             account_shares: settings.limits.account_shares,
+            shares_over_tiers: settings.limits.shares_over_tiers,
         }
     }
 
--- a/crates/firdock-policy/src/system/early.rs
+++ b/crates/firdock-policy/src/system/early.rs
@@ -52,7 +52,12 @@
     if age > target {
         return fair::is_behind(row);
     }
-    let Some(pace) = t.paces.left_to(row.pool_key(), row.rank) else {
+    let pace = if t.settings.account_shares {
+        t.paces.had_from(row.pool_key(), row.rank)
+    } else {
+        t.paces.left_to(row.pool_key(), row.rank)
+    };
+    let Some(pace) = pace else {
         return false;
     };
     let wait = age.as_secs_f64() + f64::from(before) / pace.max(LEAST_PACE);
--- a/crates/firdock-policy/src/system/fair.rs
+++ b/crates/firdock-policy/src/system/fair.rs
@@ -195,7 +195,7 @@
 #[must_use]
 pub fn rank(t: &Tables, now: Time, row: &RequestRow) -> TierRank {
     let waits = t.coordinated && !t.settings.coordinates;
-    if waits || !is_over(t, now, row, 1.0) {
+    if waits || !t.settings.shares_over_tiers || !is_over(t, now, row, 1.0) {
         return row.rank;
     }
     let account = t.accounts.get(row.account).rank;
@@ -210,7 +210,7 @@
 /// Gives the rank in which a coordinator refused a request of this instance, which may have seen that
 /// its account had its share.
 pub fn rank_refused(t: &Tables, row: &RequestRow, reason: Reason) -> TierRank {
-    if reason != Reason::OverShare {
+    if reason != Reason::OverShare || !t.settings.shares_over_tiers {
         return row.rank;
     }
     let account = t.accounts.get(row.account).rank;
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -351,7 +351,7 @@
     row.resumed_from = row.delivered;
     row.failed = false;
     t.stats.dispatches += 1;
-    t.paces.note(row.pool_key());
+    t.paces.note(row.pool_key(), row.rank);
     t.retries.earn(row.pool_key(), &t.settings, most);
     out.push(Action::Dispatch(Dispatch {
         id,
--- a/crates/firdock-policy/src/table/pace.rs
+++ b/crates/firdock-policy/src/table/pace.rs
@@ -23,12 +23,16 @@
     rate: f64,
     arrived: [u32; RANKS],
     arrivals: [f64; RANKS],
+    sent: [u32; RANKS],
+    sends: [f64; RANKS],
 }
 
 impl Paces {
     /// Notes a dispatch.
-    pub fn note(&mut self, pool: &str) {
-        self.pool(pool).dispatched += 1;
+    pub fn note(&mut self, pool: &str, rank: TierRank) {
+        let pool = self.pool(pool);
+        pool.dispatched += 1;
+        pool.sent[usize::from(rank)] += 1;
     }
 
     /// Notes an arrival.
@@ -47,6 +51,9 @@
             for (rate, arrived) in pace.arrivals.iter_mut().zip(&mut pace.arrived) {
                 smooth(rate, arrived, secs);
             }
+            for (rate, sent) in pace.sends.iter_mut().zip(&mut pace.sent) {
+                smooth(rate, sent, secs);
+            }
         }
     }
 
@@ -61,6 +68,21 @@
     }
 }
 
+impl Paces {
+    /// Gives the dispatches a second that a rank and all lower ones have; `None` where nothing was seen.
+    ///
+    /// All of them are left to the rank where lower ones are behind it in truth. What of higher ranks
+    /// arrives and is refused takes nothing from it.
+    #[must_use]
+    pub fn had_from(&self, pool: &str, rank: TierRank) -> Option<f64> {
+        let pace = self.pools.get(pool)?;
+        let at = usize::from(rank);
+        let smoothed: f64 = pace.sends[at..].iter().sum();
+        let counted: u32 = pace.sent[at..].iter().sum();
+        Some(smoothed.max(f64::from(counted)))
+    }
+}
+
 /// Takes the count of a period of `secs` seconds into a smoothed rate, and begins the next count.
 pub fn smooth(rate: &mut f64, count: &mut u32, secs: f64) {
     *rate += WEIGHT * (f64::from(*count) / secs - *rate);
--- a/crates/firdock-policy/tests/policy/shares.rs
+++ b/crates/firdock-policy/tests/policy/shares.rs
@@ -158,10 +158,8 @@
     }
 }
 
-/// Most of the work of a flood is of the highest tier, where there is room for all of it. Other accounts
-/// keep what they have of the lower tier all the same, and their own higher tier goes first.
-#[test]
-fn a_flood_of_a_high_tier_takes_nothing_of_what_others_have_of_lower_ones() {
+/// Eight accounts with requests of two tiers; the first floods the higher one.
+fn tiers() -> Vec<Wish> {
     let mut wishes: Vec<Wish> = (0..8).map(|n| Wish::new(&format!("a{n}"), 4.0)).collect();
     wishes[0].rate = 70.0;
     for n in 0..8 {
@@ -169,7 +167,28 @@
         low.service = "low";
         wishes.push(low);
     }
-    let mut load = Load::new(&wishes);
+    wishes
+}
+
+/// Without a share over all tiers, the higher goes first whoever asks for it: others have all that they
+/// ask of it, and the flood the rest of the 80 a second.
+#[test]
+fn each_tier_is_shared_by_itself_unless_the_share_is_over_all() {
+    let mut load = Load::by_tier(&tiers());
+    load.run(secs(8));
+    for n in 1..8 {
+        let high = load.served_high(&format!("a{n}"), secs(4));
+        assert!(high >= 15.0, "a{n}: {high} of 16");
+    }
+    let flood = load.served_high("a0", secs(4));
+    assert!(flood >= KEPT * 4.0 * (80.0 - 7.0 * 4.0), "{flood}");
+}
+
+/// Most of the work of a flood is of the highest tier, where there is room for all of it. Other accounts
+/// keep what they have of the lower tier all the same, and their own higher tier goes first.
+#[test]
+fn a_flood_of_a_high_tier_takes_nothing_of_what_others_have_of_lower_ones() {
+    let mut load = Load::new(&tiers());
     load.run(secs(8));
     let even = load.served_all(secs(4)) / 8.0;
     for n in 1..8 {
--- a/crates/firdock-policy/tests/policy/shares/load.rs
+++ b/crates/firdock-policy/tests/policy/shares/load.rs
@@ -138,6 +138,7 @@
 pub fn member(wishes: &[Wish]) -> Edge {
     let mut settings = edge_settings("a");
     settings.account_shares = true;
+    settings.shares_over_tiers = true;
     let mut edge = Edge::new(settings, catalog(wishes));
     edge.step(Event::Coordinated(true));
     edge
@@ -145,16 +146,22 @@
 
 impl Load {
     pub fn new(wishes: &[Wish]) -> Self {
-        Self::with_shares(wishes, true)
+        Self::with_shares(wishes, true, true)
     }
 
     pub fn without_shares(wishes: &[Wish]) -> Self {
-        Self::with_shares(wishes, false)
+        Self::with_shares(wishes, false, false)
     }
 
-    fn with_shares(wishes: &[Wish], shares: bool) -> Self {
+    /// Shares each tier by itself.
+    pub fn by_tier(wishes: &[Wish]) -> Self {
+        Self::with_shares(wishes, true, false)
+    }
+
+    fn with_shares(wishes: &[Wish], shares: bool, over_tiers: bool) -> Self {
         let mut settings = edge_settings("a").with_coordination();
         settings.account_shares = shares;
+        settings.shares_over_tiers = over_tiers;
         let edge = Edge::new(settings, catalog(wishes));
         Self {
             begun: edge.now,
