--- a/crates/firdock-core/tests/core/settings.rs
+++ b/crates/firdock-core/tests/core/settings.rs
@@ -34,7 +34,8 @@
         let lines = format!("max_held = 500\n{shares}shares_over_tiers = true");
         Settings::parse(&GOOD.replace("max_held = 500", &lines))
     };
-    assert!(with("account_shares = true\n").is_ok());
+    let settings = with("account_shares = true\n").expect("no findings");
+    assert!(settings.limits.shares_over_tiers);
     let found = with("").expect_err("a finding");
     assert_eq!(found.as_slice()[0].path, "limits.shares_over_tiers");
 }
--- a/crates/firdock-node/src/telemetry/shares.rs
+++ b/crates/firdock-node/src/telemetry/shares.rs
@@ -39,7 +39,7 @@
 
     /// Looks at the tables of a coordinator, where its accounts have shares and a look is due.
     pub fn note(&mut self, now: Time, t: &Tables) {
-        if !t.settings.account_shares || now < self.looked + PAUSE {
+        if !t.settings.account_shares.is_on() || now < self.looked + PAUSE {
             return;
         }
         self.looked = now;
--- a/crates/firdock-policy/src/lib.rs
+++ b/crates/firdock-policy/src/lib.rs
@@ -25,6 +25,6 @@
 pub use event::Event;
 pub use request::{KeyClaim, NewRequest, Origin, Verdict};
 pub use scheduler::{Policy, Scheduler};
-pub use settings::{Mechanisms, PolicySettings};
+pub use settings::{AccountShares, Mechanisms, PolicySettings};
 pub use stats::{RefusalKey, Stats, WasteCause};
 pub use time::{LogTime, Time};
--- a/crates/firdock-policy/src/settings.rs
+++ b/crates/firdock-policy/src/settings.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use firdock_core::ZoneId;
-use firdock_core::settings::{Rollouts, Settings};
+use firdock_core::settings::{Limits, Rollouts, Settings};
 use uuid::Uuid;
 
 use crate::event::Member;
@@ -74,6 +74,42 @@
     };
 }
 
+/// Shares of accounts where room is short (`docs/design/shares.md`).
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum AccountShares {
+    /// None: it goes by tier and arrival alone.
+    #[default]
+    Off,
+    /// Of each tier by itself.
+    ByTier,
+    /// Over all tiers of the accounts of a rank.
+    OverTiers,
+}
+
+impl AccountShares {
+    /// Takes them from the instance's settings.
+    #[must_use]
+    pub fn new(limits: &Limits) -> Self {
+        match (limits.account_shares, limits.shares_over_tiers) {
+            (false, _) => Self::Off,
+            (true, false) => Self::ByTier,
+            (true, true) => Self::OverTiers,
+        }
+    }
+
+    /// Tells whether accounts have any.
+    #[must_use]
+    pub fn is_on(self) -> bool {
+        self != Self::Off
+    }
+
+    /// Tells whether they are over all tiers.
+    #[must_use]
+    pub fn is_over_tiers(self) -> bool {
+        self == Self::OverTiers
+    }
+}
+
 /// Bounds of the policy, taken from the instance's settings.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PolicySettings {
@@ -112,10 +148,8 @@
     /// Whether these tables place requests of other instances on engines (`docs/design/placement.md`):
     /// limits and second tries are charged where a request came in.
     pub coordinates: bool,
-    /// Whether accounts have shares of what endpoints do (`docs/design/shares.md`).
-    pub account_shares: bool,
-    /// Whether a share is one over all tiers of an account.
-    pub shares_over_tiers: bool,
+    /// Which shares accounts have of what endpoints do.
+    pub account_shares: AccountShares,
 }
 
 impl PolicySettings {
@@ -143,8 +177,7 @@
             rollouts: settings.rollouts,
             mechanisms: Mechanisms::ALL,
             coordinates: false,
-            account_shares: settings.limits.account_shares,
-            shares_over_tiers: settings.limits.shares_over_tiers,
+            account_shares: AccountShares::new(&settings.limits),
         }
     }
 
--- a/crates/firdock-policy/src/system/end.rs
+++ b/crates/firdock-policy/src/system/end.rs
@@ -143,7 +143,7 @@
 /// Counts by account what was refused for load, where accounts have shares.
 fn count_refusal(t: &mut Tables, row: &RequestRow, reason: Reason) {
     let over = reason == Reason::OverShare;
-    if !t.settings.account_shares || !(over || reason == Reason::Overload) {
+    if !t.settings.account_shares.is_on() || !(over || reason == Reason::Overload) {
         return;
     }
     t.stats.count_refusal(RefusalKey {
--- a/crates/firdock-policy/src/system/fair.rs
+++ b/crates/firdock-policy/src/system/fair.rs
@@ -54,7 +54,7 @@
     now: Time,
     mut held: Vec<&'a RequestRow>,
 ) -> Vec<&'a RequestRow> {
-    if !t.settings.account_shares {
+    if !t.settings.account_shares.is_on() {
         held.sort_by_key(|r| order(r, 0));
         return held;
     }
@@ -92,7 +92,7 @@
 
 /// Notes at a dispatch the work that its endpoint will do.
 pub fn charge(t: &mut Tables, now: Time, id: RequestId) {
-    if !t.settings.account_shares {
+    if !t.settings.account_shares.is_on() {
         return;
     }
     let Some(row) = t.requests.get(id) else {
@@ -179,7 +179,11 @@
 /// tiers as high and higher counts. Else a flood of a high tier would take all that others have of
 /// lower ones.
 pub fn arrived(t: &mut Tables, now: Time, id: RequestId) {
-    let Some(row) = t.requests.get(id).filter(|_| t.settings.account_shares) else {
+    let Some(row) = t
+        .requests
+        .get(id)
+        .filter(|_| t.settings.account_shares.is_on())
+    else {
         return;
     };
     let secs = work(t, row);
@@ -195,7 +199,7 @@
 #[must_use]
 pub fn rank(t: &Tables, now: Time, row: &RequestRow) -> TierRank {
     let waits = t.coordinated && !t.settings.coordinates;
-    if waits || !t.settings.shares_over_tiers || !is_over(t, now, row, 1.0) {
+    if waits || !t.settings.account_shares.is_over_tiers() || !is_over(t, now, row, 1.0) {
         return row.rank;
     }
     let account = t.accounts.get(row.account).rank;
@@ -210,7 +214,7 @@
 /// Gives the rank in which a coordinator refused a request of this instance, which may have seen that
 /// its account had its share.
 pub fn rank_refused(t: &Tables, row: &RequestRow, reason: Reason) -> TierRank {
-    if reason != Reason::OverShare || !t.settings.shares_over_tiers {
+    if reason != Reason::OverShare || !t.settings.account_shares.is_over_tiers() {
         return row.rank;
     }
     let account = t.accounts.get(row.account).rank;
@@ -232,7 +236,7 @@
 fn is_over(t: &Tables, now: Time, row: &RequestRow, times: f64) -> bool {
     let account = t.accounts.get(row.account);
     let level = t.levels.of(row.pool_key(), account.rank);
-    let Some(level) = level.filter(|_| t.settings.account_shares) else {
+    let Some(level) = level.filter(|_| t.settings.account_shares.is_on()) else {
         return false;
     };
     done(t, now, row) > level * account.weight * times
@@ -241,7 +245,7 @@
 /// Gives what accounts asked for and had here lately, the greatest first, to tell other groups.
 #[must_use]
 pub fn told(t: &Tables, now: Time) -> Vec<AccountWork> {
-    if !t.settings.account_shares {
+    if !t.settings.account_shares.is_on() {
         return Vec::new();
     }
     let accounts = t.accounts.iter();
--- a/crates/firdock-policy/src/system/fair/level.rs
+++ b/crates/firdock-policy/src/system/fair/level.rs
@@ -20,7 +20,7 @@
 
 /// Takes anew what accounts may have of each pool, by what they asked for and had lately.
 pub fn set_levels(t: &mut Tables, now: Time) {
-    if !t.settings.account_shares || now < t.levels.taken + LEVEL_PAUSE {
+    if !t.settings.account_shares.is_on() || now < t.levels.taken + LEVEL_PAUSE {
         return;
     }
     let mut levels = Levels::new(now);
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -52,7 +52,7 @@
         if t.requests.held_by_rank()[usize::from(rank)] == 0 {
             continue;
         }
-        if t.settings.account_shares {
+        if t.settings.account_shares.is_on() {
             shared::run(t, now, rank, out);
         } else {
             run_tier(t, now, rank, out);
--- a/crates/firdock-policy/src/system/shed.rs
+++ b/crates/firdock-policy/src/system/shed.rs
@@ -68,7 +68,7 @@
 
 /// Picks from the account that holds most for its share, in the lowest tier: late ones first.
 fn victim(t: &Tables, now: Time) -> Option<RequestId> {
-    if t.settings.account_shares {
+    if t.settings.account_shares.is_on() {
         return fair::furthest_over(t, now);
     }
     let rank = t.requests.lowest_held()?;
--- a/crates/firdock-policy/tests/policy/shares/load.rs
+++ b/crates/firdock-policy/tests/policy/shares/load.rs
@@ -7,7 +7,7 @@
 use firdock_core::RequestId;
 use firdock_core::resource::{Account, Endpoint, Resource, Service, Tier};
 use firdock_policy::event::{AccountWork, DispatchNews, EndpointEvent, GroupWork};
-use firdock_policy::{Action, Event, NewRequest, Time, told_work};
+use firdock_policy::{AccountShares, Action, Event, NewRequest, Time, told_work};
 
 use crate::edge::{Edge, edge_settings, request, resources};
 use crate::scene::millis;
@@ -137,8 +137,7 @@
 /// An instance of the group whose coordinator answers.
 pub fn member(wishes: &[Wish]) -> Edge {
     let mut settings = edge_settings("a");
-    settings.account_shares = true;
-    settings.shares_over_tiers = true;
+    settings.account_shares = AccountShares::OverTiers;
     let mut edge = Edge::new(settings, catalog(wishes));
     edge.step(Event::Coordinated(true));
     edge
@@ -146,22 +145,21 @@
 
 impl Load {
     pub fn new(wishes: &[Wish]) -> Self {
-        Self::with_shares(wishes, true, true)
+        Self::with_shares(wishes, AccountShares::OverTiers)
     }
 
     pub fn without_shares(wishes: &[Wish]) -> Self {
-        Self::with_shares(wishes, false, false)
+        Self::with_shares(wishes, AccountShares::Off)
     }
 
     /// Shares each tier by itself.
     pub fn by_tier(wishes: &[Wish]) -> Self {
-        Self::with_shares(wishes, true, false)
+        Self::with_shares(wishes, AccountShares::ByTier)
     }
 
-    fn with_shares(wishes: &[Wish], shares: bool, over_tiers: bool) -> Self {
+    fn with_shares(wishes: &[Wish], shares: AccountShares) -> Self {
         let mut settings = edge_settings("a").with_coordination();
         settings.account_shares = shares;
-        settings.shares_over_tiers = over_tiers;
         let edge = Edge::new(settings, catalog(wishes));
         Self {
             begun: edge.now,
