--- a/crates/firdock-core/src/settings/tables.rs
+++ b/crates/firdock-core/src/settings/tables.rs
@@ -59,6 +59,8 @@
     pub list_millis: u64,
     /// How long the log keeps records, in seconds.
     pub retention_seconds: u64,
+    /// Names of the parts of the platform's rules that are in force; its adapter knows them.
+    pub contracts: Vec<String>,
 }
 
 impl Default for Platform {
@@ -70,6 +72,7 @@
             read_millis: 500,
             list_millis: 1_000,
             retention_seconds: 3_600,
+            contracts: Vec::new(),
         }
     }
 }
@@ -163,6 +166,12 @@
     pub answer_bytes: usize,
     /// Seconds that a stop waits for streams to finish.
     pub stop_seconds: u64,
+    /// Whether accounts have shares by their weights of what endpoints do where room is short, so that
+    /// refusals go to those that are furthest over theirs.
+    pub account_shares: bool,
+    /// Whether an account's share is one over all its tiers, so that no flood of a high tier takes what
+    /// others have of lower ones; else each tier is shared by itself, the higher first.
+    pub shares_over_tiers: bool,
 }
 
 impl Default for Limits {
@@ -177,6 +186,8 @@
             held_bytes: 64 << 20,
             answer_bytes: 0,
             stop_seconds: 600,
+            account_shares: false,
+            shares_over_tiers: false,
         }
     }
 }
--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -32,7 +32,7 @@
 use crate::source::WantedRecords;
 use crate::telemetry::decisions::{LastSent, Story};
 use crate::telemetry::restarts;
-use crate::telemetry::{Beliefs, Decisions, LineBudget, Metrics, RolloutSteps};
+use crate::telemetry::{Beliefs, Decisions, LineBudget, Metrics, RolloutSteps, ShareLines};
 
 /// Pause between two runs of the timed systems.
 const TICK: Duration = Duration::from_millis(25);
@@ -85,6 +85,7 @@
     decisions: Decisions,
     beliefs: Beliefs,
     steps: RolloutSteps,
+    shares: ShareLines,
     placement: Option<Placement>,
 }
 
@@ -118,6 +119,7 @@
         let decisions = Decisions::new(parts.log.clone(), Arc::clone(&parts.lines));
         let beliefs = Beliefs::new(parts.log.clone(), Arc::clone(&parts.lines));
         let steps = RolloutSteps::new(parts.log.clone());
+        let shares = ShareLines::new(parts.log.clone(), Arc::clone(&parts.metrics));
         Self {
             scheduler,
             parts,
@@ -127,6 +129,7 @@
             decisions,
             beliefs,
             steps,
+            shares,
             placement: None,
         }
     }
@@ -259,6 +262,9 @@
             self.scheduler.check_invariants(now);
             if let Some(placement) = &self.placement {
                 placement.check_invariants(now);
+                self.shares.note(now, placement.tables());
+            } else {
+                self.shares.note(now, self.scheduler.tables());
             }
             self.beliefs.note(now, self.scheduler.tables());
             self.publish();
@@ -300,7 +306,10 @@
         }
         let held: Vec<(String, u32)> = held.into_iter().collect();
         self.parts.metrics.publish(&t.stats, t.version, &held);
-        let news = SelfNews::new(t, self.parts.clock.now());
+        let now = self.parts.clock.now();
+        let placement = self.placement.as_ref();
+        let work = placement.map_or_else(Vec::new, |p| p.work(now));
+        let news = SelfNews::new(t, now).with_work(work);
         self.parts.news.send_replace(news);
         self.parts.room.tend();
     }
--- a/crates/firdock-node/src/placement/coordinator.rs
+++ b/crates/firdock-node/src/placement/coordinator.rs
@@ -202,6 +202,12 @@
         endpoints.find(name).map(|at| endpoints.get(at))
     }
 
+    /// Gives the tables, to read.
+    #[must_use]
+    pub fn tables(&self) -> &Tables {
+        self.scheduler.tables()
+    }
+
     /// Checks everything that must hold between tables.
     ///
     /// # Panics
--- a/crates/firdock-node/src/telemetry.rs
+++ b/crates/firdock-node/src/telemetry.rs
@@ -8,6 +8,7 @@
 pub mod metrics;
 pub mod restarts;
 pub mod rollouts;
+pub mod shares;
 pub mod trace;
 
 pub use beliefs::Beliefs;
@@ -17,4 +18,5 @@
 pub use log::{Level, LogGuard, logger, silent};
 pub use metrics::Metrics;
 pub use rollouts::RolloutSteps;
+pub use shares::ShareLines;
 pub use trace::{Span, TraceContext};
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -5,7 +5,9 @@
 
 use firdock_core::prefix::BlockHash;
 use firdock_core::resource::Catalog;
-use firdock_core::{AccountId, EndpointId, InstanceId, PoolId, RequestId, StartId, ZoneId};
+use firdock_core::{
+    AccountId, EndpointId, InstanceId, PoolId, RequestId, StartId, TierRank, ZoneId,
+};
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
@@ -50,6 +52,8 @@
     PeersKnown(usize),
     /// The lead of another group told of its demand.
     GroupDemand(GroupDemand),
+    /// The lead of another group told what its endpoints did for accounts.
+    GroupWork(GroupWork),
     /// The leads of all groups hear so many instances, this one among them.
     Reach(usize),
     /// The configuration in force was the newest at this time.
@@ -319,6 +323,30 @@
     pub demand: Vec<PoolDemand>,
 }
 
+/// What the endpoints of one group did lately for accounts.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct GroupWork {
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Work by pool and account.
+    pub work: Vec<AccountWork>,
+}
+
+/// What one account asked for and had of one pool lately, in requests of one rank.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct AccountWork {
+    /// Account.
+    pub account: AccountId,
+    /// Pool.
+    pub pool: PoolId,
+    /// Declared rank of the requests.
+    pub rank: TierRank,
+    /// Work that was asked for, in seconds that it takes on an endpoint as declared.
+    pub asked: f64,
+    /// Work that is done, likewise.
+    pub done: f64,
+}
+
 /// What the instances of one availability zone saw of roll-outs.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct GroupEvidence {
--- a/crates/firdock-policy/src/lib.rs
+++ b/crates/firdock-policy/src/lib.rs
@@ -15,8 +15,10 @@
 pub mod settings;
 pub mod stats;
 mod system;
+pub use system::fair::{Ask, PoolStandings, Standing, all_standings, shares};
 pub use system::{
-    demand::by_pool as pool_demand, limit::used as used_limits, rollout::told as told_rollouts,
+    demand::by_pool as pool_demand, fair::told as told_work, limit::used as used_limits,
+    rollout::told as told_rollouts,
 };
 pub mod table;
 pub mod time;
@@ -25,6 +27,6 @@
 pub use event::Event;
 pub use request::{KeyClaim, NewRequest, Origin, Verdict};
 pub use scheduler::{Policy, Scheduler};
-pub use settings::{Mechanisms, PolicySettings};
-pub use stats::{Stats, WasteCause};
+pub use settings::{AccountShares, Mechanisms, PolicySettings};
+pub use stats::{RefusalKey, Stats, WasteCause};
 pub use time::{LogTime, Time};
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -133,8 +133,10 @@
     pub service: usize,
     /// Row of its account.
     pub account: usize,
-    /// Rank of its tier at arrival.
+    /// Rank in which it is served: the declared one, or a later one where its account had its share.
     pub rank: u8,
+    /// Rank by its account and tier at arrival.
+    pub declared_rank: u8,
     /// When it arrived.
     pub arrived: Time,
     /// Pool that it goes to, of a service that splits its requests.
@@ -173,6 +175,8 @@
     pub uncached: u32,
     /// Prompt tokens that its endpoint computes before its first token, as estimated.
     pub work: f64,
+    /// Work that its account was charged for the present dispatch, in seconds; 0 without shares.
+    pub charged_work: f64,
     /// Predicted time to the first token of the present dispatch.
     pub predicted: Time,
     /// Tokens that had reached the caller before the present dispatch.
@@ -193,6 +197,7 @@
             service,
             account,
             rank,
+            declared_rank: rank,
             arrived: now,
             tried_for: Duration::ZERO,
             pool: None,
@@ -213,6 +218,7 @@
             first: None,
             uncached: 0,
             work: 0.0,
+            charged_work: 0.0,
             predicted: Time::ZERO,
             resumed_from: 0,
             failed: false,
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -4,8 +4,8 @@
 use crate::event::Event;
 use crate::settings::PolicySettings;
 use crate::system::{
-    admit, check, config, coordinate, demand, drain, early, expire, handover, health, key, limit,
-    news, paced, place, rollout, share, shed,
+    admit, check, config, coordinate, demand, drain, early, expire, fair, handover, health, key,
+    limit, news, paced, place, rollout, share, shed,
 };
 use crate::table::{Reach, Tables};
 use crate::time::Time;
@@ -65,6 +65,7 @@
             Event::PeerLost(name) => handover::peer_lost(t, &name),
             Event::PeersKnown(count) => t.known_peers = Some(count),
             Event::GroupDemand(group) => t.groups.take(now, group),
+            Event::GroupWork(group) => t.told_work.take(now, group.zone, group.work),
             Event::Reach(count) => t.reach = Some(Reach { at: now, count }),
             Event::Fresh(at) => t.fresh_at = t.fresh_at.max(Some(at)),
             Event::Coordinated(answers) => coordinate::set(t, now, answers),
@@ -86,6 +87,7 @@
                 expire::end_impatient(t, now, out);
                 expire::put_late_last(t, now);
                 expire::run(t, now, out);
+                fair::set_levels(t, now);
                 early::run(t, now, out);
                 rollout::run(t, now, out);
             }
--- a/crates/firdock-policy/src/settings.rs
+++ b/crates/firdock-policy/src/settings.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use firdock_core::ZoneId;
-use firdock_core::settings::{Rollouts, Settings};
+use firdock_core::settings::{Limits, Rollouts, Settings};
 use uuid::Uuid;
 
 use crate::event::Member;
@@ -74,6 +74,42 @@
     };
 }
 
+/// Shares of accounts where room is short (`docs/design/shares.md`).
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum AccountShares {
+    /// None: it goes by tier and arrival alone.
+    #[default]
+    Off,
+    /// Of each tier by itself.
+    ByTier,
+    /// Over all tiers of the accounts of a rank.
+    OverTiers,
+}
+
+impl AccountShares {
+    /// Takes them from the instance's settings.
+    #[must_use]
+    pub fn new(limits: &Limits) -> Self {
+        match (limits.account_shares, limits.shares_over_tiers) {
+            (false, _) => Self::Off,
+            (true, false) => Self::ByTier,
+            (true, true) => Self::OverTiers,
+        }
+    }
+
+    /// Tells whether accounts have any.
+    #[must_use]
+    pub fn is_on(self) -> bool {
+        self != Self::Off
+    }
+
+    /// Tells whether they are over all tiers.
+    #[must_use]
+    pub fn is_over_tiers(self) -> bool {
+        self == Self::OverTiers
+    }
+}
+
 /// Bounds of the policy, taken from the instance's settings.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PolicySettings {
@@ -115,6 +151,8 @@
     /// Unix time at which this process's clock stood at zero, by which the starts that endpoints tell
     /// are dated; `None` where it is not known.
     pub unix_zero: Option<Duration>,
+    /// Which shares accounts have of what endpoints do.
+    pub account_shares: AccountShares,
 }
 
 impl PolicySettings {
@@ -143,6 +181,7 @@
             mechanisms: Mechanisms::ALL,
             coordinates: false,
             unix_zero: None,
+            account_shares: AccountShares::new(&settings.limits),
         }
     }
 
--- a/crates/firdock-policy/src/system/coordinate.rs
+++ b/crates/firdock-policy/src/system/coordinate.rs
@@ -8,7 +8,7 @@
 
 use firdock_core::{RequestId, StartId};
 
-use super::{admit, end, place, rollout, share};
+use super::{admit, end, fair, place, rollout, share};
 use crate::action::Action;
 use crate::event::Grant;
 use crate::request::{NewRequest, Phase, Placing, RequestRow, Verdict};
@@ -92,7 +92,9 @@
     let Some(row) = t.requests.get(id).filter(|r| r.phase == Phase::Held) else {
         return;
     };
-    if t.requests.holds_below(row.rank) {
+    if t.requests
+        .holds_below(fair::rank_refused(t, row, verdict.reason))
+    {
         return;
     }
     let service = row.service;
@@ -115,6 +117,7 @@
     admit::insert(t, now, new, service, account, 0.0);
     end::set_phase(t, id, Phase::Running(at), false);
     t.endpoints.get_mut(at).running += 1;
+    fair::charge(t, now, id);
     if let Some(row) = t.requests.get_mut(id) {
         row.dispatch = 1;
         row.runs = 1;
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -18,6 +18,7 @@
 pub mod rollout;
 pub mod rows;
 pub mod service;
+pub mod share;
 pub mod transfer;
 pub mod view;
 
@@ -92,6 +93,10 @@
     pub known_peers: Option<usize>,
     /// Demand of other groups, as their leads tell.
     pub groups: group::Groups,
+    /// Work that other groups did for accounts, as their leads tell.
+    pub told_work: share::ToldWork,
+    /// What accounts may have where room is short.
+    pub levels: share::Levels,
     /// How many instances the leads of all groups heard last.
     pub reach: Option<Reach>,
     /// When the configuration in force was last known to be the newest.
@@ -178,6 +183,8 @@
             retries: retry::Retries::new(),
             known_peers: None,
             groups: group::Groups::default(),
+            told_work: share::ToldWork::default(),
+            levels: share::Levels::default(),
             reach: None,
             fresh_at: None,
             coordinated: false,
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -14,5 +14,6 @@
 mod rollout;
 mod rules;
 mod scene;
+mod shares;
 mod tries;
 mod world;
--- /dev/null
+++ b/crates/firdock-policy/tests/policy/shares/load.rs
@@ -0,0 +1,343 @@
+//! Callers of several accounts that ask a coordinator for places at given rates.
+
+use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::time::Duration;
+
+use firdock_core::Reason;
+use firdock_core::RequestId;
+use firdock_core::resource::{Account, Endpoint, Resource, Service, Tier};
+use firdock_policy::event::{AccountWork, DispatchNews, EndpointEvent, GroupWork};
+use firdock_policy::{AccountShares, Action, Event, NewRequest, Time, told_work};
+
+use crate::edge::{Edge, edge_settings, request, resources};
+use crate::scene::millis;
+
+/// Pause between two steps, as in a daemon.
+const STEP: Duration = millis_of(25);
+/// Time that an engine takes for a request.
+const TAKES: Duration = millis_of(200);
+const ENGINES: usize = 4;
+const SLOTS: u32 = 4;
+
+const fn millis_of(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+pub fn secs(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+/// What the callers of one account ask for.
+#[derive(Debug, Clone)]
+pub struct Wish {
+    pub account: String,
+    /// Requests a second.
+    pub rate: f64,
+    pub weight: f64,
+    pub rank: u8,
+    pub prompt_tokens: u32,
+    /// Service: `safe`, or `low` of a lower tier.
+    pub service: &'static str,
+    /// When it begins.
+    pub from: Duration,
+    /// Part of the rate by which it goes up and down over three seconds.
+    pub swing: f64,
+    /// Begin of two seconds in which it asks for so many times as much.
+    pub burst: Option<(Duration, f64)>,
+}
+
+impl Wish {
+    pub fn new(account: &str, rate: f64) -> Self {
+        Self {
+            account: account.to_owned(),
+            rate,
+            weight: 1.0,
+            rank: 0,
+            prompt_tokens: 90,
+            service: "safe",
+            from: Duration::ZERO,
+            swing: 0.0,
+            burst: None,
+        }
+    }
+
+    fn rate_at(&self, age: Duration) -> f64 {
+        if age < self.from {
+            return 0.0;
+        }
+        let wave = 1.0 + self.swing * (age.as_secs_f64() * std::f64::consts::TAU / 3.0).sin();
+        let in_burst = |(at, times): (Duration, f64)| {
+            let within = at <= age && age < at + secs(2);
+            if within { times } else { 1.0 }
+        };
+        self.rate * wave * self.burst.map_or(1.0, in_burst)
+    }
+}
+
+/// A coordinator under load.
+pub struct Load {
+    edge: Edge,
+    begun: Time,
+    wishes: Vec<Wish>,
+    /// Parts of requests that are due, by account.
+    due: Vec<f64>,
+    next: u64,
+    accounts: BTreeMap<RequestId, String>,
+    services: BTreeMap<RequestId, &'static str>,
+    running: VecDeque<(Time, RequestId, u32)>,
+    asked: Vec<(Time, String)>,
+    served: Vec<(Time, String)>,
+    /// Those of the service `safe`.
+    high: Vec<(Time, String)>,
+    refused: Vec<(String, Reason)>,
+}
+
+fn catalog(wishes: &[Wish]) -> Vec<Resource> {
+    let mut all = resources();
+    all.retain(|r| !matches!(r, Resource::Endpoint(_)));
+    for n in 0..ENGINES {
+        all.push(Resource::Endpoint(Endpoint {
+            name: format!("e{n}"),
+            pool: "pool".to_owned(),
+            slots: SLOTS,
+            ..Endpoint::default()
+        }));
+    }
+    all.push(Resource::Tier(Tier {
+        name: "low".to_owned(),
+        rank: 2,
+        target_millis: 500,
+        ..Tier::default()
+    }));
+    let safe = all.iter().find_map(|r| match r {
+        Resource::Service(s) if s.name == "safe" => Some(s.clone()),
+        _ => None,
+    });
+    all.push(Resource::Service(Service {
+        name: "low".to_owned(),
+        tier: "low".to_owned(),
+        matches: "/low".to_owned(),
+        ..safe.expect("the service")
+    }));
+    let account = |wish: &Wish| {
+        Resource::Account(Account {
+            name: wish.account.clone(),
+            weight: Some(wish.weight),
+            rank: wish.rank,
+            max_held: 10_000,
+            ..Account::default()
+        })
+    };
+    let mut names = HashSet::new();
+    let first = wishes.iter().filter(|w| names.insert(w.account.clone()));
+    all.extend(first.map(account));
+    all
+}
+
+/// An instance of the group whose coordinator answers.
+pub fn member(wishes: &[Wish]) -> Edge {
+    let mut settings = edge_settings("a");
+    settings.account_shares = AccountShares::OverTiers;
+    let mut edge = Edge::new(settings, catalog(wishes));
+    edge.step(Event::Coordinated(true));
+    edge
+}
+
+impl Load {
+    pub fn new(wishes: &[Wish]) -> Self {
+        Self::with_shares(wishes, AccountShares::OverTiers)
+    }
+
+    pub fn without_shares(wishes: &[Wish]) -> Self {
+        Self::with_shares(wishes, AccountShares::Off)
+    }
+
+    /// Shares each tier by itself.
+    pub fn by_tier(wishes: &[Wish]) -> Self {
+        Self::with_shares(wishes, AccountShares::ByTier)
+    }
+
+    fn with_shares(wishes: &[Wish], shares: AccountShares) -> Self {
+        let mut settings = edge_settings("a").with_coordination();
+        settings.account_shares = shares;
+        let edge = Edge::new(settings, catalog(wishes));
+        Self {
+            begun: edge.now,
+            edge,
+            wishes: wishes.to_vec(),
+            due: vec![0.0; wishes.len()],
+            next: 1,
+            accounts: BTreeMap::new(),
+            services: BTreeMap::new(),
+            high: Vec::new(),
+            running: VecDeque::new(),
+            asked: Vec::new(),
+            served: Vec::new(),
+            refused: Vec::new(),
+        }
+    }
+
+    pub fn age(&self) -> Duration {
+        self.edge.now.saturating_sub(self.begun)
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let until = self.edge.now + time;
+        while self.edge.now < until {
+            self.end_what_is_done();
+            self.send();
+            let actions = self.edge.after(STEP);
+            self.note(&actions);
+            self.check_no_place_is_empty();
+        }
+    }
+
+    /// Sends what is due, one request of each account by turns.
+    fn send(&mut self) {
+        let age = self.age();
+        for (due, wish) in self.due.iter_mut().zip(&self.wishes) {
+            *due += wish.rate_at(age) * STEP.as_secs_f64();
+        }
+        while self.due.iter().any(|d| *d >= 1.0) {
+            for n in 0..self.wishes.len() {
+                if self.due[n] >= 1.0 {
+                    self.due[n] -= 1.0;
+                    self.send_one(n);
+                }
+            }
+        }
+    }
+
+    fn send_one(&mut self, n: usize) {
+        let wish = &self.wishes[n];
+        let new = NewRequest {
+            prompt_tokens: wish.prompt_tokens,
+            deadline: Some(self.edge.now + secs(5)),
+            ..request(self.next, wish.service, &wish.account)
+        };
+        self.next += 1;
+        self.accounts.insert(new.id, wish.account.clone());
+        self.services.insert(new.id, wish.service);
+        self.asked.push((self.edge.now, wish.account.clone()));
+        let actions = self.edge.arrive(new);
+        self.note(&actions);
+    }
+
+    fn end_what_is_done(&mut self) {
+        while let Some((_, id, dispatch)) = self.running.pop_front_if(|r| r.0 <= self.edge.now) {
+            let news = DispatchNews::Ended {
+                prompt: 90,
+                cached: 0,
+                output: 10,
+            };
+            let actions = self
+                .edge
+                .step(Event::Endpoint(EndpointEvent { id, dispatch, news }));
+            self.note(&actions);
+        }
+    }
+
+    fn note(&mut self, actions: &[Action]) {
+        for action in actions {
+            match action {
+                Action::Dispatch(d) => {
+                    self.running
+                        .push_back((self.edge.now + TAKES, d.id, d.dispatch));
+                    let account = self.accounts[&d.id].clone();
+                    if self.services[&d.id] == "safe" {
+                        self.high.push((self.edge.now, account.clone()));
+                    }
+                    self.served.push((self.edge.now, account));
+                }
+                Action::Answer { id, verdict } => {
+                    let account = self.accounts[id].clone();
+                    self.refused.push((account, verdict.reason));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Work conserving: nothing waits while a place is free that it may use.
+    fn check_no_place_is_empty(&self) {
+        let t = self.edge.scheduler.tables();
+        if t.requests.held() == 0 {
+            return;
+        }
+        for (_, e) in t.endpoints.iter() {
+            let reads = e.waiting_tokens(self.edge.now) > e.declared.prefill_rate;
+            assert!(
+                e.running >= e.budget || reads,
+                "a place on {} is empty",
+                e.declared.name
+            );
+        }
+    }
+
+    fn count(&self, of: &[(Time, String)], account: &str, last: Duration) -> f64 {
+        let from = self.edge.now.saturating_sub(last);
+        let counted = of.iter().filter(|(at, a)| *at >= from && a == account);
+        counted.count() as f64
+    }
+
+    /// Requests of an account that were placed within the last time.
+    pub fn served(&self, account: &str, last: Duration) -> f64 {
+        self.count(&self.served, account, last)
+    }
+
+    /// The same of the service `safe` alone.
+    pub fn served_high(&self, account: &str, last: Duration) -> f64 {
+        self.count(&self.high, account, last)
+    }
+
+    pub fn asked(&self, account: &str, last: Duration) -> f64 {
+        self.count(&self.asked, account, last)
+    }
+
+    pub fn served_all(&self, last: Duration) -> f64 {
+        let from = self.edge.now.saturating_sub(last);
+        self.served.iter().filter(|(at, _)| *at >= from).count() as f64
+    }
+
+    pub fn refused(&self, account: &str) -> usize {
+        self.refused.iter().filter(|(a, _)| a == account).count()
+    }
+
+    pub fn over_share(&self, account: &str) -> usize {
+        let over = |r: &&(String, Reason)| r.0 == account && r.1 == Reason::OverShare;
+        self.refused.iter().filter(over).count()
+    }
+
+    /// Tells whether a request that was held past its target before it came here is refused at once.
+    pub fn is_refused_late(&mut self, account: &str) -> bool {
+        let new = NewRequest {
+            age: millis(600),
+            ..request(self.next, "safe", account)
+        };
+        self.next += 1;
+        let id = new.id;
+        self.accounts.insert(id, account.to_owned());
+        self.services.insert(id, "safe");
+        let mut actions = self.edge.arrive(new);
+        actions.extend(self.edge.after(STEP));
+        self.note(&actions);
+        let refused = |a: &Action| matches!(a, Action::Answer { id: of, .. } if *of == id);
+        actions.iter().any(refused)
+    }
+
+    /// What the group tells of the work that it placed.
+    pub fn told(&self) -> Vec<AccountWork> {
+        told_work(self.edge.scheduler.tables(), self.edge.now)
+    }
+
+    /// Takes the word of another group's lead.
+    pub fn hear(&mut self, zone: &str, work: Vec<AccountWork>) {
+        let zone = zone.to_owned();
+        let actions = self.edge.step(Event::GroupWork(GroupWork { zone, work }));
+        self.note(&actions);
+    }
+
+    pub fn heartbeat() -> Duration {
+        millis(200)
+    }
+}
