--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -205,27 +205,7 @@
             self.tries.clone(),
         );
         self.register_shares(&mut r);
-        r.register(
-            "dispatches",
-            "Requests sent to endpoints",
-            self.dispatches.clone(),
-        );
-        r.register(
-            "retries",
-            "Second tries after a broken dispatch",
-            self.retries.clone(),
-        );
-        r.register(
-            "stale_news",
-            "Late or crossed news dropped",
-            self.stale.clone(),
-        );
-        r.register(
-            "handed_over",
-            "Requests handed to peers",
-            self.handed.clone(),
-        );
-        r.register("ejections", "Endpoints ejected", self.ejections.clone());
+        self.register_dispatches(&mut r);
         self.register_starts(&mut r);
         r.register(
             "version_in_force",
@@ -275,6 +255,31 @@
         );
     }
 
+    /// Registers what tells of dispatches and of endpoints that fail.
+    fn register_dispatches(&self, r: &mut Registry) {
+        r.register(
+            "dispatches",
+            "Requests sent to endpoints",
+            self.dispatches.clone(),
+        );
+        r.register(
+            "retries",
+            "Second tries after a broken dispatch",
+            self.retries.clone(),
+        );
+        r.register(
+            "stale_news",
+            "Late or crossed news dropped",
+            self.stale.clone(),
+        );
+        r.register(
+            "handed_over",
+            "Requests handed to peers",
+            self.handed.clone(),
+        );
+        r.register("ejections", "Endpoints ejected", self.ejections.clone());
+    }
+
     /// Registers what tells of starts of endpoints and of their entries.
     fn register_starts(&self, r: &mut Registry) {
         r.register(
@@ -300,6 +305,7 @@
         self.held_answers.clone()
     }
 
+    /// Registers what tells of accounts and their shares.
     fn register_shares(&self, r: &mut Registry) {
         r.register(
             "account_refusals",
