--- a/crates/firdock-policy/src/system/fit.rs
+++ b/crates/firdock-policy/src/system/fit.rs
@@ -35,22 +35,3 @@
     let target = t.services.get(row.service).tier.target();
     target.mul_f64(WAIT_PART)
 }
-
-/// Puts services whose engines tell their pace in the order of their answers' expected length.
-///
-/// Of one tier, short answers go first: they fit on any engine, hold its place for a tenth of the time,
-/// and a queue of long ones before them would take all of their target.
-pub fn order(t: &Tables, services: &mut [usize]) {
-    services.sort_by(|a, b| expected(t, *a).total_cmp(&expected(t, *b)));
-}
-
-/// Gives the expected tokens of a service's answers; none where its servers tell no pace, so that such
-/// services keep their order.
-fn expected(t: &Tables, service: usize) -> f64 {
-    let row = t.services.get(service);
-    let told = row.endpoints.first().is_some_and(|at| {
-        let pool = &t.endpoints.get(*at).declared.pool;
-        t.told.get(pool).is_some()
-    });
-    if told { row.output } else { 0.0 }
-}
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -63,8 +63,7 @@
 fn run_tier(t: &mut Tables, now: Time, rank: TierRank, out: &mut Vec<Action>) {
     let waiting =
         |(i, s): (usize, &crate::table::service::ServiceRow)| (!s.queue.is_empty()).then_some(i);
-    let mut services: Vec<usize> = t.services.iter().filter_map(waiting).collect();
-    fit::order(t, &mut services);
+    let services: Vec<usize> = t.services.iter().filter_map(waiting).collect();
     for service in services {
         while place_next(t, now, service, rank, out) {}
     }
--- a/crates/firdock-policy/tests/policy/paced.rs
+++ b/crates/firdock-policy/tests/policy/paced.rs
@@ -332,23 +332,3 @@
         "{predicted:?}"
     );
 }
-
-/// Long answers that wait, each for seconds, leave the one place that comes free to a short one.
-#[test]
-fn of_one_tier_short_answers_take_a_place_before_long_ones() {
-    let mut edge = uneven();
-    teach(&mut edge, 30);
-    for n in 0..40 {
-        place(&mut edge, asked(n, "tags", 90, 21));
-        edge.tell(n, 1, TOKENS);
-        edge.tell(n, 1, ended(90, 21));
-    }
-    for n in 101..=104 {
-        place(&mut edge, asked(n, "safe", 90, 385));
-        edge.tell(n, 1, TOKENS);
-    }
-    assert_eq!(place(&mut edge, asked(105, "safe", 90, 385)), None);
-    assert_eq!(place(&mut edge, asked(106, "tags", 90, 21)), None);
-    let placed = dispatched(&edge.tell(101, 1, ended(90, 385)));
-    assert_eq!(placed.first().map(|(n, _)| *n), Some(id(106)));
-}
