Reckon the risk of a late start, an overrun and the crowd at an endpoint in one place each

Cause: the estimates for endpoints that tell their pace had their own copies of both terms, and the older ones wrote out what `crowd` gives.

--- a/crates/firdock-policy/src/cost.rs
+++ b/crates/firdock-policy/src/cost.rs
@@ -102,7 +102,7 @@
     } else {
         (work / declared.prefill_rate, declared.token_secs())
     };
-    let token = token_secs * (1.0 + CROWDING * load(endpoint));
+    let token = token_secs * crowd(endpoint);
     let output = expected_output(row, service);
     let total_secs = first_secs + output * token;
     let weight = if mechanisms.affinity {
@@ -111,15 +111,11 @@
         0.0
     };
     let score = if mechanisms.first_token {
-        let target = service.tier.target().as_secs_f64();
-        let risk = (first_secs - SAFE_PART * target).max(0.0);
-        let left = row.deadline.map(|by| by.saturating_sub(now).as_secs_f64());
-        let over = left.map_or(0.0, |left| (END_MARGIN * total_secs - left).max(0.0));
         first_secs
-            + RISK_WEIGHT * risk
+            + RISK_WEIGHT * late_risk(service, first_secs)
             + SPARE_SECS * speed(endpoint)
             + STAY_WEIGHT * total_secs
-            + OVERRUN_WEIGHT * over
+            + OVERRUN_WEIGHT * overrun(now, row, total_secs)
     } else {
         total_secs + weight * f64::from(uncached) / declared.prefill_rate
     };
@@ -155,7 +151,7 @@
     } else {
         1.0
     };
-    let secs = by_pace.unwrap_or(PLAIN_SECS * slowdown * (1.0 + load(endpoint)));
+    let secs = by_pace.unwrap_or(PLAIN_SECS * slowdown * crowd(endpoint));
     Estimate {
         uncached: 0,
         work: 0.0,
@@ -166,6 +162,17 @@
     }
 }
 
+/// Gives the part of the time to the first token that puts the target at risk, in seconds.
+fn late_risk(service: &ServiceRow, first_secs: f64) -> f64 {
+    (first_secs - SAFE_PART * service.tier.target().as_secs_f64()).max(0.0)
+}
+
+/// Gives the seconds by which an answer that takes longer than estimated would miss its caller's limit.
+fn overrun(now: Time, row: &RequestRow, total_secs: f64) -> f64 {
+    let left = row.deadline.map(|by| by.saturating_sub(now).as_secs_f64());
+    left.map_or(0.0, |left| (END_MARGIN * total_secs - left).max(0.0))
+}
+
 /// Gives how fast an engine makes tokens against what was declared.
 fn speed(endpoint: &EndpointRow) -> f64 {
     let declared = endpoint.declared.token_secs();
--- a/crates/firdock-policy/src/cost/told.rs
+++ b/crates/firdock-policy/src/cost/told.rs
@@ -1,7 +1,7 @@
 //! Estimates for servers that tell how long work takes there now.
 
 use super::{
-    END_MARGIN, Estimate, OVERRUN_WEIGHT, RISK_WEIGHT, SAFE_PART, crowd, expected_output, load,
+    Estimate, OVERRUN_WEIGHT, RISK_WEIGHT, crowd, expected_output, late_risk, load, overrun,
 };
 use crate::request::RequestRow;
 use crate::table::endpoint::EndpointRow;
@@ -45,9 +45,8 @@
     let token = pool.token_secs() * crowd(e);
     let stream_secs = output * token * pace(first_secs + output * token * usual);
     let total_secs = first_secs + stream_secs;
-    let risk = (first_secs - SAFE_PART * service.tier.target().as_secs_f64()).max(0.0);
-    let left = row.deadline.map(|by| by.saturating_sub(now).as_secs_f64());
-    let over = left.map_or(0.0, |left| (END_MARGIN * total_secs - left).max(0.0));
+    let risk = late_risk(service, first_secs);
+    let over = overrun(now, row, total_secs);
     let middle = service.output_log.exp().min(output) * token * usual;
     let chance = pool.noise.chance(e.told.slow_now(now, pool), middle);
     let late = chance * slow_pause(service, e, pool, token);
