Sight: what endpoints say of themselves with answers is read, logged and counted

Nothing is decided by it yet. A line tells each word with its endpoint, source and age; the line on a dispatch tells what the endpoint had said; two counters by pool.

--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -185,6 +185,10 @@
                 let now = self.parts.clock.now();
                 self.decisions.bad_load(now, &endpoint, &told);
             }
+            Input::BadNotice(endpoint, told) => {
+                let now = self.parts.clock.now();
+                self.decisions.bad_notice(now, &endpoint, &told);
+            }
             Input::Event(event) => self.take_event(event),
         }
     }
@@ -201,6 +205,7 @@
             Event::Fresh(at) => self.parts.site.set_fresh(*at),
             Event::Endpoint(news) => self.note_news(news),
             Event::CallerLeft(id) => self.note_caller_left(*id),
+            Event::Noticed(told) => self.decisions.noticed(self.parts.clock.now(), told),
             _ => {}
         }
         self.apply(event);
--- a/crates/firdock-node/src/driver/send.rs
+++ b/crates/firdock-node/src/driver/send.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use firdock_core::{InstanceId, RequestId};
+use firdock_core::{InstanceId, RequestId, StartId};
 use firdock_policy::Event;
 use firdock_policy::action::{Dispatch, HandOverCause};
 use firdock_policy::event::{DispatchNews, EndpointEvent, HandOverEvent, HandOverRefusal};
@@ -62,7 +62,12 @@
         over: watch::Receiver<bool>,
     ) -> Run {
         let trace = exchange.trace;
+        let endpoints = &self.scheduler.tables().endpoints;
+        let start = endpoints
+            .find(&dispatch.endpoint)
+            .map_or_else(StartId::new, |at| endpoints.get(at).start_id.clone());
         Run {
+            start,
             target: Target {
                 name: dispatch.endpoint.clone(),
                 address: place.address,
--- a/crates/firdock-node/src/endpoint.rs
+++ b/crates/firdock-node/src/endpoint.rs
@@ -5,6 +5,7 @@
 
 mod engine;
 mod events;
+mod notice;
 mod own;
 mod plain;
 pub mod relay;
@@ -27,6 +28,7 @@
 
 pub use engine::HttpEngine;
 pub use events::EventCutter;
+pub use notice::HeadNotice;
 pub use own::OwnBackends;
 pub use plain::HttpPlain;
 pub use report::watch_reports;
--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -21,7 +21,7 @@
 use self::plain::pass_plain;
 use self::stream::Stream;
 use super::run::{Run, Stop};
-use super::{Backends, Place};
+use super::{Backends, HeadNotice, Place};
 use crate::exchange::{AnswerHead, Part, Payload};
 use crate::http::{CallError, connect, strip_hop_by_hop};
 
@@ -73,6 +73,9 @@
     /// Reads the head of an answer.
     fn read(&self, payload: &Payload, status: StatusCode, headers: &HeaderMap) -> Reply;
 
+    /// Reads what the head of an answer says of the endpoint itself, whatever the answer is.
+    fn notice(&self, status: StatusCode, headers: &HeaderMap) -> HeadNotice;
+
     /// Reads what the head of an answer says of the endpoint's load; `None` where it says nothing.
     ///
     /// # Errors
@@ -119,6 +122,15 @@
         Some(request)
     }
 
+    /// Tells the scheduler what an answer's head says of the endpoint itself.
+    async fn take_notice(&self, run: &Run, status: StatusCode, headers: &HeaderMap) {
+        let HeadNotice { notice, unread } = self.dialect.notice(status, headers);
+        run.tell_notice(notice).await;
+        if let Some(unread) = unread {
+            run.tell_bad_notice(unread).await;
+        }
+    }
+
     /// Tells the scheduler what an answer's head says of the endpoint's pace.
     async fn take_load(&self, run: &Run, headers: &HeaderMap) {
         match self.dialect.load(headers) {
@@ -140,7 +152,12 @@
     ) -> &'static str {
         let payload = &run.exchange.payload;
         let status = response.status();
-        match self.dialect.read(payload, status, response.headers()) {
+        let reply = self.dialect.read(payload, status, response.headers());
+        if reply != Reply::Misdirected {
+            // Of an answer by another endpoint, the notice is that one's.
+            self.take_notice(run, status, response.headers()).await;
+        }
+        match reply {
             Reply::NotRun => return run.not_sent(false).await,
             Reply::Misdirected => return run.not_sent(true).await,
             Reply::Foreign => return broke(run, "foreign").await,
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -6,13 +6,14 @@
 use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
-use firdock_core::RequestId;
 use firdock_core::settings::Endpoints;
+use firdock_core::{InstanceId, RequestId, StartId};
 use firdock_policy::Event;
 use firdock_policy::action::Dispatch;
 use firdock_policy::buffers::CALLER_STALL;
 use firdock_policy::event::{DispatchNews, EndpointEvent};
 use firdock_policy::load::{Pace, PaceTold};
+use firdock_policy::notice::{Notice, NoticeTold};
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
@@ -51,6 +52,8 @@
     pub dispatch: Dispatch,
     /// Where the endpoint is.
     pub target: Target,
+    /// Start of the endpoint that is meant.
+    pub start: StartId,
     /// Time limits.
     pub limits: RunLimits,
     /// Way to the scheduler.
@@ -90,6 +93,31 @@
         let _ = self.inputs.send(Input::Event(Event::Paced(told))).await;
     }
 
+    /// Tells the scheduler what the endpoint said of itself, if it said anything.
+    ///
+    /// A task of its own tells it: this one is ended at any moment when its caller leaves, and the word
+    /// would be lost with it where the way to the scheduler is full.
+    pub async fn tell_notice(&self, notice: Notice) {
+        if notice.is_empty() {
+            return;
+        }
+        let told = NoticeTold {
+            endpoint: self.start.clone(),
+            member: InstanceId::new(),
+            notice,
+            read: self.clock.now(),
+        };
+        let inputs = self.inputs.clone();
+        let telling = async move { inputs.send(Input::Event(Event::Noticed(told))).await };
+        let _ = tokio::spawn(telling).await;
+    }
+
+    /// Tells that what the endpoint says of itself can't be read; it is passed over.
+    pub async fn tell_bad_notice(&self, told: String) {
+        let endpoint = self.target.name.clone();
+        let _ = self.inputs.send(Input::BadNotice(endpoint, told)).await;
+    }
+
     /// Tells that what the endpoint says of its load can't be read; it is passed over.
     pub async fn tell_bad_load(&self, told: String) {
         let endpoint = self.target.name.clone();
--- a/crates/firdock-node/src/input.rs
+++ b/crates/firdock-node/src/input.rs
@@ -22,6 +22,8 @@
     Placement(PlacementInput),
     /// What an endpoint says of its load can't be read, with the start of what it says.
     BadLoad(EndpointId, String),
+    /// The same of what an endpoint says of itself.
+    BadNotice(EndpointId, String),
     /// Anything else.
     Event(Event),
 }
--- a/crates/firdock-node/src/telemetry/budget.rs
+++ b/crates/firdock-node/src/telemetry/budget.rs
@@ -25,6 +25,10 @@
     Belief,
     /// What an endpoint said of its load could not be read.
     BadLoad,
+    /// What an endpoint said of itself with an answer.
+    Notice,
+    /// The same, where it could not be read.
+    BadNotice,
     /// The platform's store was called.
     StoreCall,
     /// An entry of an endpoint named none to use.
@@ -42,6 +46,8 @@
             Self::Failed => "failed",
             Self::Belief => "belief",
             Self::BadLoad => "load not read",
+            Self::Notice => "notice",
+            Self::BadNotice => "notice not read",
             Self::StoreCall => "store called",
             Self::RefusedEntry => "entry refused",
         }
@@ -57,11 +63,12 @@
             Self::Dispatched
             | Self::Answered
             | Self::CallerLeft
+            | Self::Notice
             | Self::StoreCall
             | Self::RefusedEntry => 20,
             Self::Failed | Self::Belief => 200,
             // It comes with each answer of a server that says it, and one line tells all.
-            Self::BadLoad => 1,
+            Self::BadLoad | Self::BadNotice => 1,
         }
     }
 }
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -7,6 +7,7 @@
 
 use firdock_core::{EndpointId, Reason};
 use firdock_policy::action::Dispatch;
+use firdock_policy::notice::NoticeTold;
 use firdock_policy::request::{Phase, RequestRow};
 use firdock_policy::table::Tables;
 use firdock_policy::table::endpoint::EndpointRow;
@@ -94,6 +95,8 @@
             "prompt_tokens" => row.new.prompt_tokens,
             "placed_by" => placed_by(t),
             "running" => endpoint.map_or(0, |e| e.running),
+            "leaving_millis" => endpoint.and_then(|e| leaving_age(now, e)),
+            "backoff_left_millis" => endpoint.and_then(|e| backoff_left(now, e)),
             "budget" => endpoint.map_or(0, |e| e.budget),
             "left_millis" => row.deadline.map(|by| millis(by.saturating_sub(now))),
             "version" => t.version,
@@ -108,6 +111,26 @@
         }
     }
 
+    /// Writes what an endpoint said of itself with an answer to this instance.
+    pub fn noticed(&self, now: Time, told: &NoticeTold) {
+        if self.budget.allow(&self.log, now, LineKind::Notice) {
+            info!(self.log, "endpoint notice";
+                "endpoint" => &told.endpoint,
+                "source" => "answer",
+                "leaving" => told.notice.leaving,
+                "backoff_millis" => told.notice.backoff.map(millis),
+                "age_millis" => millis(now.saturating_sub(told.read)),
+            );
+        }
+    }
+
+    /// Writes that what an endpoint says of itself can't be read, and is passed over.
+    pub fn bad_notice(&self, now: Time, endpoint: &EndpointId, told: &str) {
+        if self.budget.allow(&self.log, now, LineKind::BadNotice) {
+            warn!(self.log, "notice not read"; "endpoint" => endpoint, "told" => told);
+        }
+    }
+
     /// Writes that a whole answer was passed on; `row` is the request's before it ended.
     pub fn answered(&self, now: Time, t: &Tables, row: &RequestRow, exchange: &Exchange) {
         if !self.budget.allow(&self.log, now, LineKind::Answered) {
@@ -245,6 +268,18 @@
         .map(|(pace, _)| (100.0 * pace).round() as u64)
 }
 
+/// Gives how long ago an endpoint said that it leaves, in milliseconds.
+fn leaving_age(now: Time, e: &EndpointRow) -> Option<u64> {
+    let since = e.notices.leaving_since()?;
+    Some(millis(now.saturating_sub(since)))
+}
+
+/// Gives how much longer an endpoint wants nothing from this instance, in milliseconds.
+fn backoff_left(now: Time, e: &EndpointRow) -> Option<u64> {
+    let backoff = e.notices.backoff("", now)?;
+    Some(millis(backoff.until.saturating_sub(now)))
+}
+
 /// Gives how long ago an endpoint told its pace, in milliseconds.
 fn pace_age(now: Time, e: &EndpointRow) -> Option<u64> {
     let (_, read) = e.told.newest()?;
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -117,6 +117,8 @@
     first: Family<ByTier, Histogram, fn() -> Histogram>,
     first_parts: Family<ByPool, Histogram, fn() -> Histogram>,
     paces: Family<ByPool, Counter>,
+    leaving_told: Family<ByPool, Counter>,
+    backoffs_told: Family<ByPool, Counter>,
     held_time: Histogram,
     total: Histogram,
     store_calls: Family<ByCall, Counter>,
@@ -162,6 +164,8 @@
             first: Family::new_with_constructor(latency),
             first_parts: Family::new_with_constructor(parts),
             paces: Family::default(),
+            leaving_told: Family::default(),
+            backoffs_told: Family::default(),
             held_time: latency(),
             total: latency(),
             store_calls: Family::default(),
@@ -278,6 +282,16 @@
             self.handed.clone(),
         );
         r.register("ejections", "Endpoints ejected", self.ejections.clone());
+        r.register(
+            "leaving_told",
+            "Starts of endpoints that said with an answer that they leave, by pool",
+            self.leaving_told.clone(),
+        );
+        r.register(
+            "backoffs_told",
+            "Answers with which endpoints asked for a back-off, by pool",
+            self.backoffs_told.clone(),
+        );
     }
 
     /// Registers what tells of starts of endpoints and of their entries.
@@ -439,6 +453,11 @@
             let label = ByPool { pool: name.clone() };
             store(&self.paces.get_or_create(&label), *n);
         }
+        for (name, n) in &stats.notices {
+            let label = ByPool { pool: name.clone() };
+            store(&self.leaving_told.get_or_create(&label), n.leaving);
+            store(&self.backoffs_told.get_or_create(&label), n.backoffs);
+        }
         for (key, n) in &stats.refusals {
             let label = ByRefusal {
                 account: key.account.clone(),
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -1,6 +1,7 @@
 //! Decoders and stores of the entry instance: whatever comes is an error, and never a panic.
 
 mod lines;
+mod notice;
 mod party;
 mod peers;
 mod placement;
--- /dev/null
+++ b/crates/firdock-node/tests/node/notice.rs
@@ -0,0 +1,142 @@
+//! What the head of an answer says of its endpoint, whatever bytes stand there.
+
+use std::time::Duration;
+
+use firdock_node::endpoint::HeadNotice;
+use firdock_policy::notice::Notice;
+use hyper::header::{HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::{HeaderMap, StatusCode};
+use proptest::prelude::*;
+
+const LEAVING: HeaderName = HeaderName::from_static("it-leaves");
+const BUSY: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
+
+fn headers(name: &HeaderName, values: &[&[u8]]) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for value in values {
+        let value = HeaderValue::from_bytes(value).expect("a value");
+        headers.append(name, value);
+    }
+    headers
+}
+
+fn backoff(values: &[&[u8]]) -> (Option<Duration>, Option<String>) {
+    let read = HeadNotice::read(BUSY, &headers(&RETRY_AFTER, values), &LEAVING);
+    (read.notice.backoff, read.unread)
+}
+
+#[test]
+fn a_time_to_come_back_is_read_in_seconds_whole_or_with_a_fraction() {
+    let secs = |n: f64| Some(Duration::from_secs_f64(n));
+    let day = Some(Notice::MAX_BACKOFF);
+    let cases: [(&[&[u8]], Option<Duration>); 9] = [
+        (&[], None),
+        (&[b"3"], secs(3.0)),
+        (&[b" 3 "], secs(3.0)),
+        (&[b"0.25"], secs(0.25)),
+        (&[b"0"], None),
+        (&[b"0.0"], None),
+        // The longest of several lines: no server that asks is sent to while one of its times lasts.
+        (&[b"1", b"3", b"2"], secs(3.0)),
+        (&[b"86401"], day),
+        (&[b"99999999999999999999"], day),
+    ];
+    for (values, expected) in cases {
+        assert_eq!(backoff(values), (expected, None), "{values:?}");
+    }
+}
+
+#[test]
+fn what_is_no_number_of_seconds_is_passed_over_and_told() {
+    let bad: [&[u8]; 12] = [
+        b"",
+        b"-1",
+        b"+1",
+        b"1e3",
+        b".5",
+        b"5.",
+        b"1.2.3",
+        b"3, 4",
+        b"soon",
+        b"inf",
+        b"Thu, 03 Dec 2026 04:00:00 GMT",
+        b"\xff\xfe",
+    ];
+    for value in bad {
+        let (read, unread) = backoff(&[value]);
+        assert_eq!(read, None, "{value:?}");
+        assert!(unread.is_some(), "{value:?}");
+    }
+    // A line that can be read counts beside one that cannot.
+    let (read, unread) = backoff(&[b"soon", b"2"]);
+    assert_eq!(
+        (read, unread.is_some()),
+        (Some(Duration::from_secs(2)), true)
+    );
+}
+
+#[test]
+fn a_time_to_come_back_is_an_endpoints_own_on_a_503_alone() {
+    let headers = headers(&RETRY_AFTER, &[b"3"]);
+    for status in [200, 400, 429, 500, 502, 504] {
+        let status = StatusCode::from_u16(status).expect("a status");
+        let read = HeadNotice::read(status, &headers, &LEAVING);
+        assert_eq!(read, HeadNotice::default(), "{status}");
+    }
+}
+
+#[test]
+fn an_endpoint_leaves_by_one_value_alone_on_every_status() {
+    let cases: [(&[&[u8]], bool, bool); 7] = [
+        (&[], false, false),
+        (&[b"1"], true, false),
+        (&[b" 1 "], true, false),
+        (&[b"0"], false, false),
+        (&[b"0", b"1"], true, false),
+        (&[b""], false, true),
+        (&[b"yes"], false, true),
+    ];
+    for (values, leaving, unread) in cases {
+        for status in [200, 206, 400, 429, 500, 503] {
+            let status = StatusCode::from_u16(status).expect("a status");
+            let read = HeadNotice::read(status, &headers(&LEAVING, values), &LEAVING);
+            assert_eq!(read.notice.leaving, leaving, "{values:?}");
+            assert_eq!(read.unread.is_some(), unread, "{values:?}");
+        }
+    }
+}
+
+proptest! {
+    /// Whatever the bytes are, a time is within its bounds, and what is passed over is told in short.
+    #[test]
+    fn any_bytes_have_a_bounded_effect(
+        lines in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..80), 0..12),
+        status in 200_u16..600,
+    ) {
+        let mut map = HeaderMap::new();
+        for line in &lines {
+            for name in [&RETRY_AFTER, &LEAVING] {
+                if let Ok(value) = HeaderValue::from_bytes(line) {
+                    map.append(name, value);
+                }
+            }
+        }
+        let status = StatusCode::from_u16(status).expect("a status");
+        let read = HeadNotice::read(status, &map, &LEAVING);
+        if let Some(time) = read.notice.backoff {
+            prop_assert!(!time.is_zero() && time <= Notice::MAX_BACKOFF);
+            prop_assert_eq!(status, BUSY);
+        }
+        prop_assert!(read.unread.is_none_or(|told| told.chars().count() <= 64));
+    }
+
+    /// A number of seconds is read as what it says.
+    #[test]
+    fn any_number_of_seconds_is_read(secs in 1_u64..200_000, thousandths in 0_u32..1_000) {
+        let text = format!("{secs}.{thousandths:03}");
+        let (read, unread) = backoff(&[text.as_bytes()]);
+        let told = Duration::from_secs(secs) + Duration::from_millis(thousandths.into());
+        let off = read.expect("a time").abs_diff(told.min(Notice::MAX_BACKOFF));
+        prop_assert!(off < Duration::from_micros(1) && unread.is_none());
+    }
+}
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -12,6 +12,7 @@
 use uuid::Uuid;
 
 use crate::load::PaceTold;
+use crate::notice::NoticeTold;
 use crate::request::{NewRequest, Verdict};
 use crate::rollout::{Evidence, RolloutRecord, RolloutWord};
 use crate::time::{LogTime, Time};
@@ -28,6 +29,8 @@
     Endpoint(EndpointEvent),
     /// An endpoint told how long work takes there now.
     Paced(PaceTold),
+    /// An endpoint said with an answer that it leaves, or wants nothing for a while.
+    Noticed(NoticeTold),
     /// An endpoint reported its load and cache.
     Report(LoadReport),
     /// An endpoint's report could not be had.
--- a/crates/firdock-policy/src/lib.rs
+++ b/crates/firdock-policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cost;
 pub mod event;
 pub mod load;
+pub mod notice;
 pub mod request;
 pub mod rollout;
 mod scheduler;
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -5,7 +5,7 @@
 use crate::settings::PolicySettings;
 use crate::system::{
     admit, check, config, coordinate, demand, drain, early, expire, fair, handover, health, key,
-    limit, news, paced, place, rollout, share, shed,
+    limit, news, notice, paced, place, rollout, share, shed,
 };
 use crate::table::{Reach, Tables};
 use crate::time::Time;
@@ -53,6 +53,7 @@
             Event::CallerLeft(id) => news::caller_left(t, now, id, out),
             Event::Endpoint(e) => news::endpoint(t, now, &e, out),
             Event::Paced(told) => paced::take(t, &told),
+            Event::Noticed(told) => notice::take(t, &told),
             Event::Report(report) => health::report(t, now, &report),
             Event::ReportMissed(name) => health::missed(t, now, &name),
             Event::Config(catalog) => config::apply(t, now, &catalog, out),
--- a/crates/firdock-policy/src/stats.rs
+++ b/crates/firdock-policy/src/stats.rs
@@ -92,6 +92,15 @@
     pub const MOST: usize = 512;
 }
 
+/// Notices of the endpoints of one pool.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct NoticeStats {
+    /// Starts of endpoints that said that they leave.
+    pub leaving: u64,
+    /// Answers that asked for a back-off.
+    pub backoffs: u64,
+}
+
 /// All counters.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Stats {
@@ -111,6 +120,8 @@
     pub dispatches: u64,
     /// Figures of their pace that endpoints told, by pool.
     pub paces: BTreeMap<PoolId, u64>,
+    /// What endpoints said of themselves with answers, by pool.
+    pub notices: BTreeMap<PoolId, NoticeStats>,
     /// Second tries after a broken dispatch.
     pub retries: u64,
     /// Late or crossed news that was dropped.
--- a/crates/firdock-policy/src/system.rs
+++ b/crates/firdock-policy/src/system.rs
@@ -16,6 +16,7 @@
 pub mod key;
 pub mod limit;
 pub mod news;
+pub mod notice;
 pub mod paced;
 pub mod place;
 pub mod restart;
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -7,6 +7,7 @@
 pub mod limit;
 pub mod line;
 pub mod noise;
+pub mod notices;
 pub mod pace;
 pub mod pace_told;
 pub mod peer;
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -6,6 +6,7 @@
 use firdock_core::resource::{Endpoint, EndpointKind};
 
 use super::line::Line;
+use super::notices::Notices;
 use super::pace_told::ToldPace;
 use super::prefix_cache::PrefixCache;
 use super::rows::Rows;
@@ -122,6 +123,8 @@
     pub first_line: Line,
     /// Samples that the time for each token was learned from.
     pub streams: u32,
+    /// What it said of itself with its answers.
+    pub notices: Notices,
     /// What it told of its pace.
     pub told: ToldPace,
     /// Last report.
@@ -168,6 +171,7 @@
             firsts: 0,
             first_line: Line::new(FIRST_SECS, FIRST_SPAN, FIRST_SPAN / rate.max(LEAST_RATE)),
             streams: 0,
+            notices: Notices::default(),
             told: ToldPace::default(),
             report: None,
             cache: PrefixCache::default(),
