--- a/crates/firdock-core/src/outcome.rs
+++ b/crates/firdock-core/src/outcome.rs
@@ -48,6 +48,8 @@
     WaitedTooLong,
     /// No endpoint of the service can take work.
     NoEndpoint,
+    /// All endpoints that could take it want no request for longer than the caller can wait.
+    BackingOff,
     /// The endpoint stopped answering after the request was sent.
     EndpointLost,
     /// The link to a peer broke after the request was handed over.
@@ -79,6 +81,7 @@
             Self::OverShare => "over-share",
             Self::WaitedTooLong => "waited-too-long",
             Self::NoEndpoint => "no-endpoint",
+            Self::BackingOff => "backing-off",
             Self::EndpointLost => "endpoint-lost",
             Self::PeerLost => "peer-lost",
             Self::KeyInUse => "key-in-use",
--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -23,7 +23,7 @@
 use crate::answers::Answers;
 use crate::clock::Clock;
 use crate::endpoint::Backends;
-use crate::endpoint::run::RunLimits;
+use crate::endpoint::run::{RunLimits, Since};
 use crate::exchange::{AnswerRoom, Exchange, Part};
 use crate::input::Input;
 use crate::peer::{self, Dialer, SelfNews};
@@ -97,8 +97,8 @@
     /// Where it was last sent, for the line on how it ended.
     sent: Option<LastSent>,
     task: Option<AbortHandle>,
-    /// Way to tell the present dispatch that its endpoint has started again.
-    over: Option<watch::Sender<bool>>,
+    /// Way to tell the present dispatch what has become of its endpoint.
+    since: Option<watch::Sender<Since>>,
 }
 
 impl Live {
@@ -174,7 +174,7 @@
                         arrived: self.parts.clock.now(),
                         sent: None,
                         task: None,
-                        over: None,
+                        since: None,
                     },
                 );
                 self.step(Event::Arrived(new));
@@ -241,6 +241,7 @@
             DispatchNews::Refused { unreachable: true } => "unreachable",
             DispatchNews::Refused { unreachable: false } => "refused",
             DispatchNews::Lapsed => "lapsed",
+            DispatchNews::Withheld => "withheld",
             DispatchNews::Broke { .. } => "broke",
         };
         self.decisions
@@ -327,7 +328,10 @@
                 endpoint,
                 dispatch,
             } => self.cancel(id, &endpoint, dispatch),
-            Action::GiveUpDispatch { id, dispatch } => self.give_up_dispatch(id, dispatch),
+            Action::GiveUpDispatch { id, dispatch } => {
+                self.tell_dispatch(id, dispatch, Since::Restarted);
+            }
+            Action::Withhold { id, dispatch } => self.tell_dispatch(id, dispatch, Since::Closed),
             Action::Ask { id } => self.ask_placement(id),
             Action::Decline(grant) => self.decline_placement(&grant),
             Action::HandOver { id, peer, cause } => self.hand_over(id, peer, cause),
--- a/crates/firdock-node/src/driver/send.rs
+++ b/crates/firdock-node/src/driver/send.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 
 use super::Driver;
-use crate::endpoint::run::Run;
+use crate::endpoint::run::{Run, Since};
 use crate::endpoint::{Backends, Target};
 use crate::exchange::Exchange;
 use crate::peer;
@@ -34,12 +34,12 @@
         };
         let (now, t) = (self.parts.clock.now(), self.scheduler.tables());
         self.decisions.dispatched(now, t, &dispatch, &exchange);
-        let (over, run_over) = watch::channel(false);
+        let (since, run_since) = watch::channel(Since::Unchanged);
         if let Some(live) = self.exchanges.get_mut(&id) {
             live.sent = Some(LastSent::new(now, &dispatch));
-            live.over = Some(over);
+            live.since = Some(since);
         }
-        let run = self.make_run(exchange, dispatch, place, run_over);
+        let run = self.make_run(exchange, dispatch, place, run_since);
         let backends = self.parts.backends.clone();
         let (log, clock) = (self.parts.log.clone(), self.parts.clock);
         let task = self.parts.runtime.spawn(async move {
@@ -59,7 +59,7 @@
         exchange: Arc<Exchange>,
         dispatch: Dispatch,
         place: Place,
-        over: watch::Receiver<bool>,
+        since: watch::Receiver<Since>,
     ) -> Run {
         let trace = exchange.trace;
         let endpoints = &self.scheduler.tables().endpoints;
@@ -78,7 +78,7 @@
             inputs: self.parts.inputs.clone(),
             clock: self.parts.clock,
             trace,
-            over,
+            since,
         }
     }
 
@@ -103,12 +103,12 @@
         self.parts.runtime.spawn(cancelling);
     }
 
-    /// Tells a dispatch that its endpoint has started again; it tells how far it came.
-    pub(super) fn give_up_dispatch(&mut self, id: RequestId, dispatch: u32) {
+    /// Tells a dispatch what has become of its endpoint; it tells how far it came.
+    pub(super) fn tell_dispatch(&mut self, id: RequestId, dispatch: u32, since: Since) {
         let live = self.exchanges.get(&id);
         let live = live.filter(|l| l.sent.as_ref().is_some_and(|s| s.is(dispatch)));
-        if let Some(over) = live.and_then(|l| l.over.as_ref()) {
-            over.send_replace(true);
+        if let Some(told) = live.and_then(|l| l.since.as_ref()) {
+            told.send_replace(since);
         }
     }
 
--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -122,15 +122,6 @@
         Some(request)
     }
 
-    /// Tells the scheduler what an answer's head says of the endpoint itself.
-    async fn take_notice(&self, run: &Run, status: StatusCode, headers: &HeaderMap) {
-        let HeadNotice { notice, unread } = self.dialect.notice(status, headers);
-        run.tell_notice(notice).await;
-        if let Some(unread) = unread {
-            run.tell_bad_notice(unread).await;
-        }
-    }
-
     /// Tells the scheduler what an answer's head says of the endpoint's pace.
     async fn take_load(&self, run: &Run, headers: &HeaderMap) {
         match self.dialect.load(headers) {
@@ -153,10 +144,12 @@
         let payload = &run.exchange.payload;
         let status = response.status();
         let reply = self.dialect.read(payload, status, response.headers());
-        if reply != Reply::Misdirected {
-            // Of an answer by another endpoint, the notice is that one's.
-            self.take_notice(run, status, response.headers()).await;
-        }
+        // First of all, whatever becomes of the answer; of one by another endpoint, it is that one's.
+        let head = match reply {
+            Reply::Misdirected => HeadNotice::default(),
+            _ => self.dialect.notice(status, response.headers()),
+        };
+        run.tell_notice(&head).await;
         match reply {
             Reply::NotRun => return run.not_sent(false).await,
             Reply::Misdirected => return run.not_sent(true).await,
@@ -165,7 +158,9 @@
         }
         self.take_load(run, response.headers()).await;
         if status.is_server_error() {
-            run.tell(DispatchNews::Failed).await;
+            if head.notice.backoff.is_none() {
+                run.tell(DispatchNews::Failed).await;
+            }
             if payload.terms.repeatable {
                 return broke(run, "failed").await;
             }
@@ -193,12 +188,8 @@
             return run.not_sent(true).await;
         };
         // The process may have stood still while it connected, so the last look comes after it.
-        if run.lapsed().await {
-            return "lapsed";
-        }
-        if run.is_over() {
-            // The start that was meant is gone, and its successor has not got the request.
-            return run.not_sent(true).await;
+        if let Some(word) = run.stopped_before_write().await {
+            return word;
         }
         let Some(request) = self.request(&run) else {
             return run.not_sent(false).await;
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -13,11 +13,11 @@
 use firdock_policy::buffers::CALLER_STALL;
 use firdock_policy::event::{DispatchNews, EndpointEvent};
 use firdock_policy::load::{Pace, PaceTold};
-use firdock_policy::notice::{Notice, NoticeTold};
+use firdock_policy::notice::NoticeTold;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
-use super::Target;
+use super::{HeadNotice, Target};
 use crate::clock::Clock;
 use crate::exchange::{Delivered, Exchange, Part};
 use crate::input::Input;
@@ -62,8 +62,20 @@
     pub clock: Clock,
     /// Trace of this hop.
     pub trace: TraceContext,
-    /// Turns true once the endpoint has started again since, so that nothing more comes of this run.
-    pub over: watch::Receiver<bool>,
+    /// What has become of the endpoint since.
+    pub since: watch::Receiver<Since>,
+}
+
+/// What has become of a dispatch's endpoint since it was chosen.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Since {
+    /// Nothing that changes the choice.
+    #[default]
+    Unchanged,
+    /// It said that it wants nothing new: what is not written yet is given back.
+    Closed,
+    /// It has started again, so that nothing more comes of this run.
+    Restarted,
 }
 
 /// How a step of a dispatch ended it early.
@@ -93,18 +105,23 @@
         let _ = self.inputs.send(Input::Event(Event::Paced(told))).await;
     }
 
-    /// Tells the scheduler what the endpoint said of itself, if it said anything.
+    /// Tells the scheduler what the head of an answer said of the endpoint, if it said anything.
     ///
     /// A task of its own tells it: this one is ended at any moment when its caller leaves, and the word
     /// would be lost with it where the way to the scheduler is full.
-    pub async fn tell_notice(&self, notice: Notice) {
-        if notice.is_empty() {
+    pub async fn tell_notice(&self, head: &HeadNotice) {
+        if let Some(unread) = &head.unread {
+            let endpoint = self.target.name.clone();
+            let input = Input::BadNotice(endpoint, unread.clone());
+            let _ = self.inputs.send(input).await;
+        }
+        if head.notice.is_empty() {
             return;
         }
         let told = NoticeTold {
             endpoint: self.start.clone(),
             member: InstanceId::new(),
-            notice,
+            notice: head.notice,
             read: self.clock.now(),
         };
         let inputs = self.inputs.clone();
@@ -112,12 +129,6 @@
         let _ = tokio::spawn(telling).await;
     }
 
-    /// Tells that what the endpoint says of itself can't be read; it is passed over.
-    pub async fn tell_bad_notice(&self, told: String) {
-        let endpoint = self.target.name.clone();
-        let _ = self.inputs.send(Input::BadNotice(endpoint, told)).await;
-    }
-
     /// Tells that what the endpoint says of its load can't be read; it is passed over.
     pub async fn tell_bad_load(&self, told: String) {
         let endpoint = self.target.name.clone();
@@ -155,10 +166,25 @@
         }
     }
 
-    /// Tells whether the endpoint has started again since the dispatch.
-    #[must_use]
-    pub fn is_over(&self) -> bool {
-        *self.over.borrow()
+    /// Looks one last time, right before the write, whether the request may be sent; where it may not,
+    /// gives it back and a word on why for the trace.
+    ///
+    /// Each way to an endpoint passes here, a relay's after its connect, so that what became known while
+    /// that took its time, or while the process stood still, counts.
+    pub async fn stopped_before_write(&self) -> Option<&'static str> {
+        if self.lapsed().await {
+            return Some("lapsed");
+        }
+        let since = *self.since.borrow();
+        match since {
+            Since::Unchanged => None,
+            Since::Closed => {
+                self.tell(DispatchNews::Withheld).await;
+                Some("withheld")
+            }
+            // The start that was meant is gone, and its successor has not got the request.
+            Since::Restarted => Some(self.not_sent(true).await),
+        }
     }
 
     /// Waits for the endpoint, for as long as the start lives that the request was sent to.
@@ -169,18 +195,18 @@
     ///
     /// Fails with [`Stop::Endpoint`] once the endpoint has started again.
     pub async fn while_alive<T>(&self, wait: impl Future<Output = T>) -> Result<T, Stop> {
-        let mut over = self.over.clone();
+        let mut since = self.since.clone();
         tokio::select! {
             biased;
             got = wait => Ok(got),
-            Ok(_) = over.wait_for(|over| *over) => Err(Stop::Endpoint),
+            Ok(_) = since.wait_for(|s| *s == Since::Restarted) => Err(Stop::Endpoint),
         }
     }
 
     /// Looks at the key's confirmation one last time, right before the write.
     ///
     /// Tells whether it lapsed; the scheduler has been told then.
-    pub async fn lapsed(&self) -> bool {
+    async fn lapsed(&self) -> bool {
         let lapsed = self
             .dispatch
             .confirm_by
--- a/crates/firdock-node/src/endpoint/run_engine.rs
+++ b/crates/firdock-node/src/endpoint/run_engine.rs
@@ -25,8 +25,8 @@
     let Some(call) = run.exchange.payload.model.clone() else {
         return "no-model-call";
     };
-    if run.lapsed().await {
-        return "lapsed";
+    if let Some(word) = run.stopped_before_write().await {
+        return word;
     }
     let text = run.delivered().text.clone();
     let order = EngineOrder {
--- a/crates/firdock-node/src/endpoint/run_plain.rs
+++ b/crates/firdock-node/src/endpoint/run_plain.rs
@@ -13,8 +13,8 @@
 
 /// Runs a dispatch to a plain server; gives a word on how it ended for the trace.
 pub async fn run<P: PlainClient>(plain: P, run: Run, answers: Answers) -> &'static str {
-    if run.lapsed().await {
-        return "lapsed";
+    if let Some(word) = run.stopped_before_write().await {
+        return word;
     }
     let payload = &run.exchange.payload;
     let order = PlainOrder {
--- a/crates/firdock-node/src/placement.rs
+++ b/crates/firdock-node/src/placement.rs
@@ -15,7 +15,7 @@
 pub use codec::{read_reply, read_report, write_reply, write_report};
 pub use coordinator::Coordinator;
 pub use member::Membership;
-pub use report::{Course, News, Paced, Placed, Refused, Reply, Report, Wanted};
+pub use report::{Course, News, Noticed, Paced, Placed, Refused, Reply, Report, Wanted};
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -23,6 +23,7 @@
 use firdock_core::RequestId;
 use firdock_policy::event::{AccountWork, EndpointEvent, Grant};
 use firdock_policy::load::PaceTold;
+use firdock_policy::notice::NoticeTold;
 use firdock_policy::table::Tables;
 use firdock_policy::{Event, Scheduler, Time, told_work};
 use firdock_wire::message::datagram;
@@ -141,6 +142,11 @@
         self.member.note_pace(t, told);
     }
 
+    /// Notes what an endpoint said of itself.
+    pub fn note_notice(&mut self, told: &NoticeTold) {
+        self.member.note_notice(told);
+    }
+
     /// Notes that a caller left, while the request's row is still there.
     pub fn note_left(&mut self, t: &Tables, id: RequestId) {
         self.member.note_left(t, id);
--- a/crates/firdock-node/src/placement/codec.rs
+++ b/crates/firdock-node/src/placement/codec.rs
@@ -5,10 +5,11 @@
 use firdock_core::RequestId;
 use firdock_policy::NewRequest;
 use firdock_policy::load::Pace;
+use firdock_policy::notice::Notice;
 use firdock_wire::message;
 use uuid::Uuid;
 
-use super::report::{Course, News, Paced, Placed, Refused, Reply, Report, Wanted};
+use super::report::{Course, News, Noticed, Paced, Placed, Refused, Reply, Report, Wanted};
 use crate::clock::millis;
 use crate::peer::{read_incarnation, read_reason};
 
@@ -19,6 +20,10 @@
 /// what is left out is told anew with the next answer.
 const MAX_PACES: usize = 64;
 
+/// Engines whose notices are told in one report. More that leave or want nothing at a time are told by
+/// the heartbeat, or when a place there is given back.
+const MAX_NOTICES: usize = 64;
+
 /// Writes a report.
 #[must_use]
 pub fn write_report(report: &Report) -> message::PlacementReport {
@@ -58,6 +63,12 @@
             .take(MAX_PACES)
             .map(write_pace)
             .collect(),
+        notices: report
+            .notices
+            .iter()
+            .take(MAX_NOTICES)
+            .map(write_noticed)
+            .collect(),
     }
 }
 
@@ -68,6 +79,7 @@
     let waiting = told.waiting.into_iter().take(MAX_REQUESTS);
     let news = told.news.into_iter().take(MAX_REQUESTS);
     let paces = told.paces.into_iter().take(MAX_PACES);
+    let notices = told.notices.into_iter().take(MAX_NOTICES);
     Report {
         instance: told.instance,
         incarnation: read_incarnation(&told.incarnation),
@@ -80,6 +92,7 @@
             .collect(),
         news: news.filter_map(|n| read_news(&n)).collect(),
         paces: paces.filter_map(read_pace).collect(),
+        notices: notices.map(read_noticed).collect(),
         cut: told.cut,
     }
 }
@@ -195,6 +208,26 @@
     })
 }
 
+fn write_noticed(noticed: &Noticed) -> message::PlacementNotice {
+    message::PlacementNotice {
+        endpoint: noticed.endpoint.clone(),
+        leaving: noticed.notice.leaving,
+        backoff_millis: noticed.notice.backoff.map_or(0, millis),
+    }
+}
+
+fn read_noticed(told: message::PlacementNotice) -> Noticed {
+    let backoff = (told.backoff_millis > 0).then(|| Duration::from_millis(told.backoff_millis));
+    let notice = Notice {
+        leaving: told.leaving,
+        backoff: backoff.map(|time| time.min(Notice::MAX_BACKOFF)),
+    };
+    Noticed {
+        endpoint: told.endpoint,
+        notice,
+    }
+}
+
 fn write_news(news: &News) -> message::PlacementNews {
     use message::PlacementCourse as Told;
     let (course, prompt_tokens, output_tokens) = match news.course {
--- a/crates/firdock-node/src/placement/coordinator.rs
+++ b/crates/firdock-node/src/placement/coordinator.rs
@@ -144,7 +144,11 @@
         }
         self.meet(now, &report, address);
         let name = report.instance;
-        // Before the news, which are learned from by the pace that was told with them.
+        // Before the news, which let what they free be placed anew.
+        for noticed in report.notices {
+            self.take_notice(now, &name, noticed);
+        }
+        // Likewise, for they are learned from by the pace that was told with them.
         for paced in report.paces {
             self.take_pace(now, paced);
         }
@@ -159,6 +163,7 @@
         for mut wanted in report.waiting {
             told.insert(wanted.new.id);
             wanted.new.zone.clone_from(&report.zone);
+            wanted.new.member.clone_from(&name);
             self.take_waiting(now, &name, wanted);
         }
         if report.whole && !report.cut {
--- a/crates/firdock-node/src/placement/coordinator/take.rs
+++ b/crates/firdock-node/src/placement/coordinator/take.rs
@@ -6,11 +6,12 @@
 use firdock_core::{RequestId, StartId};
 use firdock_policy::event::{DispatchNews, EndpointEvent};
 use firdock_policy::load::PaceTold;
+use firdock_policy::notice::NoticeTold;
 use firdock_policy::request::Phase;
 use firdock_policy::{Event, NewRequest, Time};
 
 use super::{Coordinator, Member, ON_ITS_WAY, Owner, predicted};
-use crate::placement::report::{Course, News, Paced, Placed, Report, Wanted};
+use crate::placement::report::{Course, News, Noticed, Paced, Placed, Report, Wanted};
 
 impl Coordinator {
     /// Notes that a member was heard; what an earlier process of it ran is over.
@@ -58,6 +59,17 @@
         self.step(now, Event::Paced(told));
     }
 
+    /// Takes what an engine said of itself to a member, which alone may not send there now.
+    pub(super) fn take_notice(&mut self, now: Time, name: &str, noticed: Noticed) {
+        let told = NoticeTold {
+            endpoint: noticed.endpoint,
+            member: name.to_owned(),
+            notice: noticed.notice,
+            read: now,
+        };
+        self.step(now, Event::Noticed(told));
+    }
+
     /// Takes a request that runs and was placed by another coordinator, or by the member itself.
     pub(super) fn take_running(
         &mut self,
--- a/crates/firdock-node/src/placement/member.rs
+++ b/crates/firdock-node/src/placement/member.rs
@@ -1,20 +1,21 @@
 //! A member's side: whom it asks, what it tells, and when it gives the coordinator up.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use firdock_core::{EndpointId, InstanceId, Outcome, RequestId, ZoneId};
+use firdock_core::{EndpointId, InstanceId, Outcome, RequestId, StartId, ZoneId};
 use firdock_policy::event::{EndpointEvent, Grant, Member};
 use firdock_policy::load::{Pace, PaceTold};
+use firdock_policy::notice::NoticeTold;
 use firdock_policy::request::{Phase, Placing};
 use firdock_policy::table::Tables;
 use firdock_policy::{Event, Time, Verdict};
 use slog::{Logger, info};
 
-use super::report::{Course, News, Paced, Placed, Refused, Reply, Report, Wanted};
-use super::told::{course, engine_of, next_attempt, running, waits, wanted};
+use super::report::{Course, News, Noticed, Paced, Placed, Refused, Reply, Report, Wanted};
+use super::told::{course, engine_of, next_attempt, noticed, notices, running, waits, wanted};
 use crate::peer::PeerBook;
 
 /// Pause between two whole reports.
@@ -55,6 +56,8 @@
     news: Vec<News>,
     /// What engines told of their pace since the last report.
     paces: BTreeMap<EndpointId, (Pace, Time)>,
+    /// Starts of engines that said something of themselves since.
+    noticed: BTreeSet<StartId>,
     log: Logger,
 }
 
@@ -75,6 +78,7 @@
             asked: Vec::new(),
             news: Vec::new(),
             paces: BTreeMap::new(),
+            noticed: BTreeSet::new(),
             log,
         }
     }
@@ -128,6 +132,20 @@
         }
     }
 
+    /// Notes that an engine said something of itself; it goes with the next report, as its pace does.
+    pub fn note_notice(&mut self, told: &NoticeTold) {
+        if self.lead.is_some() {
+            self.noticed.insert(told.endpoint.clone());
+        }
+    }
+
+    fn take_notices(&mut self, now: Time, t: &Tables) -> Vec<Noticed> {
+        let starts = std::mem::take(&mut self.noticed).into_iter();
+        let rows = starts.filter_map(|start| t.endpoints.find_start(&start));
+        let engines = rows.map(|at| t.endpoints.get(at)).filter(|e| e.is_engine());
+        engines.filter_map(|e| noticed(now, e)).collect()
+    }
+
     fn take_paces(&mut self, now: Time) -> Vec<Paced> {
         let paces = std::mem::take(&mut self.paces).into_iter();
         let told = |(endpoint, (pace, read)): (EndpointId, (Pace, Time))| Paced {
@@ -244,6 +262,7 @@
             waiting,
             news,
             paces: self.take_paces(now),
+            notices: self.take_notices(now, t),
             ..self.empty_report()
         })
     }
@@ -258,6 +277,7 @@
         self.number += 1;
         self.owed_since = self.owed_since.or(Some(now));
         self.asked.clear();
+        self.noticed.clear();
         let held = t.requests.iter().filter(|r| waits(r));
         let waiting = held.map(|r| wanted(now, r, next_attempt(r))).collect();
         let running = t.requests.iter().filter_map(|r| running(now, t, r));
@@ -267,6 +287,7 @@
             running: running.collect(),
             news: std::mem::take(&mut self.news),
             paces: self.take_paces(now),
+            notices: notices(now, t),
             ..self.empty_report()
         })
     }
@@ -292,6 +313,7 @@
             running: Vec::new(),
             news: Vec::new(),
             paces: Vec::new(),
+            notices: Vec::new(),
             cut: false,
         }
     }
--- a/crates/firdock-node/src/placement/report.rs
+++ b/crates/firdock-node/src/placement/report.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use firdock_core::{EndpointId, InstanceId, Reason, RequestId, ZoneId};
+use firdock_core::{EndpointId, InstanceId, Reason, RequestId, StartId, ZoneId};
 use firdock_policy::NewRequest;
 use firdock_policy::load::Pace;
+use firdock_policy::notice::Notice;
 use uuid::Uuid;
 
 /// A request as far as its placement needs it.
@@ -62,6 +63,15 @@
     pub age: Duration,
 }
 
+/// What an engine said of itself to a member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Noticed {
+    /// Start of the engine.
+    pub endpoint: StartId,
+    /// What of it still holds; a back-off by the time that is left.
+    pub notice: Notice,
+}
+
 /// What a member tells its coordinator.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Report {
@@ -83,6 +93,8 @@
     pub news: Vec<News>,
     /// What engines told of their pace since the last report.
     pub paces: Vec<Paced>,
+    /// What engines said of themselves: what is new, or all that holds in a whole report.
+    pub notices: Vec<Noticed>,
     /// Whether requests were left out, so that nothing follows for those that are not told of.
     pub cut: bool,
 }
--- a/crates/firdock-node/src/placement/told.rs
+++ b/crates/firdock-node/src/placement/told.rs
@@ -4,12 +4,13 @@
 
 use firdock_core::StartId;
 use firdock_policy::event::DispatchNews;
+use firdock_policy::notice::Notice;
 use firdock_policy::request::{Phase, Placing, RequestRow};
 use firdock_policy::table::Tables;
 use firdock_policy::table::endpoint::EndpointRow;
 use firdock_policy::{NewRequest, Time};
 
-use super::report::{Course, Wanted};
+use super::report::{Course, Noticed, Wanted};
 
 /// Gives the number of the place that a held request waits for.
 pub fn next_attempt(row: &RequestRow) -> u32 {
@@ -26,7 +27,7 @@
         DispatchNews::Broke { .. } => Course::Broke,
         DispatchNews::Refused { unreachable: false } => Course::Refused,
         DispatchNews::Refused { unreachable: true } => Course::Unreachable,
-        DispatchNews::Lapsed => Course::Dropped,
+        DispatchNews::Lapsed | DispatchNews::Withheld => Course::Dropped,
     })
 }
 
@@ -69,6 +70,25 @@
     }
 }
 
+/// Gives what engines said to this instance of themselves and what still holds.
+pub fn notices(now: Time, t: &Tables) -> Vec<Noticed> {
+    let engines = t.endpoints.iter().filter(|(_, e)| e.is_engine());
+    engines.filter_map(|(_, e)| noticed(now, e)).collect()
+}
+
+/// Gives what an engine said to this instance of itself, if any of it still holds.
+pub fn noticed(now: Time, e: &EndpointRow) -> Option<Noticed> {
+    let backoff = e.notices.backoff("", now);
+    let notice = Notice {
+        leaving: e.notices.leaving_since().is_some(),
+        backoff: backoff.map(|b| b.until.saturating_sub(now)),
+    };
+    (!notice.is_empty()).then(|| Noticed {
+        endpoint: e.start_id.clone(),
+        notice,
+    })
+}
+
 /// Gives the starts of engines that a request must not go to, each once.
 fn avoided(row: &RequestRow) -> Vec<StartId> {
     let all: BTreeSet<&StartId> = row.tried.iter().chain(&row.declined).collect();
--- a/crates/firdock-node/tests/node/placement.rs
+++ b/crates/firdock-node/tests/node/placement.rs
@@ -100,6 +100,7 @@
         running: Vec::new(),
         news: Vec::new(),
         paces: Vec::new(),
+        notices: Vec::new(),
         cut: false,
     }
 }
--- a/crates/firdock-policy/src/action.rs
+++ b/crates/firdock-policy/src/action.rs
@@ -30,6 +30,13 @@
         /// Dispatch to stop.
         dispatch: u32,
     },
+    /// Give a dispatch back if it is not written yet: its endpoint wants nothing new.
+    Withhold {
+        /// Request.
+        id: RequestId,
+        /// Dispatch to give back.
+        dispatch: u32,
+    },
     /// Ask the coordinator for a place on an engine.
     Ask {
         /// Request.
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -121,6 +121,8 @@
     /// The key's confirmation or the configuration's freshness lapsed before the write; the
     /// request was not sent.
     Lapsed,
+    /// The endpoint said meanwhile that it wants nothing new; the request was not sent.
+    Withheld,
     /// The answer began.
     Started {
         /// Whether its head was passed on, so that no other answer can be given any more.
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -66,6 +66,9 @@
     /// How long it was held before, at the instance that asks for it.
     #[serde(default, skip_serializing_if = "Time::is_zero")]
     pub age: Time,
+    /// Instance that asks for it and will send it; empty for the own one.
+    #[serde(default, skip_serializing_if = "InstanceId::is_empty")]
+    pub member: InstanceId,
     /// Availability zone of the instance that asks for it; empty for the own one.
     #[serde(default, skip_serializing_if = "ZoneId::is_empty")]
     pub zone: ZoneId,
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -4,8 +4,8 @@
 use crate::event::Event;
 use crate::settings::PolicySettings;
 use crate::system::{
-    admit, check, config, coordinate, demand, drain, early, expire, fair, handover, health, key,
-    limit, news, notice, paced, place, rollout, share, shed,
+    admit, backoff, check, config, coordinate, demand, drain, early, expire, fair, handover,
+    health, key, limit, news, notice, paced, place, rollout, share, shed,
 };
 use crate::table::{Reach, Tables};
 use crate::time::Time;
@@ -53,7 +53,7 @@
             Event::CallerLeft(id) => news::caller_left(t, now, id, out),
             Event::Endpoint(e) => news::endpoint(t, now, &e, out),
             Event::Paced(told) => paced::take(t, &told),
-            Event::Noticed(told) => notice::take(t, &told),
+            Event::Noticed(told) => notice::take(t, &told, out),
             Event::Report(report) => health::report(t, now, &report),
             Event::ReportMissed(name) => health::missed(t, now, &name),
             Event::Config(catalog) => config::apply(t, now, &catalog, out),
@@ -101,6 +101,7 @@
         self.apply(now, event, out);
         let t = &mut self.tables;
         place::run(t, now, out);
+        backoff::run(t, now, out);
         coordinate::ask(t, out);
         shed::run(t, now, out);
         drain::run(t, now, out);
--- a/crates/firdock-policy/src/system.rs
+++ b/crates/firdock-policy/src/system.rs
@@ -1,6 +1,7 @@
 //! The systems that run over the tables, one file a job.
 
 pub mod admit;
+pub mod backoff;
 pub mod check;
 pub mod config;
 pub mod coordinate;
--- a/crates/firdock-policy/src/system/config.rs
+++ b/crates/firdock-policy/src/system/config.rs
@@ -19,11 +19,11 @@
     }
     t.version = catalog.version;
     apply_accounts(t, now, catalog);
-    apply_endpoints(t, catalog, out);
+    apply_endpoints(t, now, catalog, out);
     apply_services(t, catalog);
     link(t);
     rollout::apply(t, now, catalog);
-    sweep(t);
+    sweep(t, now);
     share::set_budgets(t, now);
 }
 
@@ -39,9 +39,10 @@
     }
 }
 
-fn apply_endpoints(t: &mut Tables, catalog: &Catalog, out: &mut Vec<Action>) {
+fn apply_endpoints(t: &mut Tables, now: Time, catalog: &Catalog, out: &mut Vec<Action>) {
     for (_, row) in t.endpoints.iter_mut() {
         row.present = false;
+        row.absent_since = row.absent_since.or(Some(now));
     }
     for declared in &catalog.endpoints {
         restart::make_way(t, declared, out);
@@ -50,6 +51,7 @@
             .find_or_add(&declared.name, || EndpointRow::new(declared.clone()));
         let row = t.endpoints.get_mut(at);
         row.present = true;
+        row.absent_since = None;
         row.declared = declared.clone();
     }
 }
@@ -102,10 +104,11 @@
     }
 }
 
-/// Removes rows that are neither declared nor referred to.
-fn sweep(t: &mut Tables) {
+/// Removes rows that are neither declared nor referred to, and of which nothing is to be kept.
+fn sweep(t: &mut Tables, now: Time) {
     t.services.remove_if(|s| !s.present && s.live == 0);
     t.accounts.remove_if(|a| !a.present && a.live == 0);
     // Services were linked to present endpoints only.
-    t.endpoints.remove_if(|e| !e.present && e.running == 0);
+    t.endpoints
+        .remove_if(|e| !e.present && e.running == 0 && !e.keeps_notices(now));
 }
--- a/crates/firdock-policy/src/system/coordinate.rs
+++ b/crates/firdock-policy/src/system/coordinate.rs
@@ -13,6 +13,7 @@
 use crate::event::Grant;
 use crate::request::{NewRequest, Phase, Placing, RequestRow, Verdict};
 use crate::table::Tables;
+use crate::table::endpoint::Closed;
 use crate::time::Time;
 
 /// Takes it that a coordinator answers now, or that none does.
@@ -70,19 +71,35 @@
             place::send_to(t, now, grant.id, (at, grant.predicted), out);
             return;
         }
-    } else if let Some(row) = t.requests.get_mut(grant.id) {
-        row.declined.push(grant.endpoint.clone());
-        row.placing = Placing::Open;
+    } else {
+        give_back(t, now, grant);
     }
     out.push(Action::Decline(grant.clone()));
 }
 
+/// Lets a request ask for another place than one that cannot be used.
+///
+/// The engine is named, so that it is not given again; not so where it only wants nothing for a while:
+/// the coordinator hears of that as well, and the request may go there at the end of it.
+fn give_back(t: &mut Tables, now: Time, grant: &Grant) {
+    let at = t.endpoints.find_start(&grant.endpoint);
+    let closed = at.and_then(|at| t.endpoints.get(at).open_to("", now).err());
+    let Some(row) = t.requests.get_mut(grant.id) else {
+        return;
+    };
+    row.placing = Placing::Open;
+    if !matches!(closed, Some(Closed::BackingOff(_))) {
+        row.declined.push(grant.endpoint.clone());
+    }
+}
+
 /// Tells whether a request may go to an engine at all; whether it is well, the coordinator knows.
 fn may_use(t: &Tables, now: Time, row: &RequestRow, at: usize) -> bool {
     let e = t.endpoints.get(at);
     let serves = t.services.get(row.service).endpoints.contains(&at) && place::in_pool(row, e);
-    let open = serves && e.present && !e.leaving(now) && !row.tried.contains(&e.start_id);
-    open && rollout::admits_grant(t, at)
+    let closed = e.open_to(&row.new.member, now).err();
+    let open = closed.is_none_or(Closed::is_health) && !row.tried.contains(&e.start_id);
+    serves && open && rollout::admits_grant(t, at)
 }
 
 /// Gives a request up that the coordinator will not place in time.
--- a/crates/firdock-policy/src/system/early.rs
+++ b/crates/firdock-policy/src/system/early.rs
@@ -7,7 +7,7 @@
 
 use firdock_core::{RequestId, TierRank};
 
-use super::{coordinate, fair, shed};
+use super::{backoff, coordinate, fair, shed};
 use crate::action::Action;
 use crate::request::{Phase, RequestRow};
 use crate::table::Tables;
@@ -25,8 +25,13 @@
     }
     let mut hopeless: Vec<(TierRank, RequestId)> = Vec::new();
     let mut ahead: HashMap<&str, u32> = HashMap::new();
-    let waits =
-        |r: &&RequestRow| r.phase == Phase::Held && !r.may_have_run() && !coordinate::waits(t, r);
+    // How long a back-off lasts is known, and whether its end is waited for is decided by that.
+    let waits = |r: &&RequestRow| {
+        r.phase == Phase::Held
+            && !r.may_have_run()
+            && !coordinate::waits(t, r)
+            && backoff::waits_until(t, now, r).is_none()
+    };
     let held: Vec<&RequestRow> = t.requests.iter().filter(waits).collect();
     for row in fair::in_order(t, now, held) {
         let before = ahead.entry(row.pool_key()).or_default();
--- a/crates/firdock-policy/src/system/end.rs
+++ b/crates/firdock-policy/src/system/end.rs
@@ -6,7 +6,7 @@
 
 use firdock_core::{Outcome, Reason, RequestId, StartId};
 
-use super::{limit, tries};
+use super::{backoff, limit, tries};
 use crate::action::Action;
 use crate::request::{NewRequest, Origin, Phase, Placing, RequestRow, Verdict};
 use crate::stats::{RefusalKey, WasteCause};
@@ -169,15 +169,17 @@
     let verdict = Verdict {
         outcome: row.outcome_unanswered(),
         reason,
-        retry_after: Some(retry_after(t)),
+        retry_after: Some(retry_after(t, now, row)),
     };
     answer(t, now, id, verdict, out);
 }
 
-/// Estimates when the queue will have room.
-pub fn retry_after(t: &Tables) -> Duration {
+/// Estimates when the queue will have room, and an endpoint of the request takes any.
+fn retry_after(t: &Tables, now: Time, row: &RequestRow) -> Duration {
     let wait = t.requests.held() as f64 / t.end_rate.max(1.0);
-    Duration::from_secs_f64(wait).clamp(RETRY_TIMES.0, RETRY_TIMES.1)
+    let room = Duration::from_secs_f64(wait).clamp(RETRY_TIMES.0, RETRY_TIMES.1);
+    let open = backoff::retry_after(t, now, row).unwrap_or_default();
+    room.max(open)
 }
 
 /// Counts a final answer of firdock's own to a request that has no row.
--- a/crates/firdock-policy/src/system/expire.rs
+++ b/crates/firdock-policy/src/system/expire.rs
@@ -71,6 +71,18 @@
     limit.map_or(Time::MAX, |limit| row.arrived + limit.mul_f64(WAIT_PART))
 }
 
+/// Gives until when a held request can be sent at all before it is given up.
+pub fn latest_send(t: &Tables, row: &RequestRow) -> Time {
+    let impatient = t.settings.mechanisms.early_refusal;
+    let wait = row.arrived + t.services.get(row.service).tier.wait();
+    let limits = [
+        Some(wait),
+        row.deadline,
+        impatient.then(|| last_wait(t, row)),
+    ];
+    limits.into_iter().flatten().min().unwrap_or(wait)
+}
+
 /// Gives up what waited too long, and forgets keys that were kept long enough.
 ///
 /// A request of a higher tier stays held while one of a lower tier is, so that it is never shed
--- a/crates/firdock-policy/src/system/handover.rs
+++ b/crates/firdock-policy/src/system/handover.rs
@@ -11,7 +11,7 @@
 use crate::time::Time;
 
 /// Time for which a peer's word that an endpoint is leaving counts.
-const LEAVING_WORD: std::time::Duration = std::time::Duration::from_secs(10);
+pub const LEAVING_WORD: std::time::Duration = std::time::Duration::from_secs(10);
 /// Silence after which a peer's hand-overs end: far longer than heartbeats are apart.
 const PEER_SILENCE: std::time::Duration = std::time::Duration::from_secs(10);
 /// Silence after which a peer's row is dropped.
--- a/crates/firdock-policy/src/system/news.rs
+++ b/crates/firdock-policy/src/system/news.rs
@@ -20,6 +20,7 @@
     match e.news {
         DispatchNews::Refused { unreachable } => refused(t, now, e.id, at, unreachable, out),
         DispatchNews::Lapsed => lapsed(t, now, e.id, out),
+        DispatchNews::Withheld => withheld(t, now, e.id),
         DispatchNews::Started { head_sent } => started(t, e.id, at, head_sent),
         DispatchNews::Tokens { delivered, cached } => tokens(t, now, e.id, at, delivered, cached),
         DispatchNews::Ended {
@@ -108,6 +109,15 @@
 }
 
 fn lapsed(t: &mut Tables, now: Time, id: RequestId, out: &mut Vec<Action>) {
+    withheld(t, now, id);
+    let keyed = t.requests.get(id).is_some_and(|r| r.new.key.is_some());
+    if keyed {
+        end::answer(t, now, id, key::unconfirmed_verdict(), out);
+    }
+}
+
+/// Takes a request back of which nothing was sent: the endpoint may still get it, once it may be sent.
+fn withheld(t: &mut Tables, now: Time, id: RequestId) {
     fair::take_back(t, now, id);
     if t.settings.coordinates {
         end::finish(t, now, id, Outcome::NotRun);
@@ -115,13 +125,7 @@
     }
     end::set_phase(t, id, Phase::Held, true);
     take_back_run(t, id);
-    let Some(row) = t.requests.get_mut(id) else {
-        return;
-    };
-    if row.new.key.is_some() {
-        end::answer(t, now, id, key::unconfirmed_verdict(), out);
-    } else {
-        // Nothing was sent: the endpoint may still get it, once the configuration is fresh again.
+    if let Some(row) = t.requests.get_mut(id) {
         row.tried.pop();
     }
 }
@@ -206,7 +210,9 @@
 ) {
     end::count_waste(t, id, WasteCause::EndpointLost);
     rollout::lost(t, id, at);
-    health::broke(t, now, at);
+    if !backs_off(t, now, id, at) {
+        health::broke(t, now, at);
+    }
     if t.settings.coordinates {
         end::finish(t, now, id, Outcome::Unknown);
         return;
@@ -234,6 +240,16 @@
     end::answer(t, now, id, verdict, out);
 }
 
+/// Tells whether the endpoint wants no request now from the instance that sent it one: what breaks
+/// meanwhile is no failure of it, and nothing would be spared by an ejection.
+fn backs_off(t: &Tables, now: Time, id: RequestId, at: usize) -> bool {
+    let Some(row) = t.requests.get(id) else {
+        return false;
+    };
+    let e = t.endpoints.get(at);
+    e.notices.backoff(&row.new.member, now).is_some()
+}
+
 /// Tells whether a broken request may run on a second endpoint.
 fn may_go_on(t: &Tables, id: RequestId, at: usize) -> bool {
     let Some(row) = t.requests.get(id) else {
--- a/crates/firdock-policy/src/system/notice.rs
+++ b/crates/firdock-policy/src/system/notice.rs
@@ -1,16 +1,53 @@
-//! Notices of endpoints: kept with the start that gave them, and counted.
+//! Notices of endpoints: kept with the start that gave them, counted, and in force up to the write.
 
-use crate::notice::NoticeTold;
+use crate::action::Action;
+use crate::notice::{Notice, NoticeTold};
+use crate::request::Phase;
+use crate::system::handover::LEAVING_WORD;
 use crate::table::Tables;
 
 /// Takes what an endpoint said of itself; the word of a start that is over is passed over.
-pub fn take(t: &mut Tables, told: &NoticeTold) {
+///
+/// What it said to another instance counts as that one's word.
+pub fn take(t: &mut Tables, told: &NoticeTold, out: &mut Vec<Action>) {
     let Some(at) = t.endpoints.find_start(&told.endpoint) else {
         return;
     };
+    if let Some(time) = told.notice.backoff {
+        t.backoffs_until = t.backoffs_until.max(told.read + time);
+    }
     let e = t.endpoints.get_mut(at);
+    if !told.member.is_empty() {
+        if told.notice.leaving {
+            e.peer_leaving = Some(told.read + LEAVING_WORD);
+        }
+        let notice = Notice {
+            leaving: false,
+            ..told.notice
+        };
+        e.notices.take(&NoticeTold {
+            notice,
+            ..told.clone()
+        });
+        return;
+    }
     let new = e.notices.take(told);
     let counts = t.stats.notices.entry(e.declared.pool.clone()).or_default();
     counts.leaving += u64::from(new.leaving);
     counts.backoffs += u64::from(told.notice.backoff.is_some());
+    if !new.is_empty() {
+        withhold(t, at, out);
+    }
+}
+
+/// Gives back what is on its way to an endpoint and not written yet.
+fn withhold(t: &Tables, at: usize, out: &mut Vec<Action>) {
+    let on_its_way = t
+        .requests
+        .iter()
+        .filter(|r| r.phase == Phase::Dispatching(at));
+    out.extend(on_its_way.map(|r| Action::Withhold {
+        id: r.new.id,
+        dispatch: r.dispatch,
+    }));
 }
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -12,11 +12,13 @@
 use crate::cost::{self, Estimate};
 use crate::request::{Phase, RequestRow};
 use crate::table::Tables;
-use crate::table::endpoint::{EndpointRow, Health};
+use crate::table::endpoint::{Closed, EndpointRow, Health};
 use crate::time::Time;
 
 /// Lanes of a queue that are looked at before the queue counts as blocked.
 const MAX_LOOKS: usize = 8;
+/// Requests of a lane that are looked at behind one that its instance may not send.
+const MAX_BEHIND: usize = 64;
 
 /// Prefill work that may wait at an endpoint before it gets another prompt, in seconds.
 const MAX_PREFILL_SECS: f64 = 1.0;
@@ -88,9 +90,9 @@
         .take(MAX_LOOKS)
         .collect();
     for id in heads {
-        match try_place(t, now, id, out) {
+        match try_lane(t, now, id, out) {
             Tried::Left => return true,
-            Tried::Waits => {}
+            Tried::Waits | Tried::HeldUp => {}
             // Whatever blocks this request blocks the rest of the queue as well.
             Tried::Blocked => return false,
         }
@@ -105,10 +107,44 @@
     Left,
     /// It stays, and others of its queue may still go.
     Waits,
+    /// It stays, since endpoints want nothing of the instance that asks; those of others may go.
+    HeldUp,
     /// It stays, and so does the rest of its queue.
     Blocked,
 }
 
+/// Tries the first request of a lane, and where endpoints want nothing of the instance that asks for
+/// it, the next ones of other instances: no place stays empty for what one of them may not send.
+fn try_lane(t: &mut Tables, now: Time, head: RequestId, out: &mut Vec<Action>) -> Tried {
+    let tried = try_place(t, now, head, out);
+    if tried != Tried::HeldUp || !t.settings.coordinates {
+        return tried;
+    }
+    for id in behind(t, head) {
+        if try_place(t, now, id, out) == Tried::Left {
+            return Tried::Left;
+        }
+    }
+    Tried::HeldUp
+}
+
+/// Gives the first requests of other instances behind the head of a lane, one of each, of its rank.
+fn behind(t: &Tables, head: RequestId) -> Vec<RequestId> {
+    let Some(first) = t.requests.get(head) else {
+        return Vec::new();
+    };
+    let mut members = vec![&first.new.member];
+    let mut ids = Vec::new();
+    let lane = t.services.get(first.service).queue.lane_ids(first.account);
+    for row in lane.take(MAX_BEHIND).filter_map(|id| t.requests.get(id)) {
+        if row.rank == first.rank && !members.contains(&&row.new.member) {
+            members.push(&row.new.member);
+            ids.push(row.new.id);
+        }
+    }
+    ids
+}
+
 fn try_place(t: &mut Tables, now: Time, id: RequestId, out: &mut Vec<Action>) -> Tried {
     let Some(row) = t.requests.get(id) else {
         return Tried::Waits;
@@ -126,6 +162,7 @@
             return Tried::Left;
         }
         Placement::Wait => return Tried::Waits,
+        Placement::Blocked if is_held_up(t, now, row) => return Tried::HeldUp,
         Placement::Blocked if row.tried.is_empty() => return Tried::Blocked,
         Placement::Blocked => {}
     }
@@ -208,6 +245,16 @@
     t.fresh_until().filter(|_| !public)
 }
 
+/// Tells whether endpoints that take the request want nothing of the instance that asks for it.
+fn is_held_up(t: &Tables, now: Time, row: &RequestRow) -> bool {
+    let member = &row.new.member;
+    let backs_off = |e: &EndpointRow| {
+        let untried = !row.tried.contains(&e.start_id);
+        untried && matches!(e.open_to(member, now), Err(Closed::BackingOff(_)))
+    };
+    t.backoffs_until > now && takers(t, row).any(backs_off)
+}
+
 /// Tells whether every endpoint that takes the request has had it.
 fn exhausted(t: &Tables, row: &RequestRow) -> bool {
     takers(t, row).all(|e| row.tried.contains(&e.start_id))
@@ -317,7 +364,8 @@
 /// Tells whether an endpoint may take the request at all.
 fn may_take(t: &Tables, now: Time, row: &RequestRow, at: usize) -> bool {
     let e = t.endpoints.get(at);
-    let open = in_pool(row, e) && e.usable(now) && !row.tried.contains(&e.start_id);
+    let open = e.open_to(&row.new.member, now).is_ok();
+    let open = open && in_pool(row, e) && !row.tried.contains(&e.start_id);
     open && rollout::admits(t, row, at)
 }
 
@@ -337,17 +385,19 @@
 ///
 /// # Panics
 ///
-/// Panics if the endpoint had the request before or is leaving, or if a request that may not be
+/// Panics if the endpoint had the request before or may not get it, or if a request that may not be
 /// repeated may have run already.
 fn dispatch(t: &mut Tables, now: Time, id: RequestId, choice: Choice, out: &mut Vec<Action>) {
     charge(t, id, choice);
     fair::charge(t, now, id);
     let most = t.most_retries();
     end::set_phase(t, id, Phase::Dispatching(choice.endpoint), false);
+    let member = t.requests.get(id).map(|r| r.new.member.clone());
     let e = t.endpoints.get_mut(choice.endpoint);
+    let closed = e.open_to(&member.unwrap_or_default(), now).err();
     assert!(
-        !e.leaving(now),
-        "endpoint {} is leaving and got new work",
+        closed.is_none_or(Closed::is_health),
+        "endpoint {} is closed and got new work: {closed:?}",
         e.declared.name
     );
     if matches!(e.health, Health::Ejected(_)) {
--- a/crates/firdock-policy/src/system/place/shared.rs
+++ b/crates/firdock-policy/src/system/place/shared.rs
@@ -4,7 +4,7 @@
 
 use firdock_core::{RequestId, TierRank};
 
-use super::{Tried, try_place};
+use super::{Tried, try_lane};
 use crate::action::Action;
 use crate::system::fair;
 use crate::table::Tables;
@@ -34,9 +34,9 @@
         if blocked.contains(&service) {
             continue;
         }
-        match try_place(t, now, id, out) {
+        match try_lane(t, now, id, out) {
             Tried::Left => return true,
-            Tried::Waits => {}
+            Tried::Waits | Tried::HeldUp => {}
             Tried::Blocked => {
                 blocked.insert(service);
             }
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -92,6 +92,8 @@
     pub retries: retry::Retries,
     /// Other instances that are known of, whether heard from or not; `None` before anyone told.
     pub known_peers: Option<usize>,
+    /// When the last time ends in which an endpoint wants no request of some instance.
+    pub backoffs_until: Time,
     /// Demand of other groups, as their leads tell.
     pub groups: group::Groups,
     /// Work that other groups did for accounts, as their leads tell.
@@ -183,6 +185,7 @@
             rates_taken: Time::ZERO,
             retries: retry::Retries::new(),
             known_peers: None,
+            backoffs_until: Time::ZERO,
             groups: group::Groups::default(),
             told_work: share::ToldWork::default(),
             levels: share::Levels::default(),
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -42,6 +42,10 @@
 const EJECT_MAX: Duration = Duration::from_secs(30);
 /// Missed reports after which an endpoint is ejected.
 pub const MISSED_REPORTS: u32 = 4;
+/// Time for which what an endpoint said is kept after the configuration lost it. Outages of a store in
+/// which entries lapse last seconds to minutes, and endpoints that leave are gone in less; a name that
+/// is out of use for longer costs no row any more.
+const NOTICE_KEEP: Duration = Duration::from_mins(10);
 /// Weight of a new sample in learned rates.
 const LEARN: f64 = 0.2;
 /// Seconds to the first token of an engine that has no prompt to compute, before any was seen; those
@@ -68,6 +72,30 @@
     Probing,
 }
 
+/// Why an endpoint may not get work of an instance now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Closed {
+    /// The configuration in force has it no more.
+    Absent,
+    /// It leaves.
+    Leaving,
+    /// It wants no request from the instance until the time given.
+    BackingOff(Time),
+    /// It failed, and is out for a while.
+    Ejected,
+    /// It failed, and a request is on its way by which that is tried.
+    Probing,
+}
+
+impl Closed {
+    /// Tells whether the endpoint's health alone closes it, of which a coordinator knows more than the
+    /// instances that send.
+    #[must_use]
+    pub fn is_health(self) -> bool {
+        matches!(self, Self::Ejected | Self::Probing)
+    }
+}
+
 /// Load that an endpoint reported.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Reported {
@@ -95,6 +123,8 @@
     replaced: bool,
     /// Whether the configuration in force still has it.
     pub present: bool,
+    /// When the configuration lost it.
+    pub absent_since: Option<Time>,
     /// Whether the instance list shows it as leaving.
     pub listed_leaving: bool,
     /// Whether the endpoint itself said that it is leaving.
@@ -157,6 +187,7 @@
             replaced: false,
             declared,
             present: true,
+            absent_since: None,
             listed_leaving: false,
             told_leaving: false,
             peer_leaving: None,
@@ -207,24 +238,58 @@
     #[must_use]
     pub fn leaving(&self, now: Time) -> bool {
         let by_peer = self.peer_leaving.is_some_and(|until| until > now);
-        self.declared.leaving || self.listed_leaving || self.told_leaving || by_peer
+        self.leaving_first_hand() || by_peer
     }
 
     /// Tells whether this instance knows of the leaving by itself, and may tell peers.
     #[must_use]
     pub fn leaving_first_hand(&self) -> bool {
-        self.declared.leaving || self.listed_leaving || self.told_leaving
+        let by_answer = self.notices.leaving_since().is_some();
+        self.declared.leaving || self.listed_leaving || self.told_leaving || by_answer
+    }
+
+    /// Tells whether it may get work of an instance now, or why not.
+    ///
+    /// All that is sent goes by this, up to the write: first tries, repeats, probes, requests that go on
+    /// after another endpoint, and places that a coordinator gives. While each way knew an endpoint by
+    /// the list, by peers and by failures alone, two of six that asked for 3 s got 107 requests in them,
+    /// and 5 of 120 callers were served; by this it is none and 120 (40 requests a second in virtual
+    /// time, half of what the other four bear). `member` is the instance that sends, empty for the own one.
+    ///
+    /// # Errors
+    ///
+    /// Fails with why it may not; what the endpoint itself said goes before what was seen of it.
+    pub fn open_to(&self, member: &str, now: Time) -> Result<(), Closed> {
+        if !self.present {
+            return Err(Closed::Absent);
+        }
+        if self.leaving(now) {
+            return Err(Closed::Leaving);
+        }
+        if let Some(backoff) = self.notices.backoff(member, now) {
+            return Err(Closed::BackingOff(backoff.until));
+        }
+        match self.health {
+            Health::Ejected(until) if until > now => Err(Closed::Ejected),
+            Health::Probing if self.running > 0 => Err(Closed::Probing),
+            _ => Ok(()),
+        }
     }
 
-    /// Tells whether new work may go to it at all.
+    /// Tells whether new work of this instance may go to it at all.
     #[must_use]
     pub fn usable(&self, now: Time) -> bool {
-        let healthy = match self.health {
-            Health::Well => true,
-            Health::Ejected(until) => until <= now,
-            Health::Probing => self.running == 0,
-        };
-        self.present && healthy && !self.leaving(now)
+        self.open_to("", now).is_ok()
+    }
+
+    /// Tells whether the row goes on, though the configuration lost it, for what the endpoint said.
+    ///
+    /// An entry of an endpoint that lives lapses while the platform's store is away, and comes back as
+    /// it was before: its next row would know nothing of a word that still holds.
+    #[must_use]
+    pub fn keeps_notices(&self, now: Time) -> bool {
+        let kept = self.absent_since.is_some_and(|at| at + NOTICE_KEEP > now);
+        kept && !self.replaced && self.notices.hold(now)
     }
 
     /// Notes a failure and ejects the endpoint for a while, longer for each failure in a row.
--- a/crates/firdock-policy/src/table/notices.rs
+++ b/crates/firdock-policy/src/table/notices.rs
@@ -60,6 +60,12 @@
         known.is_none_or(|b| b.until < told.read + time)
     }
 
+    /// Tells whether anything that was said still holds.
+    #[must_use]
+    pub fn hold(&self, now: Time) -> bool {
+        self.leaving_since.is_some() || self.backoffs.values().any(|b| b.until > now)
+    }
+
     /// Gives since when the endpoint is known to leave by its own word.
     #[must_use]
     pub fn leaving_since(&self) -> Option<Time> {
--- a/crates/firdock-policy/src/table/queue.rs
+++ b/crates/firdock-policy/src/table/queue.rs
@@ -98,6 +98,15 @@
         in_time.chain(late)
     }
 
+    /// Gives the requests of an account in the order in which they are due.
+    pub fn lane_ids(&self, account: usize) -> impl Iterator<Item = RequestId> {
+        let lane = self.lanes.get(&account).into_iter();
+        lane.flat_map(|lane| {
+            let in_time = lane.ids.iter().map(|(_, id)| *id);
+            in_time.chain(lane.late.iter().copied())
+        })
+    }
+
     /// Puts the requests for which `is_late` says so behind all others of their lane.
     pub fn put_late_last(&mut self, is_late: impl Fn(RequestId) -> bool) {
         for lane in self.lanes.values_mut() {
--- a/crates/firdock-policy/tests/policy/notices.rs
+++ b/crates/firdock-policy/tests/policy/notices.rs
@@ -125,22 +125,30 @@
     assert_eq!(reached(&mut edge, 4..8), ["e2"; 4]);
 }
 
-#[test]
-fn its_word_ends_with_its_next_start() {
-    let mut edge = alone();
-    leaves(&mut edge, "e1");
+/// The catalog with `e1` as it started at a second.
+fn started(second: u64) -> Vec<Resource> {
     let mut all = without("e1");
     all.push(Resource::Endpoint(Endpoint {
         name: "e1".to_owned(),
         pool: "pool".to_owned(),
         slots: 2,
-        started: Some(Duration::from_secs(9)),
+        started: Some(Duration::from_secs(second)),
         ..Endpoint::default()
     }));
-    apply(&mut edge, 2, all);
-    // Late words of the earlier start change nothing of the later one.
-    leaves(&mut edge, "e1");
-    let open = reached(&mut edge, 1..6);
+    all
+}
+
+#[test]
+fn its_word_ends_with_its_next_start() {
+    let mut edge = Edge::new(edge_settings("a"), started(8));
+    let earlier = row(&edge, "e1").start_id.clone();
+    leaves(&mut edge, &earlier);
+    assert_eq!(reached(&mut edge, 1..5), ["e2"; 4]);
+    apply(&mut edge, 2, started(9));
+    // A late word of the earlier start changes nothing of the later one.
+    leaves(&mut edge, &earlier);
+    asks(&mut edge, &earlier, millis(3_000));
+    let open = reached(&mut edge, 5..10);
     assert!(open.contains(&"e1".to_owned()), "{open:?}");
 }
 
@@ -293,14 +301,16 @@
     let (mut sent, mut served, mut late) = (0_u64, 0_u64, 0_u64);
     let mut running: Vec<(Time, u64, u32)> = Vec::new();
     let mut queue: Vec<Action> = Vec::new();
-    while edge.now < began + millis(3_000) {
+    while edge.now < began + millis(3_500) {
         edge.now += millis(25);
         edge.step(Event::Fresh(edge.now));
         queue.extend(edge.step(Event::Timer));
-        sent += 1;
-        let mut new = request(sent, "safe", "free");
-        new.deadline = Some(edge.now + millis(1_000));
-        queue.extend(edge.arrive(new));
+        if edge.now <= began + millis(3_000) {
+            sent += 1;
+            let mut new = request(sent, "safe", "free");
+            new.deadline = Some(edge.now + millis(1_000));
+            queue.extend(edge.arrive(new));
+        }
         let over: Vec<_> = running.extract_if(.., |(at, ..)| *at <= edge.now).collect();
         for (_, n, dispatch) in over {
             served += 1;
@@ -322,14 +332,14 @@
             }
             let first = &mut asked_at[usize::from(d.endpoint == "s1")];
             let since = first.get_or_insert(edge.now);
-            late += u64::from(edge.now > *since + millis(500));
+            let in_time = *since + millis(500)..*since + millis(3_000);
+            late += u64::from(in_time.contains(&edge.now));
             let endpoint = d.endpoint.clone();
             queue.extend(asks(&mut edge, &endpoint, millis(3_000)));
             queue.extend(edge.tell(n, d.dispatch, REFUSED));
         }
     }
-    let share = served as f64 / sent as f64;
     println!("{served} of {sent} served, {late} sent against the endpoints' word");
     assert_eq!(late, 0);
-    assert!(share > 0.8, "{served} of {sent} served");
+    assert_eq!(served, sent);
 }
--- a/crates/firdock-policy/tests/policy/world.rs
+++ b/crates/firdock-policy/tests/policy/world.rs
@@ -43,7 +43,8 @@
     Leave { request: u8 },
     /// Time passes.
     Wait { millis: u16 },
-    /// An endpoint takes a fault: 0 none, 1 unreachable, 2 refuses, 3 breaks, 4 silent.
+    /// An endpoint takes a fault: 0 none, 1 unreachable, 2 refuses, 3 breaks, 4 silent,
+    /// 5 refuses and asks for a while without requests, 6 says that it leaves, from then on.
     Endpoint { endpoint: u8, fault: u8 },
     /// The instance list shows an endpoint as leaving, or not.
     Leaving { endpoint: u8, leaving: bool },
@@ -66,6 +67,7 @@
 }
 
 #[derive(Debug, Clone)]
+#[expect(clippy::large_enum_variant, reason = "few messages live at a time")]
 enum Message {
     /// For an instance's scheduler.
     Event(usize, Uuid, Event),
@@ -117,6 +119,8 @@
     starts: [u64; ENDPOINTS.len()],
     /// Dispatches that an instance gave up since their endpoint has started again.
     given_up: BTreeSet<(Uuid, RequestId, u32)>,
+    /// Dispatches that an instance gave back since their endpoint wants nothing new.
+    withheld: BTreeSet<(Uuid, RequestId, u32)>,
     runs: Vec<(Duration, RequestId, Option<u64>)>,
     orders: Vec<(u64, Option<Duration>)>,
     minted: u64,
@@ -141,6 +145,7 @@
             refused: BTreeMap::new(),
             dispatched: BTreeSet::new(),
             starts: [0; ENDPOINTS.len()],
+            withheld: BTreeSet::new(),
             given_up: BTreeSet::new(),
             runs: Vec::new(),
             orders: Vec::new(),
@@ -241,7 +246,7 @@
             Op::Leave { request } => self.leave(request),
             Op::Wait { millis: n } => self.run_until(self.now + millis(u64::from(n))),
             Op::Endpoint { endpoint, fault } => {
-                self.faults[usize::from(endpoint) % ENDPOINTS.len()] = fault % 5;
+                self.faults[usize::from(endpoint) % ENDPOINTS.len()] = fault % 7;
             }
             Op::Leaving { endpoint, leaving } => {
                 self.leaving[usize::from(endpoint) % ENDPOINTS.len()] = leaving;
--- a/crates/firdock-policy/tests/policy/world/message.rs
+++ b/crates/firdock-policy/tests/policy/world/message.rs
@@ -3,6 +3,7 @@
 use firdock_core::{Outcome, Reason, RequestId};
 use firdock_policy::action::Dispatch;
 use firdock_policy::event::{DispatchNews, EndpointEvent, Grant, HandOverEvent, HandOverRefusal};
+use firdock_policy::notice::{Notice, NoticeTold};
 use firdock_policy::{Action, Event, Origin, Policy as _, Verdict};
 use rand::Rng as _;
 use uuid::Uuid;
@@ -71,12 +72,54 @@
             self.tell(i, incarnation, &dispatch, news);
             return;
         }
+        if self.withheld.contains(&run) {
+            let start = self.start_of(i, &dispatch.endpoint);
+            self.dispatched.remove(&(dispatch.id, start));
+            self.tell(i, incarnation, &dispatch, DispatchNews::Withheld);
+            return;
+        }
+        let endpoints = &self.nodes[i].scheduler.tables().endpoints;
+        let known = endpoints.find(&dispatch.endpoint);
+        let notices = known.map(|at| &endpoints.get(at).notices);
+        assert!(
+            notices.is_none_or(|n| !n.hold(self.now)),
+            "{} is written to {}, which wants nothing",
+            dispatch.id,
+            dispatch.endpoint
+        );
         let delay = self.lag();
         self.send(delay, Message::AtEndpoint(i, incarnation, dispatch));
     }
 
+    fn start_of(&self, i: usize, endpoint: &str) -> String {
+        let endpoints = &self.nodes[i].scheduler.tables().endpoints;
+        let at = endpoints.find(endpoint).expect("it is known");
+        endpoints.get(at).start_id.clone()
+    }
+
+    /// Tells an instance what an endpoint says of itself with the answer to a dispatch, before what that
+    /// means for the request.
+    fn notice(&mut self, i: usize, incarnation: Uuid, endpoint: &str) {
+        let fault = self.faults[endpoint_index(endpoint)];
+        if !matches!(fault, 5 | 6) || !self.alive(i, incarnation) {
+            return;
+        }
+        let told = NoticeTold {
+            endpoint: self.start_of(i, endpoint),
+            member: String::new(),
+            notice: Notice {
+                leaving: fault == 6,
+                backoff: (fault == 5).then(|| millis(300)),
+            },
+            read: self.now,
+        };
+        let event = Event::Noticed(told);
+        self.send(millis(0), Message::Event(i, incarnation, event));
+    }
+
     pub(super) fn at_endpoint(&mut self, i: usize, incarnation: Uuid, dispatch: Dispatch) {
         let fault = self.faults[endpoint_index(&dispatch.endpoint)];
+        self.notice(i, incarnation, &dispatch.endpoint);
         match fault {
             1 => self.tell(
                 i,
@@ -84,7 +127,7 @@
                 &dispatch,
                 DispatchNews::Refused { unreachable: true },
             ),
-            2 => self.tell(
+            2 | 5 => self.tell(
                 i,
                 incarnation,
                 &dispatch,
@@ -171,6 +214,9 @@
                 let delay = self.lag();
                 self.send(delay, Message::Write(i, incarnation, dispatch));
             }
+            Action::Withhold { id, dispatch } => {
+                self.withheld.insert((incarnation, id, dispatch));
+            }
             Action::GiveUpDispatch { id, dispatch } => {
                 self.given_up.insert((incarnation, id, dispatch));
                 let news = DispatchNews::Broke { delivered: 0 };
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -567,6 +567,22 @@
     /// What engines told of their pace since the last report.
     #[prost(message, repeated, tag = "10")]
     pub paces: ::prost::alloc::vec::Vec<PlacementPace>,
+    /// What engines said of themselves to the sender: what is new, or all that lasts in a whole report.
+    #[prost(message, repeated, tag = "11")]
+    pub notices: ::prost::alloc::vec::Vec<PlacementNotice>,
+}
+/// What an engine said of itself to a member.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PlacementNotice {
+    /// Start of the engine.
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// Whether it leaves.
+    #[prost(bool, tag = "2")]
+    pub leaving: bool,
+    /// How much longer it wants no request from the member; 0 for not at all.
+    #[prost(uint64, tag = "3")]
+    pub backoff_millis: u64,
 }
 /// How long work takes at an engine, as it told itself.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
