Notices in firdock's own protocol, and tests of the coordinator's side

An own endpoint says Endpoint-Leaving on any answer, or Retry-After with a 503; engines' starts and resumes and plain calls read both. Members' back-offs are kept apart by their coordinator: a place goes to the request behind, of a member that may send it.

--- a/crates/firdock-node/src/endpoint.rs
+++ b/crates/firdock-node/src/endpoint.rs
@@ -22,6 +22,7 @@
 use firdock_core::prefix::BlockHash;
 use firdock_core::{EndpointId, RequestId};
 use hyper::body::Incoming;
+use hyper::header::HeaderName;
 use hyper::{HeaderMap, Method, Response};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -41,6 +42,8 @@
 
 /// Header by which an endpoint tells that it refused a request before doing anything for it.
 pub const NOT_STARTED_HEADER: &str = "request-not-started";
+/// Header by which an endpoint says that it leaves, by the value `1` on any answer.
+pub const LEAVING_HEADER: HeaderName = HeaderName::from_static("endpoint-leaving");
 /// Header that carries the number of the dispatch.
 pub const DISPATCH_HEADER: &str = "x-dispatch";
 /// Path of an endpoint's report.
@@ -79,6 +82,26 @@
     },
 }
 
+/// What came of a call to an endpoint, with what the head of its answer said of the endpoint.
+#[derive(Debug)]
+pub struct Heard<T> {
+    /// What the head said; nothing where none came.
+    pub head: HeadNotice,
+    /// What came of the call.
+    pub result: Result<T, StartError>,
+}
+
+impl<T> Heard<T> {
+    /// Makes what came of a call that got no answer.
+    #[must_use]
+    pub fn nothing(error: StartError) -> Self {
+        Self {
+            head: HeadNotice::default(),
+            result: Err(error),
+        }
+    }
+}
+
 /// Why a stream of tokens stopped before its end.
 #[derive(Debug, Snafu, Clone, Copy, PartialEq, Eq)]
 #[non_exhaustive]
@@ -208,26 +231,21 @@
 
     /// Starts a request; a first `offset` of `resume_from` goes on where another engine stopped.
     ///
-    /// # Errors
-    ///
-    /// Fails with whether the request may have run.
+    /// A failure tells whether the request may have run.
     fn start(
         &self,
         at: SocketAddr,
         order: EngineOrder<'_>,
-    ) -> impl Future<Output = Result<Self::Stream, StartError>> + Send;
+    ) -> impl Future<Output = Heard<Self::Stream>> + Send;
 
-    /// Takes a running stream up again at an offset, after its connection broke.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the engine does not have the request any more.
+    /// Takes a running stream up again at an offset, after its connection broke; fails if the engine
+    /// does not have the request any more.
     fn resume(
         &self,
         at: SocketAddr,
         order: EngineOrder<'_>,
         from: u32,
-    ) -> impl Future<Output = Result<Self::Stream, StartError>> + Send;
+    ) -> impl Future<Output = Heard<Self::Stream>> + Send;
 
     /// Cancels a request; an engine that does not know it does nothing.
     fn cancel(
@@ -295,15 +313,13 @@
 pub trait PlainClient: Clone + Send + Sync + 'static {
     /// Sends a call and waits for the head of the answer.
     ///
-    /// # Errors
-    ///
-    /// Fails with whether the request may have run.
+    /// A failure tells whether the request may have run.
     fn call(
         &self,
         at: SocketAddr,
         order: PlainOrder<'_>,
         silence: Duration,
-    ) -> impl Future<Output = Result<PlainAnswer, StartError>> + Send;
+    ) -> impl Future<Output = Heard<PlainAnswer>> + Send;
 }
 
 /// Head of a plain server's answer, with the body to come.
--- a/crates/firdock-node/src/endpoint/engine.rs
+++ b/crates/firdock-node/src/endpoint/engine.rs
@@ -17,8 +17,8 @@
 use super::sse::{SseDecoder, SseEvent};
 use super::{
     AnsweredSnafu, DISPATCH_HEADER, EndpointReport, EngineClient, EngineOrder, EngineUsage,
-    FencedOrder, KvCache, LostSnafu, NOT_STARTED_HEADER, REPORT_PATH, RefusedSnafu, ReportSource,
-    StartError, StreamError, TokenEvent, TokenStream,
+    FencedOrder, HeadNotice, Heard, KvCache, LEAVING_HEADER, LostSnafu, NOT_STARTED_HEADER,
+    REPORT_PATH, RefusedSnafu, ReportSource, StartError, StreamError, TokenEvent, TokenStream,
 };
 use crate::door::REQUEST_ID_HEADER;
 use crate::http::{CallError, Connection, connect};
@@ -64,32 +64,20 @@
         order: EngineOrder<'_>,
         request: Request<Full<Bytes>>,
         from: u32,
-    ) -> Result<HttpTokenStream, StartError> {
-        let (connection, response) = self.open(at, request).await?;
-        if response.headers().contains_key(NOT_STARTED_HEADER) {
-            return RefusedSnafu.fail();
-        }
-        if !echoes(&response, order) {
-            return LostSnafu.fail();
-        }
-        let status = response.status();
-        if !status.is_success() {
-            let body = read_all(response).await?;
-            return AnsweredSnafu {
-                status: status.as_u16(),
-                body,
-            }
-            .fail();
-        }
-        let decoder = SseDecoder::new();
-        let body = response.into_body();
-        Ok(HttpTokenStream {
+    ) -> Heard<HttpTokenStream> {
+        let (connection, response) = match self.open(at, request).await {
+            Ok(opened) => opened,
+            Err(error) => return Heard::nothing(error),
+        };
+        let head = HeadNotice::read(response.status(), response.headers(), &LEAVING_HEADER);
+        let result = take(order, response).await.map(|body| HttpTokenStream {
             _connection: connection,
             body,
-            decoder,
+            decoder: SseDecoder::new(),
             next: from,
             ended: false,
-        })
+        });
+        Heard { head, result }
     }
 
     /// Makes a small call of which only success counts.
@@ -121,6 +109,29 @@
     }
 }
 
+/// Takes an answer's head; gives the stream that follows.
+async fn take(
+    order: EngineOrder<'_>,
+    response: Response<Incoming>,
+) -> Result<Incoming, StartError> {
+    if response.headers().contains_key(NOT_STARTED_HEADER) {
+        return RefusedSnafu.fail();
+    }
+    if !echoes(&response, order) {
+        return LostSnafu.fail();
+    }
+    let status = response.status();
+    if status.is_success() {
+        return Ok(response.into_body());
+    }
+    let body = read_all(response).await?;
+    AnsweredSnafu {
+        status: status.as_u16(),
+        body,
+    }
+    .fail()
+}
+
 fn start_error(e: &CallError) -> StartError {
     if e.never_sent() {
         StartError::Unreachable
@@ -169,11 +180,7 @@
 impl EngineClient for HttpEngine {
     type Stream = HttpTokenStream;
 
-    async fn start(
-        &self,
-        at: SocketAddr,
-        order: EngineOrder<'_>,
-    ) -> Result<HttpTokenStream, StartError> {
+    async fn start(&self, at: SocketAddr, order: EngineOrder<'_>) -> Heard<HttpTokenStream> {
         let path = if order.call.chat {
             "/v1/chat/completions"
         } else {
@@ -181,7 +188,7 @@
         };
         let body = Full::new(engine_body(order));
         let Ok(request) = marked(Method::POST, path, order).body(body) else {
-            return RefusedSnafu.fail();
+            return Heard::nothing(StartError::Refused);
         };
         self.open_stream(at, order, request, order.resume_from)
             .await
@@ -192,10 +199,10 @@
         at: SocketAddr,
         order: EngineOrder<'_>,
         from: u32,
-    ) -> Result<HttpTokenStream, StartError> {
+    ) -> Heard<HttpTokenStream> {
         let path = format!("/requests/{}/{}?from={from}", order.id, order.dispatch);
         let Ok(request) = marked(Method::GET, &path, order).body(Full::default()) else {
-            return RefusedSnafu.fail();
+            return Heard::nothing(StartError::Refused);
         };
         self.open_stream(at, order, request, from).await
     }
--- a/crates/firdock-node/src/endpoint/plain.rs
+++ b/crates/firdock-node/src/endpoint/plain.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::header::HeaderValue;
-use hyper::{Request, header};
+use hyper::{Request, Response, header};
 
 use super::{
-    DISPATCH_HEADER, LostSnafu, NOT_STARTED_HEADER, PlainAnswer, PlainClient, PlainOrder,
-    RefusedSnafu, StartError, UnreachableSnafu,
+    DISPATCH_HEADER, HeadNotice, Heard, LEAVING_HEADER, LostSnafu, NOT_STARTED_HEADER, PlainAnswer,
+    PlainClient, PlainOrder, RefusedSnafu, StartError,
 };
 use crate::door::REQUEST_ID_HEADER;
 use crate::http::{CallError, connect, strip_hop_by_hop};
@@ -34,38 +35,48 @@
         at: SocketAddr,
         order: PlainOrder<'_>,
         silence: Duration,
-    ) -> Result<PlainAnswer, StartError> {
+    ) -> Heard<PlainAnswer> {
         let Some(request) = request(at, order) else {
-            return RefusedSnafu.fail();
+            return Heard::nothing(StartError::Refused);
         };
         let Ok(mut connection) = connect(at, self.connect_time).await else {
-            return UnreachableSnafu.fail();
+            return Heard::nothing(StartError::Unreachable);
         };
-        let mut response = match connection.call(request, silence).await {
+        let response = match connection.call(request, silence).await {
             Ok(response) => response,
             Err(CallError::Connect { .. } | CallError::ConnectTime { .. }) => {
-                return UnreachableSnafu.fail();
+                return Heard::nothing(StartError::Unreachable);
             }
-            Err(_) => return LostSnafu.fail(),
+            Err(_) => return Heard::nothing(StartError::Lost),
         };
-        if response.headers().contains_key(NOT_STARTED_HEADER) {
-            return RefusedSnafu.fail();
-        }
-        let echoed = response
-            .headers()
-            .get(REQUEST_ID_HEADER)
-            .and_then(|v| v.to_str().ok());
-        if echoed.is_some_and(|id| id != order.id.to_string()) {
-            return LostSnafu.fail();
-        }
-        strip_hop_by_hop(response.headers_mut());
-        Ok(PlainAnswer {
+        let head = HeadNotice::read(response.status(), response.headers(), &LEAVING_HEADER);
+        let result = take(order, response).map(|response| PlainAnswer {
             response,
             connection,
-        })
+        });
+        Heard { head, result }
     }
 }
 
+/// Takes an answer's head: whether it answers the call at all.
+fn take(
+    order: PlainOrder<'_>,
+    mut response: Response<Incoming>,
+) -> Result<Response<Incoming>, StartError> {
+    if response.headers().contains_key(NOT_STARTED_HEADER) {
+        return RefusedSnafu.fail();
+    }
+    let echoed = response
+        .headers()
+        .get(REQUEST_ID_HEADER)
+        .and_then(|v| v.to_str().ok());
+    if echoed.is_some_and(|id| id != order.id.to_string()) {
+        return LostSnafu.fail();
+    }
+    strip_hop_by_hop(response.headers_mut());
+    Ok(response)
+}
+
 fn request(at: SocketAddr, order: PlainOrder<'_>) -> Option<Request<Full<bytes::Bytes>>> {
     let body = Full::new(order.body.clone());
     let builder = Request::builder().method(order.method).uri(order.target);
--- a/crates/firdock-node/src/endpoint/run_engine.rs
+++ b/crates/firdock-node/src/endpoint/run_engine.rs
@@ -39,7 +39,8 @@
         trace: run.trace,
     };
     let started = engine.start(run.target.address, order).await;
-    match started {
+    run.tell_notice(&started.head).await;
+    match started.result {
         Ok(stream) => follow(&engine, &run, order, stream).await,
         Err(e) => not_started(&run, e).await,
     }
@@ -112,7 +113,9 @@
                 tries += 1;
                 tokio::time::sleep(RESUME_PAUSE).await;
                 let from = run.delivered().tokens;
-                match engine.resume(run.target.address, order, from).await {
+                let resumed = engine.resume(run.target.address, order, from).await;
+                run.tell_notice(&resumed.head).await;
+                match resumed.result {
                     Ok(again) => stream = again,
                     Err(_) => return relay.broke().await,
                 }
--- a/crates/firdock-node/src/endpoint/run_plain.rs
+++ b/crates/firdock-node/src/endpoint/run_plain.rs
@@ -26,10 +26,11 @@
         body: &payload.body,
         trace: run.trace,
     };
-    match plain
+    let heard = plain
         .call(run.target.address, order, run.limits.silence)
-        .await
-    {
+        .await;
+    run.tell_notice(&heard.head).await;
+    match heard.result {
         Ok(answer) => relay(&run, answer, &answers).await,
         Err(StartError::Unreachable) => run.not_sent(true).await,
         Err(StartError::Refused) => run.not_sent(false).await,
--- a/crates/firdock-node/tests/node/placement.rs
+++ b/crates/firdock-node/tests/node/placement.rs
@@ -3,17 +3,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use firdock_core::RequestId;
 use firdock_core::resource::{Account, Catalog, Endpoint, PoolWeight, Resource, Service, Tier};
 use firdock_core::settings::Settings;
+use firdock_core::{Reason, RequestId};
 use firdock_node::peer::{PeerBook, PeerWord};
 use firdock_node::placement::{
-    Coordinator, Course, Membership, News, Paced, Report, Wanted, read_reply, read_report,
+    Coordinator, Course, Membership, News, Noticed, Paced, Report, Wanted, read_reply, read_report,
     write_reply, write_report,
 };
 use firdock_node::telemetry::silent;
 use firdock_policy::event::Member;
 use firdock_policy::load::Pace;
+use firdock_policy::notice::Notice;
 use firdock_policy::{
     Action, Event, Mechanisms, NewRequest, Policy as _, PolicySettings, Scheduler, Time,
 };
@@ -463,3 +464,101 @@
         }
     }
 }
+
+fn noticed(endpoint: &str, leaving: bool, backoff: Option<u64>) -> Noticed {
+    Noticed {
+        endpoint: endpoint.to_owned(),
+        notice: Notice {
+            leaving,
+            backoff: backoff.map(millis),
+        },
+    }
+}
+
+/// An engine that wants nothing from one member takes the requests of the others, also those that wait
+/// behind that member's; at the end of its time that member's go there as well.
+#[test]
+fn no_place_stays_empty_for_a_member_that_an_engine_wants_nothing_from() {
+    let now = millis(1_000);
+    let mut c = coordinator(now);
+    let shunned = Report {
+        notices: vec![noticed("engine", false, Some(300))],
+        ..asking("a", &[1, 2, 3])
+    };
+    c.take(now, shunned, None);
+    assert!(placed(&mut c).is_empty());
+    c.take(now, asking("b", &[4]), None);
+    assert_eq!(placed(&mut c), [id(4)]);
+    c.take(now, asking("c", &[5, 6]), None);
+    assert_eq!(placed(&mut c), [id(5)], "the other place of two");
+    c.tick(now + millis(200));
+    assert!(placed(&mut c).is_empty());
+    let ended = |n: u64| News {
+        id: id(n),
+        attempt: 1,
+        course: Course::Ended {
+            prompt: 10,
+            output: 10,
+        },
+    };
+    let free = |name: &str, n: u64| Report {
+        news: vec![ended(n)],
+        ..report(name)
+    };
+    c.take(now + millis(310), free("b", 4), None);
+    assert_eq!(placed(&mut c), [id(1)], "the first that waits");
+}
+
+/// A member whose engines all want nothing for longer than a request can wait has it back at once.
+#[test]
+fn a_member_hears_at_once_that_its_request_cannot_wait_for_the_end() {
+    let now = millis(1_000);
+    let mut c = coordinator(now);
+    let mut hasty = wanted(1);
+    hasty.left = Some(millis(500));
+    let asks = Report {
+        waiting: vec![hasty, wanted(2)],
+        notices: vec![noticed("engine", false, Some(1_000))],
+        ..report("a")
+    };
+    c.take(now, asks, None);
+    let replies = c.replies();
+    let refused: Vec<_> = replies.iter().flat_map(|(_, r)| &r.refused).collect();
+    assert_eq!(refused.len(), 1);
+    assert_eq!(
+        (refused[0].id, refused[0].reason),
+        (id(1), Reason::BackingOff)
+    );
+    assert!(refused[0].retry_after >= millis(1_000));
+}
+
+/// What a member was told that an engine leaves counts for all, as a peer's word does.
+#[test]
+fn an_engine_that_told_a_member_that_it_leaves_is_given_to_nobody() {
+    let now = millis(1_000);
+    let mut c = coordinator(now);
+    let told = Report {
+        notices: vec![noticed("engine", true, None)],
+        ..report("a")
+    };
+    c.take(now, told, None);
+    c.take(now, asking("b", &[1]), None);
+    assert!(placed(&mut c).is_empty());
+}
+
+#[test]
+fn notices_come_through_the_wire_as_they_were_told() {
+    let told = Report {
+        notices: vec![
+            noticed("engine@1", true, None),
+            noticed("engine@2", false, Some(1_250)),
+            noticed("engine@3", true, Some(3)),
+        ],
+        ..report("a")
+    };
+    assert_eq!(read_report(write_report(&told)), told);
+    let mut written = write_report(&told);
+    written.notices[1].backoff_millis = u64::MAX;
+    let read = read_report(written);
+    assert_eq!(read.notices[1].notice.backoff, Some(Notice::MAX_BACKOFF));
+}
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -252,7 +252,7 @@
     ///
     /// All that is sent goes by this, up to the write: first tries, repeats, probes, requests that go on
     /// after another endpoint, and places that a coordinator gives. While each way knew an endpoint by
-    /// the list, by peers and by failures alone, two of six that asked for 3 s got 107 requests in them,
+    /// the list, by peers and by failures alone, two of six that asked for 3 s got 108 requests in them,
     /// and 5 of 120 callers were served; by this it is none and 120 (40 requests a second in virtual
     /// time, half of what the other four bear). `member` is the instance that sends, empty for the own one.
     ///
--- a/crates/firdock-standin/src/engine/server.rs
+++ b/crates/firdock-standin/src/engine/server.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use firdock_core::RequestId;
 use firdock_core::prefix::{block_hashes, estimate_tokens};
-use firdock_node::endpoint::{NOT_STARTED_HEADER, REPORT_PATH};
+use firdock_node::endpoint::REPORT_PATH;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response};
@@ -278,11 +278,7 @@
     };
     let refused = shared.faults.get().refuse || shared.lock().refuse_work;
     if refused {
-        let mut response = web::status(503, "refused before anything was done");
-        response
-            .headers_mut()
-            .insert(NOT_STARTED_HEADER, HeaderValue::from_static("true"));
-        return response;
+        return web::refused(shared.faults.get().retry_after);
     }
     let Some(body) = web::read(request.into_body()).await else {
         return web::status(400, "broken body");
--- a/crates/firdock-standin/src/fault.rs
+++ b/crates/firdock-standin/src/fault.rs
@@ -23,6 +23,8 @@
     pub outage: bool,
     /// Whether new work is refused before anything is done for it.
     pub refuse: bool,
+    /// Seconds for which the stand-in wants nothing, told with what it refuses; 0 for none.
+    pub retry_after: u32,
     /// How many times slower the stand-in works.
     pub slowdown: f64,
     /// Tokens or bytes after which the next answers are cut off; 0 for never.
@@ -51,6 +53,7 @@
             silent: false,
             outage: false,
             refuse: false,
+            retry_after: 0,
             slowdown: 1.0,
             cut_after: 0,
             cuts: 0,
--- a/crates/firdock-standin/src/service.rs
+++ b/crates/firdock-standin/src/service.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use firdock_node::endpoint::{EndpointReport, NOT_STARTED_HEADER, REPORT_PATH};
+use firdock_node::endpoint::{EndpointReport, REPORT_PATH};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
@@ -110,11 +110,7 @@
         return web::status(503, "outage");
     }
     if state.refuse {
-        let mut response = web::status(503, "refused before anything was done");
-        response
-            .headers_mut()
-            .insert(NOT_STARTED_HEADER, HeaderValue::from_static("true"));
-        return response;
+        return web::refused(faults.get().retry_after);
     }
     run(request, &faults, &shared, work).await
 }
--- a/crates/firdock-standin/src/web.rs
+++ b/crates/firdock-standin/src/web.rs
@@ -8,9 +8,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use firdock_node::endpoint::NOT_STARTED_HEADER;
 use firdock_node::http::{ServerOptions, listen, serve};
 use http_body_util::{BodyExt as _, Collected, Limited};
 use hyper::body::{Body, Frame, Incoming};
+use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -160,6 +162,18 @@
     response
 }
 
+/// Refuses a call before anything was done for it; wants nothing for so many seconds, if any.
+#[must_use]
+pub fn refused(retry_after: u32) -> Response<Reply> {
+    let mut response = status(503, "refused before anything was done");
+    let headers = response.headers_mut();
+    headers.insert(NOT_STARTED_HEADER, HeaderValue::from_static("true"));
+    if retry_after > 0 {
+        headers.insert(RETRY_AFTER, HeaderValue::from(retry_after));
+    }
+    response
+}
+
 /// Answers with a status and a text.
 #[must_use]
 pub fn status(code: u16, text: &str) -> Response<Reply> {
--- a/tests/testsuite/limits.rs
+++ b/tests/testsuite/limits.rs
@@ -5,6 +5,7 @@
 use firdock_node::http::connect;
 use firdock_node::platform::ListedRow;
 use firdock_standin::client::{self, Call, Got};
+use firdock_standin::fault::FaultState;
 use hyper::Method;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
@@ -228,3 +229,36 @@
     let got = futures_util::future::join_all((0..50).map(|_| client::call(at, &call))).await;
     assert!(got.iter().all(Got::answered));
 }
+
+/// What an endpoint of firdock's own protocol refuses may say for how long it wants nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_asked_for_a_time_gets_nothing_in_it() {
+    let site = Site::start(Spec {
+        engines: 2,
+        services: 2,
+        ..Spec::new(48)
+    })
+    .await;
+    let asks = |on: bool| {
+        let change = |f: &mut FaultState| (f.refuse, f.retry_after) = (on, if on { 60 } else { 0 });
+        site.services[0].faults.change(change);
+        site.engines[0].faults.change(change);
+    };
+    asks(true);
+    let call = async |n: usize| {
+        let tile = Call::plain(SHOP, Method::GET, &format!("/tiles/{n}"), "");
+        assert!(site.call(0, &tile).await.answered());
+        let model = Call::model(SHOP, "guide", &format!("prompt {n}"), 5);
+        assert!(site.call(0, &model).await.answered());
+    };
+    for n in 0..8 {
+        call(n).await;
+    }
+    // They would answer now, and are not asked.
+    asks(false);
+    for n in 8..24 {
+        call(n).await;
+    }
+    assert_eq!(site.services[0].runs().by_request.len(), 0);
+    assert_eq!(site.engines[0].runs().by_request.len(), 0);
+}
