--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -117,7 +117,8 @@
     #[must_use]
     pub fn new(scheduler: Scheduler, parts: DriverParts<B>) -> Self {
         let decisions = Decisions::new(parts.log.clone(), Arc::clone(&parts.lines));
-        let beliefs = Beliefs::new(parts.log.clone(), Arc::clone(&parts.lines));
+        let list = parts.metrics.endpoints();
+        let beliefs = Beliefs::new(parts.log.clone(), Arc::clone(&parts.lines), list);
         let steps = RolloutSteps::new(parts.log.clone());
         let shares = ShareLines::new(parts.log.clone(), Arc::clone(&parts.metrics));
         Self {
--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -7,6 +7,8 @@
 use firdock_core::settings::Settings;
 use firdock_policy::event::Member;
 use firdock_policy::{Mechanisms, PolicySettings, Scheduler};
+use hyper::Request;
+use hyper::body::Incoming;
 use slog::{Logger, o};
 use snafu::{OptionExt as _, ResultExt as _};
 use tokio::net::UdpSocket;
@@ -31,7 +33,7 @@
 use crate::placement::{DatagramLink, Membership, Placement};
 use crate::site::Site;
 use crate::source::{SourceSink, WantedRecords};
-use crate::status::{Readiness, metrics};
+use crate::status::{self, Readiness};
 use crate::telemetry::{LineBudget, Metrics};
 
 /// Broken dispatches in a row after which an endpoint is ejected: plain servers fail some of their
@@ -254,7 +256,7 @@
         tokio::spawn(beacons.run(stop));
     }
 
-    /// Serves readiness, and metrics where an address for them is set.
+    /// Serves readiness, and metrics and the list of endpoints where an address for them is set.
     pub fn serve_status(&self, stop: &watch::Receiver<bool>) -> Result<(), StartError> {
         let options = ServerOptions {
             connections: STATUS_CONNECTIONS,
@@ -272,8 +274,10 @@
         tokio::spawn(serve(ready, options, stop.clone(), answer));
         if self.settings.instance.metrics.is_some() {
             let listener = open(self.settings.instance.metrics, "instance.metrics")?;
-            let figures = Arc::clone(&self.metrics);
-            let answer = move |_| std::future::ready(metrics(&figures));
+            let metrics = Arc::clone(&self.metrics);
+            let answer = move |r: Request<Incoming>| {
+                std::future::ready(status::figures(&metrics, r.uri().path()))
+            };
             tokio::spawn(serve(listener, options, stop.clone(), answer));
         }
         Ok(())
--- a/crates/firdock-node/src/operator/api.rs
+++ b/crates/firdock-node/src/operator/api.rs
@@ -108,6 +108,7 @@
             ("GET", ["readyz"]) => self.ready(),
             ("GET", ["metrics"]) => self.metrics(),
             ("GET", ["v1", "status"]) => reply::ok(&self.status()),
+            ("GET", ["v1", "endpoints"]) => reply::ok(&*self.metrics.endpoints().get()),
             ("GET", ["v1", "watch"]) => self.watch(call),
             ("POST", ["v1", "apply"]) => match call.text() {
                 Ok(text) => apply::apply(&self.log_client, &self.hub, text),
--- a/crates/firdock-node/src/peer/heartbeat.rs
+++ b/crates/firdock-node/src/peer/heartbeat.rs
@@ -53,10 +53,14 @@
     #[must_use]
     pub fn new(t: &Tables, now: Time) -> Self {
         let told = |(pool, rate)| PoolDemand { pool, rate };
-        let leaving = t
-            .endpoints
-            .iter()
-            .filter(|(_, e)| e.leaving_first_hand() && !e.is_replaced());
+        // What the configuration lost goes last: others are about to lose it as well.
+        let rows = |present: bool| {
+            let rows = t.endpoints.iter().map(|(_, e)| e);
+            rows.filter(move |e| e.present == present && !e.is_replaced())
+        };
+        let leaving = rows(true)
+            .chain(rows(false))
+            .filter(|e| e.leaving_first_hand(now));
         Self {
             zone: t.settings.zone.clone(),
             held: t.requests.held_by_rank().to_vec(),
@@ -68,7 +72,7 @@
             draining: t.draining,
             leaving: leaving
                 .take(MAX_LEAVING)
-                .map(|(_, e)| e.start_id.clone())
+                .map(|e| e.start_id.clone())
                 .collect(),
             version: t.version,
             used: used_limits(t, now),
--- a/crates/firdock-node/src/status.rs
+++ b/crates/firdock-node/src/status.rs
@@ -49,11 +49,32 @@
     }
 }
 
-/// Answers whoever collects metrics.
+/// Path of the list of endpoints, beside the metrics.
+const ENDPOINTS_PATH: &str = "/endpoints";
+
+/// Answers whoever looks at an instance from outside: its endpoints, or its metrics on any other path.
 #[must_use]
-pub fn metrics(metrics: &Metrics) -> Response<Full<Bytes>> {
+pub fn figures(metrics: &Metrics, path: &str) -> Response<Full<Bytes>> {
+    if path == ENDPOINTS_PATH {
+        return endpoints(metrics);
+    }
     let mut response = Response::new(Full::from(metrics.render()));
     let kind = HeaderValue::from_static(METRICS_TYPE);
     response.headers_mut().insert(header::CONTENT_TYPE, kind);
     response
 }
+
+fn endpoints(metrics: &Metrics) -> Response<Full<Bytes>> {
+    let states = metrics.endpoints().get();
+    let mut response = match serde_json::to_vec(&*states) {
+        Ok(list) => Response::new(Full::from(list)),
+        Err(e) => {
+            let mut response = Response::new(Full::from(e.to_string()));
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            response
+        }
+    };
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
--- a/crates/firdock-node/src/telemetry.rs
+++ b/crates/firdock-node/src/telemetry.rs
@@ -3,6 +3,7 @@
 pub mod beliefs;
 pub mod budget;
 pub mod decisions;
+pub mod endpoints;
 pub mod held;
 pub mod log;
 pub mod metrics;
@@ -14,6 +15,7 @@
 pub use beliefs::Beliefs;
 pub use budget::{LineBudget, LineKind};
 pub use decisions::Decisions;
+pub use endpoints::EndpointList;
 pub use held::HeldAnswers;
 pub use log::{Level, LogGuard, logger, silent};
 pub use metrics::Metrics;
--- a/crates/firdock-node/src/telemetry/beliefs.rs
+++ b/crates/firdock-node/src/telemetry/beliefs.rs
@@ -9,14 +9,14 @@
 use firdock_core::Version;
 use firdock_policy::Time;
 use firdock_policy::table::Tables;
-use firdock_policy::table::endpoint::{EndpointRow, Health};
 use firdock_policy::table::peer::PeerRow;
 use slog::{Logger, info};
 
 use super::budget::{LineBudget, LineKind};
 use super::decisions::config_age;
+use super::endpoints::{self, EndpointList, EndpointState, EndpointStates};
 
-/// Words for what is believed of endpoints or instances, by name.
+/// Words for what is believed of instances, by name.
 type Words = BTreeMap<String, &'static str>;
 
 /// Writes the lines of one scheduler's beliefs, and keeps what was last written.
@@ -26,20 +26,22 @@
     budget: Arc<LineBudget>,
     version: Version,
     fresh: bool,
-    endpoints: Words,
+    endpoints: Arc<EndpointStates>,
+    list: EndpointList,
     peers: Words,
 }
 
 impl Beliefs {
-    /// Makes a writer whose lines count against `budget`.
+    /// Makes a writer whose lines count against `budget`, and that keeps `list` up to date.
     #[must_use]
-    pub fn new(log: Logger, budget: Arc<LineBudget>) -> Self {
+    pub fn new(log: Logger, budget: Arc<LineBudget>, list: EndpointList) -> Self {
         Self {
             log,
             budget,
             version: 0,
             fresh: false,
-            endpoints: Words::new(),
+            endpoints: Arc::default(),
+            list,
             peers: Words::new(),
         }
     }
@@ -48,11 +50,12 @@
     pub fn note(&mut self, now: Time, t: &Tables) {
         self.note_version(now, t.version);
         self.note_freshness(now, t);
-        let endpoints = endpoint_words(now, t);
-        self.write_changes(now, "endpoint", &self.endpoints, &endpoints);
+        let endpoints = Arc::new(endpoints::states(now, t));
+        self.write_endpoints(now, &endpoints);
+        self.list.set(Arc::clone(&endpoints));
         self.endpoints = endpoints;
         let peers = peer_words(now, t);
-        self.write_changes(now, "instance", &self.peers, &peers);
+        self.write_peers(now, &peers);
         self.peers = peers;
     }
 
@@ -77,39 +80,46 @@
         self.write(now, "configuration", is, &format!("age {age} ms"));
     }
 
-    /// Writes a line for each of a kind that is new, changed or gone.
-    fn write_changes(&self, now: Time, kind: &str, known: &Words, seen: &Words) {
+    /// Writes a line for each endpoint of which something else is believed now, with who said so.
+    fn write_endpoints(&self, now: Time, seen: &EndpointStates) {
         for (name, is) in seen {
-            let before = known.get(name).copied().unwrap_or("unknown");
-            if before != *is {
-                self.write(now, &format!("{kind} {name}"), is, before);
+            let before = self.endpoints.get(name).map_or("unknown", |e| e.state);
+            if before != is.state {
+                self.write_endpoint(now, name, is, before);
             }
         }
-        for (name, before) in known.iter().filter(|(name, _)| !seen.contains_key(*name)) {
-            self.write(now, &format!("{kind} {name}"), "gone", before);
+        let gone = self.endpoints.iter();
+        for (name, before) in gone.filter(|(name, _)| !seen.contains_key(*name)) {
+            self.write(now, &format!("endpoint {name}"), "gone", before.state);
         }
     }
 
-    fn write(&self, now: Time, what: &str, is: &str, before: &str) {
+    fn write_endpoint(&self, now: Time, name: &str, is: &EndpointState, before: &str) {
         if self.budget.allow(&self.log, now, LineKind::Belief) {
-            info!(self.log, "belief changed"; "what" => what, "is" => is, "before" => before);
+            info!(self.log, "belief changed"; "what" => format!("endpoint {name}"),
+                "is" => is.state, "before" => before, "source" => is.source,
+                "age_millis" => is.age_millis, "left_millis" => is.left_millis);
         }
     }
-}
 
-fn endpoint_words(now: Time, t: &Tables) -> Words {
-    let present = t.endpoints.iter().filter(|(_, e)| e.present);
-    let words = present.map(|(_, e)| (e.declared.name.clone(), endpoint_word(now, e)));
-    words.collect()
-}
+    /// Writes a line for each other instance that is heard now, or no more.
+    fn write_peers(&self, now: Time, seen: &Words) {
+        for (name, is) in seen {
+            let before = self.peers.get(name).copied().unwrap_or("unknown");
+            if before != *is {
+                self.write(now, &format!("instance {name}"), is, before);
+            }
+        }
+        let gone = self.peers.iter();
+        for (name, before) in gone.filter(|(name, _)| !seen.contains_key(*name)) {
+            self.write(now, &format!("instance {name}"), "gone", before);
+        }
+    }
 
-fn endpoint_word(now: Time, e: &EndpointRow) -> &'static str {
-    if e.leaving(now) {
-        "leaving"
-    } else if e.health == Health::Well {
-        "usable"
-    } else {
-        "ejected"
+    fn write(&self, now: Time, what: &str, is: &str, before: &str) {
+        if self.budget.allow(&self.log, now, LineKind::Belief) {
+            info!(self.log, "belief changed"; "what" => what, "is" => is, "before" => before);
+        }
     }
 }
 
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -15,6 +15,7 @@
 use slog::{Logger, info, warn};
 
 use super::budget::{LineBudget, LineKind};
+use super::endpoints::passed_over;
 use crate::clock::millis;
 use crate::exchange::Exchange;
 
@@ -95,10 +96,9 @@
             "prompt_tokens" => row.new.prompt_tokens,
             "placed_by" => placed_by(t),
             "running" => endpoint.map_or(0, |e| e.running),
-            "leaving_millis" => endpoint.and_then(|e| leaving_age(now, e)),
-            "backoff_left_millis" => endpoint.and_then(|e| backoff_left(now, e)),
             "budget" => endpoint.map_or(0, |e| e.budget),
             "left_millis" => row.deadline.map(|by| millis(by.saturating_sub(now))),
+            "passed_over" => passed_over(now, t, &exchange.payload.service),
             "version" => t.version,
             "config_age_millis" => config_age(t, now),
         );
@@ -173,6 +173,7 @@
             "endpoint" => story.sent.map(|s| &s.endpoint),
             "dispatches" => story.sent.map_or(0, |s| s.dispatch),
             "placed_by" => placed_by(t),
+            "passed_over" => passed_over(now, t, &x.payload.service),
             "held" => t.requests.held(),
             "version" => t.version,
             "config_age_millis" => config_age(t, now),
@@ -268,18 +269,6 @@
         .map(|(pace, _)| (100.0 * pace).round() as u64)
 }
 
-/// Gives how long ago an endpoint said that it leaves, in milliseconds.
-fn leaving_age(now: Time, e: &EndpointRow) -> Option<u64> {
-    let since = e.notices.leaving_since()?;
-    Some(millis(now.saturating_sub(since)))
-}
-
-/// Gives how much longer an endpoint wants nothing from this instance, in milliseconds.
-fn backoff_left(now: Time, e: &EndpointRow) -> Option<u64> {
-    let backoff = e.notices.backoff("", now)?;
-    Some(millis(backoff.until.saturating_sub(now)))
-}
-
 /// Gives how long ago an endpoint told its pace, in milliseconds.
 fn pace_age(now: Time, e: &EndpointRow) -> Option<u64> {
     let (_, read) = e.told.newest()?;
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -15,7 +15,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
-use super::HeldAnswers;
+use super::{EndpointList, HeldAnswers};
 use crate::source::StoreCall;
 
 /// Least decision time told apart, in seconds.
@@ -123,6 +123,7 @@
     total: Histogram,
     store_calls: Family<ByCall, Counter>,
     held_answers: HeldAnswers,
+    endpoints: EndpointList,
 }
 
 impl Default for Metrics {
@@ -170,6 +171,7 @@
             total: latency(),
             store_calls: Family::default(),
             held_answers: HeldAnswers::default(),
+            endpoints: EndpointList::default(),
         };
         metrics.register();
         metrics
@@ -319,6 +321,12 @@
         self.held_answers.clone()
     }
 
+    /// Gives the list of what is believed of endpoints.
+    #[must_use]
+    pub fn endpoints(&self) -> EndpointList {
+        self.endpoints.clone()
+    }
+
     /// Registers what tells of accounts and their shares.
     fn register_shares(&self, r: &mut Registry) {
         r.register(
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -96,6 +96,35 @@
     }
 }
 
+/// Who said that an endpoint leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeavingSource {
+    /// The endpoint itself, with an answer.
+    Answer,
+    /// The endpoint itself, with its report.
+    Report,
+    /// Its declaration: its own entry, or the operators.
+    Declared,
+    /// The platform's instance list.
+    List,
+    /// Another instance.
+    Peer,
+}
+
+impl LeavingSource {
+    /// Gives the word that logs have.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Answer => "answer",
+            Self::Report => "report",
+            Self::Declared => "declared",
+            Self::List => "list",
+            Self::Peer => "peer",
+        }
+    }
+}
+
 /// Load that an endpoint reported.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Reported {
@@ -237,15 +266,38 @@
     /// Tells whether it is leaving, by whichever word came first.
     #[must_use]
     pub fn leaving(&self, now: Time) -> bool {
+        self.leaving_source(now).is_some()
+    }
+
+    /// Gives who says that it is leaving, the endpoint itself first.
+    #[must_use]
+    pub fn leaving_source(&self, now: Time) -> Option<LeavingSource> {
         let by_peer = self.peer_leaving.is_some_and(|until| until > now);
-        self.leaving_first_hand() || by_peer
+        let said = [
+            (
+                self.notices.leaving_since().is_some(),
+                LeavingSource::Answer,
+            ),
+            (self.told_leaving, LeavingSource::Report),
+            (self.declared.leaving, LeavingSource::Declared),
+            (self.listed_leaving, LeavingSource::List),
+            (by_peer, LeavingSource::Peer),
+        ];
+        let first = said.into_iter().find(|(said, _)| *said);
+        first.map(|(_, source)| source)
     }
 
     /// Tells whether this instance knows of the leaving by itself, and may tell peers.
     #[must_use]
-    pub fn leaving_first_hand(&self) -> bool {
-        let by_answer = self.notices.leaving_since().is_some();
-        self.declared.leaving || self.listed_leaving || self.told_leaving || by_answer
+    pub fn leaving_first_hand(&self, now: Time) -> bool {
+        let source = self.leaving_source(now);
+        source.is_some_and(|s| s != LeavingSource::Peer)
+    }
+
+    /// Tells whether nothing that was seen of it speaks against it.
+    #[must_use]
+    pub fn is_well(&self) -> bool {
+        self.health == Health::Well
     }
 
     /// Tells whether it may get work of an instance now, or why not.
--- a/src/story.rs
+++ b/src/story.rs
@@ -97,7 +97,8 @@
     let instances: BTreeSet<&str> = story.iter().map(|l| l.text("instance")).collect();
     let endpoints: BTreeSet<String> = story
         .iter()
-        .map(|l| format!("endpoint {}", l.text("endpoint")))
+        .flat_map(|l| endpoints_of(l))
+        .map(|name| format!("endpoint {name}"))
         .collect();
     let around = lines.iter().filter(|l| {
         let near = (first - BEFORE_SECS..=last + 1.0).contains(&l.second());
@@ -108,6 +109,13 @@
     story.into_iter().cloned().collect()
 }
 
+/// Gives the endpoints that a line is about, and those that were passed over for what they said.
+fn endpoints_of(line: &Line) -> impl Iterator<Item = &str> {
+    let passed_over = line.text("passed_over").split("; ");
+    let named = passed_over.filter_map(|why| Some(why.split_once(": ")?.0));
+    named.chain([line.text("endpoint")])
+}
+
 /// Tells whether a line may explain what became of requests that go to these endpoints.
 fn is_background(line: &Line, endpoints: &BTreeSet<String>) -> bool {
     match line.text("msg") {
@@ -115,6 +123,11 @@
             let what = line.text("what");
             what == "configuration" || what == "coordinator" || endpoints.contains(what)
         }
+        "endpoint notice" => {
+            let start = line.text("endpoint");
+            let name = start.rsplit_once('@').map_or(start, |(name, _)| name);
+            endpoints.contains(&format!("endpoint {name}"))
+        }
         "store lost" | "store reached again" | "stopping" | "started" | "lines left out" => true,
         _ => false,
     }
