--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -1,5 +1,8 @@
 //! Metrics in the Prometheus text format, taken over from the policy's counters.
 
+mod labels;
+mod register;
+
 use std::fmt::Write as _;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -7,7 +10,6 @@
 
 use firdock_policy::request::RequestRow;
 use firdock_policy::{Standing, Stats, Time};
-use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -15,6 +17,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use self::labels::{ByCall, ByCause, ByOutcome, ByPool, ByRefusal, ByShare, ByTier, ByTry};
 use super::{EndpointList, HeldAnswers};
 use crate::source::StoreCall;
 
@@ -34,58 +37,6 @@
 const FIRST_PART_BUCKET: f64 = 0.125;
 const PART_BUCKETS: u16 = 9;
 
-/// Label by pool.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ByPool {
-    pool: String,
-}
-
-/// One label with its value.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ByTier {
-    tier: String,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ByCause {
-    cause: String,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ByOutcome {
-    outcome: String,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ByTry {
-    tier: String,
-    /// `first`, or `return` where the caller came back.
-    attempt: &'static str,
-    end: &'static str,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ByRefusal {
-    account: String,
-    rank: u8,
-    /// `over`, or `within`.
-    share: &'static str,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ByShare {
-    account: String,
-    pool: String,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ByCall {
-    call: &'static str,
-    topic: &'static str,
-    reason: &'static str,
-    outcome: &'static str,
-}
-
 /// All metrics of an instance.
 #[derive(Debug)]
 pub struct Metrics {
@@ -177,144 +128,6 @@
         metrics
     }
 
-    fn register(&self) {
-        let Ok(mut r) = self.registry.lock() else {
-            return;
-        };
-        r.register(
-            "arrived",
-            "Requests that arrived from callers",
-            self.arrived.clone(),
-        );
-        r.register(
-            "goodput",
-            "Whole answers begun within the tier's target",
-            self.good.clone(),
-        );
-        r.register("answered", "Whole answers", self.answered.clone());
-        r.register("shed", "Requests given up for load", self.shed.clone());
-        r.register("held", "Requests held now", self.held.clone());
-        r.register(
-            "wasted_prefill_tokens",
-            "Prompt tokens computed in vain",
-            self.wasted.clone(),
-        );
-        r.register(
-            "verdicts",
-            "Final answers of firdock's own",
-            self.reasons.clone(),
-        );
-        r.register("outcomes", "Ended requests", self.outcomes.clone());
-        r.register(
-            "tries",
-            "Ended tries of callers, first ones and those with which they come back",
-            self.tries.clone(),
-        );
-        self.register_shares(&mut r);
-        self.register_dispatches(&mut r);
-        self.register_starts(&mut r);
-        r.register(
-            "version_in_force",
-            "Version of the configuration",
-            self.version.clone(),
-        );
-        r.register(
-            "log_lag_millis",
-            "Time since the log was read to its end",
-            self.log_lag.clone(),
-        );
-        r.register(
-            "first_seconds",
-            "Time from arrival to the first token or byte, by rank",
-            self.first.clone(),
-        );
-        r.register(
-            "first_over_predicted",
-            "Time from dispatch to the first token or byte over the predicted, by pool",
-            self.first_parts.clone(),
-        );
-        r.register(
-            "paces_told",
-            "Figures of their pace that endpoints told, by pool",
-            self.paces.clone(),
-        );
-        r.register(
-            "held_seconds",
-            "Time from arrival to the last dispatch of answered requests",
-            self.held_time.clone(),
-        );
-        r.register(
-            "total_seconds",
-            "Time from arrival to the end of whole answers",
-            self.total.clone(),
-        );
-        r.register(
-            "store_calls",
-            "Calls to the platform's store, by what they were for",
-            self.store_calls.clone(),
-        );
-        self.held_answers.register(&mut r);
-        r.register(
-            "decision_seconds",
-            "Time of one decision",
-            self.decision.clone(),
-        );
-    }
-
-    /// Registers what tells of dispatches and of endpoints that fail.
-    fn register_dispatches(&self, r: &mut Registry) {
-        r.register(
-            "dispatches",
-            "Requests sent to endpoints",
-            self.dispatches.clone(),
-        );
-        r.register(
-            "retries",
-            "Second tries after a broken dispatch",
-            self.retries.clone(),
-        );
-        r.register(
-            "stale_news",
-            "Late or crossed news dropped",
-            self.stale.clone(),
-        );
-        r.register(
-            "handed_over",
-            "Requests handed to peers",
-            self.handed.clone(),
-        );
-        r.register("ejections", "Endpoints ejected", self.ejections.clone());
-        r.register(
-            "leaving_told",
-            "Starts of endpoints that said with an answer that they leave, by pool",
-            self.leaving_told.clone(),
-        );
-        r.register(
-            "backoffs_told",
-            "Answers with which endpoints asked for a back-off, by pool",
-            self.backoffs_told.clone(),
-        );
-    }
-
-    /// Registers what tells of starts of endpoints and of their entries.
-    fn register_starts(&self, r: &mut Registry) {
-        r.register(
-            "endpoint_restarts",
-            "Endpoints that started again under their names",
-            self.restarts.clone(),
-        );
-        r.register(
-            "lost_by_restart",
-            "Dispatches that ended with a start of their endpoint",
-            self.lost_by_restart.clone(),
-        );
-        r.register(
-            "entries_refused",
-            "Entries of endpoints that name none to use",
-            self.entries_refused.clone(),
-        );
-    }
-
     /// Gives the metrics of answers that wait for their callers.
     #[must_use]
     pub fn held_answers(&self) -> HeldAnswers {
@@ -327,30 +140,6 @@
         self.endpoints.clone()
     }
 
-    /// Registers what tells of accounts and their shares.
-    fn register_shares(&self, r: &mut Registry) {
-        r.register(
-            "account_refusals",
-            "Requests refused for load, by account and rank, over its share or within",
-            self.refusals.clone(),
-        );
-        r.register(
-            "account_asked_seconds",
-            "Work that accounts asked for lately, as their coordinator sees it",
-            self.asked.clone(),
-        );
-        r.register(
-            "account_done_seconds",
-            "Work that endpoints did lately for accounts, likewise",
-            self.done.clone(),
-        );
-        r.register(
-            "account_share_seconds",
-            "Work that was the accounts' share of it, likewise",
-            self.share.clone(),
-        );
-    }
-
     /// Forgets how accounts stand, so that one of which nothing is told any more keeps no old figures.
     pub fn clear_shares(&self) {
         self.asked.clear();
--- /dev/null
+++ b/crates/firdock-node/src/telemetry/metrics/register.rs
@@ -0,0 +1,170 @@
+//! Registration of metrics, with the help that whoever collects them reads.
+
+use prometheus_client::registry::Registry;
+
+use super::Metrics;
+
+impl Metrics {
+    /// Registers all metrics.
+    pub(super) fn register(&self) {
+        let Ok(mut r) = self.registry.lock() else {
+            return;
+        };
+        r.register(
+            "arrived",
+            "Requests that arrived from callers",
+            self.arrived.clone(),
+        );
+        r.register(
+            "goodput",
+            "Whole answers begun within the tier's target",
+            self.good.clone(),
+        );
+        r.register("answered", "Whole answers", self.answered.clone());
+        r.register("shed", "Requests given up for load", self.shed.clone());
+        r.register("held", "Requests held now", self.held.clone());
+        r.register(
+            "wasted_prefill_tokens",
+            "Prompt tokens computed in vain",
+            self.wasted.clone(),
+        );
+        r.register(
+            "verdicts",
+            "Final answers of firdock's own",
+            self.reasons.clone(),
+        );
+        r.register("outcomes", "Ended requests", self.outcomes.clone());
+        r.register(
+            "tries",
+            "Ended tries of callers, first ones and those with which they come back",
+            self.tries.clone(),
+        );
+        self.register_shares(&mut r);
+        self.register_dispatches(&mut r);
+        self.register_starts(&mut r);
+        r.register(
+            "version_in_force",
+            "Version of the configuration",
+            self.version.clone(),
+        );
+        r.register(
+            "log_lag_millis",
+            "Time since the log was read to its end",
+            self.log_lag.clone(),
+        );
+        r.register(
+            "first_seconds",
+            "Time from arrival to the first token or byte, by rank",
+            self.first.clone(),
+        );
+        r.register(
+            "first_over_predicted",
+            "Time from dispatch to the first token or byte over the predicted, by pool",
+            self.first_parts.clone(),
+        );
+        r.register(
+            "paces_told",
+            "Figures of their pace that endpoints told, by pool",
+            self.paces.clone(),
+        );
+        r.register(
+            "held_seconds",
+            "Time from arrival to the last dispatch of answered requests",
+            self.held_time.clone(),
+        );
+        r.register(
+            "total_seconds",
+            "Time from arrival to the end of whole answers",
+            self.total.clone(),
+        );
+        r.register(
+            "store_calls",
+            "Calls to the platform's store, by what they were for",
+            self.store_calls.clone(),
+        );
+        self.held_answers.register(&mut r);
+        r.register(
+            "decision_seconds",
+            "Time of one decision",
+            self.decision.clone(),
+        );
+    }
+
+    /// Registers what tells of dispatches and of endpoints that fail.
+    fn register_dispatches(&self, r: &mut Registry) {
+        r.register(
+            "dispatches",
+            "Requests sent to endpoints",
+            self.dispatches.clone(),
+        );
+        r.register(
+            "retries",
+            "Second tries after a broken dispatch",
+            self.retries.clone(),
+        );
+        r.register(
+            "stale_news",
+            "Late or crossed news dropped",
+            self.stale.clone(),
+        );
+        r.register(
+            "handed_over",
+            "Requests handed to peers",
+            self.handed.clone(),
+        );
+        r.register("ejections", "Endpoints ejected", self.ejections.clone());
+        r.register(
+            "leaving_told",
+            "Starts of endpoints that said with an answer that they leave, by pool",
+            self.leaving_told.clone(),
+        );
+        r.register(
+            "backoffs_told",
+            "Answers with which endpoints asked for a back-off, by pool",
+            self.backoffs_told.clone(),
+        );
+    }
+
+    /// Registers what tells of starts of endpoints and of their entries.
+    fn register_starts(&self, r: &mut Registry) {
+        r.register(
+            "endpoint_restarts",
+            "Endpoints that started again under their names",
+            self.restarts.clone(),
+        );
+        r.register(
+            "lost_by_restart",
+            "Dispatches that ended with a start of their endpoint",
+            self.lost_by_restart.clone(),
+        );
+        r.register(
+            "entries_refused",
+            "Entries of endpoints that name none to use",
+            self.entries_refused.clone(),
+        );
+    }
+
+    /// Registers what tells of accounts and their shares.
+    fn register_shares(&self, r: &mut Registry) {
+        r.register(
+            "account_refusals",
+            "Requests refused for load, by account and rank, over its share or within",
+            self.refusals.clone(),
+        );
+        r.register(
+            "account_asked_seconds",
+            "Work that accounts asked for lately, as their coordinator sees it",
+            self.asked.clone(),
+        );
+        r.register(
+            "account_done_seconds",
+            "Work that endpoints did lately for accounts, likewise",
+            self.done.clone(),
+        );
+        r.register(
+            "account_share_seconds",
+            "Work that was the accounts' share of it, likewise",
+            self.share.clone(),
+        );
+    }
+}
--- a/crates/firdock-policy/src/system/backoff.rs
+++ b/crates/firdock-policy/src/system/backoff.rs
@@ -21,7 +21,7 @@
 
 /// Refuses held requests that cannot wait for the first endpoint that takes requests again.
 pub fn run(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
-    if t.backoffs_until <= now {
+    if t.backoffs_until <= now || t.requests.held() == 0 {
         return;
     }
     let over = |r: &&RequestRow| {
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -1,15 +1,16 @@
 //! Placement: held requests go to endpoints that have room, higher tiers first.
 
+mod choice;
+mod lane;
 mod shared;
 
-use std::cmp::Ordering;
-
 use firdock_core::resource::Tier;
 use firdock_core::{Reason, RequestId, TierRank};
 
-use super::{coordinate, end, fair, fit, key, paced, rollout};
+use self::choice::{Choice, Placement, choose, estimate};
+use self::lane::{is_held_up, try_lane};
+use super::{coordinate, end, fair, key, rollout};
 use crate::action::{Action, Dispatch};
-use crate::cost::{self, Estimate};
 use crate::request::{Phase, RequestRow};
 use crate::table::Tables;
 use crate::table::endpoint::{Closed, EndpointRow, Health};
@@ -17,36 +18,6 @@
 
 /// Lanes of a queue that are looked at before the queue counts as blocked.
 const MAX_LOOKS: usize = 8;
-/// Requests of a lane that are looked at behind one that its instance may not send.
-const MAX_BEHIND: usize = 64;
-
-/// Prefill work that may wait at an endpoint before it gets another prompt, in seconds.
-const MAX_PREFILL_SECS: f64 = 1.0;
-
-/// Part of a tier's target for which a request may wait for a better endpoint.
-const WAIT_LIMIT: f64 = 0.3;
-/// Requests held beyond which nothing waits: an endpoint left idle then costs more than a prefix.
-const WAIT_HELD: usize = 16;
-/// Part of a request's time on a full endpoint that it is expected to wait for room there.
-const WAIT_PART: f64 = 0.6;
-
-/// What to do with a held request.
-#[derive(Debug, Clone, Copy)]
-enum Placement {
-    /// Send it.
-    On(Choice),
-    /// Hold it: an endpoint without room is worth waiting for.
-    Wait,
-    /// No endpoint has room.
-    Blocked,
-}
-
-/// An endpoint that was chosen for a request.
-#[derive(Debug, Clone, Copy)]
-struct Choice {
-    endpoint: usize,
-    estimate: Estimate,
-}
 
 /// Dispatches held requests until none can be placed.
 pub fn run(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
@@ -113,38 +84,6 @@
     Blocked,
 }
 
-/// Tries the first request of a lane, and where endpoints want nothing of the instance that asks for
-/// it, the next ones of other instances: no place stays empty for what one of them may not send.
-fn try_lane(t: &mut Tables, now: Time, head: RequestId, out: &mut Vec<Action>) -> Tried {
-    let tried = try_place(t, now, head, out);
-    if tried != Tried::HeldUp || !t.settings.coordinates {
-        return tried;
-    }
-    for id in behind(t, head) {
-        if try_place(t, now, id, out) == Tried::Left {
-            return Tried::Left;
-        }
-    }
-    Tried::HeldUp
-}
-
-/// Gives the first requests of other instances behind the head of a lane, one of each, of its rank.
-fn behind(t: &Tables, head: RequestId) -> Vec<RequestId> {
-    let Some(first) = t.requests.get(head) else {
-        return Vec::new();
-    };
-    let mut members = vec![&first.new.member];
-    let mut ids = Vec::new();
-    let lane = t.services.get(first.service).queue.lane_ids(first.account);
-    for row in lane.take(MAX_BEHIND).filter_map(|id| t.requests.get(id)) {
-        if row.rank == first.rank && !members.contains(&&row.new.member) {
-            members.push(&row.new.member);
-            ids.push(row.new.id);
-        }
-    }
-    ids
-}
-
 fn try_place(t: &mut Tables, now: Time, id: RequestId, out: &mut Vec<Action>) -> Tried {
     let Some(row) = t.requests.get(id) else {
         return Tried::Waits;
@@ -224,19 +163,6 @@
     dispatch(t, now, id, Choice { endpoint, estimate }, out);
 }
 
-fn estimate(t: &Tables, now: Time, row: &RequestRow, endpoint: usize) -> Estimate {
-    let service = t.services.get(row.service);
-    let e = t.endpoints.get(endpoint);
-    cost::estimate(
-        now,
-        t.settings.mechanisms,
-        row,
-        service,
-        e,
-        paced::pool_of(t, e),
-    )
-}
-
 /// Gives until when a request may be sent by the configuration in force.
 ///
 /// Only a key can be taken away from a caller, so that public services go on.
@@ -245,16 +171,6 @@
     t.fresh_until().filter(|_| !public)
 }
 
-/// Tells whether endpoints that take the request want nothing of the instance that asks for it.
-fn is_held_up(t: &Tables, now: Time, row: &RequestRow) -> bool {
-    let member = &row.new.member;
-    let backs_off = |e: &EndpointRow| {
-        let untried = !row.tried.contains(&e.start_id);
-        untried && matches!(e.open_to(member, now), Err(Closed::BackingOff(_)))
-    };
-    t.backoffs_until > now && takers(t, row).any(backs_off)
-}
-
 /// Tells whether every endpoint that takes the request has had it.
 fn exhausted(t: &Tables, row: &RequestRow) -> bool {
     takers(t, row).all(|e| row.tried.contains(&e.start_id))
@@ -281,106 +197,6 @@
         .is_none_or(|pool| *pool == e.declared.pool)
 }
 
-fn choose(t: &Tables, now: Time, row: &RequestRow) -> Placement {
-    let endpoints = t.services.get(row.service).endpoints.iter().copied();
-    let (open, full): (Vec<usize>, Vec<usize>) = endpoints
-        .filter(|e| may_take(t, now, row, *e))
-        .partition(|e| has_room(t, now, t.endpoints.get(*e)));
-    if let Some(tried) = rollout::trial(t, row, &open) {
-        let estimate = estimate(t, now, row, tried);
-        return Placement::On(Choice {
-            endpoint: tried,
-            estimate,
-        });
-    }
-    let Some(best) = best_of(t, now, row, &open) else {
-        return Placement::Blocked;
-    };
-    if fit::may_wait(t, now, row, &best.estimate) {
-        let taken: Vec<usize> = full.iter().copied().filter(|e| comes_free(t, *e)).collect();
-        let taken = best_of(t, now, row, &taken);
-        if taken.is_some_and(|taken| fit::is_better(&best.estimate, &taken.estimate)) {
-            return Placement::Wait;
-        }
-    }
-    if may_wait(t, now, row) {
-        // Slots free up one by one; prefill that waits there would only make the wait longer.
-        let slots_used: Vec<usize> = full
-            .into_iter()
-            .filter(|e| prefill_fits(t.endpoints.get(*e), now))
-            .collect();
-        let better = best_of(t, now, row, &slots_used);
-        let worth = better.is_some_and(|b| {
-            let wait = WAIT_PART * b.estimate.total_secs;
-            b.estimate.score + wait < best.estimate.score
-        });
-        if worth {
-            return Placement::Wait;
-        }
-    }
-    Placement::On(best)
-}
-
-/// Tells whether a place on a full engine comes free here, and is reckoned by the pace that it tells.
-fn comes_free(t: &Tables, at: usize) -> bool {
-    let e = t.endpoints.get(at);
-    e.running > 0 && paced::pool_of(t, e).is_some()
-}
-
-/// Gives the endpoint with the least score.
-fn best_of(t: &Tables, now: Time, row: &RequestRow, endpoints: &[usize]) -> Option<Choice> {
-    let service = t.services.get(row.service);
-    let on = t.settings.mechanisms;
-    let zone = if row.new.zone.is_empty() {
-        &t.settings.zone
-    } else {
-        &row.new.zone
-    };
-    let choices = endpoints.iter().map(|e| {
-        let e_row = t.endpoints.get(*e);
-        let mut estimate = cost::estimate(now, on, row, service, e_row, paced::pool_of(t, e_row));
-        estimate.score += cost::far_secs(on, zone, e_row);
-        Choice {
-            endpoint: *e,
-            estimate,
-        }
-    });
-    choices.min_by(|a, b| {
-        let order = a.estimate.score.partial_cmp(&b.estimate.score);
-        order
-            .unwrap_or(Ordering::Equal)
-            .then(a.endpoint.cmp(&b.endpoint))
-    })
-}
-
-/// Tells whether a request may wait for a better endpoint than those that have room.
-fn may_wait(t: &Tables, now: Time, row: &RequestRow) -> bool {
-    let target = t.services.get(row.service).tier.target();
-    let early = now.saturating_sub(row.arrived) < target.mul_f64(WAIT_LIMIT);
-    let calm = t.requests.held() <= WAIT_HELD;
-    t.settings.mechanisms.waiting && early && calm && !row.new.blocks.is_empty()
-}
-
-/// Tells whether an endpoint may take the request at all.
-fn may_take(t: &Tables, now: Time, row: &RequestRow, at: usize) -> bool {
-    let e = t.endpoints.get(at);
-    let open = e.open_to(&row.new.member, now).is_ok();
-    let open = open && in_pool(row, e) && !row.tried.contains(&e.start_id);
-    open && rollout::admits(t, row, at)
-}
-
-fn has_room(t: &Tables, now: Time, e: &EndpointRow) -> bool {
-    !t.settings.mechanisms.late_binding || (e.running < e.budget && prefill_fits(e, now))
-}
-
-/// Tells whether the prompts that wait at an endpoint leave room for another.
-///
-/// A slot alone does not mean room: sixteen long prompts would wait for each other in the engine,
-/// where a more urgent request can no longer pass them nor a better endpoint be found.
-fn prefill_fits(e: &EndpointRow, now: Time) -> bool {
-    e.running == 0 || e.waiting_tokens(now) <= MAX_PREFILL_SECS * e.declared.prefill_rate
-}
-
 /// Sends a request to an endpoint.
 ///
 /// # Panics
--- a/crates/firdock-policy/src/system/place/shared.rs
+++ b/crates/firdock-policy/src/system/place/shared.rs
@@ -4,7 +4,8 @@
 
 use firdock_core::{RequestId, TierRank};
 
-use super::{Tried, try_lane};
+use super::Tried;
+use super::lane::try_lane;
 use crate::action::Action;
 use crate::system::fair;
 use crate::table::Tables;
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -1,6 +1,7 @@
 //! The tables of entities that the systems run over.
 
 pub mod account;
+pub mod closed;
 pub mod endpoint;
 pub mod group;
 pub mod key;
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -5,6 +5,7 @@
 use firdock_core::StartId;
 use firdock_core::resource::{Endpoint, EndpointKind};
 
+pub use super::closed::{Closed, LeavingSource};
 use super::line::Line;
 use super::notices::Notices;
 use super::pace_told::ToldPace;
@@ -72,59 +73,6 @@
     Probing,
 }
 
-/// Why an endpoint may not get work of an instance now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Closed {
-    /// The configuration in force has it no more.
-    Absent,
-    /// It leaves.
-    Leaving,
-    /// It wants no request from the instance until the time given.
-    BackingOff(Time),
-    /// It failed, and is out for a while.
-    Ejected,
-    /// It failed, and a request is on its way by which that is tried.
-    Probing,
-}
-
-impl Closed {
-    /// Tells whether the endpoint's health alone closes it, of which a coordinator knows more than the
-    /// instances that send.
-    #[must_use]
-    pub fn is_health(self) -> bool {
-        matches!(self, Self::Ejected | Self::Probing)
-    }
-}
-
-/// Who said that an endpoint leaves.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LeavingSource {
-    /// The endpoint itself, with an answer.
-    Answer,
-    /// The endpoint itself, with its report.
-    Report,
-    /// Its declaration: its own entry, or the operators.
-    Declared,
-    /// The platform's instance list.
-    List,
-    /// Another instance.
-    Peer,
-}
-
-impl LeavingSource {
-    /// Gives the word that logs have.
-    #[must_use]
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Answer => "answer",
-            Self::Report => "report",
-            Self::Declared => "declared",
-            Self::List => "list",
-            Self::Peer => "peer",
-        }
-    }
-}
-
 /// Load that an endpoint reported.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Reported {
