--- a/tests/testsuite/explain.rs
+++ b/tests/testsuite/explain.rs
@@ -131,3 +131,20 @@
     let row = "1.50  times its share at most; refused over it 2, within it 1";
     assert!(text.contains(row), "{text}");
 }
+
+const PASSED_OVER: &str = r#"
+{"msg":"endpoint notice","ts":"2026-01-01T10:00:00.1Z","instance":"one","endpoint":"e2@7","source":"answer","leaving":true}
+{"msg":"endpoint notice","ts":"2026-01-01T10:00:00.1Z","instance":"one","endpoint":"e9","source":"answer","leaving":true}
+{"msg":"belief changed","ts":"2026-01-01T10:00:00.2Z","instance":"one","what":"endpoint e3","is":"backing off","before":"usable","source":"answer","left_millis":900}
+{"msg":"dispatched","ts":"2026-01-01T10:00:01.0Z","instance":"one","request_id":"r1","endpoint":"e1","passed_over":"e2: leaving; e3: backing off 100 ms; 2 more"}
+"#;
+
+#[test]
+fn the_story_tells_why_endpoints_were_passed_over() {
+    let lines: Vec<Line> = PASSED_OVER.lines().filter_map(Line::parse).collect();
+    let told: Vec<String> = tell(&lines, "r1").iter().map(Line::describe).collect();
+    assert_eq!(told.len(), 3, "{told:#?}");
+    assert!(told[0].contains("endpoint notice") && told[0].contains("endpoint=e2@7"));
+    assert!(told[1].contains("is=backing off") && told[1].contains("left_millis=900"));
+    assert!(told[2].contains("passed_over=e2: leaving; e3: backing off 100 ms; 2 more"));
+}
