--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -182,13 +182,9 @@
                 self.drop_if_ended(id);
             }
             Input::Placement(input) => self.take_placement(input),
-            Input::BadLoad(endpoint, told) => {
+            Input::Unread(kind, endpoint, told) => {
                 let now = self.parts.clock.now();
-                self.decisions.bad_load(now, &endpoint, &told);
-            }
-            Input::BadNotice(endpoint, told) => {
-                let now = self.parts.clock.now();
-                self.decisions.bad_notice(now, &endpoint, &told);
+                self.decisions.unread(now, kind, &endpoint, &told);
             }
             Input::Event(event) => self.take_event(event),
         }
--- a/crates/firdock-node/src/endpoint.rs
+++ b/crates/firdock-node/src/endpoint.rs
@@ -29,7 +29,7 @@
 
 pub use engine::HttpEngine;
 pub use events::EventCutter;
-pub use notice::HeadNotice;
+pub use notice::{HeadNotice, start_of};
 pub use own::OwnBackends;
 pub use plain::HttpPlain;
 pub use report::watch_reports;
--- a/crates/firdock-node/src/endpoint/notice.rs
+++ b/crates/firdock-node/src/endpoint/notice.rs
@@ -69,12 +69,18 @@
     }
 
     fn note_unread(&mut self, value: &HeaderValue) {
-        let bytes = value.as_bytes();
-        let start = &bytes[..bytes.len().min(UNREAD_BYTES)];
-        self.unread = Some(String::from_utf8_lossy(start).into_owned());
+        self.unread = Some(start_of(value));
     }
 }
 
+/// Gives the start of a header's value that cannot be read, as the log tells it.
+#[must_use]
+pub fn start_of(value: &HeaderValue) -> String {
+    let bytes = value.as_bytes();
+    let start = &bytes[..bytes.len().min(UNREAD_BYTES)];
+    String::from_utf8_lossy(start).into_owned()
+}
+
 /// Reads a number of seconds, whole or with a fraction; `None` for anything else.
 ///
 /// A whole part that is too large for the time type is the longest time there is.
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -21,7 +21,7 @@
 use crate::clock::Clock;
 use crate::exchange::{Delivered, Exchange, Part};
 use crate::input::Input;
-use crate::telemetry::TraceContext;
+use crate::telemetry::{LineKind, TraceContext};
 
 /// Time limits of a dispatch.
 #[derive(Debug, Clone, Copy)]
@@ -111,9 +111,7 @@
     /// would be lost with it where the way to the scheduler is full.
     pub async fn tell_notice(&self, head: &HeadNotice) {
         if let Some(unread) = &head.unread {
-            let endpoint = self.target.name.clone();
-            let input = Input::BadNotice(endpoint, unread.clone());
-            let _ = self.inputs.send(input).await;
+            self.tell_unread(LineKind::BadNotice, unread.clone()).await;
         }
         if head.notice.is_empty() {
             return;
@@ -129,10 +127,10 @@
         let _ = tokio::spawn(telling).await;
     }
 
-    /// Tells that what the endpoint says of its load can't be read; it is passed over.
-    pub async fn tell_bad_load(&self, told: String) {
-        let endpoint = self.target.name.clone();
-        let _ = self.inputs.send(Input::BadLoad(endpoint, told)).await;
+    /// Tells that what the endpoint says can't be read; it is passed over.
+    pub async fn tell_unread(&self, kind: LineKind, told: String) {
+        let input = Input::Unread(kind, self.target.name.clone(), told);
+        let _ = self.inputs.send(input).await;
     }
 
     /// Passes a part on; a caller who does not read for too long counts as gone.
--- a/crates/firdock-node/src/input.rs
+++ b/crates/firdock-node/src/input.rs
@@ -9,6 +9,7 @@
 
 use crate::exchange::Exchange;
 use crate::placement::PlacementInput;
+use crate::telemetry::LineKind;
 
 /// Inputs that may wait for the scheduler.
 pub const INPUTS_WAITING: usize = 4_096;
@@ -20,10 +21,8 @@
     Arrived(NewRequest, Arc<Exchange>),
     /// A datagram about placements on engines.
     Placement(PlacementInput),
-    /// What an endpoint says of its load can't be read, with the start of what it says.
-    BadLoad(EndpointId, String),
-    /// The same of what an endpoint says of itself.
-    BadNotice(EndpointId, String),
+    /// What an endpoint says can't be read, with the kind of its line and the start of what it says.
+    Unread(LineKind, EndpointId, String),
     /// Anything else.
     Event(Event),
 }
--- a/crates/firdock-node/src/telemetry/beliefs.rs
+++ b/crates/firdock-node/src/telemetry/beliefs.rs
@@ -82,16 +82,12 @@
 
     /// Writes a line for each endpoint of which something else is believed now, with who said so.
     fn write_endpoints(&self, now: Time, seen: &EndpointStates) {
-        for (name, is) in seen {
-            let before = self.endpoints.get(name).map_or("unknown", |e| e.state);
-            if before != is.state {
-                self.write_endpoint(now, name, is, before);
+        for (name, is, before) in changes(&self.endpoints, seen, |e| e.state) {
+            match is {
+                Some(is) => self.write_endpoint(now, name, is, before),
+                None => self.write(now, &format!("endpoint {name}"), "gone", before),
             }
         }
-        let gone = self.endpoints.iter();
-        for (name, before) in gone.filter(|(name, _)| !seen.contains_key(*name)) {
-            self.write(now, &format!("endpoint {name}"), "gone", before.state);
-        }
     }
 
     fn write_endpoint(&self, now: Time, name: &str, is: &EndpointState, before: &str) {
@@ -104,15 +100,9 @@
 
     /// Writes a line for each other instance that is heard now, or no more.
     fn write_peers(&self, now: Time, seen: &Words) {
-        for (name, is) in seen {
-            let before = self.peers.get(name).copied().unwrap_or("unknown");
-            if before != *is {
-                self.write(now, &format!("instance {name}"), is, before);
-            }
-        }
-        let gone = self.peers.iter();
-        for (name, before) in gone.filter(|(name, _)| !seen.contains_key(*name)) {
-            self.write(now, &format!("instance {name}"), "gone", before);
+        for (name, is, before) in changes(&self.peers, seen, |word| *word) {
+            let is = is.copied().unwrap_or("gone");
+            self.write(now, &format!("instance {name}"), is, before);
         }
     }
 
@@ -123,6 +113,26 @@
     }
 }
 
+/// Gives what is new, changed or gone: its name, what it is now (`None` where it is gone), and the word
+/// for what it was before.
+fn changes<'a, B>(
+    known: &'a BTreeMap<String, B>,
+    seen: &'a BTreeMap<String, B>,
+    word: impl Fn(&B) -> &'static str + 'a,
+) -> Vec<(&'a str, Option<&'a B>, &'static str)> {
+    let mut changes = Vec::new();
+    for (name, is) in seen {
+        let before = known.get(name).map_or("unknown", &word);
+        if before != word(is) {
+            changes.push((name.as_str(), Some(is), before));
+        }
+    }
+    for (name, before) in known.iter().filter(|(name, _)| !seen.contains_key(*name)) {
+        changes.push((name.as_str(), None, word(before)));
+    }
+    changes
+}
+
 fn peer_words(now: Time, t: &Tables) -> Words {
     let word = |p: &PeerRow| {
         if t.is_heard(p, now) {
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -104,10 +104,10 @@
         );
     }
 
-    /// Writes that what an endpoint says of its load can't be read, and is passed over.
-    pub fn bad_load(&self, now: Time, endpoint: &EndpointId, told: &str) {
-        if self.budget.allow(&self.log, now, LineKind::BadLoad) {
-            warn!(self.log, "load not read"; "endpoint" => endpoint, "told" => told);
+    /// Writes that what an endpoint says can't be read, and is passed over.
+    pub fn unread(&self, now: Time, kind: LineKind, endpoint: &EndpointId, told: &str) {
+        if self.budget.allow(&self.log, now, kind) {
+            warn!(self.log, "{}", kind.as_str(); "endpoint" => endpoint, "told" => told);
         }
     }
 
@@ -124,13 +124,6 @@
         }
     }
 
-    /// Writes that what an endpoint says of itself can't be read, and is passed over.
-    pub fn bad_notice(&self, now: Time, endpoint: &EndpointId, told: &str) {
-        if self.budget.allow(&self.log, now, LineKind::BadNotice) {
-            warn!(self.log, "notice not read"; "endpoint" => endpoint, "told" => told);
-        }
-    }
-
     /// Writes that a whole answer was passed on; `row` is the request's before it ended.
     pub fn answered(&self, now: Time, t: &Tables, row: &RequestRow, exchange: &Exchange) {
         if !self.budget.allow(&self.log, now, LineKind::Answered) {
--- a/crates/firdock-policy/src/system/backoff.rs
+++ b/crates/firdock-policy/src/system/backoff.rs
@@ -39,9 +39,6 @@
 
 /// Gives until when a request waits at least, if all endpoints that could take it want none now.
 pub fn waits_until(t: &Tables, now: Time, row: &RequestRow) -> Option<Time> {
-    if t.backoffs_until <= now {
-        return None;
-    }
     let untried = |e: &EndpointRow| !row.tried.contains(&e.start_id);
     first_end(t, now, row, untried)
 }
@@ -56,6 +53,9 @@
     row: &RequestRow,
     wanted: impl Fn(&EndpointRow) -> bool,
 ) -> Option<Time> {
+    if t.backoffs_until <= now {
+        return None;
+    }
     let mut first: Option<Time> = None;
     for at in &t.services.get(row.service).endpoints {
         let e = t.endpoints.get(*at);
@@ -76,9 +76,6 @@
 /// Gives when the caller of a request should come back, if its endpoints want none now: after the first
 /// end, and each a little apart. Those that had this try of it count too, for the next one is another.
 pub fn retry_after(t: &Tables, now: Time, row: &RequestRow) -> Option<Duration> {
-    if t.backoffs_until <= now {
-        return None;
-    }
     let end = first_end(t, now, row, |_| true)?;
     let part = rendezvous::hash_key(row.new.id.as_bytes()) as f64 / u64::MAX as f64;
     Some(end.saturating_sub(now) + RETURN_SPREAD.mul_f64(part))
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -208,14 +208,17 @@
     fair::charge(t, now, id);
     let most = t.most_retries();
     end::set_phase(t, id, Phase::Dispatching(choice.endpoint), false);
-    let member = t.requests.get(id).map(|r| r.new.member.clone());
-    let e = t.endpoints.get_mut(choice.endpoint);
-    let closed = e.open_to(&member.unwrap_or_default(), now).err();
+    let e = t.endpoints.get(choice.endpoint);
+    let closed = t
+        .requests
+        .get(id)
+        .and_then(|r| e.open_to(&r.new.member, now).err());
     assert!(
         closed.is_none_or(Closed::is_health),
         "endpoint {} is closed and got new work: {closed:?}",
         e.declared.name
     );
+    let e = t.endpoints.get_mut(choice.endpoint);
     if matches!(e.health, Health::Ejected(_)) {
         e.health = Health::Probing;
     }
