Sight: which requests are the same, how a dispatch came to break, and whether its endpoint has ended

Lines on a request name the hash of its content; a failed dispatch names its cause; a connect right after a connection ended early tells whether the endpoint's address still takes any. Two counters. No decision goes by any of it yet.

--- /dev/null
+++ b/crates/firdock-core/src/content.rs
@@ -0,0 +1,110 @@
+//! Identity of a request's content, by which a request that comes again is known as the same.
+//!
+//! An id is minted anew with each try, and names of services change with the configuration; what an
+//! endpoint runs is the same as long as account, method, target and body are.
+
+use std::fmt::{self, Display, Formatter};
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+use sha2::{Digest, Sha256};
+use snafu::Snafu;
+
+/// Bytes of an identity: too many for anyone to find another request that has the same.
+const ID_BYTES: usize = 16;
+/// Bytes of a path that are kept for operators.
+const PATH_BYTES: usize = 128;
+
+/// Hash of account, method, target and body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ContentId([u8; ID_BYTES]);
+
+/// The text is not the name of a content.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[snafu(display("expected {} hexadecimal digits", 2 * ID_BYTES))]
+pub struct BadContentId;
+
+impl ContentId {
+    /// Gives the bytes, as messages carry them.
+    #[must_use]
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+
+    /// Reads the bytes of a message; `None` where they are too many or too few.
+    #[must_use]
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        bytes.try_into().ok().map(Self)
+    }
+}
+
+impl Display for ContentId {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl FromStr for ContentId {
+    type Err = BadContentId;
+
+    fn from_str(text: &str) -> Result<Self, BadContentId> {
+        let digits = text.bytes().all(|b| b.is_ascii_hexdigit());
+        if text.len() != 2 * ID_BYTES || !digits {
+            return BadContentIdSnafu.fail();
+        }
+        let number = u128::from_str_radix(text, 16).map_err(|_not_hex| BadContentId)?;
+        Ok(Self(number.to_be_bytes()))
+    }
+}
+
+impl Serialize for ContentId {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for ContentId {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(de::Error::custom)
+    }
+}
+
+/// What a request asks for, with the part of it that operators are shown.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Content {
+    /// Identity.
+    pub id: ContentId,
+    /// Method and path, without the query, which may hold what is nobody's business.
+    pub path: Arc<str>,
+}
+
+impl Content {
+    /// Takes the identity of a request.
+    ///
+    /// The hash is cryptographic, so that no account can make a request that passes for another's.
+    #[must_use]
+    pub fn new(account: &str, method: &str, target: &str, body: &[u8]) -> Self {
+        let mut hash = Sha256::new();
+        for part in [account, method, target] {
+            // The length keeps parts apart, whatever they hold.
+            hash.update((part.len() as u64).to_be_bytes());
+            hash.update(part);
+        }
+        hash.update(body);
+        let hash = hash.finalize();
+        let mut id = [0; ID_BYTES];
+        id.copy_from_slice(&hash[..ID_BYTES]);
+        Self {
+            id: ContentId(id),
+            path: path_of(method, target),
+        }
+    }
+}
+
+fn path_of(method: &str, target: &str) -> Arc<str> {
+    let path = target.split('?').next().unwrap_or_default();
+    let end = path.floor_char_boundary(PATH_BYTES);
+    format!("{method} {}", &path[..end]).into()
+}
--- a/crates/firdock-core/src/lib.rs
+++ b/crates/firdock-core/src/lib.rs
@@ -3,6 +3,7 @@
 //! This crate does no I/O and knows no other crate of the workspace, so that the policy, the fold
 //! of the log and the daemons agree on one meaning of each word (see `docs/GLOSSARY.md`).
 
+pub mod content;
 pub mod credential;
 pub mod finding;
 pub mod ids;
@@ -13,6 +14,7 @@
 pub mod settings;
 pub mod table;
 
+pub use content::{Content, ContentId};
 pub use finding::{Finding, Findings};
 pub use ids::{
     AccountId, EndpointId, InstanceId, Offset, PoolId, RequestId, ServiceId, SoftwareVersion,
--- a/crates/firdock-node/src/door/request.rs
+++ b/crates/firdock-node/src/door/request.rs
@@ -1,5 +1,7 @@
 //! The policy's view of a request, made the same way for callers and for peers that hand over.
 
+use std::sync::Arc;
+
 use firdock_core::EndpointId;
 use firdock_core::prefix::{block_hashes, estimate_tokens};
 use firdock_policy::{NewRequest, Origin};
@@ -26,6 +28,7 @@
         tried,
         deadline: terms.deadline,
         draw: terms.draw,
+        content: Some(Arc::clone(&exchange.content)),
         ..NewRequest::default()
     }
 }
--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -4,6 +4,7 @@
 //! short timer, so that an instant call never waits for a tick.
 
 mod answer;
+mod look;
 mod placement;
 mod send;
 
@@ -202,6 +203,7 @@
             Event::Fresh(at) => self.parts.site.set_fresh(*at),
             Event::Endpoint(news) => self.note_news(news),
             Event::CallerLeft(id) => self.note_caller_left(*id),
+            Event::Looked(look) => self.decisions.looked(self.parts.clock.now(), look),
             Event::Noticed(told) => self.decisions.noticed(self.parts.clock.now(), told),
             _ => {}
         }
@@ -232,9 +234,10 @@
                     .answered(now, self.scheduler.tables(), row, &live.exchange);
                 return;
             }
-            DispatchNews::Started { .. } | DispatchNews::Tokens { .. } | DispatchNews::Failed => {
-                return;
-            }
+            DispatchNews::Started { .. }
+            | DispatchNews::Tokens { .. }
+            | DispatchNews::Failed
+            | DispatchNews::Breaking(_) => return,
             DispatchNews::Refused { unreachable: true } => "unreachable",
             DispatchNews::Refused { unreachable: false } => "refused",
             DispatchNews::Lapsed => "lapsed",
@@ -328,6 +331,7 @@
             Action::GiveUpDispatch { id, dispatch } => {
                 self.tell_dispatch(id, dispatch, Since::Restarted);
             }
+            Action::Look { endpoint, start } => self.look(&endpoint, start),
             Action::Withhold { id, dispatch } => self.tell_dispatch(id, dispatch, Since::Closed),
             Action::Ask { id } => self.ask_placement(id),
             Action::Decline(grant) => self.decline_placement(&grant),
--- a/crates/firdock-node/src/endpoint.rs
+++ b/crates/firdock-node/src/endpoint.rs
@@ -21,6 +21,7 @@
 use bytes::Bytes;
 use firdock_core::prefix::BlockHash;
 use firdock_core::{EndpointId, RequestId};
+use firdock_policy::event::BreakCause;
 use hyper::body::Incoming;
 use hyper::header::HeaderName;
 use hyper::{HeaderMap, Method, Response};
@@ -37,6 +38,7 @@
 
 use self::run::Run;
 use crate::door::ModelCall;
+use crate::http::CallError;
 use crate::site::Place;
 use crate::telemetry::TraceContext;
 
@@ -71,7 +73,10 @@
     Refused,
     /// The request may have run.
     #[snafu(display("endpoint lost after the request was sent"))]
-    Lost,
+    Lost {
+        /// How it came about.
+        cause: BreakCause,
+    },
     /// The endpoint answered with an error of its own, which is the caller's answer.
     #[snafu(display("endpoint answered {status}"))]
     Answered {
@@ -82,6 +87,24 @@
     },
 }
 
+/// Gives how a call came to break off after its request may have been sent.
+pub(crate) fn break_cause(error: &CallError) -> BreakCause {
+    match error {
+        CallError::AnswerTime => BreakCause::Silent,
+        CallError::Http { source } => cut_cause(source),
+        CallError::Connect { .. } | CallError::ConnectTime { .. } => BreakCause::Closed,
+    }
+}
+
+/// Gives how an answer came to break off: its connection ended, or what came is no HTTP.
+pub(crate) fn cut_cause(error: &hyper::Error) -> BreakCause {
+    if error.is_parse() {
+        BreakCause::Foreign
+    } else {
+        BreakCause::Closed
+    }
+}
+
 /// What came of a call to an endpoint, with what the head of its answer said of the endpoint.
 #[derive(Debug)]
 pub struct Heard<T> {
--- a/crates/firdock-node/src/endpoint/engine.rs
+++ b/crates/firdock-node/src/endpoint/engine.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use firdock_core::RequestId;
+use firdock_policy::event::BreakCause;
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
@@ -19,6 +20,7 @@
     AnsweredSnafu, DISPATCH_HEADER, EndpointReport, EngineClient, EngineOrder, EngineUsage,
     FencedOrder, HeadNotice, Heard, KvCache, LEAVING_HEADER, LostSnafu, NOT_STARTED_HEADER,
     REPORT_PATH, RefusedSnafu, ReportSource, StartError, StreamError, TokenEvent, TokenStream,
+    break_cause,
 };
 use crate::door::REQUEST_ID_HEADER;
 use crate::http::{CallError, Connection, connect};
@@ -118,7 +120,8 @@
         return RefusedSnafu.fail();
     }
     if !echoes(&response, order) {
-        return LostSnafu.fail();
+        let cause = BreakCause::Foreign;
+        return LostSnafu { cause }.fail();
     }
     let status = response.status();
     if status.is_success() {
@@ -136,7 +139,8 @@
     if e.never_sent() {
         StartError::Unreachable
     } else {
-        StartError::Lost
+        let cause = break_cause(e);
+        StartError::Lost { cause }
     }
 }
 
@@ -151,7 +155,8 @@
     let body = Limited::new(response.into_body(), MAX_BODY_BYTES)
         .collect()
         .await;
-    body.map_or_else(|_| LostSnafu.fail(), |b| Ok(b.to_bytes()))
+    let cause = BreakCause::Closed;
+    body.map_or_else(|_| LostSnafu { cause }.fail(), |b| Ok(b.to_bytes()))
 }
 
 /// Makes the body that goes to the engine: the caller's, with what firdock adds.
@@ -247,7 +252,8 @@
         let body = self
             .order_call(at, Method::GET, &path, Bytes::new())
             .await?;
-        serde_json::from_slice(&body).map_or_else(|_| LostSnafu.fail(), Ok)
+        let cause = BreakCause::Foreign;
+        serde_json::from_slice(&body).map_or_else(|_| LostSnafu { cause }.fail(), Ok)
     }
 }
 
--- a/crates/firdock-node/src/endpoint/plain.rs
+++ b/crates/firdock-node/src/endpoint/plain.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use firdock_policy::event::BreakCause;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
@@ -10,7 +11,7 @@
 
 use super::{
     DISPATCH_HEADER, HeadNotice, Heard, LEAVING_HEADER, LostSnafu, NOT_STARTED_HEADER, PlainAnswer,
-    PlainClient, PlainOrder, RefusedSnafu, StartError,
+    PlainClient, PlainOrder, RefusedSnafu, StartError, break_cause,
 };
 use crate::door::REQUEST_ID_HEADER;
 use crate::http::{CallError, connect, strip_hop_by_hop};
@@ -47,7 +48,10 @@
             Err(CallError::Connect { .. } | CallError::ConnectTime { .. }) => {
                 return Heard::nothing(StartError::Unreachable);
             }
-            Err(_) => return Heard::nothing(StartError::Lost),
+            Err(e) => {
+                let cause = break_cause(&e);
+                return Heard::nothing(StartError::Lost { cause });
+            }
         };
         let head = HeadNotice::read(response.status(), response.headers(), &LEAVING_HEADER);
         let result = take(order, response).map(|response| PlainAnswer {
@@ -71,7 +75,8 @@
         .get(REQUEST_ID_HEADER)
         .and_then(|v| v.to_str().ok());
     if echoed.is_some_and(|id| id != order.id.to_string()) {
-        return LostSnafu.fail();
+        let cause = BreakCause::Foreign;
+        return LostSnafu { cause }.fail();
     }
     strip_hop_by_hop(response.headers_mut());
     Ok(response)
--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use firdock_core::{EndpointId, RequestId};
-use firdock_policy::event::DispatchNews;
+use firdock_policy::event::{BreakCause, DispatchNews};
 use firdock_policy::load::ServerLoad;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -21,7 +21,7 @@
 use self::plain::pass_plain;
 use self::stream::Stream;
 use super::run::{Run, Stop};
-use super::{Backends, HeadNotice, Place};
+use super::{Backends, HeadNotice, Place, break_cause};
 use crate::exchange::{AnswerHead, Part, Payload};
 use crate::http::{CallError, connect, strip_hop_by_hop};
 use crate::telemetry::LineKind;
@@ -154,7 +154,7 @@
         match reply {
             Reply::NotRun => return run.not_sent(false).await,
             Reply::Misdirected => return run.not_sent(true).await,
-            Reply::Foreign => return broke(run, "foreign").await,
+            Reply::Foreign => return run.tell_broken(BreakCause::Foreign).await,
             Reply::Answer => {}
         }
         self.take_load(run, response.headers()).await;
@@ -163,7 +163,7 @@
                 run.tell(DispatchNews::Failed).await;
             }
             if payload.terms.repeatable {
-                return broke(run, "failed").await;
+                return run.tell_broken(BreakCause::Failed).await;
             }
         }
         strip_hop_by_hop(response.headers_mut());
@@ -200,7 +200,8 @@
             Ok(Err(CallError::Connect { .. } | CallError::ConnectTime { .. })) => {
                 run.not_sent(true).await
             }
-            Ok(Err(_)) | Err(_) => broke(&run, "lost").await,
+            Ok(Err(e)) => run.tell_broken(break_cause(&e)).await,
+            Err(_) => run.tell_broken(BreakCause::Restarted).await,
         };
         drop(connection);
         word
@@ -210,12 +211,6 @@
     async fn cancel(&self, _place: Place, _id: RequestId, _dispatch: u32) {}
 }
 
-async fn broke(run: &Run, word: &'static str) -> &'static str {
-    let delivered = run.delivered().tokens;
-    run.tell(DispatchNews::Broke { delivered }).await;
-    word
-}
-
 /// Tells the scheduler how the answer ended.
 async fn finish(run: &Run, passed: Result<(), Stop>, output: u32) -> &'static str {
     match passed {
@@ -235,6 +230,6 @@
             run.tell_caller_left().await;
             "caller-left"
         }
-        Err(Stop::Endpoint) => broke(run, "broke").await,
+        Err(Stop::Endpoint(cause)) => run.tell_broken(cause).await,
     }
 }
--- a/crates/firdock-node/src/endpoint/relay/plain.rs
+++ b/crates/firdock-node/src/endpoint/relay/plain.rs
@@ -6,6 +6,7 @@
 use hyper::body::{Body as _, Incoming};
 
 use super::finish;
+use crate::endpoint::cut_cause;
 use crate::endpoint::run::{Run, Stop};
 use crate::exchange::{AnswerHead, Part};
 
@@ -42,9 +43,7 @@
 async fn read_whole(run: &Run, mut body: Incoming) -> Result<Whole, Stop> {
     let mut read = BytesMut::new();
     while let Some(frame) = run.while_alive(body.frame()).await? {
-        let Ok(frame) = frame else {
-            return Err(Stop::Endpoint);
-        };
+        let frame = frame.map_err(|e| Stop::Endpoint(cut_cause(&e)))?;
         if let Ok(bytes) = frame.into_data() {
             read.extend_from_slice(&bytes);
         }
@@ -66,7 +65,7 @@
 
 async fn pass_rest(run: &Run, mut body: Incoming) -> Result<(), Stop> {
     while let Some(frame) = run.while_alive(body.frame()).await? {
-        let frame = frame.map_err(|_broken| Stop::Endpoint)?;
+        let frame = frame.map_err(|e| Stop::Endpoint(cut_cause(&e)))?;
         if let Ok(bytes) = frame.into_data() {
             run.pass(Part::Data(bytes)).await?;
         }
--- a/crates/firdock-node/src/endpoint/relay/stream.rs
+++ b/crates/firdock-node/src/endpoint/relay/stream.rs
@@ -1,10 +1,11 @@
 //! Streams of events: passed on by whole events, and taken up after the last one that the caller has.
 
-use firdock_policy::event::DispatchNews;
+use firdock_policy::event::{BreakCause, DispatchNews};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 
 use super::finish;
+use crate::endpoint::cut_cause;
 use crate::endpoint::events::{EventCutter, WholeEvents};
 use crate::endpoint::run::{Run, Stop};
 use crate::exchange::{AnswerHead, Part};
@@ -38,11 +39,13 @@
     async fn pass_events(&mut self, mut body: Incoming) -> Result<(), Stop> {
         let mut cutter = EventCutter::default();
         while let Some(frame) = self.run.while_alive(body.frame()).await? {
-            let frame = frame.map_err(|_broken| Stop::Endpoint)?;
+            let frame = frame.map_err(|e| Stop::Endpoint(cut_cause(&e)))?;
             let Ok(bytes) = frame.into_data() else {
                 continue;
             };
-            let whole = cutter.push(&bytes).map_err(|_too_long| Stop::Endpoint)?;
+            let whole = cutter
+                .push(&bytes)
+                .map_err(|_too_long| Stop::Endpoint(BreakCause::Foreign))?;
             if let Some(events) = whole {
                 self.pass_whole(events).await?;
             }
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -11,7 +11,7 @@
 use firdock_policy::Event;
 use firdock_policy::action::Dispatch;
 use firdock_policy::buffers::CALLER_STALL;
-use firdock_policy::event::{DispatchNews, EndpointEvent};
+use firdock_policy::event::{BreakCause, DispatchNews, EndpointEvent};
 use firdock_policy::load::{Pace, PaceTold};
 use firdock_policy::notice::NoticeTold;
 use tokio::sync::{mpsc, watch};
@@ -26,6 +26,8 @@
 /// Time limits of a dispatch.
 #[derive(Debug, Clone, Copy)]
 pub struct RunLimits {
+    /// Longest time for a connect.
+    pub connect: Duration,
     /// Longest silence of an endpoint.
     pub silence: Duration,
     /// Longest time that a caller may leave parts of the answer unread.
@@ -37,6 +39,7 @@
     #[must_use]
     pub fn new(endpoints: &Endpoints) -> Self {
         Self {
+            connect: Duration::from_millis(endpoints.connect_millis),
             silence: Duration::from_millis(endpoints.silence_millis),
             caller_stall: CALLER_STALL,
         }
@@ -84,7 +87,7 @@
     /// The caller does not read or is gone.
     Caller,
     /// The endpoint was lost.
-    Endpoint,
+    Endpoint(BreakCause),
 }
 
 impl Run {
@@ -154,6 +157,15 @@
         let _ = self.inputs.send(Input::Event(event)).await;
     }
 
+    /// Tells the scheduler that the answer will not come whole, and how that came about; gives a word
+    /// on it for the trace.
+    pub async fn tell_broken(&self, cause: BreakCause) -> &'static str {
+        let delivered = self.delivered().tokens;
+        self.tell(DispatchNews::Breaking(cause)).await;
+        self.tell(DispatchNews::Broke { delivered }).await;
+        cause.as_str()
+    }
+
     /// Tells the scheduler that the request did not run; gives a word on why for the trace.
     pub async fn not_sent(&self, unreachable: bool) -> &'static str {
         self.tell(DispatchNews::Refused { unreachable }).await;
@@ -197,7 +209,7 @@
         tokio::select! {
             biased;
             got = wait => Ok(got),
-            Ok(_) = since.wait_for(|s| *s == Since::Restarted) => Err(Stop::Endpoint),
+            Ok(_) = since.wait_for(|s| *s == Since::Restarted) => Err(Stop::Endpoint(BreakCause::Restarted)),
         }
     }
 
--- a/crates/firdock-node/src/endpoint/run_engine.rs
+++ b/crates/firdock-node/src/endpoint/run_engine.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use firdock_policy::event::DispatchNews;
+use firdock_policy::event::{BreakCause, DispatchNews};
 use hyper::header::{self, HeaderValue};
 use hyper::{HeaderMap, StatusCode};
 
@@ -50,11 +50,7 @@
     match error {
         StartError::Unreachable => run.not_sent(true).await,
         StartError::Refused => run.not_sent(false).await,
-        StartError::Lost => {
-            let delivered = run.delivered().tokens;
-            run.tell(DispatchNews::Broke { delivered }).await;
-            "lost"
-        }
+        StartError::Lost { cause } => run.tell_broken(cause).await,
         StartError::Answered { status, body } => pass_error(run, status, body).await,
     }
 }
@@ -99,7 +95,7 @@
     let mut tries = 0;
     loop {
         let Ok(next) = run.while_alive(stream.next(run.limits.silence)).await else {
-            return relay.broke().await;
+            return run.tell_broken(BreakCause::Restarted).await;
         };
         match next {
             Ok(Some(event)) => {
@@ -117,10 +113,10 @@
                 run.tell_notice(&resumed.head).await;
                 match resumed.result {
                     Ok(again) => stream = again,
-                    Err(_) => return relay.broke().await,
+                    Err(_) => return run.tell_broken(BreakCause::Closed).await,
                 }
             }
-            Err(_) => return relay.broke().await,
+            Err(e) => return run.tell_broken(break_cause(e)).await,
         }
     }
 }
@@ -241,11 +237,13 @@
         self.run.pass(Part::Head(head)).await?;
         self.run.pass(Part::Data(body)).await
     }
+}
 
-    async fn broke(&self) -> &'static str {
-        let delivered = self.run.delivered().tokens;
-        self.run.tell(DispatchNews::Broke { delivered }).await;
-        "broke"
+fn break_cause(error: StreamError) -> BreakCause {
+    match error {
+        StreamError::Broken => BreakCause::Closed,
+        StreamError::Silent => BreakCause::Silent,
+        StreamError::Crossed => BreakCause::Foreign,
     }
 }
 
--- a/crates/firdock-node/src/endpoint/run_plain.rs
+++ b/crates/firdock-node/src/endpoint/run_plain.rs
@@ -1,13 +1,13 @@
 //! Driving of one dispatch to a plain server, from the write to the end of the answer.
 
 use bytes::Bytes;
-use firdock_policy::event::DispatchNews;
+use firdock_policy::event::{BreakCause, DispatchNews};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use super::run::{Run, Stop};
-use super::{PlainAnswer, PlainClient, PlainOrder, StartError};
+use super::{PlainAnswer, PlainClient, PlainOrder, StartError, cut_cause};
 use crate::answers::{Answers, KeptAnswer};
 use crate::exchange::{AnswerHead, Part};
 
@@ -34,10 +34,8 @@
         Ok(answer) => relay(&run, answer, &answers).await,
         Err(StartError::Unreachable) => run.not_sent(true).await,
         Err(StartError::Refused) => run.not_sent(false).await,
-        Err(_) => {
-            run.tell(DispatchNews::Broke { delivered: 0 }).await;
-            "lost"
-        }
+        Err(StartError::Answered { .. }) => run.tell_broken(BreakCause::Failed).await,
+        Err(StartError::Lost { cause }) => run.tell_broken(cause).await,
     }
 }
 
@@ -82,10 +80,7 @@
             run.tell_caller_left().await;
             "caller-left"
         }
-        Err(Stop::Endpoint) => {
-            run.tell(DispatchNews::Broke { delivered: 0 }).await;
-            "broke"
-        }
+        Err(Stop::Endpoint(cause)) => run.tell_broken(cause).await,
     }
 }
 
@@ -97,12 +92,10 @@
 ) -> Result<(), Stop> {
     loop {
         let Ok(frame) = timeout(run.limits.silence, body.frame()).await else {
-            return Err(Stop::Endpoint);
+            return Err(Stop::Endpoint(BreakCause::Silent));
         };
         let Some(frame) = frame else { return Ok(()) };
-        let Ok(frame) = frame else {
-            return Err(Stop::Endpoint);
-        };
+        let frame = frame.map_err(|e| Stop::Endpoint(cut_cause(&e)))?;
         if let Ok(bytes) = frame.into_data() {
             keep(kept, &bytes);
             run.pass(Part::Data(bytes)).await?;
--- a/crates/firdock-node/src/exchange.rs
+++ b/crates/firdock-node/src/exchange.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
-use firdock_core::{AccountId, EndpointId, RequestId, ServiceId};
+use firdock_core::{AccountId, Content, EndpointId, RequestId, ServiceId};
 use firdock_policy::{Time, Verdict};
 use hyper::{HeaderMap, Method, StatusCode};
 
@@ -40,6 +40,18 @@
     pub terms: CallTerms,
 }
 
+impl Payload {
+    /// Takes the identity of what the request asks for.
+    fn content(&self) -> Content {
+        Content::new(
+            &self.account,
+            self.method.as_str(),
+            &self.target,
+            &self.body,
+        )
+    }
+}
+
 /// What a caller and a service say of a request apart from its content.
 #[derive(Debug, Clone, Default)]
 pub struct CallTerms {
@@ -107,6 +119,8 @@
     pub id: RequestId,
     /// What the caller sent.
     pub payload: Payload,
+    /// What it asks for, the same whenever it comes again.
+    pub content: Arc<Content>,
     /// Way back to the caller or the peer.
     pub reply: Reply,
     /// Trace that the request belongs to.
@@ -133,10 +147,12 @@
     ) -> (Arc<Self>, Parts) {
         let (reply, parts) = answer_queue(|queue| room.open(id, &payload, queue));
         let delivered = Mutex::new(Delivered::default());
+        let content = Arc::new(payload.content());
         (
             Arc::new(Self {
                 id,
                 payload,
+                content,
                 reply,
                 trace,
                 delivered,
--- a/crates/firdock-node/src/telemetry/budget.rs
+++ b/crates/firdock-node/src/telemetry/budget.rs
@@ -25,6 +25,8 @@
     Belief,
     /// What an endpoint said of its load could not be read.
     BadLoad,
+    /// What was found of an endpoint whose connection ended early.
+    Look,
     /// What an endpoint said of itself with an answer.
     Notice,
     /// The same, where it could not be read.
@@ -46,6 +48,7 @@
             Self::Failed => "failed",
             Self::Belief => "belief",
             Self::BadLoad => "load not read",
+            Self::Look => "endpoint looked at",
             Self::Notice => "notice",
             Self::BadNotice => "notice not read",
             Self::StoreCall => "store called",
@@ -63,6 +66,7 @@
             Self::Dispatched
             | Self::Answered
             | Self::CallerLeft
+            | Self::Look
             | Self::Notice
             | Self::StoreCall
             | Self::RefusedEntry => 20,
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -7,6 +7,7 @@
 
 use firdock_core::{EndpointId, Reason};
 use firdock_policy::action::Dispatch;
+use firdock_policy::event::{BreakCause, Look};
 use firdock_policy::notice::NoticeTold;
 use firdock_policy::request::{Phase, RequestRow};
 use firdock_policy::table::Tables;
@@ -88,6 +89,7 @@
             "rank" => row.rank,
             "endpoint" => &dispatch.endpoint,
             "dispatch" => dispatch.dispatch,
+            "content" => exchange.content.id.to_string(),
             "resumed" => row.head_sent,
             "held_millis" => millis(now.saturating_sub(row.arrived)),
             "predicted_millis" => millis(row.predicted),
@@ -124,6 +126,14 @@
         }
     }
 
+    /// Writes what was found of an endpoint whose connection ended early.
+    pub fn looked(&self, now: Time, look: &Look) {
+        if self.budget.allow(&self.log, now, LineKind::Look) {
+            info!(self.log, "endpoint looked at";
+                "endpoint" => &look.start, "found" => look.found.as_str());
+        }
+    }
+
     /// Writes that a whole answer was passed on; `row` is the request's before it ended.
     pub fn answered(&self, now: Time, t: &Tables, row: &RequestRow, exchange: &Exchange) {
         if !self.budget.allow(&self.log, now, LineKind::Answered) {
@@ -159,6 +169,7 @@
             "call" => call(x),
             "service" => &x.payload.service,
             "account" => &x.payload.account,
+            "content" => x.content.id.to_string(),
             "outcome" => verdict.outcome.as_str(),
             "reason" => verdict.reason.as_str(),
             "retry_millis" => verdict.retry_after.map(millis),
@@ -195,6 +206,7 @@
             "call" => call(x),
             "service" => &x.payload.service,
             "account" => &x.payload.account,
+            "content" => x.content.id.to_string(),
             "reason" => reason.as_str(),
             "waited_millis" => millis(now.saturating_sub(story.arrived)),
             "endpoint" => story.sent.map(|s| &s.endpoint),
@@ -221,7 +233,9 @@
             "call" => call(x),
             "endpoint" => endpoint_of(t, row),
             "dispatch" => row.dispatch,
+            "content" => x.content.id.to_string(),
             "news" => news,
+            "cause" => row.breaking.map(BreakCause::as_str),
             "after_millis" => millis(now.saturating_sub(row.dispatched)),
             "delivered_tokens" => row.delivered,
         );
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -17,7 +17,9 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
-use self::labels::{ByCall, ByCause, ByOutcome, ByPool, ByRefusal, ByShare, ByTier, ByTry};
+use self::labels::{
+    ByCall, ByCause, ByFound, ByOutcome, ByPool, ByRefusal, ByShare, ByTier, ByTry,
+};
 use super::{EndpointList, HeldAnswers};
 use crate::source::StoreCall;
 
@@ -55,6 +57,8 @@
     done: Family<ByShare, Gauge<f64, AtomicU64>>,
     share: Family<ByShare, Gauge<f64, AtomicU64>>,
     dispatches: Counter,
+    broken: Family<ByCause, Counter>,
+    looks: Family<ByFound, Counter>,
     retries: Counter,
     stale: Counter,
     handed: Counter,
@@ -103,6 +107,8 @@
             done: Family::default(),
             share: Family::default(),
             dispatches: Counter::default(),
+            broken: Family::default(),
+            looks: Family::default(),
             retries: Counter::default(),
             stale: Counter::default(),
             handed: Counter::default(),
@@ -263,6 +269,18 @@
             };
             store(&self.refusals.get_or_create(&label), *n);
         }
+        for (cause, n) in &stats.broken {
+            let label = ByCause {
+                cause: cause.as_str().to_owned(),
+            };
+            store(&self.broken.get_or_create(&label), *n);
+        }
+        for (found, n) in &stats.looks {
+            let label = ByFound {
+                found: found.as_str(),
+            };
+            store(&self.looks.get_or_create(&label), *n);
+        }
         store(&self.dispatches, stats.dispatches);
         store(&self.retries, stats.retries);
         store(&self.stale, stats.stale_news);
--- a/crates/firdock-node/src/telemetry/metrics/labels.rs
+++ b/crates/firdock-node/src/telemetry/metrics/labels.rs
@@ -20,6 +20,12 @@
     pub(super) cause: String,
 }
 
+/// Label by what a look at an endpoint found.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct ByFound {
+    pub(super) found: &'static str,
+}
+
 /// Label by outcome.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct ByOutcome {
--- a/crates/firdock-node/src/telemetry/metrics/register.rs
+++ b/crates/firdock-node/src/telemetry/metrics/register.rs
@@ -97,6 +97,16 @@
             "Requests sent to endpoints",
             self.dispatches.clone(),
         );
+        r.register(
+            "broken",
+            "Broken dispatches, by how they came to break",
+            self.broken.clone(),
+        );
+        r.register(
+            "looks",
+            "Looks at endpoints whose connections ended early, by what was found",
+            self.looks.clone(),
+        );
         r.register(
             "retries",
             "Second tries after a broken dispatch",
--- a/crates/firdock-policy/src/action.rs
+++ b/crates/firdock-policy/src/action.rs
@@ -30,6 +30,13 @@
         /// Dispatch to stop.
         dispatch: u32,
     },
+    /// Look whether an endpoint is still there, whose connection ended early.
+    Look {
+        /// Endpoint.
+        endpoint: EndpointId,
+        /// Start that is meant.
+        start: StartId,
+    },
     /// Give a dispatch back if it is not written yet: its endpoint wants nothing new.
     Withhold {
         /// Request.
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -27,6 +27,8 @@
     CallerLeft(RequestId),
     /// An endpoint told something about a dispatch.
     Endpoint(EndpointEvent),
+    /// It was looked whether an endpoint is still there.
+    Looked(Look),
     /// An endpoint told how long work takes there now.
     Paced(PaceTold),
     /// An endpoint said with an answer that it leaves, or wants nothing for a while.
@@ -146,6 +148,8 @@
     },
     /// The endpoint answered that it failed; how the dispatch ends by that is told next.
     Failed,
+    /// How the dispatch comes to break, which is told next.
+    Breaking(BreakCause),
     /// The connection broke or fell silent after the request was sent.
     Broke {
         /// Tokens of the whole answer that have been passed on.
@@ -153,6 +157,69 @@
     },
 }
 
+/// How a dispatch came to break.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum BreakCause {
+    /// The connection ended before the answer was whole.
+    Closed,
+    /// Nothing came for too long.
+    Silent,
+    /// What came is no answer to the request.
+    Foreign,
+    /// The endpoint answered that it failed.
+    Failed,
+    /// The endpoint started again meanwhile.
+    Restarted,
+}
+
+impl BreakCause {
+    /// Gives the word for it in logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Closed => "closed",
+            Self::Silent => "silent",
+            Self::Foreign => "foreign",
+            Self::Failed => "failed",
+            Self::Restarted => "restarted",
+        }
+    }
+}
+
+/// What a look at an endpoint found whose connection ended early.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Look {
+    /// Start of the endpoint.
+    pub start: StartId,
+    /// What was found.
+    pub found: Found,
+}
+
+/// Whether an endpoint is still there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Found {
+    /// Its address takes connections.
+    Open,
+    /// Its address refuses them: its process has ended.
+    Ended,
+    /// Its address does not answer, which says nothing of the process.
+    Silent,
+}
+
+impl Found {
+    /// Gives the word for it in logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Open => "open",
+            Self::Ended => "ended",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// Load and cache changes that an endpoint published.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -1,15 +1,17 @@
 //! Requests as the policy sees them: sizes, prefix and key, but no content.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use firdock_core::prefix::BlockHash;
 use firdock_core::resource::Service;
 use firdock_core::{
-    AccountId, InstanceId, Outcome, PoolId, Reason, RequestId, ServiceId, StartId, ZoneId,
+    AccountId, Content, InstanceId, Outcome, PoolId, Reason, RequestId, ServiceId, StartId, ZoneId,
 };
 use serde::{Deserialize, Serialize};
 
 use crate::action::HandOverCause;
+use crate::event::BreakCause;
 use crate::time::{LogTime, Time};
 
 /// Where a request came from.
@@ -72,6 +74,9 @@
     /// Availability zone of the instance that asks for it; empty for the own one.
     #[serde(default, skip_serializing_if = "ZoneId::is_empty")]
     pub zone: ZoneId,
+    /// What it asks for, the same whenever it comes again; `None` where it is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub content: Option<Arc<Content>>,
 }
 
 #[expect(
@@ -186,6 +191,8 @@
     pub resumed_from: u32,
     /// Whether the endpoint of the present dispatch answered that it failed.
     pub failed: bool,
+    /// How the present dispatch comes to break, if it does.
+    pub breaking: Option<BreakCause>,
     /// How far its placement by a coordinator is.
     pub placing: Placing,
     /// Starts of engines that the coordinator gave it and that this instance could not use.
@@ -225,6 +232,7 @@
             predicted: Time::ZERO,
             resumed_from: 0,
             failed: false,
+            breaking: None,
             placing: Placing::Open,
             declined: Vec::new(),
             new,
--- a/crates/firdock-policy/src/stats.rs
+++ b/crates/firdock-policy/src/stats.rs
@@ -4,6 +4,8 @@
 
 use firdock_core::{AccountId, Outcome, PoolId, Reason, TierRank};
 
+use crate::event::{BreakCause, Found};
+
 /// Why prefill work was lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum WasteCause {
@@ -122,6 +124,10 @@
     pub paces: BTreeMap<PoolId, u64>,
     /// What endpoints said of themselves with answers, by pool.
     pub notices: BTreeMap<PoolId, NoticeStats>,
+    /// Broken dispatches, by how they came to break.
+    pub broken: BTreeMap<BreakCause, u64>,
+    /// Looks at endpoints whose connections ended early, by what was found.
+    pub looks: BTreeMap<Found, u64>,
     /// Second tries after a broken dispatch.
     pub retries: u64,
     /// Late or crossed news that was dropped.
--- a/crates/firdock-policy/src/system/news.rs
+++ b/crates/firdock-policy/src/system/news.rs
@@ -2,9 +2,9 @@
 
 use firdock_core::{Outcome, Reason, RequestId};
 
-use super::{end, fair, health, key, paced, rollout};
+use super::{end, fair, health, key, look, paced, rollout};
 use crate::action::Action;
-use crate::event::{DispatchNews, EndpointEvent};
+use crate::event::{BreakCause, DispatchNews, EndpointEvent};
 use crate::request::{Phase, Placing, RequestRow, Verdict};
 use crate::stats::WasteCause;
 use crate::table::Tables;
@@ -31,6 +31,7 @@
             ended(t, now, e.id, at, prompt, cached, output);
         }
         DispatchNews::Failed => rollout::failed(t, e.id),
+        DispatchNews::Breaking(cause) => breaking(t, now, e.id, at, cause, out),
         DispatchNews::Broke { delivered } => broke(t, now, e.id, at, delivered, out),
     }
 }
@@ -199,6 +200,24 @@
     end::answered(t, now, id);
 }
 
+/// Notes how a dispatch comes to break, and has it looked whether its endpoint has ended.
+fn breaking(
+    t: &mut Tables,
+    now: Time,
+    id: RequestId,
+    at: usize,
+    cause: BreakCause,
+    out: &mut Vec<Action>,
+) {
+    if let Some(row) = t.requests.get_mut(id) {
+        row.breaking = Some(cause);
+    }
+    *t.stats.broken.entry(cause).or_default() += 1;
+    if cause == BreakCause::Closed {
+        look::ask(t, now, at, out);
+    }
+}
+
 /// Takes a broken dispatch: the request goes on elsewhere if it may, else it ends.
 fn broke(
     t: &mut Tables,
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -250,6 +250,7 @@
     row.predicted = choice.estimate.first();
     row.resumed_from = row.delivered;
     row.failed = false;
+    row.breaking = None;
     t.stats.dispatches += 1;
     t.paces.note(row.pool_key(), row.rank);
     t.retries.earn(row.pool_key(), &t.settings, most);
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -114,6 +114,8 @@
     pub failures: u32,
     /// Dispatches that broke in a row.
     pub broken: u32,
+    /// When it was last looked whether it is still there.
+    pub looked: Option<Time>,
     /// Missed reports in a row.
     pub missed: u32,
     /// Requests of this instance dispatched and not ended.
@@ -171,6 +173,7 @@
             health: Health::Well,
             failures: 0,
             broken: 0,
+            looked: None,
             missed: 0,
             running: 0,
             backlog: 0.0,
--- a/crates/firdock-policy/tests/policy/world/message.rs
+++ b/crates/firdock-policy/tests/policy/world/message.rs
@@ -271,6 +271,7 @@
             | Action::Decline(_)
             | Action::Forget { .. }
             | Action::Record(_)
+            | Action::Look { .. }
             | Action::Drained => {}
         }
     }
--- a/crates/firdock-standin/src/measure/run.rs
+++ b/crates/firdock-standin/src/measure/run.rs
@@ -41,7 +41,7 @@
 
 enum Happening {
     Arrive(Box<Arrival>),
-    Node(usize, Event),
+    Node(usize, Box<Event>),
     AtEndpoint(usize, Dispatch),
     Step(usize),
     PlainDone(usize, usize, Dispatch),
@@ -193,7 +193,7 @@
     fn take(&mut self, happening: Happening) {
         match happening {
             Happening::Arrive(arrival) => self.arrive(*arrival),
-            Happening::Node(i, event) => self.step(i, event),
+            Happening::Node(i, event) => self.step(i, *event),
             Happening::AtEndpoint(i, dispatch) => self.at_endpoint(i, dispatch),
             Happening::Step(e) => self.engine_step(e),
             Happening::PlainDone(i, s, dispatch) => self.plain_done(i, s, &dispatch),
@@ -272,7 +272,7 @@
     }
 
     fn later(&mut self, i: usize, event: Event) {
-        self.plan(self.now + LATENCY, Happening::Node(i, event));
+        self.plan(self.now + LATENCY, Happening::Node(i, Box::new(event)));
     }
 
     fn carry_out(&mut self, i: usize, action: Action) {
--- a/crates/firdock-standin/src/measure/run/report.rs
+++ b/crates/firdock-standin/src/measure/run/report.rs
@@ -22,7 +22,7 @@
         for i in 0..INSTANCES {
             self.plan(
                 self.now + age,
-                Happening::Node(i, Event::Report(report.clone())),
+                Happening::Node(i, Box::new(Event::Report(report.clone()))),
             );
         }
     }
@@ -78,7 +78,7 @@
             for to in (0..INSTANCES).filter(|to| *to != from) {
                 self.plan(
                     self.now + LATENCY,
-                    Happening::Node(to, Event::Peer(news.clone())),
+                    Happening::Node(to, Box::new(Event::Peer(news.clone()))),
                 );
             }
         }
