--- a/crates/firdock-policy/tests/policy/suspects.rs
+++ b/crates/firdock-policy/tests/policy/suspects.rs
@@ -26,14 +26,13 @@
 /// Time for which an endpoint runs a request that ends it.
 const RUN: Duration = Duration::from_millis(100);
 
-fn content(body: &str) -> Option<Arc<Content>> {
-    let content = Content::new("free", "POST", "/path", body.as_bytes());
-    Some(Arc::new(content))
+fn content(body: &str) -> Arc<Content> {
+    Arc::new(Content::new("free", "POST", "/path", body.as_bytes()))
 }
 
 fn with_body(n: u64, service: &str, body: &str) -> NewRequest {
     NewRequest {
-        content: content(body),
+        content: Some(content(body)),
         ..request(n, service, "free")
     }
 }
@@ -196,7 +195,7 @@
 
 /// What callers had of a day.
 #[derive(Debug, Default)]
-struct Served {
+struct Day {
     sent: u64,
     served: u64,
     ended: u64,
@@ -205,10 +204,10 @@
 /// Twenty seconds before six endpoints of four places, 40 requests a second that take 200 ms each, half
 /// of what they bear; with them comes one ten times a second under which the endpoint that runs it ends
 /// after 100 ms, and is back 3 s later as another one.
-fn day(with_deadly: bool) -> Served {
+fn day(with_deadly: bool) -> Day {
     let mut edge = before(6);
     let began = edge.now;
-    let mut day = Served::default();
+    let mut day = Day::default();
     let mut names: Vec<(String, Time)> = (0..6).map(|n| (format!("s{n}"), Time::ZERO)).collect();
     let mut running: Vec<(Time, u64, u32, String)> = Vec::new();
     let mut queue: Vec<Action> = Vec::new();
