--- a/crates/firdock-core/src/outcome.rs
+++ b/crates/firdock-core/src/outcome.rs
@@ -50,6 +50,8 @@
     NoEndpoint,
     /// All endpoints that could take it want no request for longer than the caller can wait.
     BackingOff,
+    /// Endpoints ended one after the other under requests with the same content.
+    EndsEndpoints,
     /// The endpoint stopped answering after the request was sent.
     EndpointLost,
     /// The link to a peer broke after the request was handed over.
@@ -82,6 +84,7 @@
             Self::WaitedTooLong => "waited-too-long",
             Self::NoEndpoint => "no-endpoint",
             Self::BackingOff => "backing-off",
+            Self::EndsEndpoints => "ends-endpoints",
             Self::EndpointLost => "endpoint-lost",
             Self::PeerLost => "peer-lost",
             Self::KeyInUse => "key-in-use",
--- a/crates/firdock-node/src/door/answer.rs
+++ b/crates/firdock-node/src/door/answer.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use firdock_core::Outcome;
+use firdock_core::{Outcome, Reason};
 use firdock_policy::Verdict;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Response, StatusCode};
@@ -16,6 +16,12 @@
 /// Header that tells the id of a request.
 pub const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
 
+/// Type of the problem of a request under which endpoints ended.
+const ENDS_ENDPOINTS_TYPE: &str = "urn:firdock:problem:ends-endpoints";
+/// What its caller is told.
+const QUARANTINED: &str = "The request did not run. Endpoints ended one after the other under the same \
+    request, so that nothing of it is sent until an operator lets it go.";
+
 /// A problem document.
 #[derive(Debug, Clone)]
 pub struct Problem {
@@ -100,8 +106,9 @@
     #[must_use]
     pub fn from_verdict(verdict: Verdict) -> Self {
         let code = verdict.reason.status(verdict.outcome);
-        let detail = match verdict.outcome {
-            Outcome::NotRun => "The request did not run anywhere and may be sent again.",
+        let detail = match (verdict.reason, verdict.outcome) {
+            (Reason::EndsEndpoints, Outcome::NotRun) => QUARANTINED,
+            (_, Outcome::NotRun) => "The request did not run anywhere and may be sent again.",
             _ => "The request may have run. Sent again, it may run a second time.",
         };
         Self {
@@ -114,11 +121,21 @@
         }
     }
 
+    /// Gives the type of the problem: one of its own where a caller should not take it for load.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        if self.reason == Reason::EndsEndpoints.as_str() {
+            ENDS_ENDPOINTS_TYPE
+        } else {
+            "about:blank"
+        }
+    }
+
     /// Makes the HTTP answer of the own interface.
     #[must_use]
     pub(super) fn response(&self, request: &str) -> Response<AnswerBody> {
         let document = json!({
-            "type": "about:blank",
+            "type": self.kind(),
             "title": self.status.canonical_reason().unwrap_or_default(),
             "status": self.status.as_u16(),
             "detail": self.detail,
--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -33,7 +33,9 @@
 use crate::source::WantedRecords;
 use crate::telemetry::decisions::{LastSent, Story};
 use crate::telemetry::restarts;
-use crate::telemetry::{Beliefs, Decisions, LineBudget, Metrics, RolloutSteps, ShareLines};
+use crate::telemetry::{
+    Beliefs, Decisions, LineBudget, Metrics, RolloutSteps, ShareLines, SuspectLines,
+};
 
 /// Pause between two runs of the timed systems.
 const TICK: Duration = Duration::from_millis(25);
@@ -87,6 +89,7 @@
     beliefs: Beliefs,
     steps: RolloutSteps,
     shares: ShareLines,
+    suspects: SuspectLines,
     placement: Option<Placement>,
 }
 
@@ -122,6 +125,11 @@
         let beliefs = Beliefs::new(parts.log.clone(), Arc::clone(&parts.lines), list);
         let steps = RolloutSteps::new(parts.log.clone());
         let shares = ShareLines::new(parts.log.clone(), Arc::clone(&parts.metrics));
+        let suspects = SuspectLines::new(
+            parts.log.clone(),
+            Arc::clone(&parts.lines),
+            Arc::clone(&parts.metrics),
+        );
         Self {
             scheduler,
             parts,
@@ -132,6 +140,7 @@
             beliefs,
             steps,
             shares,
+            suspects,
             placement: None,
         }
     }
@@ -261,7 +270,8 @@
         self.tick_placement();
         self.ticks += 1;
         let now = self.parts.clock.now();
-        if self.steps.note(now, self.scheduler.tables()) {
+        let stepped = self.steps.note(now, self.scheduler.tables());
+        if stepped | self.note_suspects(now) {
             self.publish();
         }
         if self.ticks.is_multiple_of(TICKS_PER_PUBLICATION) {
@@ -278,6 +288,21 @@
         self.drop_ended();
     }
 
+    /// Tells whether what is known of requests under which endpoints ended has changed; those that are out
+    /// of quarantine are not kept in the platform's store any more.
+    fn note_suspects(&mut self, now: Time) -> bool {
+        let released = self.suspects.note(now, self.scheduler.tables());
+        let Some(released) = released else {
+            return false;
+        };
+        for content in released {
+            self.parts
+                .records
+                .send_modify(|wanted| wanted.release(content));
+        }
+        true
+    }
+
     fn step(&mut self, event: Event) {
         let started = Instant::now();
         let now = self.parts.clock.now();
@@ -348,6 +373,13 @@
                 let sending = peer::transfer_keys(self.parts.dialer.clone(), peer, transfer);
                 self.parts.runtime.spawn(sending);
             }
+            Action::Quarantine(told) => {
+                let now = self.parts.clock.now();
+                self.suspects.quarantined(now, &told);
+                self.parts
+                    .records
+                    .send_modify(|wanted| wanted.quarantine(now, told));
+            }
             Action::Record(record) => {
                 self.parts.records.send_modify(|wanted| wanted.add(record));
             }
--- a/crates/firdock-node/src/driver/look.rs
+++ b/crates/firdock-node/src/driver/look.rs
@@ -14,6 +14,11 @@
 use crate::endpoint::Backends;
 use crate::input::Input;
 
+/// Connects after which an address that closes each of them at once is given up.
+const TRIES: u32 = 3;
+/// Time for which a connection has to stay open to count: a process that ends is gone in less.
+const STAYS_OPEN: Duration = Duration::from_millis(20);
+
 impl<B: Backends> Driver<B> {
     /// Looks whether an endpoint's address takes connections, and tells the scheduler.
     pub(super) fn look(&self, endpoint: &EndpointId, start: StartId) {
@@ -31,10 +36,27 @@
 }
 
 /// Tells by a connect whether an endpoint is there: only a refusal says that its process has ended.
+///
+/// A process that ends closes its sockets one after the other, so that it may still take a connection of
+/// which nothing comes any more: one that is closed again at once is no answer, and is tried anew.
 async fn look(address: SocketAddr, limit: Duration) -> Found {
-    match timeout(limit, TcpStream::connect(address)).await {
-        Ok(Ok(_open)) => Found::Open,
-        Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => Found::Ended,
-        Ok(Err(_)) | Err(_) => Found::Silent,
+    for _ in 0..TRIES {
+        match timeout(limit, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => {
+                if timeout(STAYS_OPEN, closed(&stream)).await.is_err() {
+                    return Found::Open;
+                }
+            }
+            Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => return Found::Ended,
+            Ok(Err(_)) | Err(_) => return Found::Silent,
+        }
     }
+    Found::Silent
+}
+
+/// Waits until the far end closes a connection on which it has nothing to say.
+async fn closed(stream: &TcpStream) {
+    let mut byte = [0];
+    // Bytes, an end or an error: none of them is what a server does that waits for a request.
+    let _ = stream.peek(&mut byte).await;
 }
--- a/crates/firdock-node/src/peer.rs
+++ b/crates/firdock-node/src/peer.rs
@@ -17,6 +17,7 @@
 mod rollouts;
 mod serve;
 mod state;
+mod suspects;
 mod topic;
 
 pub use beacon::{Beacons, Taken, open_socket as open_beacons};
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -18,6 +18,7 @@
 use firdock_core::Offset;
 use firdock_policy::event::{AccountWork, Member, PeerUse, PoolDemand};
 use firdock_policy::rollout::{Evidence, Stage};
+use firdock_policy::table::suspects::Revision;
 use firdock_policy::{Event, Time};
 use firdock_wire::PROTOCOL;
 use firdock_wire::message::{Beacon, datagram};
@@ -116,7 +117,7 @@
         let mut known = None;
         let mut decides = None;
         let mut news = self.news.clone();
-        let mut stages = Vec::new();
+        let mut steps = Steps::default();
         let mut tick = 0;
         let mut answers = Answers::default();
         let mut meeting = Meeting::new(
@@ -155,9 +156,10 @@
                 () = sleep_until_due(answers.next(&self.reads, &self.book), now) => {
                     self.answer_next(&mut answers).await;
                 }
-                Some(new) = new_stages(&mut news, &stages) => {
-                    stages = new;
-                    self.send_step().await;
+                Some(new) = new_steps(&mut news, &steps) => {
+                    let own = new.suspected.own != steps.suspected.own;
+                    steps = new;
+                    self.send_step(own).await;
                 }
                 () = self.reads.known_more() => {}
                 () = stopped(&mut stop) => break,
@@ -222,10 +224,11 @@
         Some(decides)
     }
 
-    /// Sends beacons where a roll-out went on, if this instance tells its group: a version that was
-    /// found bad should get nothing any more, wherever that is not known yet.
-    async fn send_step(&self) {
-        if self.book.tells(self.clock.now()) {
+    /// Sends beacons where a roll-out went on or an endpoint ended under a request, if this instance saw
+    /// that itself or tells its group: a version that was found bad, or such a request, should get nothing
+    /// any more, wherever that is not known yet.
+    async fn send_step(&self, own: bool) {
+        if own || self.book.tells(self.clock.now()) {
             self.send_at_once().await;
         }
     }
@@ -248,6 +251,16 @@
         self.send_sealed(peers, beacon).await;
     }
 
+    /// Sends a beacon to an instance that was not heard before: what it may have missed goes with it.
+    async fn send_first(&self, peer: &KnownPeer) {
+        let full = self.news.borrow().in_full();
+        let beacon = Beacon {
+            heartbeat: Some(full.message(0)),
+            ..self.beacon(&[], &[])
+        };
+        self.send_sealed(std::slice::from_ref(peer), beacon).await;
+    }
+
     async fn send_sealed(&self, peers: &[KnownPeer], beacon: Beacon) {
         let sealed = seal(&self.key, datagram::Body::Beacon(beacon));
         for peer in peers {
@@ -344,13 +357,28 @@
     }
 }
 
-/// Waits until roll-outs are not at the stages `told` any more; gives where they are.
-async fn new_stages(
-    news: &mut watch::Receiver<SelfNews>,
-    told: &[(Offset, Stage)],
-) -> Option<Vec<(Offset, Stage)>> {
-    let news = news.wait_for(|news| news.stages() != told).await;
-    news.ok().map(|news| news.stages())
+/// What is told at once when it changes.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+struct Steps {
+    /// How far roll-outs are, by their orders.
+    stages: Vec<(Offset, Stage)>,
+    /// How often what is known of requests under which endpoints ended has changed.
+    suspected: Revision,
+}
+
+impl Steps {
+    fn new(news: &SelfNews) -> Self {
+        Self {
+            stages: news.stages(),
+            suspected: news.suspected,
+        }
+    }
+}
+
+/// Waits until things are not any more as they were `told`; gives how they are.
+async fn new_steps(news: &mut watch::Receiver<SelfNews>, told: &Steps) -> Option<Steps> {
+    let news = news.wait_for(|news| Steps::new(news) != *told).await;
+    news.ok().map(|news| Steps::new(&news))
 }
 
 /// Waits until `due`; for ever where nothing is.
--- a/crates/firdock-node/src/peer/beacon/take.rs
+++ b/crates/firdock-node/src/peer/beacon/take.rs
@@ -122,7 +122,7 @@
                 zone: String::new(),
                 power: beacon.power,
             };
-            self.send_all(&[known], &[], &[]).await;
+            self.send_first(&known).await;
         }
         let zone = beacon.heartbeat.as_ref().map_or("", |b| &b.zone);
         self.take_group(&beacon, zone, now).await;
--- a/crates/firdock-node/src/peer/heartbeat.rs
+++ b/crates/firdock-node/src/peer/heartbeat.rs
@@ -7,7 +7,9 @@
 use firdock_core::{InstanceId, Offset, ZoneId};
 use firdock_policy::event::{AccountUse, AccountWork, PeerNews, PoolDemand};
 use firdock_policy::rollout::{Stage, ToldRollouts};
+use firdock_policy::suspect::ToldSuspect;
 use firdock_policy::table::Tables;
+use firdock_policy::table::suspects::Revision;
 use firdock_policy::{Time, pool_demand, told_rollouts, used_limits};
 use firdock_wire::Body;
 use firdock_wire::message::{self, Heartbeat};
@@ -18,6 +20,7 @@
 
 use super::HANDSHAKE_TIME;
 use super::dial::Dialer;
+use super::suspects::{MAX_SUSPECTS, read_suspects, write_suspects};
 use crate::backoff::Backoff;
 
 /// Longest pause between two tries to reach a peer.
@@ -30,6 +33,9 @@
 const MAX_WORK: usize = 128;
 /// Leaving endpoints told in a heartbeat.
 const MAX_LEAVING: usize = 256;
+/// Time after which others of the requests under which endpoints ended have their turn: about what two
+/// heartbeats are apart.
+const TURN: Duration = Duration::from_millis(400);
 
 /// What this instance tells of itself.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -46,6 +52,12 @@
     pub(super) rollouts: ToldRollouts,
     /// What endpoints did lately for accounts, by what this instance placed for its group.
     pub(super) work: Vec<AccountWork>,
+    /// Requests under which endpoints ended, as far as they are told with each heartbeat.
+    suspects: Vec<ToldSuspect>,
+    /// All of those that count, for who was not heard before.
+    all_suspects: Vec<ToldSuspect>,
+    /// How often they changed, by which changes are told at once.
+    pub(super) suspected: Revision,
 }
 
 impl SelfNews {
@@ -78,6 +90,18 @@
             used: used_limits(t, now),
             rollouts: told_rollouts(t, now),
             work: Vec::new(),
+            suspects: t.suspects.told(now, turn_at(now)),
+            all_suspects: t.suspects.all_told(now, MAX_SUSPECTS),
+            suspected: t.suspects.revision(),
+        }
+    }
+
+    /// Gives the same with all requests under which endpoints ended, for who was not heard before.
+    #[must_use]
+    pub(super) fn in_full(&self) -> Self {
+        Self {
+            suspects: self.all_suspects.clone(),
+            ..self.clone()
         }
     }
 
@@ -116,10 +140,16 @@
             leaving: self.leaving.clone(),
             version: self.version,
             log_next,
+            suspects: write_suspects(&self.suspects),
         }
     }
 }
 
+/// Gives a number that rises with time, by which suspects take turns.
+fn turn_at(now: Time) -> usize {
+    (now.as_millis() / TURN.as_millis()) as usize
+}
+
 /// Writes demand by pool.
 pub fn write_demand(demand: &[PoolDemand]) -> Vec<message::PoolDemand> {
     let told = demand.iter().take(MAX_POOLS);
@@ -180,6 +210,7 @@
         demand: read_demand(beat.demand),
         draining: beat.draining,
         leaving: beat.leaving.into_iter().take(MAX_LEAVING).collect(),
+        suspects: read_suspects(beat.suspects),
         ..PeerNews::default()
     }
 }
--- /dev/null
+++ b/crates/firdock-node/src/peer/suspects.rs
@@ -0,0 +1,62 @@
+//! What instances tell each other of requests under which endpoints ended, in their heartbeats.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use firdock_core::{Content, ContentId};
+use firdock_policy::suspect::{ToldEnd, ToldSuspect};
+use firdock_wire::message;
+
+use crate::clock::millis;
+
+/// Suspects told of in one heartbeat, of which each takes some 200 bytes.
+pub const MAX_SUSPECTS: usize = 64;
+/// Ends of one suspect that are taken.
+const MAX_ENDS: usize = 16;
+
+/// Writes suspects.
+pub fn write_suspects(told: &[ToldSuspect]) -> Vec<message::Suspect> {
+    let told = told.iter().take(MAX_SUSPECTS);
+    told.map(|s| message::Suspect {
+        content: s.content.id.as_bytes().to_vec(),
+        path: s.content.path.to_string(),
+        account: s.account.clone(),
+        service: s.service.clone(),
+        ends: s.ends.iter().map(write_end).collect(),
+    })
+    .collect()
+}
+
+/// Reads suspects; those without an identity are left out.
+pub fn read_suspects(told: Vec<message::Suspect>) -> Vec<ToldSuspect> {
+    let told = told.into_iter().take(MAX_SUSPECTS);
+    told.filter_map(|s| {
+        let id = ContentId::from_bytes(&s.content)?;
+        let path = s.path.into();
+        Some(ToldSuspect {
+            content: Arc::new(Content { id, path }),
+            account: s.account,
+            service: s.service,
+            ends: s.ends.into_iter().take(MAX_ENDS).map(read_end).collect(),
+        })
+    })
+    .collect()
+}
+
+fn write_end(end: &ToldEnd) -> message::SuspectEnd {
+    message::SuspectEnd {
+        start: end.start.clone(),
+        sent_ago: millis(end.sent_ago),
+        ended_ago: millis(end.ended_ago),
+        void: end.void,
+    }
+}
+
+fn read_end(end: message::SuspectEnd) -> ToldEnd {
+    ToldEnd {
+        start: end.start,
+        sent_ago: Duration::from_millis(end.sent_ago),
+        ended_ago: Duration::from_millis(end.ended_ago),
+        void: end.void,
+    }
+}
--- a/crates/firdock-node/src/placement/codec.rs
+++ b/crates/firdock-node/src/placement/codec.rs
@@ -1,8 +1,9 @@
 //! Reports and replies on the wire; whatever is malformed is left out.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use firdock_core::RequestId;
+use firdock_core::{Content, ContentId, RequestId};
 use firdock_policy::NewRequest;
 use firdock_policy::load::Pace;
 use firdock_policy::notice::Notice;
@@ -168,6 +169,10 @@
         age_millis: millis(new.age),
         left_millis: wanted.left.map(millis),
         avoid: new.tried.clone(),
+        content: new
+            .content
+            .as_ref()
+            .map_or_else(Vec::new, |c| c.id.as_bytes().to_vec()),
     }
 }
 
@@ -183,6 +188,7 @@
         output_tokens: told.output_tokens,
         age: Duration::from_millis(told.age_millis),
         tried: told.avoid,
+        content: ContentId::from_bytes(&told.content).map(unnamed),
         ..NewRequest::default()
     };
     Some(Wanted {
@@ -192,6 +198,12 @@
     })
 }
 
+/// Makes a content of which the identity alone was told.
+fn unnamed(id: ContentId) -> Arc<Content> {
+    let path = "".into();
+    Arc::new(Content { id, path })
+}
+
 fn write_pace(paced: &Paced) -> message::PlacementPace {
     message::PlacementPace {
         endpoint: paced.endpoint.clone(),
--- a/crates/firdock-node/src/placement/coordinator.rs
+++ b/crates/firdock-node/src/placement/coordinator.rs
@@ -12,6 +12,7 @@
 use firdock_policy::table::Tables;
 use firdock_policy::table::endpoint::EndpointRow;
 use firdock_policy::table::rollout::RolloutRow;
+use firdock_policy::table::suspects::Revision;
 use firdock_policy::{Action, Event, Policy as _, Scheduler, Time, Verdict};
 use uuid::Uuid;
 
@@ -98,6 +99,8 @@
     timed: Time,
     /// Configuration that is to be taken as soon as a member reports.
     config: Option<Event>,
+    /// Which state of the own tables' suspects was taken over.
+    suspected: Revision,
 }
 
 impl Coordinator {
@@ -111,6 +114,7 @@
             actions: Vec::new(),
             timed: Time::ZERO,
             config: None,
+            suspected: Revision::default(),
         }
     }
 
@@ -127,8 +131,10 @@
         }
     }
 
-    /// Follows the roll-outs of this instance's own tables, which hear of them from all others.
+    /// Follows what this instance's own tables know that hear of it from all others: roll-outs, and
+    /// requests under which endpoints ended.
     pub fn follow(&mut self, now: Time, own: &Tables) {
+        self.follow_suspects(now, own);
         for row in own.rollouts.rows.values() {
             let known = self.scheduler.tables().rollouts.of(&row.declared.pool);
             if known.is_some_and(|k| k.stage < row.stage || !same_ratio(k, row)) {
@@ -137,6 +143,14 @@
         }
     }
 
+    fn follow_suspects(&mut self, now: Time, own: &Tables) {
+        let revision = own.suspects.revision();
+        if std::mem::replace(&mut self.suspected, revision) != revision {
+            let told = own.suspects.iter().map(|s| s.told(now)).collect();
+            self.step(now, Event::Suspected(told));
+        }
+    }
+
     /// Takes a member's report; `address` is where its reply goes, `None` for this instance itself.
     pub fn take(&mut self, now: Time, report: Report, address: Option<SocketAddr>) {
         if let Some(config) = self.config.take() {
--- a/crates/firdock-node/src/placement/member.rs
+++ b/crates/firdock-node/src/placement/member.rs
@@ -257,7 +257,7 @@
         self.lead.as_ref()?;
         let rows = asked.iter().filter_map(|id| t.requests.get(*id));
         let held = rows.filter(|r| r.phase == Phase::Held);
-        let waiting: Vec<Wanted> = held.map(|r| wanted(now, r, next_attempt(r))).collect();
+        let waiting: Vec<Wanted> = held.map(|r| wanted(now, t, r, next_attempt(r))).collect();
         Some(Report {
             waiting,
             news,
@@ -279,7 +279,7 @@
         self.asked.clear();
         self.noticed.clear();
         let held = t.requests.iter().filter(|r| waits(r));
-        let waiting = held.map(|r| wanted(now, r, next_attempt(r))).collect();
+        let waiting = held.map(|r| wanted(now, t, r, next_attempt(r))).collect();
         let running = t.requests.iter().filter_map(|r| running(now, t, r));
         Some(Report {
             whole: true,
--- a/crates/firdock-node/src/placement/told.rs
+++ b/crates/firdock-node/src/placement/told.rs
@@ -49,11 +49,13 @@
 /// Gives a request that runs on an engine, and where; `None` for all others.
 pub fn running(now: Time, t: &Tables, row: &RequestRow) -> Option<(Wanted, StartId)> {
     let engine = engine_of(t, row)?;
-    Some((wanted(now, row, row.dispatch), engine.start_id.clone()))
+    Some((wanted(now, t, row, row.dispatch), engine.start_id.clone()))
 }
 
 /// Gives a request as far as its placement needs it, its times by how long they are from now.
-pub fn wanted(now: Time, row: &RequestRow, attempt: u32) -> Wanted {
+///
+/// What it asks for is told of one alone under which an endpoint ended, of which one try runs at a time.
+pub fn wanted(now: Time, t: &Tables, row: &RequestRow, attempt: u32) -> Wanted {
     let new = &row.new;
     Wanted {
         new: NewRequest {
@@ -65,6 +67,10 @@
             draw: new.draw,
             age: now.saturating_sub(row.arrived),
             tried: avoided(row),
+            content: new
+                .content
+                .clone()
+                .filter(|c| t.suspects.get(c.id).is_some()),
             ..NewRequest::default()
         },
         attempt,
--- a/crates/firdock-node/src/source.rs
+++ b/crates/firdock-node/src/source.rs
@@ -3,14 +3,15 @@
 //! Firdock's own source is the platform's log with its fold (`crate::config`); another platform's
 //! source is an adapter that reads it in its own way and tells what it read here.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use firdock_core::PoolId;
 use firdock_core::resource::Catalog;
+use firdock_core::{ContentId, PoolId};
 use firdock_policy::rollout::RolloutRecord;
+use firdock_policy::suspect::ToldSuspect;
 use firdock_policy::{Event, Time};
 use slog::{Logger, info};
 use tokio::sync::{mpsc, watch};
@@ -45,10 +46,13 @@
     pub failed: bool,
 }
 
-/// States of roll-outs that are to be kept in the platform's store, the newest of each pool.
+/// What is to be kept in the platform's store: states of roll-outs, the newest of each pool, and requests
+/// in quarantine.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct WantedRecords {
     by_pool: BTreeMap<PoolId, RolloutRecord>,
+    quarantined: BTreeMap<ContentId, (Time, ToldSuspect)>,
+    released: BTreeSet<ContentId>,
 }
 
 impl WantedRecords {
@@ -57,6 +61,28 @@
         self.by_pool.insert(record.pool.clone(), record);
     }
 
+    /// Adds a request in quarantine, as it was told at a time, in place of an earlier word on it.
+    pub fn quarantine(&mut self, now: Time, told: ToldSuspect) {
+        self.released.remove(&told.content.id);
+        self.quarantined.insert(told.content.id, (now, told));
+    }
+
+    /// Takes it that a request is in quarantine no more.
+    pub fn release(&mut self, content: ContentId) {
+        self.quarantined.remove(&content);
+        self.released.insert(content);
+    }
+
+    /// Goes over the requests that are in quarantine no more.
+    pub fn released(&self) -> impl Iterator<Item = &ContentId> {
+        self.released.iter()
+    }
+
+    /// Goes over the requests in quarantine, with when they were told.
+    pub fn quarantined(&self) -> impl Iterator<Item = &(Time, ToldSuspect)> {
+        self.quarantined.values()
+    }
+
     /// Goes over the states, by pool.
     pub fn iter(&self) -> impl Iterator<Item = &RolloutRecord> {
         self.by_pool.values()
@@ -209,6 +235,25 @@
         self.send(Event::Recorded(record)).await
     }
 
+    /// Tells of requests in quarantine that the store has.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the instance was stopped.
+    pub async fn quarantined(&self, told: Vec<ToldSuspect>) -> Result<(), Stopped> {
+        self.send(Event::Suspected(told)).await
+    }
+
+    /// Tells that an operator lets a request go again, for all that ended until a Unix time.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the instance was stopped.
+    pub async fn released(&self, content: ContentId, until: Duration) -> Result<(), Stopped> {
+        let until = until.saturating_sub(self.clock.unix_zero());
+        self.send(Event::Released(content, until)).await
+    }
+
     /// Tells of another instance and where it takes heartbeats.
     pub fn know_peer(&self, peer: KnownPeer) {
         self.peers.know(peer, self.clock.now());
--- a/crates/firdock-node/src/status.rs
+++ b/crates/firdock-node/src/status.rs
@@ -7,6 +7,7 @@
 use http_body_util::Full;
 use hyper::header::{self, HeaderValue};
 use hyper::{Response, StatusCode};
+use serde::Serialize;
 
 use crate::clock::Clock;
 use crate::door::{DoorState, Opening};
@@ -51,12 +52,17 @@
 
 /// Path of the list of endpoints, beside the metrics.
 const ENDPOINTS_PATH: &str = "/endpoints";
+/// Path of the list of requests under which endpoints ended.
+const SUSPECTS_PATH: &str = "/suspects";
 
-/// Answers whoever looks at an instance from outside: its endpoints, or its metrics on any other path.
+/// Answers whoever looks at an instance from outside: its endpoints, the
+/// requests under which endpoints ended, or its metrics on any other path.
 #[must_use]
 pub fn figures(metrics: &Metrics, path: &str) -> Response<Full<Bytes>> {
-    if path == ENDPOINTS_PATH {
-        return endpoints(metrics);
+    match path {
+        ENDPOINTS_PATH => return list(&*metrics.endpoints().get()),
+        SUSPECTS_PATH => return list(&*metrics.suspects().get()),
+        _ => {}
     }
     let mut response = Response::new(Full::from(metrics.render()));
     let kind = HeaderValue::from_static(METRICS_TYPE);
@@ -64,9 +70,8 @@
     response
 }
 
-fn endpoints(metrics: &Metrics) -> Response<Full<Bytes>> {
-    let states = metrics.endpoints().get();
-    let mut response = match serde_json::to_vec(&*states) {
+fn list(states: &impl Serialize) -> Response<Full<Bytes>> {
+    let mut response = match serde_json::to_vec(states) {
         Ok(list) => Response::new(Full::from(list)),
         Err(e) => {
             let mut response = Response::new(Full::from(e.to_string()));
--- a/crates/firdock-node/src/telemetry.rs
+++ b/crates/firdock-node/src/telemetry.rs
@@ -10,6 +10,7 @@
 pub mod restarts;
 pub mod rollouts;
 pub mod shares;
+pub mod suspects;
 pub mod trace;
 
 pub use beliefs::Beliefs;
@@ -21,4 +22,5 @@
 pub use metrics::Metrics;
 pub use rollouts::RolloutSteps;
 pub use shares::ShareLines;
+pub use suspects::{SuspectLines, SuspectList};
 pub use trace::{Span, TraceContext};
--- a/crates/firdock-node/src/telemetry/budget.rs
+++ b/crates/firdock-node/src/telemetry/budget.rs
@@ -27,6 +27,8 @@
     BadLoad,
     /// What was found of an endpoint whose connection ended early.
     Look,
+    /// A request came into quarantine, or out of it.
+    Quarantine,
     /// What an endpoint said of itself with an answer.
     Notice,
     /// The same, where it could not be read.
@@ -49,6 +51,7 @@
             Self::Belief => "belief",
             Self::BadLoad => "load not read",
             Self::Look => "endpoint looked at",
+            Self::Quarantine => "quarantine",
             Self::Notice => "notice",
             Self::BadNotice => "notice not read",
             Self::StoreCall => "store called",
@@ -67,6 +70,7 @@
             | Self::Answered
             | Self::CallerLeft
             | Self::Look
+            | Self::Quarantine
             | Self::Notice
             | Self::StoreCall
             | Self::RefusedEntry => 20,
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -20,7 +20,8 @@
 use self::labels::{
     ByCall, ByCause, ByFound, ByOutcome, ByPool, ByRefusal, ByShare, ByTier, ByTry,
 };
-use super::{EndpointList, HeldAnswers};
+use super::suspects::SuspectStates;
+use super::{EndpointList, HeldAnswers, SuspectList};
 use crate::source::StoreCall;
 
 /// Least decision time told apart, in seconds.
@@ -59,6 +60,9 @@
     dispatches: Counter,
     broken: Family<ByCause, Counter>,
     looks: Family<ByFound, Counter>,
+    blamed: Counter,
+    suspected: Gauge,
+    quarantined: Gauge,
     retries: Counter,
     stale: Counter,
     handed: Counter,
@@ -79,6 +83,7 @@
     store_calls: Family<ByCall, Counter>,
     held_answers: HeldAnswers,
     endpoints: EndpointList,
+    suspects: SuspectList,
 }
 
 impl Default for Metrics {
@@ -109,6 +114,9 @@
             dispatches: Counter::default(),
             broken: Family::default(),
             looks: Family::default(),
+            blamed: Counter::default(),
+            suspected: Gauge::default(),
+            quarantined: Gauge::default(),
             retries: Counter::default(),
             stale: Counter::default(),
             handed: Counter::default(),
@@ -129,6 +137,7 @@
             store_calls: Family::default(),
             held_answers: HeldAnswers::default(),
             endpoints: EndpointList::default(),
+            suspects: SuspectList::default(),
         };
         metrics.register();
         metrics
@@ -146,6 +155,19 @@
         self.endpoints.clone()
     }
 
+    /// Gives the list of requests under which endpoints ended.
+    #[must_use]
+    pub fn suspects(&self) -> SuspectList {
+        self.suspects.clone()
+    }
+
+    /// Notes how many requests are suspected, and how many in quarantine.
+    pub fn set_suspects(&self, states: &SuspectStates) {
+        let quarantined = states.values().filter(|s| s.quarantined).count();
+        self.suspected.set(gauge(states.len()));
+        self.quarantined.set(gauge(quarantined));
+    }
+
     /// Forgets how accounts stand, so that one of which nothing is told any more keeps no old figures.
     pub fn clear_shares(&self) {
         self.asked.clear();
@@ -281,6 +303,7 @@
             };
             store(&self.looks.get_or_create(&label), *n);
         }
+        store(&self.blamed, stats.blamed);
         store(&self.dispatches, stats.dispatches);
         store(&self.retries, stats.retries);
         store(&self.stale, stats.stale_news);
@@ -319,6 +342,11 @@
     Histogram::new(exponential_buckets(FIRST_PART_BUCKET, 2.0, PART_BUCKETS))
 }
 
+/// Gives a count as gauges take it.
+fn gauge(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
 fn store(counter: &Counter, value: u64) {
     counter.inner().store(value, Ordering::Relaxed);
 }
--- a/crates/firdock-node/src/telemetry/metrics/register.rs
+++ b/crates/firdock-node/src/telemetry/metrics/register.rs
@@ -107,6 +107,21 @@
             "Looks at endpoints whose connections ended early, by what was found",
             self.looks.clone(),
         );
+        r.register(
+            "ends_blamed",
+            "Ends of endpoints that were held against a request on board",
+            self.blamed.clone(),
+        );
+        r.register(
+            "suspects",
+            "Requests under which endpoints ended, those in quarantine among them",
+            self.suspected.clone(),
+        );
+        r.register(
+            "quarantined",
+            "Requests of which nothing is sent any more",
+            self.quarantined.clone(),
+        );
         r.register(
             "retries",
             "Second tries after a broken dispatch",
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -6,7 +6,7 @@
 use firdock_core::prefix::BlockHash;
 use firdock_core::resource::Catalog;
 use firdock_core::{
-    AccountId, EndpointId, InstanceId, PoolId, RequestId, StartId, TierRank, ZoneId,
+    AccountId, ContentId, EndpointId, InstanceId, PoolId, RequestId, StartId, TierRank, ZoneId,
 };
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
@@ -15,6 +15,7 @@
 use crate::notice::NoticeTold;
 use crate::request::{NewRequest, Verdict};
 use crate::rollout::{Evidence, RolloutRecord, RolloutWord};
+use crate::suspect::ToldSuspect;
 use crate::time::{LogTime, Time};
 
 /// One thing that happened.
@@ -47,6 +48,11 @@
     LogRead(LogReading),
     /// The instance list was read.
     Listed(Vec<ListedInstance>),
+    /// Someone else than a peer tells of requests under which endpoints ended: the platform's store, or an
+    /// instance's own tables to those with which it coordinates.
+    Suspected(Vec<ToldSuspect>),
+    /// An operator lets a request go again, for what ended up to a time.
+    Released(ContentId, Time),
     /// A peer's heartbeat came.
     Peer(PeerNews),
     /// A third instance told what a peer let pass of account limits.
@@ -307,6 +313,9 @@
     /// What it saw of roll-outs since their orders.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub seen: Vec<Evidence>,
+    /// Requests under which endpoints ended, those of which something is new or whose turn it is.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<ToldSuspect>,
 }
 
 impl PeerNews {
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -6,7 +6,8 @@
 use firdock_core::prefix::BlockHash;
 use firdock_core::resource::Service;
 use firdock_core::{
-    AccountId, Content, InstanceId, Outcome, PoolId, Reason, RequestId, ServiceId, StartId, ZoneId,
+    AccountId, Content, ContentId, InstanceId, Outcome, PoolId, Reason, RequestId, ServiceId,
+    StartId, ZoneId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -255,6 +256,12 @@
         self.pool.as_deref().unwrap_or_default()
     }
 
+    /// Gives the identity of what it asks for, where that is known.
+    #[must_use]
+    pub fn content_id(&self) -> Option<ContentId> {
+        self.new.content.as_ref().map(|content| content.id)
+    }
+
     /// Tells whether the request may have run, or may be running.
     #[must_use]
     pub fn may_have_run(&self) -> bool {
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -5,7 +5,7 @@
 use crate::settings::PolicySettings;
 use crate::system::{
     admit, backoff, check, config, coordinate, demand, drain, early, expire, fair, handover,
-    health, key, limit, look, news, notice, paced, place, rollout, share, shed,
+    health, key, limit, look, news, notice, paced, place, rollout, share, shed, suspect,
 };
 use crate::table::{Reach, Tables};
 use crate::time::Time;
@@ -52,7 +52,7 @@
             Event::Arrived(new) => admit::arrived(t, now, new, out),
             Event::CallerLeft(id) => news::caller_left(t, now, id, out),
             Event::Endpoint(e) => news::endpoint(t, now, &e, out),
-            Event::Looked(look) => look::take(t, &look),
+            Event::Looked(look) => look::take(t, now, &look, out),
             Event::Paced(told) => paced::take(t, &told),
             Event::Noticed(told) => notice::take(t, &told, out),
             Event::Report(report) => health::report(t, now, &report),
@@ -62,7 +62,9 @@
             Event::KeyTransfer(transfer) => key::take_transfer(t, now, &transfer),
             Event::LogRead(reading) => t.views.read(reading),
             Event::Listed(rows) => health::listed(t, &rows),
-            Event::Peer(peer) => handover::peer_news(t, now, peer),
+            Event::Suspected(told) => suspect::hear(t, now, told, out),
+            Event::Released(content, until) => suspect::release(t, now, content, until),
+            Event::Peer(peer) => handover::peer_news(t, now, peer, out),
             Event::PeerUsed(word) => limit::take_relayed(t, now, &word),
             Event::PeerLost(name) => handover::peer_lost(t, &name),
             Event::PeersKnown(count) => t.known_peers = Some(count),
@@ -85,6 +87,7 @@
                 share::refresh_budgets(t, now);
                 handover::end_silent(t, now, out);
                 handover::forget_silent(t, now);
+                t.suspects.sweep(now);
                 expire::end_overdue(t, now, out);
                 expire::end_impatient(t, now, out);
                 expire::put_late_last(t, now);
--- a/crates/firdock-policy/src/stats.rs
+++ b/crates/firdock-policy/src/stats.rs
@@ -128,6 +128,8 @@
     pub broken: BTreeMap<BreakCause, u64>,
     /// Looks at endpoints whose connections ended early, by what was found.
     pub looks: BTreeMap<Found, u64>,
+    /// Ends of endpoints that were held against a request.
+    pub blamed: u64,
     /// Second tries after a broken dispatch.
     pub retries: u64,
     /// Late or crossed news that was dropped.
--- a/crates/firdock-policy/src/system.rs
+++ b/crates/firdock-policy/src/system.rs
@@ -25,4 +25,5 @@
 pub mod rollout;
 pub mod share;
 pub mod shed;
+pub mod suspect;
 pub mod tries;
--- a/crates/firdock-policy/src/system/admit.rs
+++ b/crates/firdock-policy/src/system/admit.rs
@@ -5,7 +5,7 @@
 use firdock_core::resource::request_rank;
 use firdock_core::{Outcome, Reason, RequestId};
 
-use super::{end, fair, key, limit, tries};
+use super::{end, fair, key, limit, suspect, tries};
 use crate::action::Action;
 use crate::request::{KeyClaim, NewRequest, Origin, RequestRow, Verdict};
 use crate::table::Tables;
@@ -33,6 +33,7 @@
             insert(t, now, new, service, account, 0.0);
             super::handover::to_key_owner(t, now, id, &owner, out);
         }
+        _ if is_quarantined(t, &new) => turn_away(t, &new, suspect::verdict(), out),
         _ if unserved => turn_away(t, &new, no_endpoint(Outcome::NotRun), out),
         decision => {
             let Some(charge) = limit::take(t, now, account, &new) else {
@@ -49,6 +50,12 @@
     }
 }
 
+/// Tells whether nothing of a request may be sent, whatever its id.
+fn is_quarantined(t: &Tables, new: &NewRequest) -> bool {
+    let content = new.content.as_ref();
+    content.is_some_and(|content| t.suspects.is_quarantined(content.id))
+}
+
 /// Gives the rows of a request's service and account, if both are in force.
 pub fn in_force(t: &Tables, new: &NewRequest) -> Option<(usize, usize)> {
     let service = t.services.find(&new.service)?;
--- a/crates/firdock-policy/src/system/config.rs
+++ b/crates/firdock-policy/src/system/config.rs
@@ -4,7 +4,7 @@
 
 use firdock_core::resource::{Catalog, Tier};
 
-use super::{restart, rollout, share};
+use super::{restart, rollout, share, suspect};
 use crate::action::Action;
 use crate::table::Tables;
 use crate::table::account::AccountRow;
@@ -45,15 +45,20 @@
         row.absent_since = row.absent_since.or(Some(now));
     }
     for declared in &catalog.endpoints {
-        restart::make_way(t, declared, out);
+        restart::make_way(t, now, declared, out);
         let at = t
             .endpoints
             .find_or_add(&declared.name, || EndpointRow::new(declared.clone()));
         let row = t.endpoints.get_mut(at);
+        let is_back = row.absent_since.is_some() && !row.present;
         row.present = true;
         row.absent_since = None;
         row.declared = declared.clone();
+        if is_back {
+            suspect::entry_back(t, now, at);
+        }
     }
+    suspect::entries_gone(t, now, out);
 }
 
 fn apply_services(t: &mut Tables, catalog: &Catalog) {
--- a/crates/firdock-policy/src/system/coordinate.rs
+++ b/crates/firdock-policy/src/system/coordinate.rs
@@ -8,6 +8,7 @@
 
 use firdock_core::{RequestId, StartId};
 
+use super::suspect::{self, Gate};
 use super::{admit, end, fair, place, rollout, share};
 use crate::action::Action;
 use crate::event::Grant;
@@ -34,7 +35,8 @@
     if !t.coordinated || t.requests.held() == 0 {
         return;
     }
-    let new = |r: &&RequestRow| r.phase == Phase::Held && r.placing == Placing::Open && waits(t, r);
+    let open = |r: &RequestRow| r.phase == Phase::Held && r.placing == Placing::Open;
+    let new = |r: &&RequestRow| open(r) && waits(t, r) && suspect::gate(t, r) != Gate::Busy;
     let ids: Vec<RequestId> = t.requests.iter().filter(new).map(|r| r.new.id).collect();
     for id in ids {
         if let Some(row) = t.requests.get_mut(id) {
@@ -66,7 +68,8 @@
         return;
     }
     let usable = endpoint.filter(|at| may_use(t, now, row, *at));
-    if let Some(at) = usable.filter(|_| row.phase == Phase::Held) {
+    let busy = suspect::gate(t, row) == Gate::Busy;
+    if let Some(at) = usable.filter(|_| row.phase == Phase::Held && !busy) {
         if place::may_send(t, now, grant.id, out) {
             place::send_to(t, now, grant.id, (at, grant.predicted), out);
             return;
@@ -79,16 +82,18 @@
 
 /// Lets a request ask for another place than one that cannot be used.
 ///
-/// The engine is named, so that it is not given again; not so where it only wants nothing for a while:
-/// the coordinator hears of that as well, and the request may go there at the end of it.
+/// The engine is named, so that it is not given again; not so where it only wants nothing for a while,
+/// or the request waits for another try of itself: it may go there at the end of that.
 fn give_back(t: &mut Tables, now: Time, grant: &Grant) {
     let at = t.endpoints.find_start(&grant.endpoint);
     let closed = at.and_then(|at| t.endpoints.get(at).open_to("", now).err());
+    let row = t.requests.get(grant.id);
+    let busy = row.is_some_and(|row| suspect::gate(t, row) == Gate::Busy);
     let Some(row) = t.requests.get_mut(grant.id) else {
         return;
     };
     row.placing = Placing::Open;
-    if !matches!(closed, Some(Closed::BackingOff(_))) {
+    if !busy && !matches!(closed, Some(Closed::BackingOff(_))) {
         row.declined.push(grant.endpoint.clone());
     }
 }
--- a/crates/firdock-policy/src/system/handover.rs
+++ b/crates/firdock-policy/src/system/handover.rs
@@ -2,7 +2,7 @@
 
 use firdock_core::{Outcome, Reason, RequestId};
 
-use super::{end, key, limit, rollout, shed};
+use super::{end, key, limit, rollout, shed, suspect};
 use crate::action::{Action, HandOverCause};
 use crate::event::{HandOverEvent, HandOverRefusal, Member, PeerNews};
 use crate::request::{Phase, RequestRow, Verdict};
@@ -18,7 +18,8 @@
 const SILENT_PEER: std::time::Duration = std::time::Duration::from_mins(1);
 
 /// Takes a peer's heartbeat.
-pub fn peer_news(t: &mut Tables, now: Time, mut news: PeerNews) {
+pub fn peer_news(t: &mut Tables, now: Time, mut news: PeerNews, out: &mut Vec<Action>) {
+    suspect::hear(t, now, std::mem::take(&mut news.suspects), out);
     for name in &news.leaving {
         if let Some(at) = t.endpoints.find_start(name) {
             t.endpoints.get_mut(at).peer_leaving = Some(now + LEAVING_WORD);
--- a/crates/firdock-policy/src/system/look.rs
+++ b/crates/firdock-policy/src/system/look.rs
@@ -3,8 +3,9 @@
 
 use std::time::Duration;
 
+use super::{health, suspect};
 use crate::action::Action;
-use crate::event::Look;
+use crate::event::{Found, Look};
 use crate::table::Tables;
 use crate::time::Time;
 
@@ -29,6 +30,20 @@
 }
 
 /// Takes what a look found.
-pub fn take(t: &mut Tables, look: &Look) {
+pub fn take(t: &mut Tables, now: Time, look: &Look, out: &mut Vec<Action>) {
     *t.stats.looks.entry(look.found).or_default() += 1;
+    match look.found {
+        Found::Open => suspect::endpoint_alive(t, now, &look.start),
+        Found::Ended => ended(t, now, look, out),
+        Found::Silent => {}
+    }
+}
+
+/// Takes it that an endpoint has ended: it gets nothing for a while, and what broke there was on board.
+fn ended(t: &mut Tables, now: Time, look: &Look, out: &mut Vec<Action>) {
+    let at = t.endpoints.find_start(&look.start);
+    if let Some(at) = at.filter(|at| t.endpoints.get(*at).is_well()) {
+        health::eject(t, now, at);
+    }
+    suspect::endpoint_ended(t, now, &look.start, out);
 }
--- a/crates/firdock-policy/src/system/news.rs
+++ b/crates/firdock-policy/src/system/news.rs
@@ -2,7 +2,7 @@
 
 use firdock_core::{Outcome, Reason, RequestId};
 
-use super::{end, fair, health, key, look, paced, rollout};
+use super::{end, fair, health, key, look, paced, rollout, suspect};
 use crate::action::Action;
 use crate::event::{BreakCause, DispatchNews, EndpointEvent};
 use crate::request::{Phase, Placing, RequestRow, Verdict};
@@ -185,6 +185,7 @@
     let Some(row) = t.requests.get(id) else {
         return;
     };
+    let content = row.content_id();
     let service = row.service;
     let first = row.first.unwrap_or(now);
     let fresh = output.saturating_sub(1);
@@ -198,6 +199,9 @@
         fair::settle(t, now, id, output);
     }
     end::answered(t, now, id);
+    if let Some(content) = content {
+        suspect::answered(t, now, content);
+    }
 }
 
 /// Notes how a dispatch comes to break, and has it looked whether its endpoint has ended.
@@ -232,11 +236,14 @@
     if !backs_off(t, now, id, at) {
         health::broke(t, now, at);
     }
+    // By what was held against it before: one end is no reason yet to give a caller up.
+    let goes_on = may_go_on(t, id, at);
+    suspect::broke(t, now, id, at, out);
     if t.settings.coordinates {
         end::finish(t, now, id, Outcome::Unknown);
         return;
     }
-    if may_go_on(t, id, at) {
+    if goes_on {
         let most = t.most_retries();
         if let Some(row) = t.requests.get(id) {
             t.retries.spend(row.pool_key(), most);
@@ -282,5 +289,6 @@
     let allowed = t.retries.allow(row.pool_key(), most);
     let attempts = service.attempts as usize;
     let more = attempts == 0 || row.runs < attempts;
-    service.repeatable && allowed && more && (!row.head_sent || resumable)
+    let spared = suspect::may_repeat(t, row);
+    service.repeatable && allowed && more && spared && (!row.head_sent || resumable)
 }
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -9,6 +9,7 @@
 
 use self::choice::{Choice, Placement, choose, estimate};
 use self::lane::{is_held_up, try_lane};
+use super::suspect::{self, Gate};
 use super::{coordinate, end, fair, key, rollout};
 use crate::action::{Action, Dispatch};
 use crate::request::{Phase, RequestRow};
@@ -63,7 +64,7 @@
     for id in heads {
         match try_lane(t, now, id, out) {
             Tried::Left => return true,
-            Tried::Waits | Tried::HeldUp => {}
+            Tried::Waits | Tried::HeldUp | Tried::Busy => {}
             // Whatever blocks this request blocks the rest of the queue as well.
             Tried::Blocked => return false,
         }
@@ -80,6 +81,8 @@
     Waits,
     /// It stays, since endpoints want nothing of the instance that asks; those of others may go.
     HeldUp,
+    /// It stays, since another try of it runs; all others may go.
+    Busy,
     /// It stays, and so does the rest of its queue.
     Blocked,
 }
@@ -89,6 +92,11 @@
         return Tried::Waits;
     };
     let coordinated = coordinate::waits(t, row);
+    let gate = suspect::gate(t, row);
+    // A coordinator's member ends what is in quarantine, and gives its places up.
+    if gate == Gate::Busy || (gate == Gate::Quarantined && t.settings.coordinates) {
+        return Tried::Busy;
+    }
     if !may_send(t, now, id, out) {
         return Tried::Left;
     }
@@ -112,12 +120,16 @@
     Tried::Waits
 }
 
-/// Notes until when a request may be sent, by its key and by the configuration in force; gives it up
-/// where that time has passed.
+/// Notes until when a request may be sent, by its key and by the configuration in force; ends it where
+/// that time has passed, or where it is in quarantine.
 pub fn may_send(t: &mut Tables, now: Time, id: RequestId, out: &mut Vec<Action>) -> bool {
     let Some(row) = t.requests.get(id) else {
         return false;
     };
+    if suspect::gate(t, row) == Gate::Quarantined && !t.settings.coordinates {
+        suspect::refuse(t, now, id, out);
+        return false;
+    }
     let confirm_by = key::confirm_by(t, row);
     let fresh_by = fresh_by(t, row);
     if confirm_by.is_some_and(|until| until <= now) {
@@ -218,6 +230,11 @@
         "endpoint {} is closed and got new work: {closed:?}",
         e.declared.name
     );
+    let row = t.requests.get(id);
+    assert!(
+        row.is_none_or(|row| suspect::gate(t, row) == Gate::Open),
+        "request {id} is suspected and was sent"
+    );
     let e = t.endpoints.get_mut(choice.endpoint);
     if matches!(e.health, Health::Ejected(_)) {
         e.health = Health::Probing;
--- a/crates/firdock-policy/src/system/place/lane.rs
+++ b/crates/firdock-policy/src/system/place/lane.rs
@@ -12,19 +12,34 @@
 /// Requests of a lane that are looked at behind one that its instance may not send.
 const MAX_BEHIND: usize = 64;
 
-/// Tries the first request of a lane, and where endpoints want nothing of the instance that asks for
-/// it, the next ones of other instances: no place stays empty for what one of them may not send.
+/// Tries the first request of a lane; where endpoints want nothing of the instance that asks for it, the
+/// next ones of other instances, and where another try of it runs, the next ones that ask for something
+/// else: no place stays empty for what may not be sent.
 pub(super) fn try_lane(t: &mut Tables, now: Time, head: RequestId, out: &mut Vec<Action>) -> Tried {
     let tried = try_place(t, now, head, out);
-    if tried != Tried::HeldUp || !t.settings.coordinates {
-        return tried;
-    }
-    for id in behind(t, head) {
+    let next = match tried {
+        Tried::HeldUp if t.settings.coordinates => behind(t, head),
+        Tried::Busy => others(t, head),
+        _ => return tried,
+    };
+    for id in next {
         if try_place(t, now, id, out) == Tried::Left {
             return Tried::Left;
         }
     }
-    Tried::HeldUp
+    tried
+}
+
+/// Gives the first requests behind the head of a lane, of its rank, that ask for something else: what
+/// waits for another try of itself holds up nothing but itself.
+fn others(t: &Tables, head: RequestId) -> Vec<RequestId> {
+    let Some(first) = t.requests.get(head) else {
+        return Vec::new();
+    };
+    let lane = t.services.get(first.service).queue.lane_ids(first.account);
+    let rows = lane.take(MAX_BEHIND).filter_map(|id| t.requests.get(id));
+    let other = |r: &&RequestRow| r.rank == first.rank && r.content_id() != first.content_id();
+    rows.filter(other).map(|r| r.new.id).collect()
 }
 
 /// Gives the first requests of other instances behind the head of a lane, one of each, of its rank.
--- a/crates/firdock-policy/src/system/place/shared.rs
+++ b/crates/firdock-policy/src/system/place/shared.rs
@@ -37,7 +37,7 @@
         }
         match try_lane(t, now, id, out) {
             Tried::Left => return true,
-            Tried::Waits | Tried::HeldUp => {}
+            Tried::Waits | Tried::HeldUp | Tried::Busy => {}
             Tried::Blocked => {
                 blocked.insert(service);
             }
--- a/crates/firdock-policy/src/system/restart.rs
+++ b/crates/firdock-policy/src/system/restart.rs
@@ -6,6 +6,7 @@
 use firdock_core::resource::Endpoint;
 use firdock_core::{RequestId, StartId};
 
+use super::suspect;
 use crate::action::Action;
 use crate::request::{Phase, RequestRow};
 use crate::table::Tables;
@@ -15,7 +16,7 @@
 ///
 /// What was sent to the earlier start before this one began ended with it. What was sent later reached
 /// the new one, though this instance did not know of it yet, and ends there.
-pub fn make_way(t: &mut Tables, declared: &Endpoint, out: &mut Vec<Action>) {
+pub fn make_way(t: &mut Tables, now: Time, declared: &Endpoint, out: &mut Vec<Action>) {
     let Some(at) = t.endpoints.find(&declared.name) else {
         return;
     };
@@ -25,6 +26,8 @@
     t.endpoints.detach(&declared.name);
     t.endpoints.get_mut(at).mark_replaced();
     t.stats.restarts += 1;
+    let start = t.endpoints.get(at).start_id.clone();
+    suspect::endpoint_ended(t, now, &start, out);
     let began = began(t, declared);
     for (id, sent, dispatch) in sent_to(t, at) {
         if began.is_none_or(|began| sent < began) {
--- /dev/null
+++ b/crates/firdock-policy/src/system/suspect.rs
@@ -0,0 +1,225 @@
+//! Requests under which endpoints end: what is held against them, and what may be sent of them
+//! (`docs/design/suspects.md`).
+
+use std::sync::Arc;
+
+use firdock_core::{ContentId, Outcome, Reason, RequestId, StartId};
+
+use super::end;
+use crate::action::Action;
+use crate::event::BreakCause;
+use crate::request::{Phase, RequestRow, Verdict};
+use crate::suspect::ToldSuspect;
+use crate::table::Tables;
+use crate::table::endpoint::EndpointRow;
+use crate::table::suspects::BlamedRun;
+use crate::time::Time;
+
+/// Whether a request may be sent now, by what is known of its content.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Gate {
+    /// It may.
+    Open,
+    /// Another try of it runs, under which the endpoint may end.
+    Busy,
+    /// It has ended too many endpoints.
+    Quarantined,
+}
+
+/// Decides whether a request may be sent, whoever would send it for whatever reason.
+///
+/// A request came again ten times a second and ended each server that ran it, nine others with it: of
+/// 800 other requests in 20 s of virtual time 14 were served. Nothing of it is sent any more once three
+/// ended one after the other; before that one try runs at a time, so that it costs no more than these.
+pub fn gate(t: &Tables, row: &RequestRow) -> Gate {
+    let suspect = row.content_id().and_then(|id| t.suspects.get(id));
+    let Some(suspect) = suspect else {
+        return Gate::Open;
+    };
+    if suspect.quarantined_since().is_some() {
+        return Gate::Quarantined;
+    }
+    let is_suspected = !suspect.counted().is_empty();
+    if is_suspected && runs_elsewhere(t, row, suspect.content.id) {
+        Gate::Busy
+    } else {
+        Gate::Open
+    }
+}
+
+/// Tells whether another request with the same content is on its way or runs.
+fn runs_elsewhere(t: &Tables, row: &RequestRow, content: ContentId) -> bool {
+    let on_board = |r: &RequestRow| matches!(r.phase, Phase::Dispatching(_) | Phase::Running(_));
+    let mut others = t.requests.iter().filter(|r| r.new.id != row.new.id);
+    others.any(|r| r.content_id() == Some(content) && on_board(r))
+}
+
+/// Tells whether a request of which a run broke may be tried once more by ourselves: not while an end
+/// is held against it, since its caller knows better whether it is worth another endpoint.
+pub fn may_repeat(t: &Tables, row: &RequestRow) -> bool {
+    let suspect = row.content_id().and_then(|id| t.suspects.get(id));
+    suspect.is_none_or(|s| s.counted().is_empty())
+}
+
+/// The final answer to a request in quarantine: this try has not run, and no time is known after which
+/// another one would.
+pub fn verdict() -> Verdict {
+    Verdict {
+        outcome: Outcome::NotRun,
+        reason: Reason::EndsEndpoints,
+        retry_after: None,
+    }
+}
+
+/// Ends a held request that is in quarantine: a try that ran nowhere is told so.
+pub fn refuse(t: &mut Tables, now: Time, id: RequestId, out: &mut Vec<Action>) {
+    let Some(row) = t.requests.get(id) else {
+        return;
+    };
+    let outcome = row.outcome_unanswered();
+    end::answer(
+        t,
+        now,
+        id,
+        Verdict {
+            outcome,
+            ..verdict()
+        },
+        out,
+    );
+}
+
+/// Takes a run that broke, while its row is still there: where its connection ended early, the
+/// endpoint's end may be held against it.
+pub fn broke(t: &mut Tables, now: Time, id: RequestId, at: usize, out: &mut Vec<Action>) {
+    let row = t.requests.get(id).filter(|_| !t.settings.coordinates);
+    let Some((cause, run)) = row.and_then(|row| blamed(t, now, row, at)) else {
+        return;
+    };
+    let e = t.endpoints.get(at);
+    if e.leaving(now) {
+        // It said before that it would end.
+        return;
+    }
+    let ended = match cause {
+        BreakCause::Closed if e.present => t.ends.take_run(now, &run),
+        BreakCause::Restarted => Some(now),
+        // One whose entry went first left in order.
+        _ => None,
+    };
+    if let Some(at) = ended {
+        blame(t, now, &run, at.max(run.sent), out);
+    }
+}
+
+fn blamed(t: &Tables, now: Time, row: &RequestRow, at: usize) -> Option<(BreakCause, BlamedRun)> {
+    let run = BlamedRun {
+        start: t.endpoints.get(at).start_id.clone(),
+        content: Arc::clone(row.new.content.as_ref()?),
+        account: row.new.account.clone(),
+        service: row.new.service.clone(),
+        sent: row.dispatched,
+        broke: now,
+    };
+    Some((row.breaking?, run))
+}
+
+/// Takes it that an endpoint's process has ended; all that broke there was on board.
+pub fn endpoint_ended(t: &mut Tables, now: Time, start: &StartId, out: &mut Vec<Action>) {
+    for run in t.ends.take_end(now, start) {
+        blame(t, now, &run, run.broke, out);
+    }
+}
+
+/// Takes it that entries are gone with this configuration: what broke there before broke with the
+/// endpoint's end, unless it said that it leaves. What breaks later does not count, since an endpoint may
+/// leave so.
+pub fn entries_gone(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
+    if !t.ends.has_runs() {
+        return;
+    }
+    let gone = |e: &EndpointRow| !e.present && e.absent_since == Some(now) && !e.is_replaced();
+    let rows = t.endpoints.iter().filter(|(_, e)| gone(e));
+    let gone: Vec<(StartId, bool)> = rows
+        .map(|(_, e)| (e.start_id.clone(), e.leaving(now)))
+        .collect();
+    for (start, leaving) in gone {
+        for run in t.ends.take_runs(&start) {
+            if !leaving {
+                blame(t, now, &run, run.broke, out);
+            }
+        }
+    }
+}
+
+/// Takes it that an entry is back, which lapses while the platform's store is away, and comes back if the
+/// endpoint lives.
+pub fn entry_back(t: &mut Tables, now: Time, at: usize) {
+    let start = t.endpoints.get(at).start_id.clone();
+    if !t.ends.has_ended(&start) {
+        endpoint_alive(t, now, &start);
+    }
+}
+
+/// Takes it that an endpoint lives after all.
+pub fn endpoint_alive(t: &mut Tables, now: Time, start: &StartId) {
+    t.ends.note_alive(start);
+    t.suspects.note_alive(now, start);
+}
+
+/// Takes it that a request was answered whole: the endpoint that ran it lives, so that what was held
+/// against it is void.
+pub fn answered(t: &mut Tables, now: Time, content: ContentId) {
+    t.suspects.clear(now, content, now);
+}
+
+/// Takes an operator's word that a request may go again, for all that ended until then.
+pub fn release(t: &mut Tables, now: Time, content: ContentId, until: Time) {
+    t.suspects.release(now, content, until);
+}
+
+/// Takes what other instances tell.
+pub fn hear(t: &mut Tables, now: Time, told: Vec<ToldSuspect>, out: &mut Vec<Action>) {
+    for one in told {
+        let id = one.content.id;
+        if t.suspects.hear(now, one) {
+            act(t, now, id, out);
+        }
+    }
+}
+
+fn blame(t: &mut Tables, now: Time, run: &BlamedRun, at: Time, out: &mut Vec<Action>) {
+    t.stats.blamed += 1;
+    if t.suspects.add(now, run, at) {
+        act(t, now, run.content.id, out);
+    }
+}
+
+/// Does what follows where a request came into quarantine: what is on its way and not written yet is
+/// given back, and what waits is refused.
+fn act(t: &mut Tables, now: Time, content: ContentId, out: &mut Vec<Action>) {
+    // Members of a coordinator end their requests themselves.
+    if t.settings.coordinates || !t.suspects.is_quarantined(content) {
+        return;
+    }
+    let same = t
+        .requests
+        .iter()
+        .filter(|r| r.content_id() == Some(content));
+    let mut held = Vec::new();
+    for row in same {
+        match row.phase {
+            Phase::Held => held.push(row.new.id),
+            Phase::Dispatching(_) => out.push(Action::Withhold {
+                id: row.new.id,
+                dispatch: row.dispatch,
+            }),
+            Phase::Running(_) | Phase::HandedOver(_) => {}
+        }
+    }
+    for id in held {
+        refuse(t, now, id, out);
+    }
+    let told = t.suspects.get(content).map(|s| s.told(now));
+    out.extend(told.map(Action::Quarantine));
+}
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -3,6 +3,7 @@
 pub mod account;
 pub mod closed;
 pub mod endpoint;
+pub mod ends;
 pub mod group;
 pub mod key;
 pub mod limit;
@@ -21,6 +22,7 @@
 pub mod rows;
 pub mod service;
 pub mod share;
+pub mod suspects;
 pub mod transfer;
 pub mod view;
 
@@ -109,6 +111,10 @@
     pub coordinated: bool,
     /// Roll-outs of pools.
     pub rollouts: rollout::Rollouts,
+    /// Requests under which endpoints ended.
+    pub suspects: suspects::Suspects,
+    /// Ends of endpoints and runs that broke, of the last seconds.
+    pub ends: ends::Ends,
     /// Counters.
     pub stats: Stats,
 }
@@ -194,6 +200,8 @@
             fresh_at: None,
             coordinated: false,
             rollouts: rollout::Rollouts::default(),
+            suspects: suspects::Suspects::default(),
+            ends: ends::Ends::default(),
             stats: Stats::default(),
         }
     }
--- /dev/null
+++ b/crates/firdock-policy/src/table/ends.rs
@@ -0,0 +1,82 @@
+//! Ends of endpoints, and runs that broke with their connections, until each is known to belong to the
+//! other or not.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use firdock_core::StartId;
+
+use super::suspects::BlamedRun;
+use crate::time::Time;
+
+/// Time between a run that breaks and the news that its endpoint has ended: an entry lapses after some
+/// missed heartbeats of the endpoint.
+const TOGETHER: Duration = Duration::from_secs(10);
+/// Broken runs that are kept: several endpoints full of requests.
+const MOST_RUNS: usize = 512;
+/// Ends that are kept.
+const MOST_ENDS: usize = 256;
+
+/// Ends and broken runs of the last seconds, in whichever order they become known.
+#[derive(Debug, Default)]
+pub struct Ends {
+    runs: VecDeque<BlamedRun>,
+    ended: BTreeMap<StartId, Time>,
+}
+
+impl Ends {
+    /// Takes a run that broke with its connection; gives when its endpoint ended, if that is known, and
+    /// keeps the run otherwise.
+    pub fn take_run(&mut self, now: Time, run: &BlamedRun) -> Option<Time> {
+        self.sweep(now);
+        let ended = self.ended.get(&run.start).copied();
+        if ended.is_none() {
+            if self.runs.len() >= MOST_RUNS {
+                self.runs.pop_front();
+            }
+            self.runs.push_back(run.clone());
+        }
+        ended
+    }
+
+    /// Takes it that an endpoint's process has ended; gives the runs that broke there.
+    pub fn take_end(&mut self, now: Time, start: &StartId) -> Vec<BlamedRun> {
+        self.sweep(now);
+        if self.ended.len() < MOST_ENDS {
+            self.ended.entry(start.clone()).or_insert(now);
+        }
+        self.take_runs(start)
+    }
+
+    /// Gives the runs that broke at an endpoint, and keeps them no more.
+    pub fn take_runs(&mut self, start: &StartId) -> Vec<BlamedRun> {
+        let (there, others): (Vec<BlamedRun>, Vec<BlamedRun>) =
+            self.runs.drain(..).partition(|r| r.start == *start);
+        self.runs = others.into();
+        there
+    }
+
+    /// Takes it that an endpoint lives, so that what broke there broke for another reason.
+    pub fn note_alive(&mut self, start: &StartId) {
+        self.ended.remove(start);
+        self.runs.retain(|r| r.start != *start);
+    }
+
+    /// Tells whether any run waits for news of its endpoint.
+    #[must_use]
+    pub fn has_runs(&self) -> bool {
+        !self.runs.is_empty()
+    }
+
+    /// Tells whether an endpoint's end is known of.
+    #[must_use]
+    pub fn has_ended(&self, start: &StartId) -> bool {
+        self.ended.contains_key(start)
+    }
+
+    fn sweep(&mut self, now: Time) {
+        let recent = |at: Time| at + TOGETHER > now;
+        self.runs.retain(|r| recent(r.broke));
+        self.ended.retain(|_, at| recent(*at));
+    }
+}
--- /dev/null
+++ b/crates/firdock-policy/src/table/suspects.rs
@@ -0,0 +1,353 @@
+//! Requests under which endpoints ended, by what they ask for.
+//!
+//! They outlive the rows of the requests: what was learned from one try is needed at the next, which
+//! has another id and may come to another instance.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use firdock_core::{AccountId, Content, ContentId, ServiceId, StartId};
+
+use crate::suspect::{ToldEnd, ToldSuspect};
+use crate::time::Time;
+
+/// Ends that put a request into quarantine. One or two may be chance: a server that ends for another
+/// reason takes all with it that it runs.
+pub const ENDS_TO_QUARANTINE: usize = 3;
+/// Suspects that are kept, some hundred bytes each.
+const MOST: usize = 1_024;
+/// Suspects of one account that are kept, so that what one account sends pushes out its own alone.
+const MOST_OF_ACCOUNT: usize = 128;
+/// Ends of one suspect that are kept: more than are needed while it still runs somewhere.
+const MOST_ENDS: usize = 16;
+/// Time for which a suspect out of quarantine is kept after its last change. Callers come back within
+/// minutes; a request that ends a server each day is for those who run the server.
+const KEEP: Duration = Duration::from_hours(1);
+/// Time for which one that was cleared is kept, so that others hear of that before it is forgotten.
+const KEEP_CLEARED: Duration = Duration::from_mins(1);
+/// Time for which what is new of a suspect is told with each heartbeat: several of them may be lost.
+const NEW_FOR: Duration = Duration::from_millis(1_500);
+/// New suspects that are told with one heartbeat.
+const MOST_NEW: usize = 16;
+/// Others that are told with it by turns, for those that have missed them.
+const BY_TURNS: usize = 2;
+
+/// One end of an endpoint with a suspect on board.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct End {
+    /// Start of the endpoint.
+    pub start: StartId,
+    /// When the request was sent there.
+    pub sent: Time,
+    /// When the endpoint ended.
+    pub at: Time,
+    /// Whether it counts no more.
+    pub void: bool,
+}
+
+/// A request under which endpoints ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Suspect {
+    /// What it asks for.
+    pub content: Arc<Content>,
+    /// Account that sends it.
+    pub account: AccountId,
+    /// Service that it matched when an endpoint first ended under it.
+    pub service: ServiceId,
+    ends: Vec<End>,
+    changed: Time,
+}
+
+impl Suspect {
+    fn new(now: Time, content: Arc<Content>, account: AccountId, service: ServiceId) -> Self {
+        Self {
+            content,
+            account,
+            service,
+            ends: Vec::new(),
+            changed: now,
+        }
+    }
+
+    /// Gives the ends that are known, with those that count no more.
+    #[must_use]
+    pub fn ends(&self) -> &[End] {
+        &self.ends
+    }
+
+    /// Gives the ends that count, in order.
+    ///
+    /// Of runs that were on board of endpoints at the same time, one counts: a rack that loses power
+    /// ends many endpoints at one moment, and would convict whatever ran at three of them. A request
+    /// that ends its endpoints goes on doing so, one after the other.
+    #[must_use]
+    pub fn counted(&self) -> Vec<&End> {
+        let mut ends: Vec<&End> = self.ends.iter().filter(|e| !e.void).collect();
+        ends.sort_by_key(|e| e.at);
+        let mut counted: Vec<&End> = Vec::new();
+        for end in ends {
+            if counted.last().is_none_or(|last| last.at <= end.sent) {
+                counted.push(end);
+            }
+        }
+        counted
+    }
+
+    /// Gives since when it is in quarantine, if it is: nothing of it is sent any more.
+    #[must_use]
+    pub fn quarantined_since(&self) -> Option<Time> {
+        let third = ENDS_TO_QUARANTINE - 1;
+        self.counted().get(third).map(|end| end.at)
+    }
+
+    fn is_cleared(&self) -> bool {
+        self.ends.iter().all(|e| e.void)
+    }
+
+    /// Adds an end; one endpoint's end counts once, whoever saw it and however often it was sent there.
+    fn add(&mut self, end: End) -> bool {
+        if let Some(known) = self.ends.iter_mut().find(|e| e.start == end.start) {
+            let changed = end.void && !known.void;
+            known.void |= end.void;
+            // Told times grow later on their way, so that the earliest is nearest to what was seen.
+            known.sent = known.sent.min(end.sent);
+            known.at = known.at.min(end.at);
+            return changed;
+        }
+        if self.ends.len() >= MOST_ENDS {
+            // Those that count beside others say nothing more.
+            let counted: Vec<StartId> = self.counted().iter().map(|e| e.start.clone()).collect();
+            self.ends.retain(|e| counted.contains(&e.start));
+        }
+        let room = self.ends.len() < MOST_ENDS;
+        if room {
+            self.ends.push(end);
+        }
+        room
+    }
+
+    /// Makes all ends up to a time count no more; tells whether any did.
+    fn void(&mut self, until: Time) -> bool {
+        let counting = self.ends.iter_mut().filter(|e| !e.void && e.at <= until);
+        counting.fold(false, |_, end| {
+            end.void = true;
+            true
+        })
+    }
+
+    /// Gives what other instances are told of it.
+    #[must_use]
+    pub fn told(&self, now: Time) -> ToldSuspect {
+        let told = |e: &End| ToldEnd {
+            start: e.start.clone(),
+            sent_ago: now.saturating_sub(e.sent),
+            ended_ago: now.saturating_sub(e.at),
+            void: e.void,
+        };
+        ToldSuspect {
+            content: Arc::clone(&self.content),
+            account: self.account.clone(),
+            service: self.service.clone(),
+            ends: self.ends.iter().map(told).collect(),
+        }
+    }
+}
+
+/// Whom a change of the table came from.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Revision {
+    /// Changes that this instance saw itself, which it tells at once.
+    pub own: u64,
+    /// All changes.
+    pub all: u64,
+}
+
+/// Table of suspects.
+#[derive(Debug, Default)]
+pub struct Suspects {
+    rows: BTreeMap<ContentId, Suspect>,
+    /// Until when ends count no more of those that an operator let go: others may tell of them later.
+    released: BTreeMap<ContentId, Time>,
+    revision: Revision,
+}
+
+impl Suspects {
+    /// Finds a suspect.
+    #[must_use]
+    pub fn get(&self, id: ContentId) -> Option<&Suspect> {
+        self.rows.get(&id)
+    }
+
+    /// Goes over all suspects.
+    pub fn iter(&self) -> impl Iterator<Item = &Suspect> {
+        self.rows.values()
+    }
+
+    /// Gives how often the table changed.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Tells whether a request is in quarantine.
+    #[must_use]
+    pub fn is_quarantined(&self, id: ContentId) -> bool {
+        let row = self.rows.get(&id);
+        row.is_some_and(|s| s.quarantined_since().is_some())
+    }
+
+    /// Notes that an endpoint ended with a request on board; tells whether that is new.
+    pub fn add(&mut self, now: Time, of: &BlamedRun, at: Time) -> bool {
+        let end = End {
+            start: of.start.clone(),
+            sent: of.sent,
+            at,
+            void: false,
+        };
+        let new = Suspect::new(
+            now,
+            Arc::clone(&of.content),
+            of.account.clone(),
+            of.service.clone(),
+        );
+        let changed = self.change(now, new, vec![end]);
+        self.revision.own += u64::from(changed);
+        changed
+    }
+
+    /// Takes what another instance tells of a suspect; tells whether any of it is new.
+    pub fn hear(&mut self, now: Time, told: ToldSuspect) -> bool {
+        let ends = told.ends.into_iter().take(MOST_ENDS).map(|e| End {
+            start: e.start,
+            sent: now.saturating_sub(e.sent_ago.max(e.ended_ago)),
+            at: now.saturating_sub(e.ended_ago),
+            void: e.void,
+        });
+        let ends: Vec<End> = ends.collect();
+        let known = self.rows.contains_key(&told.content.id);
+        if !known && ends.iter().all(|e| e.void) {
+            return false;
+        }
+        let new = Suspect::new(now, told.content, told.account, told.service);
+        self.change(now, new, ends)
+    }
+
+    fn change(&mut self, now: Time, new: Suspect, mut ends: Vec<End>) -> bool {
+        let id = new.content.id;
+        if let Some(until) = self.released.get(&id) {
+            for end in &mut ends {
+                end.void |= end.at <= *until;
+            }
+        }
+        if !self.rows.contains_key(&id) {
+            self.make_room(&new.account);
+        }
+        let row = self.rows.entry(id).or_insert(new);
+        let added = ends.into_iter().map(|end| row.add(end));
+        let changed = added.fold(false, |any, one| any | one);
+        if changed {
+            row.changed = now;
+            self.revision.all += 1;
+        }
+        changed
+    }
+
+    /// Takes it that an operator lets a request go, with what ended up to a time.
+    pub fn release(&mut self, now: Time, id: ContentId, until: Time) {
+        if self.released.len() < MOST || self.released.contains_key(&id) {
+            let known = self.released.entry(id).or_insert(until);
+            *known = until.max(*known);
+        }
+        self.clear(now, id, until);
+    }
+
+    /// Takes it that what ended up to a time is not held against a request; tells whether that changed
+    /// anything.
+    pub fn clear(&mut self, now: Time, id: ContentId, until: Time) -> bool {
+        let Some(row) = self.rows.get_mut(&id) else {
+            return false;
+        };
+        let changed = row.void(until);
+        if changed {
+            row.changed = now;
+            self.revision.own += 1;
+            self.revision.all += 1;
+        }
+        changed
+    }
+
+    /// Takes it that a start of an endpoint lives: nothing ended with it.
+    pub fn note_alive(&mut self, now: Time, start: &StartId) {
+        for row in self.rows.values_mut() {
+            let counting = row.ends.iter_mut().find(|e| e.start == *start && !e.void);
+            if let Some(end) = counting {
+                end.void = true;
+                row.changed = now;
+                self.revision.own += 1;
+                self.revision.all += 1;
+            }
+        }
+    }
+
+    /// Forgets what was kept long enough; what is in quarantine stays until an operator lets it go.
+    pub fn sweep(&mut self, now: Time) {
+        self.rows.retain(|_, s| {
+            let keep = if s.is_cleared() { KEEP_CLEARED } else { KEEP };
+            s.quarantined_since().is_some() || s.changed + keep > now
+        });
+    }
+
+    /// Gives what is told of suspects with a heartbeat: what is new, and others by turns.
+    #[must_use]
+    pub fn told(&self, now: Time, turn: usize) -> Vec<ToldSuspect> {
+        let is_new = |s: &&Suspect| s.changed + NEW_FOR > now;
+        let (new, old): (Vec<&Suspect>, Vec<&Suspect>) = self.rows.values().partition(is_new);
+        let start = turn * BY_TURNS % old.len().max(1);
+        let turns = old.iter().cycle().skip(start).take(BY_TURNS.min(old.len()));
+        let told = new.into_iter().take(MOST_NEW).chain(turns.copied());
+        told.map(|s| s.told(now)).collect()
+    }
+
+    /// Gives what an instance is told that was not heard before: all that counts, quarantine first.
+    #[must_use]
+    pub fn all_told(&self, now: Time, most: usize) -> Vec<ToldSuspect> {
+        let mut rows: Vec<&Suspect> = self.rows.values().filter(|s| !s.is_cleared()).collect();
+        rows.sort_by_key(|s| s.quarantined_since().is_none());
+        rows.into_iter().take(most).map(|s| s.told(now)).collect()
+    }
+
+    /// Makes room for one more suspect of an account.
+    fn make_room(&mut self, account: &AccountId) {
+        let of_account = self.rows.values().filter(|s| s.account == *account).count();
+        let own = of_account >= MOST_OF_ACCOUNT;
+        if !own && self.rows.len() < MOST {
+            return;
+        }
+        let rows = self.rows.iter();
+        let rows = rows.filter(|(_, s)| !own || s.account == *account);
+        // What ended least, and that longest ago, is the least loss.
+        let least = rows.min_by_key(|(_, s)| (s.counted().len(), s.changed));
+        if let Some(id) = least.map(|(id, _)| *id) {
+            self.rows.remove(&id);
+        }
+    }
+}
+
+/// A run whose connection ended early, for which its endpoint's end may be to blame, or the other way
+/// round.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BlamedRun {
+    /// Start of the endpoint.
+    pub start: StartId,
+    /// What was asked for.
+    pub content: Arc<Content>,
+    /// Account that sent it.
+    pub account: AccountId,
+    /// Service that it matched.
+    pub service: ServiceId,
+    /// When it was sent.
+    pub sent: Time,
+    /// When it broke.
+    pub broke: Time,
+}
--- a/crates/firdock-policy/tests/policy/suspects.rs
+++ b/crates/firdock-policy/tests/policy/suspects.rs
@@ -9,10 +9,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use firdock_core::resource::{Endpoint, Resource};
+use firdock_core::resource::{Catalog, Endpoint, Resource};
 use firdock_core::{Content, Outcome};
-use firdock_policy::event::{BreakCause, DispatchNews, Found, Look};
+use firdock_policy::event::{BreakCause, DispatchNews, Found, Look, PeerNews};
+use firdock_policy::notice::{Notice, NoticeTold};
+use firdock_policy::suspect::{ToldEnd, ToldSuspect};
 use firdock_policy::{Action, Event, NewRequest, Time};
+use proptest::prelude::*;
 
 use crate::edge::{Edge, edge_settings, request, resources};
 use crate::scene::{dispatched, id, millis};
@@ -193,6 +196,360 @@
     assert_eq!(pool.ended.len(), 3, "{:?}", pool.ended);
 }
 
+/// A request runs on each of several endpoints at once: so many tries of it.
+fn on_board(pool: &mut Pool, tries: std::ops::RangeInclusive<u64>) -> Vec<(u64, (u32, String))> {
+    let tries = tries.map(|n| {
+        let at = pool.arrives(with_body(n, "once", "hot"));
+        (n, at.expect("it is sent"))
+    });
+    tries.collect()
+}
+
+fn is_quarantined(edge: &Edge, body: &str) -> bool {
+    let suspects = &edge.scheduler.tables().suspects;
+    suspects.is_quarantined(content(body).id)
+}
+
+/// Gives how many ends count against a request.
+fn ends_against(edge: &Edge, body: &str) -> usize {
+    let suspect = edge.scheduler.tables().suspects.get(content(body).id);
+    suspect.map_or(0, |s| s.counted().len())
+}
+
+/// Endpoints whose power fails at one moment end together: what ran at many of them is suspected once.
+#[test]
+fn a_rack_that_falls_convicts_nothing_that_ran_there() {
+    let mut pool = Pool::new(8);
+    for round in 0..3 {
+        let first = 10 * round;
+        let tries = on_board(&mut pool, first + 1..=first + 4);
+        let mut starts: Vec<String> = tries.iter().map(|(_, (_, at))| at.clone()).collect();
+        pool.edge.now += RUN;
+        for (n, (dispatch, _)) in &tries {
+            breaks(&mut pool.edge, *n, *dispatch);
+        }
+        starts.sort_unstable();
+        starts.dedup();
+        for start in &starts {
+            found(&mut pool.edge, start, Found::Ended);
+        }
+        assert_eq!(ends_against(&pool.edge, "hot"), 1, "{starts:?}");
+        // The next one is served by what is left, and speaks for it.
+        pool.ended.extend(starts);
+        pool.edge.now += millis(1_000);
+        let (dispatch, _) = pool
+            .arrives(with_body(first + 9, "once", "hot"))
+            .expect("it is sent");
+        pool.edge.tell(first + 9, dispatch, ENDED);
+        assert_eq!(ends_against(&pool.edge, "hot"), 0);
+        // The rack is back.
+        pool = Pool {
+            ended: Vec::new(),
+            ..pool
+        };
+        pool.edge.now += millis(60_000);
+        pool.edge.step(Event::Timer);
+    }
+    assert!(!is_quarantined(&pool.edge, "hot"));
+}
+
+/// Servers that are killed one after the other for another reason, with one request on board of each.
+#[test]
+fn endpoints_killed_for_other_reasons_convict_nothing_that_is_answered_in_between() {
+    let mut pool = Pool::new(8);
+    for n in 1..=6 {
+        assert!(pool.ends_one(with_body(10 * n, "once", "hot")));
+        let (dispatch, _) = pool
+            .arrives(with_body(10 * n + 1, "once", "hot"))
+            .expect("it is sent");
+        pool.edge.tell(10 * n + 1, dispatch, ENDED);
+        assert_eq!(ends_against(&pool.edge, "hot"), 0);
+    }
+}
+
+/// Endpoints of a release say that they leave, or their entries go first, and end with what they run.
+#[test]
+fn a_release_convicts_nothing() {
+    let mut pool = Pool::new(8);
+    for n in 1..=8_u64 {
+        let (dispatch, endpoint) = pool
+            .arrives(with_body(n, "once", "hot"))
+            .expect("it is sent");
+        if n.is_multiple_of(2) {
+            pool.edge.step(Event::Noticed(NoticeTold {
+                endpoint: endpoint.clone(),
+                member: String::new(),
+                notice: Notice {
+                    leaving: true,
+                    backoff: None,
+                },
+                read: pool.edge.now,
+            }));
+        } else {
+            let left: Vec<Resource> = endpoints(8)
+                .into_iter()
+                .filter(|r| !matches!(r, Resource::Endpoint(e) if e.name == endpoint || pool.ended.contains(&e.name)))
+                .collect();
+            let catalog = Catalog::new(1 + n).with_resources(left);
+            pool.edge.step(Event::Config(Arc::new(catalog)));
+        }
+        pool.ends(n, (dispatch, endpoint));
+    }
+    assert_eq!(ends_against(&pool.edge, "hot"), 0);
+}
+
+/// All connections of an instance are reset, or answers are spoilt: the endpoints live.
+#[test]
+fn broken_connections_to_endpoints_that_live_convict_nothing() {
+    let mut edge = before(8);
+    for n in 1..=9 {
+        edge.step(Event::Fresh(edge.now));
+        let sent = dispatched(&edge.arrive(with_body(n, "once", "hot")));
+        edge.now += RUN;
+        if n.is_multiple_of(3) {
+            edge.tell(n, 1, DispatchNews::Breaking(BreakCause::Foreign));
+            edge.tell(n, 1, BROKE);
+            // Another request's look finds it ended a moment later.
+            edge.now += millis(10);
+            found(&mut edge, &sent[0].1, Found::Ended);
+        } else {
+            breaks(&mut edge, n, 1);
+            found(&mut edge, &sent[0].1, Found::Open);
+        }
+        edge.now += millis(40_000);
+    }
+    assert_eq!(ends_against(&edge, "hot"), 0);
+}
+
+/// One request ends three endpoints; each time three others are on board, which come back and are served.
+#[test]
+fn those_on_board_beside_it_are_served_when_they_come_back() {
+    let mut pool = Pool::new(8);
+    let mut n = 100;
+    for _ in 0..3 {
+        let (dispatch, endpoint) = pool
+            .arrives(with_body(n, "once", "deadly"))
+            .expect("it is sent");
+        let first = n;
+        let (mut beside, mut elsewhere) = (Vec::new(), Vec::new());
+        for _ in 0..24 {
+            n += 1;
+            let Some((dispatch, at)) = pool.arrives(with_body(n, "once", &format!("b{n}"))) else {
+                break;
+            };
+            let there = at == endpoint;
+            let list = if there { &mut beside } else { &mut elsewhere };
+            list.push((n, dispatch));
+        }
+        assert!(beside.len() >= 2, "others are on board");
+        for (n, dispatch) in &beside {
+            breaks(&mut pool.edge, *n, *dispatch);
+        }
+        pool.ends(first, (dispatch, endpoint));
+        for (n, dispatch) in elsewhere {
+            pool.edge.tell(n, dispatch, ENDED);
+        }
+        for (of, _) in beside {
+            n += 1;
+            let (dispatch, _) = pool
+                .arrives(with_body(n, "once", &format!("b{of}")))
+                .expect("it is sent at once");
+            pool.edge.tell(n, dispatch, ENDED);
+            assert_eq!(ends_against(&pool.edge, &format!("b{of}")), 0);
+        }
+        n += 1;
+    }
+    assert!(is_quarantined(&pool.edge, "deadly"));
+}
+
+/// In whichever order they become known, a break and an end belong together; and one end is one piece of
+/// evidence, however many tries of a request were on board.
+#[test]
+fn an_end_counts_once_in_whichever_order_it_becomes_known() {
+    let mut edge = before(1);
+    for n in 1..=2 {
+        edge.step(Event::Fresh(edge.now));
+        edge.arrive(with_body(n, "once", "deadly"));
+    }
+    edge.now += RUN;
+    breaks(&mut edge, 1, 1);
+    found(&mut edge, "s0", Found::Ended);
+    breaks(&mut edge, 2, 1);
+    found(&mut edge, "s0", Found::Ended);
+    assert_eq!(ends_against(&edge, "deadly"), 1);
+}
+
+/// Nobody could look, and the endpoint's entry lapses: what broke before broke with it, until it is back.
+#[test]
+fn an_entry_that_goes_tells_of_an_end_and_one_that_comes_back_of_none() {
+    let mut edge = before(2);
+    let sent = dispatched(&edge.arrive(with_body(1, "once", "deadly")));
+    let at = sent[0].1.clone();
+    // Keeps the row, as a word that the endpoint wants nothing does.
+    edge.step(Event::Noticed(NoticeTold {
+        endpoint: at.clone(),
+        member: String::new(),
+        notice: Notice {
+            leaving: false,
+            backoff: Some(millis(60_000)),
+        },
+        read: edge.now,
+    }));
+    edge.now += RUN;
+    breaks(&mut edge, 1, 1);
+    found(&mut edge, &at, Found::Silent);
+    assert_eq!(ends_against(&edge, "deadly"), 0);
+    edge.now += millis(3_600);
+    let mut left = endpoints(2);
+    left.retain(|r| !matches!(r, Resource::Endpoint(e) if e.name == at));
+    edge.step(Event::Config(Arc::new(
+        Catalog::new(2).with_resources(left),
+    )));
+    assert_eq!(ends_against(&edge, "deadly"), 1);
+    edge.now += millis(2_000);
+    let back = Catalog::new(3).with_resources(endpoints(2));
+    edge.step(Event::Config(Arc::new(back)));
+    assert_eq!(ends_against(&edge, "deadly"), 0);
+}
+
+/// A suspect runs once at a time; all else that its account sends goes past it.
+#[test]
+fn tries_of_a_suspect_wait_for_each_other_and_hold_nothing_else_up() {
+    let mut pool = Pool::new(8);
+    pool.ends_one(with_body(1, "once", "deadly"));
+    let running = pool
+        .arrives(with_body(2, "once", "deadly"))
+        .expect("it is sent");
+    assert_eq!(pool.arrives(with_body(3, "once", "deadly")), None);
+    assert!(pool.arrives(with_body(4, "once", "other")).is_some());
+    let actions = pool.edge.tell(2, running.0, ENDED);
+    assert_eq!(dispatched(&actions).len(), 1, "it goes on: {actions:?}");
+    assert_eq!(ends_against(&pool.edge, "deadly"), 0);
+}
+
+fn told_of(body: &str, account: &str, starts: &[(&str, u64)]) -> ToldSuspect {
+    let end = |(start, ago): &(&str, u64)| ToldEnd {
+        start: (*start).to_owned(),
+        sent_ago: millis(ago + 100),
+        ended_ago: millis(*ago),
+        void: false,
+    };
+    ToldSuspect {
+        content: content(body),
+        account: account.to_owned(),
+        service: "once".to_owned(),
+        ends: starts.iter().map(end).collect(),
+    }
+}
+
+fn peer(name: &str, suspects: Vec<ToldSuspect>) -> Event {
+    Event::Peer(PeerNews {
+        name: name.to_owned(),
+        suspects,
+        ..PeerNews::default()
+    })
+}
+
+/// What ended at one instance each counts together at all of them, and a word that comes again changes
+/// nothing, so that words come to rest.
+#[test]
+fn ends_that_others_saw_count_once_and_words_come_to_rest() {
+    let mut edge = before(8);
+    let words = [("x1", 900), ("x2", 600), ("x3", 300)];
+    for (n, word) in words.iter().enumerate() {
+        assert!(!is_quarantined(&edge, "deadly"));
+        let told = told_of("deadly", "free", &[*word]);
+        edge.step(peer(&format!("p{n}"), vec![told]));
+    }
+    assert!(is_quarantined(&edge, "deadly"));
+    let actions = edge.arrive(with_body(1, "once", "deadly"));
+    assert_eq!(
+        answer(&actions, 1).map(|v| v.outcome),
+        Some(Outcome::NotRun)
+    );
+    let before = edge.scheduler.tables().suspects.revision();
+    for delay in [0, 5, 50] {
+        edge.now += millis(delay);
+        let told = told_of("deadly", "free", &words);
+        let actions = edge.step(peer("p9", vec![told]));
+        assert_eq!(actions, Vec::new());
+    }
+    assert_eq!(edge.scheduler.tables().suspects.revision(), before);
+}
+
+/// An operator's word lets a request go, also where others tell of what ended before only later.
+#[test]
+fn what_an_operator_lets_go_is_sent_until_it_ends_three_more() {
+    let mut pool = Pool::new(8);
+    for n in 1..=3 {
+        pool.ends_one(with_body(n, "once", "deadly"));
+    }
+    let id = content("deadly").id;
+    let words = pool.edge.scheduler.tables().suspects.told(pool.edge.now, 0);
+    pool.edge.step(Event::Released(id, pool.edge.now));
+    assert!(!is_quarantined(&pool.edge, "deadly"));
+    pool.edge.step(peer("late", words));
+    assert!(!is_quarantined(&pool.edge, "deadly"));
+    let mut sent = 0;
+    for n in 4..=10 {
+        pool.edge.now += millis(10);
+        sent += usize::from(pool.ends_one(with_body(n, "once", "deadly")));
+    }
+    assert_eq!(sent, 3);
+}
+
+/// Whatever one account sends pushes out its own suspects alone, and what is in quarantine goes last.
+#[test]
+fn suspects_are_bounded_by_account() {
+    let mut edge = before(8);
+    let words = [("x1", 900), ("x2", 600), ("x3", 300)];
+    let own = told_of("own", "limited", &words);
+    let worst = told_of("worst", "free", &words);
+    edge.step(peer("p", vec![own, worst]));
+    for n in 0..2_000 {
+        edge.now += millis(1);
+        let told = told_of(&format!("b{n}"), "free", &[("x4", 10)]);
+        edge.step(peer("p", vec![told]));
+    }
+    assert!(is_quarantined(&edge, "own"));
+    assert!(is_quarantined(&edge, "worst"));
+    let kept = edge.scheduler.tables().suspects.iter().count();
+    assert!(kept <= 130, "{kept}");
+}
+
+proptest! {
+    /// Instances that hear the same words agree, whatever the order.
+    #[test]
+    fn words_in_any_order_lead_to_the_same(
+        ends in prop::collection::vec((0..6_u8, 0..2_000_u64, prop::bool::ANY), 1..12),
+        order in any::<prop::sample::Index>(),
+    ) {
+        let words: Vec<ToldSuspect> = ends
+            .iter()
+            .map(|(start, ago, void)| {
+                let name = format!("x{start}");
+                let mut told = told_of("deadly", "free", &[(name.as_str(), *ago)]);
+                told.ends[0].void = *void;
+                told
+            })
+            .collect();
+        let mut turned = words.clone();
+        turned.rotate_left(order.index(words.len()));
+        let mut heard = Vec::new();
+        for words in [words, turned] {
+            let mut edge = before(1);
+            // A word that is void from the first is no suspicion, and is not kept.
+            let first = told_of("deadly", "free", &[("x", 5_000)]);
+            edge.step(peer("p", vec![first]));
+            for word in words {
+                edge.step(peer("p", vec![word]));
+            }
+            heard.push(ends_against(&edge, "deadly"));
+        }
+        prop_assert_eq!(heard[0], heard[1]);
+    }
+}
+
 /// What callers had of a day.
 #[derive(Debug, Default)]
 struct Day {
@@ -240,7 +597,7 @@
                     ..Endpoint::default()
                 })
             }));
-            let catalog = firdock_core::resource::Catalog::new(version).with_resources(all);
+            let catalog = Catalog::new(version).with_resources(all);
             queue.extend(edge.step(Event::Config(Arc::new(catalog))));
         }
         if edge.now <= began + millis(20_000) {
--- a/crates/firdock-policy/tests/policy/world/message.rs
+++ b/crates/firdock-policy/tests/policy/world/message.rs
@@ -270,6 +270,7 @@
             Action::Cancel { .. }
             | Action::Decline(_)
             | Action::Forget { .. }
+            | Action::Quarantine(_)
             | Action::Record(_)
             | Action::Look { .. }
             | Action::Drained => {}
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -94,6 +94,39 @@
     /// Next offset of the log that it will fold.
     #[prost(uint64, tag = "7")]
     pub log_next: u64,
+    /// Requests under which endpoints ended, as far as they are new or it is their turn.
+    #[prost(message, repeated, tag = "8")]
+    pub suspects: ::prost::alloc::vec::Vec<Suspect>,
+}
+/// A request under which endpoints ended (docs/design/suspects.md).
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Suspect {
+    /// 16 bytes: hash of account, method, target and body.
+    #[prost(bytes = "vec", tag = "1")]
+    pub content: ::prost::alloc::vec::Vec<u8>,
+    /// Method and path, without the query.
+    #[prost(string, tag = "2")]
+    pub path: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub account: ::prost::alloc::string::String,
+    #[prost(string, tag = "4")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "5")]
+    pub ends: ::prost::alloc::vec::Vec<SuspectEnd>,
+}
+/// One end of an endpoint with a request on board; times are ages in milliseconds.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SuspectEnd {
+    /// Start of the endpoint.
+    #[prost(string, tag = "1")]
+    pub start: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub sent_ago: u64,
+    #[prost(uint64, tag = "3")]
+    pub ended_ago: u64,
+    /// Whether it counts no more.
+    #[prost(bool, tag = "4")]
+    pub void: bool,
 }
 /// One datagram between instances that know each other by address alone.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -625,6 +658,9 @@
     /// Starts of endpoints that it must not go to.
     #[prost(string, repeated, tag = "10")]
     pub avoid: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// 16 bytes: hash of what it asks for, of one under which an endpoint ended; empty for all others.
+    #[prost(bytes = "vec", tag = "12")]
+    pub content: ::prost::alloc::vec::Vec<u8>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PlacementRun {
