Mend: an address that takes connections again says nothing of an earlier end, and a look nothing of a later break

A server was back on its address before its entry told of another start; a look at the earlier start found it open, and made void what was held against the request, by its word at all instances.

Why it holds: an open address only clears what broke before the look began, and waits for it; ends that were seen stand until a whole answer or an operator. One look at a time for an endpoint, once more if something broke after it began.

--- a/crates/firdock-node/src/driver/look.rs
+++ b/crates/firdock-node/src/driver/look.rs
@@ -24,6 +24,8 @@
     pub(super) fn look(&self, endpoint: &EndpointId, start: StartId) {
         let Some(place) = self.parts.site.view().place(endpoint) else {
             // The list has lost it, which is told by itself.
+            let found = Found::Silent;
+            self.send(Event::Looked(Look { start, found }));
             return;
         };
         let (inputs, limit) = (self.parts.inputs.clone(), self.parts.limits.connect);
--- a/crates/firdock-policy/src/system/config.rs
+++ b/crates/firdock-policy/src/system/config.rs
@@ -50,14 +50,9 @@
             .endpoints
             .find_or_add(&declared.name, || EndpointRow::new(declared.clone()));
         let row = t.endpoints.get_mut(at);
-        // All are taken for absent above, from now on; only what was before is back.
-        let is_back = row.absent_since.is_some_and(|since| since < now);
         row.present = true;
         row.absent_since = None;
         row.declared = declared.clone();
-        if is_back {
-            suspect::entry_back(t, now, at);
-        }
     }
     suspect::entries_gone(t, now, out);
 }
--- a/crates/firdock-policy/src/system/look.rs
+++ b/crates/firdock-policy/src/system/look.rs
@@ -1,28 +1,30 @@
 //! Looks at endpoints whose connections ended early: one that has ended is told apart from one that
 //! lives and broke off an answer.
 
-use std::time::Duration;
-
 use super::{health, suspect};
 use crate::action::Action;
 use crate::event::{Found, Look};
 use crate::table::Tables;
+use crate::table::endpoint::LookState;
 use crate::time::Time;
 
-/// Shortest time between two looks at one endpoint: what runs there breaks in the same moment when it
-/// ends, and one look tells of all of that.
-const LOOK_PAUSE: Duration = Duration::from_millis(50);
-
-/// Has it looked whether an endpoint is still there, unless that was done a moment ago.
+/// Has it looked whether an endpoint is still there; one look at a time is made, and once more if
+/// something broke after it began.
 ///
 /// A coordinator has no connections, so that its members look.
 pub fn ask(t: &mut Tables, now: Time, at: usize, out: &mut Vec<Action>) {
+    if t.settings.coordinates {
+        return;
+    }
     let e = t.endpoints.get_mut(at);
-    let recent = e.looked.is_some_and(|looked| looked + LOOK_PAUSE > now);
-    if recent || t.settings.coordinates {
+    if let Some(look) = &mut e.look {
+        look.again = true;
         return;
     }
-    e.looked = Some(now);
+    e.look = Some(LookState {
+        began: now,
+        again: false,
+    });
     out.push(Action::Look {
         endpoint: e.declared.name.clone(),
         start: e.start_id.clone(),
@@ -32,18 +34,23 @@
 /// Takes what a look found.
 pub fn take(t: &mut Tables, now: Time, look: &Look, out: &mut Vec<Action>) {
     *t.stats.looks.entry(look.found).or_default() += 1;
-    match look.found {
-        Found::Open => suspect::endpoint_alive(t, now, &look.start),
-        Found::Ended => ended(t, now, look, out),
-        Found::Silent => {}
-    }
-}
-
-/// Takes it that an endpoint has ended: it gets nothing for a while, and what broke there was on board.
-fn ended(t: &mut Tables, now: Time, look: &Look, out: &mut Vec<Action>) {
     let at = t.endpoints.find_start(&look.start);
-    if let Some(at) = at.filter(|at| t.endpoints.get(*at).is_well()) {
-        health::eject(t, now, at);
+    let state = at.and_then(|at| t.endpoints.get_mut(at).look.take());
+    if look.found == Found::Ended {
+        // It gets nothing for a while, and what broke there was on board.
+        if let Some(at) = at.filter(|at| t.endpoints.get(*at).is_well()) {
+            health::eject(t, now, at);
+        }
+        suspect::endpoint_ended(t, now, &look.start, out);
+        return;
+    }
+    let Some((at, state)) = at.zip(state) else {
+        return;
+    };
+    if look.found == Found::Open {
+        suspect::endpoint_open(t, &look.start, state.began);
+    }
+    if state.again {
+        ask(t, now, at, out);
     }
-    suspect::endpoint_ended(t, now, &look.start, out);
 }
--- a/crates/firdock-policy/src/system/suspect.rs
+++ b/crates/firdock-policy/src/system/suspect.rs
@@ -152,19 +152,10 @@
     }
 }
 
-/// Takes it that an entry is back, which lapses while the platform's store is away, and comes back if the
-/// endpoint lives.
-pub fn entry_back(t: &mut Tables, now: Time, at: usize) {
-    let start = t.endpoints.get(at).start_id.clone();
-    if !t.ends.has_ended(&start) {
-        endpoint_alive(t, now, &start);
-    }
-}
-
-/// Takes it that an endpoint lives after all.
-pub fn endpoint_alive(t: &mut Tables, now: Time, start: &StartId) {
-    t.ends.note_alive(start);
-    t.suspects.note_alive(now, start);
+/// Takes it that an endpoint's address takes connections: what broke there until the look began broke for
+/// another reason. Ends that were seen stand: the address may be another start's by now.
+pub fn endpoint_open(t: &mut Tables, start: &StartId, began: Time) {
+    t.ends.drop_runs(start, began);
 }
 
 /// Takes it that a request was answered whole: the endpoint that ran it lives, so that what was held
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -73,6 +73,15 @@
     Probing,
 }
 
+/// A look at an endpoint that is under way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LookState {
+    /// When it began.
+    pub began: Time,
+    /// Whether something broke there since, of which it says nothing.
+    pub again: bool,
+}
+
 /// Load that an endpoint reported.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Reported {
@@ -114,8 +123,8 @@
     pub failures: u32,
     /// Dispatches that broke in a row.
     pub broken: u32,
-    /// When it was last looked whether it is still there.
-    pub looked: Option<Time>,
+    /// Whether it is being looked whether it is still there.
+    pub look: Option<LookState>,
     /// Missed reports in a row.
     pub missed: u32,
     /// Requests of this instance dispatched and not ended.
@@ -173,7 +182,7 @@
             health: Health::Well,
             failures: 0,
             broken: 0,
-            looked: None,
+            look: None,
             missed: 0,
             running: 0,
             backlog: 0.0,
--- a/crates/firdock-policy/src/table/ends.rs
+++ b/crates/firdock-policy/src/table/ends.rs
@@ -56,10 +56,9 @@
         there
     }
 
-    /// Takes it that an endpoint lives, so that what broke there broke for another reason.
-    pub fn note_alive(&mut self, start: &StartId) {
-        self.ended.remove(start);
-        self.runs.retain(|r| r.start != *start);
+    /// Drops the runs that broke at an endpoint up to a time.
+    pub fn drop_runs(&mut self, start: &StartId, until: Time) {
+        self.runs.retain(|r| r.start != *start || r.broke > until);
     }
 
     /// Tells whether any run waits for news of its endpoint.
@@ -68,12 +67,6 @@
         !self.runs.is_empty()
     }
 
-    /// Tells whether an endpoint's end is known of.
-    #[must_use]
-    pub fn has_ended(&self, start: &StartId) -> bool {
-        self.ended.contains_key(start)
-    }
-
     fn sweep(&mut self, now: Time) {
         let recent = |at: Time| at + TOGETHER > now;
         self.runs.retain(|r| recent(r.broke));
--- a/crates/firdock-policy/src/table/suspects.rs
+++ b/crates/firdock-policy/src/table/suspects.rs
@@ -293,20 +293,6 @@
         changed
     }
 
-    /// Takes it that a start of an endpoint lives: nothing ended with it.
-    pub fn note_alive(&mut self, now: Time, start: &StartId) {
-        for row in self.rows.values_mut() {
-            let counting = row.ends.iter_mut().find(|e| e.start == *start && !e.void);
-            if let Some(end) = counting {
-                end.void = true;
-                row.changed = now;
-                row.seen = Some(now);
-                self.revision.own += 1;
-                self.revision.all += 1;
-            }
-        }
-    }
-
     /// Forgets what was kept long enough; what is in quarantine stays until an operator lets it go.
     pub fn sweep(&mut self, now: Time) {
         self.rows.retain(|_, s| {
