--- a/crates/firdock-node/src/instance.rs
+++ b/crates/firdock-node/src/instance.rs
@@ -131,7 +131,7 @@
             door.clone().handle(r)
         });
         let door = tokio::spawn(door);
-        let operators = parts.operators(operators_stop)?;
+        let operators = parts.operators(inputs.clone(), operators_stop)?;
         info!(self.log, "started"; "callers" => callers.to_string(),
             "operators" => operators.to_string(), "peers" => peers.to_string());
         Ok(Running {
--- a/crates/firdock-node/src/instance/parts.rs
+++ b/crates/firdock-node/src/instance/parts.rs
@@ -179,7 +179,11 @@
     }
 
     /// Serves the resource API; gives its address.
-    pub fn operators(&self, stop: watch::Receiver<bool>) -> Result<SocketAddr, StartError> {
+    pub fn operators(
+        &self,
+        inputs: mpsc::Sender<Input>,
+        stop: watch::Receiver<bool>,
+    ) -> Result<SocketAddr, StartError> {
         let field = "instance.operators";
         let address = self
             .settings
@@ -195,6 +199,7 @@
             instance: self.settings.instance.name.clone(),
             zone: self.settings.instance.zone.clone(),
             watchers: Watchers::default(),
+            inputs,
         };
         serve_operators(address, server, stop).context(ListenSnafu { address })
     }
--- a/crates/firdock-node/src/operator/api.rs
+++ b/crates/firdock-node/src/operator/api.rs
@@ -5,13 +5,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use firdock_core::Findings;
 use firdock_core::resource::{Kind, ResourceKey, parse_object};
+use firdock_core::{ContentId, Findings};
+use firdock_policy::Event;
 use firdock_state::{Change, Entry, State};
 use hyper::Request;
 use hyper::body::Incoming;
+use serde_json::json;
 use slog::{Logger, info};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_blocking;
 
 use super::call::Call;
@@ -22,6 +24,7 @@
 use crate::clock::Clock;
 use crate::config::{Hub, write};
 use crate::http::{ServerOptions, listen, serve};
+use crate::input::Input;
 use crate::platform::LogClient;
 use crate::telemetry::Metrics;
 
@@ -53,6 +56,8 @@
     pub zone: String,
     /// Count of watchers.
     pub watchers: Watchers,
+    /// Way to the scheduler.
+    pub inputs: mpsc::Sender<Input>,
 }
 
 /// Starts serving on the present runtime until `stop` turns true; gives the address.
@@ -109,6 +114,8 @@
             ("GET", ["metrics"]) => self.metrics(),
             ("GET", ["v1", "status"]) => reply::ok(&self.status()),
             ("GET", ["v1", "endpoints"]) => reply::ok(&*self.metrics.endpoints().get()),
+            ("GET", ["v1", "suspects"]) => reply::ok(&*self.metrics.suspects().get()),
+            ("POST", ["v1", "suspects", content, "release"]) => self.release(content),
             ("GET", ["v1", "watch"]) => self.watch(call),
             ("POST", ["v1", "apply"]) => match call.text() {
                 Ok(text) => apply::apply(&self.log_client, &self.hub, text),
@@ -176,6 +183,23 @@
             .answer(&self.hub, after, Duration::from_secs(wait))
     }
 
+    /// Lets a request go from quarantine, here and by this instance's word everywhere.
+    fn release(&self, content: &str) -> Response {
+        let id: ContentId = match content.parse() {
+            Ok(id) => id,
+            Err(e) => return reply::error(422, "bad-input", &format!("{content}: {e}")),
+        };
+        if !self.metrics.suspects().get().contains_key(&id) {
+            let detail = format!("no endpoint is known to have ended under {id}");
+            return reply::error(404, "not-found", &detail);
+        }
+        let event = Event::Released(id, self.clock.now());
+        match self.inputs.blocking_send(Input::Event(event)) {
+            Ok(()) => reply::ok(&json!({ "released": id })),
+            Err(_stopped) => reply::error(503, "stopping", "the instance is stopping"),
+        }
+    }
+
     fn get(&self, key: &ResourceKey) -> Response {
         match self.state().entries.get(key) {
             Some(entry) => reply::ok(entry),
--- a/crates/firdock-node/src/telemetry.rs
+++ b/crates/firdock-node/src/telemetry.rs
@@ -22,5 +22,5 @@
 pub use metrics::Metrics;
 pub use rollouts::RolloutSteps;
 pub use shares::ShareLines;
-pub use suspects::{SuspectLines, SuspectList};
+pub use suspects::{SuspectLines, SuspectList, SuspectStates};
 pub use trace::{Span, TraceContext};
--- a/crates/firdock-node/src/telemetry/suspects.rs
+++ b/crates/firdock-node/src/telemetry/suspects.rs
@@ -8,7 +8,7 @@
 use firdock_policy::suspect::ToldSuspect;
 use firdock_policy::table::Tables;
 use firdock_policy::table::suspects::{Revision, Suspect};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use slog::{Logger, info, warn};
 
 use super::Metrics;
@@ -16,7 +16,7 @@
 use crate::clock::millis;
 
 /// One end of an endpoint, as operators see it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndState {
     /// Start of the endpoint.
     pub endpoint: StartId,
@@ -25,7 +25,7 @@
 }
 
 /// A request under which endpoints ended, as operators see it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectState {
     /// Account that sends it.
     pub account: AccountId,
@@ -33,7 +33,7 @@
     pub service: ServiceId,
     /// Method and path.
     pub path: Arc<str>,
-    /// Whether nothing of it is sent: until an operator lets it go.
+    /// Whether nothing of it is sent, until an operator lets it go.
     pub quarantined: bool,
     /// The ends that count.
     pub ends: Vec<EndState>,
--- a/crates/firdock-policy/src/system/suspect.rs
+++ b/crates/firdock-policy/src/system/suspect.rs
@@ -2,6 +2,7 @@
 //! (`docs/design/suspects.md`).
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use firdock_core::{ContentId, Outcome, Reason, RequestId, StartId};
 
@@ -15,6 +16,9 @@
 use crate::table::suspects::BlamedRun;
 use crate::time::Time;
 
+/// Time within which a run hears that a later start has taken its endpoint's place.
+const JUST_NOW: Duration = Duration::from_secs(1);
+
 /// Whether a request may be sent now, by what is known of its content.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Gate {
@@ -101,10 +105,11 @@
         // It said before that it would end.
         return;
     }
+    // One whose entry went before left in order; a later start takes the place of a listed one at once.
+    let was_listed = e.present || e.absent_since.is_some_and(|gone| gone + JUST_NOW > now);
     let ended = match cause {
         BreakCause::Closed if e.present => t.ends.take_run(now, &run),
-        BreakCause::Restarted => Some(now),
-        // One whose entry went first left in order.
+        BreakCause::Restarted if was_listed => Some(now),
         _ => None,
     };
     if let Some(at) = ended {
--- a/crates/firdock-policy/src/table/suspects.rs
+++ b/crates/firdock-policy/src/table/suspects.rs
@@ -297,7 +297,7 @@
     pub fn sweep(&mut self, now: Time) {
         self.rows.retain(|_, s| {
             let keep = if s.is_cleared() { KEEP_CLEARED } else { KEEP };
-            s.quarantined_since().is_some() || s.changed + keep > now
+            s.changed + keep > now || s.quarantined_since().is_some()
         });
     }
 
--- a/crates/firdock-policy/tests/policy/suspects.rs
+++ b/crates/firdock-policy/tests/policy/suspects.rs
@@ -440,6 +440,51 @@
     assert_eq!(ends_against(&edge, "b3"), 1);
 }
 
+/// Endpoints before a catalog in which `s0` started at a second, or is not listed.
+fn with_start(second: Option<u64>) -> Vec<Resource> {
+    let mut all = endpoints(1);
+    all.retain(|r| !matches!(r, Resource::Endpoint(_)));
+    all.extend(second.map(|second| {
+        Resource::Endpoint(Endpoint {
+            name: "s0".to_owned(),
+            pool: "pool".to_owned(),
+            slots: 4,
+            started: Some(Duration::from_secs(second)),
+            ..Endpoint::default()
+        })
+    }));
+    all
+}
+
+/// A later start tells of the end of an earlier one that was still listed, and of none that left before.
+#[test]
+fn a_later_start_under_the_name_tells_of_an_end_unless_the_entry_went_before() {
+    for (removed, ends) in [(false, 1), (true, 0)] {
+        let mut edge = Edge::new(edge_settings("a"), with_start(Some(8)));
+        edge.arrive(with_body(1, "once", "deadly"));
+        edge.now += RUN;
+        let mut version = 2;
+        let mut apply = |edge: &mut Edge, start: Option<u64>| {
+            let catalog = Catalog::new(version).with_resources(with_start(start));
+            version += 1;
+            edge.step(Event::Config(Arc::new(catalog)))
+        };
+        if removed {
+            apply(&mut edge, None);
+            edge.now += millis(3_000);
+        }
+        let actions = apply(&mut edge, Some(9));
+        let given_up = Action::GiveUpDispatch {
+            id: id(1),
+            dispatch: 1,
+        };
+        assert!(actions.contains(&given_up));
+        edge.tell(1, 1, DispatchNews::Breaking(BreakCause::Restarted));
+        edge.tell(1, 1, BROKE);
+        assert_eq!(ends_against(&edge, "deadly"), ends, "removed: {removed}");
+    }
+}
+
 /// The entry of an endpoint that ended lapses seconds later, and configurations come meanwhile that still
 /// list it: each made what was heard of its end void, everywhere, so that 14 ended where three should.
 #[test]
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -6,8 +6,10 @@
 mod error;
 pub mod explain;
 pub mod get;
+pub mod release;
 pub mod serve;
 pub mod status;
+pub mod suspects;
 pub mod watch;
 
 use clap::{Arg, ArgAction, ArgMatches, Command};
@@ -48,6 +50,8 @@
         .subcommand(delete::make_subcommand())
         .subcommand(watch::make_subcommand())
         .subcommand(status::make_subcommand())
+        .subcommand(suspects::make_subcommand())
+        .subcommand(release::make_subcommand())
         .subcommand(check::make_subcommand())
         .subcommand(explain::make_subcommand())
 }
@@ -64,6 +68,8 @@
         Some(("delete", args)) => delete::execute(args),
         Some(("watch", args)) => watch::execute(args),
         Some(("status", args)) => status::execute(args),
+        Some(("suspects", args)) => suspects::execute(args),
+        Some(("release", args)) => release::execute(args),
         Some(("check", args)) => check::execute(args),
         Some(("explain", args)) => explain::execute(args),
         _ => unreachable!("the argument parser knows the subcommands"),
--- /dev/null
+++ b/src/cmd/suspects.rs
@@ -0,0 +1,47 @@
+//! `firdock suspects`: prints requests under which endpoints ended.
+
+use clap::{ArgMatches, Command};
+use firdock_node::telemetry::SuspectStates;
+use snafu::ResultExt as _;
+
+use super::{AnswerSnafu, CmdError};
+use crate::api::Api;
+
+/// Makes the subcommand.
+#[must_use]
+pub fn make_subcommand() -> Command {
+    Command::new("suspects")
+        .about("Print requests under which endpoints ended, and which of them are not sent any more")
+        .long_about(
+            "Prints requests under which endpoints ended, by the hash of what they ask for, with the \
+             ends that count. Those in quarantine are not sent until `firdock release` lets them go. \
+             See docs/design/suspects.md.",
+        )
+}
+
+/// Runs the subcommand.
+///
+/// # Errors
+///
+/// Fails if the instance does not answer.
+pub fn execute(args: &ArgMatches) -> Result<(), CmdError> {
+    let url = "/v1/suspects";
+    let answer = Api::new(args).get(url)?;
+    if args.get_flag("json") {
+        println!("{answer}");
+        return Ok(());
+    }
+    let states = serde_json::from_value::<SuspectStates>(answer).context(AnswerSnafu { url })?;
+    for (content, s) in &states {
+        let state = if s.quarantined {
+            "in quarantine"
+        } else {
+            "suspected"
+        };
+        println!("{content} {state}, {} {} {}", s.account, s.service, s.path);
+        for end in &s.ends {
+            println!("  {} ended {} ms ago", end.endpoint, end.age_millis);
+        }
+    }
+    Ok(())
+}
--- a/src/story.rs
+++ b/src/story.rs
@@ -11,6 +11,9 @@
 /// Seconds before the first line of a request in which beliefs about its endpoints belong to it.
 const BEFORE_SECS: f64 = 10.0;
 
+/// Lines on a request that came into quarantine, or out of it.
+const QUARANTINE: [&str; 2] = ["request quarantined", "request out of quarantine"];
+
 /// One line of a log.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Line {
@@ -100,11 +103,18 @@
         .flat_map(|l| endpoints_of(l))
         .map(|name| format!("endpoint {name}"))
         .collect();
+    let contents: BTreeSet<&str> = named.iter().map(|l| l.text("content")).collect();
+    // Whoever saw it, and however long before: it holds until an operator lets the request go.
+    let quarantine = lines.iter().filter(|l| {
+        let told = QUARANTINE.contains(&l.text("msg"));
+        told && l.second() <= last + 1.0 && contents.contains(l.text("content"))
+    });
     let around = lines.iter().filter(|l| {
         let near = (first - BEFORE_SECS..=last + 1.0).contains(&l.second());
         near && instances.contains(l.text("instance")) && is_background(l, &endpoints)
     });
     story.extend(around);
+    story.extend(quarantine);
     story.sort_by(|a, b| a.second().total_cmp(&b.second()));
     story.into_iter().cloned().collect()
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,5 +7,6 @@
 mod helper;
 mod limits;
 mod planned_stop;
+mod suspects;
 mod whole_answer;
 mod whole_path;
