--- a/crates/firdock-policy/src/suspect.rs
+++ b/crates/firdock-policy/src/suspect.rs
@@ -1,4 +1,5 @@
-//! What instances tell each other of requests under which endpoints ended (`docs/design/suspects.md`).
+//! Requests under which endpoints end: the runs that broke, and what instances tell each other of them
+//! (`docs/design/suspects.md`).
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -6,6 +7,8 @@
 use firdock_core::{AccountId, Content, ServiceId, StartId};
 use serde::{Deserialize, Serialize};
 
+use crate::time::Time;
+
 /// One end of an endpoint with a request on board, as one instance tells another.
 ///
 /// Times are told as ages, since each instance has a clock of its own.
@@ -33,3 +36,20 @@
     /// The ends that are known.
     pub ends: Vec<ToldEnd>,
 }
+
+/// A run whose connection ended early: its endpoint may have ended, and under it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BlamedRun {
+    /// Start of the endpoint.
+    pub start: StartId,
+    /// What was asked for.
+    pub content: Arc<Content>,
+    /// Account that sent it.
+    pub account: AccountId,
+    /// Service that it matched.
+    pub service: ServiceId,
+    /// When it was sent.
+    pub sent: Time,
+    /// When it broke.
+    pub broke: Time,
+}
--- a/crates/firdock-policy/src/system/suspect.rs
+++ b/crates/firdock-policy/src/system/suspect.rs
@@ -10,10 +10,9 @@
 use crate::action::Action;
 use crate::event::BreakCause;
 use crate::request::{Phase, RequestRow, Verdict};
-use crate::suspect::ToldSuspect;
+use crate::suspect::{BlamedRun, ToldSuspect};
 use crate::table::Tables;
 use crate::table::endpoint::EndpointRow;
-use crate::table::suspects::BlamedRun;
 use crate::time::Time;
 
 /// Time within which a run hears that a later start has taken its endpoint's place.
@@ -32,9 +31,9 @@
 
 /// Decides whether a request may be sent, whoever would send it for whatever reason.
 ///
-/// A request came again ten times a second and ended each server that ran it, nine others with it: of
-/// 800 other requests in 20 s of virtual time 14 were served. Nothing of it is sent any more once three
-/// ended one after the other; before that one try runs at a time, so that it costs no more than these.
+/// A request that ends its endpoints comes again under other ids, at any instance, and takes with each
+/// endpoint all that runs there beside it. Nothing of it is sent any more once three ended one after the
+/// other; before that one try runs at a time, so that it costs no more than these.
 pub fn gate(t: &Tables, row: &RequestRow) -> Gate {
     let suspect = row.content_id().and_then(|id| t.suspects.get(id));
     let Some(suspect) = suspect else {
@@ -81,16 +80,11 @@
         return;
     };
     let outcome = row.outcome_unanswered();
-    end::answer(
-        t,
-        now,
-        id,
-        Verdict {
-            outcome,
-            ..verdict()
-        },
-        out,
-    );
+    let told = Verdict {
+        outcome,
+        ..verdict()
+    };
+    end::answer(t, now, id, told, out);
 }
 
 /// Takes a run that broke, while its row is still there: where its connection ended early, the
@@ -192,7 +186,7 @@
 }
 
 /// Does what follows where a request came into quarantine: what is on its way and not written yet is
-/// given back, and what waits is refused.
+/// given back, and what waits is refused. What runs goes on, and speaks for it if it is answered.
 fn act(t: &mut Tables, now: Time, content: ContentId, out: &mut Vec<Action>) {
     // Members of a coordinator end their requests themselves.
     if t.settings.coordinates || !t.suspects.is_quarantined(content) {
--- a/crates/firdock-policy/src/table/ends.rs
+++ b/crates/firdock-policy/src/table/ends.rs
@@ -6,7 +6,7 @@
 
 use firdock_core::StartId;
 
-use super::suspects::BlamedRun;
+use crate::suspect::BlamedRun;
 use crate::time::Time;
 
 /// Time between a run that breaks and the news that its endpoint has ended: an entry lapses after some
--- a/crates/firdock-policy/src/table/suspects.rs
+++ b/crates/firdock-policy/src/table/suspects.rs
@@ -10,7 +10,7 @@
 
 use firdock_core::{AccountId, Content, ContentId, ServiceId, StartId};
 
-use crate::suspect::{ToldEnd, ToldSuspect};
+use crate::suspect::{BlamedRun, ToldEnd, ToldSuspect};
 use crate::time::Time;
 
 /// Ends that put a request into quarantine. One or two may be chance: a server that ends for another
@@ -352,21 +352,3 @@
     suspects.truncate(MOST_NEW);
     suspects
 }
-
-/// A run whose connection ended early, for which its endpoint's end may be to blame, or the other way
-/// round.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct BlamedRun {
-    /// Start of the endpoint.
-    pub start: StartId,
-    /// What was asked for.
-    pub content: Arc<Content>,
-    /// Account that sent it.
-    pub account: AccountId,
-    /// Service that it matched.
-    pub service: ServiceId,
-    /// When it was sent.
-    pub sent: Time,
-    /// When it broke.
-    pub broke: Time,
-}
