Mend: words on suspects never fill a datagram

Seen by a test of the largest words: 900 suspects of 16 ends made a heartbeat of 129 KB, which no datagram carries, so that it would not be sent at all and its instance pass for silent.

--- a/crates/firdock-node/src/peer/heartbeat.rs
+++ b/crates/firdock-node/src/peer/heartbeat.rs
@@ -105,7 +105,7 @@
 
     /// Gives the same with the requests under which endpoints ended that others saw, which leads tell on.
     #[must_use]
-    pub(super) fn as_lead(&self) -> Self {
+    pub fn as_lead(&self) -> Self {
         let heard = self.heard_suspects.iter();
         let mut told = self.clone();
         told.suspects.extend(heard.cloned());
@@ -114,7 +114,7 @@
 
     /// Gives the same with all requests under which endpoints ended, for who was not heard before.
     #[must_use]
-    pub(super) fn in_full(&self) -> Self {
+    pub fn in_full(&self) -> Self {
         Self {
             suspects: self.all_suspects.clone(),
             ..self.clone()
--- a/crates/firdock-node/src/peer/suspects.rs
+++ b/crates/firdock-node/src/peer/suspects.rs
@@ -6,25 +6,40 @@
 use firdock_core::{Content, ContentId};
 use firdock_policy::suspect::{ToldEnd, ToldSuspect};
 use firdock_wire::message;
+use prost::Message as _;
 
 use crate::clock::millis;
 
 /// Suspects told of in one heartbeat, of which each takes some 200 bytes.
 pub const MAX_SUSPECTS: usize = 128;
+/// Bytes that they take in all: a heartbeat that is too long for a datagram is not sent at all, and its
+/// instance would pass for silent.
+const MAX_BYTES: usize = 20 << 10;
 /// Ends of one suspect that are taken.
 const MAX_ENDS: usize = 16;
 
-/// Writes suspects whose ages were taken so long ago.
+/// Writes suspects whose ages were taken so long ago, as many as have room.
 pub fn write_suspects(told: &[ToldSuspect], age: Duration) -> Vec<message::Suspect> {
+    let mut room = MAX_BYTES;
     let told = told.iter().take(MAX_SUSPECTS);
-    told.map(|s| message::Suspect {
-        content: s.content.id.as_bytes().to_vec(),
-        path: s.content.path.to_string(),
-        account: s.account.clone(),
-        service: s.service.clone(),
-        ends: s.ends.iter().map(|e| write_end(e, age)).collect(),
-    })
-    .collect()
+    let written = told.map(|s| write_suspect(s, age));
+    written
+        .take_while(|suspect| {
+            let fits = suspect.encoded_len() <= room;
+            room = room.saturating_sub(suspect.encoded_len());
+            fits
+        })
+        .collect()
+}
+
+fn write_suspect(told: &ToldSuspect, age: Duration) -> message::Suspect {
+    message::Suspect {
+        content: told.content.id.as_bytes().to_vec(),
+        path: told.content.path.to_string(),
+        account: told.account.clone(),
+        service: told.service.clone(),
+        ends: told.ends.iter().map(|e| write_end(e, age)).collect(),
+    }
 }
 
 /// Reads suspects; those without an identity are left out.
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -9,6 +9,7 @@
 mod sharing;
 mod silence;
 mod starts;
+mod suspects;
 
 use bytes::Bytes;
 use firdock_core::resource::{Resource, Tier};
