--- /dev/null
+++ b/crates/firdock-policy/tests/policy/suspects/evidence.rs
@@ -0,0 +1,315 @@
+//! What counts as an end of an endpoint, and against which requests: the innocent above all.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use firdock_core::resource::{Catalog, Endpoint, Resource};
+use firdock_policy::event::{BreakCause, DispatchNews, Found};
+use firdock_policy::notice::{Notice, NoticeTold};
+use firdock_policy::{Action, Event};
+
+use super::words::{peer, told_of};
+use super::{
+    BROKE, ENDED, Pool, RUN, before, breaks, endpoints, ends_against, found, is_quarantined,
+    with_body,
+};
+use crate::edge::{Edge, edge_settings};
+use crate::scene::{dispatched, id, millis};
+
+/// A request runs on each of several endpoints at once: so many tries of it.
+fn on_board(pool: &mut Pool, tries: std::ops::RangeInclusive<u64>) -> Vec<(u64, (u32, String))> {
+    let tries = tries.map(|n| {
+        let at = pool.arrives(with_body(n, "once", "hot"));
+        (n, at.expect("it is sent"))
+    });
+    tries.collect()
+}
+
+/// Endpoints whose power fails at one moment end together: what ran at many of them is suspected once.
+#[test]
+fn a_rack_that_falls_convicts_nothing_that_ran_there() {
+    let mut pool = Pool::new(8);
+    for round in 0..3 {
+        let first = 10 * round;
+        let tries = on_board(&mut pool, first + 1..=first + 4);
+        let mut starts: Vec<String> = tries.iter().map(|(_, (_, at))| at.clone()).collect();
+        pool.edge.now += RUN;
+        for (n, (dispatch, _)) in &tries {
+            breaks(&mut pool.edge, *n, *dispatch);
+        }
+        starts.sort_unstable();
+        starts.dedup();
+        for start in &starts {
+            found(&mut pool.edge, start, Found::Ended);
+        }
+        assert_eq!(ends_against(&pool.edge, "hot"), 1, "{starts:?}");
+        // The next one is served by what is left, and speaks for it.
+        pool.ended.extend(starts);
+        pool.edge.now += millis(1_000);
+        let (dispatch, _) = pool
+            .arrives(with_body(first + 9, "once", "hot"))
+            .expect("it is sent");
+        pool.edge.tell(first + 9, dispatch, ENDED);
+        assert_eq!(ends_against(&pool.edge, "hot"), 0);
+        // The rack is back.
+        pool = Pool {
+            ended: Vec::new(),
+            ..pool
+        };
+        pool.edge.now += millis(60_000);
+        pool.edge.step(Event::Timer);
+    }
+    assert!(!is_quarantined(&pool.edge, "hot"));
+}
+
+/// Servers that are killed one after the other for another reason, with one request on board of each.
+#[test]
+fn endpoints_killed_for_other_reasons_convict_nothing_that_is_answered_in_between() {
+    let mut pool = Pool::new(8);
+    for n in 1..=6 {
+        assert!(pool.ends_one(with_body(10 * n, "once", "hot")));
+        let (dispatch, _) = pool
+            .arrives(with_body(10 * n + 1, "once", "hot"))
+            .expect("it is sent");
+        pool.edge.tell(10 * n + 1, dispatch, ENDED);
+        assert_eq!(ends_against(&pool.edge, "hot"), 0);
+    }
+}
+
+/// Endpoints of a release say that they leave, or their entries go first, and end with what they run.
+#[test]
+fn a_release_convicts_nothing() {
+    let mut pool = Pool::new(8);
+    for n in 1..=8_u64 {
+        let (dispatch, endpoint) = pool
+            .arrives(with_body(n, "once", "hot"))
+            .expect("it is sent");
+        if n.is_multiple_of(2) {
+            pool.edge.step(Event::Noticed(NoticeTold {
+                endpoint: endpoint.clone(),
+                member: String::new(),
+                notice: Notice {
+                    leaving: true,
+                    backoff: None,
+                },
+                read: pool.edge.now,
+            }));
+        } else {
+            let left: Vec<Resource> = endpoints(8)
+                .into_iter()
+                .filter(|r| !matches!(r, Resource::Endpoint(e) if e.name == endpoint || pool.ended.contains(&e.name)))
+                .collect();
+            let catalog = Catalog::new(1 + n).with_resources(left);
+            pool.edge.step(Event::Config(Arc::new(catalog)));
+        }
+        pool.ends(n, (dispatch, endpoint));
+    }
+    assert_eq!(ends_against(&pool.edge, "hot"), 0);
+}
+
+/// All connections of an instance are reset, or answers are spoilt: the endpoints live.
+#[test]
+fn broken_connections_to_endpoints_that_live_convict_nothing() {
+    let mut edge = before(8);
+    for n in 1..=9 {
+        edge.step(Event::Fresh(edge.now));
+        let sent = dispatched(&edge.arrive(with_body(n, "once", "hot")));
+        edge.now += RUN;
+        if n.is_multiple_of(3) {
+            edge.tell(n, 1, DispatchNews::Breaking(BreakCause::Foreign));
+            edge.tell(n, 1, BROKE);
+            // Another request's look finds it ended a moment later.
+            edge.now += millis(10);
+            found(&mut edge, &sent[0].1, Found::Ended);
+        } else {
+            breaks(&mut edge, n, 1);
+            found(&mut edge, &sent[0].1, Found::Open);
+        }
+        edge.now += millis(40_000);
+    }
+    assert_eq!(ends_against(&edge, "hot"), 0);
+}
+
+/// One request ends three endpoints; each time three others are on board, which come back and are served.
+#[test]
+fn those_on_board_beside_it_are_served_when_they_come_back() {
+    let mut pool = Pool::new(8);
+    let mut n = 100;
+    for _ in 0..3 {
+        let (dispatch, endpoint) = pool
+            .arrives(with_body(n, "once", "deadly"))
+            .expect("it is sent");
+        let first = n;
+        let (mut beside, mut elsewhere) = (Vec::new(), Vec::new());
+        for _ in 0..24 {
+            n += 1;
+            let Some((dispatch, at)) = pool.arrives(with_body(n, "once", &format!("b{n}"))) else {
+                break;
+            };
+            let there = at == endpoint;
+            let list = if there { &mut beside } else { &mut elsewhere };
+            list.push((n, dispatch));
+        }
+        assert!(beside.len() >= 2, "others are on board");
+        for (n, dispatch) in &beside {
+            breaks(&mut pool.edge, *n, *dispatch);
+        }
+        pool.ends(first, (dispatch, endpoint));
+        for (n, dispatch) in elsewhere {
+            pool.edge.tell(n, dispatch, ENDED);
+        }
+        for (of, _) in beside {
+            n += 1;
+            let (dispatch, _) = pool
+                .arrives(with_body(n, "once", &format!("b{of}")))
+                .expect("it is sent at once");
+            pool.edge.tell(n, dispatch, ENDED);
+            assert_eq!(ends_against(&pool.edge, &format!("b{of}")), 0);
+        }
+        n += 1;
+    }
+    assert!(is_quarantined(&pool.edge, "deadly"));
+}
+
+/// In whichever order they become known, a break and an end belong together; and one end is one piece of
+/// evidence, however many tries of a request were on board.
+#[test]
+fn an_end_counts_once_in_whichever_order_it_becomes_known() {
+    let mut edge = before(1);
+    for n in 1..=2 {
+        edge.step(Event::Fresh(edge.now));
+        edge.arrive(with_body(n, "once", "deadly"));
+    }
+    edge.now += RUN;
+    breaks(&mut edge, 1, 1);
+    found(&mut edge, "s0", Found::Ended);
+    breaks(&mut edge, 2, 1);
+    found(&mut edge, "s0", Found::Ended);
+    assert_eq!(ends_against(&edge, "deadly"), 1);
+}
+
+/// Nobody could look, and the endpoint's entry lapses: what broke before broke with it.
+#[test]
+fn an_entry_that_goes_tells_of_an_end() {
+    let mut edge = before(2);
+    let sent = dispatched(&edge.arrive(with_body(1, "once", "deadly")));
+    let at = sent[0].1.clone();
+    edge.now += RUN;
+    breaks(&mut edge, 1, 1);
+    found(&mut edge, &at, Found::Silent);
+    assert_eq!(ends_against(&edge, "deadly"), 0);
+    edge.now += millis(3_600);
+    let mut left = endpoints(2);
+    left.retain(|r| !matches!(r, Resource::Endpoint(e) if e.name == at));
+    edge.step(Event::Config(Arc::new(
+        Catalog::new(2).with_resources(left),
+    )));
+    assert_eq!(ends_against(&edge, "deadly"), 1);
+}
+
+/// An endpoint that ended is back on its address before its entry tells of another start, or another one
+/// has the address: a connection that it takes then says nothing of the end that was seen. It made void
+/// what was held against a request, which then ended three more.
+#[test]
+fn an_address_that_takes_connections_again_says_nothing_of_an_earlier_end() {
+    let mut edge = before(2);
+    let sent = dispatched(&edge.arrive(with_body(1, "once", "deadly")));
+    edge.now += RUN;
+    breaks(&mut edge, 1, 1);
+    found(&mut edge, &sent[0].1, Found::Ended);
+    edge.now += millis(4_000);
+    found(&mut edge, &sent[0].1, Found::Open);
+    let catalog = Catalog::new(2).with_resources(endpoints(2));
+    edge.step(Event::Config(Arc::new(catalog)));
+    assert_eq!(ends_against(&edge, "deadly"), 1);
+}
+
+/// A look that began before a run broke says nothing of that: it is looked again, once at a time.
+#[test]
+fn a_look_that_began_before_a_break_is_made_again() {
+    let mut edge = before(1);
+    for n in 1..=3 {
+        edge.step(Event::Fresh(edge.now));
+        edge.arrive(with_body(n, "once", &format!("b{n}")));
+    }
+    let looks = |actions: &[Action]| {
+        let looks = actions.iter().filter(|a| matches!(a, Action::Look { .. }));
+        looks.count()
+    };
+    edge.now += RUN;
+    assert_eq!(looks(&breaks(&mut edge, 1, 1)), 1);
+    edge.now += millis(10);
+    assert_eq!(looks(&breaks(&mut edge, 2, 1)), 0, "one is under way");
+    edge.now += millis(10);
+    assert_eq!(looks(&found(&mut edge, "s0", Found::Open)), 1);
+    found(&mut edge, "s0", Found::Ended);
+    assert_eq!(ends_against(&edge, "b1"), 0);
+    assert_eq!(ends_against(&edge, "b2"), 1);
+    breaks(&mut edge, 3, 1);
+    assert_eq!(ends_against(&edge, "b3"), 1);
+}
+
+/// Endpoints before a catalog in which `s0` started at a second, or is not listed.
+fn with_start(second: Option<u64>) -> Vec<Resource> {
+    let mut all = endpoints(1);
+    all.retain(|r| !matches!(r, Resource::Endpoint(_)));
+    all.extend(second.map(|second| {
+        Resource::Endpoint(Endpoint {
+            name: "s0".to_owned(),
+            pool: "pool".to_owned(),
+            slots: 4,
+            started: Some(Duration::from_secs(second)),
+            ..Endpoint::default()
+        })
+    }));
+    all
+}
+
+/// A later start tells of the end of an earlier one that was still listed, and of none that left before.
+#[test]
+fn a_later_start_under_the_name_tells_of_an_end_unless_the_entry_went_before() {
+    for (removed, ends) in [(false, 1), (true, 0)] {
+        let mut edge = Edge::new(edge_settings("a"), with_start(Some(8)));
+        edge.arrive(with_body(1, "once", "deadly"));
+        edge.now += RUN;
+        let mut version = 2;
+        let mut apply = |edge: &mut Edge, start: Option<u64>| {
+            let catalog = Catalog::new(version).with_resources(with_start(start));
+            version += 1;
+            edge.step(Event::Config(Arc::new(catalog)))
+        };
+        if removed {
+            apply(&mut edge, None);
+            edge.now += millis(3_000);
+        }
+        let actions = apply(&mut edge, Some(9));
+        let given_up = Action::GiveUpDispatch {
+            id: id(1),
+            dispatch: 1,
+        };
+        assert!(actions.contains(&given_up));
+        edge.tell(1, 1, DispatchNews::Breaking(BreakCause::Restarted));
+        edge.tell(1, 1, BROKE);
+        assert_eq!(ends_against(&edge, "deadly"), ends, "removed: {removed}");
+    }
+}
+
+/// The entry of an endpoint that ended lapses seconds later, and configurations come meanwhile that still
+/// list it: each made what was heard of its end void, everywhere, so that 14 ended where three should.
+#[test]
+fn an_entry_that_is_still_listed_says_nothing_of_an_end() {
+    let mut edge = before(8);
+    let words = [("s1", 900), ("s2", 600)];
+    edge.step(peer("p", vec![told_of("deadly", "free", &words)]));
+    let sent = dispatched(&edge.arrive(with_body(1, "once", "deadly")));
+    edge.now += RUN;
+    breaks(&mut edge, 1, 1);
+    for version in 2..5 {
+        edge.now += millis(200);
+        let catalog = Catalog::new(version).with_resources(endpoints(8));
+        edge.step(Event::Config(Arc::new(catalog)));
+        assert_eq!(ends_against(&edge, "deadly"), 2);
+    }
+    found(&mut edge, &sent[0].1, Found::Ended);
+    assert!(is_quarantined(&edge, "deadly"));
+}
