Beliefs: a look costs what changed since the one before

Change: what was last seen is kept by the rows' numbers; a look goes once over the rows and writes what differs. Ruled out: fewer looks, since lines and the operators' list would be later.

--- a/crates/firdock-node/src/operator/api.rs
+++ b/crates/firdock-node/src/operator/api.rs
@@ -113,7 +113,7 @@
             ("GET", ["readyz"]) => self.ready(),
             ("GET", ["metrics"]) => self.metrics(),
             ("GET", ["v1", "status"]) => reply::ok(&self.status()),
-            ("GET", ["v1", "endpoints"]) => reply::ok(&*self.metrics.endpoints().get()),
+            ("GET", ["v1", "endpoints"]) => reply::ok(&self.metrics.endpoints().get()),
             ("GET", ["v1", "suspects"]) => reply::ok(&*self.metrics.suspects().get()),
             ("POST", ["v1", "suspects", content, "release"]) => self.release(content),
             ("GET", ["v1", "watch"]) => self.watch(call),
--- a/crates/firdock-node/src/status.rs
+++ b/crates/firdock-node/src/status.rs
@@ -60,7 +60,7 @@
 #[must_use]
 pub fn figures(metrics: &Metrics, path: &str) -> Response<Full<Bytes>> {
     match path {
-        ENDPOINTS_PATH => return list(&*metrics.endpoints().get()),
+        ENDPOINTS_PATH => return list(&metrics.endpoints().get()),
         SUSPECTS_PATH => return list(&*metrics.suspects().get()),
         _ => {}
     }
--- a/crates/firdock-node/src/telemetry.rs
+++ b/crates/firdock-node/src/telemetry.rs
@@ -9,6 +9,7 @@
 pub mod metrics;
 pub mod restarts;
 pub mod rollouts;
+pub mod seen;
 pub mod shares;
 pub mod suspects;
 pub mod trace;
--- a/crates/firdock-node/src/telemetry/beliefs.rs
+++ b/crates/firdock-node/src/telemetry/beliefs.rs
@@ -14,10 +14,8 @@
 
 use super::budget::{LineBudget, LineKind};
 use super::decisions::config_age;
-use super::endpoints::{self, EndpointList, EndpointState, EndpointStates};
-
-/// Words for what is believed of instances, by name.
-type Words = BTreeMap<String, &'static str>;
+use super::endpoints::{EndpointList, EndpointWord};
+use super::seen::{Change, Seen};
 
 /// Writes the lines of one scheduler's beliefs, and keeps what was last written.
 #[derive(Debug)]
@@ -26,9 +24,9 @@
     budget: Arc<LineBudget>,
     version: Version,
     fresh: bool,
-    endpoints: Arc<EndpointStates>,
+    endpoints: Seen<EndpointWord>,
     list: EndpointList,
-    peers: Words,
+    peers: Seen<&'static str>,
 }
 
 impl Beliefs {
@@ -40,9 +38,9 @@
             budget,
             version: 0,
             fresh: false,
-            endpoints: Arc::default(),
+            endpoints: Seen::default(),
             list,
-            peers: Words::new(),
+            peers: Seen::default(),
         }
     }
 
@@ -50,13 +48,17 @@
     pub fn note(&mut self, now: Time, t: &Tables) {
         self.note_version(now, t.version);
         self.note_freshness(now, t);
-        let endpoints = Arc::new(endpoints::states(now, t));
-        self.write_endpoints(now, &endpoints);
-        self.list.set(Arc::clone(&endpoints));
-        self.endpoints = endpoints;
-        let peers = peer_words(now, t);
-        self.write_peers(now, &peers);
-        self.peers = peers;
+        let present = t.endpoints.iter().filter(|(_, e)| e.present);
+        let words = present.map(|(at, e)| (at, &*e.declared.name, EndpointWord::new(now, e)));
+        let changes = self.endpoints.look(words);
+        self.write_endpoints(now, &changes);
+        self.list.update(t, &changes);
+        let words = t
+            .peers
+            .iter()
+            .map(|(at, p)| (at, &*p.name, peer_word(now, t, p)));
+        let changes = self.peers.look(words);
+        self.write_peers(now, &changes);
     }
 
     fn note_version(&mut self, now: Time, version: Version) {
@@ -81,16 +83,19 @@
     }
 
     /// Writes a line for each endpoint of which something else is believed now, with who said so.
-    fn write_endpoints(&self, now: Time, seen: &EndpointStates) {
-        for (name, is, before) in changes(&self.endpoints, seen, |e| e.state) {
-            match is {
-                Some(is) => self.write_endpoint(now, name, is, before),
+    fn write_endpoints(&self, now: Time, changes: &BTreeMap<String, Change<EndpointWord>>) {
+        let unknown = "unknown";
+        for (name, change) in changes {
+            let before = change.before.map_or(unknown, |word| word.state);
+            match &change.is {
+                Some(is) if is.state != before => self.write_endpoint(now, name, is, before),
+                Some(_) => {}
                 None => self.write(now, &format!("endpoint {name}"), "gone", before),
             }
         }
     }
 
-    fn write_endpoint(&self, now: Time, name: &str, is: &EndpointState, before: &str) {
+    fn write_endpoint(&self, now: Time, name: &str, is: &EndpointWord, before: &str) {
         if self.budget.allow(&self.log, now, LineKind::Belief) {
             info!(self.log, "belief changed"; "what" => format!("endpoint {name}"),
                 "is" => is.state, "before" => before, "source" => is.source,
@@ -99,9 +104,10 @@
     }
 
     /// Writes a line for each other instance that is heard now, or no more.
-    fn write_peers(&self, now: Time, seen: &Words) {
-        for (name, is, before) in changes(&self.peers, seen, |word| *word) {
-            let is = is.copied().unwrap_or("gone");
+    fn write_peers(&self, now: Time, changes: &BTreeMap<String, Change<&'static str>>) {
+        for (name, change) in changes {
+            let is = change.is.unwrap_or("gone");
+            let before = change.before.unwrap_or("unknown");
             self.write(now, &format!("instance {name}"), is, before);
         }
     }
@@ -113,34 +119,10 @@
     }
 }
 
-/// Gives what is new, changed or gone: its name, what it is now (`None` where it is gone), and the word
-/// for what it was before.
-fn changes<'a, B>(
-    known: &'a BTreeMap<String, B>,
-    seen: &'a BTreeMap<String, B>,
-    word: impl Fn(&B) -> &'static str + 'a,
-) -> Vec<(&'a str, Option<&'a B>, &'static str)> {
-    let mut changes = Vec::new();
-    for (name, is) in seen {
-        let before = known.get(name).map_or("unknown", &word);
-        if before != word(is) {
-            changes.push((name.as_str(), Some(is), before));
-        }
-    }
-    for (name, before) in known.iter().filter(|(name, _)| !seen.contains_key(*name)) {
-        changes.push((name.as_str(), None, word(before)));
+fn peer_word(now: Time, t: &Tables, p: &PeerRow) -> &'static str {
+    if t.is_heard(p, now) {
+        "heard"
+    } else {
+        "silent"
     }
-    changes
-}
-
-fn peer_words(now: Time, t: &Tables) -> Words {
-    let word = |p: &PeerRow| {
-        if t.is_heard(p, now) {
-            "heard"
-        } else {
-            "silent"
-        }
-    };
-    let words = t.peers.iter().map(|(_, p)| (p.name.clone(), word(p)));
-    words.collect()
 }
--- a/crates/firdock-node/src/telemetry/endpoints.rs
+++ b/crates/firdock-node/src/telemetry/endpoints.rs
@@ -1,7 +1,7 @@
 //! What an instance believes of its endpoints now, as operators see it.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use firdock_core::{EndpointId, PoolId, ServiceId};
 use firdock_policy::Time;
@@ -9,16 +9,15 @@
 use firdock_policy::table::endpoint::{Closed, EndpointRow, LeavingSource};
 use serde::Serialize;
 
+use super::seen::Change;
 use crate::clock::millis;
 
 /// Endpoints that a line on a decision names, of those that were passed over for what they said.
 const MOST_NAMED: usize = 4;
 
 /// What is believed of one endpoint.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct EndpointState {
-    /// Pool that it belongs to.
-    pub pool: PoolId,
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct EndpointWord {
     /// `usable`, `leaving`, `backing off` or `ejected`.
     pub state: &'static str,
     /// Who said that it leaves.
@@ -32,13 +31,12 @@
     pub left_millis: Option<u64>,
 }
 
-impl EndpointState {
-    /// Takes the state from an endpoint's row.
+impl EndpointWord {
+    /// Takes what is believed from an endpoint's row.
     #[must_use]
     pub fn new(now: Time, e: &EndpointRow) -> Self {
         let since = |at: Time| millis(now.saturating_sub(at));
-        let mut state = Self {
-            pool: e.declared.pool.clone(),
+        let mut word = Self {
             state: "usable",
             source: None,
             age_millis: None,
@@ -46,48 +44,68 @@
         };
         match e.open_to("", now) {
             Err(Closed::Leaving | Closed::Absent) => {
-                state.state = "leaving";
-                state.source = e.leaving_source(now).map(LeavingSource::as_str);
-                state.age_millis = e.notices.leaving_since().map(since);
+                word.state = "leaving";
+                word.source = e.leaving_source(now).map(LeavingSource::as_str);
+                word.age_millis = e.notices.leaving_since().map(since);
             }
             Err(Closed::BackingOff(until)) => {
-                state.state = "backing off";
-                state.source = Some("answer");
-                state.age_millis = e.notices.backoff("", now).map(|b| since(b.since));
-                state.left_millis = Some(millis(until.saturating_sub(now)));
+                word.state = "backing off";
+                word.source = Some("answer");
+                word.age_millis = e.notices.backoff("", now).map(|b| since(b.since));
+                word.left_millis = Some(millis(until.saturating_sub(now)));
             }
-            _ if !e.is_well() => state.state = "ejected",
+            _ if !e.is_well() => word.state = "ejected",
             _ => {}
         }
-        state
+        word
     }
 }
 
+/// An endpoint and what is believed of it, as operators see it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct EndpointState {
+    /// Pool that it belongs to.
+    pub pool: PoolId,
+    /// What is believed of it.
+    #[serde(flatten)]
+    pub word: EndpointWord,
+}
+
 /// States of the endpoints in force, by name.
 pub type EndpointStates = BTreeMap<EndpointId, EndpointState>;
 
-/// Gives the states of all endpoints in force.
-#[must_use]
-pub fn states(now: Time, t: &Tables) -> EndpointStates {
-    let present = t.endpoints.iter().filter(|(_, e)| e.present);
-    let states = present.map(|(_, e)| (e.declared.name.clone(), EndpointState::new(now, e)));
-    states.collect()
-}
-
 /// The states that were last looked at, for whoever asks.
 #[derive(Debug, Clone, Default)]
-pub struct EndpointList(Arc<Mutex<Arc<EndpointStates>>>);
+pub struct EndpointList(Arc<Mutex<EndpointStates>>);
 
 impl EndpointList {
-    /// Takes newer states over.
-    pub fn set(&self, states: Arc<EndpointStates>) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = states;
+    /// Takes over what changed, of the endpoints of a scheduler.
+    pub fn update(&self, t: &Tables, changes: &BTreeMap<EndpointId, Change<EndpointWord>>) {
+        if changes.is_empty() {
+            return;
+        }
+        let mut states = self.lock();
+        for (name, change) in changes {
+            match (change.is, t.endpoints.find(name)) {
+                (Some(word), Some(at)) => {
+                    let pool = t.endpoints.get(at).declared.pool.clone();
+                    states.insert(name.clone(), EndpointState { pool, word });
+                }
+                _ => {
+                    states.remove(name);
+                }
+            }
+        }
     }
 
     /// Gives the states.
     #[must_use]
-    pub fn get(&self) -> Arc<EndpointStates> {
-        Arc::clone(&self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    pub fn get(&self) -> EndpointStates {
+        self.lock().clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, EndpointStates> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod peers;
 mod placement;
 mod relay;
+mod seen;
 mod sharing;
 mod silence;
 mod starts;
