Tables: what removes nothing and places nothing costs no second pass

Forty times a second the table of peers was swept for silent ones and its index gone over whether or not any went; after each event all ranks were looked at for held requests where none is held.

--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -22,6 +22,9 @@
 
 /// Dispatches held requests until none can be placed.
 pub fn run(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
+    if t.requests.held() == 0 {
+        return;
+    }
     for rank in 0..=Tier::MAX_RANK {
         if t.requests.held_by_rank()[usize::from(rank)] == 0 {
             continue;
--- a/crates/firdock-policy/src/table/rows.rs
+++ b/crates/firdock-policy/src/table/rows.rs
@@ -71,12 +71,16 @@
 
     /// Removes the rows for which `drop` says so.
     pub fn remove_if(&mut self, mut drop: impl FnMut(&R) -> bool) {
+        let before = self.free.len();
         for (row, slot) in self.slots.iter_mut().enumerate() {
             if slot.as_ref().is_some_and(&mut drop) {
                 *slot = None;
                 self.free.push(row);
             }
         }
+        if self.free.len() == before {
+            return;
+        }
         let slots = &self.slots;
         self.by_name.retain(|_, row| slots[*row].is_some());
     }
