Limits: leads tell sums of what was let pass, not each instance's totals

Cause: leads passed on the totals of each instance. A row for each instance and account (328,000 at 985 and 333) in every instance, and words that grow with the square of the instances; beyond 512 instances a lead forgot all totals again and again, so that each was taken for changed and told anew at each heartbeat, of which 256 went and the others were lost. Change: a lead counts by how much its members' totals rise, tells other leads the counts of its group and its group those of all; a member takes its own use off. Both leads of a group count, and what both tell counts once (HeardCounts). Why it holds: counts only rise and say something by their rises alone, so that a word that is lost, late or doubled changes nothing; a new beginning is told by its own name, and what was counted before it is heard counts as known. Tests: those of the relay of totals are replaced by tests/policy/sums.rs, which states the same of counts (once, to group and leads, other groups' to the own alone, instances that come and go, restarts) and more; in limits.rs the three that told a large site's instances of each other's totals are told by a lead's counts, with the same bounds.

--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -1,11 +1,12 @@
 //! The parts of an edge instance, each made from what all of them share.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use firdock_core::settings::Settings;
 use firdock_policy::event::Member;
+use firdock_policy::sums::UseSums;
 use firdock_policy::{Mechanisms, PolicySettings, Scheduler};
 use hyper::Request;
 use hyper::body::Incoming;
@@ -246,7 +247,8 @@
             news,
             changes,
             seeds: other_seeds(&self.settings),
-            relay: UseRelay::default(),
+            sums: Mutex::new(UseSums::new(self.member.incarnation)),
+            partial: Mutex::default(),
             inputs: inputs.clone(),
             pause: self.settings.peers.heartbeat(),
             link: self.settings.instance.link_mbits,
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -16,8 +16,9 @@
 use std::time::Duration;
 
 use firdock_core::Offset;
-use firdock_policy::event::{AccountWork, Member, PeerUse, PoolDemand};
+use firdock_policy::event::{AccountWork, Member, PeerUse, PoolDemand, UseCounts};
 use firdock_policy::rollout::{Evidence, Stage};
+use firdock_policy::sums::UseSums;
 use firdock_policy::table::suspects::Revision;
 use firdock_policy::{Event, Time};
 use firdock_wire::PROTOCOL;
@@ -26,16 +27,16 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval, sleep};
+use uuid::Uuid;
 
 use self::answer::Answers;
 use self::due::PeersDue;
 use self::meet::Meeting;
 use super::book::{KnownPeer, PeerBook, Reader};
-use super::datagram::{seal, write_address, write_reads, write_relayed, write_uses};
+use super::datagram::{seal, write_address, write_reads, write_uses};
 use super::heartbeat::{SelfNews, write_demand, write_work};
 use super::known::records_body;
 use super::reads::SharedReads;
-use super::relay::UseRelay;
 use super::rollouts::{write_seen, write_words};
 use super::topic::TopicRecords;
 use crate::clock::Clock;
@@ -79,6 +80,27 @@
 #[derive(Debug)]
 pub struct Beacons {
     /// Socket for both.
+/// What a lead tells of the use of limits.
+#[derive(Debug, Default)]
+struct ToldUse {
+    /// Counts of its group, for other leads.
+    group: Option<UseCounts>,
+    /// Counts of all groups, for its own.
+    site: Option<UseCounts>,
+}
+
+impl ToldUse {
+    /// Gives the counts that are told, of whichever.
+    fn any(&self) -> Option<&UseCounts> {
+        self.group.as_ref().or(self.site.as_ref())
+    }
+}
+
+/// Writes counts that may not be told.
+fn write_counts(told: Option<&UseCounts>) -> Vec<message::AccountUse> {
+    told.map_or_else(Vec::new, |told| write_uses(&told.counts))
+}
+
     pub socket: Arc<UdpSocket>,
     /// This instance and this start of it.
     pub member: Member,
@@ -94,8 +116,10 @@
     pub changes: mpsc::Receiver<Taken>,
     /// Instances that are asked first at the start.
     pub seeds: Vec<SocketAddr>,
-    /// What other instances let pass, to be passed on where this one leads.
-    pub relay: UseRelay,
+    /// Counts of what all instances let pass of limits, where this one leads.
+    pub sums: Mutex<UseSums>,
+    /// Answers of which parts came.
+    pub partial: Mutex<PartialAnswers>,
     /// Way to the scheduler.
     pub inputs: mpsc::Sender<Input>,
     /// Pause between two beacons.
@@ -187,7 +211,7 @@
         } else {
             Vec::new()
         };
-        let (for_group, for_leads) = self.relayed(now);
+        let (for_group, for_leads) = self.count_use(tick, now).await;
         self.send_all(&due.near, &heard, &for_group).await;
         self.send_all(&due.leads, &heard, &for_leads).await;
         self.send_far(&due.far).await;
@@ -200,7 +224,7 @@
             return;
         }
         let beacon = if self.book.is_small() {
-            self.beacon(&[], &[])
+            self.beacon(&[], &ToldUse::default())
         } else {
             self.short_beacon()
         };
@@ -210,8 +234,9 @@
     /// Sends beacons at a start or an end, which those that need to know hear of at once.
     async fn send_at_once(&self) {
         let due = PeersDue::at_once(&self.book, self.clock.now());
-        self.send_all(&due.near, &[], &[]).await;
-        self.send_all(&due.leads, &[], &[]).await;
+        let nothing = ToldUse::default();
+        self.send_all(&due.near, &[], &nothing).await;
+        self.send_all(&due.leads, &[], &nothing).await;
     }
 
     /// Tells the scheduler whether this instance decides on roll-outs, when that changed: it leads the
@@ -233,21 +258,58 @@
         }
     }
 
-    /// Gives what this instance passes on of others' use of limits, to its group and to other leads.
-    fn relayed(&self, now: Time) -> (Vec<PeerUse>, Vec<PeerUse>) {
-        if self.book.is_small() || !self.book.leads(now) {
-            self.relay.clear();
-            return (Vec::new(), Vec::new());
+    /// Counts what instances let pass of limits, where this one leads; gives what is told of that to its
+    /// group and to other leads.
+    ///
+    /// The instance that takes over from the lead counts as well and tells it a few times more seldom, so
+    /// that its counts are known when the lead falls.
+    async fn count_use(&self, tick: usize, now: Time) -> (ToldUse, ToldUse) {
+        if self.book.is_small() || !self.book.tells(now) {
+            self.sums().end();
+            return Default::default();
+        }
+        let me = &self.member.name;
+        let (group, site) = {
+            let mut sums = self.sums();
+            sums.begin(Uuid::now_v7);
+            sums.hear_member(now, &self.own_use());
+            sums.sweep(now);
+            if !self.book.leads(now) && !tick.is_multiple_of(TELL_EVERY) {
+                return Default::default();
+            }
+            (sums.take_for_leads(me), sums.take_for_group(me))
+        };
+        if let Some(counts) = site.clone() {
+            self.tell(Event::SiteUsed(counts)).await;
+        }
+        let for_group = ToldUse { group: None, site };
+        let for_leads = ToldUse { group, site: None };
+        (for_group, for_leads)
+    }
+
+    /// Gives what this instance let pass.
+    fn own_use(&self) -> PeerUse {
+        PeerUse {
+            name: self.member.name.clone(),
+            incarnation: self.member.incarnation,
+            used: self.news.borrow().used.clone(),
         }
-        (self.relay.take_for_group(), self.relay.take_for_leads())
     }
 
-    /// Sends a beacon that tells of `heard` and passes on `relayed`; where nobody gets it, none is made.
-    async fn send_all(&self, peers: &[KnownPeer], heard: &[KnownPeer], relayed: &[PeerUse]) {
+    fn partial(&self) -> MutexGuard<'_, PartialAnswers> {
+        self.partial.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn sums(&self) -> MutexGuard<'_, UseSums> {
+        self.sums.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends a beacon that tells of `heard` and of what was used; where nobody gets it, none is made.
+    async fn send_all(&self, peers: &[KnownPeer], heard: &[KnownPeer], used: &ToldUse) {
         if peers.is_empty() {
             return;
         }
-        let beacon = self.beacon(heard, relayed);
+        let beacon = self.beacon(heard, used);
         self.send_sealed(peers, beacon).await;
     }
 
@@ -256,7 +318,7 @@
         let full = self.news.borrow().in_full();
         let beacon = Beacon {
             heartbeat: Some(full.message(self.clock.now(), 0)),
-            ..self.beacon(&[], &[])
+            ..self.beacon(&[], &ToldUse::default())
         };
         self.send_sealed(std::slice::from_ref(peer), beacon).await;
     }
@@ -293,7 +355,7 @@
         }
     }
 
-    fn beacon(&self, peers: &[KnownPeer], relayed: &[PeerUse]) -> Beacon {
+    fn beacon(&self, peers: &[KnownPeer], used: &ToldUse) -> Beacon {
         let news = self.news.borrow();
         let now = self.clock.now();
         let lead = self.lead_word(now, &news);
@@ -313,7 +375,6 @@
             used: write_uses(&news.used),
             peers: told.take(MAX_TOLD).map(write_address).collect(),
             reads: Some(write_reads(self.reads.own())),
-            relayed: write_relayed(relayed),
             group_heard: lead.group_heard as u32,
             site_heard: lead.site_heard as u32,
             group_demand: write_demand(&lead.group_demand),
@@ -327,6 +388,12 @@
 
     /// Makes a beacon that tells that this instance is there, what it knows of the store and its demand.
     fn short_beacon(&self) -> Beacon {
+            group_used: write_counts(used.group.as_ref()),
+            site_used: write_counts(used.site.as_ref()),
+            use_began: used
+                .any()
+                .map_or_else(Vec::new, |u| u.began.as_bytes().to_vec()),
+            use_fresh: used.any().is_some_and(|u| u.fresh),
         let news = self.news.borrow();
         Beacon {
             protocol: PROTOCOL,
--- a/crates/firdock-node/src/peer/beacon/take.rs
+++ b/crates/firdock-node/src/peer/beacon/take.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use firdock_policy::event::{GroupDemand, GroupEvidence, GroupWork, PeerNews};
+use firdock_policy::event::{GroupDemand, GroupEvidence, GroupWork, PeerNews, UseCounts};
 use firdock_policy::{Event, Time};
 use firdock_wire::PROTOCOL;
 use firdock_wire::message::{Beacon, ClockAnswer, ClockQuestion, PeerAddress, datagram};
@@ -12,12 +12,11 @@
 use super::{Beacons, MAX_TOLD};
 use crate::clock::millis;
 use crate::input::Input;
-use crate::peer::book::{KnownPeer, PeerWord};
-use crate::peer::datagram::{open, read_incarnation, read_reads, read_relayed, read_uses, seal};
+use crate::peer::book::{Hearing, KnownPeer, PeerWord};
+use crate::peer::datagram::{open, read_incarnation, read_reads, read_uses, seal};
 use crate::peer::heartbeat::{peer_news, read_demand, read_work};
 use crate::peer::known::{Answer, Question, Teller, read_records};
 use crate::peer::reads::Reads;
-use crate::peer::relay::HeardUse;
 use crate::peer::rollouts::{read_seen, read_words};
 use crate::placement::{PlacementInput, read_reply, read_report};
 
@@ -138,13 +137,30 @@
             self.tell(Event::Rollout(word)).await;
         }
         news.seen = read_seen(beacon.rollout_seen);
-        if self.book.is_own_zone(&news.zone) {
-            self.relay.hear(&news.own_use(), HeardUse::FromMember);
+        let near = self.book.is_own_zone(&news.zone);
+        if near {
+            self.sums().hear_member(now, &news.own_use());
         }
-        self.tell(Event::Peer(news)).await;
-        for word in read_relayed(beacon.relayed) {
-            self.relay.hear(&word, HeardUse::FromLead);
-            self.tell(Event::PeerUsed(word)).await;
+        if !beacon.use_began.is_empty() {
+            let told = if near {
+                beacon.site_used
+            } else {
+                beacon.group_used
+            };
+            let counts = UseCounts {
+                lead: news.name.clone(),
+                began: read_incarnation(&beacon.use_began),
+                fresh: beacon.use_fresh,
+                counts: read_uses(told),
+            };
+            if near {
+                self.tell(Event::SiteUsed(counts)).await;
+            } else {
+                self.sums().hear_group(now, &news.zone, &counts);
+            }
+        }
+        if hearing != Some(Hearing::NotKept) {
+            self.tell(Event::Peer(news)).await;
         }
     }
 
--- a/crates/firdock-node/src/peer/datagram.rs
+++ b/crates/firdock-node/src/peer/datagram.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use firdock_policy::event::{AccountUse, PeerUse};
+use firdock_policy::event::AccountUse;
+use firdock_policy::sums::MAX_TOLD_ACCOUNTS;
 use firdock_wire::auth;
 use firdock_wire::message::{self, Datagram, PeerAddress, datagram};
 use prost::Message as _;
@@ -12,11 +13,6 @@
 use super::reads::Reads;
 use crate::clock::millis;
 
-/// Limited accounts told of in one beacon.
-const MAX_ACCOUNTS: usize = 256;
-/// Instances told of in one beacon as a lead heard them.
-const MAX_RELAYED: usize = 256;
-
 /// Writes a datagram and seals it.
 #[must_use]
 pub fn seal(key: &[u8], body: datagram::Body) -> Vec<u8> {
@@ -72,7 +68,7 @@
 
 /// Writes what an instance let pass of accounts' limits.
 pub fn write_uses(uses: &[AccountUse]) -> Vec<message::AccountUse> {
-    let told = uses.iter().take(MAX_ACCOUNTS);
+    let told = uses.iter().take(MAX_TOLD_ACCOUNTS);
     told.map(|u| message::AccountUse {
         account: u.account.clone(),
         units: u.units,
@@ -81,31 +77,9 @@
     .collect()
 }
 
-/// Writes what other instances let pass.
-pub fn write_relayed(words: &[PeerUse]) -> Vec<message::RelayedUse> {
-    let told = words.iter().take(MAX_RELAYED);
-    told.map(|w| message::RelayedUse {
-        instance: w.name.clone(),
-        incarnation: w.incarnation.as_bytes().to_vec(),
-        used: write_uses(&w.used),
-    })
-    .collect()
-}
-
-/// Reads what other instances let pass.
-pub fn read_relayed(words: Vec<message::RelayedUse>) -> Vec<PeerUse> {
-    let told = words.into_iter().take(MAX_RELAYED);
-    told.map(|w| PeerUse {
-        name: w.instance,
-        incarnation: read_incarnation(&w.incarnation),
-        used: read_uses(w.used),
-    })
-    .collect()
-}
-
 /// Reads what a peer let pass; figures that are none are left out.
 pub fn read_uses(uses: Vec<message::AccountUse>) -> Vec<AccountUse> {
-    let told = uses.into_iter().take(MAX_ACCOUNTS);
+    let told = uses.into_iter().take(MAX_TOLD_ACCOUNTS);
     let finite = told.filter(|u| u.units.is_finite() && u.asked.is_finite());
     finite
         .map(|u| AccountUse {
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -5,7 +5,6 @@
 mod party;
 mod peers;
 mod placement;
-mod relay;
 mod seen;
 mod sharing;
 mod silence;
--- a/crates/firdock-node/tests/node/party.rs
+++ b/crates/firdock-node/tests/node/party.rs
@@ -1,7 +1,7 @@
 //! An instance's side of the datagrams, with a socket of its own.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use firdock_node::clock::Clock;
@@ -43,7 +43,8 @@
             news: told,
             changes: mpsc::channel(1).1,
             seeds,
-            relay: UseRelay::default(),
+            sums: Mutex::default(),
+            partial: Mutex::default(),
             inputs,
             pause: Duration::from_millis(20),
             link: 0.0,
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -55,8 +55,8 @@
     Released(ContentId, Time),
     /// A peer's heartbeat came.
     Peer(PeerNews),
-    /// A third instance told what a peer let pass of account limits.
-    PeerUsed(PeerUse),
+    /// A lead told its counts of what all instances let pass of account limits, this one among them.
+    SiteUsed(UseCounts),
     /// The link to a peer broke.
     PeerLost(InstanceId),
     /// So many other instances are known of, whether heard from or not.
@@ -319,7 +319,7 @@
 }
 
 impl PeerNews {
-    /// Gives what the peer let pass of account limits, as others would pass it on.
+    /// Gives what the peer let pass of account limits.
     #[must_use]
     pub fn own_use(&self) -> PeerUse {
         PeerUse {
@@ -330,17 +330,30 @@
     }
 }
 
-/// What one instance has let pass of account limits since its start, as another one passed it on.
+/// What one instance has let pass of account limits since its start.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct PeerUse {
-    /// The instance that let it pass.
+    /// The instance.
     pub name: InstanceId,
     /// Start of its process.
     pub incarnation: Uuid,
-    /// Totals that changed.
+    /// Totals by account, those that changed at least.
     pub used: Vec<AccountUse>,
 }
 
+/// What the lead of a group counted of what instances let pass of account limits.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct UseCounts {
+    /// The lead.
+    pub lead: InstanceId,
+    /// When it began to count, which tells these counts from earlier ones.
+    pub began: Uuid,
+    /// Whether nothing rose yet: whoever hears that knows all counts from their beginning.
+    pub fresh: bool,
+    /// Counts by account, those that rose at least.
+    pub counts: Vec<AccountUse>,
+}
+
 /// What one instance has let pass of one account's limit since its start.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct AccountUse {
--- a/crates/firdock-policy/src/lib.rs
+++ b/crates/firdock-policy/src/lib.rs
@@ -15,6 +15,7 @@
 mod scheduler;
 pub mod settings;
 pub mod stats;
+pub mod sums;
 pub mod suspect;
 mod system;
 pub use system::fair::{Ask, OVER_PART, PoolStandings, Standing, all_standings, shares};
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -65,7 +65,7 @@
             Event::Suspected(told) => suspect::hear(t, now, told, out),
             Event::Released(content, until) => suspect::release(t, now, content, until),
             Event::Peer(peer) => handover::peer_news(t, now, peer, out),
-            Event::PeerUsed(word) => limit::take_relayed(t, now, &word),
+            Event::SiteUsed(word) => limit::take_site(t, now, &word),
             Event::PeerLost(name) => handover::peer_lost(t, &name),
             Event::PeersKnown(count) => t.known_peers = Some(count),
             Event::GroupDemand(group) => t.groups.take(now, group),
--- a/crates/firdock-policy/src/system/config.rs
+++ b/crates/firdock-policy/src/system/config.rs
@@ -4,7 +4,7 @@
 
 use firdock_core::resource::{Catalog, Tier};
 
-use super::{restart, rollout, share, suspect};
+use super::{limit, restart, rollout, share, suspect};
 use crate::action::Action;
 use crate::table::Tables;
 use crate::table::account::AccountRow;
@@ -24,6 +24,7 @@
     link(t);
     rollout::apply(t, now, catalog);
     sweep(t, now);
+    limit::forget_unlimited(t);
     share::set_budgets(t, now);
 }
 
--- a/crates/firdock-policy/src/system/handover.rs
+++ b/crates/firdock-policy/src/system/handover.rs
@@ -28,11 +28,14 @@
     if !t.peers.has_room(&news.name) {
         return;
     }
-    limit::take_peer(t, now, &news);
+    let small = t.is_small_site();
+    if small {
+        limit::take_peer(t, now, &news);
+    }
     let seen = std::mem::take(&mut news.seen);
     rollout::hear_peer(t, &news.name, &news.zone, news.incarnation, seen);
     let at = t.peers.find_or_add(&news.name, || PeerRow::new(&news.name));
-    t.peers.get_mut(at).update(now, news);
+    t.peers.get_mut(at).update(now, news, small);
 }
 
 /// Takes it that the link to a peer broke: its news no longer counts.
--- a/crates/firdock-policy/src/system/limit.rs
+++ b/crates/firdock-policy/src/system/limit.rs
@@ -4,13 +4,11 @@
 
 use firdock_core::{Outcome, Reason, rendezvous};
 
-use uuid::Uuid;
-
-use crate::event::{AccountUse, PeerNews, PeerUse, UseTotals};
+use crate::event::{AccountUse, PeerNews, UseCounts, UseTotals};
 use crate::request::{NewRequest, RequestRow, Verdict};
+use crate::sums::began_before;
 use crate::table::account::Accounts;
 use crate::table::limit::Bucket;
-use crate::table::peer::PeerRow;
 use crate::table::{Reach, Tables};
 use crate::time::Time;
 
@@ -22,9 +20,6 @@
 /// than the even part of one of the six or seven of a small site, so that a restart costs no caller
 /// anything, and all of them together hardly exceed the limit.
 const UNAWARE_PART: f64 = 0.15;
-/// Seconds by which a peer may have begun earlier than this instance, and count as begun with it:
-/// far more than the clocks of instances differ by.
-const SAME_START_SECS: u64 = 10;
 /// Longest time, in seconds, after which callers beyond a limit are told to come back.
 const MAX_WAIT_SECS: f64 = 60.0;
 
@@ -75,72 +70,71 @@
 
 /// Takes out of the buckets what a peer let pass since its last heartbeat.
 ///
-/// After a restart, the peer's totals begin anew.
-pub fn take_peer(t: &mut Tables, now: Time, news: &PeerNews) {
-    take_use(t, now, &news.own_use());
-}
-
-/// Takes out of the buckets what a peer let pass, as another instance passed it on.
-pub fn take_relayed(t: &mut Tables, now: Time, word: &PeerUse) {
-    if word.name == t.settings.member.name || !t.peers.has_room(&word.name) {
-        return;
-    }
-    let at = t.peers.find_or_add(&word.name, || PeerRow::new(&word.name));
-    let known_start = t.peers.get(at).incarnation;
-    // Starts are numbered by time; a word of an earlier one was overtaken.
-    if word.incarnation < known_start {
-        return;
-    }
-    let mut newer = word.clone();
-    newer.used.retain(|u| {
-        let known = t.peers.get(at).used.get(&u.account);
-        word.incarnation != known_start || known.is_none_or(|k| k.asked < u.asked)
-    });
-    take_use(t, now, &newer);
-    let peer = t.peers.get_mut(at);
-    if word.incarnation != known_start {
-        peer.incarnation = word.incarnation;
-        peer.used.clear();
-    }
-    peer.heard = peer.heard.max(now);
-    let used = newer.used.iter().map(|u| (u.account.clone(), u.totals()));
-    peer.used.extend(used);
-}
-
-/// Takes out of the buckets what is new in a peer's totals.
+/// After a restart, the peer's totals begin anew. Where instances are many, leads tell the sums of all
+/// instead ([`take_site`]).
 ///
 /// What a peer used before this instance first heard of it is not known to be recent, so it does not
 /// count. Nor does what it used of an account before it first told of that, unless it began with
 /// this instance or later. A word that was overtaken has smaller totals, and is made up for by the next.
-fn take_use(t: &mut Tables, now: Time, word: &PeerUse) {
-    let peer = t.peers.find(&word.name).map(|at| t.peers.get(at));
+pub fn take_peer(t: &mut Tables, now: Time, news: &PeerNews) {
+    let peer = t.peers.find(&news.name).map(|at| t.peers.get(at));
     let Some(peer) = peer.filter(|p| p.heard > Time::ZERO) else {
         return;
     };
-    let same = peer.incarnation == word.incarnation;
-    let older = began_before(word.incarnation, t.settings.member.incarnation);
-    for used in &word.used {
+    let same = peer.incarnation == news.incarnation;
+    let older = began_before(news.incarnation, t.settings.member.incarnation);
+    for used in &news.used {
         let before = match peer.used.get(&used.account) {
             Some(known) if same => *known,
-            None if same && older => used.totals(),
+            None if same && (older || !peer.followed) => used.totals(),
             _ => UseTotals::default(),
         };
-        if let Some(bucket) = bucket_of(&mut t.accounts, &used.account) {
-            bucket.take_peer(used.units - before.units);
-            bucket.ask_peer(now, used.asked - before.asked);
-        }
+        let rise = used.totals().minus(before).named(used.account.clone());
+        charge_rise(&mut t.accounts, now, &rise);
+    }
+}
+
+/// Takes out of the buckets what the others let pass, by a lead's counts of what all did.
+///
+/// This instance's own use is among what is counted, and was taken out when it was let pass. A count that
+/// does not hold the newest of it yet falls short until it does.
+pub fn take_site(t: &mut Tables, now: Time, word: &UseCounts) {
+    let mut others = word.clone();
+    others.counts.retain_mut(|told| {
+        let Some(bucket) = bucket_of(&mut t.accounts, &told.account) else {
+            return false;
+        };
+        let rest = told.totals().minus(bucket.most_used());
+        (told.units, told.asked) = (rest.units, rest.asked);
+        true
+    });
+    let rises = t.site_use.take(now, &others);
+    if t.is_small_site() {
+        // Each tells all the others of its own use.
+        return;
+    }
+    for rise in rises {
+        charge_rise(&mut t.accounts, now, &rise);
     }
 }
 
-/// Tells whether a process began well before another; starts that carry no time count as new.
-fn began_before(peer: Uuid, own: Uuid) -> bool {
-    let secs = |id: Uuid| id.get_timestamp().map(|time| time.to_unix().0);
-    match (secs(peer), secs(own)) {
-        (Some(peer), Some(own)) => peer + SAME_START_SECS < own,
-        _ => false,
+/// Takes out of a bucket by how much others' use of its account rose.
+fn charge_rise(accounts: &mut Accounts, now: Time, rise: &AccountUse) {
+    if let Some(bucket) = bucket_of(accounts, &rise.account) {
+        bucket.take_peer(rise.units);
+        bucket.ask_peer(now, rise.asked);
     }
 }
 
+/// Forgets what others let pass of accounts that have no limit any more.
+pub fn forget_unlimited(t: &mut Tables) {
+    let accounts = &t.accounts;
+    t.site_use.retain(|account| {
+        let row = accounts.find(account).map(|at| accounts.get(at));
+        row.is_some_and(|row| row.bucket.is_some())
+    });
+}
+
 /// Gives the bucket of an account, if it has one.
 fn bucket_of<'a>(accounts: &'a mut Accounts, account: &str) -> Option<&'a mut Bucket> {
     let at = accounts.find(account)?;
--- a/crates/firdock-policy/src/table/limit.rs
+++ b/crates/firdock-policy/src/table/limit.rs
@@ -6,6 +6,7 @@
 
 use firdock_core::resource::RateLimit;
 
+use crate::event::UseTotals;
 use crate::time::Time;
 
 /// Time constant, in seconds, of what counts as asked for lately: about three times the age that
@@ -35,6 +36,8 @@
     begun: bool,
     /// Units that this instance has let pass since its start.
     pub used: f64,
+    /// The most that these ever were: what is given back lowers them, and others may know either figure.
+    most_used: f64,
     /// Units that callers asked this instance for since its start.
     pub asked: f64,
     /// When this instance was last asked.
@@ -151,6 +154,7 @@
         self.level -= cost;
         self.part_level -= cost;
         self.used += cost;
+        self.most_used = self.most_used.max(self.used);
         true
     }
 
@@ -161,6 +165,16 @@
         self.used -= cost;
     }
 
+    /// Gives the most that this instance is known to have let pass since its start, and what it was
+    /// asked for.
+    #[must_use]
+    pub fn most_used(&self) -> UseTotals {
+        UseTotals {
+            units: self.most_used,
+            asked: self.asked,
+        }
+    }
+
     /// Takes out what a peer let pass.
     pub fn take_peer(&mut self, units: f64) {
         self.level -= units;
--- a/crates/firdock-policy/src/table/peer.rs
+++ b/crates/firdock-policy/src/table/peer.rs
@@ -49,6 +49,8 @@
     /// What it has let pass of limited accounts since that start.
     pub used: BTreeMap<AccountId, UseTotals>,
     /// Requests of this instance that are with it.
+    /// Whether that holds all accounts that it told of since that start.
+    pub followed: bool,
     pub handed: u32,
 }
 
@@ -66,11 +68,13 @@
             incarnation: Uuid::nil(),
             used: BTreeMap::new(),
             handed: 0,
+            followed: true,
         }
     }
 
-    /// Takes the news over.
-    pub fn update(&mut self, now: Time, news: PeerNews) {
+    /// Takes the news over; what it let pass is kept where `follows` says so: where instances are many,
+    /// leads tell the sums of all, and a row for each instance and account would grow with both.
+    pub fn update(&mut self, now: Time, news: PeerNews, follows: bool) {
         self.zone = news.zone;
         self.heard = now;
         self.held = news.held;
@@ -78,9 +82,15 @@
         if self.incarnation != news.incarnation {
             self.used.clear();
         }
+            self.followed = true;
         self.incarnation = news.incarnation;
-        let used = news.used.iter().map(|u| (u.account.clone(), u.totals()));
-        self.used.extend(used);
+        self.followed &= follows;
+        if follows {
+            let used = news.used.iter().map(|u| (u.account.clone(), u.totals()));
+            self.used.extend(used);
+        } else {
+            self.used.clear();
+        }
         self.demand = news.demand.into_iter().map(|d| (d.pool, d.rate)).collect();
     }
 
--- a/crates/firdock-policy/tests/policy/limits.rs
+++ b/crates/firdock-policy/tests/policy/limits.rs
@@ -4,8 +4,9 @@
 
 use firdock_core::{Outcome, Reason};
 use firdock_policy::event::{
-    AccountUse, HandOverEvent, HandOverRefusal, Member, MemberView, PeerNews, PeerUse,
+    AccountUse, HandOverEvent, HandOverRefusal, Member, MemberView, PeerNews, PeerUse, UseCounts,
 };
+use firdock_policy::sums::UseSums;
 use firdock_policy::{Action, Event, NewRequest, Verdict, used_limits};
 use uuid::Uuid;
 
@@ -108,47 +109,51 @@
     assert_eq!(refused, Some((Outcome::NotRun, Reason::RateLimited)));
 }
 
-fn relayed(used: f64, incarnation: u128) -> Event {
-    Event::PeerUsed(PeerUse {
-        name: "b".to_owned(),
-        incarnation: Uuid::from_u128(incarnation),
-        used: limited(used),
+/// A lead's counts of what all let pass.
+fn counted(count: f64, beginning: u128) -> Event {
+    Event::SiteUsed(UseCounts {
+        lead: "lead".to_owned(),
+        began: Uuid::from_u128(beginning),
+        fresh: false,
+        counts: limited(count),
     })
 }
 
 /// Finding 8: where instances are many, each heard most others every second or two, and an account
 /// that began to send many times its limit passed it meanwhile.
 #[test]
-fn what_a_peer_let_pass_counts_also_as_others_tell_it() {
+fn of_many_instances_what_others_let_pass_counts_as_their_leads_tell_it() {
     let mut edge = Edge::new(edge_settings("a"), resources());
+    edge.step(Event::PeersKnown(39));
+    edge.step(Event::Reach(40));
+    let arrive = |edge: &mut Edge, n: u64, pause: u64| {
+        edge.now += millis(pause);
+        edge.step(Event::Fresh(edge.now));
+        edge.step(Event::Reach(40));
+        verdict(&edge.arrive(request(n, "safe", "limited")))
+    };
+    // What was counted before the first word is not known to be recent.
+    edge.step(counted(5_000.0, 1));
+    assert_eq!(arrive(&mut edge, 1, 1_000), None);
+    // This instance's own use is among what is counted next, and counts no second time; another's does.
+    edge.step(counted(5_100.0, 1));
+    assert_eq!(arrive(&mut edge, 2, 1_100), None);
+    edge.step(counted(5_500.0, 1));
+    let refused = Some((Outcome::NotRun, Reason::RateLimited));
+    assert_eq!(arrive(&mut edge, 3, 1_100), refused);
+    // Told again, and late, it counts no second time: 300 units are made up for in 3 s.
+    edge.step(counted(5_500.0, 1));
+    edge.step(counted(5_300.0, 1));
+    assert_eq!(arrive(&mut edge, 4, 3_000), None);
+    // By a word of itself, a peer's use does not count once more.
     edge.step(peer(5_000.0, 1));
-    edge.now += millis(1_000);
-    edge.step(Event::Fresh(edge.now));
-    // Of one that was not heard of, nothing is known to be recent.
-    edge.step(Event::PeerUsed(PeerUse {
-        name: "never heard of".to_owned(),
-        incarnation: Uuid::from_u128(2),
-        used: limited(9_000.0),
-    }));
-    assert_eq!(verdict(&edge.arrive(request(1, "safe", "limited"))), None);
-    edge.now += millis(1_000);
-    edge.step(relayed(5_300.0, 1));
-    edge.step(Event::Fresh(edge.now));
-    let refused = verdict(&edge.arrive(request(2, "safe", "limited")));
-    assert_eq!(refused, Some((Outcome::NotRun, Reason::RateLimited)));
-    // Told again, by itself and late by another, it counts no second time: 300 units are made up for
-    // in 6 s at the half of 100 a second that is left while the peer is silent.
-    edge.step(peer(5_300.0, 1));
-    edge.step(relayed(5_100.0, 1));
-    edge.now += millis(7_000);
-    edge.step(Event::Fresh(edge.now));
-    assert_eq!(verdict(&edge.arrive(request(3, "safe", "limited"))), None);
-    // A later start's totals began with it, so that all of them is new.
-    edge.now += millis(2_000);
-    edge.step(Event::Fresh(edge.now));
-    edge.step(relayed(9_000.0, 2));
-    let refused = verdict(&edge.arrive(request(4, "safe", "limited")));
-    assert_eq!(refused, Some((Outcome::NotRun, Reason::RateLimited)));
+    edge.step(peer(9_000.0, 1));
+    assert_eq!(arrive(&mut edge, 5, 1_100), None);
+    // Of counts that began anew, the first word says nothing, and the next one does.
+    edge.step(counted(50_000.0, 2));
+    assert_eq!(arrive(&mut edge, 6, 1_100), None);
+    edge.step(counted(51_000.0, 2));
+    assert_eq!(arrive(&mut edge, 7, 1_100), refused);
 }
 
 #[test]
@@ -228,8 +233,8 @@
     }
 }
 
-/// Many instances that ask for far more than the limit, in rounds of 20 ms; each hears of the others
-/// `lag` rounds late.
+/// Many instances that ask for far more than the limit, in rounds of 20 ms; each hears what the others
+/// let pass `lag` rounds late, by the counts of a lead.
 fn let_pass_in_seconds(instances: usize, secs: u64, lag: usize) -> Vec<f64> {
     let mut edges: Vec<Edge> = (0..instances)
         .map(|n| {
@@ -238,7 +243,9 @@
             edge
         })
         .collect();
-    let mut told: Vec<Vec<Event>> = Vec::new();
+    let mut lead = UseSums::new(Uuid::nil());
+    lead.begin(|| Uuid::from_u128(1));
+    let mut told: Vec<Event> = Vec::new();
     let mut passed = vec![0.0; secs as usize];
     for round in 0..secs * 50 {
         for (n, edge) in edges.iter_mut().enumerate() {
@@ -258,27 +265,26 @@
                 }
             }
         }
-        told.push(edges.iter().map(told_use).collect());
-        if let Some(words) = told.len().checked_sub(lag + 1).map(|at| told[at].clone()) {
-            for (n, edge) in edges.iter_mut().enumerate() {
-                let others = words.iter().enumerate().filter(|(m, _)| *m != n);
-                for (_, word) in others {
-                    edge.step(word.clone());
-                }
+        for edge in &edges {
+            lead.hear_member(edge.now, &own_use(edge));
+        }
+        told.extend(lead.take_for_group("lead").map(Event::SiteUsed));
+        if let Some(word) = told.len().checked_sub(lag + 1).map(|at| told[at].clone()) {
+            for edge in &mut edges {
+                edge.step(word.clone());
             }
         }
     }
     passed
 }
 
-fn told_use(edge: &Edge) -> Event {
+fn own_use(edge: &Edge) -> PeerUse {
     let t = edge.scheduler.tables();
-    Event::Peer(PeerNews {
+    PeerUse {
         name: t.settings.member.name.clone(),
         incarnation: t.settings.member.incarnation,
         used: used_limits(t, edge.now),
-        ..PeerNews::default()
-    })
+    }
 }
 
 /// Finding 11: with words 0.6 s old, twenty instances let everything pass whenever the common bucket
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -16,6 +16,7 @@
 mod rules;
 mod scene;
 mod shares;
+mod sums;
 mod suspects;
 mod tries;
 mod world;
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -222,9 +222,6 @@
     pub peers: ::prost::alloc::vec::Vec<PeerAddress>,
     #[prost(message, optional, tag = "7")]
     pub reads: ::core::option::Option<Reads>,
-    /// What other instances let pass, as the sender heard it from them or from their relays.
-    #[prost(message, repeated, tag = "8")]
-    pub relayed: ::prost::alloc::vec::Vec<RelayedUse>,
     /// Instances of its group that the sender hears, itself among them; 0 if it does not lead it.
     #[prost(uint32, tag = "9")]
     pub group_heard: u32,
@@ -249,6 +246,25 @@
     /// What the endpoints that its group places requests on did lately, if it leads it.
     #[prost(message, repeated, tag = "16")]
     pub group_work: ::prost::alloc::vec::Vec<AccountWork>,
+    /// Counts of what the sender's group let pass of limited accounts, those that rose, if it leads the
+    /// group.
+    #[prost(message, repeated, tag = "17")]
+    pub group_used: ::prost::alloc::vec::Vec<AccountUse>,
+    /// Counts of what all groups let pass, likewise.
+    #[prost(message, repeated, tag = "18")]
+    pub site_used: ::prost::alloc::vec::Vec<AccountUse>,
+    /// 16 bytes: the beginning of these counts, which tells them from earlier ones of the same sender.
+    #[prost(bytes = "vec", tag = "19")]
+    pub use_began: ::prost::alloc::vec::Vec<u8>,
+    /// Instances of its group that the sender knows of, heard or not, itself among them, and those of all
+    /// groups; 0 if it does not lead its group.
+    #[prost(uint32, tag = "20")]
+    pub group_known: u32,
+    #[prost(uint32, tag = "21")]
+    pub site_known: u32,
+    /// Whether none of these counts rose yet.
+    #[prost(bool, tag = "22")]
+    pub use_fresh: bool,
 }
 /// What one account asked for and had of one pool lately, in requests of one rank and in seconds of work.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -312,17 +328,6 @@
     #[prost(uint32, repeated, tag = "5")]
     pub bands: ::prost::alloc::vec::Vec<u32>,
 }
-/// What another instance than the sender let pass of limited accounts since its start.
-#[derive(Clone, PartialEq, ::prost::Message)]
-pub struct RelayedUse {
-    #[prost(string, tag = "1")]
-    pub instance: ::prost::alloc::string::String,
-    /// 16 bytes: the start of that instance.
-    #[prost(bytes = "vec", tag = "2")]
-    pub incarnation: ::prost::alloc::vec::Vec<u8>,
-    #[prost(message, repeated, tag = "3")]
-    pub used: ::prost::alloc::vec::Vec<AccountUse>,
-}
 /// Records of a topic that the sender read or was told of, so that its peers need not read them.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TopicRecords {
