State in parts: what a datagram does not hold is told all the same

Change: longer answers go in parts of 48 KB, up to 64; who asked puts them together and asks for those that lack alone. Test: more_than_a_datagram_holds_is_told_in_parts (6,000 and 24,000 endpoints); parts.rs states what lost, doubled, old, hostile parts do. Answers that fit one datagram go as before.

--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -36,6 +36,7 @@
 use super::datagram::{seal, write_address, write_reads, write_uses};
 use super::heartbeat::{SelfNews, write_demand, write_work};
 use super::known::records_body;
+use super::parts::PartialAnswers;
 use super::reads::SharedReads;
 use super::rollouts::{write_seen, write_words};
 use super::topic::TopicRecords;
--- a/crates/firdock-node/src/peer/beacon/answer.rs
+++ b/crates/firdock-node/src/peer/beacon/answer.rs
@@ -16,8 +16,9 @@
 use super::Beacons;
 use crate::peer::book::{KnownPeer, PeerBook};
 use crate::peer::datagram::{seal, write_address};
-use crate::peer::known::{KnownState, Question, Told, answer_body};
-use crate::peer::reads::SharedReads;
+use crate::peer::known::{KnownState, Question, ToldPart, answer_body, queued_body};
+use crate::peer::parts::{Lacking, StateId, count_parts, part_of};
+use crate::peer::reads::{Reads, SharedReads};
 
 /// Shortest pause between two answers: some 8 KB each are 3 ms of a link of 20 Mbit/s, to which they come
 /// spread over its queue.
@@ -31,7 +32,14 @@
 /// takes a link of 10 Mbit/s three seconds, and most of it between zones.
 const DIRECT_BYTES: usize = 8 << 10;
 /// Peers that wait for an answer at most: as many as there are instances that are kept.
-const MAX_WAITING: usize = 512;
+const MAX_WAITING: usize = MAX_PEERS;
+/// Time for which a state is kept, so that parts of it that were lost can be told again.
+const KEEP: Duration = Duration::from_secs(5);
+/// Peers that wait for an answer beyond which others are told that theirs will take a while: these are
+/// answered before an instance that starts asks the next one.
+const QUEUED_BEYOND: usize = 128;
+/// States that are kept: some 60 KB each where a site is large.
+const MAX_MADE: usize = 8;
 /// Time for which one answer serves all that ask for the same, though instances came meanwhile.
 const REUSE: Duration = Duration::from_millis(250);
 
@@ -51,14 +59,29 @@
 struct Made {
     basis: Basis,
     at: Time,
-    /// What it tells; `None` where that is too long.
-    told: Option<Told>,
+    id: StateId,
+    /// When it was the newest.
+    reads: Reads,
+    state: Vec<u8>,
+    /// Whether the topics are left out for their length.
+    large: bool,
+    /// How many instances there are.
+    known: usize,
+    /// Parts in which it goes; `None` where it is too long.
+    parts: Option<u32>,
 }
 
-/// Peers that wait for an answer, and the last one that was made.
+/// One who waits for an answer, or for the rest of it.
+#[derive(Debug)]
+struct Waiting {
+    from: SocketAddr,
+    question: Question,
+}
+
+/// Peers that wait for an answer, and the last ones that were made.
 #[derive(Debug, Default)]
 pub(super) struct Answers {
-    waiting: VecDeque<(SocketAddr, Question)>,
+    waiting: VecDeque<Waiting>,
     /// When the next answer may be sent.
     free_at: Time,
     /// Answers that were made: those to who starts, and to who takes part in a tree.
@@ -71,7 +94,7 @@
         if let Some((_, known)) = self.waiting.iter_mut().find(|(at, _)| *at == from) {
             *known = question;
         } else if self.waiting.len() < MAX_WAITING {
-            self.waiting.push_back((from, question));
+            self.waiting.push_back(Waiting { from, question });
         }
     }
 
@@ -88,16 +111,66 @@
 impl Beacons {
     /// Answers the peer that has waited longest.
     pub(super) async fn answer_next(&self, answers: &mut Answers) {
-        let Some((from, question)) = answers.waiting.pop_front() else {
+        let Some(Waiting { from, mut question }) = answers.waiting.pop_front() else {
             return;
+
+    /// Gives the state of which parts are asked for, if it is still kept.
+    fn kept(&self, lacking: Option<&Lacking>) -> Option<usize> {
+        let id = lacking?.state;
+        self.made.iter().position(|m| m.id == id)
+    }
+
+    fn keep(&mut self, made: Made) -> usize {
+        if self.made.len() >= MAX_MADE {
+            self.made.remove(0);
+        }
+        self.made.push(made);
+        self.made.len() - 1
+    }
         };
         let now = self.clock.now();
-        let Some(told) = self.told_for(question, now, &mut answers.made) else {
+        answers.made.retain(|m| m.at + KEEP > now);
+        let asked_for = question.lacking.take();
+        if !self.book.is_fleet() {
+            // All are told of all, by one answer for everyone.
+            question.zone.clear();
+        }
+        let at = match answers.kept(asked_for.as_ref()) {
+            Some(at) => at,
+            None => self.state_for(&question, now, answers),
+        };
+        let made = &answers.made[at];
+        let Some(parts) = made.parts else {
             return;
         };
-        answers.free_at = now + self.sending_time(told.state.len());
-        let reads = self.reads.own();
-        let body = answer_body(&self.member, question.asked, now, reads, told);
+        let asked_for = asked_for.filter(|l| l.state == made.id);
+        let mut lacking: Vec<u32> =
+            asked_for.map_or_else(|| (0..parts).collect(), |lacking| lacking.parts);
+        lacking.retain(|part| *part < parts);
+        if lacking.is_empty() {
+            return;
+        }
+        let part = lacking.remove(0);
+        let told = ToldPart {
+            reads: made.reads,
+            state: made.id,
+            part,
+            parts,
+            bytes: part_of(&made.state, part).to_vec(),
+            large: made.large,
+            known: made.known,
+        };
+        answers.free_at = now + self.sending_time(told.bytes.len());
+        let asked = question.asked;
+        if !lacking.is_empty() {
+            // The rest goes before others' answers: half of an answer is of no use.
+            question.lacking = Some(Lacking {
+                state: made.id,
+                parts: lacking,
+            });
+            answers.waiting.push_front(Waiting { from, question });
+        }
+        let body = answer_body(&self.member, asked, now, told);
         self.send_to(&seal(&self.key, body), "", from).await;
     }
 
@@ -112,8 +185,9 @@
         ANSWER_PAUSE.max(Duration::from_secs_f64(secs))
     }
 
-    /// Gives what a question is answered by.
-    fn told_for(&self, question: Question, now: Time, made: &mut Vec<Made>) -> Option<Told> {
+    /// Gives the place of the state by which a question is answered, which is made unless one that still
+    /// holds was.
+    fn state_for(&self, question: &Question, now: Time, answers: &mut Answers) -> usize {
         let reads = self.reads.own();
         let basis = Basis {
             topics: question.topics,
@@ -127,16 +201,23 @@
         if let Some(made) = made.iter().find(|m| m.basis == basis) {
             return made.told.clone();
         }
-        let told = self.make(question, now);
-        if told.is_none() {
-            warn!(self.log, "what is known is too long to be told"; "version" => reads.version);
+        let (state, large) = self.make(question, now).unwrap_or_default();
+        let parts = count_parts(state.len());
+        if parts.is_none() {
+            warn!(self.log, "what is known is too long to be told"; "version" => reads.version,
+                "bytes" => state.len());
         }
-        made.push(Made {
+        answers.count += 1;
+        answers.keep(Made {
             basis,
             at: now,
-            told: told.clone(),
-        });
-        told
+            id: answers.count,
+            reads,
+            state,
+            large,
+            known: 1 + self.book.count(now),
+            parts,
+        })
     }
 
     /// Makes an answer; who asks for the instances as well is told where else to ask for long topics.
--- a/crates/firdock-node/src/peer/beacon/meet.rs
+++ b/crates/firdock-node/src/peer/beacon/meet.rs
@@ -144,6 +144,8 @@
             instances: next.instances,
             whole: next.whole,
         };
+            lacking: self.partial().lacking(next.to),
+            zone: self.book.zone().to_owned(),
         self.send_to(&seal(&self.key, question.body()), "", next.to)
             .await;
     }
--- a/crates/firdock-node/src/peer/beacon/take.rs
+++ b/crates/firdock-node/src/peer/beacon/take.rs
@@ -18,6 +18,7 @@
 use crate::peer::known::{Answer, Question, Teller, read_records};
 use crate::peer::reads::Reads;
 use crate::peer::rollouts::{read_seen, read_words};
+use crate::peer::parts::BadPart;
 use crate::placement::{PlacementInput, read_reply, read_report};
 
 impl Beacons {
@@ -55,6 +56,21 @@
         }
         None
     }
+    /// Takes an answer or a part of one, which waits for the others.
+    fn take_part(&self, told: StateAnswer, from: SocketAddr) {
+        if told.queued {
+            self.reads.note_queued(self.clock.now());
+            return;
+        }
+        let taken = self.partial().take(self.clock.now(), from, told);
+        let whole = taken.map(|whole| whole.map(Answer::read));
+        match whole {
+            Ok(Some(Some(answer))) => self.take_answer(answer),
+            Ok(None) => {}
+            Ok(Some(None)) | Err(BadPart) => self.drop_malformed("an answer", from),
+        }
+    }
+
 
     fn drop_malformed(&self, what: &str, from: SocketAddr) {
         warn!(self.log, "word of a peer not taken"; "what" => what, "from" => from.to_string());
@@ -232,6 +248,8 @@
             return;
         };
         self.send_to(&seal(&self.key, question), &news.name, from)
+                lacking: self.partial().lacking(from),
+                zone: self.book.zone().to_owned(),
             .await;
     }
 
--- a/crates/firdock-node/src/peer/known.rs
+++ b/crates/firdock-node/src/peer/known.rs
@@ -17,6 +17,7 @@
 
 use super::datagram::{read_incarnation, read_reads, write_reads};
 use super::reads::Reads;
+use super::parts::{Lacking, StateId};
 use super::topic::{Image, Topic, TopicRecords, read_record, write_record};
 use crate::clock::millis;
 
@@ -35,7 +36,7 @@
 }
 
 /// What an instance asks a peer for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Question {
     /// When it is asked.
     pub asked: Time,
@@ -46,16 +47,24 @@
     /// Whether the topics are asked for however long they are.
     pub whole: bool,
 }
+    /// Parts of an earlier answer that did not come; `None` where all is asked for.
+    pub lacking: Option<Lacking>,
+    /// Availability zone of who asks.
+    pub zone: ZoneId,
 
 impl Question {
     pub(super) fn body(self) -> datagram::Body {
         let all = || Topic::ALL.map(|t| i32::from(t.write())).to_vec();
+        let lacking = self.lacking.unwrap_or_default();
         datagram::Body::StateQuestion(message::StateQuestion {
             asked: millis(self.asked),
             topics: if self.topics { all() } else { Vec::new() },
             instances: self.instances,
             whole: self.whole,
         })
+            state_id: lacking.state,
+            lacking: lacking.parts,
+            zone: self.zone,
     }
 
     pub(super) fn read(told: &message::StateQuestion) -> Self {
@@ -65,6 +74,11 @@
             instances: told.instances,
             whole: told.whole,
         }
+            lacking: (!told.lacking.is_empty()).then(|| Lacking {
+                state: told.state_id,
+                parts: told.lacking.clone(),
+            }),
+            zone: told.zone.clone(),
     }
 }
 
@@ -147,9 +161,15 @@
 
 /// What an answer tells.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct Told {
-    /// Deflated state.
-    pub state: Vec<u8>,
+pub(super) struct ToldPart {
+    /// When what is told was the newest.
+    pub reads: Reads,
+    /// Number of the state, of the part, and of all parts.
+    pub state: StateId,
+    pub part: u32,
+    pub parts: u32,
+    /// Bytes of the part.
+    pub bytes: Vec<u8>,
     /// Whether the topics are left out for their length.
     pub large: bool,
 }
@@ -159,8 +179,7 @@
     member: &Member,
     asked: Time,
     clock: Time,
-    reads: Reads,
-    told: Told,
+    told: ToldPart,
 ) -> datagram::Body {
     datagram::Body::StateAnswer(message::StateAnswer {
         instance: member.name.clone(),
@@ -176,6 +195,21 @@
 /// Writes changes as the word of `member`; `None` if they are too long for a datagram, or the whole.
 pub(super) fn records_body(member: &Member, told: &TopicRecords) -> Option<datagram::Body> {
     let from = told.from?;
+        state_id: told.state,
+        part: told.part,
+        parts: told.parts,
+        known: told.known as u32,
+        queued: false,
+    })
+}
+
+/// Writes the word to one that asks that many asked before.
+pub(super) fn queued_body(member: &Member) -> datagram::Body {
+    datagram::Body::StateAnswer(message::StateAnswer {
+        instance: member.name.clone(),
+        incarnation: member.incarnation.as_bytes().to_vec(),
+        queued: true,
+        ..message::StateAnswer::default()
     let entries = told.records.iter().cloned().map(write_record).collect();
     Some(datagram::Body::TopicRecords(message::TopicRecords {
         instance: member.name.clone(),
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -3,6 +3,7 @@
 mod lines;
 mod notice;
 mod party;
+mod parts;
 mod peers;
 mod placement;
 mod seen;
--- a/crates/firdock-node/tests/node/starts.rs
+++ b/crates/firdock-node/tests/node/starts.rs
@@ -216,6 +216,16 @@
     assert!(large);
 }
 
+/// What deflates to more than a datagram holds was not told, and every instance of a large site read the
+/// store for itself.
+#[tokio::test]
+async fn more_than_a_datagram_holds_is_told_in_parts() {
+    for endpoints in [6_000, 24_000] {
+        let (told, _) = start(endpoints, true).await;
+        assert_eq!(endpoints_told(&told), Some(endpoints as usize));
+    }
+}
+
 #[tokio::test]
 async fn where_that_one_knows_nothing_those_that_are_named_tell_all_the_same() {
     let (told, large) = start(2_000, false).await;
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -372,6 +372,14 @@
     /// Whether the topics are asked for however long they are: the sender has nobody nearer to ask.
     #[prost(bool, tag = "4")]
     pub whole: bool,
+    /// Of an answer that came in part: the state that it tells, and the numbers of its parts that lack.
+    #[prost(uint64, tag = "5")]
+    pub state_id: u64,
+    #[prost(uint32, repeated, tag = "6")]
+    pub lacking: ::prost::alloc::vec::Vec<u32>,
+    /// Availability zone of the sender: of many instances, those of it are told, and the leads of others.
+    #[prost(string, tag = "7")]
+    pub zone: ::prost::alloc::string::String,
 }
 /// Tells what the sender knows of the platform's store: the newest record of each key.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -395,6 +403,20 @@
     /// Whether the topics are left out for their length, to be asked of an instance of the own zone.
     #[prost(bool, tag = "7")]
     pub large: bool,
+    /// Number of the state among those that the sender made, the part's number from 0 and the number of
+    /// parts; 0 or 1 for a whole one.
+    #[prost(uint64, tag = "8")]
+    pub state_id: u64,
+    #[prost(uint32, tag = "9")]
+    pub part: u32,
+    #[prost(uint32, tag = "10")]
+    pub parts: u32,
+    /// Instances that there are, those that are not told among them; 0 where they are not counted.
+    #[prost(uint32, tag = "11")]
+    pub known: u32,
+    /// Whether this is no answer yet: many asked before, and it will come.
+    #[prost(bool, tag = "12")]
+    pub queued: bool,
 }
 /// What an instance knows of the platform's store.
 #[derive(Clone, PartialEq, ::prost::Message)]
