--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -28,9 +28,7 @@
 use crate::http::{ServerOptions, serve};
 use crate::input::Input;
 use crate::instance::{ListenSnafu, StartError, UnsetSnafu, open};
-use crate::peer::{
-    Beacons, Dialer, PeerBook, SelfNews, SharedReads, Taken, UseRelay, open_beacons,
-};
+use crate::peer::{Beacons, Dialer, PeerBook, SelfNews, SharedReads, Taken, open_beacons};
 use crate::placement::{DatagramLink, Membership, Placement};
 use crate::site::Site;
 use crate::source::{SourceSink, WantedRecords};
--- a/crates/firdock-node/src/peer.rs
+++ b/crates/firdock-node/src/peer.rs
@@ -21,7 +21,7 @@
 mod topic;
 
 pub use beacon::{Beacons, Taken, open_socket as open_beacons};
-pub use book::{KnownPeer, PeerBook, PeerWord, Power, Reader, Turn};
+pub use book::{Hearing, KnownPeer, PeerBook, PeerWord, Place, Power, Reader, Turn};
 pub use datagram::{read_incarnation, seal};
 pub use dial::{DialError, Dialer};
 pub use hand_over::{Order, hand_over, read_reason};
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -12,7 +12,7 @@
 use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use firdock_core::Offset;
@@ -22,7 +22,7 @@
 use firdock_policy::table::suspects::Revision;
 use firdock_policy::{Event, Time};
 use firdock_wire::PROTOCOL;
-use firdock_wire::message::{Beacon, datagram};
+use firdock_wire::message::{self, Beacon, datagram};
 use slog::{Logger, debug, info};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
@@ -69,6 +69,9 @@
     group_heard: usize,
     /// Instances of all groups that their leads hear.
     site_heard: usize,
+    /// The same of those that it knows of, heard or not.
+    group_known: usize,
+    site_known: usize,
     /// Demand of the group.
     group_demand: Vec<PoolDemand>,
     /// What the group saw of roll-outs.
@@ -77,10 +80,6 @@
     group_work: Vec<AccountWork>,
 }
 
-/// What sending and taking beacons needs.
-#[derive(Debug)]
-pub struct Beacons {
-    /// Socket for both.
 /// What a lead tells of the use of limits.
 #[derive(Debug, Default)]
 struct ToldUse {
@@ -102,6 +101,10 @@
     told.map_or_else(Vec::new, |told| write_uses(&told.counts))
 }
 
+/// What sending and taking beacons needs.
+#[derive(Debug)]
+pub struct Beacons {
+    /// Socket for both.
     pub socket: Arc<UdpSocket>,
     /// This instance and this start of it.
     pub member: Member,
@@ -156,8 +159,9 @@
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((len, from)) => {
-                        if let Some(question) = self.take(&buffer[..len], from).await {
-                            answers.ask(from, question);
+                        let question = self.take(&buffer[..len], from).await;
+                        if question.is_some_and(|question| answers.ask(from, question)) {
+                            self.tell_queued(from).await;
                         }
                     }
                     Err(e) => debug!(self.log, "heartbeat not taken"; "error" => e.to_string()),
@@ -343,10 +347,8 @@
         };
         let leads = self.book.leads_of_all(now);
         let sealed = seal(&self.key, body);
-        for peer in self.book.known() {
-            if self.book.is_near(&peer.name) || leads.contains(&peer.name) {
-                self.send_to(&sealed, &peer.name, peer.address).await;
-            }
+        for (peer, _) in self.book.pick(&leads, |place| place.near || place.lead) {
+            self.send_to(&sealed, &peer.name, peer.address).await;
         }
     }
 
@@ -378,23 +380,25 @@
             reads: Some(write_reads(self.reads.own())),
             group_heard: lead.group_heard as u32,
             site_heard: lead.site_heard as u32,
+            group_known: lead.group_known as u32,
+            site_known: lead.site_known as u32,
             group_demand: write_demand(&lead.group_demand),
             power: self.book.power(),
             rollouts: write_words(&news.rollouts.words),
             rollout_seen: write_seen(&news.rollouts.own),
             group_rollout_seen: write_seen(&lead.group_seen),
             group_work: write_work(&lead.group_work),
-        }
-    }
-
-    /// Makes a beacon that tells that this instance is there, what it knows of the store and its demand.
-    fn short_beacon(&self) -> Beacon {
             group_used: write_counts(used.group.as_ref()),
             site_used: write_counts(used.site.as_ref()),
             use_began: used
                 .any()
                 .map_or_else(Vec::new, |u| u.began.as_bytes().to_vec()),
             use_fresh: used.any().is_some_and(|u| u.fresh),
+        }
+    }
+
+    /// Makes a beacon that tells that this instance is there, what it knows of the store and its demand.
+    fn short_beacon(&self) -> Beacon {
         let news = self.news.borrow();
         Beacon {
             protocol: PROTOCOL,
@@ -415,6 +419,8 @@
         LeadWord {
             group_heard: self.book.group_heard(now),
             site_heard: self.book.site_heard(now),
+            group_known: self.book.group_known(),
+            site_known: self.book.site_known(now),
             group_demand: self.book.group_demand(now, &news.demand),
             group_seen: news.rollouts.group.clone(),
             group_work: news.work.clone(),
--- a/crates/firdock-node/src/peer/beacon/answer.rs
+++ b/crates/firdock-node/src/peer/beacon/answer.rs
@@ -8,8 +8,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use firdock_core::Offset;
+use firdock_core::{Offset, ZoneId};
 use firdock_policy::Time;
+use firdock_policy::table::peer::MAX_PEERS;
 use firdock_wire::message::PeerAddress;
 use slog::warn;
 
@@ -44,17 +45,18 @@
 const REUSE: Duration = Duration::from_millis(250);
 
 /// What an answer was made from: it serves again while that is the same.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 struct Basis {
     topics: bool,
-    instances: bool,
+    /// Availability zone whose instances are told; `None` where none are.
+    instances: Option<ZoneId>,
     whole: bool,
     version: u64,
     config_next: Offset,
     endpoints_next: Offset,
 }
 
-/// An answer that was made.
+/// A state that was made to be told.
 #[derive(Debug)]
 struct Made {
     basis: Basis,
@@ -84,18 +86,23 @@
     waiting: VecDeque<Waiting>,
     /// When the next answer may be sent.
     free_at: Time,
-    /// Answers that were made: those to who starts, and to who takes part in a tree.
+    /// States that were made: those for who starts, and for who takes part in a tree.
     made: Vec<Made>,
+    /// How many were made.
+    count: StateId,
 }
 
 impl Answers {
     /// Notes that a peer asks; its latest question counts.
-    pub(super) fn ask(&mut self, from: SocketAddr, question: Question) {
-        if let Some((_, known)) = self.waiting.iter_mut().find(|(at, _)| *at == from) {
-            *known = question;
+    ///
+    /// Tells whether so many wait that the peer is to know that its answer will take a while.
+    pub(super) fn ask(&mut self, from: SocketAddr, question: Question) -> bool {
+        if let Some(known) = self.waiting.iter_mut().find(|w| w.from == from) {
+            known.question = question;
         } else if self.waiting.len() < MAX_WAITING {
             self.waiting.push_back(Waiting { from, question });
         }
+        self.waiting.len() > QUEUED_BEYOND
     }
 
     /// Gives when the next answer is due; `None` while nobody waits or not all is known.
@@ -106,13 +113,6 @@
         let due = can_answer && !self.waiting.is_empty();
         due.then_some(self.free_at)
     }
-}
-
-impl Beacons {
-    /// Answers the peer that has waited longest.
-    pub(super) async fn answer_next(&self, answers: &mut Answers) {
-        let Some(Waiting { from, mut question }) = answers.waiting.pop_front() else {
-            return;
 
     /// Gives the state of which parts are asked for, if it is still kept.
     fn kept(&self, lacking: Option<&Lacking>) -> Option<usize> {
@@ -127,6 +127,13 @@
         self.made.push(made);
         self.made.len() - 1
     }
+}
+
+impl Beacons {
+    /// Answers the peer that has waited longest, by one part of the answer where it goes in several.
+    pub(super) async fn answer_next(&self, answers: &mut Answers) {
+        let Some(Waiting { from, mut question }) = answers.waiting.pop_front() else {
+            return;
         };
         let now = self.clock.now();
         answers.made.retain(|m| m.at + KEEP > now);
@@ -174,6 +181,12 @@
         self.send_to(&seal(&self.key, body), "", from).await;
     }
 
+    /// Tells one that asks that many asked before.
+    pub(super) async fn tell_queued(&self, to: SocketAddr) {
+        let body = queued_body(&self.member);
+        self.send_to(&seal(&self.key, body), "", to).await;
+    }
+
     /// Gives the time that an answer takes of the own link.
     fn sending_time(&self, bytes: usize) -> Duration {
         let link = if self.link > 0.0 {
@@ -191,15 +204,17 @@
         let reads = self.reads.own();
         let basis = Basis {
             topics: question.topics,
-            instances: question.instances,
+            instances: question.instances.then(|| question.zone.clone()),
             whole: question.whole,
             version: reads.version,
             config_next: reads.config_next,
             endpoints_next: reads.endpoints_next,
         };
-        made.retain(|m| m.at + REUSE > now);
-        if let Some(made) = made.iter().find(|m| m.basis == basis) {
-            return made.told.clone();
+        let known = answers.made.iter_mut();
+        let mut known = known.enumerate().filter(|(_, m)| m.basis == basis);
+        if let Some((at, made)) = known.find(|(_, m)| m.at + REUSE > now) {
+            made.reads = reads;
+            return at;
         }
         let (state, large) = self.make(question, now).unwrap_or_default();
         let parts = count_parts(state.len());
@@ -220,43 +235,42 @@
         })
     }
 
-    /// Makes an answer; who asks for the instances as well is told where else to ask for long topics.
-    fn make(&self, question: Question, now: Time) -> Option<Told> {
-        let all = self.known_state(question, now).deflate();
+    /// Makes the state that is told, and tells whether the topics are left out of it; who asks for the
+    /// instances as well is told where else to ask for long topics.
+    fn make(&self, question: &Question, now: Time) -> Option<(Vec<u8>, bool)> {
         let direct = question.whole || !question.instances || !question.topics;
-        let fits = all.as_ref().is_some_and(|s| s.len() <= DIRECT_BYTES);
-        if direct || fits || self.book.is_small() {
-            return all.map(|state| Told {
-                state,
-                large: false,
-            });
+        if direct || !self.book.is_fleet() {
+            let all = self.known_state(question, now).deflate()?;
+            if direct || all.len() <= DIRECT_BYTES || self.book.is_small() {
+                return Some((all, false));
+            }
         }
         let instances = Question {
             topics: false,
-            ..question
+            ..question.clone()
         };
-        let state = self.known_state(instances, now).deflate()?;
-        Some(Told { state, large: true })
+        let state = self.known_state(&instances, now).deflate()?;
+        Some((state, true))
     }
 
-    fn known_state(&self, question: Question, now: Time) -> KnownState {
+    fn known_state(&self, question: &Question, now: Time) -> KnownState {
         let topics = if question.topics {
             self.reads.images()
         } else {
             Vec::new()
         };
         let instances = if question.instances {
-            self.known_instances(now)
+            self.known_instances(&question.zone, now)
         } else {
             Vec::new()
         };
         KnownState { topics, instances }
     }
 
-    /// Gives all instances that are known, this one among them.
-    fn known_instances(&self, now: Time) -> Vec<PeerAddress> {
+    /// Gives the instances that one of `zone` is told of, this one among them.
+    fn known_instances(&self, zone: &str, now: Time) -> Vec<PeerAddress> {
         self.book.sweep(now);
-        let mut known = self.book.known();
+        let mut known = self.book.told_to(zone);
         if let Ok(address) = self.socket.local_addr() {
             known.push(KnownPeer {
                 name: self.member.name.clone(),
--- a/crates/firdock-node/src/peer/beacon/due.rs
+++ b/crates/firdock-node/src/peer/beacon/due.rs
@@ -6,6 +6,7 @@
 
 use firdock_policy::Time;
 
+use crate::peer::book::Place;
 use crate::peer::{KnownPeer, PeerBook};
 
 /// Near peers that get a beacon at each tick; with more of them, each gets one at every few ticks.
@@ -34,22 +35,26 @@
     /// Gives the peers that get a beacon at a tick: of many, every few ticks a part of them; the
     /// leads of groups get one at each.
     pub fn at(tick: usize, book: &PeerBook, now: Time) -> Self {
-        let peers = book.known();
+        let known = book.count(now);
         let leads = book.leads_of_all(now);
         let i_lead = book.tells(now);
-        let near_pace = (peers.len() / NEAR_PEERS_A_TICK).max(1);
-        let far_pace = far_pace(tick, peers.len());
+        let near_pace = (known / NEAR_PEERS_A_TICK).max(1);
+        let far_pace = far_pace(tick, known);
+        let wanted = |place: Place| {
+            let turn = |pace: usize| (tick + place.at + 1).is_multiple_of(pace);
+            let led = i_lead && place.lead;
+            if place.near {
+                i_lead || place.lead || turn(near_pace)
+            } else {
+                led || turn(far_pace)
+            }
+        };
         let mut due = Self::default();
-        for (at, peer) in peers.into_iter().enumerate() {
-            let turn = |pace: usize| (tick + at + 1).is_multiple_of(pace);
-            let lead = leads.contains(&peer.name);
-            let near = book.is_near(&peer.name);
-            if near && (i_lead || lead || turn(near_pace)) {
-                due.near.push(peer);
-            } else if !near && i_lead && lead {
-                due.leads.push(peer);
-            } else if !near && turn(far_pace) {
-                due.far.push(peer);
+        for (peer, place) in book.pick(&leads, wanted) {
+            match place {
+                Place { near: true, .. } => due.near.push(peer),
+                Place { lead: true, .. } if i_lead => due.leads.push(peer),
+                _ => due.far.push(peer),
             }
         }
         due
@@ -64,16 +69,15 @@
     pub fn at_once(book: &PeerBook, now: Time) -> Self {
         let mut leads = book.leads_of_all(now);
         leads.extend(book.likely_leads());
-        let (near, rest): (Vec<_>, Vec<_>) = book
-            .known()
-            .into_iter()
-            .partition(|peer| book.is_near(&peer.name));
-        let leads = rest.into_iter().filter(|peer| leads.contains(&peer.name));
-        Self {
-            near,
-            leads: leads.collect(),
-            far: Vec::new(),
+        let mut due = Self::default();
+        for (peer, place) in book.pick(&leads, |place| place.near || place.lead) {
+            if place.near {
+                due.near.push(peer);
+            } else {
+                due.leads.push(peer);
+            }
         }
+        due
     }
 }
 
--- a/crates/firdock-node/src/peer/beacon/meet.rs
+++ b/crates/firdock-node/src/peer/beacon/meet.rs
@@ -98,7 +98,8 @@
             Asked::Zone => usize::MAX,
         };
         if missing && self.asked < tries {
-            return Some(self.started + NEXT_PAUSE * self.asked as u32);
+            let turn = self.started + NEXT_PAUSE * self.asked as u32;
+            return Some(turn.max(reads.queued_until().unwrap_or(turn)));
         }
         self.again_at
     }
@@ -143,9 +144,9 @@
             topics: !self.reads.is_known(),
             instances: next.instances,
             whole: next.whole,
-        };
             lacking: self.partial().lacking(next.to),
             zone: self.book.zone().to_owned(),
+        };
         self.send_to(&seal(&self.key, question.body()), "", next.to)
             .await;
     }
--- a/crates/firdock-node/src/peer/beacon/take.rs
+++ b/crates/firdock-node/src/peer/beacon/take.rs
@@ -6,7 +6,9 @@
 use firdock_policy::event::{GroupDemand, GroupEvidence, GroupWork, PeerNews, UseCounts};
 use firdock_policy::{Event, Time};
 use firdock_wire::PROTOCOL;
-use firdock_wire::message::{Beacon, ClockAnswer, ClockQuestion, PeerAddress, datagram};
+use firdock_wire::message::{
+    Beacon, ClockAnswer, ClockQuestion, PeerAddress, StateAnswer, datagram,
+};
 use slog::warn;
 
 use super::{Beacons, MAX_TOLD};
@@ -16,9 +18,9 @@
 use crate::peer::datagram::{open, read_incarnation, read_reads, read_uses, seal};
 use crate::peer::heartbeat::{peer_news, read_demand, read_work};
 use crate::peer::known::{Answer, Question, Teller, read_records};
+use crate::peer::parts::BadPart;
 use crate::peer::reads::Reads;
 use crate::peer::rollouts::{read_seen, read_words};
-use crate::peer::parts::BadPart;
 use crate::placement::{PlacementInput, read_reply, read_report};
 
 impl Beacons {
@@ -39,10 +41,7 @@
             Some(datagram::Body::StateQuestion(question)) => {
                 return Some(Question::read(&question));
             }
-            Some(datagram::Body::StateAnswer(answer)) => match Answer::read(answer) {
-                Some(answer) => self.take_answer(answer),
-                None => self.drop_malformed("an answer", from),
-            },
+            Some(datagram::Body::StateAnswer(answer)) => self.take_part(answer, from),
             Some(datagram::Body::PlacementReport(told)) => {
                 let report = Box::new(read_report(told));
                 self.pass(Input::Placement(PlacementInput::Report(report, from)))
@@ -56,6 +55,7 @@
         }
         None
     }
+
     /// Takes an answer or a part of one, which waits for the others.
     fn take_part(&self, told: StateAnswer, from: SocketAddr) {
         if told.queued {
@@ -71,7 +71,6 @@
         }
     }
 
-
     fn drop_malformed(&self, what: &str, from: SocketAddr) {
         warn!(self.log, "word of a peer not taken"; "what" => what, "from" => from.to_string());
     }
@@ -83,6 +82,9 @@
         if !instances.is_empty() {
             self.know(instances, now);
             self.book.note_listed();
+            if answer.known > 0 {
+                self.book.note_known(answer.known, now);
+            }
         }
         if answer.large {
             self.reads.note_large();
@@ -129,7 +131,8 @@
             return;
         }
         let now = self.clock.now();
-        if self.note(&beacon, from, now) {
+        let hearing = self.note(&beacon, from, now);
+        if hearing == Some(Hearing::First) {
             // It may not know of this one, and its turn among many would come late.
             let known = KnownPeer {
                 name: beacon.instance.clone(),
@@ -199,8 +202,14 @@
         }
         if self.book.is_own_zone(zone) {
             self.tell(Event::Reach(beacon.site_heard as usize)).await;
+            // Two leads that took each other's word would hold on to one that is long past.
+            if beacon.site_known > 0 && !self.book.tells(now) {
+                self.book.note_known(beacon.site_known as usize, now);
+            }
         } else {
-            self.book.note_group(zone, beacon.group_heard as usize, now);
+            let known = beacon.group_known.max(beacon.group_heard);
+            self.book
+                .note_group(zone, beacon.group_heard as usize, known as usize, now);
             let group = GroupDemand {
                 zone: zone.to_owned(),
                 demand: read_demand(beacon.group_demand.clone()),
@@ -239,6 +248,8 @@
                 topics: true,
                 instances: !self.book.was_listed(),
                 whole: false,
+                lacking: self.partial().lacking(from),
+                zone: self.book.zone().to_owned(),
             };
             question.body()
         } else if heard.ask_clock && self.counts(&news.name, now) {
@@ -248,8 +259,6 @@
             return;
         };
         self.send_to(&seal(&self.key, question), &news.name, from)
-                lacking: self.partial().lacking(from),
-                zone: self.book.zone().to_owned(),
             .await;
     }
 
@@ -262,21 +271,27 @@
             || self.book.leads_of_all(now).contains(name)
     }
 
-    /// Notes the sender and the instances that it tells of; tells whether the sender is new.
-    fn note(&self, beacon: &Beacon, from: SocketAddr, now: Time) -> bool {
+    /// Notes the sender and the instances that it tells of; gives what follows for the sender, unless it
+    /// stops.
+    fn note(&self, beacon: &Beacon, from: SocketAddr, now: Time) -> Option<Hearing> {
         let heartbeat = beacon.heartbeat.as_ref();
-        let new = if heartbeat.is_some_and(|b| b.draining) {
+        let hearing = if heartbeat.is_some_and(|b| b.draining) {
             self.book.forget(&beacon.instance, now);
-            false
+            None
         } else {
             let word = PeerWord {
                 name: &beacon.instance,
                 zone: heartbeat.map_or("", |b| &b.zone),
                 power: beacon.power,
             };
-            self.book.hear(word, from, now)
+            let hearing = if beacon.group_heard > 0 {
+                self.book.hear_lead(word, from, now)
+            } else {
+                self.book.hear(word, from, now)
+            };
+            Some(hearing)
         };
         self.know(beacon.peers.iter().take(MAX_TOLD).cloned().collect(), now);
-        new
+        hearing
     }
 }
--- a/crates/firdock-node/src/peer/book.rs
+++ b/crates/firdock-node/src/peer/book.rs
@@ -11,13 +11,20 @@
 use firdock_core::{InstanceId, ZoneId};
 use firdock_policy::Time;
 use firdock_policy::event::PoolDemand;
+use firdock_policy::table::peer::MAX_PEERS;
 use tokio::sync::Notify;
 
-use self::group::GroupCounts;
-pub use self::group::{Reader, Turn};
-
-/// Most instances that are kept.
-const MAX_PEERS: usize = 512;
+use self::group::{GroupCounts, standing_of, strongest_of_zones};
+pub use self::group::{Place, Reader, Turn};
+
+/// Instances up to which each knows all others. Of more, it knows its own group and the strongest of each
+/// other one, which tell for theirs: what it keeps and tells grows with its group alone.
+const FULL_BOOK: usize = 400;
+/// Instances of each other group that are known then: its lead, the next one, and two that may follow.
+const STRONGEST: usize = 4;
+/// Time for which one that read the list of instances tells others of all: those that start in the same
+/// moment have asked by then.
+const TELL_LISTED: Duration = Duration::from_secs(10);
 /// Silence after which an instance is forgotten: it was replaced or taken away.
 const FORGET_AFTER: Duration = Duration::from_mins(1);
 /// Silence after which an instance does not count as heard.
@@ -36,6 +43,17 @@
     pub power: Power,
 }
 
+/// What follows from a heartbeat for what is known of its sender.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Hearing {
+    /// It was not heard before.
+    First,
+    /// It was.
+    Again,
+    /// It is not kept: its lead tells for it.
+    NotKept,
+}
+
 /// What an instance tells of itself in each heartbeat.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PeerWord<'a> {
@@ -91,6 +109,8 @@
     listed_now: Notify,
     /// Counts of the other groups.
     groups: Mutex<GroupCounts>,
+    /// How many instances there are, as the list or a lead told, and when.
+    told_known: Mutex<Option<(Time, usize)>>,
     /// Instances that said that they stop, and when: others may still tell of them for a while.
     departed: Mutex<BTreeMap<InstanceId, Time>>,
 }
@@ -108,6 +128,7 @@
             listed: AtomicBool::new(false),
             listed_now: Notify::new(),
             groups: Mutex::default(),
+            told_known: Mutex::default(),
             departed: Mutex::default(),
         }
     }
@@ -131,8 +152,17 @@
         self.power
     }
 
-    /// Notes that someone told of an instance.
+    /// Notes that someone told of an instance, if it is to be known here.
     pub fn know(&self, peer: KnownPeer, now: Time) {
+        let kept = self.keeps(&self.lock(), &peer.name, &peer.zone, peer.power);
+        if kept || peer.name == self.me {
+            self.know_listed(peer, now);
+        }
+    }
+
+    /// Notes that the list of instances has one: who read it tells others of all for a while, though it
+    /// need not know them itself.
+    pub fn know_listed(&self, peer: KnownPeer, now: Time) {
         if self.departed().contains_key(&peer.name) {
             return;
         }
@@ -191,12 +221,24 @@
         self.listed.load(Ordering::Relaxed)
     }
 
-    /// Notes that an instance was heard; tells whether it had not been before.
-    pub fn hear(&self, word: PeerWord<'_>, address: SocketAddr, now: Time) -> bool {
+    /// Notes that an instance was heard.
+    pub fn hear(&self, word: PeerWord<'_>, address: SocketAddr, now: Time) -> Hearing {
+        let kept = self.keeps(&self.lock(), word.name, word.zone, word.power);
+        if kept {
+            self.hear_lead(word, address, now)
+        } else {
+            self.lock().remove(word.name);
+            Hearing::NotKept
+        }
+    }
+
+    /// Notes that an instance was heard that tells for its group: it is kept whatever stands before it,
+    /// for that has fallen.
+    pub fn hear_lead(&self, word: PeerWord<'_>, address: SocketAddr, now: Time) -> Hearing {
         let mut entries = self.lock();
         let known = entries.contains_key(word.name) || entries.len() < MAX_PEERS;
         if word.name == self.me || !known {
-            return false;
+            return Hearing::NotKept;
         }
         let entry = Entry {
             address,
@@ -207,7 +249,10 @@
             demand: Vec::new(),
         };
         let before = entries.insert(word.name.to_owned(), entry);
-        before.is_none_or(|e| !e.heard)
+        match before {
+            Some(before) if before.heard => Hearing::Again,
+            _ => Hearing::First,
+        }
     }
 
     /// Notes the demand that an instance told of, which was heard.
@@ -223,12 +268,21 @@
         self.departed().insert(name.to_owned(), now);
     }
 
-    /// Forgets instances that have been silent for long; counts those that are left.
+    /// Forgets instances that have been silent for long; counts the others of the site.
     pub fn sweep(&self, now: Time) -> usize {
         self.departed().retain(|_, at| *at + HEARD_WITHIN > now);
+        self.told_known()
+            .take_if(|(at, _)| *at + FORGET_AFTER <= now);
         let mut entries = self.lock();
         entries.retain(|_, e| e.since + FORGET_AFTER > now);
-        entries.len()
+        self.prune(&mut entries, now);
+        let counted = entries.len();
+        drop(entries);
+        if self.is_fleet() {
+            self.site_known(now).saturating_sub(1).max(counted)
+        } else {
+            counted
+        }
     }
 
     /// Tells whether any instance was heard a short while ago.
@@ -253,6 +307,65 @@
         heard.map(known_peer).collect()
     }
 
+    /// Notes how many instances there are, as the list of them or a lead tells, this one among them.
+    pub fn note_known(&self, count: usize, now: Time) {
+        *self.told_known() = Some((now, count));
+    }
+
+    /// Gives how many instances there are as was told lately; zero where nobody told.
+    fn lately_told_known(&self, now: Time) -> usize {
+        let told = *self.told_known();
+        let told = told.filter(|(at, _)| *at + FORGET_AFTER > now);
+        told.map_or(0, |(_, count)| count)
+    }
+
+    /// Tells whether instances are so many that only those of the own group and the strongest of the others
+    /// are known.
+    #[must_use]
+    pub fn is_fleet(&self) -> bool {
+        let known = self.lock().len();
+        self.are_many(known)
+    }
+
+    fn are_many(&self, known: usize) -> bool {
+        let told = self.told_known().map_or(0, |(_, count)| count);
+        known.max(told) >= FULL_BOOK
+    }
+
+    /// Tells whether an instance is to be known here.
+    fn keeps(&self, entries: &Entries, name: &str, zone: &str, power: Power) -> bool {
+        if zone == self.zone || zone.is_empty() || !self.are_many(entries.len()) {
+            return true;
+        }
+        let standing = standing_of(power, name);
+        let before = entries
+            .iter()
+            .filter(|(other, e)| e.zone == zone && standing_of(e.power, other) < standing);
+        before.count() < STRONGEST
+    }
+
+    /// Forgets the instances of other groups that need not be known.
+    fn prune(&self, entries: &mut Entries, now: Time) {
+        if !self.are_many(entries.len()) {
+            return;
+        }
+        // Those that fell silent do not keep out the ones that lead in their place.
+        let mut kept = strongest_of_zones(entries.iter(), STRONGEST);
+        let heard = entries.iter().filter(|(_, e)| e.is_heard(now));
+        kept.extend(strongest_of_zones(heard, STRONGEST));
+        let own = &self.zone;
+        entries.retain(|name, e| {
+            let new = !e.heard && e.since + TELL_LISTED > now;
+            new || e.zone == *own || e.zone.is_empty() || kept.contains(name)
+        });
+    }
+
+    fn told_known(&self) -> MutexGuard<'_, Option<(Time, usize)>> {
+        self.told_known
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn departed(&self) -> MutexGuard<'_, BTreeMap<InstanceId, Time>> {
         self.departed.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/firdock-node/src/peer/book/group.rs
+++ b/crates/firdock-node/src/peer/book/group.rs
@@ -15,7 +15,7 @@
 use firdock_policy::event::PoolDemand;
 use firdock_policy::table::SMALL_SITE;
 
-use super::{Entries, Entry, KnownPeer, PeerBook, Power, known_peer};
+use super::{Entries, Entry, FORGET_AFTER, KnownPeer, PeerBook, Power, known_peer};
 
 /// Silence after which an instance neither leads a group nor counts in it: six heartbeats of the
 /// deployments' 200 ms (`deploy/settings.toml`).
@@ -28,8 +28,16 @@
 /// a link of 10 Mbit/s, and two steps reach the 75 of a zone of 300.
 const CHILDREN: usize = 9;
 
-/// How many instances the lead of each group hears, by availability zone, and when it told.
-pub(super) type GroupCounts = BTreeMap<ZoneId, (Time, usize)>;
+/// How many instances the lead of a group hears and knows of, and when it told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct GroupCount {
+    at: Time,
+    heard: usize,
+    known: usize,
+}
+
+/// The same by availability zone.
+pub(super) type GroupCounts = BTreeMap<ZoneId, GroupCount>;
 
 /// An instance's part in the reading of the platform's store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,6 +52,17 @@
     SmallMember,
 }
 
+/// Where another instance stands to this one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Place {
+    /// Its number in the order of names.
+    pub at: usize,
+    /// Whether it is in this one's group.
+    pub near: bool,
+    /// Whether it is among the leads that were asked about.
+    pub lead: bool,
+}
+
 /// An instance's place in the order in which instances lead.
 type Standing<'a> = (Reverse<Power>, &'a str);
 
@@ -71,7 +90,11 @@
 }
 
 fn standing<'a>((name, entry): &(&'a InstanceId, &Entry)) -> Standing<'a> {
-    (Reverse(entry.power), name.as_str())
+    standing_of(entry.power, name)
+}
+
+pub(super) fn standing_of(power: Power, name: &str) -> Standing<'_> {
+    (Reverse(power), name)
 }
 
 impl Entry {
@@ -86,11 +109,6 @@
     entries.iter().filter(move |(_, e)| e.is_present(now))
 }
 
-/// Tells whether instances are so few that all of them are one group.
-fn are_few(entries: &Entries) -> bool {
-    entries.len() < SMALL_SITE
-}
-
 impl PeerBook {
     /// Gives the demand of this one's group by pool, with `own` as this instance's.
     #[must_use]
@@ -116,7 +134,7 @@
     #[must_use]
     pub fn turn(&self, now: Time) -> Turn {
         let entries = self.lock();
-        let few = are_few(&entries);
+        let few = self.are_few(&entries);
         let me = self.standing();
         let (mut led_site, mut led_group, mut place, mut of) = (false, false, 0, 1);
         for peer in entries.iter().filter(|(_, e)| e.is_heard(now)) {
@@ -153,13 +171,13 @@
     #[must_use]
     pub fn leads_of_all(&self, now: Time) -> BTreeSet<InstanceId> {
         let entries = self.lock();
-        first_of_zones(entries.iter().filter(|(_, e)| e.is_heard(now)))
+        strongest_of_zones(entries.iter().filter(|(_, e)| e.is_heard(now)), LEADS_TOLD)
     }
 
     /// Gives the first instances of each availability zone by what is known of them, heard or not.
     #[must_use]
     pub fn likely_leads(&self) -> BTreeSet<InstanceId> {
-        first_of_zones(self.lock().iter())
+        strongest_of_zones(self.lock().iter(), LEADS_TOLD)
     }
 
     /// Tells whether this instance tells its group of the site: its lead does, and the one that takes
@@ -179,9 +197,14 @@
         1 + self.present_in_zone(&entries, now).count()
     }
 
-    /// Notes how many instances of another group its lead hears.
-    pub fn note_group(&self, zone: &str, count: usize, now: Time) {
-        self.groups().insert(zone.to_owned(), (now, count));
+    /// Notes how many instances of another group its lead hears, and knows of.
+    pub fn note_group(&self, zone: &str, heard: usize, known: usize, now: Time) {
+        let count = GroupCount {
+            at: now,
+            heard,
+            known,
+        };
+        self.groups().insert(zone.to_owned(), count);
     }
 
     /// Counts the instances of all groups that their leads hear.
@@ -190,11 +213,31 @@
         let groups = self.groups();
         let fresh = groups
             .iter()
-            .filter(|(zone, (at, _))| **zone != self.zone && *at + PRESENT_WITHIN > now);
-        let others: usize = fresh.map(|(_, (_, count))| count).sum();
+            .filter(|(zone, count)| **zone != self.zone && count.at + PRESENT_WITHIN > now);
+        let others: usize = fresh.map(|(_, count)| count.heard).sum();
         self.group_heard(now) + others
     }
 
+    /// Counts the instances of this one's group that are known, heard or not, itself among them.
+    #[must_use]
+    pub fn group_known(&self) -> usize {
+        let entries = self.lock();
+        1 + entries.values().filter(|e| e.zone == self.zone).count()
+    }
+
+    /// Counts the instances of all groups, heard or not, this one among them: by what was told of all
+    /// lately, or by the counts of leads where these are more.
+    #[must_use]
+    pub fn site_known(&self, now: Time) -> usize {
+        let groups = self.groups();
+        let fresh = groups
+            .iter()
+            .filter(|(zone, count)| **zone != self.zone && count.at + FORGET_AFTER > now);
+        let others: usize = fresh.map(|(_, count)| count.known).sum();
+        drop(groups);
+        (self.group_known() + others).max(self.lately_told_known(now))
+    }
+
     /// Gives the first instance of this one's group, of those that are heard and `open`, with whether
     /// it goes before this one; this instance itself is left out.
     pub fn first_of_group(
@@ -203,7 +246,7 @@
         open: impl Fn(&str) -> bool,
     ) -> Option<(KnownPeer, bool)> {
         let entries = self.lock();
-        let few = are_few(&entries);
+        let few = self.are_few(&entries);
         let group =
             present(&entries, now).filter(|(name, e)| (few || e.zone == self.zone) && open(name));
         let first = group.min_by(|a, b| standing(a).cmp(&standing(b)))?;
@@ -231,7 +274,12 @@
     /// Tells whether instances are so few that all of them are one group.
     #[must_use]
     pub fn is_small(&self) -> bool {
-        are_few(&self.lock())
+        self.are_few(&self.lock())
+    }
+
+    /// Tells the same by those that are known here, if these are all.
+    fn are_few(&self, entries: &Entries) -> bool {
+        entries.len() < SMALL_SITE && !self.are_many(entries.len())
     }
 
     /// Tells whether an availability zone is this instance's.
@@ -240,12 +288,52 @@
         zone == self.zone
     }
 
-    /// Tells whether an instance is in this one's group; one that is not known counts as such.
+    /// Gives the instances that are `wanted` by their places, with those.
+    ///
+    /// Of a thousand, few get something at any one moment; the others are not copied.
+    pub fn pick(
+        &self,
+        leads: &BTreeSet<InstanceId>,
+        wanted: impl Fn(Place) -> bool,
+    ) -> Vec<(KnownPeer, Place)> {
+        let entries = self.lock();
+        let few = self.are_few(&entries);
+        let placed = entries.iter().enumerate().map(|(at, peer)| {
+            let place = Place {
+                at,
+                near: few || peer.1.zone == self.zone,
+                lead: leads.contains(peer.0),
+            };
+            (peer, place)
+        });
+        let picked = placed.filter(|(_, place)| wanted(*place));
+        picked
+            .map(|(peer, place)| (known_peer(peer), place))
+            .collect()
+    }
+
+    /// Counts the other instances of the site, whether they are known here or not.
+    #[must_use]
+    pub fn count(&self, now: Time) -> usize {
+        let known = self.lock().len();
+        if self.are_many(known) {
+            self.site_known(now).saturating_sub(1).max(known)
+        } else {
+            known
+        }
+    }
+
+    /// Gives the instances that are told to one of `zone`: all that are known, or of many those of its
+    /// zone and the strongest of the others.
     #[must_use]
-    pub fn is_near(&self, name: &str) -> bool {
+    pub fn told_to(&self, zone: &str) -> Vec<KnownPeer> {
         let entries = self.lock();
-        let near = |e: &Entry| e.zone == self.zone;
-        are_few(&entries) || entries.get(name).is_none_or(near)
+        let all = zone.is_empty() || !self.are_many(entries.len());
+        let strongest = strongest_of_zones(entries.iter(), super::STRONGEST);
+        let wanted = |(name, e): &(&InstanceId, &Entry)| {
+            all || e.zone == zone || e.zone.is_empty() || strongest.contains(*name)
+        };
+        entries.iter().filter(wanted).map(known_peer).collect()
     }
 
     /// Goes over the instances of this one's availability zone that were heard within a few
@@ -263,16 +351,17 @@
     }
 }
 
-/// Gives the first instances of each availability zone.
-fn first_of_zones<'a>(
+/// Gives so many instances of each availability zone, those that stand first.
+pub(super) fn strongest_of_zones<'a>(
     peers: impl Iterator<Item = (&'a InstanceId, &'a Entry)>,
+    count: usize,
 ) -> BTreeSet<InstanceId> {
     let mut zones: BTreeMap<&str, Vec<(&InstanceId, &Entry)>> = BTreeMap::new();
     for peer in peers {
         let first = zones.entry(&peer.1.zone).or_default();
         let at = first.partition_point(|p| standing(p) < standing(&peer));
         first.insert(at, peer);
-        first.truncate(LEADS_TOLD);
+        first.truncate(count);
     }
     let first = zones.into_values().flatten();
     first.map(|(name, _)| name.clone()).collect()
--- a/crates/firdock-node/src/peer/known.rs
+++ b/crates/firdock-node/src/peer/known.rs
@@ -8,6 +8,7 @@
 use std::io::Read as _;
 use std::time::Duration;
 
+use firdock_core::ZoneId;
 use firdock_policy::Time;
 use firdock_policy::event::Member;
 use firdock_wire::message::{self, PeerAddress, datagram};
@@ -16,12 +17,12 @@
 use uuid::Uuid;
 
 use super::datagram::{read_incarnation, read_reads, write_reads};
-use super::reads::Reads;
 use super::parts::{Lacking, StateId};
+use super::reads::Reads;
 use super::topic::{Image, Topic, TopicRecords, read_record, write_record};
 use crate::clock::millis;
 
-/// Bytes of deflated content beyond which nothing is told: a datagram holds no more.
+/// Bytes of deflated changes beyond which they are not told: a datagram holds no more.
 const MAX_DEFLATED_BYTES: usize = 52 << 10;
 /// Bytes of content that are taken from a peer at most; 1,400 endpoints are some 300 KB.
 const MAX_CONTENT_BYTES: u64 = 8 << 20;
@@ -46,25 +47,25 @@
     pub instances: bool,
     /// Whether the topics are asked for however long they are.
     pub whole: bool,
-}
     /// Parts of an earlier answer that did not come; `None` where all is asked for.
     pub lacking: Option<Lacking>,
     /// Availability zone of who asks.
     pub zone: ZoneId,
+}
 
 impl Question {
     pub(super) fn body(self) -> datagram::Body {
-        let all = || Topic::ALL.map(|t| i32::from(t.write())).to_vec();
         let lacking = self.lacking.unwrap_or_default();
+        let all = || Topic::ALL.map(|t| i32::from(t.write())).to_vec();
         datagram::Body::StateQuestion(message::StateQuestion {
             asked: millis(self.asked),
             topics: if self.topics { all() } else { Vec::new() },
             instances: self.instances,
             whole: self.whole,
-        })
             state_id: lacking.state,
             lacking: lacking.parts,
             zone: self.zone,
+        })
     }
 
     pub(super) fn read(told: &message::StateQuestion) -> Self {
@@ -73,12 +74,12 @@
             topics: !told.topics.is_empty(),
             instances: told.instances,
             whole: told.whole,
-        }
             lacking: (!told.lacking.is_empty()).then(|| Lacking {
                 state: told.state_id,
                 parts: told.lacking.clone(),
             }),
             zone: told.zone.clone(),
+        }
     }
 }
 
@@ -92,7 +93,7 @@
 }
 
 impl KnownState {
-    /// Deflates it; `None` if it is too long for a datagram.
+    /// Deflates it.
     pub(super) fn deflate(self) -> Option<Vec<u8>> {
         let image = |(topic, image): (Topic, Image)| message::TopicImage {
             topic: topic.write().into(),
@@ -123,6 +124,8 @@
     pub instances: Vec<PeerAddress>,
     /// Whether the topics are left out for their length.
     pub large: bool,
+    /// How many instances there are; 0 where they were not counted.
+    pub known: usize,
 }
 
 impl Answer {
@@ -155,11 +158,12 @@
             topics: state.topics.into_iter().filter_map(whole).collect(),
             instances: state.instances,
             large: told.large,
+            known: told.known as usize,
         })
     }
 }
 
-/// What an answer tells.
+/// One part of what an answer tells, or the whole of it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct ToldPart {
     /// When what is told was the newest.
@@ -172,9 +176,11 @@
     pub bytes: Vec<u8>,
     /// Whether the topics are left out for their length.
     pub large: bool,
+    /// How many instances there are.
+    pub known: usize,
 }
 
-/// Writes the answer to a question that was asked at `asked`, from a deflated state.
+/// Writes the answer to a question that was asked at `asked`, or a part of it.
 pub(super) fn answer_body(
     member: &Member,
     asked: Time,
@@ -186,15 +192,9 @@
         incarnation: member.incarnation.as_bytes().to_vec(),
         asked: millis(asked),
         clock: millis(clock),
-        reads: Some(write_reads(reads)),
-        state: told.state,
+        reads: Some(write_reads(told.reads)),
+        state: told.bytes,
         large: told.large,
-    })
-}
-
-/// Writes changes as the word of `member`; `None` if they are too long for a datagram, or the whole.
-pub(super) fn records_body(member: &Member, told: &TopicRecords) -> Option<datagram::Body> {
-    let from = told.from?;
         state_id: told.state,
         part: told.part,
         parts: told.parts,
@@ -210,6 +210,12 @@
         incarnation: member.incarnation.as_bytes().to_vec(),
         queued: true,
         ..message::StateAnswer::default()
+    })
+}
+
+/// Writes changes as the word of `member`; `None` if they are too long for a datagram, or the whole.
+pub(super) fn records_body(member: &Member, told: &TopicRecords) -> Option<datagram::Body> {
+    let from = told.from?;
     let entries = told.records.iter().cloned().map(write_record).collect();
     Some(datagram::Body::TopicRecords(message::TopicRecords {
         instance: member.name.clone(),
@@ -218,7 +224,8 @@
         from,
         next: told.next,
         read_at: millis(told.read_at),
-        entries: deflate(&message::Entries { entries })?,
+        entries: deflate(&message::Entries { entries })
+            .filter(|deflated| deflated.len() <= MAX_DEFLATED_BYTES)?,
     }))
 }
 
@@ -245,7 +252,7 @@
     let mut encoder = DeflateEncoder::new(plain.as_slice(), Compression::fast());
     // Reading from memory into memory fails in no other way than by running out of it.
     encoder.read_to_end(&mut deflated).ok()?;
-    (deflated.len() <= MAX_DEFLATED_BYTES).then_some(deflated)
+    Some(deflated)
 }
 
 fn inflate<M: prost::Message + Default>(deflated: &[u8]) -> Option<M> {
--- a/crates/firdock-node/src/peer/reads.rs
+++ b/crates/firdock-node/src/peer/reads.rs
@@ -21,7 +21,6 @@
 use tokio::time::sleep;
 use uuid::Uuid;
 
-use self::due::start_by;
 pub use self::due::{Due, ReadReason};
 use self::state::Inner;
 use super::book::Turn;
@@ -100,13 +99,24 @@
         self.lock().large
     }
 
+    /// Notes that a peer that was asked at the start will answer, and that many asked before.
+    pub fn note_queued(&self, now: Time) {
+        self.lock().queued_at = Some(now);
+        self.changed.notify_one();
+        self.known.notify_one();
+    }
+
+    /// Gives until when the answer of a peer is waited for that many asked before, if there is one.
+    #[must_use]
+    pub fn queued_until(&self) -> Option<Time> {
+        self.lock().queued_until()
+    }
+
     /// Tells whether an instance that just started still waits for its peers' answer.
     #[must_use]
     pub fn awaits_answer(&self, now: Time) -> bool {
         let inner = self.lock();
-        let until = inner
-            .started
-            .map(|at| start_by(at, inner.asks_first, inner.large));
+        let until = inner.started.map(|at| inner.start_by(at));
         until.is_none_or(|until| now < until)
     }
 
--- a/crates/firdock-node/src/peer/reads/clocks.rs
+++ b/crates/firdock-node/src/peer/reads/clocks.rs
@@ -7,11 +7,9 @@
 
 use firdock_core::InstanceId;
 use firdock_policy::Time;
+use firdock_policy::table::peer::MAX_PEERS;
 use uuid::Uuid;
 
-/// Peers whose clocks are kept.
-const MAX_PEERS: usize = 512;
-
 /// Bound on a peer's clock: its `theirs` stands for no earlier time than `ours`.
 #[derive(Debug, Clone, Copy)]
 pub struct ClockBound {
--- a/crates/firdock-node/src/peer/reads/due.rs
+++ b/crates/firdock-node/src/peer/reads/due.rs
@@ -39,6 +39,10 @@
 /// paid for each.
 const LARGE_PATIENCE: Duration = Duration::from_millis(3_500);
 
+/// Time for which it waits for a peer that said that many asked before: a thousand are told the instances of
+/// their zone, 4 KB each, by three that have links of 20 Mbit/s in 0.8 s, after these read the store.
+pub(super) const QUEUE_PATIENCE: Duration = Duration::from_millis(2_500);
+
 /// Why an instance reads the store for itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum ReadReason {
--- a/crates/firdock-node/src/peer/reads/state.rs
+++ b/crates/firdock-node/src/peer/reads/state.rs
@@ -6,7 +6,7 @@
 
 use super::Reads;
 use super::clocks::PeerClocks;
-use super::due::{Due, LastRead, TopicAge, start_by};
+use super::due::{Due, LastRead, QUEUE_PATIENCE, TopicAge, start_by};
 use crate::peer::book::Turn;
 use crate::peer::topic::{Image, Topic, TopicRecords};
 
@@ -44,6 +44,8 @@
     pub(super) asks_first: bool,
     /// Whether what is known of the store is so long that it comes from the own zone at the start.
     pub(super) large: bool,
+    /// When a peer that was asked at the start said that many had asked before.
+    pub(super) queued_at: Option<Time>,
     /// When the instance began to look for what is due.
     pub(super) started: Option<Time>,
     /// When a peer was last asked for what it has newer.
@@ -89,7 +91,7 @@
         }
         let started = *self.started.get_or_insert(now);
         if self.own.config_at == Time::ZERO {
-            let by = start_by(started, self.asks_first, self.large);
+            let by = self.start_by(started);
             let due = if by <= now {
                 Due::START
             } else {
@@ -111,6 +113,17 @@
         (due, config_by.min(endpoints_by))
     }
 
+    /// Gives until when an instance that began at `started` waits for its peers' answer.
+    pub(super) fn start_by(&self, started: Time) -> Time {
+        let by = start_by(started, self.asks_first, self.large);
+        by.max(self.queued_until().unwrap_or(by))
+    }
+
+    /// Gives until when it waits for the answer of a peer that many asked before.
+    pub(super) fn queued_until(&self) -> Option<Time> {
+        self.queued_at.map(|at| at + QUEUE_PATIENCE)
+    }
+
     fn config_age(&self) -> TopicAge {
         TopicAge {
             fresh_at: self.own.config_at,
--- a/crates/firdock-node/src/source.rs
+++ b/crates/firdock-node/src/source.rs
@@ -256,7 +256,12 @@
 
     /// Tells of another instance and where it takes heartbeats.
     pub fn know_peer(&self, peer: KnownPeer) {
-        self.peers.know(peer, self.clock.now());
+        self.peers.know_listed(peer, self.clock.now());
+    }
+
+    /// Tells how many instances are listed, this one among them.
+    pub fn note_known(&self, count: usize) {
+        self.peers.note_known(count, self.clock.now());
     }
 
     /// Tells whether a peer told that this instance is listed at an address.
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -1,9 +1,10 @@
 //! Decoders and stores of the entry instance: whatever comes is an error, and never a panic.
 
+mod fleet;
 mod lines;
 mod notice;
-mod party;
 mod parts;
+mod party;
 mod peers;
 mod placement;
 mod seen;
--- a/crates/firdock-node/tests/node/party.rs
+++ b/crates/firdock-node/tests/node/party.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use firdock_node::clock::Clock;
-use firdock_node::peer::{Beacons, PeerBook, SelfNews, SharedReads, UseRelay};
+use firdock_node::peer::{Beacons, PeerBook, SelfNews, SharedReads};
 use firdock_node::telemetry::silent;
 use firdock_policy::event::Member;
 use tokio::net::UdpSocket;
--- a/crates/firdock-policy/src/system/share.rs
+++ b/crates/firdock-policy/src/system/share.rs
@@ -9,6 +9,7 @@
 use firdock_core::{InstanceId, PoolId, ZoneId};
 
 use super::demand::{by_pool, on_endpoint};
+use super::limit::heard_of_known;
 use crate::settings::Mechanisms;
 use crate::table::Tables;
 use crate::table::endpoint::EndpointRow;
@@ -34,15 +35,14 @@
         group::set_budgets(t, now);
         return;
     }
-    let sharers = Sharers::new(t, now);
     // What a coordinator places needs no budgets here.
     let own = |e: &EndpointRow| !(t.coordinated && e.is_engine());
     let shared: Vec<(usize, &EndpointRow)> = t.endpoints.iter().filter(|(_, e)| own(e)).collect();
     let on = t.settings.mechanisms;
     let budgets = if t.is_small_site() {
-        exact_budgets(&sharers, on, &shared)
+        exact_budgets(&Sharers::new(t, now), on, &shared)
     } else {
-        drawn_budgets(&sharers, on, &shared)
+        drawn_budgets(&Crowd::new(t, now), on, &shared)
     };
     for (at, budget) in budgets {
         t.endpoints.get_mut(at).budget = budget;
@@ -69,7 +69,7 @@
 /// million draws each 0.2 s, by reckoning all of an eighth of a core, for as long as no coordinator
 /// answers: right after a start, when there is most to do.
 fn drawn_budgets(
-    sharers: &Sharers,
+    crowd: &Crowd,
     on: Mechanisms,
     endpoints: &[(usize, &EndpointRow)],
 ) -> Vec<(usize, u32)> {
@@ -77,12 +77,17 @@
     let mut parts = Vec::with_capacity(endpoints.len());
     for (_, e) in endpoints {
         let part = by_pool.entry(&e.declared.pool);
-        parts.push(*part.or_insert_with(|| sharers.shares(e)[0]));
+        parts.push(*part.or_insert_with(|| crowd.own_share(e)));
     }
     let places = places_part(endpoints, parts.iter().copied());
+    let mut by_zone: HashMap<&str, f64> = HashMap::new();
     let rows = endpoints.iter().zip(&parts);
-    rows.map(|((at, e), part)| (*at, sharers.drawn_budget(on, places, e, *part)))
-        .collect()
+    rows.map(|((at, e), part)| {
+        let near = by_zone.entry(&e.declared.zone);
+        let near = *near.or_insert_with(|| crowd.near_part(&e.declared.zone));
+        (*at, crowd.budget(on, places * near, e, *part))
+    })
+    .collect()
 }
 
 /// Sets the budgets again if they have not been set for a while: between instances, they change no
@@ -121,8 +126,6 @@
 /// The instances that use the endpoints; the first is this one.
 struct Sharers {
     rows: Vec<Sharer>,
-    /// How many of them are in each availability zone.
-    zones: HashMap<ZoneId, usize>,
     by_demand: bool,
 }
 
@@ -143,13 +146,8 @@
                 demand: p.demand.clone(),
             });
         let rows: Vec<Sharer> = std::iter::once(own).chain(peers).collect();
-        let mut zones: HashMap<ZoneId, usize> = HashMap::new();
-        for row in &rows {
-            *zones.entry(row.zone.clone()).or_default() += 1;
-        }
         Self {
             rows,
-            zones,
             by_demand: t.settings.mechanisms.demand_shares,
         }
     }
@@ -158,35 +156,7 @@
         if on.whole_places && e.is_engine() {
             return self.whole_places(shares, places * f64::from(e.declared.slots), e);
         }
-        let slots = f64::from(e.declared.slots) * shares[0];
-        (slots.round() as u32).max(1)
-    }
-
-    /// Gives this instance's budget on an endpoint by a draw of its own.
-    fn drawn_budget(&self, on: Mechanisms, places: f64, e: &EndpointRow, share: f64) -> u32 {
-        if !(on.whole_places && e.is_engine()) {
-            return self.budget(on, places, e, &[share]);
-        }
-        let part = places * f64::from(e.declared.slots) * share * self.near_part(e);
-        let key = rendezvous::hash_key(e.declared.name.as_bytes());
-        let draw = rendezvous::weight(key, &self.rows[0].name) as f64 / u64::MAX as f64;
-        part.floor() as u32 + u32::from(draw < part.fract())
-    }
-
-    /// Gives how much more than its even part an instance gets of an endpoint that is near, or how much
-    /// less of one that is far, so that all get one part in the mean.
-    fn near_part(&self, e: &EndpointRow) -> f64 {
-        let weight = |row: &Sharer| {
-            if row.zone == e.declared.zone {
-                NEAR_WEIGHT
-            } else {
-                1.0
-            }
-        };
-        let near = self.zones.get(&e.declared.zone).copied().unwrap_or(0) as f64;
-        let all = self.rows.len() as f64;
-        let mean = (near * NEAR_WEIGHT + (all - near)) / all;
-        weight(&self.rows[0]) / mean
+        rounded_places(e, shares[0])
     }
 
     /// Gives each instance's part of an endpoint, from 0 to 1.
@@ -201,7 +171,8 @@
         if !self.by_demand || total <= f64::EPSILON {
             return vec![even; demands.len()];
         }
-        let share = |own: f64| EVEN_PART * even + (1.0 - EVEN_PART) * own / total;
+        let of = demands.len();
+        let share = |own: f64| demand_share(own, total, of);
         demands.into_iter().map(share).collect()
     }
 
@@ -220,6 +191,121 @@
     }
 }
 
+/// Gives this instance's part of an endpoint's places, one at least.
+fn rounded_places(e: &EndpointRow, share: f64) -> u32 {
+    let slots = f64::from(e.declared.slots) * share;
+    (slots.round() as u32).max(1)
+}
+
+/// Gives an instance's part of an endpoint, from 0 to 1, by its demand and that of all of so many.
+fn demand_share(own: f64, total: f64, of: usize) -> f64 {
+    let even = 1.0 / of as f64;
+    EVEN_PART * even + (1.0 - EVEN_PART) * own / total
+}
+
+/// The instances that use the endpoints as one among many reckons with them: by sums over all.
+struct Crowd<'a> {
+    name: &'a str,
+    zone: &'a str,
+    /// Demand of this instance, and of all of them.
+    own: BTreeMap<PoolId, f64>,
+    all: BTreeMap<PoolId, f64>,
+    /// How many there are, and how many in each availability zone.
+    count: usize,
+    zones: HashMap<&'a str, usize>,
+    /// Those that are not heard; in which zones they are is not known.
+    unheard: usize,
+    by_demand: bool,
+}
+
+impl<'a> Crowd<'a> {
+    fn new(t: &'a Tables, now: Time) -> Self {
+        let own = by_pool(t);
+        let zone = t.settings.zone.as_str();
+        let mut crowd = Self {
+            name: &t.settings.member.name,
+            zone,
+            all: own.clone(),
+            own,
+            count: 1,
+            zones: HashMap::from([(zone, 1)]),
+            unheard: 0,
+            by_demand: t.settings.mechanisms.demand_shares,
+        };
+        let heard = t.peers.iter().filter(|(_, p)| t.is_heard(p, now));
+        for (_, peer) in heard.filter(|(_, p)| !p.draining) {
+            crowd.count += 1;
+            *crowd.zones.entry(&peer.zone).or_default() += 1;
+            for (pool, rate) in &peer.demand {
+                if let Some(sum) = crowd.all.get_mut(pool) {
+                    *sum += rate;
+                } else {
+                    crowd.all.insert(pool.clone(), *rate);
+                }
+            }
+        }
+        crowd.grow_to(heard_of_known(t, now).0);
+        crowd
+    }
+
+    /// Takes it that there are so many instances, of which those that are heard stand for all: of very
+    /// many, only the own group is.
+    fn grow_to(&mut self, count: usize) {
+        let others = count.saturating_sub(self.count);
+        if others == 0 {
+            return;
+        }
+        let times = count as f64 / self.count as f64;
+        for rate in self.all.values_mut() {
+            *rate *= times;
+        }
+        self.count = count;
+        self.unheard = others;
+    }
+
+    /// Gives this instance's part of an endpoint, from 0 to 1.
+    fn own_share(&self, e: &EndpointRow) -> f64 {
+        let total = on_endpoint(&self.all, e);
+        if !self.by_demand || total <= f64::EPSILON {
+            return 1.0 / self.count as f64;
+        }
+        demand_share(on_endpoint(&self.own, e), total, self.count)
+    }
+
+    /// Gives this instance's budget on an endpoint by a draw of its own.
+    fn budget(&self, on: Mechanisms, places: f64, e: &EndpointRow, share: f64) -> u32 {
+        if !(on.whole_places && e.is_engine()) {
+            return rounded_places(e, share);
+        }
+        let part = places * f64::from(e.declared.slots) * share;
+        let key = rendezvous::hash_key(e.declared.name.as_bytes());
+        let draw = rendezvous::weight(key, self.name) as f64 / u64::MAX as f64;
+        part.floor() as u32 + u32::from(draw < part.fract())
+    }
+
+    /// Gives how many instances an availability zone has: one whose instances are not heard is taken to
+    /// have as many as the own.
+    fn near(&self, zone: &str) -> f64 {
+        let heard = self.zones.get(zone).copied().unwrap_or(0);
+        let like_own = self.zones.get(self.zone).copied().unwrap_or(0);
+        if self.unheard > 0 {
+            heard.max(like_own) as f64
+        } else {
+            heard as f64
+        }
+    }
+
+    /// Gives how much more than its even part an instance gets of an endpoint that is near, or how much
+    /// less of one that is far, so that all get one part in the mean.
+    fn near_part(&self, zone: &str) -> f64 {
+        let near = self.near(zone);
+        let all = self.count as f64;
+        let mean = (near * NEAR_WEIGHT + (all - near)) / all;
+        let weight = if self.zone == zone { NEAR_WEIGHT } else { 1.0 };
+        weight / mean
+    }
+}
+
 /// One sharer's part of an endpoint.
 #[derive(Debug)]
 struct Part {
--- a/crates/firdock-policy/src/table/peer.rs
+++ b/crates/firdock-policy/src/table/peer.rs
@@ -12,8 +12,9 @@
 /// Table of peers.
 pub type Peers = Rows<PeerRow>;
 
-/// Most peers that are kept; news of others is dropped.
-const MAX_PEERS: usize = 512;
+/// Most peers that are kept, some 1 KB each; news of others is dropped. A site of so many tells all of
+/// them in four datagrams (`docs/CAPACITY.md`).
+pub const MAX_PEERS: usize = 4_096;
 
 impl Peers {
     /// Makes an empty table.
@@ -46,11 +47,11 @@
     pub draining: bool,
     /// Start of its process.
     pub incarnation: Uuid,
-    /// What it has let pass of limited accounts since that start.
+    /// What it has let pass of limited accounts since that start, where instances are few.
     pub used: BTreeMap<AccountId, UseTotals>,
-    /// Requests of this instance that are with it.
     /// Whether that holds all accounts that it told of since that start.
     pub followed: bool,
+    /// Requests of this instance that are with it.
     pub handed: u32,
 }
 
@@ -67,8 +68,8 @@
             draining: false,
             incarnation: Uuid::nil(),
             used: BTreeMap::new(),
-            handed: 0,
             followed: true,
+            handed: 0,
         }
     }
 
@@ -81,8 +82,8 @@
         self.draining = news.draining;
         if self.incarnation != news.incarnation {
             self.used.clear();
-        }
             self.followed = true;
+        }
         self.incarnation = news.incarnation;
         self.followed &= follows;
         if follows {
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -397,7 +397,7 @@
     pub clock: u64,
     #[prost(message, optional, tag = "5")]
     pub reads: ::core::option::Option<Reads>,
-    /// The known state, deflated.
+    /// The known state, deflated, or one part of that.
     #[prost(bytes = "vec", tag = "6")]
     pub state: ::prost::alloc::vec::Vec<u8>,
     /// Whether the topics are left out for their length, to be asked of an instance of the own zone.
