Sums: a lead that begins midway takes nothing old for new

Cause: such a word was taken for the account's first use ever. Change: a member tells with each account what its total was before callers came again after 5 s without, which is as long as an account is told of; the lead counts from there. So the age of processes says nothing any more. Test: one_that_begins_to_count_midway_takes_nothing_old_for_new; before, the count rose by 50,200 instead of 200 by reading (the test needs the new field and was not run without it).

--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -6,7 +6,6 @@
 
 use firdock_core::settings::Settings;
 use firdock_policy::event::Member;
-use firdock_policy::sums::UseSums;
 use firdock_policy::{Mechanisms, PolicySettings, Scheduler};
 use hyper::Request;
 use hyper::body::Incoming;
@@ -245,7 +244,7 @@
             news,
             changes,
             seeds: other_seeds(&self.settings),
-            sums: Mutex::new(UseSums::new(self.member.incarnation)),
+            sums: Mutex::default(),
             partial: Mutex::default(),
             inputs: inputs.clone(),
             pause: self.settings.peers.heartbeat(),
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -8,6 +8,7 @@
 mod due;
 mod meet;
 mod take;
+mod usage;
 
 use std::future::pending;
 use std::io;
@@ -16,22 +17,22 @@
 use std::time::Duration;
 
 use firdock_core::Offset;
-use firdock_policy::event::{AccountWork, Member, PeerUse, PoolDemand, UseCounts};
+use firdock_policy::event::{AccountWork, Member, PoolDemand};
 use firdock_policy::rollout::{Evidence, Stage};
 use firdock_policy::sums::UseSums;
 use firdock_policy::table::suspects::Revision;
 use firdock_policy::{Event, Time};
 use firdock_wire::PROTOCOL;
-use firdock_wire::message::{self, Beacon, datagram};
+use firdock_wire::message::{Beacon, datagram};
 use slog::{Logger, debug, info};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval, sleep};
-use uuid::Uuid;
 
 use self::answer::Answers;
 use self::due::PeersDue;
 use self::meet::Meeting;
+use self::usage::{ToldUse, write_counts};
 use super::book::{KnownPeer, PeerBook, Reader};
 use super::datagram::{seal, write_address, write_reads, write_uses};
 use super::heartbeat::{SelfNews, write_demand, write_work};
@@ -80,27 +81,6 @@
     group_work: Vec<AccountWork>,
 }
 
-/// What a lead tells of the use of limits.
-#[derive(Debug, Default)]
-struct ToldUse {
-    /// Counts of its group, for other leads.
-    group: Option<UseCounts>,
-    /// Counts of all groups, for its own.
-    site: Option<UseCounts>,
-}
-
-impl ToldUse {
-    /// Gives the counts that are told, of whichever.
-    fn any(&self) -> Option<&UseCounts> {
-        self.group.as_ref().or(self.site.as_ref())
-    }
-}
-
-/// Writes counts that may not be told.
-fn write_counts(told: Option<&UseCounts>) -> Vec<message::AccountUse> {
-    told.map_or_else(Vec::new, |told| write_uses(&told.counts))
-}
-
 /// What sending and taking beacons needs.
 #[derive(Debug)]
 pub struct Beacons {
@@ -263,52 +243,10 @@
         }
     }
 
-    /// Counts what instances let pass of limits, where this one leads; gives what is told of that to its
-    /// group and to other leads.
-    ///
-    /// The instance that takes over from the lead counts as well and tells it a few times more seldom, so
-    /// that its counts are known when the lead falls.
-    async fn count_use(&self, tick: usize, now: Time) -> (ToldUse, ToldUse) {
-        if self.book.is_small() || !self.book.tells(now) {
-            self.sums().end();
-            return Default::default();
-        }
-        let me = &self.member.name;
-        let (group, site) = {
-            let mut sums = self.sums();
-            sums.begin(Uuid::now_v7);
-            sums.hear_member(now, &self.own_use());
-            sums.sweep(now);
-            if !self.book.leads(now) && !tick.is_multiple_of(TELL_EVERY) {
-                return Default::default();
-            }
-            (sums.take_for_leads(me), sums.take_for_group(me))
-        };
-        if let Some(counts) = site.clone() {
-            self.tell(Event::SiteUsed(counts)).await;
-        }
-        let for_group = ToldUse { group: None, site };
-        let for_leads = ToldUse { group, site: None };
-        (for_group, for_leads)
-    }
-
-    /// Gives what this instance let pass.
-    fn own_use(&self) -> PeerUse {
-        PeerUse {
-            name: self.member.name.clone(),
-            incarnation: self.member.incarnation,
-            used: self.news.borrow().used.clone(),
-        }
-    }
-
     fn partial(&self) -> MutexGuard<'_, PartialAnswers> {
         self.partial.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn sums(&self) -> MutexGuard<'_, UseSums> {
-        self.sums.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Sends a beacon that tells of `heard` and of what was used; where nobody gets it, none is made.
     async fn send_all(&self, peers: &[KnownPeer], heard: &[KnownPeer], used: &ToldUse) {
         if peers.is_empty() {
--- /dev/null
+++ b/crates/firdock-node/src/peer/beacon/usage.rs
@@ -0,0 +1,77 @@
+//! Counts of what instances let pass of limits, on their way between leads and groups.
+
+use std::sync::{MutexGuard, PoisonError};
+
+use firdock_policy::event::{PeerUse, UseCounts};
+use firdock_policy::sums::UseSums;
+use firdock_policy::{Event, Time};
+use firdock_wire::message;
+use uuid::Uuid;
+
+use super::{Beacons, TELL_EVERY};
+use crate::peer::datagram::write_uses;
+
+/// What a lead tells of the use of limits.
+#[derive(Debug, Default)]
+pub(super) struct ToldUse {
+    /// Counts of its group, for other leads.
+    pub group: Option<UseCounts>,
+    /// Counts of all groups, for its own.
+    pub site: Option<UseCounts>,
+}
+
+impl ToldUse {
+    /// Gives the counts that are told, of whichever.
+    pub fn any(&self) -> Option<&UseCounts> {
+        self.group.as_ref().or(self.site.as_ref())
+    }
+}
+
+/// Writes counts that may not be told.
+pub(super) fn write_counts(told: Option<&UseCounts>) -> Vec<message::AccountUse> {
+    told.map_or_else(Vec::new, |told| write_uses(&told.counts))
+}
+
+impl Beacons {
+    /// Counts what instances let pass of limits, where this one leads; gives what is told of that to its
+    /// group and to other leads.
+    ///
+    /// The instance that takes over from the lead counts as well and tells it a few times more seldom, so
+    /// that its counts are known when the lead falls.
+    pub(super) async fn count_use(&self, tick: usize, now: Time) -> (ToldUse, ToldUse) {
+        if self.book.is_small() || !self.book.tells(now) {
+            self.sums().end();
+            return Default::default();
+        }
+        let me = &self.member.name;
+        let (group, site) = {
+            let mut sums = self.sums();
+            sums.begin(Uuid::now_v7);
+            sums.hear_member(now, &self.own_use());
+            sums.sweep(now);
+            if !self.book.leads(now) && !tick.is_multiple_of(TELL_EVERY) {
+                return Default::default();
+            }
+            (sums.take_for_leads(me), sums.take_for_group(me))
+        };
+        if let Some(counts) = site.clone() {
+            self.tell(Event::SiteUsed(counts)).await;
+        }
+        let for_group = ToldUse { group: None, site };
+        let for_leads = ToldUse { group, site: None };
+        (for_group, for_leads)
+    }
+
+    /// Gives what this instance let pass.
+    fn own_use(&self) -> PeerUse {
+        PeerUse {
+            name: self.member.name.clone(),
+            incarnation: self.member.incarnation,
+            used: self.news.borrow().used.clone(),
+        }
+    }
+
+    pub(super) fn sums(&self) -> MutexGuard<'_, UseSums> {
+        self.sums.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/firdock-node/src/peer/book.rs
+++ b/crates/firdock-node/src/peer/book.rs
@@ -1,5 +1,6 @@
 //! The other instances that are known of, by name, with where they take heartbeats.
 
+mod fleet;
 mod group;
 
 use std::collections::BTreeMap;
@@ -14,17 +15,10 @@
 use firdock_policy::table::peer::MAX_PEERS;
 use tokio::sync::Notify;
 
-use self::group::{GroupCounts, standing_of, strongest_of_zones};
+use self::fleet::ToldKnown;
+use self::group::GroupCounts;
 pub use self::group::{Place, Reader, Turn};
 
-/// Instances up to which each knows all others. Of more, it knows its own group and the strongest of each
-/// other one, which tell for theirs: what it keeps and tells grows with its group alone.
-const FULL_BOOK: usize = 400;
-/// Instances of each other group that are known then: its lead, the next one, and two that may follow.
-const STRONGEST: usize = 4;
-/// Time for which one that read the list of instances tells others of all: those that start in the same
-/// moment have asked by then.
-const TELL_LISTED: Duration = Duration::from_secs(10);
 /// Silence after which an instance is forgotten: it was replaced or taken away.
 const FORGET_AFTER: Duration = Duration::from_mins(1);
 /// Silence after which an instance does not count as heard.
@@ -110,7 +104,7 @@
     /// Counts of the other groups.
     groups: Mutex<GroupCounts>,
     /// How many instances there are, as the list or a lead told, and when.
-    told_known: Mutex<Option<(Time, usize)>>,
+    told_known: Mutex<ToldKnown>,
     /// Instances that said that they stop, and when: others may still tell of them for a while.
     departed: Mutex<BTreeMap<InstanceId, Time>>,
 }
@@ -307,65 +301,6 @@
         heard.map(known_peer).collect()
     }
 
-    /// Notes how many instances there are, as the list of them or a lead tells, this one among them.
-    pub fn note_known(&self, count: usize, now: Time) {
-        *self.told_known() = Some((now, count));
-    }
-
-    /// Gives how many instances there are as was told lately; zero where nobody told.
-    fn lately_told_known(&self, now: Time) -> usize {
-        let told = *self.told_known();
-        let told = told.filter(|(at, _)| *at + FORGET_AFTER > now);
-        told.map_or(0, |(_, count)| count)
-    }
-
-    /// Tells whether instances are so many that only those of the own group and the strongest of the others
-    /// are known.
-    #[must_use]
-    pub fn is_fleet(&self) -> bool {
-        let known = self.lock().len();
-        self.are_many(known)
-    }
-
-    fn are_many(&self, known: usize) -> bool {
-        let told = self.told_known().map_or(0, |(_, count)| count);
-        known.max(told) >= FULL_BOOK
-    }
-
-    /// Tells whether an instance is to be known here.
-    fn keeps(&self, entries: &Entries, name: &str, zone: &str, power: Power) -> bool {
-        if zone == self.zone || zone.is_empty() || !self.are_many(entries.len()) {
-            return true;
-        }
-        let standing = standing_of(power, name);
-        let before = entries
-            .iter()
-            .filter(|(other, e)| e.zone == zone && standing_of(e.power, other) < standing);
-        before.count() < STRONGEST
-    }
-
-    /// Forgets the instances of other groups that need not be known.
-    fn prune(&self, entries: &mut Entries, now: Time) {
-        if !self.are_many(entries.len()) {
-            return;
-        }
-        // Those that fell silent do not keep out the ones that lead in their place.
-        let mut kept = strongest_of_zones(entries.iter(), STRONGEST);
-        let heard = entries.iter().filter(|(_, e)| e.is_heard(now));
-        kept.extend(strongest_of_zones(heard, STRONGEST));
-        let own = &self.zone;
-        entries.retain(|name, e| {
-            let new = !e.heard && e.since + TELL_LISTED > now;
-            new || e.zone == *own || e.zone.is_empty() || kept.contains(name)
-        });
-    }
-
-    fn told_known(&self) -> MutexGuard<'_, Option<(Time, usize)>> {
-        self.told_known
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn departed(&self) -> MutexGuard<'_, BTreeMap<InstanceId, Time>> {
         self.departed.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- /dev/null
+++ b/crates/firdock-node/src/peer/book/fleet.rs
@@ -0,0 +1,128 @@
+//! What an instance knows of the others where they are many: its own group, the strongest of each other
+//! one, and how many there are.
+
+use std::sync::{MutexGuard, PoisonError};
+use std::time::Duration;
+
+use firdock_core::InstanceId;
+use firdock_policy::Time;
+
+use super::group::{standing_of, strongest_of_zones};
+use super::{Entries, Entry, FORGET_AFTER, KnownPeer, PeerBook, Power, known_peer};
+
+/// Instances up to which each knows all others. Of more, it knows its own group and the strongest of each
+/// other one, which tell for theirs: what it keeps and tells grows with its group alone.
+const FULL_BOOK: usize = 400;
+/// Instances of each other group that are known then: its lead, the next one, and two that may follow.
+const STRONGEST: usize = 4;
+/// Time for which one that read the list of instances tells others of all: those that start in the same
+/// moment have asked by then.
+const TELL_LISTED: Duration = Duration::from_secs(10);
+
+/// How many instances there are, as was told, and when.
+pub(super) type ToldKnown = Option<(Time, usize)>;
+
+impl PeerBook {
+    /// Notes how many instances there are, as the list of them or a lead tells, this one among them.
+    pub fn note_known(&self, count: usize, now: Time) {
+        *self.told_known() = Some((now, count));
+    }
+
+    /// Gives how many instances there are as was told lately; zero where nobody told.
+    fn lately_told_known(&self, now: Time) -> usize {
+        let told = *self.told_known();
+        let told = told.filter(|(at, _)| *at + FORGET_AFTER > now);
+        told.map_or(0, |(_, count)| count)
+    }
+
+    /// Tells whether instances are so many that only those of the own group and the strongest of the others
+    /// are known.
+    #[must_use]
+    pub fn is_fleet(&self) -> bool {
+        let known = self.lock().len();
+        self.are_many(known)
+    }
+
+    pub(super) fn are_many(&self, known: usize) -> bool {
+        let told = self.told_known().map_or(0, |(_, count)| count);
+        known.max(told) >= FULL_BOOK
+    }
+
+    /// Tells whether an instance is to be known here.
+    pub(super) fn keeps(&self, entries: &Entries, name: &str, zone: &str, power: Power) -> bool {
+        if zone == self.zone || zone.is_empty() || !self.are_many(entries.len()) {
+            return true;
+        }
+        let standing = standing_of(power, name);
+        let before = entries
+            .iter()
+            .filter(|(other, e)| e.zone == zone && standing_of(e.power, other) < standing);
+        before.count() < STRONGEST
+    }
+
+    /// Forgets the instances of other groups that need not be known.
+    pub(super) fn prune(&self, entries: &mut Entries, now: Time) {
+        if !self.are_many(entries.len()) {
+            return;
+        }
+        // Those that fell silent do not keep out the ones that lead in their place.
+        let mut kept = strongest_of_zones(entries.iter(), STRONGEST);
+        let heard = entries.iter().filter(|(_, e)| e.is_heard(now));
+        kept.extend(strongest_of_zones(heard, STRONGEST));
+        let own = &self.zone;
+        entries.retain(|name, e| {
+            let new = !e.heard && e.since + TELL_LISTED > now;
+            new || e.zone == *own || e.zone.is_empty() || kept.contains(name)
+        });
+    }
+
+    pub(super) fn told_known(&self) -> MutexGuard<'_, ToldKnown> {
+        self.told_known
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts the instances of this one's group that are known, heard or not, itself among them.
+    #[must_use]
+    pub fn group_known(&self) -> usize {
+        let entries = self.lock();
+        1 + entries.values().filter(|e| e.zone == self.zone).count()
+    }
+
+    /// Counts the instances of all groups, heard or not, this one among them: by what was told of all
+    /// lately, or by the counts of leads where these are more.
+    #[must_use]
+    pub fn site_known(&self, now: Time) -> usize {
+        let groups = self.groups();
+        let fresh = groups
+            .iter()
+            .filter(|(zone, count)| **zone != self.zone && count.at + FORGET_AFTER > now);
+        let others: usize = fresh.map(|(_, count)| count.known).sum();
+        drop(groups);
+        (self.group_known() + others).max(self.lately_told_known(now))
+    }
+
+    /// Counts the other instances of the site, whether they are known here or not.
+    #[must_use]
+    pub fn count(&self, now: Time) -> usize {
+        let known = self.lock().len();
+        if self.are_many(known) {
+            self.site_known(now).saturating_sub(1).max(known)
+        } else {
+            known
+        }
+    }
+
+    /// Gives the instances that are told to one of `zone`: all that are known, or of many those of its
+    /// zone and the strongest of the others.
+    #[must_use]
+    pub fn told_to(&self, zone: &str) -> Vec<KnownPeer> {
+        let entries = self.lock();
+        let all = zone.is_empty() || !self.are_many(entries.len());
+        let strongest = strongest_of_zones(entries.iter(), STRONGEST);
+        let wanted = |(name, e): &(&InstanceId, &Entry)| {
+            all || e.zone == zone || e.zone.is_empty() || strongest.contains(*name)
+        };
+        entries.iter().filter(wanted).map(known_peer).collect()
+    }
+}
--- a/crates/firdock-node/src/peer/book/group.rs
+++ b/crates/firdock-node/src/peer/book/group.rs
@@ -15,7 +15,7 @@
 use firdock_policy::event::PoolDemand;
 use firdock_policy::table::SMALL_SITE;
 
-use super::{Entries, Entry, FORGET_AFTER, KnownPeer, PeerBook, Power, known_peer};
+use super::{Entries, Entry, KnownPeer, PeerBook, Power, known_peer};
 
 /// Silence after which an instance neither leads a group nor counts in it: six heartbeats of the
 /// deployments' 200 ms (`deploy/settings.toml`).
@@ -31,9 +31,9 @@
 /// How many instances the lead of a group hears and knows of, and when it told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct GroupCount {
-    at: Time,
-    heard: usize,
-    known: usize,
+    pub at: Time,
+    pub heard: usize,
+    pub known: usize,
 }
 
 /// The same by availability zone.
@@ -218,26 +218,6 @@
         self.group_heard(now) + others
     }
 
-    /// Counts the instances of this one's group that are known, heard or not, itself among them.
-    #[must_use]
-    pub fn group_known(&self) -> usize {
-        let entries = self.lock();
-        1 + entries.values().filter(|e| e.zone == self.zone).count()
-    }
-
-    /// Counts the instances of all groups, heard or not, this one among them: by what was told of all
-    /// lately, or by the counts of leads where these are more.
-    #[must_use]
-    pub fn site_known(&self, now: Time) -> usize {
-        let groups = self.groups();
-        let fresh = groups
-            .iter()
-            .filter(|(zone, count)| **zone != self.zone && count.at + FORGET_AFTER > now);
-        let others: usize = fresh.map(|(_, count)| count.known).sum();
-        drop(groups);
-        (self.group_known() + others).max(self.lately_told_known(now))
-    }
-
     /// Gives the first instance of this one's group, of those that are heard and `open`, with whether
     /// it goes before this one; this instance itself is left out.
     pub fn first_of_group(
@@ -312,30 +292,6 @@
             .collect()
     }
 
-    /// Counts the other instances of the site, whether they are known here or not.
-    #[must_use]
-    pub fn count(&self, now: Time) -> usize {
-        let known = self.lock().len();
-        if self.are_many(known) {
-            self.site_known(now).saturating_sub(1).max(known)
-        } else {
-            known
-        }
-    }
-
-    /// Gives the instances that are told to one of `zone`: all that are known, or of many those of its
-    /// zone and the strongest of the others.
-    #[must_use]
-    pub fn told_to(&self, zone: &str) -> Vec<KnownPeer> {
-        let entries = self.lock();
-        let all = zone.is_empty() || !self.are_many(entries.len());
-        let strongest = strongest_of_zones(entries.iter(), super::STRONGEST);
-        let wanted = |(name, e): &(&InstanceId, &Entry)| {
-            all || e.zone == zone || e.zone.is_empty() || strongest.contains(*name)
-        };
-        entries.iter().filter(wanted).map(known_peer).collect()
-    }
-
     /// Goes over the instances of this one's availability zone that were heard within a few
     /// heartbeats, by name.
     fn present_in_zone<'a>(
@@ -346,7 +302,7 @@
         present(entries, now).filter(|(_, e)| e.zone == self.zone)
     }
 
-    fn groups(&self) -> MutexGuard<'_, GroupCounts> {
+    pub(super) fn groups(&self) -> MutexGuard<'_, GroupCounts> {
         self.groups.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/firdock-node/src/peer/datagram.rs
+++ b/crates/firdock-node/src/peer/datagram.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use firdock_policy::event::AccountUse;
+use firdock_policy::event::{AccountUse, UseTotals};
 use firdock_policy::sums::MAX_TOLD_ACCOUNTS;
 use firdock_wire::auth;
 use firdock_wire::message::{self, Datagram, PeerAddress, datagram};
@@ -73,6 +73,8 @@
         account: u.account.clone(),
         units: u.units,
         asked: u.asked,
+        units_before: u.before.units,
+        asked_before: u.before.asked,
     })
     .collect()
 }
@@ -80,12 +82,19 @@
 /// Reads what a peer let pass; figures that are none are left out.
 pub fn read_uses(uses: Vec<message::AccountUse>) -> Vec<AccountUse> {
     let told = uses.into_iter().take(MAX_TOLD_ACCOUNTS);
-    let finite = told.filter(|u| u.units.is_finite() && u.asked.is_finite());
+    let finite = told.filter(|u| {
+        let figures = [u.units, u.asked, u.units_before, u.asked_before];
+        figures.iter().all(|figure| figure.is_finite())
+    });
     finite
         .map(|u| AccountUse {
             account: u.account,
             units: u.units,
             asked: u.asked,
+            before: UseTotals {
+                units: u.units_before,
+                asked: u.asked_before,
+            },
         })
         .collect()
 }
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -364,6 +364,10 @@
     /// Units that its callers asked for, with those refused for the limit.
     #[serde(default)]
     pub asked: f64,
+    /// The same before callers last came after a while in which none did: what rose since then is recent,
+    /// also for who did not follow the account before.
+    #[serde(default, skip_serializing_if = "UseTotals::is_zero")]
+    pub before: UseTotals,
 }
 
 impl AccountUse {
@@ -378,7 +382,7 @@
 }
 
 /// Totals of one account at one instance since its start.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct UseTotals {
     /// Units of the limit that were let pass.
     pub units: f64,
@@ -394,6 +398,7 @@
             account,
             units: self.units,
             asked: self.asked,
+            before: UseTotals::default(),
         }
     }
 }
--- a/crates/firdock-policy/src/system/limit.rs
+++ b/crates/firdock-policy/src/system/limit.rs
@@ -3,23 +3,22 @@
 use std::time::Duration;
 
 use firdock_core::{Outcome, Reason, rendezvous};
+use uuid::Uuid;
 
 use crate::event::{AccountUse, PeerNews, UseCounts, UseTotals};
 use crate::request::{NewRequest, RequestRow, Verdict};
-use crate::sums::began_before;
 use crate::table::account::Accounts;
-use crate::table::limit::Bucket;
+use crate::table::limit::{Bucket, TOLD_AFTER_USE};
 use crate::table::{Reach, Tables};
 use crate::time::Time;
 
-/// Time for which an account that was used is told of in heartbeats: several of them, in case
-/// that some are lost.
-const TOLD_AFTER_USE: Duration = Duration::from_secs(5);
-
 /// Part of each limit that an instance uses before it knows how many others there are: a little more
 /// than the even part of one of the six or seven of a small site, so that a restart costs no caller
 /// anything, and all of them together hardly exceed the limit.
 const UNAWARE_PART: f64 = 0.15;
+/// Seconds by which a peer may have begun earlier than this instance, and count as begun with it:
+/// far more than the clocks of instances differ by.
+const SAME_START_SECS: u64 = 10;
 /// Longest time, in seconds, after which callers beyond a limit are told to come back.
 const MAX_WAIT_SECS: f64 = 60.0;
 
@@ -94,6 +93,15 @@
     }
 }
 
+/// Tells whether a process began well before another; starts that carry no time count as new.
+fn began_before(peer: Uuid, own: Uuid) -> bool {
+    let secs = |id: Uuid| id.get_timestamp().map(|time| time.to_unix().0);
+    match (secs(peer), secs(own)) {
+        (Some(peer), Some(own)) => peer + SAME_START_SECS < own,
+        _ => false,
+    }
+}
+
 /// Takes out of the buckets what the others let pass, by a lead's counts of what all did.
 ///
 /// This instance's own use is among what is counted, and was taken out when it was let pass. A count that
@@ -151,6 +159,7 @@
             account: a.name.clone(),
             units: bucket.used,
             asked: bucket.asked,
+            before: bucket.before,
         })
     });
     rows.collect()
--- /dev/null
+++ b/crates/firdock-policy/src/system/share/crowd.rs
@@ -0,0 +1,118 @@
+//! The instances that use the endpoints, as one among many reckons with them: by sums over all, for to
+//! reckon each other one's part takes more time than there is.
+
+use std::collections::{BTreeMap, HashMap};
+
+use firdock_core::PoolId;
+use firdock_core::rendezvous;
+
+use super::{NEAR_WEIGHT, demand_share, rounded_places};
+use crate::settings::Mechanisms;
+use crate::system::demand::{by_pool, on_endpoint};
+use crate::system::limit::heard_of_known;
+use crate::table::Tables;
+use crate::table::endpoint::EndpointRow;
+use crate::time::Time;
+
+/// Sums over the instances that use the endpoints.
+pub(super) struct Crowd<'a> {
+    name: &'a str,
+    zone: &'a str,
+    /// Demand of this instance, and of all of them.
+    own: BTreeMap<PoolId, f64>,
+    all: BTreeMap<PoolId, f64>,
+    /// How many there are, and how many in each availability zone.
+    count: usize,
+    zones: HashMap<&'a str, usize>,
+    /// Those that are not heard; in which zones they are is not known.
+    unheard: usize,
+    by_demand: bool,
+}
+
+impl<'a> Crowd<'a> {
+    pub(super) fn new(t: &'a Tables, now: Time) -> Self {
+        let own = by_pool(t);
+        let zone = t.settings.zone.as_str();
+        let mut crowd = Self {
+            name: &t.settings.member.name,
+            zone,
+            all: own.clone(),
+            own,
+            count: 1,
+            zones: HashMap::from([(zone, 1)]),
+            unheard: 0,
+            by_demand: t.settings.mechanisms.demand_shares,
+        };
+        let heard = t.peers.iter().filter(|(_, p)| t.is_heard(p, now));
+        for (_, peer) in heard.filter(|(_, p)| !p.draining) {
+            crowd.count += 1;
+            *crowd.zones.entry(&peer.zone).or_default() += 1;
+            for (pool, rate) in &peer.demand {
+                if let Some(sum) = crowd.all.get_mut(pool) {
+                    *sum += rate;
+                } else {
+                    crowd.all.insert(pool.clone(), *rate);
+                }
+            }
+        }
+        crowd.grow_to(heard_of_known(t, now).0);
+        crowd
+    }
+
+    /// Takes it that there are so many instances, of which those that are heard stand for all: of very
+    /// many, only the own group is.
+    fn grow_to(&mut self, count: usize) {
+        let others = count.saturating_sub(self.count);
+        if others == 0 {
+            return;
+        }
+        let times = count as f64 / self.count as f64;
+        for rate in self.all.values_mut() {
+            *rate *= times;
+        }
+        self.count = count;
+        self.unheard = others;
+    }
+
+    /// Gives this instance's part of an endpoint, from 0 to 1.
+    pub(super) fn own_share(&self, e: &EndpointRow) -> f64 {
+        let total = on_endpoint(&self.all, e);
+        if !self.by_demand || total <= f64::EPSILON {
+            return 1.0 / self.count as f64;
+        }
+        demand_share(on_endpoint(&self.own, e), total, self.count)
+    }
+
+    /// Gives this instance's budget on an endpoint by a draw of its own.
+    pub(super) fn budget(&self, on: Mechanisms, places: f64, e: &EndpointRow, share: f64) -> u32 {
+        if !(on.whole_places && e.is_engine()) {
+            return rounded_places(e, share);
+        }
+        let part = places * f64::from(e.declared.slots) * share;
+        let key = rendezvous::hash_key(e.declared.name.as_bytes());
+        let draw = rendezvous::weight(key, self.name) as f64 / u64::MAX as f64;
+        part.floor() as u32 + u32::from(draw < part.fract())
+    }
+
+    /// Gives how many instances an availability zone has: one whose instances are not heard is taken to
+    /// have as many as the own.
+    fn near(&self, zone: &str) -> f64 {
+        let heard = self.zones.get(zone).copied().unwrap_or(0);
+        let like_own = self.zones.get(self.zone).copied().unwrap_or(0);
+        if self.unheard > 0 {
+            heard.max(like_own) as f64
+        } else {
+            heard as f64
+        }
+    }
+
+    /// Gives how much more than its even part an instance gets of an endpoint that is near, or how much
+    /// less of one that is far, so that all get one part in the mean.
+    pub(super) fn near_part(&self, zone: &str) -> f64 {
+        let near = self.near(zone);
+        let all = self.count as f64;
+        let mean = (near * NEAR_WEIGHT + (all - near)) / all;
+        let weight = if self.zone == zone { NEAR_WEIGHT } else { 1.0 };
+        weight / mean
+    }
+}
--- a/crates/firdock-policy/src/table/limit.rs
+++ b/crates/firdock-policy/src/table/limit.rs
@@ -4,11 +4,16 @@
 //! its peers tell that they let pass. Views differ by what was told last, so that the sum over all
 //! instances exceeds the limit by no more than one heartbeat's demand (`docs/design/limits.md`).
 
+use std::time::Duration;
+
 use firdock_core::resource::RateLimit;
 
 use crate::event::UseTotals;
 use crate::time::Time;
 
+/// Time for which an account that was used is told of in heartbeats: several of them, in case
+/// that some are lost.
+pub const TOLD_AFTER_USE: Duration = Duration::from_secs(5);
 /// Time constant, in seconds, of what counts as asked for lately: about three times the age that
 /// other instances' words have where instances are many.
 const RECENT_SECS: f64 = 1.5;
@@ -42,6 +47,8 @@
     pub asked: f64,
     /// When this instance was last asked.
     pub touched: Time,
+    /// What it had let pass and was asked for before it was told of this time.
+    pub before: UseTotals,
     /// Asked for lately here, and everywhere else as others tell.
     own: Recent,
     others: Recent,
@@ -94,6 +101,12 @@
 
     /// Notes what a request that arrived asks for.
     pub fn ask(&mut self, now: Time, units: f64) {
+        if self.touched + TOLD_AFTER_USE <= now {
+            self.before = UseTotals {
+                units: self.used,
+                asked: self.asked,
+            };
+        }
         self.asked += units;
         self.touched = now;
         self.own.add(now, units);
--- a/crates/firdock-policy/tests/policy/limits.rs
+++ b/crates/firdock-policy/tests/policy/limits.rs
@@ -5,6 +5,7 @@
 use firdock_core::{Outcome, Reason};
 use firdock_policy::event::{
     AccountUse, HandOverEvent, HandOverRefusal, Member, MemberView, PeerNews, PeerUse, UseCounts,
+    UseTotals,
 };
 use firdock_policy::sums::UseSums;
 use firdock_policy::{Action, Event, NewRequest, Verdict, used_limits};
@@ -63,6 +64,7 @@
         account: "limited".to_owned(),
         units,
         asked: units,
+        before: UseTotals::default(),
     }]
 }
 
@@ -233,6 +235,21 @@
     }
 }
 
+#[test]
+fn an_instance_tells_what_it_let_pass_before_callers_came_again() {
+    let mut edge = Edge::new(edge_settings("a"), resources());
+    let mut told = Vec::new();
+    for (n, pause) in [1_000, 1_000, 4_900, 5_100].into_iter().enumerate() {
+        edge.now += millis(pause);
+        edge.step(Event::Fresh(edge.now));
+        edge.arrive(request(n as u64, "safe", "limited"));
+        let used = used_limits(edge.scheduler.tables(), edge.now);
+        told.push((used[0].units, used[0].before.units));
+    }
+    let expected = [(100.0, 0.0), (200.0, 0.0), (300.0, 0.0), (400.0, 300.0)];
+    assert_eq!(told, expected);
+}
+
 /// Many instances that ask for far more than the limit, in rounds of 20 ms; each hears what the others
 /// let pass `lag` rounds late, by the counts of a lead.
 fn let_pass_in_seconds(instances: usize, secs: u64, lag: usize) -> Vec<f64> {
@@ -243,7 +260,7 @@
             edge
         })
         .collect();
-    let mut lead = UseSums::new(Uuid::nil());
+    let mut lead = UseSums::default();
     lead.begin(|| Uuid::from_u128(1));
     let mut told: Vec<Event> = Vec::new();
     let mut passed = vec![0.0; secs as usize];
--- a/crates/firdock-policy/tests/policy/sums.rs
+++ b/crates/firdock-policy/tests/policy/sums.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use firdock_policy::Time;
-use firdock_policy::event::{AccountUse, PeerUse, UseCounts};
+use firdock_policy::event::{AccountUse, PeerUse, UseCounts, UseTotals};
 use firdock_policy::sums::{HeardCounts, MAX_TOLD_ACCOUNTS, UseSums};
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
@@ -19,6 +19,7 @@
         account: account.to_owned(),
         units,
         asked: units,
+        before: UseTotals::default(),
     }
 }
 
@@ -39,7 +40,7 @@
 }
 
 fn lead() -> UseSums {
-    let mut sums = UseSums::new(Uuid::nil());
+    let mut sums = UseSums::default();
     sums.begin(|| Uuid::from_u128(7));
     sums
 }
@@ -130,6 +131,29 @@
     assert_eq!(for_leads(&mut sums), [3.0]);
 }
 
+/// A lead that began to count in the middle of a day took all that a member had ever let pass of an account
+/// for new when the member first told of that, and everyone was charged for it.
+#[test]
+fn one_that_begins_to_count_midway_takes_nothing_old_for_new() {
+    let mut sums = lead();
+    sums.hear_member(START, &word("a", 1, 500.0));
+    let again = PeerUse {
+        used: vec![AccountUse {
+            before: UseTotals {
+                units: 50_000.0,
+                asked: 60_000.0,
+            },
+            asked: 60_300.0,
+            ..used("another", 50_200.0)
+        }],
+        ..silent("a", 1)
+    };
+    sums.hear_member(START, &again);
+    let counts = sums.take_for_leads("lead").expect("it counts").counts;
+    let figures: Vec<_> = counts.iter().map(|c| (c.units, c.asked)).collect();
+    assert_eq!(figures, [(200.0, 300.0)]);
+}
+
 #[test]
 fn what_two_leads_tell_counts_once_and_goes_on_where_one_falls() {
     let mut heard = HeardCounts::default();
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -459,6 +459,11 @@
     /// What its callers asked for, with what was refused for the limit.
     #[prost(double, tag = "3")]
     pub asked: f64,
+    /// Both before callers last came after a while in which none did.
+    #[prost(double, tag = "4")]
+    pub units_before: f64,
+    #[prost(double, tag = "5")]
+    pub asked_before: f64,
 }
 /// Where an instance takes heartbeats.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
