Endpoints' list: one that moves to another pool is listed there

Cause: the list is updated by what a look saw change, and the pool was not part of that. Change: a hash of the pool's name is. Test: seen::an_endpoint_that_moves_to_another_pool_is_listed_there, red before ('one' instead of 'other').

--- a/crates/firdock-node/src/telemetry/endpoints.rs
+++ b/crates/firdock-node/src/telemetry/endpoints.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use firdock_core::{EndpointId, PoolId, ServiceId};
+use firdock_core::{EndpointId, PoolId, ServiceId, rendezvous};
 use firdock_policy::Time;
 use firdock_policy::table::Tables;
 use firdock_policy::table::endpoint::{Closed, EndpointRow, LeavingSource};
@@ -29,6 +29,9 @@
     /// How much longer it wants no request from this instance.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub left_millis: Option<u64>,
+    /// Hash of its pool's name, by which a look sees that it moved to another one.
+    #[serde(skip)]
+    pool_hash: u64,
 }
 
 impl EndpointWord {
@@ -41,6 +44,7 @@
             source: None,
             age_millis: None,
             left_millis: None,
+            pool_hash: rendezvous::hash_key(e.declared.pool.as_bytes()),
         };
         match e.open_to("", now) {
             Err(Closed::Leaving | Closed::Absent) => {
--- a/crates/firdock-node/tests/node/seen.rs
+++ b/crates/firdock-node/tests/node/seen.rs
@@ -1,8 +1,15 @@
 //! Looks at tables of thousands of rows, of which few change.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
 
+use firdock_core::resource::{Catalog, Endpoint, Resource};
+use firdock_core::settings::Settings;
 use firdock_node::telemetry::seen::{Change, Seen};
+use firdock_node::telemetry::{Beliefs, EndpointList, silent};
+use firdock_policy::{Event, Policy as _, PolicySettings, Scheduler};
+use uuid::Uuid;
 
 type Changes = BTreeMap<String, Change<&'static str>>;
 
@@ -46,3 +53,23 @@
     assert_eq!(moved["a"], change(Some("usable"), Some("ejected")));
     assert_eq!(moved["c"], change(Some("usable"), None));
 }
+
+/// The operators' list went on showing the earlier pool of an endpoint whose entry named another one.
+#[test]
+fn an_endpoint_that_moves_to_another_pool_is_listed_there() {
+    let now = Duration::from_secs(100);
+    let list = EndpointList::default();
+    let mut beliefs = Beliefs::new(silent(), Arc::default(), list.clone());
+    let mut s = Scheduler::new(PolicySettings::new(&Settings::default(), Uuid::nil()));
+    for pool in ["one", "other"] {
+        let endpoint = Resource::Endpoint(Endpoint {
+            name: "e".to_owned(),
+            pool: pool.to_owned(),
+            ..Endpoint::default()
+        });
+        let catalog = Catalog::new(1).with_resources(vec![endpoint]);
+        s.step(now, Event::Config(Arc::new(catalog)), &mut Vec::new());
+        beliefs.note(now, s.tables());
+        assert_eq!(list.get()["e"].pool, pool);
+    }
+}
