--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -32,7 +32,7 @@
 use self::answer::Answers;
 use self::due::PeersDue;
 use self::meet::Meeting;
-use self::usage::{ToldUse, write_counts};
+use self::usage::ToldUse;
 use super::book::{KnownPeer, PeerBook, Reader};
 use super::datagram::{seal, write_address, write_reads, write_uses};
 use super::heartbeat::{SelfNews, write_demand, write_work};
@@ -209,7 +209,7 @@
             return;
         }
         let beacon = if self.book.is_small() {
-            self.beacon(&[], &ToldUse::default())
+            self.beacon(&[], &ToldUse::Nothing)
         } else {
             self.short_beacon()
         };
@@ -219,9 +219,8 @@
     /// Sends beacons at a start or an end, which those that need to know hear of at once.
     async fn send_at_once(&self) {
         let due = PeersDue::at_once(&self.book, self.clock.now());
-        let nothing = ToldUse::default();
-        self.send_all(&due.near, &[], &nothing).await;
-        self.send_all(&due.leads, &[], &nothing).await;
+        self.send_all(&due.near, &[], &ToldUse::Nothing).await;
+        self.send_all(&due.leads, &[], &ToldUse::Nothing).await;
     }
 
     /// Tells the scheduler whether this instance decides on roll-outs, when that changed: it leads the
@@ -261,7 +260,7 @@
         let full = self.news.borrow().in_full();
         let beacon = Beacon {
             heartbeat: Some(full.message(self.clock.now(), 0)),
-            ..self.beacon(&[], &ToldUse::default())
+            ..self.beacon(&[], &ToldUse::Nothing)
         };
         self.send_sealed(std::slice::from_ref(peer), beacon).await;
     }
@@ -308,7 +307,7 @@
         };
         let start = usize::from(rand::random::<u16>()) % peers.len().max(1);
         let told = peers.iter().cycle().skip(start).take(peers.len());
-        Beacon {
+        let mut beacon = Beacon {
             protocol: PROTOCOL,
             instance: self.member.name.clone(),
             incarnation: self.member.incarnation.as_bytes().to_vec(),
@@ -326,13 +325,10 @@
             rollout_seen: write_seen(&news.rollouts.own),
             group_rollout_seen: write_seen(&lead.group_seen),
             group_work: write_work(&lead.group_work),
-            group_used: write_counts(used.group.as_ref()),
-            site_used: write_counts(used.site.as_ref()),
-            use_began: used
-                .any()
-                .map_or_else(Vec::new, |u| u.began.as_bytes().to_vec()),
-            use_fresh: used.any().is_some_and(|u| u.fresh),
-        }
+            ..Beacon::default()
+        };
+        used.write(&mut beacon);
+        beacon
     }
 
     /// Makes a beacon that tells that this instance is there, what it knows of the store and its demand.
--- a/crates/firdock-node/src/peer/beacon/usage.rs
+++ b/crates/firdock-node/src/peer/beacon/usage.rs
@@ -5,33 +5,38 @@
 use firdock_policy::event::{PeerUse, UseCounts};
 use firdock_policy::sums::UseSums;
 use firdock_policy::{Event, Time};
-use firdock_wire::message;
+use firdock_wire::message::Beacon;
 use uuid::Uuid;
 
 use super::{Beacons, TELL_EVERY};
 use crate::peer::datagram::write_uses;
 
-/// What a lead tells of the use of limits.
+/// What a beacon tells of the use of limits.
 #[derive(Debug, Default)]
-pub(super) struct ToldUse {
-    /// Counts of its group, for other leads.
-    pub group: Option<UseCounts>,
+pub(super) enum ToldUse {
+    /// Nothing: its sender counts for nobody, or not at this tick.
+    #[default]
+    Nothing,
+    /// Counts of the sender's group, for other leads.
+    Group(UseCounts),
     /// Counts of all groups, for its own.
-    pub site: Option<UseCounts>,
+    Site(UseCounts),
 }
 
 impl ToldUse {
-    /// Gives the counts that are told, of whichever.
-    pub fn any(&self) -> Option<&UseCounts> {
-        self.group.as_ref().or(self.site.as_ref())
+    /// Writes it into a beacon.
+    pub fn write(&self, beacon: &mut Beacon) {
+        let (told, counts) = match self {
+            Self::Nothing => return,
+            Self::Group(counts) => (&mut beacon.group_used, counts),
+            Self::Site(counts) => (&mut beacon.site_used, counts),
+        };
+        *told = write_uses(&counts.counts);
+        beacon.use_began = counts.began.as_bytes().to_vec();
+        beacon.use_fresh = counts.fresh;
     }
 }
 
-/// Writes counts that may not be told.
-pub(super) fn write_counts(told: Option<&UseCounts>) -> Vec<message::AccountUse> {
-    told.map_or_else(Vec::new, |told| write_uses(&told.counts))
-}
-
 impl Beacons {
     /// Counts what instances let pass of limits, where this one leads; gives what is told of that to its
     /// group and to other leads.
@@ -57,8 +62,8 @@
         if let Some(counts) = site.clone() {
             self.tell(Event::SiteUsed(counts)).await;
         }
-        let for_group = ToldUse { group: None, site };
-        let for_leads = ToldUse { group, site: None };
+        let for_group = site.map_or(ToldUse::Nothing, ToldUse::Site);
+        let for_leads = group.map_or(ToldUse::Nothing, ToldUse::Group);
         (for_group, for_leads)
     }
 
--- a/crates/firdock-node/src/peer/book.rs
+++ b/crates/firdock-node/src/peer/book.rs
@@ -270,13 +270,8 @@
         let mut entries = self.lock();
         entries.retain(|_, e| e.since + FORGET_AFTER > now);
         self.prune(&mut entries, now);
-        let counted = entries.len();
         drop(entries);
-        if self.is_fleet() {
-            self.site_known(now).saturating_sub(1).max(counted)
-        } else {
-            counted
-        }
+        self.count(now)
     }
 
     /// Tells whether any instance was heard a short while ago.
--- a/crates/firdock-node/tests/node/fleet.rs
+++ b/crates/firdock-node/tests/node/fleet.rs
@@ -1,20 +1,16 @@
 //! Hundreds and thousands of instances: what each of them keeps, and how many it knows that there are.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use firdock_node::peer::{
     Hearing, KnownPeer, PeerBook, PeerWord, Power, ReadReason, Reader, SharedReads, Turn,
 };
 
+use crate::starts::address;
+
 const START: Duration = Duration::from_secs(100);
 const ZONES: usize = 6;
 
-fn address(n: usize) -> SocketAddr {
-    let [high, low] = u16::try_from(n).expect("few instances").to_be_bytes();
-    ([127, 1, high, low], 7_600).into()
-}
-
 /// Gives instance `n`; ten of each zone have eight times the processor of the others.
 fn instance(n: usize) -> KnownPeer {
     KnownPeer {
--- a/crates/firdock-node/tests/node/starts.rs
+++ b/crates/firdock-node/tests/node/starts.rs
@@ -26,7 +26,7 @@
 /// ms at 3,000 endpoints and the reading of as many entries.
 const TAKING: f64 = 0.25;
 
-fn address(n: usize) -> SocketAddr {
+pub fn address(n: usize) -> SocketAddr {
     let [high, low] = u16::try_from(n).expect("few instances").to_be_bytes();
     ([127, 1, high, low], 7_600).into()
 }
--- a/crates/firdock-policy/src/table/peer.rs
+++ b/crates/firdock-policy/src/table/peer.rs
@@ -12,8 +12,8 @@
 /// Table of peers.
 pub type Peers = Rows<PeerRow>;
 
-/// Most peers that are kept, some 1 KB each; news of others is dropped. A site of so many tells all of
-/// them in four datagrams (`docs/CAPACITY.md`).
+/// Most peers that are kept; news of others is dropped. Far more than any site was reckoned with, since a
+/// member of a large one keeps its own group alone.
 pub const MAX_PEERS: usize = 4_096;
 
 impl Peers {
--- a/crates/firdock-policy/src/table/rollout.rs
+++ b/crates/firdock-policy/src/table/rollout.rs
@@ -12,9 +12,6 @@
 use crate::table::peer::MAX_PEERS;
 use crate::time::Time;
 
-/// Instances whose evidence is kept; that of others is left out.
-const MAX_TELLERS: usize = MAX_PEERS;
-
 /// One roll-out.
 #[derive(Debug)]
 pub struct RolloutRow {
@@ -79,7 +76,7 @@
 
     /// Takes what a peer of the own group saw, since the start of its process.
     pub fn take_peer(&mut self, name: &str, incarnation: Uuid, evidence: Evidence) {
-        if self.peers.len() >= MAX_TELLERS && !self.peers.contains_key(name) {
+        if self.peers.len() >= MAX_PEERS && !self.peers.contains_key(name) {
             return;
         }
         let before = self
