Sight: each answer's line tells its framing, its end and what was left over

Reading an endpoint's body is in one place now (EndpointBody), which gives the end as a value; what follows from it is unchanged. Counted by framing and ending.

--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -236,6 +236,12 @@
             return;
         };
         let now = self.parts.clock.now();
+        if let DispatchNews::Ended { .. } | DispatchNews::Broke { .. } = event.news {
+            let end = live.exchange.delivered().end;
+            if let Some(end) = end {
+                self.parts.metrics.count_answer_end(end);
+            }
+        }
         let failed = match event.news {
             DispatchNews::Ended { .. } => {
                 self.parts.metrics.observe_answer(now, row);
--- a/crates/firdock-node/src/driver/send.rs
+++ b/crates/firdock-node/src/driver/send.rs
@@ -34,6 +34,7 @@
         };
         let (now, t) = (self.parts.clock.now(), self.scheduler.tables());
         self.decisions.dispatched(now, t, &dispatch, &exchange);
+        exchange.delivered().end = None;
         let (since, run_since) = watch::channel(Since::Unchanged);
         if let Some(live) = self.exchanges.get_mut(&id) {
             live.sent = Some(LastSent::new(now, &dispatch));
--- a/crates/firdock-node/src/endpoint.rs
+++ b/crates/firdock-node/src/endpoint.rs
@@ -3,6 +3,8 @@
 //! Only an adapter has to change for other far ends; the tasks that drive a dispatch take the
 //! traits as generics (see `docs/design/endpoints.md`).
 
+mod body;
+mod ending;
 mod engine;
 mod events;
 mod notice;
@@ -22,12 +24,13 @@
 use firdock_core::prefix::BlockHash;
 use firdock_core::{EndpointId, RequestId};
 use firdock_policy::event::BreakCause;
-use hyper::body::Incoming;
 use hyper::header::HeaderName;
-use hyper::{HeaderMap, Method, Response};
+use hyper::{HeaderMap, Method};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
+pub use body::EndpointBody;
+pub use ending::{AnswerEnd, Ending, Framing};
 pub use engine::HttpEngine;
 pub use events::EventCutter;
 pub use notice::{HeadNotice, start_of};
@@ -38,6 +41,7 @@
 
 use self::run::Run;
 use crate::door::ModelCall;
+use crate::exchange::AnswerHead;
 use crate::http::CallError;
 use crate::site::Place;
 use crate::telemetry::TraceContext;
@@ -91,20 +95,11 @@
 pub(crate) fn break_cause(error: &CallError) -> BreakCause {
     match error {
         CallError::AnswerTime => BreakCause::Silent,
-        CallError::Http { source } => cut_cause(source),
+        CallError::Http { source } => body::ending_of(source).into(),
         CallError::Connect { .. } | CallError::ConnectTime { .. } => BreakCause::Closed,
     }
 }
 
-/// Gives how an answer came to break off: its connection ended, or what came is no HTTP.
-pub(crate) fn cut_cause(error: &hyper::Error) -> BreakCause {
-    if error.is_parse() {
-        BreakCause::Foreign
-    } else {
-        BreakCause::Closed
-    }
-}
-
 /// What came of a call to an endpoint, with what the head of its answer said of the endpoint.
 #[derive(Debug)]
 pub struct Heard<T> {
@@ -348,8 +343,10 @@
 /// Head of a plain server's answer, with the body to come.
 #[derive(Debug)]
 pub struct PlainAnswer {
-    /// Answer.
-    pub response: Response<Incoming>,
+    /// Head.
+    pub head: AnswerHead,
+    /// Body.
+    pub body: EndpointBody,
     /// Connection, kept open while the body is read.
     pub connection: crate::http::Connection,
 }
--- a/crates/firdock-node/src/endpoint/plain.rs
+++ b/crates/firdock-node/src/endpoint/plain.rs
@@ -10,10 +10,12 @@
 use hyper::{Request, Response, header};
 
 use super::{
-    DISPATCH_HEADER, HeadNotice, Heard, LEAVING_HEADER, LostSnafu, NOT_STARTED_HEADER, PlainAnswer,
-    PlainClient, PlainOrder, RefusedSnafu, StartError, break_cause,
+    DISPATCH_HEADER, EndpointBody, Framing, HeadNotice, Heard, LEAVING_HEADER, LostSnafu,
+    NOT_STARTED_HEADER, PlainAnswer, PlainClient, PlainOrder, RefusedSnafu, StartError,
+    break_cause,
 };
 use crate::door::REQUEST_ID_HEADER;
+use crate::exchange::AnswerHead;
 use crate::http::{CallError, connect, strip_hop_by_hop};
 
 /// Adapter for plain servers.
@@ -54,9 +56,18 @@
             }
         };
         let head = HeadNotice::read(response.status(), response.headers(), &LEAVING_HEADER);
-        let result = take(order, response).map(|response| PlainAnswer {
-            response,
-            connection,
+        let framing = Framing::read(order.method, response.status(), response.headers());
+        let result = take(order, response).map(|response| {
+            let (parts, body) = response.into_parts();
+            let head = AnswerHead {
+                status: parts.status,
+                headers: parts.headers,
+            };
+            PlainAnswer {
+                head,
+                body: EndpointBody::new(body, framing),
+                connection,
+            }
         });
         Heard { head, result }
     }
--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -21,7 +21,7 @@
 use self::plain::pass_plain;
 use self::stream::Stream;
 use super::run::{Run, Stop};
-use super::{Backends, HeadNotice, Place, break_cause};
+use super::{Backends, EndpointBody, Framing, HeadNotice, Place, break_cause};
 use crate::exchange::{AnswerHead, Part, Payload};
 use crate::http::{CallError, connect, strip_hop_by_hop};
 use crate::telemetry::LineKind;
@@ -166,8 +166,11 @@
                 return run.tell_broken(BreakCause::Failed).await;
             }
         }
+        let framing = Framing::read(&payload.method, status, response.headers());
+        run.note_head(framing);
         strip_hop_by_hop(response.headers_mut());
         let (parts, body) = response.into_parts();
+        let body = EndpointBody::new(body, framing);
         let head = AnswerHead {
             status,
             headers: parts.headers,
--- a/crates/firdock-node/src/endpoint/relay/plain.rs
+++ b/crates/firdock-node/src/endpoint/relay/plain.rs
@@ -2,11 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 use firdock_policy::event::DispatchNews;
-use http_body_util::BodyExt as _;
-use hyper::body::{Body as _, Incoming};
 
 use super::finish;
-use crate::endpoint::cut_cause;
+use crate::endpoint::EndpointBody;
 use crate::endpoint::run::{Run, Stop};
 use crate::exchange::{AnswerHead, Part};
 
@@ -17,7 +15,7 @@
 const WHOLE_BYTES: usize = 64 << 10;
 
 /// Passes an answer on that is no stream.
-pub(super) async fn pass_plain(run: &Run, head: AnswerHead, body: Incoming) -> &'static str {
+pub(super) async fn pass_plain(run: &Run, head: AnswerHead, body: EndpointBody) -> &'static str {
     let passed = match read_whole(run, body).await {
         Ok(Whole::All(bytes)) => {
             run.exchange.reply.note_whole();
@@ -37,21 +35,23 @@
     /// All of it.
     All(Bytes),
     /// As much as is taken before any is passed on, and the rest to come.
-    Part(Bytes, Incoming),
+    Part(Bytes, EndpointBody),
 }
 
-async fn read_whole(run: &Run, mut body: Incoming) -> Result<Whole, Stop> {
+async fn read_whole(run: &Run, mut body: EndpointBody) -> Result<Whole, Stop> {
     let mut read = BytesMut::new();
-    while let Some(frame) = run.while_alive(body.frame()).await? {
-        let frame = frame.map_err(|e| Stop::Endpoint(cut_cause(&e)))?;
-        if let Ok(bytes) = frame.into_data() {
-            read.extend_from_slice(&bytes);
+    loop {
+        match run.read(&mut body).await {
+            Ok(bytes) => read.extend_from_slice(&bytes),
+            Err(ending) => {
+                run.note_end(ending)?;
+                return Ok(Whole::All(read.freeze()));
+            }
         }
-        if read.len() > WHOLE_BYTES && !body.is_end_stream() {
+        if read.len() > WHOLE_BYTES && !body.is_read() {
             return Ok(Whole::Part(read.freeze(), body));
         }
     }
-    Ok(Whole::All(read.freeze()))
 }
 
 async fn pass_start(run: &Run, head: AnswerHead, bytes: Bytes) -> Result<(), Stop> {
@@ -63,12 +63,11 @@
     run.pass(Part::Data(bytes)).await
 }
 
-async fn pass_rest(run: &Run, mut body: Incoming) -> Result<(), Stop> {
-    while let Some(frame) = run.while_alive(body.frame()).await? {
-        let frame = frame.map_err(|e| Stop::Endpoint(cut_cause(&e)))?;
-        if let Ok(bytes) = frame.into_data() {
-            run.pass(Part::Data(bytes)).await?;
+async fn pass_rest(run: &Run, mut body: EndpointBody) -> Result<(), Stop> {
+    loop {
+        match run.read(&mut body).await {
+            Ok(bytes) => run.pass(Part::Data(bytes)).await?,
+            Err(ending) => return run.note_end(ending),
         }
     }
-    Ok(())
 }
--- a/crates/firdock-node/src/endpoint/relay/stream.rs
+++ b/crates/firdock-node/src/endpoint/relay/stream.rs
@@ -1,11 +1,9 @@
 //! Streams of events: passed on by whole events, and taken up after the last one that the caller has.
 
 use firdock_policy::event::{BreakCause, DispatchNews};
-use http_body_util::BodyExt as _;
-use hyper::body::Incoming;
 
 use super::finish;
-use crate::endpoint::cut_cause;
+use crate::endpoint::EndpointBody;
 use crate::endpoint::events::{EventCutter, WholeEvents};
 use crate::endpoint::run::{Run, Stop};
 use crate::exchange::{AnswerHead, Part};
@@ -30,18 +28,18 @@
         }
     }
 
-    pub(super) async fn pass(mut self, body: Incoming) -> &'static str {
+    pub(super) async fn pass(mut self, body: EndpointBody) -> &'static str {
         let passed = self.pass_events(body).await;
         let output = self.run.delivered().tokens;
         finish(self.run, passed, output).await
     }
 
-    async fn pass_events(&mut self, mut body: Incoming) -> Result<(), Stop> {
+    async fn pass_events(&mut self, mut body: EndpointBody) -> Result<(), Stop> {
         let mut cutter = EventCutter::default();
-        while let Some(frame) = self.run.while_alive(body.frame()).await? {
-            let frame = frame.map_err(|e| Stop::Endpoint(cut_cause(&e)))?;
-            let Ok(bytes) = frame.into_data() else {
-                continue;
+        let ending = loop {
+            let bytes = match self.run.read(&mut body).await {
+                Ok(bytes) => bytes,
+                Err(ending) => break ending,
             };
             let whole = cutter
                 .push(&bytes)
@@ -49,9 +47,13 @@
             if let Some(events) = whole {
                 self.pass_whole(events).await?;
             }
+        };
+        let rest = cutter.rest();
+        if let Some(end) = &mut self.run.delivered().end {
+            end.leftover = rest.len();
         }
+        self.run.note_end(ending)?;
         self.begin().await?;
-        let rest = cutter.rest();
         if rest.is_empty() {
             return Ok(());
         }
@@ -77,6 +79,9 @@
     fn note(&self, events: u32, last_id: Option<String>) {
         let mut delivered = self.run.delivered();
         delivered.tokens += events * self.event_tokens;
+        if let Some(end) = &mut delivered.end {
+            end.events += events;
+        }
         delivered.last_event = last_id.or(delivered.last_event.take());
     }
 
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
+use bytes::Bytes;
 use firdock_core::settings::Endpoints;
 use firdock_core::{InstanceId, RequestId, StartId};
 use firdock_policy::Event;
@@ -17,7 +18,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
-use super::{HeadNotice, Target};
+use super::{AnswerEnd, Ending, EndpointBody, Framing, HeadNotice, Target};
 use crate::clock::Clock;
 use crate::exchange::{Delivered, Exchange, Part};
 use crate::input::Input;
@@ -203,13 +204,51 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`Stop::Endpoint`] once the endpoint has started again.
-    pub async fn while_alive<T>(&self, wait: impl Future<Output = T>) -> Result<T, Stop> {
+    /// Fails once the endpoint has started again.
+    pub async fn while_alive<T>(&self, wait: impl Future<Output = T>) -> Result<T, Ending> {
         let mut since = self.since.clone();
         tokio::select! {
             biased;
             got = wait => Ok(got),
-            Ok(_) = since.wait_for(|s| *s == Since::Restarted) => Err(Stop::Endpoint(BreakCause::Restarted)),
+            Ok(_) = since.wait_for(|s| *s == Since::Restarted) => Err(Ending::Restarted),
+        }
+    }
+
+    /// Reads on in an answer for as long as its endpoint lives.
+    ///
+    /// # Errors
+    ///
+    /// Gives how the answer ended.
+    pub(super) async fn read(&self, body: &mut EndpointBody) -> Result<Bytes, Ending> {
+        let bytes = self.while_alive(body.next()).await.flatten()?;
+        self.note_bytes(&bytes);
+        Ok(bytes)
+    }
+
+    /// Notes that the head of this dispatch's answer came.
+    pub(super) fn note_head(&self, framing: Framing) {
+        self.delivered().end = Some(AnswerEnd::new(framing));
+    }
+
+    /// Notes bytes of the body that were read.
+    pub(super) fn note_bytes(&self, bytes: &[u8]) {
+        if let Some(end) = &mut self.delivered().end {
+            end.bytes += bytes.len() as u64;
+        }
+    }
+
+    /// Notes how the answer ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Stop::Endpoint`] where that breaks it.
+    pub(super) fn note_end(&self, ending: Ending) -> Result<(), Stop> {
+        if let Some(end) = &mut self.delivered().end {
+            end.ending = Some(ending);
+        }
+        match ending {
+            Ending::Framed | Ending::Closed => Ok(()),
+            broken => Err(Stop::Endpoint(broken.into())),
         }
     }
 
--- a/crates/firdock-node/src/endpoint/run_plain.rs
+++ b/crates/firdock-node/src/endpoint/run_plain.rs
@@ -2,14 +2,12 @@
 
 use bytes::Bytes;
 use firdock_policy::event::{BreakCause, DispatchNews};
-use http_body_util::BodyExt as _;
-use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use super::run::{Run, Stop};
-use super::{PlainAnswer, PlainClient, PlainOrder, StartError, cut_cause};
+use super::{Ending, EndpointBody, PlainAnswer, PlainClient, PlainOrder, StartError};
 use crate::answers::{Answers, KeptAnswer};
-use crate::exchange::{AnswerHead, Part};
+use crate::exchange::Part;
 
 /// Runs a dispatch to a plain server; gives a word on how it ended for the trace.
 pub async fn run<P: PlainClient>(plain: P, run: Run, answers: Answers) -> &'static str {
@@ -41,14 +39,11 @@
 
 async fn relay(run: &Run, answer: PlainAnswer, answers: &Answers) -> &'static str {
     let PlainAnswer {
-        response,
+        head,
+        body,
         connection,
     } = answer;
-    let (parts, body) = response.into_parts();
-    let head = AnswerHead {
-        status: parts.status,
-        headers: parts.headers,
-    };
+    run.note_head(body.framing());
     let mut kept = run
         .exchange
         .payload
@@ -87,18 +82,18 @@
 /// Passes the body on to its end; an end that comes early is an error of the connection.
 async fn pass_body(
     run: &Run,
-    mut body: Incoming,
+    mut body: EndpointBody,
     kept: &mut Option<KeptAnswer>,
 ) -> Result<(), Stop> {
     loop {
-        let Ok(frame) = timeout(run.limits.silence, body.frame()).await else {
-            return Err(Stop::Endpoint(BreakCause::Silent));
-        };
-        let Some(frame) = frame else { return Ok(()) };
-        let frame = frame.map_err(|e| Stop::Endpoint(cut_cause(&e)))?;
-        if let Ok(bytes) = frame.into_data() {
-            keep(kept, &bytes);
-            run.pass(Part::Data(bytes)).await?;
+        let next = timeout(run.limits.silence, body.next()).await;
+        match next.unwrap_or(Err(Ending::Silent)) {
+            Ok(bytes) => {
+                run.note_bytes(&bytes);
+                keep(kept, &bytes);
+                run.pass(Part::Data(bytes)).await?;
+            }
+            Err(ending) => return run.note_end(ending),
         }
     }
 }
--- a/crates/firdock-node/src/exchange.rs
+++ b/crates/firdock-node/src/exchange.rs
@@ -15,6 +15,7 @@
 pub use self::queue::{Parts, Reply, Sent};
 pub use self::room::AnswerRoom;
 use crate::door::ModelCall;
+use crate::endpoint::AnswerEnd;
 use crate::telemetry::TraceContext;
 
 /// What the caller sent, without what belongs to its connection or account.
@@ -110,6 +111,8 @@
     pub text: String,
     /// Id of the last event that was passed on, of a stream that is passed on as it is.
     pub last_event: Option<String>,
+    /// What came of the present dispatch's answer; `None` until its head came.
+    pub end: Option<AnswerEnd>,
 }
 
 /// A request with the way back to its caller.
--- a/crates/firdock-node/src/telemetry/budget.rs
+++ b/crates/firdock-node/src/telemetry/budget.rs
@@ -17,6 +17,8 @@
     Dispatched,
     /// A whole answer was passed on.
     Answered,
+    /// The same, of an answer that had neither a length nor chunks.
+    Unframed,
     /// A caller left before its answer was whole.
     CallerLeft,
     /// A request ended without a whole answer.
@@ -46,6 +48,7 @@
         match self {
             Self::Dispatched => "dispatched",
             Self::Answered => "answered",
+            Self::Unframed => "answered without framing",
             Self::CallerLeft => "caller left",
             Self::Failed => "failed",
             Self::Belief => "belief",
@@ -74,7 +77,7 @@
             | Self::Notice
             | Self::StoreCall
             | Self::RefusedEntry => 20,
-            Self::Failed | Self::Belief => 200,
+            Self::Failed | Self::Unframed | Self::Belief => 200,
             // It comes with each answer of a server that says it, and one line tells all.
             Self::BadLoad | Self::BadNotice => 1,
         }
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -13,11 +13,12 @@
 use firdock_policy::table::Tables;
 use firdock_policy::table::endpoint::EndpointRow;
 use firdock_policy::{Time, Verdict};
-use slog::{Logger, info, warn};
+use slog::{KV, Logger, Record, Serializer, info, warn};
 
 use super::budget::{LineBudget, LineKind};
 use super::endpoints::passed_over;
 use crate::clock::millis;
+use crate::endpoint::{AnswerEnd, Ending, Framing};
 use crate::exchange::Exchange;
 
 /// Where and when a request was last sent to an endpoint.
@@ -136,7 +137,14 @@
 
     /// Writes that a whole answer was passed on; `row` is the request's before it ended.
     pub fn answered(&self, now: Time, t: &Tables, row: &RequestRow, exchange: &Exchange) {
-        if !self.budget.allow(&self.log, now, LineKind::Answered) {
+        let (output, end) = course(exchange);
+        let unframed = end.is_some_and(|e| e.framing == Framing::Connection);
+        let kind = if unframed {
+            LineKind::Unframed
+        } else {
+            LineKind::Answered
+        };
+        if !self.budget.allow(&self.log, now, kind) {
             return;
         }
         let first = row.first.unwrap_or(now);
@@ -153,8 +161,10 @@
             "target_millis" => millis(t.services.get(row.service).tier.target()),
             "total_millis" => millis(now.saturating_sub(row.arrived)),
             "prompt_tokens" => row.new.prompt_tokens,
-            "output_tokens" => exchange.delivered().tokens,
+            "output_tokens" => output,
             "most_tokens" => row.new.output_tokens,
+            "caller_end" => "whole",
+            EndFields(end),
         );
     }
 
@@ -201,6 +211,11 @@
     fn broken_off(&self, now: Time, what: &'static str, story: Story<'_>, reason: Reason) {
         let x = story.exchange;
         let after = story.sent.map(|s| millis(now.saturating_sub(s.at)));
+        let (delivered, end) = course(x);
+        let caller_end = match reason {
+            Reason::CallerLeft => "left",
+            _ => "broken",
+        };
         warn!(self.log, "{}", what;
             "request_id" => x.id.to_string(),
             "call" => call(x),
@@ -208,11 +223,13 @@
             "account" => &x.payload.account,
             "content" => x.content.id.to_string(),
             "reason" => reason.as_str(),
+            "caller_end" => caller_end,
             "waited_millis" => millis(now.saturating_sub(story.arrived)),
             "endpoint" => story.sent.map(|s| &s.endpoint),
             "dispatches" => story.sent.map_or(0, |s| s.dispatch),
             "after_millis" => after,
-            "delivered_tokens" => x.delivered().tokens,
+            "delivered_tokens" => delivered,
+            EndFields(end),
         );
     }
 
@@ -228,6 +245,7 @@
         if !self.budget.allow(&self.log, now, LineKind::Failed) {
             return;
         }
+        let (_, end) = course(x);
         warn!(self.log, "dispatch failed";
             "request_id" => row.new.id.to_string(),
             "call" => call(x),
@@ -238,10 +256,33 @@
             "cause" => row.breaking.map(BreakCause::as_str),
             "after_millis" => millis(now.saturating_sub(row.dispatched)),
             "delivered_tokens" => row.delivered,
+            EndFields(end),
         );
     }
 }
 
+/// Gives the tokens that have been passed on, and what came of the last dispatch's answer.
+fn course(exchange: &Exchange) -> (u32, Option<AnswerEnd>) {
+    let delivered = exchange.delivered();
+    (delivered.tokens, delivered.end)
+}
+
+/// Fields on how an endpoint's answer was framed and ended, on the lines of a dispatch whose answer began.
+struct EndFields(Option<AnswerEnd>);
+
+impl KV for EndFields {
+    fn serialize(&self, _record: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        let Some(end) = self.0 else {
+            return Ok(());
+        };
+        serializer.emit_str("framing", end.framing.as_str())?;
+        serializer.emit_str("ending", end.ending.map_or("unread", Ending::as_str))?;
+        serializer.emit_u64("answer_bytes", end.bytes)?;
+        serializer.emit_u32("answer_events", end.events)?;
+        serializer.emit_usize("leftover_bytes", end.leftover)
+    }
+}
+
 /// Gives the endpoint that a request is at.
 fn endpoint_of<'a>(t: &'a Tables, row: &RequestRow) -> Option<&'a EndpointId> {
     let (Phase::Dispatching(at) | Phase::Running(at)) = row.phase else {
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -18,10 +18,11 @@
 use prometheus_client::registry::Registry;
 
 use self::labels::{
-    ByCall, ByCause, ByFound, ByOutcome, ByPool, ByRefusal, ByShare, ByTier, ByTry,
+    ByCall, ByCause, ByEnd, ByFound, ByOutcome, ByPool, ByRefusal, ByShare, ByTier, ByTry,
 };
 use super::suspects::SuspectStates;
 use super::{EndpointList, HeldAnswers, SuspectList};
+use crate::endpoint::{AnswerEnd, Ending};
 use crate::source::StoreCall;
 
 /// Least decision time told apart, in seconds.
@@ -60,6 +61,7 @@
     dispatches: Counter,
     broken: Family<ByCause, Counter>,
     looks: Family<ByFound, Counter>,
+    answer_ends: Family<ByEnd, Counter>,
     blamed: Counter,
     suspected: Gauge,
     quarantined: Gauge,
@@ -114,6 +116,7 @@
             dispatches: Counter::default(),
             broken: Family::default(),
             looks: Family::default(),
+            answer_ends: Family::default(),
             blamed: Counter::default(),
             suspected: Gauge::default(),
             quarantined: Gauge::default(),
@@ -212,6 +215,15 @@
         self.total.observe(since(now));
     }
 
+    /// Counts an answer of an endpoint by how it was framed and how it ended.
+    pub fn count_answer_end(&self, end: AnswerEnd) {
+        let labels = ByEnd {
+            framing: end.framing.as_str(),
+            ending: end.ending.map_or("unread", Ending::as_str),
+        };
+        self.answer_ends.get_or_create(&labels).inc();
+    }
+
     /// Counts a call to the platform's store.
     pub fn count_store_call(&self, call: StoreCall) {
         let labels = ByCall {
--- a/crates/firdock-node/src/telemetry/metrics/labels.rs
+++ b/crates/firdock-node/src/telemetry/metrics/labels.rs
@@ -26,6 +26,13 @@
     pub(super) found: &'static str,
 }
 
+/// Labels of endpoints' answers.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct ByEnd {
+    pub(super) framing: &'static str,
+    pub(super) ending: &'static str,
+}
+
 /// Label by outcome.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct ByOutcome {
--- a/crates/firdock-node/src/telemetry/metrics/register.rs
+++ b/crates/firdock-node/src/telemetry/metrics/register.rs
@@ -107,6 +107,11 @@
             "Looks at endpoints whose connections ended early, by what was found",
             self.looks.clone(),
         );
+        r.register(
+            "answer_ends",
+            "Answers of endpoints, by how they were framed and how they ended",
+            self.answer_ends.clone(),
+        );
         r.register(
             "ends_blamed",
             "Ends of endpoints that were held against a request on board",
