Streams: one that ends inside an event was broken off, however its answer was framed

Callers got 200, the endpoint's signature and a part of a stream, ended like a whole one. Cause: the reader of streams took any close of an answer without a length or chunks for its end, and passed a part of an event that was left over on before the end. Whether an answer is whole is decided in one place now (endpoint::judge) on its framing, its end and what is left of its form; a stream without framing that never had an event counts as broken as well.

Ends of events decide now, so that they follow the published format: LF, CRLF and CR, mixed, a byte order mark, comments, ids without data. Comments before the first event wait for it, so that a stream that breaks before it can still get a true status or go elsewhere.

--- a/crates/firdock-node/src/endpoint.rs
+++ b/crates/firdock-node/src/endpoint.rs
@@ -30,7 +30,7 @@
 use snafu::Snafu;
 
 pub use body::EndpointBody;
-pub use ending::{AnswerEnd, Ending, Framing};
+pub use ending::{AnswerEnd, Ending, Framing, Left, Shape, Verdict, judge};
 pub use engine::HttpEngine;
 pub use events::EventCutter;
 pub use notice::{HeadNotice, start_of};
--- a/crates/firdock-node/src/endpoint/ending.rs
+++ b/crates/firdock-node/src/endpoint/ending.rs
@@ -110,6 +110,82 @@
     }
 }
 
+/// What is left of a stream of events after its last whole event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Left {
+    /// Nothing, or lines that have ended and belong to no event.
+    Nothing,
+    /// A part of a comment.
+    Comment,
+    /// A part of an event.
+    Event,
+}
+
+/// What the bytes of a body say of its end by themselves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Shape {
+    /// Nothing: any bytes are a body.
+    Opaque,
+    /// Events.
+    Events {
+        /// Whether any came whole.
+        begun: bool,
+        /// What is left after the last one.
+        left: Left,
+    },
+    /// The form has an end of its own, as JSON has, or a stream with an end mark.
+    Delimited {
+        /// Whether that end came.
+        ended: bool,
+    },
+}
+
+/// Whether an answer is whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is.
+    Whole,
+    /// Nothing that came says that more was meant, and nothing that it was not.
+    Unproven,
+    /// It is not.
+    Broken(BreakCause),
+}
+
+/// Decides whether an answer that has ended is whole; all who read one ask here.
+///
+/// A body that ends inside an event was broken off, however its framing ended. One that has no framing and
+/// was closed in order is whole as far as HTTP can tell (RFC 9112, section 8), though an endpoint that
+/// fails may close it as well; the caller is told no more than that.
+#[must_use]
+pub fn judge(framing: Framing, ending: Ending, shape: Shape) -> Verdict {
+    let closed = framing == Framing::Connection && ending == Ending::Closed;
+    if ending != Ending::Framed && !closed {
+        return Verdict::Broken(ending.into());
+    }
+    let broken = if closed {
+        Verdict::Broken(BreakCause::Closed)
+    } else {
+        Verdict::Broken(BreakCause::Foreign)
+    };
+    match shape {
+        Shape::Events {
+            left: Left::Event, ..
+        }
+        | Shape::Delimited { ended: false } => broken,
+        Shape::Events {
+            left: Left::Comment,
+            ..
+        }
+        | Shape::Events { begun: false, .. }
+            if closed =>
+        {
+            broken
+        }
+        Shape::Opaque | Shape::Events { .. } if closed => Verdict::Unproven,
+        _ => Verdict::Whole,
+    }
+}
+
 /// What came of one dispatch's answer, for the lines on its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AnswerEnd {
--- a/crates/firdock-node/src/endpoint/events.rs
+++ b/crates/firdock-node/src/endpoint/events.rs
@@ -1,13 +1,18 @@
 //! Cutting of an event stream at the ends of its events, so that no part of one is passed on.
 //!
 //! An endpoint that breaks off inside an event leaves a part that a second endpoint would send
-//! again; only whole events may reach the caller (see `docs/design/endpoints.md`).
+//! again; only whole events may reach the caller (see `docs/design/endings.md`). Lines end as the
+//! format of server-sent events says: with LF, CRLF or CR, also mixed.
 
 use bytes::{Bytes, BytesMut};
 use snafu::Snafu;
 
+use super::ending::Left;
+
 /// Longest event that is waited for.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Byte order mark that may stand before the first line.
+const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
 
 /// An event was longer than allowed.
 #[derive(Debug, Snafu)]
@@ -17,11 +22,11 @@
 /// Whole events, as they came.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WholeEvents {
-    /// Their bytes.
+    /// Their bytes, with comments and blank lines between them.
     pub bytes: Bytes,
     /// How many there are.
     pub count: u32,
-    /// Id of the last one that has an id.
+    /// Id of the last one that has an id; empty where that one takes the id back.
     pub last_id: Option<String>,
 }
 
@@ -29,64 +34,141 @@
 #[derive(Debug, Default)]
 pub struct EventCutter {
     buffer: BytesMut,
-    /// Bytes at the start of the buffer that hold no end of an event.
-    searched: usize,
+    /// Bytes of the buffer that were looked at.
+    scanned: usize,
+    /// Where the line begins that has not ended.
+    line: usize,
+    /// Whether the last line ended with a CR, of which an LF may be a part.
+    after_cr: bool,
+    /// Whether a line has ended at all: a byte order mark may only stand before.
+    past_mark: bool,
+    /// Whether an event is open: a field of it has come, and not its end.
+    in_event: bool,
+    /// Id that the open event has.
+    id: Option<String>,
+    /// Whole events so far.
+    events: u32,
 }
 
 impl EventCutter {
-    /// Takes bytes; gives the events that are whole now, `None` where none is.
+    /// Takes bytes; gives what is whole now, `None` where nothing is to be passed on.
+    ///
+    /// Comments and blank lines before the first event wait for it, so that a stream that breaks before
+    /// has told its caller nothing; later ones show that the stream lives, and wait for nothing.
     ///
     /// # Errors
     ///
     /// Fails if an event is longer than allowed.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<WholeEvents>, EventTooLong> {
         self.buffer.extend_from_slice(bytes);
-        let Some(end) = self.last_end() else {
-            if self.buffer.len() > MAX_EVENT_BYTES {
-                return Err(EventTooLong);
-            }
-            // The end of an event has up to four bytes, of which three may be there already.
-            self.searched = self.buffer.len().saturating_sub(3);
-            return Ok(None);
-        };
-        let whole = self.buffer.split_to(end).freeze();
-        self.searched = 0;
-        Ok(Some(read_events(whole)))
+        let mut whole = Scanned::default();
+        while let Some(byte) = self.buffer.get(self.scanned).copied() {
+            self.scanned += 1;
+            self.take(byte, &mut whole);
+        }
+        self.events = self.events.saturating_add(whole.count);
+        if whole.end > 0 && self.has_begun() {
+            return Ok(Some(self.cut(whole)));
+        }
+        if self.buffer.len() > MAX_EVENT_BYTES {
+            return Err(EventTooLong);
+        }
+        Ok(None)
     }
 
-    /// Gives what is left at the end of the stream.
+    /// Gives what is left at the end of the stream: bytes that were not passed on, and what they are.
     #[must_use]
-    pub fn rest(self) -> Bytes {
-        self.buffer.freeze()
+    pub fn finish(self) -> (Bytes, Left) {
+        let left = self.left();
+        (self.buffer.freeze(), left)
     }
 
-    /// Finds the end of the last whole event in the buffer.
-    fn last_end(&self) -> Option<usize> {
-        let tail = &self.buffer[self.searched..];
-        let after = |at: usize, len: usize| self.searched + at + len;
-        let plain = tail.windows(2).rposition(|w| w == b"\n\n");
-        let crlf = tail.windows(4).rposition(|w| w == b"\r\n\r\n");
-        let ends = [plain.map(|at| after(at, 2)), crlf.map(|at| after(at, 4))];
-        ends.into_iter().flatten().max()
+    fn left(&self) -> Left {
+        let line = self.unmarked(&self.buffer[self.line..]);
+        if self.in_event {
+            Left::Event
+        } else if line.is_empty() {
+            Left::Nothing
+        } else if line.starts_with(b":") {
+            Left::Comment
+        } else {
+            Left::Event
+        }
+    }
+
+    /// Tells whether an event has been whole.
+    #[must_use]
+    pub fn has_begun(&self) -> bool {
+        self.events > 0
+    }
+
+    fn take(&mut self, byte: u8, whole: &mut Scanned) {
+        let follows_cr = std::mem::replace(&mut self.after_cr, byte == b'\r');
+        if byte == b'\n' && follows_cr {
+            // The second half of the last line's end.
+            self.line = self.scanned;
+            if !self.in_event {
+                whole.end = self.scanned;
+            }
+        } else if byte == b'\n' || byte == b'\r' {
+            self.end_line(whole);
+        }
     }
-}
 
-/// Counts events and finds the last id.
-fn read_events(bytes: Bytes) -> WholeEvents {
-    let mut count = 0;
-    let mut last_id = None;
-    let mut in_event = false;
-    for line in bytes.split(|b| *b == b'\n') {
-        let line = line.strip_suffix(b"\r").unwrap_or(line);
-        count += u32::from(in_event && line.is_empty());
-        in_event = !line.is_empty();
-        if let Some(id) = line.strip_prefix(b"id:") {
-            last_id = std::str::from_utf8(id).ok().map(|id| id.trim().to_owned());
+    /// Takes the line that ends with the byte that was looked at last.
+    fn end_line(&mut self, whole: &mut Scanned) {
+        let line = &self.buffer[self.line..self.scanned - 1];
+        let line = self.unmarked(line);
+        if line.is_empty() {
+            whole.count += u32::from(self.in_event);
+            whole.last_id = self.id.take().or(whole.last_id.take());
+            self.in_event = false;
+        } else if !line.starts_with(b":") {
+            if let Some(id) = read_id(line) {
+                self.id = Some(id);
+            }
+            self.in_event = true;
+        }
+        self.past_mark = true;
+        self.line = self.scanned;
+        if !self.in_event {
+            whole.end = self.scanned;
         }
     }
-    WholeEvents {
-        bytes,
-        count,
-        last_id,
+
+    /// Gives a line without the byte order mark, which only the first one may have.
+    fn unmarked<'a>(&self, line: &'a [u8]) -> &'a [u8] {
+        let marked = line.strip_prefix(BYTE_ORDER_MARK);
+        marked.filter(|_| !self.past_mark).unwrap_or(line)
     }
+
+    fn cut(&mut self, whole: Scanned) -> WholeEvents {
+        self.scanned -= whole.end;
+        self.line -= whole.end;
+        WholeEvents {
+            bytes: self.buffer.split_to(whole.end).freeze(),
+            count: whole.count,
+            last_id: whole.last_id,
+        }
+    }
+}
+
+/// What was found in the buffer by one look at it.
+#[derive(Debug, Default)]
+struct Scanned {
+    /// Where nothing was open for the last time.
+    end: usize,
+    count: u32,
+    last_id: Option<String>,
+}
+
+/// Gives the id that a field sets; one that is no text, or has a NUL, sets none.
+fn read_id(line: &[u8]) -> Option<String> {
+    let value = match line.strip_prefix(b"id")? {
+        [] => &[],
+        [b':', b' ', value @ ..] | [b':', value @ ..] => value,
+        _ => return None,
+    };
+    let id = std::str::from_utf8(value).ok()?;
+    (!id.contains('\0')).then(|| id.to_owned())
 }
--- a/crates/firdock-node/src/endpoint/relay/plain.rs
+++ b/crates/firdock-node/src/endpoint/relay/plain.rs
@@ -4,8 +4,8 @@
 use firdock_policy::event::DispatchNews;
 
 use super::finish;
-use crate::endpoint::EndpointBody;
 use crate::endpoint::run::{Run, Stop};
+use crate::endpoint::{EndpointBody, Shape};
 use crate::exchange::{AnswerHead, Part};
 
 /// Longest answer that is taken whole before any of it is passed on.
@@ -44,7 +44,7 @@
         match run.read(&mut body).await {
             Ok(bytes) => read.extend_from_slice(&bytes),
             Err(ending) => {
-                run.note_end(ending)?;
+                run.note_end(body.framing(), ending, Shape::Opaque)?;
                 return Ok(Whole::All(read.freeze()));
             }
         }
@@ -67,7 +67,7 @@
     loop {
         match run.read(&mut body).await {
             Ok(bytes) => run.pass(Part::Data(bytes)).await?,
-            Err(ending) => return run.note_end(ending),
+            Err(ending) => return run.note_end(body.framing(), ending, Shape::Opaque),
         }
     }
 }
--- a/crates/firdock-node/src/endpoint/relay/stream.rs
+++ b/crates/firdock-node/src/endpoint/relay/stream.rs
@@ -3,9 +3,9 @@
 use firdock_policy::event::{BreakCause, DispatchNews};
 
 use super::finish;
-use crate::endpoint::EndpointBody;
 use crate::endpoint::events::{EventCutter, WholeEvents};
 use crate::endpoint::run::{Run, Stop};
+use crate::endpoint::{EndpointBody, Shape};
 use crate::exchange::{AnswerHead, Part};
 
 /// A stream of events on its way to the caller.
@@ -48,11 +48,14 @@
                 self.pass_whole(events).await?;
             }
         };
-        let rest = cutter.rest();
+        // A stream that goes on after its last event has no more.
+        let begun = cutter.has_begun() || self.run.delivered().last_event.is_some();
+        let (rest, left) = cutter.finish();
         if let Some(end) = &mut self.run.delivered().end {
             end.leftover = rest.len();
         }
-        self.run.note_end(ending)?;
+        let shape = Shape::Events { begun, left };
+        self.run.note_end(body.framing(), ending, shape)?;
         self.begin().await?;
         if rest.is_empty() {
             return Ok(());
@@ -82,7 +85,9 @@
         if let Some(end) = &mut delivered.end {
             end.events += events;
         }
-        delivered.last_event = last_id.or(delivered.last_event.take());
+        if let Some(id) = last_id {
+            delivered.last_event = Some(id).filter(|id| !id.is_empty());
+        }
     }
 
     /// Passes the head on, once over all dispatches of the request.
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -18,7 +18,8 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
-use super::{AnswerEnd, Ending, EndpointBody, Framing, HeadNotice, Target};
+use super::ending::{AnswerEnd, Ending, Framing, Shape, Verdict, judge};
+use super::{EndpointBody, HeadNotice, Target};
 use crate::clock::Clock;
 use crate::exchange::{Delivered, Exchange, Part};
 use crate::input::Input;
@@ -237,18 +238,23 @@
         }
     }
 
-    /// Notes how the answer ended.
+    /// Notes how the answer ended, and decides whether it is whole.
     ///
     /// # Errors
     ///
-    /// Fails with [`Stop::Endpoint`] where that breaks it.
-    pub(super) fn note_end(&self, ending: Ending) -> Result<(), Stop> {
+    /// Fails with [`Stop::Endpoint`] where it is not.
+    pub(super) fn note_end(
+        &self,
+        framing: Framing,
+        ending: Ending,
+        shape: Shape,
+    ) -> Result<(), Stop> {
         if let Some(end) = &mut self.delivered().end {
             end.ending = Some(ending);
         }
-        match ending {
-            Ending::Framed | Ending::Closed => Ok(()),
-            broken => Err(Stop::Endpoint(broken.into())),
+        match judge(framing, ending, shape) {
+            Verdict::Whole | Verdict::Unproven => Ok(()),
+            Verdict::Broken(cause) => Err(Stop::Endpoint(cause)),
         }
     }
 
--- a/crates/firdock-node/src/endpoint/run_plain.rs
+++ b/crates/firdock-node/src/endpoint/run_plain.rs
@@ -5,7 +5,7 @@
 use tokio::time::timeout;
 
 use super::run::{Run, Stop};
-use super::{Ending, EndpointBody, PlainAnswer, PlainClient, PlainOrder, StartError};
+use super::{Ending, EndpointBody, PlainAnswer, PlainClient, PlainOrder, Shape, StartError};
 use crate::answers::{Answers, KeptAnswer};
 use crate::exchange::Part;
 
@@ -93,7 +93,7 @@
                 keep(kept, &bytes);
                 run.pass(Part::Data(bytes)).await?;
             }
-            Err(ending) => return run.note_end(ending),
+            Err(ending) => return run.note_end(body.framing(), ending, Shape::Opaque),
         }
     }
 }
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -1,5 +1,6 @@
 //! Decoders and stores of the entry instance: whatever comes is an error, and never a panic.
 
+mod endings;
 mod fleet;
 mod lines;
 mod notice;
