Callers of HTTP/1.0: an answer that breaks off ends with a reset

Such a caller gets no chunks, so that an answer without a length ends with its connection. The connection is set to reset on any end but the shutdown that a whole answer comes to, so that an end of the process does the same. What was passed on before a break is written out first.

--- a/crates/firdock-node/src/door/body.rs
+++ b/crates/firdock-node/src/door/body.rs
@@ -61,6 +61,8 @@
 pub struct AnswerBody {
     full: Option<Bytes>,
     parts: Option<(Parts, CallerGuard)>,
+    /// Whether the answer breaks off here.
+    broken: bool,
 }
 
 impl AnswerBody {
@@ -70,6 +72,7 @@
         Self {
             full: Some(bytes),
             parts: None,
+            broken: false,
         }
     }
 
@@ -79,6 +82,7 @@
         Self {
             full: None,
             parts: Some((parts, guard)),
+            broken: false,
         }
     }
 
@@ -101,6 +105,10 @@
         if let Some(bytes) = self.full.take() {
             return Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
+        if self.broken {
+            self.end();
+            return Poll::Ready(Some(Err(Incomplete)));
+        }
         let Some((parts, _)) = &mut self.parts else {
             return Poll::Ready(None);
         };
@@ -119,8 +127,10 @@
                 Poll::Ready(Some(Err(Incomplete)))
             }
             _ => {
-                self.end();
-                Poll::Ready(Some(Err(Incomplete)))
+                // What was passed on is written out before the connection ends.
+                self.broken = true;
+                cx.waker().wake_by_ref();
+                Poll::Pending
             }
         }
     }
--- a/crates/firdock-node/src/door/handler.rs
+++ b/crates/firdock-node/src/door/handler.rs
@@ -8,7 +8,7 @@
 use firdock_policy::Origin;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderName, HeaderValue};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Version};
 use slog::{Logger, warn};
 use tokio::sync::mpsc;
 use uuid::Uuid;
@@ -19,6 +19,7 @@
 use super::opening::{DoorState, Opening};
 use super::request::new_request;
 use crate::clock::{Clock, millis};
+use crate::endpoint::Framing;
 use crate::exchange::{AnswerHead, AnswerRoom, CallTerms, Exchange, Part, Payload};
 use crate::http::CallerHandle;
 use crate::input::Input;
@@ -124,7 +125,10 @@
         );
         let trace = span.context;
         let call = self.interface.label(request.headers());
-        let caller = request.extensions().get::<CallerHandle>().cloned();
+        let caller = CallerSide {
+            handle: request.extensions().get::<CallerHandle>().cloned(),
+            version: request.version(),
+        };
         let mut response = match self.read(request).await {
             Ok(payload) => self.serve(id, payload, trace, caller).await,
             Err(problem) => {
@@ -183,12 +187,13 @@
         id: RequestId,
         payload: Payload,
         trace: TraceContext,
-        caller: Option<CallerHandle>,
+        caller: CallerSide,
     ) -> Response<AnswerBody> {
         let terms = payload.terms.clone();
+        let method = payload.method.clone();
         let (exchange, mut parts) = Exchange::new(id, payload, trace, &self.room);
-        if let Some(caller) = caller {
-            parts.set_caller(caller);
+        if let Some(handle) = &caller.handle {
+            parts.set_caller(handle.clone());
         }
         let mut guard = CallerGuard::new(id, self.inputs.clone());
         let new = new_request(&exchange, Origin::Caller, Vec::new());
@@ -198,7 +203,10 @@
             return self.refuse(stopping(), &terms, id);
         }
         match parts.recv().await {
-            Some(Part::Head(head)) => self.answer(head, AnswerBody::parts(parts, guard), id),
+            Some(Part::Head(head)) => {
+                caller.prepare(&method, &head);
+                self.answer(head, AnswerBody::parts(parts, guard), id)
+            }
             Some(Part::Verdict(verdict)) => {
                 guard.disarm();
                 self.refuse(Problem::from_verdict(verdict), &terms, id)
@@ -233,6 +241,24 @@
     }
 }
 
+/// The caller's end of a call.
+struct CallerSide {
+    handle: Option<CallerHandle>,
+    version: Version,
+}
+
+impl CallerSide {
+    /// Prepares the connection for an answer: a caller of HTTP/1.0 gets no chunks, so that only the way
+    /// its connection ends tells a broken answer without a length from a whole one.
+    fn prepare(&self, method: &Method, head: &AnswerHead) {
+        let framing = Framing::read(method, head.status, &head.headers);
+        let unframed = self.version == Version::HTTP_10 && framing == Framing::Connection;
+        if let Some(handle) = self.handle.as_ref().filter(|_| unframed) {
+            handle.set_unframed();
+        }
+    }
+}
+
 fn stopping() -> Problem {
     let status = StatusCode::SERVICE_UNAVAILABLE;
     Problem::new(status, "stopping", "the instance is stopping").with_retry(STOPPING_RETRY)
--- a/crates/firdock-node/src/http/caller.rs
+++ b/crates/firdock-node/src/http/caller.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use firdock_policy::buffers::CALLER_STALL;
 use socket2::SockRef;
@@ -22,6 +23,7 @@
 struct Inner {
     closing: AtomicBool,
     patient: AtomicBool,
+    unframed: AtomicBool,
     woken: Notify,
 }
 
@@ -46,6 +48,15 @@
         }
     }
 
+    /// Notes that the answer under way has neither a length nor chunks, so that its end is the
+    /// connection's: any end but the proper one has to be a reset.
+    ///
+    /// The operating system sees to that, whatever ends the connection or the process; without it an
+    /// answer that breaks off would end with an ordinary close, like a whole one.
+    pub fn set_unframed(&self) {
+        self.0.unframed.store(true, Ordering::Relaxed);
+    }
+
     /// Waits until the connection is to be closed or its patience is set.
     pub(super) async fn woken(&self) {
         self.0.woken.notified().await;
@@ -58,14 +69,20 @@
     fn is_patient(&self) -> bool {
         self.0.patient.load(Ordering::Relaxed)
     }
+
+    fn is_unframed(&self) -> bool {
+        self.0.unframed.load(Ordering::Relaxed)
+    }
 }
 
-/// A caller's connection, whose time limit follows the patience of its handle.
+/// A caller's connection, whose options follow its handle.
 #[derive(Debug)]
 pub(super) struct CallerStream {
     stream: TcpStream,
     handle: CallerHandle,
     patient: bool,
+    /// Whether an end without a shutdown resets the connection.
+    resets: bool,
 }
 
 impl CallerStream {
@@ -74,11 +91,16 @@
             stream,
             handle,
             patient: false,
+            resets: false,
         }
     }
 
-    /// Sets the time limit anew where the patience changed.
-    fn follow_patience(&mut self) -> io::Result<()> {
+    /// Sets options anew where the handle was changed.
+    fn follow(&mut self) -> io::Result<()> {
+        if self.handle.is_unframed() && !self.resets {
+            self.resets = true;
+            SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))?;
+        }
         let patient = self.handle.is_patient();
         if patient == self.patient {
             return Ok(());
@@ -105,7 +127,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.follow_patience()?;
+        self.follow()?;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -114,7 +136,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.follow_patience()?;
+        self.follow()?;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
@@ -126,7 +148,12 @@
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
+    /// Closes the connection in order, which only a whole answer comes to.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if std::mem::replace(&mut self.resets, false) {
+            self.handle.0.unframed.store(false, Ordering::Relaxed);
+            SockRef::from(&self.stream).set_linger(None)?;
+        }
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
