Answers without framing keep none on their way to the caller

An answer that has neither a length nor chunks and is closed between two events, or in the middle of a plain body, may be whole or not: nobody can tell. Its caller got chunks with a last one, which claims that it is whole.

--- a/crates/firdock-node/src/door/handler.rs
+++ b/crates/firdock-node/src/door/handler.rs
@@ -204,8 +204,9 @@
         }
         match parts.recv().await {
             Some(Part::Head(head)) => {
-                caller.prepare(&method, &head);
-                self.answer(head, AnswerBody::parts(parts, guard), id)
+                let unframed = caller.prepare(&method, &head);
+                let body = AnswerBody::parts(parts, guard);
+                self.answer(head, body, id, unframed)
             }
             Some(Part::Verdict(verdict)) => {
                 guard.disarm();
@@ -231,8 +232,18 @@
             .refuse(&problem.with_time_left(left), &id.to_string())
     }
 
-    fn answer(&self, head: AnswerHead, body: AnswerBody, id: RequestId) -> Response<AnswerBody> {
+    fn answer(
+        &self,
+        head: AnswerHead,
+        body: AnswerBody,
+        id: RequestId,
+        unframed: bool,
+    ) -> Response<AnswerBody> {
         let mut response = Response::new(body);
+        if unframed {
+            // The library writes chunks in answers of HTTP/1.1 that have no length.
+            *response.version_mut() = Version::HTTP_10;
+        }
         *response.status_mut() = head.status;
         *response.headers_mut() = head.headers;
         self.interface
@@ -248,14 +259,19 @@
 }
 
 impl CallerSide {
-    /// Prepares the connection for an answer: a caller of HTTP/1.0 gets no chunks, so that only the way
-    /// its connection ends tells a broken answer without a length from a whole one.
-    fn prepare(&self, method: &Method, head: &AnswerHead) {
+    /// Prepares the connection for an answer, and tells whether that ends with it.
+    ///
+    /// A caller of HTTP/1.0 gets no chunks, so that only the way its connection ends tells a broken
+    /// answer without a length from a whole one. An answer whose endpoint framed it by its connection
+    /// is framed so for every caller: a last chunk would claim that it is whole, which nobody knows.
+    fn prepare(&self, method: &Method, head: &AnswerHead) -> bool {
+        let lacks_chunks = head.unframed || self.version == Version::HTTP_10;
         let framing = Framing::read(method, head.status, &head.headers);
-        let unframed = self.version == Version::HTTP_10 && framing == Framing::Connection;
+        let unframed = lacks_chunks && framing == Framing::Connection;
         if let Some(handle) = self.handle.as_ref().filter(|_| unframed) {
             handle.set_unframed();
         }
+        unframed
     }
 }
 
--- a/crates/firdock-node/src/endpoint/plain.rs
+++ b/crates/firdock-node/src/endpoint/plain.rs
@@ -62,6 +62,7 @@
             let head = AnswerHead {
                 status: parts.status,
                 headers: parts.headers,
+                unframed: framing == Framing::Connection,
             };
             PlainAnswer {
                 head,
--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -174,6 +174,7 @@
         let head = AnswerHead {
             status,
             headers: parts.headers,
+            unframed: framing == Framing::Connection,
         };
         if payload.terms.streamed && status.is_success() {
             Stream::new(run, head, place.event_tokens).pass(body).await
--- a/crates/firdock-node/src/endpoint/run_engine.rs
+++ b/crates/firdock-node/src/endpoint/run_engine.rs
@@ -61,6 +61,7 @@
     let head = AnswerHead {
         status,
         headers: content_type("application/json"),
+        unframed: false,
     };
     run.tell(DispatchNews::Started { head_sent: true }).await;
     for part in [Part::Head(head), Part::Data(body)] {
@@ -173,6 +174,7 @@
             .pass(Part::Head(AnswerHead {
                 status: StatusCode::OK,
                 headers,
+                unframed: false,
             }))
             .await
     }
@@ -233,6 +235,7 @@
         let head = AnswerHead {
             status: StatusCode::OK,
             headers: content_type("application/json"),
+            unframed: false,
         };
         self.run.pass(Part::Head(head)).await?;
         self.run.pass(Part::Data(body)).await
--- a/crates/firdock-node/src/exchange.rs
+++ b/crates/firdock-node/src/exchange.rs
@@ -79,6 +79,9 @@
     pub status: StatusCode,
     /// Headers to pass on.
     pub headers: HeaderMap,
+    /// Whether the endpoint's answer has neither a length nor chunks, so that nothing but an orderly close
+    /// tells its end. The caller's answer has none either then, and claims no more than is known.
+    pub unframed: bool,
 }
 
 /// A part of what goes back to the caller, in order.
--- a/crates/firdock-node/src/peer/hand_over.rs
+++ b/crates/firdock-node/src/peer/hand_over.rs
@@ -193,6 +193,7 @@
     AnswerHead {
         status,
         headers: read_headers(head.headers),
+        unframed: head.unframed,
     }
 }
 
@@ -219,10 +220,13 @@
         Part::Head(head) => {
             let status = u32::from(head.status.as_u16());
             let headers = write_headers(&head.headers);
-            (
-                Body::AnswerHead(message::AnswerHead { status, headers }),
-                false,
-            )
+            let unframed = head.unframed;
+            let head = message::AnswerHead {
+                status,
+                headers,
+                unframed,
+            };
+            (Body::AnswerHead(head), false)
         }
         Part::Data(data) => (
             Body::AnswerData(message::AnswerData {
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -35,6 +35,7 @@
     AnswerHead {
         status: StatusCode::OK,
         headers: HeaderMap::new(),
+        unframed: false,
     }
 }
 
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -530,6 +530,9 @@
     pub status: u32,
     #[prost(message, repeated, tag = "2")]
     pub headers: ::prost::alloc::vec::Vec<Header>,
+    /// Whether the answer had no framing, so that the caller's ends with its connection too.
+    #[prost(bool, tag = "3")]
+    pub unframed: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct AnswerData {
