Streams that may go on elsewhere keep no length

A stream whose first endpoint told a length, broke off and went on at another reached its caller cut to that length and framed as whole: what two endpoints send together differs by comments and by the second one's events. Cause: the first head's length was passed on. Such a head loses it, so that the answer goes in chunks. The test was red before (20 bytes of the last event missing).

--- a/crates/firdock-node/src/endpoint/relay/stream.rs
+++ b/crates/firdock-node/src/endpoint/relay/stream.rs
@@ -1,6 +1,7 @@
 //! Streams of events: passed on by whole events, and taken up after the last one that the caller has.
 
 use firdock_policy::event::{BreakCause, DispatchNews};
+use hyper::header;
 
 use super::finish;
 use crate::endpoint::events::{EventCutter, WholeEvents};
@@ -19,7 +20,12 @@
 
 impl<'a> Stream<'a> {
     /// Makes the stream of a run whose answer began with a head.
-    pub(super) fn new(run: &'a Run, head: AnswerHead, event_tokens: u32) -> Self {
+    ///
+    /// Events that come from several endpoints have another length together than the first one told.
+    pub(super) fn new(run: &'a Run, mut head: AnswerHead, event_tokens: u32) -> Self {
+        if run.exchange.payload.terms.repeatable {
+            head.headers.remove(header::CONTENT_LENGTH);
+        }
         Self {
             run,
             head: Some(head),
