Streams that go on without framing are not ended by a last chunk

A stream that began in chunks and went on at an endpoint whose answer had no framing ended with a last chunk once that was closed, which claims more than is known. It is broken off, and its caller may take it up after the last event. Weighed: the last chunk all the same (a part that is framed as whole where the second endpoint failed as well); chunks for no stream that may go on, which costs every such caller its connection.

--- a/crates/firdock-node/src/endpoint/relay/stream.rs
+++ b/crates/firdock-node/src/endpoint/relay/stream.rs
@@ -96,6 +96,17 @@
         }
     }
 
+    /// Notes that a head is passed on; tells whether it is the first one.
+    fn note_begun(&self, head: &AnswerHead) -> bool {
+        let mut delivered = self.run.delivered();
+        if delivered.head_sent {
+            return false;
+        }
+        delivered.head_sent = true;
+        delivered.framed = !head.unframed;
+        true
+    }
+
     /// Passes the head on, once over all dispatches of the request.
     async fn begin(&mut self) -> Result<(), Stop> {
         let Some(head) = self.head.take() else {
@@ -104,7 +115,7 @@
         self.run
             .tell(DispatchNews::Started { head_sent: true })
             .await;
-        if std::mem::replace(&mut self.run.delivered().head_sent, true) {
+        if !self.note_begun(&head) {
             return Ok(());
         }
         self.run.pass(Part::Head(head)).await
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -253,6 +253,8 @@
             end.ending = Some(ending);
         }
         match judge(framing, ending, shape) {
+            // An earlier head promised an end that would claim more than is known.
+            Verdict::Unproven if self.delivered().framed => Err(Stop::Endpoint(BreakCause::Closed)),
             Verdict::Whole | Verdict::Unproven => Ok(()),
             Verdict::Broken(cause) => Err(Stop::Endpoint(cause)),
         }
--- a/crates/firdock-node/src/exchange.rs
+++ b/crates/firdock-node/src/exchange.rs
@@ -108,6 +108,8 @@
 pub struct Delivered {
     /// Whether the head has been passed on.
     pub head_sent: bool,
+    /// Whether that promised a length or chunks, whose end claims that the answer is whole.
+    pub framed: bool,
     /// Tokens of the whole answer so far.
     pub tokens: u32,
     /// Text of the whole answer so far.
