Streams whose last event has no id do not go on elsewhere

Where a resumable stream broke after an event without an id, the next endpoint began after an earlier id, or anew: its caller got events twice. Cause: the id of the last event that had one counted as that of the last event. The scheduler is told that nothing can go on after what was passed on, and the answer is broken off. What of an answer has reached the caller is one value of the request's row now.

--- a/crates/firdock-node/src/endpoint/events.rs
+++ b/crates/firdock-node/src/endpoint/events.rs
@@ -26,7 +26,7 @@
     pub bytes: Bytes,
     /// How many there are.
     pub count: u32,
-    /// Id of the last one that has an id; empty where that one takes the id back.
+    /// Id of the last one; `None` where it has none of its own, so that nothing can go on after it.
     pub last_id: Option<String>,
 }
 
@@ -120,9 +120,10 @@
         let line = &self.buffer[self.line..self.scanned - 1];
         let line = self.unmarked(line);
         if line.is_empty() {
-            whole.count += u32::from(self.in_event);
-            whole.last_id = self.id.take().or(whole.last_id.take());
-            self.in_event = false;
+            if std::mem::replace(&mut self.in_event, false) {
+                whole.count += 1;
+                whole.last_id = self.id.take().filter(|id| !id.is_empty());
+            }
         } else if !line.starts_with(b":") {
             if let Some(id) = read_id(line) {
                 self.id = Some(id);
--- a/crates/firdock-node/src/endpoint/relay/stream.rs
+++ b/crates/firdock-node/src/endpoint/relay/stream.rs
@@ -36,6 +36,9 @@
 
     pub(super) async fn pass(mut self, body: EndpointBody) -> &'static str {
         let passed = self.pass_events(body).await;
+        if passed.is_err() && self.is_unresumable() {
+            self.run.tell(DispatchNews::Unresumable).await;
+        }
         let output = self.run.delivered().tokens;
         finish(self.run, passed, output).await
     }
@@ -91,11 +94,18 @@
         if let Some(end) = &mut delivered.end {
             end.events += events;
         }
-        if let Some(id) = last_id {
-            delivered.last_event = Some(id).filter(|id| !id.is_empty());
+        if events > 0 {
+            delivered.last_event = last_id;
         }
     }
 
+    /// Tells whether the caller has events after which no other endpoint can go on, since the last one has
+    /// no id: one that began after an earlier id would send them again.
+    fn is_unresumable(&self) -> bool {
+        let delivered = self.run.delivered();
+        delivered.head_sent && delivered.last_event.is_none()
+    }
+
     /// Notes that a head is passed on; tells whether it is the first one.
     fn note_begun(&self, head: &AnswerHead) -> bool {
         let mut delivered = self.run.delivered();
--- a/crates/firdock-node/src/exchange.rs
+++ b/crates/firdock-node/src/exchange.rs
@@ -114,7 +114,8 @@
     pub tokens: u32,
     /// Text of the whole answer so far.
     pub text: String,
-    /// Id of the last event that was passed on, of a stream that is passed on as it is.
+    /// Id of the last event that was passed on, of a stream that is passed on as it is; `None` where that
+    /// has none.
     pub last_event: Option<String>,
     /// What came of the present dispatch's answer; `None` until its head came.
     pub end: Option<AnswerEnd>,
--- a/crates/firdock-node/src/placement/told.rs
+++ b/crates/firdock-node/src/placement/told.rs
@@ -20,9 +20,10 @@
 /// Gives what news of a dispatch mean for the request, if they are worth telling.
 pub fn course(row: &RequestRow, news: DispatchNews) -> Option<Course> {
     Some(match news {
-        DispatchNews::Started { .. } | DispatchNews::Failed | DispatchNews::Breaking(_) => {
-            return None;
-        }
+        DispatchNews::Started { .. }
+        | DispatchNews::Failed
+        | DispatchNews::Unresumable
+        | DispatchNews::Breaking(_) => return None,
         DispatchNews::Tokens { .. } if row.first.is_some() => return None,
         DispatchNews::Tokens { .. } => Course::Began,
         DispatchNews::Ended { prompt, output, .. } => Course::Ended { prompt, output },
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -91,7 +91,7 @@
             "endpoint" => &dispatch.endpoint,
             "dispatch" => dispatch.dispatch,
             "content" => exchange.content.id.to_string(),
-            "resumed" => row.head_sent,
+            "resumed" => row.head_sent(),
             "held_millis" => millis(now.saturating_sub(row.arrived)),
             "predicted_millis" => millis(row.predicted),
             "pace_told" => endpoint.and_then(pace_told),
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -174,8 +174,8 @@
     pub ran_before: bool,
     /// Tokens that reached the caller, from which a second endpoint resumes.
     pub delivered: u32,
-    /// Whether the head of an answer has reached the caller.
-    pub head_sent: bool,
+    /// What of an answer has reached the caller.
+    pub passed: Passed,
     /// When the present dispatch or hand-over was made.
     pub dispatched: Time,
     /// When the first token or byte came.
@@ -200,7 +200,25 @@
     pub declined: Vec<StartId>,
 }
 
+/// What of an answer has reached the caller.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Passed {
+    /// Nothing, so that any answer can still be given.
+    #[default]
+    Nothing,
+    /// Its head at least; another endpoint can go on after it.
+    Head,
+    /// A part after which no other endpoint can go on.
+    Unresumable,
+}
+
 impl RequestRow {
+    /// Tells whether the head of an answer has reached the caller.
+    #[must_use]
+    pub fn head_sent(&self) -> bool {
+        self.passed != Passed::Nothing
+    }
+
     /// Makes the row of a request that just arrived.
     #[must_use]
     pub fn new(now: Time, new: NewRequest, service: usize, account: usize, rank: u8) -> Self {
@@ -224,7 +242,7 @@
             runs: 0,
             ran_before: false,
             delivered: 0,
-            head_sent: false,
+            passed: Passed::Nothing,
             dispatched: Time::ZERO,
             first: None,
             uncached: 0,
--- a/crates/firdock-policy/src/system/end.rs
+++ b/crates/firdock-policy/src/system/end.rs
@@ -128,7 +128,7 @@
         !untrue,
         "request {id} may have run and would be told `not-run`"
     );
-    if row.head_sent {
+    if row.head_sent() {
         cut(t, now, id, verdict.reason, out);
         return;
     }
--- a/crates/firdock-policy/src/system/handover.rs
+++ b/crates/firdock-policy/src/system/handover.rs
@@ -5,7 +5,7 @@
 use super::{end, key, limit, rollout, shed, suspect};
 use crate::action::{Action, HandOverCause};
 use crate::event::{HandOverEvent, HandOverRefusal, Member, PeerNews};
-use crate::request::{Phase, RequestRow, Verdict};
+use crate::request::{Passed, Phase, RequestRow, Verdict};
 use crate::table::Tables;
 use crate::table::peer::PeerRow;
 use crate::time::Time;
@@ -65,7 +65,7 @@
     let Some(row) = t.requests.get(id) else {
         return false;
     };
-    if row.minted.is_some() || row.head_sent {
+    if row.minted.is_some() || row.head_sent() {
         return false;
     }
     let rank = row.rank;
@@ -134,7 +134,7 @@
         HandOverEvent::Started(id) => {
             let id = *id;
             if let Some(row) = t.requests.get_mut(id) {
-                row.head_sent = true;
+                row.passed = Passed::Head;
                 row.first = Some(now);
             }
         }
--- a/crates/firdock-policy/src/system/news.rs
+++ b/crates/firdock-policy/src/system/news.rs
@@ -5,7 +5,7 @@
 use super::{end, fair, health, key, look, paced, rollout, suspect};
 use crate::action::Action;
 use crate::event::{BreakCause, DispatchNews, EndpointEvent};
-use crate::request::{Phase, Placing, RequestRow, Verdict};
+use crate::request::{Passed, Phase, Placing, RequestRow, Verdict};
 use crate::stats::WasteCause;
 use crate::table::Tables;
 use crate::time::Time;
@@ -31,6 +31,7 @@
             ended(t, now, e.id, at, prompt, cached, output);
         }
         DispatchNews::Failed => rollout::failed(t, e.id),
+        DispatchNews::Unresumable => unresumable(t, e.id),
         DispatchNews::Breaking(cause) => breaking(t, now, e.id, at, cause, out),
         DispatchNews::Broke { delivered } => broke(t, now, e.id, at, delivered, out),
     }
@@ -133,8 +134,16 @@
 
 fn started(t: &mut Tables, id: RequestId, at: usize, head_sent: bool) {
     end::set_phase(t, id, Phase::Running(at), false);
+    let row = t.requests.get_mut(id).filter(|_| head_sent);
+    if let Some(row) = row.filter(|row| !row.head_sent()) {
+        row.passed = Passed::Head;
+    }
+}
+
+/// Notes that the answer can only go on where it began.
+fn unresumable(t: &mut Tables, id: RequestId) {
     if let Some(row) = t.requests.get_mut(id) {
-        row.head_sent |= head_sent;
+        row.passed = Passed::Unresumable;
     }
 }
 
@@ -284,11 +293,12 @@
     let service = &t.services.get(row.service).declared;
     let resumable = t.settings.mechanisms.resume
         && t.endpoints.get(at).is_engine()
-        && (!service.streamed || service.resumable);
+        && (!service.streamed || service.resumable)
+        && row.passed != Passed::Unresumable;
     let most = t.most_retries();
     let allowed = t.retries.allow(row.pool_key(), most);
     let attempts = service.attempts as usize;
     let more = attempts == 0 || row.runs < attempts;
     let spared = suspect::may_repeat(t, row);
-    service.repeatable && allowed && more && spared && (!row.head_sent || resumable)
+    service.repeatable && allowed && more && spared && (!row.head_sent() || resumable)
 }
