Bodies that firdock takes for its own are proved whole

Where an endpoint's small answer had no framing, a part of it could be taken for all: a KV cache has no end of its own, so that it needs framing now; JSON proves it by its form. Both ask the one judge.

--- a/crates/firdock-node/src/endpoint/engine.rs
+++ b/crates/firdock-node/src/endpoint/engine.rs
@@ -6,21 +6,23 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use firdock_core::RequestId;
 use firdock_policy::event::BreakCause;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
+use serde::de::IgnoredAny;
 use serde_json::{Value, json};
 use tokio::time::timeout;
 
+use super::ending::{Framing, Shape, Verdict, judge};
 use super::sse::{SseDecoder, SseEvent};
 use super::{
-    AnsweredSnafu, DISPATCH_HEADER, EndpointReport, EngineClient, EngineOrder, EngineUsage,
-    FencedOrder, HeadNotice, Heard, KvCache, LEAVING_HEADER, LostSnafu, NOT_STARTED_HEADER,
-    REPORT_PATH, RefusedSnafu, ReportSource, StartError, StreamError, TokenEvent, TokenStream,
-    break_cause,
+    AnsweredSnafu, DISPATCH_HEADER, EndpointBody, EndpointReport, EngineClient, EngineOrder,
+    EngineUsage, FencedOrder, HeadNotice, Heard, KvCache, LEAVING_HEADER, LostSnafu,
+    NOT_STARTED_HEADER, REPORT_PATH, RefusedSnafu, ReportSource, StartError, StreamError,
+    TokenEvent, TokenStream, break_cause,
 };
 use crate::door::REQUEST_ID_HEADER;
 use crate::http::{CallError, Connection, connect};
@@ -91,7 +93,7 @@
         body: Bytes,
     ) -> Result<Bytes, StartError> {
         let request = Request::builder()
-            .method(method)
+            .method(method.clone())
             .uri(path)
             .body(Full::new(body));
         let Ok(request) = request else {
@@ -99,7 +101,7 @@
         };
         let (_connection, response) = self.open(at, request).await?;
         let status = response.status();
-        let body = read_all(response).await?;
+        let body = read_all(&method, response).await?;
         if status.is_success() {
             return Ok(body);
         }
@@ -115,7 +117,7 @@
 async fn take(
     order: EngineOrder<'_>,
     response: Response<Incoming>,
-) -> Result<Incoming, StartError> {
+) -> Result<EndpointBody, StartError> {
     if response.headers().contains_key(NOT_STARTED_HEADER) {
         return RefusedSnafu.fail();
     }
@@ -125,9 +127,10 @@
     }
     let status = response.status();
     if status.is_success() {
-        return Ok(response.into_body());
+        let framing = Framing::read(&Method::POST, status, response.headers());
+        return Ok(EndpointBody::new(response.into_body(), framing));
     }
-    let body = read_all(response).await?;
+    let body = read_all(&Method::POST, response).await?;
     AnsweredSnafu {
         status: status.as_u16(),
         body,
@@ -151,12 +154,38 @@
     id && text(DISPATCH_HEADER) == Some(order.dispatch.to_string().as_str())
 }
 
-async fn read_all(response: Response<Incoming>) -> Result<Bytes, StartError> {
-    let body = Limited::new(response.into_body(), MAX_BODY_BYTES)
-        .collect()
-        .await;
-    let cause = BreakCause::Closed;
-    body.map_or_else(|_| LostSnafu { cause }.fail(), |b| Ok(b.to_bytes()))
+/// Reads a body that firdock itself takes for something: all of it, or nothing.
+///
+/// One without framing proves that it is whole by its form, which JSON has and a KV cache has not.
+async fn read_all(method: &Method, response: Response<Incoming>) -> Result<Bytes, StartError> {
+    let framing = Framing::read(method, response.status(), response.headers());
+    let mut body = EndpointBody::new(response.into_body(), framing);
+    let mut read = BytesMut::new();
+    let ending = loop {
+        match body.next().await {
+            Ok(bytes) => read.extend_from_slice(&bytes),
+            Err(ending) => break ending,
+        }
+        if read.len() > MAX_BODY_BYTES {
+            let cause = BreakCause::Foreign;
+            return LostSnafu { cause }.fail();
+        }
+    };
+    let whole = read.freeze();
+    let shape = match framing {
+        Framing::Connection => Shape::Delimited {
+            ended: serde_json::from_slice::<IgnoredAny>(&whole).is_ok(),
+        },
+        _ => Shape::Opaque,
+    };
+    match judge(framing, ending, shape) {
+        Verdict::Whole => Ok(whole),
+        Verdict::Unproven => LostSnafu {
+            cause: BreakCause::Closed,
+        }
+        .fail(),
+        Verdict::Broken(cause) => LostSnafu { cause }.fail(),
+    }
 }
 
 /// Makes the body that goes to the engine: the caller's, with what firdock adds.
@@ -261,7 +290,7 @@
 #[derive(Debug)]
 pub struct HttpTokenStream {
     _connection: Connection,
-    body: Incoming,
+    body: EndpointBody,
     decoder: SseDecoder,
     next: u32,
     ended: bool,
@@ -291,15 +320,14 @@
 
 impl HttpTokenStream {
     async fn read_more(&mut self, silence: Duration) -> Result<(), StreamError> {
-        match timeout(silence, self.body.frame()).await {
+        match timeout(silence, self.body.next()).await {
             Err(_) => Err(StreamError::Silent),
-            Ok(Some(Ok(frame))) => {
-                if let Some(bytes) = frame.data_ref() {
-                    self.decoder.push(bytes);
-                }
+            Ok(Ok(bytes)) => {
+                self.decoder.push(&bytes);
                 Ok(())
             }
-            Ok(_) => Err(StreamError::Broken),
+            // Its end mark has not come, so that no end of the body makes the answer whole.
+            Ok(Err(_)) => Err(StreamError::Broken),
         }
     }
 
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -163,7 +163,7 @@
             "prompt_tokens" => row.new.prompt_tokens,
             "output_tokens" => output,
             "most_tokens" => row.new.output_tokens,
-            "caller_end" => "whole",
+            "caller_end" => if unframed { "closed" } else { "whole" },
             EndFields(end),
         );
     }
--- a/crates/firdock-node/tests/node/endings.rs
+++ b/crates/firdock-node/tests/node/endings.rs
@@ -1,8 +1,20 @@
 //! Whether an answer is whole: the table of what is decided, and how streams are cut into events.
 
-use firdock_node::endpoint::{Ending, EventCutter, Framing, Left, Shape, Verdict, judge};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use firdock_node::endpoint::{
+    Ending, EngineClient as _, EventCutter, Framing, HttpEngine, KvCache, Left, ReportSource as _,
+    Shape, Verdict, judge,
+};
 use firdock_policy::event::BreakCause;
+use hyper::header::{self, HeaderValue};
+use hyper::{HeaderMap, Method, StatusCode};
 use proptest::prelude::*;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpListener;
+use uuid::Uuid;
 
 const ENDINGS: [Ending; 7] = [
     Ending::Framed,
@@ -237,6 +249,77 @@
     assert_eq!((rest.count, &*rest.bytes), (1, &b"\ndata: b\r\n\r"[..]));
 }
 
+/// Starts a far end that answers one call with these bytes and closes the connection.
+async fn answering(answer: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut asked = [0; 1_024];
+        let _ = stream.read(&mut asked).await;
+        stream.write_all(answer.as_bytes()).await.expect("written");
+    });
+    address
+}
+
+fn engine() -> HttpEngine {
+    HttpEngine::new(Duration::from_secs(1), Duration::from_secs(1))
+}
+
+// Guards against a part of a KV cache that is taken for all of it: its form has no end of its own.
+#[tokio::test]
+async fn a_kv_cache_without_framing_is_not_taken() {
+    let at = answering("HTTP/1.1 200 OK\r\n\r\nbytes").await;
+    let taken = engine().export_kv(at, Uuid::nil()).await;
+    assert_eq!(taken.ok(), None);
+    let at = answering("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nbytes").await;
+    let taken = engine().export_kv(at, Uuid::nil()).await;
+    assert_eq!(taken.ok(), Some(KvCache(Bytes::from_static(b"bytes"))));
+}
+
+// Guards against a part of a report that is taken for all of it, and against a whole one that is not taken
+// since it has no framing.
+#[tokio::test]
+async fn a_report_without_framing_is_taken_if_its_form_is_whole() {
+    let at = answering("HTTP/1.1 200 OK\r\n\r\n{\"running\": 3}").await;
+    let told = engine().report(at, 0).await.expect("a report");
+    assert_eq!(told.running, 3);
+    let at = answering("HTTP/1.1 200 OK\r\n\r\n{\"running\": 3").await;
+    assert_eq!(engine().report(at, 0).await.ok(), None);
+}
+
+// Guards against whole answers that are waited on, or reset, since they never have a body.
+#[test]
+fn answers_that_have_no_body_need_no_framing() {
+    let none = HeaderMap::new();
+    let get = |status| Framing::read(&Method::GET, status, &none);
+    assert_eq!(get(StatusCode::NO_CONTENT), Framing::Empty);
+    assert_eq!(get(StatusCode::NOT_MODIFIED), Framing::Empty);
+    assert_eq!(get(StatusCode::OK), Framing::Connection);
+    assert_eq!(
+        Framing::read(&Method::HEAD, StatusCode::OK, &none),
+        Framing::Empty
+    );
+    let mut headers = HeaderMap::new();
+    headers.insert(header::CONTENT_LENGTH, HeaderValue::from_static("7"));
+    assert_eq!(
+        Framing::read(&Method::GET, StatusCode::OK, &headers),
+        Framing::Length
+    );
+    for (coding, framing) in [
+        ("gzip, Chunked", Framing::Chunks),
+        ("chunked", Framing::Chunks),
+        ("chunked, gzip", Framing::Connection),
+    ] {
+        headers.insert(header::TRANSFER_ENCODING, HeaderValue::from_static(coding));
+        assert_eq!(
+            Framing::read(&Method::GET, StatusCode::OK, &headers),
+            framing,
+            "{coding}"
+        );
+    }
+}
+
 /// A line, without its end.
 fn line() -> impl Strategy<Value = &'static str> {
     prop_oneof![
--- a/crates/firdock-standin/src/fault.rs
+++ b/crates/firdock-standin/src/fault.rs
@@ -31,6 +31,8 @@
     pub cut_after: u32,
     /// Answers to come that are cut off.
     pub cuts: u32,
+    /// Whether answers have neither a length nor chunks, so that one that is cut off ends like a whole one.
+    pub unframed: bool,
     /// Answers to come that carry another request's id.
     pub crossed: u32,
     /// Whether the stand-in says that it is leaving.
@@ -57,6 +59,7 @@
             slowdown: 1.0,
             cut_after: 0,
             cuts: 0,
+            unframed: false,
             crossed: 0,
             leaving: false,
             forgetful: false,
--- a/crates/firdock-standin/src/service.rs
+++ b/crates/firdock-standin/src/service.rs
@@ -10,7 +10,7 @@
 use firdock_node::endpoint::{EndpointReport, REPORT_PATH};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
@@ -152,10 +152,16 @@
     } else {
         text(REQUEST_ID)
     };
+    let unframed = faults.get().unframed;
     let mut response = match faults.take_cut() {
+        Some(after) if unframed => Response::new(Reply::whole(answer[..after as usize].to_owned())),
         Some(after) => cut_response(&answer, after as usize),
         None => Response::new(Reply::whole(answer)),
     };
+    if unframed {
+        // Without chunks, the library ends the body with the connection.
+        *response.version_mut() = Version::HTTP_10;
+    }
     if let Some(id) = id.and_then(|id| HeaderValue::from_str(id).ok()) {
         response.headers_mut().insert(REQUEST_ID, id);
     }
--- a/tests/testsuite/whole_answer.rs
+++ b/tests/testsuite/whole_answer.rs
@@ -4,6 +4,7 @@
 
 use firdock_standin::client::{self, Call};
 use hyper::Method;
+use uuid::Uuid;
 
 use crate::helper::{SHOP, Site, Spec};
 
@@ -116,6 +117,31 @@
     assert!(got.answered(), "{got:?}");
 }
 
+// Guards against a part of an answer that is kept for its key and replayed as whole for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plain_answer_without_framing_claims_no_end_and_neither_does_its_replay() {
+    let site = Site::start(Spec::new(29)).await;
+    site.services[0]
+        .faults
+        .change(|f| (f.unframed, f.cuts, f.cut_after) = (true, 1, 4));
+    let key = Uuid::now_v7().to_string();
+    let call = Call::plain(SHOP, Method::POST, "/orders/1", &key).with_key(&key);
+    for replayed in [false, true] {
+        let got = site.call(0, &call).await;
+        assert_eq!(
+            (got.status, got.text.len()),
+            (200, 4),
+            "{replayed}: {got:?}"
+        );
+        let framed = ["content-length", "transfer-encoding"];
+        let framed = framed
+            .into_iter()
+            .any(|name| got.headers.contains_key(name));
+        assert!(!framed, "{replayed}: {got:?}");
+    }
+    assert_eq!(site.services[0].runs().most(), 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_with_the_same_text_get_an_answer_each() {
     let site = Site::start(Spec {
