An answer whose end proves nothing makes no end of an endpoint void

A whole answer speaks for a request under which endpoints ended. One without framing that was closed counted as whole as well, though an endpoint that ends under the request closes it likewise: the evidence against the request was void. The scheduler is told that such an end proves nothing. The test is red without the look at that (0 ends held against the request, 1 expected).

--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -252,6 +252,7 @@
             DispatchNews::Started { .. }
             | DispatchNews::Tokens { .. }
             | DispatchNews::Failed
+            | DispatchNews::Unproven
             | DispatchNews::Unresumable
             | DispatchNews::Breaking(_) => return,
             DispatchNews::Refused { unreachable: true } => "unreachable",
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -238,12 +238,12 @@
         }
     }
 
-    /// Notes how the answer ended, and decides whether it is whole.
+    /// Notes how the answer ended, decides whether it is whole, and tells the scheduler where nobody knows.
     ///
     /// # Errors
     ///
     /// Fails with [`Stop::Endpoint`] where it is not.
-    pub(super) fn note_end(
+    pub(super) async fn note_end(
         &self,
         framing: Framing,
         ending: Ending,
@@ -255,7 +255,11 @@
         match judge(framing, ending, shape) {
             // An earlier head promised an end that would claim more than is known.
             Verdict::Unproven if self.delivered().framed => Err(Stop::Endpoint(BreakCause::Closed)),
-            Verdict::Whole | Verdict::Unproven => Ok(()),
+            Verdict::Unproven => {
+                self.tell(DispatchNews::Unproven).await;
+                Ok(())
+            }
+            Verdict::Whole => Ok(()),
             Verdict::Broken(cause) => Err(Stop::Endpoint(cause)),
         }
     }
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -154,6 +154,8 @@
     },
     /// The endpoint answered that it failed; how the dispatch ends by that is told next.
     Failed,
+    /// The answer ended with its connection, so that nothing proves it whole; its end is told next.
+    Unproven,
     /// The caller has a part of the answer after which no other endpoint can go on.
     Unresumable,
     /// How the dispatch comes to break, which is told next.
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -192,6 +192,8 @@
     pub resumed_from: u32,
     /// Whether the endpoint of the present dispatch answered that it failed.
     pub failed: bool,
+    /// What the end of the present dispatch's answer proves.
+    pub proof: Proof,
     /// How the present dispatch comes to break, if it does.
     pub breaking: Option<BreakCause>,
     /// How far its placement by a coordinator is.
@@ -200,6 +202,16 @@
     pub declined: Vec<StartId>,
 }
 
+/// What the end of an answer proves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Proof {
+    /// That the answer is whole, and so that its endpoint lives.
+    #[default]
+    Whole,
+    /// Nothing: an endpoint that ends may end its answer so as well.
+    Nothing,
+}
+
 /// What of an answer has reached the caller.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Passed {
@@ -251,6 +263,7 @@
             predicted: Time::ZERO,
             resumed_from: 0,
             failed: false,
+            proof: Proof::Whole,
             breaking: None,
             placing: Placing::Open,
             declined: Vec::new(),
--- a/crates/firdock-policy/src/system/news.rs
+++ b/crates/firdock-policy/src/system/news.rs
@@ -5,7 +5,7 @@
 use super::{end, fair, health, key, look, paced, rollout, suspect};
 use crate::action::Action;
 use crate::event::{BreakCause, DispatchNews, EndpointEvent};
-use crate::request::{Passed, Phase, Placing, RequestRow, Verdict};
+use crate::request::{Passed, Phase, Placing, Proof, RequestRow, Verdict};
 use crate::stats::WasteCause;
 use crate::table::Tables;
 use crate::time::Time;
@@ -31,6 +31,7 @@
             ended(t, now, e.id, at, prompt, cached, output);
         }
         DispatchNews::Failed => rollout::failed(t, e.id),
+        DispatchNews::Unproven => unproven(t, e.id),
         DispatchNews::Unresumable => unresumable(t, e.id),
         DispatchNews::Breaking(cause) => breaking(t, now, e.id, at, cause, out),
         DispatchNews::Broke { delivered } => broke(t, now, e.id, at, delivered, out),
@@ -140,6 +141,13 @@
     }
 }
 
+/// Notes that the answer's end proves nothing.
+fn unproven(t: &mut Tables, id: RequestId) {
+    if let Some(row) = t.requests.get_mut(id) {
+        row.proof = Proof::Nothing;
+    }
+}
+
 /// Notes that the answer can only go on where it began.
 fn unresumable(t: &mut Tables, id: RequestId) {
     if let Some(row) = t.requests.get_mut(id) {
@@ -194,7 +202,7 @@
     let Some(row) = t.requests.get(id) else {
         return;
     };
-    let content = row.content_id();
+    let content = row.content_id().filter(|_| row.proof == Proof::Whole);
     let service = row.service;
     let first = row.first.unwrap_or(now);
     let fresh = output.saturating_sub(1);
--- a/crates/firdock-policy/tests/policy/suspects/evidence.rs
+++ b/crates/firdock-policy/tests/policy/suspects/evidence.rs
@@ -76,6 +76,25 @@
     }
 }
 
+// Guards against evidence that is made void by an answer without framing, which an endpoint that ends under
+// the request may have broken off as well.
+#[test]
+fn an_answer_whose_end_proves_nothing_leaves_the_ends_before_it() {
+    let mut pool = Pool::new(8);
+    assert!(pool.ends_one(with_body(1, "once", "hot")));
+    let (dispatch, _) = pool
+        .arrives(with_body(2, "once", "hot"))
+        .expect("it is sent");
+    pool.edge.tell(2, dispatch, DispatchNews::Unproven);
+    pool.edge.tell(2, dispatch, ENDED);
+    assert_eq!(ends_against(&pool.edge, "hot"), 1);
+    let (dispatch, _) = pool
+        .arrives(with_body(3, "once", "hot"))
+        .expect("it is sent");
+    pool.edge.tell(3, dispatch, ENDED);
+    assert_eq!(ends_against(&pool.edge, "hot"), 0);
+}
+
 /// Endpoints of a release say that they leave, or their entries go first, and end with what they run.
 #[test]
 fn a_release_convicts_nothing() {
