--- a/crates/firdock-node/src/door/handler.rs
+++ b/crates/firdock-node/src/door/handler.rs
@@ -246,6 +246,10 @@
         }
         *response.status_mut() = head.status;
         *response.headers_mut() = head.headers;
+        if unframed {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
         self.interface
             .mark(response.headers_mut(), Outcome::Answered, &id.to_string());
         response
