--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -1,13 +1,12 @@
 //! What the policy is told.
 
+mod endpoint;
+mod totals;
+
 use std::sync::Arc;
-use std::time::Duration;
 
-use firdock_core::prefix::BlockHash;
 use firdock_core::resource::Catalog;
-use firdock_core::{
-    AccountId, ContentId, EndpointId, InstanceId, PoolId, RequestId, StartId, TierRank, ZoneId,
-};
+use firdock_core::{ContentId, EndpointId, InstanceId, RequestId, StartId, ZoneId};
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
@@ -18,6 +17,12 @@
 use crate::suspect::ToldSuspect;
 use crate::time::{LogTime, Time};
 
+pub use endpoint::{BreakCause, DispatchNews, EndpointEvent, Found, LoadReport, Look};
+pub use totals::{
+    AccountUse, AccountWork, GroupDemand, GroupEvidence, GroupWork, PeerUse, PoolDemand, UseCounts,
+    UseTotals,
+};
+
 /// One thing that happened.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -106,153 +111,6 @@
     pub predicted: Time,
 }
 
-/// What an endpoint told about a dispatch.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndpointEvent {
-    /// Request.
-    pub id: RequestId,
-    /// Number of the dispatch, so that late news of an earlier one is told apart.
-    pub dispatch: u32,
-    /// The news.
-    pub news: DispatchNews,
-}
-
-/// The course of a dispatch.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum DispatchNews {
-    /// The connect failed or the endpoint itself refused: the request did not run there.
-    Refused {
-        /// Whether the endpoint could not even be reached.
-        unreachable: bool,
-    },
-    /// The key's confirmation or the configuration's freshness lapsed before the write; the
-    /// request was not sent.
-    Lapsed,
-    /// The endpoint said meanwhile that it wants nothing new; the request was not sent.
-    Withheld,
-    /// The answer began.
-    Started {
-        /// Whether its head was passed on, so that no other answer can be given any more.
-        head_sent: bool,
-    },
-    /// Tokens came, and have been passed on.
-    Tokens {
-        /// Tokens of the whole answer that have been passed on so far.
-        delivered: u32,
-        /// Prompt tokens that the engine took from its cache.
-        cached: u32,
-    },
-    /// The whole answer has been passed on.
-    Ended {
-        /// Prompt tokens as the endpoint counted them.
-        prompt: u32,
-        /// Prompt tokens that the engine took from its cache.
-        cached: u32,
-        /// Tokens of the whole answer.
-        output: u32,
-    },
-    /// The endpoint answered that it failed; how the dispatch ends by that is told next.
-    Failed,
-    /// The answer ended with its connection, so that nothing proves it whole; its end is told next.
-    Unproven,
-    /// The caller has a part of the answer after which no other endpoint can go on.
-    Unresumable,
-    /// How the dispatch comes to break, which is told next.
-    Breaking(BreakCause),
-    /// The connection broke or fell silent after the request was sent.
-    Broke {
-        /// Tokens of the whole answer that have been passed on.
-        delivered: u32,
-    },
-}
-
-/// How a dispatch came to break.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum BreakCause {
-    /// The connection ended before the answer was whole.
-    Closed,
-    /// Nothing came for too long.
-    Silent,
-    /// What came is no answer to the request.
-    Foreign,
-    /// The endpoint answered that it failed.
-    Failed,
-    /// The endpoint started again meanwhile.
-    Restarted,
-}
-
-impl BreakCause {
-    /// Gives the word for it in logs and metrics.
-    #[must_use]
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Closed => "closed",
-            Self::Silent => "silent",
-            Self::Foreign => "foreign",
-            Self::Failed => "failed",
-            Self::Restarted => "restarted",
-        }
-    }
-}
-
-/// What a look at an endpoint found whose connection ended early.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Look {
-    /// Start of the endpoint.
-    pub start: StartId,
-    /// What was found.
-    pub found: Found,
-}
-
-/// Whether an endpoint is still there.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Found {
-    /// Its address takes connections.
-    Open,
-    /// Its address refuses them: its process has ended.
-    Ended,
-    /// Its address does not answer, which says nothing of the process.
-    Silent,
-}
-
-impl Found {
-    /// Gives the word for it in logs and metrics.
-    #[must_use]
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Open => "open",
-            Self::Ended => "ended",
-            Self::Silent => "silent",
-        }
-    }
-}
-
-/// Load and cache changes that an endpoint published.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadReport {
-    /// Endpoint.
-    pub endpoint: EndpointId,
-    /// Age of the report when it was read.
-    pub age: Duration,
-    /// Requests that the endpoint works on.
-    pub running: u32,
-    /// Requests that wait in the endpoint's own queue.
-    pub waiting: u32,
-    /// Prompt tokens that the endpoint has yet to compute.
-    pub backlog: u32,
-    /// Whether the endpoint says that it is leaving.
-    pub leaving: bool,
-    /// Whether cache events before these were missed.
-    pub gap: bool,
-    /// Blocks that came into the cache.
-    pub added: Vec<BlockHash>,
-    /// Blocks that were dropped from the cache.
-    pub removed: Vec<BlockHash>,
-}
-
 /// One start of an instance, told apart from earlier starts under the same name.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -334,131 +192,6 @@
     }
 }
 
-/// What one instance has let pass of account limits since its start.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct PeerUse {
-    /// The instance.
-    pub name: InstanceId,
-    /// Start of its process.
-    pub incarnation: Uuid,
-    /// Totals by account, those that changed at least.
-    pub used: Vec<AccountUse>,
-}
-
-/// What the lead of a group counted of what instances let pass of account limits.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct UseCounts {
-    /// The lead.
-    pub lead: InstanceId,
-    /// When it began to count, which tells these counts from earlier ones.
-    pub began: Uuid,
-    /// Whether nothing rose yet: whoever hears that knows all counts from their beginning.
-    pub fresh: bool,
-    /// Counts by account, those that rose at least.
-    pub counts: Vec<AccountUse>,
-}
-
-/// What one instance has let pass of one account's limit since its start.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct AccountUse {
-    /// Account.
-    pub account: AccountId,
-    /// Units of the limit.
-    pub units: f64,
-    /// Units that its callers asked for, with those refused for the limit.
-    #[serde(default)]
-    pub asked: f64,
-    /// The same before callers last came after a while in which none did: what rose since then is recent,
-    /// also for who did not follow the account before.
-    #[serde(default, skip_serializing_if = "UseTotals::is_zero")]
-    pub before: UseTotals,
-}
-
-impl AccountUse {
-    /// Gives the totals without the account's name.
-    #[must_use]
-    pub fn totals(&self) -> UseTotals {
-        UseTotals {
-            units: self.units,
-            asked: self.asked,
-        }
-    }
-}
-
-/// Totals of one account at one instance since its start.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-pub struct UseTotals {
-    /// Units of the limit that were let pass.
-    pub units: f64,
-    /// Units that callers asked for.
-    pub asked: f64,
-}
-
-impl UseTotals {
-    /// Gives the totals with the account's name.
-    #[must_use]
-    pub fn named(self, account: AccountId) -> AccountUse {
-        AccountUse {
-            account,
-            units: self.units,
-            asked: self.asked,
-            before: UseTotals::default(),
-        }
-    }
-}
-
-/// Demand of one instance for the endpoints of one pool.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct PoolDemand {
-    /// Pool, or a service without a split, which stands for the endpoints that name it.
-    #[serde(rename = "service")] // As recorded sessions name it.
-    pub pool: PoolId,
-    /// Requests a second, with those held.
-    pub rate: f64,
-}
-
-/// Demand of the instances of one availability zone.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct GroupDemand {
-    /// Availability zone.
-    pub zone: ZoneId,
-    /// Demand by pool.
-    pub demand: Vec<PoolDemand>,
-}
-
-/// What the endpoints of one group did lately for accounts.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct GroupWork {
-    /// Availability zone.
-    pub zone: ZoneId,
-    /// Work by pool and account.
-    pub work: Vec<AccountWork>,
-}
-
-/// What one account asked for and had of one pool lately, in requests of one rank.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct AccountWork {
-    /// Account.
-    pub account: AccountId,
-    /// Pool.
-    pub pool: PoolId,
-    /// Declared rank of the requests.
-    pub rank: TierRank,
-    /// Work that was asked for, in seconds that it takes on an endpoint as declared.
-    pub asked: f64,
-    /// Work that is done, likewise.
-    pub done: f64,
-}
-
-/// What the instances of one availability zone saw of roll-outs.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct GroupEvidence {
-    /// Availability zone.
-    pub zone: ZoneId,
-    /// What they saw, by roll-out.
-    pub seen: Vec<Evidence>,
-}
-
 /// What became of a hand-over.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
