Engines of firdock's own protocol tell the course of their answers too

Lines on the end of their dispatches tell framing, ending, bytes and events as those of a platform's endpoints do. The judge reads as two questions: is the answer cut, and is there proof that it is not.

--- a/crates/firdock-node/src/endpoint.rs
+++ b/crates/firdock-node/src/endpoint.rs
@@ -240,6 +240,9 @@
         &mut self,
         silence: Duration,
     ) -> impl Future<Output = Result<Option<TokenEvent>, StreamError>> + Send;
+
+    /// Gives what has come of the answer, for the lines on its end.
+    fn course(&self) -> AnswerEnd;
 }
 
 /// A model engine.
--- a/crates/firdock-node/src/endpoint/ending.rs
+++ b/crates/firdock-node/src/endpoint/ending.rs
@@ -155,34 +155,27 @@
 ///
 /// A body that ends inside an event was broken off, however its framing ended. One that has no framing and
 /// was closed in order is whole as far as HTTP can tell (RFC 9112, section 8), though an endpoint that
-/// fails may close it as well; the caller is told no more than that.
+/// fails may close it as well; the caller is told no more than that. Without framing, a part of a comment
+/// and a stream without any event count as cut too: nothing but the close says that they were meant so.
 #[must_use]
 pub fn judge(framing: Framing, ending: Ending, shape: Shape) -> Verdict {
     let closed = framing == Framing::Connection && ending == Ending::Closed;
     if ending != Ending::Framed && !closed {
         return Verdict::Broken(ending.into());
     }
-    let broken = if closed {
-        Verdict::Broken(BreakCause::Closed)
-    } else {
-        Verdict::Broken(BreakCause::Foreign)
-    };
-    match shape {
-        Shape::Events {
-            left: Left::Event, ..
-        }
-        | Shape::Delimited { ended: false } => broken,
-        Shape::Events {
-            left: Left::Comment,
-            ..
+    let is_cut = match shape {
+        Shape::Opaque => false,
+        Shape::Delimited { ended } => !ended,
+        Shape::Events { begun, left } => {
+            left == Left::Event || (closed && (!begun || left == Left::Comment))
         }
-        | Shape::Events { begun: false, .. }
-            if closed =>
-        {
-            broken
-        }
-        Shape::Opaque | Shape::Events { .. } if closed => Verdict::Unproven,
-        _ => Verdict::Whole,
+    };
+    let has_proof = !closed || matches!(shape, Shape::Delimited { .. });
+    match (is_cut, has_proof) {
+        (true, _) if closed => Verdict::Broken(BreakCause::Closed),
+        (true, _) => Verdict::Broken(BreakCause::Foreign),
+        (false, true) => Verdict::Whole,
+        (false, false) => Verdict::Unproven,
     }
 }
 
--- a/crates/firdock-node/src/endpoint/engine.rs
+++ b/crates/firdock-node/src/endpoint/engine.rs
@@ -16,7 +16,7 @@
 use serde_json::{Value, json};
 use tokio::time::timeout;
 
-use super::ending::{Framing, Shape, Verdict, judge};
+use super::ending::{AnswerEnd, Ending, Framing, Shape, Verdict, judge};
 use super::sse::{SseDecoder, SseEvent};
 use super::{
     AnsweredSnafu, DISPATCH_HEADER, EndpointBody, EndpointReport, EngineClient, EngineOrder,
@@ -76,6 +76,7 @@
         let head = HeadNotice::read(response.status(), response.headers(), &LEAVING_HEADER);
         let result = take(order, response).await.map(|body| HttpTokenStream {
             _connection: connection,
+            course: AnswerEnd::new(body.framing()),
             body,
             decoder: SseDecoder::new(),
             next: from,
@@ -291,6 +292,7 @@
 pub struct HttpTokenStream {
     _connection: Connection,
     body: EndpointBody,
+    course: AnswerEnd,
     decoder: SseDecoder,
     next: u32,
     ended: bool,
@@ -301,6 +303,7 @@
         loop {
             match self.decoder.next_event() {
                 Ok(Some(SseEvent::Data(data))) => {
+                    self.course.events += 1;
                     if let Some(step) = self.take(&data)? {
                         return Ok(step.event);
                     }
@@ -311,6 +314,10 @@
             }
         }
     }
+
+    fn course(&self) -> AnswerEnd {
+        self.course
+    }
 }
 
 /// One step of a stream: an event, or its end.
@@ -321,13 +328,20 @@
 impl HttpTokenStream {
     async fn read_more(&mut self, silence: Duration) -> Result<(), StreamError> {
         match timeout(silence, self.body.next()).await {
-            Err(_) => Err(StreamError::Silent),
+            Err(_) => {
+                self.course.ending = Some(Ending::Silent);
+                Err(StreamError::Silent)
+            }
             Ok(Ok(bytes)) => {
+                self.course.bytes += bytes.len() as u64;
                 self.decoder.push(&bytes);
                 Ok(())
             }
             // Its end mark has not come, so that no end of the body makes the answer whole.
-            Ok(Err(_)) => Err(StreamError::Broken),
+            Ok(Err(ending)) => {
+                self.course.ending = Some(ending);
+                Err(StreamError::Broken)
+            }
         }
     }
 
@@ -336,6 +350,7 @@
         if data == DONE {
             let whole = self.ended;
             return if whole {
+                self.course.ending = Some(Ending::Framed);
                 Ok(Some(Step { event: None }))
             } else {
                 Err(StreamError::Crossed)
--- a/crates/firdock-node/src/endpoint/relay/plain.rs
+++ b/crates/firdock-node/src/endpoint/relay/plain.rs
@@ -44,7 +44,7 @@
         match run.read(&mut body).await {
             Ok(bytes) => read.extend_from_slice(&bytes),
             Err(ending) => {
-                run.note_end(body.framing(), ending, Shape::Opaque).await?;
+                run.settle(body.framing(), ending, Shape::Opaque).await?;
                 return Ok(Whole::All(read.freeze()));
             }
         }
@@ -67,7 +67,7 @@
     loop {
         match run.read(&mut body).await {
             Ok(bytes) => run.pass(Part::Data(bytes)).await?,
-            Err(ending) => return run.note_end(body.framing(), ending, Shape::Opaque).await,
+            Err(ending) => return run.settle(body.framing(), ending, Shape::Opaque).await,
         }
     }
 }
--- a/crates/firdock-node/src/endpoint/relay/stream.rs
+++ b/crates/firdock-node/src/endpoint/relay/stream.rs
@@ -64,7 +64,7 @@
             end.leftover = rest.len();
         }
         let shape = Shape::Events { begun, left };
-        self.run.note_end(body.framing(), ending, shape).await?;
+        self.run.settle(body.framing(), ending, shape).await?;
         self.begin().await?;
         if rest.is_empty() {
             return Ok(());
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -243,7 +243,7 @@
     /// # Errors
     ///
     /// Fails with [`Stop::Endpoint`] where it is not.
-    pub(super) async fn note_end(
+    pub(super) async fn settle(
         &self,
         framing: Framing,
         ending: Ending,
--- a/crates/firdock-node/src/endpoint/run_engine.rs
+++ b/crates/firdock-node/src/endpoint/run_engine.rs
@@ -98,6 +98,7 @@
         let Ok(next) = run.while_alive(stream.next(run.limits.silence)).await else {
             return run.tell_broken(BreakCause::Restarted).await;
         };
+        run.delivered().end = Some(stream.course());
         match next {
             Ok(Some(event)) => {
                 if relay.pass(event).await.is_err() {
--- a/crates/firdock-node/src/endpoint/run_plain.rs
+++ b/crates/firdock-node/src/endpoint/run_plain.rs
@@ -93,7 +93,7 @@
                 keep(kept, &bytes);
                 run.pass(Part::Data(bytes)).await?;
             }
-            Err(ending) => return run.note_end(body.framing(), ending, Shape::Opaque).await,
+            Err(ending) => return run.settle(body.framing(), ending, Shape::Opaque).await,
         }
     }
 }
