Endpoints' own failures reach the callers of requests that may be repeated

Cause: the answer was dropped with its dispatch. It is kept where it is short, whole and framed, and passed on once no other endpoint is tried; a try that was lost after it leaves the 502.

--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -252,6 +252,7 @@
             DispatchNews::Started { .. }
             | DispatchNews::Tokens { .. }
             | DispatchNews::Failed
+            | DispatchNews::FailureKept
             | DispatchNews::Unproven
             | DispatchNews::Unresumable
             | DispatchNews::Breaking(_) => return,
@@ -375,6 +376,7 @@
                 self.reply(id, Part::Refusal(verdict, tried));
             }
             Action::Cut { id, reason } => self.cut(id, reason),
+            Action::PassFailure { id } => self.pass_failure(id),
             Action::Replay { id, earlier } => self.replay(id, earlier),
             Action::Forget { id } => self.parts.answers.forget(id),
             Action::TransferKeys { peer, transfer } => {
--- a/crates/firdock-node/src/driver/answer.rs
+++ b/crates/firdock-node/src/driver/answer.rs
@@ -26,6 +26,23 @@
         self.reply(id, Part::Cut);
     }
 
+    /// Gives the caller the answer with which the last endpoint failed.
+    pub(super) fn pass_failure(&self, id: RequestId) {
+        let Some(live) = self.exchanges.get(&id) else {
+            return;
+        };
+        let failure = live.exchange.delivered().failure.take();
+        let Some(failure) = failure else {
+            return;
+        };
+        let now = self.parts.clock.now();
+        self.decisions
+            .failure_passed(now, live.story(), failure.head.status);
+        self.reply(id, Part::Head(failure.head));
+        self.reply(id, Part::Data(failure.body));
+        self.reply(id, Part::End);
+    }
+
     pub(super) fn replay(&self, id: RequestId, earlier: RequestId) {
         let Some(answer) = self.parts.answers.get(earlier) else {
             let verdict = Verdict {
--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -18,7 +18,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use snafu::Snafu;
 
-use self::plain::pass_plain;
+use self::plain::{keep_failure, pass_plain};
 use self::stream::Stream;
 use super::run::{Run, Stop};
 use super::{Backends, EndpointBody, Framing, HeadNotice, Place, break_cause};
@@ -158,24 +158,27 @@
             Reply::Answer => {}
         }
         self.take_load(run, response.headers()).await;
-        if status.is_server_error() {
-            if head.notice.backoff.is_none() {
-                run.tell(DispatchNews::Failed).await;
-            }
-            if payload.terms.repeatable {
-                return run.tell_broken(BreakCause::Failed).await;
-            }
-        }
         let framing = Framing::read(&payload.method, status, response.headers());
         run.note_head(framing);
         strip_hop_by_hop(response.headers_mut());
         let (parts, body) = response.into_parts();
         let body = EndpointBody::new(body, framing);
+        let has_failed = status.is_server_error();
+        let wants_none = head.notice.backoff.is_some();
         let head = AnswerHead {
             status,
             headers: parts.headers,
             unframed: framing == Framing::Connection,
         };
+        if has_failed && !wants_none {
+            run.tell(DispatchNews::Failed).await;
+        }
+        if has_failed && payload.terms.repeatable {
+            if !wants_none {
+                keep_failure(run, head, body).await;
+            }
+            return run.tell_broken(BreakCause::Failed).await;
+        }
         if payload.terms.streamed && status.is_success() {
             Stream::new(run, head, place.event_tokens).pass(body).await
         } else {
--- a/crates/firdock-node/src/endpoint/relay/plain.rs
+++ b/crates/firdock-node/src/endpoint/relay/plain.rs
@@ -1,12 +1,16 @@
 //! Answers that are no streams: short ones are taken whole before any of them is passed on.
 
+use std::time::Duration;
+
 use bytes::{Bytes, BytesMut};
 use firdock_policy::event::DispatchNews;
 
+use tokio::time::timeout;
+
 use super::finish;
 use crate::endpoint::run::{Run, Stop};
 use crate::endpoint::{EndpointBody, Shape};
-use crate::exchange::{AnswerHead, Part};
+use crate::exchange::{AnswerHead, Part, WholeAnswer};
 
 /// Longest answer that is taken whole before any of it is passed on.
 ///
@@ -30,6 +34,24 @@
     finish(run, passed, 0).await
 }
 
+/// Time for the body of an answer that an endpoint failed: it comes with the head, or another try waits for
+/// it in vain.
+const FAILURE_WAIT: Duration = Duration::from_millis(50);
+
+/// Keeps an answer with which an endpoint failed, where it is short and comes whole at once; its caller
+/// gets it if no other endpoint does better.
+pub(super) async fn keep_failure(run: &Run, head: AnswerHead, body: EndpointBody) {
+    if head.unframed {
+        // Whether it is whole would not be known.
+        return;
+    }
+    let Ok(Ok(Whole::All(body))) = timeout(FAILURE_WAIT, read_whole(run, body)).await else {
+        return;
+    };
+    run.delivered().failure = Some(WholeAnswer { head, body });
+    run.tell(DispatchNews::FailureKept).await;
+}
+
 /// What was read of a body.
 enum Whole {
     /// All of it.
--- a/crates/firdock-node/src/exchange.rs
+++ b/crates/firdock-node/src/exchange.rs
@@ -84,6 +84,15 @@
     pub unframed: bool,
 }
 
+/// An answer that is there as a whole.
+#[derive(Debug, Clone)]
+pub struct WholeAnswer {
+    /// Head.
+    pub head: AnswerHead,
+    /// Body.
+    pub body: Bytes,
+}
+
 /// A part of what goes back to the caller, in order.
 #[derive(Debug, Clone)]
 pub enum Part {
@@ -117,6 +126,8 @@
     /// Id of the last event that was passed on, of a stream that is passed on as it is; `None` where that
     /// has none.
     pub last_event: Option<String>,
+    /// The last answer with which an endpoint failed, if it can be passed on.
+    pub failure: Option<WholeAnswer>,
     /// What came of the present dispatch's answer; `None` until its head came.
     pub end: Option<AnswerEnd>,
 }
--- a/crates/firdock-node/src/placement/told.rs
+++ b/crates/firdock-node/src/placement/told.rs
@@ -22,6 +22,7 @@
     Some(match news {
         DispatchNews::Started { .. }
         | DispatchNews::Failed
+        | DispatchNews::FailureKept
         | DispatchNews::Unproven
         | DispatchNews::Unresumable
         | DispatchNews::Breaking(_) => return None,
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -13,6 +13,7 @@
 use firdock_policy::table::Tables;
 use firdock_policy::table::endpoint::EndpointRow;
 use firdock_policy::{Time, Verdict};
+use hyper::StatusCode;
 use slog::{KV, Logger, Record, Serializer, info, warn};
 
 use super::budget::{LineBudget, LineKind};
@@ -194,6 +195,25 @@
         );
     }
 
+    /// Writes that the caller gets the answer with which the last endpoint failed.
+    pub fn failure_passed(&self, now: Time, story: Story<'_>, status: StatusCode) {
+        if !self.budget.allow(&self.log, now, LineKind::Failed) {
+            return;
+        }
+        let x = story.exchange;
+        warn!(self.log, "failure passed on";
+            "request_id" => x.id.to_string(),
+            "call" => call(x),
+            "service" => &x.payload.service,
+            "account" => &x.payload.account,
+            "content" => x.content.id.to_string(),
+            "status" => status.as_u16(),
+            "waited_millis" => millis(now.saturating_sub(story.arrived)),
+            "endpoint" => story.sent.map(|s| &s.endpoint),
+            "dispatches" => story.sent.map_or(0, |s| s.dispatch),
+        );
+    }
+
     /// Writes that an answer that had begun could not be completed.
     pub fn cut(&self, now: Time, story: Story<'_>, reason: Reason) {
         if self.budget.allow(&self.log, now, LineKind::Failed) {
--- a/crates/firdock-policy/src/action.rs
+++ b/crates/firdock-policy/src/action.rs
@@ -91,6 +91,11 @@
         /// Why.
         reason: Reason,
     },
+    /// Give the endpoint's own answer that it failed, which was kept.
+    PassFailure {
+        /// Request.
+        id: RequestId,
+    },
     /// Give the kept answer of an earlier request with the same key.
     Replay {
         /// Request.
--- a/crates/firdock-policy/src/event/endpoint.rs
+++ b/crates/firdock-policy/src/event/endpoint.rs
@@ -54,6 +54,8 @@
     },
     /// The endpoint answered that it failed; how the dispatch ends by that is told next.
     Failed,
+    /// That answer is kept whole, so that the caller can get it in place of one of firdock's own.
+    FailureKept,
     /// The answer ended with its connection, so that nothing proves it whole; its end is told next.
     Unproven,
     /// The caller has a part of the answer after which no other endpoint can go on.
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -191,7 +191,7 @@
     /// Tokens that had reached the caller before the present dispatch.
     pub resumed_from: u32,
     /// Whether the endpoint of the present dispatch answered that it failed.
-    pub failed: bool,
+    pub failure: Failure,
     /// What the end of the present dispatch's answer proves.
     pub proof: Proof,
     /// How the present dispatch comes to break, if it does.
@@ -202,6 +202,18 @@
     pub declined: Vec<StartId>,
 }
 
+/// Whether an endpoint answered that it failed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Failure {
+    /// It did not.
+    #[default]
+    None,
+    /// It did.
+    Told,
+    /// It did, and its answer can be passed on.
+    Kept,
+}
+
 /// What the end of an answer proves.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Proof {
@@ -262,7 +274,7 @@
             charged_work: 0.0,
             predicted: Time::ZERO,
             resumed_from: 0,
-            failed: false,
+            failure: Failure::None,
             proof: Proof::Whole,
             breaking: None,
             placing: Placing::Open,
--- a/crates/firdock-policy/src/system/end.rs
+++ b/crates/firdock-policy/src/system/end.rs
@@ -8,7 +8,7 @@
 
 use super::{backoff, limit, tries};
 use crate::action::Action;
-use crate::request::{NewRequest, Origin, Phase, Placing, RequestRow, Verdict};
+use crate::request::{Failure, NewRequest, Origin, Phase, Placing, RequestRow, Verdict};
 use crate::stats::{RefusalKey, WasteCause};
 use crate::table::Tables;
 use crate::time::Time;
@@ -132,6 +132,12 @@
         cut(t, now, id, verdict.reason, out);
         return;
     }
+    if row.failure == Failure::Kept && verdict.outcome == Outcome::Unknown {
+        // The last endpoint that had it answered, so that more is known than that it may have run.
+        finish(t, now, id, Outcome::Answered);
+        out.push(Action::PassFailure { id });
+        return;
+    }
     let Some(row) = finish(t, now, id, verdict.outcome) else {
         return;
     };
--- a/crates/firdock-policy/src/system/news.rs
+++ b/crates/firdock-policy/src/system/news.rs
@@ -5,7 +5,7 @@
 use super::{end, fair, health, key, look, paced, rollout, suspect};
 use crate::action::Action;
 use crate::event::{BreakCause, DispatchNews, EndpointEvent};
-use crate::request::{Passed, Phase, Placing, Proof, RequestRow, Verdict};
+use crate::request::{Failure, Passed, Phase, Placing, Proof, RequestRow, Verdict};
 use crate::stats::WasteCause;
 use crate::table::Tables;
 use crate::time::Time;
@@ -31,6 +31,7 @@
             ended(t, now, e.id, at, prompt, cached, output);
         }
         DispatchNews::Failed => rollout::failed(t, e.id),
+        DispatchNews::FailureKept => failure_kept(t, e.id),
         DispatchNews::Unproven => unproven(t, e.id),
         DispatchNews::Unresumable => unresumable(t, e.id),
         DispatchNews::Breaking(cause) => breaking(t, now, e.id, at, cause, out),
@@ -141,6 +142,13 @@
     }
 }
 
+/// Notes that the endpoint's answer that it failed can be passed on.
+fn failure_kept(t: &mut Tables, id: RequestId) {
+    if let Some(row) = t.requests.get_mut(id) {
+        row.failure = Failure::Kept;
+    }
+}
+
 /// Notes that the answer's end proves nothing.
 fn unproven(t: &mut Tables, id: RequestId) {
     if let Some(row) = t.requests.get_mut(id) {
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -12,7 +12,7 @@
 use super::suspect::{self, Gate};
 use super::{coordinate, end, fair, key, rollout};
 use crate::action::{Action, Dispatch};
-use crate::request::{Phase, RequestRow};
+use crate::request::{Failure, Phase, Proof, RequestRow};
 use crate::table::Tables;
 use crate::table::endpoint::{Closed, EndpointRow, Health};
 use crate::time::Time;
@@ -269,7 +269,8 @@
     row.work = choice.estimate.work;
     row.predicted = choice.estimate.first();
     row.resumed_from = row.delivered;
-    row.failed = false;
+    row.failure = Failure::None;
+    row.proof = Proof::Whole;
     row.breaking = None;
     t.stats.dispatches += 1;
     t.paces.note(row.pool_key(), row.rank);
--- a/crates/firdock-policy/src/system/rollout/evidence.rs
+++ b/crates/firdock-policy/src/system/rollout/evidence.rs
@@ -6,7 +6,7 @@
 
 use super::versions::is_new;
 use crate::event::GroupEvidence;
-use crate::request::RequestRow;
+use crate::request::{Failure, RequestRow};
 use crate::rollout::{Evidence, Tally, ToldRollouts};
 use crate::table::Tables;
 use crate::time::Time;
@@ -49,7 +49,7 @@
 /// Notes that an endpoint answered that it failed; how the dispatch ends is told next.
 pub fn failed(t: &mut Tables, id: RequestId) {
     if let Some(row) = t.requests.get_mut(id) {
-        row.failed = true;
+        row.failure = Failure::Told;
     }
 }
 
@@ -73,10 +73,10 @@
         return;
     }
     let tally = rollout.own.tally(&row.new.service, &endpoint);
-    if row.failed {
-        tally.failed += 1;
-    } else {
+    if row.failure == Failure::None {
         add(tally);
+    } else {
+        tally.failed += 1;
     }
 }
 
--- /dev/null
+++ b/crates/firdock-policy/tests/policy/failures.rs
@@ -0,0 +1,65 @@
+//! Endpoints that answer that they failed: what a caller gets once no other endpoint does better.
+
+use firdock_policy::event::{BreakCause, DispatchNews};
+use firdock_policy::{Action, Event};
+
+use crate::edge::{Edge, edge_settings, request, resources};
+use crate::scene::{id, millis};
+
+const BROKE: DispatchNews = DispatchNews::Broke { delivered: 0 };
+
+/// The endpoint of a dispatch fails; its answer can be passed on.
+fn fails(edge: &mut Edge, dispatch: u32) -> Vec<Action> {
+    edge.tell(1, dispatch, DispatchNews::Failed);
+    edge.tell(1, dispatch, DispatchNews::FailureKept);
+    edge.tell(1, dispatch, DispatchNews::Breaking(BreakCause::Failed));
+    edge.tell(1, dispatch, BROKE)
+}
+
+fn arrived() -> Edge {
+    let mut edge = Edge::new(edge_settings("a"), resources());
+    edge.step(Event::Fresh(edge.now));
+    edge.arrive(request(1, "safe", "free"));
+    edge
+}
+
+fn is_passed(actions: &[Action]) -> bool {
+    actions
+        .iter()
+        .any(|a| matches!(a, Action::PassFailure { id: of } if *of == id(1)))
+}
+
+#[test]
+fn the_last_endpoints_failure_is_passed_on_once_no_other_one_is_tried() {
+    let mut edge = arrived();
+    let actions = fails(&mut edge, 1);
+    assert!(!is_passed(&actions), "another endpoint is tried first");
+    let actions = fails(&mut edge, 2);
+    assert!(is_passed(&actions), "{actions:?}");
+}
+
+// Guards against an outcome that is told known where a later try may still have run.
+#[test]
+fn a_failure_before_a_try_that_was_lost_is_not_passed_on() {
+    let mut edge = arrived();
+    fails(&mut edge, 1);
+    edge.tell(1, 2, DispatchNews::Breaking(BreakCause::Closed));
+    let actions = edge.tell(1, 2, BROKE);
+    assert!(!is_passed(&actions), "{actions:?}");
+}
+
+#[test]
+fn a_failure_is_passed_on_to_a_request_whose_time_is_up_before_another_try() {
+    let mut alone = resources();
+    alone.retain(|r| !format!("{r:?}").contains("\"e2\""));
+    let mut edge = Edge::new(edge_settings("a"), alone);
+    edge.step(Event::Fresh(edge.now));
+    edge.arrive(request(1, "safe", "free"));
+    let mut actions = fails(&mut edge, 1);
+    for _ in 0..600 {
+        edge.now += millis(10);
+        edge.step(Event::Fresh(edge.now));
+        actions.extend(edge.step(Event::Timer));
+    }
+    assert!(is_passed(&actions), "{actions:?}");
+}
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -4,6 +4,7 @@
 mod buffers;
 mod coordinate;
 mod edge;
+mod failures;
 mod golden;
 mod limits;
 mod line;
--- a/crates/firdock-policy/tests/policy/world/message.rs
+++ b/crates/firdock-policy/tests/policy/world/message.rs
@@ -291,6 +291,7 @@
                 self.deliver(from, Event::HandOver(HandOverEvent::Refused(refusal)));
             }
             Action::Cut { id, .. } => self.end(i, id, "cut", None),
+            Action::PassFailure { id } => self.end(i, id, "failed", None),
             Action::Replay { id, earlier } => {
                 assert!(
                     self.runs.iter().any(|(_, ran, _)| *ran == earlier),
