--- a/tests/testsuite/whole_answer.rs
+++ b/tests/testsuite/whole_answer.rs
@@ -142,6 +142,28 @@
     assert_eq!(site.services[0].runs().most(), 1);
 }
 
+// Guards against a last chunk for an answer without framing that came over another instance.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plain_answer_without_framing_claims_no_end_over_a_hand_over_either() {
+    let site = Site::start(Spec {
+        nodes: 2,
+        ..Spec::new(28)
+    })
+    .await;
+    site.services[0].faults.change(|f| f.unframed = true);
+    for n in 0..8 {
+        let key = Uuid::now_v7().to_string();
+        let call = Call::plain(SHOP, Method::POST, "/orders/1", &key).with_key(&key);
+        let got = site.call(n % 2, &call).await;
+        assert!(got.answered(), "{got:?}");
+        let framed = ["content-length", "transfer-encoding"];
+        let framed = framed
+            .into_iter()
+            .any(|name| got.headers.contains_key(name));
+        assert!(!framed, "{n}: {got:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_with_the_same_text_get_an_answer_each() {
     let site = Site::start(Spec {
