--- a/tests/testsuite/whole_answer.rs
+++ b/tests/testsuite/whole_answer.rs
@@ -147,7 +147,7 @@
 async fn a_plain_answer_without_framing_claims_no_end_over_a_hand_over_either() {
     let site = Site::start(Spec {
         nodes: 2,
-        ..Spec::new(28)
+        ..Spec::new(51)
     })
     .await;
     site.services[0].faults.change(|f| f.unframed = true);
