--- a/crates/firdock-node/src/endpoint/events.rs
+++ b/crates/firdock-node/src/endpoint/events.rs
@@ -62,9 +62,12 @@
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<WholeEvents>, EventTooLong> {
         self.buffer.extend_from_slice(bytes);
         let mut whole = Scanned::default();
-        while let Some(byte) = self.buffer.get(self.scanned).copied() {
-            self.scanned += 1;
-            self.take(byte, &mut whole);
+        while let Some(at) = self.next_line_end() {
+            self.take_line_end(at, &mut whole);
+        }
+        if self.scanned < self.buffer.len() {
+            self.scanned = self.buffer.len();
+            self.after_cr = false;
         }
         self.events = self.events.saturating_add(whole.count);
         if whole.end > 0 && self.has_begun() {
@@ -102,15 +105,25 @@
         self.events > 0
     }
 
-    fn take(&mut self, byte: u8, whole: &mut Scanned) {
-        let follows_cr = std::mem::replace(&mut self.after_cr, byte == b'\r');
+    /// Finds the next byte that ends a line, or a second half of such an end.
+    fn next_line_end(&self) -> Option<usize> {
+        let unread = &self.buffer[self.scanned..];
+        let at = unread.iter().position(|b| matches!(b, b'\n' | b'\r'))?;
+        Some(self.scanned + at)
+    }
+
+    fn take_line_end(&mut self, at: usize, whole: &mut Scanned) {
+        let follows_cr = self.after_cr && at == self.scanned;
+        let byte = self.buffer[at];
+        self.scanned = at + 1;
+        self.after_cr = byte == b'\r';
         if byte == b'\n' && follows_cr {
             // The second half of the last line's end.
             self.line = self.scanned;
             if !self.in_event {
                 whole.end = self.scanned;
             }
-        } else if byte == b'\n' || byte == b'\r' {
+        } else {
             self.end_line(whole);
         }
     }
