--- a/tests/testsuite/dispatch_once.rs
+++ b/tests/testsuite/dispatch_once.rs
@@ -18,7 +18,7 @@
 }
 
 /// Waits until keys minted from now on are past the grace of the last change of members.
-async fn pass_grace() {
+pub async fn pass_grace() {
     tokio::time::sleep(Duration::from_millis(1_200)).await;
 }
 
--- a/tests/testsuite/whole_answer.rs
+++ b/tests/testsuite/whole_answer.rs
@@ -6,6 +6,7 @@
 use hyper::Method;
 use uuid::Uuid;
 
+use crate::dispatch_once::pass_grace;
 use crate::helper::{SHOP, Site, Spec};
 
 #[tokio::test(flavor = "multi_thread")]
@@ -151,10 +152,13 @@
     })
     .await;
     site.services[0].faults.change(|f| f.unframed = true);
-    for n in 0..8 {
+    let order = || {
         let key = Uuid::now_v7().to_string();
-        let call = Call::plain(SHOP, Method::POST, "/orders/1", &key).with_key(&key);
-        let got = site.call(n % 2, &call).await;
+        Call::plain(SHOP, Method::POST, "/orders/1", &key).with_key(&key)
+    };
+    pass_grace().await;
+    for n in 0..8 {
+        let got = site.call(n % 2, &order()).await;
         assert!(got.answered(), "{got:?}");
         let framed = ["content-length", "transfer-encoding"];
         let framed = framed
