--- a/tests/testsuite/whole_answer.rs
+++ b/tests/testsuite/whole_answer.rs
@@ -148,6 +148,7 @@
 async fn a_plain_answer_without_framing_claims_no_end_over_a_hand_over_either() {
     let site = Site::start(Spec {
         nodes: 2,
+        settings: "[keys]\ngrace_seconds = 1\n".to_owned(),
         ..Spec::new(51)
     })
     .await;
