--- a/crates/firdock-node/src/endpoint.rs
+++ b/crates/firdock-node/src/endpoint.rs
@@ -36,7 +36,7 @@
 };
 pub use engine::HttpEngine;
 pub use events::EventSplitter;
-pub use notice::{HeadNotice, value_prefix};
+pub use notice::{HeadNotice, NoticeHeaders, value_prefix};
 pub use plain::HttpPlain;
 pub use report::poll_reports;
 pub use sse::{InvalidEventStream, SseDecoder, SseEvent};
@@ -52,6 +52,13 @@
 pub const NOT_STARTED_HEADER: &str = "request-not-started";
 /// Header that announces, with the value `1` on any response, that an endpoint is leaving.
 pub const LEAVING_HEADER: HeaderName = HeaderName::from_static("endpoint-leaving");
+/// Header with the requests per second that an endpoint takes from all instances together.
+pub const LIMIT_HEADER: HeaderName = HeaderName::from_static("endpoint-limit");
+/// Headers of notices on any response.
+pub const NOTICE_HEADERS: NoticeHeaders = NoticeHeaders {
+    leaving: LEAVING_HEADER,
+    limit: LIMIT_HEADER,
+};
 /// Header with the number of the dispatch.
 pub const DISPATCH_HEADER: &str = "x-dispatch";
 /// Path of an endpoint's report.
--- a/crates/firdock-node/src/endpoint/engine.rs
+++ b/crates/firdock-node/src/endpoint/engine.rs
@@ -20,9 +20,9 @@
 use super::sse::{SseDecoder, SseEvent};
 use super::{
     AnsweredSnafu, DISPATCH_HEADER, EndpointBody, EndpointReport, EndpointResponse, EngineClient,
-    EngineRequest, EngineUsage, FencedCommand, HeadNotice, KvCache, LEAVING_HEADER, LostSnafu,
-    NOT_STARTED_HEADER, REPORT_PATH, RefusedSnafu, ReportSource, StartError, StreamError,
-    TokenEvent, TokenStream, break_cause,
+    EngineRequest, EngineUsage, FencedCommand, HeadNotice, KvCache, LostSnafu, NOT_STARTED_HEADER,
+    NOTICE_HEADERS, REPORT_PATH, RefusedSnafu, ReportSource, StartError, StreamError, TokenEvent,
+    TokenStream, break_cause,
 };
 use crate::http::{CallError, Connection, connect};
 use crate::ingress::REQUEST_ID_HEADER;
@@ -73,7 +73,7 @@
             Ok(opened) => opened,
             Err(error) => return EndpointResponse::without_head(error),
         };
-        let head = HeadNotice::read(response.status(), response.headers(), &LEAVING_HEADER);
+        let head = HeadNotice::read(response.status(), response.headers(), &NOTICE_HEADERS);
         let result = answer_body(engine_request, response)
             .await
             .map(|body| HttpTokenStream {
--- a/crates/firdock-node/src/endpoint/plain.rs
+++ b/crates/firdock-node/src/endpoint/plain.rs
@@ -10,8 +10,8 @@
 use hyper::{Request, Response, header};
 
 use super::{
-    DISPATCH_HEADER, EndpointBody, EndpointResponse, Framing, HeadNotice, LEAVING_HEADER,
-    LostSnafu, NOT_STARTED_HEADER, PlainAnswer, PlainClient, PlainRequest, RefusedSnafu,
+    DISPATCH_HEADER, EndpointBody, EndpointResponse, Framing, HeadNotice, LostSnafu,
+    NOT_STARTED_HEADER, NOTICE_HEADERS, PlainAnswer, PlainClient, PlainRequest, RefusedSnafu,
     StartError, break_cause,
 };
 use crate::exchange::AnswerHead;
@@ -55,7 +55,7 @@
                 return EndpointResponse::without_head(StartError::Lost { cause });
             }
         };
-        let head = HeadNotice::read(response.status(), response.headers(), &LEAVING_HEADER);
+        let head = HeadNotice::read(response.status(), response.headers(), &NOTICE_HEADERS);
         let framing = Framing::read(plain_request.method, response.status(), response.headers());
         let result = check_response(plain_request, response).map(|response| {
             let (parts, body) = response.into_parts();
--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -148,10 +148,13 @@
         let kind = self.dialect.classify(payload, status, response.headers());
         // Reported before anything else, whatever the answer means. A misdirected answer carries
         // another endpoint's notice, which is ignored.
-        let head = match kind {
+        let mut head = match kind {
             ResponseKind::Misdirected => HeadNotice::default(),
             _ => self.dialect.notice(status, response.headers()),
         };
+        if kind == ResponseKind::Foreign {
+            head.ignore_absent_headers();
+        }
         run.report_notice(&head).await;
         match kind {
             ResponseKind::NotRun => return run.report_not_run(false).await,
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -14,7 +14,7 @@
 use firdock_policy::buffers::CALLER_STALL;
 use firdock_policy::event::{BreakCause, DispatchUpdate, EndpointEvent};
 use firdock_policy::load::{Pace, PaceReport};
-use firdock_policy::notice::NoticeReport;
+use firdock_policy::notice::{LimitNotice, NoticeReport};
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
@@ -128,13 +128,17 @@
             self.report_malformed(LogKind::BadNotice, malformed.clone())
                 .await;
         }
-        if head.notice.is_empty() {
+        let mut notice = head.notice;
+        if notice.limit == LimitNotice::Unlimited {
+            notice.limit = LimitNotice::Unknown;
+        }
+        if notice.is_empty() {
             return;
         }
         let report = NoticeReport {
             endpoint: self.start.clone(),
             member: InstanceId::new(),
-            notice: head.notice,
+            notice,
             read: self.clock.now(),
         };
         let inputs = self.inputs.clone();
--- a/crates/firdock-node/src/placement/codec.rs
+++ b/crates/firdock-node/src/placement/codec.rs
@@ -238,6 +238,7 @@
     let notice = Notice {
         leaving: wire.leaving,
         backoff: backoff.map(|time| time.min(Notice::MAX_BACKOFF)),
+        ..Notice::default()
     };
     EndpointNotice {
         endpoint: wire.endpoint,
--- a/crates/firdock-node/src/placement/snapshot.rs
+++ b/crates/firdock-node/src/placement/snapshot.rs
@@ -108,6 +108,7 @@
     let notice = Notice {
         leaving: e.notices.leaving_since().is_some(),
         backoff: backoff.map(|b| b.until.saturating_sub(now)),
+        ..Notice::default()
     };
     (!notice.is_empty()).then(|| EndpointNotice {
         endpoint: e.start_id.clone(),
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -9,6 +9,7 @@
 use firdock_policy::action::Dispatch;
 use firdock_policy::event::{BreakCause, LivenessResult};
 use firdock_policy::notice::NoticeReport;
+use firdock_policy::rate::RequestRate;
 use firdock_policy::request::{Phase, RequestRow};
 use firdock_policy::table::Tables;
 use firdock_policy::table::endpoint::EndpointRow;
@@ -124,6 +125,7 @@
                 "source" => "answer",
                 "leaving" => report.notice.leaving,
                 "backoff_millis" => report.notice.backoff.map(millis),
+                "limit_per_second" => report.notice.limit.rate().map(RequestRate::per_second),
                 "age_millis" => millis(now.saturating_sub(report.read)),
             );
         }
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -80,6 +80,7 @@
     paces: Family<ByPool, Counter>,
     leaving_told: Family<ByPool, Counter>,
     backoffs_told: Family<ByPool, Counter>,
+    limits_told: Family<ByPool, Counter>,
     held_time: Histogram,
     total: Histogram,
     store_calls: Family<ByCall, Counter>,
@@ -139,6 +140,7 @@
             paces: Family::default(),
             leaving_told: Family::default(),
             backoffs_told: Family::default(),
+            limits_told: Family::default(),
             held_time: latency(),
             total: latency(),
             store_calls: Family::default(),
@@ -298,6 +300,7 @@
             let label = ByPool { pool: name.clone() };
             store(&self.leaving_told.get_or_create(&label), n.leaving);
             store(&self.backoffs_told.get_or_create(&label), n.backoffs);
+            store(&self.limits_told.get_or_create(&label), n.limits);
         }
         for (key, n) in &stats.refusals {
             let label = ByRefusal {
--- a/crates/firdock-node/src/telemetry/metrics/register.rs
+++ b/crates/firdock-node/src/telemetry/metrics/register.rs
@@ -153,6 +153,11 @@
             "Answers with which endpoints asked for a back-off, by pool",
             self.backoffs_told.clone(),
         );
+        r.register(
+            "limits_told",
+            "Answers with which endpoints named a rate limit, by pool",
+            self.limits_told.clone(),
+        );
     }
 
     /// Registers the metrics of endpoint restarts and of endpoint entries.
--- a/crates/firdock-node/tests/node/placement.rs
+++ b/crates/firdock-node/tests/node/placement.rs
@@ -485,6 +485,7 @@
         notice: Notice {
             leaving,
             backoff: backoff.map(millis),
+            ..Notice::default()
         },
     }
 }
--- a/crates/firdock-policy/src/lib.rs
+++ b/crates/firdock-policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod event;
 pub mod load;
 pub mod notice;
+pub mod rate;
 pub mod request;
 pub mod rollout;
 mod scheduler;
--- a/crates/firdock-policy/src/notice.rs
+++ b/crates/firdock-policy/src/notice.rs
@@ -1,11 +1,12 @@
-//! Notices that endpoints send with their answers: that they are leaving, or that they want no
-//! requests for a while (`docs/design/notices.md`).
+//! Notices that endpoints send with their answers: that they are leaving, that they want no requests
+//! for a while, or how many they take (`docs/design/notices.md`).
 
 use std::time::Duration;
 
 use firdock_core::{InstanceId, StartId};
 use serde::{Deserialize, Serialize};
 
+use crate::rate::RequestRate;
 use crate::time::Time;
 
 /// Notice in the head of an answer.
@@ -15,6 +16,39 @@
     pub leaving: bool,
     /// How long it wants no requests from the instance that it answered.
     pub backoff: Option<Duration>,
+    /// What it says about its rate limit.
+    #[serde(default, skip_serializing_if = "LimitNotice::is_unknown")]
+    pub limit: LimitNotice,
+}
+
+/// What an answer says about the rate limit of its endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LimitNotice {
+    /// Nothing: there is no answer, or its value is malformed.
+    #[default]
+    Unknown,
+    /// The endpoint has no limit.
+    Unlimited,
+    /// The endpoint takes this many requests from all instances together.
+    Limited(RequestRate),
+}
+
+impl LimitNotice {
+    /// Returns whether the answer says nothing about a limit.
+    #[must_use]
+    pub fn is_unknown(&self) -> bool {
+        *self == Self::Unknown
+    }
+
+    /// Returns the limit, if there is one.
+    #[must_use]
+    pub fn rate(self) -> Option<RequestRate> {
+        match self {
+            Self::Limited(rate) => Some(rate),
+            Self::Unknown | Self::Unlimited => None,
+        }
+    }
 }
 
 impl Notice {
@@ -27,7 +61,7 @@
     /// Returns whether the notice is empty.
     #[must_use]
     pub fn is_empty(self) -> bool {
-        !self.leaving && self.backoff.is_none()
+        !self.leaving && self.backoff.is_none() && self.limit.is_unknown()
     }
 }
 
--- a/crates/firdock-policy/src/stats.rs
+++ b/crates/firdock-policy/src/stats.rs
@@ -101,6 +101,8 @@
     pub leaving: u64,
     /// Answers that asked for a back-off.
     pub backoffs: u64,
+    /// Answers that named a rate limit.
+    pub limits: u64,
 }
 
 /// All counters.
--- a/crates/firdock-policy/src/system/notice.rs
+++ b/crates/firdock-policy/src/system/notice.rs
@@ -36,6 +36,7 @@
     let counts = t.stats.notices.entry(e.declared.pool.clone()).or_default();
     counts.leaving += u64::from(new.leaving);
     counts.backoffs += u64::from(report.notice.backoff.is_some());
+    counts.limits += u64::from(report.notice.limit.rate().is_some());
     if !new.is_empty() {
         withhold(t, at, out);
     }
--- a/crates/firdock-policy/src/table/notices.rs
+++ b/crates/firdock-policy/src/table/notices.rs
@@ -4,7 +4,7 @@
 
 use firdock_core::InstanceId;
 
-use crate::notice::{Notice, NoticeReport};
+use crate::notice::{LimitNotice, Notice, NoticeReport};
 use crate::time::Time;
 
 /// A period in which an endpoint wants no requests from one instance.
@@ -36,6 +36,7 @@
         let new = Notice {
             leaving: report.notice.leaving && self.leaving_since.is_none(),
             backoff: report.notice.backoff.filter(|_| self.extends(report)),
+            limit: LimitNotice::Unknown,
         };
         if new.leaving {
             self.leaving_since = Some(report.read);
--- a/crates/firdock-policy/tests/policy/simulation/message.rs
+++ b/crates/firdock-policy/tests/policy/simulation/message.rs
@@ -135,6 +135,7 @@
             notice: Notice {
                 leaving: fault == 6,
                 backoff: (fault == 5).then(|| millis(300)),
+                ..Notice::default()
             },
             read: self.now,
         };
