--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod liveness;
+mod permits;
 mod placement;
 mod send;
 
@@ -14,6 +15,7 @@
 
 use firdock_core::RequestId;
 use firdock_policy::event::{DispatchUpdate, EndpointEvent, HandOverEvent};
+use firdock_policy::table::Revision;
 use firdock_policy::{Action, Event, Policy as _, Scheduler, Time};
 use slog::{Logger, warn};
 use tokio::runtime::Handle;
@@ -90,6 +92,8 @@
     rollout_log: RolloutLog,
     shares: ShareLog,
     suspects: SuspectLog,
+    /// Revision of the rate limits of endpoints that was last published.
+    limits_revision: Revision,
     placement: Option<Placement>,
 }
 
@@ -142,6 +146,7 @@
             rollout_log,
             shares,
             suspects,
+            limits_revision: Revision::default(),
             placement: None,
         }
     }
@@ -193,6 +198,7 @@
                 self.drop_if_ended(id);
             }
             Input::Placement(input) => self.handle_placement(input),
+            Input::Permits(input) => self.handle_permits(input),
             Input::Malformed(kind, endpoint, value) => {
                 let now = self.parts.clock.now();
                 self.decisions
@@ -292,7 +298,7 @@
         self.ticks += 1;
         let now = self.parts.clock.now();
         let changed = self.rollout_log.record(now, self.scheduler.tables());
-        if changed | self.log_suspects(now) {
+        if changed | self.log_suspects(now) | self.limits_changed() {
             self.publish();
         }
         if self.ticks.is_multiple_of(TICKS_PER_PUBLICATION) {
@@ -324,6 +330,12 @@
         true
     }
 
+    /// Returns whether a rate limit of an endpoint began or ended since the last call.
+    fn limits_changed(&mut self) -> bool {
+        let revision = self.scheduler.tables().limits.revision;
+        std::mem::replace(&mut self.limits_revision, revision) != revision
+    }
+
     fn step(&mut self, event: Event) {
         let started = Instant::now();
         let now = self.parts.clock.now();
@@ -383,6 +395,8 @@
             }
             Action::Ask { id } => self.request_placement(id),
             Action::Decline(grant) => self.decline_placement(&grant),
+            Action::RequestPermits(requests) => self.request_permits(requests),
+            Action::GrantPermits { holder, grants } => self.deliver_grants(&holder, grants),
             Action::HandOver { id, peer, cause } => self.hand_over(id, peer, cause),
             Action::CancelHandOver { id, .. } => self.abort(id),
             Action::Answer { id, verdict } => self.answer(id, verdict),
--- a/crates/firdock-node/src/driver/placement.rs
+++ b/crates/firdock-node/src/driver/placement.rs
@@ -72,7 +72,7 @@
         }
     }
 
-    fn apply_all(&mut self, events: Vec<Event>) {
+    pub(super) fn apply_all(&mut self, events: Vec<Event>) {
         for event in events {
             self.apply(event);
         }
--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -205,6 +205,7 @@
             .with_mechanisms(Mechanisms::EDGE)
             .with_eject_after(EJECT_AFTER)
             .with_await_peers()
+            .with_shared_permits()
             .with_unix_zero(self.clock.unix_zero())
     }
 
@@ -252,6 +253,7 @@
             seeds: other_seeds(&self.settings),
             sums: Mutex::default(),
             partial_replies: Mutex::default(),
+            send_times: Mutex::default(),
             inputs: inputs.clone(),
             interval: self.settings.peers.heartbeat(),
             link_mbits: self.settings.instance.link_mbits,
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -129,7 +129,9 @@
                 .await;
         }
         let mut notice = head.notice;
-        if notice.limit == LimitNotice::Unlimited {
+        // Only a request that was sent under a limit can show that it ended: answers to earlier ones
+        // may arrive after those that named it.
+        if notice.limit == LimitNotice::Unlimited && !self.dispatch.limited {
             notice.limit = LimitNotice::Unknown;
         }
         if notice.is_empty() {
--- a/crates/firdock-node/src/endpoint/run_engine.rs
+++ b/crates/firdock-node/src/endpoint/run_engine.rs
@@ -111,7 +111,8 @@
                 }
             }
             Ok(None) => return forwarder.finish().await,
-            Err(StreamError::Broken) if attempts < MAX_RESUME_ATTEMPTS => {
+            // A resumed request counts towards the limit of an engine that has one.
+            Err(StreamError::Broken) if attempts < MAX_RESUME_ATTEMPTS && !run.dispatch.limited => {
                 attempts += 1;
                 tokio::time::sleep(RESUME_DELAY).await;
                 let from = run.delivered().tokens;
--- a/crates/firdock-node/src/input.rs
+++ b/crates/firdock-node/src/input.rs
@@ -8,6 +8,7 @@
 use firdock_policy::{Event, NewRequest};
 
 use crate::exchange::Exchange;
+use crate::permits::PermitInput;
 use crate::placement::PlacementInput;
 use crate::telemetry::LogKind;
 
@@ -21,6 +22,8 @@
     Arrived(NewRequest, Arc<Exchange>),
     /// A datagram of the placement protocol.
     Placement(PlacementInput),
+    /// A datagram with permits or requests for them.
+    Permits(PermitInput),
     /// A report of an endpoint that could not be parsed: kind of the log line, endpoint, start of the text.
     Malformed(LogKind, EndpointId, String),
     /// An event for the policy.
--- a/crates/firdock-node/src/lib.rs
+++ b/crates/firdock-node/src/lib.rs
@@ -18,6 +18,7 @@
 mod instance;
 pub mod operator;
 pub mod peer;
+pub mod permits;
 pub mod placement;
 pub mod platform;
 mod site;
--- a/crates/firdock-node/src/peer.rs
+++ b/crates/firdock-node/src/peer.rs
@@ -11,10 +11,12 @@
 mod hand_over;
 mod heartbeat;
 mod keys;
+mod limits;
 mod link;
 mod parts;
 mod reads;
 mod rollouts;
+mod send_times;
 mod serve;
 mod sharing;
 mod state;
@@ -31,11 +33,13 @@
 pub use hand_over::{HandOverOrder, hand_over, read_reason};
 pub use heartbeat::{SelfStatus, run_heartbeats};
 pub use keys::transfer_keys;
+pub use limits::{read_limits, write_limits};
 pub use link::{Link, LinkError};
 pub use parts::{
     InvalidPart, MissingParts, PART_BYTES, PartialReplies, StateId, count_parts, state_part,
 };
 pub use reads::{DueReads, MergeOutcome, ReadReason, ReadState, SharedReads};
+pub use send_times::SendTimes;
 pub use serve::{PeerServer, serve_peers};
 pub use sharing::{PeerProcess, StateQuery, StateReply, StoreSnapshot};
 pub use state::fetch_state;
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -20,7 +20,7 @@
 use firdock_core::Offset;
 use firdock_policy::event::{AccountWork, Member, PoolDemand};
 use firdock_policy::rollout::{Evidence, Stage};
-use firdock_policy::table::suspects::Revision;
+use firdock_policy::table::Revision;
 use firdock_policy::usage::UseAggregator;
 use firdock_policy::{Event, Time};
 use firdock_wire::PROTOCOL;
@@ -40,9 +40,10 @@
 use super::parts::PartialReplies;
 use super::reads::SharedReads;
 use super::rollouts::{write_evidence, write_statuses};
+use super::send_times::SendTimes;
 use super::sharing::records_body;
 use super::topic::TopicRecords;
-use crate::clock::Clock;
+use crate::clock::{Clock, millis};
 use crate::input::Input;
 
 /// Maximum size of a received datagram.
@@ -107,6 +108,8 @@
     pub sums: Mutex<UseAggregator>,
     /// Replies that were received in part.
     pub partial_replies: Mutex<PartialReplies>,
+    /// Estimates of when peers sent their beacons.
+    pub send_times: Mutex<SendTimes>,
     /// Queue of inputs to the scheduler.
     pub inputs: mpsc::Sender<Input>,
     /// Interval between two beacons.
@@ -170,7 +173,8 @@
                     self.send_next_reply(&mut replies).await;
                 }
                 Some(new) = wait_for_urgent_change(&mut self_status, &urgent) => {
-                    let own = new.suspected.own != urgent.suspected.own;
+                    let own = new.suspected.own != urgent.suspected.own
+                        || new.limits.own != urgent.limits.own;
                     urgent = new;
                     self.send_state_change(own).await;
                 }
@@ -238,8 +242,8 @@
         Some(decides)
     }
 
-    /// Sends beacons after a roll-out changed its stage or an endpoint exited during a request, if
-    /// this instance observed that itself or reports for its group. Peers that have not learned of
+    /// Sends beacons after a roll-out changed its stage, an endpoint exited during a request, or an
+    /// endpoint's rate limit began or ended, if this instance observed that itself or reports for its group. Peers that have not learned of
     /// it yet would still dispatch to a bad version, or dispatch such a request again.
     async fn send_state_change(&self, own: bool) {
         if own || self.directory.is_reporter(self.clock.now()) {
@@ -247,6 +251,12 @@
         }
     }
 
+    fn send_times(&self) -> MutexGuard<'_, SendTimes> {
+        self.send_times
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn partial_replies(&self) -> MutexGuard<'_, PartialReplies> {
         self.partial_replies
             .lock()
@@ -342,6 +352,7 @@
             rollout_seen: write_evidence(&self_status.rollouts.own),
             group_rollout_seen: write_evidence(&totals.group_evidence),
             group_work: write_work(&totals.group_work),
+            sent_at: millis(now),
             ..Beacon::default()
         };
         use_report.write(&mut beacon);
@@ -399,6 +410,8 @@
     stages: Vec<(Offset, Stage)>,
     /// Revision of the requests during which endpoints exited.
     suspected: Revision,
+    /// Revision of the rate limits of endpoints.
+    limits: Revision,
 }
 
 impl UrgentState {
@@ -406,6 +419,7 @@
         Self {
             stages: self_status.stages(),
             suspected: self_status.suspected,
+            limits: self_status.limits_revision,
         }
     }
 }
--- a/crates/firdock-node/src/peer/beacon/receive.rs
+++ b/crates/firdock-node/src/peer/beacon/receive.rs
@@ -21,6 +21,7 @@
 use crate::peer::reads::ReadState;
 use crate::peer::rollouts::{read_evidence, read_statuses};
 use crate::peer::sharing::{PeerProcess, StateQuery, StateReply, read_records};
+use crate::permits::{read_grants, read_requests};
 use crate::placement::{PlacementInput, read_reply, read_report};
 
 impl BeaconService {
@@ -55,6 +56,13 @@
                 let reply = PlacementInput::Reply(read_reply(message));
                 self.send_input(Input::Placement(reply)).await;
             }
+            Some(datagram::Body::PermitRequests(message)) => match read_requests(message, from) {
+                Some(requests) => self.send_input(Input::Permits(requests)).await,
+                None => self.log_malformed("requests for permits", from),
+            },
+            Some(datagram::Body::PermitGrants(message)) => {
+                self.send_input(Input::Permits(read_grants(message))).await;
+            }
             None => warn!(self.log, "dropped an invalid datagram"; "from" => from.to_string()),
         }
         None
@@ -150,8 +158,11 @@
         let zone = beacon.heartbeat.as_ref().map_or("", |b| &b.zone);
         self.handle_group_totals(&beacon, zone, now).await;
         let heartbeat = beacon.heartbeat.unwrap_or_default();
-        let mut update = read_status(&beacon.instance, heartbeat);
-        update.incarnation = read_incarnation(&beacon.incarnation);
+        let incarnation = read_incarnation(&beacon.incarnation);
+        let sender = (&beacon.instance, incarnation);
+        let sent = self.send_times().estimate(now, sender, beacon.sent_at);
+        let mut update = read_status(&beacon.instance, heartbeat, sent);
+        update.incarnation = incarnation;
         if let Some(reads) = beacon.reads {
             self.handle_read_state(&update, read_reads(reads), from)
                 .await;
--- a/crates/firdock-node/src/peer/directory/group.rs
+++ b/crates/firdock-node/src/peer/directory/group.rs
@@ -10,7 +10,7 @@
 use std::sync::{MutexGuard, PoisonError};
 use std::time::Duration;
 
-use firdock_core::{InstanceId, ZoneId};
+use firdock_core::{InstanceId, ZoneId, rendezvous};
 use firdock_policy::Time;
 use firdock_policy::event::PoolDemand;
 use firdock_policy::table::SINGLE_GROUP_LIMIT;
@@ -245,6 +245,45 @@
         Some((known_peer(first), before))
     }
 
+    /// Returns the instance that grants the permits of an endpoint or knows who does; `None` if this
+    /// instance grants them. A stopping instance leaves that to the others, if there are any.
+    ///
+    /// All instances of a single group select alike from those that are present. In a larger site
+    /// the first instance of each group does, and the others ask that of their own group.
+    #[must_use]
+    pub fn permit_grantor(
+        &self,
+        now: Time,
+        endpoint: &str,
+        is_draining: bool,
+    ) -> Option<PeerRecord> {
+        let entries = self.lock();
+        let single_group = self.is_single_group_of(&entries);
+        let mut candidates: BTreeMap<&str, Option<(&InstanceId, &Entry)>> = BTreeMap::new();
+        if single_group {
+            let others = present(&entries, now);
+            candidates.extend(others.map(|peer| (peer.0.as_str(), Some(peer))));
+        } else {
+            let own_group = self.present_in_zone(&entries, now);
+            let first = own_group.min_by(|a, b| lead_priority(a).cmp(&lead_priority(b)));
+            if let Some(lead) = first
+                && (is_draining || lead_priority(&lead) < self.lead_priority())
+            {
+                return Some(known_peer(lead));
+            }
+            let others = present(&entries, now).filter(|(_, e)| e.zone != self.zone);
+            let leads = first_of_zones(others, 1);
+            let present = entries.iter().filter(|(name, _)| leads.contains(*name));
+            candidates.extend(present.map(|peer| (peer.0.as_str(), Some(peer))));
+        }
+        if !is_draining || candidates.is_empty() {
+            candidates.insert(&self.own_name, None);
+        }
+        let key = rendezvous::hash_key(endpoint.as_bytes());
+        let grantor = rendezvous::owner(key, candidates.keys().copied())?;
+        candidates.get(grantor).copied().flatten().map(known_peer)
+    }
+
     /// Returns the instances that this one queries for large content at start, nearest first: its
     /// ancestors in the tree of its zone, which is built in the order of lead priority. The first
     /// instance of a zone has none.
--- a/crates/firdock-node/src/peer/heartbeat.rs
+++ b/crates/firdock-node/src/peer/heartbeat.rs
@@ -6,11 +6,11 @@
 
 use firdock_core::{InstanceId, Offset, ZoneId};
 use firdock_policy::event::{AccountUse, AccountWork, PeerUpdate, PoolDemand};
+use firdock_policy::permit::LimitReport;
 use firdock_policy::rollout::{RolloutReport, Stage};
 use firdock_policy::suspect::SuspectReport;
-use firdock_policy::table::Tables;
-use firdock_policy::table::suspects::Revision;
-use firdock_policy::{Time, limit_usage, pool_demand, rollout_report};
+use firdock_policy::table::{Revision, Tables};
+use firdock_policy::{Time, limit_reports, limit_usage, pool_demand, rollout_report};
 use firdock_wire::Body;
 use firdock_wire::message::{self, Heartbeat};
 use slog::{Logger, debug};
@@ -20,6 +20,7 @@
 
 use super::HANDSHAKE_TIME;
 use super::dial::Dialer;
+use super::limits::{read_limits, write_limits};
 use super::suspects::{MAX_SUSPECTS, read_suspects, write_suspects};
 use crate::backoff::Backoff;
 use crate::clock::Clock;
@@ -47,6 +48,10 @@
     pub(super) demand: Vec<PoolDemand>,
     pub(super) draining: bool,
     leaving: Vec<String>,
+    /// Rate limits of endpoints.
+    limits: Vec<LimitReport>,
+    /// Revision of these limits. Their beginnings and ends are sent at once.
+    pub(super) limits_revision: Revision,
     version: u64,
     /// Use of account limits admitted by this instance.
     pub(super) used: Vec<AccountUse>,
@@ -94,6 +99,8 @@
                 .take(MAX_LEAVING)
                 .map(|e| e.start_id.clone())
                 .collect(),
+            limits: limit_reports(t, now),
+            limits_revision: t.limits.revision,
             version: t.version,
             used: limit_usage(t, now),
             rollouts: rollout_report(t, now),
@@ -162,6 +169,7 @@
             version: self.version,
             log_next,
             suspects: write_suspects(&self.suspects, age),
+            limits: write_limits(&self.limits, now),
         }
     }
 }
@@ -224,9 +232,9 @@
         .collect()
 }
 
-/// Decodes a peer's status, truncated to fixed limits.
+/// Decodes a peer's status that was sent at `sent`, truncated to fixed limits.
 #[must_use]
-pub fn read_status(name: &str, heartbeat: Heartbeat) -> PeerUpdate {
+pub fn read_status(name: &str, heartbeat: Heartbeat, sent: Time) -> PeerUpdate {
     PeerUpdate {
         name: name.to_owned(),
         zone: heartbeat.zone,
@@ -235,6 +243,7 @@
         draining: heartbeat.draining,
         leaving: heartbeat.leaving.into_iter().take(MAX_LEAVING).collect(),
         suspects: read_suspects(heartbeat.suspects),
+        limits: read_limits(heartbeat.limits, sent),
         ..PeerUpdate::default()
     }
 }
--- a/crates/firdock-node/src/peer/serve.rs
+++ b/crates/firdock-node/src/peer/serve.rs
@@ -118,7 +118,7 @@
         let mut next = Some(Body::Heartbeat(first));
         while let Some(Body::Heartbeat(heartbeat)) = next {
             self.record_status(&link.peer, &heartbeat);
-            let update = read_status(&link.peer, heartbeat);
+            let update = read_status(&link.peer, heartbeat, self.clock.now());
             if self
                 .inputs
                 .send(Input::Event(Event::Peer(update)))
--- a/crates/firdock-node/src/placement.rs
+++ b/crates/firdock-node/src/placement.rs
@@ -24,10 +24,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use firdock_core::RequestId;
+use firdock_core::{InstanceId, RequestId};
 use firdock_policy::event::{AccountWork, EndpointEvent, Grant};
 use firdock_policy::load::PaceReport;
 use firdock_policy::notice::NoticeReport;
+use firdock_policy::permit::{PermitGrant, PermitHolder, PermitRequest};
 use firdock_policy::table::Tables;
 use firdock_policy::{Event, Scheduler, Time, work_report};
 use firdock_wire::message::datagram;
@@ -35,6 +36,7 @@
 use tokio::net::UdpSocket;
 
 use crate::peer::seal;
+use crate::permits::{PermitInput, PermitRouter};
 
 /// Datagram link to the other instances.
 #[derive(Debug, Clone)]
@@ -52,10 +54,10 @@
     }
 
     /// Sends without waiting. Lost datagrams are made up for by the next full report.
-    fn send(&self, body: datagram::Body, address: SocketAddr) {
+    pub(crate) fn send(&self, body: datagram::Body, address: SocketAddr) {
         let sealed = seal(&self.key, body);
         if let Err(e) = self.socket.try_send_to(&sealed, address) {
-            debug!(self.log, "placement datagram not sent"; "to" => address.to_string(), "error" => e.to_string());
+            debug!(self.log, "datagram not sent"; "to" => address.to_string(), "error" => e.to_string());
         }
     }
 }
@@ -74,6 +76,7 @@
 pub struct Placement {
     member: Membership,
     coordinator: Coordinator,
+    permits: PermitRouter,
     link: DatagramLink,
 }
 
@@ -82,8 +85,9 @@
     #[must_use]
     pub fn new(member: Membership, scheduler: Scheduler, link: DatagramLink) -> Self {
         Self {
-            member,
             coordinator: Coordinator::new(scheduler),
+            permits: member.permit_router(link.clone()),
+            member,
             link,
         }
     }
@@ -114,6 +118,69 @@
         }
     }
 
+    /// Handles a permit datagram and returns the events for this instance's own scheduler.
+    pub fn handle_permits(&mut self, now: Time, input: PermitInput) -> Vec<Event> {
+        match input {
+            PermitInput::Requests(message) => {
+                let holder = message.holder.clone();
+                let own = self.permits.receive_requests(now, message);
+                requested(holder, own)
+            }
+            PermitInput::Grants {
+                coordinates,
+                grants,
+            } => self.apply_grants(now, coordinates, grants),
+        }
+    }
+
+    /// Sends requests of this instance's own scheduler for permits. Returns the event with those
+    /// that it grants itself.
+    pub fn request_permits(&mut self, now: Time, requests: Vec<PermitRequest>) -> Vec<Event> {
+        self.route_requests(now, false, requests)
+    }
+
+    /// Passes on permits that this instance granted, and returns the events for its own scheduler.
+    pub fn deliver_grants(
+        &mut self,
+        now: Time,
+        holder: &PermitHolder,
+        grants: Vec<PermitGrant>,
+    ) -> Vec<Event> {
+        if holder.instance.is_empty() {
+            return self.apply_grants(now, holder.coordinates, grants);
+        }
+        self.permits.send_grants(holder, &grants);
+        Vec::new()
+    }
+
+    fn apply_grants(
+        &mut self,
+        now: Time,
+        coordinates: bool,
+        grants: Vec<PermitGrant>,
+    ) -> Vec<Event> {
+        let granted = Event::PermitsGranted(grants);
+        if !coordinates {
+            return vec![granted];
+        }
+        self.coordinator.observe(now, granted);
+        self.send_replies()
+    }
+
+    fn route_requests(
+        &mut self,
+        now: Time,
+        coordinates: bool,
+        requests: Vec<PermitRequest>,
+    ) -> Vec<Event> {
+        let own = self.permits.send_requests(now, coordinates, requests);
+        let holder = PermitHolder {
+            instance: InstanceId::new(),
+            coordinates,
+        };
+        requested(holder, own)
+    }
+
     /// Returns the coordinator's tables.
     #[must_use]
     pub fn tables(&self) -> &Tables {
@@ -169,7 +236,10 @@
     pub fn tick(&mut self, now: Time, t: &Tables) -> Vec<Event> {
         self.coordinator.sync_tables(now, t);
         self.coordinator.tick(now);
+        self.permits.set_draining(t.draining);
         let mut events = self.member.select_coordinator(now, t.draining);
+        let requests = self.coordinator.take_permit_requests();
+        events.extend(self.route_requests(now, true, requests));
         if let Some(report) = self.member.report_full(now, t) {
             events.extend(self.deliver(now, report));
         }
@@ -210,3 +280,11 @@
         events
     }
 }
+
+/// Returns the event with requests for permits that this instance grants, if there are any.
+fn requested(holder: PermitHolder, requests: Vec<PermitRequest>) -> Vec<Event> {
+    if requests.is_empty() {
+        return Vec::new();
+    }
+    vec![Event::PermitsRequested(holder, requests)]
+}
--- a/crates/firdock-node/src/placement/codec.rs
+++ b/crates/firdock-node/src/placement/codec.rs
@@ -111,6 +111,7 @@
         attempt: p.attempt,
         endpoint: p.endpoint.clone(),
         predicted_millis: millis(p.predicted),
+        permitted: p.permitted,
     };
     let refusal = |r: &Refusal| message::PlacementRefusal {
         request_id: write_id(r.id),
@@ -135,6 +136,7 @@
             attempt: p.attempt,
             endpoint: p.endpoint,
             predicted: Duration::from_millis(p.predicted_millis),
+            permitted: p.permitted,
         })
     };
     let refusal = |r: message::PlacementRefusal| {
--- a/crates/firdock-node/src/placement/coordinator.rs
+++ b/crates/firdock-node/src/placement/coordinator.rs
@@ -9,12 +9,12 @@
 
 use firdock_core::{InstanceId, RequestId};
 use firdock_policy::action::Dispatch;
+use firdock_policy::permit::PermitRequest;
 use firdock_policy::request::RequestRow;
-use firdock_policy::table::Tables;
 use firdock_policy::table::endpoint::EndpointRow;
 use firdock_policy::table::rollout::RolloutRow;
-use firdock_policy::table::suspects::Revision;
-use firdock_policy::{Action, Event, Policy as _, Scheduler, Time, Verdict};
+use firdock_policy::table::{Revision, Tables};
+use firdock_policy::{Action, Event, Policy as _, Scheduler, Time, Verdict, limit_reports};
 use uuid::Uuid;
 
 use crate::clock::millis;
@@ -27,7 +27,9 @@
 /// An assignment younger than this may not have reached its member yet, so its absence from a
 /// report is ignored. It is longer than the time between two reports.
 const IN_FLIGHT_TIME: Duration = Duration::from_millis(400);
-
+/// Interval at which the values of endpoints' rate limits are copied: that of heartbeats, which
+/// report them.
+const LIMITS_COPY_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval of the timer systems while no member reports, so that state of silent peers still
 /// expires.
 const IDLE_TIMER_INTERVAL: Duration = Duration::from_secs(1);
@@ -104,6 +106,11 @@
     config: Option<Event>,
     /// Revision of this instance's suspects that was last copied.
     suspects_revision: Revision,
+    /// Revision of the rate limits of endpoints that was last copied.
+    limits_revision: Revision,
+    limits_copied_at: Time,
+    /// Requests for permits that were not sent yet.
+    permit_requests: Vec<PermitRequest>,
 }
 
 impl Coordinator {
@@ -118,6 +125,9 @@
             timers_ran_at: Time::ZERO,
             config: None,
             suspects_revision: Revision::default(),
+            limits_revision: Revision::default(),
+            limits_copied_at: Time::ZERO,
+            permit_requests: Vec::new(),
         }
     }
 
@@ -130,6 +140,10 @@
             Event::Config(_) if self.members.is_empty() => self.config = Some(event),
             // Dropped: the next heartbeat brings another one.
             Event::ConfigConfirmed(_) if self.members.is_empty() => {}
+            Event::Config(_) => {
+                self.step(now, event);
+                self.limits_revision = Revision::default();
+            }
             event => self.step(now, event),
         }
     }
@@ -138,6 +152,7 @@
     /// from all peers.
     pub fn sync_tables(&mut self, now: Time, own: &Tables) {
         self.sync_suspects(now, own);
+        self.sync_limits(now, own);
         for row in own.rollouts.rows.values() {
             let known = self.scheduler.tables().rollouts.of(&row.declared.pool);
             if known.is_some_and(|k| k.stage < row.stage || !same_ratio(k, row)) {
@@ -154,11 +169,29 @@
         }
     }
 
+    /// Copies the rate limits of endpoints: their beginnings and ends at once, changed values soon
+    /// after.
+    fn sync_limits(&mut self, now: Time, own: &Tables) {
+        let revision = own.limits.revision;
+        let changed = std::mem::replace(&mut self.limits_revision, revision) != revision;
+        let due = own.limits.named && self.limits_copied_at + LIMITS_COPY_INTERVAL <= now;
+        if changed || due {
+            self.limits_copied_at = now;
+            self.step(now, Event::LimitsReported(limit_reports(own, now)));
+        }
+    }
+
+    /// Takes the requests for permits that are to be sent.
+    pub fn take_permit_requests(&mut self) -> Vec<PermitRequest> {
+        std::mem::take(&mut self.permit_requests)
+    }
+
     /// Handles a member's report. `address` is where the reply goes; `None` stands for this
     /// instance.
     pub fn handle_report(&mut self, now: Time, report: Report, address: Option<SocketAddr>) {
         if let Some(config) = self.config.take() {
             self.step(now, config);
+            self.limits_revision = Revision::default();
         }
         self.register_member(now, &report, address);
         let name = report.instance;
@@ -254,6 +287,7 @@
         match action {
             Action::Dispatch(dispatch) => self.assign(now, &dispatch),
             Action::Answer { id, verdict } => self.refuse(id, verdict),
+            Action::RequestPermits(requests) => self.permit_requests.extend(requests),
             _ => {}
         }
     }
@@ -274,6 +308,7 @@
             attempt: owner.attempt,
             endpoint,
             predicted: predicted.unwrap_or_default(),
+            permitted: dispatch.limited,
         };
         if let Some(member) = self.members.get_mut(&owner.member) {
             member.reply().assignments.push(assignment);
--- a/crates/firdock-node/src/placement/coordinator/apply_report.rs
+++ b/crates/firdock-node/src/placement/coordinator/apply_report.rs
@@ -131,6 +131,7 @@
             attempt,
             endpoint,
             predicted: predicted(row),
+            permitted: row.permit.is_some(),
         };
         if let Some(member) = self.members.get_mut(name) {
             member.reply().assignments.push(assignment);
--- a/crates/firdock-node/src/placement/member.rs
+++ b/crates/firdock-node/src/placement/member.rs
@@ -14,6 +14,7 @@
 use firdock_policy::{Event, Time, Verdict};
 use slog::{Logger, info};
 
+use super::DatagramLink;
 use super::report::{
     Assignment, EndpointNotice, EndpointPace, PlacementRequest, Progress, ProgressUpdate, Refusal,
     Reply, Report,
@@ -23,6 +24,7 @@
     placement_request, progress, running_request,
 };
 use crate::peer::PeerDirectory;
+use crate::permits::PermitRouter;
 
 /// Interval between two full reports.
 const FULL_REPORT_INTERVAL: Duration = Duration::from_millis(200);
@@ -96,6 +98,12 @@
         &self.me.name
     }
 
+    /// Creates the router for permits of this instance.
+    #[must_use]
+    pub fn permit_router(&self, link: DatagramLink) -> PermitRouter {
+        PermitRouter::new(self.me.name.clone(), Arc::clone(&self.directory), link)
+    }
+
     /// Returns the coordinator's address, or `None` if it is this instance.
     #[must_use]
     pub fn address(&self) -> Option<SocketAddr> {
@@ -353,6 +361,7 @@
         id: assignment.id,
         endpoint: assignment.endpoint,
         predicted: assignment.predicted,
+        permitted: assignment.permitted,
     })
 }
 
--- a/crates/firdock-node/src/placement/report.rs
+++ b/crates/firdock-node/src/placement/report.rs
@@ -111,6 +111,8 @@
     pub endpoint: EndpointId,
     /// Predicted time to the first token.
     pub predicted: Duration,
+    /// Whether the coordinator used a permit for it, because the engine has a rate limit.
+    pub permitted: bool,
 }
 
 /// Notice that a request cannot be placed in time.
--- a/crates/firdock-node/src/telemetry/endpoints.rs
+++ b/crates/firdock-node/src/telemetry/endpoints.rs
@@ -5,6 +5,7 @@
 
 use firdock_core::{EndpointId, PoolId, ServiceId, rendezvous};
 use firdock_policy::Time;
+use firdock_policy::rate::RequestRate;
 use firdock_policy::table::Tables;
 use firdock_policy::table::endpoint::{EndpointRow, LeavingSource, UnavailableReason};
 use serde::Serialize;
@@ -18,7 +19,7 @@
 /// Status of one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub struct EndpointStatus {
-    /// `usable`, `leaving`, `backing off` or `ejected`.
+    /// `usable`, `leaving`, `backing off`, `rate limited` or `ejected`.
     pub state: &'static str,
     /// Source of the report that the endpoint is leaving or backing off.
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -59,6 +60,7 @@
                 status.left_millis = Some(millis(until.saturating_sub(now)));
             }
             _ if !e.is_healthy() => status.state = "ejected",
+            _ if e.limit.rate().is_some() => status.state = "rate limited",
             _ => {}
         }
         status
@@ -113,8 +115,8 @@
     }
 }
 
-/// Lists the endpoints of a service that this instance skips because they leave or asked for a back-off,
-/// with the cause; returns `None` if there are none.
+/// Lists the endpoints of a service that this instance skips because they leave, asked for a back-off or
+/// named a rate limit, with the cause; returns `None` if there are none.
 #[must_use]
 pub fn unavailable_endpoints(now: Time, t: &Tables, service: &ServiceId) -> Option<String> {
     let at = t.services.find(service)?;
@@ -126,6 +128,10 @@
             Err(UnavailableReason::BackingOff(until)) => {
                 format!("backing off {} ms", millis(until.saturating_sub(now)))
             }
+            Err(UnavailableReason::RateLimited) => {
+                let rate = e.limit.rate().map_or(0.0, RequestRate::per_second);
+                format!("rate limited to {rate} per second")
+            }
             _ => return None,
         };
         Some(format!("{}: {why}", e.declared.name))
--- a/crates/firdock-node/tests/node/test_instance.rs
+++ b/crates/firdock-node/tests/node/test_instance.rs
@@ -45,6 +45,7 @@
             seeds,
             sums: Mutex::default(),
             partial_replies: Mutex::default(),
+            send_times: Mutex::default(),
             inputs,
             interval: Duration::from_millis(20),
             link_mbits: 0.0,
--- a/crates/firdock-policy/src/action.rs
+++ b/crates/firdock-policy/src/action.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::event::{Grant, KeyTransfer};
+use crate::permit::{PermitGrant, PermitHolder, PermitRequest};
 use crate::request::Verdict;
 use crate::rollout::RolloutRecord;
 use crate::suspect::SuspectReport;
@@ -53,6 +54,15 @@
     },
     /// Return an unused placement to the coordinator.
     Decline(Grant),
+    /// Request permits for endpoints with rate limits.
+    RequestPermits(Vec<PermitRequest>),
+    /// Grant permits for endpoints with rate limits.
+    GrantPermits {
+        /// Who requested them.
+        holder: PermitHolder,
+        /// Response to each request.
+        grants: Vec<PermitGrant>,
+    },
     /// Hand the request over to a peer.
     HandOver {
         /// Request.
@@ -143,6 +153,17 @@
     /// Deadline of the request.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub deadline: Option<Time>,
+    /// Whether the endpoint has a rate limit, which an answer that names none ends.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub limited: bool,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde calls it with a reference"
+)]
+pub(crate) fn is_false(value: &bool) -> bool {
+    !*value
 }
 
 /// Why a request is handed over.
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -10,8 +10,10 @@
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
+use crate::action::is_false;
 use crate::load::PaceReport;
 use crate::notice::NoticeReport;
+use crate::permit::{LimitReport, PermitGrant, PermitHolder, PermitRequest};
 use crate::request::{NewRequest, Verdict};
 use crate::rollout::{Evidence, RolloutRecord, RolloutStatus};
 use crate::suspect::SuspectReport;
@@ -44,6 +46,12 @@
     /// An endpoint announced with an answer that it is leaving, or asked for a back-off.
     #[serde(rename = "noticed")]
     NoticeReported(NoticeReport),
+    /// The rate limits of endpoints that this instance's own scheduler knows, for its coordinator.
+    LimitsReported(Vec<LimitReport>),
+    /// A scheduler requests permits for endpoints that this instance grants them for.
+    PermitsRequested(PermitHolder, Vec<PermitRequest>),
+    /// Permits were granted.
+    PermitsGranted(Vec<PermitGrant>),
     /// An endpoint reported its load and cache.
     Report(LoadReport),
     /// An endpoint's report could not be read.
@@ -119,6 +127,9 @@
     /// the instance that asked. Zero if it was not reported.
     #[serde(default, skip_serializing_if = "Time::is_zero")]
     pub predicted: Time,
+    /// Whether the coordinator used a permit for it, because the engine has a rate limit.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub permitted: bool,
 }
 
 /// One start of an instance, distinct from earlier starts under the same name.
@@ -176,6 +187,9 @@
     pub draining: bool,
     /// Starts of endpoints that it knows to be leaving.
     pub leaving: Vec<StartId>,
+    /// Rate limits of endpoints that it knows.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitReport>,
     /// Start of the peer's process; totals do not continue across starts.
     #[serde(default, skip_serializing_if = "Uuid::is_nil")]
     pub incarnation: Uuid,
--- a/crates/firdock-policy/src/lib.rs
+++ b/crates/firdock-policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod event;
 pub mod load;
 pub mod notice;
+pub mod permit;
 pub mod rate;
 pub mod request;
 pub mod rollout;
@@ -25,7 +26,7 @@
 };
 pub use system::{
     demand::by_pool as pool_demand, fair_share::work_report, limit::usage as limit_usage,
-    rollout::report as rollout_report,
+    permit::reports as limit_reports, rollout::report as rollout_report,
 };
 pub mod table;
 pub mod time;
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -182,6 +182,9 @@
     pub dispatched: Time,
     /// When the first token or byte arrived.
     pub first: Option<Time>,
+    /// When the permit of the present dispatch expires, if its endpoint has a rate limit and this
+    /// scheduler chose it.
+    pub permit: Option<Time>,
     /// Estimated prompt tokens that the present dispatch has to compute.
     pub uncached: u32,
     /// Estimated prompt tokens that its endpoint computes before its first token.
@@ -271,6 +274,7 @@
             delivered_part: DeliveredPart::Nothing,
             dispatched: Time::ZERO,
             first: None,
+            permit: None,
             uncached: 0,
             work: 0.0,
             charged_work: 0.0,
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -6,7 +6,7 @@
 use crate::system::{
     admit, backoff, budget, config, coordinate, demand, dispatch_updates, drain, early_refusal,
     expire, fair_share, handover, health, invariants, key, limit, liveness, notice, pace_reports,
-    place, rollout, shed, suspect,
+    permit, place, rollout, shed, suspect,
 };
 use crate::table::{ReachableInstances, Tables};
 use crate::time::Time;
@@ -56,6 +56,11 @@
             Event::LivenessChecked(result) => liveness::handle_result(t, now, &result, out),
             Event::PaceReported(report) => pace_reports::record(t, &report),
             Event::NoticeReported(report) => notice::record(t, &report, out),
+            Event::LimitsReported(reports) => permit::copy_reports(t, &reports),
+            Event::PermitsRequested(holder, requests) => {
+                permit::grant(t, now, holder, &requests, out);
+            }
+            Event::PermitsGranted(grants) => permit::apply_grants(t, now, &grants),
             Event::Report(report) => health::record_report(t, now, &report),
             Event::ReportMissed(name) => health::record_missed_report(t, now, &name),
             Event::Config(catalog) => config::apply(t, now, &catalog, out),
@@ -98,6 +103,7 @@
                 fair_share::update_levels(t, now);
                 early_refusal::run(t, now, out);
                 rollout::run(t, now, out);
+                permit::request(t, now, out);
             }
         }
     }
--- a/crates/firdock-policy/src/settings.rs
+++ b/crates/firdock-policy/src/settings.rs
@@ -129,6 +129,9 @@
     pub eject_ratio: f64,
     /// Whether account limits wait until the number of other instances is known.
     pub await_peers: bool,
+    /// Whether the instances of the site request permits for endpoints with rate limits from each
+    /// other; otherwise each one grants itself an even part of a limit.
+    pub shares_permits: bool,
     /// Consecutive broken dispatches after which an endpoint is ejected.
     pub eject_after: u32,
     /// Age of the configuration above which requests with a key are refused.
@@ -171,6 +174,7 @@
             retry_slack: Some(settings.endpoints.retry_slack).filter(|slack| *slack > 0.0),
             eject_ratio: settings.endpoints.eject_ratio,
             await_peers: false,
+            shares_permits: false,
             eject_after: 1,
             max_config_age: settings.freshness.serve(),
             peer_stale_after: settings.peers.stale_after(),
@@ -201,6 +205,13 @@
         self
     }
 
+    /// Makes the instances of the site share the permits for endpoints with rate limits.
+    #[must_use]
+    pub fn with_shared_permits(mut self) -> Self {
+        self.shares_permits = true;
+        self
+    }
+
     /// Sets the Unix time at zero of this process's clock.
     #[must_use]
     pub fn with_unix_zero(mut self, zero: Duration) -> Self {
--- a/crates/firdock-policy/src/system.rs
+++ b/crates/firdock-policy/src/system.rs
@@ -22,6 +22,7 @@
 pub mod liveness;
 pub mod notice;
 pub mod pace_reports;
+pub mod permit;
 pub mod place;
 pub mod restart;
 pub mod rollout;
--- a/crates/firdock-policy/src/system/backoff.rs
+++ b/crates/firdock-policy/src/system/backoff.rs
@@ -70,7 +70,12 @@
                 first = Some(first.map_or(until, |known| known.min(until)));
             }
             Err(UnavailableReason::Absent | UnavailableReason::Leaving) => {}
-            Ok(()) | Err(UnavailableReason::Ejected | UnavailableReason::Probing) => return None,
+            Ok(())
+            | Err(
+                UnavailableReason::RateLimited
+                | UnavailableReason::Ejected
+                | UnavailableReason::Probing,
+            ) => return None,
         }
     }
     first
--- a/crates/firdock-policy/src/system/coordinate.rs
+++ b/crates/firdock-policy/src/system/coordinate.rs
@@ -70,11 +70,11 @@
         out.push(Action::Decline(grant.clone()));
         return;
     }
-    let usable = endpoint.filter(|at| may_use(t, now, row, *at));
+    let usable = endpoint.filter(|at| may_use(t, now, row, *at, grant.permitted));
     let busy = suspect::gate(t, row) == Gate::DuplicateRunning;
     if let Some(at) = usable.filter(|_| row.phase == Phase::Held && !busy) {
         if place::ensure_sendable(t, now, grant.id, out) {
-            place::send_to(t, now, grant.id, (at, grant.predicted), out);
+            place::send_to(t, now, grant.id, (at, grant), out);
             return;
         }
     } else {
@@ -102,13 +102,14 @@
 }
 
 /// Returns whether a request may go to an engine at all. The coordinator tracks the engine's
-/// health.
-fn may_use(t: &Tables, now: Time, row: &RequestRow, at: usize) -> bool {
+/// health, and may have used a permit for it.
+fn may_use(t: &Tables, now: Time, row: &RequestRow, at: usize, permitted: bool) -> bool {
     let e = t.endpoints.get(at);
     let serves = t.services.get(row.service).endpoints.contains(&at) && place::in_pool(row, e);
     let closed = e.check_available(&row.new.member, now).err();
-    let open = closed.is_none_or(UnavailableReason::is_health) && !row.tried.contains(&e.start_id);
-    serves && open && rollout::admits_grant(t, at)
+    let permitted = permitted && closed == Some(UnavailableReason::RateLimited);
+    let open = permitted || closed.is_none_or(UnavailableReason::is_health);
+    serves && open && !row.tried.contains(&e.start_id) && rollout::admits_grant(t, at)
 }
 
 /// Gives up a request that the coordinator will not place in time.
--- a/crates/firdock-policy/src/system/dispatch_updates.rs
+++ b/crates/firdock-policy/src/system/dispatch_updates.rs
@@ -2,7 +2,7 @@
 
 use firdock_core::{Outcome, Reason, RequestId};
 
-use super::{fair_share, health, key, lifecycle, liveness, pace_reports, rollout, suspect};
+use super::{fair_share, health, key, lifecycle, liveness, pace_reports, permit, rollout, suspect};
 use crate::action::Action;
 use crate::event::{BreakCause, DispatchUpdate, EndpointEvent};
 use crate::request::{
@@ -23,8 +23,8 @@
         DispatchUpdate::Refused { unreachable } => {
             handle_refused(t, now, e.id, at, unreachable, out);
         }
-        DispatchUpdate::Lapsed => handle_lapsed(t, now, e.id, out),
-        DispatchUpdate::Withheld => handle_withheld(t, now, e.id),
+        DispatchUpdate::Lapsed => handle_lapsed(t, now, e.id, at, out),
+        DispatchUpdate::Withheld => handle_withheld(t, now, e.id, at),
         DispatchUpdate::Started { head_sent } => handle_started(t, e.id, at, head_sent),
         DispatchUpdate::Tokens { delivered, cached } => {
             handle_tokens(t, now, e.id, at, delivered, cached);
@@ -86,6 +86,7 @@
     out: &mut Vec<Action>,
 ) {
     if unreachable {
+        permit::put_back(t, id, at);
         health::eject(t, now, at);
     }
     fair_share::refund(t, now, id);
@@ -119,8 +120,8 @@
     }
 }
 
-fn handle_lapsed(t: &mut Tables, now: Time, id: RequestId, out: &mut Vec<Action>) {
-    handle_withheld(t, now, id);
+fn handle_lapsed(t: &mut Tables, now: Time, id: RequestId, at: usize, out: &mut Vec<Action>) {
+    handle_withheld(t, now, id, at);
     let keyed = t.requests.get(id).is_some_and(|r| r.new.key.is_some());
     if keyed {
         lifecycle::finish_with_verdict(t, now, id, key::unconfirmed_verdict(), out);
@@ -128,7 +129,8 @@
 }
 
 /// Takes back a request that was not sent. The same endpoint may still get it later.
-fn handle_withheld(t: &mut Tables, now: Time, id: RequestId) {
+fn handle_withheld(t: &mut Tables, now: Time, id: RequestId, at: usize) {
+    permit::put_back(t, id, at);
     fair_share::refund(t, now, id);
     if t.settings.coordinates {
         lifecycle::finish(t, now, id, Outcome::NotRun);
--- a/crates/firdock-policy/src/system/handover.rs
+++ b/crates/firdock-policy/src/system/handover.rs
@@ -2,7 +2,7 @@
 
 use firdock_core::{Outcome, Reason, RequestId};
 
-use super::{key, lifecycle, limit, rollout, shed, suspect};
+use super::{key, lifecycle, limit, permit, rollout, shed, suspect};
 use crate::action::{Action, HandOverCause};
 use crate::event::{HandOverEvent, HandOverRefusal, Member, PeerUpdate};
 use crate::request::{DeliveredPart, Phase, RequestRow, Verdict};
@@ -25,6 +25,7 @@
     out: &mut Vec<Action>,
 ) {
     suspect::merge_reports(t, now, std::mem::take(&mut peer_update.suspects), out);
+    permit::merge_peer_reports(t, &peer_update.limits);
     for name in &peer_update.leaving {
         if let Some(at) = t.endpoints.find_start(name) {
             t.endpoints.get_mut(at).peer_leaving = Some(now + LEAVING_REPORT_TTL);
--- a/crates/firdock-policy/src/system/limit.rs
+++ b/crates/firdock-policy/src/system/limit.rs
@@ -178,7 +178,7 @@
 ///
 /// An instance that just started does not know how many others there are. All of them may have
 /// started together, so none may use the whole limit alone.
-fn limit_share(t: &Tables, now: Time) -> f64 {
+pub fn limit_share(t: &Tables, now: Time) -> f64 {
     if t.settings.await_peers && t.known_peers.is_none() {
         return STARTUP_LIMIT_SHARE;
     }
--- a/crates/firdock-policy/src/system/notice.rs
+++ b/crates/firdock-policy/src/system/notice.rs
@@ -1,7 +1,7 @@
 //! Notices from endpoints: kept per start, counted, and effective until a request is written.
 
 use crate::action::Action;
-use crate::notice::{Notice, NoticeReport};
+use crate::notice::{LimitNotice, Notice, NoticeReport};
 use crate::request::Phase;
 use crate::system::handover::LEAVING_REPORT_TTL;
 use crate::table::Tables;
@@ -32,6 +32,14 @@
         });
         return;
     }
+    if report.notice.limit != LimitNotice::Unknown {
+        let limit = report.notice.limit.rate();
+        t.limits.named |= limit.is_some();
+        if e.limit.record(report.read, limit) {
+            t.limits.revision.own += 1;
+            t.limits.revision.all += 1;
+        }
+    }
     let new = e.notices.merge(report);
     let counts = t.stats.notices.entry(e.declared.pool.clone()).or_default();
     counts.leaving += u64::from(new.leaving);
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -12,6 +12,7 @@
 use super::suspect::{self, Gate};
 use super::{coordinate, fair_share, key, lifecycle, rollout};
 use crate::action::{Action, Dispatch};
+use crate::event::Grant;
 use crate::request::{CompletionProof, EndpointFailure, Phase, RequestRow};
 use crate::table::Tables;
 use crate::table::endpoint::{EndpointRow, Health, UnavailableReason};
@@ -169,17 +170,22 @@
     t: &mut Tables,
     now: Time,
     id: RequestId,
-    (endpoint, predicted): (usize, Time),
+    (endpoint, grant): (usize, &Grant),
     out: &mut Vec<Action>,
 ) {
     let Some(row) = t.requests.get(id) else {
         return;
     };
     let mut estimate = estimate(t, now, row, endpoint);
-    if !predicted.is_zero() {
-        estimate.first_secs = predicted.as_secs_f64();
+    if !grant.predicted.is_zero() {
+        estimate.first_secs = grant.predicted.as_secs_f64();
     }
-    dispatch(t, now, id, Choice { endpoint, estimate }, out);
+    let choice = Choice {
+        endpoint,
+        estimate,
+        permitted: grant.permitted,
+    };
+    dispatch(t, now, id, choice, out);
 }
 
 /// Returns the time until which the configuration in force permits sending a request.
@@ -235,8 +241,9 @@
         .requests
         .get(id)
         .and_then(|r| e.check_available(&r.new.member, now).err());
+    let permitted = choice.permitted && closed == Some(UnavailableReason::RateLimited);
     assert!(
-        closed.is_none_or(UnavailableReason::is_health),
+        permitted || closed.is_none_or(UnavailableReason::is_health),
         "endpoint {} is closed and got new work: {closed:?}",
         e.declared.name
     );
@@ -249,6 +256,13 @@
     if matches!(e.health, Health::Ejected(_)) {
         e.health = Health::Probing;
     }
+    let limited = choice.permitted || e.limit.rate().is_some();
+    let permit = if choice.permitted {
+        None
+    } else {
+        e.limit.take_permit(now)
+    };
+    e.limit.record_sent(now);
     e.running += 1;
     e.backlog += f64::from(choice.estimate.uncached);
     let (name, start) = (e.declared.name.clone(), e.start_id.clone());
@@ -272,6 +286,7 @@
     row.dispatch += 1;
     row.dispatched = now;
     row.first = None;
+    row.permit = permit;
     row.uncached = choice.estimate.uncached;
     row.work = choice.estimate.work;
     row.predicted = choice.estimate.first();
@@ -290,6 +305,7 @@
         priority: row.rank,
         confirm_by: row.confirm_by,
         deadline: row.deadline,
+        limited,
     }));
     rollout::record_sent(t, id, choice.endpoint);
 }
--- a/crates/firdock-policy/src/system/place/choice.rs
+++ b/crates/firdock-policy/src/system/place/choice.rs
@@ -38,6 +38,8 @@
 pub(super) struct Choice {
     pub(super) endpoint: usize,
     pub(super) estimate: Estimate,
+    /// Whether a coordinator used a permit for it.
+    pub(super) permitted: bool,
 }
 
 pub(super) fn estimate(t: &Tables, now: Time, row: &RequestRow, endpoint: usize) -> Estimate {
@@ -63,6 +65,7 @@
         return Placement::On(Choice {
             endpoint: tried,
             estimate,
+            permitted: false,
         });
     }
     let Some(best) = lowest_score(t, now, row, &open) else {
@@ -128,6 +131,7 @@
         Choice {
             endpoint: *e,
             estimate,
+            permitted: false,
         }
     });
     choices.min_by(|a, b| {
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -4,12 +4,14 @@
 pub mod dispatch_rates;
 pub mod endpoint;
 pub mod endpoint_exits;
+pub mod endpoint_limit;
 pub mod group;
 pub mod key;
 pub mod limit;
 pub mod linear_fit;
 pub mod notices;
 pub mod peer;
+pub mod permit_issuer;
 pub mod pool_latency;
 pub mod prefix_cache;
 pub mod queue;
@@ -28,6 +30,7 @@
 
 use std::time::Duration;
 
+pub use self::suspects::Revision;
 use crate::settings::PolicySettings;
 use crate::stats::Stats;
 use crate::time::Time;
@@ -103,6 +106,10 @@
     pub known_peers: Option<usize>,
     /// End of the last back-off that an endpoint asked of any instance.
     pub backoffs_until: Time,
+    /// What is known of the rate limits of all endpoints together.
+    pub limits: endpoint_limit::LimitSummary,
+    /// Permits that this instance grants for endpoints with rate limits.
+    pub permit_issuer: permit_issuer::PermitIssuer,
     /// Demand of other groups, as reported by their leads.
     pub groups: group::Groups,
     /// Work that other groups did for accounts, as reported by their leads.
@@ -202,6 +209,8 @@
             retry_budgets: retry::RetryBudgets::new(),
             known_peers: None,
             backoffs_until: Time::ZERO,
+            limits: endpoint_limit::LimitSummary::default(),
+            permit_issuer: permit_issuer::PermitIssuer::default(),
             groups: group::Groups::default(),
             reported_work: share::ReportedWork::default(),
             levels: share::Levels::default(),
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -5,6 +5,7 @@
 use firdock_core::StartId;
 use firdock_core::resource::{Endpoint, EndpointKind};
 
+use super::endpoint_limit::EndpointLimit;
 use super::linear_fit::LinearFit;
 use super::notices::Notices;
 use super::prefix_cache::PrefixCache;
@@ -144,6 +145,8 @@
     pub streams: u32,
     /// Notices that it gave with its answers.
     pub notices: Notices,
+    /// Rate limit that it named, and permits to send to it.
+    pub limit: EndpointLimit,
     /// Pace that it reported.
     pub reported_pace: ReportedPace,
     /// Latest load report.
@@ -197,6 +200,7 @@
             ),
             streams: 0,
             notices: Notices::default(),
+            limit: EndpointLimit::default(),
             reported_pace: ReportedPace::default(),
             report: None,
             cache: PrefixCache::default(),
@@ -289,6 +293,10 @@
         if let Some(backoff) = self.notices.backoff(member, now) {
             return Err(UnavailableReason::BackingOff(backoff.until));
         }
+        // Checked before the health, which does not matter to an endpoint that a coordinator chose.
+        if !self.limit.allows(now) {
+            return Err(UnavailableReason::RateLimited);
+        }
         match self.health {
             Health::Ejected(until) if until > now => Err(UnavailableReason::Ejected),
             Health::Probing if self.running > 0 => Err(UnavailableReason::Probing),
@@ -312,7 +320,8 @@
         let in_retention = self
             .absent_since
             .is_some_and(|at| at + NOTICE_RETENTION > now);
-        in_retention && !self.replaced && self.notices.any_in_effect(now)
+        let any = self.notices.any_in_effect(now) || self.limit.rate().is_some();
+        in_retention && !self.replaced && any
     }
 
     /// Records a failure and ejects the endpoint, for longer with each consecutive failure.
--- a/crates/firdock-policy/src/table/unavailable.rs
+++ b/crates/firdock-policy/src/table/unavailable.rs
@@ -11,6 +11,8 @@
     Leaving,
     /// It wants no requests from the instance until the given time.
     BackingOff(Time),
+    /// It named a rate limit, and there is no permit.
+    RateLimited,
     /// It failed and is ejected for a time.
     Ejected,
     /// It failed, and a probe request is in flight.
--- a/crates/firdock-policy/tests/policy/coordinate.rs
+++ b/crates/firdock-policy/tests/policy/coordinate.rs
@@ -32,6 +32,7 @@
         id: id(n),
         endpoint: endpoint.to_owned(),
         predicted: millis(0),
+        permitted: false,
     }
 }
 
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -5,6 +5,7 @@
 mod buffers;
 mod coordinate;
 mod edge;
+mod endpoint_limits;
 mod failures;
 mod fixtures;
 mod golden;
--- a/crates/firdock-policy/tests/policy/notices.rs
+++ b/crates/firdock-policy/tests/policy/notices.rs
@@ -166,6 +166,7 @@
             id: id(1),
             endpoint: "e1".to_owned(),
             predicted: millis(0),
+            permitted: false,
         };
         let actions = edge.step(Event::Granted(grant.clone()));
         assert_eq!(dispatched(&actions), Vec::new());
--- a/crates/firdock-policy/tests/policy/restart.rs
+++ b/crates/firdock-policy/tests/policy/restart.rs
@@ -248,6 +248,7 @@
             id: id(1),
             endpoint: start.to_owned(),
             predicted: Duration::ZERO,
+            permitted: false,
         }))
     };
     for start in ["engine-0@1000", "engine-0@3000"] {
@@ -270,6 +271,7 @@
         id: id(1),
         endpoint: "engine-0@3000".to_owned(),
         predicted: Duration::ZERO,
+        permitted: false,
     }));
     let row = d.scheduler.tables().requests.get(id(1));
     assert!(row.is_some_and(|r| r.declined.is_empty()));
--- a/crates/firdock-policy/tests/policy/rollout.rs
+++ b/crates/firdock-policy/tests/policy/rollout.rs
@@ -454,6 +454,7 @@
         id: id(1),
         endpoint: "new-0".to_owned(),
         predicted: millis(0),
+        permitted: false,
     };
     let actions = site.edge.step(Event::Granted(grant));
     assert!(dispatched(&actions).is_empty());
--- a/crates/firdock-policy/tests/policy/simulation/message.rs
+++ b/crates/firdock-policy/tests/policy/simulation/message.rs
@@ -324,7 +324,13 @@
             Action::Cancel { id, dispatch, .. } => {
                 self.cancelled.insert((incarnation, id, dispatch));
             }
-            Action::Decline(_) | Action::Forget { .. } | Action::Record(_) | Action::Drained => {}
+            // The simulated endpoints name no rate limits.
+            Action::RequestPermits(_)
+            | Action::GrantPermits { .. }
+            | Action::Decline(_)
+            | Action::Forget { .. }
+            | Action::Record(_)
+            | Action::Drained => {}
         }
     }
 
@@ -349,6 +355,7 @@
                     id,
                     endpoint,
                     predicted: millis(0),
+                    permitted: false,
                 }),
             );
         }
--- a/crates/firdock-policy/tests/policy/suspects/reports.rs
+++ b/crates/firdock-policy/tests/policy/suspects/reports.rs
@@ -73,6 +73,7 @@
         id: id(1),
         endpoint: "s0".to_owned(),
         predicted: Duration::ZERO,
+        permitted: false,
     };
     let actions = edge.step(Event::Granted(grant.clone()));
     assert_eq!(actions, [Action::Decline(grant)]);
--- a/crates/firdock-standin/src/measure/baseline.rs
+++ b/crates/firdock-standin/src/measure/baseline.rs
@@ -144,6 +144,7 @@
             priority,
             confirm_by: None,
             deadline: None,
+            limited: false,
         }));
         self.active.insert(id, active);
     }
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -97,9 +97,26 @@
     /// Requests during which endpoints exited: the new ones, and the others in turn.
     #[prost(message, repeated, tag = "8")]
     pub suspects: ::prost::alloc::vec::Vec<Suspect>,
+    /// Rate limits of endpoints that the sender knows, and for a while those that ended; in turn if there are
+    /// many (docs/design/endpoint-limits.md).
+    #[prost(message, repeated, tag = "9")]
+    pub limits: ::prost::alloc::vec::Vec<EndpointLimit>,
 }
-/// A request during which endpoints exited (docs/design/suspects.md).
+/// Rate limit that an endpoint named for all instances together.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EndpointLimit {
+    /// Start of the endpoint.
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// Thousandths of a request per second; 0 if the limit ended.
+    #[prost(uint64, tag = "2")]
+    pub thousandths: u64,
+    /// Time since the answer that said so was read.
+    #[prost(uint64, tag = "3")]
+    pub age_millis: u64,
+}
+/// A request during which endpoints exited (docs/design/suspects.md).
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Suspect {
     /// 16 bytes: hash of account, method, target and body.
     #[prost(bytes = "vec", tag = "1")]
@@ -131,7 +148,7 @@
 /// One datagram between instances that know each other only by address.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Datagram {
-    #[prost(oneof = "datagram::Body", tags = "1, 2, 3, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "datagram::Body", tags = "1, 2, 3, 5, 6, 7, 8, 9, 10, 11")]
     pub body: ::core::option::Option<datagram::Body>,
 }
 /// Nested message and enum types in `Datagram`.
@@ -154,6 +171,10 @@
         StateQuestion(super::StateQuestion),
         #[prost(message, tag = "9")]
         StateAnswer(super::StateAnswer),
+        #[prost(message, tag = "10")]
+        PermitRequests(super::PermitRequests),
+        #[prost(message, tag = "11")]
+        PermitGrants(super::PermitGrants),
     }
 }
 /// Asks for the receiver's clock.
@@ -267,6 +288,71 @@
     /// Whether none of these counts has increased yet.
     #[prost(bool, tag = "22")]
     pub use_fresh: bool,
+    /// The sender's clock, in milliseconds; 0 if it is not sent.
+    #[prost(uint64, tag = "23")]
+    pub sent_at: u64,
+}
+/// Requests for permits to send to endpoints with rate limits. The receiver passes those on that another
+/// instance grants.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PermitRequests {
+    /// Name of the instance that will use the permits.
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    /// Whether its coordinator will use them.
+    #[prost(bool, tag = "2")]
+    pub coordinates: bool,
+    /// IP:PORT of that instance; empty if it is the sender. A request that names it is not passed on again.
+    #[prost(string, tag = "3")]
+    pub reply_to: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "4")]
+    pub requests: ::prost::alloc::vec::Vec<PermitRequest>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PermitRequest {
+    /// Start of the endpoint.
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// The limit as the instance knows it, in thousandths of a request per second.
+    #[prost(uint64, tag = "2")]
+    pub thousandths: u64,
+    #[prost(uint32, tag = "3")]
+    pub wanted: u32,
+    /// Permits that expired unused since the last request.
+    #[prost(uint32, tag = "4")]
+    pub unused: u32,
+    /// Requests sent to the endpoint in the last second.
+    #[prost(uint32, tag = "5")]
+    pub recent: u32,
+    /// The instance's clock, in milliseconds.
+    #[prost(uint64, tag = "6")]
+    pub asked: u64,
+}
+/// Response to requests for permits.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PermitGrants {
+    /// Copied from the requests.
+    #[prost(bool, tag = "1")]
+    pub coordinates: bool,
+    #[prost(message, repeated, tag = "2")]
+    pub grants: ::prost::alloc::vec::Vec<PermitGrant>,
+    /// Name of the sender.
+    #[prost(string, tag = "3")]
+    pub instance: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PermitGrant {
+    /// Start of the endpoint.
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
+    /// Time after which another request is worthwhile.
+    #[prost(uint64, tag = "3")]
+    pub retry_millis: u64,
+    /// Copied from the request.
+    #[prost(uint64, tag = "4")]
+    pub asked: u64,
 }
 /// Work that one account recently requested and received from one pool, for requests of one rank, in seconds.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -748,6 +834,9 @@
     /// Time to the first token that the coordinator expects.
     #[prost(uint64, tag = "4")]
     pub predicted_millis: u64,
+    /// Whether the coordinator used a permit for it, because the endpoint has a rate limit.
+    #[prost(bool, tag = "5")]
+    pub permitted: bool,
 }
 /// The request cannot be placed in time.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
