--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -9,6 +9,7 @@
 mod log_limiter;
 mod partial_replies;
 mod peers;
+mod permits;
 mod placement;
 mod shared_reads;
 mod suspects;
