--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -264,6 +264,7 @@
             }
             DispatchUpdate::Started { .. }
             | DispatchUpdate::Tokens { .. }
+            | DispatchUpdate::ConnectFailed(_)
             | DispatchUpdate::Failed
             | DispatchUpdate::FailureKept
             | DispatchUpdate::Unproven
--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -199,8 +199,9 @@
         let limit = run.dispatch.deadline.map_or(DEFAULT_TIMEOUT, |by| {
             by.saturating_sub(run.clock.now()) + DEADLINE_GRACE
         });
-        let Ok(mut connection) = connect(run.target.address, self.connect_timeout).await else {
-            return run.report_not_run(true).await;
+        let mut connection = match connect(run.target.address, self.connect_timeout).await {
+            Ok(connection) => connection,
+            Err(e) => return report_unconnected(&run, &e).await,
         };
         // Checked after the connect, since the process may have been suspended during it.
         if let Some(result) = run.check_before_write().await {
@@ -211,9 +212,7 @@
         };
         let result = match run.until_restart(connection.call(request, limit)).await {
             Ok(Ok(response)) => self.handle_response(location, &run, response).await,
-            Ok(Err(CallError::Connect { .. } | CallError::ConnectTime { .. })) => {
-                run.report_not_run(true).await
-            }
+            Ok(Err(e)) if e.never_sent() => report_unconnected(&run, &e).await,
             Ok(Err(e)) => run.report_broken(break_cause(&e)).await,
             Err(_) => run.report_broken(BreakCause::Restarted).await,
         };
@@ -225,6 +224,14 @@
     async fn cancel(&self, _place: EndpointLocation, _id: RequestId, _dispatch: u32) {}
 }
 
+/// Reports that no connection to the endpoint was established.
+async fn report_unconnected(run: &DispatchRun, error: &CallError) -> &'static str {
+    if let Some(cause) = error.connect_failure() {
+        run.report(DispatchUpdate::ConnectFailed(cause)).await;
+    }
+    run.report_not_run(true).await
+}
+
 /// Reports the end of the answer to the scheduler.
 async fn finish(run: &DispatchRun, result: Result<(), DispatchError>, output: u32) -> &'static str {
     match result {
--- a/crates/firdock-node/src/http/client.rs
+++ b/crates/firdock-node/src/http/client.rs
@@ -3,10 +3,12 @@
 //! Each dispatch uses its own connection: with a pooled one, a reset could mean either. Connecting on the local
 //! network costs one round trip; `docs/design/http.md` discusses this cost.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
+use firdock_policy::event::ConnectFailure;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -49,6 +51,22 @@
 }
 
 impl CallError {
+    /// Returns why no connection was established, if that is what failed.
+    #[must_use]
+    pub fn connect_failure(&self) -> Option<ConnectFailure> {
+        match self {
+            Self::Connect { source, .. } => Some(match source.kind() {
+                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => {
+                    ConnectFailure::Refused
+                }
+                ErrorKind::TimedOut => ConnectFailure::TimedOut,
+                _ => ConnectFailure::Failed,
+            }),
+            Self::ConnectTime { .. } => Some(ConnectFailure::TimedOut),
+            Self::Http { .. } | Self::AnswerTime => None,
+        }
+    }
+
     /// Returns whether the request was certainly never sent.
     #[must_use]
     pub fn never_sent(&self) -> bool {
--- a/crates/firdock-node/src/placement/snapshot.rs
+++ b/crates/firdock-node/src/placement/snapshot.rs
@@ -21,6 +21,7 @@
 pub fn progress(row: &RequestRow, update: DispatchUpdate) -> Option<Progress> {
     Some(match update {
         DispatchUpdate::Started { .. }
+        | DispatchUpdate::ConnectFailed(_)
         | DispatchUpdate::Failed
         | DispatchUpdate::FailureKept
         | DispatchUpdate::Unproven
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -7,7 +7,7 @@
 
 use firdock_core::{EndpointId, Reason};
 use firdock_policy::action::Dispatch;
-use firdock_policy::event::{BreakCause, LivenessResult};
+use firdock_policy::event::{BreakCause, ConnectFailure, LivenessResult};
 use firdock_policy::notice::NoticeReport;
 use firdock_policy::rate::RequestRate;
 use firdock_policy::request::{Phase, RequestRow};
@@ -284,7 +284,7 @@
             "dispatch" => row.dispatch,
             "content" => exchange.content.id.to_string(),
             "news" => update,
-            "cause" => row.breaking.map(BreakCause::as_str),
+            "cause" => failure_cause(row),
             "after_millis" => millis(now.saturating_sub(row.dispatched)),
             "delivered_tokens" => row.delivered,
             AnswerEndFields(end),
@@ -292,6 +292,12 @@
     }
 }
 
+/// Returns why the last dispatch failed, as far as it is known.
+fn failure_cause(row: &RequestRow) -> Option<&'static str> {
+    let unconnected = row.connect_failure.map(ConnectFailure::as_str);
+    row.breaking.map(BreakCause::as_str).or(unconnected)
+}
+
 /// Returns the tokens that have been passed on, and how the answer of the last dispatch ended.
 fn answer_end(exchange: &Exchange) -> (u32, Option<AnswerEnd>) {
     let delivered = exchange.delivered();
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -60,6 +60,7 @@
     share: Family<ByShare, Gauge<f64, AtomicU64>>,
     dispatches: Counter,
     broken: Family<ByCause, Counter>,
+    unconnected: Family<ByCause, Counter>,
     looks: Family<ByFound, Counter>,
     answer_ends: Family<ByEnd, Counter>,
     blamed: Counter,
@@ -116,6 +117,7 @@
             share: Family::default(),
             dispatches: Counter::default(),
             broken: Family::default(),
+            unconnected: Family::default(),
             looks: Family::default(),
             answer_ends: Family::default(),
             blamed: Counter::default(),
@@ -310,6 +312,12 @@
             };
             store(&self.refusals.get_or_create(&label), *n);
         }
+        for (cause, n) in &stats.connect_failures {
+            let label = ByCause {
+                cause: cause.as_str().to_owned(),
+            };
+            store(&self.unconnected.get_or_create(&label), *n);
+        }
         for (cause, n) in &stats.broken {
             let label = ByCause {
                 cause: cause.as_str().to_owned(),
--- a/crates/firdock-node/src/telemetry/metrics/register.rs
+++ b/crates/firdock-node/src/telemetry/metrics/register.rs
@@ -102,6 +102,11 @@
             "Broken dispatches, by how they came to break",
             self.broken.clone(),
         );
+        r.register(
+            "unconnected",
+            "Dispatches without a connection to their endpoint, by cause",
+            self.unconnected.clone(),
+        );
         r.register(
             "looks",
             "Looks at endpoints whose connections ended early, by what was found",
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -20,7 +20,7 @@
 use crate::time::{LogTime, Time};
 
 pub use endpoint::{
-    BreakCause, DispatchUpdate, EndpointEvent, Liveness, LivenessResult, LoadReport,
+    BreakCause, ConnectFailure, DispatchUpdate, EndpointEvent, Liveness, LivenessResult, LoadReport,
 };
 pub use totals::{
     AccountUse, AccountWork, GroupDemand, GroupEvidence, GroupWork, PeerUse, PoolDemand, UseCounts,
--- a/crates/firdock-policy/src/event/endpoint.rs
+++ b/crates/firdock-policy/src/event/endpoint.rs
@@ -22,6 +22,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum DispatchUpdate {
+    /// No connection to the endpoint was established; the update that ends the dispatch follows.
+    ConnectFailed(ConnectFailure),
     /// The connection failed or the endpoint refused the request; it did not run there.
     Refused {
         /// Whether the endpoint could not be reached.
@@ -72,6 +74,30 @@
     },
 }
 
+/// Why no connection to an endpoint was established.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ConnectFailure {
+    /// The connection was refused or reset.
+    Refused,
+    /// Nothing was received for too long.
+    TimedOut,
+    /// The operating system reported another error.
+    Failed,
+}
+
+impl ConnectFailure {
+    /// Returns its name in logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused => "connect-refused",
+            Self::TimedOut => "connect-timed-out",
+            Self::Failed => "connect-failed",
+        }
+    }
+}
+
 /// Cause of a broken dispatch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::action::HandOverCause;
-use crate::event::BreakCause;
+use crate::event::{BreakCause, ConnectFailure};
 use crate::time::{LogTime, Time};
 
 /// Origin of a request.
@@ -199,6 +199,8 @@
     pub failure: EndpointFailure,
     /// Whether the end of the present dispatch's answer proves it complete.
     pub completion_proof: CompletionProof,
+    /// Why the present dispatch has no connection, if none could be established.
+    pub connect_failure: Option<ConnectFailure>,
     /// Cause for which the present dispatch is breaking, if it is.
     pub breaking: Option<BreakCause>,
     /// State of its placement by a coordinator.
@@ -282,6 +284,7 @@
             resumed_from: 0,
             failure: EndpointFailure::None,
             completion_proof: CompletionProof::Proven,
+            connect_failure: None,
             breaking: None,
             placement: PlacementState::NotRequested,
             declined: Vec::new(),
--- a/crates/firdock-policy/src/stats.rs
+++ b/crates/firdock-policy/src/stats.rs
@@ -4,7 +4,7 @@
 
 use firdock_core::{AccountId, Outcome, PoolId, Reason, TierRank};
 
-use crate::event::{BreakCause, Liveness};
+use crate::event::{BreakCause, ConnectFailure, Liveness};
 
 /// Why prefill work was wasted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -126,6 +126,8 @@
     pub pace_reports: BTreeMap<PoolId, u64>,
     /// Notices of endpoints, by pool.
     pub notices: BTreeMap<PoolId, NoticeStats>,
+    /// Dispatches without a connection, by cause.
+    pub connect_failures: BTreeMap<ConnectFailure, u64>,
     /// Broken dispatches by cause.
     pub broken: BTreeMap<BreakCause, u64>,
     /// Liveness checks of endpoints whose connections ended early, by result.
--- a/crates/firdock-policy/src/system/dispatch_updates.rs
+++ b/crates/firdock-policy/src/system/dispatch_updates.rs
@@ -4,7 +4,7 @@
 
 use super::{fair_share, health, key, lifecycle, liveness, pace_reports, permit, rollout, suspect};
 use crate::action::Action;
-use crate::event::{BreakCause, DispatchUpdate, EndpointEvent};
+use crate::event::{BreakCause, ConnectFailure, DispatchUpdate, EndpointEvent};
 use crate::request::{
     CompletionProof, DeliveredPart, EndpointFailure, Phase, PlacementState, RequestRow, Verdict,
 };
@@ -20,6 +20,7 @@
         return;
     };
     match e.update {
+        DispatchUpdate::ConnectFailed(cause) => record_connect_failure(t, e.id, cause),
         DispatchUpdate::Refused { unreachable } => {
             handle_refused(t, now, e.id, at, unreachable, out);
         }
@@ -113,6 +114,14 @@
     }
 }
 
+/// Records why the present dispatch has no connection.
+fn record_connect_failure(t: &mut Tables, id: RequestId, cause: ConnectFailure) {
+    *t.stats.connect_failures.entry(cause).or_default() += 1;
+    if let Some(row) = t.requests.get_mut(id) {
+        row.connect_failure = Some(cause);
+    }
+}
+
 /// Records that the last dispatch did not run.
 fn uncount_run(t: &mut Tables, id: RequestId) {
     if let Some(row) = t.requests.get_mut(id) {
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -293,6 +293,7 @@
     row.resumed_from = row.delivered;
     row.failure = EndpointFailure::None;
     row.completion_proof = CompletionProof::Proven;
+    row.connect_failure = None;
     row.breaking = None;
     t.stats.dispatches += 1;
     t.dispatch_rates.record_dispatch(row.pool_key(), row.rank);
