--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -21,7 +21,7 @@
 use crate::driver::Driver;
 use crate::endpoint::Dispatcher;
 use crate::endpoint::relay::Dialect;
-use crate::http::{ServerOptions, serve};
+use crate::http::{Connector, ServerOptions, TcpConnector, serve};
 use crate::ingress::{IngressPhase, IngressState, Interface};
 use crate::input::{INPUT_QUEUE_CAPACITY, Input};
 use crate::instance::{AbortOnPanic, StartError, open};
@@ -41,11 +41,12 @@
 
 /// Configuration of an edge instance before its start.
 #[derive(Debug)]
-pub struct EdgeInstance<I, D, S> {
+pub struct EdgeInstance<I, D, S, C = TcpConnector> {
     settings: Settings,
     interface: I,
     dialect: D,
     source: S,
+    connector: C,
     log: Logger,
 }
 
@@ -72,9 +73,25 @@
             interface,
             dialect,
             source,
+            connector: TcpConnector,
             log: discard_logger(),
         }
     }
+}
+
+impl<I: Interface, D: Dialect, S: ResourceSource, C: Connector> EdgeInstance<I, D, S, C> {
+    /// Sets the way by which connections to endpoints are established.
+    #[must_use]
+    pub fn with_connector<N: Connector>(self, connector: N) -> EdgeInstance<I, D, S, N> {
+        EdgeInstance {
+            settings: self.settings,
+            interface: self.interface,
+            dialect: self.dialect,
+            source: self.source,
+            connector,
+            log: self.log,
+        }
+    }
 
     /// Sets the logger.
     #[must_use]
@@ -114,7 +131,7 @@
             drained,
         };
         let driver = parts
-            .driver(self.dialect, &inputs, outputs)
+            .driver(self.dialect, self.connector, &inputs, outputs)
             .with_placement(parts.placement(socket));
         tokio::spawn(run_or_abort(driver, input_receiver, rest_stop_receiver));
         tokio::spawn(
--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -23,7 +23,7 @@
 use crate::endpoint::relay::{Dialect, Relay};
 use crate::endpoint::run::DispatchLimits;
 use crate::exchange::AnswerBudget;
-use crate::http::{ServerOptions, serve};
+use crate::http::{Connector, ServerOptions, serve};
 use crate::ingress::{Ingress, IngressLimits, IngressState, Interface};
 use crate::input::Input;
 use crate::instance::{ListenSnafu, StartError, UnsetSnafu, open};
@@ -170,18 +170,19 @@
     }
 
     /// Creates the driver, which owns the scheduler's tables.
-    pub fn driver<D: Dialect>(
+    pub fn driver<D: Dialect, C: Connector>(
         &self,
         dialect: D,
+        connector: C,
         inputs: &mpsc::Sender<Input>,
         outputs: DriverOutputs,
-    ) -> Driver<Relay<D>> {
+    ) -> Driver<Relay<D, C>> {
         let e = &self.settings.endpoints;
         let connect = Duration::from_millis(e.connect_millis);
         let key = &self.settings.peers.shared_key;
         let hub = Arc::new(Hub::default());
         let parts = DriverParts {
-            dispatcher: Relay::new(dialect, connect),
+            dispatcher: Relay::new(dialect, connector, connect),
             dialer: Dialer::new(self.member.name.clone(), key, hub),
             site: Arc::clone(&self.site),
             answer_cache: AnswerCache::new(self.settings.keys.answer_bytes),
--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -23,7 +23,9 @@
 use super::run::{DispatchError, DispatchRun};
 use super::{Dispatcher, EndpointBody, EndpointLocation, Framing, HeadNotice, break_cause};
 use crate::exchange::{AnswerHead, AnswerPart, Payload};
-use crate::http::{CallError, connect, strip_hop_by_hop};
+use crate::http::{
+    CallError, Connection, Connector, TcpConnector, connect_stream, strip_hop_by_hop,
+};
 use crate::telemetry::LogKind;
 
 /// Time allowed beyond a request's own deadline before the endpoint counts as silent. The scheduler
@@ -87,21 +89,30 @@
 
 /// Dispatches requests unchanged to a platform's endpoints.
 #[derive(Debug, Clone)]
-pub struct Relay<D> {
+pub struct Relay<D, C = TcpConnector> {
     dialect: D,
+    connector: C,
     connect_timeout: Duration,
 }
 
-impl<D: Dialect> Relay<D> {
+impl<D: Dialect, C: Connector> Relay<D, C> {
     /// Creates a relay with a time limit for connecting.
     #[must_use]
-    pub fn new(dialect: D, connect_timeout: Duration) -> Self {
+    pub fn new(dialect: D, connector: C, connect_timeout: Duration) -> Self {
         Self {
             dialect,
+            connector,
             connect_timeout,
         }
     }
 
+    /// Opens a connection to the endpoint of a dispatch.
+    async fn connect(&self, run: &DispatchRun) -> Result<Connection, CallError> {
+        let address = run.target.address;
+        let stream = connect_stream(&self.connector, address, self.connect_timeout).await?;
+        Connection::open(stream).await
+    }
+
     /// Builds the request of one dispatch.
     fn request(&self, run: &DispatchRun) -> Option<Request<Full<Bytes>>> {
         let payload = &run.exchange.payload;
@@ -194,12 +205,12 @@
     }
 }
 
-impl<D: Dialect> Dispatcher for Relay<D> {
+impl<D: Dialect, C: Connector> Dispatcher for Relay<D, C> {
     async fn run(&self, location: EndpointLocation, run: DispatchRun) -> &'static str {
         let limit = run.dispatch.deadline.map_or(DEFAULT_TIMEOUT, |by| {
             by.saturating_sub(run.clock.now()) + DEADLINE_GRACE
         });
-        let mut connection = match connect(run.target.address, self.connect_timeout).await {
+        let mut connection = match self.connect(&run).await {
             Ok(connection) => connection,
             Err(e) => return report_unconnected(&run, &e).await,
         };
--- a/crates/firdock-node/src/http.rs
+++ b/crates/firdock-node/src/http.rs
@@ -10,7 +10,7 @@
 mod server;
 
 pub use caller::CallerHandle;
-pub use client::{CallError, Connection, connect};
+pub use client::{CallError, Connection, Connector, TcpConnector, connect, connect_stream};
 pub use dead_peer::{DEAD_PEER_TIMEOUT, set_dead_peer_timeouts};
 pub use listener::listen;
 pub use server::{ServerOptions, serve};
--- a/crates/firdock-node/src/http/client.rs
+++ b/crates/firdock-node/src/http/client.rs
@@ -3,7 +3,7 @@
 //! Each dispatch uses its own connection: with a pooled one, a reset could mean either. Connecting on the local
 //! network costs one round trip; `docs/design/http.md` discusses this cost.
 
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -88,27 +88,69 @@
     }
 }
 
-/// Opens a connection.
+/// Way by which connections are established.
+pub trait Connector: Clone + Send + Sync + 'static {
+    /// Establishes a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error.
+    fn connect(&self, address: SocketAddr) -> impl Future<Output = io::Result<TcpStream>> + Send;
+}
+
+/// Connects over the instance's own links.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct TcpConnector;
+
+impl Connector for TcpConnector {
+    async fn connect(&self, address: SocketAddr) -> io::Result<TcpStream> {
+        TcpStream::connect(address).await
+    }
+}
+
+/// Opens a connection over the instance's own links.
 ///
 /// # Errors
 ///
 /// Fails if no connection is established within `limit`; nothing was sent then.
 pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Connection, CallError> {
-    let connecting = timeout(limit, TcpStream::connect(address)).await;
-    let stream = match connecting {
+    let stream = connect_stream(&TcpConnector, address, limit).await?;
+    Connection::open(stream).await
+}
+
+/// Establishes a connection that notices the loss of its other side.
+///
+/// # Errors
+///
+/// Fails if no connection is established within `limit`; nothing was sent then.
+pub async fn connect_stream<C: Connector>(
+    connector: &C,
+    address: SocketAddr,
+    limit: Duration,
+) -> Result<TcpStream, CallError> {
+    let stream = match timeout(limit, connector.connect(address)).await {
         Ok(stream) => stream.context(ConnectSnafu { address })?,
         Err(_) => return ConnectTimeSnafu { address }.fail(),
     };
     let _ = stream.set_nodelay(true);
     set_dead_peer_timeouts(&stream).context(ConnectSnafu { address })?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
-        .await
-        .context(HttpSnafu)?;
-    let driver = tokio::spawn(connection).abort_handle();
-    Ok(Connection { sender, driver })
+    Ok(stream)
 }
 
 impl Connection {
+    /// Opens an HTTP connection over an established one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the handshake fails; nothing was sent then.
+    pub async fn open(stream: TcpStream) -> Result<Self, CallError> {
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .context(HttpSnafu)?;
+        let driver = tokio::spawn(connection).abort_handle();
+        Ok(Self { sender, driver })
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
