--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -265,6 +265,7 @@
             DispatchUpdate::Started { .. }
             | DispatchUpdate::Tokens { .. }
             | DispatchUpdate::ConnectFailed(_)
+            | DispatchUpdate::PassedOn
             | DispatchUpdate::Failed
             | DispatchUpdate::FailureKept
             | DispatchUpdate::Unproven
@@ -274,6 +275,7 @@
             DispatchUpdate::Refused { unreachable: false } => "refused",
             DispatchUpdate::Lapsed => "lapsed",
             DispatchUpdate::Withheld => "withheld",
+            DispatchUpdate::NotPassedOn => "not-passed-on",
             DispatchUpdate::Broke { .. } => "broke",
         };
         self.decisions.dispatch_failed(
@@ -391,6 +393,7 @@
                 self.notify_dispatch(id, dispatch, EndpointChange::Restarted);
             }
             Action::CheckLiveness { endpoint, start } => self.check_liveness(&endpoint, start),
+            Action::ProbeLink { endpoint, start } => self.probe_link(&endpoint, start),
             Action::Withhold { id, dispatch } => {
                 self.notify_dispatch(id, dispatch, EndpointChange::Closed);
             }
--- a/crates/firdock-node/src/driver/liveness.rs
+++ b/crates/firdock-node/src/driver/liveness.rs
@@ -6,7 +6,7 @@
 
 use firdock_core::{EndpointId, StartId};
 use firdock_policy::Event;
-use firdock_policy::event::{Liveness, LivenessResult};
+use firdock_policy::event::{LinkProbe, Liveness, LivenessResult};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -39,6 +39,22 @@
     }
 }
 
+impl<B: Dispatcher> Driver<B> {
+    /// Probes the instance's own link to an endpoint and reports the result to the scheduler.
+    pub(super) fn probe_link(&self, endpoint: &EndpointId, start: StartId) {
+        let Some(location) = self.parts.site.view().location(endpoint) else {
+            // The endpoint is no longer listed.
+            return;
+        };
+        let (inputs, dispatcher) = (self.parts.inputs.clone(), self.parts.dispatcher.clone());
+        self.parts.runtime.spawn(async move {
+            let connected = dispatcher.probe(location).await;
+            let event = Event::LinkProbed(LinkProbe { start, connected });
+            let _ = inputs.send(Input::Event(event)).await;
+        });
+    }
+}
+
 /// Checks by connecting whether an endpoint is alive. Only a refused connection proves that its
 /// process has exited.
 ///
--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -125,6 +125,9 @@
             change_receiver,
             rest_stop_receiver.clone(),
         );
+        let tunnels = open(self.settings.instance.peers, "instance.peers")?;
+        let tunnel_server = parts.tunnel_server(self.connector.clone());
+        tokio::spawn(tunnel_server.run(tunnels, rest_stop_receiver.clone()));
         let outputs = DriverOutputs {
             self_status,
             records,
--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -28,8 +28,8 @@
 use crate::input::Input;
 use crate::instance::{ListenSnafu, StartError, UnsetSnafu, open};
 use crate::peer::{
-    AppliedRecords, BeaconService, Dialer, PeerDirectory, SelfStatus, SharedReads,
-    bind_beacon_socket,
+    AppliedRecords, BeaconService, Dialer, PeerDirectory, SelfStatus, SharedReads, TunnelClient,
+    TunnelServer, bind_beacon_socket,
 };
 use crate::placement::{DatagramLink, Membership, Placement};
 use crate::site::Site;
@@ -182,7 +182,7 @@
         let key = &self.settings.peers.shared_key;
         let hub = Arc::new(Hub::default());
         let parts = DriverParts {
-            dispatcher: Relay::new(dialect, connector, connect),
+            dispatcher: Relay::new(dialect, connector, connect, self.tunnel_client()),
             dialer: Dialer::new(self.member.name.clone(), key, hub),
             site: Arc::clone(&self.site),
             answer_cache: AnswerCache::new(self.settings.keys.answer_bytes),
@@ -207,6 +207,7 @@
             .with_eject_after(EJECT_AFTER)
             .with_await_peers()
             .with_shared_permits()
+            .with_routes_by_peers()
             .with_unix_zero(self.clock.unix_zero())
     }
 
@@ -220,6 +221,24 @@
         Placement::new(member, tables, link)
     }
 
+    fn tunnel_client(&self) -> TunnelClient {
+        let peers = Arc::clone(&self.peers);
+        TunnelClient::new(self.member.name.clone(), self.key(), peers)
+    }
+
+    /// Creates the server that passes connections of peers on to endpoints.
+    pub fn tunnel_server<C: Connector>(&self, connector: C) -> TunnelServer<C> {
+        TunnelServer {
+            name: self.member.name.clone(),
+            key: self.key(),
+            site: Arc::clone(&self.site),
+            connector,
+            clock: self.clock,
+            log: self.log.new(o!("part" => "tunnels")),
+            log_limiter: Arc::clone(&self.log_limiter),
+        }
+    }
+
     fn key(&self) -> Arc<[u8]> {
         Arc::from(self.settings.peers.shared_key.as_bytes())
     }
--- a/crates/firdock-node/src/endpoint.rs
+++ b/crates/firdock-node/src/endpoint.rs
@@ -73,6 +73,9 @@
         run: DispatchRun,
     ) -> impl Future<Output = &'static str> + Send;
 
+    /// Returns whether a connection to an endpoint is established over the instance's own link.
+    fn probe(&self, location: EndpointLocation) -> impl Future<Output = bool> + Send;
+
     /// Tells an endpoint to stop working on a request whose connection was closed.
     fn cancel(
         &self,
--- a/crates/firdock-node/src/endpoint/direct.rs
+++ b/crates/firdock-node/src/endpoint/direct.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Connects nowhere: the own interface sends no requests through peers, and probes no links.
+    async fn probe(&self, _location: EndpointLocation) -> bool {
+        true
+    }
+
     async fn cancel(&self, location: EndpointLocation, id: RequestId, dispatch: u32) {
         if location.backend == EndpointKind::Engine {
             self.engine.cancel(location.address, id, dispatch).await;
--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -5,6 +5,7 @@
 //! and whether the answer is complete (see `docs/design/endpoints.md`).
 
 mod plain;
+mod route;
 mod stream;
 
 use std::time::Duration;
@@ -23,9 +24,8 @@
 use super::run::{DispatchError, DispatchRun};
 use super::{Dispatcher, EndpointBody, EndpointLocation, Framing, HeadNotice, break_cause};
 use crate::exchange::{AnswerHead, AnswerPart, Payload};
-use crate::http::{
-    CallError, Connection, Connector, TcpConnector, connect_stream, strip_hop_by_hop,
-};
+use crate::http::{Connector, TcpConnector, connect_stream, strip_hop_by_hop};
+use crate::peer::TunnelClient;
 use crate::telemetry::LogKind;
 
 /// Time allowed beyond a request's own deadline before the endpoint counts as silent. The scheduler
@@ -93,26 +93,21 @@
     dialect: D,
     connector: C,
     connect_timeout: Duration,
+    tunnels: TunnelClient,
 }
 
 impl<D: Dialect, C: Connector> Relay<D, C> {
-    /// Creates a relay with a time limit for connecting.
+    /// Creates a relay with a time limit for connecting, and a client for connections through peers.
     #[must_use]
-    pub fn new(dialect: D, connector: C, connect_timeout: Duration) -> Self {
+    pub fn new(dialect: D, connector: C, connect_timeout: Duration, tunnels: TunnelClient) -> Self {
         Self {
             dialect,
             connector,
             connect_timeout,
+            tunnels,
         }
     }
 
-    /// Opens a connection to the endpoint of a dispatch.
-    async fn connect(&self, run: &DispatchRun) -> Result<Connection, CallError> {
-        let address = run.target.address;
-        let stream = connect_stream(&self.connector, address, self.connect_timeout).await?;
-        Connection::open(stream).await
-    }
-
     /// Builds the request of one dispatch.
     fn request(&self, run: &DispatchRun) -> Option<Request<Full<Bytes>>> {
         let payload = &run.exchange.payload;
@@ -210,9 +205,9 @@
         let limit = run.dispatch.deadline.map_or(DEFAULT_TIMEOUT, |by| {
             by.saturating_sub(run.clock.now()) + DEADLINE_GRACE
         });
-        let mut connection = match self.connect(&run).await {
+        let mut connection = match self.open(&run).await {
             Ok(connection) => connection,
-            Err(e) => return report_unconnected(&run, &e).await,
+            Err(failure) => return failure.report(&run).await,
         };
         // Checked after the connect, since the process may have been suspended during it.
         if let Some(result) = run.check_before_write().await {
@@ -223,7 +218,7 @@
         };
         let result = match run.until_restart(connection.call(request, limit)).await {
             Ok(Ok(response)) => self.handle_response(location, &run, response).await,
-            Ok(Err(e)) if e.never_sent() => report_unconnected(&run, &e).await,
+            Ok(Err(e)) if e.never_sent() => run.report_not_run(true).await,
             Ok(Err(e)) => run.report_broken(break_cause(&e)).await,
             Err(_) => run.report_broken(BreakCause::Restarted).await,
         };
@@ -231,18 +226,15 @@
         result
     }
 
+    async fn probe(&self, location: EndpointLocation) -> bool {
+        let connected = connect_stream(&self.connector, location.address, self.connect_timeout);
+        connected.await.is_ok()
+    }
+
     /// Does nothing: the endpoints drop a request when its connection is closed.
     async fn cancel(&self, _place: EndpointLocation, _id: RequestId, _dispatch: u32) {}
 }
 
-/// Reports that no connection to the endpoint was established.
-async fn report_unconnected(run: &DispatchRun, error: &CallError) -> &'static str {
-    if let Some(cause) = error.connect_failure() {
-        run.report(DispatchUpdate::ConnectFailed(cause)).await;
-    }
-    run.report_not_run(true).await
-}
-
 /// Reports the end of the answer to the scheduler.
 async fn finish(run: &DispatchRun, result: Result<(), DispatchError>, output: u32) -> &'static str {
     match result {
--- a/crates/firdock-node/src/peer.rs
+++ b/crates/firdock-node/src/peer.rs
@@ -22,6 +22,7 @@
 mod state;
 mod suspects;
 mod topic;
+mod tunnel;
 
 pub use beacon::{AppliedRecords, BeaconService, bind_socket as bind_beacon_socket};
 pub use datagram::{read_incarnation, seal};
@@ -44,6 +45,7 @@
 pub use sharing::{PeerProcess, StateQuery, StateReply, StoreSnapshot};
 pub use state::fetch_state;
 pub use topic::{KeyedRecord, Topic, TopicRecords, TopicSnapshot};
+pub use tunnel::{TunnelClient, TunnelError, TunnelServer};
 
 use std::time::Duration;
 
--- a/crates/firdock-node/src/peer/directory.rs
+++ b/crates/firdock-node/src/peer/directory.rs
@@ -294,6 +294,12 @@
         entries.values().any(|e| e.is_live(now))
     }
 
+    /// Returns an instance's address, if it is known.
+    #[must_use]
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.lock().get(name).map(|entry| entry.address)
+    }
+
     /// Returns all known instances, by name.
     #[must_use]
     pub fn known_peers(&self) -> Vec<PeerRecord> {
--- a/crates/firdock-node/src/peer/heartbeat.rs
+++ b/crates/firdock-node/src/peer/heartbeat.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use firdock_core::{InstanceId, Offset, ZoneId};
-use firdock_policy::event::{AccountUse, AccountWork, PeerUpdate, PoolDemand};
+use firdock_policy::event::{AccountUse, AccountWork, PeerUpdate, PoolDemand, PoolLinks};
 use firdock_policy::permit::LimitReport;
 use firdock_policy::rollout::{RolloutReport, Stage};
 use firdock_policy::suspect::SuspectReport;
 use firdock_policy::table::{Revision, Tables};
-use firdock_policy::{Time, limit_reports, limit_usage, pool_demand, rollout_report};
+use firdock_policy::{Time, limit_reports, limit_usage, link_report, pool_demand, rollout_report};
 use firdock_wire::Body;
 use firdock_wire::message::{self, Heartbeat};
 use slog::{Logger, debug};
@@ -52,6 +52,10 @@
     limits: Vec<LimitReport>,
     /// Revision of these limits. Their beginnings and ends are sent at once.
     pub(super) limits_revision: Revision,
+    /// Whether this instance passes connections to endpoints on.
+    passes_on: bool,
+    /// Its own links to endpoints.
+    links: Vec<PoolLinks>,
     version: u64,
     /// Use of account limits admitted by this instance.
     pub(super) used: Vec<AccountUse>,
@@ -101,6 +105,8 @@
                 .collect(),
             limits: limit_reports(t, now),
             limits_revision: t.limits.revision,
+            passes_on: t.settings.routes_by_peers,
+            links: link_report(t, now),
             version: t.version,
             used: limit_usage(t, now),
             rollouts: rollout_report(t, now),
@@ -146,6 +152,8 @@
             demand: write_demand(&self.demand),
             draining: self.draining,
             version: self.version,
+            passes_on: self.passes_on,
+            links: write_links(&self.links),
             ..Heartbeat::default()
         }
     }
@@ -170,6 +178,8 @@
             log_next,
             suspects: write_suspects(&self.suspects, age),
             limits: write_limits(&self.limits, now),
+            passes_on: self.passes_on,
+            links: write_links(&self.links),
         }
     }
 }
@@ -202,6 +212,30 @@
         .collect()
 }
 
+/// Encodes links to endpoints by pool.
+fn write_links(links: &[PoolLinks]) -> Vec<message::PoolLinks> {
+    let pools = links.iter().take(MAX_POOLS);
+    pools
+        .map(|links| message::PoolLinks {
+            pool: links.pool.clone(),
+            reached: links.reached,
+            failing: links.failing,
+        })
+        .collect()
+}
+
+/// Decodes links to endpoints by pool.
+fn read_links(links: Vec<message::PoolLinks>) -> Vec<PoolLinks> {
+    let pools = links.into_iter().take(MAX_POOLS);
+    pools
+        .map(|links| PoolLinks {
+            pool: links.pool,
+            reached: links.reached,
+            failing: links.failing,
+        })
+        .collect()
+}
+
 /// Encodes the work for accounts.
 pub fn write_work(work: &[AccountWork]) -> Vec<message::AccountWork> {
     let accounts = work.iter().take(MAX_WORK);
@@ -244,6 +278,8 @@
         leaving: heartbeat.leaving.into_iter().take(MAX_LEAVING).collect(),
         suspects: read_suspects(heartbeat.suspects),
         limits: read_limits(heartbeat.limits, sent),
+        passes_on: heartbeat.passes_on,
+        links: read_links(heartbeat.links),
         ..PeerUpdate::default()
     }
 }
--- a/crates/firdock-node/src/peer/link.rs
+++ b/crates/firdock-node/src/peer/link.rs
@@ -117,6 +117,22 @@
         Ok(self.framed.next().await.transpose()?)
     }
 
+    /// Returns the connection, on which no more messages are exchanged.
+    ///
+    /// # Errors
+    ///
+    /// Fails if bytes were received behind the last message.
+    pub fn into_stream(self) -> Result<TcpStream, LinkError> {
+        let parts = self.framed.into_parts();
+        if parts.read_buf.is_empty() {
+            return Ok(parts.io);
+        }
+        RejectedSnafu {
+            reason: "unexpected bytes",
+        }
+        .fail()
+    }
+
     fn authenticated(peer: &str, handshake: Framed<TcpStream, FrameCodec>) -> Self {
         let parts = handshake.into_parts();
         // A first message may have been received together with the proof. Building the codec from
--- /dev/null
+++ b/crates/firdock-node/src/peer/tunnel.rs
@@ -0,0 +1,241 @@
+//! Connections to endpoints by way of a peer.
+//!
+//! The peer only passes bytes on: the request remains with the instance that has it, and with it its
+//! deadline, its account and its place in the queue (`docs/design/routes.md`). The peer connects over
+//! its own link and nowhere else, so that a connection never goes through two of them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use firdock_core::{InstanceId, RequestId};
+use firdock_wire::Body;
+use firdock_wire::message::{Tunnel, TunnelOpened, TunnelRefused};
+use slog::{Logger, info, warn};
+use snafu::Snafu;
+use socket2::SockRef;
+use tokio::io::{AsyncWriteExt as _, copy};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::time::timeout;
+use uuid::Uuid;
+
+use super::directory::PeerDirectory;
+use super::link::{Link, LinkError};
+use crate::clock::Clock;
+use crate::endpoint::Target;
+use crate::http::{Connector, connect_stream, set_dead_peer_timeouts};
+use crate::site::Site;
+use crate::telemetry::{LogKind, LogLimiter};
+
+/// Time limit for a peer to connect to the endpoint. Within a region this takes some milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time limit for opening a tunnel, with the connection to the peer.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
+/// Maximum number of connections that an instance passes on, each of which takes two descriptors.
+const MAX_TUNNELS: usize = 512;
+
+/// Why no tunnel was opened.
+#[derive(Debug, Snafu)]
+#[non_exhaustive]
+pub enum TunnelError {
+    /// The peer did not pass the connection on.
+    #[snafu(display("peer {peer} passes no connection on"))]
+    Peer {
+        /// Peer.
+        peer: InstanceId,
+    },
+    /// The peer did not reach the endpoint either.
+    #[snafu(display("peer {peer} does not reach the endpoint"))]
+    Unreachable {
+        /// Peer.
+        peer: InstanceId,
+    },
+}
+
+/// Opens tunnels through peers.
+#[derive(Debug, Clone)]
+pub struct TunnelClient {
+    name: InstanceId,
+    key: Arc<[u8]>,
+    directory: Arc<PeerDirectory>,
+}
+
+impl TunnelClient {
+    /// Creates a client of the instance `name`.
+    #[must_use]
+    pub fn new(name: InstanceId, key: Arc<[u8]>, directory: Arc<PeerDirectory>) -> Self {
+        Self {
+            name,
+            key,
+            directory,
+        }
+    }
+
+    /// Opens a connection to an endpoint through a peer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer cannot be reached or does not pass the connection on.
+    pub async fn open(
+        &self,
+        peer: &InstanceId,
+        target: &Target,
+        id: RequestId,
+    ) -> Result<TcpStream, TunnelError> {
+        let opened = timeout(OPEN_TIMEOUT, self.request(peer, target, id)).await;
+        match opened {
+            Ok(Ok(Some(stream))) => Ok(stream),
+            Ok(Ok(None)) => UnreachableSnafu { peer }.fail(),
+            Ok(Err(_)) | Err(_) => PeerSnafu { peer }.fail(),
+        }
+    }
+
+    /// Asks a peer for a tunnel; `None` if it does not reach the endpoint.
+    async fn request(
+        &self,
+        peer: &InstanceId,
+        target: &Target,
+        id: RequestId,
+    ) -> Result<Option<TcpStream>, LinkError> {
+        let Some(at) = self.directory.address(peer) else {
+            return Err(LinkError::Closed);
+        };
+        let mut link = Link::dial(at, &self.name, peer, &self.key).await?;
+        link.send(Body::Tunnel(Tunnel {
+            endpoint: target.name.clone(),
+            address: target.address.to_string(),
+            request_id: id.as_bytes().to_vec(),
+        }))
+        .await?;
+        match link.receive().await? {
+            Some(Body::TunnelOpened(_)) => Ok(Some(link.into_stream()?)),
+            Some(Body::TunnelRefused(refused)) if refused.unreachable => Ok(None),
+            Some(_) => Err(LinkError::Rejected {
+                reason: "tunnel refused",
+            }),
+            None => Err(LinkError::Closed),
+        }
+    }
+}
+
+/// Passes connections of peers on to endpoints.
+#[derive(Debug, Clone)]
+pub struct TunnelServer<C> {
+    /// Name of this instance.
+    pub name: InstanceId,
+    /// Key shared by all instances.
+    pub key: Arc<[u8]>,
+    /// Endpoints to which connections are passed on.
+    pub site: Arc<Site>,
+    /// This instance's own links.
+    pub connector: C,
+    /// Clock.
+    pub clock: Clock,
+    /// Logger.
+    pub log: Logger,
+    /// Rate limit of log lines.
+    pub log_limiter: Arc<LogLimiter>,
+}
+
+impl<C: Connector> TunnelServer<C> {
+    /// Serves peers until `stop` turns true. Tunnels that are open go on until they end.
+    pub async fn run(self, listener: TcpListener, mut stop: watch::Receiver<bool>) {
+        let slots = Arc::new(Semaphore::new(MAX_TUNNELS));
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = stop.wait_for(|s| *s) => return,
+            };
+            let Ok((stream, _)) = accepted else { continue };
+            let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
+                continue;
+            };
+            let server = self.clone();
+            tokio::spawn(async move {
+                if let Err(e) = server.serve(stream).await {
+                    server.log_failure(&e);
+                }
+                drop(slot);
+            });
+        }
+    }
+
+    async fn serve(&self, stream: TcpStream) -> Result<(), LinkError> {
+        let mut link = Link::accept(stream, &self.name, &self.key, |_| true).await?;
+        let Some(Body::Tunnel(tunnel)) = link.receive().await? else {
+            return Err(LinkError::Rejected {
+                reason: "unexpected message",
+            });
+        };
+        let endpoint = match self.connect(&tunnel).await {
+            Ok(endpoint) => endpoint,
+            Err(unreachable) => {
+                return link
+                    .send(Body::TunnelRefused(TunnelRefused { unreachable }))
+                    .await;
+            }
+        };
+        link.send(Body::TunnelOpened(TunnelOpened {})).await?;
+        self.log_opened(&link.peer, &tunnel);
+        pass_bytes(link.into_stream()?, endpoint).await;
+        Ok(())
+    }
+
+    /// Connects to the endpoint of a tunnel. If that fails, returns whether the endpoint could not be
+    /// reached; otherwise this instance does not know it at that address.
+    async fn connect(&self, tunnel: &Tunnel) -> Result<TcpStream, bool> {
+        let location = self.site.view().location(&tunnel.endpoint);
+        let address = location
+            .map(|location| location.address)
+            .filter(|address| address.to_string() == tunnel.address)
+            .ok_or(false)?;
+        let connected = connect_stream(&self.connector, address, CONNECT_TIMEOUT).await;
+        connected.map_err(|_unreachable| true)
+    }
+
+    fn log_opened(&self, peer: &str, tunnel: &Tunnel) {
+        if self
+            .log_limiter
+            .allow(&self.log, self.clock.now(), LogKind::Tunnel)
+        {
+            let id = Uuid::from_slice(&tunnel.request_id).unwrap_or_default();
+            info!(self.log, "connection passed on"; "request_id" => id.to_string(),
+                "peer" => peer, "endpoint" => &tunnel.endpoint);
+        }
+    }
+
+    fn log_failure(&self, error: &LinkError) {
+        if self
+            .log_limiter
+            .allow(&self.log, self.clock.now(), LogKind::Tunnel)
+        {
+            warn!(self.log, "could not pass a connection on"; "error" => error.to_string());
+        }
+    }
+}
+
+/// Passes bytes on in both directions until one side ends.
+///
+/// The end of the instance's side closes the endpoint's at once, which cancels its request. The end of
+/// the endpoint's side reaches the instance as it was: a close as a close, and a reset as a reset, since
+/// the answer may have neither a length nor chunks.
+async fn pass_bytes(mut instance: TcpStream, mut endpoint: TcpStream) {
+    let _ = set_dead_peer_timeouts(&instance);
+    let ended = {
+        let (mut from_instance, mut to_instance) = instance.split();
+        let (mut from_endpoint, mut to_endpoint) = endpoint.split();
+        tokio::select! {
+            answered = copy(&mut from_endpoint, &mut to_instance) => Some(answered),
+            _ = copy(&mut from_instance, &mut to_endpoint) => None,
+        }
+    };
+    match ended {
+        Some(Ok(_)) => {
+            let _ = instance.shutdown().await;
+        }
+        Some(Err(_)) => {
+            let _ = SockRef::from(&instance).set_linger(Some(Duration::ZERO));
+        }
+        None => {}
+    }
+}
--- a/crates/firdock-node/src/placement/snapshot.rs
+++ b/crates/firdock-node/src/placement/snapshot.rs
@@ -22,6 +22,7 @@
     Some(match update {
         DispatchUpdate::Started { .. }
         | DispatchUpdate::ConnectFailed(_)
+        | DispatchUpdate::PassedOn
         | DispatchUpdate::Failed
         | DispatchUpdate::FailureKept
         | DispatchUpdate::Unproven
@@ -33,7 +34,9 @@
         DispatchUpdate::Broke { .. } => Progress::Broke,
         DispatchUpdate::Refused { unreachable: false } => Progress::Refused,
         DispatchUpdate::Refused { unreachable: true } => Progress::Unreachable,
-        DispatchUpdate::Lapsed | DispatchUpdate::Withheld => Progress::Dropped,
+        DispatchUpdate::Lapsed | DispatchUpdate::Withheld | DispatchUpdate::NotPassedOn => {
+            Progress::Dropped
+        }
     })
 }
 
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -101,6 +101,8 @@
             "pace_age_millis" => endpoint.and_then(|e| pace_age(now, e)),
             "prompt_tokens" => row.new.prompt_tokens,
             "placed_by" => placed_by(t),
+            "route" => dispatch.route.as_str(),
+            "peer" => dispatch.route.peer(),
             "running" => endpoint.map_or(0, |e| e.running),
             "budget" => endpoint.map_or(0, |e| e.budget),
             "left_millis" => row.deadline.map(|by| millis(by.saturating_sub(now))),
--- a/crates/firdock-node/src/telemetry/log_limiter.rs
+++ b/crates/firdock-node/src/telemetry/log_limiter.rs
@@ -35,6 +35,8 @@
     Notice,
     /// An endpoint's notice could not be parsed.
     BadNotice,
+    /// A connection of a peer to an endpoint was passed on.
+    Tunnel,
     /// The platform's store was called.
     StoreCall,
     /// An entry of an endpoint described no usable endpoint.
@@ -57,6 +59,7 @@
             Self::Quarantine => "quarantine",
             Self::Notice => "notice",
             Self::BadNotice => "notice not read",
+            Self::Tunnel => "connection passed on",
             Self::StoreCall => "store called",
             Self::RefusedEntry => "entry refused",
         }
@@ -75,6 +78,7 @@
             | Self::LivenessCheck
             | Self::Quarantine
             | Self::Notice
+            | Self::Tunnel
             | Self::StoreCall
             | Self::RefusedEntry => 20,
             Self::Failed | Self::Unframed | Self::StateChange => 200,
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -61,6 +61,8 @@
     dispatches: Counter,
     broken: Family<ByCause, Counter>,
     unconnected: Family<ByCause, Counter>,
+    passed_on: Counter,
+    not_passed_on: Counter,
     looks: Family<ByFound, Counter>,
     answer_ends: Family<ByEnd, Counter>,
     blamed: Counter,
@@ -118,6 +120,8 @@
             dispatches: Counter::default(),
             broken: Family::default(),
             unconnected: Family::default(),
+            passed_on: Counter::default(),
+            not_passed_on: Counter::default(),
             looks: Family::default(),
             answer_ends: Family::default(),
             blamed: Counter::default(),
@@ -331,6 +335,8 @@
             store(&self.looks.get_or_create(&label), *n);
         }
         store(&self.blamed, stats.blamed);
+        store(&self.passed_on, stats.passed_on);
+        store(&self.not_passed_on, stats.not_passed_on);
         store(&self.dispatches, stats.dispatches);
         store(&self.retries, stats.retries);
         store(&self.stale, stats.stale_news);
--- a/crates/firdock-node/src/telemetry/metrics/register.rs
+++ b/crates/firdock-node/src/telemetry/metrics/register.rs
@@ -107,6 +107,16 @@
             "Dispatches without a connection to their endpoint, by cause",
             self.unconnected.clone(),
         );
+        r.register(
+            "passed_on",
+            "Dispatches whose connection went through a peer",
+            self.passed_on.clone(),
+        );
+        r.register(
+            "not_passed_on",
+            "Dispatches that a peer did not pass on",
+            self.not_passed_on.clone(),
+        );
         r.register(
             "looks",
             "Looks at endpoints whose connections ended early, by what was found",
--- a/crates/firdock-node/src/telemetry/state_changes.rs
+++ b/crates/firdock-node/src/telemetry/state_changes.rs
@@ -6,15 +6,16 @@
 use std::sync::Arc;
 
 use firdock_core::Version;
-use firdock_policy::Time;
 use firdock_policy::table::Tables;
 use firdock_policy::table::peer::PeerRow;
+use firdock_policy::{Time, link_report};
 use slog::{Logger, info};
 
 use super::change_tracker::{Change, ChangeTracker};
 use super::decisions::config_age;
 use super::endpoints::{EndpointList, EndpointStatus};
 use super::log_limiter::{LogKind, LogLimiter};
+use crate::clock::millis;
 
 /// Logs the state changes of one scheduler, by comparing with the state that was last logged.
 #[derive(Debug)]
@@ -26,6 +27,7 @@
     endpoints: ChangeTracker<EndpointStatus>,
     list: EndpointList,
     peers: ChangeTracker<&'static str>,
+    links: &'static str,
 }
 
 impl StateChangeLog {
@@ -40,6 +42,7 @@
             endpoints: ChangeTracker::default(),
             list,
             peers: ChangeTracker::default(),
+            links: "up",
         }
     }
 
@@ -58,6 +61,31 @@
             .map(|(at, p)| (at, &*p.name, peer_state(now, t, p)));
         let changes = self.peers.update(rows);
         self.write_peers(now, &changes);
+        self.record_links(now, t);
+    }
+
+    /// Logs whether this instance's own links to endpoints work, with the evidence.
+    fn record_links(&mut self, now: Time, t: &Tables) {
+        let links = link_report(t, now);
+        let failing: u32 = links.iter().map(|p| p.failing).sum();
+        let reached: u32 = links.iter().map(|p| p.reached).sum();
+        let is = match (failing, reached) {
+            (0, _) => "up",
+            (_, 0) => "cut",
+            _ => "failing in part",
+        };
+        let before = std::mem::replace(&mut self.links, is);
+        if is == before || !self.limiter.allow(&self.log, now, LogKind::StateChange) {
+            return;
+        }
+        let latest = t
+            .endpoints
+            .iter()
+            .filter_map(|(_, e)| e.link.failed_at)
+            .max();
+        info!(self.log, "belief changed"; "what" => "links to endpoints", "is" => is, "before" => before,
+            "failing" => failing, "reached" => reached,
+            "age_millis" => latest.map(|at| millis(now.saturating_sub(at))));
     }
 
     fn record_version(&mut self, now: Time, version: Version) {
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -14,6 +14,7 @@
 mod shared_reads;
 mod suspects;
 mod test_instance;
+mod tunnels;
 
 use bytes::Bytes;
 use firdock_core::resource::{Resource, Tier};
--- a/crates/firdock-policy/src/action.rs
+++ b/crates/firdock-policy/src/action.rs
@@ -40,6 +40,13 @@
         /// Start of the endpoint.
         start: StartId,
     },
+    /// Probe this instance's own link to an endpoint by connecting.
+    ProbeLink {
+        /// Endpoint.
+        endpoint: EndpointId,
+        /// Start of the endpoint.
+        start: StartId,
+    },
     /// Withdraw a dispatch unless it has been written: its endpoint takes no new work.
     Withhold {
         /// Request.
@@ -156,6 +163,49 @@
     /// Whether the endpoint has a rate limit, which an answer that names none ends.
     #[serde(default, skip_serializing_if = "is_false")]
     pub limited: bool,
+    /// Route to the endpoint.
+    #[serde(default, skip_serializing_if = "Route::is_direct")]
+    pub route: Route,
+}
+
+/// Route of a dispatch to its endpoint.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Route {
+    /// Over this instance's own link.
+    #[default]
+    Direct,
+    /// Over this instance's own link, or through a peer if that fails.
+    DirectOr(InstanceId),
+    /// Through a peer, since the own link fails.
+    Through(InstanceId),
+}
+
+impl Route {
+    /// Returns whether no peer is part of the route.
+    #[must_use]
+    pub fn is_direct(&self) -> bool {
+        *self == Self::Direct
+    }
+
+    /// Returns the peer of the route.
+    #[must_use]
+    pub fn peer(&self) -> Option<&InstanceId> {
+        match self {
+            Self::Direct => None,
+            Self::DirectOr(peer) | Self::Through(peer) => Some(peer),
+        }
+    }
+
+    /// Returns its name in logs.
+    #[must_use]
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Direct => "direct",
+            Self::DirectOr(_) => "direct-or-peer",
+            Self::Through(_) => "peer",
+        }
+    }
 }
 
 #[expect(
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -20,11 +20,12 @@
 use crate::time::{LogTime, Time};
 
 pub use endpoint::{
-    BreakCause, ConnectFailure, DispatchUpdate, EndpointEvent, Liveness, LivenessResult, LoadReport,
+    BreakCause, ConnectFailure, DispatchUpdate, EndpointEvent, LinkProbe, Liveness, LivenessResult,
+    LoadReport,
 };
 pub use totals::{
-    AccountUse, AccountWork, GroupDemand, GroupEvidence, GroupWork, PeerUse, PoolDemand, UseCounts,
-    UseTotals,
+    AccountUse, AccountWork, GroupDemand, GroupEvidence, GroupWork, PeerUse, PoolDemand, PoolLinks,
+    UseCounts, UseTotals,
 };
 
 /// An event that the policy reacts to.
@@ -40,6 +41,8 @@
     /// The result of a liveness check of an endpoint.
     #[serde(rename = "looked")]
     LivenessChecked(LivenessResult),
+    /// A link to an endpoint was probed.
+    LinkProbed(LinkProbe),
     /// An endpoint reported its current pace.
     #[serde(rename = "paced")]
     PaceReported(PaceReport),
@@ -190,6 +193,12 @@
     /// Rate limits of endpoints that it knows.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LimitReport>,
+    /// Whether it passes connections to endpoints on.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub passes_on: bool,
+    /// Its own links to endpoints.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub links: Vec<PoolLinks>,
     /// Start of the peer's process; totals do not continue across starts.
     #[serde(default, skip_serializing_if = "Uuid::is_nil")]
     pub incarnation: Uuid,
--- a/crates/firdock-policy/src/event/endpoint.rs
+++ b/crates/firdock-policy/src/event/endpoint.rs
@@ -24,6 +24,10 @@
 pub enum DispatchUpdate {
     /// No connection to the endpoint was established; the update that ends the dispatch follows.
     ConnectFailed(ConnectFailure),
+    /// A connection was established by way of the route's peer.
+    PassedOn,
+    /// The route's peer did not pass the connection on; the request was not sent.
+    NotPassedOn,
     /// The connection failed or the endpoint refused the request; it did not run there.
     Refused {
         /// Whether the endpoint could not be reached.
@@ -128,6 +132,15 @@
     }
 }
 
+/// Result of a probe of this instance's own link to an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LinkProbe {
+    /// Start of the endpoint.
+    pub start: StartId,
+    /// Whether a connection was established.
+    pub connected: bool,
+}
+
 /// Result of a liveness check of an endpoint whose connection ended early.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LivenessResult {
--- a/crates/firdock-policy/src/event/totals.rs
+++ b/crates/firdock-policy/src/event/totals.rs
@@ -92,6 +92,17 @@
     pub rate: f64,
 }
 
+/// Links of one instance to the endpoints of one pool.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolLinks {
+    /// Pool.
+    pub pool: PoolId,
+    /// Endpoints to which connections worked lately.
+    pub reached: u32,
+    /// Endpoints to which the latest connection failed.
+    pub failing: u32,
+}
+
 /// Demand of the instances of one availability zone.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct GroupDemand {
--- a/crates/firdock-policy/src/lib.rs
+++ b/crates/firdock-policy/src/lib.rs
@@ -26,7 +26,7 @@
 };
 pub use system::{
     demand::by_pool as pool_demand, fair_share::work_report, limit::usage as limit_usage,
-    permit::reports as limit_reports, rollout::report as rollout_report,
+    permit::reports as limit_reports, rollout::report as rollout_report, route::link_report,
 };
 pub mod table;
 pub mod time;
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -11,7 +11,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::action::HandOverCause;
+use crate::action::{HandOverCause, Route};
 use crate::event::{BreakCause, ConnectFailure};
 use crate::time::{LogTime, Time};
 
@@ -199,6 +199,10 @@
     pub failure: EndpointFailure,
     /// Whether the end of the present dispatch's answer proves it complete.
     pub completion_proof: CompletionProof,
+    /// Route of the present dispatch.
+    pub route: Route,
+    /// Whether its connection goes through the route's peer.
+    pub passed_on: bool,
     /// Why the present dispatch has no connection, if none could be established.
     pub connect_failure: Option<ConnectFailure>,
     /// Cause for which the present dispatch is breaking, if it is.
@@ -284,6 +288,8 @@
             resumed_from: 0,
             failure: EndpointFailure::None,
             completion_proof: CompletionProof::Proven,
+            route: Route::Direct,
+            passed_on: false,
             connect_failure: None,
             breaking: None,
             placement: PlacementState::NotRequested,
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -6,7 +6,7 @@
 use crate::system::{
     admit, backoff, budget, config, coordinate, demand, dispatch_updates, drain, early_refusal,
     expire, fair_share, handover, health, invariants, key, limit, liveness, notice, pace_reports,
-    permit, place, rollout, shed, suspect,
+    permit, place, rollout, route, shed, suspect,
 };
 use crate::table::{ReachableInstances, Tables};
 use crate::time::Time;
@@ -54,6 +54,7 @@
             Event::CallerLeft(id) => dispatch_updates::caller_left(t, now, id, out),
             Event::Endpoint(e) => dispatch_updates::handle_update(t, now, &e, out),
             Event::LivenessChecked(result) => liveness::handle_result(t, now, &result, out),
+            Event::LinkProbed(result) => route::record_probe(t, now, &result),
             Event::PaceReported(report) => pace_reports::record(t, &report),
             Event::NoticeReported(report) => notice::record(t, &report, out),
             Event::LimitsReported(reports) => permit::copy_reports(t, &reports),
@@ -104,6 +105,7 @@
                 early_refusal::run(t, now, out);
                 rollout::run(t, now, out);
                 permit::request(t, now, out);
+                route::probe(t, now, out);
             }
         }
     }
--- a/crates/firdock-policy/src/settings.rs
+++ b/crates/firdock-policy/src/settings.rs
@@ -112,6 +112,10 @@
 
 /// Settings of the policy, taken from the instance's settings.
 #[derive(Debug, Clone, PartialEq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each switch is independent of the others"
+)]
 pub struct PolicySettings {
     /// Name and start of this instance.
     pub member: Member,
@@ -132,6 +136,8 @@
     /// Whether the instances of the site request permits for endpoints with rate limits from each
     /// other; otherwise each one grants itself an even part of a limit.
     pub shares_permits: bool,
+    /// Whether requests may go to endpoints by way of peers.
+    pub routes_by_peers: bool,
     /// Consecutive broken dispatches after which an endpoint is ejected.
     pub eject_after: u32,
     /// Age of the configuration above which requests with a key are refused.
@@ -175,6 +181,7 @@
             eject_ratio: settings.endpoints.eject_ratio,
             await_peers: false,
             shares_permits: false,
+            routes_by_peers: false,
             eject_after: 1,
             max_config_age: settings.freshness.serve(),
             peer_stale_after: settings.peers.stale_after(),
@@ -193,6 +200,8 @@
     #[must_use]
     pub fn with_coordination(mut self) -> Self {
         self.coordinates = true;
+        // The members choose the routes of what they send.
+        self.routes_by_peers = false;
         // The configuration's age is checked where a request is sent.
         self.max_config_age = None;
         self
@@ -212,6 +221,13 @@
         self
     }
 
+    /// Lets requests go to endpoints by way of peers.
+    #[must_use]
+    pub fn with_routes_by_peers(mut self) -> Self {
+        self.routes_by_peers = true;
+        self
+    }
+
     /// Sets the Unix time at zero of this process's clock.
     #[must_use]
     pub fn with_unix_zero(mut self, zero: Duration) -> Self {
--- a/crates/firdock-policy/src/stats.rs
+++ b/crates/firdock-policy/src/stats.rs
@@ -128,6 +128,10 @@
     pub notices: BTreeMap<PoolId, NoticeStats>,
     /// Dispatches without a connection, by cause.
     pub connect_failures: BTreeMap<ConnectFailure, u64>,
+    /// Connections to endpoints that go through a peer.
+    pub passed_on: u64,
+    /// Connections to endpoints that a peer did not pass on.
+    pub not_passed_on: u64,
     /// Broken dispatches by cause.
     pub broken: BTreeMap<BreakCause, u64>,
     /// Liveness checks of endpoints whose connections ended early, by result.
--- a/crates/firdock-policy/src/system.rs
+++ b/crates/firdock-policy/src/system.rs
@@ -26,5 +26,6 @@
 pub mod place;
 pub mod restart;
 pub mod rollout;
+pub mod route;
 pub mod shed;
 pub mod suspect;
--- a/crates/firdock-policy/src/system/dispatch_updates.rs
+++ b/crates/firdock-policy/src/system/dispatch_updates.rs
@@ -2,7 +2,9 @@
 
 use firdock_core::{Outcome, Reason, RequestId};
 
-use super::{fair_share, health, key, lifecycle, liveness, pace_reports, permit, rollout, suspect};
+use super::{
+    fair_share, health, key, lifecycle, liveness, pace_reports, permit, rollout, route, suspect,
+};
 use crate::action::Action;
 use crate::event::{BreakCause, ConnectFailure, DispatchUpdate, EndpointEvent};
 use crate::request::{
@@ -20,7 +22,9 @@
         return;
     };
     match e.update {
-        DispatchUpdate::ConnectFailed(cause) => record_connect_failure(t, e.id, cause),
+        DispatchUpdate::ConnectFailed(cause) => record_connect_failure(t, now, e.id, at, cause),
+        DispatchUpdate::PassedOn => mark_passed_on(t, e.id),
+        DispatchUpdate::NotPassedOn => handle_not_passed_on(t, now, e.id, at),
         DispatchUpdate::Refused { unreachable } => {
             handle_refused(t, now, e.id, at, unreachable, out);
         }
@@ -114,14 +118,39 @@
     }
 }
 
-/// Records why the present dispatch has no connection.
-fn record_connect_failure(t: &mut Tables, id: RequestId, cause: ConnectFailure) {
+/// Records why the present dispatch has no connection over this instance's own link.
+fn record_connect_failure(
+    t: &mut Tables,
+    now: Time,
+    id: RequestId,
+    at: usize,
+    cause: ConnectFailure,
+) {
+    t.endpoints.get_mut(at).link.record_failure(now);
     *t.stats.connect_failures.entry(cause).or_default() += 1;
     if let Some(row) = t.requests.get_mut(id) {
         row.connect_failure = Some(cause);
     }
 }
 
+/// Records that the connection goes through a peer.
+fn mark_passed_on(t: &mut Tables, id: RequestId) {
+    t.stats.passed_on += 1;
+    if let Some(row) = t.requests.get_mut(id) {
+        row.passed_on = true;
+    }
+}
+
+/// Takes back a request that the route's peer did not pass on. Another peer may.
+fn handle_not_passed_on(t: &mut Tables, now: Time, id: RequestId, at: usize) {
+    t.stats.not_passed_on += 1;
+    let peer = t.requests.get(id).and_then(|row| row.route.peer().cloned());
+    if let Some(peer) = peer {
+        route::record_peer_failure(t, now, &peer);
+    }
+    handle_withheld(t, now, id, at);
+}
+
 /// Records that the last dispatch did not run.
 fn uncount_run(t: &mut Tables, id: RequestId) {
     if let Some(row) = t.requests.get_mut(id) {
@@ -154,12 +183,21 @@
 
 fn handle_started(t: &mut Tables, id: RequestId, at: usize, head_sent: bool) {
     lifecycle::set_phase(t, id, Phase::Running(at), false);
+    record_working_link(t, id, at);
     let row = t.requests.get_mut(id).filter(|_| head_sent);
     if let Some(row) = row.filter(|row| !row.head_sent()) {
         row.delivered_part = DeliveredPart::Head;
     }
 }
 
+/// Records that this instance's own link to the endpoint works, if the answer came over it.
+fn record_working_link(t: &mut Tables, id: RequestId, at: usize) {
+    let direct = t.requests.get(id).filter(|row| !row.passed_on);
+    if let Some(dispatched) = direct.map(|row| row.dispatched) {
+        t.endpoints.get_mut(at).link.record_success(dispatched);
+    }
+}
+
 /// Records that the endpoint's failure response can be forwarded to the caller.
 fn mark_failure_kept(t: &mut Tables, id: RequestId) {
     if let Some(row) = t.requests.get_mut(id) {
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -10,7 +10,7 @@
 use self::choice::{Choice, Placement, choose, estimate};
 use self::lane::{is_backing_off, try_lane};
 use super::suspect::{self, Gate};
-use super::{coordinate, fair_share, key, lifecycle, rollout};
+use super::{coordinate, fair_share, key, lifecycle, rollout, route};
 use crate::action::{Action, Dispatch};
 use crate::event::Grant;
 use crate::request::{CompletionProof, EndpointFailure, Phase, RequestRow};
@@ -252,6 +252,7 @@
         row.is_none_or(|row| suspect::gate(t, row) == Gate::Open),
         "request {id} was sent although its content is quarantined or already running"
     );
+    let route = route::choose(t, now, id, choice.endpoint);
     let e = t.endpoints.get_mut(choice.endpoint);
     if matches!(e.health, Health::Ejected(_)) {
         e.health = Health::Probing;
@@ -293,6 +294,8 @@
     row.resumed_from = row.delivered;
     row.failure = EndpointFailure::None;
     row.completion_proof = CompletionProof::Proven;
+    row.route = route.clone();
+    row.passed_on = false;
     row.connect_failure = None;
     row.breaking = None;
     t.stats.dispatches += 1;
@@ -307,6 +310,7 @@
         confirm_by: row.confirm_by,
         deadline: row.deadline,
         limited,
+        route,
     }));
     rollout::record_sent(t, id, choice.endpoint);
 }
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -9,6 +9,7 @@
 pub mod key;
 pub mod limit;
 pub mod linear_fit;
+pub mod link;
 pub mod notices;
 pub mod peer;
 pub mod permit_issuer;
@@ -33,6 +34,7 @@
 pub use self::suspects::Revision;
 use crate::settings::PolicySettings;
 use crate::stats::Stats;
+use crate::system::route::LinkProbes;
 use crate::time::Time;
 use crate::usage::MergedCounts;
 
@@ -108,6 +110,8 @@
     pub backoffs_until: Time,
     /// What is known of the rate limits of all endpoints together.
     pub limits: endpoint_limit::LimitSummary,
+    /// State of the probes of this instance's links to endpoints.
+    pub link_probes: LinkProbes,
     /// Permits that this instance grants for endpoints with rate limits.
     pub permit_issuer: permit_issuer::PermitIssuer,
     /// Demand of other groups, as reported by their leads.
@@ -210,6 +214,7 @@
             known_peers: None,
             backoffs_until: Time::ZERO,
             limits: endpoint_limit::LimitSummary::default(),
+            link_probes: LinkProbes::default(),
             permit_issuer: permit_issuer::PermitIssuer::default(),
             groups: group::Groups::default(),
             reported_work: share::ReportedWork::default(),
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -7,6 +7,7 @@
 
 use super::endpoint_limit::EndpointLimit;
 use super::linear_fit::LinearFit;
+use super::link::EndpointLink;
 use super::notices::Notices;
 use super::prefix_cache::PrefixCache;
 use super::reported_pace::ReportedPace;
@@ -147,6 +148,8 @@
     pub notices: Notices,
     /// Rate limit that it named, and permits to send to it.
     pub limit: EndpointLimit,
+    /// This instance's own link to it.
+    pub link: EndpointLink,
     /// Pace that it reported.
     pub reported_pace: ReportedPace,
     /// Latest load report.
@@ -201,6 +204,7 @@
             streams: 0,
             notices: Notices::default(),
             limit: EndpointLimit::default(),
+            link: EndpointLink::default(),
             reported_pace: ReportedPace::default(),
             report: None,
             cache: PrefixCache::default(),
--- a/crates/firdock-policy/src/table/peer.rs
+++ b/crates/firdock-policy/src/table/peer.rs
@@ -2,11 +2,11 @@
 
 use std::collections::BTreeMap;
 
-use firdock_core::{AccountId, InstanceId, TierRank, ZoneId};
+use firdock_core::{AccountId, InstanceId, PoolId, TierRank, ZoneId};
 use uuid::Uuid;
 
 use super::rows::Rows;
-use crate::event::{PeerUpdate, UseTotals};
+use crate::event::{PeerUpdate, PoolLinks, UseTotals};
 use crate::time::Time;
 
 /// Table of peers.
@@ -51,6 +51,12 @@
     pub used: BTreeMap<AccountId, UseTotals>,
     /// Whether `used` covers all accounts that it has reported since that start.
     pub has_full_use: bool,
+    /// Whether it passes connections to endpoints on.
+    pub passes_on: bool,
+    /// Its own links to the endpoints of each pool.
+    pub links: BTreeMap<PoolId, PoolLinks>,
+    /// When it last failed to pass a connection on.
+    pub failed_at: Option<Time>,
     /// Requests of this instance that are handed over to it.
     pub handed_over: u32,
 }
@@ -69,6 +75,9 @@
             incarnation: Uuid::nil(),
             used: BTreeMap::new(),
             has_full_use: true,
+            passes_on: false,
+            links: BTreeMap::new(),
+            failed_at: None,
             handed_over: 0,
         }
     }
@@ -80,6 +89,9 @@
         self.zone = heartbeat.zone;
         self.last_seen = now;
         self.held = heartbeat.held;
+        self.passes_on = heartbeat.passes_on;
+        let links = heartbeat.links.into_iter();
+        self.links = links.map(|links| (links.pool.clone(), links)).collect();
         self.draining = heartbeat.draining;
         if self.incarnation != heartbeat.incarnation {
             self.used.clear();
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -17,6 +17,7 @@
 mod random;
 mod restart;
 mod rollout;
+mod routes;
 mod rules;
 mod shares;
 mod simulation;
--- a/crates/firdock-policy/tests/policy/simulation.rs
+++ b/crates/firdock-policy/tests/policy/simulation.rs
@@ -74,7 +74,6 @@
 }
 
 #[derive(Debug, Clone)]
-#[expect(clippy::large_enum_variant, reason = "few messages live at a time")]
 enum Message {
     /// An event for an instance's scheduler.
     Event(usize, Uuid, Event),
--- a/crates/firdock-policy/tests/policy/simulation/message.rs
+++ b/crates/firdock-policy/tests/policy/simulation/message.rs
@@ -327,6 +327,7 @@
             // The simulated endpoints name no rate limits.
             Action::RequestPermits(_)
             | Action::GrantPermits { .. }
+            | Action::ProbeLink { .. }
             | Action::Decline(_)
             | Action::Forget { .. }
             | Action::Record(_)
--- a/crates/firdock-standin/src/measure/baseline.rs
+++ b/crates/firdock-standin/src/measure/baseline.rs
@@ -5,7 +5,7 @@
 
 use firdock_core::resource::Catalog;
 use firdock_core::{Outcome, Reason, RequestId};
-use firdock_policy::action::Dispatch;
+use firdock_policy::action::{Dispatch, Route};
 use firdock_policy::event::{DispatchUpdate, EndpointEvent};
 use firdock_policy::{Action, Event, NewRequest, Policy, Verdict};
 use rand::rngs::StdRng;
@@ -145,6 +145,7 @@
             confirm_by: None,
             deadline: None,
             limited: false,
+            route: Route::Direct,
         }));
         self.active.insert(id, active);
     }
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -4,7 +4,7 @@
 pub struct Frame {
     #[prost(
         oneof = "frame::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -40,6 +40,12 @@
         AnswerCut(super::AnswerCut),
         #[prost(message, tag = "14")]
         KeyTransfer(super::KeyTransfer),
+        #[prost(message, tag = "15")]
+        Tunnel(super::Tunnel),
+        #[prost(message, tag = "16")]
+        TunnelOpened(super::TunnelOpened),
+        #[prost(message, tag = "17")]
+        TunnelRefused(super::TunnelRefused),
     }
 }
 /// First message of the instance that connects.
@@ -101,6 +107,46 @@
     /// many (docs/design/endpoint-limits.md).
     #[prost(message, repeated, tag = "9")]
     pub limits: ::prost::alloc::vec::Vec<EndpointLimit>,
+    /// Whether the sender passes connections to endpoints on (docs/design/routes.md).
+    #[prost(bool, tag = "10")]
+    pub passes_on: bool,
+    /// The sender's own links to endpoints.
+    #[prost(message, repeated, tag = "11")]
+    pub links: ::prost::alloc::vec::Vec<PoolLinks>,
+}
+/// Links of one instance to the endpoints of one pool.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PoolLinks {
+    #[prost(string, tag = "1")]
+    pub pool: ::prost::alloc::string::String,
+    /// Endpoints to which connections worked lately.
+    #[prost(uint32, tag = "2")]
+    pub reached: u32,
+    /// Endpoints to which the latest connection failed.
+    #[prost(uint32, tag = "3")]
+    pub failing: u32,
+}
+/// Asks the receiver to connect to an endpoint and to pass the bytes of both connections on.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Tunnel {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// IP:PORT, as the sender knows it.
+    #[prost(string, tag = "2")]
+    pub address: ::prost::alloc::string::String,
+    /// 16 bytes: the request, for the receiver's log.
+    #[prost(bytes = "vec", tag = "3")]
+    pub request_id: ::prost::alloc::vec::Vec<u8>,
+}
+/// The connection is established; all further bytes are the endpoint's and the sender's.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TunnelOpened {}
+/// The connection is not passed on.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TunnelRefused {
+    /// Whether the receiver tried and did not reach the endpoint either.
+    #[prost(bool, tag = "1")]
+    pub unreachable: bool,
 }
 /// Rate limit that an endpoint named for all instances together.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -132,7 +132,8 @@
     match line.text("msg") {
         "belief changed" => {
             let what = line.text("what");
-            what == "configuration" || what == "coordinator" || endpoints.contains(what)
+            ["configuration", "coordinator", "links to endpoints"].contains(&what)
+                || endpoints.contains(what)
         }
         "endpoint notice" => {
             let start = line.text("endpoint");
