--- a/crates/firdock-node/src/endpoint.rs
+++ b/crates/firdock-node/src/endpoint.rs
@@ -54,10 +54,13 @@
 pub const LEAVING_HEADER: HeaderName = HeaderName::from_static("endpoint-leaving");
 /// Header with the requests per second that an endpoint takes from all instances together.
 pub const LIMIT_HEADER: HeaderName = HeaderName::from_static("endpoint-limit");
+/// Header with the requests per second that an endpoint can refuse for want of room without failing.
+pub const REFUSAL_LIMIT_HEADER: HeaderName = HeaderName::from_static("endpoint-refusal-limit");
 /// Headers of notices on any response.
 pub const NOTICE_HEADERS: NoticeHeaders = NoticeHeaders {
     leaving: LEAVING_HEADER,
     limit: LIMIT_HEADER,
+    refusal_limit: REFUSAL_LIMIT_HEADER,
 };
 /// Header with the number of the dispatch.
 pub const DISPATCH_HEADER: &str = "x-dispatch";
--- a/crates/firdock-node/src/endpoint/notice.rs
+++ b/crates/firdock-node/src/endpoint/notice.rs
@@ -28,6 +28,8 @@
     pub leaving: HeaderName,
     /// Requests per second that the endpoint takes from all instances together.
     pub limit: HeaderName,
+    /// Requests per second that the endpoint can refuse for want of room without failing.
+    pub refusal_limit: HeaderName,
 }
 
 /// The readable part of a notice in the head of an answer.
@@ -68,6 +70,7 @@
             read.read_backoff(headers);
         }
         read.read_limit(headers, &names.limit);
+        read.read_refusal_limit(headers, &names.refusal_limit);
         read
     }
 
@@ -96,6 +99,19 @@
         }
     }
 
+    /// Of several limits the lowest counts.
+    fn read_refusal_limit(&mut self, headers: &HeaderMap, name: &HeaderName) {
+        for value in headers.get_all(name).iter().take(MAX_HEADER_LINES) {
+            let Some(limit) = parse_number(value.as_bytes().trim_ascii()) else {
+                self.record_malformed(value);
+                continue;
+            };
+            let limit = limit as u32;
+            let lowest = self.notice.refusal_limit.map_or(limit, |l| l.min(limit));
+            self.notice.refusal_limit = Some(lowest);
+        }
+    }
+
     fn read_backoff(&mut self, headers: &HeaderMap) {
         let values = headers.get_all(header::RETRY_AFTER);
         for value in values.iter().take(MAX_HEADER_LINES) {
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -128,6 +128,7 @@
                 "leaving" => report.notice.leaving,
                 "backoff_millis" => report.notice.backoff.map(millis),
                 "limit_per_second" => report.notice.limit.rate().map(RequestRate::per_second),
+                "refusal_limit" => report.notice.refusal_limit,
                 "age_millis" => millis(now.saturating_sub(report.read)),
             );
         }
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -84,6 +84,7 @@
     leaving_told: Family<ByPool, Counter>,
     backoffs_told: Family<ByPool, Counter>,
     limits_told: Family<ByPool, Counter>,
+    refusal_limits_told: Family<ByPool, Counter>,
     held_time: Histogram,
     total: Histogram,
     store_calls: Family<ByCall, Counter>,
@@ -147,6 +148,7 @@
             leaving_told: Family::default(),
             backoffs_told: Family::default(),
             limits_told: Family::default(),
+            refusal_limits_told: Family::default(),
             held_time: latency(),
             total: latency(),
             store_calls: Family::default(),
@@ -307,6 +309,10 @@
             store(&self.leaving_told.get_or_create(&label), n.leaving);
             store(&self.backoffs_told.get_or_create(&label), n.backoffs);
             store(&self.limits_told.get_or_create(&label), n.limits);
+            store(
+                &self.refusal_limits_told.get_or_create(&label),
+                n.refusal_limits,
+            );
         }
         for (key, n) in &stats.refusals {
             let label = ByRefusal {
--- a/crates/firdock-node/src/telemetry/metrics/register.rs
+++ b/crates/firdock-node/src/telemetry/metrics/register.rs
@@ -173,6 +173,11 @@
             "Answers with which endpoints named a rate limit, by pool",
             self.limits_told.clone(),
         );
+        r.register(
+            "refusal_limits_told",
+            "Answers with which endpoints named a limit of refusals, by pool",
+            self.refusal_limits_told.clone(),
+        );
     }
 
     /// Registers the metrics of endpoint restarts and of endpoint entries.
--- a/crates/firdock-node/tests/node/head_notice.rs
+++ b/crates/firdock-node/tests/node/head_notice.rs
@@ -11,9 +11,11 @@
 
 const LEAVING: HeaderName = HeaderName::from_static("it-leaves");
 const LIMIT: HeaderName = HeaderName::from_static("it-takes");
+const REFUSALS: HeaderName = HeaderName::from_static("it-refuses");
 const NAMES: NoticeHeaders = NoticeHeaders {
     leaving: LEAVING,
     limit: LIMIT,
+    refusal_limit: REFUSALS,
 };
 const BUSY: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
 
@@ -141,6 +143,26 @@
     }
 }
 
+/// Values of the header, the limit, and whether any of them is malformed.
+type RefusalCase<'a> = (&'a [&'a [u8]], Option<u32>, bool);
+
+#[test]
+fn a_refusal_limit_is_read_as_a_number_and_the_lowest_of_several_counts() {
+    let cases: [RefusalCase<'_>; 6] = [
+        (&[], None, false),
+        (&[b"12"], Some(12), false),
+        (&[b"7.9", b"20"], Some(7), false),
+        (&[b"0"], Some(0), false),
+        (&[b"-3"], None, true),
+        (&[b"many", b"4"], Some(4), true),
+    ];
+    for (values, expected, malformed) in cases {
+        let read = HeadNotice::read(StatusCode::OK, &headers(&REFUSALS, values), &NAMES);
+        assert_eq!(read.notice.refusal_limit, expected, "{values:?}");
+        assert_eq!(read.malformed.is_some(), malformed, "{values:?}");
+    }
+}
+
 /// A malformed value must neither end a limit nor set one.
 #[test]
 fn a_malformed_rate_limit_says_nothing_and_is_reported() {
--- a/crates/firdock-policy/src/notice.rs
+++ b/crates/firdock-policy/src/notice.rs
@@ -16,6 +16,9 @@
     pub leaving: bool,
     /// How long it wants no requests from the instance that it answered.
     pub backoff: Option<Duration>,
+    /// Requests per second that it can refuse for want of room without failing, if it is that fragile.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub refusal_limit: Option<u32>,
     /// What it says about its rate limit.
     #[serde(default, skip_serializing_if = "LimitNotice::is_unknown")]
     pub limit: LimitNotice,
@@ -61,7 +64,8 @@
     /// Returns whether the notice is empty.
     #[must_use]
     pub fn is_empty(self) -> bool {
-        !self.leaving && self.backoff.is_none() && self.limit.is_unknown()
+        let fragile = self.refusal_limit.is_some();
+        !self.leaving && self.backoff.is_none() && self.limit.is_unknown() && !fragile
     }
 }
 
--- a/crates/firdock-policy/src/stats.rs
+++ b/crates/firdock-policy/src/stats.rs
@@ -103,6 +103,8 @@
     pub backoffs: u64,
     /// Answers that named a rate limit.
     pub limits: u64,
+    /// Answers that named a limit of refusals.
+    pub refusal_limits: u64,
 }
 
 /// All counters.
--- a/crates/firdock-policy/src/system/notice.rs
+++ b/crates/firdock-policy/src/system/notice.rs
@@ -45,6 +45,7 @@
     counts.leaving += u64::from(new.leaving);
     counts.backoffs += u64::from(report.notice.backoff.is_some());
     counts.limits += u64::from(report.notice.limit.rate().is_some());
+    counts.refusal_limits += u64::from(report.notice.refusal_limit.is_some());
     if !new.is_empty() {
         withhold(t, at, out);
     }
--- a/crates/firdock-policy/src/table/notices.rs
+++ b/crates/firdock-policy/src/table/notices.rs
@@ -37,6 +37,7 @@
             leaving: report.notice.leaving && self.leaving_since.is_none(),
             backoff: report.notice.backoff.filter(|_| self.extends(report)),
             limit: LimitNotice::Unknown,
+            refusal_limit: None,
         };
         if new.leaving {
             self.leaving_since = Some(report.read);
