--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -8,6 +8,7 @@
 mod endpoint_limits;
 mod failures;
 mod fixtures;
+mod fragile;
 mod golden;
 mod limits;
 mod linear_fit;
