--- a/crates/firdock-node/src/peer/heartbeat.rs
+++ b/crates/firdock-node/src/peer/heartbeat.rs
@@ -5,12 +5,16 @@
 use std::time::Duration;
 
 use firdock_core::{InstanceId, Offset, ZoneId};
-use firdock_policy::event::{AccountUse, AccountWork, PeerUpdate, PoolDemand, PoolLinks};
+use firdock_policy::event::{
+    AccountUse, AccountWork, FragilePoolReport, PeerUpdate, PoolDemand, PoolLinks,
+};
 use firdock_policy::permit::LimitReport;
 use firdock_policy::rollout::{RolloutReport, Stage};
 use firdock_policy::suspect::SuspectReport;
 use firdock_policy::table::{Revision, Tables};
-use firdock_policy::{Time, limit_reports, limit_usage, link_report, pool_demand, rollout_report};
+use firdock_policy::{
+    Time, limit_reports, limit_usage, link_report, own_fragile_pools, pool_demand, rollout_report,
+};
 use firdock_wire::Body;
 use firdock_wire::message::{self, Heartbeat};
 use slog::{Logger, debug};
@@ -23,7 +27,7 @@
 use super::limits::{read_limits, write_limits};
 use super::suspects::{MAX_SUSPECTS, read_suspects, write_suspects};
 use crate::backoff::Backoff;
-use crate::clock::Clock;
+use crate::clock::{Clock, millis};
 
 /// Maximum delay between two attempts to connect to a peer.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(5);
@@ -56,6 +60,8 @@
     passes_on: bool,
     /// Its own links to endpoints.
     links: Vec<PoolLinks>,
+    /// Pools whose endpoints fail if they refuse too many requests.
+    fragile: Vec<FragilePoolReport>,
     version: u64,
     /// Use of account limits admitted by this instance.
     pub(super) used: Vec<AccountUse>,
@@ -107,6 +113,7 @@
             limits_revision: t.limits.revision,
             passes_on: t.settings.routes_by_peers,
             links: link_report(t, now),
+            fragile: own_fragile_pools(t, now),
             version: t.version,
             used: limit_usage(t, now),
             rollouts: rollout_report(t, now),
@@ -180,6 +187,7 @@
             limits: write_limits(&self.limits, now),
             passes_on: self.passes_on,
             links: write_links(&self.links),
+            fragile: write_fragile(&self.fragile, now),
         }
     }
 }
@@ -236,6 +244,30 @@
         .collect()
 }
 
+/// Encodes fragile pools.
+fn write_fragile(pools: &[FragilePoolReport], now: Time) -> Vec<message::FragilePool> {
+    let pools = pools.iter().take(MAX_POOLS);
+    pools
+        .map(|report| message::FragilePool {
+            pool: report.pool.clone(),
+            limit: report.limit,
+            age_millis: millis(now.saturating_sub(report.read)),
+        })
+        .collect()
+}
+
+/// Decodes fragile pools of a heartbeat that was sent at `sent`.
+fn read_fragile(pools: Vec<message::FragilePool>, sent: Time) -> Vec<FragilePoolReport> {
+    let pools = pools.into_iter().take(MAX_POOLS);
+    pools
+        .map(|pool| FragilePoolReport {
+            pool: pool.pool,
+            limit: pool.limit,
+            read: sent.saturating_sub(Duration::from_millis(pool.age_millis)),
+        })
+        .collect()
+}
+
 /// Encodes the work for accounts.
 pub fn write_work(work: &[AccountWork]) -> Vec<message::AccountWork> {
     let accounts = work.iter().take(MAX_WORK);
@@ -280,6 +312,7 @@
         limits: read_limits(heartbeat.limits, sent),
         passes_on: heartbeat.passes_on,
         links: read_links(heartbeat.links),
+        fragile: read_fragile(heartbeat.fragile, sent),
         ..PeerUpdate::default()
     }
 }
--- a/crates/firdock-node/src/placement/coordinator.rs
+++ b/crates/firdock-node/src/placement/coordinator.rs
@@ -14,7 +14,9 @@
 use firdock_policy::table::endpoint::EndpointRow;
 use firdock_policy::table::rollout::RolloutRow;
 use firdock_policy::table::{Revision, Tables};
-use firdock_policy::{Action, Event, Policy as _, Scheduler, Time, Verdict, limit_reports};
+use firdock_policy::{
+    Action, Event, Policy as _, Scheduler, Time, Verdict, fragile_pools, limit_reports,
+};
 use uuid::Uuid;
 
 use crate::clock::millis;
@@ -153,6 +155,7 @@
     pub fn sync_tables(&mut self, now: Time, own: &Tables) {
         self.sync_suspects(now, own);
         self.sync_limits(now, own);
+        self.sync_fragile(now, own);
         for row in own.rollouts.rows.values() {
             let known = self.scheduler.tables().rollouts.of(&row.declared.pool);
             if known.is_some_and(|k| k.stage < row.stage || !same_ratio(k, row)) {
@@ -181,6 +184,14 @@
         }
     }
 
+    /// Copies which pools are fragile. They are few, and remain so for seconds.
+    fn sync_fragile(&mut self, now: Time, own: &Tables) {
+        let pools = fragile_pools(own, now);
+        if !pools.is_empty() {
+            self.step(now, Event::FragilePoolsReported(pools));
+        }
+    }
+
     /// Takes the requests for permits that are to be sent.
     pub fn take_permit_requests(&mut self) -> Vec<PermitRequest> {
         std::mem::take(&mut self.permit_requests)
--- a/crates/firdock-node/src/telemetry/endpoints.rs
+++ b/crates/firdock-node/src/telemetry/endpoints.rs
@@ -128,6 +128,7 @@
             Err(UnavailableReason::BackingOff(until)) => {
                 format!("backing off {} ms", millis(until.saturating_sub(now)))
             }
+            Err(UnavailableReason::Full) => "full".to_owned(),
             Err(UnavailableReason::RateLimited) => {
                 let rate = e.limit.rate().map_or(0.0, RequestRate::per_second);
                 format!("rate limited to {rate} per second")
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -24,8 +24,8 @@
     LoadReport,
 };
 pub use totals::{
-    AccountUse, AccountWork, GroupDemand, GroupEvidence, GroupWork, PeerUse, PoolDemand, PoolLinks,
-    UseCounts, UseTotals,
+    AccountUse, AccountWork, FragilePoolReport, GroupDemand, GroupEvidence, GroupWork, PeerUse,
+    PoolDemand, PoolLinks, UseCounts, UseTotals,
 };
 
 /// An event that the policy reacts to.
@@ -51,6 +51,8 @@
     NoticeReported(NoticeReport),
     /// The rate limits of endpoints that this instance's own scheduler knows, for its coordinator.
     LimitsReported(Vec<LimitReport>),
+    /// The fragile pools that this instance's own scheduler knows, for its coordinator.
+    FragilePoolsReported(Vec<FragilePoolReport>),
     /// A scheduler requests permits for endpoints that this instance grants them for.
     PermitsRequested(PermitHolder, Vec<PermitRequest>),
     /// Permits were granted.
@@ -199,6 +201,9 @@
     /// Its own links to endpoints.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub links: Vec<PoolLinks>,
+    /// Pools that it knows to be fragile.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub fragile: Vec<FragilePoolReport>,
     /// Start of the peer's process; totals do not continue across starts.
     #[serde(default, skip_serializing_if = "Uuid::is_nil")]
     pub incarnation: Uuid,
--- a/crates/firdock-policy/src/event/totals.rs
+++ b/crates/firdock-policy/src/event/totals.rs
@@ -6,6 +6,7 @@
 use uuid::Uuid;
 
 use crate::rollout::Evidence;
+use crate::time::Time;
 
 /// What one instance has admitted under account limits since its start.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -103,6 +104,17 @@
     pub failing: u32,
 }
 
+/// Report that the endpoints of a pool fail if they refuse too many requests in a second.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FragilePoolReport {
+    /// Pool.
+    pub pool: PoolId,
+    /// Refusals per second that an endpoint bears.
+    pub limit: u32,
+    /// When an answer that said so was read, by this process's clock.
+    pub read: Time,
+}
+
 /// Demand of the instances of one availability zone.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct GroupDemand {
--- a/crates/firdock-policy/src/lib.rs
+++ b/crates/firdock-policy/src/lib.rs
@@ -25,8 +25,10 @@
     FairShare, OVER_SHARE_FACTOR, PoolFairShares, ShareDemand, fair_shares_by_pool, max_min_shares,
 };
 pub use system::{
-    demand::by_pool as pool_demand, fair_share::work_report, limit::usage as limit_usage,
-    permit::reports as limit_reports, rollout::report as rollout_report, route::link_report,
+    demand::by_pool as pool_demand, fair_share::work_report,
+    fragile::own_reports as own_fragile_pools, fragile::reports as fragile_pools,
+    limit::usage as limit_usage, permit::reports as limit_reports,
+    rollout::report as rollout_report, route::link_report,
 };
 pub mod table;
 pub mod time;
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -5,8 +5,8 @@
 use crate::settings::PolicySettings;
 use crate::system::{
     admit, backoff, budget, config, coordinate, demand, dispatch_updates, drain, early_refusal,
-    expire, fair_share, handover, health, invariants, key, limit, liveness, notice, pace_reports,
-    permit, place, rollout, route, shed, suspect,
+    expire, fair_share, fragile, handover, health, invariants, key, limit, liveness, notice,
+    pace_reports, permit, place, rollout, route, shed, suspect,
 };
 use crate::table::{ReachableInstances, Tables};
 use crate::time::Time;
@@ -58,6 +58,7 @@
             Event::PaceReported(report) => pace_reports::record(t, &report),
             Event::NoticeReported(report) => notice::record(t, &report, out),
             Event::LimitsReported(reports) => permit::copy_reports(t, &reports),
+            Event::FragilePoolsReported(reports) => fragile::merge_reports(t, &reports),
             Event::PermitsRequested(holder, requests) => {
                 permit::grant(t, now, holder, &requests, out);
             }
--- a/crates/firdock-policy/src/system.rs
+++ b/crates/firdock-policy/src/system.rs
@@ -12,6 +12,7 @@
 pub mod early_refusal;
 pub mod expire;
 pub mod fair_share;
+pub mod fragile;
 pub mod handover;
 pub mod health;
 pub mod invariants;
--- a/crates/firdock-policy/src/system/backoff.rs
+++ b/crates/firdock-policy/src/system/backoff.rs
@@ -73,6 +73,7 @@
             Ok(())
             | Err(
                 UnavailableReason::RateLimited
+                | UnavailableReason::Full
                 | UnavailableReason::Ejected
                 | UnavailableReason::Probing,
             ) => return None,
--- a/crates/firdock-policy/src/system/budget.rs
+++ b/crates/firdock-policy/src/system/budget.rs
@@ -29,6 +29,11 @@
 /// Weight by which an instance in the engine's own availability zone is preferred for one of its
 /// last places.
 const SAME_ZONE_WEIGHT: f64 = 3.0;
+/// Time after which instances that share fewer places than they are take turns.
+const TURN: Duration = Duration::from_secs(2);
+/// Time at the beginning of a turn in which what was sent in the one before may still be there, and in
+/// which instances whose clocks differ may not agree on the turn.
+const TURN_GAP: Duration = Duration::from_millis(400);
 /// Fraction of each endpoint that is divided evenly, so that a burst finds some places immediately.
 const EVEN_FRACTION: f64 = 0.25;
 
@@ -43,7 +48,7 @@
     let shared: Vec<(usize, &EndpointRow)> = t.endpoints.iter().filter(|(_, e)| own(e)).collect();
     let mechanisms = t.settings.mechanisms;
     let budgets = if t.is_single_group() {
-        exact_budgets(&LiveInstances::new(t, now), mechanisms, &shared)
+        exact_budgets(t, now, &LiveInstances::new(t, now), &shared)
     } else {
         sampled_budgets(&InstanceTotals::new(t, now), mechanisms, &shared)
     };
@@ -55,16 +60,24 @@
 /// Returns budgets that add up to exactly each engine's places over all instances: every instance
 /// computes the shares of all.
 fn exact_budgets(
+    t: &Tables,
+    now: Time,
     instances: &LiveInstances,
-    mechanisms: Mechanisms,
     endpoints: &[(usize, &EndpointRow)],
 ) -> Vec<(usize, u32)> {
+    let mechanisms = t.settings.mechanisms;
     let parts: Vec<Vec<f64>> = endpoints.iter().map(|(_, e)| instances.shares(e)).collect();
     let own = parts.iter().map(|all_shares| all_shares[0]);
     let places = places_per_slot(endpoints, own);
     let rows = endpoints.iter().zip(&parts);
-    rows.map(|((at, e), all_shares)| (*at, instances.budget(mechanisms, places, e, all_shares)))
-        .collect()
+    let budget = |((at, e), all_shares): (&(usize, &EndpointRow), &Vec<f64>)| {
+        let budget = match t.fragile.get(&e.declared.pool, now) {
+            Some(_) => instances.rotating_budget(t.unix_time(now), e, all_shares),
+            None => instances.budget(mechanisms, places, e, all_shares),
+        };
+        (*at, budget)
+    };
+    rows.map(budget).collect()
 }
 
 /// Returns budgets that add up to each engine's places on average, by a local pseudorandom draw.
@@ -161,11 +174,28 @@
 
     fn budget(&self, mechanisms: Mechanisms, places: f64, e: &EndpointRow, shares: &[f64]) -> u32 {
         if mechanisms.integer_budgets && e.is_engine() {
-            return self.integer_budgets(shares, places * f64::from(e.declared.slots), e);
+            return self.integer_budgets(shares, places * f64::from(e.declared.slots), e, 0);
         }
         rounded_places(e, shares[0])
     }
 
+    /// Returns the whole number of places of this instance at a fragile endpoint: those of all add up
+    /// to its slots. Where there are fewer slots than instances, these take turns.
+    ///
+    /// At the beginning of a turn, places that the instance did not have before are left to what
+    /// others still have there.
+    fn rotating_budget(&self, unix_time: Duration, e: &EndpointRow, shares: &[f64]) -> u32 {
+        let places = f64::from(e.declared.slots);
+        let turn = (unix_time.as_millis() / TURN.as_millis()) as u64;
+        let budget = |turn: u64| self.integer_budgets(shares, places, e, turn);
+        let into_turn = unix_time.as_millis() % TURN.as_millis();
+        if into_turn < TURN_GAP.as_millis() {
+            budget(turn).min(budget(turn.saturating_sub(1)))
+        } else {
+            budget(turn)
+        }
+    }
+
     /// Returns each instance's share of an endpoint, from 0 to 1.
     fn shares(&self, e: &EndpointRow) -> Vec<f64> {
         let even = 1.0 / self.rows.len() as f64;
@@ -185,7 +215,7 @@
 
     /// Returns the whole number of places of this instance. Nearby instances are preferred for the
     /// last places.
-    fn integer_budgets(&self, shares: &[f64], places: f64, e: &EndpointRow) -> u32 {
+    fn integer_budgets(&self, shares: &[f64], places: f64, e: &EndpointRow, turn: u64) -> u32 {
         let part = |(row, share): (&'_ InstanceDemand, &f64)| {
             let same_zone = row.zone == e.declared.zone;
             Allotment {
@@ -195,7 +225,7 @@
             }
         };
         let parts: Vec<Allotment> = self.rows.iter().zip(shares).map(part).collect();
-        integer_budgets(&parts, 0, places, e)
+        integer_budgets(&parts, 0, places, e, turn)
     }
 }
 
@@ -228,10 +258,16 @@
 /// Each gets the integer part of its share. The remaining places are assigned by weighted
 /// rendezvous hashing: to the highest numbers drawn from the names, weighted by the fractional part
 /// that is still missing. All instances compute the same result without communication.
-fn integer_budgets(parts: &[Allotment], own: usize, places: f64, e: &EndpointRow) -> u32 {
+fn integer_budgets(
+    parts: &[Allotment],
+    own: usize,
+    places: f64,
+    e: &EndpointRow,
+    turn: u64,
+) -> u32 {
     let whole = |part: &Allotment| (places * part.share).floor();
     let left = places - parts.iter().map(whole).sum::<f64>();
-    let key = rendezvous::hash_key(e.declared.name.as_bytes());
+    let key = rendezvous::hash_key(e.declared.name.as_bytes()).wrapping_add(turn);
     let draw = |part: &Allotment| {
         let remainder = places * part.share - whole(part);
         let number = rendezvous::weight(key, &part.name) as f64 / u64::MAX as f64;
--- a/crates/firdock-policy/src/system/budget/group.rs
+++ b/crates/firdock-policy/src/system/budget/group.rs
@@ -84,7 +84,7 @@
             };
             let parts: Vec<Allotment> = shares.map(part).collect();
             let places = f64::from(e.declared.slots);
-            budgets.push((*at, integer_budgets(&parts, own, places, e)));
+            budgets.push((*at, integer_budgets(&parts, own, places, e, 0)));
         }
     }
     budgets
--- a/crates/firdock-policy/src/system/dispatch_updates.rs
+++ b/crates/firdock-policy/src/system/dispatch_updates.rs
@@ -3,7 +3,8 @@
 use firdock_core::{Outcome, Reason, RequestId};
 
 use super::{
-    fair_share, health, key, lifecycle, liveness, pace_reports, permit, rollout, route, suspect,
+    fair_share, fragile, health, key, lifecycle, liveness, pace_reports, permit, rollout, route,
+    suspect,
 };
 use crate::action::Action;
 use crate::event::{BreakCause, ConnectFailure, DispatchUpdate, EndpointEvent};
@@ -93,6 +94,8 @@
     if unreachable {
         permit::put_back(t, id, at);
         health::eject(t, now, at);
+    } else {
+        fragile::record_refusal(t, now, at);
     }
     fair_share::refund(t, now, id);
     if t.settings.coordinates {
--- a/crates/firdock-policy/src/system/notice.rs
+++ b/crates/firdock-policy/src/system/notice.rs
@@ -3,6 +3,7 @@
 use crate::action::Action;
 use crate::notice::{LimitNotice, Notice, NoticeReport};
 use crate::request::Phase;
+use crate::system::fragile;
 use crate::system::handover::LEAVING_REPORT_TTL;
 use crate::table::Tables;
 
@@ -17,6 +18,7 @@
     if let Some(time) = report.notice.backoff {
         t.backoffs_until = t.backoffs_until.max(report.read + time);
     }
+    fragile::record_notice(t, at, report);
     let e = t.endpoints.get_mut(at);
     if !report.member.is_empty() {
         if report.notice.leaving {
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -5,6 +5,7 @@
 pub mod endpoint;
 pub mod endpoint_exits;
 pub mod endpoint_limit;
+pub mod fragile;
 pub mod group;
 pub mod key;
 pub mod limit;
@@ -110,6 +111,8 @@
     pub backoffs_until: Time,
     /// What is known of the rate limits of all endpoints together.
     pub limits: endpoint_limit::LimitSummary,
+    /// Pools whose endpoints fail if they refuse too many requests.
+    pub fragile: fragile::FragilePools,
     /// State of the probes of this instance's links to endpoints.
     pub link_probes: LinkProbes,
     /// Permits that this instance grants for endpoints with rate limits.
@@ -179,6 +182,12 @@
         peer.last_seen > Time::ZERO && peer.last_seen + stale > now
     }
 
+    /// Returns the Unix time, or the time of this process's clock if that is not known.
+    #[must_use]
+    pub fn unix_time(&self, now: Time) -> Duration {
+        self.settings.unix_zero.unwrap_or_default() + now
+    }
+
     /// Returns until when requests with a key may be sent under the configuration in force.
     #[must_use]
     pub fn config_valid_until(&self) -> Option<Time> {
@@ -214,6 +223,7 @@
             known_peers: None,
             backoffs_until: Time::ZERO,
             limits: endpoint_limit::LimitSummary::default(),
+            fragile: fragile::FragilePools::default(),
             link_probes: LinkProbes::default(),
             permit_issuer: permit_issuer::PermitIssuer::default(),
             groups: group::Groups::default(),
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -152,6 +152,8 @@
     pub link: EndpointLink,
     /// Pace that it reported.
     pub reported_pace: ReportedPace,
+    /// Until when it gets nothing because it refused a request for want of room.
+    pub full_until: Option<Time>,
     /// Latest load report.
     pub report: Option<Reported>,
     /// Assumed content of its prefix cache.
@@ -206,6 +208,7 @@
             limit: EndpointLimit::default(),
             link: EndpointLink::default(),
             reported_pace: ReportedPace::default(),
+            full_until: None,
             report: None,
             cache: PrefixCache::default(),
             held_since: None,
@@ -301,6 +304,9 @@
         if !self.limit.allows(now) {
             return Err(UnavailableReason::RateLimited);
         }
+        if self.full_until.is_some_and(|until| until > now) {
+            return Err(UnavailableReason::Full);
+        }
         match self.health {
             Health::Ejected(until) if until > now => Err(UnavailableReason::Ejected),
             Health::Probing if self.running > 0 => Err(UnavailableReason::Probing),
--- a/crates/firdock-policy/src/table/unavailable.rs
+++ b/crates/firdock-policy/src/table/unavailable.rs
@@ -13,6 +13,8 @@
     BackingOff(Time),
     /// It named a rate limit, and there is no permit.
     RateLimited,
+    /// It refused a request for want of room, and is too fragile to refuse many.
+    Full,
     /// It failed and is ejected for a time.
     Ejected,
     /// It failed, and a probe request is in flight.
@@ -20,11 +22,11 @@
 }
 
 impl UnavailableReason {
-    /// Returns whether only the endpoint's health makes it unavailable; a coordinator knows more
-    /// about that than the sending instances.
+    /// Returns whether only the endpoint's health or room makes it unavailable; a coordinator knows
+    /// more about that than the sending instances.
     #[must_use]
     pub fn is_health(self) -> bool {
-        matches!(self, Self::Ejected | Self::Probing)
+        matches!(self, Self::Full | Self::Ejected | Self::Probing)
     }
 }
 
--- a/crates/firdock-policy/tests/policy/fragile.rs
+++ b/crates/firdock-policy/tests/policy/fragile.rs
@@ -11,9 +11,9 @@
 
 use firdock_core::resource::{Catalog, Endpoint, EndpointKind, Resource};
 use firdock_policy::action::Dispatch;
-use firdock_policy::event::{DispatchUpdate, EndpointEvent, PeerUpdate};
+use firdock_policy::event::{DispatchUpdate, EndpointEvent, PeerUpdate, PoolDemand};
 use firdock_policy::notice::{Notice, NoticeReport};
-use firdock_policy::{Action, Event, Policy as _, Scheduler, Time};
+use firdock_policy::{Action, Event, Policy as _, Scheduler, Time, pool_demand};
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng as _};
 use uuid::Uuid;
@@ -126,8 +126,13 @@
 
     fn beat(&mut self) {
         for from in 0..INSTANCES {
+            let demand = pool_demand(self.instances[from].tables());
+            let demand = demand
+                .into_iter()
+                .map(|(pool, rate)| PoolDemand { pool, rate });
             let update = PeerUpdate {
                 name: format!("node-{from}"),
+                demand: demand.collect(),
                 incarnation: Uuid::from_u64_pair(1, from as u64),
                 ..PeerUpdate::default()
             };
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -113,6 +113,21 @@
     /// The sender's own links to endpoints.
     #[prost(message, repeated, tag = "11")]
     pub links: ::prost::alloc::vec::Vec<PoolLinks>,
+    /// Pools whose endpoints said lately that they fail if they refuse too many requests.
+    #[prost(message, repeated, tag = "12")]
+    pub fragile: ::prost::alloc::vec::Vec<FragilePool>,
+}
+/// A pool whose endpoints fail if they refuse too many requests in a second for want of room.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FragilePool {
+    #[prost(string, tag = "1")]
+    pub pool: ::prost::alloc::string::String,
+    /// Refusals per second that an endpoint bears.
+    #[prost(uint32, tag = "2")]
+    pub limit: u32,
+    /// Time since an answer said so.
+    #[prost(uint64, tag = "3")]
+    pub age_millis: u64,
 }
 /// Links of one instance to the endpoints of one pool.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
