Limits that peers repeat to each other get no newer (LIMIT)

Seen in review: an instance told its peers also what it had heard from them, with an age that leaves out the time that the heartbeat took. Between instances that are 120 ms apart a limit looked 120 ms newer with each heartbeat, and an answer that ended it was older. The new test failed for it: the limit still held after a report of its end. A report with the known limit now changes nothing, so that a limit is as old as the first report of it, or as the latest answer read here.

--- a/crates/firdock-policy/src/system/permit.rs
+++ b/crates/firdock-policy/src/system/permit.rs
@@ -13,7 +13,7 @@
 use crate::action::Action;
 use crate::permit::{LimitReport, PermitGrant, PermitHolder, PermitRequest};
 use crate::table::Tables;
-use crate::table::endpoint_limit::PermitDemand;
+use crate::table::endpoint_limit::{EndpointLimit, PermitDemand};
 use crate::time::Time;
 
 /// Minimum time by which a peer's report has to be newer than what is known here: the error of the
@@ -26,21 +26,29 @@
 
 /// Records the limits that peers know.
 pub fn merge_peer_reports(t: &mut Tables, reports: &[LimitReport]) {
-    merge_reports(t, reports, REPORT_MARGIN);
+    merge_reports(t, reports, |limit, report| {
+        limit.record_report(report.read, report.limit, REPORT_MARGIN)
+    });
 }
 
 /// Records the limits that this instance's own scheduler knows, for its coordinator.
 pub fn copy_reports(t: &mut Tables, reports: &[LimitReport]) {
-    merge_reports(t, reports, Duration::ZERO);
+    merge_reports(t, reports, |limit, report| {
+        limit.record(report.read, report.limit)
+    });
 }
 
-fn merge_reports(t: &mut Tables, reports: &[LimitReport], margin: Duration) {
+fn merge_reports(
+    t: &mut Tables,
+    reports: &[LimitReport],
+    record: impl Fn(&mut EndpointLimit, &LimitReport) -> bool,
+) {
     for report in reports {
         let Some(at) = t.endpoints.find_start(&report.endpoint) else {
             continue;
         };
         let limit = &mut t.endpoints.get_mut(at).limit;
-        if limit.record_if_newer(report.read, report.limit, margin) {
+        if record(limit, report) {
             t.limits.revision.all += 1;
         }
         t.limits.named |= limit.rate().is_some();
--- a/crates/firdock-policy/src/table/endpoint_limit.rs
+++ b/crates/firdock-policy/src/table/endpoint_limit.rs
@@ -76,18 +76,7 @@
 
     /// Records what an answer says; returns whether a limit began or ended.
     pub fn record(&mut self, read: Time, limit: Option<RequestRate>) -> bool {
-        self.record_if_newer(read, limit, Duration::ZERO)
-    }
-
-    /// Records a report that is newer than the known one by at least `margin`; returns whether a
-    /// limit began or ended.
-    pub fn record_if_newer(
-        &mut self,
-        read: Time,
-        limit: Option<RequestRate>,
-        margin: Duration,
-    ) -> bool {
-        let is_newer = self.known.is_none_or(|known| known.read + margin <= read);
+        let is_newer = self.known.is_none_or(|known| known.read <= read);
         // The end of a limit that is not known changes nothing.
         if !is_newer || (self.known.is_none() && limit.is_none()) {
             return false;
@@ -102,6 +91,22 @@
         changed
     }
 
+    /// Records what a peer reports, if it differs from what is known and is newer by at least
+    /// `margin`; returns whether a limit began or ended.
+    ///
+    /// A report with the known limit makes it no newer: peers repeat it to each other, and each time
+    /// it would look newer by the time that a heartbeat takes.
+    pub fn record_report(
+        &mut self,
+        read: Time,
+        limit: Option<RequestRate>,
+        margin: Duration,
+    ) -> bool {
+        let differs = self.known.is_none_or(|known| known.limit != limit);
+        let is_newer = self.known.is_none_or(|known| known.read + margin <= read);
+        differs && is_newer && self.record(read, limit)
+    }
+
     /// Returns the report for peers: the limit, or for a while that it ended.
     #[must_use]
     pub fn report(&self, now: Time, start: &str) -> Option<LimitReport> {
--- a/crates/firdock-policy/tests/policy/endpoint_limits.rs
+++ b/crates/firdock-policy/tests/policy/endpoint_limits.rs
@@ -341,3 +341,33 @@
     assert_eq!(ask(0, 5), 0);
     assert_eq!(ask(first, 5), first);
 }
+
+/// What peers tell each other of a limit must not look newer each time: an old limit would outlast the answer
+/// that ended it.
+#[test]
+fn a_limit_that_peers_repeat_to_each_other_gets_no_newer() {
+    let mut edges = ["a", "b"].map(|name| EdgeScheduler::new(edge_settings(name), resources()));
+    let began = edge_start();
+    for edge in &mut edges {
+        edge.now = began;
+    }
+    edges[0].step(notice(LimitNotice::Limited(rate(3.0)), began));
+    // Heartbeats take 120 ms, which the receiver cannot know, and each repeats what the other one told.
+    for beat in 1..=50 {
+        let from = beat % 2;
+        let sent = began + millis(200 * beat as u64);
+        let report = firdock_policy::limit_reports(edges[1 - from].scheduler.tables(), sent);
+        let transit = millis(120);
+        let edge = &mut edges[from];
+        edge.now = sent + transit;
+        for report in report {
+            peer_report(edge, report.limit, report.read + transit);
+        }
+    }
+    // An answer that ended the limit was read soon after the first one.
+    let end = began + millis(1_000);
+    for edge in &mut edges {
+        peer_report(edge, None, end);
+        assert_eq!(known_limit(edge), None);
+    }
+}
