--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -25,7 +25,7 @@
 use crate::ingress::{IngressPhase, IngressState, Interface};
 use crate::input::{INPUT_QUEUE_CAPACITY, Input};
 use crate::instance::{AbortOnPanic, StartError, open};
-use crate::peer::SelfStatus;
+use crate::peer::{OpenTunnels, SelfStatus};
 use crate::source::{PendingRecords, ResourceSource};
 use crate::telemetry::{LogLimiter, discard_logger};
 
@@ -59,6 +59,7 @@
     serving: JoinHandle<()>,
     stop_ingress: watch::Sender<bool>,
     stop_rest: watch::Sender<bool>,
+    tunnels: OpenTunnels,
     stop_time: Duration,
     log: Logger,
     log_limiter: Arc<LogLimiter>,
@@ -155,6 +156,7 @@
             serving,
             stop_ingress,
             stop_rest,
+            tunnels: parts.tunnels.clone(),
             stop_time: Duration::from_secs(self.settings.limits.stop_seconds),
             log: self.log,
             log_limiter: parts.log_limiter,
@@ -173,8 +175,8 @@
 
 impl RunningEdge {
     /// Stops gracefully: reports not ready at once, accepts calls until the load balancer has
-    /// noticed, and lets running requests finish here, all within the time that the platform
-    /// allows.
+    /// noticed, and lets running requests and connections passed on for peers finish here, all within
+    /// the time that the platform allows.
     pub async fn stop(self) {
         let now = Instant::now();
         let end = now + self.stop_time.saturating_sub(SHUTDOWN_RESERVE);
@@ -184,7 +186,10 @@
         sleep_until((now + SERVE_AFTER_STOP).min(end)).await;
         self.ingress.set(IngressPhase::Closed);
         self.stop_ingress.send_replace(true);
-        let finished = timeout_at(end, self.serving).await.is_ok();
+        let finished = timeout_at(end, self.serving).await.is_ok()
+            && timeout_at(end, self.tunnels.wait_until_closed())
+                .await
+                .is_ok();
         if !finished {
             warn!(self.log, "stopped before everything was finished");
         }
--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -28,8 +28,8 @@
 use crate::input::Input;
 use crate::instance::{ListenSnafu, StartError, UnsetSnafu, open};
 use crate::peer::{
-    AppliedRecords, BeaconService, Dialer, PeerDirectory, SelfStatus, SharedReads, TunnelClient,
-    TunnelServer, bind_beacon_socket,
+    AppliedRecords, BeaconService, Dialer, OpenTunnels, PeerDirectory, SelfStatus, SharedReads,
+    TunnelClient, TunnelServer, bind_beacon_socket,
 };
 use crate::placement::{DatagramLink, Membership, Placement};
 use crate::site::Site;
@@ -60,6 +60,7 @@
     reads: Arc<SharedReads>,
     log: Logger,
     pub log_limiter: Arc<LogLimiter>,
+    pub tunnels: OpenTunnels,
 }
 
 /// Channels on which the driver publishes state.
@@ -129,6 +130,7 @@
             ),
             log,
             log_limiter,
+            tunnels: OpenTunnels::default(),
         }
     }
 
@@ -236,6 +238,7 @@
             clock: self.clock,
             log: self.log.new(o!("part" => "tunnels")),
             log_limiter: Arc::clone(&self.log_limiter),
+            open: self.tunnels.clone(),
         }
     }
 
--- a/crates/firdock-node/src/peer.rs
+++ b/crates/firdock-node/src/peer.rs
@@ -45,7 +45,7 @@
 pub use sharing::{PeerProcess, StateQuery, StateReply, StoreSnapshot};
 pub use state::fetch_state;
 pub use topic::{KeyedRecord, Topic, TopicRecords, TopicSnapshot};
-pub use tunnel::{TunnelClient, TunnelError, TunnelServer};
+pub use tunnel::{OpenTunnels, TunnelClient, TunnelError, TunnelServer};
 
 use std::time::Duration;
 
--- a/crates/firdock-node/src/peer/tunnel.rs
+++ b/crates/firdock-node/src/peer/tunnel.rs
@@ -32,7 +32,7 @@
 /// Time limit for opening a tunnel, with the connection to the peer.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
 /// Maximum number of connections that an instance passes on, each of which takes two descriptors.
-const MAX_TUNNELS: usize = 512;
+const MAX_TUNNELS: u32 = 512;
 
 /// Why no tunnel was opened.
 #[derive(Debug, Snafu)]
@@ -135,19 +135,38 @@
     pub log: Logger,
     /// Rate limit of log lines.
     pub log_limiter: Arc<LogLimiter>,
+    /// Tunnels that are open.
+    pub open: OpenTunnels,
+}
+
+/// The tunnels that an instance passes bytes on for.
+#[derive(Debug, Clone)]
+pub struct OpenTunnels(Arc<Semaphore>);
+
+impl Default for OpenTunnels {
+    fn default() -> Self {
+        Self(Arc::new(Semaphore::new(MAX_TUNNELS as usize)))
+    }
+}
+
+impl OpenTunnels {
+    /// Waits until none is open.
+    pub async fn wait_until_closed(&self) {
+        // An error means that the semaphore was closed, which nothing does.
+        let _ = self.0.acquire_many(MAX_TUNNELS).await;
+    }
 }
 
 impl<C: Connector> TunnelServer<C> {
     /// Serves peers until `stop` turns true. Tunnels that are open go on until they end.
     pub async fn run(self, listener: TcpListener, mut stop: watch::Receiver<bool>) {
-        let slots = Arc::new(Semaphore::new(MAX_TUNNELS));
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 _ = stop.wait_for(|s| *s) => return,
             };
             let Ok((stream, _)) = accepted else { continue };
-            let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
+            let Ok(slot) = Arc::clone(&self.open.0).try_acquire_owned() else {
                 continue;
             };
             let server = self.clone();
@@ -162,7 +181,8 @@
 
     async fn serve(&self, stream: TcpStream) -> Result<(), LinkError> {
         let mut link = Link::accept(stream, &self.name, &self.key, |_| true).await?;
-        let Some(Body::Tunnel(tunnel)) = link.receive().await? else {
+        let first = timeout(OPEN_TIMEOUT, link.receive()).await;
+        let Some(Body::Tunnel(tunnel)) = first.unwrap_or(Err(LinkError::TimedOut))? else {
             return Err(LinkError::Rejected {
                 reason: "unexpected message",
             });
--- a/crates/firdock-node/tests/node/tunnels.rs
+++ b/crates/firdock-node/tests/node/tunnels.rs
@@ -8,7 +8,9 @@
 use firdock_node::clock::Clock;
 use firdock_node::endpoint::Target;
 use firdock_node::http::TcpConnector;
-use firdock_node::peer::{PeerDirectory, PeerInfo, TunnelClient, TunnelError, TunnelServer};
+use firdock_node::peer::{
+    OpenTunnels, PeerDirectory, PeerInfo, TunnelClient, TunnelError, TunnelServer,
+};
 use firdock_node::telemetry::{LogLimiter, discard_logger};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpListener;
@@ -40,6 +42,7 @@
         clock: Clock::new(),
         log: discard_logger(),
         log_limiter: Arc::<LogLimiter>::default(),
+        open: OpenTunnels::default(),
     };
     let (stop, stops) = watch::channel(false);
     tokio::spawn(async move {
