--- a/crates/firdock-policy/src/table/endpoint_limit.rs
+++ b/crates/firdock-policy/src/table/endpoint_limit.rs
@@ -141,6 +141,7 @@
 
     /// Records that a request is sent there.
     pub fn record_sent(&mut self, now: Time) {
+        self.sent.retain(|at| *at + RECENT > now);
         if self.sent.len() >= MAX_RECENT {
             self.sent.pop_front();
         }
