--- a/crates/firdock-policy/src/system/route.rs
+++ b/crates/firdock-policy/src/system/route.rs
@@ -24,13 +24,6 @@
 /// Time after a successful probe in which that interval applies.
 const SUCCESS_PERIOD: Duration = Duration::from_secs(2);
 
-/// State of the probes of links that fail.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct LinkProbes {
-    last: Time,
-    succeeded: Option<Time>,
-}
-
 /// Chooses the route of a request to an endpoint.
 ///
 /// A peer is part of it only if one is known that reaches endpoints of the pool better than not:
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -35,7 +35,6 @@
 pub use self::suspects::Revision;
 use crate::settings::PolicySettings;
 use crate::stats::Stats;
-use crate::system::route::LinkProbes;
 use crate::time::Time;
 use crate::usage::MergedCounts;
 
@@ -114,7 +113,7 @@
     /// Pools whose endpoints fail if they refuse too many requests.
     pub fragile: fragile::FragilePools,
     /// State of the probes of this instance's links to endpoints.
-    pub link_probes: LinkProbes,
+    pub link_probes: link::LinkProbes,
     /// Permits that this instance grants for endpoints with rate limits.
     pub permit_issuer: permit_issuer::PermitIssuer,
     /// Demand of other groups, as reported by their leads.
@@ -224,7 +223,7 @@
             backoffs_until: Time::ZERO,
             limits: endpoint_limit::LimitSummary::default(),
             fragile: fragile::FragilePools::default(),
-            link_probes: LinkProbes::default(),
+            link_probes: link::LinkProbes::default(),
             permit_issuer: permit_issuer::PermitIssuer::default(),
             groups: group::Groups::default(),
             reported_work: share::ReportedWork::default(),
--- a/crates/firdock-policy/src/table/link.rs
+++ b/crates/firdock-policy/src/table/link.rs
@@ -42,3 +42,12 @@
         self.failed_at = Some(now);
     }
 }
+
+/// State of the probes of links that fail.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LinkProbes {
+    /// When the last one began.
+    pub last: Time,
+    /// When one last succeeded.
+    pub succeeded: Option<Time>,
+}
