--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -243,8 +243,9 @@
     }
 
     /// Sends beacons after a roll-out changed its stage, an endpoint exited during a request, or an
-    /// endpoint's rate limit began or ended, if this instance observed that itself or reports for its group. Peers that have not learned of
-    /// it yet would still dispatch to a bad version, or dispatch such a request again.
+    /// endpoint's rate limit began or ended, if this instance observed that itself or reports for
+    /// its group. Peers that have not learned of it yet would still dispatch to a bad version,
+    /// dispatch such a request again, or send more than the limit allows.
     async fn send_state_change(&self, own: bool) {
         if own || self.directory.is_reporter(self.clock.now()) {
             self.send_at_once().await;
