--- a/crates/firdock-policy/src/system/coordinate.rs
+++ b/crates/firdock-policy/src/system/coordinate.rs
@@ -108,7 +108,7 @@
     let serves = t.services.get(row.service).endpoints.contains(&at) && place::in_pool(row, e);
     let closed = e.check_available(&row.new.member, now).err();
     let permitted = permitted && closed == Some(UnavailableReason::RateLimited);
-    let open = permitted || closed.is_none_or(UnavailableReason::is_health);
+    let open = permitted || closed.is_none_or(UnavailableReason::is_health_or_room);
     serves && open && !row.tried.contains(&e.start_id) && rollout::admits_grant(t, at)
 }
 
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -243,7 +243,7 @@
         .and_then(|r| e.check_available(&r.new.member, now).err());
     let permitted = choice.permitted && closed == Some(UnavailableReason::RateLimited);
     assert!(
-        permitted || closed.is_none_or(UnavailableReason::is_health),
+        permitted || closed.is_none_or(UnavailableReason::is_health_or_room),
         "endpoint {} is closed and got new work: {closed:?}",
         e.declared.name
     );
--- a/crates/firdock-policy/src/table/unavailable.rs
+++ b/crates/firdock-policy/src/table/unavailable.rs
@@ -25,7 +25,7 @@
     /// Returns whether only the endpoint's health or room makes it unavailable; a coordinator knows
     /// more about that than the sending instances.
     #[must_use]
-    pub fn is_health(self) -> bool {
+    pub fn is_health_or_room(self) -> bool {
         matches!(self, Self::Full | Self::Ejected | Self::Probing)
     }
 }
