--- a/crates/firdock-node/src/driver/liveness.rs
+++ b/crates/firdock-node/src/driver/liveness.rs
@@ -37,9 +37,7 @@
             let _ = inputs.send(Input::Event(event)).await;
         });
     }
-}
 
-impl<B: Dispatcher> Driver<B> {
     /// Probes the instance's own link to an endpoint and reports the result to the scheduler.
     pub(super) fn probe_link(&self, endpoint: &EndpointId, start: StartId) {
         let Some(location) = self.parts.site.view().location(endpoint) else {
