--- a/crates/firdock-policy/src/system/dispatch_updates.rs
+++ b/crates/firdock-policy/src/system/dispatch_updates.rs
@@ -97,14 +97,7 @@
     } else {
         fragile::record_refusal(t, now, at);
     }
-    fair_share::refund(t, now, id);
-    if t.settings.coordinates {
-        lifecycle::finish(t, now, id, Outcome::NotRun);
-        return;
-    }
-    lifecycle::set_phase(t, id, Phase::Held, true);
-    uncount_run(t, id);
-    if unreachable {
+    if !hold_again(t, now, id) || unreachable {
         return;
     }
     let shared = t.settings.retry_slack.is_some();
@@ -154,11 +147,19 @@
     handle_withheld(t, now, id, at);
 }
 
-/// Records that the last dispatch did not run.
-fn uncount_run(t: &mut Tables, id: RequestId) {
+/// Holds a request again whose last dispatch did not run; returns whether it is held here. A
+/// coordinator forgets it instead, since its member asks again.
+fn hold_again(t: &mut Tables, now: Time, id: RequestId) -> bool {
+    fair_share::refund(t, now, id);
+    if t.settings.coordinates {
+        lifecycle::finish(t, now, id, Outcome::NotRun);
+        return false;
+    }
+    lifecycle::set_phase(t, id, Phase::Held, true);
     if let Some(row) = t.requests.get_mut(id) {
         row.runs -= 1;
     }
+    true
 }
 
 fn handle_lapsed(t: &mut Tables, now: Time, id: RequestId, at: usize, out: &mut Vec<Action>) {
@@ -172,13 +173,9 @@
 /// Takes back a request that was not sent. The same endpoint may still get it later.
 fn handle_withheld(t: &mut Tables, now: Time, id: RequestId, at: usize) {
     permit::put_back(t, id, at);
-    fair_share::refund(t, now, id);
-    if t.settings.coordinates {
-        lifecycle::finish(t, now, id, Outcome::NotRun);
+    if !hold_again(t, now, id) {
         return;
     }
-    lifecycle::set_phase(t, id, Phase::Held, true);
-    uncount_run(t, id);
     if let Some(row) = t.requests.get_mut(id) {
         row.tried.pop();
     }
