--- a/crates/firdock-node/src/peer/serve.rs
+++ b/crates/firdock-node/src/peer/serve.rs
@@ -50,26 +50,41 @@
 }
 
 /// Serves peers until `stop` turns true.
-pub async fn serve_peers(
-    listener: TcpListener,
-    server: PeerServer,
-    mut stop: watch::Receiver<bool>,
-) {
+pub async fn serve_peers(listener: TcpListener, server: PeerServer, stop: watch::Receiver<bool>) {
     let slots = Arc::new(Semaphore::new(MAX_LINKS));
+    accept_peers(&listener, &slots, stop, |stream| {
+        let server = server.clone();
+        async move {
+            if let Err(e) = server.serve_connection(stream).await {
+                warn!(server.log, "peer cut off"; "error" => e.to_string());
+            }
+        }
+    })
+    .await;
+}
+
+/// Accepts connections from peers and serves each in a task of its own, until `stop` turns true.
+/// Those beyond the slots are closed.
+pub(super) async fn accept_peers<F>(
+    listener: &TcpListener,
+    slots: &Arc<Semaphore>,
+    mut stop: watch::Receiver<bool>,
+    serve: impl Fn(TcpStream) -> F,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|s| *s) => return,
         };
         let Ok((stream, _)) = accepted else { continue };
-        let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
+        let Ok(slot) = Arc::clone(slots).try_acquire_owned() else {
             continue;
         };
-        let server = server.clone();
+        let serving = serve(stream);
         tokio::spawn(async move {
-            if let Err(e) = server.serve_connection(stream).await {
-                warn!(server.log, "peer cut off"; "error" => e.to_string());
-            }
+            serving.await;
             drop(slot);
         });
     }
--- a/crates/firdock-node/src/peer/tunnel.rs
+++ b/crates/firdock-node/src/peer/tunnel.rs
@@ -21,6 +21,7 @@
 
 use super::directory::PeerDirectory;
 use super::link::{Link, LinkError};
+use super::serve::accept_peers;
 use crate::clock::Clock;
 use crate::endpoint::Target;
 use crate::http::{Connector, connect_stream, set_dead_peer_timeouts};
@@ -159,24 +160,16 @@
 
 impl<C: Connector> TunnelServer<C> {
     /// Serves peers until `stop` turns true. Tunnels that are open go on until they end.
-    pub async fn run(self, listener: TcpListener, mut stop: watch::Receiver<bool>) {
-        loop {
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
-                _ = stop.wait_for(|s| *s) => return,
-            };
-            let Ok((stream, _)) = accepted else { continue };
-            let Ok(slot) = Arc::clone(&self.open.0).try_acquire_owned() else {
-                continue;
-            };
+    pub async fn run(self, listener: TcpListener, stop: watch::Receiver<bool>) {
+        accept_peers(&listener, &self.open.0, stop, |stream| {
             let server = self.clone();
-            tokio::spawn(async move {
+            async move {
                 if let Err(e) = server.serve(stream).await {
                     server.log_failure(&e);
                 }
-                drop(slot);
-            });
-        }
+            }
+        })
+        .await;
     }
 
     async fn serve(&self, stream: TcpStream) -> Result<(), LinkError> {
