--- a/crates/firdock-policy/src/cost.rs
+++ b/crates/firdock-policy/src/cost.rs
@@ -35,9 +35,7 @@
 /// Weight of that risk.
 const RISK_WEIGHT: f64 = 4.0;
 /// Weight of the total time of an answer: a long answer occupies a slot on a slow engine many times
-/// as long as on a fast one, and any failure in that time breaks it off. With the linear fit for
-/// the first token, 0.1 gained 0.013 of a day over no weight (ten pairs of runs);
-/// 0.2 measured the same.
+/// as long as on a fast one, and any failure in that time breaks it off.
 const TOTAL_WEIGHT: f64 = 0.1;
 /// Factor by which an answer may take longer than estimated: answers of one service differ a
 /// hundredfold in length.
--- a/crates/firdock-policy/src/rollout/verdict.rs
+++ b/crates/firdock-policy/src/rollout/verdict.rs
@@ -28,10 +28,8 @@
 const MIN_OLD_ANSWERS: u32 = 20;
 /// Fractions of answers that a bad version may spoil, all assumed equally likely.
 const SPOILED_FRACTIONS: [f64; 4] = [0.1, 0.2, 0.4, 0.8];
-/// Log-likelihood ratio at which a version is bad: odds of 1,100 to 1, tested on about five
-/// services and on all together. Of 200 simulated good versions with 60 endpoints none was called
-/// bad. What a threshold of 10 missed was measured only together with other changes
-/// (`docs/design/rollouts.md`).
+/// Log-likelihood ratio at which a version is bad: odds of 1,100 to 1, since about five services
+/// and all together are tested (`docs/design/rollouts.md`).
 const BAD_RATIO: f64 = 7.0;
 /// Log-likelihood ratio at which a version is in doubt: its observation continues past its time.
 const DOUBT_RATIO: f64 = 3.0;
--- a/crates/firdock-policy/src/table/limit.rs
+++ b/crates/firdock-policy/src/table/limit.rs
@@ -22,10 +22,8 @@
 const SHARE_RATE: f64 = 0.97;
 /// Seconds' worth of a limit that all instances together may admit at once when they start. Callers
 /// that found all instances down return in one moment, within their limits, and would be refused
-/// because the bucket's level is unknown and assumed to be empty. After an outage of all instances
-/// for 1.3 s, requests worth 155 of the 1,200 or so that callers sent in four seconds were refused
-/// for that reason. A larger value brings nothing (0.7 s measured the same), and a limit holds
-/// within a tenth of nine seconds' worth of it.
+/// because the bucket's level is unknown and assumed to be empty. A limit still holds within a
+/// tenth of nine seconds' worth of it.
 const START_ALLOWANCE_SECS: f64 = 0.4;
 /// Fraction of a limit below which demand counts as low; close to the limit, the shares already
 /// apply.
