--- a/crates/firdock-node/src/source.rs
+++ b/crates/firdock-node/src/source.rs
@@ -9,11 +9,11 @@
 use std::time::Duration;
 
 use firdock_core::resource::Catalog;
-use firdock_core::{ContentId, PoolId};
+use firdock_core::{ContentId, Offset, PoolId};
 use firdock_policy::rollout::RolloutRecord;
 use firdock_policy::suspect::SuspectReport;
 use firdock_policy::{Event, Time};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, watch};
 
 use crate::clock::Clock;
@@ -160,6 +160,12 @@
         }
     }
 
+    /// Logs a read whose topic ended before the offset up to which it is known here.
+    pub fn log_outdated_read(&self, topic: Topic, end: Offset, known: Offset) {
+        warn!(self.log, "store read older than the known state"; "topic" => topic.as_str(),
+            "end" => end, "known" => known);
+    }
+
     /// Counts an entry of an endpoint that describes no usable endpoint; returns whether it may be logged.
     #[must_use]
     pub fn record_refused_entry(&self) -> bool {
