CONFIG: an older entry without a start does not bring a leaving endpoint back

Cause: where entries have no start, they were applied in the order of their records. A write that gets no answer may be done seconds later, so that a ready entry can follow the draining one, and the endpoint was in use again until it wrote once more; it does not while only its number changes.

Why it works: the number rises with each entry of one start, so that it orders them whatever the order of writes.

--- a/crates/firdock-state/src/directory.rs
+++ b/crates/firdock-state/src/directory.rs
@@ -21,13 +21,27 @@
 /// arrives late does not bring one back: more than restart within the minutes that an entry can be late.
 const MAX_GONE: usize = 4_096;
 
+/// Largest number by which an entry without a start may precede the newest one and count as a late write. It covers
+/// some seconds of renewals; an endpoint that begins to count anew under its name is out of use for no longer.
+const MAX_LATE_ENTRIES: u64 = 16;
+
 /// Position of an entry among those of its endpoint: by the endpoint's start, then by its number since.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct EntryOrder {
-    started: Duration,
+    started: Option<Duration>,
     count: u64,
 }
 
+impl EntryOrder {
+    /// Returns whether the entry was written before a known one.
+    ///
+    /// Without a start, a number that is far below the known one belongs to a later start that counts anew.
+    fn is_before(self, known: Self) -> bool {
+        let late = known.count.saturating_sub(self.count);
+        self < known && (self.started.is_some() || late <= MAX_LATE_ENTRIES)
+    }
+}
+
 /// Result of applying an entry to the directory.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ApplyOutcome {
@@ -45,7 +59,7 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     rows: BTreeMap<EndpointId, Row>,
-    /// Order of the newest entry of each endpoint whose entries have a start, and of some removed endpoints.
+    /// Order of the newest entry of each endpoint, and of some removed endpoints.
     newest: BTreeMap<EndpointId, EntryOrder>,
 }
 
@@ -79,17 +93,17 @@
     /// Applies an entry unless it is older than one that was applied. `count` is its number since the endpoint's
     /// start.
     ///
-    /// Entries of endpoints without a start are applied in the order of arrival, which is the platform's.
+    /// The order of arrival does not count: a write that got no response may be carried out after a later one.
     pub fn apply(&mut self, endpoint: Endpoint, count: u64) -> ApplyOutcome {
-        let known = self.newest.get(&endpoint.name).copied();
-        let Some(started) = endpoint.started else {
-            return match known {
-                Some(_) => ApplyOutcome::MissingStart,
-                None => self.put_entry(endpoint),
-            };
+        let order = EntryOrder {
+            started: endpoint.started,
+            count,
         };
-        let order = EntryOrder { started, count };
-        if known.is_some_and(|known| order < known) {
+        let known = self.newest.get(&endpoint.name).copied();
+        if known.is_some_and(|known| known.started.is_some() && order.started.is_none()) {
+            return ApplyOutcome::MissingStart;
+        }
+        if known.is_some_and(|known| order.is_before(known)) {
             return ApplyOutcome::Older;
         }
         self.newest.insert(endpoint.name.clone(), order);
