--- a/crates/firdock-node/src/source.rs
+++ b/crates/firdock-node/src/source.rs
@@ -166,6 +166,12 @@
             "end" => end, "known" => known);
     }
 
+    /// Logs records without a readable key that were passed over in a batch that begins at `from`.
+    pub fn log_unreadable_records(&self, topic: Topic, count: usize, from: Offset) {
+        warn!(self.log, "records without a key passed over"; "topic" => topic.as_str(),
+            "count" => count, "from" => from);
+    }
+
     /// Counts an entry of an endpoint that describes no usable endpoint; returns whether it may be logged.
     #[must_use]
     pub fn record_refused_entry(&self) -> bool {
