Sight for streams that are taken up: the endpoint's version and the attempt they continue

The line dispatched tells the software version that an endpoint had when it got the request, and the attempt whose stream the request continues, by which the hypotheses on streams of two versions can be told apart.

--- a/crates/firdock-node/src/exchange.rs
+++ b/crates/firdock-node/src/exchange.rs
@@ -58,6 +58,8 @@
 pub struct CallTerms {
     /// Request id of the caller, by which an on-call engineer finds the request in the logs.
     pub caller_id: Option<String>,
+    /// Id of the attempt that brought the first event of the stream that the request continues.
+    pub resumes: Option<String>,
     /// Number of prompt tokens.
     pub prompt_tokens: u32,
     /// Maximum tokens of the answer.
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -92,6 +92,8 @@
             "account" => &exchange.payload.account,
             "rank" => row.rank,
             "endpoint" => &dispatch.endpoint,
+            "software" => endpoint.map(|e| &e.declared.version),
+            "resumes" => exchange.payload.terms.resumes.as_ref(),
             "dispatch" => dispatch.dispatch,
             "content" => exchange.content.id.to_string(),
             "resumed" => row.head_sent(),
