ORDER: an answer goes on at the version that began it, or nowhere

Evidence: the test on sockets failed before, with events of v2 after those of v1 in one answer.

The row of a request gets the build (pool and version) of the endpoint whose event reaches the caller first, as its entry was when the request was sent. One function says where a request may go by its version, for orders of roll-outs and for streams; choices, a coordinator's places and second tries go by it, and the build goes to the coordinator with the request. A request that waits for its build holds back no other; if its build takes none any more, it ends at once as version-gone.

Ruled out: the entry at hand when the stream breaks (it may be of a later start), and sorting versions (they have no order).

--- a/crates/firdock-core/src/outcome.rs
+++ b/crates/firdock-core/src/outcome.rs
@@ -72,6 +72,10 @@
     RateLimited,
     /// The instance cannot determine whether its configuration is still in force.
     StateStale,
+    /// No endpoint of the software version that began the stream takes requests any more.
+    VersionGone,
+    /// The software version that began the stream is not known here.
+    VersionUnknown,
 }
 
 impl Reason {
@@ -95,6 +99,8 @@
             Self::TimedOut => "timed-out",
             Self::RateLimited => "rate-limited",
             Self::StateStale => "state-stale",
+            Self::VersionGone => "version-gone",
+            Self::VersionUnknown => "version-unknown",
         }
     }
 
--- a/crates/firdock-node/src/placement.rs
+++ b/crates/firdock-node/src/placement.rs
@@ -13,7 +13,7 @@
 mod report;
 mod snapshot;
 
-pub use codec::{read_reply, read_report, write_reply, write_report};
+pub use codec::{read_build, read_reply, read_report, write_build, write_reply, write_report};
 pub use coordinator::Coordinator;
 pub use member::Membership;
 pub use report::{
--- a/crates/firdock-node/src/placement/codec.rs
+++ b/crates/firdock-node/src/placement/codec.rs
@@ -7,6 +7,7 @@
 use firdock_policy::NewRequest;
 use firdock_policy::load::Pace;
 use firdock_policy::notice::Notice;
+use firdock_policy::request::{Build, StreamOrigin};
 use firdock_wire::message;
 use uuid::Uuid;
 
@@ -180,6 +181,7 @@
             .content
             .as_ref()
             .map_or_else(Vec::new, |c| c.id.as_bytes().to_vec()),
+        began_at: new.stream_origin.build().map(write_build),
     }
 }
 
@@ -196,6 +198,9 @@
         age: Duration::from_millis(wire.age_millis),
         tried: wire.avoid,
         content: ContentId::from_bytes(&wire.content).map(content_with_id),
+        stream_origin: wire.began_at.map_or(StreamOrigin::New, |build| {
+            StreamOrigin::Known(Arc::new(read_build(build)))
+        }),
         ..NewRequest::default()
     };
     Some(PlacementRequest {
@@ -211,6 +216,24 @@
     Arc::new(Content { id, path })
 }
 
+/// Encodes a build.
+#[must_use]
+pub fn write_build(build: &Build) -> message::Build {
+    message::Build {
+        pool: build.pool.clone(),
+        version: build.version.clone(),
+    }
+}
+
+/// Decodes a build.
+#[must_use]
+pub fn read_build(wire: message::Build) -> Build {
+    Build {
+        pool: wire.pool,
+        version: wire.version,
+    }
+}
+
 fn write_pace(pace: &EndpointPace) -> message::PlacementPace {
     message::PlacementPace {
         endpoint: pace.endpoint.clone(),
--- a/crates/firdock-node/src/placement/snapshot.rs
+++ b/crates/firdock-node/src/placement/snapshot.rs
@@ -91,6 +91,7 @@
                 .content
                 .clone()
                 .filter(|c| t.suspects.get(c.id).is_some()),
+            stream_origin: row.stream_origin.clone(),
             ..NewRequest::default()
         },
         attempt,
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use firdock_core::prefix::BlockHash;
-use firdock_core::resource::Service;
+use firdock_core::resource::{Endpoint, Service};
 use firdock_core::{
     AccountId, Content, ContentId, InstanceId, Outcome, PoolId, Reason, RequestId, ServiceId,
-    StartId, ZoneId,
+    SoftwareVersion, StartId, ZoneId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -78,6 +78,66 @@
     /// Content, equal for each repetition of the request; `None` if not known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub content: Option<Arc<Content>>,
+    /// Where it may run, if it continues a stream.
+    #[serde(default, skip_serializing_if = "StreamOrigin::is_new")]
+    pub stream_origin: StreamOrigin,
+}
+
+/// Origin of the stream that an answer belongs to. What two software versions produce does not fit together, so a
+/// stream is continued by the version that began it or not at all (`docs/design/stream-versions.md`).
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum StreamOrigin {
+    /// No event has reached the caller: any version may begin the stream.
+    #[default]
+    New,
+    /// The stream was begun by this build.
+    Known(Arc<Build>),
+    /// The stream was begun before, and it is not known here by which build.
+    Unknown,
+}
+
+impl StreamOrigin {
+    /// Returns whether the stream has not begun.
+    #[must_use]
+    pub fn is_new(&self) -> bool {
+        *self == Self::New
+    }
+
+    /// Returns the build that began the stream, if it has begun and the build is known.
+    #[must_use]
+    pub fn build(&self) -> Option<&Build> {
+        match self {
+            Self::Known(build) => Some(build),
+            Self::New | Self::Unknown => None,
+        }
+    }
+}
+
+/// Software that the endpoints of a pool run.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Build {
+    /// Pool.
+    pub pool: PoolId,
+    /// Version of the software, a text without an order.
+    pub version: SoftwareVersion,
+}
+
+impl Build {
+    /// Returns the build that an endpoint runs by its declaration.
+    #[must_use]
+    pub fn of(declared: &Endpoint) -> Self {
+        Self {
+            pool: declared.pool.clone(),
+            version: declared.version.clone(),
+        }
+    }
+
+    /// Returns whether an endpoint runs this build by its declaration.
+    #[must_use]
+    pub fn is_of(&self, declared: &Endpoint) -> bool {
+        self.pool == declared.pool && self.version == declared.version
+    }
 }
 
 #[expect(
@@ -193,6 +253,10 @@
     pub charged_work: f64,
     /// Predicted time to the first token of the present dispatch.
     pub predicted: Time,
+    /// Build that began the answer's stream, if any event of it has reached the caller.
+    pub stream_origin: StreamOrigin,
+    /// Build of the endpoint of the present dispatch, as it was when the request was sent.
+    pub dispatched_to: Option<Arc<Build>>,
     /// Tokens that had reached the caller before the present dispatch.
     pub resumed_from: u32,
     /// Whether the endpoint of the present dispatch reported a failure.
@@ -285,6 +349,8 @@
             work: 0.0,
             charged_work: 0.0,
             predicted: Time::ZERO,
+            stream_origin: new.stream_origin.clone(),
+            dispatched_to: None,
             resumed_from: 0,
             failure: EndpointFailure::None,
             completion_proof: CompletionProof::Proven,
@@ -302,7 +368,8 @@
     #[must_use]
     pub fn with_service(mut self, service: &Service, charge: f64) -> Self {
         let limit = service.timeout().map(|limit| self.arrived + limit);
-        self.pool = service.pick_pool(self.new.draw).cloned();
+        let began_in = self.stream_origin.build().map(|build| build.pool.clone());
+        self.pool = began_in.or_else(|| service.pick_pool(self.new.draw).cloned());
         self.deadline = [self.deadline, limit].into_iter().flatten().min();
         self.charge = charge;
         self
@@ -320,6 +387,13 @@
         self.new.content.as_ref().map(|content| content.id)
     }
 
+    /// Records that the answer's stream begins at the endpoint of the present dispatch, unless it continues one.
+    pub fn begin_stream(&mut self) {
+        if let (StreamOrigin::New, Some(build)) = (&self.stream_origin, &self.dispatched_to) {
+            self.stream_origin = StreamOrigin::Known(Arc::clone(build));
+        }
+    }
+
     /// Returns whether the request may have run, or may be running.
     #[must_use]
     pub fn may_have_run(&self) -> bool {
--- a/crates/firdock-policy/src/system/dispatch_updates.rs
+++ b/crates/firdock-policy/src/system/dispatch_updates.rs
@@ -187,6 +187,7 @@
     let row = t.requests.get_mut(id).filter(|_| head_sent);
     if let Some(row) = row.filter(|row| !row.head_sent()) {
         row.delivered_part = DeliveredPart::Head;
+        row.begin_stream();
     }
 }
 
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -4,6 +4,8 @@
 mod fair_order;
 mod lane;
 
+use std::sync::Arc;
+
 use firdock_core::resource::Tier;
 use firdock_core::{Reason, RequestId, TierRank};
 
@@ -13,7 +15,9 @@
 use super::{coordinate, fair_share, key, lifecycle, rollout, route};
 use crate::action::{Action, Dispatch};
 use crate::event::Grant;
-use crate::request::{CompletionProof, EndpointFailure, Phase, RequestRow};
+use crate::request::{
+    Build, CompletionProof, EndpointFailure, Phase, RequestRow, StreamOrigin, Verdict,
+};
 use crate::table::Tables;
 use crate::table::endpoint::{EndpointRow, Health, UnavailableReason};
 use crate::time::Time;
@@ -68,7 +72,10 @@
     for id in heads {
         match try_lane(t, now, id, out) {
             PlaceResult::Dequeued => return true,
-            PlaceResult::Waiting | PlaceResult::BackingOff | PlaceResult::DuplicateRunning => {}
+            PlaceResult::Waiting
+            | PlaceResult::BackingOff
+            | PlaceResult::DuplicateRunning
+            | PlaceResult::VersionFull => {}
             // Whatever blocks this request blocks the rest of the queue as well.
             PlaceResult::Blocked => return false,
         }
@@ -89,6 +96,9 @@
     /// The request stays because another request with the same content is running; all others may
     /// still be placed.
     DuplicateRunning,
+    /// The request stays because the endpoints of the version that began its stream are full;
+    /// requests that may go to others may still be placed.
+    VersionFull,
     /// The request stays, and so does the rest of its queue.
     Blocked,
 }
@@ -116,14 +126,20 @@
         }
         Placement::Wait => return PlaceResult::Waiting,
         Placement::Blocked if is_backing_off(t, now, row) => return PlaceResult::BackingOff,
-        Placement::Blocked if row.tried.is_empty() => return PlaceResult::Blocked,
+        Placement::Blocked if row.tried.is_empty() && row.stream_origin.is_new() => {
+            return PlaceResult::Blocked;
+        }
         Placement::Blocked => {}
     }
     if all_eligible_tried(t, row) {
         lifecycle::give_up(t, now, id, Reason::NoEndpoint, out);
         return PlaceResult::Dequeued;
     }
-    PlaceResult::Waiting
+    if row.stream_origin.is_new() {
+        PlaceResult::Waiting
+    } else {
+        PlaceResult::VersionFull
+    }
 }
 
 /// Sets the time until which a request may be sent, as limited by its key and by the configuration
@@ -137,6 +153,15 @@
         suspect::refuse(t, now, id, out);
         return false;
     }
+    if !has_version(t, now, row) {
+        let verdict = Verdict {
+            outcome: row.outcome_unanswered(),
+            reason: Reason::VersionGone,
+            retry_after: None,
+        };
+        lifecycle::finish_with_verdict(t, now, id, verdict, out);
+        return false;
+    }
     let confirm_by = key::confirm_by(t, row);
     let fresh_by = config_valid_until(t, row);
     if confirm_by.is_some_and(|until| until <= now) {
@@ -198,7 +223,23 @@
 
 /// Returns whether the request was already sent to every eligible endpoint.
 fn all_eligible_tried(t: &Tables, row: &RequestRow) -> bool {
-    eligible_endpoints(t, row).all(|e| row.tried.contains(&e.start_id))
+    let mut eligible = eligible_endpoints(t, row).filter(|e| may_continue(t, row, e));
+    eligible.all(|e| row.tried.contains(&e.start_id))
+}
+
+/// Returns whether an endpoint takes requests of the version that began the request's stream.
+fn has_version(t: &Tables, now: Time, row: &RequestRow) -> bool {
+    let takes = |e: &EndpointRow| e.present && !e.leaving(now) && may_continue(t, row, e);
+    row.stream_origin.is_new() || eligible_endpoints(t, row).any(takes)
+}
+
+/// Returns whether an endpoint may run the request, by the version that began its stream.
+fn may_continue(t: &Tables, row: &RequestRow, e: &EndpointRow) -> bool {
+    match &row.stream_origin {
+        StreamOrigin::New => true,
+        StreamOrigin::Known(build) => rollout::continues(t, build, e),
+        StreamOrigin::Unknown => false,
+    }
 }
 
 /// Iterates over the endpoints of a request's service that belong to the request's pool.
@@ -267,6 +308,7 @@
     e.running += 1;
     e.backlog += f64::from(choice.estimate.uncached);
     let (name, start) = (e.declared.name.clone(), e.start_id.clone());
+    let build = Arc::new(Build::of(&e.declared));
     let Some(row) = t.requests.get_mut(id) else {
         return;
     };
@@ -291,6 +333,7 @@
     row.uncached = choice.estimate.uncached;
     row.work = choice.estimate.work;
     row.predicted = choice.estimate.first();
+    row.dispatched_to = Some(build);
     row.resumed_from = row.delivered;
     row.failure = EndpointFailure::None;
     row.completion_proof = CompletionProof::Proven;
--- a/crates/firdock-policy/src/system/place/fair_order.rs
+++ b/crates/firdock-policy/src/system/place/fair_order.rs
@@ -38,7 +38,10 @@
         }
         match try_lane(t, now, id, out) {
             PlaceResult::Dequeued => return true,
-            PlaceResult::Waiting | PlaceResult::BackingOff | PlaceResult::DuplicateRunning => {}
+            PlaceResult::Waiting
+            | PlaceResult::BackingOff
+            | PlaceResult::DuplicateRunning
+            | PlaceResult::VersionFull => {}
             PlaceResult::Blocked => {
                 blocked.insert(service);
             }
--- a/crates/firdock-policy/src/system/place/lane.rs
+++ b/crates/firdock-policy/src/system/place/lane.rs
@@ -17,7 +17,8 @@
 /// unused for a head that cannot be sent.
 ///
 /// If endpoints asked the head's instance to back off, requests of other instances are tried; if
-/// another request with the same content is running, requests with other content are tried.
+/// another request with the same content is running, requests with other content are tried; if the
+/// endpoints of the version that began the head's stream are full, requests for others are tried.
 pub(super) fn try_lane(
     t: &mut Tables,
     now: Time,
@@ -28,6 +29,7 @@
     let next = match tried {
         PlaceResult::BackingOff if t.settings.coordinates => next_of_other_members(t, head),
         PlaceResult::DuplicateRunning => next_with_other_content(t, head),
+        PlaceResult::VersionFull => next_of_other_versions(t, head),
         _ => return tried,
     };
     for id in next {
@@ -52,6 +54,20 @@
     rows.filter(other).map(|r| r.new.id).collect()
 }
 
+/// Returns the first requests behind the head of a lane that have its rank and need not run at the
+/// version that began its stream.
+fn next_of_other_versions(t: &Tables, head: RequestId) -> Vec<RequestId> {
+    let Some(first) = t.requests.get(head) else {
+        return Vec::new();
+    };
+    let lane = t.services.get(first.service).queue.lane_ids(first.account);
+    let rows = lane
+        .take(MAX_LANE_LOOKAHEAD)
+        .filter_map(|id| t.requests.get(id));
+    let other = |r: &&RequestRow| r.rank == first.rank && r.stream_origin != first.stream_origin;
+    rows.filter(other).map(|r| r.new.id).collect()
+}
+
 /// Returns, for each other instance, its first request behind the head of a lane that has the
 /// head's rank.
 fn next_of_other_members(t: &Tables, head: RequestId) -> Vec<RequestId> {
--- a/crates/firdock-policy/src/system/rollout.rs
+++ b/crates/firdock-policy/src/system/rollout.rs
@@ -10,4 +10,4 @@
     merge_group_evidence, merge_peer_evidence, record_answer, record_failure, record_lost,
     record_sent, report,
 };
-pub use versions::{admits, admits_grant, apply, is_new, trial_endpoint};
+pub use versions::{admits, admits_grant, apply, continues, is_new, trial_endpoint};
--- a/crates/firdock-policy/src/system/rollout/versions.rs
+++ b/crates/firdock-policy/src/system/rollout/versions.rs
@@ -8,7 +8,7 @@
 use firdock_core::settings::Rollouts;
 use firdock_core::{PoolId, rendezvous};
 
-use crate::request::RequestRow;
+use crate::request::{Build, RequestRow};
 use crate::rollout::Stage;
 use crate::rollout::allowance;
 use crate::table::Tables;
@@ -180,6 +180,9 @@
 #[must_use]
 pub fn admits(t: &Tables, row: &RequestRow, at: usize) -> bool {
     let e = t.endpoints.get(at);
+    if let Some(build) = row.stream_origin.build() {
+        return continues(t, build, e);
+    }
     if !is_settled(t, e) || is_given_up(t, e) {
         return false;
     }
@@ -199,7 +202,7 @@
 #[must_use]
 pub fn trial_endpoint(t: &Tables, row: &RequestRow, available: &[usize]) -> Option<usize> {
     let rollout = t.rollouts.of(row.pool_key())?;
-    if side(row, rollout) != Side::Trial {
+    if !row.stream_origin.is_new() || side(row, rollout) != Side::Trial {
         return None;
     }
     let is_canary = |at: &&usize| rollout.canaries.contains(*at);
@@ -214,8 +217,11 @@
 /// Returns whether a granted endpoint may be used: the instance may know more recent progress of
 /// the roll-out than the coordinator.
 #[must_use]
-pub fn admits_grant(t: &Tables, at: usize) -> bool {
+pub fn admits_grant(t: &Tables, row: &RequestRow, at: usize) -> bool {
     let e = t.endpoints.get(at);
+    if let Some(build) = row.stream_origin.build() {
+        return continues(t, build, e);
+    }
     if !is_settled(t, e) || is_given_up(t, e) {
         return false;
     }
@@ -225,6 +231,18 @@
     }
 }
 
+/// Returns whether an endpoint may continue a stream that a build began.
+///
+/// A version that is rare in its pool is not held back here: the caller has part of its answer already. One that was
+/// given up, or was replaced by a completed roll-out, continues nothing.
+#[must_use]
+pub fn continues(t: &Tables, build: &Build, e: &EndpointRow) -> bool {
+    let replaced = t.rollouts.of(&build.pool).is_some_and(|rollout| {
+        rollout.stage == Stage::Completed && !is_new(t, e) && has_new(t, rollout)
+    });
+    build.is_of(&e.declared) && !replaced && !is_given_up(t, e)
+}
+
 /// Returns whether an endpoint's version was given up.
 fn is_given_up(t: &Tables, e: &EndpointRow) -> bool {
     let Some(rollout) = t.rollouts.of(&e.declared.pool) else {
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -238,6 +238,14 @@
         PermitGrants(super::PermitGrants),
     }
 }
+/// Software that the endpoints of a pool run.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Build {
+    #[prost(string, tag = "1")]
+    pub pool: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub version: ::prost::alloc::string::String,
+}
 /// Asks for the receiver's clock.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ClockQuestion {
@@ -847,6 +855,9 @@
     /// 16 bytes: hash of the request's content if an endpoint exited while it ran; empty for all others.
     #[prost(bytes = "vec", tag = "12")]
     pub content: ::prost::alloc::vec::Vec<u8>,
+    /// Build that began the stream which the request continues; absent for all others.
+    #[prost(message, optional, tag = "13")]
+    pub began_at: ::core::option::Option<Build>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PlacementRun {
