ORDER: a stream that its caller takes up goes on at the version that began it

Cause: nobody but the instance that began a stream knew its version, and nobody read Resumes.

After the first event an instance tells six peers, which anyone can work out from the key, the build that began the stream; who is asked for a stream that it does not know asks these. The key is a hash of the account and the attempt, so that no account learns or moves the stream of another. What nobody knows goes on if one build alone has served within a stream's life, and is refused as version-unknown otherwise. Ways that were weighed: docs/design/stream-versions.md.

--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -33,6 +33,7 @@
 use crate::placement::Placement;
 use crate::site::Site;
 use crate::source::PendingRecords;
+use crate::streams::SharedStreams;
 use crate::telemetry::decisions::{LastDispatch, RequestContext};
 use crate::telemetry::restarts;
 use crate::telemetry::{
@@ -61,6 +62,8 @@
     pub metrics: Arc<Metrics>,
     /// Time limits of dispatches.
     pub limits: DispatchLimits,
+    /// Streams that callers may continue.
+    pub streams: SharedStreams,
     /// Clock.
     pub clock: Clock,
     /// Logger.
--- a/crates/firdock-node/src/driver/send.rs
+++ b/crates/firdock-node/src/driver/send.rs
@@ -6,6 +6,7 @@
 use firdock_policy::Event;
 use firdock_policy::action::{Dispatch, HandOverCause};
 use firdock_policy::event::{DispatchUpdate, EndpointEvent, HandOverEvent, HandOverRefusal};
+use firdock_policy::request::Build;
 use tokio::sync::watch;
 
 use super::Driver;
@@ -64,11 +65,12 @@
     ) -> DispatchRun {
         let trace = exchange.trace;
         let endpoints = &self.scheduler.tables().endpoints;
-        let start = endpoints
-            .find(&dispatch.endpoint)
-            .map_or_else(StartId::new, |at| endpoints.get(at).start_id.clone());
+        let found = endpoints.find(&dispatch.endpoint);
+        let endpoint = found.map(|at| endpoints.get(at));
         DispatchRun {
-            start,
+            start: endpoint.map_or_else(StartId::new, |e| e.start_id.clone()),
+            build: endpoint.map(|e| Build::of(&e.declared)),
+            streams: Arc::clone(&self.parts.streams),
             target: Target {
                 name: dispatch.endpoint.clone(),
                 address: location.address,
--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -35,6 +35,7 @@
 use crate::site::Site;
 use crate::source::{PendingRecords, SourceSink};
 use crate::status::{self, Readiness};
+use crate::streams::SharedStreams;
 use crate::telemetry::{LogLimiter, Metrics};
 
 /// Number of consecutive broken dispatches after which an endpoint is ejected. Healthy plain
@@ -58,6 +59,7 @@
     metrics: Arc<Metrics>,
     peers: Arc<PeerDirectory>,
     reads: Arc<SharedReads>,
+    streams: SharedStreams,
     log: Logger,
     pub log_limiter: Arc<LogLimiter>,
     pub tunnels: OpenTunnels,
@@ -128,6 +130,7 @@
             reads: Arc::new(
                 SharedReads::default().with_asks_peers_first(asks_peers_first(settings)),
             ),
+            streams: SharedStreams::default(),
             log,
             log_limiter,
             tunnels: OpenTunnels::default(),
@@ -169,6 +172,7 @@
         .with_state(self.ingress.clone())
         .with_log_limiter(Arc::clone(&self.log_limiter))
         .with_answer_budget(self.answer_budget.clone())
+        .with_streams(Arc::clone(&self.streams))
     }
 
     /// Creates the driver, which owns the scheduler's tables.
@@ -191,6 +195,7 @@
             answer_budget: self.answer_budget.clone(),
             metrics: Arc::clone(&self.metrics),
             limits: DispatchLimits::new(e),
+            streams: Arc::clone(&self.streams),
             clock: self.clock,
             log: self.log.new(o!("part" => "driver")),
             log_limiter: Arc::clone(&self.log_limiter),
@@ -277,6 +282,7 @@
             sums: Mutex::default(),
             partial_replies: Mutex::default(),
             send_times: Mutex::default(),
+            streams: Arc::clone(&self.streams),
             inputs: inputs.clone(),
             interval: self.settings.peers.heartbeat(),
             link_mbits: self.settings.instance.link_mbits,
--- a/crates/firdock-node/src/endpoint/relay/stream.rs
+++ b/crates/firdock-node/src/endpoint/relay/stream.rs
@@ -78,6 +78,10 @@
 
     async fn forward_events(&mut self, events: CompleteEvents) -> Result<(), DispatchError> {
         self.begin().await?;
+        let first = self.run.delivered().tokens == 0 && events.count > 0;
+        if first && self.run.exchange.payload.terms.repeatable {
+            self.run.record_stream();
+        }
         self.record(events.count, events.last_id);
         self.run.forward(AnswerPart::Data(events.bytes)).await?;
         if !self.started {
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -15,6 +15,7 @@
 use firdock_policy::event::{BreakCause, DispatchUpdate, EndpointEvent};
 use firdock_policy::load::{Pace, PaceReport};
 use firdock_policy::notice::{LimitNotice, NoticeReport};
+use firdock_policy::request::Build;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
@@ -23,6 +24,7 @@
 use crate::clock::Clock;
 use crate::exchange::{AnswerPart, Delivered, Exchange};
 use crate::input::Input;
+use crate::streams::{SharedStreams, StreamKey, StreamRecord};
 use crate::telemetry::{LogKind, TraceContext};
 
 /// Time limits of a dispatch.
@@ -59,6 +61,10 @@
     pub target: Target,
     /// Process of the endpoint that the dispatch is meant for.
     pub start: StartId,
+    /// What that endpoint runs, by its entry.
+    pub build: Option<Build>,
+    /// Streams that callers may continue.
+    pub streams: SharedStreams,
     /// Time limits.
     pub limits: DispatchLimits,
     /// Channel to the scheduler.
@@ -174,6 +180,20 @@
         }
     }
 
+    /// Records that the caller gets the first event of its stream from this endpoint.
+    ///
+    /// An attempt that continues a stream keeps the id of the one that began it.
+    pub(super) fn record_stream(&self) {
+        let payload = &self.exchange.payload;
+        let terms = &payload.terms;
+        let attempt = terms.resumes.as_ref().or(terms.caller_id.as_ref());
+        let key = attempt.and_then(|id| StreamKey::new(&payload.account, id));
+        if let (Some(key), Some(build)) = (key, self.build.clone()) {
+            let began = self.clock.now();
+            self.streams.begin(StreamRecord { key, build, began });
+        }
+    }
+
     /// Reports to the scheduler that the caller is gone.
     pub async fn report_caller_left(&self) {
         let event = Event::CallerLeft(self.id());
--- a/crates/firdock-node/src/exchange.rs
+++ b/crates/firdock-node/src/exchange.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use firdock_core::{AccountId, Content, EndpointId, RequestId, ServiceId};
+use firdock_policy::request::StreamOrigin;
 use firdock_policy::{Time, Verdict};
 use hyper::{HeaderMap, Method, StatusCode};
 
@@ -60,6 +61,8 @@
     pub caller_id: Option<String>,
     /// Id of the attempt that brought the first event of the stream that the request continues.
     pub resumes: Option<String>,
+    /// Origin of that stream.
+    pub stream_origin: StreamOrigin,
     /// Number of prompt tokens.
     pub prompt_tokens: u32,
     /// Maximum tokens of the answer.
--- a/crates/firdock-node/src/ingress/handler.rs
+++ b/crates/firdock-node/src/ingress/handler.rs
@@ -6,6 +6,7 @@
 use firdock_core::settings::Limits;
 use firdock_core::{Outcome, RequestId};
 use firdock_policy::Origin;
+use firdock_policy::request::StreamOrigin;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Version};
@@ -24,6 +25,7 @@
 use crate::http::CallerHandle;
 use crate::input::Input;
 use crate::site::Site;
+use crate::streams::{SharedStreams, StreamKey};
 use crate::telemetry::{LogKind, LogLimiter, Span, TraceContext};
 
 /// Header with the W3C trace context.
@@ -64,6 +66,7 @@
     log: Logger,
     log_limiter: Arc<LogLimiter>,
     answer_budget: AnswerBudget,
+    streams: SharedStreams,
 }
 
 impl<I: Interface> Ingress<I> {
@@ -87,9 +90,17 @@
             log,
             log_limiter: Arc::default(),
             answer_budget: AnswerBudget::default(),
+            streams: SharedStreams::default(),
         }
     }
 
+    /// Sets the streams that callers may continue.
+    #[must_use]
+    pub(crate) fn with_streams(mut self, streams: SharedStreams) -> Self {
+        self.streams = streams;
+        self
+    }
+
     /// Sets the shared rate limiter for log lines.
     #[must_use]
     pub(crate) fn with_log_limiter(mut self, log_limiter: Arc<LogLimiter>) -> Self {
@@ -130,7 +141,10 @@
             version: request.version(),
         };
         let mut response = match self.read(request).await {
-            Ok(payload) => self.serve(id, payload, trace, caller).await,
+            Ok(mut payload) => {
+                self.find_stream_origin(&mut payload).await;
+                self.serve(id, payload, trace, caller).await
+            }
             Err(problem) => {
                 self.log_refusal(id, call.as_deref(), &problem);
                 self.interface.refuse(&problem, &id.to_string())
@@ -182,6 +196,18 @@
         self.interface.read(call).await
     }
 
+    /// Sets the origin of the stream that a request continues.
+    async fn find_stream_origin(&self, payload: &mut Payload) {
+        let resumes = payload.terms.resumes.as_ref();
+        let Some(attempt) = resumes.filter(|_| payload.terms.streamed) else {
+            return;
+        };
+        payload.terms.stream_origin = match StreamKey::new(&payload.account, attempt) {
+            Some(key) => self.streams.origin(key).await,
+            None => StreamOrigin::Unknown,
+        };
+    }
+
     async fn serve(
         &self,
         id: RequestId,
--- a/crates/firdock-node/src/instance/components.rs
+++ b/crates/firdock-node/src/instance/components.rs
@@ -31,6 +31,7 @@
 use crate::platform::{HttpInstances, HttpLog};
 use crate::site::Site;
 use crate::source::PendingRecords;
+use crate::streams::SharedStreams;
 use crate::telemetry::{LogLimiter, Metrics};
 
 /// Interval between two checks of which endpoints are in force.
@@ -117,6 +118,7 @@
             answer_budget: self.answer_budget.clone(),
             metrics: Arc::clone(&self.metrics),
             limits: DispatchLimits::new(e),
+            streams: SharedStreams::default(),
             clock: self.clock,
             log: self.log.new(o!("part" => "driver")),
             log_limiter: Arc::clone(&self.log_limiter),
--- a/crates/firdock-node/src/lib.rs
+++ b/crates/firdock-node/src/lib.rs
@@ -24,6 +24,7 @@
 mod site;
 pub mod source;
 mod status;
+pub mod streams;
 pub mod telemetry;
 
 pub use edge::{EdgeInstance, RunningEdge};
--- a/crates/firdock-node/src/peer.rs
+++ b/crates/firdock-node/src/peer.rs
@@ -20,6 +20,7 @@
 mod serve;
 mod sharing;
 mod state;
+mod streams;
 mod suspects;
 mod topic;
 mod tunnel;
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -45,6 +45,7 @@
 use super::topic::TopicRecords;
 use crate::clock::{Clock, millis};
 use crate::input::Input;
+use crate::streams::SharedStreams;
 
 /// Maximum size of a received datagram.
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
@@ -110,6 +111,8 @@
     pub partial_replies: Mutex<PartialReplies>,
     /// Estimates of when peers sent their beacons.
     pub send_times: Mutex<SendTimes>,
+    /// Streams that callers may continue.
+    pub streams: SharedStreams,
     /// Queue of inputs to the scheduler.
     pub inputs: mpsc::Sender<Input>,
     /// Interval between two beacons.
@@ -178,6 +181,8 @@
                     urgent = new;
                     self.send_state_change(own).await;
                 }
+                () = self.streams.wait_for_news() => self.send_stream_news().await,
+                () = sleep_until_due(self.streams.tell_at(), now) => self.send_stream_news().await,
                 () = self.reads.wait_for_change() => {}
                 () = stopped(&mut stop) => break,
             }
@@ -317,7 +322,7 @@
         }
     }
 
-    async fn send_to(&self, sealed: &[u8], name: &str, address: SocketAddr) {
+    pub(super) async fn send_to(&self, sealed: &[u8], name: &str, address: SocketAddr) {
         if let Err(e) = self.socket.send_to(sealed, address).await {
             debug!(self.log, "could not send a datagram"; "peer" => name, "error" => e.to_string());
         }
--- a/crates/firdock-node/src/peer/beacon/receive.rs
+++ b/crates/firdock-node/src/peer/beacon/receive.rs
@@ -21,6 +21,7 @@
 use crate::peer::reads::ReadState;
 use crate::peer::rollouts::{read_evidence, read_statuses};
 use crate::peer::sharing::{PeerProcess, StateQuery, StateReply, read_records};
+use crate::peer::streams::read_stream_records;
 use crate::permits::{read_grants, read_requests};
 use crate::placement::{PlacementInput, read_reply, read_report};
 
@@ -63,6 +64,15 @@
             Some(datagram::Body::PermitGrants(message)) => {
                 self.send_input(Input::Permits(read_grants(message))).await;
             }
+            Some(datagram::Body::StreamRecords(message)) => {
+                let now = self.clock.now();
+                self.streams.hear(now, read_stream_records(now, message));
+            }
+            Some(datagram::Body::StreamQuery(query)) => {
+                if let Some(reply) = self.answer_stream_query(&query) {
+                    self.send_to(&reply, "", from).await;
+                }
+            }
             None => warn!(self.log, "dropped an invalid datagram"; "from" => from.to_string()),
         }
         None
--- /dev/null
+++ b/crates/firdock-node/src/peer/streams.rs
@@ -0,0 +1,78 @@
+//! Messages by which instances tell each other of streams that callers may continue.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use firdock_policy::Time;
+use firdock_wire::message::{self, datagram};
+
+use super::beacon::BeaconService;
+use super::datagram::seal;
+use super::directory::PeerRecord;
+use crate::clock::millis;
+use crate::placement::{read_build, write_build};
+use crate::streams::{StreamKey, StreamRecord, keepers};
+
+/// Maximum number of streams in a datagram; each takes about 60 bytes.
+const MAX_RECORDS: usize = 500;
+
+fn write_records(now: Time, records: &[&StreamRecord]) -> datagram::Body {
+    let write = |record: &&StreamRecord| message::StreamRecord {
+        stream: record.key.as_bytes().to_vec(),
+        build: Some(write_build(&record.build)),
+        age_millis: millis(now.saturating_sub(record.began)),
+    };
+    let records = records.iter().map(write).collect();
+    datagram::Body::StreamRecords(message::StreamRecords { records })
+}
+
+/// Decodes streams; those without a valid key or a build are left out.
+pub(super) fn read_stream_records(now: Time, wire: message::StreamRecords) -> Vec<StreamRecord> {
+    let read = |record: message::StreamRecord| {
+        Some(StreamRecord {
+            key: StreamKey::from_bytes(&record.stream)?,
+            build: read_build(record.build?),
+            began: now.saturating_sub(Duration::from_millis(record.age_millis)),
+        })
+    };
+    let records = wire.records.into_iter().take(MAX_RECORDS);
+    records.filter_map(read).collect()
+}
+
+impl BeaconService {
+    /// Sends the streams that began here to the peers that keep them, and asks those for streams that are wanted.
+    pub(super) async fn send_stream_news(&self) {
+        let now = self.clock.now();
+        let news = self.streams.take_news(now);
+        let peers = self.directory.live_peers(now);
+        let by_name: BTreeMap<&str, &PeerRecord> =
+            peers.iter().map(|peer| (&*peer.name, peer)).collect();
+        let live: BTreeSet<&str> = by_name.keys().copied().collect();
+        let mut told: BTreeMap<&str, Vec<&StreamRecord>> = BTreeMap::new();
+        for record in &news.began {
+            for keeper in keepers(record.key, &live) {
+                told.entry(keeper).or_default().push(record);
+            }
+        }
+        for (name, records) in told {
+            for part in records.chunks(MAX_RECORDS) {
+                let sealed = seal(&self.key, write_records(now, part));
+                self.send_to(&sealed, name, by_name[name].address).await;
+            }
+        }
+        for key in news.wanted {
+            let stream = key.as_bytes().to_vec();
+            let query = datagram::Body::StreamQuery(message::StreamQuery { stream });
+            let sealed = seal(&self.key, query);
+            for name in keepers(key, &live) {
+                self.send_to(&sealed, name, by_name[name].address).await;
+            }
+        }
+    }
+
+    /// Returns the reply to a peer's query for a stream, if the stream is known here.
+    pub(super) fn answer_stream_query(&self, query: &message::StreamQuery) -> Option<Vec<u8>> {
+        let record = self.streams.get(StreamKey::from_bytes(&query.stream)?)?;
+        Some(seal(&self.key, write_records(self.clock.now(), &[&record])))
+    }
+}
--- /dev/null
+++ b/crates/firdock-node/src/streams.rs
@@ -0,0 +1,239 @@
+//! Streams that callers may continue, with the builds that began them.
+//!
+//! An instance keeps what it began itself and what its peers told it. After the first event of a stream it tells a few
+//! peers that everyone can work out from the stream's key, so that its caller may come back to any instance when this
+//! one is gone (`docs/design/stream-versions.md`).
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use firdock_core::rendezvous;
+use firdock_policy::Time;
+use firdock_policy::request::{Build, StreamOrigin};
+use sha2::{Digest as _, Sha256};
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+/// Length of a key in bytes: long enough that nobody finds a second stream with the same key.
+const KEY_BYTES: usize = 16;
+/// Maximum length of an attempt's id, in bytes.
+const MAX_ID_BYTES: usize = 128;
+/// Time for which a stream is kept: longer than any caller tries to continue one.
+const RETENTION: Duration = Duration::from_mins(1);
+/// Maximum number of streams that are kept; the oldest give way first. One takes about 200 bytes.
+const MAX_STREAMS: usize = 32_768;
+/// Number of peers that are told of a stream. If six in ten instances fall at once, one in twenty streams is lost.
+const KEEPERS: usize = 6;
+/// Time for which a stream waits to be told together with others.
+const TELL_DELAY: Duration = Duration::from_millis(50);
+/// Time limit for peers to answer what they know of a stream: two round trips between far availability zones.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Identifies a stream by its account and the attempt that brought its first event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct StreamKey([u8; KEY_BYTES]);
+
+impl StreamKey {
+    /// Computes the key of a stream; `None` if the text is no id of an attempt.
+    #[must_use]
+    pub fn new(account: &str, attempt: &str) -> Option<Self> {
+        if attempt.is_empty() || attempt.len() > MAX_ID_BYTES {
+            return None;
+        }
+        let mut hasher = Sha256::new();
+        hasher.update((account.len() as u64).to_be_bytes());
+        hasher.update(account.as_bytes());
+        hasher.update(attempt.as_bytes());
+        Self::from_bytes(&hasher.finalize()[..KEY_BYTES])
+    }
+
+    /// Decodes the bytes of a message; `None` if their number is wrong.
+    #[must_use]
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        bytes.try_into().ok().map(Self)
+    }
+
+    /// Returns the bytes as encoded in messages.
+    #[must_use]
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+/// A stream that callers may continue.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StreamRecord {
+    /// Key.
+    pub key: StreamKey,
+    /// Build that began it.
+    pub build: Build,
+    /// When its first event was passed on.
+    pub began: Time,
+}
+
+/// What has to be sent to peers.
+#[derive(Debug, Default)]
+pub struct StreamNews {
+    /// Streams that began here, to be told to their keepers.
+    pub began: Vec<StreamRecord>,
+    /// Streams that are asked for.
+    pub wanted: Vec<StreamKey>,
+}
+
+#[derive(Debug, Clone)]
+struct Known {
+    build: Build,
+    began: Time,
+    /// When it was recorded here.
+    recorded: Time,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    streams: BTreeMap<StreamKey, Known>,
+    /// Keys in the order of their arrival, for eviction.
+    order: VecDeque<(Time, StreamKey)>,
+    news: StreamNews,
+    /// When the first of the streams that wait to be told began.
+    waiting_since: Option<Time>,
+}
+
+/// Table of the streams that an instance knows.
+#[derive(Debug, Default)]
+pub struct Streams {
+    inner: Mutex<Inner>,
+    /// Notified when something has to be sent.
+    has_news: Notify,
+    /// Notified when peers told of streams.
+    heard: Notify,
+}
+
+impl Streams {
+    /// Records a stream whose first event is passed on here.
+    pub fn begin(&self, record: StreamRecord) {
+        let mut inner = self.lock();
+        inner.insert(record.began, record.clone());
+        inner.waiting_since.get_or_insert(record.began);
+        inner.news.began.push(record);
+        drop(inner);
+        self.has_news.notify_one();
+    }
+
+    /// Records streams that a peer told of. What is known already is kept.
+    pub fn hear(&self, now: Time, records: Vec<StreamRecord>) {
+        let mut inner = self.lock();
+        for record in records {
+            if !inner.streams.contains_key(&record.key) {
+                inner.insert(now, record);
+            }
+        }
+        drop(inner);
+        self.heard.notify_waiters();
+    }
+
+    /// Returns a stream if it is known here.
+    #[must_use]
+    pub fn get(&self, key: StreamKey) -> Option<StreamRecord> {
+        let inner = self.lock();
+        let Known { build, began, .. } = inner.streams.get(&key)?.clone();
+        Some(StreamRecord { key, build, began })
+    }
+
+    /// Returns the origin of a stream, and asks peers for it if it is not known here.
+    pub async fn origin(&self, key: StreamKey) -> StreamOrigin {
+        if let Some(known) = self.get(key) {
+            return StreamOrigin::Known(Arc::new(known.build));
+        }
+        self.lock().news.wanted.push(key);
+        self.has_news.notify_one();
+        let answer = timeout(QUERY_TIMEOUT, self.wait_for(key)).await;
+        let known = answer.map(|build| StreamOrigin::Known(Arc::new(build)));
+        known.unwrap_or(StreamOrigin::Unknown)
+    }
+
+    async fn wait_for(&self, key: StreamKey) -> Build {
+        loop {
+            let heard = self.heard.notified();
+            if let Some(known) = self.get(key) {
+                return known.build;
+            }
+            heard.await;
+        }
+    }
+
+    /// Waits until something has to be sent.
+    pub async fn wait_for_news(&self) {
+        self.has_news.notified().await;
+    }
+
+    /// Returns when the streams that began have to be told, if any wait.
+    #[must_use]
+    pub fn tell_at(&self) -> Option<Time> {
+        self.lock().waiting_since.map(|since| since + TELL_DELAY)
+    }
+
+    /// Takes the streams that are asked for, and those that began if they have to be told now.
+    #[must_use]
+    pub fn take_news(&self, now: Time) -> StreamNews {
+        let mut inner = self.lock();
+        let due = inner.waiting_since.is_some_and(|at| at + TELL_DELAY <= now);
+        let began = if due {
+            inner.waiting_since = None;
+            std::mem::take(&mut inner.news.began)
+        } else {
+            Vec::new()
+        };
+        let wanted = std::mem::take(&mut inner.news.wanted);
+        StreamNews { began, wanted }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn insert(&mut self, now: Time, record: StreamRecord) {
+        self.order.push_back((now, record.key));
+        let known = Known {
+            build: record.build,
+            began: record.began,
+            recorded: now,
+        };
+        self.streams.insert(record.key, known);
+        let is_old = |(at, _): &(Time, StreamKey)| *at + RETENTION < now;
+        while self.order.len() > MAX_STREAMS || self.order.front().is_some_and(is_old) {
+            let Some((at, key)) = self.order.pop_front() else {
+                return;
+            };
+            // A stream that was continued since is recorded once more.
+            if self
+                .streams
+                .get(&key)
+                .is_some_and(|known| known.recorded == at)
+            {
+                self.streams.remove(&key);
+            }
+        }
+    }
+}
+
+/// Returns the names of the peers that keep a stream, by rendezvous hashing over those that are live.
+#[must_use]
+pub fn keepers<'a>(key: StreamKey, live: &BTreeSet<&'a str>) -> Vec<&'a str> {
+    let hash = rendezvous::hash_key(key.as_bytes());
+    let mut ranked: Vec<(u64, &str)> = live
+        .iter()
+        .map(|name| (rendezvous::weight(hash, name), *name))
+        .collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked
+        .into_iter()
+        .take(KEEPERS)
+        .map(|(_, name)| name)
+        .collect()
+}
+
+/// Streams that an instance shares between its parts.
+pub type SharedStreams = Arc<Streams>;
--- a/crates/firdock-policy/src/system.rs
+++ b/crates/firdock-policy/src/system.rs
@@ -5,6 +5,7 @@
 pub mod backoff;
 pub mod budget;
 pub mod config;
+pub mod continuation;
 pub mod coordinate;
 pub mod demand;
 pub mod dispatch_updates;
--- a/crates/firdock-policy/src/system/admit.rs
+++ b/crates/firdock-policy/src/system/admit.rs
@@ -5,7 +5,7 @@
 use firdock_core::resource::request_rank;
 use firdock_core::{Outcome, Reason, RequestId};
 
-use super::{attempts, fair_share, key, lifecycle, limit, suspect};
+use super::{attempts, continuation, fair_share, key, lifecycle, limit, suspect};
 use crate::action::Action;
 use crate::request::{KeyClaim, NewRequest, Origin, RequestRow, Verdict};
 use crate::table::Tables;
@@ -15,11 +15,15 @@
 const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(5);
 
 /// Handles the arrival of a request.
-pub fn admit_request(t: &mut Tables, now: Time, new: NewRequest, out: &mut Vec<Action>) {
+pub fn admit_request(t: &mut Tables, now: Time, mut new: NewRequest, out: &mut Vec<Action>) {
     let Some((service, account)) = in_force(t, &new) else {
         reject(t, &new, undeclared_verdict(&new), out);
         return;
     };
+    if let Err(verdict) = continuation::resolve(t, now, service, &mut new) {
+        reject(t, &new, verdict, out);
+        return;
+    }
     let unserved = t.services.get(service).endpoints.is_empty();
     let (id, claim) = (new.id, new.key);
     match key::decide(t, now, service, &new) {
--- a/crates/firdock-policy/src/system/config.rs
+++ b/crates/firdock-policy/src/system/config.rs
@@ -4,7 +4,7 @@
 
 use firdock_core::resource::{Catalog, Tier};
 
-use super::{budget, limit, restart, rollout, suspect};
+use super::{budget, continuation, limit, restart, rollout, suspect};
 use crate::action::Action;
 use crate::table::Tables;
 use crate::table::account::AccountRow;
@@ -18,8 +18,10 @@
         return;
     }
     t.version = catalog.version;
+    continuation::record_builds(t, now);
     apply_accounts(t, now, catalog);
     apply_endpoints(t, now, catalog, out);
+    continuation::record_builds(t, now);
     apply_services(t, catalog);
     link_endpoints(t);
     rollout::apply(t, now, catalog);
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -22,5 +22,6 @@
 mod rules;
 mod shares;
 mod simulation;
+mod stream_versions;
 mod suspects;
 mod use_aggregator;
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -209,7 +209,10 @@
 /// One datagram between instances that know each other only by address.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Datagram {
-    #[prost(oneof = "datagram::Body", tags = "1, 2, 3, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(
+        oneof = "datagram::Body",
+        tags = "1, 2, 3, 5, 6, 7, 8, 9, 10, 11, 12, 13"
+    )]
     pub body: ::core::option::Option<datagram::Body>,
 }
 /// Nested message and enum types in `Datagram`.
@@ -236,6 +239,10 @@
         PermitRequests(super::PermitRequests),
         #[prost(message, tag = "11")]
         PermitGrants(super::PermitGrants),
+        #[prost(message, tag = "12")]
+        StreamRecords(super::StreamRecords),
+        #[prost(message, tag = "13")]
+        StreamQuery(super::StreamQuery),
     }
 }
 /// Software that the endpoints of a pool run.
@@ -246,6 +253,30 @@
     #[prost(string, tag = "2")]
     pub version: ::prost::alloc::string::String,
 }
+/// Streams with the builds that began them (docs/design/stream-versions.md).
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct StreamRecords {
+    #[prost(message, repeated, tag = "1")]
+    pub records: ::prost::alloc::vec::Vec<StreamRecord>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamRecord {
+    /// 16 bytes: hash of the account and of the attempt that brought the first event.
+    #[prost(bytes = "vec", tag = "1")]
+    pub stream: ::prost::alloc::vec::Vec<u8>,
+    #[prost(message, optional, tag = "2")]
+    pub build: ::core::option::Option<Build>,
+    /// Time since the first event, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub age_millis: u64,
+}
+/// Asks for the record of a stream. The receiver answers if it has one.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamQuery {
+    /// 16 bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub stream: ::prost::alloc::vec::Vec<u8>,
+}
 /// Asks for the receiver's clock.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ClockQuestion {
