Sight for streams that are taken up: who knew them, and one timeline for their tries

The line stream taken up tells on-call which build began the stream, from whom it is known and how old it is; firdock_streams_taken_up counts by who knew it; firdock explain with the id of the first try shows those that continue it. Tests of the table of streams: keys by account, keepers, retention and bound, what a peer tells, the query, streams told together.

--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -173,6 +173,7 @@
         .with_log_limiter(Arc::clone(&self.log_limiter))
         .with_answer_budget(self.answer_budget.clone())
         .with_streams(Arc::clone(&self.streams))
+        .with_metrics(Arc::clone(&self.metrics))
     }
 
     /// Creates the driver, which owns the scheduler's tables.
--- a/crates/firdock-node/src/ingress/handler.rs
+++ b/crates/firdock-node/src/ingress/handler.rs
@@ -6,11 +6,10 @@
 use firdock_core::settings::Limits;
 use firdock_core::{Outcome, RequestId};
 use firdock_policy::Origin;
-use firdock_policy::request::StreamOrigin;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Version};
-use slog::{Logger, warn};
+use slog::{Logger, info, warn};
 use tokio::sync::mpsc;
 use uuid::Uuid;
 
@@ -25,8 +24,8 @@
 use crate::http::CallerHandle;
 use crate::input::Input;
 use crate::site::Site;
-use crate::streams::{SharedStreams, StreamKey};
-use crate::telemetry::{LogKind, LogLimiter, Span, TraceContext};
+use crate::streams::{FoundStream, SharedStreams, StreamKey, StreamSource};
+use crate::telemetry::{LogKind, LogLimiter, Metrics, Span, TraceContext};
 
 /// Header with the W3C trace context.
 pub(super) const TRACE_HEADER: HeaderName = HeaderName::from_static("traceparent");
@@ -67,6 +66,7 @@
     log_limiter: Arc<LogLimiter>,
     answer_budget: AnswerBudget,
     streams: SharedStreams,
+    metrics: Arc<Metrics>,
 }
 
 impl<I: Interface> Ingress<I> {
@@ -91,9 +91,17 @@
             log_limiter: Arc::default(),
             answer_budget: AnswerBudget::default(),
             streams: SharedStreams::default(),
+            metrics: Arc::default(),
         }
     }
 
+    /// Sets the metrics that count what is found of the streams that callers continue.
+    #[must_use]
+    pub(crate) fn with_metrics(mut self, metrics: Arc<Metrics>) -> Self {
+        self.metrics = metrics;
+        self
+    }
+
     /// Sets the streams that callers may continue.
     #[must_use]
     pub(crate) fn with_streams(mut self, streams: SharedStreams) -> Self {
@@ -142,7 +150,7 @@
         };
         let mut response = match self.read(request).await {
             Ok(mut payload) => {
-                self.find_stream_origin(&mut payload).await;
+                self.find_stream_origin(id, &mut payload).await;
                 self.serve(id, payload, trace, caller).await
             }
             Err(problem) => {
@@ -197,15 +205,42 @@
     }
 
     /// Sets the origin of the stream that a request continues.
-    async fn find_stream_origin(&self, payload: &mut Payload) {
+    async fn find_stream_origin(&self, id: RequestId, payload: &mut Payload) {
         let resumes = payload.terms.resumes.as_ref();
         let Some(attempt) = resumes.filter(|_| payload.terms.streamed) else {
             return;
         };
-        payload.terms.stream_origin = match StreamKey::new(&payload.account, attempt) {
-            Some(key) => self.streams.origin(key).await,
-            None => StreamOrigin::Unknown,
+        let found = match StreamKey::new(&payload.account, attempt) {
+            Some(key) => self.streams.find(key).await,
+            None => FoundStream {
+                record: None,
+                source: StreamSource::Nobody,
+            },
         };
+        self.metrics.count_continued_stream(found.source);
+        self.log_continued_stream(id, &payload.terms, &found);
+        payload.terms.stream_origin = found.origin();
+    }
+
+    /// Logs which build began the stream that a request continues, and who knew it.
+    fn log_continued_stream(&self, id: RequestId, terms: &CallTerms, found: &FoundStream) {
+        let now = self.clock.now();
+        if !self
+            .log_limiter
+            .allow(&self.log, now, LogKind::ContinuedStream)
+        {
+            return;
+        }
+        let record = found.record.as_ref();
+        info!(self.log, "stream taken up";
+            "request_id" => id.to_string(),
+            "call" => terms.caller_id.as_ref(),
+            "resumes" => terms.resumes.as_ref(),
+            "source" => found.source.as_str(),
+            "pool" => record.map(|r| &r.build.pool),
+            "software" => record.map(|r| &r.build.version),
+            "age_millis" => record.map(|r| millis(now.saturating_sub(r.began))),
+        );
     }
 
     async fn serve(
--- a/crates/firdock-node/src/streams.rs
+++ b/crates/firdock-node/src/streams.rs
@@ -72,6 +72,49 @@
     pub began: Time,
 }
 
+/// Who knew a stream that a caller continues.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamSource {
+    /// This instance, which began it or was told of it.
+    Here,
+    /// A peer that was asked.
+    Peer,
+    /// Nobody.
+    Nobody,
+}
+
+impl StreamSource {
+    /// Returns the name used in logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Here => "here",
+            Self::Peer => "peer",
+            Self::Nobody => "nobody",
+        }
+    }
+}
+
+/// What is known of a stream that a caller continues.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FoundStream {
+    /// The stream, if anyone knew it.
+    pub record: Option<StreamRecord>,
+    /// Who knew it.
+    pub source: StreamSource,
+}
+
+impl FoundStream {
+    /// Returns the origin of the stream, for the scheduler.
+    #[must_use]
+    pub fn origin(&self) -> StreamOrigin {
+        let build = self.record.as_ref().map(|record| record.build.clone());
+        build.map_or(StreamOrigin::Unknown, |build| {
+            StreamOrigin::Known(Arc::new(build))
+        })
+    }
+}
+
 /// What has to be sent to peers.
 #[derive(Debug, Default)]
 pub struct StreamNews {
@@ -140,23 +183,29 @@
         Some(StreamRecord { key, build, began })
     }
 
-    /// Returns the origin of a stream, and asks peers for it if it is not known here.
-    pub async fn origin(&self, key: StreamKey) -> StreamOrigin {
-        if let Some(known) = self.get(key) {
-            return StreamOrigin::Known(Arc::new(known.build));
+    /// Finds a stream, and asks peers for it if it is not known here.
+    pub async fn find(&self, key: StreamKey) -> FoundStream {
+        if let Some(record) = self.get(key) {
+            return FoundStream {
+                record: Some(record),
+                source: StreamSource::Here,
+            };
         }
         self.lock().news.wanted.push(key);
         self.has_news.notify_one();
-        let answer = timeout(QUERY_TIMEOUT, self.wait_for(key)).await;
-        let known = answer.map(|build| StreamOrigin::Known(Arc::new(build)));
-        known.unwrap_or(StreamOrigin::Unknown)
+        let record = timeout(QUERY_TIMEOUT, self.wait_for(key)).await.ok();
+        let source = match record {
+            Some(_) => StreamSource::Peer,
+            None => StreamSource::Nobody,
+        };
+        FoundStream { record, source }
     }
 
-    async fn wait_for(&self, key: StreamKey) -> Build {
+    async fn wait_for(&self, key: StreamKey) -> StreamRecord {
         loop {
             let heard = self.heard.notified();
-            if let Some(known) = self.get(key) {
-                return known.build;
+            if let Some(record) = self.get(key) {
+                return record;
             }
             heard.await;
         }
--- a/crates/firdock-node/src/telemetry/log_limiter.rs
+++ b/crates/firdock-node/src/telemetry/log_limiter.rs
@@ -41,6 +41,8 @@
     StoreCall,
     /// An entry of an endpoint described no usable endpoint.
     RefusedEntry,
+    /// A request continues a stream that an earlier attempt of its caller began.
+    ContinuedStream,
 }
 
 impl LogKind {
@@ -62,6 +64,7 @@
             Self::Tunnel => "connection passed on",
             Self::StoreCall => "store called",
             Self::RefusedEntry => "entry refused",
+            Self::ContinuedStream => "stream taken up",
         }
     }
 
@@ -81,7 +84,7 @@
             | Self::Tunnel
             | Self::StoreCall
             | Self::RefusedEntry => 20,
-            Self::Failed | Self::Unframed | Self::StateChange => 200,
+            Self::Failed | Self::Unframed | Self::StateChange | Self::ContinuedStream => 200,
             // A server that sends a malformed header sends it with each answer, so one line is enough.
             Self::BadLoad | Self::BadNotice => 1,
         }
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -18,12 +18,13 @@
 use prometheus_client::registry::Registry;
 
 use self::labels::{
-    ByCall, ByCause, ByEnd, ByFound, ByOutcome, ByPool, ByRefusal, ByShare, ByTier, ByTry,
+    ByCall, ByCause, ByEnd, ByFound, ByOutcome, ByPool, ByRefusal, ByShare, BySource, ByTier, ByTry,
 };
 use super::suspects::SuspectStates;
 use super::{AnswerMetrics, EndpointList, SuspectList};
 use crate::endpoint::{AnswerEnd, Ending};
 use crate::source::StoreCall;
+use crate::streams::StreamSource;
 
 /// Upper bound of the first bucket of decision times, in seconds.
 const FIRST_DECISION_BUCKET: f64 = 1e-6;
@@ -75,6 +76,7 @@
     restarts: Counter,
     lost_by_restart: Counter,
     entries_refused: Counter,
+    streams_taken_up: Family<BySource, Counter>,
     version: Gauge,
     log_lag: Gauge,
     decision: Histogram,
@@ -135,6 +137,7 @@
             restarts: Counter::default(),
             lost_by_restart: Counter::default(),
             entries_refused: Counter::default(),
+            streams_taken_up: Family::default(),
             version: Gauge::default(),
             log_lag: Gauge::default(),
             decision: Histogram::new(exponential_buckets(
@@ -249,6 +252,14 @@
         self.store_calls.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that continues a stream of an earlier attempt.
+    pub fn count_continued_stream(&self, source: StreamSource) {
+        let source = source.as_str();
+        self.streams_taken_up
+            .get_or_create(&BySource { source })
+            .inc();
+    }
+
     /// Counts an entry of an endpoint that describes no usable endpoint.
     pub fn count_refused_entry(&self) {
         self.entries_refused.inc();
--- a/crates/firdock-node/src/telemetry/metrics/labels.rs
+++ b/crates/firdock-node/src/telemetry/metrics/labels.rs
@@ -64,6 +64,12 @@
     pub(super) pool: String,
 }
 
+/// Labels of streams that callers continue.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct BySource {
+    pub(super) source: &'static str,
+}
+
 /// Labels of calls to the platform's store.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct ByCall {
--- a/crates/firdock-node/src/telemetry/metrics/register.rs
+++ b/crates/firdock-node/src/telemetry/metrics/register.rs
@@ -192,6 +192,11 @@
             "Dispatches that ended with a start of their endpoint",
             self.lost_by_restart.clone(),
         );
+        r.register(
+            "streams_taken_up",
+            "Requests that continue a stream of an earlier attempt, by who knew the stream",
+            self.streams_taken_up.clone(),
+        );
         r.register(
             "entries_refused",
             "Entries of endpoints that name none to use",
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -12,6 +12,7 @@
 mod permits;
 mod placement;
 mod shared_reads;
+mod streams;
 mod suspects;
 mod test_instance;
 mod tunnels;
--- /dev/null
+++ b/crates/firdock-node/tests/node/streams.rs
@@ -0,0 +1,126 @@
+//! The table of streams that callers may continue, and the peers that keep them.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use firdock_node::streams::{StreamKey, StreamRecord, StreamSource, Streams, keepers};
+use firdock_policy::Time;
+use firdock_policy::request::Build;
+
+fn seconds(n: u64) -> Time {
+    Duration::from_secs(n)
+}
+
+fn key(attempt: &str) -> StreamKey {
+    StreamKey::new("shop", attempt).expect("a key")
+}
+
+fn record(attempt: &str, version: &str, began: Time) -> StreamRecord {
+    StreamRecord {
+        key: key(attempt),
+        build: Build {
+            pool: "pool".to_owned(),
+            version: version.to_owned(),
+        },
+        began,
+    }
+}
+
+/// Guards against an account that names the stream of another.
+#[test]
+fn the_key_of_a_stream_belongs_to_its_account() {
+    assert_ne!(StreamKey::new("shop", "id"), StreamKey::new("other", "id"));
+    assert_ne!(StreamKey::new("shop", "1id"), StreamKey::new("shop1", "id"));
+    assert_eq!(StreamKey::new("shop", ""), None);
+    assert_eq!(StreamKey::new("shop", &"x".repeat(129)), None);
+}
+
+/// Guards against streams that are lost with their instance, or a tenth of them with six in ten instances.
+#[test]
+fn a_stream_is_kept_by_peers_that_anyone_can_work_out() {
+    let names: Vec<String> = (0..295).map(|n| format!("front-{n}")).collect();
+    let all: BTreeSet<&str> = names.iter().map(String::as_str).collect();
+    let seven: BTreeSet<&str> = all.iter().take(7).copied().collect();
+    let mut lost = 0;
+    let mut kept_by: BTreeSet<&str> = BTreeSet::new();
+    for n in 0..1_000 {
+        let key = key(&format!("id-{n}"));
+        let keepers_of_all = keepers(key, &all);
+        assert_eq!(keepers_of_all.len(), 6);
+        assert_eq!(keepers(key, &seven).len(), 6);
+        let fallen = |name: &str| name.ends_with(['0', '1', '2', '3', '4', '5']);
+        lost += usize::from(keepers_of_all.iter().all(|name| fallen(name)));
+        kept_by.extend(keepers_of_all);
+    }
+    assert!(lost < 100, "{lost} of 1,000 lost");
+    assert!(kept_by.len() > 280, "{} instances keep any", kept_by.len());
+}
+
+/// Guards against a table that grows, and against a stream that is forgotten while its caller continues it.
+#[test]
+fn a_stream_is_kept_for_a_minute_after_it_was_last_taken_up() {
+    let streams = Streams::default();
+    streams.begin(record("first", "v1", seconds(10)));
+    streams.begin(record("second", "v1", seconds(10)));
+    streams.begin(record("first", "v1", seconds(50)));
+    streams.hear(seconds(80), vec![record("third", "v2", seconds(79))]);
+    assert!(streams.get(key("second")).is_none());
+    assert!(streams.get(key("first")).is_some());
+    for n in 0..40_000 {
+        let began = seconds(81);
+        streams.hear(began, vec![record(&format!("id-{n}"), "v2", began)]);
+    }
+    let kept = (0..40_000).filter(|n| streams.get(key(&format!("id-{n}"))).is_some());
+    assert_eq!(kept.count(), 32_768);
+}
+
+/// Guards against a peer's word that moves a stream to another version.
+#[test]
+fn what_a_peer_tells_later_does_not_change_a_known_stream() {
+    let streams = Streams::default();
+    streams.begin(record("first", "v1", seconds(10)));
+    streams.hear(seconds(11), vec![record("first", "v2", seconds(11))]);
+    assert_eq!(
+        streams.get(key("first")).expect("known").build.version,
+        "v1"
+    );
+}
+
+/// Guards against a caller that waits for long, or for nothing, where a peer answers.
+#[tokio::test]
+async fn a_stream_that_is_not_known_is_asked_for() {
+    let streams = Streams::default();
+    let answered = async {
+        streams.wait_for_news().await;
+        let news = streams.take_news(seconds(10));
+        assert_eq!(news.wanted, [key("first")]);
+        streams.hear(seconds(10), vec![record("first", "v1", seconds(9))]);
+    };
+    let (found, ()) = tokio::join!(streams.find(key("first")), answered);
+    assert_eq!(found.source, StreamSource::Peer);
+    let started = tokio::time::Instant::now();
+    assert_eq!(
+        streams.find(key("never")).await.source,
+        StreamSource::Nobody
+    );
+    assert!(started.elapsed() <= Duration::from_millis(600));
+}
+
+/// Guards against streams that are told one by one, or late.
+#[test]
+fn streams_that_begin_close_together_are_told_together() {
+    let streams = Streams::default();
+    let at = seconds(10);
+    streams.begin(record("first", "v1", at));
+    streams.begin(record("second", "v1", at + Duration::from_millis(20)));
+    assert!(
+        streams
+            .take_news(at + Duration::from_millis(49))
+            .began
+            .is_empty()
+    );
+    let due = streams.tell_at().expect("something to tell");
+    assert_eq!(due, at + Duration::from_millis(50));
+    assert_eq!(streams.take_news(due).began.len(), 2);
+    assert_eq!(streams.tell_at(), None);
+}
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -60,7 +60,9 @@
     }
 
     fn is_about(&self, id: &str) -> bool {
-        self.text("request_id") == id || self.text("call") == id
+        ["request_id", "call", "resumes"]
+            .iter()
+            .any(|field| self.text(field) == id)
     }
 
     /// Formats the line for people: time, instance and message, then the other fields.
@@ -85,7 +87,8 @@
     }
 }
 
-/// Returns the lines about a request in order, found by the id that firdock or the caller gave it.
+/// Returns the lines about a request in order, found by the id that firdock or the caller gave it, and those about
+/// later requests that continue its stream.
 ///
 /// They include the same instances' state changes of its endpoints and of the configuration shortly before and
 /// during the request, and the lines on suppressed lines.
