--- a/crates/firdock-node/tests/node/shared_reads.rs
+++ b/crates/firdock-node/tests/node/shared_reads.rs
@@ -8,6 +8,7 @@
     KeyedRecord, Millicores, PeerDirectory, PeerInfo, PeerProcess, ReadReason, ReadRole, ReadState,
     ReadTurn, SharedReads, Topic, TopicRecords, TopicSnapshot, bind_beacon_socket,
 };
+use firdock_state::directory::GRACE;
 use tokio::sync::watch;
 use uuid::Uuid;
 
@@ -304,3 +305,38 @@
         ReadRole::SiteLead
     );
 }
+
+/// Guards against an endpoint that gets requests because its entry, which went while no instance reached the store, is
+/// kept: an instance owes the removal again three seconds after it is back in touch.
+#[test]
+fn an_entry_that_went_in_an_outage_counts_as_gone_once_the_instance_is_in_touch() {
+    /// Time limit of a call to a silent store, and the longest pause after a failed read, as deployed.
+    const CALL: Duration = Duration::from_secs(1);
+    const PAUSE: Duration = Duration::from_secs(1);
+    const CONTACT: Duration = Duration::from_secs(3);
+    for outage in (4_000..7_000).step_by(50) {
+        let shared = SharedReads::default();
+        shared.record_read(START, read_state(5, 1, START));
+        let back = START + millis(outage);
+        let mut now = START;
+        let first_read = loop {
+            let (due, next) = shared.due_at(now, READ_INTERVAL, ReadTurn::alone());
+            if due.endpoints.is_none() {
+                now = next;
+                continue;
+            }
+            if now >= back {
+                break now;
+            }
+            now += CALL;
+            shared.record_failure(now, PAUSE);
+        };
+        shared.record_read(first_read, read_state(5, 2, first_read));
+        let dropped = shared.steady_since(first_read) + GRACE;
+        assert!(
+            dropped <= back + CONTACT,
+            "an outage of {outage} ms: kept until {:?} after its end",
+            dropped - back
+        );
+    }
+}
