--- a/crates/firdock-node/tests/node/shared_reads.rs
+++ b/crates/firdock-node/tests/node/shared_reads.rs
@@ -336,7 +336,7 @@
         assert!(
             dropped <= back + CONTACT,
             "an outage of {outage} ms: kept until {:?} after its end",
-            dropped - back
+            dropped.saturating_sub(back)
         );
     }
 }
--- a/crates/firdock-policy/src/system/continuation.rs
+++ b/crates/firdock-policy/src/system/continuation.rs
@@ -1,9 +1,11 @@
 //! Requests that continue a stream: which build began it, where no instance knows
 //! (`docs/design/stream-versions.md`).
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use firdock_core::resource::Endpoint;
 use firdock_core::{Outcome, PoolId, Reason};
 
 use crate::request::{Build, NewRequest, StreamOrigin, Verdict};
@@ -23,7 +25,10 @@
 /// Records the builds that serve at present.
 pub fn record_builds(t: &mut Tables, now: Time) {
     let present = t.endpoints.iter().filter(|(_, e)| e.present);
-    let builds: Vec<Build> = present.map(|(_, e)| Build::of(&e.declared)).collect();
+    let by_build: BTreeMap<(&str, &str), &Endpoint> = present
+        .map(|(_, e)| ((&*e.declared.pool, &*e.declared.version), &e.declared))
+        .collect();
+    let builds: Vec<Build> = by_build.into_values().map(Build::of).collect();
     t.builds_seen.extend(builds.into_iter().map(|b| (b, now)));
     t.builds_seen
         .retain(|_, last| *last + BUILD_RETENTION > now);
--- a/crates/firdock-policy/src/system/place/lane.rs
+++ b/crates/firdock-policy/src/system/place/lane.rs
@@ -43,20 +43,24 @@
 /// Returns the first requests behind the head of a lane that have its rank but other content: a
 /// request that waits for a duplicate delays nothing else.
 fn next_with_other_content(t: &Tables, head: RequestId) -> Vec<RequestId> {
-    let Some(first) = t.requests.get(head) else {
-        return Vec::new();
-    };
-    let lane = t.services.get(first.service).queue.lane_ids(first.account);
-    let rows = lane
-        .take(MAX_LANE_LOOKAHEAD)
-        .filter_map(|id| t.requests.get(id));
-    let other = |r: &&RequestRow| r.rank == first.rank && r.content_id() != first.content_id();
-    rows.filter(other).map(|r| r.new.id).collect()
+    next_that(t, head, |row, first| row.content_id() != first.content_id())
 }
 
 /// Returns the first requests behind the head of a lane that have its rank and need not run at the
 /// version that began its stream.
 fn next_of_other_versions(t: &Tables, head: RequestId) -> Vec<RequestId> {
+    next_that(t, head, |row, first| {
+        row.stream_origin != first.stream_origin
+    })
+}
+
+/// Returns the first requests behind the head of a lane that have its rank and differ from it as
+/// `differs` says.
+fn next_that(
+    t: &Tables,
+    head: RequestId,
+    differs: impl Fn(&RequestRow, &RequestRow) -> bool,
+) -> Vec<RequestId> {
     let Some(first) = t.requests.get(head) else {
         return Vec::new();
     };
@@ -64,8 +68,8 @@
     let rows = lane
         .take(MAX_LANE_LOOKAHEAD)
         .filter_map(|id| t.requests.get(id));
-    let other = |r: &&RequestRow| r.rank == first.rank && r.stream_origin != first.stream_origin;
-    rows.filter(other).map(|r| r.new.id).collect()
+    let other = |row: &&RequestRow| row.rank == first.rank && differs(row, first);
+    rows.filter(other).map(|row| row.new.id).collect()
 }
 
 /// Returns, for each other instance, its first request behind the head of a lane that has the
