--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -181,8 +181,8 @@
                     urgent = new;
                     self.send_state_change(own).await;
                 }
-                () = self.streams.wait_for_news() => self.send_stream_news().await,
-                () = sleep_until_due(self.streams.tell_at(), now) => self.send_stream_news().await,
+                () = self.streams.wait_for_pending() => self.send_stream_messages().await,
+                () = sleep_until_due(self.streams.send_at(), now) => self.send_stream_messages().await,
                 () = self.reads.wait_for_change() => {}
                 () = stopped(&mut stop) => break,
             }
--- a/crates/firdock-node/src/peer/beacon/receive.rs
+++ b/crates/firdock-node/src/peer/beacon/receive.rs
@@ -66,7 +66,8 @@
             }
             Some(datagram::Body::StreamRecords(message)) => {
                 let now = self.clock.now();
-                self.streams.hear(now, read_stream_records(now, message));
+                self.streams
+                    .add_reported(now, read_stream_records(now, message));
             }
             Some(datagram::Body::StreamQuery(query)) => {
                 if let Some(reply) = self.answer_stream_query(&query) {
--- a/crates/firdock-node/src/peer/streams.rs
+++ b/crates/firdock-node/src/peer/streams.rs
@@ -1,4 +1,4 @@
-//! Messages by which instances tell each other of streams that callers may continue.
+//! Messages on streams that callers may continue: records for replicas, and queries.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -11,7 +11,7 @@
 use super::directory::PeerRecord;
 use crate::clock::millis;
 use crate::placement::{read_build, write_build};
-use crate::streams::{StreamKey, StreamRecord, keepers};
+use crate::streams::{StreamKey, StreamRecord, replicas};
 
 /// Maximum number of streams in a datagram; each takes about 60 bytes.
 const MAX_RECORDS: usize = 500;
@@ -40,31 +40,31 @@
 }
 
 impl BeaconService {
-    /// Sends the streams that began here to the peers that keep them, and asks those for streams that are wanted.
-    pub(super) async fn send_stream_news(&self) {
+    /// Sends the records that are due to their replicas, and queries to the replicas of unknown streams.
+    pub(super) async fn send_stream_messages(&self) {
         let now = self.clock.now();
-        let news = self.streams.take_news(now);
+        let pending = self.streams.take_pending(now);
         let peers = self.directory.live_peers(now);
         let by_name: BTreeMap<&str, &PeerRecord> =
             peers.iter().map(|peer| (&*peer.name, peer)).collect();
         let live: BTreeSet<&str> = by_name.keys().copied().collect();
-        let mut told: BTreeMap<&str, Vec<&StreamRecord>> = BTreeMap::new();
-        for record in &news.began {
-            for keeper in keepers(record.key, &live) {
-                told.entry(keeper).or_default().push(record);
+        let mut by_replica: BTreeMap<&str, Vec<&StreamRecord>> = BTreeMap::new();
+        for record in &pending.records {
+            for replica in replicas(record.key, &live) {
+                by_replica.entry(replica).or_default().push(record);
             }
         }
-        for (name, records) in told {
+        for (name, records) in by_replica {
             for part in records.chunks(MAX_RECORDS) {
                 let sealed = seal(&self.key, write_records(now, part));
                 self.send_to(&sealed, name, by_name[name].address).await;
             }
         }
-        for key in news.wanted {
+        for key in pending.queries {
             let stream = key.as_bytes().to_vec();
             let query = datagram::Body::StreamQuery(message::StreamQuery { stream });
             let sealed = seal(&self.key, query);
-            for name in keepers(key, &live) {
+            for name in replicas(key, &live) {
                 self.send_to(&sealed, name, by_name[name].address).await;
             }
         }
--- a/crates/firdock-node/src/streams.rs
+++ b/crates/firdock-node/src/streams.rs
@@ -1,8 +1,8 @@
 //! Streams that callers may continue, with the builds that began them.
 //!
-//! An instance keeps what it began itself and what its peers told it. After the first event of a stream it tells a few
-//! peers that everyone can work out from the stream's key, so that its caller may come back to any instance when this
-//! one is gone (`docs/design/stream-versions.md`).
+//! An instance keeps what it began itself and what its peers reported. After the first event of a stream it sends a
+//! record to a few peers that everyone can work out from the stream's key, so that its caller may come back to any
+//! instance when this one is gone (`docs/design/stream-versions.md`).
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -23,10 +23,10 @@
 const RETENTION: Duration = Duration::from_mins(1);
 /// Maximum number of streams that are kept; the oldest give way first. One takes about 200 bytes.
 const MAX_STREAMS: usize = 32_768;
-/// Number of peers that are told of a stream. If six in ten instances fall at once, one in twenty streams is lost.
-const KEEPERS: usize = 6;
-/// Time for which a stream waits to be told together with others.
-const TELL_DELAY: Duration = Duration::from_millis(50);
+/// Number of peers that keep a record of a stream. If six in ten instances fall at once, one in twenty streams is lost.
+const REPLICAS: usize = 6;
+/// Time for which a record waits to be sent together with others.
+const BATCH_DELAY: Duration = Duration::from_millis(50);
 /// Time limit for peers to answer what they know of a stream: two round trips between far availability zones.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -75,7 +75,7 @@
 /// Who knew a stream that a caller continues.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StreamSource {
-    /// This instance, which began it or was told of it.
+    /// This instance, which began it or keeps a record of it.
     Here,
     /// A peer that was asked.
     Peer,
@@ -117,11 +117,11 @@
 
 /// What has to be sent to peers.
 #[derive(Debug, Default)]
-pub struct StreamNews {
-    /// Streams that began here, to be told to their keepers.
-    pub began: Vec<StreamRecord>,
-    /// Streams that are asked for.
-    pub wanted: Vec<StreamKey>,
+pub struct PendingMessages {
+    /// Streams that began here, for their replicas.
+    pub records: Vec<StreamRecord>,
+    /// Streams that callers continue and that are not known here.
+    pub queries: Vec<StreamKey>,
 }
 
 #[derive(Debug, Clone)]
@@ -137,8 +137,8 @@
     streams: BTreeMap<StreamKey, Known>,
     /// Keys in the order of their arrival, for eviction.
     order: VecDeque<(Time, StreamKey)>,
-    news: StreamNews,
-    /// When the first of the streams that wait to be told began.
+    pending: PendingMessages,
+    /// When the first of the streams whose records wait to be sent began.
     waiting_since: Option<Time>,
 }
 
@@ -147,9 +147,9 @@
 pub struct Streams {
     inner: Mutex<Inner>,
     /// Notified when something has to be sent.
-    has_news: Notify,
-    /// Notified when peers told of streams.
-    heard: Notify,
+    has_pending: Notify,
+    /// Notified when peers reported streams.
+    reported: Notify,
 }
 
 impl Streams {
@@ -158,13 +158,13 @@
         let mut inner = self.lock();
         inner.insert(record.began, record.clone());
         inner.waiting_since.get_or_insert(record.began);
-        inner.news.began.push(record);
+        inner.pending.records.push(record);
         drop(inner);
-        self.has_news.notify_one();
+        self.has_pending.notify_one();
     }
 
-    /// Records streams that a peer told of. What is known already is kept.
-    pub fn hear(&self, now: Time, records: Vec<StreamRecord>) {
+    /// Adds streams that a peer reported. What is known already is kept.
+    pub fn add_reported(&self, now: Time, records: Vec<StreamRecord>) {
         let mut inner = self.lock();
         for record in records {
             if !inner.streams.contains_key(&record.key) {
@@ -172,7 +172,7 @@
             }
         }
         drop(inner);
-        self.heard.notify_waiters();
+        self.reported.notify_waiters();
     }
 
     /// Returns a stream if it is known here.
@@ -191,8 +191,8 @@
                 source: StreamSource::Here,
             };
         }
-        self.lock().news.wanted.push(key);
-        self.has_news.notify_one();
+        self.lock().pending.queries.push(key);
+        self.has_pending.notify_one();
         let record = timeout(QUERY_TIMEOUT, self.wait_for(key)).await.ok();
         let source = match record {
             Some(_) => StreamSource::Peer,
@@ -203,38 +203,40 @@
 
     async fn wait_for(&self, key: StreamKey) -> StreamRecord {
         loop {
-            let heard = self.heard.notified();
+            let reported = self.reported.notified();
             if let Some(record) = self.get(key) {
                 return record;
             }
-            heard.await;
+            reported.await;
         }
     }
 
     /// Waits until something has to be sent.
-    pub async fn wait_for_news(&self) {
-        self.has_news.notified().await;
+    pub async fn wait_for_pending(&self) {
+        self.has_pending.notified().await;
     }
 
-    /// Returns when the streams that began have to be told, if any wait.
+    /// Returns when the waiting records have to be sent, if there are any.
     #[must_use]
-    pub fn tell_at(&self) -> Option<Time> {
-        self.lock().waiting_since.map(|since| since + TELL_DELAY)
+    pub fn send_at(&self) -> Option<Time> {
+        self.lock().waiting_since.map(|since| since + BATCH_DELAY)
     }
 
-    /// Takes the streams that are asked for, and those that began if they have to be told now.
+    /// Takes the queries, and the records if they have to be sent now.
     #[must_use]
-    pub fn take_news(&self, now: Time) -> StreamNews {
+    pub fn take_pending(&self, now: Time) -> PendingMessages {
         let mut inner = self.lock();
-        let due = inner.waiting_since.is_some_and(|at| at + TELL_DELAY <= now);
-        let began = if due {
+        let due = inner
+            .waiting_since
+            .is_some_and(|at| at + BATCH_DELAY <= now);
+        let records = if due {
             inner.waiting_since = None;
-            std::mem::take(&mut inner.news.began)
+            std::mem::take(&mut inner.pending.records)
         } else {
             Vec::new()
         };
-        let wanted = std::mem::take(&mut inner.news.wanted);
-        StreamNews { began, wanted }
+        let queries = std::mem::take(&mut inner.pending.queries);
+        PendingMessages { records, queries }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -268,9 +270,9 @@
     }
 }
 
-/// Returns the names of the peers that keep a stream, by rendezvous hashing over those that are live.
+/// Returns the names of the peers that keep a record of a stream, by rendezvous hashing over those that are live.
 #[must_use]
-pub fn keepers<'a>(key: StreamKey, live: &BTreeSet<&'a str>) -> Vec<&'a str> {
+pub fn replicas<'a>(key: StreamKey, live: &BTreeSet<&'a str>) -> Vec<&'a str> {
     let hash = rendezvous::hash_key(key.as_bytes());
     let mut ranked: Vec<(u64, &str)> = live
         .iter()
@@ -279,7 +281,7 @@
     ranked.sort_unstable_by(|a, b| b.cmp(a));
     ranked
         .into_iter()
-        .take(KEEPERS)
+        .take(REPLICAS)
         .map(|(_, name)| name)
         .collect()
 }
--- a/crates/firdock-node/tests/node/streams.rs
+++ b/crates/firdock-node/tests/node/streams.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use firdock_node::streams::{StreamKey, StreamRecord, StreamSource, Streams, keepers};
+use firdock_node::streams::{StreamKey, StreamRecord, StreamSource, Streams, replicas};
 use firdock_policy::Time;
 use firdock_policy::request::Build;
 
@@ -45,12 +45,12 @@
     let mut kept_by: BTreeSet<&str> = BTreeSet::new();
     for n in 0..1_000 {
         let key = key(&format!("id-{n}"));
-        let keepers_of_all = keepers(key, &all);
-        assert_eq!(keepers_of_all.len(), 6);
-        assert_eq!(keepers(key, &seven).len(), 6);
+        let all_replicas = replicas(key, &all);
+        assert_eq!(all_replicas.len(), 6);
+        assert_eq!(replicas(key, &seven).len(), 6);
         let fallen = |name: &str| name.ends_with(['0', '1', '2', '3', '4', '5']);
-        lost += usize::from(keepers_of_all.iter().all(|name| fallen(name)));
-        kept_by.extend(keepers_of_all);
+        lost += usize::from(all_replicas.iter().all(|name| fallen(name)));
+        kept_by.extend(all_replicas);
     }
     assert!(lost < 100, "{lost} of 1,000 lost");
     assert!(kept_by.len() > 280, "{} instances keep any", kept_by.len());
@@ -63,23 +63,23 @@
     streams.begin(record("first", "v1", seconds(10)));
     streams.begin(record("second", "v1", seconds(10)));
     streams.begin(record("first", "v1", seconds(50)));
-    streams.hear(seconds(80), vec![record("third", "v2", seconds(79))]);
+    streams.add_reported(seconds(80), vec![record("third", "v2", seconds(79))]);
     assert!(streams.get(key("second")).is_none());
     assert!(streams.get(key("first")).is_some());
     for n in 0..40_000 {
         let began = seconds(81);
-        streams.hear(began, vec![record(&format!("id-{n}"), "v2", began)]);
+        streams.add_reported(began, vec![record(&format!("id-{n}"), "v2", began)]);
     }
     let kept = (0..40_000).filter(|n| streams.get(key(&format!("id-{n}"))).is_some());
     assert_eq!(kept.count(), 32_768);
 }
 
-/// Guards against a peer's word that moves a stream to another version.
+/// Guards against a report that moves a stream to another version.
 #[test]
-fn what_a_peer_tells_later_does_not_change_a_known_stream() {
+fn a_later_report_does_not_change_a_known_stream() {
     let streams = Streams::default();
     streams.begin(record("first", "v1", seconds(10)));
-    streams.hear(seconds(11), vec![record("first", "v2", seconds(11))]);
+    streams.add_reported(seconds(11), vec![record("first", "v2", seconds(11))]);
     assert_eq!(
         streams.get(key("first")).expect("known").build.version,
         "v1"
@@ -88,13 +88,13 @@
 
 /// Guards against a caller that waits for long, or for nothing, where a peer answers.
 #[tokio::test]
-async fn a_stream_that_is_not_known_is_asked_for() {
+async fn an_unknown_stream_is_queried() {
     let streams = Streams::default();
     let answered = async {
-        streams.wait_for_news().await;
-        let news = streams.take_news(seconds(10));
-        assert_eq!(news.wanted, [key("first")]);
-        streams.hear(seconds(10), vec![record("first", "v1", seconds(9))]);
+        streams.wait_for_pending().await;
+        let pending = streams.take_pending(seconds(10));
+        assert_eq!(pending.queries, [key("first")]);
+        streams.add_reported(seconds(10), vec![record("first", "v1", seconds(9))]);
     };
     let (found, ()) = tokio::join!(streams.find(key("first")), answered);
     assert_eq!(found.source, StreamSource::Peer);
@@ -106,21 +106,21 @@
     assert!(started.elapsed() <= Duration::from_millis(600));
 }
 
-/// Guards against streams that are told one by one, or late.
+/// Guards against records that are sent one by one, or late.
 #[test]
-fn streams_that_begin_close_together_are_told_together() {
+fn records_of_streams_that_begin_close_together_are_sent_together() {
     let streams = Streams::default();
     let at = seconds(10);
     streams.begin(record("first", "v1", at));
     streams.begin(record("second", "v1", at + Duration::from_millis(20)));
     assert!(
         streams
-            .take_news(at + Duration::from_millis(49))
-            .began
+            .take_pending(at + Duration::from_millis(49))
+            .records
             .is_empty()
     );
-    let due = streams.tell_at().expect("something to tell");
+    let due = streams.send_at().expect("a record to send");
     assert_eq!(due, at + Duration::from_millis(50));
-    assert_eq!(streams.take_news(due).began.len(), 2);
-    assert_eq!(streams.tell_at(), None);
+    assert_eq!(streams.take_pending(due).records.len(), 2);
+    assert_eq!(streams.send_at(), None);
 }
