--- a/tests/testsuite/explain.rs
+++ b/tests/testsuite/explain.rs
@@ -173,3 +173,22 @@
     assert!(told[1].contains("is=backing off") && told[1].contains("left_millis=900"));
     assert!(told[2].contains("passed_over=e2: leaving; e3: backing off 100 ms; 2 more"));
 }
+
+const CONTINUED: &str = r#"
+{"msg":"dispatched","ts":"2026-01-01T10:00:01.0Z","instance":"one","request_id":"r1","call":"c1","endpoint":"e1","software":"v1"}
+{"msg":"stream taken up","ts":"2026-01-01T10:00:02.0Z","instance":"two","request_id":"r2","call":"c2","resumes":"c1","source":"here","software":"v1"}
+{"msg":"request given up","ts":"2026-01-01T10:00:02.1Z","instance":"two","request_id":"r2","reason":"version-gone"}
+{"msg":"dispatched","ts":"2026-01-01T10:00:02.5Z","instance":"two","request_id":"r3","call":"c3","endpoint":"e2"}
+"#;
+
+/// Guards against on-call engineers who see only one of the attempts that continue a stream.
+#[test]
+fn a_stream_is_told_with_the_attempts_that_continue_it() {
+    let lines: Vec<Line> = CONTINUED.lines().filter_map(Line::parse).collect();
+    let told: Vec<String> = request_timeline(&lines, "c1")
+        .iter()
+        .map(Line::describe)
+        .collect();
+    assert_eq!(told.len(), 3, "{told:#?}");
+    assert!(told[2].contains("reason=version-gone"));
+}
