CONFIG: red tests of groups whose own reads of the store come too late

In virtual time, with the directories, heartbeats' targets and read schedule of the product: sites of 7 to 330 instances whose peers freeze, fall, are cut off or lose the store. A change is owed 2 s after its confirmation by each instance in touch with the store, whatever its peers do.

--- a/crates/firdock-node/src/peer.rs
+++ b/crates/firdock-node/src/peer.rs
@@ -25,7 +25,7 @@
 mod topic;
 mod tunnel;
 
-pub use beacon::{AppliedRecords, BeaconService, bind_socket as bind_beacon_socket};
+pub use beacon::{AppliedRecords, BeaconService, BeaconTargets, bind_socket as bind_beacon_socket};
 pub use datagram::{read_incarnation, seal};
 pub use dial::{DialError, Dialer};
 pub use directory::{
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -32,7 +32,7 @@
 
 use self::bootstrap::Bootstrap;
 use self::reply::ReplyQueue;
-use self::targets::BeaconTargets;
+pub use self::targets::BeaconTargets;
 use self::usage::ReportedUse;
 use super::datagram::{seal, write_address, write_reads, write_uses};
 use super::directory::{PeerDirectory, PeerRecord, ReadRole};
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the entry instance's decoders and stores: invalid input is an error, never a panic.
 
 mod bootstrap;
+mod change_delay;
 mod change_tracker;
 mod completeness;
 mod dead_peer;
