CONFIG: a red test of a coordinator that refuses by an older version

A coordinator that does not know a new service, account or pool yet answers `no-endpoint`, and the member, which knows it, passes that on to the caller.

--- a/crates/firdock-policy/tests/policy/coordinate.rs
+++ b/crates/firdock-policy/tests/policy/coordinate.rs
@@ -358,3 +358,17 @@
     let endpoints = edge.scheduler.tables().endpoints.iter();
     assert!(endpoints.into_iter().all(|(_, e)| e.budget == 3));
 }
+
+/// Guards against a request that is refused by the configuration of a coordinator which does not know a change yet.
+#[test]
+fn a_coordinator_that_knows_no_endpoint_refuses_for_no_member_that_does() {
+    let mut edge = member();
+    edge.arrive(request(1, "once", "free"));
+    let behind = Verdict {
+        reason: Reason::NoEndpoint,
+        ..refusal()
+    };
+    let actions = edge.step(Event::NotGranted(id(1), behind));
+    assert!(verdict(&actions).is_none(), "{actions:?}");
+    assert_eq!(dispatched(&actions).len(), 1, "the member places it");
+}
