CONFIG: an instance of a large group reads the store itself while a change is still in time

Cause: members of groups beyond 16 took turns at 1.8 s + 0.1 s a position, without a look at whether those before them live or reach the store, and the time of a turn was computed once and slept: one that came to lead found out when its sleep ended. For the last of 17 that is 3.4 s, of 83 over 9 s.

Now turns begin at 1.32 s; the first sixteen are 25 ms apart, which is what a read and the report of it take where the store is sound, the others 0.1 s as before. Who has heard none of those before it for 0.6 s waits for none of them. Once the state is older than a second, an instance checks its turn ten times a second.

The test that attempts in an outage do not grow with the group passes unchanged. Ruled out: turns of a few milliseconds for all, which call once for each instance at the start of each outage and once for each in a slow store; a check of the turn at each heartbeat while all is well. Left: in groups beyond 17, members behind sixteen others that are heard and all do not reach the store.

--- a/crates/firdock-node/src/peer/directory/group.rs
+++ b/crates/firdock-node/src/peer/directory/group.rs
@@ -20,6 +20,9 @@
 /// Time without heartbeats after which an instance neither leads a group nor counts as a member of
 /// it: six heartbeats at the deployments' interval of 200 ms (`deploy/settings.toml`).
 const PRESENT_WITHIN: Duration = Duration::from_millis(1_200);
+/// Time without a heartbeat of any instance whose turn to read comes before, after which this one
+/// waits for none of them: three heartbeats of the group's lead.
+const HEARD_WITHIN: Duration = Duration::from_millis(600);
 /// Instances of each group that receive all reports at once: its lead and the successor, which
 /// takes over as soon as the lead falls silent.
 const LEADS_PER_GROUP: usize = 2;
@@ -76,6 +79,8 @@
     pub index: usize,
     /// Number of instances of the group, including this one.
     pub group_size: usize,
+    /// Whether any instance of the group whose turn comes before was heard from lately.
+    pub hears_earlier: bool,
 }
 
 impl ReadTurn {
@@ -86,6 +91,7 @@
             role: ReadRole::SiteLead,
             index: 0,
             group_size: 1,
+            hears_earlier: false,
         }
     }
 }
@@ -139,12 +145,14 @@
         let own_priority = self.lead_priority();
         let (mut other_leads_site, mut other_leads_group, mut index, mut group_size) =
             (false, false, 0, 1);
+        let mut hears_earlier = false;
         for peer in entries.iter().filter(|(_, e)| e.is_live(now)) {
             let before = lead_priority(&peer) < own_priority;
             let same_group = single_group || peer.1.zone == self.zone;
             let leads = before && peer.1.is_present(now);
             other_leads_site |= leads;
             other_leads_group |= leads && same_group;
+            hears_earlier |= before && same_group && peer.1.seen_within(now, HEARD_WITHIN);
             // Members of a larger group exchange heartbeats only every few seconds.
             index += usize::from(before && same_group);
             group_size += usize::from(same_group);
@@ -159,6 +167,7 @@
             role,
             index,
             group_size,
+            hears_earlier,
         }
     }
 
--- a/crates/firdock-node/src/peer/reads/schedule.rs
+++ b/crates/firdock-node/src/peer/reads/schedule.rs
@@ -11,20 +11,31 @@
 
 use crate::peer::directory::{ReadRole, ReadTurn};
 
+/// Age of the read state from which an instance keeps checking whether its turn has come: by then a
+/// report is missing, and its turn may change without one.
+const RECHECK_AGE: Duration = Duration::from_millis(1_000);
+/// Interval between these checks.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Minimum time between two reads, however often peers report newer content.
 const MIN_READ_INTERVAL: Duration = Duration::from_millis(150);
 /// Age of the read state at which other instances read themselves, as a multiple of the site lead's
 /// read interval. A report arrives one heartbeat after the read, and at members of a group another
 /// one later.
 const MAX_AGE_FACTOR: f64 = 2.0;
-/// The same for the members of a group on a larger site.
-const MEMBER_MAX_AGE_FACTOR: f64 = 3.0;
+/// The same for the members of a group on a larger site, whose reports take one heartbeat more.
+const MEMBER_MAX_AGE_FACTOR: f64 = 2.2;
 /// Time between the turns of two instances of a group whose lead fell silent: several times what a
 /// read takes, including the report of it to the next instance.
 const TURN_INTERVAL: Duration = Duration::from_millis(100);
-/// Time over which the turns of all instances of a small site are spread. It is short, since they
-/// have less time to pick up a change and few attempts cost little.
-const SINGLE_GROUP_SPREAD: Duration = Duration::from_millis(400);
+/// Number of members whose turns come first. All of them may fail, and a change is still in force
+/// in time.
+const FIRST_TURNS: usize = 16;
+/// Time between the first turns: what a read takes if the store is sound.
+const FIRST_TURN_INTERVAL: Duration = Duration::from_millis(25);
+/// Time over which the turns of all instances of a small site are spread, and those of members that
+/// hear no instance whose turn comes before. It is short, since they have less time to pick up a
+/// change and few attempts cost little.
+const SPREAD: Duration = Duration::from_millis(400);
 /// Time for querying a peer that reported newer content, and a second time, before the store is
 /// read: two heartbeats.
 const NEWER_QUERY_TIME: Duration = Duration::from_millis(400);
@@ -136,6 +147,12 @@
     }
 }
 
+/// Returns when to check again what is due, given the time at which the read state was known to be
+/// the newest.
+pub(super) fn next_check(now: Time, fresh_at: Time) -> Time {
+    (fresh_at + RECHECK_AGE).max(now + RECHECK_INTERVAL)
+}
+
 /// The last read of an instance.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct LastRead {
@@ -163,16 +180,29 @@
     match read_turn.role {
         ReadRole::SiteLead => pause,
         ReadRole::GroupLead => pause.mul_f64(MAX_AGE_FACTOR),
-        ReadRole::SingleGroupMember => {
-            pause.mul_f64(MAX_AGE_FACTOR)
-                + SINGLE_GROUP_SPREAD * read_turn.index as u32 / read_turn.group_size as u32
-        }
+        ReadRole::SingleGroupMember => pause.mul_f64(MAX_AGE_FACTOR) + spread_turn(read_turn),
         ReadRole::Member => {
-            pause.mul_f64(MEMBER_MAX_AGE_FACTOR) + TURN_INTERVAL * read_turn.index as u32
+            let turn = if read_turn.hears_earlier {
+                member_turn(read_turn.index)
+            } else {
+                spread_turn(read_turn)
+            };
+            pause.mul_f64(MEMBER_MAX_AGE_FACTOR) + turn
         }
     }
 }
 
+/// Returns when the turn of an instance comes if those of its whole group are spread evenly.
+fn spread_turn(read_turn: ReadTurn) -> Duration {
+    SPREAD * read_turn.index as u32 / read_turn.group_size as u32
+}
+
+/// Returns when the turn of a member comes that knows others to come before.
+fn member_turn(index: usize) -> Duration {
+    let first = index.min(FIRST_TURNS);
+    FIRST_TURN_INTERVAL * first as u32 + TURN_INTERVAL * (index - first) as u32
+}
+
 /// Returns until when an instance started at `started` waits for a reply.
 pub(super) fn start_deadline(started: Time, asks: bool, large: bool) -> Time {
     match (asks, large) {
--- a/crates/firdock-node/src/peer/reads/state.rs
+++ b/crates/firdock-node/src/peer/reads/state.rs
@@ -6,7 +6,9 @@
 
 use super::ReadState;
 use super::clocks::PeerClocks;
-use super::schedule::{DELAYED_REPLY_TIMEOUT, DueReads, LastRead, TopicAge, start_deadline};
+use super::schedule::{
+    DELAYED_REPLY_TIMEOUT, DueReads, LastRead, TopicAge, next_check, start_deadline,
+};
 use crate::peer::directory::ReadTurn;
 use crate::peer::topic::{Topic, TopicRecords, TopicSnapshot};
 
@@ -119,7 +121,9 @@
             endpoints: (endpoints_by <= now).then_some(endpoints),
             from_peers: false,
         };
-        (due, config_by.min(endpoints_by))
+        let fresh_at = self.own.config_at.min(self.own.endpoints_at);
+        let next = config_by.min(endpoints_by).min(next_check(now, fresh_at));
+        (due, next)
     }
 
     /// Returns until when an instance started at `started` waits for a reply.
--- a/crates/firdock-node/tests/node/shared_reads.rs
+++ b/crates/firdock-node/tests/node/shared_reads.rs
@@ -49,6 +49,7 @@
         role,
         index,
         group_size,
+        hears_earlier: true,
     }
 }
 
