CONFIG: a coordinator that knows no endpoint refuses for no member that does

Cause: a member passes a coordinator's refusals on. One of them comes from its configuration, not from its knowledge of engines' places. A placement was decided by the member's version already (`may_use`); a refusal was not. Now the member places such a request itself, and refuses by its own tables if it finds no endpoint either. Ruled out: asking again with each report, which lets callers wait for the coordinator.

--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -187,6 +187,8 @@
     NotRequested,
     /// The coordinator was asked.
     Requested,
+    /// This instance places the request itself: the coordinator knows no endpoint for it.
+    Local,
     /// In a coordinator's tables: the request was already running when the coordinator learned of
     /// it.
     Adopted,
--- a/crates/firdock-policy/src/system/coordinate.rs
+++ b/crates/firdock-policy/src/system/coordinate.rs
@@ -5,7 +5,7 @@
 //! coordinator does. It stores nothing that its members would not report again: if it falls silent,
 //! each instance places its own requests within its own budget (`docs/design/placement.md`).
 
-use firdock_core::{RequestId, StartId};
+use firdock_core::{Reason, RequestId, StartId};
 
 use super::suspect::{self, Gate};
 use super::{admit, budget, fair_share, lifecycle, place, rollout};
@@ -26,7 +26,8 @@
 
 /// Returns whether a held request is to be placed by the coordinator.
 pub fn awaits_placement(t: &Tables, row: &RequestRow) -> bool {
-    t.coordinated && place::engine_for(t, row).is_some()
+    let local = row.placement == PlacementState::Local;
+    t.coordinated && !local && place::engine_for(t, row).is_some()
 }
 
 /// Requests placements from the coordinator for newly held requests.
@@ -115,7 +116,8 @@
 /// Gives up a request that the coordinator will not place in time.
 ///
 /// The request stays held while one of a lower tier is held here, of which the coordinator may not
-/// know.
+/// know, and if the coordinator knows no endpoint for it: its configuration may be older than the
+/// one in force here, which decides.
 pub fn apply_refusal(
     t: &mut Tables,
     now: Time,
@@ -126,6 +128,12 @@
     let Some(row) = t.requests.get(id).filter(|r| r.phase == Phase::Held) else {
         return;
     };
+    if verdict.reason == Reason::NoEndpoint && awaits_placement(t, row) {
+        if let Some(row) = t.requests.get_mut(id) {
+            row.placement = PlacementState::Local;
+        }
+        return;
+    }
     if t.requests
         .holds_below(fair_share::refused_rank(t, row, verdict.reason))
     {
