--- a/crates/firdock-node/src/peer/reads/schedule.rs
+++ b/crates/firdock-node/src/peer/reads/schedule.rs
@@ -13,7 +13,7 @@
 
 /// Age of the read state from which an instance keeps checking whether its turn has come: by then a
 /// report is missing, and its turn may change without one.
-const RECHECK_AGE: Duration = Duration::from_millis(1_000);
+const RECHECK_AGE: Duration = Duration::from_secs(1);
 /// Interval between these checks.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Minimum time between two reads, however often peers report newer content.
