Sight for segments of prompts: requests carry them, and lines on dispatches tell them

They stand in `dispatched`, `dispatch failed` and `request given up`. Without them the logs cannot tell whether requests under which endpoints end have a segment in common. No decision looks at them yet.

--- a/crates/firdock-core/src/ids.rs
+++ b/crates/firdock-core/src/ids.rs
@@ -21,6 +21,8 @@
 pub type PoolId = String;
 /// Version of the software that an endpoint runs, as reported by the endpoint; empty if not reported.
 pub type SoftwareVersion = String;
+/// Id that an account gives a segment of its prompts, such as instructions that many of them begin with.
+pub type SegmentId = String;
 /// Name of a tier.
 pub type TierId = String;
 /// Name of an availability zone.
--- a/crates/firdock-core/src/lib.rs
+++ b/crates/firdock-core/src/lib.rs
@@ -17,7 +17,7 @@
 pub use content::{Content, ContentId};
 pub use finding::{Finding, Findings};
 pub use ids::{
-    AccountId, EndpointId, InstanceId, Offset, PoolId, RequestId, ServiceId, SoftwareVersion,
-    StartId, TierId, TierRank, Version, ZoneId,
+    AccountId, EndpointId, InstanceId, Offset, PoolId, RequestId, SegmentId, ServiceId,
+    SoftwareVersion, StartId, TierId, TierRank, Version, ZoneId,
 };
 pub use outcome::{Outcome, Reason};
--- a/crates/firdock-node/src/exchange.rs
+++ b/crates/firdock-node/src/exchange.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
-use firdock_core::{AccountId, Content, EndpointId, RequestId, ServiceId};
+use firdock_core::{AccountId, Content, EndpointId, RequestId, SegmentId, ServiceId};
 use firdock_policy::request::StreamOrigin;
 use firdock_policy::{Time, Verdict};
 use hyper::{HeaderMap, Method, StatusCode};
@@ -67,6 +67,8 @@
     pub prompt_tokens: u32,
     /// Maximum tokens of the answer.
     pub output_tokens: u32,
+    /// Segments of the prompt that other requests of the account may share, in the order of the prompt.
+    pub segments: Vec<SegmentId>,
     /// Time at which the caller stops waiting.
     pub deadline: Option<Time>,
     /// Uniformly random number that selects the pool if the service splits its requests among pools.
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -96,6 +96,7 @@
             "resumes" => exchange.payload.terms.resumes.as_ref(),
             "dispatch" => dispatch.dispatch,
             "content" => exchange.content.id.to_string(),
+            "segments" => segments(exchange),
             "resumed" => row.head_sent(),
             "held_millis" => millis(now.saturating_sub(row.arrived)),
             "predicted_millis" => millis(row.predicted),
@@ -189,6 +190,7 @@
             "service" => &exchange.payload.service,
             "account" => &exchange.payload.account,
             "content" => exchange.content.id.to_string(),
+            "segments" => segments(exchange),
             "outcome" => verdict.outcome.as_str(),
             "reason" => verdict.reason.as_str(),
             "retry_millis" => verdict.retry_after.map(millis),
@@ -288,6 +290,7 @@
             "endpoint" => endpoint_of(t, row),
             "dispatch" => row.dispatch,
             "content" => exchange.content.id.to_string(),
+            "segments" => segments(exchange),
             "news" => update,
             "cause" => failure_cause(row),
             "after_millis" => millis(now.saturating_sub(row.dispatched)),
@@ -297,6 +300,12 @@
     }
 }
 
+/// Returns the shared segments of the prompt, if there are any.
+fn segments(exchange: &Exchange) -> Option<String> {
+    let segments = &exchange.payload.terms.segments;
+    (!segments.is_empty()).then(|| segments.join(","))
+}
+
 /// Returns why the last dispatch failed, as far as it is known.
 fn failure_cause(row: &RequestRow) -> Option<&'static str> {
     let unconnected = row.connect_failure.map(ConnectFailure::as_str);
