--- a/crates/firdock-node/tests/node/change_delay/world.rs
+++ b/crates/firdock-node/tests/node/change_delay/world.rs
@@ -228,7 +228,9 @@
         let in_touch = self.instances.iter().filter(|i| self.is_in_touch(i));
         let lacking = in_touch.filter_map(|i| self.confirmed.get(i.version() as usize));
         let first = lacking.min();
-        first.map_or(Duration::ZERO, |confirmed| self.now - *confirmed)
+        first.map_or(Duration::ZERO, |confirmed| {
+            self.now.saturating_sub(*confirmed)
+        })
     }
 
     /// Returns whether an instance has been in touch with the store for [`super::CONTACT`]. Its peers do not matter.
