--- a/crates/firdock-core/src/content.rs
+++ b/crates/firdock-core/src/content.rs
@@ -16,7 +16,7 @@
 /// Maximum length of the path shown to operators, in bytes.
 const PATH_BYTES: usize = 128;
 
-/// Hash of account, method, target and body.
+/// Hash of account, method, target and body, or of a prompt segment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ContentId([u8; ID_BYTES]);
 
@@ -26,6 +26,13 @@
 pub struct BadContentId;
 
 impl ContentId {
+    fn of(hash: Sha256) -> Self {
+        let hash = hash.finalize();
+        let mut id = [0; ID_BYTES];
+        id.copy_from_slice(&hash[..ID_BYTES]);
+        Self(id)
+    }
+
     /// Returns the bytes as encoded in messages.
     #[must_use]
     pub fn as_bytes(&self) -> &[u8] {
@@ -71,12 +78,12 @@
     }
 }
 
-/// Content id of a request, with the part of the request that is shown to operators.
+/// Content id of a request or of a prompt segment, with what is shown of it to operators.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Content {
     /// Hash of the content.
     pub id: ContentId,
-    /// Method and path, without the query, which may contain private data.
+    /// Method and path, without the query, which may contain private data; for a segment, its name.
     pub path: Arc<str>,
 }
 
@@ -93,14 +100,30 @@
             hash.update(part);
         }
         hash.update(body);
-        let hash = hash.finalize();
-        let mut id = [0; ID_BYTES];
-        id.copy_from_slice(&hash[..ID_BYTES]);
         Self {
-            id: ContentId(id),
+            id: ContentId::of(hash),
             path: display_path(method, target),
         }
     }
+
+    /// Computes the id of a prompt segment that an account names in its requests for a service.
+    ///
+    /// The same name in requests of another account or for another service is another segment, so that what one
+    /// account sends speaks against its own requests only.
+    #[must_use]
+    pub fn of_segment(account: &str, service: &str, segment: &str) -> Self {
+        let mut hash = Sha256::new();
+        // No account name is that long, so that no request has the id of a segment.
+        hash.update(u64::MAX.to_be_bytes());
+        for part in [account, service, segment] {
+            hash.update((part.len() as u64).to_be_bytes());
+            hash.update(part);
+        }
+        Self {
+            id: ContentId::of(hash),
+            path: display_path("segment", segment),
+        }
+    }
 }
 
 fn display_path(method: &str, target: &str) -> Arc<str> {
--- a/crates/firdock-node/src/exchange.rs
+++ b/crates/firdock-node/src/exchange.rs
@@ -52,6 +52,12 @@
             &self.body,
         )
     }
+
+    /// Computes the identities of the prompt's shared segments.
+    fn segments(&self) -> impl Iterator<Item = Content> {
+        let segments = self.terms.segments.iter();
+        segments.map(|segment| Content::of_segment(&self.account, &self.service, segment))
+    }
 }
 
 /// Properties of a request that are defined by the caller or the service, apart from its content.
@@ -147,6 +153,8 @@
     pub payload: Payload,
     /// Content identity, which is the same for each repetition of the request.
     pub content: Arc<Content>,
+    /// Identities of the prompt's shared segments, in the order of the prompt.
+    pub segments: Vec<Arc<Content>>,
     /// Sender of the answer to the caller or the peer.
     pub reply: AnswerSender,
     /// Trace that the request belongs to.
@@ -174,11 +182,13 @@
         let (reply, parts) = answer_queue(|queue| answer_budget.open(id, &payload, queue));
         let delivered = Mutex::new(Delivered::default());
         let content = Arc::new(payload.content());
+        let segments = payload.segments().map(Arc::new).collect();
         (
             Arc::new(Self {
                 id,
                 payload,
                 content,
+                segments,
                 reply,
                 trace,
                 delivered,
--- a/crates/firdock-node/src/ingress/request.rs
+++ b/crates/firdock-node/src/ingress/request.rs
@@ -29,6 +29,7 @@
         deadline: terms.deadline,
         draw: terms.draw,
         content: Some(Arc::clone(&exchange.content)),
+        segments: exchange.segments.clone(),
         stream_origin: terms.stream_origin.clone(),
         ..NewRequest::default()
     }
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -78,6 +78,9 @@
     /// Content, equal for each repetition of the request; `None` if not known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub content: Option<Arc<Content>>,
+    /// Segments of the prompt that other requests may share, in the order of the prompt.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub segments: Vec<Arc<Content>>,
     /// Where it may run, if it continues a stream.
     #[serde(default, skip_serializing_if = "StreamOrigin::is_new")]
     pub stream_origin: StreamOrigin,
--- a/crates/firdock-policy/tests/policy/suspects.rs
+++ b/crates/firdock-policy/tests/policy/suspects.rs
@@ -8,6 +8,7 @@
 
 mod evidence;
 mod reports;
+mod segments;
 
 use std::sync::Arc;
 use std::time::Duration;
