--- a/crates/firdock-node/src/peer/suspects.rs
+++ b/crates/firdock-node/src/peer/suspects.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use firdock_core::{Content, ContentId};
-use firdock_policy::suspect::{ReportedExit, SuspectReport};
+use firdock_policy::suspect::{ReportedExit, SuspectKind, SuspectReport};
 use firdock_wire::message;
 use prost::Message as _;
 
@@ -33,12 +33,19 @@
 }
 
 fn write_suspect(report: &SuspectReport, age: Duration) -> message::Suspect {
+    let (segment, answers, position) = match report.kind {
+        SuspectKind::Request => (false, 0, 0),
+        SuspectKind::Segment { answers, position } => (true, answers, position),
+    };
     message::Suspect {
         content: report.content.id.as_bytes().to_vec(),
         path: report.content.path.to_string(),
         account: report.account.clone(),
         service: report.service.clone(),
         ends: report.exits.iter().map(|e| write_exit(e, age)).collect(),
+        segment,
+        answers,
+        position,
     }
 }
 
@@ -49,7 +56,16 @@
         .filter_map(|s| {
             let id = ContentId::from_bytes(&s.content)?;
             let path = s.path.into();
+            let kind = if s.segment {
+                SuspectKind::Segment {
+                    answers: s.answers,
+                    position: s.position,
+                }
+            } else {
+                SuspectKind::Request
+            };
             Some(SuspectReport {
+                kind,
                 content: Arc::new(Content { id, path }),
                 account: s.account,
                 service: s.service,
--- a/crates/firdock-node/tests/node/suspects.rs
+++ b/crates/firdock-node/tests/node/suspects.rs
@@ -6,7 +6,7 @@
 use firdock_core::Content;
 use firdock_core::settings::Settings;
 use firdock_node::peer::SelfStatus;
-use firdock_policy::suspect::{ReportedExit, SuspectReport};
+use firdock_policy::suspect::{ReportedExit, SuspectKind, SuspectReport};
 use firdock_policy::{Event, Policy as _, PolicySettings, Scheduler};
 use prost::Message as _;
 use uuid::Uuid;
@@ -21,6 +21,7 @@
         void: false,
     };
     SuspectReport {
+        kind: SuspectKind::Request,
         content: Arc::new(Content::new("account", "POST", "/path", &n.to_be_bytes())),
         account: format!("an account with a long name {}", n % 7),
         service: "a service with a long name".to_owned(),
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -247,6 +247,8 @@
     pub dispatched: Time,
     /// When the first token or byte arrived.
     pub first: Option<Time>,
+    /// Whether the present dispatch has cleared the segments of the prompt of earlier exits.
+    pub cleared_segments: bool,
     /// When the permit of the present dispatch expires, if its endpoint has a rate limit and this
     /// scheduler chose it.
     pub permit: Option<Time>,
@@ -349,6 +351,7 @@
             delivered_part: DeliveredPart::Nothing,
             dispatched: Time::ZERO,
             first: None,
+            cleared_segments: false,
             permit: None,
             uncached: 0,
             work: 0.0,
--- a/crates/firdock-policy/src/suspect.rs
+++ b/crates/firdock-policy/src/suspect.rs
@@ -24,10 +24,27 @@
     pub void: bool,
 }
 
-/// A request during which endpoints exited, as reported between instances.
+/// What a suspect is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum SuspectKind {
+    /// A request, by its content.
+    Request,
+    /// A segment that an account's prompts share.
+    Segment {
+        /// Number of answers on it that were under way at one instance before it was suspected.
+        answers: u32,
+        /// Number of segments before it in the prompt.
+        position: u32,
+    },
+}
+
+/// A request or prompt segment during which endpoints exited, as reported between instances.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectReport {
-    /// Content of the request.
+    /// What it is.
+    pub kind: SuspectKind,
+    /// Content of the request, or the segment.
     pub content: Arc<Content>,
     /// Account that sends it.
     pub account: AccountId,
@@ -45,6 +62,9 @@
     pub start: StartId,
     /// Content of the request.
     pub content: Arc<Content>,
+    /// Segments of its prompt on which the endpoint may have exited, in the order of the prompt:
+    /// none if its answer was under way.
+    pub segments: Vec<Arc<Content>>,
     /// Account that sent it.
     pub account: AccountId,
     /// Service that it matched.
--- a/crates/firdock-policy/src/system/admit.rs
+++ b/crates/firdock-policy/src/system/admit.rs
@@ -37,7 +37,9 @@
             insert(t, now, new, service, account, 0.0);
             super::handover::to_key_owner(t, now, id, &owner, out);
         }
-        _ if is_quarantined(t, &new) => reject(t, &new, suspect::quarantine_verdict(), out),
+        _ if suspect::is_quarantined(t, &new) => {
+            reject(t, &new, suspect::quarantine_verdict(), out);
+        }
         _ if unserved => reject(t, &new, no_endpoint(Outcome::NotRun), out),
         decision => {
             let Some(charge) = limit::charge(t, now, account, &new) else {
@@ -54,12 +56,6 @@
     }
 }
 
-/// Returns whether the content of a request is quarantined, under whatever request id it arrives.
-fn is_quarantined(t: &Tables, new: &NewRequest) -> bool {
-    let content = new.content.as_ref();
-    content.is_some_and(|content| t.suspects.is_quarantined(content.id))
-}
-
 /// Returns the rows of a request's service and account, if both are in force.
 pub fn in_force(t: &Tables, new: &NewRequest) -> Option<(usize, usize)> {
     let service = t.services.find(&new.service)?;
--- a/crates/firdock-policy/src/system/dispatch_updates.rs
+++ b/crates/firdock-policy/src/system/dispatch_updates.rs
@@ -225,6 +225,7 @@
     if let Some(row) = t.requests.get_mut(id) {
         row.delivered = row.delivered.max(delivered);
     }
+    suspect::record_progress(t, now, id);
 }
 
 /// Records the first token of a dispatch: the prompt has been processed, so the endpoint's rate can
@@ -285,6 +286,7 @@
         t.services.get_mut(service).learn_output(output);
         fair_share::settle(t, now, id, output);
     }
+    suspect::record_end(t, now, id);
     lifecycle::complete(t, now, id);
     if let Some(content) = content {
         suspect::record_answer(t, now, content);
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -329,6 +329,7 @@
     row.dispatch += 1;
     row.dispatched = now;
     row.first = None;
+    row.cleared_segments = false;
     row.permit = permit;
     row.uncached = choice.estimate.uncached;
     row.work = choice.estimate.work;
--- a/crates/firdock-policy/src/system/suspect.rs
+++ b/crates/firdock-policy/src/system/suspect.rs
@@ -4,29 +4,34 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use firdock_core::{ContentId, Outcome, Reason, RequestId, StartId};
+use firdock_core::{Content, ContentId, Outcome, Reason, RequestId, StartId};
 
 use super::lifecycle;
 use crate::action::Action;
 use crate::event::BreakCause;
-use crate::request::{Phase, RequestRow, Verdict};
+use crate::request::{NewRequest, Phase, RequestRow, Verdict};
 use crate::suspect::{BrokenRun, SuspectReport};
 use crate::table::Tables;
 use crate::table::endpoint::EndpointRow;
+use crate::table::suspects::EXITS_TO_QUARANTINE;
 use crate::time::Time;
 
 /// Maximum time between the removal of an entry and the `Restarted` update of a run there for the
 /// exit to count.
 const REPLACEMENT_WINDOW: Duration = Duration::from_secs(1);
 
-/// Whether a request may be sent now, given what is known about its content.
+/// Time after the first token of an answer within which an exit of its endpoint may be due to it.
+const BEGIN_TIME: Duration = Duration::from_millis(250);
+
+/// Whether a request may be sent now, given what is known about its content and its segments.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Gate {
     /// The request may be sent.
     Open,
     /// Another request with the same content is running, and its endpoint may exit.
     DuplicateRunning,
-    /// Too many endpoints exited while running this content.
+    /// Too many endpoints exited while running this content, or as they began to answer on a segment
+    /// of its prompt.
     Quarantined,
 }
 
@@ -35,15 +40,15 @@
 /// A request that crashes its endpoints returns under other ids, at any instance, and every crash
 /// takes down all other requests at that endpoint. After three exits in succession the content is
 /// quarantined. Before that, only one attempt runs at a time, so that it costs no more than those
-/// three endpoints.
+/// three endpoints. A segment is not limited before, since other requests that share it are sound.
 pub fn gate(t: &Tables, row: &RequestRow) -> Gate {
+    if is_quarantined(t, &row.new) {
+        return Gate::Quarantined;
+    }
     let suspect = row.content_id().and_then(|id| t.suspects.get(id));
     let Some(suspect) = suspect else {
         return Gate::Open;
     };
-    if suspect.quarantined_since().is_some() {
-        return Gate::Quarantined;
-    }
     let is_suspected = !suspect.counted().is_empty();
     if is_suspected && is_running_elsewhere(t, row, suspect.content.id) {
         Gate::DuplicateRunning
@@ -52,6 +57,18 @@
     }
 }
 
+/// Returns whether the content of a request or a segment of its prompt is in quarantine, under
+/// whatever request id it arrives.
+pub fn is_quarantined(t: &Tables, new: &NewRequest) -> bool {
+    !t.suspects.is_empty() && identities(new).any(|id| t.suspects.is_quarantined(id))
+}
+
+/// Iterates over the ids of a request's content and segments.
+fn identities(new: &NewRequest) -> impl Iterator<Item = ContentId> {
+    let all = new.content.iter().chain(&new.segments);
+    all.map(|content| content.id)
+}
+
 /// Returns whether another request with the same content is being dispatched or is running.
 fn is_running_elsewhere(t: &Tables, row: &RequestRow, content: ContentId) -> bool {
     let is_in_flight =
@@ -61,10 +78,14 @@
 }
 
 /// Returns whether firdock itself may retry a request after a broken run. Once an exit counts
-/// against the content, the caller decides whether it is worth risking another endpoint.
+/// against the content, the caller decides whether it is worth risking another endpoint. A segment
+/// only prevents it if one more exit would put it into quarantine, since a single exit counts against
+/// all segments of the requests that the endpoint was to answer.
 pub fn may_repeat(t: &Tables, row: &RequestRow) -> bool {
-    let suspect = row.content_id().and_then(|id| t.suspects.get(id));
-    suspect.is_none_or(|s| s.counted().is_empty())
+    let exits = |id: ContentId| t.suspects.get(id).map_or(0, |s| s.counted().len());
+    let repeated = |segment: &Arc<Content>| exits(segment.id) + 1 >= EXITS_TO_QUARANTINE;
+    let is_suspected = row.content_id().is_some_and(|id| exits(id) > 0);
+    !is_suspected && !row.new.segments.iter().any(repeated)
 }
 
 /// Returns the verdict for a quarantined request: this attempt has not run, and no retry time can
@@ -132,6 +153,7 @@
     let run = BrokenRun {
         start: t.endpoints.get(at).start_id.clone(),
         content: Arc::clone(row.new.content.as_ref()?),
+        segments: blamed_segments(now, row),
         account: row.new.account.clone(),
         service: row.new.service.clone(),
         sent: row.dispatched,
@@ -140,6 +162,21 @@
     Some((row.breaking?, run))
 }
 
+/// Returns the segments of a prompt on which an endpoint that exits at `now` may have exited: it does
+/// so when it begins to answer, so that an answer which is under way says that they are sound.
+fn blamed_segments(now: Time, row: &RequestRow) -> Vec<Arc<Content>> {
+    if is_under_way(now, row) {
+        Vec::new()
+    } else {
+        row.new.segments.clone()
+    }
+}
+
+/// Returns whether an answer began long enough ago to show that its endpoint did not exit on it.
+fn is_under_way(now: Time, row: &RequestRow) -> bool {
+    row.first.is_some_and(|first| first + BEGIN_TIME <= now)
+}
+
 /// Handles the exit of an endpoint process: it counts against all runs that broke there.
 pub fn record_exit(t: &mut Tables, now: Time, start: &StartId, out: &mut Vec<Action>) {
     for run in t.endpoint_exits.record_exit(now, start) {
@@ -181,6 +218,34 @@
     t.suspects.clear(now, content, now);
 }
 
+/// Handles a part of an answer: once it is under way, the segments of its prompt are sound, so that
+/// the exits that were recorded against them before it began are void.
+pub fn record_progress(t: &mut Tables, now: Time, id: RequestId) {
+    let row = t.requests.get(id).filter(|row| !row.cleared_segments);
+    if row.is_some_and(|row| is_under_way(now, row)) {
+        record_segments(t, now, id);
+    }
+}
+
+/// Handles an answer that has ended, as [`record_progress`] does. Must be called before the request's
+/// row is removed.
+pub fn record_end(t: &mut Tables, now: Time, id: RequestId) {
+    if t.requests.get(id).is_some_and(|row| !row.cleared_segments) {
+        record_segments(t, now, id);
+    }
+}
+
+fn record_segments(t: &mut Tables, now: Time, id: RequestId) {
+    let Some(row) = t.requests.get_mut(id) else {
+        return;
+    };
+    row.cleared_segments = true;
+    if let Some(began) = row.first {
+        let (account, segments) = (&row.new.account, &row.new.segments);
+        t.suspects.record_answer(now, account, segments, began);
+    }
+}
+
 /// Releases content from quarantine on behalf of an operator; exits up to `until` are void.
 pub fn release(t: &mut Tables, now: Time, content: ContentId, until: Time) {
     t.suspects.release(now, content, until);
@@ -193,18 +258,35 @@
     reports: Vec<SuspectReport>,
     out: &mut Vec<Action>,
 ) {
+    // Applied together: of segments that share their exits, only some are held.
+    let mut changed = Vec::new();
     for report in reports {
         let id = report.content.id;
         if t.suspects.merge_report(now, report) {
-            enforce_quarantine(t, now, id, out);
+            changed.push(id);
         }
     }
+    enforce_quarantines(t, now, changed, out);
 }
 
 fn blame(t: &mut Tables, now: Time, run: &BrokenRun, at: Time, out: &mut Vec<Action>) {
     t.stats.blamed += 1;
-    if t.suspects.record_exit(now, run, at) {
-        enforce_quarantine(t, now, run.content.id, out);
+    let changed = t.suspects.record_exit(now, run, at);
+    enforce_quarantines(t, now, changed, out);
+}
+
+/// Enforces the quarantine of suspects that changed, and of those that entered it with them.
+fn enforce_quarantines(
+    t: &mut Tables,
+    now: Time,
+    mut changed: Vec<ContentId>,
+    out: &mut Vec<Action>,
+) {
+    changed.extend(t.suspects.take_entered());
+    changed.sort_unstable();
+    changed.dedup();
+    for id in changed {
+        enforce_quarantine(t, now, id, out);
     }
 }
 
@@ -218,7 +300,7 @@
     let same = t
         .requests
         .iter()
-        .filter(|r| r.content_id() == Some(content));
+        .filter(|r| identities(&r.new).any(|id| id == content));
     let mut held = Vec::new();
     for row in same {
         match row.phase {
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -22,6 +22,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod rows;
+pub mod segment_answers;
 pub mod service;
 pub mod share;
 pub mod slow_phases;
--- a/crates/firdock-policy/src/table/suspects.rs
+++ b/crates/firdock-policy/src/table/suspects.rs
@@ -1,4 +1,5 @@
-//! Suspects: requests during which endpoints exited, keyed by their content.
+//! Suspects: requests during which endpoints exited, keyed by their content, and segments of
+//! prompts, keyed by their account, service and name.
 //!
 //! They outlive the rows of the requests: what one attempt showed is needed at the next, which has
 //! another id and may reach another instance.
@@ -10,10 +11,11 @@
 
 use firdock_core::{AccountId, Content, ContentId, ServiceId, StartId};
 
-use crate::suspect::{BrokenRun, ReportedExit, SuspectReport};
+use super::segment_answers::SegmentAnswers;
+use crate::suspect::{BrokenRun, ReportedExit, SuspectKind, SuspectReport};
 use crate::time::Time;
 
-/// Exits that put a request into quarantine. One or two may be chance, as a server that exits for
+/// Exits that put a request or segment into quarantine. One or two may be chance, as a server that exits for
 /// another reason takes all its requests with it.
 pub const EXITS_TO_QUARANTINE: usize = 3;
 /// Maximum number of suspects, some hundred bytes each.
@@ -35,6 +37,13 @@
 /// Number of other suspects per heartbeat, in rotation, for instances that have missed them.
 const ROTATED_REPORTS: usize = 2;
 
+/// The same for a segment that may only have been blamed along with another one: answers on it were
+/// under way before, or another one explains the same exits.
+const EXITS_OF_DOUBTFUL_SEGMENT: usize = 5;
+/// Exits that two segments share if one of them may explain those of the other. Requests on board of
+/// one endpoint share its exit by chance.
+const SHARED_EXITS: usize = 2;
+
 /// An endpoint's exit while it ran a suspect.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Exit {
@@ -48,28 +57,52 @@
     pub void: bool,
 }
 
-/// A request during which endpoints exited.
+impl Exit {
+    /// Creates the exit that ended a broken run.
+    #[must_use]
+    pub fn new(run: &BrokenRun, at: Time) -> Self {
+        Self {
+            start: run.start.clone(),
+            sent: run.sent,
+            at,
+            void: false,
+        }
+    }
+}
+
+/// A request or prompt segment during which endpoints exited.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Suspect {
-    /// Content of the request.
+    /// What it is.
+    pub kind: SuspectKind,
+    /// Content of the request, or the segment.
     pub content: Arc<Content>,
     /// Account that sends it.
     pub account: AccountId,
     /// Service that it matched when an endpoint first exited during it.
     pub service: ServiceId,
     exits: Vec<Exit>,
+    quarantined_since: Option<Time>,
     changed: Time,
     /// When this instance itself last observed a change.
     changed_here: Option<Time>,
 }
 
 impl Suspect {
-    fn new(now: Time, content: Arc<Content>, account: AccountId, service: ServiceId) -> Self {
+    fn new(
+        now: Time,
+        kind: SuspectKind,
+        content: Arc<Content>,
+        account: AccountId,
+        service: ServiceId,
+    ) -> Self {
         Self {
+            kind,
             content,
             account,
             service,
             exits: Vec::new(),
+            quarantined_since: None,
             changed: now,
             changed_here: None,
         }
@@ -88,7 +121,13 @@
     /// request that causes exits keeps doing so, one after another.
     #[must_use]
     pub fn counted(&self) -> Vec<&Exit> {
-        let mut exits: Vec<&Exit> = self.exits.iter().filter(|e| !e.void).collect();
+        self.counted_if(|_| true)
+    }
+
+    /// Returns those of the exits for which `counts` holds that count, in order.
+    fn counted_if(&self, counts: impl Fn(&Exit) -> bool) -> Vec<&Exit> {
+        let exits = self.exits.iter().filter(|e| !e.void && counts(e));
+        let mut exits: Vec<&Exit> = exits.collect();
         exits.sort_by_key(|e| e.at);
         let mut counted: Vec<&Exit> = Vec::new();
         for exit in exits {
@@ -99,12 +138,65 @@
         counted
     }
 
+    /// Returns the exits that count without those that are explained.
+    fn unexplained(&self, explained: &[&StartId]) -> Vec<&Exit> {
+        self.counted_if(|exit| !explained.contains(&&exit.start))
+    }
+
+    /// Returns whether it may explain the exits of another segment: it shares several of them, and was
+    /// not known to be sound before.
+    fn may_explain(&self, other: &Self) -> bool {
+        let is_shared = |exit: &&Exit| {
+            let mut others = other.exits.iter();
+            others.any(|e| !e.void && e.start == exit.start)
+        };
+        let open = self.exits.iter().filter(|e| !e.void);
+        !self.was_sound() && open.filter(is_shared).count() >= SHARED_EXITS
+    }
+
+    /// Returns whether answers on a segment were under way before.
+    fn was_sound(&self) -> bool {
+        matches!(self.kind, SuspectKind::Segment { answers, .. } if answers > 0)
+    }
+
+    /// Records the number of answers on a segment that were under way at one instance.
+    fn merge_answers(&mut self, more: u32) {
+        if let SuspectKind::Segment { answers, .. } = &mut self.kind {
+            *answers = more.max(*answers);
+        }
+    }
+
+    /// Returns the order in which segments are held that explain the same exits: first the one with
+    /// the fewest answers before, and of those the one farthest from the start of the prompt, which
+    /// the fewest requests share.
+    fn hold_order(&self) -> impl Ord {
+        let (answers, position) = match self.kind {
+            SuspectKind::Request => (0, 0),
+            SuspectKind::Segment { answers, position } => (answers, position),
+        };
+        (answers, Reverse(position), self.content.id)
+    }
+
+    /// Merges what another instance knows of it.
+    fn merge_kind(&mut self, reported: SuspectKind) {
+        if let (
+            SuspectKind::Segment { answers, position },
+            SuspectKind::Segment {
+                answers: more,
+                position: other,
+            },
+        ) = (&mut self.kind, reported)
+        {
+            *answers = more.max(*answers);
+            *position = other.min(*position);
+        }
+    }
+
     /// Returns since when the request has been in quarantine, if it is; it is no longer sent to any
     /// endpoint.
     #[must_use]
     pub fn quarantined_since(&self) -> Option<Time> {
-        let third = EXITS_TO_QUARANTINE - 1;
-        self.counted().get(third).map(|exit| exit.at)
+        self.quarantined_since
     }
 
     fn is_cleared(&self) -> bool {
@@ -153,6 +245,7 @@
             void: e.void,
         };
         SuspectReport {
+            kind: self.kind,
             content: Arc::clone(&self.content),
             account: self.account.clone(),
             service: self.service.clone(),
@@ -178,6 +271,10 @@
     /// instances may report them later.
     released: BTreeMap<ContentId, Time>,
     revision: Revision,
+    /// Answers on segments that are not suspected.
+    answers: SegmentAnswers,
+    /// Suspects that entered quarantine and of which the requests here are still to be ended.
+    entered: Vec<ContentId>,
 }
 
 impl Suspects {
@@ -205,28 +302,114 @@
         row.is_some_and(|s| s.quarantined_since().is_some())
     }
 
-    /// Records that an endpoint exited while it ran a request; returns whether that is new.
-    pub fn record_exit(&mut self, now: Time, run: &BrokenRun, at: Time) -> bool {
-        let exit = Exit {
-            start: run.start.clone(),
-            sent: run.sent,
-            at,
-            void: false,
-        };
-        let new = Suspect::new(
-            now,
-            Arc::clone(&run.content),
-            run.account.clone(),
-            run.service.clone(),
-        );
-        let id = new.content.id;
-        let changed = self.change(now, new, vec![exit]);
-        if changed {
-            self.mark_own_change(now, id);
+    /// Returns whether there are no suspects.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Records that an endpoint exited while it ran a request: against its content, and against the
+    /// segments of its prompt. Returns the suspects of which that is new.
+    pub fn record_exit(&mut self, now: Time, run: &BrokenRun, at: Time) -> Vec<ContentId> {
+        let mut changed = Vec::new();
+        changed.extend(self.record_exit_of(now, run, (SuspectKind::Request, &run.content), at));
+        for (position, segment) in run.segments.iter().enumerate() {
+            let kind = SuspectKind::Segment {
+                answers: self.answers.count(&run.account, segment.id),
+                position: position as u32,
+            };
+            changed.extend(self.record_exit_of(now, run, (kind, segment), at));
         }
         changed
     }
 
+    /// Records an exit against one suspect; returns it if that is new.
+    fn record_exit_of(
+        &mut self,
+        now: Time,
+        run: &BrokenRun,
+        (kind, content): (SuspectKind, &Arc<Content>),
+        at: Time,
+    ) -> Option<ContentId> {
+        let (account, service) = (run.account.clone(), run.service.clone());
+        let new = Suspect::new(now, kind, Arc::clone(content), account, service);
+        let changed = self.change(now, new, vec![Exit::new(run, at)]);
+        if changed {
+            self.mark_own_change(now, content.id);
+        }
+        changed.then_some(content.id)
+    }
+
+    /// Records that an answer on these segments, which began at `began`, is under way: the exits
+    /// recorded against them before that are void.
+    pub fn record_answer(
+        &mut self,
+        now: Time,
+        account: &AccountId,
+        segments: &[Arc<Content>],
+        began: Time,
+    ) {
+        for segment in segments {
+            let answers = self.answers.record(account, segment.id);
+            if let Some(row) = self.rows.get_mut(&segment.id) {
+                row.merge_answers(answers);
+            }
+            self.clear(now, segment.id, began);
+        }
+    }
+
+    /// Takes the suspects that have entered quarantine since the last call.
+    pub fn take_entered(&mut self) -> Vec<ContentId> {
+        std::mem::take(&mut self.entered)
+    }
+
+    /// Derives again which suspects of an account are in quarantine.
+    fn update_quarantine(&mut self, account: &AccountId) {
+        let derived = self.derive_quarantine(account);
+        for (id, row) in &mut self.rows {
+            if row.account != *account {
+                continue;
+            }
+            let since = derived.get(id).copied();
+            if since.is_some() && row.quarantined_since.is_none() {
+                self.entered.push(*id);
+            }
+            row.quarantined_since = since;
+        }
+    }
+
+    /// Returns the suspects of an account that are in quarantine, and since when.
+    ///
+    /// Requests share segments, so that each exit is recorded against sound ones as well. Of the
+    /// segments with enough exits, the one on which the fewest answers were under way before is held
+    /// first; its exits then no longer count against the others.
+    fn derive_quarantine(&self, account: &AccountId) -> BTreeMap<ContentId, Time> {
+        let of_account = self.rows.values().filter(|s| s.account == *account);
+        let (requests, segments): (Vec<&Suspect>, Vec<&Suspect>) =
+            of_account.partition(|s| s.kind == SuspectKind::Request);
+        let mut held = BTreeMap::new();
+        for request in requests {
+            if let Some(exit) = request.counted().get(EXITS_TO_QUARANTINE - 1) {
+                held.insert(request.content.id, exit.at);
+            }
+        }
+        let mut open = segments;
+        let mut explained: Vec<&StartId> = Vec::new();
+        loop {
+            let enough = open.iter().filter_map(|segment| {
+                let since = enough_exits(segment, &open, &explained)?;
+                Some((*segment, since))
+            });
+            let Some((first, since)) = enough.min_by_key(|(s, _)| s.hold_order()) else {
+                return held;
+            };
+            held.insert(first.content.id, since);
+            let exits = first.exits.iter().filter(|e| !e.void);
+            explained.extend(exits.map(|e| &e.start));
+            open.retain(|s| s.content.id != first.content.id);
+        }
+    }
+
     /// Records that this instance itself observed a change, which it reports to all others.
     fn mark_own_change(&mut self, now: Time, id: ContentId) {
         self.revision.own += 1;
@@ -248,7 +431,13 @@
         if !known && exits.iter().all(|e| e.void) {
             return false;
         }
-        let new = Suspect::new(now, report.content, report.account, report.service);
+        let new = Suspect::new(
+            now,
+            report.kind,
+            report.content,
+            report.account,
+            report.service,
+        );
         self.change(now, new, exits)
     }
 
@@ -262,13 +451,16 @@
         if !self.rows.contains_key(&id) {
             self.evict_if_full(&new.account);
         }
+        let (account, kind) = (new.account.clone(), new.kind);
         let row = self.rows.entry(id).or_insert(new);
+        row.merge_kind(kind);
         let added = exits.into_iter().map(|exit| row.add(exit));
         let changed = added.fold(false, |any, one| any | one);
         if changed {
             row.changed = now;
             self.revision.all += 1;
         }
+        self.update_quarantine(&account);
         changed
     }
 
@@ -278,9 +470,28 @@
             let known = self.released.entry(id).or_insert(until);
             *known = until.max(*known);
         }
+        for explained in self.explained_by(id) {
+            self.clear(now, explained, until);
+        }
         self.clear(now, id, until);
     }
 
+    /// Returns the segments outside quarantine that share an exit with a suspect.
+    fn explained_by(&self, id: ContentId) -> Vec<ContentId> {
+        let Some(row) = self.rows.get(&id) else {
+            return Vec::new();
+        };
+        let shares = |other: &&Suspect| {
+            let mut exits = other.exits.iter();
+            exits.any(|exit| row.exits.iter().any(|known| known.start == exit.start))
+        };
+        let segments = self.rows.values().filter(|other| {
+            let open = other.quarantined_since.is_none() && other.kind != SuspectKind::Request;
+            open && other.account == row.account && other.content.id != id
+        });
+        segments.filter(shares).map(|s| s.content.id).collect()
+    }
+
     /// Clears a request of the exits up to a time; returns whether that changed anything.
     pub fn clear(&mut self, now: Time, id: ContentId, until: Time) -> bool {
         let Some(row) = self.rows.get_mut(&id) else {
@@ -289,8 +500,10 @@
         let changed = row.void(until);
         if changed {
             row.changed = now;
+            let account = row.account.clone();
             self.revision.all += 1;
             self.mark_own_change(now, id);
+            self.update_quarantine(&account);
         }
         changed
     }
@@ -364,6 +577,20 @@
     }
 }
 
+/// Returns when a segment had enough exits to be in quarantine, without those that are `explained`;
+/// `open` are the segments of its account that are not in quarantine.
+fn enough_exits(segment: &Suspect, open: &[&Suspect], explained: &[&StartId]) -> Option<Time> {
+    let counted = segment.unexplained(explained);
+    let mut others = open.iter().filter(|s| s.content.id != segment.content.id);
+    let is_doubtful = segment.was_sound() || others.any(|other| other.may_explain(segment));
+    let required = if is_doubtful {
+        EXITS_OF_DOUBTFUL_SEGMENT
+    } else {
+        EXITS_TO_QUARANTINE
+    };
+    counted.get(required - 1).map(|exit| exit.at)
+}
+
 /// Returns the most important suspects, as many as fit into one heartbeat.
 fn most_important(mut suspects: Vec<&Suspect>) -> Vec<&Suspect> {
     suspects.sort_by_key(|s| Reverse((s.counted().len(), s.changed)));
--- a/crates/firdock-policy/tests/policy/simulation.rs
+++ b/crates/firdock-policy/tests/policy/simulation.rs
@@ -74,6 +74,10 @@
 }
 
 #[derive(Debug, Clone)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "most messages are events, and there are few at a time"
+)]
 enum Message {
     /// An event for an instance's scheduler.
     Event(usize, Uuid, Event),
--- a/crates/firdock-policy/tests/policy/suspects/reports.rs
+++ b/crates/firdock-policy/tests/policy/suspects/reports.rs
@@ -4,7 +4,7 @@
 
 use firdock_core::Outcome;
 use firdock_policy::event::{Grant, Liveness, PeerUpdate};
-use firdock_policy::suspect::{ReportedExit, SuspectReport};
+use firdock_policy::suspect::{ReportedExit, SuspectKind, SuspectReport};
 use firdock_policy::{Action, Event, NewRequest};
 use proptest::prelude::*;
 
@@ -23,6 +23,7 @@
         void: false,
     };
     SuspectReport {
+        kind: SuspectKind::Request,
         content: content(body),
         account: account.to_owned(),
         service: "once".to_owned(),
--- a/crates/firdock-policy/tests/policy/suspects/segments.rs
+++ b/crates/firdock-policy/tests/policy/suspects/segments.rs
@@ -7,6 +7,7 @@
 mod world;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use firdock_core::{Content, Outcome};
 use firdock_policy::event::{DispatchUpdate, Liveness};
@@ -162,6 +163,7 @@
             endpoints,
             slots,
             instances,
+            deadly_from: Duration::ZERO,
             deadly_percent,
             deadly_first,
             other_crashes,
@@ -183,4 +185,15 @@
         prop_assert!(result.sent_late <= 3, "{:?}", result);
         prop_assert_eq!(result.sound_refused, 0, "{:?}", result);
     }
+
+    /// Guards against the same at a site that has answered requests before.
+    #[test]
+    fn at_a_site_that_has_answered_before_a_deadly_segment_costs_few_endpoints_and_no_sound_request(
+        load in load(),
+    ) {
+        let load = Load { deadly_from: Duration::from_secs(2), ..load };
+        let result = World::new(load).run();
+        prop_assert!(result.sent_late <= 3, "{:?}", result);
+        prop_assert_eq!(result.sound_refused, 0, "{:?}", result);
+    }
 }
--- a/crates/firdock-policy/tests/policy/suspects/segments/world.rs
+++ b/crates/firdock-policy/tests/policy/suspects/segments/world.rs
@@ -34,7 +34,9 @@
     pub endpoints: usize,
     pub slots: u32,
     pub instances: usize,
-    /// Requests in a hundred that have the deadly segment.
+    /// Time after which the first requests with the deadly segment arrive.
+    pub deadly_from: Duration,
+    /// Requests in a hundred that have it.
     pub deadly_percent: u64,
     /// Whether the deadly segment is the first one of their prompts.
     pub deadly_first: bool,
@@ -88,6 +90,8 @@
     now: Time,
     version: u64,
     fifth_exit: Option<Time>,
+    /// Number of the first request that may be deadly.
+    first_deadly: u64,
     result: RunResult,
 }
 
@@ -113,6 +117,7 @@
             now: began,
             version: 1,
             fifth_exit: None,
+            first_deadly: u64::MAX,
             result: RunResult::default(),
             instances,
             load,
@@ -136,6 +141,9 @@
             while owed >= 1.0 {
                 owed -= 1.0;
                 n += 1;
+                if self.began + self.load.deadly_from <= self.now {
+                    self.first_deadly = self.first_deadly.min(n);
+                }
                 self.arrive(n);
             }
             self.crash_for_other_reasons();
@@ -146,7 +154,7 @@
     }
 
     fn is_deadly(&self, n: u64) -> bool {
-        n * 37 % 100 < self.load.deadly_percent
+        n >= self.first_deadly && n * 37 % 100 < self.load.deadly_percent
     }
 
     /// Lets the time pass at all instances, which exchange heartbeats.
@@ -163,7 +171,7 @@
             }
             self.list();
         }
-        let elapsed = (self.now - self.began).as_millis();
+        let elapsed = self.now.saturating_sub(self.began).as_millis();
         let due = elapsed.is_multiple_of(HEARTBEAT_INTERVAL.as_millis());
         for i in 0..self.instances.len() {
             let now = self.now;
@@ -239,7 +247,7 @@
     }
 
     fn crash_for_other_reasons(&mut self) {
-        let elapsed = (self.now - self.began).as_millis();
+        let elapsed = self.now.saturating_sub(self.began).as_millis();
         if self.load.rack_falls && [4_000, 12_000].contains(&elapsed) {
             for at in 0..self.servers.len() / 4 {
                 self.crash(at);
@@ -314,7 +322,7 @@
         while let Some((i, action)) = self.actions.pop() {
             match action {
                 Action::Dispatch(d) => {
-                    self.dispatch(i, d.id.as_u64_pair().1, d.dispatch, d.endpoint)
+                    self.dispatch(i, d.id.as_u64_pair().1, d.dispatch, d.endpoint);
                 }
                 Action::Answer { id, .. } => {
                     let n = id.as_u64_pair().1;
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -179,10 +179,10 @@
 /// A request during which endpoints exited (docs/design/suspects.md).
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Suspect {
-    /// 16 bytes: hash of account, method, target and body.
+    /// 16 bytes: hash of account, method, target and body, or of a prompt segment.
     #[prost(bytes = "vec", tag = "1")]
     pub content: ::prost::alloc::vec::Vec<u8>,
-    /// Method and path, without the query.
+    /// Method and path, without the query; for a prompt segment, its name.
     #[prost(string, tag = "2")]
     pub path: ::prost::alloc::string::String,
     #[prost(string, tag = "3")]
@@ -191,6 +191,14 @@
     pub service: ::prost::alloc::string::String,
     #[prost(message, repeated, tag = "5")]
     pub ends: ::prost::alloc::vec::Vec<SuspectEnd>,
+    /// Whether it is a prompt segment, the number of answers on it that were under way before, and the
+    /// number of segments before it.
+    #[prost(bool, tag = "6")]
+    pub segment: bool,
+    #[prost(uint32, tag = "7")]
+    pub answers: u32,
+    #[prost(uint32, tag = "8")]
+    pub position: u32,
 }
 /// One exit of an endpoint while it ran a request. Times are ages in milliseconds.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
