explain: a new request is told with the ends of the segment that holds it back

`request given up` names what is in quarantine (`quarantine`): the content, or a segment of the prompt. `firdock explain` shows the line `request quarantined` of it, as for contents.

--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -191,6 +191,7 @@
             "account" => &exchange.payload.account,
             "content" => exchange.content.id.to_string(),
             "segments" => segments(exchange),
+            "quarantine" => quarantined(t, exchange),
             "outcome" => verdict.outcome.as_str(),
             "reason" => verdict.reason.as_str(),
             "retry_millis" => verdict.retry_after.map(millis),
@@ -300,6 +301,13 @@
     }
 }
 
+/// Returns the content or segment of a request that is in quarantine, if one is.
+fn quarantined(t: &Tables, exchange: &Exchange) -> Option<String> {
+    let mut all = std::iter::once(&exchange.content).chain(&exchange.segments);
+    let held = all.find(|content| t.suspects.is_quarantined(content.id));
+    held.map(|content| content.id.to_string())
+}
+
 /// Returns the shared segments of the prompt, if there are any.
 fn segments(exchange: &Exchange) -> Option<String> {
     let segments = &exchange.payload.terms.segments;
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -107,7 +107,10 @@
         .flat_map(|l| endpoints_of(l))
         .map(|name| format!("endpoint {name}"))
         .collect();
-    let contents: BTreeSet<&str> = named.iter().map(|l| l.text("content")).collect();
+    let identities = named
+        .iter()
+        .flat_map(|l| [l.text("content"), l.text("quarantine")]);
+    let contents: BTreeSet<&str> = identities.filter(|id| !id.is_empty()).collect();
     // From all instances and however long before, since a quarantine lasts until an operator releases the request.
     let quarantine = lines.iter().filter(|l| {
         let is_quarantine = QUARANTINE.contains(&l.text("msg"));
--- a/tests/testsuite/explain.rs
+++ b/tests/testsuite/explain.rs
@@ -50,6 +50,7 @@
 {"msg":"request quarantined","ts":"2026-01-01T09:00:00.0Z","instance":"two","content":"abc","ends":"e1 9 ms ago; e2 5 ms ago; e3 0 ms ago"}
 {"msg":"request quarantined","ts":"2026-01-01T09:00:00.0Z","instance":"two","content":"another","ends":"e4 0 ms ago"}
 {"msg":"request given up","ts":"2026-01-01T10:00:03.0Z","instance":"one","request_id":"r1","call":"c1","content":"abc","reason":"ends-endpoints"}
+{"msg":"request given up","ts":"2026-01-01T10:00:04.0Z","instance":"one","request_id":"r2","call":"c2","content":"new","quarantine":"another","reason":"ends-endpoints"}
 {"msg":"request out of quarantine","ts":"2026-01-01T11:00:00.0Z","instance":"two","content":"abc"}
 "#;
 
@@ -65,6 +66,16 @@
     assert!(told[1].contains("reason=ends-endpoints"));
 }
 
+/// Guards against a request that is refused for a segment of its prompt without a line that tells why.
+#[test]
+fn a_new_request_is_told_with_the_ends_of_the_segment_that_holds_it_back() {
+    let lines: Vec<Line> = QUARANTINED.lines().filter_map(Line::parse).collect();
+    let timeline = request_timeline(&lines, "c2");
+    let told: Vec<String> = timeline.iter().map(Line::describe).collect();
+    assert_eq!(told.len(), 2, "{told:#?}");
+    assert!(told[0].contains("ends=e4 0 ms ago"));
+}
+
 const ENDS: &str = r#"
 {"msg":"answered","ts":"2026-01-01T10:00:01.0Z","service":"chat","account":"a","first_millis":90,"held_millis":10,"target_millis":300}
 {"msg":"answered","ts":"2026-01-01T10:00:02.0Z","service":"chat","account":"a","first_millis":500,"held_millis":400,"target_millis":300}
