--- a/crates/firdock-policy/src/table/suspects.rs
+++ b/crates/firdock-policy/src/table/suspects.rs
@@ -4,6 +4,8 @@
 //! They outlive the rows of the requests: what one attempt showed is needed at the next, which has
 //! another id and may reach another instance.
 
+mod quarantine;
+
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -11,13 +13,11 @@
 
 use firdock_core::{AccountId, Content, ContentId, ServiceId, StartId};
 
+pub use self::quarantine::EXITS_TO_QUARANTINE;
 use super::segment_answers::SegmentAnswers;
 use crate::suspect::{BrokenRun, ReportedExit, SuspectKind, SuspectReport};
 use crate::time::Time;
 
-/// Exits that put a request or segment into quarantine. One or two may be chance, as a server that exits for
-/// another reason takes all its requests with it.
-pub const EXITS_TO_QUARANTINE: usize = 3;
 /// Maximum number of suspects, some hundred bytes each.
 const MAX_SUSPECTS: usize = 1_024;
 /// Maximum number of suspects per account, so that one account's requests evict only its own.
@@ -37,13 +37,6 @@
 /// Number of other suspects per heartbeat, in rotation, for instances that have missed them.
 const ROTATED_REPORTS: usize = 2;
 
-/// The same for a segment that may only have been blamed along with another one: answers on it were
-/// under way before, or another one explains the same exits.
-const EXITS_OF_DOUBTFUL_SEGMENT: usize = 5;
-/// Exits that two segments share if one of them may explain those of the other. Requests on board of
-/// one endpoint share its exit by chance.
-const SHARED_EXITS: usize = 2;
-
 /// An endpoint's exit while it ran a suspect.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Exit {
@@ -59,8 +52,7 @@
 
 impl Exit {
     /// Creates the exit that ended a broken run.
-    #[must_use]
-    pub fn new(run: &BrokenRun, at: Time) -> Self {
+    fn new(run: &BrokenRun, at: Time) -> Self {
         Self {
             start: run.start.clone(),
             sent: run.sent,
@@ -138,27 +130,6 @@
         counted
     }
 
-    /// Returns the exits that count without those that are explained.
-    fn unexplained(&self, explained: &[&StartId]) -> Vec<&Exit> {
-        self.counted_if(|exit| !explained.contains(&&exit.start))
-    }
-
-    /// Returns whether it may explain the exits of another segment: it shares several of them, and was
-    /// not known to be sound before.
-    fn may_explain(&self, other: &Self) -> bool {
-        let is_shared = |exit: &&Exit| {
-            let mut others = other.exits.iter();
-            others.any(|e| !e.void && e.start == exit.start)
-        };
-        let open = self.exits.iter().filter(|e| !e.void);
-        !self.was_sound() && open.filter(is_shared).count() >= SHARED_EXITS
-    }
-
-    /// Returns whether answers on a segment were under way before.
-    fn was_sound(&self) -> bool {
-        matches!(self.kind, SuspectKind::Segment { answers, .. } if answers > 0)
-    }
-
     /// Records the number of answers on a segment that were under way at one instance.
     fn merge_answers(&mut self, more: u32) {
         if let SuspectKind::Segment { answers, .. } = &mut self.kind {
@@ -166,17 +137,6 @@
         }
     }
 
-    /// Returns the order in which segments are held that explain the same exits: first the one with
-    /// the fewest answers before, and of those the one farthest from the start of the prompt, which
-    /// the fewest requests share.
-    fn hold_order(&self) -> impl Ord {
-        let (answers, position) = match self.kind {
-            SuspectKind::Request => (0, 0),
-            SuspectKind::Segment { answers, position } => (answers, position),
-        };
-        (answers, Reverse(position), self.content.id)
-    }
-
     /// Merges what another instance knows of it.
     fn merge_kind(&mut self, reported: SuspectKind) {
         if let (
@@ -365,7 +325,8 @@
 
     /// Derives again which suspects of an account are in quarantine.
     fn update_quarantine(&mut self, account: &AccountId) {
-        let derived = self.derive_quarantine(account);
+        let of_account = self.rows.values().filter(|s| s.account == *account);
+        let derived = quarantine::derive(of_account);
         for (id, row) in &mut self.rows {
             if row.account != *account {
                 continue;
@@ -378,38 +339,6 @@
         }
     }
 
-    /// Returns the suspects of an account that are in quarantine, and since when.
-    ///
-    /// Requests share segments, so that each exit is recorded against sound ones as well. Of the
-    /// segments with enough exits, the one on which the fewest answers were under way before is held
-    /// first; its exits then no longer count against the others.
-    fn derive_quarantine(&self, account: &AccountId) -> BTreeMap<ContentId, Time> {
-        let of_account = self.rows.values().filter(|s| s.account == *account);
-        let (requests, segments): (Vec<&Suspect>, Vec<&Suspect>) =
-            of_account.partition(|s| s.kind == SuspectKind::Request);
-        let mut held = BTreeMap::new();
-        for request in requests {
-            if let Some(exit) = request.counted().get(EXITS_TO_QUARANTINE - 1) {
-                held.insert(request.content.id, exit.at);
-            }
-        }
-        let mut open = segments;
-        let mut explained: Vec<&StartId> = Vec::new();
-        loop {
-            let enough = open.iter().filter_map(|segment| {
-                let since = enough_exits(segment, &open, &explained)?;
-                Some((*segment, since))
-            });
-            let Some((first, since)) = enough.min_by_key(|(s, _)| s.hold_order()) else {
-                return held;
-            };
-            held.insert(first.content.id, since);
-            let exits = first.exits.iter().filter(|e| !e.void);
-            explained.extend(exits.map(|e| &e.start));
-            open.retain(|s| s.content.id != first.content.id);
-        }
-    }
-
     /// Records that this instance itself observed a change, which it reports to all others.
     fn mark_own_change(&mut self, now: Time, id: ContentId) {
         self.revision.own += 1;
@@ -577,20 +506,6 @@
     }
 }
 
-/// Returns when a segment had enough exits to be in quarantine, without those that are `explained`;
-/// `open` are the segments of its account that are not in quarantine.
-fn enough_exits(segment: &Suspect, open: &[&Suspect], explained: &[&StartId]) -> Option<Time> {
-    let counted = segment.unexplained(explained);
-    let mut others = open.iter().filter(|s| s.content.id != segment.content.id);
-    let is_doubtful = segment.was_sound() || others.any(|other| other.may_explain(segment));
-    let required = if is_doubtful {
-        EXITS_OF_DOUBTFUL_SEGMENT
-    } else {
-        EXITS_TO_QUARANTINE
-    };
-    counted.get(required - 1).map(|exit| exit.at)
-}
-
 /// Returns the most important suspects, as many as fit into one heartbeat.
 fn most_important(mut suspects: Vec<&Suspect>) -> Vec<&Suspect> {
     suspects.sort_by_key(|s| Reverse((s.counted().len(), s.changed)));
