BUDGET: an instance that starts again under its name hears of all suspects at once

Callers would have seen: requests that are held back everywhere else sent by an instance whose process had just been killed and started again, for as long as its peers take to tell it by turns (two suspects a heartbeat; twelve need over a second, sixty over ten).

Cause: the whole list goes out on first contact only, and first contact went by the name. A killed process says no good-bye, so that the next one was taken for it. A new incarnation counts as first contact now. The test failed before (nothing heard in a second) and passes.

--- a/crates/firdock-node/src/peer/beacon/receive.rs
+++ b/crates/firdock-node/src/peer/beacon/receive.rs
@@ -155,7 +155,12 @@
         }
         let now = self.clock.now();
         let outcome = self.update_directory(&beacon, from, now);
-        if outcome == Some(HeartbeatOutcome::First) {
+        let incarnation = read_incarnation(&beacon.incarnation);
+        let restarted = self
+            .send_times()
+            .has_restarted(&beacon.instance, incarnation);
+        let first = outcome == Some(HeartbeatOutcome::First);
+        if first || (restarted && outcome == Some(HeartbeatOutcome::Repeated)) {
             // The peer may not know this instance yet, and in a large site its next regular beacon
             // would come late.
             let peer = PeerRecord {
@@ -169,7 +174,6 @@
         let zone = beacon.heartbeat.as_ref().map_or("", |b| &b.zone);
         self.handle_group_totals(&beacon, zone, now).await;
         let heartbeat = beacon.heartbeat.unwrap_or_default();
-        let incarnation = read_incarnation(&beacon.incarnation);
         let sender = (&beacon.instance, incarnation);
         let sent = self.send_times().estimate(now, sender, beacon.sent_at);
         let mut update = read_status(&beacon.instance, heartbeat, sent);
--- a/crates/firdock-node/src/peer/send_times.rs
+++ b/crates/firdock-node/src/peer/send_times.rs
@@ -45,6 +45,13 @@
 }
 
 impl SendTimes {
+    /// Returns whether datagrams of an earlier process of the peer were received lately.
+    #[must_use]
+    pub fn has_restarted(&self, peer: &str, incarnation: Uuid) -> bool {
+        let known = self.peers.get(peer);
+        known.is_some_and(|known| known.incarnation != incarnation)
+    }
+
     /// Returns when a datagram that is handled now was sent, at the latest. `sent_at` is the peer's
     /// clock in it.
     pub fn estimate(
--- a/crates/firdock-node/tests/node/suspects.rs
+++ b/crates/firdock-node/tests/node/suspects.rs
@@ -1,16 +1,23 @@
 //! Reports of requests during which endpoints exited, as they are sent to peers.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use firdock_core::Content;
 use firdock_core::settings::Settings;
-use firdock_node::peer::SelfStatus;
+use firdock_node::Input;
+use firdock_node::clock::Clock;
+use firdock_node::peer::{PeerRecord, SelfStatus, bind_beacon_socket};
 use firdock_policy::suspect::{ReportedExit, SuspectKind, SuspectReport};
 use firdock_policy::{Event, Policy as _, PolicySettings, Scheduler};
 use prost::Message as _;
+use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
 use uuid::Uuid;
 
+use crate::test_instance::TestInstance;
+
 const NOW: Duration = Duration::from_mins(1);
 
 fn report(n: usize, exits: usize) -> SuspectReport {
@@ -63,3 +70,64 @@
     let exit = &heartbeat.suspects[0].ends[0];
     assert_eq!((exit.sent_ago, exit.ended_ago), (350, 250));
 }
+
+/// Starts an instance that knows `other` and sends heartbeats every 20 ms.
+async fn start(name: &str, other: Option<SocketAddr>) -> TestInstance {
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let socket = bind_beacon_socket(any).await.expect("a socket");
+    let clock = Clock::new();
+    let instance = TestInstance::new(name, socket, clock, Vec::new());
+    if let Some(address) = other {
+        let known = PeerRecord {
+            name: "lasting".to_owned(),
+            address,
+            zone: "zone".to_owned(),
+            millicores: 0,
+        };
+        instance.directory.add_reported(known, clock.now());
+    }
+    instance
+}
+
+/// Waits until one heartbeat reports this many suspects.
+async fn hears_suspects(events: &mut mpsc::Receiver<Input>, count: usize) -> bool {
+    let hearing = async {
+        while let Some(input) = events.recv().await {
+            if let Input::Event(Event::Peer(update)) = input
+                && update.suspects.len() == count
+            {
+                return true;
+            }
+        }
+        false
+    };
+    timeout(Duration::from_secs(1), hearing)
+        .await
+        .unwrap_or(false)
+}
+
+/// Guards against an instance that starts again under its name and sends what its peers know not to be sent: they took
+/// it for the process that they had told everything.
+#[tokio::test]
+async fn an_instance_that_starts_again_hears_of_all_suspects_at_once() {
+    const SUSPECTS: usize = 12;
+    let mut lasting = start("lasting", None).await;
+    lasting.beacons.interval = Duration::from_mins(1);
+    let address = lasting.beacons.socket.local_addr().expect("an address");
+    let reports = (0..SUSPECTS).map(|n| report(n, 3)).collect();
+    lasting.self_status.send_replace(status(reports));
+    let (_stop, stops) = watch::channel(false);
+    tokio::spawn(lasting.beacons.run(stops.clone()));
+    for life in 0..2 {
+        let TestInstance {
+            beacons,
+            mut events,
+            self_status: _status,
+            ..
+        } = start("restarted", Some(address)).await;
+        let running = tokio::spawn(beacons.run(stops.clone()));
+        assert!(hears_suspects(&mut events, SUSPECTS).await, "life {life}");
+        // Like a killed process, it says no good-bye.
+        running.abort();
+    }
+}
