BUDGET: a failure response says nothing for the segments of its request

Callers would have seen: a deadly segment that is let go, or never held, as soon as an endpoint fails one of its requests (5xx) before it began to answer; with endpoints that fail a part of their requests such a segment costs endpoints without end. Cause: any answer that ended voided the ends recorded before it. Failure responses do not any more. The test failed before (12 of 12 endpoints ended) and passes.

--- a/crates/firdock-policy/src/system/suspect.rs
+++ b/crates/firdock-policy/src/system/suspect.rs
@@ -9,7 +9,7 @@
 use super::lifecycle;
 use crate::action::Action;
 use crate::event::BreakCause;
-use crate::request::{NewRequest, Phase, RequestRow, Verdict};
+use crate::request::{EndpointFailure, NewRequest, Phase, RequestRow, Verdict};
 use crate::suspect::{BrokenRun, SuspectReport};
 use crate::table::Tables;
 use crate::table::endpoint::EndpointRow;
@@ -240,7 +240,9 @@
         return;
     };
     row.cleared_segments = true;
-    if let Some(began) = row.first {
+    // An endpoint may fail a request without having begun to answer on its prompt.
+    let began = row.first.filter(|_| row.failure == EndpointFailure::None);
+    if let Some(began) = began {
         let (account, segments) = (&row.new.account, &row.new.segments);
         t.suspects.record_answer(now, account, segments, began);
     }
--- a/crates/firdock-policy/tests/policy/suspects/segments.rs
+++ b/crates/firdock-policy/tests/policy/suspects/segments.rs
@@ -115,6 +115,23 @@
     assert!(!is_held(&pool.edge, "begun"));
 }
 
+/// Guards against a failure of an endpoint, which never began to answer, that clears a deadly segment.
+#[test]
+fn a_failure_response_says_nothing_for_the_segments_of_its_request() {
+    let mut pool = TestPool::new(12);
+    for n in 1..=20 {
+        pool.send_and_exit(with_segments(n, &["shared", "deadly"]));
+        let Some((dispatch, _)) = pool.arrive(with_segments(100 + n, &["shared", "deadly"])) else {
+            break;
+        };
+        pool.edge
+            .update_dispatch(100 + n, dispatch, DispatchUpdate::Failed);
+        pool.edge.update_dispatch(100 + n, dispatch, ENDED);
+    }
+    assert!(pool.exited.len() <= 5, "{:?}", pool.exited);
+    assert!(is_held(&pool.edge, "deadly"));
+}
+
 /// Guards against a segment that is held because endpoints exit for another reason, all at once.
 #[test]
 fn segments_are_not_held_when_many_endpoints_exit_at_once() {
