Suspects: quarantine is derived when something changed, and ids are hashed in one place

Reread, without a change of behaviour. Each repeated report of a heartbeat derived again which suspects of its account are in quarantine, also if it said nothing new. The hash of parts with their lengths stood twice, the merge of answers twice, and the table of answers had a branch that could not be reached.

--- a/crates/firdock-core/src/content.rs
+++ b/crates/firdock-core/src/content.rs
@@ -94,11 +94,7 @@
     #[must_use]
     pub fn new(account: &str, method: &str, target: &str, body: &[u8]) -> Self {
         let mut hash = Sha256::new();
-        for part in [account, method, target] {
-            // The length prefix makes the concatenation of the parts unambiguous.
-            hash.update((part.len() as u64).to_be_bytes());
-            hash.update(part);
-        }
+        hash_parts(&mut hash, [account, method, target]);
         hash.update(body);
         Self {
             id: ContentId::of(hash),
@@ -115,10 +111,7 @@
         let mut hash = Sha256::new();
         // No account name is that long, so that no request has the id of a segment.
         hash.update(u64::MAX.to_be_bytes());
-        for part in [account, service, segment] {
-            hash.update((part.len() as u64).to_be_bytes());
-            hash.update(part);
-        }
+        hash_parts(&mut hash, [account, service, segment]);
         Self {
             id: ContentId::of(hash),
             path: display_path("segment", segment),
@@ -126,6 +119,14 @@
     }
 }
 
+fn hash_parts(hash: &mut Sha256, parts: [&str; 3]) {
+    for part in parts {
+        // The length prefix makes the concatenation of the parts unambiguous.
+        hash.update((part.len() as u64).to_be_bytes());
+        hash.update(part);
+    }
+}
+
 fn display_path(method: &str, target: &str) -> Arc<str> {
     let path = target.split('?').next().unwrap_or_default();
     let end = path.floor_char_boundary(PATH_BYTES);
--- a/crates/firdock-policy/src/suspect.rs
+++ b/crates/firdock-policy/src/suspect.rs
@@ -32,7 +32,7 @@
     Request,
     /// A segment that an account's prompts share.
     Segment {
-        /// Number of answers on it that were under way at one instance before it was suspected.
+        /// Number of answers on it that were under way at one instance: the largest one known.
         answers: u32,
         /// Number of segments before it in the prompt.
         position: u32,
--- a/crates/firdock-policy/src/table/segment_answers.rs
+++ b/crates/firdock-policy/src/table/segment_answers.rs
@@ -14,12 +14,7 @@
 impl SegmentAnswers {
     /// Counts an answer; returns the number of answers on the segment.
     pub fn record(&mut self, account: &AccountId, segment: ContentId) -> u32 {
-        if !self.0.contains_key(account) {
-            self.0.insert(account.clone(), BTreeMap::new());
-        }
-        let Some(counts) = self.0.get_mut(account) else {
-            return 0;
-        };
+        let counts = self.0.entry(account.clone()).or_default();
         if counts.len() >= MAX_PER_ACCOUNT && !counts.contains_key(&segment) {
             let fewest = counts.iter().min_by_key(|(_, count)| **count);
             if let Some(id) = fewest.map(|(id, _)| *id) {
--- a/crates/firdock-policy/src/table/suspects.rs
+++ b/crates/firdock-policy/src/table/suspects.rs
@@ -137,19 +137,19 @@
         }
     }
 
-    /// Merges what another instance knows of it.
-    fn merge_kind(&mut self, reported: SuspectKind) {
-        if let (
-            SuspectKind::Segment { answers, position },
-            SuspectKind::Segment {
-                answers: more,
-                position: other,
-            },
-        ) = (&mut self.kind, reported)
-        {
-            *answers = more.max(*answers);
-            *position = other.min(*position);
+    /// Merges what another instance knows of it; returns whether that is new.
+    fn merge_kind(&mut self, reported: SuspectKind) -> bool {
+        let before = self.kind;
+        if let SuspectKind::Segment { answers, position } = reported {
+            self.merge_answers(answers);
+            if let SuspectKind::Segment {
+                position: known, ..
+            } = &mut self.kind
+            {
+                *known = position.min(*known);
+            }
         }
+        self.kind != before
     }
 
     /// Returns since when the request has been in quarantine, if it is; it is no longer sent to any
@@ -231,7 +231,7 @@
     /// instances may report them later.
     released: BTreeMap<ContentId, Time>,
     revision: Revision,
-    /// Answers on segments that are not suspected.
+    /// Answers on segments that were under way here.
     answers: SegmentAnswers,
     /// Suspects that entered quarantine and of which the requests here are still to be ended.
     entered: Vec<ContentId>,
@@ -382,14 +382,16 @@
         }
         let (account, kind) = (new.account.clone(), new.kind);
         let row = self.rows.entry(id).or_insert(new);
-        row.merge_kind(kind);
+        let is_kind_new = row.merge_kind(kind);
         let added = exits.into_iter().map(|exit| row.add(exit));
         let changed = added.fold(false, |any, one| any | one);
         if changed {
             row.changed = now;
             self.revision.all += 1;
         }
-        self.update_quarantine(&account);
+        if changed || is_kind_new {
+            self.update_quarantine(&account);
+        }
         changed
     }
 
