--- a/review/standin/smallsite.py
+++ b/review/standin/smallsite.py
@@ -259,7 +259,7 @@
             with self.lock:
                 self.runs.append(request)
             self.site.record.write(
-                f"server {self.name} ({self.version}) runs {request.id} {request.method} {request.target}"
+                f"server {self.name} ({self.version}) receives {request.id} {request.method} {request.target}"
                 f" tenant={request.headers.get('firdock-tenant')}"
                 f" last-event={request.headers.get('last-event-id')}"
             )
