Logs: ages of the store's content are signed, and tell whose report set them

An age was cut off at 0, so a time ahead of the clock looked like a read of this moment, and nothing told whose word it was.

--- a/crates/firdock-node/src/clock.rs
+++ b/crates/firdock-node/src/clock.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use firdock_policy::Time;
+
 /// Monotonic clock that counts from the start of the instance.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
@@ -40,6 +42,17 @@
     }
 }
 
+/// Returns the time since `at` in milliseconds; negative if `at` lies ahead of `now`.
+#[must_use]
+pub fn age_millis(now: Time, at: Time) -> i64 {
+    let signed = |time: Duration| i64::try_from(millis(time)).unwrap_or(i64::MAX);
+    if at > now {
+        -signed(at.saturating_sub(now))
+    } else {
+        signed(now.saturating_sub(at))
+    }
+}
+
 /// Converts a time to whole milliseconds, the unit of messages and log lines.
 #[must_use]
 pub fn millis(time: Duration) -> u64 {
--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -36,7 +36,7 @@
 use crate::source::{PendingRecords, SourceSink};
 use crate::status::{self, Readiness};
 use crate::streams::{SharedStreams, Streams};
-use crate::telemetry::{LogLimiter, Metrics};
+use crate::telemetry::{LogLimiter, Metrics, ReadLog};
 
 /// Number of consecutive broken dispatches after which an endpoint is ejected. Healthy plain
 /// servers also fail some requests (one in seven in deployments), so a single failure is weak
@@ -273,6 +273,7 @@
         changes: mpsc::Receiver<AppliedRecords>,
         stop: watch::Receiver<bool>,
     ) {
+        let log = self.log.new(o!("part" => "peers"));
         let beacons = BeaconService {
             socket: Arc::clone(socket),
             member: self.member.clone(),
@@ -285,12 +286,17 @@
             sums: Mutex::default(),
             partial_replies: Mutex::default(),
             send_times: Mutex::default(),
+            read_log: ReadLog::new(
+                Arc::clone(&self.metrics),
+                Arc::clone(&self.log_limiter),
+                log.clone(),
+            ),
             streams: Arc::clone(&self.streams),
             inputs: inputs.clone(),
             interval: self.settings.peers.heartbeat(),
             link_mbits: self.settings.instance.link_mbits,
             clock: self.clock,
-            log: self.log.new(o!("part" => "peers")),
+            log,
         };
         tokio::spawn(beacons.run(stop));
     }
--- a/crates/firdock-node/src/ingress/handler.rs
+++ b/crates/firdock-node/src/ingress/handler.rs
@@ -18,7 +18,7 @@
 use super::interface::{CallBody, IncomingCall, Interface};
 use super::request::new_request;
 use super::state::{IngressPhase, IngressState};
-use crate::clock::{Clock, millis};
+use crate::clock::{Clock, age_millis, millis};
 use crate::endpoint::Framing;
 use crate::exchange::{AnswerBudget, AnswerHead, AnswerPart, CallTerms, Exchange, Payload};
 use crate::http::CallerHandle;
@@ -173,7 +173,7 @@
         if !self.log_limiter.allow(&self.log, now, LogKind::Failed) {
             return;
         }
-        let age = self.site.age(now);
+        let age = self.site.confirmed_at().map(|at| age_millis(now, at));
         warn!(self.log, "call refused";
             "request_id" => id.to_string(),
             "call" => call,
@@ -181,7 +181,7 @@
             "reason" => problem.reason(),
             "status" => problem.status().as_u16(),
             "detail" => problem.detail(),
-            "config_age_millis" => age.map(millis),
+            "config_age_millis" => age,
         );
     }
 
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -46,6 +46,7 @@
 use crate::clock::{Clock, millis};
 use crate::input::Input;
 use crate::streams::SharedStreams;
+use crate::telemetry::ReadLog;
 
 /// Maximum size of a received datagram.
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
@@ -55,6 +56,10 @@
 /// Ticks between two beacons that list other instances. Membership changes rarely, and traffic
 /// between availability zones is billed.
 const LIST_PEERS_EVERY: usize = 5;
+/// Ticks between two updates of the metrics on reads of the store.
+const PUBLISH_READS_EVERY: usize = 5;
+/// Ticks between two log lines on reads of the store.
+const LOG_READS_EVERY: usize = 50;
 /// Ticks after which the known instances are assumed to be complete even if no list was received.
 const ASSUME_LISTED_TICKS: usize = 10;
 
@@ -111,6 +116,8 @@
     pub partial_replies: Mutex<PartialReplies>,
     /// Estimates of when peers sent their beacons.
     pub send_times: Mutex<SendTimes>,
+    /// Writes when the topics of the store were last read.
+    pub read_log: ReadLog,
     /// Streams that callers may continue.
     pub streams: SharedStreams,
     /// Queue of inputs to the scheduler.
@@ -160,6 +167,7 @@
                     tick += 1;
                     decides = self.report_decides(decides).await;
                     self.send(tick).await;
+                    self.report_reads(tick);
                     if tick >= ASSUME_LISTED_TICKS || self.directory.is_listed() {
                         known = self.report_known_count(known).await;
                     }
@@ -190,6 +198,19 @@
         self.send_at_once().await;
     }
 
+    /// Publishes when the topics of the store were last read, and logs it every `LOG_READS_EVERY` ticks.
+    fn report_reads(&self, tick: usize) {
+        if !tick.is_multiple_of(PUBLISH_READS_EVERY) {
+            return;
+        }
+        let now = self.clock.now();
+        let topics = self.reads.status();
+        self.read_log.publish(now, &topics);
+        if tick.is_multiple_of(LOG_READS_EVERY) {
+            self.read_log.write(now, &topics);
+        }
+    }
+
     /// Reports the number of known instances to the scheduler if it changed.
     async fn report_known_count(&self, before: Option<usize>) -> Option<usize> {
         let known = Some(self.directory.sweep(self.clock.now()));
--- a/crates/firdock-node/src/peer/beacon/receive.rs
+++ b/crates/firdock-node/src/peer/beacon/receive.rs
@@ -178,9 +178,13 @@
         let sent = self.send_times().estimate(now, sender, beacon.sent_at);
         let mut update = read_status(&beacon.instance, heartbeat, sent);
         update.incarnation = incarnation;
-        if let Some(reads) = beacon.reads {
-            self.handle_read_state(&update, read_reads(reads), from)
-                .await;
+        if let Some(reads) = beacon.reads.map(read_reads) {
+            if beacon.sent_at > 0 {
+                let sent_at = Duration::from_millis(beacon.sent_at);
+                self.read_log
+                    .check_report(now, &update.name, reads, sent_at);
+            }
+            self.handle_read_state(&update, reads, from).await;
         }
         self.directory
             .record_demand(&update.name, update.demand.clone());
--- a/crates/firdock-node/src/peer/reads.rs
+++ b/crates/firdock-node/src/peer/reads.rs
@@ -12,6 +12,7 @@
 mod clocks;
 mod schedule;
 mod state;
+mod status;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -24,6 +25,7 @@
 
 pub use self::schedule::{DueReads, ReadReason};
 use self::state::SharedState;
+pub use self::status::TopicStatus;
 use super::directory::ReadTurn;
 use super::sharing::{PeerProcess, StateReply};
 use super::topic::{Topic, TopicRecords, TopicSnapshot};
@@ -129,6 +131,7 @@
         let mut inner = self.lock();
         inner.read_at = now;
         inner.failed_at = None;
+        inner.record_own_read(reads);
         inner.merge_own(reads);
         drop(inner);
         self.known_changed.notify_one();
@@ -145,6 +148,13 @@
         self.known_changed.notified().await;
     }
 
+    /// Returns when each topic was last read, and on whose word that is known.
+    #[must_use]
+    pub fn status(&self) -> [TopicStatus; 2] {
+        let inner = self.lock();
+        Topic::ALL.map(|topic| inner.status(topic))
+    }
+
     /// Returns whether both topics are known, so that peers' queries can be answered.
     #[must_use]
     pub fn is_complete(&self) -> bool {
@@ -279,7 +289,7 @@
             steady_since: bound.local_time(reported.steady_since),
             ..reported
         };
-        let fresh = inner.confirm(reported);
+        let fresh = inner.confirm(&sender.name, reported);
         inner.merge_steady_since(reported);
         MergeOutcome {
             fresh,
--- a/crates/firdock-node/src/peer/reads/state.rs
+++ b/crates/firdock-node/src/peer/reads/state.rs
@@ -9,6 +9,7 @@
 use super::schedule::{
     DELAYED_REPLY_TIMEOUT, DueReads, LastRead, TopicAge, next_check, start_deadline,
 };
+use super::status::{Provenance, TopicStatus};
 use crate::peer::directory::ReadTurn;
 use crate::peer::topic::{Topic, TopicRecords, TopicSnapshot};
 
@@ -59,6 +60,8 @@
     pub(super) peer_records: Vec<TopicRecords>,
     pub(super) snapshots: Snapshots,
     pub(super) clocks: PeerClocks,
+    config_provenance: Provenance,
+    endpoints_provenance: Provenance,
 }
 
 impl SharedState {
@@ -171,12 +174,29 @@
         query_now
     }
 
+    /// Records where the times of an own read come from.
+    pub(super) fn record_own_read(&mut self, reads: ReadState) {
+        self.config_provenance.record_own(reads.config_at);
+        self.endpoints_provenance.record_own(reads.endpoints_at);
+    }
+
+    pub(super) fn status(&self, topic: Topic) -> TopicStatus {
+        let provenance = match topic {
+            Topic::Config => &self.config_provenance,
+            Topic::Endpoints => &self.endpoints_provenance,
+        };
+        provenance.status(topic, self.own.confirmed_at(topic))
+    }
+
     /// Updates the times of the read state if a peer confirms the content known here. Returns the
     /// time for the configuration if it is later than the known one.
-    pub(super) fn confirm(&mut self, reported: ReadState) -> Option<Time> {
+    pub(super) fn confirm(&mut self, peer: &str, reported: ReadState) -> Option<Time> {
         let known = self.own.endpoints_at > Time::ZERO && reported.endpoints_at > Time::ZERO;
         if known && self.own.endpoints_next >= reported.endpoints_next {
             // All records that the peer knows are known here.
+            if reported.endpoints_at > self.own.endpoints_at {
+                self.endpoints_provenance.confirmed_by = Some(peer.to_owned());
+            }
             self.confirm_endpoints(reported.endpoints_at);
         }
         let same_config = self.own.config_at > Time::ZERO
@@ -186,6 +206,7 @@
             return None;
         }
         self.own.config_at = reported.config_at;
+        self.config_provenance.confirmed_by = Some(peer.to_owned());
         (self.own.version > 0).then_some(reported.config_at)
     }
 
--- a/crates/firdock-node/src/site.rs
+++ b/crates/firdock-node/src/site.rs
@@ -157,11 +157,17 @@
         self.fresh_millis.fetch_max(millis(at), Ordering::Relaxed);
     }
 
+    /// Returns when the configuration was last confirmed to be the newest; `None` for never.
+    #[must_use]
+    pub fn confirmed_at(&self) -> Option<Time> {
+        let millis = self.fresh_millis.load(Ordering::Relaxed);
+        (millis > 0).then(|| Duration::from_millis(millis))
+    }
+
     /// Returns the time since the configuration was last confirmed to be the newest; `None` for never.
     #[must_use]
     pub fn age(&self, now: Time) -> Option<Duration> {
-        let millis = self.fresh_millis.load(Ordering::Relaxed);
-        (millis > 0).then(|| now.saturating_sub(Duration::from_millis(millis)))
+        self.confirmed_at().map(|at| now.saturating_sub(at))
     }
 
     /// Puts a catalog in force.
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -20,7 +20,7 @@
 
 use super::endpoints::unavailable_endpoints;
 use super::log_limiter::{LogKind, LogLimiter};
-use crate::clock::millis;
+use crate::clock::{age_millis, millis};
 use crate::endpoint::{AnswerEnd, Ending, Framing};
 use crate::exchange::Exchange;
 
@@ -403,9 +403,8 @@
 
 /// Returns the time in milliseconds since the configuration was last confirmed to be the newest; `None` if
 /// it never was.
-pub(super) fn config_age(t: &Tables, now: Time) -> Option<u64> {
-    t.config_confirmed_at
-        .map(|at| millis(now.saturating_sub(at)))
+pub(super) fn config_age(t: &Tables, now: Time) -> Option<i64> {
+    t.config_confirmed_at.map(|at| age_millis(now, at))
 }
 
 /// Returns the pace that an endpoint reported last, as a percentage of its usual time.
--- a/crates/firdock-node/src/telemetry/log_limiter.rs
+++ b/crates/firdock-node/src/telemetry/log_limiter.rs
@@ -41,6 +41,8 @@
     StoreCall,
     /// An entry of an endpoint described no usable endpoint.
     RefusedEntry,
+    /// A peer reported a read that lies ahead of its clock.
+    ReadAhead,
     /// A request continues a stream that an earlier attempt of its caller began.
     ContinuedStream,
 }
@@ -64,6 +66,7 @@
             Self::Tunnel => "connection passed on",
             Self::StoreCall => "store called",
             Self::RefusedEntry => "entry refused",
+            Self::ReadAhead => "read ahead of its clock",
             Self::ContinuedStream => "stream taken up",
         }
     }
@@ -85,8 +88,9 @@
             | Self::StoreCall
             | Self::RefusedEntry => 20,
             Self::Failed | Self::Unframed | Self::StateChange | Self::ContinuedStream => 200,
-            // A server that sends a malformed header sends it with each answer, so one line is enough.
-            Self::BadLoad | Self::BadNotice => 1,
+            // A malformed header comes with each answer of its server, and a clock that is off is off in
+            // each report of its instance, so one line is enough.
+            Self::BadLoad | Self::BadNotice | Self::ReadAhead => 1,
         }
     }
 }
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -18,11 +18,13 @@
 use prometheus_client::registry::Registry;
 
 use self::labels::{
-    ByCall, ByCause, ByEnd, ByFound, ByOutcome, ByPool, ByRefusal, ByShare, BySource, ByTier, ByTry,
+    ByCall, ByCause, ByEnd, ByFound, ByOutcome, ByPool, ByRefusal, ByShare, BySource, ByTier,
+    ByTopic, ByTry,
 };
 use super::suspects::SuspectStates;
 use super::{AnswerMetrics, EndpointList, SuspectList};
 use crate::endpoint::{AnswerEnd, Ending};
+use crate::peer::Topic;
 use crate::source::StoreCall;
 use crate::streams::StreamSource;
 
@@ -90,6 +92,8 @@
     held_time: Histogram,
     total: Histogram,
     store_calls: Family<ByCall, Counter>,
+    topic_ages: Family<ByTopic, Gauge>,
+    reads_ahead: Family<ByTopic, Counter>,
     buffered_answers: AnswerMetrics,
     endpoints: EndpointList,
     suspects: SuspectList,
@@ -155,6 +159,8 @@
             held_time: latency(),
             total: latency(),
             store_calls: Family::default(),
+            topic_ages: Family::default(),
+            reads_ahead: Family::default(),
             buffered_answers: AnswerMetrics::default(),
             endpoints: EndpointList::default(),
             suspects: SuspectList::default(),
@@ -252,6 +258,24 @@
         self.store_calls.get_or_create(&labels).inc();
     }
 
+    /// Sets the time since a topic was last read by `reader`: `own` for this instance, `any` for whoever reported
+    /// the latest read.
+    pub fn set_topic_age(&self, topic: Topic, reader: &'static str, age_millis: i64) {
+        let topic = topic.as_str();
+        self.topic_ages
+            .get_or_create(&ByTopic { topic, reader })
+            .set(age_millis);
+    }
+
+    /// Counts a read that lies ahead of the clock of the instance that knows it: `own`, or `peer` for one in a
+    /// report.
+    pub fn count_read_ahead(&self, topic: Topic, reader: &'static str) {
+        let topic = topic.as_str();
+        self.reads_ahead
+            .get_or_create(&ByTopic { topic, reader })
+            .inc();
+    }
+
     /// Counts a request that continues a stream of an earlier attempt.
     pub fn count_continued_stream(&self, source: StreamSource) {
         let source = source.as_str();
--- a/crates/firdock-node/src/telemetry/metrics/labels.rs
+++ b/crates/firdock-node/src/telemetry/metrics/labels.rs
@@ -70,6 +70,13 @@
     pub(super) source: &'static str,
 }
 
+/// Labels of what is known of the reads of a topic of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct ByTopic {
+    pub(super) topic: &'static str,
+    pub(super) reader: &'static str,
+}
+
 /// Labels of calls to the platform's store.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct ByCall {
--- a/crates/firdock-node/src/telemetry/metrics/register.rs
+++ b/crates/firdock-node/src/telemetry/metrics/register.rs
@@ -82,6 +82,16 @@
             "Calls to the platform's store, by what they were for",
             self.store_calls.clone(),
         );
+        r.register(
+            "topic_age_millis",
+            "Time since a topic of the store was last read, by this instance and by any",
+            self.topic_ages.clone(),
+        );
+        r.register(
+            "reads_ahead",
+            "Reads of the store that lie ahead of the clock of the instance that knows them",
+            self.reads_ahead.clone(),
+        );
         self.buffered_answers.register(&mut r);
         r.register(
             "decision_seconds",
--- a/crates/firdock-node/tests/node/test_instance.rs
+++ b/crates/firdock-node/tests/node/test_instance.rs
@@ -7,7 +7,7 @@
 use firdock_node::clock::Clock;
 use firdock_node::peer::{BeaconService, PeerDirectory, SelfStatus, SharedReads};
 use firdock_node::streams::SharedStreams;
-use firdock_node::telemetry::discard_logger;
+use firdock_node::telemetry::{ReadLog, discard_logger};
 use firdock_policy::event::Member;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
@@ -47,6 +47,7 @@
             sums: Mutex::default(),
             partial_replies: Mutex::default(),
             send_times: Mutex::default(),
+            read_log: ReadLog::new(Arc::default(), Arc::default(), discard_logger()),
             streams: SharedStreams::default(),
             inputs,
             interval: Duration::from_millis(20),
