Test that fails: an instance believes in a read of the store that nobody began

The virtual site of change_delay gives each instance a clock of its own, which may stand still, jump or run at another rate; messages carry whole milliseconds, and go through merge_report, merge_reply and merge_changes as in the product. Each belief is compared with the last read that anyone began.

--- a/crates/firdock-node/tests/node/change_delay.rs
+++ b/crates/firdock-node/tests/node/change_delay.rs
@@ -1,5 +1,6 @@
 //! How late an instance in touch has a change of the configuration, whatever happens to its peers.
 
+mod clocks;
 mod world;
 
 use std::time::Duration;
--- a/crates/firdock-node/tests/node/change_delay/world.rs
+++ b/crates/firdock-node/tests/node/change_delay/world.rs
@@ -1,14 +1,19 @@
 //! Instances that share one store, in virtual time: heartbeats, forwarded records, and calls to the store that take
-//! time, fail or hang.
+//! time, fail or hang. Each instance has a clock of its own.
+
+mod clock;
 
 use std::time::Duration;
 
 use firdock_node::peer::{
     BeaconTargets, PeerDirectory, PeerInfo, PeerProcess, PeerRecord, ReadRole, ReadState,
-    SharedReads,
+    SharedReads, StateReply, Topic, TopicRecords,
 };
 use uuid::Uuid;
 
+pub use self::clock::ClockFault;
+use self::clock::TestClock;
+
 /// Step of the virtual time.
 pub const STEP: Duration = Duration::from_millis(10);
 /// Interval between two heartbeats, as the deployments set it.
@@ -21,6 +26,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(600);
 /// Time that the store takes for an answer.
 const ANSWER_TIME: Duration = Duration::from_millis(10);
+/// Reading of a clock when its process starts.
+const CLOCK_START: Duration = Duration::from_hours(1);
 /// Number of availability zones.
 const ZONES: usize = 4;
 
@@ -48,7 +55,9 @@
 }
 
 struct Call {
+    /// By the caller's clock.
     began: Duration,
+    last_sent: Duration,
     ends: Duration,
     succeeds: bool,
 }
@@ -56,8 +65,11 @@
 struct Instance {
     process: PeerProcess,
     zone: String,
+    clock: TestClock,
     directory: PeerDirectory,
     reads: SharedReads,
+    /// Reading of its clock when the last read of any instance began.
+    last_read: Duration,
     trouble: Option<Trouble>,
     /// When it was last in trouble.
     troubled_at: Duration,
@@ -83,14 +95,50 @@
         }
     }
 
-    /// Takes the state of a peer, whose clock equals this one's.
-    fn take(&mut self, now: Duration, state: ReadState) {
-        if state.version > self.version() || self.reads.own().config_at == Duration::ZERO {
+    /// Applies the records that peers sent, and looks at once what is due then.
+    fn apply_peer_records(&mut self, now: Duration) {
+        for records in self.reads.take_peer_records() {
+            let own = self.reads.own();
+            let known = match records.topic {
+                Topic::Config => own.config_next,
+                Topic::Endpoints => own.endpoints_next,
+            };
+            if records.next <= known {
+                continue;
+            }
+            let state = match records.topic {
+                Topic::Config => ReadState {
+                    version: records.next,
+                    config_next: records.next,
+                    config_at: records.read_at,
+                    endpoints_next: own.endpoints_next,
+                    ..ReadState::default()
+                },
+                Topic::Endpoints => ReadState {
+                    endpoints_next: records.next,
+                    endpoints_at: records.read_at,
+                    version: own.version,
+                    config_next: own.config_next,
+                    ..ReadState::default()
+                },
+            };
             self.reads.record_from_peers(state);
             self.wakes_at = now;
         }
     }
 
+    /// Returns what it knows of a topic, with times by its clock.
+    fn records(&self, topic: Topic, from: Option<u64>) -> TopicRecords {
+        let own = self.reads.own();
+        TopicRecords {
+            topic,
+            from,
+            next: own.version,
+            read_at: on_wire(own.confirmed_at(topic)),
+            records: Vec::new(),
+        }
+    }
+
     fn version(&self) -> u64 {
         self.reads.own().version
     }
@@ -112,7 +160,14 @@
     /// Starts a site of `size` instances that have known each other and version 1 for long.
     pub fn new(size: usize) -> Self {
         let start = Duration::from_secs(5_000);
-        let instances = (0..size).map(|n| instance(n, start)).collect();
+        let instances = (0..size).map(|n| {
+            // Clocks differ by more than whole milliseconds.
+            let reading = CLOCK_START + Duration::from_micros(137_137 * n as u64);
+            instance(n, start, reading)
+        });
+        let instances: Vec<Instance> = instances
+            .inspect(|i| i.reads.record_read(i.clock.now(), state(1, i.clock.now())))
+            .collect();
         let mut world = Self {
             instances,
             now: start,
@@ -151,7 +206,7 @@
                 self.instances[n].process.clone(),
                 self.instances[n].zone.clone(),
             );
-            let receiver = &self.instances[other];
+            let (receiver, theirs) = (&self.instances[other], self.instances[n].clock.now());
             let info = PeerInfo {
                 name: &process.name,
                 zone: &zone,
@@ -159,10 +214,11 @@
             };
             receiver
                 .directory
-                .record_heartbeat(info, address(n), self.now);
+                .record_heartbeat(info, address(n), receiver.clock.now());
+            let (ours, theirs) = (on_wire(receiver.clock.now()), on_wire(theirs));
             receiver
                 .reads
-                .take_clock(&process.name, process.incarnation, self.now, self.now);
+                .take_clock(&process.name, process.incarnation, ours, theirs);
         }
     }
 
@@ -172,16 +228,53 @@
         self.instances[n].troubled_at = self.now;
     }
 
+    /// Bends the clock of an instance.
+    pub fn bend(&mut self, n: usize, fault: ClockFault) {
+        self.instances[n].clock.apply(fault);
+    }
+
+    /// Returns by how much any instance believes a topic to have been read later than it was by anyone.
+    pub fn longest_error(&self) -> Duration {
+        let running = self.instances.iter().filter(|i| i.runs());
+        let errors = running.flat_map(|i| {
+            Topic::ALL.map(|topic| {
+                i.reads
+                    .own()
+                    .confirmed_at(topic)
+                    .saturating_sub(i.last_read)
+            })
+        });
+        errors.max().unwrap_or_default()
+    }
+
+    /// Returns the longest age at any instance that runs, by its clock.
+    pub fn longest_age(&self) -> Duration {
+        let running = self.instances.iter().filter(|i| i.runs());
+        let ages = running.map(|i| i.clock.now().saturating_sub(i.reads.own().config_at));
+        ages.max().unwrap_or_default()
+    }
+
     /// Ends the trouble of an instance.
     pub fn restore(&mut self, n: usize) {
         let trouble = self.instances[n].trouble.take();
         self.instances[n].troubled_at = self.now;
         if trouble == Some(Trouble::Killed) {
-            let process = instance(n, self.now);
+            let process = instance(n, self.now, CLOCK_START);
             let known = std::mem::replace(&mut self.instances[n], process);
+            let since_read = known.clock.now().saturating_sub(known.last_read);
             let started = &mut self.instances[n];
-            started.reads = SharedReads::default().with_asks_peers_first(true);
-            started.directory = known.directory;
+            started.last_read = CLOCK_START.saturating_sub(since_read);
+            for peer in known.directory.peers_for_zone(&started.zone) {
+                let zone = peer.zone.clone();
+                let info = PeerInfo {
+                    name: &peer.name,
+                    zone: &zone,
+                    millicores: 0,
+                };
+                started
+                    .directory
+                    .record_heartbeat(info, peer.address, CLOCK_START);
+            }
             started.troubled_at = self.now;
             self.introduce(n);
             self.fetch_state(n);
@@ -190,13 +283,34 @@
 
     /// Lets a starting instance take the state of a peer.
     fn fetch_state(&mut self, n: usize) {
-        let state = self.instances.iter().filter(|i| i.hears_peers());
-        let state = state.map(|i| i.reads.own()).find(|own| own.version > 0);
-        if let Some(state) = state {
-            self.instances[n].take(self.now, state);
+        let others = 0..self.instances.len();
+        let knows = |m: &usize| {
+            let peer = &self.instances[*m];
+            *m != n && peer.hears_peers() && peer.version() > 0
+        };
+        if let Some(peer) = others.into_iter().find(knows) {
+            self.answer_query(peer, n);
         }
     }
 
+    /// Lets an instance answer the query of another one.
+    fn answer_query(&mut self, from: usize, to: usize) {
+        let sender = &self.instances[from];
+        let reply = StateReply {
+            sender: sender.process.clone(),
+            query_sent_at: on_wire(self.instances[to].clock.now()),
+            clock: on_wire(sender.clock.now()),
+            reads: reads_on_wire(sender.reads.own()),
+            topics: Topic::ALL.map(|topic| sender.records(topic, None)).to_vec(),
+            instances: Vec::new(),
+            topics_omitted: false,
+            site_size: 0,
+        };
+        let receiver = &mut self.instances[to];
+        receiver.reads.merge_reply(reply);
+        receiver.apply_peer_records(self.now);
+    }
+
     /// Sets what the store does from now on.
     pub fn set_store(&mut self, store: StoreState) {
         self.store = store;
@@ -215,6 +329,9 @@
         let mut longest = Duration::ZERO;
         while self.now < until {
             self.now += STEP;
+            for instance in &mut self.instances {
+                instance.clock.advance(STEP);
+            }
             for n in 0..self.instances.len() {
                 self.step(n);
             }
@@ -261,7 +378,7 @@
         if !sender.hears_peers() {
             return;
         }
-        let due = BeaconTargets::at(sender.tick, &sender.directory, self.now);
+        let due = BeaconTargets::at(sender.tick, &sender.directory, sender.clock.now());
         let targets = due.same_group.into_iter().chain(due.leads).chain(due.far);
         let targets: Vec<usize> = targets.map(|p| index(&p)).collect();
         for target in targets {
@@ -274,19 +391,23 @@
             return;
         }
         let sender = &self.instances[from];
-        let state = sender.reads.own();
+        let state = reads_on_wire(sender.reads.own());
         let receiver = &self.instances[to];
+        let now = receiver.clock.now();
         receiver
             .directory
-            .record_heartbeat(sender.info(), address(from), self.now);
+            .record_heartbeat(sender.info(), address(from), now);
         if state.version == 0 {
             return;
         }
-        let merged = receiver
-            .reads
-            .merge_report(self.now, &sender.process, state);
+        let merged = receiver.reads.merge_report(now, &sender.process, state);
+        if merged.ask_clock {
+            let PeerProcess { name, incarnation } = &sender.process;
+            let (ours, theirs) = (on_wire(now), on_wire(sender.clock.now()));
+            receiver.reads.take_clock(name, *incarnation, ours, theirs);
+        }
         if merged.ask_state {
-            self.instances[to].take(self.now, state);
+            self.answer_query(from, to);
         }
     }
 
@@ -298,47 +419,47 @@
         };
         instance.wakes_at = now;
         if !call.succeeds {
-            let last_sent = call.began.max(now.saturating_sub(READ_INTERVAL));
-            instance.reads.record_failure(last_sent, RETRY_PAUSE);
+            instance.reads.record_failure(call.last_sent, RETRY_PAUSE);
             return;
         }
         let before = instance.version();
-        let state = ReadState {
-            version: self.confirmed.len() as u64,
-            config_at: call.began,
-            endpoints_at: call.began,
-            ..ReadState::default()
-        };
-        instance.reads.record_read(now, state);
+        let state = state(self.confirmed.len() as u64, call.began);
+        instance.reads.record_read(instance.clock.now(), state);
         if before < state.version {
-            self.forward(n, state, true);
+            self.forward(n, before, true);
         }
     }
 
-    /// Forwards a change to the instances that rely on this one for it.
-    fn forward(&mut self, n: usize, state: ReadState, read_locally: bool) {
+    /// Forwards a change since version `known` to the instances that rely on this one for it.
+    fn forward(&mut self, n: usize, known: u64, read_locally: bool) {
         let sender = &self.instances[n];
-        if !sender.hears_peers() || !read_locally && !sender.directory.is_lead(self.now) {
+        let now = sender.clock.now();
+        if !sender.hears_peers() || !read_locally && !sender.directory.is_lead(now) {
             return;
         }
-        let leads = sender.directory.group_leads(self.now);
+        let leads = sender.directory.group_leads(now);
         let selected = sender.directory.select(&leads, |r| r.same_group || r.lead);
         let targets: Vec<usize> = selected.iter().map(|(peer, _)| index(peer)).collect();
+        let process = sender.process.clone();
+        let changes = sender.records(Topic::Config, Some(known));
         for target in targets {
             let receiver = &mut self.instances[target];
-            if receiver.hears_peers() && receiver.version() < state.version {
-                receiver.take(self.now, state);
-                self.forward(target, state, false);
+            if receiver.hears_peers() && receiver.version() < changes.next {
+                receiver.reads.merge_changes(&process, changes.clone());
+                receiver.apply_peer_records(self.now);
+                self.forward(target, known, false);
             }
         }
     }
 
     fn wake(&mut self, n: usize) {
         let instance = &self.instances[n];
-        let read_turn = instance.directory.read_turn(self.now);
-        let (due, next) = instance.reads.due_at(self.now, READ_INTERVAL, read_turn);
+        let now = instance.clock.now();
+        let read_turn = instance.directory.read_turn(now);
+        let (due, next) = instance.reads.due_at(now, READ_INTERVAL, read_turn);
         if due.config.is_none() {
-            self.instances[n].wakes_at = next.max(self.now + STEP);
+            let pause = next.saturating_sub(now).max(STEP);
+            self.instances[n].wakes_at = self.now + pause;
             return;
         }
         self.calls += 1;
@@ -355,32 +476,57 @@
             StoreState::Sound | StoreState::Silent => (hangs, false),
         };
         self.instances[n].call = Some(Call {
-            began: self.now,
+            began: now,
+            last_sent: now + time.saturating_sub(READ_INTERVAL),
             ends: self.now + time,
             succeeds,
         });
+        for instance in &mut self.instances {
+            instance.last_read = instance.clock.now();
+        }
     }
 }
 
-fn instance(n: usize, now: Duration) -> Instance {
+/// Returns a time as messages carry it, in whole milliseconds.
+fn on_wire(time: Duration) -> Duration {
+    Duration::from_millis(time.as_millis() as u64)
+}
+
+fn reads_on_wire(reads: ReadState) -> ReadState {
+    ReadState {
+        config_at: on_wire(reads.config_at),
+        endpoints_at: on_wire(reads.endpoints_at),
+        steady_since: on_wire(reads.steady_since),
+        ..reads
+    }
+}
+
+/// Returns the state after a read that began at `at`, with a topic's version as its offset.
+fn state(version: u64, at: Duration) -> ReadState {
+    ReadState {
+        version,
+        config_next: version,
+        endpoints_next: version,
+        config_at: at,
+        endpoints_at: at,
+        ..ReadState::default()
+    }
+}
+
+/// Creates an instance whose process starts now, at a reading of its clock.
+fn instance(n: usize, now: Duration, reading: Duration) -> Instance {
     let process = PeerProcess {
         name: format!("front-{n:04}"),
         incarnation: Uuid::new_v4(),
     };
     let zone = format!("zone-{}", n % ZONES);
-    let reads = SharedReads::default();
-    let state = ReadState {
-        version: 1,
-        config_at: now,
-        endpoints_at: now,
-        ..ReadState::default()
-    };
-    reads.record_read(now, state);
     Instance {
         directory: PeerDirectory::new(process.name.clone(), zone.clone()),
         process,
         zone,
-        reads,
+        clock: TestClock::new(reading),
+        reads: SharedReads::default().with_asks_peers_first(true),
+        last_read: reading,
         trouble: None,
         troubled_at: Duration::ZERO,
         wakes_at: now,
