Reads of the store are dated by the receiver's own clock, which heartbeats return

Cause: a peer's report was placed on the own clock by the tightest bound of all exchanges of clocks. The bound is wrong for good once either clock has stood still or jumped, and the later of two times won, so one error reached all instances and two that told each other added theirs up at each heartbeat. Whoever believes in a fresh read does not read, the lead included.

Now a heartbeat returns to each receiver the latest time of the receiver's own clock that had arrived before the known read began; whoever passes a read on does the same. The date is earlier than the read whatever clocks do, and no report of an old read can move it. When the store is read next goes by the age that the sender tells, kept between the returned time and now. Versions before neither confirm to newer ones nor lose anything.

Ruled out by reading: replies in parts (each part carries its own times), restarts (bounds were kept by process).

--- a/crates/firdock-node/src/peer.rs
+++ b/crates/firdock-node/src/peer.rs
@@ -40,7 +40,9 @@
 pub use parts::{
     InvalidPart, MissingParts, PART_BYTES, PartialReplies, StateId, count_parts, state_part,
 };
-pub use reads::{DueReads, MergeOutcome, ReadReason, ReadState, SharedReads, TopicStatus};
+pub use reads::{
+    DueReads, EchoedRead, MergeOutcome, ReadEcho, ReadReason, ReadState, SharedReads, TopicStatus,
+};
 pub use send_times::SendTimes;
 pub use serve::{PeerServer, serve_peers};
 pub use sharing::{PeerProcess, StateQuery, StateReply, StoreSnapshot};
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -191,7 +191,7 @@
                 }
                 () = self.streams.wait_for_pending() => self.send_stream_messages().await,
                 () = sleep_until_due(self.streams.send_at(), now) => self.send_stream_messages().await,
-                () = self.reads.wait_for_change() => {}
+                () = self.reads.wait_for_change() => self.confirm_arrivals().await,
                 () = stopped(&mut stop) => break,
             }
         }
@@ -211,6 +211,18 @@
         }
     }
 
+    /// Tells processes that have just started of the first read after that, which confirms to them what
+    /// they were told.
+    async fn confirm_arrivals(&self) {
+        if !self.reads.take_confirmed_arrivals() {
+            return;
+        }
+        let role = self.directory.read_turn(self.clock.now()).role;
+        if matches!(role, ReadRole::SiteLead | ReadRole::GroupLead) {
+            self.send_at_once().await;
+        }
+    }
+
     /// Reports the number of known instances to the scheduler if it changed.
     async fn report_known_count(&self, before: Option<usize>) -> Option<usize> {
         let known = Some(self.directory.sweep(self.clock.now()));
@@ -317,8 +329,14 @@
     }
 
     async fn send_sealed(&self, peers: &[PeerRecord], beacon: Beacon) {
-        let sealed = seal(&self.key, datagram::Body::Beacon(beacon));
+        let now = self.clock.now();
         for peer in peers {
+            let echo = self.reads.echo_for(now, &peer.name);
+            let beacon = Beacon {
+                read_echo: echo.map(|(process, echo)| echo.write(process)),
+                ..beacon.clone()
+            };
+            let sealed = seal(&self.key, datagram::Body::Beacon(beacon));
             self.send_to(&sealed, &peer.name, peer.address).await;
         }
     }
--- a/crates/firdock-node/src/peer/beacon/receive.rs
+++ b/crates/firdock-node/src/peer/beacon/receive.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use firdock_policy::event::{GroupDemand, GroupEvidence, GroupWork, PeerUpdate, UseCounts};
+use firdock_policy::event::{GroupDemand, GroupEvidence, GroupWork, UseCounts};
 use firdock_policy::{Event, Time};
 use firdock_wire::PROTOCOL;
 use firdock_wire::message::{
@@ -18,7 +18,7 @@
 use crate::peer::directory::{HeartbeatOutcome, PeerInfo, PeerRecord};
 use crate::peer::heartbeat::{read_demand, read_status, read_work};
 use crate::peer::parts::InvalidPart;
-use crate::peer::reads::ReadState;
+use crate::peer::reads::{ReadEcho, ReadState};
 use crate::peer::rollouts::{read_evidence, read_statuses};
 use crate::peer::sharing::{PeerProcess, StateQuery, StateReply, read_records};
 use crate::peer::streams::read_stream_records;
@@ -39,9 +39,10 @@
                 let answer = datagram::Body::ClockAnswer(self.answer_clock_query(query));
                 self.send_to(&seal(&self.key, answer), "", from).await;
             }
-            Some(datagram::Body::ClockAnswer(answer)) => self.handle_clock_answer(&answer),
-            Some(datagram::Body::TopicRecords(message)) => match read_records(message) {
-                Some((sender, changes)) => self.reads.merge_changes(&sender, changes),
+            // No clock is queried by this version.
+            Some(datagram::Body::ClockAnswer(_)) => {}
+            Some(datagram::Body::TopicRecords(message)) => match read_records(&message) {
+                Some(changes) => self.reads.merge_changes(changes),
                 None => self.log_malformed("changes", from),
             },
             Some(datagram::Body::StateQuestion(query)) => {
@@ -112,7 +113,7 @@
         if reply.topics_omitted {
             self.reads.mark_large();
         }
-        self.reads.merge_reply(reply);
+        self.reads.merge_reply(now, reply);
     }
 
     /// Adds instances that a peer listed to the directory.
@@ -132,14 +133,7 @@
         }
     }
 
-    fn handle_clock_answer(&self, answer: &ClockAnswer) {
-        let incarnation = read_incarnation(&answer.incarnation);
-        let asked = Duration::from_millis(answer.asked);
-        let clock = Duration::from_millis(answer.clock);
-        self.reads
-            .take_clock(&answer.instance, incarnation, asked, clock);
-    }
-
+    /// Answers an instance of an earlier version, which converts reported times by this clock.
     fn answer_clock_query(&self, query: ClockQuestion) -> ClockAnswer {
         ClockAnswer {
             instance: self.member.name.clone(),
@@ -179,12 +173,19 @@
         let mut update = read_status(&beacon.instance, heartbeat, sent);
         update.incarnation = incarnation;
         if let Some(reads) = beacon.reads.map(read_reads) {
+            let process = PeerProcess {
+                name: update.name.clone(),
+                incarnation,
+            };
             if beacon.sent_at > 0 {
                 let sent_at = Duration::from_millis(beacon.sent_at);
                 self.read_log
-                    .check_report(now, &update.name, reads, sent_at);
+                    .check_report(now, &process.name, reads, sent_at);
+                self.reads.record_clock(now, &process, sent_at);
             }
-            self.handle_read_state(&update, reads, from).await;
+            let echo = beacon.read_echo.as_ref();
+            let echo = echo.and_then(|echo| ReadEcho::read(echo, self.member.incarnation));
+            self.handle_read_state(&process, reads, echo, from).await;
         }
         self.directory
             .record_demand(&update.name, update.demand.clone());
@@ -274,47 +275,33 @@
         }
     }
 
-    /// Merges a peer's read state. Queries the peer for newer content, or for its clock if its
-    /// reports are used here.
-    async fn handle_read_state(&self, update: &PeerUpdate, reported: ReadState, from: SocketAddr) {
+    /// Merges a peer's read state, and queries the peer for newer content.
+    async fn handle_read_state(
+        &self,
+        sender: &PeerProcess,
+        reported: ReadState,
+        echo: Option<ReadEcho>,
+        from: SocketAddr,
+    ) {
         let now = self.clock.now();
-        let sender = PeerProcess {
-            name: update.name.clone(),
-            incarnation: update.incarnation,
-        };
-        let merged = self.reads.merge_report(now, &sender, reported);
+        let merged = self.reads.merge_report(now, sender, reported, echo);
         if let Some(at) = merged.fresh {
             self.send_event(Event::ConfigConfirmed(at)).await;
         }
         let is_starting = self.reads.is_large() && !self.reads.is_complete();
-        let query = if merged.ask_state && !is_starting {
-            let query = StateQuery {
-                sent_at: now,
-                topics: true,
-                instances: !self.directory.is_listed(),
-                any_size: false,
-                missing: self.partial_replies().missing(from),
-                zone: self.directory.zone().to_owned(),
-            };
-            query.body()
-        } else if merged.ask_clock && self.uses_reports_of(&update.name, now) {
-            let asked = millis(now);
-            datagram::Body::ClockQuestion(ClockQuestion { asked })
-        } else {
+        if !merged.ask_state || is_starting {
             return;
+        }
+        let query = StateQuery {
+            sent_at: now,
+            topics: true,
+            instances: !self.directory.is_listed(),
+            any_size: false,
+            missing: self.partial_replies().missing(from),
+            zone: self.directory.zone().to_owned(),
         };
-        self.send_to(&seal(&self.key, query), &update.name, from)
-            .await;
-    }
-
-    /// Returns whether a peer's reports on the store are used here: those of leads always, all
-    /// others only while the own state is out of date.
-    ///
-    /// Otherwise each of hundreds of instances would query the clocks of all others after a start.
-    fn uses_reports_of(&self, name: &str, now: Time) -> bool {
-        self.directory.is_single_group()
-            || self.reads.is_outdated(now)
-            || self.directory.group_leads(now).contains(name)
+        let sealed = seal(&self.key, query.body());
+        self.send_to(&sealed, &sender.name, from).await;
     }
 
     /// Updates the directory from the sender and the instances it lists. Returns the outcome for
--- a/crates/firdock-node/src/peer/reads.rs
+++ b/crates/firdock-node/src/peer/reads.rs
@@ -4,12 +4,12 @@
 //! same records then knows that these were the newest at that time; one with fewer records queries
 //! the rest.
 //!
-//! Times are reported by the sender's clock. The receiver converts them by a bound from one
-//! exchange: a reply is sent after its query, so the sender's clock at the reply corresponds to no
-//! earlier time than that of the query. The conversion therefore never makes a report look newer
-//! than it is, even if a process was suspended (see `docs/design/sharing.md`).
+//! No time is converted from a peer's clock. Heartbeats return times that the receiver itself sent
+//! before a read began, so that a report never looks newer than it is ([`echo`](self)). When the next
+//! read is due goes by estimates, which a wrong clock may only make wrong by the time between a
+//! heartbeat and its echo (see `docs/design/sharing.md`).
 
-mod clocks;
+mod echo;
 mod schedule;
 mod state;
 mod status;
@@ -23,6 +23,7 @@
 use tokio::time::sleep;
 use uuid::Uuid;
 
+pub use self::echo::{EchoedRead, ReadEcho};
 pub use self::schedule::{DueReads, ReadReason};
 use self::state::SharedState;
 pub use self::status::TopicStatus;
@@ -31,9 +32,6 @@
 use super::topic::{Topic, TopicRecords, TopicSnapshot};
 use crate::clock::Clock;
 
-/// Age of the read state beyond which reports of all peers are used and not those of leads alone: a
-/// read every 0.6 s, and two heartbeats to forward it.
-const OUTDATED_AFTER: Duration = Duration::from_millis(1_100);
 /// Maximum number of peers' records waiting to be applied; records beyond that are dropped, and the
 /// store is read instead.
 const MAX_QUEUED_RECORDS: usize = 64;
@@ -48,9 +46,9 @@
     pub config_next: Offset,
     /// Offset after the last record of the list of endpoints.
     pub endpoints_next: Offset,
-    /// When the configuration was known to be the newest.
+    /// When the configuration was known to be the newest: the read that says so began later.
     pub config_at: Time,
-    /// When the list of endpoints was known to be the newest.
+    /// When the list of endpoints was known to be the newest, likewise.
     pub endpoints_at: Time,
     /// Since when the list of endpoints has been read without an outage; zero if not reported.
     pub steady_since: Time,
@@ -62,8 +60,6 @@
     /// Time at which the configuration in force here was the newest, if the report confirms a later
     /// one.
     pub fresh: Option<Time>,
-    /// The peer's clock has to be queried before its report is of use.
-    pub ask_clock: bool,
     /// The peer has newer content, which is to be queried.
     pub ask_state: bool,
 }
@@ -125,21 +121,22 @@
         until.is_none_or(|until| now < until)
     }
 
-    /// Records a read of the store. Times only move forward; a zero time means that a topic was not
-    /// read.
+    /// Records a read of the store, with the time at which it began. Times only move forward; a zero
+    /// time means that a topic was not read.
     pub fn record_read(&self, now: Time, reads: ReadState) {
         let mut inner = self.lock();
         inner.read_at = now;
         inner.failed_at = None;
         inner.record_own_read(reads);
-        inner.merge_own(reads);
+        inner.confirm_own(reads);
         drop(inner);
         self.known_changed.notify_one();
     }
 
-    /// Records the read state after applying records of peers, like `record_read`.
+    /// Records the known content after applying records of peers. Their times are estimates: they
+    /// determine when the store is read next, and confirm nothing.
     pub fn record_from_peers(&self, reads: ReadState) {
-        self.lock().merge_own(reads);
+        self.lock().merge_content(reads);
         self.known_changed.notify_one();
     }
 
@@ -158,15 +155,7 @@
     /// Returns whether both topics are known, so that peers' queries can be answered.
     #[must_use]
     pub fn is_complete(&self) -> bool {
-        let own = self.own();
-        own.config_at > Time::ZERO && own.endpoints_at > Time::ZERO
-    }
-
-    /// Returns whether the read state is older than peers' reports normally let it get.
-    #[must_use]
-    pub fn is_outdated(&self, now: Time) -> bool {
-        let own = self.own();
-        own.config_at.min(own.endpoints_at) + OUTDATED_AFTER < now
+        self.lock().is_complete()
     }
 
     /// Returns when the list of endpoints was first read after its last outage, given a read at
@@ -198,31 +187,29 @@
         Topic::ALL.into_iter().filter_map(snapshot).collect()
     }
 
-    /// Queues changes that a peer read. They are dropped if there is no bound on its clock, since
-    /// their times cannot be converted then.
-    pub fn merge_changes(&self, sender: &PeerProcess, changes: TopicRecords) {
-        let inner = self.lock();
-        let Some(bound) = inner.clocks.get(&sender.name, sender.incarnation) else {
-            return;
-        };
-        let read_at = bound.local_time(changes.read_at);
-        self.queue(inner, vec![TopicRecords { read_at, ..changes }]);
+    /// Queues changes that a peer read. They carry no time of this clock; the next heartbeats date
+    /// them.
+    pub fn merge_changes(&self, changes: TopicRecords) {
+        let read_at = Time::ZERO;
+        self.queue(self.lock(), vec![TopicRecords { read_at, ..changes }]);
     }
 
-    /// Queues the records of a peer's reply.
-    pub fn merge_reply(&self, reply: StateReply) {
-        let PeerProcess { name, incarnation } = &reply.sender;
-        self.take_clock(name, *incarnation, reply.query_sent_at, reply.clock);
-        let inner = self.lock();
-        let Some(bound) = inner.clocks.get(name, *incarnation) else {
-            return;
+    /// Queues the records of a peer's reply, with estimates of when they were read.
+    pub fn merge_reply(&self, now: Time, reply: StateReply) {
+        let estimate = |reported: Time| {
+            let known = Some(reported).filter(|at| *at > Time::ZERO);
+            // A read ahead of the peer's clock has no age.
+            let age = known.and_then(|at| reply.clock.checked_sub(at));
+            age.map_or(Time::ZERO, |age| {
+                reply.query_sent_at.min(now).saturating_sub(age)
+            })
         };
-        let by_own_clock = |reported: TopicRecords| TopicRecords {
-            read_at: bound.local_time(reported.read_at),
+        let with_estimate = |reported: TopicRecords| TopicRecords {
+            read_at: estimate(reported.read_at),
             ..reported
         };
-        let records = reply.topics.into_iter().map(by_own_clock).collect();
-        self.queue(inner, records);
+        let records = reply.topics.into_iter().map(with_estimate).collect();
+        self.queue(self.lock(), records);
     }
 
     fn queue(&self, mut inner: MutexGuard<'_, SharedState>, records: Vec<TopicRecords>) {
@@ -265,44 +252,46 @@
         self.lock().own
     }
 
-    /// Merges a peer's report, whose times are by the peer's clock.
+    /// Records the clock that a peer sent with a heartbeat, to be returned to it.
+    pub fn record_clock(&self, now: Time, sender: &PeerProcess, sent_at: Time) {
+        let mut inner = self.lock();
+        if inner.sent_times.record(now, sender, sent_at) {
+            inner.arrived_at = now;
+            drop(inner);
+            self.changed.notify_one();
+        }
+    }
+
+    /// Returns whether the processes that arrived can be told that a read began after they did; once
+    /// for each time that any arrived.
+    #[must_use]
+    pub fn take_confirmed_arrivals(&self) -> bool {
+        self.lock().take_confirmed_arrivals()
+    }
+
+    /// Returns what dates the known reads by the clock of a peer, and the peer's process; `None` if
+    /// it has sent no clock.
+    #[must_use]
+    pub fn echo_for(&self, now: Time, peer: &str) -> Option<(Uuid, ReadEcho)> {
+        self.lock().echo_for(now, peer)
+    }
+
+    /// Merges a peer's report, whose times are by the peer's clock. `echo` dates it by this one.
     #[must_use]
     pub fn merge_report(
         &self,
         now: Time,
         sender: &PeerProcess,
         reported: ReadState,
+        echo: Option<ReadEcho>,
     ) -> MergeOutcome {
         let mut inner = self.lock();
         let ask_state = inner.record_newer(now, reported);
-        let Some(bound) = inner.clocks.get(&sender.name, sender.incarnation) else {
-            // The reply to a state query contains the peer's clock as well.
-            return MergeOutcome {
-                fresh: None,
-                ask_clock: !ask_state,
-                ask_state,
-            };
-        };
-        let reported = ReadState {
-            config_at: bound.local_time(reported.config_at),
-            endpoints_at: bound.local_time(reported.endpoints_at),
-            steady_since: bound.local_time(reported.steady_since),
-            ..reported
-        };
-        let fresh = inner.confirm(&sender.name, reported);
-        inner.merge_steady_since(reported);
-        MergeOutcome {
-            fresh,
-            ask_clock: false,
-            ask_state,
+        let fresh = echo.and_then(|echo| inner.confirm(now, &sender.name, reported, echo));
+        if inner.has_confirmed_arrivals() {
+            self.known_changed.notify_one();
         }
-    }
-
-    /// Records a peer's clock from the reply to a query that was sent at `query_sent_at`.
-    pub fn take_clock(&self, peer: &str, incarnation: Uuid, query_sent_at: Time, clock: Time) {
-        self.lock()
-            .clocks
-            .record(peer, incarnation, query_sent_at, clock);
+        MergeOutcome { fresh, ask_state }
     }
 
     /// Returns what is due now, and when to check again if nothing is due and no report arrives.
--- a/crates/firdock-node/src/peer/reads/schedule.rs
+++ b/crates/firdock-node/src/peer/reads/schedule.rs
@@ -66,6 +66,8 @@
     Silence,
     /// A peer reported newer content but did not send it.
     PeerAhead,
+    /// Processes have started to which no read is confirmed yet.
+    Arrival,
 }
 
 impl ReadReason {
@@ -77,6 +79,7 @@
             Self::Turn => "turn",
             Self::Silence => "silence",
             Self::PeerAhead => "news",
+            Self::Arrival => "arrival",
         }
     }
 }
@@ -130,7 +133,7 @@
         read_turn: ReadTurn,
         last: LastRead,
     ) -> (Time, ReadReason) {
-        let earliest = last.at + MIN_READ_INTERVAL;
+        let earliest = last.earliest();
         let old = self.fresh_at + max_age(pause, read_turn);
         let (old, reason) = match read_turn.role {
             ReadRole::SiteLead => (old.max(earliest), ReadReason::Turn),
@@ -162,11 +165,16 @@
 }
 
 impl LastRead {
+    /// Returns when the next read may begin.
+    pub(super) fn earliest(self) -> Time {
+        self.at + MIN_READ_INTERVAL
+    }
+
     /// Returns when an instance without reports may read itself. While all reads fail, each member
     /// of a larger group waits until the others had their turns.
     fn next_turn(self, pause: Duration, read_turn: ReadTurn) -> Time {
         match self.failed_at {
-            None => self.at + MIN_READ_INTERVAL,
+            None => self.earliest(),
             Some(at) if read_turn.role == ReadRole::Member => {
                 at + pause.max(TURN_INTERVAL * read_turn.group_size as u32)
             }
--- a/crates/firdock-node/src/peer/sharing.rs
+++ b/crates/firdock-node/src/peer/sharing.rs
@@ -230,20 +230,15 @@
 }
 
 /// Decodes a peer's changes, with times by its clock; `None` if they are malformed.
-pub(super) fn read_records(message: message::TopicRecords) -> Option<(PeerProcess, TopicRecords)> {
+pub(super) fn read_records(message: &message::TopicRecords) -> Option<TopicRecords> {
     let entries: message::Entries = decompress(&message.entries)?;
-    let records = TopicRecords {
+    Some(TopicRecords {
         topic: Topic::read(message.topic)?,
         from: Some(message.from),
         next: message.next,
         read_at: Duration::from_millis(message.read_at),
         records: entries.entries.into_iter().map(read_record).collect(),
-    };
-    let sender = PeerProcess {
-        name: message.instance,
-        incarnation: read_incarnation(&message.incarnation),
-    };
-    Some((sender, records))
+    })
 }
 
 fn compress(content: &impl prost::Message) -> Option<Vec<u8>> {
--- a/crates/firdock-node/src/source.rs
+++ b/crates/firdock-node/src/source.rs
@@ -146,14 +146,10 @@
         self.refresh(reads).await
     }
 
-    /// Records the state of reads that peers reported, with the same meaning of the fields.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the instance was stopped.
-    pub async fn record_from_peers(&self, reads: ReadState) -> Result<(), Stopped> {
+    /// Records the content known from peers' records, with estimates of when it was read. The peers' heartbeats
+    /// confirm it.
+    pub fn record_from_peers(&self, reads: ReadState) {
         self.reads.record_from_peers(reads);
-        self.refresh(reads).await
     }
 
     async fn refresh(&self, reads: ReadState) -> Result<(), Stopped> {
--- a/crates/firdock-node/tests/node/change_delay/clocks.rs
+++ b/crates/firdock-node/tests/node/change_delay/clocks.rs
@@ -20,7 +20,7 @@
     error: Duration,
     /// Longest time for which an instance in touch lacked a change.
     delay: Duration,
-    /// Highest age of the configuration at any instance.
+    /// Highest age of the configuration at an instance with a sound clock.
     age: Duration,
     /// Calls to the store.
     calls: usize,
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -343,7 +343,8 @@
     #[prost(uint64, tag = "4")]
     pub clock: u64,
 }
-/// How recent the sender's data from the platform's store is, by the sender's clock.
+/// How recent the sender's data from the platform's store is, by the sender's clock. These times date nothing at
+/// a receiver that gets echoes.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Reads {
     /// Time at which the configuration was last confirmed to be the newest, in milliseconds of the
@@ -435,6 +436,28 @@
     /// The sender's clock, in milliseconds; 0 if it is not sent.
     #[prost(uint64, tag = "23")]
     pub sent_at: u64,
+    /// Set if the receiver has sent its clock (docs/design/sharing.md).
+    #[prost(message, optional, tag = "24")]
+    pub read_echo: ::core::option::Option<ReadEcho>,
+}
+/// Dates the reads that a sender knows by the clock of the receiver. A read began after the receiver sent the
+/// time that is returned here. Times are in milliseconds; 0 if no time of the receiver had arrived before.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ReadEcho {
+    /// 16 bytes: the start of the receiver, whose clock this is.
+    #[prost(bytes = "vec", tag = "1")]
+    pub incarnation: ::prost::alloc::vec::Vec<u8>,
+    /// Latest `sent_at` of the receiver that had arrived before the read of the configuration began.
+    #[prost(uint64, tag = "2")]
+    pub config_after: u64,
+    /// The same for the list of endpoints.
+    #[prost(uint64, tag = "3")]
+    pub endpoints_after: u64,
+    /// Estimated time since these reads began.
+    #[prost(uint64, tag = "4")]
+    pub config_age_millis: u64,
+    #[prost(uint64, tag = "5")]
+    pub endpoints_age_millis: u64,
 }
 /// Requests for permits to send to endpoints with rate limits. The receiver passes those on that another
 /// instance grants.
