Clock: an instance may be given another source of time

EdgeInstance::with_clock and Clock::with_source are the seam by which the soak bends the clocks of its processes. No behaviour changes.

--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use self::parts::{DriverOutputs, EdgeParts};
-use crate::clock::millis;
+use crate::clock::{Clock, millis};
 use crate::driver::Driver;
 use crate::endpoint::Dispatcher;
 use crate::endpoint::relay::Dialect;
@@ -47,6 +47,7 @@
     dialect: D,
     source: S,
     connector: C,
+    clock: Clock,
     log: Logger,
 }
 
@@ -75,6 +76,7 @@
             dialect,
             source,
             connector: TcpConnector,
+            clock: Clock::new(),
             log: discard_logger(),
         }
     }
@@ -90,10 +92,18 @@
             dialect: self.dialect,
             source: self.source,
             connector,
+            clock: self.clock,
             log: self.log,
         }
     }
 
+    /// Sets the clock by which the instance decides.
+    #[must_use]
+    pub fn with_clock(mut self, clock: Clock) -> Self {
+        self.clock = clock;
+        self
+    }
+
     /// Sets the logger.
     #[must_use]
     pub fn with_log(mut self, log: Logger) -> Self {
@@ -107,7 +117,7 @@
     ///
     /// Fails if an address is missing or cannot be bound.
     pub async fn start(self) -> Result<RunningEdge, StartError> {
-        let parts = EdgeParts::new(&self.settings, self.log.clone());
+        let parts = EdgeParts::new(&self.settings, self.clock, self.log.clone());
         let (inputs, input_receiver) = mpsc::channel(INPUT_QUEUE_CAPACITY);
         let (stop_ingress, ingress_stop_receiver) = watch::channel(false);
         let (stop_rest, rest_stop_receiver) = watch::channel(false);
--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -100,9 +100,8 @@
 
 impl EdgeParts {
     /// Creates the shared state for a new start of the process.
-    pub fn new(settings: &Settings, log: Logger) -> Self {
+    pub fn new(settings: &Settings, clock: Clock, log: Logger) -> Self {
         let name = settings.instance.name.clone();
-        let clock = Clock::new();
         let metrics: Arc<Metrics> = Arc::default();
         let log_limiter: Arc<LogLimiter> = Arc::default();
         let answer_budget = AnswerBudget::new(
