Heartbeats: the read state and its echo are taken at one moment

A heartbeat was built once and completed with an echo for each receiver while it was sent. A read that ended in between made the echo one of the later read, beside the content of the earlier one: a receiver with the earlier content took it as confirmed by the read that had found something newer. Found by reading; no play or test showed it, since sending a datagram seldom waits. Both now come from one call under one lock.

--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -328,11 +328,13 @@
         self.send_sealed(std::slice::from_ref(peer), beacon).await;
     }
 
+    /// Sends a beacon, completed with the read state for each peer.
     async fn send_sealed(&self, peers: &[PeerRecord], beacon: Beacon) {
         let now = self.clock.now();
         for peer in peers {
-            let echo = self.reads.echo_for(now, &peer.name);
+            let (reads, echo) = self.reads.report_for(now, &peer.name);
             let beacon = Beacon {
+                reads: Some(write_reads(reads)),
                 read_echo: echo.map(|(process, echo)| echo.write(process)),
                 ..beacon.clone()
             };
@@ -386,7 +388,6 @@
             heartbeat: Some(heartbeat),
             used: write_uses(&self_status.used),
             peers: listed.take(MAX_LISTED_PEERS).map(write_address).collect(),
-            reads: Some(write_reads(self.reads.own())),
             group_heard: totals.group_live as u32,
             site_heard: totals.site_live as u32,
             group_known: totals.group_size as u32,
@@ -404,7 +405,7 @@
         beacon
     }
 
-    /// Builds a beacon that contains only this instance's presence, read state and demand.
+    /// Builds a beacon that contains only this instance's presence and demand.
     fn short_beacon(&self) -> Beacon {
         let self_status = self.self_status.borrow();
         Beacon {
@@ -412,7 +413,6 @@
             instance: self.member.name.clone(),
             incarnation: self.member.incarnation.as_bytes().to_vec(),
             heartbeat: Some(self_status.short_message()),
-            reads: Some(write_reads(self.reads.own())),
             power: self.directory.millicores(),
             ..Beacon::default()
         }
--- a/crates/firdock-node/src/peer/reads.rs
+++ b/crates/firdock-node/src/peer/reads.rs
@@ -5,7 +5,7 @@
 //! the rest.
 //!
 //! No time is converted from a peer's clock. Heartbeats return times that the receiver itself sent
-//! before a read began, so that a report never looks newer than it is ([`echo`](self)). When the next
+//! before a read began, so that a report never looks newer than it is. When the next
 //! read is due goes by estimates, which a wrong clock may only make wrong by the time between a
 //! heartbeat and its echo (see `docs/design/sharing.md`).
 
@@ -269,11 +269,13 @@
         self.lock().take_confirmed_arrivals()
     }
 
-    /// Returns what dates the known reads by the clock of a peer, and the peer's process; `None` if
-    /// it has sent no clock.
+    /// Returns the read state, and what dates it by the clock of a peer's process; no echo if the
+    /// peer has sent no clock. Both are of one moment: an echo of a later read would confirm the
+    /// content of an earlier one.
     #[must_use]
-    pub fn echo_for(&self, now: Time, peer: &str) -> Option<(Uuid, ReadEcho)> {
-        self.lock().echo_for(now, peer)
+    pub fn report_for(&self, now: Time, peer: &str) -> (ReadState, Option<(Uuid, ReadEcho)>) {
+        let inner = self.lock();
+        (inner.own, inner.echo_for(now, peer))
     }
 
     /// Merges a peer's report, whose times are by the peer's clock. `echo` dates it by this one.
--- a/crates/firdock-node/src/peer/reads/echo.rs
+++ b/crates/firdock-node/src/peer/reads/echo.rs
@@ -17,7 +17,6 @@
 
 use crate::clock::millis;
 use crate::peer::sharing::PeerProcess;
-use crate::peer::topic::Topic;
 
 /// Minimum time between two kept times of a peer: most of the interval between heartbeats, so that
 /// heartbeats in quick succession do not displace the times that older reads need.
@@ -45,15 +44,6 @@
 }
 
 impl ReadEcho {
-    /// Returns what is said about a topic.
-    #[must_use]
-    pub fn of(&self, topic: Topic) -> EchoedRead {
-        match topic {
-            Topic::Config => self.config,
-            Topic::Endpoints => self.endpoints,
-        }
-    }
-
     /// Encodes the echo for the receiver's process.
     #[must_use]
     pub(in crate::peer) fn write(&self, receiver: Uuid) -> message::ReadEcho {
--- a/crates/firdock-node/tests/node/change_delay/world.rs
+++ b/crates/firdock-node/tests/node/change_delay/world.rs
@@ -421,7 +421,8 @@
     /// Returns the echo in a heartbeat.
     fn echo(&self, from: usize, to: usize) -> Option<ReadEcho> {
         let (sender, receiver) = (&self.instances[from], &self.instances[to].process);
-        let (process, echo) = sender.reads.echo_for(sender.clock.now(), &receiver.name)?;
+        let now = sender.clock.now();
+        let (process, echo) = sender.reads.report_for(now, &receiver.name).1?;
         let whole = |read: EchoedRead| EchoedRead {
             age: on_wire(read.age),
             ..read
--- a/crates/firdock-node/tests/node/peers.rs
+++ b/crates/firdock-node/tests/node/peers.rs
@@ -128,7 +128,8 @@
         shared.record_clock(millis(at), &peer_p(), millis(at + 60_000));
     }
     // The time at 10,000 ms may have arrived after the read began, at the same reading of the clock.
-    let (process, returned) = shared.echo_for(millis(10_300), "p").expect("an echo");
+    let (_, returned) = shared.report_for(millis(10_300), "p");
+    let (process, returned) = returned.expect("an echo");
     let expected = EchoedRead {
         after: millis(69_900),
         age: millis(300),
@@ -144,7 +145,7 @@
     shared.record_clock(millis(9_900), &peer_p(), millis(9_900));
     let restarted = peer_process("p", Uuid::from_u128(8));
     shared.record_clock(millis(10_100), &restarted, Duration::from_hours(1));
-    let (process, returned) = shared.echo_for(NOW, "p").expect("an echo");
+    let (process, returned) = shared.report_for(NOW, "p").1.expect("an echo");
     assert_eq!(process, restarted.incarnation);
     assert_eq!(returned.config.after, Duration::ZERO);
 }
@@ -155,7 +156,7 @@
     for n in 0..2_000 {
         let peer = peer_process(&format!("front-{n}"), INCARNATION);
         shared.record_clock(millis(9_900), &peer, millis(9_900));
-        let returned = shared.echo_for(NOW, &peer.name);
+        let (_, returned) = shared.report_for(NOW, &peer.name);
         assert!(returned.is_some(), "the clock of {} is known", peer.name);
     }
 }
@@ -167,7 +168,7 @@
     for at in (9_000..12_000).step_by(2) {
         shared.record_clock(millis(at), &peer_p(), millis(at));
     }
-    let (_, returned) = shared.echo_for(millis(12_000), "p").expect("an echo");
+    let (_, returned) = shared.report_for(millis(12_000), "p").1.expect("an echo");
     assert!(returned.config.after >= millis(9_900), "{returned:?}");
 }
 
