--- a/crates/firdock-node/tests/node/change_delay/world.rs
+++ b/crates/firdock-node/tests/node/change_delay/world.rs
@@ -2,17 +2,16 @@
 //! time, fail or hang. Each instance has a clock of its own.
 
 mod clock;
+mod instance;
 
 use std::time::Duration;
 
 use firdock_node::peer::{
-    BeaconTargets, EchoedRead, PeerDirectory, PeerInfo, PeerProcess, PeerRecord, ReadEcho,
-    ReadRole, ReadState, SharedReads, StateReply, Topic, TopicRecords,
+    BeaconTargets, EchoedRead, PeerInfo, PeerRecord, ReadEcho, ReadRole, StateReply, Topic,
 };
-use uuid::Uuid;
 
 pub use self::clock::ClockFault;
-use self::clock::TestClock;
+use self::instance::{Call, Instance, instance, on_wire, reads_on_wire, state};
 
 /// Step of the virtual time.
 pub const STEP: Duration = Duration::from_millis(10);
@@ -54,98 +53,6 @@
     Silent,
 }
 
-struct Call {
-    /// By the caller's clock.
-    began: Duration,
-    last_sent: Duration,
-    ends: Duration,
-    succeeds: bool,
-}
-
-struct Instance {
-    process: PeerProcess,
-    zone: String,
-    clock: TestClock,
-    /// Whether its clock was never bent.
-    is_sound: bool,
-    directory: PeerDirectory,
-    reads: SharedReads,
-    /// Reading of its clock when the last read of any instance began.
-    last_read: Duration,
-    trouble: Option<Trouble>,
-    /// When it was last in trouble.
-    troubled_at: Duration,
-    wakes_at: Duration,
-    call: Option<Call>,
-    tick: usize,
-}
-
-impl Instance {
-    fn runs(&self) -> bool {
-        !matches!(self.trouble, Some(Trouble::Frozen | Trouble::Killed))
-    }
-
-    fn hears_peers(&self) -> bool {
-        self.runs() && self.trouble != Some(Trouble::CutFromPeers)
-    }
-
-    fn info(&self) -> PeerInfo<'_> {
-        PeerInfo {
-            name: &self.process.name,
-            zone: &self.zone,
-            millicores: 0,
-        }
-    }
-
-    /// Applies the records that peers sent, and looks at once what is due then.
-    fn apply_peer_records(&mut self, now: Duration) {
-        for records in self.reads.take_peer_records() {
-            let own = self.reads.own();
-            let known = match records.topic {
-                Topic::Config => own.config_next,
-                Topic::Endpoints => own.endpoints_next,
-            };
-            if records.next <= known {
-                continue;
-            }
-            let state = match records.topic {
-                Topic::Config => ReadState {
-                    version: records.next,
-                    config_next: records.next,
-                    config_at: records.read_at,
-                    endpoints_next: own.endpoints_next,
-                    ..ReadState::default()
-                },
-                Topic::Endpoints => ReadState {
-                    endpoints_next: records.next,
-                    endpoints_at: records.read_at,
-                    version: own.version,
-                    config_next: own.config_next,
-                    ..ReadState::default()
-                },
-            };
-            self.reads.record_from_peers(state);
-            self.wakes_at = now;
-        }
-    }
-
-    /// Returns what it knows of a topic, with times by its clock.
-    fn records(&self, topic: Topic, from: Option<u64>) -> TopicRecords {
-        let own = self.reads.own();
-        TopicRecords {
-            topic,
-            from,
-            next: own.version,
-            read_at: on_wire(own.confirmed_at(topic)),
-            records: Vec::new(),
-        }
-    }
-
-    fn version(&self) -> u64 {
-        self.reads.own().version
-    }
-}
-
 /// All instances and the store.
 pub struct World {
     instances: Vec<Instance>,
@@ -508,55 +415,6 @@
     }
 }
 
-/// Returns a time as messages carry it, in whole milliseconds.
-fn on_wire(time: Duration) -> Duration {
-    Duration::from_millis(time.as_millis() as u64)
-}
-
-fn reads_on_wire(reads: ReadState) -> ReadState {
-    ReadState {
-        config_at: on_wire(reads.config_at),
-        endpoints_at: on_wire(reads.endpoints_at),
-        steady_since: on_wire(reads.steady_since),
-        ..reads
-    }
-}
-
-/// Returns the state after a read that began at `at`, with a topic's version as its offset.
-fn state(version: u64, at: Duration) -> ReadState {
-    ReadState {
-        version,
-        config_next: version,
-        endpoints_next: version,
-        config_at: at,
-        endpoints_at: at,
-        ..ReadState::default()
-    }
-}
-
-/// Creates an instance whose process starts now, at a reading of its clock.
-fn instance(n: usize, now: Duration, reading: Duration) -> Instance {
-    let process = PeerProcess {
-        name: format!("front-{n:04}"),
-        incarnation: Uuid::new_v4(),
-    };
-    let zone = format!("zone-{}", n % ZONES);
-    Instance {
-        directory: PeerDirectory::new(process.name.clone(), zone.clone()),
-        process,
-        zone,
-        clock: TestClock::new(reading),
-        is_sound: true,
-        reads: SharedReads::default().with_asks_peers_first(true),
-        last_read: reading,
-        trouble: None,
-        troubled_at: Duration::ZERO,
-        wakes_at: now,
-        call: None,
-        tick: n,
-    }
-}
-
 fn address(n: usize) -> std::net::SocketAddr {
     ([127, 0, (n / 250) as u8, (n % 250) as u8], 1).into()
 }
