Test: an instance in touch decides by a change in time whatever clocks did

One change alone does not show it (at most 1.2 s): records that are forwarded carry dates too, and the errors add up from the second change on.

--- a/crates/firdock-node/tests/node/change_delay/clocks.rs
+++ b/crates/firdock-node/tests/node/change_delay/clocks.rs
@@ -10,6 +10,8 @@
 
 /// Age of the configuration beyond which requests with a key are refused: 0.8 of `revoke_ms` of the deployments.
 const SERVED_WITHIN: Duration = Duration::from_secs(4);
+/// Time between two changes of a series.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(2_500);
 /// Sizes of sites: one group, groups of 5, and the groups of cedarsound-puzzles-grown.
 const SIZES: [usize; 3] = [7, 20, 85];
 
@@ -111,6 +113,47 @@
     }
 }
 
+/// Returns the longest time for which an instance in touch decides by the version before a change, for changes in
+/// series that begin at some moments of a second after `bend`.
+fn longest_use(size: usize, bend: impl Fn(&mut World)) -> Duration {
+    let delays = (0..3).map(|n| {
+        let mut world = World::new(size);
+        world.run(SETTLE_TIME);
+        bend(&mut world);
+        world.run(millis(10 + 333 * n));
+        let changes = (0..4).map(|_| {
+            world.change();
+            world.run(CHANGE_INTERVAL)
+        });
+        changes.max().unwrap_or_default()
+    });
+    delays.max().unwrap_or_default()
+}
+
+/// Guards against instances in touch that decide by an older version for longer than they may, since the age of what
+/// they know is wrong: a site whose ages are too low does not read the store.
+#[test]
+fn an_instance_in_touch_decides_by_a_change_in_time_whatever_clocks_did() {
+    let faults = [
+        ClockFault::Stands(millis(300)),
+        ClockFault::Stands(Duration::from_secs(3)),
+        ClockFault::Jumps(Duration::from_secs(3)),
+    ];
+    for (size, every) in [(7, 2), (7, 5), (87, 2), (87, 5)] {
+        for fault in faults {
+            let delay = longest_use(size, |world| {
+                for n in (0..size).step_by(every) {
+                    world.bend(n, fault);
+                }
+            });
+            assert!(
+                delay <= OWED_AFTER,
+                "{fault:?} at one in {every} of {size} instances: {delay:?}"
+            );
+        }
+    }
+}
+
 /// Guards against a wrong clock for which sound instances read the store in place of those whose turn it is.
 #[test]
 fn one_clock_that_stood_still_costs_few_calls_to_the_store() {
