Clock: ages, leases and deadlines count the time for which the machine was suspended

Cause: the instance's clock was Linux' steady clock, which stands still during a suspension. What it had read before looked as fresh as it was, the requests in its sockets came first, and the next read a little later. The class: an age that is measured by a clock which leaves time out.

`machine was suspended` tells the length and the age of the configuration before the scheduler's first decision; two counters.

Why it works: a suspension is now to all decisions what a frozen process always was; echoes return times that were sent before it, so that heartbeats in the socket date a read before it.

Ruled out: reading the time of day, which steps; watching for jumps alone, which comes after the first request.

--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -39,6 +39,7 @@
 use crate::telemetry::restarts;
 use crate::telemetry::{
     DecisionLog, LogLimiter, Metrics, RolloutLog, ShareLog, StateChangeLog, SuspectLog,
+    SuspensionLog,
 };
 
 /// Interval between two runs of the timer systems.
@@ -96,6 +97,7 @@
     rollout_log: RolloutLog,
     shares: ShareLog,
     suspects: SuspectLog,
+    suspensions: SuspensionLog,
     /// Revision of the rate limits of endpoints that was last published.
     limits_revision: Revision,
     placement: Option<Placement>,
@@ -139,6 +141,8 @@
             Arc::clone(&parts.log_limiter),
             Arc::clone(&parts.metrics),
         );
+        let suspensions =
+            SuspensionLog::new(parts.log.clone(), Arc::clone(&parts.metrics), parts.clock);
         Self {
             scheduler,
             parts,
@@ -150,6 +154,7 @@
             rollout_log,
             shares,
             suspects,
+            suspensions,
             limits_revision: Revision::default(),
             placement: None,
         }
@@ -360,6 +365,8 @@
     fn step(&mut self, event: Event) {
         let started = Instant::now();
         let now = self.parts.clock.now();
+        let config_confirmed = self.scheduler.tables().config_confirmed_at;
+        self.suspensions.check(now, config_confirmed);
         self.scheduler.step(now, event, &mut self.actions);
         self.parts.metrics.observe_decision(started.elapsed());
         let mut actions = std::mem::take(&mut self.actions);
--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -14,7 +14,6 @@
 use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep_until, timeout_at};
 
 use self::parts::{DriverOutputs, EdgeParts};
 use crate::clock::{Clock, millis};
@@ -27,7 +26,7 @@
 use crate::instance::{AbortOnPanic, StartError, open};
 use crate::peer::{OpenTunnels, SelfStatus};
 use crate::source::{PendingRecords, ResourceSource};
-use crate::telemetry::{LogLimiter, discard_logger};
+use crate::telemetry::{LogLimiter, discard_logger, log_uncounted_suspensions};
 
 /// Time after the stop request during which calls are still accepted. The load balancer checks
 /// readiness once a second and removes an instance after two failures, and connections passed on
@@ -62,6 +61,7 @@
     stop_rest: watch::Sender<bool>,
     tunnels: OpenTunnels,
     stop_time: Duration,
+    clock: Clock,
     log: Logger,
     log_limiter: Arc<LogLimiter>,
 }
@@ -157,6 +157,7 @@
         let options = ServerOptions::new(&self.settings.limits);
         let handle = move |r| ingress.clone().handle(r);
         let serving = tokio::spawn(serve(callers, options, ingress_stop_receiver, handle));
+        log_uncounted_suspensions(&self.log);
         info!(self.log, "started"; "zone" => &self.settings.instance.zone,
             "incarnation" => parts.member.incarnation.to_string());
         Ok(RunningEdge {
@@ -168,6 +169,7 @@
             stop_rest,
             tunnels: parts.tunnels.clone(),
             stop_time: Duration::from_secs(self.settings.limits.stop_seconds),
+            clock: self.clock,
             log: self.log,
             log_limiter: parts.log_limiter,
         })
@@ -188,18 +190,24 @@
     /// noticed, and lets running requests and connections passed on for peers finish here, all within
     /// the time that the platform allows.
     pub async fn stop(self) {
-        let now = Instant::now();
+        let now = self.clock.now();
         let end = now + self.stop_time.saturating_sub(SHUTDOWN_RESERVE);
         info!(self.log, "stopping"; "millis" => millis(self.stop_time));
         self.ingress.set(IngressPhase::Closing);
         let _ = self.inputs.send(Input::Event(Event::Drain)).await;
-        sleep_until((now + SERVE_AFTER_STOP).min(end)).await;
+        self.clock
+            .sleep_until((now + SERVE_AFTER_STOP).min(end))
+            .await;
         self.ingress.set(IngressPhase::Closed);
         self.stop_ingress.send_replace(true);
-        let finished = timeout_at(end, self.serving).await.is_ok()
-            && timeout_at(end, self.tunnels.wait_until_closed())
-                .await
-                .is_ok();
+        let serving_and_tunnels = async {
+            let _ = self.serving.await;
+            self.tunnels.wait_until_closed().await;
+        };
+        let finished = tokio::select! {
+            () = serving_and_tunnels => true,
+            () = self.clock.sleep_until(end) => false,
+        };
         if !finished {
             warn!(self.log, "stopped before everything was finished");
         }
--- a/crates/firdock-node/src/instance.rs
+++ b/crates/firdock-node/src/instance.rs
@@ -20,11 +20,12 @@
 
 use self::components::Components;
 use self::start::spawn_driver;
+use crate::clock::Clock;
 use crate::config::Hub;
 use crate::http::{ServerOptions, serve};
 use crate::input::{INPUT_QUEUE_CAPACITY, Input};
 use crate::peer::{PeerServer, SelfStatus, run_heartbeats, serve_peers};
-use crate::telemetry::discard_logger;
+use crate::telemetry::{discard_logger, log_uncounted_suspensions};
 
 /// Time for the load balancer to notice that a stopping instance is not ready any more.
 const BALANCER_TIME: Duration = Duration::from_millis(1_500);
@@ -56,6 +57,7 @@
     stop_rest: watch::Sender<bool>,
     threads: Vec<thread::JoinHandle<()>>,
     stop_time: Duration,
+    clock: Clock,
     log: Logger,
 }
 
@@ -134,6 +136,7 @@
         });
         let ingress = tokio::spawn(ingress);
         let operators = components.operators(inputs.clone(), operators_stop)?;
+        log_uncounted_suspensions(&self.log);
         info!(self.log, "started"; "callers" => callers.to_string(),
             "operators" => operators.to_string(), "peers" => peers.to_string());
         Ok(Running {
@@ -149,6 +152,7 @@
             stop_rest,
             threads,
             stop_time: Duration::from_secs(s.limits.stop_seconds),
+            clock: components.clock,
             log: self.log,
         })
     }
@@ -162,10 +166,12 @@
         self.hub.update(|h| h.stopping = true);
         self.hub.wake();
         let _ = self.inputs.send(Input::Event(Event::Drain)).await;
-        tokio::time::sleep(BALANCER_TIME).await;
-        let finished = timeout(self.stop_time, self.drained.wait_for(|d| *d))
-            .await
-            .is_ok();
+        let noticed = self.clock.now() + BALANCER_TIME;
+        self.clock.sleep_until(noticed).await;
+        let finished = tokio::select! {
+            _ = self.drained.wait_for(|d| *d) => true,
+            () = self.clock.sleep_until(noticed + self.stop_time) => false,
+        };
         if !finished {
             slog::warn!(self.log, "stopped before everything was finished");
         }
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -28,7 +28,7 @@
 use slog::{Logger, debug, info};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::{MissedTickBehavior, interval};
 
 use self::bootstrap::Bootstrap;
 use self::reply::ReplyQueue;
@@ -177,10 +177,10 @@
                     known = self.report_known_count(known).await;
                     self.send_at_once().await;
                 }
-                () = sleep_until_due(bootstrap.next(now, &self.reads, &self.directory), now) => {
+                () = sleep_until_due(self.clock, bootstrap.next(now, &self.reads, &self.directory)) => {
                     self.send_query(&mut bootstrap).await;
                 }
-                () = sleep_until_due(replies.next(&self.reads, &self.directory), now) => {
+                () = sleep_until_due(self.clock, replies.next(&self.reads, &self.directory)) => {
                     self.send_next_reply(&mut replies).await;
                 }
                 Some(new) = wait_for_urgent_change(&mut self_status, &urgent) => {
@@ -190,7 +190,7 @@
                     self.send_state_change(own).await;
                 }
                 () = self.streams.wait_for_pending() => self.send_stream_messages().await,
-                () = sleep_until_due(self.streams.send_at(), now) => self.send_stream_messages().await,
+                () = sleep_until_due(self.clock, self.streams.send_at()) => self.send_stream_messages().await,
                 () = self.reads.wait_for_change() => self.confirm_arrivals().await,
                 () = stopped(&mut stop) => break,
             }
@@ -483,9 +483,9 @@
 }
 
 /// Waits until `due`, or forever if it is `None`.
-async fn sleep_until_due(due: Option<Time>, now: Time) {
+async fn sleep_until_due(clock: Clock, due: Option<Time>) {
     match due {
-        Some(due) => sleep(due.saturating_sub(now)).await,
+        Some(due) => clock.sleep_until(due).await,
         None => pending().await,
     }
 }
--- a/crates/firdock-node/src/peer/reads.rs
+++ b/crates/firdock-node/src/peer/reads.rs
@@ -20,7 +20,6 @@
 use firdock_core::{Offset, Version};
 use firdock_policy::Time;
 use tokio::sync::Notify;
-use tokio::time::sleep;
 use uuid::Uuid;
 
 pub use self::echo::{EchoedRead, ReadEcho};
@@ -319,7 +318,7 @@
                 return due;
             }
             tokio::select! {
-                () = sleep(next.saturating_sub(now)) => {}
+                () = clock.sleep_until(next) => {}
                 () = self.changed.notified() => {}
             }
         }
--- a/crates/firdock-node/src/telemetry.rs
+++ b/crates/firdock-node/src/telemetry.rs
@@ -13,6 +13,7 @@
 pub mod shares;
 pub mod state_changes;
 pub mod suspects;
+pub mod suspensions;
 pub mod trace;
 
 pub use answer_metrics::AnswerMetrics;
@@ -26,4 +27,5 @@
 pub use shares::ShareLog;
 pub use state_changes::StateChangeLog;
 pub use suspects::{SuspectList, SuspectLog, SuspectStates};
+pub use suspensions::{SuspensionLog, log_uncounted_suspensions};
 pub use trace::{Span, TraceContext};
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -94,6 +94,8 @@
     store_calls: Family<ByCall, Counter>,
     topic_ages: Family<ByTopic, Gauge>,
     reads_ahead: Family<ByTopic, Counter>,
+    suspensions: Counter,
+    suspended: Counter<f64, AtomicU64>,
     buffered_answers: AnswerMetrics,
     endpoints: EndpointList,
     suspects: SuspectList,
@@ -161,6 +163,8 @@
             store_calls: Family::default(),
             topic_ages: Family::default(),
             reads_ahead: Family::default(),
+            suspensions: Counter::default(),
+            suspended: Counter::default(),
             buffered_answers: AnswerMetrics::default(),
             endpoints: EndpointList::default(),
             suspects: SuspectList::default(),
@@ -284,6 +288,12 @@
             .inc();
     }
 
+    /// Counts a suspension of the machine.
+    pub fn record_suspension(&self, length: Duration) {
+        self.suspensions.inc();
+        self.suspended.inc_by(length.as_secs_f64());
+    }
+
     /// Counts an entry of an endpoint that describes no usable endpoint.
     pub fn count_refused_entry(&self) {
         self.entries_refused.inc();
--- a/crates/firdock-node/src/telemetry/metrics/register.rs
+++ b/crates/firdock-node/src/telemetry/metrics/register.rs
@@ -87,6 +87,7 @@
             "Time since a topic of the store was last read, by this instance and by any",
             self.topic_ages.clone(),
         );
+        self.register_suspensions(&mut r);
         r.register(
             "reads_ahead",
             "Reads of the store that lie ahead of the clock of the instance that knows them",
@@ -100,6 +101,19 @@
         );
     }
 
+    fn register_suspensions(&self, r: &mut Registry) {
+        r.register(
+            "suspensions",
+            "Suspensions of the machine",
+            self.suspensions.clone(),
+        );
+        r.register(
+            "suspended_seconds",
+            "Time for which the machine was suspended",
+            self.suspended.clone(),
+        );
+    }
+
     /// Registers the metrics of dispatches and of failing endpoints.
     fn register_dispatches(&self, r: &mut Registry) {
         r.register(
