Silence of others counts from the return of an instance that did not run

Cause: whoever was not heard for a time is forgotten, also if nobody listened. The class: one's own absence is taken for another's silence.

Now Absence notices by the regular heartbeat and timer that the instance did not run, and silence counts from the return. Parts of limits go by what is heard, as before: one of all known until heartbeats arrive.

Evidence: nobody_is_forgotten_while_the_instance_itself_did_not_run and a_hand_over_does_not_end_because_the_instance_itself_did_not_run fail without the check and pass with it; the tests of silent peers pass as they were.

--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -165,6 +165,7 @@
                 },
                 _ = ticks.tick() => {
                     tick += 1;
+                    self.directory.record_activity(self.clock.now());
                     decides = self.report_decides(decides).await;
                     self.send(tick).await;
                     self.report_reads(tick);
--- a/crates/firdock-node/src/peer/directory.rs
+++ b/crates/firdock-node/src/peer/directory.rs
@@ -12,6 +12,7 @@
 use firdock_core::{InstanceId, ZoneId};
 use firdock_policy::Time;
 use firdock_policy::event::PoolDemand;
+use firdock_policy::table::absence::Absence;
 use firdock_policy::table::peer::MAX_PEERS;
 use tokio::sync::Notify;
 
@@ -21,6 +22,9 @@
 
 /// Time without heartbeats after which an instance is forgotten, as it was replaced or removed.
 const EXPIRE_AFTER: Duration = Duration::from_mins(1);
+/// Time between two heartbeats of this instance from which on it did not run meanwhile. After a shorter absence no
+/// instance that was heard before it is forgotten.
+const MIN_ABSENCE: Duration = Duration::from_secs(30);
 /// Time without heartbeats after which an instance no longer counts as live.
 const LIVE_WITHIN: Duration = Duration::from_secs(5);
 
@@ -108,6 +112,8 @@
     reported_size: Mutex<ReportedSize>,
     /// Instances that announced their stop, and when. Others may still list them for a while.
     departed: Mutex<BTreeMap<InstanceId, Time>>,
+    /// When this instance did not run, as its own heartbeats tell.
+    absence: Mutex<Absence>,
 }
 
 impl PeerDirectory {
@@ -125,6 +131,7 @@
             groups: Mutex::default(),
             reported_size: Mutex::default(),
             departed: Mutex::default(),
+            absence: Mutex::default(),
         }
     }
 
@@ -274,14 +281,20 @@
         self.departed().insert(name.to_owned(), now);
     }
 
+    /// Records that this instance runs; must be called with each of its heartbeats. While it does not run, nobody's
+    /// silence counts: a share of each limit that it computed without the others would be too large.
+    pub fn record_activity(&self, now: Time) {
+        self.absence().check(now, MIN_ABSENCE);
+    }
+
     /// Removes instances without recent heartbeats and returns the number of other instances of the
     /// site.
     pub fn sweep(&self, now: Time) -> usize {
         self.departed().retain(|_, at| *at + LIVE_WITHIN > now);
         self.reported_size()
-            .take_if(|(at, _)| *at + EXPIRE_AFTER <= now);
+            .take_if(|(at, _)| !self.is_recent(*at, now));
         let mut entries = self.lock();
-        entries.retain(|_, e| e.last_seen + EXPIRE_AFTER > now);
+        entries.retain(|_, e| self.is_recent(e.last_seen, now));
         self.prune(&mut entries, now);
         drop(entries);
         self.count(now)
@@ -315,6 +328,15 @@
         live.map(known_peer).collect()
     }
 
+    /// Returns whether something heard at `at` has not expired.
+    fn is_recent(&self, at: Time, now: Time) -> bool {
+        at.max(self.absence().runs_since()) + EXPIRE_AFTER > now
+    }
+
+    fn absence(&self) -> MutexGuard<'_, Absence> {
+        self.absence.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn departed(&self) -> MutexGuard<'_, BTreeMap<InstanceId, Time>> {
         self.departed.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/firdock-node/src/peer/directory/partial.rs
+++ b/crates/firdock-node/src/peer/directory/partial.rs
@@ -8,7 +8,7 @@
 use firdock_policy::Time;
 
 use super::group::{first_of_zones, lead_priority_of};
-use super::{EXPIRE_AFTER, Entries, Entry, Millicores, PeerDirectory, PeerRecord, known_peer};
+use super::{Entries, Entry, Millicores, PeerDirectory, PeerRecord, known_peer};
 
 /// Number of instances from which directories are partial. An instance then tracks its own group
 /// and the most powerful instances of each other group, which report for the rest, so that memory
@@ -33,7 +33,7 @@
     /// Returns the number of instances that was reported recently; zero if there is none.
     fn recent_site_size(&self, now: Time) -> usize {
         let reported = *self.reported_size();
-        let reported = reported.filter(|(at, _)| *at + EXPIRE_AFTER > now);
+        let reported = reported.filter(|(at, _)| self.is_recent(*at, now));
         reported.map_or(0, |(_, count)| count)
     }
 
@@ -103,7 +103,7 @@
         let groups = self.groups();
         let fresh = groups
             .iter()
-            .filter(|(zone, count)| **zone != self.zone && count.at + EXPIRE_AFTER > now);
+            .filter(|(zone, count)| **zone != self.zone && self.is_recent(count.at, now));
         let others: usize = fresh.map(|(_, count)| count.known).sum();
         drop(groups);
         (self.group_size() + others).max(self.recent_site_size(now))
--- a/crates/firdock-node/tests/node/large_site.rs
+++ b/crates/firdock-node/tests/node/large_site.rs
@@ -135,6 +135,33 @@
     assert_eq!(directory.site_live(now), 100 + 5 * 90);
 }
 
+/// Guards against an instance that forgets all others, and takes whole limits for itself, since it did not run for
+/// longer than a silent instance is remembered.
+#[test]
+fn nobody_is_forgotten_while_the_instance_itself_did_not_run() {
+    let directory = directory_of(0);
+    directory.set_site_size(985, START);
+    for n in (ZONES..600).step_by(ZONES) {
+        receive_heartbeat(&directory, n, START);
+    }
+    for zone in 1..ZONES {
+        directory.record_group(&format!("zone-{zone}"), 95, 100, START);
+    }
+    directory.record_activity(START);
+    assert_eq!(directory.sweep(START), 984);
+    let back = START + Duration::from_mins(10);
+    directory.record_activity(back);
+    assert_eq!(directory.sweep(back), 984);
+    assert!(!directory.any_live(back), "it has heard nobody yet");
+    // From then on it runs, and hears nobody.
+    let mut now = back;
+    while now < back + Duration::from_mins(1) {
+        now += Duration::from_millis(200);
+        directory.record_activity(now);
+    }
+    assert_eq!(directory.sweep(now), 0);
+}
+
 #[test]
 fn a_starting_instance_gets_its_group_and_the_strongest_peers_from_the_reader_of_the_list() {
     let directory = directory_of(0);
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -1,5 +1,7 @@
 //! The scheduler: takes one event at a time and returns the resulting actions.
 
+use std::time::Duration;
+
 use crate::action::Action;
 use crate::event::Event;
 use crate::settings::PolicySettings;
@@ -11,6 +13,9 @@
 use crate::table::{ReachableInstances, Tables};
 use crate::time::Time;
 
+/// Time between two runs of the timer systems from which on the instance did not run meanwhile.
+const MIN_ABSENCE: Duration = Duration::from_secs(2);
+
 /// A decision procedure: this scheduler, or a simpler baseline in measurements.
 pub trait Policy {
     /// Handles an event at the time `now` and appends the resulting actions.
@@ -94,6 +99,7 @@
             Event::Decides(decides) => rollout::set_decides(t, decides),
             Event::Drain => t.draining = true,
             Event::Timer => {
+                t.absence.check(now, MIN_ABSENCE);
                 demand::update_rates(t, now);
                 budget::refresh_budgets(t, now);
                 handover::end_silent_hand_overs(t, now, out);
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -1,5 +1,6 @@
 //! The tables of entities that the systems operate on.
 
+pub mod absence;
 pub mod account;
 pub mod build_history;
 pub mod dispatch_rates;
@@ -138,6 +139,8 @@
     pub suspects: suspects::Suspects,
     /// Exits of endpoints and broken runs of the last seconds.
     pub endpoint_exits: endpoint_exits::EndpointExits,
+    /// When the instance did not run, as its timer tells.
+    pub absence: absence::Absence,
     /// Counters.
     pub stats: Stats,
 }
@@ -149,6 +152,12 @@
         self.known_peers.unwrap_or(0).max(self.peers.len())
     }
 
+    /// Returns since when the instance has run: before that it heard nobody.
+    #[must_use]
+    pub fn runs_since(&self) -> Time {
+        self.absence.runs_since()
+    }
+
     /// Returns whether the site is small enough for all instances to be one group.
     #[must_use]
     pub fn is_single_group(&self) -> bool {
@@ -239,6 +248,7 @@
             rollouts: rollout::Rollouts::default(),
             suspects: suspects::Suspects::default(),
             endpoint_exits: endpoint_exits::EndpointExits::default(),
+            absence: absence::Absence::default(),
             stats: Stats::default(),
         }
     }
--- a/crates/firdock-policy/tests/policy/rules.rs
+++ b/crates/firdock-policy/tests/policy/rules.rs
@@ -396,3 +396,28 @@
         [(id(1), Outcome::Unknown, Reason::PeerLost)]
     );
 }
+
+/// Guards against hand-overs that end, with an unknown outcome, since their instance itself did not run for a while and
+/// takes the silence of that time for the peer's.
+#[test]
+fn a_hand_over_does_not_end_because_the_instance_itself_did_not_run() {
+    let mut d = TestScheduler::new(settings("a"));
+    let other = Member {
+        name: "b".to_owned(),
+        incarnation: Uuid::from_u64_pair(2, 0),
+    };
+    d.view(1, true, vec![other]);
+    d.read_log(LOG_START);
+    let handed = d.arrive(with_key(request(1, "orders", "shop"), 1, Some(LOG_START)));
+    assert!(matches!(&*handed, [Action::HandOver { .. }]), "{handed:?}");
+    assert!(d.advance(Duration::ZERO).is_empty());
+    assert!(d.advance(Duration::from_secs(30)).is_empty());
+    for _ in 0..9 {
+        assert!(d.advance(Duration::from_secs(1)).is_empty());
+    }
+    let ends = d.advance(Duration::from_secs(2));
+    assert!(
+        matches!(&ends[0], Action::CancelHandOver { .. }),
+        "{ends:?}"
+    );
+}
