A request is sent only by a configuration that admits it

Its instance was cut off from the store when the head came and reached it before the body ended.

Cause: key and route were looked up once, when the head was in; what went on was the account's name, and the freshness checked at the write was that of a later configuration. The class: a check and the statement that vouches for it are of two moments. The queue, the wait for a connection and second tries had it as well.

Now a request keeps what admitted it (route, hash of the key) in its instance, and is judged again when services or accounts have changed: after its body, at the scheduler, and in flight when the change comes into force. Held requests end at once (503 access-changed, not run), dispatches that are not written are withheld, second tries are not sent (502), answers that have begun go on. Without a change one comparison a request is added. Both interfaces decide by one SiteView::admit. 401 after the body where the configuration is recent enough to deny; 503 in flight, since a 401 of an instance that is behind would be final.

--- a/crates/firdock-core/src/outcome.rs
+++ b/crates/firdock-core/src/outcome.rs
@@ -72,6 +72,8 @@
     RateLimited,
     /// The instance cannot determine whether its configuration is still in force.
     StateStale,
+    /// The configuration changed while the request waited, and no longer admits it as it was admitted.
+    AccessChanged,
     /// No endpoint of the software version that began the stream takes requests any more.
     VersionGone,
     /// The software version that began the stream is not known here.
@@ -99,6 +101,7 @@
             Self::TimedOut => "timed-out",
             Self::RateLimited => "rate-limited",
             Self::StateStale => "state-stale",
+            Self::AccessChanged => "access-changed",
             Self::VersionGone => "version-gone",
             Self::VersionUnknown => "version-unknown",
         }
--- a/crates/firdock-core/tests/core/outcomes.rs
+++ b/crates/firdock-core/tests/core/outcomes.rs
@@ -23,6 +23,7 @@
         Reason::TimedOut,
         Reason::RateLimited,
         Reason::StateStale,
+        Reason::AccessChanged,
     ] {
         let status = reason.status(Outcome::Unknown);
         assert!(!NOT_RUN_STATUSES.contains(&status), "{reason}: {status}");
--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -15,7 +15,7 @@
 
 use firdock_core::RequestId;
 use firdock_policy::event::{DispatchUpdate, EndpointEvent, HandOverEvent};
-use firdock_policy::request::StreamOrigin;
+use firdock_policy::request::{NewRequest, StreamOrigin};
 use firdock_policy::table::Revision;
 use firdock_policy::{Action, Event, Policy as _, Scheduler, Time};
 use slog::{Logger, warn};
@@ -204,6 +204,10 @@
                     },
                 );
                 let infers_build = new.stream_origin == StreamOrigin::Unknown;
+                let new = NewRequest {
+                    access_changed: self.has_lost_access(id),
+                    ..new
+                };
                 self.step(Event::Arrived(new));
                 if infers_build {
                     self.log_inferred_build(id);
@@ -228,7 +232,11 @@
                 let now = self.parts.clock.now();
                 let (log, log_limiter) = (&self.parts.log, &self.parts.log_limiter);
                 restarts::log_restarts(log, log_limiter, now, self.scheduler.tables(), catalog);
-                self.parts.site.set(catalog);
+                if self.parts.site.set(catalog) {
+                    self.apply(event);
+                    self.withdraw_unadmitted();
+                    return;
+                }
             }
             Event::ConfigConfirmed(at) => self.parts.site.set_fresh(*at),
             Event::Endpoint(update) => self.log_dispatch_update(update),
@@ -254,6 +262,25 @@
         }
     }
 
+    /// Returns whether a request was admitted by an earlier configuration and is not by the one in force.
+    fn has_lost_access(&self, id: RequestId) -> bool {
+        let Some(request) = self.active.get(&id) else {
+            return false;
+        };
+        let (view, payload) = (self.parts.site.view(), &request.exchange.payload);
+        let revision = payload.admitted_at();
+        revision.is_some_and(|r| r != view.access_revision()) && !payload.is_admitted_by(&view)
+    }
+
+    /// Withdraws the requests that a changed configuration does not admit as they were admitted.
+    fn withdraw_unadmitted(&mut self) {
+        let ids = self.active.keys().copied();
+        let lost: Vec<RequestId> = ids.filter(|id| self.has_lost_access(*id)).collect();
+        for id in lost {
+            self.apply(Event::AccessChanged(id));
+        }
+    }
+
     /// Logs an update of a dispatch. Must be called before the request's row is removed.
     fn log_dispatch_update(&self, event: &EndpointEvent) {
         let row = self.scheduler.tables().requests.get(event.id);
@@ -495,7 +522,7 @@
 /// Returns the request that an event concerns.
 fn request_of(event: &Event) -> Option<RequestId> {
     match event {
-        Event::CallerLeft(id) | Event::NotGranted(id, _) => Some(*id),
+        Event::CallerLeft(id) | Event::AccessChanged(id) | Event::NotGranted(id, _) => Some(*id),
         Event::Endpoint(e) => Some(e.id),
         Event::Granted(grant) => Some(grant.id),
         Event::HandOver(e) => Some(match e {
--- a/crates/firdock-node/src/exchange.rs
+++ b/crates/firdock-node/src/exchange.rs
@@ -17,6 +17,7 @@
 pub use self::queue::{AnswerReceiver, AnswerSender, SendResult};
 use crate::endpoint::AnswerEnd;
 use crate::ingress::ModelCall;
+use crate::site::{AccessRequest, AccessRevision, SiteView};
 use crate::telemetry::TraceContext;
 
 /// A call without the headers that belong to the connection or to the authentication.
@@ -26,6 +27,8 @@
     pub service: ServiceId,
     /// Client account that sent it.
     pub account: AccountId,
+    /// What it was admitted by; `None` if a peer admitted it, which does not pass keys on.
+    pub access: Option<AccessRequest>,
     /// Method.
     pub method: Method,
     /// Path and query.
@@ -53,6 +56,20 @@
         )
     }
 
+    /// Returns whether a later configuration admits the request to the same service for the same account.
+    pub(crate) fn is_admitted_by(&self, view: &SiteView) -> bool {
+        let Some(access) = &self.access else {
+            return true;
+        };
+        let admitted = view.admit(access);
+        admitted.is_ok_and(|a| a.service.name == self.service && a.account == self.account)
+    }
+
+    /// Returns the services and accounts that admitted the request, if this instance did.
+    pub(crate) fn admitted_at(&self) -> Option<AccessRevision> {
+        self.access.as_ref().map(|access| access.revision)
+    }
+
     /// Computes the identities of the prompt's shared segments.
     fn segments(&self) -> impl Iterator<Item = Content> {
         let segments = self.terms.segments.iter();
--- a/crates/firdock-node/src/ingress/answer.rs
+++ b/crates/firdock-node/src/ingress/answer.rs
@@ -10,6 +10,31 @@
 use serde_json::json;
 
 use super::body::AnswerBody;
+use crate::site::Denial;
+
+impl From<Denial> for Problem {
+    /// Creates the final refusal of a request that the configuration does not admit.
+    fn from(denial: Denial) -> Self {
+        let (status, reason, detail) = match denial {
+            Denial::NoService => (
+                StatusCode::NOT_FOUND,
+                "no-service",
+                "no service matches the call",
+            ),
+            Denial::Unauthorized => (
+                StatusCode::UNAUTHORIZED,
+                "unauthorized",
+                "a key of a known account is required",
+            ),
+            Denial::Forbidden => (
+                StatusCode::FORBIDDEN,
+                "forbidden",
+                "the account may not call this service",
+            ),
+        };
+        Self::new(status, reason, detail)
+    }
+}
 
 /// Header with the outcome of a request.
 pub const OUTCOME_HEADER: HeaderName = HeaderName::from_static("firdock-outcome");
--- a/crates/firdock-node/src/ingress/handler.rs
+++ b/crates/firdock-node/src/ingress/handler.rs
@@ -200,6 +200,7 @@
             head,
             body,
             arrived: self.clock.now(),
+            clock: self.clock,
         };
         self.interface.read(call).await
     }
--- a/crates/firdock-node/src/ingress/interface.rs
+++ b/crates/firdock-node/src/ingress/interface.rs
@@ -18,6 +18,7 @@
 
 use super::answer::Problem;
 use super::body::AnswerBody;
+use crate::clock::Clock;
 use crate::exchange::Payload;
 use crate::site::Site;
 
@@ -32,6 +33,8 @@
     pub body: CallBody,
     /// Time at which the head was read.
     pub arrived: Time,
+    /// Clock of the instance.
+    pub clock: Clock,
 }
 
 /// The body of a call that is not read yet, with its limits.
--- a/crates/firdock-node/src/ingress/native.rs
+++ b/crates/firdock-node/src/ingress/native.rs
@@ -1,7 +1,7 @@
 //! The native interface: bearer keys, OpenAI-compatible calls for models, plain calls for services.
 
 use bytes::Bytes;
-use firdock_core::{AccountId, Outcome};
+use firdock_core::{Outcome, credential};
 use hyper::header::{self, HeaderName};
 use hyper::{HeaderMap, Response, StatusCode};
 
@@ -12,7 +12,7 @@
 use super::model::ModelCall;
 use crate::exchange::{CallTerms, Payload};
 use crate::http::strip_hop_by_hop;
-use crate::site::SiteView;
+use crate::site::{AccessRequest, Admission, Denial, RouteQuery};
 
 /// Header that carries the caller's idempotency key.
 const KEY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
@@ -26,27 +26,32 @@
 impl Interface for NativeInterface {
     /// Authenticates a call and finds its service.
     async fn read(&self, call: IncomingCall) -> Result<Payload, Problem> {
-        let view = call.site.view();
-        let account = authenticate(&view, &call.head.headers)?;
+        let hash = bearer(&call.head.headers).map(credential::hash_bearer);
+        let known = hash.filter(|hash| call.site.view().account(hash).is_some());
+        let hash = known.ok_or(Denial::Unauthorized)?;
         let key = read_key(&call.head.headers)?;
         let body = call.body.read().await?;
         let head = call.head;
         let path = head.uri.path();
         let model = read_model(path, &body)?;
-        let service = match &model {
-            Some(call) => view.model_service(&call.model),
-            None => view.plain_service(path),
+        let route = match &model {
+            Some(call) => RouteQuery::Model(call.model.clone()),
+            None => RouteQuery::Path(path.to_owned()),
+        };
+        // The body may have taken long, so that another configuration is in force.
+        let view = call.site.view();
+        let access = AccessRequest {
+            route,
+            key: Some(hash),
+            revision: view.access_revision(),
         };
-        let service = service.ok_or_else(no_service)?;
-        if !service.accounts.is_empty() && !service.accounts.contains(&account) {
-            let detail = "the account may not call this service";
-            return Err(Problem::new(StatusCode::FORBIDDEN, "forbidden", detail));
-        }
+        let Admission { service, account } = view.admit(&access)?;
         let target = head.uri.path_and_query();
         let target = target.map_or("/", |t| t.as_str()).to_owned();
         Ok(Payload {
             service: service.name.clone(),
-            account,
+            account: account.to_owned(),
+            access: Some(access),
             method: head.method,
             target,
             headers: passed_headers(head.headers),
@@ -71,16 +76,9 @@
     }
 }
 
-fn authenticate(view: &SiteView, headers: &HeaderMap) -> Result<AccountId, Problem> {
-    let given = headers
-        .get(header::AUTHORIZATION)
-        .and_then(|v| v.to_str().ok());
-    let key = given.and_then(|v| v.strip_prefix(BEARER));
-    let account = key.and_then(|key| view.account(key.trim()));
-    account.cloned().ok_or_else(|| {
-        let detail = "a bearer key of a known account is needed";
-        Problem::new(StatusCode::UNAUTHORIZED, "unauthorized", detail)
-    })
+fn bearer(headers: &HeaderMap) -> Option<&str> {
+    let given = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+    given.strip_prefix(BEARER).map(str::trim)
 }
 
 fn read_key(headers: &HeaderMap) -> Result<Option<String>, Problem> {
@@ -107,11 +105,6 @@
         .map_err(|e| Problem::new(StatusCode::BAD_REQUEST, "bad-call", e.to_string()))
 }
 
-fn no_service() -> Problem {
-    let detail = "no service matches the model or path";
-    Problem::new(StatusCode::NOT_FOUND, "no-service", detail)
-}
-
 /// Removes the headers that are not forwarded to endpoints, among them the caller's bearer key.
 fn passed_headers(mut headers: HeaderMap) -> HeaderMap {
     strip_hop_by_hop(&mut headers);
--- a/crates/firdock-node/src/lib.rs
+++ b/crates/firdock-node/src/lib.rs
@@ -31,4 +31,4 @@
 pub use exchange::{AnswerHead, AnswerPart, CallTerms, Payload};
 pub use input::Input;
 pub use instance::{Instance, Running, StartError};
-pub use site::{EndpointLocation, Site, SiteView};
+pub use site::{AccessRequest, Admission, Denial, EndpointLocation, RouteQuery, Site, SiteView};
--- a/crates/firdock-node/src/peer/serve.rs
+++ b/crates/firdock-node/src/peer/serve.rs
@@ -248,6 +248,7 @@
     let payload = Payload {
         service: order.service,
         account: order.account,
+        access: None,
         method,
         target: order.target,
         headers: read_headers(order.headers),
--- a/crates/firdock-node/src/site.rs
+++ b/crates/firdock-node/src/site.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use firdock_core::credential::{self, KeyHash};
-use firdock_core::resource::{Catalog, EndpointKind, Service, ServiceKind};
+use firdock_core::resource::{Account, Catalog, EndpointKind, Service, ServiceKind};
 use firdock_core::{AccountId, EndpointId};
 use firdock_policy::Time;
 
@@ -27,9 +27,55 @@
     pub event_tokens: u32,
 }
 
+/// Number of a set of services and accounts, which grows with each change of them.
+pub type AccessRevision = u64;
+
+/// How a request names its service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RouteQuery {
+    /// By the name of a model.
+    Model(String),
+    /// By the path of a plain call.
+    Path(String),
+    /// By host and path.
+    HostAndPath(String, String),
+}
+
+/// What a request is admitted by. A later configuration judges it by the same.
+#[derive(Debug, Clone)]
+pub struct AccessRequest {
+    /// How it names its service.
+    pub route: RouteQuery,
+    /// Hash of the caller's key, if it gave one.
+    pub key: Option<KeyHash>,
+    /// Services and accounts by which it was admitted.
+    pub revision: AccessRevision,
+}
+
+/// Why a configuration does not admit a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Denial {
+    /// No service matches it.
+    NoService,
+    /// Its service requires the key of an account.
+    Unauthorized,
+    /// Its account may not call the service.
+    Forbidden,
+}
+
+/// Service and account of an admitted request.
+#[derive(Debug, Clone, Copy)]
+pub struct Admission<'a> {
+    /// Service.
+    pub service: &'a Service,
+    /// Account; [`Account::ANONYMOUS`] for public services.
+    pub account: &'a str,
+}
+
 /// Indexed view of one catalog.
 #[derive(Debug, Default)]
 pub struct SiteView {
+    access_revision: AccessRevision,
     accounts: HashMap<[u8; INDEX_BYTES], Vec<(KeyHash, AccountId)>>,
     services: Vec<Service>,
     locations: HashMap<EndpointId, EndpointLocation>,
@@ -65,14 +111,46 @@
         view
     }
 
-    /// Finds the account of a bearer key.
+    /// Returns the number of these services and accounts.
+    #[must_use]
+    pub fn access_revision(&self) -> AccessRevision {
+        self.access_revision
+    }
+
+    /// Returns the service and the account of a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if this configuration does not admit the request.
+    pub fn admit(&self, request: &AccessRequest) -> Result<Admission<'_>, Denial> {
+        let service = self.service(&request.route).ok_or(Denial::NoService)?;
+        if service.public {
+            let account = Account::ANONYMOUS;
+            return Ok(Admission { service, account });
+        }
+        let account = request.key.as_ref().and_then(|key| self.account(key));
+        let account = account.ok_or(Denial::Unauthorized)?;
+        if !service.accounts.is_empty() && !service.accounts.contains(account) {
+            return Err(Denial::Forbidden);
+        }
+        Ok(Admission { service, account })
+    }
+
+    fn service(&self, route: &RouteQuery) -> Option<&Service> {
+        match route {
+            RouteQuery::Model(name) => self.model_service(name),
+            RouteQuery::Path(path) => self.plain_service(path),
+            RouteQuery::HostAndPath(host, path) => self.routed_service(host, path),
+        }
+    }
+
+    /// Finds the account of a key by the key's hash.
     #[must_use]
-    pub fn account(&self, bearer: &str) -> Option<&AccountId> {
-        let hash = credential::hash_bearer(bearer);
-        let bucket = self.accounts.get(&index(&hash))?;
+    pub fn account(&self, hash: &KeyHash) -> Option<&AccountId> {
+        let bucket = self.accounts.get(&index(hash))?;
         let mut found = None;
         for (known, name) in bucket {
-            if credential::matches(known, &hash) {
+            if credential::matches(known, hash) {
                 found = Some(name);
             }
         }
@@ -170,12 +248,17 @@
         self.confirmed_at().map(|at| now.saturating_sub(at))
     }
 
-    /// Puts a catalog in force.
-    pub fn set(&self, catalog: &Catalog) {
-        let view = Arc::new(SiteView::new(catalog));
+    /// Puts a catalog in force; returns whether its services or accounts differ from those before.
+    pub fn set(&self, catalog: &Catalog) -> bool {
+        let before = self.view();
+        let mut view = SiteView::new(catalog);
+        let changed = view.services != before.services || view.accounts != before.accounts;
+        view.access_revision = before.access_revision + u64::from(changed);
+        let view = Arc::new(view);
         match self.view.write() {
             Ok(mut slot) => *slot = view,
             Err(e) => *e.into_inner() = view,
         }
+        changed
     }
 }
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -35,6 +35,8 @@
 pub enum Event {
     /// A request arrived.
     Arrived(NewRequest),
+    /// The configuration in force does not admit a request as it was admitted.
+    AccessChanged(RequestId),
     /// The caller disconnected.
     CallerLeft(RequestId),
     /// An endpoint reported the progress of a dispatch.
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -84,6 +84,9 @@
     /// Where it may run, if it continues a stream.
     #[serde(default, skip_serializing_if = "StreamOrigin::is_new")]
     pub stream_origin: StreamOrigin,
+    /// Whether an earlier configuration admitted it and the one in force does not.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub access_changed: bool,
 }
 
 /// Origin of the stream that an answer belongs to. What two software versions produce does not fit together, so a
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -6,9 +6,9 @@
 use crate::event::Event;
 use crate::settings::PolicySettings;
 use crate::system::{
-    admit, backoff, budget, config, continuation, coordinate, demand, dispatch_updates, drain,
-    early_refusal, expire, fair_share, fragile, handover, health, invariants, key, limit, liveness,
-    notice, pace_reports, permit, place, rollout, route, shed, suspect,
+    access, admit, backoff, budget, config, continuation, coordinate, demand, dispatch_updates,
+    drain, early_refusal, expire, fair_share, fragile, handover, health, invariants, key, limit,
+    liveness, notice, pace_reports, permit, place, rollout, route, shed, suspect,
 };
 use crate::table::{ReachableInstances, Tables};
 use crate::time::Time;
@@ -56,6 +56,7 @@
         let t = &mut self.tables;
         match event {
             Event::Arrived(new) => admit::admit_request(t, now, new, out),
+            Event::AccessChanged(id) => access::withdraw(t, id, out),
             Event::CallerLeft(id) => dispatch_updates::caller_left(t, now, id, out),
             Event::Endpoint(e) => dispatch_updates::handle_update(t, now, &e, out),
             Event::LivenessChecked(result) => liveness::handle_result(t, now, &result, out),
@@ -123,6 +124,7 @@
     fn step(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         self.apply(now, event, out);
         let t = &mut self.tables;
+        access::run(t, now, out);
         place::run(t, now, out);
         backoff::run(t, now, out);
         coordinate::request_placements(t, out);
--- a/crates/firdock-policy/src/system.rs
+++ b/crates/firdock-policy/src/system.rs
@@ -1,5 +1,6 @@
 //! Scheduling logic that runs over the tables, one module per concern.
 
+pub mod access;
 pub mod admit;
 pub mod attempts;
 pub mod backoff;
--- a/crates/firdock-policy/src/system/admit.rs
+++ b/crates/firdock-policy/src/system/admit.rs
@@ -5,7 +5,7 @@
 use firdock_core::resource::request_rank;
 use firdock_core::{Outcome, Reason, RequestId};
 
-use super::{attempts, continuation, fair_share, key, lifecycle, limit, suspect};
+use super::{access, attempts, continuation, fair_share, key, lifecycle, limit, suspect};
 use crate::action::Action;
 use crate::request::{KeyClaim, NewRequest, Origin, RequestRow, Verdict};
 use crate::table::Tables;
@@ -16,6 +16,10 @@
 
 /// Handles the arrival of a request.
 pub fn admit_request(t: &mut Tables, now: Time, mut new: NewRequest, out: &mut Vec<Action>) {
+    if new.access_changed {
+        reject(t, &new, access::verdict(Outcome::NotRun), out);
+        return;
+    }
     let Some((service, account)) = in_force(t, &new) else {
         reject(t, &new, undeclared_verdict(&new), out);
         return;
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -33,8 +33,11 @@
 pub mod unavailable;
 pub mod view;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use firdock_core::RequestId;
+
 pub use self::suspects::Revision;
 use crate::settings::PolicySettings;
 use crate::stats::Stats;
@@ -139,6 +142,8 @@
     pub suspects: suspects::Suspects,
     /// Exits of endpoints and broken runs of the last seconds.
     pub endpoint_exits: endpoint_exits::EndpointExits,
+    /// Requests that are not to be sent any more, since the configuration in force does not admit them.
+    pub withdrawn: BTreeSet<RequestId>,
     /// When the instance did not run, as its timer tells.
     pub absence: absence::Absence,
     /// Counters.
@@ -248,6 +253,7 @@
             rollouts: rollout::Rollouts::default(),
             suspects: suspects::Suspects::default(),
             endpoint_exits: endpoint_exits::EndpointExits::default(),
+            withdrawn: BTreeSet::new(),
             absence: absence::Absence::default(),
             stats: Stats::default(),
         }
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the policy: golden sessions, long random runs, and single rules.
 
+mod access;
 mod allowance;
 mod attempts;
 mod buffers;
