Tests: series of suspensions, cuts, changes and restarts in virtual time

Machines of the virtual site can be suspended: their processes stand still, timers run out later by as much, up to the 200 ms of Clock::sleep_until, and heartbeats wait in their sockets.

--- a/crates/firdock-node/tests/node/change_delay.rs
+++ b/crates/firdock-node/tests/node/change_delay.rs
@@ -1,6 +1,7 @@
 //! How late an instance in touch has a change of the configuration, whatever happens to its peers.
 
 mod clocks;
+mod suspensions;
 mod world;
 
 use std::time::Duration;
@@ -14,6 +15,8 @@
 const CONTACT: Duration = Duration::from_secs(3);
 /// Time after its confirmation at which a change is owed: `configuration_ms` of the deployments.
 const OWED_AFTER: Duration = Duration::from_secs(2);
+/// Age of the configuration beyond which requests with a key are refused: 0.8 of `revoke_ms` of the deployments.
+const SERVED_WITHIN: Duration = Duration::from_secs(4);
 /// Time for which a site runs before anything happens.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 /// Sizes of sites: one group, and groups of 5 and 17.
--- a/crates/firdock-node/tests/node/change_delay/clocks.rs
+++ b/crates/firdock-node/tests/node/change_delay/clocks.rs
@@ -6,10 +6,8 @@
 use proptest::prelude::*;
 
 use super::world::{ClockFault, Trouble, World};
-use super::{OWED_AFTER, SETTLE_TIME, millis};
+use super::{OWED_AFTER, SERVED_WITHIN, SETTLE_TIME, millis};
 
-/// Age of the configuration beyond which requests with a key are refused: 0.8 of `revoke_ms` of the deployments.
-const SERVED_WITHIN: Duration = Duration::from_secs(4);
 /// Time between two changes of a series.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(2_500);
 /// Sizes of sites: one group, groups of 5, and the groups of cedarsound-puzzles-grown.
--- a/crates/firdock-node/tests/node/change_delay/world.rs
+++ b/crates/firdock-node/tests/node/change_delay/world.rs
@@ -11,7 +11,7 @@
 };
 
 pub use self::clock::ClockFault;
-use self::instance::{Call, Instance, instance, on_wire, reads_on_wire, state};
+use self::instance::{Call, Heartbeat, Instance, instance, on_wire, reads_on_wire, state};
 
 /// Step of the virtual time.
 pub const STEP: Duration = Duration::from_millis(10);
@@ -21,6 +21,8 @@
 const READ_INTERVAL: Duration = Duration::from_millis(600);
 /// Time limit of a call to the store, likewise.
 const CALL_LIMIT: Duration = Duration::from_secs(1);
+/// Longest time by which a suspension delays the next look at what is due, beyond its own length.
+const LONGEST_SLEEP: Duration = Duration::from_millis(200);
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(600);
 /// Time that the store takes for an answer.
@@ -35,6 +37,9 @@
 pub enum Trouble {
     /// Its process stands still and goes on where it was.
     Frozen,
+    /// Its machine is suspended: its process stands still, its timers run out later by as much, and heartbeats wait in
+    /// its socket.
+    Suspended,
     /// It hears no peer, and none hears it; it reaches the store.
     CutFromPeers,
     /// The store does not answer it; it hears its peers.
@@ -63,6 +68,9 @@
     confirmed: Vec<Duration>,
     /// Number of calls to the store.
     pub calls: usize,
+    /// Longest time since the confirmation of a change for which any instance, in touch or not, accepted keys by the
+    /// version before.
+    pub longest_served: Duration,
 }
 
 impl World {
@@ -84,6 +92,7 @@
             store_troubled_at: Duration::ZERO,
             confirmed: vec![start],
             calls: 0,
+            longest_served: Duration::ZERO,
         };
         for n in 0..size {
             world.introduce(n);
@@ -163,6 +172,9 @@
     /// Ends the trouble of an instance.
     pub fn restore(&mut self, n: usize) {
         let trouble = self.instances[n].trouble.take();
+        if trouble == Some(Trouble::Suspended) {
+            self.resume(n);
+        }
         self.instances[n].troubled_at = self.now;
         if trouble == Some(Trouble::Killed) {
             let process = instance(n, self.now, CLOCK_START);
@@ -187,6 +199,19 @@
         }
     }
 
+    /// Lets a suspended instance go on: it reads the heartbeats that waited, and its timers run on.
+    fn resume(&mut self, n: usize) {
+        let instance = &mut self.instances[n];
+        let length = self.now.saturating_sub(instance.troubled_at);
+        instance.wakes_at = (instance.wakes_at + length).min(self.now + LONGEST_SLEEP);
+        if let Some(call) = instance.call.as_mut().filter(|call| !call.succeeds) {
+            call.ends += length;
+        }
+        for heartbeat in std::mem::take(&mut instance.waiting) {
+            self.receive_heartbeat(n, heartbeat);
+        }
+    }
+
     /// Lets a starting instance take the state of a peer.
     fn fetch_state(&mut self, n: usize) {
         let others = 0..self.instances.len();
@@ -243,6 +268,7 @@
                 self.step(n);
             }
             longest = longest.max(self.overdue());
+            self.longest_served = self.longest_served.max(self.served_outdated());
         }
         longest
     }
@@ -257,6 +283,19 @@
         })
     }
 
+    /// Returns the longest time since the confirmation of a change at an instance that does not have it and accepts
+    /// keys.
+    fn served_outdated(&self) -> Duration {
+        let accepts = |i: &&Instance| {
+            let age = i.clock.now().saturating_sub(i.reads.own().config_at);
+            i.runs() && age < super::SERVED_WITHIN
+        };
+        let accepting = self.instances.iter().filter(accepts);
+        let lacking = accepting.filter_map(|i| self.confirmed.get(i.version() as usize));
+        let delays = lacking.map(|confirmed| self.now.saturating_sub(*confirmed));
+        delays.max().unwrap_or_default()
+    }
+
     /// Returns whether an instance has been in touch with the store for [`super::CONTACT`]. Its peers do not matter.
     fn is_in_touch(&self, instance: &Instance) -> bool {
         let steady = matches!(instance.trouble, None | Some(Trouble::CutFromPeers));
@@ -298,12 +337,27 @@
     }
 
     fn deliver_heartbeat(&mut self, from: usize, to: usize, is_full: bool) {
-        if !self.instances[to].hears_peers() {
+        let waits = self.instances[to].trouble == Some(Trouble::Suspended);
+        if !waits && !self.instances[to].hears_peers() {
             return;
         }
         let sender = &self.instances[from];
-        let state = reads_on_wire(sender.reads.own());
-        let receiver = &self.instances[to];
+        let heartbeat = Heartbeat {
+            from,
+            state: reads_on_wire(sender.reads.own()),
+            sent_at: is_full.then(|| on_wire(sender.clock.now())),
+            echo: is_full.then(|| self.echo(from, to)).flatten(),
+        };
+        if waits {
+            self.instances[to].waiting.push(heartbeat);
+        } else {
+            self.receive_heartbeat(to, heartbeat);
+        }
+    }
+
+    fn receive_heartbeat(&mut self, to: usize, heartbeat: Heartbeat) {
+        let Heartbeat { from, state, .. } = heartbeat;
+        let (sender, receiver) = (&self.instances[from], &self.instances[to]);
         let now = receiver.clock.now();
         receiver
             .directory
@@ -311,16 +365,13 @@
         if state.version == 0 {
             return;
         }
-        let mut echo = None;
-        if is_full {
-            let sent_at = on_wire(sender.clock.now());
+        if let Some(sent_at) = heartbeat.sent_at {
             receiver.reads.record_clock(now, &sender.process, sent_at);
-            echo = self.echo(from, to);
         }
         let merged = receiver
             .reads
-            .merge_report(now, &sender.process, state, echo);
-        if merged.ask_state {
+            .merge_report(now, &sender.process, state, heartbeat.echo);
+        if merged.ask_state && self.instances[from].hears_peers() {
             self.answer_query(from, to);
         }
     }
--- a/crates/firdock-node/tests/node/change_delay/world/instance.rs
+++ b/crates/firdock-node/tests/node/change_delay/world/instance.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use firdock_node::peer::{
-    PeerDirectory, PeerInfo, PeerProcess, ReadState, SharedReads, Topic, TopicRecords,
+    PeerDirectory, PeerInfo, PeerProcess, ReadEcho, ReadState, SharedReads, Topic, TopicRecords,
 };
 use uuid::Uuid;
 
@@ -18,6 +18,15 @@
     pub(super) succeeds: bool,
 }
 
+/// A heartbeat on its way.
+pub(super) struct Heartbeat {
+    pub(super) from: usize,
+    pub(super) state: ReadState,
+    /// By the sender's clock; `None` in short ones.
+    pub(super) sent_at: Option<Duration>,
+    pub(super) echo: Option<ReadEcho>,
+}
+
 pub(super) struct Instance {
     pub(super) process: PeerProcess,
     pub(super) zone: String,
@@ -34,11 +43,16 @@
     pub(super) wakes_at: Duration,
     pub(super) call: Option<Call>,
     pub(super) tick: usize,
+    /// Heartbeats in its socket while its machine is suspended.
+    pub(super) waiting: Vec<Heartbeat>,
 }
 
 impl Instance {
     pub(super) fn runs(&self) -> bool {
-        !matches!(self.trouble, Some(Trouble::Frozen | Trouble::Killed))
+        !matches!(
+            self.trouble,
+            Some(Trouble::Frozen | Trouble::Suspended | Trouble::Killed)
+        )
     }
 
     pub(super) fn hears_peers(&self) -> bool {
@@ -147,6 +161,7 @@
         troubled_at: Duration::ZERO,
         wakes_at: now,
         call: None,
+        waiting: Vec::new(),
         tick: n,
     }
 }
