--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -152,12 +152,8 @@
         let payload = &run.exchange.payload;
         let status = response.status();
         let kind = self.dialect.classify(payload, status, response.headers());
-        // Reported before anything else, whatever the answer means. A misdirected answer carries
-        // another endpoint's notice, which is ignored.
-        let mut head = match kind {
-            ResponseKind::Misdirected => HeadNotice::default(),
-            _ => self.dialect.notice(status, response.headers()),
-        };
+        // Reported before anything else, whatever the answer means.
+        let mut head = self.dialect.notice(status, response.headers());
         if kind == ResponseKind::Foreign {
             head.ignore_absent_headers();
         }
