--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -3,6 +3,7 @@
 mod bootstrap;
 mod change_delay;
 mod change_tracker;
+mod clock;
 mod completeness;
 mod dead_peer;
 mod head_notice;
