--- a/crates/firdock-node/tests/node/change_delay/world.rs
+++ b/crates/firdock-node/tests/node/change_delay/world.rs
@@ -208,7 +208,7 @@
             call.ends += length;
         }
         for heartbeat in std::mem::take(&mut instance.waiting) {
-            self.receive_heartbeat(n, heartbeat);
+            self.receive_heartbeat(n, &heartbeat);
         }
     }
 
@@ -351,12 +351,12 @@
         if waits {
             self.instances[to].waiting.push(heartbeat);
         } else {
-            self.receive_heartbeat(to, heartbeat);
+            self.receive_heartbeat(to, &heartbeat);
         }
     }
 
-    fn receive_heartbeat(&mut self, to: usize, heartbeat: Heartbeat) {
-        let Heartbeat { from, state, .. } = heartbeat;
+    fn receive_heartbeat(&mut self, to: usize, heartbeat: &Heartbeat) {
+        let Heartbeat { from, state, .. } = *heartbeat;
         let (sender, receiver) = (&self.instances[from], &self.instances[to]);
         let now = receiver.clock.now();
         receiver
--- a/crates/firdock-policy/tests/policy/access.rs
+++ b/crates/firdock-policy/tests/policy/access.rs
@@ -30,7 +30,8 @@
 #[test]
 fn a_held_request_ends_at_once_when_its_access_changed() {
     let mut edge = scheduler();
-    let held = (1..).find(|n| dispatched(&edge.arrive(request(*n, "once", "free"))).is_empty());
+    let held =
+        (1..1_000).find(|n| dispatched(&edge.arrive(request(*n, "once", "free"))).is_empty());
     let held = held.expect("a request that waits");
     let actions = edge.step(Event::AccessChanged(id(held)));
     assert_eq!(
