--- a/crates/firdock-node/src/telemetry/suspensions.rs
+++ b/crates/firdock-node/src/telemetry/suspensions.rs
@@ -26,8 +26,8 @@
     log: Logger,
     metrics: Arc<Metrics>,
     clock: Clock,
-    /// Time that the steady clock had left out since the start when it was last looked at.
-    left_out: Duration,
+    /// Time for which the machine was suspended since the start, as of the last suspension.
+    suspended: Duration,
 }
 
 impl SuspensionLog {
@@ -38,23 +38,22 @@
             log,
             metrics,
             clock,
-            left_out: clock.suspended(),
+            suspended: clock.suspended(),
         }
     }
 
-    /// Looks whether the machine was suspended since the last look, and for how long.
+    /// Logs and counts a suspension since the last check, if there was one.
     ///
     /// `config_confirmed` is when the configuration in force was last known to be the newest.
-    pub fn check(&mut self, now: Time, config_confirmed: Option<Time>) -> Option<Duration> {
-        let left_out = self.clock.suspended();
-        let length = left_out.saturating_sub(self.left_out);
+    pub fn check(&mut self, now: Time, config_confirmed: Option<Time>) {
+        let suspended = self.clock.suspended();
+        let length = suspended.saturating_sub(self.suspended);
         if length < MIN_SUSPENSION {
-            return None;
+            return;
         }
-        self.left_out = left_out;
+        self.suspended = suspended;
         self.metrics.record_suspension(length);
         warn!(self.log, "machine was suspended"; "millis" => millis(length),
             "config_age_millis" => config_confirmed.map(|at| millis(now.saturating_sub(at))));
-        Some(length)
     }
 }
