Access and suspensions: one question each, and no state beside it

Behaviour stays as it is. Payload::is_admitted_by compares the revision itself, so that the driver asks one thing at an arrival and at a change; handle_event has one way out. Clock::suspended takes the present time, which the driver has just read: one reading of a clock less at each decision. A wrapper around Absence::runs_since went, the conversion of denials stands after its type, and three set-ups of tests stand once; what tests compare is unchanged.

--- a/crates/firdock-node/src/clock.rs
+++ b/crates/firdock-node/src/clock.rs
@@ -72,13 +72,12 @@
         START_TIME + (self.read)().saturating_sub(self.start)
     }
 
-    /// Returns for how long the machine was suspended since the start: the time that the steady clock left out.
+    /// Returns for how long the machine was suspended from the start until `now`, which was just read: the time that
+    /// the steady clock left out.
     #[must_use]
-    pub fn suspended(&self) -> Duration {
-        // Read first, so that a suspension between the two is counted late rather than in part.
+    pub fn suspended(&self, now: Time) -> Duration {
         let steady = (self.read_steady)().saturating_sub(self.steady_start);
-        let elapsed = (self.read)().saturating_sub(self.start);
-        elapsed.saturating_sub(steady)
+        now.saturating_sub(START_TIME + steady)
     }
 
     /// Waits until a time of this clock, also if the machine is suspended meanwhile.
--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -193,6 +193,7 @@
         match input {
             Input::Arrived(new, exchange) => {
                 let id = new.id;
+                let admitted = exchange.payload.is_admitted_by(&self.parts.site.view());
                 self.active.insert(
                     id,
                     ActiveRequest {
@@ -205,7 +206,7 @@
                 );
                 let infers_build = new.stream_origin == StreamOrigin::Unknown;
                 let new = NewRequest {
-                    access_changed: self.has_lost_access(id),
+                    access_changed: !admitted,
                     ..new
                 };
                 self.step(Event::Arrived(new));
@@ -227,16 +228,13 @@
 
     fn handle_event(&mut self, event: Event) {
         self.notify_placement(&event);
+        let mut access_changed = false;
         match &event {
             Event::Config(catalog) => {
                 let now = self.parts.clock.now();
                 let (log, log_limiter) = (&self.parts.log, &self.parts.log_limiter);
                 restarts::log_restarts(log, log_limiter, now, self.scheduler.tables(), catalog);
-                if self.parts.site.set(catalog) {
-                    self.apply(event);
-                    self.withdraw_unadmitted();
-                    return;
-                }
+                access_changed = self.parts.site.set(catalog);
             }
             Event::ConfigConfirmed(at) => self.parts.site.set_fresh(*at),
             Event::Endpoint(update) => self.log_dispatch_update(update),
@@ -251,6 +249,9 @@
             _ => {}
         }
         self.apply(event);
+        if access_changed {
+            self.withdraw_unadmitted();
+        }
     }
 
     /// Handles an event and drops its request if the event ended it.
@@ -262,20 +263,12 @@
         }
     }
 
-    /// Returns whether a request was admitted by an earlier configuration and is not by the one in force.
-    fn has_lost_access(&self, id: RequestId) -> bool {
-        let Some(request) = self.active.get(&id) else {
-            return false;
-        };
-        let (view, payload) = (self.parts.site.view(), &request.exchange.payload);
-        let revision = payload.admitted_at();
-        revision.is_some_and(|r| r != view.access_revision()) && !payload.is_admitted_by(&view)
-    }
-
     /// Withdraws the requests that a changed configuration does not admit as they were admitted.
     fn withdraw_unadmitted(&mut self) {
-        let ids = self.active.keys().copied();
-        let lost: Vec<RequestId> = ids.filter(|id| self.has_lost_access(*id)).collect();
+        let view = self.parts.site.view();
+        let active = self.active.iter();
+        let lost = active.filter(|(_, request)| !request.exchange.payload.is_admitted_by(&view));
+        let lost: Vec<RequestId> = lost.map(|(id, _)| *id).collect();
         for id in lost {
             self.apply(Event::AccessChanged(id));
         }
@@ -392,8 +385,8 @@
     fn step(&mut self, event: Event) {
         let started = Instant::now();
         let now = self.parts.clock.now();
-        let config_confirmed = self.scheduler.tables().config_confirmed_at;
-        self.suspensions.check(now, config_confirmed);
+        self.suspensions
+            .check(now, self.scheduler.tables().config_confirmed_at);
         self.scheduler.step(now, event, &mut self.actions);
         self.parts.metrics.observe_decision(started.elapsed());
         let mut actions = std::mem::take(&mut self.actions);
--- a/crates/firdock-node/src/exchange.rs
+++ b/crates/firdock-node/src/exchange.rs
@@ -17,7 +17,7 @@
 pub use self::queue::{AnswerReceiver, AnswerSender, SendResult};
 use crate::endpoint::AnswerEnd;
 use crate::ingress::ModelCall;
-use crate::site::{AccessRequest, AccessRevision, SiteView};
+use crate::site::{AccessRequest, Admission, SiteView};
 use crate::telemetry::TraceContext;
 
 /// A call without the headers that belong to the connection or to the authentication.
@@ -56,18 +56,15 @@
         )
     }
 
-    /// Returns whether a later configuration admits the request to the same service for the same account.
+    /// Returns whether a configuration admits the request as it was admitted: to the same service for the same
+    /// account.
     pub(crate) fn is_admitted_by(&self, view: &SiteView) -> bool {
         let Some(access) = &self.access else {
             return true;
         };
-        let admitted = view.admit(access);
-        admitted.is_ok_and(|a| a.service.name == self.service && a.account == self.account)
-    }
-
-    /// Returns the services and accounts that admitted the request, if this instance did.
-    pub(crate) fn admitted_at(&self) -> Option<AccessRevision> {
-        self.access.as_ref().map(|access| access.revision)
+        let admitted =
+            |a: Admission<'_>| a.service.name == self.service && a.account == self.account;
+        access.revision == view.access_revision() || view.admit(access).is_ok_and(admitted)
     }
 
     /// Computes the identities of the prompt's shared segments.
--- a/crates/firdock-node/src/ingress/answer.rs
+++ b/crates/firdock-node/src/ingress/answer.rs
@@ -12,30 +12,6 @@
 use super::body::AnswerBody;
 use crate::site::Denial;
 
-impl From<Denial> for Problem {
-    /// Creates the final refusal of a request that the configuration does not admit.
-    fn from(denial: Denial) -> Self {
-        let (status, reason, detail) = match denial {
-            Denial::NoService => (
-                StatusCode::NOT_FOUND,
-                "no-service",
-                "no service matches the call",
-            ),
-            Denial::Unauthorized => (
-                StatusCode::UNAUTHORIZED,
-                "unauthorized",
-                "a key of a known account is required",
-            ),
-            Denial::Forbidden => (
-                StatusCode::FORBIDDEN,
-                "forbidden",
-                "the account may not call this service",
-            ),
-        };
-        Self::new(status, reason, detail)
-    }
-}
-
 /// Header with the outcome of a request.
 pub const OUTCOME_HEADER: HeaderName = HeaderName::from_static("firdock-outcome");
 /// Header with the id of a request.
@@ -186,6 +162,30 @@
     }
 }
 
+impl From<Denial> for Problem {
+    /// Creates the final refusal of a request that the configuration does not admit.
+    fn from(denial: Denial) -> Self {
+        let (status, reason, detail) = match denial {
+            Denial::NoService => (
+                StatusCode::NOT_FOUND,
+                "no-service",
+                "no service matches the call",
+            ),
+            Denial::Unauthorized => (
+                StatusCode::UNAUTHORIZED,
+                "unauthorized",
+                "a key of a known account is required",
+            ),
+            Denial::Forbidden => (
+                StatusCode::FORBIDDEN,
+                "forbidden",
+                "the account may not call this service",
+            ),
+        };
+        Self::new(status, reason, detail)
+    }
+}
+
 /// Sets the headers with the outcome and the request id.
 pub(super) fn set_outcome_headers(headers: &mut HeaderMap, outcome: Outcome, request: &str) {
     headers.insert(OUTCOME_HEADER, HeaderValue::from_static(outcome.as_str()));
--- a/crates/firdock-node/src/telemetry/suspensions.rs
+++ b/crates/firdock-node/src/telemetry/suspensions.rs
@@ -38,7 +38,7 @@
             log,
             metrics,
             clock,
-            suspended: clock.suspended(),
+            suspended: clock.suspended(clock.now()),
         }
     }
 
@@ -46,7 +46,7 @@
     ///
     /// `config_confirmed` is when the configuration in force was last known to be the newest.
     pub fn check(&mut self, now: Time, config_confirmed: Option<Time>) {
-        let suspended = self.clock.suspended();
+        let suspended = self.clock.suspended(now);
         let length = suspended.saturating_sub(self.suspended);
         if length < MIN_SUSPENSION {
             return;
--- a/crates/firdock-node/tests/node/change_delay/clocks.rs
+++ b/crates/firdock-node/tests/node/change_delay/clocks.rs
@@ -50,6 +50,12 @@
     outcome
 }
 
+fn bend_each_second(world: &mut World, size: usize, fault: ClockFault) {
+    for n in (0..size / 2).map(|n| 2 * n) {
+        world.bend(n, fault);
+    }
+}
+
 /// Asserts what sites of all sizes owe whatever clocks do.
 fn assert_sound(what: &str, bend: impl Fn(&mut World, usize)) {
     for size in SIZES {
@@ -77,9 +83,7 @@
         world.bend(size - 1, fault);
     });
     assert_sound("each second clock stood still", |world, size| {
-        for n in (0..size / 2).map(|n| 2 * n) {
-            world.bend(n, fault);
-        }
+        bend_each_second(world, size, fault);
     });
 }
 
@@ -91,9 +95,7 @@
         world.bend(size - 1, fault);
     });
     assert_sound("each second clock jumped", |world, size| {
-        for n in (0..size / 2).map(|n| 2 * n) {
-            world.bend(n, fault);
-        }
+        bend_each_second(world, size, fault);
     });
 }
 
--- a/crates/firdock-node/tests/node/clock.rs
+++ b/crates/firdock-node/tests/node/clock.rs
@@ -25,12 +25,15 @@
     let waiting = tokio::spawn(async move { clock.sleep_until(until).await });
     tokio::time::sleep(Duration::from_millis(50)).await;
     assert!(!waiting.is_finished());
-    assert!(clock.suspended() < Duration::from_millis(100), "not yet");
+    assert!(
+        clock.suspended(clock.now()) < Duration::from_millis(100),
+        "not yet"
+    );
     SUSPENDED_MILLIS.store(20_000, Ordering::Relaxed);
     let resumed = Instant::now();
     waiting.await.expect("the wait ends");
     assert!(resumed.elapsed() < Duration::from_secs(1));
-    assert!(clock.suspended() >= Duration::from_secs(20));
+    assert!(clock.suspended(clock.now()) >= Duration::from_secs(20));
 }
 
 /// Guards against a build that reads the steady clock on a system which has one that counts suspensions.
@@ -43,7 +46,7 @@
     std::thread::sleep(Duration::from_millis(20));
     assert!(clock.now() >= before + Duration::from_millis(20));
     assert!(
-        clock.suspended() < Duration::from_millis(100),
+        clock.suspended(clock.now()) < Duration::from_millis(100),
         "not suspended"
     );
 }
--- a/crates/firdock-node/tests/node/large_site.rs
+++ b/crates/firdock-node/tests/node/large_site.rs
@@ -109,9 +109,8 @@
     assert!(kept <= 8 * ZONES, "{kept}");
 }
 
-#[test]
-fn the_site_size_comes_from_the_counts_of_groups_once_the_list_is_old() {
-    // A lead of its group, which knows the size of the site from the list alone.
+/// Returns the directory of a lead that hears its group of 150 and the counts of the leads of the others.
+fn lead_of_known_groups() -> PeerDirectory {
     let directory = directory_of(0);
     directory.set_site_size(985, START);
     for n in (ZONES..600).step_by(ZONES) {
@@ -120,6 +119,13 @@
     for zone in 1..ZONES {
         directory.record_group(&format!("zone-{zone}"), 95, 100, START);
     }
+    directory
+}
+
+#[test]
+fn the_site_size_comes_from_the_counts_of_groups_once_the_list_is_old() {
+    // A lead of its group, which knows the size of the site from the list alone.
+    let directory = lead_of_known_groups();
     assert_eq!(directory.sweep(START), 984);
     let later = START + Duration::from_secs(59);
     for n in (ZONES..600).step_by(ZONES) {
@@ -139,14 +145,7 @@
 /// longer than a silent instance is remembered.
 #[test]
 fn nobody_is_forgotten_while_the_instance_itself_did_not_run() {
-    let directory = directory_of(0);
-    directory.set_site_size(985, START);
-    for n in (ZONES..600).step_by(ZONES) {
-        receive_heartbeat(&directory, n, START);
-    }
-    for zone in 1..ZONES {
-        directory.record_group(&format!("zone-{zone}"), 95, 100, START);
-    }
+    let directory = lead_of_known_groups();
     directory.record_activity(START);
     assert_eq!(directory.sweep(START), 984);
     let back = START + Duration::from_mins(10);
--- a/crates/firdock-policy/src/system/handover.rs
+++ b/crates/firdock-policy/src/system/handover.rs
@@ -242,7 +242,7 @@
     let is_silent = |r: &&RequestRow| match r.phase {
         Phase::HandedOver(at) => {
             let heard = t.peers.get(at).last_seen.max(r.dispatched);
-            heard.max(t.runs_since()) + PEER_SILENCE_LIMIT < now
+            heard.max(t.absence.runs_since()) + PEER_SILENCE_LIMIT < now
         }
         _ => false,
     };
@@ -264,7 +264,7 @@
 
 /// Removes peers that have been silent for long and hold none of this instance's requests.
 pub fn remove_silent_peers(t: &mut Tables, now: Time) {
-    let (stale, runs_since) = (t.peer_stale_after(), t.runs_since());
+    let (stale, runs_since) = (t.peer_stale_after(), t.absence.runs_since());
     t.peers.remove_if(|p| {
         let keep = if p.draining { stale } else { SILENT_PEER_TTL };
         p.handed_over == 0 && p.last_seen.max(runs_since) + keep < now
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -157,12 +157,6 @@
         self.known_peers.unwrap_or(0).max(self.peers.len())
     }
 
-    /// Returns since when the instance has run: before that it heard nobody.
-    #[must_use]
-    pub fn runs_since(&self) -> Time {
-        self.absence.runs_since()
-    }
-
     /// Returns whether the site is small enough for all instances to be one group.
     #[must_use]
     pub fn is_single_group(&self) -> bool {
--- a/crates/firdock-policy/tests/policy/rules.rs
+++ b/crates/firdock-policy/tests/policy/rules.rs
@@ -374,8 +374,8 @@
     assert_eq!(d.scheduler.tables().accounts.len(), 1);
 }
 
-#[test]
-fn a_hand_over_to_a_peer_that_stopped_reporting_ends() {
+/// Returns a scheduler that has handed its only request over to the owner of its key.
+fn handed_over() -> TestScheduler {
     let mut d = TestScheduler::new(settings("a"));
     let other = Member {
         name: "b".to_owned(),
@@ -385,6 +385,12 @@
     d.read_log(LOG_START);
     let handed = d.arrive(with_key(request(1, "orders", "shop"), 1, Some(LOG_START)));
     assert!(matches!(&*handed, [Action::HandOver { .. }]), "{handed:?}");
+    d
+}
+
+#[test]
+fn a_hand_over_to_a_peer_that_stopped_reporting_ends() {
+    let mut d = handed_over();
     assert!(d.advance(Duration::from_secs(9)).is_empty());
     let ends = d.advance(Duration::from_secs(2));
     assert!(
@@ -401,15 +407,7 @@
 /// takes the silence of that time for the peer's.
 #[test]
 fn a_hand_over_does_not_end_because_the_instance_itself_did_not_run() {
-    let mut d = TestScheduler::new(settings("a"));
-    let other = Member {
-        name: "b".to_owned(),
-        incarnation: Uuid::from_u64_pair(2, 0),
-    };
-    d.view(1, true, vec![other]);
-    d.read_log(LOG_START);
-    let handed = d.arrive(with_key(request(1, "orders", "shop"), 1, Some(LOG_START)));
-    assert!(matches!(&*handed, [Action::HandOver { .. }]), "{handed:?}");
+    let mut d = handed_over();
     assert!(d.advance(Duration::ZERO).is_empty());
     assert!(d.advance(Duration::from_secs(30)).is_empty());
     for _ in 0..9 {
