--- /dev/null
+++ b/crates/firdock-policy/src/system/start.rs
@@ -0,0 +1,136 @@
+//! Whether the process behind an endpoint's address is still the one that wrote its entry, and by that which build
+//! began a stream (`docs/design/stream-versions.md`).
+//!
+//! An endpoint may restart under its name with another build, and its new entry arrives later. A broken connection is the
+//! sign of it. From then on the endpoint continues no stream, and what begins there has no known build, until an entry
+//! that was written after the break names its start.
+
+use std::time::Duration;
+
+use crate::event::{RenewedEntry, UnconfirmedStart};
+use crate::request::{Build, Phase, RequestRow, StreamStart};
+use crate::table::Tables;
+use crate::table::endpoint::{EndpointRow, Unconfirmed};
+use crate::time::Time;
+
+/// Largest difference of the clocks of an endpoint and of this instance that is assumed when a dispatch is compared
+/// with the time at which a start began.
+const CLOCK_TOLERANCE: Duration = Duration::from_millis(50);
+
+/// Records that the connection of a dispatch to an endpoint broke. Its process was alive at `alive_at`.
+pub fn record_break(t: &mut Tables, now: Time, at: usize, sent: Time, alive_at: Time) {
+    let e = t.endpoints.get_mut(at);
+    if !names_start(e) {
+        return;
+    }
+    let alive_at = alive_at.max(e.confirmed_at);
+    let since = match e.unconfirmed {
+        None => alive_at,
+        // A dispatch that was sent before reached the process of the entry.
+        Some(known) if sent < known.since => known.since.max(alive_at),
+        Some(known) => known.since,
+    };
+    if e.unconfirmed.is_none() {
+        t.stats.unconfirmed_starts += 1;
+    }
+    e.unconfirmed = Some(Unconfirmed { since, seen: now });
+}
+
+/// Records that no process listens at an endpoint's address.
+pub fn record_refused_connection(t: &mut Tables, now: Time, at: usize) {
+    record_break(t, now, at, now, now);
+}
+
+/// Returns whether the entries of an endpoint tell its starts apart, and its row is of the newest one.
+fn names_start(e: &EndpointRow) -> bool {
+    e.declared.started.is_some() && !e.is_replaced()
+}
+
+/// Applies entries that starts wrote after known times: these starts were alive then.
+pub fn confirm(t: &mut Tables, renewed: &[RenewedEntry]) {
+    for entry in renewed {
+        let Some(at) = t.endpoints.find_start(&entry.start) else {
+            continue;
+        };
+        let e = t.endpoints.get_mut(at);
+        e.confirmed_at = e.confirmed_at.max(entry.after);
+        e.unconfirmed = e.unconfirmed.filter(|u| u.seen > entry.after);
+    }
+}
+
+/// Applies the starts that a peer cannot confirm.
+///
+/// A report does not count where an answer is under way here: this connection would have broken as well. The members of
+/// a coordinator check its placements by their own tables.
+pub fn merge_reports(t: &mut Tables, reports: &[UnconfirmedStart]) {
+    if t.settings.coordinates {
+        return;
+    }
+    for report in reports {
+        let Some(at) = t.endpoints.find_start(&report.start) else {
+            continue;
+        };
+        let e = t.endpoints.get(at);
+        let is_old = report.seen <= e.confirmed_at;
+        if is_old || !names_start(e) || has_answer_under_way(t, at, report.since) {
+            continue;
+        }
+        let e = t.endpoints.get_mut(at);
+        let known = e.unconfirmed.unwrap_or(Unconfirmed {
+            since: report.since.max(e.confirmed_at),
+            seen: report.seen,
+        });
+        e.unconfirmed = Some(Unconfirmed {
+            since: known.since.min(report.since).max(e.confirmed_at),
+            seen: known.seen.max(report.seen),
+        });
+    }
+}
+
+/// Returns whether an answer to a request that was sent before `sent_by` is under way from an endpoint.
+fn has_answer_under_way(t: &Tables, at: usize, sent_by: Time) -> bool {
+    let running = |r: &RequestRow| r.phase == Phase::Running(at) && r.dispatched <= sent_by;
+    t.endpoints.get(at).running > 0 && t.requests.iter().any(running)
+}
+
+/// Returns the starts that cannot be confirmed by this instance's own entries, for its peers.
+#[must_use]
+pub fn unconfirmed_starts(t: &Tables) -> Vec<UnconfirmedStart> {
+    let rows = t.endpoints.iter().filter(|(_, e)| e.present);
+    let reports = rows.filter_map(|(_, e)| {
+        let unconfirmed = e.unconfirmed?;
+        Some(UnconfirmedStart {
+            start: e.start_id.clone(),
+            since: unconfirmed.since,
+            seen: unconfirmed.seen,
+        })
+    });
+    reports.collect()
+}
+
+/// Returns the build that began a stream; `None` while that is not known.
+#[must_use]
+pub fn build_of<'a>(t: &'a Tables, stream: &'a StreamStart) -> Option<&'a Build> {
+    let name = stream.endpoint();
+    let present = t.endpoints.find(name).map(|at| t.endpoints.get(at));
+    if let Some(e) = present.filter(|e| e.start_id == stream.start) {
+        let is_confirmed = e.confirmed_at >= stream.sent;
+        let known = is_confirmed || !stream.is_unconfirmed(e.unconfirmed.map(|u| u.since));
+        return known.then_some(&stream.build);
+    }
+    let Some(replaced) = t.starts.find(name, &stream.start) else {
+        // The endpoint left without a successor, or this instance has not read the entry of its start yet.
+        return (!stream.unconfirmed).then_some(&stream.build);
+    };
+    if replaced.build == replaced.next.build {
+        return Some(&stream.build);
+    }
+    let unconfirmed = stream.is_unconfirmed(replaced.unconfirmed_since);
+    let began = replaced.next.began?;
+    if !unconfirmed && stream.sent + CLOCK_TOLERANCE < began {
+        return Some(&stream.build);
+    }
+    let by_next = unconfirmed && stream.sent >= began + CLOCK_TOLERANCE;
+    let by_next = by_next && !t.starts.is_replaced(name, &replaced.next.start);
+    by_next.then_some(&replaced.next.build)
+}
