--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -100,6 +100,7 @@
     suspensions: SuspensionLog,
     /// Revision of the rate limits of endpoints that was last published.
     limits_revision: Revision,
+    unconfirmed_starts: u64,
     placement: Option<Placement>,
 }
 
@@ -156,6 +157,7 @@
             suspects,
             suspensions,
             limits_revision: Revision::default(),
+            unconfirmed_starts: 0,
             placement: None,
         }
     }
@@ -303,6 +305,7 @@
             | DispatchUpdate::FailureKept
             | DispatchUpdate::Unproven
             | DispatchUpdate::Unresumable
+            | DispatchUpdate::LastBytes(_)
             | DispatchUpdate::Breaking(_) => return,
             DispatchUpdate::Refused { unreachable: true } => "unreachable",
             DispatchUpdate::Refused { unreachable: false } => "refused",
@@ -344,7 +347,7 @@
         self.ticks += 1;
         let now = self.parts.clock.now();
         let changed = self.rollout_log.record(now, self.scheduler.tables());
-        if changed | self.log_suspects(now) | self.limits_changed() {
+        if changed | self.log_suspects(now) | self.limits_changed() | self.lost_track_of_starts() {
             self.publish();
         }
         if self.ticks.is_multiple_of(TICKS_PER_PUBLICATION) {
@@ -382,6 +385,12 @@
         std::mem::replace(&mut self.limits_revision, revision) != revision
     }
 
+    /// Returns whether this instance found starts of endpoints since the last call that it cannot confirm.
+    fn lost_track_of_starts(&mut self) -> bool {
+        let found = self.scheduler.tables().stats.unconfirmed_starts;
+        std::mem::replace(&mut self.unconfirmed_starts, found) != found
+    }
+
     fn step(&mut self, event: Event) {
         let started = Instant::now();
         let now = self.parts.clock.now();
--- a/crates/firdock-node/src/driver/send.rs
+++ b/crates/firdock-node/src/driver/send.rs
@@ -6,7 +6,7 @@
 use firdock_policy::Event;
 use firdock_policy::action::{Dispatch, HandOverCause};
 use firdock_policy::event::{DispatchUpdate, EndpointEvent, HandOverEvent, HandOverRefusal};
-use firdock_policy::request::Build;
+use firdock_policy::request::StreamOrigin;
 use tokio::sync::watch;
 
 use super::Driver;
@@ -67,9 +67,10 @@
         let endpoints = &self.scheduler.tables().endpoints;
         let found = endpoints.find(&dispatch.endpoint);
         let endpoint = found.map(|at| endpoints.get(at));
+        let row = self.scheduler.tables().requests.get(dispatch.id);
         DispatchRun {
             start: endpoint.map_or_else(StartId::new, |e| e.start_id.clone()),
-            build: endpoint.map(|e| Build::of(&e.declared)),
+            origin: row.map_or(StreamOrigin::New, |row| row.dispatched_to.clone()),
             streams: Arc::clone(&self.parts.streams),
             target: Target {
                 name: dispatch.endpoint.clone(),
--- a/crates/firdock-node/src/endpoint/ending.rs
+++ b/crates/firdock-node/src/endpoint/ending.rs
@@ -3,6 +3,7 @@
 //! This module has no I/O, so that each case can be tested in isolation (see
 //! `docs/design/endings.md`).
 
+use firdock_policy::Time;
 use firdock_policy::event::BreakCause;
 use hyper::header;
 use hyper::{HeaderMap, Method, StatusCode};
@@ -195,6 +196,8 @@
     pub ending: Option<Ending>,
     /// Bytes of the body that were read.
     pub bytes: u64,
+    /// When the last of them arrived.
+    pub last_bytes: Option<Time>,
     /// Complete events in them.
     pub events: u32,
     /// Bytes after the last complete event.
@@ -209,6 +212,7 @@
             framing,
             ending: None,
             bytes: 0,
+            last_bytes: None,
             events: 0,
             leftover: 0,
         }
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -15,7 +15,7 @@
 use firdock_policy::event::{BreakCause, DispatchUpdate, EndpointEvent};
 use firdock_policy::load::{Pace, PaceReport};
 use firdock_policy::notice::{LimitNotice, NoticeReport};
-use firdock_policy::request::Build;
+use firdock_policy::request::StreamOrigin;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
@@ -24,7 +24,7 @@
 use crate::clock::Clock;
 use crate::exchange::{AnswerPart, Delivered, Exchange};
 use crate::input::Input;
-use crate::streams::{SharedStreams, StreamKey, StreamRecord};
+use crate::streams::{RecordedOrigin, SharedStreams, StreamKey, StreamRecord};
 use crate::telemetry::{LogKind, TraceContext};
 
 /// Time limits of a dispatch.
@@ -61,8 +61,8 @@
     pub target: Target,
     /// Process of the endpoint that the dispatch is meant for.
     pub start: StartId,
-    /// What that endpoint runs, by its entry.
-    pub build: Option<Build>,
+    /// Origin of a stream that begins there.
+    pub origin: StreamOrigin,
     /// Streams that callers may continue.
     pub streams: SharedStreams,
     /// Time limits.
@@ -188,9 +188,9 @@
         let terms = &payload.terms;
         let attempt = terms.resumes.as_ref().or(terms.caller_id.as_ref());
         let key = attempt.and_then(|id| StreamKey::new(&payload.account, id));
-        if let (Some(key), Some(build)) = (key, self.build.clone()) {
+        if let (Some(key), Some(origin)) = (key, RecordedOrigin::new(&self.origin)) {
             let began = self.clock.now();
-            self.streams.begin(StreamRecord { key, build, began });
+            self.streams.begin(StreamRecord { key, origin, began });
         }
     }
 
@@ -204,6 +204,10 @@
     /// trace.
     pub async fn report_broken(&self, cause: BreakCause) -> &'static str {
         let delivered = self.delivered().tokens;
+        let last_bytes = self.delivered().end.and_then(|end| end.last_bytes);
+        if let Some(at) = last_bytes {
+            self.report(DispatchUpdate::LastBytes(at)).await;
+        }
         self.report(DispatchUpdate::Breaking(cause)).await;
         self.report(DispatchUpdate::Broke { delivered }).await;
         cause.as_str()
@@ -277,6 +281,7 @@
     pub(super) fn record_bytes(&self, bytes: &[u8]) {
         if let Some(end) = &mut self.delivered().end {
             end.bytes += bytes.len() as u64;
+            end.last_bytes = Some(self.clock.now());
         }
     }
 
--- a/crates/firdock-node/src/ingress/handler.rs
+++ b/crates/firdock-node/src/ingress/handler.rs
@@ -233,13 +233,16 @@
             return;
         }
         let record = found.record.as_ref();
+        let start = record.and_then(|r| r.origin.start());
         info!(self.log, "stream taken up";
             "request_id" => id.to_string(),
             "call" => terms.caller_id.as_ref(),
             "resumes" => terms.resumes.as_ref(),
             "source" => found.source.as_str(),
-            "pool" => record.map(|r| &r.build.pool),
-            "software" => record.map(|r| &r.build.version),
+            "pool" => record.map(|r| &r.origin.build().pool),
+            "software" => record.map(|r| &r.origin.build().version),
+            "start" => start.map(|s| &s.start),
+            "unconfirmed" => start.map(|s| s.unconfirmed),
             "age_millis" => record.map(|r| millis(now.saturating_sub(r.began))),
         );
     }
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -186,7 +186,8 @@
                 }
                 Some(new) = wait_for_urgent_change(&mut self_status, &urgent) => {
                     let own = new.suspected.own != urgent.suspected.own
-                        || new.limits.own != urgent.limits.own;
+                        || new.limits.own != urgent.limits.own
+                        || new.unconfirmed != urgent.unconfirmed;
                     urgent = new;
                     self.send_state_change(own).await;
                 }
@@ -458,6 +459,8 @@
     suspected: Revision,
     /// Revision of the rate limits of endpoints.
     limits: Revision,
+    /// Number of starts of endpoints that this instance could not confirm.
+    unconfirmed: u64,
 }
 
 impl UrgentState {
@@ -466,6 +469,7 @@
             stages: self_status.stages(),
             suspected: self_status.suspected,
             limits: self_status.limits_revision,
+            unconfirmed: self_status.unconfirmed_found,
         }
     }
 }
--- a/crates/firdock-node/src/peer/heartbeat.rs
+++ b/crates/firdock-node/src/peer/heartbeat.rs
@@ -6,7 +6,7 @@
 
 use firdock_core::{InstanceId, Offset, ZoneId};
 use firdock_policy::event::{
-    AccountUse, AccountWork, FragilePoolReport, PeerUpdate, PoolDemand, PoolLinks,
+    AccountUse, AccountWork, FragilePoolReport, PeerUpdate, PoolDemand, PoolLinks, UnconfirmedStart,
 };
 use firdock_policy::permit::LimitReport;
 use firdock_policy::rollout::{RolloutReport, Stage};
@@ -14,6 +14,7 @@
 use firdock_policy::table::{Revision, Tables};
 use firdock_policy::{
     Time, limit_reports, limit_usage, link_report, own_fragile_pools, pool_demand, rollout_report,
+    unconfirmed_starts,
 };
 use firdock_wire::Body;
 use firdock_wire::message::{self, Heartbeat};
@@ -40,6 +41,8 @@
 const MAX_WORK: usize = 128;
 /// Maximum number of leaving endpoints in a heartbeat.
 const MAX_LEAVING: usize = 256;
+/// Maximum number of unconfirmed starts in a heartbeat.
+const MAX_UNCONFIRMED: usize = 256;
 /// Time for which the same suspect requests are included before others take their turn: about the
 /// interval between two heartbeats.
 const SUSPECT_TURN: Duration = Duration::from_millis(400);
@@ -56,6 +59,10 @@
     limits: Vec<LimitReport>,
     /// Revision of these limits. Their beginnings and ends are sent at once.
     pub(super) limits_revision: Revision,
+    /// Starts of endpoints that another one may have replaced.
+    unconfirmed: Vec<UnconfirmedStart>,
+    /// Number of those that this instance found itself. They are sent at once.
+    pub(super) unconfirmed_found: u64,
     /// Whether this instance passes connections to endpoints on.
     passes_on: bool,
     /// Its own links to endpoints.
@@ -111,6 +118,8 @@
                 .collect(),
             limits: limit_reports(t, now),
             limits_revision: t.limits.revision,
+            unconfirmed: unconfirmed_starts(t),
+            unconfirmed_found: t.stats.unconfirmed_starts,
             passes_on: t.settings.routes_by_peers,
             links: link_report(t, now),
             fragile: own_fragile_pools(t, now),
@@ -188,6 +197,7 @@
             passes_on: self.passes_on,
             links: write_links(&self.links),
             fragile: write_fragile(&self.fragile, now),
+            unconfirmed: write_unconfirmed(&self.unconfirmed, now),
         }
     }
 }
@@ -268,6 +278,32 @@
         .collect()
 }
 
+/// Encodes unconfirmed starts of endpoints.
+fn write_unconfirmed(starts: &[UnconfirmedStart], now: Time) -> Vec<message::UnconfirmedStart> {
+    let starts = starts.iter().take(MAX_UNCONFIRMED);
+    let age = |at: Time| millis(now.saturating_sub(at));
+    starts
+        .map(|report| message::UnconfirmedStart {
+            start: report.start.clone(),
+            since_age_millis: age(report.since),
+            break_age_millis: age(report.last_break),
+        })
+        .collect()
+}
+
+/// Decodes unconfirmed starts of a heartbeat that was sent at `sent`.
+fn read_unconfirmed(starts: Vec<message::UnconfirmedStart>, sent: Time) -> Vec<UnconfirmedStart> {
+    let starts = starts.into_iter().take(MAX_UNCONFIRMED);
+    let at = |age| sent.saturating_sub(Duration::from_millis(age));
+    starts
+        .map(|report| UnconfirmedStart {
+            start: report.start,
+            since: at(report.since_age_millis),
+            last_break: at(report.break_age_millis),
+        })
+        .collect()
+}
+
 /// Encodes the work for accounts.
 pub fn write_work(work: &[AccountWork]) -> Vec<message::AccountWork> {
     let accounts = work.iter().take(MAX_WORK);
@@ -313,6 +349,7 @@
         passes_on: heartbeat.passes_on,
         links: read_links(heartbeat.links),
         fragile: read_fragile(heartbeat.fragile, sent),
+        unconfirmed: read_unconfirmed(heartbeat.unconfirmed, sent),
         ..PeerUpdate::default()
     }
 }
--- a/crates/firdock-node/src/peer/streams.rs
+++ b/crates/firdock-node/src/peer/streams.rs
@@ -1,9 +1,11 @@
 //! Messages on streams that callers may continue: records for replicas, and queries.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use firdock_policy::Time;
+use firdock_policy::request::StreamStart;
 use firdock_wire::message::{self, datagram};
 
 use super::beacon::BeaconService;
@@ -11,27 +13,55 @@
 use super::directory::PeerRecord;
 use crate::clock::millis;
 use crate::placement::{read_build, write_build};
-use crate::streams::{StreamKey, StreamRecord, replicas};
+use crate::streams::{RecordedOrigin, StreamKey, StreamRecord, replicas};
 
 /// Maximum number of streams in a datagram; each takes about 60 bytes.
 const MAX_RECORDS: usize = 500;
 
 fn write_records(now: Time, records: &[&StreamRecord]) -> datagram::Body {
-    let write = |record: &&StreamRecord| message::StreamRecord {
+    let records = records.iter().map(|record| write_record(now, record));
+    let records = records.collect();
+    datagram::Body::StreamRecords(message::StreamRecords { records })
+}
+
+fn write_record(now: Time, record: &StreamRecord) -> message::StreamRecord {
+    let written = message::StreamRecord {
         stream: record.key.as_bytes().to_vec(),
-        build: Some(write_build(&record.build)),
+        build: Some(write_build(record.origin.build())),
         age_millis: millis(now.saturating_sub(record.began)),
+        ..message::StreamRecord::default()
     };
-    let records = records.iter().map(write).collect();
-    datagram::Body::StreamRecords(message::StreamRecords { records })
+    match &record.origin {
+        RecordedOrigin::Build(_) => written,
+        RecordedOrigin::Start(stream) => message::StreamRecord {
+            start: stream.start.clone(),
+            sent_age_millis: millis(now.saturating_sub(stream.sent)),
+            unconfirmed: stream.unconfirmed,
+            ..written
+        },
+    }
+}
+
+/// Decodes where a stream began; `None` without a build.
+fn read_origin(now: Time, record: &mut message::StreamRecord) -> Option<RecordedOrigin> {
+    let build = read_build(record.build.take()?);
+    if record.start.is_empty() {
+        return Some(RecordedOrigin::Build(build));
+    }
+    Some(RecordedOrigin::Start(Arc::new(StreamStart {
+        build,
+        start: std::mem::take(&mut record.start),
+        sent: now.saturating_sub(Duration::from_millis(record.sent_age_millis)),
+        unconfirmed: record.unconfirmed,
+    })))
 }
 
 /// Decodes streams; those without a valid key or a build are left out.
 pub(super) fn read_stream_records(now: Time, wire: message::StreamRecords) -> Vec<StreamRecord> {
-    let read = |record: message::StreamRecord| {
+    let read = |mut record: message::StreamRecord| {
         Some(StreamRecord {
             key: StreamKey::from_bytes(&record.stream)?,
-            build: read_build(record.build?),
+            origin: read_origin(now, &mut record)?,
             began: now.saturating_sub(Duration::from_millis(record.age_millis)),
         })
     };
--- a/crates/firdock-node/src/placement/snapshot.rs
+++ b/crates/firdock-node/src/placement/snapshot.rs
@@ -27,6 +27,7 @@
         | DispatchUpdate::FailureKept
         | DispatchUpdate::Unproven
         | DispatchUpdate::Unresumable
+        | DispatchUpdate::LastBytes(_)
         | DispatchUpdate::Breaking(_) => return None,
         DispatchUpdate::Tokens { .. } if row.first.is_some() => return None,
         DispatchUpdate::Tokens { .. } => Progress::FirstToken,
--- a/crates/firdock-node/src/source.rs
+++ b/crates/firdock-node/src/source.rs
@@ -10,6 +10,7 @@
 
 use firdock_core::resource::Catalog;
 use firdock_core::{ContentId, Offset, PoolId};
+use firdock_policy::event::RenewedEntry;
 use firdock_policy::rollout::RolloutRecord;
 use firdock_policy::suspect::SuspectReport;
 use firdock_policy::table::build_history::ServedBuild;
@@ -309,6 +310,15 @@
         self.send(Event::BuildsRecorded(builds)).await
     }
 
+    /// Sends the scheduler the entries that endpoints renewed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the instance was stopped.
+    pub async fn send_renewed(&self, entries: Vec<RenewedEntry>) -> Result<(), Stopped> {
+        self.send(Event::EntriesRenewed(entries)).await
+    }
+
     /// Returns the streams that callers may continue, with the lookups of those that no instance knows.
     #[must_use]
     pub fn streams(&self) -> SharedStreams {
--- a/crates/firdock-node/src/streams.rs
+++ b/crates/firdock-node/src/streams.rs
@@ -16,7 +16,7 @@
 
 use firdock_core::rendezvous;
 use firdock_policy::Time;
-use firdock_policy::request::{Build, StreamOrigin};
+use firdock_policy::request::{Build, StreamOrigin, StreamStart};
 use sha2::{Digest as _, Sha256};
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -81,12 +81,56 @@
 pub struct StreamRecord {
     /// Key.
     pub key: StreamKey,
-    /// Build that began it.
-    pub build: Build,
+    /// Where it began.
+    pub origin: RecordedOrigin,
     /// When its first event was passed on.
     pub began: Time,
 }
 
+/// Where a stream began, as far as its record tells.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RecordedOrigin {
+    /// At this build.
+    Build(Build),
+    /// At this start of an endpoint, whose build has to be confirmed.
+    Start(Arc<StreamStart>),
+}
+
+impl RecordedOrigin {
+    /// Returns the origin of a stream that the scheduler sent to an endpoint; `None` if it is of no endpoint.
+    #[must_use]
+    pub fn new(origin: &StreamOrigin) -> Option<Self> {
+        match origin {
+            StreamOrigin::Known(build) => Some(Self::Build(Build::clone(build))),
+            StreamOrigin::Started(stream) => Some(Self::Start(Arc::clone(stream))),
+            StreamOrigin::New | StreamOrigin::Unknown => None,
+        }
+    }
+
+    /// Returns the build, by the entry that was known when the stream began.
+    #[must_use]
+    pub fn build(&self) -> &Build {
+        match self {
+            Self::Build(build) => build,
+            Self::Start(stream) => &stream.build,
+        }
+    }
+
+    /// Returns the start of an endpoint, if the build has to be confirmed.
+    #[must_use]
+    pub fn start(&self) -> Option<&StreamStart> {
+        match self {
+            Self::Build(_) => None,
+            Self::Start(stream) => Some(stream),
+        }
+    }
+
+    /// Returns whether another build may have begun the stream, by what was known then.
+    fn is_unconfirmed(&self) -> bool {
+        self.start().is_some_and(|stream| stream.unconfirmed)
+    }
+}
+
 /// Who knew a stream that a caller continues.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StreamSource {
@@ -126,10 +170,11 @@
     /// Returns the origin of the stream, for the scheduler.
     #[must_use]
     pub fn origin(&self) -> StreamOrigin {
-        let build = self.record.as_ref().map(|record| record.build.clone());
-        build.map_or(StreamOrigin::Unknown, |build| {
-            StreamOrigin::Known(Arc::new(build))
-        })
+        match self.record.as_ref().map(|record| &record.origin) {
+            Some(RecordedOrigin::Build(build)) => StreamOrigin::Known(Arc::new(build.clone())),
+            Some(RecordedOrigin::Start(stream)) => StreamOrigin::Started(Arc::clone(stream)),
+            None => StreamOrigin::Unknown,
+        }
     }
 }
 
@@ -152,7 +197,7 @@
 
 #[derive(Debug, Clone)]
 struct Known {
-    build: Build,
+    origin: RecordedOrigin,
     began: Time,
     /// When it was recorded here.
     recorded: Time,
@@ -236,7 +281,7 @@
     }
 
     /// Returns the streams that arrived after a position, at most `limit`, and the position of the last one. Those that
-    /// the platform's store told are left out.
+    /// the platform's store told are left out, and those whose build is not confirmed.
     #[must_use]
     pub fn arrived_after(&self, position: Position, limit: usize) -> (Vec<StreamRecord>, Position) {
         let inner = self.lock();
@@ -248,6 +293,7 @@
             .map_or(position, |a| a.position);
         let known = arrivals.filter_map(|a| Some((a, inner.streams.get(&a.key)?)));
         let current = known.filter(|(a, known)| known.recorded == a.at && !known.from_store);
+        let current = current.filter(|(_, known)| !known.origin.is_unconfirmed());
         let records = current.map(|(a, known)| known.record(a.key));
         (records.collect(), last)
     }
@@ -351,7 +397,7 @@
     fn record(&self, key: StreamKey) -> StreamRecord {
         StreamRecord {
             key,
-            build: self.build.clone(),
+            origin: self.origin.clone(),
             began: self.began,
         }
     }
@@ -366,7 +412,7 @@
             key: record.key,
         });
         let known = Known {
-            build: record.build,
+            origin: record.origin,
             began: record.began,
             recorded: now,
             from_store,
--- a/crates/firdock-node/src/streams/stored.rs
+++ b/crates/firdock-node/src/streams/stored.rs
@@ -9,7 +9,7 @@
 use prost::Message as _;
 use snafu::Snafu;
 
-use super::{KEY_BYTES, StreamKey, StreamRecord};
+use super::{KEY_BYTES, RecordedOrigin, StreamKey, StreamRecord};
 use crate::clock::millis;
 use crate::placement::{read_build, write_build};
 
@@ -30,7 +30,8 @@
     /// Creates a record at the Unix time `written`.
     #[must_use]
     pub fn new(written: Duration, records: Vec<StreamRecord>) -> Self {
-        let streams = records.into_iter().map(|r| (r.key, r.build)).collect();
+        let streams = records.into_iter();
+        let streams = streams.map(|r| (r.key, r.origin.build().clone())).collect();
         Self { written, streams }
     }
 
@@ -39,7 +40,11 @@
     #[must_use]
     pub fn into_records(self, unix_zero: Duration) -> Vec<StreamRecord> {
         let began: Time = self.written.saturating_sub(unix_zero);
-        let record = |(key, build)| StreamRecord { key, build, began };
+        let record = |(key, build)| StreamRecord {
+            key,
+            origin: RecordedOrigin::Build(build),
+            began,
+        };
         self.streams.into_iter().map(record).collect()
     }
 
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -77,6 +77,7 @@
     ejections: Counter,
     restarts: Counter,
     lost_by_restart: Counter,
+    unconfirmed_starts: Counter,
     entries_refused: Counter,
     streams_taken_up: Family<BySource, Counter>,
     version: Gauge,
@@ -142,6 +143,7 @@
             ejections: Counter::default(),
             restarts: Counter::default(),
             lost_by_restart: Counter::default(),
+            unconfirmed_starts: Counter::default(),
             entries_refused: Counter::default(),
             streams_taken_up: Family::default(),
             version: Gauge::default(),
@@ -395,6 +397,7 @@
         store(&self.ejections, stats.ejections);
         store(&self.restarts, stats.restarts);
         store(&self.lost_by_restart, stats.lost_by_restart);
+        store(&self.unconfirmed_starts, stats.unconfirmed_starts);
         self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
--- a/crates/firdock-node/src/telemetry/metrics/register.rs
+++ b/crates/firdock-node/src/telemetry/metrics/register.rs
@@ -216,6 +216,11 @@
             "Dispatches that ended with a start of their endpoint",
             self.lost_by_restart.clone(),
         );
+        r.register(
+            "unconfirmed_starts",
+            "Starts of endpoints that could not be confirmed after a connection broke",
+            self.unconfirmed_starts.clone(),
+        );
         r.register(
             "streams_taken_up",
             "Requests that continue a stream of an earlier attempt, by who knew the stream",
--- a/crates/firdock-node/src/telemetry/state_changes.rs
+++ b/crates/firdock-node/src/telemetry/state_changes.rs
@@ -7,6 +7,7 @@
 
 use firdock_core::Version;
 use firdock_policy::table::Tables;
+use firdock_policy::table::endpoint::EndpointRow;
 use firdock_policy::table::peer::PeerRow;
 use firdock_policy::{Time, link_report};
 use slog::{Logger, info};
@@ -27,6 +28,7 @@
     endpoints: ChangeTracker<EndpointStatus>,
     list: EndpointList,
     peers: ChangeTracker<&'static str>,
+    starts: ChangeTracker<&'static str>,
     links: &'static str,
 }
 
@@ -42,6 +44,7 @@
             endpoints: ChangeTracker::default(),
             list,
             peers: ChangeTracker::default(),
+            starts: ChangeTracker::default(),
             links: "up",
         }
     }
@@ -62,6 +65,20 @@
         let changes = self.peers.update(rows);
         self.write_peers(now, &changes);
         self.record_links(now, t);
+        self.record_starts(now, t);
+    }
+
+    /// Logs the starts of endpoints that another one may have replaced, and those that are confirmed again.
+    fn record_starts(&mut self, now: Time, t: &Tables) {
+        let present = t.endpoints.iter().filter(|(_, e)| e.present);
+        let rows = present.map(|(at, e)| (at, &*e.start_id, start_state(e)));
+        let changes = self.starts.update(rows);
+        for (start, change) in changes {
+            let Some((is, before)) = change.is.zip(change.before) else {
+                continue;
+            };
+            self.write(now, &format!("start {start}"), is, before);
+        }
     }
 
     /// Logs whether this instance's own links to endpoints work, with the evidence.
@@ -146,6 +163,14 @@
     }
 }
 
+fn start_state(e: &EndpointRow) -> &'static str {
+    if e.unconfirmed.is_some() {
+        "unconfirmed"
+    } else {
+        "confirmed"
+    }
+}
+
 fn peer_state(now: Time, t: &Tables, p: &PeerRow) -> &'static str {
     if t.is_live(p, now) { "heard" } else { "silent" }
 }
--- a/crates/firdock-node/tests/node/streams.rs
+++ b/crates/firdock-node/tests/node/streams.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use firdock_node::streams::{
-    StoredStreams, StreamKey, StreamRecord, StreamSource, Streams, replicas,
+    RecordedOrigin, StoredStreams, StreamKey, StreamRecord, StreamSource, Streams, replicas,
 };
 use firdock_policy::Time;
 use firdock_policy::request::Build;
@@ -20,10 +20,10 @@
 fn record(attempt: &str, version: &str, began: Time) -> StreamRecord {
     StreamRecord {
         key: key(attempt),
-        build: Build {
+        origin: RecordedOrigin::Build(Build {
             pool: "pool".to_owned(),
             version: version.to_owned(),
-        },
+        }),
         began,
     }
 }
@@ -83,7 +83,12 @@
     streams.begin(record("first", "v1", seconds(10)));
     streams.add_reported(seconds(11), vec![record("first", "v2", seconds(11))]);
     assert_eq!(
-        streams.get(key("first")).expect("known").build.version,
+        streams
+            .get(key("first"))
+            .expect("known")
+            .origin
+            .build()
+            .version,
         "v1"
     );
 }
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -118,6 +118,8 @@
     Recorded(RolloutRecord),
     /// The builds that served before this instance started, as recorded in the platform's store.
     BuildsRecorded(Vec<ServedBuild>),
+    /// Entries of endpoints were renewed.
+    EntriesRenewed(Vec<RenewedEntry>),
     /// Whether this instance leads the site and decides on roll-outs.
     Decides(bool),
     /// The instance should stop.
@@ -182,6 +184,26 @@
     pub leaving: bool,
 }
 
+/// Entry that a start of an endpoint renewed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RenewedEntry {
+    /// The start.
+    pub start: StartId,
+    /// It wrote the entry later than this.
+    pub after: Time,
+}
+
+/// Start of an endpoint that another one may have replaced, as its entry is older than a broken connection.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnconfirmedStart {
+    /// The start.
+    pub start: StartId,
+    /// When it last showed that it was alive.
+    pub since: Time,
+    /// When a connection to it was last seen to break.
+    pub last_break: Time,
+}
+
 /// Contents of a peer's heartbeat.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct PeerUpdate {
@@ -209,6 +231,9 @@
     /// Pools that it knows to be fragile.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub fragile: Vec<FragilePoolReport>,
+    /// Starts of endpoints that it cannot confirm.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unconfirmed: Vec<UnconfirmedStart>,
     /// Start of the peer's process; totals do not continue across starts.
     #[serde(default, skip_serializing_if = "Uuid::is_nil")]
     pub incarnation: Uuid,
--- a/crates/firdock-policy/src/event/endpoint.rs
+++ b/crates/firdock-policy/src/event/endpoint.rs
@@ -6,6 +6,8 @@
 use firdock_core::{EndpointId, RequestId, StartId};
 use serde::{Deserialize, Serialize};
 
+use crate::time::Time;
+
 /// An endpoint's update on a dispatch.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointEvent {
@@ -69,6 +71,8 @@
     Unproven,
     /// The caller has received a part of the answer from which no other endpoint can resume.
     Unresumable,
+    /// When the last bytes of an answer arrived that is about to break.
+    LastBytes(Time),
     /// Cause of the break that the next update reports.
     Breaking(BreakCause),
     /// The connection broke or fell silent after the request was sent.
--- a/crates/firdock-policy/src/lib.rs
+++ b/crates/firdock-policy/src/lib.rs
@@ -28,7 +28,7 @@
     demand::by_pool as pool_demand, fair_share::work_report,
     fragile::own_reports as own_fragile_pools, fragile::reports as fragile_pools,
     limit::usage as limit_usage, permit::reports as limit_reports,
-    rollout::report as rollout_report, route::link_report,
+    rollout::report as rollout_report, route::link_report, start::unconfirmed_starts,
 };
 pub mod table;
 pub mod time;
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -99,6 +99,8 @@
     New,
     /// The stream was begun by this build.
     Known(Arc<Build>),
+    /// The stream began at this start of an endpoint, whose build has to be confirmed.
+    Started(Arc<StreamStart>),
     /// The stream was begun before, and it is not known here by which build.
     Unknown,
 }
@@ -115,9 +117,56 @@
     pub fn build(&self) -> Option<&Build> {
         match self {
             Self::Known(build) => Some(build),
+            Self::New | Self::Started(_) | Self::Unknown => None,
+        }
+    }
+
+    /// Returns the pool that the stream began in, if that is known.
+    #[must_use]
+    pub fn pool(&self) -> Option<&PoolId> {
+        match self {
+            Self::Known(build) => Some(&build.pool),
+            Self::Started(stream) => Some(&stream.build.pool),
             Self::New | Self::Unknown => None,
         }
     }
+
+    /// Returns the start of an endpoint that the stream began at, if its build has to be confirmed.
+    #[must_use]
+    pub fn start(&self) -> Option<&Arc<StreamStart>> {
+        match self {
+            Self::Started(stream) => Some(stream),
+            Self::New | Self::Known(_) | Self::Unknown => None,
+        }
+    }
+}
+
+/// Start of an endpoint at which a stream began, as the sender of the request knew it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamStart {
+    /// What the start runs by its entry.
+    pub build: Build,
+    /// The start.
+    pub start: StartId,
+    /// When the request was sent.
+    pub sent: Time,
+    /// Whether it was not known then that the start still served.
+    pub unconfirmed: bool,
+}
+
+impl StreamStart {
+    /// Returns the name of the endpoint.
+    #[must_use]
+    pub fn endpoint(&self) -> &str {
+        let parts = self.start.rsplit_once('@');
+        parts.map_or(&*self.start, |(name, _started)| name)
+    }
+
+    /// Returns whether another start may have begun the stream, if this one is unconfirmed from `since` on.
+    #[must_use]
+    pub fn is_unconfirmed(&self, since: Option<Time>) -> bool {
+        self.unconfirmed || since.is_some_and(|since| since <= self.sent)
+    }
 }
 
 /// Software that the endpoints of a pool run.
@@ -265,8 +314,12 @@
     pub predicted: Time,
     /// Build that began the answer's stream, if any event of it has reached the caller.
     pub stream_origin: StreamOrigin,
-    /// Build of the endpoint of the present dispatch, as it was when the request was sent.
-    pub dispatched_to: Option<Arc<Build>>,
+    /// Origin of a stream that begins at the endpoint of the present dispatch, as it was when the request was sent.
+    pub dispatched_to: StreamOrigin,
+    /// When the last bytes of the present dispatch's answer arrived.
+    pub last_bytes: Option<Time>,
+    /// Since when the stream cannot be continued, as the start of each endpoint that may is unconfirmed.
+    pub unconfirmed_since: Option<Time>,
     /// Tokens that had reached the caller before the present dispatch.
     pub resumed_from: u32,
     /// Whether the endpoint of the present dispatch reported a failure.
@@ -361,7 +414,9 @@
             charged_work: 0.0,
             predicted: Time::ZERO,
             stream_origin: new.stream_origin.clone(),
-            dispatched_to: None,
+            dispatched_to: StreamOrigin::New,
+            last_bytes: None,
+            unconfirmed_since: None,
             resumed_from: 0,
             failure: EndpointFailure::None,
             completion_proof: CompletionProof::Proven,
@@ -379,7 +434,7 @@
     #[must_use]
     pub fn with_service(mut self, service: &Service, charge: f64) -> Self {
         let limit = service.timeout().map(|limit| self.arrived + limit);
-        let began_in = self.stream_origin.build().map(|build| build.pool.clone());
+        let began_in = self.stream_origin.pool().cloned();
         self.pool = began_in.or_else(|| service.pick_pool(self.new.draw).cloned());
         self.deadline = [self.deadline, limit].into_iter().flatten().min();
         self.charge = charge;
@@ -400,8 +455,8 @@
 
     /// Records that the answer's stream begins at the endpoint of the present dispatch, unless it continues one.
     pub fn begin_stream(&mut self) {
-        if let (StreamOrigin::New, Some(build)) = (&self.stream_origin, &self.dispatched_to) {
-            self.stream_origin = StreamOrigin::Known(Arc::clone(build));
+        if self.stream_origin.is_new() {
+            self.stream_origin = self.dispatched_to.clone();
         }
     }
 
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -8,7 +8,7 @@
 use crate::system::{
     access, admit, backoff, budget, config, continuation, coordinate, demand, dispatch_updates,
     drain, early_refusal, expire, fair_share, fragile, handover, health, invariants, key, limit,
-    liveness, notice, pace_reports, permit, place, rollout, route, shed, suspect,
+    liveness, notice, pace_reports, permit, place, rollout, route, shed, start, suspect,
 };
 use crate::table::{ReachableInstances, Tables};
 use crate::time::Time;
@@ -97,6 +97,7 @@
             Event::GroupEvidence(report) => rollout::merge_group_evidence(t, report),
             Event::Recorded(record) => rollout::apply_record(t, now, &record),
             Event::BuildsRecorded(builds) => continuation::merge_builds(t, now, builds, out),
+            Event::EntriesRenewed(entries) => start::confirm(t, &entries),
             Event::Decides(decides) => rollout::set_decides(t, decides),
             Event::Drain => t.draining = true,
             Event::Timer => {
@@ -125,6 +126,7 @@
         self.apply(now, event, out);
         let t = &mut self.tables;
         access::run(t, now, out);
+        continuation::run(t, now, out);
         place::run(t, now, out);
         backoff::run(t, now, out);
         coordinate::request_placements(t, out);
--- a/crates/firdock-policy/src/stats.rs
+++ b/crates/firdock-policy/src/stats.rs
@@ -150,6 +150,8 @@
     pub ejections: u64,
     /// Restarts of endpoints under the same name.
     pub restarts: u64,
+    /// Starts of endpoints that this instance could not confirm after a connection to them broke.
+    pub unconfirmed_starts: u64,
     /// Dispatches that were lost when their endpoint restarted.
     pub lost_by_restart: u64,
 }
--- a/crates/firdock-policy/src/system.rs
+++ b/crates/firdock-policy/src/system.rs
@@ -31,4 +31,5 @@
 pub mod rollout;
 pub mod route;
 pub mod shed;
+pub mod start;
 pub mod suspect;
--- a/crates/firdock-policy/src/system/admit.rs
+++ b/crates/firdock-policy/src/system/admit.rs
@@ -53,6 +53,7 @@
                 return;
             };
             insert(t, now, new, service, account, charge);
+            continuation::track(t, id);
             if let key::Decision::Own(minted) = decision {
                 claim_key(t, id, claim, minted);
             }
--- a/crates/firdock-policy/src/system/coordinate.rs
+++ b/crates/firdock-policy/src/system/coordinate.rs
@@ -38,7 +38,11 @@
     let open =
         |r: &RequestRow| r.phase == Phase::Held && r.placement == PlacementState::NotRequested;
     let new = |r: &&RequestRow| {
-        open(r) && awaits_placement(t, r) && suspect::gate(t, r) != Gate::DuplicateRunning
+        let is_known = r.stream_origin.start().is_none();
+        open(r)
+            && is_known
+            && awaits_placement(t, r)
+            && suspect::gate(t, r) != Gate::DuplicateRunning
     };
     let ids: Vec<RequestId> = t.requests.iter().filter(new).map(|r| r.new.id).collect();
     for id in ids {
--- a/crates/firdock-policy/src/system/dispatch_updates.rs
+++ b/crates/firdock-policy/src/system/dispatch_updates.rs
@@ -3,8 +3,8 @@
 use firdock_core::{Outcome, Reason, RequestId};
 
 use super::{
-    fair_share, fragile, health, key, lifecycle, liveness, pace_reports, permit, rollout, route,
-    suspect,
+    continuation, fair_share, fragile, health, key, lifecycle, liveness, pace_reports, permit,
+    rollout, route, start, suspect,
 };
 use crate::action::Action;
 use crate::event::{BreakCause, ConnectFailure, DispatchUpdate, EndpointEvent};
@@ -46,6 +46,7 @@
         DispatchUpdate::FailureKept => mark_failure_kept(t, e.id),
         DispatchUpdate::Unproven => mark_unproven(t, e.id),
         DispatchUpdate::Unresumable => mark_unresumable(t, e.id),
+        DispatchUpdate::LastBytes(at) => record_last_bytes(t, e.id, at),
         DispatchUpdate::Breaking(cause) => handle_breaking(t, now, e.id, at, cause, out),
         DispatchUpdate::Broke { delivered } => handle_broken(t, now, e.id, at, delivered, out),
     }
@@ -123,6 +124,9 @@
     cause: ConnectFailure,
 ) {
     t.endpoints.get_mut(at).link.record_failure(now);
+    if cause == ConnectFailure::Refused {
+        start::record_refused_connection(t, now, at);
+    }
     *t.stats.connect_failures.entry(cause).or_default() += 1;
     if let Some(row) = t.requests.get_mut(id) {
         row.connect_failure = Some(cause);
@@ -293,6 +297,13 @@
     }
 }
 
+/// Records when the last bytes of an answer arrived that is about to break.
+fn record_last_bytes(t: &mut Tables, id: RequestId, at: Time) {
+    if let Some(row) = t.requests.get_mut(id) {
+        row.last_bytes = Some(at);
+    }
+}
+
 /// Records how a dispatch is about to break, and starts a liveness check if its connection closed.
 fn handle_breaking(
     t: &mut Tables,
@@ -306,6 +317,10 @@
         row.breaking = Some(cause);
     }
     *t.stats.broken.entry(cause).or_default() += 1;
+    if let (BreakCause::Closed | BreakCause::Silent, Some(row)) = (cause, t.requests.get(id)) {
+        let alive_at = row.last_bytes.or(row.first).unwrap_or(row.dispatched);
+        start::record_break(t, now, at, row.dispatched, alive_at);
+    }
     if cause == BreakCause::Closed {
         liveness::start_check(t, now, at, out);
     }
@@ -344,6 +359,7 @@
             row.delivered = row.delivered.max(delivered);
         }
         lifecycle::set_phase(t, id, Phase::Held, true);
+        continuation::track(t, id);
         return;
     }
     let retry_after = None;
--- a/crates/firdock-policy/src/system/handover.rs
+++ b/crates/firdock-policy/src/system/handover.rs
@@ -2,7 +2,7 @@
 
 use firdock_core::{Outcome, Reason, RequestId};
 
-use super::{fragile, key, lifecycle, limit, permit, rollout, shed, suspect};
+use super::{fragile, key, lifecycle, limit, permit, rollout, shed, start, suspect};
 use crate::action::{Action, HandOverCause};
 use crate::event::{HandOverEvent, HandOverRefusal, Member, PeerUpdate};
 use crate::request::{DeliveredPart, Phase, RequestRow, Verdict};
@@ -27,6 +27,7 @@
     suspect::merge_reports(t, now, std::mem::take(&mut peer_update.suspects), out);
     permit::merge_peer_reports(t, &peer_update.limits);
     fragile::merge_reports(t, &peer_update.fragile);
+    start::merge_reports(t, &peer_update.unconfirmed);
     for name in &peer_update.leaving {
         if let Some(at) = t.endpoints.find_start(name) {
             t.endpoints.get_mut(at).peer_leaving = Some(now + LEAVING_REPORT_TTL);
--- a/crates/firdock-policy/src/system/liveness.rs
+++ b/crates/firdock-policy/src/system/liveness.rs
@@ -1,7 +1,7 @@
 //! Liveness checks of endpoints whose connections closed early: distinguish a process that exited
 //! from one that is alive and broke off an answer.
 
-use super::{health, suspect};
+use super::{health, start, suspect};
 use crate::action::Action;
 use crate::event::{Liveness, LivenessResult};
 use crate::table::Tables;
@@ -41,6 +41,9 @@
         if let Some(at) = at.filter(|at| t.endpoints.get(*at).is_healthy()) {
             health::eject(t, now, at);
         }
+        if let Some(at) = at {
+            start::record_refused_connection(t, now, at);
+        }
         suspect::record_exit(t, now, &result.start, out);
         return;
     }
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -16,7 +16,7 @@
 use crate::action::{Action, Dispatch};
 use crate::event::Grant;
 use crate::request::{
-    Build, CompletionProof, EndpointFailure, Phase, RequestRow, StreamOrigin, Verdict,
+    Build, CompletionProof, EndpointFailure, Phase, RequestRow, StreamOrigin, StreamStart, Verdict,
 };
 use crate::table::Tables;
 use crate::table::endpoint::{EndpointRow, Health, UnavailableReason};
@@ -236,12 +236,27 @@
 /// Returns whether an endpoint may run the request, by the version that began its stream.
 fn may_continue(t: &Tables, row: &RequestRow, e: &EndpointRow) -> bool {
     match &row.stream_origin {
-        StreamOrigin::New => true,
+        // Any build may turn out to have begun a stream whose start is not confirmed.
+        StreamOrigin::New | StreamOrigin::Started(_) => true,
         StreamOrigin::Known(build) => rollout::continues(t, build, e),
         StreamOrigin::Unknown => false,
     }
 }
 
+/// Returns the origin of a stream that begins with a dispatch to an endpoint.
+fn stream_origin_at(now: Time, e: &EndpointRow) -> StreamOrigin {
+    let build = Build::of(&e.declared);
+    if e.declared.started.is_none() {
+        return StreamOrigin::Known(Arc::new(build));
+    }
+    StreamOrigin::Started(Arc::new(StreamStart {
+        build,
+        start: e.start_id.clone(),
+        sent: now,
+        unconfirmed: e.unconfirmed.is_some(),
+    }))
+}
+
 /// Iterates over the endpoints of a request's service that belong to the request's pool.
 pub fn eligible_endpoints<'a>(
     t: &'a Tables,
@@ -308,7 +323,7 @@
     e.running += 1;
     e.backlog += f64::from(choice.estimate.uncached);
     let (name, start) = (e.declared.name.clone(), e.start_id.clone());
-    let build = Arc::new(Build::of(&e.declared));
+    let origin = stream_origin_at(now, e);
     let Some(row) = t.requests.get_mut(id) else {
         return;
     };
@@ -334,7 +349,9 @@
     row.uncached = choice.estimate.uncached;
     row.work = choice.estimate.work;
     row.predicted = choice.estimate.first();
-    row.dispatched_to = Some(build);
+    row.dispatched_to = origin;
+    row.last_bytes = None;
+    row.unconfirmed_since = None;
     row.resumed_from = row.delivered;
     row.failure = EndpointFailure::None;
     row.completion_proof = CompletionProof::Proven;
--- a/crates/firdock-policy/src/system/restart.rs
+++ b/crates/firdock-policy/src/system/restart.rs
@@ -9,8 +9,9 @@
 
 use super::suspect;
 use crate::action::Action;
-use crate::request::{Phase, RequestRow};
+use crate::request::{Build, Phase, RequestRow};
 use crate::table::Tables;
+use crate::table::start_history::{KnownStart, ReplacedStart};
 use crate::time::Time;
 
 /// Detaches the row of an earlier start with the name of a declared endpoint.
@@ -29,6 +30,7 @@
     if !t.endpoints.get(at).is_other_start(declared) {
         return;
     }
+    record_start(t, now, at, declared);
     t.endpoints.detach(&declared.name);
     t.endpoints.get_mut(at).mark_replaced();
     t.stats.restarts += 1;
@@ -45,6 +47,24 @@
     }
 }
 
+/// Keeps what the earlier start ran, for the streams that began there.
+fn record_start(t: &mut Tables, now: Time, at: usize, declared: &Endpoint) {
+    let next = KnownStart {
+        start: declared.start_id(),
+        build: Build::of(declared),
+        began: start_time(t, declared),
+    };
+    let e = t.endpoints.get(at);
+    let replaced = ReplacedStart {
+        start: e.start_id.clone(),
+        build: Build::of(&e.declared),
+        unconfirmed: e.unconfirmed,
+        next,
+        replaced_at: now,
+    };
+    t.starts.add(now, &declared.name, replaced);
+}
+
 /// Records that a request was sent to a start, so that it is not sent there again.
 fn record_tried_start(t: &mut Tables, id: RequestId, start: StartId) {
     let row = t.requests.get_mut(id);
--- a/crates/firdock-policy/src/system/rollout/versions.rs
+++ b/crates/firdock-policy/src/system/rollout/versions.rs
@@ -180,8 +180,8 @@
 #[must_use]
 pub fn admits(t: &Tables, row: &RequestRow, at: usize) -> bool {
     let e = t.endpoints.get(at);
-    if let Some(build) = row.stream_origin.build() {
-        return continues(t, build, e);
+    if !row.stream_origin.is_new() {
+        return continues_now(t, row, e);
     }
     if !is_settled(t, e) || is_given_up(t, e) {
         return false;
@@ -219,8 +219,8 @@
 #[must_use]
 pub fn admits_grant(t: &Tables, row: &RequestRow, at: usize) -> bool {
     let e = t.endpoints.get(at);
-    if let Some(build) = row.stream_origin.build() {
-        return continues(t, build, e);
+    if !row.stream_origin.is_new() {
+        return continues_now(t, row, e);
     }
     if !is_settled(t, e) || is_given_up(t, e) {
         return false;
@@ -231,6 +231,13 @@
     }
 }
 
+/// Returns whether an endpoint may continue a request's stream now: its entry is known to be of the process that has its
+/// address.
+pub fn continues_now(t: &Tables, row: &RequestRow, e: &EndpointRow) -> bool {
+    let build = row.stream_origin.build();
+    e.unconfirmed.is_none() && build.is_some_and(|build| continues(t, build, e))
+}
+
 /// Returns whether an endpoint may continue a stream that a build began.
 ///
 /// A version that is rare in its pool is not held back here: the caller has part of its answer already. One that was
--- a/crates/firdock-policy/src/system/start.rs
+++ b/crates/firdock-policy/src/system/start.rs
@@ -10,7 +10,8 @@
 use crate::event::{RenewedEntry, UnconfirmedStart};
 use crate::request::{Build, Phase, RequestRow, StreamStart};
 use crate::table::Tables;
-use crate::table::endpoint::{EndpointRow, Unconfirmed};
+use crate::table::endpoint::Unconfirmed;
+use crate::table::start_history::{KnownStart, ReplacedStart};
 use crate::time::Time;
 
 /// Largest difference of the clocks of an endpoint and of this instance that is assumed when a dispatch is compared
@@ -19,8 +20,13 @@
 
 /// Records that the connection of a dispatch to an endpoint broke. Its process was alive at `alive_at`.
 pub fn record_break(t: &mut Tables, now: Time, at: usize, sent: Time, alive_at: Time) {
+    // A dispatch to a start that was replaced since may have reached the one after it.
+    let name = &t.endpoints.get(at).declared.name;
+    let Some(at) = t.endpoints.find(name) else {
+        return;
+    };
     let e = t.endpoints.get_mut(at);
-    if !names_start(e) {
+    if e.declared.started.is_none() {
         return;
     }
     let alive_at = alive_at.max(e.confirmed_at);
@@ -33,7 +39,11 @@
     if e.unconfirmed.is_none() {
         t.stats.unconfirmed_starts += 1;
     }
-    e.unconfirmed = Some(Unconfirmed { since, seen: now });
+    e.unconfirmed = Some(Unconfirmed {
+        since,
+        first_break: e.unconfirmed.map_or(now, |known| known.first_break),
+        last_break: now,
+    });
 }
 
 /// Records that no process listens at an endpoint's address.
@@ -41,11 +51,6 @@
     record_break(t, now, at, now, now);
 }
 
-/// Returns whether the entries of an endpoint tell its starts apart, and its row is of the newest one.
-fn names_start(e: &EndpointRow) -> bool {
-    e.declared.started.is_some() && !e.is_replaced()
-}
-
 /// Applies entries that starts wrote after known times: these starts were alive then.
 pub fn confirm(t: &mut Tables, renewed: &[RenewedEntry]) {
     for entry in renewed {
@@ -54,7 +59,7 @@
         };
         let e = t.endpoints.get_mut(at);
         e.confirmed_at = e.confirmed_at.max(entry.after);
-        e.unconfirmed = e.unconfirmed.filter(|u| u.seen > entry.after);
+        e.unconfirmed = e.unconfirmed.filter(|u| u.last_break > entry.after);
     }
 }
 
@@ -71,18 +76,20 @@
             continue;
         };
         let e = t.endpoints.get(at);
-        let is_old = report.seen <= e.confirmed_at;
-        if is_old || !names_start(e) || has_answer_under_way(t, at, report.since) {
+        let is_old = report.last_break <= e.confirmed_at;
+        if is_old || e.declared.started.is_none() || has_answer_under_way(t, at, report.since) {
             continue;
         }
         let e = t.endpoints.get_mut(at);
         let known = e.unconfirmed.unwrap_or(Unconfirmed {
-            since: report.since.max(e.confirmed_at),
-            seen: report.seen,
+            since: report.since,
+            first_break: report.last_break,
+            last_break: report.last_break,
         });
         e.unconfirmed = Some(Unconfirmed {
             since: known.since.min(report.since).max(e.confirmed_at),
-            seen: known.seen.max(report.seen),
+            first_break: known.first_break,
+            last_break: known.last_break.max(report.last_break),
         });
     }
 }
@@ -102,7 +109,7 @@
         Some(UnconfirmedStart {
             start: e.start_id.clone(),
             since: unconfirmed.since,
-            seen: unconfirmed.seen,
+            last_break: unconfirmed.last_break,
         })
     });
     reports.collect()
@@ -118,19 +125,49 @@
         let known = is_confirmed || !stream.is_unconfirmed(e.unconfirmed.map(|u| u.since));
         return known.then_some(&stream.build);
     }
-    let Some(replaced) = t.starts.find(name, &stream.start) else {
+    match t.starts.find(name, &stream.start) {
+        Some(replaced) => build_after_restart(t, stream, replaced),
         // The endpoint left without a successor, or this instance has not read the entry of its start yet.
-        return (!stream.unconfirmed).then_some(&stream.build);
-    };
-    if replaced.build == replaced.next.build {
-        return Some(&stream.build);
+        None => (!stream.unconfirmed).then_some(&stream.build),
     }
-    let unconfirmed = stream.is_unconfirmed(replaced.unconfirmed_since);
-    let began = replaced.next.began?;
-    if !unconfirmed && stream.sent + CLOCK_TOLERANCE < began {
+}
+
+/// Returns the build that began a stream at an endpoint that has restarted since; `None` if that cannot be told.
+fn build_after_restart<'a>(
+    t: &'a Tables,
+    stream: &'a StreamStart,
+    replaced: &'a ReplacedStart,
+) -> Option<&'a Build> {
+    let since = replaced.unconfirmed.map(|u| u.since);
+    let next = &replaced.next;
+    let before_next = next
+        .began
+        .is_none_or(|at| stream.sent + CLOCK_TOLERANCE < at);
+    if !stream.is_unconfirmed(since) && before_next {
         return Some(&stream.build);
     }
-    let by_next = unconfirmed && stream.sent >= began + CLOCK_TOLERANCE;
-    let by_next = by_next && !t.starts.is_replaced(name, &replaced.next.start);
-    by_next.then_some(&replaced.next.build)
+    if next.build == stream.build {
+        // Another start, whose entry was never read, can only have served after the first break.
+        let first_break = replaced.unconfirmed.map(|u| u.first_break);
+        let before_break = first_break.is_none_or(|at| stream.sent <= at);
+        let at_next = next
+            .began
+            .is_some_and(|at| stream.sent + CLOCK_TOLERANCE >= at);
+        let known = at_next || (before_break && !stream.unconfirmed);
+        return known.then_some(&stream.build);
+    }
+    let at_next = next
+        .began
+        .is_some_and(|at| stream.sent >= at + CLOCK_TOLERANCE);
+    let known = at_next && stream.is_unconfirmed(since) && !may_be_later(t, stream, next);
+    known.then_some(&next.build)
+}
+
+/// Returns whether a stream may have begun at a later start than this one.
+fn may_be_later(t: &Tables, stream: &StreamStart, start: &KnownStart) -> bool {
+    let replaced = t.starts.find(stream.endpoint(), &start.start);
+    replaced.is_some_and(|replaced| {
+        let began = replaced.next.began;
+        began.is_none_or(|at| stream.sent + CLOCK_TOLERANCE >= at)
+    })
 }
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -28,6 +28,7 @@
 pub mod service;
 pub mod share;
 pub mod slow_phases;
+pub mod start_history;
 pub mod suspects;
 pub mod transfer;
 pub mod unavailable;
@@ -116,6 +117,10 @@
     pub backoffs_until: Time,
     /// Builds that serve or served lately.
     pub builds: build_history::BuildHistory,
+    /// Starts of endpoints that were replaced.
+    pub starts: start_history::StartHistory,
+    /// Held requests that continue a stream.
+    pub continuing: Vec<RequestId>,
     /// What is known of the rate limits of all endpoints together.
     pub limits: endpoint_limit::LimitSummary,
     /// Pools whose endpoints fail if they refuse too many requests.
@@ -234,6 +239,8 @@
             known_peers: None,
             backoffs_until: Time::ZERO,
             builds: build_history::BuildHistory::default(),
+            starts: start_history::StartHistory::default(),
+            continuing: Vec::new(),
             limits: endpoint_limit::LimitSummary::default(),
             fragile: fragile::FragilePools::default(),
             link_probes: link::LinkProbes::default(),
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -85,6 +85,17 @@
     pub again: bool,
 }
 
+/// From when on it is not known whether the process at an endpoint's address is the one that wrote its entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Unconfirmed {
+    /// When the process last showed that it was alive.
+    pub since: Time,
+    /// When a connection to it was first seen to break.
+    pub first_break: Time,
+    /// When one was last seen to break. An entry that was written later confirms the process.
+    pub last_break: Time,
+}
+
 /// Load that an endpoint reported.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Reported {
@@ -126,6 +137,10 @@
     pub failures: u32,
     /// Consecutive broken dispatches.
     pub broken: u32,
+    /// A time at which the process that wrote the entry was still alive.
+    pub confirmed_at: Time,
+    /// Set while another process may have taken its place.
+    pub unconfirmed: Option<Unconfirmed>,
     /// The liveness check in progress, if any.
     pub liveness_check: Option<LivenessCheck>,
     /// Consecutive missed reports.
@@ -191,6 +206,8 @@
             health: Health::Healthy,
             failures: 0,
             broken: 0,
+            confirmed_at: Time::ZERO,
+            unconfirmed: None,
             liveness_check: None,
             missed: 0,
             running: 0,
--- a/crates/firdock-policy/src/table/start_history.rs
+++ b/crates/firdock-policy/src/table/start_history.rs
@@ -5,6 +5,7 @@
 
 use firdock_core::{EndpointId, StartId};
 
+use super::endpoint::Unconfirmed;
 use crate::request::Build;
 use crate::time::Time;
 
@@ -29,8 +30,8 @@
     pub start: StartId,
     /// What it ran.
     pub build: Build,
-    /// From when on it was not known whether it still served.
-    pub unconfirmed_since: Option<Time>,
+    /// Set if it was not known whether it still served when the next one was read.
+    pub unconfirmed: Option<Unconfirmed>,
     /// The start after it.
     pub next: KnownStart,
     /// When this instance learned of that.
@@ -60,10 +61,4 @@
         let mut starts = self.by_endpoint.get(endpoint)?.iter();
         starts.find(|s| s.start == start)
     }
-
-    /// Returns whether a start of an endpoint was replaced.
-    #[must_use]
-    pub fn is_replaced(&self, endpoint: &str, start: &str) -> bool {
-        self.find(endpoint, start).is_some()
-    }
 }
--- a/crates/firdock-policy/tests/policy/stream_versions.rs
+++ b/crates/firdock-policy/tests/policy/stream_versions.rs
@@ -4,6 +4,7 @@
 //! attempts that continue one stream, and each may hold those of one version.
 
 mod falls;
+mod restarts;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
--- /dev/null
+++ b/crates/firdock-policy/tests/policy/stream_versions/restarts.rs
@@ -0,0 +1,509 @@
+//! Endpoints that restart under their names, with another version or the same, and write their entries later.
+//!
+//! The judge knows the version that each start really has, and keeps those whose events one caller holds.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use firdock_core::resource::{Catalog, Endpoint, Resource};
+use firdock_core::Reason;
+use firdock_policy::event::{
+    BreakCause, ConnectFailure, DispatchUpdate, PeerUpdate, RenewedEntry, UnconfirmedStart,
+};
+use firdock_policy::request::StreamOrigin;
+use firdock_policy::{Action, Event, Time};
+use proptest::prelude::*;
+
+use super::{continuing, resources_with};
+use crate::edge::{EdgeScheduler, edge_settings, verdict};
+use crate::fixtures::{dispatched, id, millis};
+
+const VERSIONS: [&str; 2] = ["v1", "v2"];
+/// Unix time at the zero of the instance's clock.
+const UNIX_ZERO: Duration = Duration::from_secs(1_000_000);
+/// Shortest life of a process: longer than clocks differ by the policy's assumption.
+const MIN_LIFE: Duration = Duration::from_millis(60);
+/// Time for which a request may wait for an entry.
+const MAX_WAIT: Duration = Duration::from_secs(2);
+
+/// A start of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Start {
+    version: &'static str,
+    began: Time,
+}
+
+/// Endpoints with the starts that really serve, and an instance that knows those that are listed.
+struct World {
+    edge: EdgeScheduler,
+    serving: Vec<Start>,
+    listed: Vec<Start>,
+    /// The endpoint of each request's present dispatch, with its number.
+    sent: BTreeMap<u64, (usize, u32)>,
+}
+
+impl World {
+    fn new(endpoints: usize) -> Self {
+        let first = Start {
+            version: VERSIONS[0],
+            began: Time::ZERO,
+        };
+        let serving = vec![first; endpoints];
+        let mut settings = edge_settings("a");
+        settings.unix_zero = Some(UNIX_ZERO);
+        let now = millis(100_000);
+        let edge = EdgeScheduler::started_at(now, settings, resources_of(&serving));
+        let mut world = Self {
+            edge,
+            listed: serving.clone(),
+            serving,
+            sent: BTreeMap::new(),
+        };
+        world.edge.step(Event::PeersKnown(0));
+        world.pass(millis(10));
+        world
+    }
+
+    fn pass(&mut self, time: Time) -> Vec<Action> {
+        self.edge.now += time;
+        self.step(Event::ConfigConfirmed(self.edge.now))
+    }
+
+    fn step(&mut self, event: Event) -> Vec<Action> {
+        let actions = self.edge.step(event);
+        for (n, endpoint, dispatch) in sent_by(&actions) {
+            self.sent.insert(n, (endpoint, dispatch));
+        }
+        actions
+    }
+
+    fn update(&mut self, n: u64, update: DispatchUpdate) -> Vec<Action> {
+        let (_, dispatch) = self.sent[&n];
+        let actions = self.edge.update_dispatch(n, dispatch, update);
+        for (n, endpoint, dispatch) in sent_by(&actions) {
+            self.sent.insert(n, (endpoint, dispatch));
+        }
+        actions
+    }
+
+    fn arrive(&mut self, n: u64, origin: StreamOrigin) -> Vec<Action> {
+        self.step(Event::Arrived(continuing(n, origin)))
+    }
+
+    /// The first event of a request's present dispatch reaches its caller. Returns the version that wrote it.
+    fn first_event(&mut self, n: u64) -> &'static str {
+        self.update(n, DispatchUpdate::Started { head_sent: true });
+        let (delivered, cached) = (1, 0);
+        self.update(n, DispatchUpdate::Tokens { delivered, cached });
+        self.serving[self.sent[&n].0].version
+    }
+
+    /// The connection of a request's present dispatch breaks. Its last bytes arrived just before.
+    fn break_off(&mut self, n: u64) -> Vec<Action> {
+        let last = DispatchUpdate::LastBytes(self.edge.now.saturating_sub(millis(1)));
+        self.update(n, last);
+        self.update(n, DispatchUpdate::Breaking(BreakCause::Closed));
+        let (_, dispatch) = self.sent.remove(&n).expect("it was sent");
+        let actions =
+            self.edge
+                .update_dispatch(n, dispatch, DispatchUpdate::Broke { delivered: 1 });
+        for (n, endpoint, dispatch) in sent_by(&actions) {
+            self.sent.insert(n, (endpoint, dispatch));
+        }
+        actions
+    }
+
+    /// Returns the requests that an endpoint serves.
+    fn served_by(&self, endpoint: usize) -> Vec<u64> {
+        let sent = self.sent.iter();
+        let here = sent.filter(|(_, (at, _))| *at == endpoint);
+        here.map(|(n, _)| *n).collect()
+    }
+
+    /// An endpoint restarts: all connections to it break.
+    fn restart(&mut self, endpoint: usize, version: &'static str) {
+        let began = self.edge.now;
+        self.serving[endpoint] = Start { version, began };
+        for n in self.served_by(endpoint) {
+            self.break_off(n);
+        }
+    }
+
+    /// The entry of an endpoint's present start is read.
+    fn list(&mut self, endpoint: usize) -> Vec<Action> {
+        self.listed[endpoint] = self.serving[endpoint];
+        let resources = resources_of(&self.listed);
+        let catalog = Catalog::new(1).with_resources(resources);
+        self.step(Event::Config(Arc::new(catalog)))
+    }
+
+    /// An endpoint whose start is listed renews its entry, which was not there at the last read.
+    fn renew(&mut self, endpoint: usize) -> Vec<Action> {
+        if self.listed[endpoint] != self.serving[endpoint] {
+            return Vec::new();
+        }
+        let start = declared(endpoint, self.listed[endpoint]).start_id();
+        let after = self.edge.now;
+        self.step(Event::EntriesRenewed(vec![RenewedEntry { start, after }]))
+    }
+
+    /// Returns the origin under which the stream of a request is recorded.
+    fn origin(&self, n: u64) -> StreamOrigin {
+        let row = self.edge.scheduler.tables().requests.get(id(n));
+        row.expect("it is running").stream_origin.clone()
+    }
+
+    fn is_waiting(&self, n: u64) -> bool {
+        let row = self.edge.scheduler.tables().requests.get(id(n));
+        row.is_some() && !self.sent.contains_key(&n)
+    }
+}
+
+fn declared(endpoint: usize, start: Start) -> Endpoint {
+    Endpoint {
+        name: format!("e-{endpoint}"),
+        pool: "pool".to_owned(),
+        version: start.version.to_owned(),
+        slots: 64,
+        started: Some(UNIX_ZERO + start.began),
+        ..Endpoint::default()
+    }
+}
+
+fn resources_of(starts: &[Start]) -> Vec<Resource> {
+    let mut all = resources_with(&[]);
+    let endpoints = starts.iter().enumerate();
+    all.extend(endpoints.map(|(n, start)| Resource::Endpoint(declared(n, *start))));
+    all
+}
+
+/// Returns the dispatches among actions: request, endpoint, number.
+fn sent_by(actions: &[Action]) -> Vec<(u64, usize, u32)> {
+    let sent = actions.iter().filter_map(|action| match action {
+        Action::Dispatch(d) => {
+            let endpoint = d.endpoint.strip_prefix("e-").expect("a prefix");
+            let endpoint = endpoint.parse().expect("a number");
+            Some((d.id.as_u128() as u64, endpoint, d.dispatch))
+        }
+        _ => None,
+    });
+    sent.collect()
+}
+
+/// Starts a world of two endpoints, with a stream under way at each.
+fn world_with_streams() -> World {
+    let mut world = World::new(2);
+    world.arrive(1, StreamOrigin::New);
+    let other = 1 - world.sent[&1].0;
+    begin_at(&mut world, 2, other);
+    world.first_event(1);
+    world.pass(millis(100));
+    world
+}
+
+/// Begins a stream at an endpoint, after the other one has refused it if it was sent there.
+fn begin_at(world: &mut World, n: u64, endpoint: usize) {
+    world.arrive(n, StreamOrigin::New);
+    if world.sent[&n].0 != endpoint {
+        let refused = DispatchUpdate::Refused { unreachable: false };
+        world.update(n, refused);
+    }
+    assert_eq!(world.sent[&n].0, endpoint);
+    world.first_event(n);
+}
+
+/// Guards against a stream that goes on at an endpoint which restarted with another version, before its entry is read.
+#[test]
+fn a_stream_waits_until_an_entry_names_the_start_of_the_only_endpoint_left() {
+    let mut world = world_with_streams();
+    let other = world.sent[&2].0;
+    world.restart(other, "v2");
+    world.pass(millis(100));
+    world.break_off(1);
+    assert!(world.is_waiting(1));
+    let actions = world.list(other);
+    assert!(sent_by(&actions).is_empty(), "{actions:?}");
+}
+
+/// Guards against a stream that is refused though its endpoint broke off another one and did not restart.
+#[test]
+fn a_stream_goes_on_once_the_entry_of_the_same_start_was_renewed() {
+    let mut world = world_with_streams();
+    let other = world.sent[&2].0;
+    world.break_off(2);
+    world.pass(millis(100));
+    world.break_off(1);
+    assert!(world.is_waiting(1));
+    let actions = world.renew(other);
+    assert_eq!(sent_by(&actions), [(1, other, 2)]);
+}
+
+/// Guards against a request that waits for an entry for longer than a caller waits for an event.
+#[test]
+fn a_stream_is_cut_when_no_entry_confirms_a_start_in_time() {
+    let mut world = world_with_streams();
+    let other = world.sent[&2].0;
+    world.restart(other, "v2");
+    world.break_off(1);
+    world.pass(MAX_WAIT.saturating_sub(millis(1)));
+    assert!(world.is_waiting(1));
+    let actions = world.pass(millis(1));
+    let cut = |a: &Action| matches!(a, Action::Cut { id: cut, reason: Reason::VersionUnknown } if *cut == id(1));
+    assert!(actions.iter().any(cut), "{actions:?}");
+}
+
+/// Begins a stream at an endpoint that has just restarted with a version, and returns its recorded origin.
+fn begin_after_restart(world: &mut World, version: &'static str) -> StreamOrigin {
+    let other = world.sent[&2].0;
+    world.restart(other, version);
+    world.pass(millis(200));
+    begin_at(world, 10, other);
+    world.origin(10)
+}
+
+/// Guards against a stream that is recorded as of the version of the earlier entry.
+#[test]
+fn a_stream_that_began_before_the_entry_of_its_start_goes_on_at_that_version_alone() {
+    let mut world = world_with_streams();
+    let other = world.sent[&2].0;
+    let origin = begin_after_restart(&mut world, "v2");
+    let actions = world.arrive(30, origin.clone());
+    assert!(dispatched(&actions).is_empty(), "{actions:?}");
+    let actions = world.list(other);
+    assert_eq!(sent_by(&actions), [(30, other, 1)]);
+    let actions = world.arrive(31, origin);
+    assert_eq!(sent_by(&actions), [(31, other, 1)]);
+}
+
+/// Guards against a mend that costs streams after a restart with the same version.
+#[test]
+fn a_stream_that_began_after_a_restart_with_the_same_version_goes_on_at_any_endpoint() {
+    let mut world = world_with_streams();
+    let other = world.sent[&2].0;
+    let origin = begin_after_restart(&mut world, "v1");
+    world.list(other);
+    world.restart(other, "v2");
+    let actions = world.arrive(30, origin);
+    assert_eq!(sent_by(&actions), [(30, 1 - other, 1)]);
+}
+
+/// Guards against a first token that waits for an entry.
+#[test]
+fn a_new_stream_waits_for_no_entry() {
+    let mut world = world_with_streams();
+    for endpoint in 0..2 {
+        world.restart(endpoint, "v2");
+    }
+    let actions = world.arrive(3, StreamOrigin::New);
+    assert_eq!(dispatched(&actions).len(), 1);
+}
+
+/// Guards against an instance that learns of a restart from the entry alone, where it had nothing under way.
+#[test]
+fn a_start_that_a_peer_cannot_confirm_continues_no_stream() {
+    let mut world = world_with_streams();
+    let other = world.sent[&2].0;
+    world.step(Event::CallerLeft(id(2)));
+    world.sent.remove(&2);
+    let start = declared(other, world.listed[other]).start_id();
+    let report = |world: &World, start| PeerUpdate {
+        name: "b".to_owned(),
+        unconfirmed: vec![UnconfirmedStart {
+            start,
+            since: world.edge.now.saturating_sub(millis(5)),
+            last_break: world.edge.now,
+        }],
+        ..PeerUpdate::default()
+    };
+    let update = report(&world, start);
+    world.step(Event::Peer(update));
+    // The own answer that is under way there would have broken as well.
+    let own = declared(1 - other, world.listed[1 - other]).start_id();
+    let update = report(&world, own);
+    world.step(Event::Peer(update));
+    let origin = world.origin(1);
+    for n in 10..14 {
+        let actions = world.arrive(n, origin.clone());
+        assert_eq!(sent_by(&actions), [(n, 1 - other, 1)]);
+    }
+    world.pass(millis(10));
+    world.renew(other);
+    let actions: Vec<_> = (20..28)
+        .flat_map(|n| sent_by(&world.arrive(n, origin.clone())))
+        .collect();
+    assert!(actions.iter().any(|(_, at, _)| *at == other), "{actions:?}");
+}
+
+/// Guards against a refused connection that is no sign of a restart.
+#[test]
+fn an_endpoint_that_refuses_connections_continues_no_stream_until_its_entry_is_renewed() {
+    let mut world = world_with_streams();
+    let other = world.sent[&2].0;
+    let refused = DispatchUpdate::ConnectFailed(ConnectFailure::Refused);
+    world.update(2, refused);
+    let t = world.edge.scheduler.tables();
+    let at = t
+        .endpoints
+        .find(&format!("e-{other}"))
+        .expect("it is listed");
+    assert!(t.endpoints.get(at).unconfirmed.is_some());
+}
+
+/// Guards against a version that is inferred for a stream that nobody knows while a start is not confirmed.
+#[test]
+fn no_version_is_inferred_while_a_start_is_unconfirmed() {
+    let mut world = world_with_streams();
+    let other = world.sent[&2].0;
+    world.restart(other, "v2");
+    let actions = world.arrive(3, StreamOrigin::Unknown);
+    let reason = verdict(&actions).map(|(_, reason)| reason);
+    assert_eq!(reason, Some(Reason::VersionUnknown));
+}
+
+/// What happens next.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// A caller begins a stream, or takes up the one that it has.
+    Call(usize),
+    /// The first event of a caller's present attempt arrives.
+    Event(usize),
+    /// The connection to a caller's endpoint breaks, without a restart.
+    Break(usize),
+    /// An endpoint restarts with a version.
+    Restart(usize, usize),
+    /// The entry of an endpoint's start is read.
+    List(usize),
+    /// An endpoint renews its entry.
+    Renew(usize),
+    /// Time passes, in milliseconds.
+    Pass(u64),
+}
+
+const CALLERS: usize = 6;
+const ENDPOINTS: usize = 3;
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        5 => (0..CALLERS).prop_map(Step::Call),
+        5 => (0..CALLERS).prop_map(Step::Event),
+        2 => (0..CALLERS).prop_map(Step::Break),
+        2 => (0..ENDPOINTS, 0..VERSIONS.len()).prop_map(|(e, v)| Step::Restart(e, v)),
+        2 => (0..ENDPOINTS).prop_map(Step::List),
+        2 => (0..ENDPOINTS).prop_map(Step::Renew),
+        2 => prop_oneof![Just(60), Just(200), Just(1_000)].prop_map(Step::Pass),
+    ]
+}
+
+/// A caller with its stream.
+#[derive(Debug, Default)]
+struct Caller {
+    /// Present attempt.
+    attempt: Option<u64>,
+    /// Dispatches of it whose first event arrived.
+    began: BTreeSet<(u64, u32)>,
+    /// Origin under which its stream is recorded.
+    origin: Option<StreamOrigin>,
+    /// Versions whose events it holds.
+    versions: BTreeSet<&'static str>,
+}
+
+/// Plays a step for a caller; returns whether it holds events of one version at most.
+fn first_event(world: &mut World, caller: &mut Caller) -> bool {
+    let Some(n) = caller.attempt else {
+        return true;
+    };
+    let Some((_, dispatch)) = world.sent.get(&n).copied() else {
+        return true;
+    };
+    if caller.began.insert((n, dispatch)) {
+        caller.versions.insert(world.first_event(n));
+        caller.origin.get_or_insert(world.origin(n));
+    }
+    caller.versions.len() <= 1
+}
+
+fn call(world: &mut World, caller: &mut Caller, n: u64) {
+    if let Some(before) = caller.attempt.replace(n) {
+        world.sent.remove(&before);
+        world.step(Event::CallerLeft(id(before)));
+    }
+    let origin = caller.origin.clone().unwrap_or_default();
+    world.arrive(n, origin);
+}
+
+/// Restarts an endpoint. Where nothing is under way there, its entry is read at once: such a restart leaves no trace.
+fn restart(world: &mut World, endpoint: usize, version: &'static str) {
+    let is_silent = world.served_by(endpoint).is_empty();
+    world.pass(MIN_LIFE);
+    world.restart(endpoint, version);
+    if is_silent {
+        world.list(endpoint);
+    }
+}
+
+proptest! {
+    /// Guards against any series of restarts, entries, breaks and returns that joins events of two versions.
+    #[test]
+    fn no_caller_holds_events_of_two_versions_whatever_restarts(steps in prop::collection::vec(step(), 1..80)) {
+        let mut world = World::new(ENDPOINTS);
+        let mut callers: Vec<Caller> = (0..CALLERS).map(|_| Caller::default()).collect();
+        for (n, step) in steps.into_iter().enumerate() {
+            world.pass(millis(1));
+            match step {
+                Step::Call(c) => call(&mut world, &mut callers[c], 1 + n as u64),
+                Step::Event(c) => prop_assert!(first_event(&mut world, &mut callers[c]), "{:?}", callers[c]),
+                Step::Break(c) => {
+                    if let Some(n) = callers[c].attempt.filter(|n| world.sent.contains_key(n)) {
+                        world.break_off(n);
+                    }
+                }
+                Step::Restart(endpoint, version) => restart(&mut world, endpoint, VERSIONS[version]),
+                Step::List(endpoint) => {
+                    world.list(endpoint);
+                }
+                Step::Renew(endpoint) => {
+                    world.renew(endpoint);
+                }
+                Step::Pass(time) => {
+                    world.pass(millis(time));
+                }
+            }
+        }
+    }
+
+    /// Guards against mends that refuse what could go on: after restarts with the same version, all streams go on once
+    /// their entries are read.
+    #[test]
+    fn all_streams_go_on_after_restarts_with_the_same_version(steps in prop::collection::vec(step(), 1..60)) {
+        let mut world = World::new(ENDPOINTS);
+        let mut callers: Vec<Caller> = (0..CALLERS).map(|_| Caller::default()).collect();
+        for (n, step) in steps.into_iter().enumerate() {
+            world.pass(millis(1));
+            match step {
+                Step::Call(c) => call(&mut world, &mut callers[c], 1 + n as u64),
+                Step::Event(c) => prop_assert!(first_event(&mut world, &mut callers[c])),
+                Step::Restart(endpoint, _) => {
+                    // What a start without an entry ran is never known.
+                    world.list(endpoint);
+                    restart(&mut world, endpoint, VERSIONS[0]);
+                }
+                Step::List(endpoint) => {
+                    world.list(endpoint);
+                }
+                Step::Break(_) | Step::Renew(_) | Step::Pass(_) => {}
+            }
+        }
+        for endpoint in 0..ENDPOINTS {
+            world.list(endpoint);
+        }
+        // Ejections of endpoints that broke off are over.
+        world.pass(millis(40_000));
+        for (n, caller) in callers.iter_mut().enumerate() {
+            let n = 1_000 + n as u64;
+            call(&mut world, caller, n);
+            prop_assert!(world.sent.contains_key(&n), "{caller:?}");
+            first_event(&mut world, caller);
+        }
+    }
+}
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -120,6 +120,21 @@
     /// Pools whose endpoints said lately that they fail if they refuse too many requests.
     #[prost(message, repeated, tag = "12")]
     pub fragile: ::prost::alloc::vec::Vec<FragilePool>,
+    /// Starts of endpoints that another one may have replaced (docs/design/stream-versions.md).
+    #[prost(message, repeated, tag = "13")]
+    pub unconfirmed: ::prost::alloc::vec::Vec<UnconfirmedStart>,
+}
+/// A start of an endpoint whose entry is older than a connection to it that broke.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct UnconfirmedStart {
+    #[prost(string, tag = "1")]
+    pub start: ::prost::alloc::string::String,
+    /// Time since it last showed that it was alive, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub since_age_millis: u64,
+    /// Time since a connection to it was last seen to break, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub break_age_millis: u64,
 }
 /// A pool whose endpoints fail if they refuse too many requests in a second for want of room.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -295,6 +310,15 @@
     /// Time since the first event, in milliseconds.
     #[prost(uint64, tag = "3")]
     pub age_millis: u64,
+    /// Start of the endpoint at which it began; empty if starts are not told apart.
+    #[prost(string, tag = "4")]
+    pub start: ::prost::alloc::string::String,
+    /// Time since the request was sent there, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub sent_age_millis: u64,
+    /// Whether it was not known then that the start still served.
+    #[prost(bool, tag = "6")]
+    pub unconfirmed: bool,
 }
 /// Streams as recorded in the platform's store (docs/design/stream-versions.md).
 #[derive(Clone, PartialEq, ::prost::Message)]
