A stream that was continued brings its caller no event twice

Cause: the relay read the id of the last event of each part and compared none. The class: what was asked of an endpoint is taken for what it does.

Now the first event after a stream was continued, within an answer or by its caller, has to come after the last one that the caller has. An endpoint that sends an earlier one has broken the answer; nothing of it is passed on, and another endpoint may continue. Ids that are not numbers have to differ. Ids within one run are the endpoint's own and are passed on as they are.

--- a/crates/firdock-node/src/endpoint/events.rs
+++ b/crates/firdock-node/src/endpoint/events.rs
@@ -26,6 +26,8 @@
     pub bytes: Bytes,
     /// Number of events.
     pub count: u32,
+    /// First ID that any of them has.
+    pub first_id: Option<String>,
     /// ID of the last event. `None` if it has no ID of its own, so that the stream cannot resume
     /// after it.
     pub last_id: Option<String>,
@@ -138,6 +140,7 @@
             if std::mem::replace(&mut self.in_event, false) {
                 scan.count += 1;
                 scan.last_id = self.id.take().filter(|id| !id.is_empty());
+                scan.first_id = scan.first_id.take().or_else(|| scan.last_id.clone());
             }
         } else if !line.starts_with(b":") {
             if let Some(id) = read_id(line) {
@@ -166,6 +169,7 @@
         CompleteEvents {
             bytes: self.buffer.split_to(scan.end).freeze(),
             count: scan.count,
+            first_id: scan.first_id,
             last_id: scan.last_id,
         }
     }
@@ -177,6 +181,7 @@
     /// Position after the last byte at which no event was open.
     end: usize,
     count: u32,
+    first_id: Option<String>,
     last_id: Option<String>,
 }
 
--- a/crates/firdock-node/src/endpoint/relay/stream.rs
+++ b/crates/firdock-node/src/endpoint/relay/stream.rs
@@ -10,12 +10,17 @@
 use crate::endpoint::{BodyState, EndpointBody};
 use crate::exchange::{AnswerHead, AnswerPart};
 
+/// Header with the ID of the last event that a caller has, as the format of server-sent events defines it.
+const LAST_EVENT_ID: &str = "last-event-id";
+
 /// An event stream being forwarded to the caller.
 pub(super) struct Stream<'a> {
     run: &'a DispatchRun,
     /// Head of the answer, until it is forwarded.
     head: Option<AnswerHead>,
     event_tokens: u32,
+    /// ID of the event after which this dispatch continues the stream, until its first event arrives.
+    continues_after: Option<String>,
     started: bool,
 }
 
@@ -25,13 +30,18 @@
     /// Removes the content length from repeatable requests: events from several endpoints together
     /// differ in length from what the first one declared.
     pub(super) fn new(run: &'a DispatchRun, mut head: AnswerHead, event_tokens: u32) -> Self {
-        if run.exchange.payload.terms.repeatable {
+        let payload = &run.exchange.payload;
+        if payload.terms.repeatable {
             head.headers.remove(header::CONTENT_LENGTH);
         }
+        let delivered = run.delivered().last_event.clone();
+        let given = || payload.headers.get(LAST_EVENT_ID)?.to_str().ok();
+        let continues_after = delivered.or_else(|| given().map(str::to_owned));
         Self {
             run,
             head: Some(head),
             event_tokens,
+            continues_after: continues_after.filter(|_| payload.terms.repeatable),
             started: false,
         }
     }
@@ -77,6 +87,9 @@
     }
 
     async fn forward_events(&mut self, events: CompleteEvents) -> Result<(), DispatchError> {
+        if self.repeats(&events) {
+            return Err(DispatchError::EndpointFailed(BreakCause::Foreign));
+        }
         self.begin().await?;
         let first = self.run.delivered().tokens == 0 && events.count > 0;
         if first && self.run.exchange.payload.terms.repeatable {
@@ -95,6 +108,18 @@
         Ok(())
     }
 
+    /// Returns whether the endpoint sends an event that the caller has already, in place of continuing after it.
+    fn repeats(&mut self, events: &CompleteEvents) -> bool {
+        if events.count == 0 {
+            return false;
+        }
+        let first = events.first_id.as_deref();
+        let last = self.continues_after.take();
+        first
+            .zip(last)
+            .is_some_and(|(first, last)| !is_after(first, &last))
+    }
+
     /// Records how far the answer has come, before its events are forwarded.
     fn record(&self, events: u32, last_id: Option<String>) {
         let mut delivered = self.run.delivered();
@@ -139,3 +164,11 @@
         self.run.forward(AnswerPart::Head(head)).await
     }
 }
+
+/// Returns whether an event comes after another one, by their IDs. Those that are not numbers only have to differ.
+fn is_after(id: &str, last: &str) -> bool {
+    match (id.parse::<u64>(), last.parse::<u64>()) {
+        (Ok(id), Ok(last)) => id > last,
+        _ => id != last,
+    }
+}
--- a/crates/firdock-policy/tests/policy/stream_versions/restarts.rs
+++ b/crates/firdock-policy/tests/policy/stream_versions/restarts.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use firdock_core::resource::{Catalog, Endpoint, Resource};
 use firdock_core::Reason;
+use firdock_core::resource::{Catalog, Endpoint, Resource};
 use firdock_policy::event::{
     BreakCause, ConnectFailure, DispatchUpdate, PeerUpdate, RenewedEntry, UnconfirmedStart,
 };
