An answer that outlasts a break confirms its endpoint

What callers would see: endpoints that break off single answers and go on serving, as faulty ones do a few times a second, would continue no stream for as long as that lasts, since each break makes the last renewed entry too old.

Cause: a break was the only sign that counted, and an entry the only proof.

Now the end of a stream whose request was sent before the break, with bytes that arrived 50 ms or more after it, confirms the start: all connections to a process end with it. Answers to later requests prove nothing, as they may be of the next process. The relay tells when the last bytes of a stream arrived, so that a slow caller does not make them look later.

No play of it over processes.

--- a/crates/firdock-node/src/endpoint/relay/stream.rs
+++ b/crates/firdock-node/src/endpoint/relay/stream.rs
@@ -51,6 +51,9 @@
         if result.is_err() && self.is_unresumable() {
             self.run.report(DispatchUpdate::Unresumable).await;
         }
+        if result.is_ok() {
+            self.run.report_last_bytes().await;
+        }
         let output = self.run.delivered().tokens;
         finish(self.run, result, output).await
     }
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -204,13 +204,18 @@
     /// trace.
     pub async fn report_broken(&self, cause: BreakCause) -> &'static str {
         let delivered = self.delivered().tokens;
+        self.report_last_bytes().await;
+        self.report(DispatchUpdate::Breaking(cause)).await;
+        self.report(DispatchUpdate::Broke { delivered }).await;
+        cause.as_str()
+    }
+
+    /// Reports to the scheduler when the last bytes of the answer arrived.
+    pub(super) async fn report_last_bytes(&self) {
         let last_bytes = self.delivered().end.and_then(|end| end.last_bytes);
         if let Some(at) = last_bytes {
             self.report(DispatchUpdate::LastBytes(at)).await;
         }
-        self.report(DispatchUpdate::Breaking(cause)).await;
-        self.report(DispatchUpdate::Broke { delivered }).await;
-        cause.as_str()
     }
 
     /// Reports to the scheduler that the request did not run. Returns the result for the trace.
--- a/crates/firdock-policy/src/event/endpoint.rs
+++ b/crates/firdock-policy/src/event/endpoint.rs
@@ -71,7 +71,7 @@
     Unproven,
     /// The caller has received a part of the answer from which no other endpoint can resume.
     Unresumable,
-    /// When the last bytes of an answer arrived that is about to break.
+    /// When the last bytes of a stream arrived that is about to end, or of any answer that is about to break.
     LastBytes(Time),
     /// Cause of the break that the next update reports.
     Breaking(BreakCause),
--- a/crates/firdock-policy/src/system/dispatch_updates.rs
+++ b/crates/firdock-policy/src/system/dispatch_updates.rs
@@ -277,6 +277,7 @@
         .content_id()
         .filter(|_| row.completion_proof == CompletionProof::Proven);
     let service = row.service;
+    let last_bytes = row.last_bytes.map(|at| (row.dispatched, at));
     let first = row.first.unwrap_or(now);
     let tokens_after_first = output.saturating_sub(1);
     if prompt > 0 && row.tried.len() == 1 && row.placement != PlacementState::Adopted {
@@ -290,6 +291,9 @@
         t.services.get_mut(service).learn_output(output);
         fair_share::settle(t, now, id, output);
     }
+    if let Some((sent, last_bytes)) = last_bytes {
+        start::record_answer(t, at, sent, last_bytes);
+    }
     suspect::record_end(t, now, id);
     lifecycle::complete(t, now, id);
     if let Some(content) = content {
@@ -297,7 +301,7 @@
     }
 }
 
-/// Records when the last bytes of an answer arrived that is about to break.
+/// Records when the last bytes of an answer arrived that is about to end or to break.
 fn record_last_bytes(t: &mut Tables, id: RequestId, at: Time) {
     if let Some(row) = t.requests.get_mut(id) {
         row.last_bytes = Some(at);
--- a/crates/firdock-policy/src/system/start.rs
+++ b/crates/firdock-policy/src/system/start.rs
@@ -18,6 +18,9 @@
 /// with the time at which a start began.
 const CLOCK_TOLERANCE: Duration = Duration::from_millis(50);
 
+/// Time within which all connections to a process that ended are seen to break.
+const BREAK_SPREAD: Duration = Duration::from_millis(50);
+
 /// Records that the connection of a dispatch to an endpoint broke. Its process was alive at `alive_at`.
 pub fn record_break(t: &mut Tables, now: Time, at: usize, sent: Time, alive_at: Time) {
     // A dispatch to a start that was replaced since may have reached the one after it.
@@ -46,6 +49,17 @@
     });
 }
 
+/// Records when the last bytes of a whole answer arrived from an endpoint. All connections to a process break with it, so
+/// that an answer which began before a break and went on after it confirms the process.
+pub fn record_answer(t: &mut Tables, at: usize, sent: Time, last_bytes: Time) {
+    let e = t.endpoints.get_mut(at);
+    let survived = |u: Unconfirmed| sent <= u.since && u.last_break + BREAK_SPREAD <= last_bytes;
+    if e.unconfirmed.is_some_and(survived) {
+        e.unconfirmed = None;
+        e.confirmed_at = e.confirmed_at.max(last_bytes.saturating_sub(BREAK_SPREAD));
+    }
+}
+
 /// Records that no process listens at an endpoint's address.
 pub fn record_refused_connection(t: &mut Tables, now: Time, at: usize) {
     record_break(t, now, at, now, now);
--- a/crates/firdock-policy/tests/policy/stream_versions/restarts.rs
+++ b/crates/firdock-policy/tests/policy/stream_versions/restarts.rs
@@ -114,6 +114,19 @@
         actions
     }
 
+    /// A request's answer ends whole.
+    fn end(&mut self, n: u64) {
+        self.update(n, DispatchUpdate::LastBytes(self.edge.now));
+        let (prompt, cached, output) = (0, 0, 2);
+        let ended = DispatchUpdate::Ended {
+            prompt,
+            cached,
+            output,
+        };
+        self.update(n, ended);
+        self.sent.remove(&n);
+    }
+
     /// Returns the requests that an endpoint serves.
     fn served_by(&self, endpoint: usize) -> Vec<u64> {
         let sent = self.sent.iter();
@@ -239,6 +252,26 @@
     assert_eq!(sent_by(&actions), [(1, other, 2)]);
 }
 
+/// Guards against endpoints that continue no stream while they break off single answers again and again.
+#[test]
+fn an_answer_that_outlasts_a_break_confirms_its_endpoint_and_a_later_one_does_not() {
+    let mut world = world_with_streams();
+    let other = world.sent[&2].0;
+    begin_at(&mut world, 3, other);
+    world.pass(millis(10));
+    world.break_off(3);
+    world.pass(millis(100));
+    begin_at(&mut world, 5, other);
+    for (n, is_confirmed) in [(5, false), (2, true)] {
+        world.pass(millis(10));
+        world.end(n);
+        let t = world.edge.scheduler.tables();
+        let at = t.endpoints.find(&format!("e-{other}"));
+        let e = t.endpoints.get(at.expect("it is listed"));
+        assert_eq!(e.unconfirmed.is_none(), is_confirmed, "{n}");
+    }
+}
+
 /// Guards against a request that waits for an entry for longer than a caller waits for an event.
 #[test]
 fn a_stream_is_cut_when_no_entry_confirms_a_start_in_time() {
@@ -370,6 +403,8 @@
     Event(usize),
     /// The connection to a caller's endpoint breaks, without a restart.
     Break(usize),
+    /// A caller's present attempt ends whole, and it begins anew.
+    End(usize),
     /// An endpoint restarts with a version.
     Restart(usize, usize),
     /// The entry of an endpoint's start is read.
@@ -388,6 +423,7 @@
         5 => (0..CALLERS).prop_map(Step::Call),
         5 => (0..CALLERS).prop_map(Step::Event),
         2 => (0..CALLERS).prop_map(Step::Break),
+        1 => (0..CALLERS).prop_map(Step::End),
         2 => (0..ENDPOINTS, 0..VERSIONS.len()).prop_map(|(e, v)| Step::Restart(e, v)),
         2 => (0..ENDPOINTS).prop_map(Step::List),
         2 => (0..ENDPOINTS).prop_map(Step::Renew),
@@ -432,6 +468,15 @@
     world.arrive(n, origin);
 }
 
+fn end(world: &mut World, caller: &mut Caller) {
+    let dispatch = |n| Some((n, world.sent.get(&n)?.1));
+    let began = caller.attempt.and_then(dispatch);
+    if let Some((n, _)) = began.filter(|began| caller.began.contains(began)) {
+        world.end(n);
+        *caller = Caller::default();
+    }
+}
+
 /// Restarts an endpoint. Where nothing is under way there, its entry is read at once: such a restart leaves no trace.
 fn restart(world: &mut World, endpoint: usize, version: &'static str) {
     let is_silent = world.served_by(endpoint).is_empty();
@@ -458,6 +503,7 @@
                         world.break_off(n);
                     }
                 }
+                Step::End(c) => end(&mut world, &mut callers[c]),
                 Step::Restart(endpoint, version) => restart(&mut world, endpoint, VERSIONS[version]),
                 Step::List(endpoint) => {
                     world.list(endpoint);
@@ -491,7 +537,7 @@
                 Step::List(endpoint) => {
                     world.list(endpoint);
                 }
-                Step::Break(_) | Step::Renew(_) | Step::Pass(_) => {}
+                Step::Break(_) | Step::End(_) | Step::Renew(_) | Step::Pass(_) => {}
             }
         }
         for endpoint in 0..ENDPOINTS {
