--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -347,7 +347,11 @@
         self.ticks += 1;
         let now = self.parts.clock.now();
         let changed = self.rollout_log.record(now, self.scheduler.tables());
-        if changed | self.log_suspects(now) | self.limits_changed() | self.lost_track_of_starts() {
+        if changed
+            | self.log_suspects(now)
+            | self.limits_changed()
+            | self.unconfirmed_starts_found()
+        {
             self.publish();
         }
         if self.ticks.is_multiple_of(TICKS_PER_PUBLICATION) {
@@ -386,7 +390,7 @@
     }
 
     /// Returns whether this instance found starts of endpoints since the last call that it cannot confirm.
-    fn lost_track_of_starts(&mut self) -> bool {
+    fn unconfirmed_starts_found(&mut self) -> bool {
         let found = self.scheduler.tables().stats.unconfirmed_starts;
         std::mem::replace(&mut self.unconfirmed_starts, found) != found
     }
