A stream that an endpoint refused waits no longer for an entry than one that broke

What callers would see: a request that continues a stream, was refused by the last confirmed endpoint and then had to wait for an entry, waited until its deadline.

Cause: requests were tracked at their arrival and after a break, and not after a refusal. Found by reading the change.

Now every request that is held again is tracked where its phase changes. The test failed before (no answer after two seconds).

--- a/crates/firdock-policy/src/system/dispatch_updates.rs
+++ b/crates/firdock-policy/src/system/dispatch_updates.rs
@@ -3,8 +3,8 @@
 use firdock_core::{Outcome, Reason, RequestId};
 
 use super::{
-    continuation, fair_share, fragile, health, key, lifecycle, liveness, pace_reports, permit,
-    rollout, route, start, suspect,
+    fair_share, fragile, health, key, lifecycle, liveness, pace_reports, permit, rollout, route,
+    start, suspect,
 };
 use crate::action::Action;
 use crate::event::{BreakCause, ConnectFailure, DispatchUpdate, EndpointEvent};
@@ -363,7 +363,6 @@
             row.delivered = row.delivered.max(delivered);
         }
         lifecycle::set_phase(t, id, Phase::Held, true);
-        continuation::track(t, id);
         return;
     }
     let retry_after = None;
--- a/crates/firdock-policy/src/system/lifecycle.rs
+++ b/crates/firdock-policy/src/system/lifecycle.rs
@@ -6,7 +6,7 @@
 
 use firdock_core::{Outcome, Reason, RequestId, StartId};
 
-use super::{attempts, backoff, limit};
+use super::{attempts, backoff, continuation, limit};
 use crate::action::Action;
 use crate::request::{
     EndpointFailure, NewRequest, Origin, Phase, PlacementState, RequestRow, Verdict,
@@ -41,6 +41,7 @@
         if let Some(row) = t.requests.get_mut(id) {
             row.placement = PlacementState::NotRequested;
         }
+        continuation::track(t, id);
     }
     release_place(t, id, old, phase);
     t.requests.set_phase(id, phase);
--- a/crates/firdock-policy/tests/policy/stream_versions/restarts.rs
+++ b/crates/firdock-policy/tests/policy/stream_versions/restarts.rs
@@ -286,6 +286,24 @@
     assert!(actions.iter().any(cut), "{actions:?}");
 }
 
+/// Guards against a request that waits for an entry without a limit after the last confirmed endpoint refused it.
+#[test]
+fn a_stream_that_an_endpoint_refused_waits_no_longer_for_an_entry() {
+    let mut world = world_with_streams();
+    let other = world.sent[&2].0;
+    let origin = world.origin(1);
+    world.restart(other, "v2");
+    world.pass(millis(10));
+    world.arrive(30, origin);
+    assert_eq!(world.sent[&30].0, 1 - other);
+    world.pass(millis(10));
+    let refused = DispatchUpdate::Refused { unreachable: false };
+    world.update(30, refused);
+    let actions = world.pass(MAX_WAIT);
+    let reason = verdict(&actions).map(|(_, reason)| reason);
+    assert_eq!(reason, Some(Reason::VersionUnknown));
+}
+
 /// Begins a stream at an endpoint that has just restarted with a version, and returns its recorded origin.
 fn begin_after_restart(world: &mut World, version: &'static str) -> StreamOrigin {
     let other = world.sent[&2].0;
