Sight: an answer that ends with its connection starts a liveness check of its endpoint

What the logs could not tell: whether the endpoint of an answer without a length or chunks still lived when its connection was closed in order. Nothing else changes by it.

--- a/crates/firdock-policy/src/system/dispatch_updates.rs
+++ b/crates/firdock-policy/src/system/dispatch_updates.rs
@@ -44,7 +44,7 @@
         }
         DispatchUpdate::Failed => rollout::record_failure(t, e.id),
         DispatchUpdate::FailureKept => mark_failure_kept(t, e.id),
-        DispatchUpdate::Unproven => mark_unproven(t, e.id),
+        DispatchUpdate::Unproven => handle_unproven(t, now, e.id, at, out),
         DispatchUpdate::Unresumable => mark_unresumable(t, e.id),
         DispatchUpdate::LastBytes(at) => record_last_bytes(t, e.id, at),
         DispatchUpdate::Breaking(cause) => handle_breaking(t, now, e.id, at, cause, out),
@@ -210,11 +210,12 @@
     }
 }
 
-/// Records that the end of the answer does not prove it complete.
-fn mark_unproven(t: &mut Tables, id: RequestId) {
+/// Records that the end of the answer does not prove it complete, and checks whether its endpoint lives.
+fn handle_unproven(t: &mut Tables, now: Time, id: RequestId, at: usize, out: &mut Vec<Action>) {
     if let Some(row) = t.requests.get_mut(id) {
         row.completion_proof = CompletionProof::Unproven;
     }
+    liveness::start_check(t, now, at, out);
 }
 
 /// Records that the answer can only be continued by the endpoint that began it.
