An answer that ends with its connection ends only if its endpoint lived on

Cause: the operating system closes the connections of a killed process in order. Such a close between two events leaves nothing over, and was passed on as the end. Class: an end was concluded from the absence of an error, of which only the endpoint's process could tell.

Change: the end (never an event) waits until there is a sign of the process, 250 ms at the most: a check by connecting, other answers there that break or go on, a later start, a time in which this instance did not run (docs/design/endings.md). On a sign of death a stream that may be continued goes on after its last event within the same answer, where an empty rest proves the end; others are broken off. Metric firdock_unproven_ends_total, line "end of answer judged".

Why it works: a killed process stops listening before or with its connections, so that a connection that is accepted later and stays open is proof of life, and all its other connections end with it.

--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -450,6 +450,11 @@
             Action::GiveUpDispatch { id, dispatch } => {
                 self.notify_dispatch(id, dispatch, EndpointChange::Restarted);
             }
+            Action::JudgeEnd {
+                id,
+                dispatch,
+                verdict,
+            } => self.judge_end(id, dispatch, verdict),
             Action::CheckLiveness { endpoint, start } => self.check_liveness(&endpoint, start),
             Action::ProbeLink { endpoint, start } => self.probe_link(&endpoint, start),
             Action::Withhold { id, dispatch } => {
--- a/crates/firdock-node/src/driver/send.rs
+++ b/crates/firdock-node/src/driver/send.rs
@@ -5,7 +5,9 @@
 use firdock_core::{InstanceId, RequestId, StartId};
 use firdock_policy::Event;
 use firdock_policy::action::{Dispatch, HandOverCause};
-use firdock_policy::event::{DispatchUpdate, EndpointEvent, HandOverEvent, HandOverRefusal};
+use firdock_policy::event::{
+    DispatchUpdate, EndVerdict, EndpointEvent, HandOverEvent, HandOverRefusal,
+};
 use firdock_policy::request::StreamOrigin;
 use tokio::sync::watch;
 
@@ -116,6 +118,22 @@
         }
     }
 
+    /// Tells a dispatch the verdict on the end of its answer.
+    pub(super) fn judge_end(&mut self, id: RequestId, dispatch: u32, verdict: EndVerdict) {
+        let row = self.scheduler.tables().requests.get(id);
+        if let (Some(row), Some(request)) = (row, self.active.get(&id)) {
+            let (now, t) = (self.parts.clock.now(), self.scheduler.tables());
+            self.decisions
+                .end_judged(now, t, row, &request.exchange, verdict);
+        }
+        let change = if verdict.accepted {
+            EndpointChange::EndAccepted
+        } else {
+            EndpointChange::EndRejected
+        };
+        self.notify_dispatch(id, dispatch, change);
+    }
+
     pub(super) fn hand_over(&mut self, id: RequestId, peer: InstanceId, cause: HandOverCause) {
         let Some(exchange) = self.exchange(id) else {
             return;
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -88,8 +88,15 @@
     Closed,
     /// The endpoint has restarted, so that no more data will arrive.
     Restarted,
+    /// The answer that ended with its connection is complete, as far as can be known.
+    EndAccepted,
+    /// That answer is broken: its endpoint's process ended, or cannot be told to have lived on.
+    EndRejected,
 }
 
+/// Longest time for which a dispatch waits for the verdict on the end of its answer. The scheduler decides sooner.
+const VERDICT_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Why a dispatch ended early.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DispatchError {
@@ -239,7 +246,9 @@
         }
         let change = *self.change.borrow();
         match change {
-            EndpointChange::Unchanged => None,
+            EndpointChange::Unchanged
+            | EndpointChange::EndAccepted
+            | EndpointChange::EndRejected => None,
             EndpointChange::Closed => {
                 self.report(DispatchUpdate::Withheld).await;
                 Some("withheld")
@@ -312,14 +321,35 @@
                 Err(DispatchError::EndpointFailed(BreakCause::Closed))
             }
             Completeness::Unproven => {
+                self.report_last_bytes().await;
                 self.report(DispatchUpdate::Unproven).await;
-                Ok(())
+                self.wait_for_verdict().await
             }
             Completeness::Complete => Ok(()),
             Completeness::Broken(cause) => Err(DispatchError::EndpointFailed(cause)),
         }
     }
 
+    /// Waits until the scheduler knows whether the endpoint's process outlived the answer.
+    async fn wait_for_verdict(&self) -> Result<(), DispatchError> {
+        let mut change = self.change.clone();
+        let is_verdict = |change: &EndpointChange| {
+            use EndpointChange::{EndAccepted, EndRejected, Restarted};
+            matches!(change, EndAccepted | EndRejected | Restarted)
+        };
+        let verdict = timeout(VERDICT_TIMEOUT, change.wait_for(is_verdict)).await;
+        match verdict.map(|change| change.map(|change| *change)) {
+            Ok(Ok(EndpointChange::EndRejected)) => {
+                Err(DispatchError::EndpointFailed(BreakCause::Closed))
+            }
+            Ok(Ok(EndpointChange::Restarted)) => {
+                Err(DispatchError::EndpointFailed(BreakCause::Restarted))
+            }
+            // Without a verdict the end counts for no more and no less than before.
+            Ok(Ok(_) | Err(_)) | Err(_) => Ok(()),
+        }
+    }
+
     /// Checks right before the write whether the key's confirmation has expired, and reports it to
     /// the scheduler if so.
     async fn confirmation_expired(&self) -> bool {
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -7,7 +7,7 @@
 
 use firdock_core::{EndpointId, Reason};
 use firdock_policy::action::Dispatch;
-use firdock_policy::event::{BreakCause, ConnectFailure, LivenessResult};
+use firdock_policy::event::{BreakCause, ConnectFailure, EndVerdict, LivenessResult};
 use firdock_policy::notice::NoticeReport;
 use firdock_policy::rate::RequestRate;
 use firdock_policy::request::{Phase, RequestRow};
@@ -146,6 +146,32 @@
         }
     }
 
+    /// Logs whether the end of an answer that proved nothing counts, and why.
+    pub fn end_judged(
+        &self,
+        now: Time,
+        t: &Tables,
+        row: &RequestRow,
+        exchange: &Exchange,
+        verdict: EndVerdict,
+    ) {
+        if !self.limiter.allow(&self.log, now, LogKind::Unframed) {
+            return;
+        }
+        let (_, end) = answer_end(exchange);
+        let last_bytes = row.last_bytes.unwrap_or(row.dispatched);
+        info!(self.log, "end of answer judged";
+            "request_id" => row.new.id.to_string(),
+            "call" => call(exchange),
+            "endpoint" => endpoint_of(t, row),
+            "dispatch" => row.dispatch,
+            "accepted" => verdict.accepted,
+            "evidence" => verdict.evidence.as_str(),
+            "since_last_bytes_millis" => millis(now.saturating_sub(last_bytes)),
+            AnswerEndFields(end),
+        );
+    }
+
     /// Logs that a whole answer was passed on; `row` is the request's row before it ended.
     pub fn answered(&self, now: Time, t: &Tables, row: &RequestRow, exchange: &Exchange) {
         let (output, end) = answer_end(exchange);
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -19,7 +19,7 @@
 
 use self::labels::{
     ByCall, ByCause, ByEnd, ByFound, ByOutcome, ByPool, ByRefusal, ByShare, BySource, ByTier,
-    ByTopic, ByTry,
+    ByTopic, ByTry, ByVerdict,
 };
 use super::suspects::SuspectStates;
 use super::{AnswerMetrics, EndpointList, SuspectList};
@@ -67,6 +67,7 @@
     passed_on: Counter,
     not_passed_on: Counter,
     looks: Family<ByFound, Counter>,
+    unproven_ends: Family<ByVerdict, Counter>,
     answer_ends: Family<ByEnd, Counter>,
     blamed: Counter,
     suspected: Gauge,
@@ -133,6 +134,7 @@
             passed_on: Counter::default(),
             not_passed_on: Counter::default(),
             looks: Family::default(),
+            unproven_ends: Family::default(),
             answer_ends: Family::default(),
             blamed: Counter::default(),
             suspected: Gauge::default(),
@@ -387,6 +389,13 @@
             };
             store(&self.looks.get_or_create(&label), *n);
         }
+        for (verdict, n) in &stats.unproven_ends {
+            let label = ByVerdict {
+                evidence: verdict.evidence.as_str(),
+                accepted: verdict.accepted.to_string(),
+            };
+            store(&self.unproven_ends.get_or_create(&label), *n);
+        }
         store(&self.blamed, stats.blamed);
         store(&self.passed_on, stats.passed_on);
         store(&self.not_passed_on, stats.not_passed_on);
--- a/crates/firdock-node/src/telemetry/metrics/labels.rs
+++ b/crates/firdock-node/src/telemetry/metrics/labels.rs
@@ -26,6 +26,14 @@
     pub(super) found: &'static str,
 }
 
+/// Labels of the ends of answers that proved nothing.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct ByVerdict {
+    pub(super) evidence: &'static str,
+    /// `true` if the answer ended with it; `false` if it counted as broken.
+    pub(super) accepted: String,
+}
+
 /// Labels of answers from endpoints, by framing and by how they ended.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct ByEnd {
--- a/crates/firdock-node/src/telemetry/metrics/register.rs
+++ b/crates/firdock-node/src/telemetry/metrics/register.rs
@@ -146,6 +146,11 @@
             "Looks at endpoints whose connections ended early, by what was found",
             self.looks.clone(),
         );
+        r.register(
+            "unproven_ends",
+            "Ends of answers without a length or chunks, by what was known of their endpoint",
+            self.unproven_ends.clone(),
+        );
         r.register(
             "answer_ends",
             "Answers of endpoints, by how they were framed and how they ended",
--- a/crates/firdock-policy/src/action.rs
+++ b/crates/firdock-policy/src/action.rs
@@ -3,7 +3,7 @@
 use firdock_core::{EndpointId, InstanceId, Reason, RequestId, StartId};
 use serde::{Deserialize, Serialize};
 
-use crate::event::{Grant, KeyTransfer};
+use crate::event::{EndVerdict, Grant, KeyTransfer};
 use crate::permit::{PermitGrant, PermitHolder, PermitRequest};
 use crate::request::Verdict;
 use crate::rollout::RolloutRecord;
@@ -41,6 +41,15 @@
         /// Start of the endpoint.
         start: StartId,
     },
+    /// Tell a dispatch whether the end of its answer, which proved nothing, counts.
+    JudgeEnd {
+        /// Request.
+        id: RequestId,
+        /// Dispatch whose answer ended.
+        dispatch: u32,
+        /// The verdict.
+        verdict: EndVerdict,
+    },
     /// Probe this instance's own link to an endpoint by connecting.
     ProbeLink {
         /// Endpoint.
--- a/crates/firdock-policy/src/event/endpoint.rs
+++ b/crates/firdock-policy/src/event/endpoint.rs
@@ -66,8 +66,8 @@
     /// That answer is buffered completely and can be passed on instead of an answer of firdock's
     /// own.
     FailureKept,
-    /// The answer ended with its connection, so it is not proven complete; the update that ends the
-    /// dispatch follows.
+    /// The answer ended with its connection, so it is not proven complete. The dispatch waits for
+    /// [`Action::JudgeEnd`](crate::Action::JudgeEnd).
     Unproven,
     /// The caller has received a part of the answer from which no other endpoint can resume.
     Unresumable,
@@ -136,6 +136,73 @@
     }
 }
 
+/// What is known of the process of an endpoint whose answer ended with its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum EndEvidence {
+    /// It accepts connections.
+    Open,
+    /// It accepts connections, but may have been replaced, since this instance did not run when the answer ended.
+    SeenLate,
+    /// Other answers of it go on.
+    OthersGoOn,
+    /// It refuses connections, but served on after it had stopped listening or announced that it leaves.
+    StoppedListening,
+    /// Its address is silent.
+    Silent,
+    /// It refuses connections.
+    Refused,
+    /// Another answer of it broke at the same time.
+    OthersBroke,
+    /// It had stopped listening, and another answer ended at the same time.
+    EndedTogether,
+    /// Another process has taken its place.
+    Restarted,
+}
+
+impl EndEvidence {
+    /// Returns its name in logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Open => "open",
+            Self::SeenLate => "seen-late",
+            Self::OthersGoOn => "others-go-on",
+            Self::StoppedListening => "stopped-listening",
+            Self::Silent => "silent",
+            Self::Refused => "refused",
+            Self::OthersBroke => "others-broke",
+            Self::EndedTogether => "ended-together",
+            Self::Restarted => "restarted",
+        }
+    }
+}
+
+/// Whether the end of an answer that proves nothing is passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct EndVerdict {
+    /// Whether the answer ends with it; it is broken otherwise.
+    pub accepted: bool,
+    /// Why.
+    pub evidence: EndEvidence,
+}
+
+impl EndVerdict {
+    /// Creates the verdict that the answer has ended.
+    #[must_use]
+    pub fn accepted(evidence: EndEvidence) -> Self {
+        let accepted = true;
+        Self { accepted, evidence }
+    }
+
+    /// Creates the verdict that the answer is broken.
+    #[must_use]
+    pub fn rejected(evidence: EndEvidence) -> Self {
+        let accepted = false;
+        Self { accepted, evidence }
+    }
+}
+
 /// Result of a probe of this instance's own link to an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LinkProbe {
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -358,7 +358,7 @@
     /// The answer is complete, so its endpoint is alive.
     #[default]
     Proven,
-    /// Nothing: an endpoint that exits may end its answer in the same way.
+    /// Nothing: a process that is killed ends its answers in the same way.
     Unproven,
 }
 
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -9,6 +9,7 @@
     access, admit, backoff, budget, config, continuation, coordinate, demand, dispatch_updates,
     drain, early_refusal, expire, fair_share, fragile, handover, health, invariants, key, limit,
     liveness, notice, pace_reports, permit, place, rollout, route, shed, start, suspect,
+    unproven_end,
 };
 use crate::table::{ReachableInstances, Tables};
 use crate::time::Time;
@@ -16,6 +17,9 @@
 /// Time between two runs of the timer systems from which on the instance did not run meanwhile.
 const MIN_ABSENCE: Duration = Duration::from_secs(2);
 
+/// The same between any two events, for what the instance would have seen sooner.
+const MIN_STALL: Duration = Duration::from_millis(200);
+
 /// A decision procedure: this scheduler, or a simpler baseline in measurements.
 pub trait Policy {
     /// Handles an event at the time `now` and appends the resulting actions.
@@ -107,6 +111,7 @@
                 handover::end_silent_hand_overs(t, now, out);
                 handover::remove_silent_peers(t, now);
                 t.suspects.sweep(now);
+                unproven_end::run(t, now, out);
                 expire::end_overdue(t, now, out);
                 expire::end_impatient(t, now, out);
                 expire::put_late_last(t, now);
@@ -123,8 +128,10 @@
 
 impl Policy for Scheduler {
     fn step(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        self.tables.stalls.check(now, MIN_STALL);
         self.apply(now, event, out);
         let t = &mut self.tables;
+        unproven_end::run(t, now, out);
         access::run(t, now, out);
         continuation::run(t, now, out);
         place::run(t, now, out);
--- a/crates/firdock-policy/src/stats.rs
+++ b/crates/firdock-policy/src/stats.rs
@@ -4,7 +4,7 @@
 
 use firdock_core::{AccountId, Outcome, PoolId, Reason, TierRank};
 
-use crate::event::{BreakCause, ConnectFailure, Liveness};
+use crate::event::{BreakCause, ConnectFailure, EndVerdict, Liveness};
 
 /// Why prefill work was wasted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -138,6 +138,8 @@
     pub broken: BTreeMap<BreakCause, u64>,
     /// Liveness checks of endpoints whose connections ended early, by result.
     pub liveness_checks: BTreeMap<Liveness, u64>,
+    /// Ends of answers that proved nothing, by verdict.
+    pub unproven_ends: BTreeMap<EndVerdict, u64>,
     /// Exits of endpoints attributed to a request.
     pub blamed: u64,
     /// Retries after a broken dispatch.
--- a/crates/firdock-policy/src/system.rs
+++ b/crates/firdock-policy/src/system.rs
@@ -33,3 +33,4 @@
 pub mod shed;
 pub mod start;
 pub mod suspect;
+pub mod unproven_end;
--- a/crates/firdock-policy/src/system/dispatch_updates.rs
+++ b/crates/firdock-policy/src/system/dispatch_updates.rs
@@ -4,7 +4,7 @@
 
 use super::{
     fair_share, fragile, health, key, lifecycle, liveness, pace_reports, permit, rollout, route,
-    start, suspect,
+    start, suspect, unproven_end,
 };
 use crate::action::Action;
 use crate::event::{BreakCause, ConnectFailure, DispatchUpdate, EndpointEvent};
@@ -44,7 +44,7 @@
         }
         DispatchUpdate::Failed => rollout::record_failure(t, e.id),
         DispatchUpdate::FailureKept => mark_failure_kept(t, e.id),
-        DispatchUpdate::Unproven => handle_unproven(t, now, e.id, at, out),
+        DispatchUpdate::Unproven => unproven_end::record(t, now, e.id, at, out),
         DispatchUpdate::Unresumable => mark_unresumable(t, e.id),
         DispatchUpdate::LastBytes(at) => record_last_bytes(t, e.id, at),
         DispatchUpdate::Breaking(cause) => handle_breaking(t, now, e.id, at, cause, out),
@@ -126,6 +126,7 @@
     t.endpoints.get_mut(at).link.record_failure(now);
     if cause == ConnectFailure::Refused {
         start::record_refused_connection(t, now, at);
+        health::record_refused_connection(t, now, at);
     }
     *t.stats.connect_failures.entry(cause).or_default() += 1;
     if let Some(row) = t.requests.get_mut(id) {
@@ -188,6 +189,7 @@
 fn handle_started(t: &mut Tables, id: RequestId, at: usize, head_sent: bool) {
     lifecycle::set_phase(t, id, Phase::Running(at), false);
     record_working_link(t, id, at);
+    record_accepted_connection(t, id, at);
     let row = t.requests.get_mut(id).filter(|_| head_sent);
     if let Some(row) = row.filter(|row| !row.head_sent()) {
         row.delivered_part = DeliveredPart::Head;
@@ -203,6 +205,15 @@
     }
 }
 
+/// Records that the endpoint listened when the request was sent.
+fn record_accepted_connection(t: &mut Tables, id: RequestId, at: usize) {
+    let Some(dispatched) = t.requests.get(id).map(|row| row.dispatched) else {
+        return;
+    };
+    let e = t.endpoints.get_mut(at);
+    e.refuses_since = e.refuses_since.filter(|since| dispatched < *since);
+}
+
 /// Records that the endpoint's failure response can be forwarded to the caller.
 fn mark_failure_kept(t: &mut Tables, id: RequestId) {
     if let Some(row) = t.requests.get_mut(id) {
@@ -210,14 +221,6 @@
     }
 }
 
-/// Records that the end of the answer does not prove it complete, and checks whether its endpoint lives.
-fn handle_unproven(t: &mut Tables, now: Time, id: RequestId, at: usize, out: &mut Vec<Action>) {
-    if let Some(row) = t.requests.get_mut(id) {
-        row.completion_proof = CompletionProof::Unproven;
-    }
-    liveness::start_check(t, now, at, out);
-}
-
 /// Records that the answer can only be continued by the endpoint that began it.
 fn mark_unresumable(t: &mut Tables, id: RequestId) {
     if let Some(row) = t.requests.get_mut(id) {
@@ -322,6 +325,7 @@
         row.breaking = Some(cause);
     }
     *t.stats.broken.entry(cause).or_default() += 1;
+    record_closed_connection(t, now, id, at, cause);
     if let (BreakCause::Closed | BreakCause::Silent, Some(row)) = (cause, t.requests.get(id)) {
         let alive_at = row.last_bytes.or(row.first).unwrap_or(row.dispatched);
         start::record_break(t, now, at, row.dispatched, alive_at);
@@ -331,6 +335,24 @@
     }
 }
 
+/// Records that the endpoint, and not a peer on the way, closed a connection before the end of an answer.
+fn record_closed_connection(
+    t: &mut Tables,
+    now: Time,
+    id: RequestId,
+    at: usize,
+    cause: BreakCause,
+) {
+    let Some(row) = t.requests.get(id) else {
+        return;
+    };
+    // An end that was rejected has been counted with what it was rejected for.
+    let is_proven = row.completion_proof == CompletionProof::Proven;
+    if cause == BreakCause::Closed && is_proven && !row.passed_on {
+        t.endpoints.get_mut(at).last_break = Some(now);
+    }
+}
+
 /// Handles a broken dispatch: retries the request elsewhere if permitted, otherwise ends it.
 fn handle_broken(
     t: &mut Tables,
@@ -388,7 +410,7 @@
 }
 
 /// Returns whether a broken request may run on a second endpoint.
-fn may_retry(t: &Tables, id: RequestId, at: usize) -> bool {
+pub(super) fn may_retry(t: &Tables, id: RequestId, at: usize) -> bool {
     let Some(row) = t.requests.get(id) else {
         return false;
     };
--- a/crates/firdock-policy/src/system/liveness.rs
+++ b/crates/firdock-policy/src/system/liveness.rs
@@ -36,6 +36,10 @@
     *t.stats.liveness_checks.entry(result.found).or_default() += 1;
     let at = t.endpoints.find_start(&result.start);
     let state = at.and_then(|at| t.endpoints.get_mut(at).liveness_check.take());
+    if let Some((at, state)) = at.zip(state) {
+        t.unproven_ends
+            .record_liveness(at, state.began, result.found);
+    }
     if result.found == Liveness::Ended {
         // The endpoint is ejected, and its exit counts against the runs that broke there.
         if let Some(at) = at.filter(|at| t.endpoints.get(*at).is_healthy()) {
@@ -43,6 +47,7 @@
         }
         if let Some(at) = at {
             start::record_refused_connection(t, now, at);
+            health::record_refused_connection(t, now, at);
         }
         suspect::record_exit(t, now, &result.start, out);
         return;
@@ -51,6 +56,7 @@
         return;
     };
     if result.found == Liveness::Open {
+        t.endpoints.get_mut(at).refuses_since = None;
         suspect::record_open_address(t, &result.start, state.began);
     }
     if state.again {
--- /dev/null
+++ b/crates/firdock-policy/src/system/unproven_end.rs
@@ -0,0 +1,166 @@
+//! Answers without a length or chunks: whether the close of their connection was meant as their end
+//! (`docs/design/endings.md`).
+//!
+//! A process that is killed closes all of its connections in order, so that an answer which it broke off between two
+//! events ends like a complete one. The end of such an answer waits until it is known whether the process lived on. An
+//! answer whose process ended is continued elsewhere if it may be, and is broken off otherwise.
+
+use std::time::Duration;
+
+use firdock_core::RequestId;
+
+use super::{dispatch_updates, liveness};
+use crate::action::Action;
+use crate::event::{EndEvidence, EndVerdict, Liveness};
+use crate::request::{CompletionProof, Phase, RequestRow};
+use crate::table::Tables;
+use crate::table::request::Requests;
+use crate::table::unproven_ends::UnprovenEnd;
+use crate::time::Time;
+
+/// Longest time for which the end of an answer waits. It is longer than a liveness check within a region takes, and
+/// than a throttled instance pauses; callers allow longer pauses between events.
+const MAX_WAIT: Duration = Duration::from_millis(250);
+
+/// Time within which all connections to a process that ended are seen to close.
+const CLOSE_SPREAD: Duration = Duration::from_millis(50);
+
+/// Records that the answer of a dispatch ended with its connection, and starts a liveness check of the endpoint.
+pub fn record(t: &mut Tables, now: Time, id: RequestId, at: usize, out: &mut Vec<Action>) {
+    let Some(row) = t.requests.get_mut(id) else {
+        return;
+    };
+    row.completion_proof = CompletionProof::Unproven;
+    let dispatch = row.dispatch;
+    if t.settings.coordinates {
+        // Its member judges the end.
+        return;
+    }
+    t.unproven_ends.add(UnprovenEnd {
+        id,
+        dispatch,
+        endpoint: at,
+        ended: now,
+        liveness: None,
+    });
+    liveness::start_check(t, now, at, out);
+}
+
+/// Judges the ends for which there is enough evidence, or which have waited for long enough.
+pub fn run(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
+    if t.unproven_ends.is_empty() {
+        return;
+    }
+    let requests = &t.requests;
+    t.unproven_ends.retain(|end| is_open(requests, end));
+    // All are judged before any is removed: answers that ended together are evidence of each other.
+    let ends = t.unproven_ends.iter();
+    let judged = ends.filter_map(|end| Some((*end, judge(t, now, end)?)));
+    let judged: Vec<(UnprovenEnd, EndVerdict)> = judged.collect();
+    for (end, verdict) in judged {
+        t.unproven_ends.remove(end.id);
+        conclude(t, &end, verdict, out);
+    }
+}
+
+/// Returns whether the dispatch still waits for a verdict.
+fn is_open(requests: &Requests, end: &UnprovenEnd) -> bool {
+    let row = requests.get(end.id);
+    row.is_some_and(|row| row.dispatch == end.dispatch && is_at(row, end.endpoint))
+}
+
+fn is_at(row: &RequestRow, endpoint: usize) -> bool {
+    [Phase::Dispatching(endpoint), Phase::Running(endpoint)].contains(&row.phase)
+}
+
+fn conclude(t: &mut Tables, end: &UnprovenEnd, verdict: EndVerdict, out: &mut Vec<Action>) {
+    *t.stats.unproven_ends.entry(verdict).or_default() += 1;
+    out.push(Action::JudgeEnd {
+        id: end.id,
+        dispatch: end.dispatch,
+        verdict,
+    });
+}
+
+/// Returns the verdict on an end; `None` while more evidence may come.
+fn judge(t: &Tables, now: Time, end: &UnprovenEnd) -> Option<EndVerdict> {
+    let is_over = end.ended + MAX_WAIT <= now;
+    let can_ask = dispatch_updates::may_retry(t, end.id, end.endpoint);
+    if t.endpoints.get(end.endpoint).is_replaced() {
+        return Some(EndVerdict::rejected(EndEvidence::Restarted));
+    }
+    if let Some(evidence) = sign_of_exit(t, now, end, can_ask) {
+        if !others_go_on(t, end) {
+            return Some(EndVerdict::rejected(evidence));
+        }
+        return is_over.then(|| EndVerdict::accepted(EndEvidence::OthersGoOn));
+    }
+    match end.liveness {
+        Some(Liveness::Open) if is_seen_late(t, end) => {
+            Some(verdict_without_sign(EndEvidence::SeenLate, can_ask))
+        }
+        Some(Liveness::Open) => Some(EndVerdict::accepted(EndEvidence::Open)),
+        Some(Liveness::Ended) => Some(EndVerdict::accepted(EndEvidence::StoppedListening)),
+        Some(Liveness::Silent) | None => {
+            is_over.then(|| verdict_without_sign(EndEvidence::Silent, can_ask))
+        }
+    }
+}
+
+/// Returns the verdict where nothing is known of the process: an answer that may be continued is, which proves its end.
+fn verdict_without_sign(evidence: EndEvidence, can_ask: bool) -> EndVerdict {
+    if can_ask {
+        EndVerdict::rejected(evidence)
+    } else {
+        EndVerdict::accepted(evidence)
+    }
+}
+
+/// Returns whether the connection may have closed while this instance did not run: another process may listen by now.
+fn is_seen_late(t: &Tables, end: &UnprovenEnd) -> bool {
+    let returned = t.stalls.runs_since();
+    returned > Time::ZERO && end.ended <= returned + MAX_WAIT
+}
+
+/// Returns what shows that the process of an endpoint ended when an answer did, if nothing of it goes on.
+fn sign_of_exit(t: &Tables, now: Time, end: &UnprovenEnd, can_ask: bool) -> Option<EndEvidence> {
+    let e = t.endpoints.get(end.endpoint);
+    let row = t.requests.get(end.id)?;
+    let last_break = e.last_break.filter(|at| row.dispatched <= *at);
+    if last_break.is_some_and(|at| end.ended <= at + CLOSE_SPREAD) {
+        return Some(EndEvidence::OthersBroke);
+    }
+    if end.liveness != Some(Liveness::Ended) {
+        return None;
+    }
+    let stopped_before = e.refuses_since.is_some_and(|since| {
+        let last_bytes = row.last_bytes.unwrap_or(row.dispatched);
+        since + CLOSE_SPREAD <= last_bytes
+    });
+    if stopped_before {
+        let together = can_ask && ended_together(t, end);
+        return together.then_some(EndEvidence::EndedTogether);
+    }
+    // An endpoint that leaves stops listening at some time, and its last answers are complete.
+    let is_expected = !can_ask && e.leaving(now);
+    (!is_expected).then_some(EndEvidence::Refused)
+}
+
+/// Returns whether another answer of an endpoint goes on that was sent before this one ended: all connections to a
+/// process end with it.
+fn others_go_on(t: &Tables, end: &UnprovenEnd) -> bool {
+    let passed_on = t.requests.get(end.id).is_some_and(|row| row.passed_on);
+    let goes_on = |row: &RequestRow| {
+        row.phase == Phase::Running(end.endpoint)
+            && row.dispatched <= end.ended
+            && row.passed_on == passed_on
+            && row.completion_proof == CompletionProof::Proven
+    };
+    t.endpoints.get(end.endpoint).running > 1 && t.requests.iter().any(goes_on)
+}
+
+/// Returns whether another answer of an endpoint ended the same way at the same time.
+fn ended_together(t: &Tables, end: &UnprovenEnd) -> bool {
+    let mut others = t.unproven_ends.at(end.endpoint);
+    others.any(|other| other.id != end.id && other.ended.abs_diff(end.ended) <= CLOSE_SPREAD)
+}
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -32,6 +32,7 @@
 pub mod suspects;
 pub mod transfer;
 pub mod unavailable;
+pub mod unproven_ends;
 pub mod view;
 
 use std::collections::BTreeSet;
@@ -147,10 +148,14 @@
     pub suspects: suspects::Suspects,
     /// Exits of endpoints and broken runs of the last seconds.
     pub endpoint_exits: endpoint_exits::EndpointExits,
+    /// Answers whose end may be a break.
+    pub unproven_ends: unproven_ends::UnprovenEnds,
     /// Requests that are not to be sent any more, since the configuration in force does not admit them.
     pub withdrawn: BTreeSet<RequestId>,
     /// When the instance did not run, as its timer tells.
     pub absence: absence::Absence,
+    /// The same for shorter times, as all events tell.
+    pub stalls: absence::Absence,
     /// Counters.
     pub stats: Stats,
 }
@@ -254,8 +259,10 @@
             rollouts: rollout::Rollouts::default(),
             suspects: suspects::Suspects::default(),
             endpoint_exits: endpoint_exits::EndpointExits::default(),
+            unproven_ends: unproven_ends::UnprovenEnds::default(),
             withdrawn: BTreeSet::new(),
             absence: absence::Absence::default(),
+            stalls: absence::Absence::default(),
             stats: Stats::default(),
         }
     }
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -137,6 +137,10 @@
     pub failures: u32,
     /// Consecutive broken dispatches.
     pub broken: u32,
+    /// When an own connection to it last closed before the end of an answer.
+    pub last_break: Option<Time>,
+    /// Since when it refuses connections.
+    pub refuses_since: Option<Time>,
     /// A time at which the process that wrote the entry was still alive.
     pub confirmed_at: Time,
     /// Set while another process may have taken its place.
@@ -206,6 +210,8 @@
             health: Health::Healthy,
             failures: 0,
             broken: 0,
+            last_break: None,
+            refuses_since: None,
             confirmed_at: Time::ZERO,
             unconfirmed: None,
             liveness_check: None,
--- /dev/null
+++ b/crates/firdock-policy/src/table/unproven_ends.rs
@@ -0,0 +1,73 @@
+//! Answers that ended with their connection, while it is not known whether their endpoint's process lived on.
+
+use firdock_core::RequestId;
+
+use crate::event::Liveness;
+use crate::time::Time;
+
+/// An answer whose end proves nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UnprovenEnd {
+    /// Request.
+    pub id: RequestId,
+    /// Dispatch that the answer belongs to.
+    pub dispatch: u32,
+    /// Row of the endpoint.
+    pub endpoint: usize,
+    /// When the connection was seen to close.
+    pub ended: Time,
+    /// Result of a liveness check that began later.
+    pub liveness: Option<Liveness>,
+}
+
+/// Answers whose ends have not been judged yet.
+#[derive(Debug, Default)]
+pub struct UnprovenEnds {
+    rows: Vec<UnprovenEnd>,
+}
+
+impl UnprovenEnds {
+    /// Adds an answer that ended.
+    pub fn add(&mut self, end: UnprovenEnd) {
+        self.rows.push(end);
+    }
+
+    /// Returns whether there are none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Returns the ends at an endpoint.
+    pub fn at(&self, endpoint: usize) -> impl Iterator<Item = &UnprovenEnd> {
+        self.rows.iter().filter(move |end| end.endpoint == endpoint)
+    }
+
+    /// Records the result of a liveness check that began at `began`.
+    ///
+    /// An endpoint that accepted a connection says nothing of an answer that ended later. One that refused it does not
+    /// listen, whatever came first.
+    pub fn record_liveness(&mut self, endpoint: usize, began: Time, found: Liveness) {
+        let covered = |end: &&mut UnprovenEnd| {
+            end.endpoint == endpoint && (found == Liveness::Ended || end.ended <= began)
+        };
+        for end in self.rows.iter_mut().filter(covered) {
+            end.liveness = Some(found);
+        }
+    }
+
+    /// Returns all ends.
+    pub fn iter(&self) -> impl Iterator<Item = &UnprovenEnd> {
+        self.rows.iter()
+    }
+
+    /// Removes the end of a request's answer.
+    pub fn remove(&mut self, id: RequestId) {
+        self.rows.retain(|end| end.id != id);
+    }
+
+    /// Keeps the ends for which `is_open` is true.
+    pub fn retain(&mut self, is_open: impl FnMut(&UnprovenEnd) -> bool) {
+        self.rows.retain(is_open);
+    }
+}
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -25,4 +25,5 @@
 mod simulation;
 mod stream_versions;
 mod suspects;
+mod unproven_ends;
 mod use_aggregator;
--- a/crates/firdock-policy/tests/policy/simulation/message.rs
+++ b/crates/firdock-policy/tests/policy/simulation/message.rs
@@ -332,6 +332,7 @@
             | Action::Forget { .. }
             | Action::Record(_)
             | Action::RecordBuilds(_)
+            | Action::JudgeEnd { .. }
             | Action::Drained => {}
         }
     }
--- /dev/null
+++ b/crates/firdock-policy/tests/policy/unproven_ends.rs
@@ -0,0 +1,342 @@
+//! Answers without a length or chunks that end with their connection: a process that is killed ends them like one that
+//! has finished them.
+
+mod series;
+
+use firdock_core::resource::{Endpoint, Resource, Service};
+use firdock_policy::event::{
+    BreakCause, ConnectFailure, DispatchUpdate, EndEvidence, EndVerdict, Liveness, LivenessResult,
+};
+use firdock_policy::notice::{Notice, NoticeReport};
+use firdock_policy::{Action, Event, Time};
+
+use crate::edge::{EdgeScheduler, edge_settings, request, resources};
+use crate::fixtures::millis;
+
+/// Longest wait of an end, and a tick.
+const MAX_WAIT: Time = Time::from_millis(275);
+
+fn engine(name: &str) -> Resource {
+    Resource::Endpoint(Endpoint {
+        name: name.to_owned(),
+        pool: "pool".to_owned(),
+        slots: 32,
+        ..Endpoint::default()
+    })
+}
+
+/// Returns a service over the pool whose streams may be continued, or not.
+fn stream_service(name: &str, resumable: bool) -> Resource {
+    let mut all = resources().into_iter();
+    let safe = all.find_map(|r| match r {
+        Resource::Service(s) if s.name == "safe" => Some(s),
+        _ => None,
+    });
+    Resource::Service(Service {
+        name: name.to_owned(),
+        matches: format!("/{name}"),
+        streamed: true,
+        resumable,
+        repeatable: resumable,
+        attempts: 0,
+        timeout_millis: 60_000,
+        ..safe.expect("the service")
+    })
+}
+
+/// Returns a tier, accounts, services `safe` and `once`, the two services of streams and these endpoints.
+fn resources_of(endpoints: &[&str]) -> Vec<Resource> {
+    let mut all = resources();
+    all.retain(|r| !matches!(r, Resource::Endpoint(_)));
+    all.push(stream_service("stream", true));
+    all.push(stream_service("run", false));
+    all.extend(endpoints.iter().map(|name| engine(name)));
+    all
+}
+
+/// Answers of the endpoint `e1`, beside which `e2` may continue them.
+struct Answers {
+    edge: EdgeScheduler,
+}
+
+impl Answers {
+    /// Starts an answer for each service, of which the first events have arrived.
+    fn of(services: &[&str]) -> Self {
+        let mut edge = EdgeScheduler::new(edge_settings("a"), resources_of(&["e1"]));
+        for (n, service) in (1..).zip(services) {
+            edge.arrive(request(n, service, "free"));
+            edge.update_dispatch(n, 1, DispatchUpdate::Started { head_sent: true });
+            let (delivered, cached) = (2, 0);
+            edge.update_dispatch(n, 1, DispatchUpdate::Tokens { delivered, cached });
+        }
+        let catalog =
+            firdock_core::resource::Catalog::new(2).with_resources(resources_of(&["e1", "e2"]));
+        edge.step(Event::Config(std::sync::Arc::new(catalog)));
+        let mut answers = Self { edge };
+        answers.pass(millis(100));
+        answers
+    }
+
+    /// Passes time in steps as short as the timer's.
+    fn pass(&mut self, time: Time) -> Vec<Action> {
+        let end = self.edge.now + time;
+        let mut actions = Vec::new();
+        while self.edge.now < end {
+            self.edge.now = (self.edge.now + millis(25)).min(end);
+            actions.extend(self.edge.step(Event::ConfigConfirmed(self.edge.now)));
+            actions.extend(self.edge.step(Event::Timer));
+        }
+        actions
+    }
+
+    /// The connection of an answer without framing closes in order.
+    fn close(&mut self, n: u64) -> Vec<Action> {
+        let last = DispatchUpdate::LastBytes(self.edge.now.saturating_sub(millis(1)));
+        let mut actions = self.edge.update_dispatch(n, 1, last);
+        actions.extend(self.edge.update_dispatch(n, 1, DispatchUpdate::Unproven));
+        actions
+    }
+
+    /// The connection of an answer with framing closes before its end.
+    fn break_off(&mut self, n: u64) -> Vec<Action> {
+        let breaking = DispatchUpdate::Breaking(BreakCause::Closed);
+        let mut actions = self.edge.update_dispatch(n, 1, breaking);
+        let broke = DispatchUpdate::Broke { delivered: 2 };
+        actions.extend(self.edge.update_dispatch(n, 1, broke));
+        actions
+    }
+
+    /// A liveness check of the endpoint ends.
+    fn check(&mut self, found: Liveness) -> Vec<Action> {
+        let start = "e1".to_owned();
+        self.edge
+            .step(Event::LivenessChecked(LivenessResult { start, found }))
+    }
+}
+
+/// Returns the verdict on the end of a request's answer.
+fn verdict_on(n: u64, actions: &[Action]) -> Option<EndVerdict> {
+    let mut verdicts = actions.iter().filter_map(|action| match action {
+        Action::JudgeEnd { id, verdict, .. } => (id.as_u128() == n.into()).then_some(*verdict),
+        _ => None,
+    });
+    verdicts.next()
+}
+
+fn accepted(evidence: EndEvidence) -> Option<EndVerdict> {
+    Some(EndVerdict::accepted(evidence))
+}
+
+fn rejected(evidence: EndEvidence) -> Option<EndVerdict> {
+    Some(EndVerdict::rejected(evidence))
+}
+
+// Guards against a part of a stream that is passed on as a complete one when its endpoint was killed between two events.
+#[test]
+fn the_end_of_an_answer_whose_endpoint_refuses_connections_is_rejected() {
+    for service in ["stream", "run"] {
+        let mut answers = Answers::of(&[service]);
+        let actions = answers.close(1);
+        assert!(
+            actions
+                .iter()
+                .any(|a| matches!(a, Action::CheckLiveness { .. })),
+            "it is checked"
+        );
+        assert_eq!(verdict_on(1, &actions), None, "nothing is known yet");
+        let verdict = verdict_on(1, &answers.check(Liveness::Ended));
+        assert_eq!(verdict, rejected(EndEvidence::Refused), "{service}");
+    }
+}
+
+#[test]
+fn a_stream_whose_end_was_rejected_goes_on_at_another_endpoint() {
+    let mut answers = Answers::of(&["stream"]);
+    answers.close(1);
+    answers.check(Liveness::Ended);
+    let sent = crate::fixtures::dispatched(&answers.break_off(1));
+    assert_eq!(sent.len(), 1);
+    assert_eq!(sent[0].1, "e2");
+}
+
+#[test]
+fn the_end_of_an_answer_whose_endpoint_accepts_connections_counts_at_once() {
+    for service in ["stream", "run", "safe", "once"] {
+        let mut answers = Answers::of(&[service]);
+        answers.close(1);
+        let verdict = verdict_on(1, &answers.check(Liveness::Open));
+        assert_eq!(verdict, accepted(EndEvidence::Open), "{service}");
+    }
+}
+
+// Guards against complete answers that are told as broken when their endpoint stops in order: it stops listening first.
+#[test]
+fn an_end_counts_while_other_answers_of_the_endpoint_go_on() {
+    for service in ["stream", "run"] {
+        let mut answers = Answers::of(&[service, "stream"]);
+        answers.close(1);
+        assert_eq!(verdict_on(1, &answers.check(Liveness::Ended)), None);
+        let verdict = verdict_on(1, &answers.pass(MAX_WAIT));
+        assert_eq!(verdict, accepted(EndEvidence::OthersGoOn), "{service}");
+    }
+}
+
+// Guards against a killed endpoint that is taken for a living one, since its other connections are seen to close later.
+#[test]
+fn answers_that_all_end_with_their_endpoint_are_rejected() {
+    let mut answers = Answers::of(&["run", "stream", "run", "stream"]);
+    let mut actions = answers.close(1);
+    actions.extend(answers.check(Liveness::Ended));
+    answers.pass(millis(30));
+    actions.extend(answers.break_off(2));
+    actions.extend(answers.close(3));
+    actions.extend(answers.close(4));
+    actions.extend(answers.check(Liveness::Ended));
+    for n in [1, 3, 4] {
+        let verdict = verdict_on(n, &actions).expect("a verdict");
+        assert!(!verdict.accepted, "{n}: {verdict:?}");
+    }
+}
+
+// Guards against a part that is passed on as complete, since the endpoint listens again by the time it is checked.
+#[test]
+fn an_answer_that_ends_when_the_only_other_one_breaks_is_rejected_without_a_check() {
+    for service in ["stream", "run"] {
+        let mut answers = Answers::of(&[service, "stream"]);
+        answers.close(1);
+        let verdict = verdict_on(1, &answers.break_off(2));
+        assert_eq!(verdict, rejected(EndEvidence::OthersBroke), "{service}");
+    }
+}
+
+// Guards against complete answers that are told as broken, as their endpoint broke off another one before.
+#[test]
+fn an_answer_that_broke_long_before_is_no_sign() {
+    let mut answers = Answers::of(&["run", "stream"]);
+    answers.break_off(2);
+    answers.check(Liveness::Open);
+    answers.pass(millis(100));
+    answers.close(1);
+    let verdict = verdict_on(1, &answers.check(Liveness::Open));
+    assert_eq!(verdict, accepted(EndEvidence::Open));
+}
+
+/// Makes the endpoint refuse a connection, as a request that is sent there shows.
+fn refuse_connection(answers: &mut Answers, n: u64) {
+    answers.edge.arrive(request(n, "run", "free"));
+    let refused = DispatchUpdate::ConnectFailed(ConnectFailure::Refused);
+    answers.edge.update_dispatch(n, 1, refused);
+    let unreachable = DispatchUpdate::Refused { unreachable: true };
+    answers.edge.update_dispatch(n, 1, unreachable);
+}
+
+// Guards against complete answers that are told as broken, or run twice, when their endpoint stopped listening before.
+#[test]
+fn the_last_answer_of_an_endpoint_that_had_stopped_listening_counts() {
+    for service in ["stream", "run"] {
+        let mut edge = EdgeScheduler::new(edge_settings("a"), resources_of(&["e1"]));
+        edge.arrive(request(1, service, "free"));
+        edge.update_dispatch(1, 1, DispatchUpdate::Started { head_sent: true });
+        let mut answers = Answers { edge };
+        refuse_connection(&mut answers, 2);
+        answers.pass(millis(200));
+        answers.close(1);
+        let verdict = verdict_on(1, &answers.check(Liveness::Ended));
+        assert_eq!(
+            verdict,
+            accepted(EndEvidence::StoppedListening),
+            "{service}"
+        );
+    }
+}
+
+// Guards against parts that are passed on as complete when an endpoint that stops is killed at the end of its grace.
+#[test]
+fn streams_that_end_together_at_an_endpoint_that_had_stopped_listening_are_continued() {
+    let mut edge = EdgeScheduler::new(edge_settings("a"), resources_of(&["e1"]));
+    for n in [1, 2] {
+        edge.arrive(request(n, "stream", "free"));
+        edge.update_dispatch(n, 1, DispatchUpdate::Started { head_sent: true });
+    }
+    let mut answers = Answers { edge };
+    refuse_connection(&mut answers, 3);
+    answers.pass(millis(200));
+    answers.close(1);
+    answers.close(2);
+    let actions = answers.check(Liveness::Ended);
+    for n in [1, 2] {
+        let verdict = verdict_on(n, &actions);
+        assert_eq!(verdict, rejected(EndEvidence::EndedTogether), "{n}");
+    }
+}
+
+// Guards against the last answers of a planned stop that cannot be repeated, and are told as broken.
+#[test]
+fn an_endpoint_that_leaves_is_expected_to_refuse_connections() {
+    for (service, verdict) in [
+        ("run", accepted(EndEvidence::StoppedListening)),
+        ("stream", rejected(EndEvidence::Refused)),
+    ] {
+        let mut answers = Answers::of(&[service]);
+        let leaving = true;
+        answers.edge.step(Event::NoticeReported(NoticeReport {
+            endpoint: "e1".to_owned(),
+            member: String::new(),
+            notice: Notice {
+                leaving,
+                ..Notice::default()
+            },
+            read: answers.edge.now,
+        }));
+        answers.close(1);
+        let found = verdict_on(1, &answers.check(Liveness::Ended));
+        assert_eq!(found, verdict, "{service}");
+    }
+}
+
+// Guards against an end that waits for longer than callers bear when nothing answers the check.
+#[test]
+fn an_end_waits_no_longer_than_its_limit() {
+    for (service, verdict) in [
+        ("run", accepted(EndEvidence::Silent)),
+        ("stream", rejected(EndEvidence::Silent)),
+    ] {
+        let mut answers = Answers::of(&[service]);
+        answers.close(1);
+        assert_eq!(verdict_on(1, &answers.pass(millis(225))), None, "{service}");
+        let found = verdict_on(1, &answers.pass(millis(50)));
+        assert_eq!(found, verdict, "{service}");
+    }
+}
+
+// Guards against a part that is passed on as complete when its instance was suspended: the endpoint was replaced meanwhile.
+#[test]
+fn an_end_that_is_seen_after_a_suspension_is_not_proved_by_a_process_that_listens_now() {
+    for (service, verdict) in [
+        ("run", accepted(EndEvidence::SeenLate)),
+        ("stream", rejected(EndEvidence::SeenLate)),
+    ] {
+        let mut answers = Answers::of(&[service]);
+        answers.edge.now += millis(1_500);
+        answers.close(1);
+        let found = verdict_on(1, &answers.check(Liveness::Open));
+        assert_eq!(found, verdict, "{service}");
+    }
+}
+
+// Guards against a check that began before the end and proves nothing of it.
+#[test]
+fn a_check_that_began_before_the_end_is_repeated() {
+    let mut answers = Answers::of(&["stream", "stream"]);
+    answers.close(1);
+    answers.pass(millis(10));
+    let actions = answers.close(2);
+    let is_check = |a: &Action| matches!(a, Action::CheckLiveness { .. });
+    assert!(!actions.iter().any(is_check), "one runs already");
+    let actions = answers.check(Liveness::Open);
+    assert_eq!(verdict_on(1, &actions), accepted(EndEvidence::Open));
+    assert_eq!(verdict_on(2, &actions), None);
+    assert!(actions.iter().any(is_check), "it is repeated");
+    let actions = answers.check(Liveness::Open);
+    assert_eq!(verdict_on(2, &actions), accepted(EndEvidence::Open));
+}
