An end of an answer is not held against the start that gave it

What callers saw: on the mend that judges unproven ends, an answer without a length or chunks was broken off (or run again) although it was complete, if its request was sent after its endpoint restarted and before the entry of that start was read. However much later it ended: such a request stays in the row of the earlier start, which is marked as replaced.

Cause: `judge` took a replaced row for the death of the process that gave the answer. `restart.rs` gives up only the requests that were sent before the later start began; the others are answers of the later start.

Change: the end knows the start that gave the answer (`serving_start`); that start is checked and judged. If its entry is read while the end waits, the check is started anew.

Tests, `end_lifecycle.rs`: `an_end_is_not_rejected_by_the_entry_of_the_start_that_it_is_from` failed on (verdict `Restarted` at once). The others there guard what held: the caller leaves, a planned stop, a withdrawn key, entries that go, the entry of a later start, a coordinator.

--- a/crates/firdock-policy/src/system/unproven_end.rs
+++ b/crates/firdock-policy/src/system/unproven_end.rs
@@ -40,10 +40,38 @@
         id,
         dispatch,
         endpoint: at,
+        server: at,
         ended: now,
         liveness: None,
     });
-    liveness::start_check(t, now, at, out);
+    follow_restart(t, id);
+    let server = t.unproven_ends.get(id).map_or(at, |end| end.server);
+    liveness::start_check(t, now, server, out);
+}
+
+/// Looks for the start of the endpoint that gave an answer. Returns whether it is another one than was known.
+fn follow_restart(t: &mut Tables, id: RequestId) -> bool {
+    let Some(end) = t.unproven_ends.get(id) else {
+        return false;
+    };
+    let server = serving_start(t, end).unwrap_or(end.server);
+    let is_other = server != end.server;
+    t.unproven_ends.set_server(id, server);
+    is_other
+}
+
+/// Returns the row of the start that gave an answer; `None` if another start has replaced it.
+///
+/// A request that was sent after a start began, and before its entry was read, is in the row of the start before it.
+fn serving_start(t: &Tables, end: &UnprovenEnd) -> Option<usize> {
+    let e = t.endpoints.get(end.endpoint);
+    if !e.is_replaced() {
+        return Some(end.endpoint);
+    }
+    let next = &t.starts.find(&e.declared.name, &e.start_id)?.next;
+    let dispatched = t.requests.get(end.id)?.dispatched;
+    let reached_next = next.began.is_some_and(|began| began <= dispatched);
+    t.endpoints.find_start(&next.start).filter(|_| reached_next)
 }
 
 /// Judges the ends for which there is enough evidence, or which have waited for long enough.
@@ -53,6 +81,7 @@
     }
     let requests = &t.requests;
     t.unproven_ends.retain(|end| is_open(requests, end));
+    check_later_starts(t, now, out);
     // All are judged before any is removed: answers that ended together are evidence of each other.
     let ends = t.unproven_ends.iter();
     let judged = ends.filter_map(|end| Some((*end, judge(t, now, end)?)));
@@ -63,6 +92,19 @@
     }
 }
 
+/// Checks the later starts that gave answers of which it was not known yet.
+fn check_later_starts(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
+    let ids: Vec<RequestId> = t.unproven_ends.iter().map(|end| end.id).collect();
+    for id in ids {
+        if !follow_restart(t, id) {
+            continue;
+        }
+        if let Some(server) = t.unproven_ends.get(id).map(|end| end.server) {
+            liveness::start_check(t, now, server, out);
+        }
+    }
+}
+
 /// Returns whether the dispatch still waits for a verdict.
 fn is_open(requests: &Requests, end: &UnprovenEnd) -> bool {
     let row = requests.get(end.id);
@@ -86,7 +128,7 @@
 fn judge(t: &Tables, now: Time, end: &UnprovenEnd) -> Option<EndVerdict> {
     let is_over = end.ended + MAX_WAIT <= now;
     let can_ask = dispatch_updates::may_retry(t, end.id, end.endpoint);
-    if t.endpoints.get(end.endpoint).is_replaced() {
+    if serving_start(t, end).is_none() {
         return Some(EndVerdict::rejected(EndEvidence::Restarted));
     }
     if let Some(evidence) = sign_of_exit(t, now, end, can_ask) {
@@ -124,7 +166,7 @@
 
 /// Returns what shows that the process of an endpoint ended when an answer did, if nothing of it goes on.
 fn sign_of_exit(t: &Tables, now: Time, end: &UnprovenEnd, can_ask: bool) -> Option<EndEvidence> {
-    let e = t.endpoints.get(end.endpoint);
+    let e = t.endpoints.get(end.server);
     let row = t.requests.get(end.id)?;
     let last_break = e.last_break.filter(|at| row.dispatched <= *at);
     if last_break.is_some_and(|at| end.ended <= at + CLOSE_SPREAD) {
--- a/crates/firdock-policy/src/table/unproven_ends.rs
+++ b/crates/firdock-policy/src/table/unproven_ends.rs
@@ -12,8 +12,10 @@
     pub id: RequestId,
     /// Dispatch that the answer belongs to.
     pub dispatch: u32,
-    /// Row of the endpoint.
+    /// Row of the endpoint that the request was sent to.
     pub endpoint: usize,
+    /// Row of the start that gave the answer, which may be a later one.
+    pub server: usize,
     /// When the connection was seen to close.
     pub ended: Time,
     /// Result of a liveness check that began later.
@@ -43,13 +45,28 @@
         self.rows.iter().filter(move |end| end.endpoint == endpoint)
     }
 
+    /// Returns the end of a request's answer.
+    #[must_use]
+    pub fn get(&self, id: RequestId) -> Option<&UnprovenEnd> {
+        self.rows.iter().find(|end| end.id == id)
+    }
+
+    /// Sets the start that gave an answer. What was found of another one does not count.
+    pub fn set_server(&mut self, id: RequestId, server: usize) {
+        let other = |end: &&mut UnprovenEnd| end.id == id && end.server != server;
+        for end in self.rows.iter_mut().filter(other) {
+            end.server = server;
+            end.liveness = None;
+        }
+    }
+
     /// Records the result of a liveness check that began at `began`.
     ///
     /// An endpoint that accepted a connection says nothing of an answer that ended later. One that refused it does not
     /// listen, whatever came first.
-    pub fn record_liveness(&mut self, endpoint: usize, began: Time, found: Liveness) {
+    pub fn record_liveness(&mut self, server: usize, began: Time, found: Liveness) {
         let covered = |end: &&mut UnprovenEnd| {
-            end.endpoint == endpoint && (found == Liveness::Ended || end.ended <= began)
+            end.server == server && (found == Liveness::Ended || end.ended <= began)
         };
         for end in self.rows.iter_mut().filter(covered) {
             end.liveness = Some(found);
--- /dev/null
+++ b/crates/firdock-policy/tests/policy/end_lifecycle.rs
@@ -0,0 +1,288 @@
+//! Ends of answers that wait for a verdict while something else happens to their request, endpoint or instance.
+
+use std::sync::Arc;
+
+use firdock_core::resource::{Catalog, Endpoint, Resource, Service};
+use firdock_policy::event::{DispatchUpdate, EndEvidence, EndVerdict, Liveness, LivenessResult};
+use firdock_policy::{Action, Event, NewRequest, PolicySettings, Time};
+
+use crate::edge::{EdgeScheduler, edge_settings, request, resources};
+use crate::fixtures::{dispatched, id, millis};
+
+/// Longest wait of an end, and a tick.
+const MAX_WAIT: Time = Time::from_millis(275);
+/// Unix time at which the instance's clock was zero.
+const UNIX_ZERO: Time = Time::from_secs(1_000_000);
+const ENDED: DispatchUpdate = DispatchUpdate::Ended {
+    prompt: 0,
+    cached: 0,
+    output: 0,
+};
+
+/// Returns the resources, whose services are streams: those of `safe` may be continued.
+fn streams() -> Vec<Resource> {
+    let mut all = resources();
+    for resource in &mut all {
+        if let Resource::Service(service) = resource {
+            *service = Service {
+                streamed: true,
+                resumable: service.repeatable,
+                ..service.clone()
+            };
+        }
+    }
+    all
+}
+
+fn without_endpoint(name: &str) -> Vec<Resource> {
+    let mut all = streams();
+    all.retain(|r| !matches!(r, Resource::Endpoint(e) if e.name == name));
+    all
+}
+
+/// An answer whose head and first events have been passed on.
+struct Answer {
+    edge: EdgeScheduler,
+    endpoint: String,
+}
+
+impl Answer {
+    fn start(settings: PolicySettings, new: NewRequest) -> Self {
+        let mut edge = EdgeScheduler::new(settings, streams());
+        let sent = dispatched(&edge.arrive(new));
+        let endpoint = sent[0].1.clone();
+        Self { edge, endpoint }
+    }
+
+    fn of(service: &str) -> Self {
+        let mut answer = Self::start(edge_settings("a"), request(1, service, "free"));
+        answer.begin();
+        answer
+    }
+
+    fn begin(&mut self) {
+        self.update(DispatchUpdate::Started { head_sent: true });
+        let (delivered, cached) = (2, 0);
+        self.update(DispatchUpdate::Tokens { delivered, cached });
+    }
+
+    fn update(&mut self, update: DispatchUpdate) -> Vec<Action> {
+        self.edge.update_dispatch(1, 1, update)
+    }
+
+    /// The connection closes in order.
+    fn close(&mut self) -> Vec<Action> {
+        let last = self.edge.now;
+        self.update(DispatchUpdate::LastBytes(last));
+        self.update(DispatchUpdate::Unproven)
+    }
+
+    fn check(&mut self, found: Liveness) -> Vec<Action> {
+        let start = self.endpoint.clone();
+        self.edge
+            .step(Event::LivenessChecked(LivenessResult { start, found }))
+    }
+
+    /// Ends the liveness check that was started.
+    fn check_start(&mut self, started: &[Action], found: Liveness) -> Vec<Action> {
+        let start = started.iter().find_map(|a| match a {
+            Action::CheckLiveness { start, .. } => Some(start.clone()),
+            _ => None,
+        });
+        let start = start.expect("a liveness check");
+        self.edge
+            .step(Event::LivenessChecked(LivenessResult { start, found }))
+    }
+
+    /// Passes time in steps of the timer.
+    fn pass(&mut self, time: Time) -> Vec<Action> {
+        let end = self.edge.now + time;
+        let mut actions = Vec::new();
+        while self.edge.now < end {
+            self.edge.step(Event::ConfigConfirmed(self.edge.now));
+            actions.extend(self.edge.advance(millis(25)));
+        }
+        actions
+    }
+
+    /// Returns whether any state of the request or of its end is left.
+    fn is_forgotten(&self) -> bool {
+        let t = self.edge.scheduler.tables();
+        t.unproven_ends.is_empty() && t.requests.get(id(1)).is_none()
+    }
+}
+
+fn verdict_of(actions: &[Action]) -> Option<EndVerdict> {
+    actions.iter().find_map(|action| match action {
+        Action::JudgeEnd { verdict, .. } => Some(*verdict),
+        _ => None,
+    })
+}
+
+fn is_cut(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Cut { .. }))
+}
+
+/// Guards against a verdict on, or a second try of, a request whose caller left while its end waited.
+#[test]
+fn an_end_whose_caller_leaves_is_forgotten() {
+    for service in ["safe", "once"] {
+        let mut answer = Answer::of(service);
+        answer.close();
+        let left = answer.edge.step(Event::CallerLeft(id(1)));
+        assert!(left.iter().any(|a| matches!(a, Action::Cancel { .. })));
+        let mut later = answer.check(Liveness::Ended);
+        later.extend(answer.pass(MAX_WAIT));
+        assert_eq!(verdict_of(&later), None, "{service}");
+        assert!(dispatched(&later).is_empty(), "{service}");
+        assert!(answer.is_forgotten(), "{service}");
+    }
+}
+
+/// Guards against a planned stop that cuts an end which waits, or that is reported as finished before it.
+#[test]
+fn a_stopping_instance_waits_for_the_verdict_on_an_end() {
+    for found in [Liveness::Open, Liveness::Ended] {
+        let mut answer = Answer::of("safe");
+        answer.close();
+        let mut actions = answer.edge.step(Event::Drain);
+        actions.extend(answer.pass(millis(25)));
+        assert!(!actions.iter().any(|a| matches!(a, Action::Drained)));
+        let judged = answer.check(found);
+        let verdict = verdict_of(&judged).expect("a verdict");
+        assert_eq!(verdict.accepted, found == Liveness::Open);
+        if !verdict.accepted {
+            // It is continued by this instance, which has its caller.
+            let broke = answer.update(DispatchUpdate::Broke { delivered: 2 });
+            assert_eq!(dispatched(&broke).len(), 1, "{broke:?}");
+            continue;
+        }
+        let ended = answer.update(ENDED);
+        assert!(ended.iter().any(|a| matches!(a, Action::Drained)));
+    }
+}
+
+/// Guards against an answer that is there and is cut since its key was revoked while its end waited.
+#[test]
+fn an_end_that_waits_is_judged_after_its_access_was_withdrawn() {
+    for found in [Liveness::Open, Liveness::Ended] {
+        for begun in [true, false] {
+            let mut answer = Answer::start(edge_settings("a"), request(1, "safe", "free"));
+            if begun {
+                answer.begin();
+            }
+            answer.close();
+            let withdrawn = answer.edge.step(Event::AccessChanged(id(1)));
+            assert!(!is_cut(&withdrawn));
+            let judged = answer.check(found);
+            let verdict = verdict_of(&judged).expect("a verdict");
+            assert_eq!(verdict.accepted, found == Liveness::Open);
+            if verdict.accepted {
+                answer.update(ENDED);
+            } else {
+                let broke = answer.update(DispatchUpdate::Broke { delivered: 2 });
+                assert!(dispatched(&broke).is_empty(), "{broke:?}");
+                assert_eq!(is_cut(&broke), begun, "{broke:?}");
+            }
+            assert!(answer.is_forgotten());
+        }
+    }
+}
+
+/// Guards against an end without a verdict when its service, account or endpoint leaves the configuration.
+#[test]
+fn an_end_is_judged_after_its_entries_are_gone() {
+    let kept: [fn(&Resource) -> bool; 3] = [
+        |r| !matches!(r, Resource::Service(_)),
+        |r| !matches!(r, Resource::Account(_)),
+        |r| !matches!(r, Resource::Endpoint(_)),
+    ];
+    for (n, is_kept) in kept.into_iter().enumerate() {
+        for service in ["safe", "once"] {
+            let mut answer = Answer::of(service);
+            answer.close();
+            let all = streams().into_iter().filter(is_kept);
+            let catalog = Catalog::new(2).with_resources(all.collect::<Vec<_>>());
+            let changed = answer.edge.step(Event::Config(Arc::new(catalog)));
+            assert!(!is_cut(&changed), "{n} {service}");
+            let judged = answer.check(Liveness::Open);
+            let verdict = verdict_of(&judged);
+            let open = EndVerdict::accepted(EndEvidence::Open);
+            assert_eq!(verdict, Some(open), "{n} {service}");
+            answer.update(ENDED);
+            assert!(answer.is_forgotten(), "{n} {service}");
+        }
+    }
+}
+
+/// Lists a start of the answer's endpoint that began at a time of the instance's clock.
+fn list_start(answer: &mut Answer, began: Time) -> Vec<Action> {
+    let mut all = without_endpoint(&answer.endpoint);
+    all.push(Resource::Endpoint(Endpoint {
+        name: answer.endpoint.clone(),
+        pool: "pool".to_owned(),
+        slots: 2,
+        started: Some(UNIX_ZERO + began),
+        ..Endpoint::default()
+    }));
+    let catalog = Catalog::new(2).with_resources(all);
+    answer.edge.step(Event::Config(Arc::new(catalog)))
+}
+
+fn with_starts(service: &str) -> Answer {
+    let settings = edge_settings("a").with_unix_zero(UNIX_ZERO);
+    let mut answer = Answer::start(settings, request(1, service, "free"));
+    answer.begin();
+    answer.pass(millis(500));
+    answer
+}
+
+/// Guards against a part that looks whole where the entry of a later start shows that its endpoint's process ended.
+#[test]
+fn an_end_is_rejected_by_the_entry_of_a_later_start() {
+    for service in ["safe", "once"] {
+        let mut answer = with_starts(service);
+        answer.close();
+        let began = answer.edge.now;
+        answer.pass(millis(50));
+        let actions = list_start(&mut answer, began);
+        let verdict = verdict_of(&actions);
+        let restarted = EndVerdict::rejected(EndEvidence::Restarted);
+        assert_eq!(verdict, Some(restarted), "{service}");
+    }
+}
+
+/// Guards against a whole answer that is broken off since the entry of the start that gave it was read after it was sent.
+#[test]
+fn an_end_is_not_rejected_by_the_entry_of_the_start_that_it_is_from() {
+    for service in ["safe", "once"] {
+        let mut answer = with_starts(service);
+        let began = answer.edge.now.saturating_sub(millis(2_000));
+        let listed = list_start(&mut answer, began);
+        let given_up = |a: &Action| matches!(a, Action::GiveUpDispatch { .. });
+        assert!(!listed.iter().any(given_up), "{service}");
+        answer.pass(millis(500));
+        let closed = answer.close();
+        assert_eq!(verdict_of(&closed), None, "{service}");
+        let open = answer.check_start(&closed, Liveness::Open);
+        let accepted = EndVerdict::accepted(EndEvidence::Open);
+        assert_eq!(verdict_of(&open), Some(accepted), "{service}");
+    }
+}
+
+/// Guards against a coordinator, which has no connections, that waits for a verdict.
+#[test]
+fn a_coordinator_judges_no_ends() {
+    let settings = PolicySettings {
+        coordinates: true,
+        ..edge_settings("a")
+    };
+    let mut edge = EdgeScheduler::new(settings, streams());
+    edge.step(Event::Adopted(request(1, "safe", "free"), "e1".to_owned()));
+    let mut actions = edge.update_dispatch(1, 1, DispatchUpdate::Unproven);
+    actions.extend(edge.advance(MAX_WAIT));
+    assert!(actions.is_empty(), "{actions:?}");
+    assert!(edge.scheduler.tables().unproven_ends.is_empty());
+    edge.update_dispatch(1, 1, ENDED);
+    assert!(edge.scheduler.tables().requests.get(id(1)).is_none());
+}
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -6,6 +6,7 @@
 mod buffers;
 mod coordinate;
 mod edge;
+mod end_lifecycle;
 mod endpoint_limits;
 mod failures;
 mod fixtures;
