An end without a sign is judged before the deadline of its request

What callers saw: on the mend that judges unproven ends, an answer without framing that ended up to 250 ms before its deadline, at an endpoint whose address said nothing in time, was cut at the deadline although all of its bytes were there.

Cause: the end waits for `MAX_WAIT` whatever time its request has left, and `expire::end_overdue` ends each request whose time is over.

Change: 50 ms before the deadline the end is judged by what is known. It is not continued elsewhere then, which would come too late; a sign of death still rejects it.

Test: `an_end_is_judged_before_the_deadline_of_its_request` failed on ("safe, 30 ms before its deadline: None", the answer was cut).

--- a/crates/firdock-policy/src/system/unproven_end.rs
+++ b/crates/firdock-policy/src/system/unproven_end.rs
@@ -25,6 +25,10 @@
 /// Time within which all connections to a process that ended are seen to close.
 const CLOSE_SPREAD: Duration = Duration::from_millis(50);
 
+/// Time before its deadline at which a request is asked for nowhere else, and its answer is passed on if nothing speaks
+/// against it: an answer that is there is not to be cut for want of a verdict.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(50);
+
 /// Records that the answer of a dispatch ended with its connection, and starts a liveness check of the endpoint.
 pub fn record(t: &mut Tables, now: Time, id: RequestId, at: usize, out: &mut Vec<Action>) {
     let Some(row) = t.requests.get_mut(id) else {
@@ -126,8 +130,9 @@
 
 /// Returns the verdict on an end; `None` while more evidence may come.
 fn judge(t: &Tables, now: Time, end: &UnprovenEnd) -> Option<EndVerdict> {
-    let is_over = end.ended + MAX_WAIT <= now;
-    let can_ask = dispatch_updates::may_retry(t, end.id, end.endpoint);
+    let has_time = has_time_left(t, now, end.id);
+    let is_over = end.ended + MAX_WAIT <= now || !has_time;
+    let can_ask = has_time && dispatch_updates::may_retry(t, end.id, end.endpoint);
     if serving_start(t, end).is_none() {
         return Some(EndVerdict::rejected(EndEvidence::Restarted));
     }
@@ -164,6 +169,12 @@
     returned > Time::ZERO && end.ended <= returned + MAX_WAIT
 }
 
+/// Returns whether a request may still be sent elsewhere before its deadline.
+fn has_time_left(t: &Tables, now: Time, id: RequestId) -> bool {
+    let deadline = t.requests.get(id).and_then(|row| row.deadline);
+    deadline.is_none_or(|by| now + MIN_TIME_LEFT < by)
+}
+
 /// Returns what shows that the process of an endpoint ended when an answer did, if nothing of it goes on.
 fn sign_of_exit(t: &Tables, now: Time, end: &UnprovenEnd, can_ask: bool) -> Option<EndEvidence> {
     let e = t.endpoints.get(end.server);
--- a/crates/firdock-policy/tests/policy/end_lifecycle.rs
+++ b/crates/firdock-policy/tests/policy/end_lifecycle.rs
@@ -11,6 +11,8 @@
 
 /// Longest wait of an end, and a tick.
 const MAX_WAIT: Time = Time::from_millis(275);
+/// Time in which an accepted end is reported.
+const REPORT_TIME: Time = Time::from_millis(10);
 /// Unix time at which the instance's clock was zero.
 const UNIX_ZERO: Time = Time::from_secs(1_000_000);
 const ENDED: DispatchUpdate = DispatchUpdate::Ended {
@@ -139,6 +141,36 @@
     }
 }
 
+/// Guards against an answer that is there and is cut at its deadline, because nothing was found out of its endpoint.
+#[test]
+fn an_end_is_judged_before_the_deadline_of_its_request() {
+    for service in ["safe", "once"] {
+        for before in [30, 60, 100, 200] {
+            let new = NewRequest {
+                deadline: Some(millis(101_000)),
+                ..request(1, service, "free")
+            };
+            let mut answer = Answer::start(edge_settings("a"), new);
+            answer.begin();
+            answer.pass(millis(1_000 - before));
+            let mut actions = answer.close();
+            while verdict_of(&actions).is_none() && !answer.is_forgotten() {
+                actions.extend(answer.pass(millis(25)));
+            }
+            let verdict = verdict_of(&actions);
+            let case = format!("{service}, {before} ms before its deadline: {verdict:?}");
+            assert!(verdict.is_some_and(|v| v.accepted), "{case}");
+            assert!(!is_cut(&actions), "{case}");
+            answer.edge.now += REPORT_TIME;
+            answer.edge.step(Event::Timer);
+            answer.update(ENDED);
+            assert!(answer.is_forgotten(), "{case}");
+            let outcomes = &answer.edge.scheduler.tables().stats.outcomes;
+            assert_eq!(outcomes[&firdock_core::Outcome::Answered], 1, "{case}");
+        }
+    }
+}
+
 /// Guards against a planned stop that cuts an end which waits, or that is reported as finished before it.
 #[test]
 fn a_stopping_instance_waits_for_the_verdict_on_an_end() {
