A verdict on an end is not hidden by a later change of the endpoint

What callers see: a part of an answer without framing that ends like a complete one, 2 s after its verdict said that it is broken.

Cause: a dispatch is told of changes by a channel that holds the latest one alone. An endpoint that announces that it leaves, or a key that is withdrawn, sends `Closed` to dispatches whose answer has not begun; short plain answers wait for their verdict in that phase. `Closed` then takes the place of `EndRejected`, the dispatch waits for `VERDICT_TIMEOUT`, and goes on without a verdict. `Restarted` could be lost the same way.

Change: a restart and a verdict are final (`EndpointChange::followed_by`).

Test: `a_verdict_is_not_hidden_by_a_later_change` fails where the later change is taken, as `send_replace` did ("Restarted, then Closed").

--- a/crates/firdock-node/src/driver/send.rs
+++ b/crates/firdock-node/src/driver/send.rs
@@ -114,7 +114,7 @@
         let request = self.active.get(&id);
         let request = request.filter(|l| l.sent.as_ref().is_some_and(|s| s.is(dispatch)));
         if let Some(sender) = request.and_then(|l| l.change.as_ref()) {
-            sender.send_replace(change);
+            sender.send_modify(|told| *told = told.followed_by(change));
         }
     }
 
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -94,6 +94,19 @@
     EndRejected,
 }
 
+impl EndpointChange {
+    /// Returns what a dispatch is told once another change follows this one.
+    ///
+    /// A restart and a verdict are final. A dispatch may read neither before the next change comes.
+    #[must_use]
+    pub fn followed_by(self, next: Self) -> Self {
+        match self {
+            Self::Unchanged | Self::Closed => next,
+            Self::Restarted | Self::EndAccepted | Self::EndRejected => self,
+        }
+    }
+}
+
 /// Longest time for which a dispatch waits for the verdict on the end of its answer. The scheduler decides sooner.
 const VERDICT_TIMEOUT: Duration = Duration::from_secs(2);
 
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod completeness;
 mod dead_peer;
+mod endpoint_changes;
 mod head_notice;
 mod large_site;
 mod log_limiter;
