An answer that began after a suspension is judged by the check of its endpoint

Cause: every end in that time counted as seen late. A connection that was opened after the instance returned cannot have closed before.

Test: an_answer_that_began_after_a_suspension_is_judged_by_the_check failed before (rejected as seen-late).

--- a/crates/firdock-policy/src/system/unproven_end.rs
+++ b/crates/firdock-policy/src/system/unproven_end.rs
@@ -166,7 +166,8 @@
 /// Returns whether the connection may have closed while this instance did not run: another process may listen by now.
 fn is_seen_late(t: &Tables, end: &UnprovenEnd) -> bool {
     let returned = t.stalls.runs_since();
-    returned > Time::ZERO && end.ended <= returned + MAX_WAIT
+    let began_before = |row: &RequestRow| row.dispatched < returned;
+    end.ended <= returned + MAX_WAIT && t.requests.get(end.id).is_some_and(began_before)
 }
 
 /// Returns whether a request may still be sent elsewhere before its deadline.
--- a/crates/firdock-policy/tests/policy/unproven_ends.rs
+++ b/crates/firdock-policy/tests/policy/unproven_ends.rs
@@ -108,7 +108,11 @@
 
     /// A liveness check of the endpoint ends.
     fn check(&mut self, found: Liveness) -> Vec<Action> {
-        let start = "e1".to_owned();
+        self.check_at("e1", found)
+    }
+
+    fn check_at(&mut self, endpoint: &str, found: Liveness) -> Vec<Action> {
+        let start = endpoint.to_owned();
         self.edge
             .step(Event::LivenessChecked(LivenessResult { start, found }))
     }
@@ -324,6 +328,24 @@
     }
 }
 
+// Guards against complete answers that run twice after a suspension of their instance, although they began later.
+#[test]
+fn an_answer_that_began_after_a_suspension_is_judged_by_the_check() {
+    let mut answers = Answers::of(&["run"]);
+    answers.edge.now += millis(1_500);
+    answers.edge.step(Event::ConfigConfirmed(answers.edge.now));
+    answers.edge.arrive(request(2, "stream", "free"));
+    let head_sent = true;
+    answers
+        .edge
+        .update_dispatch(2, 1, DispatchUpdate::Started { head_sent });
+    answers.pass(millis(50));
+    answers.close(2);
+    let mut found = verdict_on(2, &answers.check_at("e1", Liveness::Open));
+    found = found.or(verdict_on(2, &answers.check_at("e2", Liveness::Open)));
+    assert_eq!(found, accepted(EndEvidence::Open));
+}
+
 // Guards against a check that began before the end and proves nothing of it.
 #[test]
 fn a_check_that_began_before_the_end_is_repeated() {
