A plain answer of which a part was passed on runs nowhere else

What callers saw: a plain answer of a safe route that was longer than what is read before any part is passed on, and broke, in any framing, was sent to a second endpoint, whose bytes their caller could not get: the answer was broken off all the same.

Cause: only the relay of streams told the scheduler that the answer cannot be continued.

Test: a_long_plain_answer_that_broke_runs_nowhere_else failed before in chunks and without framing (two runs).

--- a/crates/firdock-node/src/endpoint/relay/plain.rs
+++ b/crates/firdock-node/src/endpoint/relay/plain.rs
@@ -31,7 +31,10 @@
             forward_start(run, head, bytes).await
         }
         Ok(BodyRead::Partial(bytes, rest)) => match forward_start(run, head, bytes).await {
-            Ok(()) => forward_rest(run, rest).await,
+            Ok(()) => {
+                run.report(DispatchUpdate::Unresumable).await;
+                forward_rest(run, rest).await
+            }
             Err(stop) => Err(stop),
         },
         Err(stop) => Err(stop),
