An answer that came through a peer is judged by what that peer reaches

What callers saw: on the mend that judges unproven ends, an instance whose own link to an endpoint is cut broke off each whole answer without framing that came through a peer. With links that refuse, a plain request got 502 for an answer that was there; with links that hang, an answer that may be continued was held for 250 ms and asked for again. The other way, a part looked whole where an endpoint was killed behind a peer and the own link hung (42 bytes of a stream on `/cut/`). By reading: the endpoint is ejected as well, and its exit counts against the request.

Cause: the check of the endpoint goes over the own link, which is cut: that is why the answer came through a peer. The check used a socket of its own, beside the connector that tests cut, so that no test could show it.

Change: the check takes the way by which the answer came (`CheckLivenessThrough`), for broken answers too. The peer says whether the endpoint refused it (`TunnelRefused.refused`; a peer of an earlier version does not, and its refusal proves nothing). Of the own link only an open connection counts for such an end. Checks over the own link use the instance's connector.

--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -241,7 +241,7 @@
             Event::ConfigConfirmed(at) => self.parts.site.set_fresh(*at),
             Event::Endpoint(update) => self.log_dispatch_update(update),
             Event::CallerLeft(id) => self.log_caller_left(*id),
-            Event::LivenessChecked(result) => self
+            Event::LivenessChecked(result) | Event::LivenessCheckedThrough(result) => self
                 .decisions
                 .liveness_checked(self.parts.clock.now(), result),
             Event::NoticeReported(report) => {
@@ -456,6 +456,12 @@
                 verdict,
             } => self.judge_end(id, dispatch, verdict),
             Action::CheckLiveness { endpoint, start } => self.check_liveness(&endpoint, start),
+            Action::CheckLivenessThrough {
+                endpoint,
+                start,
+                peer,
+                id,
+            } => self.check_liveness_through(&endpoint, start, (peer, id)),
             Action::ProbeLink { endpoint, start } => self.probe_link(&endpoint, start),
             Action::Withhold { id, dispatch } => {
                 self.notify_dispatch(id, dispatch, EndpointChange::Closed);
--- a/crates/firdock-node/src/driver/liveness.rs
+++ b/crates/firdock-node/src/driver/liveness.rs
@@ -1,18 +1,19 @@
 //! Checks the liveness of endpoints whose connections ended early.
 
-use std::io::ErrorKind;
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use firdock_core::{EndpointId, StartId};
+use firdock_core::{EndpointId, InstanceId, RequestId, StartId};
 use firdock_policy::Event;
 use firdock_policy::event::{LinkProbe, Liveness, LivenessResult};
+use tokio::io::AsyncReadExt as _;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use super::Driver;
-use crate::endpoint::Dispatcher;
+use crate::endpoint::{Dispatcher, Target};
 use crate::input::Input;
+use crate::peer::TunnelError;
+use crate::site::EndpointLocation;
 
 /// Number of connection attempts before an address that closes each connection at once is given up.
 const MAX_CONNECT_ATTEMPTS: u32 = 3;
@@ -30,14 +31,41 @@
             self.queue_event(Event::LivenessChecked(LivenessResult { start, found }));
             return;
         };
-        let (inputs, limit) = (self.parts.inputs.clone(), self.parts.limits.connect);
+        let (inputs, dispatcher) = (self.parts.inputs.clone(), self.parts.dispatcher.clone());
         self.parts.runtime.spawn(async move {
-            let found = probe(location.address, limit).await;
+            let found = probe(&dispatcher, location).await;
             let event = Event::LivenessChecked(LivenessResult { start, found });
             let _ = inputs.send(Input::Event(event)).await;
         });
     }
 
+    /// Checks the same by way of a peer, on behalf of a request whose answer came through it.
+    pub(super) fn check_liveness_through(
+        &self,
+        endpoint: &EndpointId,
+        start: StartId,
+        (peer, id): (InstanceId, RequestId),
+    ) {
+        let Some(location) = self.parts.site.view().location(endpoint) else {
+            let found = Liveness::Silent;
+            self.queue_event(Event::LivenessCheckedThrough(LivenessResult {
+                start,
+                found,
+            }));
+            return;
+        };
+        let target = Target {
+            name: endpoint.clone(),
+            address: location.address,
+        };
+        let (inputs, dispatcher) = (self.parts.inputs.clone(), self.parts.dispatcher.clone());
+        self.parts.runtime.spawn(async move {
+            let found = probe_through(&dispatcher, &peer, &target, id).await;
+            let event = Event::LivenessCheckedThrough(LivenessResult { start, found });
+            let _ = inputs.send(Input::Event(event)).await;
+        });
+    }
+
     /// Probes the instance's own link to an endpoint and reports the result to the scheduler.
     pub(super) fn probe_link(&self, endpoint: &EndpointId, start: StartId) {
         let Some(location) = self.parts.site.view().location(endpoint) else {
@@ -46,7 +74,7 @@
         };
         let (inputs, dispatcher) = (self.parts.inputs.clone(), self.parts.dispatcher.clone());
         self.parts.runtime.spawn(async move {
-            let connected = dispatcher.probe(location).await;
+            let connected = dispatcher.connect(location).await.is_ok();
             let event = Event::LinkProbed(LinkProbe { start, connected });
             let _ = inputs.send(Input::Event(event)).await;
         });
@@ -58,10 +86,10 @@
 ///
 /// A terminating process closes its sockets one by one and may still accept a connection that it
 /// never serves. A connection that is closed at once is therefore inconclusive and is retried.
-async fn probe(address: SocketAddr, limit: Duration) -> Liveness {
+async fn probe<B: Dispatcher>(dispatcher: &B, location: EndpointLocation) -> Liveness {
     for _ in 0..MAX_CONNECT_ATTEMPTS {
-        match timeout(limit, TcpStream::connect(address)).await {
-            Ok(Ok(stream)) => {
+        match dispatcher.connect(location).await {
+            Ok(stream) => {
                 if timeout(MIN_OPEN_TIME, wait_until_closed(&stream))
                     .await
                     .is_err()
@@ -69,8 +97,31 @@
                     return Liveness::Open;
                 }
             }
-            Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => return Liveness::Ended,
-            Ok(Err(_)) | Err(_) => return Liveness::Silent,
+            Err(e) if e.is_refused() => return Liveness::Ended,
+            Err(_) => return Liveness::Silent,
+        }
+    }
+    Liveness::Silent
+}
+
+/// Checks by way of a peer whether an endpoint is alive, by the same rule.
+async fn probe_through<B: Dispatcher>(
+    dispatcher: &B,
+    peer: &InstanceId,
+    target: &Target,
+    id: RequestId,
+) -> Liveness {
+    for _ in 0..MAX_CONNECT_ATTEMPTS {
+        match dispatcher.connect_through(peer, target, id).await {
+            Ok(mut stream) => {
+                let mut byte = [0];
+                let reading = timeout(MIN_OPEN_TIME, stream.read(&mut byte));
+                if reading.await.is_err() {
+                    return Liveness::Open;
+                }
+            }
+            Err(TunnelError::Unreachable { refused: true, .. }) => return Liveness::Ended,
+            Err(_) => return Liveness::Silent,
         }
     }
     Liveness::Silent
--- a/crates/firdock-node/src/endpoint.rs
+++ b/crates/firdock-node/src/endpoint.rs
@@ -22,12 +22,13 @@
 
 use bytes::Bytes;
 use firdock_core::prefix::BlockHash;
-use firdock_core::{EndpointId, RequestId};
+use firdock_core::{EndpointId, InstanceId, RequestId};
 use firdock_policy::event::BreakCause;
 use hyper::header::HeaderName;
 use hyper::{HeaderMap, Method};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
+use tokio::net::TcpStream;
 
 pub use body::EndpointBody;
 pub use direct::DirectDispatcher;
@@ -45,6 +46,7 @@
 use crate::exchange::AnswerHead;
 use crate::http::CallError;
 use crate::ingress::ModelCall;
+use crate::peer::{TunnelError, TunnelStream};
 use crate::site::EndpointLocation;
 use crate::telemetry::TraceContext;
 
@@ -76,8 +78,27 @@
         run: DispatchRun,
     ) -> impl Future<Output = &'static str> + Send;
 
-    /// Returns whether a connection to an endpoint is established over the instance's own link.
-    fn probe(&self, location: EndpointLocation) -> impl Future<Output = bool> + Send;
+    /// Opens a connection to an endpoint over the instance's own link, on which nothing is sent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection is established in time.
+    fn connect(
+        &self,
+        location: EndpointLocation,
+    ) -> impl Future<Output = Result<TcpStream, CallError>> + Send;
+
+    /// Opens a connection to an endpoint by way of a peer, on which nothing is sent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer passes no connection on or does not reach the endpoint.
+    fn connect_through(
+        &self,
+        peer: &InstanceId,
+        target: &Target,
+        id: RequestId,
+    ) -> impl Future<Output = Result<TunnelStream, TunnelError>> + Send;
 
     /// Tells an endpoint to stop working on a request whose connection was closed.
     fn cancel(
--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -11,21 +11,22 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use firdock_core::{EndpointId, RequestId};
+use firdock_core::{EndpointId, InstanceId, RequestId};
 use firdock_policy::event::{BreakCause, DispatchUpdate};
 use firdock_policy::load::ServerLoad;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use snafu::Snafu;
+use tokio::net::TcpStream;
 
 use self::plain::{forward_plain, keep_failure};
 use self::stream::Stream;
 use super::run::{DispatchError, DispatchRun};
-use super::{Dispatcher, EndpointBody, EndpointLocation, Framing, HeadNotice, break_cause};
+use super::{Dispatcher, EndpointBody, EndpointLocation, Framing, HeadNotice, Target, break_cause};
 use crate::exchange::{AnswerHead, AnswerPart, Payload};
-use crate::http::{Connector, TcpConnector, connect_stream, strip_hop_by_hop};
-use crate::peer::TunnelClient;
+use crate::http::{CallError, Connector, TcpConnector, connect_stream, strip_hop_by_hop};
+use crate::peer::{TunnelClient, TunnelError, TunnelStream};
 use crate::telemetry::LogKind;
 
 /// Time allowed beyond a request's own deadline before the endpoint counts as silent. The scheduler
@@ -222,9 +223,17 @@
         result
     }
 
-    async fn probe(&self, location: EndpointLocation) -> bool {
-        let connected = connect_stream(&self.connector, location.address, self.connect_timeout);
-        connected.await.is_ok()
+    async fn connect(&self, location: EndpointLocation) -> Result<TcpStream, CallError> {
+        connect_stream(&self.connector, location.address, self.connect_timeout).await
+    }
+
+    async fn connect_through(
+        &self,
+        peer: &InstanceId,
+        target: &Target,
+        id: RequestId,
+    ) -> Result<TunnelStream, TunnelError> {
+        self.tunnels.open(peer, target, id).await
     }
 
     /// Does nothing: the endpoints drop a request when its connection is closed.
--- a/crates/firdock-node/src/http/client.rs
+++ b/crates/firdock-node/src/http/client.rs
@@ -68,6 +68,12 @@
         }
     }
 
+    /// Returns whether the address refused the connection: nothing listens there.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect { source, .. } if source.kind() == ErrorKind::ConnectionRefused)
+    }
+
     /// Returns whether the request was certainly never sent.
     #[must_use]
     pub fn never_sent(&self) -> bool {
--- a/crates/firdock-node/src/instance/components.rs
+++ b/crates/firdock-node/src/instance/components.rs
@@ -109,9 +109,15 @@
     ) -> Driver<DirectDispatcher<HttpEngine, HttpPlain>> {
         let settings = PolicySettings::new(&self.settings, self.member.incarnation);
         let e = &self.settings.endpoints;
-        let plain = HttpPlain::new(Duration::from_millis(e.connect_millis));
+        let connect = Duration::from_millis(e.connect_millis);
+        let plain = HttpPlain::new(connect);
         let parts = DriverParts {
-            dispatcher: DirectDispatcher::new(self.engine, plain, self.answer_cache.clone()),
+            dispatcher: DirectDispatcher::new(
+                self.engine,
+                plain,
+                self.answer_cache.clone(),
+                connect,
+            ),
             dialer: self.dialer.clone(),
             site: Arc::clone(&self.site),
             answer_cache: self.answer_cache.clone(),
--- a/crates/firdock-node/src/peer/tunnel.rs
+++ b/crates/firdock-node/src/peer/tunnel.rs
@@ -53,6 +53,8 @@
     Unreachable {
         /// Peer.
         peer: InstanceId,
+        /// Whether the endpoint's address refused the peer's connection.
+        refused: bool,
     },
 }
 
@@ -88,19 +90,22 @@
     ) -> Result<TunnelStream, TunnelError> {
         let opened = timeout(OPEN_TIMEOUT, self.request(peer, target, id)).await;
         match opened {
-            Ok(Ok(Some(stream))) => Ok(stream),
-            Ok(Ok(None)) => UnreachableSnafu { peer }.fail(),
-            Ok(Err(_)) | Err(_) => PeerSnafu { peer }.fail(),
+            Ok(Ok(Ok(stream))) => Ok(stream),
+            Ok(Ok(Err(answer))) if answer.unreachable => {
+                let refused = answer.refused;
+                UnreachableSnafu { peer, refused }.fail()
+            }
+            Ok(Ok(Err(_)) | Err(_)) | Err(_) => PeerSnafu { peer }.fail(),
         }
     }
 
-    /// Asks a peer for a tunnel; `None` if it does not reach the endpoint.
+    /// Asks a peer for a tunnel, which it may refuse.
     async fn request(
         &self,
         peer: &InstanceId,
         target: &Target,
         id: RequestId,
-    ) -> Result<Option<TunnelStream>, LinkError> {
+    ) -> Result<Result<TunnelStream, TunnelRefused>, LinkError> {
         let Some(at) = self.directory.address(peer) else {
             return Err(LinkError::Closed);
         };
@@ -113,11 +118,11 @@
         .await?;
         match link.receive().await? {
             Some(Body::TunnelOpened(_)) => {
-                Ok(Some(TunnelStream::new(peer.clone(), link.into_framed())))
+                Ok(Ok(TunnelStream::new(peer.clone(), link.into_framed())))
             }
-            Some(Body::TunnelRefused(refused)) if refused.unreachable => Ok(None),
+            Some(Body::TunnelRefused(refused)) => Ok(Err(refused)),
             Some(_) => Err(LinkError::Rejected {
-                reason: "tunnel refused",
+                reason: "unexpected message",
             }),
             None => Err(LinkError::Closed),
         }
@@ -187,11 +192,7 @@
         };
         let endpoint = match self.connect(&tunnel).await {
             Ok(endpoint) => endpoint,
-            Err(unreachable) => {
-                return link
-                    .send(Body::TunnelRefused(TunnelRefused { unreachable }))
-                    .await;
-            }
+            Err(refused) => return link.send(Body::TunnelRefused(refused)).await,
         };
         link.send(Body::TunnelOpened(TunnelOpened {})).await?;
         self.log_opened(&link.peer, &tunnel);
@@ -201,14 +202,17 @@
 
     /// Connects to the endpoint of a tunnel. If that fails, returns whether the endpoint could not be
     /// reached; otherwise this instance does not know it at that address.
-    async fn connect(&self, tunnel: &Tunnel) -> Result<TcpStream, bool> {
+    async fn connect(&self, tunnel: &Tunnel) -> Result<TcpStream, TunnelRefused> {
         let location = self.site.view().location(&tunnel.endpoint);
         let address = location
             .map(|location| location.address)
             .filter(|address| address.to_string() == tunnel.address)
-            .ok_or(false)?;
+            .ok_or(TunnelRefused::default())?;
         let connected = connect_stream(&self.connector, address, CONNECT_TIMEOUT).await;
-        connected.map_err(|_unreachable| true)
+        connected.map_err(|e| TunnelRefused {
+            unreachable: true,
+            refused: e.is_refused(),
+        })
     }
 
     fn log_opened(&self, peer: &str, tunnel: &Tunnel) {
--- a/crates/firdock-policy/src/action.rs
+++ b/crates/firdock-policy/src/action.rs
@@ -41,6 +41,17 @@
         /// Start of the endpoint.
         start: StartId,
     },
+    /// Check the same by way of the peer through which the connection went.
+    CheckLivenessThrough {
+        /// Endpoint.
+        endpoint: EndpointId,
+        /// Start of the endpoint.
+        start: StartId,
+        /// Peer.
+        peer: InstanceId,
+        /// Request whose answer ended.
+        id: RequestId,
+    },
     /// Tell a dispatch whether the end of its answer, which proved nothing, counts.
     JudgeEnd {
         /// Request.
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -44,6 +44,8 @@
     /// The result of a liveness check of an endpoint.
     #[serde(rename = "looked")]
     LivenessChecked(LivenessResult),
+    /// The result of a liveness check by way of a peer.
+    LivenessCheckedThrough(LivenessResult),
     /// A link to an endpoint was probed.
     LinkProbed(LinkProbe),
     /// An endpoint reported its current pace.
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -64,6 +64,9 @@
             Event::CallerLeft(id) => dispatch_updates::caller_left(t, now, id, out),
             Event::Endpoint(e) => dispatch_updates::handle_update(t, now, &e, out),
             Event::LivenessChecked(result) => liveness::handle_result(t, now, &result, out),
+            Event::LivenessCheckedThrough(result) => {
+                liveness::handle_peer_result(t, now, &result, out);
+            }
             Event::LinkProbed(result) => route::record_probe(t, now, &result),
             Event::PaceReported(report) => pace_reports::record(t, &report),
             Event::NoticeReported(report) => notice::record(t, &report, out),
--- a/crates/firdock-policy/src/system/dispatch_updates.rs
+++ b/crates/firdock-policy/src/system/dispatch_updates.rs
@@ -24,7 +24,7 @@
     };
     match e.update {
         DispatchUpdate::ConnectFailed(cause) => record_connect_failure(t, now, e.id, at, cause),
-        DispatchUpdate::PassedOn => mark_passed_on(t, e.id),
+        DispatchUpdate::PassedOn => mark_passed_on(t, e.id, at),
         DispatchUpdate::NotPassedOn => handle_not_passed_on(t, now, e.id, at),
         DispatchUpdate::Refused { unreachable } => {
             handle_refused(t, now, e.id, at, unreachable, out);
@@ -134,9 +134,10 @@
     }
 }
 
-/// Records that the connection goes through a peer.
-fn mark_passed_on(t: &mut Tables, id: RequestId) {
+/// Records that the connection goes through a peer. Only the own link refused it, if anything did.
+fn mark_passed_on(t: &mut Tables, id: RequestId, at: usize) {
     t.stats.passed_on += 1;
+    t.endpoints.get_mut(at).refuses_since = None;
     if let Some(row) = t.requests.get_mut(id) {
         row.passed_on = true;
     }
@@ -331,7 +332,16 @@
         start::record_break(t, now, at, row.dispatched, alive_at);
     }
     if cause == BreakCause::Closed {
-        liveness::start_check(t, now, at, out);
+        start_check(t, now, id, at, out);
+    }
+}
+
+/// Starts a liveness check of an endpoint on the way by which an answer of it came: the own link may be cut.
+fn start_check(t: &mut Tables, now: Time, id: RequestId, at: usize, out: &mut Vec<Action>) {
+    let row = t.requests.get(id).filter(|row| row.passed_on);
+    match row.and_then(|row| row.route.peer().cloned()) {
+        Some(peer) => liveness::start_peer_check(t, now, at, (id, peer), out),
+        None => liveness::start_check(t, now, at, out),
     }
 }
 
--- a/crates/firdock-policy/src/system/liveness.rs
+++ b/crates/firdock-policy/src/system/liveness.rs
@@ -1,11 +1,14 @@
 //! Liveness checks of endpoints whose connections closed early: distinguish a process that exited
 //! from one that is alive and broke off an answer.
 
+use firdock_core::{InstanceId, RequestId};
+
 use super::{health, start, suspect};
 use crate::action::Action;
 use crate::event::{Liveness, LivenessResult};
 use crate::table::Tables;
 use crate::table::endpoint::LivenessCheck;
+use crate::table::unproven_ends::FinishedCheck;
 use crate::time::Time;
 
 /// Starts a liveness check of an endpoint. Only one runs at a time; it is repeated if another
@@ -31,25 +34,86 @@
     });
 }
 
+/// Starts a liveness check of an endpoint by way of the peer through which a connection to it went. Only one runs at a
+/// time.
+pub fn start_peer_check(
+    t: &mut Tables,
+    now: Time,
+    at: usize,
+    (id, peer): (RequestId, InstanceId),
+    out: &mut Vec<Action>,
+) {
+    let e = t.endpoints.get_mut(at);
+    if e.peer_check.is_some() {
+        return;
+    }
+    e.peer_check = Some(now);
+    out.push(Action::CheckLivenessThrough {
+        endpoint: e.declared.name.clone(),
+        start: e.start_id.clone(),
+        peer,
+        id,
+    });
+}
+
+/// Handles the result of a liveness check by way of a peer.
+pub fn handle_peer_result(
+    t: &mut Tables,
+    now: Time,
+    result: &LivenessResult,
+    out: &mut Vec<Action>,
+) {
+    *t.stats.liveness_checks.entry(result.found).or_default() += 1;
+    let Some(at) = t.endpoints.find_start(&result.start) else {
+        return;
+    };
+    let Some(began) = t.endpoints.get_mut(at).peer_check.take() else {
+        return;
+    };
+    t.unproven_ends.record_liveness(FinishedCheck {
+        server: at,
+        began,
+        found: result.found,
+        through_peer: true,
+    });
+    match result.found {
+        Liveness::Ended => record_exit(t, now, result, out),
+        Liveness::Open => {
+            t.endpoints.get_mut(at).refuses_since = None;
+            suspect::record_open_address(t, &result.start, began);
+        }
+        Liveness::Silent => {}
+    }
+}
+
+/// Records that the process of an endpoint has exited. The endpoint is ejected, and its exit counts against the runs that
+/// broke there.
+fn record_exit(t: &mut Tables, now: Time, result: &LivenessResult, out: &mut Vec<Action>) {
+    if let Some(at) = t.endpoints.find_start(&result.start) {
+        if t.endpoints.get(at).is_healthy() {
+            health::eject(t, now, at);
+        }
+        start::record_refused_connection(t, now, at);
+        health::record_refused_connection(t, now, at);
+    }
+    suspect::record_exit(t, now, &result.start, out);
+}
+
 /// Handles the result of a liveness check.
 pub fn handle_result(t: &mut Tables, now: Time, result: &LivenessResult, out: &mut Vec<Action>) {
     *t.stats.liveness_checks.entry(result.found).or_default() += 1;
     let at = t.endpoints.find_start(&result.start);
     let state = at.and_then(|at| t.endpoints.get_mut(at).liveness_check.take());
     if let Some((at, state)) = at.zip(state) {
-        t.unproven_ends
-            .record_liveness(at, state.began, result.found);
+        t.unproven_ends.record_liveness(FinishedCheck {
+            server: at,
+            began: state.began,
+            found: result.found,
+            through_peer: false,
+        });
     }
     if result.found == Liveness::Ended {
-        // The endpoint is ejected, and its exit counts against the runs that broke there.
-        if let Some(at) = at.filter(|at| t.endpoints.get(*at).is_healthy()) {
-            health::eject(t, now, at);
-        }
-        if let Some(at) = at {
-            start::record_refused_connection(t, now, at);
-            health::record_refused_connection(t, now, at);
-        }
-        suspect::record_exit(t, now, &result.start, out);
+        record_exit(t, now, result, out);
         return;
     }
     let Some((at, state)) = at.zip(state) else {
--- a/crates/firdock-policy/src/system/unproven_end.rs
+++ b/crates/firdock-policy/src/system/unproven_end.rs
@@ -35,7 +35,7 @@
         return;
     };
     row.completion_proof = CompletionProof::Unproven;
-    let dispatch = row.dispatch;
+    let (dispatch, passed_on) = (row.dispatch, row.passed_on);
     if t.settings.coordinates {
         // Its member judges the end.
         return;
@@ -45,12 +45,12 @@
         dispatch,
         endpoint: at,
         server: at,
+        passed_on,
         ended: now,
         liveness: None,
     });
     follow_restart(t, id);
-    let server = t.unproven_ends.get(id).map_or(at, |end| end.server);
-    liveness::start_check(t, now, server, out);
+    start_check(t, now, id, out);
 }
 
 /// Looks for the start of the endpoint that gave an answer. Returns whether it is another one than was known.
@@ -64,6 +64,22 @@
     is_other
 }
 
+/// Starts a liveness check of the start that gave an answer, on the way by which the answer came.
+fn start_check(t: &mut Tables, now: Time, id: RequestId, out: &mut Vec<Action>) {
+    let Some(end) = t.unproven_ends.get(id) else {
+        return;
+    };
+    let (server, passed_on) = (end.server, end.passed_on);
+    if !passed_on {
+        liveness::start_check(t, now, server, out);
+        return;
+    }
+    let peer = t.requests.get(id).and_then(|row| row.route.peer().cloned());
+    if let Some(peer) = peer {
+        liveness::start_peer_check(t, now, server, (id, peer), out);
+    }
+}
+
 /// Returns the row of the start that gave an answer; `None` if another start has replaced it.
 ///
 /// A request that was sent after a start began, and before its entry was read, is in the row of the start before it.
@@ -85,7 +101,7 @@
     }
     let requests = &t.requests;
     t.unproven_ends.retain(|end| is_open(requests, end));
-    check_later_starts(t, now, out);
+    start_missing_checks(t, now, out);
     // All are judged before any is removed: answers that ended together are evidence of each other.
     let ends = t.unproven_ends.iter();
     let judged = ends.filter_map(|end| Some((*end, judge(t, now, end)?)));
@@ -96,15 +112,15 @@
     }
 }
 
-/// Checks the later starts that gave answers of which it was not known yet.
-fn check_later_starts(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
-    let ids: Vec<RequestId> = t.unproven_ends.iter().map(|end| end.id).collect();
-    for id in ids {
-        if !follow_restart(t, id) {
-            continue;
-        }
-        if let Some(server) = t.unproven_ends.get(id).map(|end| end.server) {
-            liveness::start_check(t, now, server, out);
+/// Checks the later starts that gave answers of which it was not known yet, and those that are reached through a peer and
+/// were checked before the answer ended.
+fn start_missing_checks(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
+    let ends = t.unproven_ends.iter();
+    let is_unchecked = |end: &UnprovenEnd| end.passed_on && end.liveness.is_none();
+    let ends: Vec<_> = ends.map(|end| (end.id, is_unchecked(end))).collect();
+    for (id, is_unchecked) in ends {
+        if follow_restart(t, id) || is_unchecked {
+            start_check(t, now, id, out);
         }
     }
 }
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -147,6 +147,8 @@
     pub unconfirmed: Option<Unconfirmed>,
     /// The liveness check in progress, if any.
     pub liveness_check: Option<LivenessCheck>,
+    /// When the liveness check through a peer began that is in progress.
+    pub peer_check: Option<Time>,
     /// Consecutive missed reports.
     pub missed: u32,
     /// Requests that this instance has dispatched there and that have not ended.
@@ -215,6 +217,7 @@
             confirmed_at: Time::ZERO,
             unconfirmed: None,
             liveness_check: None,
+            peer_check: None,
             missed: 0,
             running: 0,
             backlog: 0.0,
--- a/crates/firdock-policy/src/table/unproven_ends.rs
+++ b/crates/firdock-policy/src/table/unproven_ends.rs
@@ -16,12 +16,27 @@
     pub endpoint: usize,
     /// Row of the start that gave the answer, which may be a later one.
     pub server: usize,
+    /// Whether the connection went through a peer.
+    pub passed_on: bool,
     /// When the connection was seen to close.
     pub ended: Time,
     /// Result of a liveness check that began later.
     pub liveness: Option<Liveness>,
 }
 
+/// A liveness check that has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FinishedCheck {
+    /// Row of the start that was checked.
+    pub server: usize,
+    /// When it began.
+    pub began: Time,
+    /// What it found.
+    pub found: Liveness,
+    /// Whether it went through a peer.
+    pub through_peer: bool,
+}
+
 /// Answers whose ends have not been judged yet.
 #[derive(Debug, Default)]
 pub struct UnprovenEnds {
@@ -60,13 +75,22 @@
         }
     }
 
-    /// Records the result of a liveness check that began at `began`.
+    /// Records the result of a liveness check.
     ///
     /// An endpoint that accepted a connection says nothing of an answer that ended later. One that refused it does not
-    /// listen, whatever came first.
-    pub fn record_liveness(&mut self, server: usize, began: Time, found: Liveness) {
+    /// listen, whatever came first. The own link to an endpoint that was reached through a peer may be cut, so that
+    /// only an open connection says anything then.
+    pub fn record_liveness(&mut self, check: FinishedCheck) {
+        let FinishedCheck { server, found, .. } = check;
         let covered = |end: &&mut UnprovenEnd| {
-            end.server == server && (found == Liveness::Ended || end.ended <= began)
+            end.server == server
+                && match found {
+                    Liveness::Open => end.ended <= check.began,
+                    Liveness::Ended => check.through_peer || !end.passed_on,
+                    Liveness::Silent => {
+                        end.ended <= check.began && check.through_peer == end.passed_on
+                    }
+                }
         };
         for end in self.rows.iter_mut().filter(covered) {
             end.liveness = Some(found);
--- a/crates/firdock-policy/tests/policy/end_lifecycle.rs
+++ b/crates/firdock-policy/tests/policy/end_lifecycle.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 
 use firdock_core::resource::{Catalog, Endpoint, Resource, Service};
-use firdock_policy::event::{DispatchUpdate, EndEvidence, EndVerdict, Liveness, LivenessResult};
+use firdock_policy::event::{
+    ConnectFailure, DispatchUpdate, EndEvidence, EndVerdict, Liveness, LivenessResult, PeerUpdate,
+    PoolLinks,
+};
 use firdock_policy::{Action, Event, NewRequest, PolicySettings, Time};
 
 use crate::edge::{EdgeScheduler, edge_settings, request, resources};
@@ -51,6 +54,9 @@
 impl Answer {
     fn start(settings: PolicySettings, new: NewRequest) -> Self {
         let mut edge = EdgeScheduler::new(settings, streams());
+        if edge.scheduler.tables().settings.routes_by_peers {
+            edge.step(Event::Peer(heartbeat("b")));
+        }
         let sent = dispatched(&edge.arrive(new));
         let endpoint = sent[0].1.clone();
         Self { edge, endpoint }
@@ -85,6 +91,13 @@
             .step(Event::LivenessChecked(LivenessResult { start, found }))
     }
 
+    /// A liveness check through a peer ends.
+    fn check_through(&mut self, found: Liveness) -> Vec<Action> {
+        let start = self.endpoint.clone();
+        let result = LivenessResult { start, found };
+        self.edge.step(Event::LivenessCheckedThrough(result))
+    }
+
     /// Ends the liveness check that was started.
     fn check_start(&mut self, started: &[Action], found: Liveness) -> Vec<Action> {
         let start = started.iter().find_map(|a| match a {
@@ -114,6 +127,19 @@
     }
 }
 
+fn heartbeat(name: &str) -> PeerUpdate {
+    PeerUpdate {
+        name: name.to_owned(),
+        passes_on: true,
+        links: vec![PoolLinks {
+            pool: "pool".to_owned(),
+            reached: 2,
+            failing: 0,
+        }],
+        ..PeerUpdate::default()
+    }
+}
+
 fn verdict_of(actions: &[Action]) -> Option<EndVerdict> {
     actions.iter().find_map(|action| match action {
         Action::JudgeEnd { verdict, .. } => Some(*verdict),
@@ -302,6 +328,88 @@
     }
 }
 
+/// Starts an answer whose connection goes through a peer, since the own link is cut.
+fn passed_on(service: &str) -> Answer {
+    let settings = edge_settings("a").with_routes_by_peers();
+    let mut answer = Answer::start(settings, request(1, service, "free"));
+    answer.update(DispatchUpdate::ConnectFailed(ConnectFailure::Refused));
+    answer.update(DispatchUpdate::PassedOn);
+    answer.begin();
+    answer
+}
+
+/// Guards against whole answers that are broken off, and endpoints that are ejected, because the instance's own link to an
+/// endpoint is cut while its answers come through a peer.
+#[test]
+fn the_own_link_does_not_judge_an_answer_that_came_through_a_peer() {
+    for service in ["safe", "once"] {
+        for found in [Liveness::Ended, Liveness::Silent] {
+            let mut answer = passed_on(service);
+            let closed = answer.close();
+            let own = closed
+                .iter()
+                .any(|a| matches!(a, Action::CheckLiveness { .. }));
+            assert!(!own, "{service}: the own link is asked");
+            let told = answer.check(found);
+            assert_eq!(verdict_of(&told), None, "{service} {found:?}");
+        }
+    }
+}
+
+/// Guards against a part that looks whole, or a whole answer that does not, where the peer through which an answer came would
+/// have told whether its endpoint lives.
+#[test]
+fn an_answer_that_came_through_a_peer_is_judged_by_what_that_peer_reaches() {
+    for service in ["safe", "once"] {
+        for (found, expected) in [
+            (Liveness::Open, EndVerdict::accepted(EndEvidence::Open)),
+            (Liveness::Ended, EndVerdict::rejected(EndEvidence::Refused)),
+        ] {
+            let mut answer = passed_on(service);
+            // The own link has refused connections for long.
+            answer.pass(millis(500));
+            let closed = answer.close();
+            let checked = closed.iter().find_map(|a| match a {
+                Action::CheckLivenessThrough { start, peer, .. } => Some((start, peer)),
+                _ => None,
+            });
+            let (start, peer) = checked.expect("a check");
+            assert_eq!((start, peer.as_str()), (&answer.endpoint, "b"));
+            let told = answer.check_through(found);
+            assert_eq!(verdict_of(&told), Some(expected), "{service}");
+        }
+    }
+}
+
+/// Guards against a check through a peer that began before an answer ended, and is taken for one after it.
+#[test]
+fn a_check_through_a_peer_covers_no_end_that_came_later() {
+    let settings = edge_settings("a").with_routes_by_peers();
+    let mut answer = Answer::start(settings, request(1, "once", "free"));
+    let second = loop {
+        let n = answer.edge.scheduler.tables().requests.iter().count() as u64 + 1;
+        let sent = dispatched(&answer.edge.arrive(request(n, "once", "free")));
+        if sent[0].1 == answer.endpoint {
+            break n;
+        }
+    };
+    for n in [1, second] {
+        answer.edge.update_dispatch(n, 1, DispatchUpdate::PassedOn);
+        let started = DispatchUpdate::Started { head_sent: true };
+        answer.edge.update_dispatch(n, 1, started);
+    }
+    answer.close();
+    answer.pass(millis(25));
+    let unproven = DispatchUpdate::Unproven;
+    answer.edge.update_dispatch(second, 1, unproven);
+    let told = answer.check_through(Liveness::Open);
+    let judged = |a: &&Action| matches!(a, Action::JudgeEnd { id: of, .. } if *of == id(1));
+    assert_eq!(told.iter().filter(judged).count(), 1);
+    let again =
+        |a: &Action| matches!(a, Action::CheckLivenessThrough { id: of, .. } if *of == id(second));
+    assert!(told.iter().any(again), "{told:?}");
+}
+
 /// Guards against a coordinator, which has no connections, that waits for a verdict.
 #[test]
 fn a_coordinator_judges_no_ends() {
--- a/crates/firdock-policy/tests/policy/simulation/message.rs
+++ b/crates/firdock-policy/tests/policy/simulation/message.rs
@@ -261,18 +261,7 @@
                 self.send(delay, Message::Event(i, incarnation, event));
             }
             Action::CheckLiveness { endpoint, start } => {
-                let at = endpoint_index(&endpoint);
-                let ended = self.faults[at] == 3;
-                if ended && self.starts.iter().any(|starts| *starts > 0) {
-                    // In runs in which starts are listed, it restarts.
-                    self.starts[at] += 1;
-                    self.version += 1;
-                }
-                let found = if ended {
-                    Liveness::Ended
-                } else {
-                    Liveness::Open
-                };
+                let found = self.check_liveness(&endpoint);
                 let event = Event::LivenessChecked(LivenessResult { start, found });
                 self.send(LIVENESS_CHECK_TIME, Message::Event(i, incarnation, event));
             }
@@ -333,10 +322,25 @@
             | Action::Record(_)
             | Action::RecordBuilds(_)
             | Action::JudgeEnd { .. }
+            | Action::CheckLivenessThrough { .. }
             | Action::Drained => {}
         }
     }
 
+    /// Returns what a liveness check of an endpoint finds.
+    fn check_liveness(&mut self, endpoint: &str) -> Liveness {
+        let at = endpoint_index(endpoint);
+        if self.faults[at] != 3 {
+            return Liveness::Open;
+        }
+        if self.starts.iter().any(|starts| *starts > 0) {
+            // In runs in which starts are listed, it restarts.
+            self.starts[at] += 1;
+            self.version += 1;
+        }
+        Liveness::Ended
+    }
+
     /// Answers like a coordinator with little information: one or two placements anywhere, a refusal, or an
     /// answer that is lost.
     fn answer_placement(&mut self, i: usize, id: RequestId) {
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -195,6 +195,9 @@
     /// Whether the receiver tried and did not reach the endpoint either.
     #[prost(bool, tag = "1")]
     pub unreachable: bool,
+    /// Whether the endpoint's address refused the connection.
+    #[prost(bool, tag = "2")]
+    pub refused: bool,
 }
 /// Rate limit that an endpoint named for all instances together.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
