A POST of HTTP/1.0 without a length is refused

What callers saw: a request of HTTP/1.0 whose body ends with its connection ran with an empty body, and its caller got the answer to that as the answer to its own request.

Cause: without a length or chunks hyper takes the body of a request for empty. In HTTP/1.0 a POST has to have a length (RFC 1945, section 8.3); the close of the connection cannot end a request, whether its caller finished it or died.

Change: such a request of POST, PUT or PATCH gets 400 `body-broken` and does not run.

--- a/crates/firdock-node/src/ingress/handler.rs
+++ b/crates/firdock-node/src/ingress/handler.rs
@@ -189,6 +189,9 @@
         if self.state.get() == IngressPhase::Closed {
             return Err(stopping());
         }
+        if lacks_length(&request) {
+            return Err(no_length());
+        }
         let (head, incoming) = request.into_parts();
         let body = CallBody {
             incoming,
@@ -348,6 +351,21 @@
     }
 }
 
+/// Returns whether the length of a request's body is unknown (RFC 1945, section 8.3).
+///
+/// HTTP/1.0 has no chunks, and the close of the connection cannot end a request. Without a length, the request would run
+/// with an empty body.
+fn lacks_length(request: &Request<Incoming>) -> bool {
+    let has_body = [Method::POST, Method::PUT, Method::PATCH].contains(request.method());
+    let has_length = request.headers().contains_key(header::CONTENT_LENGTH);
+    request.version() == Version::HTTP_10 && has_body && !has_length
+}
+
+fn no_length() -> Problem {
+    let detail = "a body in HTTP/1.0 needs a Content-Length";
+    Problem::new(StatusCode::BAD_REQUEST, "body-broken", detail)
+}
+
 fn stopping() -> Problem {
     let status = StatusCode::SERVICE_UNAVAILABLE;
     Problem::new(status, "stopping", "the instance is stopping").with_retry(STOPPING_RETRY)
