Proof of life of an endpoint: a connection that stays open for longer than processes take to end

Cause: the check of the first answer that ended connected while the process was ending, and the connection stayed open for the 20 ms that were taken for proof of life.

Change: a connection has to stay open for 100 ms; an end is not judged by an open connection while others that ended beside it are unchecked; a check that found nothing is repeated; a reset while connecting counts as a connection that was closed at once; a break that a peer reports in that time continues what may be continued.

Cost: a whole answer without framing ends 100 ms after its last event in place of 20.

--- a/crates/firdock-node/src/driver/liveness.rs
+++ b/crates/firdock-node/src/driver/liveness.rs
@@ -17,9 +17,9 @@
 
 /// Number of connection attempts before an address that closes each connection at once is given up.
 const MAX_CONNECT_ATTEMPTS: u32 = 3;
-/// A connection must stay open for this long to count as proof of life. A terminating process
-/// closes it sooner.
-const MIN_OPEN_TIME: Duration = Duration::from_millis(20);
+/// A connection must stay open for this long to count as proof of life. A terminating process, which may accept it
+/// while its memory is freed, closes it sooner.
+const MIN_OPEN_TIME: Duration = Duration::from_millis(100);
 
 impl<B: Dispatcher> Driver<B> {
     /// Checks whether an endpoint's address accepts connections and reports the result to the
@@ -98,6 +98,8 @@
                 }
             }
             Err(e) if e.is_refused() => return Liveness::Ended,
+            // It stopped listening before it accepted the connection.
+            Err(e) if e.is_reset() => {}
             Err(_) => return Liveness::Silent,
         }
     }
--- a/crates/firdock-node/src/http/client.rs
+++ b/crates/firdock-node/src/http/client.rs
@@ -74,6 +74,12 @@
         matches!(self, Self::Connect { source, .. } if source.kind() == ErrorKind::ConnectionRefused)
     }
 
+    /// Returns whether the connection was reset while it was established.
+    #[must_use]
+    pub fn is_reset(&self) -> bool {
+        matches!(self, Self::Connect { source, .. } if source.kind() == ErrorKind::ConnectionReset)
+    }
+
     /// Returns whether the request was certainly never sent.
     #[must_use]
     pub fn never_sent(&self) -> bool {
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -114,6 +114,7 @@
                 handover::end_silent_hand_overs(t, now, out);
                 handover::remove_silent_peers(t, now);
                 t.suspects.sweep(now);
+                unproven_end::repeat_checks(t, now, out);
                 unproven_end::run(t, now, out);
                 expire::end_overdue(t, now, out);
                 expire::end_impatient(t, now, out);
--- a/crates/firdock-policy/src/system/unproven_end.rs
+++ b/crates/firdock-policy/src/system/unproven_end.rs
@@ -125,6 +125,16 @@
     }
 }
 
+/// Repeats the checks that found nothing: a process that is about to end may close each connection at once.
+pub fn repeat_checks(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
+    let ends = t.unproven_ends.iter();
+    let silent = ends.filter(|end| end.liveness == Some(Liveness::Silent));
+    let silent: Vec<RequestId> = silent.map(|end| end.id).collect();
+    for id in silent {
+        start_check(t, now, id, out);
+    }
+}
+
 /// Returns whether the dispatch still waits for a verdict.
 fn is_open(requests: &Requests, end: &UnprovenEnd) -> bool {
     let row = requests.get(end.id);
@@ -162,6 +172,10 @@
         Some(Liveness::Open) if is_seen_late(t, end) => {
             Some(verdict_without_sign(EndEvidence::SeenLate, can_ask))
         }
+        Some(Liveness::Open) if others_are_unchecked(t, end) && !is_over => None,
+        Some(Liveness::Open) if can_ask && is_unconfirmed(t, end) && !others_go_on(t, end) => {
+            Some(EndVerdict::rejected(EndEvidence::OthersBroke))
+        }
         Some(Liveness::Open) => Some(EndVerdict::accepted(EndEvidence::Open)),
         Some(Liveness::Ended) => Some(EndVerdict::accepted(EndEvidence::StoppedListening)),
         Some(Liveness::Silent) | None => {
@@ -170,6 +184,22 @@
     }
 }
 
+/// Returns whether other answers of the endpoint ended at the same time and were not covered by the check of this one: the
+/// process may have ended while it accepted the connection.
+fn others_are_unchecked(t: &Tables, end: &UnprovenEnd) -> bool {
+    let mut others = ends_beside(t, end);
+    others.any(|other| other.liveness.is_none())
+}
+
+/// Returns whether it is not known, also by what peers reported, that the process of the endpoint outlived the answer.
+fn is_unconfirmed(t: &Tables, end: &UnprovenEnd) -> bool {
+    let unconfirmed = t.endpoints.get(end.server).unconfirmed;
+    let dispatched = t.requests.get(end.id).map(|row| row.dispatched);
+    unconfirmed.zip(dispatched).is_some_and(|(u, dispatched)| {
+        dispatched <= u.last_break && end.ended <= u.last_break + CLOSE_SPREAD
+    })
+}
+
 /// Returns the verdict where nothing is known of the process: an answer that may be continued is, which proves its end.
 fn verdict_without_sign(evidence: EndEvidence, can_ask: bool) -> EndVerdict {
     if can_ask {
@@ -231,6 +261,12 @@
 
 /// Returns whether another answer of an endpoint ended the same way at the same time.
 fn ended_together(t: &Tables, end: &UnprovenEnd) -> bool {
-    let mut others = t.unproven_ends.at(end.endpoint);
-    others.any(|other| other.id != end.id && other.ended.abs_diff(end.ended) <= CLOSE_SPREAD)
+    ends_beside(t, end).next().is_some()
+}
+
+/// Returns the other ends at an endpoint at the same time.
+fn ends_beside<'a>(t: &'a Tables, end: &UnprovenEnd) -> impl Iterator<Item = &'a UnprovenEnd> {
+    let (id, ended) = (end.id, end.ended);
+    let others = t.unproven_ends.at(end.endpoint);
+    others.filter(move |other| other.id != id && other.ended.abs_diff(ended) <= CLOSE_SPREAD)
 }
