A stream that began after a restart that nobody saw is of the new start

Callers saw: take-ups refused for good (`overload` or `version-unknown`) although endpoints of the version that began their streams stood free. An endpoint had restarted under its name with another version while nothing was under way there, and the streams began before its entry was read.

Cause: a stream was taken for one of the next start only if a break of the earlier one had been seen. Without it neither start was accepted, although the stream was sent after the next one began.

Change: the times of starts decide. What was sent 50 ms or more after a start began is of that start or a later one, whether or not anyone saw the restart; 50 ms or more before it of the earlier one; nobody knows in between. This holds over several restarts in a row, where the first one read with the same version had decided. If an entry shows that the earlier start served after the dispatch, the clocks differ by more than is assumed, and the stream is of no version.

--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -161,12 +161,6 @@
         let parts = self.start.rsplit_once('@');
         parts.map_or(&*self.start, |(name, _started)| name)
     }
-
-    /// Returns whether another start may have begun the stream, if this one is unconfirmed from `since` on.
-    #[must_use]
-    pub fn is_unconfirmed(&self, since: Option<Time>) -> bool {
-        self.unconfirmed || since.is_some_and(|since| since <= self.sent)
-    }
 }
 
 /// Software that the endpoints of a pool run.
--- a/crates/firdock-policy/src/system/restart.rs
+++ b/crates/firdock-policy/src/system/restart.rs
@@ -59,6 +59,7 @@
         start: e.start_id.clone(),
         build: Build::of(&e.declared),
         unconfirmed: e.unconfirmed,
+        confirmed_at: e.confirmed_at,
         next,
         replaced_at: now,
     };
--- a/crates/firdock-policy/src/system/start.rs
+++ b/crates/firdock-policy/src/system/start.rs
@@ -132,56 +132,110 @@
 /// Returns the build that began a stream; `None` while that is not known.
 #[must_use]
 pub fn build_of<'a>(t: &'a Tables, stream: &'a StreamStart) -> Option<&'a Build> {
+    let recorded = Candidate {
+        start: &stream.start,
+        build: &stream.build,
+        began: None,
+        unconfirmed: stream.unconfirmed,
+    };
+    build_since(t, stream, &recorded)
+}
+
+/// A start of an endpoint that may have begun a stream. No earlier one did.
+#[derive(Debug, Clone, Copy)]
+struct Candidate<'a> {
+    start: &'a str,
+    build: &'a Build,
+    /// When it began, if it followed another start.
+    began: Option<Time>,
+    /// Whether it was not known at the time of the dispatch that it still served.
+    unconfirmed: bool,
+}
+
+/// Returns the build that began a stream at this start or a later one; `None` if that cannot be told.
+fn build_since<'a>(
+    t: &'a Tables,
+    stream: &'a StreamStart,
+    candidate: &Candidate<'a>,
+) -> Option<&'a Build> {
     let name = stream.endpoint();
     let present = t.endpoints.find(name).map(|at| t.endpoints.get(at));
-    if let Some(e) = present.filter(|e| e.start_id == stream.start) {
-        let is_confirmed = e.confirmed_at >= stream.sent;
-        let known = is_confirmed || !stream.is_unconfirmed(e.unconfirmed.map(|u| u.since));
-        return known.then_some(&stream.build);
+    if let Some(e) = present.filter(|e| e.start_id == candidate.start) {
+        // The entry of a later start was read after the dispatch, so that what broke since broke after it.
+        let is_later = candidate.began.is_some();
+        let is_confirmed = is_later || e.confirmed_at >= stream.sent;
+        let known = is_confirmed || !is_unconfirmed(stream, candidate, e.unconfirmed);
+        return known.then_some(candidate.build);
     }
-    match t.starts.find(name, &stream.start) {
-        Some(replaced) => build_after_restart(t, stream, replaced),
+    match t.starts.find(name, candidate.start) {
+        Some(replaced) => build_after_restart(t, stream, candidate, replaced),
         // The endpoint left without a successor, or this instance has not read the entry of its start yet.
-        None => (!stream.unconfirmed).then_some(&stream.build),
+        None => (!candidate.unconfirmed).then_some(candidate.build),
     }
 }
 
-/// Returns the build that began a stream at an endpoint that has restarted since; `None` if that cannot be told.
+/// Returns whether the process of a candidate may have ended before a stream began.
+fn is_unconfirmed(
+    stream: &StreamStart,
+    candidate: &Candidate<'_>,
+    unconfirmed: Option<Unconfirmed>,
+) -> bool {
+    candidate.unconfirmed || unconfirmed.is_some_and(|u| u.since <= stream.sent)
+}
+
+/// Returns the build that began a stream at a start that another one has replaced since, or at a later one; `None` if
+/// that cannot be told.
+///
+/// A process serves from its start on, and the earlier one has ended by then, whether or not its end was seen.
 fn build_after_restart<'a>(
     t: &'a Tables,
     stream: &'a StreamStart,
+    candidate: &Candidate<'a>,
     replaced: &'a ReplacedStart,
 ) -> Option<&'a Build> {
-    let since = replaced.unconfirmed.map(|u| u.since);
     let next = &replaced.next;
+    let is_same_build = next.build == *candidate.build;
+    let after_next = next
+        .began
+        .is_some_and(|at| at + CLOCK_TOLERANCE <= stream.sent);
+    if after_next {
+        // The clocks differ by more than is assumed if the earlier process is known to have served then.
+        let is_consistent = replaced.confirmed_at < stream.sent || is_same_build;
+        return build_at_next(t, stream, candidate, next).filter(|_| is_consistent);
+    }
     let before_next = next
         .began
         .is_none_or(|at| stream.sent + CLOCK_TOLERANCE < at);
-    if !stream.is_unconfirmed(since) && before_next {
-        return Some(&stream.build);
+    if before_next && !is_unconfirmed(stream, candidate, replaced.unconfirmed) {
+        return Some(candidate.build);
     }
-    if next.build == stream.build {
-        // Another start, whose entry was never read, can only have served after the first break.
-        let first_break = replaced.unconfirmed.map(|u| u.first_break);
-        let before_break = first_break.is_none_or(|at| stream.sent <= at);
-        let at_next = next
-            .began
-            .is_some_and(|at| stream.sent + CLOCK_TOLERANCE >= at);
-        let known = at_next || (before_break && !stream.unconfirmed);
-        return known.then_some(&stream.build);
+    if !is_same_build {
+        return None;
     }
-    let at_next = next
-        .began
-        .is_some_and(|at| stream.sent >= at + CLOCK_TOLERANCE);
-    let known = at_next && stream.is_unconfirmed(since) && !may_be_later(t, stream, next);
-    known.then_some(&next.build)
+    if !before_next {
+        return build_at_next(t, stream, candidate, next).filter(|build| **build == next.build);
+    }
+    // Another start, whose entry was never read, can only have served after the first break.
+    let first_break = replaced.unconfirmed.map(|u| u.first_break);
+    let before_break = first_break.is_none_or(|at| stream.sent <= at);
+    let known = before_break && !candidate.unconfirmed;
+    known.then_some(candidate.build)
 }
 
-/// Returns whether a stream may have begun at a later start than this one.
-fn may_be_later(t: &Tables, stream: &StreamStart, start: &KnownStart) -> bool {
-    let replaced = t.starts.find(stream.endpoint(), &start.start);
-    replaced.is_some_and(|replaced| {
-        let began = replaced.next.began;
-        began.is_none_or(|at| stream.sent + CLOCK_TOLERANCE >= at)
-    })
+/// Returns the build that began a stream at the start after a candidate, or at a later one.
+fn build_at_next<'a>(
+    t: &'a Tables,
+    stream: &'a StreamStart,
+    candidate: &Candidate<'a>,
+    next: &'a KnownStart,
+) -> Option<&'a Build> {
+    // Entries that return do not lead back to earlier starts.
+    let is_later = candidate.began < next.began;
+    let next = Candidate {
+        start: &next.start,
+        build: &next.build,
+        began: next.began,
+        unconfirmed: false,
+    };
+    is_later.then(|| build_since(t, stream, &next)).flatten()
 }
--- a/crates/firdock-policy/src/table/start_history.rs
+++ b/crates/firdock-policy/src/table/start_history.rs
@@ -32,6 +32,8 @@
     pub build: Build,
     /// Set if it was not known whether it still served when the next one was read.
     pub unconfirmed: Option<Unconfirmed>,
+    /// When its process was last known to serve.
+    pub confirmed_at: Time,
     /// The start after it.
     pub next: KnownStart,
     /// When this instance learned of that.
--- a/crates/firdock-policy/tests/policy/stream_versions/restarts.rs
+++ b/crates/firdock-policy/tests/policy/stream_versions/restarts.rs
@@ -114,6 +114,16 @@
         actions
     }
 
+    /// The endpoint of a request's present dispatch refuses it.
+    fn refuse(&mut self, n: u64) {
+        let (_, dispatch) = self.sent.remove(&n).expect("it was sent");
+        let refused = DispatchUpdate::Refused { unreachable: false };
+        let actions = self.edge.update_dispatch(n, dispatch, refused);
+        for (n, endpoint, dispatch) in sent_by(&actions) {
+            self.sent.insert(n, (endpoint, dispatch));
+        }
+    }
+
     /// A request's answer ends whole.
     fn end(&mut self, n: u64) {
         self.update(n, DispatchUpdate::LastBytes(self.edge.now));
@@ -412,6 +422,122 @@
     assert_eq!(reason, Some(Reason::VersionUnknown));
 }
 
+/// Restarts an endpoint at which nothing is under way, so that nobody sees it, and begins a stream there after a time.
+/// Returns the recorded origin of the stream.
+fn begin_after_unseen_restart(world: &mut World, endpoint: usize, after: Duration) -> StreamOrigin {
+    assert!(world.served_by(endpoint).is_empty());
+    world.pass(MIN_LIFE);
+    world.restart(endpoint, "v2");
+    world.pass(after);
+    begin_at(world, 10, endpoint);
+    world.origin(10)
+}
+
+/// The callers of all requests at an endpoint leave.
+fn leave(world: &mut World, endpoint: usize) {
+    for n in world.served_by(endpoint) {
+        world.step(Event::CallerLeft(id(n)));
+        world.sent.remove(&n);
+    }
+}
+
+/// Guards against a stream that is refused for good since it began at an endpoint whose restart nobody saw, although the
+/// start of its entry tells which version it is of.
+#[test]
+fn a_stream_that_began_after_a_restart_that_nobody_saw_goes_on_at_the_new_version() {
+    for breaks in [false, true] {
+        let mut world = World::new(2);
+        let origin = begin_after_unseen_restart(&mut world, 1, millis(60));
+        world.pass(millis(100));
+        world.list(1);
+        world.pass(millis(100));
+        if breaks {
+            world.break_off(10);
+            world.renew(1);
+        } else {
+            leave(&mut world, 1);
+        }
+        let actions = world.arrive(30, origin);
+        assert_eq!(sent_by(&actions), [(30, 1, 1)], "{breaks}");
+    }
+}
+
+/// Guards against an answer that is cut since its endpoint broke off after a restart that nobody saw, although another
+/// endpoint has the version of its entry.
+#[test]
+fn an_answer_that_began_after_a_restart_that_nobody_saw_goes_on_at_the_new_version() {
+    let mut world = World::new(3);
+    world.restart(2, "v2");
+    world.list(2);
+    begin_after_unseen_restart(&mut world, 1, millis(60));
+    world.list(1);
+    world.pass(millis(100));
+    let actions = world.break_off(10);
+    let sent = sent_by(&actions);
+    assert!(
+        sent.iter().all(|(n, at, _)| (*n, *at) == (10, 2)) && sent.len() == 1,
+        "{actions:?}"
+    );
+}
+
+/// Guards against a stream that is taken for one of the new version since its endpoint restarted after it.
+#[test]
+fn a_stream_that_began_before_a_restart_that_nobody_saw_goes_on_at_the_old_version() {
+    let mut world = World::new(2);
+    begin_at(&mut world, 1, 1);
+    let origin = world.origin(1);
+    leave(&mut world, 1);
+    world.pass(MIN_LIFE);
+    world.restart(1, "v2");
+    world.list(1);
+    let actions = world.arrive(30, origin);
+    assert_eq!(sent_by(&actions), [(30, 0, 1)]);
+}
+
+/// Guards against a start that is taken for the one of the last entry, although a process which is known to have served
+/// later by its own entry says that the clocks differ.
+#[test]
+fn a_stream_is_of_no_version_if_the_earlier_start_wrote_its_entry_after_the_new_one_began() {
+    let mut world = World::new(2);
+    begin_at(&mut world, 1, 1);
+    let origin = world.origin(1);
+    leave(&mut world, 1);
+    world.pass(millis(10));
+    world.renew(1);
+    let began = world.edge.now.saturating_sub(millis(100));
+    world.serving[1] = Start {
+        version: "v2",
+        began,
+    };
+    world.list(1);
+    assert!(dispatched(&world.arrive(30, origin)).is_empty());
+}
+
+/// Guards against a stream that is taken for one of a start which had ended when it began.
+#[test]
+fn a_stream_that_began_after_two_restarts_is_of_the_last_version() {
+    let mut world = World::new(2);
+    world.pass(MIN_LIFE);
+    world.restart(1, "v2");
+    let second = world.serving[1];
+    let origin = begin_after_unseen_restart(&mut world, 1, millis(60));
+    world.serving[1].version = "v1";
+    let third = world.serving[1];
+    for start in [second, third] {
+        world.serving[1] = start;
+        world.list(1);
+    }
+    leave(&mut world, 1);
+    for n in 30..34 {
+        let actions = world.arrive(n, origin.clone());
+        assert_eq!(
+            sent_by(&actions).len(),
+            1,
+            "both endpoints have its version"
+        );
+    }
+}
+
 /// What happens next.
 #[derive(Debug, Clone, Copy)]
 enum Step {
@@ -449,6 +575,16 @@
     ]
 }
 
+/// Returns steps with restarts that nobody sees among them: endpoint, version, and the time in milliseconds after which
+/// streams begin, less or more than clocks differ by.
+fn step_or_unseen_restart() -> impl Strategy<Value = (Option<Step>, (usize, usize, u64))> {
+    let gap = prop_oneof![Just(1), Just(30), Just(55), Just(200)];
+    (
+        prop::option::weighted(0.85, step()),
+        (0..ENDPOINTS, 0..VERSIONS.len(), gap),
+    )
+}
+
 /// A caller with its stream.
 #[derive(Debug, Default)]
 struct Caller {
@@ -505,6 +641,70 @@
     }
 }
 
+/// Restarts an endpoint while nothing is under way there and nothing waits, and begins streams of callers that have none
+/// before its entry is read.
+fn restart_unseen(
+    world: &mut World,
+    callers: &mut [Caller],
+    restarted: (usize, &'static str),
+    gap: Duration,
+    first: u64,
+) {
+    let (endpoint, version) = restarted;
+    world.list(endpoint);
+    for caller in callers.iter_mut() {
+        let at = |n: u64| world.sent.get(&n).map(|(at, _)| *at);
+        let stays = |n: &u64| at(*n).is_some_and(|at| at != endpoint);
+        if let Some(n) = caller.attempt.filter(|n| !stays(n)) {
+            world.sent.remove(&n);
+            world.step(Event::CallerLeft(id(n)));
+            caller.attempt = None;
+        }
+    }
+    world.pass(MIN_LIFE);
+    world.restart(endpoint, version);
+    world.pass(gap);
+    let new = |caller: &&mut Caller| caller.attempt.is_none() && caller.origin.is_none();
+    for (n, caller) in callers.iter_mut().filter(new).enumerate() {
+        let attempt = first + n as u64;
+        call(world, caller, attempt);
+        let elsewhere = world
+            .sent
+            .get(&attempt)
+            .is_some_and(|(at, _)| *at != endpoint);
+        if elsewhere && n % 2 == 0 {
+            world.refuse(attempt);
+        }
+        first_event(world, caller);
+    }
+    world.list(endpoint);
+}
+
+/// Plays a step; returns whether the caller of it holds events of one version at most.
+fn play(world: &mut World, callers: &mut [Caller], n: u64, step: Step) -> bool {
+    match step {
+        Step::Call(c) => call(world, &mut callers[c], n),
+        Step::Event(c) => return first_event(world, &mut callers[c]),
+        Step::Break(c) => {
+            if let Some(n) = callers[c].attempt.filter(|n| world.sent.contains_key(n)) {
+                world.break_off(n);
+            }
+        }
+        Step::End(c) => end(world, &mut callers[c]),
+        Step::Restart(endpoint, version) => restart(world, endpoint, VERSIONS[version]),
+        Step::List(endpoint) => {
+            world.list(endpoint);
+        }
+        Step::Renew(endpoint) => {
+            world.renew(endpoint);
+        }
+        Step::Pass(time) => {
+            world.pass(millis(time));
+        }
+    }
+    true
+}
+
 proptest! {
     /// Guards against any series of restarts, entries, breaks and returns that joins events of two versions.
     #[test]
@@ -513,25 +713,26 @@
         let mut callers: Vec<Caller> = (0..CALLERS).map(|_| Caller::default()).collect();
         for (n, step) in steps.into_iter().enumerate() {
             world.pass(millis(1));
-            match step {
-                Step::Call(c) => call(&mut world, &mut callers[c], 1 + n as u64),
-                Step::Event(c) => prop_assert!(first_event(&mut world, &mut callers[c]), "{:?}", callers[c]),
-                Step::Break(c) => {
-                    if let Some(n) = callers[c].attempt.filter(|n| world.sent.contains_key(n)) {
-                        world.break_off(n);
-                    }
-                }
-                Step::End(c) => end(&mut world, &mut callers[c]),
-                Step::Restart(endpoint, version) => restart(&mut world, endpoint, VERSIONS[version]),
-                Step::List(endpoint) => {
-                    world.list(endpoint);
-                }
-                Step::Renew(endpoint) => {
-                    world.renew(endpoint);
-                }
-                Step::Pass(time) => {
-                    world.pass(millis(time));
-                }
+            prop_assert!(play(&mut world, &mut callers, 1 + n as u64, step), "{callers:?}");
+        }
+    }
+
+    /// Guards against versions that are joined since the times of starts alone tell which one began a stream.
+    #[test]
+    fn no_caller_holds_events_of_two_versions_after_restarts_that_nobody_saw(
+        steps in prop::collection::vec(step_or_unseen_restart(), 1..80),
+    ) {
+        let mut world = World::new(ENDPOINTS);
+        let mut callers: Vec<Caller> = (0..CALLERS).map(|_| Caller::default()).collect();
+        for (n, (step, unseen)) in steps.into_iter().enumerate() {
+            world.pass(millis(1));
+            let first = 1_000 * (1 + n as u64);
+            if let Some(step) = step {
+                prop_assert!(play(&mut world, &mut callers, first, step), "{callers:?}");
+            } else {
+                let (endpoint, version, gap) = unseen;
+                let restarted = (endpoint, VERSIONS[version]);
+                restart_unseen(&mut world, &mut callers, restarted, millis(gap), first);
             }
         }
     }
@@ -570,4 +771,37 @@
             first_event(&mut world, caller);
         }
     }
+
+    /// Guards against streams that are refused after restarts which nobody saw, although the times of starts tell their
+    /// version and endpoints of it serve.
+    #[test]
+    fn all_streams_go_on_at_their_version_after_restarts_that_nobody_saw(
+        restarts in prop::collection::vec((0..2_usize, 0..VERSIONS.len(), prop_oneof![Just(60), Just(200)]), 1..8),
+    ) {
+        let mut world = World::new(2);
+        let mut callers: Vec<Caller> = Vec::new();
+        for (n, (endpoint, version, gap)) in restarts.into_iter().enumerate() {
+            let mut new: Vec<Caller> = (0..CALLERS).map(|_| Caller::default()).collect();
+            let (restarted, first) = ((endpoint, VERSIONS[version]), 1_000 * (1 + n as u64));
+            restart_unseen(&mut world, &mut new, restarted, millis(gap), first);
+            for caller in &mut new {
+                let n = caller.attempt.take().expect("it has called");
+                world.step(Event::CallerLeft(id(n)));
+                world.sent.remove(&n);
+            }
+            // Streams that begin just before the next restart are of neither start for sure.
+            world.pass(MIN_LIFE);
+            callers.extend(new);
+        }
+        for (n, caller) in callers.iter_mut().enumerate() {
+            let version = *caller.versions.first().expect("it has begun");
+            let n = 1_000_000 + n as u64;
+            call(&mut world, caller, n);
+            let serves = world.serving.iter().any(|start| start.version == version);
+            prop_assert_eq!(world.sent.contains_key(&n), serves, "{:?}", caller);
+            prop_assert!(first_event(&mut world, caller));
+            let at = world.sent.get(&n).map_or(0, |(at, _)| *at);
+            leave(&mut world, at);
+        }
+    }
 }
