A refusal of the own link is confirmed by a peer before an end is rejected

What callers saw: on the mend that judges unproven ends, whole answers without framing broke off (442 bytes of a stream that was whole), or ran again, if the instance's link to their endpoint was cut while they were under way: existing connections live on, and new ones are refused. By the same refusal the endpoint was ejected and its exit counted.

Cause: a refused connection was taken for the end of the endpoint's process. A link that is cut refuses as well.

Change: where ends wait on it and the request's route has a peer, that peer is asked (`confirm_refusal`). Without peers nothing changes. The exit is recorded once it is confirmed.

Policy: `a_refusal_of_the_own_link_is_confirmed_by_a_peer`.

--- a/crates/firdock-policy/src/system/liveness.rs
+++ b/crates/firdock-policy/src/system/liveness.rs
@@ -3,7 +3,7 @@
 
 use firdock_core::{InstanceId, RequestId};
 
-use super::{health, start, suspect};
+use super::{health, start, suspect, unproven_end};
 use crate::action::Action;
 use crate::event::{Liveness, LivenessResult};
 use crate::table::Tables;
@@ -70,6 +70,7 @@
     let Some(began) = t.endpoints.get_mut(at).peer_check.take() else {
         return;
     };
+    let is_awaited = t.unproven_ends.await_peer(at);
     t.unproven_ends.record_liveness(FinishedCheck {
         server: at,
         began,
@@ -82,6 +83,7 @@
             t.endpoints.get_mut(at).refuses_since = None;
             suspect::record_open_address(t, &result.start, began);
         }
+        Liveness::Silent if is_awaited => record_exit(t, now, result, out),
         Liveness::Silent => {}
     }
 }
@@ -104,6 +106,11 @@
     *t.stats.liveness_checks.entry(result.found).or_default() += 1;
     let at = t.endpoints.find_start(&result.start);
     let state = at.and_then(|at| t.endpoints.get_mut(at).liveness_check.take());
+    let confirms =
+        |at| result.found == Liveness::Ended && unproven_end::confirm_refusal(t, now, at, out);
+    if at.is_some_and(confirms) {
+        return;
+    }
     if let Some((at, state)) = at.zip(state) {
         t.unproven_ends.record_liveness(FinishedCheck {
             server: at,
--- a/crates/firdock-policy/src/system/route.rs
+++ b/crates/firdock-policy/src/system/route.rs
@@ -50,6 +50,13 @@
     rendezvous::owner(key, fit.map(|p| p.name.as_str())).map(str::to_owned)
 }
 
+/// Returns whether a peer that is part of a request's route may still be asked to pass a connection to an endpoint on.
+pub fn may_pass_on(t: &Tables, now: Time, peer: &str, at: usize) -> bool {
+    let pool = &t.endpoints.get(at).declared.pool;
+    let row = t.peers.find(peer).map(|at| t.peers.get(at));
+    row.is_some_and(|p| t.is_live(p, now) && passes_on(p, now, pool))
+}
+
 /// Returns whether a peer may be asked to pass a connection on: it does so, did not fail to lately,
 /// and reports no more failing than working links to the pool.
 fn passes_on(peer: &PeerRow, now: Time, pool: &PoolId) -> bool {
--- a/crates/firdock-policy/src/system/unproven_end.rs
+++ b/crates/firdock-policy/src/system/unproven_end.rs
@@ -9,7 +9,7 @@
 
 use firdock_core::RequestId;
 
-use super::{dispatch_updates, liveness};
+use super::{dispatch_updates, liveness, route};
 use crate::action::Action;
 use crate::event::{EndEvidence, EndVerdict, Liveness};
 use crate::request::{CompletionProof, Phase, RequestRow};
@@ -47,6 +47,7 @@
         server: at,
         passed_on,
         ended: now,
+        is_refused: false,
         liveness: None,
     });
     follow_restart(t, id);
@@ -69,8 +70,8 @@
     let Some(end) = t.unproven_ends.get(id) else {
         return;
     };
-    let (server, passed_on) = (end.server, end.passed_on);
-    if !passed_on {
+    let (server, is_own) = (end.server, !end.passed_on && !end.is_refused);
+    if is_own {
         liveness::start_check(t, now, server, out);
         return;
     }
@@ -80,6 +81,23 @@
     }
 }
 
+/// Asks a peer whether an endpoint refuses connections, where ends of answers hang on it: the own link may be cut, while the
+/// connections that exist live on. Returns whether a peer is asked.
+pub(super) fn confirm_refusal(t: &mut Tables, now: Time, at: usize, out: &mut Vec<Action>) -> bool {
+    let is_own = |end: &&UnprovenEnd| end.server == at && !end.passed_on;
+    let waiting = t.unproven_ends.iter().find(is_own).map(|end| end.id);
+    let Some(id) = waiting else {
+        return false;
+    };
+    let peer = t.requests.get(id).and_then(|row| row.route.peer().cloned());
+    let Some(peer) = peer.filter(|peer| route::may_pass_on(t, now, peer, at)) else {
+        return false;
+    };
+    t.unproven_ends.record_refusal(at);
+    liveness::start_peer_check(t, now, at, (id, peer), out);
+    true
+}
+
 /// Returns the row of the start that gave an answer; `None` if another start has replaced it.
 ///
 /// A request that was sent after a start began, and before its entry was read, is in the row of the start before it.
@@ -116,7 +134,8 @@
 /// were checked before the answer ended.
 fn start_missing_checks(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
     let ends = t.unproven_ends.iter();
-    let is_unchecked = |end: &UnprovenEnd| end.passed_on && end.liveness.is_none();
+    let is_unchecked =
+        |end: &UnprovenEnd| (end.passed_on || end.is_refused) && end.liveness.is_none();
     let ends: Vec<_> = ends.map(|end| (end.id, is_unchecked(end))).collect();
     for (id, is_unchecked) in ends {
         if follow_restart(t, id) || is_unchecked {
@@ -162,6 +181,7 @@
     if serving_start(t, end).is_none() {
         return Some(EndVerdict::rejected(EndEvidence::Restarted));
     }
+    let end = &with_own_refusal(*end, is_over);
     if let Some(evidence) = sign_of_exit(t, now, end, can_ask) {
         if !others_go_on(t, end) {
             return Some(EndVerdict::rejected(evidence));
@@ -200,6 +220,13 @@
     })
 }
 
+/// Returns an end that is judged by the refusal of the own link if no peer has said more in time.
+fn with_own_refusal(end: UnprovenEnd, is_over: bool) -> UnprovenEnd {
+    let refused = (end.is_refused && is_over).then_some(Liveness::Ended);
+    let liveness = end.liveness.or(refused);
+    UnprovenEnd { liveness, ..end }
+}
+
 /// Returns the verdict where nothing is known of the process: an answer that may be continued is, which proves its end.
 fn verdict_without_sign(evidence: EndEvidence, can_ask: bool) -> EndVerdict {
     if can_ask {
--- a/crates/firdock-policy/src/table/unproven_ends.rs
+++ b/crates/firdock-policy/src/table/unproven_ends.rs
@@ -20,6 +20,8 @@
     pub passed_on: bool,
     /// When the connection was seen to close.
     pub ended: Time,
+    /// Whether the own link refused a connection, which a peer is to confirm: the link may be cut.
+    pub is_refused: bool,
     /// Result of a liveness check that began later.
     pub liveness: Option<Liveness>,
 }
@@ -95,6 +97,34 @@
         for end in self.rows.iter_mut().filter(covered) {
             end.liveness = Some(found);
         }
+        if check.through_peer && found == Liveness::Silent {
+            self.confirm_refusals(server);
+        }
+    }
+
+    /// Records that the own link to an endpoint refused a connection, of which a peer is asked.
+    pub fn record_refusal(&mut self, server: usize) {
+        let is_own = |end: &&mut UnprovenEnd| end.server == server && !end.passed_on;
+        for end in self.rows.iter_mut().filter(is_own) {
+            end.is_refused = true;
+        }
+    }
+
+    /// Returns whether the refusal of the own link to an endpoint waits for a peer.
+    #[must_use]
+    pub fn await_peer(&self, server: usize) -> bool {
+        let waits = |end: &UnprovenEnd| end.is_refused && end.liveness.is_none();
+        self.rows
+            .iter()
+            .any(|end| end.server == server && waits(end))
+    }
+
+    /// Takes the refusals of the own link to an endpoint as they are, since no peer knows more.
+    fn confirm_refusals(&mut self, server: usize) {
+        let refused = |end: &&mut UnprovenEnd| end.server == server && end.is_refused;
+        for end in self.rows.iter_mut().filter(refused) {
+            end.liveness.get_or_insert(Liveness::Ended);
+        }
     }
 
     /// Returns all ends.
--- a/crates/firdock-policy/tests/policy/end_lifecycle.rs
+++ b/crates/firdock-policy/tests/policy/end_lifecycle.rs
@@ -381,6 +381,46 @@
     }
 }
 
+/// Guards against a whole answer that is broken off, and an endpoint that is ejected, since its instance's link was cut while
+/// the answer was under way: connections live on while new ones are refused.
+#[test]
+fn a_refusal_of_the_own_link_is_confirmed_by_a_peer() {
+    let open = EndVerdict::accepted(EndEvidence::Open);
+    let refused = EndVerdict::rejected(EndEvidence::Refused);
+    for service in ["safe", "once"] {
+        for (found, expected) in [
+            (Liveness::Open, open),
+            (Liveness::Ended, refused),
+            (Liveness::Silent, refused),
+        ] {
+            let settings = edge_settings("a").with_routes_by_peers();
+            let mut answer = Answer::start(settings, request(1, service, "free"));
+            answer.begin();
+            answer.close();
+            let told = answer.check(Liveness::Ended);
+            assert_eq!(verdict_of(&told), None, "{service}");
+            let ejections = |a: &Answer| a.edge.scheduler.tables().stats.ejections;
+            assert_eq!(ejections(&answer), 0, "{service}");
+            let told = answer.check_through(found);
+            assert_eq!(verdict_of(&told), Some(expected), "{service} {found:?}");
+            let is_ended = found != Liveness::Open;
+            assert_eq!(
+                ejections(&answer),
+                u64::from(is_ended),
+                "{service} {found:?}"
+            );
+        }
+        // A peer that does not answer at all.
+        let settings = edge_settings("a").with_routes_by_peers();
+        let mut answer = Answer::start(settings, request(1, service, "free"));
+        answer.begin();
+        answer.close();
+        answer.check(Liveness::Ended);
+        let told = answer.pass(MAX_WAIT);
+        assert_eq!(verdict_of(&told), Some(refused), "{service}");
+    }
+}
+
 /// Guards against a check through a peer that began before an answer ended, and is taken for one after it.
 #[test]
 fn a_check_through_a_peer_covers_no_end_that_came_later() {
