A start whose time contradicts what its predecessor served began no stream

Cause: only entries were compared with the time at which the later start began. Bytes of an answer tell as well that the earlier process still served then.

Test: a_stream_is_not_of_a_start_whose_time_an_answer_of_the_earlier_one_contradicts failed before.

--- a/crates/firdock-policy/src/system/start.rs
+++ b/crates/firdock-policy/src/system/start.rs
@@ -200,7 +200,12 @@
         .is_some_and(|at| at + CLOCK_TOLERANCE <= stream.sent);
     if after_next {
         // The clocks differ by more than is assumed if the earlier process is known to have served then.
-        let is_consistent = replaced.confirmed_at < stream.sent || is_same_build;
+        let alive_at = replaced.unconfirmed.map_or(Time::ZERO, |u| u.since);
+        let served_late = next
+            .began
+            .is_some_and(|at| at + CLOCK_TOLERANCE <= alive_at);
+        let is_confirmed = replaced.confirmed_at >= stream.sent;
+        let is_consistent = is_same_build || !(is_confirmed || served_late);
         return build_at_next(t, stream, candidate, next).filter(|_| is_consistent);
     }
     let before_next = next
--- a/crates/firdock-policy/tests/policy/stream_versions/restarts.rs
+++ b/crates/firdock-policy/tests/policy/stream_versions/restarts.rs
@@ -805,3 +805,24 @@
         }
     }
 }
+
+/// Guards against a stream that is taken for one of the version that came after it, where the clock of the endpoint is
+/// late: an answer that had been sent before the new start began was still alive after that time.
+#[test]
+fn a_stream_is_not_of_a_start_whose_time_an_answer_of_the_earlier_one_contradicts() {
+    let mut world = world_with_streams();
+    let other = world.sent[&2].0;
+    world.pass(millis(500));
+    let late_clock = world.edge.now.saturating_sub(millis(150));
+    begin_at(&mut world, 10, other);
+    let origin = world.origin(10);
+    world.pass(millis(100));
+    // Both streams get their last bytes right before the process of the first version ends.
+    world.restart(other, "v2");
+    world.serving[other].began = late_clock;
+    world.pass(millis(100));
+    world.list(other);
+    let actions = world.arrive(30, origin);
+    let at_new_version = sent_by(&actions).iter().any(|(_, at, _)| *at == other);
+    assert!(!at_new_version, "{actions:?}");
+}
