An end without a verdict is no end

A dispatch that got no verdict on the end of its answer (its scheduler gone or stalled for two seconds) passed the end on. It breaks the answer off now. An unproven end after a framed head, which is broken whatever its endpoint does, is no sign against the endpoint's other answers. Found in review, by reading; no test.

--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -331,6 +331,7 @@
             // The head sent earlier declared a framing, and ending the answer by it would claim
             // that it is complete.
             Completeness::Unproven if self.delivered().framed => {
+                self.report(DispatchUpdate::Unproven).await;
                 Err(DispatchError::EndpointFailed(BreakCause::Closed))
             }
             Completeness::Unproven => {
@@ -358,8 +359,10 @@
             Ok(Ok(EndpointChange::Restarted)) => {
                 Err(DispatchError::EndpointFailed(BreakCause::Restarted))
             }
-            // Without a verdict the end counts for no more and no less than before.
-            Ok(Ok(_) | Err(_)) | Err(_) => Ok(()),
+            Ok(Ok(_)) => Ok(()),
+            // The scheduler has dropped the request.
+            Ok(Err(_)) => Err(DispatchError::CallerGone),
+            Err(_) => Err(DispatchError::EndpointFailed(BreakCause::Closed)),
         }
     }
 
