A stream waits for the next entry if its endpoint may have restarted unseen before it

Callers saw: streams of two versions.

Cause: an endpoint restarted with another version while nothing was under way there. Streams began there and broke before its entry was read. They were taken for streams of the old start, since nothing had broken before them, and went on at the old version.

Change: after a break, if a process listens at the address, a stream is of the known start only if that start is known to have lived after the dispatch: by an entry, or by an answer that began before the last entry and was alive later. Else the stream waits for the next entry, as those do which began after a break. It does not wait if the address refuses connections, or if the start had renewed no entry within five seconds before the dispatch, as while the store is down.

--- a/crates/firdock-policy/src/system/liveness.rs
+++ b/crates/firdock-policy/src/system/liveness.rs
@@ -95,6 +95,7 @@
         if t.endpoints.get(at).is_healthy() {
             health::eject(t, now, at);
         }
+        t.endpoints.get_mut(at).open_at = None;
         start::record_refused_connection(t, now, at);
         health::record_refused_connection(t, now, at);
     }
@@ -127,7 +128,9 @@
         return;
     };
     if result.found == Liveness::Open {
-        t.endpoints.get_mut(at).refuses_since = None;
+        let e = t.endpoints.get_mut(at);
+        e.refuses_since = None;
+        e.open_at = Some(state.began);
         suspect::record_open_address(t, &result.start, state.began);
     }
     if state.again {
--- a/crates/firdock-policy/src/system/start.rs
+++ b/crates/firdock-policy/src/system/start.rs
@@ -10,7 +10,7 @@
 use crate::event::{RenewedEntry, UnconfirmedStart};
 use crate::request::{Build, Phase, RequestRow, StreamStart};
 use crate::table::Tables;
-use crate::table::endpoint::Unconfirmed;
+use crate::table::endpoint::{EndpointRow, Unconfirmed};
 use crate::table::start_history::{KnownStart, ReplacedStart};
 use crate::time::Time;
 
@@ -32,6 +32,7 @@
     if e.declared.started.is_none() {
         return;
     }
+    confirm_connection(e, sent, alive_at);
     let alive_at = alive_at.max(e.confirmed_at);
     let since = match e.unconfirmed {
         None => alive_at,
@@ -58,6 +59,15 @@
         e.unconfirmed = None;
         e.confirmed_at = e.confirmed_at.max(last_bytes.saturating_sub(BREAK_SPREAD));
     }
+    confirm_connection(e, sent, last_bytes);
+}
+
+/// Records that a process served on the connection of a dispatch until `alive_at`. It is that of the entry if the entry
+/// was written after the dispatch.
+fn confirm_connection(e: &mut EndpointRow, sent: Time, alive_at: Time) {
+    if sent <= e.confirmed_at {
+        e.confirmed_at = e.confirmed_at.max(alive_at.saturating_sub(BREAK_SPREAD));
+    }
 }
 
 /// Records that no process listens at an endpoint's address.
@@ -164,7 +174,10 @@
         // The entry of a later start was read after the dispatch, so that what broke since broke after it.
         let is_later = candidate.began.is_some();
         let is_confirmed = is_later || e.confirmed_at >= stream.sent;
-        let known = is_confirmed || !is_unconfirmed(stream, candidate, e.unconfirmed);
+        // Nobody may have seen a restart before the dispatch, and the next entry is about to tell.
+        let is_doubtful =
+            is_unconfirmed(stream, candidate, e.unconfirmed) || e.awaits_entry_after(stream.sent);
+        let known = is_confirmed || !is_doubtful;
         return known.then_some(candidate.build);
     }
     match t.starts.find(name, candidate.start) {
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -85,6 +85,10 @@
     pub again: bool,
 }
 
+/// Longest time between two entries of a start. One that writes none for longer, as while the store is down, is not
+/// waited for.
+const MAX_RENEWAL_TIME: Duration = Duration::from_secs(5);
+
 /// From when on it is not known whether the process at an endpoint's address is the one that wrote its entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Unconfirmed {
@@ -147,6 +151,8 @@
     pub confirmed_at: Time,
     /// Set while another process may have taken its place.
     pub unconfirmed: Option<Unconfirmed>,
+    /// Start of the last liveness check, if it found that a process listens.
+    pub open_at: Option<Time>,
     /// The liveness check in progress, if any.
     pub liveness_check: Option<LivenessCheck>,
     /// When the liveness check through a peer began that is in progress.
@@ -218,6 +224,7 @@
             last_refusal: None,
             refuses_since: None,
             confirmed_at: Time::ZERO,
+            open_at: None,
             unconfirmed: None,
             liveness_check: None,
             peer_check: None,
@@ -250,6 +257,18 @@
         self.declared.started != declared.started
     }
 
+    /// Returns whether the next entry is about to tell which start got a request: a connection broke, a process listens
+    /// at the address, and this start had renewed its entry shortly before.
+    #[must_use]
+    pub fn awaits_entry_after(&self, sent: Time) -> bool {
+        let renews = self.confirmed_at > Time::ZERO && sent < self.confirmed_at + MAX_RENEWAL_TIME;
+        let listens = |u: Unconfirmed| {
+            let is_open = self.open_at.is_some_and(|at| u.first_break <= at);
+            is_open || self.liveness_check.is_some()
+        };
+        self.present && renews && self.unconfirmed.is_some_and(listens)
+    }
+
     /// Marks it as replaced by a later start.
     pub fn mark_replaced(&mut self) {
         self.replaced = true;
--- a/crates/firdock-policy/tests/policy/stream_versions/restarts.rs
+++ b/crates/firdock-policy/tests/policy/stream_versions/restarts.rs
@@ -9,7 +9,8 @@
 use firdock_core::Reason;
 use firdock_core::resource::{Catalog, Endpoint, Resource};
 use firdock_policy::event::{
-    BreakCause, ConnectFailure, DispatchUpdate, PeerUpdate, RenewedEntry, UnconfirmedStart,
+    BreakCause, ConnectFailure, DispatchUpdate, Liveness, LivenessResult, PeerUpdate, RenewedEntry,
+    UnconfirmedStart,
 };
 use firdock_policy::request::StreamOrigin;
 use firdock_policy::{Action, Event, Time};
@@ -480,6 +481,88 @@
     );
 }
 
+/// A liveness check of a listed start ends.
+fn check_liveness(world: &mut World, endpoint: usize, found: Liveness) -> Vec<Action> {
+    let start = declared(endpoint, world.listed[endpoint]).start_id();
+    world.step(Event::LivenessChecked(LivenessResult { start, found }))
+}
+
+/// Guards against a stream of the new version that goes on at the old one, since it breaks before the entry of its start
+/// is read.
+#[test]
+fn a_stream_that_breaks_before_the_entry_of_a_start_that_nobody_saw_does_not_go_on_at_the_old_version()
+ {
+    let mut world = World::new(3);
+    world.renew(1);
+    begin_after_unseen_restart(&mut world, 1, millis(60));
+    world.pass(millis(100));
+    let origin = world.origin(10);
+    let actions = world.break_off(10);
+    assert!(sent_by(&actions).is_empty(), "{actions:?}");
+    let actions = check_liveness(&mut world, 1, Liveness::Open);
+    assert!(sent_by(&actions).is_empty(), "{actions:?}");
+    assert!(dispatched(&world.arrive(30, origin)).is_empty());
+    let actions = world.list(1);
+    assert!(
+        sent_by(&actions).iter().all(|(_, at, _)| *at == 1),
+        "{actions:?}"
+    );
+    assert!(!sent_by(&actions).is_empty());
+}
+
+/// Guards against a stream that waits for an entry which no process will write, or which was written already.
+#[test]
+fn a_stream_goes_on_at_once_if_its_endpoint_ended_or_an_older_answer_shows_which_start_began_it() {
+    for has_older in [false, true] {
+        let mut world = World::new(3);
+        world.pass(MIN_LIFE);
+        if has_older {
+            begin_at(&mut world, 9, 1);
+            world.pass(millis(10));
+        }
+        world.renew(1);
+        world.pass(MIN_LIFE);
+        begin_at(&mut world, 10, 1);
+        world.pass(millis(200));
+        if has_older {
+            world.break_off(9);
+            assert_eq!(sent_by(&world.break_off(10)).len(), 1);
+        } else {
+            assert!(sent_by(&world.break_off(10)).is_empty());
+            assert_eq!(
+                sent_by(&check_liveness(&mut world, 1, Liveness::Ended)).len(),
+                1
+            );
+        }
+    }
+}
+
+/// Guards against a stream that waits on although its start has renewed its entry.
+#[test]
+fn a_stream_that_began_after_the_last_entry_goes_on_once_its_start_has_renewed_it() {
+    let mut world = World::new(3);
+    world.renew(1);
+    world.pass(MIN_LIFE);
+    begin_at(&mut world, 10, 1);
+    world.pass(millis(100));
+    assert!(sent_by(&world.break_off(10)).is_empty());
+    check_liveness(&mut world, 1, Liveness::Open);
+    world.pass(millis(100));
+    assert_eq!(sent_by(&world.renew(1)).len(), 1);
+}
+
+/// Guards against streams that wait for entries which nobody can write, as while the store is down.
+#[test]
+fn a_stream_goes_on_at_once_if_its_start_has_renewed_no_entry_for_long() {
+    let mut world = World::new(3);
+    world.renew(1);
+    world.pass(millis(2_500));
+    world.pass(millis(2_500));
+    begin_at(&mut world, 10, 1);
+    world.pass(millis(100));
+    assert_eq!(sent_by(&world.break_off(10)).len(), 1);
+}
+
 /// Guards against a stream that is taken for one of the new version since its endpoint restarted after it.
 #[test]
 fn a_stream_that_began_before_a_restart_that_nobody_saw_goes_on_at_the_old_version() {
@@ -575,14 +658,28 @@
     ]
 }
 
-/// Returns steps with restarts that nobody sees among them: endpoint, version, and the time in milliseconds after which
-/// streams begin, less or more than clocks differ by.
-fn step_or_unseen_restart() -> impl Strategy<Value = (Option<Step>, (usize, usize, u64))> {
+/// A restart that nobody sees.
+#[derive(Debug, Clone, Copy)]
+struct UnseenRestart {
+    endpoint: usize,
+    version: &'static str,
+    /// Time after which streams begin, less or more than clocks differ by.
+    gap: Duration,
+    /// Whether these streams break before the entry of the start is read.
+    breaks: bool,
+}
+
+/// Returns steps with restarts that nobody sees among them.
+fn step_or_unseen_restart() -> impl Strategy<Value = (Option<Step>, UnseenRestart)> {
     let gap = prop_oneof![Just(1), Just(30), Just(55), Just(200)];
-    (
-        prop::option::weighted(0.85, step()),
-        (0..ENDPOINTS, 0..VERSIONS.len(), gap),
-    )
+    let parts = (0..ENDPOINTS, 0..VERSIONS.len(), gap, any::<bool>());
+    let restart = parts.prop_map(|(endpoint, version, gap, breaks)| UnseenRestart {
+        endpoint,
+        version: VERSIONS[version],
+        gap: millis(gap),
+        breaks,
+    });
+    (prop::option::weighted(0.85, step()), restart)
 }
 
 /// A caller with its stream.
@@ -641,8 +738,8 @@
     }
 }
 
-/// Restarts an endpoint while nothing is under way there and nothing waits, and begins streams of callers that have none
-/// before its entry is read.
+/// Restarts an endpoint that renews its entries, while nothing is under way there and nothing waits, and begins streams of
+/// callers that have none. The entry of its start is not read.
 fn restart_unseen(
     world: &mut World,
     callers: &mut [Caller],
@@ -652,6 +749,7 @@
 ) {
     let (endpoint, version) = restarted;
     world.list(endpoint);
+    world.renew(endpoint);
     for caller in callers.iter_mut() {
         let at = |n: u64| world.sent.get(&n).map(|(at, _)| *at);
         let stays = |n: &u64| at(*n).is_some_and(|at| at != endpoint);
@@ -677,7 +775,20 @@
         }
         first_event(world, caller);
     }
-    world.list(endpoint);
+}
+
+/// All answers of an endpoint that has just restarted break, and their callers come back before its entry is read.
+fn break_and_return(world: &mut World, callers: &mut [Caller], endpoint: usize, first: u64) {
+    for n in world.served_by(endpoint) {
+        world.break_off(n);
+    }
+    check_liveness(world, endpoint, Liveness::Open);
+    for (n, caller) in callers.iter_mut().enumerate() {
+        if caller.attempt.is_some_and(|n| world.is_waiting(n)) {
+            call(world, caller, first + n as u64);
+        }
+        first_event(world, caller);
+    }
 }
 
 /// Plays a step; returns whether the caller of it holds events of one version at most.
@@ -730,9 +841,13 @@
             if let Some(step) = step {
                 prop_assert!(play(&mut world, &mut callers, first, step), "{callers:?}");
             } else {
-                let (endpoint, version, gap) = unseen;
-                let restarted = (endpoint, VERSIONS[version]);
-                restart_unseen(&mut world, &mut callers, restarted, millis(gap), first);
+                let UnseenRestart { endpoint, version, gap, breaks } = unseen;
+                restart_unseen(&mut world, &mut callers, (endpoint, version), gap, first);
+                if breaks {
+                    break_and_return(&mut world, &mut callers, endpoint, first + 100);
+                    prop_assert!(callers.iter().all(|c| c.versions.len() <= 1), "{callers:?}");
+                }
+                world.list(endpoint);
             }
         }
     }
@@ -784,6 +899,7 @@
             let mut new: Vec<Caller> = (0..CALLERS).map(|_| Caller::default()).collect();
             let (restarted, first) = ((endpoint, VERSIONS[version]), 1_000 * (1 + n as u64));
             restart_unseen(&mut world, &mut new, restarted, millis(gap), first);
+            world.list(endpoint);
             for caller in &mut new {
                 let n = caller.attempt.take().expect("it has called");
                 world.step(Event::CallerLeft(id(n)));
