Streams that wait for an entry are not refused for the load

Callers saw: take-ups refused as `overload` within milliseconds, while endpoints of their version stood free.

Cause: a take-up that waits for an entry (its build, or the start of each endpoint of its build, is unconfirmed) stood in the queue like any other. Early refusal counted those before it, at the rate of dispatches, and refused them; `overload` was not the reason, and the two seconds in which an entry comes were not used.

Change: early refusal passes over what waits for an entry. It is refused by `continuation`, as `version-unknown` after two seconds, and does not count as a queue before others. While it is held, a higher tier is not refused for the load, as with all that is held.

Seen red on the code without this change: the two new unit tests (`Overload`).

--- a/crates/firdock-policy/src/system/early_refusal.rs
+++ b/crates/firdock-policy/src/system/early_refusal.rs
@@ -28,11 +28,13 @@
     let mut refused: Vec<(TierRank, RequestId)> = Vec::new();
     let mut ahead: HashMap<&str, u32> = HashMap::new();
     // `backoff` decides on requests that wait for the end of a back-off, because that time is
-    // known.
+    // known. `continuation` decides on those that wait for an entry: neither the queue delays them
+    // nor they the queue.
     let considered = |r: &&RequestRow| {
         r.phase == Phase::Held
             && !r.may_have_run()
             && !coordinate::awaits_placement(t, r)
+            && r.unconfirmed_since.is_none()
             && backoff::earliest_attempt(t, now, r).is_none()
     };
     let held: Vec<&RequestRow> = t.requests.iter().filter(considered).collect();
--- a/crates/firdock-policy/tests/policy/stream_versions/restarts.rs
+++ b/crates/firdock-policy/tests/policy/stream_versions/restarts.rs
@@ -577,6 +577,17 @@
     assert_eq!(sent_by(&actions), [(30, 0, 1)]);
 }
 
+/// Guards against a version that is told from clocks which do not tell it, and against another reason for its refusal.
+#[test]
+fn a_stream_that_began_as_its_endpoint_restarted_is_refused_as_of_an_unknown_version() {
+    let mut world = World::new(2);
+    let origin = begin_after_unseen_restart(&mut world, 1, millis(20));
+    world.list(1);
+    assert!(dispatched(&world.arrive(30, origin)).is_empty());
+    let reason = pass_with_timer(&mut world, MAX_WAIT, &[30]);
+    assert_eq!(reason, [(30, Reason::VersionUnknown)]);
+}
+
 /// Guards against a start that is taken for the one of the last entry, although a process which is known to have served
 /// later by its own entry says that the clocks differ.
 #[test]
@@ -621,6 +632,52 @@
     }
 }
 
+/// Lets time pass with the timer running. Returns the refusals of these requests.
+fn pass_with_timer(world: &mut World, time: Duration, requests: &[u64]) -> Vec<(u64, Reason)> {
+    let step = millis(50);
+    let end = world.edge.now + time;
+    let mut refused = Vec::new();
+    while world.edge.now < end {
+        world.edge.now += step;
+        let now = world.edge.now;
+        for event in [Event::ConfigConfirmed(now), Event::Timer] {
+            let actions = world.step(event);
+            let ended = requests
+                .iter()
+                .filter_map(|n| Some((*n, reason_of(&actions, *n)?)));
+            refused.extend(ended);
+        }
+    }
+    refused
+}
+
+/// Returns the reason for which a request is refused.
+fn reason_of(actions: &[Action], n: u64) -> Option<Reason> {
+    actions.iter().find_map(|action| match action {
+        Action::Answer { id: ended, verdict } if *ended == id(n) => Some(verdict.reason),
+        _ => None,
+    })
+}
+
+/// Guards against take-ups that are refused for the load since they wait for an entry, and against other requests that
+/// are refused since these wait before them.
+#[test]
+fn streams_that_wait_for_an_entry_are_not_refused_for_the_load() {
+    let mut world = world_with_streams();
+    let other = world.sent[&2].0;
+    let origin = begin_after_restart(&mut world, "v2");
+    world.pass(millis(200));
+    let waiting: Vec<u64> = (30..50).collect();
+    for n in &waiting {
+        assert!(dispatched(&world.arrive(*n, origin.clone())).is_empty());
+    }
+    let refused = pass_with_timer(&mut world, millis(1_500), &waiting);
+    assert_eq!(refused, []);
+    let sent = sent_by(&world.list(other));
+    assert_eq!(sent.len(), waiting.len());
+    assert!(sent.iter().all(|(_, at, _)| *at == other));
+}
+
 /// What happens next.
 #[derive(Debug, Clone, Copy)]
 enum Step {
