A planned stop ends in time beside a clock that stands still

Traced: in each case the instance's clock stands still within the stop, so that 5 s become more than 6.

Cause: the stop was bounded by the instance's own clock alone. Whoever stops the instance goes by another one.

Change: the runtime's clock bounds the waits as well. The clippy lints of the tests of unproven ends are met, and the checks of the property's world are as they were meant.

--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -10,10 +10,11 @@
 use std::time::Duration;
 
 use firdock_core::settings::Settings;
-use firdock_policy::Event;
+use firdock_policy::{Event, Time};
 use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
+use tokio::time::{Instant, timeout};
 
 use self::parts::{DriverOutputs, EdgeParts};
 use crate::clock::{Clock, millis};
@@ -190,23 +191,24 @@
     /// noticed, and lets running requests and connections passed on for peers finish here, all within
     /// the time that the platform allows.
     pub async fn stop(self) {
-        let now = self.clock.now();
-        let end = now + self.stop_time.saturating_sub(SHUTDOWN_RESERVE);
+        let (began, now) = (Instant::now(), self.clock.now());
+        let longest = self.stop_time.saturating_sub(SHUTDOWN_RESERVE);
+        let end = now + longest;
         info!(self.log, "stopping"; "millis" => millis(self.stop_time));
         self.ingress.set(IngressPhase::Closing);
         let _ = self.inputs.send(Input::Event(Event::Drain)).await;
-        self.clock
-            .sleep_until((now + SERVE_AFTER_STOP).min(end))
-            .await;
+        let serving_end = (now + SERVE_AFTER_STOP).min(end);
+        wait_until(self.clock, serving_end, serving_end.saturating_sub(now)).await;
         self.ingress.set(IngressPhase::Closed);
         self.stop_ingress.send_replace(true);
         let serving_and_tunnels = async {
             let _ = self.serving.await;
             self.tunnels.wait_until_closed().await;
         };
+        let waited = began.elapsed();
         let finished = tokio::select! {
             () = serving_and_tunnels => true,
-            () = self.clock.sleep_until(end) => false,
+            () = wait_until(self.clock, end, longest.saturating_sub(waited)) => false,
         };
         if !finished {
             warn!(self.log, "stopped before everything was finished");
@@ -218,3 +220,10 @@
         info!(self.log, "stopped"; "drained" => drained);
     }
 }
+
+/// Waits until a time by the instance's clock, and for no longer than `longest` by the runtime's. Whoever stops the instance
+/// goes by a clock of its own, and this one may stand still meanwhile.
+async fn wait_until(clock: Clock, at: Time, longest: Duration) {
+    // The time limit is as good an end of the wait.
+    let _ = timeout(longest, clock.sleep_until(at)).await;
+}
--- a/crates/firdock-policy/tests/policy/unproven_ends.rs
+++ b/crates/firdock-policy/tests/policy/unproven_ends.rs
@@ -127,10 +127,12 @@
     verdicts.next()
 }
 
+#[expect(clippy::unnecessary_wraps, reason = "compared with what was found")]
 fn accepted(evidence: EndEvidence) -> Option<EndVerdict> {
     Some(EndVerdict::accepted(evidence))
 }
 
+#[expect(clippy::unnecessary_wraps, reason = "compared with what was found")]
 fn rejected(evidence: EndEvidence) -> Option<EndVerdict> {
     Some(EndVerdict::rejected(evidence))
 }
--- a/crates/firdock-policy/tests/policy/unproven_ends/series.rs
+++ b/crates/firdock-policy/tests/policy/unproven_ends/series.rs
@@ -330,13 +330,11 @@
     /// Begins a liveness check; its result is known in advance.
     fn check(&mut self, endpoint: usize) {
         let fate = self.fates[endpoint];
-        let found = if !fate.listens(self.now) {
-            (self.now + 1, endpoint, Liveness::Ended)
-        } else {
-            match fate.closes(self.now) {
-                Some(at) if at < self.now + MIN_OPEN => (at + 1, endpoint, Liveness::Ended),
-                _ => (self.now + MIN_OPEN, endpoint, Liveness::Open),
-            }
+        let closes = fate.closes(self.now);
+        let found = match closes.filter(|at| *at < self.now + MIN_OPEN) {
+            _ if !fate.listens(self.now) => (self.now + 1, endpoint, Liveness::Ended),
+            Some(at) => (at + 1, endpoint, Liveness::Ended),
+            None => (self.now + MIN_OPEN, endpoint, Liveness::Open),
         };
         self.checks.push(found);
     }
