--- a/crates/firdock-node/src/endpoint/direct.rs
+++ b/crates/firdock-node/src/endpoint/direct.rs
@@ -1,10 +1,9 @@
 //! Dispatches by firdock's own protocol for engines, and by plain HTTP for servers.
 
-use firdock_core::resource::EndpointKind;
 use std::time::Duration;
 
+use firdock_core::resource::EndpointKind;
 use firdock_core::{InstanceId, RequestId};
-
 use tokio::net::TcpStream;
 
 use super::run::DispatchRun;
--- a/crates/firdock-node/src/peer/tunnel.rs
+++ b/crates/firdock-node/src/peer/tunnel.rs
@@ -200,8 +200,12 @@
         Ok(())
     }
 
-    /// Connects to the endpoint of a tunnel. If that fails, returns whether the endpoint could not be
-    /// reached; otherwise this instance does not know it at that address.
+    /// Connects to the endpoint of a tunnel.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the peer is told: whether the endpoint could not be reached, and whether its address refused the
+    /// connection. Neither is set if this instance does not know the endpoint at that address.
     async fn connect(&self, tunnel: &Tunnel) -> Result<TcpStream, TunnelRefused> {
         let location = self.site.view().location(&tunnel.endpoint);
         let address = location
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -17,7 +17,7 @@
 /// Time between two runs of the timer systems from which on the instance did not run meanwhile.
 const MIN_ABSENCE: Duration = Duration::from_secs(2);
 
-/// The same between any two events, for what the instance would have seen sooner.
+/// Time between two events from which on the instance counts as stalled: it sees late what happened meanwhile.
 const MIN_STALL: Duration = Duration::from_millis(200);
 
 /// A decision procedure: this scheduler, or a simpler baseline in measurements.
--- a/crates/firdock-policy/src/system/unproven_end.rs
+++ b/crates/firdock-policy/src/system/unproven_end.rs
@@ -47,10 +47,10 @@
     t.unproven_ends.add(UnprovenEnd {
         id,
         dispatch,
-        endpoint: at,
-        server: at,
+        dispatched_row: at,
+        serving_row: at,
         passed_on,
-        ended: now,
+        closed_at: now,
         is_refused: false,
         liveness: None,
     });
@@ -63,8 +63,8 @@
     let Some(end) = t.unproven_ends.get(id) else {
         return false;
     };
-    let server = serving_start(t, end).unwrap_or(end.server);
-    let is_other = server != end.server;
+    let server = serving_start(t, end).unwrap_or(end.serving_row);
+    let is_other = server != end.serving_row;
     t.unproven_ends.set_server(id, server);
     is_other
 }
@@ -74,7 +74,7 @@
     let Some(end) = t.unproven_ends.get(id) else {
         return;
     };
-    let (server, is_own) = (end.server, !end.passed_on && !end.is_refused);
+    let (server, is_own) = (end.serving_row, !end.passed_on && !end.is_refused);
     if is_own {
         liveness::start_check(t, now, server, out);
         return;
@@ -88,7 +88,7 @@
 /// Asks a peer whether an endpoint refuses connections, where ends of answers hang on it: the own link may be cut, while the
 /// connections that exist live on. Returns whether a peer is asked.
 pub(super) fn confirm_refusal(t: &mut Tables, now: Time, at: usize, out: &mut Vec<Action>) -> bool {
-    let is_own = |end: &&UnprovenEnd| end.server == at && !end.passed_on;
+    let is_own = |end: &&UnprovenEnd| end.serving_row == at && !end.passed_on;
     let waiting = t.unproven_ends.iter().find(is_own).map(|end| end.id);
     let Some(id) = waiting else {
         return false;
@@ -106,9 +106,9 @@
 ///
 /// A request that was sent after a start began, and before its entry was read, is in the row of the start before it.
 fn serving_start(t: &Tables, end: &UnprovenEnd) -> Option<usize> {
-    let e = t.endpoints.get(end.endpoint);
+    let e = t.endpoints.get(end.dispatched_row);
     if !e.is_replaced() {
-        return Some(end.endpoint);
+        return Some(end.dispatched_row);
     }
     let next = &t.starts.find(&e.declared.name, &e.start_id)?.next;
     let dispatched = t.requests.get(end.id)?.dispatched;
@@ -162,7 +162,7 @@
 /// Returns whether the dispatch still waits for a verdict.
 fn is_open(requests: &Requests, end: &UnprovenEnd) -> bool {
     let row = requests.get(end.id);
-    row.is_some_and(|row| row.dispatch == end.dispatch && is_at(row, end.endpoint))
+    row.is_some_and(|row| row.dispatch == end.dispatch && is_at(row, end.dispatched_row))
 }
 
 fn is_at(row: &RequestRow, endpoint: usize) -> bool {
@@ -174,7 +174,7 @@
     if verdict.accepted || verdict.evidence.is_sign() {
         return verdict;
     }
-    if !dispatch_updates::may_retry(t, end.id, end.endpoint) {
+    if !dispatch_updates::may_retry(t, end.id, end.dispatched_row) {
         return EndVerdict::accepted(verdict.evidence);
     }
     dispatch_updates::spend_retry(t, end.id);
@@ -196,17 +196,17 @@
 /// Returns the verdict on an end; `None` while more evidence may come.
 fn judge(t: &Tables, now: Time, end: &UnprovenEnd) -> Option<EndVerdict> {
     let has_time = has_time_left(t, now, end.id);
-    let is_over = end.ended + MAX_WAIT <= now || !has_time;
-    let can_ask = has_time && dispatch_updates::may_retry(t, end.id, end.endpoint);
+    let wait_expired = end.closed_at + MAX_WAIT <= now || !has_time;
+    let may_resume = has_time && dispatch_updates::may_retry(t, end.id, end.dispatched_row);
     if serving_start(t, end).is_none() {
         return Some(EndVerdict::rejected(EndEvidence::Restarted));
     }
-    let end = &with_own_refusal(*end, is_over);
-    if let Some(evidence) = sign_of_exit(t, now, end, can_ask) {
+    let end = &with_own_refusal(*end, wait_expired);
+    if let Some(evidence) = sign_of_exit(t, now, end, may_resume) {
         if !others_go_on(t, end) {
             return Some(EndVerdict::rejected(evidence));
         }
-        return is_over.then(|| EndVerdict::accepted(EndEvidence::OthersGoOn));
+        return wait_expired.then(|| EndVerdict::accepted(EndEvidence::OthersGoOn));
     }
     let is_undecided = match end.liveness {
         Some(Liveness::Open) => is_seen_late(t, end),
@@ -214,20 +214,20 @@
         Some(Liveness::Silent) | None => true,
     };
     if is_undecided && others_go_on(t, end) {
-        return is_over.then(|| EndVerdict::accepted(EndEvidence::OthersGoOn));
+        return wait_expired.then(|| EndVerdict::accepted(EndEvidence::OthersGoOn));
     }
     match end.liveness {
         Some(Liveness::Open) if is_seen_late(t, end) => {
-            Some(verdict_without_sign(EndEvidence::SeenLate, can_ask))
+            Some(verdict_without_sign(EndEvidence::SeenLate, may_resume))
         }
-        Some(Liveness::Open) if others_are_unchecked(t, end) && !is_over => None,
-        Some(Liveness::Open) if can_ask && is_unconfirmed(t, end) && !others_go_on(t, end) => {
+        Some(Liveness::Open) if others_are_unchecked(t, end) && !wait_expired => None,
+        Some(Liveness::Open) if may_resume && may_have_exited(t, end) && !others_go_on(t, end) => {
             Some(EndVerdict::rejected(EndEvidence::OthersBroke))
         }
         Some(Liveness::Open) => Some(EndVerdict::accepted(EndEvidence::Open)),
         Some(Liveness::Ended) => Some(EndVerdict::accepted(EndEvidence::StoppedListening)),
         Some(Liveness::Silent) | None => {
-            is_over.then(|| verdict_without_sign(EndEvidence::Silent, can_ask))
+            wait_expired.then(|| verdict_without_sign(EndEvidence::Silent, may_resume))
         }
     }
 }
@@ -240,24 +240,24 @@
 }
 
 /// Returns whether it is not known, also by what peers reported, that the process of the endpoint outlived the answer.
-fn is_unconfirmed(t: &Tables, end: &UnprovenEnd) -> bool {
-    let unconfirmed = t.endpoints.get(end.server).unconfirmed;
+fn may_have_exited(t: &Tables, end: &UnprovenEnd) -> bool {
+    let unconfirmed = t.endpoints.get(end.serving_row).unconfirmed;
     let dispatched = t.requests.get(end.id).map(|row| row.dispatched);
     unconfirmed.zip(dispatched).is_some_and(|(u, dispatched)| {
-        dispatched <= u.last_break && end.ended <= u.last_break + CLOSE_SPREAD
+        dispatched <= u.last_break && end.closed_at <= u.last_break + CLOSE_SPREAD
     })
 }
 
 /// Returns an end that is judged by the refusal of the own link if no peer has said more in time.
-fn with_own_refusal(end: UnprovenEnd, is_over: bool) -> UnprovenEnd {
-    let refused = (end.is_refused && is_over).then_some(Liveness::Ended);
+fn with_own_refusal(end: UnprovenEnd, wait_expired: bool) -> UnprovenEnd {
+    let refused = (end.is_refused && wait_expired).then_some(Liveness::Ended);
     let liveness = end.liveness.or(refused);
     UnprovenEnd { liveness, ..end }
 }
 
 /// Returns the verdict where nothing is known of the process: an answer that may be continued is, which proves its end.
-fn verdict_without_sign(evidence: EndEvidence, can_ask: bool) -> EndVerdict {
-    if can_ask {
+fn verdict_without_sign(evidence: EndEvidence, may_resume: bool) -> EndVerdict {
+    if may_resume {
         EndVerdict::rejected(evidence)
     } else {
         EndVerdict::accepted(evidence)
@@ -268,7 +268,7 @@
 fn is_seen_late(t: &Tables, end: &UnprovenEnd) -> bool {
     let returned = t.stalls.runs_since();
     let began_before = |row: &RequestRow| row.dispatched < returned;
-    end.ended <= returned + MAX_WAIT && t.requests.get(end.id).is_some_and(began_before)
+    end.closed_at <= returned + MAX_WAIT && t.requests.get(end.id).is_some_and(began_before)
 }
 
 /// Returns whether a request may still be sent elsewhere before its deadline.
@@ -277,18 +277,22 @@
     deadline.is_none_or(|by| now + MIN_TIME_LEFT < by)
 }
 
-/// Returns what shows that the process of an endpoint ended when an answer did, if nothing of it goes on.
-fn sign_of_exit(t: &Tables, now: Time, end: &UnprovenEnd, can_ask: bool) -> Option<EndEvidence> {
-    let e = t.endpoints.get(end.server);
+/// Returns what shows that the process of an endpoint ended when an answer did. Other answers that go on may contradict it.
+fn sign_of_exit(t: &Tables, now: Time, end: &UnprovenEnd, may_resume: bool) -> Option<EndEvidence> {
+    let e = t.endpoints.get(end.serving_row);
     let row = t.requests.get(end.id)?;
     let last_break = e.last_break.filter(|at| row.dispatched <= *at);
-    if last_break.is_some_and(|at| end.ended <= at + CLOSE_SPREAD) {
+    if last_break.is_some_and(|at| end.closed_at <= at + CLOSE_SPREAD) {
         return Some(EndEvidence::OthersBroke);
     }
     let last_bytes = row.last_bytes.unwrap_or(row.dispatched);
     if end.liveness != Some(Liveness::Ended) {
         // Who listens after a refusal is another process.
-        let since = if can_ask { row.dispatched } else { last_bytes };
+        let since = if may_resume {
+            row.dispatched
+        } else {
+            last_bytes
+        };
         let refused = e.last_refusal.is_some_and(|at| since <= at);
         let is_other = refused && end.liveness == Some(Liveness::Open) && !end.passed_on;
         return is_other.then_some(EndEvidence::Refused);
@@ -297,12 +301,12 @@
         .refuses_since
         .is_some_and(|since| since + CLOSE_SPREAD <= last_bytes);
     if stopped_before {
-        let min_others = if can_ask { 1 } else { MIN_OTHERS_RUN_ONCE };
+        let min_others = if may_resume { 1 } else { MIN_OTHERS_RUN_ONCE };
         let together = ends_beside(t, end).count() >= min_others;
         return together.then_some(EndEvidence::EndedTogether);
     }
     // An endpoint that leaves stops listening at some time, and its last answers are complete.
-    let is_expected = !can_ask && e.leaving(now);
+    let is_expected = !may_resume && e.leaving(now);
     (!is_expected).then_some(EndEvidence::Refused)
 }
 
@@ -312,9 +316,9 @@
     let passed_on = t.requests.get(end.id).is_some_and(|row| row.passed_on);
     let goes_on = |row: &RequestRow| {
         let is_connected = match row.phase {
-            Phase::Running(at) => at == end.endpoint && row.dispatched <= end.ended,
+            Phase::Running(at) => at == end.dispatched_row && row.dispatched <= end.closed_at,
             Phase::Dispatching(at) => {
-                at == end.endpoint && row.dispatched + CLOSE_SPREAD <= end.ended
+                at == end.dispatched_row && row.dispatched + CLOSE_SPREAD <= end.closed_at
             }
             _ => false,
         };
@@ -322,12 +326,13 @@
             && row.passed_on == passed_on
             && row.completion_proof == CompletionProof::Proven
     };
-    t.endpoints.get(end.endpoint).running > 1 && t.requests.iter().any(goes_on)
+    t.endpoints.get(end.dispatched_row).running > 1 && t.requests.iter().any(goes_on)
 }
 
 /// Returns the other ends at an endpoint at the same time.
 fn ends_beside<'a>(t: &'a Tables, end: &UnprovenEnd) -> impl Iterator<Item = &'a UnprovenEnd> {
-    let (id, ended) = (end.id, end.ended);
-    let others = t.unproven_ends.at(end.endpoint);
-    others.filter(move |other| other.id != id && other.ended.abs_diff(ended) <= CLOSE_SPREAD)
+    let (id, closed_at) = (end.id, end.closed_at);
+    let others = t.unproven_ends.at(end.dispatched_row);
+    others
+        .filter(move |other| other.id != id && other.closed_at.abs_diff(closed_at) <= CLOSE_SPREAD)
 }
--- a/crates/firdock-policy/src/table/unproven_ends.rs
+++ b/crates/firdock-policy/src/table/unproven_ends.rs
@@ -13,13 +13,13 @@
     /// Dispatch that the answer belongs to.
     pub dispatch: u32,
     /// Row of the endpoint that the request was sent to.
-    pub endpoint: usize,
+    pub dispatched_row: usize,
     /// Row of the start that gave the answer, which may be a later one.
-    pub server: usize,
+    pub serving_row: usize,
     /// Whether the connection went through a peer.
     pub passed_on: bool,
     /// When the connection was seen to close.
-    pub ended: Time,
+    pub closed_at: Time,
     /// Whether the own link refused a connection, which a peer is to confirm: the link may be cut.
     pub is_refused: bool,
     /// Result of a liveness check that began later.
@@ -59,7 +59,9 @@
 
     /// Returns the ends at an endpoint.
     pub fn at(&self, endpoint: usize) -> impl Iterator<Item = &UnprovenEnd> {
-        self.rows.iter().filter(move |end| end.endpoint == endpoint)
+        self.rows
+            .iter()
+            .filter(move |end| end.dispatched_row == endpoint)
     }
 
     /// Returns the end of a request's answer.
@@ -70,9 +72,9 @@
 
     /// Sets the start that gave an answer. What was found of another one does not count.
     pub fn set_server(&mut self, id: RequestId, server: usize) {
-        let other = |end: &&mut UnprovenEnd| end.id == id && end.server != server;
+        let other = |end: &&mut UnprovenEnd| end.id == id && end.serving_row != server;
         for end in self.rows.iter_mut().filter(other) {
-            end.server = server;
+            end.serving_row = server;
             end.liveness = None;
         }
     }
@@ -85,12 +87,12 @@
     pub fn record_liveness(&mut self, check: FinishedCheck) {
         let FinishedCheck { server, found, .. } = check;
         let covered = |end: &&mut UnprovenEnd| {
-            end.server == server
+            end.serving_row == server
                 && match found {
-                    Liveness::Open => end.ended <= check.began,
+                    Liveness::Open => end.closed_at <= check.began,
                     Liveness::Ended => check.through_peer || !end.passed_on,
                     Liveness::Silent => {
-                        end.ended <= check.began && check.through_peer == end.passed_on
+                        end.closed_at <= check.began && check.through_peer == end.passed_on
                     }
                 }
         };
@@ -106,7 +108,7 @@
 
     /// Records that the own link to an endpoint refused a connection, of which a peer is asked.
     pub fn record_refusal(&mut self, server: usize) {
-        let is_own = |end: &&mut UnprovenEnd| end.server == server && !end.passed_on;
+        let is_own = |end: &&mut UnprovenEnd| end.serving_row == server && !end.passed_on;
         for end in self.rows.iter_mut().filter(is_own) {
             end.is_refused = true;
         }
@@ -118,12 +120,12 @@
         let waits = |end: &UnprovenEnd| end.is_refused && end.liveness.is_none();
         self.rows
             .iter()
-            .any(|end| end.server == server && waits(end))
+            .any(|end| end.serving_row == server && waits(end))
     }
 
     /// Takes the refusals of the own link to an endpoint as they are, since no peer knows more.
     fn confirm_refusals(&mut self, server: usize) {
-        let refused = |end: &&mut UnprovenEnd| end.server == server && end.is_refused;
+        let refused = |end: &&mut UnprovenEnd| end.serving_row == server && end.is_refused;
         for end in self.rows.iter_mut().filter(refused) {
             end.liveness.get_or_insert(Liveness::Ended);
         }
