Only answers that were sent before a start began contradict its time

The answer that showed the process alive after the new start's time was one of that start.

Change: it is kept when the request was sent whose answer shows that a process lived.

--- a/crates/firdock-policy/src/system/start.rs
+++ b/crates/firdock-policy/src/system/start.rs
@@ -33,18 +33,20 @@
         return;
     }
     confirm_connection(e, sent, alive_at);
+    let shown_by = (e.confirmed_at <= alive_at).then_some(sent);
     let alive_at = alive_at.max(e.confirmed_at);
-    let since = match e.unconfirmed {
-        None => alive_at,
+    let (since, shown_by) = match e.unconfirmed {
+        None => (alive_at, shown_by),
         // A dispatch that was sent before reached the process of the entry.
-        Some(known) if sent < known.since => known.since.max(alive_at),
-        Some(known) => known.since,
+        Some(known) if sent < known.since && known.since < alive_at => (alive_at, shown_by),
+        Some(known) => (known.since, known.shown_by),
     };
     if e.unconfirmed.is_none() {
         t.stats.unconfirmed_starts += 1;
     }
     e.unconfirmed = Some(Unconfirmed {
         since,
+        shown_by,
         first_break: e.unconfirmed.map_or(now, |known| known.first_break),
         last_break: now,
     });
@@ -107,11 +109,14 @@
         let e = t.endpoints.get_mut(at);
         let known = e.unconfirmed.unwrap_or(Unconfirmed {
             since: report.since,
+            shown_by: None,
             first_break: report.last_break,
             last_break: report.last_break,
         });
+        let since = known.since.min(report.since).max(e.confirmed_at);
         e.unconfirmed = Some(Unconfirmed {
-            since: known.since.min(report.since).max(e.confirmed_at),
+            since,
+            shown_by: known.shown_by.filter(|_| since == known.since),
             first_break: known.first_break,
             last_break: known.last_break.max(report.last_break),
         });
@@ -213,12 +218,8 @@
         .is_some_and(|at| at + CLOCK_TOLERANCE <= stream.sent);
     if after_next {
         // The clocks differ by more than is assumed if the earlier process is known to have served then.
-        let alive_at = replaced.unconfirmed.map_or(Time::ZERO, |u| u.since);
-        let served_late = next
-            .began
-            .is_some_and(|at| at + CLOCK_TOLERANCE <= alive_at);
         let is_confirmed = replaced.confirmed_at >= stream.sent;
-        let is_consistent = is_same_build || !(is_confirmed || served_late);
+        let is_consistent = is_same_build || !(is_confirmed || served_late(replaced));
         return build_at_next(t, stream, candidate, next).filter(|_| is_consistent);
     }
     let before_next = next
@@ -240,6 +241,15 @@
     known.then_some(candidate.build)
 }
 
+/// Returns whether an answer that was sent before the next start began shows that the process served after that.
+fn served_late(replaced: &ReplacedStart) -> bool {
+    let shown = replaced.unconfirmed.zip(replaced.next.began);
+    shown.is_some_and(|(unconfirmed, began)| {
+        let is_earlier = unconfirmed.shown_by.is_some_and(|sent| sent < began);
+        is_earlier && began + CLOCK_TOLERANCE <= unconfirmed.since
+    })
+}
+
 /// Returns the build that began a stream at the start after a candidate, or at a later one.
 fn build_at_next<'a>(
     t: &'a Tables,
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -94,6 +94,8 @@
 pub struct Unconfirmed {
     /// When the process last showed that it was alive.
     pub since: Time,
+    /// When the request was sent whose answer showed it, if it was an answer.
+    pub shown_by: Option<Time>,
     /// When a connection to it was first seen to break.
     pub first_break: Time,
     /// When one was last seen to break. An entry that was written later confirms the process.
