Ends of answers: one function for each question

No behaviour changes but for one step: an overdue request is not judged in the step that cuts it, where the verdict reached nobody.

- The way of a liveness check was chosen in two places: liveness::start_check_on_route serves both.
- A refused connection was recorded by two functions that were always called together: start::record_refused_connection does both.
- judge asked twice whether an end was seen late, and twice whether others go on: lack_of_evidence says once why nothing is known.
- The judgement ran twice in each step of the timer.

--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -115,7 +115,6 @@
                 handover::remove_silent_peers(t, now);
                 t.suspects.sweep(now);
                 unproven_end::repeat_checks(t, now, out);
-                unproven_end::run(t, now, out);
                 expire::end_overdue(t, now, out);
                 expire::end_impatient(t, now, out);
                 expire::put_late_last(t, now);
--- a/crates/firdock-policy/src/system/dispatch_updates.rs
+++ b/crates/firdock-policy/src/system/dispatch_updates.rs
@@ -126,7 +126,6 @@
     t.endpoints.get_mut(at).link.record_failure(now);
     if cause == ConnectFailure::Refused {
         start::record_refused_connection(t, now, at);
-        health::record_refused_connection(t, now, at);
     }
     *t.stats.connect_failures.entry(cause).or_default() += 1;
     if let Some(row) = t.requests.get_mut(id) {
@@ -337,16 +336,7 @@
         start::record_break(t, now, at, row.dispatched, alive_at);
     }
     if cause == BreakCause::Closed {
-        start_check(t, now, id, at, out);
-    }
-}
-
-/// Starts a liveness check of an endpoint on the way by which an answer of it came: the own link may be cut.
-fn start_check(t: &mut Tables, now: Time, id: RequestId, at: usize, out: &mut Vec<Action>) {
-    let row = t.requests.get(id).filter(|row| row.passed_on);
-    match row.and_then(|row| row.route.peer().cloned()) {
-        Some(peer) => liveness::start_peer_check(t, now, at, (id, peer), out),
-        None => liveness::start_check(t, now, at, out),
+        liveness::start_check_on_route(t, now, id, at, out);
     }
 }
 
--- a/crates/firdock-policy/src/system/health.rs
+++ b/crates/firdock-policy/src/system/health.rs
@@ -63,13 +63,6 @@
     }
 }
 
-/// Records that an endpoint refuses connections.
-pub fn record_refused_connection(t: &mut Tables, now: Time, at: usize) {
-    let e = t.endpoints.get_mut(at);
-    e.last_refusal = Some(now);
-    e.refuses_since.get_or_insert(now);
-}
-
 /// Ejects an endpoint for a while, unless too many endpoints of a service are ejected already.
 pub fn eject(t: &mut Tables, now: Time, at: usize) {
     // A start that was replaced says nothing about its successor.
--- a/crates/firdock-policy/src/system/liveness.rs
+++ b/crates/firdock-policy/src/system/liveness.rs
@@ -34,6 +34,21 @@
     });
 }
 
+/// Starts a liveness check of an endpoint on the way by which the answer to a request came: the own link may be cut.
+pub fn start_check_on_route(
+    t: &mut Tables,
+    now: Time,
+    id: RequestId,
+    at: usize,
+    out: &mut Vec<Action>,
+) {
+    let row = t.requests.get(id).filter(|row| row.passed_on);
+    match row.and_then(|row| row.route.peer().cloned()) {
+        Some(peer) => start_peer_check(t, now, at, (id, peer), out),
+        None => start_check(t, now, at, out),
+    }
+}
+
 /// Starts a liveness check of an endpoint by way of the peer through which a connection to it went. Only one runs at a
 /// time.
 pub fn start_peer_check(
@@ -70,7 +85,7 @@
     let Some(began) = t.endpoints.get_mut(at).peer_check.take() else {
         return;
     };
-    let is_awaited = t.unproven_ends.await_peer(at);
+    let is_awaited = t.unproven_ends.awaits_peer(at);
     t.unproven_ends.record_liveness(FinishedCheck {
         server: at,
         began,
@@ -97,7 +112,6 @@
         }
         t.endpoints.get_mut(at).open_at = None;
         start::record_refused_connection(t, now, at);
-        health::record_refused_connection(t, now, at);
     }
     suspect::record_exit(t, now, &result.start, out);
 }
--- a/crates/firdock-policy/src/system/start.rs
+++ b/crates/firdock-policy/src/system/start.rs
@@ -74,6 +74,9 @@
 
 /// Records that no process listens at an endpoint's address.
 pub fn record_refused_connection(t: &mut Tables, now: Time, at: usize) {
+    let e = t.endpoints.get_mut(at);
+    e.last_refusal = Some(now);
+    e.refuses_since.get_or_insert(now);
     record_break(t, now, at, now, now);
 }
 
--- a/crates/firdock-policy/src/system/unproven_end.rs
+++ b/crates/firdock-policy/src/system/unproven_end.rs
@@ -74,9 +74,9 @@
     let Some(end) = t.unproven_ends.get(id) else {
         return;
     };
-    let (server, is_own) = (end.serving_row, !end.passed_on && !end.is_refused);
-    if is_own {
-        liveness::start_check(t, now, server, out);
+    let (server, is_refused) = (end.serving_row, end.is_refused);
+    if !is_refused {
+        liveness::start_check_on_route(t, now, id, server, out);
         return;
     }
     let peer = t.requests.get(id).and_then(|row| row.route.peer().cloned());
@@ -208,27 +208,32 @@
         }
         return wait_expired.then(|| EndVerdict::accepted(EndEvidence::OthersGoOn));
     }
-    let is_undecided = match end.liveness {
-        Some(Liveness::Open) => is_seen_late(t, end),
-        Some(Liveness::Ended) => false,
-        Some(Liveness::Silent) | None => true,
-    };
-    if is_undecided && others_go_on(t, end) {
-        return wait_expired.then(|| EndVerdict::accepted(EndEvidence::OthersGoOn));
+    if let Some(evidence) = lack_of_evidence(t, end) {
+        if others_go_on(t, end) {
+            return wait_expired.then(|| EndVerdict::accepted(EndEvidence::OthersGoOn));
+        }
+        // A check may still find something, unless the endpoint accepted its connection.
+        let is_final = wait_expired || evidence == EndEvidence::SeenLate;
+        return is_final.then(|| verdict_without_sign(evidence, may_resume));
+    }
+    if end.liveness == Some(Liveness::Ended) {
+        return Some(EndVerdict::accepted(EndEvidence::StoppedListening));
+    }
+    if others_are_unchecked(t, end) && !wait_expired {
+        return None;
+    }
+    if may_resume && may_have_exited(t, end) && !others_go_on(t, end) {
+        return Some(EndVerdict::rejected(EndEvidence::OthersBroke));
     }
+    Some(EndVerdict::accepted(EndEvidence::Open))
+}
+
+/// Returns why nothing is known of the process, if so.
+fn lack_of_evidence(t: &Tables, end: &UnprovenEnd) -> Option<EndEvidence> {
     match end.liveness {
-        Some(Liveness::Open) if is_seen_late(t, end) => {
-            Some(verdict_without_sign(EndEvidence::SeenLate, may_resume))
-        }
-        Some(Liveness::Open) if others_are_unchecked(t, end) && !wait_expired => None,
-        Some(Liveness::Open) if may_resume && may_have_exited(t, end) && !others_go_on(t, end) => {
-            Some(EndVerdict::rejected(EndEvidence::OthersBroke))
-        }
-        Some(Liveness::Open) => Some(EndVerdict::accepted(EndEvidence::Open)),
-        Some(Liveness::Ended) => Some(EndVerdict::accepted(EndEvidence::StoppedListening)),
-        Some(Liveness::Silent) | None => {
-            wait_expired.then(|| verdict_without_sign(EndEvidence::Silent, may_resume))
-        }
+        Some(Liveness::Open) => is_seen_late(t, end).then_some(EndEvidence::SeenLate),
+        Some(Liveness::Ended) => None,
+        Some(Liveness::Silent) | None => Some(EndEvidence::Silent),
     }
 }
 
--- a/crates/firdock-policy/src/table/unproven_ends.rs
+++ b/crates/firdock-policy/src/table/unproven_ends.rs
@@ -116,7 +116,7 @@
 
     /// Returns whether the refusal of the own link to an endpoint waits for a peer.
     #[must_use]
-    pub fn await_peer(&self, server: usize) -> bool {
+    pub fn awaits_peer(&self, server: usize) -> bool {
         let waits = |end: &UnprovenEnd| end.is_refused && end.liveness.is_none();
         self.rows
             .iter()
