Liveness checks: an accepted connection is confirmed by a second one

Callers saw: a part of a stream without framing told as complete, although its endpoint had been killed and refused connections: "200, Closed, 42 bytes", two events of five, on the resumable route and the other, direct and through a peer.

Cause: a process that is being killed may accept a connection after its others were closed. If that one stays open for 100 ms, the check takes the process for a living one, and the check that was to confirm it begins only then, when the next process may listen.

Change: the check asks for a second connection 50 ms after the first one was accepted. A refusal shows that the process ended, whatever becomes of the first. Both run within the 100 ms of the first, so that no end waits longer.

Red before, on the same tests: alone::a_connection_that_a_terminating_ endpoint_accepts_does_not_prove_that_it_lives and peers::a_connection_ through_a_peer_does_not_prove_that_a_terminating_endpoint_lives, both "/stream/unframed (terminating): 200, Closed, 42 bytes".

Why it works: the listening socket of a process that was killed is closed with it, and what it accepted says nothing of what it accepts later.

--- a/crates/firdock-node/src/driver/liveness.rs
+++ b/crates/firdock-node/src/driver/liveness.rs
@@ -1,5 +1,6 @@
 //! Checks the liveness of endpoints whose connections ended early.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use firdock_core::{EndpointId, InstanceId, RequestId, StartId};
@@ -20,6 +21,9 @@
 /// A connection must stay open for this long to count as proof of life. A terminating process, which may accept it
 /// while its memory is freed, closes it sooner.
 const MIN_OPEN_TIME: Duration = Duration::from_millis(100);
+/// Time after which an address that accepted a connection is asked for another one. The listening socket of a
+/// terminating process may be closed last, and what it accepted may outlast [`MIN_OPEN_TIME`].
+const RECHECK_AFTER: Duration = Duration::from_millis(50);
 
 impl<B: Dispatcher> Driver<B> {
     /// Checks whether an endpoint's address accepts connections and reports the result to the
@@ -90,11 +94,12 @@
     for _ in 0..MAX_CONNECT_ATTEMPTS {
         match dispatcher.connect(location).await {
             Ok(stream) => {
-                if timeout(MIN_OPEN_TIME, wait_until_closed(&stream))
-                    .await
-                    .is_err()
-                {
-                    return Liveness::Open;
+                let is_refused = async {
+                    let again = dispatcher.connect(location).await;
+                    again.is_err_and(|e| e.is_refused())
+                };
+                if let Some(found) = watch(wait_until_closed(&stream), is_refused).await {
+                    return found;
                 }
             }
             Err(e) if e.is_refused() => return Liveness::Ended,
@@ -117,18 +122,45 @@
         match dispatcher.connect_through(peer, target, id).await {
             Ok(mut stream) => {
                 let mut byte = [0];
-                let reading = timeout(MIN_OPEN_TIME, stream.read(&mut byte));
-                if reading.await.is_err() {
-                    return Liveness::Open;
+                let is_refused = async {
+                    let again = dispatcher.connect_through(peer, target, id).await;
+                    again.is_err_and(|e| is_refused_by_endpoint(&e))
+                };
+                if let Some(found) = watch(stream.read(&mut byte), is_refused).await {
+                    return found;
                 }
             }
-            Err(TunnelError::Unreachable { refused: true, .. }) => return Liveness::Ended,
+            Err(e) if is_refused_by_endpoint(&e) => return Liveness::Ended,
             Err(_) => return Liveness::Silent,
         }
     }
     Liveness::Silent
 }
 
+fn is_refused_by_endpoint(error: &TunnelError) -> bool {
+    matches!(error, TunnelError::Unreachable { refused: true, .. })
+}
+
+/// Watches a connection that was accepted, and asks for another one meanwhile. Returns `None` if it was closed, which
+/// proves nothing.
+///
+/// An address that does not answer in time counts as accepting: its queue of connections may be full.
+async fn watch<T>(
+    closed: impl Future<Output = T>,
+    is_refused: impl Future<Output = bool>,
+) -> Option<Liveness> {
+    let mut closed = pin!(closed);
+    if timeout(RECHECK_AFTER, &mut closed).await.is_ok() {
+        return None;
+    }
+    let rest = MIN_OPEN_TIME.saturating_sub(RECHECK_AFTER);
+    let (closed, is_refused) = tokio::join!(timeout(rest, closed), timeout(rest, is_refused));
+    if is_refused.unwrap_or(false) {
+        return Some(Liveness::Ended);
+    }
+    closed.is_err().then_some(Liveness::Open)
+}
+
 /// Waits until the peer closes a connection on which neither side sends anything.
 async fn wait_until_closed(stream: &TcpStream) {
     let mut byte = [0];
