--- a/tests/testsuite/command_line.rs
+++ b/tests/testsuite/command_line.rs
@@ -1,9 +1,8 @@
 //! The operator's program: what it prints, its JSON and its exit codes.
 
-use std::path::PathBuf;
 use std::process::{Command, Output};
 
-use crate::helper::{Site, Spec};
+use crate::helper::{Site, Spec, address, folder};
 
 fn firdock(args: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_firdock"))
@@ -21,7 +20,7 @@
 }
 
 fn file(name: &str, content: &str) -> String {
-    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let path = folder().join(name);
     std::fs::write(&path, content).expect("a file can be written");
     path.to_string_lossy().into_owned()
 }
@@ -67,7 +66,8 @@
         code(&firdock(&["check", "--settings", "no-such-file"])),
         Some(1)
     );
-    let output = firdock(&["--server", "127.77.50.200:1", "status"]);
+    let nobody = address(50, 200, 1).to_string();
+    let output = firdock(&["--server", &nobody, "status"]);
     assert_eq!(code(&output), Some(6), "{}", text(&output.stderr));
     assert!(text(&firdock(&["--help"]).stdout).contains("Exit codes"));
 }
--- a/tests/testsuite/dispatch_once.rs
+++ b/tests/testsuite/dispatch_once.rs
@@ -6,7 +6,7 @@
 use hyper::Method;
 use uuid::Uuid;
 
-use crate::helper::{SHOP, Site, Spec};
+use crate::helper::{SHOP, Site, Spec, address};
 
 fn order(name: &str) -> Call {
     Call::plain(SHOP, Method::POST, "/orders/sheet-21", "two copies").with_work_name(name)
@@ -291,12 +291,15 @@
         ..spec(18)
     })
     .await;
-    let listener = tokio::net::TcpListener::bind("127.77.18.60:7000")
+    let address = address(site.spec.net, 60, 7000);
+    let listener = tokio::net::TcpListener::bind(address)
         .await
         .expect("an address");
-    let resource = "[[endpoint]]\nname = \"reset\"\nbackend = \"plain\"\n\
-                    address = \"127.77.18.60:7000\"\nservices = [\"orders\", \"tiles\"]\n";
-    let (status, answer) = site.apply(resource).await;
+    let resource = format!(
+        "[[endpoint]]\nname = \"reset\"\nbackend = \"plain\"\n\
+         address = \"{address}\"\nservices = [\"orders\", \"tiles\"]\n"
+    );
+    let (status, answer) = site.apply(&resource).await;
     assert_eq!(status, 200, "{answer}");
     let resetting = tokio::spawn(async move {
         let mut orders = 0;
--- a/tests/testsuite/helper.rs
+++ b/tests/testsuite/helper.rs
@@ -1,12 +1,14 @@
 //! A site on loopback: stand-ins in this process, instances as separate processes.
 //!
-//! Each test has its own loopback addresses, so that tests don't interfere with each other.
+//! Each run of the tests has its own block of loopback addresses, and each test its own part of the block, so that
+//! neither tests nor runs interfere with each other.
 
 use std::fmt::Write as _;
 use std::fs::File;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::LazyLock;
 use std::time::{Duration, Instant};
 
 use firdock_core::credential::{hash_bearer, to_hex};
@@ -26,6 +28,15 @@
 /// Bearer key of the account `hall`.
 pub const HALL: &str = "hall-key";
 
+/// Block of loopback addresses that this run holds, claimed by a listener until the process ends.
+static BLOCK: LazyLock<(u8, TcpListener)> = LazyLock::new(|| {
+    let claim = |block| {
+        let claimed = SocketAddr::from(([127, block, 0, 1], 7000));
+        Some((block, TcpListener::bind(claimed).ok()?))
+    };
+    (77..=254).find_map(claim).expect("a free block")
+});
+
 /// Configuration of a site.
 #[derive(Debug, Clone)]
 pub struct Spec {
@@ -307,8 +318,16 @@
     }
 }
 
-fn address(net: u8, host: u8, port: u16) -> SocketAddr {
-    SocketAddr::from(([127, 77, net, host], port))
+/// Returns the folder of this run's files, which no run beside it writes to.
+pub fn folder() -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("block-{}", BLOCK.0));
+    std::fs::create_dir_all(&folder).expect("a folder can be made");
+    folder
+}
+
+/// Returns an address of the test `net`, which no other test and no other run uses.
+pub fn address(net: u8, host: u8, port: u16) -> SocketAddr {
+    SocketAddr::from(([127, BLOCK.0, net, host], port))
 }
 
 fn start_instance(spec: &Spec, i: u8) -> InstanceProcess {
@@ -326,7 +345,7 @@
         address(spec.net, 2, 7000),
         spec.retention.as_secs(),
     );
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let folder = folder();
     let file = folder.join(format!("settings-{}-{i}.toml", spec.net));
     std::fs::write(&file, base + &spec.settings).expect("settings can be written");
     let output = folder.join(format!("log-{}-{i}.jsonl", spec.net));
--- a/tests/testsuite/suspects.rs
+++ b/tests/testsuite/suspects.rs
@@ -3,14 +3,15 @@
 
 use std::fmt::Write as _;
 use std::io::{Read as _, Write as _};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::process::Command;
 use std::time::Duration;
 
 use firdock_standin::client::Call;
 use hyper::Method;
+use socket2::SockRef;
 
-use crate::helper::{SHOP, Site, Spec};
+use crate::helper::{self, SHOP, Site, Spec};
 
 /// Number of servers, more than a request may crash.
 const SERVERS: u8 = 6;
@@ -27,7 +28,10 @@
             let n = stream.read(&mut buffer).unwrap_or(0);
             if String::from_utf8_lossy(&buffer[..n]).contains("/orders/doom") {
                 // The listener closes before the connection, as in a process that closes its descriptors in order.
-                drop(listener);
+                // Child processes that other tests start hold copies of both until they execute their program.
+                let listening = SockRef::from(&listener);
+                listening.shutdown(Shutdown::Both).expect("it listens");
+                stream.shutdown(Shutdown::Both).expect("it is connected");
                 return;
             }
             let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
@@ -39,7 +43,7 @@
 async fn add_servers(site: &Site, net: u8) {
     let mut text = String::new();
     for n in 0..SERVERS {
-        let address = SocketAddr::from(([127, 77, net, 200 + n], 7000));
+        let address = helper::address(net, 200 + n, 7000);
         start_server(address);
         let _ = write!(
             text,
