Unproven ends: a stall counts from 125 ms on

Callers saw: a part of a stream without framing told as complete, where the endpoint was killed and was back while the instance stood still for 150 ms: "200, Closed, 63 bytes", three events of five, on a resumable route.

Cause: an accepted connection proves nothing after a stall, as it may be the next process that accepts it, but stalls counted from 200 ms on. A supervisor that starts a process again at once is quicker.

Change: they count from 125 ms on. Throttled instances pause for less.

Red before: unproven_ends::an_end_is_not_proved_by_a_process_that_listens_ after_a_short_stall ("[(150, 1, accepted: true, evidence: Open), (1, 150, accepted: true, evidence: Open)]") and ended_endpoints::pauses::a_stream_ whose_endpoint_is_replaced_in_a_short_pause_of_its_instance_goes_on (the 63 bytes above). Green before and after: an_end_is_proved_by_a_process_that_ listens_after_a_pause_of_a_throttled_instance.

Why it works: what may be continued is after such a stall, which proves its end, and the retry budget bounds what that costs.

--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -17,8 +17,9 @@
 /// Time between two runs of the timer systems from which on the instance did not run meanwhile.
 const MIN_ABSENCE: Duration = Duration::from_secs(2);
 
-/// Time between two events from which on the instance counts as stalled: it sees late what happened meanwhile.
-const MIN_STALL: Duration = Duration::from_millis(200);
+/// Time between two events from which on the instance counts as stalled: it sees late what happened meanwhile. It
+/// is longer than a period of a processor's share, in which a throttled instance may stand still, and a tick.
+const MIN_STALL: Duration = Duration::from_millis(125);
 
 /// A decision procedure: this scheduler, or a simpler baseline in measurements.
 pub trait Policy {
--- a/crates/firdock-policy/tests/policy/unproven_ends.rs
+++ b/crates/firdock-policy/tests/policy/unproven_ends.rs
@@ -330,6 +330,35 @@
     }
 }
 
+// Guards against a part that is passed on as complete when its instance stalled for less than a quarter of a second, before
+// it saw the end or while it checked the endpoint: the endpoint was replaced meanwhile.
+#[test]
+fn an_end_is_not_proved_by_a_process_that_listens_after_a_short_stall() {
+    let mut early = Vec::new();
+    for (before, after) in [(150, 1), (1, 150)] {
+        let mut answers = Answers::of(&["stream"]);
+        answers.edge.now += millis(before);
+        answers.close(1);
+        answers.edge.now += millis(after);
+        let found = verdict_on(1, &answers.check(Liveness::Open));
+        early.extend((found != rejected(EndEvidence::SeenLate)).then_some((before, after, found)));
+    }
+    assert!(early.is_empty(), "{early:?}");
+}
+
+// Guards against whole answers that run twice, since the instance was throttled: it pauses for less than a tenth of a second
+// and a tick.
+#[test]
+fn an_end_is_proved_by_a_process_that_listens_after_a_pause_of_a_throttled_instance() {
+    let mut answers = Answers::of(&["stream"]);
+    answers.edge.now += millis(120);
+    answers.close(1);
+    answers.pass(millis(50));
+    answers.edge.now += millis(120);
+    let found = verdict_on(1, &answers.check(Liveness::Open));
+    assert_eq!(found, accepted(EndEvidence::Open));
+}
+
 // Guards against complete answers that run twice after a suspension of their instance, although they began later.
 #[test]
 fn an_answer_that_began_after_a_suspension_is_judged_by_the_check() {
