--- a/crates/firdock-node/src/endpoint/body.rs
+++ b/crates/firdock-node/src/endpoint/body.rs
@@ -5,22 +5,23 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Body as _;
 
 use super::ending::{Ending, Framing};
+use crate::http::{EndlessBytes, ResponseBody};
 use crate::peer::TunnelBroken;
 
 /// Body of an endpoint's answer that is being received.
 #[derive(Debug)]
 pub struct EndpointBody {
-    body: Incoming,
+    body: ResponseBody,
     framing: Framing,
 }
 
 impl EndpointBody {
     /// Creates the reader of a body with the framing given by its head.
     #[must_use]
-    pub fn new(body: Incoming, framing: Framing) -> Self {
+    pub fn new(body: ResponseBody, framing: Framing) -> Self {
         Self { body, framing }
     }
 
@@ -69,6 +70,9 @@
     if error.get_ref().is_some_and(is_broken_tunnel) {
         return Ending::PeerLost;
     }
+    if error.get_ref().is_some_and(is_endless) {
+        return Ending::Endless;
+    }
     match error.kind() {
         ErrorKind::UnexpectedEof | ErrorKind::InvalidInput | ErrorKind::InvalidData => {
             Ending::Early
@@ -77,6 +81,10 @@
     }
 }
 
+fn is_endless(error: &(dyn Error + Send + Sync + 'static)) -> bool {
+    error.is::<EndlessBytes>()
+}
+
 fn is_broken_tunnel(error: &(dyn Error + Send + Sync + 'static)) -> bool {
     error.is::<TunnelBroken>()
 }
--- a/crates/firdock-node/src/endpoint/ending.rs
+++ b/crates/firdock-node/src/endpoint/ending.rs
@@ -84,6 +84,8 @@
     Restarted,
     /// The received data is not a valid answer of the protocol.
     Foreign,
+    /// The endpoint wrote too much that is part of no answer.
+    Endless,
 }
 
 impl Ending {
@@ -99,6 +101,7 @@
             Self::Silent => "silent",
             Self::Restarted => "restarted",
             Self::Foreign => "foreign",
+            Self::Endless => "endless",
         }
     }
 }
@@ -113,6 +116,7 @@
             Ending::Silent => Self::Silent,
             Ending::Restarted => Self::Restarted,
             Ending::Foreign => Self::Foreign,
+            Ending::Endless => Self::Endless,
         }
     }
 }
--- a/crates/firdock-node/src/endpoint/engine.rs
+++ b/crates/firdock-node/src/endpoint/engine.rs
@@ -10,7 +10,6 @@
 use firdock_core::RequestId;
 use firdock_policy::event::BreakCause;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 use serde::de::IgnoredAny;
 use serde_json::{Value, json};
@@ -24,7 +23,7 @@
     NOTICE_HEADERS, REPORT_PATH, RefusedSnafu, ReportSource, StartError, StreamError, TokenEvent,
     TokenStream, break_cause,
 };
-use crate::http::{CallError, Connection, connect};
+use crate::http::{CallError, Connection, ResponseBody, connect};
 use crate::ingress::REQUEST_ID_HEADER;
 
 /// Maximum size of a body that is not a stream.
@@ -53,7 +52,7 @@
         &self,
         at: SocketAddr,
         request: Request<Full<Bytes>>,
-    ) -> Result<(Connection, Response<Incoming>), StartError> {
+    ) -> Result<(Connection, Response<ResponseBody>), StartError> {
         let mut connection = connect(at, self.connect_timeout)
             .await
             .map_err(|e| start_error(&e))?;
@@ -119,7 +118,7 @@
 /// Checks the head of a response and returns its body if the answer follows.
 async fn answer_body(
     engine_request: EngineRequest<'_>,
-    response: Response<Incoming>,
+    response: Response<ResponseBody>,
 ) -> Result<EndpointBody, StartError> {
     if response.headers().contains_key(NOT_STARTED_HEADER) {
         return RefusedSnafu.fail();
@@ -151,7 +150,7 @@
 }
 
 /// Whether a response echoes the request ID and the dispatch number.
-fn echoes(response: &Response<Incoming>, engine_request: EngineRequest<'_>) -> bool {
+fn echoes(response: &Response<ResponseBody>, engine_request: EngineRequest<'_>) -> bool {
     let text = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok());
     let id = text(REQUEST_ID_HEADER.as_str()) == Some(engine_request.id.to_string().as_str());
     id && text(DISPATCH_HEADER) == Some(engine_request.dispatch.to_string().as_str())
@@ -161,7 +160,7 @@
 ///
 /// Without framing, only a format that marks its own end proves that the body is complete. JSON
 /// does, a KV cache does not.
-async fn read_all(method: &Method, response: Response<Incoming>) -> Result<Bytes, StartError> {
+async fn read_all(method: &Method, response: Response<ResponseBody>) -> Result<Bytes, StartError> {
     let framing = Framing::read(method, response.status(), response.headers());
     let mut body = EndpointBody::new(response.into_body(), framing);
     let mut read = BytesMut::new();
--- a/crates/firdock-node/src/endpoint/plain.rs
+++ b/crates/firdock-node/src/endpoint/plain.rs
@@ -5,7 +5,6 @@
 
 use firdock_policy::event::BreakCause;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response, header};
 
@@ -15,7 +14,7 @@
     StartError, break_cause,
 };
 use crate::exchange::AnswerHead;
-use crate::http::{CallError, connect, strip_hop_by_hop};
+use crate::http::{CallError, ResponseBody, connect, strip_hop_by_hop};
 use crate::ingress::REQUEST_ID_HEADER;
 
 /// Adapter for plain servers.
@@ -77,8 +76,8 @@
 /// Checks from its head whether a response belongs to the call.
 fn check_response(
     plain_request: PlainRequest<'_>,
-    mut response: Response<Incoming>,
-) -> Result<Response<Incoming>, StartError> {
+    mut response: Response<ResponseBody>,
+) -> Result<Response<ResponseBody>, StartError> {
     if response.headers().contains_key(NOT_STARTED_HEADER) {
         return RefusedSnafu.fail();
     }
--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -15,7 +15,6 @@
 use firdock_policy::event::{BreakCause, DispatchUpdate};
 use firdock_policy::load::ServerLoad;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use snafu::Snafu;
 use tokio::net::TcpStream;
@@ -25,7 +24,9 @@
 use super::run::{DispatchError, DispatchRun};
 use super::{Dispatcher, EndpointBody, EndpointLocation, Framing, HeadNotice, Target, break_cause};
 use crate::exchange::{AnswerHead, AnswerPart, Payload};
-use crate::http::{CallError, Connector, TcpConnector, connect_stream, strip_hop_by_hop};
+use crate::http::{
+    CallError, Connector, ResponseBody, TcpConnector, connect_stream, strip_hop_by_hop,
+};
 use crate::peer::{TunnelClient, TunnelError, TunnelStream};
 use crate::telemetry::LogKind;
 
@@ -148,7 +149,7 @@
         &self,
         location: EndpointLocation,
         run: &DispatchRun,
-        mut response: Response<Incoming>,
+        mut response: Response<ResponseBody>,
     ) -> &'static str {
         let payload = &run.exchange.payload;
         let status = response.status();
--- a/crates/firdock-node/src/http.rs
+++ b/crates/firdock-node/src/http.rs
@@ -3,16 +3,20 @@
 //! `hyper` is used instead of `rouille`, which buffers streamed bodies and lets some connections wait behind
 //! others; the measurements are in `docs/design/http.md`.
 
+mod bounded;
 mod caller;
 mod client;
 mod dead_peer;
 mod listener;
+mod response;
 mod server;
 
+pub use bounded::EndlessBytes;
 pub use caller::CallerHandle;
 pub use client::{CallError, Connection, Connector, TcpConnector, connect, connect_stream};
 pub use dead_peer::{DEAD_PEER_TIMEOUT, set_dead_peer_timeouts};
 pub use listener::listen;
+pub use response::ResponseBody;
 pub use server::{ServerOptions, serve};
 
 use hyper::HeaderMap;
--- a/crates/firdock-node/src/http/client.rs
+++ b/crates/firdock-node/src/http/client.rs
@@ -10,7 +10,6 @@
 use bytes::Bytes;
 use firdock_policy::event::ConnectFailure;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -20,7 +19,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use super::bounded::{BoundedStream, IdleBytes};
 use super::dead_peer::set_dead_peer_timeouts;
+use super::response::ResponseBody;
 
 /// Error of a call.
 #[derive(Debug, Snafu)]
@@ -91,6 +92,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    idle: IdleBytes,
     driver: AbortHandle,
 }
 
@@ -160,11 +162,17 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
+        let idle = IdleBytes::default();
+        let stream = BoundedStream::new(stream, idle.clone());
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .context(HttpSnafu)?;
         let driver = tokio::spawn(connection).abort_handle();
-        Ok(Self { sender, driver })
+        Ok(Self {
+            sender,
+            idle,
+            driver,
+        })
     }
 
     /// Returns whether the connection is known to be closed.
@@ -177,16 +185,20 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection breaks or no head arrives within `limit`; the request may have been received
-    /// then.
+    /// Fails if the connection breaks, the other side writes too much that is part of no head, or none arrives within
+    /// `limit`; the request may have been received then.
     pub async fn call(
         &mut self,
         request: Request<Full<Bytes>>,
         limit: Duration,
-    ) -> Result<Response<Incoming>, CallError> {
-        match timeout(limit, self.sender.send_request(request)).await {
-            Ok(answer) => answer.context(HttpSnafu),
-            Err(_) => AnswerTimeSnafu.fail(),
-        }
+    ) -> Result<Response<ResponseBody>, CallError> {
+        self.idle.reset();
+        let answer = match timeout(limit, self.sender.send_request(request)).await {
+            Ok(answer) => answer.context(HttpSnafu)?,
+            Err(_) => return AnswerTimeSnafu.fail(),
+        };
+        self.idle.reset();
+        let idle = self.idle.clone();
+        Ok(answer.map(|body| ResponseBody::new(body, idle)))
     }
 }
--- a/crates/firdock-policy/src/event/endpoint.rs
+++ b/crates/firdock-policy/src/event/endpoint.rs
@@ -116,6 +116,8 @@
     Silent,
     /// What was received is not an answer to the request.
     Foreign,
+    /// The endpoint wrote too much that is part of no answer.
+    Endless,
     /// The endpoint answered with a failure.
     Failed,
     /// The endpoint restarted in the meantime.
@@ -130,6 +132,7 @@
             Self::Closed => "closed",
             Self::Silent => "silent",
             Self::Foreign => "foreign",
+            Self::Endless => "endless",
             Self::Failed => "failed",
             Self::Restarted => "restarted",
         }
