--- a/crates/firdock-node/src/http/bounded.rs
+++ b/crates/firdock-node/src/http/bounded.rs
@@ -26,14 +26,34 @@
 #[snafu(display("more than {MAX_IDLE_BYTES} bytes without a head, a part of a body or its end"))]
 pub struct EndlessBytes;
 
-/// Bytes that were read from a connection since they last brought its reader anything.
-#[derive(Debug, Clone, Default)]
-pub(super) struct IdleBytes(Arc<AtomicU64>);
+/// Number of bytes that were read from a connection since they last brought its reader anything.
+#[derive(Debug, Clone)]
+pub(super) struct IdleBytes {
+    read: Arc<AtomicU64>,
+    limit: u64,
+}
 
 impl IdleBytes {
-    /// Records that the bytes read so far brought a head or a part of a body.
-    pub(super) fn reset(&self) {
-        self.0.store(0, Ordering::Relaxed);
+    /// Creates a counter for answers, whose connection fails with [`EndlessBytes`].
+    pub(super) fn limited() -> Self {
+        Self::new(MAX_IDLE_BYTES)
+    }
+
+    /// Creates a counter for requests, which have time limits of their own.
+    pub(super) fn unlimited() -> Self {
+        Self::new(u64::MAX)
+    }
+
+    fn new(limit: u64) -> Self {
+        Self {
+            read: Arc::default(),
+            limit,
+        }
+    }
+
+    /// Records that the bytes read so far brought a head or a part of a body. Returns how many there were.
+    pub(super) fn reset(&self) -> u64 {
+        self.read.swap(0, Ordering::Relaxed)
     }
 
     /// Adds bytes that were read.
@@ -42,15 +62,15 @@
     ///
     /// Fails with [`EndlessBytes`] once there are too many.
     fn add(&self, read: u64) -> io::Result<()> {
-        let before = self.0.fetch_add(read, Ordering::Relaxed);
-        if before + read > MAX_IDLE_BYTES {
+        let before = self.read.fetch_add(read, Ordering::Relaxed);
+        if before + read > self.limit {
             return Err(io::Error::new(io::ErrorKind::InvalidData, EndlessBytes));
         }
         Ok(())
     }
 }
 
-/// A stream that fails when too many bytes bring nothing, and lets other tasks run while bytes keep arriving.
+/// A stream that lets other tasks run while bytes keep arriving, and fails when too many of them bring nothing.
 #[derive(Debug)]
 pub(super) struct BoundedStream<S> {
     /// Limited to the rest of the bytes before other tasks run.
--- a/crates/firdock-node/src/http/client.rs
+++ b/crates/firdock-node/src/http/client.rs
@@ -162,7 +162,7 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        let idle = IdleBytes::default();
+        let idle = IdleBytes::limited();
         let stream = BoundedStream::new(stream, idle.clone());
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
--- a/crates/firdock-node/src/http/server.rs
+++ b/crates/firdock-node/src/http/server.rs
@@ -13,7 +13,9 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
+use tokio::task::yield_now;
 
+use super::bounded::{BoundedStream, IdleBytes};
 use super::caller::{CallerHandle, CallerStream};
 use super::dead_peer::set_dead_peer_timeouts;
 
@@ -106,12 +108,21 @@
     }
     let caller = CallerHandle::default();
     let given = caller.clone();
+    let idle = IdleBytes::unlimited();
+    let read = idle.clone();
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(given.clone());
+        // It came with the one before: a client may send any number of them without waiting for answers.
+        let is_pipelined = read.reset() == 0;
         let answer = handle(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        async move {
+            if is_pipelined {
+                yield_now().await;
+            }
+            Ok::<_, Infallible>(answer.await)
+        }
     });
-    let stream = CallerStream::new(stream, caller.clone());
+    let stream = BoundedStream::new(CallerStream::new(stream, caller.clone()), idle);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(options.header_time)
