Bodies that are being read have a budget

What operators saw: bodies took memory without a bound until their requests reached the scheduler. 30 callers with 4 MiB each took an instance from 9 to 249 MB (100: 605 MB), where the smallest instances have 110 MB.

Cause: limits.held_bytes counted from admission on; before it each body was bounded alone, and copied once more when it was whole.

Change: memory is reserved before a body is read and goes on with the request until it ends, in one budget (limits.held_bytes). The decision is a pure type, firdock_policy::bodies: a body of known length waits unread (limits.body_wait_millis), one of unknown length grows or is refused and never waits, an eighth is left to accounts with little use, and a long reading is cut for an account that uses less. Refusals (503 no-room, room-withdrawn; 413) have not run and come before 100 Continue; the rest of a refused body is read and dropped in turns, so that the connection is not reset under the refusal. A body is copied into one block of its own, as a frame may keep a whole read buffer alive.

--- a/crates/firdock-core/src/settings/check.rs
+++ b/crates/firdock-core/src/settings/check.rs
@@ -1,6 +1,7 @@
 //! Validation of settings beyond the type of each field.
 
 use super::Settings;
+use super::tables::HELD_DIVISOR;
 use crate::Findings;
 
 /// Minimum length of the shared key, in bytes.
@@ -127,11 +128,11 @@
             "needs limits.account_shares",
             found,
         );
-        let fits_body = l.held_bytes >= l.body_bytes;
+        let fits_body = l.held_bytes / HELD_DIVISOR >= l.body_bytes;
         require(
             fits_body,
             "limits.held_bytes",
-            "at least limits.body_bytes",
+            "at least twice limits.body_bytes",
             found,
         );
     }
--- a/crates/firdock-core/src/settings/tables.rs
+++ b/crates/firdock-core/src/settings/tables.rs
@@ -157,9 +157,12 @@
     pub body_bytes: usize,
     /// Timeout for a caller to send the body, in milliseconds.
     pub body_millis: u64,
+    /// Maximum time for which a body waits unread for room, in milliseconds.
+    pub body_wait_millis: u64,
     /// Maximum number of requests held at the same time.
     pub max_held: usize,
-    /// Maximum total size of the requests held or running, in bytes.
+    /// Maximum total size of the requests that are being read, held or running, in bytes. Requests are shed
+    /// beyond half of it, so that there is room to read others.
     pub held_bytes: usize,
     /// Maximum total size of answers buffered for their callers, in bytes. With 0, an answer is not read from
     /// its endpoint while its caller does not read.
@@ -174,6 +177,17 @@
     pub shares_over_tiers: bool,
 }
 
+/// Divisor of `limits.held_bytes` for the part that requests held or running fill before some are shed.
+pub(super) const HELD_DIVISOR: usize = 2;
+
+impl Limits {
+    /// Returns the bytes of requests held or running beyond which some are shed.
+    #[must_use]
+    pub fn shed_bytes(&self) -> usize {
+        self.held_bytes / HELD_DIVISOR
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
@@ -182,6 +196,7 @@
             header_millis: 5_000,
             body_bytes: 4 << 20,
             body_millis: 30_000,
+            body_wait_millis: 500,
             max_held: 2_000,
             held_bytes: 64 << 20,
             answer_bytes: 0,
--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -28,7 +28,7 @@
 use crate::clock::Clock;
 use crate::endpoint::Dispatcher;
 use crate::endpoint::run::{DispatchLimits, EndpointChange};
-use crate::exchange::{AnswerBudget, AnswerPart, Exchange};
+use crate::exchange::{AnswerBudget, AnswerPart, BodyBudget, Exchange};
 use crate::input::Input;
 use crate::peer::{self, Dialer, SelfStatus};
 use crate::placement::Placement;
@@ -60,6 +60,8 @@
     pub answer_cache: AnswerCache,
     /// Byte budget of the answers that callers have not read yet.
     pub answer_budget: AnswerBudget,
+    /// Budget for bodies of requests.
+    pub body_budget: BodyBudget,
     /// Metrics.
     pub metrics: Arc<Metrics>,
     /// Time limits of dispatches.
@@ -344,6 +346,7 @@
     fn tick(&mut self) {
         self.step(Event::Timer);
         self.tick_placement();
+        self.parts.body_budget.maintain();
         self.ticks += 1;
         let now = self.parts.clock.now();
         let changed = self.rollout_log.record(now, self.scheduler.tables());
--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -22,7 +22,7 @@
 use crate::driver::{Driver, DriverParts};
 use crate::endpoint::relay::{Dialect, Relay};
 use crate::endpoint::run::DispatchLimits;
-use crate::exchange::AnswerBudget;
+use crate::exchange::{AnswerBudget, BodyBudget};
 use crate::http::{Connector, ServerOptions, serve};
 use crate::ingress::{Ingress, IngressLimits, IngressState, Interface};
 use crate::input::Input;
@@ -56,6 +56,7 @@
     site: Arc<Site>,
     pub ingress: IngressState,
     answer_budget: AnswerBudget,
+    body_budget: BodyBudget,
     metrics: Arc<Metrics>,
     peers: Arc<PeerDirectory>,
     reads: Arc<SharedReads>,
@@ -104,6 +105,12 @@
         let name = settings.instance.name.clone();
         let metrics: Arc<Metrics> = Arc::default();
         let log_limiter: Arc<LogLimiter> = Arc::default();
+        let body_budget = BodyBudget::new(
+            settings.limits.held_bytes,
+            Duration::from_millis(settings.limits.body_wait_millis),
+            clock,
+            metrics.body_metrics(),
+        );
         let answer_budget = AnswerBudget::new(
             settings.limits.answer_bytes,
             clock,
@@ -121,6 +128,7 @@
             site: Arc::default(),
             ingress: IngressState::default(),
             answer_budget,
+            body_budget,
             metrics,
             peers: Arc::new(
                 PeerDirectory::new(name, settings.instance.zone.clone())
@@ -172,6 +180,7 @@
         .with_state(self.ingress.clone())
         .with_log_limiter(Arc::clone(&self.log_limiter))
         .with_answer_budget(self.answer_budget.clone())
+        .with_body_budget(self.body_budget.clone())
         .with_streams(Arc::clone(&self.streams))
         .with_metrics(Arc::clone(&self.metrics))
     }
@@ -194,6 +203,7 @@
             site: Arc::clone(&self.site),
             answer_cache: AnswerCache::new(self.settings.keys.answer_bytes),
             answer_budget: self.answer_budget.clone(),
+            body_budget: self.body_budget.clone(),
             metrics: Arc::clone(&self.metrics),
             limits: DispatchLimits::new(e),
             streams: Arc::clone(&self.streams),
--- a/crates/firdock-node/src/exchange.rs
+++ b/crates/firdock-node/src/exchange.rs
@@ -1,5 +1,6 @@
 //! A request in flight: its payload, and the queue through which the answer goes back to the caller.
 
+mod bodies;
 mod budget;
 mod queue;
 mod waiting;
@@ -12,6 +13,8 @@
 use firdock_policy::{Time, Verdict};
 use hyper::{HeaderMap, Method, StatusCode};
 
+pub(crate) use self::bodies::BufferedBytes;
+pub use self::bodies::{BodyBudget, BodyRefusal, BodyReservation};
 pub use self::budget::AnswerBudget;
 use self::queue::answer_queue;
 pub use self::queue::{AnswerReceiver, AnswerSender, SendResult};
@@ -37,6 +40,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Memory reserved for the request as long as it is here.
+    pub memory: Arc<BodyReservation>,
     /// Parsed body of a model call; `None` for plain calls.
     pub model: Option<ModelCall>,
     /// Idempotency key of the caller.
--- a/crates/firdock-node/src/ingress.rs
+++ b/crates/firdock-node/src/ingress.rs
@@ -11,14 +11,15 @@
 mod key;
 mod model;
 mod native;
+mod reading;
 mod request;
 mod state;
 
 pub use answer::{OUTCOME_HEADER, Problem, REQUEST_ID_HEADER};
 pub use body::AnswerBody;
 pub use handler::{Ingress, IngressLimits};
-pub use interface::{CallBody, IncomingCall, Interface};
+pub use interface::{BodyOwner, CallBody, IncomingCall, Interface};
 pub use model::{ModelCall, ModelCallError, Usage};
 pub use native::NativeInterface;
-pub(crate) use request::new_request;
+pub(crate) use request::{new_request, occupied_bytes};
 pub use state::{IngressPhase, IngressState};
--- a/crates/firdock-node/src/ingress/handler.rs
+++ b/crates/firdock-node/src/ingress/handler.rs
@@ -8,19 +8,22 @@
 use firdock_policy::Origin;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderName, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode, Version};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Version};
 use slog::{Logger, info, warn};
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 use uuid::Uuid;
 
 use super::answer::Problem;
 use super::body::{AnswerBody, CallerGuard};
 use super::interface::{CallBody, IncomingCall, Interface};
+use super::reading::DRAINS;
 use super::request::new_request;
 use super::state::{IngressPhase, IngressState};
 use crate::clock::{Clock, age_millis, millis};
 use crate::endpoint::Framing;
-use crate::exchange::{AnswerBudget, AnswerHead, AnswerPart, CallTerms, Exchange, Payload};
+use crate::exchange::{
+    AnswerBudget, AnswerHead, AnswerPart, BodyBudget, CallTerms, Exchange, Payload,
+};
 use crate::http::CallerHandle;
 use crate::input::Input;
 use crate::site::Site;
@@ -39,6 +42,8 @@
     pub body_bytes: usize,
     /// Maximum time to receive the body.
     pub body_time: Duration,
+    /// Size of a connection's read buffer, in bytes.
+    pub buffer_bytes: usize,
 }
 
 impl IngressLimits {
@@ -49,6 +54,7 @@
         Self {
             body_bytes: limits.body_bytes,
             body_time,
+            buffer_bytes: limits.header_bytes,
         }
     }
 }
@@ -65,6 +71,8 @@
     log: Logger,
     log_limiter: Arc<LogLimiter>,
     answer_budget: AnswerBudget,
+    body_budget: BodyBudget,
+    drains: Arc<Semaphore>,
     streams: SharedStreams,
     metrics: Arc<Metrics>,
 }
@@ -90,6 +98,8 @@
             log,
             log_limiter: Arc::default(),
             answer_budget: AnswerBudget::default(),
+            body_budget: BodyBudget::default(),
+            drains: Arc::new(Semaphore::new(DRAINS)),
             streams: SharedStreams::default(),
             metrics: Arc::default(),
         }
@@ -123,6 +133,13 @@
         self
     }
 
+    /// Sets the budget for bodies of requests.
+    #[must_use]
+    pub(crate) fn with_body_budget(mut self, body_budget: BodyBudget) -> Self {
+        self.body_budget = body_budget;
+        self
+    }
+
     /// Sets the shared state that says whether calls are accepted.
     #[must_use]
     pub(crate) fn with_state(mut self, state: IngressState) -> Self {
@@ -194,7 +211,11 @@
         }
         let (head, incoming) = request.into_parts();
         let body = CallBody {
+            awaits_word: awaits_word(&head.headers),
             incoming,
+            budget: self.body_budget.clone(),
+            drains: Arc::clone(&self.drains),
+            buffer_bytes: self.limits.buffer_bytes,
             max_bytes: self.limits.body_bytes,
             max_time: self.limits.body_time,
         };
@@ -361,6 +382,12 @@
     request.version() == Version::HTTP_10 && has_body && !has_length
 }
 
+/// Returns whether the caller sends its body only once it was told to go on (RFC 9110, section 10.1.1).
+fn awaits_word(headers: &HeaderMap) -> bool {
+    let expect = headers.get(header::EXPECT);
+    expect.is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"100-continue"))
+}
+
 fn no_length() -> Problem {
     let detail = "a body in HTTP/1.0 needs a Content-Length";
     Problem::new(StatusCode::BAD_REQUEST, "body-broken", detail)
--- a/crates/firdock-node/src/ingress/native.rs
+++ b/crates/firdock-node/src/ingress/native.rs
@@ -7,9 +7,10 @@
 
 use super::answer::{Problem, set_outcome_headers};
 use super::body::AnswerBody;
-use super::interface::{IncomingCall, Interface};
+use super::interface::{BodyOwner, IncomingCall, Interface};
 use super::key::MAX_KEY_BYTES;
 use super::model::ModelCall;
+use super::request::copies;
 use crate::exchange::{CallTerms, Payload};
 use crate::http::strip_hop_by_hop;
 use crate::site::{AccessRequest, Admission, Denial, RouteQuery};
@@ -29,10 +30,17 @@
         let hash = bearer(&call.head.headers).map(credential::hash_bearer);
         let known = hash.filter(|hash| call.site.view().account(hash).is_some());
         let hash = known.ok_or(Denial::Unauthorized)?;
+        let sender = call.site.view().account(&hash).cloned();
+        let sender = sender.ok_or(Denial::Unauthorized)?;
         let key = read_key(&call.head.headers)?;
-        let body = call.body.read().await?;
         let head = call.head;
         let path = head.uri.path();
+        let owner = BodyOwner {
+            account: &sender,
+            copies: copies(ModelCall::is_path(path)),
+            deadline: None,
+        };
+        let (body, memory) = call.body.read(owner).await?;
         let model = read_model(path, &body)?;
         let route = match &model {
             Some(call) => RouteQuery::Model(call.model.clone()),
@@ -56,6 +64,7 @@
             target,
             headers: passed_headers(head.headers),
             body,
+            memory,
             model,
             key,
             terms: CallTerms::default(),
--- a/crates/firdock-node/src/ingress/request.rs
+++ b/crates/firdock-node/src/ingress/request.rs
@@ -35,9 +35,20 @@
     }
 }
 
-/// Estimates the memory of a request: a fixed overhead and its body, three times for a parsed model call.
-fn occupied_bytes(payload: &Payload) -> usize {
-    const ROW_BYTES: usize = 1_024;
-    let copies = if payload.model.is_some() { 3 } else { 1 };
-    ROW_BYTES + copies * payload.body.len()
+/// Memory of a request besides its body, in bytes.
+const ROW_BYTES: usize = 1_024;
+
+/// Returns how often a body is in memory: a parsed model call has its prompt and its fields beside it.
+pub(super) fn copies(parsed: bool) -> usize {
+    if parsed { 3 } else { 1 }
+}
+
+/// Estimates the memory of a request: a fixed overhead and its body.
+pub(super) fn memory_bytes(copies: usize, length: usize) -> usize {
+    ROW_BYTES.saturating_add(copies.saturating_mul(length))
+}
+
+/// Estimates the memory of a request that has been read.
+pub(crate) fn occupied_bytes(payload: &Payload) -> usize {
+    memory_bytes(copies(payload.model.is_some()), payload.body.len())
 }
--- a/crates/firdock-node/src/instance.rs
+++ b/crates/firdock-node/src/instance.rs
@@ -125,6 +125,7 @@
             clock: components.clock,
             log: self.log.clone(),
             answer_budget: components.answer_budget.clone(),
+            body_budget: components.body_budget.clone(),
         };
         let operators_stop = rest_stops.clone();
         tokio::spawn(serve_peers(peer_socket, server, rest_stops));
--- a/crates/firdock-node/src/instance/components.rs
+++ b/crates/firdock-node/src/instance/components.rs
@@ -23,7 +23,7 @@
 use crate::driver::{Driver, DriverParts};
 use crate::endpoint::run::DispatchLimits;
 use crate::endpoint::{DirectDispatcher, HttpEngine, HttpPlain, Target, poll_reports};
-use crate::exchange::AnswerBudget;
+use crate::exchange::{AnswerBudget, BodyBudget};
 use crate::ingress::{Ingress, IngressLimits, NativeInterface};
 use crate::input::Input;
 use crate::operator::{OperatorServer, Watchers, serve_operators};
@@ -47,6 +47,7 @@
     site: Arc<Site>,
     answer_cache: AnswerCache,
     pub answer_budget: AnswerBudget,
+    pub body_budget: BodyBudget,
     metrics: Arc<Metrics>,
     pub dialer: Dialer,
     log_client: HttpLog,
@@ -72,6 +73,12 @@
         let clock = Clock::new();
         let metrics: Arc<Metrics> = Arc::default();
         let log_limiter: Arc<LogLimiter> = Arc::default();
+        let body_budget = BodyBudget::new(
+            s.limits.held_bytes,
+            Duration::from_millis(s.limits.body_wait_millis),
+            clock,
+            metrics.body_metrics(),
+        );
         let answer_budget = AnswerBudget::new(
             s.limits.answer_bytes,
             clock,
@@ -88,6 +95,7 @@
             clock,
             site: Arc::default(),
             answer_budget,
+            body_budget,
             answer_cache: AnswerCache::new(s.keys.answer_bytes),
             metrics,
             dialer: Dialer::new(name, &s.peers.shared_key, Arc::clone(&hub)),
@@ -122,6 +130,7 @@
             site: Arc::clone(&self.site),
             answer_cache: self.answer_cache.clone(),
             answer_budget: self.answer_budget.clone(),
+            body_budget: self.body_budget.clone(),
             metrics: Arc::clone(&self.metrics),
             limits: DispatchLimits::new(e),
             streams: SharedStreams::default(),
@@ -184,6 +193,7 @@
         )
         .with_log_limiter(Arc::clone(&self.log_limiter))
         .with_answer_budget(self.answer_budget.clone())
+        .with_body_budget(self.body_budget.clone())
     }
 
     /// Serves the resource API; returns its address.
--- a/crates/firdock-node/src/peer/serve.rs
+++ b/crates/firdock-node/src/peer/serve.rs
@@ -23,9 +23,8 @@
 use super::state::send_state;
 use crate::clock::Clock;
 use crate::config::PeerStatus;
-use crate::exchange::{AnswerBudget, AnswerReceiver, CallTerms, Exchange, Payload};
-use crate::ingress::ModelCall;
-use crate::ingress::new_request;
+use crate::exchange::{AnswerBudget, AnswerReceiver, BodyBudget, CallTerms, Exchange, Payload};
+use crate::ingress::{ModelCall, new_request, occupied_bytes};
 use crate::input::Input;
 use crate::telemetry::TraceContext;
 
@@ -47,6 +46,8 @@
     pub log: Logger,
     /// Bounds the size of answers that peers have not read yet.
     pub answer_budget: AnswerBudget,
+    /// Counts the requests that peers hand over.
+    pub body_budget: BodyBudget,
 }
 
 /// Serves peers until `stop` turns true.
@@ -91,6 +92,36 @@
 }
 
 impl PeerServer {
+    fn read_order(&self, order: message::HandOver) -> Option<ReceivedRequest> {
+        let id = Uuid::from_slice(&order.request_id).ok()?;
+        let method = Method::from_bytes(order.method.as_bytes()).ok()?;
+        let body = Bytes::from(order.body);
+        let path = order.target.split('?').next().unwrap_or_default();
+        let model = if ModelCall::is_path(path) {
+            Some(ModelCall::parse(path, &body).ok()?)
+        } else {
+            None
+        };
+        let mut payload = Payload {
+            service: order.service,
+            account: order.account,
+            access: None,
+            method,
+            target: order.target,
+            headers: read_headers(order.headers),
+            body,
+            memory: Arc::default(),
+            model,
+            key: Some(order.idempotency_key).filter(|k| !k.is_empty()),
+            terms: CallTerms::default(),
+        };
+        let bytes = occupied_bytes(&payload);
+        payload.memory = Arc::new(self.body_budget.hold(&payload.account, bytes));
+        let trace = TraceContext::parse_or_start(Some(&order.traceparent));
+        let (exchange, parts) = Exchange::new(id, payload, trace, &self.answer_budget);
+        Some((exchange, parts, order.tried))
+    }
+
     async fn serve_connection(&self, stream: TcpStream) -> Result<(), LinkError> {
         let is_listed = |name: &str| self.dialer.hub().lock().listed_row(name).is_some();
         let mut link =
@@ -185,7 +216,7 @@
         mut link: Link,
         order: message::HandOver,
     ) -> Result<(), LinkError> {
-        let Some((exchange, parts, tried)) = read_order(order, &self.answer_budget) else {
+        let Some((exchange, parts, tried)) = self.read_order(order) else {
             return Err(LinkError::Rejected {
                 reason: "malformed request",
             });
@@ -234,30 +265,3 @@
 }
 
 type ReceivedRequest = (Arc<Exchange>, AnswerReceiver, Vec<String>);
-
-fn read_order(order: message::HandOver, answer_budget: &AnswerBudget) -> Option<ReceivedRequest> {
-    let id = Uuid::from_slice(&order.request_id).ok()?;
-    let method = Method::from_bytes(order.method.as_bytes()).ok()?;
-    let body = Bytes::from(order.body);
-    let path = order.target.split('?').next().unwrap_or_default();
-    let model = if ModelCall::is_path(path) {
-        Some(ModelCall::parse(path, &body).ok()?)
-    } else {
-        None
-    };
-    let payload = Payload {
-        service: order.service,
-        account: order.account,
-        access: None,
-        method,
-        target: order.target,
-        headers: read_headers(order.headers),
-        body,
-        model,
-        key: Some(order.idempotency_key).filter(|k| !k.is_empty()),
-        terms: CallTerms::default(),
-    };
-    let trace = TraceContext::parse_or_start(Some(&order.traceparent));
-    let (exchange, parts) = Exchange::new(id, payload, trace, answer_budget);
-    Some((exchange, parts, order.tried))
-}
--- a/crates/firdock-node/src/telemetry.rs
+++ b/crates/firdock-node/src/telemetry.rs
@@ -1,6 +1,7 @@
 //! Logs, traces and metrics of a running instance.
 
 pub mod answer_metrics;
+pub mod body_metrics;
 pub mod change_tracker;
 pub mod decisions;
 pub mod endpoints;
@@ -17,6 +18,7 @@
 pub mod trace;
 
 pub use answer_metrics::AnswerMetrics;
+pub use body_metrics::BodyMetrics;
 pub use decisions::DecisionLog;
 pub use endpoints::EndpointList;
 pub use log::{Level, LogGuard, discard_logger, logger};
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -22,7 +22,7 @@
     ByTopic, ByTry, ByVerdict,
 };
 use super::suspects::SuspectStates;
-use super::{AnswerMetrics, EndpointList, SuspectList};
+use super::{AnswerMetrics, BodyMetrics, EndpointList, SuspectList};
 use crate::endpoint::{AnswerEnd, Ending};
 use crate::peer::Topic;
 use crate::source::StoreCall;
@@ -99,6 +99,7 @@
     suspensions: Counter,
     suspended: Counter<f64, AtomicU64>,
     buffered_answers: AnswerMetrics,
+    bodies: BodyMetrics,
     endpoints: EndpointList,
     suspects: SuspectList,
 }
@@ -170,6 +171,7 @@
             suspensions: Counter::default(),
             suspended: Counter::default(),
             buffered_answers: AnswerMetrics::default(),
+            bodies: BodyMetrics::default(),
             endpoints: EndpointList::default(),
             suspects: SuspectList::default(),
         };
@@ -183,6 +185,12 @@
         self.buffered_answers.clone()
     }
 
+    /// Returns the metrics of the memory that bodies take.
+    #[must_use]
+    pub fn body_metrics(&self) -> BodyMetrics {
+        self.bodies.clone()
+    }
+
     /// Returns the list of endpoint states.
     #[must_use]
     pub fn endpoints(&self) -> EndpointList {
--- a/crates/firdock-node/src/telemetry/metrics/register.rs
+++ b/crates/firdock-node/src/telemetry/metrics/register.rs
@@ -94,6 +94,7 @@
             self.reads_ahead.clone(),
         );
         self.buffered_answers.register(&mut r);
+        self.bodies.register(&mut r);
         r.register(
             "decision_seconds",
             "Time of one decision",
--- a/crates/firdock-policy/src/lib.rs
+++ b/crates/firdock-policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! sessions and in long randomised runs (see `docs/design/policy.md`).
 
 pub mod action;
+pub mod bodies;
 pub mod buffers;
 pub mod cost;
 pub mod event;
--- a/crates/firdock-policy/src/settings.rs
+++ b/crates/firdock-policy/src/settings.rs
@@ -123,7 +123,7 @@
     pub zone: ZoneId,
     /// Maximum number of requests held.
     pub max_held: usize,
-    /// Maximum bytes of requests held or running.
+    /// Bytes of requests held or running beyond which some are shed.
     pub held_bytes: usize,
     /// Retries allowed, as a fraction of first attempts.
     pub retry_ratio: f64,
@@ -178,7 +178,7 @@
             },
             zone: settings.instance.zone.clone(),
             max_held: settings.limits.max_held,
-            held_bytes: settings.limits.held_bytes,
+            held_bytes: settings.limits.shed_bytes(),
             retry_ratio: settings.endpoints.retry_ratio,
             retry_slack: Some(settings.endpoints.retry_slack).filter(|slack| *slack > 0.0),
             eject_ratio: settings.endpoints.eject_ratio,
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -3,6 +3,7 @@
 mod access;
 mod allowance;
 mod attempts;
+mod bodies;
 mod buffers;
 mod coordinate;
 mod edge;
