Unproven ends: a peer's report of a refusal counts while an end waits

Callers saw: a part of a stream told as complete, although a peer's check of its killed endpoint had been refused and told at once.

Cause: `start::merge_reports` drops a report where an answer is under way here, since that connection would have broken as well. It took the answer whose end waits for a verdict for one that goes on, although its connection had closed.

Change: an answer whose end is unproven is not under way, as in the judgement of ends itself.

--- a/crates/firdock-policy/src/system/start.rs
+++ b/crates/firdock-policy/src/system/start.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use crate::event::{RenewedEntry, UnconfirmedStart};
-use crate::request::{Build, Phase, RequestRow, StreamStart};
+use crate::request::{Build, CompletionProof, Phase, RequestRow, StreamStart};
 use crate::table::Tables;
 use crate::table::endpoint::{EndpointRow, Unconfirmed};
 use crate::table::start_history::{KnownStart, ReplacedStart};
@@ -126,9 +126,14 @@
     }
 }
 
-/// Returns whether an answer to a request that was sent before `sent_by` is under way from an endpoint.
+/// Returns whether an answer to a request that was sent before `sent_by` is under way from an endpoint. The connection of
+/// one whose end waits for a verdict has closed.
 fn has_answer_under_way(t: &Tables, at: usize, sent_by: Time) -> bool {
-    let running = |r: &RequestRow| r.phase == Phase::Running(at) && r.dispatched <= sent_by;
+    let running = |r: &RequestRow| {
+        r.phase == Phase::Running(at)
+            && r.dispatched <= sent_by
+            && r.completion_proof == CompletionProof::Proven
+    };
     t.endpoints.get(at).running > 0 && t.requests.iter().any(running)
 }
 
--- a/crates/firdock-policy/tests/policy/unproven_ends.rs
+++ b/crates/firdock-policy/tests/policy/unproven_ends.rs
@@ -6,6 +6,7 @@
 use firdock_core::resource::{Endpoint, Resource, Service};
 use firdock_policy::event::{
     BreakCause, ConnectFailure, DispatchUpdate, EndEvidence, EndVerdict, Liveness, LivenessResult,
+    PeerUpdate, UnconfirmedStart,
 };
 use firdock_policy::notice::{Notice, NoticeReport};
 use firdock_policy::{Action, Event, Time};
@@ -591,3 +592,53 @@
     }
     assert!(broken.is_empty(), "{broken:?}");
 }
+
+/// Returns two endpoints that declare when they started, and the start of the first.
+fn started_endpoints() -> (Vec<Resource>, String) {
+    let mut all = resources_of(&["e1", "e2"]);
+    let mut first = String::new();
+    for resource in &mut all {
+        if let Resource::Endpoint(e) = resource {
+            e.started = Some(std::time::Duration::from_secs(1));
+            if e.name == "e1" {
+                first = e.start_id().to_string();
+            }
+        }
+    }
+    (all, first)
+}
+
+// Guards against a part that is passed on as complete although a peer's check was refused at once: the answer whose end waits
+// is not under way, and does not contradict the peer.
+#[test]
+fn a_stream_whose_end_waits_is_continued_when_a_peer_reports_a_refusal() {
+    let (all, start) = started_endpoints();
+    let first = all
+        .iter()
+        .filter(|r| !matches!(r, Resource::Endpoint(e) if e.name == "e2"));
+    let mut edge = EdgeScheduler::new(edge_settings("a"), first.cloned().collect());
+    edge.arrive(request(1, "stream", "free"));
+    edge.update_dispatch(1, 1, DispatchUpdate::Started { head_sent: true });
+    let (delivered, cached) = (2, 0);
+    edge.update_dispatch(1, 1, DispatchUpdate::Tokens { delivered, cached });
+    let catalog = firdock_core::resource::Catalog::new(2).with_resources(all);
+    edge.step(Event::Config(std::sync::Arc::new(catalog)));
+    let mut answers = Answers { edge };
+    answers.pass(millis(100));
+    let mut actions = answers.close(1);
+    answers.edge.now += millis(1);
+    let refused = UnconfirmedStart {
+        start: start.clone(),
+        since: answers.edge.now,
+        last_break: answers.edge.now,
+    };
+    actions.extend(answers.edge.step(Event::Peer(PeerUpdate {
+        name: "b".to_owned(),
+        unconfirmed: vec![refused],
+        ..PeerUpdate::default()
+    })));
+    actions.extend(answers.check_at(&start, Liveness::Open));
+    actions.extend(answers.pass(MAX_WAIT));
+    let verdict = verdict_on(1, &actions);
+    assert_eq!(verdict, rejected(EndEvidence::OthersBroke));
+}
