Unproven ends: a peer that reaches the next process does not refute a refusal

Cause: a refusal of the own link is confirmed by a peer, as the link may be cut. What the peer found replaced the refusal, however late it was asked.

Change: where the peer reaches the endpoint, the own link is checked once more. Without an answer in time the peer's word counts, as before.

Why it works: a cut link refuses each time; a process that was replaced refuses once.

--- a/crates/firdock-policy/src/system/liveness.rs
+++ b/crates/firdock-policy/src/system/liveness.rs
@@ -97,6 +97,9 @@
         Liveness::Open => {
             t.endpoints.get_mut(at).refuses_since = None;
             suspect::record_open_address(t, &result.start, began);
+            if t.unproven_ends.awaits_own_link(at) {
+                start_check(t, now, at, out);
+            }
         }
         Liveness::Silent if is_awaited => record_exit(t, now, result, out),
         Liveness::Silent => {}
--- a/crates/firdock-policy/src/system/unproven_end.rs
+++ b/crates/firdock-policy/src/system/unproven_end.rs
@@ -52,6 +52,7 @@
         passed_on,
         closed_at: now,
         is_refused: false,
+        reached_by_peer: false,
         liveness: None,
     });
     follow_restart(t, id);
@@ -86,8 +87,12 @@
 }
 
 /// Asks a peer whether an endpoint refuses connections, where ends of answers hang on it: the own link may be cut, while the
-/// connections that exist live on. Returns whether a peer is asked.
+/// connections that exist live on. Returns whether a peer is asked, or has reached the endpoint.
 pub(super) fn confirm_refusal(t: &mut Tables, now: Time, at: usize, out: &mut Vec<Action>) -> bool {
+    if t.unproven_ends.awaits_own_link(at) {
+        t.unproven_ends.record_cut_link(at);
+        return true;
+    }
     let is_own = |end: &&UnprovenEnd| end.serving_row == at && !end.passed_on;
     let waiting = t.unproven_ends.iter().find(is_own).map(|end| end.id);
     let Some(id) = waiting else {
@@ -139,8 +144,9 @@
 /// were checked before the answer ended.
 fn start_missing_checks(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
     let ends = t.unproven_ends.iter();
-    let is_unchecked =
-        |end: &UnprovenEnd| (end.passed_on || end.is_refused) && end.liveness.is_none();
+    let is_unchecked = |end: &UnprovenEnd| {
+        (end.passed_on || end.is_refused) && !end.reached_by_peer && end.liveness.is_none()
+    };
     let ends: Vec<_> = ends.map(|end| (end.id, is_unchecked(end))).collect();
     for (id, is_unchecked) in ends {
         if follow_restart(t, id) || is_unchecked {
@@ -253,10 +259,16 @@
     })
 }
 
-/// Returns an end that is judged by the refusal of the own link if no peer has said more in time.
+/// Returns an end that is judged by the refusal of the own link if no peer has said more in time, or by what a peer found
+/// if the own link has not been checked again.
 fn with_own_refusal(end: UnprovenEnd, wait_expired: bool) -> UnprovenEnd {
-    let refused = (end.is_refused && wait_expired).then_some(Liveness::Ended);
-    let liveness = end.liveness.or(refused);
+    let found = if end.reached_by_peer {
+        Liveness::Open
+    } else {
+        Liveness::Ended
+    };
+    let known = (end.is_refused && wait_expired).then_some(found);
+    let liveness = end.liveness.or(known);
     UnprovenEnd { liveness, ..end }
 }
 
--- a/crates/firdock-policy/src/table/unproven_ends.rs
+++ b/crates/firdock-policy/src/table/unproven_ends.rs
@@ -22,6 +22,9 @@
     pub closed_at: Time,
     /// Whether the own link refused a connection, which a peer is to confirm: the link may be cut.
     pub is_refused: bool,
+    /// Whether that peer reached the endpoint. The own link is checked once more then: if it reaches the endpoint as
+    /// well, the link was not cut, and another process listens.
+    pub reached_by_peer: bool,
     /// Result of a liveness check that began later.
     pub liveness: Option<Liveness>,
 }
@@ -83,7 +86,8 @@
     ///
     /// An endpoint that accepted a connection says nothing of an answer that ended later. One that refused it does not
     /// listen, whatever came first. The own link to an endpoint that was reached through a peer may be cut, so that
-    /// only an open connection says anything then.
+    /// only an open connection says anything then. A peer that reaches an endpoint which refused the own link says only
+    /// that one of both holds: the link is cut, or another process listens.
     pub fn record_liveness(&mut self, check: FinishedCheck) {
         let FinishedCheck { server, found, .. } = check;
         let covered = |end: &&mut UnprovenEnd| {
@@ -99,7 +103,13 @@
         // A process that listens after a refusal is another one.
         let is_undecided = |end: &&mut UnprovenEnd| end.liveness != Some(Liveness::Ended);
         for end in self.rows.iter_mut().filter(covered).filter(is_undecided) {
-            end.liveness = Some(found);
+            match found {
+                Liveness::Open if end.is_refused && check.through_peer => {
+                    end.reached_by_peer = true;
+                }
+                Liveness::Open if end.reached_by_peer => end.liveness = Some(Liveness::Ended),
+                _ => end.liveness = Some(found),
+            }
         }
         if check.through_peer && found == Liveness::Silent {
             self.confirm_refusals(server);
@@ -117,12 +127,30 @@
     /// Returns whether the refusal of the own link to an endpoint waits for a peer.
     #[must_use]
     pub fn awaits_peer(&self, server: usize) -> bool {
-        let waits = |end: &UnprovenEnd| end.is_refused && end.liveness.is_none();
+        let waits =
+            |end: &UnprovenEnd| end.is_refused && !end.reached_by_peer && end.liveness.is_none();
+        self.rows
+            .iter()
+            .any(|end| end.serving_row == server && waits(end))
+    }
+
+    /// Returns whether the own link to an endpoint is to be checked once more, since a peer reached it.
+    #[must_use]
+    pub fn awaits_own_link(&self, server: usize) -> bool {
+        let waits = |end: &UnprovenEnd| end.reached_by_peer && end.liveness.is_none();
         self.rows
             .iter()
             .any(|end| end.serving_row == server && waits(end))
     }
 
+    /// Records that the own link refuses connections to an endpoint that a peer reaches: the link is cut.
+    pub fn record_cut_link(&mut self, server: usize) {
+        let reached = |end: &&mut UnprovenEnd| end.serving_row == server && end.reached_by_peer;
+        for end in self.rows.iter_mut().filter(reached) {
+            end.liveness.get_or_insert(Liveness::Open);
+        }
+    }
+
     /// Takes the refusals of the own link to an endpoint as they are, since no peer knows more.
     fn confirm_refusals(&mut self, server: usize) {
         let refused = |end: &&mut UnprovenEnd| end.serving_row == server && end.is_refused;
