Unproven ends: a refusal beside an open connection is no proof of an exit

Callers saw: a whole answer that may run once told as broken (200, all five events, no proper end), since its endpoint began to stop in order, or the own link or a peer's was cut, right after it had accepted the connection of the liveness check.

Cause: a refused second connection outweighed the first, which the endpoint had accepted and held open. A process that was killed holds none open.

Change: such a check finds `stopped-listening`, which is neither life nor an exit. It is a sign of death where other answers of the endpoint ended at the same time (two for answers that may run once, as for endpoints that had stopped listening before). Alone, what may be continued is, by the retry budget, and an answer that may run once has ended. No endpoint is ejected and no content blamed by it.

--- a/crates/firdock-node/src/driver/liveness.rs
+++ b/crates/firdock-node/src/driver/liveness.rs
@@ -155,10 +155,12 @@
     }
     let rest = MIN_OPEN_TIME.saturating_sub(RECHECK_AFTER);
     let (closed, is_refused) = tokio::join!(timeout(rest, closed), timeout(rest, is_refused));
-    if is_refused.unwrap_or(false) {
-        return Some(Liveness::Ended);
+    match (closed.is_err(), is_refused.unwrap_or(false)) {
+        (true, true) => Some(Liveness::StoppedListening),
+        (true, false) => Some(Liveness::Open),
+        (false, true) => Some(Liveness::Ended),
+        (false, false) => None,
     }
-    closed.is_err().then_some(Liveness::Open)
 }
 
 /// Waits until the peer closes a connection on which neither side sends anything.
--- a/crates/firdock-policy/src/event/endpoint.rs
+++ b/crates/firdock-policy/src/event/endpoint.rs
@@ -153,6 +153,8 @@
     StoppedListening,
     /// Its address is silent.
     Silent,
+    /// It accepted a connection, which stays open, and refuses others since.
+    Ambiguous,
     /// It refuses connections.
     Refused,
     /// Another answer of it broke at the same time.
@@ -167,7 +169,7 @@
     /// Returns whether it speaks for or against the process, and is more than a lack of evidence.
     #[must_use]
     pub fn is_sign(self) -> bool {
-        !matches!(self, Self::SeenLate | Self::Silent)
+        !matches!(self, Self::SeenLate | Self::Silent | Self::Ambiguous)
     }
 
     /// Returns its name in logs and metrics.
@@ -179,6 +181,7 @@
             Self::OthersGoOn => "others-go-on",
             Self::StoppedListening => "stopped-listening",
             Self::Silent => "silent",
+            Self::Ambiguous => "ambiguous",
             Self::Refused => "refused",
             Self::OthersBroke => "others-broke",
             Self::EndedTogether => "ended-together",
@@ -238,6 +241,9 @@
     Open,
     /// Its address refuses connections: its process has exited.
     Ended,
+    /// Its address accepted a connection, which stays open, and refuses others since: its process is ending or stops in
+    /// order, or a link has been cut.
+    StoppedListening,
     /// Its address does not respond, which says nothing about the process.
     Silent,
 }
@@ -249,6 +255,7 @@
         match self {
             Self::Open => "open",
             Self::Ended => "ended",
+            Self::StoppedListening => "stopped-listening",
             Self::Silent => "silent",
         }
     }
--- a/crates/firdock-policy/src/system/liveness.rs
+++ b/crates/firdock-policy/src/system/liveness.rs
@@ -102,7 +102,7 @@
             }
         }
         Liveness::Silent if is_awaited => record_exit(t, now, result, out),
-        Liveness::Silent => {}
+        Liveness::Silent | Liveness::StoppedListening => {}
     }
 }
 
--- a/crates/firdock-policy/src/system/unproven_end.rs
+++ b/crates/firdock-policy/src/system/unproven_end.rs
@@ -30,7 +30,7 @@
 const MIN_TIME_LEFT: Duration = Duration::from_millis(50);
 
 /// Number of other answers that have to end together with one that may run once, at an endpoint that had stopped
-/// listening, to show that it was killed: the last answers of a planned stop may come two at a time.
+/// listening or does so, to show that it was killed: the last answers of a planned stop may come two at a time.
 const MIN_OTHERS_RUN_ONCE: usize = 2;
 
 /// Records that the answer of a dispatch ended with its connection, and starts a liveness check of the endpoint.
@@ -219,7 +219,8 @@
             return wait_expired.then(|| EndVerdict::accepted(EndEvidence::OthersGoOn));
         }
         // A check may still find something, unless the endpoint accepted its connection.
-        let is_final = wait_expired || evidence == EndEvidence::SeenLate;
+        let was_accepted = [EndEvidence::SeenLate, EndEvidence::Ambiguous].contains(&evidence);
+        let is_final = wait_expired || was_accepted;
         return is_final.then(|| verdict_without_sign(evidence, may_resume));
     }
     if end.liveness == Some(Liveness::Ended) {
@@ -239,6 +240,7 @@
     match end.liveness {
         Some(Liveness::Open) => is_seen_late(t, end).then_some(EndEvidence::SeenLate),
         Some(Liveness::Ended) => None,
+        Some(Liveness::StoppedListening) => Some(EndEvidence::Ambiguous),
         Some(Liveness::Silent) | None => Some(EndEvidence::Silent),
     }
 }
@@ -303,6 +305,11 @@
         return Some(EndEvidence::OthersBroke);
     }
     let last_bytes = row.last_bytes.unwrap_or(row.dispatched);
+    let min_others = if may_resume { 1 } else { MIN_OTHERS_RUN_ONCE };
+    let ended_together = ends_beside(t, end).count() >= min_others;
+    if end.liveness == Some(Liveness::StoppedListening) {
+        return ended_together.then_some(EndEvidence::EndedTogether);
+    }
     if end.liveness != Some(Liveness::Ended) {
         // Who listens after a refusal is another process.
         let since = if may_resume {
@@ -318,9 +325,7 @@
         .refuses_since
         .is_some_and(|since| since + CLOSE_SPREAD <= last_bytes);
     if stopped_before {
-        let min_others = if may_resume { 1 } else { MIN_OTHERS_RUN_ONCE };
-        let together = ends_beside(t, end).count() >= min_others;
-        return together.then_some(EndEvidence::EndedTogether);
+        return ended_together.then_some(EndEvidence::EndedTogether);
     }
     // An endpoint that leaves stops listening at some time, and its last answers are complete.
     let is_expected = !may_resume && e.leaving(now);
--- a/crates/firdock-policy/src/table/unproven_ends.rs
+++ b/crates/firdock-policy/src/table/unproven_ends.rs
@@ -94,14 +94,20 @@
             end.serving_row == server
                 && match found {
                     Liveness::Open => end.closed_at <= check.began,
-                    Liveness::Ended => check.through_peer || !end.passed_on,
+                    Liveness::Ended | Liveness::StoppedListening => {
+                        check.through_peer || !end.passed_on
+                    }
                     Liveness::Silent => {
                         end.closed_at <= check.began && check.through_peer == end.passed_on
                     }
                 }
         };
         // A process that listens after a refusal is another one.
-        let is_undecided = |end: &&mut UnprovenEnd| end.liveness != Some(Liveness::Ended);
+        let is_undecided = |end: &&mut UnprovenEnd| match end.liveness {
+            Some(Liveness::Ended) => false,
+            Some(Liveness::StoppedListening) => found == Liveness::Ended,
+            _ => true,
+        };
         for end in self.rows.iter_mut().filter(covered).filter(is_undecided) {
             match found {
                 Liveness::Open if end.is_refused && check.through_peer => {
