--- a/crates/firdock-policy/tests/policy/unproven_ends.rs
+++ b/crates/firdock-policy/tests/policy/unproven_ends.rs
@@ -601,7 +601,7 @@
         if let Resource::Endpoint(e) = resource {
             e.started = Some(std::time::Duration::from_secs(1));
             if e.name == "e1" {
-                first = e.start_id().to_string();
+                first.clone_from(&e.start_id());
             }
         }
     }
