Bytes without end: reads grow while they bring something

Change: a connection reads up to 32 KiB at a time while its bytes bring a head or a part of a body, and returns to the runtime only for bytes that bring nothing, after 8 KiB of them; the limit of these is 128 KiB, more than is read ahead of a body's reader.

Why it works: bytes that bring nothing are counted from the last that did, so that a hostile endpoint gains one read of 32 KiB by each part of a body that it pays for.

--- a/crates/firdock-node/src/http/bounded.rs
+++ b/crates/firdock-node/src/http/bounded.rs
@@ -13,13 +13,17 @@
 use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, ReadBuf, Take};
 use tokio::task::yield_now;
 
-/// Bytes that a connection reads before other tasks run.
+/// Most bytes that a connection reads before other tasks run, after bytes that brought its reader something.
+const MAX_BYTES_PER_WAKE: u64 = 32 << 10;
+
+/// Bytes that a connection reads before other tasks run, at first and while they bring nothing.
 ///
 /// The library parses what it finds hard to parse, like the size of a chunk, byte by byte.
 const BYTES_PER_WAKE: u64 = 8 << 10;
 
-/// Most bytes without a head, a part of a body or its end: more than the longest head that common proxies accept.
-const MAX_IDLE_BYTES: u64 = 64 << 10;
+/// Most bytes without a head, a part of a body or its end: more than the longest head that common proxies accept, and than
+/// the connection reads ahead of the reader of a body.
+const MAX_IDLE_BYTES: u64 = 128 << 10;
 
 /// The other side wrote too much that is part of no message.
 #[derive(Debug, Clone, Copy, Snafu, PartialEq, Eq)]
@@ -56,6 +60,10 @@
         self.read.swap(0, Ordering::Relaxed)
     }
 
+    fn is_zero(&self) -> bool {
+        self.read.load(Ordering::Relaxed) == 0
+    }
+
     /// Adds bytes that were read.
     ///
     /// # Errors
@@ -75,6 +83,8 @@
 pub(super) struct BoundedStream<S> {
     /// Limited to the rest of the bytes before other tasks run.
     stream: Take<S>,
+    /// Bytes before other tasks run.
+    allowed: u64,
     idle: IdleBytes,
 }
 
@@ -82,9 +92,20 @@
     pub(super) fn new(stream: S, idle: IdleBytes) -> Self {
         Self {
             stream: stream.take(BYTES_PER_WAKE),
+            allowed: BYTES_PER_WAKE,
             idle,
         }
     }
+
+    /// Allows further bytes: more than before if those brought something, since large reads cost less.
+    fn allow(&mut self, brought_something: bool) {
+        self.allowed = if brought_something {
+            (self.allowed * 2).min(MAX_BYTES_PER_WAKE)
+        } else {
+            BYTES_PER_WAKE
+        };
+        self.stream.set_limit(self.allowed);
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for BoundedStream<S> {
@@ -93,14 +114,18 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let left = self.stream.limit();
-        if left == 0 {
-            self.stream.set_limit(BYTES_PER_WAKE);
-            return poll_after_others(cx);
+        if self.stream.limit() == 0 {
+            let brought_something = self.idle.is_zero();
+            self.allow(brought_something);
+            if !brought_something {
+                return poll_after_others(cx);
+            }
         }
+        let left = self.stream.limit();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
         if polled.is_pending() {
-            self.stream.set_limit(BYTES_PER_WAKE);
+            let allowed = self.allowed;
+            self.stream.set_limit(allowed);
         }
         ready!(polled)?;
         let read = left - self.stream.limit();
