--- a/crates/firdock-node/src/driver/liveness.rs
+++ b/crates/firdock-node/src/driver/liveness.rs
@@ -141,10 +141,12 @@
     matches!(error, TunnelError::Unreachable { refused: true, .. })
 }
 
-/// Watches a connection that was accepted, and asks for another one meanwhile. Returns `None` if it was closed, which
-/// proves nothing.
+/// Watches a connection that was accepted, and asks for another one meanwhile. Returns `None` if the first was closed and
+/// nothing was refused, which proves nothing.
 ///
-/// An address that does not answer in time counts as accepting: its queue of connections may be full.
+/// A process that was killed closes what it accepted. A refusal beside a connection that stays open therefore shows an
+/// address that stopped listening, and no exit. An address that does not answer in time counts as accepting: its queue of
+/// connections may be full.
 async fn watch<T>(
     closed: impl Future<Output = T>,
     is_refused: impl Future<Output = bool>,
