Streams that may be continued are, or are broken off, for want of evidence: at plain endpoints, at deadlines, without attempts

Its server was killed 4 ms after an event, right before the request's deadline, so that no liveness check could end: the verdict was silent, accepted.

Cause: without a sign an end counted wherever this instance could not send the request again: at its deadline, after its last attempt, and at every plain endpoint, since an answer of which a part was passed on could go on at engines alone. Streams of a service that permits it can be asked for after their last event at any endpoint, by this instance and by callers.

Change: may_retry goes by the service and the IDs of events, not by the kind of endpoint; ends without a sign are rejected where the caller may resume the stream, paid for by the retry budget as before.

--- a/crates/firdock-policy/src/system/dispatch_updates.rs
+++ b/crates/firdock-policy/src/system/dispatch_updates.rs
@@ -436,19 +436,40 @@
         return false;
     };
     let service = &t.services.get(row.service).declared;
-    let resumable = t.settings.mechanisms.resume
-        && t.endpoints.get(at).is_engine()
-        && (!service.streamed || service.resumable)
-        && row.delivered_part != DeliveredPart::Unresumable;
-    let most = t.max_retry_credit();
-    let is_paid = row.completion_proof == CompletionProof::Doubted;
-    let allowed = is_paid || t.retry_budgets.allow(row.pool_key(), most);
     let attempts = service.attempts as usize;
     let attempts_left = attempts == 0 || row.runs < attempts;
     let suspect_permits = suspect::may_repeat(t, row);
     service.repeatable
-        && allowed
+        && has_retry_budget(t, row)
         && attempts_left
         && suspect_permits
-        && (!row.head_sent() || resumable)
+        && (!row.head_sent() || is_resumable(t, row, at))
+}
+
+/// Returns whether the caller of a broken stream may ask for the rest itself, as a request of its own with attempts and a
+/// deadline of its own.
+pub(super) fn caller_may_resume(t: &Tables, id: RequestId, at: usize) -> bool {
+    let Some(row) = t.requests.get(id) else {
+        return false;
+    };
+    let is_streamed = t.services.get(row.service).declared.streamed;
+    is_streamed && row.head_sent() && is_resumable(t, row, at) && has_retry_budget(t, row)
+}
+
+/// Returns whether the retry budget admits another run of a request.
+fn has_retry_budget(t: &Tables, row: &RequestRow) -> bool {
+    let is_paid = row.completion_proof == CompletionProof::Doubted;
+    is_paid || t.retry_budgets.allow(row.pool_key(), t.max_retry_credit())
+}
+
+/// Returns whether an answer of which the caller has a part can be resumed: streams by the IDs of their events, where
+/// their service permits it, and all other answers by engines alone.
+fn is_resumable(t: &Tables, row: &RequestRow, at: usize) -> bool {
+    let service = &t.services.get(row.service).declared;
+    let permitted = if service.streamed {
+        service.resumable
+    } else {
+        t.endpoints.get(at).is_engine()
+    };
+    t.settings.mechanisms.resume && permitted && row.delivered_part != DeliveredPart::Unresumable
 }
--- a/crates/firdock-policy/src/system/unproven_end.rs
+++ b/crates/firdock-policy/src/system/unproven_end.rs
@@ -26,7 +26,7 @@
 const CLOSE_SPREAD: Duration = Duration::from_millis(50);
 
 /// Time before its deadline at which a request is asked for nowhere else, and its answer is passed on if nothing speaks
-/// against it: an answer that is there is not to be cut for want of a verdict.
+/// against it: an answer that is there is not to be cut for want of a verdict, unless its caller may ask for the rest.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(50);
 
 /// Number of other answers that have to end together with one that may run once, at an endpoint that had stopped
@@ -135,7 +135,7 @@
     let judged: Vec<(UnprovenEnd, EndVerdict)> = judged.collect();
     for (end, verdict) in judged {
         t.unproven_ends.remove(end.id);
-        let verdict = reserve_retry(t, &end, verdict);
+        let verdict = reserve_retry(t, now, &end, verdict);
         conclude(t, &end, verdict, out);
     }
 }
@@ -176,11 +176,11 @@
 }
 
 /// Spends the retry of an answer that is rejected without a sign. If the budget has none left, the end counts.
-fn reserve_retry(t: &mut Tables, end: &UnprovenEnd, verdict: EndVerdict) -> EndVerdict {
+fn reserve_retry(t: &mut Tables, now: Time, end: &UnprovenEnd, verdict: EndVerdict) -> EndVerdict {
     if verdict.accepted || verdict.evidence.is_sign() {
         return verdict;
     }
-    if !dispatch_updates::may_retry(t, end.id, end.dispatched_row) {
+    if !may_go_on(t, now, end) {
         return EndVerdict::accepted(verdict.evidence);
     }
     dispatch_updates::spend_retry(t, end.id);
@@ -201,9 +201,8 @@
 
 /// Returns the verdict on an end; `None` while more evidence may come.
 fn judge(t: &Tables, now: Time, end: &UnprovenEnd) -> Option<EndVerdict> {
-    let has_time = has_time_left(t, now, end.id);
-    let wait_expired = end.closed_at + MAX_WAIT <= now || !has_time;
-    let may_resume = has_time && dispatch_updates::may_retry(t, end.id, end.dispatched_row);
+    let wait_expired = end.closed_at + MAX_WAIT <= now || !has_time_left(t, now, end.id);
+    let may_resume = may_go_on(t, now, end);
     if serving_start(t, end).is_none() {
         return Some(EndVerdict::rejected(EndEvidence::Restarted));
     }
@@ -290,6 +289,13 @@
     end.closed_at <= returned + MAX_WAIT && t.requests.get(end.id).is_some_and(began_before)
 }
 
+/// Returns whether an answer that is rejected may go on: at another endpoint, or because its caller may ask for the rest.
+fn may_go_on(t: &Tables, now: Time, end: &UnprovenEnd) -> bool {
+    let (id, at) = (end.id, end.dispatched_row);
+    let may_retry = has_time_left(t, now, id) && dispatch_updates::may_retry(t, id, at);
+    may_retry || dispatch_updates::caller_may_resume(t, id, at)
+}
+
 /// Returns whether a request may still be sent elsewhere before its deadline.
 fn has_time_left(t: &Tables, now: Time, id: RequestId) -> bool {
     let deadline = t.requests.get(id).and_then(|row| row.deadline);
