Segments of prompts: a relayed stream speaks for them once it is under way, not only when it ends

Cause: the scheduler voids the exits that are held against a segment when an answer on it has been under way for 250 ms, or has ended. It heard of a relayed stream when its first event came and when it ended; a stream that went on, or broke later, never spoke for its prompt, so that three exits in a row held a sound segment. Streams that go on at plain endpoints end later and break where they begin more often, which made it show.

Change: the relay reports its progress once more, with the first event that comes 250 ms after the first one of a dispatch. One more event for each stream that is longer; evidence by bytes, not by time alone, as an endpoint that hangs shows nothing.

--- a/crates/firdock-node/src/endpoint/relay/stream.rs
+++ b/crates/firdock-node/src/endpoint/relay/stream.rs
@@ -1,7 +1,9 @@
 //! Relays event streams by complete events, and resumes them after the last event that the caller
 //! has received.
 
+use firdock_policy::Time;
 use firdock_policy::event::{BreakCause, DispatchUpdate};
+use firdock_policy::suspect::BEGIN_TIME;
 use hyper::header;
 
 use super::finish;
@@ -21,7 +23,29 @@
     event_tokens: u32,
     /// ID of the event after which this dispatch continues the stream, until its first event arrives.
     continues_after: Option<String>,
-    started: bool,
+    progress: Progress,
+}
+
+/// What the scheduler knows of a dispatch's events.
+///
+/// It is told of the first one, and once more when the answer has been under way for long enough to speak for its prompt
+/// (`docs/design/suspects.md`).
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    Nothing,
+    Begun(Time),
+    UnderWay,
+}
+
+impl Progress {
+    /// Returns what is to be reported when an event arrives, if anything.
+    fn after_event(self, now: Time) -> Option<Self> {
+        match self {
+            Self::Nothing => Some(Self::Begun(now)),
+            Self::Begun(began) => (began + BEGIN_TIME <= now).then_some(Self::UnderWay),
+            Self::UnderWay => None,
+        }
+    }
 }
 
 impl<'a> Stream<'a> {
@@ -42,7 +66,7 @@
             head: Some(head),
             event_tokens,
             continues_after: continues_after.filter(|_| payload.terms.repeatable),
-            started: false,
+            progress: Progress::Nothing,
         }
     }
 
@@ -100,8 +124,8 @@
         }
         self.record(events.count, events.last_id);
         self.run.forward(AnswerPart::Data(events.bytes)).await?;
-        if !self.started {
-            self.started = true;
+        if let Some(progress) = self.progress.after_event(self.run.clock.now()) {
+            self.progress = progress;
             let delivered = self.run.delivered().tokens;
             let cached = 0;
             self.run
--- a/crates/firdock-policy/src/suspect.rs
+++ b/crates/firdock-policy/src/suspect.rs
@@ -9,6 +9,10 @@
 
 use crate::time::Time;
 
+/// Time for which an answer has to be under way to show that its endpoint does not exit on the prompt: one that does exits as it
+/// begins to answer.
+pub const BEGIN_TIME: Duration = Duration::from_millis(250);
+
 /// An endpoint's exit while it ran a request, as reported between instances.
 ///
 /// Times are sent as ages, since each instance has its own clock.
--- a/crates/firdock-policy/src/system/suspect.rs
+++ b/crates/firdock-policy/src/system/suspect.rs
@@ -10,7 +10,7 @@
 use crate::action::Action;
 use crate::event::BreakCause;
 use crate::request::{EndpointFailure, NewRequest, Phase, RequestRow, Verdict};
-use crate::suspect::{BrokenRun, SuspectReport};
+use crate::suspect::{BEGIN_TIME, BrokenRun, SuspectReport};
 use crate::table::Tables;
 use crate::table::endpoint::EndpointRow;
 use crate::table::suspects::EXITS_TO_QUARANTINE;
@@ -20,9 +20,6 @@
 /// exit to count.
 const REPLACEMENT_WINDOW: Duration = Duration::from_secs(1);
 
-/// Time after the first token of an answer within which an exit of its endpoint may be due to it.
-const BEGIN_TIME: Duration = Duration::from_millis(250);
-
 /// Whether a request may be sent now, given what is known about its content and its segments.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Gate {
