Status, readiness and writes go by the configuration that the scheduler has taken over

Callers got 401 or 404 right after /v1/status told converged, a write was answered with its version, or /readyz turned 200: these went by what the thread of the log had read, while requests are admitted by what the scheduler has taken over, through a channel. The scheduler's version is published now (HubState::in_force); a write waits for it within its 5 s.

--- a/crates/firdock-node/src/config/hub.rs
+++ b/crates/firdock-node/src/config/hub.rs
@@ -37,8 +37,11 @@
     reason = "the flags are independent of each other"
 )]
 pub struct HubState {
-    /// State in force, built from the log.
+    /// Newest state, built from the log.
     pub state: Arc<State>,
+    /// Version of the configuration by which requests are admitted here. It follows that of `state`, since the
+    /// scheduler takes a configuration over later than it is read.
+    pub in_force: Version,
     /// Latest changes.
     pub changes: Changes,
     /// Time at which the log was last read to its end.
@@ -75,6 +78,23 @@
         self.results.drain(..extra);
     }
 
+    /// Returns the result of a record once it shows: a change only once it is in force here.
+    #[must_use]
+    pub fn settled(&self, id: RecordId) -> Option<FoldOutcome> {
+        let outcome = self.result(id)?;
+        match outcome {
+            FoldOutcome::Accepted { version } if self.in_force < version => None,
+            _ => Some(outcome),
+        }
+    }
+
+    /// Returns whether requests can be admitted: something was read, and the first configuration is in force.
+    #[must_use]
+    pub fn is_configured(&self) -> bool {
+        let has_configuration = self.state.version == 0 || self.in_force > 0;
+        self.state.next > 0 && has_configuration
+    }
+
     /// Stores the reported status of a peer.
     pub fn note_peer(&mut self, name: &str, status: PeerStatus) {
         if self.peers.len() < MAX_PEERS || self.peers.contains_key(name) {
--- a/crates/firdock-node/src/config/write.rs
+++ b/crates/firdock-node/src/config/write.rs
@@ -1,4 +1,5 @@
-//! Writing a change: it is appended to the log once, and accepted when this instance has read it back.
+//! Writing a change: it is appended to the log once, and accepted when this instance has read it back and its
+//! scheduler has taken it over.
 //!
 //! If the response to the append is lost, reading the log shows whether it took effect; the append is never
 //! repeated.
@@ -14,7 +15,7 @@
 use super::hub::Hub;
 use crate::platform::{LogClient, PlatformError};
 
-/// Maximum time to read the record back.
+/// Maximum time to read the record back and to put it in force here.
 const READ_BACK: Duration = Duration::from_secs(5);
 
 /// Error of writing a change, as far as this instance knows.
@@ -33,9 +34,9 @@
         /// Cause.
         source: PlatformError,
     },
-    /// The record was not read back in time: the change may come into force later.
+    /// The record was not read back, or not in force here, in time: the change may come into force later.
     #[snafu(display(
-        "record {id} was not read back in time; the change may still come into force"
+        "record {id} was not in force here in time; the change may still come into force"
     ))]
     Unsettled {
         /// Record.
@@ -69,7 +70,7 @@
         // Reading the log shows whether it took effect.
         Ok(_) | Err(_) => hub.wake(),
     }
-    match hub.wait_for(READ_BACK, |h| h.result(id)) {
+    match hub.wait_for(READ_BACK, |h| h.settled(id)) {
         Some(FoldOutcome::Accepted { version }) => Ok(version),
         Some(FoldOutcome::Outdated { present }) => OutdatedSnafu { present }.fail(),
         Some(FoldOutcome::ViewChanged | FoldOutcome::Ignored) => IgnoredSnafu.fail(),
--- a/crates/firdock-node/src/instance.rs
+++ b/crates/firdock-node/src/instance.rs
@@ -103,6 +103,7 @@
         let driver = components.driver(&inputs, self_status, drained);
         threads.push(spawn_driver(driver, waiting, rest_stops.clone())?);
         threads.extend(components.platform_threads(&inputs)?);
+        tokio::spawn(components.clone().publish_version(rest_stops.clone()));
         tokio::spawn(
             components
                 .clone()
--- a/crates/firdock-node/src/instance/components.rs
+++ b/crates/firdock-node/src/instance/components.rs
@@ -147,6 +147,20 @@
         Driver::new(Scheduler::new(settings), parts)
     }
 
+    /// Publishes each version that the scheduler takes over to the threads of the configuration, until `stop`
+    /// becomes true.
+    pub async fn publish_version(self, mut stop: watch::Receiver<bool>) {
+        let mut version = self.site.version();
+        loop {
+            let in_force = *version.borrow_and_update();
+            self.hub.update(|h| h.in_force = in_force);
+            tokio::select! {
+                _ = version.changed() => (),
+                _ = stop.wait_for(|s| *s) => return,
+            }
+        }
+    }
+
     /// Starts the threads that follow the log and the instance list.
     pub fn platform_threads(
         &self,
--- a/crates/firdock-node/src/operator/api.rs
+++ b/crates/firdock-node/src/operator/api.rs
@@ -158,11 +158,11 @@
         if hub.stopping {
             return reply::error(503, "stopping", "the instance is stopping");
         }
-        if hub.state.next == 0 {
+        if !hub.is_configured() {
             return reply::error(
                 503,
                 "no-configuration",
-                "neither log nor peers were read yet",
+                "no configuration from the log or a peer is in force yet",
             );
         }
         reply::text("ready\n")
--- a/crates/firdock-node/src/operator/status.rs
+++ b/crates/firdock-node/src/operator/status.rs
@@ -50,7 +50,7 @@
         let version = hub.state.version;
         let own = InstanceStatus {
             zone: zone.to_owned(),
-            version,
+            version: hub.in_force,
             draining: hub.stopping,
             heard_millis: 0,
         };
--- a/crates/firdock-node/src/site.rs
+++ b/crates/firdock-node/src/site.rs
@@ -8,8 +8,9 @@
 
 use firdock_core::credential::{self, KeyHash};
 use firdock_core::resource::{Account, Catalog, EndpointKind, Service, ServiceKind};
-use firdock_core::{AccountId, EndpointId};
+use firdock_core::{AccountId, EndpointId, Version};
 use firdock_policy::Time;
+use tokio::sync::watch;
 
 use crate::clock::millis;
 
@@ -219,6 +220,7 @@
     view: RwLock<Arc<SiteView>>,
     /// Time in milliseconds at which the configuration was last confirmed to be the newest; 0 for never.
     fresh_millis: AtomicU64,
+    version: watch::Sender<Version>,
 }
 
 impl Site {
@@ -230,6 +232,12 @@
             .map_or_else(|e| Arc::clone(&e.into_inner()), |v| Arc::clone(&v))
     }
 
+    /// Returns a channel with the version of the catalog in force; 0 before the first.
+    #[must_use]
+    pub fn version(&self) -> watch::Receiver<Version> {
+        self.version.subscribe()
+    }
+
     /// Records that the configuration was confirmed to be the newest at `at`.
     pub fn set_fresh(&self, at: Time) {
         self.fresh_millis.fetch_max(millis(at), Ordering::Relaxed);
@@ -259,6 +267,7 @@
             Ok(mut slot) => *slot = view,
             Err(e) => *e.into_inner() = view,
         }
+        self.version.send_replace(catalog.version);
         changed
     }
 }
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -8,6 +8,7 @@
 mod dead_peer;
 mod endpoint_changes;
 mod head_notice;
+mod in_force;
 mod large_site;
 mod log_limiter;
 mod partial_replies;
