Key transfers are acknowledged, and members are peers before the instance list is read

Callers got 502 key-uncertain after a planned restart, for keys that had never run: the instance that had started cut off the peers that transferred their keys to it, since it had not read the instance list yet, and they took the close of the connection for its acceptance and did not send the keys again. Its requests with keys of these owners were uncertain for as long as callers may resend.

A receiver acknowledges a transfer with a message now (KeysAccepted), so that one that is cut off is sent again, and until the list is read the members of the log are peers.

Two of the three tests of key_transfers fail with the code before in peer/keys.rs and peer/serve.rs, one of them since the sender reports success for keys that were not received; all pass now.

--- a/crates/firdock-node/src/config/hub.rs
+++ b/crates/firdock-node/src/config/hub.rs
@@ -48,8 +48,8 @@
     pub log_read: Option<Duration>,
     /// Whether records are missing and no snapshot was found yet.
     pub gap: bool,
-    /// Rows of the instance list.
-    pub listed: Vec<ListedRow>,
+    /// Rows of the instance list; `None` before it was first read.
+    pub listed: Option<Vec<ListedRow>>,
     /// Status of peers.
     pub peers: BTreeMap<InstanceId, PeerStatus>,
     /// Whether this instance is stopping.
@@ -105,7 +105,17 @@
     /// Finds an instance in the instance list by name.
     #[must_use]
     pub fn listed_row(&self, name: &str) -> Option<&ListedRow> {
-        self.listed.iter().find(|r| r.name == name)
+        self.listed.iter().flatten().find(|r| r.name == name)
+    }
+
+    /// Returns whether an instance is a peer. Until the instance list is read, the members of the log are: a
+    /// starting instance gets their keys and heartbeats at once.
+    #[must_use]
+    pub fn is_peer(&self, name: &str) -> bool {
+        if self.listed.is_some() {
+            return self.listed_row(name).is_some();
+        }
+        self.state.members.iter().any(|m| m.name == name)
     }
 }
 
--- a/crates/firdock-node/src/config/list.rs
+++ b/crates/firdock-node/src/config/list.rs
@@ -33,7 +33,7 @@
                 backoff.reset();
                 rows.truncate(MAX_ROWS);
                 let event = Event::Listed(rows.iter().map(listed).collect());
-                hub.update(|h| h.listed = rows);
+                hub.update(|h| h.listed = Some(rows));
                 if inputs.blocking_send(Input::Event(event)).is_err() {
                     return;
                 }
--- a/crates/firdock-node/src/lib.rs
+++ b/crates/firdock-node/src/lib.rs
@@ -28,7 +28,9 @@
 pub mod telemetry;
 
 pub use edge::{EdgeInstance, RunningEdge};
-pub use exchange::{AnswerHead, AnswerPart, BodyReservation, CallTerms, Payload};
+pub use exchange::{
+    AnswerBudget, AnswerHead, AnswerPart, BodyBudget, BodyReservation, CallTerms, Payload,
+};
 pub use input::Input;
 pub use instance::{Instance, Running, StartError};
 pub use site::{AccessRequest, Admission, Denial, EndpointLocation, RouteQuery, Site, SiteView};
--- a/crates/firdock-node/src/peer/dial.rs
+++ b/crates/firdock-node/src/peer/dial.rs
@@ -66,7 +66,11 @@
     #[must_use]
     pub fn peers(&self) -> Vec<(InstanceId, SocketAddr)> {
         let hub = self.hub.lock();
-        let others = hub.listed.iter().filter(|r| r.name != self.own_name);
+        let others = hub
+            .listed
+            .iter()
+            .flatten()
+            .filter(|r| r.name != self.own_name);
         others
             .filter_map(|r| Some((r.name.clone(), r.peers?)))
             .collect()
--- a/crates/firdock-node/src/peer/keys.rs
+++ b/crates/firdock-node/src/peer/keys.rs
@@ -6,6 +6,7 @@
 use firdock_policy::event::{KeyTransfer, KnownTransfer};
 use firdock_wire::Body;
 use firdock_wire::message;
+use tokio::time::timeout;
 use uuid::Uuid;
 
 use super::dial::Dialer;
@@ -17,6 +18,9 @@
 /// Minimum and maximum delay between attempts.
 const RETRY_DELAYS: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
 
+/// Time for the receiver to accept the keys.
+const ACCEPT_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Transfers keys to a member and returns whether it accepted them.
 pub async fn transfer_keys(dialer: Dialer, peer: InstanceId, transfer: KeyTransfer) -> bool {
     let mut backoff = Backoff::new(RETRY_DELAYS.0, RETRY_DELAYS.1);
@@ -34,12 +38,9 @@
     link.send(Body::KeyTransfer(write_transfer(transfer)))
         .await
         .ok()?;
-    // The receiver closes the connection once it has accepted the keys.
-    link.receive()
-        .await
-        .ok()
-        .filter(Option::is_none)
-        .map(|_| ())
+    // A close alone accepts nothing: a receiver that cuts the sender off closes the connection too.
+    let reply = timeout(ACCEPT_TIMEOUT, link.receive()).await.ok()?;
+    matches!(reply, Ok(Some(Body::KeysAccepted(_)))).then_some(())
 }
 
 fn write_transfer(transfer: &KeyTransfer) -> message::KeyTransfer {
--- a/crates/firdock-node/src/peer/link.rs
+++ b/crates/firdock-node/src/peer/link.rs
@@ -91,9 +91,9 @@
         stream: TcpStream,
         own_name: &str,
         key: &[u8],
-        is_listed: impl Fn(&str) -> bool,
+        is_peer: impl Fn(&str) -> bool,
     ) -> Result<Self, LinkError> {
-        let accepting = handshake_as_acceptor(stream, own_name, key, is_listed);
+        let accepting = handshake_as_acceptor(stream, own_name, key, is_peer);
         timeout(HANDSHAKE_TIME, accepting)
             .await
             .unwrap_or_else(|_| TimedOutSnafu.fail())
@@ -208,7 +208,7 @@
     stream: TcpStream,
     own_name: &str,
     key: &[u8],
-    is_listed: impl Fn(&str) -> bool,
+    is_peer: impl Fn(&str) -> bool,
 ) -> Result<Link, LinkError> {
     let _ = stream.set_nodelay(true);
     let mut framed = Framed::new(stream, FrameCodec::new(MAX_HANDSHAKE_FRAME_BYTES));
@@ -251,7 +251,7 @@
         }
         .fail();
     }
-    if !is_listed(&hello.instance) {
+    if !is_peer(&hello.instance) {
         return RejectedSnafu {
             reason: "not in the instance list",
         }
--- a/crates/firdock-node/src/peer/serve.rs
+++ b/crates/firdock-node/src/peer/serve.rs
@@ -123,13 +123,13 @@
     }
 
     async fn serve_connection(&self, stream: TcpStream) -> Result<(), LinkError> {
-        let is_listed = |name: &str| self.dialer.hub().lock().listed_row(name).is_some();
+        let is_peer = |name: &str| self.dialer.hub().lock().is_peer(name);
         let mut link =
-            Link::accept(stream, self.dialer.own_name(), self.dialer.key(), is_listed).await?;
+            Link::accept(stream, self.dialer.own_name(), self.dialer.key(), is_peer).await?;
         match receive_in_time(&mut link).await? {
             Some(Body::Heartbeat(heartbeat)) => self.receive_heartbeats(link, heartbeat).await,
             Some(Body::HandOver(order)) => self.serve_hand_over(link, order).await,
-            Some(Body::KeyTransfer(transfer)) => self.accept_transfer(transfer).await,
+            Some(Body::KeyTransfer(transfer)) => self.accept_transfer(link, transfer).await,
             Some(Body::StateRequest(_)) => {
                 let state = Arc::clone(&self.dialer.hub().lock().state);
                 send_state(&mut link, &state).await
@@ -141,18 +141,24 @@
         }
     }
 
-    /// Accepts keys that a member transfers. Closing the connection acknowledges them.
-    async fn accept_transfer(&self, transfer: message::KeyTransfer) -> Result<(), LinkError> {
+    /// Accepts keys that a member transfers, and acknowledges them.
+    async fn accept_transfer(
+        &self,
+        mut link: Link,
+        transfer: message::KeyTransfer,
+    ) -> Result<(), LinkError> {
         let Some(transfer) = read_transfer(transfer) else {
             return Err(LinkError::Rejected {
                 reason: "malformed transfer",
             });
         };
-        let _ = self
-            .inputs
-            .send(Input::Event(Event::KeyTransfer(transfer)))
-            .await;
-        Ok(())
+        let event = Input::Event(Event::KeyTransfer(transfer));
+        if self.inputs.send(event).await.is_err() {
+            // The instance stops, so nothing holds the keys here.
+            return Ok(());
+        }
+        link.send(Body::KeysAccepted(message::KeysAccepted {}))
+            .await
     }
 
     /// Receives heartbeats until the connection fails.
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -9,6 +9,7 @@
 mod endpoint_changes;
 mod head_notice;
 mod in_force;
+mod key_transfers;
 mod large_site;
 mod log_limiter;
 mod partial_replies;
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -4,7 +4,7 @@
 pub struct Frame {
     #[prost(
         oneof = "frame::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 16, 17, 18, 19, 20"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 16, 17, 18, 19, 20, 21"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -50,6 +50,8 @@
         TunnelData(super::TunnelData),
         #[prost(message, tag = "20")]
         TunnelEnd(super::TunnelEnd),
+        #[prost(message, tag = "21")]
+        KeysAccepted(super::KeysAccepted),
     }
 }
 /// First message of the instance that connects.
@@ -875,6 +877,9 @@
     #[prost(message, repeated, tag = "4")]
     pub known: ::prost::alloc::vec::Vec<KnownTransfer>,
 }
+/// Acknowledges a key transfer: the receiver's scheduler gets its keys.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct KeysAccepted {}
 /// Records that a member transferred its keys to another.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct KnownTransfer {
