--- a/tests/testsuite/helper.rs
+++ b/tests/testsuite/helper.rs
@@ -23,6 +23,8 @@
 
 /// Time limit for any condition that a test waits for.
 pub const WAIT_LIMIT: Duration = Duration::from_secs(20);
+/// Number of an instance's last log lines that are printed when a test fails.
+const LOG_LINES: usize = 200;
 /// Bearer key of the account `shop`.
 pub const SHOP: &str = "shop-key";
 /// Bearer key of the account `hall`.
@@ -139,6 +141,18 @@
             .unwrap_or(0.0)
     }
 
+    /// Prints the end of the log, as files of a run are overwritten by later ones.
+    fn print_log(&self) {
+        let text = std::fs::read_to_string(&self.output).unwrap_or_else(|e| e.to_string());
+        let lines: Vec<&str> = text.lines().collect();
+        let start = lines.len().saturating_sub(LOG_LINES);
+        let output = self.output.display();
+        eprintln!("log of {}, from line {} of {output}:", self.name, start + 1);
+        for line in &lines[start..] {
+            eprintln!("{line}");
+        }
+    }
+
     pub fn logged(&self) -> String {
         std::fs::read_to_string(&self.output).expect("the log file can be read")
     }
@@ -147,6 +161,9 @@
 impl Drop for InstanceProcess {
     fn drop(&mut self) {
         self.kill();
+        if std::thread::panicking() {
+            self.print_log();
+        }
     }
 }
 
