Log: an append of a change without an answer, and the causes of failed reads

An operator who was told 504 unsettled found nothing in the log on whether the append had failed: its error was dropped. Failed calls to the platform's log said only that it did not answer, not why.

--- a/crates/firdock-node/src/config/follow.rs
+++ b/crates/firdock-node/src/config/follow.rs
@@ -8,6 +8,7 @@
 use firdock_policy::event::{LogReading, Member, MemberView};
 use firdock_state::{Follower, Progress, State};
 use slog::{Logger, info, warn};
+use snafu::Report;
 use tokio::sync::mpsc;
 use uuid::Uuid;
 
@@ -109,7 +110,8 @@
                 )
             }
             Err(e) => {
-                warn!(self.parts.log, "failed to read the log"; "error" => e.to_string());
+                let error = Report::from_error(e).to_string();
+                warn!(self.parts.log, "failed to read the log"; "error" => error);
                 if self.follower.state().next == 0 {
                     self.adopt_peer_state();
                 }
@@ -204,7 +206,9 @@
         };
         match self.parts.log_client.append(&text) {
             Ok(_) => self.parts.hub.wake(),
-            Err(e) => warn!(self.parts.log, "failed to append a record"; "error" => e.to_string()),
+            Err(e) => {
+                warn!(self.parts.log, "failed to append a record"; "error" => Report::from_error(e).to_string())
+            }
         }
     }
 
--- a/crates/firdock-node/src/config/write.rs
+++ b/crates/firdock-node/src/config/write.rs
@@ -9,7 +9,8 @@
 
 use firdock_core::Version;
 use firdock_state::{Body, Change, FoldOutcome, Record};
-use snafu::{ResultExt as _, Snafu};
+use slog::{Logger, warn};
+use snafu::{Report, ResultExt as _, Snafu};
 use uuid::Uuid;
 
 use super::hub::Hub;
@@ -58,18 +59,26 @@
 /// # Errors
 ///
 /// The error says whether the change may still come into force.
-pub fn write<L: LogClient>(log: &L, hub: &Arc<Hub>, change: Change) -> Result<Version, WriteError> {
+pub fn write<L: LogClient>(
+    log_client: &L,
+    hub: &Arc<Hub>,
+    log: &Logger,
+    change: Change,
+) -> Result<Version, WriteError> {
     let id = Uuid::now_v7();
     let record = Record {
         id,
         body: Body::Change(change),
     };
     let text = serde_json::to_string(&record).context(EncodeSnafu)?;
-    match log.append(&text) {
+    match log_client.append(&text) {
+        Ok(_) => (),
         Err(e @ PlatformError::Refused { .. }) => return Err(e).context(RefusedSnafu),
         // Reading the log shows whether it took effect.
-        Ok(_) | Err(_) => hub.wake(),
+        Err(e) => warn!(log, "append of a change not answered"; "record" => id.to_string(),
+            "error" => Report::from_error(e).to_string()),
     }
+    hub.wake();
     match hub.wait_for(READ_BACK, |h| h.settled(id)) {
         Some(FoldOutcome::Accepted { version }) => Ok(version),
         Some(FoldOutcome::Outdated { present }) => OutdatedSnafu { present }.fail(),
--- a/crates/firdock-node/src/operator/api.rs
+++ b/crates/firdock-node/src/operator/api.rs
@@ -118,7 +118,7 @@
             ("POST", ["v1", "suspects", content, "release"]) => self.release(content),
             ("GET", ["v1", "watch"]) => self.watch(call),
             ("POST", ["v1", "apply"]) => match call.text() {
-                Ok(text) => apply::apply(&self.log_client, &self.hub, text),
+                Ok(text) => apply::apply(&self.log_client, &self.hub, &self.log, text),
                 Err(e) => e.answer(),
             },
             ("GET", ["v1", "resources"]) => reply::ok(&list(&self.state(), None)),
@@ -225,7 +225,7 @@
             base,
             resource: Some(resource),
         };
-        reply::written(write(&self.log_client, &self.hub, change))
+        reply::written(write(&self.log_client, &self.hub, &self.log, change))
     }
 
     fn delete(&self, call: &Call, key: ResourceKey) -> Response {
@@ -240,7 +240,7 @@
             base,
             resource: None,
         };
-        reply::written(write(&self.log_client, &self.hub, change))
+        reply::written(write(&self.log_client, &self.hub, &self.log, change))
     }
 }
 
--- a/crates/firdock-node/src/operator/apply.rs
+++ b/crates/firdock-node/src/operator/apply.rs
@@ -6,6 +6,7 @@
 use firdock_core::resource::{Resource, ResourceKey, parse_resources};
 use firdock_state::{Change, State};
 use serde::{Deserialize, Serialize};
+use slog::Logger;
 
 use super::reply::{self, Response};
 use crate::config::{Hub, write};
@@ -23,7 +24,7 @@
 }
 
 /// Applies the text of a resource file.
-pub fn apply<L: LogClient>(log: &L, hub: &Arc<Hub>, text: &str) -> Response {
+pub fn apply<L: LogClient>(log_client: &L, hub: &Arc<Hub>, log: &Logger, text: &str) -> Response {
     let state = Arc::clone(&hub.lock().state);
     let resources = match check(&state, text) {
         Ok(resources) => resources,
@@ -43,7 +44,7 @@
             base,
             resource: Some(resource),
         };
-        match write(log, hub, change) {
+        match write(log_client, hub, log, change) {
             Ok(version) => applied.push(result(&key, version, true)),
             Err(e) => return reply::write_error(&e),
         }
--- a/crates/firdock-node/tests/node/in_force.rs
+++ b/crates/firdock-node/tests/node/in_force.rs
@@ -79,13 +79,13 @@
 fn a_write_succeeds_only_once_the_scheduler_has_taken_it_over() {
     let hub = Arc::new(Hub::default());
     let log = ReadBackLog(Arc::clone(&hub));
-    let early = write(&log, &hub, change());
+    let early = write(&log, &hub, &discard_logger(), change());
     assert!(
         matches!(early, Err(WriteError::Unsettled { .. })),
         "{early:?}"
     );
     hub.update(|h| h.in_force = VERSION);
-    let settled = write(&log, &hub, change());
+    let settled = write(&log, &hub, &discard_logger(), change());
     assert_eq!(settled.expect("a version"), VERSION);
 }
 
