Tests: states that tests wait for last until the test goes on

Seven waits for engines at work ("running", "held", "not ready") looked each 50 ms for a state that passed by itself after one to two seconds, since the answers went on. The engines are slowed now until the state was seen, so that no busy machine can miss it: an answer of 200 tokens takes 25 s of them, more than a wait lasts. The checks are the same; new ones say that the kill interrupts answers, that the leaving engine still runs what it ran, and that later streams were placed at the other one.

--- a/tests/testsuite/helper.rs
+++ b/tests/testsuite/helper.rs
@@ -23,6 +23,9 @@
 
 /// Time limit for any condition that a test waits for.
 pub const WAIT_LIMIT: Duration = Duration::from_secs(20);
+/// Factor by which slowed engines generate more slowly: an answer of 200 tokens takes more than [`WAIT_LIMIT`], while a
+/// token comes several times within the shortest silence after which a test's instances give up an engine.
+const SLOWDOWN: f64 = 25.0;
 /// Number of an instance's last log lines that are printed when a test fails.
 const LOG_LINES: usize = 200;
 /// Bearer key of the account `shop`.
@@ -277,6 +280,22 @@
         }
     }
 
+    /// Slows all engines, so that long answers run on until [`Self::hurry_engines`] however busy the machine is.
+    pub fn slow_engines(&self) {
+        self.set_slowdown(SLOWDOWN);
+    }
+
+    /// Ends what [`Self::slow_engines`] began.
+    pub fn hurry_engines(&self) {
+        self.set_slowdown(1.0);
+    }
+
+    fn set_slowdown(&self, factor: f64) {
+        for engine in &self.engines {
+            engine.faults.change(|f| f.slowdown = factor);
+        }
+    }
+
     pub async fn apply(&self, text: &str) -> (u16, Value) {
         http(Method::POST, self.instances[0].operators, "/v1/apply", text).await
     }
--- a/tests/testsuite/limits.rs
+++ b/tests/testsuite/limits.rs
@@ -58,6 +58,7 @@
         ..Spec::new(41)
     };
     let site = Site::start(spec).await;
+    site.slow_engines();
     let drafts: Vec<_> = (0..8)
         .map(|i| Call::model(SHOP, "draft", &format!("d{i}"), 200))
         .collect();
@@ -72,7 +73,15 @@
         })
         .await;
         tokio::time::sleep(Duration::from_millis(300)).await;
-        futures_util::future::join_all(guides.iter().map(|c| site.call(0, c))).await
+        let calls = futures_util::future::join_all(guides.iter().map(|c| site.call(0, c)));
+        let handed_over = async {
+            site.wait("handed over", async |s| {
+                s.instances[0].metric("firdock_handed_over_total").await >= 1.0
+            })
+            .await;
+            site.hurry_engines();
+        };
+        tokio::join!(calls, handed_over).0
     };
     let (low, high) = tokio::join!(low, high);
     assert!(high.iter().all(Got::answered), "{high:?}");
--- a/tests/testsuite/planned_stop.rs
+++ b/tests/testsuite/planned_stop.rs
@@ -13,6 +13,7 @@
         ..Spec::new(3)
     })
     .await;
+    site.slow_engines();
     let calls: Vec<Call> = (0..8)
         .map(|i| Call::model(SHOP, "draft", &format!("dossier {i}"), 300))
         .collect();
@@ -30,6 +31,7 @@
         s.instances[0].get("/readyz").await.0 == 503
     })
     .await;
+    site.hurry_engines();
     for stream in streams {
         let got = stream.await.expect("a caller ends");
         assert!(got.answered(), "{got:?}");
@@ -41,12 +43,15 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_frozen_instance_goes_on_where_it_was() {
     let site = Site::start(Spec::new(4)).await;
+    site.slow_engines();
     let address = site.instances[0].callers;
     let call = Call::model(SHOP, "draft", "a long one", 200);
     let stream = tokio::spawn(async move { client::call(address, &call).await });
     site.wait("running", async |s| s.engines[0].busy() == 1)
         .await;
     site.instances[0].signal("STOP");
+    // The rest of the answer is generated while nobody reads it.
+    site.hurry_engines();
     tokio::time::sleep(Duration::from_secs(1)).await;
     site.instances[0].signal("CONT");
     let got = stream.await.expect("the caller ends");
@@ -118,6 +123,7 @@
         ..Spec::new(6)
     })
     .await;
+    site.slow_engines();
     let address = site.instances[0].callers;
     let stream = |n: usize| {
         let call = Call::model(SHOP, "draft", &format!("dossier {n}"), 400);
@@ -130,6 +136,10 @@
     tokio::time::sleep(Duration::from_secs(1)).await;
     let before = site.engines[0].runs().by_request.len();
     let later: Vec<_> = (4..6).map(stream).collect();
+    site.wait("placed", async |s| s.engines[1].busy() == 4)
+        .await;
+    assert_eq!(site.engines[0].busy(), 2, "it still runs what it ran");
+    site.hurry_engines();
     for call in running.into_iter().chain(later) {
         let got = call.await.expect("a caller ends");
         assert!(got.answered(), "{got:?}");
--- a/tests/testsuite/whole_answer.rs
+++ b/tests/testsuite/whole_answer.rs
@@ -29,6 +29,7 @@
         ..Spec::new(21)
     })
     .await;
+    site.slow_engines();
     let address = site.instances[0].callers;
     let calls: Vec<_> = (0..6)
         .map(|i| {
@@ -40,8 +41,11 @@
         .collect();
     site.wait("running", async |s| s.engines.iter().all(|e| e.busy() >= 2))
         .await;
-    tokio::time::sleep(Duration::from_millis(200)).await;
+    // Some tokens of each answer are sent.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(site.engines[0].busy() >= 2, "the kill interrupts answers");
     site.engines[0].kill();
+    site.hurry_engines();
     for call in calls {
         let got = call.await.expect("a caller ends");
         assert!(got.answered(), "{got:?}");
@@ -58,6 +62,7 @@
         ..Spec::new(22)
     })
     .await;
+    site.slow_engines();
     let address = site.instances[0].callers;
     let call = Call::model(SHOP, "draft", "dossier", 200);
     let stream = tokio::spawn(async move { client::call(address, &call).await });
@@ -70,6 +75,7 @@
         .find(|e| e.busy() == 1)
         .expect("one engine works on it");
     busy.faults.change(|f| f.silent = true);
+    site.hurry_engines();
     let got = stream.await.expect("the caller ends");
     assert!(got.answered(), "{got:?}");
 }
@@ -179,7 +185,7 @@
     let call = Call::model(SHOP, "guide", "the same question", 30);
     let calls = (0..12).map(|_| site.call(0, &call));
     let got = futures_util::future::join_all(calls).await;
-    assert!(got.iter().all(client::Got::answered));
+    assert!(got.iter().all(client::Got::answered), "{got:?}");
     let ids: std::collections::BTreeSet<_> = got
         .iter()
         .filter_map(|g| g.headers["x-request-id"].to_str().ok())
