Writes: the log is read again while a writer waits, also after failed reads

An operator was told 504 unsettled although the log had the change and could be read: after failed reads the thread of the log paused for up to 5 s, which is as long as a writer waits, and the writer asked for one read only. It asks each 250 ms now, for the same 5 s.

read_back: the write is unsettled on the code before in three runs of three, and read back in three of three now.

--- a/crates/firdock-node/src/config/write.rs
+++ b/crates/firdock-node/src/config/write.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use firdock_core::Version;
-use firdock_state::{Body, Change, FoldOutcome, Record};
+use firdock_state::{Body, Change, FoldOutcome, Record, RecordId};
 use slog::{Logger, warn};
 use snafu::{Report, ResultExt as _, Snafu};
 use uuid::Uuid;
@@ -16,8 +16,10 @@
 use super::hub::Hub;
 use crate::platform::{LogClient, PlatformError};
 
-/// Maximum time to read the record back and to put it in force here.
-const READ_BACK: Duration = Duration::from_secs(5);
+/// Interval of the reads for which a writer asks while it waits for its record.
+const READ_INTERVAL: Duration = Duration::from_millis(250);
+/// Number of these reads: the record has to be read back and in force here within 5 s.
+const MAX_READS: u32 = 20;
 
 /// Error of writing a change, as far as this instance knows.
 #[derive(Debug, Snafu)]
@@ -78,11 +80,19 @@
         Err(e) => warn!(log, "append of a change not answered"; "record" => id.to_string(),
             "error" => Report::from_error(e).to_string()),
     }
-    hub.wake();
-    match hub.wait_for(READ_BACK, |h| h.settled(id)) {
+    match read_back(hub, id) {
         Some(FoldOutcome::Accepted { version }) => Ok(version),
         Some(FoldOutcome::Outdated { present }) => OutdatedSnafu { present }.fail(),
         Some(FoldOutcome::ViewChanged | FoldOutcome::Ignored) => IgnoredSnafu.fail(),
         None => UnsettledSnafu { id }.fail(),
     }
 }
+
+/// Waits for the result of a record, and asks for reads meanwhile: after failed reads the thread of the log pauses for as
+/// long as a writer waits.
+fn read_back(hub: &Hub, id: RecordId) -> Option<FoldOutcome> {
+    (0..MAX_READS).find_map(|_| {
+        hub.wake();
+        hub.wait_for(READ_INTERVAL, |h| h.settled(id))
+    })
+}
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod permits;
 mod placement;
+mod read_back;
 mod shared_reads;
 mod streams;
 mod suspects;
