--- a/crates/firdock-node/src/config/follow.rs
+++ b/crates/firdock-node/src/config/follow.rs
@@ -207,7 +207,8 @@
         match self.parts.log_client.append(&text) {
             Ok(_) => self.parts.hub.wake(),
             Err(e) => {
-                warn!(self.parts.log, "failed to append a record"; "error" => Report::from_error(e).to_string())
+                let error = Report::from_error(e).to_string();
+                warn!(self.parts.log, "failed to append a record"; "error" => error);
             }
         }
     }
