--- a/crates/firdock-core/tests/core/settings.rs
+++ b/crates/firdock-core/tests/core/settings.rs
@@ -40,6 +40,24 @@
     assert_eq!(found.as_slice()[0].path, "limits.shares_over_tiers");
 }
 
+/// A budget in which the largest body does not fit beside held ones would shed it whenever it comes.
+#[test]
+fn a_budget_for_bodies_below_two_of_the_largest_is_refused_with_its_place() {
+    let with = |held_bytes: usize| {
+        let lines = format!("max_held = 500\nbody_bytes = 1000\nheld_bytes = {held_bytes}");
+        Settings::parse(&GOOD.replace("max_held = 500", &lines))
+    };
+    assert_eq!(with(2_000).expect("no findings").limits.held_bytes, 2_000);
+    let found = with(1_999).expect_err("a finding");
+    let line = GOOD.lines().position(|line| line == "max_held = 500");
+    let [finding] = found.as_slice() else {
+        panic!("{found}");
+    };
+    assert_eq!(finding.path, "limits.held_bytes");
+    assert_eq!(finding.message, "at least twice limits.body_bytes");
+    assert_eq!(finding.line, line.map(|n| n + 3), "{found}");
+}
+
 #[test]
 fn an_empty_file_lacks_required_fields() {
     let found = Settings::parse("").expect_err("findings");
