Log: a refusal for lack of room names the account and the bytes

The line 'call refused' of a body for which there was no room said neither whose it was nor how large, so that operators could not find the account that uses the room up. It has account and body_bytes, the memory that the body asked for.

--- a/crates/firdock-node/src/exchange.rs
+++ b/crates/firdock-node/src/exchange.rs
@@ -14,7 +14,7 @@
 use hyper::{HeaderMap, Method, StatusCode};
 
 pub(crate) use self::bodies::BufferedBytes;
-pub use self::bodies::{BodyBudget, BodyRefusal, BodyReservation};
+pub use self::bodies::{BodyBudget, BodyRefusal, BodyReservation, RefusalCause};
 pub use self::budget::AnswerBudget;
 use self::queue::answer_queue;
 pub use self::queue::{AnswerReceiver, AnswerSender, SendResult};
--- a/crates/firdock-node/src/exchange/bodies.rs
+++ b/crates/firdock-node/src/exchange/bodies.rs
@@ -1,7 +1,7 @@
 //! The instance's budget of bytes for bodies of requests, from their first byte until the request ends.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -15,7 +15,7 @@
 
 /// Why a body is not read, or not read on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum BodyRefusal {
+pub enum RefusalCause {
     /// It would not fit if there were no others.
     Large,
     /// There was no room in time.
@@ -24,7 +24,7 @@
     Cut,
 }
 
-impl BodyRefusal {
+impl RefusalCause {
     fn as_str(self) -> &'static str {
         match self {
             Self::Large => "large",
@@ -34,6 +34,15 @@
     }
 }
 
+/// A body that is not read, or not read on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BodyRefusal {
+    /// Why.
+    pub cause: RefusalCause,
+    /// Memory that it asked for, with what it had, in bytes.
+    pub bytes: usize,
+}
+
 /// Budget for bodies of all callers; if it is disabled, everything fits.
 #[derive(Debug, Clone, Default)]
 pub struct BodyBudget(Option<Arc<BudgetInner>>);
@@ -123,7 +132,7 @@
             reserved.signal.changed.notified().await;
         }
         match reserved.signal.get() {
-            Decision::Refused => Err(inner.refuse(BodyRefusal::Room)),
+            Decision::Refused => Err(inner.refuse(RefusalCause::Room, bytes)),
             _ => Ok(BodyReservation(Some(reserved))),
         }
     }
@@ -138,7 +147,12 @@
         let (id, signal) = state.next_body();
         state.buffers.hold(id, account.clone(), bytes);
         let inner = Arc::clone(inner);
-        BodyReservation(Some(Reserved { inner, id, signal }))
+        BodyReservation(Some(Reserved {
+            inner,
+            id,
+            signal,
+            bytes: AtomicUsize::new(bytes),
+        }))
     }
 
     /// Counts bytes that a connection buffers, until the result is dropped.
@@ -182,19 +196,24 @@
         let until = deadline.map_or(longest, |by| by.min(longest));
         let mut state = self.lock();
         if bytes > state.buffers.max_body() {
-            return Err(self.refuse(BodyRefusal::Large));
+            return Err(self.refuse(RefusalCause::Large, bytes));
         }
         let (id, signal) = state.next_body();
         let changes = state.buffers.open(now, id, account.clone(), bytes, until);
         state.notify(&changes);
         drop(state);
         let inner = Arc::clone(self);
-        Ok(Reserved { inner, id, signal })
+        Ok(Reserved {
+            inner,
+            id,
+            signal,
+            bytes: AtomicUsize::new(bytes),
+        })
     }
 
-    fn refuse(&self, refusal: BodyRefusal) -> BodyRefusal {
-        self.metrics.count_refused(refusal.as_str());
-        refusal
+    fn refuse(&self, cause: RefusalCause, bytes: usize) -> BodyRefusal {
+        self.metrics.count_refused(cause.as_str());
+        BodyRefusal { cause, bytes }
     }
 }
 
@@ -242,6 +261,18 @@
     inner: Arc<BudgetInner>,
     id: BodyId,
     signal: Arc<Signal>,
+    /// Memory that was reserved.
+    bytes: AtomicUsize,
+}
+
+impl Reserved {
+    fn bytes(&self) -> usize {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    fn refuse_cut(&self) -> BodyRefusal {
+        self.inner.refuse(RefusalCause::Cut, self.bytes())
+    }
 }
 
 impl Drop for Reserved {
@@ -267,10 +298,12 @@
         let Some(reserved) = &self.0 else {
             return Ok(());
         };
-        if reserved.inner.lock().buffers.grow(reserved.id, bytes) {
-            return Ok(());
+        let total = reserved.bytes() + bytes;
+        if !reserved.inner.lock().buffers.grow(reserved.id, bytes) {
+            return Err(reserved.inner.refuse(RefusalCause::Room, total));
         }
-        Err(reserved.inner.refuse(BodyRefusal::Room))
+        reserved.bytes.store(total, Ordering::Relaxed);
+        Ok(())
     }
 
     /// Waits until the body is cut, which may never happen.
@@ -281,7 +314,7 @@
         while reserved.signal.get() != Decision::Cut {
             reserved.signal.changed.notified().await;
         }
-        reserved.inner.refuse(BodyRefusal::Cut)
+        reserved.refuse_cut()
     }
 
     /// Records that the body was read, and that its request takes `bytes` from now on.
@@ -295,7 +328,7 @@
         };
         let mut state = reserved.inner.lock();
         if reserved.signal.get() == Decision::Cut {
-            return Err(reserved.inner.refuse(BodyRefusal::Cut));
+            return Err(reserved.refuse_cut());
         }
         let now = reserved.inner.clock.now();
         let changes = state.buffers.settle(now, reserved.id, bytes);
--- a/crates/firdock-node/src/ingress/answer.rs
+++ b/crates/firdock-node/src/ingress/answer.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use firdock_core::{Outcome, Reason};
+use firdock_core::{AccountId, Outcome, Reason};
 use firdock_policy::Verdict;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Response, StatusCode};
@@ -32,6 +32,16 @@
     detail: String,
     retry_after: Option<Duration>,
     time_left: Option<Duration>,
+    body: Option<RefusedBody>,
+}
+
+/// A body for which there was no room, for the logs.
+#[derive(Debug, Clone)]
+pub(super) struct RefusedBody {
+    /// Account that sent it.
+    pub account: AccountId,
+    /// Memory that it asked for, in bytes.
+    pub bytes: usize,
 }
 
 impl Problem {
@@ -45,6 +55,7 @@
             detail: detail.into(),
             retry_after: None,
             time_left: None,
+            body: None,
         }
     }
 
@@ -62,6 +73,20 @@
         self
     }
 
+    /// Sets the body for which there was no room: the memory that it asked for, and by whom.
+    #[must_use]
+    pub(super) fn with_body(mut self, account: &AccountId, bytes: usize) -> Self {
+        let account = account.clone();
+        self.body = Some(RefusedBody { account, bytes });
+        self
+    }
+
+    /// Returns the body for which there was no room.
+    #[must_use]
+    pub(super) fn body(&self) -> Option<&RefusedBody> {
+        self.body.as_ref()
+    }
+
     /// Returns the status.
     #[must_use]
     pub fn status(&self) -> StatusCode {
@@ -119,6 +144,7 @@
             detail: detail.to_owned(),
             retry_after: verdict.retry_after,
             time_left: None,
+            body: None,
         }
     }
 
--- a/crates/firdock-node/src/ingress/handler.rs
+++ b/crates/firdock-node/src/ingress/handler.rs
@@ -202,6 +202,8 @@
             "status" => problem.status().as_u16(),
             "detail" => problem.detail(),
             "config_age_millis" => age,
+            "account" => problem.body().map(|b| &b.account),
+            "body_bytes" => problem.body().map(|b| b.bytes),
         );
     }
 
--- a/crates/firdock-node/src/ingress/reading.rs
+++ b/crates/firdock-node/src/ingress/reading.rs
@@ -14,7 +14,7 @@
 
 use super::answer::Problem;
 use super::request::memory_bytes;
-use crate::exchange::{BodyBudget, BodyRefusal, BodyReservation, BufferedBytes};
+use crate::exchange::{BodyBudget, BodyRefusal, BodyReservation, BufferedBytes, RefusalCause};
 
 /// Memory that is reserved at first for a body of unknown length, in bytes.
 const FIRST_BYTES: usize = 16 << 10;
@@ -107,7 +107,7 @@
             return Ok(self.budget.hold(owner.account, bytes));
         }
         let reserving = self.budget.reserve(owner.account, bytes, owner.deadline);
-        reserving.await.map_err(no_room)
+        reserving.await.map_err(|r| no_room(owner, r))
     }
 
     async fn collect(
@@ -118,13 +118,13 @@
         let max_time = self.max_time;
         let bytes = tokio::select! {
             biased;
-            refusal = reservation.cut() => return Err(no_room(refusal)),
+            refusal = reservation.cut() => return Err(no_room(owner, refusal)),
             read = timeout(max_time, self.read_frames(owner, reservation)) => {
                 read.unwrap_or_else(|_| Err(too_slow()))?
             }
         };
         let settled = reservation.settle(memory_bytes(owner.copies, bytes.len()));
-        settled.map_err(no_room)?;
+        settled.map_err(|r| no_room(owner, r))?;
         Ok(bytes)
     }
 
@@ -148,7 +148,8 @@
             if length > granted {
                 let next = length.max(2 * granted).min(self.max_bytes);
                 let more = owner.copies.saturating_mul(next - granted);
-                reservation.grow(more).map_err(no_room)?;
+                let grown = reservation.grow(more);
+                grown.map_err(|r| no_room(owner, r))?;
                 bytes.reserve_exact(next - bytes.len());
                 granted = next;
             }
@@ -214,20 +215,21 @@
     Problem::new(StatusCode::REQUEST_TIMEOUT, "body-too-slow", detail)
 }
 
-fn no_room(refusal: BodyRefusal) -> Problem {
+fn no_room(owner: BodyOwner<'_>, refusal: BodyRefusal) -> Problem {
     let status = StatusCode::SERVICE_UNAVAILABLE;
-    match refusal {
-        BodyRefusal::Large => {
+    let problem = match refusal.cause {
+        RefusalCause::Large => {
             let detail = "more than the instance has room for";
             Problem::new(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large", detail)
         }
-        BodyRefusal::Room => {
+        RefusalCause::Room => {
             let detail = "no room for the body";
             Problem::new(status, "no-room", detail).with_retry(ROOM_RETRY)
         }
-        BodyRefusal::Cut => {
+        RefusalCause::Cut => {
             let detail = "the room was given to an account that uses less";
             Problem::new(status, "room-withdrawn", detail).with_retry(ROOM_RETRY)
         }
-    }
+    };
+    problem.with_body(owner.account, refusal.bytes)
 }
