Refusals by the head: the body is read and dropped, so that the refusal is not lost

A caller that was refused by its head (401, 403, 404, or by a stopping instance) and sent its body before it read saw a broken connection: the body was left unread, and closing resets the connection then. Only bodies that had been looked at were drained. An unread body drains itself now once it is dropped, within the same turns and time, a second at most while the instance stops; not if its caller awaits the word to go on, or left.

Three tests over sockets (of known length, in chunks, at a stopping instance; 401, 404, 503) failed before at sending the body, and pass; a fourth, that a caller that awaits the word is not waited for, passed before and passes.

--- a/crates/firdock-node/src/ingress.rs
+++ b/crates/firdock-node/src/ingress.rs
@@ -15,6 +15,7 @@
 mod reading;
 mod request;
 mod state;
+mod unread;
 
 pub use answer::{OUTCOME_HEADER, Problem, REQUEST_ID_HEADER};
 pub use body::AnswerBody;
--- a/crates/firdock-node/src/ingress/handler.rs
+++ b/crates/firdock-node/src/ingress/handler.rs
@@ -10,16 +10,16 @@
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Version};
 use slog::{Logger, info, warn};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::mpsc;
 use uuid::Uuid;
 
 use super::answer::Problem;
 use super::body::{AnswerBody, CallerGuard};
 use super::identity::BodyHasher;
 use super::interface::{CallBody, IncomingCall, Interface};
-use super::reading::DRAINS;
 use super::request::new_request;
 use super::state::{IngressPhase, IngressState};
+use super::unread::{DrainLimits, UnreadBody};
 use crate::clock::{Clock, age_millis, millis};
 use crate::endpoint::Framing;
 use crate::exchange::{
@@ -73,7 +73,7 @@
     log_limiter: Arc<LogLimiter>,
     answer_budget: AnswerBudget,
     body_budget: BodyBudget,
-    drains: Arc<Semaphore>,
+    drains: DrainLimits,
     hasher: BodyHasher,
     streams: SharedStreams,
     metrics: Arc<Metrics>,
@@ -101,7 +101,7 @@
             log_limiter: Arc::default(),
             answer_budget: AnswerBudget::default(),
             body_budget: BodyBudget::default(),
-            drains: Arc::new(Semaphore::new(DRAINS)),
+            drains: DrainLimits::new(limits.body_bytes, limits.buffer_bytes),
             hasher: BodyHasher::default(),
             streams: SharedStreams::default(),
             metrics: Arc::default(),
@@ -208,22 +208,15 @@
     }
 
     async fn read(&self, request: Request<Incoming>) -> Result<Payload, Problem> {
+        let lacks_length = lacks_length(&request);
+        let (head, incoming) = request.into_parts();
+        let body = self.unread_body(awaits_word(&head.headers), incoming);
         if self.state.get() == IngressPhase::Closed {
             return Err(stopping());
         }
-        if lacks_length(&request) {
+        if lacks_length {
             return Err(no_length());
         }
-        let (head, incoming) = request.into_parts();
-        let body = CallBody {
-            awaits_word: awaits_word(&head.headers),
-            incoming,
-            budget: self.body_budget.clone(),
-            drains: Arc::clone(&self.drains),
-            buffer_bytes: self.limits.buffer_bytes,
-            max_bytes: self.limits.body_bytes,
-            max_time: self.limits.body_time,
-        };
         let call = IncomingCall {
             site: Arc::clone(&self.site),
             head,
@@ -234,6 +227,20 @@
         self.interface.read(call).await
     }
 
+    fn unread_body(&self, awaits_word: bool, incoming: Incoming) -> CallBody {
+        let budget = self.body_budget.clone();
+        let mut drains = self.drains.clone().with_budget(budget.clone());
+        if self.state.get() == IngressPhase::Closed {
+            drains = drains.with_stopping();
+        }
+        CallBody {
+            unread: UnreadBody::new(incoming, awaits_word, drains),
+            budget,
+            max_bytes: self.limits.body_bytes,
+            max_time: self.limits.body_time,
+        }
+    }
+
     /// Sets the origin of the stream that a request continues.
     async fn find_stream_origin(&self, id: RequestId, payload: &mut Payload) {
         let resumes = payload.terms.resumes.as_ref();
