Bodies: tiers go first among those that wait for room or are being read

A body of a higher tier was refused for lack of room (503 no-room) while bodies of lower tiers were being read: room went to the account that uses least, and a reading was cut only after a second, which is longer than a body waits. Bodies that wait are granted by tiers now, none of a lower tier takes room for which one of a higher tier waits, and readings of lower tiers are cut for it, the lowest first; long readings of a higher tier are no longer cut for a lower one.

What requests hold of lower tiers is left as it is here.

--- a/crates/firdock-node/src/exchange/bodies.rs
+++ b/crates/firdock-node/src/exchange/bodies.rs
@@ -5,9 +5,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use firdock_core::AccountId;
+use firdock_core::{AccountId, TierRank};
 use firdock_policy::Time;
-use firdock_policy::bodies::{BodyBuffers, BodyChanges, BodyId};
+use firdock_policy::bodies::{BodyBuffers, BodyChanges, BodyId, NewBody};
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
@@ -20,7 +20,7 @@
     Large,
     /// There was no room in time.
     Room,
-    /// It was cut in favor of an account that uses less.
+    /// It was cut in favor of a higher tier, or of an account that uses less.
     Cut,
 }
 
@@ -121,13 +121,21 @@
     pub async fn reserve(
         &self,
         account: &AccountId,
+        rank: TierRank,
         bytes: usize,
         deadline: Option<Time>,
     ) -> Result<BodyReservation, BodyRefusal> {
         let Some(inner) = &self.0 else {
             return Ok(BodyReservation(None));
         };
-        let reserved = inner.open(account, bytes, deadline)?;
+        let longest = inner.clock.now() + inner.max_wait;
+        let new = NewBody {
+            account: account.clone(),
+            rank,
+            bytes,
+            until: deadline.map_or(longest, |by| by.min(longest)),
+        };
+        let reserved = inner.open(new)?;
         while reserved.signal.get() == Decision::Pending {
             reserved.signal.changed.notified().await;
         }
@@ -185,21 +193,14 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn open(
-        self: &Arc<Self>,
-        account: &AccountId,
-        bytes: usize,
-        deadline: Option<Time>,
-    ) -> Result<Reserved, BodyRefusal> {
-        let now = self.clock.now();
-        let longest = now + self.max_wait;
-        let until = deadline.map_or(longest, |by| by.min(longest));
+    fn open(self: &Arc<Self>, new: NewBody) -> Result<Reserved, BodyRefusal> {
+        let (now, bytes) = (self.clock.now(), new.bytes);
         let mut state = self.lock();
         if bytes > state.buffers.max_body() {
             return Err(self.refuse(RefusalCause::Large, bytes));
         }
         let (id, signal) = state.next_body();
-        let changes = state.buffers.open(now, id, account.clone(), bytes, until);
+        let changes = state.buffers.open(now, id, new);
         state.notify(&changes);
         drop(state);
         let inner = Arc::clone(self);
@@ -299,9 +300,12 @@
             return Ok(());
         };
         let total = reserved.bytes() + bytes;
-        if !reserved.inner.lock().buffers.grow(reserved.id, bytes) {
+        let now = reserved.inner.clock.now();
+        let mut state = reserved.inner.lock();
+        let Some(changes) = state.buffers.grow(now, reserved.id, bytes) else {
             return Err(reserved.inner.refuse(RefusalCause::Room, total));
-        }
+        };
+        state.notify(&changes);
         reserved.bytes.store(total, Ordering::Relaxed);
         Ok(())
     }
--- a/crates/firdock-node/src/ingress/native.rs
+++ b/crates/firdock-node/src/ingress/native.rs
@@ -35,8 +35,12 @@
         let key = read_key(&call.head.headers)?;
         let head = call.head;
         let path = head.uri.path();
+        let view = call.site.view();
+        // The service of a model call is known only by its body.
+        let plain = Some(path).filter(|p| !ModelCall::is_path(p));
         let owner = BodyOwner {
             account: &sender,
+            rank: view.rank(&sender, plain.and_then(|p| view.plain_service(p))),
             copies: copies(ModelCall::is_path(path)),
             deadline: None,
         };
--- a/crates/firdock-node/src/ingress/reading.rs
+++ b/crates/firdock-node/src/ingress/reading.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use firdock_core::AccountId;
+use firdock_core::{AccountId, TierRank};
 use firdock_policy::Time;
 use hyper::StatusCode;
 use tokio::time::timeout;
@@ -24,6 +24,8 @@
 pub struct BodyOwner<'a> {
     /// Account that sent the call.
     pub account: &'a AccountId,
+    /// Tier of the request, by its account and its service; 0 is the highest.
+    pub rank: TierRank,
     /// How often the body will be in memory.
     pub copies: usize,
     /// When the caller stops waiting.
@@ -80,7 +82,9 @@
         if length == Some(0) {
             return Ok(self.budget.hold(owner.account, bytes));
         }
-        let reserving = self.budget.reserve(owner.account, bytes, owner.deadline);
+        let reserving = self
+            .budget
+            .reserve(owner.account, owner.rank, bytes, owner.deadline);
         reserving.await.map_err(|r| no_room(owner, r))
     }
 
@@ -160,7 +164,7 @@
             Problem::new(status, "no-room", detail).with_retry(ROOM_RETRY)
         }
         RefusalCause::Cut => {
-            let detail = "the room was given to an account that uses less";
+            let detail = "the room was given to a higher tier, or to an account that uses less";
             Problem::new(status, "room-withdrawn", detail).with_retry(ROOM_RETRY)
         }
     };
--- a/crates/firdock-node/src/site.rs
+++ b/crates/firdock-node/src/site.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 
 use firdock_core::credential::{self, KeyHash};
-use firdock_core::resource::{Account, Catalog, EndpointKind, Service, ServiceKind};
-use firdock_core::{AccountId, EndpointId, Version};
+use firdock_core::resource::{
+    Account, Catalog, EndpointKind, Service, ServiceKind, last_rank, request_rank,
+};
+use firdock_core::{AccountId, EndpointId, TierId, TierRank, Version};
 use firdock_policy::Time;
 use tokio::sync::watch;
 
@@ -79,6 +81,8 @@
     access_revision: AccessRevision,
     accounts: HashMap<[u8; INDEX_BYTES], Vec<(KeyHash, AccountId)>>,
     services: Vec<Service>,
+    account_ranks: HashMap<AccountId, u8>,
+    tier_ranks: HashMap<TierId, TierRank>,
     locations: HashMap<EndpointId, EndpointLocation>,
 }
 
@@ -91,7 +95,11 @@
         // Longest path first, so that the most specific match is found first.
         view.services
             .sort_by_key(|s| std::cmp::Reverse(s.matches.len()));
+        let tiers = catalog.tiers.iter();
+        view.tier_ranks = tiers.map(|t| (t.name.clone(), t.rank)).collect();
         for account in &catalog.accounts {
+            view.account_ranks
+                .insert(account.name.clone(), account.rank);
             for hash in account.key_hashes() {
                 let bucket = view.accounts.entry(index(&hash)).or_default();
                 bucket.push((hash, account.name.clone()));
@@ -145,6 +153,15 @@
         }
     }
 
+    /// Returns the rank of an account's requests for a service: 0 is the highest. Until the service is known they have
+    /// the lowest of the account, so that they take nothing from higher ones.
+    #[must_use]
+    pub fn rank(&self, account: &str, service: Option<&Service>) -> TierRank {
+        let own = self.account_ranks.get(account).copied().unwrap_or_default();
+        let tier = service.and_then(|s| self.tier_ranks.get(&s.tier));
+        tier.map_or_else(|| last_rank(own), |tier| request_rank(own, *tier))
+    }
+
     /// Finds the account of a key by the key's hash.
     #[must_use]
     pub fn account(&self, hash: &KeyHash) -> Option<&AccountId> {
--- a/crates/firdock-policy/src/bodies.rs
+++ b/crates/firdock-policy/src/bodies.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use firdock_core::AccountId;
+use firdock_core::{AccountId, TierRank};
 
 use crate::time::Time;
 
@@ -44,13 +44,52 @@
     Held,
 }
 
+/// A body that asks for memory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NewBody {
+    /// Account that sends it.
+    pub account: AccountId,
+    /// Tier of its request; 0 is the highest.
+    pub rank: TierRank,
+    /// Memory that it needs, in bytes.
+    pub bytes: usize,
+    /// When it is refused if there is no room.
+    pub until: Time,
+}
+
 #[derive(Debug, Clone)]
 struct Body {
     account: AccountId,
+    rank: TierRank,
     bytes: usize,
     phase: Phase,
 }
 
+/// Memory that a body needs.
+#[derive(Debug)]
+struct Demand {
+    account: AccountId,
+    rank: TierRank,
+    bytes: usize,
+}
+
+/// A body that is being read.
+#[derive(Debug)]
+struct Reading<'a> {
+    id: BodyId,
+    since: Time,
+    body: &'a Body,
+}
+
+/// Which readings may be cut.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cut {
+    /// Those of lower tiers.
+    LowerTiers,
+    /// Also long ones of the same tier, of accounts that use more.
+    All,
+}
+
 /// What an account uses of the budget.
 #[derive(Debug, Clone, Copy, Default)]
 struct Usage {
@@ -102,50 +141,74 @@
         self.budget - self.budget / RESERVE_DIVISOR
     }
 
-    /// Asks for memory for a whole body, which waits unread until `until` if there is no room.
-    pub fn open(
-        &mut self,
-        now: Time,
-        id: BodyId,
-        account: AccountId,
-        bytes: usize,
-        until: Time,
-    ) -> BodyChanges {
+    /// Asks for memory for a whole body, which waits unread for a time if there is no room.
+    pub fn open(&mut self, now: Time, id: BodyId, new: NewBody) -> BodyChanges {
+        let NewBody {
+            account,
+            rank,
+            bytes,
+            until,
+        } = new;
         let mut changes = BodyChanges::default();
         let usage = self.usage(&account);
-        let fits = self.fits(&account, bytes);
+        let fits = self.may_take(&account, rank, bytes);
+        let body = |phase| Body {
+            account,
+            rank,
+            bytes,
+            phase,
+        };
         if bytes > self.max_body() || (!fits && usage.waiting >= MAX_WAITING) {
             changes.refused.push(id);
         } else if fits {
             // Larger bodies that wait keep no smaller one out; `advance` makes room for them.
-            self.add(id, account, bytes, Phase::Reading { since: now });
+            self.add(id, body(Phase::Reading { since: now }));
             changes.granted.push(id);
         } else {
-            self.add(id, account, bytes, Phase::Waiting { until });
+            self.add(id, body(Phase::Waiting { until }));
         }
         changes
     }
 
     /// Counts a body that was read already, whether or not there is room.
     pub fn hold(&mut self, id: BodyId, account: AccountId, bytes: usize) {
-        self.add(id, account, bytes, Phase::Held);
+        let body = Body {
+            account,
+            // What is held is never cut here.
+            rank: TierRank::MIN,
+            bytes,
+            phase: Phase::Held,
+        };
+        self.add(id, body);
     }
 
-    /// Grants further bytes to a body that is being read, and returns whether there was room.
-    pub fn grow(&mut self, id: BodyId, bytes: usize) -> bool {
-        let Some(body) = self.bodies.get(&id) else {
-            return false;
+    /// Grants further bytes to a body that is being read, for which readings of lower tiers are cut; `None` if
+    /// there is no room.
+    pub fn grow(&mut self, now: Time, id: BodyId, bytes: usize) -> Option<BodyChanges> {
+        let body = self.bodies.get(&id)?;
+        let Phase::Reading { .. } = body.phase else {
+            return None;
+        };
+        let total = body.bytes + bytes;
+        let demand = Demand {
+            account: body.account.clone(),
+            rank: body.rank,
+            bytes,
         };
-        let account = body.account.clone();
-        let (reading, total) = (
-            matches!(body.phase, Phase::Reading { .. }),
-            body.bytes + bytes,
-        );
-        if !reading || total > self.max_body() || !self.fits(&account, bytes) {
-            return false;
+        if total > self.max_body() || self.is_awaited(&demand) {
+            return None;
+        }
+        if self.fits(&demand.account, bytes) {
+            self.resize(id, total);
+            return Some(BodyChanges::default());
         }
+        let cut = self.select_cut(now, &demand, Cut::LowerTiers)?;
+        self.remove_all(&cut);
         self.resize(id, total);
-        true
+        // What was cut may leave room for others too.
+        let mut changes = self.grant(now);
+        changes.cut = cut;
+        Some(changes)
     }
 
     /// Records that a body was read, and that its request takes `bytes` until it is closed.
@@ -165,19 +228,20 @@
         self.grant(now)
     }
 
-    /// Refuses bodies that waited too long, grants what fits, and cuts long readings of the accounts
-    /// that use most in favor of those that use less.
+    /// Refuses bodies that waited too long, grants what fits, and cuts readings of lower tiers, and long ones of the
+    /// accounts that use most, in favor of bodies that wait.
     pub fn advance(&mut self, now: Time) -> BodyChanges {
         let refused = self.expire(now);
         let mut changes = self.grant(now);
         changes.refused = refused;
-        for id in self.waiting_by_use() {
-            let Some(cut) = self.select_cut(now, id) else {
+        for id in self.waiting_in_order() {
+            let Some(demand) = self.demand_of(id) else {
                 continue;
             };
-            for id in &cut {
-                self.remove(*id);
-            }
+            let Some(cut) = self.select_cut(now, &demand, Cut::All) else {
+                continue;
+            };
+            self.remove_all(&cut);
             changes.cut.extend(cut);
             changes.granted.extend(self.grant(now).granted);
         }
@@ -220,31 +284,47 @@
         self.bytes + bytes <= self.bound(account, bytes)
     }
 
+    /// Returns whether a body may take memory now: there is room, and no body of a higher tier waits for it.
+    fn may_take(&self, account: &AccountId, rank: TierRank, bytes: usize) -> bool {
+        let demand = Demand {
+            account: account.clone(),
+            rank,
+            bytes,
+        };
+        self.fits(account, bytes) && !self.is_awaited(&demand)
+    }
+
+    /// Returns whether a body of a higher tier waits for the memory. The part for accounts with little use would be
+    /// none for it.
+    fn is_awaited(&self, demand: &Demand) -> bool {
+        let higher = |id: &BodyId| self.bodies[id].rank < demand.rank;
+        !self.is_small(&demand.account, demand.bytes) && self.waiting.iter().any(higher)
+    }
+
+    /// Returns whether an account uses little, also with further bytes.
+    fn is_small(&self, account: &str, bytes: usize) -> bool {
+        self.usage(account).bytes + bytes <= self.budget / SMALL_USE_DIVISOR
+    }
+
     /// Returns the bytes up to which the budget may be filled by further bytes of an account.
     fn bound(&self, account: &str, bytes: usize) -> usize {
-        let small = self.usage(account).bytes + bytes <= self.budget / SMALL_USE_DIVISOR;
-        if small {
+        if self.is_small(account, bytes) {
             self.budget
         } else {
             self.max_body().saturating_sub(self.buffers)
         }
     }
 
-    fn add(&mut self, id: BodyId, account: AccountId, bytes: usize, phase: Phase) {
-        let usage = self.accounts.entry(account.clone()).or_default();
+    fn add(&mut self, id: BodyId, body: Body) {
+        let usage = self.accounts.entry(body.account.clone()).or_default();
         usage.bodies += 1;
-        if matches!(phase, Phase::Waiting { .. }) {
+        if matches!(body.phase, Phase::Waiting { .. }) {
             usage.waiting += 1;
             self.waiting.insert(id);
         } else {
-            usage.bytes += bytes;
-            self.bytes += bytes;
+            usage.bytes += body.bytes;
+            self.bytes += body.bytes;
         }
-        let body = Body {
-            account,
-            bytes,
-            phase,
-        };
         self.bodies.insert(id, body);
     }
 
@@ -290,11 +370,11 @@
         ids
     }
 
-    /// Grants waiting bodies that fit, those of the accounts with the least use first.
+    /// Grants waiting bodies that fit: by tiers, and in a tier those of the accounts with the least use first.
     fn grant(&mut self, now: Time) -> BodyChanges {
         let mut changes = BodyChanges::default();
         while let Some(id) = self.next_granted() {
-            let Some(body) = self.bodies.remove(&id) else {
+            let Some(mut body) = self.bodies.remove(&id) else {
                 break;
             };
             self.waiting.remove(&id);
@@ -302,71 +382,100 @@
                 usage.waiting -= 1;
                 usage.bodies -= 1;
             }
-            let phase = Phase::Reading { since: now };
-            self.add(id, body.account, body.bytes, phase);
+            body.phase = Phase::Reading { since: now };
+            self.add(id, body);
             changes.granted.push(id);
         }
         changes
     }
 
     fn next_granted(&self) -> Option<BodyId> {
-        let fits = |id: &&BodyId| {
+        let may_take = |id: &&BodyId| {
             let body = &self.bodies[*id];
-            self.fits(&body.account, body.bytes)
+            self.may_take(&body.account, body.rank, body.bytes)
         };
-        let use_of = |id: &&BodyId| (self.usage(&self.bodies[*id].account).bytes, **id);
-        self.waiting.iter().filter(fits).min_by_key(use_of).copied()
+        let waiting = self.waiting.iter().filter(may_take);
+        waiting.copied().min_by_key(|id| self.order(*id))
     }
 
-    fn waiting_by_use(&self) -> Vec<BodyId> {
+    fn waiting_in_order(&self) -> Vec<BodyId> {
         let mut ids: Vec<BodyId> = self.waiting.iter().copied().collect();
-        ids.sort_by_key(|id| (self.usage(&self.bodies[id].account).bytes, *id));
+        ids.sort_by_key(|id| self.order(*id));
         ids
     }
 
-    /// Selects bodies to cut so that a waiting one fits: the longest readings of the accounts that use
-    /// most, as long as each uses more than the waiting one's account would.
+    /// Returns the key by which waiting bodies are ordered.
+    fn order(&self, id: BodyId) -> (TierRank, usize, BodyId) {
+        let body = &self.bodies[&id];
+        (body.rank, self.usage(&body.account).bytes, id)
+    }
+
+    /// Returns what a waiting body needs.
+    fn demand_of(&self, id: BodyId) -> Option<Demand> {
+        self.waiting.get(&id)?;
+        let body = self.bodies.get(&id)?;
+        Some(Demand {
+            account: body.account.clone(),
+            rank: body.rank,
+            bytes: body.bytes,
+        })
+    }
+
+    /// Selects bodies to cut so that a demand fits: readings of lower tiers, the lowest first, and then the longest
+    /// readings of the accounts that use most, as long as each uses more than the demand's account would.
     ///
     /// Cuts nothing if that would not suffice.
-    fn select_cut(&self, now: Time, id: BodyId) -> Option<Vec<BodyId>> {
-        let body = self.bodies.get(&id)?;
-        let Phase::Waiting { .. } = body.phase else {
-            return None;
-        };
-        let own = self.usage(&body.account).bytes + body.bytes;
-        let bound = self.bound(&body.account, body.bytes);
-        let mut uses: HashMap<&str, usize> = HashMap::new();
-        let mut long = self.long_readings(now);
-        let (mut bytes, mut cut) = (self.bytes, Vec::new());
-        while bytes + body.bytes > bound {
+    fn select_cut(&self, now: Time, demand: &Demand, cut: Cut) -> Option<Vec<BodyId>> {
+        let own = self.usage(&demand.account).bytes + demand.bytes;
+        let bound = self.bound(&demand.account, demand.bytes);
+        let mut freed: HashMap<&str, usize> = HashMap::new();
+        let mut readings = self.readings();
+        let (mut bytes, mut ids) = (self.bytes, Vec::new());
+        while bytes + demand.bytes > bound {
             let use_of = |account: &str| {
-                let less = uses.get(account).copied().unwrap_or(0);
+                let less = freed.get(account).copied().unwrap_or(0);
                 self.usage(account).bytes - less
             };
-            let candidates = long.iter().enumerate();
-            let candidates = candidates.filter(|(_, (_, _, b))| use_of(&b.account) > own);
-            let most = |(_, (since, id, b)): &(usize, &(Time, BodyId, &Body))| {
-                (use_of(&b.account), Reverse(*since), Reverse(*id))
+            let goes_first = |reading: &Reading<'_>| {
+                let long = reading.since + READING_GRACE <= now;
+                let more = use_of(&reading.body.account) > own;
+                let same = reading.body.rank == demand.rank && cut == Cut::All;
+                reading.body.rank > demand.rank || (same && long && more)
+            };
+            let most = |reading: &Reading<'_>| {
+                let (rank, account) = (reading.body.rank, &reading.body.account);
+                (
+                    rank,
+                    use_of(account),
+                    Reverse(reading.since),
+                    Reverse(reading.id),
+                )
             };
-            let (n, _) = candidates.max_by_key(most)?;
-            let (_, id, victim) = long.swap_remove(n);
-            *uses.entry(victim.account.as_str()).or_default() += victim.bytes;
-            bytes -= victim.bytes;
-            cut.push(id);
+            let candidates = readings.iter().enumerate();
+            let candidates = candidates.filter(|(_, reading)| goes_first(reading));
+            let (n, _) = candidates.max_by_key(|(_, reading)| most(reading))?;
+            let victim = readings.swap_remove(n);
+            *freed.entry(victim.body.account.as_str()).or_default() += victim.body.bytes;
+            bytes -= victim.body.bytes;
+            ids.push(victim.id);
         }
-        Some(cut)
+        Some(ids)
     }
 
-    fn long_readings(&self, now: Time) -> Vec<(Time, BodyId, &Body)> {
-        let readings = self
-            .bodies
-            .iter()
-            .filter_map(|(id, body)| match body.phase {
-                Phase::Reading { since } if since + READING_GRACE <= now => {
-                    Some((since, *id, body))
-                }
-                _ => None,
-            });
+    fn readings(&self) -> Vec<Reading<'_>> {
+        let readings = self.bodies.iter().filter_map(|(id, body)| {
+            let Phase::Reading { since } = body.phase else {
+                return None;
+            };
+            let id = *id;
+            Some(Reading { id, since, body })
+        });
         readings.collect()
     }
+
+    fn remove_all(&mut self, ids: &[BodyId]) {
+        for id in ids {
+            self.remove(*id);
+        }
+    }
 }
