Bodies: requests held of lower tiers give way to a body that lacks room

A body of a higher tier was refused for lack of room (503 no-room) while requests of lower tiers were held: the budget for bodies cuts only what is being read, and the scheduler sheds by what it holds alone. A body that cuts would not help now tells the scheduler what it lacks, from 100 ms before the end of its wait on, and requests held of lower tiers are shed, the lowest tier first and in it the largest; none if all of them would not make enough room, and nothing that runs.

--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -346,7 +346,9 @@
     fn tick(&mut self) {
         self.step(Event::Timer);
         self.tick_placement();
-        self.parts.body_budget.maintain();
+        if let Some(room) = self.parts.body_budget.maintain() {
+            self.step(Event::RoomWanted(room));
+        }
         self.ticks += 1;
         let now = self.parts.clock.now();
         let changed = self.rollout_log.record(now, self.scheduler.tables());
--- a/crates/firdock-node/src/exchange/bodies.rs
+++ b/crates/firdock-node/src/exchange/bodies.rs
@@ -7,7 +7,7 @@
 
 use firdock_core::{AccountId, TierRank};
 use firdock_policy::Time;
-use firdock_policy::bodies::{BodyBuffers, BodyChanges, BodyId, NewBody};
+use firdock_policy::bodies::{BodyBuffers, BodyChanges, BodyId, NewBody, WantedRoom};
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
@@ -173,18 +173,22 @@
     }
 
     /// Makes room for bodies that wait, refuses those that waited too long, and publishes the counts.
-    pub fn maintain(&self) {
-        let Some(inner) = &self.0 else {
-            return;
-        };
+    ///
+    /// Returns the room that is still wanted.
+    #[must_use]
+    pub fn maintain(&self) -> Option<WantedRoom> {
+        let inner = self.0.as_ref()?;
         let mut state = inner.lock();
+        let mut wanted = None;
         if state.buffers.waiting() > 0 {
             let changes = state.buffers.advance(inner.clock.now());
             state.notify(&changes);
+            wanted = changes.wanted;
         }
         inner
             .metrics
             .set(state.buffers.bytes(), state.buffers.waiting());
+        wanted
     }
 }
 
--- a/crates/firdock-policy/src/bodies.rs
+++ b/crates/firdock-policy/src/bodies.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use firdock_core::{AccountId, TierRank};
+use serde::{Deserialize, Serialize};
 
 use crate::time::Time;
 
@@ -27,6 +28,10 @@
 /// caller that sends without a pause is done by then.
 const READING_GRACE: Duration = Duration::from_secs(1);
 
+/// Time before the end of a body's wait from which on requests of lower tiers are given up for it. Until then room may
+/// come without the loss of what was accepted.
+const WANT_LEAD: Duration = Duration::from_millis(100);
+
 /// State of a body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
@@ -98,6 +103,15 @@
     bodies: usize,
 }
 
+/// Room that a body lacks, and that no cut would make.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WantedRoom {
+    /// Tier of its request.
+    pub rank: TierRank,
+    /// Memory that is missing, in bytes.
+    pub bytes: usize,
+}
+
 /// Bodies whose state changed.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct BodyChanges {
@@ -107,6 +121,8 @@
     pub refused: Vec<BodyId>,
     /// Bodies whose reading ends in favor of other accounts; they are forgotten.
     pub cut: Vec<BodyId>,
+    /// Room for which requests of lower tiers may be given up, since a body will be refused soon without it.
+    pub wanted: Option<WantedRoom>,
 }
 
 /// Bytes of bodies, within one budget.
@@ -202,7 +218,7 @@
             self.resize(id, total);
             return Some(BodyChanges::default());
         }
-        let cut = self.select_cut(now, &demand, Cut::LowerTiers)?;
+        let cut = self.select_cut(now, &demand, Cut::LowerTiers).ok()?;
         self.remove_all(&cut);
         self.resize(id, total);
         // What was cut may leave room for others too.
@@ -238,12 +254,18 @@
             let Some(demand) = self.demand_of(id) else {
                 continue;
             };
-            let Some(cut) = self.select_cut(now, &demand, Cut::All) else {
-                continue;
-            };
-            self.remove_all(&cut);
-            changes.cut.extend(cut);
-            changes.granted.extend(self.grant(now).granted);
+            match self.select_cut(now, &demand, Cut::All) {
+                Ok(cut) => {
+                    self.remove_all(&cut);
+                    changes.cut.extend(cut);
+                    changes.granted.extend(self.grant(now).granted);
+                }
+                Err(bytes) if changes.wanted.is_none() && self.ends_soon(now, id) => {
+                    let rank = demand.rank;
+                    changes.wanted = Some(WantedRoom { rank, bytes });
+                }
+                Err(_) => {}
+            }
         }
         changes
     }
@@ -410,6 +432,12 @@
         (body.rank, self.usage(&body.account).bytes, id)
     }
 
+    /// Returns whether a body is refused soon.
+    fn ends_soon(&self, now: Time, id: BodyId) -> bool {
+        let phase = self.bodies.get(&id).map(|body| body.phase);
+        matches!(phase, Some(Phase::Waiting { until }) if until <= now + WANT_LEAD)
+    }
+
     /// Returns what a waiting body needs.
     fn demand_of(&self, id: BodyId) -> Option<Demand> {
         self.waiting.get(&id)?;
@@ -425,7 +453,11 @@
     /// readings of the accounts that use most, as long as each uses more than the demand's account would.
     ///
     /// Cuts nothing if that would not suffice.
-    fn select_cut(&self, now: Time, demand: &Demand, cut: Cut) -> Option<Vec<BodyId>> {
+    ///
+    /// # Errors
+    ///
+    /// Fails with the bytes that would still be missing.
+    fn select_cut(&self, now: Time, demand: &Demand, cut: Cut) -> Result<Vec<BodyId>, usize> {
         let own = self.usage(&demand.account).bytes + demand.bytes;
         let bound = self.bound(&demand.account, demand.bytes);
         let mut freed: HashMap<&str, usize> = HashMap::new();
@@ -453,13 +485,15 @@
             };
             let candidates = readings.iter().enumerate();
             let candidates = candidates.filter(|(_, reading)| goes_first(reading));
-            let (n, _) = candidates.max_by_key(|(_, reading)| most(reading))?;
+            let Some((n, _)) = candidates.max_by_key(|(_, reading)| most(reading)) else {
+                return Err(bytes + demand.bytes - bound);
+            };
             let victim = readings.swap_remove(n);
             *freed.entry(victim.body.account.as_str()).or_default() += victim.body.bytes;
             bytes -= victim.body.bytes;
             ids.push(victim.id);
         }
-        Some(ids)
+        Ok(ids)
     }
 
     fn readings(&self) -> Vec<Reading<'_>> {
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -11,6 +11,7 @@
 use uuid::Uuid;
 
 use crate::action::is_false;
+use crate::bodies::WantedRoom;
 use crate::load::PaceReport;
 use crate::notice::NoticeReport;
 use crate::permit::{LimitReport, PermitGrant, PermitHolder, PermitRequest};
@@ -124,6 +125,8 @@
     EntriesRenewed(Vec<RenewedEntry>),
     /// Whether this instance leads the site and decides on roll-outs.
     Decides(bool),
+    /// A body that waits unread lacks room, which requests held of lower tiers may free.
+    RoomWanted(WantedRoom),
     /// The instance should stop.
     Drain,
     /// Periodic timer.
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -107,6 +107,7 @@
             Event::BuildsRecorded(builds) => continuation::merge_builds(t, now, builds, out),
             Event::EntriesRenewed(entries) => start::confirm(t, &entries),
             Event::Decides(decides) => rollout::set_decides(t, decides),
+            Event::RoomWanted(room) => shed::make_room(t, now, room, out),
             Event::Drain => t.draining = true,
             Event::Timer => {
                 t.absence.check(now, MIN_ABSENCE);
--- a/crates/firdock-policy/src/system/shed.rs
+++ b/crates/firdock-policy/src/system/shed.rs
@@ -7,7 +7,8 @@
 
 use super::{fair_share, handover, lifecycle};
 use crate::action::Action;
-use crate::request::Origin;
+use crate::bodies::WantedRoom;
+use crate::request::{Origin, Phase};
 use crate::table::Tables;
 use crate::table::service::ServiceRow;
 use crate::time::Time;
@@ -26,6 +27,39 @@
     t.requests.held() > t.settings.max_held || t.requests.bytes() > t.settings.held_bytes
 }
 
+/// Sheds requests of lower tiers for a body that lacks room, the lowest tier first and in a tier the largest, if that
+/// makes enough of it.
+pub fn make_room(t: &mut Tables, now: Time, wanted: WantedRoom, out: &mut Vec<Action>) {
+    let held = t.requests.iter().filter(|r| r.phase == Phase::Held);
+    let lower = held.filter(|r| r.rank > wanted.rank);
+    let most: usize = lower.map(|r| r.new.bytes).sum();
+    if most < wanted.bytes {
+        return;
+    }
+    let mut freed = 0;
+    while freed < wanted.bytes {
+        let Some((id, bytes)) = largest_below(t, wanted.rank) else {
+            return;
+        };
+        let held = t.requests.held();
+        let reason = fair_share::refusal_reason(t, now, id);
+        shed(t, now, id, reason, out);
+        if t.requests.held() >= held {
+            return;
+        }
+        freed += bytes;
+    }
+}
+
+/// Returns the largest request of the lowest tier held, if that is lower than `rank`, and its bytes.
+fn largest_below(t: &Tables, rank: TierRank) -> Option<(RequestId, usize)> {
+    let lowest = t.requests.lowest_held().filter(|lowest| *lowest > rank)?;
+    let rows = t.requests.iter();
+    let held = rows.filter(|r| r.phase == Phase::Held && r.rank == lowest);
+    let largest = held.max_by_key(|r| (r.new.bytes, Reverse(r.new.id)))?;
+    Some((largest.new.id, largest.new.bytes))
+}
+
 /// Gives up a held request, or hands it over to a peer that holds a lower tier.
 ///
 /// # Panics
--- a/crates/firdock-policy/tests/policy/bodies.rs
+++ b/crates/firdock-policy/tests/policy/bodies.rs
@@ -5,7 +5,7 @@
 
 use firdock_core::TierRank;
 use firdock_policy::Time;
-use firdock_policy::bodies::{BodyBuffers, BodyChanges, BodyId, NewBody};
+use firdock_policy::bodies::{BodyBuffers, BodyChanges, BodyId, NewBody, WantedRoom};
 use proptest::prelude::*;
 
 /// Budget of the tests, in bytes.
@@ -167,6 +167,33 @@
     assert_eq!(buffers.grow(at(3), 10, LARGE), None);
 }
 
+/// A body must not be refused without a word while requests of lower tiers are held: what it lacks is wanted in time
+/// before the end of its wait, less what cuts would free.
+#[test]
+fn a_body_that_is_about_to_be_refused_wants_the_room_that_it_lacks() {
+    let mut buffers = BodyBuffers::new(BUDGET);
+    for id in 0..3 {
+        buffers.open(at(0), id, ranked(0, "a", HIGH, LARGE));
+        buffers.settle(at(0), id, LARGE);
+    }
+    buffers.open(at(0), 3, ranked(0, "b", LOW, SMALL));
+    buffers.open(at(0), 10, ranked(0, "c", HIGH, LARGE));
+    assert_eq!(
+        buffers.advance(at(25)).wanted,
+        None,
+        "room may come by itself"
+    );
+    let missing = 4 * LARGE - buffers.max_body();
+    let wanted = WantedRoom {
+        rank: HIGH,
+        bytes: missing,
+    };
+    let late = at(450);
+    assert_eq!(buffers.advance(late).wanted, Some(wanted));
+    assert_eq!(buffers.close(late, 0).granted, [10]);
+    assert_eq!(buffers.advance(late).wanted, None);
+}
+
 /// Further bodies of a lower tier must not take the room for which one of a higher tier waits; small ones have a part
 /// of their own.
 #[test]
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -21,6 +21,7 @@
 mod random;
 mod restart;
 mod rollout;
+mod room;
 mod routes;
 mod rules;
 mod shares;
