--- a/crates/firdock-node/tests/node/key_transfers.rs
+++ b/crates/firdock-node/tests/node/key_transfers.rs
@@ -6,6 +6,7 @@
 
 use firdock_node::clock::Clock;
 use firdock_node::config::Hub;
+use firdock_node::ingress::BodyHasher;
 use firdock_node::peer::{Dialer, Link, PeerServer, serve_peers, transfer_keys};
 use firdock_node::platform::ListedRow;
 use firdock_node::telemetry::discard_logger;
@@ -105,6 +106,7 @@
         log: discard_logger(),
         answer_budget: AnswerBudget::default(),
         body_budget: BodyBudget::default(),
+        hasher: BodyHasher::default(),
     };
     let (stop, stops) = watch::channel(false);
     tokio::spawn(async move {
