Bytes without end: parts of a body earn longer reads

Cause: the HTTP library doubles its reads up to 400 KiB, and the bound kept them at 32 KiB. Each read is a system call and a part of the body of its own, which wakes the reader of the body once more. A rest of the allowance, after a read that found less in the socket, made the next read shorter still.

Change: parts of a body earn reads of twice their length, up to 256 KiB, if they were at least half of what was read. Such reads do not count as bytes that brought nothing, so that the limit of 128 KiB holds for all others. Any other read is of 8 KiB before other tasks run, as before; these run after 512 KiB whatever the bytes were.

Why it works: a hostile endpoint gains a long read only by a body half as long.

--- a/crates/firdock-node/src/http/bounded.rs
+++ b/crates/firdock-node/src/http/bounded.rs
@@ -13,13 +13,16 @@
 use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, ReadBuf, Take};
 use tokio::task::yield_now;
 
-/// Most bytes that a connection reads before other tasks run, after bytes that brought its reader something.
-const MAX_BYTES_PER_WAKE: u64 = 32 << 10;
-
-/// Bytes that a connection reads before other tasks run, at first and while they bring nothing.
+/// Bytes that a connection reads before others have their turn, unless most of them are parts of a body.
 ///
 /// The library parses what it finds hard to parse, like the size of a chunk, byte by byte.
-const BYTES_PER_WAKE: u64 = 8 << 10;
+const BYTES_PER_TURN: u64 = 8 << 10;
+
+/// Most bytes that a connection reads before others have their turn, also if all of them are parts of a body.
+const MAX_BYTES_PER_TURN: u64 = 512 << 10;
+
+/// Most bytes that a connection may have earned by parts of a body, about as long as the library's longest read.
+const MAX_EARNED_BYTES: u64 = 256 << 10;
 
 /// Most bytes without a head, a part of a body or its end: more than the longest head that common proxies accept, and than
 /// the connection reads ahead of the reader of a body.
@@ -30,10 +33,18 @@
 #[snafu(display("more than {MAX_IDLE_BYTES} bytes without a head, a part of a body or its end"))]
 pub struct EndlessBytes;
 
-/// Number of bytes that were read from a connection since they last brought its reader anything.
+#[derive(Debug, Default)]
+struct Counts {
+    /// Bytes that were read since the last that brought anything.
+    idle: AtomicU64,
+    /// Bytes of bodies since the connection last looked.
+    body: AtomicU64,
+}
+
+/// What the reader of a connection's messages has got of the bytes that were read.
 #[derive(Debug, Clone)]
 pub(super) struct IdleBytes {
-    read: Arc<AtomicU64>,
+    counts: Arc<Counts>,
     limit: u64,
 }
 
@@ -50,18 +61,24 @@
 
     fn new(limit: u64) -> Self {
         Self {
-            read: Arc::default(),
+            counts: Arc::default(),
             limit,
         }
     }
 
     /// Records that the bytes read so far brought a head or a part of a body. Returns how many there were.
     pub(super) fn reset(&self) -> u64 {
-        self.read.swap(0, Ordering::Relaxed)
+        self.counts.idle.swap(0, Ordering::Relaxed)
     }
 
-    fn is_zero(&self) -> bool {
-        self.read.load(Ordering::Relaxed) == 0
+    /// Records that the bytes read so far brought a part of a body of this length.
+    pub(super) fn add_body(&self, bytes: usize) {
+        self.counts.body.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.reset();
+    }
+
+    fn take_body(&self) -> u64 {
+        self.counts.body.swap(0, Ordering::Relaxed)
     }
 
     /// Adds bytes that were read.
@@ -70,7 +87,7 @@
     ///
     /// Fails with [`EndlessBytes`] once there are too many.
     fn add(&self, read: u64) -> io::Result<()> {
-        let before = self.read.fetch_add(read, Ordering::Relaxed);
+        let before = self.counts.idle.fetch_add(read, Ordering::Relaxed);
         if before + read > self.limit {
             return Err(io::Error::new(io::ErrorKind::InvalidData, EndlessBytes));
         }
@@ -79,32 +96,65 @@
 }
 
 /// A stream that lets other tasks run while bytes keep arriving, and fails when too many of them bring nothing.
+///
+/// Parts of a body earn a longer read than others may have: large reads cost less, and the other side has to send at least
+/// half as much for them.
 #[derive(Debug)]
 pub(super) struct BoundedStream<S> {
-    /// Limited to the rest of the bytes before other tasks run.
+    /// Limited to the rest of the allowed bytes.
     stream: Take<S>,
-    /// Bytes before other tasks run.
+    /// Bytes that are allowed until it is looked what they brought.
     allowed: u64,
+    /// Bytes of bodies among those read of the allowed ones.
+    body: u64,
+    /// Bytes read since others had their turn.
+    turn: u64,
     idle: IdleBytes,
 }
 
 impl<S: AsyncRead> BoundedStream<S> {
     pub(super) fn new(stream: S, idle: IdleBytes) -> Self {
         Self {
-            stream: stream.take(BYTES_PER_WAKE),
-            allowed: BYTES_PER_WAKE,
+            stream: stream.take(BYTES_PER_TURN),
+            allowed: BYTES_PER_TURN,
+            body: 0,
+            turn: 0,
             idle,
         }
     }
 
-    /// Allows further bytes: more than before if those brought something, since large reads cost less.
-    fn allow(&mut self, brought_something: bool) {
-        self.allowed = if brought_something {
-            (self.allowed * 2).min(MAX_BYTES_PER_WAKE)
-        } else {
-            BYTES_PER_WAKE
-        };
-        self.stream.set_limit(self.allowed);
+    fn allow(&mut self, bytes: u64) {
+        self.allowed = bytes;
+        self.body = 0;
+        self.stream.set_limit(bytes);
+    }
+
+    /// Whether the allowed bytes are more than those that anyone may send. They do not count as idle ones.
+    fn is_earned(&self) -> bool {
+        self.allowed > BYTES_PER_TURN
+    }
+
+    /// Allows twice as many bytes as there were of a body, if these were at least half of those read.
+    fn allow_earned(&mut self) {
+        self.body += self.idle.take_body();
+        let read = self.allowed - self.stream.limit();
+        let earned = 2 * self.body;
+        if earned > 0 && earned >= read {
+            self.allow(earned.clamp(BYTES_PER_TURN, MAX_EARNED_BYTES));
+        }
+    }
+
+    /// Whether others have their turn before more is read.
+    fn ends_turn(&self) -> bool {
+        self.stream.limit() == 0 || self.turn >= MAX_BYTES_PER_TURN
+    }
+
+    /// Begins anew after others had their turn.
+    fn begin_turn(&mut self) {
+        self.turn = 0;
+        if self.stream.limit() == 0 || !self.is_earned() {
+            self.allow(BYTES_PER_TURN);
+        }
     }
 }
 
@@ -114,22 +164,21 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.stream.limit() == 0 {
-            let brought_something = self.idle.is_zero();
-            self.allow(brought_something);
-            if !brought_something {
-                return poll_after_others(cx);
-            }
+        self.allow_earned();
+        if self.ends_turn() {
+            self.begin_turn();
+            return poll_after_others(cx);
         }
         let left = self.stream.limit();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
         if polled.is_pending() {
-            let allowed = self.allowed;
-            self.stream.set_limit(allowed);
+            self.begin_turn();
         }
         ready!(polled)?;
         let read = left - self.stream.limit();
-        Poll::Ready(self.idle.add(read))
+        self.turn += read;
+        let idle = if self.is_earned() { 0 } else { read };
+        Poll::Ready(self.idle.add(idle))
     }
 }
 
--- a/crates/firdock-node/src/http/response.rs
+++ b/crates/firdock-node/src/http/response.rs
@@ -30,8 +30,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
-        if let Some(Ok(_)) = frame {
-            self.idle.reset();
+        if let Some(Ok(frame)) = &frame {
+            let data = frame.data_ref();
+            self.idle.add_body(data.map_or(0, Bytes::len));
         }
         Poll::Ready(frame)
     }
