A peer that writes without end fills no memory and keeps no tunnel

What callers saw: nothing yet. A peer that begins messages of 16 MiB, eight at a time, took 148,060 kB of an instance, and one that passes on messages without a byte, or begins a long one, kept a call until its time limit.

Cause: any message of a peer could be as long as a request with its body, also on tunnels, which pass on 16 KiB at a time; a message without a byte was read over in a loop; and each message with one byte counted as one byte.

Change: messages of a tunnel have at most 17 KiB and hold a byte; a read counts as 16 bytes at the least.

--- a/crates/firdock-node/src/http/bounded.rs
+++ b/crates/firdock-node/src/http/bounded.rs
@@ -24,6 +24,10 @@
 /// Most bytes that a connection may have earned by parts of a body, about as long as the library's longest read.
 const MAX_EARNED_BYTES: u64 = 256 << 10;
 
+/// Bytes that a read counts as at the least. One of a single byte costs as much, above all if a peer passes each byte on in
+/// a message of its own.
+const MIN_READ_BYTES: u64 = 16;
+
 /// Most bytes without a head, a part of a body or its end: more than the longest head that common proxies accept, and than
 /// the connection reads ahead of the reader of a body.
 const MAX_IDLE_BYTES: u64 = 128 << 10;
@@ -144,6 +148,24 @@
         }
     }
 
+    /// Counts a read of `read` bytes, of which `left` were allowed.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`EndlessBytes`] once too many have brought nothing.
+    fn count(&mut self, read: u64, left: u64) -> io::Result<()> {
+        if read == 0 {
+            return Ok(());
+        }
+        let counted = read.max(MIN_READ_BYTES);
+        self.stream.set_limit(left.saturating_sub(counted));
+        self.turn += counted;
+        if self.is_earned() {
+            return Ok(());
+        }
+        self.idle.add(counted)
+    }
+
     /// Whether others have their turn before more is read.
     fn ends_turn(&self) -> bool {
         self.stream.limit() == 0 || self.turn >= MAX_BYTES_PER_TURN
@@ -176,9 +198,7 @@
         }
         ready!(polled)?;
         let read = left - self.stream.limit();
-        self.turn += read;
-        let idle = if self.is_earned() { 0 } else { read };
-        Poll::Ready(self.idle.add(idle))
+        Poll::Ready(self.count(read, left))
     }
 }
 
--- a/crates/firdock-node/src/peer/link.rs
+++ b/crates/firdock-node/src/peer/link.rs
@@ -99,6 +99,13 @@
             .unwrap_or_else(|_| TimedOutSnafu.fail())
     }
 
+    /// Limits the size of further messages, in bytes, where none may be as long as a request.
+    #[must_use]
+    pub fn with_max_frame(mut self, bytes: usize) -> Self {
+        self.framed.codec_mut().set_max_bytes(bytes);
+        self
+    }
+
     /// Sends a message.
     ///
     /// # Errors
--- a/crates/firdock-node/src/peer/tunnel.rs
+++ b/crates/firdock-node/src/peer/tunnel.rs
@@ -21,7 +21,7 @@
 
 pub use self::stream::{TunnelBroken, TunnelStream};
 
-use self::stream::pass_bytes;
+use self::stream::{MAX_TUNNEL_FRAME_BYTES, pass_bytes};
 use super::directory::PeerDirectory;
 use super::link::{Link, LinkError};
 use super::serve::accept_peers;
@@ -109,7 +109,8 @@
         let Some(at) = self.directory.address(peer) else {
             return Err(LinkError::Closed);
         };
-        let mut link = Link::dial(at, &self.name, peer, &self.key).await?;
+        let link = Link::dial(at, &self.name, peer, &self.key).await?;
+        let mut link = link.with_max_frame(MAX_TUNNEL_FRAME_BYTES);
         link.send(Body::Tunnel(Tunnel {
             endpoint: target.name.clone(),
             address: target.address.to_string(),
@@ -183,7 +184,8 @@
     }
 
     async fn serve(&self, stream: TcpStream) -> Result<(), LinkError> {
-        let mut link = Link::accept(stream, &self.name, &self.key, |_| true).await?;
+        let link = Link::accept(stream, &self.name, &self.key, |_| true).await?;
+        let mut link = link.with_max_frame(MAX_TUNNEL_FRAME_BYTES);
         let first = timeout(OPEN_TIMEOUT, link.receive()).await;
         let Some(Body::Tunnel(tunnel)) = first.unwrap_or(Err(LinkError::TimedOut))? else {
             return Err(LinkError::Rejected {
--- a/crates/firdock-node/src/peer/tunnel/stream.rs
+++ b/crates/firdock-node/src/peer/tunnel/stream.rs
@@ -19,10 +19,11 @@
 use tokio_util::codec::{Framed, FramedWrite};
 
 use crate::http::set_dead_peer_timeouts;
-use crate::peer::MAX_FRAME_BYTES;
 
 /// Maximum number of the endpoint's bytes in a message.
 const MAX_DATA_BYTES: usize = 16 << 10;
+/// Maximum size of a message of a tunnel: the endpoint's bytes, or the name and the address of an endpoint.
+pub(super) const MAX_TUNNEL_FRAME_BYTES: usize = MAX_DATA_BYTES + (1 << 10);
 
 /// The peer's connection ended before the peer reported the end of the endpoint's bytes.
 #[derive(Debug, Snafu)]
@@ -65,6 +66,8 @@
 
     fn receive(&mut self, message: Option<Result<Body, WireError>>) -> Result<(), TunnelBroken> {
         let reason = match message {
+            // An endpoint's connection brings at least one byte, or its end.
+            Some(Ok(Body::TunnelData(data))) if data.data.is_empty() => "empty message".to_owned(),
             Some(Ok(Body::TunnelData(data))) => {
                 self.received = data.data.into();
                 return Ok(());
@@ -156,7 +159,7 @@
     R: AsyncRead + Unpin,
     W: AsyncWrite + Unpin,
 {
-    let mut messages = FramedWrite::new(instance, FrameCodec::new(MAX_FRAME_BYTES));
+    let mut messages = FramedWrite::new(instance, FrameCodec::new(MAX_TUNNEL_FRAME_BYTES));
     let mut buffer = vec![0; MAX_DATA_BYTES];
     let reset = loop {
         match endpoint.read(&mut buffer).await {
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod completeness;
 mod dead_peer;
+mod endless_tunnels;
 mod endpoint_changes;
 mod head_notice;
 mod in_force;
--- a/crates/firdock-wire/src/codec.rs
+++ b/crates/firdock-wire/src/codec.rs
@@ -44,6 +44,11 @@
             .new_codec();
         Self { frames }
     }
+
+    /// Sets the length of a frame from which on it is rejected.
+    pub fn set_max_bytes(&mut self, max_bytes: usize) {
+        self.frames.set_max_frame_length(max_bytes);
+    }
 }
 
 impl Decoder for FrameCodec {
