Streams without event IDs: what nobody can ask for again is known before its end is judged

Callers saw: a whole stream whose events have no IDs was broken off where its end had no sign (its instance had paused), at a service whose streams may be continued.

Cause: the relay reported that nothing can continue a stream after its end had been judged, and only if it was rejected. The scheduler took each such stream for one that goes on elsewhere, or that its caller asks for again. At engines this was so before; since plain endpoints' streams may go on, and streams are broken off at deadlines and without attempts, it acts there as well. The policy's test of streams without IDs at their deadline sends the report before the end, which the relay never did.

Change: the report comes once the body has ended, before the end is judged.

--- a/crates/firdock-node/src/endpoint/relay/stream.rs
+++ b/crates/firdock-node/src/endpoint/relay/stream.rs
@@ -9,7 +9,7 @@
 use super::finish;
 use crate::endpoint::events::{CompleteEvents, EventSplitter};
 use crate::endpoint::run::{DispatchError, DispatchRun};
-use crate::endpoint::{BodyState, EndpointBody};
+use crate::endpoint::{BodyState, Ending, EndpointBody, Framing};
 use crate::exchange::{AnswerHead, AnswerPart};
 
 /// Header with the ID of the last event that a caller has, as the format of server-sent events defines it.
@@ -71,10 +71,16 @@
     }
 
     pub(super) async fn forward(mut self, body: EndpointBody) -> &'static str {
-        let result = self.forward_stream(body).await;
-        if result.is_err() && self.is_unresumable() {
+        let framing = body.framing();
+        let read = self.forward_body(body).await;
+        if self.is_unresumable() {
+            // Reported before the end is judged: what nobody can ask for again is not broken off for want of evidence.
             self.run.report(DispatchUpdate::Unresumable).await;
         }
+        let result = match read {
+            Ok((splitter, ending)) => self.finish_stream(splitter, framing, ending).await,
+            Err(error) => Err(error),
+        };
         if result.is_ok() {
             self.run.report_last_bytes().await;
         }
@@ -82,12 +88,16 @@
         finish(self.run, result, output).await
     }
 
-    async fn forward_stream(&mut self, mut body: EndpointBody) -> Result<(), DispatchError> {
+    /// Forwards complete events, and returns what is left of the body and how it ended.
+    async fn forward_body(
+        &mut self,
+        mut body: EndpointBody,
+    ) -> Result<(EventSplitter, Ending), DispatchError> {
         let mut splitter = EventSplitter::default();
-        let ending = loop {
+        loop {
             let bytes = match self.run.read(&mut body).await {
                 Ok(bytes) => bytes,
-                Err(ending) => break ending,
+                Err(ending) => return Ok((splitter, ending)),
             };
             let complete = splitter
                 .push(&bytes)
@@ -95,7 +105,16 @@
             if let Some(events) = complete {
                 self.forward_events(events).await?;
             }
-        };
+        }
+    }
+
+    /// Ends the answer if it is complete.
+    async fn finish_stream(
+        &mut self,
+        splitter: EventSplitter,
+        framing: Framing,
+        ending: Ending,
+    ) -> Result<(), DispatchError> {
         // A stream that resumes after its last event has no more events.
         let begun = splitter.has_begun() || self.run.delivered().last_event.is_some();
         let (rest, left) = splitter.finish();
@@ -103,9 +122,7 @@
             end.leftover = rest.len();
         }
         let state = BodyState::Events { begun, left };
-        self.run
-            .finish_answer(body.framing(), ending, state)
-            .await?;
+        self.run.finish_answer(framing, ending, state).await?;
         self.begin().await?;
         if rest.is_empty() {
             return Ok(());
