Plain answers of firdock's own interface: no second run of what nothing continues

Callers saw: at a plain service that is declared as streamed and resumable, a request whose answer broke after a part of it ran once more at another endpoint, and its caller saw the break then.

Cause: whether an answer with a part passed on may go on went by the service alone; the own interface passes bodies on as they come and continues none.

Change: run_plain reports that its answers cannot be resumed, as the relay does for bodies that are no streams.

--- a/crates/firdock-node/src/endpoint/run_plain.rs
+++ b/crates/firdock-node/src/endpoint/run_plain.rs
@@ -60,6 +60,8 @@
         .map(|_| CachedAnswer::new(head.clone()));
     run.report(DispatchUpdate::Started { head_sent: true })
         .await;
+    // The body is passed on as it comes, without positions at which another endpoint could go on.
+    run.report(DispatchUpdate::Unresumable).await;
     let result = match run.forward(AnswerPart::Head(head)).await {
         Ok(()) => forward_body(run, body, &mut kept).await,
         Err(stop) => Err(stop),
--- a/tests/testsuite/whole_answer.rs
+++ b/tests/testsuite/whole_answer.rs
@@ -108,6 +108,32 @@
     assert!(model.answered() || model.outcome == "unknown", "{model:?}");
 }
 
+// Guards against a second run of a plain answer of which the caller has a part, and which nothing continues, since its
+// service is one of streams that may be resumed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_plain_answer_of_a_resumable_service_runs_once() {
+    let site = Site::start(Spec {
+        services: 2,
+        ..Spec::new(55)
+    })
+    .await;
+    let resumable = "repeatable = true\nstreamed = true\nresumable = true\n";
+    let text = site.resources();
+    let text = text.replacen("repeatable = true\n", resumable, 1);
+    let (status, answer) = site.apply(&text).await;
+    assert_eq!(status, 200, "{answer}");
+    site.wait_converged().await;
+    for service in &site.services {
+        service.faults.change(|f| (f.cuts, f.cut_after) = (1, 4));
+    }
+    let got = site
+        .call(0, &Call::plain(SHOP, Method::GET, "/tiles/1", ""))
+        .await;
+    assert!(!got.ended && !got.own, "{got:?}");
+    let runs: Vec<u32> = site.services.iter().map(|s| s.runs().most()).collect();
+    assert_eq!(runs.iter().sum::<u32>(), 1, "{runs:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_cut_plain_answer_is_shown_as_cut() {
     let site = Site::start(Spec::new(24)).await;
