Unframed streams: a caller that has all events gets their end

Streams that are broken off at deadlines for want of evidence have been sending callers there.

Cause: an answer without framing and events counted as broken unless this instance itself had passed events on.

Change: it is judged like other ends where the request continues a stream, by its caller too. Without evidence, time or attempts such an end is rejected as well: the caller may ask again.

--- a/crates/firdock-node/src/endpoint/relay/stream.rs
+++ b/crates/firdock-node/src/endpoint/relay/stream.rs
@@ -115,8 +115,8 @@
         framing: Framing,
         ending: Ending,
     ) -> Result<(), DispatchError> {
-        // A stream that resumes after its last event has no more events.
-        let begun = splitter.has_begun() || self.run.delivered().last_event.is_some();
+        // A stream that is continued after its last event, here or by its caller, has no more events.
+        let begun = splitter.has_begun() || self.continues_after.is_some();
         let (rest, left) = splitter.finish();
         if let Some(end) = &mut self.run.delivered().end {
             end.leftover = rest.len();
--- a/crates/firdock-policy/src/system/dispatch_updates.rs
+++ b/crates/firdock-policy/src/system/dispatch_updates.rs
@@ -453,7 +453,7 @@
         return false;
     };
     let is_streamed = t.services.get(row.service).declared.streamed;
-    is_streamed && row.head_sent() && is_resumable(t, row, at) && has_retry_budget(t, row)
+    is_streamed && is_resumable(t, row, at) && has_retry_budget(t, row)
 }
 
 /// Returns whether the retry budget admits another run of a request.
--- a/crates/firdock-policy/tests/policy/unproven_ends/plain.rs
+++ b/crates/firdock-policy/tests/policy/unproven_ends/plain.rs
@@ -5,6 +5,7 @@
 use firdock_policy::event::{EndEvidence, Liveness};
 
 use super::{Answers, MAX_WAIT, rejected, resources_of, verdict_on};
+use crate::edge::{EdgeScheduler, edge_settings, request};
 use crate::fixtures::{dispatched, millis};
 
 /// Returns resources whose endpoints are plain ones.
@@ -79,3 +80,17 @@
     assert_eq!(sent.len(), 1);
     assert_eq!(sent[0].1, "e2");
 }
+
+// Guards against a stream that its caller continues and that is told as complete without any event, although nothing shows
+// whether its endpoint was killed: the caller may ask again.
+#[test]
+fn a_stream_without_events_or_further_attempts_does_not_end_for_want_of_evidence() {
+    let resources = single_attempt_resources(&["e1"]);
+    let mut edge = EdgeScheduler::new(edge_settings("a"), resources);
+    edge.arrive(request(1, "stream", "free"));
+    let mut answers = Answers { edge };
+    answers.pass(millis(100));
+    answers.close(1);
+    let found = answers.pass(MAX_WAIT);
+    assert_eq!(verdict_on(1, &found), rejected(EndEvidence::Silent));
+}
