Streams that callers may ask for again are broken off for want of evidence where the retry budget is spent

Change: such a stream is broken off, and not sent again: the budget bounds what this instance sends. Only what was paid for is sent again without another look at the budget (Doubted says which).

--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -354,8 +354,11 @@
     Proven,
     /// Nothing: a process that is killed ends its answers in the same way.
     Unproven,
-    /// The same, and the answer is continued elsewhere without a sign against its endpoint. The retry is paid for.
-    Doubted,
+    /// The same, and the answer is continued elsewhere, or left to its caller, without a sign against its endpoint.
+    Doubted {
+        /// Whether the retry budget has paid for another run.
+        paid: bool,
+    },
 }
 
 /// Part of an answer that has reached the caller.
--- a/crates/firdock-policy/src/system/dispatch_updates.rs
+++ b/crates/firdock-policy/src/system/dispatch_updates.rs
@@ -378,13 +378,14 @@
     // Decided by the exits recorded before this one: a single exit is no reason to give up on a
     // caller.
     let may_retry_now = may_retry(t, id, at);
+    let is_paid = is_paid(t, id);
     suspect::record_broken_run(t, now, id, at, out);
     if t.settings.coordinates {
         lifecycle::finish(t, now, id, Outcome::Unknown);
         return;
     }
     if may_retry_now {
-        if !is_doubted {
+        if !is_paid {
             spend_retry(t, id);
         }
         t.stats.retries += 1;
@@ -416,7 +417,13 @@
 /// Returns whether the end of a request's answer was rejected without a sign against its endpoint.
 fn is_doubted(t: &Tables, id: RequestId) -> bool {
     let row = t.requests.get(id);
-    row.is_some_and(|row| row.completion_proof == CompletionProof::Doubted)
+    row.is_some_and(|row| matches!(row.completion_proof, CompletionProof::Doubted { .. }))
+}
+
+/// Returns whether the next run of a request has been paid for.
+fn is_paid(t: &Tables, id: RequestId) -> bool {
+    let row = t.requests.get(id);
+    row.is_some_and(|row| row.completion_proof == CompletionProof::Doubted { paid: true })
 }
 
 /// Returns whether the endpoint currently asks the request's instance to back off. A dispatch that
@@ -446,19 +453,19 @@
         && (!row.head_sent() || is_resumable(t, row, at))
 }
 
-/// Returns whether the caller of a broken stream may ask for the rest itself, as a request of its own with attempts and a
-/// deadline of its own.
+/// Returns whether the caller of a broken stream may ask for the rest itself, as a request of its own with attempts, a
+/// deadline and a retry budget of its own.
 pub(super) fn caller_may_resume(t: &Tables, id: RequestId, at: usize) -> bool {
     let Some(row) = t.requests.get(id) else {
         return false;
     };
     let is_streamed = t.services.get(row.service).declared.streamed;
-    is_streamed && is_resumable(t, row, at) && has_retry_budget(t, row)
+    is_streamed && is_resumable(t, row, at)
 }
 
 /// Returns whether the retry budget admits another run of a request.
 fn has_retry_budget(t: &Tables, row: &RequestRow) -> bool {
-    let is_paid = row.completion_proof == CompletionProof::Doubted;
+    let is_paid = row.completion_proof == CompletionProof::Doubted { paid: true };
     is_paid || t.retry_budgets.allow(row.pool_key(), t.max_retry_credit())
 }
 
--- a/crates/firdock-policy/src/system/unproven_end.rs
+++ b/crates/firdock-policy/src/system/unproven_end.rs
@@ -175,7 +175,8 @@
     [Phase::Dispatching(endpoint), Phase::Running(endpoint)].contains(&row.phase)
 }
 
-/// Spends the retry of an answer that is rejected without a sign. If the budget has none left, the end counts.
+/// Spends the retry of an answer that is rejected without a sign. If the budget has none left, the end counts, unless the
+/// caller may ask for the rest.
 fn reserve_retry(t: &mut Tables, now: Time, end: &UnprovenEnd, verdict: EndVerdict) -> EndVerdict {
     if verdict.accepted || verdict.evidence.is_sign() {
         return verdict;
@@ -183,9 +184,12 @@
     if !may_go_on(t, now, end) {
         return EndVerdict::accepted(verdict.evidence);
     }
-    dispatch_updates::spend_retry(t, end.id);
+    let paid = may_send_again(t, now, end);
+    if paid {
+        dispatch_updates::spend_retry(t, end.id);
+    }
     if let Some(row) = t.requests.get_mut(end.id) {
-        row.completion_proof = CompletionProof::Doubted;
+        row.completion_proof = CompletionProof::Doubted { paid };
     }
     verdict
 }
@@ -291,9 +295,13 @@
 
 /// Returns whether an answer that is rejected may go on: at another endpoint, or because its caller may ask for the rest.
 fn may_go_on(t: &Tables, now: Time, end: &UnprovenEnd) -> bool {
-    let (id, at) = (end.id, end.dispatched_row);
-    let may_retry = has_time_left(t, now, id) && dispatch_updates::may_retry(t, id, at);
-    may_retry || dispatch_updates::caller_may_resume(t, id, at)
+    may_send_again(t, now, end)
+        || dispatch_updates::caller_may_resume(t, end.id, end.dispatched_row)
+}
+
+/// Returns whether this instance may send the request of an answer that is rejected to another endpoint.
+fn may_send_again(t: &Tables, now: Time, end: &UnprovenEnd) -> bool {
+    has_time_left(t, now, end.id) && dispatch_updates::may_retry(t, end.id, end.dispatched_row)
 }
 
 /// Returns whether a request may still be sent elsewhere before its deadline.
