Bodies: what has just been granted is not cut in the same step

One step of the budget granted a body of a lower tier and cut it for one of a higher tier: its owner heard both, and read on without memory that is counted for it.

Change: what a step grants it does not cut.

--- a/crates/firdock-policy/src/bodies.rs
+++ b/crates/firdock-policy/src/bodies.rs
@@ -218,7 +218,7 @@
             self.resize(id, total);
             return Some(BodyChanges::default());
         }
-        let cut = self.select_cut(now, &demand, Cut::LowerTiers).ok()?;
+        let cut = self.select_cut(now, &demand, Cut::LowerTiers, &[]).ok()?;
         self.remove_all(&cut);
         self.resize(id, total);
         // What was cut may leave room for others too.
@@ -254,7 +254,7 @@
             let Some(demand) = self.demand_of(id) else {
                 continue;
             };
-            match self.select_cut(now, &demand, Cut::All) {
+            match self.select_cut(now, &demand, Cut::All, &changes.granted) {
                 Ok(cut) => {
                     self.remove_all(&cut);
                     changes.cut.extend(cut);
@@ -452,16 +452,23 @@
     /// Selects bodies to cut so that a demand fits: readings of lower tiers, the lowest first, and then the longest
     /// readings of the accounts that use most, as long as each uses more than the demand's account would.
     ///
-    /// Cuts nothing if that would not suffice.
+    /// Cuts nothing if that would not suffice, and none of `spared`: their owners have not heard yet that they may read.
     ///
     /// # Errors
     ///
     /// Fails with the bytes that would still be missing.
-    fn select_cut(&self, now: Time, demand: &Demand, cut: Cut) -> Result<Vec<BodyId>, usize> {
+    fn select_cut(
+        &self,
+        now: Time,
+        demand: &Demand,
+        cut: Cut,
+        spared: &[BodyId],
+    ) -> Result<Vec<BodyId>, usize> {
         let own = self.usage(&demand.account).bytes + demand.bytes;
         let bound = self.bound(&demand.account, demand.bytes);
         let mut freed: HashMap<&str, usize> = HashMap::new();
         let mut readings = self.readings();
+        readings.retain(|reading| !spared.contains(&reading.id));
         let (mut bytes, mut ids) = (self.bytes, Vec::new());
         while bytes + demand.bytes > bound {
             let use_of = |account: &str| {
--- a/crates/firdock-policy/tests/policy/bodies.rs
+++ b/crates/firdock-policy/tests/policy/bodies.rs
@@ -210,6 +210,30 @@
     assert_eq!(buffers.close(at(3), 0).granted, [10, 11]);
 }
 
+/// A body must not be granted and cut in one step: its owner would read on without memory that is counted for it.
+#[test]
+fn a_body_that_has_just_been_granted_is_not_cut_in_the_same_step() {
+    let half = LARGE / 2;
+    let mut buffers = BodyBuffers::new(BUDGET);
+    for id in 0..7 {
+        buffers.open(at(0), id, ranked(0, "a", LOW, half));
+    }
+    for id in 0..4 {
+        buffers.settle(at(0), id, half);
+    }
+    let little = (BUDGET - 7 * half) / 8;
+    for id in 10..18 {
+        assert!(open(&mut buffers, 0, id, &format!("small {id}"), little));
+        buffers.settle(at(0), id, little);
+    }
+    buffers.open(at(1), 20, ranked(1, "quiet", LOW, SMALL));
+    buffers.open(at(1), 21, ranked(1, "b", HIGH, half));
+    buffers.open(at(1), 22, ranked(1, "c", MIDDLE, half));
+    let changes = buffers.advance(at(25));
+    assert_eq!(changes.granted[..2], [21, 20], "{changes:?}");
+    assert!(!changes.cut.contains(&20), "{changes:?}");
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
     Waiting,
