--- a/crates/firdock-policy/tests/policy/bodies.rs
+++ b/crates/firdock-policy/tests/policy/bodies.rs
@@ -210,7 +210,7 @@
     assert_eq!(buffers.close(at(3), 0).granted, [10, 11]);
 }
 
-/// A body must not be granted and cut in one step: its owner would read on without memory that is counted for it.
+/// A body must not be granted and cut in one step: its caller would be refused although it had just got room.
 #[test]
 fn a_body_that_has_just_been_granted_is_not_cut_in_the_same_step() {
     let half = LARGE / 2;
