An entry proves a start only for a while: streams wait where none was read that was written recently

Cause: an endpoint that restarts under its name is noticed by the connections that break. An instance that starts after the break, or that cannot read the store, has one old entry and no sign; it took that entry for the process that has the address, sent streams of the old build there and recorded what began there as of the old build.

Change: start::is_confirmed asks for an entry that was written within MAX_RENEWAL_TIME, or for an answer under way that is older than the last entry. Without either an endpoint continues no stream, and what begins there is recorded as unconfirmed, at its peers as well, until an entry that was written later is read. The first entry of a start that the topic did not hold at the last read counts as written after that read. New streams wait for nothing; coordinators leave it to their members.

--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -189,7 +189,7 @@
     pub leaving: bool,
 }
 
-/// Entry that a start of an endpoint renewed.
+/// Entry that a start of an endpoint wrote after the entries had been read before: its first one or another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RenewedEntry {
     /// The start.
--- a/crates/firdock-policy/src/system/backoff.rs
+++ b/crates/firdock-policy/src/system/backoff.rs
@@ -62,7 +62,7 @@
     let mut first: Option<Time> = None;
     for at in &t.services.get(row.service).endpoints {
         let e = t.endpoints.get(*at);
-        if !(place::in_pool(row, e) && wanted(e) && rollout::admits(t, row, *at)) {
+        if !(place::in_pool(row, e) && wanted(e) && rollout::admits(t, now, row, *at)) {
             continue;
         }
         match e.check_available(&row.new.member, now) {
--- a/crates/firdock-policy/src/system/continuation.rs
+++ b/crates/firdock-policy/src/system/continuation.rs
@@ -12,7 +12,6 @@
 use crate::request::{Build, NewRequest, Phase, RequestRow, StreamOrigin, Verdict};
 use crate::table::Tables;
 use crate::table::build_history::ServedBuild;
-use crate::table::endpoint::EndpointRow;
 use crate::time::Time;
 
 /// Longest life of a stream over all attempts of its caller, as a multiple of its service's time limit.
@@ -69,7 +68,7 @@
     let life = declared.timeout().map(|limit| limit * STREAM_LIFE_FACTOR);
     let since = now.saturating_sub(life.unwrap_or(DEFAULT_STREAM_LIFE));
     let pool = declared.pick_pool(new.draw);
-    match only_build_since(t, pool, since) {
+    match only_build_since(t, now, pool, since) {
         Some(build) => {
             new.stream_origin = StreamOrigin::Known(Arc::new(build.clone()));
             Ok(())
@@ -121,7 +120,7 @@
     let waits = t
         .requests
         .get(id)
-        .is_some_and(|row| awaits_confirmation(t, row));
+        .is_some_and(|row| awaits_confirmation(t, now, row));
     let Some(row) = t.requests.get_mut(id) else {
         return false;
     };
@@ -139,27 +138,36 @@
 }
 
 /// Returns whether a held request waits for a start to be confirmed.
-fn awaits_confirmation(t: &Tables, row: &RequestRow) -> bool {
+fn awaits_confirmation(t: &Tables, now: Time, row: &RequestRow) -> bool {
     let Some(build) = row.stream_origin.build() else {
         return true;
     };
-    let mut able = place::eligible_endpoints(t, row)
-        .filter(|e| {
-            e.present && rollout::continues(t, build, e) && !row.tried.contains(&e.start_id)
-        })
-        .peekable();
-    able.peek().is_some() && able.all(|e| e.unconfirmed.is_some())
+    let able = |at: &usize| {
+        let e = t.endpoints.get(*at);
+        e.present && rollout::continues(t, build, e) && !row.tried.contains(&e.start_id)
+    };
+    let rows = place::eligible_rows(t, row).filter(able);
+    let mut confirmed = rows.map(|at| start::is_confirmed(t, now, at)).peekable();
+    confirmed.peek().is_some() && confirmed.all(|is_confirmed| !is_confirmed)
 }
 
 /// Returns the build of a pool, or of all pools, that alone served at any time since `since`.
-fn only_build_since<'a>(t: &'a Tables, pool: Option<&PoolId>, since: Time) -> Option<&'a Build> {
+fn only_build_since<'a>(
+    t: &'a Tables,
+    now: Time,
+    pool: Option<&PoolId>,
+    since: Time,
+) -> Option<&'a Build> {
     if t.settings.records_builds && !t.builds.covers(since) {
         return None;
     }
     let served = t.builds.served_since(since);
     let is_of = |other: &PoolId| pool.is_none_or(|pool| pool == other);
-    let unconfirmed = |e: &EndpointRow| e.unconfirmed.is_some() && is_of(&e.declared.pool);
-    if t.endpoints.iter().any(|(_, e)| e.present && unconfirmed(e)) {
+    let mut present = t
+        .endpoints
+        .iter()
+        .filter(|(_, e)| e.present && is_of(&e.declared.pool));
+    if present.any(|(at, _)| !start::is_confirmed(t, now, at)) {
         return None;
     }
     let mut in_pool = served.filter(|build| is_of(&build.pool));
--- a/crates/firdock-policy/src/system/coordinate.rs
+++ b/crates/firdock-policy/src/system/coordinate.rs
@@ -114,7 +114,7 @@
     let closed = e.check_available(&row.new.member, now).err();
     let permitted = permitted && closed == Some(UnavailableReason::RateLimited);
     let open = permitted || closed.is_none_or(UnavailableReason::is_health_or_room);
-    serves && open && !row.tried.contains(&e.start_id) && rollout::admits_grant(t, row, at)
+    serves && open && !row.tried.contains(&e.start_id) && rollout::admits_grant(t, now, row, at)
 }
 
 /// Gives up a request that the coordinator will not place in time.
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -12,7 +12,7 @@
 use self::choice::{Choice, Placement, choose, estimate};
 use self::lane::{is_backing_off, try_lane};
 use super::suspect::{self, Gate};
-use super::{coordinate, fair_share, key, lifecycle, rollout, route};
+use super::{coordinate, fair_share, key, lifecycle, rollout, route, start};
 use crate::action::{Action, Dispatch};
 use crate::event::Grant;
 use crate::request::{
@@ -244,7 +244,8 @@
 }
 
 /// Returns the origin of a stream that begins with a dispatch to an endpoint.
-fn stream_origin_at(now: Time, e: &EndpointRow) -> StreamOrigin {
+fn stream_origin_at(t: &Tables, now: Time, at: usize) -> StreamOrigin {
+    let e = t.endpoints.get(at);
     let build = Build::of(&e.declared);
     if e.declared.started.is_none() {
         return StreamOrigin::Known(Arc::new(build));
@@ -253,7 +254,7 @@
         build,
         start: e.start_id.clone(),
         sent: now,
-        unconfirmed: e.unconfirmed.is_some(),
+        unconfirmed: !start::is_confirmed(t, now, at),
     }))
 }
 
@@ -262,10 +263,13 @@
     t: &'a Tables,
     row: &'a RequestRow,
 ) -> impl Iterator<Item = &'a EndpointRow> {
-    let endpoints = t.services.get(row.service).endpoints.iter();
-    endpoints
-        .map(|e| t.endpoints.get(*e))
-        .filter(|e| in_pool(row, e))
+    eligible_rows(t, row).map(|at| t.endpoints.get(at))
+}
+
+/// Iterates over the rows of these endpoints.
+pub fn eligible_rows<'a>(t: &'a Tables, row: &'a RequestRow) -> impl Iterator<Item = usize> + 'a {
+    let endpoints = t.services.get(row.service).endpoints.iter().copied();
+    endpoints.filter(|at| in_pool(row, t.endpoints.get(*at)))
 }
 
 /// Returns one of the engines that are eligible for a request, or `None` if the request goes to
@@ -288,6 +292,7 @@
 /// Panics if the request was sent to this endpoint before, if the endpoint may not receive it, or
 /// if a request that is not repeatable may already have run.
 fn dispatch(t: &mut Tables, now: Time, id: RequestId, choice: Choice, out: &mut Vec<Action>) {
+    let origin = stream_origin_at(t, now, choice.endpoint);
     charge_lane(t, id, choice);
     fair_share::charge(t, now, id);
     let most = t.max_retry_credit();
@@ -323,7 +328,6 @@
     e.running += 1;
     e.backlog += f64::from(choice.estimate.uncached);
     let (name, start) = (e.declared.name.clone(), e.start_id.clone());
-    let origin = stream_origin_at(now, e);
     let Some(row) = t.requests.get_mut(id) else {
         return;
     };
--- a/crates/firdock-policy/src/system/place/choice.rs
+++ b/crates/firdock-policy/src/system/place/choice.rs
@@ -158,7 +158,7 @@
     let e = t.endpoints.get(at);
     let open = e.check_available(&row.new.member, now).is_ok();
     let open = open && in_pool(row, e) && !row.tried.contains(&e.start_id);
-    open && rollout::admits(t, row, at)
+    open && rollout::admits(t, now, row, at)
 }
 
 fn has_capacity(t: &Tables, now: Time, e: &EndpointRow) -> bool {
--- a/crates/firdock-policy/src/system/rollout/versions.rs
+++ b/crates/firdock-policy/src/system/rollout/versions.rs
@@ -11,6 +11,7 @@
 use crate::request::{Build, RequestRow};
 use crate::rollout::Stage;
 use crate::rollout::allowance;
+use crate::system::start;
 use crate::table::Tables;
 use crate::table::endpoint::EndpointRow;
 use crate::table::rollout::RolloutRow;
@@ -178,10 +179,10 @@
 
 /// Returns whether a request may go to an endpoint, by its version.
 #[must_use]
-pub fn admits(t: &Tables, row: &RequestRow, at: usize) -> bool {
+pub fn admits(t: &Tables, now: Time, row: &RequestRow, at: usize) -> bool {
     let e = t.endpoints.get(at);
     if !row.stream_origin.is_new() {
-        return continues_now(t, row, e);
+        return continues_now(t, now, row, at);
     }
     if !is_settled(t, e) || is_given_up(t, e) {
         return false;
@@ -217,10 +218,10 @@
 /// Returns whether a granted endpoint may be used: the instance may know more recent progress of
 /// the roll-out than the coordinator.
 #[must_use]
-pub fn admits_grant(t: &Tables, row: &RequestRow, at: usize) -> bool {
+pub fn admits_grant(t: &Tables, now: Time, row: &RequestRow, at: usize) -> bool {
     let e = t.endpoints.get(at);
     if !row.stream_origin.is_new() {
-        return continues_now(t, row, e);
+        return continues_now(t, now, row, at);
     }
     if !is_settled(t, e) || is_given_up(t, e) {
         return false;
@@ -233,9 +234,10 @@
 
 /// Returns whether an endpoint may continue a request's stream now: its entry is known to be of the process that has its
 /// address.
-pub fn continues_now(t: &Tables, row: &RequestRow, e: &EndpointRow) -> bool {
+fn continues_now(t: &Tables, now: Time, row: &RequestRow, at: usize) -> bool {
+    let e = t.endpoints.get(at);
     let build = row.stream_origin.build();
-    e.unconfirmed.is_none() && build.is_some_and(|build| continues(t, build, e))
+    build.is_some_and(|build| continues(t, build, e)) && start::is_confirmed(t, now, at)
 }
 
 /// Returns whether an endpoint may continue a stream that a build began.
--- a/crates/firdock-policy/src/system/start.rs
+++ b/crates/firdock-policy/src/system/start.rs
@@ -3,7 +3,8 @@
 //!
 //! An endpoint may restart under its name with another build, and its new entry arrives later. A broken connection is the
 //! sign of it. From then on the endpoint continues no stream, and what begins there has no known build, until an entry
-//! that was written after the break names its start.
+//! that was written after the break names its start. The same holds without a sign where no entry was read that was
+//! written recently: after the start of this instance, and while the platform's store is away.
 
 use std::time::Duration;
 
@@ -16,10 +17,10 @@
 
 /// Largest difference of the clocks of an endpoint and of this instance that is assumed when a dispatch is compared
 /// with the time at which a start began.
-const CLOCK_TOLERANCE: Duration = Duration::from_millis(50);
+pub const CLOCK_TOLERANCE: Duration = Duration::from_millis(50);
 
 /// Time within which all connections to a process that ended are seen to break.
-const BREAK_SPREAD: Duration = Duration::from_millis(50);
+pub const BREAK_SPREAD: Duration = Duration::from_millis(50);
 
 /// Records that the connection of a dispatch to an endpoint broke. Its process was alive at `alive_at`.
 pub fn record_break(t: &mut Tables, now: Time, at: usize, sent: Time, alive_at: Time) {
@@ -126,6 +127,22 @@
     }
 }
 
+/// Returns whether the entry of an endpoint is known to be of the process that has its address now.
+///
+/// An entry that was written recently shows it, and so does a connection that is older than the last entry. A coordinator
+/// has no connections; its members check its placements by their own tables.
+#[must_use]
+pub fn is_confirmed(t: &Tables, now: Time, at: usize) -> bool {
+    let e = t.endpoints.get(at);
+    if e.declared.started.is_none() {
+        return true;
+    }
+    let is_shown = t.settings.coordinates
+        || e.renewed_before(now)
+        || has_answer_under_way(t, at, e.confirmed_at);
+    e.unconfirmed.is_none() && is_shown
+}
+
 /// Returns whether an answer to a request that was sent before `sent_by` is under way from an endpoint. The connection of
 /// one whose end waits for a verdict has closed.
 fn has_answer_under_way(t: &Tables, at: usize, sent_by: Time) -> bool {
@@ -184,13 +201,15 @@
     let name = stream.endpoint();
     let present = t.endpoints.find(name).map(|at| t.endpoints.get(at));
     if let Some(e) = present.filter(|e| e.start_id == candidate.start) {
-        // The entry of a later start was read after the dispatch, so that what broke since broke after it.
-        let is_later = candidate.began.is_some();
-        let is_confirmed = is_later || e.confirmed_at >= stream.sent;
-        // Nobody may have seen a restart before the dispatch, and the next entry is about to tell.
-        let is_doubtful =
-            is_unconfirmed(stream, candidate, e.unconfirmed) || e.awaits_entry_after(stream.sent);
-        let known = is_confirmed || !is_doubtful;
+        let is_doubtful = if candidate.began.is_some() {
+            // The entry of a later start was read after the dispatch, so that what broke since broke after it.
+            e.unconfirmed.is_some_and(|u| u.first_break < stream.sent)
+        } else {
+            // Nobody may have seen a restart before the dispatch, and the next entry is about to tell.
+            is_unconfirmed(stream, candidate, e.unconfirmed) || e.awaits_entry()
+        };
+        let is_recent = e.renewed_before(stream.sent);
+        let known = e.confirmed_at >= stream.sent || (is_recent && !is_doubtful);
         return known.then_some(candidate.build);
     }
     match t.starts.find(name, candidate.start) {
@@ -233,7 +252,8 @@
     let before_next = next
         .began
         .is_none_or(|at| stream.sent + CLOCK_TOLERANCE < at);
-    if before_next && !is_unconfirmed(stream, candidate, replaced.unconfirmed) {
+    let is_shown = replaced.confirmed_at >= stream.sent;
+    if before_next && (is_shown || !is_unconfirmed(stream, candidate, replaced.unconfirmed)) {
         return Some(candidate.build);
     }
     if !is_same_build {
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -85,8 +85,8 @@
     pub again: bool,
 }
 
-/// Longest time between two entries of a start. One that writes none for longer, as while the store is down, is not
-/// waited for.
+/// Longest time between two entries of a start that are read. If none is read for longer, as while the store is down or
+/// after the start of this instance, the process at the address may be another one without any sign of it.
 const MAX_RENEWAL_TIME: Duration = Duration::from_secs(5);
 
 /// From when on it is not known whether the process at an endpoint's address is the one that wrote its entry.
@@ -259,16 +259,22 @@
         self.declared.started != declared.started
     }
 
-    /// Returns whether the next entry is about to tell which start got a request: a connection broke, a process listens
-    /// at the address, and this start had renewed its entry shortly before.
+    /// Returns whether this start had renewed its entry shortly before a time. The first entry that an instance reads may
+    /// be of a start that is over.
     #[must_use]
-    pub fn awaits_entry_after(&self, sent: Time) -> bool {
-        let renews = self.confirmed_at > Time::ZERO && sent < self.confirmed_at + MAX_RENEWAL_TIME;
+    pub fn renewed_before(&self, at: Time) -> bool {
+        self.confirmed_at > Time::ZERO && at < self.confirmed_at + MAX_RENEWAL_TIME
+    }
+
+    /// Returns whether the next entry is about to tell which start got a request: a connection broke, and a process listens
+    /// at the address.
+    #[must_use]
+    pub fn awaits_entry(&self) -> bool {
         let listens = |u: Unconfirmed| {
             let is_open = self.open_at.is_some_and(|at| u.first_break <= at);
             is_open || self.liveness_check.is_some()
         };
-        self.present && renews && self.unconfirmed.is_some_and(listens)
+        self.present && self.unconfirmed.is_some_and(listens)
     }
 
     /// Marks it as replaced by a later start.
--- a/crates/firdock-policy/tests/policy/restart.rs
+++ b/crates/firdock-policy/tests/policy/restart.rs
@@ -7,7 +7,7 @@
 
 use firdock_core::resource::Resource;
 use firdock_core::{Outcome, Reason};
-use firdock_policy::event::{DispatchUpdate, Grant, PeerUpdate};
+use firdock_policy::event::{DispatchUpdate, Grant, PeerUpdate, RenewedEntry};
 use firdock_policy::table::endpoint::{EndpointRow, Health};
 use firdock_policy::{Action, Event, PolicySettings, Scheduler};
 
@@ -44,9 +44,19 @@
         now: millis(10_000),
     };
     d.step(catalog(2, with_starts("none", millis(0))));
+    renew_all(&mut d);
     d
 }
 
+/// All endpoints renew their entries, as those do that serve.
+fn renew_all(d: &mut TestScheduler) {
+    let rows = d.scheduler.tables().endpoints.iter();
+    let starts = rows.map(|(_, e)| e.start_id.clone());
+    let after = d.now;
+    let renewed = starts.map(|start| RenewedEntry { start, after }).collect();
+    d.step(Event::EntriesRenewed(renewed));
+}
+
 /// Lists a later start of one endpoint.
 fn restart(d: &mut TestScheduler, name: &str, at: Duration) -> Vec<Action> {
     let version = d.scheduler.tables().version;
--- /dev/null
+++ b/crates/firdock-policy/tests/policy/stream_versions/restarts/unproven.rs
@@ -0,0 +1,270 @@
+//! Endpoints whose entry may be out of date without any sign of it: after the start of the instance, and while no entries
+//! are read.
+
+use firdock_policy::request::{Build, StreamStart};
+
+use super::*;
+
+/// Time without entries after which the last one shows nothing.
+const OUTAGE: Duration = Duration::from_secs(5);
+
+/// An endpoint restarts with the second version while this instance does not run, and its old entry is read.
+fn restart_before_instance(world: &mut World, endpoint: usize) {
+    let began = world.edge.now.saturating_sub(millis(200));
+    world.serving[endpoint] = Start {
+        version: "v2",
+        began,
+    };
+}
+
+/// No entries are read for a time, as while the store is away.
+fn pass_without_entries(world: &mut World) {
+    world.pass(OUTAGE / 2);
+    world.pass(OUTAGE / 2);
+}
+
+/// Begins a stream at an endpoint that is the first one it is sent to, and returns its request.
+fn begin_first_at(world: &mut World, endpoint: usize) -> u64 {
+    for n in 100..200 {
+        world.arrive(n, StreamOrigin::New);
+        if world.sent[&n].0 == endpoint {
+            world.first_event(n);
+            return n;
+        }
+    }
+    panic!("no stream is sent to {endpoint}");
+}
+
+/// A record of a stream at an endpoint, as another instance told it.
+fn told(world: &World, endpoint: usize, unconfirmed: bool) -> StreamOrigin {
+    let declared = declared(endpoint, world.listed[endpoint]);
+    StreamOrigin::Started(Arc::new(StreamStart {
+        build: Build::of(&declared),
+        start: declared.start_id(),
+        sent: world.edge.now,
+        unconfirmed,
+    }))
+}
+
+/// Worlds in which the entry of endpoint 1 is out of date, and its process has the second version: the instance has just
+/// started, or the store is away.
+fn worlds_with_old_entry() -> [World; 2] {
+    let mut started = World::started(2);
+    restart_before_instance(&mut started, 1);
+    let mut cut_off = World::new(2);
+    cut_off.restart(1, "v2");
+    pass_without_entries(&mut cut_off);
+    [started, cut_off]
+}
+
+/// Guards against a stream that goes on at the version of an old entry, within one answer and by a take-up, where the
+/// instance that began it has just started or cannot read entries.
+#[test]
+fn a_stream_that_began_at_an_old_entry_is_not_of_its_version() {
+    for mut world in worlds_with_old_entry() {
+        begin_at(&mut world, 10, 1);
+        let origin = world.origin(10);
+        world.pass(millis(100));
+        assert!(sent_by(&world.break_off(10)).is_empty());
+        let actions = check_liveness(&mut world, 1, Liveness::Open);
+        assert!(sent_by(&actions).is_empty(), "{actions:?}");
+        world.renew(0);
+        let actions = world.arrive(30, origin);
+        assert!(sent_by(&actions).is_empty(), "{actions:?}");
+        // The entry of its start is read, and the next one shows that the process still serves.
+        world.read();
+        world.list(1);
+        let sent = [10, 30].map(|n| world.sent.get(&n).map(|(at, _)| *at));
+        assert_eq!(sent, [None, Some(1)], "the second attempt may go there");
+    }
+}
+
+/// Guards against a stream that is taken for one of the old entry since the process that began it has ended as well.
+#[test]
+fn a_stream_of_a_start_that_ended_before_its_first_entry_is_of_no_version() {
+    for mut world in worlds_with_old_entry() {
+        let n = begin_first_at(&mut world, 1);
+        let origin = world.origin(n);
+        world.pass(millis(100));
+        world.restart(1, "v1");
+        let actions = check_liveness(&mut world, 1, Liveness::Ended);
+        assert!(sent_by(&actions).is_empty(), "{actions:?}");
+        world.read();
+        world.list(1);
+        world.renew_all();
+        assert!(dispatched(&world.arrive(30, origin)).is_empty());
+        assert!(world.is_waiting(n));
+    }
+}
+
+/// Guards against a stream of the first version that goes on at an endpoint whose old entry names it.
+#[test]
+fn a_stream_does_not_go_on_at_an_endpoint_with_an_old_entry() {
+    for mut world in worlds_with_old_entry() {
+        world.renew(0);
+        let origin = told(&world, 0, false);
+        world.renew(0);
+        let own = begin_first_at(&mut world, 0);
+        world.renew(0);
+        world.pass(millis(100));
+        assert!(sent_by(&world.break_off(own)).is_empty());
+        for n in 20..24 {
+            let sent = sent_by(&world.arrive(n, origin.clone()));
+            assert!(sent.iter().all(|(_, at, _)| *at == 0), "{sent:?}");
+        }
+    }
+}
+
+/// Guards against streams that are refused although their endpoint serves on, and against those that wait longer than until
+/// its next entry.
+#[test]
+fn a_stream_goes_on_once_the_entries_of_an_instance_that_has_just_started_are_renewed() {
+    let mut cut_off = World::new(2);
+    pass_without_entries(&mut cut_off);
+    for mut world in [World::started(2), cut_off] {
+        let n = begin_first_at(&mut world, 1);
+        world.pass(millis(100));
+        assert!(sent_by(&world.break_off(n)).is_empty());
+        world.renew(1);
+        assert!(
+            world.is_waiting(n),
+            "the other endpoint may have another version"
+        );
+        assert_eq!(sent_by(&world.renew(0)), [(n, 0, 2)]);
+    }
+}
+
+/// Guards against first tokens that wait for an entry.
+#[test]
+fn new_streams_wait_for_no_entry_where_none_are_read() {
+    for mut world in worlds_with_old_entry() {
+        let actions = world.arrive(10, StreamOrigin::New);
+        assert_eq!(dispatched(&actions).len(), 1);
+    }
+}
+
+/// Sets the time limit of all services.
+fn set_time_limit(world: &mut World, limit: Duration) {
+    let mut resources = resources_of(&world.listed);
+    for resource in &mut resources {
+        if let Resource::Service(service) = resource {
+            service.timeout_millis = limit.as_millis() as u64;
+        }
+    }
+    let catalog = Catalog::new(2).with_resources(resources);
+    world.step(Event::Config(Arc::new(catalog)));
+}
+
+/// Guards against streams that are refused for the length of an outage, although an answer that began before it shows that
+/// the process of the last entry serves on.
+#[test]
+fn a_stream_goes_on_during_an_outage_at_an_endpoint_with_an_answer_under_way() {
+    let mut world = World::new(2);
+    set_time_limit(&mut world, OUTAGE * 2);
+    let own = begin_first_at(&mut world, 0);
+    begin_at(&mut world, 10, 1);
+    pass_without_entries(&mut world);
+    assert_eq!(sent_by(&world.break_off(own)), [(own, 1, 2)]);
+}
+
+/// Guards against the word of a peer that had just started, or could not read entries.
+#[test]
+fn a_stream_that_a_peer_began_at_an_unproven_start_waits_for_an_entry() {
+    let mut world = World::new(2);
+    world.pass(MIN_LIFE);
+    let proven = told(&world, 1, false);
+    let unproven = told(&world, 1, true);
+    world.pass(millis(100));
+    assert_eq!(dispatched(&world.arrive(30, proven)).len(), 1);
+    assert!(dispatched(&world.arrive(31, unproven)).is_empty());
+    assert_eq!(sent_by(&world.renew(1)).len(), 1);
+}
+
+/// Guards against a stream that nobody knows and that is inferred to be of the only version in entries which may be old.
+#[test]
+fn no_version_is_inferred_from_old_entries() {
+    for mut world in worlds_with_old_entry() {
+        let actions = world.arrive(30, StreamOrigin::Unknown);
+        let reason = verdict(&actions).map(|(_, reason)| reason);
+        assert_eq!(reason, Some(Reason::VersionUnknown));
+    }
+}
+
+/// All instances fall, and one starts that knows what the store has recorded of the streams.
+fn fall(world: &mut World, callers: &mut [Caller]) {
+    world.start_instance();
+    for caller in callers {
+        caller.attempt = None;
+        if let Some(StreamOrigin::Started(stream)) = &mut caller.origin {
+            Arc::make_mut(stream).unconfirmed = true;
+        }
+    }
+}
+
+/// Restarts an endpoint, seen or not, unless nothing at all could tell of it: nothing is under way there, and its entry was
+/// renewed shortly before.
+fn restart_anywhere(world: &mut World, endpoint: usize, version: &'static str) {
+    let t = world.edge.scheduler.tables();
+    let at = t.endpoints.find(&format!("e-{endpoint}"));
+    let row = t.endpoints.get(at.expect("it is listed"));
+    if row.renewed_before(world.edge.now + MIN_LIFE) {
+        restart(world, endpoint, version);
+    } else {
+        world.pass(MIN_LIFE);
+        world.restart(endpoint, version);
+    }
+}
+
+proptest! {
+    /// Guards against any series of restarts, entries, outages, falls and breaks that joins events of two versions.
+    #[test]
+    fn no_caller_holds_events_of_two_versions_around_falls_and_outages(
+        steps in prop::collection::vec((step(), 0..12_u32), 1..80),
+    ) {
+        let mut world = World::new(ENDPOINTS);
+        let mut callers: Vec<Caller> = (0..CALLERS).map(|_| Caller::default()).collect();
+        for (n, (step, trouble)) in steps.into_iter().enumerate() {
+            world.pass(millis(1));
+            match (trouble, step) {
+                (0, _) => fall(&mut world, &mut callers),
+                (1, _) => pass_without_entries(&mut world),
+                (_, Step::Restart(endpoint, version)) => {
+                    restart_anywhere(&mut world, endpoint, VERSIONS[version]);
+                }
+                _ => {
+                    let holds = play(&mut world, &mut callers, 1 + n as u64, step);
+                    prop_assert!(holds, "{callers:?}");
+                }
+            }
+        }
+    }
+
+    /// Guards against mends that refuse what could go on: of streams whose start was proven, all that have an endpoint of
+    /// their version go on.
+    #[test]
+    fn streams_go_on_after_falls_and_outages_once_entries_are_renewed(
+        steps in prop::collection::vec((0..CALLERS, 0..4_u32), 1..40),
+    ) {
+        let mut world = World::new(ENDPOINTS);
+        let mut callers: Vec<Caller> = (0..CALLERS).map(|_| Caller::default()).collect();
+        for (n, (c, trouble)) in steps.into_iter().enumerate() {
+            world.pass(millis(1));
+            match trouble {
+                0 => fall(&mut world, &mut callers),
+                1 => pass_without_entries(&mut world),
+                _ => {
+                    call(&mut world, &mut callers[c], 1 + n as u64);
+                    prop_assert!(first_event(&mut world, &mut callers[c]));
+                }
+            }
+        }
+        world.pass(millis(40_000));
+        world.renew_all();
+        for (n, caller) in callers.iter_mut().enumerate() {
+            let n = 1_000 + n as u64;
+            call(&mut world, caller, n);
+            prop_assert!(world.sent.contains_key(&n), "{caller:?}");
+            prop_assert!(first_event(&mut world, caller));
+        }
+    }
+}
