The first entry of a start does not confirm it after a later break

What callers saw: a stream could go on at an endpoint whose next process had ended as well: its first entry was read after a break that it may be older than.

Cause: the row of a new start began without the breaks that were seen at its address before its entry was read, whichever start they were of.

Change: breaks that were seen after the new start had begun, by its own time, stay with its row until an entry is read that was written after them.

Test: the_first_entry_of_a_start_does_not_confirm_it_after_a_later_break, red before.

--- a/crates/firdock-policy/src/system/restart.rs
+++ b/crates/firdock-policy/src/system/restart.rs
@@ -7,10 +7,12 @@
 use firdock_core::resource::Endpoint;
 use firdock_core::{RequestId, StartId};
 
+use super::start::{BREAK_SPREAD, CLOCK_TOLERANCE};
 use super::suspect;
 use crate::action::Action;
 use crate::request::{Build, Phase, RequestRow};
 use crate::table::Tables;
+use crate::table::endpoint::Unconfirmed;
 use crate::table::start_history::{KnownStart, ReplacedStart};
 use crate::time::Time;
 
@@ -18,18 +20,20 @@
 ///
 /// Requests sent to the earlier start before this one began were lost with it. Those sent later
 /// reached the new start, of which this instance did not know yet, and end there.
+///
+/// Returns the breaks that were seen after the new start had begun: its entry may be older than they are, so that it may
+/// be over as well.
 pub fn detach_previous_start(
     t: &mut Tables,
     now: Time,
     declared: &Endpoint,
     out: &mut Vec<Action>,
-) {
-    let Some(at) = t.endpoints.find(&declared.name) else {
-        return;
-    };
+) -> Option<Unconfirmed> {
+    let at = t.endpoints.find(&declared.name)?;
     if !t.endpoints.get(at).is_other_start(declared) {
-        return;
+        return None;
     }
+    let later_breaks = breaks_after_start(t, at, declared);
     record_start(t, now, at, declared);
     t.endpoints.detach(&declared.name);
     t.endpoints.get_mut(at).mark_replaced();
@@ -45,6 +49,19 @@
             record_tried_start(t, id, declared.start_id());
         }
     }
+    later_breaks
+}
+
+/// Returns the breaks that were seen at an earlier start after the declared one had begun.
+fn breaks_after_start(t: &Tables, at: usize, declared: &Endpoint) -> Option<Unconfirmed> {
+    let began = start_time(t, declared)?;
+    let seen_by = began + CLOCK_TOLERANCE + BREAK_SPREAD;
+    let unconfirmed = t.endpoints.get(at).unconfirmed?;
+    (seen_by < unconfirmed.last_break).then_some(Unconfirmed {
+        since: unconfirmed.since.max(began),
+        shown_by: None,
+        ..unconfirmed
+    })
 }
 
 /// Keeps what the earlier start ran, for the streams that began there.
--- a/crates/firdock-policy/tests/policy/stream_versions/restarts/unproven.rs
+++ b/crates/firdock-policy/tests/policy/stream_versions/restarts/unproven.rs
@@ -180,6 +180,23 @@
     assert_eq!(sent_by(&world.renew(1)).len(), 1);
 }
 
+/// Guards against an entry that is believed although its process may have ended after it wrote it: a connection broke
+/// between the last read and this one.
+#[test]
+fn the_first_entry_of_a_start_does_not_confirm_it_after_a_later_break() {
+    let mut world = World::new(2);
+    let origin = begin_after_unseen_restart(&mut world, 1, millis(200));
+    let second = world.serving[1];
+    world.restart(1, "v1");
+    let third = std::mem::replace(&mut world.serving[1], second);
+    world.list(1);
+    world.serving[1] = third;
+    let actions = world.arrive(30, origin);
+    assert!(sent_by(&actions).is_empty(), "{actions:?}");
+    world.list(1);
+    assert!(world.is_waiting(30) || !world.sent.contains_key(&30));
+}
+
 /// Guards against a stream that nobody knows and that is inferred to be of the only version in entries which may be old.
 #[test]
 fn no_version_is_inferred_from_old_entries() {
