Records of streams in the store name the start that began them, not the build of its entry

What callers saw: after a fall of all instances a stream that had begun at an endpoint with an old entry was taken up at the version of that entry.

Cause: the record in the store kept the build alone, while the replicas keep the start and the time of the dispatch. The entry that the build came from may have been out of date, and nobody could tell later.

Change: StoredStreams has streams by start and time as well, and the reader takes them as unconfirmed: they go on once an entry of that start is read that was written later, or that of its successor. So streams of unconfirmed starts are recorded too. An instance of the version before does not read them, and refuses these streams.

--- a/crates/firdock-node/src/streams.rs
+++ b/crates/firdock-node/src/streams.rs
@@ -124,11 +124,6 @@
             Self::Start(stream) => Some(stream),
         }
     }
-
-    /// Returns whether another build may have begun the stream, by what was known then.
-    fn is_unconfirmed(&self) -> bool {
-        self.start().is_some_and(|stream| stream.unconfirmed)
-    }
 }
 
 /// Who knew a stream that a caller continues.
@@ -281,7 +276,7 @@
     }
 
     /// Returns the streams that arrived after a position, at most `limit`, and the position of the last one. Those that
-    /// the platform's store told are left out, and those whose build is not confirmed.
+    /// the platform's store told are left out.
     #[must_use]
     pub fn arrived_after(&self, position: Position, limit: usize) -> (Vec<StreamRecord>, Position) {
         let inner = self.lock();
@@ -293,7 +288,6 @@
             .map_or(position, |a| a.position);
         let known = arrivals.filter_map(|a| Some((a, inner.streams.get(&a.key)?)));
         let current = known.filter(|(a, known)| known.recorded == a.at && !known.from_store);
-        let current = current.filter(|(_, known)| !known.origin.is_unconfirmed());
         let records = current.map(|(a, known)| known.record(a.key));
         (records.collect(), last)
     }
--- a/crates/firdock-node/tests/node/streams.rs
+++ b/crates/firdock-node/tests/node/streams.rs
@@ -1,13 +1,14 @@
 //! The table of streams that callers may continue, and the peers that keep them.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use firdock_node::streams::{
     RecordedOrigin, StoredStreams, StreamKey, StreamRecord, StreamSource, Streams, replicas,
 };
 use firdock_policy::Time;
-use firdock_policy::request::Build;
+use firdock_policy::request::{Build, StreamStart};
 
 fn seconds(n: u64) -> Time {
     Duration::from_secs(n)
@@ -28,6 +29,21 @@
     }
 }
 
+/// A stream at a start of an endpoint that was not confirmed.
+fn started(attempt: &str, began: Time) -> StreamRecord {
+    let recorded = record(attempt, "v1", began);
+    let stream = StreamStart {
+        build: recorded.origin.build().clone(),
+        start: "i-1@1000".to_owned(),
+        sent: began.saturating_sub(Duration::from_millis(20)),
+        unconfirmed: true,
+    };
+    StreamRecord {
+        origin: RecordedOrigin::Start(Arc::new(stream)),
+        ..recorded
+    }
+}
+
 /// Guards against an account that names the stream of another.
 #[test]
 fn the_key_of_a_stream_belongs_to_its_account() {
@@ -191,8 +207,10 @@
         record("first", "v1", at),
         record("second", "v2", at),
         record("third", "v1", at),
+        started("fourth", at),
+        started("fifth", at),
     ];
-    let bytes = StoredStreams::new(unix_zero + at, records.clone()).encode();
+    let bytes = StoredStreams::new(unix_zero, at, records.clone()).encode();
     let mut read = StoredStreams::decode(&bytes)
         .expect("a record")
         .into_records(unix_zero);
--- a/crates/firdock-wire/src/message.rs
+++ b/crates/firdock-wire/src/message.rs
@@ -333,6 +333,8 @@
     pub unix_millis: u64,
     #[prost(message, repeated, tag = "2")]
     pub builds: ::prost::alloc::vec::Vec<BuildStreams>,
+    #[prost(message, repeated, tag = "3")]
+    pub starts: ::prost::alloc::vec::Vec<StartStreams>,
 }
 /// Streams that one build began.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -343,6 +345,21 @@
     #[prost(bytes = "vec", tag = "2")]
     pub streams: ::prost::alloc::vec::Vec<u8>,
 }
+/// Streams that began at one start of an endpoint, whose build has to be confirmed.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StartStreams {
+    /// What the start runs by its entry.
+    #[prost(message, optional, tag = "1")]
+    pub build: ::core::option::Option<Build>,
+    #[prost(string, tag = "2")]
+    pub start: ::prost::alloc::string::String,
+    /// 16 bytes for each stream.
+    #[prost(bytes = "vec", tag = "3")]
+    pub streams: ::prost::alloc::vec::Vec<u8>,
+    /// Unix time at which the request of each stream was sent, in milliseconds.
+    #[prost(uint64, repeated, tag = "4")]
+    pub sent_unix_millis: ::prost::alloc::vec::Vec<u64>,
+}
 /// Asks for the record of a stream. The receiver answers if it has one.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StreamQuery {
