Endpoints are watched by connections without requests, which tell of the end of an idle process

Cause: a restart was heard of by requests alone, and an entry shows that its process lived when it was written, not that it does when it is read.

Change: an instance keeps two connections to each endpoint, the younger one opened a second later, so that one that is idle for too long is closed alone and the end of a process closes both. A start is proven for as long as they are open if its entry was written after the first one was opened, or if that was opened within a second of its beginning. Neither the store nor a request is needed, so that proven endpoints continue streams in an outage, and right after single answers broke off.

--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -4,6 +4,7 @@
 //! short timer, so that latency-critical requests never wait for a tick.
 
 mod answer;
+mod endpoint_watch;
 mod liveness;
 mod permits;
 mod placement;
@@ -461,6 +462,7 @@
                 verdict,
             } => self.judge_end(id, dispatch, verdict),
             Action::CheckLiveness { endpoint, start } => self.check_liveness(&endpoint, start),
+            Action::Watch { endpoint } => self.watch_endpoint(endpoint),
             Action::CheckLivenessThrough {
                 endpoint,
                 start,
--- a/crates/firdock-node/src/driver/liveness.rs
+++ b/crates/firdock-node/src/driver/liveness.rs
@@ -166,7 +166,7 @@
 }
 
 /// Waits until the peer closes a connection on which neither side sends anything.
-async fn wait_until_closed(stream: &TcpStream) {
+pub(super) async fn wait_until_closed(stream: &TcpStream) {
     let mut byte = [0];
     // Data, an end or an error: a server that waits for a request does none of these.
     let _ = stream.peek(&mut byte).await;
--- a/crates/firdock-policy/src/action.rs
+++ b/crates/firdock-policy/src/action.rs
@@ -41,6 +41,11 @@
         /// Start of the endpoint.
         start: StartId,
     },
+    /// Keep connections to an endpoint, and report since when, and when the endpoint has closed them.
+    Watch {
+        /// Endpoint.
+        endpoint: EndpointId,
+    },
     /// Check the same by way of the peer through which the connection went.
     CheckLivenessThrough {
         /// Endpoint.
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -47,6 +47,8 @@
     LivenessChecked(LivenessResult),
     /// The result of a liveness check by way of a peer.
     LivenessCheckedThrough(LivenessResult),
+    /// The connections by which an endpoint is watched were opened or closed.
+    Watched(WatchUpdate),
     /// A link to an endpoint was probed.
     LinkProbed(LinkProbe),
     /// An endpoint reported its current pace.
@@ -189,6 +191,27 @@
     pub leaving: bool,
 }
 
+/// Change of the connections without requests by which an endpoint is watched.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WatchUpdate {
+    /// Endpoint, whichever of its starts has the address.
+    pub endpoint: EndpointId,
+    /// What happened.
+    pub change: WatchChange,
+}
+
+/// What happened to connections without requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum WatchChange {
+    /// The first one was opened at this time. From then on the same process has the address until they close.
+    Opened(Time),
+    /// None could be opened, or this instance gave them up.
+    Ended,
+    /// The endpoint closed all that were open.
+    Closed,
+}
+
 /// Entry that a start of an endpoint wrote after the entries had been read before: its first one or another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RenewedEntry {
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -9,7 +9,7 @@
     access, admit, backoff, budget, config, continuation, coordinate, demand, dispatch_updates,
     drain, early_refusal, expire, fair_share, fragile, handover, health, invariants, key, limit,
     liveness, notice, pace_reports, permit, place, rollout, route, shed, start, suspect,
-    unproven_end,
+    unproven_end, watch,
 };
 use crate::table::{ReachableInstances, Tables};
 use crate::time::Time;
@@ -68,6 +68,7 @@
             Event::LivenessCheckedThrough(result) => {
                 liveness::handle_peer_result(t, now, &result, out);
             }
+            Event::Watched(update) => watch::record(t, now, &update),
             Event::LinkProbed(result) => route::record_probe(t, now, &result),
             Event::PaceReported(report) => pace_reports::record(t, &report),
             Event::NoticeReported(report) => notice::record(t, &report, out),
@@ -79,7 +80,10 @@
             Event::PermitsGranted(grants) => permit::apply_grants(t, now, &grants),
             Event::Report(report) => health::record_report(t, now, &report),
             Event::ReportMissed(name) => health::record_missed_report(t, now, &name),
-            Event::Config(catalog) => config::apply(t, now, &catalog, out),
+            Event::Config(catalog) => {
+                config::apply(t, now, &catalog, out);
+                watch::run(t, now, out);
+            }
             Event::View(view) => key::apply_view(t, view, out),
             Event::KeyTransfer(transfer) => key::apply_transfer(t, now, &transfer),
             Event::LogRead(reading) => t.views.record_read(reading),
@@ -126,6 +130,7 @@
                 rollout::run(t, now, out);
                 permit::request(t, now, out);
                 route::probe(t, now, out);
+                watch::run(t, now, out);
             }
         }
     }
--- a/crates/firdock-policy/src/system.rs
+++ b/crates/firdock-policy/src/system.rs
@@ -34,3 +34,4 @@
 pub mod start;
 pub mod suspect;
 pub mod unproven_end;
+pub mod watch;
--- a/crates/firdock-policy/src/system/config.rs
+++ b/crates/firdock-policy/src/system/config.rs
@@ -47,7 +47,7 @@
         row.absent_since = row.absent_since.or(Some(now));
     }
     for declared in &catalog.endpoints {
-        let later_breaks = restart::detach_previous_start(t, now, declared, out);
+        let inherited = restart::detach_previous_start(t, now, declared, out);
         let at = t
             .endpoints
             .find_or_add(&declared.name, || EndpointRow::new(declared.clone()));
@@ -55,7 +55,10 @@
         row.present = true;
         row.absent_since = None;
         row.declared = declared.clone();
-        row.unconfirmed = row.unconfirmed.or(later_breaks);
+        if let Some(inherited) = inherited {
+            row.unconfirmed = inherited.later_breaks;
+            row.watch = inherited.watch;
+        }
     }
     suspect::record_removed_entries(t, now, out);
 }
--- a/crates/firdock-policy/src/system/restart.rs
+++ b/crates/firdock-policy/src/system/restart.rs
@@ -8,32 +8,44 @@
 use firdock_core::{RequestId, StartId};
 
 use super::start::{BREAK_SPREAD, CLOCK_TOLERANCE};
-use super::suspect;
+use super::{suspect, watch};
 use crate::action::Action;
 use crate::request::{Build, Phase, RequestRow};
 use crate::table::Tables;
-use crate::table::endpoint::Unconfirmed;
+use crate::table::endpoint::{Unconfirmed, Watch};
 use crate::table::start_history::{KnownStart, ReplacedStart};
 use crate::time::Time;
 
+/// What the row of a new start takes over from the one before.
+#[derive(Debug, Clone, Copy)]
+pub struct Inherited {
+    /// Breaks that were seen after the new start had begun. Its entry may be older than they are, so that it may be over as
+    /// well.
+    pub later_breaks: Option<Unconfirmed>,
+    /// Connections by which the endpoint is watched.
+    pub watch: Watch,
+}
+
 /// Detaches the row of an earlier start with the name of a declared endpoint.
 ///
 /// Requests sent to the earlier start before this one began were lost with it. Those sent later
 /// reached the new start, of which this instance did not know yet, and end there.
 ///
-/// Returns the breaks that were seen after the new start had begun: its entry may be older than they are, so that it may
-/// be over as well.
+/// Returns what the new start takes over.
 pub fn detach_previous_start(
     t: &mut Tables,
     now: Time,
     declared: &Endpoint,
     out: &mut Vec<Action>,
-) -> Option<Unconfirmed> {
+) -> Option<Inherited> {
     let at = t.endpoints.find(&declared.name)?;
     if !t.endpoints.get(at).is_other_start(declared) {
         return None;
     }
-    let later_breaks = breaks_after_start(t, at, declared);
+    let inherited = Inherited {
+        later_breaks: breaks_after_start(t, at, declared),
+        watch: watch::carry_over(t, t.endpoints.get(at), declared),
+    };
     record_start(t, now, at, declared);
     t.endpoints.detach(&declared.name);
     t.endpoints.get_mut(at).mark_replaced();
@@ -49,7 +61,7 @@
             record_tried_start(t, id, declared.start_id());
         }
     }
-    later_breaks
+    Some(inherited)
 }
 
 /// Returns the breaks that were seen at an earlier start after the declared one had begun.
@@ -92,7 +104,7 @@
 }
 
 /// Returns when a start of an endpoint began, by this process's clock.
-fn start_time(t: &Tables, declared: &Endpoint) -> Option<Time> {
+pub fn start_time(t: &Tables, declared: &Endpoint) -> Option<Time> {
     let unix_epoch = t.settings.unix_zero?;
     declared.started.map(|at| at.saturating_sub(unix_epoch))
 }
--- a/crates/firdock-policy/src/system/start.rs
+++ b/crates/firdock-policy/src/system/start.rs
@@ -8,10 +8,11 @@
 
 use std::time::Duration;
 
+use super::watch;
 use crate::event::{RenewedEntry, UnconfirmedStart};
 use crate::request::{Build, CompletionProof, Phase, RequestRow, StreamStart};
 use crate::table::Tables;
-use crate::table::endpoint::{EndpointRow, Unconfirmed};
+use crate::table::endpoint::{EndpointRow, Unconfirmed, Watch};
 use crate::table::start_history::{KnownStart, ReplacedStart};
 use crate::time::Time;
 
@@ -95,7 +96,8 @@
 
 /// Applies the starts that a peer cannot confirm.
 ///
-/// A report does not count where an answer is under way here: this connection would have broken as well. The members of
+/// A report does not count where an answer is under way here, or the endpoint is watched: this connection would have broken
+/// as well. The members of
 /// a coordinator check its placements by their own tables.
 pub fn merge_reports(t: &mut Tables, reports: &[UnconfirmedStart]) {
     if t.settings.coordinates {
@@ -107,7 +109,8 @@
         };
         let e = t.endpoints.get(at);
         let is_old = report.last_break <= e.confirmed_at;
-        if is_old || e.declared.started.is_none() || has_answer_under_way(t, at, report.since) {
+        let is_connected = watch::is_proven(t, e) || has_answer_under_way(t, at, report.since);
+        if is_old || e.declared.started.is_none() || is_connected {
             continue;
         }
         let e = t.endpoints.get_mut(at);
@@ -138,7 +141,10 @@
         return true;
     }
     let is_shown = t.settings.coordinates
-        || e.renewed_before(now)
+        || match e.watch {
+            Watch::Open(_) => watch::is_proven(t, e),
+            Watch::None(_) | Watch::Opening => e.renewed_before(now),
+        }
         || has_answer_under_way(t, at, e.confirmed_at);
     e.unconfirmed.is_none() && is_shown
 }
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -102,6 +102,22 @@
     pub last_break: Time,
 }
 
+/// Connections without requests that are kept to an endpoint: the end of its process closes them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Watch {
+    /// There are none. New ones are opened from this time on.
+    None(Time),
+    /// They are being opened.
+    Opening,
+    /// The process that has the address has been the same since this time.
+    Open(Time),
+}
+
+impl Watch {
+    /// No connections, and new ones may be opened at once.
+    pub const NONE: Self = Self::None(Time::ZERO);
+}
+
 /// Load that an endpoint reported.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Reported {
@@ -153,6 +169,8 @@
     pub confirmed_at: Time,
     /// Set while another process may have taken its place.
     pub unconfirmed: Option<Unconfirmed>,
+    /// Connections without requests that are kept to it.
+    pub watch: Watch,
     /// Start of the last liveness check, if it found that a process listens.
     pub open_at: Option<Time>,
     /// The liveness check in progress, if any.
@@ -228,6 +246,7 @@
             confirmed_at: Time::ZERO,
             open_at: None,
             unconfirmed: None,
+            watch: Watch::NONE,
             liveness_check: None,
             peer_check: None,
             missed: 0,
--- a/crates/firdock-policy/tests/policy/simulation/message.rs
+++ b/crates/firdock-policy/tests/policy/simulation/message.rs
@@ -317,6 +317,7 @@
             Action::RequestPermits(_)
             | Action::GrantPermits { .. }
             | Action::ProbeLink { .. }
+            | Action::Watch { .. }
             | Action::Decline(_)
             | Action::Forget { .. }
             | Action::Record(_)
--- a/crates/firdock-policy/tests/policy/stream_versions/restarts/unproven.rs
+++ b/crates/firdock-policy/tests/policy/stream_versions/restarts/unproven.rs
@@ -1,6 +1,7 @@
 //! Endpoints whose entry may be out of date without any sign of it: after the start of the instance, and while no entries
 //! are read.
 
+use firdock_policy::event::{WatchChange, WatchUpdate};
 use firdock_policy::request::{Build, StreamStart};
 
 use super::*;
@@ -197,6 +198,138 @@
     assert!(world.is_waiting(30) || !world.sent.contains_key(&30));
 }
 
+/// The connections by which an endpoint is watched change.
+fn watch(world: &mut World, endpoint: usize, change: WatchChange) -> Vec<Action> {
+    let endpoint = format!("e-{endpoint}");
+    world.step(Event::Watched(WatchUpdate { endpoint, change }))
+}
+
+/// An entry of an endpoint's listed start is read that was written after a time.
+fn renew_after(world: &mut World, endpoint: usize, after: Time) {
+    let start = declared(endpoint, world.listed[endpoint]).start_id();
+    world.step(Event::EntriesRenewed(vec![RenewedEntry { start, after }]));
+}
+
+/// Guards against endpoints that are watched no longer, or twice.
+#[test]
+fn endpoints_are_watched_again_after_they_closed_their_connections() {
+    let mut world = World::started(2);
+    let is_watch = |a: &&Action| matches!(a, Action::Watch { .. });
+    world.restart(1, "v2");
+    let actions = world.list(1);
+    assert_eq!(
+        actions.iter().filter(is_watch).count(),
+        0,
+        "it is under way"
+    );
+    let actions = watch(&mut world, 1, WatchChange::Ended);
+    assert_eq!(actions.iter().filter(is_watch).count(), 0);
+    world.pass(millis(200));
+    let actions = world.step(Event::Timer);
+    assert_eq!(actions.iter().filter(is_watch).count(), 1);
+}
+
+/// Guards against streams of a whole site that go on at an endpoint whose process ended after it had written the entry that
+/// an instance reads: nothing else was under way there, as all streams waited for that entry.
+#[test]
+fn an_entry_does_not_confirm_a_start_whose_watched_connections_have_closed() {
+    for closes in [true, false] {
+        let mut world = World::started(2);
+        let opened = world.edge.now;
+        watch(&mut world, 1, WatchChange::Opened(opened));
+        world.pass(millis(300));
+        let written = world.edge.now;
+        world.pass(millis(100));
+        if closes {
+            let began = world.edge.now;
+            world.serving[1] = Start {
+                version: "v2",
+                began,
+            };
+            watch(&mut world, 1, WatchChange::Closed);
+        }
+        let origin = told(&world, 1, false);
+        world.pass(millis(100));
+        renew_after(&mut world, 1, written);
+        let sent = sent_by(&world.arrive(30, origin));
+        assert_eq!(sent.is_empty(), closes, "{sent:?}");
+    }
+}
+
+/// Guards against an entry that was written before the connection was opened, which another process may have accepted.
+#[test]
+fn an_entry_that_is_older_than_the_watched_connection_does_not_confirm_a_start() {
+    let mut world = World::started(2);
+    let after = world.edge.now;
+    world.pass(millis(300));
+    let opened = world.edge.now;
+    watch(&mut world, 1, WatchChange::Opened(opened));
+    watch(&mut world, 0, WatchChange::Opened(opened));
+    let origin = told(&world, 1, false);
+    world.pass(millis(100));
+    renew_after(&mut world, 1, after);
+    assert!(dispatched(&world.arrive(30, origin)).is_empty());
+    assert_eq!(sent_by(&world.renew(1)).len(), 1);
+}
+
+/// Guards against a restart that nobody sees since nothing is under way at the endpoint.
+#[test]
+fn a_stream_does_not_go_on_at_an_idle_endpoint_whose_watched_connections_have_closed() {
+    for closes in [true, false] {
+        let mut world = World::new(2);
+        let opened = world.edge.now;
+        for endpoint in 0..2 {
+            watch(&mut world, endpoint, WatchChange::Opened(opened));
+        }
+        let own = begin_first_at(&mut world, 0);
+        leave(&mut world, 1);
+        world.pass(millis(300));
+        world.step(Event::Timer);
+        if closes {
+            world.restart(1, "v2");
+            watch(&mut world, 1, WatchChange::Closed);
+        }
+        world.pass(millis(300));
+        let sent = sent_by(&world.break_off(own));
+        assert_eq!(sent.is_empty(), closes, "{sent:?}");
+    }
+}
+
+/// Guards against streams that are refused while the store is away, and against endpoints that continue none for a while
+/// after they broke off one answer: their connections show that they live.
+#[test]
+fn watched_endpoints_continue_streams_without_entries_and_after_single_breaks() {
+    let mut world = World::new(2);
+    set_time_limit(&mut world, OUTAGE * 4);
+    let opened = world.edge.now;
+    for endpoint in 0..2 {
+        watch(&mut world, endpoint, WatchChange::Opened(opened));
+    }
+    pass_without_entries(&mut world);
+    pass_without_entries(&mut world);
+    let own = begin_first_at(&mut world, 0);
+    begin_at(&mut world, 10, 1);
+    pass_with_timer(&mut world, millis(300), &[]);
+    world.break_off(10);
+    pass_with_timer(&mut world, millis(300), &[]);
+    assert_eq!(sent_by(&world.break_off(own)), [(own, 1, 2)]);
+}
+
+/// Guards against an instance that did not run, and takes connections for open whose end it has not heard of yet.
+#[test]
+fn watched_connections_confirm_nothing_right_after_an_instance_stood_still() {
+    let mut world = World::new(2);
+    let opened = world.edge.now;
+    for endpoint in 0..2 {
+        watch(&mut world, endpoint, WatchChange::Opened(opened));
+    }
+    world.pass(millis(2_500));
+    world.step(Event::Timer);
+    let t = world.edge.scheduler.tables();
+    let at = t.endpoints.find("e-1").expect("it is listed");
+    assert!(t.endpoints.get(at).confirmed_at <= opened);
+}
+
 /// Guards against a stream that nobody knows and that is inferred to be of the only version in entries which may be old.
 #[test]
 fn no_version_is_inferred_from_old_entries() {
