A connection that follows a closed one is not of a start that had begun before

Cause: a connection that was opened within a second of the beginning of a start counted as one to it, also where the one before it had been closed meanwhile.

Change: it counts only if no connections were closed since the start had begun. Connections are opened again after 100 ms, so that short lives are seen.

Test: a_connection_that_follows_a_closed_one_is_not_of_a_start_that_had_begun_before, red without the condition.

--- a/crates/firdock-policy/src/system/config.rs
+++ b/crates/firdock-policy/src/system/config.rs
@@ -58,6 +58,7 @@
         if let Some(inherited) = inherited {
             row.unconfirmed = inherited.later_breaks;
             row.watch = inherited.watch;
+            row.watch_closed = inherited.watch_closed;
         }
     }
     suspect::record_removed_entries(t, now, out);
--- a/crates/firdock-policy/src/system/restart.rs
+++ b/crates/firdock-policy/src/system/restart.rs
@@ -24,6 +24,8 @@
     pub later_breaks: Option<Unconfirmed>,
     /// Connections by which the endpoint is watched.
     pub watch: Watch,
+    /// When it last closed all of them.
+    pub watch_closed: Option<Time>,
 }
 
 /// Detaches the row of an earlier start with the name of a declared endpoint.
@@ -45,6 +47,7 @@
     let inherited = Inherited {
         later_breaks: breaks_after_start(t, at, declared),
         watch: watch::carry_over(t, t.endpoints.get(at), declared),
+        watch_closed: t.endpoints.get(at).watch_closed,
     };
     record_start(t, now, at, declared);
     t.endpoints.detach(&declared.name);
--- a/crates/firdock-policy/src/system/watch.rs
+++ b/crates/firdock-policy/src/system/watch.rs
@@ -10,7 +10,7 @@
 use firdock_core::resource::Endpoint;
 
 use super::restart::start_time;
-use super::start::{self, BREAK_SPREAD};
+use super::start::{self, BREAK_SPREAD, CLOCK_TOLERANCE};
 use crate::action::Action;
 use crate::event::{WatchChange, WatchUpdate};
 use crate::table::Tables;
@@ -22,7 +22,7 @@
 /// Largest number of instances that watch an endpoint, which bounds its connections. They tell the others.
 const MAX_WATCHERS: usize = 8;
 /// Time until an endpoint is watched again after it has closed its connections.
-const RETRY_TIME: Duration = Duration::from_millis(200);
+const RETRY_TIME: Duration = Duration::from_millis(100);
 /// Time from the start of a process within which it is watched, if its address listens.
 const MAX_OPENING_TIME: Duration = Duration::from_secs(1);
 /// Time within which the end of a process is heard of on its connections, also by an instance that is busy.
@@ -63,18 +63,24 @@
         WatchChange::Ended | WatchChange::Closed => Watch::None(now + RETRY_TIME),
     };
     if let (WatchChange::Closed, Watch::Open(opened)) = (update.change, before) {
+        t.endpoints.get_mut(at).watch_closed = Some(now);
         let alive_at = now.saturating_sub(BREAK_SPREAD).max(opened);
         start::record_break(t, now, at, opened, alive_at);
     }
 }
 
 /// Returns whether the entry of an endpoint is known to be of the process that it is watched by: the entry was written after
-/// the connection had been opened, or the connection was opened as soon as the start of the entry served.
+/// the connection had been opened, or the connection was opened as soon as the start of the entry served, and is the first
+/// to it.
 pub fn is_proven(t: &Tables, e: &EndpointRow) -> bool {
     let Watch::Open(opened) = e.watch else {
         return false;
     };
-    let is_first = |began: Time| (began..began + MAX_OPENING_TIME).contains(&opened);
+    let is_first = |began: Time| {
+        let has_served = |closed: Time| began + CLOCK_TOLERANCE + BREAK_SPREAD < closed;
+        let is_next = e.watch_closed.is_some_and(has_served);
+        (began..began + MAX_OPENING_TIME).contains(&opened) && !is_next
+    };
     let written_later = opened <= e.confirmed_at + BREAK_SPREAD;
     written_later || start_time(t, &e.declared).is_some_and(is_first)
 }
--- a/crates/firdock-policy/src/table/endpoint.rs
+++ b/crates/firdock-policy/src/table/endpoint.rs
@@ -171,6 +171,8 @@
     pub unconfirmed: Option<Unconfirmed>,
     /// Connections without requests that are kept to it.
     pub watch: Watch,
+    /// When it last closed all of them.
+    pub watch_closed: Option<Time>,
     /// Start of the last liveness check, if it found that a process listens.
     pub open_at: Option<Time>,
     /// The liveness check in progress, if any.
@@ -247,6 +249,7 @@
             open_at: None,
             unconfirmed: None,
             watch: Watch::NONE,
+            watch_closed: None,
             liveness_check: None,
             peer_check: None,
             missed: 0,
--- a/crates/firdock-policy/tests/policy/stream_versions/restarts/unproven.rs
+++ b/crates/firdock-policy/tests/policy/stream_versions/restarts/unproven.rs
@@ -295,6 +295,42 @@
     }
 }
 
+/// Guards against a connection to the next process that is taken for one to the start of the entry, which ended soon after
+/// it had begun.
+#[test]
+fn a_connection_that_follows_a_closed_one_is_not_of_a_start_that_had_begun_before() {
+    for closes in [true, false] {
+        let mut world = World::new(2);
+        let opened = world.edge.now;
+        for endpoint in 0..2 {
+            watch(&mut world, endpoint, WatchChange::Opened(opened));
+        }
+        let own = begin_first_at(&mut world, 0);
+        leave(&mut world, 1);
+        world.pass(millis(100));
+        world.restart(1, "v1");
+        let second = world.serving[1];
+        for is_last in [false, true] {
+            if !is_last || closes {
+                watch(&mut world, 1, WatchChange::Closed);
+                world.pass(millis(150));
+                let opened = world.edge.now;
+                watch(&mut world, 1, WatchChange::Opened(opened));
+                world.pass(millis(150));
+            }
+        }
+        if closes {
+            world.restart(1, "v2");
+        }
+        let last = std::mem::replace(&mut world.serving[1], second);
+        world.list(1);
+        world.serving[1] = last;
+        pass_with_timer(&mut world, millis(500), &[]);
+        let sent = sent_by(&world.break_off(own));
+        assert_eq!(sent.is_empty(), closes, "{sent:?}");
+    }
+}
+
 /// Guards against streams that are refused while the store is away, and against endpoints that continue none for a while
 /// after they broke off one answer: their connections show that they live.
 #[test]
