Watched connections prove a new start only to who saw those to the one before closed, and in time

Causes: (1) an instance that had just started opened its connection within a second of the beginning of the listed start, whose process had ended meanwhile; it had seen no connection close, and took it for the first one. (2) An instance that had stood still heard of a close 2 s late, and took the process to have lived until then.

Change: a connection that is younger than the entry counts only where those to the process before were closed by the time at which the start began, so that this instance has tried the address ever since. A close that is heard of right after a time in which the instance did not run shows no time.

Tests: an_instance_that_has_just_started_does_not_know_whom_it_connects_to_without_an_entry and a_close_that_is_heard_of_late_does_not_show_how_long_the_process_lived, red without the conditions.

--- a/crates/firdock-policy/src/system/watch.rs
+++ b/crates/firdock-policy/src/system/watch.rs
@@ -63,23 +63,26 @@
         WatchChange::Ended | WatchChange::Closed => Watch::None(now + RETRY_TIME),
     };
     if let (WatchChange::Closed, Watch::Open(opened)) = (update.change, before) {
-        t.endpoints.get_mut(at).watch_closed = Some(now);
-        let alive_at = now.saturating_sub(BREAK_SPREAD).max(opened);
+        let e = t.endpoints.get_mut(at);
+        e.watch_closed = Some(now);
+        let alive_at = heard_until(t, now)
+            .map_or(Time::ZERO, |_| now.saturating_sub(BREAK_SPREAD))
+            .max(opened);
         start::record_break(t, now, at, opened, alive_at);
     }
 }
 
 /// Returns whether the entry of an endpoint is known to be of the process that it is watched by: the entry was written after
 /// the connection had been opened, or the connection was opened as soon as the start of the entry served, and is the first
-/// to it.
+/// since those to the process before were closed.
 pub fn is_proven(t: &Tables, e: &EndpointRow) -> bool {
     let Watch::Open(opened) = e.watch else {
         return false;
     };
     let is_first = |began: Time| {
-        let has_served = |closed: Time| began + CLOCK_TOLERANCE + BREAK_SPREAD < closed;
-        let is_next = e.watch_closed.is_some_and(has_served);
-        (began..began + MAX_OPENING_TIME).contains(&opened) && !is_next
+        let by_then = |closed: Time| closed <= began + CLOCK_TOLERANCE + BREAK_SPREAD;
+        let follows = e.watch_closed.is_some_and(by_then);
+        (began..began + MAX_OPENING_TIME).contains(&opened) && follows
     };
     let written_later = opened <= e.confirmed_at + BREAK_SPREAD;
     written_later || start_time(t, &e.declared).is_some_and(is_first)
@@ -98,10 +101,9 @@
 ///
 /// What an instance hears of late, since it did not run, confirms nothing.
 fn confirm_open(t: &mut Tables, now: Time) {
-    let heard_until = now.saturating_sub(HEARING_TIME);
-    if heard_until < t.stalls.runs_since() {
+    let Some(heard_until) = heard_until(t, now) else {
         return;
-    }
+    };
     let proven = t.endpoints.iter().filter(|(_, e)| is_proven(t, e));
     let proven: Vec<usize> = proven.map(|(at, _)| at).collect();
     for at in proven {
@@ -111,6 +113,13 @@
     }
 }
 
+/// Returns the time until which this instance has heard of the connections that were closed; `None` right after a time in
+/// which it did not run.
+fn heard_until(t: &Tables, now: Time) -> Option<Time> {
+    let heard_until = now.saturating_sub(HEARING_TIME);
+    (t.stalls.runs_since() <= heard_until).then_some(heard_until)
+}
+
 /// Returns whether this instance is one of those that watch an endpoint, by rendezvous hashing over the live ones.
 fn is_watcher(t: &Tables, endpoint: &str) -> bool {
     let key = rendezvous::hash_key(endpoint.as_bytes());
--- a/crates/firdock-policy/tests/policy/stream_versions/restarts/unproven.rs
+++ b/crates/firdock-policy/tests/policy/stream_versions/restarts/unproven.rs
@@ -331,6 +331,38 @@
     }
 }
 
+/// Guards against a connection to the next process that is taken for one to the start of the entry, as it was opened soon
+/// after that had begun, by an instance that has just started and cannot know.
+#[test]
+fn an_instance_that_has_just_started_does_not_know_whom_it_connects_to_without_an_entry() {
+    let mut world = World::new(2);
+    world.restart(1, "v1");
+    world.list(1);
+    world.start_instance();
+    world.renew(0);
+    world.restart(1, "v2");
+    let opened = world.edge.now;
+    watch(&mut world, 1, WatchChange::Opened(opened));
+    let own = begin_first_at(&mut world, 0);
+    world.pass(millis(60));
+    world.renew(0);
+    assert!(sent_by(&world.break_off(own)).is_empty());
+    assert!(world.is_waiting(own));
+}
+
+/// Guards against a process that is taken to have lived until its end was heard of by an instance that stood still.
+#[test]
+fn a_close_that_is_heard_of_late_does_not_show_how_long_the_process_lived() {
+    let mut world = World::new(2);
+    let opened = world.edge.now;
+    watch(&mut world, 1, WatchChange::Opened(opened));
+    world.pass(millis(2_500));
+    watch(&mut world, 1, WatchChange::Closed);
+    let t = world.edge.scheduler.tables();
+    let at = t.endpoints.find("e-1").expect("it is listed");
+    assert!(t.endpoints.get(at).confirmed_at <= opened);
+}
+
 /// Guards against streams that are refused while the store is away, and against endpoints that continue none for a while
 /// after they broke off one answer: their connections show that they live.
 #[test]
