The head of an answer names one end of its body and a final status, or the dispatch has failed

What callers saw: chunk sizes as a part of the body, told as a complete answer of status 200 (a transfer coding that is not `chunked`, eleven spellings); a part that is complete by its length (a length beside chunks); 101, 600 and 999 as the status of an answer. The store's client read records from such an answer too.

Cause: framing was read leniently, by the library and again by `Framing::read`: an unknown coding ends with its connection, and a length beside a coding is ignored here and passed on to the caller. Statuses were not checked at all.

Change: `Framing::read` moves to `http`, returns the fault of a head that names no single end or no final status, and is called in `Connection::call`, which all readers of answers share: endpoints, engines, reports, KV caches, the store, and what comes through a peer. The fault is the cause in `dispatch failed` and in `firdock_broken_total`, and counts as a failure of the endpoint.

The test answers_that_have_no_body_need_no_framing asked that `gzip, chunked` counts as chunks and `chunked, gzip` as delimited by the connection. Both hand out an encoded body; a_head_names_one_end_of_its_body_or_is_invalid rejects them.

--- a/crates/firdock-node/src/endpoint.rs
+++ b/crates/firdock-node/src/endpoint.rs
@@ -30,11 +30,10 @@
 use snafu::Snafu;
 use tokio::net::TcpStream;
 
+pub use crate::http::Framing;
 pub use body::EndpointBody;
 pub use direct::DirectDispatcher;
-pub use ending::{
-    AnswerEnd, BodyState, Completeness, Ending, Framing, TrailingData, assess_completeness,
-};
+pub use ending::{AnswerEnd, BodyState, Completeness, Ending, TrailingData, assess_completeness};
 pub use engine::HttpEngine;
 pub use events::EventSplitter;
 pub use notice::{HeadNotice, NoticeHeaders, value_prefix};
@@ -140,6 +139,7 @@
     match error {
         CallError::AnswerTime => BreakCause::Silent,
         CallError::Http { source } => body::ending_of(source).into(),
+        CallError::Head { source } => BreakCause::InvalidHead(source.fault),
         CallError::Connect { .. } | CallError::ConnectTime { .. } => BreakCause::Closed,
     }
 }
--- a/crates/firdock-node/src/endpoint/body.rs
+++ b/crates/firdock-node/src/endpoint/body.rs
@@ -7,28 +7,27 @@
 use http_body_util::BodyExt as _;
 use hyper::body::Body as _;
 
-use super::ending::{Ending, Framing};
-use crate::http::{EndlessBytes, ResponseBody};
+use super::ending::Ending;
+use crate::http::{BodyError, EndlessBytes, Framing, ResponseBody};
 use crate::peer::TunnelBroken;
 
 /// Body of an endpoint's answer that is being received.
 #[derive(Debug)]
 pub struct EndpointBody {
     body: ResponseBody,
-    framing: Framing,
 }
 
 impl EndpointBody {
-    /// Creates the reader of a body with the framing given by its head.
+    /// Creates the reader of a body.
     #[must_use]
-    pub fn new(body: ResponseBody, framing: Framing) -> Self {
-        Self { body, framing }
+    pub fn new(body: ResponseBody) -> Self {
+        Self { body }
     }
 
     /// Returns the framing of the body.
     #[must_use]
     pub fn framing(&self) -> Framing {
-        self.framing
+        self.body.framing()
     }
 
     /// Whether the body has been read completely.
@@ -51,8 +50,8 @@
                         return Ok(bytes);
                     }
                 }
-                Some(Err(e)) => return Err(ending_of(&e)),
-                None if self.framing == Framing::Connection => return Err(Ending::Closed),
+                Some(Err(BodyError::Http { source })) => return Err(ending_of(&source)),
+                None if self.framing() == Framing::Connection => return Err(Ending::Closed),
                 None => return Err(Ending::Framed),
             }
         }
--- a/crates/firdock-node/src/endpoint/ending.rs
+++ b/crates/firdock-node/src/endpoint/ending.rs
@@ -4,66 +4,9 @@
 //! `docs/design/endings.md`).
 
 use firdock_policy::Time;
-use firdock_policy::event::BreakCause;
-use hyper::header;
-use hyper::{HeaderMap, Method, StatusCode};
+use firdock_policy::event::{BreakCause, HeadFault};
 
-/// How the head of an answer delimits its body (RFC 9112, section 6.3).
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum Framing {
-    /// The answer has no body.
-    Empty,
-    /// The body has the length given by `Content-Length`.
-    Length,
-    /// The body ends with its last chunk.
-    Chunks,
-    /// The body ends when the connection is closed.
-    Connection,
-}
-
-impl Framing {
-    /// Determines the framing of an answer to a request with this method.
-    #[must_use]
-    pub fn read(method: &Method, status: StatusCode, headers: &HeaderMap) -> Self {
-        let bare = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&status);
-        if method == Method::HEAD || status.is_informational() || bare {
-            return Self::Empty;
-        }
-        if let Some(coding) = headers
-            .get_all(header::TRANSFER_ENCODING)
-            .iter()
-            .next_back()
-        {
-            return if is_chunked(coding.as_bytes()) {
-                Self::Chunks
-            } else {
-                Self::Connection
-            };
-        }
-        if headers.contains_key(header::CONTENT_LENGTH) {
-            Self::Length
-        } else {
-            Self::Connection
-        }
-    }
-
-    /// Returns the name used in logs and metrics.
-    #[must_use]
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Empty => "empty",
-            Self::Length => "length",
-            Self::Chunks => "chunks",
-            Self::Connection => "connection",
-        }
-    }
-}
-
-/// Whether `chunked` is the last coding of a header line.
-fn is_chunked(codings: &[u8]) -> bool {
-    let last = codings.rsplit(|b| *b == b',').next();
-    last.is_some_and(|coding| coding.trim_ascii().eq_ignore_ascii_case(b"chunked"))
-}
+use crate::http::Framing;
 
 /// How an answer ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -84,6 +27,8 @@
     Restarted,
     /// The received data is not a valid answer of the protocol.
     Foreign,
+    /// The head of the answer cannot be trusted.
+    InvalidHead(HeadFault),
     /// The endpoint wrote too much that is part of no answer.
     Endless,
 }
@@ -101,6 +46,7 @@
             Self::Silent => "silent",
             Self::Restarted => "restarted",
             Self::Foreign => "foreign",
+            Self::InvalidHead(fault) => fault.as_str(),
             Self::Endless => "endless",
         }
     }
@@ -116,6 +62,7 @@
             Ending::Silent => Self::Silent,
             Ending::Restarted => Self::Restarted,
             Ending::Foreign => Self::Foreign,
+            Ending::InvalidHead(fault) => Self::InvalidHead(fault),
             Ending::Endless => Self::Endless,
         }
     }
--- a/crates/firdock-node/src/endpoint/engine.rs
+++ b/crates/firdock-node/src/endpoint/engine.rs
@@ -15,13 +15,13 @@
 use serde_json::{Value, json};
 use tokio::time::timeout;
 
-use super::ending::{AnswerEnd, BodyState, Completeness, Ending, Framing, assess_completeness};
+use super::ending::{AnswerEnd, BodyState, Completeness, Ending, assess_completeness};
 use super::sse::{SseDecoder, SseEvent};
 use super::{
     AnsweredSnafu, DISPATCH_HEADER, EndpointBody, EndpointReport, EndpointResponse, EngineClient,
-    EngineRequest, EngineUsage, FencedCommand, HeadNotice, KvCache, LostSnafu, NOT_STARTED_HEADER,
-    NOTICE_HEADERS, REPORT_PATH, RefusedSnafu, ReportSource, StartError, StreamError, TokenEvent,
-    TokenStream, break_cause,
+    EngineRequest, EngineUsage, FencedCommand, Framing, HeadNotice, KvCache, LostSnafu,
+    NOT_STARTED_HEADER, NOTICE_HEADERS, REPORT_PATH, RefusedSnafu, ReportSource, StartError,
+    StreamError, TokenEvent, TokenStream, break_cause,
 };
 use crate::http::{CallError, Connection, ResponseBody, connect};
 use crate::ingress::REQUEST_ID_HEADER;
@@ -95,7 +95,7 @@
         body: Bytes,
     ) -> Result<Bytes, StartError> {
         let request = Request::builder()
-            .method(method.clone())
+            .method(method)
             .uri(path)
             .body(Full::new(body));
         let Ok(request) = request else {
@@ -103,7 +103,7 @@
         };
         let (_connection, response) = self.open(at, request).await?;
         let status = response.status();
-        let body = read_all(&method, response).await?;
+        let body = read_all(response).await?;
         if status.is_success() {
             return Ok(body);
         }
@@ -129,10 +129,9 @@
     }
     let status = response.status();
     if status.is_success() {
-        let framing = Framing::read(&Method::POST, status, response.headers());
-        return Ok(EndpointBody::new(response.into_body(), framing));
+        return Ok(EndpointBody::new(response.into_body()));
     }
-    let body = read_all(&Method::POST, response).await?;
+    let body = read_all(response).await?;
     AnsweredSnafu {
         status: status.as_u16(),
         body,
@@ -160,9 +159,9 @@
 ///
 /// Without framing, only a format that marks its own end proves that the body is complete. JSON
 /// does, a KV cache does not.
-async fn read_all(method: &Method, response: Response<ResponseBody>) -> Result<Bytes, StartError> {
-    let framing = Framing::read(method, response.status(), response.headers());
-    let mut body = EndpointBody::new(response.into_body(), framing);
+async fn read_all(response: Response<ResponseBody>) -> Result<Bytes, StartError> {
+    let mut body = EndpointBody::new(response.into_body());
+    let framing = body.framing();
     let mut read = BytesMut::new();
     let ending = loop {
         match body.next().await {
--- a/crates/firdock-node/src/endpoint/plain.rs
+++ b/crates/firdock-node/src/endpoint/plain.rs
@@ -55,7 +55,7 @@
             }
         };
         let head = HeadNotice::read(response.status(), response.headers(), &NOTICE_HEADERS);
-        let framing = Framing::read(plain_request.method, response.status(), response.headers());
+        let framing = response.body().framing();
         let result = check_response(plain_request, response).map(|response| {
             let (parts, body) = response.into_parts();
             let head = AnswerHead {
@@ -65,7 +65,7 @@
             };
             PlainAnswer {
                 head,
-                body: EndpointBody::new(body, framing),
+                body: EndpointBody::new(body),
                 connection,
             }
         });
--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -167,11 +167,11 @@
             ResponseKind::Answer => {}
         }
         self.report_load(run, response.headers()).await;
-        let framing = Framing::read(&payload.method, status, response.headers());
+        let framing = response.body().framing();
         run.record_head(framing);
         strip_hop_by_hop(response.headers_mut());
         let (parts, body) = response.into_parts();
-        let body = EndpointBody::new(body, framing);
+        let body = EndpointBody::new(body);
         let has_failed = status.is_server_error();
         let backs_off = head.notice.backoff.is_some();
         let head = AnswerHead {
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -19,8 +19,8 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
-use super::ending::{AnswerEnd, BodyState, Completeness, Ending, Framing, assess_completeness};
-use super::{EndpointBody, HeadNotice, Target};
+use super::ending::{AnswerEnd, BodyState, Completeness, Ending, assess_completeness};
+use super::{EndpointBody, Framing, HeadNotice, Target};
 use crate::clock::Clock;
 use crate::exchange::{AnswerPart, Delivered, Exchange};
 use crate::input::Input;
--- a/crates/firdock-node/src/http.rs
+++ b/crates/firdock-node/src/http.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod client;
 mod dead_peer;
+mod framing;
 mod listener;
 mod response;
 mod server;
@@ -15,8 +16,9 @@
 pub use caller::CallerHandle;
 pub use client::{CallError, Connection, Connector, TcpConnector, connect, connect_stream};
 pub use dead_peer::{DEAD_PEER_TIMEOUT, set_dead_peer_timeouts};
+pub use framing::{Framing, InvalidHead};
 pub use listener::listen;
-pub use response::ResponseBody;
+pub use response::{BodyError, ResponseBody};
 pub use server::{ServerOptions, serve};
 
 use hyper::HeaderMap;
--- a/crates/firdock-node/src/http/client.rs
+++ b/crates/firdock-node/src/http/client.rs
@@ -21,6 +21,7 @@
 
 use super::bounded::{BoundedStream, IdleBytes};
 use super::dead_peer::set_dead_peer_timeouts;
+use super::framing::{Framing, InvalidHead};
 use super::response::ResponseBody;
 
 /// Error of a call.
@@ -47,6 +48,12 @@
         /// Cause.
         source: hyper::Error,
     },
+    /// The head of the response is invalid; the request may have been received.
+    #[snafu(display("invalid response"))]
+    Head {
+        /// Cause.
+        source: InvalidHead,
+    },
     /// No response arrived in time; the request may have been received.
     #[snafu(display("no response in time"))]
     AnswerTime,
@@ -65,7 +72,7 @@
                 _ => ConnectFailure::Failed,
             }),
             Self::ConnectTime { .. } => Some(ConnectFailure::TimedOut),
-            Self::Http { .. } | Self::AnswerTime => None,
+            Self::Http { .. } | Self::Head { .. } | Self::AnswerTime => None,
         }
     }
 
@@ -186,19 +193,22 @@
     /// # Errors
     ///
     /// Fails if the connection breaks, the other side writes too much that is part of no head, or none arrives within
-    /// `limit`; the request may have been received then.
+    /// `limit`, or if it does not say where the response ends; the request may have been received then.
     pub async fn call(
         &mut self,
         request: Request<Full<Bytes>>,
         limit: Duration,
     ) -> Result<Response<ResponseBody>, CallError> {
+        let method = request.method().clone();
         self.idle.reset();
         let answer = match timeout(limit, self.sender.send_request(request)).await {
             Ok(answer) => answer.context(HttpSnafu)?,
             Err(_) => return AnswerTimeSnafu.fail(),
         };
         self.idle.reset();
+        let framing = Framing::read(&method, answer.status(), answer.version(), answer.headers());
+        let framing = framing.context(HeadSnafu)?;
         let idle = self.idle.clone();
-        Ok(answer.map(|body| ResponseBody::new(body, idle)))
+        Ok(answer.map(|body| ResponseBody::new(body, framing, idle)))
     }
 }
--- a/crates/firdock-node/src/ingress/handler.rs
+++ b/crates/firdock-node/src/ingress/handler.rs
@@ -21,11 +21,10 @@
 use super::state::{IngressPhase, IngressState};
 use super::unread::{DrainLimits, UnreadBody};
 use crate::clock::{Clock, age_millis, millis};
-use crate::endpoint::Framing;
 use crate::exchange::{
     AnswerBudget, AnswerHead, AnswerPart, BodyBudget, CallTerms, Exchange, Payload,
 };
-use crate::http::CallerHandle;
+use crate::http::{CallerHandle, Framing};
 use crate::input::Input;
 use crate::site::Site;
 use crate::streams::{FoundStream, SharedStreams, StreamKey, StreamSource};
@@ -377,8 +376,8 @@
     /// is unknown.
     fn prepare(&self, method: &Method, head: &AnswerHead) -> bool {
         let lacks_chunks = head.unframed || self.version == Version::HTTP_10;
-        let framing = Framing::read(method, head.status, &head.headers);
-        let unframed = lacks_chunks && framing == Framing::Connection;
+        let framing = Framing::read(method, head.status, self.version, &head.headers);
+        let unframed = lacks_chunks && framing == Ok(Framing::Connection);
         if let Some(handle) = self.handle.as_ref().filter(|_| unframed) {
             handle.set_unframed();
         }
--- a/crates/firdock-node/tests/node/completeness.rs
+++ b/crates/firdock-node/tests/node/completeness.rs
@@ -8,15 +8,15 @@
     BodyState, Completeness, Ending, EngineClient as _, EventSplitter, Framing, HttpEngine,
     KvCache, ReportSource as _, TrailingData, assess_completeness,
 };
-use firdock_policy::event::BreakCause;
+use firdock_policy::event::{BreakCause, HeadFault};
 use hyper::header::{self, HeaderValue};
-use hyper::{HeaderMap, Method, StatusCode};
+use hyper::{HeaderMap, Method, StatusCode, Version};
 use proptest::prelude::*;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpListener;
 use uuid::Uuid;
 
-const ENDINGS: [Ending; 8] = [
+const ENDINGS: [Ending; 10] = [
     Ending::Framed,
     Ending::Closed,
     Ending::Early,
@@ -25,6 +25,8 @@
     Ending::Silent,
     Ending::Restarted,
     Ending::Foreign,
+    Ending::InvalidHead(HeadFault::Coding),
+    Ending::Endless,
 ];
 const FRAMINGS: [Framing; 4] = [
     Framing::Empty,
@@ -321,36 +323,94 @@
     assert_eq!(engine().report(at, 0).await.ok(), None);
 }
 
+/// Lengths and codings of a head, and the framing that they name.
+type HeadCase = (
+    &'static [&'static str],
+    &'static [&'static str],
+    Result<Framing, HeadFault>,
+);
+
+/// Reads the framing of an answer of HTTP/1.1 to a GET.
+fn framing(status: StatusCode, headers: &HeaderMap) -> Result<Framing, HeadFault> {
+    let read = Framing::read(&Method::GET, status, Version::HTTP_11, headers);
+    read.map_err(|invalid| invalid.fault)
+}
+
 // Guards against complete answers that are awaited further, or reset, because they never have a body.
 #[test]
 fn answers_that_have_no_body_need_no_framing() {
     let none = HeaderMap::new();
-    let get = |status| Framing::read(&Method::GET, status, &none);
-    assert_eq!(get(StatusCode::NO_CONTENT), Framing::Empty);
-    assert_eq!(get(StatusCode::NOT_MODIFIED), Framing::Empty);
-    assert_eq!(get(StatusCode::OK), Framing::Connection);
-    assert_eq!(
-        Framing::read(&Method::HEAD, StatusCode::OK, &none),
-        Framing::Empty
-    );
-    let mut headers = HeaderMap::new();
-    headers.insert(header::CONTENT_LENGTH, HeaderValue::from_static("7"));
+    assert_eq!(framing(StatusCode::NO_CONTENT, &none), Ok(Framing::Empty));
+    assert_eq!(framing(StatusCode::NOT_MODIFIED, &none), Ok(Framing::Empty));
+    assert_eq!(framing(StatusCode::OK, &none), Ok(Framing::Connection));
     assert_eq!(
-        Framing::read(&Method::GET, StatusCode::OK, &headers),
-        Framing::Length
+        Framing::read(&Method::HEAD, StatusCode::OK, Version::HTTP_11, &none),
+        Ok(Framing::Empty)
     );
-    for (coding, framing) in [
-        ("gzip, Chunked", Framing::Chunks),
-        ("chunked", Framing::Chunks),
-        ("chunked, gzip", Framing::Connection),
-    ] {
-        headers.insert(header::TRANSFER_ENCODING, HeaderValue::from_static(coding));
+}
+
+// Guards against a body that is read by one of two ends that a head names, or by none since its coding is unknown.
+#[test]
+fn a_head_names_one_end_of_its_body_or_is_invalid() {
+    use HeadFault::{Coding, Length, LengthAndCoding};
+    let cases: [HeadCase; 18] = [
+        (&["7"], &[], Ok(Framing::Length)),
+        (&[], &["chunked"], Ok(Framing::Chunks)),
+        (&[], &["Chunked"], Ok(Framing::Chunks)),
+        (&["7"], &["chunked"], Err(LengthAndCoding)),
+        (&["7"], &["identity"], Err(LengthAndCoding)),
+        (&["7", "7"], &[], Err(Length)),
+        (&["7", "8"], &[], Err(Length)),
+        (&["7, 7"], &[], Err(Length)),
+        (&["+7"], &[], Err(Length)),
+        (&[""], &[], Err(Length)),
+        (&["18446744073709551616"], &[], Err(Length)),
+        (&[], &["gzip, Chunked"], Err(Coding)),
+        (&[], &["chunked, gzip"], Err(Coding)),
+        (&[], &["chunked", "chunked"], Err(Coding)),
+        (&[], &["identity"], Err(Coding)),
+        (&[], &["chunked;q=1"], Err(Coding)),
+        (&[], &["chunke"], Err(Coding)),
+        (&[], &[""], Err(Coding)),
+    ];
+    for (lengths, codings, expected) in cases {
+        let mut headers = HeaderMap::new();
+        for length in lengths {
+            headers.append(header::CONTENT_LENGTH, HeaderValue::from_static(length));
+        }
+        for coding in codings {
+            headers.append(header::TRANSFER_ENCODING, HeaderValue::from_static(coding));
+        }
+        assert_eq!(
+            framing(StatusCode::OK, &headers),
+            expected,
+            "{lengths:?} {codings:?}"
+        );
+        let without_body = framing(StatusCode::NO_CONTENT, &headers);
         assert_eq!(
-            Framing::read(&Method::GET, StatusCode::OK, &headers),
-            framing,
-            "{coding}"
+            without_body,
+            expected.map(|_| Framing::Empty),
+            "{lengths:?} {codings:?}"
         );
     }
+    let mut headers = HeaderMap::new();
+    headers.insert(
+        header::TRANSFER_ENCODING,
+        HeaderValue::from_static("chunked"),
+    );
+    let old = Framing::read(&Method::GET, StatusCode::OK, Version::HTTP_10, &headers);
+    assert_eq!(old.map_err(|invalid| invalid.fault), Err(Coding));
+}
+
+// Guards against a status that no final answer has and that a caller gets as one.
+#[test]
+fn an_answer_has_the_status_of_a_final_one() {
+    let none = HeaderMap::new();
+    for code in 100..=999 {
+        let status = StatusCode::from_u16(code).expect("three digits");
+        let is_final = (200..=599).contains(&code);
+        assert_eq!(framing(status, &none).is_ok(), is_final, "{code}");
+    }
 }
 
 /// Generates a line without its terminator.
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -22,8 +22,8 @@
 use crate::time::{LogTime, Time};
 
 pub use endpoint::{
-    BreakCause, ConnectFailure, DispatchUpdate, EndEvidence, EndVerdict, EndpointEvent, LinkProbe,
-    Liveness, LivenessResult, LoadReport,
+    BreakCause, ConnectFailure, DispatchUpdate, EndEvidence, EndVerdict, EndpointEvent, HeadFault,
+    LinkProbe, Liveness, LivenessResult, LoadReport,
 };
 pub use totals::{
     AccountUse, AccountWork, FragilePoolReport, GroupDemand, GroupEvidence, GroupWork, PeerUse,
--- a/crates/firdock-policy/src/event/endpoint.rs
+++ b/crates/firdock-policy/src/event/endpoint.rs
@@ -116,6 +116,8 @@
     Silent,
     /// What was received is not an answer to the request.
     Foreign,
+    /// The head of the answer contradicts the protocol or itself.
+    InvalidHead(HeadFault),
     /// The endpoint wrote too much that is part of no answer.
     Endless,
     /// The endpoint answered with a failure.
@@ -132,6 +134,7 @@
             Self::Closed => "closed",
             Self::Silent => "silent",
             Self::Foreign => "foreign",
+            Self::InvalidHead(fault) => fault.as_str(),
             Self::Endless => "endless",
             Self::Failed => "failed",
             Self::Restarted => "restarted",
@@ -139,6 +142,33 @@
     }
 }
 
+/// What is wrong with the head of a message (RFC 9112, sections 2.2, 4 and 6).
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum HeadFault {
+    /// The status is not that of a final answer.
+    Status,
+    /// The length is not a number, or given more than once.
+    Length,
+    /// The transfer coding is not `chunked` alone.
+    Coding,
+    /// Both a length and a transfer coding are given.
+    LengthAndCoding,
+}
+
+impl HeadFault {
+    /// Returns its name in logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Status => "invalid-status",
+            Self::Length => "invalid-length",
+            Self::Coding => "invalid-coding",
+            Self::LengthAndCoding => "length-and-coding",
+        }
+    }
+}
+
 /// What is known of the process of an endpoint whose answer ended with its connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
