A request whose head does not name one end of its body is refused, and its connection closed

What endpoints saw: the body of a request with `Transfer-Encoding: gzip, chunked` still compressed, without its coding; the same for other lists that end with `chunked`. What another reader of the same bytes could find: another request.

Cause: the library takes the last coding alone, and the relay drops the header.

Change: `check_request` asks of requests what `Framing::read` asks of answers. The refusal is 400 with the reason `invalid-head`, and the connection ends with it.

--- a/crates/firdock-node/src/http/framing.rs
+++ b/crates/firdock-node/src/http/framing.rs
@@ -1,12 +1,12 @@
 //! Decides where a message ends by its head, and rejects heads that contradict themselves.
 //!
 //! The library reads some of them leniently: a body with an unknown transfer coding ends with its connection, and a length
-//! beside a coding is ignored. All answers pass [`Framing::read`] before anyone sees them
-//! (see `docs/design/endings.md`).
+//! beside a coding is ignored. All answers pass [`Framing::read`] before anyone sees them, and requests
+//! [`check_request`] (see `docs/design/endings.md`).
 
 use firdock_policy::event::HeadFault;
 use hyper::header::{self, HeaderMap, HeaderValue};
-use hyper::{Method, StatusCode, Version};
+use hyper::{Method, Request, StatusCode, Version};
 use snafu::Snafu;
 
 /// The head of a message that cannot be trusted.
@@ -66,6 +66,16 @@
     }
 }
 
+/// Checks that the head of a request names one end of its body alone, so that nobody between the caller and the endpoint
+/// can read another request in it.
+///
+/// # Errors
+///
+/// Fails otherwise.
+pub fn check_request<B>(request: &Request<B>) -> Result<(), InvalidHead> {
+    named_end(request.version(), request.headers()).map(|_framing| ())
+}
+
 /// Returns the end of a body as its head names it.
 fn named_end(version: Version, headers: &HeaderMap) -> Result<Framing, InvalidHead> {
     let has_length = headers.contains_key(header::CONTENT_LENGTH);
--- a/crates/firdock-node/src/ingress/answer.rs
+++ b/crates/firdock-node/src/ingress/answer.rs
@@ -33,6 +33,7 @@
     retry_after: Option<Duration>,
     time_left: Option<Duration>,
     body: Option<RefusedBody>,
+    closes: bool,
 }
 
 /// A body for which there was no room, for the logs.
@@ -56,6 +57,7 @@
             retry_after: None,
             time_left: None,
             body: None,
+            closes: false,
         }
     }
 
@@ -81,6 +83,19 @@
         self
     }
 
+    /// Has the connection closed after the answer: where the next request begins is unknown.
+    #[must_use]
+    pub(super) fn with_close(mut self) -> Self {
+        self.closes = true;
+        self
+    }
+
+    /// Returns whether the connection is closed after the answer.
+    #[must_use]
+    pub(super) fn closes(&self) -> bool {
+        self.closes
+    }
+
     /// Returns the body for which there was no room.
     #[must_use]
     pub(super) fn body(&self) -> Option<&RefusedBody> {
@@ -145,6 +160,7 @@
             retry_after: verdict.retry_after,
             time_left: None,
             body: None,
+            closes: false,
         }
     }
 
--- a/crates/firdock-node/src/ingress/handler.rs
+++ b/crates/firdock-node/src/ingress/handler.rs
@@ -24,7 +24,7 @@
 use crate::exchange::{
     AnswerBudget, AnswerHead, AnswerPart, BodyBudget, CallTerms, Exchange, Payload,
 };
-use crate::http::{CallerHandle, Framing};
+use crate::http::{CallerHandle, Framing, InvalidHead, check_request};
 use crate::input::Input;
 use crate::site::Site;
 use crate::streams::{FoundStream, SharedStreams, StreamKey, StreamSource};
@@ -167,6 +167,7 @@
             handle: request.extensions().get::<CallerHandle>().cloned(),
             version: request.version(),
         };
+        let mut closes = false;
         let mut response = match self.read(request).await {
             Ok(mut payload) => {
                 self.find_stream_origin(id, &mut payload).await;
@@ -174,10 +175,11 @@
             }
             Err(problem) => {
                 self.log_refusal(id, call.as_deref(), &problem);
+                closes = problem.closes();
                 self.interface.refuse(&problem, &id.to_string())
             }
         };
-        if self.state.get() != IngressPhase::Open {
+        if closes || self.state.get() != IngressPhase::Open {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
@@ -208,6 +210,7 @@
 
     async fn read(&self, request: Request<Incoming>) -> Result<Payload, Problem> {
         let lacks_length = lacks_length(&request);
+        let checked = check_request(&request);
         let (head, incoming) = request.into_parts();
         let body = self.unread_body(awaits_word(&head.headers), incoming);
         if self.state.get() == IngressPhase::Closed {
@@ -216,6 +219,7 @@
         if lacks_length {
             return Err(no_length());
         }
+        checked.map_err(invalid_head)?;
         let call = IncomingCall {
             site: Arc::clone(&self.site),
             head,
@@ -406,6 +410,10 @@
     Problem::new(StatusCode::BAD_REQUEST, "body-broken", detail)
 }
 
+fn invalid_head(head: InvalidHead) -> Problem {
+    Problem::new(StatusCode::BAD_REQUEST, "invalid-head", head.to_string()).with_close()
+}
+
 fn stopping() -> Problem {
     let status = StatusCode::SERVICE_UNAVAILABLE;
     Problem::new(status, "stopping", "the instance is stopping").with_retry(STOPPING_RETRY)
