Chunks under a head that names no coding are not the body of an answer

What callers saw: with a single wrong byte in the name `Transfer-Encoding`, the sizes of the chunks as a part of a complete answer without framing.

Cause: such a head is well formed, and an answer without length and coding ends with its connection, as the platform's endpoints may send it. Nothing in the head tells the two apart.

Change: the start of a body without framing is held back while it may be a whole first chunk. If it is one, the answer is broken with the cause `invalid-coding`. Other bodies differ within their first bytes; those that begin like a chunk are passed on as soon as they differ, and at their end at the latest.

Weighed: `Connection: close` as a condition for answers without framing would lose honest answers, as nothing asks servers for it; names that resemble others are a guess. A wrong byte in `Content-Length` still yields the whole body, with an end that proves nothing; the unknown header is passed on.

--- a/crates/firdock-node/src/endpoint/body.rs
+++ b/crates/firdock-node/src/endpoint/body.rs
@@ -4,6 +4,7 @@
 use std::io::{self, ErrorKind};
 
 use bytes::Bytes;
+use firdock_policy::event::HeadFault;
 use http_body_util::BodyExt as _;
 use hyper::body::Body as _;
 
@@ -51,6 +52,9 @@
                     }
                 }
                 Some(Err(BodyError::Http { source })) => return Err(ending_of(&source)),
+                Some(Err(BodyError::HiddenChunks)) => {
+                    return Err(Ending::InvalidHead(HeadFault::Coding));
+                }
                 None if self.framing() == Framing::Connection => return Err(Ending::Closed),
                 None => return Err(Ending::Framed),
             }
--- a/crates/firdock-node/src/http.rs
+++ b/crates/firdock-node/src/http.rs
@@ -8,6 +8,7 @@
 mod client;
 mod dead_peer;
 mod framing;
+mod hidden_chunks;
 mod listener;
 mod response;
 mod server;
--- a/crates/firdock-node/src/http/response.rs
+++ b/crates/firdock-node/src/http/response.rs
@@ -9,6 +9,7 @@
 
 use super::bounded::IdleBytes;
 use super::framing::Framing;
+use super::hidden_chunks::{BodyStart, HiddenChunks};
 
 /// Error of reading a body.
 #[derive(Debug, Snafu)]
@@ -19,14 +20,22 @@
         /// Cause.
         source: hyper::Error,
     },
+    /// The body consists of chunks, which its head does not say.
+    #[snafu(display("the body has chunks and its head names no coding"))]
+    HiddenChunks,
 }
 
+/// A frame of a body, its end or its error.
+type Checked = Option<Result<Frame<Bytes>, BodyError>>;
+
 /// Body of a response that is being received.
 #[derive(Debug)]
 pub struct ResponseBody {
     body: Incoming,
     framing: Framing,
     idle: IdleBytes,
+    /// Looks for chunks until it is known that there are none.
+    start: Option<HiddenChunks>,
 }
 
 impl ResponseBody {
@@ -35,6 +44,7 @@
             body,
             framing,
             idle,
+            start: (framing == Framing::Connection).then(HiddenChunks::default),
         }
     }
 
@@ -43,6 +53,28 @@
     pub fn framing(&self) -> Framing {
         self.framing
     }
+
+    /// Holds a frame back while it may be the start of chunks.
+    fn check_start(&mut self, frame: Option<Frame<Bytes>>) -> Option<Checked> {
+        let Some(start) = &mut self.start else {
+            return Some(Ok(frame).transpose());
+        };
+        let Some(frame) = frame else {
+            let held = start.finish();
+            return Some((!held.is_empty()).then(|| Ok(Frame::data(held))));
+        };
+        let Ok(data) = frame.into_data() else {
+            return None;
+        };
+        match start.push(&data) {
+            BodyStart::Unknown => None,
+            BodyStart::Chunk => Some(Some(HiddenChunksSnafu.fail())),
+            BodyStart::Plain(held) => {
+                self.start = None;
+                Some(Some(Ok(Frame::data(held))))
+            }
+        }
+    }
 }
 
 impl Body for ResponseBody {
@@ -53,16 +85,25 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
-        if let Some(Ok(frame)) = &frame {
-            let data = frame.data_ref();
-            self.idle.add_body(data.map_or(0, Bytes::len));
+        loop {
+            let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+            let frame = match frame.transpose().context(HttpSnafu) {
+                Ok(frame) => frame,
+                Err(e) => return Poll::Ready(Some(Err(e))),
+            };
+            let data = frame.as_ref().and_then(Frame::data_ref);
+            if frame.is_some() {
+                self.idle.add_body(data.map_or(0, Bytes::len));
+            }
+            if let Some(checked) = self.check_start(frame) {
+                return Poll::Ready(checked);
+            }
         }
-        Poll::Ready(frame.map(|frame| frame.context(HttpSnafu)))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        let is_held = self.start.as_ref().is_some_and(|start| !start.is_empty());
+        self.body.is_end_stream() && !is_held
     }
 
     fn size_hint(&self) -> SizeHint {
