Bytes behind the length of an answer break it, and lines of heads end with CRLF

What callers saw: a part of the body, told as complete, where the length was shorter than the body (12 or 0 of 46 bytes); a line of the head split in two where it held a bare LF.

Cause: the library drops what follows the end that a head names, so that nobody looks at it. It also takes a bare LF for the end of a line.

Change: the bytes of each answer are followed as they are read (`http/answer_bytes.rs`). Where the body has its length and more bytes are there, its last part is withheld and the answer is broken with the cause `excess-bytes`: requests that may be repeated go elsewhere, others end with 502, and a caller who has got the start of a long body sees it break off. Bytes that begin another answer say nothing about the one before, as before this. A head with a bare LF is invalid.

What stays: bytes that come later than the end of the body are not waited for. Waiting would delay each answer.

--- a/crates/firdock-node/src/endpoint/body.rs
+++ b/crates/firdock-node/src/endpoint/body.rs
@@ -9,7 +9,7 @@
 use hyper::body::Body as _;
 
 use super::ending::Ending;
-use crate::http::{BodyError, EndlessBytes, Framing, ResponseBody};
+use crate::http::{BodyError, EndlessBytes, Framing, InvalidHead, ResponseBody};
 use crate::peer::TunnelBroken;
 
 /// Body of an endpoint's answer that is being received.
@@ -52,6 +52,7 @@
                     }
                 }
                 Some(Err(BodyError::Http { source })) => return Err(ending_of(&source)),
+                Some(Err(BodyError::Excess)) => return Err(Ending::Excess),
                 Some(Err(BodyError::HiddenChunks)) => {
                     return Err(Ending::InvalidHead(HeadFault::Coding));
                 }
@@ -76,6 +77,12 @@
     if error.get_ref().is_some_and(is_endless) {
         return Ending::Endless;
     }
+    let invalid = error
+        .get_ref()
+        .and_then(|e| e.downcast_ref::<InvalidHead>());
+    if let Some(invalid) = invalid {
+        return Ending::InvalidHead(invalid.fault);
+    }
     match error.kind() {
         ErrorKind::UnexpectedEof | ErrorKind::InvalidInput | ErrorKind::InvalidData => {
             Ending::Early
--- a/crates/firdock-node/src/endpoint/ending.rs
+++ b/crates/firdock-node/src/endpoint/ending.rs
@@ -29,6 +29,8 @@
     Foreign,
     /// The head of the answer cannot be trusted.
     InvalidHead(HeadFault),
+    /// Bytes that are no other answer follow the end that the head names.
+    Excess,
     /// The endpoint wrote too much that is part of no answer.
     Endless,
 }
@@ -47,6 +49,7 @@
             Self::Restarted => "restarted",
             Self::Foreign => "foreign",
             Self::InvalidHead(fault) => fault.as_str(),
+            Self::Excess => "excess-bytes",
             Self::Endless => "endless",
         }
     }
@@ -63,6 +66,7 @@
             Ending::Restarted => Self::Restarted,
             Ending::Foreign => Self::Foreign,
             Ending::InvalidHead(fault) => Self::InvalidHead(fault),
+            Ending::Excess => Self::Excess,
             Ending::Endless => Self::Endless,
         }
     }
--- a/crates/firdock-node/src/http.rs
+++ b/crates/firdock-node/src/http.rs
@@ -3,6 +3,7 @@
 //! `hyper` is used instead of `rouille`, which buffers streamed bodies and lets some connections wait behind
 //! others; the measurements are in `docs/design/http.md`.
 
+mod answer_bytes;
 mod bounded;
 mod caller;
 mod client;
--- a/crates/firdock-node/src/http/client.rs
+++ b/crates/firdock-node/src/http/client.rs
@@ -19,6 +19,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use super::answer_bytes::{FollowedStream, SharedAnswerBytes};
 use super::bounded::{BoundedStream, IdleBytes};
 use super::dead_peer::set_dead_peer_timeouts;
 use super::framing::{Framing, InvalidHead};
@@ -100,6 +101,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     idle: IdleBytes,
+    bytes: SharedAnswerBytes,
     driver: AbortHandle,
 }
 
@@ -170,6 +172,8 @@
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
         let idle = IdleBytes::limited();
+        let bytes = SharedAnswerBytes::default();
+        let stream = FollowedStream::new(stream, bytes.clone());
         let stream = BoundedStream::new(stream, idle.clone());
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
@@ -178,6 +182,7 @@
         Ok(Self {
             sender,
             idle,
+            bytes,
             driver,
         })
     }
@@ -200,6 +205,7 @@
         limit: Duration,
     ) -> Result<Response<ResponseBody>, CallError> {
         let method = request.method().clone();
+        self.bytes.lock().begin(&method);
         self.idle.reset();
         let answer = match timeout(limit, self.sender.send_request(request)).await {
             Ok(answer) => answer.context(HttpSnafu)?,
@@ -208,7 +214,7 @@
         self.idle.reset();
         let framing = Framing::read(&method, answer.status(), answer.version(), answer.headers());
         let framing = framing.context(HeadSnafu)?;
-        let idle = self.idle.clone();
-        Ok(answer.map(|body| ResponseBody::new(body, framing, idle)))
+        let (idle, bytes) = (self.idle.clone(), self.bytes.clone());
+        Ok(answer.map(|body| ResponseBody::new(body, framing, idle, bytes)))
     }
 }
--- a/crates/firdock-node/src/http/response.rs
+++ b/crates/firdock-node/src/http/response.rs
@@ -7,6 +7,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use snafu::{ResultExt as _, Snafu};
 
+use super::answer_bytes::SharedAnswerBytes;
 use super::bounded::IdleBytes;
 use super::framing::Framing;
 use super::hidden_chunks::{BodyStart, HiddenChunks};
@@ -20,6 +21,9 @@
         /// Cause.
         source: hyper::Error,
     },
+    /// The other side sent more than the head says, so that the body may be a part.
+    #[snafu(display("bytes follow the end of the body that its head names"))]
+    Excess,
     /// The body consists of chunks, which its head does not say.
     #[snafu(display("the body has chunks and its head names no coding"))]
     HiddenChunks,
@@ -34,16 +38,23 @@
     body: Incoming,
     framing: Framing,
     idle: IdleBytes,
+    bytes: SharedAnswerBytes,
     /// Looks for chunks until it is known that there are none.
     start: Option<HiddenChunks>,
 }
 
 impl ResponseBody {
-    pub(super) fn new(body: Incoming, framing: Framing, idle: IdleBytes) -> Self {
+    pub(super) fn new(
+        body: Incoming,
+        framing: Framing,
+        idle: IdleBytes,
+        bytes: SharedAnswerBytes,
+    ) -> Self {
         Self {
             body,
             framing,
             idle,
+            bytes,
             start: (framing == Framing::Connection).then(HiddenChunks::default),
         }
     }
@@ -75,6 +86,11 @@
             }
         }
     }
+
+    /// Whether the body ended where its head says, with more bytes behind it.
+    fn has_excess(&self) -> bool {
+        self.body.is_end_stream() && self.bytes.lock().has_excess()
+    }
 }
 
 impl Body for ResponseBody {
@@ -95,6 +111,10 @@
             if frame.is_some() {
                 self.idle.add_body(data.map_or(0, Bytes::len));
             }
+            // The last part is withheld with its end: a caller that has all bytes of a length takes them for a whole answer.
+            if self.has_excess() {
+                return Poll::Ready(Some(ExcessSnafu.fail()));
+            }
             if let Some(checked) = self.check_start(frame) {
                 return Poll::Ready(checked);
             }
@@ -103,7 +123,7 @@
 
     fn is_end_stream(&self) -> bool {
         let is_held = self.start.as_ref().is_some_and(|start| !start.is_empty());
-        self.body.is_end_stream() && !is_held
+        self.body.is_end_stream() && !is_held && !self.has_excess()
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/firdock-node/tests/node/completeness.rs
+++ b/crates/firdock-node/tests/node/completeness.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpListener;
 use uuid::Uuid;
 
-const ENDINGS: [Ending; 10] = [
+const ENDINGS: [Ending; 11] = [
     Ending::Framed,
     Ending::Closed,
     Ending::Early,
@@ -26,6 +26,7 @@
     Ending::Restarted,
     Ending::Foreign,
     Ending::InvalidHead(HeadFault::Coding),
+    Ending::Excess,
     Ending::Endless,
 ];
 const FRAMINGS: [Framing; 4] = [
--- a/crates/firdock-policy/src/event/endpoint.rs
+++ b/crates/firdock-policy/src/event/endpoint.rs
@@ -118,6 +118,8 @@
     Foreign,
     /// The head of the answer contradicts the protocol or itself.
     InvalidHead(HeadFault),
+    /// Bytes that are no other answer follow the end that the head names.
+    Excess,
     /// The endpoint wrote too much that is part of no answer.
     Endless,
     /// The endpoint answered with a failure.
@@ -135,6 +137,7 @@
             Self::Silent => "silent",
             Self::Foreign => "foreign",
             Self::InvalidHead(fault) => fault.as_str(),
+            Self::Excess => "excess-bytes",
             Self::Endless => "endless",
             Self::Failed => "failed",
             Self::Restarted => "restarted",
@@ -148,6 +151,8 @@
 pub enum HeadFault {
     /// The status is not that of a final answer.
     Status,
+    /// A line ends with something other than CRLF.
+    LineEnd,
     /// The length is not a number, or given more than once.
     Length,
     /// The transfer coding is not `chunked` alone.
@@ -162,6 +167,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Status => "invalid-status",
+            Self::LineEnd => "invalid-line-end",
             Self::Length => "invalid-length",
             Self::Coding => "invalid-coding",
             Self::LengthAndCoding => "length-and-coding",
