Whoever waits when the time of a planned stop is over gets a final answer

Cause: the end of the time was the end of the process. Nobody decided about the requests that were left, so that their callers learned neither that theirs had not run nor when to come back.

Change: when the time is over, the scheduler ends all requests with the reason `stopping`: 503 for what did not run, 502 for what may have, a cut for answers that had begun. Callers get them within 300 ms of the 700 ms that were reserved for last answers before. The instance with the resource API does the same. What runs at endpoints is cancelled as at a deadline.

Red before: whoever_waits_when_the_time_of_a_stop_is_over_gets_a_final_answer (status 0, connection closed). every_request_ends_when_the_time_of_a_stop_is_over asks it of the scheduler, which had no such event.

--- a/crates/firdock-core/src/outcome.rs
+++ b/crates/firdock-core/src/outcome.rs
@@ -70,6 +70,8 @@
     TimedOut,
     /// The account exceeded its rate limit.
     RateLimited,
+    /// The time for the instance's planned stop was over.
+    Stopping,
     /// The instance cannot determine whether its configuration is still in force.
     StateStale,
     /// The configuration changed while the request waited, and no longer admits it as it was admitted.
@@ -100,6 +102,7 @@
             Self::CallerLeft => "caller-left",
             Self::TimedOut => "timed-out",
             Self::RateLimited => "rate-limited",
+            Self::Stopping => "stopping",
             Self::StateStale => "state-stale",
             Self::AccessChanged => "access-changed",
             Self::VersionGone => "version-gone",
--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -6,6 +6,7 @@
 
 mod parts;
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -35,6 +36,8 @@
 const SERVE_AFTER_STOP: Duration = Duration::from_millis(2_800);
 /// Time reserved for writing the last answers before the platform kills the process.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(700);
+/// Part of the reserve within which callers get the final answers to requests that cannot be finished.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(300);
 /// Capacity of the queue of store changes to forward to peers. Peers request further ones
 /// themselves.
 const CHANGE_QUEUE_CAPACITY: usize = 64;
@@ -205,13 +208,20 @@
             let _ = self.serving.await;
             self.tunnels.wait_until_closed().await;
         };
+        let mut serving_and_tunnels = pin!(serving_and_tunnels);
         let waited = began.elapsed();
         let finished = tokio::select! {
-            () = serving_and_tunnels => true,
+            () = &mut serving_and_tunnels => true,
             () = wait_until(self.clock, end, longest.saturating_sub(waited)) => false,
         };
         if !finished {
             warn!(self.log, "stopped before everything was finished");
+            let last_answers = async {
+                let _ = self.inputs.send(Input::Event(Event::DrainExpired)).await;
+                serving_and_tunnels.await;
+            };
+            // A caller who does not read keeps its connection open.
+            let _ = timeout(LAST_ANSWERS_TIME, last_answers).await;
         }
         let drained = *self.drained.borrow();
         self.stop_rest.send_replace(true);
--- a/crates/firdock-node/src/instance.rs
+++ b/crates/firdock-node/src/instance.rs
@@ -178,6 +178,7 @@
         };
         if !finished {
             slog::warn!(self.log, "stopped before everything was finished");
+            let _ = self.inputs.send(Input::Event(Event::DrainExpired)).await;
         }
         self.stop_ingress.send_replace(true);
         let _ = timeout(self.stop_time, &mut self.ingress).await;
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -131,6 +131,8 @@
     RoomWanted(WantedRoom),
     /// The instance should stop.
     Drain,
+    /// The time for the planned stop is over: all requests get their final answers.
+    DrainExpired,
     /// Periodic timer.
     Timer,
 }
--- a/crates/firdock-policy/src/system/expire.rs
+++ b/crates/firdock-policy/src/system/expire.rs
@@ -36,6 +36,11 @@
         .filter(overdue)
         .map(|r| r.new.id)
         .collect();
+    end(t, now, ids, Reason::TimedOut, out);
+}
+
+/// Ends requests wherever they are. What runs at endpoints is cancelled.
+pub fn end(t: &mut Tables, now: Time, ids: Vec<RequestId>, reason: Reason, out: &mut Vec<Action>) {
     for id in ids {
         let Some(row) = t.requests.get(id) else {
             continue;
@@ -47,7 +52,7 @@
                 dispatch: row.dispatch,
             });
         }
-        lifecycle::give_up(t, now, id, Reason::TimedOut, out);
+        lifecycle::give_up(t, now, id, reason, out);
     }
 }
 
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -18,6 +18,7 @@
 mod notices;
 mod overload;
 mod pace_reports;
+mod planned_stop;
 mod random;
 mod restart;
 mod rollout;
