Answers of a new start are not given up at an instance whose clock stood still

Cause: a start is dated by the time of day that the instance read once at its own start. When its clock stands still, the start seems to have begun later than a request that reached it was sent, and `detach_previous_start` gives that request up as lost with the process before.

Change: the driver tells the scheduler when the clock and the time of day have gone apart by 20 ms or more. A request is given up only if it was sent before the earliest time at which the start may have begun, by the first or the last reading, whichever is larger. What is not given up ends as before: with its connection, in silence or at its deadline. A time of day that is set back changes nothing.

Evidence: a_request_sent_to_a_later_start_goes_on_after_the_clock_stood_still gave up (3, 1) before.

--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -45,6 +45,8 @@
 
 /// Interval between two runs of the timer systems.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
+/// Least change between the clock and the time of day that the scheduler is told of.
+const CLOCK_CHANGE: Duration = Duration::from_millis(20);
 /// Number of ticks between two publications of counters, with a check of the invariants.
 const TICKS_PER_PUBLICATION: u32 = 8;
 
@@ -104,6 +106,8 @@
     /// Revision of the rate limits of endpoints that was last published.
     limits_revision: Revision,
     unconfirmed_starts: u64,
+    /// Unix time at zero of the clock that the scheduler knows.
+    unix_zero: Duration,
     placement: Option<Placement>,
 }
 
@@ -161,6 +165,7 @@
             suspensions,
             limits_revision: Revision::default(),
             unconfirmed_starts: 0,
+            unix_zero: Duration::ZERO,
             placement: None,
         }
     }
@@ -344,7 +349,17 @@
         }
     }
 
+    /// Tells the scheduler if the clock and the time of day have gone apart.
+    fn read_unix_zero(&mut self) {
+        let read = self.parts.clock.unix_zero();
+        if read.abs_diff(self.unix_zero) >= CLOCK_CHANGE {
+            self.unix_zero = read;
+            self.step(Event::UnixZeroRead(read));
+        }
+    }
+
     fn tick(&mut self) {
+        self.read_unix_zero();
         self.step(Event::Timer);
         self.tick_placement();
         if let Some(room) = self.parts.body_budget.maintain() {
--- a/crates/firdock-policy/src/event.rs
+++ b/crates/firdock-policy/src/event.rs
@@ -4,6 +4,7 @@
 mod totals;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use firdock_core::resource::Catalog;
 use firdock_core::{ContentId, EndpointId, InstanceId, RequestId, StartId, ZoneId};
@@ -131,6 +132,9 @@
     RoomWanted(WantedRoom),
     /// The instance should stop.
     Drain,
+    /// Unix time at zero of this process's clock, as read now. It grows when the clock stood still while the time of day
+    /// went on, and differs while that is stepped.
+    UnixZeroRead(Duration),
     /// The time for the planned stop is over: all requests get their final answers.
     DrainExpired,
     /// Periodic timer.
--- a/crates/firdock-policy/src/scheduler.rs
+++ b/crates/firdock-policy/src/scheduler.rs
@@ -113,6 +113,7 @@
             Event::Decides(decides) => rollout::set_decides(t, decides),
             Event::RoomWanted(room) => shed::make_room(t, now, room, out),
             Event::Drain => t.draining = true,
+            Event::UnixZeroRead(zero) => t.unix_zero = Some(zero),
             Event::DrainExpired => drain::end_all(t, now, out),
             Event::Timer => {
                 t.absence.check(now, MIN_ABSENCE);
--- a/crates/firdock-policy/src/system/restart.rs
+++ b/crates/firdock-policy/src/system/restart.rs
@@ -55,7 +55,7 @@
     t.stats.restarts += 1;
     let start = t.endpoints.get(at).start_id.clone();
     suspect::record_exit(t, now, &start, out);
-    let began = start_time(t, declared);
+    let began = earliest_start_time(t, declared);
     for (id, sent, dispatch) in dispatches_at(t, at) {
         if began.is_none_or(|began| sent < began) {
             t.stats.lost_by_restart += 1;
@@ -112,6 +112,16 @@
     declared.started.map(|at| at.saturating_sub(unix_epoch))
 }
 
+/// Returns the earliest time by this process's clock at which a start of an endpoint may have begun.
+///
+/// If the clock stood still since the process began, the Unix time at its zero has grown by that time: what was sent after
+/// it has a smaller time than [`start_time`] reckons with.
+fn earliest_start_time(t: &Tables, declared: &Endpoint) -> Option<Time> {
+    let unix_zero = t.settings.unix_zero?;
+    let latest_zero = t.unix_zero.map_or(unix_zero, |read| read.max(unix_zero));
+    declared.started.map(|at| at.saturating_sub(latest_zero))
+}
+
 /// Returns the requests at an endpoint, with the time and number of their dispatch.
 fn dispatches_at(t: &Tables, at: usize) -> Vec<(RequestId, Time, u32)> {
     let here =
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -93,6 +93,8 @@
     pub transfers: transfer::Transfers,
     /// Membership views from the log.
     pub views: view::Views,
+    /// Last reading of the Unix time at zero of this process's clock.
+    pub unix_zero: Option<Duration>,
     /// Whether the instance is stopping.
     pub draining: bool,
     /// Whether [`crate::Action::Drained`] has been issued.
@@ -232,6 +234,7 @@
             keys: key::Keys::new(),
             transfers: transfer::Transfers::new(),
             views,
+            unix_zero: None,
             draining: false,
             drained: false,
             finished: 0,
--- a/crates/firdock-policy/tests/policy/restart.rs
+++ b/crates/firdock-policy/tests/policy/restart.rs
@@ -238,6 +238,38 @@
     assert_ne!(again[0].1, name);
 }
 
+// Guards against an answer that is given up although its endpoint's new start gives it: the instance's clock stood still, so
+// that the start seems to have begun later than the request was sent.
+#[test]
+fn a_request_sent_to_a_later_start_goes_on_after_the_clock_stood_still() {
+    let mut d = instance(settings("a").with_unix_zero(UNIX_ZERO));
+    let first = dispatched(&d.arrive(request(1, "tiles", "shop")));
+    let name = first[0].1.clone();
+    let stood_still = millis(700);
+    d.step(Event::UnixZeroRead(UNIX_ZERO + stood_still));
+    d.now += millis(100);
+    let began = UNIX_ZERO + stood_still + d.now;
+    d.now += millis(100);
+    let sent: Vec<_> = [2, 3]
+        .into_iter()
+        .filter(|n| dispatched(&d.arrive(request(*n, "tiles", "shop")))[0].1 == name)
+        .collect();
+    assert!(!sent.is_empty(), "one went to the endpoint of the first");
+    assert_eq!(given_up(&restart(&mut d, &name, began)), [(1, 1)]);
+}
+
+// Guards against requests that wait for a start that is over while the time of day is set back.
+#[test]
+fn a_time_of_day_that_is_set_back_keeps_no_request_at_an_earlier_start() {
+    let mut d = instance(settings("a").with_unix_zero(UNIX_ZERO));
+    let first = dispatched(&d.arrive(request(1, "tiles", "shop")));
+    d.step(Event::UnixZeroRead(UNIX_ZERO.saturating_sub(millis(2_000))));
+    d.now += millis(100);
+    let began = UNIX_ZERO + d.now;
+    let actions = restart(&mut d, &first[0].1, began);
+    assert_eq!(given_up(&actions), [(1, 1)]);
+}
+
 #[test]
 fn the_same_start_listed_again_changes_nothing() {
     let mut d = instance(settings("a"));
