A start waits for addresses that another process still holds

What operators saw: a process that was started while another one still held an address (the callers', readiness', the peers' by stream or by datagram, or the metrics') ended with code 1 at once, with one line on standard error alone. The process before it may drain for limits.stop_seconds, 8 s there.

Cause: each address was opened once, and any error ended the start; the port of the metrics, which no caller needs, counted like the others.

Change: an edge instance opens its addresses before anything else, and tries those that are in use, or that descriptors or memory of the kernel are short for, again every 0.1 s until limits.stop_seconds and 2 s more are over, at most a minute. One line tells which address and field is waited for, one that it was opened. Other errors (an address of another machine, no permission) end the start at once. The metrics' port is opened in the background, whenever it becomes free.

Why it works: what holds the address is bounded by the stop of the process before, which has the same settings, so the wait outlasts it. Weighed: a constant for the wait (wrong where stops may take longer); to wait without bound (a wrong port would never be told by an exit code); SO_REUSEPORT (the draining process would get and refuse a part of the connections); the callers' port first, as before (connections would wait in its backlog while another address is waited for, where a refusal lets them go elsewhere). The instance with the native interface (Instance::start) still opens its addresses once.

--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -25,7 +25,7 @@
 use crate::http::{Connector, ServerOptions, TcpConnector, serve};
 use crate::ingress::{IngressPhase, IngressState, Interface};
 use crate::input::{INPUT_QUEUE_CAPACITY, Input};
-use crate::instance::{AbortOnPanic, StartError, open};
+use crate::instance::{AbortOnPanic, EdgePorts, PortOpener, StartError};
 use crate::peer::{OpenTunnels, SelfStatus};
 use crate::source::{PendingRecords, ResourceSource};
 use crate::telemetry::{LogLimiter, discard_logger, log_uncounted_suspensions};
@@ -115,12 +115,21 @@
         self
     }
 
-    /// Starts the instance on the current runtime.
+    /// Starts the instance on the current runtime, once the addresses that it needs are free. Nothing
+    /// else is started before, so the wait may be cancelled.
     ///
     /// # Errors
     ///
-    /// Fails if an address is missing or cannot be bound.
+    /// Fails if an address is missing, cannot be bound, or is still held by another process at the end
+    /// of the wait.
     pub async fn start(self) -> Result<RunningEdge, StartError> {
+        let opener = PortOpener::new(self.clock, self.log.clone());
+        let EdgePorts {
+            callers,
+            ready,
+            peers,
+            datagrams,
+        } = EdgePorts::open(&self.settings, &opener).await?;
         let parts = EdgeParts::new(&self.settings, self.clock, self.log.clone());
         let (inputs, input_receiver) = mpsc::channel(INPUT_QUEUE_CAPACITY);
         let (stop_ingress, ingress_stop_receiver) = watch::channel(false);
@@ -130,9 +139,9 @@
         let (records, record_receiver) = watch::channel(PendingRecords::default());
         let (changes, change_receiver) = mpsc::channel(CHANGE_QUEUE_CAPACITY);
 
-        let callers = open(self.settings.instance.callers, "instance.callers")?;
-        parts.serve_status(&rest_stop_receiver)?;
-        let socket = parts.open_datagrams().await?;
+        parts.serve_readiness(ready, &rest_stop_receiver);
+        parts.serve_metrics(opener, &rest_stop_receiver)?;
+        let socket = Arc::new(datagrams);
         parts.start_beacons(
             &socket,
             &inputs,
@@ -140,9 +149,8 @@
             change_receiver,
             rest_stop_receiver.clone(),
         );
-        let tunnels = open(self.settings.instance.peers, "instance.peers")?;
         let tunnel_server = parts.tunnel_server(self.connector.clone());
-        tokio::spawn(tunnel_server.run(tunnels, rest_stop_receiver.clone()));
+        tokio::spawn(tunnel_server.run(peers, rest_stop_receiver.clone()));
         let outputs = DriverOutputs {
             self_status,
             records,
--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -10,8 +10,7 @@
 use hyper::Request;
 use hyper::body::Incoming;
 use slog::{Logger, o};
-use snafu::{OptionExt as _, ResultExt as _};
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
 use uuid::Uuid;
@@ -26,10 +25,10 @@
 use crate::http::{Connector, ServerOptions, serve};
 use crate::ingress::{Ingress, IngressLimits, IngressState, Interface};
 use crate::input::Input;
-use crate::instance::{ListenSnafu, StartError, UnsetSnafu, open};
+use crate::instance::{Port, PortOpener, StartError};
 use crate::peer::{
     AppliedRecords, BeaconService, Dialer, OpenTunnels, PeerDirectory, SelfStatus, SharedReads,
-    TunnelClient, TunnelServer, bind_beacon_socket,
+    TunnelClient, TunnelServer,
 };
 use crate::placement::{DatagramLink, Membership, Placement};
 use crate::site::Site;
@@ -263,16 +262,6 @@
         Arc::from(self.settings.peers.shared_key.as_bytes())
     }
 
-    /// Opens the socket for heartbeats and placements.
-    pub async fn open_datagrams(&self) -> Result<Arc<UdpSocket>, StartError> {
-        let field = "instance.peers";
-        let address = self.settings.instance.peers.context(UnsetSnafu { field })?;
-        let socket = bind_beacon_socket(address)
-            .await
-            .context(ListenSnafu { address })?;
-        Ok(Arc::new(socket))
-    }
-
     /// Starts sending and receiving heartbeats.
     pub fn start_beacons(
         &self,
@@ -310,14 +299,8 @@
         tokio::spawn(beacons.run(stop));
     }
 
-    /// Serves readiness, and, if an address is set for them, metrics and the list of endpoints.
-    pub fn serve_status(&self, stop: &watch::Receiver<bool>) -> Result<(), StartError> {
-        let options = ServerOptions {
-            connections: STATUS_CONNECTIONS,
-            header_bytes: STATUS_HEAD_BYTES,
-            header_time: Duration::from_millis(self.settings.limits.header_millis),
-        };
-        let ready = open(self.settings.instance.ready, "instance.ready")?;
+    /// Serves readiness.
+    pub fn serve_readiness(&self, listener: TcpListener, stop: &watch::Receiver<bool>) {
         let readiness = Readiness {
             site: Arc::clone(&self.site),
             ingress: self.ingress.clone(),
@@ -325,15 +308,40 @@
             clock: self.clock,
         };
         let answer = move |_| std::future::ready(readiness.answer());
-        tokio::spawn(serve(ready, options, stop.clone(), answer));
-        if self.settings.instance.metrics.is_some() {
-            let listener = open(self.settings.instance.metrics, "instance.metrics")?;
-            let metrics = Arc::clone(&self.metrics);
-            let answer = move |r: Request<Incoming>| {
-                std::future::ready(status::metrics_response(&metrics, r.uri().path()))
-            };
-            tokio::spawn(serve(listener, options, stop.clone(), answer));
+        tokio::spawn(serve(listener, self.status_options(), stop.clone(), answer));
+    }
+
+    /// Serves metrics and the list of endpoints, if an address is set for them, as soon as that is free.
+    pub fn serve_metrics(
+        &self,
+        opener: PortOpener,
+        stop: &watch::Receiver<bool>,
+    ) -> Result<(), StartError> {
+        let address = self.settings.instance.metrics;
+        if address.is_none() {
+            return Ok(());
         }
+        let port = Port::new(address, "instance.metrics")?;
+        let metrics = Arc::clone(&self.metrics);
+        let answer = move |r: Request<Incoming>| {
+            std::future::ready(status::metrics_response(&metrics, r.uri().path()))
+        };
+        let (options, mut stop) = (self.status_options(), stop.clone());
+        tokio::spawn(async move {
+            let listener = tokio::select! {
+                listener = opener.open_eventually(port) => listener,
+                _ = stop.wait_for(|s| *s) => return,
+            };
+            serve(listener, options, stop, answer).await;
+        });
         Ok(())
     }
+
+    fn status_options(&self) -> ServerOptions {
+        ServerOptions {
+            connections: STATUS_CONNECTIONS,
+            header_bytes: STATUS_HEAD_BYTES,
+            header_time: Duration::from_millis(self.settings.limits.header_millis),
+        }
+    }
 }
--- a/crates/firdock-node/src/instance.rs
+++ b/crates/firdock-node/src/instance.rs
@@ -1,6 +1,7 @@
 //! Assembly of the components of an entry instance, and their orderly shutdown.
 
 mod components;
+mod ports;
 mod start;
 
 use std::net::SocketAddr;
@@ -15,8 +16,9 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
+pub(crate) use self::ports::{EdgePorts, Port, PortOpener};
 pub use self::start::StartError;
-pub(crate) use self::start::{AbortOnPanic, ListenSnafu, UnsetSnafu, open};
+pub(crate) use self::start::{AbortOnPanic, open};
 
 use self::components::Components;
 use self::start::spawn_driver;
--- a/crates/firdock-node/src/instance/components.rs
+++ b/crates/firdock-node/src/instance/components.rs
@@ -233,7 +233,7 @@
             watchers: Watchers::default(),
             inputs,
         };
-        serve_operators(address, server, stop).context(ListenSnafu { address })
+        serve_operators(address, server, stop).context(ListenSnafu { address, field })
     }
 
     /// Runs one task for each endpoint in force that polls its reports.
--- a/crates/firdock-node/src/instance/start.rs
+++ b/crates/firdock-node/src/instance/start.rs
@@ -27,10 +27,12 @@
         field: &'static str,
     },
     /// Listening on an address failed.
-    #[snafu(display("listen on {address}"))]
+    #[snafu(display("listen on {address} ({field})"))]
     Listen {
         /// Address.
         address: SocketAddr,
+        /// Field of the settings.
+        field: &'static str,
         /// Cause.
         source: std::io::Error,
     },
@@ -42,13 +44,21 @@
     },
 }
 
+impl StartError {
+    /// Returns whether an address of the settings could not be listened on.
+    #[must_use]
+    pub fn is_address(&self) -> bool {
+        matches!(self, Self::Listen { .. })
+    }
+}
+
 /// Opens a listener on an address from the settings.
 pub(crate) fn open(
     address: Option<SocketAddr>,
     field: &'static str,
 ) -> Result<TcpListener, StartError> {
     let address = address.context(UnsetSnafu { field })?;
-    listen(address).context(ListenSnafu { address })
+    listen(address).context(ListenSnafu { address, field })
 }
 
 /// Starts a named thread.
