One accept loop for all listeners, with a pause and a line

Cause: the loop that accepts peers' connections, which serves the tunnels at the edge as well, tried again at once after any error. A lack of descriptors fails each accept at once, and the listener stays readable. The server loop had a pause of its own; neither logged the error.

Change: http::Acceptor accepts for every listener (callers, readiness, metrics, resource API, peers, tunnels): 50 ms pause after an error, at most one line a second for each listener, with its field of the settings and the error. An error of one connection that its client gave up is passed over without a pause: the connection is gone from the backlog with it.

Why it works: no loop accepts otherwise any more (the only accept of a listener is in http/listener.rs). Weighed: waking at the release of a descriptor (nothing tells of it), a growing pause (50 ms cost nothing that can be measured, and a longer one delays callers once descriptors are free).

--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -168,6 +168,7 @@
         let ingress = parts.ingress(self.interface, inputs.clone());
         let options = ServerOptions::new(&self.settings.limits);
         let handle = move |r| ingress.clone().handle(r);
+        let callers = parts.acceptor(callers, "instance.callers");
         let serving = tokio::spawn(serve(callers, options, ingress_stop_receiver, handle));
         log_uncounted_suspensions(&self.log);
         info!(self.log, "started"; "zone" => &self.settings.instance.zone,
--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -22,7 +22,7 @@
 use crate::endpoint::relay::{Dialect, Relay};
 use crate::endpoint::run::DispatchLimits;
 use crate::exchange::{AnswerBudget, BodyBudget};
-use crate::http::{Connector, ServerOptions, serve};
+use crate::http::{Acceptor, Connector, ServerOptions, serve};
 use crate::ingress::{Ingress, IngressLimits, IngressState, Interface};
 use crate::input::Input;
 use crate::instance::{Port, PortOpener, StartError};
@@ -308,7 +308,8 @@
             clock: self.clock,
         };
         let answer = move |_| std::future::ready(readiness.answer());
-        tokio::spawn(serve(listener, self.status_options(), stop.clone(), answer));
+        let acceptor = self.acceptor(listener, "instance.ready");
+        tokio::spawn(serve(acceptor, self.status_options(), stop.clone(), answer));
     }
 
     /// Serves metrics and the list of endpoints, if an address is set for them, as soon as that is free.
@@ -327,16 +328,27 @@
             std::future::ready(status::metrics_response(&metrics, r.uri().path()))
         };
         let (options, mut stop) = (self.status_options(), stop.clone());
+        let (log, clock) = (self.port_log("instance.metrics"), self.clock);
         tokio::spawn(async move {
             let listener = tokio::select! {
                 listener = opener.open_eventually(port) => listener,
                 _ = stop.wait_for(|s| *s) => return,
             };
-            serve(listener, options, stop, answer).await;
+            let acceptor = Acceptor::new(listener).with_log(log, clock);
+            serve(acceptor, options, stop, answer).await;
         });
         Ok(())
     }
 
+    /// Creates the acceptor of a listener that was opened for a field of the settings.
+    pub fn acceptor(&self, listener: TcpListener, field: &'static str) -> Acceptor {
+        Acceptor::new(listener).with_log(self.port_log(field), self.clock)
+    }
+
+    fn port_log(&self, field: &'static str) -> Logger {
+        self.log.new(o!("port" => field))
+    }
+
     fn status_options(&self) -> ServerOptions {
         ServerOptions {
             connections: STATUS_CONNECTIONS,
--- a/crates/firdock-node/src/http.rs
+++ b/crates/firdock-node/src/http.rs
@@ -19,7 +19,7 @@
 pub use client::{CallError, Connection, Connector, TcpConnector, connect, connect_stream};
 pub use dead_peer::{DEAD_PEER_TIMEOUT, set_dead_peer_timeouts};
 pub use framing::{Framing, InvalidHead, check_request};
-pub use listener::listen;
+pub use listener::{Acceptor, listen};
 pub use response::{BodyError, ResponseBody};
 pub use server::{ServerOptions, serve};
 
--- a/crates/firdock-node/src/http/server.rs
+++ b/crates/firdock-node/src/http/server.rs
@@ -11,16 +11,14 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, watch};
 use tokio::task::yield_now;
 
 use super::bounded::{BoundedStream, IdleBytes};
 use super::caller::{CallerHandle, CallerStream};
 use super::dead_peer::set_dead_peer_timeouts;
-
-/// Pause after a failed accept, for example because no file descriptors are left.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+use super::listener::Acceptor;
 
 /// Limits of a server.
 #[derive(Debug, Clone, Copy)]
@@ -47,7 +45,7 @@
 
 /// Serves until `stop` becomes true, then finishes the running requests and returns.
 pub async fn serve<F, Fut, B>(
-    listener: TcpListener,
+    listener: impl Into<Acceptor>,
     options: ServerOptions,
     mut stop: watch::Receiver<bool>,
     handle: F,
@@ -57,11 +55,12 @@
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: std::error::Error + Send + Sync + 'static,
 {
+    let acceptor = listener.into();
     let slots = Arc::new(Semaphore::new(options.connections));
     let all_slots = u32::try_from(options.connections).unwrap_or(u32::MAX);
     loop {
         let accepted = tokio::select! {
-            accepted = accept(&listener, &slots) => accepted,
+            accepted = accept(&acceptor, &slots) => accepted,
             _ = stop.wait_for(|s| *s) => break,
         };
         let Some((stream, slot)) = accepted else {
@@ -73,21 +72,16 @@
             drop(slot);
         });
     }
-    drop(listener);
+    drop(acceptor);
     // Each connection holds a slot, so once all slots are acquired, all connections have ended.
     let _all = slots.acquire_many(all_slots).await;
 }
 
 type Slot = tokio::sync::OwnedSemaphorePermit;
 
-async fn accept(listener: &TcpListener, slots: &Arc<Semaphore>) -> Option<(TcpStream, Slot)> {
+async fn accept(acceptor: &Acceptor, slots: &Arc<Semaphore>) -> Option<(TcpStream, Slot)> {
     let slot = Arc::clone(slots).acquire_owned().await.ok()?;
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => return Some((stream, slot)),
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
-        }
-    }
+    Some((acceptor.accept().await, slot))
 }
 
 async fn serve_connection<F, Fut, B>(
--- a/crates/firdock-node/src/instance.rs
+++ b/crates/firdock-node/src/instance.rs
@@ -12,7 +12,7 @@
 use firdock_core::settings::Settings;
 use firdock_policy::Event;
 use firdock_policy::event::Member;
-use slog::{Logger, info};
+use slog::{Logger, info, o};
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
@@ -24,7 +24,7 @@
 use self::start::spawn_driver;
 use crate::clock::Clock;
 use crate::config::Hub;
-use crate::http::{ServerOptions, serve};
+use crate::http::{Acceptor, ServerOptions, serve};
 use crate::ingress::BodyHasher;
 use crate::input::{INPUT_QUEUE_CAPACITY, Input};
 use crate::peer::{PeerServer, SelfStatus, run_heartbeats, serve_peers};
@@ -137,7 +137,9 @@
 
         let ingress = components.ingress(inputs.clone());
         let options = ServerOptions::new(&s.limits);
-        let ingress = serve(ingress_socket, options, ingress_stops, move |r| {
+        let log = self.log.new(o!("port" => "instance.callers"));
+        let acceptor = Acceptor::new(ingress_socket).with_log(log, components.clock);
+        let ingress = serve(acceptor, options, ingress_stops, move |r| {
             ingress.clone().handle(r)
         });
         let ingress = tokio::spawn(ingress);
--- a/crates/firdock-node/src/operator/api.rs
+++ b/crates/firdock-node/src/operator/api.rs
@@ -12,7 +12,7 @@
 use hyper::Request;
 use hyper::body::Incoming;
 use serde_json::json;
-use slog::{Logger, info};
+use slog::{Logger, info, o};
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_blocking;
 
@@ -23,7 +23,7 @@
 use super::{apply, apply::merged};
 use crate::clock::Clock;
 use crate::config::{Hub, write};
-use crate::http::{ServerOptions, listen, serve};
+use crate::http::{Acceptor, ServerOptions, listen, serve};
 use crate::input::Input;
 use crate::platform::LogClient;
 use crate::telemetry::Metrics;
@@ -75,6 +75,8 @@
 ) -> io::Result<SocketAddr> {
     let listener = listen(address)?;
     let bound = listener.local_addr()?;
+    let log = server.log.new(o!("port" => "instance.operators"));
+    let acceptor = Acceptor::new(listener).with_log(log, server.clock);
     let server = Arc::new(server);
     let options = ServerOptions {
         connections: MAX_CONNECTIONS,
@@ -82,7 +84,7 @@
         header_time: HEAD_TIME,
     };
     let handle = move |request| answer(Arc::clone(&server), request);
-    tokio::spawn(serve(listener, options, stop, handle));
+    tokio::spawn(serve(acceptor, options, stop, handle));
     Ok(bound)
 }
 
--- a/crates/firdock-node/src/peer/serve.rs
+++ b/crates/firdock-node/src/peer/serve.rs
@@ -9,7 +9,7 @@
 use firdock_wire::Body;
 use firdock_wire::message;
 use hyper::Method;
-use slog::{Logger, warn};
+use slog::{Logger, o, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::time::timeout;
@@ -24,6 +24,7 @@
 use crate::clock::Clock;
 use crate::config::PeerStatus;
 use crate::exchange::{AnswerBudget, AnswerReceiver, BodyBudget, CallTerms, Exchange, Payload};
+use crate::http::Acceptor;
 use crate::ingress::{BodyHasher, ModelCall, new_request, occupied_bytes};
 use crate::input::Input;
 use crate::telemetry::TraceContext;
@@ -55,7 +56,9 @@
 /// Serves peers until `stop` turns true.
 pub async fn serve_peers(listener: TcpListener, server: PeerServer, stop: watch::Receiver<bool>) {
     let slots = Arc::new(Semaphore::new(MAX_LINKS));
-    accept_peers(&listener, &slots, stop, |stream| {
+    let log = server.log.new(o!("port" => "instance.peers"));
+    let acceptor = Acceptor::new(listener).with_log(log, server.clock);
+    accept_peers(&acceptor, &slots, stop, |stream| {
         let server = server.clone();
         async move {
             if let Err(e) = server.serve_connection(stream).await {
@@ -69,7 +72,7 @@
 /// Accepts connections from peers and serves each in a task of its own, until `stop` turns true.
 /// Those beyond the slots are closed.
 pub(super) async fn accept_peers<F>(
-    listener: &TcpListener,
+    acceptor: &Acceptor,
     slots: &Arc<Semaphore>,
     mut stop: watch::Receiver<bool>,
     serve: impl Fn(TcpStream) -> F,
@@ -77,11 +80,10 @@
     F: Future<Output = ()> + Send + 'static,
 {
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let stream = tokio::select! {
+            stream = acceptor.accept() => stream,
             _ = stop.wait_for(|s| *s) => return,
         };
-        let Ok((stream, _)) = accepted else { continue };
         let Ok(slot) = Arc::clone(slots).try_acquire_owned() else {
             continue;
         };
--- a/crates/firdock-node/src/peer/tunnel.rs
+++ b/crates/firdock-node/src/peer/tunnel.rs
@@ -12,7 +12,7 @@
 use firdock_core::{InstanceId, RequestId};
 use firdock_wire::Body;
 use firdock_wire::message::{Tunnel, TunnelOpened, TunnelRefused};
-use slog::{Logger, info, warn};
+use slog::{Logger, info, o, warn};
 use snafu::Snafu;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
@@ -27,7 +27,7 @@
 use super::serve::accept_peers;
 use crate::clock::Clock;
 use crate::endpoint::Target;
-use crate::http::{Connector, connect_stream};
+use crate::http::{Acceptor, Connector, connect_stream};
 use crate::site::Site;
 use crate::telemetry::{LogKind, LogLimiter};
 
@@ -172,7 +172,9 @@
 impl<C: Connector> TunnelServer<C> {
     /// Serves peers until `stop` turns true. Tunnels that are open go on until they end.
     pub async fn run(self, listener: TcpListener, stop: watch::Receiver<bool>) {
-        accept_peers(&listener, &self.open.0, stop, |stream| {
+        let log = self.log.new(o!("port" => "instance.peers"));
+        let acceptor = Acceptor::new(listener).with_log(log, self.clock);
+        accept_peers(&acceptor, &self.open.0, stop, |stream| {
             let server = self.clone();
             async move {
                 if let Err(e) = server.serve(stream).await {
--- a/crates/firdock-node/src/telemetry/log_limiter.rs
+++ b/crates/firdock-node/src/telemetry/log_limiter.rs
@@ -45,6 +45,8 @@
     ReadAhead,
     /// A request continues a stream that an earlier attempt of its caller began.
     ContinuedStream,
+    /// A listener could not accept a connection.
+    FailedAccept,
 }
 
 impl LogKind {
@@ -68,6 +70,7 @@
             Self::RefusedEntry => "entry refused",
             Self::ReadAhead => "read ahead of its clock",
             Self::ContinuedStream => "stream taken up",
+            Self::FailedAccept => "connection not accepted",
         }
     }
 
@@ -88,9 +91,9 @@
             | Self::StoreCall
             | Self::RefusedEntry => 20,
             Self::Failed | Self::Unframed | Self::StateChange | Self::ContinuedStream => 200,
-            // A malformed header comes with each answer of its server, and a clock that is off is off in
-            // each report of its instance, so one line is enough.
-            Self::BadLoad | Self::BadNotice | Self::ReadAhead => 1,
+            // A malformed header comes with each answer of its server, a clock that is off is off in each
+            // report of its instance, and a lack of descriptors fails each accept, so one line is enough.
+            Self::BadLoad | Self::BadNotice | Self::ReadAhead | Self::FailedAccept => 1,
         }
     }
 }
