A position in the store follows from records, never from an end that an answer only names

Operators saw an instance that never got ready, or that served nothing once keys had lapsed, although the store was sound again: one answer whose end lay beyond the log was believed for good. Every true answer afterwards was `store read older than the known state`, and the position was told to peers, so that one instance could take the others with it. Beside that, such an answer confirmed the configuration: a key could have been used beyond its revocation for as long as the store answered so.

Cause: a listing's end was kept as the known position whatever its items showed. A read without records before its end led to a listing, and the listing to the position. Answers that contradict themselves were taken: another page after an empty one, an item at or beyond the end, ends near 2^64.

What contradicts itself is malformed, and offsets end at 2^53 - 1, also in what peers tell, so that no sum with them overflows.

A sound log may have an end that nothing proves: its newest records deleted keys and are gone. Its content may not be that of its position: if it changed something, it is not passed to peers, confirms none and is confirmed by none.

Two answers that agree prove nothing either: a store that is spoilt for some seconds agrees with itself. With positions from records there is nothing to withdraw. The price: where a listing of such a log shows a change, each instance reads for itself until the next record is written.

--- a/crates/firdock-core/src/ids.rs
+++ b/crates/firdock-core/src/ids.rs
@@ -31,5 +31,7 @@
 pub type TierRank = u8;
 /// Position of a record in the platform's log, counted from 0.
 pub type Offset = u64;
+/// Largest offset that messages may name: software that speaks JSON may round larger numbers.
+pub const MAX_OFFSET: Offset = (1 << 53) - 1;
 /// Version of a resource: the offset of the record that set it, plus one; 0 if the resource is absent.
 pub type Version = u64;
--- a/crates/firdock-core/src/lib.rs
+++ b/crates/firdock-core/src/lib.rs
@@ -17,7 +17,7 @@
 pub use content::{Content, ContentHasher, ContentId};
 pub use finding::{Finding, Findings};
 pub use ids::{
-    AccountId, EndpointId, InstanceId, Offset, PoolId, RequestId, SegmentId, ServiceId,
+    AccountId, EndpointId, InstanceId, MAX_OFFSET, Offset, PoolId, RequestId, SegmentId, ServiceId,
     SoftwareVersion, StartId, TierId, TierRank, Version, ZoneId,
 };
 pub use outcome::{Outcome, Reason};
--- a/crates/firdock-node/src/peer/reads.rs
+++ b/crates/firdock-node/src/peer/reads.rs
@@ -172,7 +172,8 @@
         slot.get_or_insert_default().take(new, known)
     }
 
-    /// Returns the snapshots of the topics, for a peer's query.
+    /// Returns the snapshots of the topics, for a peer's query, without those that may differ from what others
+    /// know at the same offset.
     #[must_use]
     pub fn snapshots(&self) -> Vec<(Topic, TopicSnapshot)> {
         let mut inner = self.lock();
@@ -181,6 +182,7 @@
                 .snapshots
                 .of(topic)
                 .clone()
+                .filter(|snapshot| !snapshot.differs())
                 .map(|snapshot| (topic, snapshot))
         };
         Topic::ALL.into_iter().filter_map(snapshot).collect()
--- a/crates/firdock-node/src/peer/reads/state.rs
+++ b/crates/firdock-node/src/peer/reads/state.rs
@@ -40,6 +40,16 @@
             Topic::Endpoints => &mut self.endpoints,
         }
     }
+
+    /// Returns whether the content of a topic may differ from what peers know at the same offset: it neither
+    /// confirms theirs, nor is it confirmed by theirs.
+    fn differs(&self, topic: Topic) -> bool {
+        let snapshot = match topic {
+            Topic::Config => &self.config,
+            Topic::Endpoints => &self.endpoints,
+        };
+        snapshot.as_ref().is_some_and(TopicSnapshot::differs)
+    }
 }
 
 /// Time of a read of each topic.
@@ -123,13 +133,18 @@
         let (config_at, endpoints_at) = (self.own.config_at, self.own.endpoints_at);
         let times = self.sent_times.latest_before(peer, config_at, endpoints_at);
         let (process, [config, endpoints]) = times?;
-        let echoed = |after, estimate| EchoedRead {
-            after,
-            age: now.saturating_sub(estimate),
+        let echoed = |topic, after, estimate| {
+            if self.snapshots.differs(topic) {
+                return EchoedRead::default();
+            }
+            EchoedRead {
+                after,
+                age: now.saturating_sub(estimate),
+            }
         };
         let echo = ReadEcho {
-            config: echoed(config, self.estimates.config),
-            endpoints: echoed(endpoints, self.estimates.endpoints),
+            config: echoed(Topic::Config, config, self.estimates.config),
+            endpoints: echoed(Topic::Endpoints, endpoints, self.estimates.endpoints),
         };
         Some((process, echo))
     }
@@ -277,6 +292,7 @@
     ) -> Option<Time> {
         // All records that the peer knows are known here.
         if self.estimates.endpoints > Time::ZERO
+            && !self.snapshots.differs(Topic::Endpoints)
             && self.own.endpoints_next >= reported.endpoints_next
             && is_later(now, echo.endpoints, self.own.endpoints_at)
         {
@@ -287,6 +303,7 @@
             self.endpoints_provenance.confirmed_by = Some(peer.to_owned());
         }
         let same_config = self.estimates.config > Time::ZERO
+            && !self.snapshots.differs(Topic::Config)
             && self.own.version == reported.version
             && self.own.config_next >= reported.config_next;
         if !same_config || !is_later(now, echo.config, self.own.config_at) {
--- a/crates/firdock-node/src/peer/sharing.rs
+++ b/crates/firdock-node/src/peer/sharing.rs
@@ -8,7 +8,7 @@
 use std::io::Read as _;
 use std::time::Duration;
 
-use firdock_core::ZoneId;
+use firdock_core::{MAX_OFFSET, ZoneId};
 use firdock_policy::Time;
 use firdock_policy::event::Member;
 use firdock_wire::message::{self, PeerAddress, datagram};
@@ -133,6 +133,9 @@
     pub(super) fn read(reply: message::StateAnswer) -> Option<Self> {
         let reads = read_reads(reply.reads?);
         let state: message::KnownState = decompress(&reply.state)?;
+        if state.topics.iter().any(|topic| topic.next > MAX_OFFSET) {
+            return None;
+        }
         let read_topic = |snapshot: message::TopicImage| {
             let topic = Topic::read(snapshot.topic)?;
             let read_at = match topic {
@@ -143,6 +146,7 @@
                 topic,
                 from: None,
                 next: snapshot.next,
+                proved: true,
                 read_at,
                 records: snapshot.entries.into_iter().map(read_record).collect(),
             })
@@ -232,10 +236,14 @@
 /// Decodes a peer's changes, with times by its clock; `None` if they are malformed.
 pub(super) fn read_records(message: &message::TopicRecords) -> Option<TopicRecords> {
     let entries: message::Entries = decompress(&message.entries)?;
+    if message.from > message.next || message.next > MAX_OFFSET {
+        return None;
+    }
     Some(TopicRecords {
         topic: Topic::read(message.topic)?,
         from: Some(message.from),
         next: message.next,
+        proved: true,
         read_at: Duration::from_millis(message.read_at),
         records: entries.entries.into_iter().map(read_record).collect(),
     })
--- a/crates/firdock-node/src/peer/topic.rs
+++ b/crates/firdock-node/src/peer/topic.rs
@@ -72,6 +72,8 @@
     pub from: Option<Offset>,
     /// Offset after the last record.
     pub next: Offset,
+    /// Whether they are the state at `next`; if not, the store named a later end that nothing proves.
+    pub proved: bool,
     /// Time at which no newer record existed.
     pub read_at: Time,
     /// Records in order of their offsets.
@@ -101,6 +103,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct TopicSnapshot {
     next: Offset,
+    /// Whether the values may differ from those that peers know at the same offset.
+    differs: bool,
     values: BTreeMap<String, Newest>,
 }
 
@@ -111,7 +115,7 @@
     /// Applies records of its topic.
     ///
     /// Returns the changes for peers that had the same previous snapshot; `None` if nothing changed
-    /// or there was no previous snapshot.
+    /// or there was no previous snapshot that peers can have.
     pub fn take(&mut self, new: &TopicRecords, known: bool) -> Option<TopicRecords> {
         let before = self.next;
         let changes = if new.from.is_some() {
@@ -121,17 +125,30 @@
             self.replace(&new.records)
         };
         self.next = new.next;
+        let differed = self.differs;
+        if new.from.is_none() {
+            let is_other = (known && !changes.is_empty()) || new.records.is_empty();
+            self.differs = !new.proved && (differed || is_other);
+        }
         let from = new.from.or(known.then_some(before));
-        from.filter(|_| !changes.is_empty())
+        from.filter(|_| !changes.is_empty() && !differed && !self.differs)
             .map(|from| TopicRecords {
                 topic: new.topic,
                 from: Some(from),
                 next: new.next,
+                proved: new.proved,
                 read_at: new.read_at,
                 records: changes,
             })
     }
 
+    /// Returns whether the values may differ from those that peers know at the same offset: they were listed
+    /// with an end that no record proves.
+    #[must_use]
+    pub fn differs(&self) -> bool {
+        self.differs
+    }
+
     /// Returns the offset from which later changes are read.
     #[must_use]
     pub fn next(&self) -> Offset {
--- a/crates/firdock-node/src/source.rs
+++ b/crates/firdock-node/src/source.rs
@@ -178,6 +178,12 @@
             "end" => end, "known" => known);
     }
 
+    /// Logs a listing of a topic that is said to end at `end`, while its records prove it up to `known` only.
+    pub fn log_unproved_end(&self, topic: Topic, end: Offset, known: Offset) {
+        warn!(self.log, "no record proves the end of a topic"; "topic" => topic.as_str(),
+            "end" => end, "known" => known);
+    }
+
     /// Logs records without a readable key that were passed over in a batch that begins at `from`.
     pub fn log_unreadable_records(&self, topic: Topic, count: usize, from: Offset) {
         warn!(self.log, "records without a key passed over"; "topic" => topic.as_str(),
--- a/crates/firdock-node/tests/node/bootstrap.rs
+++ b/crates/firdock-node/tests/node/bootstrap.rs
@@ -124,6 +124,7 @@
         topic,
         from: None,
         next: 9,
+        proved: true,
         read_at: START,
         records: (0..count).map(record).collect(),
     }
--- a/crates/firdock-node/tests/node/change_delay/world/instance.rs
+++ b/crates/firdock-node/tests/node/change_delay/world/instance.rs
@@ -106,6 +106,7 @@
             topic,
             from,
             next: own.version,
+            proved: true,
             read_at: on_wire(own.confirmed_at(topic)),
             records: Vec::new(),
         }
--- a/crates/firdock-node/tests/node/peers.rs
+++ b/crates/firdock-node/tests/node/peers.rs
@@ -464,6 +464,7 @@
         topic: Topic::Endpoints,
         from: Some(from),
         next,
+        proved: true,
         read_at: millis(9_500),
         records: Vec::new(),
     }
--- a/crates/firdock-node/tests/node/shared_reads.rs
+++ b/crates/firdock-node/tests/node/shared_reads.rs
@@ -232,6 +232,7 @@
         topic: Topic::Endpoints,
         from,
         next,
+        proved: true,
         read_at: START,
         records: records.to_vec(),
     }
@@ -256,6 +257,53 @@
     assert!(changes.follows(Some(7)) && changes.follows(Some(8)) && !changes.follows(Some(6)));
 }
 
+/// Guards against content that a spoilt listing left at one instance and that passes for what all know at the same offset.
+#[test]
+fn a_listing_whose_end_nothing_proves_neither_confirms_peers_nor_is_confirmed_by_them() {
+    let shared = SharedReads::default();
+    let peer = lead();
+    let apply = |proved, content: &[KeyedRecord]| {
+        let _ = shared.apply_records(&TopicRecords {
+            proved,
+            ..records(None, 7, content)
+        });
+    };
+    let confirms = |now| {
+        shared.record_read(now, read_state(5, 7, now));
+        let (_, echo) = shared.report_for(now, &peer.name);
+        echo.expect("an echo").1.endpoints.after > Duration::ZERO
+    };
+    let is_confirmed = |now: Duration| {
+        let _ = shared.merge_report(now, &peer, read_state(5, 7, now), Some(echo(now, now)));
+        shared.own().endpoints_at == now
+    };
+    let content = [record("a", Some("1")), record("b", Some("2"))];
+    shared.record_clock(START, &peer, START);
+    apply(true, &content);
+    assert!(confirms(START + millis(100)) && is_confirmed(START + millis(200)));
+    apply(false, &content[..1]);
+    assert!(!confirms(START + millis(300)) && !is_confirmed(START + millis(400)));
+    assert!(shared.snapshots().is_empty(), "no peer is told of it");
+    apply(true, &content);
+    assert!(confirms(START + millis(500)) && is_confirmed(START + millis(600)));
+    assert_eq!(shared.snapshots().len(), 1);
+}
+
+/// Guards against peers that read the store each by itself, since one of them cannot prove what all know.
+#[test]
+fn a_listing_whose_end_nothing_proves_confirms_peers_if_nothing_changed() {
+    let content = [record("a", Some("1"))];
+    let unproved = TopicRecords {
+        proved: false,
+        ..records(None, 7, &content)
+    };
+    let mut snapshot = TopicSnapshot::default();
+    for known in [false, true] {
+        assert_eq!(snapshot.take(&unproved, known), None);
+        assert!(!snapshot.differs());
+    }
+}
+
 /// All instances start at once: the one that the others ask reads the store, and answers them once it has the
 /// whole state.
 #[tokio::test]
