Log: a destination that fails or blocks neither mutes the log for good nor keeps the process from ending

What operators saw: with a pipe behind standard output that nobody reads, the process was still there 12 s after SIGTERM (the platform kills it: an end that nobody asked for). With a pipe that would have blocked once, no line ever came again, so that an incident has no logs. Lines lost by a full disk or a reader that is gone were counted nowhere.

Cause: the first error of a write panicked the thread that writes (`slog::Fuse`), whose queue then took nothing for the rest of the process's life. The guard of `slog_async` joins that thread without a limit, which hangs in `write`. Standard output was written through the buffer of the language's library in pieces, so that after an error nobody knew what of a line was still in it.

Change: a queue and a writer of our own beside the encoder that stays (`telemetry/log/`). The writer bears any error: it completes the line that was begun, loses and counts what comes meanwhile, tries again each second, and tells the loss (count, cause, time) before the next line. A destination that would block is waited for by `poll`, for a second. The last flush waits for 300 ms at most: with the 300 ms for the last answers it lies within the reserve of 700 ms. New: `firdock_log_lines_lost_total{cause}`, also for lines that the full queue drops, and `log lines lost`. A line is written by one call. If the system grants no thread for the log, the process goes on without one; before, it panicked.

Why this and not another way: the queue keeps its limit, so a failure holds no memory beyond it; keeping all lines for a destination that is gone would hold them for good, and a second destination would need the same care. `slog_async` takes no limit for its flush and tells no number of lost lines, so only its records are still used.

--- a/crates/firdock-node/src/telemetry/log.rs
+++ b/crates/firdock-node/src/telemetry/log.rs
@@ -1,12 +1,22 @@
 //! Logging in JSON lines with `slog`; each line carries the name of the instance.
 //!
-//! Keys, prompts and bodies are never logged; request and trace ids are.
+//! Keys, prompts and bodies are never logged; request and trace ids are. The destination may fail in any way
+//! (`docs/design/logging.md`): neither a request nor the end of the process waits for it.
+
+mod losses;
+mod output;
+mod queue;
+mod writer;
 
 use std::io::Write;
-use std::sync::Mutex;
+use std::time::Duration;
 
 use slog::{Drain as _, Logger, o};
 
+pub(super) use self::losses::lost_lines;
+pub use self::output::StandardOutput;
+use self::queue::Flusher;
+
 /// Minimum severity of lines that are logged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Level(slog::Level);
@@ -27,11 +37,22 @@
 
 /// Tag of the log records that are trace spans.
 pub const SPAN_TAG: &str = "span";
-/// Capacity of the queue of lines not yet written; further lines are dropped and counted.
-const LINE_QUEUE_CAPACITY: usize = 8_192;
+/// Time for which the end of the process waits for the last lines. Together with the last answers, it lies
+/// within the time that is reserved before the platform kills the process.
+const FLUSH_TIME: Duration = Duration::from_millis(300);
 
 /// Flushes the queue of lines when it is dropped, so it has to live as long as the process logs.
-pub type LogGuard = slog_async::AsyncGuard;
+///
+/// The flush ends after 300 ms, even if the destination takes nothing.
+#[derive(Debug)]
+pub struct LogGuard(Flusher);
+
+impl Drop for LogGuard {
+    fn drop(&mut self) {
+        // There is nowhere to tell a failure: standard error may be the same pipe.
+        let _ = self.0.flush(FLUSH_TIME);
+    }
+}
 
 /// Creates a logger that writes JSON lines to `out` from a background thread.
 ///
@@ -41,19 +62,13 @@
 where
     W: Write + Send + 'static,
 {
-    let json = slog_json::Json::new(out)
-        .set_newlines(true)
-        .add_default_keys()
-        .build();
-    let (lines, guard) = slog_async::Async::new(Mutex::new(json).map(slog::Fuse))
-        .chan_size(LINE_QUEUE_CAPACITY)
-        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
-        .build_with_guard();
-    let wanted = lines.filter(move |record| spans || record.tag() != SPAN_TAG);
-    let drain = wanted.filter_level(level.0).fuse();
+    let values = Logger::root(slog::Discard, o!("instance" => instance.to_owned()));
+    let (records, flusher) = queue::start(out, values.list().clone());
+    let wanted = records.filter(move |record| spans || record.tag() != SPAN_TAG);
+    let drain = wanted.filter_level(level.0).ignore_res();
     (
         Logger::root(drain, o!("instance" => instance.to_owned())),
-        guard,
+        LogGuard(flusher),
     )
 }
 
--- a/crates/firdock-node/src/telemetry/metrics/register.rs
+++ b/crates/firdock-node/src/telemetry/metrics/register.rs
@@ -3,6 +3,7 @@
 use prometheus_client::registry::Registry;
 
 use super::Metrics;
+use crate::telemetry::log::lost_lines;
 
 impl Metrics {
     /// Registers all metrics.
@@ -88,6 +89,7 @@
             self.topic_ages.clone(),
         );
         self.register_suspensions(&mut r);
+        register_process(&mut r);
         r.register(
             "reads_ahead",
             "Reads of the store that lie ahead of the clock of the instance that knows them",
@@ -263,3 +265,12 @@
         );
     }
 }
+
+/// Registers what is counted for the whole process.
+fn register_process(r: &mut Registry) {
+    r.register(
+        "log_lines_lost",
+        "Log lines that could not be written, by cause",
+        lost_lines(),
+    );
+}
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -1,11 +1,9 @@
 //! `firdockd serve`: runs an entry instance until it receives a signal to stop.
 
-use std::io;
-
 use clap::{Arg, ArgMatches, Command};
 use firdock_core::settings::Settings;
 use firdock_node::Instance;
-use firdock_node::telemetry::{Level, logger};
+use firdock_node::telemetry::{Level, StandardOutput, logger};
 use snafu::ResultExt as _;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
@@ -53,7 +51,7 @@
 async fn serve(settings: Settings) -> Result<(), CmdError> {
     let level = Level::new(&settings.logging.level);
     let (spans, name) = (settings.logging.spans, settings.instance.name.clone());
-    let (log, _guard) = logger(io::stdout(), level, spans, &name);
+    let (log, _guard) = logger(StandardOutput::new(), level, spans, &name);
     let mut term = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
     let mut int = signal(SignalKind::interrupt()).context(RuntimeSnafu)?;
     let running = Instance::new(settings)
