Signals: none that asks for nothing ends a daemon, among them SIGXFSZ at the limit of the log's file

What operators saw: with a limit on file sizes, an instance whose log reached it ended by signal 25 (153 in a shell), without a line that told why, and so did the next one: a process that ends by itself, again and again. SIGUSR1 and its like ended one in the same way; SIGHUP ended `firdockd`.

Cause: only SIGTERM, SIGINT and (firdock-edge) SIGHUP were received. All others had their default.

Change: one table of signals for both daemons (`firdock-node/src/signals.rs`), registered before anything else: SIGTERM, SIGINT and SIGQUIT stop gracefully and are named by a line; SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR, SIGSTKFLT, SIGXFSZ and SIGXCPU are logged, once a second at most each, and end nothing. Signals of a broken process and real-time signals keep their effect. A signal that the system refuses to hand over is a line, not an end, unless it is one of a stop. `firdockd` registers before it reads its settings now.

Why this: a handler makes the write at the limit fail with EFBIG, which the log's writer bears and counts. SIGQUIT could have kept its dump; a supervisor that sends it wants an end, and callers would lose their answers. SIGXCPU as a stop would be an end that nobody asked for.

--- a/crates/firdock-node/src/lib.rs
+++ b/crates/firdock-node/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod permits;
 pub mod placement;
 pub mod platform;
+pub mod signals;
 mod site;
 pub mod source;
 mod status;
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -3,10 +3,10 @@
 use clap::{Arg, ArgMatches, Command};
 use firdock_core::settings::Settings;
 use firdock_node::Instance;
+use firdock_node::signals::Signals;
 use firdock_node::telemetry::{Level, StandardOutput, logger};
 use snafu::ResultExt as _;
 use tokio::runtime::Builder;
-use tokio::signal::unix::{SignalKind, signal};
 
 use super::check::read_settings;
 use super::error::{RuntimeSnafu, StartSnafu};
@@ -20,9 +20,9 @@
 #[must_use]
 pub fn make_subcommand() -> Command {
     Command::new("serve")
-        .about("Run an entry instance until SIGTERM or SIGINT")
+        .about("Run an entry instance until SIGTERM, SIGINT or SIGQUIT")
         .long_about(
-            "Runs an entry instance. On SIGTERM or SIGINT, it reports that it is not ready, hands \
+            "Runs an entry instance. On SIGTERM, SIGINT or SIGQUIT, it reports that it is not ready, hands \
              held requests over to its peers, finishes the running streams and exits with 0.",
         )
         .arg(
@@ -40,28 +40,28 @@
 ///
 /// Fails with the findings in the settings, or if the instance does not start.
 pub fn execute(args: &ArgMatches) -> Result<(), CmdError> {
-    let settings = read_settings(required(args, "settings"))?;
     let runtime = Builder::new_multi_thread()
         .worker_threads(WORKER_THREADS)
         .enable_all()
         .build();
-    runtime.context(RuntimeSnafu)?.block_on(serve(settings))
+    runtime.context(RuntimeSnafu)?.block_on(async {
+        // Installed first: until then, a signal has its default effect and ends the process.
+        let signals = Signals::new().context(RuntimeSnafu)?;
+        serve(read_settings(required(args, "settings"))?, signals).await
+    })
 }
 
-async fn serve(settings: Settings) -> Result<(), CmdError> {
+async fn serve(settings: Settings, mut signals: Signals) -> Result<(), CmdError> {
     let level = Level::new(&settings.logging.level);
     let (spans, name) = (settings.logging.spans, settings.instance.name.clone());
     let (log, _guard) = logger(StandardOutput::new(), level, spans, &name);
-    let mut term = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
-    let mut int = signal(SignalKind::interrupt()).context(RuntimeSnafu)?;
+    let hang_up = ("SIGHUP", signals.hang_up);
+    signals.logged.log_to(&log, vec![hang_up]);
     let running = Instance::new(settings)
-        .with_log(log)
+        .with_log(log.clone())
         .start()
         .context(StartSnafu)?;
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-    }
+    signals.stop.recv(&log).await;
     running.stop().await;
     Ok(())
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod helper;
 mod limits;
 mod planned_stop;
+mod signals;
 mod suspects;
 mod whole_answer;
 mod whole_path;
