Counts of roll-outs that peers report are added without overflow

What operators could have seen: with a peer that reports counts near the ends of their ranges, a wrong share of requests on a new version, since sums of requests and answers wrapped in release builds; builds with checks ended, since a panic of the scheduler ends the process. Not seen in operation.

Cause: Evidence::add and the sums over a tally's bins added numbers of peers unchecked, beside Tally::add that saturates.

Evidence: no_counts_of_peers_overflow, before: "attempt to add with overflow" (evidence.rs, both sums), with one report of answers in three bins.

Change: these sums saturate as the others do.

Why this: refusing a report at decoding would need a bound for each count, below the range divided by all bins and peers; a saturated count is the largest that can be told, and is compared as such.

--- a/crates/firdock-policy/src/rollout/evidence.rs
+++ b/crates/firdock-policy/src/rollout/evidence.rs
@@ -53,13 +53,14 @@
     /// Returns the number of complete answers.
     #[must_use]
     pub fn whole(&self) -> u32 {
-        self.bins.iter().sum()
+        self.count_from_bin(0)
     }
 
     /// Returns the number of complete answers in a bin and all higher ones.
     #[must_use]
     pub fn count_from_bin(&self, bin: usize) -> u32 {
-        self.bins.iter().skip(bin).sum()
+        let bins = self.bins.iter().skip(bin);
+        bins.fold(0, |sum, answers| sum.saturating_add(*answers))
     }
 }
 
@@ -108,8 +109,8 @@
 
     /// Adds the evidence of another instance.
     pub fn add(&mut self, other: &Self) {
-        self.sent += other.sent;
-        self.exposed += other.exposed;
+        self.sent = self.sent.saturating_add(other.sent);
+        self.exposed = self.exposed.saturating_add(other.exposed);
         for (key, tally) in &other.tallies {
             self.tallies.entry(key.clone()).or_default().add(tally);
         }
--- a/crates/firdock-policy/tests/policy/rollout.rs
+++ b/crates/firdock-policy/tests/policy/rollout.rs
@@ -460,6 +460,25 @@
     assert!(dispatched(&actions).is_empty());
 }
 
+proptest! {
+    /// Guards against a process that ends since peers report more than their counters hold together.
+    #[test]
+    fn no_counts_of_peers_overflow(counts in prop::collection::vec((any::<u64>(), any::<u32>()), 1..6)) {
+        let mut sum = Evidence::new("pool".to_owned(), 7);
+        for (sent, answers) in &counts {
+            let mut seen = Evidence::new("pool".to_owned(), 7);
+            (seen.sent, seen.exposed) = (*sent, *sent);
+            seen.tally("a", "").bins = vec![*answers; 3];
+            sum.add(&seen);
+        }
+        let most = counts.iter().map(|(sent, _)| *sent).max();
+        prop_assert!(Some(sum.sent) >= most && Some(sum.exposed) >= most);
+        let answers = sum.tally("a", "").clone();
+        let most = counts.iter().map(|(_, answers)| *answers).max();
+        prop_assert!(Some(answers.whole()) >= most && Some(answers.count_from_bin(1)) >= most);
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(24))]
 
