Property tests of numbers in the store's answers and in peers' datagrams

Whole messages with numbers near the ends of their ranges: reads and listings of the store, at the client and at a whole instance that has to take up a sound answer within contact_ms afterwards; heartbeats, changes and states of peers by datagram.

--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -24,6 +24,7 @@
 mod suspects;
 mod test_instance;
 mod tunnels;
+mod wire_numbers;
 
 use bytes::Bytes;
 use firdock_core::resource::{Resource, Tier};
