Durations in the settings take fractions

Nothing of the kind was seen in use yet: the figures told so far are whole.

Cause: durations were read as unsigned integers.

Change: durations are std Durations, read from numbers of the field's unit, whole or with a fraction: 0, or from a millisecond to a year. Anything else (negative, not a number, longer, a text) is a finding with its line. Names in the file stay. Whole numbers are exact; counts and bytes stay whole.

Why it works: every duration goes through one reader. Weighed: rounding to whole milliseconds (a fraction of 0.4 would become 0, which means "no limit" for freshness); a year as the bound, since sums and multiples of unbounded times can overflow (heartbeat times missed_beats); a millisecond as the least, since shorter intervals would occupy the processor, and whole numbers allowed none before.

--- a/crates/firdock-core/src/settings.rs
+++ b/crates/firdock-core/src/settings.rs
@@ -4,6 +4,7 @@
 //! (see `docs/operators/settings.md`).
 
 mod check;
+mod duration;
 mod tables;
 
 use std::collections::BTreeMap;
--- a/crates/firdock-core/src/settings/check.rs
+++ b/crates/firdock-core/src/settings/check.rs
@@ -1,5 +1,7 @@
 //! Validation of settings beyond the type of each field.
 
+use std::time::Duration;
+
 use super::Settings;
 use super::tables::HELD_DIVISOR;
 use crate::Findings;
@@ -84,10 +86,10 @@
     fn check_platform(&self, found: &mut Findings) {
         let p = &self.platform;
         require(p.log.is_some(), "platform.log", "IP:PORT is needed", found);
-        positive(p.call_millis, "platform.call_millis", found);
-        positive(p.read_millis, "platform.read_millis", found);
-        positive(p.list_millis, "platform.list_millis", found);
-        positive(p.retention_seconds, "platform.retention_seconds", found);
+        lasting(p.call_timeout, "platform.call_millis", found);
+        lasting(p.read_interval, "platform.read_millis", found);
+        lasting(p.list_interval, "platform.list_millis", found);
+        lasting(p.retention, "platform.retention_seconds", found);
     }
 
     fn check_peers(&self, found: &mut Findings) {
@@ -105,7 +107,7 @@
             "has too many addresses",
             found,
         );
-        positive(p.heartbeat_millis, "peers.heartbeat_millis", found);
+        lasting(p.heartbeat, "peers.heartbeat_millis", found);
         positive(u64::from(p.missed_beats), "peers.missed_beats", found);
     }
 
@@ -118,9 +120,9 @@
             "8192 or more",
             found,
         );
-        positive(l.header_millis, "limits.header_millis", found);
+        lasting(l.header_timeout, "limits.header_millis", found);
         positive(l.body_bytes as u64, "limits.body_bytes", found);
-        positive(l.body_millis, "limits.body_millis", found);
+        lasting(l.body_timeout, "limits.body_millis", found);
         positive(l.max_held as u64, "limits.max_held", found);
         require(
             l.account_shares || !l.shares_over_tiers,
@@ -146,9 +148,9 @@
 
     fn check_rest(&self, found: &mut Findings) {
         let e = &self.endpoints;
-        positive(e.connect_millis, "endpoints.connect_millis", found);
-        positive(e.silence_millis, "endpoints.silence_millis", found);
-        positive(e.report_millis, "endpoints.report_millis", found);
+        lasting(e.connect_timeout, "endpoints.connect_millis", found);
+        lasting(e.silence_timeout, "endpoints.silence_millis", found);
+        lasting(e.report_interval, "endpoints.report_millis", found);
         let ratio = |r: f64| (0.0..=1.0).contains(&r);
         require(
             ratio(e.retry_ratio),
@@ -181,8 +183,8 @@
             "0 or more",
             found,
         );
-        positive(self.keys.grace_seconds, "keys.grace_seconds", found);
-        let kept = self.keys.keep_seconds > 2 * self.keys.grace_seconds;
+        lasting(self.keys.grace, "keys.grace_seconds", found);
+        let kept = self.keys.keep_time > 2 * self.keys.grace;
         require(
             kept,
             "keys.keep_seconds",
@@ -209,3 +211,7 @@
 fn positive(value: u64, path: &str, found: &mut Findings) {
     require(value > 0, path, "1 or more", found);
 }
+
+fn lasting(value: Duration, path: &str, found: &mut Findings) {
+    require(!value.is_zero(), path, "more than 0", found);
+}
--- a/crates/firdock-core/src/settings/tables.rs
+++ b/crates/firdock-core/src/settings/tables.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::duration;
 use crate::{InstanceId, ZoneId};
 
 /// `[instance]`: name, availability zone and addresses.
@@ -51,14 +52,18 @@
     pub log: Option<SocketAddr>,
     /// Address of the instance list.
     pub instances: Option<SocketAddr>,
-    /// Timeout of one call, in milliseconds.
-    pub call_millis: u64,
-    /// Interval between reads of the log, in milliseconds.
-    pub read_millis: u64,
-    /// Interval between reads of the instance list, in milliseconds.
-    pub list_millis: u64,
-    /// Retention time of log records, in seconds.
-    pub retention_seconds: u64,
+    /// Timeout of one call.
+    #[serde(rename = "call_millis", with = "duration::millis")]
+    pub call_timeout: Duration,
+    /// Interval between reads of the log.
+    #[serde(rename = "read_millis", with = "duration::millis")]
+    pub read_interval: Duration,
+    /// Interval between reads of the instance list.
+    #[serde(rename = "list_millis", with = "duration::millis")]
+    pub list_interval: Duration,
+    /// Retention time of log records.
+    #[serde(rename = "retention_seconds", with = "duration::seconds")]
+    pub retention: Duration,
     /// Names of the parts of the platform's rules that are in force. They are interpreted by its adapter.
     pub contracts: Vec<String>,
 }
@@ -68,49 +73,24 @@
         Self {
             log: None,
             instances: None,
-            call_millis: 2_000,
-            read_millis: 500,
-            list_millis: 1_000,
-            retention_seconds: 3_600,
+            call_timeout: Duration::from_secs(2),
+            read_interval: Duration::from_millis(500),
+            list_interval: Duration::from_secs(1),
+            retention: Duration::from_hours(1),
             contracts: Vec::new(),
         }
     }
 }
 
-impl Platform {
-    /// Returns the timeout of one call.
-    #[must_use]
-    pub fn call(&self) -> Duration {
-        Duration::from_millis(self.call_millis)
-    }
-
-    /// Returns the interval between reads of the log.
-    #[must_use]
-    pub fn read(&self) -> Duration {
-        Duration::from_millis(self.read_millis)
-    }
-
-    /// Returns the interval between reads of the instance list.
-    #[must_use]
-    pub fn list(&self) -> Duration {
-        Duration::from_millis(self.list_millis)
-    }
-
-    /// Returns the retention time of log records.
-    #[must_use]
-    pub fn retention(&self) -> Duration {
-        Duration::from_secs(self.retention_seconds)
-    }
-}
-
 /// `[peers]`: connections to the other instances.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Peers {
     /// Key shared by all instances. Connections and datagrams without proof of it are rejected.
     pub shared_key: String,
-    /// Interval between heartbeats, in milliseconds.
-    pub heartbeat_millis: u64,
+    /// Interval between heartbeats.
+    #[serde(rename = "heartbeat_millis", with = "duration::millis")]
+    pub heartbeat: Duration,
     /// Number of missed heartbeats after which a peer's status is stale.
     pub missed_beats: u32,
     /// Addresses of instances that are likely to be up, from which the state is requested at the start. Only
@@ -122,7 +102,7 @@
     fn default() -> Self {
         Self {
             shared_key: String::new(),
-            heartbeat_millis: 250,
+            heartbeat: Duration::from_millis(250),
             missed_beats: 5,
             seeds: Vec::new(),
         }
@@ -130,16 +110,10 @@
 }
 
 impl Peers {
-    /// Returns the interval between heartbeats.
-    #[must_use]
-    pub fn heartbeat(&self) -> Duration {
-        Duration::from_millis(self.heartbeat_millis)
-    }
-
     /// Returns the age at which a peer's status is stale.
     #[must_use]
     pub fn stale_after(&self) -> Duration {
-        self.heartbeat() * self.missed_beats
+        self.heartbeat * self.missed_beats
     }
 }
 
@@ -151,14 +125,17 @@
     pub connections: usize,
     /// Maximum length of the head of a request, in bytes.
     pub header_bytes: usize,
-    /// Timeout for a caller to send the head, in milliseconds.
-    pub header_millis: u64,
+    /// Timeout for a caller to send the head.
+    #[serde(rename = "header_millis", with = "duration::millis")]
+    pub header_timeout: Duration,
     /// Maximum length of the body of a request, in bytes.
     pub body_bytes: usize,
-    /// Timeout for a caller to send the body, in milliseconds.
-    pub body_millis: u64,
-    /// Maximum time for which a body waits unread for room, in milliseconds.
-    pub body_wait_millis: u64,
+    /// Timeout for a caller to send the body.
+    #[serde(rename = "body_millis", with = "duration::millis")]
+    pub body_timeout: Duration,
+    /// Maximum time for which a body waits unread for room.
+    #[serde(rename = "body_wait_millis", with = "duration::millis")]
+    pub body_wait: Duration,
     /// Maximum number of requests held at the same time.
     pub max_held: usize,
     /// Maximum total size of the requests that are being read, held or running, in bytes. Requests are shed
@@ -167,8 +144,9 @@
     /// Maximum total size of answers buffered for their callers, in bytes. With 0, an answer is not read from
     /// its endpoint while its caller does not read.
     pub answer_bytes: usize,
-    /// Maximum time that a shutdown waits for streams to finish, in seconds.
-    pub stop_seconds: u64,
+    /// Maximum time that a shutdown waits for streams to finish.
+    #[serde(rename = "stop_seconds", with = "duration::seconds")]
+    pub stop_time: Duration,
     /// Whether accounts get shares of the endpoints' work by their weights when capacity is short, so that
     /// requests of the accounts furthest over their share are refused.
     pub account_shares: bool,
@@ -193,14 +171,14 @@
         Self {
             connections: 4_096,
             header_bytes: 32 << 10,
-            header_millis: 5_000,
+            header_timeout: Duration::from_secs(5),
             body_bytes: 4 << 20,
-            body_millis: 30_000,
-            body_wait_millis: 500,
+            body_timeout: Duration::from_secs(30),
+            body_wait: Duration::from_millis(500),
             max_held: 2_000,
             held_bytes: 64 << 20,
             answer_bytes: 0,
-            stop_seconds: 600,
+            stop_time: Duration::from_mins(10),
             account_shares: false,
             shares_over_tiers: false,
         }
@@ -211,12 +189,15 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Endpoints {
-    /// Connect timeout, in milliseconds.
-    pub connect_millis: u64,
-    /// Maximum time without data in a running answer, in milliseconds, before it counts as lost.
-    pub silence_millis: u64,
-    /// Interval between reads of an endpoint's report, in milliseconds.
-    pub report_millis: u64,
+    /// Connect timeout.
+    #[serde(rename = "connect_millis", with = "duration::millis")]
+    pub connect_timeout: Duration,
+    /// Maximum time without data in a running answer before it counts as lost.
+    #[serde(rename = "silence_millis", with = "duration::millis")]
+    pub silence_timeout: Duration,
+    /// Interval between reads of an endpoint's report.
+    #[serde(rename = "report_millis", with = "duration::millis")]
+    pub report_interval: Duration,
     /// Retries allowed, as a fraction of the first attempts.
     pub retry_ratio: f64,
     /// Additional retries allowed over all instances together; 0 for a limit per instance.
@@ -228,9 +209,9 @@
 impl Default for Endpoints {
     fn default() -> Self {
         Self {
-            connect_millis: 1_000,
-            silence_millis: 10_000,
-            report_millis: 500,
+            connect_timeout: Duration::from_secs(1),
+            silence_timeout: Duration::from_secs(10),
+            report_interval: Duration::from_millis(500),
             retry_ratio: 0.1,
             retry_slack: 0.0,
             eject_ratio: 0.5,
@@ -252,28 +233,29 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Freshness {
-    /// Time within which a revoked key must no longer be accepted, in milliseconds; 0 for no limit.
-    pub revoke_millis: u64,
-    /// Time within which a change must be in force, in milliseconds; 0 for no limit.
-    pub apply_millis: u64,
+    /// Time within which a revoked key must no longer be accepted; 0 for no limit.
+    #[serde(rename = "revoke_millis", with = "duration::millis")]
+    pub revoke_time: Duration,
+    /// Time within which a change must be in force; 0 for no limit.
+    #[serde(rename = "apply_millis", with = "duration::millis")]
+    pub apply_time: Duration,
 }
 
 impl Freshness {
     /// Returns the age of the configuration beyond which requests with a key are refused.
     #[must_use]
     pub fn serve(&self) -> Option<Duration> {
-        let revoke = Duration::from_millis(self.revoke_millis);
-        (!revoke.is_zero()).then(|| revoke.mul_f64(SERVE_FRACTION))
+        let is_limited = !self.revoke_time.is_zero();
+        is_limited.then(|| self.revoke_time.mul_f64(SERVE_FRACTION))
     }
 
     /// Returns the age of the configuration up to which an unknown key or service is refused definitively.
     #[must_use]
     pub fn deny(&self) -> Duration {
-        let apply = Duration::from_millis(self.apply_millis);
-        if apply.is_zero() {
+        if self.apply_time.is_zero() {
             Duration::MAX
         } else {
-            apply.mul_f64(DENY_FRACTION)
+            self.apply_time.mul_f64(DENY_FRACTION)
         }
     }
 }
@@ -301,10 +283,12 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Keys {
-    /// Grace period after a change of owner, in seconds (G in `docs/design/keys.md`).
-    pub grace_seconds: u64,
-    /// Retention time of a key after its request ended, in seconds.
-    pub keep_seconds: u64,
+    /// Grace period after a change of owner (G in `docs/design/keys.md`).
+    #[serde(rename = "grace_seconds", with = "duration::seconds")]
+    pub grace: Duration,
+    /// Retention time of a key after its request ended.
+    #[serde(rename = "keep_seconds", with = "duration::seconds")]
+    pub keep_time: Duration,
     /// Maximum number of keys retained. Beyond it, keyed requests are answered `not-run`.
     pub max_keys: usize,
     /// Maximum total size of answers cached for resends of a key, in bytes.
@@ -314,28 +298,14 @@
 impl Default for Keys {
     fn default() -> Self {
         Self {
-            grace_seconds: 5,
-            keep_seconds: 600,
+            grace: Duration::from_secs(5),
+            keep_time: Duration::from_mins(10),
             max_keys: 100_000,
             answer_bytes: 16 << 20,
         }
     }
 }
 
-impl Keys {
-    /// Returns the grace period after a change of owner.
-    #[must_use]
-    pub fn grace(&self) -> Duration {
-        Duration::from_secs(self.grace_seconds)
-    }
-
-    /// Returns the retention time of a key.
-    #[must_use]
-    pub fn keep(&self) -> Duration {
-        Duration::from_secs(self.keep_seconds)
-    }
-}
-
 /// `[logging]`: log level and trace spans.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/firdock-core/tests/core/main.rs
+++ b/crates/firdock-core/tests/core/main.rs
@@ -1,6 +1,7 @@
 //! Tests of settings, resources and findings.
 
 mod content;
+mod durations;
 mod outcomes;
 mod resources;
 mod settings;
--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -106,7 +106,7 @@
         let log_limiter: Arc<LogLimiter> = Arc::default();
         let body_budget = BodyBudget::new(
             settings.limits.held_bytes,
-            Duration::from_millis(settings.limits.body_wait_millis),
+            settings.limits.body_wait,
             clock,
             metrics.body_metrics(),
         );
@@ -193,7 +193,7 @@
         outputs: DriverOutputs,
     ) -> Driver<Relay<D, C>> {
         let e = &self.settings.endpoints;
-        let connect = Duration::from_millis(e.connect_millis);
+        let connect = e.connect_timeout;
         let key = &self.settings.peers.shared_key;
         let hub = Arc::new(Hub::default());
         let parts = DriverParts {
@@ -291,7 +291,7 @@
             ),
             streams: Arc::clone(&self.streams),
             inputs: inputs.clone(),
-            interval: self.settings.peers.heartbeat(),
+            interval: self.settings.peers.heartbeat,
             link_mbits: self.settings.instance.link_mbits,
             clock: self.clock,
             log,
@@ -353,7 +353,7 @@
         ServerOptions {
             connections: STATUS_CONNECTIONS,
             header_bytes: STATUS_HEAD_BYTES,
-            header_time: Duration::from_millis(self.settings.limits.header_millis),
+            header_time: self.settings.limits.header_timeout,
         }
     }
 }
--- a/crates/firdock-node/src/endpoint/run.rs
+++ b/crates/firdock-node/src/endpoint/run.rs
@@ -43,8 +43,8 @@
     #[must_use]
     pub fn new(endpoints: &Endpoints) -> Self {
         Self {
-            connect: Duration::from_millis(endpoints.connect_millis),
-            idle_timeout: Duration::from_millis(endpoints.silence_millis),
+            connect: endpoints.connect_timeout,
+            idle_timeout: endpoints.silence_timeout,
             caller_stall: CALLER_STALL,
         }
     }
--- a/crates/firdock-node/src/http/server.rs
+++ b/crates/firdock-node/src/http/server.rs
@@ -38,7 +38,7 @@
         Self {
             connections: limits.connections,
             header_bytes: limits.header_bytes,
-            header_time: Duration::from_millis(limits.header_millis),
+            header_time: limits.header_timeout,
         }
     }
 }
--- a/crates/firdock-node/src/ingress/handler.rs
+++ b/crates/firdock-node/src/ingress/handler.rs
@@ -50,7 +50,7 @@
     /// Takes the limits from the settings.
     #[must_use]
     pub fn new(limits: &Limits) -> Self {
-        let body_time = Duration::from_millis(limits.body_millis);
+        let body_time = limits.body_timeout;
         Self {
             body_bytes: limits.body_bytes,
             body_time,
--- a/crates/firdock-node/src/instance.rs
+++ b/crates/firdock-node/src/instance.rs
@@ -113,7 +113,7 @@
                 .watch_endpoints(inputs.clone(), rest_stops.clone()),
         );
 
-        let heartbeat = s.peers.heartbeat();
+        let heartbeat = s.peers.heartbeat;
         let heartbeats = run_heartbeats(
             components.dialer.clone(),
             self_status_seen,
@@ -159,7 +159,7 @@
             stop_ingress,
             stop_rest,
             threads,
-            stop_time: Duration::from_secs(s.limits.stop_seconds),
+            stop_time: s.limits.stop_time,
             clock: components.clock,
             log: self.log,
         })
--- a/crates/firdock-node/src/instance/components.rs
+++ b/crates/firdock-node/src/instance/components.rs
@@ -68,14 +68,14 @@
             field: "platform.instances",
         })?;
         let name = s.instance.name.clone();
-        let connect = Duration::from_millis(s.endpoints.connect_millis);
-        let silence = Duration::from_millis(s.endpoints.silence_millis);
+        let connect = s.endpoints.connect_timeout;
+        let silence = s.endpoints.silence_timeout;
         let clock = Clock::new();
         let metrics: Arc<Metrics> = Arc::default();
         let log_limiter: Arc<LogLimiter> = Arc::default();
         let body_budget = BodyBudget::new(
             s.limits.held_bytes,
-            Duration::from_millis(s.limits.body_wait_millis),
+            s.limits.body_wait,
             clock,
             metrics.body_metrics(),
         );
@@ -100,8 +100,8 @@
             metrics,
             dialer: Dialer::new(name, &s.peers.shared_key, Arc::clone(&hub)),
             hub,
-            log_client: HttpLog::new(log_at, s.platform.call()),
-            instances: HttpInstances::new(list_at, s.platform.call()),
+            log_client: HttpLog::new(log_at, s.platform.call_timeout),
+            instances: HttpInstances::new(list_at, s.platform.call_timeout),
             engine: HttpEngine::new(connect, silence),
             log: log.clone(),
             log_limiter,
@@ -117,7 +117,7 @@
     ) -> Driver<DirectDispatcher<HttpEngine, HttpPlain>> {
         let settings = PolicySettings::new(&self.settings, self.member.incarnation);
         let e = &self.settings.endpoints;
-        let connect = Duration::from_millis(e.connect_millis);
+        let connect = e.connect_timeout;
         let plain = HttpPlain::new(connect);
         let parts = DriverParts {
             dispatcher: DirectDispatcher::new(
@@ -175,11 +175,11 @@
             inputs: inputs.clone(),
             clock: self.clock,
             log: self.log.clone(),
-            pause: self.settings.platform.read(),
+            pause: self.settings.platform.read_interval,
             member: self.member.clone(),
             record_settings: RecordSettings {
                 silence: self.settings.peers.stale_after(),
-                retention: self.settings.platform.retention(),
+                retention: self.settings.platform.retention,
             },
         };
         let log_thread = spawn("log", move || follow(parts))?;
@@ -189,7 +189,7 @@
             inputs.clone(),
         );
         let log = self.log.clone();
-        let pause = self.settings.platform.list();
+        let pause = self.settings.platform.list_interval;
         let watching = move || watch_list(&list, &hub, &inputs, pause, &log);
         Ok([log_thread, spawn("instances", watching)?])
     }
@@ -242,8 +242,8 @@
         inputs: mpsc::Sender<Input>,
         mut stop: watch::Receiver<bool>,
     ) {
-        let pause = Duration::from_millis(self.settings.endpoints.report_millis);
-        let limit = Duration::from_millis(self.settings.endpoints.connect_millis);
+        let pause = self.settings.endpoints.report_interval;
+        let limit = self.settings.endpoints.connect_timeout;
         let mut tasks = HashMap::new();
         loop {
             let view = self.site.view();
--- a/crates/firdock-node/src/instance/ports.rs
+++ b/crates/firdock-node/src/instance/ports.rs
@@ -86,7 +86,7 @@
         let callers = Port::new(instance.callers, "instance.callers")?;
         let ready = Port::new(instance.ready, "instance.ready")?;
         let peers = Port::new(instance.peers, "instance.peers")?;
-        let stop_time = Duration::from_secs(settings.limits.stop_seconds);
+        let stop_time = settings.limits.stop_time;
         let until = opener.clock.now() + wait_limit(stop_time);
         let (ready, peers, datagrams) = tokio::try_join!(
             opener.open(ready, until, async |address| listen(address)),
