A connection that stays open after others were closed at once proves no end of an answer

Cause: the process behind the address ended, so that its connections were closed in order. The address closed each connection of the check at once, which the check tells as "nothing found", and is repeated. A later check met the next process, whose connection stays open, and this alone was taken as a proof that the process which gave the answer lives. That an earlier check had met closed connections was forgotten.

Change: the check tells an address that closes each connection (closes-at-once) from one that does not answer (silent), and an end remembers it. A connection that stays open later is ambiguous then, as one beside which others are refused is: what may be continued is, by the retry budget; with others that ended beside it, it is broken; what may run once and ended alone ends as told.

Weighed: taking closed connections as an exit breaks whole answers of an endpoint at its limit of connections, which closes those of the check as well: it keeps its answers, at the price of one more run of a stream that may be continued and has no other answer beside it. Checks through a peer tell no such address yet. What may run once and ended alone still ends as told.

The existing tests of checks that found nothing run with both kinds now.

--- a/crates/firdock-node/src/driver/liveness.rs
+++ b/crates/firdock-node/src/driver/liveness.rs
@@ -108,7 +108,7 @@
             Err(_) => return Liveness::Silent,
         }
     }
-    Liveness::Silent
+    Liveness::ClosesAtOnce
 }
 
 /// Checks by way of a peer whether an endpoint is alive, by the same rule.
--- a/crates/firdock-policy/src/event/endpoint.rs
+++ b/crates/firdock-policy/src/event/endpoint.rs
@@ -189,7 +189,7 @@
     StoppedListening,
     /// Its address is silent.
     Silent,
-    /// It accepted a connection, which stays open, and refuses others since.
+    /// It accepted a connection, which stays open, and refuses others since, or closed others before.
     Ambiguous,
     /// It refuses connections.
     Refused,
@@ -280,6 +280,9 @@
     /// Its address accepted a connection, which stays open, and refuses others since: its process is ending or stops in
     /// order, or a link has been cut.
     StoppedListening,
+    /// Its address closed or reset each connection at once, which says nothing about the process: it may be ending, or be at
+    /// its limit of connections.
+    ClosesAtOnce,
     /// Its address does not respond, which says nothing about the process.
     Silent,
 }
@@ -292,6 +295,7 @@
             Self::Open => "open",
             Self::Ended => "ended",
             Self::StoppedListening => "stopped-listening",
+            Self::ClosesAtOnce => "closes-at-once",
             Self::Silent => "silent",
         }
     }
--- a/crates/firdock-policy/src/system/liveness.rs
+++ b/crates/firdock-policy/src/system/liveness.rs
@@ -101,8 +101,8 @@
                 start_check(t, now, at, out);
             }
         }
-        Liveness::Silent if is_awaited => record_exit(t, now, result, out),
-        Liveness::Silent | Liveness::StoppedListening => {}
+        Liveness::Silent | Liveness::ClosesAtOnce if is_awaited => record_exit(t, now, result, out),
+        Liveness::Silent | Liveness::ClosesAtOnce | Liveness::StoppedListening => {}
     }
 }
 
--- a/crates/firdock-policy/src/system/unproven_end.rs
+++ b/crates/firdock-policy/src/system/unproven_end.rs
@@ -53,6 +53,7 @@
         closed_at: now,
         is_refused: false,
         reached_by_peer: false,
+        closed_checks: false,
         liveness: None,
     });
     follow_restart(t, id);
@@ -158,9 +159,10 @@
 /// Repeats the checks that found nothing: a process that is about to end may close each connection at once.
 pub fn repeat_checks(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
     let ends = t.unproven_ends.iter();
-    let silent = ends.filter(|end| end.liveness == Some(Liveness::Silent));
-    let silent: Vec<RequestId> = silent.map(|end| end.id).collect();
-    for id in silent {
+    let nothing = [Some(Liveness::Silent), Some(Liveness::ClosesAtOnce)];
+    let unknown = ends.filter(|end| nothing.contains(&end.liveness));
+    let unknown: Vec<RequestId> = unknown.map(|end| end.id).collect();
+    for id in unknown {
         start_check(t, now, id, out);
     }
 }
@@ -240,14 +242,22 @@
 
 /// Returns why nothing is known of the process, if so.
 fn lack_of_evidence(t: &Tables, end: &UnprovenEnd) -> Option<EndEvidence> {
+    if is_ambiguous(end) {
+        return Some(EndEvidence::Ambiguous);
+    }
     match end.liveness {
         Some(Liveness::Open) => is_seen_late(t, end).then_some(EndEvidence::SeenLate),
-        Some(Liveness::Ended) => None,
-        Some(Liveness::StoppedListening) => Some(EndEvidence::Ambiguous),
-        Some(Liveness::Silent) | None => Some(EndEvidence::Silent),
+        Some(Liveness::Ended | Liveness::StoppedListening) => None,
+        Some(Liveness::Silent | Liveness::ClosesAtOnce) | None => Some(EndEvidence::Silent),
     }
 }
 
+/// Returns whether a connection that stays open says nothing: others were refused after it, or closed at once before it.
+fn is_ambiguous(end: &UnprovenEnd) -> bool {
+    let is_open = end.liveness == Some(Liveness::Open);
+    end.liveness == Some(Liveness::StoppedListening) || (is_open && end.closed_checks)
+}
+
 /// Returns whether other answers of the endpoint ended at the same time and were not covered by the check of this one: the
 /// process may have ended while it accepted the connection.
 fn others_are_unchecked(t: &Tables, end: &UnprovenEnd) -> bool {
@@ -321,7 +331,7 @@
     let last_bytes = row.last_bytes.unwrap_or(row.dispatched);
     let min_others = if may_resume { 1 } else { MIN_OTHERS_RUN_ONCE };
     let ended_together = ends_beside(t, end).count() >= min_others;
-    if end.liveness == Some(Liveness::StoppedListening) {
+    if is_ambiguous(end) {
         return ended_together.then_some(EndEvidence::EndedTogether);
     }
     if end.liveness != Some(Liveness::Ended) {
--- a/crates/firdock-policy/src/table/unproven_ends.rs
+++ b/crates/firdock-policy/src/table/unproven_ends.rs
@@ -7,6 +7,10 @@
 
 /// An answer whose end proves nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is an observation of its own"
+)]
 pub struct UnprovenEnd {
     /// Request.
     pub id: RequestId,
@@ -25,6 +29,8 @@
     /// Whether that peer reached the endpoint. The own link is checked once more then: if it reaches the endpoint as
     /// well, the link was not cut, and another process listens.
     pub reached_by_peer: bool,
+    /// Whether the connections of a check were closed at once. Who accepts one later may be another process.
+    pub closed_checks: bool,
     /// Result of a liveness check that began later.
     pub liveness: Option<Liveness>,
 }
@@ -78,6 +84,7 @@
         let other = |end: &&mut UnprovenEnd| end.id == id && end.serving_row != server;
         for end in self.rows.iter_mut().filter(other) {
             end.serving_row = server;
+            end.closed_checks = false;
             end.liveness = None;
         }
     }
@@ -97,7 +104,7 @@
                     Liveness::Ended | Liveness::StoppedListening => {
                         check.through_peer || !end.passed_on
                     }
-                    Liveness::Silent => {
+                    Liveness::Silent | Liveness::ClosesAtOnce => {
                         end.closed_at <= check.began && check.through_peer == end.passed_on
                     }
                 }
@@ -109,6 +116,7 @@
             _ => true,
         };
         for end in self.rows.iter_mut().filter(covered).filter(is_undecided) {
+            end.closed_checks |= found == Liveness::ClosesAtOnce;
             match found {
                 Liveness::Open if end.is_refused && check.through_peer => {
                     end.reached_by_peer = true;
@@ -117,7 +125,8 @@
                 _ => end.liveness = Some(found),
             }
         }
-        if check.through_peer && found == Liveness::Silent {
+        let is_nothing = matches!(found, Liveness::Silent | Liveness::ClosesAtOnce);
+        if check.through_peer && is_nothing {
             self.confirm_refusals(server);
         }
     }
--- a/crates/firdock-policy/tests/policy/unproven_ends.rs
+++ b/crates/firdock-policy/tests/policy/unproven_ends.rs
@@ -422,14 +422,35 @@
 // Guards against a part that is passed on as complete, since the process that was ending closed each connection of the check.
 #[test]
 fn a_check_that_found_nothing_is_repeated_while_the_end_waits() {
-    let mut answers = Answers::of(&["run"]);
-    answers.close(1);
-    assert_eq!(verdict_on(1, &answers.check(Liveness::Silent)), None);
-    let actions = answers.pass(millis(25));
-    let is_check = |a: &Action| matches!(a, Action::CheckLiveness { .. });
-    assert!(actions.iter().any(is_check));
-    let verdict = verdict_on(1, &answers.check(Liveness::Ended));
-    assert_eq!(verdict, rejected(EndEvidence::Refused));
+    for nothing in [Liveness::Silent, Liveness::ClosesAtOnce] {
+        let mut answers = Answers::of(&["run"]);
+        answers.close(1);
+        assert_eq!(verdict_on(1, &answers.check(nothing)), None);
+        let actions = answers.pass(millis(25));
+        let is_check = |a: &Action| matches!(a, Action::CheckLiveness { .. });
+        assert!(actions.iter().any(is_check), "{nothing:?}");
+        let verdict = verdict_on(1, &answers.check(Liveness::Ended));
+        assert_eq!(verdict, rejected(EndEvidence::Refused), "{nothing:?}");
+    }
+}
+
+// Guards against a part that is passed on as complete, since another process listens by the time of the second check: the
+// address closed each connection of the first one.
+#[test]
+fn a_connection_that_is_accepted_after_others_were_closed_proves_nothing() {
+    let ambiguous = EndEvidence::Ambiguous;
+    for (service, expected) in [
+        ("stream", rejected(ambiguous)),
+        ("run", accepted(ambiguous)),
+    ] {
+        let mut answers = Answers::of(&[service]);
+        answers.close(1);
+        let found = answers.check(Liveness::ClosesAtOnce);
+        assert_eq!(verdict_on(1, &found), None, "{service}");
+        answers.pass(millis(25));
+        let verdict = verdict_on(1, &answers.check(Liveness::Open));
+        assert_eq!(verdict, expected, "{service}");
+    }
 }
 
 // Guards against parts that are passed on as complete, since another process listens by the time of the second check: the
@@ -606,7 +627,8 @@
 #[test]
 fn an_end_counts_while_other_answers_go_on_whatever_the_check_found() {
     let mut broken = Vec::new();
-    for (found, pause) in [(Liveness::Silent, 0), (Liveness::Open, 1_500)] {
+    let limited = Liveness::ClosesAtOnce;
+    for (found, pause) in [(Liveness::Silent, 0), (limited, 0), (Liveness::Open, 1_500)] {
         let mut answers = Answers::of(&["stream", "stream"]);
         answers.edge.now += millis(pause);
         let mut actions = answers.close(1);
