Panics: each one leaves a line in the log and a count, also the one that ends the process

What operators saw: a panic in a task of the runtime ended that task (a connection, a reader of the store) and was on standard error at most; no line, no metric. A violated invariant aborts the process (134), with the same place only: whoever collects standard output alone could not tell it from a kill.

Cause: no panic hook, and an abort right after the panic, while the log is written by another thread.

Evidence: panics.rs in the platform's tests runs its own program once more as the process that panics.

Change: `report_panics` sets a hook that logs `panicked` (message, place, thread), counts `firdock_panics_total`, and writes to standard error by parts for which there is room, so that a pipe that nobody reads does not hold the thread that panics. The message in the line is cut where the standard library quotes the text on which an operation failed; standard error has it whole, as before. The abort flushes the log first, for 300 ms at most.

Why this: the abort itself is meant and stays. A flush in the hook instead would let each panic of a task hold the only thread for the time of a blocked log. Not covered: a panic inside a destructor that runs for another panic aborts without the flush, and standard error alone has it.

--- a/crates/firdock-node/src/instance/start.rs
+++ b/crates/firdock-node/src/instance/start.rs
@@ -14,6 +14,7 @@
 use crate::endpoint::{DirectDispatcher, HttpEngine, HttpPlain};
 use crate::http::listen;
 use crate::input::Input;
+use crate::telemetry::flush_before_abort;
 
 /// Error of starting an instance.
 #[derive(Debug, Snafu)]
@@ -120,6 +121,7 @@
 impl Drop for AbortGuard {
     fn drop(&mut self) {
         if thread::panicking() {
+            flush_before_abort();
             std::process::abort();
         }
     }
--- a/crates/firdock-node/src/telemetry/log.rs
+++ b/crates/firdock-node/src/telemetry/log.rs
@@ -15,7 +15,8 @@
 
 pub(super) use self::losses::lost_lines;
 pub use self::output::StandardOutput;
-use self::queue::Flusher;
+pub(super) use self::output::write_error;
+pub(super) use self::queue::Flusher;
 
 /// Minimum severity of lines that are logged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,7 +40,7 @@
 pub const SPAN_TAG: &str = "span";
 /// Time for which the end of the process waits for the last lines. Together with the last answers, it lies
 /// within the time that is reserved before the platform kills the process.
-const FLUSH_TIME: Duration = Duration::from_millis(300);
+pub(super) const FLUSH_TIME: Duration = Duration::from_millis(300);
 
 /// Flushes the queue of lines when it is dropped, so it has to live as long as the process logs.
 ///
@@ -47,6 +48,13 @@
 #[derive(Debug)]
 pub struct LogGuard(Flusher);
 
+impl LogGuard {
+    /// Returns what flushes the queue before the guard is dropped.
+    pub(super) fn flusher(&self) -> Flusher {
+        self.0.clone()
+    }
+}
+
 impl Drop for LogGuard {
     fn drop(&mut self) {
         // There is nowhere to tell a failure: standard error may be the same pipe.
--- a/crates/firdock-node/src/telemetry/log/queue.rs
+++ b/crates/firdock-node/src/telemetry/log/queue.rs
@@ -35,7 +35,7 @@
 
 /// Waits until the records logged before are written.
 #[derive(Debug, Clone)]
-pub(super) struct Flusher(Sender<Message>);
+pub(in crate::telemetry) struct Flusher(Sender<Message>);
 
 impl Drain for RecordQueue {
     type Ok = ();
@@ -57,7 +57,7 @@
 
 impl Flusher {
     /// Waits for `longest` at most. Returns `false` if something may not be written.
-    pub(super) fn flush(&self, longest: Duration) -> bool {
+    pub(in crate::telemetry) fn flush(&self, longest: Duration) -> bool {
         let (done, flushed) = sync_channel(1);
         self.0.send(Message::Flush(done)).is_ok() && flushed.recv_timeout(longest).is_ok()
     }
--- a/crates/firdock-node/src/telemetry/metrics/register.rs
+++ b/crates/firdock-node/src/telemetry/metrics/register.rs
@@ -4,6 +4,7 @@
 
 use super::Metrics;
 use crate::telemetry::log::lost_lines;
+use crate::telemetry::panics::panics;
 
 impl Metrics {
     /// Registers all metrics.
@@ -273,4 +274,5 @@
         "Log lines that could not be written, by cause",
         lost_lines(),
     );
+    r.register("panics", "Panics in any thread or task", panics());
 }
