--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -103,6 +103,7 @@
     pub fn new(settings: &Settings, clock: Clock, log: Logger) -> Self {
         let name = settings.instance.name.clone();
         let metrics: Arc<Metrics> = Arc::default();
+        metrics.record_start(clock.unix_zero() + clock.now());
         let log_limiter: Arc<LogLimiter> = Arc::default();
         let body_budget = BodyBudget::new(
             settings.limits.held_bytes,
--- a/crates/firdock-node/src/instance/components.rs
+++ b/crates/firdock-node/src/instance/components.rs
@@ -72,6 +72,7 @@
         let silence = s.endpoints.silence_timeout;
         let clock = Clock::new();
         let metrics: Arc<Metrics> = Arc::default();
+        metrics.record_start(clock.unix_zero() + clock.now());
         let log_limiter: Arc<LogLimiter> = Arc::default();
         let body_budget = BodyBudget::new(
             s.limits.held_bytes,
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -98,6 +98,7 @@
     reads_ahead: Family<ByTopic, Counter>,
     suspensions: Counter,
     suspended: Counter<f64, AtomicU64>,
+    started: Gauge<f64, AtomicU64>,
     buffered_answers: AnswerMetrics,
     bodies: BodyMetrics,
     endpoints: EndpointList,
@@ -170,6 +171,7 @@
             reads_ahead: Family::default(),
             suspensions: Counter::default(),
             suspended: Counter::default(),
+            started: Gauge::default(),
             buffered_answers: AnswerMetrics::default(),
             bodies: BodyMetrics::default(),
             endpoints: EndpointList::default(),
@@ -300,6 +302,11 @@
             .inc();
     }
 
+    /// Records when the process started, as Unix time. A later time tells that another process has taken its place.
+    pub fn record_start(&self, at: Duration) {
+        self.started.set(at.as_secs_f64());
+    }
+
     /// Counts a suspension of the machine.
     pub fn record_suspension(&self, length: Duration) {
         self.suspensions.inc();
--- a/crates/firdock-node/src/telemetry/metrics/register.rs
+++ b/crates/firdock-node/src/telemetry/metrics/register.rs
@@ -111,6 +111,11 @@
             "Suspensions of the machine",
             self.suspensions.clone(),
         );
+        r.register(
+            "start_time_seconds",
+            "Unix time of the start of the process",
+            self.started.clone(),
+        );
         r.register(
             "suspended_seconds",
             "Time for which the machine was suspended",
