Callers: bound what the kernel holds for them, which nothing counted

What operators saw: processes of an instance ended by themselves, without a line (rule FAULT, "memory over the limit"). A machine counts the bytes in the queues of its sockets; the budgets of answers and bodies count only what the process holds. The kernel lets a send buffer grow to 4 MB and a receive buffer to several, for each of 3,000 connections: a bound for each of many is no bound for all.

Change: - The listener of callers has small socket buffers, which connections inherit, also those that wait to be accepted. Setting them after the accept would leave 64 KB a connection for what came before. - Long transfers get larger buffers from one pool of 12 MiB, and give them back once they are known to be empty. - Nothing more is read of a caller while it does not take its answers. - A read never fills hyper's read buffer, which therefore stays at 8 KiB; the state of a call is allocated with it.

Why it works: what the kernel holds is bounded by sizes that it enforces itself, from the first byte of a connection, and what exceeds them comes from one pool. Price: a request longer than 9 KB needs a round trip more; a long answer over a long link is slower than with buffers of 4 MB.

--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -22,7 +22,7 @@
 use crate::driver::Driver;
 use crate::endpoint::Dispatcher;
 use crate::endpoint::relay::Dialect;
-use crate::http::{Connector, ServerOptions, TcpConnector, serve};
+use crate::http::{Connector, ServerOptions, SocketBuffers, TcpConnector, serve_callers};
 use crate::ingress::{IngressPhase, IngressState, Interface};
 use crate::input::{INPUT_QUEUE_CAPACITY, Input};
 use crate::instance::{AbortOnPanic, EdgePorts, PortOpener, StartError};
@@ -41,6 +41,8 @@
 /// Capacity of the queue of store changes to forward to peers. Peers request further ones
 /// themselves.
 const CHANGE_QUEUE_CAPACITY: usize = 64;
+/// Memory of the kernel that long transfers of callers may take beyond the base buffers, in bytes.
+const BUFFER_POOL_BYTES: usize = 12 << 20;
 
 /// Configuration of an edge instance before its start.
 #[derive(Debug)]
@@ -130,6 +132,10 @@
             peers,
             datagrams,
         } = EdgePorts::open(&self.settings, &opener).await?;
+        let buffers = SocketBuffers::new(BUFFER_POOL_BYTES);
+        if let Err(e) = buffers.set_base(&callers) {
+            warn!(self.log, "socket buffers are not bounded"; "error" => e.to_string());
+        }
         let parts = EdgeParts::new(&self.settings, self.clock, self.log.clone());
         let (inputs, input_receiver) = mpsc::channel(INPUT_QUEUE_CAPACITY);
         let (stop_ingress, ingress_stop_receiver) = watch::channel(false);
@@ -169,7 +175,13 @@
         let options = ServerOptions::new(&self.settings.limits);
         let handle = move |r| ingress.clone().handle(r);
         let callers = parts.acceptor(callers, "instance.callers");
-        let serving = tokio::spawn(serve(callers, options, ingress_stop_receiver, handle));
+        let serving = tokio::spawn(serve_callers(
+            callers,
+            options,
+            buffers,
+            ingress_stop_receiver,
+            handle,
+        ));
         log_uncounted_suspensions(&self.log);
         info!(self.log, "started"; "zone" => &self.settings.instance.zone,
             "incarnation" => parts.member.incarnation.to_string());
--- a/crates/firdock-node/src/http.rs
+++ b/crates/firdock-node/src/http.rs
@@ -13,6 +13,7 @@
 mod listener;
 mod response;
 mod server;
+mod socket_buffers;
 
 pub use bounded::EndlessBytes;
 pub use caller::CallerHandle;
@@ -21,7 +22,8 @@
 pub use framing::{Framing, InvalidHead, check_request};
 pub use listener::{Acceptor, listen};
 pub use response::{BodyError, ResponseBody};
-pub use server::{ServerOptions, serve};
+pub use server::{ServerOptions, serve, serve_callers};
+pub use socket_buffers::SocketBuffers;
 
 use hyper::HeaderMap;
 use hyper::header::{self, HeaderName};
--- a/crates/firdock-node/src/http/bounded.rs
+++ b/crates/firdock-node/src/http/bounded.rs
@@ -15,8 +15,9 @@
 
 /// Bytes that a connection reads before others have their turn, unless most of them are parts of a body.
 ///
-/// The library parses what it finds hard to parse, like the size of a chunk, byte by byte.
-const BYTES_PER_TURN: u64 = 8 << 10;
+/// The library parses what it finds hard to parse, like the size of a chunk, byte by byte. It doubles its read buffer of
+/// 8 KiB, for good, whenever a read fills it.
+const BYTES_PER_TURN: u64 = (8 << 10) - 1;
 
 /// Most bytes that a connection reads before others have their turn, also if all of them are parts of a body.
 const MAX_BYTES_PER_TURN: u64 = 512 << 10;
--- a/crates/firdock-node/src/http/caller.rs
+++ b/crates/firdock-node/src/http/caller.rs
@@ -17,6 +17,7 @@
 use tokio::sync::Notify;
 
 use super::dead_peer::DEAD_PEER_TIMEOUT;
+use super::socket_buffers::ConnectionBuffers;
 
 #[derive(Debug, Default)]
 struct Inner {
@@ -74,21 +75,35 @@
     }
 }
 
+/// Whether the kernel takes what is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Sending {
+    Free,
+    /// It takes no more until the caller reads.
+    Blocked,
+    /// The same, and a read waits for it.
+    BlocksRead,
+}
+
 /// A caller's connection, whose socket options are set according to its handle.
 #[derive(Debug)]
 pub(super) struct CallerStream {
     stream: TcpStream,
     handle: CallerHandle,
+    buffers: ConnectionBuffers,
+    sending: Sending,
     stall_tolerant: bool,
     /// Whether dropping the connection without a shutdown resets it.
     resets: bool,
 }
 
 impl CallerStream {
-    pub(super) fn new(stream: TcpStream, handle: CallerHandle) -> Self {
+    pub(super) fn new(stream: TcpStream, handle: CallerHandle, buffers: ConnectionBuffers) -> Self {
         Self {
             stream,
             handle,
+            buffers,
+            sending: Sending::Free,
             stall_tolerant: false,
             resets: false,
         }
@@ -112,15 +127,50 @@
         };
         SockRef::from(&self.stream).set_tcp_user_timeout(Some(limit))
     }
+
+    /// Records the result of a write, and lets a read go on that waited for it.
+    fn count_written(
+        &mut self,
+        cx: &Context<'_>,
+        polled: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(bytes)) = polled {
+            self.buffers.written(&self.stream, bytes);
+        }
+        self.sending = match (polled.is_pending(), self.sending) {
+            (true, Sending::Free) => Sending::Blocked,
+            (true, blocked) => blocked,
+            (false, Sending::BlocksRead) => {
+                cx.waker().wake_by_ref();
+                Sending::Free
+            }
+            (false, _) => Sending::Free,
+        };
+        polled
+    }
 }
 
 impl AsyncRead for CallerStream {
+    /// Reads nothing while answers wait to be sent: a caller that sends requests and reads no answer would have both
+    /// pile up. One that leaves meanwhile has unread bytes, so that its connection is reset, which ends the write.
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        if self.sending != Sending::Free {
+            self.sending = Sending::BlocksRead;
+            return Poll::Pending;
+        }
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let this = &mut *self;
+        this.buffers.read(
+            &this.stream,
+            buf.filled().len() - before,
+            buf.remaining() > 0,
+        );
+        polled
     }
 }
 
@@ -131,7 +181,8 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.update_options()?;
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.count_written(cx, polled)
     }
 
     fn poll_write_vectored(
@@ -140,7 +191,8 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.update_options()?;
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.count_written(cx, polled)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/firdock-node/src/http/server.rs
+++ b/crates/firdock-node/src/http/server.rs
@@ -19,6 +19,7 @@
 use super::caller::{CallerHandle, CallerStream};
 use super::dead_peer::set_dead_peer_timeouts;
 use super::listener::Acceptor;
+use super::socket_buffers::{ConnectionBuffers, SocketBuffers};
 
 /// Limits of a server.
 #[derive(Debug, Clone, Copy)]
@@ -47,6 +48,22 @@
 pub async fn serve<F, Fut, B>(
     listener: impl Into<Acceptor>,
     options: ServerOptions,
+    stop: watch::Receiver<bool>,
+    handle: F,
+) where
+    F: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
+    Fut: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: std::error::Error + Send + Sync + 'static,
+{
+    serve_callers(listener, options, SocketBuffers::default(), stop, handle).await;
+}
+
+/// Serves like [`serve`], with socket buffers whose sizes the instance bounds.
+pub async fn serve_callers<F, Fut, B>(
+    listener: impl Into<Acceptor>,
+    options: ServerOptions,
+    buffers: SocketBuffers,
     mut stop: watch::Receiver<bool>,
     handle: F,
 ) where
@@ -67,8 +84,9 @@
             return;
         };
         let (handle, stop) = (handle.clone(), stop.clone());
+        let buffers = buffers.connection();
         tokio::spawn(async move {
-            serve_connection(stream, options, stop, handle).await;
+            serve_connection(stream, options, buffers, stop, handle).await;
             drop(slot);
         });
     }
@@ -87,6 +105,7 @@
 async fn serve_connection<F, Fut, B>(
     stream: TcpStream,
     options: ServerOptions,
+    buffers: ConnectionBuffers,
     mut stop: watch::Receiver<bool>,
     handle: F,
 ) where
@@ -108,7 +127,8 @@
         request.extensions_mut().insert(given.clone());
         // It came with the one before: a client may send any number of them without waiting for answers.
         let is_pipelined = read.reset() == 0;
-        let answer = handle(request);
+        // Idle connections take no memory for the call that they may serve.
+        let answer = Box::pin(handle(request));
         async move {
             if is_pipelined {
                 yield_now().await;
@@ -116,7 +136,7 @@
             Ok::<_, Infallible>(answer.await)
         }
     });
-    let stream = BoundedStream::new(CallerStream::new(stream, caller.clone()), idle);
+    let stream = BoundedStream::new(CallerStream::new(stream, caller.clone(), buffers), idle);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(options.header_time)
--- a/crates/firdock-policy/src/lib.rs
+++ b/crates/firdock-policy/src/lib.rs
@@ -33,6 +33,7 @@
 };
 pub mod table;
 pub mod time;
+pub mod transfer;
 
 pub use action::Action;
 pub use event::Event;
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -29,5 +29,6 @@
 mod simulation;
 mod stream_versions;
 mod suspects;
+mod transfer;
 mod unproven_ends;
 mod use_aggregator;
