Answers wait at their endpoints for callers that read while the budget runs short

What callers saw: with the kernel's buffers bounded, answers of callers who read at their own pace were cut (`slow reader cut`, `cause` = `budget`). The kernel's 4 MB for each connection had taken what the budget of 16 MiB could not.

Cause: an answer was read at its endpoint's pace whatever its caller did, and the budget knew one answer to that: the cut.

Change: while more than half of the budget is used, an answer with more than its even part of that half is left unread at its endpoint until its caller reads, or has read nothing for a second.

Why this: who reads is never cut for another who reads; who does not read is cut as before, and keeps a place at the endpoint for a second at most. Weighed: a budget that follows the machine's memory moves the cut and does not end it; leaving every answer unread beyond a share holds places while there is room.

--- a/crates/firdock-node/src/exchange/budget.rs
+++ b/crates/firdock-node/src/exchange/budget.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::time::Duration;
 
 use firdock_core::{AccountId, RequestId};
 use firdock_policy::Time;
@@ -195,6 +196,12 @@
         self.inner.end_cut(cut, Cause::Budget, held);
     }
 
+    /// Returns for how long the endpoint's answer is to be left unread, unless its caller reads before.
+    pub(super) fn wait(&self) -> Option<Duration> {
+        let state = self.inner.lock();
+        state.buffers.wait(self.inner.clock.now(), self.id)
+    }
+
     pub(super) fn consume(&self, bytes: usize) {
         let mut state = self.inner.lock();
         state
--- a/crates/firdock-node/src/exchange/queue.rs
+++ b/crates/firdock-node/src/exchange/queue.rs
@@ -2,7 +2,8 @@
 //!
 //! Without a budget of bytes, the queue holds a few parts, and reading from the endpoint pauses while it is
 //! full. With a budget, the answer is read at the endpoint's pace, and the parts that the caller has not
-//! taken count in the instance's [`AnswerBudget`](super::AnswerBudget).
+//! taken count in the instance's [`AnswerBudget`](super::AnswerBudget); while that runs short, reading pauses for
+//! callers that read.
 
 use std::future::poll_fn;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -10,6 +11,7 @@
 
 use snafu::Snafu;
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
 use super::AnswerPart;
 use super::budget::Reservation;
@@ -137,12 +139,14 @@
 }
 
 impl AnswerSender {
-    /// Sends a part. Waits for the caller to read only if no budget of bytes is set.
+    /// Sends a part. Waits for the caller to read if no budget of bytes is set, or if much of the budget is used and
+    /// the caller reads.
     ///
     /// # Errors
     ///
     /// Fails if the receiver is closed.
     pub async fn send(&self, mut part: AnswerPart) -> Result<(), Closed> {
+        self.wait_for_reader().await;
         loop {
             let freed = self.queue.freed.notified();
             part = match self.try_send(part) {
@@ -154,6 +158,21 @@
         }
     }
 
+    /// Waits while the answer is to be left unread at its endpoint.
+    async fn wait_for_reader(&self) {
+        let Some(reservation) = &self.reservation else {
+            return;
+        };
+        loop {
+            let freed = self.queue.freed.notified();
+            let Some(wait) = reservation.wait() else {
+                return;
+            };
+            // The time limit is as good an end: the caller does not read then.
+            let _ = timeout(wait, freed).await;
+        }
+    }
+
     /// Sends a part without waiting.
     pub fn try_send(&self, part: AnswerPart) -> SendResult {
         if let Some(reservation) = &self.reservation {
--- a/crates/firdock-policy/src/buffers.rs
+++ b/crates/firdock-policy/src/buffers.rs
@@ -25,6 +25,12 @@
 /// lost caller is given up.
 const LATE_AFTER: Duration = Duration::from_secs(1);
 
+/// Time since its last read for which a caller counts as one that reads.
+const READING_TIME: Duration = Duration::from_secs(1);
+
+/// Divisor of the budget for the part beyond which endpoints wait for callers that read.
+const WAIT_DIVISOR: usize = 2;
+
 /// Buffer of one caller.
 #[derive(Debug, Clone)]
 struct Buffer {
@@ -52,6 +58,8 @@
 pub struct AnswerBuffers {
     budget: usize,
     bytes: usize,
+    /// Number of buffers that hold bytes.
+    behind: usize,
     buffers: BTreeMap<BufferId, Buffer>,
 }
 
@@ -62,6 +70,7 @@
         Self {
             budget,
             bytes: 0,
+            behind: 0,
             buffers: BTreeMap::new(),
         }
     }
@@ -89,6 +98,7 @@
         if buffer.bytes == 0 {
             buffer.behind_since = now;
             buffer.last_read = now;
+            self.behind += usize::from(bytes > 0);
         }
         buffer.bytes += bytes;
         self.bytes += bytes;
@@ -112,6 +122,25 @@
         buffer.bytes -= bytes;
         buffer.last_read = now;
         self.bytes -= bytes;
+        self.behind -= usize::from(bytes > 0 && buffer.bytes == 0);
+    }
+
+    /// Returns for how long the endpoint's answer is to be left unread, unless its caller reads before; `None` if it
+    /// may be read now.
+    ///
+    /// Endpoints send faster than most callers read. While much of the budget is used, an answer whose caller reads
+    /// waits at its endpoint once it has its share, since the next bytes would cost another answer its end. Nobody
+    /// waits for a caller that does not read.
+    #[must_use]
+    pub fn wait(&self, now: Time, id: BufferId) -> Option<Duration> {
+        let buffer = self.buffers.get(&id)?;
+        let limit = self.budget / WAIT_DIVISOR;
+        let share = limit / self.behind.max(1);
+        if self.bytes <= limit || buffer.bytes <= share {
+            return None;
+        }
+        let until = buffer.last_read + READING_TIME;
+        Some(until.saturating_sub(now)).filter(|wait| !wait.is_zero())
     }
 
     /// Records that the endpoint's answer is complete.
@@ -125,6 +154,7 @@
     pub fn close(&mut self, id: BufferId) {
         if let Some(buffer) = self.buffers.remove(&id) {
             self.bytes -= buffer.bytes;
+            self.behind -= usize::from(buffer.bytes > 0);
         }
     }
 
--- a/crates/firdock-policy/tests/policy/buffers.rs
+++ b/crates/firdock-policy/tests/policy/buffers.rs
@@ -240,3 +240,22 @@
         }
     }
 }
+
+/// While much of the budget is used, the next bytes of a caller that reads cost another answer its end: its endpoint waits
+/// then, but not for a caller that stopped reading, nor for one that has less than its share.
+#[test]
+fn endpoints_wait_for_callers_that_read_once_half_of_the_budget_is_used() {
+    const SMALL: usize = 800;
+    let mut buffers = buffers_with(SMALL, &[(1, "shop"), (2, "shop"), (3, "shop")]);
+    assert_eq!(buffers.hold(at(0), 1, SMALL / 2), Vec::<BufferId>::new());
+    assert_eq!(buffers.wait(at(0), 1), None, "half is free");
+    assert_eq!(buffers.hold(at(10), 2, 100), Vec::<BufferId>::new());
+    assert_eq!(buffers.wait(at(10), 2), None, "it has less than its share");
+    assert_eq!(buffers.wait(at(10), 3), None, "its caller is not behind");
+    let wait = buffers.wait(at(10), 1).expect("it has more than its share");
+    assert_eq!(buffers.wait(at(10) + wait, 1), None, "its caller stopped");
+    buffers.consume(at(900), 1, 1);
+    assert!(buffers.wait(at(10) + wait, 1).is_some(), "its caller reads");
+    buffers.close(2);
+    assert_eq!(buffers.wait(at(1_000), 1), None, "half is free again");
+}
