Callers' buffers: the pool follows from the machine's memory, and a line and a metric tell of it

What operators saw: nothing told the instance how much memory it has, though the platform's settings name it (limits.memory_mb), and nothing told operators what the kernel may hold for callers.

Change: instance.memory_mbytes (0: not known; whole or fraction), filled by the template. An eighth of it is the pool of larger buffers, 12 MiB where it is not known: 11 MB of 88, 32.5 of 260. The line `memory` at the start tells the budgets, `budgets exceed the memory` warns where those of bodies, answers and the pool do; firdock_caller_buffer_bytes tells what is taken of the pool.

Weighed: an error at the start where budgets do not fit, which would be one more way not to start; the sum of all connections at their fullest (3,000 of 62 KB) fits no small machine, so such a check would say no to every template. Not done: base sizes and limits.connections do not follow from memory.

--- a/crates/firdock-core/src/settings/tables.rs
+++ b/crates/firdock-core/src/settings/tables.rs
@@ -32,6 +32,9 @@
     /// Network bandwidth of the instance, in Mbit/s; 0 if unknown. It limits the rate of state answers to
     /// instances that start.
     pub link_mbits: f64,
+    /// Memory of the instance, in MB (10^6 bytes); 0 if unknown. The kernel's buffers for long transfers follow from
+    /// it.
+    pub memory_mbytes: f64,
 }
 
 impl Instance {
@@ -42,6 +45,12 @@
             .round()
             .clamp(0.0, f64::from(u32::MAX)) as u32
     }
+
+    /// Returns the memory of the instance in bytes, if it is known.
+    #[must_use]
+    pub fn memory_bytes(&self) -> Option<usize> {
+        (self.memory_mbytes > 0.0).then_some((self.memory_mbytes * 1e6) as usize)
+    }
 }
 
 /// `[platform]`: the log and the instance list.
--- a/crates/firdock-core/tests/core/settings.rs
+++ b/crates/firdock-core/tests/core/settings.rs
@@ -58,6 +58,23 @@
     assert_eq!(finding.line, line.map(|n| n + 3), "{found}");
 }
 
+/// A platform may tell memory as a whole number or a fraction; an instance that does not start on it serves nothing.
+#[test]
+fn memory_is_a_whole_number_or_a_fraction_or_not_known() {
+    let memory = |line: &str| {
+        let text = GOOD.replace(
+            "zone = \"uppsala\"\n",
+            &format!("zone = \"uppsala\"\n{line}\n"),
+        );
+        let settings = Settings::parse(&text).expect("no findings");
+        settings.instance.memory_bytes()
+    };
+    assert_eq!(memory("memory_mbytes = 110"), Some(110_000_000));
+    assert_eq!(memory("memory_mbytes = 87.5"), Some(87_500_000));
+    assert_eq!(memory("memory_mbytes = 0"), None);
+    assert_eq!(memory(""), None);
+}
+
 #[test]
 fn an_empty_file_lacks_required_fields() {
     let found = Settings::parse("").expect_err("findings");
--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -11,8 +11,10 @@
 use std::time::Duration;
 
 use firdock_core::settings::Settings;
+use firdock_policy::transfer::pool_bytes;
 use firdock_policy::{Event, Time};
 use slog::{Logger, info, warn};
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
@@ -41,8 +43,6 @@
 /// Capacity of the queue of store changes to forward to peers. Peers request further ones
 /// themselves.
 const CHANGE_QUEUE_CAPACITY: usize = 64;
-/// Memory of the kernel that long transfers of callers may take beyond the base buffers, in bytes.
-const BUFFER_POOL_BYTES: usize = 12 << 20;
 
 /// Configuration of an edge instance before its start.
 #[derive(Debug)]
@@ -132,11 +132,8 @@
             peers,
             datagrams,
         } = EdgePorts::open(&self.settings, &opener).await?;
-        let buffers = SocketBuffers::new(BUFFER_POOL_BYTES);
-        if let Err(e) = buffers.set_base(&callers) {
-            warn!(self.log, "socket buffers are not bounded"; "error" => e.to_string());
-        }
         let parts = EdgeParts::new(&self.settings, self.clock, self.log.clone());
+        let buffers = self.bound_buffers(&callers, &parts);
         let (inputs, input_receiver) = mpsc::channel(INPUT_QUEUE_CAPACITY);
         let (stop_ingress, ingress_stop_receiver) = watch::channel(false);
         let (stop_rest, rest_stop_receiver) = watch::channel(false);
@@ -201,6 +198,25 @@
     }
 }
 
+impl<I, D, S, C> EdgeInstance<I, D, S, C> {
+    /// Bounds the kernel's buffers of callers' connections, and logs the budgets of memory.
+    fn bound_buffers(&self, callers: &TcpListener, parts: &EdgeParts) -> SocketBuffers {
+        let (limits, memory) = (&self.settings.limits, self.settings.instance.memory_bytes());
+        let pool = pool_bytes(memory);
+        info!(self.log, "memory"; "memory_bytes" => memory, "held_bytes" => limits.held_bytes,
+            "answer_bytes" => limits.answer_bytes, "buffer_bytes" => pool, "connections" => limits.connections);
+        let budgets = limits.held_bytes + limits.answer_bytes + pool;
+        if memory.is_some_and(|bytes| budgets > bytes) {
+            warn!(self.log, "budgets exceed the memory"; "budget_bytes" => budgets);
+        }
+        let buffers = SocketBuffers::new(pool).with_metrics(parts.answer_metrics());
+        if let Err(e) = buffers.set_base(callers) {
+            warn!(self.log, "socket buffers are not bounded"; "error" => e.to_string());
+        }
+        buffers
+    }
+}
+
 /// Runs the driver. A panic there is a violated invariant and aborts the process.
 async fn run_or_abort<B: Dispatcher>(
     driver: Driver<B>,
--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -35,7 +35,7 @@
 use crate::source::{PendingRecords, SourceSink};
 use crate::status::{self, Readiness};
 use crate::streams::{SharedStreams, Streams};
-use crate::telemetry::{LogLimiter, Metrics, ReadLog};
+use crate::telemetry::{AnswerMetrics, LogLimiter, Metrics, ReadLog};
 
 /// Number of consecutive broken dispatches after which an endpoint is ejected. Healthy plain
 /// servers also fail some requests (one in seven in deployments), so a single failure is weak
@@ -165,6 +165,11 @@
         }
     }
 
+    /// Returns the metrics of answers and of the buffers that they take.
+    pub fn answer_metrics(&self) -> AnswerMetrics {
+        self.metrics.answer_metrics()
+    }
+
     /// Creates the ingress for callers.
     pub fn ingress<I: Interface>(&self, interface: I, inputs: mpsc::Sender<Input>) -> Ingress<I> {
         let limits = IngressLimits::new(&self.settings.limits);
--- a/crates/firdock-node/src/telemetry/answer_metrics.rs
+++ b/crates/firdock-node/src/telemetry/answer_metrics.rs
@@ -1,4 +1,4 @@
-//! Metrics of answers that are buffered for slow callers.
+//! Metrics of answers that are buffered for slow callers, and of the kernel's buffers for long transfers.
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -11,10 +11,11 @@
     cause: &'static str,
 }
 
-/// Buffered bytes, and answers that were cut.
+/// Buffered bytes, bytes taken for larger socket buffers, and answers that were cut.
 #[derive(Debug, Clone, Default)]
 pub struct AnswerMetrics {
     bytes: Gauge,
+    buffers: Gauge,
     cut: Family<ByCause, Counter>,
 }
 
@@ -26,6 +27,11 @@
             "Bytes of answers that wait for their callers",
             self.bytes.clone(),
         );
+        registry.register(
+            "caller_buffer_bytes",
+            "Bytes of the kernel's memory that long transfers of callers may take now",
+            self.buffers.clone(),
+        );
         registry.register(
             "answers_cut",
             "Answers cut because their callers did not read them",
@@ -38,6 +44,11 @@
         self.bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
     }
 
+    /// Sets the bytes that larger socket buffers may take now.
+    pub fn set_buffers(&self, bytes: usize) {
+        self.buffers.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
     /// Counts an answer that was cut.
     pub fn count_cut(&self, cause: &'static str) {
         self.cut.get_or_create(&ByCause { cause }).inc();
--- a/crates/firdock-policy/src/transfer.rs
+++ b/crates/firdock-policy/src/transfer.rs
@@ -6,6 +6,17 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+/// Pool of an instance whose memory is not known, in bytes.
+const DEFAULT_POOL_BYTES: usize = 12 << 20;
+/// Divisor of the instance's memory for the pool. Budgets of bodies and answers take about half of a small instance.
+const POOL_DIVISOR: usize = 8;
+
+/// Returns the pool of an instance by its memory in bytes.
+#[must_use]
+pub fn pool_bytes(memory: Option<usize>) -> usize {
+    memory.map_or(DEFAULT_POOL_BYTES, |bytes| bytes / POOL_DIVISOR)
+}
+
 /// Bytes of the kernel's memory that all long transfers share.
 #[derive(Debug, Clone)]
 pub struct BufferPool(Arc<AtomicUsize>);
@@ -102,6 +113,12 @@
         shrinks.then_some(BufferSize::Base)
     }
 
+    /// Returns whether bytes of the pool are taken for it.
+    #[must_use]
+    pub fn is_large(&self) -> bool {
+        self.lease.is_some()
+    }
+
     /// Returns the bytes that passed since the buffer was made small again, while its lease lasts.
     #[must_use]
     pub fn bytes_since_end(&self) -> Option<usize> {
--- a/crates/firdock-policy/tests/policy/transfer.rs
+++ b/crates/firdock-policy/tests/policy/transfer.rs
@@ -1,6 +1,6 @@
 //! Larger socket buffers for long transfers: who gets one, and how long it counts.
 
-use firdock_policy::transfer::{BufferPool, BufferSize, TransferBuffer};
+use firdock_policy::transfer::{BufferPool, BufferSize, TransferBuffer, pool_bytes};
 
 /// Bytes after which a transfer is long.
 const THRESHOLD: usize = 1_000;
@@ -44,6 +44,14 @@
     assert!(grows(&mut buffers[0], 1, &pool), "room came back");
 }
 
+/// The pool was the same on machines of any size: it took a seventh of the smallest, and little of the others.
+#[test]
+fn the_pool_follows_from_the_memory_of_the_instance() {
+    assert_eq!(pool_bytes(Some(88_000_000)), 11_000_000);
+    assert_eq!(pool_bytes(Some(260_000_000)), 32_500_000);
+    assert!(pool_bytes(None) < 110_000_000 / 8);
+}
+
 /// A caller could fill a large buffer, end its transfer and begin another one elsewhere with the same bytes of the pool.
 #[test]
 fn a_large_buffer_counts_until_it_is_known_to_be_empty() {
