A caller that has read its long answer leaves the pool of buffers to others

What callers saw: with the bound on the kernel's buffers, 21 kept connections that had read one long answer each took the whole pool, as they rested or sent small requests; a 25th caller's long answer got the small buffer (found in review).

Cause: the pool's bytes came back only with 64 KiB more of answers, or with the connection.

Change: at the next request, the kernel is asked whether it would take bytes (`poll`), which it says only while it holds less than the base buffer. One call for each request of a connection that holds a part of the pool, none for others.

Left: a connection that rests after its long answer without another request keeps its part until it is closed. Weighed: asking for the queue's length needs a call that no safe library here has.

--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -210,10 +210,7 @@
             warn!(self.log, "budgets exceed the memory"; "budget_bytes" => budgets);
         }
         let buffers = SocketBuffers::new(pool).with_metrics(parts.answer_metrics());
-        if let Err(e) = buffers.set_base(callers) {
-            warn!(self.log, "socket buffers are not bounded"; "error" => e.to_string());
-        }
-        buffers
+        buffers.with_listener(callers, &self.log)
     }
 }
 
--- a/crates/firdock-node/src/http/socket_buffers.rs
+++ b/crates/firdock-node/src/http/socket_buffers.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 
 use firdock_policy::transfer::{BufferPool, BufferSize, TransferBuffer};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use slog::{Logger, warn};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -67,18 +69,16 @@
         }))
     }
 
-    /// Sets the small buffers of a listener, which its connections inherit, also those not accepted yet.
-    ///
-    /// # Errors
-    ///
-    /// Returns the operating system's error; connections have the system's sizes then.
-    pub fn set_base(&self, listener: &TcpListener) -> io::Result<()> {
-        if self.0.is_none() {
-            return Ok(());
+    /// Sets the small buffers of a listener, which its connections inherit, also those not accepted yet. If the system
+    /// refuses, which is logged, they have the system's sizes.
+    #[must_use]
+    pub fn with_listener(self, listener: &TcpListener, log: &Logger) -> Self {
+        if self.0.is_some()
+            && let Err(e) = set_base(listener)
+        {
+            warn!(log, "socket buffers are not bounded"; "error" => e.to_string());
         }
-        let socket = SockRef::from(listener);
-        socket.set_send_buffer_size(SEND_BYTES)?;
-        socket.set_recv_buffer_size(RECEIVE_BYTES)
+        self
     }
 
     pub(super) fn connection(&self) -> ConnectionBuffers {
@@ -93,6 +93,12 @@
     }
 }
 
+fn set_base(listener: &TcpListener) -> io::Result<()> {
+    let socket = SockRef::from(listener);
+    socket.set_send_buffer_size(SEND_BYTES)?;
+    socket.set_recv_buffer_size(RECEIVE_BYTES)
+}
+
 /// Both buffers of one connection.
 #[derive(Debug)]
 struct Transfers {
@@ -149,6 +155,10 @@
             return;
         }
         set_send(stream, t.sent.end());
+        // The kernel reports room only while it holds less than the base buffer.
+        if t.sent.bytes_since_end().is_some() && has_room(stream) {
+            t.release_sent();
+        }
         let size = t
             .received
             .pass(bytes, LONG_REQUEST_BYTES, LARGE_LEASE_BYTES, &t.shared.pool);
@@ -177,6 +187,12 @@
     }
 }
 
+/// Returns whether the kernel would take bytes now. An error says nothing, so the bytes of the pool stay taken.
+fn has_room(stream: &TcpStream) -> bool {
+    let mut polled = [PollFd::new(stream, PollFlags::OUT)];
+    poll(&mut polled, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
+}
+
 fn set_send(stream: &TcpStream, size: Option<BufferSize>) {
     let bytes = match size {
         None => return,
