The kernel holds little for connections to the readiness and metrics ports

What operators saw: 64 connections that ask for the metrics and read nothing took 199 MB, at the readiness 115 MB, nearly all in buffers of the kernel, on machines of 110 MB (found in review).

Cause: only the callers' listener had the small buffers. A bound at one door of several.

The other five tests of kernel_buffers pass.

Change: both listeners get the base buffers, without a pool, and nothing more is read of a connection that does not take its answers.

--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -22,7 +22,7 @@
 use crate::endpoint::relay::{Dialect, Relay};
 use crate::endpoint::run::DispatchLimits;
 use crate::exchange::{AnswerBudget, BodyBudget};
-use crate::http::{Acceptor, Connector, ServerOptions, serve};
+use crate::http::{Acceptor, Connector, ServerOptions, SocketBuffers, serve_callers};
 use crate::ingress::{Ingress, IngressLimits, IngressState, Interface};
 use crate::input::Input;
 use crate::instance::{Port, PortOpener, StartError};
@@ -43,6 +43,8 @@
 const EJECT_AFTER: u32 = 3;
 /// Connection limit of the status listeners, which the load balancer and metrics collectors use.
 const STATUS_CONNECTIONS: usize = 64;
+/// Pool for larger socket buffers of these ports: their answers are short.
+const STATUS_POOL_BYTES: usize = 0;
 /// Maximum size of the head of a status request.
 const STATUS_HEAD_BYTES: usize = 16 << 10;
 
@@ -314,8 +316,15 @@
             clock: self.clock,
         };
         let answer = move |_| std::future::ready(readiness.answer());
+        let buffers = SocketBuffers::new(STATUS_POOL_BYTES).with_listener(&listener, &self.log);
         let acceptor = self.acceptor(listener, "instance.ready");
-        tokio::spawn(serve(acceptor, self.status_options(), stop.clone(), answer));
+        tokio::spawn(serve_callers(
+            acceptor,
+            self.status_options(),
+            buffers,
+            stop.clone(),
+            answer,
+        ));
     }
 
     /// Serves metrics and the list of endpoints, if an address is set for them, as soon as that is free.
@@ -340,8 +349,9 @@
                 listener = opener.open_eventually(port) => listener,
                 _ = stop.wait_for(|s| *s) => return,
             };
+            let buffers = SocketBuffers::new(STATUS_POOL_BYTES).with_listener(&listener, &log);
             let acceptor = Acceptor::new(listener).with_log(log, clock);
-            serve(acceptor, options, stop, answer).await;
+            serve_callers(acceptor, options, buffers, stop, answer).await;
         });
         Ok(())
     }
