Texts of callers and endpoints take a bounded part of a log line

Cause: the queue of lines is bounded by their number, 8,192, and a line held whatever a caller sent as an id.

Change: ids, attempts, segments, paths, details and reports of endpoints are cut at 256 bytes in lines. The text itself is used as before.

Why this: a bound in bytes on the queue would let one caller's lines push all others out.

--- a/crates/firdock-node/src/exchange/budget.rs
+++ b/crates/firdock-node/src/exchange/budget.rs
@@ -12,7 +12,7 @@
 use super::Payload;
 use super::queue::Queue;
 use crate::clock::Clock;
-use crate::telemetry::{AnswerMetrics, LogKind, LogLimiter};
+use crate::telemetry::{AnswerMetrics, LogKind, LogLimiter, excerpt};
 
 /// Why an answer was cut.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -166,7 +166,7 @@
             {
                 warn!(self.log, "slow reader cut";
                     "request_id" => answer.request.to_string(),
-                    "call" => answer.call,
+                    "call" => answer.call.as_deref().map(excerpt),
                     "account" => answer.account,
                     "cause" => cause.as_str(),
                     "held_bytes" => held,
--- a/crates/firdock-node/src/ingress/handler.rs
+++ b/crates/firdock-node/src/ingress/handler.rs
@@ -28,7 +28,7 @@
 use crate::input::Input;
 use crate::site::Site;
 use crate::streams::{FoundStream, SharedStreams, StreamKey, StreamSource};
-use crate::telemetry::{LogKind, LogLimiter, Metrics, Span, TraceContext};
+use crate::telemetry::{LogKind, LogLimiter, Metrics, Span, TraceContext, excerpt};
 
 /// Header with the W3C trace context.
 pub(super) const TRACE_HEADER: HeaderName = HeaderName::from_static("traceparent");
@@ -197,11 +197,11 @@
         let age = self.site.confirmed_at().map(|at| age_millis(now, at));
         warn!(self.log, "call refused";
             "request_id" => id.to_string(),
-            "call" => call,
+            "call" => call.map(excerpt),
             "outcome" => problem.outcome().as_str(),
             "reason" => problem.reason(),
             "status" => problem.status().as_u16(),
-            "detail" => problem.detail(),
+            "detail" => excerpt(problem.detail()),
             "config_age_millis" => age,
             "account" => problem.body().map(|b| &b.account),
             "body_bytes" => problem.body().map(|b| b.bytes),
@@ -275,8 +275,8 @@
         let start = record.and_then(|r| r.origin.start());
         info!(self.log, "stream taken up";
             "request_id" => id.to_string(),
-            "call" => terms.caller_id.as_ref(),
-            "resumes" => terms.resumes.as_ref(),
+            "call" => terms.caller_id.as_deref().map(excerpt),
+            "resumes" => terms.resumes.as_deref().map(excerpt),
             "source" => found.source.as_str(),
             "pool" => record.map(|r| &r.origin.build().pool),
             "software" => record.map(|r| &r.origin.build().version),
--- a/crates/firdock-node/src/telemetry/decisions.rs
+++ b/crates/firdock-node/src/telemetry/decisions.rs
@@ -19,6 +19,7 @@
 use slog::{KV, Logger, Record, Serializer, info, warn};
 
 use super::endpoints::unavailable_endpoints;
+use super::log::excerpt;
 use super::log_limiter::{LogKind, LogLimiter};
 use crate::clock::{age_millis, millis};
 use crate::endpoint::{AnswerEnd, Ending, Framing};
@@ -94,7 +95,7 @@
             "rank" => row.rank,
             "endpoint" => &dispatch.endpoint,
             "software" => endpoint.map(|e| &e.declared.version),
-            "resumes" => exchange.payload.terms.resumes.as_ref(),
+            "resumes" => resumed_attempt(exchange),
             "dispatch" => dispatch.dispatch,
             "content" => exchange.content.id.to_string(),
             "segments" => segments(exchange),
@@ -119,7 +120,7 @@
     /// Logs that a report of an endpoint could not be parsed and is ignored.
     pub fn malformed_report(&self, now: Time, kind: LogKind, endpoint: &EndpointId, report: &str) {
         if self.limiter.allow(&self.log, now, kind) {
-            warn!(self.log, "{}", kind.as_str(); "endpoint" => endpoint, "told" => report);
+            warn!(self.log, "{}", kind.as_str(); "endpoint" => endpoint, "told" => excerpt(report));
         }
     }
 
@@ -245,7 +246,7 @@
         info!(self.log, "build of a stream inferred";
             "request_id" => exchange.id.to_string(),
             "call" => call(exchange),
-            "resumes" => exchange.payload.terms.resumes.as_ref(),
+            "resumes" => resumed_attempt(exchange),
             "pool" => build.map(|b| &b.pool),
             "software" => build.map(|b| &b.version),
             "builds" => served_builds(now, t),
@@ -358,7 +359,7 @@
 /// Returns the shared segments of the prompt, if there are any.
 fn segments(exchange: &Exchange) -> Option<String> {
     let segments = &exchange.payload.terms.segments;
-    (!segments.is_empty()).then(|| segments.join(","))
+    (!segments.is_empty()).then(|| excerpt(&segments.join(",")).to_owned())
 }
 
 /// Returns why the last dispatch failed, as far as it is known.
@@ -414,8 +415,13 @@
 }
 
 /// Returns the request id that the caller gave, if any.
-fn call(exchange: &Exchange) -> Option<&String> {
-    exchange.payload.terms.caller_id.as_ref()
+fn call(exchange: &Exchange) -> Option<&str> {
+    exchange.payload.terms.caller_id.as_deref().map(excerpt)
+}
+
+/// Returns the attempt that a caller continues, if any.
+fn resumed_attempt(exchange: &Exchange) -> Option<&str> {
+    exchange.payload.terms.resumes.as_deref().map(excerpt)
 }
 
 /// Returns who currently places requests on engines.
--- a/crates/firdock-node/src/telemetry/log.rs
+++ b/crates/firdock-node/src/telemetry/log.rs
@@ -42,6 +42,10 @@
 /// within the time that is reserved before the platform kills the process.
 pub(super) const FLUSH_TIME: Duration = Duration::from_millis(300);
 
+/// Maximum length of a text of a caller or an endpoint in a log line, in bytes. The queue is bounded in lines, so a line
+/// has to be bounded in bytes.
+const MAX_TEXT_BYTES: usize = 256;
+
 /// Flushes the queue of lines when it is dropped, so it has to live as long as the process logs.
 ///
 /// The flush ends after 300 ms, even if the destination takes nothing.
@@ -80,6 +84,12 @@
     )
 }
 
+/// Returns as much of a text of a caller or an endpoint as a log line takes.
+#[must_use]
+pub fn excerpt(text: &str) -> &str {
+    &text[..text.floor_char_boundary(MAX_TEXT_BYTES)]
+}
+
 /// Creates a logger that discards everything, for tests and measurements.
 pub fn discard_logger() -> Logger {
     Logger::root(slog::Discard, o!())
--- a/crates/firdock-node/src/telemetry/suspects.rs
+++ b/crates/firdock-node/src/telemetry/suspects.rs
@@ -12,6 +12,7 @@
 use slog::{Logger, info, warn};
 
 use super::Metrics;
+use super::log::excerpt;
 use super::log_limiter::{LogKind, LogLimiter};
 use crate::clock::millis;
 
@@ -126,7 +127,7 @@
             .collect();
         warn!(self.log, "request quarantined"; "content" => report.content.id.to_string(),
             "account" => &report.account, "service" => &report.service,
-            "path" => &*report.content.path, "ends" => ends.join("; "));
+            "path" => excerpt(&report.content.path), "ends" => ends.join("; "));
     }
 
     /// Returns the requests that are no longer quarantined, and logs each.
