--- a/crates/firdock-node/src/telemetry.rs
+++ b/crates/firdock-node/src/telemetry.rs
@@ -22,7 +22,7 @@
 pub use body_metrics::BodyMetrics;
 pub use decisions::DecisionLog;
 pub use endpoints::EndpointList;
-pub use log::{Level, LogGuard, StandardOutput, discard_logger, excerpt, logger};
+pub use log::{Level, LogGuard, StandardOutput, discard_logger, excerpt, logger, write_error};
 pub use log_limiter::{LogKind, LogLimiter};
 pub use metrics::Metrics;
 pub(crate) use panics::flush_before_abort;
--- a/crates/firdock-node/src/telemetry/log/output.rs
+++ b/crates/firdock-node/src/telemetry/log/output.rs
@@ -57,7 +57,7 @@
 /// # Errors
 ///
 /// Fails with the error of the write, or with `TimedOut` if there is no room.
-pub(in crate::telemetry) fn write_error(message: &[u8]) -> io::Result<()> {
+pub fn write_error(message: &[u8]) -> io::Result<()> {
     let stderr = io::stderr();
     let out = stderr.as_fd();
     for part in message.chunks(PIPE_BYTES) {
