--- a/crates/firdock-policy/src/transfer.rs
+++ b/crates/firdock-policy/src/transfer.rs
@@ -125,7 +125,7 @@
         (self.lease.is_some() && self.shrunk).then_some(self.bytes)
     }
 
-    /// Gives the lease back, since the kernel holds no more than a base buffer.
+    /// Returns the lease to the pool, since the kernel holds no more than a base buffer.
     pub fn release(&mut self) {
         self.lease = None;
         self.shrunk = false;
