An end outlives the later start that gave its answer

Callers of an instance that panicked lost what it served: the process aborted (SIGABRT, 134) with 'a referenced row must not be removed'.

Cause: an answer whose start was listed after it was sent is judged at the row of that start (serving_row). A request keeps only the row of its dispatch. If the start was replaced as well while the end waited for a check through a peer, or for a peer's word on a refusal, its row was removed, and the next check of the end looked it up.

--- a/crates/firdock-policy/tests/policy/end_lifecycle.rs
+++ b/crates/firdock-policy/tests/policy/end_lifecycle.rs
@@ -487,6 +487,37 @@
     }
 }
 
+/// Guards against an instance that aborts, since the start that gave an answer, and was listed after it was sent, is replaced as
+/// well while the end waits for what a peer reaches: nothing else refers to its row, which is removed.
+#[test]
+fn an_end_outlives_the_later_start_that_gave_its_answer() {
+    for service in ["safe", "once"] {
+        for is_passed_on in [true, false] {
+            let settings = edge_settings("a").with_unix_zero(UNIX_ZERO);
+            let settings = settings.with_routes_by_peers();
+            let mut answer = Answer::start(settings, request(1, service, "free"));
+            if is_passed_on {
+                answer.update(DispatchUpdate::ConnectFailed(ConnectFailure::Refused));
+                answer.update(DispatchUpdate::PassedOn);
+            }
+            answer.begin();
+            answer.pass(millis(500));
+            let began = answer.edge.now.saturating_sub(millis(2_000));
+            list_start(&mut answer, began);
+            let closed = answer.close();
+            if !is_passed_on {
+                answer.check_start(&closed, Liveness::Ended);
+            }
+            answer.pass(millis(50));
+            let next_began = answer.edge.now;
+            let replaced = list_start(&mut answer, next_began);
+            let restarted = EndVerdict::rejected(EndEvidence::Restarted);
+            let case = format!("{service}, passed on: {is_passed_on}");
+            assert_eq!(verdict_of(&replaced), Some(restarted), "{case}");
+        }
+    }
+}
+
 /// Guards against a check through a peer that began before an answer ended, and is taken for one after it.
 #[test]
 fn a_check_through_a_peer_covers_no_end_that_came_later() {
