An end keeps the row of the start that is to judge it

Callers got a whole answer told as broken (or run again) when its start, which was listed after the request was sent, left the configuration while the end waited for its check: 'Restarted', though nothing had restarted.

Cause: only running requests kept rows, and they count at the row of their dispatch. The row of the later start was removed with its entry, and an end without that row is judged as replaced.

Rows to which ends refer are kept now, like those with requests, so that a number that an end has never denotes no row, or another one.

end_lifecycle::an_end_is_judged_after_the_entry_of_its_later_start_is_gone failed before with an end rejected as Restarted.

--- a/crates/firdock-policy/src/system/config.rs
+++ b/crates/firdock-policy/src/system/config.rs
@@ -116,9 +116,12 @@
 
 /// Removes rows that are neither declared nor referenced and that hold no state to keep.
 fn remove_unused(t: &mut Tables, now: Time) {
-    t.services.remove_if(|s| !s.present && s.live == 0);
-    t.accounts.remove_if(|a| !a.present && a.live == 0);
+    t.services.remove_if(|_, s| !s.present && s.live == 0);
+    t.accounts.remove_if(|_, a| !a.present && a.live == 0);
     // Services are linked to present endpoints only.
-    t.endpoints
-        .remove_if(|e| !e.present && e.running == 0 && !e.keeps_notices(now));
+    let ends = &t.unproven_ends;
+    t.endpoints.remove_if(|at, e| {
+        let is_needed = e.running > 0 || ends.refer_to(at) || e.keeps_notices(now);
+        !e.present && !is_needed
+    });
 }
--- a/crates/firdock-policy/src/system/handover.rs
+++ b/crates/firdock-policy/src/system/handover.rs
@@ -266,7 +266,7 @@
 /// Removes peers that have been silent for long and hold none of this instance's requests.
 pub fn remove_silent_peers(t: &mut Tables, now: Time) {
     let (stale, runs_since) = (t.peer_stale_after(), t.absence.runs_since());
-    t.peers.remove_if(|p| {
+    t.peers.remove_if(|_, p| {
         let keep = if p.draining { stale } else { SILENT_PEER_TTL };
         p.handed_over == 0 && p.last_seen.max(runs_since) + keep < now
     });
--- a/crates/firdock-policy/src/system/unproven_end.rs
+++ b/crates/firdock-policy/src/system/unproven_end.rs
@@ -73,8 +73,7 @@
 
 /// Starts a liveness check of the start that gave an answer, on the way by which the answer came.
 ///
-/// A start that another one has replaced is not checked: its row may have been removed, since only that of the dispatch is
-/// kept for a request, and the end is judged by its replacement.
+/// A start that another one has replaced is not checked: the end is judged by its replacement.
 fn start_check(t: &mut Tables, now: Time, id: RequestId, out: &mut Vec<Action>) {
     let Some(end) = t.unproven_ends.get(id) else {
         return;
--- a/crates/firdock-policy/src/table/rows.rs
+++ b/crates/firdock-policy/src/table/rows.rs
@@ -69,11 +69,11 @@
         self.by_name.remove(name)
     }
 
-    /// Removes the rows for which `drop` returns true.
-    pub fn remove_if(&mut self, mut drop: impl FnMut(&R) -> bool) {
+    /// Removes the rows for which `drop`, given the number and the row, returns true.
+    pub fn remove_if(&mut self, mut drop: impl FnMut(usize, &R) -> bool) {
         let before = self.free.len();
         for (row, slot) in self.slots.iter_mut().enumerate() {
-            if slot.as_ref().is_some_and(&mut drop) {
+            if slot.as_ref().is_some_and(|kept| drop(row, kept)) {
                 *slot = None;
                 self.free.push(row);
             }
--- a/crates/firdock-policy/src/table/unproven_ends.rs
+++ b/crates/firdock-policy/src/table/unproven_ends.rs
@@ -73,6 +73,13 @@
             .filter(move |end| end.dispatched_row == endpoint)
     }
 
+    /// Returns whether an end is to be judged at an endpoint's row, which is kept for it.
+    #[must_use]
+    pub fn refer_to(&self, row: usize) -> bool {
+        let mut ends = self.rows.iter();
+        ends.any(|end| end.dispatched_row == row || end.serving_row == row)
+    }
+
     /// Returns the end of a request's answer.
     #[must_use]
     pub fn get(&self, id: RequestId) -> Option<&UnprovenEnd> {
--- a/crates/firdock-policy/tests/policy/end_lifecycle.rs
+++ b/crates/firdock-policy/tests/policy/end_lifecycle.rs
@@ -518,6 +518,27 @@
     }
 }
 
+/// Guards against a whole answer that is told as broken, since the start that gave it, and was listed after it was sent, leaves the
+/// configuration while its end waits: nothing else refers to its row, which is removed.
+#[test]
+fn an_end_is_judged_after_the_entry_of_its_later_start_is_gone() {
+    for service in ["safe", "once"] {
+        for found in [Liveness::Open, Liveness::Ended] {
+            let mut answer = with_starts(service);
+            let began = answer.edge.now.saturating_sub(millis(2_000));
+            list_start(&mut answer, began);
+            let closed = answer.close();
+            let rest = without_endpoint(&answer.endpoint);
+            let catalog = Catalog::new(2).with_resources(rest);
+            let removed = answer.edge.step(Event::Config(Arc::new(catalog)));
+            assert_eq!(verdict_of(&removed), None, "{service} {found:?}");
+            let judged = answer.check_start(&closed, found);
+            let verdict = verdict_of(&judged).expect("a verdict");
+            assert_eq!(verdict.accepted, found == Liveness::Open, "{service}");
+        }
+    }
+}
+
 /// Guards against a check through a peer that began before an answer ended, and is taken for one after it.
 #[test]
 fn a_check_through_a_peer_covers_no_end_that_came_later() {
