A service that may run once only from now on ends the requests that ran

An instance aborted ('request ... is not repeatable, ran before and is held', or '... was sent again') when a configuration was read by which a service's requests may run once only (a manifest's kind, or resumable), while a request of it waited for a second attempt, or its second attempt came back unsent.

Cause: whether a request may run again was decided when it broke, and never again. The dispatch and the check of the invariants go by the configuration in force.

Such requests are withdrawn with the configuration, as those of an account without access are: a second attempt that is not written yet is withheld, a request that is held ends as unknown, and one that is being answered goes on.

edge::a_request_that_ran_is_not_sent_once_its_service_may_run_once_only failed before with the panic of the check; random lists of operations also met the one of the dispatch (place.rs).

--- a/crates/firdock-policy/src/system/config.rs
+++ b/crates/firdock-policy/src/system/config.rs
@@ -2,10 +2,12 @@
 
 use std::collections::HashMap;
 
+use firdock_core::RequestId;
 use firdock_core::resource::{Catalog, Tier};
 
-use super::{budget, continuation, limit, restart, rollout, suspect};
+use super::{access, budget, continuation, limit, restart, rollout, suspect};
 use crate::action::Action;
+use crate::request::RequestRow;
 use crate::table::Tables;
 use crate::table::account::AccountRow;
 use crate::table::endpoint::EndpointRow;
@@ -22,6 +24,7 @@
     apply_endpoints(t, now, catalog, out);
     continuation::record_builds(t, now, out);
     apply_services(t, catalog);
+    withdraw_repeated_requests(t, out);
     link_endpoints(t);
     rollout::apply(t, now, catalog);
     remove_unused(t, now);
@@ -90,6 +93,18 @@
     }
 }
 
+/// Withdraws the requests that were sent again, or are about to be, by an earlier configuration, and whose services may run a request
+/// only once by this one.
+fn withdraw_repeated_requests(t: &mut Tables, out: &mut Vec<Action>) {
+    let may_run_once =
+        |r: &&RequestRow| r.ran_before && !t.services.get(r.service).declared.repeatable;
+    let rows = t.requests.iter().filter(may_run_once);
+    let ids: Vec<RequestId> = rows.map(|r| r.new.id).collect();
+    for id in ids {
+        access::withdraw(t, id, out);
+    }
+}
+
 /// Links services to the rows of their endpoints: those that name the service and those of its
 /// pools.
 fn link_endpoints(t: &mut Tables) {
--- a/crates/firdock-policy/tests/policy/edge.rs
+++ b/crates/firdock-policy/tests/policy/edge.rs
@@ -11,6 +11,7 @@
 };
 use firdock_core::{Outcome, Reason};
 use firdock_policy::event::{DispatchUpdate, EndpointEvent, PeerUpdate};
+use firdock_policy::notice::{Notice, NoticeReport};
 use firdock_policy::{
     Action, Event, Mechanisms, NewRequest, Policy as _, PolicySettings, Scheduler, Time,
 };
@@ -458,3 +459,45 @@
     assert!(dispatched(&actions).is_empty());
     assert_eq!(verdict(&actions), Some((Outcome::NotRun, Reason::TimedOut)));
 }
+
+/// Guards against an instance that aborts, or runs a request twice, since its service may run once only by a configuration that is
+/// read while the request waits for its second attempt, or after it was sent.
+#[test]
+fn a_request_that_ran_is_not_sent_once_its_service_may_run_once_only() {
+    for is_sent in [false, true] {
+        let mut edge = EdgeScheduler::new(edge_settings("a"), resources());
+        let sent = dispatched(&edge.arrive(request(1, "safe", "free")));
+        let other = if sent[0].1 == "e1" { "e2" } else { "e1" };
+        if !is_sent {
+            edge.step(Event::NoticeReported(NoticeReport {
+                endpoint: other.to_owned(),
+                member: String::new(),
+                notice: Notice {
+                    backoff: Some(millis(300)),
+                    ..Notice::default()
+                },
+                read: edge.now,
+            }));
+        }
+        let broke = edge.update_dispatch(1, 1, BROKE);
+        assert_eq!(dispatched(&broke).len(), usize::from(is_sent));
+        assert_eq!(verdict(&broke), None);
+        let mut all = resources();
+        for resource in &mut all {
+            if let Resource::Service(s) = resource {
+                s.repeatable = false;
+            }
+        }
+        let catalog = Catalog::new(2).with_resources(all);
+        let mut actions = edge.step(Event::Config(Arc::new(catalog)));
+        if is_sent {
+            let withheld = |a: &Action| matches!(a, Action::Withhold { dispatch: 2, .. });
+            assert!(actions.iter().any(withheld), "{actions:?}");
+            actions.extend(edge.update_dispatch(1, 2, DispatchUpdate::Withheld));
+        }
+        actions.extend(edge.advance(millis(400)));
+        assert!(dispatched(&actions).is_empty(), "{actions:?}");
+        let changed = Some((Outcome::Unknown, Reason::AccessChanged));
+        assert_eq!(verdict(&actions), changed, "sent: {is_sent}");
+    }
+}
