Random lists of restarts, removals and waiting ends; a start told twice counts once

The new test draws them in any order over the scheduler, and checks after each event that every number that is kept denotes the row that it was kept for.

Lists that fail are shortened by up to 4,096 tries; it were 4.

--- a/crates/firdock-policy/src/system/lifecycle.rs
+++ b/crates/firdock-policy/src/system/lifecycle.rs
@@ -50,7 +50,7 @@
 /// Releases the request's place at the endpoint or peer that it leaves.
 fn release_place(t: &mut Tables, id: RequestId, old: Phase, new: Phase) {
     match (old, new) {
-        (Phase::Dispatching(a), Phase::Running(b)) if a == b => {}
+        (Phase::Dispatching(a) | Phase::Running(a), Phase::Running(b)) if a == b => {}
         (Phase::Dispatching(e) | Phase::Running(e), _) => {
             release_prefill(t, id, e);
             t.endpoints.get_mut(e).running -= 1;
--- a/crates/firdock-policy/tests/policy/main.rs
+++ b/crates/firdock-policy/tests/policy/main.rs
@@ -24,6 +24,7 @@
 mod rollout;
 mod room;
 mod routes;
+mod row_lifecycle;
 mod rules;
 mod shares;
 mod simulation;
--- a/crates/firdock-policy/tests/policy/random.rs
+++ b/crates/firdock-policy/tests/policy/random.rs
@@ -4,6 +4,7 @@
 //! the seed, the shortest failing list of operations, and the command that repeats it.
 
 use std::cell::Cell;
+use std::fmt::Debug;
 
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -17,6 +18,8 @@
 const SEEDS_WITH_RESTARTS: u64 = 64;
 /// Number of operations for each seed.
 const OPS: usize = 160;
+/// Largest number of shorter lists that are tried once one has failed.
+const MAX_SHRINK_ITERS: u32 = 4_096;
 
 fn op() -> impl Strategy<Value = Op> {
     prop_oneof![
@@ -52,39 +55,53 @@
 
 /// Runs a seed; returns how often a request was put in quarantine.
 fn run_seed(seed: u64, op: impl Strategy<Value = Op>) -> u64 {
+    let quarantined = Cell::new(0);
+    play("random", seed, vec(op, OPS..=OPS), |ops| {
+        let mut world = Simulation::new(seed);
+        for op in ops {
+            world.apply(op);
+        }
+        world.check();
+        quarantined.set(world.quarantined);
+    });
+    quarantined.get()
+}
+
+/// Plays a list of operations that a seed draws, and prints the shortest list found that fails.
+pub fn play<O: Debug>(
+    test: &str,
+    seed: u64,
+    ops: impl Strategy<Value = Vec<O>>,
+    run: impl Fn(Vec<O>),
+) {
     let mut bytes = [0; 32];
     bytes[..8].copy_from_slice(&seed.to_le_bytes());
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
     let config = Config {
         cases: 1,
         failure_persistence: None,
+        max_shrink_iters: MAX_SHRINK_ITERS,
         ..Config::default()
     };
     let mut runner = TestRunner::new_with_rng(config, rng);
-    let quarantined = Cell::new(0);
-    let result = runner.run(&vec(op, OPS..=OPS), |ops| {
-        let mut world = Simulation::new(seed);
-        for op in ops {
-            world.apply(op);
-        }
-        world.check();
-        quarantined.set(world.quarantined);
+    let result = runner.run(&ops, |ops| {
+        run(ops);
         Ok(())
     });
     if let Err(TestError::Fail(why, ops)) = result {
         panic!(
             "seed {seed}: {why}\n{ops:?}\nrepeat with: FIRDOCK_SEED={seed} cargo test -p \
-             firdock-policy --test policy random"
+             firdock-policy --test policy {test}"
         );
     }
-    quarantined.get()
 }
 
 fn env_number(name: &str) -> Option<u64> {
     std::env::var(name).ok()?.parse().ok()
 }
 
-fn seeds(count: u64) -> std::ops::Range<u64> {
+/// Returns the seeds to run: `count`, or those that the environment asks for.
+pub fn seeds(count: u64) -> std::ops::Range<u64> {
     match env_number("FIRDOCK_SEED") {
         Some(seed) => seed..seed + 1,
         None => 0..env_number("FIRDOCK_SEEDS").unwrap_or(count),
