An endpoint that gets the row of a canary is no canary

A request of a trial could go to an endpoint that was chosen for none, or to one of the old version, for up to 50 ms.

Cause: a roll-out keeps its canaries as numbers of rows until its next evaluation, and numbers of rows that were removed are used again.

Numbers without a row are taken out of the canaries with the rows.

rollout::an_engine_that_gets_the_row_of_a_canary_is_none failed before: some numbers had no row any more.

--- a/crates/firdock-policy/src/system/config.rs
+++ b/crates/firdock-policy/src/system/config.rs
@@ -139,4 +139,9 @@
         let is_needed = e.running > 0 || ends.refer_to(at) || e.keeps_notices(now);
         !e.present && !is_needed
     });
+    // Another endpoint may get the row.
+    let endpoints = &t.endpoints;
+    for rollout in t.rollouts.rows.values_mut() {
+        rollout.canaries.retain(|at| endpoints.contains(*at));
+    }
 }
--- a/crates/firdock-policy/src/table/rows.rs
+++ b/crates/firdock-policy/src/table/rows.rs
@@ -27,6 +27,12 @@
         self.by_name.get(name).copied()
     }
 
+    /// Returns whether a number denotes a row.
+    #[must_use]
+    pub fn contains(&self, row: usize) -> bool {
+        self.slots.get(row).is_some_and(Option::is_some)
+    }
+
     /// Returns an existing row.
     ///
     /// # Panics
--- a/crates/firdock-policy/tests/policy/rollout.rs
+++ b/crates/firdock-policy/tests/policy/rollout.rs
@@ -505,3 +505,19 @@
         prop_assert!(site.exposed as f64 <= max_exposed, "{} of {}, {max_exposed}", site.exposed, site.sent);
     }
 }
+
+/// Guards against an engine that counts as a canary of a roll-out, since it got the row of one that left.
+#[test]
+fn an_engine_that_gets_the_row_of_a_canary_is_none() {
+    let mut site = RolloutSite::ordered();
+    site.run_second(|_, _| false);
+    site.edge.step(catalog(ENGINES, 0, &[order(NEW, 7)]));
+    let more = ENGINES + 4;
+    site.edge.step(catalog(more, 0, &[order(NEW, 7)]));
+    let t = site.edge.scheduler.tables();
+    let canaries = &t.rollouts.of("pool").expect("a roll-out").canaries;
+    let names = canaries
+        .iter()
+        .map(|at| &t.endpoints.get(*at).declared.name);
+    assert_eq!(names.collect::<Vec<_>>(), Vec::<&String>::new());
+}
