--- a/crates/firdock-policy/tests/policy/row_lifecycle.rs
+++ b/crates/firdock-policy/tests/policy/row_lifecycle.rs
@@ -6,14 +6,15 @@
 
 use firdock_core::resource::{Account, Catalog, Endpoint, PoolWeight, Resource, Service, Tier};
 use firdock_core::{Outcome, Reason, RequestId, StartId};
+use firdock_policy::bodies::WantedRoom;
 use firdock_policy::event::{
-    BreakCause, ConnectFailure, DispatchUpdate, EndpointEvent, HandOverEvent, HandOverRefusal,
-    LinkProbe, Liveness, LivenessResult, PeerUpdate, PoolLinks, RenewedEntry, WatchChange,
-    WatchUpdate,
+    BreakCause, ConnectFailure, DispatchUpdate, EndpointEvent, Grant, HandOverEvent,
+    HandOverRefusal, LinkProbe, Liveness, LivenessResult, PeerUpdate, PoolLinks, RenewedEntry,
+    WatchChange, WatchUpdate,
 };
 use firdock_policy::notice::{Notice, NoticeReport};
 use firdock_policy::request::Phase;
-use firdock_policy::{Action, Event, Policy as _, Scheduler, Time, Verdict};
+use firdock_policy::{AccountShares, Action, Event, Policy as _, Scheduler, Time, Verdict};
 use proptest::collection::vec;
 use proptest::prelude::*;
 
@@ -126,6 +127,19 @@
     Toggle {
         resource: u8,
     },
+    /// Requests are shed for a body, or an instance's requests are placed by another one.
+    Shed {
+        rank: u8,
+    },
+    Coordinate {
+        answers: bool,
+    },
+    /// Another instance chose an endpoint for a request, or reports one that runs.
+    Grant {
+        request: u8,
+        start: u8,
+        adopted: bool,
+    },
     /// A service's requests may run twice from now on, or may not any more.
     Repeat {
         service: u8,
@@ -159,6 +173,10 @@
         2 => any::<(u8, u8)>().prop_map(|(request, event)| Op::HandOver { request, event }),
         2 => any::<u8>().prop_map(|resource| Op::Toggle { resource }),
         1 => any::<u8>().prop_map(|service| Op::Repeat { service }),
+        1 => (0_u8..2).prop_map(|rank| Op::Shed { rank }),
+        1 => any::<bool>().prop_map(|answers| Op::Coordinate { answers }),
+        1 => any::<(u8, u8, bool)>()
+            .prop_map(|(request, start, adopted)| Op::Grant { request, start, adopted }),
         // Seldom, since an instance that stops takes nothing more.
         1 => (0_u8..8).prop_map(|n| if n == 0 { Op::Drain } else { Op::Pass { millis: 25 } }),
     ]
@@ -195,9 +213,17 @@
 impl World {
     fn new(seed: u64) -> Self {
         let mut settings = edge_settings("a").with_unix_zero(UNIX_ZERO);
+        settings.account_shares = match seed % 5 {
+            0 => AccountShares::ByTier,
+            1 => AccountShares::OverTiers,
+            _ => AccountShares::default(),
+        };
         if !seed.is_multiple_of(4) {
             settings = settings.with_routes_by_peers();
         }
+        if seed % 7 == 6 {
+            settings = settings.with_coordination();
+        }
         settings.max_held = 20;
         let mut world = Self {
             scheduler: Scheduler::new(settings),
@@ -357,6 +383,16 @@
                     account
                 });
             }
+            Op::Shed { rank } => {
+                let room = WantedRoom { rank, bytes: 1 };
+                self.step(Event::RoomWanted(room));
+            }
+            Op::Coordinate { answers } => self.step(Event::Coordinated(answers)),
+            Op::Grant {
+                request,
+                start,
+                adopted,
+            } => self.grant(request, start, adopted),
             Op::Repeat { service } => {
                 let service = pick(&SERVICES, service).unwrap_or_default();
                 if !self.repeatable.remove(service) {
@@ -518,10 +554,13 @@
         let services = SERVICES.iter().filter(|name| listed(name));
         let accounts = (0..ACCOUNTS).map(|n| format!("a{n}"));
         let accounts = accounts.filter(|name| listed(name));
-        let tier = Tier {
-            name: "tier".to_owned(),
-            target_millis: 500,
-            ..Tier::default()
+        let tier = |rank: usize| {
+            Resource::Tier(Tier {
+                name: format!("tier{rank}"),
+                rank: rank as u8,
+                target_millis: 500,
+                ..Tier::default()
+            })
         };
         let account = |name: String| {
             Resource::Account(Account {
@@ -529,7 +568,7 @@
                 ..Account::default()
             })
         };
-        let mut all = vec![Resource::Tier(tier)];
+        let mut all: Vec<Resource> = (0..SERVICES.len()).map(tier).collect();
         all.extend(accounts.map(account));
         all.extend(services.map(|name| service(name, self.repeatable.contains(name))));
         all.extend(endpoints.map(Resource::Endpoint));
@@ -574,6 +613,24 @@
         }
     }
 
+    fn grant(&mut self, drawn: u8, start: u8, adopted: bool) {
+        let Some(endpoint) = pick(&self.starts, start) else {
+            return;
+        };
+        if adopted && self.scheduler.tables().settings.coordinates {
+            self.sent += 1;
+            let new = request(self.sent, SERVICES[0], "a0");
+            self.step(Event::Adopted(new, endpoint));
+        } else if let Some(id) = self.request(drawn) {
+            self.step(Event::Granted(Grant {
+                id,
+                endpoint,
+                predicted: Time::ZERO,
+                permitted: adopted,
+            }));
+        }
+    }
+
     /// A peer tells of itself, stops, is lost, or is silent until its row goes.
     fn update_peer(&mut self, peer: usize, state: u8) {
         match state % 8 {
@@ -638,7 +695,7 @@
 fn service(name: &str, repeatable: bool) -> Resource {
     Resource::Service(Service {
         name: name.to_owned(),
-        tier: "tier".to_owned(),
+        tier: format!("tier{}", usize::from(name == "once")),
         matches: format!("/{name}"),
         repeatable,
         streamed: true,
