--- a/crates/firdock-state/src/follow.rs
+++ b/crates/firdock-state/src/follow.rs
@@ -80,7 +80,8 @@
             else {
                 continue;
             };
-            if state.next >= batch.first && state.next <= log.offset {
+            let is_covered = state.next >= batch.first && state.next <= log.offset;
+            if is_covered && state.is_possible() {
                 // Reading resumes at the first record that the snapshot does not cover.
                 self.next = state.next;
                 self.state = Some(*state);
@@ -118,6 +119,7 @@
     /// Replaces the state by one from a peer if that is ahead. Returns whether it was.
     pub fn adopt(&mut self, state: State) -> bool {
         let ahead = state.next > self.state.next && state.version >= self.state.version;
+        let ahead = ahead && state.is_possible();
         if ahead {
             self.state = state;
             self.scan = None;
@@ -136,11 +138,15 @@
         if self.scan.is_some() {
             return self.scan_batch(batch);
         }
+        let before = self.state.next;
         let results = fold_all(&mut self.state, &batch.records);
-        Progress::Folded {
-            results,
-            at_end: self.state.next >= batch.next,
+        let read_from = self.state.next;
+        let at_end = read_from >= batch.next;
+        if read_from == before && !at_end {
+            // Records are missing that the log has. Read on at once, they would be missing again.
+            return Progress::Gap { read_from };
         }
+        Progress::Folded { results, at_end }
     }
 
     /// Searches for a snapshot whose later records are all available, and folds the records after it.
@@ -181,14 +187,14 @@
     }
 }
 
-/// Folds the new records and skips those that were folded already.
+/// Folds the new records, up to one that is missing, and skips those that were folded already.
 fn fold_all(state: &mut State, records: &[LogRecord]) -> Vec<(RecordId, FoldOutcome)> {
     let mut results = Vec::new();
-    for log in records
-        .iter()
-        .filter(|r| r.offset >= state.next)
-        .collect::<Vec<_>>()
-    {
+    let known = state.next;
+    for log in records.iter().filter(|r| r.offset >= known) {
+        if log.offset != state.next {
+            break;
+        }
         let record = log.decode();
         let outcome = state.fold(log.offset, log.time(), record.as_ref());
         results.extend(record.map(|r| (r.id, outcome)));
--- a/crates/firdock-state/src/state.rs
+++ b/crates/firdock-state/src/state.rs
@@ -119,6 +119,12 @@
         self.entries.get(key).map_or(0, |e| e.version)
     }
 
+    /// Returns whether records before [`Self::next`] can have led to its version.
+    #[must_use]
+    pub fn is_possible(&self) -> bool {
+        self.version <= self.next
+    }
+
     /// Returns the number of the view in force; 0 before the first.
     #[must_use]
     pub fn view(&self) -> u64 {
--- a/crates/firdock-state/tests/state/main.rs
+++ b/crates/firdock-state/tests/state/main.rs
@@ -1,5 +1,6 @@
-//! Tests of decoding records, folding and following the log, and the directory of endpoints.
+//! Tests of decoding records, folding and following the log, spoilt answers of it, and the directory of endpoints.
 
 mod decode;
 mod directory;
+mod follow;
 mod random;
