A key of this instance's earlier start is not passed on to itself

After a restart of a native instance, and until the log's reader has its record of joining, the members are those of before. A caller whose key belonged to the start before was handed over to this name, which the list of instances has too: the instance dialled itself, received the request under the id that it had already, and the second exchange took the place of the caller's. By reading: had the record been read in between, the second arrival would have ended the process ('request ids must be unique').

Such a key is refused as unconfirmed, as where nobody owns it; the caller may come again with it.

rules::a_key_of_the_earlier_start_of_this_instance_is_not_passed_on failed before: the request was handed over to its own name.

--- a/crates/firdock-policy/src/system/key.rs
+++ b/crates/firdock-policy/src/system/key.rs
@@ -45,6 +45,8 @@
     match t.views.ownership(claim.hash) {
         Ownership::Nobody => refuse_unconfirmed(),
         Ownership::Other(_) if new.origin != Origin::Caller => refuse_unconfirmed(),
+        // An earlier start of this instance: at its name, this one answers.
+        Ownership::Other(owner) if owner.name == t.settings.member.name => refuse_unconfirmed(),
         Ownership::Other(owner) => Decision::PassOn(owner),
         Ownership::Own(since) => match decide_known(t, &claim) {
             Some(decision) => decision,
--- a/crates/firdock-policy/tests/policy/rules.rs
+++ b/crates/firdock-policy/tests/policy/rules.rs
@@ -419,3 +419,19 @@
         "{ends:?}"
     );
 }
+
+/// Guards against an instance that hands a request over to itself, under the id that it has already: after a restart, the members are
+/// those of before until its record is read, and its earlier start owns keys.
+#[test]
+fn a_key_of_the_earlier_start_of_this_instance_is_not_passed_on() {
+    let mut t = TestScheduler::new(settings("a"));
+    let earlier = Member {
+        incarnation: Uuid::from_u64_pair(7, 7),
+        ..t.scheduler.tables().settings.member.clone()
+    };
+    t.view(1, true, vec![earlier]);
+    t.read_log(LOG_START);
+    let actions = t.arrive(with_key(request(1, "orders", "shop"), 5, None));
+    let unconfirmed = vec![(id(1), Outcome::Unknown, Reason::KeyUnconfirmed)];
+    assert_eq!(verdicts(&actions), unconfirmed, "{actions:?}");
+}
