An account that gets the row of another does not take over its use

Callers of an account waited behind all others of their service while it was overloaded, by as much as an account that had left had been ahead of its share (one request of a small share is enough).

Cause: the queue of a service keeps the empty lane of an account whose virtual time lies ahead, by the number of the account's row, and numbers of rows that were removed are used again.

Empty lanes go with the rows of their accounts.

limits::an_account_does_not_take_over_the_use_of_one_that_left failed before: the request of the new account was not the first.

--- a/crates/firdock-policy/src/system/config.rs
+++ b/crates/firdock-policy/src/system/config.rs
@@ -133,6 +133,10 @@
 fn remove_unused(t: &mut Tables, now: Time) {
     t.services.remove_if(|_, s| !s.present && s.live == 0);
     t.accounts.remove_if(|_, a| !a.present && a.live == 0);
+    let accounts = &t.accounts;
+    for (_, s) in t.services.iter_mut() {
+        s.queue.drop_lanes(|account| !accounts.contains(account));
+    }
     // Services are linked to present endpoints only.
     let ends = &t.unproven_ends;
     t.endpoints.remove_if(|at, e| {
--- a/crates/firdock-policy/src/table/queue.rs
+++ b/crates/firdock-policy/src/table/queue.rs
@@ -115,8 +115,6 @@
     }
 
     /// Iterates over the lanes that are not empty: account and number of requests.
-    ///
-    /// An empty lane may outlive its account, so it must not be looked up.
     pub fn lanes(&self) -> impl Iterator<Item = (usize, usize)> {
         let lanes = self.lanes.iter().map(|(a, lane)| (*a, lane.len()));
         lanes.filter(|(_, waiting)| *waiting > 0)
@@ -144,6 +142,14 @@
         true
     }
 
+    /// Drops the empty lanes of accounts for which `is_gone` is true: another account may get their row.
+    pub fn drop_lanes(&mut self, is_gone: impl Fn(usize) -> bool) {
+        let lanes = &mut self.lanes;
+        lanes.retain(|account, lane| lane.len() > 0 || !is_gone(*account));
+        self.order
+            .retain(|(_, account)| lanes.contains_key(account));
+    }
+
     /// Charges an account for work taken from the queue.
     pub fn charge(&mut self, account: usize, cost: u64) {
         let Some(lane) = self.lanes.get_mut(&account) else {
--- a/crates/firdock-policy/tests/policy/limits.rs
+++ b/crates/firdock-policy/tests/policy/limits.rs
@@ -1,12 +1,15 @@
 //! Account limits across all instances, from what each admits and what its peers report.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use firdock_core::resource::{Account, Catalog, Resource};
 use firdock_core::{Outcome, Reason};
 use firdock_policy::event::{
     AccountUse, HandOverEvent, HandOverRefusal, Member, MemberView, PeerUpdate, PeerUse, UseCounts,
     UseTotals,
 };
+use firdock_policy::request::Phase;
 use firdock_policy::usage::UseAggregator;
 use firdock_policy::{Action, Event, NewRequest, Verdict, limit_usage};
 use uuid::Uuid;
@@ -375,3 +378,51 @@
     let used = row.bucket.expect("its bucket").used;
     assert!(used.abs() < f64::EPSILON, "{used}");
 }
+
+/// Guards against an account that waits for all others, since it got the row of one that left and had used up its small share.
+#[test]
+fn an_account_does_not_take_over_the_use_of_one_that_left() {
+    let account = |name: &str, share: f64| {
+        Resource::Account(Account {
+            name: name.to_owned(),
+            share,
+            ..Account::default()
+        })
+    };
+    let catalog = |version: u64, accounts: Vec<Resource>| {
+        let mut all = resources();
+        all.retain(|r| !matches!(r, Resource::Account(_)));
+        all.extend(accounts);
+        Event::Config(Arc::new(Catalog::new(version).with_resources(all)))
+    };
+    let mut edge = EdgeScheduler::new(edge_settings("a"), resources());
+    edge.step(catalog(
+        2,
+        vec![account("small", 0.01), account("free", 1.0)],
+    ));
+    let mut sent = 0;
+    while edge.scheduler.tables().requests.held() < 8 {
+        sent += 1;
+        edge.arrive(request(sent, "safe", "free"));
+    }
+    let small = sent + 1;
+    let mut running = 1..=sent;
+    edge.arrive(request(small, "safe", "small"));
+    let is_held = |edge: &EdgeScheduler, n: u64| {
+        let row = edge.scheduler.tables().requests.get(id(n));
+        row.is_some_and(|row| row.phase == Phase::Held)
+    };
+    while is_held(&edge, small) {
+        edge.end(running.next().expect("a request that runs"));
+    }
+    edge.end(small);
+    edge.step(catalog(3, vec![account("free", 1.0)]));
+    edge.step(catalog(4, vec![account("free", 1.0), account("late", 1.0)]));
+    let late = small + 1;
+    edge.arrive(request(late, "safe", "late"));
+    assert!(is_held(&edge, late));
+    let t = edge.scheduler.tables();
+    let service = t.services.find("safe").expect("a service");
+    let mut heads = t.services.get(service).queue.heads();
+    assert_eq!(heads.next().map(|(_, id)| id), Some(id(late)));
+}
