--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -13,6 +13,7 @@
 mod key_transfers;
 mod large_site;
 mod log_limiter;
+mod log_reads;
 mod log_writer;
 mod partial_replies;
 mod peers;
