Answers of callers that stopped reading are cut ahead of those that are read

What callers saw: an answer that was read all the time was cut at the budget for one of the same account of which nothing was read.

Cause: within an account, the answer with the most bytes times the time behind was cut, and a long answer that is read steadily has more of these than a shorter one that is not read at all.

Change: within an account, answers whose callers have read nothing for a second (the time after which endpoints no longer wait for them) go first; then bytes times time as before. Whole answers still come last, and accounts still come before it.

Test: `a_caller_that_reads_is_not_cut_for_one_of_its_account_that_stopped` failed before ([1] was cut instead of [2]). The property `the_budget_holds_and_cuts_follow_the_order` pinned the earlier order; its model knows when each caller read last now and checks the new order as strictly: any cut answer that is not first by (stopped, bytes times time) among its account's fails.

--- a/crates/firdock-policy/src/buffers.rs
+++ b/crates/firdock-policy/src/buffers.rs
@@ -51,6 +51,12 @@
     fn byte_millis(&self, now: Time) -> u128 {
         self.bytes as u128 * now.saturating_sub(self.behind_since).as_millis()
     }
+
+    /// Returns for how much longer the caller counts as one that reads; `None` if it has stopped.
+    fn reading(&self, now: Time) -> Option<Duration> {
+        let left = (self.last_read + READING_TIME).saturating_sub(now);
+        Some(left).filter(|left| !left.is_zero())
+    }
 }
 
 /// Bytes buffered per answer, within one budget.
@@ -139,8 +145,7 @@
         if self.bytes <= limit || buffer.bytes <= share {
             return None;
         }
-        let until = buffer.last_read + READING_TIME;
-        Some(until.saturating_sub(now)).filter(|wait| !wait.is_zero())
+        buffer.reading(now)
     }
 
     /// Records that the endpoint's answer is complete.
@@ -192,7 +197,8 @@
     ///
     /// Complete answers come last: their work is done, and they are useful even if late. Among the
     /// others, those of the account with the most bytes come first, so that no account's slow
-    /// callers affect another's; of these, the one with the most byte-milliseconds.
+    /// callers affect another's; of these, those whose callers have stopped reading, and then the
+    /// one with the most byte-milliseconds.
     fn select_aborted(&self, now: Time) -> Option<BufferId> {
         let holds = |buffer: &Buffer| buffer.bytes > 0;
         let unfinished = self
@@ -207,6 +213,7 @@
             let account = accounts.get(buffer.account.as_str()).copied();
             (
                 account,
+                buffer.reading(now).is_none(),
                 buffer.byte_millis(now),
                 buffer.bytes,
                 Reverse(**id),
