Answers: nobody who reads is cut for the next part of another that reads

Cause: the even part of half of the budget shrinks as callers come, but what the first ones hold stays, so the sum of parts (1, 1/2, 1/3, ...) passes the budget; parts of up to 400 KB come on top, one of which takes a caller of 0.3 MB/s more than the second after which it counts as stopped. A sender was also woken before the bytes that its caller had taken were given back, and could wait until the next read.

Change: `AnswerBuffers::wait` knows the bytes that come next, and keeps the last quarter of the budget for callers that have read everything. Parts are at most 32 KiB. Bytes are given back before the sender is woken.

`endpoints_wait_for_callers_that_read_once_half_of_the_budget_is_used` passes 0 bytes and checks what it did.

--- a/crates/firdock-node/src/exchange/budget.rs
+++ b/crates/firdock-node/src/exchange/budget.rs
@@ -196,10 +196,11 @@
         self.inner.end_cut(cut, Cause::Budget, held);
     }
 
-    /// Returns for how long the endpoint's answer is to be left unread, unless its caller reads before.
-    pub(super) fn wait(&self) -> Option<Duration> {
+    /// Returns for how long the endpoint's answer is to be left unread before `bytes` of it are held, unless its caller
+    /// reads before.
+    pub(super) fn wait(&self, bytes: usize) -> Option<Duration> {
         let state = self.inner.lock();
-        state.buffers.wait(self.inner.clock.now(), self.id)
+        state.buffers.wait(self.inner.clock.now(), self.id, bytes)
     }
 
     pub(super) fn consume(&self, bytes: usize) {
--- a/crates/firdock-node/src/exchange/queue.rs
+++ b/crates/firdock-node/src/exchange/queue.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker};
 
+use firdock_policy::buffers::MAX_PART_BYTES;
 use snafu::Snafu;
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -145,8 +146,27 @@
     /// # Errors
     ///
     /// Fails if the receiver is closed.
-    pub async fn send(&self, mut part: AnswerPart) -> Result<(), Closed> {
-        self.wait_for_reader().await;
+    pub async fn send(&self, part: AnswerPart) -> Result<(), Closed> {
+        let Some(reservation) = &self.reservation else {
+            return self.send_one(part).await;
+        };
+        let AnswerPart::Data(mut data) = part else {
+            return self.send_held(reservation, part).await;
+        };
+        while data.len() > MAX_PART_BYTES {
+            let first = AnswerPart::Data(data.split_to(MAX_PART_BYTES));
+            self.send_held(reservation, first).await?;
+        }
+        self.send_held(reservation, AnswerPart::Data(data)).await
+    }
+
+    /// Sends a part once the budget lets it be held.
+    async fn send_held(&self, reservation: &Reservation, part: AnswerPart) -> Result<(), Closed> {
+        self.wait_for_reader(reservation, cost(&part)).await;
+        self.send_one(part).await
+    }
+
+    async fn send_one(&self, mut part: AnswerPart) -> Result<(), Closed> {
         loop {
             let freed = self.queue.freed.notified();
             part = match self.try_send(part) {
@@ -158,14 +178,11 @@
         }
     }
 
-    /// Waits while the answer is to be left unread at its endpoint.
-    async fn wait_for_reader(&self) {
-        let Some(reservation) = &self.reservation else {
-            return;
-        };
+    /// Waits while the answer is to be left unread at its endpoint before `bytes` of it are held.
+    async fn wait_for_reader(&self, reservation: &Reservation, bytes: usize) {
         loop {
             let freed = self.queue.freed.notified();
-            let Some(wait) = reservation.wait() else {
+            let Some(wait) = reservation.wait(bytes) else {
                 return;
             };
             // The time limit is as good an end: the caller does not read then.
@@ -250,10 +267,11 @@
             };
         };
         drop(state);
-        self.queue.freed.notify_waiters();
+        // First, since a sender that is notified looks at what is held.
         if let Some(reservation) = &self.reservation {
             reservation.consume(cost(&part));
         }
+        self.queue.freed.notify_waiters();
         Poll::Ready(Some(part))
     }
 }
--- a/crates/firdock-policy/src/buffers.rs
+++ b/crates/firdock-policy/src/buffers.rs
@@ -31,6 +31,15 @@
 /// Divisor of the budget for the part beyond which endpoints wait for callers that read.
 const WAIT_DIVISOR: usize = 2;
 
+/// Divisor of the budget for the part that is left to callers that have read everything: what they get next is not to
+/// cost another answer its end.
+const RESERVE_DIVISOR: usize = 4;
+
+/// Largest part of an answer that is buffered at once, in bytes.
+///
+/// The reserved part of a budget of 16 MiB has room for one of each of 128 answers.
+pub const MAX_PART_BYTES: usize = 32 << 10;
+
 /// Buffer of one caller.
 #[derive(Debug, Clone)]
 struct Buffer {
@@ -131,18 +140,21 @@
         self.behind -= usize::from(bytes > 0 && buffer.bytes == 0);
     }
 
-    /// Returns for how long the endpoint's answer is to be left unread, unless its caller reads before; `None` if it
-    /// may be read now.
+    /// Returns for how long the endpoint's answer is to be left unread before `bytes` of it are buffered, unless its
+    /// caller reads before; `None` if they may be buffered now.
     ///
     /// Endpoints send faster than most callers read. While much of the budget is used, an answer whose caller reads
-    /// waits at its endpoint once it has its share, since the next bytes would cost another answer its end. Nobody
-    /// waits for a caller that does not read.
+    /// waits at its endpoint once it has its share, since the next bytes would cost another answer its end. The last part
+    /// of the budget is for callers that have read everything. Nobody waits for a caller that does not read.
     #[must_use]
-    pub fn wait(&self, now: Time, id: BufferId) -> Option<Duration> {
+    pub fn wait(&self, now: Time, id: BufferId, bytes: usize) -> Option<Duration> {
         let buffer = self.buffers.get(&id)?;
+        let total = self.bytes + bytes;
         let limit = self.budget / WAIT_DIVISOR;
         let share = limit / self.behind.max(1);
-        if self.bytes <= limit || buffer.bytes <= share {
+        let has_share = total > limit && buffer.bytes + bytes > share;
+        let is_reserved = total > self.budget - self.budget / RESERVE_DIVISOR;
+        if buffer.bytes == 0 || !(has_share || is_reserved) {
             return None;
         }
         buffer.reading(now)
--- a/crates/firdock-policy/tests/policy/buffers.rs
+++ b/crates/firdock-policy/tests/policy/buffers.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use firdock_policy::Time;
-use firdock_policy::buffers::{AnswerBuffers, BufferId, CALLER_STALL};
+use firdock_policy::buffers::{AnswerBuffers, BufferId, CALLER_STALL, MAX_PART_BYTES};
 use proptest::prelude::*;
 
 /// Memory that a small instance can spare for answers.
@@ -257,16 +257,45 @@
     const SMALL: usize = 800;
     let mut buffers = buffers_with(SMALL, &[(1, "shop"), (2, "shop"), (3, "shop")]);
     assert_eq!(buffers.hold(at(0), 1, SMALL / 2), Vec::<BufferId>::new());
-    assert_eq!(buffers.wait(at(0), 1), None, "half is free");
+    assert_eq!(buffers.wait(at(0), 1, 0), None, "half is free");
     assert_eq!(buffers.hold(at(10), 2, 100), Vec::<BufferId>::new());
-    assert_eq!(buffers.wait(at(10), 2), None, "it has less than its share");
-    assert_eq!(buffers.wait(at(10), 3), None, "its caller is not behind");
-    let wait = buffers.wait(at(10), 1).expect("it has more than its share");
-    assert_eq!(buffers.wait(at(10) + wait, 1), None, "its caller stopped");
+    assert_eq!(
+        buffers.wait(at(10), 2, 0),
+        None,
+        "it has less than its share"
+    );
+    assert_eq!(buffers.wait(at(10), 3, 0), None, "its caller is not behind");
+    let wait = buffers
+        .wait(at(10), 1, 0)
+        .expect("it has more than its share");
+    assert_eq!(
+        buffers.wait(at(10) + wait, 1, 0),
+        None,
+        "its caller stopped"
+    );
     buffers.consume(at(900), 1, 1);
-    assert!(buffers.wait(at(10) + wait, 1).is_some(), "its caller reads");
+    assert!(
+        buffers.wait(at(10) + wait, 1, 0).is_some(),
+        "its caller reads"
+    );
     buffers.close(2);
-    assert_eq!(buffers.wait(at(1_000), 1), None, "half is free again");
+    assert_eq!(buffers.wait(at(1_000), 1, 0), None, "half is free again");
+}
+
+/// A caller that has read everything gets its next part also while those that hold bytes wait: the last quarter is for it.
+#[test]
+fn the_last_quarter_of_the_budget_is_for_callers_that_have_read_everything() {
+    const SMALL: usize = 800;
+    let mut buffers = buffers_with(SMALL, &[(1, "shop"), (2, "shop"), (3, "shop")]);
+    buffers.hold(at(0), 1, SMALL / 2);
+    buffers.hold(at(0), 2, 100);
+    assert_eq!(buffers.wait(at(10), 2, 100), None, "it has its share then");
+    assert!(buffers.wait(at(10), 2, 101).is_some(), "it has more then");
+    buffers.consume(at(10), 1, SMALL / 2 - 1);
+    buffers.hold(at(10), 2, SMALL / 2);
+    assert_eq!(buffers.wait(at(10), 1, 98), None, "a quarter is left");
+    assert!(buffers.wait(at(10), 1, 100).is_some(), "less is left");
+    assert_eq!(buffers.wait(at(10), 3, 200), None, "it holds nothing");
 }
 
 /// A caller stopped reading while another one of its account reads a longer answer: the reader was cut for it.
@@ -278,3 +307,104 @@
     buffers.consume(at(1_500), 1, 50);
     assert_eq!(buffers.hold(at(1_600), 1, 200), [2]);
 }
+
+/// An answer in the simulation below, and its caller.
+#[derive(Debug)]
+struct Transfer {
+    id: BufferId,
+    /// Bytes that its endpoint has not sent yet.
+    unsent: usize,
+    /// Bytes that wait for the caller.
+    held: usize,
+    /// Bytes of the part that the caller reads now.
+    taken: usize,
+    /// Bytes that the caller reads in each step.
+    pace: usize,
+}
+
+impl Transfer {
+    fn is_whole(&self) -> bool {
+        self.unsent + self.held + self.taken == 0
+    }
+}
+
+/// Length of a step of the simulation.
+const STEP_MILLIS: u64 = 10;
+
+/// Simulates endpoints that send at once whatever may be held. Returns the ids that were cut, and checks that all other
+/// answers are whole after `limit`.
+fn simulate(transfers: &mut Vec<Transfer>, limit: Duration) -> Vec<BufferId> {
+    let mut buffers = AnswerBuffers::new(BUDGET);
+    for transfer in transfers.iter() {
+        buffers.open(at(0), transfer.id, "shop".to_owned());
+    }
+    let mut cut = Vec::new();
+    for step in 0..limit.as_millis() as u64 / STEP_MILLIS {
+        let now = at(step * STEP_MILLIS);
+        for n in 0..transfers.len() {
+            while let Some(transfer) = transfers.get_mut(n) {
+                let part = transfer.unsent.min(MAX_PART_BYTES);
+                if part == 0 || buffers.wait(now, transfer.id, part).is_some() {
+                    break;
+                }
+                transfer.unsent -= part;
+                transfer.held += part;
+                if transfer.unsent == 0 {
+                    buffers.mark_complete(transfer.id);
+                }
+                let ids = buffers.hold(now, transfer.id, part);
+                transfers.retain(|t| !ids.contains(&t.id));
+                cut.extend(ids);
+            }
+        }
+        for transfer in transfers.iter_mut() {
+            let mut left = transfer.pace;
+            while left > 0 && transfer.taken + transfer.held > 0 {
+                if transfer.taken == 0 {
+                    transfer.taken = transfer.held.min(MAX_PART_BYTES);
+                    transfer.held -= transfer.taken;
+                    buffers.consume(now, transfer.id, transfer.taken);
+                }
+                let read = left.min(transfer.taken);
+                transfer.taken -= read;
+                left -= read;
+            }
+        }
+    }
+    for transfer in transfers.iter().filter(|t| t.pace > 0) {
+        assert!(transfer.is_whole(), "{transfer:?}");
+    }
+    cut
+}
+
+/// Callers read at 0.3 to 1 MB/s, more of them than the budget holds answers, and some stop: those who read were cut at the
+/// budget, or ahead of those who stopped. No endpoint waits for the latter.
+#[test]
+fn no_caller_that_reads_is_cut_for_the_budget_and_those_that_stopped_are() {
+    for (readers, pace, answer) in [
+        (8, 1_000_000, 6_000_000),
+        (24, 500_000, 1_000_000),
+        (32, 1_000_000, 1_500_000),
+        (32, 300_000, 1_500_000),
+        (128, 300_000, 1_500_000),
+    ] {
+        for stopped in [0, 4] {
+            let transfer = |id| {
+                let reads = id < readers;
+                Transfer {
+                    id,
+                    unsent: if reads { answer } else { BUDGET },
+                    held: 0,
+                    taken: 0,
+                    pace: if reads { pace / 100 } else { 0 },
+                }
+            };
+            let mut transfers: Vec<_> = (0..readers + stopped).map(transfer).collect();
+            let time = Duration::from_secs((answer / pace) as u64 + 2);
+            let mut cut = simulate(&mut transfers, time);
+            cut.sort_unstable();
+            let expected: Vec<BufferId> = (readers..readers + stopped).collect();
+            assert_eq!(cut, expected, "{readers} read {pace} bytes a second");
+        }
+    }
+}
