One function serves HTTP, and the pool of buffers tells its own metric

`serve` and `serve_callers` differed by the socket buffers alone: these are a part of `ServerOptions` now, and `SocketBuffers::SYSTEM` leaves the sizes to the system. `firdock_caller_buffer_bytes` was set from four places after each change of a lease: the pool knows what is taken of it, and the metric reads that when it is asked for. No change of behaviour.

--- a/crates/firdock-node/src/edge.rs
+++ b/crates/firdock-node/src/edge.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use firdock_core::settings::Settings;
-use firdock_policy::transfer::pool_bytes;
+use firdock_policy::transfer::{BufferPool, pool_bytes};
 use firdock_policy::{Event, Time};
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
@@ -24,7 +24,7 @@
 use crate::driver::Driver;
 use crate::endpoint::Dispatcher;
 use crate::endpoint::relay::Dialect;
-use crate::http::{Connector, ServerOptions, SocketBuffers, TcpConnector, serve_callers};
+use crate::http::{Connector, ServerOptions, SocketBuffers, TcpConnector, serve};
 use crate::ingress::{IngressPhase, IngressState, Interface};
 use crate::input::{INPUT_QUEUE_CAPACITY, Input};
 use crate::instance::{AbortOnPanic, EdgePorts, PortOpener, StartError};
@@ -169,16 +169,10 @@
         );
 
         let ingress = parts.ingress(self.interface, inputs.clone());
-        let options = ServerOptions::new(&self.settings.limits);
+        let options = ServerOptions::new(&self.settings.limits).with_buffers(buffers);
         let handle = move |r| ingress.clone().handle(r);
         let callers = parts.acceptor(callers, "instance.callers");
-        let serving = tokio::spawn(serve_callers(
-            callers,
-            options,
-            buffers,
-            ingress_stop_receiver,
-            handle,
-        ));
+        let serving = tokio::spawn(serve(callers, options, ingress_stop_receiver, handle));
         log_uncounted_suspensions(&self.log);
         info!(self.log, "started"; "zone" => &self.settings.instance.zone,
             "incarnation" => parts.member.incarnation.to_string());
@@ -202,15 +196,16 @@
     /// Bounds the kernel's buffers of callers' connections, and logs the budgets of memory.
     fn bound_buffers(&self, callers: &TcpListener, parts: &EdgeParts) -> SocketBuffers {
         let (limits, memory) = (&self.settings.limits, self.settings.instance.memory_bytes());
-        let pool = pool_bytes(memory);
+        let pool_bytes = pool_bytes(memory);
         info!(self.log, "memory"; "memory_bytes" => memory, "held_bytes" => limits.held_bytes,
-            "answer_bytes" => limits.answer_bytes, "buffer_bytes" => pool, "connections" => limits.connections);
-        let budgets = limits.held_bytes + limits.answer_bytes + pool;
+            "answer_bytes" => limits.answer_bytes, "buffer_bytes" => pool_bytes, "connections" => limits.connections);
+        let budgets = limits.held_bytes + limits.answer_bytes + pool_bytes;
         if memory.is_some_and(|bytes| budgets > bytes) {
             warn!(self.log, "budgets exceed the memory"; "budget_bytes" => budgets);
         }
-        let buffers = SocketBuffers::new(pool).with_metrics(parts.answer_metrics());
-        buffers.with_listener(callers, &self.log)
+        let pool = BufferPool::new(pool_bytes);
+        parts.answer_metrics().set_pool(pool.clone());
+        SocketBuffers::new(pool).with_listener(callers, &self.log)
     }
 }
 
--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -6,6 +6,7 @@
 
 use firdock_core::settings::Settings;
 use firdock_policy::event::Member;
+use firdock_policy::transfer::BufferPool;
 use firdock_policy::{Mechanisms, PolicySettings, Scheduler};
 use hyper::Request;
 use hyper::body::Incoming;
@@ -22,7 +23,7 @@
 use crate::endpoint::relay::{Dialect, Relay};
 use crate::endpoint::run::DispatchLimits;
 use crate::exchange::{AnswerBudget, BodyBudget};
-use crate::http::{Acceptor, Connector, ServerOptions, SocketBuffers, serve_callers};
+use crate::http::{Acceptor, Connector, ServerOptions, SocketBuffers, serve};
 use crate::ingress::{Ingress, IngressLimits, IngressState, Interface};
 use crate::input::Input;
 use crate::instance::{Port, PortOpener, StartError};
@@ -316,15 +317,10 @@
             clock: self.clock,
         };
         let answer = move |_| std::future::ready(readiness.answer());
-        let buffers = SocketBuffers::new(STATUS_POOL_BYTES).with_listener(&listener, &self.log);
+        let buffers = status_buffers(&listener, &self.log);
+        let options = self.status_options().with_buffers(buffers);
         let acceptor = self.acceptor(listener, "instance.ready");
-        tokio::spawn(serve_callers(
-            acceptor,
-            self.status_options(),
-            buffers,
-            stop.clone(),
-            answer,
-        ));
+        tokio::spawn(serve(acceptor, options, stop.clone(), answer));
     }
 
     /// Serves metrics and the list of endpoints, if an address is set for them, as soon as that is free.
@@ -349,9 +345,9 @@
                 listener = opener.open_eventually(port) => listener,
                 _ = stop.wait_for(|s| *s) => return,
             };
-            let buffers = SocketBuffers::new(STATUS_POOL_BYTES).with_listener(&listener, &log);
+            let options = options.with_buffers(status_buffers(&listener, &log));
             let acceptor = Acceptor::new(listener).with_log(log, clock);
-            serve_callers(acceptor, options, buffers, stop, answer).await;
+            serve(acceptor, options, stop, answer).await;
         });
         Ok(())
     }
@@ -370,6 +366,12 @@
             connections: STATUS_CONNECTIONS,
             header_bytes: STATUS_HEAD_BYTES,
             header_time: self.settings.limits.header_timeout,
+            buffers: SocketBuffers::SYSTEM,
         }
     }
 }
+
+/// Bounds the buffers of a listener for operators.
+fn status_buffers(listener: &TcpListener, log: &Logger) -> SocketBuffers {
+    SocketBuffers::new(BufferPool::new(STATUS_POOL_BYTES)).with_listener(listener, log)
+}
--- a/crates/firdock-node/src/http.rs
+++ b/crates/firdock-node/src/http.rs
@@ -22,7 +22,7 @@
 pub use framing::{Framing, InvalidHead, check_request};
 pub use listener::{Acceptor, listen};
 pub use response::{BodyError, ResponseBody};
-pub use server::{ServerOptions, serve, serve_callers};
+pub use server::{ServerOptions, serve};
 pub use socket_buffers::SocketBuffers;
 
 use hyper::HeaderMap;
--- a/crates/firdock-node/src/http/server.rs
+++ b/crates/firdock-node/src/http/server.rs
@@ -19,10 +19,10 @@
 use super::caller::{CallerHandle, CallerStream};
 use super::dead_peer::set_dead_peer_timeouts;
 use super::listener::Acceptor;
-use super::socket_buffers::{ConnectionBuffers, SocketBuffers};
+use super::socket_buffers::SocketBuffers;
 
 /// Limits of a server.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct ServerOptions {
     /// Maximum number of connections; further ones wait in the backlog.
     pub connections: usize,
@@ -30,6 +30,8 @@
     pub header_bytes: usize,
     /// Maximum time for a client to send the head.
     pub header_time: Duration,
+    /// Socket buffers of the connections.
+    pub buffers: SocketBuffers,
 }
 
 impl ServerOptions {
@@ -40,30 +42,21 @@
             connections: limits.connections,
             header_bytes: limits.header_bytes,
             header_time: limits.header_timeout,
+            buffers: SocketBuffers::SYSTEM,
         }
     }
+
+    /// Sets socket buffers whose sizes the instance bounds.
+    #[must_use]
+    pub fn with_buffers(self, buffers: SocketBuffers) -> Self {
+        Self { buffers, ..self }
+    }
 }
 
 /// Serves until `stop` becomes true, then finishes the running requests and returns.
 pub async fn serve<F, Fut, B>(
     listener: impl Into<Acceptor>,
     options: ServerOptions,
-    stop: watch::Receiver<bool>,
-    handle: F,
-) where
-    F: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
-    Fut: Future<Output = Response<B>> + Send + 'static,
-    B: Body<Data = Bytes> + Send + 'static,
-    B::Error: std::error::Error + Send + Sync + 'static,
-{
-    serve_callers(listener, options, SocketBuffers::default(), stop, handle).await;
-}
-
-/// Serves like [`serve`], with socket buffers whose sizes the instance bounds.
-pub async fn serve_callers<F, Fut, B>(
-    listener: impl Into<Acceptor>,
-    options: ServerOptions,
-    buffers: SocketBuffers,
     mut stop: watch::Receiver<bool>,
     handle: F,
 ) where
@@ -83,10 +76,9 @@
         let Some((stream, slot)) = accepted else {
             return;
         };
-        let (handle, stop) = (handle.clone(), stop.clone());
-        let buffers = buffers.connection();
+        let (options, handle, stop) = (options.clone(), handle.clone(), stop.clone());
         tokio::spawn(async move {
-            serve_connection(stream, options, buffers, stop, handle).await;
+            serve_connection(stream, options, stop, handle).await;
             drop(slot);
         });
     }
@@ -105,7 +97,6 @@
 async fn serve_connection<F, Fut, B>(
     stream: TcpStream,
     options: ServerOptions,
-    buffers: ConnectionBuffers,
     mut stop: watch::Receiver<bool>,
     handle: F,
 ) where
@@ -136,6 +127,7 @@
             Ok::<_, Infallible>(answer.await)
         }
     });
+    let buffers = options.buffers.connection();
     let stream = BoundedStream::new(CallerStream::new(stream, caller.clone(), buffers), idle);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/firdock-node/src/http/socket_buffers.rs
+++ b/crates/firdock-node/src/http/socket_buffers.rs
@@ -1,7 +1,6 @@
 //! Sizes of the socket buffers of callers' connections (see `docs/design/slow-readers.md`).
 
 use std::io;
-use std::sync::Arc;
 
 use firdock_policy::transfer::{BufferPool, BufferSize, TransferBuffer};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
@@ -9,8 +8,6 @@
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::telemetry::AnswerMetrics;
-
 /// Send buffer of a connection, in bytes as set; the kernel doubles it and completes the segment that exceeds it.
 const SEND_BYTES: usize = 16 << 10;
 /// Receive buffer of a connection, in bytes as set. Requests of a few kilobytes fit the window that it opens.
@@ -26,47 +23,18 @@
 /// Bytes of a request after which it counts as long.
 const LONG_REQUEST_BYTES: usize = 16 << 10;
 
-/// Socket buffers of all callers' connections: small ones, and larger ones for long transfers while a pool has room.
-#[derive(Debug, Clone, Default)]
-pub struct SocketBuffers(Option<Arc<Shared>>);
-
-/// What all connections share.
-#[derive(Debug)]
-struct Shared {
-    pool: BufferPool,
-    pool_bytes: usize,
-    metrics: AnswerMetrics,
-}
-
-impl Shared {
-    fn publish(&self) {
-        self.metrics.set_buffers(self.pool_bytes - self.pool.left());
-    }
-}
+/// Socket buffers of all connections of a server: small ones, and larger ones for long transfers while a pool has room.
+#[derive(Debug, Clone)]
+pub struct SocketBuffers(Option<BufferPool>);
 
 impl SocketBuffers {
-    /// Creates buffers of which the larger ones take `pool_bytes` together at most.
-    ///
-    /// Without it, by `default`, the system chooses all sizes.
-    #[must_use]
-    pub fn new(pool_bytes: usize) -> Self {
-        Self(Some(Arc::new(Shared {
-            pool: BufferPool::new(pool_bytes),
-            pool_bytes,
-            metrics: AnswerMetrics::default(),
-        })))
-    }
+    /// Buffers whose sizes the system chooses.
+    pub const SYSTEM: Self = Self(None);
 
-    /// Sets the metrics that tell what is taken of the pool.
+    /// Creates buffers of which the larger ones come from `pool`.
     #[must_use]
-    pub fn with_metrics(self, metrics: AnswerMetrics) -> Self {
-        Self(self.0.map(|shared| {
-            Arc::new(Shared {
-                pool: shared.pool.clone(),
-                pool_bytes: shared.pool_bytes,
-                metrics,
-            })
-        }))
+    pub fn new(pool: BufferPool) -> Self {
+        Self(Some(pool))
     }
 
     /// Sets the small buffers of a listener, which its connections inherit, also those not accepted yet. If the system
@@ -82,9 +50,9 @@
     }
 
     pub(super) fn connection(&self) -> ConnectionBuffers {
-        let transfers = self.0.clone().map(|shared| {
+        let transfers = self.0.clone().map(|pool| {
             Box::new(Transfers {
-                shared,
+                pool,
                 sent: TransferBuffer::default(),
                 received: TransferBuffer::default(),
             })
@@ -102,39 +70,11 @@
 /// Both buffers of one connection.
 #[derive(Debug)]
 struct Transfers {
-    shared: Arc<Shared>,
+    pool: BufferPool,
     sent: TransferBuffer,
     received: TransferBuffer,
 }
 
-impl Transfers {
-    fn release_received(&mut self) {
-        self.received.release();
-        self.shared.publish();
-    }
-
-    fn release_sent(&mut self) {
-        self.sent.release();
-        self.shared.publish();
-    }
-
-    /// Publishes what is taken if a buffer changes its size.
-    fn publish_change(&self, size: Option<BufferSize>) {
-        if size.is_some() {
-            self.shared.publish();
-        }
-    }
-}
-
-impl Drop for Transfers {
-    fn drop(&mut self) {
-        if self.sent.is_large() || self.received.is_large() {
-            self.release_sent();
-            self.release_received();
-        }
-    }
-}
-
 /// Buffers of one connection, whose owner tells what passes; `None` if the system chooses their sizes.
 ///
 /// Errors of these options are not reported: a size that the system refuses changes nothing but the speed, and one on a
@@ -149,7 +89,7 @@
             return;
         };
         if is_empty && t.received.bytes_since_end().is_some() {
-            t.release_received();
+            t.received.release();
         }
         if bytes == 0 {
             return;
@@ -157,12 +97,11 @@
         set_send(stream, t.sent.end());
         // The kernel reports room only while it holds less than the base buffer.
         if t.sent.bytes_since_end().is_some() && has_room(stream) {
-            t.release_sent();
+            t.sent.release();
         }
         let size = t
             .received
-            .pass(bytes, LONG_REQUEST_BYTES, LARGE_LEASE_BYTES, &t.shared.pool);
-        t.publish_change(size);
+            .pass(bytes, LONG_REQUEST_BYTES, LARGE_LEASE_BYTES, &t.pool);
         set_receive(stream, size);
     }
 
@@ -175,14 +114,11 @@
             return;
         }
         set_receive(stream, t.received.end());
-        let size = t
-            .sent
-            .pass(bytes, READER_BYTES, LARGE_LEASE_BYTES, &t.shared.pool);
-        t.publish_change(size);
+        let size = t.sent.pass(bytes, READER_BYTES, LARGE_LEASE_BYTES, &t.pool);
         set_send(stream, size);
         // Beyond a segment that was begun before, the kernel takes bytes only while it holds less than the base buffer.
         if t.sent.bytes_since_end().is_some_and(|n| n > SEGMENT_BYTES) {
-            t.release_sent();
+            t.sent.release();
         }
     }
 }
--- a/crates/firdock-node/src/operator/api.rs
+++ b/crates/firdock-node/src/operator/api.rs
@@ -23,7 +23,7 @@
 use super::{apply, apply::merged};
 use crate::clock::Clock;
 use crate::config::{Hub, write};
-use crate::http::{Acceptor, ServerOptions, listen, serve};
+use crate::http::{Acceptor, ServerOptions, SocketBuffers, listen, serve};
 use crate::input::Input;
 use crate::platform::LogClient;
 use crate::telemetry::Metrics;
@@ -82,6 +82,7 @@
         connections: MAX_CONNECTIONS,
         header_bytes: MAX_HEAD_BYTES,
         header_time: HEAD_TIME,
+        buffers: SocketBuffers::SYSTEM,
     };
     let handle = move |request| answer(Arc::clone(&server), request);
     tokio::spawn(serve(acceptor, options, stop, handle));
--- a/crates/firdock-policy/src/transfer.rs
+++ b/crates/firdock-policy/src/transfer.rs
@@ -19,19 +19,31 @@
 
 /// Bytes of the kernel's memory that all long transfers share.
 #[derive(Debug, Clone)]
-pub struct BufferPool(Arc<AtomicUsize>);
+pub struct BufferPool {
+    bytes: usize,
+    left: Arc<AtomicUsize>,
+}
 
 impl BufferPool {
     /// Creates a pool of `bytes`.
     #[must_use]
     pub fn new(bytes: usize) -> Self {
-        Self(Arc::new(AtomicUsize::new(bytes)))
+        Self {
+            bytes,
+            left: Arc::new(AtomicUsize::new(bytes)),
+        }
     }
 
     /// Returns the bytes that nobody has taken.
     #[must_use]
     pub fn left(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
+        self.left.load(Ordering::Relaxed)
+    }
+
+    /// Returns the bytes that are taken now.
+    #[must_use]
+    pub fn taken(&self) -> usize {
+        self.bytes - self.left()
     }
 
     /// Takes bytes until the result is dropped; `None` if there are fewer.
@@ -39,7 +51,7 @@
     pub fn take(&self, bytes: usize) -> Option<BufferLease> {
         let rest = |left: usize| left.checked_sub(bytes);
         let taken = self
-            .0
+            .left
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, rest);
         taken.ok()?;
         Some(BufferLease {
@@ -58,7 +70,7 @@
 
 impl Drop for BufferLease {
     fn drop(&mut self) {
-        self.pool.0.fetch_add(self.bytes, Ordering::Relaxed);
+        self.pool.left.fetch_add(self.bytes, Ordering::Relaxed);
     }
 }
 
--- a/crates/firdock-standin/src/web.rs
+++ b/crates/firdock-standin/src/web.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use firdock_node::endpoint::NOT_STARTED_HEADER;
-use firdock_node::http::{ServerOptions, listen, serve};
+use firdock_node::http::{ServerOptions, SocketBuffers, listen, serve};
 use http_body_util::{BodyExt as _, Collected, Limited};
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{HeaderValue, RETRY_AFTER};
@@ -26,6 +26,7 @@
     connections: 8_192,
     header_bytes: 64 << 10,
     header_time: Duration::from_secs(30),
+    buffers: SocketBuffers::SYSTEM,
 };
 
 /// A stand-in's server that runs until it is dropped.
