A start waits for its addresses as long as the process before may drain

Operators saw a start that met a process which drains end with code 4 after a minute, though `limits.stop_seconds` (600 by default) lets that process drain for longer: three such starts in a row are what a supervisor gives up on. Cause: the wait had a bound of a minute of its own, so that a wrong port is told. It is told at once by the line `waiting for an address`, which now says as well for how long (`at_most_millis`), so the bound is taken away.

Test: `starts::a_start_waits_as_long_as_the_process_before_may_drain` failed before (no bound in the line), passes now.

--- a/crates/firdock-node/src/instance/ports.rs
+++ b/crates/firdock-node/src/instance/ports.rs
@@ -23,8 +23,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Time for which a start waits for its ports beyond the time that the process before it has to stop.
 const WAIT_MARGIN: Duration = Duration::from_secs(2);
-/// Maximum time for which a start waits for its ports, so that a wrong port is told however long a stop may take.
-const MAX_WAIT: Duration = Duration::from_mins(1);
+/// End of a wait without a bound.
+const NEVER: Time = Duration::MAX;
 
 /// An address to listen on, and the field of the settings that has it.
 #[derive(Debug, Clone, Copy)]
@@ -86,14 +86,13 @@
         let callers = Port::new(instance.callers, "instance.callers")?;
         let ready = Port::new(instance.ready, "instance.ready")?;
         let peers = Port::new(instance.peers, "instance.peers")?;
-        let stop_time = settings.limits.stop_time;
-        let until = opener.clock.now() + wait_limit(stop_time);
+        let limits = WaitLimits::new(opener.clock.now(), settings.limits.stop_time);
         let (ready, peers, datagrams) = tokio::try_join!(
-            opener.open(ready, until, async |address| listen(address)),
-            opener.open(peers, until, async |address| listen(address)),
-            opener.open(peers.for_datagrams(), until, bind_beacon_socket),
+            opener.open(ready, limits, async |address| listen(address)),
+            opener.open(peers, limits, async |address| listen(address)),
+            opener.open(peers.for_datagrams(), limits, bind_beacon_socket),
         )?;
-        let callers = opener.open(callers, until, async |address| listen(address));
+        let callers = opener.open(callers, limits, async |address| listen(address));
         Ok(Self {
             callers: callers.await?,
             ready,
@@ -117,16 +116,15 @@
         Self { clock, log }
     }
 
-    /// Opens a port that the instance needs, and tries again until `until` if it may become free.
+    /// Opens a port that the instance needs, and tries again within the limits if it may become free.
     async fn open<T>(
         &self,
         port: Port,
-        until: Time,
+        limits: WaitLimits,
         bind: impl AsyncFn(SocketAddr) -> io::Result<T>,
     ) -> Result<T, StartError> {
-        let gives_up = |error: &io::Error, now| now >= until || !is_transient(error);
         let Port { address, field, .. } = port;
-        let opened = self.retry(port, bind, gives_up).await;
+        let opened = self.retry(port, bind, |e| limits.end(e)).await;
         opened.context(ListenSnafu { address, field })
     }
 
@@ -134,17 +132,18 @@
     pub async fn open_eventually(&self, port: Port) -> TcpListener {
         loop {
             let bind = async |address| listen(address);
-            if let Ok(listener) = self.retry(port, bind, |_, _| false).await {
+            if let Ok(listener) = self.retry(port, bind, |_| NEVER).await {
                 return listener;
             }
         }
     }
 
+    /// Tries again until the end that follows from the error.
     async fn retry<T>(
         &self,
         port: Port,
         bind: impl AsyncFn(SocketAddr) -> io::Result<T>,
-        gives_up: impl Fn(&io::Error, Time) -> bool,
+        end: impl Fn(&io::Error) -> Time,
     ) -> io::Result<T> {
         let mut waits_since = None;
         loop {
@@ -159,12 +158,16 @@
                     }
                     return Ok(opened);
                 }
-                Err(e) if gives_up(&e, now) => return Err(e),
                 Err(e) => {
+                    let left = end(&e).saturating_sub(now);
+                    if left.is_zero() {
+                        return Err(e);
+                    }
                     if waits_since.is_none() {
+                        let bounded_millis = (end(&e) < NEVER).then(|| millis(left));
                         warn!(self.log, "waiting for an address"; "field" => port.field,
                             "address" => port.address.to_string(), "protocol" => port.protocol,
-                            "error" => e.to_string());
+                            "at_most_millis" => bounded_millis, "error" => e.to_string());
                         waits_since = Some(now);
                     }
                     self.clock.sleep_until(now + RETRY_PAUSE).await;
@@ -174,20 +177,30 @@
     }
 }
 
-/// Returns how long a start waits for ports of a process that may take `stop_time` to stop.
-fn wait_limit(stop_time: Duration) -> Duration {
-    stop_time.saturating_add(WAIT_MARGIN).min(MAX_WAIT)
+/// How long a start waits for addresses, by what they lack.
+#[derive(Debug, Clone, Copy)]
+struct WaitLimits {
+    began: Time,
+    for_stop: Duration,
 }
 
-/// Whether an address may be opened later although it cannot be now. One that is not this machine's, or not permitted,
-/// needs other settings.
-fn is_transient(error: &io::Error) -> bool {
-    let lacking = [
-        Errno::ADDRINUSE,
-        Errno::MFILE,
-        Errno::NFILE,
-        Errno::NOBUFS,
-        Errno::NOMEM,
-    ];
-    Errno::from_io_error(error).is_some_and(|e| lacking.contains(&e))
+impl WaitLimits {
+    /// Creates the limits of a start after a process that may take `stop_time` to stop.
+    fn new(began: Time, stop_time: Duration) -> Self {
+        Self {
+            began,
+            for_stop: stop_time.saturating_add(WAIT_MARGIN),
+        }
+    }
+
+    /// Returns when to give up after an error: at once if the address needs other settings.
+    fn end(&self, error: &io::Error) -> Time {
+        let limit = match Errno::from_io_error(error) {
+            Some(Errno::ADDRINUSE | Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM) => {
+                self.for_stop
+            }
+            _ => Duration::ZERO,
+        };
+        self.began.saturating_add(limit)
+    }
 }
