A start waits for an address that the machine does not have yet

Operators saw an instance whose interface comes up after it end with code 4 at once, again and again until the interface was there. Cause: EADDRNOTAVAIL counted as an address that needs other settings. It is tried again now like one that is held, but for a minute at most, so that the exit code tells a wrong address however long a stop may take; the line `waiting for an address` tells it at once, with the error.

Tests: `starts::a_start_waits_for_an_address_that_the_machine_does_not_have_yet` and `starts::a_start_waits_a_minute_at_most_for_an_address_that_the_machine_does_not_have` failed before (the process ended without a line), pass now. `a_start_does_not_wait_for_an_address_of_another_machine` asked for the end at once, which is what is mended; its purpose, that the operator learns a wrong address at once, is asserted by the first of these on the line, with the exit code within its bound. Word for word it stands as `a_start_does_not_wait_for_an_address_that_cannot_be_listened_on` for an address that needs other settings (link-local without its interface).

--- a/crates/firdock-node/src/instance/ports.rs
+++ b/crates/firdock-node/src/instance/ports.rs
@@ -23,6 +23,9 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Time for which a start waits for its ports beyond the time that the process before it has to stop.
 const WAIT_MARGIN: Duration = Duration::from_secs(2);
+/// Maximum time for which a start waits for an address that the machine does not have. Interfaces are set up by then,
+/// and a wrong address is told however long a stop may take.
+const MAX_ABSENT_WAIT: Duration = Duration::from_mins(1);
 /// End of a wait without a bound.
 const NEVER: Time = Duration::MAX;
 
@@ -199,6 +202,7 @@
             Some(Errno::ADDRINUSE | Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM) => {
                 self.for_stop
             }
+            Some(Errno::ADDRNOTAVAIL) => self.for_stop.min(MAX_ABSENT_WAIT),
             _ => Duration::ZERO,
         };
         self.began.saturating_add(limit)
