Ends are of the start that the time of day says, not a clock that stood still

Callers of an instance whose clock had stood still lost whole answers: the end of an answer without framing was rejected as 'restarted', since the start that gave it seemed to have begun after the request was sent. The other way round, a stream's part could look whole where the endpoint's clock was some milliseconds behind.

Cause: serving_start compared the time of the dispatch with the start's time by the zero of the clock as read at the instance's start, and without the tolerance of clocks.

Each dispatch keeps the reading of the clock's zero. Both times are compared as Unix time, with CLOCK_TOLERANCE. Within that, bytes that came after the start began are its own; else what may be continued is, and other answers are of the start that the times say, as before.

Red before: an_end_counts_for_the_start_that_gave_it_after_the_clock_stood_still, an_end_is_not_accepted_by_the_order_of_clocks_that_may_differ and an_answer_that_went_on_after_the_next_start_began_is_of_that_start; an_end_of_the_earlier_start_is_rejected_if_the_clock_stood_still_after_it_was_sent held before and guards the other way round.

--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -291,6 +291,8 @@
     pub delivered_part: DeliveredPart,
     /// Time of the present dispatch or hand-over.
     pub dispatched: Time,
+    /// Unix time at zero of this process's clock, as last read before the present dispatch.
+    pub unix_zero: Option<Duration>,
     /// When the first token or byte arrived.
     pub first: Option<Time>,
     /// Whether the present dispatch has cleared the segments of the prompt of earlier exits.
@@ -405,6 +407,7 @@
             delivered: 0,
             delivered_part: DeliveredPart::Nothing,
             dispatched: Time::ZERO,
+            unix_zero: None,
             first: None,
             cleared_segments: false,
             permit: None,
--- a/crates/firdock-policy/src/system/place.rs
+++ b/crates/firdock-policy/src/system/place.rs
@@ -314,6 +314,7 @@
         "request {id} was sent although its content is quarantined or already running"
     );
     let route = route::choose(t, now, id, choice.endpoint);
+    let unix_zero = t.latest_zero();
     let e = t.endpoints.get_mut(choice.endpoint);
     if matches!(e.health, Health::Ejected(_)) {
         e.health = Health::Probing;
@@ -347,6 +348,7 @@
     row.runs += 1;
     row.dispatch += 1;
     row.dispatched = now;
+    row.unix_zero = unix_zero;
     row.first = None;
     row.cleared_segments = false;
     row.permit = permit;
--- a/crates/firdock-policy/src/system/restart.rs
+++ b/crates/firdock-policy/src/system/restart.rs
@@ -85,6 +85,7 @@
         start: declared.start_id(),
         build: Build::of(declared),
         began: start_time(t, declared),
+        started: declared.started,
     };
     let e = t.endpoints.get(at);
     let replaced = ReplacedStart {
--- a/crates/firdock-policy/src/system/unproven_end.rs
+++ b/crates/firdock-policy/src/system/unproven_end.rs
@@ -9,12 +9,14 @@
 
 use firdock_core::RequestId;
 
+use super::start::{BREAK_SPREAD, CLOCK_TOLERANCE};
 use super::{dispatch_updates, liveness, route};
 use crate::action::Action;
 use crate::event::{EndEvidence, EndVerdict, Liveness};
 use crate::request::{CompletionProof, Phase, RequestRow};
 use crate::table::Tables;
 use crate::table::request::Requests;
+use crate::table::start_history::KnownStart;
 use crate::table::unproven_ends::UnprovenEnd;
 use crate::time::Time;
 
@@ -121,11 +123,66 @@
         return Some(end.dispatched_row);
     }
     let next = &t.starts.find(&e.declared.name, &e.start_id)?.next;
-    let dispatched = t.requests.get(end.id)?.dispatched;
-    let reached_next = next.began.is_some_and(|began| began <= dispatched);
+    let row = t.requests.get(end.id)?;
+    let reached_next = match order_to_next(t, row, next) {
+        StartOrder::Before => false,
+        StartOrder::After => true,
+        StartOrder::Unknown { sent_after } => sent_after,
+    };
     t.endpoints.find_start(&next.start).filter(|_| reached_next)
 }
 
+/// Whether a request was sent before or after the next start of its endpoint began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StartOrder {
+    Before,
+    After,
+    /// The clocks may differ by more than the times do.
+    Unknown {
+        /// Whether it was sent after that start, if the clocks agree.
+        sent_after: bool,
+    },
+}
+
+/// Returns whether a request was sent before or after the next start of its endpoint began, in Unix time.
+///
+/// If this process's clock and the time of day have gone apart since the request was sent, either may have been right. Within that
+/// and [`CLOCK_TOLERANCE`], bytes that arrived after that start had begun are its own: the process before had ended.
+fn order_to_next(t: &Tables, row: &RequestRow, next: &KnownStart) -> StartOrder {
+    let zeros = row.unix_zero.zip(t.latest_zero());
+    let (Some((zero, latest)), Some(started)) = (zeros, next.started) else {
+        return StartOrder::Before;
+    };
+    let (least, greatest) = (zero.min(latest), zero.max(latest));
+    if greatest + row.dispatched + CLOCK_TOLERANCE < started {
+        return StartOrder::Before;
+    }
+    let sent_after = started + CLOCK_TOLERANCE <= least + row.dispatched;
+    let last_bytes = row.last_bytes.unwrap_or(row.dispatched);
+    let went_on = started + CLOCK_TOLERANCE + BREAK_SPREAD <= least + last_bytes;
+    if sent_after || went_on {
+        return StartOrder::After;
+    }
+    let sent_after = started <= zero + row.dispatched;
+    StartOrder::Unknown { sent_after }
+}
+
+/// Returns whether it is not known if the start of the request's dispatch gave an answer, or the next one.
+fn is_start_unknown(t: &Tables, end: &UnprovenEnd) -> bool {
+    let e = t.endpoints.get(end.dispatched_row);
+    if !e.is_replaced() {
+        return false;
+    }
+    let replaced = t.starts.find(&e.declared.name, &e.start_id);
+    let row = t.requests.get(end.id);
+    row.zip(replaced).is_some_and(|(row, replaced)| {
+        matches!(
+            order_to_next(t, row, &replaced.next),
+            StartOrder::Unknown { .. }
+        )
+    })
+}
+
 /// Judges the ends for which there is enough evidence, or which have waited for long enough.
 pub fn run(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
     if t.unproven_ends.is_empty() {
@@ -216,6 +273,9 @@
     if serving_start(t, end).is_none() {
         return Some(EndVerdict::rejected(EndEvidence::Restarted));
     }
+    if may_resume && is_start_unknown(t, end) {
+        return Some(EndVerdict::rejected(EndEvidence::Ambiguous));
+    }
     let end = &with_own_refusal(*end, wait_expired);
     if let Some(evidence) = sign_of_exit(t, now, end, may_resume) {
         if !others_go_on(t, end) {
--- a/crates/firdock-policy/src/table.rs
+++ b/crates/firdock-policy/src/table.rs
@@ -205,6 +205,12 @@
         peer.last_seen > Time::ZERO && peer.last_seen + stale > now
     }
 
+    /// Returns the Unix time at zero of this process's clock as last read.
+    #[must_use]
+    pub fn latest_zero(&self) -> Option<Duration> {
+        self.unix_zero.or(self.settings.unix_zero)
+    }
+
     /// Returns the Unix time, or the time of this process's clock if that is not known.
     #[must_use]
     pub fn unix_time(&self, now: Time) -> Duration {
--- a/crates/firdock-policy/src/table/start_history.rs
+++ b/crates/firdock-policy/src/table/start_history.rs
@@ -21,6 +21,8 @@
     pub build: Build,
     /// When it began, on this process's clock; `None` if that is not known.
     pub began: Option<Time>,
+    /// The same as its entry says it, as Unix time.
+    pub started: Option<Duration>,
 }
 
 /// A start that another one replaced.
--- a/crates/firdock-policy/tests/policy/end_lifecycle.rs
+++ b/crates/firdock-policy/tests/policy/end_lifecycle.rs
@@ -361,6 +361,93 @@
     }
 }
 
+/// Starts an answer of an instance whose clock had stood still for a time before it was sent.
+fn sent_after_standstill(service: &str, stood_still: Time) -> Answer {
+    let settings = edge_settings("a").with_unix_zero(UNIX_ZERO);
+    let mut edge = EdgeScheduler::new(settings, streams());
+    edge.step(Event::UnixZeroRead(UNIX_ZERO + stood_still));
+    let sent = dispatched(&edge.arrive(request(1, service, "free")));
+    let endpoint = sent[0].1.clone();
+    let mut answer = Answer { edge, endpoint };
+    answer.begin();
+    answer
+}
+
+/// Guards against a whole answer that is broken off, since its instance's clock had stood still, so that the start that gave it
+/// seems to have begun after it was sent.
+#[test]
+fn an_end_counts_for_the_start_that_gave_it_after_the_clock_stood_still() {
+    for service in ["safe", "once"] {
+        let stood_still = millis(700);
+        let mut answer = sent_after_standstill(service, stood_still);
+        let began = answer.edge.now + stood_still.saturating_sub(millis(200));
+        answer.pass(millis(50));
+        list_start(&mut answer, began);
+        let closed = answer.close();
+        assert_eq!(verdict_of(&closed), None, "{service}");
+        let open = answer.check_start(&closed, Liveness::Open);
+        let accepted = EndVerdict::accepted(EndEvidence::Open);
+        assert_eq!(verdict_of(&open), Some(accepted), "{service}");
+    }
+}
+
+/// Guards against a part that looks whole, since its instance's clock stood still after it was sent, so that the start after
+/// the one that gave it seems to have begun before.
+#[test]
+fn an_end_of_the_earlier_start_is_rejected_if_the_clock_stood_still_after_it_was_sent() {
+    for service in ["safe", "once"] {
+        let mut answer = with_starts(service);
+        let stood_still = millis(1_000);
+        let zero = Event::UnixZeroRead(UNIX_ZERO + stood_still);
+        answer.edge.step(zero);
+        let began = answer.edge.now + stood_still.saturating_sub(millis(100));
+        let mut actions = answer.close();
+        answer.edge.now += millis(10);
+        actions.extend(list_start(&mut answer, began));
+        actions.extend(answer.check(Liveness::Open));
+        actions.extend(answer.pass(MAX_WAIT));
+        let verdict = verdict_of(&actions).expect("a verdict");
+        assert!(!verdict.accepted, "{service}: {verdict:?}");
+    }
+}
+
+/// Guards against a part of a stream that looks whole, since the clock of its endpoint is some milliseconds behind: the start after
+/// the one that gave it seems to have begun before it was sent.
+#[test]
+fn an_end_is_not_accepted_by_the_order_of_clocks_that_may_differ() {
+    let settings = edge_settings("a").with_unix_zero(UNIX_ZERO);
+    let mut answer = Answer::start(settings, request(1, "safe", "free"));
+    let began = answer.edge.now.saturating_sub(millis(30));
+    answer.begin();
+    answer.edge.now += millis(20);
+    let mut actions = answer.close();
+    answer.edge.now += millis(10);
+    actions.extend(list_start(&mut answer, began));
+    actions.extend(answer.pass(millis(25)));
+    actions.extend(answer.check_start(&actions.clone(), Liveness::Open));
+    actions.extend(answer.pass(MAX_WAIT));
+    let ambiguous = EndVerdict::rejected(EndEvidence::Ambiguous);
+    assert_eq!(verdict_of(&actions), Some(ambiguous));
+}
+
+/// Guards against a whole answer that is broken off, since the clock of its endpoint is some milliseconds ahead: the start that gave it
+/// seems to have begun after it was sent, although the answer went on for long after that.
+#[test]
+fn an_answer_that_went_on_after_the_next_start_began_is_of_that_start() {
+    for service in ["safe", "once"] {
+        let mut answer = with_starts(service);
+        let began = answer.edge.now.saturating_sub(millis(480));
+        let mut actions = answer.close();
+        answer.edge.now += millis(10);
+        actions.extend(list_start(&mut answer, began));
+        assert_eq!(verdict_of(&actions), None, "{service}");
+        actions.extend(answer.pass(millis(25)));
+        let open = answer.check_start(&[actions.pop().expect("a check")], Liveness::Open);
+        let accepted = EndVerdict::accepted(EndEvidence::Open);
+        assert_eq!(verdict_of(&open), Some(accepted), "{service}");
+    }
+}
+
 /// Starts an answer whose connection goes through a peer, since the own link is cut.
 fn passed_on(service: &str) -> Answer {
     let settings = edge_settings("a").with_routes_by_peers();
