A liveness check knows its endpoint's address after the entry is gone

Callers lost whole streams without framing, also in planned work alone, if the entry of their endpoint was gone or spoilt by the time they ended: such a stream was cut, or ran again elsewhere.

Cause: the check of the end looked up the address in the list, found none and reported 'silent' at once, each 25 ms, until the end was rejected after 250 ms.

A request that is under way keeps the address to which it was sent, and the check takes that where the list has none.

--- a/crates/firdock-node/src/driver.rs
+++ b/crates/firdock-node/src/driver.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use firdock_core::RequestId;
+use firdock_core::{EndpointId, RequestId};
 use firdock_policy::event::{DispatchUpdate, EndpointEvent, HandOverEvent};
 use firdock_policy::request::{NewRequest, StreamOrigin};
 use firdock_policy::table::Revision;
@@ -33,7 +33,7 @@
 use crate::input::Input;
 use crate::peer::{self, Dialer, SelfStatus};
 use crate::placement::Placement;
-use crate::site::Site;
+use crate::site::{EndpointLocation, Site};
 use crate::source::PendingRecords;
 use crate::streams::SharedStreams;
 use crate::telemetry::decisions::{LastDispatch, RequestContext};
@@ -118,6 +118,8 @@
     arrived: Time,
     /// Last dispatch, for the log line about the request's end.
     sent: Option<LastDispatch>,
+    /// Where the last dispatch was sent: its end may have to be checked after the endpoint's entry is gone.
+    target: Option<(EndpointId, EndpointLocation)>,
     task: Option<AbortHandle>,
     /// Notifies the current dispatch of changes of its endpoint.
     change: Option<watch::Sender<EndpointChange>>,
@@ -210,6 +212,7 @@
                         exchange,
                         arrived: self.parts.clock.now(),
                         sent: None,
+                        target: None,
                         task: None,
                         change: None,
                     },
--- a/crates/firdock-node/src/driver/liveness.rs
+++ b/crates/firdock-node/src/driver/liveness.rs
@@ -29,8 +29,7 @@
     /// Checks whether an endpoint's address accepts connections and reports the result to the
     /// scheduler.
     pub(super) fn check_liveness(&self, endpoint: &EndpointId, start: StartId) {
-        let Some(location) = self.parts.site.view().location(endpoint) else {
-            // The endpoint is no longer listed, which is handled separately.
+        let Some(location) = self.location_of(endpoint) else {
             let found = Liveness::Silent;
             self.queue_event(Event::LivenessChecked(LivenessResult { start, found }));
             return;
@@ -50,7 +49,7 @@
         start: StartId,
         (peer, id): (InstanceId, RequestId),
     ) {
-        let Some(location) = self.parts.site.view().location(endpoint) else {
+        let Some(location) = self.location_of(endpoint) else {
             let found = Liveness::Silent;
             self.queue_event(Event::LivenessCheckedThrough(LivenessResult {
                 start,
@@ -70,6 +69,17 @@
         });
     }
 
+    /// Returns where an endpoint is; if its entry is gone, where a request was sent that is still under way or waits for the verdict on
+    /// its end.
+    fn location_of(&self, endpoint: &EndpointId) -> Option<EndpointLocation> {
+        let listed = self.parts.site.view().location(endpoint);
+        listed.or_else(|| {
+            let targets = self.active.values().filter_map(|r| r.target.as_ref());
+            let mut own = targets.filter(|(name, _)| name == endpoint);
+            own.next().map(|(_, location)| *location)
+        })
+    }
+
     /// Probes the instance's own link to an endpoint and reports the result to the scheduler.
     pub(super) fn probe_link(&self, endpoint: &EndpointId, start: StartId) {
         let Some(location) = self.parts.site.view().location(endpoint) else {
--- a/crates/firdock-node/src/driver/send.rs
+++ b/crates/firdock-node/src/driver/send.rs
@@ -41,6 +41,7 @@
         let (change, change_receiver) = watch::channel(EndpointChange::Unchanged);
         if let Some(request) = self.active.get_mut(&id) {
             request.sent = Some(LastDispatch::new(now, &dispatch));
+            request.target = Some((dispatch.endpoint.clone(), location));
             request.change = Some(change);
         }
         let run = self.make_run(exchange, dispatch, location, change_receiver);
