Heartbeats: a socket that fails is read with pauses

An instance whose socket for heartbeats failed took processor time from its callers for as long as the cause lasted, and only a debug line told of it.

Cause: a failed receive was tried again at once.

Change: the next receive comes 100 ms later, as with listeners; the failure is a warning, once a second at most with the number of lines left out.

--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -298,6 +298,7 @@
                 Arc::clone(&self.log_limiter),
                 log.clone(),
             ),
+            log_limiter: Arc::clone(&self.log_limiter),
             streams: Arc::clone(&self.streams),
             inputs: inputs.clone(),
             interval: self.settings.peers.heartbeat,
--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -25,7 +25,7 @@
 use firdock_policy::{Event, Time};
 use firdock_wire::PROTOCOL;
 use firdock_wire::message::{Beacon, datagram};
-use slog::{Logger, debug, info};
+use slog::{Logger, debug, info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
@@ -46,7 +46,7 @@
 use crate::clock::{Clock, millis};
 use crate::input::Input;
 use crate::streams::SharedStreams;
-use crate::telemetry::ReadLog;
+use crate::telemetry::{LogKind, LogLimiter, ReadLog};
 
 /// Maximum size of a received datagram.
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
@@ -63,6 +63,9 @@
 /// Ticks after which the known instances are assumed to be complete even if no list was received.
 const ASSUME_LISTED_TICKS: usize = 10;
 
+/// Pause after a failed receive, since the next one may fail at once for as long as the cause lasts.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(100);
+
 /// Store records that this instance applied, to be forwarded to its peers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AppliedRecords {
@@ -118,6 +121,8 @@
     pub send_times: Mutex<SendTimes>,
     /// Writes when the topics of the store were last read.
     pub read_log: ReadLog,
+    /// Limits the number of log lines.
+    pub log_limiter: Arc<LogLimiter>,
     /// Streams that callers may continue.
     pub streams: SharedStreams,
     /// Queue of inputs to the scheduler.
@@ -145,6 +150,7 @@
         let mut urgent = UrgentState::default();
         let mut tick = 0;
         let mut replies = ReplyQueue::default();
+        let mut receive_at = None;
         let mut bootstrap = Bootstrap::new(
             self.clock.now(),
             self.reads.asks_peers_first(),
@@ -154,14 +160,18 @@
         loop {
             let now = self.clock.now();
             tokio::select! {
-                received = self.socket.recv_from(&mut buffer) => match received {
+                received = receive(&self.socket, self.clock, receive_at, &mut buffer) => match received {
                     Ok((len, from)) => {
+                        receive_at = None;
                         let query = self.handle_datagram(&buffer[..len], from).await;
                         if query.is_some_and(|query| replies.enqueue(from, query)) {
                             self.send_delay_notice(from).await;
                         }
                     }
-                    Err(e) => debug!(self.log, "could not receive a datagram"; "error" => e.to_string()),
+                    Err(e) => {
+                        self.log_failed_receive(&e);
+                        receive_at = Some(self.clock.now() + RECEIVE_PAUSE);
+                    }
                 },
                 _ = ticks.tick() => {
                     tick += 1;
@@ -200,6 +210,16 @@
         self.send_at_once().await;
     }
 
+    fn log_failed_receive(&self, error: &io::Error) {
+        let now = self.clock.now();
+        if self
+            .log_limiter
+            .allow(&self.log, now, LogKind::FailedReceive)
+        {
+            warn!(self.log, "could not receive a datagram"; "error" => error.to_string());
+        }
+    }
+
     /// Publishes when the topics of the store were last read, and logs it every `LOG_READS_EVERY` ticks.
     fn report_reads(&self, tick: usize) {
         if !tick.is_multiple_of(PUBLISH_READS_EVERY) {
@@ -488,6 +508,19 @@
 }
 
 /// Waits until `due`, or forever if it is `None`.
+/// Receives a datagram, not before `after`.
+async fn receive(
+    socket: &UdpSocket,
+    clock: Clock,
+    after: Option<Time>,
+    buffer: &mut [u8],
+) -> io::Result<(usize, SocketAddr)> {
+    if let Some(after) = after {
+        clock.sleep_until(after).await;
+    }
+    socket.recv_from(buffer).await
+}
+
 async fn sleep_until_due(clock: Clock, due: Option<Time>) {
     match due {
         Some(due) => clock.sleep_until(due).await,
--- a/crates/firdock-node/src/telemetry/log_limiter.rs
+++ b/crates/firdock-node/src/telemetry/log_limiter.rs
@@ -47,6 +47,8 @@
     ContinuedStream,
     /// A listener could not accept a connection.
     FailedAccept,
+    /// A datagram could not be received.
+    FailedReceive,
 }
 
 impl LogKind {
@@ -71,6 +73,7 @@
             Self::ReadAhead => "read ahead of its clock",
             Self::ContinuedStream => "stream taken up",
             Self::FailedAccept => "connection not accepted",
+            Self::FailedReceive => "datagram not received",
         }
     }
 
@@ -92,8 +95,13 @@
             | Self::RefusedEntry => 20,
             Self::Failed | Self::Unframed | Self::StateChange | Self::ContinuedStream => 200,
             // A malformed header comes with each answer of its server, a clock that is off is off in each
-            // report of its instance, and a lack of descriptors fails each accept, so one line is enough.
-            Self::BadLoad | Self::BadNotice | Self::ReadAhead | Self::FailedAccept => 1,
+            // report of its instance, a lack of descriptors fails each accept, and a broken socket each receive, so one
+            // line is enough.
+            Self::BadLoad
+            | Self::BadNotice
+            | Self::ReadAhead
+            | Self::FailedAccept
+            | Self::FailedReceive => 1,
         }
     }
 }
--- a/crates/firdock-node/tests/node/main.rs
+++ b/crates/firdock-node/tests/node/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the entry instance's decoders and stores: invalid input is an error, never a panic.
 
+mod beacon_socket;
 mod bootstrap;
 mod change_delay;
 mod change_tracker;
--- a/crates/firdock-node/tests/node/test_instance.rs
+++ b/crates/firdock-node/tests/node/test_instance.rs
@@ -48,6 +48,7 @@
             partial_replies: Mutex::default(),
             send_times: Mutex::default(),
             read_log: ReadLog::new(Arc::default(), Arc::default(), discard_logger()),
+            log_limiter: Arc::default(),
             streams: SharedStreams::default(),
             inputs,
             interval: Duration::from_millis(20),
