Lines on invalid datagrams and messages of peers are limited in number

Anyone who reached the port for heartbeats could fill an instance's log, and take the processor time for its lines.

Change: one line a second on datagrams that are not authenticated, twenty on messages of peers that cannot be parsed, with the number of those left out.

The new test failed before (4,913 lines in 0.9 s, 2 allowed) and passes.

--- a/crates/firdock-node/src/peer/beacon/receive.rs
+++ b/crates/firdock-node/src/peer/beacon/receive.rs
@@ -25,6 +25,7 @@
 use crate::peer::streams::read_stream_records;
 use crate::permits::{read_grants, read_requests};
 use crate::placement::{PlacementInput, read_reply, read_report};
+use crate::telemetry::LogKind;
 
 impl BeaconService {
     /// Handles a datagram, or drops it if it is not authenticated with the shared key. Returns a
@@ -77,7 +78,9 @@
                 }
             }
             None => {
-                warn!(self.log, "dropped an invalid datagram"; "from" => from.to_string());
+                if self.may_log(LogKind::InvalidDatagram) {
+                    warn!(self.log, "dropped an invalid datagram"; "from" => from.to_string());
+                }
                 // Anyone may send any number of them.
                 yield_now().await;
             }
@@ -101,7 +104,13 @@
     }
 
     fn log_malformed(&self, what: &str, from: SocketAddr) {
-        warn!(self.log, "dropped a malformed message of a peer"; "what" => what, "from" => from.to_string());
+        if self.may_log(LogKind::MalformedMessage) {
+            warn!(self.log, "dropped a malformed message of a peer"; "what" => what, "from" => from.to_string());
+        }
+    }
+
+    fn may_log(&self, kind: LogKind) -> bool {
+        self.log_limiter.allow(&self.log, self.clock.now(), kind)
     }
 
     /// Applies a complete reply: the list of instances and the content of the store.
@@ -125,7 +134,9 @@
     fn add_reported(&self, peers: Vec<PeerAddress>, now: Time) {
         for peer in peers {
             let Ok(address) = peer.address.parse() else {
-                warn!(self.log, "ignored an instance with an invalid address"; "instance" => peer.instance);
+                if self.may_log(LogKind::MalformedMessage) {
+                    warn!(self.log, "ignored an instance with an invalid address"; "instance" => peer.instance);
+                }
                 continue;
             };
             let record = PeerRecord {
--- a/crates/firdock-node/src/telemetry/log_limiter.rs
+++ b/crates/firdock-node/src/telemetry/log_limiter.rs
@@ -49,6 +49,10 @@
     FailedAccept,
     /// A datagram could not be received.
     FailedReceive,
+    /// A datagram was not authenticated with the shared key.
+    InvalidDatagram,
+    /// An authenticated message of a peer could not be parsed.
+    MalformedMessage,
 }
 
 impl LogKind {
@@ -74,6 +78,8 @@
             Self::ContinuedStream => "stream taken up",
             Self::FailedAccept => "connection not accepted",
             Self::FailedReceive => "datagram not received",
+            Self::InvalidDatagram => "invalid datagram",
+            Self::MalformedMessage => "malformed message",
         }
     }
 
@@ -92,16 +98,18 @@
             | Self::Notice
             | Self::Tunnel
             | Self::StoreCall
-            | Self::RefusedEntry => 20,
+            | Self::RefusedEntry
+            | Self::MalformedMessage => 20,
             Self::Failed | Self::Unframed | Self::StateChange | Self::ContinuedStream => 200,
             // A malformed header comes with each answer of its server, a clock that is off is off in each
-            // report of its instance, a lack of descriptors fails each accept, and a broken socket each receive, so one
-            // line is enough.
+            // report of its instance, a lack of descriptors fails each accept, a broken socket each receive, and
+            // anyone may send any number of invalid datagrams, so one line is enough.
             Self::BadLoad
             | Self::BadNotice
             | Self::ReadAhead
             | Self::FailedAccept
-            | Self::FailedReceive => 1,
+            | Self::FailedReceive
+            | Self::InvalidDatagram => 1,
         }
     }
 }
--- a/crates/firdock-node/tests/node/beacon_socket.rs
+++ b/crates/firdock-node/tests/node/beacon_socket.rs
@@ -1,4 +1,4 @@
-//! The socket of heartbeats when it fails.
+//! The socket of heartbeats when it fails, or receives what is no heartbeat.
 
 use std::fmt::Arguments;
 use std::fs;
@@ -125,3 +125,26 @@
     let most = WATCHED.as_millis() / RECEIVE_PAUSE.as_millis() + 1;
     assert!(failures as u128 <= most, "{failures} failures");
 }
+
+/// Guards against lines without number on datagrams that anyone may send.
+#[tokio::test]
+async fn lines_on_invalid_datagrams_are_limited() {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let address = socket.local_addr().expect("an address");
+    let stranger = StdSocket::bind("127.0.0.1:0").expect("a socket");
+    let sending = thread::spawn(move || {
+        let began = Instant::now();
+        while began.elapsed() < WATCHED {
+            stranger.send_to(b"x", address).expect("it is sent");
+            thread::sleep(SEND_PAUSE);
+        }
+    });
+    let (messages, _) = run(socket).await;
+    sending.join().expect("no panic");
+    let lines = messages.count("dropped an invalid datagram");
+    assert!((1..=MOST_LINES).contains(&lines), "{lines} lines");
+    assert!(
+        messages.left_out.load(Ordering::Relaxed) > 0,
+        "they are told"
+    );
+}
