The log's reader has one pause for answers that give nothing

Two mends did the same: the thread looked whether a batch had advanced it, and the follower tells a gap where records are missing that the log has. The second one is in the shared piece and comes first, so that the first never held and its line was never written.

--- a/crates/firdock-node/src/config/follow.rs
+++ b/crates/firdock-node/src/config/follow.rs
@@ -21,7 +21,7 @@
 
 /// Maximum number of records in one read.
 const BATCH_RECORDS: usize = 512;
-/// Initial and maximum delay after reads that failed or gave nothing although the log has more.
+/// Initial and maximum delay after failed reads.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(5));
 /// Consecutive reads that find a gap before the state is requested from a peer.
 const GAPS_BEFORE_ASKING: u32 = 2;
@@ -92,17 +92,15 @@
     /// Reads once; returns the pause before the next read.
     fn read_once(&mut self) -> Duration {
         let sent = self.parts.clock.now();
-        let from = self.follower.read_from();
-        match self.parts.log_client.read(from, BATCH_RECORDS) {
+        match self
+            .parts
+            .log_client
+            .read(self.follower.read_from(), BATCH_RECORDS)
+        {
             Ok(batch) => {
+                self.backoff.reset();
                 let progress = self.follower.fold_batch(&batch);
                 self.publish();
-                let advanced = self.follower.read_from() != from;
-                if has_more(&progress) && !advanced {
-                    warn!(self.parts.log, "the log gave no record before its end"; "from" => from, "end" => batch.next);
-                    return self.backoff.next_pause();
-                }
-                self.backoff.reset();
                 self.after_read(
                     progress,
                     LogReading {
@@ -220,11 +218,6 @@
     }
 }
 
-/// Returns whether the log said that it has further records.
-fn has_more(progress: &Progress) -> bool {
-    matches!(progress, Progress::Folded { at_end: false, .. })
-}
-
 fn view_of(view: &firdock_state::PastView) -> MemberView {
     let member = |m: &firdock_state::MemberEntry| Member {
         name: m.name.clone(),
