Unproven ends: the start that gave an answer is looked up once

A verdict looked up the replaced start, its request and their order in time twice: for the start that gave the answer, and for whether the clocks tell it. One lookup returns both. 'Unknown, and not sent after' was taken as 'before' everywhere, so that the order has three values. No verdict changes.

--- a/crates/firdock-policy/src/system/unproven_end.rs
+++ b/crates/firdock-policy/src/system/unproven_end.rs
@@ -67,7 +67,7 @@
     let Some(end) = t.unproven_ends.get(id) else {
         return false;
     };
-    let server = serving_start(t, end).unwrap_or(end.serving_row);
+    let server = serving_start(t, end).map_or(end.serving_row, |start| start.row);
     let is_other = server != end.serving_row;
     t.unproven_ends.set_server(id, server);
     is_other
@@ -84,12 +84,12 @@
         return;
     };
     if !end.is_refused {
-        liveness::start_check_on_route(t, now, id, server, out);
+        liveness::start_check_on_route(t, now, id, server.row, out);
         return;
     }
     let peer = t.requests.get(id).and_then(|row| row.route.peer().cloned());
     if let Some(peer) = peer {
-        liveness::start_peer_check(t, now, server, (id, peer), out);
+        liveness::start_peer_check(t, now, server.row, (id, peer), out);
     }
 }
 
@@ -114,34 +114,41 @@
     true
 }
 
-/// Returns the row of the start that gave an answer; `None` if another start has replaced it.
+/// The start of an endpoint that gave an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct ServingStart {
+    row: usize,
+    /// Whether the clocks tell it from the start before it.
+    is_certain: bool,
+}
+
+/// Returns the start that gave an answer; `None` if another start has replaced it.
 ///
 /// A request that was sent after a start began, and before its entry was read, is in the row of the start before it.
-fn serving_start(t: &Tables, end: &UnprovenEnd) -> Option<usize> {
+fn serving_start(t: &Tables, end: &UnprovenEnd) -> Option<ServingStart> {
     let e = t.endpoints.get(end.dispatched_row);
     if !e.is_replaced() {
-        return Some(end.dispatched_row);
+        return Some(ServingStart {
+            row: end.dispatched_row,
+            is_certain: true,
+        });
     }
     let next = &t.starts.find(&e.declared.name, &e.start_id)?.next;
-    let row = t.requests.get(end.id)?;
-    let reached_next = match order_to_next(t, row, next) {
-        StartOrder::Before => false,
-        StartOrder::After => true,
-        StartOrder::Unknown { sent_after } => sent_after,
-    };
-    t.endpoints.find_start(&next.start).filter(|_| reached_next)
+    let order = order_to_next(t, t.requests.get(end.id)?, next);
+    let row = t.endpoints.find_start(&next.start)?;
+    (order != StartOrder::Before).then_some(ServingStart {
+        row,
+        is_certain: order == StartOrder::After,
+    })
 }
 
 /// Whether a request was sent before or after the next start of its endpoint began.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StartOrder {
     Before,
+    /// After it, unless the clocks differ by more than the times do.
+    ProbablyAfter,
     After,
-    /// The clocks may differ by more than the times do.
-    Unknown {
-        /// Whether it was sent after that start, if the clocks agree.
-        sent_after: bool,
-    },
 }
 
 /// Returns whether a request was sent before or after the next start of its endpoint began, in Unix time.
@@ -161,26 +168,12 @@
     let last_bytes = row.last_bytes.unwrap_or(row.dispatched);
     let went_on = started + CLOCK_TOLERANCE + BREAK_SPREAD <= least + last_bytes;
     if sent_after || went_on {
-        return StartOrder::After;
-    }
-    let sent_after = started <= zero + row.dispatched;
-    StartOrder::Unknown { sent_after }
-}
-
-/// Returns whether it is not known if the start of the request's dispatch gave an answer, or the next one.
-fn is_start_unknown(t: &Tables, end: &UnprovenEnd) -> bool {
-    let e = t.endpoints.get(end.dispatched_row);
-    if !e.is_replaced() {
-        return false;
+        StartOrder::After
+    } else if started <= zero + row.dispatched {
+        StartOrder::ProbablyAfter
+    } else {
+        StartOrder::Before
     }
-    let replaced = t.starts.find(&e.declared.name, &e.start_id);
-    let row = t.requests.get(end.id);
-    row.zip(replaced).is_some_and(|(row, replaced)| {
-        matches!(
-            order_to_next(t, row, &replaced.next),
-            StartOrder::Unknown { .. }
-        )
-    })
 }
 
 /// Judges the ends for which there is enough evidence, or which have waited for long enough.
@@ -270,10 +263,10 @@
 fn judge(t: &Tables, now: Time, end: &UnprovenEnd) -> Option<EndVerdict> {
     let wait_expired = end.closed_at + MAX_WAIT <= now || !has_time_left(t, now, end.id);
     let may_resume = may_go_on(t, now, end);
-    if serving_start(t, end).is_none() {
+    let Some(server) = serving_start(t, end) else {
         return Some(EndVerdict::rejected(EndEvidence::Restarted));
-    }
-    if may_resume && is_start_unknown(t, end) {
+    };
+    if may_resume && !server.is_certain {
         return Some(EndVerdict::rejected(EndEvidence::Ambiguous));
     }
     let end = &with_own_refusal(*end, wait_expired);
