--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -340,14 +340,15 @@
             std::future::ready(status::metrics_response(&metrics, r.uri().path()))
         };
         let (options, mut stop) = (self.status_options(), stop.clone());
-        let (log, clock) = (self.port_log("instance.metrics"), self.clock);
+        let (log, clock) = (self.log.clone(), self.clock);
         tokio::spawn(async move {
             let listener = tokio::select! {
                 listener = opener.open_eventually(port) => listener,
                 _ = stop.wait_for(|s| *s) => return,
             };
-            let options = options.with_buffers(status_buffers(&listener, &log));
-            let acceptor = Acceptor::new(listener).with_log(log, clock);
+            let port_log = log.new(o!("port" => "instance.metrics"));
+            let options = options.with_buffers(status_buffers(&listener, &port_log));
+            let acceptor = Acceptor::new(listener).with_log(&log, "instance.metrics", clock);
             serve(acceptor, options, stop, answer).await;
         });
         Ok(())
@@ -355,11 +356,7 @@
 
     /// Creates the acceptor of a listener that was opened for a field of the settings.
     pub fn acceptor(&self, listener: TcpListener, field: &'static str) -> Acceptor {
-        Acceptor::new(listener).with_log(self.port_log(field), self.clock)
-    }
-
-    fn port_log(&self, field: &'static str) -> Logger {
-        self.log.new(o!("port" => field))
+        Acceptor::new(listener).with_log(&self.log, field, self.clock)
     }
 
     fn status_options(&self) -> ServerOptions {
--- a/crates/firdock-node/src/http/listener.rs
+++ b/crates/firdock-node/src/http/listener.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use slog::{Logger, warn};
+use slog::{Logger, o, warn};
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -63,10 +63,11 @@
         }
     }
 
-    /// Sets the logger for failures, and the clock that limits their lines.
+    /// Sets the logger for failures, with the field of the settings that has the address, and the clock that limits their
+    /// lines.
     #[must_use]
-    pub fn with_log(mut self, log: Logger, clock: Clock) -> Self {
-        self.log = log;
+    pub fn with_log(mut self, log: &Logger, port: &'static str, clock: Clock) -> Self {
+        self.log = log.new(o!("port" => port));
         self.clock = clock;
         self
     }
--- a/crates/firdock-node/src/instance.rs
+++ b/crates/firdock-node/src/instance.rs
@@ -12,7 +12,7 @@
 use firdock_core::settings::Settings;
 use firdock_policy::Event;
 use firdock_policy::event::Member;
-use slog::{Logger, info, o};
+use slog::{Logger, info};
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
@@ -137,8 +137,8 @@
 
         let ingress = components.ingress(inputs.clone());
         let options = ServerOptions::new(&s.limits);
-        let log = self.log.new(o!("port" => "instance.callers"));
-        let acceptor = Acceptor::new(ingress_socket).with_log(log, components.clock);
+        let acceptor = Acceptor::new(ingress_socket);
+        let acceptor = acceptor.with_log(&self.log, "instance.callers", components.clock);
         let ingress = serve(acceptor, options, ingress_stops, move |r| {
             ingress.clone().handle(r)
         });
--- a/crates/firdock-node/src/operator/api.rs
+++ b/crates/firdock-node/src/operator/api.rs
@@ -12,7 +12,7 @@
 use hyper::Request;
 use hyper::body::Incoming;
 use serde_json::json;
-use slog::{Logger, info, o};
+use slog::{Logger, info};
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_blocking;
 
@@ -75,8 +75,8 @@
 ) -> io::Result<SocketAddr> {
     let listener = listen(address)?;
     let bound = listener.local_addr()?;
-    let log = server.log.new(o!("port" => "instance.operators"));
-    let acceptor = Acceptor::new(listener).with_log(log, server.clock);
+    let acceptor = Acceptor::new(listener);
+    let acceptor = acceptor.with_log(&server.log, "instance.operators", server.clock);
     let server = Arc::new(server);
     let options = ServerOptions {
         connections: MAX_CONNECTIONS,
--- a/crates/firdock-node/src/peer/serve.rs
+++ b/crates/firdock-node/src/peer/serve.rs
@@ -9,7 +9,7 @@
 use firdock_wire::Body;
 use firdock_wire::message;
 use hyper::Method;
-use slog::{Logger, o, warn};
+use slog::{Logger, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::time::timeout;
@@ -56,8 +56,7 @@
 /// Serves peers until `stop` turns true.
 pub async fn serve_peers(listener: TcpListener, server: PeerServer, stop: watch::Receiver<bool>) {
     let slots = Arc::new(Semaphore::new(MAX_LINKS));
-    let log = server.log.new(o!("port" => "instance.peers"));
-    let acceptor = Acceptor::new(listener).with_log(log, server.clock);
+    let acceptor = Acceptor::new(listener).with_log(&server.log, "instance.peers", server.clock);
     accept_peers(&acceptor, &slots, stop, |stream| {
         let server = server.clone();
         async move {
--- a/crates/firdock-node/src/peer/tunnel.rs
+++ b/crates/firdock-node/src/peer/tunnel.rs
@@ -12,7 +12,7 @@
 use firdock_core::{InstanceId, RequestId};
 use firdock_wire::Body;
 use firdock_wire::message::{Tunnel, TunnelOpened, TunnelRefused};
-use slog::{Logger, info, o, warn};
+use slog::{Logger, info, warn};
 use snafu::Snafu;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
@@ -172,8 +172,7 @@
 impl<C: Connector> TunnelServer<C> {
     /// Serves peers until `stop` turns true. Tunnels that are open go on until they end.
     pub async fn run(self, listener: TcpListener, stop: watch::Receiver<bool>) {
-        let log = self.log.new(o!("port" => "instance.peers"));
-        let acceptor = Acceptor::new(listener).with_log(log, self.clock);
+        let acceptor = Acceptor::new(listener).with_log(&self.log, "instance.peers", self.clock);
         accept_peers(&acceptor, &self.open.0, stop, |stream| {
             let server = self.clone();
             async move {
