--- a/crates/firdock-node/src/peer/beacon.rs
+++ b/crates/firdock-node/src/peer/beacon.rs
@@ -169,7 +169,9 @@
                         }
                     }
                     Err(e) => {
-                        self.log_failed_receive(&e);
+                        if self.may_log(LogKind::FailedReceive) {
+                            warn!(self.log, "could not receive a datagram"; "error" => e.to_string());
+                        }
                         receive_at = Some(self.clock.now() + RECEIVE_PAUSE);
                     }
                 },
@@ -210,14 +212,8 @@
         self.send_at_once().await;
     }
 
-    fn log_failed_receive(&self, error: &io::Error) {
-        let now = self.clock.now();
-        if self
-            .log_limiter
-            .allow(&self.log, now, LogKind::FailedReceive)
-        {
-            warn!(self.log, "could not receive a datagram"; "error" => error.to_string());
-        }
+    fn may_log(&self, kind: LogKind) -> bool {
+        self.log_limiter.allow(&self.log, self.clock.now(), kind)
     }
 
     /// Publishes when the topics of the store were last read, and logs it every `LOG_READS_EVERY` ticks.
@@ -507,7 +503,6 @@
         .map(|self_status| UrgentState::new(&self_status))
 }
 
-/// Waits until `due`, or forever if it is `None`.
 /// Receives a datagram, not before `after`.
 async fn receive(
     socket: &UdpSocket,
@@ -521,6 +516,7 @@
     socket.recv_from(buffer).await
 }
 
+/// Waits until `due`, or forever if it is `None`.
 async fn sleep_until_due(clock: Clock, due: Option<Time>) {
     match due {
         Some(due) => clock.sleep_until(due).await,
--- a/crates/firdock-node/src/peer/beacon/receive.rs
+++ b/crates/firdock-node/src/peer/beacon/receive.rs
@@ -109,10 +109,6 @@
         }
     }
 
-    fn may_log(&self, kind: LogKind) -> bool {
-        self.log_limiter.allow(&self.log, self.clock.now(), kind)
-    }
-
     /// Applies a complete reply: the list of instances and the content of the store.
     fn apply_reply(&self, mut reply: StateReply) {
         let now = self.clock.now();
