--- a/crates/firdock-node/src/http/socket_buffers.rs
+++ b/crates/firdock-node/src/http/socket_buffers.rs
@@ -130,19 +130,20 @@
 }
 
 fn set_send(stream: &TcpStream, size: Option<BufferSize>) {
-    let bytes = match size {
-        None => return,
-        Some(BufferSize::Base) => SEND_BYTES,
-        Some(BufferSize::Large) => LARGE_BYTES,
-    };
-    let _ = SockRef::from(stream).set_send_buffer_size(bytes);
+    if let Some(size) = size {
+        let _ = SockRef::from(stream).set_send_buffer_size(bytes_of(size, SEND_BYTES));
+    }
 }
 
 fn set_receive(stream: &TcpStream, size: Option<BufferSize>) {
-    let bytes = match size {
-        None => return,
-        Some(BufferSize::Base) => RECEIVE_BYTES,
-        Some(BufferSize::Large) => LARGE_BYTES,
-    };
-    let _ = SockRef::from(stream).set_recv_buffer_size(bytes);
+    if let Some(size) = size {
+        let _ = SockRef::from(stream).set_recv_buffer_size(bytes_of(size, RECEIVE_BYTES));
+    }
+}
+
+fn bytes_of(size: BufferSize, base: usize) -> usize {
+    match size {
+        BufferSize::Base => base,
+        BufferSize::Large => LARGE_BYTES,
+    }
 }
--- a/crates/firdock-policy/src/transfer.rs
+++ b/crates/firdock-policy/src/transfer.rs
@@ -125,12 +125,6 @@
         shrinks.then_some(BufferSize::Base)
     }
 
-    /// Returns whether bytes of the pool are taken for it.
-    #[must_use]
-    pub fn is_large(&self) -> bool {
-        self.lease.is_some()
-    }
-
     /// Returns the bytes that passed since the buffer was made small again, while its lease lasts.
     #[must_use]
     pub fn bytes_since_end(&self) -> Option<usize> {
