--- a/crates/firdock-policy/src/event/endpoint.rs
+++ b/crates/firdock-policy/src/event/endpoint.rs
@@ -299,6 +299,12 @@
             Self::Silent => "silent",
         }
     }
+
+    /// Returns whether the check said nothing about the process.
+    #[must_use]
+    pub fn is_nothing(self) -> bool {
+        matches!(self, Self::ClosesAtOnce | Self::Silent)
+    }
 }
 
 /// Load and cache changes that an endpoint published.
--- a/crates/firdock-policy/src/system/unproven_end.rs
+++ b/crates/firdock-policy/src/system/unproven_end.rs
@@ -213,8 +213,7 @@
 /// Repeats the checks that found nothing: a process that is about to end may close each connection at once.
 pub fn repeat_checks(t: &mut Tables, now: Time, out: &mut Vec<Action>) {
     let ends = t.unproven_ends.iter();
-    let nothing = [Some(Liveness::Silent), Some(Liveness::ClosesAtOnce)];
-    let unknown = ends.filter(|end| nothing.contains(&end.liveness));
+    let unknown = ends.filter(|end| end.liveness.is_some_and(Liveness::is_nothing));
     let unknown: Vec<RequestId> = unknown.map(|end| end.id).collect();
     for id in unknown {
         start_check(t, now, id, out);
--- a/crates/firdock-policy/src/table/unproven_ends.rs
+++ b/crates/firdock-policy/src/table/unproven_ends.rs
@@ -132,8 +132,7 @@
                 _ => end.liveness = Some(found),
             }
         }
-        let is_nothing = matches!(found, Liveness::Silent | Liveness::ClosesAtOnce);
-        if check.through_peer && is_nothing {
+        if check.through_peer && found.is_nothing() {
             self.confirm_refusals(server);
         }
     }
