Daemons create their log and write their failure in one place

Both daemons and the soak's instance had the same four lines for the log and its panics, and both daemons those for the error that ends them.

--- a/crates/firdock-node/src/telemetry.rs
+++ b/crates/firdock-node/src/telemetry.rs
@@ -3,6 +3,7 @@
 pub mod answer_metrics;
 pub mod body_metrics;
 pub mod change_tracker;
+pub mod daemon;
 pub mod decisions;
 pub mod endpoints;
 pub mod log;
@@ -20,9 +21,10 @@
 
 pub use answer_metrics::AnswerMetrics;
 pub use body_metrics::BodyMetrics;
+pub use daemon::daemon_logger;
 pub use decisions::DecisionLog;
 pub use endpoints::EndpointList;
-pub use log::{Level, LogGuard, StandardOutput, discard_logger, excerpt, logger, write_error};
+pub use log::{Level, LogGuard, StandardOutput, discard_logger, excerpt, logger, write_failure};
 pub use log_limiter::{LogKind, LogLimiter};
 pub use metrics::Metrics;
 pub(crate) use panics::flush_before_abort;
--- a/crates/firdock-node/src/telemetry/log.rs
+++ b/crates/firdock-node/src/telemetry/log.rs
@@ -14,7 +14,8 @@
 use slog::{Drain as _, Logger, o};
 
 pub(super) use self::losses::lost_lines;
-pub use self::output::{StandardOutput, write_error};
+pub(super) use self::output::write_error;
+pub use self::output::{StandardOutput, write_failure};
 pub(super) use self::queue::Flusher;
 
 /// Minimum severity of lines that are logged.
--- a/crates/firdock-node/src/telemetry/log/output.rs
+++ b/crates/firdock-node/src/telemetry/log/output.rs
@@ -1,5 +1,6 @@
 //! Standard output and standard error, without a buffer and without waiting for a reader for good.
 
+use std::error::Error;
 use std::io::{self, Write};
 use std::os::fd::{AsFd, BorrowedFd};
 use std::time::Duration;
@@ -7,6 +8,7 @@
 use rustix::event::{PollFd, PollFlags, poll};
 use rustix::io::Errno;
 use rustix::time::Timespec;
+use snafu::Report;
 
 /// Time for which a write waits for room in a destination that would block.
 const WRITABLE_WAIT: Duration = Duration::from_secs(1);
@@ -70,6 +72,13 @@
     Ok(())
 }
 
+/// Writes an error with its causes to standard error before the process ends with an exit code, which tells it as well and
+/// waits for no reader.
+pub fn write_failure(error: impl Error) {
+    let text = format!("{}\n", Report::from_error(error));
+    let _ = write_error(text.as_bytes());
+}
+
 /// Waits until a descriptor can be written, or has an error that a write tells. Returns `false` if it cannot.
 fn wait_writable(out: BorrowedFd<'_>, longest: Duration) -> io::Result<bool> {
     let mut polled = [PollFd::new(&out, PollFlags::OUT)];
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -4,7 +4,7 @@
 use firdock_core::settings::Settings;
 use firdock_node::Instance;
 use firdock_node::signals::Signals;
-use firdock_node::telemetry::{Level, StandardOutput, logger, report_panics};
+use firdock_node::telemetry::daemon_logger;
 use snafu::ResultExt as _;
 use tokio::runtime::Builder;
 
@@ -52,10 +52,7 @@
 }
 
 async fn serve(settings: Settings, mut signals: Signals) -> Result<(), CmdError> {
-    let level = Level::new(&settings.logging.level);
-    let (spans, name) = (settings.logging.spans, settings.instance.name.clone());
-    let (log, guard) = logger(StandardOutput::new(), level, spans, &name);
-    report_panics(&log, &guard);
+    let (log, _guard) = daemon_logger(&settings);
     let hang_up = ("SIGHUP", signals.hang_up);
     signals.logged.log_to(&log, vec![hang_up]);
     let running = Instance::new(settings)
--- a/src/exit.rs
+++ b/src/exit.rs
@@ -2,8 +2,7 @@
 
 use std::process::ExitCode;
 
-use firdock_node::telemetry::write_error;
-use snafu::Report;
+use firdock_node::telemetry::write_failure;
 
 use crate::cmd::CmdError;
 
@@ -27,9 +26,7 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             let code = e.exit_code();
-            let text = format!("{}\n", Report::from_error(e));
-            // The exit code tells it as well, and must not wait for a reader of standard error.
-            let _ = write_error(text.as_bytes());
+            write_failure(e);
             ExitCode::from(code)
         }
     }
