--- a/crates/firdock-node/tests/node/log_reads.rs
+++ b/crates/firdock-node/tests/node/log_reads.rs
@@ -6,14 +6,11 @@
 use std::time::Duration;
 
 use firdock_core::Offset;
-use firdock_node::clock::Clock;
-use firdock_node::config::{FollowParts, Hub, RecordSettings, follow};
+use firdock_node::config::{Hub, follow};
 use firdock_node::platform::{LogClient, PlatformError};
-use firdock_node::telemetry::discard_logger;
-use firdock_policy::event::Member;
-use firdock_state::{Batch, State};
-use tokio::sync::mpsc;
-use uuid::Uuid;
+use firdock_state::Batch;
+
+use crate::read_back::follow_parts;
 
 /// Time for which reads are counted.
 const MEASURED: Duration = Duration::from_millis(500);
@@ -47,23 +44,7 @@
 fn a_log_that_holds_its_records_back_is_read_with_pauses() {
     let hub = Arc::new(Hub::default());
     let log = EmptyLog::default();
-    let parts = FollowParts {
-        log_client: log.clone(),
-        ask_peers: || None::<State>,
-        hub: Arc::clone(&hub),
-        inputs: mpsc::channel(64).0,
-        clock: Clock::new(),
-        log: discard_logger(),
-        pause: Duration::from_millis(100),
-        member: Member {
-            name: "node-0".to_owned(),
-            incarnation: Uuid::from_u128(1),
-        },
-        record_settings: RecordSettings {
-            silence: Duration::from_hours(1),
-            retention: Duration::from_hours(1),
-        },
-    };
+    let parts = follow_parts(&log, &hub);
     let following = thread::spawn(move || follow(parts));
     thread::sleep(MEASURED);
     hub.close();
--- a/crates/firdock-node/tests/node/read_back.rs
+++ b/crates/firdock-node/tests/node/read_back.rs
@@ -62,10 +62,8 @@
     }
 }
 
-fn follow_parts(
-    log: &FailingLog,
-    hub: &Arc<Hub>,
-) -> FollowParts<FailingLog, fn() -> Option<State>> {
+/// Returns what the thread of a log needs, with no peer to ask.
+pub fn follow_parts<L: Clone>(log: &L, hub: &Arc<Hub>) -> FollowParts<L, fn() -> Option<State>> {
     FollowParts {
         log_client: log.clone(),
         ask_peers: || None,
--- a/crates/firdock-policy/tests/policy/end_lifecycle.rs
+++ b/crates/firdock-policy/tests/policy/end_lifecycle.rs
@@ -136,7 +136,8 @@
     }
 }
 
-fn heartbeat(name: &str) -> PeerUpdate {
+/// Returns a word of a peer that passes connections on and reaches all endpoints.
+pub fn heartbeat(name: &str) -> PeerUpdate {
     PeerUpdate {
         name: name.to_owned(),
         passes_on: true,
--- a/crates/firdock-policy/tests/policy/row_lifecycle.rs
+++ b/crates/firdock-policy/tests/policy/row_lifecycle.rs
@@ -9,8 +9,8 @@
 use firdock_policy::bodies::WantedRoom;
 use firdock_policy::event::{
     BreakCause, ConnectFailure, DispatchUpdate, EndpointEvent, Grant, HandOverEvent,
-    HandOverRefusal, LinkProbe, Liveness, LivenessResult, PeerUpdate, PoolLinks, RenewedEntry,
-    WatchChange, WatchUpdate,
+    HandOverRefusal, LinkProbe, Liveness, LivenessResult, PeerUpdate, RenewedEntry, WatchChange,
+    WatchUpdate,
 };
 use firdock_policy::notice::{Notice, NoticeReport};
 use firdock_policy::request::Phase;
@@ -19,6 +19,7 @@
 use proptest::prelude::*;
 
 use crate::edge::{edge_settings, request};
+use crate::end_lifecycle::heartbeat;
 use crate::fixtures::millis;
 use crate::random::{play, seeds};
 
@@ -243,7 +244,7 @@
         }
         world.read_entries();
         world.step(Event::PeersKnown(PEERS));
-        world.step(Event::Peer(heartbeat(0)));
+        world.step(Event::Peer(heartbeat(&peer_name(0))));
         world
     }
 
@@ -637,13 +638,13 @@
             0 => self.step(Event::PeerLost(peer_name(peer))),
             1 => self.step(Event::Peer(PeerUpdate {
                 draining: true,
-                ..heartbeat(peer)
+                ..heartbeat(&peer_name(peer))
             })),
             2 => {
                 self.now += millis(61_000);
                 self.step(Event::Timer);
             }
-            _ => self.step(Event::Peer(heartbeat(peer))),
+            _ => self.step(Event::Peer(heartbeat(&peer_name(peer)))),
         }
     }
 
@@ -679,19 +680,6 @@
     format!("b{peer}")
 }
 
-fn heartbeat(peer: usize) -> PeerUpdate {
-    PeerUpdate {
-        name: peer_name(peer),
-        passes_on: true,
-        links: vec![PoolLinks {
-            pool: "pool".to_owned(),
-            reached: 2,
-            failing: 0,
-        }],
-        ..PeerUpdate::default()
-    }
-}
-
 fn service(name: &str, repeatable: bool) -> Resource {
     Resource::Service(Service {
         name: name.to_owned(),
