--- a/review/4/case.py
+++ b/review/4/case.py
@@ -44,4 +44,4 @@
     return not ran
 
 
-play(HERE, case)
+play(HERE / "record.txt", case)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -57,4 +57,4 @@
     return served[1] >= len(after) / 4
 
 
-play(HERE, case)
+play(HERE / "record.txt", case)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -125,4 +125,4 @@
     return parts[ASKED] >= of_all / 4
 
 
-play(HERE, case)
+play(HERE / "record.txt", case)
--- a/review/kit-2/site_kit.py
+++ b/review/kit-2/site_kit.py
@@ -39,9 +39,9 @@
 class Record:
     """Writes what was sent, answered and run, with seconds since the start."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.began = time.monotonic()
-        self.file = open(Path(folder) / "record.txt", "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def now(self):
         return time.monotonic() - self.began
@@ -417,11 +417,11 @@
 class Site:
     """A store, servers and instances."""
 
-    def __init__(self, folder):
+    def __init__(self, record):
         self.role = read_role()
         if not (ROOT / self.role["run"].split()[0]).exists():
             raise CannotRun("the build of the deploy file has not run")
-        self.record = Record(folder)
+        self.record = Record(record)
         self.folder = Path(tempfile.mkdtemp(prefix="firdock-review-"))
         low = os.getpid()
         self.net = f"127.{1 + low % 250}.{1 + low // 250 % 250}"
@@ -542,11 +542,11 @@
             "rate_per_s": 233855, "burst": 233855}
 
 
-def play(folder, case):
-    """Plays a case, which returns whether the rule held, and exits as the issue asks."""
+def play(record, case):
+    """Plays a case, which returns whether the rule held, with its record in that file, and exits as the issue asks."""
 
     async def run():
-        site = Site(folder)
+        site = Site(record)
         try:
             return await asyncio.wait_for(case(site), 110), site
         finally:
