--- a/review/5/case.py
+++ b/review/5/case.py
@@ -14,7 +14,7 @@
 KEY = "keykeptkeykeptkeykept"
 ENTRIES = 6
 ENTRY_BYTES = 200_000
-DOWN_S = 1.5
+DOWN_S = 1.3
 RECOVERY_S = BOUNDS["recovery_s"]
 
 
