--- a/crates/firdock-node/src/source.rs
+++ b/crates/firdock-node/src/source.rs
@@ -184,6 +184,14 @@
             "end" => end, "known" => known);
     }
 
+    /// Counts and logs a listing of a topic that is only a part of it, with the numbers of its items and of those that
+    /// are used.
+    pub fn record_partial_listing(&self, topic: Topic, items: usize, used: usize) {
+        self.metrics.count_partial_listing();
+        warn!(self.log, "part of a topic listed"; "topic" => topic.as_str(),
+            "items" => items, "used" => used);
+    }
+
     /// Logs records without a readable key that were passed over in a batch that begins at `from`.
     pub fn log_unreadable_records(&self, topic: Topic, count: usize, from: Offset) {
         warn!(self.log, "records without a key passed over"; "topic" => topic.as_str(),
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -80,6 +80,7 @@
     lost_by_restart: Counter,
     unconfirmed_starts: Counter,
     entries_refused: Counter,
+    partial_listings: Counter,
     streams_taken_up: Family<BySource, Counter>,
     version: Gauge,
     log_lag: Gauge,
@@ -149,6 +150,7 @@
             lost_by_restart: Counter::default(),
             unconfirmed_starts: Counter::default(),
             entries_refused: Counter::default(),
+            partial_listings: Counter::default(),
             streams_taken_up: Family::default(),
             version: Gauge::default(),
             log_lag: Gauge::default(),
@@ -318,6 +320,11 @@
         self.entries_refused.inc();
     }
 
+    /// Counts a listing of a topic of the store that is only a part of it.
+    pub fn count_partial_listing(&self) {
+        self.partial_listings.inc();
+    }
+
     /// Sets the time since the log was last read to its end.
     pub fn set_log_lag(&self, lag: Duration) {
         self.log_lag
--- a/crates/firdock-node/src/telemetry/metrics/register.rs
+++ b/crates/firdock-node/src/telemetry/metrics/register.rs
@@ -240,6 +240,11 @@
             "Requests that continue a stream of an earlier attempt, by who knew the stream",
             self.streams_taken_up.clone(),
         );
+        r.register(
+            "partial_listings",
+            "Listings of a topic of the store that are only a part of it",
+            self.partial_listings.clone(),
+        );
         r.register(
             "entries_refused",
             "Entries of endpoints that name none to use",
