--- a/crates/firdock-node/src/source.rs
+++ b/crates/firdock-node/src/source.rs
@@ -184,6 +184,11 @@
             "end" => end, "known" => known);
     }
 
+    /// Counts parts of a manifest that were not taken as they stand.
+    pub fn count_bad_parts(&self, count: usize) {
+        self.metrics.count_bad_parts(count);
+    }
+
     /// Counts and logs a listing of a topic that is only a part of it, with the numbers of its items and of those that
     /// are used.
     pub fn record_partial_listing(&self, topic: Topic, items: usize, used: usize) {
--- a/crates/firdock-node/src/telemetry/metrics.rs
+++ b/crates/firdock-node/src/telemetry/metrics.rs
@@ -81,6 +81,7 @@
     unconfirmed_starts: Counter,
     entries_refused: Counter,
     partial_listings: Counter,
+    bad_parts: Counter,
     streams_taken_up: Family<BySource, Counter>,
     version: Gauge,
     log_lag: Gauge,
@@ -151,6 +152,7 @@
             unconfirmed_starts: Counter::default(),
             entries_refused: Counter::default(),
             partial_listings: Counter::default(),
+            bad_parts: Counter::default(),
             streams_taken_up: Family::default(),
             version: Gauge::default(),
             log_lag: Gauge::default(),
@@ -320,6 +322,11 @@
         self.entries_refused.inc();
     }
 
+    /// Counts parts of a configuration that were not taken as they stand.
+    pub fn count_bad_parts(&self, count: usize) {
+        self.bad_parts.inc_by(count as u64);
+    }
+
     /// Counts a listing of a topic of the store that is only a part of it.
     pub fn count_partial_listing(&self) {
         self.partial_listings.inc();
--- a/crates/firdock-node/src/telemetry/metrics/register.rs
+++ b/crates/firdock-node/src/telemetry/metrics/register.rs
@@ -245,6 +245,11 @@
             "Listings of a topic of the store that are only a part of it",
             self.partial_listings.clone(),
         );
+        r.register(
+            "configuration_parts_refused",
+            "Parts of a configuration that were not taken as they stand",
+            self.bad_parts.clone(),
+        );
         r.register(
             "entries_refused",
             "Entries of endpoints that name none to use",
