An unframed answer that its endpoint outlived speaks for its request

Whole answers in between counted for nothing: only an end that framing proves voided the exits before it.

An end that is accepted because its endpoint was seen alive after it now does so as well (`CompletionProof::Outlived`). Ends that are accepted for want of evidence still void nothing, and a part of an answer whose endpoint exits counts as before.

Why it works: a connection that stays open after the end shows a living process, which is what the answer has to prove.

--- a/crates/firdock-policy/src/event/endpoint.rs
+++ b/crates/firdock-policy/src/event/endpoint.rs
@@ -208,6 +208,12 @@
         !matches!(self, Self::SeenLate | Self::Silent | Self::Ambiguous)
     }
 
+    /// Returns whether it shows that the process outlived the answer.
+    #[must_use]
+    pub fn shows_life(self) -> bool {
+        matches!(self, Self::Open | Self::OthersGoOn)
+    }
+
     /// Returns its name in logs and metrics.
     #[must_use]
     pub fn as_str(self) -> &'static str {
--- a/crates/firdock-policy/src/request.rs
+++ b/crates/firdock-policy/src/request.rs
@@ -356,6 +356,8 @@
     Proven,
     /// Nothing: a process that is killed ends its answers in the same way.
     Unproven,
+    /// That the endpoint outlived the answer, whose end counts: its process was seen alive after it.
+    Outlived,
     /// The same, and the answer is continued elsewhere, or left to its caller, without a sign against its endpoint.
     Doubted {
         /// Whether the retry budget has paid for another run.
--- a/crates/firdock-policy/src/system/dispatch_updates.rs
+++ b/crates/firdock-policy/src/system/dispatch_updates.rs
@@ -279,9 +279,11 @@
     let Some(row) = t.requests.get(id) else {
         return;
     };
-    let content = row
-        .content_id()
-        .filter(|_| row.completion_proof == CompletionProof::Proven);
+    let is_alive = matches!(
+        row.completion_proof,
+        CompletionProof::Proven | CompletionProof::Outlived
+    );
+    let content = row.content_id().filter(|_| is_alive);
     let service = row.service;
     let last_bytes = row.last_bytes.map(|at| (row.dispatched, at));
     let first = row.first.unwrap_or(now);
--- a/crates/firdock-policy/src/system/unproven_end.rs
+++ b/crates/firdock-policy/src/system/unproven_end.rs
@@ -250,6 +250,12 @@
 }
 
 fn conclude(t: &mut Tables, end: &UnprovenEnd, verdict: EndVerdict, out: &mut Vec<Action>) {
+    if verdict.accepted
+        && verdict.evidence.shows_life()
+        && let Some(row) = t.requests.get_mut(end.id)
+    {
+        row.completion_proof = CompletionProof::Outlived;
+    }
     *t.stats.unproven_ends.entry(verdict).or_default() += 1;
     out.push(Action::JudgeEnd {
         id: end.id,
--- a/crates/firdock-policy/tests/policy/suspects/evidence.rs
+++ b/crates/firdock-policy/tests/policy/suspects/evidence.rs
@@ -101,6 +101,78 @@
     assert_eq!(exits_counted_against(&pool.edge, "hot"), 0);
 }
 
+/// Ends an answer without framing, after which a check finds the endpoint in this state; returns the verdict.
+fn end_unframed(pool: &mut TestPool, n: u64, at: &(u32, String), found: Liveness) -> Vec<Action> {
+    let unproven = DispatchUpdate::Unproven;
+    let mut actions = pool.edge.update_dispatch(n, at.0, unproven);
+    actions.extend(liveness_checked(&mut pool.edge, &at.1, found));
+    actions
+}
+
+fn is_accepted(actions: &[Action]) -> Option<bool> {
+    actions.iter().find_map(|action| match action {
+        Action::JudgeEnd { verdict, .. } => Some(verdict.accepted),
+        _ => None,
+    })
+}
+
+// Guards against a sound request that is quarantined, since whole answers without framing counted for nothing: each
+// endpoint that was killed for other reasons counted against what it ran.
+#[test]
+fn an_unframed_answer_that_its_endpoint_outlived_voids_earlier_exits() {
+    let mut pool = TestPool::new(8);
+    for n in 1..=6 {
+        assert!(pool.send_and_exit(with_body(10 * n, "once", "hot")), "{n}");
+        assert_eq!(exits_counted_against(&pool.edge, "hot"), 1, "{n}");
+        let n = 10 * n + 1;
+        let at = pool
+            .arrive(with_body(n, "once", "hot"))
+            .expect("it is sent");
+        let actions = end_unframed(&mut pool, n, &at, Liveness::Open);
+        assert_eq!(is_accepted(&actions), Some(true));
+        pool.edge.update_dispatch(n, at.0, ENDED);
+        assert_eq!(exits_counted_against(&pool.edge, "hot"), 0, "{n}");
+    }
+}
+
+// Guards against a deadly request that clears itself: it may write a part of an answer, and an endpoint that exits closes
+// its connections in order.
+#[test]
+fn an_unframed_part_of_an_answer_clears_nothing_when_its_endpoint_exits() {
+    let mut pool = TestPool::new(8);
+    for n in 1..=3 {
+        let at = pool
+            .arrive(with_body(n, "once", "hot"))
+            .expect("it is sent");
+        pool.edge.now += RUN;
+        let actions = end_unframed(&mut pool, n, &at, Liveness::Ended);
+        assert_eq!(is_accepted(&actions), Some(false));
+        break_connection(&mut pool.edge, n, at.0);
+        pool.exited.push(at.1);
+        pool.edge.now += millis(1_000);
+    }
+    assert!(is_quarantined(&pool.edge, "hot"));
+    assert!(pool.arrive(with_body(9, "once", "hot")).is_none());
+}
+
+// Guards against a check without a result that counts as a sign of life.
+#[test]
+fn an_unframed_answer_whose_endpoint_is_silent_clears_nothing() {
+    let mut pool = TestPool::new(8);
+    assert!(pool.send_and_exit(with_body(1, "once", "hot")));
+    let at = pool
+        .arrive(with_body(2, "once", "hot"))
+        .expect("it is sent");
+    let mut actions = end_unframed(&mut pool, 2, &at, Liveness::Silent);
+    for _ in 0..20 {
+        pool.edge.now += millis(25);
+        actions.extend(pool.edge.step(Event::Timer));
+    }
+    assert_eq!(is_accepted(&actions), Some(true));
+    pool.edge.update_dispatch(2, at.0, ENDED);
+    assert_eq!(exits_counted_against(&pool.edge, "hot"), 1);
+}
+
 /// Endpoints replaced by a release announce that they leave, or their entries are removed first; then they
 /// exit with the requests that they run.
 #[test]
