A second answer is no part of one that ends with its connection

Nothing but the close tells where such an answer ends, and ids were compared for the first event of a dispatch alone. A head that names a request now ends the answer before it, whose end is judged as that of a connection closed there; ids that go back and lines that are no fields break the dispatch after the last complete event, from where it may go on.

--- a/crates/firdock-node/src/endpoint.rs
+++ b/crates/firdock-node/src/endpoint.rs
@@ -8,6 +8,7 @@
 mod ending;
 mod engine;
 mod events;
+mod next_head;
 mod notice;
 mod plain;
 pub mod relay;
--- a/crates/firdock-node/src/endpoint/body.rs
+++ b/crates/firdock-node/src/endpoint/body.rs
@@ -7,8 +7,10 @@
 use firdock_policy::event::HeadFault;
 use http_body_util::BodyExt as _;
 use hyper::body::Body as _;
+use hyper::header::HeaderName;
 
 use super::ending::Ending;
+use super::next_head::NextHead;
 use crate::http::{BodyError, EndlessBytes, Framing, InvalidHead, ResponseBody};
 use crate::peer::TunnelBroken;
 
@@ -16,13 +18,26 @@
 #[derive(Debug)]
 pub struct EndpointBody {
     body: ResponseBody,
+    /// Looks for another answer behind one that nothing delimits.
+    next_head: Option<NextHead>,
 }
 
 impl EndpointBody {
     /// Creates the reader of a body.
     #[must_use]
     pub fn new(body: ResponseBody) -> Self {
-        Self { body }
+        Self {
+            body,
+            next_head: None,
+        }
+    }
+
+    /// Sets the field that each answer of the endpoint has, by which a second answer is recognized.
+    #[must_use]
+    pub fn with_id_field(mut self, name: HeaderName) -> Self {
+        let is_undelimited = self.framing() == Framing::Connection;
+        self.next_head = is_undelimited.then(|| NextHead::new(name));
+        self
     }
 
     /// Returns the framing of the body.
@@ -44,6 +59,28 @@
     /// Returns how the body ended once there are no more bytes, also when it ended as its framing
     /// says.
     pub async fn next(&mut self) -> Result<Bytes, Ending> {
+        loop {
+            if self.next_head.as_ref().is_some_and(NextHead::is_found) {
+                return Err(Ending::Closed);
+            }
+            let read = self.next_bytes().await;
+            let Some(next_head) = &mut self.next_head else {
+                return read;
+            };
+            match read {
+                Ok(bytes) => {
+                    let bytes = next_head.push(&bytes);
+                    if !bytes.is_empty() {
+                        return Ok(bytes);
+                    }
+                }
+                Err(Ending::Closed) => return next_head.finish().ok_or(Ending::Closed),
+                Err(ending) => return Err(ending),
+            }
+        }
+    }
+
+    async fn next_bytes(&mut self) -> Result<Bytes, Ending> {
         loop {
             match self.body.frame().await {
                 Some(Ok(frame)) => {
--- a/crates/firdock-node/src/endpoint/events.rs
+++ b/crates/firdock-node/src/endpoint/events.rs
@@ -26,8 +26,6 @@
     pub bytes: Bytes,
     /// Number of events.
     pub count: u32,
-    /// First ID that any of them has.
-    pub first_id: Option<String>,
     /// ID of the last event. `None` if it has no ID of its own, so that the stream cannot resume
     /// after it.
     pub last_id: Option<String>,
@@ -45,15 +43,54 @@
     after_cr: bool,
     /// Whether any line has ended: a byte order mark is allowed only before that.
     past_first_line: bool,
-    /// Whether an event is open: it has a field, but has not ended.
-    in_event: bool,
+    place: Place,
     /// ID of the open event.
     id: Option<String>,
     /// Number of complete events so far.
     events: u32,
+    /// What the next event has to come after.
+    last: LastEvent,
+}
+
+/// Where in the stream the last scanned line is.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Place {
+    #[default]
+    Between,
+    /// In an event that has a field, but has not ended.
+    InEvent,
+    /// Behind the stream: what follows the complete events is no part of it.
+    Behind,
+}
+
+/// The last event that has an ID.
+#[derive(Debug, Default)]
+enum LastEvent {
+    #[default]
+    None,
+    /// The caller has it, and the stream is to continue after it.
+    Before(String),
+    /// It is one of this stream.
+    OfStream(String),
 }
 
 impl EventSplitter {
+    /// Creates the splitter of a stream that continues after an event.
+    #[must_use]
+    pub fn continuing_after(id: Option<String>) -> Self {
+        Self {
+            last: id.map_or(LastEvent::None, LastEvent::Before),
+            ..Self::default()
+        }
+    }
+
+    /// Whether the stream went on with what is no part of it: an event that the caller has already, or bytes that are no
+    /// event. What was complete before that is a part of it.
+    #[must_use]
+    pub fn is_foreign(&self) -> bool {
+        self.place == Place::Behind
+    }
+
     /// Adds bytes and returns what is complete, or `None` if nothing can be forwarded yet.
     ///
     /// Comments and blank lines before the first event are held back until it is complete, so that
@@ -66,7 +103,9 @@
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<CompleteEvents>, EventTooLong> {
         self.buffer.extend_from_slice(bytes);
         let mut scan = Scanned::default();
-        while let Some(at) = self.next_line_end() {
+        while !self.is_foreign()
+            && let Some(at) = self.next_line_end()
+        {
             self.handle_line_end(at, &mut scan);
         }
         if self.scanned < self.buffer.len() {
@@ -92,7 +131,7 @@
 
     fn trailing_data(&self) -> TrailingData {
         let line = self.strip_byte_order_mark(&self.buffer[self.line..]);
-        if self.in_event {
+        if self.place != Place::Between {
             TrailingData::Event
         } else if line.is_empty() {
             TrailingData::Nothing
@@ -124,7 +163,7 @@
         if byte == b'\n' && follows_cr {
             // The LF of a CRLF.
             self.line = self.scanned;
-            if !self.in_event {
+            if self.place == Place::Between {
                 scan.end = self.scanned;
             }
         } else {
@@ -137,24 +176,54 @@
         let line = &self.buffer[self.line..self.scanned - 1];
         let line = self.strip_byte_order_mark(line);
         if line.is_empty() {
-            if std::mem::replace(&mut self.in_event, false) {
-                scan.count += 1;
-                scan.last_id = self.id.take().filter(|id| !id.is_empty());
-                scan.first_id = scan.first_id.take().or_else(|| scan.last_id.clone());
+            if self.place != Place::Between {
+                let id = self.id.take().filter(|id| !id.is_empty());
+                if id.as_ref().is_some_and(|id| self.has_passed(id)) {
+                    self.place = Place::Behind;
+                    return;
+                }
+                self.end_event(id, scan);
             }
         } else if !line.starts_with(b":") {
+            if !is_field(line) {
+                self.place = Place::Behind;
+                return;
+            }
             if let Some(id) = read_id(line) {
                 self.id = Some(id);
             }
-            self.in_event = true;
+            self.place = Place::InEvent;
         }
         self.past_first_line = true;
         self.line = self.scanned;
-        if !self.in_event {
+        if self.place == Place::Between {
             scan.end = self.scanned;
         }
     }
 
+    fn end_event(&mut self, id: Option<String>, scan: &mut Scanned) {
+        self.place = Place::Between;
+        scan.count += 1;
+        scan.last_id.clone_from(&id);
+        if let Some(id) = id {
+            self.last = LastEvent::OfStream(id);
+        }
+    }
+
+    /// Whether the stream is at this ID or beyond it. Within a stream only numbers tell that; the first event of one that
+    /// continues after another has to differ from that one.
+    fn has_passed(&self, id: &str) -> bool {
+        let (last, is_before) = match &self.last {
+            LastEvent::None => return false,
+            LastEvent::Before(last) => (last, true),
+            LastEvent::OfStream(last) => (last, false),
+        };
+        match (id.parse::<u64>(), last.parse::<u64>()) {
+            (Ok(id), Ok(last)) => id <= last,
+            _ => is_before && id == last,
+        }
+    }
+
     /// Strips the byte order mark, which only the first line may have.
     fn strip_byte_order_mark<'a>(&self, line: &'a [u8]) -> &'a [u8] {
         let request_builder = line.strip_prefix(BYTE_ORDER_MARK);
@@ -169,7 +238,6 @@
         CompleteEvents {
             bytes: self.buffer.split_to(scan.end).freeze(),
             count: scan.count,
-            first_id: scan.first_id,
             last_id: scan.last_id,
         }
     }
@@ -181,10 +249,19 @@
     /// Position after the last byte at which no event was open.
     end: usize,
     count: u32,
-    first_id: Option<String>,
     last_id: Option<String>,
 }
 
+/// Returns whether a line sets a field: without a value, only those that the format defines do.
+fn is_field(line: &[u8]) -> bool {
+    let name = line.split(|b| *b == b':').next().unwrap_or_default();
+    let is_name = name
+        .iter()
+        .all(|b| b.is_ascii_alphanumeric() || b"-_".contains(b));
+    let is_defined = [&b"data"[..], b"event", b"id", b"retry"].contains(&name);
+    is_defined || (is_name && name.len() < line.len())
+}
+
 /// Returns the ID set by a field. Values that are not UTF-8 or contain a NUL set none.
 fn read_id(line: &[u8]) -> Option<String> {
     let value = match line.strip_prefix(b"id")? {
--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -15,6 +15,7 @@
 use firdock_policy::event::{BreakCause, DispatchUpdate};
 use firdock_policy::load::ServerLoad;
 use http_body_util::Full;
+use hyper::header::HeaderName;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use snafu::Snafu;
 use tokio::net::TcpStream;
@@ -75,6 +76,9 @@
     /// Adds the headers that the endpoint needs.
     fn add_headers(&self, headers: &mut HeaderMap, relay_request: RelayRequest<'_>);
 
+    /// Returns the field by which each answer names its request.
+    fn id_field(&self) -> HeaderName;
+
     /// Classifies the head of an answer.
     fn classify(&self, payload: &Payload, status: StatusCode, headers: &HeaderMap) -> ResponseKind;
 
@@ -171,7 +175,7 @@
         run.record_head(framing);
         strip_hop_by_hop(response.headers_mut());
         let (parts, body) = response.into_parts();
-        let body = EndpointBody::new(body);
+        let body = EndpointBody::new(body).with_id_field(self.dialect.id_field());
         let has_failed = status.is_server_error();
         let backs_off = head.notice.backoff.is_some();
         let head = AnswerHead {
--- a/crates/firdock-node/src/endpoint/relay/stream.rs
+++ b/crates/firdock-node/src/endpoint/relay/stream.rs
@@ -21,7 +21,7 @@
     /// Head of the answer, until it is forwarded.
     head: Option<AnswerHead>,
     event_tokens: u32,
-    /// ID of the event after which this dispatch continues the stream, until its first event arrives.
+    /// ID of the event after which this dispatch continues the stream.
     continues_after: Option<String>,
     progress: Progress,
 }
@@ -93,7 +93,7 @@
         &mut self,
         mut body: EndpointBody,
     ) -> Result<(EventSplitter, Ending), DispatchError> {
-        let mut splitter = EventSplitter::default();
+        let mut splitter = EventSplitter::continuing_after(self.continues_after.clone());
         loop {
             let bytes = match self.run.read(&mut body).await {
                 Ok(bytes) => bytes,
@@ -105,6 +105,9 @@
             if let Some(events) = complete {
                 self.forward_events(events).await?;
             }
+            if splitter.is_foreign() {
+                return Err(DispatchError::EndpointFailed(BreakCause::Foreign));
+            }
         }
     }
 
@@ -131,9 +134,6 @@
     }
 
     async fn forward_events(&mut self, events: CompleteEvents) -> Result<(), DispatchError> {
-        if self.repeats(&events) {
-            return Err(DispatchError::EndpointFailed(BreakCause::Foreign));
-        }
         self.begin().await?;
         let first = self.run.delivered().tokens == 0 && events.count > 0;
         if first && self.run.exchange.payload.terms.repeatable {
@@ -152,18 +152,6 @@
         Ok(())
     }
 
-    /// Returns whether the endpoint sends an event that the caller has already, in place of continuing after it.
-    fn repeats(&mut self, events: &CompleteEvents) -> bool {
-        if events.count == 0 {
-            return false;
-        }
-        let first = events.first_id.as_deref();
-        let last = self.continues_after.take();
-        first
-            .zip(last)
-            .is_some_and(|(first, last)| !is_after(first, &last))
-    }
-
     /// Records how far the answer has come, before its events are forwarded.
     fn record(&self, events: u32, last_id: Option<String>) {
         let mut delivered = self.run.delivered();
@@ -208,11 +196,3 @@
         self.run.forward(AnswerPart::Head(head)).await
     }
 }
-
-/// Returns whether an event comes after another one, by their IDs. Those that are not numbers only have to differ.
-fn is_after(id: &str, last: &str) -> bool {
-    match (id.parse::<u64>(), last.parse::<u64>()) {
-        (Ok(id), Ok(last)) => id > last,
-        _ => id != last,
-    }
-}
