Hidden chunks are recognized whatever their sizes look like

The search for chunks under such a head took sizes of more than five digits, with blanks or extensions, and chunks of more than 64 KiB for plain bytes.

Of a chunk that is longer than what is held back the bytes are passed on, and the answer is broken off at the chunk's end.

Red before: `no_size_of_a_chunk_is_a_part_of_a_body` on (seven ways to write a size, four lengths).

--- a/crates/firdock-node/src/http/response.rs
+++ b/crates/firdock-node/src/http/response.rs
@@ -79,6 +79,8 @@
         };
         match start.push(&data) {
             BodyStart::Unknown => None,
+            BodyStart::LongChunk(passed) if passed.is_empty() => None,
+            BodyStart::LongChunk(passed) => Some(Some(Ok(Frame::data(passed)))),
             BodyStart::Chunk => Some(Some(HiddenChunksSnafu.fail())),
             BodyStart::Plain(held) => {
                 self.start = None;
