A seed that is no address does not end a start

An instance whose settings name one seed by an empty text or a host name ended with code 3 (FAULT: a program doesn't start), although it can start without any. Seeds are hints whom to ask first: one that cannot be read is now left out with a line.

--- a/crates/firdock-core/src/settings.rs
+++ b/crates/firdock-core/src/settings.rs
@@ -13,7 +13,7 @@
 
 pub use check::Profile;
 pub use tables::{
-    Endpoints, Freshness, Instance, Keys, Limits, Logging, Peers, Platform, Rollouts,
+    Endpoints, Freshness, Instance, Keys, Limits, Logging, Peers, Platform, Rollouts, Seed,
 };
 
 use crate::Findings;
--- a/crates/firdock-core/src/settings/tables.rs
+++ b/crates/firdock-core/src/settings/tables.rs
@@ -1,6 +1,6 @@
 //! Tables of the settings file and their defaults.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -102,9 +102,56 @@
     pub heartbeat: Duration,
     /// Number of missed heartbeats after which a peer's status is stale.
     pub missed_beats: u32,
-    /// Addresses of instances that are likely to be up, from which the state is requested at the start. Only
-    /// the IP addresses are used, since all instances receive heartbeats on the same port.
-    pub seeds: Vec<SocketAddr>,
+    /// Instances that are likely to be up, from which the state is requested at the start. Only the IP addresses are used,
+    /// since all instances receive heartbeats on the same port.
+    pub seeds: Vec<Seed>,
+}
+
+/// Address of an instance that is likely to be up. One that cannot be read is left out, since an instance can start without
+/// any.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "String", into = "String")]
+pub enum Seed {
+    /// Its IP address.
+    Address(IpAddr),
+    /// Text that is no address.
+    Unreadable(String),
+}
+
+impl Seed {
+    /// Returns the IP address.
+    #[must_use]
+    pub fn ip(&self) -> Option<IpAddr> {
+        match self {
+            Self::Address(ip) => Some(*ip),
+            Self::Unreadable(_) => None,
+        }
+    }
+}
+
+impl From<SocketAddr> for Seed {
+    fn from(address: SocketAddr) -> Self {
+        Self::Address(address.ip())
+    }
+}
+
+impl From<String> for Seed {
+    fn from(text: String) -> Self {
+        let with_port = text.parse().map(|address: SocketAddr| address.ip());
+        match with_port.or_else(|_| text.parse()) {
+            Ok(ip) => Self::Address(ip),
+            Err(_) => Self::Unreadable(text),
+        }
+    }
+}
+
+impl From<Seed> for String {
+    fn from(seed: Seed) -> Self {
+        match seed {
+            Seed::Address(ip) => ip.to_string(),
+            Seed::Unreadable(text) => text,
+        }
+    }
 }
 
 impl Default for Peers {
--- a/crates/firdock-node/src/edge/parts.rs
+++ b/crates/firdock-node/src/edge/parts.rs
@@ -4,13 +4,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use firdock_core::settings::Settings;
+use firdock_core::settings::{Seed, Settings};
 use firdock_policy::event::Member;
 use firdock_policy::transfer::BufferPool;
 use firdock_policy::{Mechanisms, PolicySettings, Scheduler};
 use hyper::Request;
 use hyper::body::Incoming;
-use slog::{Logger, o};
+use slog::{Logger, o, warn};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
@@ -83,8 +83,8 @@
 /// Heartbeats use the same port on all instances.
 fn seeds(settings: &Settings) -> impl Iterator<Item = SocketAddr> {
     let port = settings.instance.peers.map_or(0, |own| own.port());
-    let seeds = settings.peers.seeds.iter();
-    seeds.map(move |seed| SocketAddr::new(seed.ip(), port))
+    let seeds = settings.peers.seeds.iter().filter_map(Seed::ip);
+    seeds.map(move |ip| SocketAddr::new(ip, port))
 }
 
 /// Returns the seeds except this instance.
@@ -93,12 +93,20 @@
     seeds(settings).filter(|seed| Some(*seed) != me).collect()
 }
 
+fn log_unreadable_seeds(settings: &Settings, log: &Logger) {
+    for seed in &settings.peers.seeds {
+        if let Seed::Unreadable(text) = seed {
+            warn!(log, "seed that is no address left out"; "seed" => text);
+        }
+    }
+}
+
 /// Whether this instance asks its peers before it reads the store at the start. Seeds do not: the
 /// others ask them, and all instances may start at the same moment.
 fn asks_peers_first(settings: &Settings) -> bool {
     let me = settings.instance.peers;
     let is_seed = seeds(settings).any(|seed| Some(seed) == me);
-    !is_seed && !settings.peers.seeds.is_empty()
+    !is_seed && seeds(settings).next().is_some()
 }
 
 impl EdgeParts {
@@ -281,6 +289,7 @@
         stop: watch::Receiver<bool>,
     ) {
         let log = self.log.new(o!("part" => "peers"));
+        log_unreadable_seeds(&self.settings, &log);
         let beacons = BeaconService {
             socket: Arc::clone(socket),
             member: self.member.clone(),
