A length of zero is not believed before its body could arrive

An answer without a body ended with its head, so that the bytes behind it were seen by nobody.

Behind a success whose head gives a length of zero, bytes are now awaited for 20 ms; if any come, the answer is broken. Other answers wait for nothing, and neither do refusals and failures.

Red before: `a_body_behind_a_length_of_zero_is_no_empty_answer` on; green after, with the tests of endings, spoilt heads and order.

--- a/crates/firdock-node/src/endpoint/body.rs
+++ b/crates/firdock-node/src/endpoint/body.rs
@@ -2,6 +2,7 @@
 
 use std::error::Error;
 use std::io::{self, ErrorKind};
+use std::time::Duration;
 
 use bytes::Bytes;
 use firdock_policy::event::HeadFault;
@@ -14,10 +15,16 @@
 use crate::http::{BodyError, EndlessBytes, Framing, InvalidHead, ResponseBody};
 use crate::peer::TunnelBroken;
 
+/// Time for which bytes are awaited behind an answer whose head says that it has no body. A body may come apart from its
+/// head, and a length that was spoilt to zero would make the caller take nothing for all of it.
+const EMPTY_BODY_WAIT: Duration = Duration::from_millis(20);
+
 /// Body of an endpoint's answer that is being received.
 #[derive(Debug)]
 pub struct EndpointBody {
     body: ResponseBody,
+    /// Whether bytes are awaited behind an empty body.
+    awaits_bytes: bool,
     /// Looks for another answer behind one that nothing delimits.
     next_head: Option<NextHead>,
 }
@@ -28,10 +35,19 @@
     pub fn new(body: ResponseBody) -> Self {
         Self {
             body,
+            awaits_bytes: false,
             next_head: None,
         }
     }
 
+    /// Awaits bytes behind an empty body whose head gives its length, for a short time. Worth it where a caller would take
+    /// nothing for a success.
+    #[must_use]
+    pub fn with_awaited_bytes(mut self, awaits: bool) -> Self {
+        self.awaits_bytes = awaits && self.framing() == Framing::Length;
+        self
+    }
+
     /// Sets the field that each answer of the endpoint has, by which a second answer is recognized.
     #[must_use]
     pub fn with_id_field(mut self, name: HeaderName) -> Self {
@@ -85,6 +101,7 @@
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(bytes) = frame.into_data() {
+                        self.awaits_bytes = false;
                         return Ok(bytes);
                     }
                 }
@@ -94,6 +111,14 @@
                     return Err(Ending::InvalidHead(HeadFault::Coding));
                 }
                 None if self.framing() == Framing::Connection => return Err(Ending::Closed),
+                None if self.awaits_bytes => {
+                    let is_followed = self.body.is_followed(EMPTY_BODY_WAIT).await;
+                    return Err(if is_followed {
+                        Ending::Excess
+                    } else {
+                        Ending::Framed
+                    });
+                }
                 None => return Err(Ending::Framed),
             }
         }
--- a/crates/firdock-node/src/endpoint/relay.rs
+++ b/crates/firdock-node/src/endpoint/relay.rs
@@ -175,7 +175,9 @@
         run.record_head(framing);
         strip_hop_by_hop(response.headers_mut());
         let (parts, body) = response.into_parts();
-        let body = EndpointBody::new(body).with_id_field(self.dialect.id_field());
+        let body = EndpointBody::new(body)
+            .with_id_field(self.dialect.id_field())
+            .with_awaited_bytes(status.is_success());
         let has_failed = status.is_server_error();
         let backs_off = head.notice.backoff.is_some();
         let head = AnswerHead {
--- a/crates/firdock-node/src/http/response.rs
+++ b/crates/firdock-node/src/http/response.rs
@@ -2,16 +2,21 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use snafu::{ResultExt as _, Snafu};
+use tokio::time::sleep;
 
 use super::answer_bytes::SharedAnswerBytes;
 use super::bounded::IdleBytes;
 use super::framing::Framing;
 use super::hidden_chunks::{BodyStart, HiddenChunks};
 
+/// Interval between looks for bytes behind a body.
+const LOOK_INTERVAL: Duration = Duration::from_millis(2);
+
 /// Error of reading a body.
 #[derive(Debug, Snafu)]
 pub enum BodyError {
@@ -89,6 +94,15 @@
         }
     }
 
+    /// Waits for bytes behind the end that the head names; returns whether any came.
+    pub async fn is_followed(&self, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        while !self.has_excess() && Instant::now() < end {
+            sleep(LOOK_INTERVAL).await;
+        }
+        self.has_excess()
+    }
+
     /// Whether the body ended where its head says, with more bytes behind it.
     fn has_excess(&self) -> bool {
         self.body.is_end_stream() && self.bytes.lock().has_excess()
