One prefix check and one start of a head for both places that look for them

next_head.rs had a copy of hidden_chunks.rs's is_prefix and of answer_bytes.rs's ANSWER_START; all bodies without framing were copied into its buffer, also those in which nothing begins like a head.

--- a/crates/firdock-node/src/endpoint/body.rs
+++ b/crates/firdock-node/src/endpoint/body.rs
@@ -85,7 +85,7 @@
             };
             match read {
                 Ok(bytes) => {
-                    let bytes = next_head.push(&bytes);
+                    let bytes = next_head.push(bytes);
                     if !bytes.is_empty() {
                         return Ok(bytes);
                     }
--- a/crates/firdock-node/src/endpoint/next_head.rs
+++ b/crates/firdock-node/src/endpoint/next_head.rs
@@ -7,8 +7,8 @@
 use bytes::{Bytes, BytesMut};
 use hyper::header::HeaderName;
 
-/// Start of each head.
-const VERSION: &[u8] = b"HTTP/1.";
+use crate::http::{ANSWER_START, is_prefix};
+
 /// Length of a status line up to its reason: `HTTP/1.1 200`.
 const STATUS_BYTES: usize = 12;
 /// Longest part of a body that is held back while it may be a head, in bytes.
@@ -40,8 +40,11 @@
     }
 
     /// Adds bytes of the body, and returns those that are certainly a part of it.
-    pub(super) fn push(&mut self, bytes: &[u8]) -> Bytes {
-        self.held.extend_from_slice(bytes);
+    pub(super) fn push(&mut self, bytes: Bytes) -> Bytes {
+        if self.held.is_empty() && find_start(&bytes).is_none() {
+            return bytes;
+        }
+        self.held.extend_from_slice(&bytes);
         let mut from = 0;
         while let Some(at) = find_start(&self.held[from..]).map(|at| from + at) {
             match match_head(&self.held[at..], &self.id_field) {
@@ -72,9 +75,12 @@
 
 /// Returns where bytes begin like a status line, as far as they go.
 fn find_start(bytes: &[u8]) -> Option<usize> {
-    let starts = bytes.iter().enumerate().filter(|(_, b)| **b == VERSION[0]);
+    let starts = bytes
+        .iter()
+        .enumerate()
+        .filter(|(_, b)| **b == ANSWER_START[0]);
     let mut starts = starts.map(|(at, _)| at);
-    starts.find(|at| is_prefix(&bytes[*at..], VERSION))
+    starts.find(|at| is_prefix(&bytes[*at..], ANSWER_START))
 }
 
 fn match_head(bytes: &[u8], id_field: &HeaderName) -> HeadMatch {
@@ -105,7 +111,7 @@
 /// Returns whether bytes begin like a status line, as far as they go.
 fn is_status(bytes: &[u8]) -> bool {
     let is_valid = |(at, byte): (usize, &u8)| match at {
-        0..7 => *byte == VERSION[at],
+        0..7 => *byte == ANSWER_START[at],
         7 | 9..STATUS_BYTES => byte.is_ascii_digit(),
         8 => *byte == b' ',
         _ => true,
@@ -114,8 +120,3 @@
     let is_ended = after.is_none_or(|b| matches!(b, b' ' | b'\r'));
     is_ended && bytes.iter().take(STATUS_BYTES).enumerate().all(is_valid)
 }
-
-/// Returns whether bytes begin with a mark, as far as they go.
-fn is_prefix(bytes: &[u8], mark: &[u8]) -> bool {
-    bytes.iter().zip(mark).all(|(byte, marked)| byte == marked)
-}
--- a/crates/firdock-node/src/http.rs
+++ b/crates/firdock-node/src/http.rs
@@ -15,11 +15,13 @@
 mod server;
 mod socket_buffers;
 
+pub(crate) use answer_bytes::ANSWER_START;
 pub use bounded::EndlessBytes;
 pub use caller::CallerHandle;
 pub use client::{CallError, Connection, Connector, TcpConnector, connect, connect_stream};
 pub use dead_peer::{DEAD_PEER_TIMEOUT, set_dead_peer_timeouts};
 pub use framing::{Framing, InvalidHead, check_request};
+pub(crate) use hidden_chunks::is_prefix;
 pub use listener::{Acceptor, listen};
 pub use response::{BodyError, ResponseBody};
 pub use server::{ServerOptions, serve};
--- a/crates/firdock-node/src/http/answer_bytes.rs
+++ b/crates/firdock-node/src/http/answer_bytes.rs
@@ -18,7 +18,7 @@
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// Start of every answer. One may follow another that was not asked for, and says nothing about the one before it.
-const ANSWER_START: &[u8] = b"HTTP/1.";
+pub(crate) const ANSWER_START: &[u8] = b"HTTP/1.";
 
 /// Place in the bytes of an answer.
 #[derive(Debug)]
--- a/crates/firdock-node/src/http/hidden_chunks.rs
+++ b/crates/firdock-node/src/http/hidden_chunks.rs
@@ -131,6 +131,6 @@
 }
 
 /// Returns whether bytes begin with a mark, as far as they go.
-fn is_prefix(bytes: &[u8], mark: &[u8]) -> bool {
+pub(crate) fn is_prefix(bytes: &[u8], mark: &[u8]) -> bool {
     bytes.iter().zip(mark).all(|(byte, marked)| byte == marked)
 }
